--- /dev/null
+++ b/src/routing/fleet_view.h
@@ -0,0 +1,57 @@
+/// \file
+/// Back ends as one node knows them. Load is known only where this node is a home of the engine or
+/// has asked one lately; the rest comes from gossip and the machine list.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "platform/back_end.h"
+#include "platform/engine_client.h"
+
+namespace covewing::routing {
+
+/// A load report and when it was taken, on this node's clock.
+struct KnownLoad {
+  platform::EngineLoad load;
+  base::TimePoint takenAt;
+  /// Own dispatches since the report: requests, and their uncached prompt tokens.
+  std::uint32_t dispatchedRequests = 0;
+  std::uint64_t dispatchedPrefillTokens = 0;
+};
+
+struct EngineState {
+  platform::BackEndAddress address;
+  std::string zone;
+  std::string region;
+  base::Incarnation incarnation = 0;
+  platform::EngineRole role = platform::EngineRole::kServing;
+  bool leaving = false;
+  /// Held dead or unreachable from here: no new work until it is seen again.
+  bool unreachable = false;
+  std::vector<platform::LoadedWeights> weights;
+  std::optional<KnownLoad> load;
+
+  bool serves(std::string_view model, std::string_view adapter, base::WeightsVersion version) const;
+};
+
+/// Read access to the engines. Ascending by id, so that equal views are equal everywhere.
+class FleetView {
+ public:
+  virtual ~FleetView() = default;
+  virtual const std::vector<EngineState>& engines() const = 0;
+  virtual const EngineState* find(base::EngineId id) const = 0;
+  /// Live, not leaving replicas of an application, own zone first.
+  virtual std::vector<platform::BackEndAddress> applicationReplicas(
+      std::string_view application) const = 0;
+  /// The newest version that every serving engine of the model has loaded, or else the newest that
+  /// any has; 0 if none.
+  virtual base::WeightsVersion defaultVersion(std::string_view model) const = 0;
+};
+
+}  // namespace covewing::routing
