Add the engine directory, engine homes and the first routing policies

A node must know which engines may take a request before membership gossip, cache index or load exist. EngineDirectory builds that from the machine list (a hint, polled slowly), reports polled from the engines it is a home of, gossip records that homes publish on change, and its own failed dispatches. An engine whose state no record tells is polled directly, so a single node, or one that has just restarted, works at once.

Records carry endpoint and zone as well, so that a node which restarts while the machine list is down still finds the engines. Unreachability is not spread: a home cut off from an engine would contradict the other home.

--- /dev/null
+++ b/src/routing/engine_directory.cc
@@ -0,0 +1,385 @@
+#include "routing/engine_directory.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+namespace covewing::routing {
+
+namespace {
+
+/// Sequence number to ask for where only the state is wanted: no event has one as high.
+constexpr std::uint64_t kNoEvents = UINT64_MAX;
+
+bool idLess(const EngineState& engine, base::EngineId id) { return engine.address.id < id; }
+
+bool usable(const EngineState& engine) {
+  return !engine.leaving && !engine.unreachable && engine.role == platform::EngineRole::kServing;
+}
+
+}  // namespace
+
+EngineDirectory::EngineDirectory(EngineDirectoryOptions options,
+                                 EngineDirectoryEnvironment environment)
+    : options_(options), environment_(environment) {}
+
+EngineDirectory::~EngineDirectory() = default;
+
+void EngineDirectory::start() {
+  environment_.records.subscribe(
+      std::string(kEngineRecordPrefix),
+      [this, alive = std::weak_ptr(lifetime_)](const membership::GossipRecord& record) {
+        if (!alive.expired()) onRecord(record);
+      });
+  fetchMachines();
+}
+
+void EngineDirectory::addListener(EngineListener& listener) { listeners_.push_back(&listener); }
+
+void EngineDirectory::removeListener(EngineListener& listener) {
+  listeners_.erase(std::remove(listeners_.begin(), listeners_.end(), &listener), listeners_.end());
+}
+
+const EngineState* EngineDirectory::find(base::EngineId id) const {
+  const auto found = std::lower_bound(engines_.begin(), engines_.end(), id, idLess);
+  return found != engines_.end() && found->address.id == id ? &*found : nullptr;
+}
+
+EngineState* EngineDirectory::findMutable(base::EngineId id) {
+  const auto found = std::lower_bound(engines_.begin(), engines_.end(), id, idLess);
+  return found != engines_.end() && found->address.id == id ? &*found : nullptr;
+}
+
+std::vector<platform::BackEndAddress> EngineDirectory::applicationReplicas(
+    std::string_view application) const {
+  const auto& ownZone = environment_.members.self().zone;
+  std::vector<platform::BackEndAddress> replicas;
+  for (const bool wantOwnZone : {true, false}) {
+    for (const auto& machine : applications_) {
+      if (machine.application != application || (machine.zone == ownZone) != wantOwnZone) continue;
+      if (machine.state != platform::MachineState::kLive) continue;
+      replicas.push_back({base::engineIdOf(machine.name), machine.name, machine.endpoint});
+    }
+  }
+  return replicas;
+}
+
+base::WeightsVersion EngineDirectory::defaultVersion(std::string_view model) const {
+  std::set<base::WeightsVersion> anywhere;
+  std::optional<std::set<base::WeightsVersion>> everywhere;
+  for (const auto& engine : engines_) {
+    if (!usable(engine)) continue;
+    std::set<base::WeightsVersion> loaded;
+    for (const auto& weights : engine.weights) {
+      if (weights.model == model) loaded.insert(weights.version);
+    }
+    if (loaded.empty()) continue;
+    anywhere.insert(loaded.begin(), loaded.end());
+    if (!everywhere) {
+      everywhere = std::move(loaded);
+      continue;
+    }
+    std::erase_if(*everywhere,
+                  [&](base::WeightsVersion version) { return !loaded.contains(version); });
+  }
+  if (everywhere && !everywhere->empty()) return *everywhere->rbegin();
+  return anywhere.empty() ? 0 : *anywhere.rbegin();
+}
+
+// --- machine list
+
+void EngineDirectory::fetchMachines() {
+  const auto alive = std::weak_ptr(lifetime_);
+  environment_.machines.fetch([this, alive](std::optional<std::vector<platform::Machine>> list) {
+    if (alive.expired()) return;
+    if (list) onMachines(*list);
+    const auto delay = environment_.random.jittered(options_.machineListInterval, options_.jitter);
+    environment_.timers.schedule(delay, [this, alive] {
+      if (!alive.expired()) fetchMachines();
+    });
+  });
+}
+
+void EngineDirectory::onMachines(const std::vector<platform::Machine>& machines) {
+  applications_.clear();
+  for (const auto& machine : machines) {
+    if (machine.kind == platform::MachineKind::kApplication) applications_.push_back(machine);
+    if (machine.kind == platform::MachineKind::kEngine) onListedEngine(machine);
+  }
+  forgetAbsentEngines();
+}
+
+void EngineDirectory::onListedEngine(const platform::Machine& machine) {
+  const auto id = base::engineIdOf(machine.name);
+  EngineState* engine = findMutable(id);
+  if (engine == nullptr) {
+    engine = &addEngine(machine.name, machine.endpoint, machine.zone, machine.region);
+  }
+  auto& tracking = tracking_[id];
+  engine->address.endpoint = machine.endpoint;
+  engine->zone = machine.zone;
+  engine->region = machine.region;
+  tracking.listedLeaving = machine.state == platform::MachineState::kLeaving;
+  tracking.seenAt = environment_.clock.now();
+  refresh(*engine, tracking);
+}
+
+void EngineDirectory::forgetAbsentEngines() {
+  const auto now = environment_.clock.now();
+  std::vector<base::EngineId> absent;
+  for (const auto& engine : engines_) {
+    if (now - tracking_.at(engine.address.id).seenAt > options_.absenceGrace)
+      absent.push_back(engine.address.id);
+  }
+  for (const auto id : absent) {
+    environment_.log.write(base::Event::kEngineGone, {{"engine", find(id)->address.name}});
+    environment_.timers.cancel(tracking_.at(id).pollTimer);
+    tracking_.erase(id);
+    std::erase_if(engines_, [&](const EngineState& engine) { return engine.address.id == id; });
+    for (auto* listener : listeners_) listener->onForgotten(id);
+  }
+}
+
+EngineState& EngineDirectory::addEngine(std::string_view name, const base::Endpoint& endpoint,
+                                        std::string_view zone, std::string_view region) {
+  EngineState engine;
+  engine.address = {base::engineIdOf(name), std::string(name), endpoint};
+  engine.zone = zone;
+  engine.region = region;
+  const auto id = engine.address.id;
+  const auto position = std::lower_bound(engines_.begin(), engines_.end(), id, idLess);
+  const auto inserted = engines_.insert(position, std::move(engine));
+  tracking_[id].seenAt = environment_.clock.now();
+  schedulePoll(id, base::Duration::zero());
+  return *inserted;
+}
+
+// --- polling
+
+void EngineDirectory::schedulePoll(base::EngineId engine, base::Duration delay) {
+  const auto alive = std::weak_ptr(lifetime_);
+  tracking_.at(engine).pollTimer = environment_.timers.schedule(delay, [this, alive, engine] {
+    if (!alive.expired()) onPollTimer(engine);
+  });
+}
+
+bool EngineDirectory::polls(const EngineState& engine) const {
+  return options_.pollScope == PollScope::kAllEngines || isHomeOf(engine.address.id);
+}
+
+void EngineDirectory::onPollTimer(base::EngineId id) {
+  EngineState* engine = findMutable(id);
+  if (engine == nullptr) return;
+  auto& tracking = tracking_.at(id);
+  const bool home = polls(*engine);
+  if (tracking.pollOutstanding) {
+    onMissedPoll(*engine, tracking);
+  } else if (home || !tracking.stateKnown) {
+    poll(*engine, tracking);
+  } else {
+    // No longer a home: what this node missed says nothing any more.
+    tracking.missedPolls = 0;
+  }
+  const auto interval = home ? options_.pollInterval : options_.machineListInterval;
+  schedulePoll(id, environment_.random.jittered(interval, options_.jitter));
+  refresh(*engine, tracking);
+}
+
+void EngineDirectory::poll(EngineState& engine, Tracking& tracking) {
+  tracking.pollOutstanding = true;
+  const auto id = engine.address.id;
+  const std::uint64_t from = polls(engine) ? tracking.nextSequence : kNoEvents;
+  environment_.engines.poll(
+      engine.address, from,
+      [this, id, alive = std::weak_ptr(lifetime_)](std::optional<platform::EngineReport> report) {
+        if (!alive.expired()) onPollAnswer(id, std::move(report));
+      });
+}
+
+void EngineDirectory::onPollAnswer(base::EngineId id,
+                                   std::optional<platform::EngineReport> report) {
+  EngineState* engine = findMutable(id);
+  if (engine == nullptr) return;
+  auto& tracking = tracking_.at(id);
+  tracking.pollOutstanding = false;
+  if (report) {
+    onReport(*engine, tracking, *report);
+  } else {
+    onMissedPoll(*engine, tracking);
+  }
+}
+
+void EngineDirectory::onMissedPoll(EngineState& engine, Tracking& tracking) {
+  ++tracking.missedPolls;
+  refresh(engine, tracking);
+}
+
+void EngineDirectory::onReport(EngineState& engine, Tracking& tracking,
+                               const platform::EngineReport& report) {
+  const auto now = environment_.clock.now();
+  tracking.missedPolls = 0;
+  if (!advanceIncarnation(engine, tracking, report.incarnation)) return;
+  tracking.failedDispatches = 0;
+  tracking.unreachableUntil.reset();
+  tracking.answeredAt = now;
+  tracking.seenAt = now;
+  tracking.stateKnown = true;
+  tracking.reportedLeaving = report.leaving;
+  engine.role = report.role;
+  engine.weights = report.weights;
+  engine.load = KnownLoad{report.load, now};
+  refresh(engine, tracking);
+  if (!polls(engine)) return;
+  tracking.nextSequence = report.nextSequence;
+  publishIfChanged(engine, tracking);
+  for (auto* listener : listeners_) listener->onReport(engine, report);
+}
+
+// --- records
+
+void EngineDirectory::publishIfChanged(const EngineState& engine, Tracking& tracking) {
+  if (!isHomeOf(engine.address.id)) return;
+  EngineRecord record{engine.incarnation,      engine.role, tracking.reportedLeaving,
+                      engine.address.endpoint, engine.zone, engine.region,
+                      engine.weights};
+  if (tracking.record == record) return;
+  std::string value = encodeEngineRecord(record);
+  if (value.size() > membership::RecordDissemination::kMaximumValue) return;
+  tracking.recordVersion = nextRecordVersion(engine.incarnation, tracking.recordVersion);
+  tracking.record = std::move(record);
+  environment_.records.publish(
+      {engineRecordKey(engine.address.name), tracking.recordVersion, std::move(value)});
+}
+
+void EngineDirectory::onRecord(const membership::GossipRecord& gossip) {
+  auto record = decodeEngineRecord(gossip.value);
+  if (!record) return;
+  const std::string_view name = std::string_view(gossip.key).substr(kEngineRecordPrefix.size());
+  const auto id = base::engineIdOf(name);
+  EngineState* engine = findMutable(id);
+  if (engine == nullptr) engine = &addEngine(name, record->endpoint, record->zone, record->region);
+  auto& tracking = tracking_.at(id);
+  if (gossip.version <= tracking.recordVersion) return;
+  tracking.recordVersion = gossip.version;
+  tracking.record = std::move(record);
+  const auto& heard = *tracking.record;
+  const bool polledLately =
+      tracking.answeredAt &&
+      environment_.clock.now() - *tracking.answeredAt <= 2 * options_.pollInterval;
+  if (polledLately && heard.incarnation <= engine->incarnation) return;
+  if (!advanceIncarnation(*engine, tracking, heard.incarnation)) return;
+  tracking.stateKnown = true;
+  tracking.reportedLeaving = heard.leaving;
+  tracking.seenAt = environment_.clock.now();
+  engine->role = heard.role;
+  engine->weights = heard.weights;
+  refresh(*engine, tracking);
+}
+
+// --- own observations
+
+void EngineDirectory::noteUnreachable(base::EngineId id) {
+  EngineState* engine = findMutable(id);
+  if (engine == nullptr) return;
+  auto& tracking = tracking_.at(id);
+  constexpr std::uint32_t kMaximumDoublings = 16;
+  const auto doublings = std::min(tracking.failedDispatches, kMaximumDoublings);
+  const auto wait =
+      std::min(options_.unreachableFor * (1U << doublings), options_.unreachableForMaximum);
+  ++tracking.failedDispatches;
+  tracking.unreachableUntil = environment_.clock.now() + wait;
+  refresh(*engine, tracking);
+}
+
+void EngineDirectory::noteLeaving(base::EngineId id) {
+  EngineState* engine = findMutable(id);
+  if (engine == nullptr) return;
+  auto& tracking = tracking_.at(id);
+  tracking.leavingNotedAt = environment_.clock.now();
+  refresh(*engine, tracking);
+}
+
+void EngineDirectory::noteIncarnation(base::EngineId id, base::Incarnation incarnation) {
+  EngineState* engine = findMutable(id);
+  if (engine == nullptr) return;
+  auto& tracking = tracking_.at(id);
+  if (advanceIncarnation(*engine, tracking, incarnation)) refresh(*engine, tracking);
+}
+
+void EngineDirectory::noteLoad(base::EngineId id, const platform::EngineLoad& load,
+                               base::TimePoint takenAt) {
+  EngineState* engine = findMutable(id);
+  if (engine == nullptr) return;
+  if (engine->load && engine->load->takenAt >= takenAt) return;
+  engine->load = KnownLoad{load, takenAt};
+}
+
+void EngineDirectory::noteDispatched(base::EngineId id, std::uint64_t uncachedTokens) {
+  EngineState* engine = findMutable(id);
+  if (engine == nullptr) return;
+  if (!engine->load) engine->load = KnownLoad{{}, environment_.clock.now()};
+  ++engine->load->dispatchedRequests;
+  engine->load->dispatchedPrefillTokens += uncachedTokens;
+}
+
+// --- state
+
+bool EngineDirectory::advanceIncarnation(EngineState& engine, Tracking& tracking,
+                                         base::Incarnation incarnation) {
+  if (incarnation < engine.incarnation) return false;
+  if (incarnation == engine.incarnation) return true;
+  const bool restarted = engine.incarnation != 0;
+  engine.incarnation = incarnation;
+  engine.load.reset();
+  tracking.nextSequence = 0;
+  tracking.reportedLeaving = false;
+  tracking.leavingNotedAt.reset();
+  tracking.unreachableUntil.reset();
+  tracking.failedDispatches = 0;
+  tracking.missedPolls = 0;
+  if (!restarted) {
+    environment_.log.write(base::Event::kEngineAppeared, {{"engine", engine.address.name}});
+    return true;
+  }
+  environment_.log.write(
+      base::Event::kEngineRestarted,
+      {{"engine", engine.address.name}, {"incarnation", std::to_string(incarnation)}});
+  for (auto* listener : listeners_) listener->onRestarted(engine);
+  return true;
+}
+
+void EngineDirectory::refresh(EngineState& engine, Tracking& tracking) {
+  const auto now = environment_.clock.now();
+  if (tracking.leavingNotedAt && now - *tracking.leavingNotedAt > options_.leavingNoteFor)
+    tracking.leavingNotedAt.reset();
+  if (tracking.unreachableUntil && now >= *tracking.unreachableUntil)
+    tracking.unreachableUntil.reset();
+  engine.leaving = tracking.listedLeaving || tracking.reportedLeaving || tracking.leavingNotedAt;
+  engine.unreachable =
+      tracking.unreachableUntil || tracking.missedPolls >= options_.missedPollsUntilUnreachable;
+}
+
+std::vector<base::NodeId> EngineDirectory::homes(base::EngineId engine) const {
+  const EngineState* state = find(engine);
+  return state == nullptr ? std::vector<base::NodeId>{} : homesOfState(*state);
+}
+
+const std::vector<base::NodeId>& EngineDirectory::homesOfState(const EngineState& engine) const {
+  const auto& tracking = tracking_.at(engine.address.id);
+  const auto version = environment_.members.version() + 1;
+  if (tracking.homesVersion != version) {
+    tracking.homes = homesOf(engine.address.id, engine.zone, environment_.members.liveMembers(),
+                             options_.homesPerEngine);
+    tracking.homesVersion = version;
+  }
+  return tracking.homes;
+}
+
+bool EngineDirectory::isHomeOf(base::EngineId engine) const {
+  const EngineState* state = find(engine);
+  if (state == nullptr) return false;
+  const auto& nodes = homesOfState(*state);
+  return std::find(nodes.begin(), nodes.end(), environment_.members.self().id) != nodes.end();
+}
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/engine_directory.h
@@ -0,0 +1,167 @@
+/// \file
+/// The engines and application replicas as this node knows them, from four sources: the platform's
+/// machine list (a lagging hint, polled slowly), reports polled from the engines that this node is
+/// a home of, gossip records that homes publish on change, and this node's own dispatches. Later
+/// and nearer evidence wins; an incarnation never goes back.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/event_log.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "membership/member_directory.h"
+#include "platform/engine_client.h"
+#include "platform/machine_list_client.h"
+#include "routing/engine_homes.h"
+#include "routing/engine_record.h"
+#include "routing/fleet_view.h"
+
+namespace covewing::routing {
+
+/// Which engines a node polls. Only baselines that need everybody's state use kAllEngines.
+enum class PollScope : std::uint8_t { kHomeEngines, kAllEngines };
+
+struct EngineDirectoryOptions {
+  PollScope pollScope = PollScope::kHomeEngines;
+  std::size_t homesPerEngine = kHomesPerEngine;
+  /// Mean time between two polls of one engine's report.
+  base::Duration pollInterval = std::chrono::milliseconds(500);
+  /// Mean time between two fetches of the machine list; also between direct polls of an engine
+  /// whose state is known from nowhere.
+  base::Duration machineListInterval = std::chrono::seconds(2);
+  /// Relative spread of both intervals.
+  double jitter = 0.2;
+  /// Polls without an answer until the engine counts as unreachable.
+  std::uint32_t missedPollsUntilUnreachable = 2;
+  /// A failed dispatch keeps the engine out for this long unless a poll answers earlier; doubled at
+  /// each further failure up to the maximum.
+  base::Duration unreachableFor = std::chrono::seconds(1);
+  base::Duration unreachableForMaximum = std::chrono::seconds(8);
+  /// An own observation that an engine leaves holds for this long; reports carry it on.
+  base::Duration leavingNoteFor = std::chrono::seconds(10);
+  /// An engine missing from the list is forgotten after this long without any sign of life.
+  base::Duration absenceGrace = std::chrono::seconds(10);
+};
+
+/// All must outlive the directory and share its thread.
+struct EngineDirectoryEnvironment {
+  base::Clock& clock;
+  base::TimerService& timers;
+  base::RandomSource& random;
+  base::EventLog& log;
+  platform::MachineListClient& machines;
+  platform::EngineClient& engines;
+  const membership::MemberDirectory& members;
+  membership::RecordDissemination& records;
+};
+
+/// Observer of what the directory learns. Calls come on the node's thread.
+class EngineListener {
+ public:
+  virtual ~EngineListener() = default;
+  /// An engine that this node polls answered; `engine` holds the state after the report.
+  virtual void onReport(const EngineState& engine, const platform::EngineReport& report) = 0;
+  /// The engine runs under a new incarnation: its cache is empty.
+  virtual void onRestarted(const EngineState& engine) = 0;
+  /// The engine is no longer in the directory.
+  virtual void onForgotten(base::EngineId engine) = 0;
+};
+
+class EngineDirectory final : public FleetView {
+ public:
+  EngineDirectory(EngineDirectoryOptions options, EngineDirectoryEnvironment environment);
+  ~EngineDirectory() override;
+  EngineDirectory(const EngineDirectory&) = delete;
+  EngineDirectory& operator=(const EngineDirectory&) = delete;
+
+  /// Fetches the machine list and starts polling; call once.
+  void start();
+  /// `listener` must outlive the directory or be removed.
+  void addListener(EngineListener& listener);
+  void removeListener(EngineListener& listener);
+
+  const std::vector<EngineState>& engines() const override { return engines_; }
+  /// Valid until control returns to the event loop.
+  const EngineState* find(base::EngineId id) const override;
+  std::vector<platform::BackEndAddress> applicationReplicas(
+      std::string_view application) const override;
+  base::WeightsVersion defaultVersion(std::string_view model) const override;
+
+  /// A dispatch found the engine unreachable.
+  void noteUnreachable(base::EngineId engine);
+  /// The engine refused work because it is leaving.
+  void noteLeaving(base::EngineId engine);
+  /// The engine named its incarnation, such as with a refused identity.
+  void noteIncarnation(base::EngineId engine, base::Incarnation incarnation);
+  /// A load report that came with another node's answer.
+  void noteLoad(base::EngineId engine, const platform::EngineLoad& load, base::TimePoint takenAt);
+  /// Own work sent since the report counts as load until the next report.
+  void noteDispatched(base::EngineId engine, std::uint64_t uncachedTokens);
+
+  /// The homes of an engine, best first; empty for an unknown engine.
+  std::vector<base::NodeId> homes(base::EngineId engine) const;
+  bool isHomeOf(base::EngineId engine) const;
+
+ private:
+  struct Tracking {
+    /// Some source has told incarnation and weights.
+    bool stateKnown = false;
+    bool listedLeaving = false;
+    bool reportedLeaving = false;
+    std::optional<base::TimePoint> leavingNotedAt;
+    std::optional<base::TimePoint> unreachableUntil;
+    std::uint32_t failedDispatches = 0;
+    std::uint32_t missedPolls = 0;
+    std::optional<base::TimePoint> answeredAt;
+    base::TimePoint seenAt{};
+    bool pollOutstanding = false;
+    base::TimerId pollTimer = 0;
+    std::uint64_t nextSequence = 0;
+    std::uint64_t recordVersion = 0;
+    /// The record last published or heard, to publish only changes.
+    std::optional<EngineRecord> record;
+    mutable std::uint64_t homesVersion = 0;
+    mutable std::vector<base::NodeId> homes;
+  };
+
+  void fetchMachines();
+  void onMachines(const std::vector<platform::Machine>& machines);
+  void onListedEngine(const platform::Machine& machine);
+  void forgetAbsentEngines();
+  EngineState& addEngine(std::string_view name, const base::Endpoint& endpoint,
+                         std::string_view zone, std::string_view region);
+  EngineState* findMutable(base::EngineId id);
+
+  void schedulePoll(base::EngineId engine, base::Duration delay);
+  void onPollTimer(base::EngineId engine);
+  void poll(EngineState& engine, Tracking& tracking);
+  void onPollAnswer(base::EngineId engine, std::optional<platform::EngineReport> report);
+  void onReport(EngineState& engine, Tracking& tracking, const platform::EngineReport& report);
+  bool polls(const EngineState& engine) const;
+  void onMissedPoll(EngineState& engine, Tracking& tracking);
+
+  void onRecord(const membership::GossipRecord& gossip);
+  void publishIfChanged(const EngineState& engine, Tracking& tracking);
+  /// Takes a newer incarnation over; false when `incarnation` is older than the one known.
+  bool advanceIncarnation(EngineState& engine, Tracking& tracking, base::Incarnation incarnation);
+  void refresh(EngineState& engine, Tracking& tracking);
+  const std::vector<base::NodeId>& homesOfState(const EngineState& engine) const;
+
+  EngineDirectoryOptions options_;
+  EngineDirectoryEnvironment environment_;
+  std::vector<EngineListener*> listeners_;
+  std::vector<EngineState> engines_;
+  std::map<base::EngineId, Tracking> tracking_;
+  std::vector<platform::Machine> applications_;
+  /// Outlived by callbacks that must no longer reach this object.
+  std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
+};
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/policy_factory.cc
@@ -0,0 +1,68 @@
+#include "routing/policy_factory.h"
+
+#include <array>
+#include <string>
+
+#include "routing/prefix_hash_policy.h"
+#include "routing/random_policy.h"
+#include "routing/round_robin_policy.h"
+
+namespace covewing::routing {
+
+namespace {
+
+using PolicyMaker = std::unique_ptr<RoutingPolicy> (*)(PolicyEnvironment);
+
+template <class Policy>
+std::unique_ptr<RoutingPolicy> make(PolicyEnvironment environment) {
+  return std::make_unique<Policy>(std::move(environment));
+}
+
+struct PolicyEntry {
+  std::string_view name;
+  PolicyMaker make;
+  PollScope pollScope;
+};
+
+constexpr std::array kPolicies = {
+    PolicyEntry{kDefaultPolicy, make<PrefixHashPolicy>, PollScope::kHomeEngines},
+    PolicyEntry{"random", make<RandomPolicy>, PollScope::kHomeEngines},
+    PolicyEntry{"round_robin", make<RoundRobinPolicy>, PollScope::kHomeEngines},
+    PolicyEntry{"prefix_hash", make<PrefixHashPolicy>, PollScope::kHomeEngines},
+};
+
+const PolicyEntry* findPolicy(std::string_view name) {
+  for (const auto& entry : kPolicies) {
+    if (entry.name == name) return &entry;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+std::unique_ptr<RoutingPolicy> makePolicy(std::string_view name, PolicyEnvironment environment,
+                                          base::Reason& reason) {
+  const PolicyEntry* entry = findPolicy(name);
+  if (entry != nullptr) return entry->make(std::move(environment));
+  std::string names;
+  for (const auto known : policyNames()) {
+    names += names.empty() ? "" : ", ";
+    names += known;
+  }
+  reason = {base::ResultCode::kSettingsInvalid,
+            "no routing policy \"" + std::string(name) + "\"; there are " + names};
+  return nullptr;
+}
+
+PollScope pollScopeOf(std::string_view policy) {
+  const PolicyEntry* entry = findPolicy(policy);
+  return entry == nullptr ? PollScope::kHomeEngines : entry->pollScope;
+}
+
+std::vector<std::string_view> policyNames() {
+  std::vector<std::string_view> names;
+  for (const auto& entry : kPolicies) names.push_back(entry.name);
+  return names;
+}
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/prefix_hash_policy.cc
@@ -0,0 +1,20 @@
+#include "routing/prefix_hash_policy.h"
+
+#include "routing/candidates.h"
+
+namespace covewing::routing {
+
+namespace {
+/// Block that stands for the prefix: the first 32 blocks (512 tokens) are enough to tell long
+/// shared documents apart, and questions behind them do not reach into it.
+constexpr std::size_t kRootBlock = 31;
+}  // namespace
+
+void PrefixHashPolicy::choose(RouteQuery query, RouteCallback callback) {
+  auto engines = preferZone(qualifyingEngines(environment_.fleet, query), environment_.zone);
+  if (engines.empty()) return callback(noEngine(query));
+  sortByRendezvous(engines, prefixKey(query, kRootBlock));
+  callback(decideFor(*engines.front()));
+}
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/prefix_hash_policy.h
@@ -0,0 +1,23 @@
+/// \file
+/// Baseline: rendezvous hashing of the salted prefix root, own zone first. Needs no memory, so a
+/// restarted router sends a prefix where its cache is.
+#pragma once
+
+#include "routing/policy_factory.h"
+
+namespace covewing::routing {
+
+class PrefixHashPolicy final : public RoutingPolicy {
+ public:
+  explicit PrefixHashPolicy(PolicyEnvironment environment) : environment_(std::move(environment)) {}
+  std::string_view name() const override { return "prefix_hash"; }
+  void choose(RouteQuery query, RouteCallback callback) override;
+  void onDispatched(const RouteQuery& /*query*/, const RouteDecision& /*decision*/) override {}
+  void onFinished(base::EngineId /*engine*/, std::uint32_t /*promptTokens*/,
+                  std::uint32_t /*cachedTokens*/, base::Duration /*firstTokenAfter*/) override {}
+
+ private:
+  PolicyEnvironment environment_;
+};
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/random_policy.cc
@@ -0,0 +1,13 @@
+#include "routing/random_policy.h"
+
+#include "routing/candidates.h"
+
+namespace covewing::routing {
+
+void RandomPolicy::choose(RouteQuery query, RouteCallback callback) {
+  const auto engines = qualifyingEngines(environment_.fleet, query);
+  if (engines.empty()) return callback(noEngine(query));
+  callback(decideFor(*engines[environment_.random.below(engines.size())]));
+}
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/round_robin_policy.cc
@@ -0,0 +1,13 @@
+#include "routing/round_robin_policy.h"
+
+#include "routing/candidates.h"
+
+namespace covewing::routing {
+
+void RoundRobinPolicy::choose(RouteQuery query, RouteCallback callback) {
+  const auto engines = qualifyingEngines(environment_.fleet, query);
+  if (engines.empty()) return callback(noEngine(query));
+  callback(decideFor(*engines[turn_++ % engines.size()]));
+}
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/routing_policy.cc
@@ -0,0 +1,16 @@
+#include "routing/routing_policy.h"
+
+#include <algorithm>
+
+namespace covewing::routing {
+
+bool qualifies(const EngineState& engine, const RouteQuery& query) {
+  if (engine.role != platform::EngineRole::kServing) return false;
+  if (engine.leaving || engine.unreachable) return false;
+  const auto& identity = query.identity;
+  if (!engine.serves(identity.model, identity.adapter, identity.weightsVersion)) return false;
+  return std::find(query.excluded.begin(), query.excluded.end(), engine.address.id) ==
+         query.excluded.end();
+}
+
+}  // namespace covewing::routing
