--- /dev/null
+++ b/src/live/http_connection.cc
@@ -0,0 +1,294 @@
+#include "live/http_connection.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/field.hpp>
+
+namespace covewing::live {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr std::size_t kReadBytes = 4096;
+constexpr std::size_t kBodyReadBytes = 64U << 10U;
+/// Bytes of a refused request that are read and thrown away before the socket is closed.
+constexpr std::size_t kLingerBytes = 1U << 20U;
+constexpr base::Duration kLingerTime = std::chrono::seconds(2);
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr unsigned kHttp11 = 11;
+
+base::Endpoint remoteEndpoint(const Connection::Socket& socket) {
+  boost::system::error_code error;
+  const auto endpoint = socket.remote_endpoint(error);
+  if (error || !endpoint.address().is_v4()) return {};
+  return {endpoint.address().to_v4().to_uint(), endpoint.port()};
+}
+
+std::vector<HeaderField> copyHeaders(const http::fields& fields) {
+  std::vector<HeaderField> headers;
+  for (const auto& field : fields) {
+    headers.push_back({std::string{field.name_string()}, std::string{field.value()}});
+  }
+  return headers;
+}
+
+base::Reason reasonFor(boost::system::error_code error) {
+  if (error == http::error::body_limit)
+    return {base::ResultCode::kBodyTooLarge, "the body exceeds the limit"};
+  if (error == http::error::header_limit || error == http::error::buffer_overflow)
+    return {base::ResultCode::kHeaderTooLarge, "the header section exceeds the limit"};
+  return {base::ResultCode::kInvalidField, "malformed HTTP request: " + error.message()};
+}
+
+}  // namespace
+
+Connection::Connection(Socket socket, ConnectionOwner& owner)
+    : socket_(std::move(socket)),
+      owner_(owner),
+      peer_(remoteEndpoint(socket_)),
+      timer_(socket_.get_executor()) {}
+
+void Connection::start() {
+  boost::system::error_code error;
+  socket_.set_option(asio::ip::tcp::no_delay(true), error);
+  resetParser();
+  setDeadline(owner_.limits().idleTimeout);
+  read();
+}
+
+void Connection::resetParser() {
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(static_cast<std::uint32_t>(owner_.limits().headerBytes));
+  parser_->body_limit(owner_.limits().bodyBytes);
+  continueSent_ = false;
+}
+
+// One read is always outstanding while the buffer has room: it notices a peer that goes away.
+void Connection::read() {
+  if (reading_ || state_ == State::kClosed) return;
+  // While an answer is under way, at most one read's worth of a pipelined request is kept.
+  if (state_ == State::kAnswering && buffer_.size() >= kReadBytes) return;
+  const bool inBody = state_ == State::kReading && parser_->is_header_done();
+  reading_ = true;
+  socket_.async_read_some(
+      buffer_.prepare(inBody ? kBodyReadBytes : kReadBytes),
+      [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
+        self->onRead(error, bytes);
+      });
+}
+
+void Connection::onRead(boost::system::error_code error, std::size_t bytes) {
+  reading_ = false;
+  if (state_ == State::kClosed) return;
+  if (error) {
+    close();
+    return;
+  }
+  buffer_.commit(bytes);
+  if (state_ == State::kLingering) {
+    lingeredBytes_ += buffer_.size();
+    buffer_.consume(buffer_.size());
+    if (lingeredBytes_ > kLingerBytes) {
+      close();
+      return;
+    }
+  }
+  if (state_ == State::kReading) parse();
+  read();
+}
+
+void Connection::parse() {
+  const bool first = !parser_->got_some();
+  if (first && buffer_.size() > 0) setDeadline(owner_.limits().requestTimeout);
+  while (buffer_.size() > 0 && !parser_->is_done()) {
+    boost::system::error_code error;
+    const auto used = parser_->put(buffer_.data(), error);
+    buffer_.consume(used);
+    if (error == http::error::need_more) break;
+    if (error) {
+      refuse(error);
+      return;
+    }
+  }
+  if (parser_->is_done()) {
+    dispatch();
+  } else if (parser_->is_header_done()) {
+    continueIfExpected();
+  }
+}
+
+void Connection::continueIfExpected() {
+  if (continueSent_ ||
+      !equalHeaderNames(std::string{parser_->get()[http::field::expect]}, "100-continue")) {
+    return;
+  }
+  continueSent_ = true;
+  send(std::string{kContinue});
+}
+
+void Connection::dispatch() {
+  auto message = parser_->release();
+  keepAlive_ = message.keep_alive();
+  state_ = State::kAnswering;
+  if (buffer_.size() == 0) buffer_.shrink_to_fit();
+  HttpRequest request{std::string{message.method_string()}, std::string{message.target()},
+                      copyHeaders(message), std::move(message.body())};
+  const auto exchange = std::make_shared<Exchange>(shared_from_this(), std::move(request),
+                                                   message.version() >= kHttp11);
+  exchange_ = exchange;
+  owner_.onRequest(exchange);
+}
+
+void Connection::refuse(boost::system::error_code error) {
+  if (error == http::error::end_of_stream) {
+    close();
+    return;
+  }
+  keepAlive_ = false;
+  lingerWhenWritten_ = true;
+  state_ = State::kAnswering;
+  const auto exchange =
+      std::make_shared<Exchange>(shared_from_this(), HttpRequest{}, /*chunkedAllowed=*/true);
+  exchange->respond(owner_.formatRefusal(reasonFor(error)));
+}
+
+void Connection::send(std::string bytes) {
+  if (state_ == State::kClosed) return;
+  if (pending_.empty()) {
+    pending_ = std::move(bytes);
+  } else {
+    pending_ += bytes;
+  }
+  if (!writeActive_) write();
+}
+
+void Connection::write() {
+  if (writing_.size() == written_) {
+    writing_ = std::move(pending_);
+    pending_.clear();
+    written_ = 0;
+  }
+  writeActive_ = true;
+  setDeadline(owner_.limits().stallTimeout);
+  notePressure();
+  socket_.async_write_some(
+      asio::buffer(writing_) + written_,
+      [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
+        self->onWritten(error, bytes);
+      });
+}
+
+void Connection::onWritten(boost::system::error_code error, std::size_t bytes) {
+  writeActive_ = false;
+  if (state_ == State::kClosed) return;
+  if (error) {
+    close();
+    return;
+  }
+  written_ += bytes;
+  if (bufferedBytes() > 0) {
+    write();
+    return;
+  }
+  notePressure();
+  setDeadline(deadlineOfState());
+  if (closeWhenWritten_) linger();
+}
+
+void Connection::notePressure() {
+  const auto limit = owner_.limits().answerBufferBytes;
+  const auto buffered = bufferedBytes();
+  const bool high = pressured_ ? buffered * 2 > limit : buffered > limit;
+  if (high == pressured_) return;
+  pressured_ = high;
+  asio::post(socket_.get_executor(), [self = shared_from_this(), high] {
+    const auto exchange = self->exchange_.lock();
+    if (exchange && self->pressured_ == high) exchange->pressure(high);
+  });
+}
+
+void Connection::answered(bool reusable) {
+  if (state_ == State::kClosed) return;
+  exchange_.reset();
+  pressured_ = false;
+  if (!reusable) {
+    closeWhenWritten_ = true;
+    if (!writeActive_ && pending_.empty()) linger();
+    return;
+  }
+  // Posted, so that a pipelined request is not handled inside the previous one's answer.
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    if (self->state_ != State::kAnswering) return;
+    self->state_ = State::kReading;
+    self->resetParser();
+    if (!self->writeActive_) self->setDeadline(self->owner_.limits().idleTimeout);
+    self->parse();
+    self->read();
+  });
+}
+
+void Connection::linger() {
+  boost::system::error_code error;
+  socket_.shutdown(Socket::shutdown_send, error);
+  if (error || !lingerWhenWritten_) {
+    close();
+    return;
+  }
+  state_ = State::kLingering;
+  buffer_.consume(buffer_.size());
+  setDeadline(kLingerTime);
+  read();
+}
+
+void Connection::close() {
+  if (state_ == State::kClosed) return;
+  state_ = State::kClosed;
+  boost::system::error_code error;
+  socket_.close(error);
+  timer_.cancel();
+  const auto self = shared_from_this();
+  const auto exchange = exchange_.lock();
+  exchange_.reset();
+  if (exchange) exchange->peerGone();
+  owner_.onClosed(*this);
+}
+
+base::Duration Connection::deadlineOfState() const {
+  const auto& limits = owner_.limits();
+  if (state_ == State::kReading)
+    return parser_->got_some() ? limits.requestTimeout : limits.idleTimeout;
+  return base::Duration::max();
+}
+
+// The timer is moved lazily: a write for each chunk must not cost a timer operation.
+void Connection::setDeadline(base::Duration delay) {
+  deadline_ = delay == base::Duration::max() ? std::chrono::steady_clock::time_point::max()
+                                             : std::chrono::steady_clock::now() + delay;
+  if (delay == base::Duration::max()) return;
+  if (!timerActive_ || deadline_ < timer_.expiry()) armTimer();
+}
+
+void Connection::armTimer() {
+  timerActive_ = true;
+  timer_.expires_at(deadline_);
+  timer_.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+    const auto self = weak.lock();
+    if (self && !error) self->onTimer();
+  });
+}
+
+void Connection::onTimer() {
+  timerActive_ = false;
+  if (state_ == State::kClosed) return;
+  if (std::chrono::steady_clock::now() >= deadline_) {
+    close();
+    return;
+  }
+  if (deadline_ != std::chrono::steady_clock::time_point::max()) armTimer();
+}
+
+}  // namespace covewing::live
--- /dev/null
+++ b/src/live/http_connection.h
@@ -0,0 +1,136 @@
+/// \file
+/// One connection of the HTTP server: reads requests, writes answers. Internal to the server.
+///
+/// States: reading a request -> answering -> reading the next one, or lingering: the answer is
+/// written, the rest of an oversized request is thrown away for a bounded time so that the peer can
+/// read the refusal, then the socket is closed.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "live/http_server.h"
+
+namespace covewing::live {
+
+class Connection;
+
+/// What a connection needs from its server. Must outlive the connection.
+class ConnectionOwner {
+ public:
+  virtual ~ConnectionOwner() = default;
+  virtual const HttpLimits& limits() const = 0;
+  virtual void onRequest(const HttpExchangePtr& exchange) = 0;
+  virtual HttpResponse formatRefusal(const base::Reason& reason) const = 0;
+  /// The server is closing: answers carry `Connection: close`.
+  virtual bool closing() const = 0;
+  virtual void onClosed(Connection& connection) = 0;
+};
+
+/// The answer side of one request, handed to the server's user.
+class Exchange final : public HttpExchange {
+ public:
+  Exchange(std::shared_ptr<Connection> connection, HttpRequest request, bool chunkedAllowed);
+  ~Exchange() override;
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  const HttpRequest& request() const override { return request_; }
+  std::string takeBody() override { return std::move(request_.body); }
+  base::Endpoint peer() const override;
+  void respond(HttpResponse response) override;
+  void beginStream(unsigned status, const std::vector<HeaderField>& headers) override;
+  void write(std::string_view bytes) override;
+  void end() override;
+  void abort() override;
+  std::size_t bufferedBytes() const override;
+  void onPressure(std::function<void(bool)> listener) override;
+  void onDisconnect(std::function<void()> listener) override;
+
+  /// Called by the connection.
+  void peerGone();
+  void pressure(bool high);
+
+ private:
+  bool finished() const { return connection_ == nullptr; }
+  /// Detaches from the connection and returns it.
+  std::shared_ptr<Connection> finish();
+
+  std::shared_ptr<Connection> connection_;
+  HttpRequest request_;
+  /// False for HTTP/1.0 peers: the stream's end is the end of the connection.
+  bool chunkedAllowed_;
+  bool streaming_ = false;
+  std::function<void(bool)> pressureListener_;
+  std::function<void()> disconnectListener_;
+};
+
+class Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  Connection(Socket socket, ConnectionOwner& owner);
+
+  void start();
+  /// Closes at once; the exchange, if any, is told.
+  void close();
+  bool answering() const { return state_ == State::kAnswering; }
+  base::Endpoint peer() const { return peer_; }
+
+  // The exchange's side.
+  void send(std::string bytes);
+  std::size_t bufferedBytes() const { return writing_.size() - written_ + pending_.size(); }
+  bool keepAlive() const { return keepAlive_ && !owner_.closing(); }
+  /// The answer is complete: go on with the next request, or close once all is written.
+  void answered(bool reusable);
+
+ private:
+  enum class State { kReading, kAnswering, kLingering, kClosed };
+  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  void resetParser();
+  void read();
+  void onRead(boost::system::error_code error, std::size_t bytes);
+  void parse();
+  void dispatch();
+  void continueIfExpected();
+  void refuse(boost::system::error_code error);
+  void write();
+  void onWritten(boost::system::error_code error, std::size_t bytes);
+  void notePressure();
+  void linger();
+  void setDeadline(base::Duration delay);
+  void armTimer();
+  void onTimer();
+  base::Duration deadlineOfState() const;
+
+  Socket socket_;
+  ConnectionOwner& owner_;
+  base::Endpoint peer_;
+  State state_ = State::kReading;
+  std::optional<Parser> parser_;
+  boost::beast::flat_buffer buffer_;
+  bool reading_ = false;
+  bool keepAlive_ = true;
+  bool continueSent_ = false;
+  bool closeWhenWritten_ = false;
+  bool lingerWhenWritten_ = false;
+  std::size_t lingeredBytes_ = 0;
+  std::string writing_;
+  std::string pending_;
+  std::size_t written_ = 0;
+  bool writeActive_ = false;
+  bool pressured_ = false;
+  std::weak_ptr<Exchange> exchange_;
+  boost::asio::steady_timer timer_;
+  std::chrono::steady_clock::time_point deadline_;
+  bool timerActive_ = false;
+};
+
+}  // namespace covewing::live
--- /dev/null
+++ b/src/live/http_exchange.cc
@@ -0,0 +1,142 @@
+// The answer side of a request: message heads and chunks by Beast, queued on the connection.
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/serializer.hpp>
+
+#include "live/http_connection.h"
+
+namespace covewing::live {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr unsigned kHttp11 = 11;
+constexpr unsigned kHttp10 = 10;
+
+/// Text of the message's header section.
+std::string headerText(http::response<http::empty_body>& message) {
+  http::response_serializer<http::empty_body> serializer(message);
+  serializer.split(true);
+  std::string text;
+  beast::error_code error;
+  while (!serializer.is_header_done() && !error) {
+    serializer.next(error, [&](beast::error_code& /*error*/, const auto& buffers) {
+      text += beast::buffers_to_string(buffers);
+      serializer.consume(beast::buffer_bytes(buffers));
+    });
+  }
+  return text;
+}
+
+http::response<http::empty_body> messageHead(unsigned status,
+                                             const std::vector<HeaderField>& headers, bool http11,
+                                             bool keepAlive) {
+  http::response<http::empty_body> message;
+  message.result(status);
+  message.version(http11 ? kHttp11 : kHttp10);
+  for (const auto& field : headers) message.insert(field.name, field.value);
+  message.keep_alive(keepAlive);
+  return message;
+}
+
+bool bodyForbidden(unsigned status) {
+  constexpr unsigned kOk = 200;
+  constexpr unsigned kNoContent = 204;
+  constexpr unsigned kNotModified = 304;
+  return status < kOk || status == kNoContent || status == kNotModified;
+}
+
+}  // namespace
+
+Exchange::Exchange(std::shared_ptr<Connection> connection, HttpRequest request, bool chunkedAllowed)
+    : connection_(std::move(connection)),
+      request_(std::move(request)),
+      chunkedAllowed_(chunkedAllowed) {}
+
+Exchange::~Exchange() {
+  if (!finished()) finish()->close();
+}
+
+base::Endpoint Exchange::peer() const {
+  return connection_ ? connection_->peer() : base::Endpoint{};
+}
+
+std::shared_ptr<Connection> Exchange::finish() {
+  pressureListener_ = nullptr;
+  disconnectListener_ = nullptr;
+  return std::exchange(connection_, nullptr);
+}
+
+void Exchange::respond(HttpResponse response) {
+  if (finished() || streaming_) return;
+  const bool reusable = connection_->keepAlive();
+  auto head = messageHead(response.status, response.headers, chunkedAllowed_, reusable);
+  const bool withoutBody = bodyForbidden(response.status);
+  if (!withoutBody) head.content_length(response.body.size());
+  auto text = headerText(head);
+  if (!withoutBody && request_.method != "HEAD") text += response.body;
+  const auto connection = finish();
+  connection->send(std::move(text));
+  connection->answered(reusable);
+}
+
+void Exchange::beginStream(unsigned status, const std::vector<HeaderField>& headers) {
+  if (finished() || streaming_) return;
+  streaming_ = true;
+  auto head =
+      messageHead(status, headers, chunkedAllowed_, chunkedAllowed_ && connection_->keepAlive());
+  if (chunkedAllowed_) head.chunked(true);
+  connection_->send(headerText(head));
+}
+
+void Exchange::write(std::string_view bytes) {
+  if (finished() || !streaming_ || bytes.empty()) return;
+  if (!chunkedAllowed_) {
+    connection_->send(std::string{bytes});
+    return;
+  }
+  connection_->send(beast::buffers_to_string(
+      http::make_chunk(boost::asio::const_buffer(bytes.data(), bytes.size()))));
+}
+
+void Exchange::end() {
+  if (finished() || !streaming_) return;
+  const bool reusable = chunkedAllowed_ && connection_->keepAlive();
+  const auto connection = finish();
+  if (chunkedAllowed_) connection->send(beast::buffers_to_string(http::make_chunk_last()));
+  connection->answered(reusable);
+}
+
+void Exchange::abort() {
+  if (!finished()) finish()->close();
+}
+
+std::size_t Exchange::bufferedBytes() const {
+  return connection_ ? connection_->bufferedBytes() : 0;
+}
+
+void Exchange::onPressure(std::function<void(bool)> listener) {
+  if (!finished()) pressureListener_ = std::move(listener);
+}
+
+void Exchange::onDisconnect(std::function<void()> listener) {
+  if (!finished()) disconnectListener_ = std::move(listener);
+}
+
+void Exchange::peerGone() {
+  const auto listener = std::exchange(disconnectListener_, nullptr);
+  finish();
+  if (listener) listener();
+}
+
+void Exchange::pressure(bool high) {
+  // A copy: the listener may finish the exchange.
+  const auto listener = pressureListener_;
+  if (listener) listener(high);
+}
+
+}  // namespace covewing::live
--- /dev/null
+++ b/tests/live/http_server_test.cc
@@ -0,0 +1,203 @@
+#include "live/http_server.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "live/http_test_client.h"
+
+namespace covewing::live {
+
+namespace {
+
+struct Fixture {
+  explicit Fixture(HttpLimits limits = {})
+      : server(context, limits,
+               [this](const HttpExchangePtr& exchange) { exchanges.push_back(exchange); }) {
+    base::Reason reason;
+    endpoint = server.listen({kLoopback, 0}, reason).value();
+  }
+
+  const HttpExchangePtr& nextExchange() {
+    const auto count = exchanges.size();
+    runUntil(context, [this, count] { return exchanges.size() > count; });
+    return exchanges.back();
+  }
+
+  boost::asio::io_context context;
+  std::vector<HttpExchangePtr> exchanges;
+  HttpServer server;
+  base::Endpoint endpoint;
+};
+
+constexpr std::size_t kSmallBody = 100;
+constexpr std::size_t kSmallHeader = 300;
+
+HttpLimits smallLimits() {
+  HttpLimits limits;
+  limits.bodyBytes = kSmallBody;
+  limits.headerBytes = kSmallHeader;
+  return limits;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(HttpServerTest)
+
+BOOST_AUTO_TEST_CASE(KeepAliveServesRequestsInTurn) {
+  Fixture fixture;
+  TestClient client(fixture.context, fixture.endpoint);
+  client.send("POST /a?b=1 HTTP/1.1\r\nHost: x\r\nX-Case: Yes\r\nContent-Length: 3\r\n\r\nabc");
+  const auto first = fixture.nextExchange();
+  BOOST_TEST(first->request().method == "POST");
+  BOOST_TEST(first->request().path() == "/a");
+  BOOST_TEST(findQueryValue(first->request().query(), "b") == "1");
+  BOOST_TEST(first->request().header("x-case") == "Yes");
+  BOOST_TEST(first->request().body == "abc");
+  first->respond({200, {{"X-Number", "1"}}, "one"});
+  client.waitFor("one");
+  BOOST_TEST(client.has("X-Number: 1"));
+  BOOST_TEST(client.has("Content-Length: 3"));
+
+  client.send("GET /c HTTP/1.1\r\nHost: x\r\n\r\n");
+  fixture.nextExchange()->respond({200, {}, "two"});
+  client.waitFor("two");
+  BOOST_TEST(!client.closed());
+  BOOST_TEST(fixture.server.openConnections() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(PipelinedRequestWaitsForTheAnswerBefore) {
+  Fixture fixture;
+  TestClient client(fixture.context, fixture.endpoint);
+  client.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+  const auto first = fixture.nextExchange();
+  fixture.context.poll();
+  BOOST_TEST(fixture.exchanges.size() == 1U);
+  first->respond({200, {}, "first"});
+  const auto second = fixture.nextExchange();
+  BOOST_TEST(second->request().target == "/2");
+}
+
+BOOST_AUTO_TEST_CASE(OversizedBodyIsCutOffBeforeItIsSent) {
+  Fixture fixture(smallLimits());
+  TestClient client(fixture.context, fixture.endpoint);
+  client.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n");
+  client.waitFor("\"name\":\"BodyTooLarge\"");
+  BOOST_TEST(client.has("HTTP/1.1 413"));
+  BOOST_TEST(client.has("Connection: close"));
+  BOOST_TEST(fixture.exchanges.empty());
+}
+
+BOOST_AUTO_TEST_CASE(OversizedChunkedBodyIsCutOff) {
+  Fixture fixture(smallLimits());
+  TestClient client(fixture.context, fixture.endpoint);
+  client.send("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" +
+              std::string(kSmallBody + 1, 'x'));
+  client.waitFor("BodyTooLarge");
+  BOOST_TEST(client.has("HTTP/1.1 413"));
+}
+
+BOOST_AUTO_TEST_CASE(OversizedHeaderIsCutOff) {
+  Fixture fixture(smallLimits());
+  TestClient client(fixture.context, fixture.endpoint);
+  client.send("GET / HTTP/1.1\r\nX-Long: " + std::string(kSmallHeader, 'x'));
+  client.waitFor("HeaderTooLarge");
+  BOOST_TEST(client.has("HTTP/1.1 431"));
+}
+
+BOOST_AUTO_TEST_CASE(MalformedRequestIsRefused) {
+  Fixture fixture;
+  TestClient client(fixture.context, fixture.endpoint);
+  client.send("NOT AN HTTP REQUEST\r\n\r\n");
+  client.waitFor("malformed");
+  BOOST_TEST(client.has("HTTP/1.1 400"));
+  BOOST_TEST(fixture.exchanges.empty());
+}
+
+BOOST_AUTO_TEST_CASE(StreamIsChunkedAndEnds) {
+  Fixture fixture;
+  TestClient client(fixture.context, fixture.endpoint);
+  client.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  const auto exchange = fixture.nextExchange();
+  exchange->beginStream(200, {{"Content-Type", "text/event-stream"}});
+  exchange->write("hello");
+  exchange->end();
+  client.waitFor("\r\n0\r\n\r\n");
+  BOOST_TEST(client.has("Transfer-Encoding: chunked"));
+  BOOST_TEST(client.has("\r\n5\r\nhello\r\n0\r\n\r\n"));
+  BOOST_TEST(!client.closed());
+}
+
+BOOST_AUTO_TEST_CASE(AbandonedStreamClosesWithoutTerminator) {
+  Fixture fixture;
+  TestClient client(fixture.context, fixture.endpoint);
+  client.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  fixture.nextExchange()->beginStream(200, {});
+  fixture.exchanges.back()->write("part");
+  client.waitFor("part");
+  fixture.exchanges.clear();
+  client.waitClosed();
+  BOOST_TEST(!client.has("0\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(DisconnectIsNoticedWhileAnswering) {
+  Fixture fixture;
+  TestClient client(fixture.context, fixture.endpoint);
+  client.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  const auto exchange = fixture.nextExchange();
+  bool gone = false;
+  exchange->onDisconnect([&gone] { gone = true; });
+  client.close();
+  runUntil(fixture.context, [&gone] { return gone; });
+  exchange->respond({200, {}, "late"});
+  BOOST_TEST(fixture.server.openConnections() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(SlowReaderRaisesPressureAndReleasesIt) {
+  HttpLimits limits;
+  limits.answerBufferBytes = 1000;
+  Fixture fixture(limits);
+  TestClient client(fixture.context, fixture.endpoint, /*reading=*/false);
+  client.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  const auto exchange = fixture.nextExchange();
+  std::vector<bool> pressures;
+  exchange->onPressure([&pressures](bool high) { pressures.push_back(high); });
+  exchange->beginStream(200, {});
+  const std::string piece(65536, 'x');
+  // The kernel's socket buffers take some megabytes before the server has to keep any.
+  runUntil(fixture.context, [&] {
+    if (!pressures.empty()) return true;
+    exchange->write(piece);
+    fixture.context.poll();
+    fixture.context.restart();
+    return !pressures.empty();
+  });
+  BOOST_TEST(pressures.front());
+  client.read();
+  runUntil(fixture.context, [&pressures] { return pressures.size() == 2; });
+  BOOST_TEST(!pressures.back());
+  BOOST_TEST(exchange->bufferedBytes() <= limits.answerBufferBytes / 2);
+}
+
+BOOST_AUTO_TEST_CASE(ClosingServerFinishesTheAnswerAndCloses) {
+  Fixture fixture;
+  TestClient client(fixture.context, fixture.endpoint);
+  client.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  const auto exchange = fixture.nextExchange();
+  fixture.server.stopAccepting();
+  exchange->respond({200, {}, "whole"});
+  client.waitClosed();
+  BOOST_TEST(client.has("Connection: close"));
+  BOOST_TEST(client.has("whole"));
+}
+
+BOOST_AUTO_TEST_CASE(ExpectContinueIsAnswered) {
+  Fixture fixture;
+  TestClient client(fixture.context, fixture.endpoint);
+  client.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n");
+  client.waitFor("100 Continue");
+  client.send("ok");
+  BOOST_TEST(fixture.nextExchange()->request().body == "ok");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::live
