--- /dev/null
+++ b/src/emulator/object_store_model.h
@@ -0,0 +1,41 @@
+/// \file
+/// The platform's object store.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "emulator/service_conditions.h"
+#include "platform/object_store_client.h"
+
+namespace covewing::emulator {
+
+/// Service limits of the emulated object store: 100 calls a second, 10 ms each.
+inline constexpr ServiceOptions kObjectStoreDefaults{
+    .rateLimit = 100.0, .rateBurst = 100.0, .latency = std::chrono::milliseconds(10)};
+
+class ObjectStoreModel final : public platform::ObjectStoreClient {
+ public:
+  ObjectStoreModel(const ServiceOptions& options, const base::Clock& clock,
+                   base::TimerService& timers, base::RandomSource& random)
+      : clock_(clock), timers_(timers), random_(random), conditions_(options) {}
+
+  void get(std::string name, platform::ObjectCallback callback) override;
+  void put(std::string name, std::string bytes, platform::ObjectCallback callback) override;
+
+  ServiceConditions& conditions() { return conditions_; }
+
+ private:
+  bool accept(const platform::ObjectCallback& callback);
+  void answer(platform::ObjectReply reply, base::Duration delay, platform::ObjectCallback callback);
+
+  const base::Clock& clock_;
+  base::TimerService& timers_;
+  base::RandomSource& random_;
+  ServiceConditions conditions_;
+  std::map<std::string, std::string> objects_;
+};
+
+}  // namespace covewing::emulator
--- a/src/platform/engine_client.h
+++ b/src/platform/engine_client.h
@@ -47,6 +47,8 @@
   std::string generated;
   /// Position of the first chunk wanted, from 0.
   std::uint64_t nextPosition = 0;
+  /// Longest whole answer in tokens, those before `nextPosition` included, so that a resumed
+  /// request repeats it unchanged; 0: no limit of its own.
   std::uint32_t maximumTokens = 0;
   /// Import blocks of the prompt from the store of kept KV cache, up to this many leading blocks;
   /// 0: none.
