--- a/src/config/configuration_view.h
+++ b/src/config/configuration_view.h
@@ -22,6 +22,9 @@
   bool confirmed = false;
   /// Age of the last confirmation.
   base::Duration age{};
+  /// The process was paused or has just started, and a check is under way: a request waits shortly
+  /// for its end (`confirmed` or `checking` changes) before the template's stale choice applies.
+  bool checking = false;
 };
 
 class ConfigurationView {
