Add the request life: checks, attempts, stream resume, refusals

One state machine a request, with clock, random numbers and clients injected. A request is tried again only where the failed attempt proves that it did not run, or where it is repeatable; a broken stream goes on at the next position with the same weights version. Refusals say not-run only when every attempt proved it, and are delivered when they are decided.

--- /dev/null
+++ b/src/request/completion_flow.cc
@@ -0,0 +1,296 @@
+#include "request/completion_flow.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "prefix/prompt.h"
+
+namespace covewing::request {
+
+using base::Duration;
+using base::Reason;
+using base::ResultCode;
+using platform::DispatchError;
+using platform::DispatchFailure;
+
+namespace {
+/// Pause between two looks for an engine while none qualifies.
+constexpr Duration kEngineWait = std::chrono::milliseconds(50);
+/// Decisions kept in the record of one request.
+constexpr std::size_t kMaximumDecisions = 8;
+}  // namespace
+
+/// One stream from one engine. Once detached it hears nothing more and only awaits destruction.
+class CompletionFlow::Attempt final : public platform::EngineStreamHandler {
+ public:
+  Attempt(CompletionFlow& flow, base::EngineId engineId, base::TimePoint now,
+          Duration expectedDelay)
+      : engine(engineId), startedAt(now), expectedFirstToken(expectedDelay), flow_(&flow) {}
+
+  void onAccepted() override {
+    if (const auto flow = open()) flow->onAccepted();
+  }
+  void onChunk(platform::StreamChunk chunk) override {
+    if (const auto flow = open()) flow->onChunk(chunk);
+  }
+  void onEnd(platform::StreamEnd end) override {
+    if (const auto flow = open()) flow->onEnd(end);
+  }
+  void onError(DispatchError error) override {
+    if (const auto flow = open()) flow->onError(std::move(error));
+  }
+
+  void detach() { flow_ = nullptr; }
+
+  const base::EngineId engine;
+  const base::TimePoint startedAt;
+  const Duration expectedFirstToken;
+  std::optional<Duration> firstTokenAfter;
+  std::uint64_t chunks = 0;
+  std::unique_ptr<platform::EngineStream> stream;
+
+ private:
+  /// The flow, kept alive during the call; null once detached.
+  std::shared_ptr<CompletionFlow> open() {
+    if (flow_ == nullptr) return nullptr;
+    return std::static_pointer_cast<CompletionFlow>(flow_->shared_from_this());
+  }
+
+  CompletionFlow* flow_;
+};
+
+CompletionFlow::CompletionFlow(const RequestDependencies& dependencies,
+                               const RequestOptions& options, DeferredRelease& deferred,
+                               std::shared_ptr<RequestTrace> trace, CompletionRequest request,
+                               CompletionSink& sink)
+    : RequestFlow(dependencies, options, deferred, std::move(trace)),
+      request_(std::move(request)),
+      sink_(sink),
+      watchTimer_(dependencies.timers),
+      engineTimer_(dependencies.timers) {}
+
+std::uint32_t CompletionFlow::promptTokens() const { return prefix::tokenCount(*request_.prompt); }
+
+config::TenantTemplatePtr CompletionFlow::check(Reason& reason) {
+  const TenantCheckSources sources{dependencies().configuration, dependencies().fleet,
+                                   dependencies().zones};
+  std::optional<CompletionPlan> plan = checkCompletion(sources, request_, reason);
+  if (!plan.has_value()) return nullptr;
+  adopt(std::move(*plan));
+  return plan_.tenant;
+}
+
+void CompletionFlow::adopt(CompletionPlan plan) {
+  const bool sameIdentity = chain_ != nullptr && plan.identity == plan_.identity;
+  plan_ = std::move(plan);
+  if (sameIdentity) return;
+  chain_ = std::make_shared<const prefix::BlockChain>(
+      prefix::blockChain(plan_.identity, *request_.prompt));
+}
+
+void CompletionFlow::startAttempt() {
+  waitedForEngine_ = Duration::zero();
+  route();
+}
+
+routing::RouteQuery CompletionFlow::routeQuery() const {
+  routing::RouteQuery query;
+  query.requestId = id();
+  query.identity = plan_.identity;
+  query.chain = chain_;
+  query.promptTokens = promptTokens();
+  query.priority = plan_.priority;
+  query.deadline = answerStarted() ? options().interChunkTimeout : timeLeft();
+  query.excluded = excluded_;
+  return query;
+}
+
+void CompletionFlow::route() {
+  routing::RouteQuery query = routeQuery();
+  const routing::RouteQuery asked = query;
+  dependencies().policy.choose(
+      std::move(query),
+      whileOpen<routing::RouteDecision>(
+          [this, asked](const routing::RouteDecision& decision) { onRouted(asked, decision); }));
+}
+
+void CompletionFlow::onRouted(const routing::RouteQuery& query,
+                              const routing::RouteDecision& decision) {
+  traceDecision(decision);
+  if (!decision.engine.has_value()) {
+    onNoEngine(decision.reason);
+    return;
+  }
+  dependencies().admission.onExpectedFirstToken(plan_.priority, decision.expectedFirstToken);
+  const routing::EngineState* engine = dependencies().fleet.find(*decision.engine);
+  if (engine == nullptr) {
+    onNoEngine({ResultCode::kNoBackEnd, "the engine chosen is gone"});
+    return;
+  }
+  dispatch(query, decision, *engine);
+}
+
+void CompletionFlow::onNoEngine(const Reason& reason) {
+  const bool again = forgetTriedBackEnds();
+  const Duration limit = answerStarted() ? options().interChunkTimeout : tenant().holdTime;
+  if (!again && waitedForEngine_ >= limit) {
+    Reason final = reason;
+    if (final.code == ResultCode::kOk) final.code = ResultCode::kNoBackEnd;
+    refuse(std::move(final));
+    return;
+  }
+  waitedForEngine_ += kEngineWait;
+  engineTimer_.start(again ? Duration::zero() : kEngineWait, [this] {
+    const auto self = shared_from_this();
+    route();
+  });
+}
+
+void CompletionFlow::dispatch(const routing::RouteQuery& query,
+                              const routing::RouteDecision& decision,
+                              const routing::EngineState& engine) {
+  const platform::BackEndAddress address = engine.address;
+  AttemptTrace& attemptTrace = traceAttempt(address.id, address.name);
+  attemptTrace.firstPosition = positions_.next();
+  attempt_ = std::make_shared<Attempt>(*this, address.id, dependencies().clock.now(),
+                                       decision.expectedFirstToken);
+  dependencies().policy.onDispatched(query, decision);
+  watch(options().acceptTimeout, "the engine did not take the request in time");
+  attempt_->stream = dependencies().engines.start(address, engineRequest(decision), *attempt_);
+  if (paused_) setPaused(true);
+}
+
+platform::EngineRequest CompletionFlow::engineRequest(
+    const routing::RouteDecision& decision) const {
+  platform::EngineRequest request;
+  request.requestId = id();
+  request.attempt = attemptNumber();
+  request.identity = plan_.identity;
+  request.incarnation = decision.incarnation;
+  request.priority = plan_.priority;
+  request.prompt = request_.prompt;
+  request.generated = generated_;
+  request.nextPosition = positions_.next();
+  request.maximumTokens = plan_.maximumTokens;
+  request.importBlocks = decision.importBlocks;
+  request.exportBlocks = decision.exportBlocks;
+  return request;
+}
+
+void CompletionFlow::onAccepted() {
+  const Duration patience = attempt_->expectedFirstToken * options().firstTokenPatience;
+  watch(std::max(patience, options().shortestFirstTokenTimeout),
+        "the engine's first token did not come in time");
+}
+
+void CompletionFlow::onChunk(const platform::StreamChunk& chunk) {
+  setMayHaveRun();
+  switch (positions_.accept(chunk.position)) {
+    case ChunkVerdict::kNext:
+      deliverChunk(chunk);
+      return;
+    case ChunkVerdict::kDuplicate:
+      return;
+    case ChunkVerdict::kGap:
+      failAttempt({DispatchFailure::kOutcomeUnknown,
+                   {ResultCode::kStreamBroken, "the engine skipped a position"}});
+      return;
+  }
+}
+
+void CompletionFlow::deliverChunk(const platform::StreamChunk& chunk) {
+  stopDeadline();
+  ++attempt_->chunks;
+  AttemptTrace& attemptTrace = currentAttempt();
+  ++attemptTrace.chunks;
+  if (!attempt_->firstTokenAfter.has_value()) {
+    attempt_->firstTokenAfter = dependencies().clock.now() - attempt_->startedAt;
+    attemptTrace.firstTokenAfter = elapsed();
+  }
+  generated_ += chunk.text;
+  watch(options().interChunkTimeout, "the engine's next token did not come in time");
+  sink_.onChunk(chunk);
+}
+
+void CompletionFlow::onEnd(const platform::StreamEnd& end) {
+  setMayHaveRun();
+  if (!positions_.complete(end.outputTokens)) {
+    failAttempt({DispatchFailure::kOutcomeUnknown,
+                 {ResultCode::kStreamBroken, "the end marker counts chunks that did not come"}});
+    return;
+  }
+  AttemptTrace& attemptTrace = currentAttempt();
+  attemptTrace.promptTokens = end.promptTokens;
+  attemptTrace.cachedTokens = end.cachedTokens;
+  reportFinished(end.promptTokens, end.cachedTokens);
+  finish([this, &end] { sink_.onEnd(end); });
+}
+
+void CompletionFlow::onError(DispatchError error) {
+  // An engine that sent part of the answer did run, whatever it says.
+  if (attempt_->chunks > 0) error.failure = DispatchFailure::kOutcomeUnknown;
+  failAttempt(std::move(error));
+}
+
+void CompletionFlow::failAttempt(DispatchError error) {
+  excluded_.push_back(attempt_->engine);
+  reportFinished(0, 0);
+  stopAttempt();
+  if (answerStarted()) error.reason.code = ResultCode::kStreamBroken;
+  onAttemptFailed(error);
+}
+
+void CompletionFlow::watch(Duration limit, const char* what) {
+  if (paused_) return;
+  watchTimer_.start(limit, [this, what] {
+    const auto self = shared_from_this();
+    failAttempt({DispatchFailure::kOutcomeUnknown, {ResultCode::kBackEndTimeout, what}});
+  });
+}
+
+void CompletionFlow::reportFinished(std::uint32_t promptTokens, std::uint32_t cachedTokens) {
+  const Duration firstTokenAfter = attempt_->firstTokenAfter.value_or(Duration::zero());
+  dependencies().policy.onFinished(attempt_->engine, promptTokens, cachedTokens, firstTokenAfter);
+}
+
+void CompletionFlow::stopAttempt() {
+  watchTimer_.stop();
+  engineTimer_.stop();
+  if (attempt_ == nullptr) return;
+  attempt_->detach();
+  // The engine's client may be in the middle of calling the attempt.
+  deferred().add(std::exchange(attempt_, nullptr));
+}
+
+void CompletionFlow::setPaused(bool paused) {
+  if (over()) return;
+  paused_ = paused;
+  if (attempt_ == nullptr || attempt_->stream == nullptr) return;
+  attempt_->stream->setPaused(paused);
+  if (paused) {
+    watchTimer_.stop();
+  } else {
+    watch(options().interChunkTimeout, "the engine's next token did not come in time");
+  }
+}
+
+void CompletionFlow::traceDecision(const routing::RouteDecision& decision) {
+  if (trace().decisions.size() >= kMaximumDecisions) return;
+  RoutingTrace routed;
+  routed.decidedAfter = elapsed();
+  routed.policy = dependencies().policy.name();
+  routed.matchedBlocks = decision.matchedBlocks;
+  routed.importBlocks = decision.importBlocks;
+  routed.expectedFirstToken = decision.expectedFirstToken;
+  const std::size_t kept = std::min(decision.candidates.size(), RequestTrace::kMaximumCandidates);
+  routed.candidates.assign(decision.candidates.begin(),
+                           decision.candidates.begin() + static_cast<std::ptrdiff_t>(kept));
+  routed.reason = decision.reason;
+  if (decision.engine.has_value()) {
+    const routing::EngineState* engine = dependencies().fleet.find(*decision.engine);
+    if (engine != nullptr) routed.chosen = engine->address.name;
+  }
+  trace().decisions.push_back(std::move(routed));
+}
+
+}  // namespace covewing::request
--- /dev/null
+++ b/src/request/completion_flow.h
@@ -0,0 +1,74 @@
+/// \file
+/// A completion: attempts at engines, and one gapless stream to the caller out of all of them.
+///
+/// An attempt is given up, and the next one goes on at the next position with the same weights
+/// version, when the engine reports an error, skips a position, ends without all chunks, or stays
+/// silent for too long. What was delivered once is never delivered again.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "prefix/block_chain.h"
+#include "request/request_flow.h"
+#include "request/stream_positions.h"
+
+namespace covewing::request {
+
+class CompletionFlow final : public RequestFlow {
+ public:
+  CompletionFlow(const RequestDependencies& dependencies, const RequestOptions& options,
+                 DeferredRelease& deferred, std::shared_ptr<RequestTrace> trace,
+                 CompletionRequest request, CompletionSink& sink);
+
+  void setPaused(bool paused) override;
+
+ protected:
+  config::TenantTemplatePtr check(base::Reason& reason) override;
+  void startAttempt() override;
+  void stopAttempt() override;
+  void deliverRefusal(const Refusal& refusal) override { sink_.onRefused(refusal); }
+  std::uint32_t promptTokens() const override;
+  base::PriorityClass priority() const override { return plan_.priority; }
+  const std::string& idempotencyKey() const override { return request_.idempotencyKey; }
+  bool notRepeatable() const override { return request_.notRepeatable; }
+  bool repeatable() const override { return !request_.notRepeatable; }
+  bool answerStarted() const override { return positions_.next() > 0; }
+
+ private:
+  class Attempt;
+
+  void adopt(CompletionPlan plan);
+  void route();
+  routing::RouteQuery routeQuery() const;
+  void onRouted(const routing::RouteQuery& query, const routing::RouteDecision& decision);
+  void onNoEngine(const base::Reason& reason);
+  void dispatch(const routing::RouteQuery& query, const routing::RouteDecision& decision,
+                const routing::EngineState& engine);
+  platform::EngineRequest engineRequest(const routing::RouteDecision& decision) const;
+  void traceDecision(const routing::RouteDecision& decision);
+
+  void onAccepted();
+  void onChunk(const platform::StreamChunk& chunk);
+  void onEnd(const platform::StreamEnd& end);
+  void onError(platform::DispatchError error);
+  void deliverChunk(const platform::StreamChunk& chunk);
+  void failAttempt(platform::DispatchError error);
+  void watch(base::Duration limit, const char* what);
+  void reportFinished(std::uint32_t promptTokens, std::uint32_t cachedTokens);
+
+  CompletionRequest request_;
+  CompletionSink& sink_;
+  CompletionPlan plan_;
+  std::shared_ptr<const prefix::BlockChain> chain_;
+  StreamPositions positions_;
+  /// Text delivered so far; a resume hands it to the next engine.
+  std::string generated_;
+  std::shared_ptr<Attempt> attempt_;
+  bool paused_ = false;
+  base::Duration waitedForEngine_{};
+  OneShotTimer watchTimer_;
+  OneShotTimer engineTimer_;
+};
+
+}  // namespace covewing::request
--- /dev/null
+++ b/tests/request/completion_flow_test.cc
@@ -0,0 +1,309 @@
+// The life of a completion: checks, attempts, resume, refusals and their outcomes.
+#include <boost/test/unit_test.hpp>
+
+#include "request/fakes.h"
+
+namespace covewing::request {
+
+using base::ResultCode;
+using platform::DispatchFailure;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+BOOST_FIXTURE_TEST_SUITE(CompletionFlowTest, RequestFixture)
+
+BOOST_AUTO_TEST_CASE(WholeAnswerReachesTheCaller) {
+  const auto active = complete();
+  BOOST_REQUIRE(engines.streams.size() == 1);
+  const platform::EngineRequest& sent = engines.last().request;
+  BOOST_TEST(sent.identity.weightsVersion == 7U);
+  BOOST_TEST(sent.incarnation == 1U);
+  BOOST_TEST(sent.requestId.value == active->id().value);
+  engines.last().accept();
+  engines.last().chunk(0);
+  engines.last().chunk(1);
+  engines.last().end(2);
+  BOOST_TEST(sink.chunks.size() == 2U);
+  BOOST_TEST(sink.ended.has_value());
+  BOOST_TEST(manager.openRequests() == 0U);
+  time.settle();
+  BOOST_TEST(admission.ticketsHeld == 0U);
+  BOOST_TEST(policy.finished == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(NothingHappensInsideTheCallersCall) {
+  configuration.copyHere = false;
+  CompletionRequest request;
+  const auto active = manager.complete(std::move(request), sink);
+  BOOST_TEST(!sink.final());
+  time.settle();
+  BOOST_TEST(sink.refused.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(RefusalByAnEngineIsTriedElsewhere) {
+  const auto active = complete();
+  engines.last().fail(DispatchFailure::kRefusedNotRun, ResultCode::kBackEndRefused);
+  time.advance(milliseconds(50));
+  BOOST_REQUIRE(engines.streams.size() == 2);
+  BOOST_TEST(engines.last().engine.name == "engine-b");
+  BOOST_TEST(engines.last().request.attempt == 2U);
+  engines.last().chunk(0);
+  engines.last().end(1);
+  BOOST_TEST(sink.ended.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(NotRunIsClaimedOnlyWhenEveryAttemptProvesIt) {
+  const auto active = complete();
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    engines.last().fail(DispatchFailure::kNotSent, ResultCode::kBackEndUnreachable);
+    time.advance(milliseconds(100));
+  }
+  BOOST_TEST(engines.streams.size() == 3U);
+  BOOST_REQUIRE(sink.refused.has_value());
+  BOOST_TEST((sink.refused->outcome == Outcome::kNotRun));
+  BOOST_TEST((sink.refused->retryAfter > base::Duration::zero()));
+}
+
+BOOST_AUTO_TEST_CASE(OneUnknownAttemptMakesTheOutcomeUnknown) {
+  const auto active = complete();
+  engines.last().fail(DispatchFailure::kOutcomeUnknown, ResultCode::kBackEndLost);
+  time.advance(milliseconds(100));
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    engines.last().fail(DispatchFailure::kRefusedNotRun, ResultCode::kBackEndRefused);
+    time.advance(milliseconds(100));
+  }
+  BOOST_REQUIRE(sink.refused.has_value());
+  BOOST_TEST((sink.refused->outcome == Outcome::kUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(NotRepeatableIsNeverSentAgainAfterAnUnknownOutcome) {
+  const auto active = complete(true);
+  engines.last().fail(DispatchFailure::kOutcomeUnknown, ResultCode::kBackEndLost);
+  time.advance(seconds(20));
+  BOOST_TEST(engines.streams.size() == 1U);
+  BOOST_REQUIRE(sink.refused.has_value());
+  BOOST_TEST((sink.refused->outcome == Outcome::kUnknown));
+  BOOST_TEST((sink.refused->reason.code == ResultCode::kBackEndLost));
+}
+
+BOOST_AUTO_TEST_CASE(NotRepeatableMayBeSentAgainAfterAProvedRefusal) {
+  const auto active = complete(true);
+  engines.last().fail(DispatchFailure::kRefusedNotRun, ResultCode::kBackEndRefused);
+  time.advance(milliseconds(50));
+  BOOST_TEST(engines.streams.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(NotRepeatableStreamIsNotResumed) {
+  const auto active = complete(true);
+  engines.last().chunk(0);
+  engines.last().fail(DispatchFailure::kOutcomeUnknown, ResultCode::kBackEndLost);
+  time.advance(seconds(1));
+  BOOST_TEST(engines.streams.size() == 1U);
+  BOOST_TEST(sink.refused.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(BrokenStreamGoesOnAtTheNextPosition) {
+  const auto active = complete();
+  FakeStream& first = engines.last();
+  first.chunk(0);
+  first.chunk(1);
+  first.fail(DispatchFailure::kOutcomeUnknown, ResultCode::kBackEndLost);
+  time.advance(milliseconds(50));
+  BOOST_REQUIRE(engines.streams.size() == 2);
+  const platform::EngineRequest& resumed = engines.last().request;
+  BOOST_TEST(resumed.nextPosition == 2U);
+  BOOST_TEST(resumed.generated == "t0 t1 ");
+  BOOST_TEST(resumed.identity.weightsVersion == 7U);
+  engines.last().chunk(1);
+  engines.last().chunk(2);
+  engines.last().end(3);
+  BOOST_TEST(sink.chunks.size() == 3U);
+  BOOST_TEST(sink.gapless());
+  BOOST_TEST(sink.ended.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(GapIsNeverPassedOn) {
+  const auto active = complete();
+  engines.last().chunk(0);
+  engines.last().chunk(2);
+  BOOST_TEST(sink.chunks.size() == 1U);
+  time.advance(milliseconds(50));
+  BOOST_REQUIRE(engines.streams.size() == 2);
+  BOOST_TEST(engines.streams.front()->cancelled);
+  BOOST_TEST(engines.last().request.nextPosition == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(EndThatCountsMissingChunksIsABrokenStream) {
+  configuration.tenant->retry.maximumAttempts = 1;
+  const auto active = complete();
+  engines.last().chunk(0);
+  engines.last().end(2);
+  BOOST_TEST(!sink.ended.has_value());
+  BOOST_REQUIRE(sink.refused.has_value());
+  BOOST_TEST((sink.refused->reason.code == ResultCode::kStreamBroken));
+  BOOST_TEST((sink.refused->outcome == Outcome::kUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(TemplateMayForbidResume) {
+  configuration.tenant->retry.resumeStreams = false;
+  const auto active = complete();
+  engines.last().chunk(0);
+  engines.last().fail(DispatchFailure::kOutcomeUnknown, ResultCode::kBackEndLost);
+  BOOST_TEST(sink.refused.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AbandonedEngineIsNotHeardAnyMore) {
+  const auto active = complete();
+  const std::shared_ptr<FakeStream> first = engines.streams.front();
+  first->fail(DispatchFailure::kOutcomeUnknown, ResultCode::kBackEndLost);
+  first->chunk(0);
+  first->end(1);
+  BOOST_TEST(sink.chunks.empty());
+  BOOST_TEST(!sink.final());
+}
+
+BOOST_AUTO_TEST_CASE(SilentEngineIsGivenUp) {
+  const auto active = complete();
+  time.advance(milliseconds(1100));
+  BOOST_TEST(engines.streams.size() == 2U);
+  engines.last().accept();
+  time.advance(milliseconds(2100));
+  BOOST_TEST(engines.streams.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(SilenceBetweenChunksResumesElsewhere) {
+  const auto active = complete();
+  engines.last().chunk(0);
+  time.advance(milliseconds(3100));
+  BOOST_REQUIRE(engines.streams.size() == 2);
+  BOOST_TEST(engines.last().request.nextPosition == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(SlowCallerDoesNotCountAsSilentEngine) {
+  const auto active = complete();
+  engines.last().chunk(0);
+  active->setPaused(true);
+  BOOST_TEST(engines.last().paused);
+  time.advance(seconds(60));
+  BOOST_TEST(engines.streams.size() == 1U);
+  active->setPaused(false);
+  engines.last().chunk(1);
+  BOOST_TEST(sink.chunks.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(DeadlineAnswersAtOnceAndTruly) {
+  configuration.tenant->deadline = milliseconds(500);
+  const auto active = complete();
+  time.advance(milliseconds(494));
+  BOOST_TEST(!sink.final());
+  time.advance(milliseconds(2));
+  BOOST_REQUIRE(sink.refused.has_value());
+  BOOST_TEST((sink.refused->reason.code == ResultCode::kBackEndTimeout));
+  BOOST_TEST((sink.refused->outcome == Outcome::kUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(DeadlineBeforeAnyDispatchIsNotRun) {
+  configuration.tenant->deadline = milliseconds(500);
+  admission.hold = true;
+  const auto active = complete();
+  time.advance(milliseconds(500));
+  BOOST_REQUIRE(sink.refused.has_value());
+  BOOST_TEST((sink.refused->outcome == Outcome::kNotRun));
+  BOOST_TEST(engines.streams.empty());
+}
+
+BOOST_AUTO_TEST_CASE(NodesRetryBudgetBounds) {
+  admission.retries = 0;
+  const auto active = complete();
+  engines.last().fail(DispatchFailure::kNotSent, ResultCode::kBackEndUnreachable);
+  BOOST_REQUIRE(sink.refused.has_value());
+  BOOST_TEST((sink.refused->reason.code == ResultCode::kRetryBudgetExhausted));
+  BOOST_TEST((sink.refused->outcome == Outcome::kNotRun));
+}
+
+BOOST_AUTO_TEST_CASE(AdmissionsRefusalCarriesItsAdvice) {
+  admission.verdict = {false, {ResultCode::kShed, "overload"}, seconds(4), {}};
+  const auto active = complete();
+  BOOST_REQUIRE(sink.refused.has_value());
+  BOOST_TEST((sink.refused->retryAfter == seconds(4)));
+  BOOST_TEST((sink.refused->outcome == Outcome::kNotRun));
+}
+
+BOOST_AUTO_TEST_CASE(TemplateRetiredWhileHeldIsRefused) {
+  admission.hold = true;
+  const auto active = complete();
+  configuration.tenant->retired = true;
+  admission.releaseHeld();
+  BOOST_REQUIRE(sink.refused.has_value());
+  BOOST_TEST((sink.refused->reason.code == ResultCode::kTenantRetired));
+  BOOST_TEST(engines.streams.empty());
+}
+
+BOOST_AUTO_TEST_CASE(NoEngineWaitsNoLongerThanTheHoldTime) {
+  configuration.tenant->holdTime = milliseconds(100);
+  for (routing::EngineState& state : fleet.states) state.unreachable = true;
+  const auto active = complete();
+  time.advance(milliseconds(60));
+  BOOST_TEST(!sink.final());
+  time.advance(milliseconds(60));
+  BOOST_REQUIRE(sink.refused.has_value());
+  BOOST_TEST((sink.refused->reason.code == ResultCode::kNoBackEnd));
+  BOOST_TEST((sink.refused->outcome == Outcome::kNotRun));
+}
+
+BOOST_AUTO_TEST_CASE(CallersDisconnectCancelsTheEngine) {
+  auto active = complete();
+  const std::shared_ptr<FakeStream> stream = engines.streams.front();
+  active.reset();
+  time.settle();
+  BOOST_TEST(stream->cancelled);
+  BOOST_TEST(manager.openRequests() == 0U);
+  BOOST_TEST(admission.ticketsHeld == 0U);
+  BOOST_TEST(!sink.final());
+}
+
+BOOST_AUTO_TEST_CASE(CallerMayLeaveFromInsideAChunk) {
+  auto active = complete();
+  sink.onEachChunk = [&active] { active.reset(); };
+  engines.last().chunk(0);
+  engines.last().chunk(1);
+  BOOST_TEST(sink.chunks.size() == 1U);
+  time.settle();
+  BOOST_TEST(engines.last().cancelled);
+}
+
+BOOST_AUTO_TEST_CASE(DrainingNodeRefusesNewAndFinishesOld) {
+  const auto active = complete();
+  manager.startDraining();
+  RecordingSink late;
+  CompletionRequest request;
+  request.bearerKey = "key";
+  const auto refused = manager.complete(std::move(request), late);
+  time.settle();
+  BOOST_REQUIRE(late.refused.has_value());
+  BOOST_TEST((late.refused->reason.code == ResultCode::kNodeDraining));
+  BOOST_TEST((late.refused->retryAfter > base::Duration::zero()));
+  engines.last().chunk(0);
+  engines.last().end(1);
+  BOOST_TEST(sink.ended.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(RecordExplainsTheRequest) {
+  const auto active = complete();
+  engines.last().fail(DispatchFailure::kNotSent, ResultCode::kBackEndUnreachable);
+  time.advance(milliseconds(50));
+  engines.last().chunk(0);
+  engines.last().end(1);
+  const RequestTrace& trace = *traces.traces.back();
+  BOOST_TEST(trace.tenant == "judges");
+  BOOST_REQUIRE(trace.attempts.size() == 2);
+  BOOST_TEST((trace.attempts.front().failure == DispatchFailure::kNotSent));
+  BOOST_TEST(trace.attempts.back().chunks == 1U);
+  BOOST_TEST(trace.attempts.back().cachedTokens == 4U);
+  BOOST_TEST(trace.decisions.size() == 2U);
+  BOOST_TEST((trace.progress == RequestProgress::kAnswered));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::request
--- /dev/null
+++ b/tests/request/fakes.h
@@ -0,0 +1,485 @@
+// Stand-ins for everything that the request path reaches, driven by the test step by step.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "admission/admission_controller.h"
+#include "base/event_log.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "config/configuration_view.h"
+#include "platform/application_client.h"
+#include "platform/engine_client.h"
+#include "platform/table_client.h"
+#include "request/request_manager.h"
+#include "request/zone_reachability.h"
+#include "routing/fleet_view.h"
+#include "routing/routing_policy.h"
+
+namespace covewing::request {
+
+/// Virtual time: timers fire in order of due time, then of scheduling.
+class VirtualTime final : public base::Clock, public base::TimerService {
+ public:
+  base::TimePoint now() const override { return now_; }
+  base::TimerId schedule(base::Duration delay, std::function<void()> callback) override {
+    const base::TimerId id = ++lastId_;
+    const base::TimePoint due = now_ + std::max(delay, base::Duration::zero());
+    timers_.emplace(std::pair(due, id), std::move(callback));
+    dueOf_[id] = due;
+    return id;
+  }
+  void cancel(base::TimerId timer) override {
+    const auto found = dueOf_.find(timer);
+    if (found == dueOf_.end()) return;
+    timers_.erase(std::pair(found->second, timer));
+    dueOf_.erase(found);
+  }
+  /// Fires all timers due within `span` and leaves the clock at its end.
+  void advance(base::Duration span) {
+    const base::TimePoint end = now_ + span;
+    while (!timers_.empty() && timers_.begin()->first.first <= end) {
+      const auto [due, id] = timers_.begin()->first;
+      const std::function<void()> callback = std::move(timers_.begin()->second);
+      timers_.erase(timers_.begin());
+      dueOf_.erase(id);
+      now_ = due;
+      callback();
+    }
+    now_ = end;
+  }
+  /// Fires what is due now.
+  void settle() { advance(base::Duration::zero()); }
+
+ private:
+  base::TimePoint now_{};
+  base::TimerId lastId_ = 0;
+  std::map<std::pair<base::TimePoint, base::TimerId>, std::function<void()>> timers_;
+  std::map<base::TimerId, base::TimePoint> dueOf_;
+};
+
+/// A table service whose answers the test decides: applied or not, answered or not.
+class FakeTable final : public platform::TableClient {
+ public:
+  enum class Behaviour { kNormal, kLoseAnswer, kLoseRequest, kRateLimit, kUnavailable, kSilent };
+
+  explicit FakeTable(VirtualTime& time) : time_(time) {}
+
+  /// The next calls behave like this, one entry a call; then normally.
+  std::deque<Behaviour> planned;
+  Behaviour standing = Behaviour::kNormal;
+  std::map<std::string, platform::TableRow> rows;
+  std::vector<platform::TableTransaction> commits;
+  std::uint64_t reads = 0;
+  base::Duration latency = std::chrono::milliseconds(1);
+
+  void read(std::vector<std::string> keys, platform::TableCallback callback) override {
+    ++reads;
+    const Behaviour behaviour = next();
+    platform::TableReply reply = refusalOf(behaviour);
+    if (behaviour == Behaviour::kNormal) {
+      reply.status = platform::TableStatus::kOk;
+      reply.revision = revision_;
+      reply.rows = currentRows(keys);
+    }
+    answer(behaviour, std::move(reply), std::move(callback));
+  }
+  void scan(std::string prefix, base::Revision after, std::size_t limit,
+            platform::TableCallback callback) override {
+    const Behaviour behaviour = next();
+    platform::TableReply reply = refusalOf(behaviour);
+    if (behaviour == Behaviour::kNormal) reply = scanned(prefix, after, limit);
+    answer(behaviour, std::move(reply), std::move(callback));
+  }
+  void commit(platform::TableTransaction transaction, platform::TableCallback callback) override {
+    const Behaviour behaviour = next();
+    platform::TableReply reply = refusalOf(behaviour);
+    if (behaviour == Behaviour::kNormal) reply = apply(transaction);
+    if (behaviour == Behaviour::kLoseAnswer) apply(transaction);
+    commits.push_back(std::move(transaction));
+    answer(behaviour, std::move(reply), std::move(callback));
+  }
+  platform::TableReply apply(const platform::TableTransaction& transaction) {
+    std::vector<std::string> keys;
+    bool holds = true;
+    for (const platform::TableCondition& condition : transaction.conditions) {
+      keys.push_back(condition.key);
+      const auto found = rows.find(condition.key);
+      const base::Revision current = found == rows.end() ? 0 : found->second.revision;
+      holds = holds && current == condition.revision;
+    }
+    if (!holds) return {platform::TableStatus::kConflict, revision_, currentRows(keys)};
+    ++revision_;
+    for (const platform::TableWrite& write : transaction.writes) {
+      if (write.value.has_value()) {
+        rows[write.key] = {write.key, *write.value, revision_};
+      } else {
+        rows.erase(write.key);
+      }
+    }
+    return {platform::TableStatus::kOk, revision_, {}};
+  }
+
+ private:
+  Behaviour next() {
+    if (planned.empty()) return standing;
+    const Behaviour behaviour = planned.front();
+    planned.pop_front();
+    return behaviour;
+  }
+  static platform::TableReply refusalOf(Behaviour behaviour) {
+    if (behaviour == Behaviour::kRateLimit) return {platform::TableStatus::kRateLimited, 0, {}};
+    if (behaviour == Behaviour::kUnavailable) return {platform::TableStatus::kUnavailable, 0, {}};
+    return {platform::TableStatus::kUnknown, 0, {}};
+  }
+  std::vector<platform::TableRow> currentRows(const std::vector<std::string>& keys) const {
+    std::vector<platform::TableRow> found;
+    for (const std::string& key : keys) {
+      if (rows.contains(key)) found.push_back(rows.at(key));
+    }
+    return found;
+  }
+  platform::TableReply scanned(const std::string& prefix, base::Revision after,
+                               std::size_t limit) const {
+    std::vector<platform::TableRow> found;
+    for (const auto& [key, row] : rows) {
+      if (key.starts_with(prefix) && row.revision > after) found.push_back(row);
+    }
+    std::ranges::sort(found, {}, &platform::TableRow::revision);
+    const bool complete = found.size() <= limit;
+    if (!complete) found.resize(limit);
+    const base::Revision revision = complete ? revision_ : found.back().revision;
+    return {platform::TableStatus::kOk, revision, std::move(found)};
+  }
+  void answer(Behaviour behaviour, platform::TableReply reply, platform::TableCallback callback) {
+    if (behaviour == Behaviour::kSilent) return;
+    time_.schedule(latency,
+                   [reply = std::move(reply), callback = std::move(callback)] { callback(reply); });
+  }
+
+  VirtualTime& time_;
+  base::Revision revision_ = 0;
+};
+
+/// One stream that the code under test opened.
+struct FakeStream {
+  platform::BackEndAddress engine;
+  platform::EngineRequest request;
+  platform::EngineStreamHandler* handler = nullptr;
+  bool cancelled = false;
+  bool paused = false;
+
+  void accept() const { handler->onAccepted(); }
+  void chunk(std::uint64_t position) const {
+    handler->onChunk({position, "t" + std::to_string(position) + " "});
+  }
+  void end(std::uint32_t outputTokens) const { handler->onEnd({8, 4, outputTokens, "stop"}); }
+  void fail(platform::DispatchFailure failure, base::ResultCode code) const {
+    handler->onError({failure, {code, "planned"}});
+  }
+};
+
+class FakeEngines final : public platform::EngineClient {
+ public:
+  std::vector<std::shared_ptr<FakeStream>> streams;
+
+  std::unique_ptr<platform::EngineStream> start(const platform::BackEndAddress& engine,
+                                                platform::EngineRequest request,
+                                                platform::EngineStreamHandler& handler) override {
+    auto stream = std::make_shared<FakeStream>();
+    stream->engine = engine;
+    stream->request = std::move(request);
+    stream->handler = &handler;
+    streams.push_back(stream);
+    return std::make_unique<Handle>(stream);
+  }
+  void poll(const platform::BackEndAddress& /*engine*/, std::uint64_t /*fromSequence*/,
+            std::function<void(std::optional<platform::EngineReport>)> /*callback*/) override {}
+  void snapshot(const platform::BackEndAddress& /*engine*/,
+                std::function<void(std::optional<platform::EngineReport>)> /*callback*/) override {}
+  void order(const platform::BackEndAddress& /*engine*/, platform::EngineOrder /*order*/,
+             std::function<void(platform::OrderReply)> /*callback*/) override {}
+
+  FakeStream& last() { return *streams.back(); }
+
+ private:
+  struct Handle final : platform::EngineStream {
+    explicit Handle(std::shared_ptr<FakeStream> opened) : stream(std::move(opened)) {}
+    ~Handle() override { stream->cancelled = true; }
+    Handle(const Handle&) = delete;
+    Handle& operator=(const Handle&) = delete;
+    void setPaused(bool paused) override { stream->paused = paused; }
+    std::shared_ptr<FakeStream> stream;
+  };
+};
+
+class FakeApplications final : public platform::ApplicationClient {
+ public:
+  struct Call {
+    platform::BackEndAddress backEnd;
+    platform::ApplicationRequest request;
+    std::function<void(platform::ApplicationResult)> callback;
+
+    void respond(const base::RequestId& requestId, unsigned status = 200) const {
+      callback(platform::ApplicationResponse{requestId, status, {}, "body"});
+    }
+    void respond() const { respond(request.requestId); }
+    void fail(platform::DispatchFailure failure, base::ResultCode code) const {
+      callback(platform::DispatchError{failure, {code, "planned"}});
+    }
+  };
+  std::vector<Call> calls;
+
+  void call(const platform::BackEndAddress& backEnd, platform::ApplicationRequest request,
+            std::function<void(platform::ApplicationResult)> callback) override {
+    calls.push_back({backEnd, std::move(request), std::move(callback)});
+  }
+};
+
+class FakeFleet final : public routing::FleetView {
+ public:
+  std::vector<routing::EngineState> states;
+  std::vector<platform::BackEndAddress> replicas;
+
+  const std::vector<routing::EngineState>& engines() const override { return states; }
+  const routing::EngineState* find(base::EngineId id) const override {
+    for (const routing::EngineState& state : states) {
+      if (state.address.id == id) return &state;
+    }
+    return nullptr;
+  }
+  std::vector<platform::BackEndAddress> applicationReplicas(
+      std::string_view /*application*/) const override {
+    return replicas;
+  }
+  base::WeightsVersion defaultVersion(std::string_view /*model*/) const override { return 7; }
+};
+
+/// Chooses the first engine that is not excluded.
+class FakePolicy final : public routing::RoutingPolicy {
+ public:
+  explicit FakePolicy(const FakeFleet& fleet) : fleet_(fleet) {}
+  std::uint32_t dispatched = 0;
+  std::uint32_t finished = 0;
+  std::vector<routing::RouteQuery> queries;
+
+  std::string_view name() const override { return "fake"; }
+  void choose(routing::RouteQuery query, routing::RouteCallback callback) override {
+    queries.push_back(query);
+    routing::RouteDecision decision;
+    decision.reason = {base::ResultCode::kNoBackEnd, "none left"};
+    for (const routing::EngineState& state : fleet_.states) {
+      if (state.unreachable) continue;
+      if (std::ranges::find(query.excluded, state.address.id) != query.excluded.end()) continue;
+      decision.engine = state.address.id;
+      decision.incarnation = state.incarnation;
+      decision.expectedFirstToken = std::chrono::milliseconds(50);
+      decision.candidates.push_back({state.address.id, state.address.name, 0, false, {}, ""});
+      decision.reason = {};
+      break;
+    }
+    callback(std::move(decision));
+  }
+  void onDispatched(const routing::RouteQuery& /*query*/,
+                    const routing::RouteDecision& /*decision*/) override {
+    ++dispatched;
+  }
+  void onFinished(base::EngineId /*engine*/, std::uint32_t /*promptTokens*/,
+                  std::uint32_t /*cachedTokens*/, base::Duration /*firstTokenAfter*/) override {
+    ++finished;
+  }
+
+ private:
+  const FakeFleet& fleet_;
+};
+
+class FakeAdmission final : public admission::AdmissionController {
+ public:
+  explicit FakeAdmission(VirtualTime& time) : time_(time) {}
+  admission::AdmissionVerdict verdict{true, {}, {}, {}};
+  /// While held, verdicts wait for `releaseHeld`.
+  bool hold = false;
+  std::uint32_t retries = 100;
+  std::uint32_t ticketsHeld = 0;
+
+  std::unique_ptr<admission::AdmissionTicket> admit(
+      admission::AdmissionRequest /*request*/, admission::AdmissionCallback callback) override {
+    if (hold) {
+      held_.push_back(std::move(callback));
+    } else {
+      time_.schedule({}, [this, callback = std::move(callback)] { callback(verdict); });
+    }
+    return std::make_unique<Ticket>(ticketsHeld);
+  }
+  bool takeRetry() override {
+    if (retries == 0) return false;
+    --retries;
+    return true;
+  }
+  void onExpectedFirstToken(base::PriorityClass /*priority*/,
+                            base::Duration /*expected*/) override {}
+  void releaseHeld() {
+    for (const auto& callback : std::exchange(held_, {})) callback(verdict);
+  }
+
+ private:
+  struct Ticket final : admission::AdmissionTicket {
+    explicit Ticket(std::uint32_t& held) : count(held) { ++count; }
+    ~Ticket() override { --count; }
+    Ticket(const Ticket&) = delete;
+    Ticket& operator=(const Ticket&) = delete;
+    std::uint32_t& count;
+  };
+  VirtualTime& time_;
+  std::vector<admission::AdmissionCallback> held_;
+};
+
+class FakeConfiguration final : public config::ConfigurationView {
+ public:
+  std::shared_ptr<config::TenantTemplate> tenant = std::make_shared<config::TenantTemplate>();
+  bool confirmed = true;
+  bool copyHere = true;
+
+  config::TenantTemplatePtr findByKey(std::string_view bearerKey) const override {
+    return copyHere && bearerKey == "key" ? tenant : nullptr;
+  }
+  config::TenantTemplatePtr findByName(std::string_view name) const override {
+    return copyHere && name == tenant->name ? tenant : nullptr;
+  }
+  config::Freshness freshness() const override { return {1, confirmed, {}}; }
+  bool loaded() const override { return copyHere; }
+};
+
+class FakeZones final : public ZoneReachability {
+ public:
+  std::set<std::string, std::less<>> cutOffZones;
+  bool cutOff(std::string_view homeZone) const override { return cutOffZones.contains(homeZone); }
+};
+
+class FakeTraces final : public TraceLog {
+ public:
+  std::vector<std::shared_ptr<const RequestTrace>> traces;
+  void add(std::shared_ptr<const RequestTrace> trace) override {
+    traces.push_back(std::move(trace));
+  }
+};
+
+/// Records an answer and checks its shape: in order, without gaps, one final call, nothing after.
+class RecordingSink final : public CompletionSink {
+ public:
+  std::vector<platform::StreamChunk> chunks;
+  std::optional<platform::StreamEnd> ended;
+  std::optional<Refusal> refused;
+  std::uint32_t callsAfterFinal = 0;
+  std::function<void()> onEachChunk;
+
+  void onChunk(const platform::StreamChunk& chunk) override {
+    noteCall();
+    chunks.push_back(chunk);
+    if (onEachChunk) onEachChunk();
+  }
+  void onEnd(const platform::StreamEnd& end) override {
+    noteCall();
+    ended = end;
+  }
+  void onRefused(const Refusal& refusal) override {
+    noteCall();
+    refused = refusal;
+  }
+  bool final() const { return ended.has_value() || refused.has_value(); }
+  bool gapless() const {
+    for (std::size_t index = 0; index < chunks.size(); ++index) {
+      if (chunks[index].position != index) return false;
+    }
+    return true;
+  }
+
+ private:
+  void noteCall() {
+    if (final()) ++callsAfterFinal;
+  }
+};
+
+class RecordingProxiedSink final : public ProxiedSink {
+ public:
+  std::optional<platform::ApplicationResponse> response;
+  std::optional<Refusal> refused;
+  void onResponse(const platform::ApplicationResponse& answer) override { response = answer; }
+  void onRefused(const Refusal& refusal) override { refused = refusal; }
+};
+
+/// A request manager with fakes all around: three engines, two replicas, one tenant.
+struct RequestFixture {
+  RequestFixture() {
+    for (const char* name : {"engine-a", "engine-b", "engine-c"}) {
+      routing::EngineState state;
+      state.address = {base::engineIdOf(name), name, {}};
+      state.incarnation = 1;
+      fleet.states.push_back(state);
+    }
+    for (const char* name : {"replica-a", "replica-b"}) {
+      fleet.replicas.push_back({base::engineIdOf(name), name, {}});
+    }
+    config::TenantTemplate& tenant = *configuration.tenant;
+    tenant.name = "judges";
+    tenant.id = base::tenantIdOf(tenant.name);
+    tenant.models = {{"rules", {"ruling"}, 0}};
+    tenant.deadline = std::chrono::seconds(10);
+    tenant.priority = base::PriorityClass::kInteractive;
+    tenant.applications = {{"/standings", "pairings", {"POST"}},
+                           {"/standings/draft", "drafts", {}}};
+  }
+
+  std::unique_ptr<ActiveRequest> complete(bool notRepeatable = false, std::string key = {}) {
+    CompletionRequest request;
+    request.bearerKey = "key";
+    request.model = "rules";
+    request.prompt = std::make_shared<const std::string>("may this card be played");
+    request.maximumTokens = 100;
+    request.notRepeatable = notRepeatable;
+    request.idempotencyKey = std::move(key);
+    auto active = manager.complete(std::move(request), sink);
+    time.advance(std::chrono::milliseconds(5));
+    return active;
+  }
+  std::unique_ptr<ActiveRequest> proxy(std::string method, std::string key = {}) {
+    ProxiedRequest request;
+    request.bearerKey = "key";
+    request.method = std::move(method);
+    request.target = "/standings/7?round=2";
+    request.idempotencyKey = std::move(key);
+    auto active = manager.proxy(std::move(request), proxiedSink);
+    time.advance(std::chrono::milliseconds(5));
+    return active;
+  }
+
+  VirtualTime time;
+  base::SeededRandom random{1};
+  base::NullEventLog log;
+  FakeTable table{time};
+  FakeEngines engines;
+  FakeApplications applications;
+  FakeFleet fleet;
+  FakePolicy policy{fleet};
+  FakeAdmission admission{time};
+  FakeConfiguration configuration;
+  FakeZones zones;
+  FakeTraces traces;
+  ClaimStore claims{table, time, random};
+  RecordingSink sink;
+  RecordingProxiedSink proxiedSink;
+  RequestManager manager{{"node-1", 3},
+                         {},
+                         {time, time, random, log, configuration, fleet, zones, policy, admission,
+                          engines, applications, claims, traces}};
+};
+
+}  // namespace covewing::request
