Admit by tenant limits and by the expected time to first token

Tenant limits are leased by a home node for each tenant, chosen by rendezvous hashing over the live members, so that no counter is central. Hold and shed use the router's expectation of the first token: a class beyond its target is held with all less urgent ones, and a hold that cannot succeed is refused at once with the time to come back.

--- /dev/null
+++ b/src/admission/admission_options.h
@@ -0,0 +1,69 @@
+/// \file
+/// Parameters of admission on one node. docs/design/admission.md gives the reason of each default.
+#pragma once
+
+#include <array>
+#include <cstdint>
+
+#include "base/priority.h"
+#include "base/time.h"
+
+namespace covewing::admission {
+
+/// Retries allowed on one node, by all layers together.
+struct RetryBudgetOptions {
+  /// Retries earned by each admitted request.
+  double ratio = 0.1;
+  /// Retries earned each second without any request, so that a quiet node may still retry.
+  double minimumPerSecond = 1.0;
+  /// Most retries saved up.
+  double capacity = 20.0;
+};
+
+/// Leases of tenant limits between a tenant's home node and the nodes that use them.
+struct QuotaOptions {
+  /// Time without an answer after which an ask is repeated, and after the repeat the home counts as
+  /// unreachable.
+  base::Duration askTimeout = std::chrono::milliseconds(40);
+  /// How long a home that did not answer is not asked again.
+  base::Duration unreachableFor = std::chrono::seconds(1);
+  /// Life of leased concurrency slots without renewal.
+  base::Duration slotLease = std::chrono::seconds(3);
+  /// Life of leased rate tokens.
+  base::Duration tokenLease = std::chrono::seconds(1);
+  /// Tokens are leased for this much of a node's own recent demand.
+  base::Duration tokenBatch = std::chrono::milliseconds(250);
+  /// Longest time that a refusal by the home is remembered and given without asking.
+  base::Duration refusalMemory = std::chrono::milliseconds(500);
+};
+
+/// Hold and shed by the expected time to first token.
+struct CapacityOptions {
+  /// Expected first token, by class, above which a class is held; also bounded by the deadline.
+  std::array<base::Duration, base::kPriorityClassCount> target = {
+      std::chrono::milliseconds(4000), std::chrono::milliseconds(2000),
+      std::chrono::milliseconds(2000), std::chrono::milliseconds(1500)};
+  /// The target is at most this share of the template's deadline.
+  double deadlineShare = 0.5;
+  /// The estimate halves for each such time without a new sample, so that a held class is probed.
+  base::Duration estimateHalfLife = std::chrono::milliseconds(500);
+  /// Requests that may run ahead of their routing estimate while their class is being held.
+  std::uint32_t maximumUnsampled = 4;
+  /// Requests held on this node over all classes.
+  std::uint32_t maximumHeld = 1000;
+  /// Requests admitted and not over on this node.
+  std::uint32_t maximumRunning = 10'000;
+  /// How often held requests are looked at when nothing else happens.
+  base::Duration reviewPeriod = std::chrono::milliseconds(50);
+  /// Shortest and longest advice to callers that were refused for lack of capacity.
+  base::Duration shortestRetryAfter = std::chrono::seconds(1);
+  base::Duration longestRetryAfter = std::chrono::seconds(30);
+};
+
+struct AdmissionOptions {
+  CapacityOptions capacity;
+  QuotaOptions quota;
+  RetryBudgetOptions retry;
+};
+
+}  // namespace covewing::admission
--- /dev/null
+++ b/src/admission/capacity_gate.cc
@@ -0,0 +1,64 @@
+#include "admission/capacity_gate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace covewing::admission {
+
+using base::Duration;
+using base::PriorityClass;
+using base::TimePoint;
+
+namespace {
+/// From this share of the target on, requests are released only as fast as their estimates come.
+constexpr double kPacingShare = 0.5;
+/// A request that was admitted longer ago has been routed or is over.
+constexpr Duration kEstimateTimeout = std::chrono::milliseconds(200);
+}  // namespace
+
+void CapacityGate::onAdmitted(PriorityClass priority, TimePoint now) {
+  auto& admitted = unsampled_.at(static_cast<std::size_t>(priority));
+  admitted.push_back(now);
+  while (now - admitted.front() > kEstimateTimeout) admitted.pop_front();
+}
+
+void CapacityGate::onEstimate(PriorityClass priority, Duration expected, TimePoint now) {
+  auto& admitted = unsampled_.at(static_cast<std::size_t>(priority));
+  if (!admitted.empty()) admitted.pop_front();
+  estimate_.add(priority, expected, now);
+}
+
+std::size_t CapacityGate::unsampled(PriorityClass priority, TimePoint now) const {
+  const auto& admitted = unsampled_.at(static_cast<std::size_t>(priority));
+  const auto current = std::find_if(admitted.begin(), admitted.end(), [now](TimePoint time) {
+    return now - time <= kEstimateTimeout;
+  });
+  return static_cast<std::size_t>(admitted.end() - current);
+}
+
+Duration CapacityGate::target(PriorityClass priority, Duration deadline) const {
+  const Duration target = options_.target.at(static_cast<std::size_t>(priority));
+  if (deadline <= Duration::zero()) return target;
+  const auto share =
+      static_cast<Duration::rep>(static_cast<double>(deadline.count()) * options_.deadlineShare);
+  return std::min(target, Duration{share});
+}
+
+bool CapacityGate::open(PriorityClass priority, Duration deadline, TimePoint now) const {
+  const double estimate = base::toSeconds(estimate_.of(priority, now));
+  const double limit = base::toSeconds(target(priority, deadline));
+  if (estimate > limit) return false;
+  if (estimate <= limit * kPacingShare) return true;
+  return unsampled(priority, now) < options_.maximumUnsampled;
+}
+
+Duration CapacityGate::timeToOpen(PriorityClass priority, Duration deadline, TimePoint now) const {
+  const double estimate = base::toSeconds(estimate_.of(priority, now));
+  const double limit = base::toSeconds(target(priority, deadline));
+  if (estimate <= limit || limit <= 0) return Duration::zero();
+  const double halvings = std::log2(estimate / limit);
+  return Duration{static_cast<Duration::rep>(
+      halvings * static_cast<double>(options_.estimateHalfLife.count()))};
+}
+
+}  // namespace covewing::admission
--- /dev/null
+++ b/src/admission/capacity_gate.h
@@ -0,0 +1,50 @@
+/// \file
+/// Decides whether a class may run now, from the router's expectation of the first token.
+///
+/// A class runs while its estimate is within its target. While it is not, the class and all less
+/// urgent ones are held; estimates fade without samples, so that a few requests probe the engines.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <deque>
+
+#include "admission/admission_options.h"
+#include "admission/first_token_estimate.h"
+#include "base/priority.h"
+#include "base/time.h"
+
+namespace covewing::admission {
+
+class CapacityGate {
+ public:
+  explicit CapacityGate(const CapacityOptions& options)
+      : options_(options), estimate_(options.estimateHalfLife) {}
+
+  /// A request of the class was admitted; its routing estimate is to follow.
+  void onAdmitted(base::PriorityClass priority, base::TimePoint now);
+  /// The router told its estimate for a request of the class.
+  void onEstimate(base::PriorityClass priority, base::Duration expected, base::TimePoint now);
+
+  /// Whether one more request of the class may run now. `deadline` is its time to the first token;
+  /// zero means none.
+  bool open(base::PriorityClass priority, base::Duration deadline, base::TimePoint now) const;
+  base::Duration expected(base::PriorityClass priority, base::TimePoint now) const {
+    return estimate_.of(priority, now);
+  }
+  /// Time until the estimate will have faded to the target, without further samples.
+  base::Duration timeToOpen(base::PriorityClass priority, base::Duration deadline,
+                            base::TimePoint now) const;
+  base::Duration target(base::PriorityClass priority, base::Duration deadline) const;
+
+ private:
+  /// Admitted requests whose estimate may still come.
+  std::size_t unsampled(base::PriorityClass priority, base::TimePoint now) const;
+
+  CapacityOptions options_;
+  FirstTokenEstimate estimate_;
+  /// When the requests were admitted whose estimates have not come, oldest first.
+  std::array<std::deque<base::TimePoint>, base::kPriorityClassCount> unsampled_;
+};
+
+}  // namespace covewing::admission
--- /dev/null
+++ b/src/admission/first_token_estimate.h
@@ -0,0 +1,42 @@
+/// \file
+/// What the router lately expected as the time to first token, by priority class: the load signal
+/// of hold and shed.
+///
+/// The estimate of a class is the median of its last samples, so that one long prompt does not
+/// count as load, and at least that of every more urgent class, because engines serve those first.
+/// It halves with each half-life without a sample.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+#include "base/priority.h"
+#include "base/time.h"
+
+namespace covewing::admission {
+
+class FirstTokenEstimate {
+ public:
+  explicit FirstTokenEstimate(base::Duration halfLife) : halfLife_(halfLife) {}
+
+  void add(base::PriorityClass priority, base::Duration expected, base::TimePoint now);
+  /// Zero where nothing is known.
+  base::Duration of(base::PriorityClass priority, base::TimePoint now) const;
+
+ private:
+  static constexpr std::size_t kSamples = 15;
+
+  struct ClassSamples {
+    std::vector<base::Duration> ring;
+    std::size_t next = 0;
+    base::TimePoint newest;
+  };
+
+  base::Duration ofClass(const ClassSamples& samples, base::TimePoint now) const;
+
+  base::Duration halfLife_;
+  std::array<ClassSamples, base::kPriorityClassCount> classes_;
+};
+
+}  // namespace covewing::admission
--- /dev/null
+++ b/src/admission/retry_budget.h
@@ -0,0 +1,29 @@
+/// \file
+/// A node's budget of retries: a token bucket filled by requests, so that retries stay a bounded
+/// share of the load when many requests fail at once.
+#pragma once
+
+#include "admission/admission_options.h"
+#include "base/time.h"
+
+namespace covewing::admission {
+
+class RetryBudget {
+ public:
+  /// Starts full.
+  RetryBudget(const RetryBudgetOptions& options, base::TimePoint now);
+
+  /// A request was admitted.
+  void onRequest(base::TimePoint now);
+  /// Takes one retry; false when none is left.
+  bool take(base::TimePoint now);
+
+ private:
+  void refill(base::TimePoint now);
+
+  RetryBudgetOptions options_;
+  double tokens_;
+  base::TimePoint refilledAt_;
+};
+
+}  // namespace covewing::admission
--- /dev/null
+++ b/tests/admission/admission_service_test.cc
@@ -0,0 +1,195 @@
+#include "admission/admission_service.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "admission/fake_cluster.h"
+#include "admission/hold_queue.h"
+
+namespace covewing::admission {
+
+using base::PriorityClass;
+using base::ResultCode;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Makes the node expect first tokens of the class after `expected`.
+void load(AdmissionService& service, PriorityClass priority, base::Duration expected) {
+  for (int sample = 0; sample < 20; ++sample) service.onExpectedFirstToken(priority, expected);
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(AdmissionServiceTest)
+
+BOOST_AUTO_TEST_CASE(AnIdleNodeAdmitsAndNeverFromInsideTheCall) {
+  FakeCluster cluster(1);
+  const Call one = call(cluster.service(0), tenantNamed("a"));
+  BOOST_TEST(!one.answered());
+  cluster.time().advance(milliseconds(1));
+  BOOST_TEST(one.admitted());
+  BOOST_TEST(cluster.service(0).running() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ADestroyedTicketSilencesTheCallbackAndGivesThePlaceBack) {
+  FakeCluster cluster(1);
+  Call one = call(cluster.service(0), tenantNamed("a"));
+  one.ticket.reset();
+  cluster.time().advance(seconds(1));
+  BOOST_TEST(!one.answered());
+  BOOST_TEST(cluster.service(0).running() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AClassBeyondItsTargetIsHeldAndRunsWhenTheEstimateFalls) {
+  FakeCluster cluster(1);
+  AdmissionService& service = cluster.service(0);
+  load(service, PriorityClass::kStandard, milliseconds(2500));
+  const Call held = call(service, tenantNamed("a"));
+  cluster.time().advance(milliseconds(10));
+  BOOST_TEST(!held.answered());
+  BOOST_TEST(service.held() == 1U);
+  load(service, PriorityClass::kStandard, milliseconds(100));
+  cluster.time().advance(milliseconds(1));
+  BOOST_TEST(held.admitted());
+  BOOST_TEST(held.verdicts->front().held.count() ==
+             milliseconds(10) / std::chrono::microseconds(1));
+}
+
+BOOST_AUTO_TEST_CASE(AHoldThatCannotSucceedIsRefusedAtOnceWithRetryAfter) {
+  FakeCluster cluster(1);
+  AdmissionService& service = cluster.service(0);
+  load(service, PriorityClass::kStandard, seconds(60));
+  const Call refused = call(service, tenantNamed("a"));
+  cluster.time().advance(milliseconds(1));
+  BOOST_TEST(refused.answered());
+  BOOST_TEST((refused.code() == ResultCode::kDeadlineUnreachable));
+  BOOST_TEST(refused.verdicts->front().retryAfter.count() > 0);
+}
+
+BOOST_AUTO_TEST_CASE(AHoldEndsWithItsTime) {
+  FakeCluster cluster(1);
+  AdmissionService& service = cluster.service(0);
+  load(service, PriorityClass::kStandard, milliseconds(3000));
+  const Call held = call(service, tenantNamed("a"));
+  for (int step = 0; step < 30; ++step) {
+    cluster.time().advance(milliseconds(50));
+    load(service, PriorityClass::kStandard, milliseconds(3000));
+  }
+  BOOST_TEST(held.answered());
+  BOOST_TEST(!held.admitted());
+  BOOST_TEST((held.code() == ResultCode::kHoldExpired));
+  BOOST_TEST(held.verdicts->size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(LoadOfALessUrgentClassDoesNotHoldAMoreUrgentOne) {
+  FakeCluster cluster(1);
+  AdmissionService& service = cluster.service(0);
+  load(service, PriorityClass::kBackground, seconds(60));
+  const Call urgent = call(service, tenantNamed("a"), PriorityClass::kUrgent);
+  const Call background = call(service, tenantNamed("a"), PriorityClass::kBackground);
+  cluster.time().advance(milliseconds(1));
+  BOOST_TEST(urgent.admitted());
+  BOOST_TEST(background.answered());
+  BOOST_TEST(!background.admitted());
+}
+
+BOOST_AUTO_TEST_CASE(LoadOfAnUrgentClassHoldsTheLessUrgentOnes) {
+  FakeCluster cluster(1);
+  AdmissionService& service = cluster.service(0);
+  load(service, PriorityClass::kUrgent, seconds(60));
+  const Call background = call(service, tenantNamed("a"), PriorityClass::kBackground);
+  cluster.time().advance(milliseconds(1));
+  BOOST_TEST(background.answered());
+  BOOST_TEST(!background.admitted());
+}
+
+BOOST_AUTO_TEST_CASE(TheUrgentClassIsNotRefusedWhileALowerOneRuns) {
+  FakeCluster cluster(1);
+  AdmissionService& service = cluster.service(0);
+  Call lower = call(service, tenantNamed("a"), PriorityClass::kBackground);
+  cluster.time().advance(milliseconds(1));
+  load(service, PriorityClass::kUrgent, seconds(60));
+  Call urgent = call(service, tenantNamed("a"), PriorityClass::kUrgent);
+  for (int step = 0; step < 30; ++step) {
+    cluster.time().advance(milliseconds(50));
+    load(service, PriorityClass::kUrgent, seconds(60));
+  }
+  BOOST_TEST(urgent.admitted());
+  urgent.ticket.reset();
+  lower.ticket.reset();
+  const Call alone = call(service, tenantNamed("a"), PriorityClass::kUrgent);
+  cluster.time().advance(milliseconds(1));
+  BOOST_TEST(alone.answered());
+  BOOST_TEST(!alone.admitted());
+}
+
+BOOST_AUTO_TEST_CASE(AHeldRequestRunsBeforeALessUrgentOneThatCameEarlier) {
+  FakeCluster cluster(1);
+  AdmissionService& service = cluster.service(0);
+  load(service, PriorityClass::kInteractive, milliseconds(2500));
+  const Call background = call(service, tenantNamed("a"), PriorityClass::kBackground);
+  const Call interactive = call(service, tenantNamed("a"), PriorityClass::kInteractive);
+  load(service, PriorityClass::kInteractive, milliseconds(1900));
+  cluster.time().advance(milliseconds(1));
+  BOOST_TEST(interactive.admitted());
+  BOOST_TEST(!background.answered());
+}
+
+BOOST_AUTO_TEST_CASE(TheHoldQueueIsOrderedByClassThenArrival) {
+  HoldQueue queue;
+  queue.push(PriorityClass::kBackground, 1);
+  queue.push(PriorityClass::kUrgent, 2);
+  queue.push(PriorityClass::kUrgent, 3);
+  queue.push(PriorityClass::kBackground, 4);
+  BOOST_TEST(queue.front().value() == 2U);
+  BOOST_TEST(queue.last().value() == 4U);
+  BOOST_TEST(queue.aheadOf(PriorityClass::kStandard) == 2U);
+  queue.remove(PriorityClass::kUrgent, 2);
+  BOOST_TEST(queue.front().value() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(AFullHoldQueueShedsTheLowestClass) {
+  AdmissionOptions options;
+  options.capacity.maximumHeld = 1;
+  FakeCluster cluster(1, options);
+  AdmissionService& service = cluster.service(0);
+  load(service, PriorityClass::kInteractive, milliseconds(2500));
+  const Call background = call(service, tenantNamed("a"), PriorityClass::kBackground);
+  const Call interactive = call(service, tenantNamed("a"), PriorityClass::kInteractive);
+  const Call later = call(service, tenantNamed("a"), PriorityClass::kBackground);
+  cluster.time().advance(milliseconds(1));
+  BOOST_TEST(background.answered());
+  BOOST_TEST((background.code() == ResultCode::kShed));
+  BOOST_TEST(!interactive.answered());
+  BOOST_TEST((later.code() == ResultCode::kShed));
+}
+
+BOOST_AUTO_TEST_CASE(CallsWithoutAPromptAreNotHeldForEngines) {
+  FakeCluster cluster(1);
+  AdmissionService& service = cluster.service(0);
+  load(service, PriorityClass::kUrgent, seconds(60));
+  const Call plain = call(service, tenantNamed("a"), PriorityClass::kStandard, 0);
+  cluster.time().advance(milliseconds(1));
+  BOOST_TEST(plain.admitted());
+}
+
+BOOST_AUTO_TEST_CASE(RetriesAreABoundedShareOfRequests) {
+  AdmissionOptions options;
+  options.retry = {.ratio = 0.1, .minimumPerSecond = 0, .capacity = 5};
+  FakeCluster cluster(1, options);
+  AdmissionService& service = cluster.service(0);
+  std::vector<Call> calls;
+  int retries = 0;
+  for (int request = 0; request < 200; ++request) {
+    calls.push_back(call(service, tenantNamed("a")));
+    cluster.time().advance(milliseconds(1));
+    if (service.takeRetry()) ++retries;
+  }
+  BOOST_TEST(retries >= 24);
+  BOOST_TEST(retries <= 25);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::admission
