Add gossip membership with record dissemination

News rides on pings, acks and rate-bounded gossip; digest comparison repairs what was lost and heals partitions: each side tells the other's members that they are held dead, and believes that of nobody it sees alive.

A member held suspected is pinged again by each node until the suspicion runs out, and whoever passes on an outdated suspicion is corrected. Suspicions run on the time that the process itself was running, so that a paused node blames nobody.

--- /dev/null
+++ b/src/membership/gossip_membership.cc
@@ -0,0 +1,530 @@
+#include "membership/gossip_membership.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace covewing::membership {
+
+namespace {
+
+constexpr double kTimerJitter = 0.1;
+/// IP and UDP headers, and the frame around a payload, for the bound on news.
+constexpr double kMessageOverhead = 48;
+constexpr base::Duration kRelayLifetime = std::chrono::seconds(2);
+constexpr std::size_t kLeaveFanout = 8;
+constexpr std::size_t kMaximumRelays = 256;
+/// Suspected members that are pinged in each period besides the one probed.
+constexpr std::size_t kSuspectPings = 4;
+/// A comparison that brings more items than this is a node's first: it does not pass them on.
+constexpr std::size_t kMaximumIntroductions = 32;
+
+bool isLive(MemberState state) {
+  return state == MemberState::kAlive || state == MemberState::kSuspect;
+}
+
+Member selfOf(const GossipMembershipOptions& options) {
+  Member self;
+  self.id = base::nodeIdOf(options.name);
+  self.name = options.name;
+  self.endpoint = options.endpoint;
+  self.zone = options.zone;
+  self.region = options.region;
+  self.incarnation = options.incarnation;
+  return self;
+}
+
+/// Bits of the buckets whose digests differ.
+template <std::size_t size>
+std::uint32_t differingBuckets(const std::array<std::uint32_t, size>& left,
+                               const std::array<std::uint32_t, size>& right) {
+  std::uint32_t mask = 0;
+  for (std::size_t bucket = 0; bucket < size; ++bucket) {
+    if (left.at(bucket) != right.at(bucket)) mask |= 1U << bucket;
+  }
+  return mask;
+}
+
+}  // namespace
+
+GossipMembership::GossipMembership(GossipMembershipOptions options, base::Clock& clock,
+                                   base::TimerService& timers, base::RandomSource& random,
+                                   base::EventLog& log, base::PeerTransport& peers)
+    : options_(std::move(options)),
+      clock_(clock),
+      timers_(timers),
+      random_(random),
+      log_(log),
+      peers_(peers),
+      members_(selfOf(options_), options_.retention),
+      detector_(options_.probing, timers, random, members_, *this),
+      lastRunning_(clock.now()),
+      syncInterval_(options_.firstSyncPeriod),
+      newsTokens_(options_.newsBurstBytes) {}
+
+GossipMembership::~GossipMembership() {
+  for (const base::TimerId timer :
+       {periodTimer_, gossipTimer_, syncTimer_, deadTimer_, joinTimer_}) {
+    timers_.cancel(timer);
+  }
+}
+
+// --- timers
+
+void GossipMembership::start() {
+  memberNews_.add(members_.self().id);
+  lastRunning_ = clock_.now();
+  every(options_.probing.probePeriod, periodTimer_, &GossipMembership::onPeriod);
+  every(options_.gossipPeriod, gossipTimer_, &GossipMembership::onGossipTick);
+  hastenSync();
+  every(options_.deadRetry, deadTimer_, &GossipMembership::onDeadTick);
+  onJoinTick();
+}
+
+void GossipMembership::every(base::Duration period, base::TimerId& timer,
+                             void (GossipMembership::*action)()) {
+  timer = timers_.schedule(random_.jittered(period, kTimerJitter), [this, period, &timer, action] {
+    every(period, timer, action);
+    (this->*action)();
+  });
+}
+
+void GossipMembership::onPeriod() {
+  const base::TimePoint now = clock_.now();
+  noteRunning(now);
+  std::erase_if(relays_,
+                [&](const auto& item) { return now - item.second.sentAt > kRelayLifetime; });
+  members_.purge(now);
+  detector_.beginPeriod();
+  for (const base::NodeId id : members_.randomSuspects(random_, kSuspectPings))
+    sendPing(*members_.find(id), detector_.nextSequence());
+}
+
+void GossipMembership::noteRunning(base::TimePoint now) {
+  const base::Duration elapsed = now - std::exchange(lastRunning_, now);
+  const base::Duration longest = options_.gossipPeriod + options_.pauseThreshold;
+  running_ += std::min(elapsed, longest);
+  newsTokens_ += base::toSeconds(elapsed) * options_.newsBytesPerSecond;
+  newsTokens_ = std::min(newsTokens_, options_.newsBurstBytes);
+  if (elapsed > longest) onWake();
+}
+
+void GossipMembership::onWake() {
+  detector_.forgive();
+  hastenSync();
+}
+
+void GossipMembership::expireSuspicions() {
+  for (const base::NodeId id : members_.expiredSuspicions(running_)) {
+    MemberUpdate update = compactUpdate(*members_.find(id), members_.sequenceOf(id));
+    update.version.state = MemberState::kDead;
+    applyAndSpread(update);
+  }
+}
+
+void GossipMembership::onGossipTick() {
+  noteRunning(clock_.now());
+  expireSuspicions();
+  for (const Member* member : members_.randomLive(random_, options_.gossipFanout, {})) {
+    if (memberNews_.empty() && recordNews_.empty()) return;
+    if (newsTokens_ <= 0) return;
+    News content = news(base::PeerTransport::kDatagramLimit - 100);
+    newsTokens_ -=
+        kMessageOverhead + static_cast<double>(content.members.size() + content.records.size());
+    send(member->endpoint, Gossip{std::move(content)});
+  }
+}
+
+void GossipMembership::hastenSync() {
+  timers_.cancel(syncTimer_);
+  syncInterval_ = options_.firstSyncPeriod;
+  syncTimer_ = timers_.schedule(random_.jittered(syncInterval_ / 2, 1), [this] { onSyncTick(); });
+}
+
+void GossipMembership::onSyncTick() {
+  syncTimer_ =
+      timers_.schedule(random_.jittered(syncInterval_, kTimerJitter), [this] { onSyncTick(); });
+  syncInterval_ = std::min(syncInterval_ * 2, options_.syncPeriod);
+  if (const Member* member = members_.randomLive(random_)) requestSync(member->endpoint);
+}
+
+void GossipMembership::onDeadTick() {
+  if (const Member* member = members_.randomDead(random_)) requestSync(member->endpoint);
+  // A seed of another partition may have started after this node, and never have been a member
+  // here.
+  if (options_.seeds.empty()) return;
+  const base::Endpoint seed = options_.seeds[random_.below(options_.seeds.size())];
+  const auto& live = members_.live();
+  const bool known = std::any_of(live.begin(), live.end(),
+                                 [&](const Member& member) { return member.endpoint == seed; });
+  if (!known) requestSync(seed);
+}
+
+void GossipMembership::onJoinTick() {
+  if (!alone()) return;
+  std::vector<base::Endpoint> seeds = options_.seeds;
+  std::erase(seeds, options_.endpoint);
+  if (seeds.empty()) return;
+  requestSync(seeds[random_.below(seeds.size())]);
+  joinTimer_ =
+      timers_.schedule(random_.jittered(options_.joinRetry, 0.5), [this] { onJoinTick(); });
+}
+
+// --- own state
+
+void GossipMembership::leave() {
+  for (base::TimerId* timer : {&periodTimer_, &syncTimer_, &deadTimer_, &joinTimer_}) {
+    timers_.cancel(std::exchange(*timer, 0));
+  }
+  detector_.forgive();
+  members_.renewSelf(0, MemberState::kLeft, true);
+  memberNews_.add(members_.self().id);
+  for (const Member* member : members_.randomLive(random_, kLeaveFanout, {}))
+    send(member->endpoint, Gossip{news(options_.piggybackBytes)});
+}
+
+void GossipMembership::setDraining(bool draining) {
+  if (members_.self().draining == draining) return;
+  members_.renewSelf(0, MemberState::kAlive, draining);
+  memberNews_.add(members_.self().id);
+}
+
+// --- probing
+
+void GossipMembership::sendPing(const Member& target, std::uint64_t sequence) {
+  News content = news(options_.piggybackBytes);
+  // A suspected member hears of it first of all from the one that probes it.
+  if (target.state == MemberState::kSuspect) {
+    PackedWriter writer;
+    encode(compactUpdate(target, members_.sequenceOf(target.id)), writer);
+    content.members += writer.bytes();
+  }
+  send(target.endpoint, Ping{sequence, target.id, std::move(content)});
+}
+
+void GossipMembership::sendPingRequest(const Member& helper, base::NodeId target,
+                                       std::uint64_t sequence) {
+  send(helper.endpoint, PingRequest{sequence, target});
+}
+
+void GossipMembership::onProbeFailed(base::NodeId target) {
+  const Member* member = members_.find(target);
+  if (member == nullptr || member->state != MemberState::kAlive) return;
+  MemberUpdate update = compactUpdate(*member, members_.sequenceOf(target));
+  update.version.state = MemberState::kSuspect;
+  applyAndSpread(update);
+}
+
+// --- messages
+
+void GossipMembership::onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) {
+  const std::optional<MembershipMessage> message = decodeMembershipMessage(payload);
+  if (!message) {
+    log_.write(base::Event::kMessageRejected, {{"channel", "membership"}});
+    return;
+  }
+  if (members_.self().state == MemberState::kLeft) return;
+  std::visit([&](const auto& content) { handle(sender, content); }, *message);
+}
+
+void GossipMembership::handle(const base::PeerIdentity& sender, const Ping& message) {
+  std::string corrections = takeNews(message.news);
+  if (message.target != members_.self().id) return correct(sender.endpoint, std::move(corrections));
+  News content = news(options_.piggybackBytes);
+  content.members += corrections;
+  // Whoever is held dead here must hear of it to refute it.
+  const Member* member = members_.find(sender.node);
+  if (member != nullptr && !isLive(member->state) && member->incarnation == sender.incarnation) {
+    PackedWriter writer;
+    encode(compactUpdate(*member, members_.sequenceOf(sender.node)), writer);
+    content.members += writer.bytes();
+  }
+  send(sender.endpoint, Ack{message.sequence, std::move(content)});
+}
+
+void GossipMembership::handle(const base::PeerIdentity& sender, const Ack& message) {
+  correct(sender.endpoint, takeNews(message.news));
+  detector_.onAck(message.sequence);
+  const auto relay = relays_.find(message.sequence);
+  if (relay == relays_.end()) return;
+  send(relay->second.origin, Ack{relay->second.sequence, News{}});
+  relays_.erase(relay);
+}
+
+void GossipMembership::handle(const base::PeerIdentity& sender, const PingRequest& message) {
+  const Member* target = members_.find(message.target);
+  if (target == nullptr || relays_.size() >= kMaximumRelays) return;
+  const std::uint64_t sequence = detector_.nextSequence();
+  relays_[sequence] = {sender.endpoint, message.sequence, clock_.now()};
+  send(target->endpoint, Ping{sequence, target->id, News{}});
+}
+
+void GossipMembership::handle(const base::PeerIdentity& sender, const Gossip& message) {
+  correct(sender.endpoint, takeNews(message.news));
+}
+
+void GossipMembership::handle(const base::PeerIdentity& sender, const SyncRequest& message) {
+  accuse(sender.endpoint, message.self);
+  if (message.joining) return sendEverything(sender.endpoint);
+  SyncSummary summary;
+  summary.self = packedSelf();
+  summary.memberBuckets = differingBuckets(members_.digests(), message.members);
+  summary.members = members_.summary(summary.memberBuckets);
+  summary.recordBuckets = differingBuckets(records_.digests(), message.records);
+  summary.records = records_.summary(summary.recordBuckets);
+  send(sender.endpoint, summary);
+}
+
+void GossipMembership::handle(const base::PeerIdentity& sender, const SyncSummary& message) {
+  accuse(sender.endpoint, message.self);
+  SyncItems items;
+  PackedWriter updates;
+  std::map<base::NodeId, MemberVersion> theirs;
+  for (const MemberSummary& summary : message.members) {
+    const MemberVersion version{summary.incarnation, summary.sequence, MemberState::kAlive};
+    theirs[summary.id] = version;
+    const Member* member = members_.find(summary.id);
+    if (member == nullptr || members_.versionOf(summary.id) < version) {
+      items.wantedMembers.push_back(summary.id);
+    } else if (!isLive(member->state)) {
+      encode(compactUpdate(*member, members_.sequenceOf(member->id)), updates);
+    }
+  }
+  for (const Member& member : members_.live()) {
+    if ((message.memberBuckets >> MemberTable::bucketOf(member.id) & 1U) == 0) continue;
+    const auto known = theirs.find(member.id);
+    const MemberVersion version{member.incarnation, members_.sequenceOf(member.id),
+                                MemberState::kAlive};
+    if (known == theirs.end() || known->second < version)
+      encode(fullUpdate(member, version.sequence), updates);
+  }
+  PackedWriter records;
+  std::map<std::uint64_t, std::uint64_t> theirRecords;
+  for (const RecordSummary& summary : message.records) {
+    theirRecords[summary.keyHash] = summary.version;
+    const std::optional<GossipRecord> record = records_.findByHash(summary.keyHash);
+    if (!record || record->version < summary.version)
+      items.wantedRecords.push_back(summary.keyHash);
+  }
+  for (const RecordSummary& summary : records_.summary(message.recordBuckets)) {
+    const auto known = theirRecords.find(summary.keyHash);
+    if (known == theirRecords.end() || known->second < summary.version)
+      encode(*records_.findByHash(summary.keyHash), records);
+  }
+  if (items.wantedMembers.size() + items.wantedRecords.size() > kMaximumIntroductions)
+    syncInterval_ = options_.firstSyncPeriod;
+  items.news = {updates.take(), records.take()};
+  sendItems(sender.endpoint, std::move(items));
+}
+
+void GossipMembership::handle(const base::PeerIdentity& sender, const SyncItems& message) {
+  const std::vector<MemberUpdate> compared = decodeMemberUpdates(message.news.members);
+  const bool introductions = compared.size() <= kMaximumIntroductions;
+  for (const MemberUpdate& update : compared)
+    takeComparedUpdate(sender.endpoint, update, introductions);
+  const std::vector<GossipRecord> records = decodeRecords(message.news.records);
+  for (const GossipRecord& record : records) {
+    const bool spread = records.size() <= kMaximumIntroductions || records_.find(record.key);
+    if (records_.apply(record) && spread) recordNews_.add(record.key);
+  }
+  answerWants(sender.endpoint, message);
+}
+
+void GossipMembership::answerWants(const base::Endpoint& endpoint, const SyncItems& message) {
+  SyncItems reply;
+  PackedWriter updates;
+  for (const base::NodeId id : message.wantedMembers) {
+    const Member* member = members_.find(id);
+    if (member != nullptr) encode(fullUpdate(*member, members_.sequenceOf(id)), updates);
+  }
+  PackedWriter records;
+  for (const std::uint64_t keyHash : message.wantedRecords) {
+    const std::optional<GossipRecord> record = records_.findByHash(keyHash);
+    if (record) encode(*record, records);
+  }
+  reply.news = {updates.take(), records.take()};
+  sendItems(endpoint, std::move(reply));
+}
+
+// --- what others say
+
+std::string GossipMembership::takeNews(const News& news) {
+  PackedWriter corrections;
+  for (const MemberUpdate& update : decodeMemberUpdates(news.members)) {
+    takeUpdate(update);
+    const Member* known = members_.find(update.id);
+    const bool wrongly =
+        update.version.state == MemberState::kSuspect || update.version.state == MemberState::kDead;
+    if (wrongly && known != nullptr && isLive(known->state) &&
+        members_.versionOf(update.id) > update.version)
+      encode(compactUpdate(*known, members_.sequenceOf(update.id)), corrections);
+  }
+  for (const GossipRecord& record : decodeRecords(news.records)) takeRecord(record);
+  return corrections.take();
+}
+
+void GossipMembership::correct(const base::Endpoint& endpoint, std::string corrections) {
+  if (!corrections.empty()) send(endpoint, Gossip{{std::move(corrections), ""}});
+}
+
+void GossipMembership::takeUpdate(const MemberUpdate& update) {
+  if (update.id == members_.self().id) return takeAccusation(update);
+  applyAndSpread(update);
+}
+
+void GossipMembership::takeComparedUpdate(const base::Endpoint& from, const MemberUpdate& update,
+                                          bool spreadUnknown) {
+  if (update.id == members_.self().id) return takeAccusation(update);
+  const Member* known = members_.find(update.id);
+  const MemberVersion version = members_.versionOf(update.id);
+  // Only the member itself says that it left.
+  const bool heldGone = !isLive(update.version.state) && update.version.state != MemberState::kLeft;
+  if (heldGone && known != nullptr && isLive(known->state) && version < update.version) {
+    PackedWriter accusation;
+    encode(update, accusation);
+    return send(known->endpoint, SyncItems{{accusation.take(), ""}, {}, {}});
+  }
+  if (known != nullptr && !isLive(known->state) && update.version < version) {
+    PackedWriter accusation;
+    encode(compactUpdate(*known, version.sequence), accusation);
+    return send(from, SyncItems{{accusation.take(), ""}, {}, {}});
+  }
+  applyAndSpread(update, known != nullptr || spreadUnknown);
+}
+
+void GossipMembership::takeAccusation(const MemberUpdate& update) {
+  const Member& self = members_.self();
+  const MemberVersion own = members_.versionOf(self.id);
+  if (update.version <= own || update.version.incarnation != own.incarnation) return;
+  members_.renewSelf(update.version.sequence, MemberState::kAlive, self.draining);
+  memberNews_.add(self.id);
+}
+
+void GossipMembership::applyAndSpread(const MemberUpdate& update, bool spread) {
+  const MemberChange change = members_.apply(update, clock_.now(), running_ + suspicionTime());
+  if (change.kind != MemberChange::Kind::kChanged) return;
+  if (spread) memberNews_.add(update.id);
+  report(change);
+}
+
+void GossipMembership::report(const MemberChange& change) {
+  const Member& member = *change.member;
+  const bool wasLive = change.before && isLive(*change.before);
+  base::Event event = base::Event::kMemberJoined;
+  switch (member.state) {
+    case MemberState::kSuspect:
+      event = base::Event::kMemberSuspected;
+      break;
+    case MemberState::kDead:
+      event = base::Event::kMemberDead;
+      break;
+    case MemberState::kLeft:
+      event = base::Event::kMemberLeft;
+      break;
+    default:
+      if (wasLive && *change.before == MemberState::kAlive) return;
+      if (wasLive) event = base::Event::kMemberRefuted;
+  }
+  log_.write(event, {{"member", member.name},
+                     {"zone", member.zone},
+                     {"incarnation", std::to_string(member.incarnation)}});
+}
+
+void GossipMembership::takeRecord(const GossipRecord& record) {
+  if (records_.apply(record)) recordNews_.add(record.key);
+}
+
+// --- records
+
+void GossipMembership::publish(GossipRecord record) { takeRecord(record); }
+
+std::optional<GossipRecord> GossipMembership::find(std::string_view key) const {
+  return records_.find(key);
+}
+
+void GossipMembership::subscribe(std::string keyPrefix, Listener listener) {
+  records_.subscribe(std::move(keyPrefix), std::move(listener));
+}
+
+// --- sending
+
+News GossipMembership::news(std::size_t maximumBytes) {
+  PackedWriter updates;
+  memberNews_.take(
+      updates, maximumBytes, transmissions(), [this](base::NodeId id, PackedWriter& writer) {
+        const Member* member = members_.find(id);
+        if (member == nullptr) return;
+        const std::uint32_t sequence = members_.sequenceOf(id);
+        // A member that raised its sequence is known to nearly all already.
+        const bool introduce = sequence == 0 && member->state == MemberState::kAlive;
+        encode(introduce ? fullUpdate(*member, sequence) : compactUpdate(*member, sequence),
+               writer);
+      });
+  PackedWriter records;
+  recordNews_.take(records, maximumBytes - std::min(maximumBytes, updates.size()), transmissions(),
+                   [this](const std::string& key, PackedWriter& writer) {
+                     if (const auto record = records_.find(key)) encode(*record, writer);
+                   });
+  return {updates.take(), records.take()};
+}
+
+void GossipMembership::accuse(const base::Endpoint& endpoint, const std::string& self) {
+  for (const MemberUpdate& update : decodeMemberUpdates(self)) {
+    if (update.id == members_.self().id) continue;
+    const Member* known = members_.find(update.id);
+    const MemberVersion version = members_.versionOf(update.id);
+    if (known == nullptr || isLive(known->state) || version < update.version) {
+      applyAndSpread(update);
+      continue;
+    }
+    PackedWriter accusation;
+    encode(compactUpdate(*known, version.sequence), accusation);
+    send(endpoint, SyncItems{{accusation.take(), ""}, {}, {}});
+  }
+}
+
+void GossipMembership::requestSync(const base::Endpoint& endpoint) {
+  if (endpoint == options_.endpoint) return;
+  send(endpoint, SyncRequest{alone(), packedSelf(), members_.digests(), records_.digests()});
+}
+
+void GossipMembership::sendEverything(const base::Endpoint& endpoint) {
+  PackedWriter updates;
+  for (const Member& member : members_.live())
+    encode(fullUpdate(member, members_.sequenceOf(member.id)), updates);
+  PackedWriter records;
+  for (const RecordSummary& summary : records_.summary(~0U))
+    encode(*records_.findByHash(summary.keyHash), records);
+  sendItems(endpoint, {{updates.take(), records.take()}, {}, {}});
+}
+
+void GossipMembership::sendItems(const base::Endpoint& endpoint, SyncItems items) {
+  const bool empty = items.news.members.empty() && items.news.records.empty() &&
+                     items.wantedMembers.empty() && items.wantedRecords.empty();
+  if (!empty) send(endpoint, items);
+}
+
+void GossipMembership::send(const base::Endpoint& endpoint, const MembershipMessage& message) {
+  peers_.send(endpoint, base::Channel::kMembership, encode(message));
+}
+
+std::string GossipMembership::packedSelf() const {
+  PackedWriter writer;
+  encode(fullUpdate(members_.self(), members_.sequenceOf(members_.self().id)), writer);
+  return writer.take();
+}
+
+std::uint32_t GossipMembership::transmissions() const {
+  const double scale = std::log10(static_cast<double>(members_.live().size()) + 1);
+  return static_cast<std::uint32_t>(std::ceil(options_.transmissionFactor * std::max(scale, 1.0)));
+}
+
+base::Duration GossipMembership::suspicionTime() const {
+  const double scale = std::log10(static_cast<double>(members_.live().size()) + 1);
+  const double periods = options_.suspicionFactor * std::max(scale, 1.0);
+  const auto time = static_cast<base::Duration::rep>(
+      static_cast<double>(options_.probing.probePeriod.count()) * periods);
+  return std::max(base::Duration{time}, options_.minimumSuspicion);
+}
+
+}  // namespace covewing::membership
--- /dev/null
+++ b/src/membership/gossip_membership.h
@@ -0,0 +1,189 @@
+/// \file
+/// Membership by gossip: who is alive, with constant cost a node, and small records spread to all.
+///
+/// - A random member is probed in each period (membership/failure_detector.h). One that fails is
+///   suspected, told so by gossip, and held dead when it does not refute in time. Only a member
+///   itself raises its sequence, so that a refutation overrides every suspicion before it.
+/// - News rides on pings and acks, and while there is some, on gossip messages of a bounded rate.
+///   Each piece is passed on a number of times that grows with the logarithm of the fleet.
+/// - Every few seconds a node compares digests with a random member, and both exchange what
+/// differs:
+///   this repairs whatever was lost.
+/// - A zone that is cut off holds the others dead and goes on. Now and then each node asks one
+/// member
+///   held dead, or a seed, for a comparison; once the network is whole again, the first answer
+///   leads to refutations, which spread as all other news does.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/endpoint.h"
+#include "base/event_log.h"
+#include "base/ids.h"
+#include "base/peer_transport.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "membership/broadcast_queue.h"
+#include "membership/failure_detector.h"
+#include "membership/member_directory.h"
+#include "membership/member_table.h"
+#include "membership/membership_message.h"
+#include "membership/record_table.h"
+
+namespace covewing::membership {
+
+struct GossipMembershipOptions {
+  std::string name;
+  std::string zone;
+  std::string region;
+  base::Endpoint endpoint;
+  /// Grows with each start of the same name.
+  base::Incarnation incarnation = 1;
+  /// Endpoints to join through; the own one among them is skipped.
+  std::vector<base::Endpoint> seeds;
+
+  FailureDetectorOptions probing;
+  /// A suspected member is held dead after this many probe periods times log10(members + 1),
+  /// at least `minimumSuspicion`.
+  double suspicionFactor = 1.5;
+  base::Duration minimumSuspicion = std::chrono::seconds(3);
+  /// Each piece of news is sent this many times log10(members + 1), rounded up, by each node.
+  std::uint32_t transmissionFactor = 3;
+  base::Duration gossipPeriod = std::chrono::milliseconds(200);
+  std::size_t gossipFanout = 3;
+  /// Bound of the news that a node sends by itself, headers included, sustained and at once.
+  double newsBytesPerSecond = 2'000;
+  double newsBurstBytes = 8'000;
+  /// News on one ping or ack.
+  std::size_t piggybackBytes = 400;
+  /// Between comparisons when nothing is amiss, and at first, and after one that found much.
+  base::Duration syncPeriod = std::chrono::seconds(10);
+  base::Duration firstSyncPeriod = std::chrono::seconds(1);
+  base::Duration joinRetry = std::chrono::milliseconds(500);
+  /// How often a member held dead, and a seed that no live member has, is asked again.
+  base::Duration deadRetry = std::chrono::seconds(5);
+  /// A gossip period that ends this much late shows that the process was paused.
+  base::Duration pauseThreshold = std::chrono::milliseconds(300);
+  MemberRetention retention;
+};
+
+class GossipMembership final : public MemberDirectory,
+                               public RecordDissemination,
+                               public base::PeerHandler,
+                               private ProbeActions {
+ public:
+  GossipMembership(GossipMembershipOptions options, base::Clock& clock, base::TimerService& timers,
+                   base::RandomSource& random, base::EventLog& log, base::PeerTransport& peers);
+  ~GossipMembership() override;
+  GossipMembership(const GossipMembership&) = delete;
+  GossipMembership& operator=(const GossipMembership&) = delete;
+
+  /// Begins joining and probing.
+  void start();
+  /// Tells others that this node goes; it probes no more, and must be destroyed soon after.
+  void leave();
+  void setDraining(bool draining);
+  /// The process was paused: nobody is suspected for what could not be heard meanwhile.
+  void onWake();
+
+  const Member& self() const override { return members_.self(); }
+  const std::vector<Member>& liveMembers() const override { return members_.live(); }
+  const Member* find(base::NodeId id) const override { return members_.find(id); }
+  std::uint64_t version() const override { return members_.version(); }
+
+  void publish(GossipRecord record) override;
+  std::optional<GossipRecord> find(std::string_view key) const override;
+  void subscribe(std::string keyPrefix, Listener listener) override;
+
+  void onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) override;
+
+ private:
+  /// A ping sent for another node.
+  struct Relay {
+    base::Endpoint origin;
+    std::uint64_t sequence = 0;
+    base::TimePoint sentAt;
+  };
+
+  void onPeriod();
+  void onGossipTick();
+  /// Notices a pause of the process by the time since the last call.
+  void noteRunning(base::TimePoint now);
+  void expireSuspicions();
+  void onSyncTick();
+  /// Compares soon, and then less and less often.
+  void hastenSync();
+  void onDeadTick();
+  void onJoinTick();
+  void every(base::Duration period, base::TimerId& timer, void (GossipMembership::*action)());
+
+  void sendPing(const Member& target, std::uint64_t sequence) override;
+  void sendPingRequest(const Member& helper, base::NodeId target, std::uint64_t sequence) override;
+  void onProbeFailed(base::NodeId target) override;
+
+  void handle(const base::PeerIdentity& sender, const Ping& message);
+  void handle(const base::PeerIdentity& sender, const Ack& message);
+  void handle(const base::PeerIdentity& sender, const PingRequest& message);
+  void handle(const base::PeerIdentity& sender, const Gossip& message);
+  void handle(const base::PeerIdentity& sender, const SyncRequest& message);
+  void handle(const base::PeerIdentity& sender, const SyncSummary& message);
+  void handle(const base::PeerIdentity& sender, const SyncItems& message);
+
+  /// Returns packed updates about the members that the news wrongly holds suspected or dead.
+  std::string takeNews(const News& news);
+  void correct(const base::Endpoint& endpoint, std::string corrections);
+  void takeUpdate(const MemberUpdate& update);
+  /// Takes an update found by comparison. That a member is gone is told to the member itself, if
+  /// it is alive here, and not believed: after a partition each side holds the other dead.
+  void takeComparedUpdate(const base::Endpoint& from, const MemberUpdate& update,
+                          bool spreadUnknown);
+  void takeRecord(const GossipRecord& record);
+  /// News about this node itself; refutes it where it is wrong.
+  void takeAccusation(const MemberUpdate& update);
+  void applyAndSpread(const MemberUpdate& update, bool spread = true);
+  void report(const MemberChange& change);
+
+  News news(std::size_t maximumBytes);
+  /// Tells the node that sent `self` what is known of it, if that overrides it.
+  void accuse(const base::Endpoint& endpoint, const std::string& self);
+  void requestSync(const base::Endpoint& endpoint);
+  void answerWants(const base::Endpoint& endpoint, const SyncItems& message);
+  void sendEverything(const base::Endpoint& endpoint);
+  void sendItems(const base::Endpoint& endpoint, SyncItems items);
+  void send(const base::Endpoint& endpoint, const MembershipMessage& message);
+  std::string packedSelf() const;
+  std::uint32_t transmissions() const;
+  base::Duration suspicionTime() const;
+  bool alone() const { return members_.live().size() <= 1; }
+
+  GossipMembershipOptions options_;
+  base::Clock& clock_;
+  base::TimerService& timers_;
+  base::RandomSource& random_;
+  base::EventLog& log_;
+  base::PeerTransport& peers_;
+  MemberTable members_;
+  RecordTable records_;
+  FailureDetector detector_;
+  BroadcastQueue<base::NodeId> memberNews_;
+  BroadcastQueue<std::string> recordNews_;
+  std::map<std::uint64_t, Relay> relays_;
+  /// Time that the process has been running, pauses left out.
+  base::Duration running_{};
+  base::TimePoint lastRunning_;
+  base::Duration syncInterval_{};
+  double newsTokens_ = 0;
+  base::TimerId periodTimer_ = 0;
+  base::TimerId gossipTimer_ = 0;
+  base::TimerId syncTimer_ = 0;
+  base::TimerId deadTimer_ = 0;
+  base::TimerId joinTimer_ = 0;
+};
+
+}  // namespace covewing::membership
--- /dev/null
+++ b/tests/membership/gossip_membership_test.cc
@@ -0,0 +1,290 @@
+#include "membership/gossip_membership.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "membership/virtual_network.h"
+
+namespace covewing::membership {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kZones = 7;
+
+/// Nodes in seven zones of two regions; the first three are everybody's seeds.
+class Fleet {
+ public:
+  explicit Fleet(std::size_t count, std::uint64_t seed = 1) : network(time, seed) {
+    for (std::size_t index = 0; index < count; ++index) {
+      nodes_.emplace_back();
+      start(index, 1);
+    }
+  }
+
+  static base::Endpoint endpointOf(std::size_t index) {
+    return {static_cast<std::uint32_t>(0x0a000000 + index), 7000};
+  }
+  static std::string nameOf(std::size_t index) { return "node-" + std::to_string(index); }
+  static base::NodeId idOf(std::size_t index) { return base::nodeIdOf(nameOf(index)); }
+
+  void start(std::size_t index, base::Incarnation incarnation) {
+    GossipMembershipOptions options;
+    options.name = nameOf(index);
+    options.zone = "zone-" + std::to_string(index % kZones);
+    options.region = index % kZones < 4 ? "north" : "south";
+    options.endpoint = endpointOf(index);
+    options.incarnation = incarnation;
+    for (std::size_t seed = 0; seed < 3; ++seed) options.seeds.push_back(endpointOf(seed));
+    Node& node = nodes_[index];
+    node.membership.reset();
+    node.process = &network.add(options.name, options.endpoint, incarnation);
+    node.membership = std::make_unique<GossipMembership>(options, *node.process, *node.process,
+                                                         node.process->random, log_, *node.process);
+    node.process->handlers[base::Channel::kMembership] = node.membership.get();
+    node.membership->start();
+  }
+
+  void kill(std::size_t index) {
+    nodes_[index].process->stop();
+    nodes_[index].killed = true;
+  }
+
+  /// Whether every running node holds exactly `count` live members.
+  bool allSee(std::size_t count) const {
+    return std::all_of(nodes_.begin(), nodes_.end(), [&](const Node& node) {
+      return node.killed || node.membership->liveMembers().size() == count;
+    });
+  }
+  /// Running nodes that hold the member in this state.
+  std::size_t countSeeing(std::size_t index, MemberState state) const {
+    return static_cast<std::size_t>(
+        std::count_if(nodes_.begin(), nodes_.end(), [&](const Node& node) {
+          if (node.killed) return false;
+          const Member* member = node.membership->find(idOf(index));
+          return member != nullptr && member->state == state;
+        }));
+  }
+  /// Running nodes for which the condition holds.
+  template <class Condition>
+  std::size_t count(const Condition& condition) const {
+    return static_cast<std::size_t>(std::count_if(
+        nodes_.begin(), nodes_.end(),
+        [&](const Node& node) { return !node.killed && condition(*node.membership); }));
+  }
+  double bytesPerNodeSecond(base::Duration duration) {
+    std::uint64_t before = 0;
+    std::uint64_t after = 0;
+    for (const Node& node : nodes_) before += node.process->bytesSent + node.process->bytesReceived;
+    time.runFor(duration);
+    for (const Node& node : nodes_) after += node.process->bytesSent + node.process->bytesReceived;
+    return static_cast<double>(after - before) / base::toSeconds(duration) /
+           static_cast<double>(nodes_.size());
+  }
+
+  GossipMembership& operator[](std::size_t index) { return *nodes_[index].membership; }
+  test::VirtualProcess& process(std::size_t index) { return *nodes_[index].process; }
+
+  test::VirtualTime time;
+  test::VirtualNetwork network;
+
+ private:
+  struct Node {
+    test::VirtualProcess* process = nullptr;
+    std::unique_ptr<GossipMembership> membership;
+    bool killed = false;
+  };
+  base::NullEventLog log_;
+  std::vector<Node> nodes_;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(GossipMembershipTest)
+
+BOOST_AUTO_TEST_CASE(AllNodesJoinThroughSeeds) {
+  Fleet fleet(60);
+  const auto joined = fleet.time.runUntil([&] { return fleet.allSee(60); }, seconds(30));
+  BOOST_TEST(base::toSeconds(joined) < 15);
+  const std::vector<Member>& live = fleet[5].liveMembers();
+  BOOST_TEST(std::is_sorted(live.begin(), live.end(), [](const Member& left, const Member& right) {
+    return left.id < right.id;
+  }));
+  const Member* other = fleet[5].find(Fleet::idOf(9));
+  BOOST_REQUIRE(other != nullptr);
+  BOOST_TEST(other->name == "node-9");
+  BOOST_TEST(other->zone == "zone-2");
+  BOOST_TEST((other->endpoint == Fleet::endpointOf(9)));
+}
+
+BOOST_AUTO_TEST_CASE(KilledNodeIsHeldDeadEverywhere) {
+  Fleet fleet(60);
+  fleet.time.runUntil([&] { return fleet.allSee(60); }, seconds(30));
+  fleet.kill(17);
+  const auto detected = fleet.time.runUntil([&] { return fleet.allSee(59); }, seconds(60));
+  BOOST_TEST(base::toSeconds(detected) < 15);
+  BOOST_TEST(fleet.countSeeing(17, MemberState::kDead) == 59U);
+}
+
+BOOST_AUTO_TEST_CASE(RestartedNodeIsTakenWithItsNewIncarnation) {
+  Fleet fleet(30);
+  fleet.time.runUntil([&] { return fleet.allSee(30); }, seconds(30));
+  fleet.start(4, 2);
+  const auto condition = [&] {
+    return fleet.count([](const GossipMembership& membership) {
+      const Member* member = membership.find(Fleet::idOf(4));
+      return member != nullptr && member->incarnation == 2 && membership.liveMembers().size() == 30;
+    }) == 30;
+  };
+  BOOST_TEST(base::toSeconds(fleet.time.runUntil(condition, seconds(60))) < 20);
+}
+
+BOOST_AUTO_TEST_CASE(ShortPausesAndLossKillNobody) {
+  Fleet fleet(60, 7);
+  fleet.network.loss = 0.01;
+  fleet.time.runUntil([&] { return fleet.allSee(60); }, seconds(30));
+  std::size_t falselyDead = 0;
+  for (std::size_t round = 0; round < 40; ++round) {
+    const std::size_t paused = (round * 13) % 60;
+    fleet.process(paused).pause();
+    fleet.time.runFor(milliseconds(1500));
+    fleet.process(paused).resume();
+    fleet.time.runFor(milliseconds(1500));
+    for (std::size_t index = 0; index < 60; ++index)
+      falselyDead += fleet.countSeeing(index, MemberState::kDead);
+  }
+  BOOST_TEST(falselyDead == 0U);
+  fleet.time.runFor(seconds(10));
+  BOOST_TEST(fleet.allSee(60));
+}
+
+BOOST_AUTO_TEST_CASE(SuspicionIsRefutedByItsMember) {
+  Fleet fleet(30);
+  fleet.time.runUntil([&] { return fleet.allSee(30); }, seconds(30));
+  fleet.process(8).pause();
+  const auto suspected = [&] { return fleet.countSeeing(8, MemberState::kSuspect) >= 20; };
+  BOOST_TEST(base::toSeconds(fleet.time.runUntil(suspected, seconds(10))) < 10);
+  fleet.process(8).resume();
+  const auto refuted = [&] { return fleet.countSeeing(8, MemberState::kAlive) == 30; };
+  BOOST_TEST(base::toSeconds(fleet.time.runUntil(refuted, seconds(10))) < 5);
+}
+
+BOOST_AUTO_TEST_CASE(LongPausedNodeIsTakenBackAndBlamesNobody) {
+  Fleet fleet(30);
+  fleet.time.runUntil([&] { return fleet.allSee(30); }, seconds(30));
+  fleet.process(8).pause();
+  fleet.time.runUntil([&] { return fleet.countSeeing(8, MemberState::kDead) == 29; }, seconds(60));
+  BOOST_TEST(fleet.countSeeing(8, MemberState::kDead) == 29U);
+  fleet.time.runFor(seconds(60));
+  fleet.process(8).resume();
+  BOOST_TEST(base::toSeconds(fleet.time.runUntil([&] { return fleet.allSee(30); }, seconds(60))) <
+             15);
+}
+
+BOOST_AUTO_TEST_CASE(LeavingNodeIsGoneAtOnceAndDrainingIsSeen) {
+  Fleet fleet(40);
+  fleet.time.runUntil([&] { return fleet.allSee(40); }, seconds(30));
+  fleet[3].setDraining(true);
+  const auto draining = [&] {
+    return fleet.count([](const GossipMembership& membership) {
+      return membership.find(Fleet::idOf(3))->draining;
+    }) == 40;
+  };
+  BOOST_TEST(base::toSeconds(fleet.time.runUntil(draining, seconds(10))) < 5);
+  fleet[3].leave();
+  fleet.time.runFor(milliseconds(500));
+  fleet.kill(3);
+  BOOST_TEST(base::toSeconds(fleet.time.runUntil([&] { return fleet.allSee(39); }, seconds(10))) <
+             3);
+  BOOST_TEST(fleet.countSeeing(3, MemberState::kLeft) == 39U);
+}
+
+BOOST_AUTO_TEST_CASE(PartitionedZoneGoesOnAndHeals) {
+  Fleet fleet(70, 3);
+  fleet.time.runUntil([&] { return fleet.allSee(70); }, seconds(30));
+  std::set<base::Endpoint> zone;
+  for (std::size_t index = 5; index < 70; index += kZones) zone.insert(Fleet::endpointOf(index));
+  fleet.network.separate(zone);
+  const auto split = [&] {
+    return fleet[5].liveMembers().size() == 10 && fleet[0].liveMembers().size() == 60;
+  };
+  BOOST_TEST(base::toSeconds(fleet.time.runUntil(split, seconds(120))) < 60);
+  fleet.time.runFor(seconds(60));
+  fleet.network.heal();
+  const double bytes = fleet.bytesPerNodeSecond(seconds(5));
+  const auto healed = fleet.time.runUntil([&] { return fleet.allSee(70); }, seconds(120));
+  BOOST_TEST(base::toSeconds(healed) < 30);
+  BOOST_TEST(bytes < 14'000);
+}
+
+BOOST_AUTO_TEST_CASE(RecordsReachAllNodesAndOnlyRise) {
+  Fleet fleet(60, 5);
+  fleet.network.loss = 0.05;
+  fleet.time.runUntil([&] { return fleet.allSee(60); }, seconds(30));
+  std::vector<std::uint64_t> seen;
+  fleet[40].subscribe("engine/",
+                      [&](const GossipRecord& record) { seen.push_back(record.version); });
+  for (std::uint64_t version : {3, 2, 5, 4}) {
+    fleet[version].publish({"engine/a", version, "v" + std::to_string(version)});
+    fleet.time.runFor(milliseconds(300));
+  }
+  const auto everywhere = [&] {
+    return fleet.count([](const GossipMembership& membership) {
+      const auto record = membership.find("engine/a");
+      return record && record->version == 5 && record->value == "v5";
+    }) == 60;
+  };
+  BOOST_TEST(base::toSeconds(fleet.time.runUntil(everywhere, seconds(60))) < 10);
+  BOOST_TEST(std::is_sorted(seen.begin(), seen.end()));
+  BOOST_TEST(seen.back() == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(RecordLostByGossipIsRepairedByComparison) {
+  Fleet fleet(20, 9);
+  fleet.time.runUntil([&] { return fleet.allSee(20); }, seconds(30));
+  fleet.network.separate({Fleet::endpointOf(11)});
+  fleet[0].publish({"engine/a", 1, "x"});
+  fleet.time.runFor(seconds(3));
+  fleet.network.heal();
+  const auto repaired = [&] { return fleet[11].find("engine/a").has_value(); };
+  BOOST_TEST(base::toSeconds(fleet.time.runUntil(repaired, seconds(60))) < 30);
+}
+
+BOOST_AUTO_TEST_CASE(IdleCostOfALargeFleetIsAFewHundredBytesASecond) {
+  Fleet fleet(340);
+  const auto joined = fleet.time.runUntil([&] { return fleet.allSee(340); }, seconds(60));
+  BOOST_TEST_MESSAGE("340 nodes joined after " << base::toSeconds(joined) << " s");
+  fleet.time.runFor(seconds(30));
+  const double bytes = fleet.bytesPerNodeSecond(seconds(30));
+  BOOST_TEST_MESSAGE("idle: " << bytes << " bytes/s a node, sent and received");
+  BOOST_TEST(bytes < 700);
+  fleet.kill(200);
+  const auto suspected = fleet.time.runUntil(
+      [&] { return fleet.countSeeing(200, MemberState::kSuspect) > 0; }, seconds(60));
+  const auto dead = fleet.time.runUntil([&] { return fleet.allSee(339); }, seconds(60));
+  BOOST_TEST_MESSAGE("killed node suspected after " << base::toSeconds(suspected)
+                                                    << " s, dead everywhere after "
+                                                    << base::toSeconds(suspected + dead) << " s");
+  BOOST_TEST(base::toSeconds(suspected + dead) < 15);
+}
+
+BOOST_AUTO_TEST_CASE(MalformedMessagesAreIgnored) {
+  Fleet fleet(3);
+  fleet.time.runUntil([&] { return fleet.allSee(3); }, seconds(30));
+  const base::PeerIdentity sender{Fleet::idOf(1), 1, Fleet::endpointOf(1)};
+  base::SeededRandom random(11);
+  const std::string sound =
+      encode(MembershipMessage{SyncItems{{"\x01\x02", "\xff"}, {Fleet::idOf(2)}, {7}}});
+  for (int round = 0; round < 2000; ++round) {
+    std::string payload = sound;
+    payload.at(random.below(payload.size())) = static_cast<char>(random.next());
+    fleet[0].onPeerMessage(sender, payload.substr(0, random.below(payload.size() + 1)));
+  }
+  fleet.time.runFor(seconds(5));
+  BOOST_TEST(fleet.allSee(3));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::membership
