Add operator calls on templates

One service answers operators' calls independent of HTTP: list, get, create, change, retire, history, and expansion without saving.

--- /dev/null
+++ b/src/node/operator_service.cc
@@ -0,0 +1,58 @@
+#include "node/operator_service.h"
+
+#include <memory>
+#include <utility>
+
+#include "node/operator_service_answer.h"
+#include "node/operator_service_target.h"
+#include "node/operator_service_templates.h"
+
+namespace covewing::node {
+
+namespace {
+
+class OperatorServiceImpl final : public OperatorService {
+ public:
+  explicit OperatorServiceImpl(OperatorServiceDependencies dependencies)
+      : timers_(dependencies.timers),
+        templates_(dependencies.templates, dependencies.configuration) {}
+
+  void call(OperatorRequest request, std::function<void(OperatorResponse)> callback) override {
+    // Answers never come from inside the call.
+    auto later = [&timers = timers_, callback = std::move(callback)](OperatorResponse response) {
+      timers.schedule(base::Duration::zero(),
+                      [callback, response = std::move(response)] { callback(response); });
+    };
+    base::Reason reason;
+    const auto target = OperatorTarget::parse(request.target, reason);
+    if (!target) {
+      later(refusal(reason));
+      return;
+    }
+    dispatch(*target, request, std::move(later));
+  }
+
+ private:
+  void dispatch(const OperatorTarget& target, const OperatorRequest& request,
+                OperatorCallback callback) {
+    const std::string resource = target.segments().empty() ? "" : target.segments().front();
+    if (resource == "templates") {
+      templates_.call(target, request, std::move(callback));
+    } else if (resource == "expand" && request.method == "POST") {
+      callback(templates_.expand(target, request.body));
+    } else {
+      callback(refusal(base::ResultCode::kUnknownPath, "no such resource: " + request.target));
+    }
+  }
+
+  base::TimerService& timers_;
+  TemplateCalls templates_;
+};
+
+}  // namespace
+
+std::unique_ptr<OperatorService> makeOperatorService(OperatorServiceDependencies dependencies) {
+  return std::make_unique<OperatorServiceImpl>(dependencies);
+}
+
+}  // namespace covewing::node
