Add covewingctl, the operators' command line

A call is tried on each given node in turn with one operation identifier, and the exit status tells apart done, refused, wrong usage, unreachable (nothing changed) and unknown outcome.

--- /dev/null
+++ b/src/tools/covewingctl.cc
@@ -0,0 +1,183 @@
+/// \file
+/// covewingctl, the operators' command line. See docs/operators/covewingctl.md.
+#include <cstdlib>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <random>
+#include <sstream>
+
+#include "tools/covewingctl_client.h"
+#include "tools/covewingctl_command_line.h"
+#include "tools/covewingctl_output.h"
+#include "tools/covewingctl_requests.h"
+
+namespace covewing::tools {
+
+namespace {
+
+constexpr std::string_view kProgramVersion = "covewingctl 0.1";
+constexpr const char* kKeyVariable = "COVEWING_OPERATOR_KEY";
+constexpr std::chrono::milliseconds kPauseBetweenRounds{500};
+constexpr int kIdentifierWidth = 16;
+
+int usage(const std::string& mistake) {
+  std::cerr << "covewingctl: " << mistake << "\nTry covewingctl --help.\n";
+  return static_cast<int>(ExitStatus::kUsage);
+}
+
+std::optional<std::string> readAll(const std::string& file) {
+  if (file == "-") {
+    return std::string(std::istreambuf_iterator<char>(std::cin), std::istreambuf_iterator<char>());
+  }
+  std::ifstream input(file, std::ios::binary);
+  if (!input) return std::nullopt;
+  return std::string(std::istreambuf_iterator<char>(input), std::istreambuf_iterator<char>());
+}
+
+/// Identifier of a new operation, unique without agreement.
+std::string newOperationId() {
+  std::random_device device;
+  std::ostringstream text;
+  text << std::hex << std::setfill('0');
+  for (int word = 0; word < 2; ++word) {
+    const std::uint64_t number = (std::uint64_t{device()} << 32U) | device();
+    text << std::setw(kIdentifierWidth) << number;
+  }
+  return text.str();
+}
+
+/// Fills in what comes from the surroundings: key, operator, operation.
+bool complete(CommandLine& line, std::string& mistake) {
+  if (line.key.empty() && !line.keyFile.empty()) {
+    const auto content = readAll(line.keyFile);
+    if (!content) {
+      mistake = line.keyFile + ": cannot be read";
+      return false;
+    }
+    line.key = content->substr(0, content->find_first_of("\r\n"));
+  }
+  const char* variable = std::getenv(kKeyVariable);
+  if (line.key.empty() && variable != nullptr) line.key = variable;
+  if (line.operatorName.empty()) {
+    const char* login = std::getenv("LOGNAME");
+    line.operatorName = login == nullptr ? "unknown" : login;
+  }
+  if (line.operationId.empty() && isChange(line.verb->id)) line.operationId = newOperationId();
+  if (line.nodes.empty()) {
+    mistake = "--node HOST:PORT is needed";
+    return false;
+  }
+  return true;
+}
+
+/// A change without --if-version replaces the version that the node holds now.
+ApiResult lookUpVersion(const ClientOptions& options, CommandLine& line) {
+  const CommandLine lookUp = [&line] {
+    CommandLine copy = line;
+    const auto verbs = verbTable();
+    for (const Verb& verb : verbs) {
+      if (verb.id == VerbId::kTemplateGet) copy.verb = &verb;
+    }
+    copy.arguments = {templateName(line)};
+    return copy;
+  }();
+  std::string mistake;
+  const auto call = makeCall(lookUp, "", mistake);
+  ApiResult result = callNodes(options, *call);
+  if (result.status != ExitStatus::kOk) return result;
+  const auto answer = nlohmann::json::parse(result.body, nullptr, false);
+  if (answer.is_object() && answer.contains("version") && answer["version"].is_number_unsigned()) {
+    line.ifVersion = answer["version"].get<std::uint64_t>();
+  }
+  return result;
+}
+
+int report(const CommandLine& line, const ApiResult& result) {
+  switch (result.status) {
+    case ExitStatus::kOk:
+      if (line.json) {
+        std::cout << result.body << '\n';
+      } else {
+        printAnswer(line.verb->id, result.body, std::cout);
+      }
+      break;
+    case ExitStatus::kRefused:
+      if (line.json) std::cout << result.body << '\n';
+      printRefusal(result.body, std::cerr);
+      break;
+    case ExitStatus::kUnknownOutcome:
+      if (line.json && !result.body.empty()) std::cout << result.body << '\n';
+      std::cerr << "covewingctl: the outcome is unknown (" << result.detail
+                << "); repeat the call with --operation " << line.operationId << '\n';
+      break;
+    default:
+      if (line.json && !result.body.empty()) std::cout << result.body << '\n';
+      std::cerr << "covewingctl: no node answered; nothing was changed (" << result.detail << ")\n";
+      break;
+  }
+  return static_cast<int>(result.status);
+}
+
+/// Traces live on the node that served the request: the first node that has one answers.
+ApiResult explain(const ClientOptions& options, const ApiCall& call) {
+  ApiResult result;
+  for (const auto& node : options.nodes) {
+    ClientOptions single = options;
+    single.nodes = {node};
+    result = callNodes(single, call);
+    if (result.status == ExitStatus::kOk) break;
+  }
+  return result;
+}
+
+int run(CommandLine line) {
+  std::string mistake;
+  std::string document;
+  const std::string file = fileArgument(line);
+  if (!file.empty()) {
+    const auto content = readAll(file);
+    if (!content) return usage(file + ": cannot be read");
+    document = *content;
+  }
+  if (!complete(line, mistake)) return usage(mistake);
+  const ClientOptions options{.nodes = line.nodes,
+                              .key = line.key,
+                              .timeout = line.timeout,
+                              .rounds = line.rounds,
+                              .pause = kPauseBetweenRounds};
+  const VerbId verb = line.verb->id;
+  const bool needsVersion = verb == VerbId::kTemplateChange || verb == VerbId::kTemplateRetire;
+  if (needsVersion && !line.ifVersion) {
+    const ApiResult result = lookUpVersion(options, line);
+    if (result.status != ExitStatus::kOk) return report(line, result);
+  }
+  const auto call = makeCall(line, document, mistake);
+  if (!call) return usage(mistake);
+  if (verb == VerbId::kExplain) return report(line, explain(options, *call));
+  return report(line, callNodes(options, *call));
+}
+
+int main(int argc, char* argv[]) {
+  std::string mistake;
+  auto line = parseCommandLine(argc, argv, mistake);
+  if (!line) return usage(mistake);
+  if (line->showVersion) {
+    std::cout << kProgramVersion << '\n';
+    return static_cast<int>(ExitStatus::kOk);
+  }
+  if (line->help) {
+    std::cout << helpPage(line->verb);
+    return static_cast<int>(ExitStatus::kOk);
+  }
+  return run(std::move(*line));
+}
+
+}  // namespace
+
+}  // namespace covewing::tools
+
+int main(int argc, char* argv[]) { return covewing::tools::main(argc, argv); }
--- /dev/null
+++ b/src/tools/covewingctl_output.cc
@@ -0,0 +1,229 @@
+#include "tools/covewingctl_output.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <ostream>
+#include <vector>
+
+namespace covewing::tools {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// A column of a table: its heading and the field that it shows.
+struct Column {
+  const char* heading;
+  const char* field;
+};
+
+/// Text of a value in a table cell: a text without quotes, a list with commas, nothing as "-".
+std::string cellOf(const Json& value) {
+  if (value.is_null()) return "-";
+  if (value.is_string()) {
+    const auto& text = value.get_ref<const std::string&>();
+    return text.empty() ? "-" : text;
+  }
+  if (!value.is_array()) return value.dump(-1, ' ', false, Json::error_handler_t::replace);
+  std::string text;
+  for (const Json& element : value) {
+    if (!text.empty()) text += ",";
+    text += cellOf(element);
+  }
+  return text.empty() ? "-" : text;
+}
+
+std::string fieldOf(const Json& object, const char* name) {
+  if (!object.is_object() || !object.contains(name)) return "-";
+  return cellOf(object[name]);
+}
+
+void printRow(const std::vector<std::string>& cells, const std::vector<std::size_t>& widths,
+              std::ostream& output) {
+  std::string line;
+  for (std::size_t index = 0; index < cells.size(); ++index) {
+    std::string cell = cells[index];
+    if (index + 1 < cells.size()) cell.resize(widths[index] + 2, ' ');
+    line += cell;
+  }
+  output << line << '\n';
+}
+
+void printTable(const Json& rows, const std::vector<Column>& columns, std::ostream& output) {
+  std::vector<std::vector<std::string>> lines;
+  std::vector<std::string> heading;
+  for (const Column& column : columns) heading.emplace_back(column.heading);
+  lines.push_back(std::move(heading));
+  for (const Json& row : rows) {
+    std::vector<std::string> cells;
+    for (const Column& column : columns) cells.push_back(fieldOf(row, column.field));
+    lines.push_back(std::move(cells));
+  }
+  std::vector<std::size_t> widths(columns.size(), 0);
+  for (const auto& line : lines) {
+    for (std::size_t index = 0; index < line.size(); ++index) {
+      widths[index] = std::max(widths[index], line[index].size());
+    }
+  }
+  for (const auto& line : lines) printRow(line, widths, output);
+}
+
+/// Each field on its own line; lists and objects indented below.
+void printFields(const Json& object, std::size_t indent, std::ostream& output) {
+  const std::string margin(indent, ' ');
+  for (const auto& field : object.items()) {
+    const Json& value = field.value();
+    const bool hasObjects = value.is_array() && !value.empty() && value.front().is_object();
+    if (value.is_object()) {
+      output << margin << field.key() << ":\n";
+      printFields(value, indent + 2, output);
+    } else if (hasObjects) {
+      output << margin << field.key() << ":\n";
+      for (const Json& element : value) {
+        output << margin << "- \n";
+        printFields(element, indent + 4, output);
+      }
+    } else {
+      output << margin << field.key() << ": " << cellOf(value) << '\n';
+    }
+  }
+}
+
+void printTemplates(const Json& answer, std::ostream& output) {
+  printTable(answer.value("templates", Json::array()),
+             {{"NAME", "name"},
+              {"VERSION", "version"},
+              {"KIND", "kind"},
+              {"BASE", "base"},
+              {"STATE", "state"},
+              {"BY", "author"}},
+             output);
+  if (!answer.value("confirmed", true)) {
+    output << "The node cannot confirm that this is current.\n";
+  }
+}
+
+void printHistory(const Json& answer, std::ostream& output) {
+  printTable(answer.value("versions", Json::array()),
+             {{"VERSION", "version"},
+              {"STATE", "state"},
+              {"BY", "author"},
+              {"OPERATION", "operation"},
+              {"DOCUMENT", "document"}},
+             output);
+}
+
+void printOrders(const Json& answer, std::ostream& output) {
+  printTable(answer.value("orders", Json::array()),
+             {{"ID", "id"},
+              {"KIND", "kind"},
+              {"MODEL", "model"},
+              {"VERSION", "version"},
+              {"ROLE", "role"},
+              {"STATE", "state"},
+              {"DONE", "done_steps"},
+              {"STEPS", "steps_total"},
+              {"BY", "author"},
+              {"DETAIL", "detail"}},
+             output);
+}
+
+void printOrder(const Json& answer, std::ostream& output) {
+  Json head = answer;
+  head.erase("steps");
+  printFields(head, 0, output);
+  output << '\n';
+  printTable(answer.value("steps", Json::array()),
+             {{"ENGINE", "engine"},
+              {"STATE", "state"},
+              {"AFTER", "elapsed_ms"},
+              {"TRIES", "tries"},
+              {"BY", "executor"},
+              {"DETAIL", "detail"}},
+             output);
+}
+
+void printFleet(const Json& answer, std::ostream& output) {
+  printTable(answer.value("engines", Json::array()),
+             {{"ENGINE", "name"},
+              {"ZONE", "zone"},
+              {"STATE", "state"},
+              {"ROLE", "role"},
+              {"WEIGHTS", "weights_text"},
+              {"RUNNING", "running"},
+              {"WAITING", "waiting"},
+              {"CACHED", "cached_blocks"},
+              {"HOMES", "homes"}},
+             output);
+}
+
+void printNode(const Json& answer, std::ostream& output) {
+  Json head = answer;
+  head.erase("members");
+  printFields(head, 0, output);
+  output << '\n';
+  printTable(answer.value("members", Json::array()),
+             {{"MEMBER", "name"},
+              {"ZONE", "zone"},
+              {"STATE", "state"},
+              {"DRAINING", "draining"},
+              {"ENDPOINT", "endpoint"}},
+             output);
+}
+
+void printExplanation(const Json& answer, std::ostream& output) {
+  Json head = answer;
+  head.erase("steps");
+  printFields(head, 0, output);
+  output << '\n';
+  printTable(answer.value("steps", Json::array()),
+             {{"AT MS", "at_ms"}, {"STEP", "step"}, {"DETAIL", "detail"}}, output);
+}
+
+}  // namespace
+
+void printAnswer(VerbId verb, const std::string& body, std::ostream& output) {
+  const Json answer = Json::parse(body, nullptr, false);
+  if (!answer.is_object()) {
+    output << body << '\n';
+    return;
+  }
+  switch (verb) {
+    case VerbId::kTemplateList:
+      return printTemplates(answer, output);
+    case VerbId::kTemplateHistory:
+      return printHistory(answer, output);
+    case VerbId::kOrderList:
+      return printOrders(answer, output);
+    case VerbId::kOrderShow:
+      return printOrder(answer, output);
+    case VerbId::kFleet:
+      return printFleet(answer, output);
+    case VerbId::kNode:
+      return printNode(answer, output);
+    case VerbId::kExplain:
+      return printExplanation(answer, output);
+    default:
+      return printFields(answer, 0, output);
+  }
+}
+
+void printRefusal(const std::string& body, std::ostream& output) {
+  const Json answer = Json::parse(body, nullptr, false);
+  if (!answer.is_object()) {
+    output << "covewingctl: refused: " << body << '\n';
+    return;
+  }
+  output << "covewingctl: refused: " << fieldOf(answer, "code") << ' ' << fieldOf(answer, "name")
+         << ": " << fieldOf(answer, "detail") << '\n';
+  for (const Json& mistake : answer.value("mistakes", Json::array())) {
+    output << "  " << fieldOf(mistake, "field") << ": " << fieldOf(mistake, "problem") << '\n';
+  }
+  if (answer.contains("current")) {
+    const Json& current = answer["current"];
+    output << "  in force: version " << fieldOf(current, "version") << ", by "
+           << fieldOf(current, "holder") << '\n';
+  }
+}
+
+}  // namespace covewing::tools
