--- /dev/null
+++ b/src/live/client_connection.cc
@@ -0,0 +1,299 @@
+#include "live/client_connection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/verb.hpp>
+
+#include "live/http_head.h"
+
+namespace covewing::live {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr std::size_t kReadBytes = 16U << 10U;
+constexpr unsigned kInformationalClass = 1;
+constexpr unsigned kStatusClass = 100;
+
+std::string requestText(const HttpRequest& request, const base::Endpoint& server) {
+  http::request<http::empty_body> head;
+  head.method_string(request.method);
+  head.target(request.target);
+  head.version(kHttp11);
+  for (const auto& field : request.headers) head.insert(field.name, field.value);
+  if (head.find(http::field::host) == head.end()) head.set(http::field::host, toString(server));
+  if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
+    head.content_length(request.body.size());
+  return headText(head) + request.body;
+}
+
+}  // namespace
+
+ClientConnection::ClientConnection(asio::io_context& context, const base::Endpoint& server,
+                                   std::weak_ptr<ConnectionPool> pool, HttpClientLimits limits)
+    : socket_(context),
+      server_(server),
+      pool_(std::move(pool)),
+      limits_(limits),
+      deadline_(context.get_executor(), [this] {
+        const auto self = shared_from_this();
+        if (state_ == State::kIdle) {
+          close();
+        } else {
+          fail(state_ == State::kConnecting ? "connecting took too long" : "no answer in time");
+        }
+      }) {}
+
+bool ClientConnection::usable() {
+  if (state_ != State::kIdle || buffer_.size() > 0) return false;
+  // The outstanding read may not have run yet: look at the socket itself.
+  char byte = 0;
+  boost::system::error_code error;
+  socket_.non_blocking(true, error);
+  socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+std::uint64_t ClientConnection::begin(const HttpRequest& request, base::Duration silence,
+                                      HttpCallHandler& handler) {
+  handler_ = &handler;
+  silence_ = silence;
+  requestId_ = request.header(kRequestIdHeader);
+  headRequest_ = request.method == "HEAD";
+  output_ = requestText(request, server_);
+  sent_ = 0;
+  bytesMayHaveLeft_ = false;
+  paused_ = false;
+  resetParser();
+  if (state_ == State::kNew) {
+    connect();
+  } else {
+    state_ = State::kAnswering;
+    touch();
+    write();
+    read();
+  }
+  return ++callNumber_;
+}
+
+void ClientConnection::resetParser() {
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->skip(headRequest_);
+  parser_->header_limit(static_cast<std::uint32_t>(limits_.headerBytes));
+  parser_->body_limit(boost::none);
+  headDelivered_ = false;
+}
+
+void ClientConnection::connect() {
+  state_ = State::kConnecting;
+  deadline_.set(limits_.connectTimeout);
+  socket_.async_connect(
+      {asio::ip::address_v4(server_.address), server_.port},
+      [self = shared_from_this()](boost::system::error_code error) { self->onConnected(error); });
+}
+
+void ClientConnection::onConnected(boost::system::error_code error) {
+  if (state_ != State::kConnecting) return;
+  if (error) {
+    fail("cannot connect: " + error.message());
+    return;
+  }
+  state_ = State::kAnswering;
+  socket_.set_option(asio::ip::tcp::no_delay(true), error);
+  touch();
+  write();
+  read();
+}
+
+void ClientConnection::write() {
+  bytesMayHaveLeft_ = true;
+  socket_.async_write_some(
+      asio::buffer(output_) + sent_,
+      [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
+        self->onWritten(error, bytes);
+      });
+}
+
+void ClientConnection::onWritten(boost::system::error_code error, std::size_t bytes) {
+  if (state_ != State::kAnswering || handler_ == nullptr) return;
+  sent_ += bytes;
+  if (error) {
+    // Nothing was ever taken: proof that the request did not leave. Otherwise the answer, if one
+    // came before the break, or the end of input decides.
+    if (sent_ == 0) {
+      bytesMayHaveLeft_ = false;
+      fail("cannot send: " + error.message());
+    }
+    return;
+  }
+  if (sent_ < output_.size()) {
+    write();
+  } else {
+    output_.clear();
+    output_.shrink_to_fit();
+    sent_ = 0;
+  }
+}
+
+void ClientConnection::read() {
+  if (reading_ || paused_ || state_ == State::kClosed) return;
+  reading_ = true;
+  socket_.async_read_some(
+      buffer_.prepare(kReadBytes),
+      [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
+        self->onRead(error, bytes);
+      });
+}
+
+void ClientConnection::onRead(boost::system::error_code error, std::size_t bytes) {
+  reading_ = false;
+  if (state_ == State::kClosed) return;
+  if (state_ == State::kIdle) {
+    // The server closed the connection, or sent an answer that nobody asked for.
+    close();
+    return;
+  }
+  if (error) {
+    onEndOfInput(error);
+    return;
+  }
+  buffer_.commit(bytes);
+  touch();
+  if (parse()) read();
+}
+
+void ClientConnection::onEndOfInput(boost::system::error_code error) {
+  if (error == asio::error::eof && parser_->got_some()) {
+    boost::system::error_code parseError;
+    parser_->put_eof(parseError);
+    if (!parseError && parser_->is_done() && deliverHead() && deliverBody()) {
+      complete();
+      return;
+    }
+    if (handler_ == nullptr) return;
+  }
+  fail("the connection ended before the answer was complete: " + error.message());
+}
+
+bool ClientConnection::parse() {
+  const auto number = callNumber_;
+  // What is already here of a paused answer is kept for later.
+  while (buffer_.size() > 0 && !paused_) {
+    boost::system::error_code error;
+    buffer_.consume(parser_->put(buffer_.data(), error));
+    if (error && error != http::error::need_more) {
+      fail("malformed answer: " + error.message());
+      return false;
+    }
+    if (parser_->is_header_done() && !headDelivered_) {
+      if (parser_->get().result_int() / kStatusClass == kInformationalClass) {
+        resetParser();
+        continue;
+      }
+      if (!deliverHead()) return false;
+    }
+    if (!deliverBody()) return false;
+    if (parser_->is_done()) {
+      complete();
+      return number == callNumber_ && state_ == State::kIdle;
+    }
+    if (error == http::error::need_more) break;
+  }
+  return true;
+}
+
+bool ClientConnection::deliverHead() {
+  if (headDelivered_) return handler_ != nullptr;
+  headDelivered_ = true;
+  const auto& message = parser_->get();
+  const HttpResponse head{message.result_int(), copyHeaders(message), {}};
+  if (!requestId_.empty() && head.header(kRequestIdHeader) != requestId_) {
+    fail("the answer belongs to another request");
+    return false;
+  }
+  const auto number = callNumber_;
+  handler_->onHead(head);
+  return handler_ != nullptr && number == callNumber_;
+}
+
+bool ClientConnection::deliverBody() {
+  if (handler_ == nullptr) return false;
+  const std::string body = std::exchange(parser_->get().body(), {});
+  if (body.empty()) return true;
+  const auto number = callNumber_;
+  handler_->onBody(body);
+  return handler_ != nullptr && number == callNumber_;
+}
+
+void ClientConnection::complete() {
+  const auto self = shared_from_this();
+  auto* handler = std::exchange(handler_, nullptr);
+  const bool reusable = parser_->get().keep_alive() && output_.empty() && buffer_.size() == 0;
+  const auto pool = pool_.lock();
+  state_ = State::kIdle;
+  if (reusable && pool && pool->keep(self)) {
+    buffer_.shrink_to_fit();
+    paused_ = false;
+    deadline_.set(limits_.idleTimeout);
+    read();
+  } else {
+    close();
+  }
+  handler->onComplete();
+}
+
+void ClientConnection::fail(const std::string& detail) {
+  const auto self = shared_from_this();
+  auto* handler = std::exchange(handler_, nullptr);
+  close();
+  if (handler == nullptr) return;
+  handler->onFailure(bytesMayHaveLeft_ ? platform::DispatchFailure::kOutcomeUnknown
+                                       : platform::DispatchFailure::kNotSent,
+                     detail);
+}
+
+void ClientConnection::abandon(std::uint64_t number) {
+  if (number != callNumber_ || handler_ == nullptr) return;
+  handler_ = nullptr;
+  close();
+}
+
+void ClientConnection::setPaused(std::uint64_t number, bool paused) {
+  if (number != callNumber_ || handler_ == nullptr || paused_ == paused) return;
+  paused_ = paused;
+  if (paused) {
+    deadline_.clear();
+    return;
+  }
+  touch();
+  // Posted: the handler must not be called from inside its own call.
+  asio::post(socket_.get_executor(), [self = shared_from_this(), number] {
+    if (number != self->callNumber_ || self->handler_ == nullptr || self->paused_) return;
+    if (self->parse()) self->read();
+  });
+}
+
+void ClientConnection::touch() {
+  if (silence_ == base::Duration::zero() || paused_) {
+    deadline_.clear();
+  } else {
+    deadline_.set(silence_);
+  }
+}
+
+void ClientConnection::close() {
+  if (state_ == State::kClosed) return;
+  const bool idle = state_ == State::kIdle;
+  state_ = State::kClosed;
+  deadline_.stop();
+  boost::system::error_code error;
+  socket_.close(error);
+  const auto pool = pool_.lock();
+  if (idle && pool) pool->forget(*this);
+}
+
+}  // namespace covewing::live
--- /dev/null
+++ b/src/live/engine_json.cc
@@ -0,0 +1,261 @@
+#include "live/engine_json.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "base/base64.h"
+#include "config/json_fields.h"
+#include "live/utf8.h"
+
+namespace covewing::live {
+
+namespace {
+
+using config::FieldReader;
+using config::Json;
+using Mistakes = std::vector<config::FieldMistake>;
+
+constexpr config::JsonBounds kEventBounds{1U << 20U, 4};
+constexpr config::JsonBounds kReportBounds{64U << 20U, 6};
+constexpr config::JsonBounds kErrorBounds{1U << 20U, 4};
+constexpr std::size_t kMaximumName = 256;
+constexpr std::size_t kMaximumModels = 1024;
+constexpr std::size_t kMaximumAdapters = 4096;
+constexpr std::size_t kMaximumPackedText = 64U << 20U;
+constexpr std::uint64_t kMaximumCount = UINT32_MAX;
+constexpr std::size_t kHashBytes = 8;
+constexpr unsigned kBitsPerByte = 8;
+
+std::string hexadecimal(std::uint64_t value) { return fmt::format("{:016x}", value); }
+
+Json weightsToJson(const platform::LoadedWeights& weights) {
+  return {{"model", weights.model}, {"version", weights.version}, {"adapters", weights.adapters}};
+}
+
+std::string_view nameOf(platform::OrderKind kind) {
+  switch (kind) {
+    case platform::OrderKind::kLoadWeights:
+      return "load_weights";
+    case platform::OrderKind::kUnloadWeights:
+      return "unload_weights";
+    case platform::OrderKind::kChangeRole:
+      return "change_role";
+  }
+  return "";
+}
+
+std::string_view nameOf(platform::EngineRole role) {
+  return role == platform::EngineRole::kServing ? "serving" : "standby";
+}
+
+std::uint32_t count(FieldReader& fields, std::string_view name) {
+  return static_cast<std::uint32_t>(fields.unsignedInteger(name, 0, 0, kMaximumCount));
+}
+
+/// Unsigned elements of an array field of exactly `values.size()` elements.
+template <class Array>
+void readArray(FieldReader& fields, std::string_view name, Array& values) {
+  const auto elements = fields.elements(name, values.size());
+  if (elements.size() != values.size()) {
+    fields.mistake(name, "must have one number for each priority class");
+    return;
+  }
+  for (std::size_t index = 0; index < values.size(); ++index) {
+    if (!elements[index]->is_number_unsigned()) {
+      fields.mistake(name, "must hold unsigned numbers");
+      return;
+    }
+    values[index] = elements[index]->template get<typename Array::value_type>();
+  }
+}
+
+platform::LoadedWeights readWeights(const Json& json, Mistakes& mistakes) {
+  FieldReader fields(json, "weights", mistakes);
+  platform::LoadedWeights weights;
+  weights.model = fields.text("model", "", kMaximumName);
+  weights.version = fields.unsignedInteger("version", 0, 0, UINT64_MAX);
+  weights.adapters = fields.texts("adapters", kMaximumAdapters, kMaximumName);
+  return weights;
+}
+
+platform::EngineLoad readLoad(const Json& json, Mistakes& mistakes) {
+  FieldReader fields(json, "load", mistakes);
+  platform::EngineLoad load;
+  load.running = count(fields, "running");
+  readArray(fields, "waiting", load.waiting);
+  readArray(fields, "queued_prefill_tokens", load.queuedPrefillTokens);
+  load.cachedBlocks = count(fields, "cached_blocks");
+  load.capacityBlocks = count(fields, "capacity_blocks");
+  return load;
+}
+
+std::vector<base::BlockHash> unpackHashes(FieldReader& fields, std::string_view name) {
+  const auto bytes = base::decodeBase64(fields.text(name, "", kMaximumPackedText));
+  if (!bytes || bytes->size() % kHashBytes != 0) {
+    fields.mistake(name, "must be 64-bit words in Base64");
+    return {};
+  }
+  std::vector<base::BlockHash> hashes(bytes->size() / kHashBytes);
+  for (std::size_t index = 0; index < bytes->size(); ++index) {
+    const auto byte = static_cast<std::uint64_t>(static_cast<unsigned char>((*bytes)[index]));
+    hashes[index / kHashBytes].value |= byte << (kBitsPerByte * (index % kHashBytes));
+  }
+  return hashes;
+}
+
+/// The hashes of one kind, taken from the front.
+struct HashQueue {
+  std::vector<base::BlockHash> hashes;
+  std::size_t taken = 0;
+  bool empty() const { return taken == hashes.size(); }
+};
+
+void readEvents(FieldReader& fields, platform::EngineReport& report) {
+  HashQueue stored{unpackHashes(fields, "stored")};
+  HashQueue evicted{unpackHashes(fields, "evicted")};
+  HashQueue exported{unpackHashes(fields, "exported")};
+  auto order = fields.text("order", "", kMaximumPackedText);
+  const bool allStored = evicted.empty() && exported.empty();
+  if (order.empty() && allStored) order.assign(stored.hashes.size(), 's');
+  report.events.reserve(order.size());
+  for (const char letter : order) {
+    auto& queue = letter == 's' ? stored : letter == 'e' ? evicted : exported;
+    const auto kind = letter == 's'   ? platform::CacheEventKind::kStored
+                      : letter == 'e' ? platform::CacheEventKind::kEvicted
+                                      : platform::CacheEventKind::kExported;
+    if (queue.empty() || std::string_view{"sex"}.find(letter) == std::string_view::npos) {
+      fields.mistake("order", "does not fit the events");
+      return;
+    }
+    report.events.push_back({kind, queue.hashes[queue.taken++]});
+  }
+  if (!stored.empty() || !evicted.empty() || !exported.empty())
+    fields.mistake("order", "does not name every event");
+}
+
+const base::ResultCodeEntry* findCode(std::uint64_t number) {
+  const auto table = base::resultCodeTable();
+  const auto entry = std::ranges::find_if(table, [number](const base::ResultCodeEntry& line) {
+    return static_cast<std::uint64_t>(line.code) == number;
+  });
+  return entry == table.end() ? nullptr : &*entry;
+}
+
+}  // namespace
+
+std::string engineRequestToJson(const platform::EngineRequest& request) {
+  Json json = {{"request_id", request.requestId.value},
+               {"attempt", request.attempt},
+               {"tenant_salt", hexadecimal(request.identity.tenantSalt)},
+               {"model", request.identity.model},
+               {"adapter", request.identity.adapter},
+               {"weights_version", request.identity.weightsVersion},
+               {"incarnation", request.incarnation},
+               {"priority", base::toString(request.priority)},
+               {"generated", request.generated},
+               {"next_position", request.nextPosition},
+               {"max_tokens", request.maximumTokens},
+               {"import_blocks", request.importBlocks},
+               {"export_blocks", request.exportBlocks}};
+  const std::string_view prompt = request.prompt ? std::string_view{*request.prompt} : "";
+  if (isValidUtf8(prompt)) {
+    json["prompt"] = prompt;
+  } else {
+    json["prompt_base64"] = base::encodeBase64(prompt);
+  }
+  return config::toText(json);
+}
+
+std::optional<std::variant<platform::StreamChunk, platform::StreamEnd>> streamEventFromJson(
+    std::string_view text) {
+  Mistakes mistakes;
+  const auto json = config::parseBoundedJson(text, kEventBounds, mistakes);
+  if (!json) return std::nullopt;
+  FieldReader fields(*json, "", mistakes);
+  if (const auto* endJson = fields.find("end"); endJson != nullptr) {
+    FieldReader endFields(*endJson, "end", mistakes);
+    platform::StreamEnd end;
+    end.promptTokens = count(endFields, "prompt_tokens");
+    end.cachedTokens = count(endFields, "cached_tokens");
+    end.outputTokens = count(endFields, "output_tokens");
+    end.finishReason = endFields.text("finish_reason", "stop", kMaximumName);
+    if (!mistakes.empty()) return std::nullopt;
+    return end;
+  }
+  if (fields.find("position") == nullptr || fields.find("text") == nullptr) return std::nullopt;
+  platform::StreamChunk chunk;
+  chunk.position = fields.unsignedInteger("position", 0, 0, UINT64_MAX);
+  chunk.text = fields.text("text", "", kEventBounds.maximumBytes);
+  if (!mistakes.empty()) return std::nullopt;
+  return chunk;
+}
+
+std::optional<platform::EngineReport> engineReportFromJson(std::string_view text) {
+  Mistakes mistakes;
+  const auto json = config::parseBoundedJson(text, kReportBounds, mistakes);
+  if (!json) return std::nullopt;
+  FieldReader fields(*json, "", mistakes);
+  platform::EngineReport report;
+  report.incarnation = fields.unsignedInteger("incarnation", 0, 0, UINT64_MAX);
+  const auto role = fields.choice("role", 0, {"serving", "standby"});
+  report.role = role == 0 ? platform::EngineRole::kServing : platform::EngineRole::kStandby;
+  report.leaving = fields.boolean("leaving", false);
+  for (const Json* weights : fields.elements("weights", kMaximumModels))
+    report.weights.push_back(readWeights(*weights, mistakes));
+  report.fencingToken = fields.unsignedInteger("fencing_token", 0, 0, UINT64_MAX);
+  report.lastOrder = fields.text("last_order", "", kMaximumName);
+  if (const auto* load = fields.find("load"); load != nullptr)
+    report.load = readLoad(*load, mistakes);
+  report.firstSequence = fields.unsignedInteger("first_sequence", 0, 0, UINT64_MAX);
+  report.nextSequence = fields.unsignedInteger("next_sequence", 0, 0, UINT64_MAX);
+  readEvents(fields, report);
+  if (!mistakes.empty()) return std::nullopt;
+  return report;
+}
+
+std::string engineOrderToJson(const platform::EngineOrder& order) {
+  return config::toText(Json({{"order_id", order.orderId},
+                              {"fencing_token", order.fencingToken},
+                              {"kind", nameOf(order.kind)},
+                              {"weights", weightsToJson(order.weights)},
+                              {"role", nameOf(order.role)}}));
+}
+
+platform::OrderReply orderReplyFromJson(std::string_view text) {
+  Mistakes mistakes;
+  const auto json = config::parseBoundedJson(text, kErrorBounds, mistakes);
+  if (!json) return {};
+  FieldReader fields(*json, "", mistakes);
+  constexpr std::size_t kUnknownChoice = 3;
+  const auto status =
+      fields.choice("status", kUnknownChoice, {"accepted", "fenced_off", "invalid"});
+  platform::OrderReply reply;
+  reply.fencingToken = fields.unsignedInteger("fencing_token", 0, 0, UINT64_MAX);
+  reply.detail = fields.text("detail", "", kErrorBounds.maximumBytes);
+  if (!mistakes.empty() || status == kUnknownChoice) return {};
+  reply.status = status == 0   ? platform::OrderStatus::kAccepted
+                 : status == 1 ? platform::OrderStatus::kFencedOff
+                               : platform::OrderStatus::kInvalid;
+  return reply;
+}
+
+platform::DispatchError errorFromJson(std::string_view text, base::ResultCode fallback) {
+  platform::DispatchError error{platform::DispatchFailure::kOutcomeUnknown, {fallback, ""}};
+  Mistakes mistakes;
+  const auto json = config::parseBoundedJson(text, kErrorBounds, mistakes);
+  if (!json || !json->is_object()) {
+    error.reason.detail = "an error answer without a readable body";
+    return error;
+  }
+  FieldReader fields(*json, "", mistakes);
+  const auto* entry = findCode(fields.unsignedInteger("code", 0, 0, UINT16_MAX));
+  if (entry != nullptr && entry->code != base::ResultCode::kOk) error.reason.code = entry->code;
+  error.reason.detail = fields.text("detail", "", kErrorBounds.maximumBytes);
+  if (fields.text("outcome", "unknown", kMaximumName) == "not-run")
+    error.failure = platform::DispatchFailure::kRefusedNotRun;
+  return error;
+}
+
+}  // namespace covewing::live
--- /dev/null
+++ b/src/live/http_application_client.h
@@ -0,0 +1,26 @@
+/// \file
+/// Application back ends over plain HTTP (docs/PLATFORM.md).
+#pragma once
+
+#include <string_view>
+
+#include "live/http_client.h"
+#include "platform/application_client.h"
+
+namespace covewing::live {
+
+/// A header that belongs to one connection or that sender and receiver set themselves, so that it
+/// is never passed on (RFC 9110, section 7.6.1).
+bool isConnectionHeader(std::string_view name);
+
+class HttpApplicationClient final : public platform::ApplicationClient {
+ public:
+  explicit HttpApplicationClient(HttpClient& client) : client_(client) {}
+  void call(const platform::BackEndAddress& backEnd, platform::ApplicationRequest request,
+            std::function<void(platform::ApplicationResult)> callback) override;
+
+ private:
+  HttpClient& client_;
+};
+
+}  // namespace covewing::live
--- /dev/null
+++ b/src/live/http_client.cc
@@ -0,0 +1,158 @@
+#include "live/http_client.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <unordered_map>
+
+#include "live/client_connection.h"
+
+namespace covewing::live {
+
+namespace {
+
+class Call final : public HttpCall {
+ public:
+  Call(std::shared_ptr<ClientConnection> connection, std::uint64_t number)
+      : connection_(std::move(connection)), number_(number) {}
+  ~Call() override { connection_->abandon(number_); }
+  Call(const Call&) = delete;
+  Call& operator=(const Call&) = delete;
+  void setPaused(bool paused) override { connection_->setPaused(number_, paused); }
+
+ private:
+  std::shared_ptr<ClientConnection> connection_;
+  std::uint64_t number_;
+};
+
+/// Collects one whole answer.
+class WholeCall final : public HttpCallHandler {
+ public:
+  using Finished = std::function<void(WholeCall&, HttpResult)>;
+
+  WholeCall(boost::asio::io_context& context, std::size_t bodyLimit, Finished finished)
+      : deadline_(context.get_executor(),
+                  [this] {
+                    call_.reset();
+                    onFailure(platform::DispatchFailure::kOutcomeUnknown, "no answer in time");
+                  }),
+        bodyLimit_(bodyLimit),
+        finished_(std::move(finished)) {}
+
+  void begin(std::unique_ptr<HttpCall> call, base::Duration timeout) {
+    call_ = std::move(call);
+    deadline_.set(timeout);
+  }
+
+  void onHead(const HttpResponse& head) override { response_ = head; }
+  void onBody(std::string_view bytes) override {
+    if (response_.body.size() + bytes.size() > bodyLimit_) {
+      call_.reset();
+      onFailure(platform::DispatchFailure::kOutcomeUnknown, "the answer exceeds its limit");
+      return;
+    }
+    response_.body += bytes;
+  }
+  void onComplete() override { finished_(*this, std::move(response_)); }
+  void onFailure(platform::DispatchFailure failure, std::string detail) override {
+    const auto code = failure == platform::DispatchFailure::kNotSent
+                          ? base::ResultCode::kBackEndUnreachable
+                          : base::ResultCode::kBackEndLost;
+    finished_(*this, platform::DispatchError{failure, {code, std::move(detail)}});
+  }
+
+ private:
+  LazyDeadline deadline_;
+  std::size_t bodyLimit_;
+  Finished finished_;
+  std::unique_ptr<HttpCall> call_;
+  HttpResponse response_;
+};
+
+}  // namespace
+
+struct HttpClient::Core final : ConnectionPool, std::enable_shared_from_this<HttpClient::Core> {
+  using Connections = std::vector<std::shared_ptr<ClientConnection>>;
+
+  Core(boost::asio::io_context& ioContext, HttpClientLimits clientLimits)
+      : context(ioContext), bounds(clientLimits) {}
+
+  const HttpClientLimits& limits() const override { return bounds; }
+
+  bool keep(const std::shared_ptr<ClientConnection>& connection) override {
+    auto& kept = idle[connection->server()];
+    if (kept.size() >= bounds.idleConnectionsPerEndpoint) return false;
+    kept.push_back(connection);
+    return true;
+  }
+
+  void forget(const ClientConnection& connection) override {
+    const auto kept = idle.find(connection.server());
+    if (kept == idle.end()) return;
+    std::erase_if(kept->second,
+                  [&](const auto& candidate) { return candidate.get() == &connection; });
+    if (kept->second.empty()) idle.erase(kept);
+  }
+
+  /// The connection used last, which is the least likely to be closed by the server.
+  std::shared_ptr<ClientConnection> take(const base::Endpoint& server) {
+    for (auto kept = idle.find(server); kept != idle.end(); kept = idle.find(server)) {
+      auto connection = kept->second.back();
+      kept->second.pop_back();
+      if (kept->second.empty()) idle.erase(kept);
+      if (connection->usable()) return connection;
+      connection->close();
+    }
+    return std::make_shared<ClientConnection>(context, server, weak_from_this(), bounds);
+  }
+
+  void closeIdle() {
+    const auto connections = std::exchange(idle, {});
+    for (const auto& [server, kept] : connections) {
+      for (const auto& connection : kept) connection->close();
+    }
+  }
+
+  boost::asio::io_context& context;
+  HttpClientLimits bounds;
+  std::map<base::Endpoint, Connections> idle;
+  std::unordered_map<WholeCall*, std::unique_ptr<WholeCall>> wholeCalls;
+};
+
+HttpClient::HttpClient(boost::asio::io_context& context, HttpClientLimits limits)
+    : core_(std::make_shared<Core>(context, limits)) {}
+
+HttpClient::~HttpClient() {
+  core_->wholeCalls.clear();
+  core_->closeIdle();
+}
+
+std::unique_ptr<HttpCall> HttpClient::start(const base::Endpoint& server, HttpRequest request,
+                                            base::Duration silence, HttpCallHandler& handler) {
+  auto connection = core_->take(server);
+  const auto number = connection->begin(request, silence, handler);
+  return std::make_unique<Call>(std::move(connection), number);
+}
+
+void HttpClient::fetch(const base::Endpoint& server, HttpRequest request, base::Duration timeout,
+                       std::function<void(HttpResult)> callback) {
+  auto finished = [core = core_.get(), callback = std::move(callback)](WholeCall& call,
+                                                                       HttpResult result) {
+    // Kept until the end of this function: the call is on the stack above.
+    const auto node = core->wholeCalls.extract(&call);
+    const auto answer = callback;
+    answer(std::move(result));
+  };
+  auto call = std::make_unique<WholeCall>(core_->context, core_->bounds.bodyBytes, finished);
+  auto& whole = *call;
+  core_->wholeCalls.emplace(&whole, std::move(call));
+  whole.begin(start(server, std::move(request), base::Duration::zero(), whole), timeout);
+}
+
+std::size_t HttpClient::idleConnections() const {
+  std::size_t count = 0;
+  for (const auto& [server, kept] : core_->idle) count += kept.size();
+  return count;
+}
+
+}  // namespace covewing::live
--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -5,6 +5,8 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/field.hpp>
 
+#include "live/http_head.h"
+
 namespace covewing::live {
 
 namespace {
@@ -18,7 +20,6 @@
 constexpr std::size_t kLingerBytes = 1U << 20U;
 constexpr base::Duration kLingerTime = std::chrono::seconds(2);
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-constexpr unsigned kHttp11 = 11;
 
 base::Endpoint remoteEndpoint(const Connection::Socket& socket) {
   boost::system::error_code error;
@@ -27,14 +28,6 @@
   return {endpoint.address().to_v4().to_uint(), endpoint.port()};
 }
 
-std::vector<HeaderField> copyHeaders(const http::fields& fields) {
-  std::vector<HeaderField> headers;
-  for (const auto& field : fields) {
-    headers.push_back({std::string{field.name_string()}, std::string{field.value()}});
-  }
-  return headers;
-}
-
 base::Reason reasonFor(boost::system::error_code error) {
   if (error == http::error::body_limit)
     return {base::ResultCode::kBodyTooLarge, "the body exceeds the limit"};
@@ -49,13 +42,13 @@
     : socket_(std::move(socket)),
       owner_(owner),
       peer_(remoteEndpoint(socket_)),
-      timer_(socket_.get_executor()) {}
+      deadline_(socket_.get_executor(), [this] { close(); }) {}
 
 void Connection::start() {
   boost::system::error_code error;
   socket_.set_option(asio::ip::tcp::no_delay(true), error);
   resetParser();
-  setDeadline(owner_.limits().idleTimeout);
+  deadline_.set(owner_.limits().idleTimeout);
   read();
 }
 
@@ -103,7 +96,7 @@
 
 void Connection::parse() {
   const bool first = !parser_->got_some();
-  if (first && buffer_.size() > 0) setDeadline(owner_.limits().requestTimeout);
+  if (first && buffer_.size() > 0) deadline_.set(owner_.limits().requestTimeout);
   while (buffer_.size() > 0 && !parser_->is_done()) {
     boost::system::error_code error;
     const auto used = parser_->put(buffer_.data(), error);
@@ -173,7 +166,7 @@
     written_ = 0;
   }
   writeActive_ = true;
-  setDeadline(owner_.limits().stallTimeout);
+  deadline_.set(owner_.limits().stallTimeout);
   notePressure();
   socket_.async_write_some(
       asio::buffer(writing_) + written_,
@@ -195,7 +188,7 @@
     return;
   }
   notePressure();
-  setDeadline(deadlineOfState());
+  setDeadlineOfState();
   if (closeWhenWritten_) linger();
 }
 
@@ -225,7 +218,7 @@
     if (self->state_ != State::kAnswering) return;
     self->state_ = State::kReading;
     self->resetParser();
-    if (!self->writeActive_) self->setDeadline(self->owner_.limits().idleTimeout);
+    if (!self->writeActive_) self->setDeadlineOfState();
     self->parse();
     self->read();
   });
@@ -240,7 +233,7 @@
   }
   state_ = State::kLingering;
   buffer_.consume(buffer_.size());
-  setDeadline(kLingerTime);
+  deadline_.set(kLingerTime);
   read();
 }
 
@@ -249,7 +242,7 @@
   state_ = State::kClosed;
   boost::system::error_code error;
   socket_.close(error);
-  timer_.cancel();
+  deadline_.stop();
   const auto self = shared_from_this();
   const auto exchange = exchange_.lock();
   exchange_.reset();
@@ -257,38 +250,13 @@
   owner_.onClosed(*this);
 }
 
-base::Duration Connection::deadlineOfState() const {
+void Connection::setDeadlineOfState() {
   const auto& limits = owner_.limits();
-  if (state_ == State::kReading)
-    return parser_->got_some() ? limits.requestTimeout : limits.idleTimeout;
-  return base::Duration::max();
-}
-
-// The timer is moved lazily: a write for each chunk must not cost a timer operation.
-void Connection::setDeadline(base::Duration delay) {
-  deadline_ = delay == base::Duration::max() ? std::chrono::steady_clock::time_point::max()
-                                             : std::chrono::steady_clock::now() + delay;
-  if (delay == base::Duration::max()) return;
-  if (!timerActive_ || deadline_ < timer_.expiry()) armTimer();
-}
-
-void Connection::armTimer() {
-  timerActive_ = true;
-  timer_.expires_at(deadline_);
-  timer_.async_wait([weak = weak_from_this()](boost::system::error_code error) {
-    const auto self = weak.lock();
-    if (self && !error) self->onTimer();
-  });
-}
-
-void Connection::onTimer() {
-  timerActive_ = false;
-  if (state_ == State::kClosed) return;
-  if (std::chrono::steady_clock::now() >= deadline_) {
-    close();
-    return;
+  if (state_ != State::kReading) {
+    deadline_.clear();
+  } else {
+    deadline_.set(parser_->got_some() ? limits.requestTimeout : limits.idleTimeout);
   }
-  if (deadline_ != std::chrono::steady_clock::time_point::max()) armTimer();
 }
 
 }  // namespace covewing::live
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -7,7 +7,6 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -16,6 +15,7 @@
 #include <string>
 
 #include "live/http_server.h"
+#include "live/lazy_deadline.h"
 
 namespace covewing::live {
 
@@ -105,10 +105,7 @@
   void onWritten(boost::system::error_code error, std::size_t bytes);
   void notePressure();
   void linger();
-  void setDeadline(base::Duration delay);
-  void armTimer();
-  void onTimer();
-  base::Duration deadlineOfState() const;
+  void setDeadlineOfState();
 
   Socket socket_;
   ConnectionOwner& owner_;
@@ -128,9 +125,7 @@
   bool writeActive_ = false;
   bool pressured_ = false;
   std::weak_ptr<Exchange> exchange_;
-  boost::asio::steady_timer timer_;
-  std::chrono::steady_clock::time_point deadline_;
-  bool timerActive_ = false;
+  LazyDeadline deadline_;
 };
 
 }  // namespace covewing::live
--- /dev/null
+++ b/src/live/http_engine_client.cc
@@ -0,0 +1,203 @@
+#include "live/http_engine_client.h"
+
+#include <deque>
+
+#include "live/engine_json.h"
+#include "live/sse_parser.h"
+
+namespace covewing::live {
+
+namespace {
+
+using platform::DispatchError;
+using platform::DispatchFailure;
+using StreamEvent = std::variant<platform::StreamChunk, platform::StreamEnd>;
+
+constexpr unsigned kOk = 200;
+constexpr std::size_t kMaximumErrorBody = 64U << 10U;
+constexpr std::string_view kAcceptedHeader = "X-Engine-Accepted";
+
+base::ResultCode codeFor(DispatchFailure failure) {
+  return failure == DispatchFailure::kNotSent ? base::ResultCode::kBackEndUnreachable
+                                              : base::ResultCode::kBackEndLost;
+}
+
+/// One stream. Chunks that arrive while it is paused wait in a queue, which is bounded by one read
+/// of the connection.
+class StreamState final : public HttpCallHandler, public std::enable_shared_from_this<StreamState> {
+ public:
+  StreamState(base::TimerService& timers, platform::EngineStreamHandler& handler)
+      : timers_(timers), handler_(&handler) {}
+
+  void adopt(std::unique_ptr<HttpCall> call) { call_ = std::move(call); }
+
+  void abandon() {
+    handler_ = nullptr;
+    call_.reset();
+  }
+
+  void setPaused(bool paused) {
+    if (paused_ == paused || handler_ == nullptr) return;
+    paused_ = paused;
+    if (call_) call_->setPaused(paused);
+    if (paused) return;
+    timers_.schedule(base::Duration::zero(), [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->deliver();
+    });
+  }
+
+  void onHead(const HttpResponse& head) override {
+    refused_ = head.status != kOk || head.header(kAcceptedHeader).empty();
+    if (!refused_) handler_->onAccepted();
+  }
+
+  void onBody(std::string_view bytes) override {
+    if (refused_) {
+      if (errorBody_.size() + bytes.size() <= kMaximumErrorBody) errorBody_ += bytes;
+      return;
+    }
+    const auto self = shared_from_this();
+    parser_.feed(bytes);
+    while (auto data = parser_.next()) {
+      auto event = streamEventFromJson(*data);
+      if (!event) {
+        call_.reset();
+        finish({DispatchFailure::kOutcomeUnknown,
+                {base::ResultCode::kStreamBroken, "malformed stream event"}});
+        return;
+      }
+      events_.push_back(std::move(*event));
+    }
+    deliver();
+  }
+
+  void onComplete() override {
+    if (refused_) {
+      finish(errorFromJson(errorBody_, base::ResultCode::kBackEndRefused));
+    } else {
+      finish({DispatchFailure::kOutcomeUnknown,
+              {base::ResultCode::kStreamBroken, "the stream ended without its terminal marker"}});
+    }
+  }
+
+  void onFailure(DispatchFailure failure, std::string detail) override {
+    finish({failure, {codeFor(failure), std::move(detail)}});
+  }
+
+ private:
+  /// The connection has nothing more; `error` counts unless the terminal marker is here.
+  void finish(DispatchError error) {
+    error_ = std::move(error);
+    deliver();
+  }
+
+  void deliver() {
+    const auto self = shared_from_this();
+    while (handler_ != nullptr && !paused_ && !events_.empty()) {
+      auto event = std::move(events_.front());
+      if (std::holds_alternative<platform::StreamEnd>(event)) break;
+      events_.pop_front();
+      handler_->onChunk(std::get<platform::StreamChunk>(std::move(event)));
+    }
+    if (handler_ == nullptr || paused_) return;
+    // The end waits for the whole answer, so that the connection can be kept.
+    if (!error_) return;
+    auto* handler = std::exchange(handler_, nullptr);
+    if (events_.empty()) {
+      handler->onError(std::move(*error_));
+    } else {
+      handler->onEnd(std::get<platform::StreamEnd>(std::move(events_.front())));
+    }
+  }
+
+  base::TimerService& timers_;
+  platform::EngineStreamHandler* handler_;
+  std::unique_ptr<HttpCall> call_;
+  bool paused_ = false;
+  bool refused_ = false;
+  std::string errorBody_;
+  SseParser parser_;
+  std::deque<StreamEvent> events_;
+  std::optional<DispatchError> error_;
+};
+
+class HttpEngineStream final : public platform::EngineStream {
+ public:
+  explicit HttpEngineStream(std::shared_ptr<StreamState> state) : state_(std::move(state)) {}
+  ~HttpEngineStream() override { state_->abandon(); }
+  HttpEngineStream(const HttpEngineStream&) = delete;
+  HttpEngineStream& operator=(const HttpEngineStream&) = delete;
+  void setPaused(bool paused) override { state_->setPaused(paused); }
+
+ private:
+  std::shared_ptr<StreamState> state_;
+};
+
+}  // namespace
+
+HttpEngineClient::HttpEngineClient(HttpClient& client, base::TimerService& timers,
+                                   EngineClientTimeouts timeouts)
+    : client_(client), timers_(timers), timeouts_(timeouts) {}
+
+std::unique_ptr<platform::EngineStream> HttpEngineClient::start(
+    const platform::BackEndAddress& engine, platform::EngineRequest request,
+    platform::EngineStreamHandler& handler) {
+  HttpRequest call{"POST",
+                   "/v1/generate",
+                   {{"Content-Type", "application/json"},
+                    {"Accept", "text/event-stream"},
+                    {std::string{kRequestIdHeader}, request.requestId.value}},
+                   engineRequestToJson(request)};
+  auto state = std::make_shared<StreamState>(timers_, handler);
+  state->adopt(client_.start(engine.endpoint, std::move(call), timeouts_.streamSilence, *state));
+  return std::make_unique<HttpEngineStream>(std::move(state));
+}
+
+HttpRequest HttpEngineClient::controlRequest(std::string method, std::string target,
+                                             std::string body) {
+  return {std::move(method),
+          std::move(target),
+          {{"Content-Type", "application/json"},
+           {std::string{kRequestIdHeader}, "control-" + std::to_string(++lastControlRequest_)}},
+          std::move(body)};
+}
+
+void HttpEngineClient::fetchReport(
+    const platform::BackEndAddress& engine, std::string target,
+    std::function<void(std::optional<platform::EngineReport>)> callback) {
+  client_.fetch(engine.endpoint, controlRequest("GET", std::move(target), {}), timeouts_.report,
+                [callback = std::move(callback)](const HttpResult& result) {
+                  const auto* response = std::get_if<HttpResponse>(&result);
+                  const bool answered = response != nullptr && response->status == kOk;
+                  callback(answered ? engineReportFromJson(response->body) : std::nullopt);
+                });
+}
+
+void HttpEngineClient::poll(const platform::BackEndAddress& engine, std::uint64_t fromSequence,
+                            std::function<void(std::optional<platform::EngineReport>)> callback) {
+  fetchReport(engine, "/v1/report?from=" + std::to_string(fromSequence), std::move(callback));
+}
+
+void HttpEngineClient::snapshot(
+    const platform::BackEndAddress& engine,
+    std::function<void(std::optional<platform::EngineReport>)> callback) {
+  fetchReport(engine, "/v1/snapshot", std::move(callback));
+}
+
+void HttpEngineClient::order(const platform::BackEndAddress& engine, platform::EngineOrder order,
+                             std::function<void(platform::OrderReply)> callback) {
+  client_.fetch(
+      engine.endpoint, controlRequest("POST", "/v1/orders", engineOrderToJson(order)),
+      timeouts_.order, [callback = std::move(callback)](const HttpResult& result) {
+        if (const auto* response = std::get_if<HttpResponse>(&result); response != nullptr) {
+          callback(orderReplyFromJson(response->body));
+          return;
+        }
+        const auto& error = std::get<DispatchError>(result);
+        const bool notSent = error.failure == DispatchFailure::kNotSent;
+        callback({notSent ? platform::OrderStatus::kUnreachable : platform::OrderStatus::kUnknown,
+                  0, error.reason.detail});
+      });
+}
+
+}  // namespace covewing::live
--- a/src/live/http_exchange.cc
+++ b/src/live/http_exchange.cc
@@ -1,11 +1,9 @@
 // The answer side of a request: message heads and chunks by Beast, queued on the connection.
-#include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/serializer.hpp>
 
+#include "live/http_client.h"
 #include "live/http_connection.h"
+#include "live/http_head.h"
 
 namespace covewing::live {
 
@@ -14,31 +12,17 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-constexpr unsigned kHttp11 = 11;
-constexpr unsigned kHttp10 = 10;
-
-/// Text of the message's header section.
-std::string headerText(http::response<http::empty_body>& message) {
-  http::response_serializer<http::empty_body> serializer(message);
-  serializer.split(true);
-  std::string text;
-  beast::error_code error;
-  while (!serializer.is_header_done() && !error) {
-    serializer.next(error, [&](beast::error_code& /*error*/, const auto& buffers) {
-      text += beast::buffers_to_string(buffers);
-      serializer.consume(beast::buffer_bytes(buffers));
-    });
-  }
-  return text;
-}
-
-http::response<http::empty_body> messageHead(unsigned status,
+/// Head of an answer to `request`; echoes the request's identifier unless the headers hold one.
+http::response<http::empty_body> messageHead(const HttpRequest& request, unsigned status,
                                              const std::vector<HeaderField>& headers, bool http11,
                                              bool keepAlive) {
   http::response<http::empty_body> message;
   message.result(status);
   message.version(http11 ? kHttp11 : kHttp10);
   for (const auto& field : headers) message.insert(field.name, field.value);
+  const auto requestId = request.header(kRequestIdHeader);
+  if (!requestId.empty() && findHeader(headers, kRequestIdHeader).empty())
+    message.set(std::string{kRequestIdHeader}, std::string{requestId});
   message.keep_alive(keepAlive);
   return message;
 }
@@ -74,10 +58,10 @@
 void Exchange::respond(HttpResponse response) {
   if (finished() || streaming_) return;
   const bool reusable = connection_->keepAlive();
-  auto head = messageHead(response.status, response.headers, chunkedAllowed_, reusable);
+  auto head = messageHead(request_, response.status, response.headers, chunkedAllowed_, reusable);
   const bool withoutBody = bodyForbidden(response.status);
   if (!withoutBody) head.content_length(response.body.size());
-  auto text = headerText(head);
+  auto text = headText(head);
   if (!withoutBody && request_.method != "HEAD") text += response.body;
   const auto connection = finish();
   connection->send(std::move(text));
@@ -87,10 +71,10 @@
 void Exchange::beginStream(unsigned status, const std::vector<HeaderField>& headers) {
   if (finished() || streaming_) return;
   streaming_ = true;
-  auto head =
-      messageHead(status, headers, chunkedAllowed_, chunkedAllowed_ && connection_->keepAlive());
+  auto head = messageHead(request_, status, headers, chunkedAllowed_,
+                          chunkedAllowed_ && connection_->keepAlive());
   if (chunkedAllowed_) head.chunked(true);
-  connection_->send(headerText(head));
+  connection_->send(headText(head));
 }
 
 void Exchange::write(std::string_view bytes) {
--- /dev/null
+++ b/src/live/http_platform_clients.cc
@@ -0,0 +1,123 @@
+#include "live/http_platform_clients.h"
+
+#include "live/engine_json.h"
+#include "live/platform_json.h"
+
+namespace covewing::live {
+
+namespace {
+
+using platform::DispatchFailure;
+using platform::ObjectReply;
+using platform::ObjectStatus;
+using platform::TableReply;
+using platform::TableStatus;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kCreated = 201;
+constexpr unsigned kNoContent = 204;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kConflict = 409;
+constexpr unsigned kTooManyRequests = 429;
+
+/// Whether the service says that it did nothing.
+bool saysNotRun(const HttpResponse& response) {
+  return errorFromJson(response.body, base::ResultCode::kPlatformUnavailable).failure ==
+         DispatchFailure::kRefusedNotRun;
+}
+
+TableReply toTableReply(const HttpResult& result) {
+  if (const auto* error = std::get_if<platform::DispatchError>(&result); error != nullptr) {
+    const bool notSent = error->failure == DispatchFailure::kNotSent;
+    return {notSent ? TableStatus::kUnavailable : TableStatus::kUnknown, 0, {}};
+  }
+  const auto& response = std::get<HttpResponse>(result);
+  if (response.status == kTooManyRequests) return {TableStatus::kRateLimited, 0, {}};
+  if (response.status != kOk && response.status != kConflict)
+    return {saysNotRun(response) ? TableStatus::kUnavailable : TableStatus::kUnknown, 0, {}};
+  auto reply = tableReplyFromJson(response.body);
+  if (!reply) return {TableStatus::kUnknown, 0, {}};
+  reply->status = response.status == kOk ? TableStatus::kOk : TableStatus::kConflict;
+  return std::move(*reply);
+}
+
+ObjectReply toObjectReply(HttpResult result) {
+  if (const auto* error = std::get_if<platform::DispatchError>(&result); error != nullptr) {
+    const bool notSent = error->failure == DispatchFailure::kNotSent;
+    return {notSent ? ObjectStatus::kUnavailable : ObjectStatus::kUnknown, {}};
+  }
+  auto& response = std::get<HttpResponse>(result);
+  switch (response.status) {
+    case kOk:
+    case kCreated:
+    case kNoContent:
+      return {ObjectStatus::kOk, std::move(response.body)};
+    case kNotFound:
+      return {ObjectStatus::kNotFound, {}};
+    case kTooManyRequests:
+      return {ObjectStatus::kRateLimited, {}};
+    default:
+      return {saysNotRun(response) ? ObjectStatus::kUnavailable : ObjectStatus::kUnknown, {}};
+  }
+}
+
+std::function<void(HttpResult)> tableHandler(platform::TableCallback callback) {
+  return [callback = std::move(callback)](const HttpResult& result) {
+    callback(toTableReply(result));
+  };
+}
+
+std::function<void(HttpResult)> objectHandler(platform::ObjectCallback callback) {
+  return [callback = std::move(callback)](HttpResult result) {
+    callback(toObjectReply(std::move(result)));
+  };
+}
+
+}  // namespace
+
+void PlatformService::call(std::string method, std::string target, std::string body,
+                           std::function<void(HttpResult)> callback) {
+  HttpRequest request{
+      std::move(method),
+      std::move(target),
+      {{"Content-Type", "application/json"},
+       {std::string{kRequestIdHeader}, "platform-" + std::to_string(++lastRequest_)}},
+      std::move(body)};
+  client_.fetch(endpoint_, std::move(request), timeout_, std::move(callback));
+}
+
+void HttpTableClient::read(std::vector<std::string> keys, platform::TableCallback callback) {
+  service_.call("POST", "/v1/read", tableReadToJson(keys), tableHandler(std::move(callback)));
+}
+
+void HttpTableClient::scan(std::string prefix, base::Revision after, std::size_t limit,
+                           platform::TableCallback callback) {
+  service_.call("POST", "/v1/scan", tableScanToJson(prefix, after, limit),
+                tableHandler(std::move(callback)));
+}
+
+void HttpTableClient::commit(platform::TableTransaction transaction,
+                             platform::TableCallback callback) {
+  service_.call("POST", "/v1/commit", tableTransactionToJson(transaction),
+                tableHandler(std::move(callback)));
+}
+
+void HttpObjectStoreClient::get(std::string name, platform::ObjectCallback callback) {
+  service_.call("GET", "/v1/objects/" + name, {}, objectHandler(std::move(callback)));
+}
+
+void HttpObjectStoreClient::put(std::string name, std::string bytes,
+                                platform::ObjectCallback callback) {
+  service_.call("PUT", "/v1/objects/" + name, std::move(bytes), objectHandler(std::move(callback)));
+}
+
+void HttpMachineListClient::fetch(platform::MachineListCallback callback) {
+  service_.call("GET", "/v1/machines", {},
+                [callback = std::move(callback)](const HttpResult& result) {
+                  const auto* response = std::get_if<HttpResponse>(&result);
+                  const bool answered = response != nullptr && response->status == kOk;
+                  callback(answered ? machinesFromJson(response->body) : std::nullopt);
+                });
+}
+
+}  // namespace covewing::live
--- /dev/null
+++ b/src/live/http_platform_clients.h
@@ -0,0 +1,62 @@
+/// \file
+/// Table service, object store and machine list over HTTP (docs/PLATFORM.md).
+#pragma once
+
+#include <string>
+
+#include "base/endpoint.h"
+#include "base/time.h"
+#include "live/http_client.h"
+#include "platform/machine_list_client.h"
+#include "platform/object_store_client.h"
+#include "platform/table_client.h"
+
+namespace covewing::live {
+
+/// One platform service: where it is and how long an answer may take.
+class PlatformService {
+ public:
+  PlatformService(HttpClient& client, const base::Endpoint& endpoint, base::Duration timeout)
+      : client_(client), endpoint_(endpoint), timeout_(timeout) {}
+  void call(std::string method, std::string target, std::string body,
+            std::function<void(HttpResult)> callback);
+
+ private:
+  HttpClient& client_;
+  base::Endpoint endpoint_;
+  base::Duration timeout_;
+  std::uint64_t lastRequest_ = 0;
+};
+
+class HttpTableClient final : public platform::TableClient {
+ public:
+  explicit HttpTableClient(PlatformService service) : service_(service) {}
+  void read(std::vector<std::string> keys, platform::TableCallback callback) override;
+  void scan(std::string prefix, base::Revision after, std::size_t limit,
+            platform::TableCallback callback) override;
+  void commit(platform::TableTransaction transaction, platform::TableCallback callback) override;
+
+ private:
+  PlatformService service_;
+};
+
+class HttpObjectStoreClient final : public platform::ObjectStoreClient {
+ public:
+  explicit HttpObjectStoreClient(PlatformService service) : service_(service) {}
+  void get(std::string name, platform::ObjectCallback callback) override;
+  void put(std::string name, std::string bytes, platform::ObjectCallback callback) override;
+
+ private:
+  PlatformService service_;
+};
+
+class HttpMachineListClient final : public platform::MachineListClient {
+ public:
+  explicit HttpMachineListClient(PlatformService service) : service_(service) {}
+  void fetch(platform::MachineListCallback callback) override;
+
+ private:
+  PlatformService service_;
+};
+
+}  // namespace covewing::live
--- a/src/live/http_server.h
+++ b/src/live/http_server.h
@@ -41,7 +41,8 @@
 /// One request and its answer. The answer is either one `respond`, or `beginStream`, any number of
 /// `write` and `end`. Calls after the answer is finished or the peer is gone do nothing. Destroying
 /// the last reference before the answer is finished closes the connection, so that the peer sees an
-/// incomplete answer. Everything runs on the io_context's thread.
+/// incomplete answer. An `X-Request-Id` of the request is echoed unless the answer's headers hold
+/// one. Everything runs on the io_context's thread.
 class HttpExchange {
  public:
   virtual ~HttpExchange() = default;
--- /dev/null
+++ b/src/live/peer_transport.cc
@@ -0,0 +1,246 @@
+#include "live/peer_transport.h"
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
+
+#include "live/lazy_deadline.h"
+#include "node/peer_frame.h"
+
+namespace covewing::live {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using asio::ip::udp;
+
+constexpr std::size_t kDatagramBuffer = 2048;
+constexpr std::size_t kPrefixBytes = sizeof(std::uint32_t);
+/// Largest frame over TCP; a whole copy of the configuration at today's size is a fraction of it.
+constexpr std::size_t kMaximumFrame = 32U << 20U;
+constexpr std::size_t kMaximumIncoming = 256;
+constexpr std::size_t kMaximumOutgoing = 256;
+constexpr base::Duration kConnectionTime = std::chrono::seconds(10);
+constexpr int kPortAttempts = 32;
+
+/// One TCP connection that carries one frame, in either direction.
+struct FrameConnection : std::enable_shared_from_this<FrameConnection> {
+  FrameConnection(tcp::socket connected, std::size_t& openCounter)
+      : socket(std::move(connected)), open(openCounter), deadline(socket.get_executor(), [this] {
+          boost::system::error_code error;
+          socket.close(error);
+        }) {
+    ++open;
+    deadline.set(kConnectionTime);
+  }
+  ~FrameConnection() { --open; }
+  FrameConnection(const FrameConnection&) = delete;
+  FrameConnection& operator=(const FrameConnection&) = delete;
+
+  tcp::socket socket;
+  std::size_t& open;
+  LazyDeadline deadline;
+  std::array<unsigned char, kPrefixBytes> prefix{};
+  std::string frame;
+};
+
+}  // namespace
+
+struct AsioPeerTransport::Impl : std::enable_shared_from_this<AsioPeerTransport::Impl> {
+  Impl(asio::io_context& ioContext, base::EventLog& eventLog)
+      : context(ioContext), log(eventLog), datagrams(ioContext), acceptor(ioContext) {}
+
+  bool tryBind(const base::Endpoint& endpoint, boost::system::error_code& error) {
+    close();
+    const asio::ip::address_v4 address(endpoint.address);
+    acceptor.open(tcp::v4(), error);
+    if (!error) acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error) acceptor.bind({address, endpoint.port}, error);
+    if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error) return false;
+    const auto port = acceptor.local_endpoint().port();
+    datagrams.open(udp::v4(), error);
+    if (!error) datagrams.bind({address, port}, error);
+    if (!error) datagrams.non_blocking(true, error);
+    return !error;
+  }
+
+  void close() {
+    boost::system::error_code ignored;
+    acceptor.close(ignored);
+    datagrams.close(ignored);
+  }
+
+  void receiveDatagram() {
+    datagrams.async_receive_from(
+        asio::buffer(datagramBuffer), datagramSender,
+        [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
+          if (error == asio::error::operation_aborted) return;
+          // Other errors are those of earlier sends, such as a refused port.
+          if (!error) self->deliver({self->datagramBuffer.data(), bytes});
+          if (self->datagrams.is_open()) self->receiveDatagram();
+        });
+  }
+
+  void accept() {
+    acceptor.async_accept(
+        [self = shared_from_this()](boost::system::error_code error, tcp::socket socket) {
+          if (error == asio::error::operation_aborted || !self->acceptor.is_open()) return;
+          if (!error && self->incoming < kMaximumIncoming) self->receiveFrame(std::move(socket));
+          self->accept();
+        });
+  }
+
+  void receiveFrame(tcp::socket socket) {
+    auto connection = std::make_shared<FrameConnection>(std::move(socket), incoming);
+    asio::async_read(
+        connection->socket, asio::buffer(connection->prefix),
+        [self = shared_from_this(), connection](boost::system::error_code error, std::size_t) {
+          if (error) return;
+          const auto length = boost::endian::load_big_u32(connection->prefix.data());
+          if (length > kMaximumFrame) {
+            self->reject({base::ResultCode::kMessageMalformed, "frame too long"});
+            return;
+          }
+          connection->frame.resize(length);
+          self->receiveBody(connection);
+        });
+  }
+
+  void receiveBody(const std::shared_ptr<FrameConnection>& connection) {
+    asio::async_read(
+        connection->socket, asio::buffer(connection->frame),
+        [self = shared_from_this(), connection](boost::system::error_code error, std::size_t) {
+          if (!error) self->deliver(connection->frame);
+        });
+  }
+
+  void deliver(std::string_view bytes) {
+    base::Reason reason;
+    const auto frame = node::decodePeerFrame(bytes, reason);
+    if (!frame) {
+      reject(reason);
+      return;
+    }
+    ++counters.receivedFrames;
+    counters.receivedBytes += bytes.size();
+    if (handler) handler(frame->sender, frame->channel, frame->payload);
+  }
+
+  void reject(const base::Reason& reason) {
+    ++counters.rejectedFrames;
+    log.write(
+        base::Event::kMessageRejected,
+        {{"code", std::to_string(static_cast<unsigned>(reason.code))}, {"detail", reason.detail}});
+  }
+
+  void sendDatagram(const base::Endpoint& destination, const std::string& frame) {
+    boost::system::error_code error;
+    datagrams.send_to(asio::buffer(frame),
+                      {asio::ip::address_v4(destination.address), destination.port}, 0, error);
+    if (error) {
+      ++counters.droppedFrames;
+      return;
+    }
+    countSent(frame.size());
+  }
+
+  void sendOverConnection(const base::Endpoint& destination, std::string frame) {
+    if (outgoing >= kMaximumOutgoing || frame.size() > kMaximumFrame) {
+      ++counters.droppedFrames;
+      return;
+    }
+    auto connection = std::make_shared<FrameConnection>(tcp::socket(context), outgoing);
+    boost::endian::store_big_u32(connection->prefix.data(),
+                                 static_cast<std::uint32_t>(frame.size()));
+    connection->frame = std::move(frame);
+    connection->socket.async_connect(
+        {asio::ip::address_v4(destination.address), destination.port},
+        [self = shared_from_this(), connection](boost::system::error_code error) {
+          if (error) {
+            ++self->counters.droppedFrames;
+            return;
+          }
+          self->writeFrame(connection);
+        });
+  }
+
+  void writeFrame(const std::shared_ptr<FrameConnection>& connection) {
+    const std::array<asio::const_buffer, 2> buffers = {asio::buffer(connection->prefix),
+                                                       asio::buffer(connection->frame)};
+    asio::async_write(
+        connection->socket, buffers,
+        [self = shared_from_this(), connection](boost::system::error_code error, std::size_t) {
+          if (error) {
+            ++self->counters.droppedFrames;
+          } else {
+            self->countSent(connection->frame.size());
+          }
+        });
+  }
+
+  void countSent(std::size_t bytes) {
+    ++counters.sentFrames;
+    counters.sentBytes += bytes;
+  }
+
+  asio::io_context& context;
+  base::EventLog& log;
+  udp::socket datagrams;
+  tcp::acceptor acceptor;
+  udp::endpoint datagramSender;
+  std::array<char, kDatagramBuffer> datagramBuffer{};
+  std::size_t incoming = 0;
+  std::size_t outgoing = 0;
+  base::PeerIdentity self;
+  PeerFrameHandler handler;
+  PeerTransportCounters counters;
+};
+
+AsioPeerTransport::AsioPeerTransport(asio::io_context& context, base::EventLog& log)
+    : impl_(std::make_shared<Impl>(context, log)) {}
+
+AsioPeerTransport::~AsioPeerTransport() {
+  impl_->handler = nullptr;
+  impl_->close();
+}
+
+std::optional<base::Endpoint> AsioPeerTransport::bind(const base::Endpoint& endpoint,
+                                                      base::Reason& reason) {
+  boost::system::error_code error;
+  // A free TCP port may be taken for UDP: with port 0, try others.
+  const int attempts = endpoint.port == 0 ? kPortAttempts : 1;
+  for (int attempt = 0; attempt < attempts; ++attempt) {
+    if (impl_->tryBind(endpoint, error))
+      return base::Endpoint{endpoint.address, impl_->acceptor.local_endpoint().port()};
+  }
+  reason = {base::ResultCode::kSettingsInvalid,
+            "cannot bind " + toString(endpoint) + ": " + error.message()};
+  return std::nullopt;
+}
+
+void AsioPeerTransport::start(const base::PeerIdentity& self, PeerFrameHandler handler) {
+  impl_->self = self;
+  impl_->handler = std::move(handler);
+  impl_->receiveDatagram();
+  impl_->accept();
+}
+
+void AsioPeerTransport::send(const base::Endpoint& destination, base::Channel channel,
+                             std::string payload) {
+  auto frame = node::encodePeerFrame(impl_->self, channel, payload);
+  if (payload.size() <= kDatagramLimit) {
+    impl_->sendDatagram(destination, frame);
+  } else {
+    impl_->sendOverConnection(destination, std::move(frame));
+  }
+}
+
+const PeerTransportCounters& AsioPeerTransport::counters() const { return impl_->counters; }
+
+}  // namespace covewing::live
--- /dev/null
+++ b/src/live/utf8.h
@@ -0,0 +1,12 @@
+/// \file
+/// Check of UTF-8 texts.
+#pragma once
+
+#include <string_view>
+
+namespace covewing::live {
+
+/// True for well-formed UTF-8 (no overlong forms, no surrogates, at most U+10FFFF).
+bool isValidUtf8(std::string_view text);
+
+}  // namespace covewing::live
