Add the cache index of an engine's home nodes and its lookups

Two homes an engine poll its reports and keep the index; routers ask the first home of each candidate and announce where they sent the request, so that the home knows queue and coming cache content of all routers before reports and events tell. A new incarnation or the removal of weights drops the entries.

--- /dev/null
+++ b/src/routing/cache_index_home.cc
@@ -0,0 +1,229 @@
+#include "routing/cache_index_home.h"
+
+#include <algorithm>
+
+namespace covewing::routing {
+
+namespace {
+
+/// Resolution of the stamps in the tables of asked and exported checkpoints; 16 bits last 18 hours.
+constexpr base::Duration kStampUnit = std::chrono::seconds(1);
+constexpr std::size_t kBytesPerSnapshotBlock = sizeof(std::uint64_t);
+/// Reports older than this say nothing about load and cache any more.
+constexpr base::Duration kReportLifetime = std::chrono::seconds(5);
+/// An engine without reports for this long is followed by other homes now.
+constexpr base::Duration kFollowedLifetime = std::chrono::seconds(30);
+constexpr double kJitter = 0.2;
+
+bool stillLoaded(const platform::LoadedWeights& before,
+                 const std::vector<platform::LoadedWeights>& now) {
+  return std::any_of(now.begin(), now.end(), [&](const platform::LoadedWeights& loaded) {
+    return loaded.model == before.model && loaded.version == before.version;
+  });
+}
+
+}  // namespace
+
+CacheIndexHome::CacheIndexHome(CacheIndexHomeOptions options, CacheIndexHomeEnvironment environment)
+    : options_(options), environment_(environment) {
+  environment_.directory.addListener(*this);
+}
+
+CacheIndexHome::~CacheIndexHome() { environment_.directory.removeListener(*this); }
+
+void CacheIndexHome::start() { scheduleMaintenance(); }
+
+// --- lookups
+
+CacheIndexHome::Followed* CacheIndexHome::find(EngineTag32 engine) {
+  const auto found = followed_.find(engine);
+  return found == followed_.end() ? nullptr : &found->second;
+}
+
+LookupReply CacheIndexHome::answer(base::NodeId asker, const LookupRequest& request) {
+  ++counters_.lookups;
+  const auto now = environment_.clock.now();
+  LookupReply reply;
+  reply.lookupId = request.lookupId;
+  reply.sharedBlocks = depthIn(asked_, request.checkpoints, options_.sharedMemory);
+  reply.exportedBlocks = depthIn(exported_, request.checkpoints, options_.exportMemory);
+  for (const auto engine : request.engines) reply.entries.push_back(entryFor(engine, request));
+  for (const auto fingerprint : request.checkpoints.fingerprints) {
+    asked_.insert(fingerprint, stampOf(now));
+  }
+  lookups_.push_back({asker, request.lookupId, now + options_.lookupMemory, request.checkpoints});
+  return reply;
+}
+
+LookupEntry CacheIndexHome::entryFor(EngineTag32 engine, const LookupRequest& request) {
+  LookupEntry entry;
+  entry.engine = engine;
+  const Followed* followed = find(engine);
+  if (followed == nullptr) return entry;
+  const EngineState* state = environment_.directory.find(followed->id);
+  const auto now = environment_.clock.now();
+  if (state == nullptr || state->unreachable || now - followed->reportedAt > kReportLifetime)
+    return entry;
+  const auto match = followed->index.match(request.checkpoints);
+  entry.known = true;
+  entry.doubtful = match.doubtful;
+  entry.matchedBlocks = match.blocks;
+  entry.tokensAhead =
+      static_cast<std::uint32_t>(followed->queue.tokensAhead(request.priority, now));
+  entry.requests = followed->queue.requests();
+  entry.incarnation = state->incarnation;
+  return entry;
+}
+
+std::uint32_t CacheIndexHome::depthIn(const prefix::BlockTable& table,
+                                      const prefix::Checkpoints& checkpoints,
+                                      base::Duration memory) const {
+  const auto now = stampOf(environment_.clock.now());
+  for (std::size_t index = checkpoints.fingerprints.size(); index-- > 0;) {
+    const auto stamp = table.find(checkpoints.fingerprints[index]);
+    if (!stamp) continue;
+    const auto age = kStampUnit * static_cast<prefix::BlockTable::Mark>(now - *stamp);
+    if (age <= memory) return checkpoints.depth(index);
+  }
+  return 0;
+}
+
+void CacheIndexHome::onDispatch(base::NodeId router, const DispatchNotice& notice) {
+  Followed* followed = find(notice.engine);
+  if (followed == nullptr) return;
+  const auto now = environment_.clock.now();
+  followed->queue.onDispatched(notice.priority, notice.uncachedTokens, now);
+  const auto lookup =
+      std::find_if(lookups_.begin(), lookups_.end(), [&](const PendingLookup& pending) {
+        return pending.asker == router && pending.lookupId == notice.lookupId;
+      });
+  if (lookup == lookups_.end()) return;
+  followed->index.announce(lookup->checkpoints, now);
+}
+
+// --- reports
+
+void CacheIndexHome::onReport(const EngineState& engine, const platform::EngineReport& report) {
+  const auto tag = shortIdOf(engine.address.id);
+  const auto now = environment_.clock.now();
+  auto [position, added] = followed_.try_emplace(
+      tag, Followed{engine.address.id, report.weights, EngineCacheIndex(options_.index),
+                    QueueEstimate(options_.queue), now});
+  Followed& followed = position->second;
+  dropOnWeightsChange(followed, engine);
+  followed.reportedAt = now;
+  followed.queue.onReport(report.load, now);
+  noteExports(report);
+  if (followed.index.apply(report, now) || added) return;
+  ++counters_.gaps;
+  environment_.log.write(base::Event::kCacheEventGap, {{"engine", engine.address.name}});
+}
+
+void CacheIndexHome::dropOnWeightsChange(Followed& followed, const EngineState& engine) {
+  const bool removed = std::any_of(
+      followed.weights.begin(), followed.weights.end(),
+      [&](const platform::LoadedWeights& before) { return !stillLoaded(before, engine.weights); });
+  followed.weights = engine.weights;
+  if (removed) followed.index.clear();
+}
+
+void CacheIndexHome::noteExports(const platform::EngineReport& report) {
+  const auto stamp = stampOf(environment_.clock.now());
+  for (const auto& event : report.events) {
+    if (event.kind != platform::CacheEventKind::kExported) continue;
+    exported_.insert(prefix::fingerprintOf(event.block), stamp);
+  }
+}
+
+void CacheIndexHome::onRestarted(const EngineState& engine) {
+  Followed* followed = find(shortIdOf(engine.address.id));
+  if (followed == nullptr) return;
+  followed->index.clear();
+  followed->queue.clear();
+}
+
+void CacheIndexHome::onForgotten(base::EngineId engine) { followed_.erase(shortIdOf(engine)); }
+
+// --- maintenance
+
+void CacheIndexHome::scheduleMaintenance() {
+  const auto delay = environment_.random.jittered(options_.maintenanceInterval, kJitter);
+  environment_.timers.schedule(delay, [this, alive = std::weak_ptr(lifetime_)] {
+    if (alive.expired()) return;
+    maintain();
+    scheduleMaintenance();
+  });
+}
+
+void CacheIndexHome::maintain() {
+  const auto now = environment_.clock.now();
+  std::erase_if(followed_, [&](const auto& entry) {
+    return now - entry.second.reportedAt > kFollowedLifetime;
+  });
+  for (auto& [tag, followed] : followed_) followed.index.expire(now);
+  expireMemories(now);
+  if (!resyncOutstanding_ && now >= nextResync_) startResync();
+}
+
+void CacheIndexHome::expireMemories(base::TimePoint now) {
+  while (!lookups_.empty() && lookups_.front().expiry <= now) lookups_.pop_front();
+  const auto stamp = stampOf(now);
+  const auto expire = [&](prefix::BlockTable& table, base::Duration memory) {
+    table.eraseIf([&](prefix::BlockTable::Mark mark) {
+      return kStampUnit * static_cast<prefix::BlockTable::Mark>(stamp - mark) > memory;
+    });
+  };
+  expire(asked_, options_.sharedMemory);
+  expire(exported_, options_.exportMemory);
+}
+
+void CacheIndexHome::startResync() {
+  for (auto& [tag, followed] : followed_) {
+    const EngineState* state = environment_.directory.find(followed.id);
+    if (!followed.index.resyncDue() || state == nullptr || state->unreachable) continue;
+    resyncOutstanding_ = true;
+    environment_.engines.snapshot(state->address,
+                                  [this, engine = tag, alive = std::weak_ptr(lifetime_)](
+                                      const std::optional<platform::EngineReport>& snapshot) {
+                                    if (!alive.expired()) onSnapshot(engine, snapshot);
+                                  });
+    return;
+  }
+}
+
+void CacheIndexHome::onSnapshot(EngineTag32 engine,
+                                const std::optional<platform::EngineReport>& snapshot) {
+  resyncOutstanding_ = false;
+  const auto now = environment_.clock.now();
+  nextResync_ = now + options_.maintenanceInterval;
+  Followed* followed = find(engine);
+  if (!snapshot || followed == nullptr) return;
+  const auto bytes = snapshot->events.size() * kBytesPerSnapshotBlock;
+  const double pause = static_cast<double>(bytes) / options_.resyncBytesPerSecond;
+  nextResync_ =
+      now + std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(pause));
+  const EngineState* state = environment_.directory.find(followed->id);
+  if (state == nullptr || state->incarnation != snapshot->incarnation) return;
+  followed->index.resync(*snapshot);
+  ++counters_.resyncs;
+  counters_.resyncBytes += bytes;
+  environment_.log.write(base::Event::kCacheResynced, {{"engine", state->address.name}});
+}
+
+prefix::BlockTable::Mark CacheIndexHome::stampOf(base::TimePoint time) const {
+  return static_cast<prefix::BlockTable::Mark>(time.time_since_epoch() / kStampUnit);
+}
+
+std::size_t CacheIndexHome::entries() const {
+  std::size_t count = 0;
+  for (const auto& [tag, followed] : followed_) count += followed.index.entries();
+  return count;
+}
+
+std::size_t CacheIndexHome::memoryBytes() const {
+  std::size_t bytes = asked_.memoryBytes() + exported_.memoryBytes();
+  for (const auto& [tag, followed] : followed_) bytes += followed.index.memoryBytes();
+  return bytes;
+}
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/cache_index_home.h
@@ -0,0 +1,119 @@
+/// \file
+/// The part of a node that is a home of some engines: it keeps their cache index and queue
+/// estimates from the reports that the engine directory polls, answers routers' lookups, and asks
+/// engines for snapshots, paced, where events were lost.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "base/event_log.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "platform/engine_client.h"
+#include "prefix/block_table.h"
+#include "routing/cache_messages.h"
+#include "routing/engine_cache_index.h"
+#include "routing/engine_directory.h"
+#include "routing/queue_estimate.h"
+
+namespace covewing::routing {
+
+struct CacheIndexHomeOptions {
+  CacheIndexOptions index;
+  QueueEstimateOptions queue;
+  /// Time between two rounds of expiry and resync.
+  base::Duration maintenanceInterval = std::chrono::milliseconds(250);
+  /// Mean rate of snapshot bytes that this node asks for.
+  double resyncBytesPerSecond = 32'768;
+  /// A lookup waits this long for the announcement that belongs to it.
+  base::Duration lookupMemory = std::chrono::seconds(2);
+  /// How long a prefix counts as lately asked for.
+  base::Duration sharedMemory = std::chrono::seconds(60);
+  /// How long an export is believed to be in the store.
+  base::Duration exportMemory = std::chrono::seconds(60);
+};
+
+struct CacheIndexHomeEnvironment {
+  base::Clock& clock;
+  base::TimerService& timers;
+  base::RandomSource& random;
+  base::EventLog& log;
+  platform::EngineClient& engines;
+  EngineDirectory& directory;
+};
+
+/// Counts for metrics and measurements.
+struct CacheIndexHomeCounters {
+  std::uint64_t lookups = 0;
+  std::uint64_t gaps = 0;
+  std::uint64_t resyncs = 0;
+  std::uint64_t resyncBytes = 0;
+};
+
+class CacheIndexHome final : public EngineListener {
+ public:
+  CacheIndexHome(CacheIndexHomeOptions options, CacheIndexHomeEnvironment environment);
+  ~CacheIndexHome() override;
+  CacheIndexHome(const CacheIndexHome&) = delete;
+  CacheIndexHome& operator=(const CacheIndexHome&) = delete;
+
+  void start();
+
+  /// Answers for the engines that this node follows; others are marked as not known.
+  LookupReply answer(base::NodeId asker, const LookupRequest& request);
+  void onDispatch(base::NodeId router, const DispatchNotice& notice);
+
+  void onReport(const EngineState& engine, const platform::EngineReport& report) override;
+  void onRestarted(const EngineState& engine) override;
+  void onForgotten(base::EngineId engine) override;
+
+  const CacheIndexHomeCounters& counters() const { return counters_; }
+  std::size_t entries() const;
+  std::size_t memoryBytes() const;
+
+ private:
+  struct Followed {
+    base::EngineId id;
+    std::vector<platform::LoadedWeights> weights;
+    EngineCacheIndex index;
+    QueueEstimate queue;
+    base::TimePoint reportedAt{};
+  };
+  struct PendingLookup {
+    base::NodeId asker;
+    std::uint64_t lookupId = 0;
+    base::TimePoint expiry;
+    prefix::Checkpoints checkpoints;
+  };
+
+  Followed* find(EngineTag32 engine);
+  LookupEntry entryFor(EngineTag32 engine, const LookupRequest& request);
+  void dropOnWeightsChange(Followed& followed, const EngineState& engine);
+  void noteExports(const platform::EngineReport& report);
+  std::uint32_t depthIn(const prefix::BlockTable& table, const prefix::Checkpoints& checkpoints,
+                        base::Duration memory) const;
+  void scheduleMaintenance();
+  void maintain();
+  void expireMemories(base::TimePoint now);
+  void startResync();
+  void onSnapshot(EngineTag32 engine, const std::optional<platform::EngineReport>& snapshot);
+  prefix::BlockTable::Mark stampOf(base::TimePoint time) const;
+
+  CacheIndexHomeOptions options_;
+  CacheIndexHomeEnvironment environment_;
+  std::map<EngineTag32, Followed> followed_;
+  std::deque<PendingLookup> lookups_;
+  /// Checkpoints of lookups, and of exports, stamped with their time.
+  prefix::BlockTable asked_;
+  prefix::BlockTable exported_;
+  bool resyncOutstanding_ = false;
+  base::TimePoint nextResync_{};
+  CacheIndexHomeCounters counters_;
+  std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
+};
+
+}  // namespace covewing::routing
--- a/src/routing/engine_directory.cc
+++ b/src/routing/engine_directory.cc
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// Sequence number to ask for where only the state is wanted: no event has one as high.
-constexpr std::uint64_t kNoEvents = UINT64_MAX;
-
 bool idLess(const EngineState& engine, base::EngineId id) { return engine.address.id < id; }
 
 bool usable(const EngineState& engine) {
@@ -163,15 +160,15 @@
   });
 }
 
-bool EngineDirectory::polls(const EngineState& engine) const {
-  return options_.pollScope == PollScope::kAllEngines || isHomeOf(engine.address.id);
+bool EngineDirectory::polls(base::EngineId engine) const {
+  return options_.pollScope == PollScope::kAllEngines || isHomeOf(engine);
 }
 
 void EngineDirectory::onPollTimer(base::EngineId id) {
   EngineState* engine = findMutable(id);
   if (engine == nullptr) return;
   auto& tracking = tracking_.at(id);
-  const bool home = polls(*engine);
+  const bool home = polls(id);
   if (tracking.pollOutstanding) {
     onMissedPoll(*engine, tracking);
   } else if (home || !tracking.stateKnown) {
@@ -188,9 +185,8 @@
 void EngineDirectory::poll(EngineState& engine, Tracking& tracking) {
   tracking.pollOutstanding = true;
   const auto id = engine.address.id;
-  const std::uint64_t from = polls(engine) ? tracking.nextSequence : kNoEvents;
   environment_.engines.poll(
-      engine.address, from,
+      engine.address, tracking.nextSequence,
       [this, id, alive = std::weak_ptr(lifetime_)](std::optional<platform::EngineReport> report) {
         if (!alive.expired()) onPollAnswer(id, std::move(report));
       });
@@ -229,7 +225,7 @@
   engine.weights = report.weights;
   engine.load = KnownLoad{report.load, now};
   refresh(engine, tracking);
-  if (!polls(engine)) return;
+  if (!polls(engine.address.id)) return;
   tracking.nextSequence = report.nextSequence;
   publishIfChanged(engine, tracking);
   for (auto* listener : listeners_) listener->onReport(engine, report);
--- a/src/routing/engine_directory.h
+++ b/src/routing/engine_directory.h
@@ -108,6 +108,8 @@
   /// The homes of an engine, best first; empty for an unknown engine.
   std::vector<base::NodeId> homes(base::EngineId engine) const;
   bool isHomeOf(base::EngineId engine) const;
+  /// This node polls the engine's reports, as a home or because it polls all.
+  bool polls(base::EngineId engine) const;
 
  private:
   struct Tracking {
@@ -144,7 +146,6 @@
   void poll(EngineState& engine, Tracking& tracking);
   void onPollAnswer(base::EngineId engine, std::optional<platform::EngineReport> report);
   void onReport(EngineState& engine, Tracking& tracking, const platform::EngineReport& report);
-  bool polls(const EngineState& engine) const;
   void onMissedPoll(EngineState& engine, Tracking& tracking);
 
   void onRecord(const membership::GossipRecord& gossip);
