Add the policy by expected time to first token and the baselines

prefix_affinity takes a candidate set by rendezvous of the prompt's root, wider for hot roots, asks the candidates' homes and takes the least expected time to first token; computed tokens weigh half as much again as queued ones, because recomputing what waits to be cached elsewhere delays those who come after (without it, a second router preferred an idle engine to the one that was just computing the same prompt). Near-equal engines are drawn at random. Prefixes that other requests share are exported to the store of kept KV cache, and imported where that beats computing.

least_loaded, power_of_two, full_index and probe_pool stand beside it. default stays prefix_hash until measurements speak for another.

--- /dev/null
+++ b/src/routing/full_index_policy.h
@@ -0,0 +1,26 @@
+/// \file
+/// Baseline: every node polls all engines and keeps the whole cache index; the engine with the
+/// least expected time to first token of all is taken. Its control traffic grows with the fleet.
+#pragma once
+
+#include <memory>
+
+#include "routing/policy_factory.h"
+
+namespace covewing::routing {
+
+class FullIndexPolicy final : public RoutingPolicy {
+ public:
+  explicit FullIndexPolicy(PolicyEnvironment environment) : environment_(std::move(environment)) {}
+  std::string_view name() const override { return "full_index"; }
+  void choose(RouteQuery query, RouteCallback callback) override;
+  void onDispatched(const RouteQuery& query, const RouteDecision& decision) override;
+  void onFinished(base::EngineId /*engine*/, std::uint32_t /*promptTokens*/,
+                  std::uint32_t /*cachedTokens*/, base::Duration /*firstTokenAfter*/) override {}
+
+ private:
+  PolicyEnvironment environment_;
+  std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
+};
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/least_loaded_policy.h
@@ -0,0 +1,27 @@
+/// \file
+/// Baseline: the engine with the fewest requests, by reports of all engines and own dispatches
+/// since; caches play no part.
+#pragma once
+
+#include <memory>
+
+#include "routing/policy_factory.h"
+
+namespace covewing::routing {
+
+class LeastLoadedPolicy final : public RoutingPolicy {
+ public:
+  explicit LeastLoadedPolicy(PolicyEnvironment environment)
+      : environment_(std::move(environment)) {}
+  std::string_view name() const override { return "least_loaded"; }
+  void choose(RouteQuery query, RouteCallback callback) override;
+  void onDispatched(const RouteQuery& query, const RouteDecision& decision) override;
+  void onFinished(base::EngineId /*engine*/, std::uint32_t /*promptTokens*/,
+                  std::uint32_t /*cachedTokens*/, base::Duration /*firstTokenAfter*/) override {}
+
+ private:
+  PolicyEnvironment environment_;
+  std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
+};
+
+}  // namespace covewing::routing
--- a/src/routing/policy_factory.cc
+++ b/src/routing/policy_factory.cc
@@ -3,7 +3,12 @@
 #include <array>
 #include <string>
 
+#include "routing/full_index_policy.h"
+#include "routing/least_loaded_policy.h"
+#include "routing/power_of_two_policy.h"
+#include "routing/prefix_affinity_policy.h"
 #include "routing/prefix_hash_policy.h"
+#include "routing/probe_pool_policy.h"
 #include "routing/random_policy.h"
 #include "routing/round_robin_policy.h"
 
@@ -28,7 +33,12 @@
     PolicyEntry{kDefaultPolicy, make<PrefixHashPolicy>, PollScope::kHomeEngines},
     PolicyEntry{"random", make<RandomPolicy>, PollScope::kHomeEngines},
     PolicyEntry{"round_robin", make<RoundRobinPolicy>, PollScope::kHomeEngines},
+    PolicyEntry{"least_loaded", make<LeastLoadedPolicy>, PollScope::kAllEngines},
+    PolicyEntry{"power_of_two", make<PowerOfTwoPolicy>, PollScope::kAllEngines},
     PolicyEntry{"prefix_hash", make<PrefixHashPolicy>, PollScope::kHomeEngines},
+    PolicyEntry{"full_index", make<FullIndexPolicy>, PollScope::kAllEngines},
+    PolicyEntry{"probe_pool", make<ProbePoolPolicy>, PollScope::kHomeEngines},
+    PolicyEntry{"prefix_affinity", make<PrefixAffinityPolicy>, PollScope::kHomeEngines},
 };
 
 const PolicyEntry* findPolicy(std::string_view name) {
--- /dev/null
+++ b/src/routing/power_of_two_policy.h
@@ -0,0 +1,25 @@
+/// \file
+/// Baseline: of two engines drawn at random, the one with fewer requests.
+#pragma once
+
+#include <memory>
+
+#include "routing/policy_factory.h"
+
+namespace covewing::routing {
+
+class PowerOfTwoPolicy final : public RoutingPolicy {
+ public:
+  explicit PowerOfTwoPolicy(PolicyEnvironment environment) : environment_(std::move(environment)) {}
+  std::string_view name() const override { return "power_of_two"; }
+  void choose(RouteQuery query, RouteCallback callback) override;
+  void onDispatched(const RouteQuery& query, const RouteDecision& decision) override;
+  void onFinished(base::EngineId /*engine*/, std::uint32_t /*promptTokens*/,
+                  std::uint32_t /*cachedTokens*/, base::Duration /*firstTokenAfter*/) override {}
+
+ private:
+  PolicyEnvironment environment_;
+  std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
+};
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/prefix_affinity_policy.cc
@@ -0,0 +1,90 @@
+#include "routing/prefix_affinity_policy.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+#include <utility>
+
+#include "prefix/checkpoints.h"
+#include "routing/candidates.h"
+#include "routing/engine_ranking.h"
+
+namespace covewing::routing {
+
+namespace {
+
+/// Load of a request besides its prefill, as prompt tokens: its decoding steps.
+constexpr std::uint32_t kDecodeTokens = 200;
+
+}  // namespace
+
+PrefixAffinityPolicy::PrefixAffinityPolicy(PolicyEnvironment environment)
+    : environment_(std::move(environment)), heat_({}) {}
+
+std::string_view PrefixAffinityPolicy::region() const {
+  return environment_.members == nullptr ? std::string_view{}
+                                         : std::string_view{environment_.members->self().region};
+}
+
+std::size_t PrefixAffinityPolicy::width(std::uint64_t root, base::TimePoint now) {
+  const auto& tuning = environment_.tuning;
+  const std::size_t nodes =
+      environment_.members == nullptr ? 1 : environment_.members->liveMembers().size();
+  // Callers spread over all nodes, so this node's rate stands for the whole.
+  const double demand = heat_.tokensPerSecond(root, now) * static_cast<double>(nodes) /
+                        tuning.service.prefillTokensPerSecond;
+  const auto extra = static_cast<std::size_t>(std::floor(demand * tuning.widthPerDemand));
+  const auto wanted = std::min(tuning.candidates + extra, tuning.maximumCandidates);
+  return std::max<std::size_t>(1, heat_.width(root, wanted, now));
+}
+
+std::vector<base::EngineId> PrefixAffinityPolicy::candidates(const RouteQuery& query) {
+  const auto& tuning = environment_.tuning;
+  auto engines = qualifyingEngines(environment_.fleet, query);
+  const auto root = prefixKey(query, tuning.rootBlock);
+  sortByRendezvous(engines, root);
+  const auto regular = std::min(width(root, environment_.clock.now()), engines.size());
+  // Moves randomly drawn engines behind the regular ones.
+  const auto wanted = std::min(regular + tuning.spillCandidates, engines.size());
+  for (std::size_t index = regular; index < wanted; ++index) {
+    const auto drawn = index + environment_.random.below(engines.size() - index);
+    std::swap(engines[index], engines[drawn]);
+  }
+  std::vector<base::EngineId> ids;
+  for (std::size_t index = 0; index < wanted; ++index) ids.push_back(engines[index]->address.id);
+  return ids;
+}
+
+void PrefixAffinityPolicy::choose(RouteQuery query, RouteCallback callback) {
+  const auto engines = candidates(query);
+  if (engines.empty()) return callback(noEngine(query));
+  if (environment_.lookup == nullptr) {
+    return callback(decideFor(*environment_.fleet.find(engines.front())));
+  }
+  const auto checkpoints =
+      query.chain ? prefix::checkpointsOf(*query.chain) : prefix::Checkpoints{};
+  const auto priority = query.priority;
+  environment_.lookup->lookup(
+      priority, engines, checkpoints,
+      [this, alive = std::weak_ptr(lifetime_), query = std::move(query),
+       callback = std::move(callback)](const LookupResult& result) {
+        if (alive.expired()) return;
+        callback(chooseByService(environment_.fleet, query, result, environment_.tuning,
+                                 {environment_.zone, region()}, environment_.random));
+      });
+}
+
+void PrefixAffinityPolicy::onDispatched(const RouteQuery& query, const RouteDecision& decision) {
+  if (!decision.engine) return;
+  const auto root = prefixKey(query, environment_.tuning.rootBlock);
+  heat_.note(root, decision.uncachedTokens + kDecodeTokens, environment_.clock.now());
+  if (environment_.lookup == nullptr) return;
+  environment_.lookup->announce(decision.lookupId, *decision.engine, query.priority,
+                                decision.uncachedTokens);
+}
+
+void PrefixAffinityPolicy::onFinished(base::EngineId /*engine*/, std::uint32_t /*promptTokens*/,
+                                      std::uint32_t /*cachedTokens*/,
+                                      base::Duration /*firstTokenAfter*/) {}
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/prefix_heat.h
@@ -0,0 +1,51 @@
+/// \file
+/// How hot each prefix root is, by this node's own traffic: decides how many engines may hold it.
+/// Widens with the first measurement, narrows one engine at a time.
+#pragma once
+
+#include <cstdint>
+#include <map>
+
+#include "base/time.h"
+
+namespace covewing::routing {
+
+struct PrefixHeatOptions {
+  /// Time constant of the measured rate.
+  base::Duration averaging = std::chrono::seconds(2);
+  /// Shortest time between two steps of narrowing.
+  base::Duration narrowInterval = std::chrono::seconds(2);
+  /// Roots remembered; the coldest are forgotten.
+  std::size_t maximumRoots = 4096;
+};
+
+class PrefixHeat {
+ public:
+  using RootKey = std::uint64_t;
+
+  explicit PrefixHeat(const PrefixHeatOptions& options) : options_(options) {}
+
+  /// Work for this root came in, in prompt tokens to compute.
+  void note(RootKey root, std::uint32_t tokens, base::TimePoint now);
+  /// Tokens a second for this root.
+  double tokensPerSecond(RootKey root, base::TimePoint now) const;
+  /// Follows `wanted` upwards at once and downwards by steps.
+  std::size_t width(RootKey root, std::size_t wanted, base::TimePoint now);
+  std::size_t roots() const { return entries_.size(); }
+
+ private:
+  struct Entry {
+    double tokens = 0;
+    base::TimePoint at{};
+    std::size_t width = 0;
+    base::TimePoint narrowedAt{};
+  };
+
+  double decayed(const Entry& entry, base::TimePoint now) const;
+  void forgetColdest(base::TimePoint now);
+
+  PrefixHeatOptions options_;
+  std::map<RootKey, Entry> entries_;
+};
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/probe_pool_policy.h
@@ -0,0 +1,65 @@
+/// \file
+/// Baseline after the idea of a pool of load probes: each request sends a few probes to random
+/// engines; answers go to a small pool; engines whose requests in flight exceed a quantile of those
+/// seen lately are hot, and the cold engine with the lowest expected latency is taken. Caches play
+/// no part.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "routing/policy_factory.h"
+
+namespace covewing::routing {
+
+struct ProbePoolOptions {
+  /// Probes sent for each request.
+  std::size_t probesPerRequest = 3;
+  std::size_t poolSize = 16;
+  base::Duration probeLifetime = std::chrono::seconds(1);
+  /// Uses of one probe before it is removed.
+  std::uint32_t maximumUses = 3;
+  /// Engines above this quantile of requests in flight are hot.
+  double hotQuantile = 0.84;
+  /// Recent answers that the quantile is taken of.
+  std::size_t history = 128;
+};
+
+class ProbePoolPolicy final : public RoutingPolicy {
+ public:
+  explicit ProbePoolPolicy(PolicyEnvironment environment);
+  std::string_view name() const override { return "probe_pool"; }
+  void choose(RouteQuery query, RouteCallback callback) override;
+  void onDispatched(const RouteQuery& query, const RouteDecision& decision) override;
+  void onFinished(base::EngineId /*engine*/, std::uint32_t /*promptTokens*/,
+                  std::uint32_t /*cachedTokens*/, base::Duration /*firstTokenAfter*/) override {}
+
+ private:
+  struct Probe {
+    base::EngineId engine;
+    base::TimePoint at{};
+    std::uint32_t requests = 0;
+    /// Prompt tokens queued, the measure of latency.
+    std::uint64_t queuedTokens = 0;
+    std::uint32_t uses = 0;
+  };
+
+  void sendProbes(const std::vector<const EngineState*>& engines);
+  void onProbe(base::EngineId engine, const platform::EngineReport& report);
+  void expireProbes();
+  std::uint32_t hotThreshold() const;
+  /// Index in the pool of the best probe of a qualifying engine.
+  std::optional<std::size_t> bestProbe(const RouteQuery& query) const;
+
+  PolicyEnvironment environment_;
+  ProbePoolOptions options_;
+  std::vector<Probe> pool_;
+  std::deque<std::uint32_t> seenRequests_;
+  std::map<base::EngineId, std::uint64_t> nextSequence_;
+  std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
+};
+
+}  // namespace covewing::routing
--- a/src/routing/routing_policy.h
+++ b/src/routing/routing_policy.h
@@ -54,6 +54,10 @@
   std::uint32_t importBlocks = 0;
   std::uint32_t exportBlocks = 0;
   base::Duration expectedFirstToken{};
+  /// Prompt tokens that the engine is expected to compute.
+  std::uint32_t uncachedTokens = 0;
+  /// The lookup that the choice rests on; 0 if none.
+  std::uint64_t lookupId = 0;
   std::vector<RouteCandidate> candidates;
   base::Reason reason;
 };
--- /dev/null
+++ b/src/routing/service_model.cc
@@ -0,0 +1,44 @@
+#include "routing/service_model.h"
+
+#include <algorithm>
+
+namespace covewing::routing {
+
+namespace {
+
+base::Duration fromSeconds(double seconds) {
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  return base::Duration{static_cast<base::Duration::rep>(seconds * kMicrosecondsPerSecond)};
+}
+
+}  // namespace
+
+ServiceEstimate estimateService(const ServiceModel& model, const ServiceInput& input) {
+  const double share = input.doubtful ? model.doubtfulShare : 1.0;
+  const auto cached =
+      std::min(input.promptTokens,
+               static_cast<std::uint32_t>(static_cast<double>(input.cachedTokens) * share));
+  const double rate = model.prefillTokensPerSecond;
+  ServiceEstimate estimate;
+  estimate.uncachedTokens = input.promptTokens - cached;
+  double compute = estimate.uncachedTokens / rate;
+  double transfer = 0;
+  const auto stored = std::min(input.storedTokens, input.promptTokens);
+  if (stored > cached) {
+    const double imported = stored - cached;
+    const double importTime =
+        base::toSeconds(model.importLatency) + imported / model.importTokensPerSecond;
+    if (importTime < imported / rate) {
+      estimate.import = true;
+      estimate.uncachedTokens = input.promptTokens - stored;
+      transfer = importTime;
+      compute = estimate.uncachedTokens / rate;
+    }
+  }
+  const double queue = static_cast<double>(input.tokensAhead) / rate;
+  estimate.firstToken = fromSeconds(queue + transfer + compute) + input.distance;
+  estimate.cost = estimate.firstToken + fromSeconds(compute * (model.recomputeWeight - 1.0));
+  return estimate;
+}
+
+}  // namespace covewing::routing
