Tell the engine directory of failed dispatches; wait for the check after a pause

A request that meets a check of the configuration under way waits for its end, which the store bounds, before its template's stale choice applies: a retired tenant is refused also by a node that was paused. Failed attempts are reported to an observer, so that the next choice avoids the back end. When the bound of a planned stop passes, every open request gets a final error.

--- a/src/request/completion_flow.cc
+++ b/src/request/completion_flow.cc
@@ -155,7 +155,7 @@
   attempt_ = std::make_shared<Attempt>(*this, address.id, dependencies().clock.now(),
                                        decision.expectedFirstToken);
   dependencies().policy.onDispatched(query, decision);
-  watch(options().acceptTimeout, "the engine did not take the request in time");
+  watch(options().acceptTimeout, {ResultCode::kBackEndLost, "the engine did not take the request"});
   attempt_->stream = dependencies().engines.start(address, engineRequest(decision), *attempt_);
   if (paused_) setPaused(true);
 }
@@ -180,7 +180,7 @@
 void CompletionFlow::onAccepted() {
   const Duration patience = attempt_->expectedFirstToken * options().firstTokenPatience;
   watch(std::max(patience, options().shortestFirstTokenTimeout),
-        "the engine's first token did not come in time");
+        {ResultCode::kBackEndTimeout, "the engine's first token did not come in time"});
 }
 
 void CompletionFlow::onChunk(const platform::StreamChunk& chunk) {
@@ -208,7 +208,8 @@
     attemptTrace.firstTokenAfter = elapsed();
   }
   generated_ += chunk.text;
-  watch(options().interChunkTimeout, "the engine's next token did not come in time");
+  watch(options().interChunkTimeout,
+        {ResultCode::kBackEndTimeout, "the engine's next token did not come in time"});
   sink_.onChunk(chunk);
 }
 
@@ -240,11 +241,11 @@
   onAttemptFailed(error);
 }
 
-void CompletionFlow::watch(Duration limit, const char* what) {
+void CompletionFlow::watch(Duration limit, Reason silence) {
   if (paused_) return;
-  watchTimer_.start(limit, [this, what] {
+  watchTimer_.start(limit, [this, silence = std::move(silence)] {
     const auto self = shared_from_this();
-    failAttempt({DispatchFailure::kOutcomeUnknown, {ResultCode::kBackEndTimeout, what}});
+    failAttempt({DispatchFailure::kOutcomeUnknown, silence});
   });
 }
 
@@ -270,7 +271,8 @@
   if (paused) {
     watchTimer_.stop();
   } else {
-    watch(options().interChunkTimeout, "the engine's next token did not come in time");
+    watch(options().interChunkTimeout,
+          {ResultCode::kBackEndTimeout, "the engine's next token did not come in time"});
   }
 }
 
--- a/src/request/completion_flow.h
+++ b/src/request/completion_flow.h
@@ -54,7 +54,8 @@
   void onError(platform::DispatchError error);
   void deliverChunk(const platform::StreamChunk& chunk);
   void failAttempt(platform::DispatchError error);
-  void watch(base::Duration limit, const char* what);
+  /// Gives the attempt up for `silence` unless it is heard of within `limit`.
+  void watch(base::Duration limit, base::Reason silence);
   void reportFinished(std::uint32_t promptTokens, std::uint32_t cachedTokens);
 
   CompletionRequest request_;
--- a/src/request/request_flow.cc
+++ b/src/request/request_flow.cc
@@ -14,6 +14,9 @@
 
 namespace {
 
+/// Pause between two looks at a check of the configuration; the check itself is bounded.
+constexpr Duration kConfigurationCheckPause = std::chrono::milliseconds(5);
+
 /// True where the same request may succeed a little later.
 bool mayPassLater(ResultCode code) {
   switch (code) {
@@ -52,11 +55,22 @@
     if (refusedByNode.has_value()) {
       refuse(*refusedByNode);
     } else {
-      begin();
+      afterConfigurationCheck([this] { begin(); });
     }
   });
 }
 
+void RequestFlow::afterConfigurationCheck(std::function<void()> next) {
+  if (!dependencies_.configuration.freshness().checking) {
+    next();
+    return;
+  }
+  stepTimer_.start(kConfigurationCheckPause, [this, next = std::move(next)] {
+    const auto self = shared_from_this();
+    afterConfigurationCheck(next);
+  });
+}
+
 void RequestFlow::begin() {
   Reason reason;
   tenant_ = check(reason);
@@ -94,7 +108,7 @@
 
 void RequestFlow::claimThenAttempt() {
   if (!notRepeatable() || idempotencyKey().empty()) {
-    nextAttempt();
+    afterConfigurationCheck([this] { nextAttempt(); });
     return;
   }
   trace_->claim = "waiting";
@@ -117,7 +131,7 @@
     case ClaimStatus::kOwned:
       trace_->claim = "owned";
       claim_ = std::move(result.claim);
-      nextAttempt();
+      afterConfigurationCheck([this] { nextAttempt(); });
       return;
     case ClaimStatus::kDuplicate:
       trace_->claim = "duplicate";
@@ -152,6 +166,7 @@
     attempt.endedAfter = elapsed();
     attempt.failure = error.failure;
     attempt.reason = error.reason;
+    dependencies_.backEnds.onDispatchFailed(attempt.backEnd, error);
   }
   if (error.failure == platform::DispatchFailure::kOutcomeUnknown) setMayHaveRun();
   const AttemptFailure failure{error.failure, repeatable(), answerStarted(),
@@ -173,7 +188,11 @@
                           {{"request", id().value}, {"detail", error.reason.detail}});
   stepTimer_.start(retryDelay(attempts_ + 1, dependencies_.random), [this] {
     const auto self = shared_from_this();
-    nextAttempt();
+    if (answerStarted()) {
+      nextAttempt();
+    } else {
+      afterConfigurationCheck([this] { nextAttempt(); });
+    }
   });
 }
 
@@ -186,8 +205,7 @@
 
 void RequestFlow::onDeadline() {
   const auto self = shared_from_this();
-  const bool inFlight = !trace_->attempts.empty() && !currentAttempt().endedAfter.has_value();
-  if (inFlight) setMayHaveRun();
+  if (attemptInFlight()) setMayHaveRun();
   const ResultCode code =
       mayHaveRun_ ? ResultCode::kBackEndTimeout : ResultCode::kDeadlineUnreachable;
   refuse({code, "the deadline of the tenant's template has passed"});
@@ -228,13 +246,23 @@
 
 void RequestFlow::cancel() {
   if (over_) return;
-  const bool inFlight = !trace_->attempts.empty() && !currentAttempt().endedAfter.has_value();
-  if (inFlight) setMayHaveRun();
+  if (attemptInFlight()) setMayHaveRun();
   dependencies_.log.write(base::Event::kCallerDisconnected, {{"request", id().value}});
   settleClaim();
   close(RequestProgress::kDisconnected);
 }
 
+void RequestFlow::refuseByNode(Reason reason) {
+  if (over_) return;
+  const auto self = shared_from_this();
+  if (attemptInFlight()) setMayHaveRun();
+  refuse(std::move(reason));
+}
+
+bool RequestFlow::attemptInFlight() const {
+  return !trace_->attempts.empty() && !trace_->attempts.back().endedAfter.has_value();
+}
+
 void RequestFlow::abandon() {
   if (!over_) close(RequestProgress::kDisconnected);
 }
--- a/src/request/request_flow.h
+++ b/src/request/request_flow.h
@@ -29,6 +29,7 @@
 #include "base/time.h"
 #include "platform/application_client.h"
 #include "platform/engine_client.h"
+#include "request/back_end_observer.h"
 #include "request/caller_request.h"
 #include "request/claim_store.h"
 #include "request/deferred_release.h"
@@ -75,6 +76,7 @@
   platform::ApplicationClient& applications;
   ClaimStore& claims;
   TraceLog& traces;
+  BackEndObserver& backEnds;
 };
 
 class RequestFlow : public std::enable_shared_from_this<RequestFlow> {
@@ -90,6 +92,8 @@
   void start(FinishedCallback finished, std::optional<base::Reason> refusedByNode);
   /// The caller went away: cancels the work and silences the sink.
   void cancel();
+  /// The node ends the request, in whatever state it is.
+  void refuseByNode(base::Reason reason);
   /// The node is going away: drops the work without a word to anybody.
   void abandon();
   /// Back-pressure from the caller.
@@ -159,11 +163,15 @@
   std::vector<base::EngineId> excluded_;
 
  private:
+  /// Runs `next` at once, or after the check of the configuration that is under way.
+  void afterConfigurationCheck(std::function<void()> next);
   void begin();
   void onAdmission(const admission::AdmissionVerdict& verdict);
   void claimThenAttempt();
   void onClaim(ClaimResult result);
   void nextAttempt();
+  /// An attempt was started and has not ended: it may be running.
+  bool attemptInFlight() const;
   void onDeadline();
   /// Releases everything held and marks the request as over.
   void close(RequestProgress progress);
--- a/src/request/request_manager.cc
+++ b/src/request/request_manager.cc
@@ -80,6 +80,14 @@
   return std::make_unique<FlowHandle>(std::move(flow));
 }
 
+void RequestManager::refuseOpen(const Reason& reason) {
+  std::vector<std::shared_ptr<RequestFlow>> flows;
+  for (const auto& [number, weak] : open_) {
+    if (auto flow = weak.lock()) flows.push_back(std::move(flow));
+  }
+  for (const auto& flow : flows) flow->refuseByNode(reason);
+}
+
 std::optional<Reason> RequestManager::refusedByNode() const {
   if (draining_) return Reason{ResultCode::kNodeDraining, "this node is leaving"};
   if (open_.size() >= options_.maximumOpenRequests) {
--- a/tests/request/completion_flow_test.cc
+++ b/tests/request/completion_flow_test.cc
@@ -288,6 +288,37 @@
   BOOST_TEST(sink.ended.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(BoundOfThePlannedStopGivesAFinalError) {
+  const auto active = complete();
+  engines.last().chunk(0);
+  manager.refuseOpen({ResultCode::kNodeDraining, "bound"});
+  BOOST_REQUIRE(sink.refused.has_value());
+  BOOST_TEST((sink.refused->outcome == Outcome::kUnknown));
+  BOOST_TEST(manager.openRequests() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(WaitsForTheCheckAfterAPause) {
+  configuration.checking = true;
+  configuration.tenant->whenStale = config::StaleChoice::kRefuse;
+  configuration.confirmed = false;
+  const auto active = complete();
+  BOOST_TEST(!sink.final());
+  configuration.checking = false;
+  configuration.confirmed = true;
+  time.advance(milliseconds(10));
+  BOOST_TEST(engines.streams.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(RetiredDuringAPauseIsRefusedAfterTheCheck) {
+  configuration.checking = true;
+  const auto active = complete();
+  configuration.tenant->retired = true;
+  configuration.checking = false;
+  time.advance(milliseconds(10));
+  BOOST_REQUIRE(sink.refused.has_value());
+  BOOST_TEST((sink.refused->reason.code == ResultCode::kTenantRetired));
+}
+
 BOOST_AUTO_TEST_CASE(RecordExplainsTheRequest) {
   const auto active = complete();
   engines.last().fail(DispatchFailure::kNotSent, ResultCode::kBackEndUnreachable);
--- a/tests/request/fakes.h
+++ b/tests/request/fakes.h
@@ -51,11 +51,13 @@
       const std::function<void()> callback = std::move(timers_.begin()->second);
       timers_.erase(timers_.begin());
       dueOf_.erase(id);
-      now_ = due;
+      now_ = std::max(now_, due);
       callback();
     }
     now_ = end;
   }
+  /// Moves the clock while nothing runs, as in a paused process.
+  void pause(base::Duration span) { now_ += span; }
   /// Fires what is due now.
   void settle() { advance(base::Duration::zero()); }
 
@@ -347,6 +349,7 @@
   std::shared_ptr<config::TenantTemplate> tenant = std::make_shared<config::TenantTemplate>();
   bool confirmed = true;
   bool copyHere = true;
+  bool checking = false;
 
   config::TenantTemplatePtr findByKey(std::string_view bearerKey) const override {
     return copyHere && bearerKey == "key" ? tenant : nullptr;
@@ -354,7 +357,7 @@
   config::TenantTemplatePtr findByName(std::string_view name) const override {
     return copyHere && name == tenant->name ? tenant : nullptr;
   }
-  config::Freshness freshness() const override { return {1, confirmed, {}}; }
+  config::Freshness freshness() const override { return {1, confirmed, {}, checking}; }
   bool loaded() const override { return copyHere; }
 };
 
@@ -372,6 +375,14 @@
   }
 };
 
+class FakeBackEndObserver final : public BackEndObserver {
+ public:
+  std::vector<base::EngineId> failed;
+  void onDispatchFailed(base::EngineId backEnd, const platform::DispatchError& /*error*/) override {
+    failed.push_back(backEnd);
+  }
+};
+
 /// Records an answer and checks its shape: in order, without gaps, one final call, nothing after.
 class RecordingSink final : public CompletionSink {
  public:
@@ -473,13 +484,14 @@
   FakeConfiguration configuration;
   FakeZones zones;
   FakeTraces traces;
+  FakeBackEndObserver backEnds;
   ClaimStore claims{table, time, random};
   RecordingSink sink;
   RecordingProxiedSink proxiedSink;
   RequestManager manager{{"node-1", 3},
                          {},
                          {time, time, random, log, configuration, fleet, zones, policy, admission,
-                          engines, applications, claims, traces}};
+                          engines, applications, claims, traces, backEnds}};
 };
 
 }  // namespace covewing::request
