--- /dev/null
+++ b/src/node/node.cc
@@ -0,0 +1,244 @@
+#include "node/node.h"
+
+#include <array>
+#include <cassert>
+#include <utility>
+
+#include "admission/admission_service.h"
+#include "config/configuration_distributor.h"
+#include "config/configuration_store.h"
+#include "config/template_editor.h"
+#include "node/explain_log.h"
+#include "node/pause_detector.h"
+#include "node/single_member.h"
+#include "node/zone_watch.h"
+#include "request/claim_store.h"
+#include "request/request_manager.h"
+#include "routing/engine_directory.h"
+#include "routing/policy_factory.h"
+
+namespace covewing::node {
+
+namespace {
+
+using base::Channel;
+
+constexpr std::size_t kChannelCount = static_cast<std::size_t>(Channel::kRequest) + 1;
+
+membership::Member selfOf(const NodeOptions& options) {
+  membership::Member self;
+  self.id = base::nodeIdOf(options.name);
+  self.name = options.name;
+  self.endpoint = options.peerEndpoint;
+  self.zone = options.zone;
+  self.region = options.region;
+  self.incarnation = options.incarnation;
+  return self;
+}
+
+/// Tells the engine directory what dispatches learned about engines.
+class DispatchFeedback final : public request::BackEndObserver {
+ public:
+  explicit DispatchFeedback(routing::EngineDirectory& directory) : directory_(directory) {}
+
+  void onDispatchFailed(base::EngineId backEnd, const platform::DispatchError& error) override {
+    switch (error.reason.code) {
+      case base::ResultCode::kBackEndUnreachable:
+      case base::ResultCode::kBackEndLost:
+      case base::ResultCode::kBackEndTimeout:
+        directory_.noteUnreachable(backEnd);
+        return;
+      default:
+        return;
+    }
+  }
+
+ private:
+  routing::EngineDirectory& directory_;
+};
+
+/// Answers every operator call with "unknown path".
+class NoOperatorService final : public OperatorService {
+ public:
+  explicit NoOperatorService(base::TimerService& timers) : timers_(timers) {}
+  void call(OperatorRequest /*request*/, std::function<void(OperatorResponse)> callback) override {
+    timers_.schedule(base::Duration::zero(), [callback = std::move(callback)] {
+      callback({base::ResultCode::kUnknownPath, "{}"});
+    });
+  }
+
+ private:
+  base::TimerService& timers_;
+};
+
+class NodeImpl final : public Node {
+ public:
+  NodeImpl(NodeOptions options, NodeEnvironment environment);
+
+  void start() override;
+  void onPeerMessage(const base::PeerIdentity& sender, Channel channel,
+                     std::string_view payload) override;
+  request::RequestService& requests() override { return requests_; }
+  OperatorService& operators() override { return operators_; }
+  bool ready() const override { return store_.loaded() && !requests_.draining(); }
+  void drain(base::Duration bound, std::function<void()> drained) override;
+
+  const config::ConfigurationView& configuration() const override { return store_; }
+  const membership::MemberDirectory& members() const override { return members_; }
+  const routing::FleetView& fleet() const override { return directory_; }
+
+ private:
+  static std::unique_ptr<routing::RoutingPolicy> policyOf(
+      const NodeOptions& options, const routing::PolicyEnvironment& environment);
+  static request::RequestOptions requestOptionsOf(const NodeOptions& options);
+  request::RequestDependencies requestDependencies();
+  void registerHandler(Channel channel, base::PeerHandler& handler);
+  void logReadiness();
+  void onWake();
+  void finishDraining();
+
+  NodeOptions options_;
+  NodeEnvironment environment_;
+  SingleMember members_;
+  config::ConfigurationStore store_;
+  config::ConfigurationDistributor distributor_;
+  config::TemplateEditor editor_;
+  routing::EngineDirectory directory_;
+  std::unique_ptr<routing::RoutingPolicy> policy_;
+  std::unique_ptr<admission::AdmissionService> admission_;
+  request::ClaimStore claims_;
+  ExplainLog explainLog_;
+  ZoneWatch zones_;
+  DispatchFeedback feedback_;
+  request::RequestManager requests_;
+  NoOperatorService operators_;
+  PauseDetector pauseDetector_;
+  std::array<base::PeerHandler*, kChannelCount> handlers_{};
+  std::function<void()> drained_;
+  request::OneShotTimer drainTimer_;
+  request::OneShotTimer readyTimer_;
+};
+
+NodeImpl::NodeImpl(NodeOptions options, NodeEnvironment environment)
+    : options_(std::move(options)),
+      environment_(environment),
+      members_(selfOf(options_)),
+      store_({.freshnessBound = options_.freshnessBound}, environment.clock, environment.log),
+      distributor_({}, environment.clock, environment.timers, environment.random, environment.log,
+                   environment.peers, members_, environment.table, environment.objects, store_),
+      editor_({}, environment.timers, environment.random, environment.log, environment.table,
+              store_, distributor_),
+      directory_({.pollScope = routing::pollScopeOf(options_.routingPolicy)},
+                 {environment.clock, environment.timers, environment.random, environment.log,
+                  environment.machines, environment.engines, members_, members_}),
+      policy_(policyOf(options_, {directory_, environment.clock, environment.timers,
+                                  environment.random, environment.log, options_.zone})),
+      admission_(admission::makeAdmissionController({}, environment.clock, environment.timers,
+                                                    environment.random, environment.log, members_,
+                                                    environment.peers)),
+      claims_(environment.table, environment.timers, environment.random),
+      zones_(members_),
+      feedback_(directory_),
+      requests_({options_.name, options_.incarnation}, requestOptionsOf(options_),
+                requestDependencies()),
+      operators_(environment.timers),
+      pauseDetector_(environment.clock, environment.timers, environment.log,
+                     [this](base::Duration /*silence*/) { onWake(); }),
+      drainTimer_(environment.timers),
+      readyTimer_(environment.timers) {
+  registerHandler(Channel::kConfiguration, distributor_);
+  registerHandler(Channel::kAdmission, *admission_);
+  requests_.setBeforeRequest([this] { pauseDetector_.check(); });
+  requests_.setOnFinished([this] {
+    if (drained_ != nullptr && requests_.openRequests() == 0) finishDraining();
+  });
+}
+
+std::unique_ptr<routing::RoutingPolicy> NodeImpl::policyOf(
+    const NodeOptions& options, const routing::PolicyEnvironment& environment) {
+  base::Reason reason;
+  auto policy = routing::makePolicy(options.routingPolicy, environment, reason);
+  // The settings' checks know the names, so an unknown one is a mistake of the program.
+  assert(policy != nullptr);
+  return policy;
+}
+
+request::RequestOptions NodeImpl::requestOptionsOf(const NodeOptions& options) {
+  request::RequestOptions result;
+  result.maximumOpenRequests = options.maximumOpenRequests;
+  return result;
+}
+
+request::RequestDependencies NodeImpl::requestDependencies() {
+  return {environment_.clock,
+          environment_.timers,
+          environment_.random,
+          environment_.log,
+          store_,
+          directory_,
+          zones_,
+          *policy_,
+          *admission_,
+          environment_.engines,
+          environment_.applications,
+          claims_,
+          explainLog_,
+          feedback_};
+}
+
+void NodeImpl::registerHandler(Channel channel, base::PeerHandler& handler) {
+  handlers_.at(static_cast<std::size_t>(channel)) = &handler;
+}
+
+void NodeImpl::start() {
+  environment_.log.write(base::Event::kNodeStarting, {{"node", options_.name}});
+  pauseDetector_.start();
+  distributor_.start();
+  directory_.start();
+  logReadiness();
+}
+
+void NodeImpl::logReadiness() {
+  constexpr base::Duration kReadinessCheck = std::chrono::milliseconds(20);
+  if (!ready()) {
+    readyTimer_.start(kReadinessCheck, [this] { logReadiness(); });
+    return;
+  }
+  environment_.log.write(base::Event::kNodeReady, {{"node", options_.name}});
+}
+
+void NodeImpl::onPeerMessage(const base::PeerIdentity& sender, Channel channel,
+                             std::string_view payload) {
+  const auto index = static_cast<std::size_t>(channel);
+  base::PeerHandler* handler = index < kChannelCount ? handlers_.at(index) : nullptr;
+  if (handler == nullptr) {
+    environment_.log.write(base::Event::kMessageRejected, {{"detail", "no such channel"}});
+    return;
+  }
+  handler->onPeerMessage(sender, payload);
+}
+
+void NodeImpl::onWake() { distributor_.onWake(); }
+
+void NodeImpl::drain(base::Duration bound, std::function<void()> drained) {
+  environment_.log.write(base::Event::kNodeDraining, {{"node", options_.name}});
+  requests_.startDraining();
+  drained_ = std::move(drained);
+  const bool idle = requests_.openRequests() == 0;
+  drainTimer_.start(idle ? base::Duration::zero() : bound, [this] { finishDraining(); });
+}
+
+void NodeImpl::finishDraining() {
+  drainTimer_.stop();
+  requests_.refuseOpen({base::ResultCode::kNodeDraining, "the bound of the planned stop passed"});
+  environment_.log.write(base::Event::kNodeStopped, {{"node", options_.name}});
+  if (drained_ != nullptr) std::exchange(drained_, nullptr)();
+}
+
+}  // namespace
+
+std::unique_ptr<Node> makeNode(NodeOptions options, NodeEnvironment environment) {
+  return std::make_unique<NodeImpl>(std::move(options), environment);
+}
+
+}  // namespace covewing::node
--- /dev/null
+++ b/src/node/zone_watch.h
@@ -0,0 +1,32 @@
+/// \file
+/// Tells from the membership whether a zone is cut off from the others.
+#pragma once
+
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "membership/member_directory.h"
+#include "request/zone_reachability.h"
+
+namespace covewing::node {
+
+/// Remembers the zones that live members were seen in: a zone that never had a member is not
+/// called cut off.
+class ZoneWatch final : public request::ZoneReachability {
+ public:
+  explicit ZoneWatch(const membership::MemberDirectory& members) : members_(members) {}
+
+  bool cutOff(std::string_view homeZone) const override;
+
+ private:
+  void refresh() const;
+
+  const membership::MemberDirectory& members_;
+  mutable std::uint64_t version_ = 0;
+  mutable bool refreshed_ = false;
+  mutable std::set<std::string, std::less<>> seenZones_;
+  mutable std::set<std::string, std::less<>> liveZones_;
+};
+
+}  // namespace covewing::node
--- /dev/null
+++ b/tests/node/node_fixture.h
@@ -0,0 +1,167 @@
+// One whole node over fakes: a table service with one tenant, a machine list with two engines.
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "config/bearer_key.h"
+#include "config/template_row.h"
+#include "node/node.h"
+#include "platform/machine_list_client.h"
+#include "platform/object_store_client.h"
+#include "request/fakes.h"
+
+namespace covewing::node {
+
+using request::VirtualTime;
+
+class FakeMachines final : public platform::MachineListClient {
+ public:
+  explicit FakeMachines(VirtualTime& time) : time_(time) {}
+  std::vector<platform::Machine> machines;
+  void fetch(platform::MachineListCallback callback) override {
+    time_.schedule(std::chrono::milliseconds(1),
+                   [this, callback = std::move(callback)] { callback(machines); });
+  }
+
+ private:
+  VirtualTime& time_;
+};
+
+class NoObjects final : public platform::ObjectStoreClient {
+ public:
+  explicit NoObjects(VirtualTime& time) : time_(time) {}
+  void get(std::string /*name*/, platform::ObjectCallback callback) override {
+    time_.schedule({}, [callback = std::move(callback)] {
+      callback({platform::ObjectStatus::kNotFound, {}});
+    });
+  }
+  void put(std::string /*name*/, std::string /*bytes*/,
+           platform::ObjectCallback callback) override {
+    time_.schedule({}, [callback = std::move(callback)] {
+      callback({platform::ObjectStatus::kUnavailable, {}});
+    });
+  }
+
+ private:
+  VirtualTime& time_;
+};
+
+/// Streams as the test drives them; polls answered with a serving engine.
+class PolledEngines final : public platform::EngineClient {
+ public:
+  explicit PolledEngines(VirtualTime& time) : time_(time) {}
+  request::FakeEngines streams;
+
+  std::unique_ptr<platform::EngineStream> start(const platform::BackEndAddress& engine,
+                                                platform::EngineRequest request,
+                                                platform::EngineStreamHandler& handler) override {
+    return streams.start(engine, std::move(request), handler);
+  }
+  void poll(const platform::BackEndAddress& /*engine*/, std::uint64_t fromSequence,
+            std::function<void(std::optional<platform::EngineReport>)> callback) override {
+    answer(fromSequence, std::move(callback));
+  }
+  void snapshot(const platform::BackEndAddress& /*engine*/,
+                std::function<void(std::optional<platform::EngineReport>)> callback) override {
+    answer(0, std::move(callback));
+  }
+  void order(const platform::BackEndAddress& /*engine*/, platform::EngineOrder /*order*/,
+             std::function<void(platform::OrderReply)> /*callback*/) override {}
+
+ private:
+  void answer(std::uint64_t fromSequence,
+              std::function<void(std::optional<platform::EngineReport>)> callback) {
+    platform::EngineReport report;
+    report.incarnation = 1;
+    report.weights = {{"rules", 3, {}}};
+    report.firstSequence = fromSequence;
+    report.nextSequence = fromSequence;
+    time_.schedule(std::chrono::milliseconds(1),
+                   [report, callback = std::move(callback)] { callback(report); });
+  }
+  VirtualTime& time_;
+};
+
+class FakePeers final : public base::PeerTransport {
+ public:
+  void send(const base::Endpoint& /*destination*/, base::Channel /*channel*/,
+            std::string /*payload*/) override {}
+};
+
+/// Keeps the numbers of the events written.
+class RecordingLog final : public base::EventLog {
+ public:
+  std::vector<base::Event> events;
+  void write(base::Event event, std::initializer_list<base::EventField> /*fields*/) override {
+    events.push_back(event);
+  }
+  bool has(base::Event event) const { return std::ranges::find(events, event) != events.end(); }
+};
+
+struct NodeFixture {
+  NodeFixture() {
+    for (const char* name : {"rules-1", "rules-2"}) {
+      platform::Machine machine;
+      machine.name = name;
+      machine.zone = "hall-a";
+      machine.region = "south";
+      machines.machines.push_back(machine);
+    }
+    putTenant("{}", false);
+    node = makeNode(options(), {time, time, random, log, peers, table, objects, machines, engines,
+                                applications});
+  }
+
+  /// Writes the tenant's row as a committed change; `extra` are further fields of its body.
+  void putTenant(const std::string& body, bool retired) {
+    config::TemplateRow row;
+    row.name = "judges";
+    row.cacheSalt = 7;
+    row.retired = retired;
+    row.document = R"({"key_digests": [")" + config::digestBearerKey("key") + R"("], "body": )" +
+                   (body == "{}" ? kBody : body) + "}";
+    platform::TableTransaction transaction;
+    transaction.writes.push_back({config::templateRowKey(row.name), encodeTemplateRow(row)});
+    table.apply(transaction);
+  }
+  static NodeOptions options() {
+    NodeOptions result;
+    result.name = "node-1";
+    result.zone = "hall-a";
+    result.region = "south";
+    return result;
+  }
+  std::unique_ptr<request::ActiveRequest> complete() {
+    request::CompletionRequest asked;
+    asked.bearerKey = "key";
+    asked.model = "rules";
+    asked.prompt = std::make_shared<const std::string>("may this card be played");
+    auto active = node->requests().complete(std::move(asked), sink);
+    time.advance(std::chrono::milliseconds(200));
+    return active;
+  }
+  void startAndSettle() {
+    node->start();
+    time.advance(std::chrono::seconds(3));
+  }
+
+  static constexpr const char* kBody =
+      R"({"models": [{"model": "rules"}], "priority": "interactive",
+          "deadline_ms": 4000, "hold_ms": 100, "when_stale": "refuse"})";
+
+  VirtualTime time;
+  base::SeededRandom random{1};
+  RecordingLog log;
+  FakePeers peers;
+  request::FakeTable table{time};
+  NoObjects objects{time};
+  FakeMachines machines{time};
+  PolledEngines engines{time};
+  request::FakeApplications applications;
+  request::RecordingSink sink;
+  std::unique_ptr<Node> node;
+};
+
+}  // namespace covewing::node
--- /dev/null
+++ b/tests/node/zone_watch_test.cc
@@ -0,0 +1,85 @@
+// Cut-off zones as seen from inside and outside, and the notice of a paused process.
+#include "node/zone_watch.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "node/pause_detector.h"
+#include "request/fakes.h"
+
+namespace covewing::node {
+
+namespace {
+
+class FakeMembers final : public membership::MemberDirectory {
+ public:
+  explicit FakeMembers(const std::string& ownZone) { add(ownZone); }
+  void add(const std::string& zone) {
+    membership::Member member;
+    member.zone = zone;
+    members_.push_back(member);
+    ++version_;
+  }
+  void keepFirst(std::size_t count) {
+    members_.resize(count);
+    ++version_;
+  }
+  const membership::Member& self() const override { return members_.front(); }
+  const std::vector<membership::Member>& liveMembers() const override { return members_; }
+  const membership::Member* find(base::NodeId /*id*/) const override { return nullptr; }
+  std::uint64_t version() const override { return version_; }
+
+ private:
+  std::vector<membership::Member> members_;
+  std::uint64_t version_ = 0;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(ZoneWatchTest)
+
+BOOST_AUTO_TEST_CASE(HomeZoneSeenFromInside) {
+  FakeMembers members("hall-a");
+  const ZoneWatch watch(members);
+  BOOST_TEST(!watch.cutOff("hall-a"));
+  members.add("hall-b");
+  BOOST_TEST(!watch.cutOff("hall-a"));
+  members.keepFirst(1);
+  BOOST_TEST(watch.cutOff("hall-a"));
+}
+
+BOOST_AUTO_TEST_CASE(HomeZoneSeenFromOutside) {
+  FakeMembers members("hall-a");
+  const ZoneWatch watch(members);
+  BOOST_TEST(!watch.cutOff("hall-b"));
+  members.add("hall-c");
+  members.add("hall-b");
+  BOOST_TEST(!watch.cutOff("hall-b"));
+  members.keepFirst(2);
+  BOOST_TEST(watch.cutOff("hall-b"));
+  BOOST_TEST(!watch.cutOff("hall-a"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(PauseDetectorTest)
+
+BOOST_AUTO_TEST_CASE(JumpOfTheClockIsNoticedBeforeTheTimersRun) {
+  request::VirtualTime time;
+  base::NullEventLog log;
+  std::vector<base::Duration> silences;
+  PauseDetector detector(time, time, log,
+                         [&silences](base::Duration silence) { silences.push_back(silence); });
+  detector.start();
+  time.advance(std::chrono::seconds(10));
+  BOOST_TEST(silences.empty());
+  time.pause(std::chrono::seconds(4));
+  detector.check();
+  BOOST_REQUIRE(silences.size() == 1);
+  BOOST_TEST((silences.front() >= std::chrono::seconds(4)));
+  detector.check();
+  BOOST_TEST(silences.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::node
