Run nodes on gossip membership and answer operators' calls on templates

A draining node says so by gossip and leaves the membership when it stops; a pause is told to the membership, so that nobody is suspected for what could not be heard.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -8,9 +8,10 @@
 #include "config/configuration_distributor.h"
 #include "config/configuration_store.h"
 #include "config/template_editor.h"
+#include "membership/gossip_membership.h"
 #include "node/explain_log.h"
+#include "node/operator_service.h"
 #include "node/pause_detector.h"
-#include "node/single_member.h"
 #include "node/zone_watch.h"
 #include "request/claim_store.h"
 #include "request/request_manager.h"
@@ -25,15 +26,15 @@
 
 constexpr std::size_t kChannelCount = static_cast<std::size_t>(Channel::kRequest) + 1;
 
-membership::Member selfOf(const NodeOptions& options) {
-  membership::Member self;
-  self.id = base::nodeIdOf(options.name);
-  self.name = options.name;
-  self.endpoint = options.peerEndpoint;
-  self.zone = options.zone;
-  self.region = options.region;
-  self.incarnation = options.incarnation;
-  return self;
+membership::GossipMembershipOptions membershipOptionsOf(const NodeOptions& options) {
+  membership::GossipMembershipOptions result;
+  result.name = options.name;
+  result.zone = options.zone;
+  result.region = options.region;
+  result.endpoint = options.peerEndpoint;
+  result.incarnation = options.incarnation;
+  result.seeds = options.seeds;
+  return result;
 }
 
 /// Tells the engine directory what dispatches learned about engines.
@@ -57,20 +58,6 @@
   routing::EngineDirectory& directory_;
 };
 
-/// Answers every operator call with "unknown path".
-class NoOperatorService final : public OperatorService {
- public:
-  explicit NoOperatorService(base::TimerService& timers) : timers_(timers) {}
-  void call(OperatorRequest /*request*/, std::function<void(OperatorResponse)> callback) override {
-    timers_.schedule(base::Duration::zero(), [callback = std::move(callback)] {
-      callback({base::ResultCode::kUnknownPath, "{}"});
-    });
-  }
-
- private:
-  base::TimerService& timers_;
-};
-
 class NodeImpl final : public Node {
  public:
   NodeImpl(NodeOptions options, NodeEnvironment environment);
@@ -79,7 +66,7 @@
   void onPeerMessage(const base::PeerIdentity& sender, Channel channel,
                      std::string_view payload) override;
   request::RequestService& requests() override { return requests_; }
-  OperatorService& operators() override { return operators_; }
+  OperatorService& operators() override { return *operators_; }
   bool ready() const override { return store_.loaded() && !requests_.draining(); }
   void drain(base::Duration bound, std::function<void()> drained) override;
 
@@ -99,7 +86,7 @@
 
   NodeOptions options_;
   NodeEnvironment environment_;
-  SingleMember members_;
+  membership::GossipMembership members_;
   config::ConfigurationStore store_;
   config::ConfigurationDistributor distributor_;
   config::TemplateEditor editor_;
@@ -111,7 +98,7 @@
   ZoneWatch zones_;
   DispatchFeedback feedback_;
   request::RequestManager requests_;
-  NoOperatorService operators_;
+  std::unique_ptr<OperatorService> operators_;
   PauseDetector pauseDetector_;
   std::array<base::PeerHandler*, kChannelCount> handlers_{};
   std::function<void()> drained_;
@@ -122,7 +109,8 @@
 NodeImpl::NodeImpl(NodeOptions options, NodeEnvironment environment)
     : options_(std::move(options)),
       environment_(environment),
-      members_(selfOf(options_)),
+      members_(membershipOptionsOf(options_), environment.clock, environment.timers,
+               environment.random, environment.log, environment.peers),
       store_({.freshnessBound = options_.freshnessBound}, environment.clock, environment.log),
       distributor_({}, environment.clock, environment.timers, environment.random, environment.log,
                    environment.peers, members_, environment.table, environment.objects, store_),
@@ -141,11 +129,12 @@
       feedback_(directory_),
       requests_({options_.name, options_.incarnation}, requestOptionsOf(options_),
                 requestDependencies()),
-      operators_(environment.timers),
+      operators_(makeOperatorService({environment.timers, editor_, store_})),
       pauseDetector_(environment.clock, environment.timers, environment.log,
                      [this](base::Duration /*silence*/) { onWake(); }),
       drainTimer_(environment.timers),
       readyTimer_(environment.timers) {
+  registerHandler(Channel::kMembership, members_);
   registerHandler(Channel::kConfiguration, distributor_);
   registerHandler(Channel::kAdmission, *admission_);
   requests_.setBeforeRequest([this] { pauseDetector_.check(); });
@@ -193,6 +182,7 @@
 void NodeImpl::start() {
   environment_.log.write(base::Event::kNodeStarting, {{"node", options_.name}});
   pauseDetector_.start();
+  members_.start();
   distributor_.start();
   directory_.start();
   logReadiness();
@@ -218,11 +208,15 @@
   handler->onPeerMessage(sender, payload);
 }
 
-void NodeImpl::onWake() { distributor_.onWake(); }
+void NodeImpl::onWake() {
+  members_.onWake();
+  distributor_.onWake();
+}
 
 void NodeImpl::drain(base::Duration bound, std::function<void()> drained) {
   environment_.log.write(base::Event::kNodeDraining, {{"node", options_.name}});
   requests_.startDraining();
+  members_.setDraining(true);
   drained_ = std::move(drained);
   const bool idle = requests_.openRequests() == 0;
   drainTimer_.start(idle ? base::Duration::zero() : bound, [this] { finishDraining(); });
@@ -231,6 +225,7 @@
 void NodeImpl::finishDraining() {
   drainTimer_.stop();
   requests_.refuseOpen({base::ResultCode::kNodeDraining, "the bound of the planned stop passed"});
+  members_.leave();
   environment_.log.write(base::Event::kNodeStopped, {{"node", options_.name}});
   if (drained_ != nullptr) std::exchange(drained_, nullptr)();
 }
