Serve the emulated fleet over HTTP: covewing-emulator

One process with a port for each engine, application replica and platform service, as docs/PLATFORM.md describes, and an admin port that brings faults about and dumps what really ran. Actions have one form for the admin call and for scenario files. A crashed machine's port refuses connections and comes back at the same number with the next incarnation.

The HTTP side is its own folder, emulator_http, because the models must build without Boost and tests of live clients need the servers in process.

Blocks that came through the store of kept KV cache now carry a mark of their own: the check for reuse over a restart left out every request that imported anything.

Shown by: emulator_http_test, 15 cases over loopback; base64 vectors of RFC 4648 in base_test.

--- a/src/emulator/engine_model.cc
+++ b/src/emulator/engine_model.cc
@@ -171,7 +171,8 @@
   execution.chain = prefix::blockChain(hashedIdentity(request.identity), prompt);
   execution.position = request.nextPosition;
   execution.length = expectedLength(record.promptHash, request.maximumTokens);
-  execution.provenance = provenances_.indexOf(BlockProvenance{record.identity, id_, incarnation_});
+  execution.provenance =
+      provenances_.indexOf(BlockProvenance{record.identity, id_, incarnation_, false});
   const std::uint32_t cached = cachedLeadingBlocks(execution.chain);
   execution.prefillLeft =
       record.promptTokens - cached * prefix::kTokensPerBlock + record.firstPosition;
@@ -308,9 +309,10 @@
   execution.importedBlocks = 0;
   for (std::uint32_t count = 0; count < wanted; ++count) {
     const base::BlockHash block = execution.chain[execution.pinned.size()];
-    const std::optional<BlockProvenance> provenance = store.provenance(block);
+    std::optional<BlockProvenance> provenance = store.provenance(block);
     // The store may have evicted it meanwhile: the rest is computed.
     if (!provenance) break;
+    provenance->imported = true;
     const auto inserted = cache_.insertReserved(block, provenances_.indexOf(*provenance));
     --execution.reservedBlocks;
     execution.pinned.push_back(inserted.slot);
--- a/src/emulator/execution_observer.h
+++ b/src/emulator/execution_observer.h
@@ -43,6 +43,8 @@
   platform::CacheIdentity identity;
   base::EngineId engine;
   base::Incarnation incarnation = 0;
+  /// Came through the store of kept KV cache, possibly from another engine or incarnation.
+  bool imported = false;
   bool operator==(const BlockProvenance&) const = default;
 };
 
--- /dev/null
+++ b/src/emulator_http/application_service.cc
@@ -0,0 +1,52 @@
+#include "emulator_http/application_service.h"
+
+#include <utility>
+
+#include "emulator_http/wire.h"
+
+namespace covewing::emulator_http {
+
+using platform::ApplicationResponse;
+using platform::ApplicationResult;
+using platform::DispatchError;
+using platform::DispatchFailure;
+
+namespace {
+
+constexpr std::string_view kRequestIdHeader = "X-Request-Id";
+
+void answer(const live::HttpExchangePtr& exchange, const ApplicationResult& result) {
+  if (const auto* response = std::get_if<ApplicationResponse>(&result)) {
+    live::HttpResponse made{response->status, response->headers, response->body};
+    made.headers.push_back({std::string(kRequestIdHeader), response->requestId.value});
+    exchange->respond(std::move(made));
+    return;
+  }
+  const auto& error = std::get<DispatchError>(result);
+  if (error.failure != DispatchFailure::kRefusedNotRun) {
+    exchange->abort();
+    return;
+  }
+  live::HttpResponse refusal = errorResponse(error.reason, false);
+  refusal.headers.push_back({"X-Not-Run", "1"});
+  const std::string_view requestId = exchange->request().header(kRequestIdHeader);
+  refusal.headers.push_back({std::string(kRequestIdHeader), std::string(requestId)});
+  exchange->respond(std::move(refusal));
+}
+
+}  // namespace
+
+void handleApplicationCall(emulator::ApplicationModel& application,
+                           const live::HttpExchangePtr& exchange) {
+  const live::HttpRequest& http = exchange->request();
+  platform::ApplicationRequest request;
+  request.requestId.value = std::string(http.header(kRequestIdHeader));
+  request.method = http.method;
+  request.target = http.target;
+  request.headers = http.headers;
+  request.body = exchange->takeBody();
+  application.call(std::move(request),
+                   [exchange](const ApplicationResult& result) { answer(exchange, result); });
+}
+
+}  // namespace covewing::emulator_http
--- /dev/null
+++ b/src/emulator_http/json_fields.h
@@ -0,0 +1,50 @@
+/// \file
+/// Typed access to the fields of a JSON object. The first field that is missing or wrong fills the
+/// reason; later reads give defaults, so that a parser checks once.
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/result_code.h"
+
+namespace covewing::emulator_http {
+
+/// Parses a body; empty with a reason when it is not a JSON object.
+std::optional<nlohmann::json> parseObject(std::string_view body, base::Reason& reason);
+
+class JsonFields {
+ public:
+  /// `object` must be a JSON object and outlive this.
+  JsonFields(const nlohmann::json& object, base::Reason& reason)
+      : object_(object), reason_(reason) {}
+
+  bool ok() const { return ok_; }
+  bool has(std::string_view name) const { return object_.contains(std::string(name)); }
+  /// Each gives `fallback` when the field is absent; without a fallback the field must be there.
+  std::string text(std::string_view name);
+  std::string text(std::string_view name, std::string fallback);
+  std::uint64_t number(std::string_view name);
+  std::uint64_t number(std::string_view name, std::uint64_t fallback);
+  std::uint32_t smallNumber(std::string_view name, std::uint32_t fallback);
+  double real(std::string_view name, double fallback);
+  std::uint64_t hexadecimal(std::string_view name, std::uint64_t fallback);
+  std::vector<std::string> texts(std::string_view name);
+  /// The elements of an array field, empty when absent.
+  std::vector<nlohmann::json> objects(std::string_view name);
+  /// Records that a field has no valid value.
+  void fail(std::string_view name);
+
+ private:
+  const nlohmann::json* find(std::string_view name) const;
+
+  const nlohmann::json& object_;
+  base::Reason& reason_;
+  bool ok_ = true;
+};
+
+}  // namespace covewing::emulator_http
