Distribute the configuration between nodes and know its freshness

Accepted rows are pushed from node to node; each node asks one of the tier above, and a few scanners a region ask the table service, for what came after the revision up to which it is complete. The answer also tells how long ago it was confirmed that nothing newer was accepted, counted from the question, so that a late answer never makes anything look fresher.

A scan for each node, as before, would be 340 calls/s where the table service takes 200.

--- a/src/config/bearer_key.h
+++ b/src/config/bearer_key.h
@@ -6,12 +6,14 @@
 #include <string>
 #include <string_view>
 
+#include "config/sha256.h"
+
 namespace covewing::config {
 
 /// Characters of a digest: SHA-256 in lower-case hexadecimal.
-inline constexpr std::size_t kKeyDigestLength = 64;
+inline constexpr std::size_t kKeyDigestLength = kSha256Length;
 
-/// SHA-256 (FIPS 180-4) of the key's bytes, in lower-case hexadecimal. Keys are drawn at random by
+/// SHA-256 of the key's bytes, in lower-case hexadecimal. Keys are drawn at random by
 /// the operator, so that no salt and no slow hash is needed.
 std::string digestBearerKey(std::string_view bearerKey);
 
--- a/src/config/configuration_distributor.h
+++ b/src/config/configuration_distributor.h
@@ -1,15 +1,36 @@
 /// \file
-/// Keeps the node's configuration store current: reads accepted templates from the table service.
+/// Keeps the node's configuration store current and confirmed.
+///
+/// - Accepted rows are pushed from node to node at once: whoever did not have a row passes it on to
+/// a
+///   few others.
+/// - Each node asks one of the tier above (config/distribution_tree.h) for the rows that came after
+///   the revision up to which it is complete. The scanners ask the table service. The answer brings
+///   what pushes lost, and tells how long ago it was confirmed that nothing newer was accepted.
+/// - A node without a whole copy asks in the same way, page after page, each page from another
+/// node,
+///   so that a restart of many loads all peers alike. Each node bounds what it sends.
+/// - Random pairs of nodes compare digests, which finds rows that differ for whatever cause.
+/// - A snapshot in the object store serves when all nodes start and the table service is down.
+///
+/// Nothing here writes the table service.
 #pragma once
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string_view>
+#include <vector>
 
+#include "base/endpoint.h"
 #include "base/event_log.h"
 #include "base/peer_transport.h"
 #include "base/random.h"
 #include "base/time.h"
+#include "config/configuration_message.h"
 #include "config/configuration_store.h"
+#include "config/distribution_tree.h"
+#include "config/table_scanner.h"
 #include "config/template_editor.h"
 #include "membership/member_directory.h"
 #include "platform/object_store_client.h"
@@ -18,8 +39,29 @@
 namespace covewing::config {
 
 struct ConfigurationDistributorOptions {
-  base::Duration scanPeriod = std::chrono::seconds(1);
-  std::size_t rowsPerScan = 500;
+  /// Asked for a copy while no member is known.
+  std::vector<base::Endpoint> seeds;
+  TableScannerOptions scanning;
+  std::size_t scannersPerRegion = 2;
+  /// A node does not judge who the scanners are before it had this long to learn the members.
+  base::Duration joinGrace = std::chrono::seconds(2);
+  base::Duration refreshPeriod = std::chrono::seconds(1);
+  /// A node that did not answer by then is not waited for.
+  base::Duration replyTimeout = std::chrono::milliseconds(300);
+  /// Wait before the next page when the one asked had none, or was busy.
+  base::Duration copyRetry = std::chrono::milliseconds(150);
+  std::size_t pageBytes = 16UL << 10U;
+  /// Bound of the rows that this node sends to others for their copies, sustained and at once.
+  double copyBytesPerSecond = 1 << 20U;
+  double copyBurstBytes = 1 << 20U;
+  /// Members that an accepted row is sent to by this node, and by each that it is new to.
+  std::size_t firstPushFanout = 8;
+  std::size_t pushFanout = 4;
+  base::Duration digestPeriod = std::chrono::seconds(10);
+  /// Shortest time between two snapshots; none is written while nothing changes.
+  base::Duration snapshotPeriod = std::chrono::minutes(10);
+  /// A scanner without a copy reads the snapshot after this long.
+  base::Duration snapshotAfter = std::chrono::seconds(4);
 };
 
 class ConfigurationDistributor final : public base::PeerHandler, public AcceptedRowSink {
@@ -40,16 +82,61 @@
   void onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) override;
 
  private:
-  void scan();
-  void onScanned(base::TimePoint askedAt, const platform::TableReply& reply);
+  /// A page request without an answer so far.
+  struct Question {
+    std::uint64_t nonce = 0;
+    base::TimePoint askedAt;
+  };
+
+  void onTick();
+  void onDigestTick();
+  void updateSnapshot(base::TimePoint now);
+  void writeSnapshot();
+  void readSnapshot();
+  void onSnapshotRead(const platform::ObjectReply& reply);
+
+  void ask();
+  void askIn(base::Duration delay);
+  void onNoAnswer();
+  std::optional<base::Endpoint> chooseSource();
+
+  void handle(const base::PeerIdentity& sender, const RowPush& message);
+  void handle(const base::PeerIdentity& sender, const PageRequest& message);
+  void handle(const base::PeerIdentity& sender, const PageReply& message);
+  void handle(const base::PeerIdentity& sender, const DigestProbe& message);
+  void handle(const base::PeerIdentity& sender, const BucketDigestList& message);
+  void handle(const base::PeerIdentity& sender, const BucketRows& message);
+  void handle(const base::PeerIdentity& sender, const RowsWanted& message);
+
+  void push(const std::vector<platform::TableRow>& rows, std::size_t fanout);
+  void sendRows(const base::Endpoint& endpoint, std::vector<platform::TableRow> rows);
+  void send(const base::Endpoint& endpoint, const ConfigurationMessage& message);
+  const membership::Member* randomMember();
+  /// Takes `bytes` from the bound on copies; false when it is used up.
+  bool takeCopyBudget(std::size_t bytes);
 
   ConfigurationDistributorOptions options_;
   base::Clock& clock_;
   base::TimerService& timers_;
   base::RandomSource& random_;
-  platform::TableClient& table_;
+  base::EventLog& log_;
+  base::PeerTransport& peers_;
+  const membership::MemberDirectory& members_;
+  platform::ObjectStoreClient& objects_;
   ConfigurationStore& store_;
-  base::TimerId timer_ = 0;
+  DistributionTree tree_;
+  TableScanner scanner_;
+  std::optional<Question> question_;
+  std::uint32_t unanswered_ = 0;
+  base::TimePoint startedAt_;
+  base::Duration grace_{};
+  double copyTokens_;
+  base::TimePoint copyRefilledAt_;
+  base::TimePoint snapshotAt_;
+  std::uint64_t snapshotDigest_ = 0;
+  base::TimerId tickTimer_ = 0;
+  base::TimerId askTimer_ = 0;
+  base::TimerId digestTimer_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/config/configuration_store.cc
+++ b/src/config/configuration_store.cc
@@ -13,6 +13,8 @@
 
 constexpr std::size_t kKeyPrefixDigits = 16;
 constexpr int kHexadecimal = 16;
+/// Sorts behind every template name.
+constexpr std::string_view kAfterAllNames = "\x7f";
 
 std::uint64_t keyPrefixOf(std::string_view digest) {
   std::uint64_t prefix = 0;
@@ -216,13 +218,17 @@
 
 void ConfigurationStore::confirm(base::Revision upTo, base::TimePoint at) {
   advance(upTo);
-  const bool wasConfirmed = freshness().confirmed;
   confirmedAt_ = confirmedAt_ ? std::max(*confirmedAt_, at) : at;
+  if (freshness().confirmed) checkUntil_.reset();
+  reportFreshness();
+}
+
+void ConfigurationStore::reportFreshness() {
   const Freshness now = freshness();
-  if (now.confirmed) checkUntil_.reset();
-  if (!wasConfirmed && now.confirmed) {
-    log_.write(base::Event::kConfigurationFresh, {{"revision", std::to_string(completeUpTo_)}});
-  }
+  if (now.confirmed == reportedFresh_) return;
+  reportedFresh_ = now.confirmed;
+  log_.write(now.confirmed ? base::Event::kConfigurationFresh : base::Event::kConfigurationStale,
+             {{"revision", std::to_string(completeUpTo_)}});
 }
 
 void ConfigurationStore::markLoaded() {
@@ -235,6 +241,7 @@
   const base::TimePoint now = clock_.now();
   if (now - lastRunning_ > options_.pauseThreshold) beginCheck();
   lastRunning_ = now;
+  reportFreshness();
 }
 
 void ConfigurationStore::beginCheck() { checkUntil_ = clock_.now() + options_.checkBound; }
@@ -244,12 +251,13 @@
   page.completeUpTo = completeUpTo_;
   page.last = true;
   std::size_t bytes = 0;
-  for (auto position = byRevision_.upper_bound({after, std::string_view("\x7f")});
-       position != byRevision_.end() && position->first <= completeUpTo_; ++position) {
+  for (auto position = byRevision_.upper_bound({after, kAfterAllNames});
+       position != byRevision_.end(); ++position) {
     platform::TableRow row = *findRow(position->second);
     bytes += row.key.size() + row.value.size();
     const bool sameRevision = !page.rows.empty() && page.rows.back().revision == row.revision;
-    if (bytes > maximumBytes && !page.rows.empty() && !sameRevision) {
+    const bool beyond = row.revision > completeUpTo_;
+    if (bytes > maximumBytes && !page.rows.empty() && !sameRevision && !beyond) {
       page.completeUpTo = page.rows.back().revision;
       page.last = false;
       break;
--- a/src/config/configuration_store.h
+++ b/src/config/configuration_store.h
@@ -104,7 +104,9 @@
   /// When the last confirmation was valid; empty before the first.
   std::optional<base::TimePoint> confirmedAt() const { return confirmedAt_; }
 
-  /// Rows above `after`, as many as fit into `maximumBytes`, at least one.
+  /// Rows above `after`, as many as fit into `maximumBytes`, at least one. The last page holds also
+  /// the rows beyond `completeUpTo`: one of them may stand for an earlier version of itself that is
+  /// not beyond it.
   RowPage page(base::Revision after, std::size_t maximumBytes) const;
   /// Digest of names and revisions; equal stores have equal digests, whatever the order of arrival.
   std::uint64_t digest() const;
@@ -127,6 +129,8 @@
   class ExpansionCache;
 
   platform::TableRow rowOf(const Entries::value_type& entry) const;
+  /// Logs when the configuration becomes stale or fresh again.
+  void reportFreshness();
   TenantTemplatePtr expand(const Entries::value_type& entry) const;
   void unindex(const Entries::value_type& entry);
   void index(const Entries::value_type& entry);
@@ -147,6 +151,7 @@
   std::optional<base::TimePoint> checkUntil_;
   base::TimePoint lastRunning_;
   bool loaded_ = false;
+  bool reportedFresh_ = false;
 };
 
 }  // namespace covewing::config
--- /dev/null
+++ b/src/config/table_scanner.cc
@@ -0,0 +1,79 @@
+#include "config/table_scanner.h"
+
+#include <algorithm>
+
+namespace covewing::config {
+
+namespace {
+constexpr double kPeriodJitter = 0.1;
+constexpr double kBackoffJitter = 0.5;
+constexpr std::uint32_t kMaximumDoublings = 10;
+}  // namespace
+
+TableScanner::TableScanner(TableScannerOptions options, base::Clock& clock,
+                           base::TimerService& timers, base::RandomSource& random,
+                           base::EventLog& log, platform::TableClient& table,
+                           ConfigurationStore& store)
+    : options_(options),
+      clock_(clock),
+      timers_(timers),
+      random_(random),
+      log_(log),
+      table_(table),
+      store_(store) {}
+
+TableScanner::~TableScanner() { timers_.cancel(timer_); }
+
+void TableScanner::setActive(bool active) {
+  if (active_ == active) return;
+  active_ = active;
+  timers_.cancel(timer_);
+  failures_ = 0;
+  if (active_ && !underWay_) scheduleIn(random_.jittered(options_.period / 2, 1));
+}
+
+void TableScanner::hasten() {
+  if (!active_ || underWay_ || failures_ > 0) return;
+  timers_.cancel(timer_);
+  scan();
+}
+
+void TableScanner::scheduleIn(base::Duration delay) {
+  timers_.cancel(timer_);
+  timer_ = timers_.schedule(delay, [this] { scan(); });
+}
+
+void TableScanner::scan() {
+  underWay_ = true;
+  const base::TimePoint askedAt = clock_.now();
+  table_.scan(
+      std::string(kTemplatePrefix), store_.completeUpTo(), options_.rowsPerScan,
+      [this, askedAt, alive = std::weak_ptr<bool>(alive_)](const platform::TableReply& reply) {
+        if (!alive.expired()) onScanned(askedAt, reply);
+      });
+}
+
+void TableScanner::onScanned(base::TimePoint askedAt, const platform::TableReply& reply) {
+  underWay_ = false;
+  if (reply.status != platform::TableStatus::kOk) {
+    if (failures_++ == 0) log_.write(base::Event::kPlatformUnavailable, {{"service", "table"}});
+    const std::uint32_t doublings = std::min(failures_ - 1, kMaximumDoublings);
+    const base::Duration backoff =
+        std::min(options_.period * (1U << doublings), options_.longestBackoff);
+    if (active_) scheduleIn(random_.jittered(backoff, kBackoffJitter));
+    return;
+  }
+  if (failures_ > 0) log_.write(base::Event::kPlatformRecovered, {{"service", "table"}});
+  failures_ = 0;
+  for (const platform::TableRow& row : reply.rows) store_.apply(row);
+  store_.advance(reply.revision);
+  const bool complete = reply.rows.size() < options_.rowsPerScan;
+  if (complete) {
+    store_.confirm(reply.revision, askedAt);
+    store_.markLoaded();
+  }
+  if (!active_) return;
+  scheduleIn(complete ? random_.jittered(options_.period, kPeriodJitter) : base::Duration{0});
+}
+
+}  // namespace covewing::config
