--- /dev/null
+++ b/src/bench/oracle_policy.cc
@@ -0,0 +1,137 @@
+#include "bench/oracle_policy.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "prefix/prompt.h"
+
+namespace covewing::bench {
+
+using base::Duration;
+
+namespace {
+/// A request that has not arrived by then never will.
+constexpr Duration kLongestWay = std::chrono::seconds(1);
+/// Expected wait for memory where an engine cannot start the request at once.
+constexpr Duration kMemoryWait = std::chrono::milliseconds(500);
+/// A block that so many prompts contained is worth keeping in the store.
+constexpr std::uint32_t kUsesForExport = 2;
+}  // namespace
+
+OracleKnowledge::OracleKnowledge(OracleOptions options, const sim::Scheduler& scheduler,
+                                 std::vector<OracleEngine> engines,
+                                 const emulator::KeptCacheStoreModel* keptCacheStore,
+                                 emulator::KeptCacheStoreOptions storeOptions)
+    : options_(options),
+      scheduler_(scheduler),
+      store_(keptCacheStore),
+      storeOptions_(storeOptions) {
+  for (const OracleEngine& engine : engines) engines_[engine.model->id()].engine = engine;
+}
+
+Duration OracleKnowledge::computeTime(const OracleEngine& engine, std::uint64_t tokens,
+                                      std::uint32_t decoding) {
+  const std::uint64_t steps = std::max<std::uint64_t>(
+      1, (tokens + engine.prefillTokensPerStep - 1) / engine.prefillTokensPerStep);
+  return engine.step.perPrefillToken * static_cast<Duration::rep>(tokens) +
+         (engine.step.base + engine.step.perDecodingSequence * decoding) *
+             static_cast<Duration::rep>(steps);
+}
+
+OracleKnowledge::Estimate OracleKnowledge::estimate(Known& known, const routing::RouteQuery& query,
+                                                    std::uint32_t storedBlocks) const {
+  const emulator::EngineModel& model = *known.engine.model;
+  const platform::EngineLoad load = model.currentLoad();
+  std::erase_if(known.inFlight, [this](const InFlight& request) {
+    return scheduler_.now() - request.sentAt > kLongestWay;
+  });
+  std::uint64_t ahead = 0;
+  std::uint32_t waiting = 0;
+  for (std::size_t index = 0; index <= static_cast<std::size_t>(query.priority); ++index) {
+    ahead += load.queuedPrefillTokens.at(index);
+    waiting += load.waiting.at(index);
+  }
+  for (const InFlight& request : known.inFlight) {
+    if (request.priority <= query.priority) ahead += request.tokens;
+  }
+  Estimate estimate;
+  estimate.cachedBlocks = model.cachedLeadingBlocks(*query.chain);
+  std::uint32_t reusedBlocks = estimate.cachedBlocks;
+  Duration transfer{};
+  if (storedBlocks > estimate.cachedBlocks) {
+    const std::uint32_t imported = storedBlocks - estimate.cachedBlocks;
+    const Duration importTime = storeOptions_.latency + storeOptions_.perBlock * imported;
+    const Duration saved = computeTime(known.engine, imported * prefix::kTokensPerBlock, 0);
+    if (importTime < saved) {
+      estimate.importBlocks = storedBlocks;
+      reusedBlocks = storedBlocks;
+      transfer = importTime;
+    }
+  }
+  const std::uint64_t reused =
+      std::min<std::uint64_t>(query.promptTokens, reusedBlocks * prefix::kTokensPerBlock);
+  estimate.computedTokens = query.promptTokens - reused;
+  const std::uint32_t decoding = load.running;
+  const Duration own = computeTime(known.engine, estimate.computedTokens, decoding);
+  const Duration queue = ahead == 0 ? Duration::zero() : computeTime(known.engine, ahead, decoding);
+  estimate.firstToken = queue + transfer + own;
+  const auto needed = static_cast<std::uint32_t>(query.chain->size()) - estimate.cachedBlocks;
+  const bool memoryFree = waiting == 0 && model.cache().canReserve(needed, estimate.cachedBlocks);
+  if (!memoryFree) estimate.firstToken += kMemoryWait;
+  estimate.cost = base::toSeconds(estimate.firstToken) +
+                  options_.computeWeight * base::toSeconds(own + transfer);
+  return estimate;
+}
+
+routing::RouteDecision OracleKnowledge::choose(const routing::FleetView& fleet,
+                                               const routing::RouteQuery& query) {
+  routing::RouteDecision decision;
+  const std::uint32_t storedBlocks = store_ == nullptr ? 0 : store_->leadingBlocks(*query.chain);
+  const routing::EngineState* best = nullptr;
+  Estimate bestEstimate;
+  for (const routing::EngineState& engine : fleet.engines()) {
+    const auto known = engines_.find(engine.address.id);
+    if (known == engines_.end() || !routing::qualifies(engine, query)) continue;
+    const emulator::EngineModel& model = *known->second.engine.model;
+    if (!model.isUp() || model.isPaused() || model.isLeaving()) continue;
+    const Estimate candidate = estimate(known->second, query, storedBlocks);
+    if (best != nullptr && candidate.cost >= bestEstimate.cost) continue;
+    best = &engine;
+    bestEstimate = candidate;
+  }
+  if (best == nullptr) {
+    decision.reason = {base::ResultCode::kNoBackEnd, "no engine qualifies"};
+    return decision;
+  }
+  Known& chosen = engines_.at(best->address.id);
+  chosen.inFlight.push_back(
+      {query.requestId.value, query.priority, bestEstimate.computedTokens, scheduler_.now()});
+  decision.engine = best->address.id;
+  decision.incarnation = best->incarnation;
+  decision.matchedBlocks = bestEstimate.cachedBlocks;
+  decision.importBlocks = bestEstimate.importBlocks;
+  decision.exportBlocks = exportBlocks(query, storedBlocks);
+  decision.expectedFirstToken = bestEstimate.firstToken;
+  return decision;
+}
+
+std::uint32_t OracleKnowledge::exportBlocks(const routing::RouteQuery& query,
+                                            std::uint32_t storedBlocks) {
+  if (store_ == nullptr) return 0;
+  std::uint32_t shared = 0;
+  bool leading = true;
+  for (const base::BlockHash block : *query.chain) {
+    leading = ++uses_[block] >= kUsesForExport && leading;
+    if (leading) ++shared;
+  }
+  return shared > storedBlocks ? shared : 0;
+}
+
+void OracleKnowledge::onAccepted(base::EngineId engine, const base::RequestId& request) {
+  const auto known = engines_.find(engine);
+  if (known == engines_.end()) return;
+  std::erase_if(known->second.inFlight,
+                [&](const InFlight& sent) { return sent.request == request.value; });
+}
+
+}  // namespace covewing::bench
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -24,6 +24,7 @@
 #include "platform/table_client.h"
 #include "request/caller_request.h"
 #include "routing/fleet_view.h"
+#include "routing/routing_policy.h"
 
 namespace covewing::node {
 
@@ -39,6 +40,9 @@
   base::Incarnation incarnation = 1;
   /// Routing policy by name; "default" is the shipped one.
   std::string routingPolicy = "default";
+  /// Makes the routing policy in place of `routingPolicy` where set: for experiments with policies
+  /// that no node ships.
+  std::function<std::unique_ptr<routing::RoutingPolicy>(const routing::FleetView&)> makePolicy;
   std::size_t maximumOpenRequests = 10'000;
   /// Configuration counts as confirmed for this long after the last confirmation.
   base::Duration freshnessBound = std::chrono::seconds(5);
