--- a/src/request/completion_flow.cc
+++ b/src/request/completion_flow.cc
@@ -46,7 +46,11 @@
   const base::TimePoint startedAt;
   const Duration expectedFirstToken;
   std::optional<Duration> firstTokenAfter;
-  std::uint64_t chunks = 0;
+  /// The engine sent some of the answer, be it wanted or not.
+  bool answering = false;
+  /// Known once it ended whole.
+  std::uint32_t promptTokens = 0;
+  std::uint32_t cachedTokens = 0;
   std::unique_ptr<platform::EngineStream> stream;
 
  private:
@@ -185,6 +189,7 @@
 
 void CompletionFlow::onChunk(const platform::StreamChunk& chunk) {
   setMayHaveRun();
+  attempt_->answering = true;
   switch (positions_.accept(chunk.position)) {
     case ChunkVerdict::kNext:
       deliverChunk(chunk);
@@ -200,7 +205,6 @@
 
 void CompletionFlow::deliverChunk(const platform::StreamChunk& chunk) {
   stopDeadline();
-  ++attempt_->chunks;
   AttemptTrace& attemptTrace = currentAttempt();
   ++attemptTrace.chunks;
   if (!attempt_->firstTokenAfter.has_value()) {
@@ -223,19 +227,19 @@
   AttemptTrace& attemptTrace = currentAttempt();
   attemptTrace.promptTokens = end.promptTokens;
   attemptTrace.cachedTokens = end.cachedTokens;
-  reportFinished(end.promptTokens, end.cachedTokens);
+  attempt_->promptTokens = end.promptTokens;
+  attempt_->cachedTokens = end.cachedTokens;
   finish([this, &end] { sink_.onEnd(end); });
 }
 
 void CompletionFlow::onError(DispatchError error) {
   // An engine that sent part of the answer did run, whatever it says.
-  if (attempt_->chunks > 0) error.failure = DispatchFailure::kOutcomeUnknown;
+  if (attempt_->answering) error.failure = DispatchFailure::kOutcomeUnknown;
   failAttempt(std::move(error));
 }
 
 void CompletionFlow::failAttempt(DispatchError error) {
   excluded_.push_back(attempt_->engine);
-  reportFinished(0, 0);
   stopAttempt();
   if (answerStarted()) error.reason.code = ResultCode::kStreamBroken;
   onAttemptFailed(error);
@@ -249,16 +253,14 @@
   });
 }
 
-void CompletionFlow::reportFinished(std::uint32_t promptTokens, std::uint32_t cachedTokens) {
-  const Duration firstTokenAfter = attempt_->firstTokenAfter.value_or(Duration::zero());
-  dependencies().policy.onFinished(attempt_->engine, promptTokens, cachedTokens, firstTokenAfter);
-}
-
 void CompletionFlow::stopAttempt() {
   watchTimer_.stop();
   engineTimer_.stop();
   if (attempt_ == nullptr) return;
   attempt_->detach();
+  // However the attempt ended, it no longer loads its engine.
+  dependencies().policy.onFinished(attempt_->engine, attempt_->promptTokens, attempt_->cachedTokens,
+                                   attempt_->firstTokenAfter.value_or(Duration::zero()));
   // The engine's client may be in the middle of calling the attempt.
   deferred().add(std::exchange(attempt_, nullptr));
 }
--- a/src/request/completion_flow.h
+++ b/src/request/completion_flow.h
@@ -56,7 +56,6 @@
   void failAttempt(platform::DispatchError error);
   /// Gives the attempt up for `silence` unless it is heard of within `limit`.
   void watch(base::Duration limit, base::Reason silence);
-  void reportFinished(std::uint32_t promptTokens, std::uint32_t cachedTokens);
 
   CompletionRequest request_;
   CompletionSink& sink_;
