Add leases kept in the table service

A lease is a row with holder, nonce and a fencing token that grows with each change of holder. No clocks are shared: the holder counts from before it sent its write and stops a margin early, others wait a whole duration and a margin from when they first knew the row as it is, and their compare-and-set is the proof that it did not change. A tenure row, written at a change of holder only, is a condition that a holder's other writes carry, so the table refuses a former holder's.

One lease a region was chosen over one a model: load slots belong to the region's weight store, and with a lease a model two holders would have to share them. Three candidates by rendezvous keep the calls bounded: a holder renews every 2 s, a watching candidate calls once in 6.5 s, all others not at all.

--- /dev/null
+++ b/src/coordination/lease_manager.cc
@@ -0,0 +1,302 @@
+#include "coordination/lease_manager.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "coordination/lease_candidates.h"
+
+namespace covewing::coordination {
+
+namespace {
+
+constexpr double kJitter = 0.25;
+/// Writes remembered for recognition; older ones have long taken effect or never will.
+constexpr std::size_t kRememberedAttempts = 8;
+
+const platform::TableRow* findRow(const std::vector<platform::TableRow>& rows,
+                                  std::string_view key) {
+  const auto found =
+      std::ranges::find_if(rows, [key](const platform::TableRow& row) { return row.key == key; });
+  return found == rows.end() ? nullptr : &*found;
+}
+
+}  // namespace
+
+LeaseManager::LeaseManager(LeaseOptions options, LeaseEnvironment environment,
+                           LeaseListener& listener)
+    : options_(std::move(options)), environment_(environment), listener_(listener) {}
+
+LeaseManager::~LeaseManager() {
+  environment_.timers.cancel(stepTimer_);
+  environment_.timers.cancel(expiryTimer_);
+}
+
+/// Wraps a callback so that it does nothing once this object is gone.
+template <class Handler>
+auto LeaseManager::guarded(Handler handler) {
+  return [alive = std::weak_ptr<bool>(lifetime_), handler = std::move(handler)](auto&&... values) {
+    if (!alive.expired()) handler(std::forward<decltype(values)>(values)...);
+  };
+}
+
+void LeaseManager::start() {
+  started_ = true;
+  // Nodes that start together do not all call the table service in the same moment.
+  scheduleStep(environment_.random.jittered(options_.firstBackoff, 1.0));
+}
+
+std::optional<LeaseGrant> LeaseManager::grant() const {
+  if (releasing_ || !tenure_ || hasExpired()) return std::nullopt;
+  return tenure_->grant;
+}
+
+bool LeaseManager::hasExpired() const { return environment_.clock.now() >= tenure_->validUntil; }
+
+LeaseStatus LeaseManager::status() const {
+  LeaseStatus status;
+  status.candidate = isCandidate();
+  status.held = grant().has_value();
+  if (status.held) {
+    status.holder = environment_.members.self().name;
+    status.token = tenure_->grant.token;
+    status.remaining = tenure_->validUntil - environment_.clock.now();
+  } else if (observed_ && observed_->row) {
+    status.holder = observed_->row->released ? "" : observed_->row->holder;
+    status.token = observed_->row->token;
+  }
+  return status;
+}
+
+std::vector<membership::Member> LeaseManager::candidates() const {
+  return leaseCandidates(options_.name, options_.region, environment_.members.liveMembers(),
+                         options_.candidates);
+}
+
+bool LeaseManager::isCandidate() const {
+  const base::NodeId self = environment_.members.self().id;
+  return std::ranges::any_of(
+      candidates(), [self](const membership::Member& member) { return member.id == self; });
+}
+
+bool LeaseManager::isOwn(const LeaseRow& row) const {
+  const membership::Member& self = environment_.members.self();
+  return row.holder == self.name && row.incarnation == self.incarnation;
+}
+
+void LeaseManager::onReleaseHint() {
+  if (!started_ || stopped_ || releasing_ || tenure_ || callInFlight_ || !isCandidate()) return;
+  read();
+}
+
+void LeaseManager::scheduleStep(base::Duration delay) {
+  environment_.timers.cancel(stepTimer_);
+  stepTimer_ = environment_.timers.schedule(delay, guarded([this] { step(); }));
+}
+
+void LeaseManager::backOff() {
+  backoff_ = backoff_.count() == 0 ? options_.firstBackoff
+                                   : std::min(2 * backoff_, options_.maximumBackoff);
+  scheduleStep(environment_.random.jittered(backoff_, kJitter));
+}
+
+void LeaseManager::step() {
+  if (!started_ || stopped_ || callInFlight_) return;
+  if (releasing_) return giveUp();
+  if (tenure_ && hasExpired()) loseTenure("not renewed in time");
+  if (tenure_) return renew();
+  if (isCandidate()) return stepAsCandidate();
+  // What is not watched ages unseen: start over when this node becomes a candidate again.
+  observed_.reset();
+  scheduleStep(environment_.random.jittered(options_.membershipInterval, kJitter));
+}
+
+void LeaseManager::stepAsCandidate() {
+  if (!observed_) return read();
+  const bool free = !observed_->row || observed_->row->released || isOwn(*observed_->row);
+  const base::TimePoint due = observed_->firstSeenAt + options_.duration + options_.margin;
+  const base::TimePoint now = environment_.clock.now();
+  if (free || now >= due) return acquire();
+  scheduleStep(due - now);
+}
+
+void LeaseManager::read() {
+  callInFlight_ = true;
+  environment_.table.read({leaseKey(options_.name), leaseTenureKey(options_.name)},
+                          guarded([this](const platform::TableReply& reply) {
+                            callInFlight_ = false;
+                            onReadReply(reply);
+                          }));
+}
+
+void LeaseManager::onReadReply(const platform::TableReply& reply) {
+  if (reply.status != platform::TableStatus::kOk) return backOff();
+  backoff_ = {};
+  observe(reply.rows);
+  recogniseOwnWrite();
+  step();
+}
+
+void LeaseManager::observe(const std::vector<platform::TableRow>& rows) {
+  const platform::TableRow* lease = findRow(rows, leaseKey(options_.name));
+  const platform::TableRow* tenure = findRow(rows, leaseTenureKey(options_.name));
+  const base::Revision revision = lease == nullptr ? 0 : lease->revision;
+  const bool changed = !observed_ || observed_->revision != revision;
+  if (!observed_) observed_.emplace();
+  if (changed) observed_->firstSeenAt = environment_.clock.now();
+  observed_->revision = revision;
+  observed_->tenureRevision = tenure == nullptr ? 0 : tenure->revision;
+  base::Reason ignored;
+  observed_->row = lease == nullptr ? std::nullopt : parseLeaseRow(lease->value, ignored);
+}
+
+bool LeaseManager::recogniseOwnWrite() {
+  if (!observed_ || !observed_->row || !isOwn(*observed_->row)) return false;
+  const auto attempt = std::ranges::find_if(
+      attempts_, [this](const Attempt& one) { return one.row.nonce == observed_->row->nonce; });
+  if (attempt == attempts_.end() || attempt->row.released) return false;
+  Attempt recognised = *attempt;
+  recognised.tenureRevision = observed_->tenureRevision;
+  // The lost answer may come to light too late to be of use.
+  const base::TimePoint validUntil = recognised.sentAt + options_.duration - options_.margin;
+  if (environment_.clock.now() >= validUntil) return false;
+  becomeHolder(recognised, observed_->revision);
+  return true;
+}
+
+LeaseRow LeaseManager::makeRow(base::FencingToken token, bool released) {
+  const membership::Member& self = environment_.members.self();
+  return {.holder = self.name,
+          .incarnation = self.incarnation,
+          .nonce = environment_.random.next(),
+          .token = token,
+          .released = released};
+}
+
+void LeaseManager::acquire() {
+  const base::FencingToken lastToken = observed_->row ? observed_->row->token : 0;
+  commit(makeRow(lastToken + 1, false), {observed_->revision, observed_->tenureRevision}, true);
+}
+
+void LeaseManager::renew() {
+  commit(makeRow(tenure_->grant.token, false), {tenure_->revision, tenure_->grant.tenureRevision},
+         false);
+}
+
+void LeaseManager::commit(LeaseRow row, const Expectation& expected, bool newTenure) {
+  const Attempt attempt{.row = std::move(row),
+                        .sentAt = environment_.clock.now(),
+                        .tenureRevision = expected.tenureRevision};
+  platform::TableTransaction transaction;
+  // A conflict answers with the rows of both conditions.
+  transaction.conditions = {{leaseKey(options_.name), expected.revision},
+                            {leaseTenureKey(options_.name), expected.tenureRevision}};
+  transaction.writes.push_back({leaseKey(options_.name), encodeLeaseRow(attempt.row)});
+  if (newTenure) {
+    transaction.writes.push_back(
+        {leaseTenureKey(options_.name), std::to_string(attempt.row.token)});
+  }
+  attempts_.push_back(attempt);
+  if (attempts_.size() > kRememberedAttempts) attempts_.erase(attempts_.begin());
+  callInFlight_ = true;
+  environment_.table.commit(std::move(transaction),
+                            guarded([this, attempt, newTenure](const platform::TableReply& reply) {
+                              callInFlight_ = false;
+                              onCommitReply(reply, attempt, newTenure);
+                            }));
+}
+
+void LeaseManager::onCommitReply(const platform::TableReply& reply, const Attempt& attempt,
+                                 bool newTenure) {
+  switch (reply.status) {
+    case platform::TableStatus::kOk: {
+      backoff_ = {};
+      Attempt done = attempt;
+      if (newTenure) done.tenureRevision = reply.revision;
+      if (attempt.row.released) return finishRelease();
+      becomeHolder(done, reply.revision);
+      return;
+    }
+    case platform::TableStatus::kConflict:
+      backoff_ = {};
+      observe(reply.rows);
+      if (attempt.row.released) return finishRelease();
+      if (recogniseOwnWrite()) return;
+      if (tenure_) loseTenure("another node holds it");
+      return step();
+    case platform::TableStatus::kUnknown:
+      if (attempt.row.released) return finishRelease();
+      return read();
+    default:
+      if (attempt.row.released) return finishRelease();
+      return backOff();
+  }
+}
+
+void LeaseManager::becomeHolder(const Attempt& attempt, base::Revision revision) {
+  const base::TimePoint validUntil = attempt.sentAt + options_.duration - options_.margin;
+  if (environment_.clock.now() >= validUntil) {
+    // The answer took longer than the lease: read the row, then take it anew.
+    if (tenure_) loseTenure("renewed too late");
+    observed_.reset();
+    return backOff();
+  }
+  const bool renewed = tenure_ && tenure_->grant.token == attempt.row.token;
+  if (tenure_ && !renewed) loseTenure("taken anew");
+  tenure_ = Tenure{.grant = {.token = attempt.row.token, .tenureRevision = attempt.tenureRevision},
+                   .revision = revision,
+                   .validUntil = validUntil};
+  observed_ = Observation{.revision = revision,
+                          .tenureRevision = attempt.tenureRevision,
+                          .row = attempt.row,
+                          .firstSeenAt = environment_.clock.now()};
+  armExpiry();
+  const base::Duration sinceSent = environment_.clock.now() - attempt.sentAt;
+  scheduleStep(releasing_ ? base::Duration::zero() : options_.renewInterval - sinceSent);
+  if (renewed) return;
+  environment_.log.write(base::Event::kLeaseAcquired,
+                         {{"lease", options_.name}, {"token", std::to_string(attempt.row.token)}});
+  listener_.onLeaseAcquired(tenure_->grant);
+}
+
+void LeaseManager::armExpiry() {
+  environment_.timers.cancel(expiryTimer_);
+  const base::Duration left = tenure_->validUntil - environment_.clock.now();
+  expiryTimer_ = environment_.timers.schedule(left, guarded([this] {
+                                                if (!tenure_ || !hasExpired()) return;
+                                                loseTenure("not renewed in time");
+                                                if (!callInFlight_) step();
+                                              }));
+}
+
+void LeaseManager::loseTenure(std::string_view why) {
+  const base::FencingToken token = tenure_->grant.token;
+  tenure_.reset();
+  environment_.timers.cancel(expiryTimer_);
+  environment_.log.write(
+      base::Event::kLeaseLost,
+      {{"lease", options_.name}, {"token", std::to_string(token)}, {"detail", std::string(why)}});
+  listener_.onLeaseLost();
+}
+
+void LeaseManager::release(std::function<void()> done) {
+  released_ = std::move(done);
+  releasing_ = true;
+  if (callInFlight_) return;  // continues with the answer
+  scheduleStep(base::Duration::zero());
+  if (!started_) finishRelease();
+}
+
+void LeaseManager::giveUp() {
+  if (!tenure_) return finishRelease();
+  const Tenure tenure = *tenure_;
+  loseTenure("given up");
+  commit(makeRow(tenure.grant.token, true), {tenure.revision, tenure.grant.tenureRevision}, false);
+}
+
+void LeaseManager::finishRelease() {
+  stopped_ = true;
+  environment_.timers.cancel(stepTimer_);
+  if (released_) std::exchange(released_, nullptr)();
+}
+
+}  // namespace covewing::coordination
--- /dev/null
+++ b/src/coordination/lease_manager.h
@@ -0,0 +1,183 @@
+/// \file
+/// One node's part in a lease kept in the table service.
+///
+/// Protocol. The row names the holder and carries a fencing token that grows with each change of
+/// holder. Every write is a compare-and-set on the revision last seen and carries a fresh nonce. A
+/// write whose answer was lost is looked for by its nonce before anything else is tried.
+///
+/// No clocks are shared. The holder counts `duration` from the moment before it sent the write that
+/// put or renewed it, and stops using the lease `margin` before that ends. Another candidate takes
+/// over only when it has known the row unchanged for `duration + margin` on its own clock, counted
+/// from the moment it first learned of that revision; its compare-and-set is the proof that the row
+/// did not change until then. Both clocks may run at rates that differ by less than
+/// 2 * margin / duration. A process that is paused between its check and its use of the lease is
+/// not stopped by any of this: there the receivers' check of the fencing token holds.
+///
+/// States: idle (no candidate) -> watching -> acquiring -> holding -> watching; stopped at the end.
+/// Cost: a holder makes one call per `renewInterval`, a watching candidate one per
+/// `duration + margin` (a failed compare-and-set answers with the current row, so it reads too),
+/// all other nodes none.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/event_log.h"
+#include "base/ids.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "coordination/lease_row.h"
+#include "membership/member_directory.h"
+#include "platform/table_client.h"
+
+namespace covewing::coordination {
+
+struct LeaseOptions {
+  /// Name of the lease, such as "coordinator/brno-south".
+  std::string name;
+  /// Only members of this region compete.
+  std::string region;
+  base::Duration duration = std::chrono::seconds(6);
+  base::Duration margin = std::chrono::milliseconds(500);
+  base::Duration renewInterval = std::chrono::seconds(2);
+  /// Wait after a call that failed, with jitter; doubles up to `maximumBackoff`.
+  base::Duration firstBackoff = std::chrono::milliseconds(200);
+  base::Duration maximumBackoff = std::chrono::seconds(2);
+  /// How often a node that is no candidate looks at the membership again.
+  base::Duration membershipInterval = std::chrono::seconds(2);
+  std::size_t candidates = 3;
+};
+
+/// All must outlive the manager and share its thread.
+struct LeaseEnvironment {
+  base::Clock& clock;
+  base::TimerService& timers;
+  base::RandomSource& random;
+  base::EventLog& log;
+  platform::TableClient& table;
+  const membership::MemberDirectory& members;
+};
+
+/// Proof of holding a lease, for conditions and orders.
+struct LeaseGrant {
+  base::FencingToken token = 0;
+  /// Revision of the tenure row (lease_row.h).
+  base::Revision tenureRevision = 0;
+};
+
+/// What a node knows of the lease, for people.
+struct LeaseStatus {
+  bool candidate = false;
+  bool held = false;
+  /// Holder and token last seen in the row; empty when this node has not read it.
+  std::string holder;
+  base::FencingToken token = 0;
+  /// Time left by this node's clock, while it holds the lease.
+  base::Duration remaining{};
+};
+
+class LeaseListener {
+ public:
+  virtual ~LeaseListener() = default;
+  virtual void onLeaseAcquired(const LeaseGrant& grant) = 0;
+  /// The lease may no longer be used.
+  virtual void onLeaseLost() = 0;
+};
+
+class LeaseManager {
+ public:
+  LeaseManager(LeaseOptions options, LeaseEnvironment environment, LeaseListener& listener);
+  ~LeaseManager();
+  LeaseManager(const LeaseManager&) = delete;
+  LeaseManager& operator=(const LeaseManager&) = delete;
+
+  /// Starts competing; call once.
+  void start();
+  /// The grant, if it may be used at this moment by this node's clock.
+  std::optional<LeaseGrant> grant() const;
+  LeaseStatus status() const;
+  /// The nodes that compete for the lease, as this node sees the membership.
+  std::vector<membership::Member> candidates() const;
+  /// Another node says that it gave the lease up: look at once instead of waiting.
+  void onReleaseHint();
+  /// Stops using the lease and competing for it, gives it up in the table, then calls `done` once.
+  void release(std::function<void()> done);
+
+ private:
+  struct Observation {
+    base::Revision revision = 0;
+    base::Revision tenureRevision = 0;
+    std::optional<LeaseRow> row;
+    /// When this revision was first known here.
+    base::TimePoint firstSeenAt{};
+  };
+  struct Tenure {
+    LeaseGrant grant;
+    base::Revision revision = 0;
+    base::TimePoint validUntil{};
+  };
+  /// Revisions that a write relies on.
+  struct Expectation {
+    base::Revision revision = 0;
+    base::Revision tenureRevision = 0;
+  };
+  /// A write of which the answer is outstanding or was lost.
+  struct Attempt {
+    LeaseRow row;
+    base::TimePoint sentAt{};
+    base::Revision tenureRevision = 0;
+  };
+
+  /// Does what is next and due; called by the timer and after each answer.
+  void step();
+  void stepAsCandidate();
+  void scheduleStep(base::Duration delay);
+  void backOff();
+  bool isCandidate() const;
+  bool hasExpired() const;
+  bool isOwn(const LeaseRow& row) const;
+
+  void read();
+  void acquire();
+  void renew();
+  void giveUp();
+  /// Writes the row on condition that both rows still have the revisions in `expected`.
+  void commit(LeaseRow row, const Expectation& expected, bool newTenure);
+  LeaseRow makeRow(base::FencingToken token, bool released);
+  void onReadReply(const platform::TableReply& reply);
+  void onCommitReply(const platform::TableReply& reply, const Attempt& attempt, bool newTenure);
+  /// Takes in rows read or returned by a conflict.
+  void observe(const std::vector<platform::TableRow>& rows);
+  /// Recognises one of this node's own writes in the row; true when it made this node the holder.
+  bool recogniseOwnWrite();
+  void becomeHolder(const Attempt& attempt, base::Revision revision);
+  void loseTenure(std::string_view why);
+  void armExpiry();
+  void finishRelease();
+
+  template <class Handler>
+  auto guarded(Handler handler);
+
+  LeaseOptions options_;
+  LeaseEnvironment environment_;
+  LeaseListener& listener_;
+  std::optional<Observation> observed_;
+  std::optional<Tenure> tenure_;
+  std::vector<Attempt> attempts_;
+  bool started_ = false;
+  bool callInFlight_ = false;
+  bool releasing_ = false;
+  bool stopped_ = false;
+  std::function<void()> released_;
+  base::Duration backoff_{};
+  base::TimerId stepTimer_ = 0;
+  base::TimerId expiryTimer_ = 0;
+  /// Outlived by callbacks that must no longer reach this object.
+  std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
+};
+
+}  // namespace covewing::coordination
