Add orders to engines: load weights, swap version, change role

An order is one row with all its steps. The next states follow from the engines' reports by a pure function; the executor commits them before any engine is told, so the row shows every load that may be running and whoever comes next knows the load slots in use. A write whose answer was lost keeps its slots until it is confirmed or replaced.

--- /dev/null
+++ b/src/coordination/engine_catalogue.h
@@ -0,0 +1,42 @@
+/// \file
+/// The engines that orders may be for, as this node knows them. The node feeds it from its fleet
+/// view; what is known of an engine may lag by seconds, so an order's executor asks the engine
+/// itself before it acts.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/ids.h"
+#include "platform/engine_client.h"
+
+namespace covewing::coordination {
+
+struct CatalogueEngine {
+  platform::BackEndAddress address;
+  std::string zone;
+  std::string region;
+  platform::EngineRole role = platform::EngineRole::kServing;
+  bool leaving = false;
+  bool unreachable = false;
+  std::vector<platform::LoadedWeights> weights;
+};
+
+class EngineCatalogue {
+ public:
+  virtual ~EngineCatalogue() = default;
+  /// All engines known, ascending by identifier.
+  virtual std::vector<CatalogueEngine> engines() const = 0;
+};
+
+/// Whether `weights` hold any version of the model.
+bool holdsModel(const std::vector<platform::LoadedWeights>& weights, std::string_view model);
+/// Whether `weights` hold the version with all adapters of `wanted`.
+bool holdsWeights(const std::vector<platform::LoadedWeights>& weights,
+                  const platform::LoadedWeights& wanted);
+/// Whether `weights` hold the version, whatever its adapters.
+bool holdsVersion(const std::vector<platform::LoadedWeights>& weights, std::string_view model,
+                  base::WeightsVersion version);
+
+}  // namespace covewing::coordination
--- /dev/null
+++ b/src/coordination/order.h
@@ -0,0 +1,125 @@
+/// \file
+/// Operators' orders to engines, as they stand in the table service: one row an order, holding
+/// every step and its state, so that whoever holds the lease next can finish it.
+///
+/// Step states by kind of order (`waiting` first, a final state last):
+///
+///     load:  waiting -> loading -> done
+///     swap:  waiting -> loading -> loaded -> unloading -> done
+///     role:  waiting -> changing [-> draining] -> done
+///
+/// `failed`, `skipped` and `cancelled` are final too. A swap that fails or is cancelled before
+/// every engine has loaded takes back what it loaded: loaded -> rolling_back -> rolled_back.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/result_code.h"
+#include "base/time.h"
+#include "platform/engine_client.h"
+
+namespace covewing::coordination {
+
+enum class OrderType : std::uint8_t { kLoad, kSwap, kRole };
+
+enum class OrderState : std::uint8_t {
+  kPending,
+  kRunning,
+  kRollingBack,
+  kDone,
+  kFailed,
+  kCancelled,
+};
+
+enum class StepState : std::uint8_t {
+  kWaiting,
+  kLoading,
+  kLoaded,
+  kUnloading,
+  kChanging,
+  kDraining,
+  kRollingBack,
+  kDone,
+  kFailed,
+  kSkipped,
+  kCancelled,
+  kRolledBack,
+};
+
+std::string_view toString(OrderType type);
+std::string_view toString(OrderState state);
+std::string_view toString(StepState state);
+std::string_view toString(platform::EngineRole role);
+std::optional<OrderType> parseOrderType(std::string_view name);
+std::optional<platform::EngineRole> parseEngineRole(std::string_view name);
+
+/// What an order does to one engine.
+struct OrderStep {
+  /// Name of the engine in the machine list.
+  std::string engine;
+  StepState state = StepState::kWaiting;
+  /// Why it waits or failed.
+  std::string detail;
+  /// Node that made the last change of state.
+  std::string executor;
+  /// Time from the start of the step to its last change of state, by the executors' clocks.
+  base::Duration elapsed{};
+  /// Incarnation of the engine when the step started.
+  base::Incarnation incarnation = 0;
+  /// The engine had the version before: nothing to take back.
+  bool hadVersion = false;
+  /// Versions of the model that the engine had besides, to be unloaded by a swap.
+  std::vector<base::WeightsVersion> oldVersions;
+};
+
+struct Order {
+  std::string id;
+  std::string region;
+  OrderType type = OrderType::kLoad;
+  /// Weights to load or to swap to.
+  platform::LoadedWeights weights;
+  platform::EngineRole role = platform::EngineRole::kServing;
+  /// Most loads of this order at once; 0: the weight store's limit alone.
+  std::uint32_t parallel = 0;
+  /// Engines of the model that must be able to serve at every moment.
+  std::uint32_t minimumServing = 0;
+  /// A swap leaves the old versions loaded.
+  bool keepOld = false;
+  /// Identifier of the operator's call; recognises a repeated one.
+  std::string operationId;
+  std::string author;
+  bool cancelRequested = false;
+  OrderState state = OrderState::kPending;
+  std::string detail;
+  std::vector<OrderStep> steps;
+  /// Drawn for each write; recognises a write whose answer was lost.
+  std::uint64_t nonce = 0;
+  /// Fencing token of the last executor that wrote the row; 0 before the first.
+  base::FencingToken token = 0;
+  /// Revision of the row. Not part of the value.
+  base::Revision revision = 0;
+};
+
+bool isFinal(StepState state);
+bool isFinal(OrderState state);
+/// The step keeps one of the weight store's load slots.
+bool usesLoadSlot(StepState state);
+/// The engine is being worked on.
+bool isActive(StepState state);
+
+/// Identifier of the order that this operator call makes, equal in its repetitions.
+std::string orderIdOf(std::string_view operationId);
+/// Prefix of the rows of a region's orders.
+std::string orderPrefix(std::string_view region);
+std::string orderKey(std::string_view region, std::string_view id);
+std::string encodeOrder(const Order& order);
+/// Empty with the reason when the value is not of this form.
+std::optional<Order> parseOrder(std::string_view value, base::Revision revision,
+                                base::Reason& reason);
+
+}  // namespace covewing::coordination
--- /dev/null
+++ b/src/coordination/order_executor.cc
@@ -0,0 +1,438 @@
+#include "coordination/order_executor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace covewing::coordination {
+
+namespace {
+
+const CatalogueEngine* findEngine(const std::vector<CatalogueEngine>& catalogue,
+                                  const std::string& name) {
+  const auto found = std::ranges::find_if(
+      catalogue, [&name](const CatalogueEngine& engine) { return engine.address.name == name; });
+  return found == catalogue.end() ? nullptr : &*found;
+}
+
+std::uint32_t requestsOf(const platform::EngineLoad& load) {
+  std::uint32_t requests = load.running;
+  for (const std::uint32_t waiting : load.waiting) requests += waiting;
+  return requests;
+}
+
+/// Whether people or the next holder would see a difference.
+bool sameProgress(const Order& left, const Order& right) {
+  if (left.state != right.state || left.detail != right.detail) return false;
+  return std::ranges::equal(left.steps, right.steps, [](const auto& one, const auto& other) {
+    return one.state == other.state && one.detail == other.detail &&
+           one.incarnation == other.incarnation;
+  });
+}
+
+std::uint32_t slotsOf(const Order& order) {
+  return static_cast<std::uint32_t>(std::ranges::count_if(
+      order.steps, [](const OrderStep& step) { return usesLoadSlot(step.state); }));
+}
+
+}  // namespace
+
+OrderExecutor::OrderExecutor(OrderExecutorOptions options, OrderExecutorEnvironment environment,
+                             GrantSource grant)
+    : options_(std::move(options)),
+      environment_(std::move(environment)),
+      grant_(std::move(grant)) {}
+
+OrderExecutor::~OrderExecutor() { environment_.timers.cancel(tickTimer_); }
+
+/// Wraps a callback so that it does nothing after this tenure.
+template <class Handler>
+auto OrderExecutor::guarded(Handler handler) {
+  return [alive = std::weak_ptr<bool>(lifetime_), handler = std::move(handler)](auto&&... values) {
+    if (!alive.expired()) handler(std::forward<decltype(values)>(values)...);
+  };
+}
+
+void OrderExecutor::start() {
+  stop();
+  running_ = true;
+  lifetime_ = std::make_shared<bool>(true);
+  scan();
+  scheduleTick();
+}
+
+void OrderExecutor::stop() {
+  running_ = false;
+  complete_ = false;
+  scanInFlight_ = false;
+  scanWanted_ = false;
+  scannedUpTo_ = 0;
+  lifetime_.reset();
+  orders_.clear();
+  queue_.clear();
+  finished_.clear();
+  engines_.clear();
+  environment_.timers.cancel(tickTimer_);
+}
+
+void OrderExecutor::onOrdersChanged() {
+  if (running_) scan();
+}
+
+std::size_t OrderExecutor::openOrders() const { return queue_.size(); }
+
+bool OrderExecutor::hasOpenOrders() const { return !queue_.empty(); }
+
+void OrderExecutor::scheduleTick() {
+  environment_.timers.cancel(tickTimer_);
+  tickTimer_ = environment_.timers.schedule(options_.tickInterval, guarded([this] { tick(); }));
+}
+
+void OrderExecutor::tick() {
+  scheduleTick();
+  if (environment_.clock.now() >= nextScanAt_) scan();
+  if (!complete_ || !grant_() || !hasOpenOrders()) return;
+  const std::vector<CatalogueEngine> catalogue = environment_.catalogue.engines();
+  // A copy: finished orders leave the queue.
+  commitsLeft_ = options_.commitsPerTick;
+  const std::vector<std::string> open = queue_;
+  for (const std::string& id : open) advance(orders_.at(id), catalogue);
+  pollEngines(catalogue);
+}
+
+// --- reading the orders
+
+void OrderExecutor::scan() {
+  if (scanInFlight_) {
+    scanWanted_ = true;
+    return;
+  }
+  scanInFlight_ = true;
+  scanWanted_ = false;
+  nextScanAt_ = environment_.clock.now() + options_.scanInterval;
+  environment_.table.scan(orderPrefix(options_.region), scannedUpTo_, options_.scanLimit,
+                          guarded([this](const platform::TableReply& reply) {
+                            scanInFlight_ = false;
+                            onScan(reply);
+                          }));
+}
+
+void OrderExecutor::onScan(const platform::TableReply& reply) {
+  if (reply.status != platform::TableStatus::kOk) return;  // the next tick after nextScanAt_
+  for (const platform::TableRow& row : reply.rows) takeRow(row);
+  scannedUpTo_ = std::max(scannedUpTo_, reply.revision);
+  if (reply.rows.size() >= options_.scanLimit || scanWanted_) return scan();
+  complete_ = true;
+  removeOldOrders();
+}
+
+void OrderExecutor::takeRow(const platform::TableRow& row) {
+  base::Reason ignored;
+  auto order = parseOrder(row.value, row.revision, ignored);
+  if (order) takeOrder(std::move(*order));
+}
+
+void OrderExecutor::takeOrder(Order order) {
+  const auto known = orders_.find(order.id);
+  if (known != orders_.end()) {
+    if (order.revision > known->second.order.revision) adopt(known->second, std::move(order));
+    return;
+  }
+  if (isFinal(order.state)) {
+    finished_[order.revision] = order.id;
+    return;
+  }
+  const std::string id = order.id;
+  queue_.push_back(id);
+  adopt(orders_[id], std::move(order));
+}
+
+/// Keeps the newest finished orders; one transaction a scan.
+void OrderExecutor::removeOldOrders() {
+  const auto grant = grant_();
+  if (!grant || finished_.size() <= options_.keptOrders) return;
+  platform::TableTransaction transaction;
+  transaction.conditions.push_back({coordinatorTenureKey(options_.region), grant->tenureRevision});
+  while (finished_.size() > options_.keptOrders) {
+    transaction.writes.push_back(
+        {orderKey(options_.region, finished_.begin()->second), std::nullopt});
+    finished_.erase(finished_.begin());
+  }
+  // Whatever the answer: rows that stayed are met again by the next holder.
+  environment_.table.commit(std::move(transaction), [](const platform::TableReply&) {});
+}
+
+// --- engines
+
+std::vector<std::string> OrderExecutor::enginesToPoll() const {
+  std::vector<std::string> names;
+  for (const std::string& id : queue_) {
+    std::uint32_t waiting = 0;
+    for (const OrderStep& step : orders_.at(id).order.steps) {
+      if (isFinal(step.state)) continue;
+      const bool next = step.state == StepState::kWaiting && waiting++ >= options_.limits.loadSlots;
+      if (!next) names.push_back(step.engine);
+    }
+  }
+  std::ranges::sort(names);
+  names.erase(std::ranges::unique(names).begin(), names.end());
+  return names;
+}
+
+void OrderExecutor::pollEngines(const std::vector<CatalogueEngine>& catalogue) {
+  for (const std::string& name : enginesToPoll()) {
+    const CatalogueEngine* engine = findEngine(catalogue, name);
+    if (engine != nullptr) poll(name, engine->address);
+  }
+}
+
+void OrderExecutor::poll(const std::string& name, const platform::BackEndAddress& address) {
+  EngineRecord& record = engines_[name];
+  if (record.pollInFlight) return;
+  record.pollInFlight = true;
+  environment_.engines.poll(
+      address, record.nextSequence,
+      guarded([this, name](const std::optional<platform::EngineReport>& report) {
+        onReport(name, report);
+      }));
+}
+
+void OrderExecutor::onReport(const std::string& name,
+                             const std::optional<platform::EngineReport>& report) {
+  EngineRecord& record = engines_[name];
+  record.pollInFlight = false;
+  if (!report) return;
+  record.nextSequence = report->nextSequence;
+  record.observedAt = environment_.clock.now();
+  record.observation = EngineObservation{.incarnation = report->incarnation,
+                                         .role = report->role,
+                                         .leaving = report->leaving,
+                                         .weights = report->weights,
+                                         .requests = requestsOf(report->load)};
+}
+
+// --- moving orders on
+
+void OrderExecutor::advance(OpenOrder& open, const std::vector<CatalogueEngine>& catalogue) {
+  if (open.pending) return;
+  if (!isSettling(open.order)) {
+    open.settlingSince.reset();
+  } else if (!open.settlingSince) {
+    open.settlingSince = environment_.clock.now();
+  }
+  Order next = open.order;
+  advanceOrder(next, contextFor(open, catalogue));
+  if (sameProgress(open.order, next)) return sendOrders(open, catalogue);
+  if (commitsLeft_ == 0) return;
+  --commitsLeft_;
+  stampSteps(open, next);
+  open.pending = std::move(next);
+  commit(open.order.id);
+}
+
+ProgressContext OrderExecutor::contextFor(const OpenOrder& open,
+                                          const std::vector<CatalogueEngine>& catalogue) const {
+  ProgressContext context;
+  context.limits = options_.limits;
+  std::map<std::string, bool> loadingElsewhere;
+  bool earlier = true;
+  for (const std::string& id : queue_) {
+    const Order& other = orders_.at(id).latest();
+    if (id == open.order.id) {
+      earlier = false;
+      continue;
+    }
+    context.slotsTaken += slotsOf(other);
+    for (const OrderStep& step : other.steps) {
+      if (usesLoadSlot(step.state)) loadingElsewhere[step.engine] = true;
+      const bool blocks = !isFinal(step.state) && (earlier || isActive(step.state));
+      if (blocks) context.busyEngines.emplace(step.engine, id);
+    }
+  }
+  for (const CatalogueEngine& engine : catalogue) {
+    const bool serves = engine.region == options_.region && !engine.leaving &&
+                        !engine.unreachable && engine.role == platform::EngineRole::kServing &&
+                        !loadingElsewhere.contains(engine.address.name);
+    if (serves) context.servingEngines.push_back(engine);
+  }
+  for (std::size_t step = 0; step < open.order.steps.size(); ++step) {
+    context.evidence[open.order.steps[step].engine] = evidenceFor(open, step, catalogue);
+  }
+  if (open.settlingSince) context.settled = environment_.clock.now() - *open.settlingSince;
+  return context;
+}
+
+StepEvidence OrderExecutor::evidenceFor(const OpenOrder& open, std::size_t step,
+                                        const std::vector<CatalogueEngine>& catalogue) const {
+  const base::TimePoint now = environment_.clock.now();
+  const std::string& name = open.order.steps[step].engine;
+  const StepClock& clock = open.clocks[step];
+  StepEvidence evidence;
+  evidence.listed = findEngine(catalogue, name) != nullptr;
+  evidence.refusal = clock.refusal;
+  evidence.inState = now - clock.enteredAt;
+  const auto record = engines_.find(name);
+  if (record == engines_.end() || !record->second.observation) return evidence;
+  const base::Duration age = now - record->second.observedAt;
+  if (age <= options_.reportValidity) evidence.observation = record->second.observation;
+  if (!isActive(clock.state)) evidence.inState = std::min(evidence.inState, age);
+  return evidence;
+}
+
+void OrderExecutor::stampSteps(const OpenOrder& open, Order& next) const {
+  const base::TimePoint now = environment_.clock.now();
+  for (std::size_t index = 0; index < next.steps.size(); ++index) {
+    OrderStep& step = next.steps[index];
+    const StepState before = open.order.steps[index].state;
+    if (step.state == before) continue;
+    step.executor = environment_.nodeName;
+    if (before != StepState::kWaiting) step.elapsed += now - open.clocks[index].enteredAt;
+  }
+}
+
+void OrderExecutor::commit(const std::string& id) {
+  OpenOrder& open = orders_.at(id);
+  const auto grant = grant_();
+  if (!grant) {
+    open.pending.reset();
+    return;
+  }
+  open.pending->nonce = environment_.random.next();
+  open.pending->token = grant->token;
+  platform::TableTransaction transaction;
+  const std::string key = orderKey(options_.region, id);
+  transaction.conditions = {{key, open.pending->revision},
+                            {coordinatorTenureKey(options_.region), grant->tenureRevision}};
+  transaction.writes.push_back({key, encodeOrder(*open.pending)});
+  environment_.table.commit(
+      std::move(transaction),
+      guarded([this, id](const platform::TableReply& reply) { onCommit(id, reply); }));
+}
+
+void OrderExecutor::onCommit(const std::string& id, const platform::TableReply& reply) {
+  const auto open = orders_.find(id);
+  if (open == orders_.end() || !open->second.pending) return;
+  if (reply.status == platform::TableStatus::kUnknown) return readBack(id);
+  Order next = *std::exchange(open->second.pending, std::nullopt);
+  if (reply.status == platform::TableStatus::kOk) {
+    next.revision = reply.revision;
+    return adopt(open->second, std::move(next));
+  }
+  // A cancelled order has a newer row, which comes with the conflict.
+  if (reply.status != platform::TableStatus::kConflict) return;
+  for (const platform::TableRow& row : reply.rows) {
+    if (row.key == orderKey(options_.region, id)) takeRow(row);
+  }
+}
+
+/// Tells from the row whether the write whose answer was lost took effect. It may still be under
+/// way, so the pending state is written again until one of the two is confirmed: meanwhile its load
+/// slots stay taken.
+void OrderExecutor::readBack(const std::string& id) {
+  environment_.table.read(
+      {orderKey(options_.region, id)},
+      guarded([this, id](const platform::TableReply& reply) { onReadBack(id, reply); }));
+}
+
+void OrderExecutor::retryReadBack(const std::string& id) {
+  environment_.timers.schedule(options_.tickInterval, guarded([this, id] { readBack(id); }));
+}
+
+void OrderExecutor::onReadBack(const std::string& id, const platform::TableReply& reply) {
+  const auto open = orders_.find(id);
+  if (open == orders_.end() || !open->second.pending) return;
+  if (reply.status != platform::TableStatus::kOk) return retryReadBack(id);
+  const bool unchanged =
+      !reply.rows.empty() && reply.rows.front().revision == open->second.order.revision;
+  if (unchanged) return commit(id);
+  open->second.pending.reset();
+  for (const platform::TableRow& row : reply.rows) takeRow(row);
+}
+
+/// Takes over a newer state of the row, keeping the clocks of steps that did not move.
+void OrderExecutor::adopt(OpenOrder& open, Order order) {
+  const base::TimePoint now = environment_.clock.now();
+  open.clocks.resize(order.steps.size());
+  for (std::size_t index = 0; index < order.steps.size(); ++index) {
+    StepClock& clock = open.clocks[index];
+    const bool isNew = open.order.steps.size() != order.steps.size();
+    if (!isNew && clock.state == order.steps[index].state) continue;
+    clock = StepClock{.state = order.steps[index].state,
+                      .enteredAt = now,
+                      .startedAt = now,
+                      .sentAt = std::nullopt,
+                      .refusal = {}};
+  }
+  open.order = std::move(order);
+  if (!isFinal(open.order.state)) return;
+  logFinish(open.order);
+  const std::string id = open.order.id;
+  finished_[open.order.revision] = id;
+  std::erase(queue_, id);
+  orders_.erase(id);
+}
+
+void OrderExecutor::logFinish(const Order& order) {
+  const base::Event event =
+      order.state == OrderState::kFailed ? base::Event::kOrderFailed : base::Event::kOrderFinished;
+  environment_.log.write(event, {{"order", order.id},
+                                 {"state", std::string(toString(order.state))},
+                                 {"detail", order.detail}});
+}
+
+// --- engine orders
+
+void OrderExecutor::sendOrders(OpenOrder& open, const std::vector<CatalogueEngine>& catalogue) {
+  const base::TimePoint now = environment_.clock.now();
+  for (std::size_t index = 0; index < open.order.steps.size(); ++index) {
+    const OrderStep& step = open.order.steps[index];
+    if (!isActive(step.state)) continue;
+    StepClock& clock = open.clocks[index];
+    if (clock.sentAt && now - *clock.sentAt < options_.resendInterval) continue;
+    const CatalogueEngine* engine = findEngine(catalogue, step.engine);
+    // Asked at each order: the lease may have run out since the last one.
+    const auto grant = grant_();
+    if (engine == nullptr || !grant) continue;
+    send(open, index, engine->address, *grant);
+  }
+}
+
+void OrderExecutor::send(OpenOrder& open, std::size_t index, const platform::BackEndAddress& engine,
+                         const LeaseGrant& grant) {
+  const OrderStep& step = open.order.steps[index];
+  StepClock& clock = open.clocks[index];
+  for (platform::EngineOrder& order : engineOrdersFor(open.order, step, grant.token)) {
+    if (!clock.sentAt) {
+      environment_.log.write(base::Event::kOrderStarted,
+                             {{"order", open.order.id},
+                              {"engine", step.engine},
+                              {"step", std::string(toString(step.state))},
+                              {"token", std::to_string(grant.token)}});
+    }
+    const std::string id = open.order.id;
+    const std::string name = step.engine;
+    const std::string what = order.orderId;
+    environment_.engines.order(engine, std::move(order),
+                               guarded([this, id, name, what](const platform::OrderReply& reply) {
+                                 onOrderReply(id, name, what, reply);
+                               }));
+  }
+  clock.sentAt = environment_.clock.now();
+}
+
+void OrderExecutor::onOrderReply(const std::string& id, const std::string& engine,
+                                 const std::string& what, const platform::OrderReply& reply) {
+  if (reply.status == platform::OrderStatus::kFencedOff) {
+    environment_.log.write(base::Event::kOrderFenced,
+                           {{"order", what}, {"token", std::to_string(reply.fencingToken)}});
+    return;
+  }
+  const auto open = orders_.find(id);
+  if (reply.status != platform::OrderStatus::kInvalid || open == orders_.end()) return;
+  const auto& steps = open->second.order.steps;
+  for (std::size_t index = 0; index < steps.size(); ++index) {
+    if (steps[index].engine != engine || !isActive(steps[index].state)) continue;
+    open->second.clocks[index].refusal = "the engine refused: " + reply.detail;
+  }
+}
+
+}  // namespace covewing::coordination
--- /dev/null
+++ b/src/coordination/order_executor.h
@@ -0,0 +1,175 @@
+/// \file
+/// Executes the orders of a region while its node holds the region's lease.
+///
+/// Write ahead: a step's new state is committed to the order's row, on condition of the row's
+/// revision and of the lease's tenure row, before any engine is told. So the row shows every load
+/// that may be running, and with it every load slot in use, to whoever holds the lease next. The
+/// next holder goes on by looking: it asks the engines what they have and repeats the engine orders
+/// of steps under way with its own, higher fencing token.
+///
+/// Cost: nothing while no order is open except one scan per `scanInterval`; while one is, a poll
+/// per `tickInterval` of each engine under way or next, and one commit per order and tick in which
+/// a state changed.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/event_log.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "coordination/engine_catalogue.h"
+#include "coordination/lease_manager.h"
+#include "coordination/order.h"
+#include "coordination/order_progress.h"
+#include "platform/engine_client.h"
+#include "platform/table_client.h"
+
+namespace covewing::coordination {
+
+struct OrderExecutorOptions {
+  std::string region;
+  ProgressLimits limits;
+  /// Time between two looks at open orders.
+  base::Duration tickInterval = std::chrono::milliseconds(500);
+  /// Time between two scans for orders created or cancelled elsewhere.
+  base::Duration scanInterval = std::chrono::seconds(5);
+  /// An engine order is repeated this often until its effect is seen.
+  base::Duration resendInterval = std::chrono::seconds(2);
+  /// A report older than this counts as none.
+  base::Duration reportValidity = std::chrono::seconds(3);
+  /// Finished orders kept for people; older ones are removed.
+  std::size_t keptOrders = 64;
+  std::size_t scanLimit = 64;
+  /// Most orders written in one tick.
+  std::uint32_t commitsPerTick = 4;
+};
+
+/// All must outlive the executor and share its thread.
+struct OrderExecutorEnvironment {
+  base::Clock& clock;
+  base::TimerService& timers;
+  base::RandomSource& random;
+  base::EventLog& log;
+  platform::TableClient& table;
+  platform::EngineClient& engines;
+  const EngineCatalogue& catalogue;
+  /// Name of this node, for the orders' history.
+  std::string nodeName;
+};
+
+class OrderExecutor {
+ public:
+  /// `lease` gives the grant that may be used at the moment of the call.
+  using GrantSource = std::function<std::optional<LeaseGrant>()>;
+
+  OrderExecutor(OrderExecutorOptions options, OrderExecutorEnvironment environment,
+                GrantSource grant);
+  ~OrderExecutor();
+  OrderExecutor(const OrderExecutor&) = delete;
+  OrderExecutor& operator=(const OrderExecutor&) = delete;
+
+  /// The lease was acquired: reads all orders and goes on with them.
+  void start();
+  /// The lease was lost: forgets everything at once.
+  void stop();
+  /// An order was created or cancelled somewhere: look now.
+  void onOrdersChanged();
+  /// Orders that are not finished, as executed here.
+  std::size_t openOrders() const;
+
+ private:
+  /// What is known of one engine under an order.
+  struct EngineRecord {
+    std::optional<EngineObservation> observation;
+    base::TimePoint observedAt{};
+    std::uint64_t nextSequence = 0;
+    bool pollInFlight = false;
+  };
+  /// Local clocks of one step; not part of the row.
+  struct StepClock {
+    StepState state = StepState::kWaiting;
+    base::TimePoint enteredAt{};
+    base::TimePoint startedAt{};
+    std::optional<base::TimePoint> sentAt;
+    std::string refusal;
+  };
+  struct OpenOrder {
+    /// As committed.
+    Order order;
+    /// As it will be once the commit under way is confirmed.
+    std::optional<Order> pending;
+    std::vector<StepClock> clocks;
+    std::optional<base::TimePoint> settlingSince;
+
+    /// The state that load slots and engines are counted by.
+    const Order& latest() const { return pending ? *pending : order; }
+  };
+
+  void tick();
+  void scheduleTick();
+  void scan();
+  void onScan(const platform::TableReply& reply);
+  void takeRow(const platform::TableRow& row);
+  void takeOrder(Order order);
+  void removeOldOrders();
+  bool hasOpenOrders() const;
+
+  void pollEngines(const std::vector<CatalogueEngine>& catalogue);
+  std::vector<std::string> enginesToPoll() const;
+  void poll(const std::string& name, const platform::BackEndAddress& address);
+  void onReport(const std::string& name, const std::optional<platform::EngineReport>& report);
+
+  void advance(OpenOrder& open, const std::vector<CatalogueEngine>& catalogue);
+  ProgressContext contextFor(const OpenOrder& open,
+                             const std::vector<CatalogueEngine>& catalogue) const;
+  StepEvidence evidenceFor(const OpenOrder& open, std::size_t step,
+                           const std::vector<CatalogueEngine>& catalogue) const;
+  void stampSteps(const OpenOrder& open, Order& next) const;
+  /// Writes the order's pending state.
+  void commit(const std::string& id);
+  void onCommit(const std::string& id, const platform::TableReply& reply);
+  void readBack(const std::string& id);
+  void onReadBack(const std::string& id, const platform::TableReply& reply);
+  void retryReadBack(const std::string& id);
+  void adopt(OpenOrder& open, Order order);
+  void logFinish(const Order& order);
+
+  void sendOrders(OpenOrder& open, const std::vector<CatalogueEngine>& catalogue);
+  void send(OpenOrder& open, std::size_t step, const platform::BackEndAddress& engine,
+            const LeaseGrant& grant);
+  void onOrderReply(const std::string& id, const std::string& engine, const std::string& what,
+                    const platform::OrderReply& reply);
+
+  template <class Handler>
+  auto guarded(Handler handler);
+
+  OrderExecutorOptions options_;
+  OrderExecutorEnvironment environment_;
+  GrantSource grant_;
+  bool running_ = false;
+  /// All orders were read since the lease was acquired; before, load slots are not known.
+  bool complete_ = false;
+  bool scanInFlight_ = false;
+  bool scanWanted_ = false;
+  base::Revision scannedUpTo_ = 0;
+  base::TimePoint nextScanAt_{};
+  /// By identifier.
+  std::map<std::string, OpenOrder> orders_;
+  /// Identifiers of open orders, oldest first.
+  std::vector<std::string> queue_;
+  /// Finished orders by revision.
+  std::map<base::Revision, std::string> finished_;
+  std::map<std::string, EngineRecord> engines_;
+  std::uint32_t commitsLeft_ = 0;
+  base::TimerId tickTimer_ = 0;
+  /// Replaced at each start and stop; callbacks of an earlier tenure find it gone.
+  std::shared_ptr<bool> lifetime_;
+};
+
+}  // namespace covewing::coordination
