Add the coordinator: lease, execution and operators' access to orders

Tests bring about crashes, pauses, lost answers, racing candidates, cut-off and clock jumps against the emulator's table, engines and weight store, which counts the loads at once.

--- /dev/null
+++ b/src/coordination/coordinator.h
@@ -0,0 +1,70 @@
+/// \file
+/// A node's part in coordination: it competes for its region's lease, executes the region's orders
+/// while it holds it, and takes orders from operators whether it holds it or not.
+///
+/// Messages between nodes only save waiting; losing all of them costs seconds, nothing else.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/peer_transport.h"
+#include "coordination/engine_catalogue.h"
+#include "coordination/lease_manager.h"
+#include "coordination/order_book.h"
+#include "coordination/order_executor.h"
+
+namespace covewing::coordination {
+
+struct CoordinatorOptions {
+  std::string region;
+  /// Loads at once in the region: the weight store's limit.
+  std::uint32_t loadSlots = 2;
+  LeaseOptions lease;
+  OrderExecutorOptions executor;
+};
+
+/// All must outlive the coordinator and share its thread.
+struct CoordinatorEnvironment {
+  base::Clock& clock;
+  base::TimerService& timers;
+  base::RandomSource& random;
+  base::EventLog& log;
+  base::PeerTransport& peers;
+  platform::TableClient& table;
+  platform::EngineClient& engines;
+  const membership::MemberDirectory& members;
+  const EngineCatalogue& catalogue;
+};
+
+class Coordinator final : public base::PeerHandler, private LeaseListener {
+ public:
+  Coordinator(CoordinatorOptions options, CoordinatorEnvironment environment);
+  ~Coordinator() override;
+  Coordinator(const Coordinator&) = delete;
+  Coordinator& operator=(const Coordinator&) = delete;
+
+  void start() { lease_.start(); }
+  OrderBook& orders() { return orders_; }
+  LeaseStatus leaseStatus() const { return lease_.status(); }
+  std::size_t openOrders() const { return executor_.openOrders(); }
+  /// Planned stop: executes nothing more, hands the lease over; `done` is called once.
+  void drain(std::function<void()> done);
+  void onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) override;
+
+ private:
+  enum class MessageType : std::uint8_t { kLeaseReleased = 1, kOrdersChanged = 2 };
+
+  void onLeaseAcquired(const LeaseGrant& grant) override;
+  void onLeaseLost() override;
+  /// Tells the nodes that may hold the lease.
+  void notifyCandidates(MessageType type);
+
+  CoordinatorEnvironment environment_;
+  LeaseManager lease_;
+  OrderBook orders_;
+  OrderExecutor executor_;
+};
+
+}  // namespace covewing::coordination
--- /dev/null
+++ b/tests/coordination/lease_manager_test.cc
@@ -0,0 +1,220 @@
+// The lease under crashes, pauses, lost answers, races and clocks that differ.
+#include "coordination/lease_manager.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "coordination/lease_candidates.h"
+#include "coordination/order_request.h"
+#include "coordination_world.h"
+
+namespace covewing::coordination {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+LeaseRow leaseRowIn(const World& world) {
+  const auto reply = world.table.readNow({leaseKey(coordinatorLeaseName(kRegion))});
+  BOOST_REQUIRE(!reply.rows.empty());
+  base::Reason reason;
+  return *parseLeaseRow(reply.rows[0].value, reason);
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(LeaseManagerTest)
+
+BOOST_AUTO_TEST_CASE(OneNodeBecomesHolder) {
+  World world;
+  world.addNodes();
+  world.start();
+  BOOST_TEST(world.runUntil(seconds(2), [&] { return !world.holder().empty(); }));
+  const std::string holder = world.holder();
+  const base::FencingToken token = leaseRowIn(world).token;
+  for (int second = 0; second < 60; ++second) {
+    world.run(seconds(1));
+    BOOST_TEST(world.holder() == holder);
+  }
+  BOOST_TEST(leaseRowIn(world).token == token);
+}
+
+BOOST_AUTO_TEST_CASE(CrashedHolderIsReplacedAfterItsLeaseOnly) {
+  World world;
+  world.addNodes();
+  world.start();
+  world.run(seconds(10));
+  const base::FencingToken token = leaseRowIn(world).token;
+  const LeaseOptions defaults;
+  world.crash(world.holder());
+  // Its last renewal was at most one interval ago.
+  world.run(defaults.duration - defaults.renewInterval - milliseconds(100));
+  BOOST_TEST(world.holder().empty());
+  BOOST_TEST(world.runUntil(defaults.duration + 2 * defaults.margin,
+                            [&] { return !world.holder().empty(); }));
+  BOOST_TEST(leaseRowIn(world).token == token + 1);
+}
+
+BOOST_AUTO_TEST_CASE(ReleaseHandsOverAtOnce) {
+  World world;
+  world.addNodes();
+  world.start();
+  world.run(seconds(10));
+  const std::string former = world.holder();
+  bool released = false;
+  world.nodes.at(former)->coordinator.drain([&] { released = true; });
+  BOOST_TEST(world.holder().empty());
+  BOOST_TEST(world.runUntil(milliseconds(100), [&] { return !world.holder().empty(); }));
+  BOOST_TEST(released);
+  BOOST_TEST(world.holder() != former);
+}
+
+BOOST_AUTO_TEST_CASE(PausedHolderFindsItselfReplaced) {
+  World world;
+  world.addNodes();
+  world.start();
+  world.run(seconds(10));
+  const std::string former = world.holder();
+  TestNode& paused = *world.nodes.at(former);
+  paused.time.pause();
+  world.run(seconds(20));
+  paused.time.resume();
+  BOOST_TEST(!paused.coordinator.leaseStatus().held);
+  BOOST_TEST(world.holder() != former);
+  BOOST_TEST(!world.holder().empty());
+  world.run(seconds(10));
+  BOOST_TEST(paused.log.counts[base::Event::kLeaseLost] == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(HolderCutOffStopsBeforeTheNextStarts) {
+  World world;
+  world.addNodes();
+  world.start();
+  world.run(seconds(10));
+  const std::string former = world.holder();
+  world.nodes.at(former)->table.cutOff = true;
+  const bool replaced = world.runUntil(seconds(20), [&] {
+    const std::string now = world.holder();
+    return !now.empty() && now != former;
+  });
+  BOOST_TEST(replaced);
+}
+
+BOOST_AUTO_TEST_CASE(LostAnswersAreReadBackByNonce) {
+  World world;
+  world.addNodes();
+  world.table.conditions().loseNextAnswers(3);
+  world.start();
+  BOOST_TEST(world.runUntil(seconds(5), [&] { return !world.holder().empty(); }));
+  const std::string holder = world.holder();
+  const base::FencingToken token = leaseRowIn(world).token;
+  world.table.conditions().setAnswerLoss(0.7);
+  for (int tick = 0; tick < 600; ++tick) {
+    world.run(milliseconds(100));
+    world.holder();  // never two
+  }
+  world.table.conditions().setAnswerLoss(0);
+  world.run(seconds(10));
+  BOOST_TEST(world.holder() == holder);
+  BOOST_TEST(leaseRowIn(world).token == token);
+  BOOST_TEST(world.table.conditions().answersLost() > 20U);
+}
+
+BOOST_AUTO_TEST_CASE(TableDownLongerThanTheLease) {
+  World world;
+  world.addNodes();
+  world.start();
+  world.run(seconds(10));
+  world.table.conditions().setMode(emulator::ServiceMode::kDown);
+  world.run(seconds(30));
+  BOOST_TEST(world.holder().empty());
+  world.table.conditions().setMode(emulator::ServiceMode::kNormal);
+  BOOST_TEST(world.runUntil(seconds(10), [&] { return !world.holder().empty(); }));
+}
+
+BOOST_AUTO_TEST_CASE(SlowTableNeverGivesAnExpiredLease) {
+  World world;
+  world.addNodes();
+  world.table.conditions().setMode(emulator::ServiceMode::kSlow);
+  world.table.conditions().setSlowLatency(seconds(7));
+  world.start();
+  world.runUntil(
+      seconds(60), [] { return false; }, [&] { BOOST_TEST(world.holder().empty()); });
+}
+
+BOOST_AUTO_TEST_CASE(RacingCandidatesGiveOneHolderAndGrowingTokens) {
+  for (int shift = 0; shift < 40; ++shift) {
+    World world;
+    world.addNode("node-a", "zone-1");
+    world.addNode("node-b", "zone-1", seconds(shift));
+    world.shared.random = base::SeededRandom(static_cast<std::uint64_t>(shift) + 1);
+    world.start();
+    world.runUntil(
+        seconds(3), [] { return false; }, [&] { world.holder(); });
+    BOOST_TEST(!world.holder().empty());
+    BOOST_TEST(leaseRowIn(world).token == 1U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RestartedHolderDoesNotInheritItsLease) {
+  World world;
+  world.addNode("node-a", "zone-1");
+  world.start();
+  world.run(seconds(10));
+  world.crash("node-a");
+  membership::Member again;
+  TestNode& node = world.addNode("node-a", "zone-1");
+  const_cast<membership::Member&>(node.members.self()).incarnation = 2;
+  node.coordinator.start();
+  world.run(seconds(3));
+  BOOST_TEST(world.holder().empty());
+  world.run(seconds(7));
+  BOOST_TEST(world.holder() == "node-a");
+  BOOST_TEST(leaseRowIn(world).token == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(CallsToTheTableAreBoundedHoweverManyNodes) {
+  World world;
+  for (int index = 0; index < 60; ++index) {
+    world.addNode("node-" + std::to_string(index), "zone-" + std::to_string(index % 5));
+  }
+  world.start();
+  world.run(seconds(10));
+  const std::uint64_t before = world.table.conditions().admitted();
+  world.run(seconds(60));
+  // Holder: a renewal each 2 s and a scan each 5 s; two watchers: a look each 6.5 s.
+  BOOST_TEST(world.table.conditions().admitted() - before <= 30U + 12U + 20U + 2U);
+}
+
+BOOST_AUTO_TEST_CASE(CandidatesAreFewInDifferentZonesAndNotDraining) {
+  World world;
+  for (int index = 0; index < 30; ++index) {
+    world.addNode("node-" + std::to_string(index), "zone-" + std::to_string(index % 3));
+  }
+  const auto chosen = leaseCandidates("lease", kRegion, world.members.live, 3);
+  BOOST_REQUIRE(chosen.size() == 3U);
+  BOOST_TEST(chosen[0].zone != chosen[1].zone);
+  BOOST_TEST(chosen[1].zone != chosen[2].zone);
+  for (auto& member : world.members.live) member.draining = member.id == chosen[0].id;
+  for (const auto& member : leaseCandidates("lease", kRegion, world.members.live, 3)) {
+    BOOST_TEST(!(member.id == chosen[0].id));
+  }
+  BOOST_TEST(leaseCandidates("lease", "elsewhere", world.members.live, 3).empty());
+}
+
+BOOST_AUTO_TEST_CASE(RowSurvivesItsEncoding) {
+  const LeaseRow row{"node-a", 7, ~std::uint64_t{0}, 12, true};
+  base::Reason reason;
+  const auto parsed = parseLeaseRow(encodeLeaseRow(row), reason);
+  BOOST_REQUIRE(parsed);
+  BOOST_TEST(parsed->holder == row.holder);
+  BOOST_TEST(parsed->nonce == row.nonce);
+  BOOST_TEST(parsed->token == row.token);
+  BOOST_TEST(parsed->released);
+  BOOST_TEST(!parseLeaseRow("nonsense", reason));
+  BOOST_TEST((reason.code == base::ResultCode::kMessageMalformed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::coordination
