--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -1,7 +1,6 @@
 #include "node/node.h"
 
 #include <array>
-#include <cassert>
 #include <utility>
 
 #include "admission/admission_service.h"
@@ -15,8 +14,7 @@
 #include "node/zone_watch.h"
 #include "request/claim_store.h"
 #include "request/request_manager.h"
-#include "routing/engine_directory.h"
-#include "routing/policy_factory.h"
+#include "routing/routing_service.h"
 
 namespace covewing::node {
 
@@ -37,6 +35,23 @@
   return result;
 }
 
+routing::RoutingOptions routingOptionsOf(const NodeOptions& options) {
+  routing::RoutingOptions result;
+  result.policy = options.routingPolicy;
+  if (options.makePolicy != nullptr) {
+    result.makePolicy = [make = options.makePolicy](const routing::PolicyEnvironment& environment) {
+      return make(environment.fleet);
+    };
+  }
+  return result;
+}
+
+config::ConfigurationDistributorOptions distributorOptionsOf(const NodeOptions& options) {
+  config::ConfigurationDistributorOptions result;
+  result.seeds = options.seeds;
+  return result;
+}
+
 /// Tells the engine directory what dispatches learned about engines.
 class DispatchFeedback final : public request::BackEndObserver {
  public:
@@ -72,11 +87,9 @@
 
   const config::ConfigurationView& configuration() const override { return store_; }
   const membership::MemberDirectory& members() const override { return members_; }
-  const routing::FleetView& fleet() const override { return directory_; }
+  const routing::FleetView& fleet() const override { return routing_.fleet(); }
 
  private:
-  static std::unique_ptr<routing::RoutingPolicy> policyOf(
-      const NodeOptions& options, const routing::PolicyEnvironment& environment);
   static request::RequestOptions requestOptionsOf(const NodeOptions& options);
   request::RequestDependencies requestDependencies();
   void registerHandler(Channel channel, base::PeerHandler& handler);
@@ -90,8 +103,7 @@
   config::ConfigurationStore store_;
   config::ConfigurationDistributor distributor_;
   config::TemplateEditor editor_;
-  routing::EngineDirectory directory_;
-  std::unique_ptr<routing::RoutingPolicy> policy_;
+  routing::RoutingService routing_;
   std::unique_ptr<admission::AdmissionService> admission_;
   request::ClaimStore claims_;
   ExplainLog explainLog_;
@@ -112,21 +124,20 @@
       members_(membershipOptionsOf(options_), environment.clock, environment.timers,
                environment.random, environment.log, environment.peers),
       store_({.freshnessBound = options_.freshnessBound}, environment.clock, environment.log),
-      distributor_({}, environment.clock, environment.timers, environment.random, environment.log,
-                   environment.peers, members_, environment.table, environment.objects, store_),
+      distributor_(distributorOptionsOf(options_), environment.clock, environment.timers,
+                   environment.random, environment.log, environment.peers, members_,
+                   environment.table, environment.objects, store_),
       editor_({}, environment.timers, environment.random, environment.log, environment.table,
               store_, distributor_),
-      directory_({.pollScope = routing::pollScopeOf(options_.routingPolicy)},
-                 {environment.clock, environment.timers, environment.random, environment.log,
-                  environment.machines, environment.engines, members_, members_}),
-      policy_(policyOf(options_, {directory_, environment.clock, environment.timers,
-                                  environment.random, environment.log, options_.zone})),
+      routing_(routingOptionsOf(options_),
+               {environment.clock, environment.timers, environment.random, environment.log,
+                environment.peers, environment.machines, environment.engines, members_, members_}),
       admission_(admission::makeAdmissionController({}, environment.clock, environment.timers,
                                                     environment.random, environment.log, members_,
                                                     environment.peers)),
       claims_(environment.table, environment.timers, environment.random),
       zones_(members_),
-      feedback_(directory_),
+      feedback_(routing_.directory()),
       requests_({options_.name, options_.incarnation}, requestOptionsOf(options_),
                 requestDependencies()),
       operators_(makeOperatorService({environment.timers, editor_, store_})),
@@ -136,6 +147,7 @@
       readyTimer_(environment.timers) {
   registerHandler(Channel::kMembership, members_);
   registerHandler(Channel::kConfiguration, distributor_);
+  registerHandler(Channel::kCacheIndex, routing_.lookups());
   registerHandler(Channel::kAdmission, *admission_);
   requests_.setBeforeRequest([this] { pauseDetector_.check(); });
   requests_.setOnFinished([this] {
@@ -143,15 +155,6 @@
   });
 }
 
-std::unique_ptr<routing::RoutingPolicy> NodeImpl::policyOf(
-    const NodeOptions& options, const routing::PolicyEnvironment& environment) {
-  base::Reason reason;
-  auto policy = routing::makePolicy(options.routingPolicy, environment, reason);
-  // The settings' checks know the names, so an unknown one is a mistake of the program.
-  assert(policy != nullptr);
-  return policy;
-}
-
 request::RequestOptions NodeImpl::requestOptionsOf(const NodeOptions& options) {
   request::RequestOptions result;
   result.maximumOpenRequests = options.maximumOpenRequests;
@@ -164,9 +167,9 @@
           environment_.random,
           environment_.log,
           store_,
-          directory_,
+          routing_.directory(),
           zones_,
-          *policy_,
+          routing_.policy(),
           *admission_,
           environment_.engines,
           environment_.applications,
@@ -184,7 +187,7 @@
   pauseDetector_.start();
   members_.start();
   distributor_.start();
-  directory_.start();
+  routing_.start();
   logReadiness();
 }
 
--- a/src/routing/routing_service.h
+++ b/src/routing/routing_service.h
@@ -50,6 +50,7 @@
   void start();
   RoutingPolicy& policy() { return *policy_; }
   EngineDirectory& directory() { return directory_; }
+  const FleetView& fleet() const { return directory_; }
   const CacheIndexHome& home() const { return home_; }
   /// Handler of the channel kCacheIndex.
   CacheLookupClient& lookups() { return lookups_; }
