--- a/src/routing/engine_directory.h
+++ b/src/routing/engine_directory.h
@@ -95,15 +95,15 @@
   base::WeightsVersion defaultVersion(std::string_view model) const override;
 
   /// A dispatch found the engine unreachable.
-  void noteUnreachable(base::EngineId engine);
+  void noteUnreachable(base::EngineId id);
   /// The engine refused work because it is leaving.
-  void noteLeaving(base::EngineId engine);
+  void noteLeaving(base::EngineId id);
   /// The engine named its incarnation, such as with a refused identity.
-  void noteIncarnation(base::EngineId engine, base::Incarnation incarnation);
+  void noteIncarnation(base::EngineId id, base::Incarnation incarnation);
   /// A load report that came with another node's answer.
-  void noteLoad(base::EngineId engine, const platform::EngineLoad& load, base::TimePoint takenAt);
+  void noteLoad(base::EngineId id, const platform::EngineLoad& load, base::TimePoint takenAt);
   /// Own work sent since the report counts as load until the next report.
-  void noteDispatched(base::EngineId engine, std::uint64_t uncachedTokens);
+  void noteDispatched(base::EngineId id, std::uint64_t uncachedTokens);
 
   /// The homes of an engine, best first; empty for an unknown engine.
   std::vector<base::NodeId> homes(base::EngineId engine) const;
@@ -142,9 +142,9 @@
   EngineState* findMutable(base::EngineId id);
 
   void schedulePoll(base::EngineId engine, base::Duration delay);
-  void onPollTimer(base::EngineId engine);
+  void onPollTimer(base::EngineId id);
   void poll(EngineState& engine, Tracking& tracking);
-  void onPollAnswer(base::EngineId engine, std::optional<platform::EngineReport> report);
+  void onPollAnswer(base::EngineId id, std::optional<platform::EngineReport> report);
   void onReport(EngineState& engine, Tracking& tracking, const platform::EngineReport& report);
   void onMissedPoll(EngineState& engine, Tracking& tracking);
 
--- a/src/routing/policy_factory.cc
+++ b/src/routing/policy_factory.cc
@@ -71,6 +71,7 @@
 
 std::vector<std::string_view> policyNames() {
   std::vector<std::string_view> names;
+  names.reserve(kPolicies.size());
   for (const auto& entry : kPolicies) names.push_back(entry.name);
   return names;
 }
--- a/src/routing/routing_service.cc
+++ b/src/routing/routing_service.cc
@@ -28,7 +28,7 @@
 
 }  // namespace
 
-RoutingService::RoutingService(RoutingOptions options, RoutingEnvironment environment)
+RoutingService::RoutingService(const RoutingOptions& options, const RoutingEnvironment& environment)
     : directory_(
           directoryOptions(options),
           {environment.clock, environment.timers, environment.random, environment.log,
--- a/src/routing/routing_service.h
+++ b/src/routing/routing_service.h
@@ -45,7 +45,7 @@
 
 class RoutingService {
  public:
-  RoutingService(RoutingOptions options, RoutingEnvironment environment);
+  RoutingService(const RoutingOptions& options, const RoutingEnvironment& environment);
 
   void start();
   RoutingPolicy& policy() { return *policy_; }
