--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -19,7 +19,8 @@
 template <class Tag>
 struct NumericId {
   std::uint64_t value = 0;
-  auto operator<=>(const NumericId&) const = default;
+  // clang-tidy 14 takes the zero that rewritten comparisons compare with for a null pointer.
+  auto operator<=>(const NumericId&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 struct NodeTag;
--- a/src/routing/engine_directory.cc
+++ b/src/routing/engine_directory.cc
@@ -302,22 +302,6 @@
   if (advanceIncarnation(*engine, tracking, incarnation)) refresh(*engine, tracking);
 }
 
-void EngineDirectory::noteLoad(base::EngineId id, const platform::EngineLoad& load,
-                               base::TimePoint takenAt) {
-  EngineState* engine = findMutable(id);
-  if (engine == nullptr) return;
-  if (engine->load && engine->load->takenAt >= takenAt) return;
-  engine->load = KnownLoad{load, takenAt};
-}
-
-void EngineDirectory::noteDispatched(base::EngineId id, std::uint64_t uncachedTokens) {
-  EngineState* engine = findMutable(id);
-  if (engine == nullptr) return;
-  if (!engine->load) engine->load = KnownLoad{{}, environment_.clock.now()};
-  ++engine->load->dispatchedRequests;
-  engine->load->dispatchedPrefillTokens += uncachedTokens;
-}
-
 // --- state
 
 bool EngineDirectory::advanceIncarnation(EngineState& engine, Tracking& tracking,
--- a/src/routing/engine_directory.h
+++ b/src/routing/engine_directory.h
@@ -100,11 +100,6 @@
   void noteLeaving(base::EngineId id);
   /// The engine named its incarnation, such as with a refused identity.
   void noteIncarnation(base::EngineId id, base::Incarnation incarnation);
-  /// A load report that came with another node's answer.
-  void noteLoad(base::EngineId id, const platform::EngineLoad& load, base::TimePoint takenAt);
-  /// Own work sent since the report counts as load until the next report.
-  void noteDispatched(base::EngineId id, std::uint64_t uncachedTokens);
-
   /// The homes of an engine, best first; empty for an unknown engine.
   std::vector<base::NodeId> homes(base::EngineId engine) const;
   bool isHomeOf(base::EngineId engine) const;
--- a/src/routing/fleet_view.h
+++ b/src/routing/fleet_view.h
@@ -1,6 +1,6 @@
 /// \file
-/// Back ends as one node knows them. Load is known only where this node is a home of the engine or
-/// has asked one lately; the rest comes from gossip and the machine list.
+/// Back ends as one node knows them. Load is known only where this node polls the engine; the rest
+/// comes from gossip and the machine list.
 #pragma once
 
 #include <cstdint>
@@ -16,13 +16,11 @@
 
 namespace covewing::routing {
 
-/// A load report and when it was taken, on this node's clock.
+/// A load report and when it came, on this node's clock. Work sent since is counted by the engine's
+/// home (routing/queue_estimate.h).
 struct KnownLoad {
   platform::EngineLoad load;
   base::TimePoint takenAt;
-  /// Own dispatches since the report: requests, and their uncached prompt tokens.
-  std::uint32_t dispatchedRequests = 0;
-  std::uint64_t dispatchedPrefillTokens = 0;
 };
 
 struct EngineState {
