Add covewingd and a demo of the whole path

The node's program: settings from a TOML file or flags, callers' and operators' gateways, metrics, health and readiness on their own listener, and a planned stop on SIGTERM. scripts/demo runs it with the emulated fleet: three nodes in three zones, a template through covewingctl, streamed requests on one rulebook through two nodes, a proxied call, and a planned stop of all.

--- a/src/config/json_fields.h
+++ b/src/config/json_fields.h
@@ -1,6 +1,7 @@
 /// \file
 /// Bounded JSON parsing and typed reading of object fields that collects every mistake with its
-/// path. For source files only: headers do not include it, so that few files see the JSON library.
+/// path. For sources that parse JSON, here and in the live runtime; headers towards other folders
+/// do not include it.
 #pragma once
 
 #include <cstdint>
--- a/src/emulator_http/engine_service.cc
+++ b/src/emulator_http/engine_service.cc
@@ -105,16 +105,18 @@
   if (found != streams_.end()) found->second->execution = execution;
 }
 
-void EngineService::cancel(StreamId stream) {
-  const auto found = streams_.find(stream);
+void EngineService::cancel(StreamId id) {
+  const auto found = streams_.find(id);
   if (found == streams_.end()) return;
   const emulator::ExecutionId execution = found->second->execution;
   engine_.cancel(execution);
-  forget(stream);
+  forget(id);
 }
 
-/// The stream may be the caller, which does nothing after this call.
-void EngineService::forget(StreamId stream) { streams_.erase(stream); }
+void EngineService::forget(StreamId id) {
+  // The stream may be the caller: it goes after its function has returned nothing more to do.
+  streams_.erase(id);
+}
 
 void EngineService::report(const HttpExchangePtr& exchange) {
   const auto from = parseNumber(live::findQueryValue(exchange->request().query(), "from"));
--- /dev/null
+++ b/src/live/caller_call.cc
@@ -0,0 +1,131 @@
+#include "live/caller_call.h"
+
+#include "live/http_application_client.h"
+#include "live/http_client.h"
+
+namespace covewing::live {
+
+namespace {
+constexpr unsigned kOk = 200;
+
+void noteCallerGone(const CallerGatewayEnvironment& environment, const base::RequestId& id) {
+  environment.metrics.onCallerGone();
+  environment.log.write(base::Event::kCallerDisconnected, {{"request", id.value}});
+}
+}  // namespace
+
+CompletionCall::CompletionCall(CallerGatewayEnvironment environment, HttpExchangePtr exchange,
+                               const CompletionBody& body, CallFinished finished)
+    : environment_(environment),
+      exchange_(std::move(exchange)),
+      kind_(body.kind),
+      label_(body.kind == CompletionKind::kChat ? RequestKind::kChat : RequestKind::kText),
+      streamed_(body.stream),
+      model_(body.model),
+      finished_(std::move(finished)),
+      arrivedAt_(environment.clock.now()) {}
+
+void CompletionCall::start(request::CompletionRequest request, std::int64_t created) {
+  exchange_->onDisconnect([this] { onDisconnect(); });
+  exchange_->onPressure([this](bool high) { onPressure(high); });
+  request_ = environment_.node.requests().complete(std::move(request), *this);
+  answer_ = std::make_unique<CompletionAnswer>(kind_, request_->id(), model_, created);
+}
+
+void CompletionCall::beginStream() {
+  streaming_ = true;
+  exchange_->beginStream(kOk, {{"Content-Type", "text/event-stream"},
+                               {"Cache-Control", "no-cache"},
+                               {std::string{kRequestIdHeader}, request_->id().value}});
+  exchange_->write(answer_->firstEvent());
+}
+
+void CompletionCall::onChunk(const platform::StreamChunk& chunk) {
+  if (!firstToken_) {
+    firstToken_ = true;
+    environment_.metrics.onFirstToken(label_, environment_.clock.now() - arrivedAt_);
+  }
+  if (!streamed_) {
+    text_ += chunk.text;
+    return;
+  }
+  if (!streaming_) beginStream();
+  exchange_->write(answer_->chunkEvent(chunk.text));
+}
+
+void CompletionCall::onEnd(const platform::StreamEnd& end) {
+  environment_.metrics.onCompleted(label_, environment_.clock.now() - arrivedAt_, end);
+  if (streamed_) {
+    if (!streaming_) beginStream();
+    exchange_->write(answer_->endEvents(end));
+    exchange_->end();
+  } else {
+    auto response = jsonResponse(kOk, answer_->wholeBody(text_, end));
+    response.headers.push_back({std::string{kRequestIdHeader}, request_->id().value});
+    exchange_->respond(std::move(response));
+  }
+  finish(base::ResultCode::kOk);
+}
+
+void CompletionCall::onRefused(const request::Refusal& refusal) {
+  const auto& id = request_->id().value;
+  if (streaming_) {
+    exchange_->write(errorEvent(refusal, id));
+    exchange_->end();
+  } else {
+    exchange_->respond(refusalResponse(refusal, id));
+  }
+  finish(refusal.reason.code);
+}
+
+void CompletionCall::onPressure(bool high) {
+  if (high) environment_.metrics.onCallerPaused();
+  if (request_) request_->setPaused(high);
+}
+
+void CompletionCall::onDisconnect() {
+  noteCallerGone(environment_, request_->id());
+  finished_(*this);
+}
+
+void CompletionCall::finish(base::ResultCode code) {
+  environment_.metrics.onAnswered(label_, code);
+  finished_(*this);
+}
+
+ProxiedCall::ProxiedCall(CallerGatewayEnvironment environment, HttpExchangePtr exchange,
+                         CallFinished finished)
+    : environment_(environment), exchange_(std::move(exchange)), finished_(std::move(finished)) {}
+
+void ProxiedCall::start(request::ProxiedRequest request) {
+  exchange_->onDisconnect([this] { onDisconnect(); });
+  request_ = environment_.node.requests().proxy(std::move(request), *this);
+}
+
+void ProxiedCall::onResponse(const platform::ApplicationResponse& response) {
+  HttpResponse answer{response.status, {}, response.body};
+  for (const auto& field : response.headers) {
+    if (!isConnectionHeader(field.name) && !equalHeaderNames(field.name, kRequestIdHeader))
+      answer.headers.push_back(field);
+  }
+  answer.headers.push_back({std::string{kRequestIdHeader}, request_->id().value});
+  exchange_->respond(std::move(answer));
+  finish(base::ResultCode::kOk);
+}
+
+void ProxiedCall::onRefused(const request::Refusal& refusal) {
+  exchange_->respond(refusalResponse(refusal, request_->id().value));
+  finish(refusal.reason.code);
+}
+
+void ProxiedCall::onDisconnect() {
+  noteCallerGone(environment_, request_->id());
+  finished_(*this);
+}
+
+void ProxiedCall::finish(base::ResultCode code) {
+  environment_.metrics.onAnswered(RequestKind::kProxied, code);
+  finished_(*this);
+}
+
+}  // namespace covewing::live
--- /dev/null
+++ b/src/live/caller_call.h
@@ -0,0 +1,79 @@
+/// \file
+/// One caller's request in the gateway, from its dispatch to the end of its answer. Internal to the
+/// caller gateway.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "live/caller_gateway.h"
+#include "live/completion_answer.h"
+#include "live/completion_body.h"
+#include "request/caller_request.h"
+
+namespace covewing::live {
+
+/// A call in flight; destroying it is the caller's disconnect.
+class CallerCall {
+ public:
+  virtual ~CallerCall() = default;
+};
+
+/// Called when a call has its final answer or lost its caller. It may not destroy the call at once,
+/// because the call is on the stack.
+using CallFinished = std::function<void(CallerCall&)>;
+
+/// A completion: passes chunks on as events, or collects them into one body.
+class CompletionCall final : public CallerCall, public request::CompletionSink {
+ public:
+  CompletionCall(CallerGatewayEnvironment environment, HttpExchangePtr exchange,
+                 const CompletionBody& body, CallFinished finished);
+  void start(request::CompletionRequest request, std::int64_t created);
+
+  void onChunk(const platform::StreamChunk& chunk) override;
+  void onEnd(const platform::StreamEnd& end) override;
+  void onRefused(const request::Refusal& refusal) override;
+
+ private:
+  void beginStream();
+  void onPressure(bool high);
+  void onDisconnect();
+  void finish(base::ResultCode code);
+
+  CallerGatewayEnvironment environment_;
+  HttpExchangePtr exchange_;
+  CompletionKind kind_;
+  RequestKind label_;
+  bool streamed_;
+  std::string model_;
+  CallFinished finished_;
+  base::TimePoint arrivedAt_;
+  bool firstToken_ = false;
+  bool streaming_ = false;
+  std::string text_;
+  std::unique_ptr<CompletionAnswer> answer_;
+  std::unique_ptr<request::ActiveRequest> request_;
+};
+
+/// A call proxied to an application back end.
+class ProxiedCall final : public CallerCall, public request::ProxiedSink {
+ public:
+  ProxiedCall(CallerGatewayEnvironment environment, HttpExchangePtr exchange,
+              CallFinished finished);
+  void start(request::ProxiedRequest request);
+
+  void onResponse(const platform::ApplicationResponse& response) override;
+  void onRefused(const request::Refusal& refusal) override;
+
+ private:
+  void onDisconnect();
+  void finish(base::ResultCode code);
+
+  CallerGatewayEnvironment environment_;
+  HttpExchangePtr exchange_;
+  CallFinished finished_;
+  std::unique_ptr<request::ActiveRequest> request_;
+};
+
+}  // namespace covewing::live
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -81,6 +81,8 @@
   /// Closes at once; the exchange, if any, is told.
   void close();
   bool answering() const { return state_ == State::kAnswering; }
+  /// Between requests, with every answer taken by the operating system.
+  bool idle() const { return state_ == State::kReading && bufferedBytes() == 0; }
   base::Endpoint peer() const { return peer_; }
 
   // The exchange's side.
--- a/src/live/http_engine_client.cc
+++ b/src/live/http_engine_client.cc
@@ -94,10 +94,11 @@
   void deliver() {
     const auto self = shared_from_this();
     while (handler_ != nullptr && !paused_ && !events_.empty()) {
-      auto event = std::move(events_.front());
-      if (std::holds_alternative<platform::StreamEnd>(event)) break;
+      auto* chunk = std::get_if<platform::StreamChunk>(&events_.front());
+      if (chunk == nullptr) break;
+      auto taken = std::move(*chunk);
       events_.pop_front();
-      handler_->onChunk(std::get<platform::StreamChunk>(std::move(event)));
+      handler_->onChunk(std::move(taken));
     }
     if (handler_ == nullptr || paused_) return;
     // The end waits for the whole answer, so that the connection can be kept.
--- a/src/live/http_server.cc
+++ b/src/live/http_server.cc
@@ -142,6 +142,14 @@
 }
 
 void HttpServer::stopAccepting() { core_->stopAccepting(); }
+void HttpServer::closeIdle() {
+  core_->stopAccepting();
+  // A copy, because each close changes the map.
+  const auto open = core_->connections;
+  for (const auto& [key, connection] : open) {
+    if (connection->idle()) connection->close();
+  }
+}
 void HttpServer::close() {
   core_->stopAccepting();
   core_->closeAll();
--- a/src/live/http_server.h
+++ b/src/live/http_server.h
@@ -91,6 +91,8 @@
   std::optional<base::Endpoint> listen(const base::Endpoint& endpoint, base::Reason& reason);
   /// Closes the listeners. Open connections go on, but each closes after its next answer.
   void stopAccepting();
+  /// Closes connections that are between requests, now; the others close after their answer.
+  void closeIdle();
   /// Closes every connection, finished or not.
   void close();
 
--- /dev/null
+++ b/src/live/node_metrics.h
@@ -0,0 +1,80 @@
+/// \file
+/// Metrics of one node, in Prometheus' text form. docs/METRICS.md holds the same table.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "base/event_log.h"
+#include "base/result_code.h"
+#include "base/time.h"
+#include "live/peer_transport.h"
+#include "node/node.h"
+#include "platform/engine_client.h"
+
+namespace covewing::live {
+
+/// One line of the table of metrics.
+struct MetricEntry {
+  std::string_view name;
+  /// "counter", "gauge" or "histogram".
+  std::string_view type;
+  /// Names of labels, separated by commas; empty for none.
+  std::string_view labels;
+  std::string_view meaning;
+};
+
+/// All metrics, ascending by name.
+std::span<const MetricEntry> metricTable();
+
+/// Kind of a caller's request, as a label.
+enum class RequestKind : std::uint8_t { kChat, kText, kModels, kProxied };
+
+class NodeMetrics {
+ public:
+  NodeMetrics();
+  ~NodeMetrics();
+  NodeMetrics(const NodeMetrics&) = delete;
+  NodeMetrics& operator=(const NodeMetrics&) = delete;
+
+  /// A request got its final answer.
+  void onAnswered(RequestKind kind, base::ResultCode code);
+  void onFirstToken(RequestKind kind, base::Duration sinceArrival);
+  void onCompleted(RequestKind kind, base::Duration sinceArrival, const platform::StreamEnd& end);
+  void onCallerPaused();
+  void onCallerGone();
+  void onEvent(base::Event event);
+
+  /// State that is read when metrics are asked for.
+  struct Snapshot {
+    const node::Node& node;
+    std::size_t openRequests = 0;
+    std::size_t callerConnections = 0;
+    const PeerTransportCounters& peers;
+  };
+  /// All metrics in the text exposition format.
+  std::string render(const Snapshot& snapshot);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+/// Passes events on and counts them.
+class CountingEventLog final : public base::EventLog {
+ public:
+  CountingEventLog(base::EventLog& next, NodeMetrics& metrics) : next_(next), metrics_(metrics) {}
+  void write(base::Event event, std::initializer_list<base::EventField> fields) override {
+    metrics_.onEvent(event);
+    next_.write(event, fields);
+  }
+
+ private:
+  base::EventLog& next_;
+  NodeMetrics& metrics_;
+};
+
+}  // namespace covewing::live
--- /dev/null
+++ b/src/tools/covewingd.cc
@@ -0,0 +1,119 @@
+/// \file
+/// The node's program. Exit status: 0 after a planned stop, 1 when a listener
+/// cannot be opened, 2 for mistakes in settings or flags, 3 when a stop was
+/// forced.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "live/boost_event_log.h"
+#include "live/command_line.h"
+#include "live/daemon.h"
+
+namespace covewing::live {
+
+namespace {
+
+constexpr int kExitListener = 1;
+constexpr int kExitUsage = 2;
+constexpr int kExitForced = 3;
+
+/// Text of the file; empty, with a mistake, when it cannot be read.
+std::optional<SettingsSource> readSource(const std::string &file,
+                                         std::vector<SettingsMistake> &mistakes) {
+  const std::ifstream stream(file);
+  std::stringstream text;
+  text << stream.rdbuf();
+  if (stream.is_open() && text) return SettingsSource{file, text.str()};
+  mistakes.push_back({file, 0, "", "cannot be read"});
+  return std::nullopt;
+}
+
+std::optional<Settings> readSettings(const CommandLine &line) {
+  std::vector<SettingsMistake> mistakes;
+  std::optional<SettingsSource> source;
+  if (!line.settingsFile.empty()) source = readSource(line.settingsFile, mistakes);
+  std::optional<Settings> settings;
+  if (mistakes.empty()) settings = loadSettings(source, line.overrides, mistakes);
+  for (const auto &mistake : mistakes) std::cerr << toText(mistake) << '\n';
+  return settings;
+}
+
+/// First signal: planned stop. Second: end at once.
+class StopSignals {
+ public:
+  StopSignals(boost::asio::io_context &context, Daemon &daemon)
+      : context_(context), daemon_(daemon), signals_(context, SIGTERM, SIGINT) {
+    wait();
+  }
+  bool forced() const { return forced_; }
+
+ private:
+  void wait() {
+    signals_.async_wait([this](boost::system::error_code error, int /*signal*/) {
+      if (!error) onSignal();
+    });
+  }
+
+  void onSignal() {
+    if (draining_) {
+      forced_ = true;
+      context_.stop();
+      return;
+    }
+    draining_ = true;
+    daemon_.drain([this] { context_.stop(); });
+    wait();
+  }
+
+  boost::asio::io_context &context_;
+  Daemon &daemon_;
+  boost::asio::signal_set signals_;
+  bool draining_ = false;
+  bool forced_ = false;
+};
+
+int run(Settings settings) {
+  BoostEventLog log(settings.name, settings.logSeverity);
+  boost::asio::io_context context(1);
+  Daemon daemon(context, std::move(settings), log, node::makeNode);
+  base::Reason reason;
+  if (!daemon.start(reason)) {
+    std::cerr << "covewingd: " << reason.detail << '\n';
+    return kExitListener;
+  }
+  const StopSignals signals(context, daemon);
+  context.run();
+  return signals.forced() ? kExitForced : 0;
+}
+
+int runProgram(int argumentCount, char **arguments) {
+  std::string problem;
+  const auto line = parseCommandLine(argumentCount, arguments, problem);
+  if (!line) {
+    std::cerr << "covewingd: " << problem << "; see --help\n";
+    return kExitUsage;
+  }
+  if (line->mode == CommandMode::kHelp) {
+    std::cout << helpText();
+    return 0;
+  }
+  auto settings = readSettings(*line);
+  if (!settings) return kExitUsage;
+  if (line->mode == CommandMode::kCheck) {
+    std::cout << line->settingsFile << ": ok\n";
+    return 0;
+  }
+  return run(std::move(*settings));
+}
+
+}  // namespace
+
+}  // namespace covewing::live
+
+int main(int argumentCount, char **arguments) {
+  return covewing::live::runProgram(argumentCount, arguments);
+}
