Remove claims whose retention has ended, by epochs of revisions

Nodes share no clock and keep nothing, so age is measured in the table service: whoever has seen the epoch row unchanged for an hour of its own clock starts the next epoch, and claims older than the last 24 epochs are removed. The key space has 256 shards, each cleaned by one live node.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -14,6 +14,7 @@
 #include "node/operator_service.h"
 #include "node/pause_detector.h"
 #include "node/zone_watch.h"
+#include "request/claim_expiry.h"
 #include "request/claim_store.h"
 #include "request/request_manager.h"
 #include "routing/routing_service.h"
@@ -118,6 +119,7 @@
   routing::RoutingService routing_;
   std::unique_ptr<admission::AdmissionService> admission_;
   request::ClaimStore claims_;
+  request::ClaimExpiry claimExpiry_;
   ExplainLog explainLog_;
   ZoneWatch zones_;
   DispatchFeedback feedback_;
@@ -152,6 +154,8 @@
                                                     environment.log, members_, environment.peers)),
       claims_({}, {environment.clock, environment.timers, environment.random, environment.peers,
                    environment.table, members_}),
+      claimExpiry_({}, {environment.clock, environment.timers, environment.random,
+                        environment.table, members_}),
       zones_(members_),
       feedback_(routing_.directory()),
       requests_({options_.name, options_.incarnation}, requestOptionsOf(options_),
@@ -227,6 +231,7 @@
   distributor_.start();
   routing_.start();
   coordinator_.start();
+  claimExpiry_.start();
   logReadiness();
 }
 
