--- a/src/emulator/engine_model_orders.cc
+++ b/src/emulator/engine_model_orders.cc
@@ -1,5 +1,6 @@
 // Reports and orders of the engine model.
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "emulator/engine_model.h"
@@ -238,7 +239,9 @@
   LoadedWeights* present = findWeights(weights.model, weights.version);
   if (present == nullptr) {
     weights_.push_back(weights);
-    std::sort(weights_.begin(), weights_.end());
+    std::sort(weights_.begin(), weights_.end(), [](const auto& left, const auto& right) {
+      return std::tie(left.model, left.version) < std::tie(right.model, right.version);
+    });
     return;
   }
   for (const std::string& adapter : weights.adapters) {
