--- a/src/emulator/engine_model.h
+++ b/src/emulator/engine_model.h
@@ -129,6 +129,7 @@
   // Steps.
   void kick();
   void planStep();
+  base::Duration stepDuration(std::uint32_t prefillTokens, std::uint32_t decoding) const;
   std::uint32_t grantPrefill(Execution& execution, std::uint32_t budget);
   std::uint32_t planClass(std::size_t priority, std::uint32_t budget, bool& memoryFull);
   bool admit(Execution& execution);
--- a/src/emulator/engine_options.h
+++ b/src/emulator/engine_options.h
@@ -19,6 +19,8 @@
   base::Duration perPrefillToken{90};
   /// 250 us a sequence: 16 ms a token in a batch of 32.
   base::Duration perDecodingSequence{250};
+  /// Divides the sum.
+  double speed = 1.0;
 };
 
 /// Checks that a mutation run switches off to see that checkers notice; all are on by default.
--- a/src/emulator/fleet_options.cc
+++ b/src/emulator/fleet_options.cc
@@ -30,9 +30,8 @@
 }
 
 void speedUp(EngineModelOptions& engine, double factor) {
-  divide(engine.step.base, factor);
-  divide(engine.step.perPrefillToken, factor);
-  divide(engine.step.perDecodingSequence, factor);
+  // The price of one token, divided, would be lost in the clock's resolution.
+  engine.step.speed *= factor;
   divide(engine.cacheEvents.delay, factor);
   divide(engine.loadReportPeriod, factor);
 }
--- a/src/emulator_http/emulated_fleet.cc
+++ b/src/emulator_http/emulated_fleet.cc
@@ -23,6 +23,18 @@
 /// Speed of the weight store while it is slow.
 constexpr double kSlowWeightStoreSpeed = 0.1;
 
+double weightStoreSpeed(ServiceMode mode) {
+  switch (mode) {
+    case ServiceMode::kNormal:
+      return 1.0;
+    case ServiceMode::kSlow:
+      return kSlowWeightStoreSpeed;
+    case ServiceMode::kDown:
+      return 0.0;
+  }
+  return 1.0;
+}
+
 bool unknownMachine(std::string_view name, Reason& reason) {
   reason = Reason{ResultCode::kInvalidField, "machine: " + std::string(name)};
   return false;
@@ -240,7 +252,6 @@
 }
 
 bool EmulatedFleet::perform(const ServiceAction& action, Reason& /*reason*/) {
-  const ServiceMode mode = action.mode.value_or(ServiceMode::kNormal);
   switch (action.service) {
     case Service::kTable:
       setConditions(fleet_.table().conditions(), *table_, action);
@@ -253,12 +264,10 @@
       if (action.lag) fleet_.machineList().setLag(*action.lag);
       return true;
     case Service::kWeightStore:
-      if (mode == ServiceMode::kNormal) fleet_.weightStore().setSpeed(1.0);
-      if (mode == ServiceMode::kSlow) fleet_.weightStore().setSpeed(kSlowWeightStoreSpeed);
-      if (mode == ServiceMode::kDown) fleet_.weightStore().setSpeed(0.0);
+      if (action.mode) fleet_.weightStore().setSpeed(weightStoreSpeed(*action.mode));
       return true;
     case Service::kKeptCacheStore:
-      fleet_.keptCacheStore().setDown(mode == ServiceMode::kDown);
+      if (action.mode) fleet_.keptCacheStore().setDown(*action.mode == ServiceMode::kDown);
       return true;
   }
   return true;
--- a/tests/emulator/engine_model_test.cc
+++ b/tests/emulator/engine_model_test.cc
@@ -169,6 +169,15 @@
   BOOST_TEST((*stream.firstChunkAt - base::TimePoint{}).count() == expected.count());
 }
 
+BOOST_AUTO_TEST_CASE(speedDividesTheTimeOfSteps) {
+  EngineModelOptions options = engineOptions();
+  options.step.speed = 100.0;
+  EngineModel engine = makeEngine(options);
+  const StreamRecorder stream = complete(engine, request(promptOf(10, 'a')));
+  // (8 ms + 160 tokens of 90 us) / 100.
+  BOOST_TEST((stream.firstChunkAt.value() - base::TimePoint{}).count() == 224);
+}
+
 BOOST_AUTO_TEST_CASE(reusesCachedPrefixOfTheSameIdentityOnly) {
   EngineModel engine = makeEngine(engineOptions());
   complete(engine, request(promptOf(8, 'a')));
