--- a/src/coordination/coordinator.cc
+++ b/src/coordination/coordinator.cc
@@ -30,7 +30,7 @@
 
 }  // namespace
 
-Coordinator::Coordinator(CoordinatorOptions options, CoordinatorEnvironment environment)
+Coordinator::Coordinator(const CoordinatorOptions& options, CoordinatorEnvironment environment)
     : environment_(environment),
       lease_(leaseOptionsOf(options),
              {environment.clock, environment.timers, environment.random, environment.log,
--- a/src/coordination/coordinator.h
+++ b/src/coordination/coordinator.h
@@ -40,7 +40,7 @@
 
 class Coordinator final : public base::PeerHandler, private LeaseListener {
  public:
-  Coordinator(CoordinatorOptions options, CoordinatorEnvironment environment);
+  Coordinator(const CoordinatorOptions& options, CoordinatorEnvironment environment);
   ~Coordinator() override;
   Coordinator(const Coordinator&) = delete;
   Coordinator& operator=(const Coordinator&) = delete;
--- a/src/coordination/lease_manager.cc
+++ b/src/coordination/lease_manager.cc
@@ -141,7 +141,7 @@
   const platform::TableRow* tenure = findRow(rows, leaseTenureKey(options_.name));
   const base::Revision revision = lease == nullptr ? 0 : lease->revision;
   const bool changed = !observed_ || observed_->revision != revision;
-  if (!observed_) observed_.emplace();
+  if (!observed_) observed_ = Observation{};
   if (changed) observed_->firstSeenAt = environment_.clock.now();
   observed_->revision = revision;
   observed_->tenureRevision = tenure == nullptr ? 0 : tenure->revision;
--- a/src/coordination/order_executor.cc
+++ b/src/coordination/order_executor.cc
@@ -174,7 +174,7 @@
     }
   }
   std::ranges::sort(names);
-  names.erase(std::ranges::unique(names).begin(), names.end());
+  names.erase(std::unique(names.begin(), names.end()), names.end());
   return names;
 }
 
--- a/src/coordination/order_executor.h
+++ b/src/coordination/order_executor.h
@@ -141,7 +141,7 @@
   void logFinish(const Order& order);
 
   void sendOrders(OpenOrder& open, const std::vector<CatalogueEngine>& catalogue);
-  void send(OpenOrder& open, std::size_t step, const platform::BackEndAddress& engine,
+  void send(OpenOrder& open, std::size_t index, const platform::BackEndAddress& engine,
             const LeaseGrant& grant);
   void onOrderReply(const std::string& id, const std::string& engine, const std::string& what,
                     const platform::OrderReply& reply);
--- a/src/node/operator_service_templates.cc
+++ b/src/node/operator_service_templates.cc
@@ -147,7 +147,7 @@
   return answerOf(body);
 }
 
-void TemplateCalls::submit(config::TemplateEdit edit, OperatorCallback callback) {
+void TemplateCalls::submit(const config::TemplateEdit& edit, OperatorCallback callback) {
   editor_.submit(edit, [edit, callback = std::move(callback)](const config::EditResult& result) {
     callback(responseOf(edit, result));
   });
@@ -171,7 +171,7 @@
     callback(refusal(base::ResultCode::kInvalidField, mistakes));
     return;
   }
-  submit(std::move(edit), std::move(callback));
+  submit(edit, std::move(callback));
 }
 
 void TemplateCalls::retire(const std::string& name, const OperatorTarget& target,
@@ -188,7 +188,7 @@
     callback(refusal(base::ResultCode::kInvalidField, mistakes));
     return;
   }
-  submit(std::move(edit), std::move(callback));
+  submit(edit, std::move(callback));
 }
 
 void TemplateCalls::history(const std::string& name, OperatorCallback callback) {
--- a/src/node/operator_service_templates.h
+++ b/src/node/operator_service_templates.h
@@ -28,7 +28,7 @@
                const OperatorRequest& request, OperatorCallback callback);
   OperatorResponse list(const OperatorTarget& target) const;
   OperatorResponse get(const std::string& name) const;
-  void submit(config::TemplateEdit edit, OperatorCallback callback);
+  void submit(const config::TemplateEdit& edit, OperatorCallback callback);
   void history(const std::string& name, OperatorCallback callback);
   void change(const std::string& name, const OperatorTarget& target, const OperatorRequest& request,
               OperatorCallback callback);
--- a/src/tools/covewingctl_output.cc
+++ b/src/tools/covewingctl_output.cc
@@ -49,16 +49,21 @@
   output << line << '\n';
 }
 
+std::vector<std::string> cellsOf(const Json& row, const std::vector<Column>& columns) {
+  std::vector<std::string> cells;
+  cells.reserve(columns.size());
+  for (const Column& column : columns) cells.push_back(fieldOf(row, column.field));
+  return cells;
+}
+
 void printTable(const Json& rows, const std::vector<Column>& columns, std::ostream& output) {
   std::vector<std::vector<std::string>> lines;
+  lines.reserve(rows.size() + 1);
   std::vector<std::string> heading;
+  heading.reserve(columns.size());
   for (const Column& column : columns) heading.emplace_back(column.heading);
   lines.push_back(std::move(heading));
-  for (const Json& row : rows) {
-    std::vector<std::string> cells;
-    for (const Column& column : columns) cells.push_back(fieldOf(row, column.field));
-    lines.push_back(std::move(cells));
-  }
+  for (const Json& row : rows) lines.push_back(cellsOf(row, columns));
   std::vector<std::size_t> widths(columns.size(), 0);
   for (const auto& line : lines) {
     for (std::size_t index = 0; index < line.size(); ++index) {
