Hold the engine model to more of its promises

Cause: with single lines of the model changed in a scratch copy, twelve of twenty-six changes went unnoticed: overtaking a request that waits for memory, the shared prefill budget, cached tokens at full price, a handler that cancels itself or crashes the engine, calls and events that outlive a crash, steps during a load of weights. Each has a case now, and the same changes fail it. One change made no difference: the machine list kept its order twice, by time and by queue; the second alone is left.

--- a/src/emulator/machine_list_model.cc
+++ b/src/emulator/machine_list_model.cc
@@ -1,6 +1,5 @@
 #include "emulator/machine_list_model.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace covewing::emulator {
@@ -18,8 +17,8 @@
 void MachineListModel::remove(const std::string& name) { record(name, std::nullopt); }
 
 void MachineListModel::record(std::string name, std::optional<platform::Machine> machine) {
-  base::TimePoint visibleAt = clock_.now() + random_.jittered(options_.lag, options_.lagJitter);
-  if (!pending_.empty()) visibleAt = std::max(visibleAt, pending_.back().visibleAt);
+  const base::TimePoint visibleAt =
+      clock_.now() + random_.jittered(options_.lag, options_.lagJitter);
   pending_.push_back(Change{visibleAt, std::move(name), std::move(machine)});
 }
 
--- a/src/emulator/machine_list_model.h
+++ b/src/emulator/machine_list_model.h
@@ -59,6 +59,7 @@
   base::RandomSource& random_;
   ServiceConditions conditions_;
   std::map<std::string, platform::Machine> visible_;
+  /// In order; a change waits for those before it.
   std::deque<Change> pending_;
 };
 
--- a/tests/emulator/engine_model_test.cc
+++ b/tests/emulator/engine_model_test.cc
@@ -169,6 +169,16 @@
   BOOST_TEST((*stream.firstChunkAt - base::TimePoint{}).count() == expected.count());
 }
 
+BOOST_AUTO_TEST_CASE(cachedTokensTakeNoPrefillTime) {
+  const EngineModelOptions options = engineOptions();
+  EngineModel engine = makeEngine(options);
+  complete(engine, request(promptOf(64, 'a')));
+  const base::TimePoint submittedAt = time.now();
+  const StreamRecorder again = complete(engine, request(promptOf(64, 'a') + promptOf(2, 'b')));
+  const Duration expected = options.step.base + options.step.perPrefillToken * (2 * kBlockTokens);
+  BOOST_TEST((again.firstChunkAt.value() - submittedAt).count() == expected.count());
+}
+
 BOOST_AUTO_TEST_CASE(speedDividesTheTimeOfSteps) {
   EngineModelOptions options = engineOptions();
   options.step.speed = 100.0;
@@ -252,6 +262,66 @@
   BOOST_TEST((running.firstChunkAt.value() < urgent.firstChunkAt.value()));
 }
 
+BOOST_AUTO_TEST_CASE(nothingOvertakesAnUrgentRequestThatWaitsForMemory) {
+  EngineModelOptions options = engineOptions();
+  options.capacityBlocks = 26;
+  EngineModel engine = makeEngine(options);
+  StreamRecorder running(time);
+  StreamRecorder urgent(time);
+  StreamRecorder background(time);
+  engine.submit(request(promptOf(16, 'a'), 100), running);
+  EngineRequest large = request(promptOf(16, 'b'), 8);
+  large.priority = PriorityClass::kUrgent;
+  engine.submit(large, urgent);
+  EngineRequest small = request(promptOf(1, 'c'), 8);
+  small.priority = PriorityClass::kBackground;
+  engine.submit(small, background);
+  time.run(60s);
+  BOOST_TEST((urgent.firstChunkAt.value() <= background.firstChunkAt.value()));
+  BOOST_TEST((running.firstChunkAt.value() < urgent.firstChunkAt.value()));
+}
+
+BOOST_AUTO_TEST_CASE(requestsShareThePrefillBudgetOfAStep) {
+  const EngineModelOptions options = engineOptions();
+  EngineModel engine = makeEngine(options);
+  const std::size_t blocksPerStep = options.prefillTokensPerStep / kBlockTokens;
+  std::deque<StreamRecorder> streams;
+  for (char fill = 'a'; fill < 'e'; ++fill) {
+    streams.emplace_back(time);
+    engine.submit(request(promptOf(blocksPerStep * 3 / 4, fill)), streams.back());
+  }
+  time.run(60s);
+  // The first prompt starts alone; the other three, of three quarters of the budget each, need
+  // three steps more.
+  const Duration least =
+      4 * options.step.base + options.step.perPrefillToken * (3 * options.prefillTokensPerStep);
+  const Duration last = streams.back().firstChunkAt.value() - base::TimePoint{};
+  BOOST_TEST((last >= least));
+  BOOST_TEST((last < least + options.step.base));
+}
+
+BOOST_AUTO_TEST_CASE(prefillBudgetGoesToTheMostUrgentFirst) {
+  const EngineModelOptions options = engineOptions();
+  EngineModel engine = makeEngine(options);
+  const std::size_t blocksPerStep = options.prefillTokensPerStep / kBlockTokens;
+  StreamRecorder background(time);
+  StreamRecorder urgent(time);
+  EngineRequest large = request(promptOf(20 * blocksPerStep, 'a'), 8);
+  large.priority = PriorityClass::kBackground;
+  engine.submit(large, background);
+  time.run(10ms);
+  EngineRequest small = request(promptOf(4, 'b'), 8);
+  small.priority = PriorityClass::kUrgent;
+  const base::TimePoint submittedAt = time.now();
+  engine.submit(small, urgent);
+  time.run(60s);
+  // The step under way and the next one, each at its longest.
+  const Duration step =
+      options.step.base + options.step.perPrefillToken * options.prefillTokensPerStep;
+  BOOST_TEST((urgent.firstChunkAt.value() - submittedAt <= 2 * step));
+  BOOST_TEST((background.firstChunkAt.value() > urgent.firstChunkAt.value()));
+}
+
 BOOST_AUTO_TEST_CASE(resumesBehindTheDeliveredText) {
   EngineModel engine = makeEngine(engineOptions());
   const std::string prompt = promptOf(4, 'a');
@@ -301,6 +371,21 @@
   BOOST_TEST(engine.cache().reservedBlocks() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(handlerMayCancelItsOwnStreamAtItsLastToken) {
+  EngineModel engine = makeEngine(engineOptions());
+  StreamRecorder stream(time);
+  ExecutionId execution = 0;
+  stream.whenChunk = [&] {
+    if (stream.positions.back() == 9) engine.cancel(execution);
+  };
+  execution = engine.submit(request(promptOf(2, 'a'), 10), stream);
+  time.run(10s);
+  BOOST_TEST(stream.positions.size() == 10U);
+  BOOST_TEST(!stream.end.has_value());
+  BOOST_TEST(engine.isIdle());
+  BOOST_TEST(complete(engine, request(promptOf(2, 'a'), 10)).end.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(refusesOtherIdentitiesAsNotRun) {
   EngineModel engine = makeEngine(engineOptions());
   std::vector<EngineRequest> wrong(4, request(promptOf(2, 'a')));
@@ -361,6 +446,42 @@
   BOOST_TEST(provenances.incarnationMismatches == 0);
 }
 
+BOOST_AUTO_TEST_CASE(handlerMayCrashTheEngineDuringAStep) {
+  EngineModel engine = makeEngine(engineOptions());
+  StreamRecorder first(time);
+  StreamRecorder second(time);
+  first.whenChunk = [&] { engine.crash(); };
+  engine.submit(request(promptOf(2, 'a'), 10), first);
+  engine.submit(request(promptOf(2, 'b'), 10), second);
+  time.run(10s);
+  BOOST_TEST(first.positions.size() == 1U);
+  BOOST_TEST(second.positions.empty());
+  BOOST_TEST((second.error.value().failure == DispatchFailure::kOutcomeUnknown));
+  engine.restart();
+  time.run(2s);
+  BOOST_TEST(complete(engine, request(promptOf(2, 'b'), 10)).end.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(crashForgetsCallsAndCacheEvents) {
+  EngineModel engine = makeEngine(engineOptions());
+  complete(engine, request(promptOf(8, 'a')));
+  BOOST_TEST(reportOf(engine).nextSequence == 8U);
+  engine.pause();
+  bool answered = false;
+  engine.report(0, [&](const auto& /*report*/) { answered = true; });
+  engine.crash();
+  engine.restart();
+  engine.pause();
+  engine.resume();
+  time.run(2s);
+  BOOST_TEST(!answered);
+  BOOST_TEST(reportOf(engine).nextSequence == 0U);
+  // A number of the earlier run reads the new run from its start.
+  complete(engine, request(promptOf(2, 'b')));
+  BOOST_TEST(reportOf(engine, 8).firstSequence == 0U);
+  BOOST_TEST(reportOf(engine, 8).events.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(reportsReuseOfAnEarlierIncarnationWhenTheCacheSurvives) {
   EngineModelOptions options = engineOptions();
   options.safeguards.crashLosesCache = false;
@@ -535,6 +656,21 @@
   BOOST_TEST((give(engine, loadOrder("four", 4, 3)).status == platform::OrderStatus::kFencedOff));
 }
 
+BOOST_AUTO_TEST_CASE(loadingWeightsStallsStepsWithoutBreakingStreams) {
+  EngineModel engine = makeEngine(engineOptions());
+  StreamRecorder running(time);
+  engine.submit(request(promptOf(4, 'a'), 200), running);
+  time.run(200ms);
+  give(engine, loadOrder("load", 1, 2));
+  time.run(50ms);
+  const std::size_t received = running.positions.size();
+  time.run(400ms);
+  BOOST_TEST(running.positions.size() == received);
+  time.run(60s);
+  BOOST_TEST(running.positions.size() == 200U);
+  BOOST_TEST(running.end.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(unloadWaitsForRunningRequestsAndDropsTheirBlocks) {
   EngineModel engine = makeEngine(engineOptions());
   give(engine, loadOrder("load", 1, 2));
