Run scenarios, faults and mutations in the simulator: covewing-sim

One JSON line a run with violations, faults that occurred, calls, times and the digest.

Ruled out on the way: the fencing check does not show under a paused holder alone, since the holder checks its lease on waking and engines recognise repeated orders. It shows when a holder is paused between that check and the first byte, and the engine has lost its memory of orders.

--- a/src/sim/engine_client.cc
+++ b/src/sim/engine_client.cc
@@ -251,7 +251,13 @@
     target->model().order(
         order, [answer](platform::OrderReply result) { answer(std::move(result), kAnswerHead); });
   };
-  orders_.call(std::move(request), reply);
+  const auto delay = network_.options().orderDelay;
+  if (delay == base::Duration::zero()) {
+    orders_.call(std::move(request), reply);
+    return;
+  }
+  process_.schedule(delay,
+                    [this, request = std::move(request), reply] { orders_.call(request, reply); });
 }
 
 }  // namespace covewing::sim
--- a/src/sim/exchange.h
+++ b/src/sim/exchange.h
@@ -37,7 +37,8 @@
 
 /// Faults of a client that a mutation run switches on to see that checkers notice.
 struct ExchangeFaults {
-  /// Keeps using a connection whose answer was given up on, and accepts any answer on it.
+  /// Keeps using a connection whose answer was given up on, and takes any answer on it for the one
+  /// to its own request.
   bool reuseAbandoned = false;
 };
 
--- a/src/sim/history_recorder.cc
+++ b/src/sim/history_recorder.cc
@@ -1,5 +1,6 @@
 #include "sim/history_recorder.h"
 
+#include <algorithm>
 #include <limits>
 
 #include "config/template_document.h"
@@ -10,6 +11,8 @@
 namespace {
 /// Nodes and table are looked at this often.
 constexpr base::Duration kSamplePeriod = std::chrono::milliseconds(50);
+/// For this long after an engine's restart, loads of weights may be its own.
+constexpr base::Duration kRestartLoads = std::chrono::seconds(15);
 
 /// The workloads' mark: the limit of output tokens, the one field that they change.
 std::uint32_t markOf(const config::TenantTemplate& tenant) {
@@ -27,13 +30,14 @@
   lastRevision_.assign(fleet.nodeCount(), 0);
   lastIncarnation_.assign(fleet.nodeCount(), 0);
   lastTemplate_.resize(fleet.nodeCount());
+  readyIncarnation_.assign(fleet.nodeCount(), 0);
+  servedIncarnation_.assign(fleet.nodeCount(), 0);
   history_.loadSlots = fleet.options().platform.weights.fullSpeedLoads;
   sample();
 }
 
 void HistoryRecorder::finish() {
   sampleTable();
-  history_.peakLoads = fleet_->weightStore().peakLoads();
   history_.endedAt = now();
 }
 
@@ -43,10 +47,25 @@
 
 void HistoryRecorder::sample() {
   sampleTable();
+  sampleLoads();
   for (std::size_t index = 0; index < fleet_->nodeCount(); ++index) sampleNode(index);
   sampleLater();
 }
 
+void HistoryRecorder::sampleLoads() {
+  // Loads of restarting engines are not the orders' own.
+  if (engineRestartedAt_ && now() - *engineRestartedAt_ < kRestartLoads) return;
+  history_.peakLoads = std::max(history_.peakLoads, fleet_->weightStore().activeLoads());
+}
+
+void HistoryRecorder::noteEngineRestart() { engineRestartedAt_ = now(); }
+
+void HistoryRecorder::noteServed(std::size_t node, base::Incarnation incarnation) {
+  if (servedIncarnation_[node] == incarnation) return;
+  servedIncarnation_[node] = incarnation;
+  history_.nodeEvents.push_back({node, incarnation, NodeEventKind::kFirstServed, now(), 0});
+}
+
 void HistoryRecorder::sampleNode(std::size_t index) {
   auto& host = fleet_->node(index);
   auto* node = host.node();
@@ -57,6 +76,10 @@
     lastRevision_[index] = 0;
     lastTemplate_[index].clear();
   }
+  if (readyIncarnation_[index] != incarnation && node->ready()) {
+    readyIncarnation_[index] = incarnation;
+    noteNode(index, NodeEventKind::kReady);
+  }
   const auto revision = node->configuration().freshness().revision;
   if (revision != lastRevision_[index]) {
     lastRevision_[index] = revision;
@@ -159,6 +182,7 @@
 void HistoryRecorder::onOrder(base::EngineId engine, const platform::EngineOrder& order,
                               const platform::OrderReply& reply) {
   history_.orders.push_back({engine, order, reply, now()});
+  sampleLoads();
 }
 
 void HistoryRecorder::onApplicationExecuted(const emulator::ApplicationExecution& execution) {
--- a/src/sim/history_recorder.h
+++ b/src/sim/history_recorder.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -32,6 +33,10 @@
   void onEvent(const std::string& node, base::Event event,
                std::initializer_list<base::EventField> fields);
   void noteNode(std::size_t node, NodeEventKind kind, std::size_t openCalls = 0);
+  /// A call was served whole by that run of the node.
+  void noteServed(std::size_t node, base::Incarnation incarnation);
+  /// An engine restarts and loads its weights by itself, which is no order.
+  void noteEngineRestart();
   /// A fault from now for `duration`.
   void noteFault(std::string kind, std::string subject, base::Duration duration);
   void noteLeave(base::EngineId backEnd, const std::string& name);
@@ -51,6 +56,7 @@
   void sample();
   void sampleNode(std::size_t index);
   void sampleTable();
+  void sampleLoads();
   void addCommitted(const std::string& name, const std::string& document,
                     const std::string& operationId, base::Revision revision, bool retired,
                     std::uint64_t salt);
@@ -61,6 +67,9 @@
   std::map<std::pair<base::EngineId, emulator::ExecutionId>, std::size_t> executions_;
   std::vector<base::Revision> lastRevision_;
   std::vector<base::Incarnation> lastIncarnation_;
+  std::vector<base::Incarnation> readyIncarnation_;
+  std::vector<base::Incarnation> servedIncarnation_;
+  std::optional<base::TimePoint> engineRestartedAt_;
   std::vector<std::map<std::string, base::Revision>> lastTemplate_;
   base::Revision tableRevision_ = 0;
   std::map<std::pair<std::string, base::Revision>, bool> committedSeen_;
--- a/src/sim/network.h
+++ b/src/sim/network.h
@@ -46,6 +46,9 @@
   PathOptions acrossRegions{std::chrono::milliseconds(30), std::chrono::milliseconds(2)};
   /// How long an end waits for a path that does not answer before it gives the connection up.
   base::Duration connectionTimeout = std::chrono::seconds(2);
+  /// Time from a node's decision to send an order until the first byte leaves: a process that is
+  /// slow, or paused, between the two.
+  base::Duration orderDelay{};
 };
 
 /// What bytes were sent for. All but kData count as control.
--- a/src/sim/node_host.cc
+++ b/src/sim/node_host.cc
@@ -17,10 +17,14 @@
   virtual void nodeLost() = 0;
   /// Ends the node's work on the call.
   void drop() { active_.reset(); }
+  void setPaused(bool paused) {
+    if (active_) active_->setPaused(paused);
+  }
   base::RequestId requestId() const { return active_ ? active_->id() : base::RequestId{}; }
 
  protected:
   void finished() { owner_.releaseLater(id_); }
+  base::Incarnation incarnation() const { return owner_.process_.incarnation(); }
   void setActive(std::unique_ptr<request::ActiveRequest> active) { active_ = std::move(active); }
 
  private:
@@ -35,6 +39,7 @@
       : Call(owner), request_(std::move(request)), caller_(caller) {}
   void submit(request::RequestService& requests) override {
     setActive(requests.complete(std::move(request_), *this));
+    caller_.onTaken(requestId(), incarnation());
   }
   void nodeLost() override { caller_.onNodeLost(); }
   void onChunk(const platform::StreamChunk& chunk) override { caller_.onChunk(chunk); }
@@ -58,6 +63,7 @@
       : Call(owner), request_(std::move(request)), caller_(caller) {}
   void submit(request::RequestService& requests) override {
     setActive(requests.proxy(std::move(request_), *this));
+    caller_.onTaken(requestId(), incarnation());
   }
   void nodeLost() override { caller_.onNodeLost(); }
   void onResponse(const platform::ApplicationResponse& response) override {
@@ -204,6 +210,13 @@
   });
 }
 
+void NodeHost::setPaused(CallId call, bool paused) {
+  process_.dispatch([this, call, paused] {
+    const auto found = calls_.find(call);
+    if (found != calls_.end()) found->second->setPaused(paused);
+  });
+}
+
 base::RequestId NodeHost::requestId(CallId call) const {
   const auto found = calls_.find(call);
   return found == calls_.end() ? base::RequestId{} : found->second->requestId();
--- a/src/sim/node_host.h
+++ b/src/sim/node_host.h
@@ -23,12 +23,15 @@
 /// A caller of a completion. Besides the answer it hears when its node dies.
 class CompletionCaller : public request::CompletionSink {
  public:
+  /// The node has taken the call under this identifier; `incarnation` is the node's.
+  virtual void onTaken(const base::RequestId& /*id*/, base::Incarnation /*incarnation*/) {}
   /// The connection to the node broke, or there was none. Nothing follows.
   virtual void onNodeLost() = 0;
 };
 
 class ProxiedCaller : public request::ProxiedSink {
  public:
+  virtual void onTaken(const base::RequestId& /*id*/, base::Incarnation /*incarnation*/) {}
   virtual void onNodeLost() = 0;
 };
 
@@ -78,6 +81,8 @@
   CallId proxy(request::ProxiedRequest request, ProxiedCaller& caller);
   /// The caller goes away; it hears nothing more.
   void disconnect(CallId call);
+  /// The caller stops reading, or goes on.
+  void setPaused(CallId call, bool paused);
   /// The node's identifier of the call; empty while the node has not taken it.
   base::RequestId requestId(CallId call) const;
   std::size_t openCalls() const { return calls_.size(); }
--- a/src/sim/peer_transport.cc
+++ b/src/sim/peer_transport.cc
@@ -3,12 +3,9 @@
 #include <memory>
 #include <utility>
 
-namespace covewing::sim {
+#include "node/peer_frame.h"
 
-namespace {
-/// Bytes that a frame adds to its payload: version, sender, channel and the length of the payload.
-constexpr std::size_t kFrameOverhead = 32;
-}  // namespace
+namespace covewing::sim {
 
 SimPeerTransport::SimPeerTransport(Network& network, HostId host, base::PeerIdentity self,
                                    PeerReceiverLookup receivers)
@@ -16,16 +13,21 @@
 
 void SimPeerTransport::send(const base::Endpoint& destination, base::Channel channel,
                             std::string payload) {
-  const auto size = payload.size() + kFrameOverhead;
+  const bool datagram = payload.size() <= kDatagramLimit;
+  auto frame = std::make_shared<const std::string>(
+      node::encodePeerFrame(self_, channel, std::move(payload)));
+  const auto size = frame->size();
   ++count_.messages.at(static_cast<std::size_t>(channel));
   count_.bytes.at(static_cast<std::size_t>(channel)) += size;
   const auto* found = network_.findHost(destination);
   if (found == nullptr) return;
   const auto target = *found;
-  const bool datagram = payload.size() <= kDatagramLimit;
-  auto shared = std::make_shared<const std::string>(std::move(payload));
-  auto deliver = [receivers = receivers_, sender = self_, target, channel, shared] {
-    if (auto* receiver = receivers(target)) receiver->onPeerMessage(sender, channel, *shared);
+  auto deliver = [receivers = receivers_, target, frame = std::move(frame)] {
+    auto* receiver = receivers(target);
+    if (receiver == nullptr) return;
+    base::Reason reason;
+    const auto decoded = node::decodePeerFrame(*frame, reason);
+    if (decoded) receiver->onPeerMessage(decoded->sender, decoded->channel, decoded->payload);
   };
   if (datagram) {
     network_.sendDatagram(host_, target, size, TrafficClass::kPeerDatagram, std::move(deliver));
--- a/src/sim/platform_clients.cc
+++ b/src/sim/platform_clients.cc
@@ -197,6 +197,7 @@
     : network_(network),
       process_(network.process(self)),
       replicas_(std::move(replicas)),
+      faults_(faults),
       pool_(network, self, TrafficClass::kData, faults) {}
 
 void SimApplicationClient::call(const platform::BackEndAddress& backEnd,
@@ -204,13 +205,17 @@
                                 std::function<void(platform::ApplicationResult)> callback) {
   using Pool = ExchangePool<platform::ApplicationResult>;
   using Result = ExchangeResult<platform::ApplicationResult>;
-  const auto reply = process_.expect<Result>([callback = std::move(callback)](Result result) {
-    if (result.status == ExchangeStatus::kAnswered) {
-      callback(std::move(result.response));
-    } else {
-      callback(dispatchError(result.status));
-    }
-  });
+  const auto reply =
+      process_.expect<Result>([callback = std::move(callback), trusting = faults_.reuseAbandoned,
+                               id = request.requestId](Result result) {
+        if (result.status == ExchangeStatus::kAnswered) {
+          auto* response = std::get_if<platform::ApplicationResponse>(&result.response);
+          if (trusting && response != nullptr) response->requestId = id;
+          callback(std::move(result.response));
+        } else {
+          callback(dispatchError(result.status));
+        }
+      });
   const auto* server = network_.findHost(backEnd.endpoint);
   if (server == nullptr) {
     process_.scheduler().after(base::Duration::zero(), [reply] {
--- a/src/sim/platform_clients.h
+++ b/src/sim/platform_clients.h
@@ -91,6 +91,7 @@
   Network& network_;
   Process& process_;
   ApplicationLookup replicas_;
+  ExchangeFaults faults_;
   ExchangePool<platform::ApplicationResult> pool_;
 };
 
--- /dev/null
+++ b/src/sim/report.h
@@ -0,0 +1,19 @@
+/// \file
+/// Texts of a simulation's result: one JSON line a run, and the history around a violation.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "sim/simulation_run.h"
+
+namespace covewing::sim {
+
+/// One line of JSON, without the line break.
+std::string toJsonLine(const SimulationResult& result);
+
+/// The records that concern the violation, in order of time, one a line: the request or template
+/// itself and, close to it, faults, events of nodes and their log.
+std::string historyAround(const History& history, const Violation& violation);
+
+}  // namespace covewing::sim
--- a/tests/sim/platform_clients_test.cc
+++ b/tests/sim/platform_clients_test.cc
@@ -171,7 +171,7 @@
   BOOST_TEST(handler.end.has_value());
 }
 
-/// Calls the application once and returns the answer's status, 0 for none.
+/// Calls the application once: 0 without an answer, 1 with its own, 2 with another call's.
 unsigned callOnce(Fixture& fixture, SimApplicationClient& applications, const std::string& id,
                   base::Duration timeout) {
   platform::ApplicationRequest request;
@@ -184,12 +184,12 @@
       {base::engineIdOf("app-1"), "app-1", {4, 1}}, request,
       [&](platform::ApplicationResult result) {
         if (const auto* response = std::get_if<platform::ApplicationResponse>(&result)) {
-          answered = response->requestId.value;
+          answered = response->body;
         }
       });
   fixture.runFor(timeout + milliseconds(1));
   if (answered.empty()) return 0;
-  return answered == id ? 1 : 2;
+  return answered.find("\"request_id\":\"" + id + "\"") != std::string::npos ? 1 : 2;
 }
 
 BOOST_AUTO_TEST_CASE(lateAnswerNeverReachesAnotherCall) {
