--- a/src/config/template_editor.cc
+++ b/src/config/template_editor.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "config/json_fields.h"
 #include "config/template_document.h"
 
 namespace covewing::config {
@@ -53,6 +54,11 @@
   return row ? parseTemplateDocument(row->document, ignored) : std::nullopt;
 }
 
+/// Whether both texts are the same document, whatever their spacing and order of fields.
+bool sameJson(const std::string& left, const std::string& right) {
+  return Json::parse(left, nullptr, false) == Json::parse(right, nullptr, false);
+}
+
 /// The history with the replaced version appended, within its bounds.
 TemplateHistory extended(TemplateHistory history, const TemplateRow& replaced) {
   history.versions.push_back(replaced);
@@ -159,7 +165,10 @@
     const TemplateHistory history = historyRow == nullptr
                                         ? TemplateHistory{}
                                         : parseTemplateHistory(edit_.name, historyRow->value);
-    if (current && current->operationId == edit_.operationId) return finishAccepted(*row);
+    if (current && current->operationId == edit_.operationId) {
+      if (isThisEdit(*current)) return finishAccepted(*row);
+      return finishInvalid({{"operation", "was used for another change of this template"}});
+    }
     for (const TemplateRow& version : history.versions) {
       if (version.operationId == edit_.operationId) return finishSuperseded(version.revision);
     }
@@ -172,6 +181,12 @@
     commit(rows, current, history);
   }
 
+  /// Whether the row written under this operation identifier is what this call asks for.
+  bool isThisEdit(const TemplateRow& row) const {
+    return edit_.kind == EditKind::kRetire ? row.retired
+                                           : !row.retired && sameJson(row.document, edit_.document);
+  }
+
   /// Whether the version in force is the one that the operator has seen; answers when it is not.
   bool expectationHolds(const std::optional<TemplateRow>& current) {
     if (edit_.kind == EditKind::kCreate) {
--- a/src/membership/gossip_membership.cc
+++ b/src/membership/gossip_membership.cc
@@ -474,7 +474,7 @@
 }
 
 void GossipMembership::subscribe(std::string keyPrefix, Listener listener) {
-  records_.subscribe(std::move(keyPrefix), std::move(listener));
+  records_.subscribe(std::move(keyPrefix), listener);
 }
 
 // --- sending
--- a/tests/config/template_editor_test.cc
+++ b/tests/config/template_editor_test.cc
@@ -127,6 +127,14 @@
   BOOST_TEST(bench.history("a").size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(OperationIdentifierOfAnotherChangeIsRefused) {
+  Bench bench;
+  bench.edit(editOf(EditKind::kCreate, "a", wholeDocument("a", 10), 0, "1"));
+  const auto other = bench.edit(editOf(EditKind::kCreate, "a", wholeDocument("a", 11), 0, "1"));
+  BOOST_TEST((other.status == EditStatus::kInvalid));
+  BOOST_TEST(other.mistakes.at(0).path == "operation");
+}
+
 BOOST_AUTO_TEST_CASE(LostAnswerIsReadBack) {
   Bench bench;
   bench.platform.table.conditions().loseNextAnswers(1);
