Leave an engine when it is known to be lost, not when its queue is long

Cause: an attempt was given up when its first token took more than four times the expected time or two seconds. Under load that is the engine's queue, not a loss: the request lost its place, its prefill was thrown away and done again elsewhere, and the retries fed the overload until the node's retry budget ran out. Now an engine that took a request is left when the fleet view says that it is gone, unreachable or runs anew, or when its zone is out of reach, looked up four times a second; the deadline bounds the first token, and ten seconds of silence a stream under way. An engine that does not take the request within a second still counts as lost.

Shortening those queues is the work of routing and admission.

--- a/src/node/zone_watch.cc
+++ b/src/node/zone_watch.cc
@@ -6,12 +6,17 @@
   refresh();
   if (!seenZones_.contains(homeZone)) return false;
   const bool inside = members_.self().zone == homeZone;
-  if (!inside) return !liveZones_.contains(homeZone);
+  if (!inside) return !reachable(homeZone);
   const bool othersKnown = seenZones_.size() > 1;
   const bool othersLive = liveZones_.size() > 1;
   return othersKnown && !othersLive;
 }
 
+bool ZoneWatch::reachable(std::string_view zone) const {
+  refresh();
+  return !seenZones_.contains(zone) || liveZones_.contains(zone);
+}
+
 void ZoneWatch::refresh() const {
   if (refreshed_ && version_ == members_.version()) return;
   refreshed_ = true;
--- a/src/node/zone_watch.h
+++ b/src/node/zone_watch.h
@@ -18,6 +18,7 @@
   explicit ZoneWatch(const membership::MemberDirectory& members) : members_(members) {}
 
   bool cutOff(std::string_view homeZone) const override;
+  bool reachable(std::string_view zone) const override;
 
  private:
   void refresh() const;
--- a/src/request/completion_flow.cc
+++ b/src/request/completion_flow.cc
@@ -23,9 +23,9 @@
 /// One stream from one engine. Once detached it hears nothing more and only awaits destruction.
 class CompletionFlow::Attempt final : public platform::EngineStreamHandler {
  public:
-  Attempt(CompletionFlow& flow, base::EngineId engineId, base::TimePoint now,
-          Duration expectedDelay)
-      : engine(engineId), startedAt(now), expectedFirstToken(expectedDelay), flow_(&flow) {}
+  Attempt(CompletionFlow& flow, base::EngineId engineId, base::Incarnation engineIncarnation,
+          base::TimePoint now)
+      : engine(engineId), incarnation(engineIncarnation), startedAt(now), flow_(&flow) {}
 
   void onAccepted() override {
     if (const auto flow = open()) flow->onAccepted();
@@ -43,9 +43,11 @@
   void detach() { flow_ = nullptr; }
 
   const base::EngineId engine;
+  const base::Incarnation incarnation;
   const base::TimePoint startedAt;
-  const Duration expectedFirstToken;
   std::optional<Duration> firstTokenAfter;
+  /// The engine took the request.
+  bool accepted = false;
   /// The engine sent some of the answer, be it wanted or not.
   bool answering = false;
   /// Known once it ended whole.
@@ -70,8 +72,9 @@
     : RequestFlow(dependencies, options, deferred, std::move(trace)),
       request_(std::move(request)),
       sink_(sink),
-      watchTimer_(dependencies.timers),
-      engineTimer_(dependencies.timers) {}
+      silenceTimer_(dependencies.timers),
+      engineCheckTimer_(dependencies.timers),
+      engineWaitTimer_(dependencies.timers) {}
 
 std::uint32_t CompletionFlow::promptTokens() const { return prefix::tokenCount(*request_.prompt); }
 
@@ -144,7 +147,7 @@
     return;
   }
   waitedForEngine_ += kEngineWait;
-  engineTimer_.start(again ? Duration::zero() : kEngineWait, [this] {
+  engineWaitTimer_.start(again ? Duration::zero() : kEngineWait, [this] {
     const auto self = shared_from_this();
     route();
   });
@@ -156,11 +159,12 @@
   const platform::BackEndAddress address = engine.address;
   AttemptTrace& attemptTrace = traceAttempt(address.id, address.name);
   attemptTrace.firstPosition = positions_.next();
-  attempt_ = std::make_shared<Attempt>(*this, address.id, dependencies().clock.now(),
-                                       decision.expectedFirstToken);
+  attempt_ = std::make_shared<Attempt>(*this, address.id, decision.incarnation,
+                                       dependencies().clock.now());
   dependencies().policy.onDispatched(query, decision);
-  watch(options().acceptTimeout, {ResultCode::kBackEndLost, "the engine did not take the request"});
+  limitSilence();
   attempt_->stream = dependencies().engines.start(address, engineRequest(decision), *attempt_);
+  checkEngine();
   if (paused_) setPaused(true);
 }
 
@@ -182,13 +186,13 @@
 }
 
 void CompletionFlow::onAccepted() {
-  const Duration patience = attempt_->expectedFirstToken * options().firstTokenPatience;
-  watch(std::max(patience, options().shortestFirstTokenTimeout),
-        {ResultCode::kBackEndTimeout, "the engine's first token did not come in time"});
+  attempt_->accepted = true;
+  limitSilence();
 }
 
 void CompletionFlow::onChunk(const platform::StreamChunk& chunk) {
   setMayHaveRun();
+  attempt_->accepted = true;
   attempt_->answering = true;
   switch (positions_.accept(chunk.position)) {
     case ChunkVerdict::kNext:
@@ -212,8 +216,7 @@
     attemptTrace.firstTokenAfter = elapsed();
   }
   generated_ += chunk.text;
-  watch(options().interChunkTimeout,
-        {ResultCode::kBackEndTimeout, "the engine's next token did not come in time"});
+  limitSilence();
   sink_.onChunk(chunk);
 }
 
@@ -245,17 +248,49 @@
   onAttemptFailed(error);
 }
 
-void CompletionFlow::watch(Duration limit, Reason silence) {
-  if (paused_) return;
-  watchTimer_.start(limit, [this, silence = std::move(silence)] {
+void CompletionFlow::limitSilence() {
+  silenceTimer_.stop();
+  // A caller that takes nothing keeps the engine from sending.
+  if (paused_ || attempt_ == nullptr) return;
+  if (!attempt_->accepted) {
+    limitSilence(options().acceptTimeout,
+                 {ResultCode::kBackEndLost, "the engine did not take the request"});
+  } else if (answerStarted()) {
+    limitSilence(options().interChunkTimeout,
+                 {ResultCode::kBackEndTimeout, "the engine's next token did not come in time"});
+  }
+}
+
+void CompletionFlow::limitSilence(Duration limit, Reason silence) {
+  silenceTimer_.start(limit, [this, silence = std::move(silence)] {
     const auto self = shared_from_this();
     failAttempt({DispatchFailure::kOutcomeUnknown, silence});
   });
 }
 
+void CompletionFlow::checkEngine() {
+  engineCheckTimer_.start(options().engineCheckPeriod, [this] {
+    const auto self = shared_from_this();
+    if (engineLost()) {
+      failAttempt({DispatchFailure::kOutcomeUnknown,
+                   {ResultCode::kBackEndLost, "the engine is gone or runs anew"}});
+    } else {
+      checkEngine();
+    }
+  });
+}
+
+bool CompletionFlow::engineLost() const {
+  const routing::EngineState* engine = dependencies().fleet.find(attempt_->engine);
+  if (engine == nullptr || engine->unreachable) return true;
+  const bool restarted = attempt_->incarnation != 0 && engine->incarnation > attempt_->incarnation;
+  return restarted || !dependencies().zones.reachable(engine->zone);
+}
+
 void CompletionFlow::stopAttempt() {
-  watchTimer_.stop();
-  engineTimer_.stop();
+  silenceTimer_.stop();
+  engineCheckTimer_.stop();
+  engineWaitTimer_.stop();
   if (attempt_ == nullptr) return;
   attempt_->detach();
   // However the attempt ended, it no longer loads its engine.
@@ -270,12 +305,7 @@
   paused_ = paused;
   if (attempt_ == nullptr || attempt_->stream == nullptr) return;
   attempt_->stream->setPaused(paused);
-  if (paused) {
-    watchTimer_.stop();
-  } else {
-    watch(options().interChunkTimeout,
-          {ResultCode::kBackEndTimeout, "the engine's next token did not come in time"});
-  }
+  limitSilence();
 }
 
 void CompletionFlow::traceDecision(const routing::RouteDecision& decision) {
--- a/src/request/completion_flow.h
+++ b/src/request/completion_flow.h
@@ -2,8 +2,8 @@
 /// A completion: attempts at engines, and one gapless stream to the caller out of all of them.
 ///
 /// An attempt is given up, and the next one goes on at the next position with the same weights
-/// version, when the engine reports an error, skips a position, ends without all chunks, or stays
-/// silent for too long. What was delivered once is never delivered again.
+/// version, when the engine reports an error, skips a position, ends without all chunks, stays
+/// silent for too long, or is known to be lost. What was delivered once is never delivered again.
 #pragma once
 
 #include <memory>
@@ -54,8 +54,12 @@
   void onError(platform::DispatchError error);
   void deliverChunk(const platform::StreamChunk& chunk);
   void failAttempt(platform::DispatchError error);
-  /// Gives the attempt up for `silence` unless it is heard of within `limit`.
-  void watch(base::Duration limit, base::Reason silence);
+  /// Starts, anew, the limit that fits the state of the attempt in flight.
+  void limitSilence();
+  void limitSilence(base::Duration limit, base::Reason silence);
+  /// Gives the attempt up as soon as its engine is known to be lost.
+  void checkEngine();
+  bool engineLost() const;
 
   CompletionRequest request_;
   CompletionSink& sink_;
@@ -67,8 +71,9 @@
   std::shared_ptr<Attempt> attempt_;
   bool paused_ = false;
   base::Duration waitedForEngine_{};
-  OneShotTimer watchTimer_;
-  OneShotTimer engineTimer_;
+  OneShotTimer silenceTimer_;
+  OneShotTimer engineCheckTimer_;
+  OneShotTimer engineWaitTimer_;
 };
 
 }  // namespace covewing::request
--- a/src/request/request_flow.h
+++ b/src/request/request_flow.h
@@ -47,12 +47,12 @@
   base::Duration defaultDeadline = std::chrono::seconds(30);
   /// Longest wait for an engine's word that it took a request.
   base::Duration acceptTimeout = std::chrono::seconds(1);
-  /// An engine is given up when its first token takes this many times the expected time, and at
-  /// least the shortest timeout.
-  std::uint32_t firstTokenPatience = 4;
-  base::Duration shortestFirstTokenTimeout = std::chrono::seconds(2);
-  /// Longest silence between two chunks.
-  base::Duration interChunkTimeout = std::chrono::seconds(3);
+  /// How often the engine of an attempt in flight is looked up: one that is known to be lost is
+  /// given up at once.
+  base::Duration engineCheckPeriod = std::chrono::milliseconds(250);
+  /// Longest silence between two chunks of an engine that is believed to live. The first token is
+  /// bound by the template's deadline alone: a live engine's queue is not left for another's.
+  base::Duration interChunkTimeout = std::chrono::seconds(10);
   /// Longest wait for an application's answer to one attempt.
   base::Duration applicationTimeout = std::chrono::seconds(5);
   /// Longest wait for an at-most-once claim.
--- a/src/request/zone_reachability.h
+++ b/src/request/zone_reachability.h
@@ -1,5 +1,5 @@
 /// \file
-/// Whether a tenant's home zone is cut off, as the request path asks it.
+/// Which zones are cut off, as the request path asks it.
 #pragma once
 
 #include <string_view>
@@ -12,6 +12,9 @@
   /// True while this node can tell that `homeZone` has lost contact with all other zones: seen from
   /// inside, no member of another zone is live; seen from outside, no member of `homeZone` is.
   virtual bool cutOff(std::string_view homeZone) const = 0;
+  /// False while this node has lost contact with `zone`: it had live members, and has none now.
+  /// The own zone is always reachable.
+  virtual bool reachable(std::string_view zone) const = 0;
 };
 
 }  // namespace covewing::request
--- a/tests/node/zone_watch_test.cc
+++ b/tests/node/zone_watch_test.cc
@@ -57,7 +57,10 @@
   BOOST_TEST(!watch.cutOff("hall-b"));
   members.keepFirst(2);
   BOOST_TEST(watch.cutOff("hall-b"));
+  BOOST_TEST(!watch.reachable("hall-b"));
   BOOST_TEST(!watch.cutOff("hall-a"));
+  BOOST_TEST(watch.reachable("hall-a"));
+  BOOST_TEST(watch.reachable("never-seen"));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/request/fakes.h
+++ b/tests/request/fakes.h
@@ -367,6 +367,7 @@
  public:
   std::set<std::string, std::less<>> cutOffZones;
   bool cutOff(std::string_view homeZone) const override { return cutOffZones.contains(homeZone); }
+  bool reachable(std::string_view zone) const override { return !cutOffZones.contains(zone); }
 };
 
 class FakePeers final : public base::PeerTransport {
