Split the engine model; a crash during the reload of weights loses none

Cause of the fault: a restarted engine loaded what had been in its memory at the crash. Crashing again before that was loaded left it without weights for good. It now loads what orders left deployed. A test crashes it twice: without the change the engine had 0 sets of weights, with it 2.

--- a/src/emulator/engine_model.h
+++ b/src/emulator/engine_model.h
@@ -23,8 +23,10 @@
 #include "emulator/engine_options.h"
 #include "emulator/execution_observer.h"
 #include "emulator/kept_cache_store_model.h"
+#include "emulator/order_queue.h"
 #include "emulator/provenance_table.h"
 #include "emulator/weight_store_model.h"
+#include "emulator/weights_memory.h"
 #include "platform/engine_client.h"
 #include "prefix/block_chain.h"
 
@@ -77,7 +79,7 @@
   base::EngineId id() const { return id_; }
   const std::string& name() const { return options_.name; }
   base::Incarnation incarnation() const { return incarnation_; }
-  const std::vector<platform::LoadedWeights>& weights() const { return weights_; }
+  const std::vector<platform::LoadedWeights>& weights() const { return weights_.loaded(); }
   /// The load now, without the lag of reports.
   platform::EngineLoad currentLoad() const;
   const BlockCache& cache() const { return cache_; }
@@ -121,6 +123,10 @@
   std::optional<base::Reason> identityMismatch(const platform::EngineRequest& request) const;
   void accept(Index index, const platform::EngineRequest& request);
   Index allocate();
+  /// The slot and how often it was used before.
+  ExecutionId idOf(Index index) const;
+  static std::uint32_t blocksFor(std::uint64_t tokens);
+  /// Null when the execution is over.
   Execution* find(ExecutionId execution);
   platform::CacheIdentity hashedIdentity(const platform::CacheIdentity& identity) const;
   /// Runs `call` now, or when the engine is no longer paused.
@@ -157,19 +163,13 @@
   platform::EngineReport basicReport() const;
   std::size_t waitingCount() const;
   void sampleLoad();
-  platform::OrderReply applyOrder(const platform::EngineOrder& order);
+  platform::OrderReply takeOrder(const platform::EngineOrder& order);
   std::optional<base::Reason> orderMistake(const platform::EngineOrder& order) const;
   bool fitsInMemory(const platform::LoadedWeights& weights) const;
-  bool knowsOrder(const std::string& orderId) const;
-  void runNextOrder();
-  void loadWeights(const platform::LoadedWeights& weights, std::function<void()> done);
-  void addWeights(const platform::LoadedWeights& weights);
-  void finishUnload();
-  void finishOrder();
+  void runOrder(const platform::EngineOrder& order);
+  void loadWeights(const platform::LoadedWeights& weights, const std::function<void()>& done);
   bool usesWeights(const platform::LoadedWeights& weights) const;
-  platform::LoadedWeights* findWeights(const std::string& model, base::WeightsVersion version);
-  const platform::LoadedWeights* findWeights(const std::string& model,
-                                             base::WeightsVersion version) const;
+  void finishUnload();
   void stopTimers();
 
   EngineModelOptions options_;
@@ -184,7 +184,9 @@
   bool leaving_ = false;
   platform::EngineRole role_;
   base::Incarnation incarnation_;
-  std::vector<platform::LoadedWeights> weights_;
+  WeightsMemory weights_;
+  /// What orders left loaded; kept by the platform over crashes.
+  WeightsMemory deployed_;
   /// Calls and timers that came while the engine was paused.
   std::vector<std::function<void()>> deferred_;
 
@@ -207,12 +209,10 @@
   platform::EngineLoad publishedLoad_;
   base::TimerId sampleTimer_ = 0;
 
-  base::FencingToken fencingToken_ = 0;
-  std::deque<platform::EngineOrder> orders_;
-  std::vector<std::string> finishedOrders_;
-  bool orderRunning_ = false;
+  OrderQueue orders_;
+  /// The running order unloads weights that accepted requests still use.
   bool unloading_ = false;
-  std::vector<WeightStoreModel::LoadId> loads_;
+  /// Loads of weights under way that keep the next step from starting.
   std::uint32_t stalls_ = 0;
 };
 
--- a/src/emulator/engine_model_orders.cc
+++ b/src/emulator/engine_model_orders.cc
@@ -1,6 +1,5 @@
 // Reports and orders of the engine model.
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 #include "emulator/engine_model.h"
@@ -16,11 +15,6 @@
 using platform::OrderReply;
 using platform::OrderStatus;
 
-namespace {
-/// Finished orders remembered, so that a repeated one is not obeyed twice.
-constexpr std::size_t kRememberedOrders = 64;
-}  // namespace
-
 // --- reports
 
 std::size_t EngineModel::waitingCount() const {
@@ -65,9 +59,9 @@
   report.incarnation = incarnation_;
   report.role = role_;
   report.leaving = leaving_;
-  report.weights = weights_;
-  report.fencingToken = fencingToken_;
-  if (!finishedOrders_.empty()) report.lastOrder = finishedOrders_.back();
+  report.weights = weights_.loaded();
+  report.fencingToken = orders_.fencingToken();
+  report.lastOrder = orders_.lastFinished();
   report.load = publishedLoad_;
   return report;
 }
@@ -108,15 +102,18 @@
     return;
   }
   whenAwake([this, order = std::move(order), callback = std::move(callback)] {
-    callback(applyOrder(order));
+    callback(takeOrder(order));
   });
 }
 
-bool EngineModel::knowsOrder(const std::string& orderId) const {
-  const auto same = [&](const EngineOrder& known) { return known.orderId == orderId; };
-  if (std::any_of(orders_.begin(), orders_.end(), same)) return true;
-  return std::find(finishedOrders_.begin(), finishedOrders_.end(), orderId) !=
-         finishedOrders_.end();
+OrderReply EngineModel::takeOrder(const EngineOrder& order) {
+  const bool repeated = orders_.knows(order.orderId);
+  OrderReply reply = orders_.accept(order, orderMistake(order));
+  const bool obeyed = reply.status == OrderStatus::kAccepted;
+  if (obeyed && repeated) return reply;
+  if (surroundings_.observer != nullptr) surroundings_.observer->onOrder(id_, order, reply);
+  if (obeyed) orders_.runNext();
+  return reply;
 }
 
 std::optional<Reason> EngineModel::orderMistake(const EngineOrder& order) const {
@@ -131,14 +128,15 @@
   return std::nullopt;
 }
 
+/// Counts what is loaded once the orders before it are done.
 bool EngineModel::fitsInMemory(const LoadedWeights& weights) const {
-  std::vector<LoadedWeights> after = weights_;
+  std::vector<LoadedWeights> after = weights_.loaded();
   const auto remove = [&](const LoadedWeights& gone) {
     std::erase_if(after, [&](const LoadedWeights& loaded) {
       return loaded.model == gone.model && loaded.version == gone.version;
     });
   };
-  for (const EngineOrder& order : orders_) {
+  for (const EngineOrder& order : orders_.unfinished()) {
     if (order.kind == OrderKind::kChangeRole) continue;
     remove(order.weights);
     if (order.kind == OrderKind::kLoadWeights) after.push_back(order.weights);
@@ -147,41 +145,16 @@
   return after.size() < options_.maximumLoadedWeights;
 }
 
-OrderReply EngineModel::applyOrder(const EngineOrder& order) {
-  OrderReply reply{OrderStatus::kAccepted, fencingToken_, {}};
-  if (order.fencingToken < fencingToken_ && options_.safeguards.checkFencing) {
-    reply.status = OrderStatus::kFencedOff;
-    reply.detail = "a newer fencing token was seen";
-  } else if (knowsOrder(order.orderId)) {
-    fencingToken_ = std::max(fencingToken_, order.fencingToken);
-    reply.fencingToken = fencingToken_;
-    return reply;
-  } else if (auto mistake = orderMistake(order)) {
-    reply.status = OrderStatus::kInvalid;
-    reply.detail = mistake->detail;
-  } else {
-    fencingToken_ = std::max(fencingToken_, order.fencingToken);
-    reply.fencingToken = fencingToken_;
-    orders_.push_back(order);
-  }
-  if (surroundings_.observer != nullptr) surroundings_.observer->onOrder(id_, order, reply);
-  if (reply.status == OrderStatus::kAccepted) runNextOrder();
-  return reply;
-}
-
-void EngineModel::runNextOrder() {
-  if (orderRunning_ || orders_.empty()) return;
-  orderRunning_ = true;
-  const EngineOrder& order = orders_.front();
+void EngineModel::runOrder(const EngineOrder& order) {
   switch (order.kind) {
     case OrderKind::kChangeRole:
       role_ = order.role;
-      finishOrder();
+      orders_.finishCurrent();
       return;
     case OrderKind::kLoadWeights:
       loadWeights(order.weights, [this] {
-        addWeights(orders_.front().weights);
-        finishOrder();
+        deployed_.add(orders_.current().weights);
+        orders_.finishCurrent();
       });
       return;
     case OrderKind::kUnloadWeights:
@@ -191,65 +164,16 @@
   }
 }
 
-void EngineModel::finishOrder() {
-  finishedOrders_.push_back(orders_.front().orderId);
-  if (finishedOrders_.size() > kRememberedOrders) finishedOrders_.erase(finishedOrders_.begin());
-  orders_.pop_front();
-  orderRunning_ = false;
-  runNextOrder();
-}
-
-LoadedWeights* EngineModel::findWeights(const std::string& model, base::WeightsVersion version) {
-  for (LoadedWeights& weights : weights_) {
-    if (weights.model == model && weights.version == version) return &weights;
-  }
-  return nullptr;
-}
-
-const LoadedWeights* EngineModel::findWeights(const std::string& model,
-                                              base::WeightsVersion version) const {
-  return const_cast<EngineModel*>(this)->findWeights(model, version);
-}
-
-void EngineModel::loadWeights(const LoadedWeights& weights, std::function<void()> done) {
-  const LoadedWeights* present = findWeights(weights.model, weights.version);
-  double share = present == nullptr ? 1.0 : 0.0;
-  for (const std::string& adapter : weights.adapters) {
-    const bool known = present != nullptr &&
-                       std::find(present->adapters.begin(), present->adapters.end(), adapter) !=
-                           present->adapters.end();
-    if (!known) share += options_.adapterShare;
-  }
-  if (surroundings_.weightStore == nullptr || share <= 0.0) {
-    done();
-    return;
-  }
+void EngineModel::loadWeights(const LoadedWeights& weights, const std::function<void()>& done) {
   if (options_.stallsWhileLoading) ++stalls_;
-  const auto finished = [this, done = std::move(done)] {
-    whenAwake([this, done] {
+  weights_.fetch(weights, [this, weights, done] {
+    whenAwake([this, weights, done] {
       if (options_.stallsWhileLoading) --stalls_;
+      weights_.add(weights);
       done();
       kick();
     });
-  };
-  loads_.push_back(surroundings_.weightStore->load(share, finished));
-}
-
-void EngineModel::addWeights(const LoadedWeights& weights) {
-  LoadedWeights* present = findWeights(weights.model, weights.version);
-  if (present == nullptr) {
-    weights_.push_back(weights);
-    std::sort(weights_.begin(), weights_.end(), [](const auto& left, const auto& right) {
-      return std::tie(left.model, left.version) < std::tie(right.model, right.version);
-    });
-    return;
-  }
-  for (const std::string& adapter : weights.adapters) {
-    auto& adapters = present->adapters;
-    if (std::find(adapters.begin(), adapters.end(), adapter) == adapters.end()) {
-      adapters.push_back(adapter);
-    }
-  }
+  });
 }
 
 bool EngineModel::usesWeights(const LoadedWeights& weights) const {
@@ -262,10 +186,9 @@
 
 /// New requests for the weights are refused at once; accepted ones finish first.
 void EngineModel::finishUnload() {
-  const LoadedWeights& target = orders_.front().weights;
-  std::erase_if(weights_, [&](const LoadedWeights& weights) {
-    return weights.model == target.model && weights.version == target.version;
-  });
+  const LoadedWeights target = orders_.current().weights;
+  weights_.remove(target.model, target.version);
+  deployed_.remove(target.model, target.version);
   if (usesWeights(target)) return;
   unloading_ = false;
   for (std::uint32_t index = 0; index < provenances_.size(); ++index) {
@@ -274,7 +197,7 @@
     cache_.dropProvenance(index, evicted_);
   }
   noteEvicted();
-  finishOrder();
+  orders_.finishCurrent();
 }
 
 }  // namespace covewing::emulator
--- a/tests/emulator/engine_model_test.cc
+++ b/tests/emulator/engine_model_test.cc
@@ -462,6 +462,19 @@
   BOOST_TEST(complete(engine, request(promptOf(2, 'b'), 10)).end.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(crashWhileWeightsAreReloadedLosesNoWeights) {
+  EngineModel engine = makeEngine(engineOptions());
+  give(engine, loadOrder("load", 1, 2));
+  time.run(1s);
+  engine.restart();
+  time.run(100ms);
+  BOOST_TEST(engine.weights().empty());
+  engine.restart();
+  time.run(2s);
+  BOOST_TEST(engine.weights().size() == 2U);
+  BOOST_TEST(engine.incarnation() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(crashForgetsCallsAndCacheEvents) {
   EngineModel engine = makeEngine(engineOptions());
   complete(engine, request(promptOf(8, 'a')));
