--- a/src/config/configuration_distributor.cc
+++ b/src/config/configuration_distributor.cc
@@ -4,8 +4,6 @@
 #include <map>
 #include <utility>
 
-#include "config/configuration_snapshot.h"
-
 namespace covewing::config {
 
 namespace {
@@ -14,8 +12,12 @@
 using platform::TableRow;
 
 constexpr base::Duration kTickPeriod = std::chrono::milliseconds(250);
+/// While there is no copy yet.
+constexpr base::Duration kStartingTickPeriod = std::chrono::milliseconds(100);
 constexpr double kJitter = 0.2;
 constexpr double kWideJitter = 0.6;
+/// Ticks without a new member after which the members are taken as known.
+constexpr std::uint32_t kSteadyTicks = 2;
 /// Sources asked in a row before the node waits for its next turn.
 constexpr std::uint32_t kSourcesInARow = 4;
 /// One page of so many is asked of the tier above.
@@ -38,10 +40,10 @@
       log_(log),
       peers_(peers),
       members_(members),
-      objects_(objects),
       store_(store),
       tree_(members, options_.scannersPerRegion),
       scanner_(options_.scanning, clock, timers, random, log, table, store),
+      snapshots_(options_.snapshot, clock, log, objects, store),
       copyTokens_(options_.copyBurstBytes) {}
 
 ConfigurationDistributor::~ConfigurationDistributor() {
@@ -53,7 +55,6 @@
 void ConfigurationDistributor::start() {
   startedAt_ = clock_.now();
   copyRefilledAt_ = startedAt_;
-  snapshotAt_ = startedAt_;
   // A node that has nobody to learn members from judges by itself at once.
   const bool lone = options_.seeds.empty() && members_.liveMembers().size() <= 1;
   grace_ = lone ? base::Duration{0} : random_.jittered(options_.joinGrace, kWideJitter);
@@ -65,12 +66,30 @@
 }
 
 void ConfigurationDistributor::onTick() {
-  tickTimer_ = timers_.schedule(kTickPeriod, [this] { onTick(); });
+  tickTimer_ =
+      timers_.schedule(store_.loaded() ? kTickPeriod : kStartingTickPeriod, [this] { onTick(); });
   const base::TimePoint now = clock_.now();
   store_.noteRunning();
-  const bool judges = now - startedAt_ >= grace_;
-  scanner_.setActive(judges && tree_.tier() == DistributionTier::kScanner);
-  updateSnapshot(now);
+  scanner_.setActive(judges(now) && tree_.tier() == DistributionTier::kScanner);
+  updateSnapshot();
+}
+
+bool ConfigurationDistributor::judges(base::TimePoint now) {
+  if (judges_) return true;
+  const bool steady = members_.version() == std::exchange(seenMembers_, members_.version());
+  steadyTicks_ = steady ? steadyTicks_ + 1 : 0;
+  const bool joined = members_.liveMembers().size() > 1 && steadyTicks_ >= kSteadyTicks;
+  judges_ = joined || now - startedAt_ >= grace_;
+  return judges_;
+}
+
+void ConfigurationDistributor::updateSnapshot() {
+  if (!scanner_.active()) return;
+  if (!store_.loaded()) {
+    if (scanner_.failures() > 0) snapshots_.read();
+  } else if (tree_.isFirstScanner() && store_.freshness().confirmed) {
+    snapshots_.write();
+  }
 }
 
 void ConfigurationDistributor::onWake() {
@@ -264,59 +283,6 @@
   send(endpoint, message);
 }
 
-// --- snapshot
-
-void ConfigurationDistributor::updateSnapshot(base::TimePoint now) {
-  if (!scanner_.active()) return;
-  if (!store_.loaded()) {
-    const bool waited = now - startedAt_ >= options_.snapshotAfter &&
-                        now - snapshotAt_ >= options_.snapshotAfter && scanner_.failures() > 0;
-    if (waited) readSnapshot();
-    return;
-  }
-  const bool due = snapshotDigest_ == 0 || now - snapshotAt_ >= options_.snapshotPeriod;
-  if (due && tree_.isFirstScanner() && store_.freshness().confirmed &&
-      store_.digest() != snapshotDigest_)
-    writeSnapshot();
-}
-
-void ConfigurationDistributor::writeSnapshot() {
-  snapshotAt_ = clock_.now();
-  snapshotDigest_ = store_.digest();
-  ConfigurationSnapshot snapshot;
-  snapshot.completeUpTo = store_.completeUpTo();
-  for (const std::string& name : store_.names()) {
-    if (auto row = store_.findRow(name)) snapshot.rows.push_back(std::move(*row));
-  }
-  objects_.put(std::string(kSnapshotObject), encode(snapshot),
-               [this, alive = std::weak_ptr<bool>(alive_)](const platform::ObjectReply& reply) {
-                 if (alive.expired() || reply.status == platform::ObjectStatus::kOk) return;
-                 // Written again at the next turn.
-                 snapshotDigest_ = ~snapshotDigest_;
-               });
-}
-
-void ConfigurationDistributor::readSnapshot() {
-  snapshotAt_ = clock_.now();
-  objects_.get(std::string(kSnapshotObject),
-               [this, alive = std::weak_ptr<bool>(alive_)](const platform::ObjectReply& reply) {
-                 if (!alive.expired()) onSnapshotRead(reply);
-               });
-}
-
-void ConfigurationDistributor::onSnapshotRead(const platform::ObjectReply& reply) {
-  if (reply.status != platform::ObjectStatus::kOk || store_.loaded()) return;
-  base::Reason reason;
-  const std::optional<ConfigurationSnapshot> snapshot = decodeSnapshot(reply.bytes, reason);
-  if (!snapshot) {
-    log_.write(base::Event::kMessageRejected, {{"detail", reason.detail}});
-    return;
-  }
-  for (const TableRow& row : snapshot->rows) store_.apply(row);
-  store_.advance(snapshot->completeUpTo);
-  store_.markLoaded();
-}
-
 // --- messages
 
 void ConfigurationDistributor::onPeerMessage(const base::PeerIdentity& sender,
--- a/src/config/configuration_distributor.h
+++ b/src/config/configuration_distributor.h
@@ -30,6 +30,7 @@
 #include "config/configuration_message.h"
 #include "config/configuration_store.h"
 #include "config/distribution_tree.h"
+#include "config/snapshot_keeper.h"
 #include "config/table_scanner.h"
 #include "config/template_editor.h"
 #include "membership/member_directory.h"
@@ -43,8 +44,9 @@
   std::vector<base::Endpoint> seeds{};
   TableScannerOptions scanning{};
   std::size_t scannersPerRegion = 2;
-  /// A node does not judge who the scanners are before it had this long to learn the members.
-  base::Duration joinGrace = std::chrono::seconds(2);
+  /// Longest time that a node gives itself to learn the members before it judges who the scanners
+  /// are.
+  base::Duration joinGrace = std::chrono::milliseconds(1500);
   base::Duration refreshPeriod = std::chrono::seconds(1);
   /// A node that did not answer by then is not waited for.
   base::Duration replyTimeout = std::chrono::milliseconds(300);
@@ -58,10 +60,7 @@
   std::size_t firstPushFanout = 8;
   std::size_t pushFanout = 4;
   base::Duration digestPeriod = std::chrono::seconds(10);
-  /// Shortest time between two snapshots; none is written while nothing changes.
-  base::Duration snapshotPeriod = std::chrono::minutes(10);
-  /// A scanner without a copy reads the snapshot after this long.
-  base::Duration snapshotAfter = std::chrono::seconds(4);
+  SnapshotKeeperOptions snapshot{};
 };
 
 class ConfigurationDistributor final : public base::PeerHandler, public AcceptedRowSink {
@@ -90,10 +89,9 @@
 
   void onTick();
   void onDigestTick();
-  void updateSnapshot(base::TimePoint now);
-  void writeSnapshot();
-  void readSnapshot();
-  void onSnapshotRead(const platform::ObjectReply& reply);
+  /// Whether this node has had the time to learn who the scanners are.
+  bool judges(base::TimePoint now);
+  void updateSnapshot();
 
   void ask();
   void askIn(base::Duration delay);
@@ -124,23 +122,24 @@
   base::EventLog& log_;
   base::PeerTransport& peers_;
   const membership::MemberDirectory& members_;
-  platform::ObjectStoreClient& objects_;
   ConfigurationStore& store_;
   DistributionTree tree_;
   TableScanner scanner_;
+  SnapshotKeeper snapshots_;
   std::optional<Question> question_;
   /// Sources in a row that did not answer or had nothing new for a node without a copy.
   std::uint32_t fruitless_ = 0;
   base::TimePoint startedAt_;
   base::Duration grace_{};
+  /// Version of the membership at the last tick, and for how many ticks it has not changed.
+  std::uint64_t seenMembers_ = 0;
+  std::uint32_t steadyTicks_ = 0;
+  bool judges_ = false;
   double copyTokens_;
   base::TimePoint copyRefilledAt_;
-  base::TimePoint snapshotAt_;
-  std::uint64_t snapshotDigest_ = 0;
   base::TimerId tickTimer_ = 0;
   base::TimerId askTimer_ = 0;
   base::TimerId digestTimer_ = 0;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace covewing::config
--- a/src/config/configuration_snapshot.cc
+++ b/src/config/configuration_snapshot.cc
@@ -8,13 +8,14 @@
 
 namespace {
 constexpr std::uint64_t kSnapshotVersion = 1;
-constexpr std::uint32_t kSnapshotFields = 3;
+constexpr std::uint32_t kSnapshotFields = 4;
 }  // namespace
 
 std::string encode(const ConfigurationSnapshot& snapshot) {
   base::Writer writer;
   writer.array(kSnapshotFields)
       .unsignedInteger(kSnapshotVersion)
+      .unsignedInteger(snapshot.after)
       .unsignedInteger(snapshot.completeUpTo)
       .binary(packRows(snapshot.rows));
   const std::string body = writer.take();
@@ -33,6 +34,7 @@
     return std::nullopt;
   }
   ConfigurationSnapshot snapshot;
+  snapshot.after = reader.unsignedInteger();
   snapshot.completeUpTo = reader.unsignedInteger();
   auto rows = unpackRows(reader.binary());
   if (!reader.ok() || !rows) return std::nullopt;
--- a/src/config/configuration_snapshot.h
+++ b/src/config/configuration_snapshot.h
@@ -1,6 +1,7 @@
 /// \file
-/// A whole copy of the templates as one object of the object store: one more source for nodes that
-/// start when neither a peer nor the table service has one. Checked by a hash over its bytes.
+/// A copy of the templates in the object store: one more source for nodes that start when neither a
+/// peer nor the table service has one. Two objects, each checked by a hash over its bytes: a whole
+/// copy, seldom written, and what changed since.
 #pragma once
 
 #include <optional>
@@ -15,9 +16,12 @@
 namespace covewing::config {
 
 inline constexpr std::string_view kSnapshotObject = "configuration-snapshot";
+inline constexpr std::string_view kSnapshotChangesObject = "configuration-snapshot-changes";
 
 struct ConfigurationSnapshot {
-  /// The copy holds everything up to this revision.
+  /// The rows are those above this revision; 0 for a whole copy.
+  base::Revision after = 0;
+  /// With everything up to `after`, the rows make a copy that is complete up to this revision.
   base::Revision completeUpTo = 0;
   std::vector<platform::TableRow> rows;
 };
--- a/src/config/table_scanner.cc
+++ b/src/config/table_scanner.cc
@@ -29,7 +29,8 @@
   active_ = active;
   timers_.cancel(timer_);
   failures_ = 0;
-  if (active_ && !underWay_) scheduleIn(random_.jittered(options_.period / 2, 1));
+  if (!active_ || underWay_) return;
+  scheduleIn(store_.loaded() ? random_.jittered(options_.period / 2, 1) : base::Duration{0});
 }
 
 void TableScanner::hasten() {
--- a/src/config/table_scanner.h
+++ b/src/config/table_scanner.h
@@ -31,7 +31,8 @@
   TableScanner(const TableScanner&) = delete;
   TableScanner& operator=(const TableScanner&) = delete;
 
-  /// Begins or ends scanning. The first scan comes within a period, at a random moment.
+  /// Begins or ends scanning. The first scan comes within a period, at a random moment; at once
+  /// where there is no copy yet.
   void setActive(bool active);
   bool active() const { return active_; }
   /// Scans now, if it is active and waits for its next turn in a healthy rhythm.
--- a/src/request/tenant_check.cc
+++ b/src/request/tenant_check.cc
@@ -21,10 +21,14 @@
 }
 
 config::TenantTemplatePtr unknownTenant(const TenantCheckSources& sources, Reason& reason) {
-  if (sources.configuration.loaded()) {
-    reason = Reason{ResultCode::kUnknownTenant, "the bearer key belongs to no tenant"};
-  } else {
+  if (!sources.configuration.loaded()) {
     reason = Reason{ResultCode::kConfigurationStale, "no copy of the configuration is here yet"};
+  } else if (!sources.configuration.freshness().confirmed) {
+    // The tenant may have been accepted since the copy was confirmed.
+    reason = Reason{ResultCode::kConfigurationStale,
+                    "the bearer key is unknown here, and the configuration cannot be confirmed"};
+  } else {
+    reason = Reason{ResultCode::kUnknownTenant, "the bearer key belongs to no tenant"};
   }
   return nullptr;
 }
--- a/tests/config/configuration_distributor_test.cc
+++ b/tests/config/configuration_distributor_test.cc
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
 
+#include "config/configuration_snapshot.h"
 #include "config/template_fixtures.h"
 #include "config/virtual_platform.h"
 
@@ -323,15 +324,42 @@
   fleet.commitTenants(100);
   fleet.settle();
   fleet.time.runFor(seconds(5));
+  const base::Revision changed = fleet.accept(3, "late", wholeDocument("late"));
+  fleet.time.runFor(seconds(8));
   fleet.platform.table.conditions().setMode(ServiceMode::kDown);
   fleet.startAll();
   const auto loaded = fleet.time.runUntil([&] { return fleet.allLoaded(); }, seconds(60));
-  BOOST_TEST(base::toSeconds(loaded) < 20);
+  BOOST_TEST_MESSAGE("40 nodes started at once, table down: loaded from the snapshot after "
+                     << base::toSeconds(loaded) << " s");
+  BOOST_TEST(base::toSeconds(loaded) < 4);
   BOOST_TEST((fleet.store(3).findByKey("key-stall-99") != nullptr));
+  fleet.time.runFor(seconds(1));
+  BOOST_TEST(fleet.allHave("late", changed));
   BOOST_TEST(
       fleet.all([](const ConfigurationStore& store) { return !store.freshness().confirmed; }));
 }
 
+BOOST_AUTO_TEST_CASE(TornSnapshotIsNotTaken) {
+  Fleet fleet(4);
+  fleet.commitTenants(10);
+  fleet.settle();
+  fleet.time.runFor(seconds(5));
+  base::Reason reason;
+  const std::string sound =
+      encode(ConfigurationSnapshot{0, 9, {rowOf("x", wholeDocument("x"), 3)}});
+  BOOST_TEST(decodeSnapshot(sound, reason).has_value());
+  fleet.platform.objects.put(std::string(kSnapshotObject), sound.substr(0, sound.size() - 1),
+                             [](const platform::ObjectReply&) {});
+  fleet.platform.table.conditions().setMode(ServiceMode::kDown);
+  fleet.time.runFor(seconds(1));
+  fleet.startAll();
+  fleet.time.runFor(seconds(20));
+  BOOST_TEST(fleet.all([](const ConfigurationStore& store) { return !store.loaded(); }));
+  fleet.platform.table.conditions().setMode(ServiceMode::kNormal);
+  BOOST_TEST(base::toSeconds(fleet.time.runUntil([&] { return fleet.allLoaded(); }, seconds(60))) <
+             15);
+}
+
 BOOST_AUTO_TEST_CASE(NodeThatWakesFromAPauseChecksBeforeItIsFreshAgain) {
   Fleet fleet(30);
   fleet.commit("gone", wholeDocument("gone"));
--- a/tests/config/virtual_platform.h
+++ b/tests/config/virtual_platform.h
@@ -54,8 +54,8 @@
       callback({platform::TableStatus::kUnknown, 0, {}});
     });
     const auto delay = std::chrono::milliseconds(service_.random.below(1000));
-    service_.process.schedule(delay, [this, transaction = std::move(transaction)] {
-      service_.table.commitNow(transaction);
+    service_.process.schedule(delay, [&service = service_, transaction = std::move(transaction)] {
+      service.table.commitNow(transaction);
     });
   }
 
@@ -64,9 +64,9 @@
 
  private:
   platform::TableCallback onProcess(platform::TableCallback callback) {
-    return [this, callback = std::move(callback)](platform::TableReply reply) {
-      process_.schedule(base::Duration{0},
-                        [callback, reply = std::move(reply)] { callback(reply); });
+    return [&process = process_, callback = std::move(callback)](platform::TableReply reply) {
+      process.schedule(base::Duration{0},
+                       [callback, reply = std::move(reply)] { callback(reply); });
     };
   }
 
@@ -88,9 +88,9 @@
 
  private:
   platform::ObjectCallback onProcess(platform::ObjectCallback callback) {
-    return [this, callback = std::move(callback)](platform::ObjectReply reply) {
-      process_.schedule(base::Duration{0},
-                        [callback, reply = std::move(reply)] { callback(reply); });
+    return [&process = process_, callback = std::move(callback)](platform::ObjectReply reply) {
+      process.schedule(base::Duration{0},
+                       [callback, reply = std::move(reply)] { callback(reply); });
     };
   }
 
--- a/tests/request/completion_flow_test.cc
+++ b/tests/request/completion_flow_test.cc
@@ -326,6 +326,17 @@
   BOOST_TEST(manager.openRequests() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(UnknownKeyIsNoVerdictWhileTheConfigurationCannotBeConfirmed) {
+  configuration.confirmed = false;
+  CompletionRequest request;
+  request.bearerKey = "accepted-a-moment-ago";
+  const auto active = manager.complete(std::move(request), sink);
+  time.settle();
+  BOOST_REQUIRE(sink.refused.has_value());
+  BOOST_TEST((sink.refused->reason.code == ResultCode::kConfigurationStale));
+  BOOST_TEST((sink.refused->outcome == Outcome::kNotRun));
+}
+
 BOOST_AUTO_TEST_CASE(WaitsForTheCheckAfterAPause) {
   configuration.checking = true;
   configuration.tenant->whenStale = config::StaleChoice::kRefuse;
