Carry adapters over in a swap; act on reports as they come

A swap without adapters now takes those that the engines have.

The executor looked at its orders on a fixed tick, so a wave of loads cost three ticks. It now looks when a report or a commit comes. Orders are written at most twice a tick.

--- a/src/coordination/order_executor.cc
+++ b/src/coordination/order_executor.cc
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Lets reports that come together be looked at together.
+constexpr base::Duration kAdvanceDelay = std::chrono::milliseconds(5);
+
 const CatalogueEngine* findEngine(const std::vector<CatalogueEngine>& catalogue,
                                   const std::string& name) {
   const auto found = std::ranges::find_if(
@@ -42,7 +45,10 @@
       environment_(std::move(environment)),
       grant_(std::move(grant)) {}
 
-OrderExecutor::~OrderExecutor() { environment_.timers.cancel(tickTimer_); }
+OrderExecutor::~OrderExecutor() {
+  environment_.timers.cancel(tickTimer_);
+  environment_.timers.cancel(advanceTimer_);
+}
 
 /// Wraps a callback so that it does nothing after this tenure.
 template <class Handler>
@@ -72,6 +78,7 @@
   finished_.clear();
   engines_.clear();
   environment_.timers.cancel(tickTimer_);
+  environment_.timers.cancel(std::exchange(advanceTimer_, 0));
 }
 
 void OrderExecutor::onOrdersChanged() {
@@ -89,14 +96,27 @@
 
 void OrderExecutor::tick() {
   scheduleTick();
+  commitsLeft_ = options_.commitsPerTick;
   if (environment_.clock.now() >= nextScanAt_) scan();
+  if (!complete_ || !hasOpenOrders()) return;
+  pollEngines(environment_.catalogue.engines());
+  advanceAll();
+}
+
+void OrderExecutor::advanceSoon() {
+  if (advanceTimer_ != 0) return;
+  advanceTimer_ = environment_.timers.schedule(kAdvanceDelay, guarded([this] {
+                                                 advanceTimer_ = 0;
+                                                 advanceAll();
+                                               }));
+}
+
+void OrderExecutor::advanceAll() {
   if (!complete_ || !grant_() || !hasOpenOrders()) return;
   const std::vector<CatalogueEngine> catalogue = environment_.catalogue.engines();
   // A copy: finished orders leave the queue.
-  commitsLeft_ = options_.commitsPerTick;
   const std::vector<std::string> open = queue_;
   for (const std::string& id : open) advance(orders_.at(id), catalogue);
-  pollEngines(catalogue);
 }
 
 // --- reading the orders
@@ -123,6 +143,7 @@
   if (reply.rows.size() >= options_.scanLimit || scanWanted_) return scan();
   complete_ = true;
   removeOldOrders();
+  advanceSoon();
 }
 
 void OrderExecutor::takeRow(const platform::TableRow& row) {
@@ -208,6 +229,7 @@
                                          .leaving = report->leaving,
                                          .weights = report->weights,
                                          .requests = requestsOf(report->load)};
+  advanceSoon();
 }
 
 // --- moving orders on
@@ -315,7 +337,8 @@
   Order next = *std::exchange(open->second.pending, std::nullopt);
   if (reply.status == platform::TableStatus::kOk) {
     next.revision = reply.revision;
-    return adopt(open->second, std::move(next));
+    adopt(open->second, std::move(next));
+    return advanceSoon();
   }
   // A cancelled order has a newer row, which comes with the conflict.
   if (reply.status != platform::TableStatus::kConflict) return;
--- a/src/coordination/order_executor.h
+++ b/src/coordination/order_executor.h
@@ -35,7 +35,7 @@
 struct OrderExecutorOptions {
   std::string region;
   ProgressLimits limits;
-  /// Time between two looks at open orders.
+  /// Time between two polls of the engines of open orders.
   base::Duration tickInterval = std::chrono::milliseconds(500);
   /// Time between two scans for orders created or cancelled elsewhere.
   base::Duration scanInterval = std::chrono::seconds(5);
@@ -47,7 +47,7 @@
   std::size_t keptOrders = 64;
   std::size_t scanLimit = 64;
   /// Most orders written in one tick.
-  std::uint32_t commitsPerTick = 4;
+  std::uint32_t commitsPerTick = 2;
 };
 
 /// All must outlive the executor and share its thread.
@@ -112,6 +112,10 @@
   };
 
   void tick();
+  /// Moves every open order on as far as is known.
+  void advanceAll();
+  /// Something became known: looks at the orders a moment later, once for all that comes meanwhile.
+  void advanceSoon();
   void scheduleTick();
   void scan();
   void onScan(const platform::TableReply& reply);
@@ -168,6 +172,7 @@
   std::map<std::string, EngineRecord> engines_;
   std::uint32_t commitsLeft_ = 0;
   base::TimerId tickTimer_ = 0;
+  base::TimerId advanceTimer_ = 0;
   /// Replaced at each start and stop; callbacks of an earlier tenure find it gone.
   std::shared_ptr<bool> lifetime_;
 };
--- a/src/coordination/order_request.cc
+++ b/src/coordination/order_request.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace covewing::coordination {
 
@@ -99,6 +100,17 @@
   return servingEngines(request, engines) / kDefaultServingDivisor;
 }
 
+/// Adapters that the engines have with any version of the model, ascending.
+std::vector<std::string> adaptersOf(const EnginePointers& engines, const std::string& model) {
+  std::set<std::string> adapters;
+  for (const CatalogueEngine* engine : engines) {
+    for (const platform::LoadedWeights& loaded : engine->weights) {
+      if (loaded.model == model) adapters.insert(loaded.adapters.begin(), loaded.adapters.end());
+    }
+  }
+  return {adapters.begin(), adapters.end()};
+}
+
 void checkRequest(const OrderRequest& request, std::vector<config::FieldMistake>& mistakes) {
   if (request.operationId.empty()) mistakes.push_back({"operation", "must be given"});
   if (request.region.empty()) mistakes.push_back({"region", "must be given"});
@@ -143,6 +155,10 @@
   order.region = request.region;
   order.type = request.type;
   order.weights = {request.model, request.version, request.adapters};
+  // A swap must not take adapters away from the tenants that use them.
+  if (request.type == OrderType::kSwap && request.adapters.empty()) {
+    order.weights.adapters = adaptersOf(chosen, request.model);
+  }
   order.role = request.role;
   order.parallel = request.parallel;
   order.minimumServing = minimumServingOf(request, engines);
--- a/src/coordination/order_request.h
+++ b/src/coordination/order_request.h
@@ -18,6 +18,7 @@
   std::string region;
   std::string model;
   base::WeightsVersion version = 0;
+  /// Empty for a swap: those that the engines have with the model now.
   std::vector<std::string> adapters;
   platform::EngineRole role = platform::EngineRole::kServing;
   /// Engines by name; empty: chosen from the region.
--- a/tests/coordination/order_execution_test.cc
+++ b/tests/coordination/order_execution_test.cc
@@ -93,6 +93,17 @@
   BOOST_TEST(!oldGoneEarly);
 }
 
+BOOST_AUTO_TEST_CASE(SwapCarriesTheAdaptersOver) {
+  Fleet fleet(1);
+  fleet.engines.add("rules-x", "zone-2", {{"rules", 1, {"rules-vn"}}});
+  const std::string id = fleet.createOrder(fleet.bystander(), swapTo(2));
+  BOOST_TEST(fleet.runUntilFinished(id));
+  const auto& weights = fleet.engines.at("rules-x").weights();
+  BOOST_REQUIRE(weights.size() == 1U);
+  BOOST_TEST(weights[0].version == 2U);
+  BOOST_TEST(weights[0].adapters == std::vector<std::string>{"rules-vn"});
+}
+
 BOOST_AUTO_TEST_CASE(MinimumServingLimitsTheLoads) {
   Fleet fleet(4);
   OrderRequest request = swapTo(2);
