--- a/src/live/daemon.cc
+++ b/src/live/daemon.cc
@@ -46,6 +46,7 @@
   options.incarnation = incarnation;
   options.routingPolicy = settings.routingPolicy;
   options.maximumOpenRequests = settings.openRequests;
+  options.loadSlots = static_cast<std::uint32_t>(settings.loadSlots);
   options.freshnessBound = settings.freshnessBound;
   return options;
 }
--- a/src/live/settings.h
+++ b/src/live/settings.h
@@ -33,6 +33,7 @@
   base::Duration platformTimeout{};
 
   std::size_t openRequests = 0;
+  std::size_t loadSlots = 0;
   std::size_t connections = 0;
   std::size_t bodyBytes = 0;
   std::size_t headerBytes = 0;
--- a/src/live/settings_schema.cc
+++ b/src/live/settings_schema.cc
@@ -112,6 +112,10 @@
     {"limits.open_requests", kInteger, "10000", "1 to 1000000",
      "requests in flight on this node, held ones included",
      applyCount<&Settings::openRequests, 1, 1'000'000>},
+    {"limits.load_slots", kInteger, "2", "1 to 1000",
+     "weights that engines of the region load at once: the weight store's limit, equal on all "
+     "nodes",
+     applyCount<&Settings::loadSlots, 1, 1000>},
     {"limits.connections", kInteger, "20000", "1 to 1000000", "open connections of callers",
      applyCount<&Settings::connections, 1, 1'000'000>},
     {"limits.body_bytes", kInteger, "8388608", "1024 to 1073741824",
