covewingctl: check-settings, orders and fleet as tables

check-settings lists every mistake without contacting a node. Orders are shown with a row a step, engines sorted by name, times in whole milliseconds.

--- a/src/node/operator_service_orders.cc
+++ b/src/node/operator_service_orders.cc
@@ -27,11 +27,12 @@
 constexpr std::uint64_t kLargestVersion = 1ULL << 53U;
 
 Json jsonOf(const OrderStep& step) {
-  return {{"engine", step.engine},
-          {"state", coordination::toString(step.state)},
-          {"detail", step.detail},
-          {"executor", step.executor},
-          {"elapsed_ms", base::toMilliseconds(step.elapsed)}};
+  return {
+      {"engine", step.engine},
+      {"state", coordination::toString(step.state)},
+      {"detail", step.detail},
+      {"executor", step.executor},
+      {"elapsed_ms", std::chrono::duration_cast<std::chrono::milliseconds>(step.elapsed).count()}};
 }
 
 /// What a list shows of an order.
--- a/src/node/operator_service_status.cc
+++ b/src/node/operator_service_status.cc
@@ -1,5 +1,7 @@
 #include "node/operator_service_status.h"
 
+#include <algorithm>
+
 #include "coordination/order.h"
 #include "node/explain_json.h"
 #include "node/operator_service_answer.h"
@@ -82,8 +84,13 @@
 }  // namespace
 
 OperatorResponse StatusCalls::fleet() const {
+  std::vector<const routing::EngineState*> sorted;
+  sorted.reserve(fleet_.engines().size());
+  for (const routing::EngineState& engine : fleet_.engines()) sorted.push_back(&engine);
+  std::ranges::sort(sorted, {}, [](const auto* engine) { return engine->address.name; });
   Json engines = Json::array();
-  for (const routing::EngineState& engine : fleet_.engines()) {
+  for (const routing::EngineState* entry : sorted) {
+    const routing::EngineState& engine = *entry;
     Json json = {{"name", engine.address.name},
                  {"endpoint", base::toString(engine.address.endpoint)},
                  {"zone", engine.zone},
--- a/src/tools/covewingctl.cc
+++ b/src/tools/covewingctl.cc
@@ -10,6 +10,7 @@
 #include <random>
 #include <sstream>
 
+#include "live/settings.h"
 #include "tools/covewingctl_client.h"
 #include "tools/covewingctl_command_line.h"
 #include "tools/covewingctl_output.h"
@@ -134,6 +135,26 @@
   return result;
 }
 
+/// Checks the file as a node would at its start.
+int checkSettings(const CommandLine& line, const std::string& file, const std::string& text) {
+  std::vector<live::SettingsMistake> mistakes;
+  const auto settings = live::loadSettings(live::SettingsSource{file, text}, {}, mistakes);
+  if (line.json) {
+    nlohmann::json list = nlohmann::json::array();
+    for (const live::SettingsMistake& mistake : mistakes) {
+      list.push_back({{"file", mistake.file},
+                      {"line", mistake.line},
+                      {"key", mistake.key},
+                      {"problem", mistake.problem}});
+    }
+    std::cout << nlohmann::json{{"valid", settings.has_value()}, {"mistakes", list}} << '\n';
+  } else if (settings) {
+    std::cout << file << ": ok\n";
+  }
+  for (const live::SettingsMistake& mistake : mistakes) std::cerr << toText(mistake) << '\n';
+  return static_cast<int>(settings ? ExitStatus::kOk : ExitStatus::kRefused);
+}
+
 int run(CommandLine line) {
   std::string mistake;
   std::string document;
@@ -143,6 +164,7 @@
     if (!content) return usage(file + ": cannot be read");
     document = *content;
   }
+  if (line.verb->id == VerbId::kCheckSettings) return checkSettings(line, file, document);
   if (!complete(line, mistake)) return usage(mistake);
   const ClientOptions options{.nodes = line.nodes,
                               .key = line.key,
--- a/src/tools/covewingctl_command_line.cc
+++ b/src/tools/covewingctl_command_line.cc
@@ -110,7 +110,8 @@
      "roll a model's engines over to another weights version",
      "Each engine loads the new version, reports it as loaded, and only then unloads the old\n"
      "one. The first engine is the canary: while it has not finished, no other engine is\n"
-     "touched. When an engine fails, the order stops and every engine keeps what it serves.",
+     "touched. When an engine fails, the order stops and every engine keeps what it serves.\n"
+     "Without --adapter, the adapters that the engines have with the model are loaded too.",
      kSwapOptions},
     {VerbId::kOrderRole, "order role", "serving|standby", 1, 1, "change the role of engines",
      "An engine that goes to standby finishes its requests first.", kRoleOptions},
@@ -141,6 +142,14 @@
      "show how a request was decided, step by step",
      "Asks every node given, as each keeps the trace of its own last requests.",
      {}},
+    {VerbId::kCheckSettings,
+     "check-settings",
+     "FILE",
+     1,
+     1,
+     "check a node's settings file, without contacting a node",
+     "Prints every mistake with file, line, key and what is allowed.",
+     {}},
 };
 
 constexpr int kFirstOptionValue = 256;
--- a/src/tools/covewingctl_command_line.h
+++ b/src/tools/covewingctl_command_line.h
@@ -55,6 +55,7 @@
   kFleet,
   kNode,
   kExplain,
+  kCheckSettings,
 };
 
 struct Verb {
--- a/src/tools/covewingctl_output.cc
+++ b/src/tools/covewingctl_output.cc
@@ -109,13 +109,10 @@
 }
 
 void printHistory(const Json& answer, std::ostream& output) {
-  printTable(answer.value("versions", Json::array()),
-             {{"VERSION", "version"},
-              {"STATE", "state"},
-              {"BY", "author"},
-              {"OPERATION", "operation"},
-              {"DOCUMENT", "document"}},
-             output);
+  printTable(
+      answer.value("versions", Json::array()),
+      {{"VERSION", "version"}, {"STATE", "state"}, {"BY", "author"}, {"OPERATION", "operation"}},
+      output);
 }
 
 void printOrders(const Json& answer, std::ostream& output) {
@@ -141,8 +138,7 @@
   printTable(answer.value("steps", Json::array()),
              {{"ENGINE", "engine"},
               {"STATE", "state"},
-              {"AFTER", "elapsed_ms"},
-              {"TRIES", "tries"},
+              {"MS", "elapsed_ms"},
               {"BY", "executor"},
               {"DETAIL", "detail"}},
              output);
@@ -237,7 +233,11 @@
       return printHistory(answer, output);
     case VerbId::kOrderList:
       return printOrders(answer, output);
+    case VerbId::kOrderLoad:
+    case VerbId::kOrderSwap:
+    case VerbId::kOrderRole:
     case VerbId::kOrderShow:
+    case VerbId::kOrderCancel:
       return printOrder(answer, output);
     case VerbId::kFleet:
       return printFleet(answer, output);
--- a/src/tools/covewingctl_requests.cc
+++ b/src/tools/covewingctl_requests.cc
@@ -99,6 +99,7 @@
     case VerbId::kTemplateCreate:
     case VerbId::kTemplateChange:
     case VerbId::kTemplateExpand:
+    case VerbId::kCheckSettings:
       return line.arguments.back();
     default:
       return "";
@@ -161,6 +162,8 @@
       return get("/v1/node");
     case VerbId::kExplain:
       return get("/v1/requests/" + encode(line.arguments.front()));
+    case VerbId::kCheckSettings:
+      break;
   }
   mistake = "this verb makes no call";
   return std::nullopt;
