--- a/src/bench/experiment.cc
+++ b/src/bench/experiment.cc
@@ -185,6 +185,7 @@
   workload.seed = options_.seed;
   workload.duration = warmup_ + measuredTime_;
   workload.load = settings_.load;
+  workload.lowerLoad = settings_.lowerLoad;
   workload.shiftAt = shiftAt_;
   workload.zones = kZones;
   return options_.scenario.fleet == FleetKind::kTournaments ? drawTournaments(workload)
--- a/src/bench/workload.h
+++ b/src/bench/workload.h
@@ -68,6 +68,8 @@
   base::Duration duration{};
   /// Factor on all rates.
   double load = 1.0;
+  /// Further factor on the rates of completions that are not of the highest class.
+  double lowerLoad = 1.0;
   /// When the most popular shared document is replaced by a new one; zero: never.
   base::Duration shiftAt{};
   std::uint32_t zones = 3;
--- a/src/tools/covewing_bench_simulated.cc
+++ b/src/tools/covewing_bench_simulated.cc
@@ -180,6 +180,7 @@
   options.seed = arguments->experiment.seed;
   options.duration = until;
   options.load = settings.load;
+  options.lowerLoad = settings.lowerLoad;
   const bench::Workload workload = scenario.fleet == bench::FleetKind::kTournaments
                                        ? bench::drawTournaments(options)
                                        : bench::drawMarkets(options);
