Admit by how long admitted requests really wait, too

Cause: the router's expectation misses engines whose memory is full, so that admission let requests in that then waited out their deadline. A ticket now hears of the first token, and hold and shed use the longer of expectation and median wait; while nothing is heard, one request in 250 ms probes.

--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -37,6 +37,8 @@
 class AdmissionTicket {
  public:
   virtual ~AdmissionTicket() = default;
+  /// The first token of the admitted request has come.
+  virtual void onFirstToken() {}
 };
 
 using AdmissionCallback = std::function<void(AdmissionVerdict)>;
--- a/src/admission/admission_options.h
+++ b/src/admission/admission_options.h
@@ -41,12 +41,15 @@
 struct CapacityOptions {
   /// Expected first token, by class, above which a class is held; also bounded by the deadline.
   std::array<base::Duration, base::kPriorityClassCount> target = {
-      std::chrono::milliseconds(4000), std::chrono::milliseconds(2000),
-      std::chrono::milliseconds(2000), std::chrono::milliseconds(1500)};
+      std::chrono::milliseconds(1500), std::chrono::milliseconds(1000),
+      std::chrono::milliseconds(1000), std::chrono::milliseconds(750)};
   /// The target is at most this share of the template's deadline.
   double deadlineShare = 0.5;
   /// The estimate halves for each such time without a new sample, so that a held class is probed.
   base::Duration estimateHalfLife = std::chrono::milliseconds(500);
+  /// While a class is held and nothing is heard of the engines for this long, one request is let
+  /// through to see how it fares.
+  base::Duration probeInterval = std::chrono::milliseconds(250);
   /// Requests that may run ahead of their routing estimate while their class is being held.
   std::uint32_t maximumUnsampled = 4;
   /// Requests held on this node over all classes.
--- a/src/admission/admission_service.cc
+++ b/src/admission/admission_service.cc
@@ -30,6 +30,7 @@
  public:
   TicketImpl(ServiceHandle service, AdmissionId id) : service_(std::move(service)), id_(id) {}
   ~TicketImpl() override;
+  void onFirstToken() override;
   TicketImpl(const TicketImpl&) = delete;
   TicketImpl& operator=(const TicketImpl&) = delete;
 
@@ -51,6 +52,8 @@
   AdmissionState state = AdmissionState::kQuota;
   /// The tenant's limits count it.
   bool quotaTaken = false;
+  /// It runs on an engine and its first token has not come.
+  bool waitsForToken = false;
   TimePoint arrivedAt;
   TimePoint heldUntil;
   base::TimerId verdictTimer = 0;
@@ -102,6 +105,14 @@
   std::size_t held() const override { return holdQueue_.size(); }
   std::size_t running() const override { return running_; }
 
+  void onFirstToken(AdmissionId id) {
+    const auto found = admissions_.find(id);
+    if (found == admissions_.end() || !found->second.waitsForToken) return;
+    found->second.waitsForToken = false;
+    gate_.onFirstToken(found->second.request.priority, id, clock_.now());
+    releaseHeld();
+  }
+
   /// The ticket was destroyed.
   void giveBack(AdmissionId id) {
     const auto found = admissions_.find(id);
@@ -114,7 +125,7 @@
     if (admission.state == AdmissionState::kHeld) {
       holdQueue_.remove(admission.request.priority, id);
     }
-    if (admission.state == AdmissionState::kRunning) endRunning(admission);
+    if (admission.state == AdmissionState::kRunning) endRunning(id, admission);
     if (admission.quotaTaken) {
       quotas_.release(tenant, admission.state != AdmissionState::kRunning);
     }
@@ -230,7 +241,10 @@
     admission.state = AdmissionState::kRunning;
     ++running_;
     ++runningByClass_.at(static_cast<std::size_t>(admission.request.priority));
-    if (needsEngine(admission)) gate_.onAdmitted(admission.request.priority, clock_.now());
+    if (needsEngine(admission)) {
+      admission.waitsForToken = true;
+      gate_.onAdmitted(admission.request.priority, id, clock_.now());
+    }
     retryBudget_.onRequest(clock_.now());
     AdmissionVerdict verdict;
     verdict.admitted = true;
@@ -238,9 +252,10 @@
     deliver(id, admission, std::move(verdict));
   }
 
-  void endRunning(const Admission& admission) {
+  void endRunning(AdmissionId id, const Admission& admission) {
     --running_;
     --runningByClass_.at(static_cast<std::size_t>(admission.request.priority));
+    if (admission.waitsForToken) gate_.onAbandoned(admission.request.priority, id);
   }
 
   void refuse(AdmissionId id, Admission& admission, base::Reason reason, Duration retryAfter) {
@@ -353,6 +368,10 @@
   if (const auto service = service_.lock()) (*service)->giveBack(id_);
 }
 
+void TicketImpl::onFirstToken() {
+  if (const auto service = service_.lock()) (*service)->onFirstToken(id_);
+}
+
 }  // namespace
 
 std::unique_ptr<AdmissionService> makeAdmissionController(
--- a/src/admission/capacity_gate.cc
+++ b/src/admission/capacity_gate.cc
@@ -16,8 +16,11 @@
 constexpr Duration kEstimateTimeout = std::chrono::milliseconds(200);
 }  // namespace
 
-void CapacityGate::onAdmitted(PriorityClass priority, TimePoint now) {
+void CapacityGate::onAdmitted(PriorityClass priority, RequestNumber request, TimePoint now) {
   auto& admitted = unsampled_.at(static_cast<std::size_t>(priority));
+  const bool probe = expected(priority, now) > target(priority, Duration::zero());
+  if (probe) informedAt_ = now;
+  wait_.onAdmitted(priority, request, now);
   admitted.push_back(now);
   while (now - admitted.front() > kEstimateTimeout) admitted.pop_front();
 }
@@ -26,6 +29,7 @@
   auto& admitted = unsampled_.at(static_cast<std::size_t>(priority));
   if (!admitted.empty()) admitted.pop_front();
   estimate_.add(priority, expected, now);
+  informedAt_ = now;
 }
 
 std::size_t CapacityGate::unsampled(PriorityClass priority, TimePoint now) const {
@@ -45,15 +49,15 @@
 }
 
 bool CapacityGate::open(PriorityClass priority, Duration deadline, TimePoint now) const {
-  const double estimate = base::toSeconds(estimate_.of(priority, now));
+  const double estimate = base::toSeconds(expected(priority, now));
   const double limit = base::toSeconds(target(priority, deadline));
-  if (estimate > limit) return false;
+  if (estimate > limit) return now - informedAt_ >= options_.probeInterval;
   if (estimate <= limit * kPacingShare) return true;
   return unsampled(priority, now) < options_.maximumUnsampled;
 }
 
 Duration CapacityGate::timeToOpen(PriorityClass priority, Duration deadline, TimePoint now) const {
-  const double estimate = base::toSeconds(estimate_.of(priority, now));
+  const double estimate = base::toSeconds(expected(priority, now));
   const double limit = base::toSeconds(target(priority, deadline));
   if (estimate <= limit || limit <= 0) return Duration::zero();
   const double halvings = std::log2(estimate / limit);
--- /dev/null
+++ b/src/admission/first_token_wait.cc
@@ -0,0 +1,63 @@
+#include "admission/first_token_wait.h"
+
+#include <algorithm>
+
+namespace covewing::admission {
+
+using base::Duration;
+using base::PriorityClass;
+using base::TimePoint;
+
+namespace {
+/// First tokens older than this say nothing of the load now.
+constexpr Duration kMemory = std::chrono::seconds(1);
+/// Fewer requests say nothing of the load.
+constexpr std::size_t kFewest = 4;
+}  // namespace
+
+void FirstTokenWait::onAdmitted(PriorityClass priority, RequestNumber request, TimePoint now) {
+  waitsOf(priority).waiting.emplace(request, now);
+}
+
+void FirstTokenWait::onFirstToken(PriorityClass priority, RequestNumber request, TimePoint now) {
+  ClassWaits& waits = waitsOf(priority);
+  const auto found = waits.waiting.find(request);
+  if (found == waits.waiting.end()) return;
+  waits.finished.push_back({now, now - found->second});
+  waits.waiting.erase(found);
+  while (now - waits.finished.front().at > kMemory) waits.finished.pop_front();
+}
+
+void FirstTokenWait::onAbandoned(PriorityClass priority, RequestNumber request) {
+  waitsOf(priority).waiting.erase(request);
+}
+
+Duration FirstTokenWait::of(PriorityClass priority, TimePoint now) const {
+  Duration longest{};
+  for (std::size_t index = 0; index <= static_cast<std::size_t>(priority); ++index) {
+    longest = std::max(longest, ofClass(classes_.at(index), now));
+  }
+  return longest;
+}
+
+Duration FirstTokenWait::ofClass(const ClassWaits& waits, TimePoint now) {
+  std::vector<Duration> sample;
+  for (const Finished& finished : waits.finished) {
+    if (now - finished.at <= kMemory) sample.push_back(finished.wait);
+  }
+  const Duration finishedMedian = median(sample);
+  for (const auto& [request, admittedAt] : waits.waiting) {
+    const Duration waited = now - admittedAt;
+    if (waited > finishedMedian) sample.push_back(waited);
+  }
+  return sample.size() < kFewest ? Duration::zero() : median(sample);
+}
+
+Duration FirstTokenWait::median(std::vector<Duration>& sample) {
+  if (sample.empty()) return Duration::zero();
+  const auto middle = sample.begin() + static_cast<std::ptrdiff_t>(sample.size() / 2);
+  std::nth_element(sample.begin(), middle, sample.end());
+  return *middle;
+}
+
+}  // namespace covewing::admission
--- a/src/request/request_flow.cc
+++ b/src/request/request_flow.cc
@@ -221,6 +221,11 @@
   return trace_->attempts.back();
 }
 
+void RequestFlow::stopDeadline() {
+  deadlineTimer_.stop();
+  if (ticket_ != nullptr) ticket_->onFirstToken();
+}
+
 Duration RequestFlow::timeLeft() const {
   const Duration configured = tenant_->deadline;
   const Duration deadline = configured > Duration::zero() ? configured : options_.defaultDeadline;
--- a/src/request/request_flow.h
+++ b/src/request/request_flow.h
@@ -142,7 +142,7 @@
   /// Time left until the first token is due; never negative.
   base::Duration timeLeft() const;
   /// The answer has started, so that the deadline for the first token no longer applies.
-  void stopDeadline() { deadlineTimer_.stop(); }
+  void stopDeadline();
   std::uint32_t attemptNumber() const { return attempts_; }
   const config::TenantTemplate& tenant() const { return *tenant_; }
   /// Runs `callback` with a later result, unless the request is over by then.
--- a/tests/admission/admission_service_test.cc
+++ b/tests/admission/admission_service_test.cc
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "admission/fake_cluster.h"
+#include "admission/first_token_wait.h"
 #include "admission/hold_queue.h"
 
 namespace covewing::admission {
@@ -19,12 +20,20 @@
   for (int sample = 0; sample < 20; ++sample) service.onExpectedFirstToken(priority, expected);
 }
 
+/// Fixed targets, so that the tests do not depend on the shipped ones.
+AdmissionOptions withTargets() {
+  AdmissionOptions options;
+  options.capacity.target = {milliseconds(4000), milliseconds(2000), milliseconds(2000),
+                             milliseconds(1500)};
+  return options;
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(AdmissionServiceTest)
 
 BOOST_AUTO_TEST_CASE(AnIdleNodeAdmitsAndNeverFromInsideTheCall) {
-  FakeCluster cluster(1);
+  FakeCluster cluster(1, withTargets());
   const Call one = call(cluster.service(0), tenantNamed("a"));
   BOOST_TEST(!one.answered());
   cluster.time().advance(milliseconds(1));
@@ -33,7 +42,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(ADestroyedTicketSilencesTheCallbackAndGivesThePlaceBack) {
-  FakeCluster cluster(1);
+  FakeCluster cluster(1, withTargets());
   Call one = call(cluster.service(0), tenantNamed("a"));
   one.ticket.reset();
   cluster.time().advance(seconds(1));
@@ -42,7 +51,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(AClassBeyondItsTargetIsHeldAndRunsWhenTheEstimateFalls) {
-  FakeCluster cluster(1);
+  FakeCluster cluster(1, withTargets());
   AdmissionService& service = cluster.service(0);
   load(service, PriorityClass::kStandard, milliseconds(2500));
   const Call held = call(service, tenantNamed("a"));
@@ -57,7 +66,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(AHoldThatCannotSucceedIsRefusedAtOnceWithRetryAfter) {
-  FakeCluster cluster(1);
+  FakeCluster cluster(1, withTargets());
   AdmissionService& service = cluster.service(0);
   load(service, PriorityClass::kStandard, seconds(60));
   const Call refused = call(service, tenantNamed("a"));
@@ -68,7 +77,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(AHoldEndsWithItsTime) {
-  FakeCluster cluster(1);
+  FakeCluster cluster(1, withTargets());
   AdmissionService& service = cluster.service(0);
   load(service, PriorityClass::kStandard, milliseconds(3000));
   const Call held = call(service, tenantNamed("a"));
@@ -83,7 +92,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(LoadOfALessUrgentClassDoesNotHoldAMoreUrgentOne) {
-  FakeCluster cluster(1);
+  FakeCluster cluster(1, withTargets());
   AdmissionService& service = cluster.service(0);
   load(service, PriorityClass::kBackground, seconds(60));
   const Call urgent = call(service, tenantNamed("a"), PriorityClass::kUrgent);
@@ -95,7 +104,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(LoadOfAnUrgentClassHoldsTheLessUrgentOnes) {
-  FakeCluster cluster(1);
+  FakeCluster cluster(1, withTargets());
   AdmissionService& service = cluster.service(0);
   load(service, PriorityClass::kUrgent, seconds(60));
   const Call background = call(service, tenantNamed("a"), PriorityClass::kBackground);
@@ -105,7 +114,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(TheUrgentClassIsNotRefusedWhileALowerOneRuns) {
-  FakeCluster cluster(1);
+  FakeCluster cluster(1, withTargets());
   AdmissionService& service = cluster.service(0);
   Call lower = call(service, tenantNamed("a"), PriorityClass::kBackground);
   cluster.time().advance(milliseconds(1));
@@ -125,7 +134,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(AHeldRequestRunsBeforeALessUrgentOneThatCameEarlier) {
-  FakeCluster cluster(1);
+  FakeCluster cluster(1, withTargets());
   AdmissionService& service = cluster.service(0);
   load(service, PriorityClass::kInteractive, milliseconds(2500));
   const Call background = call(service, tenantNamed("a"), PriorityClass::kBackground);
@@ -150,7 +159,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(AFullHoldQueueShedsTheLowestClass) {
-  AdmissionOptions options;
+  AdmissionOptions options = withTargets();
   options.capacity.maximumHeld = 1;
   FakeCluster cluster(1, options);
   AdmissionService& service = cluster.service(0);
@@ -165,8 +174,28 @@
   BOOST_TEST((later.code() == ResultCode::kShed));
 }
 
+BOOST_AUTO_TEST_CASE(RequestsThatWaitLongHoldOthersUntilAProbeTellsBetter) {
+  FakeCluster cluster(1, withTargets());
+  AdmissionService& service = cluster.service(0);
+  std::vector<Call> slow;
+  for (int index = 0; index < 8; ++index) slow.push_back(call(service, tenantNamed("a")));
+  cluster.time().advance(milliseconds(2050));
+  // Nothing was heard of the engines for long: the first call goes through as a probe.
+  const Call probe = call(service, tenantNamed("a"));
+  const Call held = call(service, tenantNamed("a"));
+  cluster.time().advance(milliseconds(1));
+  BOOST_TEST(probe.admitted());
+  BOOST_TEST(!held.answered());
+  for (Call& one : slow) one.ticket->onFirstToken();
+  slow.clear();
+  // The slow ones are forgotten a second later, and the probe was quick.
+  probe.ticket->onFirstToken();
+  cluster.time().advance(milliseconds(1001));
+  BOOST_TEST(held.answered());
+}
+
 BOOST_AUTO_TEST_CASE(CallsWithoutAPromptAreNotHeldForEngines) {
-  FakeCluster cluster(1);
+  FakeCluster cluster(1, withTargets());
   AdmissionService& service = cluster.service(0);
   load(service, PriorityClass::kUrgent, seconds(60));
   const Call plain = call(service, tenantNamed("a"), PriorityClass::kStandard, 0);
@@ -192,4 +221,37 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(FirstTokenWaitTest)
+
+BOOST_AUTO_TEST_CASE(AFewStuckRequestsAreNoLoad) {
+  FirstTokenWait wait;
+  const base::TimePoint start{seconds(10)};
+  for (std::uint64_t request = 0; request < 3; ++request) {
+    wait.onAdmitted(PriorityClass::kStandard, request, start);
+  }
+  const base::TimePoint later = start + seconds(5);
+  for (std::uint64_t request = 10; request < 20; ++request) {
+    wait.onAdmitted(PriorityClass::kStandard, request, later - milliseconds(100));
+    wait.onFirstToken(PriorityClass::kStandard, request, later);
+  }
+  BOOST_TEST((wait.of(PriorityClass::kStandard, later) == milliseconds(100)));
+  BOOST_TEST((wait.of(PriorityClass::kBackground, later) == milliseconds(100)));
+  BOOST_TEST((wait.of(PriorityClass::kUrgent, later) == milliseconds(0)));
+}
+
+BOOST_AUTO_TEST_CASE(ManyRequestsThatWaitAreSeenBeforeTheirFirstTokens) {
+  FirstTokenWait wait;
+  const base::TimePoint start{seconds(10)};
+  for (std::uint64_t request = 0; request < 8; ++request) {
+    wait.onAdmitted(PriorityClass::kUrgent, request, start);
+  }
+  BOOST_TEST((wait.of(PriorityClass::kUrgent, start + seconds(3)) == seconds(3)));
+  for (std::uint64_t request = 0; request < 8; ++request) {
+    wait.onAbandoned(PriorityClass::kUrgent, request);
+  }
+  BOOST_TEST((wait.of(PriorityClass::kUrgent, start + seconds(3)) == seconds(0)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace covewing::admission
