--- a/src/bench/experiment.cc
+++ b/src/bench/experiment.cc
@@ -6,7 +6,11 @@
 
 #include "bench/oracle_policy.h"
 #include "bench/workload.h"
+#include "emulator/expected_answer.h"
+#include "emulator/observer_list.h"
+#include "sim/checkers.h"
 #include "sim/fleet.h"
+#include "sim/history_recorder.h"
 
 namespace covewing::bench {
 
@@ -59,54 +63,98 @@
   virtual void onFailed(const Arrival& arrival) = 0;
 };
 
-class CompletionCall final : public sim::CompletionCaller {
+/// What both kinds of calls have in common: the times, and the record for the checkers.
+class RecordedCall {
  public:
-  CompletionCall(const Arrival& arrival, const sim::Scheduler& scheduler, CallRecorder& recorder)
+  RecordedCall(const Arrival& arrival, std::size_t record, sim::HistoryRecorder& history,
+               const sim::Scheduler& scheduler, CallRecorder& recorder)
       : arrival_(arrival),
+        record_(record),
+        history_(history),
         scheduler_(scheduler),
         recorder_(recorder),
         startedAt_(scheduler.now()) {}
-  void onChunk(const platform::StreamChunk& /*chunk*/) override {
-    if (started_) return;
-    started_ = true;
-    recorder_.onFirstChunk(arrival_, scheduler_.now() - startedAt_);
-  }
-  void onEnd(const platform::StreamEnd& /*end*/) override {
-    recorder_.onAnswered(arrival_, scheduler_.now() - startedAt_);
+
+ protected:
+  sim::CallRecord& record() { return history_.history().calls[record_]; }
+  Duration elapsed() const { return scheduler_.now() - startedAt_; }
+  void taken(const base::RequestId& id, base::Incarnation incarnation) {
+    record().requestId = id;
+    record().nodeIncarnation = incarnation;
   }
-  void onRefused(const request::Refusal& refusal) override {
-    started_ ? recorder_.onFailed(arrival_) : recorder_.onRefused(arrival_, refusal);
+  /// False where the call was over before.
+  bool end(sim::CallEnding ending) {
+    sim::CallRecord& call = record();
+    if (call.ending != sim::CallEnding::kOpen) {
+      ++call.callsAfterEnd;
+      return false;
+    }
+    call.ending = ending;
+    call.endedAt = scheduler_.now();
+    return true;
   }
-  void onNodeLost() override { recorder_.onFailed(arrival_); }
 
- private:
   const Arrival& arrival_;
+
+ private:
+  std::size_t record_;
+  sim::HistoryRecorder& history_;
   const sim::Scheduler& scheduler_;
+
+ protected:
   CallRecorder& recorder_;
+
+ private:
   TimePoint startedAt_;
-  bool started_ = false;
 };
 
-class ProxiedCall final : public sim::ProxiedCaller {
+class CompletionCall final : public RecordedCall, public sim::CompletionCaller {
  public:
-  ProxiedCall(const Arrival& arrival, const sim::Scheduler& scheduler, CallRecorder& recorder)
-      : arrival_(arrival),
-        scheduler_(scheduler),
-        recorder_(recorder),
-        startedAt_(scheduler.now()) {}
-  void onResponse(const platform::ApplicationResponse& /*response*/) override {
-    recorder_.onAnswered(arrival_, scheduler_.now() - startedAt_);
+  using RecordedCall::RecordedCall;
+  void onTaken(const base::RequestId& id, base::Incarnation incarnation) override {
+    taken(id, incarnation);
+  }
+  void onChunk(const platform::StreamChunk& chunk) override {
+    if (record().ending != sim::CallEnding::kOpen) ++record().callsAfterEnd;
+    if (record().chunks.empty()) recorder_.onFirstChunk(arrival_, elapsed());
+    record().chunks.push_back({chunk.position, chunk.text});
+  }
+  void onEnd(const platform::StreamEnd& got) override {
+    if (!end(sim::CallEnding::kComplete)) return;
+    record().end = got;
+    recorder_.onAnswered(arrival_, elapsed());
   }
   void onRefused(const request::Refusal& refusal) override {
-    recorder_.onRefused(arrival_, refusal);
+    if (!end(sim::CallEnding::kRefused)) return;
+    record().refusal = refusal;
+    const bool started = !record().chunks.empty();
+    started ? recorder_.onFailed(arrival_) : recorder_.onRefused(arrival_, refusal);
   }
-  void onNodeLost() override { recorder_.onFailed(arrival_); }
+  void onNodeLost() override {
+    if (end(sim::CallEnding::kNodeLost)) recorder_.onFailed(arrival_);
+  }
+};
 
- private:
-  const Arrival& arrival_;
-  const sim::Scheduler& scheduler_;
-  CallRecorder& recorder_;
-  TimePoint startedAt_;
+class ProxiedCall final : public RecordedCall, public sim::ProxiedCaller {
+ public:
+  using RecordedCall::RecordedCall;
+  void onTaken(const base::RequestId& id, base::Incarnation incarnation) override {
+    taken(id, incarnation);
+  }
+  void onResponse(const platform::ApplicationResponse& response) override {
+    if (!end(sim::CallEnding::kComplete)) return;
+    record().answeredRequestId = response.requestId;
+    record().answerBody = response.body;
+    recorder_.onAnswered(arrival_, elapsed());
+  }
+  void onRefused(const request::Refusal& refusal) override {
+    if (!end(sim::CallEnding::kRefused)) return;
+    record().refusal = refusal;
+    recorder_.onRefused(arrival_, refusal);
+  }
+  void onNodeLost() override {
+    if (end(sim::CallEnding::kNodeLost)) recorder_.onFailed(arrival_);
+  }
 };
 
 class Experiment final : public CallRecorder {
@@ -133,6 +181,8 @@
   // The course of the run.
   void scheduleNextArrival();
   void start(const Arrival& arrival);
+  /// Opens the call's record for the checkers and returns its position.
+  std::size_t addRecord(const Arrival& arrival, std::size_t node);
   void scheduleMeasuring();
   void scheduleCrashes();
   ResourceReading readResources();
@@ -143,6 +193,7 @@
   void count(const Arrival& arrival, Change change);
   void noteShift(const Arrival& arrival, Duration after);
   void finishResult();
+  void countViolations();
 
   std::size_t engineCount() const { return static_cast<std::size_t>(settings_.engines); }
   std::size_t nodesPerZone() const { return static_cast<std::size_t>(settings_.nodesPerZone); }
@@ -154,6 +205,8 @@
   Duration shiftAt_;
   Workload workload_;
   CacheGroundTruth truth_;
+  sim::HistoryRecorder recorder_;
+  emulator::ObserverList observers_;
   std::unique_ptr<OracleKnowledge> oracle_;
   std::unique_ptr<sim::Fleet> fleet_;
   std::vector<std::unique_ptr<sim::CompletionCaller>> completions_;
@@ -213,7 +266,9 @@
   fleet.network.sameRegion.loss = settings_.datagramLoss;
   fleet.chunksPerMessage = static_cast<std::size_t>(settings_.chunksPerMessage);
   fleet.measureCpu = true;
-  fleet.observer = &truth_;
+  observers_.add(truth_);
+  observers_.add(recorder_);
+  fleet.observer = &observers_;
   if (settings_.keptCacheBlocks > 0) {
     fleet.platform.keptCache.emplace();
     fleet.platform.keptCache->capacityBlocks =
@@ -283,6 +338,7 @@
 }
 
 ExperimentResult Experiment::run() {
+  recorder_.attach(*fleet_);
   fleet_->start();
   fleet_->runFor(kStartTime);
   startedAt_ = fleet_->scheduler().now();
@@ -313,7 +369,11 @@
   for (Duration at = period; at < measuredTime_; at += period) {
     sim::EngineHost& engine = fleet_->engine(index++ % fleet_->engineCount());
     const TimePoint crashAt = startedAt_ + warmup_ + at;
-    fleet_->scheduler().at(crashAt, [&engine] { engine.crash(); });
+    fleet_->scheduler().at(crashAt, [this, &engine] {
+      recorder_.noteFault("engine crash", engine.options().model.name,
+                          fromSeconds(settings_.crashDownSeconds));
+      engine.crash();
+    });
     fleet_->scheduler().at(crashAt + fromSeconds(settings_.crashDownSeconds),
                            [&engine] { engine.restart(); });
   }
@@ -344,6 +404,7 @@
   sim::NodeHost& host = fleet_->node(node);
   const WorkloadTenant& tenant = workload_.tenants[arrival.tenant];
   count(arrival, [](CallCounts& counts) { ++counts.requests; });
+  const std::size_t record = addRecord(arrival, node);
   if (!arrival.method.empty()) {
     request::ProxiedRequest request;
     request.bearerKey = tenant.bearerKey;
@@ -352,7 +413,8 @@
     request.body = arrival.body;
     request.idempotencyKey = arrival.idempotencyKey;
     request.notRepeatable = arrival.notRepeatable;
-    proxied_.push_back(std::make_unique<ProxiedCall>(arrival, fleet_->scheduler(), *this));
+    proxied_.push_back(
+        std::make_unique<ProxiedCall>(arrival, record, recorder_, fleet_->scheduler(), *this));
     host.proxy(std::move(request), *proxied_.back());
     return;
   }
@@ -364,11 +426,31 @@
   auto prompt = std::make_shared<std::string>();
   prompt->reserve(static_cast<std::size_t>(arrival.promptTokens()) * prefix::kBytesPerToken);
   for (const PromptSegment& segment : arrival.prompt) prompt->append(*segment);
+  recorder_.history().calls[record].promptHash = emulator::promptHash(*prompt);
   request.prompt = std::move(prompt);
-  completions_.push_back(std::make_unique<CompletionCall>(arrival, fleet_->scheduler(), *this));
+  completions_.push_back(
+      std::make_unique<CompletionCall>(arrival, record, recorder_, fleet_->scheduler(), *this));
   host.complete(std::move(request), *completions_.back());
 }
 
+std::size_t Experiment::addRecord(const Arrival& arrival, std::size_t node) {
+  std::vector<sim::CallRecord>& calls = recorder_.history().calls;
+  sim::CallRecord& record = calls.emplace_back();
+  record.number = calls.size();
+  record.node = node;
+  record.nodeIncarnation = fleet_->node(node).process().incarnation();
+  record.tenant = workload_.tenants[arrival.tenant].name;
+  record.submittedAt = fleet_->scheduler().now();
+  record.proxied = !arrival.method.empty();
+  record.method = arrival.method;
+  record.target = arrival.target;
+  record.idempotencyKey = arrival.idempotencyKey;
+  record.notRepeatable = arrival.notRepeatable;
+  record.model = workload_.model;
+  record.maximumTokens = arrival.maximumTokens;
+  return calls.size() - 1;
+}
+
 bool Experiment::measured(const Arrival& arrival) const {
   return arrival.at >= warmup_ && arrival.at < warmup_ + measuredTime_;
 }
@@ -437,11 +519,23 @@
                       static_cast<double>(result_.reuse.generated) *
                           base::toSeconds(engine.step.perDecodingSequence);
   result_.engineLoad = work / seconds / static_cast<double>(engineCount());
+  countViolations();
   for (auto& [second, sample] : shiftSeconds_) {
     result_.shift.push_back({second, sample.count(), sample.mean()});
   }
 }
 
+void Experiment::countViolations() {
+  recorder_.finish();
+  for (std::size_t index = 0; index < sim::kPromiseCount; ++index) {
+    const std::string_view name = sim::toString(static_cast<sim::Promise>(index));
+    result_.violations.push_back({std::string(name), 0});
+  }
+  for (const sim::Violation& violation : sim::checkAll(recorder_.history(), {})) {
+    ++result_.violations.at(static_cast<std::size_t>(violation.promise)).count;
+  }
+}
+
 }  // namespace
 
 ExperimentResult runExperiment(const ExperimentOptions& options) {
