--- a/src/tools/covewing_bench.cc
+++ b/src/tools/covewing_bench.cc
@@ -12,6 +12,7 @@
        covewing-bench list
        covewing-bench table [--plot] < REPORT-LINES
        covewing-bench workload SCENARIO [--seed N] [--set KEY=VALUE]...
+       covewing-bench live --node ADDRESS:PORT... --key KEY [OPTION]...
 )";
 
 }  // namespace
@@ -26,6 +27,7 @@
   if (verb == "list") return listScenarios();
   if (verb == "table") return writeTable(count, arguments);
   if (verb == "workload") return describeWorkload(count, arguments);
+  if (verb == "live") return runLive(count, arguments);
   const bool help = verb == "help" || verb == "--help" || verb == "-h";
   std::fwrite(kUsage.data(), 1, kUsage.size(), help ? stdout : stderr);
   return help ? kExitOk : kExitUsage;
