Hold configuration, drains and restarts to stricter bounds in the simulator

Only what takes the network or the process itself away excuses a late effect: cuts, restarts of all nodes, the node's own pause. Stores that are down or slow excuse nothing where a neighbour has a copy.

--- a/src/sim/checkers.h
+++ b/src/sim/checkers.h
@@ -59,8 +59,10 @@
   base::Duration configuration = std::chrono::seconds(7);
   /// From a back end's leave to the last dispatch to it.
   base::Duration drain = std::chrono::seconds(5);
-  /// From the start of a process to its readiness, while another node or the table answers.
+  /// From the start of a process to its readiness, while another node of its zone is ready.
   base::Duration restart = std::chrono::seconds(3);
+  /// The same with no such node, while the table service or the object store can be reached.
+  base::Duration herdRestart = std::chrono::seconds(6);
   /// From submission to the final answer, streams aside; ample, since it only finds lost answers.
   base::Duration answer = std::chrono::seconds(60);
 };
--- a/src/sim/history.h
+++ b/src/sim/history.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -204,8 +205,9 @@
 };
 
 struct History {
-  /// Names of the nodes, by their index.
+  /// Names and zones of the nodes, by their index.
   std::vector<std::string> nodes;
+  std::vector<std::string> nodeZones;
   std::vector<CallRecord> calls;
   std::vector<EngineExecution> executions;
   std::vector<EngineRefusal> engineRefusals;
@@ -224,11 +226,13 @@
   std::vector<FaultRecord> faults;
   base::TimePoint endedAt;
 
-  /// Whether a fault of one of these kinds was in effect at some time in [from, to].
+  /// Whether any fault was in effect at some time in [from, to].
   bool disturbed(base::TimePoint from, base::TimePoint to) const;
   /// End of the last fault that was in effect in [from, from + quiet], and of those that follow it
-  /// without a quiet stretch of that length between; `from` when there was none.
-  base::TimePoint calmAfter(base::TimePoint from, base::Duration quiet) const;
+  /// without a quiet stretch of that length between; `from` when there was none. Only faults that
+  /// `excuses` holds for are looked at.
+  base::TimePoint calmAfter(base::TimePoint from, base::Duration quiet,
+                            const std::function<bool(const FaultRecord&)>& excuses) const;
 };
 
 /// A number that depends on every record: equal histories have equal digests.
--- a/src/sim/history_recorder.cc
+++ b/src/sim/history_recorder.cc
@@ -26,6 +26,7 @@
   fleet_ = &fleet;
   for (std::size_t index = 0; index < fleet.nodeCount(); ++index) {
     history_.nodes.push_back(fleet.node(index).name());
+    history_.nodeZones.push_back(fleet.node(index).options().zone);
   }
   lastRevision_.assign(fleet.nodeCount(), 0);
   lastIncarnation_.assign(fleet.nodeCount(), 0);
--- a/src/tools/covewing_sim.cc
+++ b/src/tools/covewing_sim.cc
@@ -34,13 +34,15 @@
   unsigned jobs = 1;
   Mutation mutation = Mutation::kNone;
   bool quiet = false;
+  bool timeline = false;
 };
 
 constexpr std::string_view kUsage =
     "usage: covewing-sim SCENARIO|all [--seed N | --seeds A-B] [--jobs N] [--mutation NAME]\n"
-    "                    [--quiet]\n"
+    "                    [--quiet] [--timeline]\n"
     "       covewing-sim --list | --list-mutations\n"
-    "Prints one JSON line a run. --quiet prints no history around violations.\n"
+    "Prints one JSON line a run. --quiet prints no history around violations; --timeline prints\n"
+    "faults and events of nodes of every run.\n"
     "Exit status: 0 no violation, 1 a violation, 2 wrong usage.\n";
 
 void listScenarios() {
@@ -85,12 +87,23 @@
 
 /// Empty with the exit status when there is nothing to run.
 std::optional<Options> parseArguments(int argc, char** argv, int& status) {
-  enum : int { kSeed = 256, kSeeds, kJobs, kMutation, kQuiet, kList, kListMutations, kHelp };
+  enum : int {
+    kSeed = 256,
+    kSeeds,
+    kJobs,
+    kMutation,
+    kQuiet,
+    kTimeline,
+    kList,
+    kListMutations,
+    kHelp
+  };
   const option longOptions[] = {{"seed", required_argument, nullptr, kSeed},
                                 {"seeds", required_argument, nullptr, kSeeds},
                                 {"jobs", required_argument, nullptr, kJobs},
                                 {"mutation", required_argument, nullptr, kMutation},
                                 {"quiet", no_argument, nullptr, kQuiet},
+                                {"timeline", no_argument, nullptr, kTimeline},
                                 {"list", no_argument, nullptr, kList},
                                 {"list-mutations", no_argument, nullptr, kListMutations},
                                 {"help", no_argument, nullptr, kHelp},
@@ -120,6 +133,9 @@
       case kQuiet:
         options.quiet = true;
         break;
+      case kTimeline:
+        options.timeline = true;
+        break;
       case kList:
         listScenarios();
         status = 0;
@@ -161,6 +177,9 @@
       const std::lock_guard lock(output);
       fmt::print("{}\n", covewing::sim::toJsonLine(result));
       std::fflush(stdout);
+      if (options.timeline) {
+        fmt::print(stderr, "{}", covewing::sim::timeline(result.history));
+      }
       if (result.violations.empty()) continue;
       clean = false;
       if (!options.quiet) printViolations(result);
