Split comparison and news spreading from the membership

Comparison builds its messages from the tables, and the spreader decides what is sent next; both are without side effects on the membership.

--- a/src/membership/gossip_membership.cc
+++ b/src/membership/gossip_membership.cc
@@ -9,17 +9,15 @@
 namespace {
 
 constexpr double kTimerJitter = 0.1;
-/// IP and UDP headers, and the frame around a payload, for the bound on news.
-constexpr double kMessageOverhead = 48;
 constexpr base::Duration kRelayLifetime = std::chrono::seconds(2);
 constexpr std::size_t kLeaveFanout = 8;
+/// News on one gossip message, so that it fits into a datagram.
+constexpr std::size_t kGossipBytes = base::PeerTransport::kDatagramLimit - 100;
 constexpr std::size_t kMaximumRelays = 256;
 /// Suspected members that are pinged in each period besides the one probed.
 constexpr std::size_t kSuspectPings = 4;
 /// A comparison that brings more items than this is a node's first: it does not pass them on.
 constexpr std::size_t kMaximumIntroductions = 32;
-/// The part of all buckets that is compared with a node that was cut off.
-constexpr std::size_t kPartOfCutOff = 4;
 /// Members that are told after one comparison that the other side holds them dead.
 constexpr std::size_t kMaximumAccusations = 8;
 
@@ -38,23 +36,6 @@
   return self;
 }
 
-/// Bits of up to `most` buckets whose digests differ, from a random one on.
-template <std::size_t size>
-std::uint32_t differingBuckets(const std::array<std::uint32_t, size>& left,
-                               const std::array<std::uint32_t, size>& right, std::size_t most,
-                               base::RandomSource& random) {
-  std::uint32_t mask = 0;
-  std::size_t chosen = 0;
-  const std::size_t first = random.below(size);
-  for (std::size_t step = 0; step < size && chosen < most; ++step) {
-    const std::size_t bucket = (first + step) % size;
-    if (left.at(bucket) == right.at(bucket)) continue;
-    mask |= 1U << bucket;
-    ++chosen;
-  }
-  return mask;
-}
-
 }  // namespace
 
 GossipMembership::GossipMembership(GossipMembershipOptions options, base::Clock& clock,
@@ -67,10 +48,11 @@
       log_(log),
       peers_(peers),
       members_(selfOf(options_), options_.retention),
+      comparison_(members_, records_, random),
+      news_(options_.news, members_, records_),
       detector_(options_.probing, timers, random, members_, *this),
       lastRunning_(clock.now()),
-      syncInterval_(options_.firstSyncPeriod),
-      newsTokens_(options_.newsBurstBytes) {}
+      syncInterval_(options_.firstSyncPeriod) {}
 
 GossipMembership::~GossipMembership() {
   for (const base::TimerId timer :
@@ -82,7 +64,7 @@
 // --- timers
 
 void GossipMembership::start() {
-  memberNews_.add(members_.self().id);
+  news_.add(members_.self().id);
   lastRunning_ = clock_.now();
   every(options_.probing.probePeriod, periodTimer_, &GossipMembership::onPeriod);
   every(options_.gossipPeriod, gossipTimer_, &GossipMembership::onGossipTick);
@@ -114,8 +96,7 @@
   const base::Duration elapsed = now - std::exchange(lastRunning_, now);
   const base::Duration longest = options_.gossipPeriod + options_.pauseThreshold;
   running_ += std::min(elapsed, longest);
-  newsTokens_ += base::toSeconds(elapsed) * options_.newsBytesPerSecond;
-  newsTokens_ = std::min(newsTokens_, options_.newsBurstBytes);
+  news_.refill(elapsed);
   if (elapsed > longest) onWake();
 }
 
@@ -135,14 +116,11 @@
 void GossipMembership::onGossipTick() {
   noteRunning(clock_.now());
   expireSuspicions();
-  if (memberNews_.empty() && recordNews_.empty()) return;
+  if (news_.empty()) return;
   for (const Member* member : members_.randomLive(random_, options_.gossipFanout, {})) {
-    if (memberNews_.empty() && recordNews_.empty()) return;
-    if (newsTokens_ <= 0) return;
-    News content = news(base::PeerTransport::kDatagramLimit - 100);
-    newsTokens_ -=
-        kMessageOverhead + static_cast<double>(content.members.size() + content.records.size());
-    send(member->endpoint, Gossip{std::move(content)});
+    if (news_.empty()) return;
+    if (!news_.hasBudget()) return;
+    send(member->endpoint, Gossip{news_.takeWithinBudget(kGossipBytes)});
   }
 }
 
@@ -189,21 +167,21 @@
   }
   detector_.forgive();
   members_.renewSelf(0, MemberState::kLeft, true);
-  memberNews_.add(members_.self().id);
+  news_.add(members_.self().id);
   for (const Member* member : members_.randomLive(random_, kLeaveFanout, {}))
-    send(member->endpoint, Gossip{news(options_.piggybackBytes)});
+    send(member->endpoint, Gossip{news_.take(options_.piggybackBytes)});
 }
 
 void GossipMembership::setDraining(bool draining) {
   if (members_.self().draining == draining) return;
   members_.renewSelf(0, MemberState::kAlive, draining);
-  memberNews_.add(members_.self().id);
+  news_.add(members_.self().id);
 }
 
 // --- probing
 
 void GossipMembership::sendPing(const Member& target, std::uint64_t sequence) {
-  News content = news(options_.piggybackBytes);
+  News content = news_.take(options_.piggybackBytes);
   // A suspected member hears of it first of all from the one that probes it.
   if (target.state == MemberState::kSuspect) {
     PackedWriter writer;
@@ -241,7 +219,7 @@
 void GossipMembership::handle(const base::PeerIdentity& sender, const Ping& message) {
   std::string corrections = takeNews(message.news);
   if (message.target != members_.self().id) return correct(sender.endpoint, std::move(corrections));
-  News content = news(options_.piggybackBytes);
+  News content = news_.take(options_.piggybackBytes);
   content.members += corrections;
   // Whoever is held dead here must hear of it to refute it.
   const Member* member = members_.find(sender.node);
@@ -276,61 +254,18 @@
 
 void GossipMembership::handle(const base::PeerIdentity& sender, const SyncRequest& message) {
   accuse(sender.endpoint, message.self);
-  if (message.joining) return sendEverything(sender.endpoint);
-  SyncSummary summary;
-  summary.self = packedSelf();
-  // Much differs from one that was cut off, and many of those ask at once.
+  if (message.joining) return sendItems(sender.endpoint, comparison_.everything());
   const Member* member = members_.find(sender.node);
-  const std::size_t part = member != nullptr && isLive(member->state) ? 1 : kPartOfCutOff;
-  summary.memberBuckets = differingBuckets(members_.digests(), message.members,
-                                           MemberTable::kBucketCount / part, random_);
-  summary.members = members_.summary(summary.memberBuckets);
-  summary.recordBuckets = differingBuckets(records_.digests(), message.records,
-                                           RecordTable::kBucketCount / part, random_);
-  summary.records = records_.summary(summary.recordBuckets);
-  send(sender.endpoint, summary);
+  const bool cutOff = member == nullptr || !isLive(member->state);
+  send(sender.endpoint, comparison_.summarize(message, cutOff));
 }
 
 void GossipMembership::handle(const base::PeerIdentity& sender, const SyncSummary& message) {
   accuse(sender.endpoint, message.self);
-  SyncItems items;
-  PackedWriter updates;
-  std::map<base::NodeId, MemberVersion> theirs;
-  for (const MemberSummary& summary : message.members) {
-    const MemberVersion version{summary.incarnation, summary.sequence, MemberState::kAlive};
-    theirs[summary.id] = version;
-    const Member* member = members_.find(summary.id);
-    if (member == nullptr || members_.versionOf(summary.id) < version) {
-      items.wantedMembers.push_back(summary.id);
-    } else if (!isLive(member->state)) {
-      encode(compactUpdate(*member, members_.sequenceOf(member->id)), updates);
-    }
-  }
-  for (const Member& member : members_.live()) {
-    if ((message.memberBuckets >> MemberTable::bucketOf(member.id) & 1U) == 0) continue;
-    const auto known = theirs.find(member.id);
-    const MemberVersion version{member.incarnation, members_.sequenceOf(member.id),
-                                MemberState::kAlive};
-    if (known == theirs.end() || known->second < version)
-      encode(fullUpdate(member, version.sequence), updates);
-  }
-  PackedWriter records;
-  std::map<std::uint64_t, std::uint64_t> theirRecords;
-  for (const RecordSummary& summary : message.records) {
-    theirRecords[summary.keyHash] = summary.version;
-    const std::optional<GossipRecord> record = records_.findByHash(summary.keyHash);
-    if (!record || record->version < summary.version)
-      items.wantedRecords.push_back(summary.keyHash);
-  }
-  for (const RecordSummary& summary : records_.summary(message.recordBuckets)) {
-    const auto known = theirRecords.find(summary.keyHash);
-    if (known == theirRecords.end() || known->second < summary.version)
-      encode(*records_.findByHash(summary.keyHash), records);
-  }
+  const SyncItems items = comparison_.itemsFor(message);
   if (items.wantedMembers.size() + items.wantedRecords.size() > kMaximumIntroductions)
     syncInterval_ = options_.firstSyncPeriod;
-  items.news = {updates.take(), records.take()};
-  sendItems(sender.endpoint, std::move(items));
+  sendItems(sender.endpoint, items);
 }
 
 void GossipMembership::handle(const base::PeerIdentity& sender, const SyncItems& message) {
@@ -345,25 +280,9 @@
   const std::vector<GossipRecord> records = decodeRecords(message.news.records);
   for (const GossipRecord& record : records) {
     const bool spread = records.size() <= kMaximumIntroductions || records_.find(record.key);
-    if (records_.apply(record) && spread) recordNews_.add(record.key);
+    if (records_.apply(record) && spread) news_.add(record.key);
   }
-  answerWants(sender.endpoint, message);
-}
-
-void GossipMembership::answerWants(const base::Endpoint& endpoint, const SyncItems& message) {
-  SyncItems reply;
-  PackedWriter updates;
-  for (const base::NodeId id : message.wantedMembers) {
-    const Member* member = members_.find(id);
-    if (member != nullptr) encode(fullUpdate(*member, members_.sequenceOf(id)), updates);
-  }
-  PackedWriter records;
-  for (const std::uint64_t keyHash : message.wantedRecords) {
-    const std::optional<GossipRecord> record = records_.findByHash(keyHash);
-    if (record) encode(*record, records);
-  }
-  reply.news = {updates.take(), records.take()};
-  sendItems(endpoint, std::move(reply));
+  sendItems(sender.endpoint, comparison_.wantedItems(message));
 }
 
 // --- what others say
@@ -428,13 +347,13 @@
   const MemberVersion own = members_.versionOf(self.id);
   if (update.version <= own || update.version.incarnation != own.incarnation) return;
   members_.renewSelf(update.version.sequence, MemberState::kAlive, self.draining);
-  memberNews_.add(self.id);
+  news_.add(self.id);
 }
 
 void GossipMembership::applyAndSpread(const MemberUpdate& update, bool spread) {
   const MemberChange change = members_.apply(update, clock_.now(), running_ + suspicionTime());
   if (change.kind != MemberChange::Kind::kChanged) return;
-  if (spread) memberNews_.add(update.id);
+  if (spread) news_.add(update.id);
   report(change);
 }
 
@@ -462,7 +381,7 @@
 }
 
 void GossipMembership::takeRecord(const GossipRecord& record) {
-  if (records_.apply(record)) recordNews_.add(record.key);
+  if (records_.apply(record)) news_.add(record.key);
 }
 
 // --- records
@@ -479,26 +398,6 @@
 
 // --- sending
 
-News GossipMembership::news(std::size_t maximumBytes) {
-  PackedWriter updates;
-  memberNews_.take(
-      updates, maximumBytes, transmissions(), [this](base::NodeId id, PackedWriter& writer) {
-        const Member* member = members_.find(id);
-        if (member == nullptr) return;
-        const std::uint32_t sequence = members_.sequenceOf(id);
-        // A member that raised its sequence is known to nearly all already.
-        const bool introduce = sequence == 0 && member->state == MemberState::kAlive;
-        encode(introduce ? fullUpdate(*member, sequence) : compactUpdate(*member, sequence),
-               writer);
-      });
-  PackedWriter records;
-  recordNews_.take(records, maximumBytes - std::min(maximumBytes, updates.size()), transmissions(),
-                   [this](const std::string& key, PackedWriter& writer) {
-                     if (const auto record = records_.find(key)) encode(*record, writer);
-                   });
-  return {updates.take(), records.take()};
-}
-
 void GossipMembership::accuse(const base::Endpoint& endpoint, const std::string& self) {
   for (const MemberUpdate& update : decodeMemberUpdates(self)) {
     if (update.id == members_.self().id) continue;
@@ -516,20 +415,10 @@
 
 void GossipMembership::requestSync(const base::Endpoint& endpoint) {
   if (endpoint == options_.endpoint) return;
-  send(endpoint, SyncRequest{alone(), packedSelf(), members_.digests(), records_.digests()});
-}
-
-void GossipMembership::sendEverything(const base::Endpoint& endpoint) {
-  PackedWriter updates;
-  for (const Member& member : members_.live())
-    encode(fullUpdate(member, members_.sequenceOf(member.id)), updates);
-  PackedWriter records;
-  for (const RecordSummary& summary : records_.summary(~0U))
-    encode(*records_.findByHash(summary.keyHash), records);
-  sendItems(endpoint, {{updates.take(), records.take()}, {}, {}});
+  send(endpoint, comparison_.request());
 }
 
-void GossipMembership::sendItems(const base::Endpoint& endpoint, SyncItems items) {
+void GossipMembership::sendItems(const base::Endpoint& endpoint, const SyncItems& items) {
   const bool empty = items.news.members.empty() && items.news.records.empty() &&
                      items.wantedMembers.empty() && items.wantedRecords.empty();
   if (!empty) send(endpoint, items);
@@ -539,17 +428,6 @@
   peers_.send(endpoint, base::Channel::kMembership, encode(message));
 }
 
-std::string GossipMembership::packedSelf() const {
-  PackedWriter writer;
-  encode(fullUpdate(members_.self(), members_.sequenceOf(members_.self().id)), writer);
-  return writer.take();
-}
-
-std::uint32_t GossipMembership::transmissions() const {
-  const double scale = std::log10(static_cast<double>(members_.live().size()) + 1);
-  return static_cast<std::uint32_t>(std::ceil(options_.transmissionFactor * std::max(scale, 1.0)));
-}
-
 base::Duration GossipMembership::suspicionTime() const {
   const double scale = std::log10(static_cast<double>(members_.live().size()) + 1);
   const double periods = options_.suspicionFactor * std::max(scale, 1.0);
--- a/src/membership/gossip_membership.h
+++ b/src/membership/gossip_membership.h
@@ -30,11 +30,12 @@
 #include "base/peer_transport.h"
 #include "base/random.h"
 #include "base/time.h"
-#include "membership/broadcast_queue.h"
+#include "membership/comparison.h"
 #include "membership/failure_detector.h"
 #include "membership/member_directory.h"
 #include "membership/member_table.h"
 #include "membership/membership_message.h"
+#include "membership/news_spreader.h"
 #include "membership/record_table.h"
 
 namespace covewing::membership {
@@ -54,13 +55,9 @@
   /// at least `minimumSuspicion`.
   double suspicionFactor = 1.5;
   base::Duration minimumSuspicion = std::chrono::seconds(3);
-  /// Each piece of news is sent this many times log10(members + 1), rounded up, by each node.
-  std::uint32_t transmissionFactor = 3;
   base::Duration gossipPeriod = std::chrono::milliseconds(200);
   std::size_t gossipFanout = 3;
-  /// Bound of the news that a node sends by itself, headers included, sustained and at once.
-  double newsBytesPerSecond = 2'000;
-  double newsBurstBytes = 1'500;
+  NewsSpreaderOptions news;
   /// News on one ping or ack.
   std::size_t piggybackBytes = 400;
   /// Between comparisons when nothing is amiss, and at first, and after one that found much.
@@ -152,16 +149,11 @@
   void applyAndSpread(const MemberUpdate& update, bool spread = true);
   void report(const MemberChange& change);
 
-  News news(std::size_t maximumBytes);
   /// Tells the node that sent `self` what is known of it, if that overrides it.
   void accuse(const base::Endpoint& endpoint, const std::string& self);
   void requestSync(const base::Endpoint& endpoint);
-  void answerWants(const base::Endpoint& endpoint, const SyncItems& message);
-  void sendEverything(const base::Endpoint& endpoint);
-  void sendItems(const base::Endpoint& endpoint, SyncItems items);
+  void sendItems(const base::Endpoint& endpoint, const SyncItems& items);
   void send(const base::Endpoint& endpoint, const MembershipMessage& message);
-  std::string packedSelf() const;
-  std::uint32_t transmissions() const;
   base::Duration suspicionTime() const;
   bool alone() const { return members_.live().size() <= 1; }
 
@@ -173,15 +165,14 @@
   base::PeerTransport& peers_;
   MemberTable members_;
   RecordTable records_;
+  Comparison comparison_;
+  NewsSpreader news_;
   FailureDetector detector_;
-  BroadcastQueue<base::NodeId> memberNews_;
-  BroadcastQueue<std::string> recordNews_;
   std::map<std::uint64_t, Relay> relays_;
   /// Time that the process has been running, pauses left out.
   base::Duration running_{};
   base::TimePoint lastRunning_;
   base::Duration syncInterval_{};
-  double newsTokens_ = 0;
   base::TimerId periodTimer_ = 0;
   base::TimerId gossipTimer_ = 0;
   base::TimerId syncTimer_ = 0;
--- /dev/null
+++ b/src/membership/news_spreader.h
@@ -0,0 +1,54 @@
+/// \file
+/// What a node still has to pass on, and how much of it it may send by itself.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "membership/broadcast_queue.h"
+#include "membership/member_table.h"
+#include "membership/membership_message.h"
+#include "membership/record_table.h"
+
+namespace covewing::membership {
+
+struct NewsSpreaderOptions {
+  /// Each piece of news is sent this many times log10(members + 1), rounded up, by each node.
+  std::uint32_t transmissionFactor = 3;
+  /// Bound of the news that a node sends by itself, headers included, sustained and at once.
+  double bytesPerSecond = 2'000;
+  double burstBytes = 1'500;
+};
+
+class NewsSpreader {
+ public:
+  NewsSpreader(NewsSpreaderOptions options, const MemberTable& members, const RecordTable& records);
+
+  void add(base::NodeId member) { members_.add(member); }
+  void add(const std::string& recordKey) { records_.add(recordKey); }
+  bool empty() const { return members_.empty() && records_.empty(); }
+
+  /// The news to be sent next, the least sent first, within `maximumBytes`.
+  News take(std::size_t maximumBytes);
+  /// The same for a message that is sent for the sake of its news: counted against the bound.
+  News takeWithinBudget(std::size_t maximumBytes);
+  bool hasBudget() const { return budget_ > 0; }
+  /// Refills the bound for the time that has passed.
+  void refill(base::Duration elapsed);
+
+ private:
+  std::uint32_t transmissions() const;
+  void encodeMember(base::NodeId id, PackedWriter& writer) const;
+  void encodeRecord(const std::string& key, PackedWriter& writer) const;
+
+  NewsSpreaderOptions options_;
+  const MemberTable& memberTable_;
+  const RecordTable& recordTable_;
+  BroadcastQueue<base::NodeId> members_;
+  BroadcastQueue<std::string> records_;
+  double budget_;
+};
+
+}  // namespace covewing::membership
