--- a/src/live/node_metrics.cc
+++ b/src/live/node_metrics.cc
@@ -32,8 +32,10 @@
     {"covewing_events_total", "counter", "event", "log events by name (docs/EVENTS.md)"},
     {"covewing_first_token_seconds", "histogram", "kind",
      "time from a request's arrival to its first token"},
+    {"covewing_lease_held", "gauge", "", "1 while this node holds its region's lease, else 0"},
     {"covewing_members", "gauge", "", "live members, this node included"},
     {"covewing_open_requests", "gauge", "", "requests in flight, held ones included"},
+    {"covewing_orders_open", "gauge", "", "orders to engines that this node executes"},
     {"covewing_output_tokens_total", "counter", "", "tokens of complete answers"},
     {"covewing_peer_bytes_total", "counter", "direction",
      "bytes of frames between nodes, without UDP, TCP and IP headers"},
@@ -115,6 +117,8 @@
   prometheus::Family<prometheus::Histogram>& firstToken =
       histograms("covewing_first_token_seconds");
   prometheus::Gauge& members = gauges("covewing_members").Add({});
+  prometheus::Gauge& leaseHeld = gauges("covewing_lease_held").Add({});
+  prometheus::Gauge& ordersOpen = gauges("covewing_orders_open").Add({});
   prometheus::Gauge& openRequests = gauges("covewing_open_requests").Add({});
   prometheus::Counter& outputTokens = counters("covewing_output_tokens_total").Add({});
   prometheus::Family<prometheus::Counter>& peerBytes = counters("covewing_peer_bytes_total");
@@ -175,6 +179,9 @@
   impl_->engines.Set(reachable);
   impl_->members.Set(static_cast<double>(snapshot.node.members().liveMembers().size()));
   impl_->openRequests.Set(static_cast<double>(snapshot.openRequests));
+  const node::CoordinationStatus coordination = snapshot.node.coordination();
+  impl_->leaseHeld.Set(coordination.lease.held ? 1 : 0);
+  impl_->ordersOpen.Set(static_cast<double>(coordination.openOrders));
   impl_->ready.Set(snapshot.node.ready() ? 1 : 0);
   impl_->resident.Set(residentBytes());
   Impl::raise(impl_->cpu, cpuSeconds());
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -98,6 +98,9 @@
   const config::ConfigurationView& configuration() const override { return store_; }
   const membership::MemberDirectory& members() const override { return members_; }
   const routing::FleetView& fleet() const override { return routing_.fleet(); }
+  CoordinationStatus coordination() const override {
+    return {coordinator_.leaseStatus(), coordinator_.openOrders()};
+  }
 
  private:
   static request::RequestOptions requestOptionsOf(const NodeOptions& options);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -16,6 +16,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "config/configuration_view.h"
+#include "coordination/lease_manager.h"
 #include "membership/member_directory.h"
 #include "node/operator_api.h"
 #include "platform/application_client.h"
@@ -66,6 +67,13 @@
   platform::ApplicationClient& applications;
 };
 
+/// The node's part in its region's coordination.
+struct CoordinationStatus {
+  coordination::LeaseStatus lease;
+  /// Orders that this node executes.
+  std::size_t openOrders = 0;
+};
+
 class Node {
  public:
   virtual ~Node() = default;
@@ -86,6 +94,7 @@
   virtual const config::ConfigurationView& configuration() const = 0;
   virtual const membership::MemberDirectory& members() const = 0;
   virtual const routing::FleetView& fleet() const = 0;
+  virtual CoordinationStatus coordination() const = 0;
 };
 
 std::unique_ptr<Node> makeNode(NodeOptions options, NodeEnvironment environment);
