--- a/src/config/json_fields.cc
+++ b/src/config/json_fields.cc
@@ -30,6 +30,25 @@
   return deepest;
 }
 
+/// Finds fields that one object has twice, which the parser would silently reduce to the last.
+class RepeatedFields {
+ public:
+  bool see(Json::parse_event_t event, const Json& parsed) {
+    if (event == Json::parse_event_t::object_start) open_.emplace_back();
+    if (event == Json::parse_event_t::object_end) open_.pop_back();
+    if (event == Json::parse_event_t::key) {
+      const auto& name = parsed.get_ref<const std::string&>();
+      if (!open_.back().insert(name).second) names_.push_back(name);
+    }
+    return true;
+  }
+  const std::vector<std::string>& names() const { return names_; }
+
+ private:
+  std::vector<std::set<std::string>> open_;
+  std::vector<std::string> names_;
+};
+
 std::string joined(std::initializer_list<std::string_view> names) {
   std::string text;
   for (const std::string_view name : names) {
@@ -70,11 +89,18 @@
     mistakes.push_back({"", "nested deeper than " + std::to_string(bounds.maximumDepth)});
     return std::nullopt;
   }
-  Json value = Json::parse(text, nullptr, false);
+  RepeatedFields repeated;
+  Json value = Json::parse(
+      text,
+      [&](int, Json::parse_event_t event, Json& parsed) { return repeated.see(event, parsed); },
+      false);
   if (value.is_discarded()) {
     mistakes.push_back({"", "not valid JSON in UTF-8"});
     return std::nullopt;
   }
+  for (const std::string& name : repeated.names())
+    mistakes.push_back({"", "field \"" + name + "\" is given twice in one object"});
+  if (!repeated.names().empty()) return std::nullopt;
   return value;
 }
 
--- a/tests/config/template_document_test.cc
+++ b/tests/config/template_document_test.cc
@@ -122,6 +122,11 @@
   BOOST_TEST(names(mistakes, "body.models[0].model"));
 }
 
+BOOST_AUTO_TEST_CASE(FieldGivenTwiceIsAMistake) {
+  BOOST_TEST(toText(mistakesOf(R"({"base": "a", "values": {"rate": 1, "rate": 2}})")) ==
+             "field \"rate\" is given twice in one object");
+}
+
 BOOST_AUTO_TEST_CASE(BaseIsCheckedByItself) {
   std::vector<FieldMistake> mistakes;
   const auto sound = parseTemplateDocument(kBase, mistakes);
