--- a/src/live/http_application_client.cc
+++ b/src/live/http_application_client.cc
@@ -53,11 +53,11 @@
     return isConnectionHeader(field.name) || equalHeaderNames(field.name, kRequestIdHeader);
   });
   request.headers.push_back({std::string{kRequestIdHeader}, request.requestId.value});
-  HttpRequest call{std::move(request.method), std::move(request.target), std::move(request.headers),
-                   std::move(request.body)};
+  const HttpRequest call{std::move(request.method), std::move(request.target),
+                         std::move(request.headers), std::move(request.body)};
   const auto timeout =
       request.timeout == base::Duration::zero() ? kDefaultTimeout : request.timeout;
-  client_.fetch(backEnd.endpoint, std::move(call), timeout,
+  client_.fetch(backEnd.endpoint, call, timeout,
                 [requestId = std::move(request.requestId), callback = std::move(callback)](
                     HttpResult result) { callback(toResult(requestId, std::move(result))); });
 }
--- a/src/live/http_client.cc
+++ b/src/live/http_client.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <map>
+#include <tuple>
 #include <unordered_map>
 
 #include "live/client_connection.h"
@@ -11,6 +12,12 @@
 
 namespace {
 
+struct EndpointOrder {
+  bool operator()(const base::Endpoint& left, const base::Endpoint& right) const {
+    return std::tie(left.address, left.port) < std::tie(right.address, right.port);
+  }
+};
+
 class Call final : public HttpCall {
  public:
   Call(std::shared_ptr<ClientConnection> connection, std::uint64_t number)
@@ -115,7 +122,7 @@
 
   boost::asio::io_context& context;
   HttpClientLimits bounds;
-  std::map<base::Endpoint, Connections> idle;
+  std::map<base::Endpoint, Connections, EndpointOrder> idle;
   std::unordered_map<WholeCall*, std::unique_ptr<WholeCall>> wholeCalls;
 };
 
@@ -127,15 +134,16 @@
   core_->closeIdle();
 }
 
-std::unique_ptr<HttpCall> HttpClient::start(const base::Endpoint& server, HttpRequest request,
-                                            base::Duration silence, HttpCallHandler& handler) {
+std::unique_ptr<HttpCall> HttpClient::start(const base::Endpoint& server,
+                                            const HttpRequest& request, base::Duration silence,
+                                            HttpCallHandler& handler) {
   auto connection = core_->take(server);
   const auto number = connection->begin(request, silence, handler);
   return std::make_unique<Call>(std::move(connection), number);
 }
 
-void HttpClient::fetch(const base::Endpoint& server, HttpRequest request, base::Duration timeout,
-                       std::function<void(HttpResult)> callback) {
+void HttpClient::fetch(const base::Endpoint& server, const HttpRequest& request,
+                       base::Duration timeout, std::function<void(HttpResult)> callback) {
   auto finished = [core = core_.get(), callback = std::move(callback)](WholeCall& call,
                                                                        HttpResult result) {
     // Kept until the end of this function: the call is on the stack above.
@@ -146,7 +154,7 @@
   auto call = std::make_unique<WholeCall>(core_->context, core_->bounds.bodyBytes, finished);
   auto& whole = *call;
   core_->wholeCalls.emplace(&whole, std::move(call));
-  whole.begin(start(server, std::move(request), base::Duration::zero(), whole), timeout);
+  whole.begin(start(server, request, base::Duration::zero(), whole), timeout);
 }
 
 std::size_t HttpClient::idleConnections() const {
--- a/src/live/http_client.h
+++ b/src/live/http_client.h
@@ -67,10 +67,10 @@
   HttpClient& operator=(const HttpClient&) = delete;
 
   /// Sends once. The call fails when nothing is received for `silence`; zero means no such bound.
-  std::unique_ptr<HttpCall> start(const base::Endpoint& server, HttpRequest request,
+  std::unique_ptr<HttpCall> start(const base::Endpoint& server, const HttpRequest& request,
                                   base::Duration silence, HttpCallHandler& handler);
   /// Sends once and gives the whole answer, exactly once, later. Fails after `timeout`.
-  void fetch(const base::Endpoint& server, HttpRequest request, base::Duration timeout,
+  void fetch(const base::Endpoint& server, const HttpRequest& request, base::Duration timeout,
              std::function<void(HttpResult)> callback);
 
   /// Kept connections that wait for their next use.
--- a/src/live/http_engine_client.cc
+++ b/src/live/http_engine_client.cc
@@ -143,14 +143,14 @@
 std::unique_ptr<platform::EngineStream> HttpEngineClient::start(
     const platform::BackEndAddress& engine, platform::EngineRequest request,
     platform::EngineStreamHandler& handler) {
-  HttpRequest call{"POST",
-                   "/v1/generate",
-                   {{"Content-Type", "application/json"},
-                    {"Accept", "text/event-stream"},
-                    {std::string{kRequestIdHeader}, request.requestId.value}},
-                   engineRequestToJson(request)};
+  const HttpRequest call{"POST",
+                         "/v1/generate",
+                         {{"Content-Type", "application/json"},
+                          {"Accept", "text/event-stream"},
+                          {std::string{kRequestIdHeader}, request.requestId.value}},
+                         engineRequestToJson(request)};
   auto state = std::make_shared<StreamState>(timers_, handler);
-  state->adopt(client_.start(engine.endpoint, std::move(call), timeouts_.streamSilence, *state));
+  state->adopt(client_.start(engine.endpoint, call, timeouts_.streamSilence, *state));
   return std::make_unique<HttpEngineStream>(std::move(state));
 }
 
--- a/src/live/http_platform_clients.cc
+++ b/src/live/http_platform_clients.cc
@@ -77,13 +77,13 @@
 
 void PlatformService::call(std::string method, std::string target, std::string body,
                            std::function<void(HttpResult)> callback) {
-  HttpRequest request{
+  const HttpRequest request{
       std::move(method),
       std::move(target),
       {{"Content-Type", "application/json"},
        {std::string{kRequestIdHeader}, "platform-" + std::to_string(++lastRequest_)}},
       std::move(body)};
-  client_.fetch(endpoint_, std::move(request), timeout_, std::move(callback));
+  client_.fetch(endpoint_, request, timeout_, std::move(callback));
 }
 
 void HttpTableClient::read(std::vector<std::string> keys, platform::TableCallback callback) {
