Let a simulated fleet bring its own engines

FleetOptions::makeEngineClient makes the engine client of each run of each node, for engines that are no EngineHost. The sizes of HTTP messages between nodes and engines move to sim/engine_wire.h, so that every client counts the same bytes.

--- a/src/sim/engine_client.cc
+++ b/src/sim/engine_client.cc
@@ -3,23 +3,11 @@
 #include <deque>
 #include <utility>
 
+#include "sim/engine_wire.h"
+
 namespace covewing::sim {
 
 namespace {
-/// Patience of a node with an engine's reports and orders.
-constexpr base::Duration kEngineTimeout = std::chrono::seconds(2);
-constexpr std::size_t kRequestHead = 200;
-constexpr std::size_t kGenerateFields = 300;
-constexpr std::size_t kAnswerHead = 150;
-/// Report without events, and one event: eight bytes in base64 and a letter.
-constexpr std::size_t kReportFields = 350;
-constexpr std::size_t kEventBytes = 12;
-constexpr std::size_t kOrderBytes = 350;
-
-std::size_t bytesOf(const std::optional<platform::EngineReport>& report) {
-  return kAnswerHead + (report ? kReportFields + report->events.size() * kEventBytes : 0);
-}
-
 platform::DispatchError notSent(std::string detail) {
   return {platform::DispatchFailure::kNotSent,
           {base::ResultCode::kBackEndUnreachable, std::move(detail)}};
@@ -37,8 +25,7 @@
     connection->onClosed(Connection::Side::kClient, [weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->onLost();
     });
-    const auto bytes = kRequestHead + kGenerateFields + request.generated.size() +
-                       (request.prompt ? request.prompt->size() : 0);
+    const auto bytes = generateBytes(request);
     connection->send(Connection::Side::kClient, bytes,
                      [&engine, connection, request, self = shared_from_this()]() mutable {
                        engine.serve(std::move(request), connection, std::move(self));
@@ -196,11 +183,11 @@
   }
   ExchangePool<ReportAnswer>::Request request;
   request.server = target->host();
-  request.bytes = kRequestHead;
+  request.bytes = kEngineRequestHead;
   request.timeout = kEngineTimeout;
   request.serve = [target, ask = std::move(ask)](const ExchangePool<ReportAnswer>::Answer& answer) {
     ask(target->model(), [answer](ReportAnswer report) {
-      const auto size = bytesOf(report);
+      const auto size = reportBytes(report);
       answer(std::move(report), size);
     });
   };
@@ -248,8 +235,9 @@
   request.bytes = kOrderBytes;
   request.timeout = kEngineTimeout;
   request.serve = [target, order = std::move(order)](const Pool::Answer& answer) {
-    target->model().order(
-        order, [answer](platform::OrderReply result) { answer(std::move(result), kAnswerHead); });
+    target->model().order(order, [answer](platform::OrderReply result) {
+      answer(std::move(result), kEngineAnswerHead);
+    });
   };
   const auto delay = network_.options().orderDelay;
   if (delay == base::Duration::zero()) {
--- a/src/sim/fleet_options.h
+++ b/src/sim/fleet_options.h
@@ -18,6 +18,7 @@
 #include "emulator/table_model.h"
 #include "emulator/weight_store_model.h"
 #include "node/node.h"
+#include "platform/engine_client.h"
 #include "sim/exchange.h"
 #include "sim/network.h"
 
@@ -94,6 +95,10 @@
   /// Made for each run of each node; empty: none.
   std::function<std::unique_ptr<EnvironmentDecorator>()> decorator;
   ExchangeFaults applicationClientFaults;
+  /// Makes the engine client of each run of each node, for engines that are no EngineHost of the
+  /// fleet; empty: SimEngineClient.
+  std::function<std::unique_ptr<platform::EngineClient>(Network& network, HostId self)>
+      makeEngineClient;
 };
 
 }  // namespace covewing::sim
--- a/src/sim/node_host.cc
+++ b/src/sim/node_host.cc
@@ -126,7 +126,11 @@
                                                         surroundings_.objects);
   run->machines = std::make_unique<SimMachineListClient>(network, host_, surroundings_.platform,
                                                          surroundings_.machines);
-  run->engines = std::make_unique<SimEngineClient>(network, host_, surroundings_.engines);
+  if (fleet_.makeEngineClient) {
+    run->engines = fleet_.makeEngineClient(network, host_);
+  } else {
+    run->engines = std::make_unique<SimEngineClient>(network, host_, surroundings_.engines);
+  }
   run->applications = std::make_unique<SimApplicationClient>(
       network, host_, surroundings_.applications, fleet_.applicationClientFaults);
   node::NodeEnvironment environment{process_,      process_,          process_,      *run->log,
