Measure what a node spends on control: covewing-capacity

Hollow fleets run the real nodes and codec in virtual time against light engines that keep a block cache and publish its events.

--- /dev/null
+++ b/src/capacity/hollow_engine.cc
@@ -0,0 +1,126 @@
+#include "capacity/hollow_engine.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+namespace covewing::capacity {
+
+namespace {
+/// Events that an engine remembers; whoever asks for older ones sees a gap.
+constexpr std::size_t kJournalEvents = 4096;
+constexpr base::WeightsVersion kVersion = 1;
+}  // namespace
+
+HollowEngine::HollowEngine(sim::Network& network, HollowEngineOptions options, std::uint64_t seed)
+    : scheduler_(network.scheduler()),
+      options_(std::move(options)),
+      process_(network.scheduler(), options_.name, seed),
+      host_(network.addHost(process_, options_.endpoint, options_.zone, options_.region)),
+      random_(base::mixHash(seed, base::hashName(options_.name))) {
+  process_.start();
+  stamps_.reserve(options_.capacityBlocks + 1);
+  while (stamps_.size() < options_.capacityBlocks) store({random_.next()});
+  // What was there before the fleet started is learned from a snapshot only.
+  journal_.clear();
+  drawnUntil_ = scheduler_.now();
+}
+
+platform::Machine HollowEngine::machine() const {
+  platform::Machine machine;
+  machine.name = options_.name;
+  machine.kind = platform::MachineKind::kEngine;
+  machine.endpoint = options_.endpoint;
+  machine.zone = options_.zone;
+  machine.region = options_.region;
+  return machine;
+}
+
+void HollowEngine::setEventsPerSecond(double rate) {
+  catchUp();
+  options_.eventsPerSecond = rate;
+}
+
+platform::EngineReport HollowEngine::head() const {
+  platform::EngineReport report;
+  report.incarnation = process_.incarnation();
+  report.weights = {{options_.model, kVersion, {}}};
+  report.load.running = running_;
+  report.load.cachedBlocks = static_cast<std::uint32_t>(stamps_.size());
+  report.load.capacityBlocks = options_.capacityBlocks;
+  report.nextSequence = nextSequence_;
+  return report;
+}
+
+platform::EngineReport HollowEngine::report(std::uint64_t fromSequence) {
+  catchUp();
+  auto report = head();
+  const auto oldest = nextSequence_ - journal_.size();
+  report.firstSequence = std::clamp(fromSequence, oldest, nextSequence_);
+  const auto skipped = static_cast<std::ptrdiff_t>(report.firstSequence - oldest);
+  report.events.assign(journal_.begin() + skipped, journal_.end());
+  return report;
+}
+
+platform::EngineReport HollowEngine::snapshot() {
+  catchUp();
+  auto report = head();
+  report.firstSequence = nextSequence_;
+  report.events.reserve(stamps_.size());
+  for (const auto& use : uses_) {
+    const auto found = stamps_.find(use.block);
+    if (found == stamps_.end() || found->second != use.stamp) continue;
+    report.events.push_back({platform::CacheEventKind::kStored, use.block});
+  }
+  return report;
+}
+
+std::uint32_t HollowEngine::admit(const std::vector<base::BlockHash>& chain) {
+  catchUp();
+  std::uint32_t matched = 0;
+  while (matched < chain.size() && stamps_.contains(chain[matched])) ++matched;
+  // From the end, so that a chain is evicted from its end.
+  for (const auto block : std::ranges::reverse_view(chain)) store(block);
+  return matched;
+}
+
+void HollowEngine::catchUp() {
+  const auto now = scheduler_.now();
+  due_ += base::toSeconds(now - drawnUntil_) * options_.eventsPerSecond / 2;
+  drawnUntil_ = now;
+  // Each new block evicts one, as the cache is full.
+  for (; due_ >= 1; due_ -= 1) store({random_.next()});
+}
+
+void HollowEngine::store(base::BlockHash block) {
+  if (stamps_.contains(block)) return touch(block);
+  touch(block);
+  publish(platform::CacheEventKind::kStored, block);
+  if (stamps_.size() > options_.capacityBlocks) evictOldest();
+}
+
+void HollowEngine::touch(base::BlockHash block) {
+  stamps_[block] = nextStamp_;
+  uses_.push_back({block, nextStamp_});
+  ++nextStamp_;
+}
+
+void HollowEngine::evictOldest() {
+  while (!uses_.empty()) {
+    const Use use = uses_.front();
+    uses_.pop_front();
+    const auto found = stamps_.find(use.block);
+    if (found == stamps_.end() || found->second != use.stamp) continue;
+    stamps_.erase(found);
+    publish(platform::CacheEventKind::kEvicted, use.block);
+    return;
+  }
+}
+
+void HollowEngine::publish(platform::CacheEventKind kind, base::BlockHash block) {
+  journal_.push_back({kind, block});
+  ++nextSequence_;
+  if (journal_.size() > kJournalEvents) journal_.pop_front();
+}
+
+}  // namespace covewing::capacity
--- /dev/null
+++ b/src/capacity/hollow_run.cc
@@ -0,0 +1,149 @@
+#include "capacity/hollow_run.h"
+
+#include <algorithm>
+#include <ctime>
+#include <functional>
+#include <utility>
+
+namespace covewing::capacity {
+
+namespace {
+
+constexpr double kNanosecondsPerPercent = 1e7;
+constexpr base::Duration kPatience = std::chrono::seconds(60);
+constexpr base::Duration kSecond = std::chrono::seconds(1);
+/// How long a zone or region stays cut off.
+constexpr base::Duration kCutFor = std::chrono::seconds(60);
+
+double processCpuSeconds() {
+  return static_cast<double>(std::clock()) / static_cast<double>(CLOCKS_PER_SEC);
+}
+
+/// Watches a disturbed fleet second by second.
+class FailureWatch {
+ public:
+  FailureWatch(HollowFleet& fleet, double steadyBytesPerSecond)
+      : fleet_(fleet), steady_(steadyBytesPerSecond), before_(fleet.usage()) {}
+
+  void runSecond() {
+    fleet_.runFor(kSecond);
+    auto now = fleet_.usage();
+    double sum = 0;
+    for (std::size_t index = 0; index < now.size(); ++index) {
+      const Usage& earlier = before_[index];
+      const double all = now[index].sentBytes + now[index].receivedBytes;
+      const double bytes = all - earlier.sentBytes - earlier.receivedBytes;
+      sum += bytes;
+      result_.worstSecondBytes = std::max(result_.worstSecondBytes, bytes);
+    }
+    result_.extraBytes += sum - steady_ * static_cast<double>(now.size());
+    before_ = std::move(now);
+  }
+
+  void runFor(base::Duration duration) {
+    for (base::Duration run{}; run < duration; run += kSecond) runSecond();
+  }
+
+  FailureResult finish(std::string name) {
+    const auto nodes = fleet_.size().nodes;
+    for (base::Duration waited{}; waited < kPatience;) {
+      runSecond();
+      waited += kSecond;
+      if (fleet_.nodesThatSeeAll() != nodes || fleet_.nodesReady() != nodes) continue;
+      result_.repairedAfter = waited;
+      break;
+    }
+    result_.name = std::move(name);
+    return result_;
+  }
+
+ private:
+  HollowFleet& fleet_;
+  double steady_;
+  std::vector<Usage> before_;
+  FailureResult result_;
+};
+
+void runFailures(HollowFleet& fleet, double steady, HollowResult& result) {
+  const auto nodes = fleet.size().nodes;
+  const auto inZone = [&](std::size_t index) { return fleet.zoneOf(index) == fleet.zoneOf(0); };
+  {
+    FailureWatch watch(fleet, steady);
+    fleet.fleet().node(0).crash();
+    fleet.fleet().node(0).start();
+    result.failures.push_back(watch.finish("one node replaced"));
+  }
+  {
+    FailureWatch watch(fleet, steady);
+    for (std::size_t index = 0; index < nodes; ++index) {
+      if (!inZone(index)) continue;
+      fleet.fleet().node(index).crash();
+      fleet.fleet().node(index).start();
+    }
+    result.failures.push_back(watch.finish("a zone's nodes restarted at once"));
+  }
+  auto& network = fleet.fleet().network();
+  {
+    FailureWatch watch(fleet, steady);
+    network.cutZone(fleet.zoneOf(0), true);
+    watch.runFor(kCutFor);
+    network.cutZone(fleet.zoneOf(0), false);
+    result.failures.push_back(watch.finish("a zone cut off for 60 s"));
+  }
+  {
+    FailureWatch watch(fleet, steady);
+    network.cutRegions("region-0", "region-1", true);
+    watch.runFor(kCutFor);
+    network.cutRegions("region-0", "region-1", false);
+    result.failures.push_back(watch.finish("regions apart for 60 s"));
+  }
+}
+
+}  // namespace
+
+HollowResult runHollowFleet(const HollowOptions& options) {
+  const double startedAt = processCpuSeconds();
+  HollowResult result;
+  result.size = options.size;
+  result.warmUp = options.times.warmUp;
+  result.span = options.times.span;
+  HollowFleet fleet(options.size);
+  fleet.start();
+  fleet.runFor(options.times.warmUp);
+  fleet.resetOutcome();
+  const auto publishedBefore = fleet.publishedEvents();
+  const auto before = fleet.usage();
+  fleet.runFor(options.times.span);
+  auto after = fleet.usage();
+  result.outcome = fleet.outcome();
+  result.publishedPerSecond = static_cast<double>(fleet.publishedEvents() - publishedBefore) /
+                              base::toSeconds(options.times.span);
+  result.memoryBytes = fleet.memoryPerNode();
+  result.nodesThatSeeAll = fleet.nodesThatSeeAll();
+  result.nodesReady = fleet.nodesReady();
+  std::vector<double> bytes;
+  std::vector<double> cpu;
+  for (std::size_t index = 0; index < after.size(); ++index) {
+    Usage usage = after[index];
+    usage -= before[index];
+    usage /= base::toSeconds(options.times.span);
+    bytes.push_back(usage.totalBytes());
+    cpu.push_back(usage.cpuNanoseconds / kNanosecondsPerPercent);
+    result.mean += usage;
+  }
+  result.mean /= static_cast<double>(after.size());
+  result.bytes = spreadOf(std::move(bytes));
+  result.cpuPercent = spreadOf(std::move(cpu));
+  result.changeEverywhere = fleet.timeOfChange(options.size.nodes / 2, kPatience);
+  const std::size_t dying = options.size.nodes - 1;
+  result.deathEverywhere = fleet.timeOfDetection(dying, kPatience);
+  if (options.failures) {
+    fleet.fleet().node(dying).start();
+    fleet.runFor(options.times.warmUp);
+    runFailures(fleet, result.mean.totalBytes(), result);
+  }
+  result.ownCpuSeconds = processCpuSeconds() - startedAt;
+  return result;
+}
+
+}  // namespace covewing::capacity
