Name a leaving back end's refusal and tell the engine directory of it

A refusal because the back end leaves had the code of any other refusal, so each node went on choosing the engine until a report or the machine list said so.

--- a/src/emulator/application_model.cc
+++ b/src/emulator/application_model.cc
@@ -90,8 +90,8 @@
 void ApplicationModel::accept(ApplicationRequest request, const Callback& callback) {
   if (leaving_ || draw(options_.faults.refuse)) {
     callback(DispatchError{DispatchFailure::kRefusedNotRun,
-                           Reason{ResultCode::kBackEndRefused,
-                                  leaving_ ? "application is leaving" : "application is busy"}});
+                           leaving_ ? Reason{ResultCode::kBackEndLeaving, "application is leaving"}
+                                    : Reason{ResultCode::kBackEndRefused, "application is busy"}});
     return;
   }
   const CallId id = ++lastCall_;
--- a/src/emulator/engine_model.cc
+++ b/src/emulator/engine_model.cc
@@ -106,7 +106,7 @@
 }
 
 std::optional<Reason> EngineModel::refusal(const EngineRequest& request) const {
-  if (leaving_) return Reason{ResultCode::kBackEndRefused, "engine is leaving"};
+  if (leaving_) return Reason{ResultCode::kBackEndLeaving, "engine is leaving"};
   if (role_ != platform::EngineRole::kServing) {
     return Reason{ResultCode::kBackEndRefused, "engine is on standby"};
   }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -74,6 +74,9 @@
       case base::ResultCode::kBackEndLost:
         directory_.noteUnreachable(backEnd);
         return;
+      case base::ResultCode::kBackEndLeaving:
+        directory_.noteLeaving(backEnd);
+        return;
       default:
         return;
     }
--- a/src/request/request_flow.cc
+++ b/src/request/request_flow.cc
@@ -26,6 +26,7 @@
     case ResultCode::kNodeOverloaded:
     case ResultCode::kNoBackEnd:
     case ResultCode::kBackEndRefused:
+    case ResultCode::kBackEndLeaving:
     case ResultCode::kBackEndUnreachable:
     case ResultCode::kRetryBudgetExhausted:
     case ResultCode::kIdentityMismatch:
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -24,6 +24,20 @@
   BOOST_TEST(log.has(Event::kNodeReady));
 }
 
+BOOST_AUTO_TEST_CASE(EngineThatRefusesBecauseItLeavesGetsNoMoreWork) {
+  startAndSettle();
+  const auto first = complete();
+  const base::EngineId leaving = engines.streams.last().engine.id;
+  engines.streams.last().fail(platform::DispatchFailure::kRefusedNotRun,
+                              ResultCode::kBackEndLeaving);
+  time.advance(milliseconds(50));
+  BOOST_REQUIRE(engines.streams.streams.size() == 2);
+  BOOST_TEST(node->fleet().find(leaving)->leaving);
+  const auto second = complete();
+  BOOST_REQUIRE(engines.streams.streams.size() == 3);
+  BOOST_TEST((engines.streams.last().engine.id != leaving));
+}
+
 BOOST_AUTO_TEST_CASE(RetiredDuringAPauseIsRefusedOnWake) {
   startAndSettle();
   putTenant("{}", true);
