Limit the requests that wait for a first token by a window

Cause: the gate was either open or shut, and learned of an overload only by the first tokens of what it had let in seconds before; then engines were so full of waiting prompts that they evicted the shared prefixes.

It does not help a policy that sends one prefix to one engine: the window of a node counts those that wait at the full engine against all engines.

--- a/src/admission/admission_options.h
+++ b/src/admission/admission_options.h
@@ -37,12 +37,24 @@
   base::Duration refusalMemory = std::chrono::milliseconds(500);
 };
 
+/// The window of requests that wait for their first token.
+struct WindowOptions {
+  double initial = 64;
+  double minimum = 4;
+  double maximum = 2000;
+  /// Factor on the window when a first token came later than its target.
+  double shrinkFactor = 0.8;
+  /// Share of the window that a class may fill.
+  std::array<double, base::kPriorityClassCount> classShare = {1.0, 0.5, 0.35, 0.25};
+};
+
 /// Hold and shed by the expected time to first token.
 struct CapacityOptions {
   /// Expected first token, by class, above which a class is held; also bounded by the deadline.
   std::array<base::Duration, base::kPriorityClassCount> target = {
       std::chrono::milliseconds(1500), std::chrono::milliseconds(1000),
       std::chrono::milliseconds(1000), std::chrono::milliseconds(750)};
+  WindowOptions window;
   /// The target is at most this share of the template's deadline.
   double deadlineShare = 0.5;
   /// The estimate halves for each such time without a new sample, so that a held class is probed.
--- a/src/admission/admission_service.cc
+++ b/src/admission/admission_service.cc
@@ -255,7 +255,7 @@
   void endRunning(AdmissionId id, const Admission& admission) {
     --running_;
     --runningByClass_.at(static_cast<std::size_t>(admission.request.priority));
-    if (admission.waitsForToken) gate_.onAbandoned(admission.request.priority, id);
+    if (admission.waitsForToken) gate_.onAbandoned(admission.request.priority, id, clock_.now());
   }
 
   void refuse(AdmissionId id, Admission& admission, base::Reason reason, Duration retryAfter) {
--- a/src/admission/capacity_gate.cc
+++ b/src/admission/capacity_gate.cc
@@ -32,6 +32,21 @@
   informedAt_ = now;
 }
 
+void CapacityGate::onFirstToken(PriorityClass priority, RequestNumber request, TimePoint now) {
+  const std::uint32_t waiting = wait_.waiting();
+  const Duration waited = wait_.onFirstToken(priority, request, now);
+  window_.onWaited(waited, target(priority, Duration::zero()), waiting, now);
+  informedAt_ = now;
+}
+
+void CapacityGate::onAbandoned(PriorityClass priority, RequestNumber request, TimePoint now) {
+  const std::uint32_t waiting = wait_.waiting();
+  const Duration waited = wait_.onAbandoned(priority, request, now);
+  const Duration limit = target(priority, Duration::zero());
+  // One that ended early was the caller's own decision.
+  if (waited > limit) window_.onWaited(waited, limit, waiting, now);
+}
+
 std::size_t CapacityGate::unsampled(PriorityClass priority, TimePoint now) const {
   const auto& admitted = unsampled_.at(static_cast<std::size_t>(priority));
   const auto current = std::find_if(admitted.begin(), admitted.end(), [now](TimePoint time) {
@@ -52,6 +67,7 @@
   const double estimate = base::toSeconds(expected(priority, now));
   const double limit = base::toSeconds(target(priority, deadline));
   if (estimate > limit) return now - informedAt_ >= options_.probeInterval;
+  if (!window_.admits(priority, wait_.waiting())) return false;
   if (estimate <= limit * kPacingShare) return true;
   return unsampled(priority, now) < options_.maximumUnsampled;
 }
--- a/src/admission/capacity_gate.h
+++ b/src/admission/capacity_gate.h
@@ -12,6 +12,7 @@
 #include <deque>
 
 #include "admission/admission_options.h"
+#include "admission/admission_window.h"
 #include "admission/first_token_estimate.h"
 #include "admission/first_token_wait.h"
 #include "base/priority.h"
@@ -24,19 +25,14 @@
   using RequestNumber = FirstTokenWait::RequestNumber;
 
   explicit CapacityGate(const CapacityOptions& options)
-      : options_(options), estimate_(options.estimateHalfLife) {}
+      : options_(options), estimate_(options.estimateHalfLife), window_(options.window) {}
 
   /// A request of the class was admitted; its routing estimate is to follow.
   void onAdmitted(base::PriorityClass priority, RequestNumber request, base::TimePoint now);
   /// Its first token came.
-  void onFirstToken(base::PriorityClass priority, RequestNumber request, base::TimePoint now) {
-    wait_.onFirstToken(priority, request, now);
-    informedAt_ = now;
-  }
+  void onFirstToken(base::PriorityClass priority, RequestNumber request, base::TimePoint now);
   /// It ended without a first token.
-  void onAbandoned(base::PriorityClass priority, RequestNumber request) {
-    wait_.onAbandoned(priority, request);
-  }
+  void onAbandoned(base::PriorityClass priority, RequestNumber request, base::TimePoint now);
   /// The router told its estimate for a request of the class.
   void onEstimate(base::PriorityClass priority, base::Duration expected, base::TimePoint now);
 
@@ -58,6 +54,7 @@
   CapacityOptions options_;
   FirstTokenEstimate estimate_;
   FirstTokenWait wait_;
+  AdmissionWindow window_;
   /// When something was last learned of the engines, or a probe sent to learn it.
   base::TimePoint informedAt_;
   /// When the requests were admitted whose estimates have not come, oldest first.
--- a/src/admission/first_token_wait.cc
+++ b/src/admission/first_token_wait.cc
@@ -19,17 +19,31 @@
   waitsOf(priority).waiting.emplace(request, now);
 }
 
-void FirstTokenWait::onFirstToken(PriorityClass priority, RequestNumber request, TimePoint now) {
+Duration FirstTokenWait::onFirstToken(PriorityClass priority, RequestNumber request,
+                                      TimePoint now) {
   ClassWaits& waits = waitsOf(priority);
   const auto found = waits.waiting.find(request);
-  if (found == waits.waiting.end()) return;
-  waits.finished.push_back({now, now - found->second});
+  if (found == waits.waiting.end()) return Duration::zero();
+  const Duration waited = now - found->second;
+  waits.finished.push_back({now, waited});
   waits.waiting.erase(found);
   while (now - waits.finished.front().at > kMemory) waits.finished.pop_front();
+  return waited;
 }
 
-void FirstTokenWait::onAbandoned(PriorityClass priority, RequestNumber request) {
-  waitsOf(priority).waiting.erase(request);
+Duration FirstTokenWait::onAbandoned(PriorityClass priority, RequestNumber request, TimePoint now) {
+  ClassWaits& waits = waitsOf(priority);
+  const auto found = waits.waiting.find(request);
+  if (found == waits.waiting.end()) return Duration::zero();
+  const Duration waited = now - found->second;
+  waits.waiting.erase(found);
+  return waited;
+}
+
+std::uint32_t FirstTokenWait::waiting() const {
+  std::size_t count = 0;
+  for (const ClassWaits& waits : classes_) count += waits.waiting.size();
+  return static_cast<std::uint32_t>(count);
 }
 
 Duration FirstTokenWait::of(PriorityClass priority, TimePoint now) const {
--- a/src/admission/first_token_wait.h
+++ b/src/admission/first_token_wait.h
@@ -25,10 +25,14 @@
 
   /// A request was admitted and waits from now on.
   void onAdmitted(base::PriorityClass priority, RequestNumber request, base::TimePoint now);
-  /// Its first token came.
-  void onFirstToken(base::PriorityClass priority, RequestNumber request, base::TimePoint now);
-  /// It ended without one.
-  void onAbandoned(base::PriorityClass priority, RequestNumber request);
+  /// Its first token came; returns how long it waited.
+  base::Duration onFirstToken(base::PriorityClass priority, RequestNumber request,
+                              base::TimePoint now);
+  /// It ended without one; returns how long it waited.
+  base::Duration onAbandoned(base::PriorityClass priority, RequestNumber request,
+                             base::TimePoint now);
+  /// Requests that wait now.
+  std::uint32_t waiting() const;
 
   /// The longest wait over the class and the more urgent ones; zero where too little is known.
   base::Duration of(base::PriorityClass priority, base::TimePoint now) const;
--- a/tests/admission/admission_service_test.cc
+++ b/tests/admission/admission_service_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "admission/admission_window.h"
 #include "admission/fake_cluster.h"
 #include "admission/first_token_wait.h"
 #include "admission/hold_queue.h"
@@ -213,6 +214,7 @@
   for (int request = 0; request < 200; ++request) {
     calls.push_back(call(service, tenantNamed("a")));
     cluster.time().advance(milliseconds(1));
+    calls.back().ticket->onFirstToken();
     if (service.takeRetry()) ++retries;
   }
   BOOST_TEST(retries >= 24);
@@ -221,6 +223,39 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(AdmissionWindowTest)
+
+BOOST_AUTO_TEST_CASE(LateFirstTokensShrinkItOnceARoundAndTimelyOnesGrowIt) {
+  AdmissionWindow window({.initial = 20, .minimum = 4, .shrinkFactor = 0.5});
+  const base::TimePoint start{seconds(10)};
+  window.onWaited(seconds(2), seconds(1), 20, start);
+  // Admitted before the first step down.
+  window.onWaited(seconds(2), seconds(1), 20, start + milliseconds(100));
+  BOOST_TEST(window.size() == 10.0);
+  window.onWaited(seconds(2), seconds(1), 20, start + seconds(3));
+  window.onWaited(seconds(2), seconds(1), 20, start + seconds(6));
+  window.onWaited(seconds(2), seconds(1), 20, start + seconds(9));
+  BOOST_TEST(window.size() == 4.0);
+  for (int token = 0; token < 100; ++token) {
+    window.onWaited(milliseconds(10), seconds(1), 50, start + seconds(10));
+  }
+  BOOST_TEST(window.size() > 13.0);
+  const double grown = window.size();
+  window.onWaited(milliseconds(10), seconds(1), 1, start + seconds(10));
+  BOOST_TEST(window.size() == grown);
+}
+
+BOOST_AUTO_TEST_CASE(ALessUrgentClassFillsLessOfIt) {
+  const AdmissionWindow window({.initial = 20, .classShare = {1.0, 0.5, 0.35, 0.25}});
+  BOOST_TEST(window.admits(PriorityClass::kUrgent, 19));
+  BOOST_TEST(!window.admits(PriorityClass::kUrgent, 20));
+  BOOST_TEST(!window.admits(PriorityClass::kInteractive, 10));
+  BOOST_TEST(window.admits(PriorityClass::kBackground, 4));
+  BOOST_TEST(!window.admits(PriorityClass::kBackground, 5));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(FirstTokenWaitTest)
 
 BOOST_AUTO_TEST_CASE(AFewStuckRequestsAreNoLoad) {
@@ -247,7 +282,7 @@
   }
   BOOST_TEST((wait.of(PriorityClass::kUrgent, start + seconds(3)) == seconds(3)));
   for (std::uint64_t request = 0; request < 8; ++request) {
-    wait.onAbandoned(PriorityClass::kUrgent, request);
+    wait.onAbandoned(PriorityClass::kUrgent, request, start + seconds(3));
   }
   BOOST_TEST((wait.of(PriorityClass::kUrgent, start + seconds(3)) == seconds(0)));
 }
