Take the default version from the own region's engines

A swap rolls one region over. The default version was the newest that all engines of all regions have, so after a swap it stayed at the version that the region's engines had just unloaded, until their new state was known, and then became the newest that any engine has, for the other region too, whose engines do not have it. It now counts the engines of the own region, and others only where there is none with the model.

--- a/src/routing/engine_directory.cc
+++ b/src/routing/engine_directory.cc
@@ -14,6 +14,30 @@
   return !engine.leaving && !engine.unreachable && engine.role == platform::EngineRole::kServing;
 }
 
+/// The newest version of the model that all those of `engines` have which have any, or else the
+/// newest that any has; 0 if none.
+base::WeightsVersion newestCommonVersion(const std::vector<const EngineState*>& engines,
+                                         std::string_view model) {
+  std::set<base::WeightsVersion> anywhere;
+  std::optional<std::set<base::WeightsVersion>> everywhere;
+  for (const EngineState* engine : engines) {
+    std::set<base::WeightsVersion> loaded;
+    for (const auto& weights : engine->weights) {
+      if (weights.model == model) loaded.insert(weights.version);
+    }
+    if (loaded.empty()) continue;
+    anywhere.insert(loaded.begin(), loaded.end());
+    if (!everywhere) {
+      everywhere = std::move(loaded);
+      continue;
+    }
+    std::erase_if(*everywhere,
+                  [&](base::WeightsVersion version) { return !loaded.contains(version); });
+  }
+  if (everywhere && !everywhere->empty()) return *everywhere->rbegin();
+  return anywhere.empty() ? 0 : *anywhere.rbegin();
+}
+
 }  // namespace
 
 EngineDirectory::EngineDirectory(EngineDirectoryOptions options,
@@ -62,25 +86,16 @@
 }
 
 base::WeightsVersion EngineDirectory::defaultVersion(std::string_view model) const {
-  std::set<base::WeightsVersion> anywhere;
-  std::optional<std::set<base::WeightsVersion>> everywhere;
+  const std::string& region = environment_.members.self().region;
+  std::vector<const EngineState*> ownRegion;
+  std::vector<const EngineState*> anyRegion;
   for (const auto& engine : engines_) {
     if (!usable(engine)) continue;
-    std::set<base::WeightsVersion> loaded;
-    for (const auto& weights : engine.weights) {
-      if (weights.model == model) loaded.insert(weights.version);
-    }
-    if (loaded.empty()) continue;
-    anywhere.insert(loaded.begin(), loaded.end());
-    if (!everywhere) {
-      everywhere = std::move(loaded);
-      continue;
-    }
-    std::erase_if(*everywhere,
-                  [&](base::WeightsVersion version) { return !loaded.contains(version); });
+    anyRegion.push_back(&engine);
+    if (engine.region == region) ownRegion.push_back(&engine);
   }
-  if (everywhere && !everywhere->empty()) return *everywhere->rbegin();
-  return anywhere.empty() ? 0 : *anywhere.rbegin();
+  const base::WeightsVersion own = newestCommonVersion(ownRegion, model);
+  return own != 0 ? own : newestCommonVersion(anyRegion, model);
 }
 
 // --- machine list
--- a/src/routing/fleet_view.h
+++ b/src/routing/fleet_view.h
@@ -47,8 +47,9 @@
   /// Live, not leaving replicas of an application, own zone first.
   virtual std::vector<platform::BackEndAddress> applicationReplicas(
       std::string_view application) const = 0;
-  /// The newest version that every serving engine of the model has loaded, or else the newest that
-  /// any has; 0 if none.
+  /// The newest version that every serving engine of the model in the own region has loaded, or
+  /// else the newest that any of them has. Other regions, which swap versions on their own, count
+  /// only where the own one has no engine with the model. 0 if none.
   virtual base::WeightsVersion defaultVersion(std::string_view model) const = 0;
 };
 
--- a/tests/routing/engine_directory_test.cc
+++ b/tests/routing/engine_directory_test.cc
@@ -163,6 +163,19 @@
   BOOST_TEST(directory.defaultVersion("none") == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(TheDefaultVersionIsTheOwnRegions) {
+  addEngine("rules-1", "north", 5);
+  addEngine("rules-2", "far", 4);
+  machines.machines->back().region = "elsewhere";
+  addEngine("prices-1", "far", 0);
+  machines.machines->back().region = "elsewhere";
+  engines.reports["prices-1"].weights = {{"prices", 2, {}}};
+  directory.start();
+  time.advance(1s);
+  BOOST_TEST(directory.defaultVersion("rules") == 5U);
+  BOOST_TEST(directory.defaultVersion("prices") == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(PrefixHashChoosesOneQualifyingEngineOfTheOwnZone) {
   addEngine("rules-1", "north", 4);
   addEngine("rules-2", "north", 4);
