Weigh what a prompt adds to an engine's cache by its whole computation

What is computed or imported pushes as much out of a cache that is always full, and is computed again elsewhere. Weight 1 in place of 0.5.

--- a/src/routing/service_model.h
+++ b/src/routing/service_model.h
@@ -20,7 +20,7 @@
   /// Weight, beside the expected time itself, of the time to compute all tokens that the prompt
   /// adds to the engine's cache, imported ones too: computing delays those who come after, and what
   /// is added pushes as much out, which is computed again elsewhere.
-  double insertionWeight = 0.5;
+  double insertionWeight = 1.0;
   /// Delay by each request that runs or waits at the engine: its share of every step, and memory
   /// that it holds until its answer is complete.
   base::Duration perRequest = std::chrono::milliseconds(0);
