--- a/src/routing/service_model.h
+++ b/src/routing/service_model.h
@@ -23,7 +23,7 @@
   double insertionWeight = 1.0;
   /// Delay by each request that runs or waits at the engine: its share of every step, and memory
   /// that it holds until its answer is complete.
-  base::Duration perRequest = std::chrono::milliseconds(0);
+  base::Duration perRequest = std::chrono::milliseconds(20);
   /// Share of a doubtful match that is counted on.
   double doubtfulShare = 0.5;
   /// One round trip to another zone, and to another region.
