--- a/src/routing/queue_estimate.h
+++ b/src/routing/queue_estimate.h
@@ -17,7 +17,7 @@
 
 struct QueueEstimateOptions {
   /// Prompt tokens that an engine computes a second.
-  double prefillTokensPerSecond = 8000;
+  double prefillTokensPerSecond = 6500;
   /// How old a load report is on arrival.
   base::Duration reportLag = std::chrono::milliseconds(375);
   /// Work not seen in a report for this long is over or was never there.
--- a/src/routing/service_model.h
+++ b/src/routing/service_model.h
@@ -11,7 +11,7 @@
 
 /// Assumed speeds of engines and store.
 struct ServiceModel {
-  double prefillTokensPerSecond = 8000;
+  double prefillTokensPerSecond = 6500;
   /// Transfer from the store of kept KV cache.
   base::Duration importLatency = std::chrono::milliseconds(10);
   double importTokensPerSecond = 60'000;
