Reckon with a wait where a prompt finds no memory

The slowest requests had an expected time of half a second and waited for seconds: their engine had computed its queue, and its running requests held the memory.

--- a/src/routing/cache_index_home.h
+++ b/src/routing/cache_index_home.h
@@ -28,8 +28,8 @@
   QueueEstimateOptions queue;
   /// Wait for memory where a prompt does not fit, in prompt tokens: at least, and for each block
   /// that is missing.
-  double memoryWaitTokens = 0;
-  double memoryWaitTokensPerBlock = 0;
+  double memoryWaitTokens = 1000;
+  double memoryWaitTokensPerBlock = 1;
   /// Time between two rounds of expiry and resync.
   base::Duration maintenanceInterval = std::chrono::milliseconds(250);
   /// Mean rate of snapshot bytes that this node asks for.
