--- a/src/routing/policy_factory.h
+++ b/src/routing/policy_factory.h
@@ -28,7 +28,7 @@
 struct PolicyTuning {
   ServiceModel service;
   /// Engines asked about for a prefix of ordinary heat.
-  std::size_t candidates = 4;
+  std::size_t candidates = 8;
   /// Further engines, drawn at random, as a way out of an overloaded set.
   std::size_t spillCandidates = 2;
   /// Most engines asked about.
