--- a/src/routing/engine_directory.h
+++ b/src/routing/engine_directory.h
@@ -32,7 +32,7 @@
   PollScope pollScope = PollScope::kHomeEngines;
   std::size_t homesPerEngine = kHomesPerEngine;
   /// Mean time between two polls of one engine's report.
-  base::Duration pollInterval = std::chrono::milliseconds(250);
+  base::Duration pollInterval = std::chrono::milliseconds(500);
   /// Mean time between two fetches of the machine list; also between direct polls of an engine
   /// whose state is known from nowhere.
   base::Duration machineListInterval = std::chrono::seconds(2);
