--- a/src/routing/policy_factory.cc
+++ b/src/routing/policy_factory.cc
@@ -30,7 +30,7 @@
 };
 
 constexpr std::array kPolicies = {
-    PolicyEntry{kDefaultPolicy, make<PrefixHashPolicy>, PollScope::kHomeEngines},
+    PolicyEntry{kDefaultPolicy, make<PrefixAffinityPolicy>, PollScope::kHomeEngines},
     PolicyEntry{"random", make<RandomPolicy>, PollScope::kHomeEngines},
     PolicyEntry{"round_robin", make<RoundRobinPolicy>, PollScope::kHomeEngines},
     PolicyEntry{"least_loaded", make<LeastLoadedPolicy>, PollScope::kAllEngines},
