Keep a version that few engines have from becoming the default

An order to load a new version onto one engine could choose an engine of another model, which then had that version alone. A load now prefers engines that have the model, and the default version is the one that most engines of the region have, the newest of these.

The rate of refusals after the change was not measured again.

--- a/src/coordination/order_request.cc
+++ b/src/coordination/order_request.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <utility>
 
 namespace covewing::coordination {
 
@@ -66,23 +67,37 @@
   return chosen;
 }
 
-/// Serving engines first, then zones in turn, names ascending within a zone.
+/// Zones in turn, names ascending within a zone.
 EnginePointers interleaveZones(EnginePointers engines) {
-  std::ranges::sort(engines, [](const CatalogueEngine* left, const CatalogueEngine* right) {
-    if (left->role != right->role) return left->role < right->role;
-    return left->address.name < right->address.name;
-  });
+  std::ranges::sort(engines, {},
+                    [](const CatalogueEngine* engine) { return engine->address.name; });
   std::map<std::string, EnginePointers> byZone;
   for (const CatalogueEngine* engine : engines) byZone[engine->zone].push_back(engine);
   EnginePointers result;
-  for (std::size_t rank = 0; result.size() < engines.size(); ++rank) {
+  for (std::size_t round = 0; result.size() < engines.size(); ++round) {
     for (const auto& [zone, members] : byZone) {
-      if (rank < members.size()) result.push_back(members[rank]);
+      if (round < members.size()) result.push_back(members[round]);
     }
   }
   return result;
 }
 
+/// Serving engines first, and among them those that have the model: a version on an engine that has
+/// no other of the model would be served by that engine alone.
+EnginePointers inOrderOfPreference(const EnginePointers& engines, const std::string& model) {
+  std::map<std::pair<platform::EngineRole, bool>, EnginePointers> groups;
+  for (const CatalogueEngine* engine : engines) {
+    const bool lacksModel = !holdsModel(engine->weights, model);
+    groups[{engine->role, lacksModel}].push_back(engine);
+  }
+  EnginePointers result;
+  for (auto& [preference, members] : groups) {
+    const EnginePointers interleaved = interleaveZones(std::move(members));
+    result.insert(result.end(), interleaved.begin(), interleaved.end());
+  }
+  return result;
+}
+
 std::uint32_t servingEngines(const OrderRequest& request,
                              const std::vector<CatalogueEngine>& engines) {
   return static_cast<std::uint32_t>(std::ranges::count_if(engines, [&](const auto& engine) {
@@ -140,7 +155,7 @@
   EnginePointers chosen = request.engines.empty() ? chooseEngines(request, engines)
                                                   : namedEngines(request, engines, mistakes);
   if (!mistakes.empty()) return std::nullopt;
-  chosen = interleaveZones(std::move(chosen));
+  chosen = inOrderOfPreference(chosen, request.model);
   const bool choosesOne = request.type == OrderType::kLoad && request.engines.empty() &&
                           !request.count && request.zone.empty();
   const std::size_t wanted = request.count ? *request.count : choosesOne ? 1 : chosen.size();
--- a/src/routing/engine_directory.cc
+++ b/src/routing/engine_directory.cc
@@ -1,7 +1,6 @@
 #include "routing/engine_directory.h"
 
 #include <algorithm>
-#include <set>
 #include <string>
 
 namespace covewing::routing {
@@ -14,28 +13,21 @@
   return !engine.leaving && !engine.unreachable && engine.role == platform::EngineRole::kServing;
 }
 
-/// The newest version of the model that all those of `engines` have which have any, or else the
-/// newest that any has; 0 if none.
-base::WeightsVersion newestCommonVersion(const std::vector<const EngineState*>& engines,
-                                         std::string_view model) {
-  std::set<base::WeightsVersion> anywhere;
-  std::optional<std::set<base::WeightsVersion>> everywhere;
+/// The version of the model that most of `engines` have, the newest of these; 0 if none has any.
+/// Where all that have the model share a version, that is the newest such version.
+base::WeightsVersion mostCommonVersion(const std::vector<const EngineState*>& engines,
+                                       std::string_view model) {
+  std::map<base::WeightsVersion, std::size_t> counts;
   for (const EngineState* engine : engines) {
-    std::set<base::WeightsVersion> loaded;
     for (const auto& weights : engine->weights) {
-      if (weights.model == model) loaded.insert(weights.version);
+      if (weights.model == model) ++counts[weights.version];
     }
-    if (loaded.empty()) continue;
-    anywhere.insert(loaded.begin(), loaded.end());
-    if (!everywhere) {
-      everywhere = std::move(loaded);
-      continue;
-    }
-    std::erase_if(*everywhere,
-                  [&](base::WeightsVersion version) { return !loaded.contains(version); });
   }
-  if (everywhere && !everywhere->empty()) return *everywhere->rbegin();
-  return anywhere.empty() ? 0 : *anywhere.rbegin();
+  base::WeightsVersion best = 0;
+  for (const auto& [version, count] : counts) {
+    if (best == 0 || count >= counts[best]) best = version;
+  }
+  return best;
 }
 
 }  // namespace
@@ -94,8 +86,8 @@
     anyRegion.push_back(&engine);
     if (engine.region == region) ownRegion.push_back(&engine);
   }
-  const base::WeightsVersion own = newestCommonVersion(ownRegion, model);
-  return own != 0 ? own : newestCommonVersion(anyRegion, model);
+  const base::WeightsVersion own = mostCommonVersion(ownRegion, model);
+  return own != 0 ? own : mostCommonVersion(anyRegion, model);
 }
 
 // --- machine list
--- a/src/routing/fleet_view.h
+++ b/src/routing/fleet_view.h
@@ -47,9 +47,9 @@
   /// Live, not leaving replicas of an application, own zone first.
   virtual std::vector<platform::BackEndAddress> applicationReplicas(
       std::string_view application) const = 0;
-  /// The newest version that every serving engine of the model in the own region has loaded, or
-  /// else the newest that any of them has. Other regions, which swap versions on their own, count
-  /// only where the own one has no engine with the model. 0 if none.
+  /// The version that most serving engines of the own region have loaded of the model, the newest
+  /// of these; so the newest that all have, where they share one. Other regions, which swap
+  /// versions on their own, count only where the own one has no engine with the model. 0 if none.
   virtual base::WeightsVersion defaultVersion(std::string_view model) const = 0;
 };
 
--- a/tests/coordination/order_execution_test.cc
+++ b/tests/coordination/order_execution_test.cc
@@ -59,6 +59,17 @@
   BOOST_TEST(fleet.engines.weightStore.peakLoads() == kLoadSlots);
 }
 
+BOOST_AUTO_TEST_CASE(LoadPrefersEnginesThatHaveTheModel) {
+  Fleet fleet(3);
+  for (const char* name : {"a", "b", "c"}) {
+    fleet.engines.add(name, std::string("zone-") + name, {{"prices", 1, {}}});
+  }
+  const std::string id = fleet.createOrder(fleet.bystander(), loadOnto(2, 2));
+  for (const OrderStep& step : fleet.order(id).steps) {
+    BOOST_TEST(step.engine.starts_with("rules-"));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(TwoOrdersShareTheSlots) {
   Fleet fleet(8);
   OrderRequest first = loadOnto(4, 2);
--- a/tests/routing/engine_directory_test.cc
+++ b/tests/routing/engine_directory_test.cc
@@ -163,6 +163,15 @@
   BOOST_TEST(directory.defaultVersion("none") == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(AVersionOnOneEngineAloneIsNotTheDefault) {
+  addEngine("rules-1", "north", 4);
+  addEngine("rules-2", "north", 4);
+  addEngine("rules-3", "north", 5);
+  directory.start();
+  time.advance(1s);
+  BOOST_TEST(directory.defaultVersion("rules") == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(TheDefaultVersionIsTheOwnRegions) {
   addEngine("rules-1", "north", 5);
   addEngine("rules-2", "far", 4);
