--- a/src/admission/admission_options.h
+++ b/src/admission/admission_options.h
@@ -62,6 +62,9 @@
   /// While a class is held and nothing is heard of the engines for this long, one request is let
   /// through to see how it fares.
   base::Duration probeInterval = std::chrono::milliseconds(250);
+  /// A class is not refused for lack of capacity until no less urgent one has run on this node for
+  /// this long: such requests may still run through other nodes.
+  base::Duration lowerClassMemory = std::chrono::seconds(10);
   /// Requests that may run ahead of their routing estimate while their class is being held.
   std::uint32_t maximumUnsampled = 4;
   /// Requests held on this node over all classes.
--- a/src/admission/admission_service.cc
+++ b/src/admission/admission_service.cc
@@ -210,11 +210,14 @@
             fmt::format("no capacity for class {} within its hold time", base::toString(priority))};
   }
 
-  /// A class keeps running while a less urgent one does.
+  /// A class keeps running while a less urgent one does, or did lately.
   bool mustNotRefuse(PriorityClass priority) const {
     for (std::size_t lower = static_cast<std::size_t>(priority) + 1;
          lower < base::kPriorityClassCount; ++lower) {
       if (runningByClass_.at(lower) > 0) return true;
+      const TimePoint lastRan = lastRan_.at(lower);
+      const bool ever = lastRan != TimePoint{};
+      if (ever && clock_.now() - lastRan < options_.lowerClassMemory) return true;
     }
     return false;
   }
@@ -255,6 +258,9 @@
   void endRunning(AdmissionId id, const Admission& admission) {
     --running_;
     --runningByClass_.at(static_cast<std::size_t>(admission.request.priority));
+    if (needsEngine(admission)) {
+      lastRan_.at(static_cast<std::size_t>(admission.request.priority)) = clock_.now();
+    }
     if (admission.waitsForToken) gate_.onAbandoned(admission.request.priority, id, clock_.now());
   }
 
@@ -357,6 +363,8 @@
   AdmissionId nextId_ = 1;
   std::size_t running_ = 0;
   std::array<std::size_t, base::kPriorityClassCount> runningByClass_{};
+  /// When a request of the class last ended.
+  std::array<TimePoint, base::kPriorityClassCount> lastRan_{};
   /// Smoothed time between two releases from the hold queue.
   Duration releaseInterval_ = std::chrono::milliseconds(20);
   TimePoint releasedAt_;
--- a/src/admission/hold_queue.cc
+++ b/src/admission/hold_queue.cc
@@ -22,8 +22,8 @@
 }
 
 std::optional<AdmissionId> HoldQueue::last() const {
-  for (auto entries = classes_.rbegin(); entries != classes_.rend(); ++entries) {
-    if (!entries->empty()) return entries->back();
+  for (std::size_t index = classes_.size(); index-- > 0;) {
+    if (!classes_.at(index).empty()) return classes_.at(index).back();
   }
   return std::nullopt;
 }
--- a/src/bench/oracle_policy.cc
+++ b/src/bench/oracle_policy.cc
@@ -19,7 +19,7 @@
 }  // namespace
 
 OracleKnowledge::OracleKnowledge(OracleOptions options, const sim::Scheduler& scheduler,
-                                 std::vector<OracleEngine> engines,
+                                 const std::vector<OracleEngine>& engines,
                                  const emulator::KeptCacheStoreModel* keptCacheStore,
                                  emulator::KeptCacheStoreOptions storeOptions)
     : options_(options),
--- a/src/bench/oracle_policy.h
+++ b/src/bench/oracle_policy.h
@@ -36,7 +36,7 @@
 class OracleKnowledge {
  public:
   OracleKnowledge(OracleOptions options, const sim::Scheduler& scheduler,
-                  std::vector<OracleEngine> engines,
+                  const std::vector<OracleEngine>& engines,
                   const emulator::KeptCacheStoreModel* keptCacheStore,
                   emulator::KeptCacheStoreOptions storeOptions);
 
--- a/tests/admission/admission_service_test.cc
+++ b/tests/admission/admission_service_test.cc
@@ -128,6 +128,17 @@
   BOOST_TEST(urgent.admitted());
   urgent.ticket.reset();
   lower.ticket.reset();
+  // A lower one may still run through another node.
+  load(service, PriorityClass::kUrgent, seconds(60));
+  Call soon = call(service, tenantNamed("a"), PriorityClass::kUrgent);
+  for (int step = 0; step < 30; ++step) {
+    cluster.time().advance(milliseconds(50));
+    load(service, PriorityClass::kUrgent, seconds(60));
+  }
+  BOOST_TEST(soon.admitted());
+  soon.ticket.reset();
+  cluster.time().advance(seconds(11));
+  load(service, PriorityClass::kUrgent, seconds(60));
   const Call alone = call(service, tenantNamed("a"), PriorityClass::kUrgent);
   cluster.time().advance(milliseconds(1));
   BOOST_TEST(alone.answered());
