Share the reading of the machine list; poll only engines of interest

Every node read the whole list every two seconds, 105 kB at 640 engines, and kept a timer for each engine of the fleet; after a start of all nodes each one polled every engine at once and took itself for the home of all. Now all nodes together read the list twice a second, whatever their number, and who finds a change tells the others by a gossip record; what was heard in the last ten seconds wins over a lagging list. Homes are chosen without sorting all members, and reviewed twice a second by one timer. Engines of unknown state are polled with a delay, so that the homes' records come first.

Weighed and left: fixed readers, which would receive 50 kB/s each.

--- a/src/platform/machine_list_client.h
+++ b/src/platform/machine_list_client.h
@@ -25,6 +25,7 @@
   std::string region;
   /// For applications: the name of the application it is a replica of.
   std::string application;
+  bool operator==(const Machine&) const = default;
 };
 
 /// Empty when the list could not be had.
--- a/src/routing/engine_directory.cc
+++ b/src/routing/engine_directory.cc
@@ -34,7 +34,12 @@
 
 EngineDirectory::EngineDirectory(EngineDirectoryOptions options,
                                  EngineDirectoryEnvironment environment)
-    : options_(options), environment_(environment) {}
+    : options_(options),
+      environment_(environment),
+      watch_(options.machines,
+             {environment.clock, environment.timers, environment.random, environment.machines,
+              environment.members, environment.records},
+             *this) {}
 
 EngineDirectory::~EngineDirectory() = default;
 
@@ -44,7 +49,8 @@
       [this, alive = std::weak_ptr(lifetime_)](const membership::GossipRecord& record) {
         if (!alive.expired()) onRecord(record);
       });
-  fetchMachines();
+  watch_.start();
+  scheduleReview();
 }
 
 void EngineDirectory::addListener(EngineListener& listener) { listeners_.push_back(&listener); }
@@ -68,7 +74,7 @@
   const auto& ownZone = environment_.members.self().zone;
   std::vector<platform::BackEndAddress> replicas;
   for (const bool wantOwnZone : {true, false}) {
-    for (const auto& machine : applications_) {
+    for (const auto& [name, machine] : applications_) {
       if (machine.application != application || (machine.zone == ownZone) != wantOwnZone) continue;
       if (machine.state != platform::MachineState::kLive) continue;
       replicas.push_back({base::engineIdOf(machine.name), machine.name, machine.endpoint});
@@ -92,25 +98,18 @@
 
 // --- machine list
 
-void EngineDirectory::fetchMachines() {
-  const auto alive = std::weak_ptr(lifetime_);
-  environment_.machines.fetch([this, alive](std::optional<std::vector<platform::Machine>> list) {
-    if (alive.expired()) return;
-    if (list) onMachines(*list);
-    const auto delay = environment_.random.jittered(options_.machineListInterval, options_.jitter);
-    environment_.timers.schedule(delay, [this, alive] {
-      if (!alive.expired()) fetchMachines();
-    });
-  });
+void EngineDirectory::onMachine(const platform::Machine& machine) {
+  if (machine.kind == platform::MachineKind::kApplication) applications_[machine.name] = machine;
+  if (machine.kind == platform::MachineKind::kEngine) onListedEngine(machine);
 }
 
-void EngineDirectory::onMachines(const std::vector<platform::Machine>& machines) {
-  applications_.clear();
-  for (const auto& machine : machines) {
-    if (machine.kind == platform::MachineKind::kApplication) applications_.push_back(machine);
-    if (machine.kind == platform::MachineKind::kEngine) onListedEngine(machine);
-  }
-  forgetAbsentEngines();
+void EngineDirectory::onMachineGone(const platform::Machine& machine) {
+  applications_.erase(machine.name);
+  const auto found = tracking_.find(base::engineIdOf(machine.name));
+  if (found == tracking_.end()) return;
+  found->second.listed = false;
+  // Signs of life are waited for from now on.
+  found->second.seenAt = environment_.clock.now();
 }
 
 void EngineDirectory::onListedEngine(const platform::Machine& machine) {
@@ -123,17 +122,39 @@
   engine->address.endpoint = machine.endpoint;
   engine->zone = machine.zone;
   engine->region = machine.region;
+  tracking.listed = true;
   tracking.listedLeaving = machine.state == platform::MachineState::kLeaving;
   tracking.seenAt = environment_.clock.now();
   refresh(*engine, tracking);
 }
 
+void EngineDirectory::scheduleReview() {
+  const auto delay = environment_.random.jittered(options_.reviewInterval, options_.jitter);
+  environment_.timers.schedule(delay, [this, alive = std::weak_ptr(lifetime_)] {
+    if (alive.expired()) return;
+    review();
+    scheduleReview();
+  });
+}
+
+void EngineDirectory::review() {
+  for (auto& engine : engines_) {
+    const auto id = engine.address.id;
+    auto& tracking = tracking_.at(id);
+    refresh(engine, tracking);
+    if (tracking.pollTimer == 0 && polls(id)) schedulePoll(id, base::Duration::zero());
+  }
+  if (watch_.known()) forgetAbsentEngines();
+}
+
 void EngineDirectory::forgetAbsentEngines() {
   const auto now = environment_.clock.now();
   std::vector<base::EngineId> absent;
   for (const auto& engine : engines_) {
-    if (now - tracking_.at(engine.address.id).seenAt > options_.absenceGrace)
+    const auto& tracking = tracking_.at(engine.address.id);
+    if (!tracking.listed && now - tracking.seenAt > options_.absenceGrace) {
       absent.push_back(engine.address.id);
+    }
   }
   for (const auto id : absent) {
     environment_.log.write(base::Event::kEngineGone, {{"engine", find(id)->address.name}});
@@ -154,12 +175,22 @@
   const auto position = std::lower_bound(engines_.begin(), engines_.end(), id, idLess);
   const auto inserted = engines_.insert(position, std::move(engine));
   tracking_[id].seenAt = environment_.clock.now();
-  schedulePoll(id, base::Duration::zero());
+  schedulePoll(id, firstPollDelay(id));
   return *inserted;
 }
 
 // --- polling
 
+base::Duration EngineDirectory::firstPollDelay(base::EngineId engine) {
+  // Who knows no other node yet takes itself for the home of all.
+  const bool alone = environment_.members.liveMembers().size() <= 1;
+  if (!alone && polls(engine)) return base::Duration::zero();
+  const auto spread =
+      options_.unknownPollSpread * static_cast<base::Duration::rep>(engines_.size());
+  return base::Duration(static_cast<base::Duration::rep>(
+      environment_.random.below(static_cast<std::uint64_t>(spread.count()) + 1)));
+}
+
 void EngineDirectory::schedulePoll(base::EngineId engine, base::Duration delay) {
   const auto alive = std::weak_ptr(lifetime_);
   tracking_.at(engine).pollTimer = environment_.timers.schedule(delay, [this, alive, engine] {
@@ -175,6 +206,7 @@
   EngineState* engine = findMutable(id);
   if (engine == nullptr) return;
   auto& tracking = tracking_.at(id);
+  tracking.pollTimer = 0;
   const bool home = polls(id);
   if (tracking.pollOutstanding) {
     onMissedPoll(*engine, tracking);
@@ -183,8 +215,10 @@
   } else {
     // No longer a home: what this node missed says nothing any more.
     tracking.missedPolls = 0;
+    refresh(*engine, tracking);
+    return;
   }
-  const auto interval = home ? options_.pollInterval : options_.machineListInterval;
+  const auto interval = home ? options_.pollInterval : options_.unknownPollInterval;
   schedulePoll(id, environment_.random.jittered(interval, options_.jitter));
   refresh(*engine, tracking);
 }
--- a/src/routing/engine_directory.h
+++ b/src/routing/engine_directory.h
@@ -1,8 +1,8 @@
 /// \file
 /// The engines and application replicas as this node knows them, from four sources: the platform's
-/// machine list (a lagging hint, polled slowly), reports polled from the engines that this node is
-/// a home of, gossip records that homes publish on change, and this node's own dispatches. Later
-/// and nearer evidence wins; an incarnation never goes back.
+/// machine list (a lagging hint, see routing/machine_list_watch.h), reports polled from the engines
+/// that this node is a home of, gossip records that homes publish on change, and this node's own
+/// dispatches. Later and nearer evidence wins; an incarnation never goes back.
 #pragma once
 
 #include <functional>
@@ -22,6 +22,7 @@
 #include "routing/engine_homes.h"
 #include "routing/engine_record.h"
 #include "routing/fleet_view.h"
+#include "routing/machine_list_watch.h"
 
 namespace covewing::routing {
 
@@ -33,11 +34,18 @@
   std::size_t homesPerEngine = kHomesPerEngine;
   /// Mean time between two polls of one engine's report.
   base::Duration pollInterval = std::chrono::milliseconds(500);
-  /// Mean time between two fetches of the machine list; also between direct polls of an engine
-  /// whose state is known from nowhere.
-  base::Duration machineListInterval = std::chrono::seconds(2);
-  /// Relative spread of both intervals.
+  /// Mean time between two polls, by a node that is no home of it, of an engine whose state is
+  /// known from nowhere.
+  base::Duration unknownPollInterval = std::chrono::seconds(2);
+  /// The first of these comes within this time for each engine known, so that after a start the
+  /// homes' records come first where there are many engines.
+  base::Duration unknownPollSpread = std::chrono::milliseconds(5);
+  /// Mean time between two looks at what time changes: notes that lapse, homes that move, engines
+  /// that are forgotten.
+  base::Duration reviewInterval = std::chrono::milliseconds(500);
+  /// Relative spread of the intervals.
   double jitter = 0.2;
+  MachineListWatchOptions machines;
   /// Polls without an answer until the engine counts as unreachable.
   std::uint32_t missedPollsUntilUnreachable = 2;
   /// A failed dispatch keeps the engine out for this long unless a poll answers earlier; doubled at
@@ -74,7 +82,7 @@
   virtual void onForgotten(base::EngineId engine) = 0;
 };
 
-class EngineDirectory final : public FleetView {
+class EngineDirectory final : public FleetView, private MachineObserver {
  public:
   EngineDirectory(EngineDirectoryOptions options, EngineDirectoryEnvironment environment);
   ~EngineDirectory() override;
@@ -110,6 +118,7 @@
   struct Tracking {
     /// Some source has told incarnation and weights.
     bool stateKnown = false;
+    bool listed = false;
     bool listedLeaving = false;
     bool reportedLeaving = false;
     std::optional<base::TimePoint> leavingNotedAt;
@@ -128,14 +137,17 @@
     mutable std::vector<base::NodeId> homes;
   };
 
-  void fetchMachines();
-  void onMachines(const std::vector<platform::Machine>& machines);
+  void onMachine(const platform::Machine& machine) override;
+  void onMachineGone(const platform::Machine& machine) override;
   void onListedEngine(const platform::Machine& machine);
+  void scheduleReview();
+  void review();
   void forgetAbsentEngines();
   EngineState& addEngine(std::string_view name, const base::Endpoint& endpoint,
                          std::string_view zone, std::string_view region);
   EngineState* findMutable(base::EngineId id);
 
+  base::Duration firstPollDelay(base::EngineId engine);
   void schedulePoll(base::EngineId engine, base::Duration delay);
   void onPollTimer(base::EngineId id);
   void poll(EngineState& engine, Tracking& tracking);
@@ -155,7 +167,9 @@
   std::vector<EngineListener*> listeners_;
   std::vector<EngineState> engines_;
   std::map<base::EngineId, Tracking> tracking_;
-  std::vector<platform::Machine> applications_;
+  /// By name.
+  std::map<std::string, platform::Machine> applications_;
+  MachineListWatch watch_;
   /// Outlived by callbacks that must no longer reach this object.
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
 };
--- a/src/routing/engine_homes.cc
+++ b/src/routing/engine_homes.cc
@@ -12,39 +12,46 @@
   bool taken = false;
 };
 
-/// Heaviest members first; ties cannot occur between different ids except by hash collision, where
-/// the smaller id goes first.
-std::vector<RankedMember> rankMembers(base::EngineId engine,
-                                      const std::vector<membership::Member>& live, bool draining) {
-  std::vector<RankedMember> ranked;
-  ranked.reserve(live.size());
+/// In the order of `live`.
+std::vector<RankedMember> weighMembers(base::EngineId engine,
+                                       const std::vector<membership::Member>& live, bool draining) {
+  std::vector<RankedMember> weighed;
+  weighed.reserve(live.size());
   for (const auto& member : live) {
     if (member.draining != draining) continue;
-    ranked.push_back({&member, base::mixHash(engine.value, member.id.value)});
+    weighed.push_back({&member, base::mixHash(engine.value, member.id.value)});
   }
-  std::stable_sort(ranked.begin(), ranked.end(),
-                   [](const RankedMember& left, const RankedMember& right) {
-                     return left.weight > right.weight;
-                   });
-  return ranked;
+  return weighed;
+}
+
+/// The heaviest candidate that is not taken and whose zone is accepted; null if there is none. Ties
+/// cannot occur between different ids except by hash collision, where the smaller id wins. A few
+/// passes over all cost less than sorting them.
+template <class Accepts>
+RankedMember* heaviest(std::vector<RankedMember>& candidates, Accepts accepts) {
+  RankedMember* best = nullptr;
+  for (auto& candidate : candidates) {
+    if (candidate.taken || (best != nullptr && candidate.weight <= best->weight)) continue;
+    if (accepts(candidate.member->zone)) best = &candidate;
+  }
+  return best;
 }
 
 bool zoneIsUsed(const std::vector<std::string_view>& usedZones, std::string_view zone) {
   return std::find(usedZones.begin(), usedZones.end(), zone) != usedZones.end();
 }
 
-/// Adds homes from `ranked` in three passes: the engine's zone, unused zones, then any.
-void takeHomes(std::vector<RankedMember>& ranked, std::string_view engineZone, std::size_t count,
-               std::vector<base::NodeId>& homes, std::vector<std::string_view>& usedZones) {
-  const auto take = [&](RankedMember& candidate) {
-    candidate.taken = true;
-    homes.push_back(candidate.member->id);
-    usedZones.push_back(candidate.member->zone);
-  };
+/// Adds homes from `candidates` in three passes: the engine's zone, unused zones, then any.
+void takeHomes(std::vector<RankedMember>& candidates, std::string_view engineZone,
+               std::size_t count, std::vector<base::NodeId>& homes,
+               std::vector<std::string_view>& usedZones) {
   const auto pass = [&](auto&& accepts) {
-    for (auto& candidate : ranked) {
-      if (homes.size() >= count) return;
-      if (!candidate.taken && accepts(candidate.member->zone)) take(candidate);
+    while (homes.size() < count) {
+      RankedMember* next = heaviest(candidates, accepts);
+      if (next == nullptr) return;
+      next->taken = true;
+      homes.push_back(next->member->id);
+      usedZones.push_back(next->member->zone);
     }
   };
   pass([&](std::string_view zone) { return zone == engineZone && !zoneIsUsed(usedZones, zone); });
@@ -60,8 +67,8 @@
   std::vector<std::string_view> usedZones;
   for (const bool draining : {false, true}) {
     if (homes.size() >= count) break;
-    auto ranked = rankMembers(engine, live, draining);
-    takeHomes(ranked, engineZone, count, homes, usedZones);
+    auto candidates = weighMembers(engine, live, draining);
+    takeHomes(candidates, engineZone, count, homes, usedZones);
   }
   return homes;
 }
--- /dev/null
+++ b/tests/routing/machine_list_watch_test.cc
@@ -0,0 +1,135 @@
+#include "routing/machine_list_watch.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "routing/fakes.h"
+
+namespace covewing::routing {
+
+namespace {
+
+using namespace std::chrono_literals;
+using testing::makeEngineMachine;
+using testing::makeMember;
+
+class CountingMachineList final : public platform::MachineListClient {
+ public:
+  explicit CountingMachineList(testing::ManualTime& time) : list(time) {}
+  void fetch(platform::MachineListCallback callback) override {
+    ++fetches;
+    list.fetch(std::move(callback));
+  }
+  testing::FakeMachineList list;
+  std::size_t fetches = 0;
+};
+
+struct WatchFixture : MachineObserver {
+  testing::ManualTime time;
+  base::SeededRandom random{3};
+  CountingMachineList machines{time};
+  testing::FakeMembers members{{makeMember("node-a", "north")}};
+  testing::FakeRecords records;
+  MachineListWatch watch{{}, {time, time, random, machines, members, records}, *this};
+  std::map<std::string, platform::Machine> seen;
+
+  void onMachine(const platform::Machine& machine) override { seen[machine.name] = machine; }
+  void onMachineGone(const platform::Machine& machine) override { seen.erase(machine.name); }
+
+  void growFleet(std::size_t nodes) {
+    std::vector<membership::Member> all;
+    for (std::size_t index = 0; index < nodes; ++index) {
+      all.push_back(makeMember("node-" + std::to_string(index), "north"));
+    }
+    members.set(all);
+  }
+  void tell(const platform::Machine& machine, bool gone, std::uint64_t version) {
+    records.deliver({std::string(kMachineRecordPrefix) + machine.name, version,
+                     encodeMachineRecord({machine, gone})});
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(MachineListWatchTest, WatchFixture)
+
+BOOST_AUTO_TEST_CASE(WhatIsFoundAtTheStartIsNotSpread) {
+  machines.list.machines->push_back(makeEngineMachine("rules-1", "north"));
+  watch.start();
+  BOOST_TEST(!watch.known());
+  time.advance(100ms);
+  BOOST_TEST(watch.known());
+  BOOST_TEST(seen.size() == 1U);
+  BOOST_TEST(records.published.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ChangesAreSpreadOnce) {
+  machines.list.machines->push_back(makeEngineMachine("rules-1", "north"));
+  watch.start();
+  time.advance(100ms);
+  machines.list.machines->front().state = platform::MachineState::kLeaving;
+  time.advance(3s);
+  BOOST_TEST((seen.at("rules-1").state == platform::MachineState::kLeaving));
+  BOOST_REQUIRE(records.published.size() == 1U);
+  time.advance(20s);
+  BOOST_TEST(records.published.size() == 1U);
+  machines.list.machines->clear();
+  time.advance(3s);
+  BOOST_TEST(seen.empty());
+  BOOST_REQUIRE(records.published.size() == 2U);
+  BOOST_TEST(records.published[1].version > records.published[0].version);
+}
+
+BOOST_AUTO_TEST_CASE(ManyNodesShareTheReading) {
+  watch.start();
+  time.advance(1s);
+  growFleet(340);
+  time.advance(3s);
+  const auto before = machines.fetches;
+  time.advance(3400s);
+  // One node reads each 170 s in the mean.
+  BOOST_TEST(machines.fetches - before > 10U);
+  BOOST_TEST(machines.fetches - before < 40U);
+}
+
+BOOST_AUTO_TEST_CASE(AChangeThatAnotherNodeToldIsTakenOver) {
+  watch.start();
+  time.advance(100ms);
+  auto machine = makeEngineMachine("pairings-1", "north");
+  machine.kind = platform::MachineKind::kApplication;
+  machine.application = "pairings";
+  tell(machine, false, 1);
+  BOOST_REQUIRE(seen.contains("pairings-1"));
+  BOOST_TEST((seen.at("pairings-1") == machine));
+  tell(machine, true, 2);
+  BOOST_TEST(seen.empty());
+  // Older news changes nothing.
+  tell(machine, false, 1);
+  BOOST_TEST(seen.empty());
+}
+
+BOOST_AUTO_TEST_CASE(NewsWinsOverALaggingListAndThenTheListWins) {
+  machines.list.machines->push_back(makeEngineMachine("rules-1", "north"));
+  watch.start();
+  time.advance(100ms);
+  auto leaving = makeEngineMachine("rules-1", "north");
+  leaving.state = platform::MachineState::kLeaving;
+  tell(leaving, false, 1);
+  time.advance(8s);
+  BOOST_TEST((seen.at("rules-1").state == platform::MachineState::kLeaving));
+  BOOST_TEST(records.published.empty());
+  time.advance(6s);
+  BOOST_TEST((seen.at("rules-1").state == platform::MachineState::kLive));
+  BOOST_REQUIRE(records.published.size() == 1U);
+  BOOST_TEST(records.published[0].version == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(MalformedRecordsAreIgnored) {
+  watch.start();
+  records.deliver({std::string(kMachineRecordPrefix) + "rules-1", 1, "nonsense"});
+  records.deliver({std::string(kMachineRecordPrefix) + "rules-1", 2, ""});
+  BOOST_TEST(seen.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::routing
