Give an engine one home in fleets of 32 nodes or more

Two homes polled every engine twice a second and heard every cache event twice: half of the remaining control traffic at the two-year size. Small fleets keep two homes, as each node is the home of a large share of their engines.

--- a/src/routing/engine_directory.cc
+++ b/src/routing/engine_directory.cc
@@ -389,8 +389,10 @@
   const auto& tracking = tracking_.at(engine.address.id);
   const auto version = environment_.members.version() + 1;
   if (tracking.homesVersion != version) {
-    tracking.homes = homesOf(engine.address.id, engine.zone, environment_.members.liveMembers(),
-                             options_.homesPerEngine);
+    const auto& live = environment_.members.liveMembers();
+    const auto count =
+        options_.homesPerEngine == 0 ? homesPerEngine(live.size()) : options_.homesPerEngine;
+    tracking.homes = homesOf(engine.address.id, engine.zone, live, count);
     tracking.homesVersion = version;
   }
   return tracking.homes;
--- a/src/routing/engine_directory.h
+++ b/src/routing/engine_directory.h
@@ -31,7 +31,8 @@
 
 struct EngineDirectoryOptions {
   PollScope pollScope = PollScope::kHomeEngines;
-  std::size_t homesPerEngine = kHomesPerEngine;
+  /// 0: by the number of live nodes (routing/engine_homes.h).
+  std::size_t homesPerEngine = 0;
   /// Mean time between two polls of one engine's report.
   base::Duration pollInterval = std::chrono::milliseconds(500);
   /// Mean time between two polls, by a node that is no home of it, of an engine whose state is
--- a/tests/routing/engine_homes_test.cc
+++ b/tests/routing/engine_homes_test.cc
@@ -65,6 +65,11 @@
   BOOST_TEST(memberOf(members, homes[0]).name == "node-3");
 }
 
+BOOST_AUTO_TEST_CASE(LargeFleetsHaveOneHomeAnEngine) {
+  BOOST_TEST(homesPerEngine(kNodesForOneHome - 1) == kHomesPerEngine);
+  BOOST_TEST(homesPerEngine(kNodesForOneHome) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::routing
