Ask about one candidate first in fleets of 32 nodes or more

Each request asked the homes of six candidates. Now the first candidate of the own region is asked about alone; the others only where it has less than half of the prompt cached, has more than 512 tokens ahead, or is not known.

--- a/src/routing/routing_service.cc
+++ b/src/routing/routing_service.cc
@@ -37,9 +37,10 @@
                            environment.log, environment.engines, directory_}),
       lookups_(lookupOptions(options), {environment.clock, environment.timers, environment.peers,
                                         environment.members, directory_, home_}),
+      staged_(options.staging, environment.members, directory_, lookups_),
       policy_(buildPolicy(options,
                           {directory_, environment.clock, environment.timers, environment.random,
-                           environment.log, environment.members.self().zone, &lookups_,
+                           environment.log, environment.members.self().zone, &staged_,
                            &environment.engines, &environment.members, options.tuning})) {}
 
 void RoutingService::start() {
--- a/src/routing/routing_service.h
+++ b/src/routing/routing_service.h
@@ -13,6 +13,7 @@
 #include "routing/cache_lookup_client.h"
 #include "routing/engine_directory.h"
 #include "routing/policy_factory.h"
+#include "routing/staged_lookup.h"
 
 namespace covewing::routing {
 
@@ -27,6 +28,7 @@
   EngineDirectoryOptions directory;
   CacheIndexHomeOptions home;
   CacheLookupOptions lookup;
+  StagedLookupOptions staging;
   PolicyTuning tuning;
 };
 
@@ -59,6 +61,7 @@
   EngineDirectory directory_;
   CacheIndexHome home_;
   CacheLookupClient lookups_;
+  StagedLookup staged_;
   std::unique_ptr<RoutingPolicy> policy_;
 };
 
--- /dev/null
+++ b/src/routing/staged_lookup.cc
@@ -0,0 +1,50 @@
+#include "routing/staged_lookup.h"
+
+#include <utility>
+
+namespace covewing::routing {
+
+void StagedLookup::lookup(base::PriorityClass priority, const std::vector<base::EngineId>& engines,
+                          const prefix::Checkpoints& checkpoints, LookupCallback callback) {
+  const bool atOnce = engines.size() <= 1 || checkpoints.fingerprints.empty() ||
+                      members_.liveMembers().size() < options_.fromNodes;
+  if (atOnce) {
+    lookup_.lookup(priority, engines, checkpoints, std::move(callback));
+    return;
+  }
+  const auto first = preferred(engines);
+  lookup_.lookup(priority, {first}, checkpoints,
+                 [this, alive = std::weak_ptr(lifetime_), priority, first, engines, checkpoints,
+                  callback = std::move(callback)](LookupResult result) mutable {
+                   if (alive.expired()) return;
+                   if (!settles(result, checkpoints)) {
+                     lookup_.lookup(priority, engines, checkpoints, std::move(callback));
+                     return;
+                   }
+                   for (const auto engine : engines) {
+                     if (engine == first) continue;
+                     EngineKnowledge unknown;
+                     unknown.engine = engine;
+                     result.engines.push_back(unknown);
+                   }
+                   callback(std::move(result));
+                 });
+}
+
+base::EngineId StagedLookup::preferred(const std::vector<base::EngineId>& engines) const {
+  for (const auto engine : engines) {
+    const EngineState* state = fleet_.find(engine);
+    if (state != nullptr && state->region == members_.self().region) return engine;
+  }
+  return engines.front();
+}
+
+bool StagedLookup::settles(const LookupResult& result,
+                           const prefix::Checkpoints& checkpoints) const {
+  const EngineKnowledge& best = result.engines.front();
+  const double wanted = options_.settlingShare * checkpoints.chainLength;
+  return best.known && !best.doubtful && best.matchedBlocks >= wanted &&
+         best.tokensAhead <= options_.settlingTokensAhead;
+}
+
+}  // namespace covewing::routing
