--- a/src/capacity/budget.cc
+++ b/src/capacity/budget.cc
@@ -52,7 +52,7 @@
     constexpr double kEnginesPerNode = kEngines / kNodes;
     constexpr double kEventsPerNode = kEventsPerSecond / kNodes;
     RoleBudget role{"cache index home"};
-    role.bytesPerSecond = growth(engines.bytes(Traffic::kEngineReports), kEnginesPerNode) +
+    role.bytesPerSecond = total(engines.bytes(Traffic::kEngineReports), kEnginesPerNode) +
                           growth(events.bytes(Traffic::kEngineReports), kEventsPerNode);
     role.cpuPercent = growth(engines.cpuPercent(), kEnginesPerNode) +
                       growth(events.cpuPercent(), kEventsPerNode) +
@@ -67,9 +67,12 @@
     const Slope& plain = slopes_.at(Dimension::kRequestsWithoutLookups);
     // A node knows every engine of the fleet, so these grow with the fleet's engines.
     const double listed = kEngines / static_cast<double>(engines.nodes);
+    // All nodes together read the machine list at a constant rate: each reads less in larger
+    // fleets.
+    const double readingShare = static_cast<double>(engines.nodes) / kNodes;
     RoleBudget role{"routing"};
     role.bytesPerSecond = growth(requests.bytes(Traffic::kCacheIndex), kRequestsPerNode) +
-                          total(engines.bytes(Traffic::kMachineList), listed);
+                          total(engines.bytes(Traffic::kMachineList), listed) * readingShare;
     role.cpuPercent = std::max(0.0, growth(requests.cpuPercent(), kRequestsPerNode) -
                                         growth(plain.cpuPercent(), kRequestsPerNode));
     role.memoryMegabytes = growth(engines.memoryBytes(), listed) / kBytesPerMegabyte;
--- a/src/tools/covewing_capacity.cc
+++ b/src/tools/covewing_capacity.cc
@@ -4,6 +4,7 @@
 #include <fmt/core.h>
 #include <getopt.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstdio>
@@ -26,7 +27,8 @@
     "usage: covewing-capacity slopes [--quick] [--only DIMENSION]\n"
     "       covewing-capacity hollow [--nodes N] [--engines N] [--blocks-per-engine N]\n"
     "                         [--events N] [--tenants N] [--requests N] [--claims N]\n"
-    "                         [--changes N] [--warm-up S] [--span S] [--seed N] [--failures]\n"
+    "                         [--changes N] [--warm-up S] [--span S] [--zones N] [--regions N]\n"
+    "                         [--seed N] [--failures]\n"
     "Rates are over the whole fleet, a second.\n"
     "Exit status: 0 done, 2 wrong usage.\n";
 
@@ -73,6 +75,10 @@
     options.times.warmUp = seconds(value);
   } else if (name == "span") {
     options.times.span = seconds(value);
+  } else if (name == "zones") {
+    size.zones = std::max<std::size_t>(1, static_cast<std::size_t>(value));
+  } else if (name == "regions") {
+    size.regions = std::max<std::size_t>(1, static_cast<std::size_t>(value));
   } else if (name == "seed") {
     size.seed = static_cast<std::uint64_t>(value);
   } else {
@@ -82,7 +88,7 @@
 }
 
 std::optional<Options> parse(int argumentCount, char** arguments) {
-  constexpr std::array<option, 15> kOptions = {
+  constexpr std::array<option, 17> kOptions = {
       {{"quick", no_argument, nullptr, 'q'},
        {"only", required_argument, nullptr, 'o'},
        {"failures", no_argument, nullptr, 'f'},
@@ -97,6 +103,8 @@
        {"warm-up", required_argument, nullptr, 'n'},
        {"span", required_argument, nullptr, 'n'},
        {"seed", required_argument, nullptr, 'n'},
+       {"zones", required_argument, nullptr, 'n'},
+       {"regions", required_argument, nullptr, 'n'},
        {nullptr, 0, nullptr, 0}}};
   Options options;
   int index = 0;
