--- a/src/capacity/hollow_engine.cc
+++ b/src/capacity/hollow_engine.cc
@@ -1,7 +1,6 @@
 #include "capacity/hollow_engine.h"
 
 #include <algorithm>
-#include <ranges>
 #include <utility>
 
 namespace covewing::capacity {
@@ -80,7 +79,7 @@
   std::uint32_t matched = 0;
   while (matched < chain.size() && stamps_.contains(chain[matched])) ++matched;
   // From the end, so that a chain is evicted from its end.
-  for (const auto block : std::ranges::reverse_view(chain)) store(block);
+  for (std::size_t index = chain.size(); index > 0; --index) store(chain[index - 1]);
   return matched;
 }
 
