--- a/src/routing/cache_index_home.cc
+++ b/src/routing/cache_index_home.cc
@@ -197,6 +197,8 @@
   for (auto& [tag, followed] : followed_) {
     const EngineState* state = environment_.directory.find(followed.id);
     if (!followed.index.resyncDue() || state == nullptr || state->unreachable) continue;
+    // After a start a node takes itself for the home of engines that others turn out to be.
+    if (!environment_.directory.polls(followed.id)) continue;
     resyncOutstanding_ = true;
     environment_.engines.snapshot(state->address,
                                   [this, engine = tag, alive = std::weak_ptr(lifetime_)](
