--- a/src/base/endpoint.h
+++ b/src/base/endpoint.h
@@ -14,6 +14,7 @@
   /// IPv4 address in host byte order.
   std::uint32_t address = 0;
   std::uint16_t port = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads a defaulted <=>.
   auto operator<=>(const Endpoint&) const = default;
 };
 
--- a/src/sim/checkers_configuration.cc
+++ b/src/sim/checkers_configuration.cc
@@ -215,6 +215,7 @@
 struct TemplateState {
   base::Revision version = 0;
   bool retired = false;
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads a defaulted <=>.
   auto operator<=>(const TemplateState&) const = default;
 };
 
--- a/src/sim/engine_client.cc
+++ b/src/sim/engine_client.cc
@@ -27,7 +27,8 @@
     });
     const auto bytes = generateBytes(request);
     connection->send(Connection::Side::kClient, bytes,
-                     [&engine, connection, request, self = shared_from_this()]() mutable {
+                     [&engine, connection, request = platform::EngineRequest(request),
+                      self = shared_from_this()]() mutable {
                        engine.serve(std::move(request), connection, std::move(self));
                      });
   }
--- a/src/sim/network.cc
+++ b/src/sim/network.cc
@@ -183,7 +183,7 @@
 }
 
 void Network::sendDatagram(HostId from, HostId to, std::size_t bytes, TrafficClass traffic,
-                           std::function<void()> deliver) {
+                           const std::function<void()>& deliver) {
   if (hosts_[from].process->crashed()) return;
   ++count_.datagrams;
   hosts_[from].traffic.sent.at(static_cast<std::size_t>(traffic)) += bytes + kDatagramHeader;
--- a/src/sim/network.h
+++ b/src/sim/network.h
@@ -165,7 +165,7 @@
 
   /// Sends one datagram of `bytes` payload; `deliver` runs on the receiver's process.
   void sendDatagram(HostId from, HostId to, std::size_t bytes, TrafficClass traffic,
-                    std::function<void()> deliver);
+                    const std::function<void()>& deliver);
   /// Opens a connection; `callback` runs on the client's process, with null unless connected.
   void connect(HostId from, HostId to, TrafficClass traffic,
                std::function<void(ConnectResult, ConnectionPtr)> callback);
--- a/src/sim/operator_workload.cc
+++ b/src/sim/operator_workload.cc
@@ -134,7 +134,7 @@
       });
 }
 
-void OperatorWorkload::submit(Change change) {
+void OperatorWorkload::submit(const Change& change) {
   node::OperatorRequest request;
   request.method = change.kind == OperatorCallKind::kRetire ? "DELETE" : "PUT";
   request.target = "/v1/templates/" + change.tenant.name + "?operation=" + change.operationId +
--- a/src/sim/operator_workload.h
+++ b/src/sim/operator_workload.h
@@ -55,7 +55,7 @@
   void scheduleChange(std::size_t who);
   /// Reads the template through one node and changes it through another.
   void change(const WorkloadTenant& tenant, OperatorCallKind kind);
-  void submit(Change change);
+  void submit(const Change& change);
   void onAnswer(Change change, std::size_t record, const std::optional<node::OperatorResponse>&);
   std::size_t chooseNode();
   std::string nextOperationId() { return "operation-" + std::to_string(nextOperation_++); }
--- a/src/sim/peer_transport.cc
+++ b/src/sim/peer_transport.cc
@@ -30,7 +30,7 @@
     if (decoded) receiver->onPeerMessage(decoded->sender, decoded->channel, decoded->payload);
   };
   if (datagram) {
-    network_.sendDatagram(host_, target, size, TrafficClass::kPeerDatagram, std::move(deliver));
+    network_.sendDatagram(host_, target, size, TrafficClass::kPeerDatagram, deliver);
     return;
   }
   network_.connect(
--- a/src/sim/platform_clients.cc
+++ b/src/sim/platform_clients.cc
@@ -88,8 +88,9 @@
 
 void SimTableClient::scan(std::string prefix, base::Revision after, std::size_t limit,
                           platform::TableCallback callback) {
+  const auto bytes = kRequestHead + prefix.size();
   call(
-      kRequestHead + prefix.size(),
+      bytes,
       [prefix = std::move(prefix), after, limit](emulator::TableModel& model,
                                                  platform::TableCallback done) {
         model.scan(prefix, after, limit, std::move(done));
