--- a/src/bench/tournaments_workload.cc
+++ b/src/bench/tournaments_workload.cc
@@ -1,6 +1,8 @@
 // Card tournaments on an evening. Prompts nest: rulebook > event > tenant > match history >
 // question. Sizes, shares and rates are explained in docs/WORKLOADS.md.
+#include <algorithm>
 #include <array>
+#include <iterator>
 #include <string>
 
 #include "base/ids.h"
@@ -130,7 +132,8 @@
   PromptSegment text(std::uint32_t tokens) { return promptText(random_.next(), tokens); }
 
   void drawDocuments() {
-    for (const RulebookShape& shape : kRulebooks) rulebooks_.push_back(text(shape.tokens));
+    std::ranges::transform(kRulebooks, std::back_inserter(rulebooks_),
+                           [this](const RulebookShape& shape) { return text(shape.tokens); });
     newRulebook_ = text(kRulebooks.front().tokens);
     deckGuide_ = text(kDeckGuideTokens);
   }
--- a/src/tools/covewing_bench_live.cc
+++ b/src/tools/covewing_bench_live.cc
@@ -28,7 +28,7 @@
     request.method = "GET";
     request.target = fmt::format("/admin/executions?from={}&limit={}", from, kPageEntries);
     std::optional<live::HttpResult> result;
-    http.fetch(admin, std::move(request), kAdminTimeout,
+    http.fetch(admin, request, kAdminTimeout,
                [&result](live::HttpResult answer) { result = std::move(answer); });
     while (!result.has_value()) context.run_one();
     const auto* response = std::get_if<live::HttpResponse>(&*result);
--- a/src/tools/covewing_bench_live_load.cc
+++ b/src/tools/covewing_bench_live_load.cc
@@ -87,7 +87,7 @@
     request.headers = {{"Authorization", "Bearer " + owner.options_.bearerKey},
                        {"Content-Type", "application/json"}};
     request.body = body.dump();
-    call_ = owner.http_.start(node, std::move(request), kSilence, *this);
+    call_ = owner.http_.start(node, request, kSilence, *this);
   }
 
   void onHead(const live::HttpResponse& head) override {
