--- a/src/bench/tournaments_workload.cc
+++ b/src/bench/tournaments_workload.cc
@@ -140,6 +140,7 @@
 
   void drawTenants() {
     std::vector<double> rulebookWeights;
+    rulebookWeights.reserve(std::size(kRulebooks));
     for (const RulebookShape& shape : kRulebooks) rulebookWeights.push_back(shape.weight);
     for (const TenantShape& shape : kTenants) {
       addTenant(shape);
