--- a/tests/request/completion_flow_test.cc
+++ b/tests/request/completion_flow_test.cc
@@ -280,6 +280,20 @@
   BOOST_TEST((sink.refused->outcome == Outcome::kNotRun));
 }
 
+BOOST_AUTO_TEST_CASE(VersionThatBecomesKnownDuringTheWaitIsUsed) {
+  configuration.tenant->holdTime = seconds(1);
+  fleet.newest = 0;
+  for (routing::EngineState& state : fleet.states) state.unreachable = true;
+  const auto active = complete();
+  time.advance(milliseconds(60));
+  BOOST_TEST(engines.streams.empty());
+  fleet.newest = 7;
+  for (routing::EngineState& state : fleet.states) state.unreachable = false;
+  time.advance(milliseconds(60));
+  BOOST_REQUIRE(engines.streams.size() == 1U);
+  BOOST_TEST(engines.streams.front()->request.identity.weightsVersion == 7U);
+}
+
 BOOST_AUTO_TEST_CASE(CallersDisconnectCancelsTheEngine) {
   auto active = complete();
   const std::shared_ptr<FakeStream> stream = engines.streams.front();
--- a/tests/request/fakes.h
+++ b/tests/request/fakes.h
@@ -264,7 +264,8 @@
       std::string_view /*application*/) const override {
     return replicas;
   }
-  base::WeightsVersion defaultVersion(std::string_view /*model*/) const override { return 7; }
+  base::WeightsVersion defaultVersion(std::string_view /*model*/) const override { return newest; }
+  base::WeightsVersion newest = 7;
 };
 
 /// Chooses the first engine that is not excluded.
