Check a request again in one place, after every wait

The wait for an engine checked the request again by a copy of what stands before an attempt, only for an unknown weights version, and left the flow's template as it was. Both now call RequestFlow::checkAgain, so that a template that is retired or changed during the wait counts there as it does before an attempt.

request_test, node_test, live_test and sim_test pass; scripts/lint is clean on src/request.

--- a/src/request/completion_flow.cc
+++ b/src/request/completion_flow.cc
@@ -149,20 +149,11 @@
   waitedForEngine_ += kEngineWait;
   engineWaitTimer_.start(again ? Duration::zero() : kEngineWait, [this] {
     const auto self = shared_from_this();
-    routeAgain();
+    // The version in force may have become known, or the tenant retired, during the wait.
+    if (checkAgain()) route();
   });
 }
 
-void CompletionFlow::routeAgain() {
-  // A version that was not known when the request was checked may have become known since.
-  Reason reason;
-  if (plan_.identity.weightsVersion == 0 && check(reason) == nullptr) {
-    refuse(std::move(reason));
-    return;
-  }
-  route();
-}
-
 void CompletionFlow::dispatch(const routing::RouteQuery& query,
                               const routing::RouteDecision& decision,
                               const routing::EngineState& engine) {
--- a/src/request/completion_flow.h
+++ b/src/request/completion_flow.h
@@ -40,7 +40,6 @@
 
   void adopt(CompletionPlan plan);
   void route();
-  void routeAgain();
   routing::RouteQuery routeQuery() const;
   void onRouted(const routing::RouteQuery& query, const routing::RouteDecision& decision);
   void onNoEngine(const base::Reason& reason);
--- a/src/request/request_flow.cc
+++ b/src/request/request_flow.cc
@@ -146,17 +146,20 @@
   refuse(std::move(result.reason));
 }
 
-void RequestFlow::nextAttempt() {
-  if (!answerStarted()) {
-    // The template may have been retired or changed while the request was held.
-    Reason reason;
-    config::TenantTemplatePtr current = check(reason);
-    if (current == nullptr) {
-      refuse(std::move(reason));
-      return;
-    }
-    tenant_ = std::move(current);
+bool RequestFlow::checkAgain() {
+  if (answerStarted()) return true;
+  Reason reason;
+  config::TenantTemplatePtr current = check(reason);
+  if (current == nullptr) {
+    refuse(std::move(reason));
+    return false;
   }
+  tenant_ = std::move(current);
+  return true;
+}
+
+void RequestFlow::nextAttempt() {
+  if (!checkAgain()) return;
   ++attempts_;
   startAttempt();
 }
--- a/src/request/request_flow.h
+++ b/src/request/request_flow.h
@@ -123,6 +123,10 @@
   virtual bool answerStarted() const { return false; }
 
   // --- What the attempts report.
+  /// Checks the request once more, unless its answer has started: its template may have been
+  /// retired or changed, or its model's version become known, during a wait. False when it was
+  /// refused.
+  bool checkAgain();
   /// From now on nobody can say that the request did not run.
   void setMayHaveRun() { mayHaveRun_ = true; }
   /// The attempt failed: tries again where the rules and budgets allow, else refuses.
