--- a/benchmarks/emulator_engine_benchmark.cc
+++ b/benchmarks/emulator_engine_benchmark.cc
@@ -49,12 +49,12 @@
   std::multimap<base::TimePoint, std::function<void()>> queue_;
 };
 
-class ChunkCounter final : public platform::EngineStreamHandler {
+class ChunkCounter final : public clients::EngineStreamHandler {
  public:
   void onAccepted() override {}
-  void onChunk(platform::StreamChunk /*chunk*/) override { ++chunks; }
-  void onEnd(platform::StreamEnd /*end*/) override { ++ends; }
-  void onError(platform::DispatchError /*error*/) override {}
+  void onChunk(clients::StreamChunk /*chunk*/) override { ++chunks; }
+  void onEnd(clients::StreamEnd /*end*/) override { ++ends; }
+  void onError(clients::DispatchError /*error*/) override {}
   std::uint64_t chunks = 0;
   std::uint64_t ends = 0;
 };
@@ -88,7 +88,7 @@
   EngineModel engine(options, {}, time, time, random);
   ChunkCounter counter;
   for (auto each : state) {
-    platform::EngineRequest request;
+    clients::EngineRequest request;
     request.identity = {1, "model", "", 1};
     request.prompt = prompts[random.below(kPrompts)];
     request.maximumTokens = kAnswerTokens;
--- a/benchmarks/prefix_block_chain_benchmark.cc
+++ b/benchmarks/prefix_block_chain_benchmark.cc
@@ -29,7 +29,7 @@
 
 void hashPrompt(benchmark::State& state) {
   const std::string prompt = makePrompt(state.range(0));
-  const platform::CacheIdentity identity{1, "rules", "", 1};
+  const clients::CacheIdentity identity{1, "rules", "", 1};
   for (auto _ : state) benchmark::DoNotOptimize(blockChain(identity, prompt));
   state.SetBytesProcessed(state.iterations() * static_cast<std::int64_t>(prompt.size()));
 }
--- a/src/bench/cache_ground_truth.cc
+++ b/src/bench/cache_ground_truth.cc
@@ -68,7 +68,7 @@
 }
 
 void CacheGroundTruth::onChunk(const emulator::ExecutionRecord& /*record*/,
-                               const platform::StreamChunk& /*chunk*/) {
+                               const clients::StreamChunk& /*chunk*/) {
   if (measuring_) ++totals_.generated;
 }
 
--- a/src/bench/cache_ground_truth.h
+++ b/src/bench/cache_ground_truth.h
@@ -64,8 +64,7 @@
   void onAccepted(const emulator::ExecutionRecord& record) override;
   void onStarted(const emulator::ExecutionRecord& record,
                  const emulator::ExecutionReuse& reuse) override;
-  void onChunk(const emulator::ExecutionRecord& record,
-               const platform::StreamChunk& chunk) override;
+  void onChunk(const emulator::ExecutionRecord& record, const clients::StreamChunk& chunk) override;
   void onFinished(const emulator::ExecutionRecord& record, emulator::ExecutionEnd end) override;
   void onBlockStored(base::EngineId engine, base::BlockHash block) override;
   void onBlockEvicted(base::EngineId engine, base::BlockHash block) override;
--- a/src/bench/experiment.cc
+++ b/src/bench/experiment.cc
@@ -114,12 +114,12 @@
   void onTaken(const base::RequestId& id, base::Incarnation incarnation) override {
     taken(id, incarnation);
   }
-  void onChunk(const platform::StreamChunk& chunk) override {
+  void onChunk(const clients::StreamChunk& chunk) override {
     if (record().ending != sim::CallEnding::kOpen) ++record().callsAfterEnd;
     if (record().chunks.empty()) recorder_.onFirstChunk(arrival_, elapsed());
     record().chunks.push_back({chunk.position, chunk.text});
   }
-  void onEnd(const platform::StreamEnd& got) override {
+  void onEnd(const clients::StreamEnd& got) override {
     if (!end(sim::CallEnding::kComplete)) return;
     record().end = got;
     recorder_.onAnswered(arrival_, elapsed());
@@ -141,7 +141,7 @@
   void onTaken(const base::RequestId& id, base::Incarnation incarnation) override {
     taken(id, incarnation);
   }
-  void onResponse(const platform::ApplicationResponse& response) override {
+  void onResponse(const clients::ApplicationResponse& response) override {
     if (!end(sim::CallEnding::kComplete)) return;
     record().answeredRequestId = response.requestId;
     record().answerBody = response.body;
--- a/src/bench/oracle_policy.cc
+++ b/src/bench/oracle_policy.cc
@@ -41,7 +41,7 @@
 OracleKnowledge::Estimate OracleKnowledge::estimate(Known& known, const routing::RouteQuery& query,
                                                     std::uint32_t storedBlocks) const {
   const emulator::EngineModel& model = *known.engine.model;
-  const platform::EngineLoad load = model.currentLoad();
+  const clients::EngineLoad load = model.currentLoad();
   std::erase_if(known.inFlight, [this](const InFlight& request) {
     return scheduler_.now() - request.sentAt > kLongestWay;
   });
--- a/src/bench/working_set.cc
+++ b/src/bench/working_set.cc
@@ -16,7 +16,7 @@
     set.promptTokens += arrival.promptTokens();
     prompt.clear();
     for (const PromptSegment& segment : arrival.prompt) prompt += *segment;
-    platform::CacheIdentity identity;
+    clients::CacheIdentity identity;
     identity.tenantSalt = workload.tenants[arrival.tenant].cacheSalt;
     identity.model = workload.model;
     identity.weightsVersion = 1;
--- a/src/capacity/hollow_engine.cc
+++ b/src/capacity/hollow_engine.cc
@@ -25,10 +25,10 @@
   drawnUntil_ = scheduler_.now();
 }
 
-platform::Machine HollowEngine::machine() const {
-  platform::Machine machine;
+clients::Machine HollowEngine::machine() const {
+  clients::Machine machine;
   machine.name = options_.name;
-  machine.kind = platform::MachineKind::kEngine;
+  machine.kind = clients::MachineKind::kEngine;
   machine.endpoint = options_.endpoint;
   machine.zone = options_.zone;
   machine.region = options_.region;
@@ -40,8 +40,8 @@
   options_.eventsPerSecond = rate;
 }
 
-platform::EngineReport HollowEngine::head() const {
-  platform::EngineReport report;
+clients::EngineReport HollowEngine::head() const {
+  clients::EngineReport report;
   report.incarnation = process_.incarnation();
   report.weights = {{options_.model, kVersion, {}}};
   report.load.running = running_;
@@ -51,7 +51,7 @@
   return report;
 }
 
-platform::EngineReport HollowEngine::report(std::uint64_t fromSequence) {
+clients::EngineReport HollowEngine::report(std::uint64_t fromSequence) {
   catchUp();
   auto report = head();
   const auto oldest = nextSequence_ - journal_.size();
@@ -61,7 +61,7 @@
   return report;
 }
 
-platform::EngineReport HollowEngine::snapshot() {
+clients::EngineReport HollowEngine::snapshot() {
   catchUp();
   auto report = head();
   report.firstSequence = nextSequence_;
@@ -69,7 +69,7 @@
   for (const auto& use : uses_) {
     const auto found = stamps_.find(use.block);
     if (found == stamps_.end() || found->second != use.stamp) continue;
-    report.events.push_back({platform::CacheEventKind::kStored, use.block});
+    report.events.push_back({clients::CacheEventKind::kStored, use.block});
   }
   return report;
 }
@@ -94,7 +94,7 @@
 void HollowEngine::store(base::BlockHash block) {
   if (stamps_.contains(block)) return touch(block);
   touch(block);
-  publish(platform::CacheEventKind::kStored, block);
+  publish(clients::CacheEventKind::kStored, block);
   if (stamps_.size() > options_.capacityBlocks) evictOldest();
 }
 
@@ -111,12 +111,12 @@
     const auto found = stamps_.find(use.block);
     if (found == stamps_.end() || found->second != use.stamp) continue;
     stamps_.erase(found);
-    publish(platform::CacheEventKind::kEvicted, use.block);
+    publish(clients::CacheEventKind::kEvicted, use.block);
     return;
   }
 }
 
-void HollowEngine::publish(platform::CacheEventKind kind, base::BlockHash block) {
+void HollowEngine::publish(clients::CacheEventKind kind, base::BlockHash block) {
   journal_.push_back({kind, block});
   ++nextSequence_;
   if (journal_.size() > kJournalEvents) journal_.pop_front();
--- a/src/capacity/hollow_engine.h
+++ b/src/capacity/hollow_engine.h
@@ -13,8 +13,8 @@
 #include <vector>
 
 #include "base/random.h"
-#include "platform/engine_client.h"
-#include "platform/machine_list_client.h"
+#include "clients/engine_client.h"
+#include "clients/machine_list_client.h"
 #include "sim/network.h"
 #include "sim/process.h"
 
@@ -41,11 +41,11 @@
   const HollowEngineOptions& options() const { return options_; }
   sim::HostId host() const { return host_; }
   sim::Process& process() { return process_; }
-  platform::Machine machine() const;
+  clients::Machine machine() const;
 
   void setEventsPerSecond(double rate);
-  platform::EngineReport report(std::uint64_t fromSequence);
-  platform::EngineReport snapshot();
+  clients::EngineReport report(std::uint64_t fromSequence);
+  clients::EngineReport snapshot();
 
   /// What a request finds: leading blocks that were cached. Its other blocks are cached afterwards.
   std::uint32_t admit(const std::vector<base::BlockHash>& chain);
@@ -62,13 +62,13 @@
     std::uint64_t stamp = 0;
   };
 
-  platform::EngineReport head() const;
+  clients::EngineReport head() const;
   /// Draws the steady events that are due.
   void catchUp();
   void store(base::BlockHash block);
   void touch(base::BlockHash block);
   void evictOldest();
-  void publish(platform::CacheEventKind kind, base::BlockHash block);
+  void publish(clients::CacheEventKind kind, base::BlockHash block);
 
   sim::Scheduler& scheduler_;
   HollowEngineOptions options_;
@@ -79,7 +79,7 @@
   std::unordered_map<base::BlockHash, std::uint64_t> stamps_;
   std::deque<Use> uses_;
   std::uint64_t nextStamp_ = 1;
-  std::deque<platform::CacheEvent> journal_;
+  std::deque<clients::CacheEvent> journal_;
   std::uint64_t nextSequence_ = 0;
   base::TimePoint drawnUntil_{};
   double due_ = 0;
--- a/src/capacity/hollow_engine_client.cc
+++ b/src/capacity/hollow_engine_client.cc
@@ -21,13 +21,13 @@
 /// One request on its connection. Both ends share it; each touches it on its own process.
 class HollowStream final : public std::enable_shared_from_this<HollowStream> {
  public:
-  HollowStream(HollowEngine& engine, platform::EngineStreamHandler& handler,
+  HollowStream(HollowEngine& engine, clients::EngineStreamHandler& handler,
                AdmissionObserver* observer)
       : engine_(engine), handler_(&handler), observer_(observer) {}
 
-  void open(const sim::ConnectionPtr& connection, platform::EngineRequest request) {
+  void open(const sim::ConnectionPtr& connection, clients::EngineRequest request) {
     if (connection == nullptr) {
-      fail({platform::DispatchFailure::kNotSent,
+      fail({clients::DispatchFailure::kNotSent,
             {base::ResultCode::kBackEndUnreachable, "no connection"}});
       return;
     }
@@ -37,7 +37,7 @@
     }
     connection_ = connection;
     connection->onClosed(Side::kClient, [self = shared_from_this()] {
-      self->fail({platform::DispatchFailure::kOutcomeUnknown,
+      self->fail({clients::DispatchFailure::kOutcomeUnknown,
                   {base::ResultCode::kBackEndLost, "the connection broke"}});
     });
     const auto bytes = sim::generateBytes(request);
@@ -54,12 +54,12 @@
 
  private:
   /// Runs on the engine's process.
-  void serve(const platform::EngineRequest& request) {
+  void serve(const clients::EngineRequest& request) {
     const auto chain = prefix::blockChain(request.identity, *request.prompt);
     const auto matched = engine_.admit(chain);
     if (observer_ != nullptr) observer_->onAdmitted(engine_, chain, matched);
     engine_.onStarted();
-    platform::StreamEnd end;
+    clients::StreamEnd end;
     end.promptTokens = prefix::tokenCount(*request.prompt);
     end.cachedTokens = matched * static_cast<std::uint32_t>(prefix::kTokensPerBlock);
     end.outputTokens = static_cast<std::uint32_t>(request.nextPosition) + 1;
@@ -85,26 +85,26 @@
     });
   }
 
-  void finish(const platform::StreamEnd& end) {
+  void finish(const clients::StreamEnd& end) {
     auto* handler = std::exchange(handler_, nullptr);
     if (connection_ != nullptr) connection_->close(Side::kClient);
     connection_ = nullptr;
     if (handler != nullptr) handler->onEnd(end);
   }
 
-  void fail(const platform::DispatchError& error) {
+  void fail(const clients::DispatchError& error) {
     connection_ = nullptr;
     auto* handler = std::exchange(handler_, nullptr);
     if (handler != nullptr) handler->onError(error);
   }
 
   HollowEngine& engine_;
-  platform::EngineStreamHandler* handler_;
+  clients::EngineStreamHandler* handler_;
   AdmissionObserver* observer_;
   sim::ConnectionPtr connection_;
 };
 
-class StreamHandle final : public platform::EngineStream {
+class StreamHandle final : public clients::EngineStream {
  public:
   explicit StreamHandle(std::shared_ptr<HollowStream> stream) : stream_(std::move(stream)) {}
   ~StreamHandle() override { stream_->cancel(); }
@@ -118,7 +118,7 @@
 };
 
 /// Of an address without an engine.
-class NoStream final : public platform::EngineStream {
+class NoStream final : public clients::EngineStream {
  public:
   void setPaused(bool /*paused*/) override {}
 };
@@ -133,18 +133,18 @@
       observer_(observer),
       reports_(network, self, sim::TrafficClass::kEngineReports) {}
 
-HollowEngine* HollowEngineClient::find(const platform::BackEndAddress& engine) const {
+HollowEngine* HollowEngineClient::find(const clients::BackEndAddress& engine) const {
   const auto* host = network_.findHost(engine.endpoint);
   return host == nullptr ? nullptr : engines_(*host);
 }
 
-std::unique_ptr<platform::EngineStream> HollowEngineClient::start(
-    const platform::BackEndAddress& engine, platform::EngineRequest request,
-    platform::EngineStreamHandler& handler) {
+std::unique_ptr<clients::EngineStream> HollowEngineClient::start(
+    const clients::BackEndAddress& engine, clients::EngineRequest request,
+    clients::EngineStreamHandler& handler) {
   auto* target = find(engine);
   if (target == nullptr) {
     process_.schedule(base::Duration::zero(), [&handler] {
-      handler.onError({platform::DispatchFailure::kNotSent,
+      handler.onError({clients::DispatchFailure::kNotSent,
                        {base::ResultCode::kBackEndUnreachable, "no engine at this address"}});
     });
     return std::make_unique<NoStream>();
@@ -158,8 +158,8 @@
   return std::make_unique<StreamHandle>(stream);
 }
 
-void HollowEngineClient::ask(const platform::BackEndAddress& engine,
-                             std::function<platform::EngineReport(HollowEngine&)> read,
+void HollowEngineClient::ask(const clients::BackEndAddress& engine,
+                             std::function<clients::EngineReport(HollowEngine&)> read,
                              std::function<void(ReportAnswer)> callback) {
   using Result = sim::ExchangeResult<ReportAnswer>;
   const auto reply = process_.expect<Result>(
@@ -184,26 +184,26 @@
   reports_.call(std::move(request), reply);
 }
 
-void HollowEngineClient::poll(const platform::BackEndAddress& engine, std::uint64_t fromSequence,
-                              std::function<void(std::optional<platform::EngineReport>)> callback) {
+void HollowEngineClient::poll(const clients::BackEndAddress& engine, std::uint64_t fromSequence,
+                              std::function<void(std::optional<clients::EngineReport>)> callback) {
   ask(
       engine, [fromSequence](HollowEngine& target) { return target.report(fromSequence); },
       std::move(callback));
 }
 
 void HollowEngineClient::snapshot(
-    const platform::BackEndAddress& engine,
-    std::function<void(std::optional<platform::EngineReport>)> callback) {
+    const clients::BackEndAddress& engine,
+    std::function<void(std::optional<clients::EngineReport>)> callback) {
   ask(
       engine, [](HollowEngine& target) { return target.snapshot(); }, std::move(callback));
 }
 
-void HollowEngineClient::order(const platform::BackEndAddress& /*engine*/,
-                               platform::EngineOrder /*order*/,
-                               std::function<void(platform::OrderReply)> callback) {
-  const auto reply = process_.expect<platform::OrderReply>(std::move(callback));
+void HollowEngineClient::order(const clients::BackEndAddress& /*engine*/,
+                               clients::EngineOrder /*order*/,
+                               std::function<void(clients::OrderReply)> callback) {
+  const auto reply = process_.expect<clients::OrderReply>(std::move(callback));
   process_.scheduler().after(base::Duration::zero(), [reply] {
-    reply({platform::OrderStatus::kInvalid, 0, "a hollow engine takes no orders"});
+    reply({clients::OrderStatus::kInvalid, 0, "a hollow engine takes no orders"});
   });
 }
 
--- a/src/capacity/hollow_engine_client.h
+++ b/src/capacity/hollow_engine_client.h
@@ -1,5 +1,5 @@
 /// \file
-/// Binding of platform::EngineClient to hollow engines behind the simulated network, as seen from
+/// Binding of clients::EngineClient to hollow engines behind the simulated network, as seen from
 /// one run of one node. Messages have the sizes that they have with the full engine model.
 #pragma once
 
@@ -8,7 +8,7 @@
 #include <optional>
 
 #include "capacity/hollow_engine.h"
-#include "platform/engine_client.h"
+#include "clients/engine_client.h"
 #include "sim/exchange.h"
 
 namespace covewing::capacity {
@@ -25,26 +25,26 @@
                           std::uint32_t matchedBlocks) = 0;
 };
 
-class HollowEngineClient final : public platform::EngineClient {
+class HollowEngineClient final : public clients::EngineClient {
  public:
   HollowEngineClient(sim::Network& network, sim::HostId self, HollowEngineLookup engines,
                      AdmissionObserver* observer);
-  std::unique_ptr<platform::EngineStream> start(const platform::BackEndAddress& engine,
-                                                platform::EngineRequest request,
-                                                platform::EngineStreamHandler& handler) override;
-  void poll(const platform::BackEndAddress& engine, std::uint64_t fromSequence,
-            std::function<void(std::optional<platform::EngineReport>)> callback) override;
-  void snapshot(const platform::BackEndAddress& engine,
-                std::function<void(std::optional<platform::EngineReport>)> callback) override;
-  void order(const platform::BackEndAddress& engine, platform::EngineOrder order,
-             std::function<void(platform::OrderReply)> callback) override;
+  std::unique_ptr<clients::EngineStream> start(const clients::BackEndAddress& engine,
+                                               clients::EngineRequest request,
+                                               clients::EngineStreamHandler& handler) override;
+  void poll(const clients::BackEndAddress& engine, std::uint64_t fromSequence,
+            std::function<void(std::optional<clients::EngineReport>)> callback) override;
+  void snapshot(const clients::BackEndAddress& engine,
+                std::function<void(std::optional<clients::EngineReport>)> callback) override;
+  void order(const clients::BackEndAddress& engine, clients::EngineOrder order,
+             std::function<void(clients::OrderReply)> callback) override;
 
  private:
-  using ReportAnswer = std::optional<platform::EngineReport>;
+  using ReportAnswer = std::optional<clients::EngineReport>;
 
-  HollowEngine* find(const platform::BackEndAddress& engine) const;
-  void ask(const platform::BackEndAddress& engine,
-           std::function<platform::EngineReport(HollowEngine&)> read,
+  HollowEngine* find(const clients::BackEndAddress& engine) const;
+  void ask(const clients::BackEndAddress& engine,
+           std::function<clients::EngineReport(HollowEngine&)> read,
            std::function<void(ReportAnswer)> callback);
 
   sim::Network& network_;
--- a/src/capacity/hollow_fleet.cc
+++ b/src/capacity/hollow_fleet.cc
@@ -59,8 +59,8 @@
 class HollowFleet::Caller final : public sim::CompletionCaller {
  public:
   Caller(HollowFleet& owner, std::uint64_t number) : owner_(owner), number_(number) {}
-  void onChunk(const platform::StreamChunk& /*chunk*/) override {}
-  void onEnd(const platform::StreamEnd& /*end*/) override {
+  void onChunk(const clients::StreamChunk& /*chunk*/) override {}
+  void onEnd(const clients::StreamEnd& /*end*/) override {
     ++owner_.outcome_.answered;
     finish();
   }
@@ -80,7 +80,7 @@
 class HollowFleet::ProxiedCaller final : public sim::ProxiedCaller {
  public:
   ProxiedCaller(HollowFleet& owner, std::uint64_t number) : owner_(owner), number_(number) {}
-  void onResponse(const platform::ApplicationResponse& /*response*/) override {
+  void onResponse(const clients::ApplicationResponse& /*response*/) override {
     ++owner_.outcome_.answered;
     finish();
   }
--- a/src/platform/application_client.h
+++ b/src/clients/application_client.h
@@ -9,9 +9,9 @@
 
 #include "base/ids.h"
 #include "base/time.h"
-#include "platform/back_end.h"
+#include "clients/back_end.h"
 
-namespace covewing::platform {
+namespace covewing::clients {
 
 struct HeaderField {
   std::string name;
@@ -47,4 +47,4 @@
                     std::function<void(ApplicationResult)> callback) = 0;
 };
 
-}  // namespace covewing::platform
+}  // namespace covewing::clients
--- a/src/platform/back_end.h
+++ b/src/clients/back_end.h
@@ -9,7 +9,7 @@
 #include "base/ids.h"
 #include "base/result_code.h"
 
-namespace covewing::platform {
+namespace covewing::clients {
 
 /// A back end as a client needs it.
 struct BackEndAddress {
@@ -33,4 +33,4 @@
   base::Reason reason;
 };
 
-}  // namespace covewing::platform
+}  // namespace covewing::clients
--- a/src/platform/engine_client.h
+++ b/src/clients/engine_client.h
@@ -15,9 +15,9 @@
 #include "base/ids.h"
 #include "base/priority.h"
 #include "base/time.h"
-#include "platform/back_end.h"
+#include "clients/back_end.h"
 
-namespace covewing::platform {
+namespace covewing::clients {
 
 /// What the cached state of a prompt depends on besides its tokens. Two requests may share cache
 /// only when all of it is equal.
@@ -180,4 +180,4 @@
                      std::function<void(OrderReply)> callback) = 0;
 };
 
-}  // namespace covewing::platform
+}  // namespace covewing::clients
--- a/src/platform/machine_list_client.h
+++ b/src/clients/machine_list_client.h
@@ -11,7 +11,7 @@
 
 #include "base/endpoint.h"
 
-namespace covewing::platform {
+namespace covewing::clients {
 
 enum class MachineKind : std::uint8_t { kEngine, kApplication, kNode, kKeptCacheStore };
 enum class MachineState : std::uint8_t { kLive, kLeaving };
@@ -38,4 +38,4 @@
   virtual void fetch(MachineListCallback callback) = 0;
 };
 
-}  // namespace covewing::platform
+}  // namespace covewing::clients
--- a/src/platform/object_store_client.h
+++ b/src/clients/object_store_client.h
@@ -6,7 +6,7 @@
 #include <optional>
 #include <string>
 
-namespace covewing::platform {
+namespace covewing::clients {
 
 enum class ObjectStatus { kOk, kNotFound, kRateLimited, kUnavailable, kUnknown };
 
@@ -26,4 +26,4 @@
   virtual void put(std::string name, std::string bytes, ObjectCallback callback) = 0;
 };
 
-}  // namespace covewing::platform
+}  // namespace covewing::clients
--- /dev/null
+++ b/src/clients/relay_client.h
@@ -0,0 +1,93 @@
+/// \file
+/// Relaying of whole HTTP requests to replicas: the request as the caller sent it, what the node
+/// adds to it, and the answer as it arrives.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/endpoint.h"
+#include "base/ids.h"
+#include "base/time.h"
+#include "clients/application_client.h"
+#include "clients/back_end.h"
+
+namespace covewing::clients {
+
+/// A caller's request, shared by all attempts. Headers are those that travel on.
+struct RelayedRequest {
+  std::string id;
+  std::string method;
+  /// Path and query as sent.
+  std::string target;
+  std::vector<HeaderField> headers;
+  std::string body;
+};
+
+using RelayedRequestPtr = std::shared_ptr<const RelayedRequest>;
+
+/// What the node tells a replica with one attempt.
+struct DispatchTerms {
+  /// The replica must be this run of it, or refuse.
+  std::string expectedInstance;
+  /// The replica must serve this version of the weights, or refuse.
+  std::optional<base::WeightsVersion> expectedVersion;
+  /// Time until the caller or the route gives up.
+  base::Duration timeLeft{};
+  /// Empty on routes without a key.
+  std::string tenant;
+  std::optional<std::uint32_t> priority;
+  std::string cacheSalt;
+  std::optional<base::Endpoint> fetchFrom;
+  std::optional<base::Endpoint> saveTo;
+  /// The stream goes on behind this event; empty: from its start.
+  std::string lastEventId;
+};
+
+/// Status and headers of a replica's answer, without headers that concern one connection only.
+struct RelayedAnswer {
+  unsigned status = 0;
+  std::vector<HeaderField> headers;
+  /// The replica says that it did not run the request.
+  bool notExecuted = false;
+  /// The address belongs to another run, or another replica, than the one expected.
+  bool otherInstance = false;
+  /// The version that the replica serves, where it says so.
+  std::optional<base::WeightsVersion> version;
+  /// Length of the body where it was announced.
+  std::optional<std::uint64_t> length;
+};
+
+/// Receiver of one attempt's answer. After onEnd or onFailure nothing follows. Never called from
+/// inside `start`; it may destroy the call.
+class RelayHandler {
+ public:
+  virtual ~RelayHandler() = default;
+  virtual void onHead(RelayedAnswer answer) = 0;
+  virtual void onBody(std::string_view bytes) = 0;
+  /// The whole answer came, by its framing.
+  virtual void onEnd() = 0;
+  virtual void onFailure(DispatchError error) = 0;
+};
+
+/// An attempt in flight. Destroying it closes its connection, so that the replica stops its work.
+class RelayCall {
+ public:
+  virtual ~RelayCall() = default;
+  /// While paused nothing is read from the replica.
+  virtual void setPaused(bool paused) = 0;
+};
+
+class RelayClient {
+ public:
+  virtual ~RelayClient() = default;
+  /// Sends once, without retry. `handler` must outlive the returned call.
+  virtual std::unique_ptr<RelayCall> start(const base::Endpoint& replica, RelayedRequestPtr request,
+                                           const DispatchTerms& terms, RelayHandler& handler) = 0;
+};
+
+}  // namespace covewing::clients
--- a/src/platform/table_client.h
+++ b/src/clients/table_client.h
@@ -15,7 +15,7 @@
 #include "base/ids.h"
 #include "base/result_code.h"
 
-namespace covewing::platform {
+namespace covewing::clients {
 
 struct TableRow {
   std::string key;
@@ -78,4 +78,4 @@
   virtual void commit(TableTransaction transaction, TableCallback callback) = 0;
 };
 
-}  // namespace covewing::platform
+}  // namespace covewing::clients
--- /dev/null
+++ b/src/clients/table_feed_client.h
@@ -0,0 +1,55 @@
+/// \file
+/// Watching one table of the platform's table service: a copy of all rows, then each change after
+/// it, in order.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "clients/table_client.h"
+
+namespace covewing::clients {
+
+/// A row as a feed tells it.
+struct FeedRow {
+  std::string key;
+  /// Empty when the row was removed.
+  std::optional<std::string> value;
+  base::Revision revision = 0;
+};
+
+enum class FeedStatus : std::uint8_t {
+  kOk,
+  /// The changes asked for are no longer kept: copy all rows again.
+  kHistoryGone,
+  kRateLimited,
+  /// No connection, a refusal, or no answer in time.
+  kUnavailable,
+};
+
+struct FeedReply {
+  FeedStatus status = FeedStatus::kUnavailable;
+  std::vector<FeedRow> rows;
+  /// Everything up to this revision is told by the reply; the next call goes on behind it.
+  base::Revision revision = 0;
+};
+
+using FeedCallback = std::function<void(FeedReply)>;
+
+/// Each call answers exactly once, later, on the node's thread.
+class TableFeedClient {
+ public:
+  virtual ~TableFeedClient() = default;
+  /// All rows of the table. The reply's revision is that of the first page, so that changes made
+  /// while later pages were read are told again by `changes`.
+  virtual void readAll(std::string table, FeedCallback callback) = 0;
+  /// The changes after a revision; held by the service for up to `wait` when there are none.
+  virtual void changes(std::string table, base::Revision after, base::Duration wait,
+                       FeedCallback callback) = 0;
+};
+
+}  // namespace covewing::clients
--- /dev/null
+++ b/src/clients/weights_client.h
@@ -0,0 +1,73 @@
+/// \file
+/// Fenced orders to a replica to serve another version of a model's weights.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/endpoint.h"
+#include "base/ids.h"
+
+namespace covewing::clients {
+
+struct WeightsOrder {
+  std::string model;
+  base::WeightsVersion version = 0;
+  /// Name of the node that gives the order, and the fencing token of its lease.
+  std::string holder;
+  base::FencingToken token = 0;
+  /// Orders that the replica must have taken so far: an order that arrives late, or twice, is
+  /// refused by it.
+  std::uint64_t expectedOrders = 0;
+};
+
+enum class WeightsOrderStatus : std::uint8_t {
+  /// The replica has begun; new requests are refused as not run until it is done.
+  kAccepted,
+  /// It serves the version already.
+  kInForce,
+  /// Another order is under way, or the number of orders taken is another.
+  kConflict,
+  /// An order with a higher token was seen.
+  kFencedOff,
+  /// The address belongs to another run or another replica.
+  kOtherInstance,
+  kInvalid,
+  /// It did not arrive.
+  kUnreachable,
+  /// No answer: it may have been taken, or be carried out later.
+  kUnknown,
+};
+
+constexpr std::string_view toString(WeightsOrderStatus status) {
+  constexpr std::array<std::string_view, 8> kNames = {"accepted",    "in force",       "conflict",
+                                                      "fenced off",  "other instance", "invalid",
+                                                      "unreachable", "no answer"};
+  return kNames.at(static_cast<std::size_t>(status));
+}
+
+/// A replica's own account, some hundred milliseconds old.
+struct WeightsReport {
+  bool busy = false;
+  std::uint64_t orders = 0;
+  base::WeightsVersion version = 0;
+};
+
+/// Callbacks come later, on the node's thread, exactly once.
+class WeightsClient {
+ public:
+  virtual ~WeightsClient() = default;
+  virtual void order(const base::Endpoint& replica, const std::string& instance, WeightsOrder order,
+                     std::function<void(WeightsOrderStatus)> callback) = 0;
+  /// Empty when the replica did not answer.
+  virtual void report(const base::Endpoint& replica, const std::string& instance,
+                      const std::string& model,
+                      std::function<void(std::optional<WeightsReport>)> callback) = 0;
+};
+
+}  // namespace covewing::clients
--- a/src/config/configuration_distributor.cc
+++ b/src/config/configuration_distributor.cc
@@ -8,8 +8,8 @@
 
 namespace {
 
+using clients::TableRow;
 using membership::Member;
-using platform::TableRow;
 
 constexpr base::Duration kTickPeriod = std::chrono::milliseconds(250);
 /// While there is no copy yet.
@@ -31,8 +31,8 @@
 ConfigurationDistributor::ConfigurationDistributor(
     ConfigurationDistributorOptions options, base::Clock& clock, base::TimerService& timers,
     base::RandomSource& random, base::EventLog& log, base::PeerTransport& peers,
-    const membership::MemberDirectory& members, platform::TableClient& table,
-    platform::ObjectStoreClient& objects, ConfigurationStore& store)
+    const membership::MemberDirectory& members, clients::TableClient& table,
+    clients::ObjectStoreClient& objects, ConfigurationStore& store)
     : options_(std::move(options)),
       clock_(clock),
       timers_(timers),
--- a/src/config/configuration_distributor.h
+++ b/src/config/configuration_distributor.h
@@ -27,6 +27,8 @@
 #include "base/peer_transport.h"
 #include "base/random.h"
 #include "base/time.h"
+#include "clients/object_store_client.h"
+#include "clients/table_client.h"
 #include "config/configuration_message.h"
 #include "config/configuration_store.h"
 #include "config/distribution_tree.h"
@@ -34,8 +36,6 @@
 #include "config/table_scanner.h"
 #include "config/template_editor.h"
 #include "membership/member_directory.h"
-#include "platform/object_store_client.h"
-#include "platform/table_client.h"
 
 namespace covewing::config {
 
@@ -68,8 +68,8 @@
   ConfigurationDistributor(ConfigurationDistributorOptions options, base::Clock& clock,
                            base::TimerService& timers, base::RandomSource& random,
                            base::EventLog& log, base::PeerTransport& peers,
-                           const membership::MemberDirectory& members, platform::TableClient& table,
-                           platform::ObjectStoreClient& objects, ConfigurationStore& store);
+                           const membership::MemberDirectory& members, clients::TableClient& table,
+                           clients::ObjectStoreClient& objects, ConfigurationStore& store);
   ~ConfigurationDistributor() override;
   ConfigurationDistributor(const ConfigurationDistributor&) = delete;
   ConfigurationDistributor& operator=(const ConfigurationDistributor&) = delete;
@@ -77,7 +77,7 @@
   void start();
   /// The process was paused: freshness is checked before it counts again.
   void onWake();
-  void onAccepted(const platform::TableRow& row) override;
+  void onAccepted(const clients::TableRow& row) override;
   void onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) override;
 
  private:
@@ -108,8 +108,8 @@
   void handle(const base::PeerIdentity& sender, const BucketRows& message);
   void handle(const base::PeerIdentity& sender, const RowsWanted& message);
 
-  void push(const std::vector<platform::TableRow>& rows, std::size_t fanout);
-  void sendRows(const base::Endpoint& endpoint, std::vector<platform::TableRow> rows);
+  void push(const std::vector<clients::TableRow>& rows, std::size_t fanout);
+  void sendRows(const base::Endpoint& endpoint, std::vector<clients::TableRow> rows);
   void send(const base::Endpoint& endpoint, const ConfigurationMessage& message);
   const membership::Member* randomMember();
   /// Takes `bytes` from the bound on copies; false when it is used up.
--- a/src/config/configuration_message.cc
+++ b/src/config/configuration_message.cc
@@ -165,9 +165,9 @@
 
 }  // namespace
 
-std::string packRows(const std::vector<platform::TableRow>& rows) {
+std::string packRows(const std::vector<clients::TableRow>& rows) {
   PackedWriter writer;
-  for (const platform::TableRow& row : rows) {
+  for (const clients::TableRow& row : rows) {
     writer.text(std::string_view(row.key).substr(kTemplatePrefix.size()));
     writer.variable(row.revision);
     writer.text(row.value);
@@ -175,11 +175,11 @@
   return writer.take();
 }
 
-std::optional<std::vector<platform::TableRow>> unpackRows(std::string_view bytes) {
-  std::vector<platform::TableRow> rows;
+std::optional<std::vector<clients::TableRow>> unpackRows(std::string_view bytes) {
+  std::vector<clients::TableRow> rows;
   PackedReader reader(bytes);
   while (reader.more()) {
-    platform::TableRow row;
+    clients::TableRow row;
     row.key = templateRowKey(reader.text());
     row.revision = reader.variable();
     row.value = reader.text();
--- a/src/config/configuration_message.h
+++ b/src/config/configuration_message.h
@@ -11,14 +11,14 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "clients/table_client.h"
 #include "config/configuration_store.h"
-#include "platform/table_client.h"
 
 namespace covewing::config {
 
 /// Rows just accepted, or sent for repair. Whoever has an older one passes it on once.
 struct RowPush {
-  std::vector<platform::TableRow> rows;
+  std::vector<clients::TableRow> rows;
   /// Repairs are not passed on.
   bool repair = false;
 };
@@ -35,7 +35,7 @@
   std::uint64_t nonce = 0;
   /// The asked node sends no rows for now; another may.
   bool busy = false;
-  std::vector<platform::TableRow> rows;
+  std::vector<clients::TableRow> rows;
   base::Revision completeUpTo = 0;
   /// The rows reach the end of what the answering node has.
   bool last = false;
@@ -73,8 +73,8 @@
 std::optional<ConfigurationMessage> decodeConfigurationMessage(std::string_view payload);
 
 /// Packed list of rows of the template prefix.
-std::string packRows(const std::vector<platform::TableRow>& rows);
+std::string packRows(const std::vector<clients::TableRow>& rows);
 /// Empty when malformed.
-std::optional<std::vector<platform::TableRow>> unpackRows(std::string_view bytes);
+std::optional<std::vector<clients::TableRow>> unpackRows(std::string_view bytes);
 
 }  // namespace covewing::config
--- a/src/config/configuration_snapshot.h
+++ b/src/config/configuration_snapshot.h
@@ -11,7 +11,7 @@
 
 #include "base/ids.h"
 #include "base/result_code.h"
-#include "platform/table_client.h"
+#include "clients/table_client.h"
 
 namespace covewing::config {
 
@@ -23,7 +23,7 @@
   base::Revision after = 0;
   /// With everything up to `after`, the rows make a copy that is complete up to this revision.
   base::Revision completeUpTo = 0;
-  std::vector<platform::TableRow> rows;
+  std::vector<clients::TableRow> rows;
 };
 
 std::string encode(const ConfigurationSnapshot& snapshot);
--- a/src/config/configuration_store.cc
+++ b/src/config/configuration_store.cc
@@ -68,7 +68,7 @@
 
 ConfigurationStore::~ConfigurationStore() = default;
 
-platform::TableRow ConfigurationStore::rowOf(const Entries::value_type& entry) const {
+clients::TableRow ConfigurationStore::rowOf(const Entries::value_type& entry) const {
   return {templateRowKey(entry.first), entry.second.value, entry.second.revision};
 }
 
@@ -127,7 +127,7 @@
   return freshness;
 }
 
-ApplyResult ConfigurationStore::apply(const platform::TableRow& row) {
+ApplyResult ConfigurationStore::apply(const clients::TableRow& row) {
   base::Reason reason;
   const std::optional<TemplateRow> parsed = parseTemplateRow(row, reason);
   if (!parsed) {
@@ -187,7 +187,7 @@
   bucketDigests_.at(bucketOf(nameHash)) += base::mixHash(nameHash, entry.second.revision);
 }
 
-std::optional<platform::TableRow> ConfigurationStore::findRow(std::string_view name) const {
+std::optional<clients::TableRow> ConfigurationStore::findRow(std::string_view name) const {
   const auto found = entries_.find(name);
   if (found == entries_.end()) return std::nullopt;
   return rowOf(*found);
@@ -253,7 +253,7 @@
   std::size_t bytes = 0;
   for (auto position = byRevision_.upper_bound({after, kAfterAllNames});
        position != byRevision_.end(); ++position) {
-    platform::TableRow row = *findRow(position->second);
+    clients::TableRow row = *findRow(position->second);
     bytes += row.key.size() + row.value.size();
     const bool sameRevision = !page.rows.empty() && page.rows.back().revision == row.revision;
     const bool beyond = row.revision > completeUpTo_;
@@ -282,8 +282,8 @@
   return rows;
 }
 
-std::optional<platform::TableRow> ConfigurationStore::findRowByHash(std::uint64_t nameHash,
-                                                                    base::Revision above) const {
+std::optional<clients::TableRow> ConfigurationStore::findRowByHash(std::uint64_t nameHash,
+                                                                   base::Revision above) const {
   const auto found = byNameHash_.find(nameHash);
   if (found == byNameHash_.end() || found->second->second.revision <= above) return std::nullopt;
   return rowOf(*found->second);
--- a/src/config/configuration_store.h
+++ b/src/config/configuration_store.h
@@ -23,9 +23,9 @@
 #include "base/event_log.h"
 #include "base/ids.h"
 #include "base/time.h"
+#include "clients/table_client.h"
 #include "config/configuration_view.h"
 #include "config/template_row.h"
-#include "platform/table_client.h"
 
 namespace covewing::config {
 
@@ -50,7 +50,7 @@
 
 /// Rows above a revision, ascending by revision.
 struct RowPage {
-  std::vector<platform::TableRow> rows;
+  std::vector<clients::TableRow> rows;
   /// Who applies the rows, and was complete before, is complete up to here.
   base::Revision completeUpTo = 0;
   /// The page reaches the end of what the store is complete up to.
@@ -62,7 +62,7 @@
   static constexpr std::size_t kBucketCount = 64;
   using BucketDigests = std::array<std::uint64_t, kBucketCount>;
   /// Called after a row was applied.
-  using Listener = std::function<void(const platform::TableRow& row)>;
+  using Listener = std::function<void(const clients::TableRow& row)>;
 
   ConfigurationStore(ConfigurationStoreOptions options, base::Clock& clock, base::EventLog& log);
   ~ConfigurationStore() override;
@@ -75,11 +75,11 @@
   bool loaded() const override { return loaded_; }
 
   /// Puts the row in force if its revision is above that of the row held.
-  ApplyResult apply(const platform::TableRow& row);
+  ApplyResult apply(const clients::TableRow& row);
   void subscribe(Listener listener) { listeners_.push_back(std::move(listener)); }
 
   /// The row held of this name, as stored.
-  std::optional<platform::TableRow> findRow(std::string_view name) const;
+  std::optional<clients::TableRow> findRow(std::string_view name) const;
   /// Names of all templates, bases and retired ones included, ascending.
   std::vector<std::string> names() const;
   /// Names of tenants, not retired, that rely on the base, ascending.
@@ -113,8 +113,8 @@
   const BucketDigests& bucketDigests() const { return bucketDigests_; }
   std::vector<RowSummary> bucketRows(std::size_t bucket) const;
   /// The row whose name has this hash, and whose revision is above `above`.
-  std::optional<platform::TableRow> findRowByHash(std::uint64_t nameHash,
-                                                  base::Revision above) const;
+  std::optional<clients::TableRow> findRowByHash(std::uint64_t nameHash,
+                                                 base::Revision above) const;
 
  private:
   struct Entry {
@@ -128,7 +128,7 @@
   using Entries = std::map<std::string, Entry, std::less<>>;
   class ExpansionCache;
 
-  platform::TableRow rowOf(const Entries::value_type& entry) const;
+  clients::TableRow rowOf(const Entries::value_type& entry) const;
   /// Logs when the configuration becomes stale or fresh again.
   void reportFreshness();
   TenantTemplatePtr expand(const Entries::value_type& entry) const;
--- a/src/config/snapshot_keeper.cc
+++ b/src/config/snapshot_keeper.cc
@@ -5,10 +5,10 @@
 namespace {
 
 /// All rows of the store above a revision.
-std::vector<platform::TableRow> rowsAbove(const ConfigurationStore& store, base::Revision after) {
-  std::vector<platform::TableRow> rows;
+std::vector<clients::TableRow> rowsAbove(const ConfigurationStore& store, base::Revision after) {
+  std::vector<clients::TableRow> rows;
   for (const std::string& name : store.names()) {
-    std::optional<platform::TableRow> row = store.findRow(name);
+    std::optional<clients::TableRow> row = store.findRow(name);
     if (row && row->revision > after) rows.push_back(std::move(*row));
   }
   return rows;
@@ -17,7 +17,7 @@
 }  // namespace
 
 SnapshotKeeper::SnapshotKeeper(SnapshotKeeperOptions options, base::Clock& clock,
-                               base::EventLog& log, platform::ObjectStoreClient& objects,
+                               base::EventLog& log, clients::ObjectStoreClient& objects,
                                ConfigurationStore& store)
     : options_(options), clock_(clock), log_(log), objects_(objects), store_(store) {}
 
@@ -40,8 +40,8 @@
   const bool whole = object == kSnapshotObject;
   objects_.put(
       std::string(object), encode(snapshot),
-      [this, whole, alive = std::weak_ptr<bool>(alive_)](const platform::ObjectReply& reply) {
-        if (alive.expired() || reply.status == platform::ObjectStatus::kOk) return;
+      [this, whole, alive = std::weak_ptr<bool>(alive_)](const clients::ObjectReply& reply) {
+        if (alive.expired() || reply.status == clients::ObjectStatus::kOk) return;
         writtenDigest_ = 0;
         if (whole) wholeWritten_ = false;
       });
@@ -52,34 +52,34 @@
   if (readAt_ && now - *readAt_ < options_.readRetry) return;
   readAt_ = now;
   objects_.get(std::string(kSnapshotObject),
-               [this, alive = std::weak_ptr<bool>(alive_)](const platform::ObjectReply& reply) {
+               [this, alive = std::weak_ptr<bool>(alive_)](const clients::ObjectReply& reply) {
                  if (!alive.expired()) onWhole(reply);
                });
 }
 
-void SnapshotKeeper::onWhole(const platform::ObjectReply& reply) {
+void SnapshotKeeper::onWhole(const clients::ObjectReply& reply) {
   if (store_.loaded() || !apply(reply)) return;
   objects_.get(std::string(kSnapshotChangesObject),
-               [this, alive = std::weak_ptr<bool>(alive_)](const platform::ObjectReply& changes) {
+               [this, alive = std::weak_ptr<bool>(alive_)](const clients::ObjectReply& changes) {
                  if (!alive.expired()) onChanges(changes);
                });
 }
 
-void SnapshotKeeper::onChanges(const platform::ObjectReply& reply) {
+void SnapshotKeeper::onChanges(const clients::ObjectReply& reply) {
   // The whole copy alone serves too.
   apply(reply);
   store_.markLoaded();
 }
 
-bool SnapshotKeeper::apply(const platform::ObjectReply& reply) {
-  if (reply.status != platform::ObjectStatus::kOk) return false;
+bool SnapshotKeeper::apply(const clients::ObjectReply& reply) {
+  if (reply.status != clients::ObjectStatus::kOk) return false;
   base::Reason reason;
   const std::optional<ConfigurationSnapshot> snapshot = decodeSnapshot(reply.bytes, reason);
   if (!snapshot) {
     log_.write(base::Event::kMessageRejected, {{"detail", reason.detail}});
     return false;
   }
-  for (const platform::TableRow& row : snapshot->rows) store_.apply(row);
+  for (const clients::TableRow& row : snapshot->rows) store_.apply(row);
   if (snapshot->after <= store_.completeUpTo()) store_.advance(snapshot->completeUpTo);
   return true;
 }
--- a/src/config/snapshot_keeper.h
+++ b/src/config/snapshot_keeper.h
@@ -12,9 +12,9 @@
 #include "base/event_log.h"
 #include "base/ids.h"
 #include "base/time.h"
+#include "clients/object_store_client.h"
 #include "config/configuration_snapshot.h"
 #include "config/configuration_store.h"
-#include "platform/object_store_client.h"
 
 namespace covewing::config {
 
@@ -30,7 +30,7 @@
 class SnapshotKeeper {
  public:
   SnapshotKeeper(SnapshotKeeperOptions options, base::Clock& clock, base::EventLog& log,
-                 platform::ObjectStoreClient& objects, ConfigurationStore& store);
+                 clients::ObjectStoreClient& objects, ConfigurationStore& store);
   SnapshotKeeper(const SnapshotKeeper&) = delete;
   SnapshotKeeper& operator=(const SnapshotKeeper&) = delete;
 
@@ -41,15 +41,15 @@
 
  private:
   void put(std::string_view object, const ConfigurationSnapshot& snapshot);
-  void onWhole(const platform::ObjectReply& reply);
-  void onChanges(const platform::ObjectReply& reply);
+  void onWhole(const clients::ObjectReply& reply);
+  void onChanges(const clients::ObjectReply& reply);
   /// Applies the rows; false when the reply holds no sound snapshot.
-  bool apply(const platform::ObjectReply& reply);
+  bool apply(const clients::ObjectReply& reply);
 
   SnapshotKeeperOptions options_;
   base::Clock& clock_;
   base::EventLog& log_;
-  platform::ObjectStoreClient& objects_;
+  clients::ObjectStoreClient& objects_;
   ConfigurationStore& store_;
   /// What was written last; the digest is 0 before the first write and after one that failed.
   std::uint64_t writtenDigest_ = 0;
--- a/src/config/table_scanner.cc
+++ b/src/config/table_scanner.cc
@@ -12,7 +12,7 @@
 
 TableScanner::TableScanner(TableScannerOptions options, base::Clock& clock,
                            base::TimerService& timers, base::RandomSource& random,
-                           base::EventLog& log, platform::TableClient& table,
+                           base::EventLog& log, clients::TableClient& table,
                            ConfigurationStore& store)
     : options_(options),
       clock_(clock),
@@ -53,20 +53,20 @@
   const base::TimePoint askedAt = clock_.now();
   table_.scan(
       std::string(kTemplatePrefix), store_.completeUpTo(), options_.rowsPerScan,
-      [this, askedAt, alive = std::weak_ptr<bool>(alive_)](const platform::TableReply& reply) {
+      [this, askedAt, alive = std::weak_ptr<bool>(alive_)](const clients::TableReply& reply) {
         if (!alive.expired()) onScanned(askedAt, reply);
       });
 }
 
-void TableScanner::onScanned(base::TimePoint askedAt, const platform::TableReply& reply) {
+void TableScanner::onScanned(base::TimePoint askedAt, const clients::TableReply& reply) {
   --underWay_;
-  if (reply.status != platform::TableStatus::kOk) return onFailed();
+  if (reply.status != clients::TableStatus::kOk) return onFailed();
   if (failures_ > 0) {
     log_.write(base::Event::kPlatformRecovered, {{"service", "table"}});
     failures_ = 0;
     if (active_) scheduleIn(random_.jittered(options_.period, kPeriodJitter));
   }
-  for (const platform::TableRow& row : reply.rows) store_.apply(row);
+  for (const clients::TableRow& row : reply.rows) store_.apply(row);
   store_.advance(reply.revision);
   const bool complete = reply.rows.size() < options_.rowsPerScan;
   if (complete) {
--- a/src/config/table_scanner.h
+++ b/src/config/table_scanner.h
@@ -13,8 +13,8 @@
 #include "base/event_log.h"
 #include "base/random.h"
 #include "base/time.h"
+#include "clients/table_client.h"
 #include "config/configuration_store.h"
-#include "platform/table_client.h"
 
 namespace covewing::config {
 
@@ -29,7 +29,7 @@
 class TableScanner {
  public:
   TableScanner(TableScannerOptions options, base::Clock& clock, base::TimerService& timers,
-               base::RandomSource& random, base::EventLog& log, platform::TableClient& table,
+               base::RandomSource& random, base::EventLog& log, clients::TableClient& table,
                ConfigurationStore& store);
   ~TableScanner();
   TableScanner(const TableScanner&) = delete;
@@ -49,14 +49,14 @@
   void onTurn();
   void scan();
   void onFailed();
-  void onScanned(base::TimePoint askedAt, const platform::TableReply& reply);
+  void onScanned(base::TimePoint askedAt, const clients::TableReply& reply);
 
   TableScannerOptions options_;
   base::Clock& clock_;
   base::TimerService& timers_;
   base::RandomSource& random_;
   base::EventLog& log_;
-  platform::TableClient& table_;
+  clients::TableClient& table_;
   ConfigurationStore& store_;
   bool active_ = false;
   std::size_t underWay_ = 0;
--- /dev/null
+++ b/src/config/table_watch.cc
@@ -0,0 +1,116 @@
+#include "config/table_watch.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace covewing::config {
+
+namespace {
+
+constexpr double kJitter = 0.5;
+
+}  // namespace
+
+TableWatch::TableWatch(TableWatchOptions options, base::Clock& clock, base::TimerService& timers,
+                       base::RandomSource& random, clients::TableFeedClient& feed,
+                       TableWatchListener& listener)
+    : options_(std::move(options)),
+      clock_(clock),
+      timers_(timers),
+      random_(random),
+      feed_(feed),
+      listener_(listener) {}
+
+TableWatch::~TableWatch() { timers_.cancel(retryTimer_); }
+
+void TableWatch::start() { next(); }
+
+void TableWatch::next() {
+  if (position_) {
+    follow();
+  } else {
+    readAll();
+  }
+}
+
+void TableWatch::readAll() {
+  const auto sentAt = clock_.now();
+  feed_.readAll(options_.table,
+                [this, sentAt, alive = std::weak_ptr(lifetime_)](const clients::FeedReply& reply) {
+                  if (!alive.expired()) onAll(reply, sentAt);
+                });
+}
+
+void TableWatch::follow() {
+  const auto sentAt = clock_.now();
+  feed_.changes(options_.table, *position_, options_.wait,
+                [this, sentAt, alive = std::weak_ptr(lifetime_)](const clients::FeedReply& reply) {
+                  if (!alive.expired()) onChanges(reply, sentAt);
+                });
+}
+
+void TableWatch::onAll(const clients::FeedReply& reply, base::TimePoint sentAt) {
+  if (reply.status != clients::FeedStatus::kOk) {
+    onFailed(reply.status);
+    return;
+  }
+  backoff_ = {};
+  std::set<std::string> present;
+  for (const auto& row : reply.rows) present.insert(row.key);
+  std::vector<std::string> gone;
+  for (const auto& [key, revision] : revisions_) {
+    if (!present.contains(key)) gone.push_back(key);
+  }
+  for (auto& key : gone) remove({std::move(key), std::nullopt, reply.revision});
+  for (const auto& row : reply.rows) apply(row);
+  position_ = reply.revision;
+  confirmedAt_ = sentAt;
+  listener_.onCurrent();
+  next();
+}
+
+void TableWatch::onChanges(const clients::FeedReply& reply, base::TimePoint sentAt) {
+  if (reply.status == clients::FeedStatus::kHistoryGone) {
+    position_.reset();
+    listener_.onFailure(reply.status);
+    next();
+    return;
+  }
+  if (reply.status != clients::FeedStatus::kOk) {
+    onFailed(reply.status);
+    return;
+  }
+  backoff_ = {};
+  for (const auto& row : reply.rows) {
+    if (row.value) {
+      apply(row);
+    } else {
+      remove(row);
+    }
+  }
+  position_ = std::max(*position_, reply.revision);
+  confirmedAt_ = sentAt;
+  listener_.onCurrent();
+  next();
+}
+
+void TableWatch::onFailed(clients::FeedStatus status) {
+  listener_.onFailure(status);
+  backoff_ = backoff_.count() == 0 ? options_.firstBackoff
+                                   : std::min(2 * backoff_, options_.maximumBackoff);
+  retryTimer_ = timers_.schedule(random_.jittered(backoff_, kJitter), [this] { next(); });
+}
+
+void TableWatch::apply(const clients::FeedRow& row) {
+  auto& known = revisions_[row.key];
+  if (known != 0 && row.revision <= known) return;
+  known = row.revision;
+  listener_.onRow(row);
+}
+
+void TableWatch::remove(const clients::FeedRow& row) {
+  if (revisions_.erase(row.key) > 0) listener_.onRemoved(row);
+}
+
+}  // namespace covewing::config
--- /dev/null
+++ b/src/config/table_watch.h
@@ -0,0 +1,85 @@
+/// \file
+/// A complete copy of one table of the table service, kept current by its feed.
+///
+/// States: reading all rows -> following the changes -> (history gone) reading all rows again.
+/// A call that fails is repeated with growing, jittered waits; what is known stays known meanwhile.
+///
+/// Freshness. An answer proves that nothing else had been committed when the call was *sent*. The
+/// time of sending is therefore what `confirmedAt` gives: a process that was paused between the
+/// answer and its use never believes itself fresher than it is.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "clients/table_feed_client.h"
+
+namespace covewing::config {
+
+struct TableWatchOptions {
+  std::string table;
+  /// How long the service may hold a call for changes; freshness is confirmed this often.
+  base::Duration wait = std::chrono::seconds(1);
+  base::Duration firstBackoff = std::chrono::milliseconds(50);
+  base::Duration maximumBackoff = std::chrono::seconds(1);
+};
+
+class TableWatchListener {
+ public:
+  virtual ~TableWatchListener() = default;
+  /// A row is new or has changed.
+  virtual void onRow(const clients::FeedRow& row) = 0;
+  /// The row is gone; `row.value` is empty.
+  virtual void onRemoved(const clients::FeedRow& row) = 0;
+  /// Called after each reply that brought the copy up to date, whether or not it held changes.
+  virtual void onCurrent() = 0;
+  /// A call failed; the copy may be outdated from now on.
+  virtual void onFailure(clients::FeedStatus status) = 0;
+};
+
+class TableWatch {
+ public:
+  TableWatch(TableWatchOptions options, base::Clock& clock, base::TimerService& timers,
+             base::RandomSource& random, clients::TableFeedClient& feed,
+             TableWatchListener& listener);
+  ~TableWatch();
+  TableWatch(const TableWatch&) = delete;
+  TableWatch& operator=(const TableWatch&) = delete;
+
+  void start();
+  /// When the last call that proved the copy current was sent; empty before the first copy.
+  std::optional<base::TimePoint> confirmedAt() const { return confirmedAt_; }
+
+ private:
+  void next();
+  void readAll();
+  void follow();
+  void onAll(const clients::FeedReply& reply, base::TimePoint sentAt);
+  void onChanges(const clients::FeedReply& reply, base::TimePoint sentAt);
+  void onFailed(clients::FeedStatus status);
+  void apply(const clients::FeedRow& row);
+  void remove(const clients::FeedRow& row);
+
+  TableWatchOptions options_;
+  base::Clock& clock_;
+  base::TimerService& timers_;
+  base::RandomSource& random_;
+  clients::TableFeedClient& feed_;
+  TableWatchListener& listener_;
+  /// Revision of each row that is known, by key.
+  std::map<std::string, base::Revision> revisions_;
+  /// The feed goes on behind this revision; empty: all rows must be read.
+  std::optional<base::Revision> position_;
+  std::optional<base::TimePoint> confirmedAt_;
+  base::Duration backoff_{};
+  base::TimerId retryTimer_ = 0;
+  /// Outlived by callbacks that must no longer reach this object.
+  std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
+};
+
+}  // namespace covewing::config
--- a/src/config/template_editor.cc
+++ b/src/config/template_editor.cc
@@ -15,10 +15,10 @@
 constexpr std::size_t kMaximumHistoryDocuments = 48UL << 10U;
 constexpr std::size_t kMaximumReportedDependents = 8;
 
-using platform::TableReply;
-using platform::TableRow;
-using platform::TableStatus;
-using platform::TableTransaction;
+using clients::TableReply;
+using clients::TableRow;
+using clients::TableStatus;
+using clients::TableTransaction;
 
 std::string keyOf(std::string_view prefix, std::string_view name) {
   return std::string(prefix) + std::string(name);
@@ -388,7 +388,7 @@
 
 TemplateEditor::TemplateEditor(TemplateEditorOptions options, base::TimerService& timers,
                                base::RandomSource& random, base::EventLog& log,
-                               platform::TableClient& table, const ConfigurationStore& store,
+                               clients::TableClient& table, const ConfigurationStore& store,
                                AcceptedRowSink& sink)
     : options_(options),
       timers_(timers),
--- a/src/config/template_editor.h
+++ b/src/config/template_editor.h
@@ -21,10 +21,10 @@
 #include "base/random.h"
 #include "base/result_code.h"
 #include "base/time.h"
+#include "clients/table_client.h"
 #include "config/configuration_store.h"
 #include "config/field_mistake.h"
 #include "config/template_row.h"
-#include "platform/table_client.h"
 
 namespace covewing::config {
 
@@ -32,7 +32,7 @@
 class AcceptedRowSink {
  public:
   virtual ~AcceptedRowSink() = default;
-  virtual void onAccepted(const platform::TableRow& row) = 0;
+  virtual void onAccepted(const clients::TableRow& row) = 0;
 };
 
 enum class EditKind : std::uint8_t { kCreate, kChange, kRetire };
@@ -94,7 +94,7 @@
   using HistoryCallback = std::function<void(HistoryResult)>;
 
   TemplateEditor(TemplateEditorOptions options, base::TimerService& timers,
-                 base::RandomSource& random, base::EventLog& log, platform::TableClient& table,
+                 base::RandomSource& random, base::EventLog& log, clients::TableClient& table,
                  const ConfigurationStore& store, AcceptedRowSink& sink);
   ~TemplateEditor();
   TemplateEditor(const TemplateEditor&) = delete;
@@ -112,7 +112,7 @@
   base::TimerService& timers_;
   base::RandomSource& random_;
   base::EventLog& log_;
-  platform::TableClient& table_;
+  clients::TableClient& table_;
   const ConfigurationStore& store_;
   AcceptedRowSink& sink_;
   /// Callbacks that outlive the editor find it empty.
--- a/src/config/template_row.cc
+++ b/src/config/template_row.cc
@@ -65,7 +65,7 @@
 
 std::string encodeTemplateRow(const TemplateRow& row) { return toText(jsonOf(row)); }
 
-std::optional<TemplateRow> parseTemplateRow(const platform::TableRow& row, base::Reason& reason) {
+std::optional<TemplateRow> parseTemplateRow(const clients::TableRow& row, base::Reason& reason) {
   const std::string_view key = row.key;
   if (!key.starts_with(kTemplatePrefix) || !isTemplateName(key.substr(kTemplatePrefix.size()))) {
     reason = {base::ResultCode::kMessageMalformed, row.key + ": not the key of a template"};
--- a/src/config/template_row.h
+++ b/src/config/template_row.h
@@ -17,7 +17,7 @@
 #include <vector>
 
 #include "base/ids.h"
-#include "platform/table_client.h"
+#include "clients/table_client.h"
 
 namespace covewing::config {
 
@@ -48,7 +48,7 @@
 /// Value of the row as it is stored.
 std::string encodeTemplateRow(const TemplateRow& row);
 /// Empty with the reason when key or value is not of this form.
-std::optional<TemplateRow> parseTemplateRow(const platform::TableRow& row, base::Reason& reason);
+std::optional<TemplateRow> parseTemplateRow(const clients::TableRow& row, base::Reason& reason);
 
 /// Replaced versions of one template, oldest first.
 struct TemplateHistory {
--- a/src/coordination/coordinator.cc
+++ b/src/coordination/coordinator.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "base/codec.h"
+#include "coordination/lease_messages.h"
 
 namespace covewing::coordination {
 
@@ -28,20 +28,6 @@
   return book;
 }
 
-constexpr std::uint32_t kAnnouncementFields = 6;
-
-/// Reads what follows the message's type; empty when it is malformed.
-std::optional<LeaseAnnouncement> readAnnouncement(base::Reader& reader) {
-  LeaseAnnouncement announcement;
-  announcement.revision = reader.unsignedInteger();
-  announcement.tenureRevision = reader.unsignedInteger();
-  announcement.row.holder = reader.text();
-  announcement.row.incarnation = reader.unsignedInteger();
-  announcement.row.token = reader.unsignedInteger();
-  if (!reader.ok()) return std::nullopt;
-  return announcement;
-}
-
 }  // namespace
 
 Coordinator::Coordinator(const CoordinatorOptions& options, CoordinatorEnvironment environment)
@@ -58,7 +44,7 @@
                 [this] { return lease_.grant(); }) {
   orders_.setChangeListener([this] {
     executor_.onOrdersChanged();
-    notifyCandidates(MessageType::kOrdersChanged);
+    notifyCandidates(CoordinationMessageType::kOrdersChanged);
   });
 }
 
@@ -67,29 +53,25 @@
 void Coordinator::drain(std::function<void()> done) {
   executor_.stop();
   lease_.release([this, done = std::move(done)] {
-    notifyCandidates(MessageType::kLeaseReleased);
+    notifyCandidates(CoordinationMessageType::kLeaseReleased);
     done();
   });
 }
 
 void Coordinator::onPeerMessage(const base::PeerIdentity& /*sender*/, std::string_view payload) {
-  base::Reader reader(payload);
-  reader.beginArray();
-  const auto type = static_cast<MessageType>(reader.unsignedInteger());
-  switch (type) {
-    case MessageType::kLeaseReleased:
-      if (reader.ok()) return lease_.onReleaseHint();
-      break;
-    case MessageType::kOrdersChanged:
-      if (reader.ok()) return executor_.onOrdersChanged();
-      break;
-    case MessageType::kLeaseWritten:
-      if (const auto announcement = readAnnouncement(reader)) {
-        return lease_.onAnnouncement(*announcement);
-      }
-      break;
+  const auto message = decodeCoordinationMessage(payload);
+  if (!message) {
+    environment_.log.write(base::Event::kMessageRejected, {{"channel", "coordination"}});
+    return;
+  }
+  switch (message->type) {
+    case CoordinationMessageType::kLeaseReleased:
+      return lease_.onReleaseHint();
+    case CoordinationMessageType::kOrdersChanged:
+      return executor_.onOrdersChanged();
+    case CoordinationMessageType::kLeaseWritten:
+      return lease_.onAnnouncement(*message->announcement);
   }
-  environment_.log.write(base::Event::kMessageRejected, {{"channel", "coordination"}});
 }
 
 void Coordinator::onLeaseAcquired(const LeaseGrant& /*grant*/) { executor_.start(); }
@@ -97,29 +79,15 @@
 void Coordinator::onLeaseLost() { executor_.stop(); }
 
 void Coordinator::onLeaseWritten(const LeaseAnnouncement& announcement) {
-  base::Writer writer;
-  writer.array(kAnnouncementFields)
-      .unsignedInteger(static_cast<std::uint64_t>(MessageType::kLeaseWritten))
-      .unsignedInteger(announcement.revision)
-      .unsignedInteger(announcement.tenureRevision)
-      .text(announcement.row.holder)
-      .unsignedInteger(announcement.row.incarnation)
-      .unsignedInteger(announcement.row.token);
-  sendToCandidates(writer.take());
+  send(encodeLeaseWritten(announcement));
 }
 
-void Coordinator::notifyCandidates(MessageType type) {
-  base::Writer writer;
-  writer.array(1).unsignedInteger(static_cast<std::uint64_t>(type));
-  sendToCandidates(writer.take());
+void Coordinator::notifyCandidates(CoordinationMessageType type) {
+  send(encodeCoordinationMessage(type));
 }
 
-void Coordinator::sendToCandidates(const std::string& payload) {
-  const base::NodeId self = environment_.members.self().id;
-  for (const membership::Member& member : lease_.candidates()) {
-    if (member.id == self) continue;
-    environment_.peers.send(member.endpoint, base::Channel::kCoordination, payload);
-  }
+void Coordinator::send(const std::string& payload) {
+  sendToCandidates(environment_.peers, lease_, environment_.members.self().id, payload);
 }
 
 }  // namespace covewing::coordination
--- a/src/coordination/coordinator.h
+++ b/src/coordination/coordinator.h
@@ -12,6 +12,7 @@
 #include "base/peer_transport.h"
 #include "coordination/engine_catalogue.h"
 #include "coordination/lease_manager.h"
+#include "coordination/lease_messages.h"
 #include "coordination/order_book.h"
 #include "coordination/order_executor.h"
 
@@ -32,8 +33,8 @@
   base::RandomSource& random;
   base::EventLog& log;
   base::PeerTransport& peers;
-  platform::TableClient& table;
-  platform::EngineClient& engines;
+  clients::TableClient& table;
+  clients::EngineClient& engines;
   const membership::MemberDirectory& members;
   const EngineCatalogue& catalogue;
 };
@@ -54,18 +55,12 @@
   void onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) override;
 
  private:
-  enum class MessageType : std::uint8_t {
-    kLeaseReleased = 1,
-    kOrdersChanged = 2,
-    kLeaseWritten = 3,
-  };
-
   void onLeaseWritten(const LeaseAnnouncement& announcement) override;
   void onLeaseAcquired(const LeaseGrant& grant) override;
   void onLeaseLost() override;
   /// Tells the nodes that may hold the lease.
-  void notifyCandidates(MessageType type);
-  void sendToCandidates(const std::string& payload);
+  void notifyCandidates(CoordinationMessageType type);
+  void send(const std::string& payload);
 
   CoordinatorEnvironment environment_;
   LeaseManager lease_;
--- a/src/coordination/engine_catalogue.cc
+++ b/src/coordination/engine_catalogue.cc
@@ -4,21 +4,21 @@
 
 namespace covewing::coordination {
 
-bool holdsModel(const std::vector<platform::LoadedWeights>& weights, std::string_view model) {
+bool holdsModel(const std::vector<clients::LoadedWeights>& weights, std::string_view model) {
   return std::ranges::any_of(
-      weights, [model](const platform::LoadedWeights& loaded) { return loaded.model == model; });
+      weights, [model](const clients::LoadedWeights& loaded) { return loaded.model == model; });
 }
 
-bool holdsVersion(const std::vector<platform::LoadedWeights>& weights, std::string_view model,
+bool holdsVersion(const std::vector<clients::LoadedWeights>& weights, std::string_view model,
                   base::WeightsVersion version) {
-  return std::ranges::any_of(weights, [&](const platform::LoadedWeights& loaded) {
+  return std::ranges::any_of(weights, [&](const clients::LoadedWeights& loaded) {
     return loaded.model == model && loaded.version == version;
   });
 }
 
-bool holdsWeights(const std::vector<platform::LoadedWeights>& weights,
-                  const platform::LoadedWeights& wanted) {
-  return std::ranges::any_of(weights, [&](const platform::LoadedWeights& loaded) {
+bool holdsWeights(const std::vector<clients::LoadedWeights>& weights,
+                  const clients::LoadedWeights& wanted) {
+  return std::ranges::any_of(weights, [&](const clients::LoadedWeights& loaded) {
     return loaded.model == wanted.model && loaded.version == wanted.version &&
            std::ranges::all_of(wanted.adapters, [&](const std::string& adapter) {
              return std::ranges::find(loaded.adapters, adapter) != loaded.adapters.end();
--- a/src/coordination/engine_catalogue.h
+++ b/src/coordination/engine_catalogue.h
@@ -9,18 +9,18 @@
 #include <vector>
 
 #include "base/ids.h"
-#include "platform/engine_client.h"
+#include "clients/engine_client.h"
 
 namespace covewing::coordination {
 
 struct CatalogueEngine {
-  platform::BackEndAddress address;
+  clients::BackEndAddress address;
   std::string zone;
   std::string region;
-  platform::EngineRole role = platform::EngineRole::kServing;
+  clients::EngineRole role = clients::EngineRole::kServing;
   bool leaving = false;
   bool unreachable = false;
-  std::vector<platform::LoadedWeights> weights;
+  std::vector<clients::LoadedWeights> weights;
 };
 
 class EngineCatalogue {
@@ -31,12 +31,12 @@
 };
 
 /// Whether `weights` hold any version of the model.
-bool holdsModel(const std::vector<platform::LoadedWeights>& weights, std::string_view model);
+bool holdsModel(const std::vector<clients::LoadedWeights>& weights, std::string_view model);
 /// Whether `weights` hold the version with all adapters of `wanted`.
-bool holdsWeights(const std::vector<platform::LoadedWeights>& weights,
-                  const platform::LoadedWeights& wanted);
+bool holdsWeights(const std::vector<clients::LoadedWeights>& weights,
+                  const clients::LoadedWeights& wanted);
 /// Whether `weights` hold the version, whatever its adapters.
-bool holdsVersion(const std::vector<platform::LoadedWeights>& weights, std::string_view model,
+bool holdsVersion(const std::vector<clients::LoadedWeights>& weights, std::string_view model,
                   base::WeightsVersion version);
 
 }  // namespace covewing::coordination
--- a/src/coordination/lease_candidates.cc
+++ b/src/coordination/lease_candidates.cc
@@ -12,7 +12,8 @@
   const std::uint64_t leaseHash = base::hashName(leaseName);
   std::vector<membership::Member> ranked;
   for (const membership::Member& member : live) {
-    if (member.region == region && !member.draining) ranked.push_back(member);
+    const bool competes = region.empty() || member.region == region;
+    if (competes && !member.draining) ranked.push_back(member);
   }
   std::ranges::sort(ranked, [leaseHash](const auto& left, const auto& right) {
     const std::uint64_t leftScore = base::mixHash(leaseHash, left.id.value);
--- a/src/coordination/lease_manager.cc
+++ b/src/coordination/lease_manager.cc
@@ -13,10 +13,9 @@
 /// Writes remembered for recognition; older ones have long taken effect or never will.
 constexpr std::size_t kRememberedAttempts = 8;
 
-const platform::TableRow* findRow(const std::vector<platform::TableRow>& rows,
-                                  std::string_view key) {
+const clients::TableRow* findRow(const std::vector<clients::TableRow>& rows, std::string_view key) {
   const auto found =
-      std::ranges::find_if(rows, [key](const platform::TableRow& row) { return row.key == key; });
+      std::ranges::find_if(rows, [key](const clients::TableRow& row) { return row.key == key; });
   return found == rows.end() ? nullptr : &*found;
 }
 
@@ -132,23 +131,23 @@
 void LeaseManager::read() {
   callInFlight_ = true;
   environment_.table.read({leaseKey(options_.name), leaseTenureKey(options_.name)},
-                          guarded([this](const platform::TableReply& reply) {
+                          guarded([this](const clients::TableReply& reply) {
                             callInFlight_ = false;
                             onReadReply(reply);
                           }));
 }
 
-void LeaseManager::onReadReply(const platform::TableReply& reply) {
-  if (reply.status != platform::TableStatus::kOk) return backOff();
+void LeaseManager::onReadReply(const clients::TableReply& reply) {
+  if (reply.status != clients::TableStatus::kOk) return backOff();
   backoff_ = {};
   observe(reply.rows);
   recogniseOwnWrite();
   step();
 }
 
-void LeaseManager::observe(const std::vector<platform::TableRow>& rows) {
-  const platform::TableRow* lease = findRow(rows, leaseKey(options_.name));
-  const platform::TableRow* tenure = findRow(rows, leaseTenureKey(options_.name));
+void LeaseManager::observe(const std::vector<clients::TableRow>& rows) {
+  const clients::TableRow* lease = findRow(rows, leaseKey(options_.name));
+  const clients::TableRow* tenure = findRow(rows, leaseTenureKey(options_.name));
   const base::Revision revision = lease == nullptr ? 0 : lease->revision;
   const bool changed = !observed_ || observed_->revision != revision;
   if (!observed_) observed_ = Observation{};
@@ -196,7 +195,7 @@
   const Attempt attempt{.row = std::move(row),
                         .sentAt = environment_.clock.now(),
                         .tenureRevision = expected.tenureRevision};
-  platform::TableTransaction transaction;
+  clients::TableTransaction transaction;
   // A conflict answers with the rows of both conditions.
   transaction.conditions = {{leaseKey(options_.name), expected.revision},
                             {leaseTenureKey(options_.name), expected.tenureRevision}};
@@ -209,16 +208,16 @@
   if (attempts_.size() > kRememberedAttempts) attempts_.erase(attempts_.begin());
   callInFlight_ = true;
   environment_.table.commit(std::move(transaction),
-                            guarded([this, attempt, newTenure](const platform::TableReply& reply) {
+                            guarded([this, attempt, newTenure](const clients::TableReply& reply) {
                               callInFlight_ = false;
                               onCommitReply(reply, attempt, newTenure);
                             }));
 }
 
-void LeaseManager::onCommitReply(const platform::TableReply& reply, const Attempt& attempt,
+void LeaseManager::onCommitReply(const clients::TableReply& reply, const Attempt& attempt,
                                  bool newTenure) {
   switch (reply.status) {
-    case platform::TableStatus::kOk: {
+    case clients::TableStatus::kOk: {
       backoff_ = {};
       Attempt done = attempt;
       if (newTenure) done.tenureRevision = reply.revision;
@@ -226,14 +225,14 @@
       becomeHolder(done, reply.revision);
       return;
     }
-    case platform::TableStatus::kConflict:
+    case clients::TableStatus::kConflict:
       backoff_ = {};
       observe(reply.rows);
       if (attempt.row.released) return finishRelease();
       if (recogniseOwnWrite()) return;
       if (tenure_) loseTenure("another node holds it");
       return step();
-    case platform::TableStatus::kUnknown:
+    case clients::TableStatus::kUnknown:
       if (attempt.row.released) return finishRelease();
       return read();
     default:
--- a/src/coordination/lease_manager.h
+++ b/src/coordination/lease_manager.h
@@ -34,16 +34,16 @@
 #include "base/ids.h"
 #include "base/random.h"
 #include "base/time.h"
+#include "clients/table_client.h"
 #include "coordination/lease_row.h"
 #include "membership/member_directory.h"
-#include "platform/table_client.h"
 
 namespace covewing::coordination {
 
 struct LeaseOptions {
   /// Name of the lease, such as "coordinator/brno-south".
   std::string name;
-  /// Only members of this region compete.
+  /// Only members of this region compete; empty: all do.
   std::string region;
   base::Duration duration = std::chrono::seconds(6);
   base::Duration margin = std::chrono::milliseconds(500);
@@ -62,7 +62,7 @@
   base::TimerService& timers;
   base::RandomSource& random;
   base::EventLog& log;
-  platform::TableClient& table;
+  clients::TableClient& table;
   const membership::MemberDirectory& members;
 };
 
@@ -164,10 +164,10 @@
   /// Writes the row on condition that both rows still have the revisions in `expected`.
   void commit(LeaseRow row, const Expectation& expected, bool newTenure);
   LeaseRow makeRow(base::FencingToken token, bool released);
-  void onReadReply(const platform::TableReply& reply);
-  void onCommitReply(const platform::TableReply& reply, const Attempt& attempt, bool newTenure);
+  void onReadReply(const clients::TableReply& reply);
+  void onCommitReply(const clients::TableReply& reply, const Attempt& attempt, bool newTenure);
   /// Takes in rows read or returned by a conflict.
-  void observe(const std::vector<platform::TableRow>& rows);
+  void observe(const std::vector<clients::TableRow>& rows);
   /// Recognises one of this node's own writes in the row; true when it made this node the holder.
   bool recogniseOwnWrite();
   void becomeHolder(const Attempt& attempt, base::Revision revision);
--- /dev/null
+++ b/src/coordination/lease_messages.cc
@@ -0,0 +1,67 @@
+#include "coordination/lease_messages.h"
+
+#include "base/codec.h"
+
+namespace covewing::coordination {
+
+namespace {
+
+constexpr std::uint32_t kAnnouncementFields = 6;
+
+std::optional<LeaseAnnouncement> readAnnouncement(base::Reader& reader) {
+  LeaseAnnouncement announcement;
+  announcement.revision = reader.unsignedInteger();
+  announcement.tenureRevision = reader.unsignedInteger();
+  announcement.row.holder = reader.text();
+  announcement.row.incarnation = reader.unsignedInteger();
+  announcement.row.token = reader.unsignedInteger();
+  if (!reader.ok()) return std::nullopt;
+  return announcement;
+}
+
+}  // namespace
+
+std::string encodeCoordinationMessage(CoordinationMessageType type) {
+  base::Writer writer;
+  writer.array(1).unsignedInteger(static_cast<std::uint64_t>(type));
+  return writer.take();
+}
+
+std::string encodeLeaseWritten(const LeaseAnnouncement& announcement) {
+  base::Writer writer;
+  writer.array(kAnnouncementFields)
+      .unsignedInteger(static_cast<std::uint64_t>(CoordinationMessageType::kLeaseWritten))
+      .unsignedInteger(announcement.revision)
+      .unsignedInteger(announcement.tenureRevision)
+      .text(announcement.row.holder)
+      .unsignedInteger(announcement.row.incarnation)
+      .unsignedInteger(announcement.row.token);
+  return writer.take();
+}
+
+std::optional<CoordinationMessage> decodeCoordinationMessage(std::string_view payload) {
+  base::Reader reader(payload);
+  reader.beginArray();
+  CoordinationMessage message;
+  message.type = static_cast<CoordinationMessageType>(reader.unsignedInteger());
+  if (!reader.ok()) return std::nullopt;
+  switch (message.type) {
+    case CoordinationMessageType::kLeaseReleased:
+    case CoordinationMessageType::kOrdersChanged:
+      return message;
+    case CoordinationMessageType::kLeaseWritten:
+      message.announcement = readAnnouncement(reader);
+      if (message.announcement) return message;
+      break;
+  }
+  return std::nullopt;
+}
+
+void sendToCandidates(base::PeerTransport& peers, const LeaseManager& lease, base::NodeId self,
+                      const std::string& payload) {
+  for (const membership::Member& member : lease.candidates()) {
+    if (member.id != self) peers.send(member.endpoint, base::Channel::kCoordination, payload);
+  }
+}
+
+}  // namespace covewing::coordination
--- a/src/coordination/order.cc
+++ b/src/coordination/order.cc
@@ -79,14 +79,14 @@
 std::string_view toString(OrderType type) { return nameOf(kTypeNames, type); }
 std::string_view toString(OrderState state) { return nameOf(kOrderStateNames, state); }
 std::string_view toString(StepState state) { return nameOf(kStepStateNames, state); }
-std::string_view toString(platform::EngineRole role) { return nameOf(kRoleNames, role); }
+std::string_view toString(clients::EngineRole role) { return nameOf(kRoleNames, role); }
 
 std::optional<OrderType> parseOrderType(std::string_view name) {
   return valueOf<OrderType>(kTypeNames, name);
 }
 
-std::optional<platform::EngineRole> parseEngineRole(std::string_view name) {
-  return valueOf<platform::EngineRole>(kRoleNames, name);
+std::optional<clients::EngineRole> parseEngineRole(std::string_view name) {
+  return valueOf<clients::EngineRole>(kRoleNames, name);
 }
 
 bool isFinal(StepState state) {
--- a/src/coordination/order.h
+++ b/src/coordination/order.h
@@ -21,7 +21,7 @@
 #include "base/ids.h"
 #include "base/result_code.h"
 #include "base/time.h"
-#include "platform/engine_client.h"
+#include "clients/engine_client.h"
 
 namespace covewing::coordination {
 
@@ -54,9 +54,9 @@
 std::string_view toString(OrderType type);
 std::string_view toString(OrderState state);
 std::string_view toString(StepState state);
-std::string_view toString(platform::EngineRole role);
+std::string_view toString(clients::EngineRole role);
 std::optional<OrderType> parseOrderType(std::string_view name);
-std::optional<platform::EngineRole> parseEngineRole(std::string_view name);
+std::optional<clients::EngineRole> parseEngineRole(std::string_view name);
 
 /// What an order does to one engine.
 struct OrderStep {
@@ -82,8 +82,8 @@
   std::string region;
   OrderType type = OrderType::kLoad;
   /// Weights to load or to swap to.
-  platform::LoadedWeights weights;
-  platform::EngineRole role = platform::EngineRole::kServing;
+  clients::LoadedWeights weights;
+  clients::EngineRole role = clients::EngineRole::kServing;
   /// Most loads of this order at once; 0: the weight store's limit alone.
   std::uint32_t parallel = 0;
   /// Engines of the model that must be able to serve at every moment.
--- a/src/coordination/order_book.cc
+++ b/src/coordination/order_book.cc
@@ -10,8 +10,8 @@
 constexpr double kBackoffJitter = 0.5;
 constexpr std::uint32_t kMaximumDoublings = 6;
 
-using platform::TableReply;
-using platform::TableStatus;
+using clients::TableReply;
+using clients::TableStatus;
 
 std::optional<Order> orderIn(const TableReply& reply) {
   base::Reason ignored;
@@ -92,7 +92,7 @@
 
   void commit(Order order, base::Revision expected) {
     order.nonce = book_.random_.next();
-    platform::TableTransaction transaction;
+    clients::TableTransaction transaction;
     transaction.conditions.push_back({key(), expected});
     transaction.writes.push_back({key(), encodeOrder(order)});
     book_.table_.commit(std::move(transaction),
@@ -148,7 +148,7 @@
 };
 
 OrderBook::OrderBook(OrderBookOptions options, base::TimerService& timers,
-                     base::RandomSource& random, platform::TableClient& table)
+                     base::RandomSource& random, clients::TableClient& table)
     : options_(std::move(options)), timers_(timers), random_(random), table_(table) {}
 
 OrderBook::~OrderBook() = default;
@@ -183,7 +183,7 @@
                 }
                 std::vector<Order> orders;
                 base::Reason ignored;
-                for (const platform::TableRow& row : reply.rows) {
+                for (const clients::TableRow& row : reply.rows) {
                   if (auto order = parseOrder(row.value, row.revision, ignored)) {
                     orders.push_back(std::move(*order));
                   }
--- a/src/coordination/order_book.h
+++ b/src/coordination/order_book.h
@@ -17,8 +17,8 @@
 #include "base/random.h"
 #include "base/result_code.h"
 #include "base/time.h"
+#include "clients/table_client.h"
 #include "coordination/order.h"
-#include "platform/table_client.h"
 
 namespace covewing::coordination {
 
@@ -64,7 +64,7 @@
   using ChangeListener = std::function<void()>;
 
   OrderBook(OrderBookOptions options, base::TimerService& timers, base::RandomSource& random,
-            platform::TableClient& table);
+            clients::TableClient& table);
   ~OrderBook();
   OrderBook(const OrderBook&) = delete;
   OrderBook& operator=(const OrderBook&) = delete;
@@ -83,7 +83,7 @@
   OrderBookOptions options_;
   base::TimerService& timers_;
   base::RandomSource& random_;
-  platform::TableClient& table_;
+  clients::TableClient& table_;
   ChangeListener listener_;
   /// Outlived by operations that must no longer reach this object.
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
--- a/src/coordination/order_executor.cc
+++ b/src/coordination/order_executor.cc
@@ -17,7 +17,7 @@
   return found == catalogue.end() ? nullptr : &*found;
 }
 
-std::uint32_t requestsOf(const platform::EngineLoad& load) {
+std::uint32_t requestsOf(const clients::EngineLoad& load) {
   std::uint32_t requests = load.running;
   for (const std::uint32_t waiting : load.waiting) requests += waiting;
   return requests;
@@ -130,15 +130,15 @@
   scanWanted_ = false;
   nextScanAt_ = environment_.clock.now() + options_.scanInterval;
   environment_.table.scan(orderPrefix(options_.region), scannedUpTo_, options_.scanLimit,
-                          guarded([this](const platform::TableReply& reply) {
+                          guarded([this](const clients::TableReply& reply) {
                             scanInFlight_ = false;
                             onScan(reply);
                           }));
 }
 
-void OrderExecutor::onScan(const platform::TableReply& reply) {
-  if (reply.status != platform::TableStatus::kOk) return;  // the next tick after nextScanAt_
-  for (const platform::TableRow& row : reply.rows) takeRow(row);
+void OrderExecutor::onScan(const clients::TableReply& reply) {
+  if (reply.status != clients::TableStatus::kOk) return;  // the next tick after nextScanAt_
+  for (const clients::TableRow& row : reply.rows) takeRow(row);
   scannedUpTo_ = std::max(scannedUpTo_, reply.revision);
   if (reply.rows.size() >= options_.scanLimit || scanWanted_) return scan();
   complete_ = true;
@@ -146,7 +146,7 @@
   advanceSoon();
 }
 
-void OrderExecutor::takeRow(const platform::TableRow& row) {
+void OrderExecutor::takeRow(const clients::TableRow& row) {
   base::Reason ignored;
   auto order = parseOrder(row.value, row.revision, ignored);
   if (order) takeOrder(std::move(*order));
@@ -171,7 +171,7 @@
 void OrderExecutor::removeOldOrders() {
   const auto grant = grant_();
   if (!grant || finished_.size() <= options_.keptOrders) return;
-  platform::TableTransaction transaction;
+  clients::TableTransaction transaction;
   transaction.conditions.push_back({coordinatorTenureKey(options_.region), grant->tenureRevision});
   while (finished_.size() > options_.keptOrders) {
     transaction.writes.push_back(
@@ -179,7 +179,7 @@
     finished_.erase(finished_.begin());
   }
   // Whatever the answer: rows that stayed are met again by the next holder.
-  environment_.table.commit(std::move(transaction), [](const platform::TableReply&) {});
+  environment_.table.commit(std::move(transaction), [](const clients::TableReply&) {});
 }
 
 // --- engines
@@ -206,19 +206,19 @@
   }
 }
 
-void OrderExecutor::poll(const std::string& name, const platform::BackEndAddress& address) {
+void OrderExecutor::poll(const std::string& name, const clients::BackEndAddress& address) {
   EngineRecord& record = engines_[name];
   if (record.pollInFlight) return;
   record.pollInFlight = true;
   environment_.engines.poll(
       address, record.nextSequence,
-      guarded([this, name](const std::optional<platform::EngineReport>& report) {
+      guarded([this, name](const std::optional<clients::EngineReport>& report) {
         onReport(name, report);
       }));
 }
 
 void OrderExecutor::onReport(const std::string& name,
-                             const std::optional<platform::EngineReport>& report) {
+                             const std::optional<clients::EngineReport>& report) {
   EngineRecord& record = engines_[name];
   record.pollInFlight = false;
   if (!report) return;
@@ -272,7 +272,7 @@
   }
   for (const CatalogueEngine& engine : catalogue) {
     const bool serves = engine.region == options_.region && !engine.leaving &&
-                        !engine.unreachable && engine.role == platform::EngineRole::kServing &&
+                        !engine.unreachable && engine.role == clients::EngineRole::kServing &&
                         !loadingElsewhere.contains(engine.address.name);
     if (serves) context.servingEngines.push_back(engine);
   }
@@ -320,29 +320,29 @@
   }
   open.pending->nonce = environment_.random.next();
   open.pending->token = grant->token;
-  platform::TableTransaction transaction;
+  clients::TableTransaction transaction;
   const std::string key = orderKey(options_.region, id);
   transaction.conditions = {{key, open.pending->revision},
                             {coordinatorTenureKey(options_.region), grant->tenureRevision}};
   transaction.writes.push_back({key, encodeOrder(*open.pending)});
   environment_.table.commit(
       std::move(transaction),
-      guarded([this, id](const platform::TableReply& reply) { onCommit(id, reply); }));
+      guarded([this, id](const clients::TableReply& reply) { onCommit(id, reply); }));
 }
 
-void OrderExecutor::onCommit(const std::string& id, const platform::TableReply& reply) {
+void OrderExecutor::onCommit(const std::string& id, const clients::TableReply& reply) {
   const auto open = orders_.find(id);
   if (open == orders_.end() || !open->second.pending) return;
-  if (reply.status == platform::TableStatus::kUnknown) return readBack(id);
+  if (reply.status == clients::TableStatus::kUnknown) return readBack(id);
   Order next = *std::exchange(open->second.pending, std::nullopt);
-  if (reply.status == platform::TableStatus::kOk) {
+  if (reply.status == clients::TableStatus::kOk) {
     next.revision = reply.revision;
     adopt(open->second, std::move(next));
     return advanceSoon();
   }
   // A cancelled order has a newer row, which comes with the conflict.
-  if (reply.status != platform::TableStatus::kConflict) return;
-  for (const platform::TableRow& row : reply.rows) {
+  if (reply.status != clients::TableStatus::kConflict) return;
+  for (const clients::TableRow& row : reply.rows) {
     if (row.key == orderKey(options_.region, id)) takeRow(row);
   }
 }
@@ -353,22 +353,22 @@
 void OrderExecutor::readBack(const std::string& id) {
   environment_.table.read(
       {orderKey(options_.region, id)},
-      guarded([this, id](const platform::TableReply& reply) { onReadBack(id, reply); }));
+      guarded([this, id](const clients::TableReply& reply) { onReadBack(id, reply); }));
 }
 
 void OrderExecutor::retryReadBack(const std::string& id) {
   environment_.timers.schedule(options_.tickInterval, guarded([this, id] { readBack(id); }));
 }
 
-void OrderExecutor::onReadBack(const std::string& id, const platform::TableReply& reply) {
+void OrderExecutor::onReadBack(const std::string& id, const clients::TableReply& reply) {
   const auto open = orders_.find(id);
   if (open == orders_.end() || !open->second.pending) return;
-  if (reply.status != platform::TableStatus::kOk) return retryReadBack(id);
+  if (reply.status != clients::TableStatus::kOk) return retryReadBack(id);
   const bool unchanged =
       !reply.rows.empty() && reply.rows.front().revision == open->second.order.revision;
   if (unchanged) return commit(id);
   open->second.pending.reset();
-  for (const platform::TableRow& row : reply.rows) takeRow(row);
+  for (const clients::TableRow& row : reply.rows) takeRow(row);
 }
 
 /// Takes over a newer state of the row, keeping the clocks of steps that did not move.
@@ -419,11 +419,11 @@
   }
 }
 
-void OrderExecutor::send(OpenOrder& open, std::size_t index, const platform::BackEndAddress& engine,
+void OrderExecutor::send(OpenOrder& open, std::size_t index, const clients::BackEndAddress& engine,
                          const LeaseGrant& grant) {
   const OrderStep& step = open.order.steps[index];
   StepClock& clock = open.clocks[index];
-  for (platform::EngineOrder& order : engineOrdersFor(open.order, step, grant.token)) {
+  for (clients::EngineOrder& order : engineOrdersFor(open.order, step, grant.token)) {
     if (!clock.sentAt) {
       environment_.log.write(base::Event::kOrderStarted,
                              {{"order", open.order.id},
@@ -435,7 +435,7 @@
     const std::string name = step.engine;
     const std::string what = order.orderId;
     environment_.engines.order(engine, std::move(order),
-                               guarded([this, id, name, what](const platform::OrderReply& reply) {
+                               guarded([this, id, name, what](const clients::OrderReply& reply) {
                                  onOrderReply(id, name, what, reply);
                                }));
   }
@@ -443,14 +443,14 @@
 }
 
 void OrderExecutor::onOrderReply(const std::string& id, const std::string& engine,
-                                 const std::string& what, const platform::OrderReply& reply) {
-  if (reply.status == platform::OrderStatus::kFencedOff) {
+                                 const std::string& what, const clients::OrderReply& reply) {
+  if (reply.status == clients::OrderStatus::kFencedOff) {
     environment_.log.write(base::Event::kOrderFenced,
                            {{"order", what}, {"token", std::to_string(reply.fencingToken)}});
     return;
   }
   const auto open = orders_.find(id);
-  if (reply.status != platform::OrderStatus::kInvalid || open == orders_.end()) return;
+  if (reply.status != clients::OrderStatus::kInvalid || open == orders_.end()) return;
   const auto& steps = open->second.order.steps;
   for (std::size_t index = 0; index < steps.size(); ++index) {
     if (steps[index].engine != engine || !isActive(steps[index].state)) continue;
--- a/src/coordination/order_executor.h
+++ b/src/coordination/order_executor.h
@@ -23,12 +23,12 @@
 #include "base/event_log.h"
 #include "base/random.h"
 #include "base/time.h"
+#include "clients/engine_client.h"
+#include "clients/table_client.h"
 #include "coordination/engine_catalogue.h"
 #include "coordination/lease_manager.h"
 #include "coordination/order.h"
 #include "coordination/order_progress.h"
-#include "platform/engine_client.h"
-#include "platform/table_client.h"
 
 namespace covewing::coordination {
 
@@ -56,8 +56,8 @@
   base::TimerService& timers;
   base::RandomSource& random;
   base::EventLog& log;
-  platform::TableClient& table;
-  platform::EngineClient& engines;
+  clients::TableClient& table;
+  clients::EngineClient& engines;
   const EngineCatalogue& catalogue;
   /// Name of this node, for the orders' history.
   std::string nodeName;
@@ -118,16 +118,16 @@
   void advanceSoon();
   void scheduleTick();
   void scan();
-  void onScan(const platform::TableReply& reply);
-  void takeRow(const platform::TableRow& row);
+  void onScan(const clients::TableReply& reply);
+  void takeRow(const clients::TableRow& row);
   void takeOrder(Order order);
   void removeOldOrders();
   bool hasOpenOrders() const;
 
   void pollEngines(const std::vector<CatalogueEngine>& catalogue);
   std::vector<std::string> enginesToPoll() const;
-  void poll(const std::string& name, const platform::BackEndAddress& address);
-  void onReport(const std::string& name, const std::optional<platform::EngineReport>& report);
+  void poll(const std::string& name, const clients::BackEndAddress& address);
+  void onReport(const std::string& name, const std::optional<clients::EngineReport>& report);
 
   void advance(OpenOrder& open, const std::vector<CatalogueEngine>& catalogue);
   ProgressContext contextFor(const OpenOrder& open,
@@ -137,18 +137,18 @@
   void stampSteps(const OpenOrder& open, Order& next) const;
   /// Writes the order's pending state.
   void commit(const std::string& id);
-  void onCommit(const std::string& id, const platform::TableReply& reply);
+  void onCommit(const std::string& id, const clients::TableReply& reply);
   void readBack(const std::string& id);
-  void onReadBack(const std::string& id, const platform::TableReply& reply);
+  void onReadBack(const std::string& id, const clients::TableReply& reply);
   void retryReadBack(const std::string& id);
   void adopt(OpenOrder& open, Order order);
   void logFinish(const Order& order);
 
   void sendOrders(OpenOrder& open, const std::vector<CatalogueEngine>& catalogue);
-  void send(OpenOrder& open, std::size_t index, const platform::BackEndAddress& engine,
+  void send(OpenOrder& open, std::size_t index, const clients::BackEndAddress& engine,
             const LeaseGrant& grant);
   void onOrderReply(const std::string& id, const std::string& engine, const std::string& what,
-                    const platform::OrderReply& reply);
+                    const clients::OrderReply& reply);
 
   template <class Handler>
   auto guarded(Handler handler);
--- a/src/coordination/order_progress.cc
+++ b/src/coordination/order_progress.cc
@@ -90,8 +90,8 @@
         return;
       case StepState::kChanging:
         if (engine.role != order_.role) return;
-        move(step, order_.role == platform::EngineRole::kStandby ? StepState::kDraining
-                                                                 : StepState::kDone);
+        move(step, order_.role == clients::EngineRole::kStandby ? StepState::kDraining
+                                                                : StepState::kDone);
         return;
       case StepState::kDraining:
         if (engine.requests == 0) move(step, StepState::kDone);
@@ -171,7 +171,7 @@
 
   /// Adds to those known: an engine that restarts shows for a while less than it will have.
   void addOldVersions(OrderStep& step, const EngineObservation& engine) const {
-    for (const platform::LoadedWeights& loaded : engine.weights) {
+    for (const clients::LoadedWeights& loaded : engine.weights) {
       const bool isOld =
           loaded.model == order_.weights.model && loaded.version != order_.weights.version;
       const bool known =
@@ -222,7 +222,7 @@
     if (engine.role == order_.role) {
       return move(step, StepState::kDone, "had the role before");
     }
-    if (order_.role == platform::EngineRole::kStandby) {
+    if (order_.role == clients::EngineRole::kStandby) {
       step.detail = reasonToKeepServing(step, engine);
       if (!step.detail.empty()) return;
     }
@@ -231,7 +231,7 @@
   }
 
   std::string reasonToKeepServing(const OrderStep& step, const EngineObservation& engine) const {
-    for (const platform::LoadedWeights& loaded : engine.weights) {
+    for (const clients::LoadedWeights& loaded : engine.weights) {
       const auto others = static_cast<std::uint32_t>(
           std::ranges::count_if(context_.servingEngines, [&](const CatalogueEngine& other) {
             return other.address.name != step.engine && !isLeavingService(other.address.name) &&
@@ -351,33 +351,33 @@
   return loaded;
 }
 
-std::vector<platform::EngineOrder> engineOrdersFor(const Order& order, const OrderStep& step,
-                                                   base::FencingToken token) {
-  std::vector<platform::EngineOrder> result;
-  platform::EngineOrder one;
+std::vector<clients::EngineOrder> engineOrdersFor(const Order& order, const OrderStep& step,
+                                                  base::FencingToken token) {
+  std::vector<clients::EngineOrder> result;
+  clients::EngineOrder one;
   one.fencingToken = token;
   one.weights = order.weights;
   one.role = order.role;
   switch (step.state) {
     case StepState::kLoading:
       one.orderId = engineOrderId(order, step, "load");
-      one.kind = platform::OrderKind::kLoadWeights;
+      one.kind = clients::OrderKind::kLoadWeights;
       result.push_back(std::move(one));
       break;
     case StepState::kRollingBack:
       one.orderId = engineOrderId(order, step, "unload");
-      one.kind = platform::OrderKind::kUnloadWeights;
+      one.kind = clients::OrderKind::kUnloadWeights;
       result.push_back(std::move(one));
       break;
     case StepState::kChanging:
       one.orderId = engineOrderId(order, step, "role");
-      one.kind = platform::OrderKind::kChangeRole;
+      one.kind = clients::OrderKind::kChangeRole;
       result.push_back(std::move(one));
       break;
     case StepState::kUnloading:
       for (const base::WeightsVersion version : step.oldVersions) {
         one.orderId = engineOrderId(order, step, "unload-" + std::to_string(version));
-        one.kind = platform::OrderKind::kUnloadWeights;
+        one.kind = clients::OrderKind::kUnloadWeights;
         one.weights = {order.weights.model, version, {}};
         result.push_back(one);
       }
--- a/src/coordination/order_progress.h
+++ b/src/coordination/order_progress.h
@@ -19,9 +19,9 @@
 /// What an engine itself reported lately.
 struct EngineObservation {
   base::Incarnation incarnation = 0;
-  platform::EngineRole role = platform::EngineRole::kServing;
+  clients::EngineRole role = clients::EngineRole::kServing;
   bool leaving = false;
-  std::vector<platform::LoadedWeights> weights;
+  std::vector<clients::LoadedWeights> weights;
   /// Requests running and waiting.
   std::uint32_t requests = 0;
 };
@@ -71,8 +71,8 @@
 void advanceOrder(Order& order, const ProgressContext& context);
 
 /// Orders for the engine that the step's state calls for; none where it calls for nothing.
-std::vector<platform::EngineOrder> engineOrdersFor(const Order& order, const OrderStep& step,
-                                                   base::FencingToken token);
+std::vector<clients::EngineOrder> engineOrdersFor(const Order& order, const OrderStep& step,
+                                                  base::FencingToken token);
 
 /// Every engine of a swap has the new version and none was told to unload the old one yet.
 bool isSettling(const Order& order);
--- a/src/coordination/order_request.cc
+++ b/src/coordination/order_request.cc
@@ -85,7 +85,7 @@
 /// Serving engines first, and among them those that have the model: a version on an engine that has
 /// no other of the model would be served by that engine alone.
 EnginePointers inOrderOfPreference(const EnginePointers& engines, const std::string& model) {
-  std::map<std::pair<platform::EngineRole, bool>, EnginePointers> groups;
+  std::map<std::pair<clients::EngineRole, bool>, EnginePointers> groups;
   for (const CatalogueEngine* engine : engines) {
     const bool lacksModel = !holdsModel(engine->weights, model);
     groups[{engine->role, lacksModel}].push_back(engine);
@@ -102,7 +102,7 @@
                              const std::vector<CatalogueEngine>& engines) {
   return static_cast<std::uint32_t>(std::ranges::count_if(engines, [&](const auto& engine) {
     return engine.region == request.region && !engine.leaving && !engine.unreachable &&
-           engine.role == platform::EngineRole::kServing &&
+           engine.role == clients::EngineRole::kServing &&
            holdsModel(engine.weights, request.model);
   }));
 }
@@ -119,7 +119,7 @@
 std::vector<std::string> adaptersOf(const EnginePointers& engines, const std::string& model) {
   std::set<std::string> adapters;
   for (const CatalogueEngine* engine : engines) {
-    for (const platform::LoadedWeights& loaded : engine->weights) {
+    for (const clients::LoadedWeights& loaded : engine->weights) {
       if (loaded.model == model) adapters.insert(loaded.adapters.begin(), loaded.adapters.end());
     }
   }
--- a/src/coordination/order_request.h
+++ b/src/coordination/order_request.h
@@ -20,7 +20,7 @@
   base::WeightsVersion version = 0;
   /// Empty for a swap: those that the engines have with the model now.
   std::vector<std::string> adapters;
-  platform::EngineRole role = platform::EngineRole::kServing;
+  clients::EngineRole role = clients::EngineRole::kServing;
   /// Engines by name; empty: chosen from the region.
   std::vector<std::string> engines;
   /// Choose engines of this zone only; empty: any.
--- a/src/emulator/application_model.cc
+++ b/src/emulator/application_model.cc
@@ -9,10 +9,10 @@
 
 using base::Reason;
 using base::ResultCode;
-using platform::ApplicationRequest;
-using platform::ApplicationResponse;
-using platform::DispatchError;
-using platform::DispatchFailure;
+using clients::ApplicationRequest;
+using clients::ApplicationResponse;
+using clients::DispatchError;
+using clients::DispatchFailure;
 
 namespace {
 constexpr unsigned kStatusOk = 200;
@@ -27,7 +27,7 @@
 }
 
 std::string headerValue(const ApplicationRequest& request, std::string_view name) {
-  for (const platform::HeaderField& field : request.headers) {
+  for (const clients::HeaderField& field : request.headers) {
     if (equalIgnoringCase(field.name, name)) return field.value;
   }
   return {};
--- a/src/emulator/application_model.h
+++ b/src/emulator/application_model.h
@@ -10,8 +10,8 @@
 
 #include "base/random.h"
 #include "base/time.h"
+#include "clients/application_client.h"
 #include "emulator/execution_observer.h"
-#include "platform/application_client.h"
 
 namespace covewing::emulator {
 
@@ -40,14 +40,14 @@
 };
 
 /// The body of every answer, as JSON: what ran and where. A checker compares it with the call.
-std::string expectedApplicationBody(const platform::ApplicationRequest& request,
+std::string expectedApplicationBody(const clients::ApplicationRequest& request,
                                     const std::string& replica, std::uint64_t number);
 
 class ApplicationModel {
  public:
   /// Called with the answer; twice where answers are repeated: a runtime passes both on as bytes of
   /// the same connection.
-  using Callback = std::function<void(platform::ApplicationResult)>;
+  using Callback = std::function<void(clients::ApplicationResult)>;
 
   ApplicationModel(const ApplicationModelOptions& options, ExecutionObserver* observer,
                    const base::Clock& clock, base::TimerService& timers,
@@ -56,7 +56,7 @@
   ApplicationModel(const ApplicationModel&) = delete;
   ApplicationModel& operator=(const ApplicationModel&) = delete;
 
-  void call(platform::ApplicationRequest request, Callback callback);
+  void call(clients::ApplicationRequest request, Callback callback);
 
   /// Refuses new calls with "not run" and answers those accepted.
   void leave() { leaving_ = true; }
@@ -76,16 +76,16 @@
 
  private:
   struct Call {
-    platform::ApplicationRequest request;
+    clients::ApplicationRequest request;
     Callback callback;
-    platform::ApplicationResponse response;
+    clients::ApplicationResponse response;
     base::TimerId timer = 0;
   };
   using CallId = std::uint64_t;
 
   bool draw(double probability);
   base::Duration halfServiceTime();
-  void accept(platform::ApplicationRequest request, const Callback& callback);
+  void accept(clients::ApplicationRequest request, const Callback& callback);
   /// Runs `step` for the call after `delay`, later still while paused, never after a crash.
   void after(base::Duration delay, CallId call, void (ApplicationModel::*step)(CallId));
   void execute(CallId id);
--- a/src/emulator/cache_event_journal.cc
+++ b/src/emulator/cache_event_journal.cc
@@ -18,7 +18,7 @@
   return true;
 }
 
-void CacheEventJournal::append(platform::CacheEventKind kind, base::BlockHash block,
+void CacheEventJournal::append(clients::CacheEventKind kind, base::BlockHash block,
                                base::TimePoint now, base::RandomSource& random) {
   entries_.push_back(Entry{block, now, kind, drawLoss(random)});
   if (entries_.size() <= options_.history) return;
@@ -27,7 +27,7 @@
 }
 
 void CacheEventJournal::read(std::uint64_t fromSequence, base::TimePoint now,
-                             platform::EngineReport& report) const {
+                             clients::EngineReport& report) const {
   const std::uint64_t end = nextSequence();
   // A number never given belongs to an earlier run of the engine.
   std::uint64_t sequence = fromSequence > end ? 0 : fromSequence;
@@ -40,7 +40,7 @@
   while (sequence < end && report.events.size() < options_.reportLimit) {
     const Entry& entry = at(sequence);
     if (entry.lost || !published(entry, now)) break;
-    report.events.push_back(platform::CacheEvent{entry.kind, entry.block});
+    report.events.push_back(clients::CacheEvent{entry.kind, entry.block});
     ++sequence;
   }
   report.nextSequence = sequence;
--- a/src/emulator/cache_event_journal.h
+++ b/src/emulator/cache_event_journal.h
@@ -8,7 +8,7 @@
 
 #include "base/random.h"
 #include "base/time.h"
-#include "platform/engine_client.h"
+#include "clients/engine_client.h"
 
 namespace covewing::emulator {
 
@@ -29,11 +29,11 @@
  public:
   explicit CacheEventJournal(const CacheEventOptions& options) : options_(options) {}
 
-  void append(platform::CacheEventKind kind, base::BlockHash block, base::TimePoint now,
+  void append(clients::CacheEventKind kind, base::BlockHash block, base::TimePoint now,
               base::RandomSource& random);
   /// Fills events and sequence numbers of `report` from `fromSequence` on: the events that are
   /// published at `now`, up to the next loss.
-  void read(std::uint64_t fromSequence, base::TimePoint now, platform::EngineReport& report) const;
+  void read(std::uint64_t fromSequence, base::TimePoint now, clients::EngineReport& report) const;
   /// Loses every event that is kept but was not read.
   void loseKept();
   void clear();
@@ -45,7 +45,7 @@
   struct Entry {
     base::BlockHash block;
     base::TimePoint at;
-    platform::CacheEventKind kind = platform::CacheEventKind::kStored;
+    clients::CacheEventKind kind = clients::CacheEventKind::kStored;
     bool lost = false;
   };
 
--- a/src/emulator/engine_model.cc
+++ b/src/emulator/engine_model.cc
@@ -10,9 +10,9 @@
 
 using base::Reason;
 using base::ResultCode;
-using platform::DispatchError;
-using platform::DispatchFailure;
-using platform::EngineRequest;
+using clients::DispatchError;
+using clients::DispatchFailure;
+using clients::EngineRequest;
 
 namespace {
 constexpr unsigned kGenerationShift = 32;
@@ -34,7 +34,7 @@
       cache_(options.capacityBlocks),
       journal_(options.cacheEvents),
       orders_(options.safeguards.checkFencing,
-              [this](const platform::EngineOrder& order) { runOrder(order); }) {
+              [this](const clients::EngineOrder& order) { runOrder(order); }) {
   sampledLoad_ = currentLoad();
   publishedLoad_ = sampledLoad_;
 }
@@ -51,7 +51,7 @@
 
 // --- intake
 
-ExecutionId EngineModel::submit(EngineRequest request, platform::EngineStreamHandler& handler) {
+ExecutionId EngineModel::submit(EngineRequest request, clients::EngineStreamHandler& handler) {
   if (!up_) {
     handler.onError(DispatchError{DispatchFailure::kNotSent,
                                   Reason{ResultCode::kBackEndUnreachable, "engine is down"}});
@@ -107,7 +107,7 @@
 
 std::optional<Reason> EngineModel::refusal(const EngineRequest& request) const {
   if (leaving_) return Reason{ResultCode::kBackEndLeaving, "engine is leaving"};
-  if (role_ != platform::EngineRole::kServing) {
+  if (role_ != clients::EngineRole::kServing) {
     return Reason{ResultCode::kBackEndRefused, "engine is on standby"};
   }
   if (auto mismatch = identityMismatch(request)) return mismatch;
@@ -125,8 +125,8 @@
   return std::nullopt;
 }
 
-platform::CacheIdentity EngineModel::hashedIdentity(const platform::CacheIdentity& identity) const {
-  platform::CacheIdentity hashed = identity;
+clients::CacheIdentity EngineModel::hashedIdentity(const clients::CacheIdentity& identity) const {
+  clients::CacheIdentity hashed = identity;
   if (!options_.safeguards.separateTenants) hashed.tenantSalt = 0;
   if (!options_.safeguards.separateVersions) hashed.weightsVersion = 0;
   return hashed;
@@ -135,7 +135,7 @@
 void EngineModel::accept(Index index, const EngineRequest& request) {
   Execution& execution = executions_[index];
   if (auto reason = refusal(request)) {
-    platform::EngineStreamHandler* handler = execution.handler;
+    clients::EngineStreamHandler* handler = execution.handler;
     execution.phase = Phase::kOver;
     release(index, ExecutionEnd::kCancelled);
     if (surroundings_.observer != nullptr) {
@@ -213,7 +213,7 @@
   ++epoch_;
   stopTimers();
   deferred_.clear();
-  std::vector<platform::EngineStreamHandler*> broken;
+  std::vector<clients::EngineStreamHandler*> broken;
   for (Index index = 0; index < executions_.size(); ++index) {
     Execution& execution = executions_[index];
     if (execution.phase == Phase::kFree || execution.phase == Phase::kOver) continue;
@@ -231,7 +231,7 @@
     if (surroundings_.observer != nullptr) surroundings_.observer->onCacheLost(id_);
   }
   journal_.clear();
-  for (platform::EngineStreamHandler* handler : broken) {
+  for (clients::EngineStreamHandler* handler : broken) {
     handler->onError(DispatchError{DispatchFailure::kOutcomeUnknown,
                                    Reason{ResultCode::kBackEndLost, "engine crashed"}});
   }
@@ -246,7 +246,7 @@
   publishedLoad_ = sampledLoad_;
   weights_.clear();
   if (!options_.reloadsWeightsOnRestart) return;
-  for (const platform::LoadedWeights& weights : deployed_.loaded()) {
+  for (const clients::LoadedWeights& weights : deployed_.loaded()) {
     loadWeights(weights, [] {});
   }
 }
--- a/src/emulator/engine_model.h
+++ b/src/emulator/engine_model.h
@@ -18,6 +18,7 @@
 
 #include "base/random.h"
 #include "base/time.h"
+#include "clients/engine_client.h"
 #include "emulator/block_cache.h"
 #include "emulator/cache_event_journal.h"
 #include "emulator/engine_options.h"
@@ -27,7 +28,6 @@
 #include "emulator/provenance_table.h"
 #include "emulator/weight_store_model.h"
 #include "emulator/weights_memory.h"
-#include "platform/engine_client.h"
 #include "prefix/block_chain.h"
 
 namespace covewing::emulator {
@@ -43,8 +43,8 @@
 /// engine answers when it goes on; one that is down fails every call as unreachable.
 class EngineModel {
  public:
-  using ReportCallback = std::function<void(std::optional<platform::EngineReport>)>;
-  using OrderCallback = std::function<void(platform::OrderReply)>;
+  using ReportCallback = std::function<void(std::optional<clients::EngineReport>)>;
+  using OrderCallback = std::function<void(clients::OrderReply)>;
 
   EngineModel(const EngineModelOptions& options, const EngineSurroundings& surroundings,
               const base::Clock& clock, base::TimerService& timers, base::RandomSource& random);
@@ -54,12 +54,12 @@
 
   /// Takes a request. `handler` hears onAccepted or onError, possibly before this returns, and must
   /// live until onEnd, onError or `cancel`. Handlers may call `submit` and `cancel`.
-  ExecutionId submit(platform::EngineRequest request, platform::EngineStreamHandler& handler);
+  ExecutionId submit(clients::EngineRequest request, clients::EngineStreamHandler& handler);
   /// Ends the work and silences the handler; an execution that is over is ignored.
   void cancel(ExecutionId id);
   void report(std::uint64_t fromSequence, ReportCallback callback);
   void snapshot(ReportCallback callback);
-  void order(platform::EngineOrder order, OrderCallback callback);
+  void order(clients::EngineOrder order, OrderCallback callback);
 
   /// Refuses new requests and finishes those accepted.
   void leave();
@@ -79,9 +79,9 @@
   base::EngineId id() const { return id_; }
   const std::string& name() const { return options_.name; }
   base::Incarnation incarnation() const { return incarnation_; }
-  const std::vector<platform::LoadedWeights>& weights() const { return weights_.loaded(); }
+  const std::vector<clients::LoadedWeights>& weights() const { return weights_.loaded(); }
   /// The load now, without the lag of reports.
-  platform::EngineLoad currentLoad() const;
+  clients::EngineLoad currentLoad() const;
   const BlockCache& cache() const { return cache_; }
   CacheEventJournal& journal() { return journal_; }
   /// Leading blocks of `chain` in memory now.
@@ -93,7 +93,7 @@
 
   struct Execution {
     ExecutionRecord record;
-    platform::EngineStreamHandler* handler = nullptr;
+    clients::EngineStreamHandler* handler = nullptr;
     Phase phase = Phase::kFree;
     /// Takes part in the step under way.
     bool decodesInStep = false;
@@ -119,16 +119,16 @@
   static constexpr std::size_t kClasses = base::kPriorityClassCount;
 
   // Intake.
-  std::optional<base::Reason> refusal(const platform::EngineRequest& request) const;
-  std::optional<base::Reason> identityMismatch(const platform::EngineRequest& request) const;
-  void accept(Index index, const platform::EngineRequest& request);
+  std::optional<base::Reason> refusal(const clients::EngineRequest& request) const;
+  std::optional<base::Reason> identityMismatch(const clients::EngineRequest& request) const;
+  void accept(Index index, const clients::EngineRequest& request);
   Index allocate();
   /// The slot and how often it was used before.
   ExecutionId idOf(Index index) const;
   static std::uint32_t blocksFor(std::uint64_t tokens);
   /// Null when the execution is over.
   Execution* find(ExecutionId execution);
-  platform::CacheIdentity hashedIdentity(const platform::CacheIdentity& identity) const;
+  clients::CacheIdentity hashedIdentity(const clients::CacheIdentity& identity) const;
   /// Runs `call` now, or when the engine is no longer paused.
   void whenAwake(std::function<void()> call);
 
@@ -160,15 +160,15 @@
   std::vector<BlockProvenance> reusedProvenances(const Execution& execution) const;
 
   // Reports and orders.
-  platform::EngineReport basicReport() const;
+  clients::EngineReport basicReport() const;
   std::size_t waitingCount() const;
   void sampleLoad();
-  platform::OrderReply takeOrder(const platform::EngineOrder& order);
-  std::optional<base::Reason> orderMistake(const platform::EngineOrder& order) const;
-  bool fitsInMemory(const platform::LoadedWeights& weights) const;
-  void runOrder(const platform::EngineOrder& order);
-  void loadWeights(const platform::LoadedWeights& weights, const std::function<void()>& done);
-  bool usesWeights(const platform::LoadedWeights& weights) const;
+  clients::OrderReply takeOrder(const clients::EngineOrder& order);
+  std::optional<base::Reason> orderMistake(const clients::EngineOrder& order) const;
+  bool fitsInMemory(const clients::LoadedWeights& weights) const;
+  void runOrder(const clients::EngineOrder& order);
+  void loadWeights(const clients::LoadedWeights& weights, const std::function<void()>& done);
+  bool usesWeights(const clients::LoadedWeights& weights) const;
   void finishUnload();
   void stopTimers();
 
@@ -182,7 +182,7 @@
   bool up_ = true;
   bool paused_ = false;
   bool leaving_ = false;
-  platform::EngineRole role_;
+  clients::EngineRole role_;
   base::Incarnation incarnation_;
   WeightsMemory weights_;
   /// What orders left loaded; kept by the platform over crashes.
@@ -205,8 +205,8 @@
   CacheEventJournal journal_;
   std::vector<base::BlockHash> evicted_;
 
-  platform::EngineLoad sampledLoad_;
-  platform::EngineLoad publishedLoad_;
+  clients::EngineLoad sampledLoad_;
+  clients::EngineLoad publishedLoad_;
   base::TimerId sampleTimer_ = 0;
 
   OrderQueue orders_;
--- a/src/emulator/engine_model_orders.cc
+++ b/src/emulator/engine_model_orders.cc
@@ -8,12 +8,12 @@
 
 using base::Reason;
 using base::ResultCode;
-using platform::EngineOrder;
-using platform::EngineReport;
-using platform::LoadedWeights;
-using platform::OrderKind;
-using platform::OrderReply;
-using platform::OrderStatus;
+using clients::EngineOrder;
+using clients::EngineReport;
+using clients::LoadedWeights;
+using clients::OrderKind;
+using clients::OrderReply;
+using clients::OrderStatus;
 
 // --- reports
 
@@ -23,8 +23,8 @@
   return count;
 }
 
-platform::EngineLoad EngineModel::currentLoad() const {
-  platform::EngineLoad load;
+clients::EngineLoad EngineModel::currentLoad() const {
+  clients::EngineLoad load;
   for (const Index index : running_) {
     const Execution& execution = executions_[index];
     if (execution.phase == Phase::kOver) continue;
@@ -88,7 +88,7 @@
     answer.firstSequence = journal_.nextSequence();
     answer.nextSequence = journal_.nextSequence();
     for (const base::BlockHash block : cache_.blocks()) {
-      answer.events.push_back({platform::CacheEventKind::kStored, block});
+      answer.events.push_back({clients::CacheEventKind::kStored, block});
     }
     callback(std::move(answer));
   });
@@ -192,7 +192,7 @@
   if (usesWeights(target)) return;
   unloading_ = false;
   for (std::uint32_t index = 0; index < provenances_.size(); ++index) {
-    const platform::CacheIdentity& identity = provenances_.at(index).identity;
+    const clients::CacheIdentity& identity = provenances_.at(index).identity;
     if (identity.model != target.model || identity.weightsVersion != target.version) continue;
     cache_.dropProvenance(index, evicted_);
   }
--- a/src/emulator/engine_model_steps.cc
+++ b/src/emulator/engine_model_steps.cc
@@ -7,7 +7,7 @@
 
 namespace covewing::emulator {
 
-using platform::CacheEventKind;
+using clients::CacheEventKind;
 
 void EngineModel::kick() {
   if (!up_ || paused_ || inStep_ || stepTimer_ != 0 || stalls_ > 0) return;
@@ -237,8 +237,8 @@
 void EngineModel::putOut(Index index) {
   Execution& execution = executions_[index];
   const ExecutionId id = execution.record.execution;
-  platform::StreamChunk chunk{execution.position,
-                              expectedToken(execution.record.promptHash, execution.position)};
+  clients::StreamChunk chunk{execution.position,
+                             expectedToken(execution.record.promptHash, execution.position)};
   ++execution.position;
   if (surroundings_.observer != nullptr) surroundings_.observer->onChunk(execution.record, chunk);
   execution.handler->onChunk(std::move(chunk));
@@ -248,8 +248,8 @@
 
 void EngineModel::finish(Index index) {
   Execution& execution = executions_[index];
-  platform::EngineStreamHandler* handler = execution.handler;
-  platform::StreamEnd end;
+  clients::EngineStreamHandler* handler = execution.handler;
+  clients::StreamEnd end;
   end.promptTokens = execution.record.promptTokens;
   end.cachedTokens = (execution.localBlocks + execution.importedBlocks) *
                      static_cast<std::uint32_t>(prefix::kTokensPerBlock);
--- a/src/emulator/engine_options.h
+++ b/src/emulator/engine_options.h
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "base/time.h"
+#include "clients/engine_client.h"
 #include "emulator/cache_event_journal.h"
-#include "platform/engine_client.h"
 
 namespace covewing::emulator {
 
@@ -51,7 +51,7 @@
   /// Load is sampled this often and published one period later.
   base::Duration loadReportPeriod = std::chrono::milliseconds(250);
   /// Weights at the first start.
-  std::vector<platform::LoadedWeights> weights;
+  std::vector<clients::LoadedWeights> weights;
   /// Sets of weights that fit in memory together.
   std::uint32_t maximumLoadedWeights = 2;
   /// An adapter's size as a share of a whole set of weights.
@@ -61,7 +61,7 @@
   /// The platform keeps each engine's highest fencing token and its last weights over a crash.
   bool keepsFencingTokenOverCrash = true;
   bool reloadsWeightsOnRestart = true;
-  platform::EngineRole role = platform::EngineRole::kServing;
+  clients::EngineRole role = clients::EngineRole::kServing;
   base::Incarnation firstIncarnation = 1;
   EngineSafeguards safeguards;
 };
--- a/src/emulator/execution_log.cc
+++ b/src/emulator/execution_log.cc
@@ -35,7 +35,7 @@
   return entry;
 }
 
-void ExecutionLog::onRefused(base::EngineId engine, const platform::EngineRequest& request,
+void ExecutionLog::onRefused(base::EngineId engine, const clients::EngineRequest& request,
                              const base::Reason& reason) {
   ExecutionLogEntry& entry = append(ExecutionLogKind::kRefused, engine);
   entry.requestId = request.requestId.value;
@@ -69,14 +69,14 @@
   }
 }
 
-void ExecutionLog::onOrder(base::EngineId engine, const platform::EngineOrder& order,
-                           const platform::OrderReply& reply) {
+void ExecutionLog::onOrder(base::EngineId engine, const clients::EngineOrder& order,
+                           const clients::OrderReply& reply) {
   ExecutionLogEntry& entry = append(ExecutionLogKind::kOrder, engine);
   entry.requestId = order.orderId;
   entry.fencingToken = order.fencingToken;
   entry.detail = "invalid";
-  if (reply.status == platform::OrderStatus::kAccepted) entry.detail = "accepted";
-  if (reply.status == platform::OrderStatus::kFencedOff) entry.detail = "fenced_off";
+  if (reply.status == clients::OrderStatus::kAccepted) entry.detail = "accepted";
+  if (reply.status == clients::OrderStatus::kFencedOff) entry.detail = "fenced_off";
 }
 
 void ExecutionLog::onApplicationExecuted(const ApplicationExecution& execution) {
--- a/src/emulator/execution_log.h
+++ b/src/emulator/execution_log.h
@@ -33,7 +33,7 @@
   base::FencingToken fencingToken = 0;
   std::string requestId;
   std::uint32_t attempt = 0;
-  platform::CacheIdentity identity;
+  clients::CacheIdentity identity;
   std::uint64_t promptHash = 0;
   std::uint32_t promptTokens = 0;
   std::uint64_t firstPosition = 0;
@@ -66,13 +66,13 @@
   /// Number that the next entry gets; the first is 0.
   std::uint64_t nextNumber() const { return next_; }
 
-  void onRefused(base::EngineId engine, const platform::EngineRequest& request,
+  void onRefused(base::EngineId engine, const clients::EngineRequest& request,
                  const base::Reason& reason) override;
   void onAccepted(const ExecutionRecord& record) override;
   void onStarted(const ExecutionRecord& record, const ExecutionReuse& reuse) override;
   void onFinished(const ExecutionRecord& record, ExecutionEnd end) override;
-  void onOrder(base::EngineId engine, const platform::EngineOrder& order,
-               const platform::OrderReply& reply) override;
+  void onOrder(base::EngineId engine, const clients::EngineOrder& order,
+               const clients::OrderReply& reply) override;
   void onApplicationExecuted(const ApplicationExecution& execution) override;
 
  private:
--- a/src/emulator/execution_observer.h
+++ b/src/emulator/execution_observer.h
@@ -10,8 +10,8 @@
 
 #include "base/ids.h"
 #include "base/time.h"
-#include "platform/application_client.h"
-#include "platform/engine_client.h"
+#include "clients/application_client.h"
+#include "clients/engine_client.h"
 
 namespace covewing::emulator {
 
@@ -28,7 +28,7 @@
   std::uint32_t attempt = 0;
   base::PriorityClass priority = base::PriorityClass::kStandard;
   /// Identity that the request asked for.
-  platform::CacheIdentity identity;
+  clients::CacheIdentity identity;
   /// Incarnation that the request asked for; 0 if it asked for none.
   base::Incarnation requestedIncarnation = 0;
   std::uint64_t promptHash = 0;
@@ -40,7 +40,7 @@
 
 /// Under which identity a cached block was computed, and where.
 struct BlockProvenance {
-  platform::CacheIdentity identity;
+  clients::CacheIdentity identity;
   base::EngineId engine;
   base::Incarnation incarnation = 0;
   /// Came through the store of kept KV cache, possibly from another engine or incarnation.
@@ -82,21 +82,21 @@
  public:
   virtual ~ExecutionObserver() = default;
   /// The engine refused: no part of the request ran.
-  virtual void onRefused(base::EngineId /*engine*/, const platform::EngineRequest& /*request*/,
+  virtual void onRefused(base::EngineId /*engine*/, const clients::EngineRequest& /*request*/,
                          const base::Reason& /*reason*/) {}
   /// The request was queued; it may run from now on.
   virtual void onAccepted(const ExecutionRecord& /*record*/) {}
   /// Computation starts with what is reused.
   virtual void onStarted(const ExecutionRecord& /*record*/, const ExecutionReuse& /*reuse*/) {}
-  virtual void onChunk(const ExecutionRecord& /*record*/, const platform::StreamChunk& /*chunk*/) {}
+  virtual void onChunk(const ExecutionRecord& /*record*/, const clients::StreamChunk& /*chunk*/) {}
   virtual void onFinished(const ExecutionRecord& /*record*/, ExecutionEnd /*end*/) {}
   virtual void onBlockStored(base::EngineId /*engine*/, base::BlockHash /*block*/) {}
   virtual void onBlockEvicted(base::EngineId /*engine*/, base::BlockHash /*block*/) {}
   /// Crash: every block of the engine is gone.
   virtual void onCacheLost(base::EngineId /*engine*/) {}
   /// The engine took an order (first time) or fenced it off.
-  virtual void onOrder(base::EngineId /*engine*/, const platform::EngineOrder& /*order*/,
-                       const platform::OrderReply& /*reply*/) {}
+  virtual void onOrder(base::EngineId /*engine*/, const clients::EngineOrder& /*order*/,
+                       const clients::OrderReply& /*reply*/) {}
   virtual void onApplicationExecuted(const ApplicationExecution& /*execution*/) {}
 };
 
--- a/src/emulator/fleet_model.cc
+++ b/src/emulator/fleet_model.cc
@@ -42,7 +42,7 @@
     engine.name = memberName(options_.enginePrefix, index);
     auto random = randomFor(engine.name);
     auto model = std::make_unique<EngineModel>(engine, surroundings, clock, timers, *random);
-    places_.push_back({engine.name, platform::MachineKind::kEngine, zoneOf(index), {}});
+    places_.push_back({engine.name, clients::MachineKind::kEngine, zoneOf(index), {}});
     engines_.push_back({engine.name, std::move(random), std::move(model)});
   }
 }
@@ -56,7 +56,7 @@
       auto random = randomFor(replica.name);
       auto model = std::make_unique<ApplicationModel>(replica, &observers_, clock, timers, *random);
       places_.push_back(
-          {replica.name, platform::MachineKind::kApplication, zoneOf(index), group.application});
+          {replica.name, clients::MachineKind::kApplication, zoneOf(index), group.application});
       applications_.push_back({replica.name, std::move(random), std::move(model)});
     }
   }
@@ -64,7 +64,7 @@
 
 void FleetModel::addServices(const base::Clock& clock, base::TimerService& timers) {
   places_.push_back(
-      {std::string(kKeptCacheStoreName), platform::MachineKind::kKeptCacheStore, zoneOf(0), {}});
+      {std::string(kKeptCacheStoreName), clients::MachineKind::kKeptCacheStore, zoneOf(0), {}});
   for (const std::string_view name : {"table", "object-store", "machine-list"}) {
     serviceRandoms_.push_back(randomFor(name));
   }
@@ -95,9 +95,9 @@
   return found == places_.end() ? nullptr : &*found;
 }
 
-platform::Machine FleetModel::machineAt(const MachinePlace& place,
-                                        const base::Endpoint& endpoint) const {
-  return {place.name,      place.kind,       platform::MachineState::kLive, endpoint, place.zone,
+clients::Machine FleetModel::machineAt(const MachinePlace& place,
+                                       const base::Endpoint& endpoint) const {
+  return {place.name,      place.kind,       clients::MachineState::kLive, endpoint, place.zone,
           options_.region, place.application};
 }
 
@@ -106,8 +106,8 @@
 }
 
 void FleetModel::list(const MachinePlace& place, const base::Endpoint& endpoint,
-                      platform::MachineState state) {
-  platform::Machine machine = machineAt(place, endpoint);
+                      clients::MachineState state) {
+  clients::Machine machine = machineAt(place, endpoint);
   machine.state = state;
   machineList_->update(std::move(machine));
 }
--- a/src/emulator/fleet_model.h
+++ b/src/emulator/fleet_model.h
@@ -19,7 +19,7 @@
 /// Where a machine of the fleet stands, for the machine list.
 struct MachinePlace {
   std::string name;
-  platform::MachineKind kind = platform::MachineKind::kEngine;
+  clients::MachineKind kind = clients::MachineKind::kEngine;
   std::string zone;
   std::string application;
 };
@@ -55,8 +55,7 @@
 
   /// Puts the machine at `endpoint` on the list: at once when the fleet starts, else with its lag.
   void listInitially(const MachinePlace& place, const base::Endpoint& endpoint);
-  void list(const MachinePlace& place, const base::Endpoint& endpoint,
-            platform::MachineState state);
+  void list(const MachinePlace& place, const base::Endpoint& endpoint, clients::MachineState state);
   const MachinePlace* findPlace(std::string_view name) const;
 
  private:
@@ -72,7 +71,7 @@
   void addEngines(const base::Clock& clock, base::TimerService& timers);
   void addApplications(const base::Clock& clock, base::TimerService& timers);
   void addServices(const base::Clock& clock, base::TimerService& timers);
-  platform::Machine machineAt(const MachinePlace& place, const base::Endpoint& endpoint) const;
+  clients::Machine machineAt(const MachinePlace& place, const base::Endpoint& endpoint) const;
 
   FleetOptions options_;
   std::uint64_t seed_;
--- a/src/emulator/machine_list_model.h
+++ b/src/emulator/machine_list_model.h
@@ -9,8 +9,8 @@
 
 #include "base/random.h"
 #include "base/time.h"
+#include "clients/machine_list_client.h"
 #include "emulator/service_conditions.h"
-#include "platform/machine_list_client.h"
 
 namespace covewing::emulator {
 
@@ -21,7 +21,7 @@
   double lagJitter = 0.5;
 };
 
-class MachineListModel final : public platform::MachineListClient {
+class MachineListModel final : public clients::MachineListClient {
  public:
   MachineListModel(const MachineListOptions& options, const base::Clock& clock,
                    base::TimerService& timers, base::RandomSource& random)
@@ -32,33 +32,33 @@
         conditions_(options.service) {}
 
   /// Visible at once: the machines of the start.
-  void addInitial(platform::Machine machine);
+  void addInitial(clients::Machine machine);
   /// Adds or replaces by name, after the lag.
-  void update(platform::Machine machine);
+  void update(clients::Machine machine);
   /// Removes, after the lag.
   void remove(const std::string& name);
-  void fetch(platform::MachineListCallback callback) override;
+  void fetch(clients::MachineListCallback callback) override;
 
   ServiceConditions& conditions() { return conditions_; }
   void setLag(base::Duration lag) { options_.lag = lag; }
   /// What readers see now, ascending by name.
-  std::vector<platform::Machine> visible();
+  std::vector<clients::Machine> visible();
 
  private:
   struct Change {
     base::TimePoint visibleAt;
     std::string name;
     /// Empty: removal.
-    std::optional<platform::Machine> machine;
+    std::optional<clients::Machine> machine;
   };
-  void record(std::string name, std::optional<platform::Machine> machine);
+  void record(std::string name, std::optional<clients::Machine> machine);
 
   MachineListOptions options_;
   const base::Clock& clock_;
   base::TimerService& timers_;
   base::RandomSource& random_;
   ServiceConditions conditions_;
-  std::map<std::string, platform::Machine> visible_;
+  std::map<std::string, clients::Machine> visible_;
   /// In order; a change waits for those before it.
   std::deque<Change> pending_;
 };
--- a/src/emulator/object_store_model.cc
+++ b/src/emulator/object_store_model.cc
@@ -4,10 +4,10 @@
 
 namespace covewing::emulator {
 
-using platform::ObjectReply;
-using platform::ObjectStatus;
+using clients::ObjectReply;
+using clients::ObjectStatus;
 
-bool ObjectStoreModel::accept(const platform::ObjectCallback& callback) {
+bool ObjectStoreModel::accept(const clients::ObjectCallback& callback) {
   if (conditions_.isDown()) {
     answer(ObjectReply{ObjectStatus::kUnavailable, {}}, base::Duration{0}, callback);
     return false;
@@ -20,13 +20,13 @@
 }
 
 void ObjectStoreModel::answer(ObjectReply reply, base::Duration delay,
-                              platform::ObjectCallback callback) {
+                              clients::ObjectCallback callback) {
   timers_.schedule(delay, [reply = std::move(reply), callback = std::move(callback)]() mutable {
     callback(std::move(reply));
   });
 }
 
-void ObjectStoreModel::get(std::string name, platform::ObjectCallback callback) {
+void ObjectStoreModel::get(std::string name, clients::ObjectCallback callback) {
   if (!accept(callback)) return;
   const base::Duration half = conditions_.drawLatency(random_) / 2;
   timers_.schedule(half, [this, half, name = std::move(name), callback = std::move(callback)] {
@@ -39,7 +39,7 @@
   });
 }
 
-void ObjectStoreModel::put(std::string name, std::string bytes, platform::ObjectCallback callback) {
+void ObjectStoreModel::put(std::string name, std::string bytes, clients::ObjectCallback callback) {
   if (!accept(callback)) return;
   const base::Duration half = conditions_.drawLatency(random_) / 2;
   timers_.schedule(half, [this, half, name = std::move(name), bytes = std::move(bytes),
--- a/src/emulator/object_store_model.h
+++ b/src/emulator/object_store_model.h
@@ -7,8 +7,8 @@
 
 #include "base/random.h"
 #include "base/time.h"
+#include "clients/object_store_client.h"
 #include "emulator/service_conditions.h"
-#include "platform/object_store_client.h"
 
 namespace covewing::emulator {
 
@@ -16,20 +16,20 @@
 inline constexpr ServiceOptions kObjectStoreDefaults{
     .rateLimit = 100.0, .rateBurst = 100.0, .latency = std::chrono::milliseconds(10)};
 
-class ObjectStoreModel final : public platform::ObjectStoreClient {
+class ObjectStoreModel final : public clients::ObjectStoreClient {
  public:
   ObjectStoreModel(const ServiceOptions& options, const base::Clock& clock,
                    base::TimerService& timers, base::RandomSource& random)
       : clock_(clock), timers_(timers), random_(random), conditions_(options) {}
 
-  void get(std::string name, platform::ObjectCallback callback) override;
-  void put(std::string name, std::string bytes, platform::ObjectCallback callback) override;
+  void get(std::string name, clients::ObjectCallback callback) override;
+  void put(std::string name, std::string bytes, clients::ObjectCallback callback) override;
 
   ServiceConditions& conditions() { return conditions_; }
 
  private:
-  bool accept(const platform::ObjectCallback& callback);
-  void answer(platform::ObjectReply reply, base::Duration delay, platform::ObjectCallback callback);
+  bool accept(const clients::ObjectCallback& callback);
+  void answer(clients::ObjectReply reply, base::Duration delay, clients::ObjectCallback callback);
 
   const base::Clock& clock_;
   base::TimerService& timers_;
--- a/src/emulator/observer_digest.cc
+++ b/src/emulator/observer_digest.cc
@@ -24,7 +24,7 @@
 
 void ObserverDigest::add(std::string_view text) { add(base::hashName(text)); }
 
-void ObserverDigest::onRefused(base::EngineId engine, const platform::EngineRequest& request,
+void ObserverDigest::onRefused(base::EngineId engine, const clients::EngineRequest& request,
                                const base::Reason& reason) {
   begin(Kind::kRefused);
   add(engine.value);
@@ -49,7 +49,7 @@
   add(reuse.importedBlocks);
 }
 
-void ObserverDigest::onChunk(const ExecutionRecord& record, const platform::StreamChunk& chunk) {
+void ObserverDigest::onChunk(const ExecutionRecord& record, const clients::StreamChunk& chunk) {
   begin(Kind::kChunk);
   add(record.execution);
   add(chunk.position);
@@ -78,8 +78,8 @@
   add(engine.value);
 }
 
-void ObserverDigest::onOrder(base::EngineId engine, const platform::EngineOrder& order,
-                             const platform::OrderReply& reply) {
+void ObserverDigest::onOrder(base::EngineId engine, const clients::EngineOrder& order,
+                             const clients::OrderReply& reply) {
   begin(Kind::kOrder);
   add(engine.value);
   add(order.orderId);
--- a/src/emulator/observer_digest.h
+++ b/src/emulator/observer_digest.h
@@ -14,17 +14,17 @@
   std::uint64_t value() const { return digest_; }
   std::uint64_t events() const { return events_; }
 
-  void onRefused(base::EngineId engine, const platform::EngineRequest& request,
+  void onRefused(base::EngineId engine, const clients::EngineRequest& request,
                  const base::Reason& reason) override;
   void onAccepted(const ExecutionRecord& record) override;
   void onStarted(const ExecutionRecord& record, const ExecutionReuse& reuse) override;
-  void onChunk(const ExecutionRecord& record, const platform::StreamChunk& chunk) override;
+  void onChunk(const ExecutionRecord& record, const clients::StreamChunk& chunk) override;
   void onFinished(const ExecutionRecord& record, ExecutionEnd end) override;
   void onBlockStored(base::EngineId engine, base::BlockHash block) override;
   void onBlockEvicted(base::EngineId engine, base::BlockHash block) override;
   void onCacheLost(base::EngineId engine) override;
-  void onOrder(base::EngineId engine, const platform::EngineOrder& order,
-               const platform::OrderReply& reply) override;
+  void onOrder(base::EngineId engine, const clients::EngineOrder& order,
+               const clients::OrderReply& reply) override;
   void onApplicationExecuted(const ApplicationExecution& execution) override;
 
  private:
--- a/src/emulator/observer_list.h
+++ b/src/emulator/observer_list.h
@@ -13,7 +13,7 @@
   /// `observer` must outlive the models that report here.
   void add(ExecutionObserver& observer) { observers_.push_back(&observer); }
 
-  void onRefused(base::EngineId engine, const platform::EngineRequest& request,
+  void onRefused(base::EngineId engine, const clients::EngineRequest& request,
                  const base::Reason& reason) override {
     for (auto* observer : observers_) observer->onRefused(engine, request, reason);
   }
@@ -23,7 +23,7 @@
   void onStarted(const ExecutionRecord& record, const ExecutionReuse& reuse) override {
     for (auto* observer : observers_) observer->onStarted(record, reuse);
   }
-  void onChunk(const ExecutionRecord& record, const platform::StreamChunk& chunk) override {
+  void onChunk(const ExecutionRecord& record, const clients::StreamChunk& chunk) override {
     for (auto* observer : observers_) observer->onChunk(record, chunk);
   }
   void onFinished(const ExecutionRecord& record, ExecutionEnd end) override {
@@ -38,8 +38,8 @@
   void onCacheLost(base::EngineId engine) override {
     for (auto* observer : observers_) observer->onCacheLost(engine);
   }
-  void onOrder(base::EngineId engine, const platform::EngineOrder& order,
-               const platform::OrderReply& reply) override {
+  void onOrder(base::EngineId engine, const clients::EngineOrder& order,
+               const clients::OrderReply& reply) override {
     for (auto* observer : observers_) observer->onOrder(engine, order, reply);
   }
   void onApplicationExecuted(const ApplicationExecution& execution) override {
--- a/src/emulator/order_queue.cc
+++ b/src/emulator/order_queue.cc
@@ -4,9 +4,9 @@
 
 namespace covewing::emulator {
 
-using platform::EngineOrder;
-using platform::OrderReply;
-using platform::OrderStatus;
+using clients::EngineOrder;
+using clients::OrderReply;
+using clients::OrderStatus;
 
 namespace {
 /// Finished orders remembered, so that a repeated one is not obeyed twice.
--- a/src/emulator/order_queue.h
+++ b/src/emulator/order_queue.h
@@ -9,21 +9,21 @@
 #include <string>
 
 #include "base/result_code.h"
-#include "platform/engine_client.h"
+#include "clients/engine_client.h"
 
 namespace covewing::emulator {
 
 class OrderQueue {
  public:
-  using Run = std::function<void(const platform::EngineOrder&)>;
+  using Run = std::function<void(const clients::EngineOrder&)>;
 
   /// `run` starts an order; it is over when `finishCurrent` is called, at once or later. Without
   /// `checkFencing` older tokens are obeyed, to see that checkers notice.
   OrderQueue(bool checkFencing, Run run) : checkFencing_(checkFencing), run_(std::move(run)) {}
 
   /// The reply to an order; `mistake` says why it cannot be obeyed. A new, valid order is queued.
-  platform::OrderReply accept(const platform::EngineOrder& order,
-                              const std::optional<base::Reason>& mistake);
+  clients::OrderReply accept(const clients::EngineOrder& order,
+                             const std::optional<base::Reason>& mistake);
   /// Whether an order with this identifier is queued, running or among the last ones finished.
   bool knows(const std::string& orderId) const;
   /// Starts the next order unless one runs.
@@ -33,9 +33,9 @@
   void forgetAll(bool keepToken);
 
   /// Orders not finished, the running one first.
-  const std::deque<platform::EngineOrder>& unfinished() const { return unfinished_; }
+  const std::deque<clients::EngineOrder>& unfinished() const { return unfinished_; }
   /// The running order; there must be one.
-  const platform::EngineOrder& current() const { return unfinished_.front(); }
+  const clients::EngineOrder& current() const { return unfinished_.front(); }
   base::FencingToken fencingToken() const { return fencingToken_; }
   /// Identifier of the last finished order, empty if none.
   std::string lastFinished() const;
@@ -44,7 +44,7 @@
   bool checkFencing_;
   Run run_;
   base::FencingToken fencingToken_ = 0;
-  std::deque<platform::EngineOrder> unfinished_;
+  std::deque<clients::EngineOrder> unfinished_;
   std::deque<std::string> finished_;
   bool running_ = false;
 };
--- a/src/emulator/table_model.cc
+++ b/src/emulator/table_model.cc
@@ -2,11 +2,11 @@
 
 namespace covewing::emulator {
 
-using platform::TableReply;
-using platform::TableRow;
-using platform::TableStatus;
+using clients::TableReply;
+using clients::TableRow;
+using clients::TableStatus;
 
-bool TableModel::accept(const platform::TableCallback& callback) {
+bool TableModel::accept(const clients::TableCallback& callback) {
   if (conditions_.isDown()) {
     answer(TableReply{TableStatus::kUnavailable, 0, {}}, base::Duration{0}, callback);
     return false;
@@ -18,13 +18,13 @@
   return true;
 }
 
-void TableModel::answer(TableReply reply, base::Duration delay, platform::TableCallback callback) {
+void TableModel::answer(TableReply reply, base::Duration delay, clients::TableCallback callback) {
   timers_.schedule(delay, [reply = std::move(reply), callback = std::move(callback)]() mutable {
     callback(std::move(reply));
   });
 }
 
-void TableModel::read(std::vector<std::string> keys, platform::TableCallback callback) {
+void TableModel::read(std::vector<std::string> keys, clients::TableCallback callback) {
   if (!accept(callback)) return;
   const base::Duration half = conditions_.drawLatency(random_) / 2;
   timers_.schedule(half, [this, half, keys = std::move(keys), callback = std::move(callback)] {
@@ -33,7 +33,7 @@
 }
 
 void TableModel::scan(std::string prefix, base::Revision after, std::size_t limit,
-                      platform::TableCallback callback) {
+                      clients::TableCallback callback) {
   if (!accept(callback)) return;
   const base::Duration half = conditions_.drawLatency(random_) / 2;
   timers_.schedule(
@@ -42,7 +42,7 @@
       });
 }
 
-void TableModel::commit(platform::TableTransaction transaction, platform::TableCallback callback) {
+void TableModel::commit(clients::TableTransaction transaction, clients::TableCallback callback) {
   if (!accept(callback)) return;
   const base::Duration half = conditions_.drawLatency(random_) / 2;
   timers_.schedule(
@@ -86,8 +86,8 @@
   return row == rows_.end() ? 0 : row->second.revision;
 }
 
-TableReply TableModel::commitNow(const platform::TableTransaction& transaction) {
-  for (const platform::TableCondition& condition : transaction.conditions) {
+TableReply TableModel::commitNow(const clients::TableTransaction& transaction) {
+  for (const clients::TableCondition& condition : transaction.conditions) {
     if (revisionOf(condition.key) == condition.revision) continue;
     std::vector<std::string> keys;
     for (const auto& each : transaction.conditions) keys.push_back(each.key);
@@ -96,11 +96,11 @@
     return conflict;
   }
   ++revision_;
-  for (const platform::TableWrite& write : transaction.writes) apply(write);
+  for (const clients::TableWrite& write : transaction.writes) apply(write);
   return TableReply{TableStatus::kOk, revision_, {}};
 }
 
-void TableModel::apply(const platform::TableWrite& write) {
+void TableModel::apply(const clients::TableWrite& write) {
   const auto old = rows_.find(write.key);
   if (old != rows_.end()) {
     byRevision_.erase({old->second.revision, write.key});
--- a/src/emulator/table_model.h
+++ b/src/emulator/table_model.h
@@ -9,8 +9,8 @@
 
 #include "base/random.h"
 #include "base/time.h"
+#include "clients/table_client.h"
 #include "emulator/service_conditions.h"
-#include "platform/table_client.h"
 
 namespace covewing::emulator {
 
@@ -19,25 +19,25 @@
 
 /// Rows and their revisions. A transaction takes effect half way through its latency, so a caller
 /// that gives up early cannot tell whether it did.
-class TableModel final : public platform::TableClient {
+class TableModel final : public clients::TableClient {
  public:
   TableModel(const ServiceOptions& options, const base::Clock& clock, base::TimerService& timers,
              base::RandomSource& random)
       : clock_(clock), timers_(timers), random_(random), conditions_(options) {}
 
-  void read(std::vector<std::string> keys, platform::TableCallback callback) override;
+  void read(std::vector<std::string> keys, clients::TableCallback callback) override;
   void scan(std::string prefix, base::Revision after, std::size_t limit,
-            platform::TableCallback callback) override;
-  void commit(platform::TableTransaction transaction, platform::TableCallback callback) override;
+            clients::TableCallback callback) override;
+  void commit(clients::TableTransaction transaction, clients::TableCallback callback) override;
 
   ServiceConditions& conditions() { return conditions_; }
   base::Revision revision() const { return revision_; }
 
   /// The same operations without latency, limits and faults, for set-up and checkers.
-  platform::TableReply readNow(const std::vector<std::string>& keys) const;
-  platform::TableReply scanNow(const std::string& prefix, base::Revision after,
-                               std::size_t limit) const;
-  platform::TableReply commitNow(const platform::TableTransaction& transaction);
+  clients::TableReply readNow(const std::vector<std::string>& keys) const;
+  clients::TableReply scanNow(const std::string& prefix, base::Revision after,
+                              std::size_t limit) const;
+  clients::TableReply commitNow(const clients::TableTransaction& transaction);
 
  private:
   struct StoredRow {
@@ -46,10 +46,10 @@
   };
 
   /// Answers refusals; true when the call goes on.
-  bool accept(const platform::TableCallback& callback);
+  bool accept(const clients::TableCallback& callback);
   base::Revision revisionOf(const std::string& key) const;
-  void apply(const platform::TableWrite& write);
-  void answer(platform::TableReply reply, base::Duration delay, platform::TableCallback callback);
+  void apply(const clients::TableWrite& write);
+  void answer(clients::TableReply reply, base::Duration delay, clients::TableCallback callback);
 
   const base::Clock& clock_;
   base::TimerService& timers_;
--- a/src/emulator/weights_memory.cc
+++ b/src/emulator/weights_memory.cc
@@ -8,7 +8,7 @@
 
 using base::Reason;
 using base::ResultCode;
-using platform::LoadedWeights;
+using clients::LoadedWeights;
 
 namespace {
 
@@ -37,7 +37,7 @@
   return found == nullptr ? nullptr : &loaded_[static_cast<std::size_t>(found - loaded_.data())];
 }
 
-std::optional<Reason> WeightsMemory::mismatch(const platform::CacheIdentity& identity) const {
+std::optional<Reason> WeightsMemory::mismatch(const clients::CacheIdentity& identity) const {
   const LoadedWeights* weights = find(identity.model, identity.weightsVersion);
   if (weights == nullptr) return Reason{ResultCode::kIdentityMismatch, "weights_version"};
   if (!identity.adapter.empty() && !contains(weights->adapters, identity.adapter)) {
--- a/src/emulator_http/action.cc
+++ b/src/emulator_http/action.cc
@@ -110,15 +110,15 @@
 }
 
 Action parseListMachine(JsonFields& fields) {
-  platform::Machine machine;
+  clients::Machine machine;
   machine.name = fields.text("machine");
   const auto kind = parseMachineKind(fields.text("kind"));
   if (!kind) fields.fail("kind");
-  machine.kind = kind.value_or(platform::MachineKind::kNode);
+  machine.kind = kind.value_or(clients::MachineKind::kNode);
   const std::string state = fields.text("state", "live");
   if (state != "live" && state != "leaving") fields.fail("state");
   machine.state =
-      state == "leaving" ? platform::MachineState::kLeaving : platform::MachineState::kLive;
+      state == "leaving" ? clients::MachineState::kLeaving : clients::MachineState::kLive;
   const auto endpoint = base::parseEndpoint(fields.text("endpoint"));
   if (!endpoint) fields.fail("endpoint");
   machine.endpoint = endpoint.value_or(base::Endpoint{});
--- a/src/emulator_http/action.h
+++ b/src/emulator_http/action.h
@@ -11,9 +11,9 @@
 
 #include "base/result_code.h"
 #include "base/time.h"
+#include "clients/machine_list_client.h"
 #include "emulator/application_model.h"
 #include "emulator/service_conditions.h"
-#include "platform/machine_list_client.h"
 
 namespace covewing::emulator_http {
 
@@ -57,7 +57,7 @@
 
 /// Lists a machine that runs outside the emulator, such as a node.
 struct ListMachineAction {
-  platform::Machine machine;
+  clients::Machine machine;
 };
 struct UnlistMachineAction {
   std::string machine;
--- a/src/emulator_http/application_service.cc
+++ b/src/emulator_http/application_service.cc
@@ -6,10 +6,10 @@
 
 namespace covewing::emulator_http {
 
-using platform::ApplicationResponse;
-using platform::ApplicationResult;
-using platform::DispatchError;
-using platform::DispatchFailure;
+using clients::ApplicationResponse;
+using clients::ApplicationResult;
+using clients::DispatchError;
+using clients::DispatchFailure;
 
 namespace {
 
@@ -39,7 +39,7 @@
 void handleApplicationCall(emulator::ApplicationModel& application,
                            const live::HttpExchangePtr& exchange) {
   const live::HttpRequest& http = exchange->request();
-  platform::ApplicationRequest request;
+  clients::ApplicationRequest request;
   request.requestId.value = std::string(http.header(kRequestIdHeader));
   request.method = http.method;
   request.target = http.target;
--- a/src/emulator_http/emulated_fleet.cc
+++ b/src/emulator_http/emulated_fleet.cc
@@ -78,7 +78,7 @@
 
 void EmulatedFleet::addMachines() {
   for (const emulator::MachinePlace& place : fleet_.machines()) {
-    if (place.kind == platform::MachineKind::kKeptCacheStore) continue;
+    if (place.kind == clients::MachineKind::kKeptCacheStore) continue;
     auto machine = std::make_unique<HostedMachine>();
     machine->place = place;
     machine->engine = fleet_.findEngine(place.name);
@@ -197,13 +197,13 @@
   machine.host->stop();
   if (!machine.host->restart(reason)) return false;
   machine.engine != nullptr ? machine.engine->restart() : machine.application->restart();
-  fleet_.list(machine.place, machine.host->endpoint(), platform::MachineState::kLive);
+  fleet_.list(machine.place, machine.host->endpoint(), clients::MachineState::kLive);
   return true;
 }
 
 void EmulatedFleet::leave(HostedMachine& machine) {
   machine.engine != nullptr ? machine.engine->leave() : machine.application->leave();
-  fleet_.list(machine.place, machine.host->endpoint(), platform::MachineState::kLeaving);
+  fleet_.list(machine.place, machine.host->endpoint(), clients::MachineState::kLeaving);
   machine.exiting = true;
   // The answers to refused calls still leave: the port closes later than the model is idle.
   timers_.schedule(options_.fleet.machineList.lag * 2, [this, &machine] { exitWhenIdle(machine); });
--- a/src/emulator_http/emulated_fleet_admin.cc
+++ b/src/emulator_http/emulated_fleet_admin.cc
@@ -34,7 +34,7 @@
   return value;
 }
 
-json encodeIdentity(const platform::CacheIdentity& identity) {
+json encodeIdentity(const clients::CacheIdentity& identity) {
   return {{"tenant_salt", toHexadecimal(identity.tenantSalt)},
           {"model", identity.model},
           {"adapter", identity.adapter},
@@ -83,7 +83,7 @@
   return encoded;
 }
 
-json encodeLoad(const platform::EngineLoad& load) {
+json encodeLoad(const clients::EngineLoad& load) {
   return {{"running", load.running},
           {"waiting", load.waiting},
           {"queued_prefill_tokens", load.queuedPrefillTokens},
@@ -91,9 +91,9 @@
           {"capacity_blocks", load.capacityBlocks}};
 }
 
-json encodeWeights(const std::vector<platform::LoadedWeights>& weights) {
+json encodeWeights(const std::vector<clients::LoadedWeights>& weights) {
   json encoded = json::array();
-  for (const platform::LoadedWeights& each : weights) {
+  for (const clients::LoadedWeights& each : weights) {
     encoded.push_back(
         {{"model", each.model}, {"version", each.version}, {"adapters", each.adapters}});
   }
--- a/src/emulator_http/engine_service.cc
+++ b/src/emulator_http/engine_service.cc
@@ -24,7 +24,7 @@
 }
 
 void answerReport(const HttpExchangePtr& exchange,
-                  const std::optional<platform::EngineReport>& report) {
+                  const std::optional<clients::EngineReport>& report) {
   if (!report) {
     exchange->abort();
     return;
@@ -35,7 +35,7 @@
 }  // namespace
 
 /// One generation call: turns the engine's output into server-sent events.
-class EngineService::Stream final : public platform::EngineStreamHandler {
+class EngineService::Stream final : public clients::EngineStreamHandler {
  public:
   Stream(EngineService& service, StreamId id, HttpExchangePtr exchange)
       : service_(service), id_(id), exchange_(std::move(exchange)) {}
@@ -45,14 +45,14 @@
     exchange_->beginStream(kStatusOk,
                            {{"Content-Type", "text/event-stream"}, {"X-Engine-Accepted", "1"}});
   }
-  void onChunk(platform::StreamChunk chunk) override { exchange_->write(encodeChunkEvent(chunk)); }
-  void onEnd(platform::StreamEnd end) override {
+  void onChunk(clients::StreamChunk chunk) override { exchange_->write(encodeChunkEvent(chunk)); }
+  void onEnd(clients::StreamEnd end) override {
     exchange_->write(encodeEndEvent(end));
     exchange_->end();
     service_.forget(id_);
   }
-  void onError(platform::DispatchError error) override {
-    const bool refused = error.failure == platform::DispatchFailure::kRefusedNotRun;
+  void onError(clients::DispatchError error) override {
+    const bool refused = error.failure == clients::DispatchFailure::kRefusedNotRun;
     if (refused && !accepted_) {
       exchange_->respond(errorResponse(error.reason, false));
     } else {
@@ -136,8 +136,8 @@
     exchange->respond(errorResponse(reason, false));
     return;
   }
-  engine_.order(*std::move(order), [exchange](const platform::OrderReply& reply) {
-    if (reply.status == platform::OrderStatus::kUnreachable) {
+  engine_.order(*std::move(order), [exchange](const clients::OrderReply& reply) {
+    if (reply.status == clients::OrderStatus::kUnreachable) {
       exchange->abort();
       return;
     }
--- a/src/emulator_http/platform_services.cc
+++ b/src/emulator_http/platform_services.cc
@@ -8,9 +8,9 @@
 
 using base::Reason;
 using base::ResultCode;
+using clients::ObjectStatus;
+using clients::TableStatus;
 using live::HttpExchangePtr;
-using platform::ObjectStatus;
-using platform::TableStatus;
 
 namespace {
 
@@ -23,7 +23,7 @@
   exchange->respond(errorResponse(Reason{code, std::move(detail)}, false));
 }
 
-void answerTable(const HttpExchangePtr& exchange, const platform::TableReply& reply) {
+void answerTable(const HttpExchangePtr& exchange, const clients::TableReply& reply) {
   switch (reply.status) {
     case TableStatus::kOk:
       exchange->respond(live::jsonResponse(kStatusOk, encodeTableReply(reply)));
@@ -43,7 +43,7 @@
   }
 }
 
-void answerObject(const HttpExchangePtr& exchange, platform::ObjectReply reply) {
+void answerObject(const HttpExchangePtr& exchange, clients::ObjectReply reply) {
   switch (reply.status) {
     case ObjectStatus::kOk:
       exchange->respond(
@@ -69,7 +69,7 @@
 void handleTableCall(emulator::TableModel& table, const HttpExchangePtr& exchange) {
   const live::HttpRequest& request = exchange->request();
   const std::string_view path = request.path();
-  const auto answer = [exchange](const platform::TableReply& reply) {
+  const auto answer = [exchange](const clients::TableReply& reply) {
     answerTable(exchange, reply);
   };
   Reason reason;
@@ -98,7 +98,7 @@
     return refuse(exchange, ResultCode::kUnknownPath, std::string(path));
   }
   std::string name(path.substr(kObjectPrefix.size()));
-  const auto answer = [exchange](platform::ObjectReply reply) {
+  const auto answer = [exchange](clients::ObjectReply reply) {
     answerObject(exchange, std::move(reply));
   };
   if (request.method == "GET") return store.get(std::move(name), answer);
--- a/src/emulator_http/wire.cc
+++ b/src/emulator_http/wire.cc
@@ -9,12 +9,12 @@
 namespace covewing::emulator_http {
 
 using base::Reason;
+using clients::CacheEventKind;
+using clients::EngineRole;
+using clients::LoadedWeights;
+using clients::MachineKind;
+using clients::OrderKind;
 using nlohmann::json;
-using platform::CacheEventKind;
-using platform::EngineRole;
-using platform::LoadedWeights;
-using platform::MachineKind;
-using platform::OrderKind;
 
 namespace {
 
@@ -37,10 +37,10 @@
   std::string exported;
   std::string order;
 
-  explicit PackedEvents(const std::vector<platform::CacheEvent>& events) {
-    for (const platform::CacheEvent& event : events) add(event);
+  explicit PackedEvents(const std::vector<clients::CacheEvent>& events) {
+    for (const clients::CacheEvent& event : events) add(event);
   }
-  void add(const platform::CacheEvent& event) {
+  void add(const clients::CacheEvent& event) {
     switch (event.kind) {
       case CacheEventKind::kStored:
         appendHash(stored, event.block);
@@ -88,9 +88,9 @@
   return std::nullopt;
 }
 
-json encodeRows(const std::vector<platform::TableRow>& rows) {
+json encodeRows(const std::vector<clients::TableRow>& rows) {
   json encoded = json::array();
-  for (const platform::TableRow& row : rows) {
+  for (const clients::TableRow& row : rows) {
     encoded.push_back({{"key", row.key}, {"value", row.value}, {"revision", row.revision}});
   }
   return encoded;
@@ -98,11 +98,11 @@
 
 }  // namespace
 
-std::optional<platform::EngineRequest> parseEngineRequest(std::string_view body, Reason& reason) {
+std::optional<clients::EngineRequest> parseEngineRequest(std::string_view body, Reason& reason) {
   const auto object = parseObject(body, reason);
   if (!object) return std::nullopt;
   JsonFields fields(*object, reason);
-  platform::EngineRequest request;
+  clients::EngineRequest request;
   request.requestId.value = fields.text("request_id");
   request.attempt = fields.smallNumber("attempt", 1);
   request.identity.tenantSalt = fields.hexadecimal("tenant_salt", 0);
@@ -123,11 +123,11 @@
   return request;
 }
 
-std::optional<platform::EngineOrder> parseEngineOrder(std::string_view body, Reason& reason) {
+std::optional<clients::EngineOrder> parseEngineOrder(std::string_view body, Reason& reason) {
   const auto object = parseObject(body, reason);
   if (!object) return std::nullopt;
   JsonFields fields(*object, reason);
-  platform::EngineOrder order;
+  clients::EngineOrder order;
   order.orderId = fields.text("order_id");
   order.fencingToken = fields.number("fencing_token");
   const auto kind = parseOrderKind(fields.text("kind"));
@@ -167,12 +167,12 @@
   return scan;
 }
 
-std::optional<platform::TableTransaction> parseTableTransaction(std::string_view body,
-                                                                Reason& reason) {
+std::optional<clients::TableTransaction> parseTableTransaction(std::string_view body,
+                                                               Reason& reason) {
   const auto object = parseObject(body, reason);
   if (!object) return std::nullopt;
   JsonFields fields(*object, reason);
-  platform::TableTransaction transaction;
+  clients::TableTransaction transaction;
   for (const json& each : fields.objects("conditions")) {
     if (!each.is_object()) {
       fields.fail("conditions");
@@ -188,7 +188,7 @@
       break;
     }
     JsonFields write(each, reason);
-    platform::TableWrite made{write.text("key"), std::nullopt};
+    clients::TableWrite made{write.text("key"), std::nullopt};
     if (!each.at("value").is_null()) made.value = write.text("value");
     transaction.writes.push_back(std::move(made));
     if (!write.ok()) fields.fail("writes." + reason.detail);
@@ -197,7 +197,7 @@
   return transaction;
 }
 
-std::string encodeReport(const platform::EngineReport& report) {
+std::string encodeReport(const clients::EngineReport& report) {
   json weights = json::array();
   for (const LoadedWeights& each : report.weights) {
     weights.push_back(
@@ -227,16 +227,16 @@
   return body.dump();
 }
 
-std::string encodeOrderReply(const platform::OrderReply& reply) {
+std::string encodeOrderReply(const clients::OrderReply& reply) {
   std::string_view status = "invalid";
-  if (reply.status == platform::OrderStatus::kAccepted) status = "accepted";
-  if (reply.status == platform::OrderStatus::kFencedOff) status = "fenced_off";
+  if (reply.status == clients::OrderStatus::kAccepted) status = "accepted";
+  if (reply.status == clients::OrderStatus::kFencedOff) status = "fenced_off";
   const json body = {
       {"status", status}, {"fencing_token", reply.fencingToken}, {"detail", reply.detail}};
   return body.dump();
 }
 
-std::string encodeTableReply(const platform::TableReply& reply) {
+std::string encodeTableReply(const clients::TableReply& reply) {
   return json{{"revision", reply.revision}, {"rows", encodeRows(reply.rows)}}.dump();
 }
 
@@ -251,10 +251,10 @@
   return std::nullopt;
 }
 
-std::string encodeMachines(const std::vector<platform::Machine>& machines) {
+std::string encodeMachines(const std::vector<clients::Machine>& machines) {
   json encoded = json::array();
-  for (const platform::Machine& machine : machines) {
-    const bool live = machine.state == platform::MachineState::kLive;
+  for (const clients::Machine& machine : machines) {
+    const bool live = machine.state == clients::MachineState::kLive;
     encoded.push_back({{"name", machine.name},
                        {"kind", toString(machine.kind)},
                        {"state", live ? "live" : "leaving"},
@@ -266,12 +266,12 @@
   return json{{"machines", std::move(encoded)}}.dump();
 }
 
-std::string encodeChunkEvent(const platform::StreamChunk& chunk) {
+std::string encodeChunkEvent(const clients::StreamChunk& chunk) {
   return "data: {\"position\": " + std::to_string(chunk.position) +
          ", \"text\": " + json(chunk.text).dump() + "}\n\n";
 }
 
-std::string encodeEndEvent(const platform::StreamEnd& end) {
+std::string encodeEndEvent(const clients::StreamEnd& end) {
   const json body = {{"end",
                       {{"prompt_tokens", end.promptTokens},
                        {"cached_tokens", end.cachedTokens},
--- a/src/emulator_http/wire.h
+++ b/src/emulator_http/wire.h
@@ -8,17 +8,17 @@
 #include <vector>
 
 #include "base/result_code.h"
+#include "clients/engine_client.h"
+#include "clients/machine_list_client.h"
+#include "clients/table_client.h"
 #include "live/http_message.h"
-#include "platform/engine_client.h"
-#include "platform/machine_list_client.h"
-#include "platform/table_client.h"
 
 namespace covewing::emulator_http {
 
 /// Each parser gives nothing, with the offending field named, when the body is wrong.
-std::optional<platform::EngineRequest> parseEngineRequest(std::string_view body,
-                                                          base::Reason& reason);
-std::optional<platform::EngineOrder> parseEngineOrder(std::string_view body, base::Reason& reason);
+std::optional<clients::EngineRequest> parseEngineRequest(std::string_view body,
+                                                         base::Reason& reason);
+std::optional<clients::EngineOrder> parseEngineOrder(std::string_view body, base::Reason& reason);
 
 struct TableScan {
   std::string prefix;
@@ -27,21 +27,21 @@
 };
 std::optional<std::vector<std::string>> parseTableRead(std::string_view body, base::Reason& reason);
 std::optional<TableScan> parseTableScan(std::string_view body, base::Reason& reason);
-std::optional<platform::TableTransaction> parseTableTransaction(std::string_view body,
-                                                                base::Reason& reason);
+std::optional<clients::TableTransaction> parseTableTransaction(std::string_view body,
+                                                               base::Reason& reason);
 
-std::string encodeReport(const platform::EngineReport& report);
-std::string encodeOrderReply(const platform::OrderReply& reply);
-std::string encodeTableReply(const platform::TableReply& reply);
-std::string encodeMachines(const std::vector<platform::Machine>& machines);
+std::string encodeReport(const clients::EngineReport& report);
+std::string encodeOrderReply(const clients::OrderReply& reply);
+std::string encodeTableReply(const clients::TableReply& reply);
+std::string encodeMachines(const std::vector<clients::Machine>& machines);
 /// One server-sent event, its blank line included.
-std::string encodeChunkEvent(const platform::StreamChunk& chunk);
-std::string encodeEndEvent(const platform::StreamEnd& end);
+std::string encodeChunkEvent(const clients::StreamChunk& chunk);
+std::string encodeEndEvent(const clients::StreamEnd& end);
 
 /// An error answer; `ran` says whether the outcome is unknown rather than "not-run".
 live::HttpResponse errorResponse(const base::Reason& reason, bool mayHaveRun);
 
-std::string_view toString(platform::MachineKind kind);
-std::optional<platform::MachineKind> parseMachineKind(std::string_view name);
+std::string_view toString(clients::MachineKind kind);
+std::optional<clients::MachineKind> parseMachineKind(std::string_view name);
 
 }  // namespace covewing::emulator_http
--- a/src/live/caller_call.cc
+++ b/src/live/caller_call.cc
@@ -40,7 +40,7 @@
   exchange_->write(answer_->firstEvent());
 }
 
-void CompletionCall::onChunk(const platform::StreamChunk& chunk) {
+void CompletionCall::onChunk(const clients::StreamChunk& chunk) {
   if (!firstToken_) {
     firstToken_ = true;
     environment_.metrics.onFirstToken(label_, environment_.clock.now() - arrivedAt_);
@@ -53,7 +53,7 @@
   exchange_->write(answer_->chunkEvent(chunk.text));
 }
 
-void CompletionCall::onEnd(const platform::StreamEnd& end) {
+void CompletionCall::onEnd(const clients::StreamEnd& end) {
   environment_.metrics.onCompleted(label_, environment_.clock.now() - arrivedAt_, end);
   if (streamed_) {
     if (!streaming_) beginStream();
@@ -102,7 +102,7 @@
   request_ = environment_.node.requests().proxy(std::move(request), *this);
 }
 
-void ProxiedCall::onResponse(const platform::ApplicationResponse& response) {
+void ProxiedCall::onResponse(const clients::ApplicationResponse& response) {
   HttpResponse answer{response.status, {}, response.body};
   for (const auto& field : response.headers) {
     if (!isConnectionHeader(field.name) && !equalHeaderNames(field.name, kRequestIdHeader))
--- a/src/live/caller_call.h
+++ b/src/live/caller_call.h
@@ -31,8 +31,8 @@
                  const CompletionBody& body, CallFinished finished);
   void start(request::CompletionRequest request, std::int64_t created);
 
-  void onChunk(const platform::StreamChunk& chunk) override;
-  void onEnd(const platform::StreamEnd& end) override;
+  void onChunk(const clients::StreamChunk& chunk) override;
+  void onEnd(const clients::StreamEnd& end) override;
   void onRefused(const request::Refusal& refusal) override;
 
  private:
@@ -63,7 +63,7 @@
               CallFinished finished);
   void start(request::ProxiedRequest request);
 
-  void onResponse(const platform::ApplicationResponse& response) override;
+  void onResponse(const clients::ApplicationResponse& response) override;
   void onRefused(const request::Refusal& refusal) override;
 
  private:
--- a/src/live/client_connection.cc
+++ b/src/live/client_connection.cc
@@ -1,9 +1,13 @@
 #include "live/client_connection.h"
 
+#include <netinet/tcp.h>
+
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/verb.hpp>
+#include <charconv>
 
 #include "live/http_head.h"
 
@@ -61,7 +65,7 @@
                                       HttpCallHandler& handler) {
   handler_ = &handler;
   silence_ = silence;
-  requestId_ = request.header(kRequestIdHeader);
+  requestId_ = request.header(limits_.requestIdHeader);
   headRequest_ = request.method == "HEAD";
   output_ = requestText(request, server_);
   sent_ = 0;
@@ -86,16 +90,34 @@
   parser_->header_limit(static_cast<std::uint32_t>(limits_.headerBytes));
   parser_->body_limit(boost::none);
   headDelivered_ = false;
+  skipping_ = false;
 }
 
 void ClientConnection::connect() {
   state_ = State::kConnecting;
   deadline_.set(limits_.connectTimeout);
+  setOptions();
   socket_.async_connect(
       {asio::ip::address_v4(server_.address), server_.port},
       [self = shared_from_this()](boost::system::error_code error) { self->onConnected(error); });
 }
 
+void ClientConnection::setOptions() {
+  using asio::detail::socket_option::integer;
+  boost::system::error_code error;
+  socket_.open(asio::ip::tcp::v4(), error);
+  const auto bound =
+      std::chrono::duration_cast<std::chrono::milliseconds>(limits_.unacknowledgedTimeout);
+  if (error || bound.count() == 0) return;
+  constexpr int kProbeSeconds = 1;
+  socket_.set_option(integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(static_cast<int>(bound.count())),
+                     error);
+  socket_.set_option(asio::socket_base::keep_alive(true), error);
+  socket_.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(kProbeSeconds), error);
+  socket_.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(kProbeSeconds), error);
+  socket_.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(2), error);
+}
+
 void ClientConnection::onConnected(boost::system::error_code error) {
   if (state_ != State::kConnecting) return;
   if (error) {
@@ -170,7 +192,8 @@
   if (error == asio::error::eof && parser_->got_some()) {
     boost::system::error_code parseError;
     parser_->put_eof(parseError);
-    if (!parseError && parser_->is_done() && deliverHead() && deliverBody()) {
+    if (!parseError && !skipping_ && parser_->is_done() && deliverHead() && !skipping_ &&
+        deliverBody()) {
       complete();
       return;
     }
@@ -196,6 +219,15 @@
       }
       if (!deliverHead()) return false;
     }
+    if (skipping_) {
+      parser_->get().body().clear();
+      if (!parser_->is_done()) {
+        if (error == http::error::need_more) break;
+        continue;
+      }
+      resetParser();
+      continue;
+    }
     if (!deliverBody()) return false;
     if (parser_->is_done()) {
       complete();
@@ -211,7 +243,9 @@
   headDelivered_ = true;
   const auto& message = parser_->get();
   const HttpResponse head{message.result_int(), copyHeaders(message), {}};
-  if (!requestId_.empty() && head.header(kRequestIdHeader) != requestId_) {
+  const auto answeredId = head.header(limits_.requestIdHeader);
+  if (!requestId_.empty() && answeredId != requestId_) {
+    if (limits_.skipForeignAnswers && !answeredId.empty()) return takeForeignAnswer();
     fail("the answer belongs to another request");
     return false;
   }
@@ -220,6 +254,12 @@
   return handler_ != nullptr && number == callNumber_;
 }
 
+bool ClientConnection::takeForeignAnswer() {
+  skipping_ = true;
+  foreignSeen_ = true;
+  return true;
+}
+
 bool ClientConnection::deliverBody() {
   if (handler_ == nullptr) return false;
   const std::string body = std::exchange(parser_->get().body(), {});
@@ -232,13 +272,14 @@
 void ClientConnection::complete() {
   const auto self = shared_from_this();
   auto* handler = std::exchange(handler_, nullptr);
-  const bool reusable = parser_->get().keep_alive() && output_.empty() && buffer_.size() == 0;
+  const bool reusable = parser_->get().keep_alive() && output_.empty() && buffer_.size() == 0 &&
+                        !foreignSeen_ && idleTime() > base::Duration::zero();
   const auto pool = pool_.lock();
   state_ = State::kIdle;
   if (reusable && pool && pool->keep(self)) {
     buffer_.shrink_to_fit();
     paused_ = false;
-    deadline_.set(limits_.idleTimeout);
+    deadline_.set(idleTime());
     read();
   } else {
     close();
@@ -246,13 +287,26 @@
   handler->onComplete();
 }
 
+base::Duration ClientConnection::idleTime() const {
+  constexpr std::string_view kTimeout = "timeout=";
+  constexpr base::Duration kMargin = std::chrono::milliseconds(400);
+  const std::string stated{parser_->get()[http::field::keep_alive]};
+  const auto found = stated.find(kTimeout);
+  unsigned seconds = 0;
+  if (found == std::string::npos) return limits_.idleTimeout;
+  const char* begin = stated.data() + found + kTimeout.size();
+  if (std::from_chars(begin, stated.data() + stated.size(), seconds).ec != std::errc{})
+    return limits_.idleTimeout;
+  return std::min<base::Duration>(limits_.idleTimeout, std::chrono::seconds(seconds) - kMargin);
+}
+
 void ClientConnection::fail(const std::string& detail) {
   const auto self = shared_from_this();
   auto* handler = std::exchange(handler_, nullptr);
   close();
   if (handler == nullptr) return;
-  handler->onFailure(bytesMayHaveLeft_ ? platform::DispatchFailure::kOutcomeUnknown
-                                       : platform::DispatchFailure::kNotSent,
+  handler->onFailure(bytesMayHaveLeft_ ? clients::DispatchFailure::kOutcomeUnknown
+                                       : clients::DispatchFailure::kNotSent,
                      detail);
 }
 
--- a/src/live/client_connection.h
+++ b/src/live/client_connection.h
@@ -66,6 +66,10 @@
   void complete();
   void fail(const std::string& detail);
   void touch();
+  void setOptions();
+  /// How long the server lets the idle connection stay, less a margin, or this client's own bound.
+  base::Duration idleTime() const;
+  bool takeForeignAnswer();
 
   boost::asio::ip::tcp::socket socket_;
   base::Endpoint server_;
@@ -88,6 +92,10 @@
   bool reading_ = false;
   std::optional<Parser> parser_;
   bool headDelivered_ = false;
+  /// The answer being read belongs to another request and is thrown away.
+  bool skipping_ = false;
+  /// A foreign answer came: the connection is not used again.
+  bool foreignSeen_ = false;
   boost::beast::flat_buffer buffer_;
 };
 
--- a/src/live/completion_answer.cc
+++ b/src/live/completion_answer.cc
@@ -31,7 +31,7 @@
       {"id", id}, {"object", objectName(kind, streamed)}, {"created", created}, {"model", model}};
 }
 
-Json usage(const platform::StreamEnd& end) {
+Json usage(const clients::StreamEnd& end) {
   return {{"prompt_tokens", end.promptTokens},
           {"completion_tokens", end.outputTokens},
           {"total_tokens", std::uint64_t{end.promptTokens} + end.outputTokens},
@@ -75,7 +75,7 @@
   return chunkPrefix_ + dump(Json(text)) + chunkSuffix_;
 }
 
-std::string CompletionAnswer::endEvents(const platform::StreamEnd& end) const {
+std::string CompletionAnswer::endEvents(const clients::StreamEnd& end) const {
   auto chunk = envelope(kind_, id_, created_, model_, true);
   chunk["choices"] = {kind_ == CompletionKind::kChat
                           ? choice("delta", Json::object(), end.finishReason)
@@ -85,7 +85,7 @@
 }
 
 std::string CompletionAnswer::wholeBody(std::string_view text,
-                                        const platform::StreamEnd& end) const {
+                                        const clients::StreamEnd& end) const {
   auto body = envelope(kind_, id_, created_, model_, false);
   body["choices"] = {
       kind_ == CompletionKind::kChat
--- a/src/live/completion_answer.h
+++ b/src/live/completion_answer.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <string_view>
 
+#include "clients/engine_client.h"
 #include "live/completion_body.h"
 #include "live/http_message.h"
-#include "platform/engine_client.h"
 #include "request/caller_request.h"
 
 namespace covewing::live {
@@ -24,9 +24,9 @@
   std::string firstEvent() const;
   std::string chunkEvent(std::string_view text) const;
   /// Last chunk, with finish reason and usage, and the closing `[DONE]`.
-  std::string endEvents(const platform::StreamEnd& end) const;
+  std::string endEvents(const clients::StreamEnd& end) const;
   /// The answer of a call that is not streamed.
-  std::string wholeBody(std::string_view text, const platform::StreamEnd& end) const;
+  std::string wholeBody(std::string_view text, const clients::StreamEnd& end) const;
 
  private:
   CompletionKind kind_;
--- a/src/live/engine_json.cc
+++ b/src/live/engine_json.cc
@@ -30,24 +30,24 @@
 
 std::string hexadecimal(std::uint64_t value) { return fmt::format("{:016x}", value); }
 
-Json weightsToJson(const platform::LoadedWeights& weights) {
+Json weightsToJson(const clients::LoadedWeights& weights) {
   return {{"model", weights.model}, {"version", weights.version}, {"adapters", weights.adapters}};
 }
 
-std::string_view nameOf(platform::OrderKind kind) {
+std::string_view nameOf(clients::OrderKind kind) {
   switch (kind) {
-    case platform::OrderKind::kLoadWeights:
+    case clients::OrderKind::kLoadWeights:
       return "load_weights";
-    case platform::OrderKind::kUnloadWeights:
+    case clients::OrderKind::kUnloadWeights:
       return "unload_weights";
-    case platform::OrderKind::kChangeRole:
+    case clients::OrderKind::kChangeRole:
       return "change_role";
   }
   return "";
 }
 
-std::string_view nameOf(platform::EngineRole role) {
-  return role == platform::EngineRole::kServing ? "serving" : "standby";
+std::string_view nameOf(clients::EngineRole role) {
+  return role == clients::EngineRole::kServing ? "serving" : "standby";
 }
 
 std::uint32_t count(FieldReader& fields, std::string_view name) {
@@ -71,18 +71,18 @@
   }
 }
 
-platform::LoadedWeights readWeights(const Json& json, Mistakes& mistakes) {
+clients::LoadedWeights readWeights(const Json& json, Mistakes& mistakes) {
   FieldReader fields(json, "weights", mistakes);
-  platform::LoadedWeights weights;
+  clients::LoadedWeights weights;
   weights.model = fields.text("model", "", kMaximumName);
   weights.version = fields.unsignedInteger("version", 0, 0, UINT64_MAX);
   weights.adapters = fields.texts("adapters", kMaximumAdapters, kMaximumName);
   return weights;
 }
 
-platform::EngineLoad readLoad(const Json& json, Mistakes& mistakes) {
+clients::EngineLoad readLoad(const Json& json, Mistakes& mistakes) {
   FieldReader fields(json, "load", mistakes);
-  platform::EngineLoad load;
+  clients::EngineLoad load;
   load.running = count(fields, "running");
   readArray(fields, "waiting", load.waiting);
   readArray(fields, "queued_prefill_tokens", load.queuedPrefillTokens);
@@ -112,7 +112,7 @@
   bool empty() const { return taken == hashes.size(); }
 };
 
-void readEvents(FieldReader& fields, platform::EngineReport& report) {
+void readEvents(FieldReader& fields, clients::EngineReport& report) {
   HashQueue stored{unpackHashes(fields, "stored")};
   HashQueue evicted{unpackHashes(fields, "evicted")};
   HashQueue exported{unpackHashes(fields, "exported")};
@@ -122,9 +122,9 @@
   report.events.reserve(order.size());
   for (const char letter : order) {
     auto& queue = letter == 's' ? stored : letter == 'e' ? evicted : exported;
-    const auto kind = letter == 's'   ? platform::CacheEventKind::kStored
-                      : letter == 'e' ? platform::CacheEventKind::kEvicted
-                                      : platform::CacheEventKind::kExported;
+    const auto kind = letter == 's'   ? clients::CacheEventKind::kStored
+                      : letter == 'e' ? clients::CacheEventKind::kEvicted
+                                      : clients::CacheEventKind::kExported;
     if (queue.empty() || std::string_view{"sex"}.find(letter) == std::string_view::npos) {
       fields.mistake("order", "does not fit the events");
       return;
@@ -145,7 +145,7 @@
 
 }  // namespace
 
-std::string engineRequestToJson(const platform::EngineRequest& request) {
+std::string engineRequestToJson(const clients::EngineRequest& request) {
   Json json = {{"request_id", request.requestId.value},
                {"attempt", request.attempt},
                {"tenant_salt", hexadecimal(request.identity.tenantSalt)},
@@ -168,7 +168,7 @@
   return config::toText(json);
 }
 
-std::optional<std::variant<platform::StreamChunk, platform::StreamEnd>> streamEventFromJson(
+std::optional<std::variant<clients::StreamChunk, clients::StreamEnd>> streamEventFromJson(
     std::string_view text) {
   Mistakes mistakes;
   const auto json = config::parseBoundedJson(text, kEventBounds, mistakes);
@@ -176,7 +176,7 @@
   FieldReader fields(*json, "", mistakes);
   if (const auto* endJson = fields.find("end"); endJson != nullptr) {
     FieldReader endFields(*endJson, "end", mistakes);
-    platform::StreamEnd end;
+    clients::StreamEnd end;
     end.promptTokens = count(endFields, "prompt_tokens");
     end.cachedTokens = count(endFields, "cached_tokens");
     end.outputTokens = count(endFields, "output_tokens");
@@ -185,22 +185,22 @@
     return end;
   }
   if (fields.find("position") == nullptr || fields.find("text") == nullptr) return std::nullopt;
-  platform::StreamChunk chunk;
+  clients::StreamChunk chunk;
   chunk.position = fields.unsignedInteger("position", 0, 0, UINT64_MAX);
   chunk.text = fields.text("text", "", kEventBounds.maximumBytes);
   if (!mistakes.empty()) return std::nullopt;
   return chunk;
 }
 
-std::optional<platform::EngineReport> engineReportFromJson(std::string_view text) {
+std::optional<clients::EngineReport> engineReportFromJson(std::string_view text) {
   Mistakes mistakes;
   const auto json = config::parseBoundedJson(text, kReportBounds, mistakes);
   if (!json) return std::nullopt;
   FieldReader fields(*json, "", mistakes);
-  platform::EngineReport report;
+  clients::EngineReport report;
   report.incarnation = fields.unsignedInteger("incarnation", 0, 0, UINT64_MAX);
   const auto role = fields.choice("role", 0, {"serving", "standby"});
-  report.role = role == 0 ? platform::EngineRole::kServing : platform::EngineRole::kStandby;
+  report.role = role == 0 ? clients::EngineRole::kServing : clients::EngineRole::kStandby;
   report.leaving = fields.boolean("leaving", false);
   for (const Json* weights : fields.elements("weights", kMaximumModels))
     report.weights.push_back(readWeights(*weights, mistakes));
@@ -215,7 +215,7 @@
   return report;
 }
 
-std::string engineOrderToJson(const platform::EngineOrder& order) {
+std::string engineOrderToJson(const clients::EngineOrder& order) {
   return config::toText(Json({{"order_id", order.orderId},
                               {"fencing_token", order.fencingToken},
                               {"kind", nameOf(order.kind)},
@@ -223,7 +223,7 @@
                               {"role", nameOf(order.role)}}));
 }
 
-platform::OrderReply orderReplyFromJson(std::string_view text) {
+clients::OrderReply orderReplyFromJson(std::string_view text) {
   Mistakes mistakes;
   const auto json = config::parseBoundedJson(text, kErrorBounds, mistakes);
   if (!json) return {};
@@ -231,18 +231,18 @@
   constexpr std::size_t kUnknownChoice = 3;
   const auto status =
       fields.choice("status", kUnknownChoice, {"accepted", "fenced_off", "invalid"});
-  platform::OrderReply reply;
+  clients::OrderReply reply;
   reply.fencingToken = fields.unsignedInteger("fencing_token", 0, 0, UINT64_MAX);
   reply.detail = fields.text("detail", "", kErrorBounds.maximumBytes);
   if (!mistakes.empty() || status == kUnknownChoice) return {};
-  reply.status = status == 0   ? platform::OrderStatus::kAccepted
-                 : status == 1 ? platform::OrderStatus::kFencedOff
-                               : platform::OrderStatus::kInvalid;
+  reply.status = status == 0   ? clients::OrderStatus::kAccepted
+                 : status == 1 ? clients::OrderStatus::kFencedOff
+                               : clients::OrderStatus::kInvalid;
   return reply;
 }
 
-platform::DispatchError errorFromJson(std::string_view text, base::ResultCode fallback) {
-  platform::DispatchError error{platform::DispatchFailure::kOutcomeUnknown, {fallback, ""}};
+clients::DispatchError errorFromJson(std::string_view text, base::ResultCode fallback) {
+  clients::DispatchError error{clients::DispatchFailure::kOutcomeUnknown, {fallback, ""}};
   Mistakes mistakes;
   const auto json = config::parseBoundedJson(text, kErrorBounds, mistakes);
   if (!json || !json->is_object()) {
@@ -254,7 +254,7 @@
   if (entry != nullptr && entry->code != base::ResultCode::kOk) error.reason.code = entry->code;
   error.reason.detail = fields.text("detail", "", kErrorBounds.maximumBytes);
   if (fields.text("outcome", "unknown", kMaximumName) == "not-run")
-    error.failure = platform::DispatchFailure::kRefusedNotRun;
+    error.failure = clients::DispatchFailure::kRefusedNotRun;
   return error;
 }
 
--- a/src/live/engine_json.h
+++ b/src/live/engine_json.h
@@ -7,26 +7,26 @@
 #include <string_view>
 #include <variant>
 
-#include "platform/back_end.h"
-#include "platform/engine_client.h"
+#include "clients/back_end.h"
+#include "clients/engine_client.h"
 
 namespace covewing::live {
 
-std::string engineRequestToJson(const platform::EngineRequest& request);
+std::string engineRequestToJson(const clients::EngineRequest& request);
 
 /// Empty when the text is not an event of an engine's stream.
-std::optional<std::variant<platform::StreamChunk, platform::StreamEnd>> streamEventFromJson(
+std::optional<std::variant<clients::StreamChunk, clients::StreamEnd>> streamEventFromJson(
     std::string_view text);
 
 /// Empty when the text is not a report; mistaken or excess fields refuse it whole.
-std::optional<platform::EngineReport> engineReportFromJson(std::string_view text);
+std::optional<clients::EngineReport> engineReportFromJson(std::string_view text);
 
-std::string engineOrderToJson(const platform::EngineOrder& order);
+std::string engineOrderToJson(const clients::EngineOrder& order);
 /// Status kUnknown when the text is not an answer to an order.
-platform::OrderReply orderReplyFromJson(std::string_view text);
+clients::OrderReply orderReplyFromJson(std::string_view text);
 
 /// The error body of a back end or platform service. `fallback` is the code where the body names
 /// none; the outcome is kRefusedNotRun only where the body says "not-run".
-platform::DispatchError errorFromJson(std::string_view text, base::ResultCode fallback);
+clients::DispatchError errorFromJson(std::string_view text, base::ResultCode fallback);
 
 }  // namespace covewing::live
--- a/src/live/http_application_client.cc
+++ b/src/live/http_application_client.cc
@@ -23,19 +23,19 @@
 constexpr std::string_view kNotRunHeader = "X-Not-Run";
 constexpr base::Duration kDefaultTimeout = std::chrono::seconds(30);
 
-platform::ApplicationResult toResult(const base::RequestId& requestId, HttpResult result) {
-  if (auto* error = std::get_if<platform::DispatchError>(&result); error != nullptr)
+clients::ApplicationResult toResult(const base::RequestId& requestId, HttpResult result) {
+  if (auto* error = std::get_if<clients::DispatchError>(&result); error != nullptr)
     return std::move(*error);
   auto& response = std::get<HttpResponse>(result);
   if (response.header(kNotRunHeader) == "1") {
     auto error = errorFromJson(response.body, base::ResultCode::kBackEndRefused);
-    error.failure = platform::DispatchFailure::kRefusedNotRun;
+    error.failure = clients::DispatchFailure::kRefusedNotRun;
     return error;
   }
   std::erase_if(response.headers,
                 [](const HeaderField& field) { return isConnectionHeader(field.name); });
-  return platform::ApplicationResponse{requestId, response.status, std::move(response.headers),
-                                       std::move(response.body)};
+  return clients::ApplicationResponse{requestId, response.status, std::move(response.headers),
+                                      std::move(response.body)};
 }
 
 }  // namespace
@@ -46,9 +46,9 @@
   });
 }
 
-void HttpApplicationClient::call(const platform::BackEndAddress& backEnd,
-                                 platform::ApplicationRequest request,
-                                 std::function<void(platform::ApplicationResult)> callback) {
+void HttpApplicationClient::call(const clients::BackEndAddress& backEnd,
+                                 clients::ApplicationRequest request,
+                                 std::function<void(clients::ApplicationResult)> callback) {
   std::erase_if(request.headers, [](const HeaderField& field) {
     return isConnectionHeader(field.name) || equalHeaderNames(field.name, kRequestIdHeader);
   });
--- a/src/live/http_application_client.h
+++ b/src/live/http_application_client.h
@@ -4,8 +4,8 @@
 
 #include <string_view>
 
+#include "clients/application_client.h"
 #include "live/http_client.h"
-#include "platform/application_client.h"
 
 namespace covewing::live {
 
@@ -13,11 +13,11 @@
 /// is never passed on (RFC 9110, section 7.6.1).
 bool isConnectionHeader(std::string_view name);
 
-class HttpApplicationClient final : public platform::ApplicationClient {
+class HttpApplicationClient final : public clients::ApplicationClient {
  public:
   explicit HttpApplicationClient(HttpClient& client) : client_(client) {}
-  void call(const platform::BackEndAddress& backEnd, platform::ApplicationRequest request,
-            std::function<void(platform::ApplicationResult)> callback) override;
+  void call(const clients::BackEndAddress& backEnd, clients::ApplicationRequest request,
+            std::function<void(clients::ApplicationResult)> callback) override;
 
  private:
   HttpClient& client_;
--- a/src/live/http_client.cc
+++ b/src/live/http_client.cc
@@ -41,7 +41,7 @@
       : deadline_(context.get_executor(),
                   [this] {
                     call_.reset();
-                    onFailure(platform::DispatchFailure::kOutcomeUnknown, "no answer in time");
+                    onFailure(clients::DispatchFailure::kOutcomeUnknown, "no answer in time");
                   }),
         bodyLimit_(bodyLimit),
         finished_(std::move(finished)) {}
@@ -55,17 +55,17 @@
   void onBody(std::string_view bytes) override {
     if (response_.body.size() + bytes.size() > bodyLimit_) {
       call_.reset();
-      onFailure(platform::DispatchFailure::kOutcomeUnknown, "the answer exceeds its limit");
+      onFailure(clients::DispatchFailure::kOutcomeUnknown, "the answer exceeds its limit");
       return;
     }
     response_.body += bytes;
   }
   void onComplete() override { finished_(*this, std::move(response_)); }
-  void onFailure(platform::DispatchFailure failure, std::string detail) override {
-    const auto code = failure == platform::DispatchFailure::kNotSent
+  void onFailure(clients::DispatchFailure failure, std::string detail) override {
+    const auto code = failure == clients::DispatchFailure::kNotSent
                           ? base::ResultCode::kBackEndUnreachable
                           : base::ResultCode::kBackEndLost;
-    finished_(*this, platform::DispatchError{failure, {code, std::move(detail)}});
+    finished_(*this, clients::DispatchError{failure, {code, std::move(detail)}});
   }
 
  private:
--- a/src/live/http_client.h
+++ b/src/live/http_client.h
@@ -13,8 +13,8 @@
 
 #include "base/endpoint.h"
 #include "base/time.h"
+#include "clients/back_end.h"
 #include "live/http_message.h"
-#include "platform/back_end.h"
 
 namespace boost::asio {
 class io_context;
@@ -31,6 +31,14 @@
   base::Duration idleTimeout = std::chrono::seconds(15);
   base::Duration connectTimeout = std::chrono::seconds(1);
   std::size_t headerBytes = 64U << 10U;
+  /// Header by which an answer names its request.
+  std::string_view requestIdHeader = kRequestIdHeader;
+  /// Answers that name another request are thrown away, and the own one is waited for; the
+  /// connection is not used again. Otherwise such an answer fails the call.
+  bool skipForeignAnswers = false;
+  /// A connection whose bytes are not acknowledged for so long, or whose peer does not answer
+  /// keep-alive probes, is broken; zero: as the system does it.
+  base::Duration unacknowledgedTimeout{};
   /// Largest body of an answer taken whole by `fetch`.
   std::size_t bodyBytes = 64U << 20U;
 };
@@ -45,7 +53,7 @@
   virtual void onBody(std::string_view bytes) = 0;
   virtual void onComplete() = 0;
   /// kNotSent only when no byte of the request was given to the operating system.
-  virtual void onFailure(platform::DispatchFailure failure, std::string detail) = 0;
+  virtual void onFailure(clients::DispatchFailure failure, std::string detail) = 0;
 };
 
 /// A call in flight. Destroying it closes its connection unless the answer is complete.
@@ -56,7 +64,7 @@
   virtual void setPaused(bool paused) = 0;
 };
 
-using HttpResult = std::variant<HttpResponse, platform::DispatchError>;
+using HttpResult = std::variant<HttpResponse, clients::DispatchError>;
 
 class HttpClient {
  public:
