--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -5,6 +5,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/field.hpp>
 
+#include "live/asio_runtime.h"
 #include "live/http_head.h"
 
 namespace covewing::live {
@@ -58,6 +59,7 @@
   parser_->header_limit(static_cast<std::uint32_t>(owner_.limits().headerBytes));
   parser_->body_limit(owner_.limits().bodyBytes);
   continueSent_ = false;
+  headerDone_ = false;
 }
 
 // One read is always outstanding while the buffer has room: it notices a peer that goes away.
@@ -105,7 +107,10 @@
 
 void Connection::parse() {
   const bool first = !parser_->got_some();
-  if (first && buffer_.size() > 0) deadline_.set(owner_.limits().requestTimeout);
+  if (first && buffer_.size() > 0) {
+    requestStartedAt_ = AsioClock{}.now();
+    deadline_.set(owner_.limits().headerTimeout);
+  }
   while (buffer_.size() > 0 && !parser_->is_done()) {
     boost::system::error_code error;
     const auto used = parser_->put(buffer_.data(), error);
@@ -119,6 +124,8 @@
   if (parser_->is_done()) {
     dispatch();
   } else if (parser_->is_header_done()) {
+    if (!headerDone_) deadline_.set(owner_.limits().requestTimeout);
+    headerDone_ = true;
     continueIfExpected();
   }
 }
@@ -136,11 +143,13 @@
   auto message = parser_->release();
   keepAlive_ = message.keep_alive();
   state_ = State::kAnswering;
+  // How long the answer takes is the user's matter.
+  deadline_.clear();
   if (buffer_.size() == 0) buffer_.shrink_to_fit();
   HttpRequest request{std::string{message.method_string()}, std::string{message.target()},
                       copyHeaders(message), std::move(message.body())};
   const auto exchange = std::make_shared<Exchange>(shared_from_this(), std::move(request),
-                                                   message.version() >= kHttp11);
+                                                   message.version() >= kHttp11, requestStartedAt_);
   exchange_ = exchange;
   owner_.onRequest(exchange);
 }
@@ -153,8 +162,8 @@
   keepAlive_ = false;
   lingerWhenWritten_ = true;
   state_ = State::kAnswering;
-  const auto exchange =
-      std::make_shared<Exchange>(shared_from_this(), HttpRequest{}, /*chunkedAllowed=*/true);
+  const auto exchange = std::make_shared<Exchange>(shared_from_this(), HttpRequest{},
+                                                   /*chunkedAllowed=*/true, requestStartedAt_);
   exchange->respond(owner_.formatRefusal(reasonFor(error)));
 }
 
@@ -273,7 +282,8 @@
   if (state_ != State::kReading) {
     deadline_.clear();
   } else {
-    deadline_.set(parser_->got_some() ? limits.requestTimeout : limits.idleTimeout);
+    const auto started = parser_->is_header_done() ? limits.requestTimeout : limits.headerTimeout;
+    deadline_.set(parser_->got_some() ? started : limits.idleTimeout);
   }
 }
 
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -36,7 +36,8 @@
 /// The answer side of one request, handed to the server's user.
 class Exchange final : public HttpExchange {
  public:
-  Exchange(std::shared_ptr<Connection> connection, HttpRequest request, bool chunkedAllowed);
+  Exchange(std::shared_ptr<Connection> connection, HttpRequest request, bool chunkedAllowed,
+           base::TimePoint startedAt);
   ~Exchange() override;
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
@@ -44,8 +45,11 @@
   const HttpRequest& request() const override { return request_; }
   std::string takeBody() override { return std::move(request_.body); }
   base::Endpoint peer() const override;
+  base::TimePoint startedAt() const override { return startedAt_; }
+  void closeAfterAnswer() override { closeAfterAnswer_ = true; }
   void respond(HttpResponse response) override;
-  void beginStream(unsigned status, const std::vector<HeaderField>& headers) override;
+  void beginStream(unsigned status, const std::vector<HeaderField>& headers,
+                   std::optional<std::uint64_t> length) override;
   void write(std::string_view bytes) override;
   void end() override;
   void abort() override;
@@ -59,6 +63,7 @@
 
  private:
   bool finished() const { return connection_ == nullptr; }
+  bool keepAlive() const;
   /// Detaches from the connection and returns it.
   std::shared_ptr<Connection> finish();
 
@@ -67,6 +72,10 @@
   /// False for HTTP/1.0 peers: the stream's end is the end of the connection.
   bool chunkedAllowed_;
   bool streaming_ = false;
+  base::TimePoint startedAt_;
+  bool closeAfterAnswer_ = false;
+  /// Bytes of the body still due, where its length was announced.
+  std::optional<std::uint64_t> due_;
   std::function<void(bool)> pressureListener_;
   std::function<void()> disconnectListener_;
 };
@@ -117,8 +126,10 @@
   boost::beast::flat_buffer buffer_;
   bool reading_ = false;
   bool closingIdle_ = false;
+  base::TimePoint requestStartedAt_{};
   bool keepAlive_ = true;
   bool continueSent_ = false;
+  bool headerDone_ = false;
   bool closeWhenWritten_ = false;
   bool lingerWhenWritten_ = false;
   std::size_t lingeredBytes_ = 0;
--- a/src/live/http_engine_client.cc
+++ b/src/live/http_engine_client.cc
@@ -9,9 +9,9 @@
 
 namespace {
 
-using platform::DispatchError;
-using platform::DispatchFailure;
-using StreamEvent = std::variant<platform::StreamChunk, platform::StreamEnd>;
+using clients::DispatchError;
+using clients::DispatchFailure;
+using StreamEvent = std::variant<clients::StreamChunk, clients::StreamEnd>;
 
 constexpr unsigned kOk = 200;
 constexpr std::size_t kMaximumErrorBody = 64U << 10U;
@@ -26,7 +26,7 @@
 /// of the connection.
 class StreamState final : public HttpCallHandler, public std::enable_shared_from_this<StreamState> {
  public:
-  StreamState(base::TimerService& timers, platform::EngineStreamHandler& handler)
+  StreamState(base::TimerService& timers, clients::EngineStreamHandler& handler)
       : timers_(timers), handler_(&handler) {}
 
   void adopt(std::unique_ptr<HttpCall> call) { call_ = std::move(call); }
@@ -94,7 +94,7 @@
   void deliver() {
     const auto self = shared_from_this();
     while (handler_ != nullptr && !paused_ && !events_.empty()) {
-      auto* chunk = std::get_if<platform::StreamChunk>(&events_.front());
+      auto* chunk = std::get_if<clients::StreamChunk>(&events_.front());
       if (chunk == nullptr) break;
       auto taken = std::move(*chunk);
       events_.pop_front();
@@ -107,12 +107,12 @@
     if (events_.empty()) {
       handler->onError(std::move(*error_));
     } else {
-      handler->onEnd(std::get<platform::StreamEnd>(std::move(events_.front())));
+      handler->onEnd(std::get<clients::StreamEnd>(std::move(events_.front())));
     }
   }
 
   base::TimerService& timers_;
-  platform::EngineStreamHandler* handler_;
+  clients::EngineStreamHandler* handler_;
   std::unique_ptr<HttpCall> call_;
   bool paused_ = false;
   bool refused_ = false;
@@ -122,7 +122,7 @@
   std::optional<DispatchError> error_;
 };
 
-class HttpEngineStream final : public platform::EngineStream {
+class HttpEngineStream final : public clients::EngineStream {
  public:
   explicit HttpEngineStream(std::shared_ptr<StreamState> state) : state_(std::move(state)) {}
   ~HttpEngineStream() override { state_->abandon(); }
@@ -140,9 +140,9 @@
                                    EngineClientTimeouts timeouts)
     : client_(client), timers_(timers), timeouts_(timeouts) {}
 
-std::unique_ptr<platform::EngineStream> HttpEngineClient::start(
-    const platform::BackEndAddress& engine, platform::EngineRequest request,
-    platform::EngineStreamHandler& handler) {
+std::unique_ptr<clients::EngineStream> HttpEngineClient::start(
+    const clients::BackEndAddress& engine, clients::EngineRequest request,
+    clients::EngineStreamHandler& handler) {
   const HttpRequest call{"POST",
                          "/v1/generate",
                          {{"Content-Type", "application/json"},
@@ -164,8 +164,8 @@
 }
 
 void HttpEngineClient::fetchReport(
-    const platform::BackEndAddress& engine, std::string target,
-    std::function<void(std::optional<platform::EngineReport>)> callback) {
+    const clients::BackEndAddress& engine, std::string target,
+    std::function<void(std::optional<clients::EngineReport>)> callback) {
   client_.fetch(engine.endpoint, controlRequest("GET", std::move(target), {}), timeouts_.report,
                 [callback = std::move(callback)](const HttpResult& result) {
                   const auto* response = std::get_if<HttpResponse>(&result);
@@ -174,19 +174,19 @@
                 });
 }
 
-void HttpEngineClient::poll(const platform::BackEndAddress& engine, std::uint64_t fromSequence,
-                            std::function<void(std::optional<platform::EngineReport>)> callback) {
+void HttpEngineClient::poll(const clients::BackEndAddress& engine, std::uint64_t fromSequence,
+                            std::function<void(std::optional<clients::EngineReport>)> callback) {
   fetchReport(engine, "/v1/report?from=" + std::to_string(fromSequence), std::move(callback));
 }
 
 void HttpEngineClient::snapshot(
-    const platform::BackEndAddress& engine,
-    std::function<void(std::optional<platform::EngineReport>)> callback) {
+    const clients::BackEndAddress& engine,
+    std::function<void(std::optional<clients::EngineReport>)> callback) {
   fetchReport(engine, "/v1/snapshot", std::move(callback));
 }
 
-void HttpEngineClient::order(const platform::BackEndAddress& engine, platform::EngineOrder order,
-                             std::function<void(platform::OrderReply)> callback) {
+void HttpEngineClient::order(const clients::BackEndAddress& engine, clients::EngineOrder order,
+                             std::function<void(clients::OrderReply)> callback) {
   client_.fetch(
       engine.endpoint, controlRequest("POST", "/v1/orders", engineOrderToJson(order)),
       timeouts_.order, [callback = std::move(callback)](const HttpResult& result) {
@@ -196,8 +196,8 @@
         }
         const auto& error = std::get<DispatchError>(result);
         const bool notSent = error.failure == DispatchFailure::kNotSent;
-        callback({notSent ? platform::OrderStatus::kUnreachable : platform::OrderStatus::kUnknown,
-                  0, error.reason.detail});
+        callback({notSent ? clients::OrderStatus::kUnreachable : clients::OrderStatus::kUnknown, 0,
+                  error.reason.detail});
       });
 }
 
--- a/src/live/http_engine_client.h
+++ b/src/live/http_engine_client.h
@@ -6,8 +6,8 @@
 #include <string>
 
 #include "base/time.h"
+#include "clients/engine_client.h"
 #include "live/http_client.h"
-#include "platform/engine_client.h"
 
 namespace covewing::live {
 
@@ -18,24 +18,24 @@
   base::Duration order = std::chrono::seconds(10);
 };
 
-class HttpEngineClient final : public platform::EngineClient {
+class HttpEngineClient final : public clients::EngineClient {
  public:
   HttpEngineClient(HttpClient& client, base::TimerService& timers,
                    EngineClientTimeouts timeouts = {});
 
-  std::unique_ptr<platform::EngineStream> start(const platform::BackEndAddress& engine,
-                                                platform::EngineRequest request,
-                                                platform::EngineStreamHandler& handler) override;
-  void poll(const platform::BackEndAddress& engine, std::uint64_t fromSequence,
-            std::function<void(std::optional<platform::EngineReport>)> callback) override;
-  void snapshot(const platform::BackEndAddress& engine,
-                std::function<void(std::optional<platform::EngineReport>)> callback) override;
-  void order(const platform::BackEndAddress& engine, platform::EngineOrder order,
-             std::function<void(platform::OrderReply)> callback) override;
+  std::unique_ptr<clients::EngineStream> start(const clients::BackEndAddress& engine,
+                                               clients::EngineRequest request,
+                                               clients::EngineStreamHandler& handler) override;
+  void poll(const clients::BackEndAddress& engine, std::uint64_t fromSequence,
+            std::function<void(std::optional<clients::EngineReport>)> callback) override;
+  void snapshot(const clients::BackEndAddress& engine,
+                std::function<void(std::optional<clients::EngineReport>)> callback) override;
+  void order(const clients::BackEndAddress& engine, clients::EngineOrder order,
+             std::function<void(clients::OrderReply)> callback) override;
 
  private:
-  void fetchReport(const platform::BackEndAddress& engine, std::string target,
-                   std::function<void(std::optional<platform::EngineReport>)> callback);
+  void fetchReport(const clients::BackEndAddress& engine, std::string target,
+                   std::function<void(std::optional<clients::EngineReport>)> callback);
   HttpRequest controlRequest(std::string method, std::string target, std::string body);
 
   HttpClient& client_;
--- a/src/live/http_exchange.cc
+++ b/src/live/http_exchange.cc
@@ -36,10 +36,12 @@
 
 }  // namespace
 
-Exchange::Exchange(std::shared_ptr<Connection> connection, HttpRequest request, bool chunkedAllowed)
+Exchange::Exchange(std::shared_ptr<Connection> connection, HttpRequest request, bool chunkedAllowed,
+                   base::TimePoint startedAt)
     : connection_(std::move(connection)),
       request_(std::move(request)),
-      chunkedAllowed_(chunkedAllowed) {}
+      chunkedAllowed_(chunkedAllowed),
+      startedAt_(startedAt) {}
 
 Exchange::~Exchange() {
   if (!finished()) finish()->close();
@@ -49,6 +51,8 @@
   return connection_ ? connection_->peer() : base::Endpoint{};
 }
 
+bool Exchange::keepAlive() const { return connection_->keepAlive() && !closeAfterAnswer_; }
+
 std::shared_ptr<Connection> Exchange::finish() {
   pressureListener_ = nullptr;
   disconnectListener_ = nullptr;
@@ -57,7 +61,7 @@
 
 void Exchange::respond(HttpResponse response) {
   if (finished() || streaming_) return;
-  const bool reusable = connection_->keepAlive();
+  const bool reusable = keepAlive();
   auto head = messageHead(request_, response.status, response.headers, chunkedAllowed_, reusable);
   const bool withoutBody = bodyForbidden(response.status);
   if (!withoutBody) head.content_length(response.body.size());
@@ -68,17 +72,31 @@
   connection->answered(reusable);
 }
 
-void Exchange::beginStream(unsigned status, const std::vector<HeaderField>& headers) {
+void Exchange::beginStream(unsigned status, const std::vector<HeaderField>& headers,
+                           std::optional<std::uint64_t> length) {
   if (finished() || streaming_) return;
   streaming_ = true;
-  auto head = messageHead(request_, status, headers, chunkedAllowed_,
-                          chunkedAllowed_ && connection_->keepAlive());
-  if (chunkedAllowed_) head.chunked(true);
+  const bool framed = chunkedAllowed_ || length.has_value();
+  auto head = messageHead(request_, status, headers, chunkedAllowed_, framed && keepAlive());
+  if (bodyForbidden(status)) {
+    due_ = 0;
+  } else if (length) {
+    due_ = request_.method == "HEAD" ? 0 : *length;
+    head.content_length(*length);
+  } else if (chunkedAllowed_) {
+    head.chunked(true);
+  }
   connection_->send(headText(head));
 }
 
 void Exchange::write(std::string_view bytes) {
   if (finished() || !streaming_ || bytes.empty()) return;
+  if (due_) {
+    const auto taken = bytes.substr(0, *due_);
+    *due_ -= taken.size();
+    if (!taken.empty()) connection_->send(std::string{taken});
+    return;
+  }
   if (!chunkedAllowed_) {
     connection_->send(std::string{bytes});
     return;
@@ -89,9 +107,14 @@
 
 void Exchange::end() {
   if (finished() || !streaming_) return;
-  const bool reusable = chunkedAllowed_ && connection_->keepAlive();
+  if (due_ && *due_ > 0) {
+    abort();
+    return;
+  }
+  const bool reusable = (chunkedAllowed_ || due_) && keepAlive();
+  const bool chunked = chunkedAllowed_ && !due_;
   const auto connection = finish();
-  if (chunkedAllowed_) connection->send(beast::buffers_to_string(http::make_chunk_last()));
+  if (chunked) connection->send(beast::buffers_to_string(http::make_chunk_last()));
   connection->answered(reusable);
 }
 
--- a/src/live/http_message.h
+++ b/src/live/http_message.h
@@ -7,11 +7,11 @@
 #include <string_view>
 #include <vector>
 
-#include "platform/application_client.h"
+#include "clients/application_client.h"
 
 namespace covewing::live {
 
-using platform::HeaderField;
+using clients::HeaderField;
 
 /// Value of the first header with this name (compared without case); empty when there is none.
 std::string_view findHeader(const std::vector<HeaderField>& headers, std::string_view name);
--- a/src/live/http_platform_clients.cc
+++ b/src/live/http_platform_clients.cc
@@ -7,11 +7,11 @@
 
 namespace {
 
-using platform::DispatchFailure;
-using platform::ObjectReply;
-using platform::ObjectStatus;
-using platform::TableReply;
-using platform::TableStatus;
+using clients::DispatchFailure;
+using clients::ObjectReply;
+using clients::ObjectStatus;
+using clients::TableReply;
+using clients::TableStatus;
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kCreated = 201;
@@ -27,7 +27,7 @@
 }
 
 TableReply toTableReply(const HttpResult& result) {
-  if (const auto* error = std::get_if<platform::DispatchError>(&result); error != nullptr) {
+  if (const auto* error = std::get_if<clients::DispatchError>(&result); error != nullptr) {
     const bool notSent = error->failure == DispatchFailure::kNotSent;
     return {notSent ? TableStatus::kUnavailable : TableStatus::kUnknown, 0, {}};
   }
@@ -42,7 +42,7 @@
 }
 
 ObjectReply toObjectReply(HttpResult result) {
-  if (const auto* error = std::get_if<platform::DispatchError>(&result); error != nullptr) {
+  if (const auto* error = std::get_if<clients::DispatchError>(&result); error != nullptr) {
     const bool notSent = error->failure == DispatchFailure::kNotSent;
     return {notSent ? ObjectStatus::kUnavailable : ObjectStatus::kUnknown, {}};
   }
@@ -61,13 +61,13 @@
   }
 }
 
-std::function<void(HttpResult)> tableHandler(platform::TableCallback callback) {
+std::function<void(HttpResult)> tableHandler(clients::TableCallback callback) {
   return [callback = std::move(callback)](const HttpResult& result) {
     callback(toTableReply(result));
   };
 }
 
-std::function<void(HttpResult)> objectHandler(platform::ObjectCallback callback) {
+std::function<void(HttpResult)> objectHandler(clients::ObjectCallback callback) {
   return [callback = std::move(callback)](HttpResult result) {
     callback(toObjectReply(std::move(result)));
   };
@@ -86,32 +86,32 @@
   client_.fetch(endpoint_, request, timeout_, std::move(callback));
 }
 
-void HttpTableClient::read(std::vector<std::string> keys, platform::TableCallback callback) {
+void HttpTableClient::read(std::vector<std::string> keys, clients::TableCallback callback) {
   service_.call("POST", "/v1/read", tableReadToJson(keys), tableHandler(std::move(callback)));
 }
 
 void HttpTableClient::scan(std::string prefix, base::Revision after, std::size_t limit,
-                           platform::TableCallback callback) {
+                           clients::TableCallback callback) {
   service_.call("POST", "/v1/scan", tableScanToJson(prefix, after, limit),
                 tableHandler(std::move(callback)));
 }
 
-void HttpTableClient::commit(platform::TableTransaction transaction,
-                             platform::TableCallback callback) {
+void HttpTableClient::commit(clients::TableTransaction transaction,
+                             clients::TableCallback callback) {
   service_.call("POST", "/v1/commit", tableTransactionToJson(transaction),
                 tableHandler(std::move(callback)));
 }
 
-void HttpObjectStoreClient::get(std::string name, platform::ObjectCallback callback) {
+void HttpObjectStoreClient::get(std::string name, clients::ObjectCallback callback) {
   service_.call("GET", "/v1/objects/" + name, {}, objectHandler(std::move(callback)));
 }
 
 void HttpObjectStoreClient::put(std::string name, std::string bytes,
-                                platform::ObjectCallback callback) {
+                                clients::ObjectCallback callback) {
   service_.call("PUT", "/v1/objects/" + name, std::move(bytes), objectHandler(std::move(callback)));
 }
 
-void HttpMachineListClient::fetch(platform::MachineListCallback callback) {
+void HttpMachineListClient::fetch(clients::MachineListCallback callback) {
   service_.call("GET", "/v1/machines", {},
                 [callback = std::move(callback)](const HttpResult& result) {
                   const auto* response = std::get_if<HttpResponse>(&result);
--- a/src/live/http_platform_clients.h
+++ b/src/live/http_platform_clients.h
@@ -6,10 +6,10 @@
 
 #include "base/endpoint.h"
 #include "base/time.h"
+#include "clients/machine_list_client.h"
+#include "clients/object_store_client.h"
+#include "clients/table_client.h"
 #include "live/http_client.h"
-#include "platform/machine_list_client.h"
-#include "platform/object_store_client.h"
-#include "platform/table_client.h"
 
 namespace covewing::live {
 
@@ -28,32 +28,32 @@
   std::uint64_t lastRequest_ = 0;
 };
 
-class HttpTableClient final : public platform::TableClient {
+class HttpTableClient final : public clients::TableClient {
  public:
   explicit HttpTableClient(PlatformService service) : service_(service) {}
-  void read(std::vector<std::string> keys, platform::TableCallback callback) override;
+  void read(std::vector<std::string> keys, clients::TableCallback callback) override;
   void scan(std::string prefix, base::Revision after, std::size_t limit,
-            platform::TableCallback callback) override;
-  void commit(platform::TableTransaction transaction, platform::TableCallback callback) override;
+            clients::TableCallback callback) override;
+  void commit(clients::TableTransaction transaction, clients::TableCallback callback) override;
 
  private:
   PlatformService service_;
 };
 
-class HttpObjectStoreClient final : public platform::ObjectStoreClient {
+class HttpObjectStoreClient final : public clients::ObjectStoreClient {
  public:
   explicit HttpObjectStoreClient(PlatformService service) : service_(service) {}
-  void get(std::string name, platform::ObjectCallback callback) override;
-  void put(std::string name, std::string bytes, platform::ObjectCallback callback) override;
+  void get(std::string name, clients::ObjectCallback callback) override;
+  void put(std::string name, std::string bytes, clients::ObjectCallback callback) override;
 
  private:
   PlatformService service_;
 };
 
-class HttpMachineListClient final : public platform::MachineListClient {
+class HttpMachineListClient final : public clients::MachineListClient {
  public:
   explicit HttpMachineListClient(PlatformService service) : service_(service) {}
-  void fetch(platform::MachineListCallback callback) override;
+  void fetch(clients::MachineListCallback callback) override;
 
  private:
   PlatformService service_;
--- a/src/live/http_server.cc
+++ b/src/live/http_server.cc
@@ -45,7 +45,7 @@
         refusalFormatter(defaultRefusal) {}
 
   const HttpLimits& limits() const override { return bounds; }
-  bool closing() const override { return stopping; }
+  bool closing() const override { return stopping || closeAnnounced; }
   HttpResponse formatRefusal(const base::Reason& reason) const override {
     return refusalFormatter(reason);
   }
@@ -118,6 +118,7 @@
   HttpHandler handler;
   HttpRefusalFormatter refusalFormatter;
   bool stopping = false;
+  bool closeAnnounced = false;
   bool closed = false;
   std::list<std::shared_ptr<Listener>> listeners;
   std::unordered_map<Connection*, std::shared_ptr<Connection>> connections;
@@ -158,9 +159,14 @@
 }
 
 void HttpServer::stopAccepting() { core_->stopAccepting(); }
+void HttpServer::setLimits(const HttpLimits& limits) { core_->bounds = limits; }
+void HttpServer::announceClose() { core_->closeAnnounced = true; }
+void HttpServer::closeIdleConnections() {
+  for (const auto& [key, connection] : core_->connections) connection->closeIfIdle();
+}
 void HttpServer::closeIdle() {
   core_->stopAccepting();
-  for (const auto& [key, connection] : core_->connections) connection->closeIfIdle();
+  closeIdleConnections();
 }
 void HttpServer::close() {
   core_->stopAccepting();
--- a/src/live/http_server.h
+++ b/src/live/http_server.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -30,7 +31,9 @@
   std::size_t answerBufferBytes = 64U << 10U;
   /// Open connections; further ones are closed at once.
   std::size_t connections = 20'000;
-  /// Longest time from the first byte of a request to its last.
+  /// Longest time from the first byte of a request to the end of its header section.
+  base::Duration headerTimeout = std::chrono::seconds(30);
+  /// Longest time from the end of the header section to the last byte of the request.
   base::Duration requestTimeout = std::chrono::seconds(30);
   /// Longest time that a connection stays open between requests.
   base::Duration idleTimeout = std::chrono::seconds(75);
@@ -51,13 +54,19 @@
   /// Takes the body out of the request without a copy.
   virtual std::string takeBody() = 0;
   virtual base::Endpoint peer() const = 0;
+  /// When the request's first byte was read, by the steady clock.
+  virtual base::TimePoint startedAt() const = 0;
+  /// The answer announces that the connection closes after it, and it does.
+  virtual void closeAfterAnswer() = 0;
 
   virtual void respond(HttpResponse response) = 0;
 
-  /// Starts a chunked answer.
-  virtual void beginStream(unsigned status, const std::vector<HeaderField>& headers) = 0;
+  /// Starts an answer in pieces: chunked, or of `length` bytes where that is given. An answer that
+  /// is ended short of its length closes the connection.
+  virtual void beginStream(unsigned status, const std::vector<HeaderField>& headers,
+                           std::optional<std::uint64_t> length = std::nullopt) = 0;
   virtual void write(std::string_view bytes) = 0;
-  /// Ends the chunked answer as complete.
+  /// Ends the answer in pieces as complete.
   virtual void end() = 0;
   /// Closes the connection at once, so that the peer sees an incomplete answer.
   virtual void abort() = 0;
@@ -91,7 +100,14 @@
   std::optional<base::Endpoint> listen(const base::Endpoint& endpoint, base::Reason& reason);
   /// Closes the listeners. Open connections go on, but each closes after its next answer.
   void stopAccepting();
-  /// Closes connections that are between requests, now; the others close after their answer.
+  /// Replaces the bounds; open connections keep to them from their next wait on.
+  void setLimits(const HttpLimits& limits);
+  /// From now on each answer announces that its connection closes; new ones are still accepted.
+  void announceClose();
+  /// Closes connections that are between requests, now, and goes on accepting.
+  void closeIdleConnections();
+  /// Stops accepting and closes connections that are between requests, now; the others close after
+  /// their answer.
   void closeIdle();
   /// Closes every connection, finished or not.
   void close();
--- a/src/live/node_metrics.cc
+++ b/src/live/node_metrics.cc
@@ -154,7 +154,7 @@
 }
 
 void NodeMetrics::onCompleted(RequestKind kind, base::Duration sinceArrival,
-                              const platform::StreamEnd& end) {
+                              const clients::StreamEnd& end) {
   impl_->requestTime.Add(kindLabel(kind), kSecondsBuckets).Observe(base::toSeconds(sinceArrival));
   impl_->outputTokens.Increment(end.outputTokens);
   impl_->promptTokens.Increment(end.promptTokens);
--- a/src/live/node_metrics.h
+++ b/src/live/node_metrics.h
@@ -11,9 +11,9 @@
 #include "base/event_log.h"
 #include "base/result_code.h"
 #include "base/time.h"
+#include "clients/engine_client.h"
 #include "live/peer_transport.h"
 #include "node/node.h"
-#include "platform/engine_client.h"
 
 namespace covewing::live {
 
@@ -43,7 +43,7 @@
   /// A request got its final answer.
   void onAnswered(RequestKind kind, base::ResultCode code);
   void onFirstToken(RequestKind kind, base::Duration sinceArrival);
-  void onCompleted(RequestKind kind, base::Duration sinceArrival, const platform::StreamEnd& end);
+  void onCompleted(RequestKind kind, base::Duration sinceArrival, const clients::StreamEnd& end);
   void onCallerPaused();
   void onCallerGone();
   void onEvent(base::Event event);
--- a/src/live/platform_json.cc
+++ b/src/live/platform_json.cc
@@ -18,14 +18,14 @@
 constexpr std::size_t kMaximumMachines = 100'000;
 constexpr std::size_t kMaximumName = 256;
 
-platform::Machine readMachine(const Json& json, Mistakes& mistakes) {
+clients::Machine readMachine(const Json& json, Mistakes& mistakes) {
   FieldReader fields(json, "machines", mistakes);
-  platform::Machine machine;
+  clients::Machine machine;
   machine.name = fields.text("name", "", kMaximumName);
-  machine.kind = static_cast<platform::MachineKind>(
+  machine.kind = static_cast<clients::MachineKind>(
       fields.choice("kind", 0, {"engine", "application", "node", "kept_cache_store"}));
   machine.state =
-      static_cast<platform::MachineState>(fields.choice("state", 0, {"live", "leaving"}));
+      static_cast<clients::MachineState>(fields.choice("state", 0, {"live", "leaving"}));
   const auto endpoint = base::parseEndpoint(fields.text("endpoint", "", kMaximumName));
   if (!endpoint) fields.mistake("endpoint", "must be an address such as 10.0.0.1:80");
   machine.endpoint = endpoint.value_or(base::Endpoint{});
@@ -45,7 +45,7 @@
   return config::toText(Json({{"prefix", prefix}, {"after", after}, {"limit", limit}}));
 }
 
-std::string tableTransactionToJson(const platform::TableTransaction& transaction) {
+std::string tableTransactionToJson(const clients::TableTransaction& transaction) {
   Json conditions = Json::array();
   for (const auto& condition : transaction.conditions)
     conditions.push_back({{"key", condition.key}, {"revision", condition.revision}});
@@ -55,12 +55,12 @@
   return config::toText(Json({{"conditions", conditions}, {"writes", writes}}));
 }
 
-std::optional<platform::TableReply> tableReplyFromJson(std::string_view text) {
+std::optional<clients::TableReply> tableReplyFromJson(std::string_view text) {
   Mistakes mistakes;
   const auto json = config::parseBoundedJson(text, kTableBounds, mistakes);
   if (!json) return std::nullopt;
   FieldReader fields(*json, "", mistakes);
-  platform::TableReply reply;
+  clients::TableReply reply;
   reply.revision = fields.unsignedInteger("revision", 0, 0, UINT64_MAX);
   for (const Json* element : fields.elements("rows", kMaximumRows)) {
     FieldReader row(*element, "rows", mistakes);
@@ -72,12 +72,12 @@
   return reply;
 }
 
-std::optional<std::vector<platform::Machine>> machinesFromJson(std::string_view text) {
+std::optional<std::vector<clients::Machine>> machinesFromJson(std::string_view text) {
   Mistakes mistakes;
   const auto json = config::parseBoundedJson(text, kMachinesBounds, mistakes);
   if (!json) return std::nullopt;
   FieldReader fields(*json, "", mistakes);
-  std::vector<platform::Machine> machines;
+  std::vector<clients::Machine> machines;
   for (const Json* element : fields.elements("machines", kMaximumMachines))
     machines.push_back(readMachine(*element, mistakes));
   if (!mistakes.empty()) return std::nullopt;
--- /dev/null
+++ b/src/live/relay_daemon.cc
@@ -0,0 +1,261 @@
+#include "live/relay_daemon.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <utility>
+
+#include "base/random.h"
+#include "live/asio_runtime.h"
+#include "live/http_relay_client.h"
+#include "live/http_server.h"
+#include "live/peer_transport.h"
+#include "live/relay_gateway.h"
+#include "membership/gossip_membership.h"
+#include "node/weights_coordinator.h"
+#include "routing/cache_watch.h"
+
+namespace covewing::live {
+
+namespace {
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kServiceUnavailable = 503;
+/// Part of the revocation bound that a confirmation is trusted for.
+constexpr double kConfirmationShare = 0.92;
+/// After this a node that is asked for its readiness every second has been asked twice.
+constexpr base::Duration kNoticedAfter = std::chrono::milliseconds(2600);
+/// Kept free at the end of the grace.
+constexpr base::Duration kGraceMargin = std::chrono::milliseconds(350);
+constexpr base::Duration kDrainInterval = std::chrono::milliseconds(50);
+/// The number of nodes falls back to what is seen now only after this.
+constexpr base::Duration kNodeMemory = std::chrono::seconds(30);
+/// Nodes assumed until the membership has had time to form.
+constexpr std::size_t kNodesAtFirst = 8;
+constexpr base::Duration kMembershipForms = std::chrono::seconds(5);
+
+HttpClientLimits replicaLimits(const RelayDialect& dialect) {
+  HttpClientLimits limits;
+  limits.requestIdHeader = dialect.requestIdHeader();
+  limits.skipForeignAnswers = true;
+  limits.unacknowledgedTimeout = std::chrono::milliseconds(1000);
+  limits.connectTimeout = std::chrono::milliseconds(500);
+  limits.idleTimeout = std::chrono::seconds(20);
+  return limits;
+}
+
+membership::GossipMembershipOptions membershipOptions(const RelaySettings& settings) {
+  membership::GossipMembershipOptions options;
+  options.name = settings.name;
+  options.zone = settings.zone;
+  options.region = settings.region;
+  options.endpoint = settings.peerEndpoint;
+  options.incarnation = startIncarnation();
+  for (const auto& seed : settings.seeds)
+    options.seeds.push_back({seed.address, settings.peerEndpoint.port});
+  return options;
+}
+
+node::WeightsCoordinatorOptions coordinatorOptions(const RelaySettings& settings) {
+  constexpr std::string_view kLeaseName = "weights";
+  node::WeightsCoordinatorOptions options;
+  options.lease.name = kLeaseName;
+  // The last renewal may be most of an interval older than the holder's last order.
+  options.lease.duration = settings.lease * 6 / 5;
+  options.lease.margin = settings.lease / 10;
+  options.lease.renewInterval = settings.lease / 4;
+  if (!settings.fencingEnforced) options.settle = settings.lease;
+  return options;
+}
+
+/// The most nodes seen at once lately: those that are cut off may still send.
+class NodeCount {
+ public:
+  NodeCount(const membership::MemberDirectory& members, const base::Clock& clock)
+      : members_(members), clock_(clock), startedAt_(clock.now()) {}
+
+  std::size_t operator()() {
+    const auto now = clock_.now();
+    const auto live = members_.liveMembers().size();
+    if (live >= most_ || now - mostAt_ > kNodeMemory) {
+      most_ = live;
+      mostAt_ = now;
+    }
+    return now - startedAt_ < kMembershipForms ? std::max(most_, kNodesAtFirst) : most_;
+  }
+
+ private:
+  const membership::MemberDirectory& members_;
+  const base::Clock& clock_;
+  base::TimePoint startedAt_;
+  std::size_t most_ = 1;
+  base::TimePoint mostAt_{};
+};
+
+}  // namespace
+
+struct RelayDaemon::Impl final : request::RelayObserver {
+  Impl(boost::asio::io_context& ioContext, RelaySettings nodeSettings, base::EventLog& eventLog,
+       const RelayDeployment& relayDeployment)
+      : context(ioContext),
+        settings(std::move(nodeSettings)),
+        log(eventLog),
+        deployment(relayDeployment),
+        timers(ioContext),
+        random(systemSeed()),
+        peers(ioContext, log),
+        membership(membershipOptions(settings), clock, timers, random, log, peers),
+        nodes(membership, clock),
+        targets({settings.weightsInForce, settings.weightsInForce / 8}),
+        choice({replicas, holders, targets, settings.zone}, {}, random),
+        configuration(deployment.configurationRows, clock, log, targets),
+        replicaList(deployment.replicaRows, log, replicas, holders),
+        configurationWatch({deployment.configurationTable}, clock, timers, random, deployment.feeds,
+                           configuration),
+        replicaWatch({deployment.replicaTable}, clock, timers, random, deployment.feeds,
+                     replicaList),
+        coordinator(coordinatorOptions(settings),
+                    {clock, timers, random, log, peers, deployment.table, deployment.weights,
+                     membership, membership, replicas, holders, targets}),
+        cacheWatch({}, {timers, random, deployment.cacheFeeds, replicas, membership, holders},
+                   [this](const std::string& name) { return eventWatchers(name); }),
+        retries({settings.retryWindow, settings.retryRatio, settings.retrySlack}),
+        replicaHttp(ioContext, replicaLimits(deployment.dialect)),
+        relayClient(replicaHttp, deployment.dialect),
+        service(serviceOptions(), dependencies(), configuration, [this] { return nodes(); }),
+        gateway(service, deployment.dialect, log),
+        callerServer(ioContext, {},
+                     [this](const HttpExchangePtr& exchange) { gateway.handle(exchange); }),
+        readinessServer(ioContext, {}, [this](const HttpExchangePtr& exchange) {
+          exchange->respond({ready() ? kOk : kServiceUnavailable, {}, {}});
+        }) {
+    configuration.setWatch(configurationWatch);
+    configuration.onTable([this](const config::RouteTable& table) { applyLimits(table.limits()); });
+  }
+
+  request::RelayServiceOptions serviceOptions() const {
+    request::RelayServiceOptions options;
+    options.confirmationBound =
+        std::chrono::duration_cast<base::Duration>(settings.revocation * kConfirmationShare);
+    return options;
+  }
+
+  request::RelayDependencies dependencies() {
+    return {clock, timers, log, relayClient, replicas, holders, choice, retries, *this};
+  }
+
+  void applyLimits(const config::TrafficLimits& limits) {
+    HttpLimits http;
+    http.headerBytes = limits.headerBytes;
+    http.bodyBytes = limits.bodyBytes;
+    http.headerTimeout = limits.headerTimeout;
+    http.idleTimeout = limits.idleTimeout;
+    callerServer.setLimits(http);
+  }
+
+  std::uint32_t eventWatchers(const std::string& name) const {
+    const auto table = configuration.table();
+    const auto* found = table ? table->findService(name) : nullptr;
+    return found != nullptr && found->engine ? found->engine->eventWatchers : 0;
+  }
+
+  bool ready() const {
+    return !draining && configuration.table() != nullptr && replicaList.known() &&
+           service.confirmed();
+  }
+
+  bool listen(HttpServer& server, const base::Endpoint& endpoint, base::Reason& reason) {
+    if (!server.listen(endpoint, reason)) return false;
+    log.write(base::Event::kListenerOpened, {{"address", base::toString(endpoint)}});
+    return true;
+  }
+
+  bool start(base::Reason& reason) {
+    log.write(base::Event::kNodeStarting, {{"node", settings.name}, {"zone", settings.zone}});
+    if (!listen(callerServer, settings.callerEndpoint, reason)) return false;
+    if (!listen(readinessServer, settings.readinessEndpoint, reason)) return false;
+    if (!peers.bind(settings.peerEndpoint, reason)) return false;
+    peers.start({membership.self().id, membership.self().incarnation, settings.peerEndpoint},
+                [this](const base::PeerIdentity& sender, base::Channel channel,
+                       std::string_view payload) { onPeerMessage(sender, channel, payload); });
+    membership.start();
+    coordinator.start();
+    cacheWatch.start();
+    configurationWatch.start();
+    replicaWatch.start();
+    return true;
+  }
+
+  void onPeerMessage(const base::PeerIdentity& sender, base::Channel channel,
+                     std::string_view payload) {
+    if (channel == base::Channel::kMembership) membership.onPeerMessage(sender, payload);
+    if (channel == base::Channel::kCoordination) coordinator.onPeerMessage(sender, payload);
+  }
+
+  void drain(std::function<void()> done) {
+    draining = true;
+    drained = std::move(done);
+    drainingSince = clock.now();
+    callerServer.announceClose();
+    coordinator.drain([] {});
+    membership.setDraining(true);
+    log.write(base::Event::kNodeDraining, {{"open", std::to_string(service.open())}});
+    drainStep();
+  }
+
+  void drainStep() {
+    const auto elapsed = clock.now() - drainingSince;
+    const bool noticed = elapsed >= kNoticedAfter;
+    const bool overdue = elapsed >= settings.grace - kGraceMargin;
+    if (noticed) callerServer.closeIdleConnections();
+    if (overdue || (noticed && callerServer.openExchanges() == 0)) {
+      membership.leave();
+      log.write(base::Event::kNodeStopped, {{"open", std::to_string(service.open())}});
+      drained();
+      return;
+    }
+    timers.schedule(kDrainInterval, [this] { drainStep(); });
+  }
+
+  void onRelayed(const config::Route& /*route*/,
+                 const request::RelayOutcome& /*outcome*/) override {}
+
+  boost::asio::io_context& context;
+  RelaySettings settings;
+  base::EventLog& log;
+  RelayDeployment deployment;
+  AsioClock clock;
+  AsioTimerService timers;
+  base::SeededRandom random;
+  AsioPeerTransport peers;
+  membership::GossipMembership membership;
+  NodeCount nodes;
+  routing::WeightsTargets targets;
+  routing::ReplicaDirectory replicas;
+  routing::PrefixHolders holders;
+  routing::ReplicaChoice choice;
+  node::RouteConfiguration configuration;
+  node::ReplicaList replicaList;
+  config::TableWatch configurationWatch;
+  config::TableWatch replicaWatch;
+  node::WeightsCoordinator coordinator;
+  routing::CacheWatch cacheWatch;
+  admission::RetryWindows retries;
+  HttpClient replicaHttp;
+  HttpRelayClient relayClient;
+  request::RelayService service;
+  RelayGateway gateway;
+  HttpServer callerServer;
+  HttpServer readinessServer;
+  bool draining = false;
+  base::TimePoint drainingSince{};
+  std::function<void()> drained;
+};
+
+RelayDaemon::RelayDaemon(boost::asio::io_context& context, RelaySettings settings,
+                         base::EventLog& log, const RelayDeployment& deployment)
+    : impl_(std::make_unique<Impl>(context, std::move(settings), log, deployment)) {}
+RelayDaemon::~RelayDaemon() = default;
+bool RelayDaemon::start(base::Reason& reason) { return impl_->start(reason); }
+void RelayDaemon::drain(std::function<void()> done) { impl_->drain(std::move(done)); }
+
+}  // namespace covewing::live
--- /dev/null
+++ b/src/live/relay_gateway.cc
@@ -0,0 +1,58 @@
+#include "live/relay_gateway.h"
+
+#include <utility>
+
+namespace covewing::live {
+
+namespace {
+
+class ExchangeCaller final : public request::RelayCaller {
+ public:
+  ExchangeCaller(HttpExchangePtr exchange, const RelayDialect& dialect)
+      : exchange_(std::move(exchange)), dialect_(dialect) {}
+
+  void begin(const clients::RelayedAnswer& answer) override {
+    exchange_->beginStream(answer.status, answer.headers, answer.length);
+  }
+  void write(std::string_view bytes) override { exchange_->write(bytes); }
+  void end() override { exchange_->end(); }
+  void refuse(const request::RelayRefusal& refusal) override {
+    if (refusal.closeConnection) exchange_->closeAfterAnswer();
+    exchange_->respond(
+        dialect_.refusal(refusal, exchange_->request().header(dialect_.requestIdHeader())));
+  }
+  void cut() override { exchange_->abort(); }
+  void onPressure(std::function<void(bool)> listener) override {
+    exchange_->onPressure(std::move(listener));
+  }
+
+ private:
+  HttpExchangePtr exchange_;
+  const RelayDialect& dialect_;
+};
+
+}  // namespace
+
+void RelayGateway::handle(const HttpExchangePtr& exchange) {
+  base::Reason reason;
+  auto arrival = dialect_.readRequest(exchange->request(), exchange->takeBody(),
+                                      exchange->startedAt(), reason);
+  auto caller = std::make_unique<ExchangeCaller>(exchange, dialect_);
+  if (!arrival) {
+    const auto status = base::describe(reason.code).httpStatus;
+    log_.write(base::Event::kRequestRefused,
+               {{"request", std::string{exchange->request().header(dialect_.requestIdHeader())}},
+                {"code", std::to_string(static_cast<unsigned>(reason.code))},
+                {"status", std::to_string(status)},
+                {"why", reason.detail}});
+    caller->refuse({reason, status, {}, false});
+    return;
+  }
+  const auto flow = service_.begin(std::move(*arrival), std::move(caller));
+  if (flow.expired()) return;
+  exchange->onDisconnect([flow] {
+    if (const auto open = flow.lock()) open->onCallerGone();
+  });
+}
+
+}  // namespace covewing::live
--- a/src/node/explain_json.cc
+++ b/src/node/explain_json.cc
@@ -27,13 +27,13 @@
   return "";
 }
 
-std::string_view toString(platform::DispatchFailure failure) {
+std::string_view toString(clients::DispatchFailure failure) {
   switch (failure) {
-    case platform::DispatchFailure::kNotSent:
+    case clients::DispatchFailure::kNotSent:
       return "not-sent";
-    case platform::DispatchFailure::kRefusedNotRun:
+    case clients::DispatchFailure::kRefusedNotRun:
       return "refused-not-run";
-    case platform::DispatchFailure::kOutcomeUnknown:
+    case clients::DispatchFailure::kOutcomeUnknown:
       return "outcome-unknown";
   }
   return "";
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -68,7 +68,7 @@
  public:
   explicit DispatchFeedback(routing::EngineDirectory& directory) : directory_(directory) {}
 
-  void onDispatchFailed(base::EngineId backEnd, const platform::DispatchError& error) override {
+  void onDispatchFailed(base::EngineId backEnd, const clients::DispatchError& error) override {
     switch (error.reason.code) {
       case base::ResultCode::kBackEndUnreachable:
       case base::ResultCode::kBackEndLost:
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -15,15 +15,15 @@
 #include "base/peer_transport.h"
 #include "base/random.h"
 #include "base/time.h"
+#include "clients/application_client.h"
+#include "clients/engine_client.h"
+#include "clients/machine_list_client.h"
+#include "clients/object_store_client.h"
+#include "clients/table_client.h"
 #include "config/configuration_view.h"
 #include "coordination/lease_manager.h"
 #include "membership/member_directory.h"
 #include "node/operator_api.h"
-#include "platform/application_client.h"
-#include "platform/engine_client.h"
-#include "platform/machine_list_client.h"
-#include "platform/object_store_client.h"
-#include "platform/table_client.h"
 #include "request/caller_request.h"
 #include "routing/fleet_view.h"
 #include "routing/routing_policy.h"
@@ -60,11 +60,11 @@
   base::RandomSource& random;
   base::EventLog& log;
   base::PeerTransport& peers;
-  platform::TableClient& table;
-  platform::ObjectStoreClient& objects;
-  platform::MachineListClient& machines;
-  platform::EngineClient& engines;
-  platform::ApplicationClient& applications;
+  clients::TableClient& table;
+  clients::ObjectStoreClient& objects;
+  clients::MachineListClient& machines;
+  clients::EngineClient& engines;
+  clients::ApplicationClient& applications;
 };
 
 /// The node's part in its region's coordination.
--- a/src/node/operator_service_orders.cc
+++ b/src/node/operator_service_orders.cc
@@ -106,7 +106,7 @@
   if (request.type == OrderType::kRole) {
     if (reader.find("role") == nullptr) reader.mistake("role", "missing");
     request.role =
-        static_cast<platform::EngineRole>(reader.choice("role", 0, {"serving", "standby"}));
+        static_cast<clients::EngineRole>(reader.choice("role", 0, {"serving", "standby"}));
   } else {
     request.model = reader.text("model", "", kMaximumName);
     request.version = reader.unsignedInteger("version", 0, 1, kLargestVersion);
--- a/src/node/operator_service_status.cc
+++ b/src/node/operator_service_status.cc
@@ -34,7 +34,7 @@
 
 Json weightsOf(const routing::EngineState& engine) {
   Json list = Json::array();
-  for (const platform::LoadedWeights& weights : engine.weights) {
+  for (const clients::LoadedWeights& weights : engine.weights) {
     list.push_back(
         {{"model", weights.model}, {"version", weights.version}, {"adapters", weights.adapters}});
   }
--- /dev/null
+++ b/src/node/replica_list.cc
@@ -0,0 +1,47 @@
+#include "node/replica_list.h"
+
+#include <utility>
+
+namespace covewing::node {
+
+void ReplicaList::onRow(const clients::FeedRow& row) {
+  base::Reason reason;
+  auto replica = reader_.readReplica(row.key, *row.value, reason);
+  if (!replica) {
+    log_.write(base::Event::kMessageRejected,
+               {{"what", "replica entry"}, {"row", row.key}, {"why", reason.detail}});
+    return;
+  }
+  const auto& model = replica->models;
+  log_.write(base::Event::kReplicaListed,
+             {{"replica", replica->instance},
+              {"service", replica->service},
+              {"address", base::toString(replica->endpoint)},
+              {"zone", replica->zone},
+              {"state", replica->state == routing::ReplicaState::kReady ? "ready" : "draining"},
+              {"weights", model.empty() ? "" : std::to_string(model.front().version)},
+              {"revision", std::to_string(row.revision)}});
+  directory_.onListed(std::move(*replica));
+}
+
+void ReplicaList::onRemoved(const clients::FeedRow& row) {
+  log_.write(base::Event::kReplicaRemoved,
+             {{"replica", row.key}, {"revision", std::to_string(row.revision)}});
+  directory_.onRemoved(row.key);
+  holders_.forget(base::engineIdOf(row.key));
+}
+
+void ReplicaList::onCurrent() {
+  known_ = true;
+  if (std::exchange(failing_, false))
+    log_.write(base::Event::kPlatformRecovered, {{"service", "replica list feed"}});
+}
+
+void ReplicaList::onFailure(clients::FeedStatus status) {
+  if (std::exchange(failing_, true)) return;
+  log_.write(base::Event::kPlatformUnavailable,
+             {{"service", "replica list feed"},
+              {"status", std::to_string(static_cast<unsigned>(status))}});
+}
+
+}  // namespace covewing::node
--- /dev/null
+++ b/src/node/route_configuration.h
@@ -0,0 +1,80 @@
+/// \file
+/// The operators' configuration of a relaying node, kept current from the table service: the route
+/// table in force and the versions of weights that are wanted. A table is replaced by a newer
+/// version only, so that configuration never goes back while the node runs.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/event_log.h"
+#include "config/route_table.h"
+#include "config/table_watch.h"
+#include "request/relay_service.h"
+#include "routing/weights_targets.h"
+
+namespace covewing::node {
+
+/// A model's weights as operators name them.
+struct NamedWeights {
+  std::string model;
+  base::WeightsVersion version = 0;
+};
+
+/// Reads the rows in which operators keep their configuration.
+class ConfigurationRowReader {
+ public:
+  virtual ~ConfigurationRowReader() = default;
+  /// Whether the row with this key holds the route table.
+  virtual bool isRouteTable(std::string_view key) const = 0;
+  /// Whether the row with this key names weights.
+  virtual bool isNamedWeights(std::string_view key) const = 0;
+  /// Empty with the reason when the row is malformed.
+  virtual std::optional<config::RouteTableContents> readRouteTable(std::string_view value,
+                                                                   base::Reason& reason) const = 0;
+  virtual std::optional<NamedWeights> readWeights(std::string_view value,
+                                                  base::Reason& reason) const = 0;
+};
+
+class RouteConfiguration final : public config::TableWatchListener,
+                                 public request::RouteTableSource {
+ public:
+  using TableListener = std::function<void(const config::RouteTable&)>;
+  using WeightsListener = std::function<void(const NamedWeights&)>;
+
+  /// All must outlive the configuration.
+  RouteConfiguration(const ConfigurationRowReader& reader, base::Clock& clock, base::EventLog& log,
+                     routing::WeightsTargets& targets)
+      : reader_(reader), clock_(clock), log_(log), targets_(targets) {}
+
+  /// Where the freshness is taken from; before that nothing is confirmed.
+  void setWatch(const config::TableWatch& watch) { watch_ = &watch; }
+  void onTable(TableListener listener) { tableListener_ = std::move(listener); }
+  void onWeights(WeightsListener listener) { weightsListener_ = std::move(listener); }
+
+  config::RouteTablePtr table() const override { return table_; }
+  std::optional<base::TimePoint> confirmedAt() const override;
+
+  void onRow(const clients::FeedRow& row) override;
+  void onRemoved(const clients::FeedRow& row) override;
+  void onCurrent() override;
+  void onFailure(clients::FeedStatus status) override;
+
+ private:
+  void takeTable(const clients::FeedRow& row);
+  void takeWeights(const clients::FeedRow& row);
+
+  const ConfigurationRowReader& reader_;
+  base::Clock& clock_;
+  base::EventLog& log_;
+  routing::WeightsTargets& targets_;
+  const config::TableWatch* watch_ = nullptr;
+  config::RouteTablePtr table_;
+  TableListener tableListener_;
+  WeightsListener weightsListener_;
+  bool failing_ = false;
+};
+
+}  // namespace covewing::node
--- /dev/null
+++ b/src/node/weights_coordinator.cc
@@ -0,0 +1,111 @@
+#include "node/weights_coordinator.h"
+
+#include <charconv>
+#include <utility>
+
+#include "coordination/lease_messages.h"
+
+namespace covewing::node {
+
+namespace {
+
+/// Records of one replica's change: the value is empty while it changes, and "VERSION MODEL" after.
+constexpr std::string_view kRecordPrefix = "replica-weights/";
+/// Bits of a record's version below the fencing token.
+constexpr unsigned kCounterBits = 24;
+
+}  // namespace
+
+WeightsCoordinator::WeightsCoordinator(WeightsCoordinatorOptions options,
+                                       WeightsCoordinatorEnvironment environment)
+    : options_(std::move(options)),
+      environment_(environment),
+      lease_(options_.lease,
+             {environment.clock, environment.timers, environment.random, environment.log,
+              environment.table, environment.members},
+             *this),
+      rollout_(options_.rollout,
+               {environment.clock, environment.timers, environment.log, environment.weights,
+                environment.replicas, environment.targets, *this, environment.members.self().name},
+               [this] { return lease_.grant(); }) {}
+
+WeightsCoordinator::~WeightsCoordinator() { environment_.timers.cancel(settleTimer_); }
+
+void WeightsCoordinator::start() {
+  environment_.records.subscribe(
+      std::string{kRecordPrefix},
+      [this](const membership::GossipRecord& record) { onRecord(record); });
+  lease_.start();
+}
+
+void WeightsCoordinator::drain(std::function<void()> done) {
+  environment_.timers.cancel(settleTimer_);
+  rollout_.stop();
+  lease_.release([this, done = std::move(done)] {
+    coordination::sendToCandidates(environment_.peers, lease_, environment_.members.self().id,
+                                   coordination::encodeCoordinationMessage(
+                                       coordination::CoordinationMessageType::kLeaseReleased));
+    done();
+  });
+}
+
+void WeightsCoordinator::onPeerMessage(const base::PeerIdentity& /*sender*/,
+                                       std::string_view payload) {
+  const auto message = coordination::decodeCoordinationMessage(payload);
+  if (!message) {
+    environment_.log.write(base::Event::kMessageRejected, {{"channel", "coordination"}});
+    return;
+  }
+  if (message->type == coordination::CoordinationMessageType::kLeaseReleased)
+    lease_.onReleaseHint();
+  if (message->announcement) lease_.onAnnouncement(*message->announcement);
+}
+
+void WeightsCoordinator::onLeaseWritten(const coordination::LeaseAnnouncement& announcement) {
+  coordination::sendToCandidates(environment_.peers, lease_, environment_.members.self().id,
+                                 coordination::encodeLeaseWritten(announcement));
+}
+
+void WeightsCoordinator::onLeaseAcquired(const coordination::LeaseGrant& grant) {
+  token_ = grant.token;
+  published_ = 0;
+  settleTimer_ = environment_.timers.schedule(options_.settle, [this] { rollout_.start(); });
+}
+
+void WeightsCoordinator::onLeaseLost() {
+  environment_.timers.cancel(settleTimer_);
+  rollout_.stop();
+}
+
+void WeightsCoordinator::publish(const std::string& instance, std::string value) {
+  const std::uint64_t version = (token_ << kCounterBits) + ++published_;
+  const membership::GossipRecord record{std::string{kRecordPrefix} + instance, version,
+                                        std::move(value)};
+  environment_.records.publish(record);
+  onRecord(record);
+}
+
+void WeightsCoordinator::onChanging(const std::string& instance) { publish(instance, {}); }
+
+void WeightsCoordinator::onChanged(const std::string& instance, const std::string& model,
+                                   base::WeightsVersion version) {
+  publish(instance, std::to_string(version) + ' ' + model);
+}
+
+void WeightsCoordinator::onRecord(const membership::GossipRecord& record) {
+  const auto instance = std::string_view{record.key}.substr(kRecordPrefix.size());
+  const auto replica = environment_.replicas.find(instance);
+  if (replica == nullptr) return;
+  if (record.value.empty()) {
+    replica->setChanging(environment_.clock.now() + options_.changingFor);
+    return;
+  }
+  base::WeightsVersion version = 0;
+  const char* end = record.value.data() + record.value.size();
+  const auto [stop, error] = std::from_chars(record.value.data(), end, version);
+  if (error != std::errc{} || stop == end) return;
+  replica->learnVersion(std::string{stop + 1, end}, version);
+  replica->setChanging({});
+}
+
+}  // namespace covewing::node
--- /dev/null
+++ b/src/node/weights_coordinator.h
@@ -0,0 +1,77 @@
+/// \file
+/// A node's part in the rollout of weights: it competes for the lease, rolls out while it holds it,
+/// and tells and hears which replicas are changing.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "base/peer_transport.h"
+#include "coordination/lease_manager.h"
+#include "coordination/weights_rollout.h"
+#include "membership/member_directory.h"
+#include "routing/prefix_holders.h"
+
+namespace covewing::node {
+
+struct WeightsCoordinatorOptions {
+  coordination::LeaseOptions lease;
+  coordination::WeightsRolloutOptions rollout;
+  /// News that a replica is changing holds for so long unless it is renewed.
+  base::Duration changingFor = std::chrono::milliseconds(2500);
+  /// From the acquisition of the lease until the first order: where replicas do not check fencing
+  /// tokens, orders of the last holder must be over.
+  base::Duration settle{};
+};
+
+/// All must outlive the coordinator and share its thread.
+struct WeightsCoordinatorEnvironment {
+  base::Clock& clock;
+  base::TimerService& timers;
+  base::RandomSource& random;
+  base::EventLog& log;
+  base::PeerTransport& peers;
+  clients::TableClient& table;
+  clients::WeightsClient& weights;
+  const membership::MemberDirectory& members;
+  membership::RecordDissemination& records;
+  routing::ReplicaDirectory& replicas;
+  routing::PrefixHolders& holders;
+  const routing::WeightsTargets& targets;
+};
+
+class WeightsCoordinator final : public base::PeerHandler,
+                                 private coordination::LeaseListener,
+                                 private coordination::ReplicaNews {
+ public:
+  WeightsCoordinator(WeightsCoordinatorOptions options, WeightsCoordinatorEnvironment environment);
+  ~WeightsCoordinator() override;
+  WeightsCoordinator(const WeightsCoordinator&) = delete;
+  WeightsCoordinator& operator=(const WeightsCoordinator&) = delete;
+
+  void start();
+  /// Planned stop: orders nothing more and hands the lease over; `done` is called once.
+  void drain(std::function<void()> done);
+  bool holdsLease() const { return lease_.grant().has_value(); }
+  void onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) override;
+
+ private:
+  void onLeaseWritten(const coordination::LeaseAnnouncement& announcement) override;
+  void onLeaseAcquired(const coordination::LeaseGrant& grant) override;
+  void onLeaseLost() override;
+  void onChanging(const std::string& instance) override;
+  void onChanged(const std::string& instance, const std::string& model,
+                 base::WeightsVersion version) override;
+  void publish(const std::string& instance, std::string value);
+  void onRecord(const membership::GossipRecord& record);
+
+  WeightsCoordinatorOptions options_;
+  WeightsCoordinatorEnvironment environment_;
+  coordination::LeaseManager lease_;
+  coordination::WeightsRollout rollout_;
+  base::TimerId settleTimer_ = 0;
+  base::FencingToken token_ = 0;
+  std::uint32_t published_ = 0;
+};
+
+}  // namespace covewing::node
--- a/src/prefix/block_chain.cc
+++ b/src/prefix/block_chain.cc
@@ -7,13 +7,13 @@
 
 namespace covewing::prefix {
 
-std::uint64_t identitySeed(const platform::CacheIdentity& identity) {
+std::uint64_t identitySeed(const clients::CacheIdentity& identity) {
   const std::uint64_t model = base::mixHash(identity.tenantSalt, base::hashName(identity.model));
   const std::uint64_t adapter = base::mixHash(model, base::hashName(identity.adapter));
   return base::mixHash(adapter, identity.weightsVersion);
 }
 
-BlockChain blockChain(const platform::CacheIdentity& identity, std::string_view canonical) {
+BlockChain blockChain(const clients::CacheIdentity& identity, std::string_view canonical) {
   BlockChain chain;
   chain.reserve(canonical.size() / kBytesPerBlock);
   std::uint64_t parent = identitySeed(identity);
--- a/src/prefix/block_chain.h
+++ b/src/prefix/block_chain.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "base/ids.h"
-#include "platform/engine_client.h"
+#include "clients/engine_client.h"
 
 namespace covewing::prefix {
 
@@ -16,9 +16,9 @@
 using BlockChain = std::vector<base::BlockHash>;
 
 /// The hash that a chain starts from: every field of the identity goes into it.
-std::uint64_t identitySeed(const platform::CacheIdentity& identity);
+std::uint64_t identitySeed(const clients::CacheIdentity& identity);
 
 /// Computes the chain in one pass over `canonical`, without copying it.
-BlockChain blockChain(const platform::CacheIdentity& identity, std::string_view canonical);
+BlockChain blockChain(const clients::CacheIdentity& identity, std::string_view canonical);
 
 }  // namespace covewing::prefix
--- a/src/request/attempt_rules.cc
+++ b/src/request/attempt_rules.cc
@@ -13,7 +13,7 @@
 
 bool mayTryAgain(const AttemptFailure& attempt) {
   if (attempt.answerStarted && !attempt.resumeAllowed) return false;
-  if (attempt.failure != platform::DispatchFailure::kOutcomeUnknown) return true;
+  if (attempt.failure != clients::DispatchFailure::kOutcomeUnknown) return true;
   return attempt.repeatable;
 }
 
--- a/src/request/attempt_rules.h
+++ b/src/request/attempt_rules.h
@@ -6,13 +6,13 @@
 
 #include "base/random.h"
 #include "base/time.h"
-#include "platform/back_end.h"
+#include "clients/back_end.h"
 
 namespace covewing::request {
 
 /// What is known about a request when one of its attempts failed.
 struct AttemptFailure {
-  platform::DispatchFailure failure = platform::DispatchFailure::kOutcomeUnknown;
+  clients::DispatchFailure failure = clients::DispatchFailure::kOutcomeUnknown;
   /// Running the request twice does no harm.
   bool repeatable = true;
   /// Part of the answer has reached the caller, so that another attempt is a resume.
--- a/src/request/back_end_observer.h
+++ b/src/request/back_end_observer.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "base/ids.h"
-#include "platform/back_end.h"
+#include "clients/back_end.h"
 
 namespace covewing::request {
 
@@ -11,7 +11,7 @@
  public:
   virtual ~BackEndObserver() = default;
   /// An attempt at the back end failed.
-  virtual void onDispatchFailed(base::EngineId backEnd, const platform::DispatchError& error) = 0;
+  virtual void onDispatchFailed(base::EngineId backEnd, const clients::DispatchError& error) = 0;
 };
 
 }  // namespace covewing::request
--- a/src/request/caller_request.h
+++ b/src/request/caller_request.h
@@ -12,8 +12,8 @@
 #include "base/priority.h"
 #include "base/result_code.h"
 #include "base/time.h"
-#include "platform/application_client.h"
-#include "platform/engine_client.h"
+#include "clients/application_client.h"
+#include "clients/engine_client.h"
 
 namespace covewing::request {
 
@@ -35,7 +35,7 @@
   std::string bearerKey;
   std::string method;
   std::string target;
-  std::vector<platform::HeaderField> headers;
+  std::vector<clients::HeaderField> headers;
   std::string body;
   std::string idempotencyKey;
   /// Marked by the caller; the template's route may mark it too.
@@ -62,15 +62,15 @@
 class CompletionSink {
  public:
   virtual ~CompletionSink() = default;
-  virtual void onChunk(const platform::StreamChunk& chunk) = 0;
-  virtual void onEnd(const platform::StreamEnd& end) = 0;
+  virtual void onChunk(const clients::StreamChunk& chunk) = 0;
+  virtual void onEnd(const clients::StreamEnd& end) = 0;
   virtual void onRefused(const Refusal& refusal) = 0;
 };
 
 class ProxiedSink {
  public:
   virtual ~ProxiedSink() = default;
-  virtual void onResponse(const platform::ApplicationResponse& response) = 0;
+  virtual void onResponse(const clients::ApplicationResponse& response) = 0;
   virtual void onRefused(const Refusal& refusal) = 0;
 };
 
--- a/src/request/claim_committer.cc
+++ b/src/request/claim_committer.cc
@@ -8,9 +8,9 @@
 
 namespace covewing::request {
 
-using platform::TableReply;
-using platform::TableRow;
-using platform::TableStatus;
+using clients::TableReply;
+using clients::TableRow;
+using clients::TableStatus;
 
 namespace {
 
@@ -37,7 +37,7 @@
   std::uint32_t abandonedRounds = 0;
 };
 
-ClaimCommitter::ClaimCommitter(platform::TableClient& table, base::Clock& clock,
+ClaimCommitter::ClaimCommitter(clients::TableClient& table, base::Clock& clock,
                                base::TimerService& timers, base::RandomSource& random,
                                ClaimCommitOptions options)
     : table_(table),
@@ -111,7 +111,7 @@
 }
 
 void ClaimCommitter::commit(Batch batch) {
-  platform::TableTransaction transaction;
+  clients::TableTransaction transaction;
   for (const PendingPtr& pending : batch) {
     transaction.conditions.push_back({pending->key, 0});
     transaction.writes.push_back({pending->key, pending->value});
@@ -248,7 +248,7 @@
 
 void ClaimCommitter::sendRelease(Claim claim, std::uint32_t attempt) {
   ++counters_.releases;
-  platform::TableTransaction transaction;
+  clients::TableTransaction transaction;
   // The revision is that of our own write, so another request's row is never removed.
   transaction.conditions.push_back({claim.key, claim.revision});
   transaction.writes.push_back({claim.key, std::nullopt});
@@ -273,7 +273,7 @@
   return random_.jittered(std::min(pause, options_.longestPause), kPauseJitter);
 }
 
-platform::TableCallback ClaimCommitter::guarded(std::function<void(const TableReply&)> callback) {
+clients::TableCallback ClaimCommitter::guarded(std::function<void(const TableReply&)> callback) {
   const std::weak_ptr<bool> alive = alive_;
   return [alive, callback = std::move(callback)](const TableReply& reply) {
     if (!alive.expired()) callback(reply);
--- a/src/request/claim_committer.h
+++ b/src/request/claim_committer.h
@@ -24,7 +24,7 @@
 #include "base/ids.h"
 #include "base/random.h"
 #include "base/time.h"
-#include "platform/table_client.h"
+#include "clients/table_client.h"
 #include "request/claim.h"
 #include "request/one_shot_timer.h"
 #include "request/token_bucket.h"
@@ -62,7 +62,7 @@
 
 class ClaimCommitter {
  public:
-  ClaimCommitter(platform::TableClient& table, base::Clock& clock, base::TimerService& timers,
+  ClaimCommitter(clients::TableClient& table, base::Clock& clock, base::TimerService& timers,
                  base::RandomSource& random, ClaimCommitOptions options = {});
   ~ClaimCommitter();
   ClaimCommitter(const ClaimCommitter&) = delete;
@@ -88,15 +88,15 @@
   bool takePace();
   Batch takeBatch();
   void commit(Batch batch);
-  void onCommitted(const Batch& batch, const platform::TableReply& reply);
-  void onConflict(const Batch& batch, const std::vector<platform::TableRow>& rows);
+  void onCommitted(const Batch& batch, const clients::TableReply& reply);
+  void onConflict(const Batch& batch, const std::vector<clients::TableRow>& rows);
   void readBack(Batch batch);
-  void onReadBack(const Batch& batch, const platform::TableReply& reply);
+  void onReadBack(const Batch& batch, const clients::TableReply& reply);
   /// Settles each claim whose row is there; returns the others.
-  Batch settleFromRows(const Batch& batch, const std::vector<platform::TableRow>& rows);
+  Batch settleFromRows(const Batch& batch, const std::vector<clients::TableRow>& rows);
   void answer(const PendingPtr& pending, ClaimResult result);
   void settleOwned(const PendingPtr& pending, base::Revision revision);
-  void settleDuplicate(const PendingPtr& pending, const platform::TableRow& row);
+  void settleDuplicate(const PendingPtr& pending, const clients::TableRow& row);
   void onTimeLimit(const PendingPtr& pending);
   void waitAgain(const Batch& batch, bool pause);
   void forget(const PendingPtr& pending);
@@ -104,10 +104,10 @@
   void sendRelease(Claim claim, std::uint32_t attempt);
   base::Duration nextPause();
   /// Runs `callback` with a later reply, unless this store is gone by then.
-  platform::TableCallback guarded(std::function<void(const platform::TableReply&)> callback);
+  clients::TableCallback guarded(std::function<void(const clients::TableReply&)> callback);
   base::TimerId afterPause(base::Duration delay, std::function<void()> callback);
 
-  platform::TableClient& table_;
+  clients::TableClient& table_;
   base::Clock& clock_;
   base::TimerService& timers_;
   base::RandomSource& random_;
--- a/src/request/claim_expiry.cc
+++ b/src/request/claim_expiry.cc
@@ -10,9 +10,9 @@
 
 namespace covewing::request {
 
-using platform::TableReply;
-using platform::TableRow;
-using platform::TableStatus;
+using clients::TableReply;
+using clients::TableRow;
+using clients::TableStatus;
 
 namespace {
 
@@ -89,7 +89,7 @@
   const std::size_t excess =
       starts.size() > options_.retainedEpochs ? starts.size() - options_.retainedEpochs : 0;
   starts.erase(starts.begin(), starts.begin() + static_cast<std::ptrdiff_t>(excess));
-  platform::TableTransaction transaction;
+  clients::TableTransaction transaction;
   transaction.conditions.push_back({std::string(kEpochsKey), epochs.current});
   transaction.writes.push_back({std::string(kEpochsKey), encodeStarts(starts)});
   // Whatever the answer, the next look at the row shows what holds.
@@ -122,7 +122,7 @@
 
 void ClaimExpiry::onScanned(std::uint32_t shard, base::Revision upTo, const TableReply& reply) {
   if (reply.status != TableStatus::kOk) return;
-  platform::TableTransaction transaction;
+  clients::TableTransaction transaction;
   for (const TableRow& row : reply.rows) {
     if (row.revision > upTo) break;
     transaction.conditions.push_back({row.key, row.revision});
@@ -139,7 +139,7 @@
                             }));
 }
 
-platform::TableCallback ClaimExpiry::guarded(std::function<void(const TableReply&)> callback) {
+clients::TableCallback ClaimExpiry::guarded(std::function<void(const TableReply&)> callback) {
   const std::weak_ptr<bool> alive = alive_;
   return [alive, callback = std::move(callback)](const TableReply& reply) {
     if (!alive.expired()) callback(reply);
--- a/src/request/claim_expiry.h
+++ b/src/request/claim_expiry.h
@@ -17,8 +17,8 @@
 
 #include "base/random.h"
 #include "base/time.h"
+#include "clients/table_client.h"
 #include "membership/member_directory.h"
-#include "platform/table_client.h"
 #include "request/one_shot_timer.h"
 
 namespace covewing::request {
@@ -38,7 +38,7 @@
   base::Clock& clock;
   base::TimerService& timers;
   base::RandomSource& random;
-  platform::TableClient& table;
+  clients::TableClient& table;
   const membership::MemberDirectory& members;
 };
 
@@ -68,14 +68,14 @@
  private:
   void scheduleNext();
   void onPeriod();
-  void onEpochs(const platform::TableReply& reply);
+  void onEpochs(const clients::TableReply& reply);
   void startEpoch(const ClaimEpochs& epochs);
   /// The next of the shards that this node cleans; empty when it cleans none.
   std::optional<std::uint32_t> nextShard();
   bool cleans(std::uint32_t shard) const;
   void clean(std::uint32_t shard, base::Revision upTo);
-  void onScanned(std::uint32_t shard, base::Revision upTo, const platform::TableReply& reply);
-  platform::TableCallback guarded(std::function<void(const platform::TableReply&)> callback);
+  void onScanned(std::uint32_t shard, base::Revision upTo, const clients::TableReply& reply);
+  clients::TableCallback guarded(std::function<void(const clients::TableReply&)> callback);
 
   ClaimExpiryOptions options_;
   ClaimExpiryEnvironment environment_;
--- a/src/request/claim_store.h
+++ b/src/request/claim_store.h
@@ -15,8 +15,8 @@
 #include "base/peer_transport.h"
 #include "base/random.h"
 #include "base/time.h"
+#include "clients/table_client.h"
 #include "membership/member_directory.h"
-#include "platform/table_client.h"
 #include "request/claim.h"
 #include "request/claim_committer.h"
 #include "request/claim_messages.h"
@@ -42,7 +42,7 @@
   base::TimerService& timers;
   base::RandomSource& random;
   base::PeerTransport& peers;
-  platform::TableClient& table;
+  clients::TableClient& table;
   const membership::MemberDirectory& members;
 };
 
--- a/src/request/completion_flow.cc
+++ b/src/request/completion_flow.cc
@@ -10,8 +10,8 @@
 using base::Duration;
 using base::Reason;
 using base::ResultCode;
-using platform::DispatchError;
-using platform::DispatchFailure;
+using clients::DispatchError;
+using clients::DispatchFailure;
 
 namespace {
 /// Pause between two looks for an engine while none qualifies.
@@ -21,7 +21,7 @@
 }  // namespace
 
 /// One stream from one engine. Once detached it hears nothing more and only awaits destruction.
-class CompletionFlow::Attempt final : public platform::EngineStreamHandler {
+class CompletionFlow::Attempt final : public clients::EngineStreamHandler {
  public:
   Attempt(CompletionFlow& flow, base::EngineId engineId, base::Incarnation engineIncarnation,
           base::TimePoint now)
@@ -30,10 +30,10 @@
   void onAccepted() override {
     if (const auto flow = open()) flow->onAccepted();
   }
-  void onChunk(platform::StreamChunk chunk) override {
+  void onChunk(clients::StreamChunk chunk) override {
     if (const auto flow = open()) flow->onChunk(chunk);
   }
-  void onEnd(platform::StreamEnd end) override {
+  void onEnd(clients::StreamEnd end) override {
     if (const auto flow = open()) flow->onEnd(end);
   }
   void onError(DispatchError error) override {
@@ -53,7 +53,7 @@
   /// Known once it ended whole.
   std::uint32_t promptTokens = 0;
   std::uint32_t cachedTokens = 0;
-  std::unique_ptr<platform::EngineStream> stream;
+  std::unique_ptr<clients::EngineStream> stream;
 
  private:
   /// The flow, kept alive during the call; null once detached.
@@ -157,7 +157,7 @@
 void CompletionFlow::dispatch(const routing::RouteQuery& query,
                               const routing::RouteDecision& decision,
                               const routing::EngineState& engine) {
-  const platform::BackEndAddress address = engine.address;
+  const clients::BackEndAddress address = engine.address;
   AttemptTrace& attemptTrace = traceAttempt(address.id, address.name);
   attemptTrace.firstPosition = positions_.next();
   attempt_ = std::make_shared<Attempt>(*this, address.id, decision.incarnation,
@@ -169,9 +169,8 @@
   if (paused_) setPaused(true);
 }
 
-platform::EngineRequest CompletionFlow::engineRequest(
-    const routing::RouteDecision& decision) const {
-  platform::EngineRequest request;
+clients::EngineRequest CompletionFlow::engineRequest(const routing::RouteDecision& decision) const {
+  clients::EngineRequest request;
   request.requestId = id();
   request.attempt = attemptNumber();
   request.identity = plan_.identity;
@@ -191,7 +190,7 @@
   limitSilence();
 }
 
-void CompletionFlow::onChunk(const platform::StreamChunk& chunk) {
+void CompletionFlow::onChunk(const clients::StreamChunk& chunk) {
   setMayHaveRun();
   attempt_->accepted = true;
   attempt_->answering = true;
@@ -208,7 +207,7 @@
   }
 }
 
-void CompletionFlow::deliverChunk(const platform::StreamChunk& chunk) {
+void CompletionFlow::deliverChunk(const clients::StreamChunk& chunk) {
   stopDeadline();
   AttemptTrace& attemptTrace = currentAttempt();
   ++attemptTrace.chunks;
@@ -221,7 +220,7 @@
   sink_.onChunk(chunk);
 }
 
-void CompletionFlow::onEnd(const platform::StreamEnd& end) {
+void CompletionFlow::onEnd(const clients::StreamEnd& end) {
   setMayHaveRun();
   if (!positions_.complete(end.outputTokens)) {
     failAttempt({DispatchFailure::kOutcomeUnknown,
--- a/src/request/completion_flow.h
+++ b/src/request/completion_flow.h
@@ -45,15 +45,15 @@
   void onNoEngine(const base::Reason& reason);
   void dispatch(const routing::RouteQuery& query, const routing::RouteDecision& decision,
                 const routing::EngineState& engine);
-  platform::EngineRequest engineRequest(const routing::RouteDecision& decision) const;
+  clients::EngineRequest engineRequest(const routing::RouteDecision& decision) const;
   void traceDecision(const routing::RouteDecision& decision);
 
   void onAccepted();
-  void onChunk(const platform::StreamChunk& chunk);
-  void onEnd(const platform::StreamEnd& end);
-  void onError(platform::DispatchError error);
-  void deliverChunk(const platform::StreamChunk& chunk);
-  void failAttempt(platform::DispatchError error);
+  void onChunk(const clients::StreamChunk& chunk);
+  void onEnd(const clients::StreamEnd& end);
+  void onError(clients::DispatchError error);
+  void deliverChunk(const clients::StreamChunk& chunk);
+  void failAttempt(clients::DispatchError error);
   /// Starts, anew, the limit that fits the state of the attempt in flight.
   void limitSilence();
   void limitSilence(base::Duration limit, base::Reason silence);
--- a/src/request/proxied_flow.cc
+++ b/src/request/proxied_flow.cc
@@ -7,8 +7,8 @@
 
 using base::Reason;
 using base::ResultCode;
-using platform::DispatchError;
-using platform::DispatchFailure;
+using clients::DispatchError;
+using clients::DispatchFailure;
 
 ProxiedFlow::ProxiedFlow(const RequestDependencies& dependencies, const RequestOptions& options,
                          DeferredRelease& deferred, std::shared_ptr<RequestTrace> trace,
@@ -27,7 +27,7 @@
 }
 
 void ProxiedFlow::startAttempt() {
-  std::optional<platform::BackEndAddress> replica = chooseReplica();
+  std::optional<clients::BackEndAddress> replica = chooseReplica();
   if (!replica.has_value() && forgetTriedBackEnds()) replica = chooseReplica();
   if (!replica.has_value()) {
     refuse({ResultCode::kNoBackEnd, "no live replica of application " + plan_.application});
@@ -36,23 +36,23 @@
   replica_ = replica->id;
   traceAttempt(replica->id, replica->name);
   const std::uint64_t call = ++currentCall_;
-  dependencies().applications.call(*replica, applicationRequest(),
-                                   whileOpen<platform::ApplicationResult>(
-                                       [this, call](const platform::ApplicationResult& result) {
-                                         if (call == currentCall_) onResult(result);
-                                       }));
+  dependencies().applications.call(
+      *replica, applicationRequest(),
+      whileOpen<clients::ApplicationResult>([this, call](const clients::ApplicationResult& result) {
+        if (call == currentCall_) onResult(result);
+      }));
 }
 
-std::optional<platform::BackEndAddress> ProxiedFlow::chooseReplica() {
-  for (const platform::BackEndAddress& replica :
+std::optional<clients::BackEndAddress> ProxiedFlow::chooseReplica() {
+  for (const clients::BackEndAddress& replica :
        dependencies().fleet.applicationReplicas(plan_.application)) {
     if (std::ranges::find(excluded_, replica.id) == excluded_.end()) return replica;
   }
   return std::nullopt;
 }
 
-platform::ApplicationRequest ProxiedFlow::applicationRequest() const {
-  platform::ApplicationRequest call;
+clients::ApplicationRequest ProxiedFlow::applicationRequest() const {
+  clients::ApplicationRequest call;
   call.requestId = id();
   call.attempt = attemptNumber();
   call.method = request_.method;
@@ -63,9 +63,9 @@
   return call;
 }
 
-void ProxiedFlow::onResult(const platform::ApplicationResult& result) {
+void ProxiedFlow::onResult(const clients::ApplicationResult& result) {
   ++currentCall_;
-  if (const auto* response = std::get_if<platform::ApplicationResponse>(&result)) {
+  if (const auto* response = std::get_if<clients::ApplicationResponse>(&result)) {
     onResponse(*response);
     return;
   }
@@ -73,7 +73,7 @@
   onAttemptFailed(std::get<DispatchError>(result));
 }
 
-void ProxiedFlow::onResponse(const platform::ApplicationResponse& response) {
+void ProxiedFlow::onResponse(const clients::ApplicationResponse& response) {
   setMayHaveRun();
   if (response.requestId != id()) {
     excluded_.push_back(replica_);
--- a/src/request/proxied_flow.h
+++ b/src/request/proxied_flow.h
@@ -26,10 +26,10 @@
   bool repeatable() const override { return plan_.repeatable; }
 
  private:
-  std::optional<platform::BackEndAddress> chooseReplica();
-  platform::ApplicationRequest applicationRequest() const;
-  void onResult(const platform::ApplicationResult& result);
-  void onResponse(const platform::ApplicationResponse& response);
+  std::optional<clients::BackEndAddress> chooseReplica();
+  clients::ApplicationRequest applicationRequest() const;
+  void onResult(const clients::ApplicationResult& result);
+  void onResponse(const clients::ApplicationResponse& response);
 
   ProxiedRequest request_;
   ProxiedSink& sink_;
--- /dev/null
+++ b/src/request/relay_flow.cc
@@ -0,0 +1,509 @@
+#include "request/relay_flow.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace covewing::request {
+
+namespace {
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kMultipleChoices = 300;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kMisdirected = 421;
+constexpr unsigned kInternalError = 500;
+
+/// Not worth an attempt any more.
+constexpr base::Duration kLeastTimeForAttempt = std::chrono::milliseconds(5);
+/// Bounds of the wait for an answer's first byte before a repeatable request goes elsewhere.
+constexpr base::Duration kLeastSilence = std::chrono::milliseconds(250);
+/// Least silence in the middle of a stream that counts as a broken one.
+constexpr base::Duration kLeastStreamSilence = std::chrono::milliseconds(1200);
+/// A request that a restarting node or a full service refused may come back this soon.
+constexpr base::Duration kRetryAfterRefusals = std::chrono::milliseconds(200);
+
+bool successful(unsigned status) { return status >= kOk && status < kMultipleChoices; }
+
+std::string milliseconds(base::Duration duration) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+}  // namespace
+
+RelayFlow::RelayFlow(RelayDependencies dependencies, const RelayOptions& options,
+                     RelayArrival arrival, RelayAssignment assignment,
+                     std::unique_ptr<RelayCaller> caller, Hooks hooks)
+    : dependencies_(dependencies),
+      options_(options),
+      arrival_(std::move(arrival)),
+      assignment_(std::move(assignment)),
+      caller_(std::move(caller)),
+      hooks_(std::move(hooks)) {}
+
+RelayFlow::~RelayFlow() {
+  dependencies_.timers.cancel(deadlineTimer_);
+  dependencies_.timers.cancel(holdTimer_);
+  dependencies_.timers.cancel(silenceTimer_);
+  if (attempt_) endAttempt();
+}
+
+void RelayFlow::start() {
+  const auto& route = *assignment_.route;
+  const auto now = dependencies_.clock.now();
+  const auto limit = std::min(route.timeout, arrival_.deadline.value_or(route.timeout));
+  deadline_ = arrival_.arrivedAt + limit;
+  holdUntil_ = arrival_.arrivedAt +
+               std::chrono::duration_cast<base::Duration>(route.targetLatency * options_.holdShare);
+  dependencies_.retries.onRequest(assignment_.service->name, now);
+  deadlineTimer_ = dependencies_.timers.schedule(deadline_ - now, [this] { onDeadline(); });
+  caller_->onPressure([this](bool high) {
+    paused_ = high;
+    if (call_) call_->setPaused(high);
+  });
+  choose();
+}
+
+routing::ReplicaQuery RelayFlow::query() const {
+  routing::ReplicaQuery query;
+  query.service = assignment_.service->name;
+  query.excluded = excluded_;
+  if (assignment_.service->engine) query.engine = &*assignment_.service->engine;
+  if (!arrival_.prompt) return query;
+  query.model = arrival_.prompt->model;
+  query.chain = &arrival_.prompt->chain;
+  query.tokens = arrival_.prompt->promptTokens + arrival_.prompt->mostOutputTokens;
+  if (assignment_.tenant != nullptr && assignment_.tenant->isolated)
+    query.isolatedTenant = assignment_.tenant->name;
+  return query;
+}
+
+void RelayFlow::choose() {
+  if (over_) return;
+  if (const auto refusal = hooks_.check(arrival_)) {
+    if (headDelivered_) {
+      cut("the request may no longer be sent");
+    } else {
+      refuse(*refusal);
+    }
+    return;
+  }
+  auto decision = dependencies_.choice.choose(query(), hooks_.nodes(), dependencies_.clock.now());
+  if (decision.replica) {
+    dispatch(std::move(decision));
+  } else {
+    hold(decision.reason);
+  }
+}
+
+void RelayFlow::hold(std::string_view why) {
+  const auto now = dependencies_.clock.now();
+  if (now < holdUntil_) {
+    holdTimer_ = dependencies_.timers.schedule(options_.holdInterval, [this] { choose(); });
+    return;
+  }
+  if (!excluded_.empty()) {
+    // What failed once is better than nothing.
+    excluded_.clear();
+    holdTimer_ = dependencies_.timers.schedule(options_.holdInterval, [this] { choose(); });
+    return;
+  }
+  if (headDelivered_) {
+    cut(why);
+  } else if (runs_ > 0) {
+    refuse(base::ResultCode::kBackEndLost, std::string{why}, {});
+  } else {
+    refuse(base::ResultCode::kNoBackEnd, std::string{why}, options_.retryAfterNoReplica);
+  }
+}
+
+clients::DispatchTerms RelayFlow::termsFor(const routing::ReplicaDecision& decision) const {
+  clients::DispatchTerms terms;
+  terms.expectedInstance = decision.replica->facts().instance;
+  if (decision.version > 0) terms.expectedVersion = decision.version;
+  terms.timeLeft = timeLeft();
+  terms.priority = assignment_.route->priority;
+  if (assignment_.tenant != nullptr) {
+    terms.tenant = assignment_.tenant->name;
+    if (assignment_.tenant->priority) terms.priority = assignment_.tenant->priority;
+  }
+  terms.cacheSalt = decision.cacheSalt;
+  if (decision.fetchFrom) terms.fetchFrom = decision.fetchFrom->facts().endpoint;
+  terms.lastEventId = events_.lastEventId().empty() ? arrival_.lastEventId : events_.lastEventId();
+  return terms;
+}
+
+void RelayFlow::dispatch(routing::ReplicaDecision decision) {
+  const auto now = dependencies_.clock.now();
+  if (timeLeft() < kLeastTimeForAttempt) {
+    onDeadline();
+    return;
+  }
+  auto& record = *decision.replica;
+  const auto terms = termsFor(decision);
+  const std::uint32_t wanted = query().tokens;
+  const std::uint32_t tokens = wanted - std::min(wanted, decision.matchedTokens);
+  record.onDispatched(tokens);
+  record.health().onDispatched(now);
+  ++dispatches_;
+  dependencies_.log.write(
+      base::Event::kRelayDispatched,
+      {{"request", arrival_.request->id},
+       {"route", assignment_.route->name},
+       {"replica", record.facts().instance},
+       {"attempt", std::to_string(dispatches_)},
+       {"configuration", std::to_string(assignment_.table->version())},
+       {"weights", std::to_string(decision.version)},
+       {"rank", std::to_string(decision.rank)},
+       {"candidates", std::to_string(decision.candidates)},
+       {"in_flight", std::to_string(record.inFlight())},
+       {"cached", std::to_string(decision.matchedTokens)},
+       {"fetch", decision.fetchFrom ? decision.fetchFrom->facts().instance : ""},
+       {"left_ms", milliseconds(terms.timeLeft)}});
+  const auto endpoint = record.facts().endpoint;
+  attempt_ = Attempt{std::move(decision), now, tokens, false, false, std::nullopt};
+  armSilence();
+  call_ = dependencies_.client.start(endpoint, arrival_.request, terms, *this);
+  if (paused_) call_->setPaused(true);
+}
+
+void RelayFlow::armSilence() {
+  dependencies_.timers.cancel(silenceTimer_);
+  if (!assignment_.route->repeatable() || paused_) return;
+  const auto& route = *assignment_.route;
+  auto wait = std::max(kLeastSilence, std::chrono::duration_cast<base::Duration>(
+                                          route.targetLatency * options_.silentAttemptShare));
+  if (attempt_->headSeen) wait = std::max({wait, kLeastStreamSilence, 2 * route.gapTarget});
+  silenceTimer_ = dependencies_.timers.schedule(wait, [this] { onSilence(); });
+}
+
+void RelayFlow::onSilence() {
+  if (over_ || !attempt_) return;
+  const auto self = shared_from_this();
+  const bool counted = attempt_->answer.has_value();
+  if (!counted) ++runs_;
+  if (!takeRetry(Loss::kMayHaveRun).empty()) {
+    // Waiting on is better than giving up.
+    if (!counted) --runs_;
+    return;
+  }
+  auto& record = *attempt_->decision.replica;
+  record.health().onFailure(dependencies_.clock.now(),
+                            dependencies_.replicas.failureRateOfOthers(record));
+  logLoss("the replica is silent", {});
+  goElsewhere();
+}
+
+void RelayFlow::endWait() {
+  if (!attempt_ || attempt_->headSeen) return;
+  attempt_->headSeen = true;
+  attempt_->decision.replica->health().onWaitEnded(dependencies_.clock.now());
+}
+
+void RelayFlow::onHead(clients::RelayedAnswer answer) {
+  endWait();
+  armSilence();
+  auto& record = *attempt_->decision.replica;
+  record.health().onHeard(dependencies_.clock.now());
+  if (arrival_.prompt && answer.version && !answer.otherInstance)
+    record.learnVersion(arrival_.prompt->model, *answer.version);
+  const bool ran = !answer.notExecuted && answer.status != kMisdirected;
+  if (ran) ++runs_;
+  if (!headDelivered_) kept_.clear();
+  attempt_->answer = std::move(answer);
+}
+
+void RelayFlow::onBody(std::string_view bytes) {
+  const auto now = dependencies_.clock.now();
+  auto& attempt = *attempt_;
+  attempt.decision.replica->health().onHeard(now);
+  armSilence();
+  const auto& answer = *attempt.answer;
+  if (answer.notExecuted || answer.status == kMisdirected) {
+    if (kept_.size() < options_.wholeAnswerBytes) kept_ += bytes;
+    return;
+  }
+  const bool stream = streaming() && successful(answer.status);
+  if (stream && !attempt.bodySeen) learnHolder();
+  attempt.bodySeen = true;
+  if (stream && resumable()) {
+    const std::string whole = events_.feed(bytes);
+    if (!whole.empty()) deliver(whole);
+    return;
+  }
+  if (stream || headDelivered_) {
+    deliver(bytes);
+    return;
+  }
+  kept_ += bytes;
+  if (kept_.size() > options_.wholeAnswerBytes) deliver(std::exchange(kept_, {}));
+}
+
+void RelayFlow::learnHolder() {
+  if (!arrival_.prompt || attempt_->decision.cacheSalt.empty()) return;
+  const auto& decision = attempt_->decision;
+  dependencies_.holders.learnChain(base::engineIdOf(decision.replica->facts().instance),
+                                   decision.scope, arrival_.prompt->chain);
+}
+
+void RelayFlow::deliverHead() {
+  if (headDelivered_) return;
+  headDelivered_ = true;
+  status_ = attempt_->answer->status;
+  firstByteAfter_ = dependencies_.clock.now() - arrival_.arrivedAt;
+  clients::RelayedAnswer head = *attempt_->answer;
+  // A resumed stream may have another length than its first attempt announced.
+  if (resumable()) head.length.reset();
+  caller_->begin(head);
+}
+
+void RelayFlow::deliver(std::string_view bytes) {
+  deliverHead();
+  caller_->write(bytes);
+}
+
+void RelayFlow::onEnd() {
+  const auto self = shared_from_this();
+  const auto now = dependencies_.clock.now();
+  auto& record = *attempt_->decision.replica;
+  const auto answer = *attempt_->answer;
+  if (answer.notExecuted || answer.status == kMisdirected) {
+    onNotRun(answer);
+    return;
+  }
+  if (answer.status >= kInternalError) {
+    record.health().onFailure(now, dependencies_.replicas.failureRateOfOthers(record));
+    if (!headDelivered_ && takeRetry(Loss::kMayHaveRun).empty()) {
+      logLoss("the replica answered " + std::to_string(answer.status), {});
+      goElsewhere();
+      return;
+    }
+  } else {
+    record.health().onSuccess(now);
+  }
+  if (headDelivered_ && !successful(answer.status)) {
+    cut("a resumed stream was answered " + std::to_string(answer.status));
+    return;
+  }
+  if (events_.hasUnfinished()) {
+    onAttemptLost("the stream ended inside an event");
+    return;
+  }
+  finishWhole();
+}
+
+void RelayFlow::finishWhole() {
+  if (!headDelivered_) {
+    attempt_->answer->length = kept_.size();
+    const bool stream = streaming() && successful(attempt_->answer->status);
+    if (stream) attempt_->answer->length.reset();
+    headDelivered_ = true;
+    status_ = attempt_->answer->status;
+    firstByteAfter_ = dependencies_.clock.now() - arrival_.arrivedAt;
+    caller_->begin(*attempt_->answer);
+    caller_->write(kept_);
+  }
+  caller_->end();
+  finish(status_, base::ResultCode::kOk, false);
+}
+
+void RelayFlow::onFailure(clients::DispatchError error) {
+  const auto self = shared_from_this();
+  const auto now = dependencies_.clock.now();
+  auto& record = *attempt_->decision.replica;
+  if (error.failure == clients::DispatchFailure::kNotSent) {
+    record.health().onUnreachable(now);
+    if (retryElsewhere(error.reason.detail, Loss::kNeverArrived)) return;
+    if (headDelivered_) {
+      cut(error.reason.detail);
+    } else {
+      refuse(base::ResultCode::kNoBackEnd, error.reason.detail, kRetryAfterRefusals);
+    }
+    return;
+  }
+  record.health().onFailure(now, dependencies_.replicas.failureRateOfOthers(record));
+  const bool refusedBefore = attempt_->answer && attempt_->answer->notExecuted;
+  if (refusedBefore) {
+    onNotRun(*attempt_->answer);
+    return;
+  }
+  onAttemptLost(error.reason.detail);
+}
+
+void RelayFlow::learnFromRefusal(const clients::RelayedAnswer& answer) {
+  const auto now = dependencies_.clock.now();
+  auto& record = *attempt_->decision.replica;
+  if (answer.otherInstance) {
+    record.health().onUnreachable(now);
+    return;
+  }
+  if (answer.status == kMisdirected) {
+    const auto known = arrival_.prompt ? record.versionOf(arrival_.prompt->model) : 0;
+    if (known == attempt_->decision.version) record.doubtVersion(now + options_.doubtFor);
+    return;
+  }
+  record.setFull(now + options_.fullFor);
+  record.health().onFailure(now, dependencies_.replicas.failureRateOfOthers(record));
+}
+
+void RelayFlow::onNotRun(const clients::RelayedAnswer& answer) {
+  const auto self = shared_from_this();
+  const clients::RelayedAnswer refusal = answer;
+  learnFromRefusal(refusal);
+  ++refusals_;
+  if (refusal.status == kBadRequest && !headDelivered_) {
+    finishWhole();
+    return;
+  }
+  if (retryElsewhere("the replica refused with " + std::to_string(refusal.status), Loss::kNotRun)) {
+    return;
+  }
+  if (headDelivered_) {
+    cut("no replica took the stream up");
+  } else if (runs_ > 0) {
+    refuse(base::ResultCode::kBackEndLost, "the replicas refused another attempt", {});
+  } else {
+    refuse(base::ResultCode::kBackEndRefused,
+           "the replicas refused with " + std::to_string(refusal.status), kRetryAfterRefusals);
+  }
+}
+
+void RelayFlow::onAttemptLost(std::string_view why) {
+  const auto self = shared_from_this();
+  if (!attempt_->answer) ++runs_;
+  if (retryElsewhere(why, Loss::kMayHaveRun)) return;
+  if (headDelivered_) {
+    cut(why);
+  } else {
+    refuse(base::ResultCode::kBackEndLost, std::string{why}, {});
+  }
+}
+
+std::string_view RelayFlow::takeRetry(Loss loss) {
+  const auto& route = *assignment_.route;
+  const bool plainStarted = headDelivered_ && !resumable();
+  if (plainStarted || (loss == Loss::kMayHaveRun && !route.repeatable())) return "not repeatable";
+  const bool mayRunAgain = runs_ == 0 || (route.repeatable() && runs_ < route.attempts);
+  if (!mayRunAgain || refusals_ > options_.mostRefusals) return "attempts used up";
+  if (timeLeft() < kLeastTimeForAttempt) return "no time left";
+  if (loss == Loss::kNeverArrived) return {};
+  const bool taken = dependencies_.retries.take(assignment_.service->name, hooks_.nodes(),
+                                                dependencies_.clock.now());
+  return taken ? std::string_view{} : "retry budget used up";
+}
+
+void RelayFlow::logLoss(std::string_view why, std::string_view obstacle) {
+  dependencies_.log.write(
+      obstacle.empty() ? base::Event::kRequestRetried : base::Event::kRelayAttemptFailed,
+      {{"request", arrival_.request->id},
+       {"replica", attempt_->decision.replica->facts().instance},
+       {"attempt", std::to_string(dispatches_)},
+       {"after_ms", milliseconds(dependencies_.clock.now() - attempt_->sentAt)},
+       {"why", std::string{why}},
+       {"runs", std::to_string(runs_)},
+       {"last_event", events_.lastEventId()},
+       {"left_ms", milliseconds(timeLeft())},
+       {"not_retried", std::string{obstacle}}});
+}
+
+bool RelayFlow::retryElsewhere(std::string_view why, Loss loss) {
+  const auto obstacle = takeRetry(loss);
+  logLoss(why, obstacle);
+  if (!obstacle.empty()) {
+    endAttempt();
+    return false;
+  }
+  goElsewhere();
+  return true;
+}
+
+void RelayFlow::goElsewhere() {
+  excluded_.push_back(attempt_->decision.replica->facts().instance);
+  endAttempt();
+  events_.dropUnfinished();
+  if (!headDelivered_) kept_.clear();
+  choose();
+}
+
+void RelayFlow::endAttempt() {
+  if (!attempt_) return;
+  endWait();
+  dependencies_.timers.cancel(silenceTimer_);
+  attempt_->decision.replica->onFinished(attempt_->tokens);
+  attempt_.reset();
+  call_.reset();
+}
+
+void RelayFlow::onDeadline() {
+  if (over_) return;
+  const auto self = shared_from_this();
+  if (headDelivered_) {
+    cut("the time of the request is up");
+  } else if (attempt_ || runs_ > 0) {
+    refuse(base::ResultCode::kBackEndTimeout, "the time of the request is up", {});
+  } else {
+    refuse(base::ResultCode::kDeadlineUnreachable, "no replica in time",
+           options_.retryAfterNoReplica);
+  }
+}
+
+void RelayFlow::onCallerGone() {
+  if (over_) return;
+  finish(status_, base::ResultCode::kOk, true);
+}
+
+void RelayFlow::refuse(base::ResultCode code, std::string detail, base::Duration retryAfter) {
+  refuse(
+      RelayRefusal{{code, std::move(detail)}, base::describe(code).httpStatus, retryAfter, false});
+}
+
+void RelayFlow::refuse(const RelayRefusal& refusal) {
+  dependencies_.log.write(base::Event::kRequestRefused,
+                          {{"request", arrival_.request->id},
+                           {"route", assignment_.route->name},
+                           {"code", std::to_string(static_cast<unsigned>(refusal.reason.code))},
+                           {"status", std::to_string(refusal.status)},
+                           {"why", refusal.reason.detail},
+                           {"runs", std::to_string(runs_)},
+                           {"dispatches", std::to_string(dispatches_)},
+                           {"retry_after_ms", milliseconds(refusal.retryAfter)}});
+  endAttempt();
+  caller_->refuse(refusal);
+  finish(refusal.status, refusal.reason.code, false);
+}
+
+void RelayFlow::cut(std::string_view why) {
+  dependencies_.log.write(base::Event::kStreamBroken, {{"request", arrival_.request->id},
+                                                       {"route", assignment_.route->name},
+                                                       {"why", std::string{why}},
+                                                       {"runs", std::to_string(runs_)},
+                                                       {"last_event", events_.lastEventId()}});
+  endAttempt();
+  caller_->cut();
+  finish(status_, base::ResultCode::kStreamBroken, false);
+}
+
+void RelayFlow::finish(unsigned status, base::ResultCode code, bool callerGone) {
+  if (over_) return;
+  const auto self = shared_from_this();
+  over_ = true;
+  endAttempt();
+  dependencies_.timers.cancel(deadlineTimer_);
+  dependencies_.timers.cancel(holdTimer_);
+  const auto now = dependencies_.clock.now();
+  const RelayOutcome outcome{
+      status, code, dispatches_, firstByteAfter_, now - arrival_.arrivedAt, callerGone};
+  dependencies_.log.write(
+      callerGone ? base::Event::kCallerDisconnected : base::Event::kRelayFinished,
+      {{"request", arrival_.request->id},
+       {"route", assignment_.route->name},
+       {"status", std::to_string(status)},
+       {"code", std::to_string(static_cast<unsigned>(code))},
+       {"attempts", std::to_string(dispatches_)},
+       {"first_byte_ms", milliseconds(firstByteAfter_)},
+       {"total_ms", milliseconds(outcome.duration)}});
+  dependencies_.observer.onRelayed(*assignment_.route, outcome);
+  caller_.reset();
+  hooks_.finished(*this);
+}
+
+}  // namespace covewing::request
--- /dev/null
+++ b/src/request/relay_flow.h
@@ -0,0 +1,206 @@
+/// \file
+/// The life of one relayed request: from the choice of a replica to the end of its answer.
+///
+/// States: choosing -> (no replica) holding, up to a quarter of the target latency -> dispatched ->
+/// answering -> over. An attempt that the replica did not run, or one of a repeatable request that
+/// failed, leads back to choosing, within the route's attempts and the retry budget. A resumable
+/// stream that broke goes on at another replica inside the same answer, behind the last whole event
+/// that the caller got.
+///
+/// Nothing of an answer reaches the caller before it is certain to be used: plain answers are kept
+/// until they are whole (up to a bound), streams until their first event.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "admission/retry_window.h"
+#include "base/event_log.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "clients/relay_client.h"
+#include "config/route_table.h"
+#include "request/event_splitter.h"
+#include "request/relay_request.h"
+#include "routing/replica_choice.h"
+
+namespace covewing::request {
+
+struct RelayOptions {
+  /// How often a held request looks for a replica again.
+  base::Duration holdInterval = std::chrono::milliseconds(20);
+  /// Part of the target latency that a request is held without being offered to a replica.
+  double holdShare = 0.22;
+  /// Refusals by replicas after which a request is refused as well.
+  std::uint32_t mostRefusals = 3;
+  /// Largest plain answer that is kept until it is whole.
+  std::size_t wholeAnswerBytes = 64U << 10U;
+  /// A repeatable request without any answer is tried elsewhere after this part of the target
+  /// latency.
+  double silentAttemptShare = 1.0;
+  /// How long a replica that refused for lack of room is passed over.
+  base::Duration fullFor = std::chrono::milliseconds(100);
+  /// How long a replica whose version turned out to be unknown is passed over.
+  base::Duration doubtFor = std::chrono::milliseconds(300);
+  base::Duration retryAfterNoReplica = std::chrono::milliseconds(300);
+};
+
+/// How a request ended, for metrics.
+struct RelayOutcome {
+  unsigned status = 0;
+  base::ResultCode code = base::ResultCode::kOk;
+  std::uint32_t attempts = 0;
+  base::Duration firstByteAfter{};
+  base::Duration duration{};
+  bool callerGone = false;
+};
+
+class RelayObserver {
+ public:
+  virtual ~RelayObserver() = default;
+  virtual void onRelayed(const config::Route& route, const RelayOutcome& outcome) = 0;
+};
+
+/// All must outlive the flows and share their thread.
+struct RelayDependencies {
+  base::Clock& clock;
+  base::TimerService& timers;
+  base::EventLog& log;
+  clients::RelayClient& client;
+  routing::ReplicaDirectory& replicas;
+  routing::PrefixHolders& holders;
+  routing::ReplicaChoice& choice;
+  admission::RetryWindows& retries;
+  RelayObserver& observer;
+};
+
+/// What is fixed when the request is taken up.
+struct RelayAssignment {
+  /// Keeps `route`, `tenant` and `service` alive.
+  config::RouteTablePtr table;
+  const config::Route* route = nullptr;
+  /// Null on routes without a key.
+  const config::TenantAccess* tenant = nullptr;
+  const config::Service* service = nullptr;
+};
+
+class RelayFlow final : public clients::RelayHandler,
+                        public std::enable_shared_from_this<RelayFlow> {
+ public:
+  /// Says whether the request may still be sent: its key may have been taken away, or the
+  /// configuration may no longer be confirmed. Asked before each dispatch.
+  using DispatchCheck = std::function<std::optional<RelayRefusal>(const RelayArrival&)>;
+  /// Called once when the request is over; the flow may be destroyed inside.
+  using Finished = std::function<void(RelayFlow&)>;
+  /// The number of nodes that share the replicas.
+  using NodeCount = std::function<std::size_t()>;
+
+  struct Hooks {
+    DispatchCheck check;
+    NodeCount nodes;
+    Finished finished;
+  };
+
+  RelayFlow(RelayDependencies dependencies, const RelayOptions& options, RelayArrival arrival,
+            RelayAssignment assignment, std::unique_ptr<RelayCaller> caller, Hooks hooks);
+  ~RelayFlow() override;
+  RelayFlow(const RelayFlow&) = delete;
+  RelayFlow& operator=(const RelayFlow&) = delete;
+
+  void start();
+  /// The caller went away: work for it ends at once.
+  void onCallerGone();
+
+  void onHead(clients::RelayedAnswer answer) override;
+  void onBody(std::string_view bytes) override;
+  void onEnd() override;
+  void onFailure(clients::DispatchError error) override;
+
+ private:
+  /// What is known of an attempt that failed.
+  enum class Loss : std::uint8_t { kNeverArrived, kNotRun, kMayHaveRun };
+
+  /// One dispatch to one replica.
+  struct Attempt {
+    routing::ReplicaDecision decision;
+    base::TimePoint sentAt{};
+    std::uint32_t tokens = 0;
+    bool headSeen = false;
+    bool bodySeen = false;
+    std::optional<clients::RelayedAnswer> answer;
+  };
+
+  bool streaming() const { return assignment_.route->kind == config::RequestKind::kStreaming; }
+  bool resumable() const { return streaming() && assignment_.route->resumable; }
+  base::Duration timeLeft() const { return deadline_ - dependencies_.clock.now(); }
+  routing::ReplicaQuery query() const;
+
+  void choose();
+  void hold(std::string_view why);
+  void dispatch(routing::ReplicaDecision decision);
+  clients::DispatchTerms termsFor(const routing::ReplicaDecision& decision) const;
+  void armSilence();
+  void onSilence();
+  void onDeadline();
+
+  /// The replica did not run the request: another may.
+  void onNotRun(const clients::RelayedAnswer& answer);
+  void learnFromRefusal(const clients::RelayedAnswer& answer);
+  /// The attempt failed and may have run.
+  void onAttemptLost(std::string_view why);
+  /// Ends the attempt and takes it up elsewhere where the route, the budget and the time allow;
+  /// false if they do not.
+  bool retryElsewhere(std::string_view why, Loss loss);
+  /// Takes a retry from the budget. Gives what stands against it, empty when nothing does.
+  std::string_view takeRetry(Loss loss);
+  void goElsewhere();
+  void logLoss(std::string_view why, std::string_view obstacle);
+  /// The attempt is over; its connection closes unless the answer was whole.
+  void endAttempt();
+  void endWait();
+
+  void deliverHead();
+  void deliver(std::string_view bytes);
+  void learnHolder();
+  void finishWhole();
+  void refuse(base::ResultCode code, std::string detail, base::Duration retryAfter);
+  void refuse(const RelayRefusal& refusal);
+  void passRefusal(const clients::RelayedAnswer& answer);
+  void cut(std::string_view why);
+  void finish(unsigned status, base::ResultCode code, bool callerGone);
+
+  RelayDependencies dependencies_;
+  const RelayOptions& options_;
+  RelayArrival arrival_;
+  RelayAssignment assignment_;
+  std::unique_ptr<RelayCaller> caller_;
+  Hooks hooks_;
+  base::TimePoint deadline_{};
+  base::TimePoint holdUntil_{};
+
+  std::unique_ptr<clients::RelayCall> call_;
+  std::optional<Attempt> attempt_;
+  std::vector<std::string> excluded_;
+  std::uint32_t dispatches_ = 0;
+  /// Attempts that the replica may have run.
+  std::uint32_t runs_ = 0;
+  std::uint32_t refusals_ = 0;
+
+  /// The answer's head has reached the caller.
+  bool headDelivered_ = false;
+  /// Body kept until it is certain to be used.
+  std::string kept_;
+  EventSplitter events_;
+  bool paused_ = false;
+  bool over_ = false;
+  base::Duration firstByteAfter_{};
+  unsigned status_ = 0;
+
+  base::TimerId deadlineTimer_ = 0;
+  base::TimerId holdTimer_ = 0;
+  base::TimerId silenceTimer_ = 0;
+};
+
+}  // namespace covewing::request
--- /dev/null
+++ b/src/request/relay_request.h
@@ -0,0 +1,71 @@
+/// \file
+/// A request to be relayed, as the gateway reads it, and the caller's end of its answer.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/result_code.h"
+#include "base/time.h"
+#include "clients/relay_client.h"
+#include "prefix/part_chain.h"
+
+namespace covewing::request {
+
+/// What a caller says of its prompt.
+struct PromptFacts {
+  std::string model;
+  prefix::PartChain chain;
+  std::uint32_t promptTokens = 0;
+  std::uint32_t mostOutputTokens = 0;
+};
+
+/// One request as it was read.
+struct RelayArrival {
+  clients::RelayedRequestPtr request;
+  std::string host;
+  /// Path without the query.
+  std::string path;
+  /// Empty when the caller sent none.
+  std::string key;
+  /// How long the caller waits, from `arrivedAt`; empty when it does not say.
+  std::optional<base::Duration> deadline;
+  base::TimePoint arrivedAt{};
+  /// Empty for requests without a prompt.
+  std::optional<PromptFacts> prompt;
+  /// The caller takes a stream up behind this event.
+  std::string lastEventId;
+};
+
+/// A final answer of the node's own.
+struct RelayRefusal {
+  base::Reason reason;
+  unsigned status = 0;
+  /// When the caller should come back; zero: nothing is said.
+  base::Duration retryAfter{};
+  /// The caller's connection is closed after the answer, so that it comes back to another node.
+  bool closeConnection = false;
+};
+
+/// The caller's end. After `end`, `refuse` or `cut` nothing follows. Calls after the caller went
+/// away do nothing.
+class RelayCaller {
+ public:
+  virtual ~RelayCaller() = default;
+  /// Starts an answer; with a length the body is sent as it is, else in chunks.
+  virtual void begin(const clients::RelayedAnswer& answer) = 0;
+  virtual void write(std::string_view bytes) = 0;
+  /// Ends the answer as complete.
+  virtual void end() = 0;
+  virtual void refuse(const RelayRefusal& refusal) = 0;
+  /// Closes the connection, so that the caller sees an incomplete answer.
+  virtual void cut() = 0;
+  /// Called with true when the caller does not keep up, with false when it does again.
+  virtual void onPressure(std::function<void(bool)> listener) = 0;
+};
+
+}  // namespace covewing::request
--- /dev/null
+++ b/src/request/relay_service.cc
@@ -0,0 +1,123 @@
+#include "request/relay_service.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace covewing::request {
+
+namespace {
+
+RelayRefusal refusalOf(base::ResultCode code, std::string detail, base::Duration retryAfter = {},
+                       bool closeConnection = false) {
+  return {{code, std::move(detail)}, base::describe(code).httpStatus, retryAfter, closeConnection};
+}
+
+}  // namespace
+
+RelayService::RelayService(RelayServiceOptions options, RelayDependencies dependencies,
+                           const RouteTableSource& tables, RelayFlow::NodeCount nodes)
+    : options_(options), dependencies_(dependencies), tables_(tables), nodes_(std::move(nodes)) {}
+
+RelayService::~RelayService() = default;
+
+bool RelayService::confirmed() const {
+  if (options_.confirmationBound == base::Duration::zero()) return true;
+  const auto confirmedAt = tables_.confirmedAt();
+  return confirmedAt && dependencies_.clock.now() - *confirmedAt < options_.confirmationBound;
+}
+
+std::weak_ptr<RelayFlow> RelayService::begin(RelayArrival arrival,
+                                             std::unique_ptr<RelayCaller> caller) {
+  RelayAssignment assignment;
+  if (const auto refusal = assign(arrival, assignment)) {
+    dependencies_.log.write(
+        base::Event::kRequestRefused,
+        {{"request", arrival.request->id},
+         {"host", arrival.host},
+         {"path", arrival.path},
+         {"code", std::to_string(static_cast<unsigned>(refusal->reason.code))},
+         {"status", std::to_string(refusal->status)},
+         {"why", refusal->reason.detail},
+         {"configuration", assignment.table ? std::to_string(assignment.table->version()) : ""}});
+    caller->refuse(*refusal);
+    return {};
+  }
+  RelayFlow::Hooks hooks;
+  hooks.check = [this, assignment](const RelayArrival& again) {
+    return recheck(again, assignment);
+  };
+  hooks.nodes = nodes_;
+  hooks.finished = [this](RelayFlow& flow) { flows_.erase(&flow); };
+  const auto flow =
+      std::make_shared<RelayFlow>(dependencies_, options_.relay, std::move(arrival),
+                                  std::move(assignment), std::move(caller), std::move(hooks));
+  flows_.emplace(flow.get(), flow);
+  flow->start();
+  return flow;
+}
+
+std::optional<RelayRefusal> RelayService::assign(const RelayArrival& arrival,
+                                                 RelayAssignment& assignment) {
+  assignment.table = tables_.table();
+  if (!assignment.table) {
+    return refusalOf(base::ResultCode::kConfigurationStale, "no configuration is known yet",
+                     options_.retryAfterNoConfiguration, true);
+  }
+  assignment.route = assignment.table->findRoute(arrival.host, arrival.path);
+  if (assignment.route == nullptr)
+    return refusalOf(base::ResultCode::kUnknownPath, "no route has this host and path");
+  if (auto refusal = checkKey(arrival, assignment)) return refusal;
+  assignment.service = pickService(*assignment.table, *assignment.route);
+  if (assignment.service == nullptr) {
+    return refusalOf(base::ResultCode::kNoBackEnd, "the route's service is not configured",
+                     options_.retryAfterNoConfiguration);
+  }
+  return std::nullopt;
+}
+
+std::optional<RelayRefusal> RelayService::checkKey(const RelayArrival& arrival,
+                                                   RelayAssignment& assignment) {
+  if (assignment.route->isPublic || !assignment.table->hasTenants()) return std::nullopt;
+  if (!confirmed()) return unconfirmed();
+  assignment.tenant = assignment.table->findTenantByKey(arrival.key);
+  if (assignment.tenant == nullptr)
+    return refusalOf(base::ResultCode::kUnknownTenant, "the key belongs to no tenant");
+  return std::nullopt;
+}
+
+std::optional<RelayRefusal> RelayService::recheck(const RelayArrival& arrival,
+                                                  const RelayAssignment& assignment) const {
+  if (assignment.tenant == nullptr) return std::nullopt;
+  if (!confirmed()) return unconfirmed();
+  const auto table = tables_.table();
+  if (table->findTenantByKey(arrival.key) == nullptr)
+    return refusalOf(base::ResultCode::kUnknownTenant, "the key was taken away");
+  return std::nullopt;
+}
+
+RelayRefusal RelayService::unconfirmed() const {
+  return refusalOf(base::ResultCode::kConfigurationStale,
+                   "keys cannot be confirmed: the configuration was confirmed too long ago",
+                   options_.retryAfterUnconfirmed, true);
+}
+
+const config::Service* RelayService::pickService(const config::RouteTable& table,
+                                                 const config::Route& route) {
+  if (route.split.size() == 1) return table.findService(route.split.front().service);
+  double total = 0;
+  for (const auto& share : route.split) total += share.weight;
+  const config::ServiceShare* chosen = nullptr;
+  double* best = nullptr;
+  for (const auto& share : route.split) {
+    double& credit = credits_[route.name + '/' + share.service];
+    credit += share.weight;
+    if (share.weight == 0 || (best != nullptr && credit <= *best)) continue;
+    best = &credit;
+    chosen = &share;
+  }
+  if (chosen == nullptr) return nullptr;
+  *best -= total;
+  return table.findService(chosen->service);
+}
+
+}  // namespace covewing::request
--- a/src/request/request_flow.cc
+++ b/src/request/request_flow.cc
@@ -164,7 +164,7 @@
   startAttempt();
 }
 
-void RequestFlow::onAttemptFailed(const platform::DispatchError& error) {
+void RequestFlow::onAttemptFailed(const clients::DispatchError& error) {
   if (!trace_->attempts.empty()) {
     AttemptTrace& attempt = currentAttempt();
     attempt.endedAfter = elapsed();
@@ -172,7 +172,7 @@
     attempt.reason = error.reason;
     dependencies_.backEnds.onDispatchFailed(attempt.backEnd, error);
   }
-  if (error.failure == platform::DispatchFailure::kOutcomeUnknown) setMayHaveRun();
+  if (error.failure == clients::DispatchFailure::kOutcomeUnknown) setMayHaveRun();
   const AttemptFailure failure{error.failure, repeatable(), answerStarted(),
                                tenant_->retry.resumeStreams};
   if (!mayTryAgain(failure)) {
--- a/src/request/request_flow.h
+++ b/src/request/request_flow.h
@@ -27,8 +27,8 @@
 #include "base/random.h"
 #include "base/result_code.h"
 #include "base/time.h"
-#include "platform/application_client.h"
-#include "platform/engine_client.h"
+#include "clients/application_client.h"
+#include "clients/engine_client.h"
 #include "request/back_end_observer.h"
 #include "request/caller_request.h"
 #include "request/claim_store.h"
@@ -72,8 +72,8 @@
   const ZoneReachability& zones;
   routing::RoutingPolicy& policy;
   admission::AdmissionController& admission;
-  platform::EngineClient& engines;
-  platform::ApplicationClient& applications;
+  clients::EngineClient& engines;
+  clients::ApplicationClient& applications;
   ClaimStore& claims;
   TraceLog& traces;
   BackEndObserver& backEnds;
@@ -130,7 +130,7 @@
   /// From now on nobody can say that the request did not run.
   void setMayHaveRun() { mayHaveRun_ = true; }
   /// The attempt failed: tries again where the rules and budgets allow, else refuses.
-  void onAttemptFailed(const platform::DispatchError& error);
+  void onAttemptFailed(const clients::DispatchError& error);
   /// The back ends tried before are tried again where no other is left.
   bool forgetTriedBackEnds();
   /// Ends the request with its final error.
--- a/src/request/request_trace.h
+++ b/src/request/request_trace.h
@@ -12,7 +12,7 @@
 #include "base/priority.h"
 #include "base/result_code.h"
 #include "base/time.h"
-#include "platform/back_end.h"
+#include "clients/back_end.h"
 #include "request/caller_request.h"
 #include "routing/routing_policy.h"
 
@@ -30,7 +30,7 @@
   std::optional<base::Duration> firstTokenAfter;
   std::optional<base::Duration> endedAfter;
   /// Empty while the attempt runs and after its success.
-  std::optional<platform::DispatchFailure> failure;
+  std::optional<clients::DispatchFailure> failure;
   base::Reason reason;
   std::uint32_t promptTokens = 0;
   std::uint32_t cachedTokens = 0;
--- a/src/request/tenant_check.h
+++ b/src/request/tenant_check.h
@@ -6,8 +6,8 @@
 #include <string_view>
 
 #include "base/result_code.h"
+#include "clients/engine_client.h"
 #include "config/configuration_view.h"
-#include "platform/engine_client.h"
 #include "request/caller_request.h"
 #include "request/zone_reachability.h"
 #include "routing/fleet_view.h"
@@ -25,7 +25,7 @@
 struct CompletionPlan {
   config::TenantTemplatePtr tenant;
   base::PriorityClass priority = base::PriorityClass::kStandard;
-  platform::CacheIdentity identity;
+  clients::CacheIdentity identity;
   std::uint32_t maximumTokens = 0;
 };
 
--- a/src/routing/cache_index_home.cc
+++ b/src/routing/cache_index_home.cc
@@ -15,9 +15,9 @@
 constexpr base::Duration kFollowedLifetime = std::chrono::seconds(30);
 constexpr double kJitter = 0.2;
 
-bool stillLoaded(const platform::LoadedWeights& before,
-                 const std::vector<platform::LoadedWeights>& now) {
-  return std::any_of(now.begin(), now.end(), [&](const platform::LoadedWeights& loaded) {
+bool stillLoaded(const clients::LoadedWeights& before,
+                 const std::vector<clients::LoadedWeights>& now) {
+  return std::any_of(now.begin(), now.end(), [&](const clients::LoadedWeights& loaded) {
     return loaded.model == before.model && loaded.version == before.version;
   });
 }
@@ -117,7 +117,7 @@
 
 // --- reports
 
-void CacheIndexHome::onReport(const EngineState& engine, const platform::EngineReport& report) {
+void CacheIndexHome::onReport(const EngineState& engine, const clients::EngineReport& report) {
   const auto tag = shortIdOf(engine.address.id);
   const auto now = environment_.clock.now();
   auto [position, added] = followed_.try_emplace(
@@ -137,15 +137,15 @@
 void CacheIndexHome::dropOnWeightsChange(Followed& followed, const EngineState& engine) {
   const bool removed = std::any_of(
       followed.weights.begin(), followed.weights.end(),
-      [&](const platform::LoadedWeights& before) { return !stillLoaded(before, engine.weights); });
+      [&](const clients::LoadedWeights& before) { return !stillLoaded(before, engine.weights); });
   followed.weights = engine.weights;
   if (removed) followed.index.clear();
 }
 
-void CacheIndexHome::noteExports(const platform::EngineReport& report) {
+void CacheIndexHome::noteExports(const clients::EngineReport& report) {
   const auto stamp = stampOf(environment_.clock.now());
   for (const auto& event : report.events) {
-    if (event.kind != platform::CacheEventKind::kExported) continue;
+    if (event.kind != clients::CacheEventKind::kExported) continue;
     exported_.insert(prefix::fingerprintOf(event.block), stamp);
   }
 }
@@ -202,7 +202,7 @@
     resyncOutstanding_ = true;
     environment_.engines.snapshot(state->address,
                                   [this, engine = tag, alive = std::weak_ptr(lifetime_)](
-                                      const std::optional<platform::EngineReport>& snapshot) {
+                                      const std::optional<clients::EngineReport>& snapshot) {
                                     if (!alive.expired()) onSnapshot(engine, snapshot);
                                   });
     return;
@@ -210,7 +210,7 @@
 }
 
 void CacheIndexHome::onSnapshot(EngineTag32 engine,
-                                const std::optional<platform::EngineReport>& snapshot) {
+                                const std::optional<clients::EngineReport>& snapshot) {
   resyncOutstanding_ = false;
   const auto now = environment_.clock.now();
   nextResync_ = now + options_.maintenanceInterval;
--- a/src/routing/cache_index_home.h
+++ b/src/routing/cache_index_home.h
@@ -13,7 +13,7 @@
 #include "base/event_log.h"
 #include "base/random.h"
 #include "base/time.h"
-#include "platform/engine_client.h"
+#include "clients/engine_client.h"
 #include "prefix/block_table.h"
 #include "routing/cache_messages.h"
 #include "routing/engine_cache_index.h"
@@ -47,7 +47,7 @@
   base::TimerService& timers;
   base::RandomSource& random;
   base::EventLog& log;
-  platform::EngineClient& engines;
+  clients::EngineClient& engines;
   EngineDirectory& directory;
 };
 
@@ -72,7 +72,7 @@
   LookupReply answer(base::NodeId asker, const LookupRequest& request);
   void onDispatch(base::NodeId router, const DispatchNotice& notice);
 
-  void onReport(const EngineState& engine, const platform::EngineReport& report) override;
+  void onReport(const EngineState& engine, const clients::EngineReport& report) override;
   void onRestarted(const EngineState& engine) override;
   void onForgotten(base::EngineId engine) override;
 
@@ -83,7 +83,7 @@
  private:
   struct Followed {
     base::EngineId id;
-    std::vector<platform::LoadedWeights> weights;
+    std::vector<clients::LoadedWeights> weights;
     EngineCacheIndex index;
     QueueEstimate queue;
     MemoryEstimate memory;
@@ -102,14 +102,14 @@
                             std::uint32_t matchedBlocks) const;
   LookupEntry entryFor(EngineTag32 engine, const LookupRequest& request);
   void dropOnWeightsChange(Followed& followed, const EngineState& engine);
-  void noteExports(const platform::EngineReport& report);
+  void noteExports(const clients::EngineReport& report);
   std::uint32_t depthIn(const prefix::BlockTable& table, const prefix::Checkpoints& checkpoints,
                         base::Duration memory) const;
   void scheduleMaintenance();
   void maintain();
   void expireMemories(base::TimePoint now);
   void startResync();
-  void onSnapshot(EngineTag32 engine, const std::optional<platform::EngineReport>& snapshot);
+  void onSnapshot(EngineTag32 engine, const std::optional<clients::EngineReport>& snapshot);
   prefix::BlockTable::Mark stampOf(base::TimePoint time) const;
 
   CacheIndexHomeOptions options_;
--- /dev/null
+++ b/src/routing/cache_watch.h
@@ -0,0 +1,78 @@
+/// \file
+/// Keeps PrefixHolders current by watching the cache events of replicas.
+///
+/// A replica lets a bounded number of callers watch it. Where there are more nodes than that, the
+/// watchers of each replica are chosen by rendezvous hashing; the other nodes know of what they
+/// sent themselves.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "clients/cache_feed_client.h"
+#include "membership/member_directory.h"
+#include "routing/prefix_holders.h"
+#include "routing/replica_directory.h"
+
+namespace covewing::routing {
+
+struct CacheWatchOptions {
+  /// How long a replica may hold a call without events.
+  base::Duration wait = std::chrono::seconds(1);
+  /// Between an answer and the next call: events are taken in batches.
+  base::Duration pause = std::chrono::milliseconds(150);
+  /// After a failed call.
+  base::Duration backoff = std::chrono::milliseconds(700);
+  /// How often the choice of watchers is looked at again.
+  base::Duration review = std::chrono::milliseconds(500);
+};
+
+/// All must outlive the watch and share its thread.
+struct CacheWatchEnvironment {
+  base::TimerService& timers;
+  base::RandomSource& random;
+  clients::CacheFeedClient& feed;
+  const ReplicaDirectory& replicas;
+  const membership::MemberDirectory& members;
+  PrefixHolders& holders;
+};
+
+class CacheWatch {
+ public:
+  /// The callers that a replica of this service lets watch it at once; 0: none.
+  using WatcherLimit = std::function<std::uint32_t(const std::string& service)>;
+
+  CacheWatch(CacheWatchOptions options, CacheWatchEnvironment environment, WatcherLimit limit);
+  ~CacheWatch();
+  CacheWatch(const CacheWatch&) = delete;
+  CacheWatch& operator=(const CacheWatch&) = delete;
+
+  void start();
+  std::size_t watched() const { return watches_.size(); }
+
+ private:
+  struct Watch {
+    std::uint64_t since = 0;
+    std::uint64_t epoch = 0;
+    base::TimerId timer = 0;
+  };
+
+  void review();
+  bool watches(const ReplicaRecord& record) const;
+  void poll(const std::string& instance);
+  void onReply(const std::string& instance, const clients::CacheFeedReply& reply);
+  void schedule(const std::string& instance, base::Duration delay);
+
+  CacheWatchOptions options_;
+  CacheWatchEnvironment environment_;
+  WatcherLimit limit_;
+  std::map<std::string, Watch> watches_;
+  base::TimerId reviewTimer_ = 0;
+  std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
+};
+
+}  // namespace covewing::routing
--- a/src/routing/engine_cache_index.cc
+++ b/src/routing/engine_cache_index.cc
@@ -17,7 +17,7 @@
   resyncDue_ = true;
 }
 
-bool EngineCacheIndex::apply(const platform::EngineReport& report, base::TimePoint now) {
+bool EngineCacheIndex::apply(const clients::EngineReport& report, base::TimePoint now) {
   // A first report that does not start at the engine's first event shows a part of its cache only.
   const bool gap = report.firstSequence > nextSequence_;
   if (gap) startGeneration(now);
@@ -25,20 +25,20 @@
   for (const auto& event : report.events) {
     const auto fingerprint = fingerprintOf(event.block);
     switch (event.kind) {
-      case platform::CacheEventKind::kStored:
+      case clients::CacheEventKind::kStored:
         blocks_.insert(fingerprint, generation_);
         break;
-      case platform::CacheEventKind::kEvicted:
+      case clients::CacheEventKind::kEvicted:
         blocks_.erase(fingerprint);
         break;
-      case platform::CacheEventKind::kExported:
+      case clients::CacheEventKind::kExported:
         break;
     }
   }
   return !gap;
 }
 
-void EngineCacheIndex::resync(const platform::EngineReport& snapshot) {
+void EngineCacheIndex::resync(const clients::EngineReport& snapshot) {
   blocks_.clear();
   generation_ = 0;
   hasDoubtful_ = false;
--- a/src/routing/engine_cache_index.h
+++ b/src/routing/engine_cache_index.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "platform/engine_client.h"
+#include "clients/engine_client.h"
 #include "prefix/block_table.h"
 
 namespace covewing::routing {
@@ -34,9 +34,9 @@
 
   /// Takes events in. A sequence number above the expected one shows a gap: entries become doubtful
   /// and a resync is due. Returns false at a gap.
-  bool apply(const platform::EngineReport& report, base::TimePoint now);
+  bool apply(const clients::EngineReport& report, base::TimePoint now);
   /// Replaces all entries by a snapshot.
-  void resync(const platform::EngineReport& snapshot);
+  void resync(const clients::EngineReport& snapshot);
   /// Forgets everything, as after a restart of the engine.
   void clear();
 
--- a/src/routing/engine_directory.cc
+++ b/src/routing/engine_directory.cc
@@ -10,7 +10,7 @@
 bool idLess(const EngineState& engine, base::EngineId id) { return engine.address.id < id; }
 
 bool usable(const EngineState& engine) {
-  return !engine.leaving && !engine.unreachable && engine.role == platform::EngineRole::kServing;
+  return !engine.leaving && !engine.unreachable && engine.role == clients::EngineRole::kServing;
 }
 
 /// The version of the model that most of `engines` have, the newest of these; 0 if none has any.
@@ -69,14 +69,14 @@
   return found != engines_.end() && found->address.id == id ? &*found : nullptr;
 }
 
-std::vector<platform::BackEndAddress> EngineDirectory::applicationReplicas(
+std::vector<clients::BackEndAddress> EngineDirectory::applicationReplicas(
     std::string_view application) const {
   const auto& ownZone = environment_.members.self().zone;
-  std::vector<platform::BackEndAddress> replicas;
+  std::vector<clients::BackEndAddress> replicas;
   for (const bool wantOwnZone : {true, false}) {
     for (const auto& [name, machine] : applications_) {
       if (machine.application != application || (machine.zone == ownZone) != wantOwnZone) continue;
-      if (machine.state != platform::MachineState::kLive) continue;
+      if (machine.state != clients::MachineState::kLive) continue;
       replicas.push_back({base::engineIdOf(machine.name), machine.name, machine.endpoint});
     }
   }
@@ -98,12 +98,12 @@
 
 // --- machine list
 
-void EngineDirectory::onMachine(const platform::Machine& machine) {
-  if (machine.kind == platform::MachineKind::kApplication) applications_[machine.name] = machine;
-  if (machine.kind == platform::MachineKind::kEngine) onListedEngine(machine);
+void EngineDirectory::onMachine(const clients::Machine& machine) {
+  if (machine.kind == clients::MachineKind::kApplication) applications_[machine.name] = machine;
+  if (machine.kind == clients::MachineKind::kEngine) onListedEngine(machine);
 }
 
-void EngineDirectory::onMachineGone(const platform::Machine& machine) {
+void EngineDirectory::onMachineGone(const clients::Machine& machine) {
   applications_.erase(machine.name);
   const auto found = tracking_.find(base::engineIdOf(machine.name));
   if (found == tracking_.end()) return;
@@ -112,7 +112,7 @@
   found->second.seenAt = environment_.clock.now();
 }
 
-void EngineDirectory::onListedEngine(const platform::Machine& machine) {
+void EngineDirectory::onListedEngine(const clients::Machine& machine) {
   const auto id = base::engineIdOf(machine.name);
   EngineState* engine = findMutable(id);
   if (engine == nullptr) {
@@ -123,7 +123,7 @@
   engine->zone = machine.zone;
   engine->region = machine.region;
   tracking.listed = true;
-  tracking.listedLeaving = machine.state == platform::MachineState::kLeaving;
+  tracking.listedLeaving = machine.state == clients::MachineState::kLeaving;
   tracking.seenAt = environment_.clock.now();
   refresh(*engine, tracking);
 }
@@ -228,13 +228,12 @@
   const auto id = engine.address.id;
   environment_.engines.poll(
       engine.address, tracking.nextSequence,
-      [this, id, alive = std::weak_ptr(lifetime_)](std::optional<platform::EngineReport> report) {
+      [this, id, alive = std::weak_ptr(lifetime_)](std::optional<clients::EngineReport> report) {
         if (!alive.expired()) onPollAnswer(id, std::move(report));
       });
 }
 
-void EngineDirectory::onPollAnswer(base::EngineId id,
-                                   std::optional<platform::EngineReport> report) {
+void EngineDirectory::onPollAnswer(base::EngineId id, std::optional<clients::EngineReport> report) {
   EngineState* engine = findMutable(id);
   if (engine == nullptr) return;
   auto& tracking = tracking_.at(id);
@@ -252,7 +251,7 @@
 }
 
 void EngineDirectory::onReport(EngineState& engine, Tracking& tracking,
-                               const platform::EngineReport& report) {
+                               const clients::EngineReport& report) {
   const auto now = environment_.clock.now();
   tracking.missedPolls = 0;
   if (!advanceIncarnation(engine, tracking, report.incarnation)) return;
--- a/src/routing/engine_directory.h
+++ b/src/routing/engine_directory.h
@@ -16,9 +16,9 @@
 #include "base/event_log.h"
 #include "base/random.h"
 #include "base/time.h"
+#include "clients/engine_client.h"
+#include "clients/machine_list_client.h"
 #include "membership/member_directory.h"
-#include "platform/engine_client.h"
-#include "platform/machine_list_client.h"
 #include "routing/engine_homes.h"
 #include "routing/engine_record.h"
 #include "routing/fleet_view.h"
@@ -65,8 +65,8 @@
   base::TimerService& timers;
   base::RandomSource& random;
   base::EventLog& log;
-  platform::MachineListClient& machines;
-  platform::EngineClient& engines;
+  clients::MachineListClient& machines;
+  clients::EngineClient& engines;
   const membership::MemberDirectory& members;
   membership::RecordDissemination& records;
 };
@@ -76,7 +76,7 @@
  public:
   virtual ~EngineListener() = default;
   /// An engine that this node polls answered; `engine` holds the state after the report.
-  virtual void onReport(const EngineState& engine, const platform::EngineReport& report) = 0;
+  virtual void onReport(const EngineState& engine, const clients::EngineReport& report) = 0;
   /// The engine runs under a new incarnation: its cache is empty.
   virtual void onRestarted(const EngineState& engine) = 0;
   /// The engine is no longer in the directory.
@@ -99,7 +99,7 @@
   const std::vector<EngineState>& engines() const override { return engines_; }
   /// Valid until control returns to the event loop.
   const EngineState* find(base::EngineId id) const override;
-  std::vector<platform::BackEndAddress> applicationReplicas(
+  std::vector<clients::BackEndAddress> applicationReplicas(
       std::string_view application) const override;
   base::WeightsVersion defaultVersion(std::string_view model) const override;
 
@@ -138,9 +138,9 @@
     mutable std::vector<base::NodeId> homes;
   };
 
-  void onMachine(const platform::Machine& machine) override;
-  void onMachineGone(const platform::Machine& machine) override;
-  void onListedEngine(const platform::Machine& machine);
+  void onMachine(const clients::Machine& machine) override;
+  void onMachineGone(const clients::Machine& machine) override;
+  void onListedEngine(const clients::Machine& machine);
   void scheduleReview();
   void review();
   void forgetAbsentEngines();
@@ -152,8 +152,8 @@
   void schedulePoll(base::EngineId engine, base::Duration delay);
   void onPollTimer(base::EngineId id);
   void poll(EngineState& engine, Tracking& tracking);
-  void onPollAnswer(base::EngineId id, std::optional<platform::EngineReport> report);
-  void onReport(EngineState& engine, Tracking& tracking, const platform::EngineReport& report);
+  void onPollAnswer(base::EngineId id, std::optional<clients::EngineReport> report);
+  void onReport(EngineState& engine, Tracking& tracking, const clients::EngineReport& report);
   void onMissedPoll(EngineState& engine, Tracking& tracking);
 
   void onRecord(const membership::GossipRecord& gossip);
@@ -169,7 +169,7 @@
   std::vector<EngineState> engines_;
   std::map<base::EngineId, Tracking> tracking_;
   /// By name.
-  std::map<std::string, platform::Machine> applications_;
+  std::map<std::string, clients::Machine> applications_;
   MachineListWatch watch_;
   /// Outlived by callbacks that must no longer reach this object.
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
--- a/src/routing/engine_record.cc
+++ b/src/routing/engine_record.cc
@@ -38,8 +38,8 @@
 
 namespace {
 
-platform::LoadedWeights readWeights(base::Reader& reader) {
-  platform::LoadedWeights weights;
+clients::LoadedWeights readWeights(base::Reader& reader) {
+  clients::LoadedWeights weights;
   reader.beginArray();
   weights.model = reader.text();
   weights.version = reader.unsignedInteger();
@@ -61,8 +61,8 @@
   if (reader.unsignedInteger() != kEngineRecordType) return std::nullopt;
   record.incarnation = reader.unsignedInteger();
   const std::uint64_t role = reader.unsignedInteger();
-  if (role > static_cast<std::uint64_t>(platform::EngineRole::kStandby)) return std::nullopt;
-  record.role = static_cast<platform::EngineRole>(role);
+  if (role > static_cast<std::uint64_t>(clients::EngineRole::kStandby)) return std::nullopt;
+  record.role = static_cast<clients::EngineRole>(role);
   record.leaving = reader.boolean();
   record.endpoint.address = static_cast<std::uint32_t>(reader.unsignedInteger());
   record.endpoint.port = static_cast<std::uint16_t>(reader.unsignedInteger());
--- a/src/routing/engine_record.h
+++ b/src/routing/engine_record.h
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "base/ids.h"
-#include "platform/back_end.h"
-#include "platform/engine_client.h"
+#include "clients/back_end.h"
+#include "clients/engine_client.h"
 
 namespace covewing::routing {
 
@@ -20,12 +20,12 @@
 /// Value of the gossip record "engine/NAME".
 struct EngineRecord {
   base::Incarnation incarnation = 0;
-  platform::EngineRole role = platform::EngineRole::kServing;
+  clients::EngineRole role = clients::EngineRole::kServing;
   bool leaving = false;
   base::Endpoint endpoint;
   std::string zone;
   std::string region;
-  std::vector<platform::LoadedWeights> weights;
+  std::vector<clients::LoadedWeights> weights;
   bool operator==(const EngineRecord&) const = default;
 };
 
--- a/src/routing/fleet_view.h
+++ b/src/routing/fleet_view.h
@@ -11,28 +11,28 @@
 
 #include "base/ids.h"
 #include "base/time.h"
-#include "platform/back_end.h"
-#include "platform/engine_client.h"
+#include "clients/back_end.h"
+#include "clients/engine_client.h"
 
 namespace covewing::routing {
 
 /// A load report and when it came, on this node's clock. Work sent since is counted by the engine's
 /// home (routing/queue_estimate.h).
 struct KnownLoad {
-  platform::EngineLoad load;
+  clients::EngineLoad load;
   base::TimePoint takenAt;
 };
 
 struct EngineState {
-  platform::BackEndAddress address;
+  clients::BackEndAddress address;
   std::string zone;
   std::string region;
   base::Incarnation incarnation = 0;
-  platform::EngineRole role = platform::EngineRole::kServing;
+  clients::EngineRole role = clients::EngineRole::kServing;
   bool leaving = false;
   /// Held dead or unreachable from here: no new work until it is seen again.
   bool unreachable = false;
-  std::vector<platform::LoadedWeights> weights;
+  std::vector<clients::LoadedWeights> weights;
   std::optional<KnownLoad> load;
 
   bool serves(std::string_view model, std::string_view adapter, base::WeightsVersion version) const;
@@ -45,7 +45,7 @@
   virtual const std::vector<EngineState>& engines() const = 0;
   virtual const EngineState* find(base::EngineId id) const = 0;
   /// Live, not leaving replicas of an application, own zone first.
-  virtual std::vector<platform::BackEndAddress> applicationReplicas(
+  virtual std::vector<clients::BackEndAddress> applicationReplicas(
       std::string_view application) const = 0;
   /// The version that most serving engines of the own region have loaded of the model, the newest
   /// of these; so the newest that all have, where they share one. Other regions, which swap
--- a/src/routing/machine_list_watch.cc
+++ b/src/routing/machine_list_watch.cc
@@ -17,7 +17,7 @@
 }  // namespace
 
 std::string encodeMachineRecord(const MachineRecord& record) {
-  const platform::Machine& machine = record.machine;
+  const clients::Machine& machine = record.machine;
   base::Writer writer;
   writer.array(kRecordFields)
       .boolean(record.gone)
@@ -35,7 +35,7 @@
   base::Reader reader(bytes);
   if (reader.beginArray() != kRecordFields) return std::nullopt;
   MachineRecord record;
-  platform::Machine& machine = record.machine;
+  clients::Machine& machine = record.machine;
   record.gone = reader.boolean();
   const auto kind = reader.unsignedInteger();
   const auto state = reader.unsignedInteger();
@@ -46,12 +46,12 @@
   machine.application = reader.text();
   reader.endArray();
   if (!reader.ok()) return std::nullopt;
-  if (kind > static_cast<std::uint64_t>(platform::MachineKind::kKeptCacheStore)) {
+  if (kind > static_cast<std::uint64_t>(clients::MachineKind::kKeptCacheStore)) {
     return std::nullopt;
   }
-  if (state > static_cast<std::uint64_t>(platform::MachineState::kLeaving)) return std::nullopt;
-  machine.kind = static_cast<platform::MachineKind>(kind);
-  machine.state = static_cast<platform::MachineState>(state);
+  if (state > static_cast<std::uint64_t>(clients::MachineState::kLeaving)) return std::nullopt;
+  machine.kind = static_cast<clients::MachineKind>(kind);
+  machine.state = static_cast<clients::MachineState>(state);
   return record;
 }
 
@@ -73,7 +73,7 @@
 
 void MachineListWatch::read() {
   environment_.machines.fetch([this, alive = std::weak_ptr(lifetime_)](
-                                  const std::optional<std::vector<platform::Machine>>& list) {
+                                  const std::optional<std::vector<clients::Machine>>& list) {
     if (alive.expired()) return;
     if (list) onList(*list);
     scheduleRead();
@@ -96,7 +96,7 @@
   return environment_.random.jittered(interval, 1.0);
 }
 
-void MachineListWatch::onList(const std::vector<platform::Machine>& machines) {
+void MachineListWatch::onList(const std::vector<clients::Machine>& machines) {
   std::set<std::string_view> listed;
   for (const auto& machine : machines) {
     listed.insert(machine.name);
@@ -112,7 +112,7 @@
   known_ = true;
 }
 
-void MachineListWatch::onListed(const platform::Machine& machine) {
+void MachineListWatch::onListed(const clients::Machine& machine) {
   const auto [position, added] = entries_.try_emplace(machine.name);
   Entry& entry = position->second;
   const bool changed = added || entry.gone || entry.machine != machine;
--- a/src/routing/machine_list_watch.h
+++ b/src/routing/machine_list_watch.h
@@ -20,8 +20,8 @@
 
 #include "base/random.h"
 #include "base/time.h"
+#include "clients/machine_list_client.h"
 #include "membership/member_directory.h"
-#include "platform/machine_list_client.h"
 
 namespace covewing::routing {
 
@@ -44,7 +44,7 @@
   base::Clock& clock;
   base::TimerService& timers;
   base::RandomSource& random;
-  platform::MachineListClient& machines;
+  clients::MachineListClient& machines;
   const membership::MemberDirectory& members;
   membership::RecordDissemination& records;
 };
@@ -54,9 +54,9 @@
  public:
   virtual ~MachineObserver() = default;
   /// The machine is new, or something about it changed.
-  virtual void onMachine(const platform::Machine& machine) = 0;
+  virtual void onMachine(const clients::Machine& machine) = 0;
   /// The machine is no longer in the list.
-  virtual void onMachineGone(const platform::Machine& machine) = 0;
+  virtual void onMachineGone(const clients::Machine& machine) = 0;
 };
 
 class MachineListWatch {
@@ -73,7 +73,7 @@
 
  private:
   struct Entry {
-    platform::Machine machine;
+    clients::Machine machine;
     bool gone = false;
     std::uint64_t recordVersion = 0;
     /// When another node told of it, or this one told others.
@@ -83,8 +83,8 @@
   void read();
   void scheduleRead();
   base::Duration pause();
-  void onList(const std::vector<platform::Machine>& machines);
-  void onListed(const platform::Machine& machine);
+  void onList(const std::vector<clients::Machine>& machines);
+  void onListed(const clients::Machine& machine);
   void onMissing(Entry& entry);
   void onRecord(const membership::GossipRecord& record);
   bool toldLately(const Entry& entry) const;
@@ -102,7 +102,7 @@
 
 /// Value of the record "machine/NAME".
 struct MachineRecord {
-  platform::Machine machine;
+  clients::Machine machine;
   bool gone = false;
 };
 std::string encodeMachineRecord(const MachineRecord& record);
--- a/src/routing/policy_factory.h
+++ b/src/routing/policy_factory.h
@@ -10,8 +10,8 @@
 #include "base/event_log.h"
 #include "base/random.h"
 #include "base/time.h"
+#include "clients/engine_client.h"
 #include "membership/member_directory.h"
-#include "platform/engine_client.h"
 #include "routing/cache_lookup.h"
 #include "routing/engine_directory.h"
 #include "routing/fleet_view.h"
@@ -55,7 +55,7 @@
   /// Knowledge of caches and queues; policies that need it decide by hashing where it is null.
   CacheLookup* lookup = nullptr;
   /// For policies that probe engines themselves.
-  platform::EngineClient* engines = nullptr;
+  clients::EngineClient* engines = nullptr;
   /// Live nodes, for estimates of the whole system's rates from this node's own.
   const membership::MemberDirectory* members = nullptr;
   PolicyTuning tuning = {};
--- a/src/routing/probe_pool_policy.cc
+++ b/src/routing/probe_pool_policy.cc
@@ -43,13 +43,13 @@
     const auto& address = drawn[index]->address;
     environment_.engines->poll(address, nextSequence_[address.id],
                                [this, alive = std::weak_ptr(lifetime_), engine = address.id](
-                                   const std::optional<platform::EngineReport>& report) {
+                                   const std::optional<clients::EngineReport>& report) {
                                  if (!alive.expired() && report) onProbe(engine, *report);
                                });
   }
 }
 
-void ProbePoolPolicy::onProbe(base::EngineId engine, const platform::EngineReport& report) {
+void ProbePoolPolicy::onProbe(base::EngineId engine, const clients::EngineReport& report) {
   nextSequence_[engine] = report.nextSequence;
   const auto& load = report.load;
   Probe probe;
--- a/src/routing/probe_pool_policy.h
+++ b/src/routing/probe_pool_policy.h
@@ -48,7 +48,7 @@
   };
 
   void sendProbes(const std::vector<const EngineState*>& engines);
-  void onProbe(base::EngineId engine, const platform::EngineReport& report);
+  void onProbe(base::EngineId engine, const clients::EngineReport& report);
   void expireProbes();
   std::uint32_t hotThreshold() const;
   /// Index in the pool of the best probe of a qualifying engine.
--- a/src/routing/queue_estimate.cc
+++ b/src/routing/queue_estimate.cc
@@ -14,7 +14,7 @@
   }
 }
 
-void QueueEstimate::onReport(const platform::EngineLoad& load, base::TimePoint now) {
+void QueueEstimate::onReport(const clients::EngineLoad& load, base::TimePoint now) {
   const auto sampledAt = now - options_.reportLag;
   if (sampledAt <= sampledAt_) return;
   while (!dispatches_.empty() && dispatches_.front().at <= sampledAt) {
--- a/src/routing/queue_estimate.h
+++ b/src/routing/queue_estimate.h
@@ -11,7 +11,7 @@
 
 #include "base/priority.h"
 #include "base/time.h"
-#include "platform/engine_client.h"
+#include "clients/engine_client.h"
 
 namespace covewing::routing {
 
@@ -31,7 +31,7 @@
  public:
   explicit QueueEstimate(const QueueEstimateOptions& options) : options_(options) {}
 
-  void onReport(const platform::EngineLoad& load, base::TimePoint now);
+  void onReport(const clients::EngineLoad& load, base::TimePoint now);
   void onDispatched(base::PriorityClass priority, std::uint32_t uncachedTokens,
                     base::TimePoint now);
   void clear();
@@ -55,7 +55,7 @@
   void compute(Work& work, base::Duration span) const;
 
   QueueEstimateOptions options_;
-  platform::EngineLoad load_;
+  clients::EngineLoad load_;
   /// Announced work that was left when the reported load was true, and that work bounded by it.
   Work replayed_{};
   Work bounded_{};
--- /dev/null
+++ b/src/routing/replica.h
@@ -0,0 +1,38 @@
+/// \file
+/// A replica of a service as the fleet's list describes it.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/endpoint.h"
+#include "base/ids.h"
+
+namespace covewing::routing {
+
+enum class ReplicaState : std::uint8_t { kReady, kDraining };
+
+/// A model that a replica has loaded.
+struct ReplicaModel {
+  std::string name;
+  base::WeightsVersion version = 0;
+};
+
+struct Replica {
+  /// Names one run of one replica; a restart has another.
+  std::string instance;
+  std::string service;
+  base::Endpoint endpoint;
+  std::string zone;
+  /// Requests that it runs at once; 0: not stated.
+  std::uint32_t slots = 0;
+  ReplicaState state = ReplicaState::kReady;
+  std::vector<ReplicaModel> models;
+
+  const ReplicaModel* findModel(std::string_view name) const;
+};
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/replica_choice.cc
@@ -0,0 +1,160 @@
+#include "routing/replica_choice.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace covewing::routing {
+
+namespace {
+
+/// A replica in another zone counts as this much more loaded, in requests.
+constexpr double kOtherZoneLoad = 0.5;
+
+bool onListOf(const std::vector<std::string>& instances, const ReplicaRecord& record) {
+  return std::ranges::find(instances, record.facts().instance) != instances.end();
+}
+
+void sortByRendezvous(std::vector<ReplicaRecordPtr>& candidates, std::uint64_t key) {
+  const auto score = [key](const ReplicaRecordPtr& record) {
+    return base::mixHash(key, base::hashName(record->facts().instance));
+  };
+  std::ranges::sort(
+      candidates, [&](const auto& left, const auto& right) { return score(left) > score(right); });
+}
+
+}  // namespace
+
+std::string cacheSalt(base::WeightsVersion version, std::string_view isolatedTenant) {
+  std::string salt = "w" + std::to_string(version);
+  if (!isolatedTenant.empty()) salt.append("/").append(isolatedTenant);
+  return salt;
+}
+
+CacheScope cacheScope(std::string_view salt, std::string_view model) {
+  return base::mixHash(base::hashName(salt), base::hashName(model));
+}
+
+ReplicaChoice::Candidates ReplicaChoice::eligible(const ReplicaQuery& query, base::TimePoint now,
+                                                  std::string_view& reason) {
+  const auto oldest = context_.targets.oldestAllowed(query.model, now);
+  const auto& listed = context_.replicas.ofService(query.service);
+  Candidates allowed;
+  reason = listed.empty() ? "no replica is listed" : "every replica is draining or was tried";
+  for (const auto& record : listed) {
+    if (record->facts().state != ReplicaState::kReady || onListOf(query.excluded, *record))
+      continue;
+    if (!query.model.empty() &&
+        record->versionOf(query.model) < std::max<base::WeightsVersion>(oldest, 1)) {
+      reason = "no replica has the version in force";
+      continue;
+    }
+    allowed.push_back(record);
+  }
+  const auto keep = [&](auto predicate, std::string_view why) {
+    if (allowed.empty()) return;
+    Candidates kept;
+    std::ranges::copy_if(allowed, std::back_inserter(kept), predicate);
+    if (kept.empty()) reason = why;
+    allowed = std::move(kept);
+  };
+  const auto prefer = [&](auto predicate) {
+    Candidates kept;
+    std::ranges::copy_if(allowed, std::back_inserter(kept), predicate);
+    if (!kept.empty()) allowed = std::move(kept);
+  };
+  keep([&](const auto& record) { return !record->changing(now) && !record->versionDoubted(now); },
+       "every replica is loading weights");
+  keep([&](const auto& record) { return record->health().available(now); },
+       "every replica is ejected or silent");
+  prefer([&](const auto& record) { return !record->full(now); });
+  return allowed;
+}
+
+ReplicaRecordPtr ReplicaChoice::leastLoaded(const Candidates& candidates) {
+  ReplicaRecordPtr best;
+  double bestLoad = 0;
+  std::uint64_t ties = 0;
+  for (const auto& record : candidates) {
+    const bool near = record->facts().zone == context_.zone;
+    const double slots = std::max<double>(1, record->facts().slots);
+    const double requests = record->inFlight() + (near ? 0 : kOtherZoneLoad);
+    const double load = (requests + record->health().failureRate()) / slots;
+    if (best && load > bestLoad) continue;
+    ties = best && load == bestLoad ? ties + 1 : 1;
+    if (ties > 1 && random_.below(ties) != 0) continue;
+    best = record;
+    bestLoad = load;
+  }
+  return best;
+}
+
+std::size_t ReplicaChoice::firstWithRoom(const Candidates& ordered, const ReplicaQuery& query,
+                                         std::size_t nodes) const {
+  const auto sharers = std::max<std::size_t>(nodes, 1);
+  const double memory = static_cast<double>(query.engine->cacheTokens) * options_.memoryShare /
+                        static_cast<double>(sharers);
+  const std::uint32_t own = query.tokens - std::min(query.tokens, query.chain->sharedTokens());
+  for (std::size_t index = 0; index < ordered.size(); ++index) {
+    const auto& record = *ordered[index];
+    const auto slots = std::max<std::size_t>(record.facts().slots, 1);
+    const auto bound = std::max<std::size_t>(options_.leastBound, (slots + sharers - 1) / sharers);
+    if (record.inFlight() >= bound) continue;
+    const bool fits = static_cast<double>(record.tokensInFlight() + own) <= memory;
+    if (fits || record.inFlight() == 0) return index;
+  }
+  const auto least =
+      std::ranges::min_element(ordered, {}, [](const auto& record) { return record->inFlight(); });
+  return static_cast<std::size_t>(least - ordered.begin());
+}
+
+void ReplicaChoice::addFetch(ReplicaDecision& decision, const ReplicaQuery& query,
+                             const Candidates& ordered, base::TimePoint now) const {
+  const auto idOf = [](const ReplicaRecord& record) {
+    return base::engineIdOf(record.facts().instance);
+  };
+  decision.matchedTokens =
+      context_.holders.matchedTokens(idOf(*decision.replica), decision.scope, *query.chain);
+  decision.fetchTokens = decision.matchedTokens + options_.leastFetch;
+  for (const auto& record : context_.replicas.ofService(query.service)) {
+    if (record == decision.replica || record->health().ejected(now)) continue;
+    const auto matched =
+        context_.holders.matchedTokens(idOf(*record), decision.scope, *query.chain);
+    if (matched < decision.fetchTokens || (decision.fetchFrom && matched == decision.fetchTokens))
+      continue;
+    decision.fetchTokens = matched;
+    decision.fetchFrom = record;
+  }
+  if (decision.fetchFrom) return;
+  decision.fetchTokens = 0;
+  // Nothing is known: other nodes have probably sent such requests to the home.
+  const bool unknown = decision.matchedTokens == 0 && query.chain->sharedTokens() > 0;
+  const auto& home = ordered.front();
+  if (unknown && decision.rank > 0 && home->versionOf(query.model) == decision.version)
+    decision.fetchFrom = home;
+}
+
+ReplicaDecision ReplicaChoice::choose(const ReplicaQuery& query, std::size_t nodes,
+                                      base::TimePoint now) {
+  ReplicaDecision decision;
+  Candidates candidates = eligible(query, now, decision.reason);
+  decision.candidates = candidates.size();
+  if (candidates.empty()) return decision;
+  const bool withPrompt =
+      query.engine != nullptr && query.chain != nullptr && query.chain->deepestShared();
+  if (withPrompt) {
+    sortByRendezvous(candidates, *query.chain->deepestShared());
+    decision.rank = firstWithRoom(candidates, query, nodes);
+    decision.replica = candidates[decision.rank];
+  } else {
+    decision.replica = leastLoaded(candidates);
+  }
+  if (query.model.empty()) return decision;
+  decision.version = decision.replica->versionOf(query.model);
+  decision.cacheSalt = cacheSalt(decision.version, query.isolatedTenant);
+  decision.scope = cacheScope(decision.cacheSalt, query.model);
+  if (withPrompt) addFetch(decision, query, candidates, now);
+  return decision;
+}
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/replica_choice.h
@@ -0,0 +1,105 @@
+/// \file
+/// Choice of a replica for one relayed request.
+///
+/// A prompt's deepest shared part has a home among the replicas by rendezvous hashing, so that all
+/// nodes agree without talking and shared parts are read once. A request goes to its home unless
+/// the home is loaded beyond a bound, then to the next in the same order; a replica that does not
+/// hold the shared parts is told to fetch them from one that does, which is far cheaper than
+/// reading them again. Requests without a prompt go to the least loaded replica, near ones first.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "config/route_table.h"
+#include "prefix/part_chain.h"
+#include "routing/prefix_holders.h"
+#include "routing/replica_directory.h"
+#include "routing/weights_targets.h"
+
+namespace covewing::routing {
+
+struct ReplicaQuery {
+  std::string service;
+  const config::EngineProfile* engine = nullptr;
+  /// Empty for services without models.
+  std::string model;
+  const prefix::PartChain* chain = nullptr;
+  /// Tokens of the prompt and the longest answer.
+  std::uint32_t tokens = 0;
+  /// Name of the tenant where its cache is its own, else empty.
+  std::string isolatedTenant;
+  /// Instances that were tried for this request.
+  std::vector<std::string> excluded;
+};
+
+struct ReplicaDecision {
+  /// Null when no replica may be chosen; `reason` says why.
+  ReplicaRecordPtr replica;
+  /// Version of the model's weights that the choice rests on; 0 where the query names no model.
+  base::WeightsVersion version = 0;
+  /// Text under which the replica keeps the request's parts; empty without a model.
+  std::string cacheSalt;
+  CacheScope scope = 0;
+  /// Holder to fetch shared parts from.
+  ReplicaRecordPtr fetchFrom;
+  /// Leading shared tokens believed cached at the replica, and at `fetchFrom`.
+  std::uint32_t matchedTokens = 0;
+  std::uint32_t fetchTokens = 0;
+  /// Replicas that could be chosen, and the chosen one's place in the order of homes.
+  std::size_t candidates = 0;
+  std::size_t rank = 0;
+  std::string_view reason;
+};
+
+/// What the choice rests on; all must outlive it.
+struct ReplicaChoiceContext {
+  const ReplicaDirectory& replicas;
+  const PrefixHolders& holders;
+  const WeightsTargets& targets;
+  std::string zone;
+};
+
+struct ReplicaChoiceOptions {
+  /// Least bound on the requests of this node at a home, however many nodes share it.
+  std::uint32_t leastBound = 2;
+  /// Part of a replica's cache memory that all nodes together may fill with running requests.
+  double memoryShare = 0.6;
+  /// Tokens that a holder must have beyond the chosen replica to be fetched from.
+  std::uint32_t leastFetch = 32;
+};
+
+class ReplicaChoice {
+ public:
+  ReplicaChoice(ReplicaChoiceContext context, ReplicaChoiceOptions options,
+                base::RandomSource& random)
+      : context_(std::move(context)), options_(options), random_(random) {}
+
+  /// `nodes` is the number of nodes that share the replicas.
+  ReplicaDecision choose(const ReplicaQuery& query, std::size_t nodes, base::TimePoint now);
+
+ private:
+  using Candidates = std::vector<ReplicaRecordPtr>;
+
+  Candidates eligible(const ReplicaQuery& query, base::TimePoint now, std::string_view& reason);
+  ReplicaRecordPtr leastLoaded(const Candidates& candidates);
+  std::size_t firstWithRoom(const Candidates& ordered, const ReplicaQuery& query,
+                            std::size_t nodes) const;
+  void addFetch(ReplicaDecision& decision, const ReplicaQuery& query, const Candidates& ordered,
+                base::TimePoint now) const;
+
+  ReplicaChoiceContext context_;
+  ReplicaChoiceOptions options_;
+  base::RandomSource& random_;
+};
+
+/// Text under which replicas keep parts: parts made under other weights, or by an isolated tenant,
+/// are never found.
+std::string cacheSalt(base::WeightsVersion version, std::string_view isolatedTenant);
+CacheScope cacheScope(std::string_view salt, std::string_view model);
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/replica_directory.cc
@@ -0,0 +1,89 @@
+#include "routing/replica_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace covewing::routing {
+
+ReplicaRecord::ReplicaRecord(Replica facts) { update(std::move(facts)); }
+
+void ReplicaRecord::update(Replica facts) {
+  facts_ = std::move(facts);
+  for (const ReplicaModel& model : facts_.models) learnVersion(model.name, model.version);
+}
+
+base::WeightsVersion ReplicaRecord::versionOf(std::string_view model) const {
+  const auto found = versions_.find(model);
+  return found == versions_.end() ? 0 : found->second;
+}
+
+void ReplicaRecord::learnVersion(const std::string& model, base::WeightsVersion version) {
+  auto& known = versions_[model];
+  if (version <= known) return;
+  known = version;
+  versionDoubtedUntil_ = {};
+}
+
+void ReplicaRecord::onDispatched(std::uint32_t tokens) {
+  ++inFlight_;
+  tokensInFlight_ += tokens;
+}
+
+void ReplicaRecord::onFinished(std::uint32_t tokens) {
+  --inFlight_;
+  tokensInFlight_ -= tokens;
+}
+
+void ReplicaDirectory::onListed(Replica facts) {
+  const auto known = byInstance_.find(facts.instance);
+  if (known != byInstance_.end() && known->second->facts().service == facts.service) {
+    known->second->update(std::move(facts));
+    return;
+  }
+  onRemoved(facts.instance);
+  auto record = std::make_shared<ReplicaRecord>(std::move(facts));
+  byInstance_.emplace(record->facts().instance, record);
+  auto& replicas = byService_[record->facts().service];
+  const auto place = std::ranges::lower_bound(
+      replicas, record->facts().instance, {},
+      [](const ReplicaRecordPtr& one) -> const std::string& { return one->facts().instance; });
+  replicas.insert(place, std::move(record));
+}
+
+void ReplicaDirectory::onRemoved(const std::string& instance) {
+  const auto known = byInstance_.find(instance);
+  if (known == byInstance_.end()) return;
+  removeFromService(*known->second);
+  byInstance_.erase(known);
+}
+
+void ReplicaDirectory::removeFromService(const ReplicaRecord& record) {
+  const auto replicas = byService_.find(record.facts().service);
+  if (replicas == byService_.end()) return;
+  std::erase_if(replicas->second, [&](const auto& one) { return one.get() == &record; });
+  if (replicas->second.empty()) byService_.erase(replicas);
+}
+
+ReplicaRecordPtr ReplicaDirectory::find(std::string_view instance) const {
+  const auto found = byInstance_.find(instance);
+  return found == byInstance_.end() ? nullptr : found->second;
+}
+
+const ReplicaDirectory::Replicas& ReplicaDirectory::ofService(std::string_view service) const {
+  static const Replicas kNone;
+  const auto found = byService_.find(service);
+  return found == byService_.end() ? kNone : found->second;
+}
+
+double ReplicaDirectory::failureRateOfOthers(const ReplicaRecord& record) const {
+  double sum = 0;
+  std::size_t count = 0;
+  for (const auto& other : ofService(record.facts().service)) {
+    if (other.get() == &record) continue;
+    sum += other->health().failureRate();
+    ++count;
+  }
+  return count == 0 ? 0 : sum / static_cast<double>(count);
+}
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/replica_directory.h
@@ -0,0 +1,89 @@
+/// \file
+/// The replicas of all services: what the fleet's list says, joined with what this node has seen of
+/// each itself. Used by routing, by the relay of requests and by the rollout of weights.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "routing/replica.h"
+#include "routing/replica_health.h"
+
+namespace covewing::routing {
+
+/// One replica as this node knows it. Outlives its entry in the directory while requests hold it.
+class ReplicaRecord {
+ public:
+  explicit ReplicaRecord(Replica facts);
+
+  const Replica& facts() const { return facts_; }
+  ReplicaHealth& health() { return health_; }
+  const ReplicaHealth& health() const { return health_; }
+
+  /// The newest version of the model that the list or an answer named; 0 when none is known.
+  base::WeightsVersion versionOf(std::string_view model) const;
+  /// An answer showed the version. Versions of a running replica only rise.
+  void learnVersion(const std::string& model, base::WeightsVersion version);
+  /// A refusal showed that the version known is wrong and not which is right: the replica is passed
+  /// over until the list or an answer tells, or `until`.
+  void doubtVersion(base::TimePoint until) { versionDoubtedUntil_ = until; }
+  bool versionDoubted(base::TimePoint now) const { return now < versionDoubtedUntil_; }
+  /// New weights are about to be ordered or are being loaded: no requests until then.
+  void setChanging(base::TimePoint until) { changingUntil_ = until; }
+  bool changing(base::TimePoint now) const { return now < changingUntil_; }
+  /// A refusal for lack of room: passed over until then while others can take the request.
+  void setFull(base::TimePoint until) { fullUntil_ = until; }
+  bool full(base::TimePoint now) const { return now < fullUntil_; }
+
+  /// Requests of this node that the replica has not finished, and the tokens they need.
+  std::uint32_t inFlight() const { return inFlight_; }
+  std::uint64_t tokensInFlight() const { return tokensInFlight_; }
+  void onDispatched(std::uint32_t tokens);
+  void onFinished(std::uint32_t tokens);
+
+ private:
+  friend class ReplicaDirectory;
+  void update(Replica facts);
+
+  Replica facts_;
+  ReplicaHealth health_;
+  std::map<std::string, base::WeightsVersion, std::less<>> versions_;
+  base::TimePoint versionDoubtedUntil_{};
+  base::TimePoint changingUntil_{};
+  base::TimePoint fullUntil_{};
+  std::uint32_t inFlight_ = 0;
+  std::uint64_t tokensInFlight_ = 0;
+};
+
+using ReplicaRecordPtr = std::shared_ptr<ReplicaRecord>;
+
+class ReplicaDirectory {
+ public:
+  /// Ascending by instance, equal on all nodes that know the same list.
+  using Replicas = std::vector<ReplicaRecordPtr>;
+
+  void onListed(Replica facts);
+  void onRemoved(const std::string& instance);
+
+  ReplicaRecordPtr find(std::string_view instance) const;
+  /// The listed replicas of a service, draining ones included.
+  const Replicas& ofService(std::string_view service) const;
+  /// All listed replicas by instance.
+  const std::map<std::string, ReplicaRecordPtr, std::less<>>& all() const { return byInstance_; }
+  /// Mean failure rate of the service's replicas other than this one.
+  double failureRateOfOthers(const ReplicaRecord& record) const;
+
+ private:
+  void removeFromService(const ReplicaRecord& record);
+
+  std::map<std::string, ReplicaRecordPtr, std::less<>> byInstance_;
+  std::map<std::string, Replicas, std::less<>> byService_;
+};
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/replica_health.h
@@ -0,0 +1,71 @@
+/// \file
+/// What a node has seen of one replica's answers, and whether it should get requests.
+///
+/// States: healthy -> (a connection fails, or failures in a row, or a failure rate far above the
+/// service's) ejected for a time that doubles with each ejection -> on probation, one request at a
+/// time -> healthy after a success. A replica that is silent while requests wait for its first byte
+/// is not chosen while that lasts.
+#pragma once
+
+#include <cstdint>
+
+#include "base/time.h"
+
+namespace covewing::routing {
+
+struct ReplicaHealthOptions {
+  base::Duration firstEjection = std::chrono::milliseconds(400);
+  base::Duration longestEjection = std::chrono::seconds(4);
+  /// Failures in a row that eject.
+  std::uint32_t consecutiveFailures = 3;
+  /// Weight of the newest outcome in the failure rate.
+  double smoothing = 0.12;
+  /// Failure rate above the service's that ejects.
+  double excessRate = 0.3;
+  /// Outcomes before the failure rate counts.
+  std::uint32_t minimumOutcomes = 6;
+  /// Silence, with requests waiting, after which nothing more is sent.
+  base::Duration silence = std::chrono::milliseconds(700);
+};
+
+class ReplicaHealth {
+ public:
+  explicit ReplicaHealth(ReplicaHealthOptions options = {}) : options_(options) {}
+
+  /// A request was sent and its answer has not begun.
+  void onDispatched(base::TimePoint now);
+  /// The wait for the answer's first byte ended, in whatever way.
+  void onWaitEnded(base::TimePoint now);
+  /// Bytes came from the replica.
+  void onHeard(base::TimePoint now);
+  /// A whole answer that was no failure.
+  void onSuccess(base::TimePoint now);
+  /// The replica answered with a failure of its own, broke off or did not answer.
+  /// `serviceRate` is the failure rate of the service's other replicas.
+  void onFailure(base::TimePoint now, double serviceRate);
+  /// No connection could be had.
+  void onUnreachable(base::TimePoint now);
+
+  /// May be chosen now: neither ejected nor silent; on probation with nothing else under way.
+  bool available(base::TimePoint now) const;
+  bool ejected(base::TimePoint now) const { return now < ejectedUntil_; }
+  bool silent(base::TimePoint now) const;
+  double failureRate() const { return failureRate_; }
+  std::uint32_t waiting() const { return waiting_; }
+
+ private:
+  void eject(base::TimePoint now);
+
+  ReplicaHealthOptions options_;
+  std::uint32_t waiting_ = 0;
+  /// When something was last heard, or the first of the waiting requests was sent.
+  base::TimePoint quietSince_{};
+  std::uint32_t failuresInRow_ = 0;
+  std::uint32_t outcomes_ = 0;
+  double failureRate_ = 0;
+  base::Duration nextEjection_{};
+  base::TimePoint ejectedUntil_{};
+  bool onProbation_ = false;
+};
+
+}  // namespace covewing::routing
--- a/src/routing/routing_policy.cc
+++ b/src/routing/routing_policy.cc
@@ -5,7 +5,7 @@
 namespace covewing::routing {
 
 bool qualifies(const EngineState& engine, const RouteQuery& query) {
-  if (engine.role != platform::EngineRole::kServing) return false;
+  if (engine.role != clients::EngineRole::kServing) return false;
   if (engine.leaving || engine.unreachable) return false;
   const auto& identity = query.identity;
   if (!engine.serves(identity.model, identity.adapter, identity.weightsVersion)) return false;
--- a/src/routing/routing_policy.h
+++ b/src/routing/routing_policy.h
@@ -13,7 +13,7 @@
 #include "base/priority.h"
 #include "base/result_code.h"
 #include "base/time.h"
-#include "platform/engine_client.h"
+#include "clients/engine_client.h"
 #include "prefix/block_chain.h"
 #include "routing/fleet_view.h"
 
@@ -22,7 +22,7 @@
 /// What a policy may know of a request.
 struct RouteQuery {
   base::RequestId requestId;
-  platform::CacheIdentity identity;
+  clients::CacheIdentity identity;
   std::shared_ptr<const prefix::BlockChain> chain;
   std::uint32_t promptTokens = 0;
   base::PriorityClass priority = base::PriorityClass::kStandard;
--- a/src/routing/routing_service.h
+++ b/src/routing/routing_service.h
@@ -39,8 +39,8 @@
   base::RandomSource& random;
   base::EventLog& log;
   base::PeerTransport& peers;
-  platform::MachineListClient& machines;
-  platform::EngineClient& engines;
+  clients::MachineListClient& machines;
+  clients::EngineClient& engines;
   const membership::MemberDirectory& members;
   membership::RecordDissemination& records;
 };
--- /dev/null
+++ b/src/routing/weights_targets.cc
@@ -0,0 +1,35 @@
+#include "routing/weights_targets.h"
+
+#include <algorithm>
+
+namespace covewing::routing {
+
+bool WeightsTargets::onNamed(const std::string& model, base::WeightsVersion version,
+                             base::TimePoint now) {
+  if (version <= newest(model)) return false;
+  auto& targets = targets_[model];
+  // Of the versions that are in force already, only the newest matters.
+  const auto pending = std::ranges::find_if(
+      targets, [now](const auto& one) { return one.olderForbiddenFrom > now; });
+  if (pending - targets.begin() > 1) targets.erase(targets.begin(), pending - 1);
+  targets.push_back({version, now + bounds_.inForce - bounds_.margin});
+  return true;
+}
+
+base::WeightsVersion WeightsTargets::newest(std::string_view model) const {
+  const auto found = targets_.find(model);
+  return found == targets_.end() ? 0 : found->second.back().version;
+}
+
+base::WeightsVersion WeightsTargets::oldestAllowed(std::string_view model,
+                                                   base::TimePoint now) const {
+  const auto found = targets_.find(model);
+  if (found == targets_.end()) return 0;
+  base::WeightsVersion oldest = 0;
+  for (const WeightsTarget& target : found->second) {
+    if (target.olderForbiddenFrom <= now) oldest = target.version;
+  }
+  return oldest;
+}
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/weights_targets.h
@@ -0,0 +1,52 @@
+/// \file
+/// The version of each model's weights that operators want served, and until when requests may
+/// still begin on an older one.
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace covewing::routing {
+
+struct WeightsTarget {
+  base::WeightsVersion version = 0;
+  /// From then on no request is sent to a replica on an older version.
+  base::TimePoint olderForbiddenFrom{};
+};
+
+/// The versions of one model that were named and still matter, ascending: the newest of those that
+/// are in force already, and all that are not yet.
+using WeightsTargetList = std::vector<WeightsTarget>;
+
+/// How long a new version may take to be in force.
+struct WeightsBounds {
+  /// From the acceptance of a version until no request may begin on an older one.
+  base::Duration inForce = std::chrono::seconds(8);
+  /// Kept free at the end of it, for requests that wait at a replica before they begin.
+  base::Duration margin = std::chrono::milliseconds(1000);
+};
+
+class WeightsTargets {
+ public:
+  explicit WeightsTargets(WeightsBounds bounds = {}) : bounds_(bounds) {}
+
+  /// A version was named and became known here at `now`. False when it is not newer.
+  bool onNamed(const std::string& model, base::WeightsVersion version, base::TimePoint now);
+  const std::map<std::string, WeightsTargetList, std::less<>>& all() const { return targets_; }
+  /// The newest version that was named; 0 when none was.
+  base::WeightsVersion newest(std::string_view model) const;
+
+  /// The oldest version that a request of the model may be sent to now; 0 when any may.
+  base::WeightsVersion oldestAllowed(std::string_view model, base::TimePoint now) const;
+
+ private:
+  WeightsBounds bounds_;
+  std::map<std::string, WeightsTargetList, std::less<>> targets_;
+};
+
+}  // namespace covewing::routing
--- a/src/sim/checkers_fleet.cc
+++ b/src/sim/checkers_fleet.cc
@@ -110,14 +110,13 @@
   std::map<base::EngineId, base::FencingToken> highest;
   for (const auto& order : history.orders) {
     auto& token = highest[order.engine];
-    if (order.reply.status == platform::OrderStatus::kAccepted &&
-        order.order.fencingToken < token) {
+    if (order.reply.status == clients::OrderStatus::kAccepted && order.order.fencingToken < token) {
       violations.push_back({Promise::kOrders, order.at,
                             fmt::format("order {} under token {} was obeyed after token {}",
                                         order.order.orderId, order.order.fencingToken, token),
                             order.order.orderId});
     }
-    if (order.reply.status == platform::OrderStatus::kAccepted) {
+    if (order.reply.status == clients::OrderStatus::kAccepted) {
       token = std::max(token, order.order.fencingToken);
     }
   }
--- a/src/sim/engine_client.cc
+++ b/src/sim/engine_client.cc
@@ -8,8 +8,8 @@
 namespace covewing::sim {
 
 namespace {
-platform::DispatchError notSent(std::string detail) {
-  return {platform::DispatchFailure::kNotSent,
+clients::DispatchError notSent(std::string detail) {
+  return {clients::DispatchFailure::kNotSent,
           {base::ResultCode::kBackEndUnreachable, std::move(detail)}};
 }
 
@@ -17,39 +17,39 @@
 class ClientStream final : public EngineStreamReceiver,
                            public std::enable_shared_from_this<ClientStream> {
  public:
-  explicit ClientStream(platform::EngineStreamHandler& handler) : handler_(&handler) {}
+  explicit ClientStream(clients::EngineStreamHandler& handler) : handler_(&handler) {}
 
   void open(const ConnectionPtr& connection, EngineHost& engine,
-            const platform::EngineRequest& request) {
+            const clients::EngineRequest& request) {
     connection_ = connection;
     connection->onClosed(Connection::Side::kClient, [weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->onLost();
     });
     const auto bytes = generateBytes(request);
     connection->send(Connection::Side::kClient, bytes,
-                     [&engine, connection, request = platform::EngineRequest(request),
+                     [&engine, connection, request = clients::EngineRequest(request),
                       self = shared_from_this()]() mutable {
                        engine.serve(std::move(request), connection, std::move(self));
                      });
   }
 
   void onAccepted() override {
-    push([](platform::EngineStreamHandler& handler) { handler.onAccepted(); });
+    push([](clients::EngineStreamHandler& handler) { handler.onAccepted(); });
   }
-  void onChunks(const std::vector<platform::StreamChunk>& chunks) override {
+  void onChunks(const std::vector<clients::StreamChunk>& chunks) override {
     for (const auto& chunk : chunks) {
-      push([chunk](platform::EngineStreamHandler& handler) { handler.onChunk(chunk); });
+      push([chunk](clients::EngineStreamHandler& handler) { handler.onChunk(chunk); });
     }
   }
-  void onEnd(const platform::StreamEnd& end) override {
+  void onEnd(const clients::StreamEnd& end) override {
     closeConnection();
-    push([end](platform::EngineStreamHandler& handler) { handler.onEnd(end); }, true);
+    push([end](clients::EngineStreamHandler& handler) { handler.onEnd(end); }, true);
   }
-  void onError(const platform::DispatchError& error) override {
+  void onError(const clients::DispatchError& error) override {
     closeConnection();
-    push([error](platform::EngineStreamHandler& handler) { handler.onError(error); }, true);
+    push([error](clients::EngineStreamHandler& handler) { handler.onError(error); }, true);
   }
-  void failed(const platform::DispatchError& error) { onError(error); }
+  void failed(const clients::DispatchError& error) { onError(error); }
 
   bool cancelled() const { return handler_ == nullptr; }
   void cancel() {
@@ -63,10 +63,10 @@
   }
 
  private:
-  using Action = std::function<void(platform::EngineStreamHandler&)>;
+  using Action = std::function<void(clients::EngineStreamHandler&)>;
 
   void onLost() {
-    onError({platform::DispatchFailure::kOutcomeUnknown,
+    onError({clients::DispatchFailure::kOutcomeUnknown,
              {base::ResultCode::kBackEndLost, "the connection broke"}});
   }
 
@@ -95,7 +95,7 @@
     draining_ = false;
   }
 
-  platform::EngineStreamHandler* handler_;
+  clients::EngineStreamHandler* handler_;
   ConnectionPtr connection_;
   std::deque<Action> queue_;
   bool paused_ = false;
@@ -104,7 +104,7 @@
 };
 
 /// The node's handle of a stream.
-class StreamHandle final : public platform::EngineStream {
+class StreamHandle final : public clients::EngineStream {
  public:
   StreamHandle(std::shared_ptr<ClientStream> stream, Process& process)
       : stream_(std::move(stream)), process_(process) {}
@@ -137,14 +137,14 @@
       reports_(network, self, TrafficClass::kEngineReports),
       orders_(network, self, TrafficClass::kOrders) {}
 
-EngineHost* SimEngineClient::find(const platform::BackEndAddress& engine) const {
+EngineHost* SimEngineClient::find(const clients::BackEndAddress& engine) const {
   const auto* host = network_.findHost(engine.endpoint);
   return host == nullptr ? nullptr : engines_(*host);
 }
 
-std::unique_ptr<platform::EngineStream> SimEngineClient::start(
-    const platform::BackEndAddress& engine, platform::EngineRequest request,
-    platform::EngineStreamHandler& handler) {
+std::unique_ptr<clients::EngineStream> SimEngineClient::start(
+    const clients::BackEndAddress& engine, clients::EngineRequest request,
+    clients::EngineStreamHandler& handler) {
   auto stream = std::make_shared<ClientStream>(handler);
   auto handle = std::make_unique<StreamHandle>(stream, process_);
   auto* target = find(engine);
@@ -169,7 +169,7 @@
   return handle;
 }
 
-void SimEngineClient::askReport(const platform::BackEndAddress& engine,
+void SimEngineClient::askReport(const clients::BackEndAddress& engine,
                                 std::function<void(emulator::EngineModel&, ReportCallback)> ask,
                                 ReportCallback callback) {
   using Result = ExchangeResult<ReportAnswer>;
@@ -195,8 +195,8 @@
   reports_.call(std::move(request), reply);
 }
 
-void SimEngineClient::poll(const platform::BackEndAddress& engine, std::uint64_t fromSequence,
-                           std::function<void(std::optional<platform::EngineReport>)> callback) {
+void SimEngineClient::poll(const clients::BackEndAddress& engine, std::uint64_t fromSequence,
+                           std::function<void(std::optional<clients::EngineReport>)> callback) {
   askReport(
       engine,
       [fromSequence](emulator::EngineModel& model, ReportCallback done) {
@@ -205,22 +205,21 @@
       std::move(callback));
 }
 
-void SimEngineClient::snapshot(
-    const platform::BackEndAddress& engine,
-    std::function<void(std::optional<platform::EngineReport>)> callback) {
+void SimEngineClient::snapshot(const clients::BackEndAddress& engine,
+                               std::function<void(std::optional<clients::EngineReport>)> callback) {
   askReport(
       engine,
       [](emulator::EngineModel& model, ReportCallback done) { model.snapshot(std::move(done)); },
       std::move(callback));
 }
 
-void SimEngineClient::order(const platform::BackEndAddress& engine, platform::EngineOrder order,
-                            std::function<void(platform::OrderReply)> callback) {
-  using Pool = ExchangePool<platform::OrderReply>;
-  using Result = ExchangeResult<platform::OrderReply>;
+void SimEngineClient::order(const clients::BackEndAddress& engine, clients::EngineOrder order,
+                            std::function<void(clients::OrderReply)> callback) {
+  using Pool = ExchangePool<clients::OrderReply>;
+  using Result = ExchangeResult<clients::OrderReply>;
   const auto reply = process_.expect<Result>([callback = std::move(callback)](Result result) {
     if (result.status == ExchangeStatus::kNotSent) {
-      result.response.status = platform::OrderStatus::kUnreachable;
+      result.response.status = clients::OrderStatus::kUnreachable;
     }
     callback(std::move(result.response));
   });
@@ -236,7 +235,7 @@
   request.bytes = kOrderBytes;
   request.timeout = kEngineTimeout;
   request.serve = [target, order = std::move(order)](const Pool::Answer& answer) {
-    target->model().order(order, [answer](platform::OrderReply result) {
+    target->model().order(order, [answer](clients::OrderReply result) {
       answer(std::move(result), kEngineAnswerHead);
     });
   };
--- a/src/sim/engine_host.cc
+++ b/src/sim/engine_host.cc
@@ -12,7 +12,7 @@
 }  // namespace
 
 /// Passes one stream of the model on to its connection.
-class EngineHost::ServerStream final : public platform::EngineStreamHandler {
+class EngineHost::ServerStream final : public clients::EngineStreamHandler {
  public:
   ServerStream(EngineHost& owner, ConnectionPtr connection,
                std::shared_ptr<EngineStreamReceiver> receiver)
@@ -24,18 +24,18 @@
     send(kAnswerHead, [receiver = receiver_] { receiver->onAccepted(); });
   }
 
-  void onChunk(platform::StreamChunk chunk) override {
+  void onChunk(clients::StreamChunk chunk) override {
     buffered_.push_back(std::move(chunk));
     if (!firstSent_ || buffered_.size() >= owner_.options_.chunksPerMessage) flush();
   }
 
-  void onEnd(platform::StreamEnd end) override {
+  void onEnd(clients::StreamEnd end) override {
     flush();
     send(kEndBytes, [receiver = receiver_, end = std::move(end)] { receiver->onEnd(end); });
     finish();
   }
 
-  void onError(platform::DispatchError error) override {
+  void onError(clients::DispatchError error) override {
     flush();
     send(kAnswerHead,
          [receiver = receiver_, error = std::move(error)] { receiver->onError(error); });
@@ -74,7 +74,7 @@
   ConnectionPtr connection_;
   std::shared_ptr<EngineStreamReceiver> receiver_;
   emulator::ExecutionId execution_ = 0;
-  std::vector<platform::StreamChunk> buffered_;
+  std::vector<clients::StreamChunk> buffered_;
   bool firstSent_ = false;
   bool over_ = false;
 };
@@ -106,7 +106,7 @@
   model_.restart();
 }
 
-void EngineHost::serve(platform::EngineRequest request, const ConnectionPtr& connection,
+void EngineHost::serve(clients::EngineRequest request, const ConnectionPtr& connection,
                        std::shared_ptr<EngineStreamReceiver> receiver) {
   dropFinished();
   auto stream = std::make_unique<ServerStream>(*this, connection, std::move(receiver));
--- a/src/sim/engine_host.h
+++ b/src/sim/engine_host.h
@@ -21,9 +21,9 @@
  public:
   virtual ~EngineStreamReceiver() = default;
   virtual void onAccepted() = 0;
-  virtual void onChunks(const std::vector<platform::StreamChunk>& chunks) = 0;
-  virtual void onEnd(const platform::StreamEnd& end) = 0;
-  virtual void onError(const platform::DispatchError& error) = 0;
+  virtual void onChunks(const std::vector<clients::StreamChunk>& chunks) = 0;
+  virtual void onEnd(const clients::StreamEnd& end) = 0;
+  virtual void onError(const clients::DispatchError& error) = 0;
 };
 
 struct EngineHostOptions {
@@ -57,7 +57,7 @@
   void resume() { process_.resume(); }
 
   /// Serves a request that arrived on `connection`; what follows goes to `receiver`.
-  void serve(platform::EngineRequest request, const ConnectionPtr& connection,
+  void serve(clients::EngineRequest request, const ConnectionPtr& connection,
              std::shared_ptr<EngineStreamReceiver> receiver);
 
  private:
--- a/src/sim/engine_wire.h
+++ b/src/sim/engine_wire.h
@@ -7,7 +7,7 @@
 #include <optional>
 
 #include "base/time.h"
-#include "platform/engine_client.h"
+#include "clients/engine_client.h"
 
 namespace covewing::sim {
 
@@ -21,11 +21,11 @@
 inline constexpr std::size_t kEventBytes = 12;
 inline constexpr std::size_t kOrderBytes = 350;
 
-inline std::size_t reportBytes(const std::optional<platform::EngineReport>& report) {
+inline std::size_t reportBytes(const std::optional<clients::EngineReport>& report) {
   return kEngineAnswerHead + (report ? kReportFields + report->events.size() * kEventBytes : 0);
 }
 
-inline std::size_t generateBytes(const platform::EngineRequest& request) {
+inline std::size_t generateBytes(const clients::EngineRequest& request) {
   return kEngineRequestHead + kGenerateFields + request.generated.size() +
          (request.prompt ? request.prompt->size() : 0);
 }
--- a/src/sim/fleet.cc
+++ b/src/sim/fleet.cc
@@ -80,7 +80,7 @@
     row.cacheSalt = initial.cacheSalt;
     row.author = kInitialAuthor;
     row.operationId = std::string(kInitialAuthor) + "-" + initial.name;
-    platform::TableTransaction transaction;
+    clients::TableTransaction transaction;
     transaction.writes.push_back(
         {config::templateRowKey(row.name), config::encodeTemplateRow(row)});
     std::vector<config::FieldMistake> mistakes;
@@ -169,22 +169,22 @@
   for (auto& node : nodes_) node->start();
 }
 
-platform::Machine Fleet::engineMachine(std::size_t index) const {
+clients::Machine Fleet::engineMachine(std::size_t index) const {
   const auto& options = engines_[index]->options();
-  platform::Machine machine;
+  clients::Machine machine;
   machine.name = options.model.name;
-  machine.kind = platform::MachineKind::kEngine;
+  machine.kind = clients::MachineKind::kEngine;
   machine.endpoint = options.endpoint;
   machine.zone = options.zone;
   machine.region = options.region;
   return machine;
 }
 
-platform::Machine Fleet::applicationMachine(std::size_t index) const {
+clients::Machine Fleet::applicationMachine(std::size_t index) const {
   const auto& host = *applications_[index];
-  platform::Machine machine;
+  clients::Machine machine;
   machine.name = host.placement().model.name;
-  machine.kind = platform::MachineKind::kApplication;
+  machine.kind = clients::MachineKind::kApplication;
   machine.endpoint = host.endpoint();
   machine.zone = host.placement().location.zone;
   machine.region = host.placement().location.region;
@@ -194,14 +194,14 @@
 
 void Fleet::leaveEngine(std::size_t index) {
   auto machine = engineMachine(index);
-  machine.state = platform::MachineState::kLeaving;
+  machine.state = clients::MachineState::kLeaving;
   machines_->update(std::move(machine));
   engines_[index]->model().leave();
 }
 
 void Fleet::leaveApplication(std::size_t index) {
   auto machine = applicationMachine(index);
-  machine.state = platform::MachineState::kLeaving;
+  machine.state = clients::MachineState::kLeaving;
   machines_->update(std::move(machine));
   applications_[index]->model().leave();
 }
--- a/src/sim/fleet.h
+++ b/src/sim/fleet.h
@@ -63,8 +63,8 @@
   void addApplications();
   void addNodes();
   std::vector<base::Endpoint> seedEndpoints() const;
-  platform::Machine engineMachine(std::size_t index) const;
-  platform::Machine applicationMachine(std::size_t index) const;
+  clients::Machine engineMachine(std::size_t index) const;
+  clients::Machine applicationMachine(std::size_t index) const;
 
   FleetOptions options_;
   Scheduler scheduler_;
--- a/src/sim/fleet_options.h
+++ b/src/sim/fleet_options.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/event_log.h"
+#include "clients/engine_client.h"
 #include "emulator/application_model.h"
 #include "emulator/engine_options.h"
 #include "emulator/kept_cache_store_model.h"
@@ -18,7 +19,6 @@
 #include "emulator/table_model.h"
 #include "emulator/weight_store_model.h"
 #include "node/node.h"
-#include "platform/engine_client.h"
 #include "sim/exchange.h"
 #include "sim/network.h"
 
@@ -97,7 +97,7 @@
   ExchangeFaults applicationClientFaults;
   /// Makes the engine client of each run of each node, for engines that are no EngineHost of the
   /// fleet; empty: SimEngineClient.
-  std::function<std::unique_ptr<platform::EngineClient>(Network& network, HostId self)>
+  std::function<std::unique_ptr<clients::EngineClient>(Network& network, HostId self)>
       makeEngineClient;
 };
 
--- a/src/sim/history.h
+++ b/src/sim/history.h
@@ -15,8 +15,8 @@
 #include "base/ids.h"
 #include "base/result_code.h"
 #include "base/time.h"
+#include "clients/engine_client.h"
 #include "emulator/execution_observer.h"
-#include "platform/engine_client.h"
 #include "request/caller_request.h"
 
 namespace covewing::sim {
@@ -62,7 +62,7 @@
   std::uint64_t promptHash = 0;
   std::uint32_t maximumTokens = 0;
   std::vector<ReceivedChunk> chunks;
-  platform::StreamEnd end;
+  clients::StreamEnd end;
 
   // Proxied calls.
   std::string method;
@@ -163,8 +163,8 @@
 /// An order that reached an engine.
 struct OrderRecord {
   base::EngineId engine;
-  platform::EngineOrder order;
-  platform::OrderReply reply;
+  clients::EngineOrder order;
+  clients::OrderReply reply;
   base::TimePoint at;
 };
 
--- a/src/sim/history_recorder.cc
+++ b/src/sim/history_recorder.cc
@@ -156,7 +156,7 @@
   history_.leaves.push_back({backEnd, name, now()});
 }
 
-void HistoryRecorder::onRefused(base::EngineId engine, const platform::EngineRequest& request,
+void HistoryRecorder::onRefused(base::EngineId engine, const clients::EngineRequest& request,
                                 const base::Reason& /*reason*/) {
   history_.engineRefusals.push_back({engine, request.requestId, now()});
 }
@@ -180,8 +180,8 @@
   execution.provenances.assign(reuse.provenances.begin(), reuse.provenances.end());
 }
 
-void HistoryRecorder::onOrder(base::EngineId engine, const platform::EngineOrder& order,
-                              const platform::OrderReply& reply) {
+void HistoryRecorder::onOrder(base::EngineId engine, const clients::EngineOrder& order,
+                              const clients::OrderReply& reply) {
   history_.orders.push_back({engine, order, reply, now()});
   sampleLoads();
 }
--- a/src/sim/history_recorder.h
+++ b/src/sim/history_recorder.h
@@ -41,13 +41,13 @@
   void noteFault(std::string kind, std::string subject, base::Duration duration);
   void noteLeave(base::EngineId backEnd, const std::string& name);
 
-  void onRefused(base::EngineId engine, const platform::EngineRequest& request,
+  void onRefused(base::EngineId engine, const clients::EngineRequest& request,
                  const base::Reason& reason) override;
   void onAccepted(const emulator::ExecutionRecord& record) override;
   void onStarted(const emulator::ExecutionRecord& record,
                  const emulator::ExecutionReuse& reuse) override;
-  void onOrder(base::EngineId engine, const platform::EngineOrder& order,
-               const platform::OrderReply& reply) override;
+  void onOrder(base::EngineId engine, const clients::EngineOrder& order,
+               const clients::OrderReply& reply) override;
   void onApplicationExecuted(const emulator::ApplicationExecution& execution) override;
 
  private:
