--- a/src/sim/mutation.cc
+++ b/src/sim/mutation.cc
@@ -43,33 +43,33 @@
 // --- table service
 
 /// Passes everything on.
-class ForwardingTable : public platform::TableClient {
+class ForwardingTable : public clients::TableClient {
  public:
-  explicit ForwardingTable(platform::TableClient& inner) : inner_(inner) {}
-  void read(std::vector<std::string> keys, platform::TableCallback callback) override {
+  explicit ForwardingTable(clients::TableClient& inner) : inner_(inner) {}
+  void read(std::vector<std::string> keys, clients::TableCallback callback) override {
     inner_.read(std::move(keys), std::move(callback));
   }
   void scan(std::string prefix, base::Revision after, std::size_t limit,
-            platform::TableCallback callback) override {
+            clients::TableCallback callback) override {
     inner_.scan(std::move(prefix), after, limit, std::move(callback));
   }
-  void commit(platform::TableTransaction transaction, platform::TableCallback callback) override {
+  void commit(clients::TableTransaction transaction, clients::TableCallback callback) override {
     inner_.commit(std::move(transaction), std::move(callback));
   }
 
  protected:
-  platform::TableClient& inner() { return inner_; }
+  clients::TableClient& inner() { return inner_; }
 
  private:
-  platform::TableClient& inner_;
+  clients::TableClient& inner_;
 };
 
 /// Grants every claim.
 class ClaimingTable final : public ForwardingTable {
  public:
-  ClaimingTable(platform::TableClient& inner, base::TimerService& timers)
+  ClaimingTable(clients::TableClient& inner, base::TimerService& timers)
       : ForwardingTable(inner), timers_(timers) {}
-  void commit(platform::TableTransaction transaction, platform::TableCallback callback) override {
+  void commit(clients::TableTransaction transaction, clients::TableCallback callback) override {
     const bool claim = !transaction.writes.empty() &&
                        transaction.writes.front().key.starts_with(request::kClaimKeyPrefix);
     if (!claim) {
@@ -77,7 +77,7 @@
       return;
     }
     timers_.schedule(std::chrono::milliseconds(1), [callback = std::move(callback)] {
-      callback({platform::TableStatus::kOk, 1, {}});
+      callback({clients::TableStatus::kOk, 1, {}});
     });
   }
 
@@ -89,16 +89,16 @@
 class ForgetfulTable final : public ForwardingTable {
  public:
   using ForwardingTable::ForwardingTable;
-  void read(std::vector<std::string> keys, platform::TableCallback callback) override {
+  void read(std::vector<std::string> keys, clients::TableCallback callback) override {
     inner().read(std::move(keys), disguised(std::move(callback)));
   }
-  void commit(platform::TableTransaction transaction, platform::TableCallback callback) override {
+  void commit(clients::TableTransaction transaction, clients::TableCallback callback) override {
     std::vector<std::string> written;
     for (const auto& write : transaction.writes) written.push_back(write.key);
     inner().commit(
         std::move(transaction),
-        [this, written, callback = disguised(std::move(callback))](platform::TableReply reply) {
-          if (reply.status == platform::TableStatus::kUnknown) {
+        [this, written, callback = disguised(std::move(callback))](clients::TableReply reply) {
+          if (reply.status == clients::TableStatus::kUnknown) {
             lost_.insert(written.begin(), written.end());
           }
           callback(std::move(reply));
@@ -106,13 +106,13 @@
   }
 
  private:
-  platform::TableCallback disguised(platform::TableCallback callback) {
-    return [this, callback = std::move(callback)](platform::TableReply reply) {
+  clients::TableCallback disguised(clients::TableCallback callback) {
+    return [this, callback = std::move(callback)](clients::TableReply reply) {
       for (auto& row : reply.rows) disguise(row);
       callback(std::move(reply));
     };
   }
-  void disguise(platform::TableRow& row) const {
+  void disguise(clients::TableRow& row) const {
     if (!lost_.contains(row.key)) return;
     base::Reason reason;
     auto parsed = config::parseTemplateRow(row, reason);
@@ -129,16 +129,16 @@
  public:
   using ForwardingTable::ForwardingTable;
   void scan(std::string prefix, base::Revision after, std::size_t limit,
-            platform::TableCallback callback) override {
+            clients::TableCallback callback) override {
     inner().scan(std::move(prefix), after, limit,
-                 [this, callback = std::move(callback)](platform::TableReply reply) {
+                 [this, callback = std::move(callback)](clients::TableReply reply) {
                    for (auto& row : reply.rows) revert(row);
                    callback(std::move(reply));
                  });
   }
 
  private:
-  void revert(platform::TableRow& row) {
+  void revert(clients::TableRow& row) {
     if (!row.key.starts_with(config::kTemplatePrefix)) return;
     row.value = first_.emplace(row.key, row.value).first->second;
   }
@@ -148,32 +148,32 @@
 // --- engines
 
 /// Sits between a node and one stream; the node's own checks see only what it lets through.
-class StreamFilter final : public platform::EngineStream, public platform::EngineStreamHandler {
+class StreamFilter final : public clients::EngineStream, public clients::EngineStreamHandler {
  public:
   StreamFilter(Mutation mutation, std::uint64_t firstPosition,
-               platform::EngineStreamHandler& handler)
+               clients::EngineStreamHandler& handler)
       : mutation_(mutation), next_(firstPosition), handler_(handler) {}
-  void open(std::unique_ptr<platform::EngineStream> inner) { inner_ = std::move(inner); }
+  void open(std::unique_ptr<clients::EngineStream> inner) { inner_ = std::move(inner); }
 
   void setPaused(bool paused) override { inner_->setPaused(paused); }
   void onAccepted() override { handler_.onAccepted(); }
-  void onChunk(platform::StreamChunk chunk) override {
+  void onChunk(clients::StreamChunk chunk) override {
     if (mutation_ == Mutation::kNoPositionCheck) chunk.position = next_;
     ++next_;
     handler_.onChunk(std::move(chunk));
   }
-  void onEnd(platform::StreamEnd end) override { handler_.onEnd(std::move(end)); }
-  void onError(platform::DispatchError error) override {
-    const bool broken = error.failure == platform::DispatchFailure::kOutcomeUnknown;
+  void onEnd(clients::StreamEnd end) override { handler_.onEnd(std::move(end)); }
+  void onError(clients::DispatchError error) override {
+    const bool broken = error.failure == clients::DispatchFailure::kOutcomeUnknown;
     if (mutation_ == Mutation::kNoTerminalCheck && broken && next_ > 0) {
-      platform::StreamEnd end;
+      clients::StreamEnd end;
       end.outputTokens = static_cast<std::uint32_t>(next_);
       end.finishReason = "stop";
       handler_.onEnd(std::move(end));
       return;
     }
     if (mutation_ == Mutation::kUnknownAsNotSent) {
-      error.failure = platform::DispatchFailure::kNotSent;
+      error.failure = clients::DispatchFailure::kNotSent;
     }
     handler_.onError(std::move(error));
   }
@@ -181,18 +181,18 @@
  private:
   Mutation mutation_;
   std::uint64_t next_;
-  platform::EngineStreamHandler& handler_;
-  std::unique_ptr<platform::EngineStream> inner_;
+  clients::EngineStreamHandler& handler_;
+  std::unique_ptr<clients::EngineStream> inner_;
 };
 
-class FilteringEngines final : public platform::EngineClient {
+class FilteringEngines final : public clients::EngineClient {
  public:
-  FilteringEngines(Mutation mutation, platform::EngineClient& inner)
+  FilteringEngines(Mutation mutation, clients::EngineClient& inner)
       : mutation_(mutation), inner_(inner) {}
 
-  std::unique_ptr<platform::EngineStream> start(const platform::BackEndAddress& engine,
-                                                platform::EngineRequest request,
-                                                platform::EngineStreamHandler& handler) override {
+  std::unique_ptr<clients::EngineStream> start(const clients::BackEndAddress& engine,
+                                               clients::EngineRequest request,
+                                               clients::EngineStreamHandler& handler) override {
     auto filter = std::make_unique<StreamFilter>(mutation_, request.nextPosition, handler);
     // Without the check, a resume repeats what was received: the engine starts over.
     if (mutation_ == Mutation::kNoPositionCheck) {
@@ -203,68 +203,68 @@
     filter->open(inner_.start(engine, std::move(request), sink));
     return filter;
   }
-  void poll(const platform::BackEndAddress& engine, std::uint64_t fromSequence,
-            std::function<void(std::optional<platform::EngineReport>)> callback) override {
+  void poll(const clients::BackEndAddress& engine, std::uint64_t fromSequence,
+            std::function<void(std::optional<clients::EngineReport>)> callback) override {
     inner_.poll(engine, fromSequence, hideLeaving(std::move(callback)));
   }
-  void snapshot(const platform::BackEndAddress& engine,
-                std::function<void(std::optional<platform::EngineReport>)> callback) override {
+  void snapshot(const clients::BackEndAddress& engine,
+                std::function<void(std::optional<clients::EngineReport>)> callback) override {
     inner_.snapshot(engine, hideLeaving(std::move(callback)));
   }
-  void order(const platform::BackEndAddress& engine, platform::EngineOrder order,
-             std::function<void(platform::OrderReply)> callback) override {
+  void order(const clients::BackEndAddress& engine, clients::EngineOrder order,
+             std::function<void(clients::OrderReply)> callback) override {
     inner_.order(engine, std::move(order), std::move(callback));
   }
 
  private:
-  using ReportCallback = std::function<void(std::optional<platform::EngineReport>)>;
+  using ReportCallback = std::function<void(std::optional<clients::EngineReport>)>;
   ReportCallback hideLeaving(ReportCallback callback) const {
     if (mutation_ != Mutation::kDrainIgnored) return callback;
-    return [callback = std::move(callback)](std::optional<platform::EngineReport> report) {
+    return [callback = std::move(callback)](std::optional<clients::EngineReport> report) {
       if (report) report->leaving = false;
       callback(std::move(report));
     };
   }
 
   Mutation mutation_;
-  platform::EngineClient& inner_;
+  clients::EngineClient& inner_;
 };
 
 // --- applications and machine list
 
-class OptimisticApplications final : public platform::ApplicationClient {
+class OptimisticApplications final : public clients::ApplicationClient {
  public:
-  explicit OptimisticApplications(platform::ApplicationClient& inner) : inner_(inner) {}
-  void call(const platform::BackEndAddress& backEnd, platform::ApplicationRequest request,
-            std::function<void(platform::ApplicationResult)> callback) override {
+  explicit OptimisticApplications(clients::ApplicationClient& inner) : inner_(inner) {}
+  void call(const clients::BackEndAddress& backEnd, clients::ApplicationRequest request,
+            std::function<void(clients::ApplicationResult)> callback) override {
     inner_.call(backEnd, std::move(request),
-                [callback = std::move(callback)](platform::ApplicationResult result) {
-                  if (auto* error = std::get_if<platform::DispatchError>(&result)) {
-                    error->failure = platform::DispatchFailure::kNotSent;
+                [callback = std::move(callback)](clients::ApplicationResult result) {
+                  if (auto* error = std::get_if<clients::DispatchError>(&result)) {
+                    error->failure = clients::DispatchFailure::kNotSent;
                   }
                   callback(std::move(result));
                 });
   }
 
  private:
-  platform::ApplicationClient& inner_;
+  clients::ApplicationClient& inner_;
 };
 
-class UndrainedMachines final : public platform::MachineListClient {
+class UndrainedMachines final : public clients::MachineListClient {
  public:
-  explicit UndrainedMachines(platform::MachineListClient& inner) : inner_(inner) {}
-  void fetch(platform::MachineListCallback callback) override {
+  explicit UndrainedMachines(clients::MachineListClient& inner) : inner_(inner) {}
+  void fetch(clients::MachineListCallback callback) override {
     inner_.fetch(
-        [callback = std::move(callback)](std::optional<std::vector<platform::Machine>> machines) {
+        [callback = std::move(callback)](std::optional<std::vector<clients::Machine>> machines) {
           if (machines) {
-            for (auto& machine : *machines) machine.state = platform::MachineState::kLive;
+            for (auto& machine : *machines) machine.state = clients::MachineState::kLive;
           }
           callback(std::move(machines));
         });
   }
 
  private:
-  platform::MachineListClient& inner_;
+  clients::MachineListClient& inner_;
 };
 
 /// Holds the wrappers of one run of a node.
@@ -285,7 +285,7 @@
   }
 
  private:
-  std::unique_ptr<platform::TableClient> makeTable(node::NodeEnvironment& plain) const {
+  std::unique_ptr<clients::TableClient> makeTable(node::NodeEnvironment& plain) const {
     switch (mutation_) {
       case Mutation::kNoClaim:
         return std::make_unique<ClaimingTable>(plain.table, plain.timers);
@@ -299,10 +299,10 @@
   }
 
   Mutation mutation_;
-  std::unique_ptr<platform::TableClient> table_;
+  std::unique_ptr<clients::TableClient> table_;
   std::unique_ptr<FilteringEngines> engines_;
-  std::unique_ptr<platform::MachineListClient> machines_;
-  std::unique_ptr<platform::ApplicationClient> applications_;
+  std::unique_ptr<clients::MachineListClient> machines_;
+  std::unique_ptr<clients::ApplicationClient> applications_;
 };
 }  // namespace
 
--- a/src/sim/node_host.cc
+++ b/src/sim/node_host.cc
@@ -42,8 +42,8 @@
     caller_.onTaken(requestId(), incarnation());
   }
   void nodeLost() override { caller_.onNodeLost(); }
-  void onChunk(const platform::StreamChunk& chunk) override { caller_.onChunk(chunk); }
-  void onEnd(const platform::StreamEnd& end) override {
+  void onChunk(const clients::StreamChunk& chunk) override { caller_.onChunk(chunk); }
+  void onEnd(const clients::StreamEnd& end) override {
     finished();
     caller_.onEnd(end);
   }
@@ -66,7 +66,7 @@
     caller_.onTaken(requestId(), incarnation());
   }
   void nodeLost() override { caller_.onNodeLost(); }
-  void onResponse(const platform::ApplicationResponse& response) override {
+  void onResponse(const clients::ApplicationResponse& response) override {
     finished();
     caller_.onResponse(response);
   }
--- a/src/sim/node_host.h
+++ b/src/sim/node_host.h
@@ -107,7 +107,7 @@
     std::unique_ptr<SimTableClient> table;
     std::unique_ptr<SimObjectStoreClient> objects;
     std::unique_ptr<SimMachineListClient> machines;
-    std::unique_ptr<platform::EngineClient> engines;
+    std::unique_ptr<clients::EngineClient> engines;
     std::unique_ptr<SimApplicationClient> applications;
     std::unique_ptr<EnvironmentDecorator> decorator;
     std::unique_ptr<node::Node> node;
--- a/src/sim/platform_clients.cc
+++ b/src/sim/platform_clients.cc
@@ -12,13 +12,13 @@
 constexpr std::size_t kRowOverhead = 48;
 constexpr std::size_t kMachineBytes = 160;
 
-std::size_t bytesOf(const std::vector<platform::TableRow>& rows) {
+std::size_t bytesOf(const std::vector<clients::TableRow>& rows) {
   std::size_t sum = kAnswerHead;
   for (const auto& row : rows) sum += kRowOverhead + row.key.size() + row.value.size();
   return sum;
 }
 
-std::size_t bytesOf(const platform::TableTransaction& transaction) {
+std::size_t bytesOf(const clients::TableTransaction& transaction) {
   std::size_t sum = kRequestHead;
   for (const auto& condition : transaction.conditions) sum += kRowOverhead + condition.key.size();
   for (const auto& write : transaction.writes) {
@@ -27,17 +27,17 @@
   return sum;
 }
 
-platform::DispatchError dispatchError(ExchangeStatus status) {
+clients::DispatchError dispatchError(ExchangeStatus status) {
   if (status == ExchangeStatus::kNotSent) {
-    return {platform::DispatchFailure::kNotSent,
+    return {clients::DispatchFailure::kNotSent,
             {base::ResultCode::kBackEndUnreachable, "no connection"}};
   }
-  return {platform::DispatchFailure::kOutcomeUnknown,
+  return {clients::DispatchFailure::kOutcomeUnknown,
           {base::ResultCode::kBackEndLost, "no answer on this connection"}};
 }
 
-base::RequestId requestIdOf(const platform::ApplicationResult& result) {
-  const auto* response = std::get_if<platform::ApplicationResponse>(&result);
+base::RequestId requestIdOf(const clients::ApplicationResult& result) {
+  const auto* response = std::get_if<clients::ApplicationResponse>(&result);
   return response == nullptr ? base::RequestId{} : response->requestId;
 }
 }  // namespace
@@ -51,22 +51,22 @@
       model_(model),
       pool_(network, self, TrafficClass::kTable) {}
 
-void SimTableClient::call(std::size_t bytes, Operation operation, platform::TableStatus whenLost,
-                          platform::TableCallback callback) {
+void SimTableClient::call(std::size_t bytes, Operation operation, clients::TableStatus whenLost,
+                          clients::TableCallback callback) {
   Pool::Request request;
   request.server = server_;
   request.bytes = bytes;
   request.timeout = kPlatformTimeout;
   request.serve = [&model = model_, operation = std::move(operation)](const Pool::Answer& answer) {
-    operation(model, [answer](platform::TableReply reply) {
+    operation(model, [answer](clients::TableReply reply) {
       const auto size = bytesOf(reply.rows);
       answer(std::move(reply), size);
     });
   };
-  const auto reply = process_.expect<ExchangeResult<platform::TableReply>>(
-      [whenLost, callback = std::move(callback)](ExchangeResult<platform::TableReply> result) {
+  const auto reply = process_.expect<ExchangeResult<clients::TableReply>>(
+      [whenLost, callback = std::move(callback)](ExchangeResult<clients::TableReply> result) {
         if (result.status == ExchangeStatus::kNotSent) {
-          result.response.status = platform::TableStatus::kUnavailable;
+          result.response.status = clients::TableStatus::kUnavailable;
         } else if (result.status == ExchangeStatus::kNoAnswer) {
           result.response.status = whenLost;
         }
@@ -75,39 +75,39 @@
   pool_.call(std::move(request), reply);
 }
 
-void SimTableClient::read(std::vector<std::string> keys, platform::TableCallback callback) {
+void SimTableClient::read(std::vector<std::string> keys, clients::TableCallback callback) {
   std::size_t bytes = kRequestHead;
   for (const auto& key : keys) bytes += key.size();
   call(
       bytes,
-      [keys = std::move(keys)](emulator::TableModel& model, platform::TableCallback done) {
+      [keys = std::move(keys)](emulator::TableModel& model, clients::TableCallback done) {
         model.read(keys, std::move(done));
       },
-      platform::TableStatus::kUnavailable, std::move(callback));
+      clients::TableStatus::kUnavailable, std::move(callback));
 }
 
 void SimTableClient::scan(std::string prefix, base::Revision after, std::size_t limit,
-                          platform::TableCallback callback) {
+                          clients::TableCallback callback) {
   const auto bytes = kRequestHead + prefix.size();
   call(
       bytes,
       [prefix = std::move(prefix), after, limit](emulator::TableModel& model,
-                                                 platform::TableCallback done) {
+                                                 clients::TableCallback done) {
         model.scan(prefix, after, limit, std::move(done));
       },
-      platform::TableStatus::kUnavailable, std::move(callback));
+      clients::TableStatus::kUnavailable, std::move(callback));
 }
 
-void SimTableClient::commit(platform::TableTransaction transaction,
-                            platform::TableCallback callback) {
+void SimTableClient::commit(clients::TableTransaction transaction,
+                            clients::TableCallback callback) {
   const auto bytes = bytesOf(transaction);
   call(
       bytes,
       [transaction = std::move(transaction)](emulator::TableModel& model,
-                                             platform::TableCallback done) {
+                                             clients::TableCallback done) {
         model.commit(transaction, std::move(done));
       },
-      platform::TableStatus::kUnknown, std::move(callback));
+      clients::TableStatus::kUnknown, std::move(callback));
 }
 
 // --- object store
@@ -120,44 +120,44 @@
       pool_(network, self, TrafficClass::kObjectStore) {}
 
 void SimObjectStoreClient::call(std::size_t bytes, Operation operation,
-                                platform::ObjectCallback callback) {
-  using Pool = ExchangePool<platform::ObjectReply>;
+                                clients::ObjectCallback callback) {
+  using Pool = ExchangePool<clients::ObjectReply>;
   Pool::Request request;
   request.server = server_;
   request.bytes = bytes;
   request.timeout = kPlatformTimeout;
   request.serve = [&model = model_, operation = std::move(operation)](const Pool::Answer& answer) {
-    operation(model, [answer](platform::ObjectReply reply) {
+    operation(model, [answer](clients::ObjectReply reply) {
       const auto size = kAnswerHead + reply.bytes.size();
       answer(std::move(reply), size);
     });
   };
-  const auto reply = process_.expect<ExchangeResult<platform::ObjectReply>>(
-      [callback = std::move(callback)](ExchangeResult<platform::ObjectReply> result) {
+  const auto reply = process_.expect<ExchangeResult<clients::ObjectReply>>(
+      [callback = std::move(callback)](ExchangeResult<clients::ObjectReply> result) {
         if (result.status == ExchangeStatus::kNotSent) {
-          result.response.status = platform::ObjectStatus::kUnavailable;
+          result.response.status = clients::ObjectStatus::kUnavailable;
         }
         callback(std::move(result.response));
       });
   pool_.call(std::move(request), reply);
 }
 
-void SimObjectStoreClient::get(std::string name, platform::ObjectCallback callback) {
+void SimObjectStoreClient::get(std::string name, clients::ObjectCallback callback) {
   call(
       kRequestHead + name.size(),
-      [name](emulator::ObjectStoreModel& model, platform::ObjectCallback done) {
+      [name](emulator::ObjectStoreModel& model, clients::ObjectCallback done) {
         model.get(name, std::move(done));
       },
       std::move(callback));
 }
 
 void SimObjectStoreClient::put(std::string name, std::string bytes,
-                               platform::ObjectCallback callback) {
+                               clients::ObjectCallback callback) {
   const auto size = kRequestHead + name.size() + bytes.size();
   call(
       size,
       [name = std::move(name), bytes = std::move(bytes)](emulator::ObjectStoreModel& model,
-                                                         platform::ObjectCallback done) {
+                                                         clients::ObjectCallback done) {
         model.put(name, bytes, std::move(done));
       },
       std::move(callback));
@@ -172,7 +172,7 @@
       model_(model),
       pool_(network, self, TrafficClass::kMachineList) {}
 
-void SimMachineListClient::fetch(platform::MachineListCallback callback) {
+void SimMachineListClient::fetch(clients::MachineListCallback callback) {
   using Pool = ExchangePool<Answer>;
   Pool::Request request;
   request.server = server_;
@@ -201,16 +201,16 @@
       faults_(faults),
       pool_(network, self, TrafficClass::kData, faults) {}
 
-void SimApplicationClient::call(const platform::BackEndAddress& backEnd,
-                                platform::ApplicationRequest request,
-                                std::function<void(platform::ApplicationResult)> callback) {
-  using Pool = ExchangePool<platform::ApplicationResult>;
-  using Result = ExchangeResult<platform::ApplicationResult>;
+void SimApplicationClient::call(const clients::BackEndAddress& backEnd,
+                                clients::ApplicationRequest request,
+                                std::function<void(clients::ApplicationResult)> callback) {
+  using Pool = ExchangePool<clients::ApplicationResult>;
+  using Result = ExchangeResult<clients::ApplicationResult>;
   const auto reply =
       process_.expect<Result>([callback = std::move(callback), trusting = faults_.reuseAbandoned,
                                id = request.requestId](Result result) {
         if (result.status == ExchangeStatus::kAnswered) {
-          auto* response = std::get_if<platform::ApplicationResponse>(&result.response);
+          auto* response = std::get_if<clients::ApplicationResponse>(&result.response);
           if (trusting && response != nullptr) response->requestId = id;
           callback(std::move(result.response));
         } else {
@@ -228,14 +228,14 @@
   exchange.server = *server;
   exchange.bytes = kRequestHead + request.target.size() + request.body.size();
   exchange.timeout = request.timeout;
-  exchange.matches = [expected = request.requestId](const platform::ApplicationResult& result) {
-    return !std::holds_alternative<platform::ApplicationResponse>(result) ||
+  exchange.matches = [expected = request.requestId](const clients::ApplicationResult& result) {
+    return !std::holds_alternative<clients::ApplicationResponse>(result) ||
            requestIdOf(result) == expected;
   };
   exchange.serve = [model = replicas_(*server),
                     request = std::move(request)](const Pool::Answer& answer) {
     if (model == nullptr) return;
-    model->call(request, [answer](platform::ApplicationResult result) {
+    model->call(request, [answer](clients::ApplicationResult result) {
       answer(std::move(result), kAnswerHead);
     });
   };
--- a/src/sim/simulation_run.cc
+++ b/src/sim/simulation_run.cc
@@ -110,7 +110,7 @@
     if (acquired == history.log.end()) return;
     keepLongest(times.holderLossToNextLease, acquired->at - fault.from);
     const auto obeyed = std::ranges::find_if(history.orders, [&](const OrderRecord& order) {
-      return order.at >= acquired->at && order.reply.status == platform::OrderStatus::kAccepted;
+      return order.at >= acquired->at && order.reply.status == clients::OrderStatus::kAccepted;
     });
     if (obeyed != history.orders.end()) {
       keepLongest(times.holderLossToNextOrder, obeyed->at - fault.from);
@@ -197,7 +197,7 @@
     if (call.status == OperatorCallStatus::kAccepted) ++result.changesAccepted;
   }
   for (const auto& order : result.history.orders) {
-    if (order.reply.status == platform::OrderStatus::kAccepted) ++result.ordersObeyed;
+    if (order.reply.status == clients::OrderStatus::kAccepted) ++result.ordersObeyed;
   }
   return result;
 }
--- a/src/sim/workload.cc
+++ b/src/sim/workload.cc
@@ -79,14 +79,14 @@
   void onTaken(const base::RequestId& id, base::Incarnation incarnation) override {
     taken(id, incarnation);
   }
-  void onChunk(const platform::StreamChunk& chunk) override {
+  void onChunk(const clients::StreamChunk& chunk) override {
     if (open()) {
       record().chunks.push_back({chunk.position, chunk.text});
     } else if (record().ending != CallEnding::kDisconnected) {
       ++record().callsAfterEnd;
     }
   }
-  void onEnd(const platform::StreamEnd& got) override {
+  void onEnd(const clients::StreamEnd& got) override {
     if (record().ending == CallEnding::kDisconnected) return;
     if (!end(CallEnding::kComplete)) return;
     record().end = got;
@@ -111,7 +111,7 @@
   void onTaken(const base::RequestId& id, base::Incarnation incarnation) override {
     taken(id, incarnation);
   }
-  void onResponse(const platform::ApplicationResponse& response) override {
+  void onResponse(const clients::ApplicationResponse& response) override {
     if (!end(CallEnding::kComplete)) return;
     record().answeredRequestId = response.requestId;
     record().answerBody = response.body;
--- a/src/tools/covewing_bench_live_load.cc
+++ b/src/tools/covewing_bench_live_load.cc
@@ -108,7 +108,7 @@
         : done_  ? sim::CallEnding::kComplete
                  : sim::CallEnding::kNodeLost);
   }
-  void onFailure(platform::DispatchFailure /*failure*/, std::string /*detail*/) override {
+  void onFailure(clients::DispatchFailure /*failure*/, std::string /*detail*/) override {
     end(sim::CallEnding::kNodeLost);
   }
 
@@ -155,12 +155,12 @@
 };
 
 /// The same stream straight to an engine.
-class LiveLoad::StraightStream final : public Stream, public platform::EngineStreamHandler {
+class LiveLoad::StraightStream final : public Stream, public clients::EngineStreamHandler {
  public:
-  StraightStream(LiveLoad& owner, std::uint64_t number, const platform::BackEndAddress& engine,
+  StraightStream(LiveLoad& owner, std::uint64_t number, const clients::BackEndAddress& engine,
                  std::shared_ptr<const std::string> prompt)
       : Stream(owner, number, owner.straight_) {
-    platform::EngineRequest request;
+    clients::EngineRequest request;
     request.requestId.value = "bench-" + std::to_string(number);
     request.identity.tenantSalt = owner.options_.seed;
     request.identity.model = owner.options_.model;
@@ -170,12 +170,12 @@
     stream_ = owner.engines_.start(engine, std::move(request), *this);
   }
   void onAccepted() override {}
-  void onChunk(platform::StreamChunk /*chunk*/) override { noteToken(); }
-  void onEnd(platform::StreamEnd /*end*/) override { over(true); }
-  void onError(platform::DispatchError /*error*/) override { over(false); }
+  void onChunk(clients::StreamChunk /*chunk*/) override { noteToken(); }
+  void onEnd(clients::StreamEnd /*end*/) override { over(true); }
+  void onError(clients::DispatchError /*error*/) override { over(false); }
 
  private:
-  std::unique_ptr<platform::EngineStream> stream_;
+  std::unique_ptr<clients::EngineStream> stream_;
 };
 
 LiveLoad::LiveLoad(boost::asio::io_context& context, const LiveOptions& options)
@@ -208,10 +208,10 @@
   if (options_.engines.empty()) return;
   bool answered = false;
   engines_.poll(options_.engines.front(), 0,
-                [this, &answered](const std::optional<platform::EngineReport>& report) {
+                [this, &answered](const std::optional<clients::EngineReport>& report) {
                   answered = true;
                   if (!report.has_value()) return;
-                  for (const platform::LoadedWeights& weights : report->weights) {
+                  for (const clients::LoadedWeights& weights : report->weights) {
                     if (weights.model == options_.model) weightsVersion_ = weights.version;
                   }
                 });
--- a/src/tools/covewing_bench_live_options.h
+++ b/src/tools/covewing_bench_live_options.h
@@ -9,7 +9,7 @@
 
 #include "base/endpoint.h"
 #include "base/time.h"
-#include "platform/back_end.h"
+#include "clients/back_end.h"
 
 namespace covewing::tools {
 
@@ -17,7 +17,7 @@
   /// Caller listeners of nodes; streams take them in turn.
   std::vector<base::Endpoint> nodes;
   /// Engines that half of the streams go straight to; empty: all streams go through nodes.
-  std::vector<platform::BackEndAddress> engines;
+  std::vector<clients::BackEndAddress> engines;
   /// Admin service of the emulator, for the record of executions.
   std::optional<base::Endpoint> admin;
   std::string bearerKey;
--- a/tests/config/cold_start_test.cc
+++ b/tests/config/cold_start_test.cc
@@ -28,7 +28,7 @@
   }
 
   void commit(const std::string& name, const std::string& document) {
-    const platform::TableRow row = rowOf(name, document, 0);
+    const clients::TableRow row = rowOf(name, document, 0);
     platform.table.commitNow({{}, {{row.key, row.value}}});
   }
   void start(std::size_t index) {
--- a/tests/config/configuration_distributor_test.cc
+++ b/tests/config/configuration_distributor_test.cc
@@ -87,7 +87,7 @@
 
   base::Revision commit(const std::string& name, const std::string& document,
                         bool retired = false) {
-    const platform::TableRow row = rowOf(name, document, 0, retired);
+    const clients::TableRow row = rowOf(name, document, 0, retired);
     return platform.table.commitNow({{}, {{row.key, row.value}}}).revision;
   }
   void commitTenants(std::size_t count) {
@@ -98,7 +98,7 @@
   }
   /// Commits and hands the row to a node, as its editor does.
   base::Revision accept(std::size_t node, const std::string& name, const std::string& document) {
-    platform::TableRow row = rowOf(name, document, 0);
+    clients::TableRow row = rowOf(name, document, 0);
     row.revision = platform.table.commitNow({{}, {{row.key, row.value}}}).revision;
     nodes_[node].distributor->onAccepted(row);
     return row.revision;
@@ -386,7 +386,7 @@
       encode(ConfigurationSnapshot{0, 9, {rowOf("x", wholeDocument("x"), 3)}});
   BOOST_TEST(decodeSnapshot(sound, reason).has_value());
   fleet.platform.objects.put(std::string(kSnapshotObject), sound.substr(0, sound.size() - 1),
-                             [](const platform::ObjectReply&) {});
+                             [](const clients::ObjectReply&) {});
   fleet.platform.table.conditions().setMode(ServiceMode::kDown);
   fleet.time.runFor(seconds(1));
   fleet.startAll();
--- a/tests/config/configuration_store_test.cc
+++ b/tests/config/configuration_store_test.cc
@@ -97,7 +97,7 @@
 
 RC_BOOST_PROP(DigestAndContentDoNotDependOnTheOrderOfArrival, ()) {
   const auto revisions = *rc::gen::container<std::vector<int>>(12, rc::gen::inRange(0, 12));
-  std::vector<platform::TableRow> rows;
+  std::vector<clients::TableRow> rows;
   for (std::size_t index = 0; index < revisions.size(); ++index) {
     const std::string name = "t" + std::to_string(index % 4);
     rows.push_back(rowOf(name, wholeDocument(name), static_cast<base::Revision>(revisions[index])));
@@ -133,7 +133,7 @@
 
 BOOST_AUTO_TEST_CASE(TenantsOnABaseTakeFewBytes) {
   constexpr std::size_t kTenants = 7400;
-  std::vector<platform::TableRow> rows = {rowOf("common", baseDocument(), 1)};
+  std::vector<clients::TableRow> rows = {rowOf("common", baseDocument(), 1)};
   for (std::size_t index = 0; index < kTenants; ++index) {
     const std::string name = "stall-" + std::to_string(index);
     rows.push_back(rowOf(name, tenantDocument(name), index + 2));
--- a/tests/config/template_editor_test.cc
+++ b/tests/config/template_editor_test.cc
@@ -21,9 +21,9 @@
         store_({}, process, log_),
         editor_({}, process, process.random, log_, table_, store_, *this) {}
 
-  void onAccepted(const platform::TableRow& row) override { store_.apply(row); }
+  void onAccepted(const clients::TableRow& row) override { store_.apply(row); }
   void catchUp() {
-    const platform::TableReply reply =
+    const clients::TableReply reply =
         platform_.table.scanNow(std::string(kTemplatePrefix), 0, 100'000);
     for (const auto& row : reply.rows) store_.apply(row);
     store_.advance(reply.revision);
--- a/tests/config/template_fixtures.h
+++ b/tests/config/template_fixtures.h
@@ -34,8 +34,8 @@
          "}}";
 }
 
-inline platform::TableRow rowOf(const std::string& name, const std::string& document,
-                                base::Revision revision, bool retired = false) {
+inline clients::TableRow rowOf(const std::string& name, const std::string& document,
+                               base::Revision revision, bool retired = false) {
   TemplateRow row;
   row.name = name;
   row.document = document;
--- a/tests/config/virtual_platform.h
+++ b/tests/config/virtual_platform.h
@@ -28,30 +28,30 @@
   std::uint64_t calls = 0;
 };
 
-class VirtualTableClient final : public platform::TableClient {
+class VirtualTableClient final : public clients::TableClient {
  public:
   VirtualTableClient(VirtualPlatform& service, VirtualProcess& process)
       : service_(service), process_(process) {}
 
-  void read(std::vector<std::string> keys, platform::TableCallback callback) override {
+  void read(std::vector<std::string> keys, clients::TableCallback callback) override {
     ++service_.calls;
     service_.table.read(std::move(keys), onProcess(std::move(callback)));
   }
   void scan(std::string prefix, base::Revision after, std::size_t limit,
-            platform::TableCallback callback) override {
+            clients::TableCallback callback) override {
     ++service_.calls;
     if (cutOff)
-      return process_.run([callback] { callback({platform::TableStatus::kUnknown, 0, {}}); });
+      return process_.run([callback] { callback({clients::TableStatus::kUnknown, 0, {}}); });
     service_.table.scan(std::move(prefix), after, limit, onProcess(std::move(callback)));
   }
-  void commit(platform::TableTransaction transaction, platform::TableCallback callback) override {
+  void commit(clients::TableTransaction transaction, clients::TableCallback callback) override {
     ++service_.calls;
     if (service_.random.unit() >= service_.lateCommits) {
       service_.table.commit(std::move(transaction), onProcess(std::move(callback)));
       return;
     }
     process_.schedule(std::chrono::milliseconds(20), [callback = std::move(callback)] {
-      callback({platform::TableStatus::kUnknown, 0, {}});
+      callback({clients::TableStatus::kUnknown, 0, {}});
     });
     const auto delay = std::chrono::milliseconds(service_.random.below(1000));
     service_.process.schedule(delay, [&service = service_, transaction = std::move(transaction)] {
@@ -63,8 +63,8 @@
   bool cutOff = false;
 
  private:
-  platform::TableCallback onProcess(platform::TableCallback callback) {
-    return [&process = process_, callback = std::move(callback)](platform::TableReply reply) {
+  clients::TableCallback onProcess(clients::TableCallback callback) {
+    return [&process = process_, callback = std::move(callback)](clients::TableReply reply) {
       process.schedule(base::Duration{0},
                        [callback, reply = std::move(reply)] { callback(reply); });
     };
@@ -74,21 +74,21 @@
   VirtualProcess& process_;
 };
 
-class VirtualObjectStoreClient final : public platform::ObjectStoreClient {
+class VirtualObjectStoreClient final : public clients::ObjectStoreClient {
  public:
   VirtualObjectStoreClient(VirtualPlatform& service, VirtualProcess& process)
       : service_(service), process_(process) {}
 
-  void get(std::string name, platform::ObjectCallback callback) override {
+  void get(std::string name, clients::ObjectCallback callback) override {
     service_.objects.get(std::move(name), onProcess(std::move(callback)));
   }
-  void put(std::string name, std::string bytes, platform::ObjectCallback callback) override {
+  void put(std::string name, std::string bytes, clients::ObjectCallback callback) override {
     service_.objects.put(std::move(name), std::move(bytes), onProcess(std::move(callback)));
   }
 
  private:
-  platform::ObjectCallback onProcess(platform::ObjectCallback callback) {
-    return [&process = process_, callback = std::move(callback)](platform::ObjectReply reply) {
+  clients::ObjectCallback onProcess(clients::ObjectCallback callback) {
+    return [&process = process_, callback = std::move(callback)](clients::ObjectReply reply) {
       process.schedule(base::Duration{0},
                        [callback, reply = std::move(reply)] { callback(reply); });
     };
--- a/tests/coordination/coordination_world.h
+++ b/tests/coordination/coordination_world.h
@@ -63,21 +63,21 @@
 };
 
 // A node's way to the table.
-class NodeTable final : public platform::TableClient {
+class NodeTable final : public clients::TableClient {
  public:
   NodeTable(NodeTime& time, emulator::VirtualTime& network, emulator::TableModel& table)
       : time_(time), network_(network), table_(table) {}
 
-  void read(std::vector<std::string> keys, platform::TableCallback callback) override {
+  void read(std::vector<std::string> keys, clients::TableCallback callback) override {
     if (refuse(callback)) return;
     table_.read(std::move(keys), wrap(std::move(callback)));
   }
   void scan(std::string prefix, base::Revision after, std::size_t limit,
-            platform::TableCallback callback) override {
+            clients::TableCallback callback) override {
     if (refuse(callback)) return;
     table_.scan(std::move(prefix), after, limit, wrap(std::move(callback)));
   }
-  void commit(platform::TableTransaction transaction, platform::TableCallback callback) override {
+  void commit(clients::TableTransaction transaction, clients::TableCallback callback) override {
     if (refuse(callback)) return;
     const bool writesOrder = transaction.writes.front().key.starts_with("order/");
     if (!writesOrder || holdNextOrderWriteFor == base::Duration::zero()) {
@@ -95,16 +95,16 @@
   std::size_t calls = 0;
 
  private:
-  bool refuse(const platform::TableCallback& callback) {
+  bool refuse(const clients::TableCallback& callback) {
     ++calls;
     if (!cutOff) return false;
     time_.schedule(std::chrono::milliseconds(1), [callback] {
-      callback({platform::TableStatus::kUnavailable, 0, {}});
+      callback({clients::TableStatus::kUnavailable, 0, {}});
     });
     return true;
   }
-  platform::TableCallback wrap(platform::TableCallback callback) {
-    return [&time = time_, alive = time_.life(), callback](const platform::TableReply& reply) {
+  clients::TableCallback wrap(clients::TableCallback callback) {
+    return [&time = time_, alive = time_.life(), callback](const clients::TableReply& reply) {
       if (!alive.expired()) time.run([callback, reply] { callback(reply); });
     };
   }
@@ -145,7 +145,7 @@
   explicit WorldEngines(emulator::TestWorld& world) : world_(world) {}
 
   emulator::EngineModel& add(const std::string& name, const std::string& zone,
-                             std::vector<platform::LoadedWeights> weights) {
+                             std::vector<clients::LoadedWeights> weights) {
     emulator::EngineModelOptions options;
     options.name = name;
     options.weights = std::move(weights);
@@ -187,10 +187,10 @@
     return count;
   }
 
-  void onOrder(base::EngineId engine, const platform::EngineOrder& order,
-               const platform::OrderReply& reply) override {
-    if (reply.status == platform::OrderStatus::kFencedOff) ++fencedOff;
-    if (reply.status != platform::OrderStatus::kAccepted) return;
+  void onOrder(base::EngineId engine, const clients::EngineOrder& order,
+               const clients::OrderReply& reply) override {
+    if (reply.status == clients::OrderStatus::kFencedOff) ++fencedOff;
+    if (reply.status != clients::OrderStatus::kAccepted) return;
     ++accepted;
     BOOST_TEST(order.fencingToken >= highestToken[engine]);
     highestToken[engine] = order.fencingToken;
@@ -208,20 +208,20 @@
 };
 
 // A node's way to the engines: a millisecond there, answers held while the node is paused.
-class NodeEngines final : public platform::EngineClient {
+class NodeEngines final : public clients::EngineClient {
  public:
   NodeEngines(NodeTime& time, emulator::VirtualTime& network, WorldEngines& engines)
       : time_(time), network_(network), engines_(engines) {}
 
-  std::unique_ptr<platform::EngineStream> start(const platform::BackEndAddress&,
-                                                platform::EngineRequest,
-                                                platform::EngineStreamHandler&) override {
+  std::unique_ptr<clients::EngineStream> start(const clients::BackEndAddress&,
+                                               clients::EngineRequest,
+                                               clients::EngineStreamHandler&) override {
     return nullptr;
   }
-  void snapshot(const platform::BackEndAddress&,
-                std::function<void(std::optional<platform::EngineReport>)>) override {}
-  void poll(const platform::BackEndAddress& address, std::uint64_t fromSequence,
-            std::function<void(std::optional<platform::EngineReport>)> callback) override {
+  void snapshot(const clients::BackEndAddress&,
+                std::function<void(std::optional<clients::EngineReport>)>) override {}
+  void poll(const clients::BackEndAddress& address, std::uint64_t fromSequence,
+            std::function<void(std::optional<clients::EngineReport>)> callback) override {
     network_.schedule(kDelay, [&time = time_, &engines = engines_, alive = time_.life(),
                                id = address.id, fromSequence, callback] {
       engines.find(id)->report(fromSequence, [&time, alive, callback](const auto& report) {
@@ -229,8 +229,8 @@
       });
     });
   }
-  void order(const platform::BackEndAddress& address, platform::EngineOrder order,
-             std::function<void(platform::OrderReply)> callback) override {
+  void order(const clients::BackEndAddress& address, clients::EngineOrder order,
+             std::function<void(clients::OrderReply)> callback) override {
     const base::Duration delay = kDelay + std::exchange(holdNextOrderFor, base::Duration::zero());
     network_.schedule(delay, [&time = time_, &engines = engines_, alive = time_.life(),
                               id = address.id, order, callback] {
--- a/tests/coordination/order_execution_test.cc
+++ b/tests/coordination/order_execution_test.cc
@@ -321,7 +321,7 @@
   Fleet fleet(3);
   OrderRequest request;
   request.type = OrderType::kRole;
-  request.role = platform::EngineRole::kStandby;
+  request.role = clients::EngineRole::kStandby;
   request.engines = {"rules-0", "rules-1", "rules-2"};
   const std::string id = fleet.createOrder(fleet.bystander(), request);
   fleet.run(seconds(20));
--- a/tests/emulator/application_model_test.cc
+++ b/tests/emulator/application_model_test.cc
@@ -12,11 +12,11 @@
 
 namespace {
 
-using platform::ApplicationRequest;
-using platform::ApplicationResponse;
-using platform::ApplicationResult;
-using platform::DispatchError;
-using platform::DispatchFailure;
+using clients::ApplicationRequest;
+using clients::ApplicationResponse;
+using clients::ApplicationResult;
+using clients::DispatchError;
+using clients::DispatchFailure;
 
 class ExecutionCounter final : public ExecutionObserver {
  public:
--- a/tests/emulator/engine_model_test.cc
+++ b/tests/emulator/engine_model_test.cc
@@ -19,32 +19,32 @@
 using base::Duration;
 using base::PriorityClass;
 using base::ResultCode;
-using platform::DispatchFailure;
-using platform::EngineRequest;
+using clients::DispatchFailure;
+using clients::EngineRequest;
 
 constexpr std::uint32_t kBlockTokens = prefix::kTokensPerBlock;
 
 /// Keeps what one stream got and when.
-class StreamRecorder final : public platform::EngineStreamHandler {
+class StreamRecorder final : public clients::EngineStreamHandler {
  public:
   explicit StreamRecorder(const base::Clock& clock) : clock_(clock) {}
   void onAccepted() override { accepted = true; }
-  void onChunk(platform::StreamChunk chunk) override {
+  void onChunk(clients::StreamChunk chunk) override {
     if (!firstChunkAt) firstChunkAt = clock_.now();
     if (!positions.empty()) BOOST_TEST(chunk.position == positions.back() + 1);
     positions.push_back(chunk.position);
     text += chunk.text;
     if (whenChunk) whenChunk();
   }
-  void onEnd(platform::StreamEnd streamEnd) override { end = std::move(streamEnd); }
-  void onError(platform::DispatchError streamError) override { error = std::move(streamError); }
+  void onEnd(clients::StreamEnd streamEnd) override { end = std::move(streamEnd); }
+  void onError(clients::DispatchError streamError) override { error = std::move(streamError); }
 
   bool accepted = false;
   std::optional<base::TimePoint> firstChunkAt;
   std::vector<std::uint64_t> positions;
   std::string text;
-  std::optional<platform::StreamEnd> end;
-  std::optional<platform::DispatchError> error;
+  std::optional<clients::StreamEnd> end;
+  std::optional<clients::DispatchError> error;
   std::function<void()> whenChunk;
 
  private:
@@ -61,9 +61,9 @@
     }
     if (hasReuseMismatch(record, reuse)) ++mismatches;
   }
-  void onOrder(base::EngineId /*engine*/, const platform::EngineOrder& /*order*/,
-               const platform::OrderReply& reply) override {
-    if (reply.status == platform::OrderStatus::kAccepted) ++ordersTaken;
+  void onOrder(base::EngineId /*engine*/, const clients::EngineOrder& /*order*/,
+               const clients::OrderReply& reply) override {
+    if (reply.status == clients::OrderStatus::kAccepted) ++ordersTaken;
   }
   int identityMismatches = 0;
   int incarnationMismatches = 0;
@@ -121,23 +121,23 @@
   }
 };
 
-platform::EngineReport reportOf(EngineModel& engine, std::uint64_t from = 0) {
-  std::optional<platform::EngineReport> answer;
+clients::EngineReport reportOf(EngineModel& engine, std::uint64_t from = 0) {
+  std::optional<clients::EngineReport> answer;
   engine.report(from, [&](auto report) { answer = std::move(report); });
   BOOST_REQUIRE(answer.has_value());
   return *answer;
 }
 
-platform::OrderReply give(EngineModel& engine, platform::EngineOrder order) {
-  std::optional<platform::OrderReply> answer;
+clients::OrderReply give(EngineModel& engine, clients::EngineOrder order) {
+  std::optional<clients::OrderReply> answer;
   engine.order(std::move(order), [&](auto reply) { answer = std::move(reply); });
   BOOST_REQUIRE(answer.has_value());
   return *answer;
 }
 
-platform::EngineOrder loadOrder(std::string id, base::FencingToken token,
-                                base::WeightsVersion version) {
-  return {std::move(id), token, platform::OrderKind::kLoadWeights, {"rules", version, {}}, {}};
+clients::EngineOrder loadOrder(std::string id, base::FencingToken token,
+                               base::WeightsVersion version) {
+  return {std::move(id), token, clients::OrderKind::kLoadWeights, {"rules", version, {}}, {}};
 }
 
 }  // namespace
@@ -627,7 +627,7 @@
 BOOST_AUTO_TEST_CASE(snapshotHoldsTheWholeCache) {
   EngineModel engine = makeEngine(engineOptions());
   complete(engine, request(promptOf(6, 'a')));
-  std::optional<platform::EngineReport> snapshot;
+  std::optional<clients::EngineReport> snapshot;
   engine.snapshot([&](auto report) { snapshot = std::move(report); });
   BOOST_REQUIRE(snapshot.has_value());
   BOOST_TEST(snapshot->events.size() == 6U);
@@ -650,23 +650,23 @@
 
 BOOST_AUTO_TEST_CASE(ordersAreFencedAndRepeatable) {
   EngineModel engine = makeEngine(engineOptions());
-  BOOST_TEST((give(engine, loadOrder("one", 5, 2)).status == platform::OrderStatus::kAccepted));
+  BOOST_TEST((give(engine, loadOrder("one", 5, 2)).status == clients::OrderStatus::kAccepted));
   BOOST_TEST(engine.weights().size() == 1U);
   time.run(600ms);
   BOOST_TEST(engine.weights().size() == 2U);
   BOOST_TEST(reportOf(engine).lastOrder == "one");
-  BOOST_TEST((give(engine, loadOrder("one", 5, 2)).status == platform::OrderStatus::kAccepted));
+  BOOST_TEST((give(engine, loadOrder("one", 5, 2)).status == clients::OrderStatus::kAccepted));
   BOOST_TEST(provenances.ordersTaken == 1);
   const auto fenced = give(engine, loadOrder("two", 4, 3));
-  BOOST_TEST((fenced.status == platform::OrderStatus::kFencedOff));
+  BOOST_TEST((fenced.status == clients::OrderStatus::kFencedOff));
   BOOST_TEST(fenced.fencingToken == 5U);
-  BOOST_TEST((give(engine, loadOrder("three", 6, 3)).status == platform::OrderStatus::kInvalid));
+  BOOST_TEST((give(engine, loadOrder("three", 6, 3)).status == clients::OrderStatus::kInvalid));
   engine.crash();
   engine.restart();
   BOOST_TEST(engine.weights().empty());
   time.run(2s);
   BOOST_TEST(engine.weights().size() == 2U);
-  BOOST_TEST((give(engine, loadOrder("four", 4, 3)).status == platform::OrderStatus::kFencedOff));
+  BOOST_TEST((give(engine, loadOrder("four", 4, 3)).status == clients::OrderStatus::kFencedOff));
 }
 
 BOOST_AUTO_TEST_CASE(loadingWeightsStallsStepsWithoutBreakingStreams) {
@@ -692,8 +692,8 @@
   StreamRecorder running(time);
   engine.submit(request(promptOf(8, 'a'), 100), running);
   time.run(100ms);
-  platform::EngineOrder unload = loadOrder("unload", 1, 1);
-  unload.kind = platform::OrderKind::kUnloadWeights;
+  clients::EngineOrder unload = loadOrder("unload", 1, 1);
+  unload.kind = clients::OrderKind::kUnloadWeights;
   give(engine, unload);
   StreamRecorder late(time);
   engine.submit(request(promptOf(8, 'a')), late);
@@ -710,8 +710,8 @@
 
 BOOST_AUTO_TEST_CASE(standbyEngineRefusesRequests) {
   EngineModel engine = makeEngine(engineOptions());
-  platform::EngineOrder order{
-      "role", 1, platform::OrderKind::kChangeRole, {}, platform::EngineRole::kStandby};
+  clients::EngineOrder order{
+      "role", 1, clients::OrderKind::kChangeRole, {}, clients::EngineRole::kStandby};
   give(engine, order);
   BOOST_TEST((complete(engine, request(promptOf(2, 'a'))).error.value().failure ==
               DispatchFailure::kRefusedNotRun));
--- a/tests/emulator/fleet_model_test.cc
+++ b/tests/emulator/fleet_model_test.cc
@@ -12,12 +12,12 @@
 
 namespace {
 
-class SilentStream final : public platform::EngineStreamHandler {
+class SilentStream final : public clients::EngineStreamHandler {
  public:
   void onAccepted() override {}
-  void onChunk(platform::StreamChunk /*chunk*/) override { ++chunks; }
-  void onEnd(platform::StreamEnd /*end*/) override { ended = true; }
-  void onError(platform::DispatchError /*error*/) override {}
+  void onChunk(clients::StreamChunk /*chunk*/) override { ++chunks; }
+  void onEnd(clients::StreamEnd /*end*/) override { ended = true; }
+  void onError(clients::DispatchError /*error*/) override {}
   int chunks = 0;
   bool ended = false;
 };
@@ -29,7 +29,7 @@
   fleet.addObserver(digest);
   std::vector<SilentStream> streams(fleet.engineCount());
   for (std::size_t index = 0; index < fleet.engineCount(); ++index) {
-    platform::EngineRequest request;
+    clients::EngineRequest request;
     request.requestId.value = "q" + std::to_string(index);
     request.identity = {1, "stallholder", "", 1};
     request.prompt = std::make_shared<const std::string>(6400, 'n');
--- a/tests/emulator/platform_models_test.cc
+++ b/tests/emulator/platform_models_test.cc
@@ -14,10 +14,10 @@
 namespace {
 
 using base::BlockHash;
-using platform::ObjectStatus;
-using platform::TableReply;
-using platform::TableStatus;
-using platform::TableTransaction;
+using clients::ObjectStatus;
+using clients::TableReply;
+using clients::TableStatus;
+using clients::TableTransaction;
 
 TableTransaction set(const std::string& key, const std::string& value, base::Revision expected) {
   return TableTransaction{{{key, expected}}, {{key, value}}};
@@ -131,7 +131,7 @@
   ObjectStoreModel store(ServiceOptions{}, time, time, random);
   std::vector<ObjectStatus> statuses;
   std::string bytes;
-  const auto note = [&](const platform::ObjectReply& reply) {
+  const auto note = [&](const clients::ObjectReply& reply) {
     statuses.push_back(reply.status);
     bytes = reply.bytes;
   };
@@ -160,20 +160,20 @@
   MachineListOptions options;
   options.lag = 2s;
   MachineListModel list(options, time, time, random);
-  platform::Machine machine{"rules-01", {}, {}, {}, "a", "r", {}};
+  clients::Machine machine{"rules-01", {}, {}, {}, "a", "r", {}};
   list.addInitial(machine);
   BOOST_TEST(list.visible().size() == 1U);
-  machine.state = platform::MachineState::kLeaving;
+  machine.state = clients::MachineState::kLeaving;
   list.update(machine);
   list.remove("rules-01");
   time.run(900ms);
-  BOOST_TEST((list.visible().at(0).state == platform::MachineState::kLive));
+  BOOST_TEST((list.visible().at(0).state == clients::MachineState::kLive));
   time.run(3s);
   BOOST_TEST(list.visible().empty());
   machine.name = "rules-02";
   list.update(machine);
   list.setLag(0s);
-  std::optional<std::vector<platform::Machine>> fetched;
+  std::optional<std::vector<clients::Machine>> fetched;
   list.fetch([&](auto machines) { fetched = std::move(machines); });
   time.run(500ms);
   BOOST_TEST(fetched.value().empty());
--- a/tests/live/http_client_test.cc
+++ b/tests/live/http_client_test.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-using platform::DispatchFailure;
+using clients::DispatchFailure;
 
 /// A server that answers each connection with the bytes that a test tells it to, then may close it.
 class ScriptedServer {
--- a/tests/live/platform_json_test.cc
+++ b/tests/live/platform_json_test.cc
@@ -20,12 +20,12 @@
     "evicted": "AgAAAAAAAAA=", "exported": "", "order": "es"})");
   BOOST_REQUIRE(report.has_value());
   BOOST_TEST(report->incarnation == 9U);
-  BOOST_TEST((report->role == platform::EngineRole::kStandby));
+  BOOST_TEST((report->role == clients::EngineRole::kStandby));
   BOOST_TEST(report->leaving);
   BOOST_TEST(report->load.waiting[3] == 3U);
   BOOST_TEST(report->load.queuedPrefillTokens[0] == 4U);
   BOOST_REQUIRE(report->events.size() == 2U);
-  BOOST_TEST((report->events[0].kind == platform::CacheEventKind::kEvicted));
+  BOOST_TEST((report->events[0].kind == clients::CacheEventKind::kEvicted));
   BOOST_TEST(report->events[0].block.value == 2U);
   BOOST_TEST(report->events[1].block.value == 1U);
 }
@@ -41,7 +41,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(RequestKeepsBinaryPrompts) {
-  platform::EngineRequest request;
+  clients::EngineRequest request;
   request.identity.tenantSalt = 255;
   request.prompt = std::make_shared<const std::string>("\xff");
   const auto binary = nlohmann::json::parse(engineRequestToJson(request));
@@ -53,16 +53,16 @@
 
 BOOST_AUTO_TEST_CASE(StreamEvents) {
   const auto chunk = streamEventFromJson(R"({"position": 3, "text": "x"})");
-  BOOST_TEST(std::get<platform::StreamChunk>(chunk.value()).position == 3U);
+  BOOST_TEST(std::get<clients::StreamChunk>(chunk.value()).position == 3U);
   const auto end =
       streamEventFromJson(R"({"end": {"output_tokens": 4, "finish_reason": "length"}})");
-  BOOST_TEST(std::get<platform::StreamEnd>(end.value()).finishReason == "length");
+  BOOST_TEST(std::get<clients::StreamEnd>(end.value()).finishReason == "length");
   BOOST_TEST(!streamEventFromJson(R"({"text": "x"})").has_value());
   BOOST_TEST(!streamEventFromJson(R"({"end": 5})").has_value());
 }
 
 BOOST_AUTO_TEST_CASE(ErrorBodiesDecideTheOutcome) {
-  using platform::DispatchFailure;
+  using clients::DispatchFailure;
   const auto notRun = errorFromJson(R"({"code": 407, "detail": "d", "outcome": "not-run"})",
                                     base::ResultCode::kBackEndRefused);
   BOOST_TEST((notRun.failure == DispatchFailure::kRefusedNotRun));
@@ -85,8 +85,8 @@
     "kind": "application", "state": "leaving", "endpoint": "10.0.0.1:80", "zone": "a",
     "region": "r", "application": "pairings"}]})");
   BOOST_REQUIRE(machines.has_value());
-  BOOST_TEST((machines->front().kind == platform::MachineKind::kApplication));
-  BOOST_TEST((machines->front().state == platform::MachineState::kLeaving));
+  BOOST_TEST((machines->front().kind == clients::MachineKind::kApplication));
+  BOOST_TEST((machines->front().state == clients::MachineState::kLeaving));
   BOOST_TEST(!machinesFromJson(R"({"machines": [{"endpoint": "host:80"}]})").has_value());
 }
 
--- a/tests/node/explain_test.cc
+++ b/tests/node/explain_test.cc
@@ -35,7 +35,7 @@
   trace->decisions.back().chosen = "rules-1";
   request::AttemptTrace attempt;
   attempt.name = "rules-1";
-  attempt.failure = platform::DispatchFailure::kNotSent;
+  attempt.failure = clients::DispatchFailure::kNotSent;
   attempt.reason.code = base::ResultCode::kBackEndUnreachable;
   trace->attempts.push_back(attempt);
   trace->refusal =
--- a/tests/node/node_fixture.h
+++ b/tests/node/node_fixture.h
@@ -5,11 +5,11 @@
 #include <utility>
 #include <vector>
 
+#include "clients/machine_list_client.h"
+#include "clients/object_store_client.h"
 #include "config/bearer_key.h"
 #include "config/template_row.h"
 #include "node/node.h"
-#include "platform/machine_list_client.h"
-#include "platform/object_store_client.h"
 #include "request/fakes.h"
 
 namespace covewing::node {
@@ -17,11 +17,11 @@
 using request::FakePeers;
 using request::VirtualTime;
 
-class FakeMachines final : public platform::MachineListClient {
+class FakeMachines final : public clients::MachineListClient {
  public:
   explicit FakeMachines(VirtualTime& time) : time_(time) {}
-  std::vector<platform::Machine> machines;
-  void fetch(platform::MachineListCallback callback) override {
+  std::vector<clients::Machine> machines;
+  void fetch(clients::MachineListCallback callback) override {
     time_.schedule(std::chrono::milliseconds(1),
                    [this, callback = std::move(callback)] { callback(machines); });
   }
@@ -30,18 +30,17 @@
   VirtualTime& time_;
 };
 
-class NoObjects final : public platform::ObjectStoreClient {
+class NoObjects final : public clients::ObjectStoreClient {
  public:
   explicit NoObjects(VirtualTime& time) : time_(time) {}
-  void get(std::string /*name*/, platform::ObjectCallback callback) override {
+  void get(std::string /*name*/, clients::ObjectCallback callback) override {
     time_.schedule({}, [callback = std::move(callback)] {
-      callback({platform::ObjectStatus::kNotFound, {}});
+      callback({clients::ObjectStatus::kNotFound, {}});
     });
   }
-  void put(std::string /*name*/, std::string /*bytes*/,
-           platform::ObjectCallback callback) override {
+  void put(std::string /*name*/, std::string /*bytes*/, clients::ObjectCallback callback) override {
     time_.schedule({}, [callback = std::move(callback)] {
-      callback({platform::ObjectStatus::kUnavailable, {}});
+      callback({clients::ObjectStatus::kUnavailable, {}});
     });
   }
 
@@ -50,31 +49,31 @@
 };
 
 /// Streams as the test drives them; polls answered with a serving engine.
-class PolledEngines final : public platform::EngineClient {
+class PolledEngines final : public clients::EngineClient {
  public:
   explicit PolledEngines(VirtualTime& time) : time_(time) {}
   request::FakeEngines streams;
 
-  std::unique_ptr<platform::EngineStream> start(const platform::BackEndAddress& engine,
-                                                platform::EngineRequest request,
-                                                platform::EngineStreamHandler& handler) override {
+  std::unique_ptr<clients::EngineStream> start(const clients::BackEndAddress& engine,
+                                               clients::EngineRequest request,
+                                               clients::EngineStreamHandler& handler) override {
     return streams.start(engine, std::move(request), handler);
   }
-  void poll(const platform::BackEndAddress& /*engine*/, std::uint64_t fromSequence,
-            std::function<void(std::optional<platform::EngineReport>)> callback) override {
+  void poll(const clients::BackEndAddress& /*engine*/, std::uint64_t fromSequence,
+            std::function<void(std::optional<clients::EngineReport>)> callback) override {
     answer(fromSequence, std::move(callback));
   }
-  void snapshot(const platform::BackEndAddress& /*engine*/,
-                std::function<void(std::optional<platform::EngineReport>)> callback) override {
+  void snapshot(const clients::BackEndAddress& /*engine*/,
+                std::function<void(std::optional<clients::EngineReport>)> callback) override {
     answer(0, std::move(callback));
   }
-  void order(const platform::BackEndAddress& /*engine*/, platform::EngineOrder /*order*/,
-             std::function<void(platform::OrderReply)> /*callback*/) override {}
+  void order(const clients::BackEndAddress& /*engine*/, clients::EngineOrder /*order*/,
+             std::function<void(clients::OrderReply)> /*callback*/) override {}
 
  private:
   void answer(std::uint64_t fromSequence,
-              std::function<void(std::optional<platform::EngineReport>)> callback) {
-    platform::EngineReport report;
+              std::function<void(std::optional<clients::EngineReport>)> callback) {
+    clients::EngineReport report;
     report.incarnation = 1;
     report.weights = {{"rules", 3, {}}};
     report.firstSequence = fromSequence;
@@ -98,7 +97,7 @@
 struct NodeFixture {
   NodeFixture() {
     for (const char* name : {"rules-1", "rules-2"}) {
-      platform::Machine machine;
+      clients::Machine machine;
       machine.name = name;
       machine.zone = "hall-a";
       machine.region = "south";
@@ -117,7 +116,7 @@
     row.retired = retired;
     row.document = R"({"key_digests": [")" + config::digestBearerKey("key") + R"("], "body": )" +
                    (body == "{}" ? kBody : body) + "}";
-    platform::TableTransaction transaction;
+    clients::TableTransaction transaction;
     transaction.writes.push_back({config::templateRowKey(row.name), encodeTemplateRow(row)});
     table.apply(transaction);
   }
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -28,7 +28,7 @@
   startAndSettle();
   const auto first = complete();
   const base::EngineId leaving = engines.streams.last().engine.id;
-  engines.streams.last().fail(platform::DispatchFailure::kRefusedNotRun,
+  engines.streams.last().fail(clients::DispatchFailure::kRefusedNotRun,
                               ResultCode::kBackEndLeaving);
   time.advance(milliseconds(50));
   BOOST_REQUIRE(engines.streams.streams.size() == 2);
--- a/tests/node/operator_service_test.cc
+++ b/tests/node/operator_service_test.cc
@@ -55,7 +55,7 @@
   }
   const std::vector<routing::EngineState>& engines() const override { return list; }
   const routing::EngineState* find(base::EngineId) const override { return nullptr; }
-  std::vector<platform::BackEndAddress> applicationReplicas(std::string_view) const override {
+  std::vector<clients::BackEndAddress> applicationReplicas(std::string_view) const override {
     return {};
   }
   base::WeightsVersion defaultVersion(std::string_view) const override { return 3; }
@@ -63,18 +63,18 @@
 };
 
 // Engines that never answer.
-struct SilentEngines final : platform::EngineClient {
-  std::unique_ptr<platform::EngineStream> start(const platform::BackEndAddress&,
-                                                platform::EngineRequest,
-                                                platform::EngineStreamHandler&) override {
+struct SilentEngines final : clients::EngineClient {
+  std::unique_ptr<clients::EngineStream> start(const clients::BackEndAddress&,
+                                               clients::EngineRequest,
+                                               clients::EngineStreamHandler&) override {
     return nullptr;
   }
-  void poll(const platform::BackEndAddress&, std::uint64_t,
-            std::function<void(std::optional<platform::EngineReport>)>) override {}
-  void snapshot(const platform::BackEndAddress&,
-                std::function<void(std::optional<platform::EngineReport>)>) override {}
-  void order(const platform::BackEndAddress&, platform::EngineOrder,
-             std::function<void(platform::OrderReply)>) override {}
+  void poll(const clients::BackEndAddress&, std::uint64_t,
+            std::function<void(std::optional<clients::EngineReport>)>) override {}
+  void snapshot(const clients::BackEndAddress&,
+                std::function<void(std::optional<clients::EngineReport>)>) override {}
+  void order(const clients::BackEndAddress&, clients::EngineOrder,
+             std::function<void(clients::OrderReply)>) override {}
 };
 
 struct NoPeers final : base::PeerTransport {
@@ -103,7 +103,7 @@
          return NodeActivity{true, false, 5};
        }});
 
-  void onAccepted(const platform::TableRow& row) override { store.apply(row); }
+  void onAccepted(const clients::TableRow& row) override { store.apply(row); }
 
   struct Answer {
     base::ResultCode code;
--- a/tests/prefix/block_chain_test.cc
+++ b/tests/prefix/block_chain_test.cc
@@ -11,7 +11,7 @@
 
 namespace {
 
-const platform::CacheIdentity kIdentity{7, "rules", "", 3};
+const clients::CacheIdentity kIdentity{7, "rules", "", 3};
 
 }  // namespace
 
@@ -36,9 +36,9 @@
   const std::string prompt(kBytesPerBlock, 'p');
   const auto base = blockChain(kIdentity, prompt).front();
   for (const auto& other :
-       {platform::CacheIdentity{8, "rules", "", 3}, platform::CacheIdentity{7, "notes", "", 3},
-        platform::CacheIdentity{7, "rules", "judge", 3},
-        platform::CacheIdentity{7, "rules", "", 4}}) {
+       {clients::CacheIdentity{8, "rules", "", 3}, clients::CacheIdentity{7, "notes", "", 3},
+        clients::CacheIdentity{7, "rules", "judge", 3},
+        clients::CacheIdentity{7, "rules", "", 4}}) {
     BOOST_TEST((blockChain(other, prompt).front() != base));
   }
 }
--- a/tests/request/claim_expiry_test.cc
+++ b/tests/request/claim_expiry_test.cc
@@ -22,7 +22,7 @@
 
   void addClaims(int from, int count) {
     for (int number = from; number < from + count; ++number) {
-      platform::TableTransaction transaction;
+      clients::TableTransaction transaction;
       const std::string key =
           claimRowKey(base::tenantIdOf("stalls"), "key-" + std::to_string(number));
       transaction.writes.push_back({key, "value"});
--- a/tests/request/completion_flow_test.cc
+++ b/tests/request/completion_flow_test.cc
@@ -6,7 +6,7 @@
 namespace covewing::request {
 
 using base::ResultCode;
-using platform::DispatchFailure;
+using clients::DispatchFailure;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -15,7 +15,7 @@
 BOOST_AUTO_TEST_CASE(WholeAnswerReachesTheCaller) {
   const auto active = complete();
   BOOST_REQUIRE(engines.streams.size() == 1);
-  const platform::EngineRequest& sent = engines.last().request;
+  const clients::EngineRequest& sent = engines.last().request;
   BOOST_TEST(sent.identity.weightsVersion == 7U);
   BOOST_TEST(sent.incarnation == 1U);
   BOOST_TEST(sent.requestId.value == active->id().value);
@@ -110,7 +110,7 @@
   first.fail(DispatchFailure::kOutcomeUnknown, ResultCode::kBackEndLost);
   time.advance(milliseconds(50));
   BOOST_REQUIRE(engines.streams.size() == 2);
-  const platform::EngineRequest& resumed = engines.last().request;
+  const clients::EngineRequest& resumed = engines.last().request;
   BOOST_TEST(resumed.nextPosition == 2U);
   BOOST_TEST(resumed.generated == "t0 t1 ");
   BOOST_TEST(resumed.identity.weightsVersion == 7U);
--- a/tests/request/fakes.h
+++ b/tests/request/fakes.h
@@ -16,11 +16,11 @@
 #include "base/peer_transport.h"
 #include "base/random.h"
 #include "base/time.h"
+#include "clients/application_client.h"
+#include "clients/engine_client.h"
+#include "clients/table_client.h"
 #include "config/configuration_view.h"
 #include "membership/member_directory.h"
-#include "platform/application_client.h"
-#include "platform/engine_client.h"
-#include "platform/table_client.h"
 #include "request/request_manager.h"
 #include "request/zone_reachability.h"
 #include "routing/fleet_view.h"
@@ -71,7 +71,7 @@
 };
 
 /// A table service whose answers the test decides: applied or not, answered or not.
-class FakeTable final : public platform::TableClient {
+class FakeTable final : public clients::TableClient {
  public:
   enum class Behaviour { kNormal, kLoseAnswer, kLoseRequest, kRateLimit, kUnavailable, kSilent };
 
@@ -80,56 +80,56 @@
   /// The next calls behave like this, one entry a call; then normally.
   std::deque<Behaviour> planned;
   Behaviour standing = Behaviour::kNormal;
-  std::map<std::string, platform::TableRow> rows;
-  std::vector<platform::TableTransaction> commits;
+  std::map<std::string, clients::TableRow> rows;
+  std::vector<clients::TableTransaction> commits;
   std::uint64_t reads = 0;
   base::Duration latency = std::chrono::milliseconds(1);
 
-  void read(std::vector<std::string> keys, platform::TableCallback callback) override {
+  void read(std::vector<std::string> keys, clients::TableCallback callback) override {
     ++reads;
     const Behaviour behaviour = next();
-    platform::TableReply reply = refusalOf(behaviour);
+    clients::TableReply reply = refusalOf(behaviour);
     if (behaviour == Behaviour::kNormal) {
-      reply.status = platform::TableStatus::kOk;
+      reply.status = clients::TableStatus::kOk;
       reply.revision = revision_;
       reply.rows = currentRows(keys);
     }
     answer(behaviour, std::move(reply), std::move(callback));
   }
   void scan(std::string prefix, base::Revision after, std::size_t limit,
-            platform::TableCallback callback) override {
+            clients::TableCallback callback) override {
     const Behaviour behaviour = next();
-    platform::TableReply reply = refusalOf(behaviour);
+    clients::TableReply reply = refusalOf(behaviour);
     if (behaviour == Behaviour::kNormal) reply = scanned(prefix, after, limit);
     answer(behaviour, std::move(reply), std::move(callback));
   }
-  void commit(platform::TableTransaction transaction, platform::TableCallback callback) override {
+  void commit(clients::TableTransaction transaction, clients::TableCallback callback) override {
     const Behaviour behaviour = next();
-    platform::TableReply reply = refusalOf(behaviour);
+    clients::TableReply reply = refusalOf(behaviour);
     if (behaviour == Behaviour::kNormal) reply = apply(transaction);
     if (behaviour == Behaviour::kLoseAnswer) apply(transaction);
     commits.push_back(std::move(transaction));
     answer(behaviour, std::move(reply), std::move(callback));
   }
-  platform::TableReply apply(const platform::TableTransaction& transaction) {
+  clients::TableReply apply(const clients::TableTransaction& transaction) {
     std::vector<std::string> keys;
     bool holds = true;
-    for (const platform::TableCondition& condition : transaction.conditions) {
+    for (const clients::TableCondition& condition : transaction.conditions) {
       keys.push_back(condition.key);
       const auto found = rows.find(condition.key);
       const base::Revision current = found == rows.end() ? 0 : found->second.revision;
       holds = holds && current == condition.revision;
     }
-    if (!holds) return {platform::TableStatus::kConflict, revision_, currentRows(keys)};
+    if (!holds) return {clients::TableStatus::kConflict, revision_, currentRows(keys)};
     ++revision_;
-    for (const platform::TableWrite& write : transaction.writes) {
+    for (const clients::TableWrite& write : transaction.writes) {
       if (write.value.has_value()) {
         rows[write.key] = {write.key, *write.value, revision_};
       } else {
         rows.erase(write.key);
       }
     }
-    return {platform::TableStatus::kOk, revision_, {}};
+    return {clients::TableStatus::kOk, revision_, {}};
   }
 
  private:
@@ -139,31 +139,31 @@
     planned.pop_front();
     return behaviour;
   }
-  static platform::TableReply refusalOf(Behaviour behaviour) {
-    if (behaviour == Behaviour::kRateLimit) return {platform::TableStatus::kRateLimited, 0, {}};
-    if (behaviour == Behaviour::kUnavailable) return {platform::TableStatus::kUnavailable, 0, {}};
-    return {platform::TableStatus::kUnknown, 0, {}};
+  static clients::TableReply refusalOf(Behaviour behaviour) {
+    if (behaviour == Behaviour::kRateLimit) return {clients::TableStatus::kRateLimited, 0, {}};
+    if (behaviour == Behaviour::kUnavailable) return {clients::TableStatus::kUnavailable, 0, {}};
+    return {clients::TableStatus::kUnknown, 0, {}};
   }
-  std::vector<platform::TableRow> currentRows(const std::vector<std::string>& keys) const {
-    std::vector<platform::TableRow> found;
+  std::vector<clients::TableRow> currentRows(const std::vector<std::string>& keys) const {
+    std::vector<clients::TableRow> found;
     for (const std::string& key : keys) {
       if (rows.contains(key)) found.push_back(rows.at(key));
     }
     return found;
   }
-  platform::TableReply scanned(const std::string& prefix, base::Revision after,
-                               std::size_t limit) const {
-    std::vector<platform::TableRow> found;
+  clients::TableReply scanned(const std::string& prefix, base::Revision after,
+                              std::size_t limit) const {
+    std::vector<clients::TableRow> found;
     for (const auto& [key, row] : rows) {
       if (key.starts_with(prefix) && row.revision > after) found.push_back(row);
     }
-    std::ranges::sort(found, {}, &platform::TableRow::revision);
+    std::ranges::sort(found, {}, &clients::TableRow::revision);
     const bool complete = found.size() <= limit;
     if (!complete) found.resize(limit);
     const base::Revision revision = complete ? revision_ : found.back().revision;
-    return {platform::TableStatus::kOk, revision, std::move(found)};
+    return {clients::TableStatus::kOk, revision, std::move(found)};
   }
-  void answer(Behaviour behaviour, platform::TableReply reply, platform::TableCallback callback) {
+  void answer(Behaviour behaviour, clients::TableReply reply, clients::TableCallback callback) {
     if (behaviour == Behaviour::kSilent) return;
     time_.schedule(latency,
                    [reply = std::move(reply), callback = std::move(callback)] { callback(reply); });
@@ -175,9 +175,9 @@
 
 /// One stream that the code under test opened.
 struct FakeStream {
-  platform::BackEndAddress engine;
-  platform::EngineRequest request;
-  platform::EngineStreamHandler* handler = nullptr;
+  clients::BackEndAddress engine;
+  clients::EngineRequest request;
+  clients::EngineStreamHandler* handler = nullptr;
   bool cancelled = false;
   bool paused = false;
 
@@ -186,18 +186,18 @@
     handler->onChunk({position, "t" + std::to_string(position) + " "});
   }
   void end(std::uint32_t outputTokens) const { handler->onEnd({8, 4, outputTokens, "stop"}); }
-  void fail(platform::DispatchFailure failure, base::ResultCode code) const {
+  void fail(clients::DispatchFailure failure, base::ResultCode code) const {
     handler->onError({failure, {code, "planned"}});
   }
 };
 
-class FakeEngines final : public platform::EngineClient {
+class FakeEngines final : public clients::EngineClient {
  public:
   std::vector<std::shared_ptr<FakeStream>> streams;
 
-  std::unique_ptr<platform::EngineStream> start(const platform::BackEndAddress& engine,
-                                                platform::EngineRequest request,
-                                                platform::EngineStreamHandler& handler) override {
+  std::unique_ptr<clients::EngineStream> start(const clients::BackEndAddress& engine,
+                                               clients::EngineRequest request,
+                                               clients::EngineStreamHandler& handler) override {
     auto stream = std::make_shared<FakeStream>();
     stream->engine = engine;
     stream->request = std::move(request);
@@ -205,17 +205,17 @@
     streams.push_back(stream);
     return std::make_unique<Handle>(stream);
   }
-  void poll(const platform::BackEndAddress& /*engine*/, std::uint64_t /*fromSequence*/,
-            std::function<void(std::optional<platform::EngineReport>)> /*callback*/) override {}
-  void snapshot(const platform::BackEndAddress& /*engine*/,
-                std::function<void(std::optional<platform::EngineReport>)> /*callback*/) override {}
-  void order(const platform::BackEndAddress& /*engine*/, platform::EngineOrder /*order*/,
-             std::function<void(platform::OrderReply)> /*callback*/) override {}
+  void poll(const clients::BackEndAddress& /*engine*/, std::uint64_t /*fromSequence*/,
+            std::function<void(std::optional<clients::EngineReport>)> /*callback*/) override {}
+  void snapshot(const clients::BackEndAddress& /*engine*/,
+                std::function<void(std::optional<clients::EngineReport>)> /*callback*/) override {}
+  void order(const clients::BackEndAddress& /*engine*/, clients::EngineOrder /*order*/,
+             std::function<void(clients::OrderReply)> /*callback*/) override {}
 
   FakeStream& last() { return *streams.back(); }
 
  private:
-  struct Handle final : platform::EngineStream {
+  struct Handle final : clients::EngineStream {
     explicit Handle(std::shared_ptr<FakeStream> opened) : stream(std::move(opened)) {}
     ~Handle() override { stream->cancelled = true; }
     Handle(const Handle&) = delete;
@@ -225,25 +225,25 @@
   };
 };
 
-class FakeApplications final : public platform::ApplicationClient {
+class FakeApplications final : public clients::ApplicationClient {
  public:
   struct Call {
-    platform::BackEndAddress backEnd;
-    platform::ApplicationRequest request;
-    std::function<void(platform::ApplicationResult)> callback;
+    clients::BackEndAddress backEnd;
+    clients::ApplicationRequest request;
+    std::function<void(clients::ApplicationResult)> callback;
 
     void respond(const base::RequestId& requestId, unsigned status = 200) const {
-      callback(platform::ApplicationResponse{requestId, status, {}, "body"});
+      callback(clients::ApplicationResponse{requestId, status, {}, "body"});
     }
     void respond() const { respond(request.requestId); }
-    void fail(platform::DispatchFailure failure, base::ResultCode code) const {
-      callback(platform::DispatchError{failure, {code, "planned"}});
+    void fail(clients::DispatchFailure failure, base::ResultCode code) const {
+      callback(clients::DispatchError{failure, {code, "planned"}});
     }
   };
   std::vector<Call> calls;
 
-  void call(const platform::BackEndAddress& backEnd, platform::ApplicationRequest request,
-            std::function<void(platform::ApplicationResult)> callback) override {
+  void call(const clients::BackEndAddress& backEnd, clients::ApplicationRequest request,
+            std::function<void(clients::ApplicationResult)> callback) override {
     calls.push_back({backEnd, std::move(request), std::move(callback)});
   }
 };
@@ -251,7 +251,7 @@
 class FakeFleet final : public routing::FleetView {
  public:
   std::vector<routing::EngineState> states;
-  std::vector<platform::BackEndAddress> replicas;
+  std::vector<clients::BackEndAddress> replicas;
 
   const std::vector<routing::EngineState>& engines() const override { return states; }
   const routing::EngineState* find(base::EngineId id) const override {
@@ -260,7 +260,7 @@
     }
     return nullptr;
   }
-  std::vector<platform::BackEndAddress> applicationReplicas(
+  std::vector<clients::BackEndAddress> applicationReplicas(
       std::string_view /*application*/) const override {
     return replicas;
   }
@@ -424,7 +424,7 @@
 class FakeBackEndObserver final : public BackEndObserver {
  public:
   std::vector<base::EngineId> failed;
-  void onDispatchFailed(base::EngineId backEnd, const platform::DispatchError& /*error*/) override {
+  void onDispatchFailed(base::EngineId backEnd, const clients::DispatchError& /*error*/) override {
     failed.push_back(backEnd);
   }
 };
@@ -432,18 +432,18 @@
 /// Records an answer and checks its shape: in order, without gaps, one final call, nothing after.
 class RecordingSink final : public CompletionSink {
  public:
-  std::vector<platform::StreamChunk> chunks;
-  std::optional<platform::StreamEnd> ended;
+  std::vector<clients::StreamChunk> chunks;
+  std::optional<clients::StreamEnd> ended;
   std::optional<Refusal> refused;
   std::uint32_t callsAfterFinal = 0;
   std::function<void()> onEachChunk;
 
-  void onChunk(const platform::StreamChunk& chunk) override {
+  void onChunk(const clients::StreamChunk& chunk) override {
     noteCall();
     chunks.push_back(chunk);
     if (onEachChunk) onEachChunk();
   }
-  void onEnd(const platform::StreamEnd& end) override {
+  void onEnd(const clients::StreamEnd& end) override {
     noteCall();
     ended = end;
   }
@@ -467,9 +467,9 @@
 
 class RecordingProxiedSink final : public ProxiedSink {
  public:
-  std::optional<platform::ApplicationResponse> response;
+  std::optional<clients::ApplicationResponse> response;
   std::optional<Refusal> refused;
-  void onResponse(const platform::ApplicationResponse& answer) override { response = answer; }
+  void onResponse(const clients::ApplicationResponse& answer) override { response = answer; }
   void onRefused(const Refusal& refusal) override { refused = refusal; }
 };
 
--- a/tests/request/proxied_flow_test.cc
+++ b/tests/request/proxied_flow_test.cc
@@ -6,7 +6,7 @@
 namespace covewing::request {
 
 using base::ResultCode;
-using platform::DispatchFailure;
+using clients::DispatchFailure;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using Behaviour = FakeTable::Behaviour;
--- a/tests/request/stream_resume_property_test.cc
+++ b/tests/request/stream_resume_property_test.cc
@@ -11,7 +11,7 @@
 namespace {
 
 using base::ResultCode;
-using platform::DispatchFailure;
+using clients::DispatchFailure;
 
 /// Length of the whole answer in the model.
 constexpr std::uint32_t kAnswerTokens = 6;
--- a/tests/routing/engine_cache_index_test.cc
+++ b/tests/routing/engine_cache_index_test.cc
@@ -9,7 +9,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-using platform::CacheEventKind;
+using clients::CacheEventKind;
 
 constexpr base::TimePoint kStart{1000s};
 
@@ -21,9 +21,9 @@
   return chain;
 }
 
-platform::EngineReport makeEvents(std::uint64_t first, const prefix::BlockChain& chain,
-                                  std::size_t begin, std::size_t end, CacheEventKind kind) {
-  platform::EngineReport report;
+clients::EngineReport makeEvents(std::uint64_t first, const prefix::BlockChain& chain,
+                                 std::size_t begin, std::size_t end, CacheEventKind kind) {
+  clients::EngineReport report;
   report.firstSequence = first;
   for (std::size_t index = begin; index < end; ++index) {
     report.events.push_back({kind, chain[index]});
--- a/tests/routing/fakes.h
+++ b/tests/routing/fakes.h
@@ -11,9 +11,9 @@
 #include <vector>
 
 #include "base/time.h"
+#include "clients/engine_client.h"
+#include "clients/machine_list_client.h"
 #include "membership/member_directory.h"
-#include "platform/engine_client.h"
-#include "platform/machine_list_client.h"
 
 namespace covewing::routing::testing {
 
@@ -47,53 +47,53 @@
   std::map<std::pair<base::TimePoint, base::TimerId>, std::function<void()>> queue_;
 };
 
-class FakeMachineList final : public platform::MachineListClient {
+class FakeMachineList final : public clients::MachineListClient {
  public:
   explicit FakeMachineList(ManualTime& time) : time_(time) {}
-  void fetch(platform::MachineListCallback callback) override {
+  void fetch(clients::MachineListCallback callback) override {
     time_.schedule(std::chrono::milliseconds(5), [this, callback] { callback(machines); });
   }
-  std::optional<std::vector<platform::Machine>> machines = std::vector<platform::Machine>{};
+  std::optional<std::vector<clients::Machine>> machines = std::vector<clients::Machine>{};
 
  private:
   ManualTime& time_;
 };
 
 /// Engines that answer polls with what a test put into `reports`; others do not answer.
-class FakeEngines final : public platform::EngineClient {
+class FakeEngines final : public clients::EngineClient {
  public:
   explicit FakeEngines(ManualTime& time) : time_(time) {}
-  std::unique_ptr<platform::EngineStream> start(const platform::BackEndAddress& /*engine*/,
-                                                platform::EngineRequest /*request*/,
-                                                platform::EngineStreamHandler& /*h*/) override {
+  std::unique_ptr<clients::EngineStream> start(const clients::BackEndAddress& /*engine*/,
+                                               clients::EngineRequest /*request*/,
+                                               clients::EngineStreamHandler& /*h*/) override {
     return nullptr;
   }
-  void poll(const platform::BackEndAddress& engine, std::uint64_t fromSequence,
-            std::function<void(std::optional<platform::EngineReport>)> callback) override {
+  void poll(const clients::BackEndAddress& engine, std::uint64_t fromSequence,
+            std::function<void(std::optional<clients::EngineReport>)> callback) override {
     ++polls;
     polledFrom[engine.name] = fromSequence;
     answer(reports, engine, std::move(callback));
   }
-  void snapshot(const platform::BackEndAddress& engine,
-                std::function<void(std::optional<platform::EngineReport>)> callback) override {
+  void snapshot(const clients::BackEndAddress& engine,
+                std::function<void(std::optional<clients::EngineReport>)> callback) override {
     ++snapshotRequests;
     answer(snapshots, engine, std::move(callback));
   }
-  void order(const platform::BackEndAddress& /*engine*/, platform::EngineOrder /*order*/,
-             std::function<void(platform::OrderReply)> callback) override {
+  void order(const clients::BackEndAddress& /*engine*/, clients::EngineOrder /*order*/,
+             std::function<void(clients::OrderReply)> callback) override {
     callback({});
   }
 
-  std::map<std::string, platform::EngineReport> reports;
-  std::map<std::string, platform::EngineReport> snapshots;
+  std::map<std::string, clients::EngineReport> reports;
+  std::map<std::string, clients::EngineReport> snapshots;
   std::map<std::string, std::uint64_t> polledFrom;
   std::uint64_t polls = 0;
   std::uint64_t snapshotRequests = 0;
 
  private:
-  void answer(const std::map<std::string, platform::EngineReport>& source,
-              const platform::BackEndAddress& engine,
-              std::function<void(std::optional<platform::EngineReport>)> callback) {
+  void answer(const std::map<std::string, clients::EngineReport>& source,
+              const clients::BackEndAddress& engine,
+              std::function<void(std::optional<clients::EngineReport>)> callback) {
     const auto found = source.find(engine.name);
     auto report = found == source.end() ? std::nullopt : std::optional(found->second);
     time_.schedule(std::chrono::milliseconds(1),
@@ -169,17 +169,17 @@
   std::vector<std::pair<std::string, Listener>> listeners_;
 };
 
-inline platform::Machine makeEngineMachine(const std::string& name, const std::string& zone) {
-  platform::Machine machine;
+inline clients::Machine makeEngineMachine(const std::string& name, const std::string& zone) {
+  clients::Machine machine;
   machine.name = name;
   machine.zone = zone;
   machine.endpoint = {0x7f000001, 9000};
   return machine;
 }
 
-inline platform::EngineReport makeReport(base::Incarnation incarnation,
-                                         base::WeightsVersion version) {
-  platform::EngineReport report;
+inline clients::EngineReport makeReport(base::Incarnation incarnation,
+                                        base::WeightsVersion version) {
+  clients::EngineReport report;
   report.incarnation = incarnation;
   report.weights = {{"rules", version, {"judge"}}};
   report.firstSequence = 1;
--- a/tests/routing/machine_list_watch_test.cc
+++ b/tests/routing/machine_list_watch_test.cc
@@ -12,10 +12,10 @@
 using testing::makeEngineMachine;
 using testing::makeMember;
 
-class CountingMachineList final : public platform::MachineListClient {
+class CountingMachineList final : public clients::MachineListClient {
  public:
   explicit CountingMachineList(testing::ManualTime& time) : list(time) {}
-  void fetch(platform::MachineListCallback callback) override {
+  void fetch(clients::MachineListCallback callback) override {
     ++fetches;
     list.fetch(std::move(callback));
   }
@@ -30,10 +30,10 @@
   testing::FakeMembers members{{makeMember("node-a", "north")}};
   testing::FakeRecords records;
   MachineListWatch watch{{}, {time, time, random, machines, members, records}, *this};
-  std::map<std::string, platform::Machine> seen;
+  std::map<std::string, clients::Machine> seen;
 
-  void onMachine(const platform::Machine& machine) override { seen[machine.name] = machine; }
-  void onMachineGone(const platform::Machine& machine) override { seen.erase(machine.name); }
+  void onMachine(const clients::Machine& machine) override { seen[machine.name] = machine; }
+  void onMachineGone(const clients::Machine& machine) override { seen.erase(machine.name); }
 
   void growFleet(std::size_t nodes) {
     std::vector<membership::Member> all;
@@ -42,7 +42,7 @@
     }
     members.set(all);
   }
-  void tell(const platform::Machine& machine, bool gone, std::uint64_t version) {
+  void tell(const clients::Machine& machine, bool gone, std::uint64_t version) {
     records.deliver({std::string(kMachineRecordPrefix) + machine.name, version,
                      encodeMachineRecord({machine, gone})});
   }
@@ -66,9 +66,9 @@
   machines.list.machines->push_back(makeEngineMachine("rules-1", "north"));
   watch.start();
   time.advance(100ms);
-  machines.list.machines->front().state = platform::MachineState::kLeaving;
+  machines.list.machines->front().state = clients::MachineState::kLeaving;
   time.advance(3s);
-  BOOST_TEST((seen.at("rules-1").state == platform::MachineState::kLeaving));
+  BOOST_TEST((seen.at("rules-1").state == clients::MachineState::kLeaving));
   BOOST_REQUIRE(records.published.size() == 1U);
   time.advance(20s);
   BOOST_TEST(records.published.size() == 1U);
@@ -95,7 +95,7 @@
   watch.start();
   time.advance(100ms);
   auto machine = makeEngineMachine("pairings-1", "north");
-  machine.kind = platform::MachineKind::kApplication;
+  machine.kind = clients::MachineKind::kApplication;
   machine.application = "pairings";
   tell(machine, false, 1);
   BOOST_REQUIRE(seen.contains("pairings-1"));
@@ -112,13 +112,13 @@
   watch.start();
   time.advance(100ms);
   auto leaving = makeEngineMachine("rules-1", "north");
-  leaving.state = platform::MachineState::kLeaving;
+  leaving.state = clients::MachineState::kLeaving;
   tell(leaving, false, 1);
   time.advance(8s);
-  BOOST_TEST((seen.at("rules-1").state == platform::MachineState::kLeaving));
+  BOOST_TEST((seen.at("rules-1").state == clients::MachineState::kLeaving));
   BOOST_TEST(records.published.empty());
   time.advance(6s);
-  BOOST_TEST((seen.at("rules-1").state == platform::MachineState::kLive));
+  BOOST_TEST((seen.at("rules-1").state == clients::MachineState::kLive));
   BOOST_REQUIRE(records.published.size() == 1U);
   BOOST_TEST(records.published[0].version == 2U);
 }
--- a/tests/routing/routing_service_test.cc
+++ b/tests/routing/routing_service_test.cc
@@ -11,7 +11,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-using platform::CacheEventKind;
+using clients::CacheEventKind;
 using testing::makeEngineMachine;
 using testing::makeMember;
 using testing::makeReport;
--- a/tests/routing/service_model_test.cc
+++ b/tests/routing/service_model_test.cc
@@ -77,7 +77,7 @@
   QueueEstimate queue({.prefillTokensPerSecond = 1000, .reportLag = 0ms, .waitingTokens = 400});
   queue.onReport({}, kStart);
   queue.onDispatched(PriorityClass::kUrgent, 3000, kStart);
-  platform::EngineLoad load;
+  clients::EngineLoad load;
   load.waiting = {3, 0, 0, 0};
   // Ten prompts that wait for the same prefix are reported with all their tokens.
   load.queuedPrefillTokens = {30'000, 0, 0, 0};
--- a/tests/routing/staged_lookup_test.cc
+++ b/tests/routing/staged_lookup_test.cc
@@ -46,7 +46,7 @@
   }
   const std::vector<EngineState>& engines() const override { return engines_; }
   const EngineState* find(base::EngineId id) const override { return &engines_.at(id.value - 1); }
-  std::vector<platform::BackEndAddress> applicationReplicas(
+  std::vector<clients::BackEndAddress> applicationReplicas(
       std::string_view /*application*/) const override {
     return {};
   }
--- a/tests/sim/checkers_test.cc
+++ b/tests/sim/checkers_test.cc
@@ -314,13 +314,13 @@
   OrderRecord order;
   order.engine = kEngine;
   order.order.fencingToken = 7;
-  order.reply.status = platform::OrderStatus::kAccepted;
+  order.reply.status = clients::OrderStatus::kAccepted;
   history.orders.push_back(order);
   order.order.fencingToken = 6;
-  order.reply.status = platform::OrderStatus::kFencedOff;
+  order.reply.status = clients::OrderStatus::kFencedOff;
   history.orders.push_back(order);
   BOOST_TEST(!violates(history, Promise::kOrders));
-  history.orders.back().reply.status = platform::OrderStatus::kAccepted;
+  history.orders.back().reply.status = clients::OrderStatus::kAccepted;
   BOOST_TEST(violates(history, Promise::kOrders));
 }
 
--- a/tests/sim/platform_clients_test.cc
+++ b/tests/sim/platform_clients_test.cc
@@ -51,8 +51,8 @@
     return std::make_unique<ApplicationHost>(network, placement, base::Endpoint{4, 1}, nullptr, 1);
   }
   void runFor(base::Duration duration) { scheduler.runUntil(scheduler.now() + duration); }
-  static platform::EngineRequest engineRequest() {
-    platform::EngineRequest request;
+  static clients::EngineRequest engineRequest() {
+    clients::EngineRequest request;
     request.requestId = {"r1"};
     request.identity.model = "m";
     request.identity.weightsVersion = 1;
@@ -60,63 +60,63 @@
     request.maximumTokens = 20;
     return request;
   }
-  platform::BackEndAddress engineAddress() const {
+  clients::BackEndAddress engineAddress() const {
     return {engine->model().id(), "engine-1", {3, 1}};
   }
 };
 
-struct RecordingHandler final : platform::EngineStreamHandler {
+struct RecordingHandler final : clients::EngineStreamHandler {
   std::uint64_t chunks = 0;
   bool accepted = false;
-  std::optional<platform::StreamEnd> end;
-  std::optional<platform::DispatchError> error;
+  std::optional<clients::StreamEnd> end;
+  std::optional<clients::DispatchError> error;
   void onAccepted() override { accepted = true; }
-  void onChunk(platform::StreamChunk chunk) override {
+  void onChunk(clients::StreamChunk chunk) override {
     BOOST_TEST(chunk.position == chunks);
     ++chunks;
   }
-  void onEnd(platform::StreamEnd got) override { end = std::move(got); }
-  void onError(platform::DispatchError got) override { error = std::move(got); }
+  void onEnd(clients::StreamEnd got) override { end = std::move(got); }
+  void onError(clients::DispatchError got) override { error = std::move(got); }
 };
 
 BOOST_FIXTURE_TEST_SUITE(PlatformClientsTest, Fixture)
 
 BOOST_AUTO_TEST_CASE(tableAnswersAcrossTheNetwork) {
   SimTableClient tableClient(network, clientHost, platformHost, table);
-  std::optional<platform::TableReply> reply;
-  tableClient.commit({{}, {{"k", "v"}}}, [&](platform::TableReply got) { reply = got; });
+  std::optional<clients::TableReply> reply;
+  tableClient.commit({{}, {{"k", "v"}}}, [&](clients::TableReply got) { reply = got; });
   runFor(seconds(1));
   BOOST_REQUIRE(reply.has_value());
-  BOOST_TEST((reply->status == platform::TableStatus::kOk));
+  BOOST_TEST((reply->status == clients::TableStatus::kOk));
   BOOST_TEST(network.traffic(clientHost).controlSent() > 0U);
 }
 
 BOOST_AUTO_TEST_CASE(answerLostToACutIsUnknownAndTheChangeMayBeInForce) {
   SimTableClient tableClient(network, clientHost, platformHost, table);
-  std::optional<platform::TableReply> reply;
-  tableClient.commit({{}, {{"k", "v"}}}, [&](platform::TableReply got) { reply = got; });
+  std::optional<clients::TableReply> reply;
+  tableClient.commit({{}, {{"k", "v"}}}, [&](clients::TableReply got) { reply = got; });
   runFor(std::chrono::microseconds(3800));
   network.cutZone("a2", true);
   runFor(seconds(5));
   BOOST_REQUIRE(reply.has_value());
-  BOOST_TEST((reply->status == platform::TableStatus::kUnknown));
+  BOOST_TEST((reply->status == clients::TableStatus::kUnknown));
   BOOST_TEST(table.revision() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(noPathMeansThatNothingWasSent) {
   SimTableClient tableClient(network, clientHost, platformHost, table);
   network.cutZone("a2", true);
-  std::optional<platform::TableReply> reply;
-  tableClient.commit({{}, {{"k", "v"}}}, [&](platform::TableReply got) { reply = got; });
+  std::optional<clients::TableReply> reply;
+  tableClient.commit({{}, {{"k", "v"}}}, [&](clients::TableReply got) { reply = got; });
   runFor(seconds(5));
   BOOST_REQUIRE(reply.has_value());
-  BOOST_TEST((reply->status == platform::TableStatus::kUnavailable));
+  BOOST_TEST((reply->status == clients::TableStatus::kUnavailable));
 }
 
 BOOST_AUTO_TEST_CASE(crashedClientHearsNothing) {
   SimTableClient tableClient(network, clientHost, platformHost, table);
   int answers = 0;
-  tableClient.commit({{}, {{"k", "v"}}}, [&](const platform::TableReply&) { ++answers; });
+  tableClient.commit({{}, {{"k", "v"}}}, [&](const clients::TableReply&) { ++answers; });
   client.crash();
   network.breakConnections(clientHost);
   client.start();
@@ -141,12 +141,12 @@
   engine->crash();
   runFor(seconds(1));
   BOOST_REQUIRE(handler.error.has_value());
-  BOOST_TEST((handler.error->failure == platform::DispatchFailure::kOutcomeUnknown));
+  BOOST_TEST((handler.error->failure == clients::DispatchFailure::kOutcomeUnknown));
   RecordingHandler second;
   const auto refused = engines.start(engineAddress(), engineRequest(), second);
   runFor(seconds(1));
   BOOST_REQUIRE(second.error.has_value());
-  BOOST_TEST((second.error->failure == platform::DispatchFailure::kNotSent));
+  BOOST_TEST((second.error->failure == clients::DispatchFailure::kNotSent));
 }
 
 BOOST_AUTO_TEST_CASE(destroyedStreamCancelsTheEnginesWork) {
@@ -174,7 +174,7 @@
 /// Calls the application once: 0 without an answer, 1 with its own, 2 with another call's.
 unsigned callOnce(Fixture& fixture, SimApplicationClient& applications, const std::string& id,
                   base::Duration timeout) {
-  platform::ApplicationRequest request;
+  clients::ApplicationRequest request;
   request.requestId = {id};
   request.method = "POST";
   request.target = "/x";
@@ -182,8 +182,8 @@
   std::string answered;
   applications.call(
       {base::engineIdOf("app-1"), "app-1", {4, 1}}, request,
-      [&](platform::ApplicationResult result) {
-        if (const auto* response = std::get_if<platform::ApplicationResponse>(&result)) {
+      [&](clients::ApplicationResult result) {
+        if (const auto* response = std::get_if<clients::ApplicationResponse>(&result)) {
           answered = response->body;
         }
       });
