Pace the rollout of weights, save to and fetch from the store of kept cache

Replicas are now drained by reports before their order, changes keep the rate that each version's time asks for, and the oldest go first. Requests that wait at a replica beyond the bound are refused by ordering all that is left.

--- a/src/clients/weights_client.h
+++ b/src/clients/weights_client.h
@@ -54,6 +54,8 @@
 /// A replica's own account, some hundred milliseconds old.
 struct WeightsReport {
   bool busy = false;
+  /// Requests that run or wait there.
+  std::uint32_t requests = 0;
   std::uint64_t orders = 0;
   base::WeightsVersion version = 0;
 };
--- a/src/coordination/weights_rollout.cc
+++ b/src/coordination/weights_rollout.cc
@@ -12,7 +12,7 @@
     : options_(options),
       environment_(std::move(environment)),
       grant_(std::move(grant)),
-      cycle_(options.firstCycle) {}
+      changeTime_(options.firstChange) {}
 
 WeightsRollout::~WeightsRollout() { environment_.timers.cancel(timer_); }
 
@@ -46,19 +46,29 @@
 
 std::size_t WeightsRollout::changesNeeded(const std::vector<base::WeightsVersion>& served,
                                           const routing::WeightsTargetList& targets) const {
+  constexpr base::Duration kLeastTime = std::chrono::milliseconds(500);
   const auto now = environment_.clock.now();
-  double needed = 0;
+  double perSecond = 0;
   for (const auto& target : targets) {
     const auto outdated = std::ranges::count_if(
         served, [&target](base::WeightsVersion version) { return version < target.version; });
-    // The last change must have begun one cycle before the end.
-    const auto time = std::max(target.olderForbiddenFrom - now - cycle_ / 2, cycle_ / 2);
-    needed = std::max(
-        needed, static_cast<double>(outdated) * base::toSeconds(cycle_) / base::toSeconds(time));
+    // The last change must have begun one change's time before the end.
+    const auto time = std::max(target.olderForbiddenFrom - now - changeTime_, kLeastTime);
+    perSecond = std::max(perSecond, static_cast<double>(outdated) / base::toSeconds(time));
   }
-  const auto most = std::max<std::size_t>(
-      1, static_cast<std::size_t>(static_cast<double>(served.size()) * options_.mostShare));
-  return std::min(most, static_cast<std::size_t>(std::ceil(needed)));
+  const double needed = std::ceil(perSecond * base::toSeconds(changeTime_));
+  const double most = std::max(1.0, static_cast<double>(served.size()) * options_.mostAway);
+  return static_cast<std::size_t>(std::min(needed, most));
+}
+
+bool WeightsRollout::mustFlush(const std::string& model, base::WeightsVersion version) const {
+  const auto before = environment_.clock.now() - options_.flushAfter;
+  return version < environment_.targets.oldestAllowed(model, before);
+}
+
+std::size_t WeightsRollout::loading() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      changes_, [](const auto& entry) { return entry.second.phase == Phase::kLoading; }));
 }
 
 void WeightsRollout::begin(const std::string& model, const routing::WeightsTargetList& targets) {
@@ -72,22 +82,24 @@
       outdated.push_back(record);
   }
   const auto atOnce = changesNeeded(served, targets);
+  const double most = std::ceil(static_cast<double>(served.size()) * options_.mostLoading);
+  loadLimit_ = std::max<std::size_t>(1, static_cast<std::size_t>(most));
   // The oldest first: they are due first.
   std::ranges::stable_sort(outdated, {}, [&model](const auto& record) {
     return std::pair{record->versionOf(model), record->inFlight()};
   });
   const auto now = environment_.clock.now();
   for (const auto& record : outdated) {
-    if (changes_.size() >= atOnce) return;
+    const bool flush = mustFlush(model, record->versionOf(model));
+    if (changes_.size() >= atOnce && !flush) continue;
     const auto& instance = record->facts().instance;
     Change change;
     change.model = model;
     change.version = targets.back().version;
     change.startedAt = now;
-    change.nextAt = now + options_.lead;
+    change.nextAt = flush ? now : now + options_.lead;
     changes_.emplace(instance, change);
     environment_.news.onChanging(instance);
-    if (!ordersTaken_.contains(instance)) askReport(instance, *find(instance));
   }
 }
 
@@ -98,15 +110,15 @@
     ordersTaken_.erase(instance);
     return finish(instance, "gone");
   }
-  if (change.phase != Phase::kLeading && record->versionOf(change.model) >= change.version)
+  if (change.phase == Phase::kLoading && record->versionOf(change.model) >= change.version)
     return finish(instance, "served");
   if (now - change.startedAt > options_.giveUp) return finish(instance, "not done in time");
   if (change.callUnderWay || now < change.nextAt) return;
-  if (change.phase == Phase::kLeading) {
-    change.version = environment_.targets.newest(change.model);
-    order(instance, change);
-  } else if (change.phase == Phase::kOrdering) {
-    order(instance, change);
+  const bool flush = mustFlush(change.model, record->versionOf(change.model));
+  const bool prepared =
+      change.phase == Phase::kPrepared || (flush && change.phase == Phase::kDraining);
+  if (prepared && ordersTaken_.contains(instance)) {
+    if (flush || loading() < loadLimit_) order(instance, change);
   } else {
     askReport(instance, change);
   }
@@ -115,9 +127,9 @@
 void WeightsRollout::order(const std::string& instance, Change& change) {
   const auto grant = grant_();
   if (!grant) return;
-  if (!ordersTaken_.contains(instance)) return askReport(instance, change);
   const auto record = environment_.directory.find(instance);
-  change.phase = Phase::kOrdering;
+  change.version = environment_.targets.newest(change.model);
+  change.phase = Phase::kLoading;
   change.callUnderWay = true;
   change.orderedAt = environment_.clock.now();
   const auto expectedOrders = ordersTaken_.at(instance);
@@ -128,7 +140,9 @@
                           {"model", change.model},
                           {"version", std::to_string(change.version)},
                           {"token", std::to_string(grant->token)},
-                          {"expected_orders", std::to_string(expectedOrders)}});
+                          {"expected_orders", std::to_string(expectedOrders)},
+                          {"loading", std::to_string(loading())},
+                          {"load_limit", std::to_string(loadLimit_)}});
   environment_.news.onChanging(instance);
   environment_.replicas.order(
       record->facts().endpoint, instance, order,
@@ -151,18 +165,16 @@
   switch (status) {
     case clients::WeightsOrderStatus::kAccepted:
       ++ordersTaken_[instance];
-      [[fallthrough]];
+      change->nextAt = now + options_.lead;
+      return;
     case clients::WeightsOrderStatus::kInForce:
-      change->phase = Phase::kLoading;
-      change->nextAt =
-          status == clients::WeightsOrderStatus::kInForce ? now : now + options_.firstReport;
+      change->nextAt = now;
       return;
     case clients::WeightsOrderStatus::kConflict:
     case clients::WeightsOrderStatus::kUnknown:
     case clients::WeightsOrderStatus::kUnreachable:
       // A report tells whether it was taken, and how many were.
       ordersTaken_.erase(instance);
-      change->phase = Phase::kLoading;
       change->nextAt = now + options_.reportInterval;
       return;
     case clients::WeightsOrderStatus::kFencedOff:
@@ -191,25 +203,41 @@
                               const std::optional<clients::WeightsReport>& report) {
   Change* change = find(instance);
   if (change == nullptr) return;
-  const auto now = environment_.clock.now();
   change->callUnderWay = false;
-  if (change->phase != Phase::kLeading) change->nextAt = now + options_.reportInterval;
+  change->nextAt = environment_.clock.now() + options_.reportInterval;
   if (!report) return;
-  if (report->version >= change->version && !report->busy) {
-    environment_.news.onChanged(instance, change->model, report->version);
-    finish(instance, "served");
-    return;
+  if (change->phase == Phase::kLoading) {
+    onLoadReport(instance, *change, *report);
+  } else {
+    onDrainReport(instance, *change, *report);
   }
-  if (change->phase == Phase::kLeading) {
-    ordersTaken_[instance] = report->orders;
+}
+
+void WeightsRollout::onDrainReport(const std::string& instance, Change& change,
+                                   const clients::WeightsReport& report) {
+  const auto now = environment_.clock.now();
+  ordersTaken_[instance] = report.orders;
+  const bool idle = report.requests == 0 && !report.busy;
+  if (!idle && now - change.startedAt < options_.longestDrain) return;
+  change.phase = Phase::kPrepared;
+  change.nextAt = now;
+  advance(instance, change);
+}
+
+void WeightsRollout::onLoadReport(const std::string& instance, Change& change,
+                                  const clients::WeightsReport& report) {
+  const auto now = environment_.clock.now();
+  if (report.version >= change.version && !report.busy) {
+    environment_.news.onChanged(instance, change.model, report.version);
+    finish(instance, "served");
     return;
   }
   // Reports lag: only one that is well younger than the order shows that it was not taken.
-  const bool overdue = now - change->orderedAt >= options_.repeatOrder;
-  if (report->busy || !overdue) return;
-  ordersTaken_[instance] = report->orders;
-  change->phase = Phase::kOrdering;
-  change->nextAt = now;
+  const bool overdue = now - change.orderedAt >= options_.repeatOrder;
+  if (report.busy || !overdue) return;
+  ordersTaken_[instance] = report.orders;
+  change.phase = Phase::kPrepared;
+  change.nextAt = now;
 }
 
 void WeightsRollout::finish(const std::string& instance, std::string_view outcome) {
@@ -217,16 +245,23 @@
   if (found == changes_.end()) return;
   const Change change = found->second;
   changes_.erase(found);
-  const auto lasted = environment_.clock.now() - change.startedAt;
-  constexpr int kSmoothing = 4;
-  cycle_ += (std::min(lasted, options_.longestCycle) - cycle_) / kSmoothing;
-  environment_.log.write(
-      outcome == "served" ? base::Event::kOrderFinished : base::Event::kOrderFailed,
-      {{"replica", instance},
-       {"model", change.model},
-       {"version", std::to_string(change.version)},
-       {"outcome", std::string{outcome}},
-       {"after_ms", std::to_string(static_cast<std::int64_t>(base::toMilliseconds(lasted)))}});
+  const auto now = environment_.clock.now();
+  const bool served = outcome == "served";
+  if (served) {
+    constexpr int kSmoothing = 4;
+    changeTime_ +=
+        (std::min(now - change.startedAt, options_.longestChange) - changeTime_) / kSmoothing;
+  }
+  const auto milliseconds = [](base::Duration duration) {
+    return std::to_string(duration / std::chrono::milliseconds(1));
+  };
+  environment_.log.write(served ? base::Event::kOrderFinished : base::Event::kOrderFailed,
+                         {{"replica", instance},
+                          {"model", change.model},
+                          {"version", std::to_string(change.version)},
+                          {"outcome", std::string{outcome}},
+                          {"after_ms", milliseconds(now - change.startedAt)},
+                          {"load_ms", milliseconds(now - change.orderedAt)}});
 }
 
 }  // namespace covewing::coordination
--- a/src/coordination/weights_rollout.h
+++ b/src/coordination/weights_rollout.h
@@ -2,12 +2,13 @@
 /// Brings all replicas to the versions of weights that operators named, a few at a time.
 ///
 /// One node does so, the holder of a lease. For each replica in turn: the other nodes are told to
-/// route around it -> a short wait, in which the replica is asked how many orders it has taken,
-/// where that is not known -> the fenced order -> reports until the version is served -> the other
-/// nodes are told. A version that was named meanwhile takes the place of an older one for
-/// all replicas that have not been ordered yet. Changes are paced: as few replicas are away at once
-/// as let each version be in force in time, so that versions that follow each other quickly share
-/// their loads.
+/// route around it -> it is asked, until it is idle or the time for that is up, how many requests
+/// it has and how many orders it has taken -> the fenced order, when not too many load already ->
+/// reports until the version is served -> the other nodes are told. A version that was named
+/// meanwhile takes the place of an older one for all replicas that have not been ordered yet.
+///
+/// Changes are paced: as few replicas are away at once as let each version be in force in time, so
+/// that versions that follow each other quickly share their loads.
 ///
 /// An order without an answer may still be carried out, also late. It is given again only with the
 /// same expected number of orders, so that a replica takes at most one of them.
@@ -32,20 +33,26 @@
 
 struct WeightsRolloutOptions {
   base::Duration interval = std::chrono::milliseconds(50);
-  /// From telling the other nodes until the order: they stop sending, and what runs gets on.
-  base::Duration lead = std::chrono::milliseconds(300);
-  /// From an accepted order until the first report is asked for, and between reports.
-  base::Duration firstReport = std::chrono::milliseconds(600);
-  base::Duration reportInterval = std::chrono::milliseconds(200);
+  /// From telling the other nodes until the first report, and between reports.
+  base::Duration lead = std::chrono::milliseconds(350);
+  base::Duration reportInterval = std::chrono::milliseconds(150);
+  /// A replica that is not idle after this is ordered nevertheless; its runs end first.
+  base::Duration longestDrain = std::chrono::milliseconds(3000);
   /// An order without an answer is given again after this.
   base::Duration repeatOrder = std::chrono::milliseconds(1000);
   /// A replica that is not done after this is left, and taken up again later.
   base::Duration giveUp = std::chrono::seconds(6);
-  /// Most of a model's replicas that change at once, as a part of all; at least one may.
-  double mostShare = 0.34;
+  /// Most of a model's replicas that load at once, as a part of all; at least one may.
+  double mostLoading = 1.0 / 6;
+  /// Most of a model's replicas that are away at once; at least one may be.
+  double mostAway = 0.42;
+  /// This long after requests on an older version became forbidden, every replica that still has it
+  /// is ordered, idle or not: requests that wait there are refused as not run instead of beginning
+  /// on the older version.
+  base::Duration flushAfter = std::chrono::milliseconds(400);
   /// How long a change is taken to last at first, and at most.
-  base::Duration firstCycle = std::chrono::milliseconds(1600);
-  base::Duration longestCycle = std::chrono::milliseconds(2200);
+  base::Duration firstChange = std::chrono::milliseconds(1800);
+  base::Duration longestChange = std::chrono::milliseconds(3000);
 };
 
 /// Tells all nodes about one replica.
@@ -88,11 +95,11 @@
   std::size_t underWay() const { return changes_.size(); }
 
  private:
-  enum class Phase : std::uint8_t { kLeading, kOrdering, kLoading };
+  enum class Phase : std::uint8_t { kDraining, kPrepared, kLoading };
   struct Change {
     std::string model;
     base::WeightsVersion version = 0;
-    Phase phase = Phase::kLeading;
+    Phase phase = Phase::kDraining;
     base::TimePoint startedAt{};
     /// When the next step is due.
     base::TimePoint nextAt{};
@@ -104,12 +111,20 @@
   void advance(const std::string& instance, Change& change);
   /// Starts as many changes as are needed for each version to be in force in time.
   void begin(const std::string& model, const routing::WeightsTargetList& targets);
+  /// Replicas that must be away at once for each version to be in force in time.
   std::size_t changesNeeded(const std::vector<base::WeightsVersion>& served,
                             const routing::WeightsTargetList& targets) const;
   void order(const std::string& instance, Change& change);
   void onOrdered(const std::string& instance, clients::WeightsOrderStatus status);
   void askReport(const std::string& instance, Change& change);
   void onReport(const std::string& instance, const std::optional<clients::WeightsReport>& report);
+  void onDrainReport(const std::string& instance, Change& change,
+                     const clients::WeightsReport& report);
+  void onLoadReport(const std::string& instance, Change& change,
+                    const clients::WeightsReport& report);
+  std::size_t loading() const;
+  /// The replica's version is forbidden and requests may still wait there.
+  bool mustFlush(const std::string& model, base::WeightsVersion version) const;
   void finish(const std::string& instance, std::string_view outcome);
   Change* find(const std::string& instance);
 
@@ -120,7 +135,9 @@
   /// Orders that each replica has taken, as far as this node knows.
   std::map<std::string, std::uint64_t> ordersTaken_;
   /// How long changes last, averaged over the latest.
-  base::Duration cycle_;
+  base::Duration changeTime_;
+  /// Replicas that may load at once now.
+  std::size_t loadLimit_ = 1;
   bool running_ = false;
   base::TimerId timer_ = 0;
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -105,8 +105,8 @@
         peers(ioContext, log),
         membership(membershipOptions(settings), clock, timers, random, log, peers),
         nodes(membership, clock),
-        targets({settings.weightsInForce, settings.weightsInForce / 8}),
-        choice({replicas, holders, targets, settings.zone}, {}, random),
+        targets({settings.weightsInForce, settings.weightsInForce * 3 / 20}),
+        choice({replicas, holders, targets, stores, settings.zone}, {}, random),
         configuration(deployment.configurationRows, clock, log, targets),
         replicaList(deployment.replicaRows, log, replicas, holders),
         configurationWatch({deployment.configurationTable}, clock, timers, random, deployment.feeds,
@@ -116,7 +116,8 @@
         coordinator(coordinatorOptions(settings),
                     {clock, timers, random, log, peers, deployment.table, deployment.weights,
                      membership, membership, replicas, holders, targets}),
-        cacheWatch({}, {timers, random, deployment.cacheFeeds, replicas, membership, holders},
+        cacheWatch({},
+                   {timers, random, deployment.cacheFeeds, replicas, stores, membership, holders},
                    [this](const std::string& name) { return eventWatchers(name); }),
         retries({settings.retryWindow, settings.retryRatio, settings.retrySlack}),
         replicaHttp(ioContext, replicaLimits(deployment.dialect)),
@@ -129,7 +130,10 @@
           exchange->respond({ready() ? kOk : kServiceUnavailable, {}, {}});
         }) {
     configuration.setWatch(configurationWatch);
-    configuration.onTable([this](const config::RouteTable& table) { applyLimits(table.limits()); });
+    configuration.onTable([this](const config::RouteTable& table) {
+      applyLimits(table.limits());
+      stores.update(table);
+    });
   }
 
   request::RelayServiceOptions serviceOptions() const {
@@ -232,6 +236,7 @@
   routing::WeightsTargets targets;
   routing::ReplicaDirectory replicas;
   routing::PrefixHolders holders;
+  routing::CacheStores stores;
   routing::ReplicaChoice choice;
   node::RouteConfiguration configuration;
   node::ReplicaList replicaList;
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -28,6 +28,13 @@
   return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+/// The deepest shared part of the prompt, as a number that is equal on all nodes.
+std::string sharedPart(const RelayArrival& arrival) {
+  if (!arrival.prompt) return {};
+  const auto part = arrival.prompt->chain.deepestShared();
+  return part ? std::to_string(*part) : std::string{};
+}
+
 }  // namespace
 
 RelayFlow::RelayFlow(RelayDependencies dependencies, const RelayOptions& options,
@@ -127,7 +134,8 @@
     if (assignment_.tenant->priority) terms.priority = assignment_.tenant->priority;
   }
   terms.cacheSalt = decision.cacheSalt;
-  if (decision.fetchFrom) terms.fetchFrom = decision.fetchFrom->facts().endpoint;
+  if (decision.fetchFrom) terms.fetchFrom = decision.fetchFrom->endpoint;
+  terms.saveTo = decision.saveTo;
   terms.lastEventId = events_.lastEventId().empty() ? arrival_.lastEventId : events_.lastEventId();
   return terms;
 }
@@ -153,11 +161,16 @@
        {"attempt", std::to_string(dispatches_)},
        {"configuration", std::to_string(assignment_.table->version())},
        {"weights", std::to_string(decision.version)},
+       {"salt", decision.cacheSalt},
        {"rank", std::to_string(decision.rank)},
        {"candidates", std::to_string(decision.candidates)},
        {"in_flight", std::to_string(record.inFlight())},
+       {"part", sharedPart(arrival_)},
+       {"shared", std::to_string(arrival_.prompt ? arrival_.prompt->chain.sharedTokens() : 0)},
        {"cached", std::to_string(decision.matchedTokens)},
-       {"fetch", decision.fetchFrom ? decision.fetchFrom->facts().instance : ""},
+       {"fetch", decision.fetchFrom ? decision.fetchFrom->name : ""},
+       {"fetch_tokens", std::to_string(decision.fetchFrom ? decision.fetchFrom->tokens : 0)},
+       {"save", decision.saveTo ? base::toString(*decision.saveTo) : ""},
        {"left_ms", milliseconds(terms.timeLeft)}});
   const auto endpoint = record.facts().endpoint;
   attempt_ = Attempt{std::move(decision), now, tokens, false, false, std::nullopt};
--- a/src/routing/cache_watch.cc
+++ b/src/routing/cache_watch.cc
@@ -26,67 +26,77 @@
 
 void CacheWatch::start() { review(); }
 
+CacheWatch::Wanted CacheWatch::wanted() const {
+  Wanted wanted;
+  for (const auto& [instance, record] : environment_.replicas.all()) {
+    const auto limit = limit_(record->facts().service);
+    if (isWatcher(instance, limit)) wanted.emplace(instance, record->facts().endpoint);
+  }
+  for (const auto& store : environment_.stores.all()) {
+    if (isWatcher(store.name, store.eventWatchers)) wanted.emplace(store.name, store.endpoint);
+  }
+  return wanted;
+}
+
 void CacheWatch::review() {
+  const auto now = wanted();
   for (auto watch = watches_.begin(); watch != watches_.end();) {
-    const auto record = environment_.replicas.find(watch->first);
-    if (record != nullptr && watches(*record)) {
+    if (now.contains(watch->first)) {
       ++watch;
       continue;
     }
     environment_.timers.cancel(watch->second.timer);
     watch = watches_.erase(watch);
   }
-  for (const auto& [instance, record] : environment_.replicas.all()) {
-    if (watches_.contains(instance) || !watches(*record)) continue;
-    watches_[instance];
-    poll(instance);
+  for (const auto& [name, endpoint] : now) {
+    if (!watches_.try_emplace(name, Watch{endpoint}).second) continue;
+    poll(name);
   }
   reviewTimer_ = environment_.timers.schedule(options_.review, [this] { review(); });
 }
 
-bool CacheWatch::watches(const ReplicaRecord& record) const {
-  const auto limit = limit_(record.facts().service);
+bool CacheWatch::isWatcher(const std::string& name, std::uint32_t limit) const {
   const auto& members = environment_.members.liveMembers();
-  if (members.size() <= limit) return limit > 0;
-  const auto replica = base::hashName(record.facts().instance);
-  const auto own = base::mixHash(replica, environment_.members.self().id.value);
+  if (members.size() <= limit) return true;
+  const auto key = base::hashName(name);
+  const auto own = base::mixHash(key, environment_.members.self().id.value);
   const auto ahead = std::ranges::count_if(members, [&](const membership::Member& member) {
-    return base::mixHash(replica, member.id.value) > own;
+    return base::mixHash(key, member.id.value) > own;
   });
   return static_cast<std::uint64_t>(ahead) < limit;
 }
 
-void CacheWatch::schedule(const std::string& instance, base::Duration delay) {
-  watches_.at(instance).timer = environment_.timers.schedule(
-      environment_.random.jittered(delay, kJitter), [this, instance] { poll(instance); });
+void CacheWatch::schedule(const std::string& name, base::Duration delay) {
+  watches_.at(name).timer = environment_.timers.schedule(
+      environment_.random.jittered(delay, kJitter), [this, name] { poll(name); });
 }
 
-void CacheWatch::poll(const std::string& instance) {
-  const auto record = environment_.replicas.find(instance);
-  if (record == nullptr) return;
+void CacheWatch::poll(const std::string& name) {
+  const auto& watch = watches_.at(name);
   environment_.feed.poll(
-      record->facts().endpoint, watches_.at(instance).since, options_.wait,
-      [this, instance, alive = std::weak_ptr(lifetime_)](const clients::CacheFeedReply& reply) {
-        if (!alive.expired() && watches_.contains(instance)) onReply(instance, reply);
+      watch.endpoint, watch.since, options_.wait,
+      [this, name, alive = std::weak_ptr(lifetime_)](const clients::CacheFeedReply& reply) {
+        if (!alive.expired() && watches_.contains(name)) onReply(name, reply);
       });
 }
 
-void CacheWatch::onReply(const std::string& instance, const clients::CacheFeedReply& reply) {
+void CacheWatch::onReply(const std::string& name, const clients::CacheFeedReply& reply) {
+  environment_.stores.setAvailable(name, reply.status == clients::CacheFeedStatus::kOk);
   if (reply.status != clients::CacheFeedStatus::kOk) {
-    schedule(instance, options_.backoff);
+    schedule(name, options_.backoff);
     return;
   }
-  auto& watch = watches_.at(instance);
-  const auto replica = base::engineIdOf(instance);
+  auto& watch = watches_.at(name);
+  const auto holder = base::engineIdOf(name);
   const bool restarted = watch.epoch != 0 && watch.epoch != reply.epoch;
-  if (restarted || reply.lost) environment_.holders.forget(replica);
+  if (restarted || reply.lost) environment_.holders.forget(holder);
   watch.epoch = reply.epoch;
   watch.since = reply.next;
   for (const auto& event : reply.events) {
-    environment_.holders.learn(replica, cacheScope(event.salt, event.model),
+    environment_.holders.learn(holder, cacheScope(event.salt, event.model),
                                prefix::partIdOf(event.part), event.tokens);
   }
-  schedule(instance, options_.pause);
+  schedule(name, options_.pause);
 }
 
 }  // namespace covewing::routing
--- a/src/routing/cache_watch.h
+++ b/src/routing/cache_watch.h
@@ -1,9 +1,10 @@
 /// \file
-/// Keeps PrefixHolders current by watching the cache events of replicas.
+/// Keeps PrefixHolders current by watching the cache events of replicas and of stores of kept
+/// cache.
 ///
-/// A replica lets a bounded number of callers watch it. Where there are more nodes than that, the
-/// watchers of each replica are chosen by rendezvous hashing; the other nodes know of what they
-/// sent themselves.
+/// Each of them lets a bounded number of callers watch it. Where there are more nodes than that,
+/// the watchers of each are chosen by rendezvous hashing; the other nodes know of what they sent
+/// themselves.
 #pragma once
 
 #include <functional>
@@ -15,6 +16,7 @@
 #include "base/time.h"
 #include "clients/cache_feed_client.h"
 #include "membership/member_directory.h"
+#include "routing/cache_stores.h"
 #include "routing/prefix_holders.h"
 #include "routing/replica_directory.h"
 
@@ -37,6 +39,7 @@
   base::RandomSource& random;
   clients::CacheFeedClient& feed;
   const ReplicaDirectory& replicas;
+  CacheStores& stores;
   const membership::MemberDirectory& members;
   PrefixHolders& holders;
 };
@@ -56,16 +59,21 @@
 
  private:
   struct Watch {
+    base::Endpoint endpoint;
     std::uint64_t since = 0;
     std::uint64_t epoch = 0;
     base::TimerId timer = 0;
   };
+  /// What should be watched, by name.
+  using Wanted = std::map<std::string, base::Endpoint>;
 
   void review();
-  bool watches(const ReplicaRecord& record) const;
-  void poll(const std::string& instance);
-  void onReply(const std::string& instance, const clients::CacheFeedReply& reply);
-  void schedule(const std::string& instance, base::Duration delay);
+  Wanted wanted() const;
+  /// Whether this node is among the `limit` nodes that watch the replica or store.
+  bool isWatcher(const std::string& name, std::uint32_t limit) const;
+  void poll(const std::string& name);
+  void onReply(const std::string& name, const clients::CacheFeedReply& reply);
+  void schedule(const std::string& name, base::Duration delay);
 
   CacheWatchOptions options_;
   CacheWatchEnvironment environment_;
--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -1,7 +1,8 @@
 #include "routing/replica_choice.h"
 
 #include <algorithm>
-#include <cmath>
+#include <functional>
+#include <map>
 #include <utility>
 
 namespace covewing::routing {
@@ -108,30 +109,55 @@
   return static_cast<std::size_t>(least - ordered.begin());
 }
 
-void ReplicaChoice::addFetch(ReplicaDecision& decision, const ReplicaQuery& query,
-                             const Candidates& ordered, base::TimePoint now) const {
-  const auto idOf = [](const ReplicaRecord& record) {
-    return base::engineIdOf(record.facts().instance);
+std::optional<CacheSource> ReplicaChoice::bestSource(const ReplicaQuery& query, CacheScope scope,
+                                                     const ReplicaRecord* except,
+                                                     base::TimePoint now) const {
+  const auto tokensAt = [&](const std::string& name) {
+    return context_.holders.matchedTokens(base::engineIdOf(name), scope, *query.chain);
+  };
+  std::optional<CacheSource> best;
+  const auto offer = [&best](const std::string& name, const base::Endpoint& endpoint,
+                             std::uint32_t tokens) {
+    if (tokens > (best ? best->tokens : 0)) best = CacheSource{name, endpoint, tokens};
   };
-  decision.matchedTokens =
-      context_.holders.matchedTokens(idOf(*decision.replica), decision.scope, *query.chain);
-  decision.fetchTokens = decision.matchedTokens + options_.leastFetch;
   for (const auto& record : context_.replicas.ofService(query.service)) {
-    if (record == decision.replica || record->health().ejected(now)) continue;
-    const auto matched =
-        context_.holders.matchedTokens(idOf(*record), decision.scope, *query.chain);
-    if (matched < decision.fetchTokens || (decision.fetchFrom && matched == decision.fetchTokens))
-      continue;
-    decision.fetchTokens = matched;
-    decision.fetchFrom = record;
+    if (record.get() == except || record->health().ejected(now)) continue;
+    const auto& facts = record->facts();
+    offer(facts.instance, facts.endpoint, tokensAt(facts.instance));
+  }
+  if (const auto* store = context_.stores.choose(context_.zone))
+    offer(store->name, store->endpoint, tokensAt(store->name));
+  return best;
+}
+
+void ReplicaChoice::addCacheMoves(ReplicaDecision& decision, const ReplicaQuery& query,
+                                  base::TimePoint now) const {
+  const auto replica = base::engineIdOf(decision.replica->facts().instance);
+  decision.matchedTokens = context_.holders.matchedTokens(replica, decision.scope, *query.chain);
+  auto source = bestSource(query, decision.scope, decision.replica.get(), now);
+  const auto shared = query.chain->sharedTokens();
+  const auto held = std::max(decision.matchedTokens, source ? source->tokens : 0);
+  if (source && source->tokens >= decision.matchedTokens + options_.leastFetch)
+    decision.fetchFrom = std::move(source);
+  const auto* store = context_.stores.choose(context_.zone);
+  if (store != nullptr && held + options_.leastFetch <= shared) decision.saveTo = store->endpoint;
+}
+
+void ReplicaChoice::sortByHome(Candidates& candidates, const ReplicaQuery& query,
+                               base::TimePoint now) const {
+  sortByRendezvous(candidates, *query.chain->deepestShared());
+  std::map<base::WeightsVersion, std::uint32_t> cachedByVersion;
+  for (const auto& record : candidates) {
+    const auto version = record->versionOf(query.model);
+    if (cachedByVersion.contains(version)) continue;
+    const auto scope = cacheScope(cacheSalt(version, query.isolatedTenant), query.model);
+    const auto source = bestSource(query, scope, nullptr, now);
+    cachedByVersion[version] = source ? source->tokens : 0;
   }
-  if (decision.fetchFrom) return;
-  decision.fetchTokens = 0;
-  // Nothing is known: other nodes have probably sent such requests to the home.
-  const bool unknown = decision.matchedTokens == 0 && query.chain->sharedTokens() > 0;
-  const auto& home = ordered.front();
-  if (unknown && decision.rank > 0 && home->versionOf(query.model) == decision.version)
-    decision.fetchFrom = home;
+  if (cachedByVersion.size() < 2) return;
+  std::ranges::stable_sort(candidates, std::greater{}, [&](const auto& record) {
+    return cachedByVersion.at(record->versionOf(query.model));
+  });
 }
 
 ReplicaDecision ReplicaChoice::choose(const ReplicaQuery& query, std::size_t nodes,
@@ -140,10 +166,10 @@
   Candidates candidates = eligible(query, now, decision.reason);
   decision.candidates = candidates.size();
   if (candidates.empty()) return decision;
-  const bool withPrompt =
-      query.engine != nullptr && query.chain != nullptr && query.chain->deepestShared();
+  const bool withPrompt = query.engine != nullptr && !query.model.empty() &&
+                          query.chain != nullptr && query.chain->deepestShared();
   if (withPrompt) {
-    sortByRendezvous(candidates, *query.chain->deepestShared());
+    sortByHome(candidates, query, now);
     decision.rank = firstWithRoom(candidates, query, nodes);
     decision.replica = candidates[decision.rank];
   } else {
@@ -153,7 +179,7 @@
   decision.version = decision.replica->versionOf(query.model);
   decision.cacheSalt = cacheSalt(decision.version, query.isolatedTenant);
   decision.scope = cacheScope(decision.cacheSalt, query.model);
-  if (withPrompt) addFetch(decision, query, candidates, now);
+  if (withPrompt) addCacheMoves(decision, query, now);
   return decision;
 }
 
--- a/src/routing/replica_choice.h
+++ b/src/routing/replica_choice.h
@@ -3,20 +3,27 @@
 ///
 /// A prompt's deepest shared part has a home among the replicas by rendezvous hashing, so that all
 /// nodes agree without talking and shared parts are read once. A request goes to its home unless
-/// the home is loaded beyond a bound, then to the next in the same order; a replica that does not
-/// hold the shared parts is told to fetch them from one that does, which is far cheaper than
-/// reading them again. Requests without a prompt go to the least loaded replica, near ones first.
+/// the home is loaded beyond a bound, then to the next in the same order. Where replicas serve
+/// several versions of the weights, those of the version under which more of the prompt is cached
+/// somewhere come first: what is cached under one version is of no use under another.
+///
+/// A replica that does not hold the shared parts is told to fetch them from one that does, or from
+/// a store of kept cache, which is far cheaper than reading them again; what nobody holds it is
+/// told to save to the store. Requests without a prompt go to the least loaded replica, near ones
+/// first.
 #pragma once
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/random.h"
 #include "base/time.h"
 #include "config/route_table.h"
 #include "prefix/part_chain.h"
+#include "routing/cache_stores.h"
 #include "routing/prefix_holders.h"
 #include "routing/replica_directory.h"
 #include "routing/weights_targets.h"
@@ -37,6 +44,15 @@
   std::vector<std::string> excluded;
 };
 
+/// Where a replica can fetch cached parts.
+struct CacheSource {
+  /// Instance of a replica, or name of a store.
+  std::string name;
+  base::Endpoint endpoint;
+  /// Leading shared tokens believed to be there.
+  std::uint32_t tokens = 0;
+};
+
 struct ReplicaDecision {
   /// Null when no replica may be chosen; `reason` says why.
   ReplicaRecordPtr replica;
@@ -45,11 +61,11 @@
   /// Text under which the replica keeps the request's parts; empty without a model.
   std::string cacheSalt;
   CacheScope scope = 0;
-  /// Holder to fetch shared parts from.
-  ReplicaRecordPtr fetchFrom;
-  /// Leading shared tokens believed cached at the replica, and at `fetchFrom`.
+  std::optional<CacheSource> fetchFrom;
+  /// Store to save what is read to.
+  std::optional<base::Endpoint> saveTo;
+  /// Leading shared tokens believed cached at the replica.
   std::uint32_t matchedTokens = 0;
-  std::uint32_t fetchTokens = 0;
   /// Replicas that could be chosen, and the chosen one's place in the order of homes.
   std::size_t candidates = 0;
   std::size_t rank = 0;
@@ -61,6 +77,7 @@
   const ReplicaDirectory& replicas;
   const PrefixHolders& holders;
   const WeightsTargets& targets;
+  const CacheStores& stores;
   std::string zone;
 };
 
@@ -69,7 +86,7 @@
   std::uint32_t leastBound = 2;
   /// Part of a replica's cache memory that all nodes together may fill with running requests.
   double memoryShare = 0.6;
-  /// Tokens that a holder must have beyond the chosen replica to be fetched from.
+  /// Tokens that a source must have beyond the chosen replica to be fetched from.
   std::uint32_t leastFetch = 32;
 };
 
@@ -87,10 +104,15 @@
 
   Candidates eligible(const ReplicaQuery& query, base::TimePoint now, std::string_view& reason);
   ReplicaRecordPtr leastLoaded(const Candidates& candidates);
+  /// Orders the candidates by home; those of versions with more of the prompt cached come first.
+  void sortByHome(Candidates& candidates, const ReplicaQuery& query, base::TimePoint now) const;
   std::size_t firstWithRoom(const Candidates& ordered, const ReplicaQuery& query,
                             std::size_t nodes) const;
-  void addFetch(ReplicaDecision& decision, const ReplicaQuery& query, const Candidates& ordered,
-                base::TimePoint now) const;
+  void addCacheMoves(ReplicaDecision& decision, const ReplicaQuery& query,
+                     base::TimePoint now) const;
+  /// The best source of the prompt's shared parts under the scope, other than `except`.
+  std::optional<CacheSource> bestSource(const ReplicaQuery& query, CacheScope scope,
+                                        const ReplicaRecord* except, base::TimePoint now) const;
 
   ReplicaChoiceContext context_;
   ReplicaChoiceOptions options_;
