--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -210,7 +210,10 @@
     const auto elapsed = clock.now() - drainingSince;
     const bool noticed = elapsed >= kNoticedAfter;
     const bool overdue = elapsed >= settings.grace - kGraceMargin;
-    if (noticed) callerServer.closeIdleConnections();
+    if (noticed) {
+      service.refuseNew();
+      callerServer.closeIdleConnections();
+    }
     if (overdue || (noticed && callerServer.openExchanges() == 0)) {
       membership.leave();
       log.write(base::Event::kNodeStopped, {{"open", std::to_string(service.open())}});
--- a/src/request/relay_service.cc
+++ b/src/request/relay_service.cc
@@ -58,6 +58,10 @@
 
 std::optional<RelayRefusal> RelayService::assign(const RelayArrival& arrival,
                                                  RelayAssignment& assignment) {
+  if (refusingNew_) {
+    return refusalOf(base::ResultCode::kNodeDraining, "this node is stopping",
+                     options_.retryAfterDraining, true);
+  }
   assignment.table = tables_.table();
   if (!assignment.table) {
     return refusalOf(base::ResultCode::kConfigurationStale, "no configuration is known yet",
--- a/src/request/relay_service.h
+++ b/src/request/relay_service.h
@@ -32,6 +32,7 @@
   base::Duration confirmationBound{};
   base::Duration retryAfterNoConfiguration = std::chrono::milliseconds(500);
   base::Duration retryAfterUnconfirmed = std::chrono::milliseconds(200);
+  base::Duration retryAfterDraining = std::chrono::milliseconds(100);
 };
 
 class RelayService {
@@ -48,6 +49,8 @@
   /// the caller goes away.
   std::weak_ptr<RelayFlow> begin(RelayArrival arrival, std::unique_ptr<RelayCaller> caller);
   std::size_t open() const { return flows_.size(); }
+  /// From now on new requests are refused as not run: the node stops before they would be over.
+  void refuseNew() { refusingNew_ = true; }
   /// Whether keys may be accepted now.
   bool confirmed() const;
 
@@ -65,6 +68,7 @@
   const RouteTableSource& tables_;
   RelayFlow::NodeCount nodes_;
   std::unordered_map<RelayFlow*, FlowPtr> flows_;
+  bool refusingNew_ = false;
   /// Smooth weighted round robin: the credit of each share, by route and service.
   std::unordered_map<std::string, double> credits_;
 };
