Count a replica's silence only beyond the time that reading its prompts takes

Cause: a repeatable request without an answer after the target latency was cancelled and sent elsewhere, where its prompt was read anew; long prompts take that long to be read (markets: 20,000 to 40,000 tokens at 50 a millisecond, target 800 ms).

Ruled out: lost cache events and the store of kept cache; all of these prompts had been saved to it.

--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -151,7 +151,12 @@
   const std::uint32_t wanted = query().tokens;
   const std::uint32_t tokens = wanted - std::min(wanted, decision.matchedTokens);
   record.onDispatched(tokens);
-  record.health().onDispatched(now);
+  const std::uint32_t unread =
+      arrival_.prompt ? arrival_.prompt->promptTokens -
+                            std::min(arrival_.prompt->promptTokens, decision.matchedTokens)
+                      : 0;
+  const auto work = record.readTime(unread);
+  record.health().onDispatched(now, work);
   ++dispatches_;
   dependencies_.log.write(
       base::Event::kRelayDispatched,
@@ -173,7 +178,7 @@
        {"save", decision.saveTo ? base::toString(*decision.saveTo) : ""},
        {"left_ms", milliseconds(terms.timeLeft)}});
   const auto endpoint = record.facts().endpoint;
-  attempt_ = Attempt{std::move(decision), now, tokens, false, false, std::nullopt};
+  attempt_ = Attempt{std::move(decision), now, tokens, work, false, false, std::nullopt};
   armSilence();
   call_ = dependencies_.client.start(endpoint, arrival_.request, terms, *this);
   if (paused_) call_->setPaused(true);
@@ -185,6 +190,7 @@
   const auto& route = *assignment_.route;
   auto wait = std::max(kLeastSilence, std::chrono::duration_cast<base::Duration>(
                                           route.targetLatency * options_.silentAttemptShare));
+  wait += 2 * attempt_->work;
   if (attempt_->headSeen) wait = std::max({wait, kLeastStreamSilence, 2 * route.gapTarget});
   silenceTimer_ = dependencies_.timers.schedule(wait, [this] { onSilence(); });
 }
@@ -209,7 +215,7 @@
 void RelayFlow::endWait() {
   if (!attempt_ || attempt_->headSeen) return;
   attempt_->headSeen = true;
-  attempt_->decision.replica->health().onWaitEnded(dependencies_.clock.now());
+  attempt_->decision.replica->health().onWaitEnded(dependencies_.clock.now(), attempt_->work);
 }
 
 void RelayFlow::onHead(clients::RelayedAnswer answer) {
@@ -238,7 +244,10 @@
   const bool stream = streaming() && successful(answer.status);
   // A failure in answer to a resumed stream is no part of it.
   if (resumable() && headDelivered_ && !stream) return;
-  if (stream && !attempt.bodySeen) learnHolder();
+  if (stream && !attempt.bodySeen) {
+    learnHolder();
+    attempt.decision.replica->learnReadTime(attempt.tokens, now - attempt.sentAt);
+  }
   attempt.bodySeen = true;
   if (stream && resumable()) {
     const std::string whole = events_.feed(bytes);
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -38,7 +38,7 @@
   /// Largest plain answer that is kept until it is whole.
   std::size_t wholeAnswerBytes = 64U << 10U;
   /// A repeatable request without any answer is tried elsewhere after this part of the target
-  /// latency.
+  /// latency, besides twice the time that reading its prompt takes.
   double silentAttemptShare = 1.0;
   /// How long a replica that refused for lack of room is passed over.
   base::Duration fullFor = std::chrono::milliseconds(100);
@@ -127,6 +127,8 @@
     routing::ReplicaDecision decision;
     base::TimePoint sentAt{};
     std::uint32_t tokens = 0;
+    /// What the replica takes until its answer begins when nothing else runs there.
+    base::Duration work{};
     bool headSeen = false;
     bool bodySeen = false;
     std::optional<clients::RelayedAnswer> answer;
--- a/src/routing/replica_directory.cc
+++ b/src/routing/replica_directory.cc
@@ -24,6 +24,19 @@
   versionDoubtedUntil_ = {};
 }
 
+base::Duration ReplicaRecord::readTime(std::uint32_t tokens) const {
+  return base::Duration{static_cast<base::Duration::rep>(readTimePerToken_ * tokens)};
+}
+
+void ReplicaRecord::learnReadTime(std::uint32_t tokens, base::Duration took) {
+  constexpr std::uint32_t kLeastTokens = 500;
+  constexpr double kSmoothing = 0.2;
+  // Short prompts tell more of the queue than of the reading.
+  if (tokens < kLeastTokens) return;
+  const double perToken = static_cast<double>(took.count()) / tokens;
+  readTimePerToken_ += kSmoothing * (perToken - readTimePerToken_);
+}
+
 void ReplicaRecord::onDispatched(std::uint32_t tokens) {
   ++inFlight_;
   tokensInFlight_ += tokens;
--- a/src/routing/replica_directory.h
+++ b/src/routing/replica_directory.h
@@ -41,6 +41,12 @@
   void setFull(base::TimePoint until) { fullUntil_ = until; }
   bool full(base::TimePoint now) const { return now < fullUntil_; }
 
+  /// How long the replica takes to read so many tokens of a prompt, from what was observed.
+  base::Duration readTime(std::uint32_t tokens) const;
+  /// It took so long from the dispatch of a request until its answer began, with so many tokens to
+  /// read.
+  void learnReadTime(std::uint32_t tokens, base::Duration took);
+
   /// Requests of this node that the replica has not finished, and the tokens they need.
   std::uint32_t inFlight() const { return inFlight_; }
   std::uint64_t tokensInFlight() const { return tokensInFlight_; }
@@ -57,6 +63,8 @@
   base::TimePoint versionDoubtedUntil_{};
   base::TimePoint changingUntil_{};
   base::TimePoint fullUntil_{};
+  /// Microseconds a token; at first slower than replicas are.
+  double readTimePerToken_ = 60;
   std::uint32_t inFlight_ = 0;
   std::uint64_t tokensInFlight_ = 0;
 };
--- a/src/routing/replica_health.cc
+++ b/src/routing/replica_health.cc
@@ -4,13 +4,15 @@
 
 namespace covewing::routing {
 
-void ReplicaHealth::onDispatched(base::TimePoint now) {
+void ReplicaHealth::onDispatched(base::TimePoint now, base::Duration work) {
   if (waiting_ == 0) quietSince_ = now;
   ++waiting_;
+  waitingWork_ += work;
 }
 
-void ReplicaHealth::onWaitEnded(base::TimePoint now) {
+void ReplicaHealth::onWaitEnded(base::TimePoint now, base::Duration work) {
   if (waiting_ > 0) --waiting_;
+  waitingWork_ -= work;
   if (waiting_ == 0) quietSince_ = now;
 }
 
@@ -42,7 +44,7 @@
 }
 
 bool ReplicaHealth::silent(base::TimePoint now) const {
-  return waiting_ > 0 && now - quietSince_ > options_.silence;
+  return waiting_ > 0 && now - quietSince_ > options_.silence + waitingWork_;
 }
 
 bool ReplicaHealth::available(base::TimePoint now) const {
--- a/src/routing/replica_health.h
+++ b/src/routing/replica_health.h
@@ -24,7 +24,7 @@
   double excessRate = 0.3;
   /// Outcomes before the failure rate counts.
   std::uint32_t minimumOutcomes = 6;
-  /// Silence, with requests waiting, after which nothing more is sent.
+  /// Silence, beyond the work of the requests that wait, after which nothing more is sent.
   base::Duration silence = std::chrono::milliseconds(700);
 };
 
@@ -32,10 +32,11 @@
  public:
   explicit ReplicaHealth(ReplicaHealthOptions options = {}) : options_(options) {}
 
-  /// A request was sent and its answer has not begun.
-  void onDispatched(base::TimePoint now);
+  /// A request was sent and its answer has not begun; `work` is what it takes until then when
+  /// nothing else runs.
+  void onDispatched(base::TimePoint now, base::Duration work = {});
   /// The wait for the answer's first byte ended, in whatever way.
-  void onWaitEnded(base::TimePoint now);
+  void onWaitEnded(base::TimePoint now, base::Duration work = {});
   /// Bytes came from the replica.
   void onHeard(base::TimePoint now);
   /// A whole answer that was no failure.
@@ -58,6 +59,8 @@
 
   ReplicaHealthOptions options_;
   std::uint32_t waiting_ = 0;
+  /// Work of the requests that wait.
+  base::Duration waitingWork_{};
   /// When something was last heard, or the first of the waiting requests was sent.
   base::TimePoint quietSince_{};
   std::uint32_t failuresInRow_ = 0;
