Order replicas at a version's bound only where requests wait; leave replicas that ended alone

At the bound all replicas that were left were ordered at once, which makes every load slower (3 to 5 s where one takes 0.65); but only requests that wait to begin need that, and reports tell them from those that run.

--- a/src/clients/weights_client.h
+++ b/src/clients/weights_client.h
@@ -54,8 +54,9 @@
 /// A replica's own account, some hundred milliseconds old.
 struct WeightsReport {
   bool busy = false;
-  /// Requests that run or wait there.
-  std::uint32_t requests = 0;
+  /// Requests that have begun, and those that wait to begin.
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
   std::uint64_t orders = 0;
   base::WeightsVersion version = 0;
 };
--- a/src/coordination/weights_rollout.cc
+++ b/src/coordination/weights_rollout.cc
@@ -72,11 +72,14 @@
 }
 
 void WeightsRollout::begin(const std::string& model, const routing::WeightsTargetList& targets) {
+  const auto now = environment_.clock.now();
   std::vector<routing::ReplicaRecordPtr> outdated;
   std::vector<base::WeightsVersion> served;
   for (const auto& [instance, record] : environment_.directory.all()) {
     const auto version = record->versionOf(model);
-    if (version == 0 || record->facts().state != routing::ReplicaState::kReady) continue;
+    const bool reachable = !record->gone() && !record->health().ejected(now);
+    if (version == 0 || !reachable || record->facts().state != routing::ReplicaState::kReady)
+      continue;
     served.push_back(version);
     if (version < targets.back().version && !changes_.contains(instance))
       outdated.push_back(record);
@@ -88,16 +91,17 @@
   std::ranges::stable_sort(outdated, {}, [&model](const auto& record) {
     return std::pair{record->versionOf(model), record->inFlight()};
   });
-  const auto now = environment_.clock.now();
+  const auto allowed = environment_.targets.oldestAllowed(model, now);
   for (const auto& record : outdated) {
-    const bool flush = mustFlush(model, record->versionOf(model));
-    if (changes_.size() >= atOnce && !flush) continue;
+    // A replica whose version is forbidden serves nobody: to change it costs nothing.
+    const bool unused = record->versionOf(model) < allowed;
+    if (changes_.size() >= atOnce && !unused) continue;
     const auto& instance = record->facts().instance;
     Change change;
     change.model = model;
     change.version = targets.back().version;
     change.startedAt = now;
-    change.nextAt = flush ? now : now + options_.lead;
+    change.nextAt = unused ? now : now + options_.lead;
     changes_.emplace(instance, change);
     environment_.news.onChanging(instance);
   }
@@ -112,9 +116,12 @@
   }
   if (change.phase == Phase::kLoading && record->versionOf(change.model) >= change.version)
     return finish(instance, "served");
-  if (now - change.startedAt > options_.giveUp) return finish(instance, "not done in time");
+  const bool waiting = change.phase == Phase::kPrepared;
+  const auto since = change.phase == Phase::kLoading ? change.orderedAt : change.startedAt;
+  if (!waiting && now - since > options_.giveUp) return finish(instance, "not done in time");
   if (change.callUnderWay || now < change.nextAt) return;
-  const bool flush = mustFlush(change.model, record->versionOf(change.model));
+  const bool flush =
+      !change.noneWaiting && mustFlush(change.model, record->versionOf(change.model));
   const bool prepared =
       change.phase == Phase::kPrepared || (flush && change.phase == Phase::kDraining);
   if (prepared && ordersTaken_.contains(instance)) {
@@ -182,6 +189,8 @@
       finish(instance, "fenced off");
       return;
     case clients::WeightsOrderStatus::kOtherInstance:
+      if (const auto record = environment_.directory.find(instance)) record->setGone();
+      [[fallthrough]];
     case clients::WeightsOrderStatus::kInvalid:
       finish(instance, "refused");
       return;
@@ -217,9 +226,11 @@
                                    const clients::WeightsReport& report) {
   const auto now = environment_.clock.now();
   ordersTaken_[instance] = report.orders;
-  const bool idle = report.requests == 0 && !report.busy;
+  change.noneWaiting = report.waiting == 0;
+  const bool idle = report.running == 0 && report.waiting == 0 && !report.busy;
   const auto record = environment_.directory.find(instance);
-  const bool flush = record && mustFlush(change.model, record->versionOf(change.model));
+  const bool flush =
+      !change.noneWaiting && record && mustFlush(change.model, record->versionOf(change.model));
   if (!idle && !flush && now - change.startedAt < options_.longestDrain) return;
   change.phase = Phase::kPrepared;
   change.nextAt = now;
--- a/src/coordination/weights_rollout.h
+++ b/src/coordination/weights_rollout.h
@@ -37,17 +37,18 @@
   base::Duration lead = std::chrono::milliseconds(350);
   base::Duration reportInterval = std::chrono::milliseconds(150);
   /// A replica that is not idle after this is ordered nevertheless; its runs end first.
-  base::Duration longestDrain = std::chrono::milliseconds(3000);
+  base::Duration longestDrain = std::chrono::milliseconds(1000);
   /// An order without an answer is given again after this.
   base::Duration repeatOrder = std::chrono::milliseconds(1000);
-  /// A replica that is not done after this is left, and taken up again later.
-  base::Duration giveUp = std::chrono::seconds(6);
+  /// A replica that gives no report for so long, or is not done so long after its order, is left,
+  /// and taken up again later.
+  base::Duration giveUp = std::chrono::seconds(5);
   /// Most of a model's replicas that load at once, as a part of all; at least one may.
   double mostLoading = 1.0 / 6;
   /// Most of a model's replicas that are away at once; at least one may be.
   double mostAway = 0.42;
-  /// This long after requests on an older version became forbidden, every replica that still has it
-  /// is ordered, idle or not: requests that wait there are refused as not run instead of beginning
+  /// This long after requests on an older version became forbidden, every replica that still has
+  /// both it and requests that wait is ordered: these are refused as not run instead of beginning
   /// on the older version.
   base::Duration flushAfter = std::chrono::milliseconds(400);
   /// How long a change is taken to last at first, and at most.
@@ -104,6 +105,8 @@
     /// When the next step is due.
     base::TimePoint nextAt{};
     base::TimePoint orderedAt{};
+    /// The latest report showed no requests that wait to begin.
+    bool noneWaiting = false;
     bool callUnderWay = false;
   };
 
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -357,7 +357,7 @@
   const auto now = dependencies_.clock.now();
   auto& record = *attempt_->decision.replica;
   if (answer.otherInstance) {
-    record.health().onUnreachable(now);
+    record.setGone();
     return;
   }
   if (answer.status == kMisdirected) {
--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -43,8 +43,8 @@
   Candidates allowed;
   reason = listed.empty() ? "no replica is listed" : "every replica is draining or was tried";
   for (const auto& record : listed) {
-    if (record->facts().state != ReplicaState::kReady || onListOf(query.excluded, *record))
-      continue;
+    if (record->facts().state != ReplicaState::kReady || record->gone()) continue;
+    if (onListOf(query.excluded, *record)) continue;
     if (!query.model.empty() &&
         record->versionOf(query.model) < std::max<base::WeightsVersion>(oldest, 1)) {
       reason = "no replica has the version in force";
@@ -121,7 +121,7 @@
     if (tokens > (best ? best->tokens : 0)) best = CacheSource{name, endpoint, tokens};
   };
   for (const auto& record : context_.replicas.ofService(query.service)) {
-    if (record.get() == except || record->health().ejected(now)) continue;
+    if (record.get() == except || record->gone() || record->health().ejected(now)) continue;
     const auto& facts = record->facts();
     offer(facts.instance, facts.endpoint, tokensAt(facts.instance));
   }
--- a/src/routing/replica_directory.h
+++ b/src/routing/replica_directory.h
@@ -34,6 +34,10 @@
   /// over until the list or an answer tells, or `until`.
   void doubtVersion(base::TimePoint until) { versionDoubtedUntil_ = until; }
   bool versionDoubted(base::TimePoint now) const { return now < versionDoubtedUntil_; }
+  /// Its address answers for another run or another replica: this one has ended for good, whatever
+  /// the list still says.
+  void setGone() { gone_ = true; }
+  bool gone() const { return gone_; }
   /// New weights are about to be ordered or are being loaded: no requests until then.
   void setChanging(base::TimePoint until) { changingUntil_ = until; }
   bool changing(base::TimePoint now) const { return now < changingUntil_; }
@@ -60,6 +64,7 @@
   Replica facts_;
   ReplicaHealth health_;
   std::map<std::string, base::WeightsVersion, std::less<>> versions_;
+  bool gone_ = false;
   base::TimePoint versionDoubtedUntil_{};
   base::TimePoint changingUntil_{};
   base::TimePoint fullUntil_{};
