--- a/src/live/boost_event_log.cc
+++ b/src/live/boost_event_log.cc
@@ -2,19 +2,20 @@
 
 #include <fmt/format.h>
 
-#include <boost/core/null_deleter.hpp>
+#include <atomic>
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
-#include <boost/log/sinks/bounded_fifo_queue.hpp>
-#include <boost/log/sinks/drop_on_overflow.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/make_shared.hpp>
+#include <chrono>
 #include <iostream>
+#include <thread>
+#include <utility>
 
 namespace covewing::live {
 
@@ -23,9 +24,32 @@
 namespace logging = boost::log;
 namespace sinks = boost::log::sinks;
 
-constexpr std::size_t kQueuedLines = 8192;
-using Queue = sinks::bounded_fifo_queue<kQueuedLines, sinks::drop_on_overflow>;
-using Sink = sinks::asynchronous_sink<sinks::text_ostream_backend, Queue>;
+/// How long the end of the process waits for a reader.
+constexpr std::chrono::milliseconds kFlushTime{500};
+constexpr std::chrono::milliseconds kFlushStep{5};
+
+/// Writes lines to a stream and counts those that are left.
+class LineBackend final
+    : public sinks::basic_formatted_sink_backend<char, sinks::synchronized_feeding> {
+ public:
+  explicit LineBackend(std::ostream& stream) : stream_(stream) {}
+  void consume(const logging::record_view& /*record*/, const std::string& line) {
+    stream_ << line << std::endl;
+    queued.fetch_sub(1);
+  }
+  std::atomic<std::size_t> queued{0};
+
+ private:
+  std::ostream& stream_;
+};
+
+using Sink = sinks::asynchronous_sink<LineBackend>;
+
+/// The last word on a failed request, or something that someone should look at.
+bool isRoutine(base::Event event) {
+  return base::describe(event).severity == base::Severity::kInfo &&
+         event != base::Event::kRequestRefused;
+}
 
 std::string_view toString(base::Severity severity) {
   switch (severity) {
@@ -68,16 +92,16 @@
 
 struct BoostEventLog::Impl {
   logging::sources::logger logger;
+  boost::shared_ptr<LineBackend> backend;
   boost::shared_ptr<Sink> sink;
 };
 
-BoostEventLog::BoostEventLog(std::string process, base::Severity minimum)
-    : process_(std::move(process)), minimum_(minimum), impl_(std::make_unique<Impl>()) {
+BoostEventLog::BoostEventLog(std::string process, BoostEventLogOptions options)
+    : process_(std::move(process)), options_(options), impl_(std::make_unique<Impl>()) {
   namespace expressions = logging::expressions;
-  const auto backend = boost::make_shared<sinks::text_ostream_backend>();
-  backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
-  backend->auto_flush(true);
-  impl_->sink = boost::make_shared<Sink>(backend);
+  auto& stream = options_.stream == nullptr ? std::clog : *options_.stream;
+  impl_->backend = boost::make_shared<LineBackend>(stream);
+  impl_->sink = boost::make_shared<Sink>(impl_->backend);
   impl_->sink->set_formatter(expressions::stream
                              << "time="
                              << expressions::format_date_time<boost::posix_time::ptime>(
@@ -89,13 +113,40 @@
 
 BoostEventLog::~BoostEventLog() {
   logging::core::get()->remove_sink(impl_->sink);
-  impl_->sink->stop();
-  impl_->sink->flush();
+  const auto end = std::chrono::steady_clock::now() + kFlushTime;
+  while (impl_->backend->queued > 0 && std::chrono::steady_clock::now() < end)
+    std::this_thread::sleep_for(kFlushStep);
+  if (impl_->backend->queued == 0) {
+    impl_->sink->stop();
+    return;
+  }
+  // The writing thread is held up by the reader and cannot be joined: it ends with the process.
+  static_cast<void>(new boost::shared_ptr<Sink>(impl_->sink));
 }
 
 void BoostEventLog::write(base::Event event, std::initializer_list<base::EventField> fields) {
-  if (base::describe(event).severity < minimum_) return;
+  if (base::describe(event).severity < options_.minimum) return;
+  const auto queued = impl_->backend->queued.load();
+  const auto limit = isRoutine(event) ? options_.routineLines : options_.mostLines;
+  if (queued >= limit) {
+    ++dropped_[event];
+    return;
+  }
+  // The reader has caught up by half.
+  if (!dropped_.empty() && queued < options_.routineLines / 2) reportDropped();
+  push(event, fields);
+}
+
+void BoostEventLog::push(base::Event event, std::initializer_list<base::EventField> fields) {
+  impl_->backend->queued.fetch_add(1);
   BOOST_LOG(impl_->logger) << formatEvent(event, process_, fields);
 }
 
+void BoostEventLog::reportDropped() {
+  for (const auto& [event, lines] : std::exchange(dropped_, {})) {
+    push(base::Event::kLogLinesDropped,
+         {{"kind", std::string{base::describe(event).name}}, {"lines", std::to_string(lines)}});
+  }
+}
+
 }  // namespace covewing::live
--- a/src/live/boost_event_log.h
+++ b/src/live/boost_event_log.h
@@ -1,7 +1,11 @@
 /// \file
-/// Event log on Boost.Log: one line of key=value pairs for each event, on standard error.
+/// Event log on Boost.Log: one line of key=value pairs for each event.
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
+#include <iosfwd>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -9,14 +13,26 @@
 
 namespace covewing::live {
 
-/// Writes `time=... severity=... event=NUMBER name=NAME process=NAME field="value"...`. Lines are
-/// written by a thread of Boost.Log from a bounded queue; where the queue is full, lines are
-/// dropped rather than the node held up. Only one may exist at a time in a process.
+struct BoostEventLogOptions {
+  /// Events below this are not written.
+  base::Severity minimum = base::Severity::kInfo;
+  /// Where lines go; null: standard error. Must outlive the process' logging.
+  std::ostream* stream = nullptr;
+  /// Lines waiting to be written beyond which routine events are left out, and beyond which all
+  /// are. The last word on a failed request, warnings and errors are no routine events.
+  std::size_t routineLines = 4096;
+  std::size_t mostLines = 8192;
+};
+
+/// Writes `time=... severity=... event=NUMBER name=NAME process=NAME field="value"...`.
+///
+/// Lines are written by a thread of Boost.Log from a bounded queue: a reader that does not keep up
+/// costs lines and never holds a request up. What was left out is told by kind, as soon as the
+/// reader has caught up (event LogLinesDropped). Only one may exist at a time in a process.
 class BoostEventLog final : public base::EventLog {
  public:
-  /// Events below `minimum` are not written.
-  explicit BoostEventLog(std::string process, base::Severity minimum = base::Severity::kInfo);
-  /// Flushes what is queued.
+  explicit BoostEventLog(std::string process, BoostEventLogOptions options = {});
+  /// Waits shortly for what is queued; a reader that has stopped reading is not waited for.
   ~BoostEventLog() override;
   BoostEventLog(const BoostEventLog&) = delete;
   BoostEventLog& operator=(const BoostEventLog&) = delete;
@@ -25,9 +41,14 @@
 
  private:
   struct Impl;
+  void push(base::Event event, std::initializer_list<base::EventField> fields);
+  void reportDropped();
+
   std::string process_;
-  base::Severity minimum_;
+  BoostEventLogOptions options_;
   std::unique_ptr<Impl> impl_;
+  /// Lines left out since the last report, by event.
+  std::map<base::Event, std::uint64_t> dropped_;
 };
 
 /// The line of one event, without its time.
--- a/src/live/daemon.cc
+++ b/src/live/daemon.cc
@@ -5,6 +5,7 @@
 #include "base/random.h"
 #include "live/asio_runtime.h"
 #include "live/caller_gateway.h"
+#include "live/counting_event_log.h"
 #include "live/http_application_client.h"
 #include "live/http_client.h"
 #include "live/http_engine_client.h"
@@ -59,7 +60,7 @@
       : context(ioContext),
         settings(std::move(nodeSettings)),
         factory(std::move(nodeFactory)),
-        log(eventLog, metrics),
+        log(eventLog, [this](base::Event event) { metrics.onEvent(event); }),
         timers(ioContext),
         random(systemSeed()),
         peers(ioContext, log),
--- /dev/null
+++ b/src/live/metric_entry.h
@@ -0,0 +1,18 @@
+/// \file
+/// One line of a documented table of metrics.
+#pragma once
+
+#include <string_view>
+
+namespace covewing::live {
+
+struct MetricEntry {
+  std::string_view name;
+  /// "counter", "gauge" or "histogram".
+  std::string_view type;
+  /// Names of labels, separated by commas; empty for none.
+  std::string_view labels;
+  std::string_view meaning;
+};
+
+}  // namespace covewing::live
--- a/src/live/node_metrics.cc
+++ b/src/live/node_metrics.cc
@@ -5,13 +5,12 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
-#include <sys/resource.h>
-#include <unistd.h>
 
 #include <array>
-#include <fstream>
 #include <map>
 
+#include "live/process_usage.h"
+
 namespace covewing::live {
 
 namespace {
@@ -68,24 +67,6 @@
   return {};
 }
 
-double residentBytes() {
-  std::ifstream file("/proc/self/statm");
-  double pages = 0;
-  double resident = 0;
-  file >> pages >> resident;
-  return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
-}
-
-double cpuSeconds() {
-  rusage usage{};
-  getrusage(RUSAGE_SELF, &usage);
-  constexpr double kMicrosecond = 1e-6;
-  const auto seconds = [](const timeval& time) {
-    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) * kMicrosecond;
-  };
-  return seconds(usage.ru_utime) + seconds(usage.ru_stime);
-}
-
 }  // namespace
 
 std::span<const MetricEntry> metricTable() { return kTable; }
@@ -184,7 +165,7 @@
   impl_->ordersOpen.Set(static_cast<double>(coordination.openOrders));
   impl_->ready.Set(snapshot.node.ready() ? 1 : 0);
   impl_->resident.Set(residentBytes());
-  Impl::raise(impl_->cpu, cpuSeconds());
+  Impl::raise(impl_->cpu, processorSeconds());
   const auto& peers = snapshot.peers;
   const Labels sent = {{"direction", "sent"}};
   const Labels received = {{"direction", "received"}};
--- a/src/live/node_metrics.h
+++ b/src/live/node_metrics.h
@@ -12,21 +12,12 @@
 #include "base/result_code.h"
 #include "base/time.h"
 #include "clients/engine_client.h"
+#include "live/metric_entry.h"
 #include "live/peer_transport.h"
 #include "node/node.h"
 
 namespace covewing::live {
 
-/// One line of the table of metrics.
-struct MetricEntry {
-  std::string_view name;
-  /// "counter", "gauge" or "histogram".
-  std::string_view type;
-  /// Names of labels, separated by commas; empty for none.
-  std::string_view labels;
-  std::string_view meaning;
-};
-
 /// All metrics, ascending by name.
 std::span<const MetricEntry> metricTable();
 
@@ -63,18 +54,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-/// Passes events on and counts them.
-class CountingEventLog final : public base::EventLog {
- public:
-  CountingEventLog(base::EventLog& next, NodeMetrics& metrics) : next_(next), metrics_(metrics) {}
-  void write(base::Event event, std::initializer_list<base::EventField> fields) override {
-    metrics_.onEvent(event);
-    next_.write(event, fields);
-  }
-
- private:
-  base::EventLog& next_;
-  NodeMetrics& metrics_;
-};
-
 }  // namespace covewing::live
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -6,10 +6,12 @@
 
 #include "base/random.h"
 #include "live/asio_runtime.h"
+#include "live/counting_event_log.h"
 #include "live/http_relay_client.h"
 #include "live/http_server.h"
 #include "live/peer_transport.h"
 #include "live/relay_gateway.h"
+#include "live/relay_metrics.h"
 #include "membership/gossip_membership.h"
 #include "node/weights_coordinator.h"
 #include "node/weights_dates.h"
@@ -99,7 +101,7 @@
        const RelayDeployment& relayDeployment)
       : context(ioContext),
         settings(std::move(nodeSettings)),
-        log(eventLog),
+        log(eventLog, [this](base::Event event) { metrics.onEvent(event); }),
         deployment(relayDeployment),
         timers(ioContext),
         random(systemSeed()),
@@ -128,8 +130,12 @@
         gateway(service, deployment.dialect, log),
         callerServer(ioContext, {},
                      [this](const HttpExchangePtr& exchange) { gateway.handle(exchange); }),
-        readinessServer(ioContext, {}, [this](const HttpExchangePtr& exchange) {
-          exchange->respond({ready() ? kOk : kServiceUnavailable, {}, {}});
+        readinessServer(ioContext, {},
+                        [this](const HttpExchangePtr& exchange) {
+                          exchange->respond({ready() ? kOk : kServiceUnavailable, {}, {}});
+                        }),
+        metricsServer(ioContext, {}, [this](const HttpExchangePtr& exchange) {
+          exchange->respond({kOk, {{"Content-Type", "text/plain; version=0.0.4"}}, render()});
         }) {
     configuration.setWatch(configurationWatch);
     configuration.onTable([this](const config::RouteTable& table) {
@@ -196,6 +202,8 @@
     log.write(base::Event::kNodeStarting, {{"node", settings.name}, {"zone", settings.zone}});
     if (!listen(callerServer, settings.callerEndpoint, reason)) return false;
     if (!listen(readinessServer, settings.readinessEndpoint, reason)) return false;
+    const bool withMetrics = settings.metricsEndpoint.port != 0;
+    if (withMetrics && !listen(metricsServer, settings.metricsEndpoint, reason)) return false;
     if (!peers.bind(settings.peerEndpoint, reason)) return false;
     peers.start({membership.self().id, membership.self().incarnation, settings.peerEndpoint},
                 [this](const base::PeerIdentity& sender, base::Channel channel,
@@ -242,12 +250,43 @@
     timers.schedule(kDrainInterval, [this] { drainStep(); });
   }
 
-  void onRelayed(const config::Route& /*route*/,
-                 const request::RelayOutcome& /*outcome*/) override {}
+  void onRelayed(const config::Route& route, const request::RelayOutcome& outcome) override {
+    metrics.onRelayed(route, outcome);
+  }
+
+  std::string render() {
+    const auto now = clock.now();
+    RelayMetrics::Snapshot snapshot;
+    snapshot.ready = ready();
+    snapshot.leaseHeld = coordinator.holdsLease();
+    if (const auto table = configuration.table()) snapshot.configurationVersion = table->version();
+    if (const auto confirmed = configuration.confirmedAt())
+      snapshot.configurationAge = now - *confirmed;
+    snapshot.members = membership.liveMembers().size();
+    snapshot.openRequests = service.open();
+    snapshot.callerConnections = callerServer.openConnections();
+    snapshot.knownParts = holders.size();
+    for (const auto& [instance, record] : replicas.all()) countReplica(*record, now, snapshot);
+    return metrics.render(snapshot);
+  }
+
+  static void countReplica(const routing::ReplicaRecord& record, base::TimePoint now,
+                           RelayMetrics::Snapshot& snapshot) {
+    if (record.facts().state == routing::ReplicaState::kDraining || record.gone()) {
+      ++snapshot.replicasDraining;
+    } else if (!record.health().available(now)) {
+      ++snapshot.replicasEjected;
+    } else if (record.changing(now)) {
+      ++snapshot.replicasChanging;
+    } else {
+      ++snapshot.replicasAvailable;
+    }
+  }
 
   boost::asio::io_context& context;
   RelaySettings settings;
-  base::EventLog& log;
+  RelayMetrics metrics;
+  CountingEventLog log;
   RelayDeployment deployment;
   AsioClock clock;
   AsioTimerService timers;
@@ -274,6 +313,7 @@
   RelayGateway gateway;
   HttpServer callerServer;
   HttpServer readinessServer;
+  HttpServer metricsServer;
   bool draining = false;
   base::TimePoint drainingSince{};
   std::function<void()> drained;
--- /dev/null
+++ b/src/live/relay_metrics.cc
@@ -0,0 +1,145 @@
+#include "live/relay_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <array>
+#include <map>
+
+#include "live/process_usage.h"
+
+namespace covewing::live {
+
+namespace {
+
+using Labels = std::map<std::string, std::string>;
+
+constexpr MetricEntry kTable[] = {
+    {"covewing_caller_connections", "gauge", "", "open connections of callers"},
+    {"covewing_configuration_age_seconds", "gauge", "",
+     "time since the configuration was last confirmed as the newest; -1 when it never was"},
+    {"covewing_configuration_version", "gauge", "", "version of the route table in force"},
+    {"covewing_events_total", "counter", "event",
+     "log events by name (docs/EVENTS.md): retries, refusals, broken streams, orders and others"},
+    {"covewing_known_cached_parts", "gauge", "",
+     "cached parts of prompts that this node knows a holder of"},
+    {"covewing_lease_held", "gauge", "", "1 while this node rolls out weights, else 0"},
+    {"covewing_members", "gauge", "", "live members, this node included"},
+    {"covewing_open_requests", "gauge", "", "requests in flight, held ones included"},
+    {"covewing_process_cpu_seconds_total", "counter", "", "processor time of the process"},
+    {"covewing_process_resident_bytes", "gauge", "", "resident memory of the process"},
+    {"covewing_ready", "gauge", "", "1 while the node says that it is ready, else 0"},
+    {"covewing_relay_attempts_total", "counter", "kind", "dispatches to replicas"},
+    {"covewing_relay_first_byte_seconds", "histogram", "kind",
+     "time from a request's arrival to the first byte of its answer"},
+    {"covewing_relay_prompt_tokens_total", "counter", "source",
+     "shared tokens of dispatched prompts: cached at the replica, fetched from another holder, or "
+     "read anew, as the node expected"},
+    {"covewing_relay_request_seconds", "histogram", "kind",
+     "time from a request's arrival to the end of its answer"},
+    {"covewing_relay_requests_total", "counter", "kind, code",
+     "finished requests by kind of route and name of the result code (docs/CODES.md)"},
+    {"covewing_replicas", "gauge", "state",
+     "listed replicas: available, draining, ejected, changing weights"},
+};
+
+constexpr std::array<std::string_view, 3> kKindNames = {"idempotent", "non_idempotent",
+                                                        "streaming"};
+
+const prometheus::Histogram::BucketBoundaries kSecondsBuckets = {0.01, 0.025, 0.05, 0.1, 0.25, 0.5,
+                                                                 0.8,  1,     2.5,  5,   10,   30};
+
+std::string helpOf(std::string_view name) {
+  for (const auto& entry : kTable) {
+    if (entry.name == name) return std::string{entry.meaning};
+  }
+  return {};
+}
+
+Labels kindLabel(const config::Route& route) {
+  return {{"kind", std::string{kKindNames.at(static_cast<std::size_t>(route.kind))}}};
+}
+
+}  // namespace
+
+std::span<const MetricEntry> relayMetricTable() { return kTable; }
+
+struct RelayMetrics::Impl {
+  prometheus::Family<prometheus::Counter>& counters(const char* name) {
+    return prometheus::BuildCounter().Name(name).Help(helpOf(name)).Register(registry);
+  }
+  prometheus::Family<prometheus::Gauge>& gauges(const char* name) {
+    return prometheus::BuildGauge().Name(name).Help(helpOf(name)).Register(registry);
+  }
+  prometheus::Family<prometheus::Histogram>& histograms(const char* name) {
+    return prometheus::BuildHistogram().Name(name).Help(helpOf(name)).Register(registry);
+  }
+
+  prometheus::Registry registry;
+  prometheus::Gauge& connections = gauges("covewing_caller_connections").Add({});
+  prometheus::Gauge& age = gauges("covewing_configuration_age_seconds").Add({});
+  prometheus::Gauge& version = gauges("covewing_configuration_version").Add({});
+  prometheus::Family<prometheus::Counter>& events = counters("covewing_events_total");
+  prometheus::Gauge& knownParts = gauges("covewing_known_cached_parts").Add({});
+  prometheus::Gauge& leaseHeld = gauges("covewing_lease_held").Add({});
+  prometheus::Gauge& members = gauges("covewing_members").Add({});
+  prometheus::Gauge& open = gauges("covewing_open_requests").Add({});
+  prometheus::Counter& processor = counters("covewing_process_cpu_seconds_total").Add({});
+  prometheus::Gauge& resident = gauges("covewing_process_resident_bytes").Add({});
+  prometheus::Gauge& ready = gauges("covewing_ready").Add({});
+  prometheus::Family<prometheus::Counter>& attempts = counters("covewing_relay_attempts_total");
+  prometheus::Family<prometheus::Histogram>& firstByte =
+      histograms("covewing_relay_first_byte_seconds");
+  prometheus::Family<prometheus::Counter>& tokens = counters("covewing_relay_prompt_tokens_total");
+  prometheus::Family<prometheus::Histogram>& duration =
+      histograms("covewing_relay_request_seconds");
+  prometheus::Family<prometheus::Counter>& requests = counters("covewing_relay_requests_total");
+  prometheus::Family<prometheus::Gauge>& replicas = gauges("covewing_replicas");
+};
+
+RelayMetrics::RelayMetrics() : impl_(std::make_unique<Impl>()) {}
+RelayMetrics::~RelayMetrics() = default;
+
+void RelayMetrics::onRelayed(const config::Route& route, const request::RelayOutcome& outcome) {
+  auto labels = kindLabel(route);
+  impl_->attempts.Add(labels).Increment(outcome.attempts);
+  if (outcome.firstByteAfter > base::Duration::zero()) {
+    impl_->firstByte.Add(labels, kSecondsBuckets).Observe(base::toSeconds(outcome.firstByteAfter));
+  }
+  impl_->duration.Add(labels, kSecondsBuckets).Observe(base::toSeconds(outcome.duration));
+  impl_->tokens.Add({{"source", "cached"}}).Increment(outcome.cachedTokens);
+  impl_->tokens.Add({{"source", "fetched"}}).Increment(outcome.fetchedTokens);
+  impl_->tokens.Add({{"source", "read"}}).Increment(outcome.readTokens);
+  labels.emplace("code", base::describe(outcome.code).name);
+  impl_->requests.Add(labels).Increment();
+}
+
+void RelayMetrics::onEvent(base::Event event) {
+  impl_->events.Add({{"event", std::string{base::describe(event).name}}}).Increment();
+}
+
+std::string RelayMetrics::render(const Snapshot& snapshot) {
+  const auto set = [](prometheus::Gauge& gauge, auto value) {
+    gauge.Set(static_cast<double>(value));
+  };
+  set(impl_->connections, snapshot.callerConnections);
+  set(impl_->version, snapshot.configurationVersion);
+  set(impl_->knownParts, snapshot.knownParts);
+  set(impl_->leaseHeld, snapshot.leaseHeld ? 1 : 0);
+  set(impl_->members, snapshot.members);
+  set(impl_->open, snapshot.openRequests);
+  set(impl_->ready, snapshot.ready ? 1 : 0);
+  set(impl_->replicas.Add({{"state", "available"}}), snapshot.replicasAvailable);
+  set(impl_->replicas.Add({{"state", "draining"}}), snapshot.replicasDraining);
+  set(impl_->replicas.Add({{"state", "ejected"}}), snapshot.replicasEjected);
+  set(impl_->replicas.Add({{"state", "changing"}}), snapshot.replicasChanging);
+  impl_->age.Set(snapshot.configurationAge ? base::toSeconds(*snapshot.configurationAge) : -1);
+  impl_->resident.Set(residentBytes());
+  impl_->processor.Increment(processorSeconds() - impl_->processor.Value());
+  return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
+}
+
+}  // namespace covewing::live
--- /dev/null
+++ b/src/live/relay_metrics.h
@@ -0,0 +1,55 @@
+/// \file
+/// Metrics of a relaying node, in Prometheus' text form. docs/RELAY.md holds the same table.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+
+#include "base/event_log.h"
+#include "base/time.h"
+#include "live/metric_entry.h"
+#include "request/relay_flow.h"
+
+namespace covewing::live {
+
+/// All metrics of a relaying node, ascending by name.
+std::span<const MetricEntry> relayMetricTable();
+
+class RelayMetrics {
+ public:
+  RelayMetrics();
+  ~RelayMetrics();
+  RelayMetrics(const RelayMetrics&) = delete;
+  RelayMetrics& operator=(const RelayMetrics&) = delete;
+
+  void onRelayed(const config::Route& route, const request::RelayOutcome& outcome);
+  void onEvent(base::Event event);
+
+  /// State that is read when metrics are asked for.
+  struct Snapshot {
+    bool ready = false;
+    bool leaseHeld = false;
+    std::uint64_t configurationVersion = 0;
+    /// Time since the configuration was last confirmed; empty when it never was.
+    std::optional<base::Duration> configurationAge;
+    std::size_t members = 0;
+    std::size_t openRequests = 0;
+    std::size_t callerConnections = 0;
+    std::size_t knownParts = 0;
+    std::size_t replicasAvailable = 0;
+    std::size_t replicasDraining = 0;
+    std::size_t replicasEjected = 0;
+    std::size_t replicasChanging = 0;
+  };
+  /// All metrics in the text exposition format.
+  std::string render(const Snapshot& snapshot);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace covewing::live
--- a/src/live/relay_settings.cc
+++ b/src/live/relay_settings.cc
@@ -10,15 +10,14 @@
 namespace {
 
 constexpr std::string_view kAddressRule = "must be a.b.c.d:port";
+constexpr std::string_view kTextRule = "must be a text";
 constexpr std::string_view kNumberRule = "must be a number of 0 or more";
 
 /// Reads one value into the settings; false when it is not allowed.
 using Apply = bool (*)(RelaySettings&, const toml::node&);
 
 struct Entry {
-  std::string_view key;
-  bool required = true;
-  std::string_view rule;
+  RelaySettingEntry documented;
   Apply apply = nullptr;
 };
 
@@ -83,28 +82,54 @@
 constexpr std::int64_t kSecond = 1'000'000;
 
 constexpr Entry kSchema[] = {
-    {"node.name", true, "must be a text", applyText<&RelaySettings::name>},
-    {"node.zone", true, "must be a text", applyText<&RelaySettings::zone>},
-    {"node.region", true, "must be a text", applyText<&RelaySettings::region>},
-    {"listen.callers", true, kAddressRule, applyEndpoint<&RelaySettings::callerEndpoint>},
-    {"listen.readiness", true, kAddressRule, applyEndpoint<&RelaySettings::readinessEndpoint>},
-    {"listen.peers", true, kAddressRule, applyEndpoint<&RelaySettings::peerEndpoint>},
-    {"listen.metrics", false, kAddressRule, applyEndpoint<&RelaySettings::metricsEndpoint>},
-    {"cluster.seeds", false, "must be a list of a.b.c.d:port", applySeeds},
-    {"table_service.address", true, kAddressRule, applyEndpoint<&RelaySettings::tableEndpoint>},
-    {"bounds.grace_s", false, kNumberRule, applyDuration<&RelaySettings::grace, kSecond>},
-    {"bounds.revocation_ms", false, kNumberRule,
+    {{"node.name", true, kTextRule, "name of the node, unique in the fleet"},
+     applyText<&RelaySettings::name>},
+    {{"node.zone", true, kTextRule, "zone that the machine stands in"},
+     applyText<&RelaySettings::zone>},
+    {{"node.region", true, kTextRule, "region of the zone"}, applyText<&RelaySettings::region>},
+    {{"listen.callers", true, kAddressRule, "listener for callers"},
+     applyEndpoint<&RelaySettings::callerEndpoint>},
+    {{"listen.readiness", true, kAddressRule, "answers 200 while the node is ready, else 503"},
+     applyEndpoint<&RelaySettings::readinessEndpoint>},
+    {{"listen.peers", true, kAddressRule,
+      "listener for other nodes, UDP and TCP; its port is the same on all nodes"},
+     applyEndpoint<&RelaySettings::peerEndpoint>},
+    {{"listen.metrics", false, kAddressRule, "metrics; none are served without it"},
+     applyEndpoint<&RelaySettings::metricsEndpoint>},
+    {{"cluster.seeds", false, "must be a list of a.b.c.d:port",
+      "machines of other nodes to join through; their ports are not used"},
+     applySeeds},
+    {{"table_service.address", true, kAddressRule, "table service"},
+     applyEndpoint<&RelaySettings::tableEndpoint>},
+    {{"bounds.grace_s", false, kNumberRule,
+      "from the planned stop's signal until the process is killed; default 8"},
+     applyDuration<&RelaySettings::grace, kSecond>},
+    {{"bounds.revocation_ms", false, kNumberRule,
+      "from the acceptance of a configuration that takes a key away until no request runs under "
+      "it; "
+      "default 0: no bound"},
      applyDuration<&RelaySettings::revocation, kMillisecond>},
-    {"bounds.retry_ratio", false, kNumberRule, applyNumber<&RelaySettings::retryRatio>},
-    {"bounds.retry_window_s", false, kNumberRule,
+    {{"bounds.retry_ratio", false, kNumberRule,
+      "retries of all nodes to a service for each of its requests; default 0.1"},
+     applyNumber<&RelaySettings::retryRatio>},
+    {{"bounds.retry_window_s", false, kNumberRule,
+      "span within which the bound on retries holds; default 10"},
      applyDuration<&RelaySettings::retryWindow, kSecond>},
-    {"bounds.retry_slack", false, kNumberRule, applyNumber<&RelaySettings::retrySlack>},
-    {"bounds.weights_in_force_ms", false, kNumberRule,
+    {{"bounds.retry_slack", false, kNumberRule,
+      "retries of all nodes to a service allowed besides; default 0"},
+     applyNumber<&RelaySettings::retrySlack>},
+    {{"bounds.weights_in_force_ms", false, kNumberRule,
+      "from the acceptance of new weights until no request may begin on older ones; default 8000"},
      applyDuration<&RelaySettings::weightsInForce, kMillisecond>},
-    {"bounds.lease_ms", false, kNumberRule, applyDuration<&RelaySettings::lease, kMillisecond>},
-    {"bounds.fencing_enforced", false, "must be true or false",
+    {{"bounds.lease_ms", false, kNumberRule,
+      "two nodes do not order within this time of each other; default 3000"},
+     applyDuration<&RelaySettings::lease, kMillisecond>},
+    {{"bounds.fencing_enforced", false, "must be true or false",
+      "replicas refuse orders with an older fencing token; default true"},
      applyFlag<&RelaySettings::fencingEnforced>},
-    {"log.severity", false, "must be info, warning or error", applySeverity},
+    {{"log.severity", false, "must be info, warning or error",
+      "least severity that is logged; default info"},
+     applySeverity},
 };
 
 RelaySettings defaults() {
@@ -119,6 +144,12 @@
 
 }  // namespace
 
+std::vector<RelaySettingEntry> relaySettingTable() {
+  std::vector<RelaySettingEntry> table;
+  for (const Entry& entry : kSchema) table.push_back(entry.documented);
+  return table;
+}
+
 std::optional<RelaySettings> loadRelaySettings(const SettingsSource& source,
                                                std::vector<SettingsMistake>& mistakes) {
   toml::table document;
@@ -130,12 +161,12 @@
     return std::nullopt;
   }
   RelaySettings settings = defaults();
-  for (const Entry& entry : kSchema) {
+  for (const auto& [entry, apply] : kSchema) {
     const auto* node = document.at_path(entry.key).node();
     if (node == nullptr) {
       if (entry.required)
         mistakes.push_back({source.file, 0, std::string{entry.key}, "is missing"});
-    } else if (!entry.apply(settings, *node)) {
+    } else if (!apply(settings, *node)) {
       mistakes.push_back({source.file, node->source().begin.line, std::string{entry.key},
                           std::string{entry.rule}});
     }
--- a/src/live/relay_settings.h
+++ b/src/live/relay_settings.h
@@ -46,6 +46,18 @@
   base::Severity logSeverity = base::Severity::kInfo;
 };
 
+/// One line of the documented table of settings.
+struct RelaySettingEntry {
+  std::string_view key;
+  bool required = true;
+  /// What is allowed.
+  std::string_view rule;
+  std::string_view meaning;
+};
+
+/// All settings in their order.
+std::vector<RelaySettingEntry> relaySettingTable();
+
 /// Parses and checks. Empty when `mistakes` is not.
 std::optional<RelaySettings> loadRelaySettings(const SettingsSource& source,
                                                std::vector<SettingsMistake>& mistakes);
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -158,6 +158,7 @@
   const auto work = record.readTime(unread);
   record.health().onDispatched(now, work);
   ++dispatches_;
+  countTokens(decision);
   dependencies_.log.write(
       base::Event::kRelayDispatched,
       {{"request", arrival_.request->id},
@@ -184,6 +185,15 @@
   if (paused_) call_->setPaused(true);
 }
 
+void RelayFlow::countTokens(const routing::ReplicaDecision& decision) {
+  if (!arrival_.prompt) return;
+  const auto shared = arrival_.prompt->chain.sharedTokens();
+  const auto held = decision.fetchFrom ? decision.fetchFrom->tokens : decision.matchedTokens;
+  cachedTokens_ += decision.matchedTokens;
+  fetchedTokens_ += held - decision.matchedTokens;
+  readTokens_ += shared - std::min(shared, held);
+}
+
 void RelayFlow::armSilence() {
   dependencies_.timers.cancel(silenceTimer_);
   if (!assignment_.route->repeatable() || paused_) return;
@@ -515,7 +525,8 @@
   dependencies_.timers.cancel(holdTimer_);
   const auto now = dependencies_.clock.now();
   const RelayOutcome outcome{
-      status, code, dispatches_, firstByteAfter_, now - arrival_.arrivedAt, callerGone};
+      status,     code,          dispatches_,    firstByteAfter_, now - arrival_.arrivedAt,
+      callerGone, cachedTokens_, fetchedTokens_, readTokens_};
   dependencies_.log.write(
       callerGone ? base::Event::kCallerDisconnected : base::Event::kRelayFinished,
       {{"request", arrival_.request->id},
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -55,6 +55,10 @@
   base::Duration firstByteAfter{};
   base::Duration duration{};
   bool callerGone = false;
+  /// Shared tokens of the prompts of all attempts, by where the node expected them to come from.
+  std::uint64_t cachedTokens = 0;
+  std::uint64_t fetchedTokens = 0;
+  std::uint64_t readTokens = 0;
 };
 
 class RelayObserver {
@@ -142,6 +146,8 @@
   void choose();
   void hold(std::string_view why);
   void dispatch(routing::ReplicaDecision decision);
+  /// Adds the decision's expectation to the sums of the outcome.
+  void countTokens(const routing::ReplicaDecision& decision);
   clients::DispatchTerms termsFor(const routing::ReplicaDecision& decision) const;
   void armSilence();
   void onSilence();
@@ -199,6 +205,9 @@
   bool over_ = false;
   base::Duration firstByteAfter_{};
   unsigned status_ = 0;
+  std::uint64_t cachedTokens_ = 0;
+  std::uint64_t fetchedTokens_ = 0;
+  std::uint64_t readTokens_ = 0;
 
   base::TimerId deadlineTimer_ = 0;
   base::TimerId holdTimer_ = 0;
--- a/src/tools/covewingd.cc
+++ b/src/tools/covewingd.cc
@@ -77,7 +77,7 @@
 };
 
 int run(Settings settings) {
-  BoostEventLog log(settings.name, settings.logSeverity);
+  BoostEventLog log(settings.name, {.minimum = settings.logSeverity});
   boost::asio::io_context context(1);
   Daemon daemon(context, std::move(settings), log, node::makeNode);
   base::Reason reason;
--- /dev/null
+++ b/tests/live/relay_reference_test.cc
@@ -0,0 +1,65 @@
+// docs/RELAY.md lists exactly the settings and metrics of the code.
+#include <fmt/core.h>
+
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+
+#include "live/relay_metrics.h"
+#include "live/relay_settings.h"
+
+namespace covewing::live {
+
+namespace {
+
+/// Lines of the page's table behind the marker.
+std::vector<std::string> tableBehind(const std::string& marker) {
+  std::ifstream input("docs/RELAY.md");
+  std::vector<std::string> rows;
+  bool inside = false;
+  for (std::string line; std::getline(input, line);) {
+    if (line == "<!-- " + marker + " -->") inside = true;
+    if (line == "<!-- end -->") inside = false;
+    if (inside && line.starts_with("| `")) rows.push_back(line);
+  }
+  return rows;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(RelayReferenceTest)
+
+BOOST_AUTO_TEST_CASE(SettingsAreThoseOfThePage) {
+  std::vector<std::string> compiled;
+  for (const auto& entry : relaySettingTable()) {
+    compiled.push_back(fmt::format("| `{}` | {} | {} | {} |", entry.key,
+                                   entry.required ? "yes" : "no", entry.rule, entry.meaning));
+  }
+  BOOST_TEST(tableBehind("settings") == compiled, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(MetricsAreThoseOfThePage) {
+  std::vector<std::string> compiled;
+  for (const auto& entry : relayMetricTable()) {
+    compiled.push_back(fmt::format("| `{}` | {} | {} | {} |", entry.name, entry.type, entry.labels,
+                                   entry.meaning));
+  }
+  BOOST_TEST(tableBehind("metrics") == compiled, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(EveryMetricOfTheTableIsServed) {
+  RelayMetrics metrics;
+  config::Route route;
+  request::RelayOutcome outcome;
+  outcome.firstByteAfter = std::chrono::milliseconds(1);
+  metrics.onRelayed(route, outcome);
+  metrics.onEvent(base::Event::kNodeReady);
+  const auto text = metrics.render({});
+  for (const auto& entry : relayMetricTable()) {
+    const auto type = fmt::format("# TYPE {} {}", entry.name, entry.type);
+    BOOST_TEST((text.find(type) != std::string::npos), type);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::live
