--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -178,13 +178,18 @@
       if (coordinator.competes()) weightsDates.write(named.model, named.version);
       return;
     }
-    weightsDates.lookUp(named.model, named.version, [this, named](base::Duration age) {
-      targets.onDated(named.model, named.version, clock.now() - age);
-      log.write(base::Event::kWeightsDated,
-                {{"model", named.model},
-                 {"version", std::to_string(named.version)},
-                 {"age_ms", std::to_string(age / std::chrono::milliseconds(1))}});
-    });
+    weightsDates.lookUp(named.model, named.version,
+                        [this, model = named.model](const std::vector<node::VersionAge>& ages) {
+                          for (const auto& dated : ages) onDated(model, dated);
+                        });
+  }
+
+  void onDated(const std::string& model, const node::VersionAge& dated) {
+    targets.onDated(model, dated.version, clock.now() - dated.age);
+    log.write(base::Event::kWeightsDated,
+              {{"model", model},
+               {"version", std::to_string(dated.version)},
+               {"age_ms", std::to_string(dated.age / std::chrono::milliseconds(1))}});
   }
 
   bool ready() const {
--- a/src/node/weights_dates.cc
+++ b/src/node/weights_dates.cc
@@ -1,5 +1,6 @@
 #include "node/weights_dates.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/codec.h"
@@ -10,33 +11,46 @@
 
 constexpr int kAttempts = 6;
 constexpr base::Duration kRetry = std::chrono::milliseconds(300);
+/// Versions kept in a row: more than can be named within the time that one has.
+constexpr std::size_t kKept = 8;
 constexpr std::uint32_t kFields = 2;
 
 std::string keyOf(const std::string& model) { return "weights-named/" + model; }
 
-struct DateRow {
+struct NamedVersion {
   base::WeightsVersion version = 0;
   /// By the table service's clock.
   base::Duration namedAt{};
 };
 
+/// The versions named lately, ascending.
+using DateRow = std::vector<NamedVersion>;
+
 std::string encode(const DateRow& row) {
   base::Writer writer;
-  writer.array(kFields).unsignedInteger(row.version).signedInteger(row.namedAt.count());
+  writer.array(static_cast<std::uint32_t>(row.size()));
+  for (const NamedVersion& named : row)
+    writer.array(kFields).unsignedInteger(named.version).signedInteger(named.namedAt.count());
   return writer.take();
 }
 
 std::optional<DateRow> decode(std::string_view value) {
   base::Reader reader(value);
-  reader.beginArray();
   DateRow row;
-  row.version = reader.unsignedInteger();
-  row.namedAt = base::Duration{reader.signedInteger()};
-  if (!reader.ok()) return std::nullopt;
+  const auto count = reader.beginArray();
+  for (std::uint32_t index = 0; index < count && reader.ok(); ++index) {
+    reader.beginArray();
+    NamedVersion named;
+    named.version = reader.unsignedInteger();
+    named.namedAt = base::Duration{reader.signedInteger()};
+    reader.endArray();
+    row.push_back(named);
+  }
+  if (!reader.ok() || row.empty()) return std::nullopt;
   return row;
 }
 
-/// The row of the date in a reply; empty when there is none.
+/// The dates in a reply; empty when there are none.
 std::optional<DateRow> dateIn(const clients::TableReply& reply) {
   return reply.rows.empty() ? std::nullopt : decode(reply.rows.front().value);
 }
@@ -45,7 +59,9 @@
 
 struct WeightsDates::Write {
   std::string model;
-  DateRow row;
+  NamedVersion named;
+  /// What the row holds besides, and its revision.
+  DateRow before;
   base::Revision expected = 0;
   int attempts = 0;
 };
@@ -60,30 +76,42 @@
 void WeightsDates::write(const std::string& model, base::WeightsVersion version) {
   const auto now = serviceClock_();
   if (!now) return;
-  step(std::make_shared<Write>(Write{model, {version, *now}}));
+  const auto write = std::make_shared<Write>();
+  write->model = model;
+  write->named = {version, *now};
+  step(write);
 }
 
 void WeightsDates::step(const std::shared_ptr<Write>& write) {
   if (++write->attempts > kAttempts) return;
+  DateRow row = write->before;
+  row.push_back(write->named);
+  if (row.size() > kKept) row.erase(row.begin());
   clients::TableTransaction transaction;
   transaction.conditions = {{keyOf(write->model), write->expected}};
-  transaction.writes = {{keyOf(write->model), encode(write->row)}};
+  transaction.writes = {{keyOf(write->model), encode(row)}};
   table_.commit(std::move(transaction),
                 [this, write, alive = std::weak_ptr(lifetime_)](const clients::TableReply& reply) {
-                  if (alive.expired() || reply.status == clients::TableStatus::kOk) return;
-                  if (reply.status != clients::TableStatus::kConflict) {
-                    timers_.schedule(kRetry, [this, write, alive] {
-                      if (!alive.expired()) step(write);
-                    });
-                    return;
-                  }
-                  const auto known = dateIn(reply);
-                  if (known && known->version >= write->row.version) return;
-                  write->expected = reply.rows.empty() ? 0 : reply.rows.front().revision;
-                  step(write);
+                  if (!alive.expired()) onWritten(write, reply);
                 });
 }
 
+void WeightsDates::onWritten(const std::shared_ptr<Write>& write,
+                             const clients::TableReply& reply) {
+  if (reply.status == clients::TableStatus::kOk) return;
+  if (reply.status != clients::TableStatus::kConflict) {
+    timers_.schedule(kRetry, [this, write, alive = std::weak_ptr(lifetime_)] {
+      if (!alive.expired()) step(write);
+    });
+    return;
+  }
+  const auto known = dateIn(reply);
+  if (known && known->back().version >= write->named.version) return;
+  write->before = known.value_or(DateRow{});
+  write->expected = reply.rows.empty() ? 0 : reply.rows.front().revision;
+  step(write);
+}
+
 void WeightsDates::lookUp(const std::string& model, base::WeightsVersion version, Found found) {
   step(std::make_shared<LookUp>(LookUp{model, version, std::move(found)}));
 }
@@ -97,11 +125,13 @@
 }
 
 void WeightsDates::onRead(const std::shared_ptr<LookUp>& lookUp, const clients::TableReply& reply) {
-  const auto date = dateIn(reply);
+  const auto dates = dateIn(reply);
   const auto now = serviceClock_();
-  if (date && now && date->version >= lookUp->version) {
-    if (date->version == lookUp->version)
-      lookUp->found(std::max(*now - date->namedAt, base::Duration::zero()));
+  if (dates && now && dates->back().version >= lookUp->version) {
+    std::vector<VersionAge> ages;
+    for (const NamedVersion& named : *dates)
+      ages.push_back({named.version, std::max(*now - named.namedAt, base::Duration::zero())});
+    lookUp->found(ages);
     return;
   }
   // Not there yet, or not readable now.
--- a/src/routing/weights_targets.cc
+++ b/src/routing/weights_targets.cc
@@ -16,14 +16,15 @@
   return true;
 }
 
-void WeightsTargets::onDated(std::string_view model, base::WeightsVersion version,
+void WeightsTargets::onDated(const std::string& model, base::WeightsVersion version,
                              base::TimePoint namedAt) {
-  const auto found = targets_.find(model);
-  if (found == targets_.end()) return;
+  auto& targets = targets_[model];
   const auto from = namedAt + bounds_.inForce - bounds_.margin;
-  for (WeightsTarget& target : found->second) {
-    if (target.version == version)
-      target.olderForbiddenFrom = std::min(target.olderForbiddenFrom, from);
+  const auto place = std::ranges::lower_bound(targets, version, {}, &WeightsTarget::version);
+  if (place != targets.end() && place->version == version) {
+    place->olderForbiddenFrom = std::min(place->olderForbiddenFrom, from);
+  } else {
+    targets.insert(place, {version, from});
   }
 }
 
--- a/src/routing/weights_targets.h
+++ b/src/routing/weights_targets.h
@@ -38,8 +38,8 @@
   /// A version was named and became known here at `now`. False when it is not newer.
   bool onNamed(const std::string& model, base::WeightsVersion version, base::TimePoint now);
   const std::map<std::string, WeightsTargetList, std::less<>>& all() const { return targets_; }
-  /// The version was named earlier than it became known here.
-  void onDated(std::string_view model, base::WeightsVersion version, base::TimePoint namedAt);
+  /// The version was named earlier than it became known here, or before one that is known.
+  void onDated(const std::string& model, base::WeightsVersion version, base::TimePoint namedAt);
   /// The newest version that was named; 0 when none was.
   base::WeightsVersion newest(std::string_view model) const;
 
