--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -59,8 +59,8 @@
   const auto now = dependencies_.clock.now();
   const auto limit = std::min(route.timeout, arrival_.deadline.value_or(route.timeout));
   deadline_ = arrival_.arrivedAt + limit;
-  holdUntil_ = arrival_.arrivedAt +
-               std::chrono::duration_cast<base::Duration>(route.targetLatency * options_.holdShare);
+  holdUntil_ =
+      arrival_.arrivedAt + std::chrono::duration_cast<base::Duration>(limit * options_.holdShare);
   dependencies_.retries.onRequest(assignment_.service->name, now);
   deadlineTimer_ = dependencies_.timers.schedule(deadline_ - now, [this] { onDeadline(); });
   caller_->onPressure([this](bool high) {
--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -104,9 +104,7 @@
     const bool fits = static_cast<double>(record.tokensInFlight() + own) <= memory;
     if (fits || record.inFlight() == 0) return index;
   }
-  const auto least =
-      std::ranges::min_element(ordered, {}, [](const auto& record) { return record->inFlight(); });
-  return static_cast<std::size_t>(least - ordered.begin());
+  return ordered.size();
 }
 
 std::optional<CacheSource> ReplicaChoice::bestSource(const ReplicaQuery& query, CacheScope scope,
@@ -171,6 +169,10 @@
   if (withPrompt) {
     sortByHome(candidates, query, now);
     decision.rank = firstWithRoom(candidates, query, nodes);
+    if (decision.rank == candidates.size()) {
+      decision.reason = "every replica has as many requests as it should";
+      return decision;
+    }
     decision.replica = candidates[decision.rank];
   } else {
     decision.replica = leastLoaded(candidates);
--- a/src/routing/replica_choice.h
+++ b/src/routing/replica_choice.h
@@ -106,6 +106,7 @@
   ReplicaRecordPtr leastLoaded(const Candidates& candidates);
   /// Orders the candidates by home; those of versions with more of the prompt cached come first.
   void sortByHome(Candidates& candidates, const ReplicaQuery& query, base::TimePoint now) const;
+  /// The first candidate within the bounds; the number of candidates when there is none.
   std::size_t firstWithRoom(const Candidates& ordered, const ReplicaQuery& query,
                             std::size_t nodes) const;
   void addCacheMoves(ReplicaDecision& decision, const ReplicaQuery& query,
