--- a/src/coordination/weights_rollout.h
+++ b/src/coordination/weights_rollout.h
@@ -46,7 +46,7 @@
   /// Most of a model's replicas that load at once, as a part of all; at least one may.
   double mostLoading = 1.0 / 6;
   /// Most of a model's replicas that are away at once; at least one may be.
-  double mostAway = 0.42;
+  double mostAway = 0.34;
   /// This long after requests on an older version became forbidden, every replica that still has
   /// both it and requests that wait is ordered: these are refused as not run instead of beginning
   /// on the older version.
