--- a/src/config/route_table.h
+++ b/src/config/route_table.h
@@ -48,6 +48,9 @@
   base::Duration targetLatency{};
   /// The longest pause between events that keeps a stream in time; zero: none stated.
   base::Duration gapTarget{};
+  /// How long callers wait for a stream's first event before they leave; zero: as long as for the
+  /// whole answer.
+  base::Duration firstEventPatience{};
   /// Rank, 0 is the most urgent.
   std::uint32_t priority = 0;
   /// The most replicas that may run one request.
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -59,8 +59,10 @@
   const auto now = dependencies_.clock.now();
   const auto limit = std::min(route.timeout, arrival_.deadline.value_or(route.timeout));
   deadline_ = arrival_.arrivedAt + limit;
+  const auto patience = route.firstEventPatience;
+  const auto held = patience.count() == 0 ? limit : std::min(limit, patience);
   holdUntil_ =
-      arrival_.arrivedAt + std::chrono::duration_cast<base::Duration>(limit * options_.holdShare);
+      arrival_.arrivedAt + std::chrono::duration_cast<base::Duration>(held * options_.holdShare);
   dependencies_.retries.onRequest(assignment_.service->name, now);
   deadlineTimer_ = dependencies_.timers.schedule(deadline_ - now, [this] { onDeadline(); });
   caller_->onPressure([this](bool high) {
--- a/tests/platform/row_readers_test.cc
+++ b/tests/platform/row_readers_test.cc
@@ -41,6 +41,8 @@
   BOOST_TEST(streaming.resumable);
   BOOST_TEST((streaming.kind == config::RequestKind::kStreaming));
   BOOST_TEST((streaming.gapTarget == std::chrono::milliseconds(500)));
+  BOOST_TEST((streaming.firstEventPatience == std::chrono::seconds(4)));
+  BOOST_TEST((contents->routes[1].firstEventPatience == base::Duration::zero()));
   BOOST_TEST(streaming.split.size() == 2U);
   BOOST_TEST(streaming.split[0].weight == 90U);
   BOOST_TEST(contents->routes[1].split[0].service == "kafi81c");
--- a/tests/request/relay_flow_test.cc
+++ b/tests/request/relay_flow_test.cc
@@ -138,6 +138,17 @@
   BOOST_TEST(client.sent.size() == 1U);
 }
 
+// Requests were held longer than their callers waited for a first event.
+BOOST_AUTO_TEST_CASE(StreamIsNotHeldLongerThanItsCallerWaitsForTheFirstEvent) {
+  auto patient = contents();
+  patient.routes[2].firstEventPatience = seconds(1);
+  useTable(patient);
+  for (const char* name : {"m1", "m2", "m3"}) replicas.onRemoved(name);
+  auto& caller = request("once");
+  time.advance(milliseconds(450));
+  BOOST_TEST(caller.refusal->status == 503U);
+}
+
 BOOST_AUTO_TEST_CASE(RequestIsHeldWhileEveryReplicaHasAsManyAsItShould) {
   for (const char* name : {"m1", "m2", "m3"}) {
     for (int count = 0; count < 8; ++count) replicas.find(name)->onDispatched(10);
