--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -32,7 +32,7 @@
   /// How often a held request looks for a replica again.
   base::Duration holdInterval = std::chrono::milliseconds(20);
   /// Part of its time that a request is held for a replica to take it.
-  double holdShare = 0.4;
+  double holdShare = 0.48;
   /// Refusals by replicas after which a request is refused as well.
   std::uint32_t mostRefusals = 3;
   /// Largest plain answer that is kept until it is whole.
