--- a/src/live/boost_event_log.cc
+++ b/src/live/boost_event_log.cc
@@ -14,6 +14,7 @@
 #include <boost/make_shared.hpp>
 #include <chrono>
 #include <iostream>
+#include <new>
 #include <thread>
 #include <utility>
 
@@ -121,7 +122,7 @@
     return;
   }
   // The writing thread is held up by the reader and cannot be joined: it ends with the process.
-  static_cast<void>(new boost::shared_ptr<Sink>(impl_->sink));
+  static_cast<void>(new (std::nothrow) boost::shared_ptr<Sink>(impl_->sink));
 }
 
 void BoostEventLog::write(base::Event event, std::initializer_list<base::EventField> fields) {
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -3,31 +3,23 @@
 #include <algorithm>
 #include <utility>
 
+#include "request/relay_flow_internal.h"
+
 namespace covewing::request {
 
 namespace {
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kMultipleChoices = 300;
-constexpr unsigned kBadRequest = 400;
-constexpr unsigned kMisdirected = 421;
 constexpr unsigned kInternalError = 500;
 
-/// Not worth an attempt any more.
-constexpr base::Duration kLeastTimeForAttempt = std::chrono::milliseconds(5);
 /// Bounds of the wait for an answer's first byte before a repeatable request goes elsewhere.
 constexpr base::Duration kLeastSilence = std::chrono::milliseconds(250);
 /// Least silence in the middle of a stream that counts as a broken one.
 constexpr base::Duration kLeastStreamSilence = std::chrono::milliseconds(1200);
-/// A request that a restarting node or a full service refused may come back this soon.
-constexpr base::Duration kRetryAfterRefusals = std::chrono::milliseconds(200);
 
 bool successful(unsigned status) { return status >= kOk && status < kMultipleChoices; }
 
-std::string milliseconds(base::Duration duration) {
-  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 /// The deepest shared part of the prompt, as a number that is equal on all nodes.
 std::string sharedPart(const RelayArrival& arrival) {
   if (!arrival.prompt) return {};
@@ -179,7 +171,7 @@
        {"fetch", decision.fetchFrom ? decision.fetchFrom->name : ""},
        {"fetch_tokens", std::to_string(decision.fetchFrom ? decision.fetchFrom->tokens : 0)},
        {"save", decision.saveTo ? base::toString(*decision.saveTo) : ""},
-       {"left_ms", milliseconds(terms.timeLeft)}});
+       {"left_ms", millisecondsText(terms.timeLeft)}});
   const auto endpoint = record.facts().endpoint;
   attempt_ = Attempt{std::move(decision), now, tokens, work, false, false, std::nullopt};
   armSilence();
@@ -207,23 +199,6 @@
   silenceTimer_ = dependencies_.timers.schedule(wait, [this] { onSilence(); });
 }
 
-void RelayFlow::onSilence() {
-  if (over_ || !attempt_) return;
-  const auto self = shared_from_this();
-  const bool counted = attempt_->answer.has_value();
-  if (!counted) ++runs_;
-  if (!takeRetry(Loss::kMayHaveRun).empty()) {
-    // Waiting on is better than giving up.
-    if (!counted) --runs_;
-    return;
-  }
-  auto& record = *attempt_->decision.replica;
-  record.health().onFailure(dependencies_.clock.now(),
-                            dependencies_.replicas.failureRateOfOthers(record));
-  logLoss("the replica is silent", {});
-  goElsewhere();
-}
-
 void RelayFlow::endWait() {
   if (!attempt_ || attempt_->headSeen) return;
   attempt_->headSeen = true;
@@ -365,101 +340,6 @@
   onAttemptLost(error.reason.detail);
 }
 
-void RelayFlow::learnFromRefusal(const clients::RelayedAnswer& answer) {
-  const auto now = dependencies_.clock.now();
-  auto& record = *attempt_->decision.replica;
-  if (answer.otherInstance) {
-    record.setGone();
-    return;
-  }
-  if (answer.status == kMisdirected) {
-    const auto known = arrival_.prompt ? record.versionOf(arrival_.prompt->model) : 0;
-    if (known == attempt_->decision.version) record.doubtVersion(now + options_.doubtFor);
-    return;
-  }
-  record.setFull(now + options_.fullFor);
-  record.health().onFailure(now, dependencies_.replicas.failureRateOfOthers(record));
-}
-
-void RelayFlow::onNotRun(const clients::RelayedAnswer& answer) {
-  const auto self = shared_from_this();
-  const clients::RelayedAnswer refusal = answer;
-  learnFromRefusal(refusal);
-  ++refusals_;
-  if (refusal.status == kBadRequest && !headDelivered_) {
-    finishWhole();
-    return;
-  }
-  if (retryElsewhere("the replica refused with " + std::to_string(refusal.status), Loss::kNotRun)) {
-    return;
-  }
-  if (headDelivered_) {
-    cut("no replica took the stream up");
-  } else if (runs_ > 0) {
-    refuse(base::ResultCode::kBackEndLost, "the replicas refused another attempt", {});
-  } else {
-    refuse(base::ResultCode::kBackEndRefused,
-           "the replicas refused with " + std::to_string(refusal.status), kRetryAfterRefusals);
-  }
-}
-
-void RelayFlow::onAttemptLost(std::string_view why) {
-  const auto self = shared_from_this();
-  if (!attempt_->answer) ++runs_;
-  if (retryElsewhere(why, Loss::kMayHaveRun)) return;
-  if (headDelivered_) {
-    cut(why);
-  } else {
-    refuse(base::ResultCode::kBackEndLost, std::string{why}, {});
-  }
-}
-
-std::string_view RelayFlow::takeRetry(Loss loss) {
-  const auto& route = *assignment_.route;
-  const bool plainStarted = headDelivered_ && !resumable();
-  if (plainStarted || (loss == Loss::kMayHaveRun && !route.repeatable())) return "not repeatable";
-  const bool mayRunAgain = runs_ == 0 || (route.repeatable() && runs_ < route.attempts);
-  if (!mayRunAgain || refusals_ > options_.mostRefusals) return "attempts used up";
-  if (timeLeft() < kLeastTimeForAttempt) return "no time left";
-  if (loss == Loss::kNeverArrived) return {};
-  const bool taken = dependencies_.retries.take(assignment_.service->name, hooks_.nodes(),
-                                                dependencies_.clock.now());
-  return taken ? std::string_view{} : "retry budget used up";
-}
-
-void RelayFlow::logLoss(std::string_view why, std::string_view obstacle) {
-  dependencies_.log.write(
-      obstacle.empty() ? base::Event::kRequestRetried : base::Event::kRelayAttemptFailed,
-      {{"request", arrival_.request->id},
-       {"replica", attempt_->decision.replica->facts().instance},
-       {"attempt", std::to_string(dispatches_)},
-       {"after_ms", milliseconds(dependencies_.clock.now() - attempt_->sentAt)},
-       {"why", std::string{why}},
-       {"runs", std::to_string(runs_)},
-       {"last_event", events_.lastEventId()},
-       {"left_ms", milliseconds(timeLeft())},
-       {"not_retried", std::string{obstacle}}});
-}
-
-bool RelayFlow::retryElsewhere(std::string_view why, Loss loss) {
-  const auto obstacle = takeRetry(loss);
-  logLoss(why, obstacle);
-  if (!obstacle.empty()) {
-    endAttempt();
-    return false;
-  }
-  goElsewhere();
-  return true;
-}
-
-void RelayFlow::goElsewhere() {
-  excluded_.push_back(attempt_->decision.replica->facts().instance);
-  endAttempt();
-  events_.dropUnfinished();
-  if (!headDelivered_) kept_.clear();
-  choose();
-}
-
 void RelayFlow::endAttempt() {
   if (!attempt_) return;
   endWait();
@@ -501,7 +381,7 @@
                            {"why", refusal.reason.detail},
                            {"runs", std::to_string(runs_)},
                            {"dispatches", std::to_string(dispatches_)},
-                           {"retry_after_ms", milliseconds(refusal.retryAfter)}});
+                           {"retry_after_ms", millisecondsText(refusal.retryAfter)}});
   endAttempt();
   caller_->refuse(refusal);
   finish(refusal.status, refusal.reason.code, false);
@@ -536,8 +416,8 @@
        {"status", std::to_string(status)},
        {"code", std::to_string(static_cast<unsigned>(code))},
        {"attempts", std::to_string(dispatches_)},
-       {"first_byte_ms", milliseconds(firstByteAfter_)},
-       {"total_ms", milliseconds(outcome.duration)}});
+       {"first_byte_ms", millisecondsText(firstByteAfter_)},
+       {"total_ms", millisecondsText(outcome.duration)}});
   dependencies_.observer.onRelayed(*assignment_.route, outcome);
   caller_.reset();
   hooks_.finished(*this);
--- /dev/null
+++ b/src/request/relay_flow_internal.h
@@ -0,0 +1,22 @@
+/// \file
+/// Constants and texts shared by the files of RelayFlow.
+#pragma once
+
+#include <string>
+
+#include "base/time.h"
+
+namespace covewing::request {
+
+inline constexpr unsigned kBadRequest = 400;
+inline constexpr unsigned kMisdirected = 421;
+/// Not worth an attempt any more.
+inline constexpr base::Duration kLeastTimeForAttempt = std::chrono::milliseconds(5);
+/// A request that a restarting node or a full service refused may come back this soon.
+inline constexpr base::Duration kRetryAfterRefusals = std::chrono::milliseconds(200);
+
+inline std::string millisecondsText(base::Duration duration) {
+  return std::to_string(duration / std::chrono::milliseconds(1));
+}
+
+}  // namespace covewing::request
--- /dev/null
+++ b/src/request/relay_flow_retries.cc
@@ -0,0 +1,119 @@
+// What follows from an attempt that did not give the answer: another one, or the end.
+#include "request/relay_flow.h"
+#include "request/relay_flow_internal.h"
+
+namespace covewing::request {
+
+void RelayFlow::onSilence() {
+  if (over_ || !attempt_) return;
+  const auto self = shared_from_this();
+  const bool counted = attempt_->answer.has_value();
+  if (!counted) ++runs_;
+  if (!takeRetry(Loss::kMayHaveRun).empty()) {
+    // Waiting on is better than giving up.
+    if (!counted) --runs_;
+    return;
+  }
+  auto& record = *attempt_->decision.replica;
+  record.health().onFailure(dependencies_.clock.now(),
+                            dependencies_.replicas.failureRateOfOthers(record));
+  logLoss("the replica is silent", {});
+  goElsewhere();
+}
+
+void RelayFlow::learnFromRefusal(const clients::RelayedAnswer& answer) {
+  const auto now = dependencies_.clock.now();
+  auto& record = *attempt_->decision.replica;
+  if (answer.otherInstance) {
+    record.setGone();
+    return;
+  }
+  if (answer.status == kMisdirected) {
+    const auto known = arrival_.prompt ? record.versionOf(arrival_.prompt->model) : 0;
+    if (known == attempt_->decision.version) record.doubtVersion(now + options_.doubtFor);
+    return;
+  }
+  record.setFull(now + options_.fullFor);
+  record.health().onFailure(now, dependencies_.replicas.failureRateOfOthers(record));
+}
+
+void RelayFlow::onNotRun(const clients::RelayedAnswer& answer) {
+  const auto self = shared_from_this();
+  const clients::RelayedAnswer refusal = answer;
+  learnFromRefusal(refusal);
+  ++refusals_;
+  if (refusal.status == kBadRequest && !headDelivered_) {
+    finishWhole();
+    return;
+  }
+  if (retryElsewhere("the replica refused with " + std::to_string(refusal.status), Loss::kNotRun)) {
+    return;
+  }
+  if (headDelivered_) {
+    cut("no replica took the stream up");
+  } else if (runs_ > 0) {
+    refuse(base::ResultCode::kBackEndLost, "the replicas refused another attempt", {});
+  } else {
+    refuse(base::ResultCode::kBackEndRefused,
+           "the replicas refused with " + std::to_string(refusal.status), kRetryAfterRefusals);
+  }
+}
+
+void RelayFlow::onAttemptLost(std::string_view why) {
+  const auto self = shared_from_this();
+  if (!attempt_->answer) ++runs_;
+  if (retryElsewhere(why, Loss::kMayHaveRun)) return;
+  if (headDelivered_) {
+    cut(why);
+  } else {
+    refuse(base::ResultCode::kBackEndLost, std::string{why}, {});
+  }
+}
+
+std::string_view RelayFlow::takeRetry(Loss loss) {
+  const auto& route = *assignment_.route;
+  const bool plainStarted = headDelivered_ && !resumable();
+  if (plainStarted || (loss == Loss::kMayHaveRun && !route.repeatable())) return "not repeatable";
+  const bool mayRunAgain = runs_ == 0 || (route.repeatable() && runs_ < route.attempts);
+  if (!mayRunAgain || refusals_ > options_.mostRefusals) return "attempts used up";
+  if (timeLeft() < kLeastTimeForAttempt) return "no time left";
+  if (loss == Loss::kNeverArrived) return {};
+  const bool taken = dependencies_.retries.take(assignment_.service->name, hooks_.nodes(),
+                                                dependencies_.clock.now());
+  return taken ? std::string_view{} : "retry budget used up";
+}
+
+void RelayFlow::logLoss(std::string_view why, std::string_view obstacle) {
+  dependencies_.log.write(
+      obstacle.empty() ? base::Event::kRequestRetried : base::Event::kRelayAttemptFailed,
+      {{"request", arrival_.request->id},
+       {"replica", attempt_->decision.replica->facts().instance},
+       {"attempt", std::to_string(dispatches_)},
+       {"after_ms", millisecondsText(dependencies_.clock.now() - attempt_->sentAt)},
+       {"why", std::string{why}},
+       {"runs", std::to_string(runs_)},
+       {"last_event", events_.lastEventId()},
+       {"left_ms", millisecondsText(timeLeft())},
+       {"not_retried", std::string{obstacle}}});
+}
+
+bool RelayFlow::retryElsewhere(std::string_view why, Loss loss) {
+  const auto obstacle = takeRetry(loss);
+  logLoss(why, obstacle);
+  if (!obstacle.empty()) {
+    endAttempt();
+    return false;
+  }
+  goElsewhere();
+  return true;
+}
+
+void RelayFlow::goElsewhere() {
+  excluded_.push_back(attempt_->decision.replica->facts().instance);
+  endAttempt();
+  events_.dropUnfinished();
+  if (!headDelivered_) kept_.clear();
+  choose();
+}
+
+}  // namespace covewing::request
