--- a/tests/request/relay_flow_test.cc
+++ b/tests/request/relay_flow_test.cc
@@ -102,6 +102,32 @@
   BOOST_TEST(client.sent[2]->open);
 }
 
+// Long prompts were sent elsewhere while they were being read, and read anew there.
+BOOST_AUTO_TEST_CASE(PromptIsGivenTheTimeThatReadingItTakes) {
+  for (const char* name : {"m1", "m2", "m3"}) {
+    for (int count = 0; count < 60; ++count)
+      replicas.find(name)->learnReadTime(1000, milliseconds(500));
+  }
+  request("resumable");
+  time.advance(milliseconds(1400));
+  BOOST_TEST(client.sent.size() == 1U);
+  BOOST_TEST(client.last().open);
+  time.advance(milliseconds(400));
+  BOOST_TEST(client.sent.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(AddressThatAnswersForAnotherRunEndsTheReplica) {
+  request("unsafe");
+  const auto first = client.last().terms.expectedInstance;
+  clients::RelayedAnswer other;
+  other.status = 421;
+  other.otherInstance = true;
+  client.last().handler->onHead(std::move(other));
+  client.last().handler->onEnd();
+  BOOST_TEST(replicas.find(first)->gone());
+  BOOST_TEST(client.sent.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(SilentReplicaIsWaitedForWhereNoAttemptIsLeft) {
   auto& caller = request("safe");
   time.advance(milliseconds(450));
--- a/tests/routing/replica_health_test.cc
+++ b/tests/routing/replica_health_test.cc
@@ -81,6 +81,16 @@
   BOOST_TEST(health.available(kStart + milliseconds(900)));
 }
 
+BOOST_AUTO_TEST_CASE(ReadingLongPromptsIsNoSilence) {
+  ReplicaHealth health;
+  health.onDispatched(kStart, seconds(2));
+  health.onDispatched(kStart, seconds(1));
+  BOOST_TEST(health.available(kStart + milliseconds(3600)));
+  BOOST_TEST(!health.available(kStart + milliseconds(3800)));
+  health.onWaitEnded(kStart + milliseconds(3800), seconds(2));
+  BOOST_TEST((health.waitingWork() == seconds(1)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::routing
