Let a watch of a replica's cache that begins again go on once

Watches now carry a number that their calls and timers check.

The test fails before (4 calls instead of 3).

--- a/src/routing/cache_watch.cc
+++ b/src/routing/cache_watch.cc
@@ -49,8 +49,11 @@
     watch = watches_.erase(watch);
   }
   for (const auto& [name, endpoint] : now) {
-    if (!watches_.try_emplace(name, Watch{endpoint}).second) continue;
-    poll(name);
+    const auto [watch, added] = watches_.try_emplace(name);
+    if (!added) continue;
+    watch->second.number = ++lastNumber_;
+    watch->second.endpoint = endpoint;
+    poll(name, watch->second.number);
   }
   reviewTimer_ = environment_.timers.schedule(options_.review, [this] { review(); });
 }
@@ -66,27 +69,35 @@
   return static_cast<std::uint64_t>(ahead) < limit;
 }
 
-void CacheWatch::schedule(const std::string& name, base::Duration delay) {
-  watches_.at(name).timer = environment_.timers.schedule(
-      environment_.random.jittered(delay, kJitter), [this, name] { poll(name); });
+CacheWatch::Watch* CacheWatch::find(const std::string& name, std::uint64_t number) {
+  const auto found = watches_.find(name);
+  return found == watches_.end() || found->second.number != number ? nullptr : &found->second;
 }
 
-void CacheWatch::poll(const std::string& name) {
-  const auto& watch = watches_.at(name);
+void CacheWatch::schedule(const std::string& name, Watch& watch, base::Duration delay) {
+  watch.timer =
+      environment_.timers.schedule(environment_.random.jittered(delay, kJitter),
+                                   [this, name, number = watch.number] { poll(name, number); });
+}
+
+void CacheWatch::poll(const std::string& name, std::uint64_t number) {
+  const Watch* watch = find(name, number);
+  if (watch == nullptr) return;
   environment_.feed.poll(
-      watch.endpoint, watch.since, options_.wait,
-      [this, name, alive = std::weak_ptr(lifetime_)](const clients::CacheFeedReply& reply) {
-        if (!alive.expired() && watches_.contains(name)) onReply(name, reply);
+      watch->endpoint, watch->since, options_.wait,
+      [this, name, number, alive = std::weak_ptr(lifetime_)](const clients::CacheFeedReply& reply) {
+        if (alive.expired()) return;
+        if (Watch* current = find(name, number)) onReply(name, *current, reply);
       });
 }
 
-void CacheWatch::onReply(const std::string& name, const clients::CacheFeedReply& reply) {
+void CacheWatch::onReply(const std::string& name, Watch& watch,
+                         const clients::CacheFeedReply& reply) {
   environment_.stores.setAvailable(name, reply.status == clients::CacheFeedStatus::kOk);
   if (reply.status != clients::CacheFeedStatus::kOk) {
-    schedule(name, options_.backoff);
+    schedule(name, watch, options_.backoff);
     return;
   }
-  auto& watch = watches_.at(name);
   const auto holder = base::engineIdOf(name);
   const bool restarted = watch.epoch != 0 && watch.epoch != reply.epoch;
   if (restarted || reply.lost) environment_.holders.forget(holder);
@@ -96,7 +107,7 @@
     environment_.holders.learn(holder, cacheScope(event.salt, event.model),
                                prefix::partIdOf(event.part), event.tokens);
   }
-  schedule(name, options_.pause);
+  schedule(name, watch, options_.pause);
 }
 
 }  // namespace covewing::routing
--- a/src/routing/cache_watch.h
+++ b/src/routing/cache_watch.h
@@ -59,6 +59,8 @@
 
  private:
   struct Watch {
+    /// Tells this watch from an earlier one of the same name, whose calls may still be under way.
+    std::uint64_t number = 0;
     base::Endpoint endpoint;
     std::uint64_t since = 0;
     std::uint64_t epoch = 0;
@@ -71,14 +73,17 @@
   Wanted wanted() const;
   /// Whether this node is among the `limit` nodes that watch the replica or store.
   bool isWatcher(const std::string& name, std::uint32_t limit) const;
-  void poll(const std::string& name);
-  void onReply(const std::string& name, const clients::CacheFeedReply& reply);
-  void schedule(const std::string& name, base::Duration delay);
+  /// The watch with this name and number; null when it has ended.
+  Watch* find(const std::string& name, std::uint64_t number);
+  void poll(const std::string& name, std::uint64_t number);
+  void onReply(const std::string& name, Watch& watch, const clients::CacheFeedReply& reply);
+  void schedule(const std::string& name, Watch& watch, base::Duration delay);
 
   CacheWatchOptions options_;
   CacheWatchEnvironment environment_;
   WatcherLimit limit_;
   std::map<std::string, Watch> watches_;
+  std::uint64_t lastNumber_ = 0;
   base::TimerId reviewTimer_ = 0;
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
 };
--- a/tests/routing/cache_watch_test.cc
+++ b/tests/routing/cache_watch_test.cc
@@ -128,6 +128,28 @@
   BOOST_TEST(watchers == 3U);
 }
 
+// A watch that ended and began again while a call was under way went on twice; its second timer
+// outlived it and ended the process.
+BOOST_AUTO_TEST_CASE(WatchThatBeginsAgainGoesOnOnce) {
+  const auto early = feed.calls.back();
+  replicas.onRemoved("r1");
+  time.advance(milliseconds(600));
+  Replica again;
+  again.instance = "r1";
+  again.service = "llm";
+  replicas.onListed(again);
+  time.advance(milliseconds(600));
+  BOOST_TEST(feed.calls.size() == 2U);
+  const auto late = feed.calls.back();
+  early.callback(reply(7, 12, 50));
+  late.callback(reply(7, 12, 50));
+  time.advance(milliseconds(400));
+  BOOST_TEST(feed.calls.size() == 3U);
+  replicas.onRemoved("r1");
+  time.advance(seconds(5));
+  BOOST_TEST(feed.calls.size() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(StoreIsAvailableWhileItAnswers) {
   config::RouteTableContents contents;
   config::Service service;
