Share what the relay wrote twice: metric families, outages of feeds, the start of an answer

The two pages of metrics had the same registry code; the list of replicas and the configuration logged the loss and return of their feeds by copies of the same lines; an answer's head was begun in two places; three places asked whether a replica had not run a request; two branches of the hold set the same timer; and each dispatch built a whole query again for a sum of tokens. Behaviour is unchanged.

--- /dev/null
+++ b/src/live/metric_families.h
@@ -0,0 +1,35 @@
+/// \file
+/// The families of one documented table of metrics, and their text form.
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <span>
+#include <string>
+
+#include "live/metric_entry.h"
+
+namespace covewing::live {
+
+class MetricFamilies {
+ public:
+  /// The help texts are the meanings in `table`, which must outlive the families.
+  explicit MetricFamilies(std::span<const MetricEntry> table) : table_(table) {}
+
+  prometheus::Family<prometheus::Counter>& counters(const char* name);
+  prometheus::Family<prometheus::Gauge>& gauges(const char* name);
+  prometheus::Family<prometheus::Histogram>& histograms(const char* name);
+  /// All metrics in the text exposition format.
+  std::string render() const;
+
+ private:
+  std::string helpOf(std::string_view name) const;
+
+  std::span<const MetricEntry> table_;
+  prometheus::Registry registry_;
+};
+
+}  // namespace covewing::live
--- a/src/live/node_metrics.cc
+++ b/src/live/node_metrics.cc
@@ -1,14 +1,9 @@
 #include "live/node_metrics.h"
 
-#include <prometheus/counter.h>
-#include <prometheus/gauge.h>
-#include <prometheus/histogram.h>
-#include <prometheus/registry.h>
-#include <prometheus/text_serializer.h>
-
 #include <array>
 #include <map>
 
+#include "live/metric_families.h"
 #include "live/process_usage.h"
 
 namespace covewing::live {
@@ -60,59 +55,48 @@
 const prometheus::Histogram::BucketBoundaries kSecondsBuckets = {
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60};
 
-std::string helpOf(std::string_view name) {
-  for (const auto& entry : kTable) {
-    if (entry.name == name) return std::string{entry.meaning};
-  }
-  return {};
-}
-
 }  // namespace
 
 std::span<const MetricEntry> metricTable() { return kTable; }
 
 struct NodeMetrics::Impl {
-  prometheus::Family<prometheus::Counter>& counters(const char* name) {
-    return prometheus::BuildCounter().Name(name).Help(helpOf(name)).Register(registry);
-  }
-  prometheus::Family<prometheus::Gauge>& gauges(const char* name) {
-    return prometheus::BuildGauge().Name(name).Help(helpOf(name)).Register(registry);
-  }
-  prometheus::Family<prometheus::Histogram>& histograms(const char* name) {
-    return prometheus::BuildHistogram().Name(name).Help(helpOf(name)).Register(registry);
-  }
-
   /// Raises a counter to a total that is kept elsewhere.
   static void raise(prometheus::Counter& counter, double total) {
     counter.Increment(total - counter.Value());
   }
 
-  prometheus::Registry registry;
-  prometheus::Gauge& connections = gauges("covewing_caller_connections").Add({});
-  prometheus::Counter& disconnects = counters("covewing_caller_disconnects_total").Add({});
-  prometheus::Counter& pauses = counters("covewing_caller_pauses_total").Add({});
-  prometheus::Gauge& confirmed = gauges("covewing_configuration_confirmed").Add({});
-  prometheus::Gauge& revision = gauges("covewing_configuration_revision").Add({});
-  prometheus::Gauge& engines = gauges("covewing_engines").Add({});
-  prometheus::Family<prometheus::Counter>& events = counters("covewing_events_total");
+  MetricFamilies families{kTable};
+  prometheus::Gauge& connections = families.gauges("covewing_caller_connections").Add({});
+  prometheus::Counter& disconnects = families.counters("covewing_caller_disconnects_total").Add({});
+  prometheus::Counter& pauses = families.counters("covewing_caller_pauses_total").Add({});
+  prometheus::Gauge& confirmed = families.gauges("covewing_configuration_confirmed").Add({});
+  prometheus::Gauge& revision = families.gauges("covewing_configuration_revision").Add({});
+  prometheus::Gauge& engines = families.gauges("covewing_engines").Add({});
+  prometheus::Family<prometheus::Counter>& events = families.counters("covewing_events_total");
   prometheus::Family<prometheus::Histogram>& firstToken =
-      histograms("covewing_first_token_seconds");
-  prometheus::Gauge& members = gauges("covewing_members").Add({});
-  prometheus::Gauge& leaseHeld = gauges("covewing_lease_held").Add({});
-  prometheus::Gauge& ordersOpen = gauges("covewing_orders_open").Add({});
-  prometheus::Gauge& openRequests = gauges("covewing_open_requests").Add({});
-  prometheus::Counter& outputTokens = counters("covewing_output_tokens_total").Add({});
-  prometheus::Family<prometheus::Counter>& peerBytes = counters("covewing_peer_bytes_total");
-  prometheus::Counter& peerDropped = counters("covewing_peer_frames_dropped_total").Add({});
-  prometheus::Counter& peerRejected = counters("covewing_peer_frames_rejected_total").Add({});
-  prometheus::Family<prometheus::Counter>& peerFrames = counters("covewing_peer_frames_total");
-  prometheus::Counter& cpu = counters("covewing_process_cpu_seconds_total").Add({});
-  prometheus::Gauge& resident = gauges("covewing_process_resident_bytes").Add({});
-  prometheus::Counter& cachedTokens = counters("covewing_prompt_tokens_cached_total").Add({});
-  prometheus::Counter& promptTokens = counters("covewing_prompt_tokens_total").Add({});
-  prometheus::Gauge& ready = gauges("covewing_ready").Add({});
-  prometheus::Family<prometheus::Histogram>& requestTime = histograms("covewing_request_seconds");
-  prometheus::Family<prometheus::Counter>& requests = counters("covewing_requests_total");
+      families.histograms("covewing_first_token_seconds");
+  prometheus::Gauge& members = families.gauges("covewing_members").Add({});
+  prometheus::Gauge& leaseHeld = families.gauges("covewing_lease_held").Add({});
+  prometheus::Gauge& ordersOpen = families.gauges("covewing_orders_open").Add({});
+  prometheus::Gauge& openRequests = families.gauges("covewing_open_requests").Add({});
+  prometheus::Counter& outputTokens = families.counters("covewing_output_tokens_total").Add({});
+  prometheus::Family<prometheus::Counter>& peerBytes =
+      families.counters("covewing_peer_bytes_total");
+  prometheus::Counter& peerDropped =
+      families.counters("covewing_peer_frames_dropped_total").Add({});
+  prometheus::Counter& peerRejected =
+      families.counters("covewing_peer_frames_rejected_total").Add({});
+  prometheus::Family<prometheus::Counter>& peerFrames =
+      families.counters("covewing_peer_frames_total");
+  prometheus::Counter& cpu = families.counters("covewing_process_cpu_seconds_total").Add({});
+  prometheus::Gauge& resident = families.gauges("covewing_process_resident_bytes").Add({});
+  prometheus::Counter& cachedTokens =
+      families.counters("covewing_prompt_tokens_cached_total").Add({});
+  prometheus::Counter& promptTokens = families.counters("covewing_prompt_tokens_total").Add({});
+  prometheus::Gauge& ready = families.gauges("covewing_ready").Add({});
+  prometheus::Family<prometheus::Histogram>& requestTime =
+      families.histograms("covewing_request_seconds");
+  prometheus::Family<prometheus::Counter>& requests = families.counters("covewing_requests_total");
 };
 
 namespace {
@@ -175,7 +159,7 @@
   Impl::raise(impl_->peerBytes.Add(received), static_cast<double>(peers.receivedBytes));
   Impl::raise(impl_->peerDropped, static_cast<double>(peers.droppedFrames));
   Impl::raise(impl_->peerRejected, static_cast<double>(peers.rejectedFrames));
-  return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
+  return impl_->families.render();
 }
 
 }  // namespace covewing::live
--- a/src/live/relay_metrics.cc
+++ b/src/live/relay_metrics.cc
@@ -1,14 +1,9 @@
 #include "live/relay_metrics.h"
 
-#include <prometheus/counter.h>
-#include <prometheus/gauge.h>
-#include <prometheus/histogram.h>
-#include <prometheus/registry.h>
-#include <prometheus/text_serializer.h>
-
 #include <array>
 #include <map>
 
+#include "live/metric_families.h"
 #include "live/process_usage.h"
 
 namespace covewing::live {
@@ -52,13 +47,6 @@
 const prometheus::Histogram::BucketBoundaries kSecondsBuckets = {0.01, 0.025, 0.05, 0.1, 0.25, 0.5,
                                                                  0.8,  1,     2.5,  5,   10,   30};
 
-std::string helpOf(std::string_view name) {
-  for (const auto& entry : kTable) {
-    if (entry.name == name) return std::string{entry.meaning};
-  }
-  return {};
-}
-
 Labels kindLabel(const config::Route& route) {
   return {{"kind", std::string{kKindNames.at(static_cast<std::size_t>(route.kind))}}};
 }
@@ -68,36 +56,29 @@
 std::span<const MetricEntry> relayMetricTable() { return kTable; }
 
 struct RelayMetrics::Impl {
-  prometheus::Family<prometheus::Counter>& counters(const char* name) {
-    return prometheus::BuildCounter().Name(name).Help(helpOf(name)).Register(registry);
-  }
-  prometheus::Family<prometheus::Gauge>& gauges(const char* name) {
-    return prometheus::BuildGauge().Name(name).Help(helpOf(name)).Register(registry);
-  }
-  prometheus::Family<prometheus::Histogram>& histograms(const char* name) {
-    return prometheus::BuildHistogram().Name(name).Help(helpOf(name)).Register(registry);
-  }
-
-  prometheus::Registry registry;
-  prometheus::Gauge& connections = gauges("covewing_caller_connections").Add({});
-  prometheus::Gauge& age = gauges("covewing_configuration_age_seconds").Add({});
-  prometheus::Gauge& version = gauges("covewing_configuration_version").Add({});
-  prometheus::Family<prometheus::Counter>& events = counters("covewing_events_total");
-  prometheus::Gauge& knownParts = gauges("covewing_known_cached_parts").Add({});
-  prometheus::Gauge& leaseHeld = gauges("covewing_lease_held").Add({});
-  prometheus::Gauge& members = gauges("covewing_members").Add({});
-  prometheus::Gauge& open = gauges("covewing_open_requests").Add({});
-  prometheus::Counter& processor = counters("covewing_process_cpu_seconds_total").Add({});
-  prometheus::Gauge& resident = gauges("covewing_process_resident_bytes").Add({});
-  prometheus::Gauge& ready = gauges("covewing_ready").Add({});
-  prometheus::Family<prometheus::Counter>& attempts = counters("covewing_relay_attempts_total");
+  MetricFamilies families{kTable};
+  prometheus::Gauge& connections = families.gauges("covewing_caller_connections").Add({});
+  prometheus::Gauge& age = families.gauges("covewing_configuration_age_seconds").Add({});
+  prometheus::Gauge& version = families.gauges("covewing_configuration_version").Add({});
+  prometheus::Family<prometheus::Counter>& events = families.counters("covewing_events_total");
+  prometheus::Gauge& knownParts = families.gauges("covewing_known_cached_parts").Add({});
+  prometheus::Gauge& leaseHeld = families.gauges("covewing_lease_held").Add({});
+  prometheus::Gauge& members = families.gauges("covewing_members").Add({});
+  prometheus::Gauge& open = families.gauges("covewing_open_requests").Add({});
+  prometheus::Counter& processor = families.counters("covewing_process_cpu_seconds_total").Add({});
+  prometheus::Gauge& resident = families.gauges("covewing_process_resident_bytes").Add({});
+  prometheus::Gauge& ready = families.gauges("covewing_ready").Add({});
+  prometheus::Family<prometheus::Counter>& attempts =
+      families.counters("covewing_relay_attempts_total");
   prometheus::Family<prometheus::Histogram>& firstByte =
-      histograms("covewing_relay_first_byte_seconds");
-  prometheus::Family<prometheus::Counter>& tokens = counters("covewing_relay_prompt_tokens_total");
+      families.histograms("covewing_relay_first_byte_seconds");
+  prometheus::Family<prometheus::Counter>& tokens =
+      families.counters("covewing_relay_prompt_tokens_total");
   prometheus::Family<prometheus::Histogram>& duration =
-      histograms("covewing_relay_request_seconds");
-  prometheus::Family<prometheus::Counter>& requests = counters("covewing_relay_requests_total");
-  prometheus::Family<prometheus::Gauge>& replicas = gauges("covewing_replicas");
+      families.histograms("covewing_relay_request_seconds");
+  prometheus::Family<prometheus::Counter>& requests =
+      families.counters("covewing_relay_requests_total");
+  prometheus::Family<prometheus::Gauge>& replicas = families.gauges("covewing_replicas");
 };
 
 RelayMetrics::RelayMetrics() : impl_(std::make_unique<Impl>()) {}
@@ -139,7 +120,7 @@
   impl_->age.Set(snapshot.configurationAge ? base::toSeconds(*snapshot.configurationAge) : -1);
   impl_->resident.Set(residentBytes());
   impl_->processor.Increment(processorSeconds() - impl_->processor.Value());
-  return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
+  return impl_->families.render();
 }
 
 }  // namespace covewing::live
--- /dev/null
+++ b/src/node/feed_outage.cc
@@ -0,0 +1,16 @@
+#include "node/feed_outage.h"
+
+namespace covewing::node {
+
+void FeedOutage::onCurrent() {
+  if (std::exchange(failing_, false))
+    log_.write(base::Event::kPlatformRecovered, {{"service", feed_}});
+}
+
+void FeedOutage::onFailure(clients::FeedStatus status) {
+  if (std::exchange(failing_, true)) return;
+  log_.write(base::Event::kPlatformUnavailable,
+             {{"service", feed_}, {"status", std::to_string(static_cast<unsigned>(status))}});
+}
+
+}  // namespace covewing::node
--- a/src/node/replica_list.cc
+++ b/src/node/replica_list.cc
@@ -33,15 +33,9 @@
 
 void ReplicaList::onCurrent() {
   known_ = true;
-  if (std::exchange(failing_, false))
-    log_.write(base::Event::kPlatformRecovered, {{"service", "replica list feed"}});
+  outage_.onCurrent();
 }
 
-void ReplicaList::onFailure(clients::FeedStatus status) {
-  if (std::exchange(failing_, true)) return;
-  log_.write(base::Event::kPlatformUnavailable,
-             {{"service", "replica list feed"},
-              {"status", std::to_string(static_cast<unsigned>(status))}});
-}
+void ReplicaList::onFailure(clients::FeedStatus status) { outage_.onFailure(status); }
 
 }  // namespace covewing::node
--- a/src/node/replica_list.h
+++ b/src/node/replica_list.h
@@ -8,6 +8,7 @@
 
 #include "base/event_log.h"
 #include "config/table_watch.h"
+#include "node/feed_outage.h"
 #include "routing/prefix_holders.h"
 #include "routing/replica_directory.h"
 
@@ -43,7 +44,7 @@
   routing::ReplicaDirectory& directory_;
   routing::PrefixHolders& holders_;
   bool known_ = false;
-  bool failing_ = false;
+  FeedOutage outage_{log_, "replica list feed"};
 };
 
 }  // namespace covewing::node
--- a/src/node/route_configuration.cc
+++ b/src/node/route_configuration.cc
@@ -55,17 +55,8 @@
   // Operators replace their rows and never remove them: what is in force stays.
 }
 
-void RouteConfiguration::onCurrent() {
-  if (std::exchange(failing_, false)) {
-    log_.write(base::Event::kPlatformRecovered, {{"service", "configuration feed"}});
-  }
-}
+void RouteConfiguration::onCurrent() { outage_.onCurrent(); }
 
-void RouteConfiguration::onFailure(clients::FeedStatus status) {
-  if (std::exchange(failing_, true)) return;
-  log_.write(base::Event::kPlatformUnavailable,
-             {{"service", "configuration feed"},
-              {"status", std::to_string(static_cast<unsigned>(status))}});
-}
+void RouteConfiguration::onFailure(clients::FeedStatus status) { outage_.onFailure(status); }
 
 }  // namespace covewing::node
--- a/src/node/route_configuration.h
+++ b/src/node/route_configuration.h
@@ -12,6 +12,7 @@
 #include "base/event_log.h"
 #include "config/route_table.h"
 #include "config/table_watch.h"
+#include "node/feed_outage.h"
 #include "request/relay_service.h"
 #include "routing/weights_targets.h"
 
@@ -74,7 +75,7 @@
   config::RouteTablePtr table_;
   TableListener tableListener_;
   WeightsListener weightsListener_;
-  bool failing_ = false;
+  FeedOutage outage_{log_, "configuration feed"};
 };
 
 }  // namespace covewing::node
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -64,6 +64,11 @@
   choose();
 }
 
+std::uint32_t RelayFlow::wantedTokens() const {
+  if (!arrival_.prompt) return 0;
+  return arrival_.prompt->promptTokens + arrival_.prompt->mostOutputTokens;
+}
+
 routing::ReplicaQuery RelayFlow::query() const {
   routing::ReplicaQuery query;
   query.service = assignment_.service->name;
@@ -72,7 +77,7 @@
   if (!arrival_.prompt) return query;
   query.model = arrival_.prompt->model;
   query.chain = &arrival_.prompt->chain;
-  query.tokens = arrival_.prompt->promptTokens + arrival_.prompt->mostOutputTokens;
+  query.tokens = wantedTokens();
   if (assignment_.tenant != nullptr && assignment_.tenant->isolated)
     query.isolatedTenant = assignment_.tenant->name;
   return query;
@@ -98,13 +103,10 @@
 
 void RelayFlow::hold(std::string_view why) {
   const auto now = dependencies_.clock.now();
-  if (now < holdUntil_) {
-    holdTimer_ = dependencies_.timers.schedule(options_.holdInterval, [this] { choose(); });
-    return;
-  }
-  if (!excluded_.empty()) {
-    // What failed once is better than nothing.
-    excluded_.clear();
+  const bool overdue = now >= holdUntil_;
+  if (!overdue || !excluded_.empty()) {
+    // In the end, what failed once is better than nothing.
+    if (overdue) excluded_.clear();
     holdTimer_ = dependencies_.timers.schedule(options_.holdInterval, [this] { choose(); });
     return;
   }
@@ -142,7 +144,7 @@
   }
   auto& record = *decision.replica;
   const auto terms = termsFor(decision);
-  const std::uint32_t wanted = query().tokens;
+  const std::uint32_t wanted = wantedTokens();
   const std::uint32_t tokens = wanted - std::min(wanted, decision.matchedTokens);
   record.onDispatched(tokens);
   const std::uint32_t unread =
@@ -212,8 +214,7 @@
   record.health().onHeard(dependencies_.clock.now());
   if (arrival_.prompt && answer.version && !answer.otherInstance)
     record.learnVersion(arrival_.prompt->model, *answer.version);
-  const bool ran = !answer.notExecuted && answer.status != kMisdirected;
-  if (ran) ++runs_;
+  if (!notRun(answer)) ++runs_;
   if (!headDelivered_) kept_.clear();
   attempt_->answer = std::move(answer);
 }
@@ -224,7 +225,7 @@
   attempt.decision.replica->health().onHeard(now);
   armSilence();
   const auto& answer = *attempt.answer;
-  if (answer.notExecuted || answer.status == kMisdirected) {
+  if (notRun(answer)) {
     if (kept_.size() < options_.wholeAnswerBytes) kept_ += bytes;
     return;
   }
@@ -256,19 +257,18 @@
                                    decision.scope, arrival_.prompt->chain);
 }
 
-void RelayFlow::deliverHead() {
-  if (headDelivered_) return;
+void RelayFlow::beginAnswer(std::optional<std::uint64_t> length) {
   headDelivered_ = true;
   status_ = attempt_->answer->status;
   firstByteAfter_ = dependencies_.clock.now() - arrival_.arrivedAt;
   clients::RelayedAnswer head = *attempt_->answer;
-  // A resumed stream may have another length than its first attempt announced.
-  if (resumable()) head.length.reset();
+  head.length = length;
   caller_->begin(head);
 }
 
 void RelayFlow::deliver(std::string_view bytes) {
-  deliverHead();
+  // A resumed stream may have another length than its first attempt announced.
+  if (!headDelivered_) beginAnswer(resumable() ? std::nullopt : attempt_->answer->length);
   caller_->write(bytes);
 }
 
@@ -277,7 +277,7 @@
   const auto now = dependencies_.clock.now();
   auto& record = *attempt_->decision.replica;
   const auto answer = *attempt_->answer;
-  if (answer.notExecuted || answer.status == kMisdirected) {
+  if (notRun(answer)) {
     onNotRun(answer);
     return;
   }
@@ -304,13 +304,8 @@
 
 void RelayFlow::finishWhole() {
   if (!headDelivered_) {
-    attempt_->answer->length = kept_.size();
     const bool stream = streaming() && successful(attempt_->answer->status);
-    if (stream) attempt_->answer->length.reset();
-    headDelivered_ = true;
-    status_ = attempt_->answer->status;
-    firstByteAfter_ = dependencies_.clock.now() - arrival_.arrivedAt;
-    caller_->begin(*attempt_->answer);
+    beginAnswer(stream ? std::nullopt : std::optional<std::uint64_t>{kept_.size()});
     caller_->write(kept_);
   }
   caller_->end();
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -141,6 +141,8 @@
   bool streaming() const { return assignment_.route->kind == config::RequestKind::kStreaming; }
   bool resumable() const { return streaming() && assignment_.route->resumable; }
   base::Duration timeLeft() const { return deadline_ - dependencies_.clock.now(); }
+  /// Tokens of the prompt and the longest answer.
+  std::uint32_t wantedTokens() const;
   routing::ReplicaQuery query() const;
 
   void choose();
@@ -169,7 +171,8 @@
   void endAttempt();
   void endWait();
 
-  void deliverHead();
+  /// Starts the caller's answer with the attempt's head.
+  void beginAnswer(std::optional<std::uint64_t> length);
   void deliver(std::string_view bytes);
   void learnHolder();
   void finishWhole();
--- a/src/request/relay_flow_internal.h
+++ b/src/request/relay_flow_internal.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/time.h"
+#include "clients/relay_client.h"
 
 namespace covewing::request {
 
@@ -15,6 +16,11 @@
 /// A request that a restarting node or a full service refused may come back this soon.
 inline constexpr base::Duration kRetryAfterRefusals = std::chrono::milliseconds(200);
 
+/// The replica answered that it did not run the request.
+inline bool notRun(const clients::RelayedAnswer& answer) {
+  return answer.notExecuted || answer.status == kMisdirected;
+}
+
 inline std::string millisecondsText(base::Duration duration) {
   return std::to_string(duration / std::chrono::milliseconds(1));
 }
