Share the feeds of the table service between nodes

Cause: on the grown deployments every node kept two feeds of its own and was woken by every change of a replica's entry.

Ruled out: heartbeats waking the feeds (rows change only with their contents); the lease (three candidates, one renewing).

Change: two watchers a zone read the feeds; the other nodes ask them and are held until something changes (config/shared_feed). Either way falls back on the other within one call, so a node that the store refuses now learns from the others. Proofs of freshness carry their age; the time at which a held call was answered is bounded by the store's own clock (config/service_clock). The list of replicas waits 250 ms after a change for those that follow.

--- a/src/base/peer_transport.h
+++ b/src/base/peer_transport.h
@@ -25,6 +25,7 @@
   kCoordination = 4,
   kAdmission = 5,
   kRequest = 6,
+  kTableFeed = 7,
 };
 
 /// Who sent a message.
--- a/src/clients/table_feed_client.h
+++ b/src/clients/table_feed_client.h
@@ -38,6 +38,9 @@
   base::Revision revision = 0;
   /// The service's own steady clock, where it tells it.
   std::optional<base::Duration> serviceTime = std::nullopt;
+  /// When the rows were proved to be all there is, on this node's clock; empty: when the call was
+  /// sent.
+  std::optional<base::TimePoint> currentAt = std::nullopt;
 };
 
 using FeedCallback = std::function<void(FeedReply)>;
--- /dev/null
+++ b/src/config/feed_messages.cc
@@ -0,0 +1,105 @@
+#include "config/feed_messages.h"
+
+#include <utility>
+
+#include "base/codec.h"
+
+namespace covewing::config {
+
+namespace {
+
+/// Type numbers on the wire; never reused.
+enum class MessageType : std::uint8_t { kQuestion = 1, kAnswer = 2 };
+
+constexpr std::uint32_t kQuestionFields = 6;
+constexpr std::uint32_t kAnswerFields = 8;
+constexpr std::uint32_t kRowFields = 4;
+/// Stands for a clock that is not known.
+constexpr std::int64_t kNoServiceTime = -1;
+
+std::uint64_t typeNumber(MessageType type) { return static_cast<std::uint64_t>(type); }
+
+void write(base::Writer& writer, const FeedQuestion& question) {
+  writer.array(kQuestionFields).unsignedInteger(typeNumber(MessageType::kQuestion));
+  writer.unsignedInteger(question.nonce).text(question.table).unsignedInteger(question.after);
+  writer.signedInteger(question.wait.count()).boolean(question.whole);
+}
+
+void write(base::Writer& writer, const clients::FeedRow& row) {
+  writer.array(kRowFields).text(row.key).boolean(row.value.has_value());
+  writer.binary(row.value.value_or(std::string{})).unsignedInteger(row.revision);
+}
+
+void write(base::Writer& writer, const FeedAnswer& answer) {
+  writer.array(kAnswerFields).unsignedInteger(typeNumber(MessageType::kAnswer));
+  writer.unsignedInteger(answer.nonce).boolean(answer.unable);
+  writer.array(static_cast<std::uint32_t>(answer.rows.size()));
+  for (const auto& row : answer.rows) write(writer, row);
+  writer.unsignedInteger(answer.revision).signedInteger(answer.held.count());
+  writer.signedInteger(answer.age.count());
+  writer.signedInteger(answer.serviceTime ? answer.serviceTime->count() : kNoServiceTime);
+}
+
+FeedQuestion readQuestion(base::Reader& reader) {
+  FeedQuestion question;
+  question.nonce = reader.unsignedInteger();
+  question.table = reader.text();
+  question.after = reader.unsignedInteger();
+  question.wait = base::Duration{reader.signedInteger()};
+  question.whole = reader.boolean();
+  return question;
+}
+
+clients::FeedRow readRow(base::Reader& reader) {
+  clients::FeedRow row;
+  reader.beginArray();
+  row.key = reader.text();
+  const bool present = reader.boolean();
+  const auto value = reader.binary();
+  if (present) row.value = std::string{value};
+  row.revision = reader.unsignedInteger();
+  reader.endArray();
+  return row;
+}
+
+FeedAnswer readAnswer(base::Reader& reader) {
+  FeedAnswer answer;
+  answer.nonce = reader.unsignedInteger();
+  answer.unable = reader.boolean();
+  const auto count = reader.beginArray();
+  for (std::uint32_t index = 0; index < count && reader.ok(); ++index)
+    answer.rows.push_back(readRow(reader));
+  reader.endArray();
+  answer.revision = reader.unsignedInteger();
+  answer.held = base::Duration{reader.signedInteger()};
+  answer.age = base::Duration{reader.signedInteger()};
+  const auto serviceTime = reader.signedInteger();
+  if (serviceTime != kNoServiceTime) answer.serviceTime = base::Duration{serviceTime};
+  return answer;
+}
+
+}  // namespace
+
+std::string encodeFeedMessage(const FeedMessage& message) {
+  base::Writer writer;
+  std::visit([&writer](const auto& typed) { write(writer, typed); }, message);
+  return writer.take();
+}
+
+std::optional<FeedMessage> decodeFeedMessage(std::string_view payload) {
+  base::Reader reader(payload);
+  reader.beginArray();
+  const auto type = reader.unsignedInteger();
+  FeedMessage message;
+  if (type == typeNumber(MessageType::kQuestion)) {
+    message = readQuestion(reader);
+  } else if (type == typeNumber(MessageType::kAnswer)) {
+    message = readAnswer(reader);
+  } else {
+    return std::nullopt;
+  }
+  if (!reader.ok()) return std::nullopt;
+  return message;
+}
+
+}  // namespace covewing::config
--- /dev/null
+++ b/src/config/shared_feed.cc
@@ -0,0 +1,263 @@
+#include "config/shared_feed.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace covewing::config {
+
+void SharedFeed::Backoff::onFailure(base::TimePoint now, const SharedFeedOptions& options) {
+  until_ = now + next_;
+  next_ = next_.count() == 0 ? options.firstBackoff : std::min(2 * next_, options.longestBackoff);
+}
+
+SharedFeed::SharedFeed(SharedFeedOptions options, SharedFeedEnvironment environment)
+    : options_(options),
+      environment_(environment),
+      watchers_(environment.members, options.watchersPerZone) {}
+
+SharedFeed::~SharedFeed() {
+  for (const auto& [nonce, call] : asked_) environment_.timers.cancel(call->timer);
+  for (const auto& [number, held] : held_) environment_.timers.cancel(held.timer);
+}
+
+void SharedFeed::readAll(std::string table, clients::FeedCallback callback) {
+  auto call = std::make_shared<Call>();
+  call->table = std::move(table);
+  call->whole = true;
+  call->callback = std::move(callback);
+  begin(call);
+}
+
+void SharedFeed::changes(std::string table, base::Revision after, base::Duration wait,
+                         clients::FeedCallback callback) {
+  auto call = std::make_shared<Call>();
+  call->table = std::move(table);
+  call->after = after;
+  call->wait = wait;
+  call->callback = std::move(callback);
+  begin(call);
+}
+
+void SharedFeed::begin(const CallPtr& call) {
+  if (prefersPeer(tables_[call->table]) && askPeer(call)) return;
+  askService(call);
+}
+
+bool SharedFeed::prefersPeer(const Table& table) const {
+  const auto now = environment_.clock.now();
+  return watchers_.isWatcher() ? !table.service.over(now) : table.peers.over(now);
+}
+
+void SharedFeed::askService(const CallPtr& call) {
+  call->serviceTried = true;
+  call->sentAt = environment_.clock.now();
+  auto handler = [this, call, alive = std::weak_ptr(lifetime_)](clients::FeedReply reply) {
+    if (!alive.expired()) onServiceReply(call, std::move(reply));
+  };
+  if (call->whole) {
+    environment_.service.readAll(call->table, std::move(handler));
+  } else {
+    const bool quick = clock_.needsQuickCall(call->sentAt);
+    const auto wait = quick ? base::Duration::zero() : call->wait;
+    environment_.service.changes(call->table, call->after, wait, std::move(handler));
+  }
+}
+
+void SharedFeed::onServiceReply(const CallPtr& call, clients::FeedReply reply) {
+  auto& table = tables_[call->table];
+  const bool answered =
+      reply.status == clients::FeedStatus::kOk || reply.status == clients::FeedStatus::kHistoryGone;
+  if (answered) {
+    if (table.service.failing())
+      environment_.log.write(base::Event::kPlatformRecovered,
+                             {{"service", "table feed"}, {"table", call->table}});
+    table.service.onSuccess();
+    reply.currentAt = call->sentAt;
+    if (reply.serviceTime) {
+      const auto now = environment_.clock.now();
+      const auto madeAt = clock_.madeAt(*reply.serviceTime, call->sentAt, now);
+      // Of a whole copy, only the first page is sure to be newer than the call.
+      if (!call->whole) reply.currentAt = madeAt;
+    }
+    finish(call, std::move(reply));
+    return;
+  }
+  if (!table.service.failing())
+    environment_.log.write(base::Event::kPlatformUnavailable,
+                           {{"service", "table feed"},
+                            {"table", call->table},
+                            {"status", std::to_string(static_cast<unsigned>(reply.status))},
+                            {"instead", "other nodes"}});
+  table.service.onFailure(environment_.clock.now(), options_);
+  call->wait = {};
+  if (!call->peerTried && askPeer(call)) return;
+  finish(call, std::move(reply));
+}
+
+FeedWatchers::Scope SharedFeed::whomToAsk(const Call& call) {
+  if (!call.serviceTried && !watchers_.isWatcher()) return FeedWatchers::Scope::kOwnZone;
+  // Where the service refuses all watchers, nodes that turned to it themselves know more.
+  return tables_[call.table].peers.failing() ? FeedWatchers::Scope::kAnyMember
+                                             : FeedWatchers::Scope::kAllZones;
+}
+
+bool SharedFeed::askPeer(const CallPtr& call) {
+  call->peerTried = true;
+  const auto* member = watchers_.randomOther(whomToAsk(*call), environment_.random);
+  if (member == nullptr) return false;
+  const auto hold = std::min(call->wait, options_.longestHold);
+  const auto nonce = environment_.random.next();
+  call->sentAt = environment_.clock.now();
+  call->timer = environment_.timers.schedule(hold + options_.answerTimeout, [this, call, nonce] {
+    asked_.erase(nonce);
+    onPeerFailed(call);
+  });
+  asked_[nonce] = call;
+  send(member->endpoint, FeedQuestion{nonce, call->table, call->after, hold, call->whole});
+  return true;
+}
+
+void SharedFeed::onPeerAnswer(const CallPtr& call, FeedAnswer answer) {
+  environment_.timers.cancel(call->timer);
+  // A negative time would make a proof younger than it is.
+  const bool plausible = answer.held.count() >= 0 && answer.age.count() >= 0;
+  if (answer.unable || !plausible) {
+    onPeerFailed(call);
+    return;
+  }
+  auto& table = tables_[call->table];
+  if (answer.age > options_.oldestProof) {
+    table.peers.onFailure(environment_.clock.now(), options_);
+    if (!call->serviceTried) {
+      askService(call);
+      return;
+    }
+  } else {
+    table.peers.onSuccess();
+  }
+  clients::FeedReply reply;
+  reply.status = clients::FeedStatus::kOk;
+  reply.rows = std::move(answer.rows);
+  reply.revision = answer.revision;
+  reply.serviceTime = answer.serviceTime;
+  reply.currentAt = call->sentAt + answer.held - answer.age;
+  finish(call, std::move(reply));
+}
+
+void SharedFeed::onPeerFailed(const CallPtr& call) {
+  tables_[call->table].peers.onFailure(environment_.clock.now(), options_);
+  if (call->serviceTried) {
+    finish(call, {});
+  } else {
+    askService(call);
+  }
+}
+
+void SharedFeed::finish(const CallPtr& call, clients::FeedReply reply) {
+  auto& table = tables_[call->table];
+  if (reply.status == clients::FeedStatus::kOk) {
+    if (call->whole) {
+      table.copy.replace(reply.rows, reply.revision);
+    } else {
+      table.copy.apply(reply.rows, reply.revision);
+    }
+    table.provedAt = std::max(table.provedAt.value_or(*reply.currentAt), *reply.currentAt);
+    if (reply.serviceTime)
+      table.serviceOffset = *reply.serviceTime - environment_.clock.now().time_since_epoch();
+    answerHeld(call->table);
+  }
+  call->callback(std::move(reply));
+}
+
+void SharedFeed::onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) {
+  auto message = decodeFeedMessage(payload);
+  if (!message) return;
+  if (auto* question = std::get_if<FeedQuestion>(&*message)) {
+    onQuestion(sender.endpoint, std::move(*question));
+    return;
+  }
+  auto& answer = std::get<FeedAnswer>(*message);
+  const auto asked = asked_.find(answer.nonce);
+  if (asked == asked_.end()) return;
+  const auto call = asked->second;
+  asked_.erase(asked);
+  onPeerAnswer(call, std::move(answer));
+}
+
+void SharedFeed::onQuestion(const base::Endpoint& asker, FeedQuestion question) {
+  const auto now = environment_.clock.now();
+  Held held{asker, std::move(question), now, 0};
+  const auto& table = tables_[held.question.table];
+  const bool current = table.provedAt && now - *table.provedAt <= options_.oldestProof;
+  const bool known = held.question.whole || table.copy.changesAfter(held.question.after);
+  if (!current || !known || held_.size() >= options_.mostHeld) {
+    decline(held);
+    return;
+  }
+  if (answerIfNews(held)) return;
+  const auto number = ++lastHeld_;
+  const auto hold = std::min(held.question.wait, options_.longestHold);
+  held.timer = environment_.timers.schedule(hold, [this, number] { answerWhenDue(number); });
+  held_.emplace(number, std::move(held));
+}
+
+bool SharedFeed::answerIfNews(const Held& held) {
+  const auto& copy = tables_[held.question.table].copy;
+  if (held.question.whole) {
+    answer(held, copy.all());
+    return true;
+  }
+  auto rows = copy.changesAfter(held.question.after);
+  if (!rows) {
+    decline(held);
+    return true;
+  }
+  if (rows->empty()) return false;
+  answer(held, std::move(*rows));
+  return true;
+}
+
+void SharedFeed::decline(const Held& held) {
+  FeedAnswer unable;
+  unable.nonce = held.question.nonce;
+  unable.unable = true;
+  send(held.asker, unable);
+}
+
+void SharedFeed::answerWhenDue(std::uint64_t number) {
+  const auto found = held_.find(number);
+  if (found == held_.end()) return;
+  const Held held = std::move(found->second);
+  held_.erase(found);
+  answer(held, {});
+}
+
+void SharedFeed::answerHeld(const std::string& table) {
+  for (auto held = held_.begin(); held != held_.end();) {
+    if (held->second.question.table == table && answerIfNews(held->second)) {
+      environment_.timers.cancel(held->second.timer);
+      held = held_.erase(held);
+    } else {
+      ++held;
+    }
+  }
+}
+
+void SharedFeed::answer(const Held& held, std::vector<clients::FeedRow> rows) {
+  const auto now = environment_.clock.now();
+  const auto& table = tables_[held.question.table];
+  FeedAnswer answer;
+  answer.nonce = held.question.nonce;
+  answer.rows = std::move(rows);
+  answer.revision = *table.copy.revision();
+  answer.held = now - held.arrivedAt;
+  answer.age = now - *table.provedAt;
+  if (table.serviceOffset) answer.serviceTime = now.time_since_epoch() + *table.serviceOffset;
+  send(held.asker, answer);
+}
+
+void SharedFeed::send(const base::Endpoint& destination, const FeedMessage& message) {
+  environment_.peers.send(destination, base::Channel::kTableFeed, encodeFeedMessage(message));
+}
+
+}  // namespace covewing::config
--- /dev/null
+++ b/src/config/shared_feed.h
@@ -0,0 +1,154 @@
+/// \file
+/// Feeds of the table service shared between nodes.
+///
+/// The watchers of a zone read the feeds from the service; the other nodes ask them, and are held
+/// until something changes, as the service does. Each falls back on the other way within the same
+/// call: a node that gets nothing from its watchers asks the service, and a node that the service
+/// refuses asks watchers of any zone. So a node is cut off from its configuration only when neither
+/// answers.
+///
+/// Freshness is never made up: an answer of a node says how old its own proof is and how long it
+/// held the question, so the asker's proof is at most as young, on the asker's own steady clock.
+/// What is told with a proof that is too old makes the asker turn to the service.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/event_log.h"
+#include "base/peer_transport.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "clients/table_feed_client.h"
+#include "config/feed_messages.h"
+#include "config/feed_watchers.h"
+#include "config/service_clock.h"
+#include "config/table_copy.h"
+
+namespace covewing::config {
+
+struct SharedFeedOptions {
+  /// In each zone. Two, so that the loss of one costs the others only a question.
+  std::size_t watchersPerZone = 2;
+  /// Longest time that a node holds another's question.
+  base::Duration longestHold = std::chrono::milliseconds(700);
+  /// Longest wait for a node's answer beyond the time that it may hold the question.
+  base::Duration answerTimeout = std::chrono::milliseconds(400);
+  /// A node's answer whose proof is older counts as a failure. More than the time for which the
+  /// service holds a watcher's call and the pause that may follow it.
+  base::Duration oldestProof = std::chrono::milliseconds(1300);
+  /// After a second failure in a row the other way is taken for so long, doubling with each more up
+  /// to `longestBackoff`.
+  base::Duration firstBackoff = std::chrono::seconds(1);
+  base::Duration longestBackoff = std::chrono::seconds(8);
+  /// Questions held at once.
+  std::size_t mostHeld = 256;
+};
+
+/// All must outlive the feed and share its thread.
+struct SharedFeedEnvironment {
+  base::Clock& clock;
+  base::TimerService& timers;
+  base::RandomSource& random;
+  base::EventLog& log;
+  base::PeerTransport& peers;
+  const membership::MemberDirectory& members;
+  /// The table service itself.
+  clients::TableFeedClient& service;
+};
+
+class SharedFeed final : public clients::TableFeedClient, public base::PeerHandler {
+ public:
+  SharedFeed(SharedFeedOptions options, SharedFeedEnvironment environment);
+  ~SharedFeed() override;
+  SharedFeed(const SharedFeed&) = delete;
+  SharedFeed& operator=(const SharedFeed&) = delete;
+
+  void readAll(std::string table, clients::FeedCallback callback) override;
+  void changes(std::string table, base::Revision after, base::Duration wait,
+               clients::FeedCallback callback) override;
+  void onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) override;
+
+ private:
+  /// Keeps away from one of the two ways after failures.
+  class Backoff {
+   public:
+    bool over(base::TimePoint now) const { return now >= until_; }
+    void onFailure(base::TimePoint now, const SharedFeedOptions& options);
+    void onSuccess() { *this = {}; }
+    bool failing() const { return next_.count() != 0; }
+
+   private:
+    base::TimePoint until_{};
+    base::Duration next_{};
+  };
+
+  /// A call of this node's own.
+  struct Call {
+    std::string table;
+    base::Revision after = 0;
+    base::Duration wait{};
+    bool whole = false;
+    clients::FeedCallback callback;
+    bool serviceTried = false;
+    bool peerTried = false;
+    base::TimePoint sentAt{};
+    base::TimerId timer = 0;
+  };
+  using CallPtr = std::shared_ptr<Call>;
+
+  /// Another node's question that is held until something changes.
+  struct Held {
+    base::Endpoint asker;
+    FeedQuestion question;
+    base::TimePoint arrivedAt{};
+    base::TimerId timer = 0;
+  };
+
+  struct Table {
+    TableCopy copy;
+    /// When the copy was last proved current.
+    std::optional<base::TimePoint> provedAt;
+    /// The service's clock less this node's.
+    std::optional<base::Duration> serviceOffset;
+    Backoff service;
+    Backoff peers;
+  };
+
+  void begin(const CallPtr& call);
+  bool prefersPeer(const Table& table) const;
+  void askService(const CallPtr& call);
+  void onServiceReply(const CallPtr& call, clients::FeedReply reply);
+  FeedWatchers::Scope whomToAsk(const Call& call);
+  /// Asks another node; false when there is none to ask.
+  bool askPeer(const CallPtr& call);
+  void onPeerAnswer(const CallPtr& call, FeedAnswer answer);
+  void onPeerFailed(const CallPtr& call);
+  /// Keeps what a reply tells, answers held questions, and ends the call.
+  void finish(const CallPtr& call, clients::FeedReply reply);
+
+  void onQuestion(const base::Endpoint& asker, FeedQuestion question);
+  void answerHeld(const std::string& table);
+  void answerWhenDue(std::uint64_t number);
+  /// Answers when something changed; false when the question goes on being held.
+  bool answerIfNews(const Held& held);
+  /// Says that this node cannot tell.
+  void decline(const Held& held);
+  void answer(const Held& held, std::vector<clients::FeedRow> rows);
+  void send(const base::Endpoint& destination, const FeedMessage& message);
+
+  SharedFeedOptions options_;
+  SharedFeedEnvironment environment_;
+  FeedWatchers watchers_;
+  ServiceClock clock_;
+  std::map<std::string, Table> tables_;
+  /// Questions of this node that wait for an answer, by nonce.
+  std::map<std::uint64_t, CallPtr> asked_;
+  std::map<std::uint64_t, Held> held_;
+  std::uint64_t lastHeld_ = 0;
+  std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
+};
+
+}  // namespace covewing::config
--- /dev/null
+++ b/src/config/table_copy.h
@@ -0,0 +1,48 @@
+/// \file
+/// A copy of one table of the table service that can tell others what changed behind a revision,
+/// removals included. Removals are remembered up to a bound; behind that only the whole copy helps.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "clients/table_feed_client.h"
+
+namespace covewing::config {
+
+class TableCopy {
+ public:
+  using Rows = std::vector<clients::FeedRow>;
+
+  /// `removals` is the number of removed rows that are remembered.
+  explicit TableCopy(std::size_t removals = 256) : mostRemovals_(removals) {}
+
+  /// Takes a whole copy as of a revision; rows that it lacks were removed.
+  void replace(const Rows& rows, base::Revision revision);
+  /// Takes the changes up to a revision. Rows older than those known are passed over.
+  void apply(const Rows& rows, base::Revision revision);
+
+  /// The revision that the copy is complete up to; empty before the first whole copy.
+  std::optional<base::Revision> revision() const { return revision_; }
+  /// All rows that are present.
+  Rows all() const;
+  /// What changed behind `after`, ascending by revision; empty when some of it was forgotten.
+  std::optional<Rows> changesAfter(base::Revision after) const;
+
+ private:
+  void take(const clients::FeedRow& row);
+  void forgetOldRemovals();
+
+  std::size_t mostRemovals_;
+  /// The latest state of each row, removed ones included.
+  std::map<std::string, clients::FeedRow> rows_;
+  std::size_t removals_ = 0;
+  std::optional<base::Revision> revision_;
+  /// Changes behind an earlier revision than this one are not known whole.
+  base::Revision oldest_ = 0;
+};
+
+}  // namespace covewing::config
--- a/src/config/table_watch.cc
+++ b/src/config/table_watch.cc
@@ -66,7 +66,7 @@
   noteServiceTime(reply);
   for (const auto& row : reply.rows) apply(row, RowSource::kCopy);
   position_ = reply.revision;
-  confirmedAt_ = sentAt;
+  confirm(reply, sentAt);
   listener_.onCurrent();
   next();
 }
@@ -92,9 +92,18 @@
     }
   }
   position_ = std::max(*position_, reply.revision);
-  confirmedAt_ = sentAt;
+  confirm(reply, sentAt);
   listener_.onCurrent();
-  next();
+  if (reply.rows.empty() || options_.pause == base::Duration::zero()) {
+    next();
+  } else {
+    retryTimer_ = timers_.schedule(options_.pause, [this] { next(); });
+  }
+}
+
+void TableWatch::confirm(const clients::FeedReply& reply, base::TimePoint sentAt) {
+  const auto currentAt = reply.currentAt.value_or(sentAt);
+  confirmedAt_ = std::max(confirmedAt_.value_or(currentAt), currentAt);
 }
 
 void TableWatch::onFailed(clients::FeedStatus status) {
--- a/src/config/table_watch.h
+++ b/src/config/table_watch.h
@@ -24,7 +24,10 @@
 struct TableWatchOptions {
   std::string table;
   /// How long the service may hold a call for changes; freshness is confirmed this often.
-  base::Duration wait = std::chrono::seconds(1);
+  base::Duration wait = std::chrono::milliseconds(800);
+  /// Between an answer with changes and the next call, so that changes in quick succession are
+  /// taken together.
+  base::Duration pause{};
   base::Duration firstBackoff = std::chrono::milliseconds(50);
   base::Duration maximumBackoff = std::chrono::seconds(1);
 };
@@ -72,6 +75,7 @@
   void onAll(const clients::FeedReply& reply, base::TimePoint sentAt);
   void onChanges(const clients::FeedReply& reply, base::TimePoint sentAt);
   void onFailed(clients::FeedStatus status);
+  void confirm(const clients::FeedReply& reply, base::TimePoint sentAt);
   void apply(const clients::FeedRow& row, RowSource source);
   void noteServiceTime(const clients::FeedReply& reply);
   void remove(const clients::FeedRow& row);
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/random.h"
+#include "config/shared_feed.h"
 #include "live/asio_runtime.h"
 #include "live/counting_event_log.h"
 #include "live/http_relay_client.h"
@@ -33,6 +34,8 @@
 /// The number of nodes falls back to what is seen now only after this.
 constexpr base::Duration kNodeMemory = std::chrono::seconds(30);
 /// Nodes assumed until the membership has had time to form.
+/// Replicas that load weights change their entries in quick succession.
+constexpr base::Duration kReplicaListPause = std::chrono::milliseconds(250);
 constexpr std::size_t kNodesAtFirst = 8;
 constexpr base::Duration kMembershipForms = std::chrono::seconds(5);
 
@@ -70,6 +73,13 @@
   return options;
 }
 
+config::TableWatchOptions replicaWatchOptions(const std::string& table) {
+  config::TableWatchOptions options;
+  options.table = table;
+  options.pause = kReplicaListPause;
+  return options;
+}
+
 /// The most nodes seen at once lately: those that are cut off may still send.
 class NodeCount {
  public:
@@ -112,9 +122,10 @@
         choice({replicas, holders, targets, stores, settings.zone}, {}, random),
         configuration(deployment.configurationRows, clock, log, targets),
         replicaList(deployment.replicaRows, log, replicas, holders),
-        configurationWatch({deployment.configurationTable}, clock, timers, random, deployment.feeds,
+        feeds({}, {clock, timers, random, log, peers, membership, deployment.feeds}),
+        configurationWatch({deployment.configurationTable}, clock, timers, random, feeds,
                            configuration),
-        replicaWatch({deployment.replicaTable}, clock, timers, random, deployment.feeds,
+        replicaWatch(replicaWatchOptions(deployment.replicaTable), clock, timers, random, feeds,
                      replicaList),
         coordinator(coordinatorOptions(settings),
                     {clock, timers, random, log, peers, deployment.table, deployment.weights,
@@ -224,6 +235,7 @@
   void onPeerMessage(const base::PeerIdentity& sender, base::Channel channel,
                      std::string_view payload) {
     if (channel == base::Channel::kMembership) membership.onPeerMessage(sender, payload);
+    if (channel == base::Channel::kTableFeed) feeds.onPeerMessage(sender, payload);
     if (channel == base::Channel::kCoordination) coordinator.onPeerMessage(sender, payload);
   }
 
@@ -306,6 +318,7 @@
   routing::ReplicaChoice choice;
   node::RouteConfiguration configuration;
   node::ReplicaList replicaList;
+  config::SharedFeed feeds;
   config::TableWatch configurationWatch;
   config::TableWatch replicaWatch;
   node::WeightsCoordinator coordinator;
