--- a/tests/config/shared_feed_test.cc
+++ b/tests/config/shared_feed_test.cc
@@ -291,8 +291,8 @@
     FeedAnswer answer;
   } catcher;
   auto& node = *fleet.nodes.front();
-  SharedFeed fresh({},
-                   {fleet.time, fleet.time, node.random, catcher, node.directory, node.service});
+  SharedFeed fresh(
+      {}, {fleet.time, fleet.time, node.random, node.log, catcher, node.directory, node.service});
   fresh.onPeerMessage({}, encodeFeedMessage(FeedQuestion{7, "t", 1, seconds(1), false}));
   BOOST_TEST(catcher.answer.nonce == 7U);
   BOOST_TEST(catcher.answer.unable);
