--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -1,8 +1,8 @@
 #include "routing/replica_choice.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
-#include <map>
 #include <utility>
 
 namespace covewing::routing {
@@ -12,16 +12,33 @@
 /// A replica in another zone counts as this much more loaded, in requests.
 constexpr double kOtherZoneLoad = 0.5;
 
+/// A hash becomes a number above 0 and below 1 of as many bits as a double holds exactly.
+constexpr unsigned kDroppedBits = 11;
+constexpr double kUniformStep = 1.0 / (static_cast<double>(1ULL << 53U) + 2);
+
 bool onListOf(const std::vector<std::string>& instances, const ReplicaRecord& record) {
   return std::ranges::find(instances, record.facts().instance) != instances.end();
 }
 
-void sortByRendezvous(std::vector<ReplicaRecordPtr>& candidates, std::uint64_t key) {
-  const auto score = [key](const ReplicaRecordPtr& record) {
-    return base::mixHash(key, base::hashName(record->facts().instance));
+/// Weighted rendezvous hashing: a replica of twice the weight is home to twice as many parts.
+template <class Weight>
+void sortByRendezvous(std::vector<ReplicaRecordPtr>& candidates, std::uint64_t key,
+                      const Weight& weight) {
+  struct Scored {
+    double score = 0;
+    ReplicaRecordPtr record;
   };
-  std::ranges::sort(
-      candidates, [&](const auto& left, const auto& right) { return score(left) > score(right); });
+  std::vector<Scored> scored;
+  scored.reserve(candidates.size());
+  for (auto& record : candidates) {
+    const auto hash = base::mixHash(key, base::hashName(record->facts().instance));
+    const double uniform = (static_cast<double>(hash >> kDroppedBits) + 1) * kUniformStep;
+    const double score = weight(*record) / -std::log(uniform);
+    scored.push_back({score, std::move(record)});
+  }
+  std::ranges::sort(scored, std::greater{}, &Scored::score);
+  std::ranges::transform(scored, candidates.begin(),
+                         [](Scored& one) { return std::move(one.record); });
 }
 
 }  // namespace
@@ -141,21 +158,13 @@
   if (store != nullptr && held + options_.leastFetch <= shared) decision.saveTo = store->endpoint;
 }
 
-void ReplicaChoice::sortByHome(Candidates& candidates, const ReplicaQuery& query,
-                               base::TimePoint now) const {
-  sortByRendezvous(candidates, *query.chain->deepestShared());
-  std::map<base::WeightsVersion, std::uint32_t> cachedByVersion;
-  for (const auto& record : candidates) {
-    const auto version = record->versionOf(query.model);
-    if (cachedByVersion.contains(version)) continue;
-    const auto scope = cacheScope(cacheSalt(version, query.isolatedTenant), query.model);
-    const auto source = bestSource(query, scope, nullptr, now);
-    cachedByVersion[version] = source ? source->tokens : 0;
-  }
-  if (cachedByVersion.size() < 2) return;
-  std::ranges::stable_sort(candidates, std::greater{}, [&](const auto& record) {
-    return cachedByVersion.at(record->versionOf(query.model));
-  });
+void ReplicaChoice::sortByHome(Candidates& candidates, const ReplicaQuery& query) const {
+  base::WeightsVersion newest = 0;
+  for (const auto& record : candidates) newest = std::max(newest, record->versionOf(query.model));
+  const auto weight = [&](const ReplicaRecord& record) {
+    return record.versionOf(query.model) == newest ? options_.newestWeight : 1.0;
+  };
+  sortByRendezvous(candidates, *query.chain->deepestShared(), weight);
 }
 
 ReplicaDecision ReplicaChoice::choose(const ReplicaQuery& query, std::size_t nodes,
@@ -167,7 +176,7 @@
   const bool withPrompt = query.engine != nullptr && !query.model.empty() &&
                           query.chain != nullptr && query.chain->deepestShared();
   if (withPrompt) {
-    sortByHome(candidates, query, now);
+    sortByHome(candidates, query);
     decision.rank = firstWithRoom(candidates, query, nodes);
     if (decision.rank == candidates.size()) {
       decision.reason = "every replica has as many requests as it should";
--- a/src/routing/replica_choice.h
+++ b/src/routing/replica_choice.h
@@ -4,8 +4,9 @@
 /// A prompt's deepest shared part has a home among the replicas by rendezvous hashing, so that all
 /// nodes agree without talking and shared parts are read once. A request goes to its home unless
 /// the home is loaded beyond a bound, then to the next in the same order. Where replicas serve
-/// several versions of the weights, those of the version under which more of the prompt is cached
-/// somewhere come first: what is cached under one version is of no use under another.
+/// several versions of the weights, all of them are homes, so that the replicas of the newest are
+/// read into while they come; the newest counts more, since requests that begin on older weights
+/// are worth less. What is cached under one version is of no use under another.
 ///
 /// A replica that does not hold the shared parts is told to fetch them from one that does, or from
 /// a store of kept cache, which is far cheaper than reading them again; what nobody holds it is
@@ -88,6 +89,8 @@
   double memoryShare = 0.6;
   /// Tokens that a source must have beyond the chosen replica to be fetched from.
   std::uint32_t leastFetch = 32;
+  /// Weight of replicas of the newest version that is served, against 1 of the others.
+  double newestWeight = 2;
 };
 
 class ReplicaChoice {
@@ -104,8 +107,8 @@
 
   Candidates eligible(const ReplicaQuery& query, base::TimePoint now, std::string_view& reason);
   ReplicaRecordPtr leastLoaded(const Candidates& candidates);
-  /// Orders the candidates by home; those of versions with more of the prompt cached come first.
-  void sortByHome(Candidates& candidates, const ReplicaQuery& query, base::TimePoint now) const;
+  /// Orders the candidates by home.
+  void sortByHome(Candidates& candidates, const ReplicaQuery& query) const;
   /// The first candidate within the bounds; the number of candidates when there is none.
   std::size_t firstWithRoom(const Candidates& ordered, const ReplicaQuery& query,
                             std::size_t nodes) const;
