Keep long runs together, and change the replicas that take them last

Cause: new weights are loaded when a replica's runs have ended.

Change: RunTimes learns how long a token takes and tells long runs by the caller's hint; they go to as few replicas as they fill, of the newest version first (longRunRank). The rollout takes these last, and lets them wait until newer ones have taken their long runs for 3 s, as long as the version is not due. A quarter of the replicas may be away (before: 0.34), and a change waits 1.5 s for runs (1 s).

--- a/src/coordination/weights_rollout.cc
+++ b/src/coordination/weights_rollout.cc
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "routing/replica_choice.h"
+
 namespace covewing::coordination {
 
 WeightsRollout::WeightsRollout(WeightsRolloutOptions options, WeightsRolloutEnvironment environment,
@@ -71,28 +73,86 @@
       changes_, [](const auto& entry) { return entry.second.phase == Phase::kLoading; }));
 }
 
+bool WeightsRollout::relieved(const std::string& model, base::WeightsVersion version,
+                              const routing::WeightsTargetList& targets, std::size_t newer,
+                              std::size_t wanted) {
+  const auto now = environment_.clock.now();
+  const std::pair key{model, version};
+  if (newer < wanted) {
+    relievedSince_.erase(key);
+  } else {
+    relievedSince_.try_emplace(key, now);
+  }
+  const auto since = relievedSince_.find(key);
+  if (since != relievedSince_.end() && now - since->second >= options_.longRunsEnd) return true;
+  const auto due = std::ranges::find_if(
+      targets, [version](const auto& target) { return target.version > version; });
+  return due != targets.end() &&
+         due->olderForbiddenFrom - now <= changeTime_ + options_.longRunSlack;
+}
+
+std::set<std::string> WeightsRollout::waitingForLongRuns(
+    const std::string& model, const routing::WeightsTargetList& targets,
+    std::vector<routing::ReplicaRecordPtr> served) {
+  std::set<std::string> waiting;
+  if (!environment_.longRunReplicas || served.size() < options_.leastForLongRuns) return waiting;
+  const auto wanted = environment_.longRunReplicas(served.front()->facts().service);
+  // The newest first; of one version, those that take the long runs first.
+  std::ranges::sort(served, [&model](const auto& left, const auto& right) {
+    const auto leftVersion = left->versionOf(model);
+    const auto rightVersion = right->versionOf(model);
+    if (leftVersion != rightVersion) return leftVersion > rightVersion;
+    return routing::longRunRank(left->facts().instance) <
+           routing::longRunRank(right->facts().instance);
+  });
+  std::size_t newer = 0;
+  for (auto first = served.begin(); first != served.end();) {
+    const auto version = (*first)->versionOf(model);
+    const auto end = std::find_if(first, served.end(), [&](const auto& record) {
+      return record->versionOf(model) != version;
+    });
+    const auto count = static_cast<std::size_t>(end - first);
+    if (version < targets.back().version && !relieved(model, version, targets, newer, wanted)) {
+      for (std::size_t index = 0; index < std::min(count, wanted); ++index)
+        waiting.insert(first[static_cast<std::ptrdiff_t>(index)]->facts().instance);
+    }
+    newer += count;
+    first = end;
+  }
+  return waiting;
+}
+
 void WeightsRollout::begin(const std::string& model, const routing::WeightsTargetList& targets) {
   const auto now = environment_.clock.now();
   std::vector<routing::ReplicaRecordPtr> outdated;
   std::vector<base::WeightsVersion> served;
+  std::vector<routing::ReplicaRecordPtr> servedBy;
   for (const auto& [instance, record] : environment_.directory.all()) {
     const auto version = record->versionOf(model);
     const bool reachable = !record->gone() && !record->health().ejected(now);
     if (version == 0 || !reachable || record->facts().state != routing::ReplicaState::kReady)
       continue;
     served.push_back(version);
+    servedBy.push_back(record);
     if (version < targets.back().version && !changes_.contains(instance))
       outdated.push_back(record);
   }
   const auto atOnce = changesNeeded(served, targets);
   const double most = std::ceil(static_cast<double>(served.size()) * options_.mostLoading);
   loadLimit_ = std::max<std::size_t>(1, static_cast<std::size_t>(most));
-  // The oldest first: they are due first.
-  std::ranges::stable_sort(outdated, {}, [&model](const auto& record) {
-    return std::pair{record->versionOf(model), record->inFlight()};
+  // The oldest first: they are due first. Of these, the replicas that take long runs come last, so
+  // that these runs end while others take the new ones.
+  std::ranges::stable_sort(outdated, [&model](const auto& left, const auto& right) {
+    const auto leftVersion = left->versionOf(model);
+    const auto rightVersion = right->versionOf(model);
+    if (leftVersion != rightVersion) return leftVersion < rightVersion;
+    return routing::longRunRank(left->facts().instance) >
+           routing::longRunRank(right->facts().instance);
   });
   const auto allowed = environment_.targets.oldestAllowed(model, now);
+  const auto waiting = waitingForLongRuns(model, targets, std::move(servedBy));
   for (const auto& record : outdated) {
+    if (waiting.contains(record->facts().instance)) continue;
     // A replica whose version is forbidden serves nobody: to change it costs nothing.
     const bool unused = record->versionOf(model) < allowed;
     if (changes_.size() >= atOnce && !unused) continue;
--- a/src/coordination/weights_rollout.h
+++ b/src/coordination/weights_rollout.h
@@ -19,7 +19,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/event_log.h"
@@ -37,7 +39,7 @@
   base::Duration lead = std::chrono::milliseconds(350);
   base::Duration reportInterval = std::chrono::milliseconds(150);
   /// A replica that is not idle after this is ordered nevertheless; its runs end first.
-  base::Duration longestDrain = std::chrono::milliseconds(1000);
+  base::Duration longestDrain = std::chrono::milliseconds(1500);
   /// An order without an answer is given again after this.
   base::Duration repeatOrder = std::chrono::milliseconds(1000);
   /// A replica that gives no report for so long, or is not done so long after its order, is left,
@@ -46,11 +48,17 @@
   /// Most of a model's replicas that load at once, as a part of all; at least one may.
   double mostLoading = 1.0 / 6;
   /// Most of a model's replicas that are away at once; at least one may be.
-  double mostAway = 0.34;
+  double mostAway = 0.25;
   /// This long after requests on an older version became forbidden, every replica that still has
   /// both it and requests that wait is ordered: these are refused as not run instead of beginning
   /// on the older version.
   base::Duration flushAfter = std::chrono::milliseconds(400);
+  /// Long runs have ended so long after replicas of newer weights began to take them.
+  base::Duration longRunsEnd = std::chrono::milliseconds(3000);
+  /// Replicas that take long runs are changed nevertheless so long before the last moment.
+  base::Duration longRunSlack = std::chrono::milliseconds(500);
+  /// With fewer replicas long runs are not kept together.
+  std::size_t leastForLongRuns = 4;
   /// How long a change is taken to last at first, and at most.
   base::Duration firstChange = std::chrono::milliseconds(1800);
   base::Duration longestChange = std::chrono::milliseconds(3000);
@@ -78,6 +86,8 @@
   ReplicaNews& news;
   /// Name of this node.
   std::string holder;
+  /// How many replicas of a service long runs fill; none are kept together without it.
+  std::function<std::size_t(const std::string& service)> longRunReplicas;
 };
 
 class WeightsRollout {
@@ -114,6 +124,13 @@
   void advance(const std::string& instance, Change& change);
   /// Starts as many changes as are needed for each version to be in force in time.
   void begin(const std::string& model, const routing::WeightsTargetList& targets);
+  /// The replicas of older versions that still take long runs and have time.
+  std::set<std::string> waitingForLongRuns(const std::string& model,
+                                           const routing::WeightsTargetList& targets,
+                                           std::vector<routing::ReplicaRecordPtr> served);
+  /// Those of one version, lowest rank first.
+  bool relieved(const std::string& model, base::WeightsVersion version,
+                const routing::WeightsTargetList& targets, std::size_t newer, std::size_t wanted);
   /// Replicas that must be away at once for each version to be in force in time.
   std::size_t changesNeeded(const std::vector<base::WeightsVersion>& served,
                             const routing::WeightsTargetList& targets) const;
@@ -137,6 +154,8 @@
   std::map<std::string, Change> changes_;
   /// Orders that each replica has taken, as far as this node knows.
   std::map<std::string, std::uint64_t> ordersTaken_;
+  /// Since when enough replicas of newer versions take a version's long runs, by model.
+  std::map<std::pair<std::string, base::WeightsVersion>, base::TimePoint> relievedSince_;
   /// How long changes last, averaged over the latest.
   base::Duration changeTime_;
   /// Replicas that may load at once now.
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -129,7 +129,8 @@
                      replicaList),
         coordinator(coordinatorOptions(settings),
                     {clock, timers, random, log, peers, deployment.table, deployment.weights,
-                     membership, membership, replicas, holders, targets}),
+                     membership, membership, replicas, holders, targets,
+                     [this](const std::string& name) { return longRunReplicas(name); }}),
         weightsDates(deployment.table, timers, [this] { return configurationWatch.serviceTime(); }),
         cacheWatch({},
                    {timers, random, deployment.cacheFeeds, replicas, stores, membership, holders},
@@ -166,7 +167,7 @@
   }
 
   request::RelayDependencies dependencies() {
-    return {clock, timers, log, relayClient, replicas, holders, choice, retries, *this};
+    return {clock, timers, log, relayClient, replicas, holders, choice, retries, runTimes, *this};
   }
 
   void applyLimits(const config::TrafficLimits& limits) {
@@ -184,6 +185,13 @@
     return found != nullptr && found->engine ? found->engine->eventWatchers : 0;
   }
 
+  std::size_t longRunReplicas(const std::string& name) {
+    const auto table = configuration.table();
+    const auto* found = table ? table->findService(name) : nullptr;
+    const auto slots = found != nullptr && found->engine ? found->engine->slots : 1;
+    return runTimes.replicasForLongRuns(name, slots, nodes(), clock.now());
+  }
+
   void onWeights(const node::NamedWeights& named, config::RowSource source) {
     if (source == config::RowSource::kFeed) {
       if (coordinator.competes()) weightsDates.write(named.model, named.version);
@@ -325,6 +333,7 @@
   node::WeightsDates weightsDates;
   routing::CacheWatch cacheWatch;
   admission::RetryWindows retries;
+  routing::RunTimes runTimes;
   HttpClient replicaHttp;
   HttpRelayClient relayClient;
   request::RelayService service;
--- a/src/node/weights_coordinator.cc
+++ b/src/node/weights_coordinator.cc
@@ -26,7 +26,8 @@
              *this),
       rollout_(options_.rollout,
                {environment.clock, environment.timers, environment.log, environment.weights,
-                environment.replicas, environment.targets, *this, environment.members.self().name},
+                environment.replicas, environment.targets, *this, environment.members.self().name,
+                environment.longRunReplicas},
                [this] { return lease_.grant(); }) {}
 
 WeightsCoordinator::~WeightsCoordinator() { environment_.timers.cancel(settleTimer_); }
--- a/src/node/weights_coordinator.h
+++ b/src/node/weights_coordinator.h
@@ -38,6 +38,8 @@
   routing::ReplicaDirectory& replicas;
   routing::PrefixHolders& holders;
   const routing::WeightsTargets& targets;
+  /// How many replicas of a service long runs fill.
+  std::function<std::size_t(const std::string& service)> longRunReplicas;
 };
 
 class WeightsCoordinator final : public base::PeerHandler,
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -56,6 +56,8 @@
   holdUntil_ =
       arrival_.arrivedAt + std::chrono::duration_cast<base::Duration>(held * options_.holdShare);
   dependencies_.retries.onRequest(assignment_.service->name, now);
+  if (runsLong())
+    dependencies_.runTimes.onLongRun(assignment_.service->name, expectedOutput(), now);
   deadlineTimer_ = dependencies_.timers.schedule(deadline_ - now, [this] { onDeadline(); });
   caller_->onPressure([this](bool high) {
     paused_ = high;
@@ -69,6 +71,16 @@
   return arrival_.prompt->promptTokens + arrival_.prompt->mostOutputTokens;
 }
 
+std::uint32_t RelayFlow::expectedOutput() const {
+  return arrival_.prompt ? arrival_.prompt->expectedOutput() : 0;
+}
+
+bool RelayFlow::runsLong() const {
+  // Where much of the prompt is shared, what is cached counts for more.
+  if (!arrival_.prompt || arrival_.prompt->chain.sharedTokens() > expectedOutput()) return false;
+  return dependencies_.runTimes.isLong(assignment_.service->name, expectedOutput());
+}
+
 routing::ReplicaQuery RelayFlow::query() const {
   routing::ReplicaQuery query;
   query.service = assignment_.service->name;
@@ -78,6 +90,11 @@
   query.model = arrival_.prompt->model;
   query.chain = &arrival_.prompt->chain;
   query.tokens = wantedTokens();
+  query.longRun = runsLong();
+  if (query.longRun && query.engine != nullptr) {
+    query.longRunReplicas = dependencies_.runTimes.replicasForLongRuns(
+        query.service, query.engine->slots, hooks_.nodes(), dependencies_.clock.now());
+  }
   if (assignment_.tenant != nullptr && assignment_.tenant->isolated)
     query.isolatedTenant = assignment_.tenant->name;
   return query;
@@ -309,6 +326,11 @@
     caller_->write(kept_);
   }
   caller_->end();
+  if (arrival_.prompt && successful(status_)) {
+    const auto began = arrival_.arrivedAt + firstByteAfter_;
+    dependencies_.runTimes.onEnd(assignment_.service->name, expectedOutput(),
+                                 dependencies_.clock.now() - began);
+  }
   finish(status_, base::ResultCode::kOk, false);
 }
 
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -25,6 +25,7 @@
 #include "request/event_splitter.h"
 #include "request/relay_request.h"
 #include "routing/replica_choice.h"
+#include "routing/run_times.h"
 
 namespace covewing::request {
 
@@ -77,6 +78,7 @@
   routing::PrefixHolders& holders;
   routing::ReplicaChoice& choice;
   admission::RetryWindows& retries;
+  routing::RunTimes& runTimes;
   RelayObserver& observer;
 };
 
@@ -143,6 +145,9 @@
   base::Duration timeLeft() const { return deadline_ - dependencies_.clock.now(); }
   /// Tokens of the prompt and the longest answer.
   std::uint32_t wantedTokens() const;
+  std::uint32_t expectedOutput() const;
+  /// The request is one of those that are kept together because they run long.
+  bool runsLong() const;
   routing::ReplicaQuery query() const;
 
   void choose();
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -22,6 +22,11 @@
   prefix::PartChain chain;
   std::uint32_t promptTokens = 0;
   std::uint32_t mostOutputTokens = 0;
+  /// The caller's guess at the tokens that will be made; often far off.
+  std::optional<std::uint32_t> outputHint;
+
+  /// The hint, or half of the most where there is none.
+  std::uint32_t expectedOutput() const { return outputHint.value_or(mostOutputTokens / 2); }
 };
 
 /// One request as it was read.
--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -158,6 +158,28 @@
   if (store != nullptr && held + options_.leastFetch <= shared) decision.saveTo = store->endpoint;
 }
 
+std::uint64_t longRunRank(std::string_view instance) {
+  static const std::uint64_t kSalt = base::hashName("long-runs");
+  return base::mixHash(base::hashName(instance), kSalt);
+}
+
+void ReplicaChoice::moveLongRunReplicasFirst(Candidates& candidates,
+                                             const ReplicaQuery& query) const {
+  if (candidates.size() < options_.leastForLongRuns) return;
+  Candidates ranked = candidates;
+  std::ranges::sort(ranked, [&query](const auto& left, const auto& right) {
+    const auto leftVersion = left->versionOf(query.model);
+    const auto rightVersion = right->versionOf(query.model);
+    if (leftVersion != rightVersion) return leftVersion > rightVersion;
+    return longRunRank(left->facts().instance) < longRunRank(right->facts().instance);
+  });
+  const auto count = std::clamp<std::size_t>(query.longRunReplicas, 1, candidates.size() / 2);
+  ranked.resize(count);
+  std::ranges::stable_partition(candidates, [&ranked](const auto& record) {
+    return std::ranges::find(ranked, record) != ranked.end();
+  });
+}
+
 void ReplicaChoice::sortByHome(Candidates& candidates, const ReplicaQuery& query) const {
   base::WeightsVersion newest = 0;
   for (const auto& record : candidates) newest = std::max(newest, record->versionOf(query.model));
@@ -165,6 +187,7 @@
     return record.versionOf(query.model) == newest ? options_.newestWeight : 1.0;
   };
   sortByRendezvous(candidates, *query.chain->deepestShared(), weight);
+  if (query.longRun) moveLongRunReplicasFirst(candidates, query);
 }
 
 ReplicaDecision ReplicaChoice::choose(const ReplicaQuery& query, std::size_t nodes,
--- a/src/routing/replica_choice.h
+++ b/src/routing/replica_choice.h
@@ -41,6 +41,10 @@
   std::uint32_t tokens = 0;
   /// Name of the tenant where its cache is its own, else empty.
   std::string isolatedTenant;
+  /// The request is expected to run long; the replicas that take such requests come first.
+  bool longRun = false;
+  /// How many replicas long runs fill.
+  std::size_t longRunReplicas = 1;
   /// Instances that were tried for this request.
   std::vector<std::string> excluded;
 };
@@ -91,6 +95,8 @@
   std::uint32_t leastFetch = 32;
   /// Weight of replicas of the newest version that is served, against 1 of the others.
   double newestWeight = 2;
+  /// Long runs are kept together where there are at least so many replicas.
+  std::size_t leastForLongRuns = 4;
 };
 
 class ReplicaChoice {
@@ -109,6 +115,8 @@
   ReplicaRecordPtr leastLoaded(const Candidates& candidates);
   /// Orders the candidates by home.
   void sortByHome(Candidates& candidates, const ReplicaQuery& query) const;
+  /// Moves the replicas that take long runs to the front, in the order that they have.
+  void moveLongRunReplicasFirst(Candidates& candidates, const ReplicaQuery& query) const;
   /// The first candidate within the bounds; the number of candidates when there is none.
   std::size_t firstWithRoom(const Candidates& ordered, const ReplicaQuery& query,
                             std::size_t nodes) const;
@@ -123,6 +131,9 @@
   base::RandomSource& random_;
 };
 
+/// Of the replicas of one version, those with the lowest rank take the long runs. Equal on all
+/// nodes.
+std::uint64_t longRunRank(std::string_view instance);
 /// Text under which replicas keep parts: parts made under other weights, or by an isolated tenant,
 /// are never found.
 std::string cacheSalt(base::WeightsVersion version, std::string_view isolatedTenant);
--- /dev/null
+++ b/src/routing/run_times.cc
@@ -0,0 +1,49 @@
+#include "routing/run_times.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace covewing::routing {
+
+double RunTimes::expectedSeconds(const Service& service, std::uint32_t tokens) const {
+  if (service.runs < options_.leastRuns || service.meanTokens <= 0) return 0;
+  return tokens * service.meanSeconds / service.meanTokens;
+}
+
+double RunTimes::decayedLongSeconds(const Service& service, base::TimePoint now) const {
+  const double age = base::toSeconds(now - service.longSecondsAt);
+  return service.longSeconds * std::exp(-age / base::toSeconds(options_.memory));
+}
+
+void RunTimes::onLongRun(std::string_view service, std::uint32_t tokens, base::TimePoint now) {
+  auto& facts = services_.try_emplace(std::string{service}).first->second;
+  facts.longSeconds = decayedLongSeconds(facts, now) + expectedSeconds(facts, tokens);
+  facts.longSecondsAt = now;
+}
+
+void RunTimes::onEnd(std::string_view service, std::uint32_t tokens, base::Duration took) {
+  auto& facts = services_.try_emplace(std::string{service}).first->second;
+  ++facts.runs;
+  // The first runs count alike, so that the means do not hang on the very first one.
+  const double weight = std::max(options_.smoothing, 1.0 / facts.runs);
+  facts.meanTokens += weight * (tokens - facts.meanTokens);
+  facts.meanSeconds += weight * (base::toSeconds(took) - facts.meanSeconds);
+}
+
+bool RunTimes::isLong(std::string_view service, std::uint32_t tokens) const {
+  const auto known = services_.find(service);
+  return known != services_.end() &&
+         expectedSeconds(known->second, tokens) >= base::toSeconds(options_.longRun);
+}
+
+std::size_t RunTimes::replicasForLongRuns(std::string_view service, std::uint32_t slots,
+                                          std::size_t nodes, base::TimePoint now) const {
+  const auto known = services_.find(service);
+  if (known == services_.end()) return 1;
+  const double underWay = decayedLongSeconds(known->second, now) / base::toSeconds(options_.memory);
+  const double sharers = static_cast<double>(std::max<std::size_t>(nodes, 1));
+  const double room = std::max(1U, slots) * options_.slotShare;
+  return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(underWay * sharers / room)));
+}
+
+}  // namespace covewing::routing
--- a/tests/coordination/weights_rollout_test.cc
+++ b/tests/coordination/weights_rollout_test.cc
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 
+#include "routing/replica_choice.h"
 #include "support/recording_log.h"
 #include "support/virtual_time.h"
 
@@ -132,8 +133,12 @@
   routing::WeightsTargets targets{{seconds(8), seconds(1)}};
   std::set<std::string> changing;
   std::optional<LeaseGrant> grant = LeaseGrant{5, 1};
-  WeightsRollout rollout{
-      {}, {time, time, log, replicas, directory, targets, *this, "node"}, [this] { return grant; }};
+  /// How many replicas long runs fill; 0: long runs are not kept together.
+  std::size_t longRunReplicas = 0;
+  WeightsRollout rollout{{},
+                         {time, time, log, replicas, directory, targets, *this, "node",
+                          [this](const std::string& /*service*/) { return longRunReplicas; }},
+                         [this] { return grant; }};
 };
 
 }  // namespace
@@ -242,6 +247,33 @@
   BOOST_TEST(atLeast(2) == 12U);
 }
 
+BOOST_AUTO_TEST_CASE(ReplicasThatTakeLongRunsWaitUntilTheseHaveEndedElsewhere) {
+  longRunReplicas = 3;
+  std::vector<std::string> byRank;
+  for (const auto& [name, record] : directory.all()) byRank.push_back(name);
+  std::ranges::sort(byRank, {}, [](const std::string& name) { return routing::longRunRank(name); });
+  targets.onNamed("m", 2, time.now());
+  rollout.start();
+  time.advance(seconds(3));
+  // Others come first, although there is room for these.
+  BOOST_TEST(atLeast(2) >= 3U);
+  for (std::size_t index = 0; index < longRunReplicas; ++index)
+    BOOST_TEST(!changing.contains(byRank[index]));
+  // The bound is 8 s.
+  time.advance(seconds(5));
+  BOOST_TEST(atLeast(2) == 12U);
+}
+
+BOOST_AUTO_TEST_CASE(ReplicasThatTakeLongRunsAreChangedInTimeThoughNobodyRelievesThem) {
+  longRunReplicas = 12;
+  targets.onNamed("m", 2, time.now());
+  rollout.start();
+  time.advance(seconds(1));
+  BOOST_TEST(changing.empty());
+  time.advance(seconds(10));
+  BOOST_TEST(atLeast(2) == 12U);
+}
+
 BOOST_AUTO_TEST_CASE(ReplicaThatEndedIsLeftAloneThoughItIsStillListed) {
   for (int number = 1; number < 12; ++number) list("r" + std::to_string(number), 2);
   replicas.replicas["r0"].ended = true;
--- a/tests/platform/http_dialect_test.cc
+++ b/tests/platform/http_dialect_test.cc
@@ -15,6 +15,7 @@
            {"Last-Event-Id", "12"},
            {"X-Covewing-Model", "daka510000"},
            {"X-Covewing-Token-Usage", "1460,80"},
+           {"X-Covewing-Length-Hint", "25"},
            {"X-Covewing-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
            {"X-Covewing-Deadline-Milliseconds", "6000"},
            {"X-Api-Key", "secret"},
@@ -47,6 +48,7 @@
   BOOST_TEST(arrival->prompt->model == "daka510000");
   BOOST_TEST(arrival->prompt->promptTokens == 1460U);
   BOOST_TEST(arrival->prompt->mostOutputTokens == 80U);
+  BOOST_TEST(arrival->prompt->expectedOutput() == 25U);
   BOOST_TEST(arrival->prompt->chain.sharedTokens() == 1210U);
   BOOST_TEST(arrival->lastEventId == "12");
 }
--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -222,12 +222,13 @@
   routing::CacheStores stores;
   routing::ReplicaChoice choice{{replicas, holders, targets, stores, "zone"}, {}, random};
   admission::RetryWindows retries{{std::chrono::seconds(10), 0.2, 20, 1.0}};
+  routing::RunTimes runTimes;
   std::vector<RelayOutcome> outcomes;
   std::vector<std::unique_ptr<CallerView>> views;
   std::size_t requests = 0;
   std::weak_ptr<RelayFlow> flow;
   RelayService service{
-      options(), {time, time, log, client, replicas, holders, choice, retries, *this}, tables, [] {
+      options(), {time, time, log, client, replicas, holders, choice, retries, runTimes, *this}, tables, [] {
         return std::size_t{1};
       }};
 };
--- a/tests/routing/replica_choice_test.cc
+++ b/tests/routing/replica_choice_test.cc
@@ -138,6 +138,41 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(LongRunsAreKeptTogetherOnAsManyReplicasAsTheyFill) {
+  for (const char* name : {"r5", "r6", "r7", "r8"}) add(name, 1);
+  for (const std::size_t wanted : {1U, 2U, 3U}) {
+    std::set<std::string> taken;
+    for (int part = 0; part < 50; ++part) {
+      chain = *prefix::PartChain::parse(std::to_string(part) + "a:50,cc:200");
+      auto run = query();
+      run.longRun = true;
+      run.longRunReplicas = wanted;
+      taken.insert(choice.choose(run, 1, now).replica->facts().instance);
+    }
+    BOOST_TEST(taken.size() == wanted);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LongRunsGoToTheNewestVersionThatIsServed) {
+  add("r5", 2);
+  for (int part = 0; part < 20; ++part) {
+    chain = *prefix::PartChain::parse(std::to_string(part) + "a:50,cc:200");
+    auto run = query();
+    run.longRun = true;
+    BOOST_TEST(choice.choose(run, 1, now).version == 2U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LongRunsGoOnToOtherReplicasWhenTheirsAreLoaded) {
+  auto run = query();
+  run.longRun = true;
+  const auto first = choice.choose(run, 1, now).replica;
+  for (int count = 0; count < 8; ++count) first->onDispatched(10);
+  const auto next = choice.choose(run, 1, now).replica;
+  BOOST_REQUIRE(next != nullptr);
+  BOOST_TEST((next != first));
+}
+
 BOOST_AUTO_TEST_CASE(OlderVersionIsForbiddenOnceTheNewerIsDue) {
   targets.onNamed("m", 2, now);
   BOOST_TEST(choose().version == 1U);
--- /dev/null
+++ b/tests/routing/run_times_test.cc
@@ -0,0 +1,61 @@
+// Which requests are expected to run long, and how many replicas they fill.
+#include "routing/run_times.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace covewing::routing {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr base::TimePoint kStart{seconds(100)};
+
+/// Runs of 5 ms a token.
+RunTimes learned() {
+  RunTimes times;
+  for (const std::uint32_t tokens : {10U, 400U, 40U, 100U, 300U, 20U})
+    times.onEnd("llm", tokens, milliseconds(5) * tokens);
+  return times;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(RunTimesTest)
+
+BOOST_AUTO_TEST_CASE(NothingIsLongBeforeRunsWereSeen) {
+  RunTimes times;
+  BOOST_TEST(!times.isLong("llm", 100'000));
+  for (int run = 0; run < 4; ++run) times.onEnd("llm", 10, seconds(1));
+  BOOST_TEST(!times.isLong("llm", 100'000));
+  times.onEnd("llm", 10, seconds(1));
+  BOOST_TEST(times.isLong("llm", 100'000));
+}
+
+BOOST_AUTO_TEST_CASE(LongIsWhatTakesLongAtThePaceSeen) {
+  const auto times = learned();
+  BOOST_TEST(!times.isLong("llm", 190));
+  BOOST_TEST(times.isLong("llm", 210));
+  BOOST_TEST(!times.isLong("other", 10'000));
+}
+
+BOOST_AUTO_TEST_CASE(ReplicasFollowFromRunsOfAllNodesAndSlots) {
+  auto times = learned();
+  BOOST_TEST(times.replicasForLongRuns("llm", 10, 5, kStart) == 1U);
+  // For 20 s, ten runs of 2 s begin each second: twenty are under way.
+  auto now = kStart;
+  for (int run = 0; run < 200; ++run) {
+    now += milliseconds(100);
+    times.onLongRun("llm", 400, now);
+  }
+  // On 5 nodes 100, at 0.4 of 10 slots each.
+  const auto replicas = times.replicasForLongRuns("llm", 10, 5, now);
+  BOOST_TEST(replicas >= 22U);
+  BOOST_TEST(replicas <= 27U);
+  BOOST_TEST(times.replicasForLongRuns("llm", 10, 5, now + seconds(60)) == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::routing
