Seek and save a part at one store of kept cache from every node

Cause: only the nodes that watch a store used it (12 of 79 on the grown deployments), and each chose its own, so most shared parts were read again where the store had them.

Change: a part has one store by rendezvous hashing; watchers tell the others by gossip whether it answers (node/cache_store_news); a node that does not watch it seeks there what it knows no holder of.

--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -14,6 +14,7 @@
 #include "live/relay_gateway.h"
 #include "live/relay_metrics.h"
 #include "membership/gossip_membership.h"
+#include "node/cache_store_news.h"
 #include "node/weights_coordinator.h"
 #include "node/weights_dates.h"
 #include "routing/cache_watch.h"
@@ -132,6 +133,7 @@
                      membership, membership, replicas, holders, targets,
                      [this](const std::string& name) { return longRunReplicas(name); }}),
         weightsDates(deployment.table, timers, [this] { return configurationWatch.serviceTime(); }),
+        cacheStoreNews(membership, membership, stores),
         cacheWatch({},
                    {timers, random, deployment.cacheFeeds, replicas, stores, membership, holders},
                    [this](const std::string& name) { return eventWatchers(name); }),
@@ -234,6 +236,7 @@
                        std::string_view payload) { onPeerMessage(sender, channel, payload); });
     membership.start();
     coordinator.start();
+    cacheStoreNews.start();
     cacheWatch.start();
     configurationWatch.start();
     replicaWatch.start();
@@ -331,6 +334,7 @@
   config::TableWatch replicaWatch;
   node::WeightsCoordinator coordinator;
   node::WeightsDates weightsDates;
+  node::CacheStoreNews cacheStoreNews;
   routing::CacheWatch cacheWatch;
   admission::RetryWindows retries;
   routing::RunTimes runTimes;
--- /dev/null
+++ b/src/node/cache_store_news.cc
@@ -0,0 +1,48 @@
+#include "node/cache_store_news.h"
+
+#include <string_view>
+
+namespace covewing::node {
+
+namespace {
+
+/// Records are keyed by this, the store's name, a separator and the node's name.
+constexpr std::string_view kRecordPrefix = "cache-store/";
+constexpr char kSeparator = '|';
+constexpr std::string_view kAnswered = "1";
+constexpr std::string_view kSilent = "0";
+/// Bits of a record's version below the node's incarnation.
+constexpr unsigned kCounterBits = 12;
+
+}  // namespace
+
+CacheStoreNews::CacheStoreNews(const membership::MemberDirectory& members,
+                               membership::RecordDissemination& records,
+                               routing::CacheStores& stores)
+    : members_(members), records_(records), stores_(stores) {
+  stores_.onAnsweredChanged(
+      [this](const std::string& store, bool answered) { publish(store, answered); });
+}
+
+void CacheStoreNews::start() {
+  records_.subscribe(std::string{kRecordPrefix},
+                     [this](const membership::GossipRecord& record) { onRecord(record); });
+}
+
+void CacheStoreNews::publish(const std::string& store, bool answered) {
+  const auto& self = members_.self();
+  std::string key{kRecordPrefix};
+  key.append(store).append(1, kSeparator).append(self.name);
+  const std::uint64_t version = (self.incarnation << kCounterBits) + ++published_;
+  records_.publish({std::move(key), version, std::string{answered ? kAnswered : kSilent}});
+}
+
+void CacheStoreNews::onRecord(const membership::GossipRecord& record) {
+  const auto rest = std::string_view{record.key}.substr(kRecordPrefix.size());
+  const auto separator = rest.rfind(kSeparator);
+  if (separator == std::string_view::npos) return;
+  stores_.onReport(rest.substr(0, separator), rest.substr(separator + 1),
+                   record.value == kAnswered);
+}
+
+}  // namespace covewing::node
--- a/src/routing/cache_stores.cc
+++ b/src/routing/cache_stores.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/ids.h"
+
 namespace covewing::routing {
 
 namespace {
@@ -12,15 +14,25 @@
 
 }  // namespace
 
+bool CacheStoreState::available() const {
+  if (answered) return *answered;
+  const auto yes = std::ranges::count_if(reported, [](const auto& entry) { return entry.second; });
+  return 2 * static_cast<std::size_t>(yes) > reported.size();
+}
+
 void CacheStores::update(const config::RouteTable& table) {
   std::vector<CacheStoreState> stores;
   for (const auto& service : table.services()) {
     if (!service.cacheStore) continue;
     const auto& store = *service.cacheStore;
     std::string name = std::string{kNamePrefix} + base::toString(store.endpoint);
-    const auto* known = find(name);
-    const bool available = known != nullptr && known->available;
-    stores.push_back({std::move(name), store.endpoint, store.zone, store.eventWatchers, available});
+    CacheStoreState state;
+    if (const auto* known = find(name)) state = *known;
+    state.name = std::move(name);
+    state.endpoint = store.endpoint;
+    state.zone = store.zone;
+    state.eventWatchers = store.eventWatchers;
+    stores.push_back(std::move(state));
   }
   stores_ = std::move(stores);
 }
@@ -30,16 +42,35 @@
   return found == stores_.end() ? nullptr : &*found;
 }
 
-void CacheStores::setAvailable(std::string_view name, bool available) {
+CacheStoreState* CacheStores::find(std::string_view name) {
   const auto found = std::ranges::find(stores_, name, &CacheStoreState::name);
-  if (found != stores_.end()) found->available = available;
+  return found == stores_.end() ? nullptr : &*found;
+}
+
+void CacheStores::setAnswered(std::string_view name, bool answered) {
+  auto* store = find(name);
+  if (store == nullptr || store->answered == answered) return;
+  store->answered = answered;
+  if (listener_) listener_(store->name, answered);
+}
+
+void CacheStores::forgetAnswered(std::string_view name) {
+  if (auto* store = find(name)) store->answered.reset();
+}
+
+void CacheStores::onReport(std::string_view name, std::string_view node, bool answered) {
+  if (auto* store = find(name)) store->reported[std::string{node}] = answered;
 }
 
-const CacheStoreState* CacheStores::choose(std::string_view zone) const {
+const CacheStoreState* CacheStores::choose(std::uint64_t part) const {
   const CacheStoreState* chosen = nullptr;
+  std::uint64_t best = 0;
   for (const auto& store : stores_) {
-    if (!store.available) continue;
-    if (chosen == nullptr || (store.zone == zone && chosen->zone != zone)) chosen = &store;
+    if (!store.available()) continue;
+    const auto score = base::mixHash(part, base::hashName(store.name));
+    if (chosen != nullptr && score <= best) continue;
+    chosen = &store;
+    best = score;
   }
   return chosen;
 }
--- a/src/routing/cache_stores.h
+++ b/src/routing/cache_stores.h
@@ -1,8 +1,13 @@
 /// \file
 /// The stores of kept cache that replicas may save to and fetch from, and whether they answer.
+///
+/// Each part of a prompt has one store by rendezvous hashing, so that every node saves it to and
+/// seeks it at the same one, whether or not the node watches that store. Nodes that watch a store
+/// know at first hand whether it answers; the others go by what these tell.
 #pragma once
 
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/endpoint.h"
@@ -16,8 +21,14 @@
   base::Endpoint endpoint;
   std::string zone;
   std::uint32_t eventWatchers = 0;
-  /// It answered the last call of this node's watch.
-  bool available = false;
+  /// Whether it answered the last call of this node's watch; empty when this node does not watch
+  /// it.
+  std::optional<bool> answered;
+  /// Whether it answered other nodes, by their name.
+  std::map<std::string, bool, std::less<>> reported;
+
+  /// This node's own knowledge, else what most other nodes say; false while nothing is known.
+  bool available() const;
 };
 
 class CacheStores {
@@ -26,12 +37,23 @@
   void update(const config::RouteTable& table);
   const std::vector<CacheStoreState>& all() const { return stores_; }
   const CacheStoreState* find(std::string_view name) const;
-  void setAvailable(std::string_view name, bool available);
-  /// The store to use from a zone: an available one, a near one first; null when there is none.
-  const CacheStoreState* choose(std::string_view zone) const;
+  /// What this node's own watch sees. The listener is told when it changes.
+  void setAnswered(std::string_view name, bool answered);
+  /// This node watches the store no longer.
+  void forgetAnswered(std::string_view name);
+  void onAnsweredChanged(std::function<void(const std::string& name, bool answered)> listener) {
+    listener_ = std::move(listener);
+  }
+  /// Another node says whether the store answers it.
+  void onReport(std::string_view name, std::string_view node, bool answered);
+  /// The available store of a part; null when none is available.
+  const CacheStoreState* choose(std::uint64_t part) const;
 
  private:
+  CacheStoreState* find(std::string_view name);
+
   std::vector<CacheStoreState> stores_;
+  std::function<void(const std::string&, bool)> listener_;
 };
 
 }  // namespace covewing::routing
--- a/src/routing/cache_watch.cc
+++ b/src/routing/cache_watch.cc
@@ -46,6 +46,7 @@
       continue;
     }
     environment_.timers.cancel(watch->second.timer);
+    environment_.stores.forgetAnswered(watch->first);
     watch = watches_.erase(watch);
   }
   for (const auto& [name, endpoint] : now) {
@@ -93,7 +94,7 @@
 
 void CacheWatch::onReply(const std::string& name, Watch& watch,
                          const clients::CacheFeedReply& reply) {
-  environment_.stores.setAvailable(name, reply.status == clients::CacheFeedStatus::kOk);
+  environment_.stores.setAnswered(name, reply.status == clients::CacheFeedStatus::kOk);
   if (reply.status != clients::CacheFeedStatus::kOk) {
     schedule(name, watch, options_.backoff);
     return;
--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -140,8 +140,9 @@
     const auto& facts = record->facts();
     offer(facts.instance, facts.endpoint, tokensAt(facts.instance));
   }
-  if (const auto* store = context_.stores.choose(context_.zone))
-    offer(store->name, store->endpoint, tokensAt(store->name));
+  for (const auto& store : context_.stores.all()) {
+    if (store.available()) offer(store.name, store.endpoint, tokensAt(store.name));
+  }
   return best;
 }
 
@@ -154,8 +155,13 @@
   const auto held = std::max(decision.matchedTokens, source ? source->tokens : 0);
   if (source && source->tokens >= decision.matchedTokens + options_.leastFetch)
     decision.fetchFrom = std::move(source);
-  const auto* store = context_.stores.choose(context_.zone);
-  if (store != nullptr && held + options_.leastFetch <= shared) decision.saveTo = store->endpoint;
+  if (held + options_.leastFetch > shared) return;
+  const auto* store = context_.stores.choose(*query.chain->deepestShared());
+  if (store == nullptr) return;
+  decision.saveTo = store->endpoint;
+  // A node that does not watch the store cannot know; to ask in vain costs next to nothing.
+  if (!decision.fetchFrom && !store->answered)
+    decision.fetchFrom = CacheSource{store->name, store->endpoint, decision.matchedTokens};
 }
 
 std::uint64_t longRunRank(std::string_view instance) {
--- a/tests/routing/cache_watch_test.cc
+++ b/tests/routing/cache_watch_test.cc
@@ -157,15 +157,15 @@
   service.cacheStore = config::CacheStore{{9, 9}, "z", 3};
   contents.services = {service};
   stores.update(config::RouteTable{contents});
-  BOOST_TEST((stores.choose("z") == nullptr));
+  BOOST_TEST((stores.choose(1) == nullptr));
   time.advance(milliseconds(600));
   const auto call = feed.calls.back();
   BOOST_TEST((call.replica == base::Endpoint{9, 9}));
   call.callback(reply(1, 1, 50));
-  BOOST_TEST((stores.choose("z") != nullptr));
+  BOOST_TEST((stores.choose(1) != nullptr));
   time.advance(milliseconds(400));
   feed.calls.back().callback({});
-  BOOST_TEST((stores.choose("z") == nullptr));
+  BOOST_TEST((stores.choose(1) == nullptr));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/routing/replica_choice_test.cc
+++ b/tests/routing/replica_choice_test.cc
@@ -207,7 +207,7 @@
   contents.services = {service};
   stores.update(config::RouteTable{contents});
   BOOST_TEST(!choose().saveTo.has_value());
-  stores.setAvailable("store/0.0.0.9:9", true);
+  stores.setAnswered("store/0.0.0.9:9", true);
   BOOST_TEST((choose().saveTo == base::Endpoint{9, 9}));
   hold("store/0.0.0.9:9", 1);
   const auto decision = choose();
@@ -215,6 +215,28 @@
   BOOST_TEST((decision.fetchFrom->endpoint == base::Endpoint{9, 9}));
 }
 
+BOOST_AUTO_TEST_CASE(NodeThatDoesNotWatchTheStoreSeeksPartsThere) {
+  config::RouteTableContents contents;
+  config::Service service;
+  service.name = "kept";
+  service.cacheStore = config::CacheStore{{9, 9}, "z", 12};
+  contents.services = {service};
+  stores.update(config::RouteTable{contents});
+  BOOST_TEST(!choose().fetchFrom.has_value());
+  stores.onReport("store/0.0.0.9:9", "other", true);
+  auto decision = choose();
+  BOOST_REQUIRE(decision.fetchFrom.has_value());
+  BOOST_TEST((decision.fetchFrom->endpoint == base::Endpoint{9, 9}));
+  BOOST_TEST((decision.saveTo == base::Endpoint{9, 9}));
+  BOOST_TEST(decision.fetchFrom->tokens == 0U);
+  // A holder that is known goes first.
+  const auto home = decision.replica->facts().instance;
+  hold(home == "r1" ? "r2" : "r1", 1);
+  decision = choose();
+  BOOST_TEST(decision.fetchFrom->tokens == 1000U);
+  BOOST_TEST(!decision.saveTo.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(RequestsWithoutPromptGoToTheLeastLoaded) {
   auto plain = query();
   plain.engine = nullptr;
