--- a/src/routing/cache_watch.cc
+++ b/src/routing/cache_watch.cc
@@ -47,7 +47,6 @@
     }
     environment_.timers.cancel(watch->second.timer);
     environment_.stores.forgetAnswered(watch->first);
-    setWatched(watch->first, false);
     watch = watches_.erase(watch);
   }
   for (const auto& [name, endpoint] : now) {
@@ -93,16 +92,10 @@
       });
 }
 
-void CacheWatch::setWatched(const std::string& name, bool watched) {
-  if (const auto replica = environment_.replicas.find(name)) replica->setCacheWatched(watched);
-}
-
 void CacheWatch::onReply(const std::string& name, Watch& watch,
                          const clients::CacheFeedReply& reply) {
-  const bool answered = reply.status == clients::CacheFeedStatus::kOk;
-  environment_.stores.setAnswered(name, answered);
-  setWatched(name, answered);
-  if (!answered) {
+  environment_.stores.setAnswered(name, reply.status == clients::CacheFeedStatus::kOk);
+  if (reply.status != clients::CacheFeedStatus::kOk) {
     schedule(name, watch, options_.backoff);
     return;
   }
--- a/src/routing/cache_watch.h
+++ b/src/routing/cache_watch.h
@@ -76,7 +76,6 @@
   /// The watch with this name and number; null when it has ended.
   Watch* find(const std::string& name, std::uint64_t number);
   void poll(const std::string& name, std::uint64_t number);
-  void setWatched(const std::string& name, bool watched);
   void onReply(const std::string& name, Watch& watch, const clients::CacheFeedReply& reply);
   void schedule(const std::string& name, Watch& watch, base::Duration delay);
 
--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -146,18 +146,8 @@
   return best;
 }
 
-const ReplicaRecord* ReplicaChoice::likelyHolder(const ReplicaDecision& decision,
-                                                 const Candidates& ordered,
-                                                 const ReplicaQuery& query) {
-  const auto found = std::ranges::find_if(ordered, [&](const auto& record) {
-    return record != decision.replica && record->versionOf(query.model) == decision.version;
-  });
-  if (found == ordered.end() || (*found)->cacheWatched()) return nullptr;
-  return found->get();
-}
-
-void ReplicaChoice::addCacheMoves(ReplicaDecision& decision, const Candidates& ordered,
-                                  const ReplicaQuery& query, base::TimePoint now) const {
+void ReplicaChoice::addCacheMoves(ReplicaDecision& decision, const ReplicaQuery& query,
+                                  base::TimePoint now) const {
   const auto replica = base::engineIdOf(decision.replica->facts().instance);
   decision.matchedTokens = context_.holders.matchedTokens(replica, decision.scope, *query.chain);
   auto source = bestSource(query, decision.scope, decision.replica.get(), now);
@@ -167,15 +157,11 @@
     decision.fetchFrom = std::move(source);
   if (held + options_.leastFetch > shared) return;
   const auto* store = context_.stores.choose(*query.chain->deepestShared());
-  if (store != nullptr) decision.saveTo = store->endpoint;
-  // To ask in vain costs next to nothing, but it takes the place of a source that is known.
-  if (2 * held > shared) return;
-  if (const auto* guess = likelyHolder(decision, ordered, query)) {
-    decision.fetchFrom =
-        CacheSource{guess->facts().instance, guess->facts().endpoint, decision.matchedTokens};
-  } else if (!decision.fetchFrom && store != nullptr && !store->answered) {
+  if (store == nullptr) return;
+  decision.saveTo = store->endpoint;
+  // A node that does not watch the store cannot know; to ask in vain costs next to nothing.
+  if (!decision.fetchFrom && !store->answered)
     decision.fetchFrom = CacheSource{store->name, store->endpoint, decision.matchedTokens};
-  }
 }
 
 std::uint64_t longRunRank(std::string_view instance) {
@@ -233,7 +219,7 @@
   decision.version = decision.replica->versionOf(query.model);
   decision.cacheSalt = cacheSalt(decision.version, query.isolatedTenant);
   decision.scope = cacheScope(decision.cacheSalt, query.model);
-  if (withPrompt) addCacheMoves(decision, candidates, query, now);
+  if (withPrompt) addCacheMoves(decision, query, now);
   return decision;
 }
 
--- a/src/routing/replica_choice.h
+++ b/src/routing/replica_choice.h
@@ -120,13 +120,8 @@
   /// The first candidate within the bounds; the number of candidates when there is none.
   std::size_t firstWithRoom(const Candidates& ordered, const ReplicaQuery& query,
                             std::size_t nodes) const;
-  void addCacheMoves(ReplicaDecision& decision, const Candidates& ordered,
-                     const ReplicaQuery& query, base::TimePoint now) const;
-  /// Where parts that no holder is known of may be: the home of the decision's version, or, when
-  /// the decision is for the home itself, the one that was home before it. Null when this node
-  /// watches that replica's cache, and so would know.
-  static const ReplicaRecord* likelyHolder(const ReplicaDecision& decision,
-                                           const Candidates& ordered, const ReplicaQuery& query);
+  void addCacheMoves(ReplicaDecision& decision, const ReplicaQuery& query,
+                     base::TimePoint now) const;
   /// The best source of the prompt's shared parts under the scope, other than `except`.
   std::optional<CacheSource> bestSource(const ReplicaQuery& query, CacheScope scope,
                                         const ReplicaRecord* except, base::TimePoint now) const;
--- a/src/routing/replica_directory.h
+++ b/src/routing/replica_directory.h
@@ -45,10 +45,6 @@
   void setFull(base::TimePoint until) { fullUntil_ = until; }
   bool full(base::TimePoint now) const { return now < fullUntil_; }
 
-  /// This node watches the replica's cache, so that it knows most of what is held there.
-  void setCacheWatched(bool watched) { cacheWatched_ = watched; }
-  bool cacheWatched() const { return cacheWatched_; }
-
   /// How long the replica takes to read so many tokens of a prompt, from what was observed.
   base::Duration readTime(std::uint32_t tokens) const;
   /// It took so long from the dispatch of a request until its answer began, with so many tokens to
@@ -72,7 +68,6 @@
   base::TimePoint versionDoubtedUntil_{};
   base::TimePoint changingUntil_{};
   base::TimePoint fullUntil_{};
-  bool cacheWatched_ = false;
   /// Microseconds a token; at first slower than replicas are.
   double readTimePerToken_ = 60;
   std::uint32_t inFlight_ = 0;
--- a/tests/routing/replica_choice_test.cc
+++ b/tests/routing/replica_choice_test.cc
@@ -15,7 +15,6 @@
 struct ChoiceFixture {
   ChoiceFixture() {
     for (const char* name : {"r1", "r2", "r3", "r4"}) add(name, 1);
-    watchAll();
     engine.slots = 8;
     engine.cacheTokens = 100'000;
   }
@@ -44,9 +43,6 @@
   }
 
   ReplicaDecision choose() { return choice.choose(query(), 1, now); }
-  void watchAll() {
-    for (const auto& [name, record] : replicas.all()) record->setCacheWatched(true);
-  }
 
   void hold(const std::string& name, base::WeightsVersion version) {
     holders.learnChain(base::engineIdOf(name), cacheScope(cacheSalt(version, ""), "m"), chain);
@@ -241,32 +237,6 @@
   BOOST_TEST(!decision.saveTo.has_value());
 }
 
-BOOST_AUTO_TEST_CASE(NodeThatDoesNotWatchAReplicaSeeksPartsAtTheHome) {
-  for (const auto& [name, record] : replicas.all()) record->setCacheWatched(false);
-  const auto first = choose();
-  const auto home = first.replica;
-  // At the home itself they may be at the one that was home before it came.
-  BOOST_REQUIRE(first.fetchFrom.has_value());
-  replicas.onRemoved(home->facts().instance);
-  BOOST_TEST(choose().replica->facts().instance == first.fetchFrom->name);
-  add(home->facts().instance, 1);
-  // Away from the home they may be at the home.
-  const auto back = choose().replica;
-  BOOST_TEST(back->facts().instance == home->facts().instance);
-  for (int count = 0; count < 8; ++count) back->onDispatched(100);
-  BOOST_TEST(choose().fetchFrom->name == home->facts().instance);
-}
-
-BOOST_AUTO_TEST_CASE(PartsAreNotSoughtUnderAnotherVersion) {
-  for (const auto& [name, record] : replicas.all()) record->setCacheWatched(false);
-  add("n1", 2);
-  targets.onNamed("m", 2, now);
-  now += seconds(7) + milliseconds(1);
-  const auto decision = choose();
-  BOOST_TEST(decision.replica->facts().instance == "n1");
-  BOOST_TEST(!decision.fetchFrom.has_value());
-}
-
 BOOST_AUTO_TEST_CASE(RequestsWithoutPromptGoToTheLeastLoaded) {
   auto plain = query();
   plain.engine = nullptr;
