--- a/scripts/demo_fleet.sh
+++ b/scripts/demo_fleet.sh
@@ -5,6 +5,8 @@
 work=$(mktemp -d)
 pids=()
 declare -A node_pids
+# Settings files of nodes that do not use the common one.
+declare -A node_settings
 
 gone() { ! kill -0 "$1" 2>/dev/null; }
 
@@ -74,7 +76,7 @@
   local flags=()
   if [[ -n $3 ]]; then flags+=(--cluster-seeds "$3"); fi
   if [[ -n ${4:-} ]]; then flags+=(--listen-caller "$4"); fi
-  "$build_dir/covewingd" --settings "$work/common.toml" --node-name "$1" --node-zone "$2" \
+  "$build_dir/covewingd" --settings "${node_settings[$1]:-$work/common.toml}" --node-name "$1" --node-zone "$2" \
     "${flags[@]}" >"$work/$1.out" 2>"$work/$1.log" &
   pids+=($!)
   node_pids[$1]=$!
