--- a/src/coordination/weights_rollout.h
+++ b/src/coordination/weights_rollout.h
@@ -128,7 +128,8 @@
   std::set<std::string> waitingForLongRuns(const std::string& model,
                                            const routing::WeightsTargetList& targets,
                                            std::vector<routing::ReplicaRecordPtr> served);
-  /// Those of one version, lowest rank first.
+  /// Whether the long runs of a version's replicas have had the time to end, since at least
+  /// `wanted` of `newer` replicas take the new ones, or can be waited for no longer.
   bool relieved(const std::string& model, base::WeightsVersion version,
                 const routing::WeightsTargetList& targets, std::size_t newer, std::size_t wanted);
   /// Replicas that must be away at once for each version to be in force in time.
--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -181,7 +181,8 @@
   });
   const auto count = std::clamp<std::size_t>(query.longRunReplicas, 1, candidates.size() / 2);
   ranked.resize(count);
-  std::ranges::stable_partition(candidates, [&ranked](const auto& record) {
+  // clang 14 does not compile std::ranges::stable_partition.
+  std::stable_partition(candidates.begin(), candidates.end(), [&ranked](const auto& record) {
     return std::ranges::find(ranked, record) != ranked.end();
   });
 }
--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -228,9 +228,10 @@
   std::size_t requests = 0;
   std::weak_ptr<RelayFlow> flow;
   RelayService service{
-      options(), {time, time, log, client, replicas, holders, choice, retries, runTimes, *this}, tables, [] {
-        return std::size_t{1};
-      }};
+      options(),
+      {time, time, log, client, replicas, holders, choice, retries, runTimes, *this},
+      tables,
+      [] { return std::size_t{1}; }};
 };
 
 }  // namespace covewing::request
