Write the order in which replicas take long runs once

It stood three times: in the choice of a replica, among the rollout's waiting replicas, and reversed in its order of changes.

--- a/src/coordination/weights_rollout.cc
+++ b/src/coordination/weights_rollout.cc
@@ -99,11 +99,7 @@
   const auto wanted = environment_.longRunReplicas(served.front()->facts().service);
   // The newest first; of one version, those that take the long runs first.
   std::ranges::sort(served, [&model](const auto& left, const auto& right) {
-    const auto leftVersion = left->versionOf(model);
-    const auto rightVersion = right->versionOf(model);
-    if (leftVersion != rightVersion) return leftVersion > rightVersion;
-    return routing::longRunRank(left->facts().instance) <
-           routing::longRunRank(right->facts().instance);
+    return routing::takesLongRunsBefore(model, *left, *right);
   });
   std::size_t newer = 0;
   for (auto first = served.begin(); first != served.end();) {
@@ -143,11 +139,7 @@
   // The oldest first: they are due first. Of these, the replicas that take long runs come last, so
   // that these runs end while others take the new ones.
   std::ranges::stable_sort(outdated, [&model](const auto& left, const auto& right) {
-    const auto leftVersion = left->versionOf(model);
-    const auto rightVersion = right->versionOf(model);
-    if (leftVersion != rightVersion) return leftVersion < rightVersion;
-    return routing::longRunRank(left->facts().instance) >
-           routing::longRunRank(right->facts().instance);
+    return routing::takesLongRunsBefore(model, *right, *left);
   });
   const auto allowed = environment_.targets.oldestAllowed(model, now);
   const auto waiting = waitingForLongRuns(model, targets, std::move(servedBy));
--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -169,15 +169,20 @@
   return base::mixHash(base::hashName(instance), kSalt);
 }
 
+bool takesLongRunsBefore(std::string_view model, const ReplicaRecord& left,
+                         const ReplicaRecord& right) {
+  const auto leftVersion = left.versionOf(model);
+  const auto rightVersion = right.versionOf(model);
+  if (leftVersion != rightVersion) return leftVersion > rightVersion;
+  return longRunRank(left.facts().instance) < longRunRank(right.facts().instance);
+}
+
 void ReplicaChoice::moveLongRunReplicasFirst(Candidates& candidates,
                                              const ReplicaQuery& query) const {
   if (candidates.size() < options_.leastForLongRuns) return;
   Candidates ranked = candidates;
   std::ranges::sort(ranked, [&query](const auto& left, const auto& right) {
-    const auto leftVersion = left->versionOf(query.model);
-    const auto rightVersion = right->versionOf(query.model);
-    if (leftVersion != rightVersion) return leftVersion > rightVersion;
-    return longRunRank(left->facts().instance) < longRunRank(right->facts().instance);
+    return takesLongRunsBefore(query.model, *left, *right);
   });
   const auto count = std::clamp<std::size_t>(query.longRunReplicas, 1, candidates.size() / 2);
   ranked.resize(count);
--- a/src/routing/replica_choice.h
+++ b/src/routing/replica_choice.h
@@ -134,6 +134,10 @@
 /// Of the replicas of one version, those with the lowest rank take the long runs. Equal on all
 /// nodes.
 std::uint64_t longRunRank(std::string_view instance);
+/// Order in which a model's replicas take long runs: the newest version first, of one version the
+/// lowest rank.
+bool takesLongRunsBefore(std::string_view model, const ReplicaRecord& left,
+                         const ReplicaRecord& right);
 /// Text under which replicas keep parts: parts made under other weights, or by an isolated tenant,
 /// are never found.
 std::string cacheSalt(base::WeightsVersion version, std::string_view isolatedTenant);
