Tell the other nodes of a change of weights that the list showed first

Cause: when the feed of replicas showed the new version before the holder of the lease asked for a report, the rollout ended the change without telling the other nodes. Ruled out: slow gossip (the news of the beginning came within 0.2 s) and doubt about the version (no 421 was answered). Now every end of a change is told, and a replica that shows a newer version than was known ends its change on each node by itself.

--- a/src/coordination/weights_rollout.cc
+++ b/src/coordination/weights_rollout.cc
@@ -166,8 +166,9 @@
     ordersTaken_.erase(instance);
     return finish(instance, "gone");
   }
+  // The list or an answer may show the version before a report does.
   if (change.phase == Phase::kLoading && record->versionOf(change.model) >= change.version)
-    return finish(instance, "served");
+    return finishServed(instance, record->versionOf(change.model));
   const bool waiting = change.phase == Phase::kPrepared;
   const auto since = change.phase == Phase::kLoading ? change.orderedAt : change.startedAt;
   if (!waiting && now - since > options_.giveUp) return finish(instance, "not done in time");
@@ -293,8 +294,7 @@
                                   const clients::WeightsReport& report) {
   const auto now = environment_.clock.now();
   if (report.version >= change.version && !report.busy) {
-    environment_.news.onChanged(instance, change.model, report.version);
-    finish(instance, "served");
+    finishServed(instance, report.version);
     return;
   }
   // Reports lag: only one that is well younger than the order shows that it was not taken.
@@ -305,6 +305,11 @@
   change.nextAt = now;
 }
 
+void WeightsRollout::finishServed(const std::string& instance, base::WeightsVersion version) {
+  environment_.news.onChanged(instance, changes_.at(instance).model, version);
+  finish(instance, "served");
+}
+
 void WeightsRollout::finish(const std::string& instance, std::string_view outcome) {
   const auto found = changes_.find(instance);
   if (found == changes_.end()) return;
--- a/src/coordination/weights_rollout.h
+++ b/src/coordination/weights_rollout.h
@@ -146,6 +146,8 @@
   std::size_t loading() const;
   /// The replica's version is forbidden and requests may still wait there.
   bool mustFlush(const std::string& model, base::WeightsVersion version) const;
+  /// The replica serves the version: the other nodes are told and the change is over.
+  void finishServed(const std::string& instance, base::WeightsVersion version);
   void finish(const std::string& instance, std::string_view outcome);
   Change* find(const std::string& instance);
 
--- a/src/routing/replica_directory.cc
+++ b/src/routing/replica_directory.cc
@@ -22,6 +22,7 @@
   if (version <= known) return;
   known = version;
   versionDoubtedUntil_ = {};
+  changingUntil_ = {};
 }
 
 base::Duration ReplicaRecord::readTime(std::uint32_t tokens) const {
--- a/src/routing/replica_directory.h
+++ b/src/routing/replica_directory.h
@@ -38,7 +38,8 @@
   /// the list still says.
   void setGone() { gone_ = true; }
   bool gone() const { return gone_; }
-  /// New weights are about to be ordered or are being loaded: no requests until then.
+  /// New weights are about to be ordered or are being loaded: no requests until then, or until a
+  /// newer version is shown.
   void setChanging(base::TimePoint until) { changingUntil_ = until; }
   bool changing(base::TimePoint now) const { return now < changingUntil_; }
   /// A refusal for lack of room: passed over until then while others can take the request.
--- a/tests/coordination/weights_rollout_test.cc
+++ b/tests/coordination/weights_rollout_test.cc
@@ -196,6 +196,19 @@
   BOOST_TEST(replicas.given.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(OtherNodesAreToldAlsoWhenTheListShowsTheVersionFirst) {
+  for (int number = 1; number < 12; ++number) list("r" + std::to_string(number), 2);
+  targets.onNamed("m", 2, time.now());
+  rollout.start();
+  while (replicas.given.empty()) time.advance(milliseconds(10));
+  time.advance(milliseconds(100));
+  BOOST_TEST(changing.contains("r0"));
+  list("r0", 2);
+  time.advance(milliseconds(100));
+  BOOST_TEST(rollout.underWay() == 0U);
+  BOOST_TEST(!changing.contains("r0"));
+}
+
 BOOST_AUTO_TEST_CASE(LostAnswerLoadsOnce) {
   for (int number = 1; number < 12; ++number) list("r" + std::to_string(number), 2);
   replicas.loseAnswers = 1;
--- a/tests/routing/replica_choice_test.cc
+++ b/tests/routing/replica_choice_test.cc
@@ -192,6 +192,16 @@
   BOOST_TEST((choice.choose(tried, 1, now).replica == nullptr));
 }
 
+BOOST_AUTO_TEST_CASE(ReplicaThatShowsNewerWeightsIsChosenAtOnce) {
+  for (const char* name : {"r1", "r2", "r3", "r4"})
+    replicas.find(name)->setChanging(now + seconds(2));
+  BOOST_TEST((choose().replica == nullptr));
+  replicas.find("r3")->learnVersion("m", 1);
+  BOOST_TEST((choose().replica == nullptr));
+  replicas.find("r3")->learnVersion("m", 2);
+  BOOST_TEST((choose().replica == replicas.find("r3")));
+}
+
 BOOST_AUTO_TEST_CASE(FullReplicaIsTakenOnlyWhenNoOtherIsLeft) {
   for (const char* name : {"r1", "r2", "r3"}) replicas.find(name)->setFull(now + milliseconds(100));
   BOOST_TEST(choose().replica->facts().instance == "r4");
