Share the load of replicas between nodes

Change: each node tells the others what it has under way at each replica, at most 120 messages a second; bounds hold for the sum of all nodes (all slots, 0.9 of the memory); of the replicas with room, the first in home order whose queue of prompts takes less than 0.8 of the target latency, else the one with the shortest queue. A node that hears less than half of the others keeps the even share.

--- a/src/base/peer_transport.h
+++ b/src/base/peer_transport.h
@@ -26,6 +26,7 @@
   kAdmission = 5,
   kRequest = 6,
   kTableFeed = 7,
+  kReplicaLoad = 8,
 };
 
 /// Who sent a message.
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -18,6 +18,7 @@
 #include "node/weights_coordinator.h"
 #include "node/weights_dates.h"
 #include "routing/cache_watch.h"
+#include "routing/load_sharing.h"
 
 namespace covewing::live {
 
@@ -120,7 +121,8 @@
         membership(membershipOptions(settings), clock, timers, random, log, peers),
         nodes(membership, clock),
         targets({settings.weightsInForce, settings.weightsInForce * 3 / 20}),
-        choice({replicas, holders, targets, stores, settings.zone}, {}, random),
+        choice({replicas, holders, targets, stores, fleetLoad, settings.zone}, {}, random),
+        loadSharing({}, {clock, timers, log, peers, membership, replicas, fleetLoad}),
         configuration(deployment.configurationRows, clock, log, targets),
         replicaList(deployment.replicaRows, log, replicas, holders),
         feeds({}, {clock, timers, random, log, peers, membership, deployment.feeds}),
@@ -238,6 +240,7 @@
     coordinator.start();
     cacheStoreNews.start();
     cacheWatch.start();
+    loadSharing.start();
     configurationWatch.start();
     replicaWatch.start();
     return true;
@@ -247,6 +250,7 @@
                      std::string_view payload) {
     if (channel == base::Channel::kMembership) membership.onPeerMessage(sender, payload);
     if (channel == base::Channel::kTableFeed) feeds.onPeerMessage(sender, payload);
+    if (channel == base::Channel::kReplicaLoad) loadSharing.onPeerMessage(sender, payload);
     if (channel == base::Channel::kCoordination) coordinator.onPeerMessage(sender, payload);
   }
 
@@ -326,7 +330,9 @@
   routing::ReplicaDirectory replicas;
   routing::PrefixHolders holders;
   routing::CacheStores stores;
+  routing::FleetLoad fleetLoad;
   routing::ReplicaChoice choice;
+  routing::LoadSharing loadSharing;
   node::RouteConfiguration configuration;
   node::ReplicaList replicaList;
   config::SharedFeed feeds;
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -90,6 +90,8 @@
   query.model = arrival_.prompt->model;
   query.chain = &arrival_.prompt->chain;
   query.tokens = wantedTokens();
+  query.acceptableWait = std::chrono::duration_cast<base::Duration>(
+      assignment_.route->targetLatency * options_.queueShare);
   query.longRun = runsLong();
   if (query.longRun && query.engine != nullptr) {
     query.longRunReplicas = dependencies_.runTimes.replicasForLongRuns(
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -34,6 +34,9 @@
   base::Duration holdInterval = std::chrono::milliseconds(20);
   /// Part of its time that a request is held for a replica to take it.
   double holdShare = 0.48;
+  /// Part of the target latency that reading the prompts ahead may take at a replica before another
+  /// is sought.
+  double queueShare = 0.8;
   /// Refusals by replicas after which a request is refused as well.
   std::uint32_t mostRefusals = 3;
   /// Largest plain answer that is kept until it is whole.
--- /dev/null
+++ b/src/routing/fleet_load.cc
@@ -0,0 +1,39 @@
+#include "routing/fleet_load.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace covewing::routing {
+
+ReplicaLoad& ReplicaLoad::operator+=(const ReplicaLoad& other) {
+  requests += other.requests;
+  tokens += other.tokens;
+  readTime += other.readTime;
+  return *this;
+}
+
+void FleetLoad::onNews(base::NodeId node, base::Incarnation incarnation, std::uint64_t number,
+                       LoadByReplica load, base::TimePoint now) {
+  std::erase_if(nodes_, [&](const auto& entry) { return !isHeard(entry.second, now); });
+  auto& known = nodes_[node];
+  const std::pair told{incarnation, number};
+  if (told <= std::pair{known.incarnation, known.number}) return;
+  known = {incarnation, number, now, std::move(load)};
+}
+
+ReplicaLoad FleetLoad::ofOthers(base::EngineId replica, base::TimePoint now) const {
+  ReplicaLoad sum;
+  for (const auto& [id, node] : nodes_) {
+    if (!isHeard(node, now)) continue;
+    const auto entry = node.load.find(replica);
+    if (entry != node.load.end()) sum += entry->second;
+  }
+  return sum;
+}
+
+std::size_t FleetLoad::heard(base::TimePoint now) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(nodes_, [&](const auto& entry) { return isHeard(entry.second, now); }));
+}
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/fleet_load.h
@@ -0,0 +1,66 @@
+/// \file
+/// The work that other nodes have under way at each replica, as they told this node.
+///
+/// Each node tells all of its work at once, so that a lost message is repaired by the next one. A
+/// node that is silent for longer than `memory` counts as one that this node does not hear.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace covewing::routing {
+
+/// Work under way at one replica.
+struct ReplicaLoad {
+  std::uint32_t requests = 0;
+  /// Tokens of memory that the requests need.
+  std::uint64_t tokens = 0;
+  /// Time that reading the prompts of the requests takes whose answers have not begun.
+  base::Duration readTime{};
+
+  bool operator==(const ReplicaLoad&) const = default;
+  ReplicaLoad& operator+=(const ReplicaLoad& other);
+};
+
+/// What one node has under way. Replicas without work are left out.
+using LoadByReplica = std::unordered_map<base::EngineId, ReplicaLoad>;
+
+struct FleetLoadOptions {
+  /// News older than this are forgotten. Nodes repeat theirs more often.
+  base::Duration memory = std::chrono::milliseconds(2500);
+};
+
+class FleetLoad {
+ public:
+  explicit FleetLoad(FleetLoadOptions options = {}) : options_(options) {}
+
+  /// Takes what a node has under way in place of what it told before. News of an earlier run of the
+  /// node, or sent before some that are known, are dropped.
+  void onNews(base::NodeId node, base::Incarnation incarnation, std::uint64_t number,
+              LoadByReplica load, base::TimePoint now);
+  /// The sum over the nodes that are heard.
+  ReplicaLoad ofOthers(base::EngineId replica, base::TimePoint now) const;
+  /// Nodes whose news are known.
+  std::size_t heard(base::TimePoint now) const;
+
+ private:
+  struct Node {
+    base::Incarnation incarnation = 0;
+    std::uint64_t number = 0;
+    base::TimePoint at{};
+    LoadByReplica load;
+  };
+  bool isHeard(const Node& node, base::TimePoint now) const {
+    return now - node.at <= options_.memory;
+  }
+
+  FleetLoadOptions options_;
+  std::unordered_map<base::NodeId, Node> nodes_;
+};
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/load_messages.cc
@@ -0,0 +1,53 @@
+#include "routing/load_messages.h"
+
+#include "base/codec.h"
+
+namespace covewing::routing {
+
+namespace {
+
+/// Type number on the wire; never reused.
+constexpr std::uint64_t kLoadNewsType = 1;
+constexpr std::uint32_t kNewsFields = 3;
+constexpr std::uint32_t kEntryFields = 4;
+
+/// Negative and absurdly long times are taken as none.
+base::Duration readTimeOf(std::int64_t microseconds) {
+  constexpr base::Duration kLongest = std::chrono::minutes(1);
+  const base::Duration time{microseconds};
+  return time < base::Duration::zero() || time > kLongest ? base::Duration::zero() : time;
+}
+
+}  // namespace
+
+std::string encode(const LoadNews& news) {
+  base::Writer writer;
+  writer.array(kNewsFields).unsignedInteger(kLoadNewsType).unsignedInteger(news.number);
+  writer.array(static_cast<std::uint32_t>(news.load.size()));
+  for (const auto& [replica, load] : news.load) {
+    writer.array(kEntryFields).unsignedInteger(replica.value).unsignedInteger(load.requests);
+    writer.unsignedInteger(load.tokens).signedInteger(load.readTime.count());
+  }
+  return writer.take();
+}
+
+std::optional<LoadNews> decodeLoadNews(std::string_view bytes) {
+  base::Reader reader(bytes);
+  reader.beginArray();
+  if (reader.unsignedInteger() != kLoadNewsType) return std::nullopt;
+  LoadNews news;
+  news.number = reader.unsignedInteger();
+  const auto count = reader.beginArray();
+  for (std::uint32_t index = 0; index < count && reader.ok(); ++index) {
+    reader.beginArray();
+    const base::EngineId replica{reader.unsignedInteger()};
+    auto& load = news.load[replica];
+    load.requests = static_cast<std::uint32_t>(reader.unsignedInteger());
+    load.tokens = reader.unsignedInteger();
+    load.readTime = readTimeOf(reader.signedInteger());
+    reader.endArray();
+  }
+  return reader.ok() ? std::optional{std::move(news)} : std::nullopt;
+}
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/load_sharing.cc
@@ -0,0 +1,57 @@
+#include "routing/load_sharing.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "routing/load_messages.h"
+
+namespace covewing::routing {
+
+LoadSharing::~LoadSharing() { environment_.timers.cancel(timer_); }
+
+base::Duration LoadSharing::interval() const {
+  const auto others = static_cast<double>(environment_.members.liveMembers().size()) - 1;
+  const std::chrono::duration<double> paced{others / options_.messagesPerSecond};
+  return std::max(options_.interval, std::chrono::duration_cast<base::Duration>(paced));
+}
+
+void LoadSharing::tick() {
+  const auto now = environment_.clock.now();
+  LoadByReplica load = ownLoad();
+  if (load != told_ || now - toldAt_ >= options_.repeat) {
+    tell(load);
+    told_ = std::move(load);
+    toldAt_ = now;
+  }
+  timer_ = environment_.timers.schedule(interval(), [this] { tick(); });
+}
+
+LoadByReplica LoadSharing::ownLoad() const {
+  LoadByReplica load;
+  for (const auto& [instance, record] : environment_.replicas.all()) {
+    const auto own = record->ownLoad();
+    if (own.requests > 0) load.emplace(base::engineIdOf(instance), own);
+  }
+  return load;
+}
+
+void LoadSharing::tell(const LoadByReplica& load) {
+  const std::string message = encode(LoadNews{++lastNumber_, load});
+  const auto self = environment_.members.self().id;
+  for (const auto& member : environment_.members.liveMembers()) {
+    if (member.id != self)
+      environment_.peers.send(member.endpoint, base::Channel::kReplicaLoad, message);
+  }
+}
+
+void LoadSharing::onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) {
+  auto news = decodeLoadNews(payload);
+  if (!news) {
+    environment_.log.write(base::Event::kMessageRejected, {{"channel", "replica load"}});
+    return;
+  }
+  environment_.fleet.onNews(sender.node, sender.incarnation, news->number, std::move(news->load),
+                            environment_.clock.now());
+}
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/load_sharing.h
@@ -0,0 +1,67 @@
+/// \file
+/// Tells all other nodes what this node has under way at each replica, and keeps what they tell.
+///
+/// A node sends a bounded number of messages a second, so the more nodes there are, the older are
+/// the news. With so many nodes that news would come later than they are remembered, nobody is
+/// heard and each node falls back on an even share of each replica.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+#include "base/event_log.h"
+#include "base/peer_transport.h"
+#include "base/time.h"
+#include "membership/member_directory.h"
+#include "routing/fleet_load.h"
+#include "routing/replica_directory.h"
+
+namespace covewing::routing {
+
+struct LoadSharingOptions {
+  /// Least time between two messages to the same node.
+  base::Duration interval = std::chrono::milliseconds(50);
+  /// Messages that a node sends a second at most.
+  double messagesPerSecond = 120;
+  /// News that did not change are repeated after this.
+  base::Duration repeat = std::chrono::milliseconds(1000);
+};
+
+/// All must outlive the sharing and share its thread.
+struct LoadSharingEnvironment {
+  base::Clock& clock;
+  base::TimerService& timers;
+  base::EventLog& log;
+  base::PeerTransport& peers;
+  const membership::MemberDirectory& members;
+  const ReplicaDirectory& replicas;
+  FleetLoad& fleet;
+};
+
+class LoadSharing final : public base::PeerHandler {
+ public:
+  LoadSharing(LoadSharingOptions options, LoadSharingEnvironment environment)
+      : options_(options), environment_(environment) {}
+  ~LoadSharing() override;
+  LoadSharing(const LoadSharing&) = delete;
+  LoadSharing& operator=(const LoadSharing&) = delete;
+
+  void start() { tick(); }
+  void onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) override;
+
+ private:
+  void tick();
+  /// What this node has under way.
+  LoadByReplica ownLoad() const;
+  void tell(const LoadByReplica& load);
+  base::Duration interval() const;
+
+  LoadSharingOptions options_;
+  LoadSharingEnvironment environment_;
+  LoadByReplica told_;
+  base::TimePoint toldAt_{};
+  std::uint64_t lastNumber_ = 0;
+  base::TimerId timer_ = 0;
+};
+
+}  // namespace covewing::routing
--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -107,21 +107,43 @@
   return best;
 }
 
-std::size_t ReplicaChoice::firstWithRoom(const Candidates& ordered, const ReplicaQuery& query,
-                                         std::size_t nodes) const {
+bool ReplicaChoice::loadKnown(std::size_t nodes, base::TimePoint now) const {
+  const auto others = static_cast<double>(std::max<std::size_t>(nodes, 1) - 1);
+  return static_cast<double>(context_.fleet.heard(now)) >= others * options_.leastHeard;
+}
+
+ReplicaChoice::Bounds ReplicaChoice::boundsOf(const ReplicaRecord& record,
+                                              const ReplicaQuery& query, std::size_t nodes,
+                                              bool known) const {
+  const auto slots = std::max<std::size_t>(record.facts().slots, 1);
+  const auto memory = static_cast<double>(query.engine->cacheTokens);
+  if (known) return {slots, memory * options_.knownMemoryShare};
   const auto sharers = std::max<std::size_t>(nodes, 1);
-  const double memory = static_cast<double>(query.engine->cacheTokens) * options_.memoryShare /
-                        static_cast<double>(sharers);
+  const auto share = (slots + sharers - 1) / sharers;
+  return {std::max<std::size_t>(options_.leastBound, share),
+          memory * options_.memoryShare / static_cast<double>(sharers)};
+}
+
+std::size_t ReplicaChoice::firstWithRoom(const Candidates& ordered, const ReplicaQuery& query,
+                                         std::size_t nodes, base::TimePoint now) const {
+  const bool known = loadKnown(nodes, now);
   const std::uint32_t own = query.tokens - std::min(query.tokens, query.chain->sharedTokens());
+  std::size_t best = ordered.size();
+  base::Duration shortest = base::Duration::max();
   for (std::size_t index = 0; index < ordered.size(); ++index) {
     const auto& record = *ordered[index];
-    const auto slots = std::max<std::size_t>(record.facts().slots, 1);
-    const auto bound = std::max<std::size_t>(options_.leastBound, (slots + sharers - 1) / sharers);
-    if (record.inFlight() >= bound) continue;
-    const bool fits = static_cast<double>(record.tokensInFlight() + own) <= memory;
-    if (fits || record.inFlight() == 0) return index;
+    ReplicaLoad load = record.ownLoad();
+    if (known) load += context_.fleet.ofOthers(base::engineIdOf(record.facts().instance), now);
+    const auto bounds = boundsOf(record, query, nodes, known);
+    if (load.requests >= bounds.requests) continue;
+    const bool fits = static_cast<double>(load.tokens + own) <= bounds.tokens;
+    if (!fits && load.requests > 0) continue;
+    if (load.readTime <= query.acceptableWait) return index;
+    if (load.readTime >= shortest) continue;
+    shortest = load.readTime;
+    best = index;
   }
-  return ordered.size();
+  return best;
 }
 
 std::optional<CacheSource> ReplicaChoice::bestSource(const ReplicaQuery& query, CacheScope scope,
@@ -212,7 +234,7 @@
                           query.chain != nullptr && query.chain->deepestShared();
   if (withPrompt) {
     sortByHome(candidates, query);
-    decision.rank = firstWithRoom(candidates, query, nodes);
+    decision.rank = firstWithRoom(candidates, query, nodes, now);
     if (decision.rank == candidates.size()) {
       decision.reason = "every replica has as many requests as it should";
       return decision;
--- a/src/routing/replica_choice.h
+++ b/src/routing/replica_choice.h
@@ -25,6 +25,7 @@
 #include "config/route_table.h"
 #include "prefix/part_chain.h"
 #include "routing/cache_stores.h"
+#include "routing/fleet_load.h"
 #include "routing/prefix_holders.h"
 #include "routing/replica_directory.h"
 #include "routing/weights_targets.h"
@@ -45,6 +46,8 @@
   bool longRun = false;
   /// How many replicas long runs fill.
   std::size_t longRunReplicas = 1;
+  /// Reading prompts ahead of this one may take so long without another replica being sought.
+  base::Duration acceptableWait = std::chrono::milliseconds(250);
   /// Instances that were tried for this request.
   std::vector<std::string> excluded;
 };
@@ -83,14 +86,19 @@
   const PrefixHolders& holders;
   const WeightsTargets& targets;
   const CacheStores& stores;
+  const FleetLoad& fleet;
   std::string zone;
 };
 
 struct ReplicaChoiceOptions {
   /// Least bound on the requests of this node at a home, however many nodes share it.
   std::uint32_t leastBound = 2;
-  /// Part of a replica's cache memory that all nodes together may fill with running requests.
+  /// Part of a replica's cache memory that all nodes together may fill with running requests,
+  /// where each takes an even share, and where they know of each other's.
   double memoryShare = 0.6;
+  double knownMemoryShare = 0.9;
+  /// This part of the other nodes must be heard for their load to count as known.
+  double leastHeard = 0.5;
   /// Tokens that a source must have beyond the chosen replica to be fetched from.
   std::uint32_t leastFetch = 32;
   /// Weight of replicas of the newest version that is served, against 1 of the others.
@@ -117,9 +125,19 @@
   void sortByHome(Candidates& candidates, const ReplicaQuery& query) const;
   /// Moves the replicas that take long runs to the front, in the order that they have.
   void moveLongRunReplicasFirst(Candidates& candidates, const ReplicaQuery& query) const;
-  /// The first candidate within the bounds; the number of candidates when there is none.
-  std::size_t firstWithRoom(const Candidates& ordered, const ReplicaQuery& query,
-                            std::size_t nodes) const;
+  /// What the requests of all nodes may take of a replica, as far as this node counts them.
+  struct Bounds {
+    std::size_t requests = 0;
+    double tokens = 0;
+  };
+  /// Whether enough of the nodes tell their load.
+  bool loadKnown(std::size_t nodes, base::TimePoint now) const;
+  Bounds boundsOf(const ReplicaRecord& record, const ReplicaQuery& query, std::size_t nodes,
+                  bool known) const;
+  /// The first candidate within the bounds whose queue is short, else the one of them with the
+  /// shortest queue; the number of candidates when there is none.
+  std::size_t firstWithRoom(const Candidates& ordered, const ReplicaQuery& query, std::size_t nodes,
+                            base::TimePoint now) const;
   void addCacheMoves(ReplicaDecision& decision, const ReplicaQuery& query,
                      base::TimePoint now) const;
   /// The best source of the prompt's shared parts under the scope, other than `except`.
--- a/src/routing/replica_directory.h
+++ b/src/routing/replica_directory.h
@@ -12,6 +12,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "routing/fleet_load.h"
 #include "routing/replica.h"
 #include "routing/replica_health.h"
 
@@ -55,6 +56,8 @@
   /// Requests of this node that the replica has not finished, and the tokens they need.
   std::uint32_t inFlight() const { return inFlight_; }
   std::uint64_t tokensInFlight() const { return tokensInFlight_; }
+  /// All work that this node has under way there.
+  ReplicaLoad ownLoad() const { return {inFlight_, tokensInFlight_, health_.waitingWork()}; }
   void onDispatched(std::uint32_t tokens);
   void onFinished(std::uint32_t tokens);
 
--- a/src/routing/replica_health.h
+++ b/src/routing/replica_health.h
@@ -53,6 +53,8 @@
   bool silent(base::TimePoint now) const;
   double failureRate() const { return failureRate_; }
   std::uint32_t waiting() const { return waiting_; }
+  /// Work of the requests of this node that wait for their answers to begin.
+  base::Duration waitingWork() const { return waitingWork_; }
 
  private:
   void eject(base::TimePoint now);
--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -220,7 +220,8 @@
   routing::PrefixHolders holders;
   routing::WeightsTargets targets;
   routing::CacheStores stores;
-  routing::ReplicaChoice choice{{replicas, holders, targets, stores, "zone"}, {}, random};
+  routing::FleetLoad fleet;
+  routing::ReplicaChoice choice{{replicas, holders, targets, stores, fleet, "zone"}, {}, random};
   admission::RetryWindows retries{{std::chrono::seconds(10), 0.2, 20, 1.0}};
   routing::RunTimes runTimes;
   std::vector<RelayOutcome> outcomes;
--- /dev/null
+++ b/tests/routing/load_sharing_test.cc
@@ -0,0 +1,215 @@
+// What nodes tell each other of the work that they have under way, and what becomes of losses,
+// restarts and silence.
+#include "routing/load_sharing.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <memory>
+
+#include "base/random.h"
+#include "routing/fakes.h"
+#include "routing/load_messages.h"
+#include "support/recording_log.h"
+#include "support/virtual_time.h"
+
+namespace covewing::routing {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::FakeMembers;
+using testing::makeMember;
+
+namespace {
+
+constexpr std::size_t kReplicas = 4;
+
+std::string replicaName(std::size_t number) { return "r" + std::to_string(number); }
+base::EngineId replicaId(std::size_t number) { return base::engineIdOf(replicaName(number)); }
+
+struct LoadNode;
+
+/// Delivers messages to the node of the endpoint's address, or loses them.
+class Network {
+ public:
+  std::vector<std::unique_ptr<LoadNode>> nodes;
+  /// Part of the messages that are lost.
+  double loss = 0;
+  std::size_t sent = 0;
+  base::SeededRandom random{7};
+};
+
+class Link final : public base::PeerTransport {
+ public:
+  Link(Network& network, base::PeerIdentity self) : network_(network), self_(self) {}
+  void send(const base::Endpoint& destination, base::Channel channel, std::string payload) override;
+
+ private:
+  Network& network_;
+  base::PeerIdentity self_;
+};
+
+/// One node with its replicas and the news that it hears.
+struct LoadNode {
+  LoadNode(test_support::VirtualTime& time, test_support::RecordingLog& log, Network& network,
+           std::vector<membership::Member> ownFirst)
+      : members(std::move(ownFirst)),
+        link(network, {members.self().id, 1, members.self().endpoint}),
+        sharing(std::make_unique<LoadSharing>(
+            LoadSharingOptions{},
+            LoadSharingEnvironment{time, time, log, link, members, replicas, fleet})) {
+    for (std::size_t number = 0; number < kReplicas; ++number) {
+      Replica replica;
+      replica.instance = replicaName(number);
+      replica.service = "llm";
+      replicas.onListed(replica);
+    }
+  }
+
+  ReplicaRecord& record(std::size_t number) { return *replicas.find(replicaName(number)); }
+
+  FakeMembers members;
+  Link link;
+  ReplicaDirectory replicas;
+  FleetLoad fleet;
+  std::unique_ptr<LoadSharing> sharing;
+};
+
+void Link::send(const base::Endpoint& destination, base::Channel channel, std::string payload) {
+  ++network_.sent;
+  if (channel != base::Channel::kReplicaLoad || network_.random.unit() < network_.loss) return;
+  auto& sharing = network_.nodes.at(destination.address)->sharing;
+  if (sharing) sharing->onPeerMessage(self_, payload);
+}
+
+struct SharingFixture {
+  SharingFixture() { time.advance(seconds(100)); }
+
+  void build(std::size_t count) {
+    std::vector<membership::Member> members;
+    for (std::size_t number = 0; number < count; ++number) {
+      members.push_back(makeMember("node-" + std::to_string(number), "z"));
+      members.back().endpoint = {static_cast<std::uint32_t>(number), 1};
+    }
+    for (std::size_t number = 0; number < count; ++number) {
+      auto ownFirst = members;
+      std::swap(ownFirst.front(), ownFirst[number]);
+      network.nodes.push_back(std::make_unique<LoadNode>(time, log, network, ownFirst));
+    }
+    for (auto& node : network.nodes) node->sharing->start();
+  }
+
+  LoadNode& node(std::size_t number) { return *network.nodes.at(number); }
+  ReplicaLoad othersAt(std::size_t viewer, std::size_t replica) {
+    return node(viewer).fleet.ofOthers(replicaId(replica), time.now());
+  }
+  /// What all nodes but one have under way in truth.
+  ReplicaLoad trueOthers(std::size_t viewer, std::size_t replica) {
+    ReplicaLoad sum;
+    for (std::size_t number = 0; number < network.nodes.size(); ++number) {
+      if (number != viewer) sum += node(number).record(replica).ownLoad();
+    }
+    return sum;
+  }
+
+  test_support::VirtualTime time;
+  test_support::RecordingLog log;
+  Network network;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(LoadSharingTest, SharingFixture)
+
+BOOST_AUTO_TEST_CASE(WorkOfOtherNodesIsKnownWithinTwoIntervals) {
+  build(3);
+  node(1).record(0).onDispatched(900);
+  node(2).record(0).onDispatched(100);
+  node(2).record(0).health().onDispatched(time.now(), milliseconds(30));
+  time.advance(milliseconds(100));
+  BOOST_TEST((othersAt(0, 0) == ReplicaLoad{2, 1000, milliseconds(30)}));
+  BOOST_TEST((othersAt(1, 0) == ReplicaLoad{1, 100, milliseconds(30)}));
+  node(1).record(0).onFinished(900);
+  time.advance(milliseconds(100));
+  BOOST_TEST(othersAt(0, 0).tokens == 100U);
+}
+
+BOOST_AUTO_TEST_CASE(NothingIsSentWhileNothingChangesButTheRepetition) {
+  build(3);
+  time.advance(seconds(1));
+  const auto before = network.sent;
+  time.advance(seconds(10));
+  BOOST_TEST(network.sent - before <= 3U * 2U * 11U);
+}
+
+BOOST_AUTO_TEST_CASE(NodeThatFallsSilentIsForgotten) {
+  build(3);
+  node(1).record(0).onDispatched(900);
+  time.advance(milliseconds(100));
+  BOOST_TEST(node(0).fleet.heard(time.now()) == 2U);
+  node(1).sharing.reset();
+  time.advance(seconds(3));
+  BOOST_TEST(node(0).fleet.heard(time.now()) == 1U);
+  BOOST_TEST(othersAt(0, 0).requests == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(NewsOfAnEarlierRunAreDropped) {
+  build(2);
+  auto& fleet = node(0).fleet;
+  const auto sender = base::nodeIdOf("other");
+  fleet.onNews(sender, 5, 9, {{replicaId(0), {3, 30, {}}}}, time.now());
+  fleet.onNews(sender, 5, 8, {{replicaId(0), {7, 70, {}}}}, time.now());
+  fleet.onNews(sender, 4, 10, {{replicaId(0), {8, 80, {}}}}, time.now());
+  BOOST_TEST(othersAt(0, 0).requests == 3U);
+  fleet.onNews(sender, 6, 1, {}, time.now());
+  BOOST_TEST(othersAt(0, 0).requests == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(MessagesANodeSendsAreBoundedHoweverManyNodesThereAre) {
+  build(61);
+  for (int step = 0; step < 200; ++step) {
+    node(0).record(0).onDispatched(1);
+    time.advance(milliseconds(50));
+  }
+  // Ten seconds of one busy node, and what 60 idle nodes repeat.
+  BOOST_TEST(network.sent <= 10U * 120U + 61U * 60U * 11U);
+  BOOST_TEST(network.sent >= 10U * 60U);
+}
+
+BOOST_AUTO_TEST_CASE(MalformedNewsAreDropped) {
+  build(2);
+  node(0).sharing->onPeerMessage({base::nodeIdOf("x"), 1, {}}, "nonsense");
+  BOOST_TEST(log.count(base::Event::kMessageRejected) == 1U);
+  BOOST_TEST(!decodeLoadNews("").has_value());
+}
+
+// A history of random work under loss, checked against the truth once it has been quiet for long
+// enough to be repeated.
+BOOST_AUTO_TEST_CASE(ViewsMeetTheTruthAfterLosses) {
+  build(5);
+  base::SeededRandom random{11};
+  network.loss = 0.4;
+  std::map<std::pair<std::size_t, std::size_t>, std::uint32_t> underWay;
+  for (int step = 0; step < 400; ++step) {
+    const auto who = random.below(5);
+    const auto replica = random.below(kReplicas);
+    auto& count = underWay[{who, replica}];
+    if (count > 0 && random.below(2) == 0) {
+      node(who).record(replica).onFinished(100);
+      --count;
+    } else {
+      node(who).record(replica).onDispatched(100);
+      ++count;
+    }
+    time.advance(milliseconds(20));
+  }
+  network.loss = 0;
+  time.advance(milliseconds(1100));
+  for (std::size_t viewer = 0; viewer < 5; ++viewer) {
+    for (std::size_t replica = 0; replica < kReplicas; ++replica)
+      BOOST_TEST((othersAt(viewer, replica) == trueOthers(viewer, replica)));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::routing
--- a/tests/routing/replica_choice_test.cc
+++ b/tests/routing/replica_choice_test.cc
@@ -48,6 +48,12 @@
     holders.learnChain(base::engineIdOf(name), cacheScope(cacheSalt(version, ""), "m"), chain);
   }
 
+  /// The other one of two nodes has this under way at the replica, and nothing else.
+  void tell(const std::string& name, ReplicaLoad load) {
+    fleet.onNews(base::nodeIdOf("other"), 1, ++newsNumber, {{base::engineIdOf(name), load}}, now);
+  }
+
+  std::uint64_t newsNumber = 0;
   base::TimePoint now{seconds(100)};
   config::EngineProfile engine;
   prefix::PartChain chain = *prefix::PartChain::parse("aa:500,bb:500,cc:200");
@@ -56,7 +62,8 @@
   PrefixHolders holders;
   WeightsTargets targets{{seconds(8), seconds(1)}};
   CacheStores stores;
-  ReplicaChoice choice{{replicas, holders, targets, stores, "z"}, {}, random};
+  FleetLoad fleet;
+  ReplicaChoice choice{{replicas, holders, targets, stores, fleet, "z"}, {}, random};
 };
 
 }  // namespace
@@ -192,6 +199,36 @@
   BOOST_TEST((choice.choose(tried, 1, now).replica == nullptr));
 }
 
+BOOST_AUTO_TEST_CASE(WorkOfOtherNodesFillsAReplicaForThisOne) {
+  const auto first = choose().replica;
+  tell(first->facts().instance, {8, 800, {}});
+  const auto second = choice.choose(query(), 2, now).replica;
+  BOOST_TEST((second != first));
+  tell(first->facts().instance, {1, 99'000, {}});
+  BOOST_TEST((choice.choose(query(), 2, now).replica == second));
+}
+
+BOOST_AUTO_TEST_CASE(IdleReplicaIsOpenToOneNodeWhereTheOthersAreKnownToUseNone) {
+  const auto first = choose().replica;
+  for (int sent = 0; sent < 5; ++sent) first->onDispatched(10'000);
+  // An even share among eight nodes is 7,500 tokens.
+  BOOST_TEST((choice.choose(query(), 8, now).replica != first));
+  for (int other = 0; other < 7; ++other) fleet.onNews(base::NodeId{100U + other}, 1, 1, {}, now);
+  BOOST_TEST((choice.choose(query(), 8, now).replica == first));
+}
+
+BOOST_AUTO_TEST_CASE(ReplicaWithTheShortestQueueIsTakenWhereAllAreLong) {
+  auto ordered = std::map<std::string, int>{{"r1", 400}, {"r2", 300}, {"r3", 350}, {"r4", 500}};
+  LoadByReplica load;
+  for (const auto& [name, wait] : ordered)
+    load[base::engineIdOf(name)] = {1, 100, milliseconds(wait)};
+  fleet.onNews(base::nodeIdOf("other"), 1, 1, load, now);
+  BOOST_TEST((choice.choose(query(), 2, now).replica == replicas.find("r2")));
+  load[base::engineIdOf("r4")].readTime = milliseconds(100);
+  fleet.onNews(base::nodeIdOf("other"), 1, 2, load, now);
+  BOOST_TEST((choice.choose(query(), 2, now).replica == replicas.find("r4")));
+}
+
 BOOST_AUTO_TEST_CASE(ReplicaThatShowsNewerWeightsIsChosenAtOnce) {
   for (const char* name : {"r1", "r2", "r3", "r4"})
     replicas.find(name)->setChanging(now + seconds(2));
