Ask the home of a prompt's deepest shared part who holds it

A replica lets few nodes watch its cache, and the others knew of what they sent themselves. Change: each deepest shared part has a home among the live nodes. Nodes tell it where they send prompts that end in the part, and ask it, once a request and for 15 ms at most, where 512 shared tokens or more would be read. What is fetched no longer counts as work to be read. Weighed: telling every holding to all nodes (at 69 nodes some 340 messages a second into each node, at 340 nodes beyond its budget) against one question and one notice a prompt, whose number does not depend on the nodes.

--- a/src/base/peer_transport.h
+++ b/src/base/peer_transport.h
@@ -27,6 +27,7 @@
   kRequest = 6,
   kTableFeed = 7,
   kReplicaLoad = 8,
+  kPartIndex = 9,
 };
 
 /// Who sent a message.
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -122,6 +122,7 @@
         nodes(membership, clock),
         targets({settings.weightsInForce, settings.weightsInForce * 3 / 20}),
         choice({replicas, holders, targets, stores, fleetLoad, settings.zone}, {}, random),
+        parts({}, {clock, timers, random, log, peers, membership}),
         loadSharing({}, {clock, timers, log, peers, membership, replicas, fleetLoad}),
         configuration(deployment.configurationRows, clock, log, targets),
         replicaList(deployment.replicaRows, log, replicas, holders),
@@ -171,7 +172,8 @@
   }
 
   request::RelayDependencies dependencies() {
-    return {clock, timers, log, relayClient, replicas, holders, choice, retries, runTimes, *this};
+    return {clock,  timers, log,     relayClient, replicas, holders,
+            choice, parts,  retries, runTimes,    *this};
   }
 
   void applyLimits(const config::TrafficLimits& limits) {
@@ -250,6 +252,7 @@
                      std::string_view payload) {
     if (channel == base::Channel::kMembership) membership.onPeerMessage(sender, payload);
     if (channel == base::Channel::kTableFeed) feeds.onPeerMessage(sender, payload);
+    if (channel == base::Channel::kPartIndex) parts.onPeerMessage(sender, payload);
     if (channel == base::Channel::kReplicaLoad) loadSharing.onPeerMessage(sender, payload);
     if (channel == base::Channel::kCoordination) coordinator.onPeerMessage(sender, payload);
   }
@@ -332,6 +335,7 @@
   routing::CacheStores stores;
   routing::FleetLoad fleetLoad;
   routing::ReplicaChoice choice;
+  routing::PartLookup parts;
   routing::LoadSharing loadSharing;
   node::RouteConfiguration configuration;
   node::ReplicaList replicaList;
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -113,13 +113,50 @@
     return;
   }
   auto decision = dependencies_.choice.choose(query(), hooks_.nodes(), dependencies_.clock.now());
-  if (decision.replica) {
+  if (shouldLookUp(decision)) {
+    lookUp(decision.scope);
+  } else if (decision.replica) {
     dispatch(std::move(decision));
   } else {
     hold(decision.reason);
   }
 }
 
+bool RelayFlow::shouldLookUp(const routing::ReplicaDecision& decision) const {
+  if (lookedUp_ || !decision.replica || !arrival_.prompt) return false;
+  return unreadSharedTokens(decision) >= options_.leastLookup;
+}
+
+std::uint32_t RelayFlow::unreadSharedTokens(const routing::ReplicaDecision& decision) const {
+  const auto shared = arrival_.prompt->chain.sharedTokens();
+  return shared - std::min(shared, decision.heldTokens());
+}
+
+void RelayFlow::lookUp(routing::CacheScope scope) {
+  lookedUp_ = true;
+  dependencies_.parts.ask(
+      *arrival_.prompt->chain.deepestShared(),
+      [weak = weak_from_this(), scope](const std::vector<routing::PartHolder>& holders) {
+        if (const auto flow = weak.lock()) flow->onHolders(scope, holders);
+      });
+}
+
+void RelayFlow::onHolders(routing::CacheScope scope,
+                          const std::vector<routing::PartHolder>& holders) {
+  // What is held under other weights, or by another isolated tenant, is of no use here.
+  for (const auto& holder : holders) {
+    if (holder.scope == scope)
+      dependencies_.holders.learnChain(holder.replica, scope, arrival_.prompt->chain);
+  }
+  choose();
+}
+
+void RelayFlow::tellHome(const routing::ReplicaDecision& decision) {
+  if (!arrival_.prompt || arrival_.prompt->chain.sharedTokens() < options_.leastLookup) return;
+  dependencies_.parts.tell(*arrival_.prompt->chain.deepestShared(),
+                           {base::engineIdOf(decision.replica->facts().instance), decision.scope});
+}
+
 void RelayFlow::hold(std::string_view why) {
   const auto now = dependencies_.clock.now();
   const bool overdue = now >= holdUntil_;
@@ -166,14 +203,12 @@
   const std::uint32_t wanted = wantedTokens();
   const std::uint32_t tokens = wanted - std::min(wanted, decision.matchedTokens);
   record.onDispatched(tokens);
-  const std::uint32_t unread =
-      arrival_.prompt ? arrival_.prompt->promptTokens -
-                            std::min(arrival_.prompt->promptTokens, decision.matchedTokens)
-                      : 0;
-  const auto work = record.readTime(unread);
+  const std::uint32_t prompt = arrival_.prompt ? arrival_.prompt->promptTokens : 0;
+  const auto work = record.readTime(prompt - std::min(prompt, decision.heldTokens()));
   record.health().onDispatched(now, work);
   ++dispatches_;
   countTokens(decision);
+  tellHome(decision);
   dependencies_.log.write(
       base::Event::kRelayDispatched,
       {{"request", arrival_.request->id},
@@ -202,11 +237,9 @@
 
 void RelayFlow::countTokens(const routing::ReplicaDecision& decision) {
   if (!arrival_.prompt) return;
-  const auto shared = arrival_.prompt->chain.sharedTokens();
-  const auto held = decision.fetchFrom ? decision.fetchFrom->tokens : decision.matchedTokens;
   cachedTokens_ += decision.matchedTokens;
-  fetchedTokens_ += held - decision.matchedTokens;
-  readTokens_ += shared - std::min(shared, held);
+  fetchedTokens_ += decision.heldTokens() - decision.matchedTokens;
+  readTokens_ += unreadSharedTokens(decision);
 }
 
 void RelayFlow::armSilence() {
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -24,6 +24,7 @@
 #include "config/route_table.h"
 #include "request/event_splitter.h"
 #include "request/relay_request.h"
+#include "routing/part_lookup.h"
 #include "routing/replica_choice.h"
 #include "routing/run_times.h"
 
@@ -37,6 +38,9 @@
   /// Part of the target latency that reading the prompts ahead may take at a replica before another
   /// is sought.
   double queueShare = 0.8;
+  /// A request that would read so many shared tokens asks first who holds them. A lookup costs a
+  /// few milliseconds, as reading so many tokens does.
+  std::uint32_t leastLookup = 512;
   /// Refusals by replicas after which a request is refused as well.
   std::uint32_t mostRefusals = 3;
   /// Largest plain answer that is kept until it is whole.
@@ -80,6 +84,7 @@
   routing::ReplicaDirectory& replicas;
   routing::PrefixHolders& holders;
   routing::ReplicaChoice& choice;
+  routing::PartLookup& parts;
   admission::RetryWindows& retries;
   routing::RunTimes& runTimes;
   RelayObserver& observer;
@@ -154,6 +159,15 @@
   routing::ReplicaQuery query() const;
 
   void choose();
+  /// Shared tokens of the prompt that the replica must read as far as is known.
+  std::uint32_t unreadSharedTokens(const routing::ReplicaDecision& decision) const;
+  /// Whether the decision would read shared parts of which other nodes may know a holder.
+  bool shouldLookUp(const routing::ReplicaDecision& decision) const;
+  /// Asks the home of the deepest shared part for holders, and chooses again.
+  void lookUp(routing::CacheScope scope);
+  void onHolders(routing::CacheScope scope, const std::vector<routing::PartHolder>& holders);
+  /// Tells the home of the deepest shared part where the prompt goes.
+  void tellHome(const routing::ReplicaDecision& decision);
   void hold(std::string_view why);
   void dispatch(routing::ReplicaDecision decision);
   /// Adds the decision's expectation to the sums of the outcome.
@@ -206,6 +220,8 @@
   /// Attempts that the replica may have run.
   std::uint32_t runs_ = 0;
   std::uint32_t refusals_ = 0;
+  /// The home of the deepest shared part has been asked for holders.
+  bool lookedUp_ = false;
 
   /// The answer's head has reached the caller.
   bool headDelivered_ = false;
--- /dev/null
+++ b/src/routing/part_index.cc
@@ -0,0 +1,31 @@
+#include "routing/part_index.h"
+
+#include <algorithm>
+
+namespace covewing::routing {
+
+void PartIndex::learn(std::uint64_t part, const PartHolder& holder, base::TimePoint now) {
+  if (parts_.size() >= options_.mostParts && !parts_.contains(part)) dropForgotten(now);
+  if (parts_.size() >= options_.mostParts && !parts_.contains(part)) return;
+  auto& entries = parts_[part];
+  std::erase_if(entries, [&](const Entry& entry) { return entry.holder == holder; });
+  entries.insert(entries.begin(), {holder, now});
+  if (entries.size() > options_.mostHolders) entries.pop_back();
+}
+
+std::vector<PartHolder> PartIndex::holdersOf(std::uint64_t part, base::TimePoint now) const {
+  std::vector<PartHolder> holders;
+  const auto known = parts_.find(part);
+  if (known == parts_.end()) return holders;
+  for (const Entry& entry : known->second) {
+    if (now - entry.at <= options_.memory) holders.push_back(entry.holder);
+  }
+  return holders;
+}
+
+void PartIndex::dropForgotten(base::TimePoint now) {
+  std::erase_if(parts_,
+                [&](const auto& part) { return now - part.second.front().at > options_.memory; });
+}
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/part_lookup.cc
@@ -0,0 +1,91 @@
+#include "routing/part_lookup.h"
+
+#include <utility>
+
+namespace covewing::routing {
+
+PartLookup::~PartLookup() {
+  for (const auto& [nonce, pending] : pending_) environment_.timers.cancel(pending.timer);
+}
+
+const membership::Member& PartLookup::homeOf(std::uint64_t part) const {
+  const membership::Member* home = &environment_.members.self();
+  std::uint64_t best = 0;
+  for (const auto& member : environment_.members.liveMembers()) {
+    const auto score = base::mixHash(part, member.id.value);
+    if (member.draining || score <= best) continue;
+    best = score;
+    home = &member;
+  }
+  return *home;
+}
+
+bool PartLookup::avoided(base::NodeId home) const {
+  const auto found = avoidedUntil_.find(home);
+  return found != avoidedUntil_.end() && environment_.clock.now() < found->second;
+}
+
+void PartLookup::send(const base::Endpoint& destination, const PartMessage& message) {
+  environment_.peers.send(destination, base::Channel::kPartIndex, encode(message));
+}
+
+void PartLookup::ask(std::uint64_t part, Found found) {
+  const auto& home = homeOf(part);
+  if (home.id == environment_.members.self().id) {
+    found(index_.holdersOf(part, environment_.clock.now()));
+    return;
+  }
+  if (avoided(home.id)) {
+    found({});
+    return;
+  }
+  const auto nonce = environment_.random.next();
+  const auto timer =
+      environment_.timers.schedule(options_.timeout, [this, nonce] { onTimeout(nonce); });
+  pending_.emplace(nonce, Pending{home.id, timer, std::move(found)});
+  send(home.endpoint, PartQuestion{nonce, part});
+}
+
+void PartLookup::tell(std::uint64_t part, const PartHolder& holder) {
+  const auto& home = homeOf(part);
+  if (home.id == environment_.members.self().id) {
+    index_.learn(part, holder, environment_.clock.now());
+  } else {
+    send(home.endpoint, PartNotice{part, holder});
+  }
+}
+
+void PartLookup::onTimeout(std::uint64_t nonce) {
+  const auto entry = pending_.extract(nonce);
+  if (entry.empty()) return;
+  avoidedUntil_[entry.mapped().home] = environment_.clock.now() + options_.avoidFor;
+  entry.mapped().found({});
+}
+
+void PartLookup::onQuestion(const base::PeerIdentity& sender, const PartQuestion& question) {
+  send(sender.endpoint,
+       PartAnswer{question.nonce, index_.holdersOf(question.part, environment_.clock.now())});
+}
+
+void PartLookup::onAnswer(const base::PeerIdentity& sender, const PartAnswer& answer) {
+  // Also a late answer shows that the home is there.
+  avoidedUntil_.erase(sender.node);
+  const auto entry = pending_.extract(answer.nonce);
+  if (entry.empty()) return;
+  environment_.timers.cancel(entry.mapped().timer);
+  entry.mapped().found(answer.holders);
+}
+
+void PartLookup::onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) {
+  const auto message = decodePartMessage(payload);
+  if (!message) {
+    environment_.log.write(base::Event::kMessageRejected, {{"channel", "part index"}});
+    return;
+  }
+  if (const auto* question = std::get_if<PartQuestion>(&*message)) onQuestion(sender, *question);
+  if (const auto* answer = std::get_if<PartAnswer>(&*message)) onAnswer(sender, *answer);
+  if (const auto* notice = std::get_if<PartNotice>(&*message))
+    index_.learn(notice->part, notice->holder, environment_.clock.now());
+}
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/part_messages.h
@@ -0,0 +1,49 @@
+/// \file
+/// Messages on the part-index channel: a node asks the home of a prompt's deepest shared part who
+/// holds it, the home answers, and nodes tell the home where they sent prompts that end in it.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "base/ids.h"
+#include "routing/prefix_holders.h"
+
+namespace covewing::routing {
+
+struct PartQuestion {
+  /// Chosen by the asker; the answer carries it.
+  std::uint64_t nonce = 0;
+  std::uint64_t part = 0;
+};
+
+/// A replica and the scope under which it holds a part, with every part before it.
+struct PartHolder {
+  base::EngineId replica;
+  CacheScope scope = 0;
+
+  bool operator==(const PartHolder&) const = default;
+};
+
+struct PartAnswer {
+  std::uint64_t nonce = 0;
+  std::vector<PartHolder> holders;
+};
+
+/// A prompt whose deepest shared part this is was sent to the replica.
+struct PartNotice {
+  std::uint64_t part = 0;
+  PartHolder holder;
+};
+
+using PartMessage = std::variant<PartQuestion, PartAnswer, PartNotice>;
+
+std::string encode(const PartMessage& message);
+/// Empty when the bytes are none of these messages.
+std::optional<PartMessage> decodePartMessage(std::string_view bytes);
+
+}  // namespace covewing::routing
--- a/src/routing/replica_choice.h
+++ b/src/routing/replica_choice.h
@@ -78,6 +78,9 @@
   std::size_t candidates = 0;
   std::size_t rank = 0;
   std::string_view reason;
+
+  /// Leading shared tokens that the replica has or can fetch.
+  std::uint32_t heldTokens() const { return fetchFrom ? fetchFrom->tokens : matchedTokens; }
 };
 
 /// What the choice rests on; all must outlive it.
--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -7,7 +7,9 @@
 #include <vector>
 
 #include "admission/retry_window.h"
+#include "request/fakes.h"
 #include "request/relay_service.h"
+#include "routing/part_messages.h"
 #include "support/recording_log.h"
 #include "support/virtual_time.h"
 
@@ -222,6 +224,9 @@
   routing::CacheStores stores;
   routing::FleetLoad fleet;
   routing::ReplicaChoice choice{{replicas, holders, targets, stores, fleet, "zone"}, {}, random};
+  FakeMembers members{"self"};
+  FakePeers peers;
+  routing::PartLookup parts{{}, {time, time, random, log, peers, members}};
   admission::RetryWindows retries{{std::chrono::seconds(10), 0.2, 20, 1.0}};
   routing::RunTimes runTimes;
   std::vector<RelayOutcome> outcomes;
@@ -230,7 +235,7 @@
   std::weak_ptr<RelayFlow> flow;
   RelayService service{
       options(),
-      {time, time, log, client, replicas, holders, choice, retries, runTimes, *this},
+      {time, time, log, client, replicas, holders, choice, parts, retries, runTimes, *this},
       tables,
       [] { return std::size_t{1}; }};
 };
--- a/tests/request/relay_flow_test.cc
+++ b/tests/request/relay_flow_test.cc
@@ -284,6 +284,92 @@
   BOOST_TEST(service.open() == 0U);
 }
 
+// The part "aa" of the fixture's prompts has its home at the other of two nodes.
+struct LookupFixture : RelayFixture {
+  LookupFixture() {
+    // Some name of a node is the home of the part.
+    for (int number = 0; peers.sent.empty(); ++number) {
+      members = FakeMembers{"self"};
+      members.add("other-" + std::to_string(number));
+      parts.tell(prefix::partIdOf("aa"), {base::engineIdOf("m1"), 1});
+    }
+    peers.sent.clear();
+  }
+
+  template <class Message>
+  std::optional<Message> lastSent() const {
+    for (auto sent = peers.sent.rbegin(); sent != peers.sent.rend(); ++sent) {
+      const auto message = routing::decodePartMessage(sent->payload);
+      if (message && std::holds_alternative<Message>(*message)) return std::get<Message>(*message);
+    }
+    return std::nullopt;
+  }
+
+  void answer(const std::string& replica, const std::string& salt) {
+    const auto question = lastSent<routing::PartQuestion>();
+    const auto& home = members.liveMembers().back();
+    parts.onPeerMessage(
+        {home.id, 1, home.endpoint},
+        routing::encode(routing::PartAnswer{
+            question->nonce, {{base::engineIdOf(replica), routing::cacheScope(salt, "m")}}}));
+  }
+
+  std::string chosen() const {
+    const auto& endpoint = client.sent.back()->replica;
+    for (const auto& [name, record] : replicas.all()) {
+      if (record->facts().endpoint == endpoint) return name;
+    }
+    return {};
+  }
+  /// A model replica other than the chosen one.
+  std::string another() const { return chosen() == "m1" ? "m2" : "m1"; }
+};
+
+BOOST_FIXTURE_TEST_CASE(HolderThatOnlyTheHomeKnowsIsFetchedFrom, LookupFixture) {
+  request("once");
+  time.advance(milliseconds(30));
+  const auto home = chosen();
+  const auto holder = another();
+  client.last().answer(200, "x");
+  holders.forget(base::engineIdOf(home));
+  time.advance(milliseconds(2000));
+
+  request("once");
+  BOOST_TEST(client.sent.size() == 1U);
+  answer(holder, "w1");
+  BOOST_TEST(client.sent.size() == 2U);
+  BOOST_TEST((client.last().terms.fetchFrom == replicas.find(holder)->facts().endpoint));
+  const auto notice = lastSent<routing::PartNotice>();
+  BOOST_TEST((notice && notice->holder.replica == base::engineIdOf(chosen())));
+}
+
+BOOST_FIXTURE_TEST_CASE(HolderUnderOtherWeightsIsNotFetchedFrom, LookupFixture) {
+  request("once");
+  answer("m1", "w2");
+  answer("m2", "w2");
+  BOOST_TEST(client.sent.size() == 1U);
+  BOOST_TEST(!client.last().terms.fetchFrom.has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(SilentHomeHoldsARequestUpForMillisecondsOnly, LookupFixture) {
+  request("once");
+  BOOST_TEST(client.sent.empty());
+  time.advance(milliseconds(16));
+  BOOST_TEST(client.sent.size() == 1U);
+  // The home is passed over for a while.
+  holders.forget(base::engineIdOf(chosen()));
+  request("once");
+  BOOST_TEST(client.sent.size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(CallerThatLeavesDuringTheLookupIsNotServed, LookupFixture) {
+  request("once");
+  flow.lock()->onCallerGone();
+  answer("m1", "w1");
+  time.advance(milliseconds(50));
+  BOOST_TEST(client.sent.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::request
--- /dev/null
+++ b/tests/routing/part_lookup_test.cc
@@ -0,0 +1,217 @@
+// The home of a prompt's deepest shared part: what it learns and answers, and what becomes of
+// losses, deaths and restarts.
+#include "routing/part_lookup.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "base/random.h"
+#include "routing/fakes.h"
+#include "support/recording_log.h"
+#include "support/virtual_time.h"
+
+namespace covewing::routing {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::FakeMembers;
+using testing::makeMember;
+
+namespace {
+
+constexpr std::size_t kNodes = 5;
+
+struct LookupNode;
+
+/// Delivers messages to the node of the endpoint's address after a millisecond, or loses them.
+struct Network {
+  std::map<std::uint32_t, LookupNode*> nodes;
+  double loss = 0;
+  base::SeededRandom random{3};
+};
+
+class Link final : public base::PeerTransport {
+ public:
+  Link(test_support::VirtualTime& time, Network& network, base::PeerIdentity self)
+      : time_(time), network_(network), self_(self) {}
+  void send(const base::Endpoint& destination, base::Channel channel, std::string payload) override;
+
+ private:
+  test_support::VirtualTime& time_;
+  Network& network_;
+  base::PeerIdentity self_;
+};
+
+struct LookupNode {
+  LookupNode(test_support::VirtualTime& time, test_support::RecordingLog& log, Network& network,
+             const std::vector<membership::Member>& ownFirst)
+      : members(ownFirst),
+        random(ownFirst.front().id.value),
+        link(time, network, {members.self().id, 1, members.self().endpoint}),
+        lookup({}, {time, time, random, log, link, members}) {
+    network.nodes[members.self().endpoint.address] = this;
+  }
+
+  FakeMembers members;
+  base::SeededRandom random;
+  Link link;
+  PartLookup lookup;
+};
+
+void Link::send(const base::Endpoint& destination, base::Channel /*channel*/, std::string payload) {
+  if (network_.random.unit() < network_.loss) return;
+  time_.schedule(milliseconds(1), [this, destination, payload = std::move(payload)] {
+    const auto node = network_.nodes.find(destination.address);
+    if (node != network_.nodes.end()) node->second->lookup.onPeerMessage(self_, payload);
+  });
+}
+
+struct LookupFixture {
+  LookupFixture() {
+    time.advance(seconds(100));
+    for (std::size_t number = 0; number < kNodes; ++number)
+      all.push_back(makeMember("node-" + std::to_string(number), "z"));
+    for (std::size_t number = 0; number < kNodes; ++number) start(number);
+  }
+
+  /// Starts the node, or starts it again with nothing remembered.
+  void start(std::size_t number) {
+    auto ownFirst = all;
+    std::swap(ownFirst.front(), ownFirst[number]);
+    nodes[number] = std::make_unique<LookupNode>(time, log, network, ownFirst);
+  }
+  void stop(std::size_t number) {
+    network.nodes.erase(all[number].endpoint.address);
+    nodes.erase(number);
+  }
+
+  /// The answer that the node gets, and after which time.
+  std::vector<PartHolder> ask(std::size_t number, std::uint64_t part) {
+    std::optional<std::vector<PartHolder>> answer;
+    const auto began = time.now();
+    nodes.at(number)->lookup.ask(part, [&](const auto& holders) {
+      BOOST_TEST(!answer.has_value());
+      answer = holders;
+      took = time.now() - began;
+    });
+    time.advance(milliseconds(40));
+    BOOST_REQUIRE(answer.has_value());
+    return *answer;
+  }
+
+  /// The number of the node that the part has its home at, which learns the holder.
+  std::size_t homeOf(std::uint64_t part) {
+    nodes.begin()->second->lookup.tell(part, holder);
+    time.advance(milliseconds(5));
+    const auto home = std::ranges::find_if(
+        nodes, [](const auto& entry) { return entry.second->lookup.size() > 0; });
+    return home == nodes.end() ? kNodes : home->first;
+  }
+
+  test_support::VirtualTime time;
+  test_support::RecordingLog log;
+  Network network;
+  std::vector<membership::Member> all;
+  std::map<std::size_t, std::unique_ptr<LookupNode>> nodes;
+  PartHolder holder{base::engineIdOf("r1"), 77};
+  base::Duration took{};
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(PartLookupTest, LookupFixture)
+
+BOOST_AUTO_TEST_CASE(WhatOneNodeTellsAllOthersLearn) {
+  nodes[2]->lookup.tell(9, holder);
+  time.advance(milliseconds(5));
+  for (std::size_t number = 0; number < kNodes; ++number)
+    BOOST_TEST((ask(number, 9) == std::vector{holder}));
+  BOOST_TEST(ask(1, 10).empty());
+}
+
+BOOST_AUTO_TEST_CASE(LatestHoldersComeFirstAndAreBounded) {
+  PartIndex index;
+  for (std::uint64_t number = 0; number < 20; ++number)
+    index.learn(9, {base::EngineId{number}, 1}, time.now());
+  index.learn(9, {base::EngineId{17}, 1}, time.now());
+  const auto holders = index.holdersOf(9, time.now());
+  BOOST_TEST(holders.size() == 6U);
+  BOOST_TEST((holders.front() == PartHolder{base::EngineId{17}, 1}));
+  BOOST_TEST(index.holdersOf(9, time.now() + seconds(21)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(FullIndexDropsWhatIsForgotten) {
+  PartIndexOptions options;
+  options.mostParts = 10;
+  PartIndex index(options);
+  for (std::uint64_t part = 0; part < 30; ++part) index.learn(part, holder, time.now());
+  BOOST_TEST(index.size() == 10U);
+  index.learn(99, holder, time.now() + seconds(30));
+  BOOST_TEST(index.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(DeadHomeCostsMillisecondsOnceASecond) {
+  const auto home = homeOf(9);
+  BOOST_REQUIRE(home < kNodes);
+  const std::size_t asker = home == 0 ? 1 : 0;
+  stop(home);
+  BOOST_TEST(ask(asker, 9).empty());
+  BOOST_TEST((took == milliseconds(15)));
+  BOOST_TEST(ask(asker, 9).empty());
+  BOOST_TEST((took == milliseconds(0)));
+  // Once its death is known another one is home, and learns from what is told next.
+  auto left = all;
+  left.erase(left.begin() + static_cast<std::ptrdiff_t>(home));
+  for (auto& [number, node] : nodes) {
+    auto ownFirst = left;
+    std::ranges::iter_swap(ownFirst.begin(),
+                           std::ranges::find(ownFirst, all[number].id, &membership::Member::id));
+    node->members.set(ownFirst);
+  }
+  nodes[asker]->lookup.tell(9, holder);
+  time.advance(milliseconds(5));
+  for (const auto& [number, node] : nodes) BOOST_TEST((ask(number, 9) == std::vector{holder}));
+}
+
+BOOST_AUTO_TEST_CASE(RestartedHomeKnowsNothingAndIsToldAgain) {
+  const auto home = homeOf(9);
+  BOOST_REQUIRE(home < kNodes);
+  stop(home);
+  start(home);
+  BOOST_TEST(ask((home + 1) % kNodes, 9).empty());
+  nodes[(home + 2) % kNodes]->lookup.tell(9, holder);
+  time.advance(milliseconds(5));
+  BOOST_TEST((ask((home + 1) % kNodes, 9) == std::vector{holder}));
+}
+
+BOOST_AUTO_TEST_CASE(MalformedMessagesAreDropped) {
+  nodes[0]->lookup.onPeerMessage({base::nodeIdOf("x"), 1, {}}, "nonsense");
+  BOOST_TEST(log.count(base::Event::kMessageRejected) == 1U);
+}
+
+// A history of random notices under loss, checked: no answer names a holder that was never told for
+// this part, and every call is answered once, in time.
+BOOST_AUTO_TEST_CASE(AnswersUnderLossAreTrueAndInTime) {
+  network.loss = 0.3;
+  base::SeededRandom random{5};
+  std::map<std::uint64_t, std::set<std::uint64_t>> told;
+  for (int step = 0; step < 400; ++step) {
+    const std::uint64_t part = random.below(20);
+    const auto number = random.below(kNodes);
+    if (random.below(2) == 0) {
+      const PartHolder one{base::EngineId{1 + random.below(6)}, 7};
+      told[part].insert(one.replica.value);
+      nodes[number]->lookup.tell(part, one);
+      continue;
+    }
+    for (const auto& found : ask(number, part))
+      BOOST_TEST(told[part].contains(found.replica.value));
+    BOOST_TEST((took <= milliseconds(15)));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::routing
