End requests that have not begun when their weights are out of date

The margin of 0.15 of the bound did not reckon with waits. Change: a replica whose recent or present waits exceed the margin is passed over for older weights that much earlier; and an attempt on a version that is out of date, and has not begun by 0.6 of the margin, ends: it goes elsewhere where it may be repeated, else its caller gets the final answer at once. The home of a part is now told when a replica has read it, not when a prompt is sent there, so that nobody fetches what is still being read.

Tests: ReplicaWhereRequestsWait..., RequestsThatStillWait..., RequestThatHas NotBegun... and RequestThatHasBegun... (the first three fail without it).

--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -43,6 +43,7 @@
   dependencies_.timers.cancel(deadlineTimer_);
   dependencies_.timers.cancel(holdTimer_);
   dependencies_.timers.cancel(silenceTimer_);
+  dependencies_.timers.cancel(beginTimer_);
   if (attempt_) endAttempt();
 }
 
@@ -208,7 +209,6 @@
   record.health().onDispatched(now, work);
   ++dispatches_;
   countTokens(decision);
-  tellHome(decision);
   dependencies_.log.write(
       base::Event::kRelayDispatched,
       {{"request", arrival_.request->id},
@@ -231,6 +231,7 @@
   const auto endpoint = record.facts().endpoint;
   attempt_ = Attempt{std::move(decision), now, tokens, work, false, false, std::nullopt};
   armSilence();
+  armBegin();
   call_ = dependencies_.client.start(endpoint, arrival_.request, terms, *this);
   if (paused_) call_->setPaused(true);
 }
@@ -253,6 +254,13 @@
   silenceTimer_ = dependencies_.timers.schedule(wait, [this] { onSilence(); });
 }
 
+void RelayFlow::armBegin() {
+  const auto& before = attempt_->decision.beginBefore;
+  if (!before) return;
+  const auto left = std::max(*before - attempt_->sentAt, base::Duration::zero());
+  beginTimer_ = dependencies_.timers.schedule(left, [this] { onNotBegun(); });
+}
+
 void RelayFlow::endWait() {
   if (!attempt_ || attempt_->headSeen) return;
   attempt_->headSeen = true;
@@ -287,6 +295,7 @@
   if (stream && !attempt.bodySeen) {
     learnHolder();
     attempt.decision.replica->learnReadTime(attempt.tokens, now - attempt.sentAt);
+    attempt.decision.replica->learnWait(now - attempt.sentAt);
   }
   attempt.bodySeen = true;
   if (stream && resumable()) {
@@ -307,6 +316,7 @@
   const auto& decision = attempt_->decision;
   dependencies_.holders.learnChain(base::engineIdOf(decision.replica->facts().instance),
                                    decision.scope, arrival_.prompt->chain);
+  tellHome(decision);
 }
 
 void RelayFlow::beginAnswer(std::optional<std::uint64_t> length) {
@@ -396,6 +406,7 @@
   if (!attempt_) return;
   endWait();
   dependencies_.timers.cancel(silenceTimer_);
+  dependencies_.timers.cancel(beginTimer_);
   attempt_->decision.replica->onFinished(attempt_->tokens);
   attempt_.reset();
   call_.reset();
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -166,7 +166,7 @@
   /// Asks the home of the deepest shared part for holders, and chooses again.
   void lookUp(routing::CacheScope scope);
   void onHolders(routing::CacheScope scope, const std::vector<routing::PartHolder>& holders);
-  /// Tells the home of the deepest shared part where the prompt goes.
+  /// Tells the home of the deepest shared part that the replica has read it.
   void tellHome(const routing::ReplicaDecision& decision);
   void hold(std::string_view why);
   void dispatch(routing::ReplicaDecision decision);
@@ -175,6 +175,9 @@
   clients::DispatchTerms termsFor(const routing::ReplicaDecision& decision) const;
   void armSilence();
   void onSilence();
+  /// Ends an attempt that has not begun when its version of the weights is out of date.
+  void armBegin();
+  void onNotBegun();
   void onDeadline();
 
   /// The replica did not run the request: another may.
@@ -239,6 +242,7 @@
   base::TimerId deadlineTimer_ = 0;
   base::TimerId holdTimer_ = 0;
   base::TimerId silenceTimer_ = 0;
+  base::TimerId beginTimer_ = 0;
 };
 
 }  // namespace covewing::request
--- a/src/request/relay_flow_retries.cc
+++ b/src/request/relay_flow_retries.cc
@@ -21,6 +21,11 @@
   goElsewhere();
 }
 
+void RelayFlow::onNotBegun() {
+  if (over_ || !attempt_ || attempt_->bodySeen) return;
+  onAttemptLost("the version of the weights is out of date and the request has not begun");
+}
+
 void RelayFlow::learnFromRefusal(const clients::RelayedAnswer& answer) {
   const auto now = dependencies_.clock.now();
   auto& record = *attempt_->decision.replica;
--- a/src/routing/part_index.h
+++ b/src/routing/part_index.h
@@ -1,6 +1,6 @@
 /// \file
-/// What the home of some parts of prompts knows of them: the replicas that prompts ending in each
-/// part were sent to lately. Knowledge may be outdated; a fetch in vain costs about a millisecond.
+/// What the home of some parts of prompts knows of them: the replicas that have read prompts ending
+/// in each part lately. Knowledge may be outdated; a fetch in vain costs about a millisecond.
 #pragma once
 
 #include <cstddef>
--- a/src/routing/part_lookup.h
+++ b/src/routing/part_lookup.h
@@ -2,8 +2,8 @@
 /// Finds the holders of a prompt's shared parts, whichever node sent prompts there.
 ///
 /// Each deepest shared part has a home among the live nodes by rendezvous hashing. Nodes tell the
-/// home where they send prompts that end in the part, and ask it when they do not know a holder
-/// themselves. So a prompt costs at most three small messages, however many nodes there are.
+/// home which replicas have read prompts that end in the part, and ask it when they do not know a
+/// holder themselves. So a prompt costs at most three small messages, however many nodes there are.
 ///
 /// A lookup never costs a request: it ends without an answer after a few milliseconds, and a home
 /// that did not answer is not asked again for a while. After a change of members a part may have
@@ -58,7 +58,7 @@
 
   /// Calls `found` once; inside the call where the answer is known or cannot be had.
   void ask(std::uint64_t part, Found found);
-  /// A prompt that ends in the part was sent to the holder.
+  /// The holder has read a prompt that ends in the part.
   void tell(std::uint64_t part, const PartHolder& holder);
   void onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) override;
 
--- a/src/routing/part_messages.h
+++ b/src/routing/part_messages.h
@@ -1,6 +1,6 @@
 /// \file
 /// Messages on the part-index channel: a node asks the home of a prompt's deepest shared part who
-/// holds it, the home answers, and nodes tell the home where they sent prompts that end in it.
+/// holds it, the home answers, and nodes tell the home which replicas have read it.
 #pragma once
 
 #include <cstdint>
@@ -34,7 +34,7 @@
   std::vector<PartHolder> holders;
 };
 
-/// A prompt whose deepest shared part this is was sent to the replica.
+/// The replica has read a prompt whose deepest shared part this is.
 struct PartNotice {
   std::uint64_t part = 0;
   PartHolder holder;
--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -53,17 +53,24 @@
   return base::mixHash(base::hashName(salt), base::hashName(model));
 }
 
+bool ReplicaChoice::beginsInTime(const ReplicaQuery& query, const ReplicaRecord& record,
+                                 base::TimePoint now) const {
+  // The margin of the bound covers usual waits.
+  const auto excess =
+      std::max(record.expectedWait(now) - context_.targets.longestWait(), base::Duration::zero());
+  const auto oldest = context_.targets.oldestAllowed(query.model, now + excess);
+  return record.versionOf(query.model) >= std::max<base::WeightsVersion>(oldest, 1);
+}
+
 ReplicaChoice::Candidates ReplicaChoice::eligible(const ReplicaQuery& query, base::TimePoint now,
                                                   std::string_view& reason) {
-  const auto oldest = context_.targets.oldestAllowed(query.model, now);
   const auto& listed = context_.replicas.ofService(query.service);
   Candidates allowed;
   reason = listed.empty() ? "no replica is listed" : "every replica is draining or was tried";
   for (const auto& record : listed) {
     if (record->facts().state != ReplicaState::kReady || record->gone()) continue;
     if (onListOf(query.excluded, *record)) continue;
-    if (!query.model.empty() &&
-        record->versionOf(query.model) < std::max<base::WeightsVersion>(oldest, 1)) {
+    if (!query.model.empty() && !beginsInTime(query, *record, now)) {
       reason = "no replica has the version in force";
       continue;
     }
@@ -245,6 +252,7 @@
   }
   if (query.model.empty()) return decision;
   decision.version = decision.replica->versionOf(query.model);
+  decision.beginBefore = context_.targets.beginBefore(query.model, decision.version);
   decision.cacheSalt = cacheSalt(decision.version, query.isolatedTenant);
   decision.scope = cacheScope(decision.cacheSalt, query.model);
   if (withPrompt) addCacheMoves(decision, query, now);
--- a/src/routing/replica_choice.h
+++ b/src/routing/replica_choice.h
@@ -72,6 +72,8 @@
   std::optional<CacheSource> fetchFrom;
   /// Store to save what is read to.
   std::optional<base::Endpoint> saveTo;
+  /// The request must begin before this, or not on this version.
+  std::optional<base::TimePoint> beginBefore;
   /// Leading shared tokens believed cached at the replica.
   std::uint32_t matchedTokens = 0;
   /// Replicas that could be chosen, and the chosen one's place in the order of homes.
@@ -122,6 +124,10 @@
  private:
   using Candidates = std::vector<ReplicaRecordPtr>;
 
+  /// Whether a request that is sent to the replica now is expected to begin before its version is
+  /// out of date.
+  bool beginsInTime(const ReplicaQuery& query, const ReplicaRecord& record,
+                    base::TimePoint now) const;
   Candidates eligible(const ReplicaQuery& query, base::TimePoint now, std::string_view& reason);
   ReplicaRecordPtr leastLoaded(const Candidates& candidates);
   /// Orders the candidates by home.
--- a/src/routing/replica_directory.cc
+++ b/src/routing/replica_directory.cc
@@ -38,6 +38,15 @@
   readTimePerToken_ += kSmoothing * (perToken - readTimePerToken_);
 }
 
+void ReplicaRecord::learnWait(base::Duration took) {
+  constexpr int kForgetting = 8;
+  recentWait_ = std::max(took, recentWait_ - (recentWait_ - took) / kForgetting);
+}
+
+base::Duration ReplicaRecord::expectedWait(base::TimePoint now) const {
+  return std::max(recentWait_, health_.longestWait(now));
+}
+
 void ReplicaRecord::onDispatched(std::uint32_t tokens) {
   ++inFlight_;
   tokensInFlight_ += tokens;
--- a/src/routing/replica_directory.h
+++ b/src/routing/replica_directory.h
@@ -53,6 +53,12 @@
   /// read.
   void learnReadTime(std::uint32_t tokens, base::Duration took);
 
+  /// The answer to a request that had been sent began after so long.
+  void learnWait(base::Duration took);
+  /// How long a request that is sent now may wait until it begins, from the latest waits and from
+  /// those of requests that still wait.
+  base::Duration expectedWait(base::TimePoint now) const;
+
   /// Requests of this node that the replica has not finished, and the tokens they need.
   std::uint32_t inFlight() const { return inFlight_; }
   std::uint64_t tokensInFlight() const { return tokensInFlight_; }
@@ -74,6 +80,8 @@
   base::TimePoint fullUntil_{};
   /// Microseconds a token; at first slower than replicas are.
   double readTimePerToken_ = 60;
+  /// Follows longer waits at once and shorter ones slowly.
+  base::Duration recentWait_{};
   std::uint32_t inFlight_ = 0;
   std::uint64_t tokensInFlight_ = 0;
 };
--- a/src/routing/replica_health.h
+++ b/src/routing/replica_health.h
@@ -52,6 +52,10 @@
   bool ejected(base::TimePoint now) const { return now < ejectedUntil_; }
   bool silent(base::TimePoint now) const;
   double failureRate() const { return failureRate_; }
+  /// How long the replica has been quiet while requests wait for their answers to begin.
+  base::Duration longestWait(base::TimePoint now) const {
+    return waiting_ > 0 ? now - quietSince_ : base::Duration::zero();
+  }
   std::uint32_t waiting() const { return waiting_; }
   /// Work of the requests of this node that wait for their answers to begin.
   base::Duration waitingWork() const { return waitingWork_; }
--- a/tests/request/relay_flow_test.cc
+++ b/tests/request/relay_flow_test.cc
@@ -284,6 +284,41 @@
   BOOST_TEST(service.open() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(RequestThatHasNotBegunWhenItsWeightsAreOutOfDateEnds) {
+  // Version 1 may begin until 7 s and 0.6 of the margin after version 2 is named.
+  replicas.find("m3")->learnVersion("m", 2);
+  targets.onNamed("m", 2, time.now());
+  time.advance(milliseconds(6900));
+  tables.confirmed = time.now();
+  replicas.find("m3")->setFull(time.now() + seconds(9));
+  auto& once = request("once");
+  auto& resumable = request("resumable");
+  const auto sent = client.sent;
+  BOOST_REQUIRE(sent.size() == 2U);
+  BOOST_TEST(sent[0]->terms.expectedVersion.value() == 1U);
+  time.advance(milliseconds(650));
+  BOOST_TEST(once.open());
+  time.advance(milliseconds(100));
+  BOOST_TEST(!sent[0]->open);
+  BOOST_TEST(once.refusal->status == 502U);
+  BOOST_TEST(!sent[1]->open);
+  BOOST_TEST(resumable.open());
+  BOOST_TEST(client.sent.size() == 3U);
+  BOOST_TEST(client.last().terms.expectedVersion.value() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(RequestThatHasBegunRunsOnWhenItsWeightsAreOutOfDate) {
+  targets.onNamed("m", 2, time.now());
+  time.advance(milliseconds(6900));
+  tables.confirmed = time.now();
+  auto& caller = request("once");
+  client.last().head(200);
+  client.last().handler->onBody("x");
+  time.advance(milliseconds(1000));
+  BOOST_TEST(caller.open());
+  BOOST_TEST(client.last().open);
+}
+
 // The part "aa" of the fixture's prompts has its home at the other of two nodes.
 struct LookupFixture : RelayFixture {
   LookupFixture() {
@@ -333,12 +368,15 @@
   client.last().answer(200, "x");
   holders.forget(base::engineIdOf(home));
   time.advance(milliseconds(2000));
+  peers.sent.clear();
 
   request("once");
   BOOST_TEST(client.sent.size() == 1U);
   answer(holder, "w1");
   BOOST_TEST(client.sent.size() == 2U);
   BOOST_TEST((client.last().terms.fetchFrom == replicas.find(holder)->facts().endpoint));
+  BOOST_TEST(!lastSent<routing::PartNotice>().has_value());
+  client.last().answer(200, "x");
   const auto notice = lastSent<routing::PartNotice>();
   BOOST_TEST((notice && notice->holder.replica == base::engineIdOf(chosen())));
 }
--- a/tests/routing/replica_choice_test.cc
+++ b/tests/routing/replica_choice_test.cc
@@ -189,6 +189,31 @@
   BOOST_TEST(choose().version == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(ReplicaWhereRequestsWaitIsNotSentOldWeightsShortlyBeforeTheNewerAreDue) {
+  // Forbidden from 7 s on; waits of up to 0.6 s are within the margin.
+  targets.onNamed("m", 2, now);
+  const auto first = choose().replica;
+  first->learnWait(seconds(2));
+  now += milliseconds(5500);
+  BOOST_TEST((choose().replica == first));
+  now += milliseconds(200);
+  BOOST_TEST((choose().replica != first));
+  BOOST_TEST((choose().replica != nullptr));
+  // Shorter waits are believed slowly.
+  for (int count = 0; count < 40; ++count) first->learnWait(milliseconds(20));
+  BOOST_TEST((choose().replica == first));
+}
+
+BOOST_AUTO_TEST_CASE(RequestsThatStillWaitCountAsLongAsTheyHaveWaited) {
+  targets.onNamed("m", 2, now);
+  const auto first = choose().replica;
+  now += milliseconds(4200);
+  first->health().onDispatched(now, seconds(4));
+  now += milliseconds(2000);
+  BOOST_TEST((first->expectedWait(now) == milliseconds(2000)));
+  BOOST_TEST((choose().replica != first));
+}
+
 BOOST_AUTO_TEST_CASE(DrainingChangingEjectedAndTriedReplicasAreNotChosen) {
   add("r1", 1, ReplicaState::kDraining);
   replicas.find("r2")->setChanging(now + seconds(1));
