Reckon a replica's queue in tokens, and do not rely on old news of load

The time to read a prompt was learned from answers that had queued, so that a longer queue made every prompt look slower and sent more elsewhere. Change: nodes tell the tokens that wait to be read; the time is reckoned by the quickest answers; where news come less often than every 250 ms, each node keeps its even share.

--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -205,7 +205,9 @@
   const std::uint32_t tokens = wanted - std::min(wanted, decision.matchedTokens);
   record.onDispatched(tokens);
   const std::uint32_t prompt = arrival_.prompt ? arrival_.prompt->promptTokens : 0;
-  const auto work = record.readTime(prompt - std::min(prompt, decision.heldTokens()));
+  const std::uint32_t unread = prompt - std::min(prompt, decision.heldTokens());
+  record.onReadingBegun(unread);
+  const auto work = record.readTime(unread);
   record.health().onDispatched(now, work);
   ++dispatches_;
   countTokens(decision);
@@ -229,7 +231,7 @@
        {"save", decision.saveTo ? base::toString(*decision.saveTo) : ""},
        {"left_ms", millisecondsText(terms.timeLeft)}});
   const auto endpoint = record.facts().endpoint;
-  attempt_ = Attempt{std::move(decision), now, tokens, work, false, false, std::nullopt};
+  attempt_ = Attempt{std::move(decision), now, tokens, unread, work, false, false, std::nullopt};
   armSilence();
   armBegin();
   call_ = dependencies_.client.start(endpoint, arrival_.request, terms, *this);
@@ -264,7 +266,9 @@
 void RelayFlow::endWait() {
   if (!attempt_ || attempt_->headSeen) return;
   attempt_->headSeen = true;
-  attempt_->decision.replica->health().onWaitEnded(dependencies_.clock.now(), attempt_->work);
+  auto& record = *attempt_->decision.replica;
+  record.onReadingEnded(attempt_->unread);
+  record.health().onWaitEnded(dependencies_.clock.now(), attempt_->work);
 }
 
 void RelayFlow::onHead(clients::RelayedAnswer answer) {
@@ -294,7 +298,7 @@
   if (resumable() && headDelivered_ && !stream) return;
   if (stream && !attempt.bodySeen) {
     learnHolder();
-    attempt.decision.replica->learnReadTime(attempt.tokens, now - attempt.sentAt);
+    attempt.decision.replica->learnReadTime(attempt.unread, now - attempt.sentAt);
     attempt.decision.replica->learnWait(now - attempt.sentAt);
   }
   attempt.bodySeen = true;
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -141,6 +141,8 @@
     routing::ReplicaDecision decision;
     base::TimePoint sentAt{};
     std::uint32_t tokens = 0;
+    /// Tokens of the prompt that the replica must read.
+    std::uint32_t unread = 0;
     /// What the replica takes until its answer begins when nothing else runs there.
     base::Duration work{};
     bool headSeen = false;
--- a/src/routing/fleet_load.cc
+++ b/src/routing/fleet_load.cc
@@ -8,7 +8,7 @@
 ReplicaLoad& ReplicaLoad::operator+=(const ReplicaLoad& other) {
   requests += other.requests;
   tokens += other.tokens;
-  readTime += other.readTime;
+  unreadTokens += other.unreadTokens;
   return *this;
 }
 
--- a/src/routing/fleet_load.h
+++ b/src/routing/fleet_load.h
@@ -20,8 +20,8 @@
   std::uint32_t requests = 0;
   /// Tokens of memory that the requests need.
   std::uint64_t tokens = 0;
-  /// Time that reading the prompts of the requests takes whose answers have not begun.
-  base::Duration readTime{};
+  /// Tokens to be read of the prompts of the requests whose answers have not begun.
+  std::uint64_t unreadTokens = 0;
 
   bool operator==(const ReplicaLoad&) const = default;
   ReplicaLoad& operator+=(const ReplicaLoad& other);
@@ -45,6 +45,9 @@
               LoadByReplica load, base::TimePoint now);
   /// The sum over the nodes that are heard.
   ReplicaLoad ofOthers(base::EngineId replica, base::TimePoint now) const;
+  /// Time between two news of one node at present; zero where nothing was heard.
+  base::Duration interval() const { return interval_; }
+  void setInterval(base::Duration interval) { interval_ = interval; }
   /// Nodes whose news are known.
   std::size_t heard(base::TimePoint now) const;
 
@@ -60,6 +63,7 @@
   }
 
   FleetLoadOptions options_;
+  base::Duration interval_{};
   std::unordered_map<base::NodeId, Node> nodes_;
 };
 
--- a/src/routing/load_messages.cc
+++ b/src/routing/load_messages.cc
@@ -11,13 +11,6 @@
 constexpr std::uint32_t kNewsFields = 3;
 constexpr std::uint32_t kEntryFields = 4;
 
-/// Negative and absurdly long times are taken as none.
-base::Duration readTimeOf(std::int64_t microseconds) {
-  constexpr base::Duration kLongest = std::chrono::minutes(1);
-  const base::Duration time{microseconds};
-  return time < base::Duration::zero() || time > kLongest ? base::Duration::zero() : time;
-}
-
 }  // namespace
 
 std::string encode(const LoadNews& news) {
@@ -26,7 +19,7 @@
   writer.array(static_cast<std::uint32_t>(news.load.size()));
   for (const auto& [replica, load] : news.load) {
     writer.array(kEntryFields).unsignedInteger(replica.value).unsignedInteger(load.requests);
-    writer.unsignedInteger(load.tokens).signedInteger(load.readTime.count());
+    writer.unsignedInteger(load.tokens).unsignedInteger(load.unreadTokens);
   }
   return writer.take();
 }
@@ -44,7 +37,7 @@
     auto& load = news.load[replica];
     load.requests = static_cast<std::uint32_t>(reader.unsignedInteger());
     load.tokens = reader.unsignedInteger();
-    load.readTime = readTimeOf(reader.signedInteger());
+    load.unreadTokens = reader.unsignedInteger();
     reader.endArray();
   }
   return reader.ok() ? std::optional{std::move(news)} : std::nullopt;
--- a/src/routing/load_sharing.cc
+++ b/src/routing/load_sharing.cc
@@ -23,6 +23,7 @@
     told_ = std::move(load);
     toldAt_ = now;
   }
+  environment_.fleet.setInterval(interval());
   timer_ = environment_.timers.schedule(interval(), [this] { tick(); });
 }
 
--- a/src/routing/load_sharing.h
+++ b/src/routing/load_sharing.h
@@ -2,8 +2,8 @@
 /// Tells all other nodes what this node has under way at each replica, and keeps what they tell.
 ///
 /// A node sends a bounded number of messages a second, so the more nodes there are, the older are
-/// the news. With so many nodes that news would come later than they are remembered, nobody is
-/// heard and each node falls back on an even share of each replica.
+/// the news. With so many nodes that news are older than what they tell of, they are not relied on
+/// and each node takes an even share of each replica (ReplicaChoice).
 #pragma once
 
 #include <cstdint>
--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -115,6 +115,7 @@
 }
 
 bool ReplicaChoice::loadKnown(std::size_t nodes, base::TimePoint now) const {
+  if (context_.fleet.interval() > options_.longestNewsInterval) return false;
   const auto others = static_cast<double>(std::max<std::size_t>(nodes, 1) - 1);
   return static_cast<double>(context_.fleet.heard(now)) >= others * options_.leastHeard;
 }
@@ -145,9 +146,10 @@
     if (load.requests >= bounds.requests) continue;
     const bool fits = static_cast<double>(load.tokens + own) <= bounds.tokens;
     if (!fits && load.requests > 0) continue;
-    if (load.readTime <= query.acceptableWait) return index;
-    if (load.readTime >= shortest) continue;
-    shortest = load.readTime;
+    const auto wait = record.leastReadTime(load.unreadTokens);
+    if (wait <= query.acceptableWait) return index;
+    if (wait >= shortest) continue;
+    shortest = wait;
     best = index;
   }
   return best;
--- a/src/routing/replica_choice.h
+++ b/src/routing/replica_choice.h
@@ -102,6 +102,9 @@
   /// where each takes an even share, and where they know of each other's.
   double memoryShare = 0.6;
   double knownMemoryShare = 0.9;
+  /// News that come less often than this are older than what they tell of: requests run for a few
+  /// hundred milliseconds.
+  base::Duration longestNewsInterval = std::chrono::milliseconds(250);
   /// This part of the other nodes must be heard for their load to count as known.
   double leastHeard = 0.5;
   /// Tokens that a source must have beyond the chosen replica to be fetched from.
--- a/src/routing/replica_directory.cc
+++ b/src/routing/replica_directory.cc
@@ -29,13 +29,21 @@
   return base::Duration{static_cast<base::Duration::rep>(readTimePerToken_ * tokens)};
 }
 
+base::Duration ReplicaRecord::leastReadTime(std::uint64_t tokens) const {
+  return base::Duration{
+      static_cast<base::Duration::rep>(leastTimePerToken_ * static_cast<double>(tokens))};
+}
+
 void ReplicaRecord::learnReadTime(std::uint32_t tokens, base::Duration took) {
   constexpr std::uint32_t kLeastTokens = 500;
   constexpr double kSmoothing = 0.2;
+  constexpr double kRising = 0.01;
   // Short prompts tell more of the queue than of the reading.
   if (tokens < kLeastTokens) return;
   const double perToken = static_cast<double>(took.count()) / tokens;
   readTimePerToken_ += kSmoothing * (perToken - readTimePerToken_);
+  leastTimePerToken_ =
+      std::min(perToken, leastTimePerToken_ + kRising * (perToken - leastTimePerToken_));
 }
 
 void ReplicaRecord::learnWait(base::Duration took) {
--- a/src/routing/replica_directory.h
+++ b/src/routing/replica_directory.h
@@ -63,8 +63,14 @@
   std::uint32_t inFlight() const { return inFlight_; }
   std::uint64_t tokensInFlight() const { return tokensInFlight_; }
   /// All work that this node has under way there.
-  ReplicaLoad ownLoad() const { return {inFlight_, tokensInFlight_, health_.waitingWork()}; }
+  ReplicaLoad ownLoad() const { return {inFlight_, tokensInFlight_, unreadTokens_}; }
   void onDispatched(std::uint32_t tokens);
+  /// A prompt waits of which the replica must read so many tokens; its answer began, or will not.
+  void onReadingBegun(std::uint32_t unread) { unreadTokens_ += unread; }
+  void onReadingEnded(std::uint32_t unread) { unreadTokens_ -= unread; }
+  /// How long the replica takes to read so many tokens when nothing else waits there: from the
+  /// quickest answers.
+  base::Duration leastReadTime(std::uint64_t tokens) const;
   void onFinished(std::uint32_t tokens);
 
  private:
@@ -80,10 +86,14 @@
   base::TimePoint fullUntil_{};
   /// Microseconds a token; at first slower than replicas are.
   double readTimePerToken_ = 60;
+  /// Microseconds a token of the quickest answers; follows shorter times at once and longer ones
+  /// slowly.
+  double leastTimePerToken_ = 60;
   /// Follows longer waits at once and shorter ones slowly.
   base::Duration recentWait_{};
   std::uint32_t inFlight_ = 0;
   std::uint64_t tokensInFlight_ = 0;
+  std::uint64_t unreadTokens_ = 0;
 };
 
 using ReplicaRecordPtr = std::shared_ptr<ReplicaRecord>;
--- a/src/routing/replica_health.h
+++ b/src/routing/replica_health.h
@@ -57,8 +57,6 @@
     return waiting_ > 0 ? now - quietSince_ : base::Duration::zero();
   }
   std::uint32_t waiting() const { return waiting_; }
-  /// Work of the requests of this node that wait for their answers to begin.
-  base::Duration waitingWork() const { return waitingWork_; }
 
  private:
   void eject(base::TimePoint now);
--- a/tests/routing/load_sharing_test.cc
+++ b/tests/routing/load_sharing_test.cc
@@ -124,10 +124,10 @@
   build(3);
   node(1).record(0).onDispatched(900);
   node(2).record(0).onDispatched(100);
-  node(2).record(0).health().onDispatched(time.now(), milliseconds(30));
+  node(2).record(0).onReadingBegun(30);
   time.advance(milliseconds(100));
-  BOOST_TEST((othersAt(0, 0) == ReplicaLoad{2, 1000, milliseconds(30)}));
-  BOOST_TEST((othersAt(1, 0) == ReplicaLoad{1, 100, milliseconds(30)}));
+  BOOST_TEST((othersAt(0, 0) == ReplicaLoad{2, 1000, 30}));
+  BOOST_TEST((othersAt(1, 0) == ReplicaLoad{1, 100, 30}));
   node(1).record(0).onFinished(900);
   time.advance(milliseconds(100));
   BOOST_TEST(othersAt(0, 0).tokens == 100U);
--- a/tests/routing/replica_choice_test.cc
+++ b/tests/routing/replica_choice_test.cc
@@ -242,18 +242,38 @@
   BOOST_TEST((choice.choose(query(), 8, now).replica == first));
 }
 
+BOOST_AUTO_TEST_CASE(NewsThatComeTooSeldomAreNotReliedOn) {
+  const auto first = choose().replica;
+  tell(first->facts().instance, {8, 800, 0});
+  fleet.setInterval(milliseconds(250));
+  BOOST_TEST((choice.choose(query(), 2, now).replica != first));
+  fleet.setInterval(milliseconds(251));
+  BOOST_TEST((choice.choose(query(), 2, now).replica == first));
+}
+
 BOOST_AUTO_TEST_CASE(ReplicaWithTheShortestQueueIsTakenWhereAllAreLong) {
-  auto ordered = std::map<std::string, int>{{"r1", 400}, {"r2", 300}, {"r3", 350}, {"r4", 500}};
+  const auto queues =
+      std::map<std::string, std::uint32_t>{{"r1", 400}, {"r2", 300}, {"r3", 350}, {"r4", 500}};
   LoadByReplica load;
-  for (const auto& [name, wait] : ordered)
-    load[base::engineIdOf(name)] = {1, 100, milliseconds(wait)};
+  for (const auto& [name, wait] : queues) load[base::engineIdOf(name)] = {1, 100, 20U * wait};
   fleet.onNews(base::nodeIdOf("other"), 1, 1, load, now);
   BOOST_TEST((choice.choose(query(), 2, now).replica == replicas.find("r2")));
-  load[base::engineIdOf("r4")].readTime = milliseconds(100);
+  load[base::engineIdOf("r4")].unreadTokens = 2000;
   fleet.onNews(base::nodeIdOf("other"), 1, 2, load, now);
   BOOST_TEST((choice.choose(query(), 2, now).replica == replicas.find("r4")));
 }
 
+BOOST_AUTO_TEST_CASE(QueueIsReckonedByTheQuickestAnswers) {
+  const auto first = choose().replica;
+  // Answers that came late say more of the queue than of the reading.
+  for (int count = 0; count < 20; ++count) first->learnReadTime(1000, milliseconds(900));
+  first->learnReadTime(1000, milliseconds(20));
+  first->learnReadTime(1000, milliseconds(900));
+  tell(first->facts().instance, {1, 100, 8000});
+  BOOST_TEST((choice.choose(query(), 2, now).replica == first));
+  BOOST_TEST((first->leastReadTime(1000) < milliseconds(40)));
+}
+
 BOOST_AUTO_TEST_CASE(ReplicaThatShowsNewerWeightsIsChosenAtOnce) {
   for (const char* name : {"r1", "r2", "r3", "r4"})
     replicas.find(name)->setChanging(now + seconds(2));
