--- a/src/coordination/weights_rollout.cc
+++ b/src/coordination/weights_rollout.cc
@@ -317,6 +317,7 @@
   changes_.erase(found);
   const auto now = environment_.clock.now();
   const bool served = outcome == "served";
+  const bool ordered = change.orderedAt != base::TimePoint{};
   if (served) {
     constexpr int kSmoothing = 4;
     changeTime_ +=
@@ -325,13 +326,14 @@
   const auto milliseconds = [](base::Duration duration) {
     return std::to_string(duration / std::chrono::milliseconds(1));
   };
-  environment_.log.write(served ? base::Event::kOrderFinished : base::Event::kOrderFailed,
-                         {{"replica", instance},
-                          {"model", change.model},
-                          {"version", std::to_string(change.version)},
-                          {"outcome", std::string{outcome}},
-                          {"after_ms", milliseconds(now - change.startedAt)},
-                          {"load_ms", milliseconds(now - change.orderedAt)}});
+  environment_.log.write(
+      served ? base::Event::kOrderFinished : base::Event::kOrderFailed,
+      {{"replica", instance},
+       {"model", change.model},
+       {"version", std::to_string(change.version)},
+       {"outcome", std::string{outcome}},
+       {"after_ms", milliseconds(now - change.startedAt)},
+       {"load_ms", milliseconds(ordered ? now - change.orderedAt : base::Duration::zero())}});
 }
 
 }  // namespace covewing::coordination
--- a/tests/coordination/weights_rollout_test.cc
+++ b/tests/coordination/weights_rollout_test.cc
@@ -209,6 +209,20 @@
   BOOST_TEST(!changing.contains("r0"));
 }
 
+BOOST_AUTO_TEST_CASE(ChangeThatEndsBeforeItsOrderHasNoTimeOfLoading) {
+  for (int number = 1; number < 12; ++number) list("r" + std::to_string(number), 2);
+  targets.onNamed("m", 2, time.now());
+  rollout.start();
+  time.advance(milliseconds(100));
+  directory.onRemoved("r0");
+  time.advance(milliseconds(600));
+  BOOST_TEST(log.count(base::Event::kOrderFailed) == 1U);
+  const auto& fields = log.entries.back().second;
+  const auto loadTime = std::ranges::find(fields, std::string_view{"load_ms"}, &base::EventField::name);
+  BOOST_REQUIRE((loadTime != fields.end()));
+  BOOST_TEST(loadTime->value == "0");
+}
+
 BOOST_AUTO_TEST_CASE(LostAnswerLoadsOnce) {
   for (int number = 1; number < 12; ++number) list("r" + std::to_string(number), 2);
   replicas.loseAnswers = 1;
