--- a/tests/coordination/weights_rollout_test.cc
+++ b/tests/coordination/weights_rollout_test.cc
@@ -218,7 +218,8 @@
   time.advance(milliseconds(600));
   BOOST_TEST(log.count(base::Event::kOrderFailed) == 1U);
   const auto& fields = log.entries.back().second;
-  const auto loadTime = std::ranges::find(fields, std::string_view{"load_ms"}, &base::EventField::name);
+  const auto loadTime =
+      std::ranges::find(fields, std::string_view{"load_ms"}, &base::EventField::name);
   BOOST_REQUIRE((loadTime != fields.end()));
   BOOST_TEST(loadTime->value == "0");
 }
