Read the feeds of the table service at two nodes of the fleet, by tiers of three

Change: two readers of the fleet, in different zones, read the service; the watchers of each zone ask the readers, all others the watchers of their zone. Who is asked answers as soon as its own proof of freshness is renewed, so that proofs do not age from tier to tier. SharedFeedTest: CallsToTheServiceDoNotGrowWithTheFleet, ProofStaysYoungAcrossTheTiers, NodesThatStartTogetherReadTheServiceOnce and others; OnlyTheWatchersOfEachZoneCallTheService is replaced by OnlyTheReadersOfTheFleetCallTheService, which is stricter.

--- a/src/config/shared_feed.cc
+++ b/src/config/shared_feed.cc
@@ -5,6 +5,14 @@
 
 namespace covewing::config {
 
+namespace {
+
+/// How often a node that has just started looks whether it has joined. A join takes a few
+/// milliseconds.
+constexpr base::Duration kJoinCheck = std::chrono::milliseconds(10);
+
+}  // namespace
+
 void SharedFeed::Backoff::onFailure(base::TimePoint now, const SharedFeedOptions& options) {
   until_ = now + next_;
   next_ = next_.count() == 0 ? options.firstBackoff : std::min(2 * next_, options.longestBackoff);
@@ -13,11 +21,12 @@
 SharedFeed::SharedFeed(SharedFeedOptions options, SharedFeedEnvironment environment)
     : options_(options),
       environment_(environment),
-      watchers_(environment.members, options.watchersPerZone) {}
+      watchers_(environment.members, options.watchers) {}
 
 SharedFeed::~SharedFeed() {
   for (const auto& [nonce, call] : asked_) environment_.timers.cancel(call->timer);
   for (const auto& [number, held] : held_) environment_.timers.cancel(held.timer);
+  environment_.timers.cancel(joinTimer_);
 }
 
 void SharedFeed::readAll(std::string table, clients::FeedCallback callback) {
@@ -38,14 +47,31 @@
   begin(call);
 }
 
+bool SharedFeed::mayYetJoin() {
+  const auto now = environment_.clock.now();
+  if (!firstCallAt_) firstCallAt_ = now;
+  return environment_.members.liveMembers().size() <= 1 &&
+         now - *firstCallAt_ < options_.joinPatience;
+}
+
 void SharedFeed::begin(const CallPtr& call) {
+  if (mayYetJoin()) {
+    postponed_.push_back(call);
+    if (postponed_.size() > 1) return;
+    joinTimer_ = environment_.timers.schedule(kJoinCheck, [this] {
+      for (const auto& waiting : std::exchange(postponed_, {})) begin(waiting);
+    });
+    return;
+  }
+  ++tables_[call->table].underWay;
   if (prefersPeer(tables_[call->table]) && askPeer(call)) return;
   askService(call);
 }
 
 bool SharedFeed::prefersPeer(const Table& table) const {
   const auto now = environment_.clock.now();
-  return watchers_.isWatcher() ? !table.service.over(now) : table.peers.over(now);
+  const bool reader = watchers_.role() == FeedWatchers::Role::kReader;
+  return reader ? !table.service.over(now) : table.peers.over(now);
 }
 
 void SharedFeed::askService(const CallPtr& call) {
@@ -95,7 +121,11 @@
 }
 
 FeedWatchers::Scope SharedFeed::whomToAsk(const Call& call) {
-  if (!call.serviceTried && !watchers_.isWatcher()) return FeedWatchers::Scope::kOwnZone;
+  const auto role = watchers_.role();
+  if (!call.serviceTried && role == FeedWatchers::Role::kFollower)
+    return FeedWatchers::Scope::kOwnZone;
+  if (!call.serviceTried && role == FeedWatchers::Role::kZoneWatcher)
+    return FeedWatchers::Scope::kReaders;
   // Where the service refuses all watchers, nodes that turned to it themselves know more.
   return tables_[call.table].peers.failing() ? FeedWatchers::Scope::kAnyMember
                                              : FeedWatchers::Scope::kAllZones;
@@ -105,7 +135,8 @@
   call->peerTried = true;
   const auto* member = watchers_.randomOther(whomToAsk(*call), environment_.random);
   if (member == nullptr) return false;
-  const auto hold = std::min(call->wait, options_.longestHold);
+  const auto hold =
+      call->whole ? options_.firstCopyHold : std::min(call->wait, options_.longestHold);
   const auto nonce = environment_.random.next();
   call->sentAt = environment_.clock.now();
   call->timer = environment_.timers.schedule(hold + options_.answerTimeout, [this, call, nonce] {
@@ -155,6 +186,7 @@
 
 void SharedFeed::finish(const CallPtr& call, clients::FeedReply reply) {
   auto& table = tables_[call->table];
+  --table.underWay;
   if (reply.status == clients::FeedStatus::kOk) {
     if (call->whole) {
       table.copy.replace(reply.rows, reply.revision);
@@ -185,22 +217,29 @@
 }
 
 void SharedFeed::onQuestion(const base::Endpoint& asker, FeedQuestion question) {
-  const auto now = environment_.clock.now();
-  Held held{asker, std::move(question), now, 0};
+  Held held{asker, std::move(question), environment_.clock.now(), 0};
   const auto& table = tables_[held.question.table];
-  const bool current = table.provedAt && now - *table.provedAt <= options_.oldestProof;
-  const bool known = held.question.whole || table.copy.changesAfter(held.question.after);
-  if (!current || !known || held_.size() >= options_.mostHeld) {
+  const bool firstCopyUnderWay = !table.provedAt && table.underWay > 0;
+  const bool able = canAnswer(held.question) || firstCopyUnderWay;
+  if (!able || held_.size() >= options_.mostHeld) {
     decline(held);
     return;
   }
-  if (answerIfNews(held)) return;
+  if (!firstCopyUnderWay && answerIfNews(held)) return;
   const auto number = ++lastHeld_;
   const auto hold = std::min(held.question.wait, options_.longestHold);
   held.timer = environment_.timers.schedule(hold, [this, number] { answerWhenDue(number); });
   held_.emplace(number, std::move(held));
 }
 
+bool SharedFeed::canAnswer(const FeedQuestion& question) const {
+  const auto found = tables_.find(question.table);
+  if (found == tables_.end() || !found->second.provedAt) return false;
+  const auto& table = found->second;
+  if (environment_.clock.now() - *table.provedAt > options_.oldestProof) return false;
+  return question.whole || table.copy.changesAfter(question.after);
+}
+
 bool SharedFeed::answerIfNews(const Held& held) {
   const auto& copy = tables_[held.question.table].copy;
   if (held.question.whole) {
@@ -229,17 +268,22 @@
   if (found == held_.end()) return;
   const Held held = std::move(found->second);
   held_.erase(found);
-  answer(held, {});
+  if (tables_[held.question.table].provedAt) {
+    answer(held, {});
+  } else {
+    decline(held);
+  }
 }
 
 void SharedFeed::answerHeld(const std::string& table) {
   for (auto held = held_.begin(); held != held_.end();) {
-    if (held->second.question.table == table && answerIfNews(held->second)) {
-      environment_.timers.cancel(held->second.timer);
-      held = held_.erase(held);
-    } else {
+    if (held->second.question.table != table) {
       ++held;
+      continue;
     }
+    environment_.timers.cancel(held->second.timer);
+    if (!answerIfNews(held->second)) answer(held->second, {});
+    held = held_.erase(held);
   }
 }
 
--- a/src/config/shared_feed.h
+++ b/src/config/shared_feed.h
@@ -1,11 +1,16 @@
 /// \file
 /// Feeds of the table service shared between nodes.
 ///
-/// The watchers of a zone read the feeds from the service; the other nodes ask them, and are held
-/// until something changes, as the service does. Each falls back on the other way within the same
-/// call: a node that gets nothing from its watchers asks the service, and a node that the service
-/// refuses asks watchers of any zone. So a node is cut off from its configuration only when neither
-/// answers.
+/// A few readers of the fleet read the feeds from the service, the watchers of each zone ask the
+/// readers, and the other nodes ask the watchers of their zone (config/feed_watchers.h). Who is
+/// asked holds the question until something changes, as the service does, or until its own proof of
+/// freshness is renewed. Each falls back on the other way within the same call: a node that gets
+/// nothing from the node it asked asks the service, and a node that the service refuses asks
+/// watchers of any zone. So a node is cut off from its configuration only when neither answers.
+///
+/// A node that has just started waits shortly for the membership to form, and who is asked while
+/// its first copy is under way answers when it has it: when all nodes start at once, they do not
+/// all turn to the service.
 ///
 /// Freshness is never made up: an answer of a node says how old its own proof is and how long it
 /// held the question, so the asker's proof is at most as young, on the asker's own steady clock.
@@ -30,10 +35,15 @@
 namespace covewing::config {
 
 struct SharedFeedOptions {
-  /// In each zone. Two, so that the loss of one costs the others only a question.
-  std::size_t watchersPerZone = 2;
+  FeedWatcherCounts watchers;
+  /// A node that sees no other one asks nobody for so long after its first call. To be set where
+  /// there are other nodes to join; a join takes a round trip.
+  base::Duration joinPatience{};
   /// Longest time that a node holds another's question.
   base::Duration longestHold = std::chrono::milliseconds(700);
+  /// A question for the whole table is held so long where the first copy is still under way; a
+  /// copy takes the service some ten milliseconds.
+  base::Duration firstCopyHold = std::chrono::milliseconds(300);
   /// Longest wait for a node's answer beyond the time that it may hold the question.
   base::Duration answerTimeout = std::chrono::milliseconds(400);
   /// A node's answer whose proof is older counts as a failure. More than the time for which the
@@ -115,9 +125,13 @@
     std::optional<base::Duration> serviceOffset;
     Backoff service;
     Backoff peers;
+    /// Calls of this node that are under way.
+    std::size_t underWay = 0;
   };
 
   void begin(const CallPtr& call);
+  /// Whether the membership may still be about to form.
+  bool mayYetJoin();
   bool prefersPeer(const Table& table) const;
   void askService(const CallPtr& call);
   void onServiceReply(const CallPtr& call, clients::FeedReply reply);
@@ -130,10 +144,13 @@
   void finish(const CallPtr& call, clients::FeedReply reply);
 
   void onQuestion(const base::Endpoint& asker, FeedQuestion question);
+  /// Answers what is held: the proof was renewed, or there is news.
   void answerHeld(const std::string& table);
   void answerWhenDue(std::uint64_t number);
   /// Answers when something changed; false when the question goes on being held.
   bool answerIfNews(const Held& held);
+  /// Whether this node can prove what it would answer.
+  bool canAnswer(const FeedQuestion& question) const;
   /// Says that this node cannot tell.
   void decline(const Held& held);
   void answer(const Held& held, std::vector<clients::FeedRow> rows);
@@ -148,6 +165,10 @@
   std::map<std::uint64_t, CallPtr> asked_;
   std::map<std::uint64_t, Held> held_;
   std::uint64_t lastHeld_ = 0;
+  std::optional<base::TimePoint> firstCallAt_;
+  base::TimerId joinTimer_ = 0;
+  /// Calls that wait for the membership to form.
+  std::vector<CallPtr> postponed_;
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
 };
 
--- a/tests/config/shared_feed_test.cc
+++ b/tests/config/shared_feed_test.cc
@@ -88,10 +88,12 @@
 
   bool refused = false;
   int calls = 0;
+  int wholeReads = 0;
 
  private:
   void call(base::Revision after, base::Duration wait, bool whole, clients::FeedCallback callback) {
     ++calls;
+    if (whole) ++wholeReads;
     if (!refused) return service_.ask(after, wait, whole, callback);
     time_.schedule(kDelay, [callback] { callback({}); });
   }
@@ -165,16 +167,22 @@
     time.advance(seconds(10));
   }
 
-  bool isWatcher(std::size_t index) const {
-    return FeedWatchers(nodes[index]->directory, SharedFeedOptions{}.watchersPerZone).isWatcher();
+  FeedWatchers::Role roleOf(std::size_t index) const {
+    return FeedWatchers(nodes[index]->directory, {}).role();
   }
-  std::vector<FleetNode*> of(bool watchers) {
+  std::vector<FleetNode*> with(std::initializer_list<FeedWatchers::Role> roles) {
     std::vector<FleetNode*> found;
     for (std::size_t index = 0; index < nodes.size(); ++index) {
-      if (isWatcher(index) == watchers) found.push_back(nodes[index].get());
+      if (std::ranges::find(roles, roleOf(index)) != roles.end())
+        found.push_back(nodes[index].get());
     }
     return found;
   }
+  /// Readers of the fleet and watchers of its zones, or all other nodes.
+  std::vector<FleetNode*> of(bool watchers) {
+    if (!watchers) return with({FeedWatchers::Role::kFollower});
+    return with({FeedWatchers::Role::kReader, FeedWatchers::Role::kZoneWatcher});
+  }
   base::Duration ageOf(const FleetNode& node) const {
     return time.now() - *node.watch.confirmedAt();
   }
@@ -206,12 +214,83 @@
 
 BOOST_AUTO_TEST_SUITE(SharedFeedTest)
 
-BOOST_AUTO_TEST_CASE(OnlyTheWatchersOfEachZoneCallTheService) {
-  Fleet fleet(20, 3);
-  BOOST_TEST(fleet.of(true).size() == 6U);
-  for (auto* node : fleet.of(false)) node->service.calls = 0;
+BOOST_AUTO_TEST_CASE(OnlyTheReadersOfTheFleetCallTheService) {
+  Fleet fleet(20, 5);
+  BOOST_TEST(fleet.of(true).size() == 10U);
+  const auto readers = fleet.with({FeedWatchers::Role::kReader});
+  BOOST_REQUIRE(readers.size() == 2U);
+  BOOST_TEST(readers[0]->directory.self().zone != readers[1]->directory.self().zone);
+  for (const auto& node : fleet.nodes) node->service.calls = 0;
   fleet.time.advance(seconds(20));
-  for (auto* node : fleet.of(false)) BOOST_TEST(node->service.calls == 0);
+  for (const auto& node : fleet.nodes) {
+    const bool reader = std::ranges::find(readers, node.get()) != readers.end();
+    BOOST_TEST((node->service.calls > 0) == reader);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(CallsToTheServiceDoNotGrowWithTheFleet) {
+  const auto callsOf = [](std::size_t nodesOfAZone, std::size_t zones) {
+    Fleet fleet(nodesOfAZone, zones);
+    fleet.service.calls = 0;
+    fleet.time.advance(seconds(20));
+    return fleet.service.calls;
+  };
+  BOOST_TEST(callsOf(40, 5) <= callsOf(4, 2) + 2);
+}
+
+BOOST_AUTO_TEST_CASE(ProofStaysYoungAcrossTheTiers) {
+  Fleet fleet(20, 5);
+  for (int step = 0; step < 100; ++step) {
+    fleet.time.advance(milliseconds(100));
+    for (const auto& node : fleet.nodes) BOOST_TEST((fleet.ageOf(*node) < milliseconds(1300)));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ChangeCrossesTheTiersAtOnce) {
+  Fleet fleet(20, 5);
+  fleet.service.put("a", "2");
+  fleet.time.advance(milliseconds(20));
+  for (const auto& node : fleet.nodes) BOOST_TEST(node->listener.rows["a"] == "2");
+}
+
+BOOST_AUTO_TEST_CASE(ZoneWhoseReadersAreSilentAsksTheService) {
+  Fleet fleet(6, 3);
+  const auto readers = fleet.with({FeedWatchers::Role::kReader});
+  for (auto* reader : readers) reader->silent = true;
+  fleet.service.put("a", "2");
+  fleet.time.advance(milliseconds(1800));
+  for (const auto& node : fleet.nodes) {
+    if (!node->silent) BOOST_TEST(node->listener.rows["a"] == "2");
+  }
+  fleet.time.advance(seconds(10));
+  for (const auto& node : fleet.nodes) {
+    if (!node->silent) BOOST_TEST((fleet.ageOf(*node) < seconds(2)));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(NodesThatStartTogetherReadTheServiceOnce) {
+  // With the whole membership known from the start, followers and watchers wait for the first copy
+  // of the node that they ask.
+  Fleet fleet(40, 5);
+  int wholeReads = 0;
+  for (const auto& node : fleet.nodes) wholeReads += node->service.wholeReads;
+  BOOST_TEST(wholeReads <= 4);
+}
+
+BOOST_AUTO_TEST_CASE(NodeThatMayYetJoinWaitsForItShortly) {
+  Fleet fleet(1);
+  SharedFeedOptions options;
+  options.joinPatience = milliseconds(300);
+  auto& node = *fleet.nodes.front();
+  node.service.calls = 0;
+  SharedFeed fresh(options, {fleet.time, fleet.time, node.random, node.log, node.wire,
+                             node.directory, node.service});
+  bool answered = false;
+  fresh.readAll("t", [&](const FeedReply& /*reply*/) { answered = true; });
+  fleet.time.advance(milliseconds(250));
+  BOOST_TEST(!answered);
+  fleet.time.advance(milliseconds(100));
+  BOOST_TEST(answered);
 }
 
 BOOST_AUTO_TEST_CASE(ChangeReachesEveryNodeAtOnce) {
