Tell that a replica changes its weights only when the last news grows old

Cause: the lease holder published a new gossip record for each replica under change with every report (150 ms). With 40 replicas away at 295 nodes that is some 16 kB of news a second, each of which every node passes on nine times within 2 kB a second: the news came late or not at all. Change: the record is renewed when half of its time is over.

--- a/src/node/weights_coordinator.cc
+++ b/src/node/weights_coordinator.cc
@@ -70,6 +70,7 @@
 void WeightsCoordinator::onLeaseAcquired(const coordination::LeaseGrant& grant) {
   token_ = grant.token;
   published_ = 0;
+  changingToldAt_.clear();
   settleTimer_ = environment_.timers.schedule(options_.settle, [this] { rollout_.start(); });
 }
 
@@ -86,10 +87,18 @@
   onRecord(record);
 }
 
-void WeightsCoordinator::onChanging(const std::string& instance) { publish(instance, {}); }
+void WeightsCoordinator::onChanging(const std::string& instance) {
+  const auto now = environment_.clock.now();
+  auto& toldAt = changingToldAt_[instance];
+  // What was told lately still holds at all nodes; each record costs every node several messages.
+  if (toldAt != base::TimePoint{} && now - toldAt < options_.changingFor / 2) return;
+  toldAt = now;
+  publish(instance, {});
+}
 
 void WeightsCoordinator::onChanged(const std::string& instance, const std::string& model,
                                    base::WeightsVersion version) {
+  changingToldAt_.erase(instance);
   publish(instance, std::to_string(version) + ' ' + model);
 }
 
--- a/src/node/weights_coordinator.h
+++ b/src/node/weights_coordinator.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <string>
 
 #include "base/peer_transport.h"
@@ -76,6 +77,8 @@
   base::TimerId settleTimer_ = 0;
   base::FencingToken token_ = 0;
   std::uint32_t published_ = 0;
+  /// When the other nodes were last told that a replica changes.
+  std::map<std::string, base::TimePoint> changingToldAt_;
 };
 
 }  // namespace covewing::node
