Account of what nodes send each other, a bound on lines of fleet changes, and straight news to homes

News that a replica changes its weights came to its home by gossip, a second late. Change: metrics and a log line every 10 s by channel and zone (live/peer_traffic); at most 60 lines of fleet changes at once and 2 a second, the rest counted (live/limited_event_log); the lease holder sends the record of a change straight to the replica's home.

--- a/src/coordination/coordinator.cc
+++ b/src/coordination/coordinator.cc
@@ -71,6 +71,9 @@
       return executor_.onOrdersChanged();
     case CoordinationMessageType::kLeaseWritten:
       return lease_.onAnnouncement(*message->announcement);
+    case CoordinationMessageType::kReplicaChange:
+      // Of the relay's rollout (node/weights_coordinator.h); orders here are told by the executor.
+      return;
   }
 }
 
--- a/src/coordination/lease_messages.cc
+++ b/src/coordination/lease_messages.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::uint32_t kAnnouncementFields = 6;
+constexpr std::uint32_t kReplicaChangeFields = 4;
 
 std::optional<LeaseAnnouncement> readAnnouncement(base::Reader& reader) {
   LeaseAnnouncement announcement;
@@ -19,6 +20,16 @@
   return announcement;
 }
 
+std::optional<membership::GossipRecord> readRecord(base::Reader& reader) {
+  membership::GossipRecord record;
+  record.key = reader.text();
+  record.version = reader.unsignedInteger();
+  record.value = reader.text();
+  const bool fits = record.value.size() <= membership::RecordDissemination::kMaximumValue;
+  if (!reader.ok() || !fits) return std::nullopt;
+  return record;
+}
+
 }  // namespace
 
 std::string encodeCoordinationMessage(CoordinationMessageType type) {
@@ -39,6 +50,16 @@
   return writer.take();
 }
 
+std::string encodeReplicaChange(const membership::GossipRecord& record) {
+  base::Writer writer;
+  writer.array(kReplicaChangeFields)
+      .unsignedInteger(static_cast<std::uint64_t>(CoordinationMessageType::kReplicaChange))
+      .text(record.key)
+      .unsignedInteger(record.version)
+      .text(record.value);
+  return writer.take();
+}
+
 std::optional<CoordinationMessage> decodeCoordinationMessage(std::string_view payload) {
   base::Reader reader(payload);
   reader.beginArray();
@@ -53,6 +74,10 @@
       message.announcement = readAnnouncement(reader);
       if (message.announcement) return message;
       break;
+    case CoordinationMessageType::kReplicaChange:
+      message.record = readRecord(reader);
+      if (message.record) return message;
+      break;
   }
   return std::nullopt;
 }
--- /dev/null
+++ b/src/live/peer_traffic.h
@@ -0,0 +1,52 @@
+/// \file
+/// Account of what a node sends to other nodes, by channel and by whether it leaves the zone, for
+/// metrics and the log.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "base/event_log.h"
+#include "base/peer_transport.h"
+#include "membership/member_directory.h"
+
+namespace covewing::live {
+
+/// Frames of one channel. Bytes are those of the frames, without IP, UDP and TCP headers.
+struct ChannelTraffic {
+  std::uint64_t frames = 0;
+  std::uint64_t bytesInZone = 0;
+  std::uint64_t bytesToOtherZones = 0;
+};
+
+/// Channels are numbered from 1.
+inline constexpr std::size_t kChannelNumbers =
+    static_cast<std::size_t>(base::Channel::kPlacement) + 1;
+
+/// Name of a channel in metrics and logs.
+std::string_view channelName(base::Channel channel);
+
+class PeerTraffic {
+ public:
+  explicit PeerTraffic(const membership::MemberDirectory& members) : members_(members) {}
+
+  void onSent(const base::Endpoint& destination, base::Channel channel, std::size_t bytes);
+  const std::array<ChannelTraffic, kChannelNumbers>& channels() const { return channels_; }
+  /// Writes the sums since the start to the log (event PeerTraffic).
+  void writeTo(base::EventLog& log) const;
+
+ private:
+  /// Unknown members count as being in another zone.
+  bool inZone(const base::Endpoint& destination);
+
+  const membership::MemberDirectory& members_;
+  std::array<ChannelTraffic, kChannelNumbers> channels_{};
+  /// Whether the member at an address is in this node's zone, by the members of `version_`.
+  std::unordered_map<std::uint32_t, bool> inZone_;
+  std::uint64_t version_ = 0;
+};
+
+}  // namespace covewing::live
--- a/src/live/peer_transport.cc
+++ b/src/live/peer_transport.cc
@@ -199,6 +199,7 @@
   std::size_t outgoing = 0;
   base::PeerIdentity self;
   PeerFrameHandler handler;
+  SentObserver observer;
   PeerTransportCounters counters;
 };
 
@@ -234,6 +235,7 @@
 void AsioPeerTransport::send(const base::Endpoint& destination, base::Channel channel,
                              std::string payload) {
   auto frame = node::encodePeerFrame(impl_->self, channel, payload);
+  if (impl_->observer) impl_->observer(destination, channel, frame.size());
   if (payload.size() <= kDatagramLimit) {
     impl_->sendDatagram(destination, frame);
   } else {
@@ -241,6 +243,8 @@
   }
 }
 
+void AsioPeerTransport::onSent(SentObserver observer) { impl_->observer = std::move(observer); }
+
 const PeerTransportCounters& AsioPeerTransport::counters() const { return impl_->counters; }
 
 }  // namespace covewing::live
--- a/src/live/peer_transport.h
+++ b/src/live/peer_transport.h
@@ -49,6 +49,11 @@
   void start(const base::PeerIdentity& self, PeerFrameHandler handler);
   void send(const base::Endpoint& destination, base::Channel channel, std::string payload) override;
 
+  /// Called with each frame that is sent; bytes without IP, UDP and TCP headers.
+  using SentObserver =
+      std::function<void(const base::Endpoint& destination, base::Channel, std::size_t bytes)>;
+  void onSent(SentObserver observer);
+
   const PeerTransportCounters& counters() const;
 
  private:
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -10,6 +10,8 @@
 #include "live/counting_event_log.h"
 #include "live/http_relay_client.h"
 #include "live/http_server.h"
+#include "live/limited_event_log.h"
+#include "live/peer_traffic.h"
 #include "live/peer_transport.h"
 #include "live/relay_gateway.h"
 #include "live/relay_metrics.h"
@@ -38,7 +40,11 @@
 /// Nodes assumed until the membership has had time to form.
 /// Replicas that load weights change their entries in quick succession.
 constexpr base::Duration kReplicaListPause = std::chrono::milliseconds(250);
+/// How often the sums of what was sent to other nodes are logged: a few lines each time.
+constexpr base::Duration kTrafficReport = std::chrono::seconds(10);
 constexpr std::size_t kNodesAtFirst = 8;
+/// A node that restarts joins within a few milliseconds; longer waits mean that nobody answers.
+constexpr base::Duration kJoinPatience = std::chrono::milliseconds(300);
 constexpr base::Duration kMembershipForms = std::chrono::seconds(5);
 
 HttpClientLimits replicaLimits(const RelayDialect& dialect) {
@@ -75,6 +81,15 @@
   return options;
 }
 
+config::SharedFeedOptions feedOptions(const RelaySettings& settings) {
+  const bool mayJoin = std::ranges::any_of(settings.seeds, [&](const base::Endpoint& seed) {
+    return seed.address != settings.peerEndpoint.address;
+  });
+  config::SharedFeedOptions options;
+  if (mayJoin) options.joinPatience = kJoinPatience;
+  return options;
+}
+
 config::TableWatchOptions replicaWatchOptions(const std::string& table) {
   config::TableWatchOptions options;
   options.table = table;
@@ -113,20 +128,23 @@
        const RelayDeployment& relayDeployment)
       : context(ioContext),
         settings(std::move(nodeSettings)),
-        log(eventLog, [this](base::Event event) { metrics.onEvent(event); }),
+        limitedLog({}, clock, eventLog),
+        log(limitedLog, [this](base::Event event) { metrics.onEvent(event); }),
         deployment(relayDeployment),
         timers(ioContext),
         random(systemSeed()),
         peers(ioContext, log),
         membership(membershipOptions(settings), clock, timers, random, log, peers),
+        traffic(membership),
         nodes(membership, clock),
         targets({settings.weightsInForce, settings.weightsInForce * 3 / 20}),
         choice({replicas, holders, targets, stores, fleetLoad, settings.zone}, {}, random),
         parts({}, {clock, timers, random, log, peers, membership}),
+        placement({}, {clock, timers, random, log, peers, membership, replicas, holders}),
         loadSharing({}, {clock, timers, log, peers, membership, replicas, fleetLoad}),
         configuration(deployment.configurationRows, clock, log, targets),
         replicaList(deployment.replicaRows, log, replicas, holders),
-        feeds({}, {clock, timers, random, log, peers, membership, deployment.feeds}),
+        feeds(feedOptions(settings), {clock, timers, random, log, peers, membership, deployment.feeds}),
         configurationWatch({deployment.configurationTable}, clock, timers, random, feeds,
                            configuration),
         replicaWatch(replicaWatchOptions(deployment.replicaTable), clock, timers, random, feeds,
@@ -173,7 +191,7 @@
 
   request::RelayDependencies dependencies() {
     return {clock,  timers, log,     relayClient, replicas, holders,
-            choice, parts,  retries, runTimes,    *this};
+            choice, parts,  placement, retries, runTimes, *this};
   }
 
   void applyLimits(const config::TrafficLimits& limits) {
@@ -238,6 +256,9 @@
     peers.start({membership.self().id, membership.self().incarnation, settings.peerEndpoint},
                 [this](const base::PeerIdentity& sender, base::Channel channel,
                        std::string_view payload) { onPeerMessage(sender, channel, payload); });
+    peers.onSent([this](const base::Endpoint& destination, base::Channel channel,
+                        std::size_t bytes) { traffic.onSent(destination, channel, bytes); });
+    reportTraffic();
     membership.start();
     coordinator.start();
     cacheStoreNews.start();
@@ -248,11 +269,19 @@
     return true;
   }
 
+  void reportTraffic() {
+    trafficTimer = timers.schedule(kTrafficReport, [this] {
+      traffic.writeTo(log);
+      reportTraffic();
+    });
+  }
+
   void onPeerMessage(const base::PeerIdentity& sender, base::Channel channel,
                      std::string_view payload) {
     if (channel == base::Channel::kMembership) membership.onPeerMessage(sender, payload);
     if (channel == base::Channel::kTableFeed) feeds.onPeerMessage(sender, payload);
     if (channel == base::Channel::kPartIndex) parts.onPeerMessage(sender, payload);
+    if (channel == base::Channel::kPlacement) placement.onPeerMessage(sender, payload);
     if (channel == base::Channel::kReplicaLoad) loadSharing.onPeerMessage(sender, payload);
     if (channel == base::Channel::kCoordination) coordinator.onPeerMessage(sender, payload);
   }
@@ -301,6 +330,8 @@
     snapshot.openRequests = service.open();
     snapshot.callerConnections = callerServer.openConnections();
     snapshot.knownParts = holders.size();
+    snapshot.placement = placement.counters();
+    snapshot.traffic = traffic.channels();
     for (const auto& [instance, record] : replicas.all()) countReplica(*record, now, snapshot);
     return metrics.render(snapshot);
   }
@@ -321,13 +352,15 @@
   boost::asio::io_context& context;
   RelaySettings settings;
   RelayMetrics metrics;
+  AsioClock clock;
+  LimitedEventLog limitedLog;
   CountingEventLog log;
   RelayDeployment deployment;
-  AsioClock clock;
   AsioTimerService timers;
   base::SeededRandom random;
   AsioPeerTransport peers;
   membership::GossipMembership membership;
+  PeerTraffic traffic;
   NodeCount nodes;
   routing::WeightsTargets targets;
   routing::ReplicaDirectory replicas;
@@ -336,6 +369,7 @@
   routing::FleetLoad fleetLoad;
   routing::ReplicaChoice choice;
   routing::PartLookup parts;
+  routing::Placement placement;
   routing::LoadSharing loadSharing;
   node::RouteConfiguration configuration;
   node::ReplicaList replicaList;
@@ -355,6 +389,7 @@
   HttpServer callerServer;
   HttpServer readinessServer;
   HttpServer metricsServer;
+  base::TimerId trafficTimer = 0;
   bool draining = false;
   base::TimePoint drainingSince{};
   std::function<void()> drained;
--- a/src/live/relay_metrics.cc
+++ b/src/live/relay_metrics.cc
@@ -24,6 +24,10 @@
     {"covewing_lease_held", "gauge", "", "1 while this node rolls out weights, else 0"},
     {"covewing_members", "gauge", "", "live members, this node included"},
     {"covewing_open_requests", "gauge", "", "requests in flight, held ones included"},
+    {"covewing_peer_sent_bytes_total", "counter", "channel, zone",
+     "bytes of messages sent to other nodes, to those of the own zone and to others"},
+    {"covewing_placement_questions_total", "counter", "outcome",
+     "questions to homes of replicas where a request should go: all asked, and what came of them"},
     {"covewing_process_cpu_seconds_total", "counter", "", "processor time of the process"},
     {"covewing_process_resident_bytes", "gauge", "", "resident memory of the process"},
     {"covewing_ready", "gauge", "", "1 while the node says that it is ready, else 0"},
@@ -65,6 +69,10 @@
   prometheus::Gauge& leaseHeld = families.gauges("covewing_lease_held").Add({});
   prometheus::Gauge& members = families.gauges("covewing_members").Add({});
   prometheus::Gauge& open = families.gauges("covewing_open_requests").Add({});
+  prometheus::Family<prometheus::Counter>& peerBytes =
+      families.counters("covewing_peer_sent_bytes_total");
+  prometheus::Family<prometheus::Counter>& questions =
+      families.counters("covewing_placement_questions_total");
   prometheus::Counter& processor = families.counters("covewing_process_cpu_seconds_total").Add({});
   prometheus::Gauge& resident = families.gauges("covewing_process_resident_bytes").Add({});
   prometheus::Gauge& ready = families.gauges("covewing_ready").Add({});
@@ -117,6 +125,21 @@
   set(impl_->replicas.Add({{"state", "draining"}}), snapshot.replicasDraining);
   set(impl_->replicas.Add({{"state", "ejected"}}), snapshot.replicasEjected);
   set(impl_->replicas.Add({{"state", "changing"}}), snapshot.replicasChanging);
+  const auto raise = [](prometheus::Counter& counter, std::uint64_t total) {
+    counter.Increment(static_cast<double>(total) - counter.Value());
+  };
+  const auto& placement = snapshot.placement;
+  raise(impl_->questions.Add({{"outcome", "asked"}}), placement.questions);
+  raise(impl_->questions.Add({{"outcome", "granted"}}), placement.granted);
+  raise(impl_->questions.Add({{"outcome", "declined"}}), placement.declined);
+  raise(impl_->questions.Add({{"outcome", "timeout"}}), placement.timeouts);
+  for (std::size_t number = 1; number < kChannelNumbers; ++number) {
+    const auto& traffic = snapshot.traffic.at(number);
+    const std::string channel{channelName(static_cast<base::Channel>(number))};
+    raise(impl_->peerBytes.Add({{"channel", channel}, {"zone", "own"}}), traffic.bytesInZone);
+    raise(impl_->peerBytes.Add({{"channel", channel}, {"zone", "other"}}),
+          traffic.bytesToOtherZones);
+  }
   impl_->age.Set(snapshot.configurationAge ? base::toSeconds(*snapshot.configurationAge) : -1);
   impl_->resident.Set(residentBytes());
   impl_->processor.Increment(processorSeconds() - impl_->processor.Value());
--- a/src/live/relay_metrics.h
+++ b/src/live/relay_metrics.h
@@ -2,6 +2,7 @@
 /// Metrics of a relaying node, in Prometheus' text form. docs/RELAY.md holds the same table.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -11,6 +12,7 @@
 #include "base/event_log.h"
 #include "base/time.h"
 #include "live/metric_entry.h"
+#include "live/peer_traffic.h"
 #include "request/relay_flow.h"
 
 namespace covewing::live {
@@ -43,6 +45,8 @@
     std::size_t replicasDraining = 0;
     std::size_t replicasEjected = 0;
     std::size_t replicasChanging = 0;
+    routing::PlacementCounters placement;
+    std::array<ChannelTraffic, kChannelNumbers> traffic{};
   };
   /// All metrics in the text exposition format.
   std::string render(const Snapshot& snapshot);
--- a/src/node/weights_coordinator.cc
+++ b/src/node/weights_coordinator.cc
@@ -20,6 +20,7 @@
                                        WeightsCoordinatorEnvironment environment)
     : options_(std::move(options)),
       environment_(environment),
+      homes_(environment.members),
       lease_(options_.lease,
              {environment.clock, environment.timers, environment.random, environment.log,
               environment.table, environment.members},
@@ -60,6 +61,8 @@
   if (message->type == coordination::CoordinationMessageType::kLeaseReleased)
     lease_.onReleaseHint();
   if (message->announcement) lease_.onAnnouncement(*message->announcement);
+  if (message->record && message->record->key.starts_with(kRecordPrefix))
+    environment_.records.publish(*message->record);
 }
 
 void WeightsCoordinator::onLeaseWritten(const coordination::LeaseAnnouncement& announcement) {
@@ -85,6 +88,17 @@
                                         std::move(value)};
   environment_.records.publish(record);
   onRecord(record);
+  tellHome(record);
+}
+
+void WeightsCoordinator::tellHome(const membership::GossipRecord& record) {
+  const auto instance = std::string_view{record.key}.substr(kRecordPrefix.size());
+  const auto replica = environment_.replicas.find(instance);
+  if (replica == nullptr) return;
+  const auto& home = homes_.homeOf(base::engineIdOf(instance), replica->facts().zone);
+  if (home.id == environment_.members.self().id) return;
+  environment_.peers.send(home.endpoint, base::Channel::kCoordination,
+                          coordination::encodeReplicaChange(record));
 }
 
 void WeightsCoordinator::onChanging(const std::string& instance) {
--- a/src/node/weights_coordinator.h
+++ b/src/node/weights_coordinator.h
@@ -12,6 +12,7 @@
 #include "coordination/weights_rollout.h"
 #include "membership/member_directory.h"
 #include "routing/prefix_holders.h"
+#include "routing/replica_homes.h"
 
 namespace covewing::node {
 
@@ -68,10 +69,14 @@
   void onChanged(const std::string& instance, const std::string& model,
                  base::WeightsVersion version) override;
   void publish(const std::string& instance, std::string value);
+  /// Tells the replica's home at once: gossip takes a second in a fleet of hundreds, and requests
+  /// ask the home (routing/placement.h).
+  void tellHome(const membership::GossipRecord& record);
   void onRecord(const membership::GossipRecord& record);
 
   WeightsCoordinatorOptions options_;
   WeightsCoordinatorEnvironment environment_;
+  routing::ReplicaHomes homes_;
   coordination::LeaseManager lease_;
   coordination::WeightsRollout rollout_;
   base::TimerId settleTimer_ = 0;
--- /dev/null
+++ b/tests/live/limited_event_log_test.cc
@@ -0,0 +1,54 @@
+// The bound on lines that tell of the fleet's changes.
+#include "live/limited_event_log.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "support/recording_log.h"
+#include "support/virtual_time.h"
+
+namespace covewing::live {
+
+using std::chrono::seconds;
+
+namespace {
+
+struct LimitFixture {
+  LimitFixture() { time.advance(seconds(100)); }
+
+  test_support::VirtualTime time;
+  test_support::RecordingLog log;
+  LimitedEventLog limited{{}, time, log};
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(LimitedEventLogTest, LimitFixture)
+
+BOOST_AUTO_TEST_CASE(ChangesOfALargeFleetAreBoundedAndCounted) {
+  for (int member = 0; member < 300; ++member)
+    limited.write(base::Event::kMemberJoined, {{"member", std::to_string(member)}});
+  BOOST_TEST(log.count(base::Event::kMemberJoined) == 60U);
+  time.advance(seconds(10));
+  limited.write(base::Event::kReplicaListed, {});
+  BOOST_TEST(log.count(base::Event::kReplicaListed) == 1U);
+  BOOST_TEST(log.count(base::Event::kLogLinesDropped) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(DecisionsAreNeverLeftOut) {
+  for (int request = 0; request < 500; ++request)
+    limited.write(base::Event::kRelayDispatched, {});
+  BOOST_TEST(log.count(base::Event::kRelayDispatched) == 500U);
+  BOOST_TEST(log.count(base::Event::kLogLinesDropped) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(FewChangesAreAllLogged) {
+  for (int change = 0; change < 200; ++change) {
+    limited.write(base::Event::kReplicaListed, {});
+    time.advance(seconds(1));
+  }
+  BOOST_TEST(log.count(base::Event::kReplicaListed) == 200U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::live
