Pass news of members on four times in place of eight at hundreds of nodes, and ask seeds at once

A node whose first seed was down asked the next one 500 ms later, and read the table service meanwhile. Change: 1.5 log10(members + 1) transmissions, at least three, so that one node in fifty learns by the next comparison; a node that has joined nobody asks again after 30 ms, then ever more seldom.

--- a/src/membership/gossip_membership.cc
+++ b/src/membership/gossip_membership.cc
@@ -52,7 +52,8 @@
       news_(options_.news, members_, records_),
       detector_(options_.probing, timers, random, members_, *this),
       lastRunning_(clock.now()),
-      syncInterval_(options_.firstSyncPeriod) {}
+      syncInterval_(options_.firstSyncPeriod),
+      joinInterval_(options_.firstJoinRetry) {}
 
 GossipMembership::~GossipMembership() {
   for (const base::TimerId timer :
@@ -155,8 +156,8 @@
   std::erase(seeds, options_.endpoint);
   if (seeds.empty()) return;
   requestSync(seeds[random_.below(seeds.size())]);
-  joinTimer_ =
-      timers_.schedule(random_.jittered(options_.joinRetry, 0.5), [this] { onJoinTick(); });
+  joinTimer_ = timers_.schedule(random_.jittered(joinInterval_, 0.5), [this] { onJoinTick(); });
+  joinInterval_ = std::min(2 * joinInterval_, options_.joinRetry);
 }
 
 // --- own state
--- a/src/membership/gossip_membership.h
+++ b/src/membership/gossip_membership.h
@@ -63,6 +63,9 @@
   /// Between comparisons when nothing is amiss, and at first, and after one that found much.
   base::Duration syncPeriod = std::chrono::seconds(10);
   base::Duration firstSyncPeriod = std::chrono::seconds(1);
+  /// A node that has joined nobody asks a seed this often at first, then ever more seldom. A join
+  /// takes a round trip, and any seed may be down.
+  base::Duration firstJoinRetry = std::chrono::milliseconds(30);
   base::Duration joinRetry = std::chrono::milliseconds(500);
   /// How often a member held dead, and a seed that no live member has, is asked again.
   base::Duration deadRetry = std::chrono::seconds(5);
@@ -173,6 +176,7 @@
   base::Duration running_{};
   base::TimePoint lastRunning_;
   base::Duration syncInterval_{};
+  base::Duration joinInterval_{};
   base::TimerId periodTimer_ = 0;
   base::TimerId gossipTimer_ = 0;
   base::TimerId syncTimer_ = 0;
--- a/src/membership/news_spreader.cc
+++ b/src/membership/news_spreader.cc
@@ -41,7 +41,8 @@
 
 std::uint32_t NewsSpreader::transmissions() const {
   const double scale = std::log10(static_cast<double>(memberTable_.live().size()) + 1);
-  return static_cast<std::uint32_t>(std::ceil(options_.transmissionFactor * std::max(scale, 1.0)));
+  const auto wanted = static_cast<std::uint32_t>(std::ceil(options_.transmissionFactor * scale));
+  return std::max(wanted, options_.leastTransmissions);
 }
 
 void NewsSpreader::encodeMember(base::NodeId id, PackedWriter& writer) const {
