Leave changes of weights to the homes, and watch caches only when in line for a while

A node that starts sees itself alone, takes itself for the watcher of every replica, and each new watcher is sent all events that a replica keeps. Of the replicas, 25 in 100 were away for weights all the time: 2 s for a load of 0.57 s, since other nodes learned by gossip, a second late, that a change had begun and ended. Change: a node watches a replica or store after it has been in line for 2 s; stores of kept cache, too, have two watchers each where not all nodes may watch. Replicas that change stay among the candidates whose homes are asked: the homes know, and answer with the version in force. In fleets of more than 32 nodes changes go to the homes alone. What is shared and cached nowhere counts as to be read. Six candidates.

--- a/src/config/feed_watchers.cc
+++ b/src/config/feed_watchers.cc
@@ -54,7 +54,8 @@
   Members all = ranked();
   if (scope == Scope::kAnyMember) return all;
   std::map<std::string, std::size_t> chosen;
-  std::erase_if(all, [&](const auto* one) { return ++chosen[one->zone] > counts_.watchersPerZone; });
+  std::erase_if(all,
+                [&](const auto* one) { return ++chosen[one->zone] > counts_.watchersPerZone; });
   return all;
 }
 
--- a/src/coordination/weights_rollout.cc
+++ b/src/coordination/weights_rollout.cc
@@ -187,11 +187,13 @@
 void WeightsRollout::order(const std::string& instance, Change& change) {
   const auto grant = grant_();
   if (!grant) return;
+  const auto now = environment_.clock.now();
+  if (grant->token <= fencedToken_ && now < fencedUntil_) return;
   const auto record = environment_.directory.find(instance);
   change.version = environment_.targets.newest(change.model);
   change.phase = Phase::kLoading;
   change.callUnderWay = true;
-  change.orderedAt = environment_.clock.now();
+  change.orderedAt = now;
   const auto expectedOrders = ordersTaken_.at(instance);
   const clients::WeightsOrder order{change.model, change.version, environment_.holder, grant->token,
                                     expectedOrders};
@@ -225,7 +227,7 @@
   switch (status) {
     case clients::WeightsOrderStatus::kAccepted:
       ++ordersTaken_[instance];
-      change->nextAt = now + options_.lead;
+      change->nextAt = now + options_.loadLead;
       return;
     case clients::WeightsOrderStatus::kInForce:
       change->nextAt = now;
@@ -239,6 +241,8 @@
       return;
     case clients::WeightsOrderStatus::kFencedOff:
       environment_.log.write(base::Event::kOrderFenced, {{"replica", instance}});
+      fencedToken_ = grant_() ? grant_()->token : fencedToken_;
+      fencedUntil_ = now + options_.fencedPause;
       finish(instance, "fenced off");
       return;
     case clients::WeightsOrderStatus::kOtherInstance:
--- a/src/coordination/weights_rollout.h
+++ b/src/coordination/weights_rollout.h
@@ -35,11 +35,17 @@
 
 struct WeightsRolloutOptions {
   base::Duration interval = std::chrono::milliseconds(50);
-  /// From telling the other nodes until the first report, and between reports.
-  base::Duration lead = std::chrono::milliseconds(350);
-  base::Duration reportInterval = std::chrono::milliseconds(150);
+  /// From telling the replica's home until the first report: requests that were granted before
+  /// reach the replica within a round trip.
+  base::Duration lead = std::chrono::milliseconds(60);
+  /// From an order until the first report; loads take at least about half a second.
+  base::Duration loadLead = std::chrono::milliseconds(350);
+  base::Duration reportInterval = std::chrono::milliseconds(100);
   /// A replica that is not idle after this is ordered nevertheless; its runs end first.
   base::Duration longestDrain = std::chrono::milliseconds(1500);
+  /// Nothing is ordered with a fencing token for so long after a replica refused it as too old: the
+  /// lease has another holder, which this node learns within about a second.
+  base::Duration fencedPause = std::chrono::milliseconds(1500);
   /// An order without an answer is given again after this.
   base::Duration repeatOrder = std::chrono::milliseconds(1000);
   /// A replica that gives no report for so long, or is not done so long after its order, is left,
@@ -159,6 +165,9 @@
   std::map<std::string, std::uint64_t> ordersTaken_;
   /// Since when enough replicas of newer versions take a version's long runs, by model.
   std::map<std::pair<std::string, base::WeightsVersion>, base::TimePoint> relievedSince_;
+  /// The latest token that a replica refused as too old, and until when nothing is ordered with it.
+  base::FencingToken fencedToken_ = 0;
+  base::TimePoint fencedUntil_{};
   /// How long changes last, averaged over the latest.
   base::Duration changeTime_;
   /// Replicas that may load at once now.
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -43,8 +43,9 @@
 /// How often the sums of what was sent to other nodes are logged: a few lines each time.
 constexpr base::Duration kTrafficReport = std::chrono::seconds(10);
 constexpr std::size_t kNodesAtFirst = 8;
-/// A node that restarts joins within a few milliseconds; longer waits mean that nobody answers.
-constexpr base::Duration kJoinPatience = std::chrono::milliseconds(300);
+/// A node that restarts joins within a few milliseconds where a machine that it asks is up; one that
+/// has joined nobody by then reads the table service itself. Longer waits delay the serving.
+constexpr base::Duration kJoinPatience = std::chrono::milliseconds(60);
 constexpr base::Duration kMembershipForms = std::chrono::seconds(5);
 
 HttpClientLimits replicaLimits(const RelayDialect& dialect) {
@@ -144,7 +145,8 @@
         loadSharing({}, {clock, timers, log, peers, membership, replicas, fleetLoad}),
         configuration(deployment.configurationRows, clock, log, targets),
         replicaList(deployment.replicaRows, log, replicas, holders),
-        feeds(feedOptions(settings), {clock, timers, random, log, peers, membership, deployment.feeds}),
+        feeds(feedOptions(settings),
+              {clock, timers, random, log, peers, membership, deployment.feeds}),
         configurationWatch({deployment.configurationTable}, clock, timers, random, feeds,
                            configuration),
         replicaWatch(replicaWatchOptions(deployment.replicaTable), clock, timers, random, feeds,
@@ -155,9 +157,10 @@
                      [this](const std::string& name) { return longRunReplicas(name); }}),
         weightsDates(deployment.table, timers, [this] { return configurationWatch.serviceTime(); }),
         cacheStoreNews(membership, membership, stores),
-        cacheWatch({},
-                   {timers, random, deployment.cacheFeeds, replicas, stores, membership, holders},
-                   [this](const std::string& name) { return eventWatchers(name); }),
+        cacheWatch(
+            {},
+            {clock, timers, random, deployment.cacheFeeds, replicas, stores, membership, holders},
+            [this](const std::string& name) { return eventWatchers(name); }),
         retries({settings.retryWindow, settings.retryRatio, settings.retrySlack}),
         replicaHttp(ioContext, replicaLimits(deployment.dialect)),
         relayClient(replicaHttp, deployment.dialect),
@@ -190,8 +193,8 @@
   }
 
   request::RelayDependencies dependencies() {
-    return {clock,  timers, log,     relayClient, replicas, holders,
-            choice, parts,  placement, retries, runTimes, *this};
+    return {clock,  timers, log,       relayClient, replicas, holders,
+            choice, parts,  placement, retries,     runTimes, *this};
   }
 
   void applyLimits(const config::TrafficLimits& limits) {
--- a/src/node/weights_coordinator.cc
+++ b/src/node/weights_coordinator.cc
@@ -62,7 +62,15 @@
     lease_.onReleaseHint();
   if (message->announcement) lease_.onAnnouncement(*message->announcement);
   if (message->record && message->record->key.starts_with(kRecordPrefix))
-    environment_.records.publish(*message->record);
+    onSentRecord(*message->record);
+}
+
+void WeightsCoordinator::onSentRecord(const membership::GossipRecord& record) {
+  // Datagrams may overtake each other.
+  auto& known = sentVersions_[record.key];
+  if (record.version <= known) return;
+  known = record.version;
+  onRecord(record);
 }
 
 void WeightsCoordinator::onLeaseWritten(const coordination::LeaseAnnouncement& announcement) {
@@ -86,7 +94,8 @@
   const std::uint64_t version = (token_ << kCounterBits) + ++published_;
   const membership::GossipRecord record{std::string{kRecordPrefix} + instance, version,
                                         std::move(value)};
-  environment_.records.publish(record);
+  if (environment_.members.liveMembers().size() <= options_.mostMembersForGossip)
+    environment_.records.publish(record);
   onRecord(record);
   tellHome(record);
 }
--- a/src/node/weights_coordinator.h
+++ b/src/node/weights_coordinator.h
@@ -21,6 +21,9 @@
   coordination::WeightsRolloutOptions rollout;
   /// News that a replica is changing holds for so long unless it is renewed.
   base::Duration changingFor = std::chrono::milliseconds(2500);
+  /// In larger fleets changes are told to the homes of replicas alone: every node passes a record
+  /// on some nine times, so that records of many replicas take longer than what they tell of.
+  std::size_t mostMembersForGossip = 32;
   /// From the acquisition of the lease until the first order: where replicas do not check fencing
   /// tokens, orders of the last holder must be over.
   base::Duration settle{};
@@ -73,6 +76,8 @@
   /// ask the home (routing/placement.h).
   void tellHome(const membership::GossipRecord& record);
   void onRecord(const membership::GossipRecord& record);
+  /// A record that the lease holder sent straight to this node.
+  void onSentRecord(const membership::GossipRecord& record);
 
   WeightsCoordinatorOptions options_;
   WeightsCoordinatorEnvironment environment_;
@@ -84,6 +89,8 @@
   std::uint32_t published_ = 0;
   /// When the other nodes were last told that a replica changes.
   std::map<std::string, base::TimePoint> changingToldAt_;
+  /// Versions of the records that lease holders sent straight to this node, by key.
+  std::map<std::string, std::uint64_t> sentVersions_;
 };
 
 }  // namespace covewing::node
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -139,8 +139,8 @@
     hold(decision.reason, passedOver ? options_.holdForRoom : options_.holdInterval);
     return;
   }
-  const auto candidate =
-      dependencies_.choice.candidateOf(query(), decision.replica, promptTokens());
+  const auto candidate = dependencies_.choice.candidateOf(query(), decision.replica, promptTokens(),
+                                                          decision.heldTokens());
   const auto grant = dependencies_.placement.take(candidate);
   dispatch(std::move(decision), grant);
 }
@@ -180,8 +180,7 @@
   return terms;
 }
 
-void RelayFlow::dispatch(routing::ReplicaDecision decision,
-                         const routing::PlacementGrant& grant) {
+void RelayFlow::dispatch(routing::ReplicaDecision decision, const routing::PlacementGrant& grant) {
   const auto now = dependencies_.clock.now();
   if (timeLeft() < kLeastTimeForAttempt) {
     dependencies_.placement.ended(grant, routing::PlacementOutcome::kWithdrawn);
@@ -220,8 +219,8 @@
        {"save", decision.saveTo ? base::toString(*decision.saveTo) : ""},
        {"left_ms", millisecondsText(terms.timeLeft)}});
   const auto endpoint = record.facts().endpoint;
-  attempt_ = Attempt{std::move(decision), now, tokens, unread, work, false, false, std::nullopt,
-                     grant};
+  attempt_ =
+      Attempt{std::move(decision), now, tokens, unread, work, false, false, std::nullopt, grant};
   armSilence();
   armBegin();
   call_ = dependencies_.client.start(endpoint, arrival_.request, terms, *this);
@@ -261,9 +260,7 @@
   record.health().onWaitEnded(dependencies_.clock.now(), attempt_->work);
 }
 
-void RelayFlow::endGrant() {
-  dependencies_.placement.ended(attempt_->grant, attempt_->outcome);
-}
+void RelayFlow::endGrant() { dependencies_.placement.ended(attempt_->grant, attempt_->outcome); }
 
 void RelayFlow::onHead(clients::RelayedAnswer answer) {
   endWait();
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -2,10 +2,10 @@
 /// The life of one relayed request: from the choice of a replica to the end of its answer.
 ///
 /// States: choosing -> (shared parts that would be read) asking who holds them -> asking the homes
-/// of the candidates -> (no replica) holding -> dispatched -> answering -> over. An attempt that the replica did not run, or one of a repeatable request that
-/// failed, leads back to choosing, within the route's attempts and the retry budget. A resumable
-/// stream that broke goes on at another replica inside the same answer, behind the last whole event
-/// that the caller got.
+/// of the candidates -> (no replica) holding -> dispatched -> answering -> over. An attempt that
+/// the replica did not run, or one of a repeatable request that failed, leads back to choosing,
+/// within the route's attempts and the retry budget. A resumable stream that broke goes on at
+/// another replica inside the same answer, behind the last whole event that the caller got.
 ///
 /// Nothing of an answer reaches the caller before it is certain to be used: plain answers are kept
 /// until they are whole (up to a bound), streams until their first event.
--- a/src/request/relay_flow_parts.cc
+++ b/src/request/relay_flow_parts.cc
@@ -47,13 +47,14 @@
   request.promptTokens = promptTokens();
   if (wanted.withPrompt()) {
     const auto& parts = arrival_.prompt->chain.parts();
+    request.model = wanted.model;
     request.parts.assign(parts.begin(), parts.end() - 1);
-    request.patience = std::chrono::duration_cast<base::Duration>(
-        assignment_.route->targetLatency * options_.patienceShare);
+    request.patience = std::chrono::duration_cast<base::Duration>(assignment_.route->targetLatency *
+                                                                  options_.patienceShare);
   }
   for (const auto& replica : decision.order) {
-    request.candidates.push_back(
-        dependencies_.choice.candidateOf(wanted, replica, request.promptTokens));
+    request.candidates.push_back(dependencies_.choice.candidateOf(
+        wanted, replica, request.promptTokens, decision.heldTokens()));
   }
   dependencies_.placement.ask(
       std::move(request), [weak = weak_from_this(), candidates = decision.order,
--- a/src/routing/cache_watch.cc
+++ b/src/routing/cache_watch.cc
@@ -32,7 +32,9 @@
 CacheWatch::Wanted CacheWatch::wanted() const {
   Wanted wanted;
   for (const auto& [instance, record] : environment_.replicas.all()) {
-    if (watchesReplica(*record)) wanted.emplace(instance, record->facts().endpoint);
+    const auto& facts = record->facts();
+    if (isWatcher(instance, facts.zone, limit_(facts.service)))
+      wanted.emplace(instance, facts.endpoint);
   }
   for (const auto& store : environment_.stores.all()) {
     if (isWatcher(store.name, {}, store.eventWatchers)) wanted.emplace(store.name, store.endpoint);
@@ -41,7 +43,7 @@
 }
 
 void CacheWatch::review() {
-  const auto now = wanted();
+  const auto now = settled(wanted());
   for (auto watch = watches_.begin(); watch != watches_.end();) {
     if (now.contains(watch->first)) {
       ++watch;
@@ -62,17 +64,21 @@
 }
 
 bool CacheWatch::isWatcher(const std::string& name, std::string_view zone,
-                           std::uint32_t count) const {
-  if (environment_.members.liveMembers().size() <= count) return true;
+                           std::uint32_t limit) const {
+  if (environment_.members.liveMembers().size() <= limit) return true;
+  const auto count = std::min(limit, options_.watchersOfEach);
   return homes_.isAmongFirst(base::engineIdOf(name), zone, count);
 }
 
-bool CacheWatch::watchesReplica(const ReplicaRecord& record) const {
-  const auto& facts = record.facts();
-  const auto limit = limit_(facts.service);
-  const bool allMay = environment_.members.liveMembers().size() <= limit;
-  const auto count = allMay ? limit : std::min(limit, options_.watchersOfReplica);
-  return isWatcher(facts.instance, facts.zone, count);
+CacheWatch::Wanted CacheWatch::settled(const Wanted& wanted) {
+  const auto now = environment_.clock.now();
+  std::erase_if(inLineSince_, [&](const auto& entry) { return !wanted.contains(entry.first); });
+  Wanted settled;
+  for (const auto& [name, endpoint] : wanted) {
+    const auto since = inLineSince_.try_emplace(name, now).first->second;
+    if (now - since >= options_.settle) settled.emplace(name, endpoint);
+  }
+  return settled;
 }
 
 CacheWatch::Watch* CacheWatch::find(const std::string& name, std::uint64_t number) {
--- a/src/routing/cache_watch.h
+++ b/src/routing/cache_watch.h
@@ -3,9 +3,12 @@
 /// cache.
 ///
 /// Each of them lets a bounded number of callers watch it. Where there are more nodes than that, a
-/// replica is watched by its home and the node next in line (routing/replica_homes.h): who sends a
-/// request there asks the home. A store of kept cache is watched by as many nodes as it lets, by
-/// rendezvous hashing.
+/// replica or store is watched by its home and the node next in line (routing/replica_homes.h): who
+/// sends a request there asks the home.
+///
+/// A new watcher is sent all events that the replica still keeps, some hundred kilobytes. So a node
+/// begins to watch only when it has been in line for a while: a node that has just started sees
+/// itself alone at first, and one that restarts is back in a moment.
 #pragma once
 
 #include <functional>
@@ -33,13 +36,17 @@
   base::Duration backoff = std::chrono::milliseconds(700);
   /// How often the choice of watchers is looked at again.
   base::Duration review = std::chrono::milliseconds(500);
-  /// Nodes that watch a replica where not all can. Two, so that the next home knows its cache when
-  /// the home ends.
-  std::uint32_t watchersOfReplica = 2;
+  /// Nodes that watch a replica or store where not all can. Two, so that the next home knows its
+  /// cache when the home ends.
+  std::uint32_t watchersOfEach = 2;
+  /// How long a node must have been in line before it watches: more than a restart takes, and than
+  /// the membership takes to form.
+  base::Duration settle = std::chrono::milliseconds(2000);
 };
 
 /// All must outlive the watch and share its thread.
 struct CacheWatchEnvironment {
+  base::Clock& clock;
   base::TimerService& timers;
   base::RandomSource& random;
   clients::CacheFeedClient& feed;
@@ -76,9 +83,10 @@
 
   void review();
   Wanted wanted() const;
-  /// Whether this node is among the `count` nodes first in line for the replica or store.
-  bool isWatcher(const std::string& name, std::string_view zone, std::uint32_t count) const;
-  bool watchesReplica(const ReplicaRecord& record) const;
+  /// Whether this node should watch what lets `limit` callers watch it.
+  bool isWatcher(const std::string& name, std::string_view zone, std::uint32_t limit) const;
+  /// Of what should be watched, that for which this node has been in line long enough.
+  Wanted settled(const Wanted& wanted);
   /// The watch with this name and number; null when it has ended.
   Watch* find(const std::string& name, std::uint64_t number);
   void poll(const std::string& name, std::uint64_t number);
@@ -90,6 +98,8 @@
   ReplicaHomes homes_;
   WatcherLimit limit_;
   std::map<std::string, Watch> watches_;
+  /// Since when this node has been in line.
+  std::map<std::string, base::TimePoint> inLineSince_;
   std::uint64_t lastNumber_ = 0;
   base::TimerId reviewTimer_ = 0;
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -47,6 +47,7 @@
   PlacementQuestion question;
   question.id = id;
   question.replica = base::engineIdOf(candidate.record->facts().instance);
+  question.model = pending.request.model;
   question.scope = candidate.scope;
   question.parts = pending.request.parts;
   question.promptTokens = pending.request.promptTokens;
@@ -67,8 +68,7 @@
     pending.home = home.endpoint;
     const auto question = questionOf(id, pending);
     if (!isSelf(home.id)) {
-      pending.timer =
-          environment_.timers.schedule(options_.timeout, [this, id] { onTimeout(id); });
+      pending.timer = environment_.timers.schedule(options_.timeout, [this, id] { onTimeout(id); });
       pending_.insert_or_assign(id, std::move(pending));
       send(home.endpoint, question);
       return;
@@ -84,6 +84,10 @@
 
 bool Placement::consider(Pending& pending, const PlacementAnswer& answer, base::Duration margin) {
   ++pending.answered;
+  if (answer.version > 0) {
+    const auto& record = pending.request.candidates[pending.position].record;
+    record->learnVersion(pending.request.model, answer.version);
+  }
   if (answer.granted) return true;
   const auto place = static_cast<base::Duration::rep>(pending.position);
   const auto cost = answer.wait + margin * place;
@@ -97,8 +101,8 @@
   const auto& record = pending.request.candidates[pending.position].record;
   PlacementResult result;
   result.candidate = pending.position;
-  result.grant = PlacementGrant{id, base::engineIdOf(record->facts().instance), pending.homeId,
-                                pending.home};
+  result.grant =
+      PlacementGrant{id, base::engineIdOf(record->facts().instance), pending.homeId, pending.home};
   result.matchedTokens = answer.matchedTokens;
   result.wait = answer.wait;
   result.asked = pending.asked;
@@ -200,17 +204,17 @@
   auto& ledger = ledgers_.try_emplace(question.replica, options_.ledger).first->second;
   const bool leaving = record->facts().state != ReplicaState::kReady || record->gone();
   const bool unsettled = record->changing(now) || record->versionDoubted(now);
-  answer.usable = !leaving && !unsettled && ledger.available(now) &&
-                  ledger.hasRoom(question.work, now);
-  answer.matchedTokens = environment_.holders.matchedTokens(question.replica, question.scope,
-                                                            chainOf(question.parts));
+  answer.usable =
+      !leaving && !unsettled && ledger.available(now) && ledger.hasRoom(question.work, now);
+  answer.version = record->versionOf(question.model);
+  answer.matchedTokens =
+      environment_.holders.matchedTokens(question.replica, question.scope, chainOf(question.parts));
   auto work = question.work;
   const auto matched = std::min(question.promptTokens, answer.matchedTokens);
   work.unread = std::min(work.unread, question.promptTokens - matched);
   answer.wait = ledger.expectedWait(work, now);
   answer.granted = answer.usable && answer.wait <= question.patience;
-  if (answer.granted)
-    ledger.grant(question.id, work, {question.scope, question.parts}, now);
+  if (answer.granted) ledger.grant(question.id, work, {question.scope, question.parts}, now);
   return answer;
 }
 
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -69,6 +69,8 @@
 struct PlacementRequest {
   /// In order of preference.
   std::vector<PlacementCandidate> candidates;
+  /// Empty for requests without a prompt.
+  std::string model;
   /// The shared parts of the prompt; empty without one.
   std::vector<prefix::PromptPart> parts;
   std::uint32_t promptTokens = 0;
--- a/src/routing/placement_messages.cc
+++ b/src/routing/placement_messages.cc
@@ -17,8 +17,8 @@
   kEnded = 5,
 };
 
-constexpr std::uint32_t kQuestionFields = 11;
-constexpr std::uint32_t kAnswerFields = 7;
+constexpr std::uint32_t kQuestionFields = 12;
+constexpr std::uint32_t kAnswerFields = 8;
 constexpr std::uint32_t kTakenFields = 7;
 constexpr std::uint32_t kBegunFields = 3;
 constexpr std::uint32_t kEndedFields = 4;
@@ -37,7 +37,8 @@
 
 void write(base::Writer& writer, const PlacementQuestion& question) {
   begin(writer, kQuestionFields, MessageType::kQuestion).unsignedInteger(question.id);
-  writer.unsignedInteger(question.replica.value).unsignedInteger(question.scope);
+  writer.unsignedInteger(question.replica.value).text(question.model);
+  writer.unsignedInteger(question.scope);
   writer.array(static_cast<std::uint32_t>(question.parts.size()));
   for (const auto& part : question.parts)
     writer.array(kPartFields).unsignedInteger(part.id).unsignedInteger(part.tokens);
@@ -50,7 +51,8 @@
   begin(writer, kAnswerFields, MessageType::kAnswer).unsignedInteger(answer.id);
   writer.unsignedInteger(answer.replica.value);
   writer.boolean(answer.granted).boolean(answer.usable);
-  writer.signedInteger(answer.wait.count()).unsignedInteger(answer.matchedTokens);
+  writer.signedInteger(answer.wait.count());
+  writer.unsignedInteger(answer.version).unsignedInteger(answer.matchedTokens);
 }
 
 void write(base::Writer& writer, const PlacementTaken& taken) {
@@ -74,7 +76,9 @@
   return static_cast<std::uint32_t>(reader.unsignedInteger());
 }
 
-base::EngineId readReplica(base::Reader& reader) { return base::EngineId{reader.unsignedInteger()}; }
+base::EngineId readReplica(base::Reader& reader) {
+  return base::EngineId{reader.unsignedInteger()};
+}
 
 PlacementWork readWork(base::Reader& reader) {
   PlacementWork work;
@@ -89,6 +93,7 @@
   PlacementQuestion question;
   question.id = reader.unsignedInteger();
   question.replica = readReplica(reader);
+  question.model = reader.text();
   question.scope = reader.unsignedInteger();
   const auto count = reader.beginArray();
   if (count > kMostParts) return std::nullopt;
@@ -114,6 +119,7 @@
   answer.granted = reader.boolean();
   answer.usable = reader.boolean();
   answer.wait = base::Duration{reader.signedInteger()};
+  answer.version = reader.unsignedInteger();
   answer.matchedTokens = readCount(reader);
   return answer;
 }
--- a/src/routing/placement_messages.h
+++ b/src/routing/placement_messages.h
@@ -47,6 +47,8 @@
   /// Chosen by the asker; names the grant too.
   std::uint64_t id = 0;
   base::EngineId replica;
+  /// Empty for requests without a prompt.
+  std::string model;
   CacheScope scope = 0;
   /// The shared parts of the prompt.
   std::vector<prefix::PromptPart> parts;
@@ -65,6 +67,8 @@
   /// has no room.
   bool usable = true;
   base::Duration wait{};
+  /// Version of the model's weights at the replica, as far as the home knows; 0: not known.
+  base::WeightsVersion version = 0;
   /// Leading shared tokens that the home believes cached at the replica.
   std::uint32_t matchedTokens = 0;
 };
--- a/src/routing/read_speed.h
+++ b/src/routing/read_speed.h
@@ -21,8 +21,7 @@
 
  private:
   static base::Duration scaled(double perToken, std::uint64_t tokens) {
-    return base::Duration{
-        static_cast<base::Duration::rep>(perToken * static_cast<double>(tokens))};
+    return base::Duration{static_cast<base::Duration::rep>(perToken * static_cast<double>(tokens))};
   }
 
   /// Microseconds a token. The first value is slower than replicas are.
--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -88,8 +88,8 @@
     std::ranges::copy_if(allowed, std::back_inserter(kept), predicate);
     if (!kept.empty()) allowed = std::move(kept);
   };
-  keep([&](const auto& record) { return !record->changing(now) && !record->versionDoubted(now); },
-       "every replica is loading weights");
+  keep([&](const auto& record) { return !record->versionDoubted(now); },
+       "the version of every replica is doubtful");
   keep([&](const auto& record) { return record->health().available(now); },
        "every replica is ejected or silent");
   prefer([&](const auto& record) { return !record->full(now); });
@@ -231,10 +231,9 @@
 }
 
 void ReplicaChoice::moveNearFirst(Candidates& candidates) const {
-  const auto far = std::stable_partition(candidates.begin(), candidates.end(),
-                                         [this](const ReplicaRecordPtr& record) {
-                                           return record->facts().zone == context_.zone;
-                                         });
+  const auto far = std::stable_partition(
+      candidates.begin(), candidates.end(),
+      [this](const ReplicaRecordPtr& record) { return record->facts().zone == context_.zone; });
   const auto last = std::min(options_.mostInOrder, candidates.size()) - 1;
   const auto lastAsked = candidates.begin() + static_cast<std::ptrdiff_t>(last);
   if (far != candidates.end() && far > lastAsked) std::rotate(lastAsked, far, far + 1);
@@ -248,22 +247,33 @@
                                       base::TimePoint now) {
   ReplicaDecision decision;
   Candidates candidates = eligible(query, now, decision.reason);
-  decision.candidates = candidates.size();
   if (candidates.empty()) return decision;
   if (query.withPrompt()) {
     sortByHome(candidates, query);
     if (!query.longRun && query.chain->sharedTokens() < options_.nearTokens)
       moveNearFirst(candidates);
-    decision.rank = firstWithRoom(candidates, query, nodes, now);
   } else {
     sortByLoad(candidates);
   }
   const auto asked = std::min(options_.mostInOrder, candidates.size());
   decision.order.assign(candidates.begin(),
                         candidates.begin() + static_cast<std::ptrdiff_t>(asked));
+  chooseAlone(decision, std::move(candidates), query, nodes, now);
+  return decision;
+}
+
+void ReplicaChoice::chooseAlone(ReplicaDecision& decision, Candidates candidates,
+                                const ReplicaQuery& query, std::size_t nodes, base::TimePoint now) {
+  std::erase_if(candidates, [now](const auto& record) { return record->changing(now); });
+  decision.candidates = candidates.size();
+  if (candidates.empty()) {
+    decision.reason = "every replica is loading weights";
+    return;
+  }
+  if (query.withPrompt()) decision.rank = firstWithRoom(candidates, query, nodes, now);
   if (decision.rank == candidates.size()) {
     decision.reason = "every replica has as many requests as it should";
-    return decision;
+    return;
   }
   decision.replica = candidates[decision.rank];
   if (query.withPrompt()) {
@@ -272,7 +282,6 @@
     decision.matchedTokens = context_.holders.matchedTokens(replica, scope, *query.chain);
   }
   complete(decision, query, now);
-  return decision;
 }
 
 std::optional<ReplicaDecision> ReplicaChoice::decide(const ReplicaQuery& query,
@@ -301,7 +310,8 @@
 
 PlacementCandidate ReplicaChoice::candidateOf(const ReplicaQuery& query,
                                               const ReplicaRecordPtr& replica,
-                                              std::uint32_t promptTokens) const {
+                                              std::uint32_t promptTokens,
+                                              std::uint32_t heldTokens) const {
   PlacementCandidate candidate;
   candidate.record = replica;
   candidate.work.slots = replica->facts().slots;
@@ -310,11 +320,10 @@
   candidate.scope = cacheScope(saltOf(query, *replica), query.model);
   const auto matched = context_.holders.matchedTokens(id, candidate.scope, *query.chain);
   candidate.work.tokens = query.tokens - std::min(query.tokens, matched);
-  // What is shared is fetched where it is not held, which takes far less time than reading.
-  const auto shared = std::max(matched, query.chain->sharedTokens());
-  candidate.work.unread = promptTokens - std::min(promptTokens, shared);
-  candidate.work.memory = static_cast<std::uint32_t>(static_cast<double>(query.engine->cacheTokens) *
-                                                     options_.knownMemoryShare);
+  // What is held elsewhere is fetched, which takes far less time than reading.
+  candidate.work.unread = promptTokens - std::min(promptTokens, std::max(matched, heldTokens));
+  candidate.work.memory = static_cast<std::uint32_t>(
+      static_cast<double>(query.engine->cacheTokens) * options_.knownMemoryShare);
   return candidate;
 }
 
--- a/src/routing/replica_choice.h
+++ b/src/routing/replica_choice.h
@@ -118,7 +118,7 @@
   /// Weight of replicas of the newest version that is served, against 1 of the others.
   double newestWeight = 2;
   /// Replicas whose homes may be asked for one request; each question is a round trip.
-  std::size_t mostInOrder = 4;
+  std::size_t mostInOrder = 6;
   /// Prompts that share fewer tokens go to replicas of this node's zone first: to read them again
   /// in each zone costs less than the bytes between zones.
   std::uint32_t nearTokens = 512;
@@ -138,9 +138,10 @@
   /// its home believes cached there.
   std::optional<ReplicaDecision> decide(const ReplicaQuery& query, const ReplicaRecordPtr& replica,
                                         std::uint32_t matchedTokens, base::TimePoint now);
-  /// What the request takes of the replica, for its home.
+  /// What the request takes of the replica, for its home. `heldTokens` of its shared parts are
+  /// known to be cached somewhere, from where they can be fetched.
   PlacementCandidate candidateOf(const ReplicaQuery& query, const ReplicaRecordPtr& replica,
-                                 std::uint32_t promptTokens) const;
+                                 std::uint32_t promptTokens, std::uint32_t heldTokens) const;
 
  private:
   using Candidates = std::vector<ReplicaRecordPtr>;
@@ -149,7 +150,12 @@
   /// out of date.
   bool beginsInTime(const ReplicaQuery& query, const ReplicaRecord& record,
                     base::TimePoint now) const;
+  /// The replicas that the request may go to, those among them that change their weights included:
+  /// homes know these at once, other nodes by gossip, late.
   Candidates eligible(const ReplicaQuery& query, base::TimePoint now, std::string_view& reason);
+  /// Chooses among the candidates by what this node knows.
+  void chooseAlone(ReplicaDecision& decision, Candidates candidates, const ReplicaQuery& query,
+                   std::size_t nodes, base::TimePoint now);
   /// Orders the candidates by load, near ones first.
   void sortByLoad(Candidates& candidates);
   /// Orders the candidates by rendezvous hashing of the deepest shared part.
--- a/src/routing/replica_ledger.cc
+++ b/src/routing/replica_ledger.cc
@@ -57,8 +57,7 @@
 void ReplicaLedger::dropLapsed(base::TimePoint now) {
   for (auto entry = grants_.begin(); entry != grants_.end();) {
     auto& grant = entry->second;
-    const auto limit =
-        grant.begun ? options_.longestRun : options_.longestWait + 2 * grant.reading;
+    const auto limit = grant.begun ? options_.longestRun : options_.longestWait + 2 * grant.reading;
     if (now - grant.at <= limit) {
       ++entry;
       continue;
--- a/tests/live/limited_event_log_test.cc
+++ b/tests/live/limited_event_log_test.cc
@@ -35,8 +35,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(DecisionsAreNeverLeftOut) {
-  for (int request = 0; request < 500; ++request)
-    limited.write(base::Event::kRelayDispatched, {});
+  for (int request = 0; request < 500; ++request) limited.write(base::Event::kRelayDispatched, {});
   BOOST_TEST(log.count(base::Event::kRelayDispatched) == 500U);
   BOOST_TEST(log.count(base::Event::kLogLinesDropped) == 0U);
 }
--- a/tests/request/relay_flow_test.cc
+++ b/tests/request/relay_flow_test.cc
@@ -216,6 +216,7 @@
 BOOST_AUTO_TEST_CASE(WorkOfOtherNodesAtAReplicaSendsARequestElsewhere) {
   request("once");
   const auto usual = client.last().terms.expectedInstance;
+  time.advance(milliseconds(30));
   client.last().answer(200, "id: 1\ndata: x\n\n");
   const base::PeerIdentity other{base::nodeIdOf("other"), 1, {}};
   const routing::PlacementWork work{20'000, 20'000, 8, 90'000};
@@ -223,8 +224,8 @@
       other, routing::encode(routing::PlacementTaken{7, base::engineIdOf(usual), work}));
   request("once");
   BOOST_TEST(client.last().terms.expectedInstance != usual);
-  placement.onPeerMessage(other, routing::encode(routing::PlacementBegun{
-                                     7, base::engineIdOf(usual)}));
+  placement.onPeerMessage(other,
+                          routing::encode(routing::PlacementBegun{7, base::engineIdOf(usual)}));
   request("once");
   BOOST_TEST(client.last().terms.expectedInstance == usual);
 }
--- a/tests/routing/cache_watch_test.cc
+++ b/tests/routing/cache_watch_test.cc
@@ -75,8 +75,14 @@
   CacheStores stores;
   PrefixHolders holders;
   prefix::PartChain chain = *prefix::PartChain::parse("aa:50,own:5");
-  CacheWatch watch{{},
-                   {time, random, feed, replicas, stores, members, holders},
+  /// A node that watches as soon as it is in line.
+  static CacheWatchOptions atOnce() {
+    CacheWatchOptions options;
+    options.settle = {};
+    return options;
+  }
+  CacheWatch watch{atOnce(),
+                   {time, time, random, feed, replicas, stores, members, holders},
                    [](const std::string& service) { return service == "llm" ? 3U : 0U; }};
 };
 
@@ -120,9 +126,10 @@
     view.members = all;
     std::swap(view.members[0], view.members[self]);
     FakeFeed calls;
-    CacheWatch one({}, {time, random, calls, replicas, stores, view, holders},
+    CacheWatch one({}, {time, time, random, calls, replicas, stores, view, holders},
                    [](const std::string& /*service*/) { return 3U; });
     one.start();
+    time.advance(seconds(3));
     watchers += one.watched();
   }
   BOOST_TEST(watchers == 2U);
@@ -150,6 +157,25 @@
   BOOST_TEST(feed.calls.size() == 3U);
 }
 
+// Each new watcher is sent all events that the replica still keeps.
+BOOST_AUTO_TEST_CASE(NodeThatIsInLineForAMomentDoesNotWatch) {
+  FakeFeed calls;
+  FakeMembers view;
+  CacheWatch late({}, {time, time, random, calls, replicas, stores, view, holders},
+                  [](const std::string& /*service*/) { return 1U; });
+  late.start();
+  // Alone for a moment, as after a start; then it sees the others.
+  time.advance(milliseconds(1400));
+  const auto alone = view.members;
+  for (int number = 0; number < 200; ++number)
+    view.members.push_back(FakeMembers::member("n" + std::to_string(number)));
+  time.advance(seconds(5));
+  BOOST_TEST(calls.calls.empty());
+  view.members = alone;
+  time.advance(seconds(3));
+  BOOST_TEST(calls.calls.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(StoreIsAvailableWhileItAnswers) {
   config::RouteTableContents contents;
   config::Service service;
--- a/tests/routing/placement_test.cc
+++ b/tests/routing/placement_test.cc
@@ -104,8 +104,8 @@
   }
   std::size_t homeOf(std::size_t replica) {
     const auto facts = record(0, replica)->facts();
-    const auto& home = ReplicaHomes(nodes.at(0)->members)
-                           .homeOf(base::engineIdOf(facts.instance), facts.zone);
+    const auto& home =
+        ReplicaHomes(nodes.at(0)->members).homeOf(base::engineIdOf(facts.instance), facts.zone);
     const auto found = std::ranges::find(all, home.id, &membership::Member::id);
     return static_cast<std::size_t>(found - all.begin());
   }
