Seek the first part of long prompts as well, and keep short prompts that begin alike together

Its long prompts begin with one of four parts of 2,520 tokens, which each of 240 replicas read anew under each version, since only the deepest part's home was asked. Short prompts were spread by their deepest part, of which there are thousands, so that nearly each was read whole. Change: a node that knows no holder of a long first part asks its home, too, and that home is told of the first few holders; short prompts are ordered by their first part.

--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -50,6 +50,8 @@
   /// A request that would read so many shared tokens asks first who holds them. A lookup costs a
   /// few milliseconds, as reading so many tokens does.
   std::uint32_t leastLookup = 512;
+  /// With fewer holders the home of a first part is told of more, so that they share the fetches.
+  std::size_t fewHolders = 3;
   /// Refusals by replicas after which a request is refused as well.
   std::uint32_t mostRefusals = 3;
   /// Largest plain answer that is kept until it is whole.
@@ -190,10 +192,17 @@
   std::uint32_t unreadSharedTokens(const routing::ReplicaDecision& decision) const;
   /// Whether the decision would read shared parts of which other nodes may know a holder.
   bool shouldLookUp(const routing::ReplicaDecision& decision) const;
-  /// Asks the home of the deepest shared part for holders, and chooses again.
+  /// Places in the chain of the parts whose homes are asked: the deepest shared one, and the first
+  /// where it is long and no holder is known. Many prompts begin with the first, so that it can be
+  /// fetched where the deeper ones are new.
+  std::vector<std::size_t> partsToAskFor(routing::CacheScope scope) const;
+  /// Asks the homes of shared parts for holders, and chooses again.
   void lookUp(routing::CacheScope scope);
-  void onHolders(routing::CacheScope scope, const std::vector<routing::PartHolder>& holders);
-  /// Tells the home of the deepest shared part that the replica has read it.
+  /// The home of the part at this place in the chain answered.
+  void onHolders(routing::CacheScope scope, std::size_t index,
+                 const std::vector<routing::PartHolder>& holders);
+  /// Tells the home of the deepest shared part that the replica has read it, and that of the first
+  /// where few replicas are known to have it.
   void tellHome(const routing::ReplicaDecision& decision);
   void hold(std::string_view why, base::Duration interval);
   void dispatch(routing::ReplicaDecision decision, const routing::PlacementGrant& grant);
@@ -254,6 +263,8 @@
   std::uint32_t refusals_ = 0;
   /// The home of the deepest shared part has been asked for holders.
   bool lookedUp_ = false;
+  std::size_t lookupsLeft_ = 0;
+  bool firstPartIsRare_ = false;
   /// Replicas that have no room by their homes, as asked lately.
   std::vector<std::string> passedOver_;
   /// No home answered; none is asked before this.
--- a/src/request/relay_flow_parts.cc
+++ b/src/request/relay_flow_parts.cc
@@ -16,29 +16,52 @@
   return shared - std::min(shared, decision.heldTokens());
 }
 
+std::vector<std::size_t> RelayFlow::partsToAskFor(routing::CacheScope scope) const {
+  const auto& chain = arrival_.prompt->chain;
+  std::vector<std::size_t> wanted{chain.sharedParts() - 1};
+  const auto& first = chain.parts().front();
+  const bool worthAsking = wanted.front() > 0 && first.tokens >= options_.leastLookup;
+  if (worthAsking && !dependencies_.holders.anyHolds(scope, first.id)) wanted.push_back(0);
+  return wanted;
+}
+
 void RelayFlow::lookUp(routing::CacheScope scope) {
+  const auto self = shared_from_this();
   lookedUp_ = true;
-  dependencies_.parts.ask(
-      *arrival_.prompt->chain.deepestShared(),
-      [weak = weak_from_this(), scope](const std::vector<routing::PartHolder>& holders) {
-        if (const auto flow = weak.lock()) flow->onHolders(scope, holders);
-      });
+  const auto wanted = partsToAskFor(scope);
+  lookupsLeft_ = wanted.size();
+  for (const auto index : wanted) {
+    dependencies_.parts.ask(
+        arrival_.prompt->chain.parts()[index].id,
+        [weak = weak_from_this(), scope, index](const std::vector<routing::PartHolder>& holders) {
+          if (const auto flow = weak.lock()) flow->onHolders(scope, index, holders);
+        });
+  }
 }
 
-void RelayFlow::onHolders(routing::CacheScope scope,
+void RelayFlow::onHolders(routing::CacheScope scope, std::size_t index,
                           const std::vector<routing::PartHolder>& holders) {
+  const auto& parts = arrival_.prompt->chain.parts();
+  std::size_t useful = 0;
   // What is held under other weights, or by another isolated tenant, is of no use here.
   for (const auto& holder : holders) {
-    if (holder.scope == scope)
-      dependencies_.holders.learnChain(holder.replica, scope, arrival_.prompt->chain);
+    if (holder.scope != scope) continue;
+    ++useful;
+    for (std::size_t held = 0; held <= index; ++held)
+      dependencies_.holders.learn(holder.replica, scope, parts[held].id, parts[held].tokens);
   }
-  choose();
+  if (index == 0) firstPartIsRare_ = useful < options_.fewHolders;
+  if (--lookupsLeft_ == 0) choose();
 }
 
 void RelayFlow::tellHome(const routing::ReplicaDecision& decision) {
   if (!arrival_.prompt || arrival_.prompt->chain.sharedTokens() < options_.leastLookup) return;
-  dependencies_.parts.tell(*arrival_.prompt->chain.deepestShared(),
-                           {base::engineIdOf(decision.replica->facts().instance), decision.scope});
+  const routing::PartHolder holder{base::engineIdOf(decision.replica->facts().instance),
+                                   decision.scope};
+  const auto& chain = arrival_.prompt->chain;
+  dependencies_.parts.tell(*chain.deepestShared(), holder);
+  if (firstPartIsRare_ && chain.sharedParts() > 1)
+    dependencies_.parts.tell(chain.parts().front().id, holder);
 }
 
 void RelayFlow::askHomes(const routing::ReplicaDecision& decision) {
--- a/src/routing/prefix_holders.cc
+++ b/src/routing/prefix_holders.cc
@@ -41,6 +41,10 @@
   }
 }
 
+bool PrefixHolders::anyHolds(CacheScope scope, std::uint64_t part) const {
+  return holdings_.contains(base::mixHash(scope, part));
+}
+
 std::uint32_t PrefixHolders::matchedTokens(base::EngineId replica, CacheScope scope,
                                            const prefix::PartChain& chain) const {
   std::uint32_t matched = 0;
--- a/src/routing/prefix_holders.h
+++ b/src/routing/prefix_holders.h
@@ -30,6 +30,8 @@
   /// Leading tokens of the chain's shared parts that the replica holds.
   std::uint32_t matchedTokens(base::EngineId replica, CacheScope scope,
                               const prefix::PartChain& chain) const;
+  /// Whether some replica is known to hold the part.
+  bool anyHolds(CacheScope scope, std::uint64_t part) const;
   std::size_t size() const { return size_; }
 
  private:
--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -226,8 +226,19 @@
   const auto weight = [&](const ReplicaRecord& record) {
     return record.versionOf(query.model) == newest ? options_.newestWeight : 1.0;
   };
-  sortByRendezvous(candidates, *query.chain->deepestShared(), weight);
-  if (query.longRun) moveLongRunReplicasFirst(candidates, query);
+  const bool shortPrompt = sharesLittle(query);
+  // Short prompts that begin alike are kept together: most of what they share lies in front.
+  const auto key = shortPrompt ? query.chain->parts().front().id : *query.chain->deepestShared();
+  sortByRendezvous(candidates, key, weight);
+  if (query.longRun) {
+    moveLongRunReplicasFirst(candidates, query);
+  } else if (shortPrompt) {
+    moveNearFirst(candidates);
+  }
+}
+
+bool ReplicaChoice::sharesLittle(const ReplicaQuery& query) const {
+  return query.chain->sharedTokens() < options_.nearTokens;
 }
 
 void ReplicaChoice::moveNearFirst(Candidates& candidates) const {
@@ -250,8 +261,6 @@
   if (candidates.empty()) return decision;
   if (query.withPrompt()) {
     sortByHome(candidates, query);
-    if (!query.longRun && query.chain->sharedTokens() < options_.nearTokens)
-      moveNearFirst(candidates);
   } else {
     sortByLoad(candidates);
   }
--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -193,8 +193,8 @@
     if (path == "once" || path == "resumable") {
       PromptFacts prompt;
       prompt.model = "m";
-      prompt.chain = *prefix::PartChain::parse("aa:1000,bb:200");
-      prompt.promptTokens = 1200;
+      prompt.chain = *prefix::PartChain::parse(promptText);
+      prompt.promptTokens = prompt.chain.totalTokens();
       prompt.mostOutputTokens = 20;
       arrival.prompt = std::move(prompt);
     }
@@ -233,6 +233,8 @@
   std::vector<RelayOutcome> outcomes;
   std::vector<std::unique_ptr<CallerView>> views;
   std::size_t requests = 0;
+  /// Parts of the prompts of requests.
+  std::string promptText = "aa:1000,bb:200";
   std::weak_ptr<RelayFlow> flow;
   RelayService service{
       options(),
--- a/tests/request/relay_flow_test.cc
+++ b/tests/request/relay_flow_test.cc
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <map>
+#include <set>
 
 #include "relay_fixture.h"
 
@@ -443,6 +444,21 @@
   BOOST_TEST(client.sent.size() == 2U);
 }
 
+// Every replica read the part that many prompts begin with once for each version of the weights.
+BOOST_AUTO_TEST_CASE(LongFirstPartIsFetchedWhereTheDeeperOnesAreNew) {
+  parts.tell(prefix::partIdOf("start"),
+             {base::engineIdOf("m1"), routing::cacheScope("w1", "m")});
+  std::set<std::string> reached;
+  for (int deeper = 0; reached.size() < 3; ++deeper) {
+    promptText = "start:800,new" + std::to_string(deeper) + ":700,own:100";
+    request("once");
+    const auto& terms = client.last().terms;
+    reached.insert(terms.expectedInstance);
+    const auto source = replicas.find("m1")->facts().endpoint;
+    BOOST_TEST((terms.fetchFrom == source) == (terms.expectedInstance != "m1"));
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(CallerThatLeavesDuringTheLookupIsNotServed, LookupFixture) {
   request("once");
   flow.lock()->onCallerGone();
