Tell the homes of parts what replicas and stores keep and drop

Caches turn over in some five seconds there, and a node that does not watch a replica never learned what it dropped: most fetches were in vain, and nothing was saved to or sought at the store of kept cache, since somebody was believed to hold it. Change: the home of a replica or store, which watches its cache, tells the homes of long parts what it keeps and drops (routing/cache_watch, part_lookup); where not all nodes watch all caches, a long prompt's node always asks, and the answers replace what it remembered.

--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -43,8 +43,8 @@
 /// How often the sums of what was sent to other nodes are logged: a few lines each time.
 constexpr base::Duration kTrafficReport = std::chrono::seconds(10);
 constexpr std::size_t kNodesAtFirst = 8;
-/// A node that restarts joins within a few milliseconds where a machine that it asks is up; one that
-/// has joined nobody by then reads the table service itself. Longer waits delay the serving.
+/// A node that restarts joins within a few milliseconds where a machine that it asks is up; one
+/// that has joined nobody by then reads the table service itself. Longer waits delay the serving.
 constexpr base::Duration kJoinPatience = std::chrono::milliseconds(60);
 constexpr base::Duration kMembershipForms = std::chrono::seconds(5);
 
@@ -175,6 +175,7 @@
         metricsServer(ioContext, {}, [this](const HttpExchangePtr& exchange) {
           exchange->respond({kOk, {{"Content-Type", "text/plain; version=0.0.4"}}, render()});
         }) {
+    cacheWatch.onChange([this](const routing::CacheChange& change) { onCacheChange(change); });
     configuration.setWatch(configurationWatch);
     configuration.onTable([this](const config::RouteTable& table) {
       applyLimits(table.limits());
@@ -206,6 +207,14 @@
     callerServer.setLimits(http);
   }
 
+  /// Tells the home of a long part who holds it.
+  void onCacheChange(const routing::CacheChange& change) {
+    const auto least = request::RelayOptions{}.leastLookup;
+    const bool before = change.tokensBefore >= least;
+    const bool now = change.tokensNow >= least;
+    if (before != now) parts.tell(change.part, {change.holder, change.scope}, now);
+  }
+
   std::uint32_t eventWatchers(const std::string& name) const {
     const auto table = configuration.table();
     const auto* found = table ? table->findService(name) : nullptr;
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -146,6 +146,11 @@
 
  private:
   using Candidates = std::vector<routing::ReplicaRecordPtr>;
+  /// The holders of one part, by its place in the chain.
+  struct FoundHolders {
+    std::size_t part = 0;
+    std::vector<routing::PartHolder> holders;
+  };
 
   /// What is known of an attempt that failed.
   enum class Loss : std::uint8_t { kNeverArrived, kNotRun, kMayHaveRun };
@@ -192,15 +197,16 @@
   std::uint32_t unreadSharedTokens(const routing::ReplicaDecision& decision) const;
   /// Whether the decision would read shared parts of which other nodes may know a holder.
   bool shouldLookUp(const routing::ReplicaDecision& decision) const;
+  /// Whether this node watches all replicas' caches itself.
+  bool knowsAllCaches() const;
   /// Places in the chain of the parts whose homes are asked: the deepest shared one, and the first
   /// where it is long and no holder is known. Many prompts begin with the first, so that it can be
   /// fetched where the deeper ones are new.
   std::vector<std::size_t> partsToAskFor(routing::CacheScope scope) const;
   /// Asks the homes of shared parts for holders, and chooses again.
   void lookUp(routing::CacheScope scope);
-  /// The home of the part at this place in the chain answered.
-  void onHolders(routing::CacheScope scope, std::size_t index,
-                 const std::vector<routing::PartHolder>& holders);
+  /// Takes in what the homes answered.
+  void learnHolders(routing::CacheScope scope);
   /// Tells the home of the deepest shared part that the replica has read it, and that of the first
   /// where few replicas are known to have it.
   void tellHome(const routing::ReplicaDecision& decision);
@@ -264,6 +270,7 @@
   /// The home of the deepest shared part has been asked for holders.
   bool lookedUp_ = false;
   std::size_t lookupsLeft_ = 0;
+  std::vector<FoundHolders> foundHolders_;
   bool firstPartIsRare_ = false;
   /// Replicas that have no room by their homes, as asked lately.
   std::vector<std::string> passedOver_;
--- a/src/request/relay_flow_parts.cc
+++ b/src/request/relay_flow_parts.cc
@@ -8,9 +8,15 @@
 
 bool RelayFlow::shouldLookUp(const routing::ReplicaDecision& decision) const {
   if (lookedUp_ || !decision.replica || !arrival_.prompt) return false;
+  if (!knowsAllCaches()) return arrival_.prompt->chain.sharedTokens() >= options_.leastLookup;
   return unreadSharedTokens(decision) >= options_.leastLookup;
 }
 
+bool RelayFlow::knowsAllCaches() const {
+  const auto& engine = assignment_.service->engine;
+  return engine && hooks_.nodes() <= engine->eventWatchers;
+}
+
 std::uint32_t RelayFlow::unreadSharedTokens(const routing::ReplicaDecision& decision) const {
   const auto shared = arrival_.prompt->chain.sharedTokens();
   return shared - std::min(shared, decision.heldTokens());
@@ -21,7 +27,8 @@
   std::vector<std::size_t> wanted{chain.sharedParts() - 1};
   const auto& first = chain.parts().front();
   const bool worthAsking = wanted.front() > 0 && first.tokens >= options_.leastLookup;
-  if (worthAsking && !dependencies_.holders.anyHolds(scope, first.id)) wanted.push_back(0);
+  const bool known = knowsAllCaches() && dependencies_.holders.anyHolds(scope, first.id);
+  if (worthAsking && !known) wanted.push_back(0);
   return wanted;
 }
 
@@ -31,27 +38,37 @@
   const auto wanted = partsToAskFor(scope);
   lookupsLeft_ = wanted.size();
   for (const auto index : wanted) {
-    dependencies_.parts.ask(
-        arrival_.prompt->chain.parts()[index].id,
-        [weak = weak_from_this(), scope, index](const std::vector<routing::PartHolder>& holders) {
-          if (const auto flow = weak.lock()) flow->onHolders(scope, index, holders);
-        });
+    dependencies_.parts.ask(arrival_.prompt->chain.parts()[index].id,
+                            [weak = weak_from_this(), scope, index](const auto& holders) {
+                              const auto flow = weak.lock();
+                              if (!flow) return;
+                              if (holders) flow->foundHolders_.push_back({index, *holders});
+                              if (--flow->lookupsLeft_ > 0) return;
+                              flow->learnHolders(scope);
+                              flow->choose();
+                            });
   }
 }
 
-void RelayFlow::onHolders(routing::CacheScope scope, std::size_t index,
-                          const std::vector<routing::PartHolder>& holders) {
+void RelayFlow::learnHolders(routing::CacheScope scope) {
   const auto& parts = arrival_.prompt->chain.parts();
-  std::size_t useful = 0;
-  // What is held under other weights, or by another isolated tenant, is of no use here.
-  for (const auto& holder : holders) {
-    if (holder.scope != scope) continue;
-    ++useful;
-    for (std::size_t held = 0; held <= index; ++held)
-      dependencies_.holders.learn(holder.replica, scope, parts[held].id, parts[held].tokens);
+  auto& known = dependencies_.holders;
+  // Homes are told what replicas drop; what this node remembers of others' caches is older.
+  if (!knowsAllCaches()) {
+    for (const auto& found : foundHolders_) known.forgetPart(scope, parts[found.part].id);
+  }
+  for (const auto& found : foundHolders_) {
+    std::size_t useful = 0;
+    // What is held under other weights, or by another isolated tenant, is of no use here.
+    for (const auto& holder : found.holders) {
+      if (holder.scope != scope) continue;
+      ++useful;
+      for (std::size_t held = 0; held <= found.part; ++held)
+        known.learn(holder.replica, scope, parts[held].id, parts[held].tokens);
+    }
+    if (found.part == 0) firstPartIsRare_ = useful < options_.fewHolders;
   }
-  if (index == 0) firstPartIsRare_ = useful < options_.fewHolders;
-  if (--lookupsLeft_ == 0) choose();
+  foundHolders_.clear();
 }
 
 void RelayFlow::tellHome(const routing::ReplicaDecision& decision) {
--- a/src/routing/cache_watch.cc
+++ b/src/routing/cache_watch.cc
@@ -33,11 +33,13 @@
   Wanted wanted;
   for (const auto& [instance, record] : environment_.replicas.all()) {
     const auto& facts = record->facts();
-    if (isWatcher(instance, facts.zone, limit_(facts.service)))
-      wanted.emplace(instance, facts.endpoint);
+    const auto limit = limit_(facts.service);
+    if (isWatcher(instance, facts.zone, limit))
+      wanted.emplace(instance, Target{facts.endpoint, facts.zone, limit});
   }
   for (const auto& store : environment_.stores.all()) {
-    if (isWatcher(store.name, {}, store.eventWatchers)) wanted.emplace(store.name, store.endpoint);
+    if (isWatcher(store.name, {}, store.eventWatchers))
+      wanted.emplace(store.name, Target{store.endpoint, {}, store.eventWatchers});
   }
   return wanted;
 }
@@ -53,11 +55,13 @@
     environment_.stores.forgetAnswered(watch->first);
     watch = watches_.erase(watch);
   }
-  for (const auto& [name, endpoint] : now) {
+  for (const auto& [name, target] : now) {
     const auto [watch, added] = watches_.try_emplace(name);
     if (!added) continue;
     watch->second.number = ++lastNumber_;
-    watch->second.endpoint = endpoint;
+    watch->second.endpoint = target.endpoint;
+    watch->second.zone = target.zone;
+    watch->second.limit = target.limit;
     poll(name, watch->second.number);
   }
   reviewTimer_ = environment_.timers.schedule(options_.review, [this] { review(); });
@@ -74,9 +78,9 @@
   const auto now = environment_.clock.now();
   std::erase_if(inLineSince_, [&](const auto& entry) { return !wanted.contains(entry.first); });
   Wanted settled;
-  for (const auto& [name, endpoint] : wanted) {
+  for (const auto& [name, target] : wanted) {
     const auto since = inLineSince_.try_emplace(name, now).first->second;
-    if (now - since >= options_.settle) settled.emplace(name, endpoint);
+    if (now - since >= options_.settle) settled.emplace(name, target);
   }
   return settled;
 }
@@ -115,11 +119,26 @@
   if (restarted || reply.lost) environment_.holders.forget(holder);
   watch.epoch = reply.epoch;
   watch.since = reply.next;
+  takeEvents(name, watch, reply);
+  schedule(name, watch, options_.pause);
+}
+
+void CacheWatch::takeEvents(const std::string& name, const Watch& watch,
+                            const clients::CacheFeedReply& reply) {
+  const auto holder = base::engineIdOf(name);
+  const bool allWatch = environment_.members.liveMembers().size() <= watch.limit;
+  const bool tells = changed_ && !allWatch && homes_.isAmongFirst(holder, watch.zone, 1);
   for (const auto& event : reply.events) {
-    environment_.holders.learn(holder, cacheScope(event.salt, event.model),
-                               prefix::partIdOf(event.part), event.tokens);
+    CacheChange change;
+    change.holder = holder;
+    change.scope = cacheScope(event.salt, event.model);
+    change.part = prefix::partIdOf(event.part);
+    change.tokensNow = event.tokens;
+    if (tells)
+      change.tokensBefore = environment_.holders.tokensOf(holder, change.scope, change.part);
+    environment_.holders.learn(holder, change.scope, change.part, event.tokens);
+    if (tells) changed_(change);
   }
-  schedule(name, watch, options_.pause);
 }
 
 }  // namespace covewing::routing
--- a/src/routing/cache_watch.h
+++ b/src/routing/cache_watch.h
@@ -56,8 +56,21 @@
   PrefixHolders& holders;
 };
 
+/// A replica or store began to hold a part, or no longer holds it.
+struct CacheChange {
+  base::EngineId holder;
+  CacheScope scope = 0;
+  std::uint64_t part = 0;
+  std::uint32_t tokensBefore = 0;
+  std::uint32_t tokensNow = 0;
+};
+
 class CacheWatch {
  public:
+  /// Called with the changes at those replicas and stores that this node is the home of, where not
+  /// all nodes watch them.
+  using ChangeListener = std::function<void(const CacheChange&)>;
+
   /// The callers that a replica of this service lets watch it at once; 0: none.
   using WatcherLimit = std::function<std::uint32_t(const std::string& service)>;
 
@@ -67,6 +80,7 @@
   CacheWatch& operator=(const CacheWatch&) = delete;
 
   void start();
+  void onChange(ChangeListener listener) { changed_ = std::move(listener); }
   std::size_t watched() const { return watches_.size(); }
 
  private:
@@ -74,12 +88,21 @@
     /// Tells this watch from an earlier one of the same name, whose calls may still be under way.
     std::uint64_t number = 0;
     base::Endpoint endpoint;
+    /// Of the replica; empty for a store.
+    std::string zone;
+    /// Callers that may watch.
+    std::uint32_t limit = 0;
     std::uint64_t since = 0;
     std::uint64_t epoch = 0;
     base::TimerId timer = 0;
   };
+  struct Target {
+    base::Endpoint endpoint;
+    std::string zone;
+    std::uint32_t limit = 0;
+  };
   /// What should be watched, by name.
-  using Wanted = std::map<std::string, base::Endpoint>;
+  using Wanted = std::map<std::string, Target>;
 
   void review();
   Wanted wanted() const;
@@ -91,12 +114,15 @@
   Watch* find(const std::string& name, std::uint64_t number);
   void poll(const std::string& name, std::uint64_t number);
   void onReply(const std::string& name, Watch& watch, const clients::CacheFeedReply& reply);
+  void takeEvents(const std::string& name, const Watch& watch,
+                  const clients::CacheFeedReply& reply);
   void schedule(const std::string& name, Watch& watch, base::Duration delay);
 
   CacheWatchOptions options_;
   CacheWatchEnvironment environment_;
   ReplicaHomes homes_;
   WatcherLimit limit_;
+  ChangeListener changed_;
   std::map<std::string, Watch> watches_;
   /// Since when this node has been in line.
   std::map<std::string, base::TimePoint> inLineSince_;
--- a/src/routing/part_index.cc
+++ b/src/routing/part_index.cc
@@ -13,6 +13,13 @@
   if (entries.size() > options_.mostHolders) entries.pop_back();
 }
 
+void PartIndex::forget(std::uint64_t part, const PartHolder& holder) {
+  const auto known = parts_.find(part);
+  if (known == parts_.end()) return;
+  std::erase_if(known->second, [&](const Entry& entry) { return entry.holder == holder; });
+  if (known->second.empty()) parts_.erase(known);
+}
+
 std::vector<PartHolder> PartIndex::holdersOf(std::uint64_t part, base::TimePoint now) const {
   std::vector<PartHolder> holders;
   const auto known = parts_.find(part);
--- a/src/routing/part_lookup.cc
+++ b/src/routing/part_lookup.cc
@@ -36,7 +36,7 @@
     return;
   }
   if (avoided(home.id)) {
-    found({});
+    found(std::nullopt);
     return;
   }
   const auto nonce = environment_.random.next();
@@ -46,12 +46,21 @@
   send(home.endpoint, PartQuestion{nonce, part});
 }
 
-void PartLookup::tell(std::uint64_t part, const PartHolder& holder) {
+void PartLookup::tell(std::uint64_t part, const PartHolder& holder, bool held) {
   const auto& home = homeOf(part);
+  const PartNotice notice{part, holder, held};
   if (home.id == environment_.members.self().id) {
-    index_.learn(part, holder, environment_.clock.now());
+    onNotice(notice);
   } else {
-    send(home.endpoint, PartNotice{part, holder});
+    send(home.endpoint, notice);
+  }
+}
+
+void PartLookup::onNotice(const PartNotice& notice) {
+  if (notice.held) {
+    index_.learn(notice.part, notice.holder, environment_.clock.now());
+  } else {
+    index_.forget(notice.part, notice.holder);
   }
 }
 
@@ -59,7 +68,7 @@
   const auto entry = pending_.extract(nonce);
   if (entry.empty()) return;
   avoidedUntil_[entry.mapped().home] = environment_.clock.now() + options_.avoidFor;
-  entry.mapped().found({});
+  entry.mapped().found(std::nullopt);
 }
 
 void PartLookup::onQuestion(const base::PeerIdentity& sender, const PartQuestion& question) {
@@ -84,8 +93,7 @@
   }
   if (const auto* question = std::get_if<PartQuestion>(&*message)) onQuestion(sender, *question);
   if (const auto* answer = std::get_if<PartAnswer>(&*message)) onAnswer(sender, *answer);
-  if (const auto* notice = std::get_if<PartNotice>(&*message))
-    index_.learn(notice->part, notice->holder, environment_.clock.now());
+  if (const auto* notice = std::get_if<PartNotice>(&*message)) onNotice(*notice);
 }
 
 }  // namespace covewing::routing
--- a/src/routing/part_lookup.h
+++ b/src/routing/part_lookup.h
@@ -1,9 +1,10 @@
 /// \file
 /// Finds the holders of a prompt's shared parts, whichever node sent prompts there.
 ///
-/// Each deepest shared part has a home among the live nodes by rendezvous hashing. Nodes tell the
-/// home which replicas have read prompts that end in the part, and ask it when they do not know a
-/// holder themselves. So a prompt costs at most three small messages, however many nodes there are.
+/// Each long shared part has a home among the live nodes by rendezvous hashing. Nodes tell the home
+/// which replicas have read the part, those that watch a replica's cache tell what it keeps and
+/// drops, and nodes ask the home. So a prompt costs a few small messages, however many nodes there
+/// are.
 ///
 /// A lookup never costs a request: it ends without an answer after a few milliseconds, and a home
 /// that did not answer is not asked again for a while. After a change of members a part may have
@@ -14,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -47,8 +49,8 @@
 
 class PartLookup final : public base::PeerHandler {
  public:
-  /// The holders that the home knows; none when it did not answer.
-  using Found = std::function<void(const std::vector<PartHolder>&)>;
+  /// The holders that the home knows; empty when it did not answer.
+  using Found = std::function<void(const std::optional<std::vector<PartHolder>>&)>;
 
   PartLookup(PartLookupOptions options, PartLookupEnvironment environment)
       : options_(options), environment_(environment), index_(options.index) {}
@@ -58,8 +60,8 @@
 
   /// Calls `found` once; inside the call where the answer is known or cannot be had.
   void ask(std::uint64_t part, Found found);
-  /// The holder has read a prompt that ends in the part.
-  void tell(std::uint64_t part, const PartHolder& holder);
+  /// The holder has read a prompt with the part, or no longer holds it.
+  void tell(std::uint64_t part, const PartHolder& holder, bool held = true);
   void onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) override;
 
   /// Parts that this node is the home of.
@@ -77,6 +79,7 @@
   void send(const base::Endpoint& destination, const PartMessage& message);
   void onQuestion(const base::PeerIdentity& sender, const PartQuestion& question);
   void onAnswer(const base::PeerIdentity& sender, const PartAnswer& answer);
+  void onNotice(const PartNotice& notice);
   void onTimeout(std::uint64_t nonce);
 
   PartLookupOptions options_;
--- a/src/routing/part_messages.cc
+++ b/src/routing/part_messages.cc
@@ -13,7 +13,7 @@
 
 constexpr std::uint32_t kQuestionFields = 3;
 constexpr std::uint32_t kAnswerFields = 3;
-constexpr std::uint32_t kNoticeFields = 3;
+constexpr std::uint32_t kNoticeFields = 4;
 constexpr std::uint32_t kHolderFields = 2;
 
 void begin(base::Writer& writer, std::uint32_t fields, MessageType type) {
@@ -40,6 +40,7 @@
   begin(writer, kNoticeFields, MessageType::kNotice);
   writer.unsignedInteger(notice.part);
   write(writer, notice.holder);
+  writer.boolean(notice.held);
 }
 
 PartHolder readHolder(base::Reader& reader) {
@@ -72,6 +73,7 @@
   PartNotice notice;
   notice.part = reader.unsignedInteger();
   notice.holder = readHolder(reader);
+  notice.held = reader.boolean();
   return notice;
 }
 
--- a/src/routing/part_messages.h
+++ b/src/routing/part_messages.h
@@ -1,6 +1,6 @@
 /// \file
-/// Messages on the part-index channel: a node asks the home of a prompt's deepest shared part who
-/// holds it, the home answers, and nodes tell the home which replicas have read it.
+/// Messages on the part-index channel: a node asks the home of a shared part of a prompt who holds
+/// it, the home answers, and nodes tell the home which replicas have read it and which dropped it.
 #pragma once
 
 #include <cstdint>
@@ -34,10 +34,11 @@
   std::vector<PartHolder> holders;
 };
 
-/// The replica has read a prompt whose deepest shared part this is.
+/// The replica has read a prompt with this part, or no longer holds it.
 struct PartNotice {
   std::uint64_t part = 0;
   PartHolder holder;
+  bool held = true;
 };
 
 using PartMessage = std::variant<PartQuestion, PartAnswer, PartNotice>;
--- a/src/routing/prefix_holders.cc
+++ b/src/routing/prefix_holders.cc
@@ -41,6 +41,21 @@
   }
 }
 
+void PrefixHolders::forgetPart(CacheScope scope, std::uint64_t part) {
+  const auto known = holdings_.find(base::mixHash(scope, part));
+  if (known == holdings_.end()) return;
+  size_ -= known->second.size();
+  holdings_.erase(known);
+}
+
+std::uint32_t PrefixHolders::tokensOf(base::EngineId replica, CacheScope scope,
+                                      std::uint64_t part) const {
+  const auto known = holdings_.find(base::mixHash(scope, part));
+  if (known == holdings_.end()) return 0;
+  const auto holding = std::ranges::find(known->second, replica, &Holding::replica);
+  return holding == known->second.end() ? 0 : holding->tokens;
+}
+
 bool PrefixHolders::anyHolds(CacheScope scope, std::uint64_t part) const {
   return holdings_.contains(base::mixHash(scope, part));
 }
--- a/src/routing/prefix_holders.h
+++ b/src/routing/prefix_holders.h
@@ -30,6 +30,10 @@
   /// Leading tokens of the chain's shared parts that the replica holds.
   std::uint32_t matchedTokens(base::EngineId replica, CacheScope scope,
                               const prefix::PartChain& chain) const;
+  /// Nobody holds the part, as far as is known from now on.
+  void forgetPart(CacheScope scope, std::uint64_t part);
+  /// Tokens of the part that the replica holds.
+  std::uint32_t tokensOf(base::EngineId replica, CacheScope scope, std::uint64_t part) const;
   /// Whether some replica is known to hold the part.
   bool anyHolds(CacheScope scope, std::uint64_t part) const;
   std::size_t size() const { return size_; }
--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -226,21 +226,14 @@
   const auto weight = [&](const ReplicaRecord& record) {
     return record.versionOf(query.model) == newest ? options_.newestWeight : 1.0;
   };
-  const bool shortPrompt = sharesLittle(query);
-  // Short prompts that begin alike are kept together: most of what they share lies in front.
-  const auto key = shortPrompt ? query.chain->parts().front().id : *query.chain->deepestShared();
-  sortByRendezvous(candidates, key, weight);
+  sortByRendezvous(candidates, *query.chain->deepestShared(), weight);
   if (query.longRun) {
     moveLongRunReplicasFirst(candidates, query);
-  } else if (shortPrompt) {
+  } else if (query.chain->sharedTokens() < options_.nearTokens) {
     moveNearFirst(candidates);
   }
 }
 
-bool ReplicaChoice::sharesLittle(const ReplicaQuery& query) const {
-  return query.chain->sharedTokens() < options_.nearTokens;
-}
-
 void ReplicaChoice::moveNearFirst(Candidates& candidates) const {
   const auto far = std::stable_partition(
       candidates.begin(), candidates.end(),
--- a/src/routing/replica_choice.h
+++ b/src/routing/replica_choice.h
@@ -158,10 +158,9 @@
                    std::size_t nodes, base::TimePoint now);
   /// Orders the candidates by load, near ones first.
   void sortByLoad(Candidates& candidates);
-  /// Orders the candidates by rendezvous hashing: of the deepest shared part, or of the first one
-  /// where little is shared.
+  /// Orders the candidates by rendezvous hashing of the deepest shared part, near ones first where
+  /// little is shared.
   void sortByHome(Candidates& candidates, const ReplicaQuery& query) const;
-  bool sharesLittle(const ReplicaQuery& query) const;
   /// Moves the replicas of this node's zone to the front, but keeps one of another zone among the
   /// first.
   void moveNearFirst(Candidates& candidates) const;
--- a/tests/routing/cache_watch_test.cc
+++ b/tests/routing/cache_watch_test.cc
@@ -157,6 +157,29 @@
   BOOST_TEST(feed.calls.size() == 3U);
 }
 
+// Nodes that do not watch a replica fetched what it had dropped long before.
+BOOST_AUTO_TEST_CASE(HomeOfAReplicaTellsWhatItKeepsAndDropsWhereNotAllWatch) {
+  std::vector<CacheChange> changes;
+  watch.onChange([&](const CacheChange& change) { changes.push_back(change); });
+  feed.calls.back().callback(reply(7, 12, 50));
+  BOOST_TEST(changes.empty());
+  // Two more than may watch, none of them in line before this node.
+  const auto homes = ReplicaHomes(members);
+  for (int number = 0; members.members.size() < 6; ++number) {
+    members.members.push_back(FakeMembers::member("n" + std::to_string(number)));
+    if (!homes.isAmongFirst(base::engineIdOf("r1"), {}, 1)) members.members.pop_back();
+  }
+  time.advance(milliseconds(400));
+  feed.calls.back().callback(reply(7, 13, 40));
+  time.advance(milliseconds(400));
+  feed.calls.back().callback(reply(7, 14, 0));
+  BOOST_REQUIRE(changes.size() == 2U);
+  BOOST_TEST(changes[0].tokensBefore == 50U);
+  BOOST_TEST(changes[0].tokensNow == 40U);
+  BOOST_TEST(changes[1].tokensBefore == 40U);
+  BOOST_TEST(changes[1].tokensNow == 0U);
+}
+
 // Each new watcher is sent all events that the replica still keeps.
 BOOST_AUTO_TEST_CASE(NodeThatIsInLineForAMomentDoesNotWatch) {
   FakeFeed calls;
