--- a/src/request/relay_flow_parts.cc
+++ b/src/request/relay_flow_parts.cc
@@ -89,8 +89,10 @@
     const auto& parts = arrival_.prompt->chain.parts();
     request.model = wanted.model;
     request.parts.assign(parts.begin(), parts.end() - 1);
-    request.patience = std::chrono::duration_cast<base::Duration>(assignment_.route->targetLatency *
-                                                                  options_.patienceShare);
+    const bool longPrompt = arrival_.prompt->chain.sharedTokens() >= options_.leastLookup;
+    const double share = longPrompt ? options_.longPromptPatienceShare : options_.patienceShare;
+    request.patience =
+        std::chrono::duration_cast<base::Duration>(assignment_.route->targetLatency * share);
   }
   for (const auto& replica : decision.order) {
     request.candidates.push_back(dependencies_.choice.candidateOf(
