--- a/src/live/limited_event_log.cc
+++ b/src/live/limited_event_log.cc
@@ -37,10 +37,9 @@
   if (dropped_.empty() || now - reportedAt_ < options_.report) return;
   reportedAt_ = now;
   for (const auto& [event, count] : std::exchange(dropped_, {})) {
-    next_.write(base::Event::kLogLinesDropped,
-                {{"kind", std::string{base::describe(event).name}},
-                 {"lines", std::to_string(count)},
-                 {"why", "changes of the fleet are bounded"}});
+    next_.write(base::Event::kLogLinesDropped, {{"kind", std::string{base::describe(event).name}},
+                                                {"lines", std::to_string(count)},
+                                                {"why", "changes of the fleet are bounded"}});
   }
 }
 
--- a/src/live/limited_event_log.h
+++ b/src/live/limited_event_log.h
@@ -2,8 +2,9 @@
 /// Bounds the lines that a node writes of the fleet's changes.
 ///
 /// In a fleet of hundreds every node hears of every member and every replica; all of them logging
-/// each change would drown the decisions. Of these events a node writes a burst and then a few lines
-/// a second; what it left out is told as a count (event LogLinesDropped). All other events pass.
+/// each change would drown the decisions. Of these events a node writes a burst and then a few
+/// lines a second; what it left out is told as a count (event LogLinesDropped). All other events
+/// pass.
 #pragma once
 
 #include <cstdint>
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -41,9 +41,9 @@
   double queueShare = 0.8;
   /// Part of the target latency that a request may wait at a replica whose home is asked before the
   /// next candidate's home is asked. Prompts that share much wait longer: each replica more that
-  /// holds a long part drops another (salish-reach, 15 plays: 0.644 with a tenth for all, 0.656 with
-  /// a quarter; bcth-covewing-large trouble-1: 1,706 short prompts late with a tenth, 2,310 with a
-  /// quarter).
+  /// holds a long part drops another (salish-reach, 15 plays: 0.644 with a tenth for all, 0.656
+  /// with a quarter; bcth-covewing-large trouble-1: 1,706 short prompts late with a tenth, 2,310
+  /// with a quarter).
   double patienceShare = 0.1;
   double longPromptPatienceShare = 0.25;
   /// Homes are not asked again for a request after this when none answered.
--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -236,11 +236,11 @@
   /// Parts of the prompts of requests.
   std::string promptText = "aa:1000,bb:200";
   std::weak_ptr<RelayFlow> flow;
-  RelayService service{
-      options(),
-      {time, time, log, client, replicas, holders, choice, parts, placement, retries, runTimes, *this},
-      tables,
-      [] { return std::size_t{1}; }};
+  RelayService service{options(),
+                       {time, time, log, client, replicas, holders, choice, parts, placement,
+                        retries, runTimes, *this},
+                       tables,
+                       [] { return std::size_t{1}; }};
 };
 
 }  // namespace covewing::request
--- a/tests/request/relay_flow_test.cc
+++ b/tests/request/relay_flow_test.cc
@@ -446,8 +446,7 @@
 
 // Every replica read the part that many prompts begin with once for each version of the weights.
 BOOST_AUTO_TEST_CASE(LongFirstPartIsFetchedWhereTheDeeperOnesAreNew) {
-  parts.tell(prefix::partIdOf("start"),
-             {base::engineIdOf("m1"), routing::cacheScope("w1", "m")});
+  parts.tell(prefix::partIdOf("start"), {base::engineIdOf("m1"), routing::cacheScope("w1", "m")});
   std::set<std::string> reached;
   for (int deeper = 0; reached.size() < 3; ++deeper) {
     promptText = "start:800,new" + std::to_string(deeper) + ":700,own:100";
