Log what the home of a replica said, and sum up the messages between nodes

RelayDispatched names the home, how many were asked and the wait that was expected; scripts/log_summary prints the traffic by channel (event 8004), also across restarts. No decision changes.

--- a/src/coordination/weights_rollout.cc
+++ b/src/coordination/weights_rollout.cc
@@ -241,7 +241,7 @@
       return;
     case clients::WeightsOrderStatus::kFencedOff:
       environment_.log.write(base::Event::kOrderFenced, {{"replica", instance}});
-      fencedToken_ = grant_() ? grant_()->token : fencedToken_;
+      if (const auto grant = grant_()) fencedToken_ = grant->token;
       fencedUntil_ = now + options_.fencedPause;
       finish(instance, "fenced off");
       return;
--- a/src/request/relay_flow_parts.cc
+++ b/src/request/relay_flow_parts.cc
@@ -147,6 +147,8 @@
     return;
   }
   decision->rank = *result.candidate;
+  decision->homesAsked = result.asked;
+  decision->expectedWait = result.wait;
   dispatch(std::move(*decision), *result.grant);
 }
 
--- a/src/routing/replica_choice.h
+++ b/src/routing/replica_choice.h
@@ -88,6 +88,10 @@
   /// Replicas that could be chosen, and the chosen one's place in the order of preference.
   std::size_t candidates = 0;
   std::size_t rank = 0;
+  /// Homes that were asked, and the wait that the chosen replica's home expected; 0 where this node
+  /// decided alone.
+  std::size_t homesAsked = 0;
+  base::Duration expectedWait{};
   std::string_view reason;
 
   /// Leading shared tokens that the replica has or can fetch.
--- a/tests/scripts/log_summary.sh
+++ b/tests/scripts/log_summary.sh
@@ -16,6 +16,11 @@
   line 04.2 RequestRefused 'request="p" code="400" why="full"'
   line 04.3 OrderFinished 'replica="r1" outcome="served" after_ms="1000" load_ms="700"'
   line 04.4 OrderFinished 'replica="r2" outcome="served" after_ms="3000" load_ms="700"'
+  local peer='channel="placement" bytes_in_zone'
+  line 10.0 PeerTraffic "$peer=\"2000\" bytes_to_other_zones=\"500000\" frames=\"40\""
+  line 20.0 PeerTraffic "$peer=\"3000\" bytes_to_other_zones=\"600000\" frames=\"50\""
+  # The node has restarted.
+  line 30.0 PeerTraffic "$peer=\"1000\" bytes_to_other_zones=\"200000\" frames=\"10\""
   echo "a line that is none of ours"
 }
 
@@ -38,4 +43,5 @@
 expect "0  7"
 expect "2  3"
 expect "served: 2, 2000"
+expect "placement: 60, 0.004, 0.800"
 echo "log_summary: ok"
