--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -37,15 +37,15 @@
 constexpr base::Duration kDrainInterval = std::chrono::milliseconds(50);
 /// The number of nodes falls back to what is seen now only after this.
 constexpr base::Duration kNodeMemory = std::chrono::seconds(30);
-/// Nodes assumed until the membership has had time to form.
 /// Replicas that load weights change their entries in quick succession.
 constexpr base::Duration kReplicaListPause = std::chrono::milliseconds(250);
 /// How often the sums of what was sent to other nodes are logged: a few lines each time.
 constexpr base::Duration kTrafficReport = std::chrono::seconds(10);
-constexpr std::size_t kNodesAtFirst = 8;
 /// A node that restarts joins within a few milliseconds where a machine that it asks is up; one
 /// that has joined nobody by then reads the table service itself. Longer waits delay the serving.
 constexpr base::Duration kJoinPatience = std::chrono::milliseconds(60);
+/// Nodes assumed until the membership has had time to form.
+constexpr std::size_t kNodesAtFirst = 8;
 constexpr base::Duration kMembershipForms = std::chrono::seconds(5);
 
 HttpClientLimits replicaLimits(const RelayDialect& dialect) {
