--- a/tests/routing/part_lookup_test.cc
+++ b/tests/routing/part_lookup_test.cc
@@ -8,6 +8,7 @@
 #include <set>
 
 #include "base/random.h"
+#include "routing/delayed_network.h"
 #include "routing/fakes.h"
 #include "support/recording_log.h"
 #include "support/virtual_time.h"
@@ -16,6 +17,8 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using testing::DelayedLink;
+using testing::DelayedNetwork;
 using testing::FakeMembers;
 using testing::makeMember;
 
@@ -23,51 +26,25 @@
 
 constexpr std::size_t kNodes = 5;
 
-struct LookupNode;
-
-/// Delivers messages to the node of the endpoint's address after a millisecond, or loses them.
-struct Network {
-  std::map<std::uint32_t, LookupNode*> nodes;
-  double loss = 0;
-  base::SeededRandom random{3};
-};
-
-class Link final : public base::PeerTransport {
- public:
-  Link(test_support::VirtualTime& time, Network& network, base::PeerIdentity self)
-      : time_(time), network_(network), self_(self) {}
-  void send(const base::Endpoint& destination, base::Channel channel, std::string payload) override;
-
- private:
-  test_support::VirtualTime& time_;
-  Network& network_;
-  base::PeerIdentity self_;
-};
-
 struct LookupNode {
-  LookupNode(test_support::VirtualTime& time, test_support::RecordingLog& log, Network& network,
-             const std::vector<membership::Member>& ownFirst)
+  LookupNode(test_support::VirtualTime& time, test_support::RecordingLog& log,
+             DelayedNetwork& network, const std::vector<membership::Member>& ownFirst)
       : members(ownFirst),
         random(ownFirst.front().id.value),
-        link(time, network, {members.self().id, 1, members.self().endpoint}),
+        link(network, {members.self().id, 1, members.self().endpoint}),
         lookup({}, {time, time, random, log, link, members}) {
-    network.nodes[members.self().endpoint.address] = this;
+    network.attach(members.self().endpoint.address,
+                   [this](const base::PeerIdentity& sender, std::string_view payload) {
+                     lookup.onPeerMessage(sender, payload);
+                   });
   }
 
   FakeMembers members;
   base::SeededRandom random;
-  Link link;
+  DelayedLink link;
   PartLookup lookup;
 };
 
-void Link::send(const base::Endpoint& destination, base::Channel /*channel*/, std::string payload) {
-  if (network_.random.unit() < network_.loss) return;
-  time_.schedule(milliseconds(1), [this, destination, payload = std::move(payload)] {
-    const auto node = network_.nodes.find(destination.address);
-    if (node != network_.nodes.end()) node->second->lookup.onPeerMessage(self_, payload);
-  });
-}
-
 struct LookupFixture {
   LookupFixture() {
     time.advance(seconds(100));
@@ -83,7 +60,7 @@
     nodes[number] = std::make_unique<LookupNode>(time, log, network, ownFirst);
   }
   void stop(std::size_t number) {
-    network.nodes.erase(all[number].endpoint.address);
+    network.detach(all[number].endpoint.address);
     nodes.erase(number);
   }
 
@@ -112,7 +89,7 @@
 
   test_support::VirtualTime time;
   test_support::RecordingLog log;
-  Network network;
+  DelayedNetwork network{time, 3};
   std::vector<membership::Member> all;
   std::map<std::size_t, std::unique_ptr<LookupNode>> nodes;
   PartHolder holder{base::engineIdOf("r1"), 77};
--- a/tests/routing/placement_test.cc
+++ b/tests/routing/placement_test.cc
@@ -8,6 +8,7 @@
 #include <set>
 
 #include "base/random.h"
+#include "routing/delayed_network.h"
 #include "routing/fakes.h"
 #include "support/recording_log.h"
 #include "support/virtual_time.h"
@@ -16,6 +17,8 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using testing::DelayedLink;
+using testing::DelayedNetwork;
 using testing::FakeMembers;
 using testing::makeMember;
 
@@ -25,56 +28,27 @@
 constexpr std::size_t kReplicas = 8;
 constexpr std::uint32_t kSlots = 4;
 
-struct PlacementNode;
-
-/// Delivers messages to the node of the endpoint's address after a millisecond, or loses them.
-struct Network {
-  std::map<std::uint32_t, PlacementNode*> nodes;
-  double loss = 0;
-  std::size_t sent = 0;
-  base::SeededRandom random{3};
-};
-
-class Link final : public base::PeerTransport {
- public:
-  Link(test_support::VirtualTime& time, Network& network, base::PeerIdentity self)
-      : time_(time), network_(network), self_(self) {}
-  void send(const base::Endpoint& destination, base::Channel channel, std::string payload) override;
-
- private:
-  test_support::VirtualTime& time_;
-  Network& network_;
-  base::PeerIdentity self_;
-};
-
 struct PlacementNode {
-  PlacementNode(test_support::VirtualTime& time, test_support::RecordingLog& log, Network& network,
-                const std::vector<membership::Member>& ownFirst)
+  PlacementNode(test_support::VirtualTime& time, test_support::RecordingLog& log,
+                DelayedNetwork& network, const std::vector<membership::Member>& ownFirst)
       : members(ownFirst),
         random(ownFirst.front().id.value),
-        link(time, network, {members.self().id, 1, members.self().endpoint}),
+        link(network, {members.self().id, 1, members.self().endpoint}),
         placement({}, {time, time, random, log, link, members, replicas, holders}) {
-    network.nodes[members.self().endpoint.address] = this;
+    network.attach(members.self().endpoint.address,
+                   [this](const base::PeerIdentity& sender, std::string_view payload) {
+                     placement.onPeerMessage(sender, payload);
+                   });
   }
 
   FakeMembers members;
   base::SeededRandom random;
-  Link link;
+  DelayedLink link;
   ReplicaDirectory replicas;
   PrefixHolders holders;
   Placement placement;
 };
 
-void Link::send(const base::Endpoint& destination, base::Channel channel, std::string payload) {
-  BOOST_TEST((channel == base::Channel::kPlacement));
-  ++network_.sent;
-  if (network_.random.unit() < network_.loss) return;
-  time_.schedule(milliseconds(1), [this, destination, payload = std::move(payload)] {
-    const auto node = network_.nodes.find(destination.address);
-    if (node != network_.nodes.end()) node->second->placement.onPeerMessage(self_, payload);
-  });
-}
-
 struct PlacementFixture {
   PlacementFixture() {
     time.advance(seconds(100));
@@ -97,7 +71,7 @@
       nodes[number]->replicas.onListed(facts);
     }
   }
-  void stop(std::size_t number) { network.nodes.erase(all[number].endpoint.address); }
+  void stop(std::size_t number) { network.detach(all[number].endpoint.address); }
 
   ReplicaRecordPtr record(std::size_t node, std::size_t replica) {
     return nodes.at(node)->replicas.find("r" + std::to_string(replica));
@@ -136,7 +110,7 @@
 
   test_support::VirtualTime time;
   test_support::RecordingLog log;
-  Network network;
+  DelayedNetwork network{time, 3};
   std::vector<membership::Member> all;
   std::map<std::size_t, std::unique_ptr<PlacementNode>> nodes;
   base::Duration took{};
