Tell in the log which requests ask the same, and whether a replica ended under its runs

Dispatch lines carry the request's fingerprint (path, tenant, body). Where runs break off at a replica, a connection is tried: two refusals in a row, with nothing of this node under way there any more, mean that the replica ended (event 6009 with the fingerprints of its runs); an accepted one, that only connections did (6010). Nothing is decided by it yet.

Cause: both read "End of file", and runs of the same request under new identifiers had nothing in common in the log, so that the hypotheses of the incident could not be told apart.

--- a/src/base/ids.cc
+++ b/src/base/ids.cc
@@ -1,6 +1,7 @@
 #include "base/ids.h"
 
 #define XXH_INLINE_ALL
+#include <fmt/core.h>
 #include <xxhash.h>
 
 namespace covewing::base {
@@ -12,4 +13,8 @@
   return XXH3_64bits(words, sizeof(words));
 }
 
+std::string toString(RequestFingerprint fingerprint) {
+  return fmt::format("{:016x}", fingerprint.value);
+}
+
 }  // namespace covewing::base
--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -27,6 +27,7 @@
 struct EngineTag;
 struct TenantTag;
 struct BlockTag;
+struct RequestFingerprintTag;
 
 /// A covewing node (one `covewingd`), derived from its configured name.
 using NodeId = NumericId<NodeTag>;
@@ -37,6 +38,10 @@
 /// One cached prompt block in its chain, salted (see prefix/block_chain.h).
 using BlockHash = NumericId<BlockTag>;
 
+/// What a request asks of a replica: equal for requests with the same path, tenant and body,
+/// whatever their identifiers (see request/request_fingerprint.h).
+using RequestFingerprint = NumericId<RequestFingerprintTag>;
+
 /// Number of one run of a process: grows with each start, so that state of an earlier run is
 /// recognised.
 using Incarnation = std::uint64_t;
@@ -61,6 +66,9 @@
 inline EngineId engineIdOf(std::string_view name) { return EngineId{hashName(name)}; }
 inline TenantId tenantIdOf(std::string_view name) { return TenantId{hashName(name)}; }
 
+/// Sixteen hexadecimal digits, as in logs and keys of rows.
+std::string toString(RequestFingerprint fingerprint);
+
 /// Mixes two 64-bit values into one well-distributed value; used for rendezvous hashing.
 std::uint64_t mixHash(std::uint64_t left, std::uint64_t right);
 
--- /dev/null
+++ b/src/live/connect_probe.cc
@@ -0,0 +1,65 @@
+#include "live/connect_probe.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
+
+namespace covewing::live {
+
+namespace {
+
+namespace asio = boost::asio;
+using clients::Reachability;
+
+/// One connection in the making, which keeps itself until it is answered.
+struct Attempt : std::enable_shared_from_this<Attempt> {
+  Attempt(asio::io_context& context, std::function<void(Reachability)> answer)
+      : socket(context), timer(context), callback(std::move(answer)) {}
+
+  void begin(const base::Endpoint& address, base::Duration timeout) {
+    timer.expires_after(timeout);
+    timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+      if (!error) self->finish(Reachability::kSilent);
+    });
+    socket.async_connect(
+        {asio::ip::address_v4(address.address), address.port},
+        [self = shared_from_this()](boost::system::error_code error) { self->onConnected(error); });
+  }
+
+  void onConnected(boost::system::error_code error) {
+    if (!error) {
+      finish(Reachability::kAccepts);
+    } else if (error == asio::error::connection_refused) {
+      finish(Reachability::kRefuses);
+    } else {
+      finish(Reachability::kSilent);
+    }
+  }
+
+  void finish(Reachability reachability) {
+    const auto answer = std::exchange(callback, nullptr);
+    if (!answer) return;
+    timer.cancel();
+    boost::system::error_code ignored;  // The connection is not used, however its close ends.
+    socket.close(ignored);
+    answer(reachability);
+  }
+
+  asio::ip::tcp::socket socket;
+  asio::steady_timer timer;
+  std::function<void(Reachability)> callback;
+};
+
+}  // namespace
+
+void ConnectProbe::connect(const base::Endpoint& address, base::Duration timeout,
+                           std::function<void(Reachability)> callback) {
+  auto answer = [callback = std::move(callback),
+                 alive = std::weak_ptr(lifetime_)](Reachability reachability) {
+    if (!alive.expired()) callback(reachability);
+  };
+  std::make_shared<Attempt>(context_, std::move(answer))->begin(address, timeout);
+}
+
+}  // namespace covewing::live
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -7,6 +7,7 @@
 #include "base/random.h"
 #include "config/shared_feed.h"
 #include "live/asio_runtime.h"
+#include "live/connect_probe.h"
 #include "live/counting_event_log.h"
 #include "live/http_relay_client.h"
 #include "live/http_server.h"
@@ -168,12 +169,14 @@
         traffic(membership),
         nodes(membership, clock),
         targets({settings.weightsInForce, settings.weightsInForce * 3 / 20}),
+        connectProbe(ioContext),
+        replicaEnds({}, {clock, timers, log, connectProbe}),
         choice({replicas, holders, targets, stores, fleetLoad, settings.zone}, {}, random),
         parts({}, {clock, timers, random, log, peers, membership}),
         placement({}, {clock, timers, random, log, peers, membership, replicas, holders}),
         loadSharing({}, {clock, timers, log, peers, membership, replicas, fleetLoad}),
         configuration(deployment.configurationRows, clock, log, targets),
-        replicaList(deployment.replicaRows, log, replicas, holders),
+        replicaList(deployment.replicaRows, log, replicas, holders, replicaEnds),
         feeds(feedOptions(settings),
               {clock, timers, random, log, peers, membership, deployment.feeds}),
         configurationWatch({deployment.configurationTable}, clock, timers, random, feeds,
@@ -228,8 +231,8 @@
   }
 
   request::RelayDependencies dependencies() {
-    return {clock, timers,    log,     relayClient, replicas, holders, choice,
-            parts, placement, retries, quotas,      runTimes, *this};
+    return {clock,       timers, log,       relayClient, replicas, holders,  choice,
+            replicaEnds, parts,  placement, retries,     quotas,   runTimes, *this};
   }
 
   void applyLimits(const config::TrafficLimits& limits) {
@@ -415,6 +418,8 @@
   routing::PrefixHolders holders;
   routing::CacheStores stores;
   routing::FleetLoad fleetLoad;
+  ConnectProbe connectProbe;
+  routing::ReplicaEndCheck replicaEnds;
   routing::ReplicaChoice choice;
   routing::PartLookup parts;
   routing::Placement placement;
--- a/src/node/replica_list.cc
+++ b/src/node/replica_list.cc
@@ -28,6 +28,7 @@
   log_.write(base::Event::kReplicaRemoved,
              {{"replica", row.key}, {"revision", std::to_string(row.revision)}});
   directory_.onRemoved(row.key);
+  replicaEnds_.onRemoved(row.key);
   holders_.forget(base::engineIdOf(row.key));
 }
 
--- a/src/node/replica_list.h
+++ b/src/node/replica_list.h
@@ -11,6 +11,7 @@
 #include "node/feed_outage.h"
 #include "routing/prefix_holders.h"
 #include "routing/replica_directory.h"
+#include "routing/replica_end_check.h"
 
 namespace covewing::node {
 
@@ -27,8 +28,13 @@
  public:
   /// All must outlive the list.
   ReplicaList(const ReplicaRowReader& reader, base::EventLog& log,
-              routing::ReplicaDirectory& directory, routing::PrefixHolders& holders)
-      : reader_(reader), log_(log), directory_(directory), holders_(holders) {}
+              routing::ReplicaDirectory& directory, routing::PrefixHolders& holders,
+              routing::ReplicaEndCheck& replicaEnds)
+      : reader_(reader),
+        log_(log),
+        directory_(directory),
+        holders_(holders),
+        replicaEnds_(replicaEnds) {}
 
   /// The list was copied at least once.
   bool known() const { return known_; }
@@ -43,6 +49,7 @@
   base::EventLog& log_;
   routing::ReplicaDirectory& directory_;
   routing::PrefixHolders& holders_;
+  routing::ReplicaEndCheck& replicaEnds_;
   bool known_ = false;
   FeedOutage outage_{log_, "replica list feed"};
 };
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "request/relay_flow_internal.h"
+#include "request/request_fingerprint.h"
 
 namespace covewing::request {
 
@@ -27,6 +28,13 @@
   return part ? std::to_string(*part) : std::string{};
 }
 
+base::RequestFingerprint fingerprintOf(const RelayArrival& arrival,
+                                       const RelayAssignment& assignment) {
+  return request::fingerprintOf(*arrival.request, assignment.tenant == nullptr
+                                                      ? std::string_view{}
+                                                      : assignment.tenant->name);
+}
+
 }  // namespace
 
 RelayFlow::RelayFlow(RelayDependencies dependencies, const RelayOptions& options,
@@ -36,6 +44,7 @@
       options_(options),
       arrival_(std::move(arrival)),
       assignment_(std::move(assignment)),
+      fingerprint_(fingerprintOf(arrival_, assignment_)),
       caller_(std::move(caller)),
       hooks_(std::move(hooks)),
       allowance_(dependencies_.quotas, assignment_.demand) {}
@@ -220,6 +229,7 @@
   dependencies_.log.write(
       base::Event::kRelayDispatched,
       {{"request", arrival_.request->id},
+       {"fingerprint", base::toString(fingerprint_)},
        {"route", assignment_.route->name},
        {"tenant", terms.tenant},
        {"counted", std::to_string(assignment_.demand ? assignment_.demand->tokens : 0)},
@@ -381,6 +391,7 @@
     return;
   }
   if (events_.hasUnfinished()) {
+    dependencies_.replicaEnds.onRunLost(attempt_->decision.replica, fingerprint_);
     onAttemptLost("the stream ended inside an event");
     return;
   }
@@ -424,6 +435,7 @@
     onNotRun(*attempt_->answer);
     return;
   }
+  dependencies_.replicaEnds.onRunLost(attempt_->decision.replica, fingerprint_);
   onAttemptLost(error.reason.detail);
 }
 
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -30,6 +30,7 @@
 #include "routing/part_lookup.h"
 #include "routing/placement.h"
 #include "routing/replica_choice.h"
+#include "routing/replica_end_check.h"
 #include "routing/run_times.h"
 
 namespace covewing::request {
@@ -110,6 +111,7 @@
   routing::ReplicaDirectory& replicas;
   routing::PrefixHolders& holders;
   routing::ReplicaChoice& choice;
+  routing::ReplicaEndCheck& replicaEnds;
   routing::PartLookup& parts;
   routing::Placement& placement;
   admission::RetryWindows& retries;
@@ -282,6 +284,7 @@
   const RelayOptions& options_;
   RelayArrival arrival_;
   RelayAssignment assignment_;
+  base::RequestFingerprint fingerprint_;
   std::unique_ptr<RelayCaller> caller_;
   Hooks hooks_;
   base::TimePoint deadline_{};
--- /dev/null
+++ b/src/routing/replica_end_check.cc
@@ -0,0 +1,112 @@
+#include "routing/replica_end_check.h"
+
+#include <utility>
+
+namespace covewing::routing {
+
+namespace {
+
+std::string textOf(const std::vector<base::RequestFingerprint>& runs) {
+  std::string text;
+  for (const auto run : runs) {
+    if (!text.empty()) text += ' ';
+    text += base::toString(run);
+  }
+  return text;
+}
+
+}  // namespace
+
+ReplicaEndCheck::~ReplicaEndCheck() {
+  for (const auto& [instance, doubt] : doubts_) environment_.timers.cancel(doubt.timer);
+}
+
+void ReplicaEndCheck::onRunLost(const ReplicaRecordPtr& replica, base::RequestFingerprint run) {
+  forgetOld();
+  const auto& instance = replica->facts().instance;
+  if (endedAt_.contains(instance)) {
+    report({instance, {run}}, "it had ended before");
+    return;
+  }
+  const auto [position, fresh] = doubts_.try_emplace(instance);
+  auto& doubt = position->second;
+  doubt.runs.push_back(run);
+  if (!fresh) return;
+  doubt.replica = replica;
+  doubt.since = environment_.clock.now();
+  scheduleProbe(instance, options_.firstProbe);
+}
+
+void ReplicaEndCheck::onRemoved(const std::string& instance) {
+  const auto found = doubts_.find(instance);
+  if (found == doubts_.end()) return;
+  // A replica that said that it would leave ends as planned.
+  if (found->second.replica->facts().state == ReplicaState::kDraining) {
+    environment_.timers.cancel(found->second.timer);
+    doubts_.erase(found);
+    return;
+  }
+  conclude(instance, "its entry is gone");
+}
+
+void ReplicaEndCheck::scheduleProbe(const std::string& instance, base::Duration delay) {
+  doubts_.at(instance).timer =
+      environment_.timers.schedule(delay, [this, instance] { probe(instance); });
+}
+
+void ReplicaEndCheck::probe(const std::string& instance) {
+  auto& doubt = doubts_.at(instance);
+  doubt.timer = 0;
+  ++doubt.probes;
+  environment_.reachability.connect(
+      doubt.replica->facts().endpoint, options_.connectTimeout,
+      [this, instance, alive = std::weak_ptr(lifetime_)](clients::Reachability reachability) {
+        if (!alive.expired()) onProbed(instance, reachability);
+      });
+}
+
+void ReplicaEndCheck::onProbed(const std::string& instance, clients::Reachability reachability) {
+  const auto found = doubts_.find(instance);
+  if (found == doubts_.end()) return;
+  auto& doubt = found->second;
+  if (reachability == clients::Reachability::kAccepts) {
+    environment_.log.write(base::Event::kReplicaOutlivedRuns,
+                           {{"replica", instance}, {"runs", textOf(doubt.runs)}});
+    doubts_.erase(found);
+    return;
+  }
+  // What this node still has under way there shows that the process lives.
+  const bool refused =
+      reachability == clients::Reachability::kRefuses && doubt.replica->inFlight() == 0;
+  doubt.refusals = refused ? doubt.refusals + 1 : 0;
+  if (doubt.refusals >= options_.refusals) {
+    conclude(instance, "it refuses connections");
+  } else if (doubt.probes < options_.mostProbes) {
+    scheduleProbe(instance, options_.probeInterval);
+  }
+}
+
+void ReplicaEndCheck::conclude(const std::string& instance, std::string_view why) {
+  const auto node = doubts_.extract(instance);
+  environment_.timers.cancel(node.mapped().timer);
+  endedAt_[instance] = environment_.clock.now();
+  report({instance, node.mapped().runs}, why);
+}
+
+void ReplicaEndCheck::report(const EndedRuns& ended, std::string_view why) {
+  environment_.log.write(
+      base::Event::kReplicaEndedUnderRuns,
+      {{"replica", ended.instance}, {"why", std::string{why}}, {"runs", textOf(ended.runs)}});
+  if (listener_) listener_(ended);
+}
+
+void ReplicaEndCheck::forgetOld() {
+  const auto now = environment_.clock.now();
+  std::erase_if(endedAt_,
+                [&](const auto& entry) { return now - entry.second > options_.endRemembered; });
+  std::erase_if(doubts_, [&](const auto& entry) {
+    return entry.second.timer == 0 && now - entry.second.since > options_.undecidedFor;
+  });
+}
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/replica_end_check.h
@@ -0,0 +1,96 @@
+/// \file
+/// Tells whether runs broke off because their replica ended or because only their connections did:
+/// both look the same to the requests.
+///
+/// States of a replica under which runs broke off: asking (a connection is tried, a few times) ->
+/// outlived (it accepts one) or ended (it refuses two in a row while none of this node's requests
+/// is under way there any more), or undecided (no answer) -> ended when its entry goes.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/event_log.h"
+#include "base/ids.h"
+#include "base/time.h"
+#include "clients/reachability_client.h"
+#include "routing/replica_directory.h"
+
+namespace covewing::routing {
+
+struct ReplicaEndCheckOptions {
+  /// From the first broken run to the first connection: the runs of one crash break off within a
+  /// few milliseconds.
+  base::Duration firstProbe = std::chrono::milliseconds(30);
+  base::Duration probeInterval = std::chrono::milliseconds(120);
+  base::Duration connectTimeout = std::chrono::milliseconds(300);
+  /// A replica that has too many connections may refuse one.
+  std::uint32_t refusals = 2;
+  std::uint32_t mostProbes = 6;
+  /// Longest wait for the entry of a silent replica to go.
+  base::Duration undecidedFor = std::chrono::seconds(15);
+  /// Runs that break off later are reported at once for so long after the end.
+  base::Duration endRemembered = std::chrono::seconds(30);
+};
+
+/// Runs that ended because their replica did.
+struct EndedRuns {
+  std::string instance;
+  std::vector<base::RequestFingerprint> runs;
+};
+
+/// All must outlive the check and share its thread.
+struct ReplicaEndCheckEnvironment {
+  base::Clock& clock;
+  base::TimerService& timers;
+  base::EventLog& log;
+  clients::ReachabilityClient& reachability;
+};
+
+class ReplicaEndCheck {
+ public:
+  using Listener = std::function<void(const EndedRuns&)>;
+
+  ReplicaEndCheck(ReplicaEndCheckOptions options, ReplicaEndCheckEnvironment environment)
+      : options_(options), environment_(environment) {}
+  ~ReplicaEndCheck();
+  ReplicaEndCheck(const ReplicaEndCheck&) = delete;
+  ReplicaEndCheck& operator=(const ReplicaEndCheck&) = delete;
+
+  void onEnded(Listener listener) { listener_ = std::move(listener); }
+  /// A run that may have begun broke off at the replica.
+  void onRunLost(const ReplicaRecordPtr& replica, base::RequestFingerprint run);
+  /// The replica's entry is gone.
+  void onRemoved(const std::string& instance);
+
+ private:
+  struct Doubt {
+    ReplicaRecordPtr replica;
+    std::vector<base::RequestFingerprint> runs;
+    base::TimePoint since{};
+    std::uint32_t probes = 0;
+    std::uint32_t refusals = 0;
+    base::TimerId timer = 0;
+  };
+
+  void scheduleProbe(const std::string& instance, base::Duration delay);
+  void probe(const std::string& instance);
+  void onProbed(const std::string& instance, clients::Reachability reachability);
+  void conclude(const std::string& instance, std::string_view why);
+  void report(const EndedRuns& ended, std::string_view why);
+  void forgetOld();
+
+  ReplicaEndCheckOptions options_;
+  ReplicaEndCheckEnvironment environment_;
+  Listener listener_;
+  /// By instance.
+  std::map<std::string, Doubt> doubts_;
+  std::map<std::string, base::TimePoint> endedAt_;
+  /// Outlived by callbacks that must no longer reach this object.
+  std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
+};
+
+}  // namespace covewing::routing
--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -114,6 +115,24 @@
   CallerView& view_;
 };
 
+/// Replicas that a test has not ended accept connections.
+class FakeReachability final : public clients::ReachabilityClient {
+ public:
+  explicit FakeReachability(base::TimerService& timers) : timers_(timers) {}
+  void connect(const base::Endpoint& address, base::Duration /*timeout*/,
+               std::function<void(clients::Reachability)> callback) override {
+    const bool refuses = ended.contains(address);
+    timers_.schedule(std::chrono::milliseconds(1), [refuses, callback = std::move(callback)] {
+      callback(refuses ? clients::Reachability::kRefuses : clients::Reachability::kAccepts);
+    });
+  }
+
+  std::set<base::Endpoint> ended;
+
+ private:
+  base::TimerService& timers_;
+};
+
 class FakeTables final : public RouteTableSource {
  public:
   config::RouteTablePtr table() const override { return current; }
@@ -241,6 +260,8 @@
   routing::CacheStores stores;
   routing::FleetLoad fleet;
   routing::ReplicaChoice choice{{replicas, holders, targets, stores, fleet, "zone"}, {}, random};
+  FakeReachability reachability{time};
+  routing::ReplicaEndCheck replicaEnds{{}, {time, time, log, reachability}};
   FakeMembers members{"self"};
   FakePeers peers;
   routing::PartLookup parts{{}, {time, time, random, log, peers, members}};
@@ -256,8 +277,8 @@
   std::string promptText = "aa:1000,bb:200";
   std::weak_ptr<RelayFlow> flow;
   RelayService service{options(),
-                       {time, time, log, client, replicas, holders, choice, parts, placement,
-                        retries, quotas, runTimes, *this},
+                       {time, time, log, client, replicas, holders, choice, replicaEnds, parts,
+                        placement, retries, quotas, runTimes, *this},
                        tables,
                        [] { return std::size_t{1}; }};
 };
--- /dev/null
+++ b/tests/request/request_fingerprint_test.cc
@@ -0,0 +1,44 @@
+// Which requests ask the same of a replica.
+#include "request/request_fingerprint.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace covewing::request {
+
+namespace {
+
+clients::RelayedRequest sample() { return {"id", "POST", "/path?query", {}, "body"}; }
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(RequestFingerprintTest)
+
+BOOST_AUTO_TEST_CASE(IdentifierAndHeadersDoNotCount) {
+  auto again = sample();
+  again.id = "other";
+  again.headers = {{"Deadline", "12"}};
+  BOOST_TEST((fingerprintOf(sample(), "tenant") == fingerprintOf(again, "tenant")));
+}
+
+BOOST_AUTO_TEST_CASE(PathTenantAndBodyCount) {
+  const auto usual = fingerprintOf(sample(), "tenant");
+  BOOST_TEST((usual != fingerprintOf(sample(), "other")));
+  auto changed = sample();
+  changed.body = "other";
+  BOOST_TEST((usual != fingerprintOf(changed, "tenant")));
+  changed = sample();
+  changed.target = "/path?other";
+  BOOST_TEST((usual != fingerprintOf(changed, "tenant")));
+  // Text that moves from one field to the next makes another request.
+  auto shifted = sample();
+  shifted.target = "/path?querytenant";
+  BOOST_TEST((usual != fingerprintOf(shifted, "")));
+}
+
+BOOST_AUTO_TEST_CASE(TextHasSixteenDigits) {
+  BOOST_TEST(toString(base::RequestFingerprint{255}) == "00000000000000ff");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::request
--- /dev/null
+++ b/tests/routing/replica_end_check_test.cc
@@ -0,0 +1,122 @@
+// Whether runs broke off because their replica ended.
+#include "routing/replica_end_check.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+
+#include "support/recording_log.h"
+#include "support/virtual_time.h"
+
+namespace covewing::routing {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Answers with what the test says, the last answer over and over.
+class ScriptedReachability final : public clients::ReachabilityClient {
+ public:
+  explicit ScriptedReachability(base::TimerService& timers) : timers_(timers) {}
+  void connect(const base::Endpoint& /*address*/, base::Duration timeout,
+               std::function<void(clients::Reachability)> callback) override {
+    ++connections;
+    const auto answer = answers.front();
+    if (answers.size() > 1) answers.pop_front();
+    const auto after = answer == clients::Reachability::kSilent ? timeout : milliseconds(1);
+    timers_.schedule(after, [answer, callback = std::move(callback)] { callback(answer); });
+  }
+
+  std::deque<clients::Reachability> answers{clients::Reachability::kAccepts};
+  int connections = 0;
+
+ private:
+  base::TimerService& timers_;
+};
+
+struct ReplicaEndFixture {
+  ReplicaEndFixture() {
+    check.onEnded([this](const EndedRuns& runs) { ended.push_back(runs); });
+  }
+  void lose(std::uint64_t run) { check.onRunLost(replica, base::RequestFingerprint{run}); }
+
+  static Replica facts() {
+    Replica facts;
+    facts.instance = "replica";
+    facts.endpoint = {0x7f000001, 80};
+    return facts;
+  }
+
+  test_support::VirtualTime time;
+  test_support::RecordingLog log;
+  ScriptedReachability reachability{time};
+  ReplicaEndCheck check{{}, {time, time, log, reachability}};
+  ReplicaRecordPtr replica = std::make_shared<ReplicaRecord>(facts());
+  std::vector<EndedRuns> ended;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ReplicaEndCheckTest, ReplicaEndFixture)
+
+BOOST_AUTO_TEST_CASE(RunsThatBreakOffTogetherEndWithAReplicaThatRefusesConnections) {
+  reachability.answers = {clients::Reachability::kRefuses};
+  lose(1);
+  lose(2);
+  time.advance(milliseconds(300));
+  BOOST_REQUIRE(ended.size() == 1U);
+  BOOST_TEST(ended[0].instance == "replica");
+  BOOST_TEST(
+      (ended[0].runs == std::vector{base::RequestFingerprint{1}, base::RequestFingerprint{2}}));
+  BOOST_TEST(log.count(base::Event::kReplicaEndedUnderRuns) == 1U);
+  lose(3);
+  BOOST_REQUIRE(ended.size() == 2U);
+  BOOST_TEST((ended[1].runs == std::vector{base::RequestFingerprint{3}}));
+}
+
+BOOST_AUTO_TEST_CASE(ReplicaThatAcceptsConnectionsOutlivedItsRuns) {
+  lose(1);
+  time.advance(seconds(20));
+  BOOST_TEST(ended.empty());
+  BOOST_TEST(reachability.connections == 1);
+  BOOST_TEST(log.count(base::Event::kReplicaOutlivedRuns) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(OneRefusedConnectionDoesNotEndAReplica) {
+  reachability.answers = {clients::Reachability::kRefuses, clients::Reachability::kAccepts};
+  lose(1);
+  time.advance(seconds(20));
+  BOOST_TEST(ended.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ReplicaAtWorkForThisNodeLivesThoughItRefusesConnections) {
+  reachability.answers = {clients::Reachability::kRefuses};
+  replica->onDispatched(10);
+  lose(1);
+  time.advance(seconds(20));
+  BOOST_TEST(ended.empty());
+}
+
+BOOST_AUTO_TEST_CASE(SilentReplicaHasEndedWhenItsEntryGoes) {
+  reachability.answers = {clients::Reachability::kSilent};
+  lose(1);
+  time.advance(seconds(4));
+  BOOST_TEST(ended.empty());
+  check.onRemoved("replica");
+  BOOST_TEST(ended.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ReplicaThatSaidItWouldLeaveHasNotCrashed) {
+  auto leaving = facts();
+  leaving.state = ReplicaState::kDraining;
+  replica = std::make_shared<ReplicaRecord>(leaving);
+  reachability.answers = {clients::Reachability::kSilent};
+  lose(1);
+  time.advance(seconds(4));
+  check.onRemoved("replica");
+  BOOST_TEST(ended.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::routing
