Test, failing, that a request under which three replicas ended reaches no more of them

Three relaying nodes as users run them, on loopback, before six replicas that a request with one body ends 40 ms after it has begun, each back 0.9 s later. Seen on the code as it is: every deadly request of the last seconds reached a replica and was answered 502 (16 of 16), 10 harmless requests beside them failed, and after a restart of all nodes 3 of 3 reached a replica.

--- /dev/null
+++ b/tests/live/relay_fleet.h
@@ -0,0 +1,334 @@
+// Relaying nodes as users run them, on loopback, before application replicas that a request can
+// crash. Everything runs on one io_context and in real time.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "live/asio_runtime.h"
+#include "live/http_server.h"
+#include "live/relay_daemon.h"
+#include "memory_table_service.h"
+#include "support/recording_log.h"
+
+namespace covewing::live {
+
+inline constexpr std::string_view kReplicaTableName = "replicas";
+inline constexpr std::string_view kConfigurationTableName = "configuration";
+inline constexpr std::string_view kOwnTableName = "own";
+inline constexpr std::uint32_t kLoopback = 0x7f000001;
+
+/// Plain headers.
+class PlainDialect final : public RelayDialect {
+ public:
+  std::string_view requestIdHeader() const override { return kRequestIdHeader; }
+  std::optional<request::RelayArrival> readRequest(const HttpRequest& request, std::string body,
+                                                   base::TimePoint arrivedAt,
+                                                   base::Reason& /*reason*/) const override {
+    request::RelayArrival arrival;
+    arrival.host = request.header("Host");
+    arrival.path = request.path();
+    arrival.key = request.header("X-Key");
+    arrival.arrivedAt = arrivedAt;
+    arrival.request = std::make_shared<const clients::RelayedRequest>(clients::RelayedRequest{
+        std::string{request.header(kRequestIdHeader)}, request.method, request.target,
+        withoutConnectionHeaders(request.headers), std::move(body)});
+    return arrival;
+  }
+  HttpResponse refusal(const request::RelayRefusal& refusal,
+                       std::string_view /*requestId*/) const override {
+    HttpResponse response{refusal.status, {}, refusal.reason.detail};
+    if (refusal.retryAfter > base::Duration::zero())
+      response.headers.push_back(
+          {"Retry-After", std::to_string(base::toSeconds(refusal.retryAfter))});
+    return response;
+  }
+  HttpRequest dispatch(const clients::RelayedRequest& request,
+                       const clients::DispatchTerms& /*terms*/) const override {
+    return {request.method, request.target, request.headers, request.body};
+  }
+  clients::RelayedAnswer readAnswer(const HttpResponse& head,
+                                    const clients::DispatchTerms& /*terms*/) const override {
+    clients::RelayedAnswer answer;
+    answer.status = head.status;
+    answer.headers = withoutConnectionHeaders(head.headers);
+    return answer;
+  }
+};
+
+/// One route to one service, without rows to read.
+class OneRoute final : public node::ConfigurationRowReader {
+ public:
+  bool isRouteTable(std::string_view key) const override { return key == "routes"; }
+  bool isNamedWeights(std::string_view /*key*/) const override { return false; }
+  std::optional<config::RouteTableContents> readRouteTable(
+      std::string_view /*value*/, base::Reason& /*reason*/) const override {
+    config::RouteTableContents contents;
+    contents.version = 1;
+    config::Route route;
+    route.name = "route";
+    route.host = "example";
+    route.pathPrefix = "/";
+    route.timeout = std::chrono::seconds(4);
+    route.targetLatency = std::chrono::milliseconds(400);
+    route.split = {{"app", 1}};
+    contents.routes = {route};
+    config::Service service;
+    service.name = "app";
+    contents.services = {service};
+    contents.tenants = {{"tenant", {"key"}, 1, false, std::nullopt}};
+    return contents;
+  }
+  std::optional<node::NamedWeights> readWeights(std::string_view /*value*/,
+                                                base::Reason& /*reason*/) const override {
+    return std::nullopt;
+  }
+};
+
+/// Rows hold a replica's port.
+class PortRows final : public node::ReplicaRowReader {
+ public:
+  std::optional<routing::Replica> readReplica(std::string_view key, std::string_view value,
+                                              base::Reason& /*reason*/) const override {
+    routing::Replica replica;
+    replica.instance = key;
+    replica.service = "app";
+    replica.endpoint = {kLoopback, static_cast<std::uint16_t>(std::stoul(std::string{value}))};
+    replica.slots = 8;
+    return replica;
+  }
+};
+
+/// No replica serves a model, so nothing is ordered or watched.
+class NoWeights final : public clients::WeightsClient {
+ public:
+  void order(const base::Endpoint& /*replica*/, const std::string& /*instance*/,
+             clients::WeightsOrder /*order*/,
+             std::function<void(clients::WeightsOrderStatus)> /*callback*/) override {}
+  void report(const base::Endpoint& /*replica*/, const std::string& /*instance*/,
+              const std::string& /*model*/,
+              std::function<void(std::optional<clients::WeightsReport>)> /*callback*/) override {}
+};
+class NoCacheFeed final : public clients::CacheFeedClient {
+ public:
+  void poll(const base::Endpoint& /*replica*/, std::uint64_t /*since*/, base::Duration /*wait*/,
+            std::function<void(clients::CacheFeedReply)> /*callback*/) override {}
+};
+
+/// An application replica. A request with the body `kDeadly` ends its process shortly after it has
+/// begun; it is back at the same address, as a new instance, after a while.
+class CrashingReplica {
+ public:
+  static constexpr std::string_view kDeadly = "deadly";
+  static constexpr base::Duration kRunTime = std::chrono::milliseconds(60);
+  static constexpr base::Duration kCrashAfter = std::chrono::milliseconds(40);
+  static constexpr base::Duration kBackAfter = std::chrono::milliseconds(900);
+  static constexpr base::Duration kEntryLapses = std::chrono::milliseconds(1500);
+
+  /// What all replicas of a test have seen.
+  struct Record {
+    std::vector<base::TimePoint> deadlyArrivals;
+    std::vector<base::TimePoint> crashes;
+  };
+
+  CrashingReplica(boost::asio::io_context& context, MemoryTableService& table,
+                  AsioTimerService& timers, std::string name, Record& record)
+      : context_(context), table_(table), timers_(timers), name_(std::move(name)), record_(record) {
+    start();
+  }
+
+ private:
+  void start() {
+    server_ = std::make_unique<HttpServer>(
+        context_, HttpLimits{}, [this](const HttpExchangePtr& exchange) { onRequest(exchange); });
+    base::Reason reason;
+    const auto bound = server_->listen({kLoopback, port_}, reason);
+    BOOST_REQUIRE_MESSAGE(bound.has_value(), reason.detail);
+    port_ = bound->port;
+    instance_ = name_ + '-' + std::to_string(++starts_);
+    table_.put(std::string{kReplicaTableName}, instance_, std::to_string(port_));
+  }
+
+  void onRequest(const HttpExchangePtr& exchange) {
+    if (exchange->request().body == kDeadly) {
+      record_.deadlyArrivals.push_back(clock_.now());
+      timers_.schedule(kCrashAfter, [this, instance = instance_] { crash(instance); });
+      running_.push_back(exchange);
+      return;
+    }
+    timers_.schedule(kRunTime, [exchange] { exchange->respond({200, {}, "done"}); });
+  }
+
+  void crash(const std::string& instance) {
+    if (!server_ || instance != instance_) return;
+    record_.crashes.push_back(clock_.now());
+    server_->close();
+    server_.reset();
+    running_.clear();
+    timers_.schedule(kEntryLapses, [this, instance] {
+      table_.put(std::string{kReplicaTableName}, instance, std::nullopt);
+    });
+    timers_.schedule(kBackAfter, [this] { start(); });
+  }
+
+  boost::asio::io_context& context_;
+  MemoryTableService& table_;
+  AsioTimerService& timers_;
+  std::string name_;
+  Record& record_;
+  AsioClock clock_;
+  std::unique_ptr<HttpServer> server_;
+  std::vector<HttpExchangePtr> running_;
+  std::uint16_t port_ = 0;
+  std::string instance_;
+  int starts_ = 0;
+};
+
+/// Nodes and replicas, with callers of one tenant.
+class RelayFleet {
+ public:
+  static constexpr std::size_t kNodes = 3;
+  static constexpr std::size_t kReplicas = 6;
+
+  /// What a caller got; status 0: no whole answer.
+  struct Answer {
+    std::string body;
+    base::TimePoint sentAt{};
+    base::TimePoint endedAt{};
+    unsigned status = 0;
+    std::string answer;
+    bool saysWhenToComeBack = false;
+  };
+
+  RelayFleet() {
+    table_.put(std::string{kConfigurationTableName}, "routes", "routes");
+    for (std::size_t index = 0; index < kReplicas; ++index)
+      replicas_.push_back(std::make_unique<CrashingReplica>(
+          context_, table_, timers_, "replica-" + std::to_string(index), record));
+    for (auto& port : ports_) port = freePort();
+    startNodes();
+  }
+
+  /// Starts all nodes, which keep nothing from before, and waits until they serve.
+  void startNodes() {
+    for (std::size_t index = 0; index < kNodes; ++index) {
+      nodes_.push_back(std::make_unique<RelayDaemon>(context_, settings(index), log_, deployment_));
+      base::Reason reason;
+      BOOST_REQUIRE_MESSAGE(nodes_.back()->start(reason), reason.detail);
+    }
+    for (int round = 0; round < 100 && !allServe(); ++round) run(std::chrono::milliseconds(100));
+    BOOST_REQUIRE(allServe());
+  }
+  /// Ends all nodes at once, as by a kill.
+  void killNodes() { nodes_.clear(); }
+
+  void run(base::Duration duration) { context_.run_for(duration); }
+
+  /// Sends a request to a node.
+  std::shared_ptr<Answer> send(std::size_t node, std::string body) {
+    auto answer = std::make_shared<Answer>();
+    answer->body = body;
+    answer->sentAt = clock_.now();
+    const HttpRequest request{"POST",
+                              "/work",
+                              {{"Host", "example"},
+                               {"X-Key", "key"},
+                               {std::string{kRequestIdHeader}, "id-" + std::to_string(++sent_)}},
+                              std::move(body)};
+    http_.fetch(callerEndpoint(node), request, std::chrono::seconds(5),
+                [this, answer](const HttpResult& result) {
+                  answer->endedAt = clock_.now();
+                  const auto* response = std::get_if<HttpResponse>(&result);
+                  if (response == nullptr) return;
+                  answer->status = response->status;
+                  answer->answer = response->body;
+                  answer->saysWhenToComeBack = !response->header("Retry-After").empty();
+                });
+    return answer;
+  }
+
+  base::TimePoint now() const { return clock_.now(); }
+
+  CrashingReplica::Record record;
+
+ private:
+  /// Ports of a node's listeners, the same on each node.
+  enum Listener : std::size_t { kCallers, kReadiness, kPeers, kMetrics, kListeners };
+
+  static std::uint32_t addressOf(std::size_t node) {
+    constexpr std::uint32_t kFirst = 10;
+    return kLoopback + kFirst + static_cast<std::uint32_t>(node);
+  }
+  base::Endpoint callerEndpoint(std::size_t node) const {
+    return {addressOf(node), ports_[kCallers]};
+  }
+
+  /// A port that was free a moment ago.
+  std::uint16_t freePort() {
+    boost::asio::ip::tcp::acceptor acceptor(context_,
+                                            {boost::asio::ip::address_v4(addressOf(0)), 0});
+    return acceptor.local_endpoint().port();
+  }
+
+  RelaySettings settings(std::size_t index) const {
+    RelaySettings settings;
+    settings.name = "node-" + std::to_string(index);
+    settings.zone = "zone-" + std::to_string(index);
+    settings.region = "region";
+    settings.callerEndpoint = {addressOf(index), ports_[kCallers]};
+    settings.readinessEndpoint = {addressOf(index), ports_[kReadiness]};
+    settings.peerEndpoint = {addressOf(index), ports_[kPeers]};
+    settings.metricsEndpoint = {addressOf(index), ports_[kMetrics]};
+    for (std::size_t node = 0; node < kNodes; ++node)
+      settings.seeds.push_back({addressOf(node), ports_[kPeers]});
+    settings.grace = std::chrono::seconds(8);
+    settings.revocation = std::chrono::seconds(5);
+    settings.retryRatio = 0.2;
+    settings.retryWindow = std::chrono::seconds(10);
+    settings.retrySlack = 50;
+    settings.quotaWindow = std::chrono::seconds(8);
+    settings.weightsInForce = std::chrono::seconds(8);
+    settings.lease = std::chrono::seconds(3);
+    return settings;
+  }
+
+  bool allServe() {
+    std::vector<std::shared_ptr<Answer>> answers;
+    for (std::size_t node = 0; node < kNodes; ++node) answers.push_back(send(node, "hello"));
+    run(std::chrono::milliseconds(300));
+    return std::ranges::all_of(answers, [](const auto& answer) { return answer->status == 200; });
+  }
+
+  boost::asio::io_context context_;
+  AsioClock clock_;
+  AsioTimerService timers_{context_};
+  test_support::RecordingLog log_;
+  MemoryTableService table_{context_, std::string{kOwnTableName}};
+  PlainDialect dialect_;
+  OneRoute configurationRows_;
+  PortRows replicaRows_;
+  NoWeights weights_;
+  NoCacheFeed cacheFeeds_;
+  RelayDeployment deployment_{dialect_,
+                              configurationRows_,
+                              replicaRows_,
+                              table_,
+                              table_,
+                              weights_,
+                              cacheFeeds_,
+                              std::string{kConfigurationTableName},
+                              std::string{kReplicaTableName}};
+  std::array<std::uint16_t, kListeners> ports_{};
+  std::vector<std::unique_ptr<CrashingReplica>> replicas_;
+  std::vector<std::unique_ptr<RelayDaemon>> nodes_;
+  HttpClient http_{context_};
+  std::size_t sent_ = 0;
+};
+
+}  // namespace covewing::live
