Quarantine requests under which replicas end

Cause: a caller sends a request that crashes replicas again as a new one, to any node, and nothing tied the second to the first: every broken run was a fresh failure of a fresh request. Class: state that must be the fleet's was nobody's, since a request's life ended with its answer at one node.

Now runs that end with their replica are told to all nodes; each finds in the same evidence the request that was at three crashes, was not served, and cannot be confused with another that was at the same ones; after 300 ms for objections of nodes that served it, all refuse it before it is sent, as not run, for an hour or until a run of it ends well. Verdicts spread by gossip records, which repair what a cut-off or new node missed, and stand in the table service for a restart of all nodes.

Ruled out: counting at each node alone (the crashes of one wave were seen by four nodes, 6, 4, 1 and 1; after seven crashes the second had seen none of its three), a strike for each broken connection (a reset or a grey replica would count), and the list's word alone (3.3 s after the crash, later than the bound).

Found on the way: rows of a kind were looked for in the feed, which tells nothing older than its history; they are read by their keys now.

--- a/src/base/peer_transport.h
+++ b/src/base/peer_transport.h
@@ -29,7 +29,9 @@
   kReplicaLoad = 8,
   kPartIndex = 9,
   kPlacement = 10,
+  kQuarantine = 11,
 };
+inline constexpr Channel kLastChannel = Channel::kQuarantine;
 
 /// Who sent a message.
 struct PeerIdentity {
--- a/src/live/peer_traffic.cc
+++ b/src/live/peer_traffic.cc
@@ -24,6 +24,8 @@
       return "part_index";
     case base::Channel::kPlacement:
       return "placement";
+    case base::Channel::kQuarantine:
+      return "quarantine";
   }
   return "unknown";
 }
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -196,6 +196,8 @@
         retries({settings.retryWindow, settings.retryRatio, settings.retrySlack}),
         quotas(quotaOptions(),
                {clock, timers, random, membership, peers, [this] { return nodes(); }}),
+        quarantine({}, {clock, timers, random, log, peers, membership, membership, deployment.table,
+                        [this] { return configurationWatch.serviceTime(); }}),
         replicaHttp(ioContext, replicaLimits(deployment.dialect)),
         relayClient(replicaHttp, deployment.dialect),
         service(serviceOptions(), dependencies(), configuration, [this] { return nodes(); }),
@@ -211,6 +213,9 @@
         }) {
     cacheWatch.onChange([this](const routing::CacheChange& change) { onCacheChange(change); });
     configuration.setWatch(configurationWatch);
+    replicaEnds.onEnded([this](const routing::EndedRuns& ended) {
+      quarantine.onRunsEnded(base::engineIdOf(ended.instance), ended.runs);
+    });
     configuration.onTable([this](const config::RouteTable& table) {
       applyLimits(table.limits());
       stores.update(table);
@@ -231,8 +236,8 @@
   }
 
   request::RelayDependencies dependencies() {
-    return {clock,       timers, log,       relayClient, replicas, holders,  choice,
-            replicaEnds, parts,  placement, retries,     quotas,   runTimes, *this};
+    return {clock, timers,    log,     relayClient, replicas,   holders,  choice, replicaEnds,
+            parts, placement, retries, quotas,      quarantine, runTimes, *this};
   }
 
   void applyLimits(const config::TrafficLimits& limits) {
@@ -313,6 +318,7 @@
     cacheStoreNews.start();
     cacheWatch.start();
     loadSharing.start();
+    quarantine.start();
     configurationWatch.start();
     replicaWatch.start();
     return true;
@@ -333,6 +339,7 @@
     if (channel == base::Channel::kPlacement) placement.onPeerMessage(sender, payload);
     if (channel == base::Channel::kReplicaLoad) loadSharing.onPeerMessage(sender, payload);
     if (channel == base::Channel::kAdmission) quotas.onPeerMessage(sender, payload);
+    if (channel == base::Channel::kQuarantine) quarantine.onPeerMessage(sender, payload);
     if (channel == base::Channel::kCoordination) coordinator.onPeerMessage(sender, payload);
   }
 
@@ -382,6 +389,7 @@
     snapshot.knownParts = holders.size();
     snapshot.placement = placement.counters();
     snapshot.quotas = quotas.counts();
+    snapshot.quarantinedRequests = quarantine.size();
     snapshot.traffic = traffic.channels();
     for (const auto& [instance, record] : replicas.all()) countReplica(*record, now, snapshot);
     return metrics.render(snapshot);
@@ -435,6 +443,7 @@
   routing::CacheWatch cacheWatch;
   admission::RetryWindows retries;
   admission::TenantQuotas quotas;
+  quarantine::RequestQuarantine quarantine;
   routing::RunTimes runTimes;
   HttpClient replicaHttp;
   HttpRelayClient relayClient;
--- a/src/live/relay_metrics.cc
+++ b/src/live/relay_metrics.cc
@@ -31,6 +31,8 @@
      "questions to homes of replicas where a request should go: all asked, and what came of them"},
     {"covewing_process_cpu_seconds_total", "counter", "", "processor time of the process"},
     {"covewing_process_resident_bytes", "gauge", "", "resident memory of the process"},
+    {"covewing_quarantined_requests", "gauge", "",
+     "requests that are refused because replicas ended under earlier runs of them"},
     {"covewing_quota_messages_total", "counter", "kind",
      "messages about tenants' limits: questions to homes, answers as a home, corrections, homes "
      "passed over as silent, requests granted from this node's own share"},
@@ -78,6 +80,7 @@
   prometheus::Gauge& version = families.gauges("covewing_configuration_version").Add({});
   prometheus::Family<prometheus::Counter>& events = families.counters("covewing_events_total");
   prometheus::Gauge& knownParts = families.gauges("covewing_known_cached_parts").Add({});
+  prometheus::Gauge& quarantinedRequests = families.gauges("covewing_quarantined_requests").Add({});
   prometheus::Gauge& leaseHeld = families.gauges("covewing_lease_held").Add({});
   prometheus::Gauge& members = families.gauges("covewing_members").Add({});
   prometheus::Gauge& open = families.gauges("covewing_open_requests").Add({});
@@ -135,6 +138,7 @@
   set(impl_->connections, snapshot.callerConnections);
   set(impl_->version, snapshot.configurationVersion);
   set(impl_->knownParts, snapshot.knownParts);
+  set(impl_->quarantinedRequests, snapshot.quarantinedRequests);
   set(impl_->leaseHeld, snapshot.leaseHeld ? 1 : 0);
   set(impl_->members, snapshot.members);
   set(impl_->open, snapshot.openRequests);
--- a/src/live/relay_metrics.h
+++ b/src/live/relay_metrics.h
@@ -42,6 +42,7 @@
     std::size_t openRequests = 0;
     std::size_t callerConnections = 0;
     std::size_t knownParts = 0;
+    std::size_t quarantinedRequests = 0;
     std::size_t replicasAvailable = 0;
     std::size_t replicasDraining = 0;
     std::size_t replicasEjected = 0;
--- a/src/node/peer_frame.cc
+++ b/src/node/peer_frame.cc
@@ -7,7 +7,7 @@
 namespace {
 constexpr std::uint32_t kFieldCount = 7;
 constexpr auto kFirstChannel = static_cast<std::uint64_t>(base::Channel::kMembership);
-constexpr auto kLastChannel = static_cast<std::uint64_t>(base::Channel::kPlacement);
+constexpr auto kLastChannel = static_cast<std::uint64_t>(base::kLastChannel);
 
 std::nullopt_t refused(base::Reason& reason, base::ResultCode code, std::string detail) {
   reason = {code, std::move(detail)};
--- /dev/null
+++ b/src/quarantine/crash_evidence.cc
@@ -0,0 +1,91 @@
+#include "quarantine/crash_evidence.h"
+
+#include <algorithm>
+
+namespace covewing::quarantine {
+
+CrashEvidence::Crash& CrashEvidence::crashOf(base::EngineId replica, base::TimePoint now) {
+  const auto known = std::ranges::find(crashes_, replica, &Crash::replica);
+  if (known != crashes_.end()) return *known;
+  if (crashes_.size() >= options_.mostCrashes) crashes_.pop_front();
+  crashes_.push_back({replica, now, {}, false});
+  return crashes_.back();
+}
+
+void CrashEvidence::onRunsEnded(base::EngineId replica, const Fingerprints& runs,
+                                base::TimePoint now) {
+  forgetOld(now);
+  auto& crash = crashOf(replica, now);
+  for (const auto run : runs) {
+    const auto culprit = culprits_.find(run);
+    if (culprit != culprits_.end() && now < culprit->second) crash.explained = true;
+    const bool known = std::ranges::find(crash.runs, run) != crash.runs.end();
+    if (!known && crash.runs.size() < options_.mostRuns) crash.runs.push_back(run);
+  }
+}
+
+void CrashEvidence::onServed(base::RequestFingerprint request, base::TimePoint now) {
+  servedAt_[request] = now;
+  culprits_.erase(request);
+}
+
+void CrashEvidence::onQuarantined(base::RequestFingerprint request, base::TimePoint until) {
+  culprits_[request] = until;
+  for (Crash& crash : crashes_) {
+    if (std::ranges::find(crash.runs, request) != crash.runs.end()) crash.explained = true;
+  }
+}
+
+bool CrashEvidence::counts(const Crash& crash, base::RequestFingerprint request) const {
+  if (crash.explained) return false;
+  const auto served = servedAt_.find(request);
+  return served == servedAt_.end() || crash.at > served->second;
+}
+
+bool CrashEvidence::suspected(base::RequestFingerprint request) const {
+  return std::ranges::any_of(crashes_, [&](const Crash& crash) {
+    return counts(crash, request) && std::ranges::find(crash.runs, request) != crash.runs.end();
+  });
+}
+
+void CrashEvidence::forgetOld(base::TimePoint now) {
+  const auto oldest = now - options_.memory;
+  while (!crashes_.empty() && crashes_.front().at < oldest) crashes_.pop_front();
+  std::erase_if(servedAt_, [&](const auto& entry) { return entry.second < oldest; });
+  std::erase_if(culprits_, [&](const auto& entry) { return entry.second < now; });
+}
+
+CrashEvidence::Cases CrashEvidence::cases() const {
+  Cases all;
+  for (std::size_t place = 0; place < crashes_.size(); ++place) {
+    const Crash& crash = crashes_[place];
+    for (const auto run : crash.runs) {
+      if (counts(crash, run)) all[run].push_back(place);
+    }
+  }
+  return all;
+}
+
+bool CrashEvidence::separable(const Cases& all, base::RequestFingerprint request) const {
+  const auto& own = all.at(request);
+  if (own.size() >= options_.crashesOfInseparable) return true;
+  return std::ranges::none_of(all, [&](const auto& other) {
+    return other.first != request && std::ranges::includes(other.second, own);
+  });
+}
+
+std::optional<Culprit> CrashEvidence::findCulprit(base::TimePoint now) {
+  forgetOld(now);
+  const auto all = cases();
+  std::optional<Culprit> found;
+  for (const auto& [request, crashes] : all) {
+    if (crashes.size() < options_.crashesOfCulprit || !separable(all, request)) continue;
+    // Equal nodes choose equally: the order of the map is none.
+    const bool better = !found || crashes.size() > found->crashes ||
+                        (crashes.size() == found->crashes && request < found->request);
+    if (better) found = Culprit{request, crashes.size()};
+  }
+  return found;
+}
+
+}  // namespace covewing::quarantine
--- /dev/null
+++ b/src/quarantine/request_quarantine.h
@@ -0,0 +1,130 @@
+/// \file
+/// Keeps requests that crash the replicas that run them away from further replicas.
+///
+/// A caller sends such a request again as a new one, to any node, so no node can judge by what it
+/// saw itself. Each node tells all others which of its runs ended with a replica (ReplicaEndCheck),
+/// and all find the culprit in the same evidence (CrashEvidence). A node at which a suspect came to
+/// its end objects; without an objection the request is quarantined: every node refuses it before
+/// it is sent.
+///
+/// Evidence goes to all nodes, a few times, since messages may be lost; there is little of it,
+/// since it ends with the verdict. Verdicts spread as gossip records, which repair what a node that
+/// was cut off or has just started has missed, and are kept in the table service for a restart of
+/// all nodes. One is lifted when a run of the request comes to its end after all, and lapses.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+#include "base/event_log.h"
+#include "base/peer_transport.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "clients/table_client.h"
+#include "membership/member_directory.h"
+#include "quarantine/crash_evidence.h"
+#include "quarantine/quarantine_messages.h"
+#include "quarantine/quarantine_rows.h"
+#include "quarantine/served_requests.h"
+
+namespace covewing::quarantine {
+
+struct RequestQuarantineOptions {
+  CrashEvidenceOptions evidence;
+  /// From the proof against a request to its quarantine; others object within a round trip.
+  base::Duration objectionTime = std::chrono::milliseconds(300);
+  /// How long a quarantined request is refused. New weights or software may run it, and a wrong
+  /// verdict must not last; three crashes an hour are borne.
+  base::Duration lifetime = std::chrono::hours(1);
+  /// Evidence is sent again after each of these.
+  base::Duration firstRepeat = std::chrono::milliseconds(150);
+  base::Duration secondRepeat = std::chrono::milliseconds(600);
+  /// Nodes that write a verdict to the table service at once.
+  std::size_t writers = 2;
+  /// Between comparisons with the table service, while anything is quarantined.
+  base::Duration comparePeriod = std::chrono::seconds(30);
+  /// Requests in quarantine; beyond that none is added.
+  std::size_t mostQuarantined = 1024;
+};
+
+/// All must outlive the quarantine and share its thread.
+struct RequestQuarantineEnvironment {
+  base::Clock& clock;
+  base::TimerService& timers;
+  base::RandomSource& random;
+  base::EventLog& log;
+  base::PeerTransport& peers;
+  const membership::MemberDirectory& members;
+  membership::RecordDissemination& records;
+  clients::TableClient& table;
+  /// The table service's clock as this node knows it; empty before the first answer.
+  std::function<std::optional<base::Duration>()> serviceClock;
+};
+
+/// Why and for how long a request is refused.
+struct QuarantineStatus {
+  std::uint64_t crashes = 0;
+  base::Duration remaining{};
+};
+
+class RequestQuarantine final : public base::PeerHandler {
+ public:
+  RequestQuarantine(RequestQuarantineOptions options, RequestQuarantineEnvironment environment);
+  ~RequestQuarantine() override;
+  RequestQuarantine(const RequestQuarantine&) = delete;
+  RequestQuarantine& operator=(const RequestQuarantine&) = delete;
+
+  /// Learns the verdicts of others.
+  void start();
+  /// Empty when the request may be sent.
+  std::optional<QuarantineStatus> find(base::RequestFingerprint request) const;
+  /// Runs of this node ended with a replica.
+  void onRunsEnded(base::EngineId replica, const Fingerprints& runs);
+  /// A run of this node came to its end.
+  void onServed(base::RequestFingerprint request);
+  /// Requests that are refused now.
+  std::size_t size() const;
+
+  void onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) override;
+
+ private:
+  struct Verdict {
+    QuarantineEntry entry;
+    /// When it lapses, by this node's clock.
+    base::TimePoint until{};
+  };
+
+  void takeEvidence(base::EngineId replica, const Fingerprints& runs);
+  void object(const Fingerprints& runs);
+  void takeServed(base::RequestFingerprint request);
+  /// Decides after the time for objections.
+  void scheduleVerdict();
+  void decide();
+  void quarantine(const Culprit& culprit);
+  void lift(base::RequestFingerprint request);
+  /// Takes an entry from wherever; false when a later one is known.
+  bool apply(const QuarantineEntry& entry, std::string_view source);
+  void publish(const QuarantineEntry& entry);
+  /// Whether this node is among those that write a verdict at once.
+  bool writesAtOnce(base::RequestFingerprint request) const;
+  void scheduleComparison();
+  void compareWithRows();
+  void broadcast(const std::string& payload);
+  void broadcastRepeatedly(const std::string& payload);
+  /// Time since a decision by the table service's clock; zero where that clock is not known.
+  base::Duration ageOf(const QuarantineEntry& entry) const;
+
+  RequestQuarantineOptions options_;
+  RequestQuarantineEnvironment environment_;
+  CrashEvidence evidence_;
+  ServedRequests served_;
+  QuarantineRows rows_;
+  std::unordered_map<base::RequestFingerprint, Verdict> verdicts_;
+  base::TimerId verdictTimer_ = 0;
+  base::TimerId comparisonTimer_ = 0;
+  /// Outlived by callbacks that must no longer reach this object.
+  std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
+};
+
+}  // namespace covewing::quarantine
--- /dev/null
+++ b/src/quarantine/served_requests.cc
@@ -0,0 +1,21 @@
+#include "quarantine/served_requests.h"
+
+namespace covewing::quarantine {
+
+void ServedRequests::add(base::RequestFingerprint request, base::TimePoint now) {
+  order_.push_back({request, now});
+  latest_[request] = now;
+  while (order_.size() > kMost || now - order_.front().at > kMemory) {
+    const auto& oldest = order_.front();
+    const auto known = latest_.find(oldest.request);
+    if (known != latest_.end() && known->second == oldest.at) latest_.erase(known);
+    order_.pop_front();
+  }
+}
+
+bool ServedRequests::contains(base::RequestFingerprint request, base::TimePoint now) const {
+  const auto known = latest_.find(request);
+  return known != latest_.end() && now - known->second <= kMemory;
+}
+
+}  // namespace covewing::quarantine
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -59,6 +59,7 @@
 }
 
 void RelayFlow::start() {
+  if (!mayBeSent()) return;
   const auto& route = *assignment_.route;
   const auto now = dependencies_.clock.now();
   const auto limit = std::min(route.timeout, arrival_.deadline.value_or(route.timeout));
@@ -134,11 +135,23 @@
   return query;
 }
 
+std::optional<RelayRefusal> RelayFlow::obstacle() const {
+  const auto quarantined = dependencies_.quarantine.find(fingerprint_);
+  if (!quarantined) return hooks_.check(arrival_);
+  auto detail = std::to_string(quarantined->crashes) + " replicas ended under runs of this request";
+  // Where an attempt of it has run, it must not be called not run.
+  const auto code =
+      runs_ > 0 ? base::ResultCode::kBackEndLost : base::ResultCode::kRequestQuarantined;
+  const auto comeBackAfter = runs_ > 0 ? base::Duration{} : quarantined->remaining;
+  return RelayRefusal{
+      {code, std::move(detail)}, base::describe(code).httpStatus, comeBackAfter, false};
+}
+
 bool RelayFlow::mayBeSent() {
-  const auto refusal = hooks_.check(arrival_);
+  const auto refusal = obstacle();
   if (!refusal) return true;
   if (headDelivered_) {
-    cut("the request may no longer be sent");
+    cut("the request may no longer be sent: " + refusal->reason.detail);
   } else {
     refuse(*refusal);
   }
@@ -395,6 +408,7 @@
     onAttemptLost("the stream ended inside an event");
     return;
   }
+  if (answer.status < kInternalError) dependencies_.quarantine.onServed(fingerprint_);
   finishWhole();
 }
 
@@ -477,6 +491,7 @@
   dependencies_.log.write(base::Event::kRequestRefused,
                           {{"request", arrival_.request->id},
                            {"route", assignment_.route->name},
+                           {"fingerprint", base::toString(fingerprint_)},
                            {"code", std::to_string(static_cast<unsigned>(refusal.reason.code))},
                            {"status", std::to_string(refusal.status)},
                            {"why", refusal.reason.detail},
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -24,6 +24,7 @@
 #include "base/time.h"
 #include "clients/relay_client.h"
 #include "config/route_table.h"
+#include "quarantine/request_quarantine.h"
 #include "request/event_splitter.h"
 #include "request/relay_request.h"
 #include "request/tenant_allowance.h"
@@ -116,6 +117,7 @@
   routing::Placement& placement;
   admission::RetryWindows& retries;
   admission::TenantQuotas& quotas;
+  quarantine::RequestQuarantine& quarantine;
   routing::RunTimes& runTimes;
   RelayObserver& observer;
 };
@@ -208,6 +210,8 @@
   void choose();
   /// Whether the request may still be sent; ends it if not.
   bool mayBeSent();
+  /// Why it may not be sent; empty if it may.
+  std::optional<RelayRefusal> obstacle() const;
   /// Asks the homes of the decision's candidates where the request should go.
   void askHomes(const routing::ReplicaDecision& decision);
   void onPlaced(const Candidates& candidates, const routing::PlacementResult& result);
--- /dev/null
+++ b/tests/fuzz/quarantine_message_fuzz.cc
@@ -0,0 +1,35 @@
+/// \file
+/// Messages and entries of the quarantine: any bytes decode to what encodes again, or to nothing.
+#include <cstddef>
+#include <cstdint>
+
+#include "quarantine/quarantine_messages.h"
+
+namespace {
+
+namespace quarantine = covewing::quarantine;
+
+void checkAgain(const quarantine::RunsEnded& message) {
+  const auto again = quarantine::decodeQuarantineMessage(quarantine::encode(message));
+  const auto* ended = again ? std::get_if<quarantine::RunsEnded>(&*again) : nullptr;
+  if (ended == nullptr || ended->runs != message.runs) __builtin_trap();
+}
+
+void checkAgain(const quarantine::RequestsServed& message) {
+  const auto again = quarantine::decodeQuarantineMessage(quarantine::encode(message));
+  const auto* served = again ? std::get_if<quarantine::RequestsServed>(&*again) : nullptr;
+  if (served == nullptr || served->requests != message.requests) __builtin_trap();
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  const std::string_view bytes(reinterpret_cast<const char*>(data), size);
+  if (const auto message = quarantine::decodeQuarantineMessage(bytes))
+    std::visit([](const auto& known) { checkAgain(known); }, *message);
+  if (const auto entry = quarantine::decodeQuarantineEntry(bytes)) {
+    const auto again = quarantine::decodeQuarantineEntry(quarantine::encode(*entry));
+    if (!again || again->version() != entry->version()) __builtin_trap();
+  }
+  return 0;
+}
--- a/tests/live/relay_fleet.h
+++ b/tests/live/relay_fleet.h
@@ -14,11 +14,13 @@
 #include "live/asio_runtime.h"
 #include "live/http_server.h"
 #include "live/relay_daemon.h"
-#include "memory_table_service.h"
+#include "support/memory_table_service.h"
 #include "support/recording_log.h"
 
 namespace covewing::live {
 
+using test_support::MemoryTableService;
+
 inline constexpr std::string_view kReplicaTableName = "replicas";
 inline constexpr std::string_view kConfigurationTableName = "configuration";
 inline constexpr std::string_view kOwnTableName = "own";
@@ -309,7 +311,7 @@
   AsioClock clock_;
   AsioTimerService timers_{context_};
   test_support::RecordingLog log_;
-  MemoryTableService table_{context_, std::string{kOwnTableName}};
+  MemoryTableService table_{clock_, timers_, std::string{kOwnTableName}};
   PlainDialect dialect_;
   OneRoute configurationRows_;
   PortRows replicaRows_;
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -57,6 +57,14 @@
     return *result;
   }
 
+  clients::TableReply scan(base::Revision after, std::size_t limit) {
+    std::optional<clients::TableReply> result;
+    client->scan("kind/", after, limit,
+                 [&](clients::TableReply reply) { result = std::move(reply); });
+    live::runUntil(context, [&] { return result.has_value(); });
+    return *result;
+  }
+
   boost::asio::io_context context{1};
   std::vector<live::HttpRequest> requests;
   std::vector<std::pair<unsigned, std::string>> answers;
@@ -71,6 +79,32 @@
 
 BOOST_FIXTURE_TEST_SUITE(StoreClientTest, StoreFixture)
 
+// Rows were looked for in the feed, which tells nothing older than its history.
+BOOST_AUTO_TEST_CASE(RowsOfAKindAreReadByTheirKeysHoweverOldTheyAre) {
+  answers = {{200, R"({"ver":90,"has_more":true,"rows":[
+                 {"private_key":"kind/a","ver":80,"value":"YQ=="}]})"},
+             {200, R"({"ver":91,"has_more":false,"rows":[
+                 {"private_key":"kind/b","ver":7,"value":"Yg=="},
+                 {"private_key":"kind/c","ver":85,"value":"Yw=="}]})"}};
+  const auto reply = scan(0, 2);
+  BOOST_TEST(requests[0].target ==
+             "/-/rows-get?table=covewing&part=&limit=500&source=kind%2F&target_version=kind0");
+  BOOST_TEST(requests[1].target ==
+             "/-/rows-get?table=covewing&part=&limit=500&source=kind%2Fa%01&target_version=kind0");
+  BOOST_TEST((reply.status == TableStatus::kOk));
+  BOOST_REQUIRE(reply.rows.size() == 2U);
+  BOOST_TEST(reply.rows[0].key == "kind/b");
+  BOOST_TEST(reply.rows[1].key == "kind/a");
+  BOOST_TEST(reply.revision == 80U);
+}
+
+BOOST_AUTO_TEST_CASE(RowsOfAKindThatCannotBeReadAreNotTakenForNone) {
+  answers = {{429, "{}"}};
+  BOOST_TEST((scan(0, 10).status == TableStatus::kRateLimited));
+  answers = {{503, "{}"}};
+  BOOST_TEST((scan(0, 10).status == TableStatus::kUnavailable));
+}
+
 BOOST_AUTO_TEST_CASE(TransactionIsWrittenAsPublished) {
   answers = {{200, R"({"ver":412,"now_ms":51230})"}};
   const auto reply = commit({{{"owner", 0}}, {{"owner", "node-1"}, {"old", std::nullopt}}});
--- /dev/null
+++ b/tests/quarantine/quarantine_messages_test.cc
@@ -0,0 +1,51 @@
+// Messages and entries of the quarantine.
+#include "quarantine/quarantine_messages.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace covewing::quarantine {
+
+BOOST_AUTO_TEST_SUITE(QuarantineMessagesTest)
+
+BOOST_AUTO_TEST_CASE(MessagesComeBackAsTheyWere) {
+  const auto ended = decodeQuarantineMessage(encode(RunsEnded{{7}, {{1}, {2}}}));
+  BOOST_REQUIRE(ended.has_value());
+  const auto& runs = std::get<RunsEnded>(*ended);
+  BOOST_TEST(runs.replica.value == 7U);
+  BOOST_TEST((runs.runs == Fingerprints{{1}, {2}}));
+  const auto served = decodeQuarantineMessage(encode(RequestsServed{{{3}}}));
+  BOOST_REQUIRE(served.has_value());
+  BOOST_TEST((std::get<RequestsServed>(*served).requests == Fingerprints{{3}}));
+}
+
+BOOST_AUTO_TEST_CASE(EntryComesBackAsItWas) {
+  const QuarantineEntry entry{{5}, 3, std::chrono::milliseconds(1234), true};
+  const auto decoded = decodeQuarantineEntry(encode(entry));
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST((decoded->request == entry.request));
+  BOOST_TEST(decoded->crashes == 3U);
+  BOOST_TEST((decoded->decidedAt == entry.decidedAt));
+  BOOST_TEST(decoded->lifted);
+  BOOST_TEST(decoded->version() == entry.version());
+}
+
+BOOST_AUTO_TEST_CASE(LiftedEntryIsLaterThanTheVerdictOfTheSameMoment) {
+  QuarantineEntry entry{{5}, 3, std::chrono::milliseconds(1234), false};
+  const auto verdict = entry.version();
+  entry.lifted = true;
+  BOOST_TEST(entry.version() > verdict);
+}
+
+BOOST_AUTO_TEST_CASE(MalformedBytesAreRefused) {
+  for (const std::string bytes : {"", "x", "\x93\x01\x02", "\x93\x09\x01\x90", "\x91\x01"}) {
+    BOOST_TEST(!decodeQuarantineMessage(bytes).has_value());
+    BOOST_TEST(!decodeQuarantineEntry(bytes).has_value());
+  }
+  auto cut = encode(RunsEnded{{7}, {{1}, {2}}});
+  cut.pop_back();
+  BOOST_TEST(!decodeQuarantineMessage(cut).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::quarantine
--- /dev/null
+++ b/tests/quarantine/request_quarantine_test.cc
@@ -0,0 +1,265 @@
+// Several nodes find and refuse a request that crashes replicas, under loss, cuts and restarts.
+#include "quarantine/request_quarantine.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "support/memory_table_service.h"
+#include "support/recording_log.h"
+#include "support/shared_records.h"
+#include "support/virtual_time.h"
+
+namespace covewing::quarantine {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr base::RequestFingerprint kDeadly{1};
+constexpr base::RequestFingerprint kPopular{2};
+
+/// The members of a fleet as each of them sees them: all, always.
+class AllMembers final : public membership::MemberDirectory {
+ public:
+  AllMembers(std::size_t count, std::size_t self) : self_(self) {
+    for (std::size_t index = 0; index < count; ++index) {
+      membership::Member member;
+      member.name = "node-" + std::to_string(index);
+      member.id = base::nodeIdOf(member.name);
+      member.endpoint = {1, static_cast<std::uint16_t>(index)};
+      members_.push_back(member);
+    }
+  }
+  const membership::Member& self() const override { return members_[self_]; }
+  const std::vector<membership::Member>& liveMembers() const override { return members_; }
+  const membership::Member* find(base::NodeId /*id*/) const override { return nullptr; }
+  std::uint64_t version() const override { return 1; }
+
+ private:
+  std::size_t self_;
+  std::vector<membership::Member> members_;
+};
+
+class QuarantineFleet {
+ public:
+  explicit QuarantineFleet(std::size_t count) {
+    for (std::size_t index = 0; index < count; ++index) nodes_.push_back(makeNode(count, index));
+    for (std::size_t left = 0; left < count; ++left) {
+      for (std::size_t right = left + 1; right < count; ++right)
+        nodes_[left]->records.connect(nodes_[right]->records);
+    }
+    for (auto& node : nodes_) node->quarantine.start();
+    time.advance(milliseconds(10));
+  }
+
+  RequestQuarantine& at(std::size_t node) { return nodes_[node]->quarantine; }
+  /// A replica ends under runs of one node.
+  void crash(std::size_t node, const Fingerprints& runs) {
+    at(node).onRunsEnded({++replicas}, runs);
+  }
+  std::size_t refusing(base::RequestFingerprint request) {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        nodes_, [&](const auto& node) { return node->quarantine.find(request).has_value(); }));
+  }
+  std::size_t rows() { return table.ownRows(std::string{kQuarantineKeyPrefix}).size(); }
+
+  test_support::VirtualTime time;
+  base::SeededRandom random{1};
+  test_support::RecordingLog log;
+  test_support::MemoryTableService table{time, time, "own"};
+  /// Part of the messages that are lost.
+  double loss = 0;
+  /// Nodes that no message reaches and whose messages reach nobody.
+  std::set<std::size_t> cut;
+  std::uint64_t replicas = 0;
+  std::size_t messages = 0;
+
+ private:
+  /// Carries messages to other nodes in half a millisecond.
+  class Peers final : public base::PeerTransport {
+   public:
+    Peers(QuarantineFleet& fleet, std::size_t self) : fleet_(fleet), self_(self) {}
+    void send(const base::Endpoint& destination, base::Channel /*channel*/,
+              std::string payload) override {
+      ++fleet_.messages;
+      const std::size_t target = destination.port;
+      if (fleet_.cut.contains(self_) || fleet_.cut.contains(target)) return;
+      if (fleet_.random.unit() < fleet_.loss) return;
+      fleet_.time.schedule(std::chrono::microseconds(500),
+                           [this, target, payload = std::move(payload)] {
+                             fleet_.at(target).onPeerMessage({}, payload);
+                           });
+    }
+
+   private:
+    QuarantineFleet& fleet_;
+    std::size_t self_;
+  };
+
+  struct Node {
+    Node(QuarantineFleet& fleet, std::size_t count, std::size_t self)
+        : members(count, self),
+          peers(fleet, self),
+          quarantine({}, {fleet.time, fleet.time, fleet.random, fleet.log, peers, members, records,
+                          fleet.table, [&fleet] { return fleet.table.serviceTime(); }}) {}
+    AllMembers members;
+    test_support::SharedRecords records;
+    Peers peers;
+    RequestQuarantine quarantine;
+  };
+
+  std::unique_ptr<Node> makeNode(std::size_t count, std::size_t index) {
+    return std::make_unique<Node>(*this, count, index);
+  }
+
+  std::vector<std::unique_ptr<Node>> nodes_;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(RequestQuarantineTest)
+
+BOOST_AUTO_TEST_CASE(CrashesSeenByDifferentNodesAddUp) {
+  QuarantineFleet fleet(5);
+  for (std::size_t node = 0; node < 3; ++node) {
+    BOOST_TEST(fleet.refusing(kDeadly) == 0U);
+    fleet.crash(node, {kDeadly, {100 + node}});
+    fleet.time.advance(milliseconds(400));
+  }
+  BOOST_TEST(fleet.refusing(kDeadly) == 5U);
+  BOOST_TEST(fleet.refusing({100}) == 0U);
+  const auto status = fleet.at(4).find(kDeadly);
+  BOOST_TEST(status->crashes == 3U);
+  BOOST_TEST((status->remaining > minutes(59)));
+  BOOST_TEST(fleet.log.count(base::Event::kRequestQuarantined) == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(EvidenceArrivesWhereAThirdOfTheMessagesIsLost) {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    QuarantineFleet fleet(7);
+    fleet.random = base::SeededRandom(seed);
+    fleet.loss = 0.33;
+    for (std::size_t count = 0; count < 3; ++count) {
+      fleet.crash(count * 2, {kDeadly});
+      fleet.time.advance(milliseconds(500));
+    }
+    fleet.time.advance(seconds(1));
+    BOOST_TEST(fleet.refusing(kDeadly) == 7U);
+  }
+}
+
+// What many send is in flight at every replica; when three lose power together, all of it ends.
+BOOST_AUTO_TEST_CASE(PopularRequestIsNotRefusedWhenSeveralReplicasEndAtOnce) {
+  QuarantineFleet fleet(4);
+  fleet.at(3).onServed(kPopular);
+  fleet.time.advance(seconds(20));
+  for (std::size_t node = 0; node < 3; ++node) fleet.crash(node, {kPopular, {100 + node}});
+  fleet.time.advance(seconds(5));
+  BOOST_TEST(fleet.refusing(kPopular) == 0U);
+  BOOST_TEST(fleet.log.count(base::Event::kRequestQuarantined) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(RequestServedBetweenCrashesIsNotRefused) {
+  QuarantineFleet fleet(3);
+  for (int count = 0; count < 6; ++count) {
+    fleet.crash(0, {kPopular});
+    fleet.time.advance(seconds(1));
+    if (count % 2 == 1) fleet.at(2).onServed(kPopular);
+    fleet.time.advance(seconds(70));
+  }
+  BOOST_TEST(fleet.refusing(kPopular) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(NodeThatWasCutOffLearnsTheVerdictOfTheOthers) {
+  QuarantineFleet fleet(3);
+  fleet.cut = {2};
+  for (int count = 0; count < 3; ++count) fleet.crash(0, {kDeadly});
+  fleet.time.advance(seconds(1));
+  // Gossip repairs what the node has missed.
+  BOOST_TEST(fleet.refusing(kDeadly) == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(VerdictOutlastsARestartOfAllNodes) {
+  QuarantineFleet fleet(3);
+  for (int count = 0; count < 3; ++count) fleet.crash(0, {kDeadly});
+  fleet.time.advance(seconds(1));
+  BOOST_TEST(fleet.rows() == 1U);
+  QuarantineFleet restarted(3);
+  restarted.table.put("own", keyOf(kDeadly),
+                      fleet.table.ownRows(std::string{kQuarantineKeyPrefix}).front().value);
+  // The service's clock went on; a third node starts later and reads the row.
+  restarted.time.advance(seconds(60));
+  for (std::size_t node = 0; node < 3; ++node) restarted.at(node).start();
+  restarted.time.advance(seconds(1));
+  BOOST_TEST(restarted.refusing(kDeadly) == 3U);
+  BOOST_TEST((restarted.at(0).find(kDeadly)->remaining <= hours(1) - seconds(59)));
+}
+
+BOOST_AUTO_TEST_CASE(VerdictIsWrittenOnceTheTableServiceIsBack) {
+  QuarantineFleet fleet(3);
+  fleet.table.down = true;
+  for (int count = 0; count < 3; ++count) fleet.crash(0, {kDeadly});
+  fleet.time.advance(minutes(3));
+  BOOST_TEST(fleet.refusing(kDeadly) == 3U);
+  BOOST_TEST(fleet.rows() == 0U);
+  fleet.table.down = false;
+  fleet.time.advance(minutes(1));
+  BOOST_TEST(fleet.rows() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(VerdictIsLiftedEverywhereWhenARunComesToItsEnd) {
+  QuarantineFleet fleet(3);
+  for (int count = 0; count < 3; ++count) fleet.crash(0, {kDeadly});
+  fleet.time.advance(seconds(1));
+  BOOST_TEST(fleet.refusing(kDeadly) == 3U);
+  fleet.at(1).onServed(kDeadly);
+  fleet.time.advance(seconds(1));
+  BOOST_TEST(fleet.refusing(kDeadly) == 0U);
+  BOOST_TEST(fleet.rows() == 0U);
+  BOOST_TEST(fleet.log.count(base::Event::kQuarantineLifted) == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(VerdictLapsesAndIsPassedAgainAfterThreeMoreCrashes) {
+  QuarantineFleet fleet(3);
+  for (int count = 0; count < 3; ++count) fleet.crash(0, {kDeadly});
+  fleet.time.advance(hours(1) + seconds(1));
+  BOOST_TEST(fleet.refusing(kDeadly) == 0U);
+  for (int count = 0; count < 2; ++count) fleet.crash(0, {kDeadly});
+  fleet.time.advance(seconds(1));
+  BOOST_TEST(fleet.refusing(kDeadly) == 0U);
+  fleet.crash(0, {kDeadly});
+  fleet.time.advance(minutes(1));
+  BOOST_TEST(fleet.refusing(kDeadly) == 3U);
+  // The row is that of the new verdict: a node that starts now does not take it for a lapsed one.
+  const auto row = fleet.table.ownRows(std::string{kQuarantineKeyPrefix}).front();
+  BOOST_TEST(
+      (fleet.table.serviceTime() - decodeQuarantineEntry(row.value)->decidedAt < minutes(2)));
+}
+
+BOOST_AUTO_TEST_CASE(FewNodesWriteAVerdictAndNothingIsReadWithoutOne) {
+  QuarantineFleet fleet(40);
+  const auto before = fleet.messages;
+  fleet.time.advance(minutes(5));
+  BOOST_TEST(fleet.messages == before);
+  for (int count = 0; count < 3; ++count) fleet.crash(0, {kDeadly});
+  fleet.time.advance(seconds(2));
+  // Each report goes to each other node, and again twice.
+  BOOST_TEST(fleet.messages == before + std::size_t{3} * 3 * 39);
+  BOOST_TEST(fleet.refusing(kDeadly) == 40U);
+  BOOST_TEST(fleet.rows() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(MalformedMessageIsLoggedAndIgnored) {
+  QuarantineFleet fleet(1);
+  fleet.at(0).onPeerMessage({}, "nonsense");
+  BOOST_TEST(fleet.log.count(base::Event::kMessageRejected) == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::quarantine
--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -10,8 +10,11 @@
 #include "admission/retry_window.h"
 #include "request/fakes.h"
 #include "request/relay_service.h"
+#include "request/request_fingerprint.h"
 #include "routing/part_messages.h"
+#include "support/memory_table_service.h"
 #include "support/recording_log.h"
+#include "support/shared_records.h"
 #include "support/virtual_time.h"
 
 namespace covewing::request {
@@ -217,14 +220,15 @@
   }
 
   /// Takes up a request of the route with this path.
-  CallerView& request(const std::string& path, const std::string& key = "key") {
+  CallerView& request(const std::string& path, const std::string& key = "key",
+                      std::string body = {}) {
     RelayArrival arrival;
     arrival.host = "example";
     arrival.path = '/' + path + "/x";
     arrival.key = key;
     arrival.arrivedAt = time.now();
-    arrival.request = std::make_shared<const clients::RelayedRequest>(
-        clients::RelayedRequest{"id-" + std::to_string(++requests), "POST", arrival.path, {}, {}});
+    arrival.request = std::make_shared<const clients::RelayedRequest>(clients::RelayedRequest{
+        "id-" + std::to_string(++requests), "POST", arrival.path, {}, std::move(body)});
     if (path == "once" || path == "resumable") {
       PromptFacts prompt;
       prompt.model = "m";
@@ -239,6 +243,15 @@
     return *views.back();
   }
 
+  /// So many replicas end under runs of the path's request without a body, as other nodes tell.
+  void quarantineAfter(std::size_t crashes, const std::string& path) {
+    const auto run = fingerprintOf({{}, {}, '/' + path + "/x", {}, {}}, "tenant");
+    for (std::size_t count = 0; count < crashes; ++count)
+      quarantine.onRunsEnded({++replicasEnded}, {run});
+    time.advance(std::chrono::milliseconds(301));
+  }
+  void quarantineRequest(const std::string& path) { quarantineAfter(3, path); }
+
   void onRelayed(const config::Route& /*route*/, const RelayOutcome& outcome) override {
     outcomes.push_back(outcome);
   }
@@ -268,17 +281,23 @@
   routing::Placement placement{{}, {time, time, random, log, peers, members, replicas, holders}};
   admission::TenantQuotas quotas{
       {}, {time, time, random, members, peers, [this] { return members.liveMembers().size(); }}};
+  test_support::SharedRecords records;
+  test_support::MemoryTableService table{time, time, "own"};
+  quarantine::RequestQuarantine quarantine{{},
+                                           {time, time, random, log, peers, members, records, table,
+                                            [this] { return table.serviceTime(); }}};
   admission::RetryWindows retries{{std::chrono::seconds(10), 0.2, 20, 1.0}};
   routing::RunTimes runTimes;
   std::vector<RelayOutcome> outcomes;
   std::vector<std::unique_ptr<CallerView>> views;
   std::size_t requests = 0;
+  std::uint64_t replicasEnded = 0;
   /// Parts of the prompts of requests.
   std::string promptText = "aa:1000,bb:200";
   std::weak_ptr<RelayFlow> flow;
   RelayService service{options(),
                        {time, time, log, client, replicas, holders, choice, replicaEnds, parts,
-                        placement, retries, quotas, runTimes, *this},
+                        placement, retries, quotas, quarantine, runTimes, *this},
                        tables,
                        [] { return std::size_t{1}; }};
 };
--- a/tests/request/relay_flow_test.cc
+++ b/tests/request/relay_flow_test.cc
@@ -489,6 +489,69 @@
   BOOST_TEST(client.sent.empty());
 }
 
+// A request under which replicas ended was sent on, to end the next ones.
+BOOST_AUTO_TEST_CASE(QuarantinedRequestIsRefusedAtOnceAsNotRunAndTheTenantsOthersAreServed) {
+  quarantineRequest("unsafe");
+  auto& refused = request("unsafe");
+  BOOST_TEST(client.sent.empty());
+  BOOST_REQUIRE(refused.refusal.has_value());
+  BOOST_TEST(refused.refusal->status == 503U);
+  BOOST_TEST((refused.refusal->reason.code == base::ResultCode::kRequestQuarantined));
+  BOOST_TEST((refused.refusal->retryAfter > std::chrono::minutes(59)));
+  BOOST_TEST(log.count(base::Event::kRequestRefused) == 1U);
+  auto& other = request("unsafe", "key", "another body");
+  client.last().answer(200, "done");
+  BOOST_TEST(other.body == "done");
+}
+
+BOOST_AUTO_TEST_CASE(RequestThatHasRunIsNotCalledNotRunWhenItIsQuarantined) {
+  auto& caller = request("safe");
+  quarantineRequest("safe");
+  client.last().breakOff();
+  BOOST_TEST(client.sent.size() == 1U);
+  BOOST_REQUIRE(caller.refusal.has_value());
+  BOOST_TEST(caller.refusal->status == 502U);
+}
+
+BOOST_AUTO_TEST_CASE(QuarantinedRequestThatIsHeldIsRefusedWhenItLooksAgain) {
+  for (const char* name : {"a", "b", "c"}) replicas.onRemoved(name);
+  auto& caller = request("unsafe");
+  BOOST_TEST(caller.open());
+  quarantineRequest("unsafe");
+  time.advance(milliseconds(60));
+  BOOST_TEST((caller.refusal->reason.code == base::ResultCode::kRequestQuarantined));
+}
+
+BOOST_AUTO_TEST_CASE(RunsThatEndWithTheirReplicaAreReportedAndThoseThatEndWellAreNot) {
+  std::vector<routing::EndedRuns> ended;
+  replicaEnds.onEnded([&](const routing::EndedRuns& runs) { ended.push_back(runs); });
+  request("unsafe", "key", "one");
+  reachability.ended.insert(client.last().replica);
+  client.last().breakOff();
+  time.advance(seconds(1));
+  BOOST_REQUIRE(ended.size() == 1U);
+  BOOST_TEST(ended[0].instance == client.last().terms.expectedInstance);
+  request("unsafe", "key", "two");
+  client.last().answer(200, "done");
+  time.advance(seconds(1));
+  BOOST_TEST(ended.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AnsweredRunClearsARequestAndARefusalOrAFailureDoesNot) {
+  quarantineAfter(2, "unsafe");
+  request("unsafe");
+  client.last().answer(500, "oops");
+  quarantineAfter(1, "unsafe");
+  BOOST_TEST((request("unsafe").refusal->reason.code == base::ResultCode::kRequestQuarantined));
+  quarantineAfter(2, "safe");
+  request("safe");
+  client.last().answer(200, "done");
+  quarantineAfter(2, "safe");
+  auto& served = request("safe");
+  client.last().answer(200, "done");
+  BOOST_TEST(served.ended);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::request
