Report runs that ended with a replica again when members come or go

Cause: the two homes of a request may die between its crashes, and the report of a crash may go to homes that are dead already; new homes would then begin to count anew, and the culprit would need three more crashes.

--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -26,6 +26,7 @@
 RequestQuarantine::~RequestQuarantine() {
   environment_.timers.cancel(verdictTimer_);
   environment_.timers.cancel(comparisonTimer_);
+  environment_.timers.cancel(followTimer_);
 }
 
 void RequestQuarantine::start() {
@@ -58,15 +59,36 @@
 }
 
 void RequestQuarantine::onRunsEnded(base::EngineId replica, const Fingerprints& runs) {
-  repeatedly([this, replica, runs] { report(replica, runs); });
+  const RunsEnded ended{replica, runs};
+  if (reports_.size() >= options_.mostReports) reports_.pop_front();
+  reports_.push_back({ended, environment_.clock.now()});
+  repeatedly([this, ended] { report(ended); });
+  scheduleFollowing();
 }
 
-void RequestQuarantine::report(base::EngineId replica, const Fingerprints& runs) {
+void RequestQuarantine::scheduleFollowing() {
+  if (followTimer_ != 0) return;
+  reportedTo_ = environment_.members.version();
+  followTimer_ = environment_.timers.schedule(options_.followPeriod, [this] { followHomes(); });
+}
+
+void RequestQuarantine::followHomes() {
+  followTimer_ = 0;
+  const auto oldest = environment_.clock.now() - options_.evidence.memory;
+  while (!reports_.empty() && reports_.front().at < oldest) reports_.pop_front();
+  if (reports_.empty()) return;
+  if (environment_.members.version() != reportedTo_) {
+    for (const auto& own : reports_) report(own.ended);
+  }
+  scheduleFollowing();
+}
+
+void RequestQuarantine::report(const RunsEnded& ended) {
   std::map<base::Endpoint, Fingerprints> runsOf;
-  for (const auto run : runs) {
+  for (const auto run : ended.runs) {
     for (const auto& home : homesOf(run)) runsOf[home].push_back(run);
   }
-  for (const auto& [home, own] : runsOf) send(home, encode(RunsEnded{replica, own}));
+  for (const auto& [home, own] : runsOf) send(home, encode(RunsEnded{ended.replica, own}));
 }
 
 void RequestQuarantine::take(const RunsEnded& ended) {
--- a/src/quarantine/request_quarantine.h
+++ b/src/quarantine/request_quarantine.h
@@ -14,6 +14,7 @@
 /// after all, and lapses.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -43,6 +44,10 @@
   /// Messages are sent again after each of these.
   base::Duration firstRepeat = std::chrono::milliseconds(150);
   base::Duration secondRepeat = std::chrono::milliseconds(600);
+  /// How often it is looked whether homes have changed, while there is evidence of this node's own.
+  base::Duration followPeriod = std::chrono::seconds(1);
+  /// Own reports that are kept for homes to come; the oldest give way.
+  std::size_t mostReports = 256;
   /// A suspect at more crashes than these is not announced again: the homes know enough.
   std::size_t mostAnnounced = 8;
   /// Between a home's comparisons with the table service, while anything is quarantined.
@@ -98,8 +103,18 @@
     base::TimePoint until{};
   };
 
+  /// Runs of this node that ended with a replica.
+  struct Report {
+    RunsEnded ended;
+    base::TimePoint at{};
+  };
+
   /// Sends each home those of the runs that are its own.
-  void report(base::EngineId replica, const Fingerprints& runs);
+  void report(const RunsEnded& ended);
+  /// Reports to the homes again when members came or went: a home that died took what it knew with
+  /// it, and without its evidence a culprit would need three more crashes.
+  void followHomes();
+  void scheduleFollowing();
   /// As a home: runs of any node ended with a replica.
   void take(const RunsEnded& ended);
   void take(const RequestSuspected& suspected);
@@ -138,7 +153,11 @@
   ServedRequests served_;
   QuarantineRows rows_;
   std::unordered_map<base::RequestFingerprint, Verdict> verdicts_;
+  std::deque<Report> reports_;
+  /// The members that the reports were sent to.
+  std::uint64_t reportedTo_ = 0;
   base::TimerId verdictTimer_ = 0;
+  base::TimerId followTimer_ = 0;
   base::TimerId comparisonTimer_ = 0;
   /// Outlived by callbacks that must no longer reach this object.
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
--- a/tests/quarantine/request_quarantine_test.cc
+++ b/tests/quarantine/request_quarantine_test.cc
@@ -23,32 +23,46 @@
 constexpr base::RequestFingerprint kDeadly{1};
 constexpr base::RequestFingerprint kPopular{2};
 
-/// The members of a fleet as each of them sees them: all, always.
-class AllMembers final : public membership::MemberDirectory {
- public:
-  AllMembers(std::size_t count, std::size_t self) : self_(self) {
+/// The members of a fleet, the same for all of them.
+struct MemberList {
+  explicit MemberList(std::size_t count) {
     for (std::size_t index = 0; index < count; ++index) {
       membership::Member member;
       member.name = "node-" + std::to_string(index);
       member.id = base::nodeIdOf(member.name);
       member.endpoint = {1, static_cast<std::uint16_t>(index)};
-      members_.push_back(member);
+      all.push_back(member);
     }
+    live = all;
+  }
+  void remove(std::size_t node) {
+    std::erase_if(live, [&](const auto& member) { return member.id == all[node].id; });
+    ++version;
   }
-  const membership::Member& self() const override { return members_[self_]; }
-  const std::vector<membership::Member>& liveMembers() const override { return members_; }
+
+  std::vector<membership::Member> all;
+  std::vector<membership::Member> live;
+  std::uint64_t version = 1;
+};
+
+/// The list as one of the members sees it.
+class ListedMembers final : public membership::MemberDirectory {
+ public:
+  ListedMembers(const MemberList& list, std::size_t self) : list_(list), self_(self) {}
+  const membership::Member& self() const override { return list_.all[self_]; }
+  const std::vector<membership::Member>& liveMembers() const override { return list_.live; }
   const membership::Member* find(base::NodeId /*id*/) const override { return nullptr; }
-  std::uint64_t version() const override { return 1; }
+  std::uint64_t version() const override { return list_.version; }
 
  private:
+  const MemberList& list_;
   std::size_t self_;
-  std::vector<membership::Member> members_;
 };
 
 class QuarantineFleet {
  public:
-  explicit QuarantineFleet(std::size_t count) {
-    for (std::size_t index = 0; index < count; ++index) nodes_.push_back(makeNode(count, index));
+  explicit QuarantineFleet(std::size_t count) : members(count) {
+    for (std::size_t index = 0; index < count; ++index) nodes_.push_back(makeNode(index));
     for (std::size_t left = 0; left < count; ++left) {
       for (std::size_t right = left + 1; right < count; ++right)
         nodes_[left]->records.connect(nodes_[right]->records);
@@ -68,6 +82,7 @@
   }
   std::size_t rows() { return table.ownRows(std::string{kQuarantineKeyPrefix}).size(); }
 
+  MemberList members;
   test_support::VirtualTime time;
   base::SeededRandom random{1};
   test_support::RecordingLog log;
@@ -102,20 +117,18 @@
   };
 
   struct Node {
-    Node(QuarantineFleet& fleet, std::size_t count, std::size_t self)
-        : members(count, self),
+    Node(QuarantineFleet& fleet, std::size_t self)
+        : members(fleet.members, self),
           peers(fleet, self),
           quarantine({}, {fleet.time, fleet.time, fleet.random, fleet.log, peers, members, records,
                           fleet.table, [&fleet] { return fleet.table.serviceTime(); }}) {}
-    AllMembers members;
+    ListedMembers members;
     test_support::SharedRecords records;
     Peers peers;
     RequestQuarantine quarantine;
   };
 
-  std::unique_ptr<Node> makeNode(std::size_t count, std::size_t index) {
-    return std::make_unique<Node>(*this, count, index);
-  }
+  std::unique_ptr<Node> makeNode(std::size_t index) { return std::make_unique<Node>(*this, index); }
 
   std::vector<std::unique_ptr<Node>> nodes_;
 };
@@ -153,6 +166,31 @@
   }
 }
 
+// Both homes of a request are killed between its crashes, with all that they knew of it. With the
+// first reports alone, the culprit would need three more.
+BOOST_AUTO_TEST_CASE(EvidenceOutlivesTheNodesThatKeptIt) {
+  constexpr std::size_t kNodes = 6;
+  for (std::size_t first = 0; first < kNodes; ++first) {
+    for (std::size_t second = 0; second < first; ++second) {
+      QuarantineFleet fleet(kNodes);
+      std::size_t reporter = 0;
+      while (reporter == first || reporter == second) ++reporter;
+      for (int count = 0; count < 2; ++count) fleet.crash(reporter, {kDeadly, {10}});
+      fleet.time.advance(seconds(1));
+      // The two are dead before anybody else has heard of the third crash, and held dead later.
+      fleet.cut = {first, second};
+      fleet.crash(reporter, {kDeadly});
+      fleet.time.advance(seconds(2));
+      fleet.members.remove(first);
+      fleet.members.remove(second);
+      fleet.time.advance(seconds(2));
+      for (std::size_t node = 0; node < kNodes; ++node) {
+        if (!fleet.cut.contains(node)) BOOST_TEST(fleet.at(node).find(kDeadly).has_value());
+      }
+    }
+  }
+}
+
 // What many send is in flight at every replica; when three lose power together, all of it ends.
 BOOST_AUTO_TEST_CASE(PopularRequestIsNotRefusedWhenSeveralReplicasEndAtOnce) {
   QuarantineFleet fleet(4);
