Do not call a request not run when an attempt of it has run

Cause: before each attempt it is checked again whether the request may be sent; a node that could not confirm its configuration in time then answered 503, also where a first attempt of a repeatable request had run and had been lost.

Now whatever refuses a further attempt is told as lost (502) where one has run and the refusal would promise otherwise. The test of the check before each attempt expected 503 and was wrong in that; it expects 502 now, and another one expects 503 where no attempt ran.

--- a/src/live/peer_traffic.h
+++ b/src/live/peer_traffic.h
@@ -23,8 +23,7 @@
 };
 
 /// Channels are numbered from 1.
-inline constexpr std::size_t kChannelNumbers =
-    static_cast<std::size_t>(base::kLastChannel) + 1;
+inline constexpr std::size_t kChannelNumbers = static_cast<std::size_t>(base::kLastChannel) + 1;
 
 /// Name of a channel in metrics and logs.
 std::string_view channelName(base::Channel channel);
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -136,15 +136,24 @@
 }
 
 std::optional<RelayRefusal> RelayFlow::obstacle() const {
+  auto refusal = quarantineRefusal();
+  if (!refusal) refusal = hooks_.check(arrival_);
+  const bool promises = refusal && promisesNotRun(refusal->status);
+  if (!promises || runs_ == 0) return refusal;
+  // An attempt has run. Callers told otherwise may take a change for not made.
+  constexpr auto kCode = base::ResultCode::kBackEndLost;
+  return RelayRefusal{{kCode, refusal->reason.detail}, base::describe(kCode).httpStatus, {}, false};
+}
+
+std::optional<RelayRefusal> RelayFlow::quarantineRefusal() const {
   const auto quarantined = dependencies_.quarantine.find(fingerprint_);
-  if (!quarantined) return hooks_.check(arrival_);
-  auto detail = std::to_string(quarantined->crashes) + " replicas ended under runs of this request";
-  // Where an attempt of it has run, it must not be called not run.
-  const auto code =
-      runs_ > 0 ? base::ResultCode::kBackEndLost : base::ResultCode::kRequestQuarantined;
-  const auto comeBackAfter = runs_ > 0 ? base::Duration{} : quarantined->remaining;
+  if (!quarantined) return std::nullopt;
+  constexpr auto kCode = base::ResultCode::kRequestQuarantined;
   return RelayRefusal{
-      {code, std::move(detail)}, base::describe(code).httpStatus, comeBackAfter, false};
+      {kCode, std::to_string(quarantined->crashes) + " replicas ended under runs of this request"},
+      base::describe(kCode).httpStatus,
+      quarantined->remaining,
+      false};
 }
 
 bool RelayFlow::mayBeSent() {
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -212,6 +212,8 @@
   bool mayBeSent();
   /// Why it may not be sent; empty if it may.
   std::optional<RelayRefusal> obstacle() const;
+  /// Empty unless the request is in quarantine.
+  std::optional<RelayRefusal> quarantineRefusal() const;
   /// Asks the homes of the decision's candidates where the request should go.
   void askHomes(const routing::ReplicaDecision& decision);
   void onPlaced(const Candidates& candidates, const routing::PlacementResult& result);
--- a/src/request/relay_flow_internal.h
+++ b/src/request/relay_flow_internal.h
@@ -21,6 +21,15 @@
   return answer.notExecuted || answer.status == kMisdirected;
 }
 
+/// Whether a final answer with the status says that the request has not run and never will.
+inline bool promisesNotRun(unsigned status) {
+  constexpr unsigned kRequestTimeout = 408;
+  constexpr unsigned kTooManyRequests = 429;
+  constexpr unsigned kServiceUnavailable = 503;
+  return status == kRequestTimeout || status == kMisdirected || status == kTooManyRequests ||
+         status == kServiceUnavailable;
+}
+
 inline std::string millisecondsText(base::Duration duration) {
   return std::to_string(duration / std::chrono::milliseconds(1));
 }
--- a/tests/request/relay_service_test.cc
+++ b/tests/request/relay_service_test.cc
@@ -36,6 +36,7 @@
   BOOST_TEST(client.sent.size() == 1U);
 }
 
+// The second attempt was refused with 503, "not run", though the first one had run.
 BOOST_AUTO_TEST_CASE(ConfirmationIsCheckedAgainBeforeEachAttempt) {
   tables.confirmed = time.now() - milliseconds(4500);
   auto& caller = request("safe");
@@ -43,6 +44,16 @@
   time.pause(seconds(1));
   client.last().breakOff();
   BOOST_TEST(client.sent.size() == 1U);
+  BOOST_TEST(caller.refusal->status == 502U);
+  BOOST_TEST((caller.refusal->reason.code == base::ResultCode::kBackEndLost));
+}
+
+BOOST_AUTO_TEST_CASE(ConfirmationThatLapsedBeforeAnyRunIsRefusedAsNotRun) {
+  tables.confirmed = time.now() - milliseconds(4500);
+  auto& caller = request("safe");
+  time.pause(seconds(1));
+  client.last().refuseNotExecuted();
+  BOOST_TEST(client.sent.size() == 1U);
   BOOST_TEST(caller.refusal->status == 503U);
 }
 
