Keep what counts against a suspect through a restart of nodes in turn

Cause: what homes had told of a request's first crashes was known only to nodes that had heard it; restarted in turn between two crashes, none was left, and a culprit needed three more.

Suspects spread as gossip records as well, with when they were announced; one that was served since is published as such. Besides: objections are sent as often as other messages, and a full list of verdicts takes changes of those in it.

Before, in the test: after a restart of four nodes in turn, 0 of 4 refuse the request after its third crash; after: 4.

--- a/src/quarantine/quarantine_messages.cc
+++ b/src/quarantine/quarantine_messages.cc
@@ -13,7 +13,7 @@
 constexpr std::uint64_t kServedType = 3;
 constexpr std::uint64_t kEntryType = 4;
 constexpr std::uint32_t kEndedFields = 3;
-constexpr std::uint32_t kSuspectedFields = 3;
+constexpr std::uint32_t kSuspectedFields = 4;
 constexpr std::uint32_t kServedFields = 2;
 constexpr std::uint32_t kEntryFields = 5;
 /// Identifiers in one message: no replica runs more requests of one node at once.
@@ -42,6 +42,12 @@
       std::max<std::int64_t>(0, duration / std::chrono::milliseconds(1)));
 }
 
+base::Duration readTime(base::Reader& reader) {
+  // Far beyond the life of any table service, and safe to reckon with.
+  constexpr std::uint64_t kLatestMilliseconds = 1ULL << 48U;
+  return std::chrono::milliseconds(std::min(reader.unsignedInteger(), kLatestMilliseconds));
+}
+
 RunsEnded readEnded(base::Reader& reader) {
   RunsEnded message;
   message.replica.value = reader.unsignedInteger();
@@ -53,19 +59,16 @@
   RequestSuspected message;
   message.request.value = reader.unsignedInteger();
   message.replicas = read<base::EngineId>(reader);
+  message.announcedAt = readTime(reader);
   return message;
 }
 
-std::optional<QuarantineMessage> readEntry(base::Reader& reader) {
-  // Far beyond the life of any table service, and safe to reckon with.
-  constexpr std::uint64_t kLatestMilliseconds = 1ULL << 48U;
+QuarantineEntry readEntry(base::Reader& reader) {
   QuarantineEntry entry;
   entry.request.value = reader.unsignedInteger();
   entry.crashes = reader.unsignedInteger();
-  const auto decidedAt = reader.unsignedInteger();
+  entry.decidedAt = readTime(reader);
   entry.lifted = reader.boolean();
-  if (decidedAt > kLatestMilliseconds) return std::nullopt;
-  entry.decidedAt = std::chrono::milliseconds(decidedAt);
   return entry;
 }
 
@@ -95,6 +98,7 @@
       .unsignedInteger(kSuspectedType)
       .unsignedInteger(message.request.value);
   write(writer, message.replicas);
+  writer.unsignedInteger(milliseconds(message.announcedAt));
   return writer.take();
 }
 
@@ -131,6 +135,10 @@
   return 2 * milliseconds(decidedAt) + (lifted ? 1 : 0);
 }
 
+std::string suspectKeyOf(base::RequestFingerprint request) {
+  return std::string{kSuspectKeyPrefix} + base::toString(request);
+}
+
 std::string keyOf(base::RequestFingerprint request) {
   return std::string{kQuarantineKeyPrefix} + base::toString(request);
 }
--- a/src/quarantine/quarantine_messages.h
+++ b/src/quarantine/quarantine_messages.h
@@ -20,10 +20,13 @@
   Fingerprints runs;
 };
 
-/// From a home to all: more than one crash counts against a request.
+/// From a home to all, also as a gossip record: more than one crash counts against a request.
 struct RequestSuspected {
   base::RequestFingerprint request;
+  /// Empty in a record where it was served since.
   std::vector<base::EngineId> replicas;
+  /// By the table service's clock; zero where that is not known.
+  base::Duration announcedAt{};
 };
 
 /// To the homes of a request, and from them to all where it was suspected: a run of it came to its
@@ -59,6 +62,9 @@
 /// Key of an entry in the table service and in gossip.
 std::string keyOf(base::RequestFingerprint request);
 inline constexpr std::string_view kQuarantineKeyPrefix = "quarantine/";
+/// Key of a suspect's gossip record.
+std::string suspectKeyOf(base::RequestFingerprint request);
+inline constexpr std::string_view kSuspectKeyPrefix = "quarantine-suspect/";
 
 /// Empty when the value is malformed.
 std::optional<QuarantineEntry> decodeQuarantineEntry(std::string_view value);
--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -30,21 +30,29 @@
 }
 
 void RequestQuarantine::start() {
-  environment_.records.subscribe(
-      std::string{kQuarantineKeyPrefix},
-      [this, alive = std::weak_ptr(lifetime_)](const membership::GossipRecord& record) {
-        if (alive.expired()) return;
-        if (const auto entry = decodeQuarantineEntry(record.value)) {
-          apply(*entry, "another node");
-        } else {
-          environment_.log.write(
-              base::Event::kMessageRejected,
-              {{"what", "quarantine record"}, {"record", record.key}, {"why", "malformed"}});
-        }
-      });
+  for (const auto prefix : {kQuarantineKeyPrefix, kSuspectKeyPrefix}) {
+    environment_.records.subscribe(
+        std::string{prefix},
+        [this, alive = std::weak_ptr(lifetime_)](const membership::GossipRecord& record) {
+          if (!alive.expired()) onRecord(record);
+        });
+  }
   compareWithRows();
 }
 
+void RequestQuarantine::onRecord(const membership::GossipRecord& record) {
+  const auto message = decodeQuarantineMessage(record.value);
+  if (message && std::holds_alternative<QuarantineEntry>(*message)) {
+    apply(std::get<QuarantineEntry>(*message), "another node");
+  } else if (message && std::holds_alternative<RequestSuspected>(*message)) {
+    take(std::get<RequestSuspected>(*message));
+  } else {
+    environment_.log.write(
+        base::Event::kMessageRejected,
+        {{"what", "quarantine record"}, {"record", record.key}, {"why", "malformed"}});
+  }
+}
+
 std::optional<QuarantineStatus> RequestQuarantine::find(base::RequestFingerprint request) const {
   const auto found = verdicts_.find(request);
   if (found == verdicts_.end() || found->second.entry.lifted) return std::nullopt;
@@ -108,11 +116,25 @@
 
 void RequestQuarantine::announce(base::RequestFingerprint request) {
   // Repeated after the request was served, it would count against it anew where it was missed.
-  auto replicas = evidence_.crashesAgainst(request);
-  if (replicas.size() > 1) sendToAll(encode(RequestSuspected{request, std::move(replicas)}));
+  const auto suspected = suspicionOf(request);
+  if (suspected.replicas.size() < 2) return;
+  sendToAll(encode(suspected));
+  publish(suspected);
+}
+
+RequestSuspected RequestQuarantine::suspicionOf(base::RequestFingerprint request) const {
+  return {request, evidence_.crashesAgainst(request),
+          environment_.serviceClock().value_or(base::Duration::zero())};
+}
+
+void RequestQuarantine::publish(const RequestSuspected& suspected) {
+  const auto version = suspected.announcedAt / std::chrono::milliseconds(1);
+  environment_.records.publish(
+      {suspectKeyOf(suspected.request), static_cast<std::uint64_t>(version), encode(suspected)});
 }
 
 void RequestQuarantine::take(const RequestSuspected& suspected) {
+  if (ageOf(suspected.announcedAt) > options_.evidence.memory) return;
   for (const auto replica : suspected.replicas)
     evidence_.onRunsEnded(replica, {suspected.request}, environment_.clock.now());
   object(suspected.request);
@@ -120,8 +142,8 @@
 }
 
 void RequestQuarantine::object(base::RequestFingerprint request) {
-  if (served_.contains(request, environment_.clock.now()))
-    sendToHomes(request, encode(RequestServed{request}));
+  if (!served_.contains(request, environment_.clock.now())) return;
+  repeatedly([this, request] { sendToHomes(request, encode(RequestServed{request})); });
 }
 
 void RequestQuarantine::onServed(base::RequestFingerprint request) {
@@ -135,7 +157,10 @@
   const bool announced = evidence_.crashesAgainst(request).size() > 1;
   evidence_.onServed(request, environment_.clock.now());
   if (!isHomeOf(request)) return;
-  if (announced) repeatedly([this, served] { sendToAll(encode(served)); });
+  if (announced) {
+    repeatedly([this, served] { sendToAll(encode(served)); });
+    publish(suspicionOf(request));
+  }
   if (find(request)) lift(request);
 }
 
@@ -155,9 +180,9 @@
   }
 }
 
-base::Duration RequestQuarantine::ageOf(const QuarantineEntry& entry) const {
+base::Duration RequestQuarantine::ageOf(base::Duration moment) const {
   const auto now = environment_.serviceClock();
-  return now ? std::max(*now - entry.decidedAt, base::Duration::zero()) : base::Duration::zero();
+  return now ? std::max(*now - moment, base::Duration::zero()) : base::Duration::zero();
 }
 
 void RequestQuarantine::quarantine(const Culprit& culprit) {
@@ -187,8 +212,10 @@
   if (known != verdicts_.end() && known->second.entry.version() >= entry.version()) return false;
   const auto now = environment_.clock.now();
   std::erase_if(verdicts_, [now](const auto& verdict) { return verdict.second.until < now; });
-  const auto age = ageOf(entry);
-  if (age >= options_.lifetime || verdicts_.size() >= options_.mostQuarantined) return false;
+  const auto age = ageOf(entry.decidedAt);
+  const bool room =
+      verdicts_.contains(entry.request) || verdicts_.size() < options_.mostQuarantined;
+  if (age >= options_.lifetime || !room) return false;
   verdicts_[entry.request] = {entry, now + options_.lifetime - age};
   if (entry.lifted) {
     evidence_.onServed(entry.request, now);
--- a/src/quarantine/request_quarantine.h
+++ b/src/quarantine/request_quarantine.h
@@ -8,10 +8,10 @@
 /// requests were at one crash. A node at which a suspect came to its end objects; without an
 /// objection the homes quarantine the culprit, and every node refuses it before it is sent.
 ///
-/// Messages may be lost and go a few times. Decisions spread as gossip records besides, which
-/// repair what a node that was cut off or has just started has missed, and are kept in the table
-/// service for a restart of all nodes. One is lifted when a run of the request comes to its end
-/// after all, and lapses.
+/// Messages may be lost and go a few times. Suspects and decisions spread as gossip records
+/// besides, which repair what a node that was cut off or has just started has missed; decisions are
+/// kept in the table service for a restart of all nodes. A decision is lifted when a run of the
+/// request comes to its end after all, and lapses.
 #pragma once
 
 #include <deque>
@@ -119,7 +119,11 @@
   void take(const RunsEnded& ended);
   void take(const RequestSuspected& suspected);
   void take(const RequestServed& served);
+  /// Tells all which crashes count against the request.
   void announce(base::RequestFingerprint request);
+  RequestSuspected suspicionOf(base::RequestFingerprint request) const;
+  void publish(const RequestSuspected& suspected);
+  void onRecord(const membership::GossipRecord& record);
   void object(base::RequestFingerprint request);
   /// Decides after the time for objections.
   void scheduleVerdict();
@@ -144,8 +148,8 @@
   void sendToAll(const std::string& payload);
   /// Runs now and after each pause.
   void repeatedly(const std::function<void()>& send);
-  /// Time since a decision by the table service's clock; zero where that clock is not known.
-  base::Duration ageOf(const QuarantineEntry& entry) const;
+  /// Time since a moment by the table service's clock; zero where that clock is not known.
+  base::Duration ageOf(base::Duration moment) const;
 
   RequestQuarantineOptions options_;
   RequestQuarantineEnvironment environment_;
--- a/tests/fuzz/quarantine_message_fuzz.cc
+++ b/tests/fuzz/quarantine_message_fuzz.cc
@@ -18,7 +18,9 @@
 void checkAgain(const quarantine::RequestSuspected& message) {
   const auto again = quarantine::decodeQuarantineMessage(quarantine::encode(message));
   const auto* suspected = again ? std::get_if<quarantine::RequestSuspected>(&*again) : nullptr;
-  if (suspected == nullptr || suspected->replicas != message.replicas) __builtin_trap();
+  if (suspected == nullptr || suspected->replicas != message.replicas ||
+      suspected->announcedAt != message.announcedAt)
+    __builtin_trap();
 }
 
 void checkAgain(const quarantine::RequestServed& message) {
--- a/tests/quarantine/quarantine_messages_test.cc
+++ b/tests/quarantine/quarantine_messages_test.cc
@@ -16,11 +16,13 @@
   const auto served = decodeQuarantineMessage(encode(RequestServed{{3}}));
   BOOST_REQUIRE(served.has_value());
   BOOST_TEST(std::get<RequestServed>(*served).request.value == 3U);
-  const auto suspected = decodeQuarantineMessage(encode(RequestSuspected{{4}, {{5}, {6}}}));
+  const auto suspected =
+      decodeQuarantineMessage(encode(RequestSuspected{{4}, {{5}, {6}}, std::chrono::seconds(9)}));
   BOOST_REQUIRE(suspected.has_value());
   const auto& suspicion = std::get<RequestSuspected>(*suspected);
   BOOST_TEST(suspicion.request.value == 4U);
   BOOST_TEST((suspicion.replicas == std::vector<base::EngineId>{{5}, {6}}));
+  BOOST_TEST((suspicion.announcedAt == std::chrono::seconds(9)));
 }
 
 BOOST_AUTO_TEST_CASE(EntryComesBackAsItWas) {
--- a/tests/quarantine/request_quarantine_test.cc
+++ b/tests/quarantine/request_quarantine_test.cc
@@ -72,6 +72,16 @@
   }
 
   RequestQuarantine& at(std::size_t node) { return nodes_[node]->quarantine; }
+  /// A node starts again and keeps nothing.
+  void restart(std::size_t index) {
+    for (auto& node : nodes_) node->records.disconnect(nodes_[index]->records);
+    nodes_[index] = makeNode(index);
+    for (auto& node : nodes_) {
+      if (node != nodes_[index]) node->records.connect(nodes_[index]->records);
+    }
+    at(index).start();
+    time.advance(milliseconds(10));
+  }
   /// A replica ends under runs of one node.
   void crash(std::size_t node, const Fingerprints& runs) {
     at(node).onRunsEnded({++replicas}, runs);
@@ -191,6 +201,33 @@
   }
 }
 
+// All nodes are restarted in turn between the second crash of a request and its third: at the end
+// no node is left that was told of the first two by those that saw them.
+BOOST_AUTO_TEST_CASE(EvidenceOutlivesARestartOfAllNodesInTurn) {
+  QuarantineFleet fleet(4);
+  for (int count = 0; count < 2; ++count) fleet.crash(0, {kDeadly});
+  fleet.time.advance(seconds(1));
+  for (std::size_t node = 0; node < 4; ++node) {
+    fleet.restart(node);
+    fleet.time.advance(seconds(1));
+  }
+  fleet.crash(1, {kDeadly});
+  fleet.time.advance(seconds(1));
+  BOOST_TEST(fleet.refusing(kDeadly) == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(RestartedNodeDoesNotSuspectWhatWasServedSince) {
+  QuarantineFleet fleet(4);
+  for (int count = 0; count < 2; ++count) fleet.crash(0, {kPopular});
+  fleet.time.advance(seconds(1));
+  fleet.at(2).onServed(kPopular);
+  fleet.time.advance(minutes(2));
+  for (std::size_t node = 0; node < 4; ++node) fleet.restart(node);
+  fleet.crash(1, {kPopular});
+  fleet.time.advance(seconds(1));
+  BOOST_TEST(fleet.refusing(kPopular) == 0U);
+}
+
 // What many send is in flight at every replica; when three lose power together, all of it ends.
 BOOST_AUTO_TEST_CASE(PopularRequestIsNotRefusedWhenSeveralReplicasEndAtOnce) {
   QuarantineFleet fleet(4);
--- a/tests/support/shared_records.h
+++ b/tests/support/shared_records.h
@@ -22,6 +22,12 @@
     for (const auto& [key, record] : other.records_) take(record);
   }
 
+  /// The other node is gone, and may be destroyed.
+  void disconnect(SharedRecords& other) {
+    std::erase(others_, &other);
+    std::erase(other.others_, this);
+  }
+
   void publish(membership::GossipRecord record) override {
     if (!take(record)) return;
     for (SharedRecords* other : others_) other->publish(record);
