Commit the seams of the parts against hard load: queue, pace, capacity account, messages

Headers with their contracts, so that the parts can be built side by side: the ordered queue of a replica's room, a replica's pace, the capacity account of a rollout, and the terms, verdicts and observations in the placement messages. New message numbers: nodes of both versions then decide alone in place of misreading each other. Lines of refusals, dispatches and ends say tenant, urgency, how long the request was held and behind how many; ends say the longest pause between pieces.

relay_flow.cc is split into choice, answer and end; nothing is decided differently yet.

--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -10,17 +10,6 @@
 
 namespace {
 
-constexpr unsigned kOk = 200;
-constexpr unsigned kMultipleChoices = 300;
-constexpr unsigned kInternalError = 500;
-
-/// Bounds of the wait for an answer's first byte before a repeatable request goes elsewhere.
-constexpr base::Duration kLeastSilence = std::chrono::milliseconds(250);
-/// Least silence in the middle of a stream that counts as a broken one.
-constexpr base::Duration kLeastStreamSilence = std::chrono::milliseconds(1200);
-
-bool successful(unsigned status) { return status >= kOk && status < kMultipleChoices; }
-
 /// The deepest shared part of the prompt, as a number that is equal on all nodes.
 std::string sharedPart(const RelayArrival& arrival) {
   if (!arrival.prompt) return {};
@@ -74,6 +63,7 @@
   deadlineTimer_ = dependencies_.timers.schedule(deadline_ - now, [this] { onDeadline(); });
   caller_->onPressure([this](bool high) {
     paused_ = high;
+    if (attempt_) attempt_->watch.onReadingPaused();
     if (call_) call_->setPaused(high);
   });
   allowance_.ask([weak = weak_from_this()](const admission::QuotaVerdict& verdict) {
@@ -135,6 +125,16 @@
   return query;
 }
 
+std::uint32_t RelayFlow::urgency() const {
+  const auto* tenant = assignment_.tenant;
+  return tenant != nullptr ? tenant->priority.value_or(assignment_.route->priority)
+                           : assignment_.route->priority;
+}
+
+std::string RelayFlow::tenantName() const {
+  return assignment_.tenant == nullptr ? std::string{} : assignment_.tenant->name;
+}
+
 std::optional<RelayRefusal> RelayFlow::obstacle() const {
   auto refusal = quarantineRefusal();
   if (!refusal) refusal = hooks_.check(arrival_);
@@ -216,11 +216,8 @@
   terms.expectedInstance = decision.replica->facts().instance;
   if (decision.version > 0) terms.expectedVersion = decision.version;
   terms.timeLeft = timeLeft();
-  terms.priority = assignment_.route->priority;
-  if (assignment_.tenant != nullptr) {
-    terms.tenant = assignment_.tenant->name;
-    if (assignment_.tenant->priority) terms.priority = assignment_.tenant->priority;
-  }
+  terms.priority = urgency();
+  terms.tenant = tenantName();
   terms.cacheSalt = decision.cacheSalt;
   if (decision.fetchFrom) terms.fetchFrom = decision.fetchFrom->endpoint;
   terms.saveTo = decision.saveTo;
@@ -246,6 +243,9 @@
   const auto work = record.readSpeed().time(unread);
   record.health().onDispatched(now, work);
   ++dispatches_;
+  heldFor_ = now - arrival_.arrivedAt;
+  lastReplica_ = record.facts().instance;
+  lastStream_ = {};
   allowance_.onDispatch(runs_);
   countTokens(decision);
   dependencies_.log.write(
@@ -254,6 +254,8 @@
        {"fingerprint", base::toString(fingerprint_)},
        {"route", assignment_.route->name},
        {"tenant", terms.tenant},
+       {"urgency", std::to_string(urgency())},
+       {"held_ms", millisecondsText(heldFor_)},
        {"counted", std::to_string(assignment_.demand ? assignment_.demand->tokens : 0)},
        {"replica", record.facts().instance},
        {"attempt", std::to_string(dispatches_)},
@@ -274,8 +276,17 @@
        {"save", decision.saveTo ? base::toString(*decision.saveTo) : ""},
        {"left_ms", millisecondsText(terms.timeLeft)}});
   const auto endpoint = record.facts().endpoint;
-  attempt_ =
-      Attempt{std::move(decision), now, tokens, unread, work, false, false, std::nullopt, grant};
+  attempt_ = Attempt{std::move(decision),
+                     now,
+                     tokens,
+                     unread,
+                     work,
+                     false,
+                     false,
+                     std::nullopt,
+                     grant,
+                     routing::PlacementOutcome::kWithdrawn,
+                     {}};
   armSilence();
   armBegin();
   call_ = dependencies_.client.start(endpoint, arrival_.request, terms, *this);
@@ -289,274 +300,4 @@
   readTokens_ += unreadSharedTokens(decision);
 }
 
-void RelayFlow::armSilence() {
-  dependencies_.timers.cancel(silenceTimer_);
-  if (!assignment_.route->repeatable() || paused_) return;
-  const auto& route = *assignment_.route;
-  auto wait = std::max(kLeastSilence, std::chrono::duration_cast<base::Duration>(
-                                          route.targetLatency * options_.silentAttemptShare));
-  wait += 2 * attempt_->work;
-  if (attempt_->headSeen) wait = std::max({wait, kLeastStreamSilence, 2 * route.gapTarget});
-  silenceTimer_ = dependencies_.timers.schedule(wait, [this] { onSilence(); });
-}
-
-void RelayFlow::armBegin() {
-  const auto& before = attempt_->decision.beginBefore;
-  if (!before) return;
-  const auto left = std::max(*before - attempt_->sentAt, base::Duration::zero());
-  beginTimer_ = dependencies_.timers.schedule(left, [this] { onNotBegun(); });
-}
-
-void RelayFlow::endWait() {
-  if (!attempt_ || attempt_->headSeen) return;
-  attempt_->headSeen = true;
-  auto& record = *attempt_->decision.replica;
-  record.onReadingEnded(attempt_->unread);
-  record.health().onWaitEnded(dependencies_.clock.now(), attempt_->work);
-}
-
-void RelayFlow::endGrant() { dependencies_.placement.ended(attempt_->grant, attempt_->outcome); }
-
-void RelayFlow::onHead(clients::RelayedAnswer answer) {
-  endWait();
-  armSilence();
-  auto& record = *attempt_->decision.replica;
-  record.health().onHeard(dependencies_.clock.now());
-  if (arrival_.prompt && answer.version && !answer.otherInstance)
-    record.learnVersion(arrival_.prompt->model, *answer.version);
-  if (!notRun(answer)) {
-    ++runs_;
-    dependencies_.placement.begun(attempt_->grant);
-  }
-  if (!headDelivered_) kept_.clear();
-  attempt_->answer = std::move(answer);
-}
-
-void RelayFlow::onBody(std::string_view bytes) {
-  const auto now = dependencies_.clock.now();
-  auto& attempt = *attempt_;
-  attempt.decision.replica->health().onHeard(now);
-  armSilence();
-  const auto& answer = *attempt.answer;
-  if (notRun(answer)) {
-    if (kept_.size() < options_.wholeAnswerBytes) kept_ += bytes;
-    return;
-  }
-  const bool stream = streaming() && successful(answer.status);
-  // A failure in answer to a resumed stream is no part of it.
-  if (resumable() && headDelivered_ && !stream) return;
-  if (stream && !attempt.bodySeen) {
-    learnHolder();
-    attempt.decision.replica->readSpeed().learn(attempt.unread, now - attempt.sentAt);
-    attempt.decision.replica->learnWait(now - attempt.sentAt);
-  }
-  attempt.bodySeen = true;
-  if (stream && resumable()) {
-    const std::string whole = events_.feed(bytes);
-    if (!whole.empty()) deliver(whole);
-    return;
-  }
-  if (stream || headDelivered_) {
-    deliver(bytes);
-    return;
-  }
-  kept_ += bytes;
-  if (kept_.size() > options_.wholeAnswerBytes) deliver(std::exchange(kept_, {}));
-}
-
-void RelayFlow::learnHolder() {
-  if (!arrival_.prompt || attempt_->decision.cacheSalt.empty()) return;
-  const auto& decision = attempt_->decision;
-  dependencies_.holders.learnChain(base::engineIdOf(decision.replica->facts().instance),
-                                   decision.scope, arrival_.prompt->chain);
-  tellHome(decision);
-}
-
-void RelayFlow::beginAnswer(std::optional<std::uint64_t> length) {
-  headDelivered_ = true;
-  status_ = attempt_->answer->status;
-  firstByteAfter_ = dependencies_.clock.now() - arrival_.arrivedAt;
-  clients::RelayedAnswer head = *attempt_->answer;
-  head.length = length;
-  caller_->begin(head);
-}
-
-void RelayFlow::deliver(std::string_view bytes) {
-  // A resumed stream may have another length than its first attempt announced.
-  if (!headDelivered_) beginAnswer(resumable() ? std::nullopt : attempt_->answer->length);
-  caller_->write(bytes);
-}
-
-void RelayFlow::onEnd() {
-  const auto self = shared_from_this();
-  const auto now = dependencies_.clock.now();
-  auto& record = *attempt_->decision.replica;
-  const auto answer = *attempt_->answer;
-  if (notRun(answer)) {
-    onNotRun(answer);
-    return;
-  }
-  if (answer.status >= kInternalError) {
-    attempt_->outcome = routing::PlacementOutcome::kFailed;
-    record.health().onFailure(now, dependencies_.replicas.failureRateOfOthers(record));
-    if (!headDelivered_ && takeRetry(Loss::kMayHaveRun).empty()) {
-      logLoss("the replica answered " + std::to_string(answer.status), {});
-      goElsewhere();
-      return;
-    }
-  } else {
-    attempt_->outcome = routing::PlacementOutcome::kServed;
-    record.health().onSuccess(now);
-  }
-  if (headDelivered_ && !successful(answer.status)) {
-    cut("a resumed stream was answered " + std::to_string(answer.status));
-    return;
-  }
-  if (events_.hasUnfinished()) {
-    dependencies_.replicaEnds.onRunLost(attempt_->decision.replica, fingerprint_);
-    onAttemptLost("the stream ended inside an event");
-    return;
-  }
-  if (answer.status < kInternalError) dependencies_.quarantine.onServed(fingerprint_);
-  finishWhole();
-}
-
-void RelayFlow::finishWhole() {
-  if (!headDelivered_) {
-    const bool stream = streaming() && successful(attempt_->answer->status);
-    beginAnswer(stream ? std::nullopt : std::optional<std::uint64_t>{kept_.size()});
-    caller_->write(kept_);
-  }
-  caller_->end();
-  if (arrival_.prompt && successful(status_)) {
-    const auto began = arrival_.arrivedAt + firstByteAfter_;
-    dependencies_.runTimes.onEnd(assignment_.service->name, expectedOutput(),
-                                 dependencies_.clock.now() - began);
-  }
-  finish(status_, base::ResultCode::kOk, false);
-}
-
-void RelayFlow::onFailure(clients::DispatchError error) {
-  const auto self = shared_from_this();
-  const auto now = dependencies_.clock.now();
-  auto& record = *attempt_->decision.replica;
-  if (error.failure == clients::DispatchFailure::kNotSent) {
-    attempt_->outcome = routing::PlacementOutcome::kUnreachable;
-    record.health().onUnreachable(now);
-    if (retryElsewhere(error.reason.detail, Loss::kNeverArrived)) return;
-    if (headDelivered_) {
-      cut(error.reason.detail);
-    } else {
-      refuse(base::ResultCode::kNoBackEnd, error.reason.detail, kRetryAfterRefusals);
-    }
-    return;
-  }
-  record.health().onFailure(now, dependencies_.replicas.failureRateOfOthers(record));
-  attempt_->outcome = routing::PlacementOutcome::kFailed;
-  const bool refusedBefore = attempt_->answer && attempt_->answer->notExecuted;
-  if (refusedBefore) {
-    onNotRun(*attempt_->answer);
-    return;
-  }
-  dependencies_.replicaEnds.onRunLost(attempt_->decision.replica, fingerprint_);
-  onAttemptLost(error.reason.detail);
-}
-
-void RelayFlow::endAttempt() {
-  if (!attempt_) return;
-  endWait();
-  endGrant();
-  dependencies_.timers.cancel(silenceTimer_);
-  dependencies_.timers.cancel(beginTimer_);
-  attempt_->decision.replica->onFinished(attempt_->tokens);
-  attempt_.reset();
-  call_.reset();
-}
-
-void RelayFlow::onDeadline() {
-  if (over_) return;
-  const auto self = shared_from_this();
-  if (headDelivered_) {
-    cut("the time of the request is up");
-  } else if (attempt_ || runs_ > 0) {
-    refuse(base::ResultCode::kBackEndTimeout, "the time of the request is up", {});
-  } else {
-    refuse(base::ResultCode::kDeadlineUnreachable, "no replica in time",
-           options_.retryAfterNoReplica);
-  }
-}
-
-void RelayFlow::onCallerGone() {
-  if (over_) return;
-  finish(status_, base::ResultCode::kOk, true);
-}
-
-void RelayFlow::refuse(base::ResultCode code, std::string detail, base::Duration retryAfter) {
-  refuse(
-      RelayRefusal{{code, std::move(detail)}, base::describe(code).httpStatus, retryAfter, false});
-}
-
-void RelayFlow::refuse(const RelayRefusal& refusal) {
-  dependencies_.log.write(base::Event::kRequestRefused,
-                          {{"request", arrival_.request->id},
-                           {"route", assignment_.route->name},
-                           {"fingerprint", base::toString(fingerprint_)},
-                           {"code", std::to_string(static_cast<unsigned>(refusal.reason.code))},
-                           {"status", std::to_string(refusal.status)},
-                           {"why", refusal.reason.detail},
-                           {"runs", std::to_string(runs_)},
-                           {"dispatches", std::to_string(dispatches_)},
-                           {"retry_after_ms", millisecondsText(refusal.retryAfter)}});
-  endAttempt();
-  caller_->refuse(refusal);
-  finish(refusal.status, refusal.reason.code, false);
-}
-
-void RelayFlow::cut(std::string_view why) {
-  dependencies_.log.write(base::Event::kStreamBroken, {{"request", arrival_.request->id},
-                                                       {"route", assignment_.route->name},
-                                                       {"why", std::string{why}},
-                                                       {"runs", std::to_string(runs_)},
-                                                       {"last_event", events_.lastEventId()}});
-  endAttempt();
-  caller_->cut();
-  finish(status_, base::ResultCode::kStreamBroken, false);
-}
-
-void RelayFlow::finish(unsigned status, base::ResultCode code, bool callerGone) {
-  if (over_) return;
-  const auto self = shared_from_this();
-  over_ = true;
-  // An attempt under way may run to its end though its connection closes.
-  const bool running = attempt_ && !(attempt_->answer && notRun(*attempt_->answer));
-  endAttempt();
-  allowance_.end(runs_ + (running ? 1 : 0));
-  dependencies_.timers.cancel(deadlineTimer_);
-  dependencies_.timers.cancel(holdTimer_);
-  const auto now = dependencies_.clock.now();
-  const RelayOutcome outcome{
-      status,
-      code,
-      dispatches_,
-      firstByteAfter_,
-      now - arrival_.arrivedAt,
-      callerGone,
-      cachedTokens_,
-      fetchedTokens_,
-      readTokens_,
-      assignment_.tenant == nullptr ? std::nullopt : assignment_.tenant->priority};
-  dependencies_.log.write(
-      callerGone ? base::Event::kCallerDisconnected : base::Event::kRelayFinished,
-      {{"request", arrival_.request->id},
-       {"route", assignment_.route->name},
-       {"status", std::to_string(status)},
-       {"code", std::to_string(static_cast<unsigned>(code))},
-       {"attempts", std::to_string(dispatches_)},
-       {"first_byte_ms", millisecondsText(firstByteAfter_)},
-       {"total_ms", millisecondsText(outcome.duration)}});
-  dependencies_.observer.onRelayed(*assignment_.route, outcome);
-  caller_.reset();
-  hooks_.finished(*this);
-}
-
 }  // namespace covewing::request
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -27,6 +27,7 @@
 #include "quarantine/request_quarantine.h"
 #include "request/event_splitter.h"
 #include "request/relay_request.h"
+#include "request/stream_watch.h"
 #include "request/tenant_allowance.h"
 #include "routing/part_lookup.h"
 #include "routing/placement.h"
@@ -192,6 +193,7 @@
     /// What the replica's home counts the attempt under, and what it is told in the end.
     routing::PlacementGrant grant;
     routing::PlacementOutcome outcome = routing::PlacementOutcome::kWithdrawn;
+    StreamWatch watch;
   };
 
   bool streaming() const { return assignment_.route->kind == config::RequestKind::kStreaming; }
@@ -204,6 +206,9 @@
   /// The request is one of those that are kept together because they run long.
   bool runsLong() const;
   routing::ReplicaQuery query() const;
+  /// Rank among requests, 0 is the most urgent: the tenant's goes before the route's.
+  std::uint32_t urgency() const;
+  std::string tenantName() const;
 
   /// Takes up a request within its tenant's limit, or refuses it.
   void onAllowance(const admission::QuotaVerdict& verdict);
@@ -285,6 +290,7 @@
   void passRefusal(const clients::RelayedAnswer& answer);
   void cut(std::string_view why);
   void finish(unsigned status, base::ResultCode code, bool callerGone);
+  RelayOutcome outcomeOf(unsigned status, base::ResultCode code, bool callerGone) const;
 
   RelayDependencies dependencies_;
   const RelayOptions& options_;
@@ -322,6 +328,13 @@
   bool paused_ = false;
   bool over_ = false;
   base::Duration firstByteAfter_{};
+  /// From the arrival to the latest dispatch.
+  base::Duration heldFor_{};
+  /// Where the request was sent last, and what its stream was like there.
+  std::string lastReplica_;
+  routing::StreamObservation lastStream_;
+  /// Requests that waited for the same room when a home last answered.
+  std::uint32_t queuedThere_ = 0;
   unsigned status_ = 0;
   std::uint64_t cachedTokens_ = 0;
   std::uint64_t fetchedTokens_ = 0;
--- /dev/null
+++ b/src/request/relay_flow_end.cc
@@ -0,0 +1,126 @@
+// The end of a request: whole, refused, cut, or because its caller left.
+#include <utility>
+
+#include "request/relay_flow.h"
+#include "request/relay_flow_internal.h"
+
+namespace covewing::request {
+
+void RelayFlow::endAttempt() {
+  if (!attempt_) return;
+  endWait();
+  endGrant();
+  lastStream_ = attempt_->watch.observed();
+  dependencies_.timers.cancel(silenceTimer_);
+  dependencies_.timers.cancel(beginTimer_);
+  attempt_->decision.replica->onFinished(attempt_->tokens);
+  attempt_.reset();
+  call_.reset();
+}
+
+void RelayFlow::onDeadline() {
+  if (over_) return;
+  const auto self = shared_from_this();
+  if (headDelivered_) {
+    cut("the time of the request is up");
+  } else if (attempt_ || runs_ > 0) {
+    refuse(base::ResultCode::kBackEndTimeout, "the time of the request is up", {});
+  } else {
+    refuse(base::ResultCode::kDeadlineUnreachable, "no replica in time",
+           options_.retryAfterNoReplica);
+  }
+}
+
+void RelayFlow::onCallerGone() {
+  if (over_) return;
+  finish(status_, base::ResultCode::kOk, true);
+}
+
+void RelayFlow::refuse(base::ResultCode code, std::string detail, base::Duration retryAfter) {
+  refuse(
+      RelayRefusal{{code, std::move(detail)}, base::describe(code).httpStatus, retryAfter, false});
+}
+
+void RelayFlow::refuse(const RelayRefusal& refusal) {
+  dependencies_.log.write(
+      base::Event::kRequestRefused,
+      {{"request", arrival_.request->id},
+       {"route", assignment_.route->name},
+       {"fingerprint", base::toString(fingerprint_)},
+       {"code", std::to_string(static_cast<unsigned>(refusal.reason.code))},
+       {"status", std::to_string(refusal.status)},
+       {"why", refusal.reason.detail},
+       {"runs", std::to_string(runs_)},
+       {"dispatches", std::to_string(dispatches_)},
+       {"tenant", tenantName()},
+       {"urgency", std::to_string(urgency())},
+       {"waited_ms", millisecondsText(dependencies_.clock.now() - arrival_.arrivedAt)},
+       {"queued", std::to_string(queuedThere_)},
+       {"retry_after_ms", millisecondsText(refusal.retryAfter)}});
+  endAttempt();
+  caller_->refuse(refusal);
+  finish(refusal.status, refusal.reason.code, false);
+}
+
+void RelayFlow::cut(std::string_view why) {
+  dependencies_.log.write(base::Event::kStreamBroken, {{"request", arrival_.request->id},
+                                                       {"route", assignment_.route->name},
+                                                       {"why", std::string{why}},
+                                                       {"runs", std::to_string(runs_)},
+                                                       {"tenant", tenantName()},
+                                                       {"urgency", std::to_string(urgency())},
+                                                       {"replica", lastReplica_},
+                                                       {"last_event", events_.lastEventId()}});
+  endAttempt();
+  caller_->cut();
+  finish(status_, base::ResultCode::kStreamBroken, false);
+}
+
+RelayOutcome RelayFlow::outcomeOf(unsigned status, base::ResultCode code, bool callerGone) const {
+  RelayOutcome outcome;
+  outcome.status = status;
+  outcome.code = code;
+  outcome.attempts = dispatches_;
+  outcome.firstByteAfter = firstByteAfter_;
+  outcome.duration = dependencies_.clock.now() - arrival_.arrivedAt;
+  outcome.callerGone = callerGone;
+  outcome.cachedTokens = cachedTokens_;
+  outcome.fetchedTokens = fetchedTokens_;
+  outcome.readTokens = readTokens_;
+  if (assignment_.tenant != nullptr) outcome.tenantPriority = assignment_.tenant->priority;
+  return outcome;
+}
+
+void RelayFlow::finish(unsigned status, base::ResultCode code, bool callerGone) {
+  if (over_) return;
+  const auto self = shared_from_this();
+  over_ = true;
+  // An attempt under way may run to its end though its connection closes.
+  const bool running = attempt_ && !(attempt_->answer && notRun(*attempt_->answer));
+  endAttempt();
+  allowance_.end(runs_ + (running ? 1 : 0));
+  dependencies_.timers.cancel(deadlineTimer_);
+  dependencies_.timers.cancel(holdTimer_);
+  const auto outcome = outcomeOf(status, code, callerGone);
+  dependencies_.log.write(
+      callerGone ? base::Event::kCallerDisconnected : base::Event::kRelayFinished,
+      {{"request", arrival_.request->id},
+       {"route", assignment_.route->name},
+       {"status", std::to_string(status)},
+       {"code", std::to_string(static_cast<unsigned>(code))},
+       {"attempts", std::to_string(dispatches_)},
+       {"tenant", tenantName()},
+       {"urgency", std::to_string(urgency())},
+       {"replica", lastReplica_},
+       {"held_ms", millisecondsText(heldFor_)},
+       {"first_byte_ms", millisecondsText(firstByteAfter_)},
+       {"longest_pause_ms", millisecondsText(lastStream_.longestPause)},
+       {"target_ms", millisecondsText(assignment_.route->targetLatency)},
+       {"pause_target_ms", millisecondsText(assignment_.route->gapTarget)},
+       {"total_ms", millisecondsText(outcome.duration)}});
+  dependencies_.observer.onRelayed(*assignment_.route, outcome);
+  caller_.reset();
+  hooks_.finished(*this);
+}
+
+}  // namespace covewing::request
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -88,7 +88,7 @@
     const auto& record = pending.request.candidates[pending.position].record;
     record->learnVersion(pending.request.model, answer.version);
   }
-  if (answer.granted) return true;
+  if (answer.granted()) return true;
   const auto place = static_cast<base::Duration::rep>(pending.position);
   const auto cost = answer.wait + margin * place;
   if (!pending.shortestWait || answer.wait < *pending.shortestWait)
@@ -150,10 +150,11 @@
   }
 }
 
-void Placement::ended(const PlacementGrant& grant, PlacementOutcome outcome) {
-  const PlacementEnded message{grant.id, grant.replica, outcome};
+void Placement::ended(const PlacementGrant& grant, PlacementOutcome outcome,
+                      const StreamObservation& observed) {
+  const PlacementEnded message{grant.id, grant.replica, outcome, observed};
   if (isSelf(grant.homeId)) {
-    onEnded(message);
+    onEnded(message, grant.homeId);
   } else {
     send(grant.home, message);
   }
@@ -165,9 +166,9 @@
   auto entry = pending_.extract(answer.id);
   if (entry.empty()) {
     // The request went elsewhere meanwhile.
-    if (answer.granted)
+    if (answer.granted())
       send(sender.endpoint,
-           PlacementEnded{answer.id, answer.replica, PlacementOutcome::kWithdrawn});
+           PlacementEnded{answer.id, answer.replica, PlacementOutcome::kWithdrawn, {}});
     return;
   }
   auto pending = std::move(entry.mapped());
@@ -217,14 +218,18 @@
   const auto matched = std::min(question.promptTokens, answer.matchedTokens);
   work.unread = std::min(work.unread, question.promptTokens - matched);
   answer.wait = ledger.expectedWait(work, now);
-  answer.granted = answer.usable && answer.wait <= question.patience;
-  if (answer.granted) ledger.grant(question.id, work, {question.scope, question.parts}, now);
+  const bool granted = answer.usable && answer.wait <= question.patience;
+  if (granted) answer.verdict = PlacementVerdict::kGranted;
+  if (granted)
+    ledger.grant(question.id, work, question.terms, {question.scope, question.parts}, now);
+  answer.keepsPauses = ledger.keepsPauses(work, question.terms, now);
+  answer.speedPercent = ledger.speedPercent();
   return answer;
 }
 
 void Placement::onTaken(const PlacementTaken& taken) {
   auto& ledger = ledgers_.try_emplace(taken.replica, options_.ledger).first->second;
-  ledger.grant(taken.id, taken.work, {}, environment_.clock.now());
+  ledger.grant(taken.id, taken.work, {}, {}, environment_.clock.now());
 }
 
 void Placement::onBegun(const PlacementBegun& begun) {
@@ -235,12 +240,12 @@
   environment_.holders.learnChain(begun.replica, prompt->scope, chainOf(prompt->parts));
 }
 
-void Placement::onEnded(const PlacementEnded& ended) {
+void Placement::onEnded(const PlacementEnded& ended, base::NodeId node) {
   const auto ledger = ledgers_.find(ended.replica);
   if (ledger == ledgers_.end()) return;
   const auto record = environment_.replicas.find(ended.replica);
   const double serviceRate = record ? environment_.replicas.failureRateOfOthers(*record) : 0;
-  ledger->second.end(ended.id, ended.outcome, serviceRate, environment_.clock.now());
+  ledger->second.end(ended, node, serviceRate, environment_.clock.now());
   if (!record && ledger->second.idle()) ledgers_.erase(ledger);
 }
 
@@ -255,7 +260,7 @@
   if (const auto* answer = std::get_if<PlacementAnswer>(&*message)) onAnswer(sender, *answer);
   if (const auto* taken = std::get_if<PlacementTaken>(&*message)) onTaken(*taken);
   if (const auto* begun = std::get_if<PlacementBegun>(&*message)) onBegun(*begun);
-  if (const auto* ended = std::get_if<PlacementEnded>(&*message)) onEnded(*ended);
+  if (const auto* ended = std::get_if<PlacementEnded>(&*message)) onEnded(*ended, sender.node);
 }
 
 }  // namespace covewing::routing
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -125,7 +125,8 @@
   /// The answer to the request began.
   void begun(const PlacementGrant& grant);
   /// The request ended, or never got to the replica.
-  void ended(const PlacementGrant& grant, PlacementOutcome outcome);
+  void ended(const PlacementGrant& grant, PlacementOutcome outcome,
+             const StreamObservation& observed = {});
   void onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) override;
 
   const PlacementCounters& counters() const { return counters_; }
@@ -173,7 +174,7 @@
   PlacementAnswer answerTo(const PlacementQuestion& question);
   void onTaken(const PlacementTaken& taken);
   void onBegun(const PlacementBegun& begun);
-  void onEnded(const PlacementEnded& ended);
+  void onEnded(const PlacementEnded& ended, base::NodeId node);
 
   bool isSelf(base::NodeId node) const;
   void send(const base::Endpoint& destination, const PlacementMessage& message);
--- a/src/routing/placement_messages.cc
+++ b/src/routing/placement_messages.cc
@@ -8,20 +8,21 @@
 
 namespace {
 
-/// Type numbers on the wire; never reused.
+/// Type numbers on the wire; never reused. 1, 2 and 5 were questions, answers and ends before
+/// requests could be queued.
 enum class MessageType : std::uint8_t {
-  kQuestion = 1,
-  kAnswer = 2,
   kTaken = 3,
   kBegun = 4,
-  kEnded = 5,
+  kQuestion = 6,
+  kAnswer = 7,
+  kEnded = 8,
 };
 
-constexpr std::uint32_t kQuestionFields = 12;
-constexpr std::uint32_t kAnswerFields = 8;
+constexpr std::uint32_t kQuestionFields = 20;
+constexpr std::uint32_t kAnswerFields = 13;
 constexpr std::uint32_t kTakenFields = 7;
 constexpr std::uint32_t kBegunFields = 3;
-constexpr std::uint32_t kEndedFields = 4;
+constexpr std::uint32_t kEndedFields = 8;
 constexpr std::uint32_t kPartFields = 2;
 /// Prompts have a few shared parts; more than this is no message of ours.
 constexpr std::uint32_t kMostParts = 64;
@@ -35,6 +36,13 @@
   writer.unsignedInteger(work.slots).unsignedInteger(work.memory);
 }
 
+void write(base::Writer& writer, const PlacementTerms& terms) {
+  writer.boolean(terms.mayQueue).unsignedInteger(terms.urgency).unsignedInteger(terms.tenant);
+  writer.signedInteger(terms.age.count()).signedInteger(terms.inTime.count());
+  writer.signedInteger(terms.useful.count()).signedInteger(terms.longestPause.count());
+  writer.unsignedInteger(terms.outputTokens);
+}
+
 void write(base::Writer& writer, const PlacementQuestion& question) {
   begin(writer, kQuestionFields, MessageType::kQuestion).unsignedInteger(question.id);
   writer.unsignedInteger(question.replica.value).text(question.model);
@@ -45,14 +53,18 @@
   writer.unsignedInteger(question.promptTokens);
   write(writer, question.work);
   writer.signedInteger(question.patience.count());
+  write(writer, question.terms);
 }
 
 void write(base::Writer& writer, const PlacementAnswer& answer) {
   begin(writer, kAnswerFields, MessageType::kAnswer).unsignedInteger(answer.id);
   writer.unsignedInteger(answer.replica.value);
-  writer.boolean(answer.granted).boolean(answer.usable);
+  writer.unsignedInteger(static_cast<std::uint64_t>(answer.verdict)).boolean(answer.usable);
   writer.signedInteger(answer.wait.count());
   writer.unsignedInteger(answer.version).unsignedInteger(answer.matchedTokens);
+  writer.unsignedInteger(answer.queued).signedInteger(answer.within.count());
+  writer.signedInteger(answer.retryAfter.count());
+  writer.boolean(answer.keepsPauses).unsignedInteger(answer.speedPercent);
 }
 
 void write(base::Writer& writer, const PlacementTaken& taken) {
@@ -70,6 +82,10 @@
   begin(writer, kEndedFields, MessageType::kEnded).unsignedInteger(ended.id);
   writer.unsignedInteger(ended.replica.value);
   writer.unsignedInteger(static_cast<std::uint64_t>(ended.outcome));
+  writer.unsignedInteger(ended.observed.pauses);
+  writer.signedInteger(ended.observed.streamed.count());
+  writer.signedInteger(ended.observed.longestPause.count());
+  writer.signedInteger(ended.observed.nodeLateness.count());
 }
 
 std::uint32_t readCount(base::Reader& reader) {
@@ -89,6 +105,27 @@
   return work;
 }
 
+PlacementTerms readTerms(base::Reader& reader) {
+  PlacementTerms terms;
+  terms.mayQueue = reader.boolean();
+  terms.urgency = readCount(reader);
+  terms.tenant = reader.unsignedInteger();
+  terms.age = base::Duration{reader.signedInteger()};
+  terms.inTime = base::Duration{reader.signedInteger()};
+  terms.useful = base::Duration{reader.signedInteger()};
+  terms.longestPause = base::Duration{reader.signedInteger()};
+  terms.outputTokens = readCount(reader);
+  return terms;
+}
+
+/// A number as one of the values of an enumeration that ends with `last`; empty when it is none.
+template <class Value>
+std::optional<Value> readEnumeration(base::Reader& reader, Value last) {
+  const auto number = reader.unsignedInteger();
+  if (number < 1 || number > static_cast<std::uint64_t>(last)) return std::nullopt;
+  return static_cast<Value>(number);
+}
+
 std::optional<PlacementMessage> readQuestion(base::Reader& reader) {
   PlacementQuestion question;
   question.id = reader.unsignedInteger();
@@ -109,6 +146,7 @@
   question.promptTokens = readCount(reader);
   question.work = readWork(reader);
   question.patience = base::Duration{reader.signedInteger()};
+  question.terms = readTerms(reader);
   return question;
 }
 
@@ -116,11 +154,18 @@
   PlacementAnswer answer;
   answer.id = reader.unsignedInteger();
   answer.replica = readReplica(reader);
-  answer.granted = reader.boolean();
+  const auto verdict = readEnumeration(reader, PlacementVerdict::kRefused);
+  if (!verdict) return std::nullopt;
+  answer.verdict = *verdict;
   answer.usable = reader.boolean();
   answer.wait = base::Duration{reader.signedInteger()};
   answer.version = reader.unsignedInteger();
   answer.matchedTokens = readCount(reader);
+  answer.queued = readCount(reader);
+  answer.within = base::Duration{reader.signedInteger()};
+  answer.retryAfter = base::Duration{reader.signedInteger()};
+  answer.keepsPauses = reader.boolean();
+  answer.speedPercent = readCount(reader);
   return answer;
 }
 
@@ -143,11 +188,13 @@
   PlacementEnded ended;
   ended.id = reader.unsignedInteger();
   ended.replica = readReplica(reader);
-  const auto outcome = reader.unsignedInteger();
-  const auto last = static_cast<std::uint64_t>(PlacementOutcome::kWithdrawn);
-  if (outcome < static_cast<std::uint64_t>(PlacementOutcome::kServed) || outcome > last)
-    return std::nullopt;
-  ended.outcome = static_cast<PlacementOutcome>(outcome);
+  const auto outcome = readEnumeration(reader, PlacementOutcome::kWithdrawn);
+  if (!outcome) return std::nullopt;
+  ended.outcome = *outcome;
+  ended.observed.pauses = readCount(reader);
+  ended.observed.streamed = base::Duration{reader.signedInteger()};
+  ended.observed.longestPause = base::Duration{reader.signedInteger()};
+  ended.observed.nodeLateness = base::Duration{reader.signedInteger()};
   return ended;
 }
 
--- a/src/routing/placement_messages.h
+++ b/src/routing/placement_messages.h
@@ -14,6 +14,7 @@
 #include "base/time.h"
 #include "prefix/part_chain.h"
 #include "routing/prefix_holders.h"
+#include "routing/replica_pace.h"
 
 namespace covewing::routing {
 
@@ -43,6 +44,29 @@
   kWithdrawn = 5,
 };
 
+/// How a request stands among others that wait for the same room. Times are spans from the moment
+/// at which the message is sent: nodes have no common clock.
+struct PlacementTerms {
+  /// The home may queue the request where it cannot grant it; else it only grants or declines.
+  bool mayQueue = false;
+  /// 0 is the most urgent.
+  std::uint32_t urgency = 0;
+  /// Hash of the tenant's name; 0: none.
+  std::uint64_t tenant = 0;
+  /// Since the request reached the system.
+  base::Duration age{};
+  /// The answer is in time if the request begins within this.
+  base::Duration inTime{};
+  /// Beginning later than this is of no use to the caller.
+  base::Duration useful{};
+  /// Longest pause between the pieces of the answer that keeps it in time; zero: none stated.
+  base::Duration longestPause{};
+  /// Tokens that the answer is expected to have.
+  std::uint32_t outputTokens = 0;
+
+  bool operator==(const PlacementTerms&) const = default;
+};
+
 struct PlacementQuestion {
   /// Chosen by the asker; names the grant too.
   std::uint64_t id = 0;
@@ -57,12 +81,27 @@
   PlacementWork work;
   /// The request is granted where the expected wait is at most this.
   base::Duration patience{};
+  PlacementTerms terms;
+};
+
+/// What a home says to a request, at once or later while the request is queued there.
+enum class PlacementVerdict : std::uint8_t {
+  /// It may be sent now.
+  kGranted = 1,
+  /// Not now; another home may be asked.
+  kDeclined = 2,
+  /// It waits in the home's queue. Another answer follows before `within` is over: a grant, a
+  /// refusal, or this again. Without one the home or the message is lost.
+  kQueued = 3,
+  /// It cannot be served in the time that it has; nor is it worth asking others while `queued` is
+  /// not zero there.
+  kRefused = 4,
 };
 
 struct PlacementAnswer {
   std::uint64_t id = 0;
   base::EngineId replica;
-  bool granted = false;
+  PlacementVerdict verdict = PlacementVerdict::kDeclined;
   /// False where the replica should not get the request: it fails, leaves, changes its weights, or
   /// has no room.
   bool usable = true;
@@ -71,6 +110,19 @@
   base::WeightsVersion version = 0;
   /// Leading shared tokens that the home believes cached at the replica.
   std::uint32_t matchedTokens = 0;
+  /// Requests that wait in the home's queue for this replica, those ahead of this one where it
+  /// waits too.
+  std::uint32_t queued = 0;
+  /// Of a queued request: another answer follows within this.
+  base::Duration within{};
+  /// Of a refused request: when one like it would be served.
+  base::Duration retryAfter{};
+  /// False where the stream, or one that runs there, would pause for longer than its route allows.
+  bool keepsPauses = true;
+  /// Speed of the replica relative to its service's others, in hundredths (ReplicaPace::speed).
+  std::uint32_t speedPercent = 100;
+
+  bool granted() const { return verdict == PlacementVerdict::kGranted; }
 };
 
 /// A request is sent to the replica though its home did not grant it.
@@ -89,6 +141,8 @@
   std::uint64_t id = 0;
   base::EngineId replica;
   PlacementOutcome outcome = PlacementOutcome::kServed;
+  /// What the node saw of the stream; nothing for answers without pieces.
+  StreamObservation observed;
 };
 
 using PlacementMessage = std::variant<PlacementQuestion, PlacementAnswer, PlacementTaken,
--- a/src/routing/replica_ledger.cc
+++ b/src/routing/replica_ledger.cc
@@ -5,7 +5,8 @@
 
 namespace covewing::routing {
 
-void ReplicaLedger::grant(std::uint64_t id, const PlacementWork& work, GrantedPrompt prompt,
+void ReplicaLedger::grant(std::uint64_t id, const PlacementWork& work,
+                          const PlacementTerms& /*terms*/, GrantedPrompt prompt,
                           base::TimePoint now) {
   const auto reading = readSpeed_.time(work.unread);
   const auto [entry, added] =
@@ -27,15 +28,15 @@
   return std::move(entry->second.prompt);
 }
 
-void ReplicaLedger::end(std::uint64_t id, PlacementOutcome outcome, double serviceRate,
+void ReplicaLedger::end(const PlacementEnded& ended, base::NodeId /*node*/, double serviceRate,
                         base::TimePoint now) {
   constexpr int kSmoothing = 8;
-  const auto entry = grants_.find(id);
+  const auto entry = grants_.find(ended.id);
   if (entry == grants_.end()) return;
   noteBegun(entry->second, now);
   const auto ran = now - entry->second.at;
   grants_.erase(entry);
-  switch (outcome) {
+  switch (ended.outcome) {
     case PlacementOutcome::kServed:
       runTime_ += (ran - runTime_) / kSmoothing;
       health_.onSuccess(now);
@@ -98,6 +99,16 @@
   return wait;
 }
 
+bool ReplicaLedger::keepsPauses(const PlacementWork& /*work*/, const PlacementTerms& /*terms*/,
+                                base::TimePoint /*now*/) {
+  return true;
+}
+
+std::uint32_t ReplicaLedger::speedPercent() const {
+  constexpr std::uint32_t kUsual = 100;
+  return kUsual;
+}
+
 bool ReplicaLedger::available(base::TimePoint now) {
   dropLapsed(now);
   return health_.available(now);
--- a/src/routing/replica_ledger.h
+++ b/src/routing/replica_ledger.h
@@ -43,14 +43,14 @@
   explicit ReplicaLedger(ReplicaLedgerOptions options = {}) : options_(options) {}
 
   /// A node sends a request; `id` names the grant.
-  void grant(std::uint64_t id, const PlacementWork& work, GrantedPrompt prompt,
-             base::TimePoint now);
+  void grant(std::uint64_t id, const PlacementWork& work, const PlacementTerms& terms,
+             GrantedPrompt prompt, base::TimePoint now);
   /// The answer to a granted request began: the replica has read the prompt, which is returned.
   /// Empty when the grant is not known or began before.
   std::optional<GrantedPrompt> begin(std::uint64_t id, base::TimePoint now);
-  /// A granted request ended, or never got there. `serviceRate` is the failure rate of the
-  /// service's other replicas.
-  void end(std::uint64_t id, PlacementOutcome outcome, double serviceRate, base::TimePoint now);
+  /// A granted request ended, or never got there, as `node` tells. `serviceRate` is the failure
+  /// rate of the service's other replicas.
+  void end(const PlacementEnded& ended, base::NodeId node, double serviceRate, base::TimePoint now);
 
   /// The work under way.
   ReplicaLoad load(base::TimePoint now);
@@ -60,6 +60,11 @@
   /// Whether the replica and its memory take the request: a few more requests than run at once may
   /// wait there, the others are better held where they can still go elsewhere.
   bool hasRoom(const PlacementWork& work, base::TimePoint now);
+  /// Whether the pauses of the request's stream, and of those that run, stay within what their
+  /// routes allow when it is added.
+  bool keepsPauses(const PlacementWork& work, const PlacementTerms& terms, base::TimePoint now);
+  /// Speed relative to the service's other replicas, in hundredths.
+  std::uint32_t speedPercent() const;
   /// Whether requests may be sent there, by what all nodes found.
   bool available(base::TimePoint now);
   bool idle() const { return grants_.empty(); }
--- a/tests/request/relay_flow_test.cc
+++ b/tests/request/relay_flow_test.cc
@@ -211,7 +211,7 @@
   const base::PeerIdentity other{base::nodeIdOf("other"), 1, {}};
   placement.onPeerMessage(other, routing::encode(routing::PlacementTaken{7, replica, {}}));
   placement.onPeerMessage(other, routing::encode(routing::PlacementEnded{
-                                     7, replica, routing::PlacementOutcome::kUnreachable}));
+                                     7, replica, routing::PlacementOutcome::kUnreachable, {}}));
   BOOST_TEST(first() != usual);
   time.advance(seconds(1));
   BOOST_TEST(first() == usual);
--- a/tests/routing/placement_test.cc
+++ b/tests/routing/placement_test.cc
@@ -316,6 +316,8 @@
   question.promptTokens = 40;
   question.work = {50, 40, 8, 900};
   question.patience = milliseconds(80);
+  question.terms = {
+      true, 2, 77, milliseconds(1), milliseconds(-2), milliseconds(3), milliseconds(4), 58};
   const auto decoded = decodePlacementMessage(encode(question));
   BOOST_REQUIRE(decoded.has_value());
   const auto& again = std::get<PlacementQuestion>(*decoded);
@@ -325,12 +327,41 @@
   BOOST_TEST(again.parts[1].tokens == 20U);
   BOOST_TEST((again.work == question.work));
   BOOST_TEST((again.patience == question.patience));
+  BOOST_TEST((again.terms == question.terms));
   BOOST_TEST(!decodePlacementMessage("").has_value());
-  BOOST_TEST(!decodePlacementMessage("\x94\x05\x01\x02\x09").has_value());
+  // An end without its outcome, and one with an outcome that is none.
+  BOOST_TEST(!decodePlacementMessage("\x94\x08\x01\x02\x09").has_value());
+  BOOST_TEST(!decodePlacementMessage("\x98\x08\x01\x02\x09\x00\x00\x00\x00").has_value());
   nodes[0]->placement.onPeerMessage({}, "nonsense");
   BOOST_TEST(log.count(base::Event::kMessageRejected) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(AnswersAndEndsSurviveTheirEncoding) {
+  PlacementAnswer answer;
+  answer.id = 7;
+  answer.replica = base::EngineId{8};
+  answer.verdict = PlacementVerdict::kQueued;
+  answer.queued = 12;
+  answer.within = milliseconds(400);
+  answer.retryAfter = milliseconds(900);
+  answer.keepsPauses = false;
+  answer.speedPercent = 160;
+  const auto decoded = decodePlacementMessage(encode(answer));
+  BOOST_REQUIRE(decoded.has_value());
+  const auto& again = std::get<PlacementAnswer>(*decoded);
+  BOOST_TEST((again.verdict == PlacementVerdict::kQueued));
+  BOOST_TEST(again.queued == 12U);
+  BOOST_TEST((again.within == answer.within));
+  BOOST_TEST((again.retryAfter == answer.retryAfter));
+  BOOST_TEST(!again.keepsPauses);
+  BOOST_TEST(again.speedPercent == 160U);
+  PlacementEnded ended;
+  ended.observed = {5, milliseconds(900), milliseconds(320), milliseconds(2)};
+  const auto decodedEnd = decodePlacementMessage(encode(ended));
+  BOOST_REQUIRE(decodedEnd.has_value());
+  BOOST_TEST((std::get<PlacementEnded>(*decodedEnd).observed == ended.observed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::routing
