--- a/src/request/relay_flow_parts.cc
+++ b/src/request/relay_flow_parts.cc
@@ -38,7 +38,7 @@
   const auto wanted = partsToAskFor(scope);
   lookupsLeft_ = wanted.size();
   for (const auto index : wanted) {
-    dependencies_.parts.ask(arrival_.prompt->chain.parts()[index].id,
+    dependencies_.parts.ask(arrival_.prompt->chain.parts()[index].id, scope,
                             [weak = weak_from_this(), scope, index](const auto& holders) {
                               const auto flow = weak.lock();
                               if (!flow) return;
--- a/src/routing/part_index.cc
+++ b/src/routing/part_index.cc
@@ -10,7 +10,16 @@
   auto& entries = parts_[part];
   std::erase_if(entries, [&](const Entry& entry) { return entry.holder == holder; });
   entries.insert(entries.begin(), {holder, now});
-  if (entries.size() > options_.mostHolders) entries.pop_back();
+  dropOldest(entries, holder.scope);
+}
+
+void PartIndex::dropOldest(std::vector<Entry>& entries, CacheScope scope) const {
+  std::size_t kept = 0;
+  const auto beyond = std::ranges::find_if(entries, [&](const Entry& entry) {
+    return entry.holder.scope == scope && ++kept > options_.mostHolders;
+  });
+  if (beyond != entries.end()) entries.erase(beyond);
+  if (entries.size() > options_.mostHoldersInAll) entries.pop_back();
 }
 
 void PartIndex::forget(std::uint64_t part, const PartHolder& holder) {
@@ -20,12 +29,14 @@
   if (known->second.empty()) parts_.erase(known);
 }
 
-std::vector<PartHolder> PartIndex::holdersOf(std::uint64_t part, base::TimePoint now) const {
+std::vector<PartHolder> PartIndex::holdersOf(std::uint64_t part, CacheScope scope,
+                                             base::TimePoint now) const {
   std::vector<PartHolder> holders;
-  const auto known = parts_.find(part);
-  if (known == parts_.end()) return holders;
-  for (const Entry& entry : known->second) {
-    if (now - entry.at <= options_.memory) holders.push_back(entry.holder);
+  const auto found = parts_.find(part);
+  if (found == parts_.end()) return holders;
+  for (const Entry& entry : found->second) {
+    const bool known = now - entry.at <= options_.memory;
+    if (known && entry.holder.scope == scope) holders.push_back(entry.holder);
   }
   return holders;
 }
--- a/src/routing/part_index.h
+++ b/src/routing/part_index.h
@@ -15,8 +15,13 @@
 namespace covewing::routing {
 
 struct PartIndexOptions {
-  /// Holders kept for each part; the latest.
+  /// Holders kept for each part and scope; the latest. Counted by scope, for a part that all
+  /// tenants share is held under as many scopes as there are isolated tenants and versions in use:
+  /// with 6 for all of them, half of the lookups of such a part found no holder under their own
+  /// (90 replicas, 16 tenants, first 10 s of a shortage).
   std::size_t mostHolders = 6;
+  /// Holders kept for each part under all scopes; the latest.
+  std::size_t mostHoldersInAll = 96;
   /// A replica that got no prompt with the part for so long is taken to have dropped it, should the
   /// news of that be lost.
   base::Duration memory = std::chrono::seconds(60);
@@ -30,8 +35,9 @@
 
   void learn(std::uint64_t part, const PartHolder& holder, base::TimePoint now);
   void forget(std::uint64_t part, const PartHolder& holder);
-  /// The latest first.
-  std::vector<PartHolder> holdersOf(std::uint64_t part, base::TimePoint now) const;
+  /// The holders under the scope, the latest first.
+  std::vector<PartHolder> holdersOf(std::uint64_t part, CacheScope scope,
+                                    base::TimePoint now) const;
   std::size_t size() const { return parts_.size(); }
 
  private:
@@ -41,6 +47,8 @@
   };
 
   void dropForgotten(base::TimePoint now);
+  /// Drops the oldest of the scope, and of all, beyond the bounds.
+  void dropOldest(std::vector<Entry>& entries, CacheScope scope) const;
 
   PartIndexOptions options_;
   /// The latest first.
--- a/src/routing/part_lookup.cc
+++ b/src/routing/part_lookup.cc
@@ -24,10 +24,10 @@
   environment_.peers.send(destination, base::Channel::kPartIndex, encode(message));
 }
 
-void PartLookup::ask(std::uint64_t part, Found found) {
+void PartLookup::ask(std::uint64_t part, CacheScope scope, Found found) {
   const auto& home = homeOf(part);
   if (home.id == environment_.members.self().id) {
-    found(index_.holdersOf(part, environment_.clock.now()));
+    found(index_.holdersOf(part, scope, environment_.clock.now()));
     return;
   }
   if (avoided(home.id)) {
@@ -38,7 +38,7 @@
   const auto timer =
       environment_.timers.schedule(options_.timeout, [this, nonce] { onTimeout(nonce); });
   pending_.emplace(nonce, Pending{home.id, timer, std::move(found)});
-  send(home.endpoint, PartQuestion{nonce, part});
+  send(home.endpoint, PartQuestion{nonce, part, scope});
 }
 
 void PartLookup::tell(std::uint64_t part, const PartHolder& holder, bool held) {
@@ -67,8 +67,8 @@
 }
 
 void PartLookup::onQuestion(const base::PeerIdentity& sender, const PartQuestion& question) {
-  send(sender.endpoint,
-       PartAnswer{question.nonce, index_.holdersOf(question.part, environment_.clock.now())});
+  auto holders = index_.holdersOf(question.part, question.scope, environment_.clock.now());
+  send(sender.endpoint, PartAnswer{question.nonce, std::move(holders)});
 }
 
 void PartLookup::onAnswer(const base::PeerIdentity& sender, const PartAnswer& answer) {
--- a/src/routing/part_lookup.h
+++ b/src/routing/part_lookup.h
@@ -58,8 +58,9 @@
   PartLookup(const PartLookup&) = delete;
   PartLookup& operator=(const PartLookup&) = delete;
 
-  /// Calls `found` once; inside the call where the answer is known or cannot be had.
-  void ask(std::uint64_t part, Found found);
+  /// Asks for the holders under the scope. Calls `found` once; inside the call where the answer is
+  /// known or cannot be had.
+  void ask(std::uint64_t part, CacheScope scope, Found found);
   /// The holder has read a prompt with the part, or no longer holds it.
   void tell(std::uint64_t part, const PartHolder& holder, bool held = true);
   void onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) override;
--- a/src/routing/part_messages.cc
+++ b/src/routing/part_messages.cc
@@ -8,10 +8,10 @@
 
 namespace {
 
-/// Type numbers on the wire; never reused.
-enum class MessageType : std::uint8_t { kQuestion = 1, kAnswer = 2, kNotice = 3 };
+/// Type numbers on the wire; never reused. 1 was a question without a scope.
+enum class MessageType : std::uint8_t { kAnswer = 2, kNotice = 3, kQuestion = 4 };
 
-constexpr std::uint32_t kQuestionFields = 3;
+constexpr std::uint32_t kQuestionFields = 4;
 constexpr std::uint32_t kAnswerFields = 3;
 constexpr std::uint32_t kNoticeFields = 4;
 constexpr std::uint32_t kHolderFields = 2;
@@ -27,6 +27,7 @@
 void write(base::Writer& writer, const PartQuestion& question) {
   begin(writer, kQuestionFields, MessageType::kQuestion);
   writer.unsignedInteger(question.nonce).unsignedInteger(question.part);
+  writer.unsignedInteger(question.scope);
 }
 
 void write(base::Writer& writer, const PartAnswer& answer) {
@@ -56,6 +57,7 @@
   PartQuestion question;
   question.nonce = reader.unsignedInteger();
   question.part = reader.unsignedInteger();
+  question.scope = reader.unsignedInteger();
   return question;
 }
 
--- a/src/routing/part_messages.h
+++ b/src/routing/part_messages.h
@@ -19,6 +19,8 @@
   /// Chosen by the asker; the answer carries it.
   std::uint64_t nonce = 0;
   std::uint64_t part = 0;
+  /// Only holders under this scope are of use to the asker.
+  CacheScope scope = 0;
 };
 
 /// A replica and the scope under which it holds a part, with every part before it.
--- a/tests/routing/part_lookup_test.cc
+++ b/tests/routing/part_lookup_test.cc
@@ -65,10 +65,10 @@
   }
 
   /// The answer that the node gets, and after which time.
-  std::vector<PartHolder> ask(std::size_t number, std::uint64_t part) {
+  std::vector<PartHolder> ask(std::size_t number, std::uint64_t part, CacheScope scope = 77) {
     std::optional<std::vector<PartHolder>> answer;
     const auto began = time.now();
-    nodes.at(number)->lookup.ask(part, [&](const auto& holders) {
+    nodes.at(number)->lookup.ask(part, scope, [&](const auto& holders) {
       BOOST_TEST(!answer.has_value());
       answer = holders.value_or(std::vector<PartHolder>{});
       took = time.now() - began;
@@ -124,10 +124,35 @@
   for (std::uint64_t number = 0; number < 20; ++number)
     index.learn(9, {base::EngineId{number}, 1}, time.now());
   index.learn(9, {base::EngineId{17}, 1}, time.now());
-  const auto holders = index.holdersOf(9, time.now());
+  const auto holders = index.holdersOf(9, 1, time.now());
   BOOST_TEST(holders.size() == 6U);
   BOOST_TEST((holders.front() == PartHolder{base::EngineId{17}, 1}));
-  BOOST_TEST(index.holdersOf(9, time.now() + seconds(61)).empty());
+  BOOST_TEST(index.holdersOf(9, 1, time.now() + seconds(61)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(HoldersUnderOneScopeDoNotDisplaceThoseUnderAnother) {
+  // A part that all tenants share, held for each isolated tenant under a scope of its own.
+  constexpr std::uint64_t kScopes = 12;
+  constexpr std::uint64_t kReplicas = 9;
+  for (std::uint64_t replica = 0; replica < kReplicas; ++replica) {
+    for (std::uint64_t scope = 0; scope < kScopes; ++scope)
+      nodes[replica % kNodes]->lookup.tell(9, {base::EngineId{replica}, scope});
+  }
+  time.advance(milliseconds(5));
+  for (std::uint64_t scope = 0; scope < kScopes; ++scope) {
+    const auto holders = ask(scope % kNodes, 9, scope);
+    BOOST_TEST(holders.size() == PartIndexOptions{}.mostHolders);
+    for (const auto& found : holders) BOOST_TEST(found.scope == scope);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(HoldersUnderAllScopesAreBounded) {
+  PartIndex index;
+  const auto most = PartIndexOptions{}.mostHoldersInAll;
+  for (std::uint64_t scope = 0; scope < 2 * most; ++scope)
+    index.learn(9, {base::EngineId{1}, scope}, time.now());
+  BOOST_TEST(index.holdersOf(9, most - 1, time.now()).empty());
+  BOOST_TEST(index.holdersOf(9, most, time.now()).size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(FullIndexDropsWhatIsForgotten) {
@@ -194,7 +219,7 @@
       nodes[number]->lookup.tell(part, one);
       continue;
     }
-    for (const auto& found : ask(number, part))
+    for (const auto& found : ask(number, part, 7))
       BOOST_TEST(told[part].contains(found.replica.value));
     BOOST_TEST((took <= milliseconds(15)));
   }
