--- a/src/base/time.h
+++ b/src/base/time.h
@@ -1,8 +1,8 @@
 /// \file
 /// Time as decision code sees it: a monotonic clock and one-shot timers, both injected.
 ///
-/// Contract: everything on one node runs on one thread (live) or in one event loop (simulated).
-/// No decision code reads a wall clock.
+/// Contract: one thread (live) or one event loop (simulated) for all of a node; no wall clock here.
+/// Ages, leases and deadlines count a suspension (docs/design/clock.md: which clock serves what).
 #pragma once
 
 #include <chrono>
@@ -33,7 +33,7 @@
   return static_cast<double>(duration.count()) / 1'000'000.0;
 }
 
-/// Source of monotonic time. A process that was paused sees a jump, never a step back.
+/// Source of monotonic time. A pause of process or machine shows as a jump, never as a step back.
 class Clock {
  public:
   virtual ~Clock() = default;
--- a/tests/live/relay_fleet.h
+++ b/tests/live/relay_fleet.h
@@ -124,10 +124,12 @@
 };
 
 /// An application replica. A request with the body `kDeadly` ends its process shortly after it has
-/// begun; it is back at the same address, as a new instance, after a while.
+/// begun; it is back at the same address, as a new instance, after a while. One with the body
+/// `kSilent` is never answered.
 class CrashingReplica {
  public:
   static constexpr std::string_view kDeadly = "deadly";
+  static constexpr std::string_view kSilent = "silent";
   static constexpr base::Duration kRunTime = std::chrono::milliseconds(60);
   static constexpr base::Duration kCrashAfter = std::chrono::milliseconds(40);
   static constexpr base::Duration kBackAfter = std::chrono::milliseconds(900);
@@ -164,6 +166,10 @@
       running_.push_back(exchange);
       return;
     }
+    if (exchange->request().body == kSilent) {
+      running_.push_back(exchange);
+      return;
+    }
     timers_.schedule(kRunTime, [exchange] { exchange->respond({200, {}, "done"}); });
   }
 
@@ -206,6 +212,7 @@
     unsigned status = 0;
     std::string answer;
     bool saysWhenToComeBack = false;
+    int answers = 0;
   };
 
   RelayFleet() {
@@ -232,8 +239,9 @@
 
   void run(base::Duration duration) { context_.run_for(duration); }
 
-  /// Sends a request to a node.
-  std::shared_ptr<Answer> send(std::size_t node, std::string body) {
+  /// Sends a request to a node; the caller waits for `patience`.
+  std::shared_ptr<Answer> send(std::size_t node, std::string body,
+                               base::Duration patience = std::chrono::seconds(5)) {
     auto answer = std::make_shared<Answer>();
     answer->body = body;
     answer->sentAt = clock_.now();
@@ -243,19 +251,21 @@
                                {"X-Key", "key"},
                                {std::string{kRequestIdHeader}, "id-" + std::to_string(++sent_)}},
                               std::move(body)};
-    http_.fetch(callerEndpoint(node), request, std::chrono::seconds(5),
-                [this, answer](const HttpResult& result) {
-                  answer->endedAt = clock_.now();
-                  const auto* response = std::get_if<HttpResponse>(&result);
-                  if (response == nullptr) return;
-                  answer->status = response->status;
-                  answer->answer = response->body;
-                  answer->saysWhenToComeBack = !response->header("Retry-After").empty();
-                });
+    http_.fetch(callerEndpoint(node), request, patience, [this, answer](const HttpResult& result) {
+      ++answer->answers;
+      answer->endedAt = clock_.now();
+      const auto* response = std::get_if<HttpResponse>(&result);
+      if (response == nullptr) return;
+      answer->status = response->status;
+      answer->answer = response->body;
+      answer->saysWhenToComeBack = !response->header("Retry-After").empty();
+    });
     return answer;
   }
 
   base::TimePoint now() const { return clock_.now(); }
+  /// Times that nodes have logged the event.
+  std::size_t logged(base::Event event) const { return log_.count(event); }
 
   CrashingReplica::Record record;
 
