Read again what a relaying node decides by before it serves after a pause

A relaying node looked for no pause: after one it decided the first requests by lists of replicas, keys and weights of before it, and took a version named during the pause for one named at its end.

--- a/src/config/table_watch.cc
+++ b/src/config/table_watch.cc
@@ -26,28 +26,45 @@
 
 void TableWatch::start() { next(); }
 
-void TableWatch::next() {
+void TableWatch::onWake() {
+  // A first copy that is still under way has a limit of its own.
+  if (!confirmedAt_) return;
+  caughtUp_ = false;
+  backoff_ = {};
+  timers_.cancel(retryTimer_);
+  ask(base::Duration::zero());
+}
+
+void TableWatch::next() { ask(options_.wait); }
+
+void TableWatch::ask(base::Duration wait) {
   if (position_) {
-    follow();
+    follow(wait);
   } else {
     readAll();
   }
 }
 
+template <class Handler>
+clients::FeedCallback TableWatch::ofThisCall(Handler handler) {
+  return [this, handler = std::move(handler), call = ++lastCall_,
+          alive = std::weak_ptr(lifetime_)](const clients::FeedReply& reply) {
+    if (!alive.expired() && call == lastCall_) handler(reply);
+  };
+}
+
 void TableWatch::readAll() {
   const auto sentAt = clock_.now();
-  feed_.readAll(options_.table,
-                [this, sentAt, alive = std::weak_ptr(lifetime_)](const clients::FeedReply& reply) {
-                  if (!alive.expired()) onAll(reply, sentAt);
-                });
+  feed_.readAll(options_.table, ofThisCall([this, sentAt](const clients::FeedReply& reply) {
+                  onAll(reply, sentAt);
+                }));
 }
 
-void TableWatch::follow() {
+void TableWatch::follow(base::Duration wait) {
   const auto sentAt = clock_.now();
-  feed_.changes(options_.table, *position_, options_.wait,
-                [this, sentAt, alive = std::weak_ptr(lifetime_)](const clients::FeedReply& reply) {
-                  if (!alive.expired()) onChanges(reply, sentAt);
-                });
+  feed_.changes(
+      options_.table, *position_, wait,
+      ofThisCall([this, sentAt](const clients::FeedReply& reply) { onChanges(reply, sentAt); }));
 }
 
 void TableWatch::onAll(const clients::FeedReply& reply, base::TimePoint sentAt) {
@@ -84,9 +101,11 @@
   }
   backoff_ = {};
   noteServiceTime(reply);
+  // What was changed during a pause may be as old as the pause is long, like rows of a copy.
+  const auto source = caughtUp_ ? RowSource::kFeed : RowSource::kCopy;
   for (const auto& row : reply.rows) {
     if (row.value) {
-      apply(row, RowSource::kFeed);
+      apply(row, source);
     } else {
       remove(row);
     }
@@ -104,6 +123,7 @@
 void TableWatch::confirm(const clients::FeedReply& reply, base::TimePoint sentAt) {
   const auto currentAt = reply.currentAt.value_or(sentAt);
   confirmedAt_ = std::max(confirmedAt_.value_or(currentAt), currentAt);
+  caughtUp_ = true;
 }
 
 void TableWatch::onFailed(clients::FeedStatus status) {
--- a/src/config/table_watch.h
+++ b/src/config/table_watch.h
@@ -63,6 +63,11 @@
   TableWatch& operator=(const TableWatch&) = delete;
 
   void start();
+  /// The process was paused: what was asked before it may never be answered, so the feed is asked
+  /// again at once.
+  void onWake();
+  /// False from a wake until the feed has answered a call that was sent after it.
+  bool caughtUp() const { return caughtUp_; }
   /// When the last call that proved the copy current was sent; empty before the first copy.
   std::optional<base::TimePoint> confirmedAt() const { return confirmedAt_; }
   /// The service's own clock now, as far as its latest answer tells; empty when it does not.
@@ -70,8 +75,12 @@
 
  private:
   void next();
+  void ask(base::Duration wait);
   void readAll();
-  void follow();
+  void follow(base::Duration wait);
+  /// Wraps the handler of an answer, which does nothing once a later call was made.
+  template <class Handler>
+  clients::FeedCallback ofThisCall(Handler handler);
   void onAll(const clients::FeedReply& reply, base::TimePoint sentAt);
   void onChanges(const clients::FeedReply& reply, base::TimePoint sentAt);
   void onFailed(clients::FeedStatus status);
@@ -95,6 +104,8 @@
   std::optional<base::Duration> serviceOffset_;
   base::Duration backoff_{};
   base::TimerId retryTimer_ = 0;
+  std::uint64_t lastCall_ = 0;
+  bool caughtUp_ = true;
   /// Outlived by callbacks that must no longer reach this object.
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
 };
--- a/src/live/http_client.cc
+++ b/src/live/http_client.cc
@@ -157,6 +157,8 @@
   whole.begin(start(server, request, base::Duration::zero(), whole), timeout);
 }
 
+void HttpClient::closeIdle() { core_->closeIdle(); }
+
 std::size_t HttpClient::idleConnections() const {
   std::size_t count = 0;
   for (const auto& [server, kept] : core_->idle) count += kept.size();
--- a/src/live/http_client.h
+++ b/src/live/http_client.h
@@ -81,6 +81,8 @@
   void fetch(const base::Endpoint& server, const HttpRequest& request, base::Duration timeout,
              std::function<void(HttpResult)> callback);
 
+  /// Closes kept connections that no call uses.
+  void closeIdle();
   /// Kept connections that wait for their next use.
   std::size_t idleConnections() const;
 
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -7,6 +7,7 @@
 #include "base/random.h"
 #include "config/shared_feed.h"
 #include "live/asio_runtime.h"
+#include "live/boot_clock.h"
 #include "live/connect_probe.h"
 #include "live/counting_event_log.h"
 #include "live/http_relay_client.h"
@@ -18,6 +19,8 @@
 #include "live/relay_metrics.h"
 #include "membership/gossip_membership.h"
 #include "node/cache_store_news.h"
+#include "node/pause_detector.h"
+#include "node/wake_gate.h"
 #include "node/weights_coordinator.h"
 #include "node/weights_dates.h"
 #include "routing/cache_watch.h"
@@ -198,12 +201,15 @@
                {clock, timers, random, membership, peers, [this] { return nodes(); }}),
         quarantine({}, {clock, timers, random, log, peers, membership, membership, deployment.table,
                         [this] { return configurationWatch.serviceTime(); }}),
+        pauses(clock, timers, log, [this](base::Duration silence) { onWake(silence); }),
+        wakeGate(clock, timers, log,
+                 [this] { return configurationWatch.caughtUp() && replicaWatch.caughtUp(); }),
         replicaHttp(ioContext, replicaLimits(deployment.dialect)),
         relayClient(replicaHttp, deployment.dialect),
         service(serviceOptions(), dependencies(), configuration, [this] { return nodes(); }),
         gateway(service, deployment.dialect, log),
         callerServer(ioContext, {},
-                     [this](const HttpExchangePtr& exchange) { gateway.handle(exchange); }),
+                     [this](const HttpExchangePtr& exchange) { onCallerRequest(exchange); }),
         readinessServer(ioContext, {},
                         [this](const HttpExchangePtr& exchange) {
                           exchange->respond({ready() ? kOk : kServiceUnavailable, {}, {}});
@@ -321,9 +327,34 @@
     quarantine.start();
     configurationWatch.start();
     replicaWatch.start();
+    pauses.start();
     return true;
   }
 
+  /// Everything that may be decided by what the node knew before a pause looks for one first.
+  void onCallerRequest(const HttpExchangePtr& exchange) {
+    pauses.check();
+    if (!wakeGate.closed()) return gateway.handle(exchange);
+    const auto gone = std::make_shared<bool>(false);
+    exchange->onDisconnect([gone] { *gone = true; });
+    wakeGate.pass([this, exchange, gone] {
+      if (!*gone) gateway.handle(exchange);
+    });
+  }
+
+  /// What has lapsed meanwhile lapses by the clock; what others have changed is asked for.
+  void onWake(base::Duration silence) {
+    const auto suspendedNow = suspendedTime();
+    const auto suspended = suspendedNow - std::exchange(suspendedBefore, suspendedNow);
+    metrics.onPause(silence);
+    // Peers may have given these up while nothing answered here.
+    if (suspended > node::PauseDetector::kPauseThreshold) replicaHttp.closeIdle();
+    membership.onWake();
+    configurationWatch.onWake();
+    replicaWatch.onWake();
+    wakeGate.onWake(silence, suspended);
+  }
+
   void reportTraffic() {
     trafficTimer = timers.schedule(kTrafficReport, [this] {
       traffic.writeTo(log);
@@ -333,6 +364,7 @@
 
   void onPeerMessage(const base::PeerIdentity& sender, base::Channel channel,
                      std::string_view payload) {
+    pauses.check();
     if (channel == base::Channel::kMembership) membership.onPeerMessage(sender, payload);
     if (channel == base::Channel::kTableFeed) feeds.onPeerMessage(sender, payload);
     if (channel == base::Channel::kPartIndex) parts.onPeerMessage(sender, payload);
@@ -445,6 +477,9 @@
   admission::TenantQuotas quotas;
   quarantine::RequestQuarantine quarantine;
   routing::RunTimes runTimes;
+  base::Duration suspendedBefore = suspendedTime();
+  node::PauseDetector pauses;
+  node::WakeGate wakeGate;
   HttpClient replicaHttp;
   HttpRelayClient relayClient;
   request::RelayService service;
--- a/src/live/relay_metrics.cc
+++ b/src/live/relay_metrics.cc
@@ -25,6 +25,8 @@
     {"covewing_lease_held", "gauge", "", "1 while this node rolls out weights, else 0"},
     {"covewing_members", "gauge", "", "live members, this node included"},
     {"covewing_open_requests", "gauge", "", "requests in flight, held ones included"},
+    {"covewing_pause_seconds", "histogram", "",
+     "pauses of the process that were noticed: frozen, or on a suspended machine"},
     {"covewing_peer_sent_bytes_total", "counter", "channel, zone",
      "bytes of messages sent to other nodes, to those of the own zone and to others"},
     {"covewing_placement_questions_total", "counter", "outcome",
@@ -84,6 +86,8 @@
   prometheus::Gauge& leaseHeld = families.gauges("covewing_lease_held").Add({});
   prometheus::Gauge& members = families.gauges("covewing_members").Add({});
   prometheus::Gauge& open = families.gauges("covewing_open_requests").Add({});
+  prometheus::Histogram& pauses =
+      families.histograms("covewing_pause_seconds").Add({}, kSecondsBuckets);
   prometheus::Family<prometheus::Counter>& peerBytes =
       families.counters("covewing_peer_sent_bytes_total");
   prometheus::Family<prometheus::Counter>& questions =
@@ -131,6 +135,10 @@
   impl_->events.Add({{"event", std::string{base::describe(event).name}}}).Increment();
 }
 
+void RelayMetrics::onPause(base::Duration silence) {
+  impl_->pauses.Observe(base::toSeconds(silence));
+}
+
 std::string RelayMetrics::render(const Snapshot& snapshot) {
   const auto set = [](prometheus::Gauge& gauge, auto value) {
     gauge.Set(static_cast<double>(value));
--- a/src/live/relay_metrics.h
+++ b/src/live/relay_metrics.h
@@ -30,6 +30,7 @@
 
   void onRelayed(const config::Route& route, const request::RelayOutcome& outcome);
   void onEvent(base::Event event);
+  void onPause(base::Duration silence);
 
   /// State that is read when metrics are asked for.
   struct Snapshot {
--- a/tests/config/table_watch_test.cc
+++ b/tests/config/table_watch_test.cc
@@ -121,6 +121,48 @@
   BOOST_TEST((watch.serviceTime() == seconds(702)));
 }
 
+BOOST_AUTO_TEST_CASE(AfterAPauseTheFeedIsAskedAgainAtOnce) {
+  feed.answer({FeedStatus::kOk, {{"a", "1", 3}}, 5});
+  BOOST_TEST(watch.caughtUp());
+  auto before = std::exchange(feed.pending, nullptr);
+  time.pause(seconds(10));
+  watch.onWake();
+  BOOST_TEST(!watch.caughtUp());
+  BOOST_REQUIRE(static_cast<bool>(feed.pending));
+  // The call from before the pause says nothing of what happened since.
+  before({FeedStatus::kOk, {{"a", "2", 6}}, 6});
+  BOOST_TEST(!watch.caughtUp());
+  BOOST_TEST(feed.askedAfter == 5U);
+  feed.answer({FeedStatus::kOk, {{"a", std::nullopt, 7}}, 7});
+  BOOST_TEST(watch.caughtUp());
+  BOOST_TEST(watched.rows.empty());
+}
+
+// A version of weights that was named while the node was paused is as old as the pause is long, and
+// not as young as the moment at which the node reads of it.
+BOOST_AUTO_TEST_CASE(RowsChangedDuringAPauseAreToldApartFromNews) {
+  feed.answer({FeedStatus::kOk, {{"a", "1", 3}}, 5});
+  feed.pending = nullptr;
+  time.pause(seconds(10));
+  watch.onWake();
+  feed.answer({FeedStatus::kOk, {{"b", "1", 6}}, 6});
+  feed.answer({FeedStatus::kOk, {{"c", "1", 7}}, 7});
+  BOOST_TEST((watched.sources["b"] == RowSource::kCopy));
+  BOOST_TEST((watched.sources["c"] == RowSource::kFeed));
+}
+
+BOOST_AUTO_TEST_CASE(FailureAfterAPauseIsNoAnswer) {
+  feed.answer({FeedStatus::kOk, {{"a", "1", 3}}, 5});
+  feed.pending = nullptr;
+  time.pause(seconds(10));
+  watch.onWake();
+  feed.answer({FeedStatus::kUnavailable, {}, 0});
+  BOOST_TEST(!watch.caughtUp());
+  time.advance(seconds(2));
+  feed.answer({FeedStatus::kOk, {}, 5});
+  BOOST_TEST(watch.caughtUp());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::config
