Add a test of a grant that is read after a sleep beyond its lease, which fails

What a tenant's home lent was used after the end of the lease: the waiter was admitted (2 of 2 where the home may have granted the same anew).

--- a/tests/admission/fake_cluster.h
+++ b/tests/admission/fake_cluster.h
@@ -36,6 +36,8 @@
     }
     now_ = end;
   }
+  /// Moves the clock while nothing runs, as when the machine is suspended.
+  void pause(base::Duration duration) { now_ += duration; }
 
  private:
   base::TimePoint now_{std::chrono::seconds(100)};
--- a/tests/admission/tenant_quotas_test.cc
+++ b/tests/admission/tenant_quotas_test.cc
@@ -91,6 +91,25 @@
   BOOST_TEST(admitted >= 45U * kSeconds);
 }
 
+// What the home lent is of the time at which it was asked for: after the end of the lease it may
+// have granted as much anew.
+BOOST_AUTO_TEST_CASE(GrantThatIsReadAfterASleepBeyondItsLeaseIsNotUsed) {
+  FakeCluster cluster(2);
+  const auto tenant = tenantNamed("large");
+  tenant->limits.requestsPerSecond = 50;
+  tenant->limits.burst = 10;
+  tenant->deadline = seconds(60);
+  tenant->holdTime = seconds(60);
+  std::vector<Call> calls;
+  for (std::size_t node = 0; node < 2; ++node) calls.push_back(call(cluster.service(node), tenant));
+  // The question is at the home now, and the answer on its way back.
+  cluster.time().advance(milliseconds(1));
+  BOOST_TEST(admittedOf(calls) == 1U);
+  cluster.time().pause(seconds(10));
+  cluster.time().advance({});
+  BOOST_TEST(admittedOf(calls) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(ARefusalSaysWhenTheNextTokenComes) {
   FakeCluster cluster(1);
   const auto tenant = tenantNamed("slow");
