Don't use what a tenant's home lent once its lease is over

A grant that was read after a sleep was used though its lease had ended. It lapses now like any other, and the home is asked again. The test of it failed before (2 admitted instead of 1) and passes.

--- a/src/admission/tenant_quotas.cc
+++ b/src/admission/tenant_quotas.cc
@@ -303,8 +303,16 @@
   if (grant.tokens > 0) share.tokensExpireAt = share.askedAt + options_.tokenLease;
   share.slots += grant.slots;
   share.slotsExpireAt = share.askedAt + options_.slotLease;
+  const auto lease = std::min(options_.tokenLease, options_.slotLease);
+  const bool late = environment_.clock.now() > share.askedAt + lease;
+  expire(share);
   serve(share);
   if (share.waiters.empty()) return;
+  // Read after its lease, as after a sleep: the home may have lent as much to others meanwhile.
+  if (late) {
+    ask(grant.tenant, share, true);
+    return;
+  }
   const bool tokensMissing =
       share.limits.ratePerSecond > 0 && share.tokens < share.waiters.front().tokens;
   if (tokensMissing && grant.tokens > 0) {
