Order the requests that wait for one replica's room

A queue at a replica's home decides which of the waiting begins next: in time before late, then urgency, then the tenant with least use, then the least time left. It keeps room for more urgent requests that are expected (at most half of the replica), serves each kind a tenth of what it asks, lets small requests pass a large one only where they do not delay it, and refuses at once what cannot be served, with a time to come back at the rate at which room falls free.

Interface: QueueEntry gains a weight at its end (0 and 1 are the same); where a request may not queue, the wait of a refusal is the expected wait, not a time to come back.

--- a/src/admission/admission_queue.h
+++ b/src/admission/admission_queue.h
@@ -11,14 +11,29 @@
 /// of it is refused at once. The queue knows nothing of caches, messages or the network; whether
 /// the replica has room is asked of the caller (`Room`).
 ///
-/// Contract: single thread; the clock is passed in; equal calls give equal results.
+/// Bounds, stated as what callers lose:
+/// - A less urgent kind that can be in time is served a tenth of what it asks for, however much the
+///   more urgent ask: that costs these at most a tenth of the replica.
+/// - Room kept for more urgent requests that are expected is at most half of the replica, and none
+///   where none arrived lately.
+/// - A request that lacks room is passed only by requests that do not delay it.
+///
+/// Contract: single thread; the clock is passed in; equal calls give equal results. Bad input
+/// breaks nothing: negative durations count as not known, times more than an hour away count as an
+/// hour away, an arrival in the future as one now, a request larger than the memory is refused, and
+/// an id that is queued already stays queued by its first terms.
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <vector>
 
+#include "admission/arrival_rates.h"
+#include "admission/granted_runs.h"
+#include "admission/return_times.h"
+#include "admission/tenant_shares.h"
 #include "base/time.h"
 
 namespace covewing::admission {
@@ -49,6 +64,8 @@
   /// Beginning after this is of no use to the caller.
   base::TimePoint latestUseful{};
   QueueCost cost;
+  /// Share of the tenant in shortage against other tenants of the same urgency; 0 counts as 1.
+  std::uint32_t weight = 1;
 };
 
 /// What the home knows of the replica's room now.
@@ -80,7 +97,8 @@
 struct QueueOffer {
   QueueVerdict verdict = QueueVerdict::kRefused;
   /// Expected time until the request begins; for a refusal, until a request of this urgency and
-  /// size would begin in time, spread so that those refused do not come back together.
+  /// size would begin in time, spread so that those refused do not come back together. Where the
+  /// request might not queue: the expected time until it would have begun.
   base::Duration wait{};
   /// Requests ahead of it.
   std::size_t ahead = 0;
@@ -124,7 +142,75 @@
   std::size_t size() const;
 
  private:
+  struct Waiting {
+    QueueEntry entry;
+    base::TimePoint since{};
+    /// Latest start in time, earlier by the request's age when it asked: one that came back goes
+    /// before a fresh one.
+    base::TimePoint due{};
+  };
+  /// Place in the order: members in order of weight, smaller first.
+  struct Rank {
+    bool late = false;
+    /// False for a request within the least share of its kind.
+    bool served = false;
+    std::uint32_t urgency = 0;
+    std::int64_t tenantUse = 0;
+    base::TimePoint due{};
+    std::uint64_t id = 0;
+    auto operator<=>(const Rank&) const = default;
+  };
+  /// What is the same for all entries at one decision.
+  struct Moment;
+  /// Expected start of one request.
+  struct Forecast {
+    base::Duration wait{};
+    bool servable = false;
+  };
+  /// What may pass the head of the queue while that lacks room.
+  struct Passing {
+    bool none = false;
+    bool limited = false;
+    FutureRoom headBegins;
+  };
+
+  /// Seconds of the whole replica that the kind may have before more urgent ones.
+  double owedTo(std::uint32_t urgency, base::TimePoint now) const;
+  Moment look(const Room& room, base::TimePoint now);
+  Rank rankOf(const Waiting& waiting, const Moment& moment) const;
+  std::vector<Rank> ranks(const Moment& moment) const;
+  /// The one that gets room now; the queue's size where there is none.
+  std::size_t choose(const std::vector<Rank>& ranks, const Room& room, const Moment& moment) const;
+  bool mayBegin(const Waiting& waiting, const Rank& rank, const Room& room,
+                const Moment& moment) const;
+  static FreeRoom reserveFor(const Rank& rank, const Moment& moment);
+  Passing passingOf(const Waiting& head, const Rank& rank, const Moment& moment) const;
+  static bool passes(const Waiting& waiting, const Passing& passing, const Moment& moment);
+  /// The work ahead is in seconds of the whole replica.
+  static Forecast forecast(const Waiting& waiting, const Rank& rank, double workAhead,
+                           const Moment& moment);
+  /// Whether what is ahead of it shows that it cannot be served.
+  static bool hopeless(const Waiting& waiting, const Rank& rank, double workAhead,
+                       const Moment& moment);
+  base::Duration retryAfter(const Waiting& waiting, const Rank& rank, double workAhead,
+                            const Moment& moment);
+  QueueOffer settle(std::size_t place, bool mayQueue, const std::vector<Rank>& ranks,
+                    const Moment& moment);
+  void makeRoom(std::vector<Rank> ranks);
+  void grant(std::size_t place, const Moment& moment);
+  Waiting remove(std::size_t place);
+
   AdmissionQueueOptions options_;
+  /// In no order.
+  std::vector<Waiting> waiting_;
+  /// Gave way when the queue was full; told by `expired`.
+  std::vector<Waiting> displaced_;
+  ArrivalRates rates_;
+  /// The same over a longer time, for the least share of each kind.
+  ArrivalRates longRates_;
+  TenantShares shares_;
+  GrantedRuns runs_;
+  ReturnTimes returns_;
 };
 
 }  // namespace covewing::admission
--- /dev/null
+++ b/src/admission/arrival_rates.h
@@ -0,0 +1,67 @@
+/// \file
+/// Observed load of one replica by urgency: what is asked for and what is granted, both forgotten
+/// exponentially. The reserve for more urgent requests, the room left to the less urgent ones and
+/// the predicted waits follow from it.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "base/time.h"
+
+namespace covewing::admission {
+
+/// What one request takes of a replica, as work: room times time.
+struct Work {
+  /// Seconds in which it holds a slot.
+  double slotSeconds = 0.0;
+  /// Tokens of memory times the seconds in which it holds them.
+  double tokenSeconds = 0.0;
+  /// Seconds of the whole replica: the larger of its shares of slots and memory, times its run.
+  double replicaSeconds = 0.0;
+};
+
+/// Work asked for a second: mean slots and tokens held, and mean share of the whole replica, if all
+/// of it was granted.
+struct Demand {
+  double slots = 0.0;
+  double tokens = 0.0;
+  double share = 0.0;
+};
+
+class ArrivalRates {
+ public:
+  /// Urgencies beyond the last one kept count as the last one.
+  static constexpr std::size_t kUrgencies = 16;
+
+  explicit ArrivalRates(base::Duration memory);
+
+  /// A request that can be in time asked for room.
+  void onArrival(std::uint32_t urgency, const Work& work, base::TimePoint now);
+  /// A request got room.
+  void onGrant(std::uint32_t urgency, const Work& work, base::TimePoint now);
+
+  /// What requests of this urgency ask for.
+  Demand asked(std::uint32_t urgency, base::TimePoint now) const;
+  /// The share of the replica that requests of this urgency got.
+  double granted(std::uint32_t urgency, base::TimePoint now) const;
+  /// The share of the replica that requests more urgent than this one ask for.
+  double askedBefore(std::uint32_t urgency, base::TimePoint now) const;
+
+ private:
+  struct Kind {
+    base::TimePoint at{};
+    Work asked;
+    double granted = 0.0;
+  };
+
+  static std::size_t index(std::uint32_t urgency);
+  double kept(const Kind& kind, base::TimePoint now) const;
+  void forget(Kind& kind, base::TimePoint now);
+
+  double memorySeconds_;
+  std::array<Kind, kUrgencies> kinds_;
+};
+
+}  // namespace covewing::admission
--- /dev/null
+++ b/src/admission/granted_runs.cc
@@ -0,0 +1,48 @@
+#include "admission/granted_runs.h"
+
+#include <algorithm>
+
+namespace covewing::admission {
+
+namespace {
+
+/// Most runs kept where the caller tells no true number of them.
+constexpr std::size_t kMostRuns = 1024;
+
+}  // namespace
+
+void GrantedRuns::onGrant(const GrantedRun& run) {
+  trim(kMostRuns - 1);
+  const auto place = std::upper_bound(
+      runs_.begin(), runs_.end(), run,
+      [](const GrantedRun& a, const GrantedRun& b) { return a.expectedEnd < b.expectedEnd; });
+  runs_.insert(place, run);
+}
+
+void GrantedRuns::trim(std::size_t taken) {
+  if (runs_.size() <= taken) return;
+  runs_.erase(runs_.begin(), runs_.end() - static_cast<std::ptrdiff_t>(taken));
+}
+
+FreeRoom GrantedRuns::heldBy(std::uint32_t urgency) const {
+  FreeRoom held;
+  for (const GrantedRun& run : runs_) {
+    if (run.urgency != urgency) continue;
+    ++held.slots;
+    held.tokens += run.tokens;
+  }
+  return held;
+}
+
+FutureRoom GrantedRuns::whenFree(const FreeRoom& need, FreeRoom free, base::TimePoint now) const {
+  base::TimePoint at = now;
+  for (const GrantedRun& run : runs_) {
+    if (free.slots >= need.slots && free.tokens >= need.tokens) break;
+    ++free.slots;
+    free.tokens += run.tokens;
+    at = std::max(at, run.expectedEnd);
+  }
+  return {at, {free.slots - need.slots, free.tokens - need.tokens}};
+}
+
+}  // namespace covewing::admission
