--- a/tests/admission/virtual_replica.h
+++ b/tests/admission/virtual_replica.h
@@ -35,7 +35,10 @@
   void endRuns(base::TimePoint now) {
     std::erase_if(runs_, [now](const Run& run) { return run.end <= now; });
   }
-  void setSlots(std::uint32_t slots) { slots_ = slots; }
+  void setRoom(std::uint32_t slots, std::uint64_t memory) {
+    slots_ = slots;
+    memory_ = memory;
+  }
 
  private:
   struct Run {
