Let refused requests come back only at the rate that fresh ones leave

Requests that come back go before fresh ones; at the whole rate of their urgency they only pushed fresh ones out.

--- a/src/admission/admission_queue.cc
+++ b/src/admission/admission_queue.cc
@@ -27,6 +27,8 @@
 /// A request in the queue is given up before its time when its start is expected this many times
 /// its time left from now: expectations vary.
 constexpr double kClearlyLate = 1.5;
+/// A request that reached the system longer ago came back or asked elsewhere before.
+constexpr Duration kFreshAge = std::chrono::milliseconds(250);
 /// Times further away count as this far away.
 constexpr Duration kFurthest = std::chrono::hours(1);
 
@@ -63,7 +65,10 @@
 };
 
 AdmissionQueue::AdmissionQueue(AdmissionQueueOptions options)
-    : options_(options), rates_(options.rateMemory), longRates_(kLeastShareMemory) {}
+    : options_(options),
+      rates_(options.rateMemory),
+      longRates_(kLeastShareMemory),
+      fresh_(options.rateMemory) {}
 
 AdmissionQueue::Moment AdmissionQueue::look(const Room& room, TimePoint now) {
   Moment moment(room, now);
@@ -193,7 +198,10 @@
   if (moment.room.neverFits(waiting.entry.cost)) return ReturnTimes::kLongest;
   Rank fresh = rank;
   fresh.late = false;
-  const double left = std::max(1.0 - moment.askedBefore.at(Moment::placeOf(fresh)), kLeastShare);
+  // Those who come back get what fresh ones leave: otherwise they only push these out.
+  const double left = std::max(1.0 - moment.askedBefore.at(Moment::placeOf(fresh)) -
+                                   fresh_.asked(rank.urgency, moment.now).share,
+                               kLeastShare);
   const Duration begins = fromSeconds(workAhead / left);
   const Duration allowance = std::max(Duration::zero(), waiting.entry.latestInTime - waiting.since);
   const Duration interval =
@@ -217,6 +225,7 @@
     const Work work = moment.room.workOf(entry.cost);
     rates_.onArrival(entry.urgency, work, now);
     longRates_.onArrival(entry.urgency, work, now);
+    if (now - waiting.entry.arrivedAt < kFreshAge) fresh_.onArrival(entry.urgency, work, now);
   }
   waiting_.push_back(waiting);
   const std::vector<Rank> order = ranks(moment);
--- a/src/admission/admission_queue.h
+++ b/src/admission/admission_queue.h
@@ -208,6 +208,8 @@
   ArrivalRates rates_;
   /// The same over a longer time, for the least share of each kind.
   ArrivalRates longRates_;
+  /// Of requests that ask for the first time.
+  ArrivalRates fresh_;
   TenantShares shares_;
   GrantedRuns runs_;
   ReturnTimes returns_;
