Judge what is left for late service over five seconds

Over one second the observed load swings by a tenth, and late requests were refused at nine tenths of the replica's load.

--- a/src/admission/admission_queue.cc
+++ b/src/admission/admission_queue.cc
@@ -57,6 +57,7 @@
   std::array<FreeRoom, ArrivalRates::kUrgencies + 1> reserve{};
   std::array<double, ArrivalRates::kUrgencies + 1> askedBefore{};
   std::array<double, ArrivalRates::kUrgencies + 1> owed{};
+  double askedLong = 0.0;
 
   static std::size_t placeOf(const Rank& rank) {
     return rank.late ? ArrivalRates::kUrgencies
@@ -73,6 +74,7 @@
 AdmissionQueue::Moment AdmissionQueue::look(const Room& room, TimePoint now) {
   Moment moment(room, now);
   runs_.trim(moment.room.taken);
+  moment.askedLong = longRates_.askedBefore(ArrivalRates::kUrgencies, now);
   double slots = 0.0;
   double tokens = 0.0;
   const double mostSlots = kMostReserved * moment.room.slots;
@@ -187,7 +189,7 @@
   const Duration wait = fromSeconds((workAhead + own) / std::max(left, kLeastShare));
   if (!rank.late && moment.now + wait <= entry.latestInTime) return {wait, true};
   // Late service takes what all requests in time leave.
-  const double leftByAll = 1.0 - moment.askedBefore.back();
+  const double leftByAll = 1.0 - moment.askedLong;
   if (leftByAll < kLeastLeft) return {wait, false};
   const Duration lateWait = fromSeconds((workAhead + own) / leftByAll);
   return {std::max(wait, lateWait), moment.now + lateWait <= entry.latestUseful};
