Let refused requests try once more before their answer is of no use

Where the time to come back would be past that, one try more is named, at the rate at which room falls free for the urgency.

--- a/src/admission/admission_queue.cc
+++ b/src/admission/admission_queue.cc
@@ -20,6 +20,8 @@
 /// Time over which the least share is measured: within it a kind whose requests are large against
 /// its share gets one, and callers wait about as long.
 constexpr Duration kLeastShareMemory = std::chrono::seconds(5);
+/// Part of the replica in which requests that come back are let in at least.
+constexpr double kLeastForReturns = 0.1;
 /// Most of the replica kept free for more urgent requests that are expected.
 constexpr double kMostReserved = 0.5;
 /// Least part of the replica that is believed to be left over; below that late work has no hope.
@@ -203,12 +205,25 @@
   // Those who come back get what fresh ones leave: otherwise they only push these out.
   const double left = std::max(1.0 - moment.askedBefore.at(Moment::placeOf(fresh)) -
                                    fresh_.asked(rank.urgency, moment.now).share,
-                               kLeastShare);
+                               kLeastForReturns);
   const Duration begins = fromSeconds(workAhead / left);
   const Duration allowance = std::max(Duration::zero(), waiting.entry.latestInTime - waiting.since);
-  const Duration interval =
-      fromSeconds(moment.room.workOf(waiting.entry.cost).replicaSeconds / left);
-  return returns_.next(rank.urgency, waiting.entry.id, begins - allowance, interval, moment.now);
+  const Work work = moment.room.workOf(waiting.entry.cost);
+  const Duration after = returns_
+                             .next(rank.urgency, waiting.entry.id,
+                                   {begins - allowance, ReturnTimes::kLongest,
+                                    fromSeconds(work.replicaSeconds / left)},
+                                   moment.now)
+                             .value_or(ReturnTimes::beyond(waiting.entry.id));
+  const Duration useful = waiting.entry.latestUseful - moment.now;
+  if (after <= useful || waiting.since - waiting.entry.arrivedAt >= kFreshAge) return after;
+  // One that asked for the first time may try once more before its answer is of no use, at the rate
+  // at which room falls free: what is expected may change, and the caller loses nothing.
+  const double leftAtMost = std::max(1.0 - moment.askedBefore.at(Moment::placeOf(fresh)), left);
+  return lastTries_
+      .next(rank.urgency, waiting.entry.id,
+            {useful / 2, useful, fromSeconds(work.replicaSeconds / leftAtMost)}, moment.now)
+      .value_or(after);
 }
 
 QueueOffer AdmissionQueue::offer(const QueueEntry& entry, const Room& room, bool mayQueue,
--- a/src/admission/admission_queue.h
+++ b/src/admission/admission_queue.h
@@ -213,6 +213,8 @@
   TenantShares shares_;
   GrantedRuns runs_;
   ReturnTimes returns_;
+  /// Of those whose time to come back would be past their use.
+  ReturnTimes lastTries_;
 };
 
 }  // namespace covewing::admission
--- a/src/admission/return_times.cc
+++ b/src/admission/return_times.cc
@@ -22,15 +22,17 @@
 
 }  // namespace
 
-base::Duration ReturnTimes::next(std::uint32_t urgency, std::uint64_t id, base::Duration earliest,
-                                 base::Duration interval, base::TimePoint now) {
+base::Duration ReturnTimes::beyond(std::uint64_t id) {
+  return kLongest / 2 + part(kLongest / 2, fractionOf(id));
+}
+
+std::optional<base::Duration> ReturnTimes::next(std::uint32_t urgency, std::uint64_t id,
+                                                const Window& window, base::TimePoint now) {
   base::TimePoint& next = next_.at(std::min<std::size_t>(urgency, next_.size() - 1));
-  const base::TimePoint from =
-      std::max(next, now + std::clamp(earliest, base::Duration(0), kLongest));
-  // What does not fit into the longest time is spread over the later half of it.
-  if (from >= now + kLongest) return kLongest / 2 + part(kLongest / 2, fractionOf(id));
-  next = from + interval;
-  return std::min(kLongest, from - now + part(interval, fractionOf(id)));
+  const base::TimePoint from = std::max(next, now + std::max(window.earliest, base::Duration(0)));
+  if (from >= now + window.latest) return std::nullopt;
+  next = from + window.interval;
+  return std::min(window.latest, from - now + part(window.interval, fractionOf(id)));
 }
 
 }  // namespace covewing::admission
--- a/src/admission/return_times.h
+++ b/src/admission/return_times.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 
 #include "admission/arrival_rates.h"
 #include "base/time.h"
@@ -16,10 +17,20 @@
   /// The longest time named: callers wait some seconds, and a shortage is looked at anew by then.
   static constexpr base::Duration kLongest = std::chrono::seconds(10);
 
-  /// The time after which the refused request may come back: not before `earliest`, and `interval`
-  /// after the one refused before it, moved within the interval by a hash of the id.
-  base::Duration next(std::uint32_t urgency, std::uint64_t id, base::Duration earliest,
-                      base::Duration interval, base::TimePoint now);
+  /// When a request may come back at the earliest and at the latest, and how long the room takes to
+  /// fall free for it.
+  struct Window {
+    base::Duration earliest{};
+    base::Duration latest{};
+    base::Duration interval{};
+  };
+
+  /// The time after which the refused request may come back: `interval` after the one before it,
+  /// moved within the interval by a hash of the id. Nothing where that is past the latest.
+  std::optional<base::Duration> next(std::uint32_t urgency, std::uint64_t id, const Window& window,
+                                     base::TimePoint now);
+  /// A time in the later half of the longest, by a hash of the id.
+  static base::Duration beyond(std::uint64_t id);
 
  private:
   std::array<base::TimePoint, ArrivalRates::kUrgencies> next_{};
