--- a/tests/admission/admission_load_test.cc
+++ b/tests/admission/admission_load_test.cc
@@ -117,20 +117,60 @@
   return [end, rate](Duration at) { return at < end ? rate(at) : 0.0; };
 }
 
+/// The kept order against the others: the urgent begin in time when they first ask at least as
+/// often as under each other order but for `within`.
+void checkUrgent(const std::vector<Outcome>& got, double within) {
+  const Got& kept = got.at(kKept).urgent();
+  for (const Order order : {kPolling, kFirstCome, kUrgency}) {
+    BOOST_TEST_CONTEXT(kNames.at(order)) {
+      BOOST_TEST(kept.firstShare() >= got.at(order).urgent().firstShare() - within);
+    }
+  }
+}
+/// The more urgent are in time at least as often as the less urgent, first or on return.
+void checkNoInversion(const Outcome& got) {
+  BOOST_TEST(got.urgent().firstShare() >= got.other().firstShare());
+  BOOST_TEST(got.urgent().inTimeShare() >= got.other().inTimeShare());
+}
+/// Few of those that were told when to come back are refused again.
+void checkRefusedAgain(const Got& kept, const Got& polling) {
+  BOOST_TEST(kept.refusals <= polling.refusals);
+  BOOST_TEST(kept.refusedAgain * 3 <= polling.refusedAgain);
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(AdmissionLoadTest)
 
 BOOST_AUTO_TEST_CASE(SteadyOverload) {
   const Rate half = until(seconds(20), steady(0.65));
-  [[maybe_unused]] const auto got = compare("overload 1.3", {notes(half), reviews(half)}, seconds(20));
+  const auto got = compare("overload 1.3", {notes(half), reviews(half)}, seconds(20));
+  checkUrgent(got, 0.0);
+  checkNoInversion(got.at(kKept));
+  checkRefusedAgain(got.at(kKept).other(), got.at(kPolling).other());
+  // The room is enough for the urgent: none of them loses, and the less urgent have the rest.
+  BOOST_TEST(got.at(kKept).urgent().firstShare() >= 0.99);
+  BOOST_TEST(got.at(kKept).other().firstShare() >= got.at(kPolling).other().firstShare());
+  BOOST_TEST(got.at(kKept).other().firstShare() >= got.at(kUrgency).other().firstShare());
+  BOOST_TEST(got.at(kKept).other().servedShare() >= 0.9);
 }
 
-BOOST_AUTO_TEST_CASE(UrgentAloneOverload) {
+/// The bound for the less urgent: they are served a tenth of what they ask, also while the most
+/// urgent alone ask for more than there is; and that costs the urgent no more than that.
+BOOST_AUTO_TEST_CASE(LessUrgentDoNotStarve) {
   const auto got =
       compare("urgent alone 1.3",
               {notes(until(seconds(20), steady(1.3))), reviews(until(seconds(20), steady(0.5)))},
               seconds(20));
+  checkUrgent(got, 0.0);
+  checkNoInversion(got.at(kKept));
+  BOOST_TEST(got.at(kKept).other().servedShare() >= 0.09);
+  BOOST_TEST(got.at(kKept).other().servedShare() > got.at(kUrgency).other().servedShare());
+  // A twentieth of the replica goes to the less urgent, the rest of it to the urgent: 0.73 of them
+  // at the most while the load lasts.
+  BOOST_TEST(got.at(kKept).urgent().firstShare() >= 0.6);
+  BOOST_TEST(got.at(kKept).urgent().inTimeShare() >= 0.95);
+  checkRefusedAgain(got.at(kKept).urgent(), got.at(kPolling).urgent());
 }
 
 BOOST_AUTO_TEST_CASE(BurstOfLessUrgentThenOfMoreUrgent) {
@@ -145,8 +185,15 @@
     if (at == seconds(4)) replica.setRoom(18, 64766);
     if (at == milliseconds(13400)) replica.setRoom(24, 87000);
   };
-  [[maybe_unused]] const auto got = compare("bursts", {notes(until(length, urgent)), reviews(until(length, other))},
-                           length, fewer);
+  [[maybe_unused]] const auto got = compare(
+      "bursts", {notes(until(length, urgent)), reviews(until(length, other))}, length, fewer);
+  checkUrgent(got, 0.0);
+  checkNoInversion(got.at(kKept));
+  checkRefusedAgain(got.at(kKept).urgent(), got.at(kPolling).urgent());
+  BOOST_TEST(got.at(kKept).urgent().firstShare() >= 0.95);
+  BOOST_TEST(got.at(kKept).other().firstShare() >= got.at(kPolling).other().firstShare());
+  BOOST_TEST(got.at(kKept).other().firstShare() >= got.at(kUrgency).other().firstShare());
+  BOOST_TEST(got.at(kKept).other().servedShare() >= 0.75);
 }
 
 BOOST_AUTO_TEST_CASE(OneTenantAtFiveTimes) {
@@ -157,6 +204,9 @@
     }
     return streams;
   };
+  // Of the other tenants' requests, those in time when they first asked; first as usual, then with
+  // the one tenant at five times.
+  std::array<std::array<double, 2>, kOrders.size()> inTime{};
   for (const Order order : kOrders) {
     for (const double first : {0.09, 0.45}) {
       const Outcome outcome = played(order, tenants(first), seconds(20));
@@ -167,45 +217,75 @@
       const std::string load = first > 0.1 ? "tenant at five times" : "tenants as usual";
       print(load, order, "others", others);
       print(load, order, "this tenant", outcome.byTenant.at(1));
+      inTime.at(order).at(first > 0.1 ? 1 : 0) = others.firstShare();
+      if (order == kKept) BOOST_TEST(others.inTimeShare() >= 0.99);
+      if (order == kKept) BOOST_TEST(outcome.byTenant.at(1).servedShare() >= 0.8);
+    }
+  }
+  BOOST_TEST(inTime[kKept][1] >= inTime[kKept][0] - 0.03);
+  for (const Order order : {kPolling, kFirstCome, kUrgency}) {
+    BOOST_TEST_CONTEXT(kNames.at(order)) {
+      BOOST_TEST(inTime[kKept][1] >= inTime.at(order)[1] + 0.5);
+      BOOST_TEST(inTime[kKept][0] >= inTime.at(order)[0]);
     }
   }
 }
 
 BOOST_AUTO_TEST_CASE(AllBackAtOnce) {
   const Rate load = [](Duration at) { return at < milliseconds(500) ? 10.0 : 0.5; };
-  [[maybe_unused]] const auto got = compare("all at once", {notes(until(seconds(14), load))}, seconds(14));
-  for (const auto& each : got) BOOST_TEST_MESSAGE("most together " << each.mostTogether);
+  const auto got = compare("all at once", {notes(until(seconds(14), load))}, seconds(14));
+  for (const Order order : kOrders) {
+    BOOST_TEST_MESSAGE(kNames.at(order)
+                       << ": most that came back in 0.1 s: " << got.at(order).mostTogether);
+  }
+  checkUrgent(got, 0.0);
+  checkRefusedAgain(got.at(kKept).urgent(), got.at(kPolling).urgent());
+  BOOST_TEST(got.at(kKept).urgent().servedShare() >= 0.99);
+  BOOST_TEST(got.at(kKept).urgent().refusedAgain * 100 <= got.at(kKept).urgent().refusals);
+  // Some four begin in a tenth of a second.
+  BOOST_TEST(got.at(kKept).mostTogether <= 10);
 }
 
 BOOST_AUTO_TEST_CASE(CapacityBackAtOnce) {
+  // Longest times in all seeds from the return of the capacity, at 14 s.
   Duration empty{};
   Duration filled{};
-  Duration worstEmpty{};
-  Duration worstFilled{};
+  bool wasEmpty = false;
+  bool wasFilled = false;
   const Step step = [&](Duration at, VirtualReplica& replica, std::size_t queued) {
     if (at == Duration::zero()) {
       replica.setRoom(8, 29000);
-      empty = filled = Duration::zero();
+      wasEmpty = wasFilled = false;
     }
     if (at == seconds(14)) replica.setRoom(24, 87000);
     if (at <= seconds(14)) return;
-    if (queued == 0 && empty == Duration::zero()) empty = at - seconds(14);
-    const bool full = replica.taken() >= 0.9 * replica.slots() ||
-                      static_cast<double>(replica.memoryTaken()) >= 0.9 * kReplicaMemory;
-    if (full && filled == Duration::zero()) filled = at - seconds(14);
-    worstEmpty = std::max(worstEmpty, empty);
-    worstFilled = std::max(worstFilled, filled);
+    if (!wasEmpty) empty = std::max(empty, at - seconds(14));
+    if (!wasFilled) filled = std::max(filled, at - seconds(14));
+    wasEmpty = wasEmpty || queued == 0;
+    wasFilled = wasFilled || replica.taken() >= 0.9 * replica.slots() ||
+                static_cast<double>(replica.memoryTaken()) >= 0.9 * kReplicaMemory;
   };
-  for (const Order order : kOrders) {
-    worstEmpty = worstFilled = Duration::zero();
-    const Outcome outcome = played(
-        order, {notes(until(seconds(20), steady(0.5))), reviews(until(seconds(20), steady(0.4)))},
-        seconds(20), step);
-    print("capacity back", order, "urgent", outcome.urgent());
-    print("capacity back", order, "other", outcome.other());
-    BOOST_TEST_MESSAGE("queue empty after " << base::toMilliseconds(worstEmpty)
-                                            << " ms, filled after "
-                                            << base::toMilliseconds(worstFilled) << " ms");
+  // Load that the whole replica bears, and load that fills it.
+  for (const double load : {0.8, 1.2}) {
+    std::vector<Outcome> got;
+    for (const Order order : kOrders) {
+      empty = filled = Duration::zero();
+      got.push_back(played(order,
+                           {notes(until(seconds(20), steady(load * 0.55))),
+                            reviews(until(seconds(20), steady(load * 0.45)))},
+                           seconds(20), step));
+      const std::string name = "capacity back, load " + std::to_string(load).substr(0, 3);
+      print(name, order, "urgent", got.back().urgent());
+      print(name, order, "other", got.back().other());
+      BOOST_TEST_MESSAGE("queue empty after " << base::toMilliseconds(empty) << " ms, filled after "
+                                              << base::toMilliseconds(filled) << " ms");
+    }
+    checkUrgent(got, 0.0);
+    checkNoInversion(got.at(kKept));
+    checkRefusedAgain(got.at(kKept).urgent(), got.at(kPolling).urgent());
+    BOOST_TEST(got.at(kKept).urgent().inTimeShare() >= 0.95);
+    if (load < 1.0) BOOST_TEST((empty <= seconds(1)));
+    if (load > 1.0) BOOST_TEST((filled <= seconds(1)));
   }
 }
 
@@ -214,11 +294,20 @@
   large.urgency = 0;
   Stream small = notes(until(seconds(20), steady(1.0)));
   small.tokens = 4000;
+  std::vector<Outcome> got;
   for (const Order order : kOrders) {
-    const Outcome outcome = played(order, {small, large}, seconds(20));
-    print("long among short", order, "short", outcome.byTenant.at(1));
-    print("long among short", order, "long", outcome.byTenant.at(2));
+    got.push_back(played(order, {small, large}, seconds(20)));
+    print("long among short", order, "short", got.back().byTenant.at(1));
+    print("long among short", order, "long", got.back().byTenant.at(2));
+  }
+  for (const Order order : {kPolling, kFirstCome, kUrgency}) {
+    for (const std::uint64_t tenant : {1, 2}) {
+      BOOST_TEST(got.at(kKept).byTenant.at(tenant).firstShare() >=
+                 got.at(order).byTenant.at(tenant).firstShare());
+    }
   }
+  BOOST_TEST(got.at(kKept).byTenant.at(2).firstShare() >= 0.95);
+  BOOST_TEST(got.at(kKept).byTenant.at(1).servedShare() >= 0.95);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/admission/admission_queue_test.cc
+++ b/tests/admission/admission_queue_test.cc
@@ -255,6 +255,58 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(OneThatCameBackIsNotRefusedForAFreshOne) {
+  Fixture one(4, 0);
+  one.fill();
+  std::uint64_t id = 0;
+  while (one.offer(one.entry(++id)).verdict == QueueVerdict::kQueued) {
+  }
+  QueueEntry returned = one.entry(id);
+  one.pass(seconds(1));
+  while (one.next() != 0) {
+  }
+  while (one.offer(one.entry(++id)).verdict == QueueVerdict::kQueued) {
+  }
+  returned.latestInTime = one.now + seconds(2);
+  returned.latestUseful = one.now + seconds(4);
+  BOOST_TEST((one.offer(returned).verdict == QueueVerdict::kQueued));
+  BOOST_TEST((one.offer(one.entry(++id)).verdict == QueueVerdict::kRefused));
+}
+
+BOOST_AUTO_TEST_CASE(NoneIsRefusedWhileHalfOfThePlacesAreFree) {
+  Fixture one(8, 10000);
+  // Memory is full with half of the slots free.
+  for (std::uint64_t id = 1; id <= 4; ++id) one.offer(one.entry(id, 0, 1, 2500));
+  for (std::uint64_t id = 5; id <= 60; ++id) {
+    BOOST_TEST((one.offer(one.entry(id, 2, 1, 2500)).verdict == QueueVerdict::kQueued));
+  }
+  BOOST_TEST(one.queue.expired(one.replica, one.now).empty());
+}
+
+BOOST_AUTO_TEST_CASE(LateWorkTakesWhatIsLeft) {
+  Fixture one(8, 0);
+  one.fill();
+  QueueEntry late = one.entry(1);
+  late.latestInTime = one.now - milliseconds(1);
+  BOOST_TEST((one.offer(late).verdict == QueueVerdict::kQueued));
+  one.pass(seconds(1));
+  BOOST_TEST(one.next() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(LateWorkIsRefusedWhereNothingIsLeft) {
+  Fixture one(2, 0);
+  std::uint64_t id = 0;
+  for (int step = 0; step < 100; ++step) {
+    one.pass(milliseconds(100));
+    while (one.next() != 0) {
+    }
+    one.offer(one.entry(++id));
+  }
+  QueueEntry late = one.entry(++id);
+  late.latestInTime = one.now - milliseconds(1);
+  BOOST_TEST((one.offer(late).verdict == QueueVerdict::kRefused));
+}
+
 BOOST_AUTO_TEST_CASE(EqualCallsGiveEqualResults) {
   Fixture one;
   Fixture other;
