--- a/src/admission/admission_queue.cc
+++ b/src/admission/admission_queue.cc
@@ -14,26 +14,14 @@
 using base::Duration;
 using base::TimePoint;
 
-/// Least part of the replica that is reckoned with for an urgency: more urgent requests ask for all
-/// of it only for moments.
-constexpr double kLeastShare = 0.1;
-/// Part of the replica in which requests that come back are let in at least.
-constexpr double kLeastForReturns = 0.1;
 /// Least part of the replica that is believed to be left over; below that late work has no hope.
 constexpr double kLeastLeft = 0.02;
 /// A request in the queue is given up before its time when its start is expected this many times
 /// its time left from now: expectations vary.
 constexpr double kClearlyLate = 1.5;
-/// A request that asks this long after it reached the system does not ask for the first time.
-constexpr Duration kFreshAge = std::chrono::milliseconds(250);
 /// Times further away count as this far away.
 constexpr Duration kFurthest = std::chrono::hours(1);
 
-Duration fromSeconds(double seconds) {
-  const double most = base::toSeconds(kFurthest);
-  return Duration(static_cast<Duration::rep>(std::clamp(seconds, 0.0, most) * 1e6));
-}
-
 QueueEntry mended(QueueEntry entry, TimePoint now) {
   entry.arrivedAt = std::clamp(entry.arrivedAt, now - kFurthest, now);
   entry.latestInTime = std::clamp(entry.latestInTime, now - kFurthest, now + kFurthest);
@@ -42,11 +30,6 @@
   return entry;
 }
 
-/// Whether it came back, or asked elsewhere before.
-bool returned(const QueueEntry& entry, TimePoint since) {
-  return since - entry.arrivedAt >= kFreshAge;
-}
-
 }  // namespace
 
 AdmissionQueue::AdmissionQueue(AdmissionQueueOptions options)
@@ -137,7 +120,7 @@
   const QueueEntry& entry = waiting.entry;
   const double own = load.room.shareOf(entry.cost) * base::toSeconds(load.room.runTime);
   const double left = 1.0 - load.askedBefore.at(LoadNow::placeOf(rank.urgency, rank.late));
-  const Duration wait = fromSeconds((workAhead + own) / std::max(left, kLeastShare));
+  const Duration wait = fromSeconds((workAhead + own) / std::max(left, LoadNow::kLeastShare));
   if (!rank.late && load.now + wait <= entry.latestInTime) return {wait, true};
   // Late service takes what all requests in time leave.
   const double leftByAll = 1.0 - load.askedLong;
@@ -146,33 +129,6 @@
   return {std::max(wait, lateWait), load.now + lateWait <= entry.latestUseful};
 }
 
-Duration AdmissionQueue::retryAfter(const Waiting& waiting, const Rank& rank, double workAhead,
-                                    const LoadNow& load) {
-  if (load.room.neverFits(waiting.entry.cost)) return ReturnTimes::kLongest;
-  const std::size_t place = LoadNow::placeOf(rank.urgency, false);
-  // Those who come back get what fresh ones leave: otherwise they only push these out.
-  const double left =
-      std::max(1.0 - load.askedBefore.at(place) - load.askedFresh.at(place), kLeastForReturns);
-  const Duration begins = fromSeconds(workAhead / left);
-  const Duration allowance = std::max(Duration::zero(), waiting.entry.latestInTime - waiting.since);
-  const Work work = load.room.workOf(waiting.entry.cost);
-  const Duration after = returns_
-                             .next(rank.urgency, waiting.entry.id,
-                                   {begins - allowance, ReturnTimes::kLongest,
-                                    fromSeconds(work.replicaSeconds / left)},
-                                   load.now)
-                             .value_or(ReturnTimes::beyond(waiting.entry.id));
-  const Duration useful = waiting.entry.latestUseful - load.now;
-  if (after <= useful || returned(waiting.entry, waiting.since)) return after;
-  // One that asked for the first time may try once more before its answer is of no use, at the rate
-  // at which room falls free: what is expected may change, and the caller loses nothing.
-  const double leftAtMost = std::max(1.0 - load.askedBefore.at(place), left);
-  return lastTries_
-      .next(rank.urgency, waiting.entry.id,
-            {useful / 2, useful, fromSeconds(work.replicaSeconds / leftAtMost)}, load.now)
-      .value_or(after);
-}
-
 QueueOffer AdmissionQueue::offer(const QueueEntry& entry, const Room& room, bool mayQueue,
                                  TimePoint now) {
   const LoadNow load = load_.look(room, now);
@@ -186,7 +142,7 @@
   Waiting waiting{mended(entry, now), now, {}};
   waiting.due = waiting.entry.latestInTime - (now - waiting.entry.arrivedAt);
   if (now <= waiting.entry.latestInTime && !load.room.neverFits(entry.cost)) {
-    load_.onArrival(entry, returned(waiting.entry, now), load);
+    load_.onArrival(entry, askedBefore(waiting.entry, now), load);
   }
   waiting_.push_back(waiting);
   const std::vector<Rank> order = ranks(load);
@@ -222,7 +178,7 @@
     return offer;
   }
   offer.verdict = QueueVerdict::kRefused;
-  if (mayQueue || over) offer.wait = retryAfter(waiting, ranks[place], workAhead, load);
+  if (mayQueue || over) offer.wait = returns_.after(waiting.entry, waiting.since, workAhead, load);
   remove(place);
   return offer;
 }
@@ -268,21 +224,22 @@
   std::vector<std::uint64_t> gone;
   double workAhead = 0.0;
   std::size_t ahead = 0;
-  const auto refuse = [&](const Waiting& waiting, const Rank& rank) {
-    refusals.push_back({waiting.entry.id, retryAfter(waiting, rank, workAhead, load),
+  const auto refuse = [&](const Waiting& waiting) {
+    refusals.push_back({waiting.entry.id,
+                        returns_.after(waiting.entry, waiting.since, workAhead, load),
                         std::max(Duration::zero(), now - waiting.since), ahead});
   };
   for (const std::size_t place : places) {
     const Waiting& waiting = waiting_[place];
     if (hopeless(waiting, order[place], workAhead, load)) {
-      refuse(waiting, order[place]);
+      refuse(waiting);
       gone.push_back(waiting.entry.id);
       continue;
     }
     ++ahead;
     workAhead += load.room.workOf(waiting.entry.cost).replicaSeconds;
   }
-  for (const Waiting& each : displaced_) refuse(each, rankOf(each, load));
+  for (const Waiting& each : displaced_) refuse(each);
   displaced_.clear();
   for (const std::uint64_t id : gone) withdraw(id);
   return refusals;
--- a/src/admission/admission_queue.h
+++ b/src/admission/admission_queue.h
@@ -27,6 +27,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <tuple>
 #include <vector>
 
 #include "admission/queue_entry.h"
@@ -110,7 +111,11 @@
     std::int64_t tenantUse = 0;
     base::TimePoint due{};
     std::uint64_t id = 0;
-    auto operator<=>(const Rank&) const = default;
+    bool operator<(const Rank& other) const {
+      return std::tie(late, served, urgency, tenantUse, due, id) <
+             std::tie(other.late, other.served, other.urgency, other.tenantUse, other.due,
+                      other.id);
+    }
   };
   /// Expected start of one request.
   struct Forecast {
@@ -139,8 +144,6 @@
   /// Whether what is ahead of it shows that it cannot be served.
   static bool hopeless(const Waiting& waiting, const Rank& rank, double workAhead,
                        const LoadNow& load);
-  base::Duration retryAfter(const Waiting& waiting, const Rank& rank, double workAhead,
-                            const LoadNow& load);
   QueueOffer settle(std::size_t place, bool mayQueue, const std::vector<Rank>& ranks,
                     const LoadNow& load);
   void makeRoom(std::vector<Rank> ranks);
@@ -155,8 +158,6 @@
   ReplicaLoad load_;
   TenantShares shares_;
   ReturnTimes returns_;
-  /// Of those whose time to come back would be past their use.
-  ReturnTimes lastTries_;
 };
 
 }  // namespace covewing::admission
--- a/src/admission/queue_entry.h
+++ b/src/admission/queue_entry.h
@@ -2,6 +2,7 @@
 /// A request that asks for room at one replica, and what is known of that room.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 
 #include "base/time.h"
@@ -38,6 +39,14 @@
   std::uint32_t weight = 1;
 };
 
+/// A request that asks this long after it reached the system does not ask for the first time.
+constexpr base::Duration kFirstAsked = std::chrono::milliseconds(250);
+
+/// Whether the request that asks at this time came back after a refusal, or asked elsewhere before.
+inline bool askedBefore(const QueueEntry& entry, base::TimePoint at) {
+  return at - entry.arrivedAt >= kFirstAsked;
+}
+
 /// What the home knows of the replica's room now.
 class Room {
  public:
--- a/src/admission/replica_load.h
+++ b/src/admission/replica_load.h
@@ -20,6 +20,10 @@
 struct LoadNow {
   LoadNow(const Room& figures, base::TimePoint at) : room(figures), now(at) {}
 
+  /// Least part of the replica that is reckoned with for an urgency: more urgent requests ask for
+  /// all of it only for moments.
+  static constexpr double kLeastShare = 0.1;
+
   /// Where the figures of an urgency stand; those of late requests stand last.
   static std::size_t placeOf(std::uint32_t urgency, bool late);
 
--- a/src/admission/return_times.h
+++ b/src/admission/return_times.h
@@ -8,6 +8,8 @@
 #include <optional>
 
 #include "admission/arrival_rates.h"
+#include "admission/queue_entry.h"
+#include "admission/replica_load.h"
 #include "base/time.h"
 
 namespace covewing::admission {
@@ -17,23 +19,29 @@
   /// The longest time named: callers wait some seconds, and a shortage is looked at anew by then.
   static constexpr base::Duration kLongest = std::chrono::seconds(10);
 
-  /// When a request may come back at the earliest and at the latest, and how long the room takes to
-  /// fall free for it.
+  /// The time after which this request, refused now, may come back. It asked at `since`, with the
+  /// work ahead of it in seconds of the whole replica.
+  base::Duration after(const QueueEntry& entry, base::TimePoint since, double workAhead,
+                       const LoadNow& load);
+
+ private:
+  /// The next free time to come back, by urgency.
+  using Schedule = std::array<base::TimePoint, ArrivalRates::kUrgencies>;
   struct Window {
     base::Duration earliest{};
     base::Duration latest{};
+    /// How long the room takes to fall free for the request.
     base::Duration interval{};
   };
 
-  /// The time after which the refused request may come back: `interval` after the one before it,
-  /// moved within the interval by a hash of the id. Nothing where that is past the latest.
-  std::optional<base::Duration> next(std::uint32_t urgency, std::uint64_t id, const Window& window,
-                                     base::TimePoint now);
-  /// A time in the later half of the longest, by a hash of the id.
-  static base::Duration beyond(std::uint64_t id);
+  /// `interval` after the one before it, moved within the interval by a hash of the id; nothing
+  /// where that is past the latest.
+  static std::optional<base::Duration> next(Schedule& schedule, const QueueEntry& entry,
+                                            const Window& window, base::TimePoint now);
 
- private:
-  std::array<base::TimePoint, ArrivalRates::kUrgencies> next_{};
+  Schedule returns_{};
+  /// Of those whose time to come back would be past their use.
+  Schedule lastTries_{};
 };
 
 }  // namespace covewing::admission
--- a/src/admission/room_figures.cc
+++ b/src/admission/room_figures.cc
@@ -20,6 +20,12 @@
 
 }  // namespace
 
+base::Duration fromSeconds(double seconds) {
+  constexpr double kMostSeconds = 3600.0;
+  return base::Duration(
+      static_cast<base::Duration::rep>(std::clamp(seconds, 0.0, kMostSeconds) * 1e6));
+}
+
 RoomFigures::RoomFigures(const Room& room)
     : slots(room.slots()),
       taken(room.taken()),
--- a/src/admission/room_figures.h
+++ b/src/admission/room_figures.h
@@ -11,6 +11,9 @@
 
 namespace covewing::admission {
 
+/// At least zero and at most an hour.
+base::Duration fromSeconds(double seconds);
+
 struct RoomFigures {
   explicit RoomFigures(const Room& room);
 
--- a/src/admission/tenant_shares.h
+++ b/src/admission/tenant_shares.h
@@ -6,10 +6,10 @@
 /// while there was room for all.
 #pragma once
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <tuple>
 
 #include "base/time.h"
 
@@ -29,7 +29,9 @@
   struct Key {
     std::uint32_t urgency = 0;
     std::uint64_t tenant = 0;
-    auto operator<=>(const Key&) const = default;
+    bool operator<(const Key& other) const {
+      return std::tie(urgency, tenant) < std::tie(other.urgency, other.tenant);
+    }
   };
   struct Use {
     base::TimePoint at{};
--- a/tests/admission/admission_queue_test.cc
+++ b/tests/admission/admission_queue_test.cc
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "admission/virtual_replica.h"
+#include "base/random.h"
 
 namespace covewing::admission {
 
@@ -435,6 +436,40 @@
   }
 }
 
+/// Random calls: each request ends once, as granted, refused, withdrawn or cleared; the bound on
+/// entries and the room hold.
+BOOST_AUTO_TEST_CASE(EachRequestEndsOnce) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    base::SeededRandom random(seed);
+    Fixture one(6, 9000, {12, milliseconds(1000)});
+    std::set<std::uint64_t> waiting;
+    const auto ends = [&](std::uint64_t id) { BOOST_TEST(waiting.erase(id) == 1U); };
+    for (std::uint64_t step = 1; step <= 3000; ++step) {
+      one.pass(milliseconds(random.below(120)));
+      while (const std::uint64_t id = one.next()) ends(id);
+      for (const QueueRefusal& each : one.queue.expired(one.replica, one.now)) {
+        BOOST_TEST(each.retryAfter.count() >= 0);
+        ends(each.id);
+      }
+      QueueEntry entry = one.entry(step, random.below(4), random.below(6), random.below(10000));
+      entry.latestInTime = one.now + milliseconds(random.below(3000)) - milliseconds(300);
+      entry.cost.run = milliseconds(random.below(2000));
+      const QueueOffer offer = one.offer(entry, random.below(4) != 0);
+      BOOST_TEST(offer.wait.count() >= 0);
+      if (offer.verdict == QueueVerdict::kQueued) waiting.insert(step);
+      const std::uint64_t other = random.below(step) + 1;
+      if (random.below(10) == 0 && one.queue.withdraw(other)) ends(other);
+      if (random.below(500) == 0) {
+        for (const QueueEntry& each : one.queue.clear()) ends(each.id);
+        BOOST_TEST(waiting.empty());
+      }
+      BOOST_TEST(one.queue.size() <= 12U);
+      BOOST_TEST(one.replica.taken() <= 6U);
+      BOOST_TEST(one.replica.memoryTaken() <= 9000U);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::admission
