--- a/tests/admission/admission_queue_test.cc
+++ b/tests/admission/admission_queue_test.cc
@@ -223,6 +223,26 @@
   BOOST_TEST((one.offer(lasting).verdict == QueueVerdict::kGranted));
 }
 
+BOOST_AUTO_TEST_CASE(HeadThatTheReplicaReadsTooSlowlyForIsPassedForHalfItsTime) {
+  // Room is free, but the replica has too much to read to begin a long prompt in time.
+  struct Reading : VirtualReplica {
+    bool fits(const QueueEntry& entry, bool /*inTime*/) const override {
+      return entry.cost.unread < 1000;
+    }
+  } replica;
+  Fixture one;
+  QueueEntry large = one.entry(1, 0, 1, 2000);
+  BOOST_TEST((one.queue.offer(large, replica, true, one.now).verdict == QueueVerdict::kQueued));
+  one.now += milliseconds(900);
+  BOOST_TEST((one.queue.offer(one.entry(2, 2), replica, true, one.now).verdict ==
+              QueueVerdict::kGranted));
+  one.now += milliseconds(200);
+  BOOST_TEST((one.queue.offer(one.entry(3, 2), replica, true, one.now).verdict ==
+              QueueVerdict::kQueued));
+  one.now += seconds(1);
+  BOOST_TEST(one.queue.next(replica, one.now).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(WhatCannotBeServedIsRefusedAtOnce) {
   Fixture one(2, 0);
   one.fill();
