--- a/tests/admission/admission_queue_test.cc
+++ b/tests/admission/admission_queue_test.cc
@@ -234,11 +234,11 @@
   QueueEntry large = one.entry(1, 0, 1, 2000);
   BOOST_TEST((one.queue.offer(large, replica, true, one.now).verdict == QueueVerdict::kQueued));
   one.now += milliseconds(900);
-  BOOST_TEST((one.queue.offer(one.entry(2, 2), replica, true, one.now).verdict ==
-              QueueVerdict::kGranted));
+  BOOST_TEST(
+      (one.queue.offer(one.entry(2, 2), replica, true, one.now).verdict == QueueVerdict::kGranted));
   one.now += milliseconds(200);
-  BOOST_TEST((one.queue.offer(one.entry(3, 2), replica, true, one.now).verdict ==
-              QueueVerdict::kQueued));
+  BOOST_TEST(
+      (one.queue.offer(one.entry(3, 2), replica, true, one.now).verdict == QueueVerdict::kQueued));
   one.now += seconds(1);
   BOOST_TEST(one.queue.next(replica, one.now).has_value());
 }
