Hold back only what reads much for a head that the replica cannot begin in time

A head that the replica never reads in time would have held back all others for half of its target. Requests that read an eighth of it or less pass, and all do while half of the places are free.

--- a/src/admission/admission_queue.cc
+++ b/src/admission/admission_queue.cc
@@ -19,6 +19,8 @@
 /// A request in the queue is given up before its time when its start is expected this many times
 /// its time left from now: expectations vary.
 constexpr double kClearlyLate = 1.5;
+/// A request that reads at most this part of what another has to read hardly delays it.
+constexpr std::uint32_t kLittleRead = 8;
 /// Times further away count as this far away.
 constexpr Duration kFurthest = std::chrono::hours(1);
 
@@ -83,16 +85,19 @@
     return passing;
   }
   // The replica has room, and yet cannot begin it in time, by what it has to read: others may pass
-  // for half of the time left, and then the replica reads what it has.
+  // for half of the time left, and then only those that read little. Without shortage nothing is
+  // held back: what has to wait then is larger than the replica can read in time.
   const Duration allowance = head.entry.latestInTime - head.since;
-  passing.none = !rank.late && load.now - head.since > allowance / 2;
+  if (!rank.late && !load.room.halfFree() && load.now - head.since > allowance / 2) {
+    passing.mostUnread = head.entry.cost.unread / kLittleRead;
+  }
   return passing;
 }
 
 bool AdmissionQueue::passes(const Waiting& waiting, const Passing& passing, const LoadNow& load) {
-  if (passing.none) return false;
-  if (!passing.limited) return true;
   const QueueCost& cost = waiting.entry.cost;
+  if (passing.mostUnread && cost.unread > *passing.mostUnread) return false;
+  if (!passing.limited) return true;
   if (load.now + load.room.runOf(cost) <= passing.headBegins.at) return true;
   return passing.headBegins.spare.slots >= 1 &&
          passing.headBegins.spare.tokens >= static_cast<std::int64_t>(cost.tokens);
--- a/src/admission/admission_queue.h
+++ b/src/admission/admission_queue.h
@@ -21,7 +21,7 @@
 /// Contract: single thread; the clock is passed in; equal calls give equal results. Bad input
 /// breaks nothing: negative durations count as not known, times more than an hour away count as an
 /// hour away, an arrival in the future as one now, a request larger than the memory is refused, and
-/// an id that is queued already stays queued by its first terms.
+/// an id that is queued already is answered by its first terms.
 #pragma once
 
 #include <cstddef>
@@ -124,7 +124,9 @@
   };
   /// What may pass the head of the queue while that lacks room.
   struct Passing {
-    bool none = false;
+    /// Where given, only what has to read at most this many tokens passes.
+    std::optional<std::uint32_t> mostUnread;
+    /// Only what does not delay the head passes.
     bool limited = false;
     FutureRoom headBegins;
   };
