--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -229,6 +229,8 @@
   /// replicas was down this raised the worth of a day from 0.37 to 0.47 (two seeds, without
   /// processor time); before, all requests waited 1 to 1.5 s in a queue that never emptied.
   base::Duration longestWait() const;
+  /// How the request stands among others, for the homes that it asks.
+  routing::PlacementTerms placementTerms() const;
   /// No home would take the request, or none answered.
   void onNotPlaced(const Candidates& candidates, const routing::PlacementResult& result);
   /// Sends the request by what this node knows, or holds it.
--- a/src/request/relay_flow_parts.cc
+++ b/src/request/relay_flow_parts.cc
@@ -95,6 +95,7 @@
         std::chrono::duration_cast<base::Duration>(assignment_.route->targetLatency * share);
   }
   request.longestWait = longestWait();
+  request.terms = placementTerms();
   for (const auto& replica : decision.order) {
     request.candidates.push_back(dependencies_.choice.candidateOf(
         wanted, replica, request.promptTokens, decision.heldTokens()));
@@ -111,6 +112,17 @@
       });
 }
 
+routing::PlacementTerms RelayFlow::placementTerms() const {
+  routing::PlacementTerms terms;
+  terms.urgency = urgency();
+  const auto tenant = tenantName();
+  if (!tenant.empty()) terms.tenant = base::hashName(tenant);
+  terms.age = dependencies_.clock.now() - arrival_.arrivedAt;
+  if (streaming()) terms.longestPause = assignment_.route->gapTarget;
+  terms.outputTokens = expectedOutput();
+  return terms;
+}
+
 base::Duration RelayFlow::timeToBeginInTime() const {
   const auto target = assignment_.route->targetLatency;
   const auto latest = std::chrono::duration_cast<base::Duration>(target * options_.queueShare);
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -53,6 +53,7 @@
   question.promptTokens = pending.request.promptTokens;
   question.work = candidate.work;
   question.patience = pending.request.patience;
+  question.terms = pending.request.terms;
   return question;
 }
 
@@ -88,14 +89,16 @@
     const auto& record = pending.request.candidates[pending.position].record;
     record->learnVersion(pending.request.model, answer.version);
   }
+  if (answer.speedPercent > 0)
+    pending.request.candidates[pending.position].record->learnSpeed(answer.speedPercent);
   if (answer.granted()) return true;
   const auto place = static_cast<base::Duration::rep>(pending.position);
   const auto cost = answer.wait + margin * place;
   if (!pending.shortestWait || answer.wait < *pending.shortestWait)
     pending.shortestWait = answer.wait;
   const bool soonEnough = answer.usable && answer.wait <= pending.request.longestWait;
-  if (soonEnough && (!pending.best || cost < pending.best->cost))
-    pending.best = Best{pending.position, cost, answer};
+  const Best offered{pending.position, cost, answer};
+  if (soonEnough && (!pending.best || offered.betterThan(*pending.best))) pending.best = offered;
   return false;
 }
 
@@ -121,18 +124,19 @@
   if (pending.best) {
     ++counters_.declined;
     result.candidate = pending.best->candidate;
-    result.grant = take(pending.request.candidates[pending.best->candidate]);
+    result.grant = take(pending.request.candidates[pending.best->candidate],
+                        pending.request.terms.longestPause);
     result.matchedTokens = pending.best->answer.matchedTokens;
     result.wait = pending.best->answer.wait;
   }
   pending.found(result);
 }
 
-PlacementGrant Placement::take(const PlacementCandidate& candidate) {
+PlacementGrant Placement::take(const PlacementCandidate& candidate, base::Duration longestPause) {
   const auto& facts = candidate.record->facts();
   const auto replica = base::engineIdOf(facts.instance);
   const auto& home = homes_.homeOf(replica, facts.zone);
-  const PlacementTaken taken{environment_.random.next(), replica, candidate.work};
+  const PlacementTaken taken{environment_.random.next(), replica, candidate.work, longestPause};
   if (isSelf(home.id)) {
     onTaken(taken);
   } else {
@@ -218,18 +222,20 @@
   const auto matched = std::min(question.promptTokens, answer.matchedTokens);
   work.unread = std::min(work.unread, question.promptTokens - matched);
   answer.wait = ledger.expectedWait(work, now);
-  const bool granted = answer.usable && answer.wait <= question.patience;
+  answer.keepsPauses = ledger.keepsPauses(work, question.terms, now);
+  const bool granted = answer.usable && answer.keepsPauses && answer.wait <= question.patience;
   if (granted) answer.verdict = PlacementVerdict::kGranted;
   if (granted)
     ledger.grant(question.id, work, question.terms, {question.scope, question.parts}, now);
-  answer.keepsPauses = ledger.keepsPauses(work, question.terms, now);
   answer.speedPercent = ledger.speedPercent();
   return answer;
 }
 
 void Placement::onTaken(const PlacementTaken& taken) {
   auto& ledger = ledgers_.try_emplace(taken.replica, options_.ledger).first->second;
-  ledger.grant(taken.id, taken.work, {}, {}, environment_.clock.now());
+  PlacementTerms terms;
+  terms.longestPause = taken.longestPause;
+  ledger.grant(taken.id, taken.work, terms, {}, environment_.clock.now());
 }
 
 void Placement::onBegun(const PlacementBegun& begun) {
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -78,6 +78,7 @@
   base::Duration patience{};
   /// Where none does, the one with the shortest wait is taken if that is at most this.
   base::Duration longestWait = base::Duration::max();
+  PlacementTerms terms;
 };
 
 /// What a home counts a request under.
@@ -121,7 +122,7 @@
   /// Calls `found` once; inside the call where only this node is asked.
   void ask(PlacementRequest request, Found found);
   /// Tells the home of a request that is sent without its grant.
-  PlacementGrant take(const PlacementCandidate& candidate);
+  PlacementGrant take(const PlacementCandidate& candidate, base::Duration longestPause = {});
   /// The answer to the request began.
   void begun(const PlacementGrant& grant);
   /// The request ended, or never got to the replica.
@@ -137,6 +138,12 @@
     std::size_t candidate = 0;
     base::Duration cost{};
     PlacementAnswer answer;
+
+    /// Pauses within their bounds count for more than a shorter wait.
+    bool betterThan(const Best& other) const {
+      if (answer.keepsPauses != other.answer.keepsPauses) return answer.keepsPauses;
+      return cost < other.cost;
+    }
   };
   /// A request whose homes are being asked.
   struct Pending {
--- a/src/routing/placement_messages.cc
+++ b/src/routing/placement_messages.cc
@@ -20,7 +20,7 @@
 
 constexpr std::uint32_t kQuestionFields = 20;
 constexpr std::uint32_t kAnswerFields = 13;
-constexpr std::uint32_t kTakenFields = 7;
+constexpr std::uint32_t kTakenFields = 8;
 constexpr std::uint32_t kBegunFields = 3;
 constexpr std::uint32_t kEndedFields = 8;
 constexpr std::uint32_t kPartFields = 2;
@@ -71,6 +71,7 @@
   begin(writer, kTakenFields, MessageType::kTaken).unsignedInteger(taken.id);
   writer.unsignedInteger(taken.replica.value);
   write(writer, taken.work);
+  writer.signedInteger(taken.longestPause.count());
 }
 
 void write(base::Writer& writer, const PlacementBegun& begun) {
@@ -174,6 +175,7 @@
   taken.id = reader.unsignedInteger();
   taken.replica = readReplica(reader);
   taken.work = readWork(reader);
+  taken.longestPause = base::Duration{reader.signedInteger()};
   return taken;
 }
 
--- a/src/routing/placement_messages.h
+++ b/src/routing/placement_messages.h
@@ -119,8 +119,8 @@
   base::Duration retryAfter{};
   /// False where the stream, or one that runs there, would pause for longer than its route allows.
   bool keepsPauses = true;
-  /// Speed of the replica relative to its service's others, in hundredths (ReplicaPace::speed).
-  std::uint32_t speedPercent = 100;
+  /// Speed of the replica (ReplicaPace::speed) in hundredths; 0: not known.
+  std::uint32_t speedPercent = 0;
 
   bool granted() const { return verdict == PlacementVerdict::kGranted; }
 };
@@ -130,6 +130,8 @@
   std::uint64_t id = 0;
   base::EngineId replica;
   PlacementWork work;
+  /// As in its terms.
+  base::Duration longestPause{};
 };
 
 struct PlacementBegun {
--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -41,6 +41,28 @@
                          [](Scored& one) { return std::move(one.record); });
 }
 
+/// Median of the candidates' speeds in hundredths; 0 while too few are known.
+double medianSpeed(const std::vector<ReplicaRecordPtr>& candidates) {
+  constexpr std::size_t kFewestKnown = 3;
+  std::vector<std::uint32_t> known;
+  for (const auto& record : candidates)
+    if (record->speedPercent() > 0) known.push_back(record->speedPercent());
+  if (known.size() < kFewestKnown) return 0;
+  const auto middle = known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
+  std::ranges::nth_element(known, middle);
+  return *middle;
+}
+
+/// The share of the work that a replica of this speed gets; 1 near the usual speed, so that
+/// measurements that scatter move no part from its home.
+double speedWeight(const ReplicaRecord& record, double usual) {
+  constexpr double kNear = 1.3;
+  constexpr double kMost = 3;
+  if (usual <= 0 || record.speedPercent() == 0) return 1;
+  const double ratio = std::clamp(record.speedPercent() / usual, 1 / kMost, kMost);
+  return ratio < kNear && ratio > 1 / kNear ? 1 : ratio;
+}
+
 }  // namespace
 
 std::string cacheSalt(base::WeightsVersion version, std::string_view isolatedTenant) {
@@ -223,8 +245,10 @@
 void ReplicaChoice::sortByHome(Candidates& candidates, const ReplicaQuery& query) const {
   base::WeightsVersion newest = 0;
   for (const auto& record : candidates) newest = std::max(newest, record->versionOf(query.model));
+  const auto usualSpeed = medianSpeed(candidates);
   const auto weight = [&](const ReplicaRecord& record) {
-    return record.versionOf(query.model) == newest ? options_.newestWeight : 1.0;
+    const double ofVersion = record.versionOf(query.model) == newest ? options_.newestWeight : 1.0;
+    return ofVersion * speedWeight(record, usualSpeed);
   };
   sortByRendezvous(candidates, *query.chain->deepestShared(), weight);
   if (query.longRun) {
--- a/src/routing/replica_directory.h
+++ b/src/routing/replica_directory.h
@@ -53,6 +53,10 @@
   const ReadSpeed& readSpeed() const { return readSpeed_; }
   ReadSpeed& readSpeed() { return readSpeed_; }
 
+  /// Speed as the replica's home told (ReplicaPace::speed), in hundredths; 0: not known.
+  void learnSpeed(std::uint32_t percent) { speedPercent_ = percent; }
+  std::uint32_t speedPercent() const { return speedPercent_; }
+
   /// The answer to a request that had been sent began after so long.
   void learnWait(base::Duration took);
   /// How long a request that is sent now may wait until it begins, from the latest waits and from
@@ -82,6 +86,7 @@
   base::TimePoint changingUntil_{};
   base::TimePoint fullUntil_{};
   ReadSpeed readSpeed_;
+  std::uint32_t speedPercent_ = 0;
   /// Follows longer waits at once and shorter ones slowly.
   base::Duration recentWait_{};
   std::uint32_t inFlight_ = 0;
--- a/src/routing/replica_ledger.cc
+++ b/src/routing/replica_ledger.cc
@@ -1,17 +1,35 @@
 #include "routing/replica_ledger.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace covewing::routing {
 
-void ReplicaLedger::grant(std::uint64_t id, const PlacementWork& work,
-                          const PlacementTerms& /*terms*/, GrantedPrompt prompt,
-                          base::TimePoint now) {
+void ReplicaLedger::grant(std::uint64_t id, const PlacementWork& work, const PlacementTerms& terms,
+                          GrantedPrompt prompt, base::TimePoint now) {
   const auto reading = readSpeed_.time(work.unread);
-  const auto [entry, added] =
-      grants_.try_emplace(id, Grant{work, std::move(prompt), now, reading, false});
-  if (added) health_.onDispatched(now, reading);
+  const auto [entry, added] = grants_.try_emplace(
+      id, Grant{work, std::move(prompt), now, reading, terms.longestPause, false, {}});
+  if (!added) return;
+  health_.onDispatched(now, reading);
+  noteBeside(0);
+}
+
+void ReplicaLedger::noteBeside(std::uint64_t read) {
+  constexpr double kSmoothing = 0.1;
+  PaceLoad current;
+  for (const auto& [id, grant] : grants_) {
+    ++current.running;
+    if (!grant.begun) current.unread += grant.work.unread;
+  }
+  usualUnread_ += kSmoothing * (static_cast<double>(current.unread) - usualUnread_);
+  for (auto& [id, grant] : grants_) {
+    if (!grant.begun) continue;
+    grant.beside.running = std::max(grant.beside.running, current.running);
+    grant.beside.unread = std::max(grant.beside.unread, current.unread);
+    grant.beside.read += read;
+  }
 }
 
 void ReplicaLedger::noteBegun(Grant& grant, base::TimePoint now) {
@@ -24,17 +42,20 @@
   const auto entry = grants_.find(id);
   if (entry == grants_.end() || entry->second.begun) return std::nullopt;
   readSpeed_.learn(entry->second.work.unread, now - entry->second.at);
+  // Those that ran before had this prompt read beside them; the new stream had not.
+  noteBeside(entry->second.work.unread);
   noteBegun(entry->second, now);
   return std::move(entry->second.prompt);
 }
 
-void ReplicaLedger::end(const PlacementEnded& ended, base::NodeId /*node*/, double serviceRate,
+void ReplicaLedger::end(const PlacementEnded& ended, base::NodeId node, double serviceRate,
                         base::TimePoint now) {
   constexpr int kSmoothing = 8;
   const auto entry = grants_.find(ended.id);
   if (entry == grants_.end()) return;
   noteBegun(entry->second, now);
   const auto ran = now - entry->second.at;
+  pace_.learn(ended.observed, entry->second.beside, node, now);
   grants_.erase(entry);
   switch (ended.outcome) {
     case PlacementOutcome::kServed:
@@ -99,14 +120,26 @@
   return wait;
 }
 
-bool ReplicaLedger::keepsPauses(const PlacementWork& /*work*/, const PlacementTerms& /*terms*/,
-                                base::TimePoint /*now*/) {
-  return true;
+bool ReplicaLedger::keepsPauses(const PlacementWork& work, const PlacementTerms& terms,
+                                base::TimePoint now) {
+  const auto current = load(now);
+  // What waits now is read before the new stream begins; it meets what usually comes later.
+  const PaceLoad met{current.requests + 1, static_cast<std::uint64_t>(usualUnread_), 0};
+  const PaceLoad added{current.requests + 1, current.unreadTokens + work.unread, 0};
+  const auto own = pace_.expectedLongestPause(met, now);
+  const auto others = pace_.expectedLongestPause(added, now);
+  if (!own || !others) return true;
+  if (terms.longestPause > base::Duration::zero() && *own > terms.longestPause) return false;
+  return std::ranges::all_of(grants_, [&](const auto& entry) {
+    const auto& grant = entry.second;
+    const bool bounded = grant.begun && grant.longestPause > base::Duration::zero();
+    return !bounded || *others <= grant.longestPause;
+  });
 }
 
 std::uint32_t ReplicaLedger::speedPercent() const {
-  constexpr std::uint32_t kUsual = 100;
-  return kUsual;
+  constexpr double kPercent = 100;
+  return static_cast<std::uint32_t>(std::lround(pace_.speed().value_or(0) * kPercent));
 }
 
 bool ReplicaLedger::available(base::TimePoint now) {
--- a/src/routing/replica_ledger.h
+++ b/src/routing/replica_ledger.h
@@ -17,6 +17,7 @@
 #include "routing/placement_messages.h"
 #include "routing/read_speed.h"
 #include "routing/replica_health.h"
+#include "routing/replica_pace.h"
 
 namespace covewing::routing {
 
@@ -63,7 +64,7 @@
   /// Whether the pauses of the request's stream, and of those that run, stay within what their
   /// routes allow when it is added.
   bool keepsPauses(const PlacementWork& work, const PlacementTerms& terms, base::TimePoint now);
-  /// Speed relative to the service's other replicas, in hundredths.
+  /// Speed of the replica (ReplicaPace::speed) in hundredths; 0 while unknown.
   std::uint32_t speedPercent() const;
   /// Whether requests may be sent there, by what all nodes found.
   bool available(base::TimePoint now);
@@ -75,12 +76,18 @@
     GrantedPrompt prompt;
     base::TimePoint at{};
     base::Duration reading{};
+    /// Zero: its stream may pause for any time.
+    base::Duration longestPause{};
     bool begun = false;
+    /// Beside its stream, since it began.
+    PaceLoad beside{};
   };
   using Grants = std::unordered_map<std::uint64_t, Grant>;
 
   void dropLapsed(base::TimePoint now);
   void noteBegun(Grant& grant, base::TimePoint now);
+  /// The work beside running streams changed; `read` tokens of a prompt were read meanwhile.
+  void noteBeside(std::uint64_t read);
   /// Time until a place is free, by how many requests are too many.
   base::Duration timeForPlace(const ReplicaLoad& load, const PlacementWork& work) const;
 
@@ -88,6 +95,9 @@
   Grants grants_;
   ReadSpeed readSpeed_;
   ReplicaHealth health_;
+  ReplicaPace pace_;
+  /// Running mean of what waits to be read there, for what a new stream will meet.
+  double usualUnread_ = 0;
   base::Duration runTime_{options_.firstRunTime};
   base::TimePoint fullUntil_{};
 };
--- a/src/routing/replica_pace.h
+++ b/src/routing/replica_pace.h
@@ -7,11 +7,19 @@
 /// is in time is late all the same when a pause between two pieces is longer than its route allows.
 ///
 /// Written by nodes, which time the pieces of each stream and report them to the replica's home
-/// when the stream ends or has been slow (routing/placement_messages.h); kept at the home, one for
-/// each run of a replica. No network, no clock of its own.
+/// when the stream ends (routing/placement_messages.h); kept at the home, one for each run of a
+/// replica. No network, no clock of its own.
+///
+/// The mean pause is a straight line over the tokens read beside a stream: time for the steps of a
+/// piece, and time for reading. The longest pause of a stream is a running quantile of the factor
+/// by which it exceeds that line, by how much waited to be read: replicas read a bounded part of it
+/// between two pieces, so the factor falls as more waits, and moments of slowness raise it.
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "base/ids.h"
 #include "base/time.h"
@@ -31,24 +39,71 @@
   bool operator==(const StreamObservation&) const = default;
 };
 
-/// Work at the replica that a pace is asked for.
+/// Work at the replica that a pace is asked for, or that was there beside a stream.
 struct PaceLoad {
   std::uint32_t running = 0;
-  /// Tokens of prompts to be read.
+  /// Tokens of prompts to be read; beside a stream: the most that waited at once.
   std::uint64_t unread = 0;
+  /// Tokens of prompts that were read beside a stream in all.
+  std::uint64_t read = 0;
 };
 
 class ReplicaPace {
  public:
-  /// Absurd observations (negative, beyond any caller's patience) are passed over.
+  /// Absurd observations (negative, beyond any caller's patience), streams of too few pieces and
+  /// what a node saw that was slow itself are passed over.
   void learn(const StreamObservation& observation, const PaceLoad& load, base::NodeId node,
              base::TimePoint now);
   /// The pause that all but a few streams stay under with this load; empty while unknown.
   std::optional<base::Duration> expectedLongestPause(const PaceLoad& load,
                                                      base::TimePoint now) const;
-  /// Speed relative to the service's others: 1 is usual, 2 twice as fast. In steps, with
-  /// hysteresis; 1 while unknown.
-  double speed() const;
+  /// Speed relative to a replica that makes a piece in kReferencePause while it reads nothing. In
+  /// steps, with hysteresis; empty while unknown.
+  std::optional<double> speed() const { return speed_; }
+  /// Streams more than twice as slow as usual were seen by two nodes of late; a stream now and then
+  /// finds the replica well again.
+  bool slow(base::TimePoint now) const;
+
+  static constexpr base::Duration kReferencePause = std::chrono::milliseconds(30);
+
+ private:
+  /// Sums of a regression of the mean pause (us) over thousands of tokens read for each pause.
+  struct Sums {
+    double weight = 0;
+    double read = 0;
+    double readSquared = 0;
+    double pause = 0;
+    double pauseRead = 0;
+  };
+  /// Classes of how much waits to be read; the upper bounds are in replica_pace.cc.
+  static constexpr std::size_t kClasses = 6;
+  struct Excess {
+    /// Logarithm of the factor between the longest pause and the mean one.
+    double logarithm = 0.4;
+    std::uint32_t seen = 0;
+  };
+
+  bool usable(const StreamObservation& observation) const;
+  void learnMean(double pause, double read, double weight);
+  void learnExcess(const StreamObservation& observation, const PaceLoad& load);
+  void learnSlowness(double ratio, base::NodeId node, base::TimePoint now);
+  void updateSpeed();
+  /// Microseconds of a pause while so many thousand tokens are read.
+  double line(double thousands) const;
+  double slowdown(base::TimePoint now) const;
+
+  Sums sums_;
+  std::uint32_t seen_ = 0;
+  /// Of the line, in us and us for a thousand tokens.
+  double step_ = 0;
+  double reading_ = 0;
+  std::array<Excess, kClasses> excess_;
+  std::optional<double> speed_;
+  /// How many times slower than usual the latest streams were, when, and who saw it.
+  bool slow_ = false;
+  double slowness_ = 1;
+  base::TimePoint slowAt_{};
+  std::optional<base::NodeId> slowSeenBy_;
 };
 
 }  // namespace covewing::routing
