--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -245,7 +245,8 @@
 void ReplicaChoice::sortByHome(Candidates& candidates, const ReplicaQuery& query) const {
   base::WeightsVersion newest = 0;
   for (const auto& record : candidates) newest = std::max(newest, record->versionOf(query.model));
-  const auto usualSpeed = medianSpeed(candidates);
+  const bool readsMuch = query.chain->sharedTokens() >= options_.nearTokens;
+  const auto usualSpeed = readsMuch ? medianSpeed(candidates) : 0;
   const auto weight = [&](const ReplicaRecord& record) {
     const double ofVersion = record.versionOf(query.model) == newest ? options_.newestWeight : 1.0;
     return ofVersion * speedWeight(record, usualSpeed);
