--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -93,12 +93,12 @@
     pending.request.candidates[pending.position].record->learnSpeed(answer.speedPercent);
   if (answer.granted()) return true;
   const auto place = static_cast<base::Duration::rep>(pending.position);
-  const auto cost = answer.wait + margin * place;
+  const auto cost = answer.wait + answer.pauseExcess + margin * place;
   if (!pending.shortestWait || answer.wait < *pending.shortestWait)
     pending.shortestWait = answer.wait;
   const bool soonEnough = answer.usable && answer.wait <= pending.request.longestWait;
-  const Best offered{pending.position, cost, answer};
-  if (soonEnough && (!pending.best || offered.betterThan(*pending.best))) pending.best = offered;
+  if (soonEnough && (!pending.best || cost < pending.best->cost))
+    pending.best = Best{pending.position, cost, answer};
   return false;
 }
 
@@ -222,7 +222,8 @@
   const auto matched = std::min(question.promptTokens, answer.matchedTokens);
   work.unread = std::min(work.unread, question.promptTokens - matched);
   answer.wait = ledger.expectedWait(work, now);
-  answer.keepsPauses = ledger.keepsPauses(work, question.terms, now);
+  answer.pauseExcess = ledger.pauseExcess(work, question.terms, now);
+  answer.keepsPauses = answer.pauseExcess == base::Duration::zero();
   const bool granted = answer.usable && answer.keepsPauses && answer.wait <= question.patience;
   if (granted) answer.verdict = PlacementVerdict::kGranted;
   if (granted)
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -138,12 +138,6 @@
     std::size_t candidate = 0;
     base::Duration cost{};
     PlacementAnswer answer;
-
-    /// Pauses within their bounds count for more than a shorter wait.
-    bool betterThan(const Best& other) const {
-      if (answer.keepsPauses != other.answer.keepsPauses) return answer.keepsPauses;
-      return cost < other.cost;
-    }
   };
   /// A request whose homes are being asked.
   struct Pending {
--- a/src/routing/placement_messages.cc
+++ b/src/routing/placement_messages.cc
@@ -19,7 +19,7 @@
 };
 
 constexpr std::uint32_t kQuestionFields = 20;
-constexpr std::uint32_t kAnswerFields = 13;
+constexpr std::uint32_t kAnswerFields = 14;
 constexpr std::uint32_t kTakenFields = 8;
 constexpr std::uint32_t kBegunFields = 3;
 constexpr std::uint32_t kEndedFields = 8;
@@ -64,7 +64,8 @@
   writer.unsignedInteger(answer.version).unsignedInteger(answer.matchedTokens);
   writer.unsignedInteger(answer.queued).signedInteger(answer.within.count());
   writer.signedInteger(answer.retryAfter.count());
-  writer.boolean(answer.keepsPauses).unsignedInteger(answer.speedPercent);
+  writer.boolean(answer.keepsPauses).signedInteger(answer.pauseExcess.count());
+  writer.unsignedInteger(answer.speedPercent);
 }
 
 void write(base::Writer& writer, const PlacementTaken& taken) {
@@ -166,6 +167,7 @@
   answer.within = base::Duration{reader.signedInteger()};
   answer.retryAfter = base::Duration{reader.signedInteger()};
   answer.keepsPauses = reader.boolean();
+  answer.pauseExcess = base::Duration{reader.signedInteger()};
   answer.speedPercent = readCount(reader);
   return answer;
 }
--- a/src/routing/placement_messages.h
+++ b/src/routing/placement_messages.h
@@ -119,6 +119,8 @@
   base::Duration retryAfter{};
   /// False where the stream, or one that runs there, would pause for longer than its route allows.
   bool keepsPauses = true;
+  /// By how much these streams' longest pauses are expected to exceed what is allowed, summed.
+  base::Duration pauseExcess{};
   /// Speed of the replica (ReplicaPace::speed) in hundredths; 0: not known.
   std::uint32_t speedPercent = 0;
 
--- a/src/routing/replica_ledger.cc
+++ b/src/routing/replica_ledger.cc
@@ -120,21 +120,23 @@
   return wait;
 }
 
-bool ReplicaLedger::keepsPauses(const PlacementWork& work, const PlacementTerms& terms,
-                                base::TimePoint now) {
+base::Duration ReplicaLedger::pauseExcess(const PlacementWork& work, const PlacementTerms& terms,
+                                          base::TimePoint now) {
   const auto current = load(now);
   // What waits now is read before the new stream begins; it meets what usually comes later.
   const PaceLoad met{current.requests + 1, static_cast<std::uint64_t>(usualUnread_), 0};
   const PaceLoad added{current.requests + 1, current.unreadTokens + work.unread, 0};
   const auto own = pace_.expectedLongestPause(met, now);
   const auto others = pace_.expectedLongestPause(added, now);
-  if (!own || !others) return true;
-  if (terms.longestPause > base::Duration::zero() && *own > terms.longestPause) return false;
-  return std::ranges::all_of(grants_, [&](const auto& entry) {
-    const auto& grant = entry.second;
-    const bool bounded = grant.begun && grant.longestPause > base::Duration::zero();
-    return !bounded || *others <= grant.longestPause;
-  });
+  if (!own || !others) return {};
+  const auto beyond = [](base::Duration pause, base::Duration bound) {
+    const bool bounded = bound > base::Duration::zero();
+    return bounded ? std::max(pause - bound, base::Duration::zero()) : base::Duration::zero();
+  };
+  auto excess = beyond(*own, terms.longestPause);
+  for (const auto& [id, grant] : grants_)
+    if (grant.begun) excess += beyond(*others, grant.longestPause);
+  return excess;
 }
 
 std::uint32_t ReplicaLedger::speedPercent() const {
--- a/src/routing/replica_ledger.h
+++ b/src/routing/replica_ledger.h
@@ -61,9 +61,10 @@
   /// Whether the replica and its memory take the request: a few more requests than run at once may
   /// wait there, the others are better held where they can still go elsewhere.
   bool hasRoom(const PlacementWork& work, base::TimePoint now);
-  /// Whether the pauses of the request's stream, and of those that run, stay within what their
-  /// routes allow when it is added.
-  bool keepsPauses(const PlacementWork& work, const PlacementTerms& terms, base::TimePoint now);
+  /// By how much the longest pauses of the request's stream and of those that run are expected to
+  /// exceed what their routes allow when it is added, summed; zero while the pace is unknown.
+  base::Duration pauseExcess(const PlacementWork& work, const PlacementTerms& terms,
+                             base::TimePoint now);
   /// Speed of the replica (ReplicaPace::speed) in hundredths; 0 while unknown.
   std::uint32_t speedPercent() const;
   /// Whether requests may be sent there, by what all nodes found.
