--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -60,7 +60,7 @@
   constexpr double kMost = 3;
   if (usual <= 0 || record.speedPercent() == 0) return 1;
   const double ratio = std::clamp(record.speedPercent() / usual, 1 / kMost, kMost);
-  return ratio < kNear && ratio > 1 / kNear ? 1 : ratio;
+  return ratio < kNear && ratio > 1 / kNear ? 1 : ratio * ratio;
 }
 
 }  // namespace
