--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -53,16 +53,6 @@
   return *middle;
 }
 
-/// The share of the work that a replica of this speed gets; 1 near the usual speed, so that
-/// measurements that scatter move no part from its home.
-double speedWeight(const ReplicaRecord& record, double usual) {
-  constexpr double kNear = 1.3;
-  constexpr double kMost = 3;
-  if (usual <= 0 || record.speedPercent() == 0) return 1;
-  const double ratio = std::clamp(record.speedPercent() / usual, 1 / kMost, kMost);
-  return ratio < kNear && ratio > 1 / kNear ? 1 : ratio * ratio;
-}
-
 }  // namespace
 
 std::string cacheSalt(base::WeightsVersion version, std::string_view isolatedTenant) {
@@ -249,7 +239,7 @@
   const auto usualSpeed = readsMuch ? medianSpeed(candidates) : 0;
   const auto weight = [&](const ReplicaRecord& record) {
     const double ofVersion = record.versionOf(query.model) == newest ? options_.newestWeight : 1.0;
-    return ofVersion * speedWeight(record, usualSpeed);
+    return ofVersion * shareOfReading(record.speedPercent(), usualSpeed);
   };
   sortByRendezvous(candidates, *query.chain->deepestShared(), weight);
   if (query.longRun) {
--- a/src/routing/replica_pace.cc
+++ b/src/routing/replica_pace.cc
@@ -143,6 +143,14 @@
   if (!near) speed_ = speed;
 }
 
+double shareOfReading(double speed, double usualSpeed) {
+  constexpr double kNear = 1.3;
+  constexpr double kMost = 3;
+  if (speed <= 0 || usualSpeed <= 0) return 1;
+  const double ratio = std::clamp(speed / usualSpeed, 1 / kMost, kMost);
+  return ratio < kNear && ratio > 1 / kNear ? 1 : ratio * ratio;
+}
+
 std::optional<base::Duration> ReplicaPace::expectedLongestPause(const PaceLoad& load,
                                                                 base::TimePoint now) const {
   if (seen_ < kFewestStreams) return std::nullopt;
--- /dev/null
+++ b/tests/routing/replica_pace_test.cc
@@ -0,0 +1,188 @@
+// What is learned of a replica's speed from the streams that nodes saw, and what is not believed.
+#include "routing/replica_pace.h"
+
+#include <boost/test/unit_test.hpp>
+#include <limits>
+#include <string>
+
+#include "base/random.h"
+
+namespace covewing::routing {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint32_t kPauses = 40;
+constexpr PaceLoad kNothingRead{1, 0, 0};
+
+struct PaceFixture {
+  /// A stream whose pauses are all alike, seen by the next of ten nodes.
+  void see(base::Duration pause, const PaceLoad& load = kNothingRead) {
+    seeFrom(number++ % 10, pause, load);
+  }
+  void seeFrom(int node, base::Duration pause, const PaceLoad& load = kNothingRead) {
+    pace.learn({kPauses, pause * kPauses, pause, {}}, load, base::nodeIdOf(std::to_string(node)),
+               now);
+    now += milliseconds(100);
+  }
+  base::Duration expected(std::uint64_t unread = 0) const {
+    return pace.expectedLongestPause({1, unread, 0}, now).value();
+  }
+
+  int number = 0;
+  base::TimePoint now{seconds(100)};
+  base::SeededRandom random{3};
+  ReplicaPace pace;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ReplicaPaceTest, PaceFixture)
+
+BOOST_AUTO_TEST_CASE(NothingIsSaidUntilSomeStreamsWereSeen) {
+  for (int count = 0; count < 3; ++count) see(milliseconds(30));
+  BOOST_TEST(!pace.expectedLongestPause(kNothingRead, now).has_value());
+  BOOST_TEST(!pace.speed().has_value());
+  see(milliseconds(30));
+  BOOST_TEST(pace.expectedLongestPause(kNothingRead, now).has_value());
+  BOOST_TEST(pace.speed().value() == 1.0, boost::test_tools::tolerance(0.01));
+}
+
+BOOST_AUTO_TEST_CASE(SpeedIsThatOfTheStepsWhateverIsReadBeside) {
+  // 50 ms for the steps of a piece, 40 us for each token that is read beside it.
+  for (int count = 0; count < 60; ++count) {
+    const auto tokens = static_cast<std::uint64_t>(count % 5) * 200;
+    see(milliseconds(50) + std::chrono::microseconds(40) * tokens, {4, tokens, tokens * kPauses});
+  }
+  BOOST_TEST(pace.speed().value() == 0.6, boost::test_tools::tolerance(0.1));
+}
+
+BOOST_AUTO_TEST_CASE(PauseGrowsWithWhatWaitsToBeRead) {
+  for (int count = 0; count < 60; ++count) {
+    const auto tokens = static_cast<std::uint64_t>(count % 4) * 1500;
+    const auto longest = milliseconds(50) + std::chrono::microseconds(40) * tokens;
+    pace.learn({kPauses, milliseconds(50) * kPauses + std::chrono::microseconds(40) * tokens,
+                longest, {}},
+               {4, tokens, tokens}, base::nodeIdOf(std::to_string(count % 10)), now);
+    now += milliseconds(100);
+  }
+  BOOST_TEST((expected() >= milliseconds(45)));
+  BOOST_TEST((expected() <= milliseconds(75)));
+  BOOST_TEST((expected(4500) >= milliseconds(180)));
+  BOOST_TEST((expected(4500) <= milliseconds(330)));
+}
+
+BOOST_AUTO_TEST_CASE(LongestPausesOfAFewStreamsCountThoughTheMeanIsShort) {
+  for (int count = 0; count < 80; ++count) {
+    const auto longest = count % 3 == 0 ? milliseconds(120) : milliseconds(40);
+    pace.learn({kPauses, milliseconds(35) * kPauses, longest, {}}, kNothingRead,
+               base::nodeIdOf(std::to_string(count % 10)), now);
+    now += milliseconds(100);
+  }
+  BOOST_TEST((expected() >= milliseconds(100)));
+}
+
+BOOST_AUTO_TEST_CASE(AbsurdObservationsArePassedOver) {
+  for (int count = 0; count < 20; ++count) see(milliseconds(30));
+  const auto before = expected();
+  const auto speed = pace.speed().value();
+  const auto huge = base::Duration::max();
+  const auto most = std::numeric_limits<std::uint32_t>::max();
+  const StreamObservation absurd[] = {
+      {},
+      {kPauses, seconds(-3), milliseconds(30), {}},
+      {kPauses, seconds(1), milliseconds(-30), {}},
+      {kPauses, huge, huge, {}},
+      {kPauses, seconds(1), seconds(2), {}},
+      {1, seconds(1), seconds(1), {}},
+      {kPauses, seconds(100), seconds(90), seconds(5)},
+      {kPauses, seconds(100), seconds(90), seconds(-5)},
+      {kPauses, base::Duration::min(), huge, huge},
+  };
+  for (int count = 0; count < 5; ++count)
+    for (const auto& one : absurd)
+      pace.learn(one, kNothingRead, base::nodeIdOf(std::to_string(count)), now);
+  BOOST_TEST((expected() == before));
+  BOOST_TEST(pace.speed().value() == speed);
+  // Counts that cannot be, in a stream that could: bounded, not refused.
+  pace.learn({most, seconds(60), milliseconds(30), {}}, kNothingRead, base::nodeIdOf("a"), now);
+  pace.learn({kPauses, seconds(1), milliseconds(30), {}},
+             {1, std::numeric_limits<std::uint64_t>::max(), 0}, base::nodeIdOf("a"), now);
+  BOOST_TEST((expected() <= 2 * before));
+  BOOST_TEST((expected() >= before / 2));
+}
+
+BOOST_AUTO_TEST_CASE(OneNodeThatSeesAllSlowDoesNotMakeAReplicaSlow) {
+  for (int count = 0; count < 30; ++count) see(milliseconds(30));
+  const auto speed = pace.speed().value();
+  for (int count = 0; count < 60; ++count) {
+    if (count % 10 == 0) {
+      seeFrom(77, milliseconds(300));
+    } else {
+      see(milliseconds(30));
+    }
+    BOOST_TEST(!pace.slow(now));
+  }
+  BOOST_TEST(pace.speed().value() > speed * 0.6);
+}
+
+BOOST_AUTO_TEST_CASE(SlowMomentIsFoundByTheSecondStreamAndItsEndByProbes) {
+  for (int count = 0; count < 30; ++count) see(milliseconds(30));
+  const auto usual = expected();
+  see(milliseconds(105));
+  BOOST_TEST(!pace.slow(now));
+  see(milliseconds(105));
+  BOOST_TEST(pace.slow(now));
+  BOOST_TEST((expected() > usual * 2));
+  // Nothing is sent there: it counts as well again after a while, so that one stream goes there.
+  now += seconds(4);
+  BOOST_TEST(!pace.slow(now));
+  see(milliseconds(105));
+  see(milliseconds(105));
+  BOOST_TEST(pace.slow(now));
+  now += seconds(4);
+  see(milliseconds(30));
+  see(milliseconds(30));
+  BOOST_TEST(!pace.slow(now));
+}
+
+BOOST_AUTO_TEST_CASE(ShortMomentsDoNotMakeAReplicaSlowByTurns) {
+  // One stream in seven is slower by 2.5; the state may not change with each.
+  int changes = 0;
+  bool before = false;
+  for (int count = 0; count < 700; ++count) {
+    see(random.below(7) == 0 ? milliseconds(75) : milliseconds(30));
+    changes += pace.slow(now) != before ? 1 : 0;
+    before = pace.slow(now);
+  }
+  BOOST_TEST(changes <= 4);
+}
+
+BOOST_AUTO_TEST_CASE(SpeedToldKeepsStillWhileMeasurementsScatter) {
+  for (int count = 0; count < 40; ++count) see(milliseconds(30));
+  auto told = pace.speed().value();
+  int changes = 0;
+  for (int count = 0; count < 500; ++count) {
+    see(milliseconds(20) + milliseconds(random.below(20)));
+    changes += pace.speed().value() != told ? 1 : 0;
+    told = pace.speed().value();
+  }
+  BOOST_TEST(changes <= 2);
+  BOOST_TEST(shareOfReading(told, 1.0) == 1.0);
+}
+
+BOOST_AUTO_TEST_CASE(SharesFollowSpeedOnlyWhereItDiffersForSure) {
+  BOOST_TEST(shareOfReading(0, 1) == 1.0);
+  BOOST_TEST(shareOfReading(1, 0) == 1.0);
+  BOOST_TEST(shareOfReading(1.2, 1) == 1.0);
+  BOOST_TEST(shareOfReading(0.85, 1) == 1.0);
+  BOOST_TEST(shareOfReading(1.6, 1) / shareOfReading(0.6, 1) > 2.7);
+  BOOST_TEST(shareOfReading(1e9, 1) <= 9.0);
+  BOOST_TEST(shareOfReading(1e-9, 1) > 0.1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::routing
