--- a/tests/routing/replica_choice_test.cc
+++ b/tests/routing/replica_choice_test.cc
@@ -130,6 +130,36 @@
   BOOST_TEST(homes[1] + homes[2] == kParts);
 }
 
+BOOST_AUTO_TEST_CASE(LongPromptsHaveTheirHomesBySpeedAndShortOnesEvenly) {
+  constexpr int kParts = 600;
+  const auto homes = [&](const char* shared) {
+    std::map<std::string, int> count;
+    for (int part = 0; part < kParts; ++part) {
+      chain = *prefix::PartChain::parse(std::to_string(part) + "a:" + shared + ",cc:200");
+      ++count[choose().replica->facts().instance];
+    }
+    return count;
+  };
+  const auto unknown = homes("900");
+  replicas.find("r1")->learnSpeed(60);
+  replicas.find("r2")->learnSpeed(100);
+  replicas.find("r3")->learnSpeed(110);
+  replicas.find("r4")->learnSpeed(270);
+  auto ofLong = homes("900");
+  BOOST_TEST(ofLong["r4"] > 3 * ofLong["r1"]);
+  BOOST_TEST(ofLong["r2"] > ofLong["r1"]);
+  auto ofShort = homes("300");
+  BOOST_TEST(ofShort["r1"] > kParts / 6);
+  BOOST_TEST(ofShort["r4"] < kParts / 3);
+  // Speeds that hardly differ move no part, nor do those of too few replicas.
+  replicas.find("r1")->learnSpeed(95);
+  replicas.find("r4")->learnSpeed(120);
+  BOOST_TEST((homes("900") == unknown));
+  for (const char* name : {"r1", "r2"}) replicas.find(name)->learnSpeed(0);
+  replicas.find("r4")->learnSpeed(500);
+  BOOST_TEST((homes("900") == unknown));
+}
+
 BOOST_AUTO_TEST_CASE(PartsKeepTheirHomesWhenAnotherReplicaGoes) {
   constexpr int kParts = 100;
   std::vector<std::string> homes;
