--- a/src/routing/placement_messages.cc
+++ b/src/routing/placement_messages.cc
@@ -19,8 +19,8 @@
 };
 
 constexpr std::uint32_t kQuestionFields = 20;
-constexpr std::uint32_t kAnswerFields = 13;
-constexpr std::uint32_t kTakenFields = 7;
+constexpr std::uint32_t kAnswerFields = 14;
+constexpr std::uint32_t kTakenFields = 8;
 constexpr std::uint32_t kBegunFields = 3;
 constexpr std::uint32_t kEndedFields = 8;
 constexpr std::uint32_t kPartFields = 2;
@@ -64,13 +64,15 @@
   writer.unsignedInteger(answer.version).unsignedInteger(answer.matchedTokens);
   writer.unsignedInteger(answer.queued).signedInteger(answer.within.count());
   writer.signedInteger(answer.retryAfter.count());
-  writer.boolean(answer.keepsPauses).unsignedInteger(answer.speedPercent);
+  writer.boolean(answer.keepsPauses).signedInteger(answer.pauseExcess.count());
+  writer.unsignedInteger(answer.speedPercent);
 }
 
 void write(base::Writer& writer, const PlacementTaken& taken) {
   begin(writer, kTakenFields, MessageType::kTaken).unsignedInteger(taken.id);
   writer.unsignedInteger(taken.replica.value);
   write(writer, taken.work);
+  writer.signedInteger(taken.longestPause.count());
 }
 
 void write(base::Writer& writer, const PlacementBegun& begun) {
@@ -165,6 +167,7 @@
   answer.within = base::Duration{reader.signedInteger()};
   answer.retryAfter = base::Duration{reader.signedInteger()};
   answer.keepsPauses = reader.boolean();
+  answer.pauseExcess = base::Duration{reader.signedInteger()};
   answer.speedPercent = readCount(reader);
   return answer;
 }
@@ -174,6 +177,7 @@
   taken.id = reader.unsignedInteger();
   taken.replica = readReplica(reader);
   taken.work = readWork(reader);
+  taken.longestPause = base::Duration{reader.signedInteger()};
   return taken;
 }
 
--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -41,6 +41,18 @@
                          [](Scored& one) { return std::move(one.record); });
 }
 
+/// Median of the candidates' speeds in hundredths; 0 while too few are known.
+double medianSpeed(const std::vector<ReplicaRecordPtr>& candidates) {
+  constexpr std::size_t kFewestKnown = 3;
+  std::vector<std::uint32_t> known;
+  for (const auto& record : candidates)
+    if (record->speedPercent() > 0) known.push_back(record->speedPercent());
+  if (known.size() < kFewestKnown) return 0;
+  const auto middle = known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
+  std::ranges::nth_element(known, middle);
+  return *middle;
+}
+
 }  // namespace
 
 std::string cacheSalt(base::WeightsVersion version, std::string_view isolatedTenant) {
@@ -227,8 +239,11 @@
 void ReplicaChoice::sortByHome(Candidates& candidates, const ReplicaQuery& query) const {
   base::WeightsVersion newest = 0;
   for (const auto& record : candidates) newest = std::max(newest, record->versionOf(query.model));
+  const bool readsMuch = query.chain->sharedTokens() >= options_.nearTokens;
+  const auto usualSpeed = readsMuch ? medianSpeed(candidates) : 0;
   const auto weight = [&](const ReplicaRecord& record) {
-    return record.versionOf(query.model) == newest ? options_.newestWeight : 1.0;
+    const double ofVersion = record.versionOf(query.model) == newest ? options_.newestWeight : 1.0;
+    return ofVersion * shareOfReading(record.speedPercent(), usualSpeed);
   };
   sortByRendezvous(candidates, *query.chain->deepestShared(), weight);
   if (query.longRun) {
