Rollout of weights: an even pace, and no place for a replica that does not answer

A version is to be in force 10 s after it was named. Ruled out: the lease's settling (it was acquired 14 s earlier), fencing, refused orders (none).

Now n * c / T replicas are away (n left to begin, c seconds observed for a change, T until the date), which leaves as many to callers before the date as after it; at most 0.4 of those that can be reached. One that has not answered for 0.5 s takes no place, is asked further, and is changed as soon as it answers. An ordered replica counts half a place for loads until its runs have ended. The plan is a module without network (coordination/rollout_plan).

Tests that changed: the fake replica now ends its runs before it loads, as an order that waits for runs does. ReplicasWithoutWaitingRequestsLoadInTurnAlsoAfterTheBound had runs that never end and yet loaded; its runs now end one after the other, under the same bound, and two tests were added beside it: the bound without runs, and the number of ordered replicas whose runs go on.

--- /dev/null
+++ b/src/coordination/rollout_plan.cc
@@ -0,0 +1,103 @@
+#include "coordination/rollout_plan.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "routing/replica_choice.h"
+
+namespace covewing::coordination {
+
+std::size_t RolloutPlan::mostAwayOf(const RolloutView& view) const {
+  const double most = static_cast<double>(view.served.size()) * options_.mostAway;
+  return std::max<std::size_t>(1, static_cast<std::size_t>(most));
+}
+
+std::size_t RolloutPlan::awayNeeded(const RolloutView& view) const {
+  double perSecond = 0;
+  for (const auto& target : view.targets) {
+    const auto left = std::ranges::count_if(view.served, [&](const auto& record) {
+      return record->versionOf(view.model) < target.version &&
+             !view.begun.contains(record->facts().instance);
+    });
+    const auto time = std::max(target.olderForbiddenFrom - view.now, options_.leastTime);
+    perSecond = std::max(perSecond, static_cast<double>(left) / base::toSeconds(time));
+  }
+  const double needed = std::ceil(perSecond * base::toSeconds(view.changeTime));
+  return std::min(static_cast<std::size_t>(needed), mostAwayOf(view));
+}
+
+bool RolloutPlan::relieved(const RolloutView& view, base::WeightsVersion version, std::size_t newer,
+                           std::size_t held) {
+  const std::pair key{view.model, version};
+  if (newer < view.longRunReplicas) {
+    relievedSince_.erase(key);
+  } else {
+    relievedSince_.try_emplace(key, view.now);
+  }
+  const auto since = relievedSince_.find(key);
+  if (since != relievedSince_.end() && view.now - since->second >= options_.longRunsEnd)
+    return true;
+  const auto due = std::ranges::find_if(
+      view.targets, [version](const auto& target) { return target.version > version; });
+  // As many as may be away change in one turn.
+  const auto turns = std::max<std::size_t>(1, (held + mostAwayOf(view) - 1) / mostAwayOf(view));
+  return due != view.targets.end() &&
+         due->olderForbiddenFrom - view.now <=
+             view.changeTime * static_cast<std::int64_t>(turns) + options_.longRunSlack;
+}
+
+std::set<std::string> RolloutPlan::waitingForLongRuns(const RolloutView& view) {
+  std::set<std::string> waiting;
+  if (view.longRunReplicas == 0 || view.served.size() < options_.leastForLongRuns) return waiting;
+  // The newest first; of one version, those that take the long runs first.
+  auto served = view.served;
+  std::ranges::sort(served, [&view](const auto& left, const auto& right) {
+    return routing::takesLongRunsBefore(view.model, *left, *right);
+  });
+  std::size_t newer = 0;
+  for (auto first = served.begin(); first != served.end();) {
+    const auto version = (*first)->versionOf(view.model);
+    const auto end = std::find_if(first, served.end(), [&](const auto& record) {
+      return record->versionOf(view.model) != version;
+    });
+    const auto count = static_cast<std::size_t>(end - first);
+    const auto held = std::min(count, view.longRunReplicas);
+    if (version < view.targets.back().version && !relieved(view, version, newer, held)) {
+      for (std::size_t index = 0; index < held; ++index)
+        waiting.insert(first[static_cast<std::ptrdiff_t>(index)]->facts().instance);
+    }
+    newer += count;
+    first = end;
+  }
+  return waiting;
+}
+
+RolloutStep RolloutPlan::next(const RolloutView& view) {
+  RolloutStep step;
+  step.mostAway = awayNeeded(view);
+  const double loading = std::ceil(static_cast<double>(view.served.size()) * options_.mostLoading);
+  step.mostLoading = std::max<std::size_t>(1, static_cast<std::size_t>(loading));
+
+  std::vector<routing::ReplicaRecordPtr> outdated;
+  std::ranges::copy_if(view.served, std::back_inserter(outdated), [&](const auto& record) {
+    return record->versionOf(view.model) < view.targets.back().version &&
+           !view.begun.contains(record->facts().instance);
+  });
+  // The oldest first: they are due first. Of these, the replicas that take long runs come last, so
+  // that these runs end while others take the new ones.
+  std::ranges::stable_sort(outdated, [&view](const auto& left, const auto& right) {
+    return routing::takesLongRunsBefore(view.model, *right, *left);
+  });
+  const auto waiting = waitingForLongRuns(view);
+  std::size_t away = view.away;
+  for (const auto& record : outdated) {
+    const auto& instance = record->facts().instance;
+    const bool unused = record->versionOf(view.model) < view.oldestAllowed;
+    if (!unused && (away >= step.mostAway || waiting.contains(instance))) continue;
+    step.begin.push_back({instance, unused});
+    ++away;
+  }
+  return step;
+}
+
+}  // namespace covewing::coordination
--- /dev/null
+++ b/src/coordination/rollout_plan.h
@@ -0,0 +1,98 @@
+/// \file
+/// Which replicas are to be changed to new weights next, and how many at once.
+///
+/// Load that it answers: a version must be in force by a date, a change takes its replica away for
+/// some seconds, callers need the others. An even pace loses the least: with `n` replicas, changes
+/// of `c` seconds and `T` seconds until the date, `n * c / T` away at once leave as many replicas
+/// to callers just before the date, when the older version still counts, as just after it. Slower,
+/// and at the date all replicas that are left cease to count at once; faster, and more are away
+/// before it than need be. The pace follows from what is left at each step, so that a step that
+/// comes late, a replica that comes back and a change that takes longer are made up for evenly.
+///
+/// Decides only; keeps nothing but since when long runs go elsewhere.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/time.h"
+#include "routing/replica_directory.h"
+#include "routing/weights_targets.h"
+
+namespace covewing::coordination {
+
+struct RolloutPlanOptions {
+  /// Most of a model's replicas that load at once, as a part of all; at least one may.
+  double mostLoading = 1.0 / 6;
+  /// Most of a model's replicas that are away at once, whatever the date; at least one may be.
+  double mostAway = 0.4;
+  /// What is left shortly before the date is spread over at least this.
+  base::Duration leastTime = std::chrono::milliseconds(500);
+  /// Long runs have ended so long after replicas of newer weights began to take them.
+  base::Duration longRunsEnd = std::chrono::milliseconds(3000);
+  /// Replicas that take long runs are changed nevertheless so long before the last moment.
+  base::Duration longRunSlack = std::chrono::milliseconds(500);
+  /// With fewer replicas long runs are not kept together.
+  std::size_t leastForLongRuns = 4;
+};
+
+/// What a step of the plan for one model rests on.
+struct RolloutView {
+  std::string model;
+  const routing::WeightsTargetList& targets;
+  /// The replicas of the model that can be reached.
+  std::vector<routing::ReplicaRecordPtr> served{};
+  /// Instances whose change has begun.
+  std::set<std::string> begun{};
+  /// Those of them that are away from callers now and answer.
+  std::size_t away = 0;
+  /// How long changes last, as observed.
+  base::Duration changeTime{};
+  /// Versions before this one are forbidden.
+  base::WeightsVersion oldestAllowed = 0;
+  /// How many replicas long runs fill; none are kept together where 0.
+  std::size_t longRunReplicas = 0;
+  base::TimePoint now{};
+};
+
+/// A change that is to begin now.
+struct PlannedChange {
+  std::string instance;
+  /// The replica's version is forbidden: it serves nobody, to change it costs nothing.
+  bool unused = false;
+};
+
+struct RolloutStep {
+  std::vector<PlannedChange> begin;
+  /// Replicas that may be away, and that may load, at once.
+  std::size_t mostAway = 1;
+  std::size_t mostLoading = 1;
+};
+
+class RolloutPlan {
+ public:
+  explicit RolloutPlan(RolloutPlanOptions options = {}) : options_(options) {}
+
+  RolloutStep next(const RolloutView& view);
+
+ private:
+  /// Replicas that must be away at once for each version to be in force in time.
+  std::size_t awayNeeded(const RolloutView& view) const;
+  std::size_t mostAwayOf(const RolloutView& view) const;
+  /// The replicas of older versions that still take long runs and have time.
+  std::set<std::string> waitingForLongRuns(const RolloutView& view);
+  /// Whether the long runs of a version's replicas have had the time to end, since at least as many
+  /// `newer` replicas as these runs fill take the new ones, or can be waited for no longer.
+  bool relieved(const RolloutView& view, base::WeightsVersion version, std::size_t newer,
+                std::size_t held);
+
+  RolloutPlanOptions options_;
+  /// Since when enough replicas of newer versions take a version's long runs, by model.
+  std::map<std::pair<std::string, base::WeightsVersion>, base::TimePoint> relievedSince_;
+};
+
+}  // namespace covewing::coordination
--- a/src/coordination/weights_rollout.cc
+++ b/src/coordination/weights_rollout.cc
@@ -5,8 +5,6 @@
 #include <utility>
 #include <vector>
 
-#include "routing/replica_choice.h"
-
 namespace covewing::coordination {
 
 WeightsRollout::WeightsRollout(WeightsRolloutOptions options, WeightsRolloutEnvironment environment,
@@ -14,6 +12,7 @@
     : options_(options),
       environment_(std::move(environment)),
       grant_(std::move(grant)),
+      plan_(options.plan),
       changeTime_(options.firstChange) {}
 
 WeightsRollout::~WeightsRollout() { environment_.timers.cancel(timer_); }
@@ -46,113 +45,67 @@
   timer_ = environment_.timers.schedule(options_.interval, [this] { tick(); });
 }
 
-std::size_t WeightsRollout::changesNeeded(const std::vector<base::WeightsVersion>& served,
-                                          const routing::WeightsTargetList& targets) const {
-  constexpr base::Duration kLeastTime = std::chrono::milliseconds(500);
-  const auto now = environment_.clock.now();
-  double perSecond = 0;
-  for (const auto& target : targets) {
-    const auto outdated = std::ranges::count_if(
-        served, [&target](base::WeightsVersion version) { return version < target.version; });
-    // The last change must have begun one change's time before the end.
-    const auto time = std::max(target.olderForbiddenFrom - now - changeTime_, kLeastTime);
-    perSecond = std::max(perSecond, static_cast<double>(outdated) / base::toSeconds(time));
-  }
-  const double needed = std::ceil(perSecond * base::toSeconds(changeTime_));
-  const double most = std::max(1.0, static_cast<double>(served.size()) * options_.mostAway);
-  return static_cast<std::size_t>(std::min(needed, most));
-}
-
 bool WeightsRollout::mustFlush(const std::string& model, base::WeightsVersion version) const {
   const auto before = environment_.clock.now() - options_.flushAfter;
   return version < environment_.targets.oldestAllowed(model, before);
 }
 
-std::size_t WeightsRollout::loading() const {
-  return static_cast<std::size_t>(std::ranges::count_if(
-      changes_, [](const auto& entry) { return entry.second.phase == Phase::kLoading; }));
+bool WeightsRollout::silent(const Change& change) const {
+  // One that waits for a place to load is not asked.
+  return change.phase != Phase::kPrepared &&
+         environment_.clock.now() - change.heardAt > options_.silentAfter;
 }
 
-bool WeightsRollout::relieved(const std::string& model, base::WeightsVersion version,
-                              const routing::WeightsTargetList& targets, std::size_t newer,
-                              std::size_t wanted) {
+void WeightsRollout::onHeard(const std::string& instance, Change& change) {
   const auto now = environment_.clock.now();
-  const std::pair key{model, version};
-  if (newer < wanted) {
-    relievedSince_.erase(key);
-  } else {
-    relievedSince_.try_emplace(key, now);
+  if (silent(change) && change.phase == Phase::kDraining) {
+    change.startedAt = now;
+    environment_.news.onChanging(instance);
   }
-  const auto since = relievedSince_.find(key);
-  if (since != relievedSince_.end() && now - since->second >= options_.longRunsEnd) return true;
-  const auto due = std::ranges::find_if(
-      targets, [version](const auto& target) { return target.version > version; });
-  return due != targets.end() &&
-         due->olderForbiddenFrom - now <= changeTime_ + options_.longRunSlack;
+  change.heardAt = now;
+}
+
+bool WeightsRollout::overdue(const Change& change) const {
+  const auto now = environment_.clock.now();
+  if (change.phase != Phase::kLoading) return false;
+  // Reports may show for a while what was before.
+  const bool busy = now - change.busyAt <= options_.giveUp;
+  return now - change.orderedAt > (busy ? options_.longestBusy : options_.giveUp);
 }
 
-std::set<std::string> WeightsRollout::waitingForLongRuns(
-    const std::string& model, const routing::WeightsTargetList& targets,
-    std::vector<routing::ReplicaRecordPtr> served) {
-  std::set<std::string> waiting;
-  if (!environment_.longRunReplicas || served.size() < options_.leastForLongRuns) return waiting;
-  const auto wanted = environment_.longRunReplicas(served.front()->facts().service);
-  // The newest first; of one version, those that take the long runs first.
-  std::ranges::sort(served, [&model](const auto& left, const auto& right) {
-    return routing::takesLongRunsBefore(model, *left, *right);
-  });
-  std::size_t newer = 0;
-  for (auto first = served.begin(); first != served.end();) {
-    const auto version = (*first)->versionOf(model);
-    const auto end = std::find_if(first, served.end(), [&](const auto& record) {
-      return record->versionOf(model) != version;
-    });
-    const auto count = static_cast<std::size_t>(end - first);
-    if (version < targets.back().version && !relieved(model, version, targets, newer, wanted)) {
-      for (std::size_t index = 0; index < std::min(count, wanted); ++index)
-        waiting.insert(first[static_cast<std::ptrdiff_t>(index)]->facts().instance);
-    }
-    newer += count;
-    first = end;
+double WeightsRollout::loading() const {
+  double places = 0;
+  for (const auto& [instance, change] : changes_) {
+    if (change.phase != Phase::kLoading || silent(change)) continue;
+    places += change.running == 0 ? 1 : options_.shareWhileRunning;
   }
-  return waiting;
+  return places;
 }
 
 void WeightsRollout::begin(const std::string& model, const routing::WeightsTargetList& targets) {
   const auto now = environment_.clock.now();
-  std::vector<routing::ReplicaRecordPtr> outdated;
-  std::vector<base::WeightsVersion> served;
-  std::vector<routing::ReplicaRecordPtr> servedBy;
+  RolloutView view{.model = model, .targets = targets, .changeTime = changeTime_, .now = now};
   for (const auto& [instance, record] : environment_.directory.all()) {
-    const auto version = record->versionOf(model);
     const bool reachable = !record->gone() && !record->health().ejected(now);
-    if (version == 0 || !reachable || record->facts().state != routing::ReplicaState::kReady)
-      continue;
-    served.push_back(version);
-    servedBy.push_back(record);
-    if (version < targets.back().version && !changes_.contains(instance))
-      outdated.push_back(record);
+    if (record->versionOf(model) != 0 && reachable &&
+        record->facts().state == routing::ReplicaState::kReady)
+      view.served.push_back(record);
+  }
+  for (const auto& [instance, change] : changes_) {
+    view.begun.insert(instance);
+    view.away += change.model == model && !silent(change) ? 1 : 0;
   }
-  const auto atOnce = changesNeeded(served, targets);
-  const double most = std::ceil(static_cast<double>(served.size()) * options_.mostLoading);
-  loadLimit_ = std::max<std::size_t>(1, static_cast<std::size_t>(most));
-  // The oldest first: they are due first. Of these, the replicas that take long runs come last, so
-  // that these runs end while others take the new ones.
-  std::ranges::stable_sort(outdated, [&model](const auto& left, const auto& right) {
-    return routing::takesLongRunsBefore(model, *right, *left);
-  });
-  const auto allowed = environment_.targets.oldestAllowed(model, now);
-  const auto waiting = waitingForLongRuns(model, targets, std::move(servedBy));
-  for (const auto& record : outdated) {
-    if (waiting.contains(record->facts().instance)) continue;
-    // A replica whose version is forbidden serves nobody: to change it costs nothing.
-    const bool unused = record->versionOf(model) < allowed;
-    if (changes_.size() >= atOnce && !unused) continue;
-    const auto& instance = record->facts().instance;
+  view.oldestAllowed = environment_.targets.oldestAllowed(model, now);
+  if (environment_.longRunReplicas && !view.served.empty())
+    view.longRunReplicas = environment_.longRunReplicas(view.served.front()->facts().service);
+  const auto step = plan_.next(view);
+  loadLimit_ = step.mostLoading;
+  for (const auto& [instance, unused] : step.begin) {
     Change change;
     change.model = model;
     change.version = targets.back().version;
     change.startedAt = now;
+    change.heardAt = now;
     change.nextAt = unused ? now : now + options_.lead;
     changes_.emplace(instance, change);
     environment_.news.onChanging(instance);
@@ -162,23 +115,21 @@
 void WeightsRollout::advance(const std::string& instance, Change& change) {
   const auto now = environment_.clock.now();
   const auto record = environment_.directory.find(instance);
-  if (record == nullptr) {
+  if (record == nullptr || record->gone()) {
     ordersTaken_.erase(instance);
     return finish(instance, "gone");
   }
   // The list or an answer may show the version before a report does.
   if (change.phase == Phase::kLoading && record->versionOf(change.model) >= change.version)
     return finishServed(instance, record->versionOf(change.model));
-  const bool waiting = change.phase == Phase::kPrepared;
-  const auto since = change.phase == Phase::kLoading ? change.orderedAt : change.startedAt;
-  if (!waiting && now - since > options_.giveUp) return finish(instance, "not done in time");
+  if (overdue(change)) return finish(instance, "not done in time");
   if (change.callUnderWay || now < change.nextAt) return;
   const bool flush =
       !change.noneWaiting && mustFlush(change.model, record->versionOf(change.model));
   const bool prepared =
       change.phase == Phase::kPrepared || (flush && change.phase == Phase::kDraining);
   if (prepared && ordersTaken_.contains(instance)) {
-    if (flush || loading() < loadLimit_) order(instance, change);
+    if (flush || loading() < static_cast<double>(loadLimit_)) order(instance, change);
   } else {
     askReport(instance, change);
   }
@@ -192,6 +143,7 @@
   const auto record = environment_.directory.find(instance);
   change.version = environment_.targets.newest(change.model);
   change.phase = Phase::kLoading;
+  change.heardAt = now;
   change.callUnderWay = true;
   change.orderedAt = now;
   const auto expectedOrders = ordersTaken_.at(instance);
@@ -203,7 +155,7 @@
                           {"version", std::to_string(change.version)},
                           {"token", std::to_string(grant->token)},
                           {"expected_orders", std::to_string(expectedOrders)},
-                          {"loading", std::to_string(loading())},
+                          {"loading", std::to_string(std::lround(loading()))},
                           {"load_limit", std::to_string(loadLimit_)}});
   environment_.news.onChanging(instance);
   environment_.replicas.order(
@@ -218,6 +170,9 @@
   if (change == nullptr) return;
   const auto now = environment_.clock.now();
   change->callUnderWay = false;
+  const bool answered = status != clients::WeightsOrderStatus::kUnknown &&
+                        status != clients::WeightsOrderStatus::kUnreachable;
+  if (answered) change->heardAt = now;
   environment_.log.write(
       base::Event::kOrderAnswered,
       {{"replica", instance},
@@ -257,7 +212,8 @@
 void WeightsRollout::askReport(const std::string& instance, Change& change) {
   const auto record = environment_.directory.find(instance);
   change.callUnderWay = true;
-  environment_.news.onChanging(instance);
+  // Others may reach a replica that does not answer this node.
+  if (!silent(change)) environment_.news.onChanging(instance);
   environment_.replicas.report(record->facts().endpoint, instance, change.model,
                                [this, instance, alive = std::weak_ptr(lifetime_)](
                                    const std::optional<clients::WeightsReport>& report) {
@@ -270,8 +226,12 @@
   Change* change = find(instance);
   if (change == nullptr) return;
   change->callUnderWay = false;
-  change->nextAt = environment_.clock.now() + options_.reportInterval;
+  const bool silentNow = !report && silent(*change);
+  change->nextAt =
+      environment_.clock.now() + (silentNow ? options_.silentInterval : options_.reportInterval);
   if (!report) return;
+  onHeard(instance, *change);
+  change->running = report->running;
   if (change->phase == Phase::kLoading) {
     onLoadReport(instance, *change, *report);
   } else {
@@ -297,13 +257,14 @@
 void WeightsRollout::onLoadReport(const std::string& instance, Change& change,
                                   const clients::WeightsReport& report) {
   const auto now = environment_.clock.now();
+  if (report.busy) change.busyAt = now;
   if (report.version >= change.version && !report.busy) {
     finishServed(instance, report.version);
     return;
   }
   // Reports lag: only one that is well younger than the order shows that it was not taken.
-  const bool overdue = now - change.orderedAt >= options_.repeatOrder;
-  if (report.busy || !overdue) return;
+  const bool stale = now - change.orderedAt < options_.repeatOrder;
+  if (report.busy || stale) return;
   ordersTaken_[instance] = report.orders;
   change.phase = Phase::kPrepared;
   change.nextAt = now;
--- a/src/coordination/weights_rollout.h
+++ b/src/coordination/weights_rollout.h
@@ -7,8 +7,9 @@
 /// reports until the version is served -> the other nodes are told. A version that was named
 /// meanwhile takes the place of an older one for all replicas that have not been ordered yet.
 ///
-/// Changes are paced: as few replicas are away at once as let each version be in force in time, so
-/// that versions that follow each other quickly share their loads.
+/// Which replicas change, and how many at once, is the plan's matter (coordination/rollout_plan.h).
+/// A replica that does not answer takes no place among those that are away or load: others go on,
+/// and it is taken up again as soon as it answers.
 ///
 /// An order without an answer may still be carried out, also late. It is given again only with the
 /// same expected number of orders, so that a replica takes at most one of them.
@@ -19,15 +20,14 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "base/event_log.h"
 #include "base/time.h"
 #include "clients/weights_client.h"
 #include "coordination/lease_manager.h"
+#include "coordination/rollout_plan.h"
 #include "routing/replica_directory.h"
 #include "routing/weights_targets.h"
 
@@ -51,23 +51,22 @@
   /// A replica that gives no report for so long, or is not done so long after its order, is left,
   /// and taken up again later.
   base::Duration giveUp = std::chrono::seconds(5);
-  /// Most of a model's replicas that load at once, as a part of all; at least one may.
-  double mostLoading = 1.0 / 6;
-  /// Most of a model's replicas that are away at once; at least one may be.
-  double mostAway = 0.25;
+  /// A replica that has not answered for so long takes no place any more.
+  base::Duration silentAfter = std::chrono::milliseconds(500);
+  /// From one report of such a replica to the next.
+  base::Duration silentInterval = std::chrono::milliseconds(250);
+  /// A replica whose reports show the order under way is waited for so long: its runs end first.
+  base::Duration longestBusy = std::chrono::seconds(10);
+  /// Part of a place for loads that an ordered replica takes whose runs have not ended.
+  double shareWhileRunning = 0.5;
   /// This long after requests on an older version became forbidden, every replica that still has
   /// both it and requests that wait is ordered: these are refused as not run instead of beginning
   /// on the older version.
   base::Duration flushAfter = std::chrono::milliseconds(400);
-  /// Long runs have ended so long after replicas of newer weights began to take them.
-  base::Duration longRunsEnd = std::chrono::milliseconds(3000);
-  /// Replicas that take long runs are changed nevertheless so long before the last moment.
-  base::Duration longRunSlack = std::chrono::milliseconds(500);
-  /// With fewer replicas long runs are not kept together.
-  std::size_t leastForLongRuns = 4;
   /// How long a change is taken to last at first, and at most.
   base::Duration firstChange = std::chrono::milliseconds(1800);
-  base::Duration longestChange = std::chrono::milliseconds(3000);
+  base::Duration longestChange = std::chrono::milliseconds(4000);
+  RolloutPlanOptions plan;
 };
 
 /// Tells all nodes about one replica.
@@ -121,6 +120,12 @@
     /// When the next step is due.
     base::TimePoint nextAt{};
     base::TimePoint orderedAt{};
+    /// The latest answer of the replica, at first the change's start.
+    base::TimePoint heardAt{};
+    /// The latest report that showed the order under way.
+    base::TimePoint busyAt{};
+    /// Requests that run there, by the latest report.
+    std::uint32_t running = 0;
     /// The latest report showed no requests that wait to begin.
     bool noneWaiting = false;
     bool callUnderWay = false;
@@ -128,19 +133,8 @@
 
   void tick();
   void advance(const std::string& instance, Change& change);
-  /// Starts as many changes as are needed for each version to be in force in time.
+  /// Starts the changes that the plan wants now.
   void begin(const std::string& model, const routing::WeightsTargetList& targets);
-  /// The replicas of older versions that still take long runs and have time.
-  std::set<std::string> waitingForLongRuns(const std::string& model,
-                                           const routing::WeightsTargetList& targets,
-                                           std::vector<routing::ReplicaRecordPtr> served);
-  /// Whether the long runs of a version's replicas have had the time to end, since at least
-  /// `wanted` of `newer` replicas take the new ones, or can be waited for no longer.
-  bool relieved(const std::string& model, base::WeightsVersion version,
-                const routing::WeightsTargetList& targets, std::size_t newer, std::size_t wanted);
-  /// Replicas that must be away at once for each version to be in force in time.
-  std::size_t changesNeeded(const std::vector<base::WeightsVersion>& served,
-                            const routing::WeightsTargetList& targets) const;
   void order(const std::string& instance, Change& change);
   void onOrdered(const std::string& instance, clients::WeightsOrderStatus status);
   void askReport(const std::string& instance, Change& change);
@@ -149,7 +143,14 @@
                      const clients::WeightsReport& report);
   void onLoadReport(const std::string& instance, Change& change,
                     const clients::WeightsReport& report);
-  std::size_t loading() const;
+  /// Has not answered lately.
+  bool silent(const Change& change) const;
+  /// The replica answered; one that was silent begins its change anew.
+  void onHeard(const std::string& instance, Change& change);
+  /// Whether the change has taken longer than any does that goes on.
+  bool overdue(const Change& change) const;
+  /// Replicas that were ordered and answer; those whose runs have not ended count in part.
+  double loading() const;
   /// The replica's version is forbidden and requests may still wait there.
   bool mustFlush(const std::string& model, base::WeightsVersion version) const;
   /// The replica serves the version: the other nodes are told and the change is over.
@@ -160,11 +161,10 @@
   WeightsRolloutOptions options_;
   WeightsRolloutEnvironment environment_;
   Grant grant_;
+  RolloutPlan plan_;
   std::map<std::string, Change> changes_;
   /// Orders that each replica has taken, as far as this node knows.
   std::map<std::string, std::uint64_t> ordersTaken_;
-  /// Since when enough replicas of newer versions take a version's long runs, by model.
-  std::map<std::pair<std::string, base::WeightsVersion>, base::TimePoint> relievedSince_;
   /// The latest token that a replica refused as too old, and until when nothing is ordered with it.
   base::FencingToken fencedToken_ = 0;
   base::TimePoint fencedUntil_{};
--- /dev/null
+++ b/tests/coordination/capacity_account_test.cc
@@ -0,0 +1,43 @@
+// How many replicas the work under way needs, and how many may be away.
+#include "coordination/capacity_account.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace covewing::coordination {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+BOOST_AUTO_TEST_SUITE(CapacityAccountTest)
+
+BOOST_AUTO_TEST_CASE(WhatIsNeededAndTheHeadroomAreNotSpare) {
+  FleetRoom room;
+  room.serving = 50;
+  room.changing = 10;
+  room.silent = 30;
+  room.needed = 40;
+  BOOST_TEST(room.spare(0.25) == 10U);
+  room.needed = 70;
+  BOOST_TEST(room.spare(0.25) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(DemandRisesAtOnceAndFallsSlowly) {
+  CapacityAccount account;
+  base::TimePoint now{seconds(100)};
+  BOOST_TEST(account.needed("m") == 0);
+  account.onDemand("m", 20, now);
+  BOOST_TEST(account.needed("m") == 20);
+  now += milliseconds(50);
+  account.onDemand("m", 60, now);
+  BOOST_TEST(account.needed("m") == 60);
+  now += milliseconds(200);
+  account.onDemand("m", 10, now);
+  BOOST_TEST(account.needed("m") > 50);
+  now += seconds(20);
+  account.onDemand("m", 10, now);
+  BOOST_TEST(account.needed("m") < 11);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::coordination
--- a/tests/coordination/weights_rollout_test.cc
+++ b/tests/coordination/weights_rollout_test.cc
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr base::Duration kLoadTime = milliseconds(630);
+/// A call that gets no answer ends after this.
+constexpr base::Duration kNoAnswer = milliseconds(800);
 
 /// Replicas that take orders as the published interface says.
 class FakeReplicas final : public clients::WeightsClient {
@@ -32,6 +34,10 @@
     base::FencingToken token = 0;
     /// Its address answers for another run.
     bool ended = false;
+    /// Gives no answer.
+    bool silent = false;
+    /// The runs end then; a load begins when they have.
+    std::optional<base::TimePoint> runsEndAt;
   };
 
   explicit FakeReplicas(test_support::VirtualTime& time) : time_(time) {}
@@ -41,6 +47,10 @@
              std::function<void(WeightsOrderStatus)> callback) override {
     given.push_back({instance, order});
     auto& replica = settled(instance);
+    if (replica.silent) {
+      time_.schedule(kNoAnswer, [callback] { callback(WeightsOrderStatus::kUnknown); });
+      return;
+    }
     auto status = take(replica, order);
     if (loseAnswers > 0) {
       --loseAnswers;
@@ -53,6 +63,10 @@
               const std::string& /*model*/,
               std::function<void(std::optional<clients::WeightsReport>)> callback) override {
     const auto& replica = settled(instance);
+    if (replica.silent) {
+      time_.schedule(kNoAnswer, [callback] { callback(std::nullopt); });
+      return;
+    }
     const clients::WeightsReport report{replica.loadingVersion != 0, replica.running,
                                         replica.waiting, replica.orders, replica.version};
     time_.schedule(milliseconds(2), [report, callback] { callback(report); });
@@ -60,7 +74,10 @@
 
   std::size_t loading() {
     std::size_t count = 0;
-    for (auto& [name, replica] : replicas) count += settled(name).loadingVersion != 0 ? 1 : 0;
+    for (auto& [name, replica] : replicas) {
+      const auto& one = settled(name);
+      count += one.loadingVersion != 0 && (!one.runsEndAt || one.running == 0) ? 1 : 0;
+    }
     return count;
   }
 
@@ -71,6 +88,7 @@
  private:
   Replica& settled(const std::string& instance) {
     auto& replica = replicas.at(instance);
+    if (replica.runsEndAt && time_.now() >= *replica.runsEndAt) replica.running = 0;
     if (replica.loadingVersion != 0 && time_.now() >= replica.loadedAt) {
       replica.version = replica.loadingVersion;
       replica.loadingVersion = 0;
@@ -87,7 +105,8 @@
     if (replica.version == order.version) return WeightsOrderStatus::kInForce;
     ++replica.orders;
     replica.loadingVersion = order.version;
-    replica.loadedAt = time_.now() + kLoadTime;
+    const auto begins = std::max(time_.now(), replica.runsEndAt.value_or(time_.now()));
+    replica.loadedAt = begins + kLoadTime;
     return WeightsOrderStatus::kAccepted;
   }
 
@@ -119,6 +138,15 @@
     directory.find(instance)->learnVersion(model, version);
   }
 
+  /// The instances in the order in which they are changed.
+  std::vector<std::string> inOrderOfChange() const {
+    std::vector<std::string> names;
+    for (const auto& [name, record] : directory.all()) names.push_back(name);
+    std::ranges::sort(names, std::greater{},
+                      [](const std::string& name) { return routing::longRunRank(name); });
+    return names;
+  }
+
   std::size_t atLeast(base::WeightsVersion version) const {
     std::size_t count = 0;
     for (const auto& [name, record] : directory.all())
@@ -262,8 +290,24 @@
   BOOST_TEST(ordered.size() == 12U);
 }
 
+BOOST_AUTO_TEST_CASE(ReplicasWithoutRequestsLoadInTurnAlsoAfterTheBound) {
+  targets.onNamed("m", 2, time.now() - seconds(7));
+  rollout.start();
+  std::size_t mostLoading = 0;
+  for (int step = 0; step < 160; ++step) {
+    time.advance(milliseconds(50));
+    mostLoading = std::max(mostLoading, replicas.loading());
+  }
+  BOOST_TEST(mostLoading <= 2U);
+  BOOST_TEST(atLeast(2) == 12U);
+}
+
 BOOST_AUTO_TEST_CASE(ReplicasWithoutWaitingRequestsLoadInTurnAlsoAfterTheBound) {
-  for (auto& [name, replica] : replicas.replicas) replica.running = 1;
+  int number = 0;
+  for (auto& [name, replica] : replicas.replicas) {
+    replica.running = 1;
+    replica.runsEndAt = time.now() + milliseconds(400) * ++number;
+  }
   targets.onNamed("m", 2, time.now() - seconds(7));
   rollout.start();
   std::size_t mostLoading = 0;
@@ -275,6 +319,20 @@
   BOOST_TEST(atLeast(2) == 12U);
 }
 
+BOOST_AUTO_TEST_CASE(ReplicasWhoseRunsGoOnAreNotAllOrderedAfterTheBound) {
+  for (auto& [name, replica] : replicas.replicas) {
+    replica.running = 1;
+    replica.runsEndAt = time.now() + seconds(4);
+  }
+  targets.onNamed("m", 2, time.now() - seconds(7));
+  rollout.start();
+  // Runs that end together must not make many more load at once than are ordered.
+  time.advance(milliseconds(3900));
+  BOOST_TEST(replicas.given.size() == 4U);
+  time.advance(seconds(8));
+  BOOST_TEST(atLeast(2) == 12U);
+}
+
 BOOST_AUTO_TEST_CASE(ReplicasThatTakeLongRunsWaitUntilTheseHaveEndedElsewhere) {
   longRunReplicas = 3;
   std::vector<std::string> byRank;
@@ -324,6 +382,99 @@
   BOOST_TEST(directory.find("r3b")->versionOf("m") == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(ReplicasThatDoNotAnswerTakeNoPlace) {
+  const auto names = inOrderOfChange();
+  for (std::size_t index = 0; index < 3; ++index) replicas.replicas[names[index]].silent = true;
+  targets.onNamed("m", 2, time.now());
+  rollout.start();
+  time.advance(milliseconds(3500));
+  BOOST_TEST(atLeast(2) >= 3U);
+  time.advance(milliseconds(3500));
+  BOOST_TEST(atLeast(2) == 9U);
+}
+
+BOOST_AUTO_TEST_CASE(ReplicaThatAnswersAgainIsChangedAtOnce) {
+  const auto names = inOrderOfChange();
+  auto& back = replicas.replicas[names.front()];
+  back.silent = true;
+  targets.onNamed("m", 2, time.now());
+  rollout.start();
+  time.advance(milliseconds(6000));
+  BOOST_TEST(directory.find(names.front())->versionOf("m") == 1U);
+  back.silent = false;
+  time.advance(milliseconds(2300));
+  BOOST_TEST(directory.find(names.front())->versionOf("m") == 2U);
+  BOOST_TEST(back.orders == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(ReplicaThatFallsSilentWhileItLoadsTakesNoPlace) {
+  targets.onNamed("m", 2, time.now());
+  rollout.start();
+  while (replicas.given.size() < 2) time.advance(milliseconds(10));
+  for (std::size_t index = 0; index < 2; ++index)
+    replicas.replicas[replicas.given[index].first].silent = true;
+  // Two load at once.
+  time.advance(milliseconds(2500));
+  BOOST_TEST(replicas.given.size() >= 4U);
+  BOOST_TEST(atLeast(2) >= 2U);
+}
+
+BOOST_AUTO_TEST_CASE(ReplicaWhoseRunsGoOnKeepsNoOtherFromLoading) {
+  const auto names = inOrderOfChange();
+  for (std::size_t index = 0; index < 2; ++index) {
+    replicas.replicas[names[index]].running = 1;
+    replicas.replicas[names[index]].runsEndAt = time.now() + seconds(6);
+  }
+  targets.onNamed("m", 2, time.now());
+  rollout.start();
+  // Each is waited for 1.5 s and then ordered.
+  time.advance(milliseconds(4500));
+  BOOST_TEST(atLeast(2) >= 5U);
+  time.advance(milliseconds(5000));
+  BOOST_TEST(atLeast(2) == 12U);
+  for (const auto& [name, replica] : replicas.replicas) BOOST_TEST(replica.orders == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(OrderThatIsCarriedOutLateLoadsOnceAfterAnswersWereLostForSeconds) {
+  for (int number = 1; number < 12; ++number) list("r" + std::to_string(number), 2);
+  targets.onNamed("m", 2, time.now());
+  rollout.start();
+  while (replicas.given.empty()) time.advance(milliseconds(10));
+  replicas.replicas["r0"].silent = true;
+  time.advance(seconds(7));
+  replicas.replicas["r0"].silent = false;
+  time.advance(seconds(3));
+  BOOST_TEST(replicas.replicas["r0"].orders == 4U);
+  BOOST_TEST(directory.find("r0")->versionOf("m") == 2U);
+  BOOST_TEST(rollout.underWay() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(NextHolderEndsWhatAHolderLeftAtEachStep) {
+  for (const auto leaveAfter : {0, 100, 300, 700, 1200}) {
+    RolloutFixture world;
+    world.targets.onNamed("m", 2, world.time.now());
+    world.rollout.start();
+    world.time.advance(milliseconds(leaveAfter));
+    world.rollout.stop();
+    world.grant = LeaseGrant{6, 2};
+    WeightsRollout next{{},
+                        {world.time,
+                         world.time,
+                         world.log,
+                         world.replicas,
+                         world.directory,
+                         world.targets,
+                         world,
+                         "next",
+                         {}},
+                        [&world] { return world.grant; }};
+    next.start();
+    world.time.advance(milliseconds(7500));
+    BOOST_TEST(world.atLeast(2) == 12U);
+    for (const auto& [name, replica] : world.replicas.replicas) BOOST_TEST(replica.orders == 4U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::coordination
