Rollout of weights: spare replicas change at once

The pace left room unused: before the demand rose, 67 replicas could be reached and 15 were away. The account of capacity takes what the work under way fills, by slots or memory (told by the other nodes where these are heard, else this node's own times the number of nodes: compared with asking the homes, it needs no message and no state at homes; its noise is smoothed, more counts at once, less after 2 s). What is beyond it and a quarter more may be away, up to 0.4 of all; the even pace stays the least.

--- a/src/coordination/rollout_plan.cc
+++ b/src/coordination/rollout_plan.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "coordination/capacity_account.h"
 #include "routing/replica_choice.h"
 
 namespace covewing::coordination {
@@ -26,6 +27,15 @@
   return std::min(static_cast<std::size_t>(needed), mostAwayOf(view));
 }
 
+std::size_t RolloutPlan::spare(const RolloutView& view) const {
+  if (view.needed <= 0) return 0;
+  FleetRoom room;
+  room.changing = view.away;
+  room.serving = view.served.size() - std::min(view.served.size(), view.away);
+  room.needed = view.needed;
+  return std::min(room.spare(options_.headroom), mostAwayOf(view));
+}
+
 bool RolloutPlan::relieved(const RolloutView& view, base::WeightsVersion version, std::size_t newer,
                            std::size_t held) {
   const std::pair key{view.model, version};
@@ -74,7 +84,7 @@
 
 RolloutStep RolloutPlan::next(const RolloutView& view) {
   RolloutStep step;
-  step.mostAway = awayNeeded(view);
+  step.mostAway = std::max(awayNeeded(view), spare(view));
   const double loading = std::ceil(static_cast<double>(view.served.size()) * options_.mostLoading);
   step.mostLoading = std::max<std::size_t>(1, static_cast<std::size_t>(loading));
 
--- a/src/coordination/rollout_plan.h
+++ b/src/coordination/rollout_plan.h
@@ -9,6 +9,9 @@
 /// before it than need be. The pace follows from what is left at each step, so that a step that
 /// comes late, a replica that comes back and a change that takes longer are made up for evenly.
 ///
+/// Where the work under way needs fewer replicas than there are, the spare ones change at once:
+/// requests on an older version are worth less.
+///
 /// Decides only; keeps nothing but since when long runs go elsewhere.
 #pragma once
 
@@ -30,6 +33,8 @@
   double mostLoading = 1.0 / 6;
   /// Most of a model's replicas that are away at once, whatever the date; at least one may be.
   double mostAway = 0.4;
+  /// Room that is kept beyond what the work under way needs, as a part of that.
+  double headroom = 0.25;
   /// What is left shortly before the date is spread over at least this.
   base::Duration leastTime = std::chrono::milliseconds(500);
   /// Long runs have ended so long after replicas of newer weights began to take them.
@@ -50,6 +55,8 @@
   std::set<std::string> begun{};
   /// Those of them that are away from callers now and answer.
   std::size_t away = 0;
+  /// Replicas that the work under way needs; 0 where it is not known.
+  double needed = 0;
   /// How long changes last, as observed.
   base::Duration changeTime{};
   /// Versions before this one are forbidden.
@@ -83,6 +90,8 @@
   /// Replicas that must be away at once for each version to be in force in time.
   std::size_t awayNeeded(const RolloutView& view) const;
   std::size_t mostAwayOf(const RolloutView& view) const;
+  /// Replicas that may be away without callers missing them.
+  std::size_t spare(const RolloutView& view) const;
   /// The replicas of older versions that still take long runs and have time.
   std::set<std::string> waitingForLongRuns(const RolloutView& view);
   /// Whether the long runs of a version's replicas have had the time to end, since at least as many
--- a/src/coordination/weights_rollout.cc
+++ b/src/coordination/weights_rollout.cc
@@ -98,6 +98,11 @@
   view.oldestAllowed = environment_.targets.oldestAllowed(model, now);
   if (environment_.longRunReplicas && !view.served.empty())
     view.longRunReplicas = environment_.longRunReplicas(view.served.front()->facts().service);
+  if (environment_.replicasInUse && !view.served.empty()) {
+    const auto& service = view.served.front()->facts().service;
+    capacity_.onDemand(model, environment_.replicasInUse(service), now);
+    view.needed = capacity_.needed(model);
+  }
   const auto step = plan_.next(view);
   loadLimit_ = step.mostLoading;
   for (const auto& [instance, unused] : step.begin) {
--- a/src/coordination/weights_rollout.h
+++ b/src/coordination/weights_rollout.h
@@ -26,6 +26,7 @@
 #include "base/event_log.h"
 #include "base/time.h"
 #include "clients/weights_client.h"
+#include "coordination/capacity_account.h"
 #include "coordination/lease_manager.h"
 #include "coordination/rollout_plan.h"
 #include "routing/replica_directory.h"
@@ -93,6 +94,8 @@
   std::string holder;
   /// How many replicas of a service long runs fill; none are kept together without it.
   std::function<std::size_t(const std::string& service)> longRunReplicas;
+  /// How many replicas of a service the work under way fills; not known without it.
+  std::function<double(const std::string& service)> replicasInUse;
 };
 
 class WeightsRollout {
@@ -162,6 +165,7 @@
   WeightsRolloutEnvironment environment_;
   Grant grant_;
   RolloutPlan plan_;
+  CapacityAccount capacity_;
   std::map<std::string, Change> changes_;
   /// Orders that each replica has taken, as far as this node knows.
   std::map<std::string, std::uint64_t> ordersTaken_;
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -186,7 +186,8 @@
         coordinator(coordinatorOptions(settings),
                     {clock, timers, random, log, peers, deployment.table, deployment.weights,
                      membership, membership, replicas, holders, targets,
-                     [this](const std::string& name) { return longRunReplicas(name); }}),
+                     [this](const std::string& name) { return longRunReplicas(name); },
+                     [this](const std::string& name) { return replicasInUse(name); }}),
         weightsDates(deployment.table, timers, [this] { return configurationWatch.serviceTime(); }),
         cacheStoreNews(membership, membership, stores),
         cacheWatch(
@@ -270,6 +271,29 @@
     return runTimes.replicasForLongRuns(name, slots, nodes(), clock.now());
   }
 
+  /// Replicas that the work of all nodes fills, by slots or memory: as told by the others where
+  /// they are heard, else this node's own for each of them.
+  double replicasInUse(const std::string& name) {
+    const auto table = configuration.table();
+    const auto* found = table ? table->findService(name) : nullptr;
+    if (found == nullptr || !found->engine) return 0;
+    routing::ReplicaLoad own;
+    routing::ReplicaLoad others;
+    for (const auto& record : replicas.ofService(name)) {
+      own += record->ownLoad();
+      others += fleetLoad.ofOthers(base::engineIdOf(record->facts().instance), clock.now());
+    }
+    const auto count = nodes();
+    const bool told = 2 * (fleetLoad.heard(clock.now()) + 1) > count;
+    const auto inUse = [&](double ownWork, double othersWork, double each) {
+      return (told ? ownWork + othersWork : ownWork * static_cast<double>(count)) /
+             std::max(1.0, each);
+    };
+    return std::max(inUse(own.requests, others.requests, found->engine->slots),
+                    inUse(static_cast<double>(own.tokens), static_cast<double>(others.tokens),
+                          static_cast<double>(found->engine->cacheTokens)));
+  }
+
   void onWeights(const node::NamedWeights& named, config::RowSource source) {
     if (source == config::RowSource::kFeed) {
       if (coordinator.competes()) weightsDates.write(named.model, named.version);
--- a/src/node/weights_coordinator.h
+++ b/src/node/weights_coordinator.h
@@ -45,6 +45,8 @@
   const routing::WeightsTargets& targets;
   /// How many replicas of a service long runs fill.
   std::function<std::size_t(const std::string& service)> longRunReplicas;
+  /// How many replicas of a service the work under way fills.
+  std::function<double(const std::string& service)> replicasInUse;
 };
 
 class WeightsCoordinator final : public base::PeerHandler,
