Rollout of weights: replicas with the fewest requests first, none that is silent

Replicas that are still to be changed are asked, six each 250 ms, and of the oldest version those with the fewest requests are begun with. One that was asked and has not answered for 0.4 s is not begun with until it does.

--- a/src/coordination/rollout_plan.cc
+++ b/src/coordination/rollout_plan.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
+#include <limits>
+#include <utility>
 
 #include "coordination/capacity_account.h"
 #include "routing/replica_choice.h"
@@ -82,25 +85,37 @@
   return waiting;
 }
 
-RolloutStep RolloutPlan::next(const RolloutView& view) {
-  RolloutStep step;
-  step.mostAway = std::max(awayNeeded(view), spare(view));
-  const double loading = std::ceil(static_cast<double>(view.served.size()) * options_.mostLoading);
-  step.mostLoading = std::max<std::size_t>(1, static_cast<std::size_t>(loading));
-
+std::vector<routing::ReplicaRecordPtr> RolloutPlan::inOrder(const RolloutView& view) const {
   std::vector<routing::ReplicaRecordPtr> outdated;
   std::ranges::copy_if(view.served, std::back_inserter(outdated), [&](const auto& record) {
     return record->versionOf(view.model) < view.targets.back().version &&
            !view.begun.contains(record->facts().instance);
   });
-  // The oldest first: they are due first. Of these, the replicas that take long runs come last, so
-  // that these runs end while others take the new ones.
+  // Of one version, the replicas that take long runs come last, so that these runs end while others
+  // take the new ones.
   std::ranges::stable_sort(outdated, [&view](const auto& left, const auto& right) {
     return routing::takesLongRunsBefore(view.model, *right, *left);
   });
+  if (!view.requestsAt) return outdated;
+  // The oldest first: they are due first. Of these, those with the fewest requests, which are rid
+  // of them the soonest; what is not known comes after what is.
+  constexpr auto kUnknown = std::numeric_limits<std::uint32_t>::max();
+  std::ranges::stable_sort(outdated, {}, [&](const auto& record) {
+    return std::pair{record->versionOf(view.model),
+                     view.requestsAt(record->facts().instance).value_or(kUnknown)};
+  });
+  return outdated;
+}
+
+RolloutStep RolloutPlan::next(const RolloutView& view) {
+  RolloutStep step;
+  step.mostAway = std::max(awayNeeded(view), spare(view));
+  const double loading = std::ceil(static_cast<double>(view.served.size()) * options_.mostLoading);
+  step.mostLoading = std::max<std::size_t>(1, static_cast<std::size_t>(loading));
+
   const auto waiting = waitingForLongRuns(view);
   std::size_t away = view.away;
-  for (const auto& record : outdated) {
+  for (const auto& record : inOrder(view)) {
     const auto& instance = record->facts().instance;
     const bool unused = record->versionOf(view.model) < view.oldestAllowed;
     if (!unused && (away >= step.mostAway || waiting.contains(instance))) continue;
--- a/src/coordination/rollout_plan.h
+++ b/src/coordination/rollout_plan.h
@@ -16,7 +16,10 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -57,6 +60,8 @@
   std::size_t away = 0;
   /// Replicas that the work under way needs; 0 where it is not known.
   double needed = 0;
+  /// Requests that a replica said lately it has; empty where it is not known.
+  std::function<std::optional<std::uint32_t>(const std::string& instance)> requestsAt{};
   /// How long changes last, as observed.
   base::Duration changeTime{};
   /// Versions before this one are forbidden.
@@ -90,6 +95,8 @@
   /// Replicas that must be away at once for each version to be in force in time.
   std::size_t awayNeeded(const RolloutView& view) const;
   std::size_t mostAwayOf(const RolloutView& view) const;
+  /// The replicas that are to be changed, in the order in which they are begun with.
+  std::vector<routing::ReplicaRecordPtr> inOrder(const RolloutView& view) const;
   /// Replicas that may be away without callers missing them.
   std::size_t spare(const RolloutView& view) const;
   /// The replicas of older versions that still take long runs and have time.
--- a/src/coordination/weights_rollout.cc
+++ b/src/coordination/weights_rollout.cc
@@ -13,6 +13,7 @@
       environment_(std::move(environment)),
       grant_(std::move(grant)),
       plan_(options.plan),
+      survey_(options.survey, environment_.clock, environment_.replicas),
       changeTime_(options.firstChange) {}
 
 WeightsRollout::~WeightsRollout() { environment_.timers.cancel(timer_); }
@@ -87,9 +88,10 @@
   RolloutView view{.model = model, .targets = targets, .changeTime = changeTime_, .now = now};
   for (const auto& [instance, record] : environment_.directory.all()) {
     const bool reachable = !record->gone() && !record->health().ejected(now);
-    if (record->versionOf(model) != 0 && reachable &&
-        record->facts().state == routing::ReplicaState::kReady)
-      view.served.push_back(record);
+    if (record->versionOf(model) == 0 || !reachable || survey_.silent(instance) ||
+        record->facts().state != routing::ReplicaState::kReady)
+      continue;
+    view.served.push_back(record);
   }
   for (const auto& [instance, change] : changes_) {
     view.begun.insert(instance);
@@ -103,7 +105,9 @@
     capacity_.onDemand(model, environment_.replicasInUse(service), now);
     view.needed = capacity_.needed(model);
   }
+  view.requestsAt = [this](const std::string& instance) { return survey_.requests(instance); };
   const auto step = plan_.next(view);
+  ask(model, targets.back().version);
   loadLimit_ = step.mostLoading;
   for (const auto& [instance, unused] : step.begin) {
     Change change;
@@ -112,11 +116,23 @@
     change.startedAt = now;
     change.heardAt = now;
     change.nextAt = unused ? now : now + options_.lead;
+    survey_.forget(instance);
     changes_.emplace(instance, change);
     environment_.news.onChanging(instance);
   }
 }
 
+void WeightsRollout::ask(const std::string& model, base::WeightsVersion newest) {
+  std::vector<routing::ReplicaRecordPtr> outdated;
+  for (const auto& [instance, record] : environment_.directory.all()) {
+    const auto version = record->versionOf(model);
+    const bool ready = !record->gone() && record->facts().state == routing::ReplicaState::kReady;
+    if (ready && version != 0 && version < newest && !changes_.contains(instance))
+      outdated.push_back(record);
+  }
+  survey_.step(model, outdated);
+}
+
 void WeightsRollout::advance(const std::string& instance, Change& change) {
   const auto now = environment_.clock.now();
   const auto record = environment_.directory.find(instance);
--- a/src/coordination/weights_rollout.h
+++ b/src/coordination/weights_rollout.h
@@ -28,6 +28,7 @@
 #include "clients/weights_client.h"
 #include "coordination/capacity_account.h"
 #include "coordination/lease_manager.h"
+#include "coordination/replica_survey.h"
 #include "coordination/rollout_plan.h"
 #include "routing/replica_directory.h"
 #include "routing/weights_targets.h"
@@ -68,6 +69,7 @@
   base::Duration firstChange = std::chrono::milliseconds(1800);
   base::Duration longestChange = std::chrono::milliseconds(4000);
   RolloutPlanOptions plan;
+  ReplicaSurveyOptions survey;
 };
 
 /// Tells all nodes about one replica.
@@ -146,6 +148,8 @@
                      const clients::WeightsReport& report);
   void onLoadReport(const std::string& instance, Change& change,
                     const clients::WeightsReport& report);
+  /// Asks replicas that are still to be changed how many requests they have.
+  void ask(const std::string& model, base::WeightsVersion newest);
   /// Has not answered lately.
   bool silent(const Change& change) const;
   /// The replica answered; one that was silent begins its change anew.
@@ -165,6 +169,7 @@
   WeightsRolloutEnvironment environment_;
   Grant grant_;
   RolloutPlan plan_;
+  ReplicaSurvey survey_;
   CapacityAccount capacity_;
   std::map<std::string, Change> changes_;
   /// Orders that each replica has taken, as far as this node knows.
--- /dev/null
+++ b/tests/coordination/replica_survey_test.cc
@@ -0,0 +1,90 @@
+// What replicas say of themselves before they are changed.
+#include "coordination/replica_survey.h"
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <vector>
+
+#include "support/virtual_time.h"
+
+namespace covewing::coordination {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+struct SurveyFixture : clients::WeightsClient {
+  SurveyFixture() { time.advance(seconds(100)); }
+
+  void order(const base::Endpoint& /*replica*/, const std::string& /*instance*/,
+             clients::WeightsOrder /*order*/,
+             std::function<void(clients::WeightsOrderStatus)> /*callback*/) override {}
+  void report(const base::Endpoint& /*replica*/, const std::string& instance,
+              const std::string& /*model*/,
+              std::function<void(std::optional<clients::WeightsReport>)> callback) override {
+    asked.push_back(instance);
+    const bool silent = instance == dark;
+    time.schedule(silent ? milliseconds(800) : milliseconds(2), [callback, silent] {
+      if (silent) return callback(std::nullopt);
+      callback(clients::WeightsReport{false, 3, 1, 0, 1});
+    });
+  }
+  void step(base::Duration duration) {
+    for (const auto end = time.now() + duration; time.now() < end;) {
+      survey.step("m", candidates);
+      time.advance(milliseconds(50));
+    }
+  }
+  void add(std::size_t count) {
+    for (std::size_t number = 0; number < count; ++number) {
+      routing::Replica facts;
+      facts.instance = "r" + std::to_string(number);
+      candidates.push_back(std::make_shared<routing::ReplicaRecord>(facts));
+    }
+  }
+
+  test_support::VirtualTime time;
+  std::vector<std::string> asked;
+  std::string dark;
+  std::vector<routing::ReplicaRecordPtr> candidates;
+  ReplicaSurvey survey{{}, time, *this};
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ReplicaSurveyTest, SurveyFixture)
+
+BOOST_AUTO_TEST_CASE(FewAreAskedAtATimeAndAllInTurn) {
+  add(18);
+  step(milliseconds(250));
+  BOOST_TEST(asked.size() == 6U);
+  step(milliseconds(500));
+  BOOST_TEST(asked.size() == 18U);
+  for (const auto& record : candidates)
+    BOOST_TEST((survey.requests(record->facts().instance) == 4U));
+}
+
+BOOST_AUTO_TEST_CASE(WhatWasSaidLongAgoDoesNotCount) {
+  add(1);
+  step(milliseconds(100));
+  BOOST_TEST(survey.requests("r0").has_value());
+  time.advance(seconds(2));
+  BOOST_TEST(!survey.requests("r0").has_value());
+  BOOST_TEST(!survey.requests("other").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ReplicaThatDoesNotAnswerIsSilentUntilItDoes) {
+  add(2);
+  dark = "r0";
+  step(milliseconds(600));
+  BOOST_TEST(survey.silent("r0"));
+  BOOST_TEST(!survey.silent("r1"));
+  dark.clear();
+  step(milliseconds(800));
+  BOOST_TEST(!survey.silent("r0"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::coordination
--- a/tests/coordination/rollout_plan_test.cc
+++ b/tests/coordination/rollout_plan_test.cc
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -69,6 +70,8 @@
     }
     for (const auto& [name, change] : changing) view.begun.insert(name);
     view.away = changing.size();
+    view.needed = needed;
+    view.requestsAt = requestsAt;
     for (const auto& one : plan.next(view).begin) {
       changing[one.instance] = {targets.newest("m"), now + changeTime};
       ++loads;
@@ -81,6 +84,9 @@
   base::TimePoint now{seconds(100)};
   base::Duration changeTime = milliseconds(2000);
   std::function<bool(const std::string&)> dark = [](const std::string& /*name*/) { return false; };
+  /// Replicas that the work under way fills.
+  double needed = 0;
+  std::function<std::optional<std::uint32_t>(const std::string&)> requestsAt;
   std::map<std::string, std::pair<base::WeightsVersion, base::TimePoint>> changing;
   std::size_t leastCounting = 1000;
   std::size_t mostAway = 0;
@@ -158,6 +164,57 @@
   BOOST_TEST(day.atLeast(2) == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(SpareReplicasChangeAtOnce) {
+  RolloutDay day{90};
+  day.needed = 30;
+  day.targets.onNamed("m", 2, day.now);
+  day.run(seconds(6));
+  BOOST_TEST(day.mostAway == 36U);
+  BOOST_TEST(day.atLeast(2) >= 70U);
+}
+
+BOOST_AUTO_TEST_CASE(WaveTakesTheRoomThatWasSpare) {
+  RolloutDay day{90};
+  day.needed = 40;
+  day.targets.onNamed("m", 2, day.now);
+  day.run(seconds(1));
+  BOOST_TEST(day.changing.size() == 36U);
+  day.needed = 80;
+  day.run(milliseconds(2500));
+  // What the date asks for is left.
+  BOOST_TEST(day.changing.size() <= 24U);
+  BOOST_TEST(day.changing.size() >= 10U);
+  day.run(seconds(7));
+  BOOST_TEST(day.atLeast(2) == 90U);
+}
+
+BOOST_AUTO_TEST_CASE(ReplicasWithTheFewestRequestsComeFirst) {
+  RolloutDay day{20};
+  day.requestsAt = [](const std::string& name) -> std::optional<std::uint32_t> {
+    if (name == "r7") return 1;
+    if (name == "r3") return 2;
+    if (name == "r11") return std::nullopt;
+    return 9;
+  };
+  day.changeTime = milliseconds(800);
+  day.targets.onNamed("m", 2, day.now);
+  day.step();
+  BOOST_TEST(day.changing.size() == 2U);
+  BOOST_TEST(day.changing.contains("r7"));
+  BOOST_TEST(day.changing.contains("r3"));
+}
+
+BOOST_AUTO_TEST_CASE(OldestVersionComesBeforeTheFewestRequests) {
+  RolloutDay day{20};
+  for (int number = 1; number < 20; ++number)
+    day.directory.find("r" + std::to_string(number))->learnVersion("m", 2);
+  day.requestsAt = [](const std::string& name) { return name == "r0" ? 20U : 0U; };
+  day.targets.onNamed("m", 2, day.now);
+  day.targets.onNamed("m", 3, day.now);
+  day.step();
+  BOOST_TEST(day.changing.contains("r0"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::coordination
