Rollout of weights: stop a version whose load ends the replicas

A version whose load ends the replica would have been ordered to all of them. One replica loads a version first, watched until it serves it, for 1.5 s at most; after an end each order is watched so. After the second end while nobody serves it the version is stopped: replicas that drain for it go on serving, and the log says so (OrderFailed, its outcome). Only replicas that had taken the order count. Replicas end for other reasons too, so that one tries again after 4 s, 8 s and so on; a newer version is ordered at once.

An order to a replica whose runs go on counts half a place, and the sum with it must be within the limit: at most half as many again as the limit load at once when runs end together.

--- a/src/coordination/weights_rollout.cc
+++ b/src/coordination/weights_rollout.cc
@@ -106,6 +106,7 @@
     view.needed = capacity_.needed(model);
   }
   view.requestsAt = [this](const std::string& instance) { return survey_.requests(instance); };
+  if (versions_.stopped(model, targets.back().version, now)) return;
   const auto step = plan_.next(view);
   ask(model, targets.back().version);
   loadLimit_ = step.mostLoading;
@@ -138,19 +139,24 @@
   const auto record = environment_.directory.find(instance);
   if (record == nullptr || record->gone()) {
     ordersTaken_.erase(instance);
-    return finish(instance, "gone");
+    return finishGone(instance, change);
   }
   // The list or an answer may show the version before a report does.
   if (change.phase == Phase::kLoading && record->versionOf(change.model) >= change.version)
     return finishServed(instance, record->versionOf(change.model));
   if (overdue(change)) return finish(instance, "not done in time");
+  const auto newest = environment_.targets.newest(change.model);
+  if (change.phase != Phase::kLoading && versions_.stopped(change.model, newest, now))
+    return release(instance);
   if (change.callUnderWay || now < change.nextAt) return;
   const bool flush =
       !change.noneWaiting && mustFlush(change.model, record->versionOf(change.model));
   const bool prepared =
       change.phase == Phase::kPrepared || (flush && change.phase == Phase::kDraining);
   if (prepared && ordersTaken_.contains(instance)) {
-    if (flush || loading() < static_cast<double>(loadLimit_)) order(instance, change);
+    if (!flush && !versions_.mayOrder(change.model, newest, now)) return;
+    const double share = change.running == 0 ? 1 : options_.shareWhileRunning;
+    if (flush || loading() + share <= static_cast<double>(loadLimit_)) order(instance, change);
   } else {
     askReport(instance, change);
   }
@@ -167,6 +173,8 @@
   change.heardAt = now;
   change.callUnderWay = true;
   change.orderedAt = now;
+  change.accepted = false;
+  versions_.onOrdered(change.model, change.version, now);
   const auto expectedOrders = ordersTaken_.at(instance);
   const clients::WeightsOrder order{change.model, change.version, environment_.holder, grant->token,
                                     expectedOrders};
@@ -203,6 +211,7 @@
   switch (status) {
     case clients::WeightsOrderStatus::kAccepted:
       ++ordersTaken_[instance];
+      change->accepted = true;
       change->nextAt = now + options_.loadLead;
       return;
     case clients::WeightsOrderStatus::kInForce:
@@ -291,7 +300,23 @@
   change.nextAt = now;
 }
 
+void WeightsRollout::finishGone(const std::string& instance, const Change& change) {
+  // What ends for another reason mostly ends without having taken the order.
+  const bool stops =
+      change.accepted && versions_.onEnded(change.model, change.version, environment_.clock.now());
+  finish(instance,
+         stops ? "gone; replicas end while they load this version, it is stopped" : "gone");
+}
+
+void WeightsRollout::release(const std::string& instance) {
+  const auto& model = changes_.at(instance).model;
+  if (const auto record = environment_.directory.find(instance))
+    environment_.news.onChanged(instance, model, record->versionOf(model));
+  finish(instance, "the version is stopped");
+}
+
 void WeightsRollout::finishServed(const std::string& instance, base::WeightsVersion version) {
+  versions_.onServed(changes_.at(instance).model, version);
   environment_.news.onChanged(instance, changes_.at(instance).model, version);
   finish(instance, "served");
 }
--- a/src/coordination/weights_rollout.h
+++ b/src/coordination/weights_rollout.h
@@ -30,6 +30,7 @@
 #include "coordination/lease_manager.h"
 #include "coordination/replica_survey.h"
 #include "coordination/rollout_plan.h"
+#include "coordination/version_watch.h"
 #include "routing/replica_directory.h"
 #include "routing/weights_targets.h"
 
@@ -129,6 +130,8 @@
     base::TimePoint heardAt{};
     /// The latest report that showed the order under way.
     base::TimePoint busyAt{};
+    /// The replica has taken the order.
+    bool accepted = false;
     /// Requests that run there, by the latest report.
     std::uint32_t running = 0;
     /// The latest report showed no requests that wait to begin.
@@ -158,6 +161,10 @@
   bool overdue(const Change& change) const;
   /// Replicas that were ordered and answer; those whose runs have not ended count in part.
   double loading() const;
+  /// The replica ended.
+  void finishGone(const std::string& instance, const Change& change);
+  /// Lets the replica serve the version that it has.
+  void release(const std::string& instance);
   /// The replica's version is forbidden and requests may still wait there.
   bool mustFlush(const std::string& model, base::WeightsVersion version) const;
   /// The replica serves the version: the other nodes are told and the change is over.
@@ -171,6 +178,7 @@
   RolloutPlan plan_;
   ReplicaSurvey survey_;
   CapacityAccount capacity_;
+  VersionWatch versions_;
   std::map<std::string, Change> changes_;
   /// Orders that each replica has taken, as far as this node knows.
   std::map<std::string, std::uint64_t> ordersTaken_;
--- /dev/null
+++ b/tests/coordination/version_watch_test.cc
@@ -0,0 +1,61 @@
+// When a version of weights may be loaded by more replicas, and when it is stopped.
+#include "coordination/version_watch.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace covewing::coordination {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+BOOST_AUTO_TEST_SUITE(VersionWatchTest)
+
+BOOST_AUTO_TEST_CASE(OneLoadsFirstAndTheOthersWhenItServes) {
+  VersionWatch watch;
+  const base::TimePoint now{seconds(100)};
+  BOOST_TEST(watch.mayOrder("m", 2, now));
+  watch.onOrdered("m", 2, now);
+  BOOST_TEST(!watch.mayOrder("m", 2, now + milliseconds(500)));
+  BOOST_TEST(watch.mayOrder("m", 3, now + milliseconds(500)));
+  watch.onServed("m", 2);
+  BOOST_TEST(watch.mayOrder("m", 2, now + milliseconds(500)));
+}
+
+BOOST_AUTO_TEST_CASE(OneThatIsSlowKeepsTheOthersForAWhileOnly) {
+  VersionWatch watch;
+  const base::TimePoint now{seconds(100)};
+  watch.onOrdered("m", 2, now);
+  watch.onOrdered("m", 2, now + milliseconds(1600));
+  BOOST_TEST(watch.mayOrder("m", 2, now + milliseconds(1700)));
+}
+
+BOOST_AUTO_TEST_CASE(SecondEndStopsAndOneTriesAgainLater) {
+  VersionWatch watch;
+  base::TimePoint now{seconds(100)};
+  watch.onOrdered("m", 2, now);
+  BOOST_TEST(!watch.onEnded("m", 2, now));
+  BOOST_TEST(watch.onEnded("m", 2, now));
+  BOOST_TEST(watch.stopped("m", 2, now + seconds(3)));
+  now += seconds(5);
+  BOOST_TEST(!watch.stopped("m", 2, now));
+  BOOST_TEST(watch.mayOrder("m", 2, now));
+  watch.onOrdered("m", 2, now);
+  BOOST_TEST(!watch.mayOrder("m", 2, now + milliseconds(500)));
+  BOOST_TEST(watch.onEnded("m", 2, now));
+  // The pause doubles.
+  BOOST_TEST(watch.stopped("m", 2, now + seconds(7)));
+  BOOST_TEST(!watch.stopped("m", 2, now + seconds(9)));
+}
+
+BOOST_AUTO_TEST_CASE(VersionThatIsServedIsNotStoppedByReplicasThatEnd) {
+  VersionWatch watch;
+  const base::TimePoint now{seconds(100)};
+  watch.onOrdered("m", 2, now);
+  watch.onServed("m", 2);
+  for (int count = 0; count < 5; ++count) BOOST_TEST(!watch.onEnded("m", 2, now));
+  BOOST_TEST(watch.mayOrder("m", 2, now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::coordination
