--- /dev/null
+++ b/src/coordination/weights_rollout_pace.cc
@@ -0,0 +1,96 @@
+// Which changes begin, and which of those that go on take a place.
+#include <algorithm>
+
+#include "coordination/weights_rollout.h"
+
+namespace covewing::coordination {
+
+bool WeightsRollout::mustFlush(const std::string& model, base::WeightsVersion version) const {
+  const auto before = environment_.clock.now() - options_.flushAfter;
+  return version < environment_.targets.oldestAllowed(model, before);
+}
+
+bool WeightsRollout::silent(const Change& change) const {
+  // One that waits for a place to load is not asked.
+  return change.phase != Phase::kPrepared &&
+         environment_.clock.now() - change.heardAt > options_.silentAfter;
+}
+
+void WeightsRollout::onHeard(const std::string& instance, Change& change) {
+  const auto now = environment_.clock.now();
+  if (silent(change) && change.phase == Phase::kDraining) {
+    change.startedAt = now;
+    environment_.news.onChanging(instance);
+  }
+  change.heardAt = now;
+}
+
+bool WeightsRollout::overdue(const Change& change) const {
+  const auto now = environment_.clock.now();
+  if (change.phase != Phase::kLoading) return false;
+  // Reports may show for a while what was before.
+  const bool busy = now - change.busyAt <= options_.giveUp;
+  return now - change.orderedAt > (busy ? options_.longestBusy : options_.giveUp);
+}
+
+double WeightsRollout::loading() const {
+  double places = 0;
+  for (const auto& [instance, change] : changes_) {
+    if (change.phase != Phase::kLoading || silent(change)) continue;
+    places += change.running == 0 ? 1 : options_.shareWhileRunning;
+  }
+  return places;
+}
+
+void WeightsRollout::begin(const std::string& model, const routing::WeightsTargetList& targets) {
+  const auto now = environment_.clock.now();
+  RolloutView view{.model = model, .targets = targets, .changeTime = changeTime_, .now = now};
+  for (const auto& [instance, record] : environment_.directory.all()) {
+    const bool reachable = !record->gone() && !record->health().ejected(now);
+    if (record->versionOf(model) == 0 || !reachable || survey_.silent(instance) ||
+        record->facts().state != routing::ReplicaState::kReady)
+      continue;
+    view.served.push_back(record);
+  }
+  for (const auto& [instance, change] : changes_) {
+    view.begun.insert(instance);
+    view.away += change.model == model && !silent(change) ? 1 : 0;
+  }
+  view.oldestAllowed = environment_.targets.oldestAllowed(model, now);
+  if (environment_.longRunReplicas && !view.served.empty())
+    view.longRunReplicas = environment_.longRunReplicas(view.served.front()->facts().service);
+  if (environment_.replicasInUse && !view.served.empty()) {
+    const auto& service = view.served.front()->facts().service;
+    capacity_.onDemand(model, environment_.replicasInUse(service), now);
+    view.needed = capacity_.needed(model);
+  }
+  view.requestsAt = [this](const std::string& instance) { return survey_.requests(instance); };
+  if (versions_.stopped(model, targets.back().version, now)) return;
+  const auto step = plan_.next(view);
+  ask(model, targets.back().version);
+  loadLimit_ = step.mostLoading;
+  for (const auto& [instance, unused] : step.begin) {
+    Change change;
+    change.model = model;
+    change.version = targets.back().version;
+    change.startedAt = now;
+    change.heardAt = now;
+    change.nextAt = unused ? now : now + options_.lead;
+    survey_.forget(instance);
+    changes_.emplace(instance, change);
+    environment_.news.onChanging(instance);
+  }
+}
+
+void WeightsRollout::ask(const std::string& model, base::WeightsVersion newest) {
+  std::vector<routing::ReplicaRecordPtr> outdated;
+  for (const auto& [instance, record] : environment_.directory.all()) {
+    const auto version = record->versionOf(model);
+    const bool ready = !record->gone() && record->facts().state == routing::ReplicaState::kReady;
+    if (ready && version != 0 && version < newest && !changes_.contains(instance))
+      outdated.push_back(record);
+  }
+  survey_.step(model, outdated);
+}
+
+}  // namespace covewing::coordination
