--- a/src/coordination/version_watch.cc
+++ b/src/coordination/version_watch.cc
@@ -19,6 +19,10 @@
   return !watched;
 }
 
+bool VersionWatch::untried(const std::string& model, base::WeightsVersion version) const {
+  return find(model, version) == nullptr;
+}
+
 bool VersionWatch::stopped(const std::string& model, base::WeightsVersion version,
                            base::TimePoint now) const {
   const Trial* trial = find(model, version);
--- a/src/coordination/version_watch.h
+++ b/src/coordination/version_watch.h
@@ -34,6 +34,8 @@
 
   /// Whether one more replica may be ordered to load the version.
   bool mayOrder(const std::string& model, base::WeightsVersion version, base::TimePoint now) const;
+  /// Nobody was ordered to load it, and nobody is known to serve it.
+  bool untried(const std::string& model, base::WeightsVersion version) const;
   /// Too many have ended, and it is not yet time to try again.
   bool stopped(const std::string& model, base::WeightsVersion version, base::TimePoint now) const;
   void onOrdered(const std::string& model, base::WeightsVersion version, base::TimePoint now);
--- a/src/coordination/weights_rollout.cc
+++ b/src/coordination/weights_rollout.cc
@@ -190,7 +190,8 @@
   const auto record = environment_.directory.find(instance);
   const bool flush =
       !change.noneWaiting && record && mustFlush(change.model, record->versionOf(change.model));
-  if (!idle && !flush && now - change.startedAt < options_.longestDrain) return;
+  const bool first = loadsFirst(change);
+  if (!idle && !flush && !first && now - change.startedAt < options_.longestDrain) return;
   change.phase = Phase::kPrepared;
   change.nextAt = now;
   advance(instance, change);
--- a/src/coordination/weights_rollout.h
+++ b/src/coordination/weights_rollout.h
@@ -153,6 +153,9 @@
                     const clients::WeightsReport& report);
   /// Asks replicas that are still to be changed how many requests they have.
   void ask(const std::string& model, base::WeightsVersion newest);
+  /// The replica is to be the first that loads the version, before its runs have ended, as the
+  /// others wait for it: nobody has loaded it, and no other that drains has fewer runs.
+  bool loadsFirst(const Change& change) const;
   /// Has not answered lately.
   bool silent(const Change& change) const;
   /// The replica answered; one that was silent begins its change anew.
--- a/src/coordination/weights_rollout_pace.cc
+++ b/src/coordination/weights_rollout_pace.cc
@@ -16,6 +16,19 @@
          environment_.clock.now() - change.heardAt > options_.silentAfter;
 }
 
+bool WeightsRollout::loadsFirst(const Change& change) const {
+  const auto newest = environment_.targets.newest(change.model);
+  if (!change.noneWaiting || !versions_.untried(change.model, newest)) return false;
+  // Those that were begun with at the same time have answered by the second report.
+  const auto age = environment_.clock.now() - change.startedAt;
+  if (age < options_.lead + options_.reportInterval) return false;
+  return std::ranges::none_of(changes_, [&](const auto& entry) {
+    const Change& other = entry.second;
+    return other.model == change.model && other.heardAt > other.startedAt &&
+           other.running < change.running;
+  });
+}
+
 void WeightsRollout::onHeard(const std::string& instance, Change& change) {
   const auto now = environment_.clock.now();
   if (silent(change) && change.phase == Phase::kDraining) {
@@ -51,6 +64,8 @@
         record->facts().state != routing::ReplicaState::kReady)
       continue;
     view.served.push_back(record);
+    if (record->versionOf(model) == targets.back().version)
+      versions_.onServed(model, targets.back().version);
   }
   for (const auto& [instance, change] : changes_) {
     view.begun.insert(instance);
--- a/tests/coordination/weights_rollout_test.cc
+++ b/tests/coordination/weights_rollout_test.cc
@@ -510,6 +510,20 @@
   BOOST_TEST(atLeast(3) == 10U);
 }
 
+BOOST_AUTO_TEST_CASE(FirstReplicaIsOrderedBeforeItsRunsHaveEnded) {
+  for (auto& [name, replica] : replicas.replicas) {
+    replica.running = 1;
+    replica.runsEndAt = time.now() + milliseconds(900);
+  }
+  targets.onNamed("m", 2, time.now());
+  rollout.start();
+  time.advance(milliseconds(500));
+  BOOST_TEST(replicas.given.size() == 1U);
+  // The others load when their runs have ended, and the first has served the version.
+  time.advance(milliseconds(1500));
+  BOOST_TEST(replicas.given.size() >= 3U);
+}
+
 BOOST_AUTO_TEST_CASE(FirstReplicaThatLoadsAVersionIsWatched) {
   targets.onNamed("m", 2, time.now());
   rollout.start();
