--- a/tests/coordination/rollout_plan_test.cc
+++ b/tests/coordination/rollout_plan_test.cc
@@ -215,6 +215,17 @@
   BOOST_TEST(day.changing.contains("r0"));
 }
 
+BOOST_AUTO_TEST_CASE(SmallFleetHasOnePlaceForLoads) {
+  RolloutDay day{6};
+  day.targets.onNamed("m", 2, day.now);
+  RolloutView view{.model = "m", .targets = day.targets.all().at("m"), .now = day.now};
+  for (const auto& [name, record] : day.directory.all()) view.served.push_back(record);
+  BOOST_TEST(day.plan.next(view).mostLoading == 1U);
+  day.run(seconds(11));
+  BOOST_TEST(day.atLeast(2) == 6U);
+  BOOST_TEST(day.mostAway <= 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::coordination
--- a/tests/coordination/weights_rollout_test.cc
+++ b/tests/coordination/weights_rollout_test.cc
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <set>
+#include <utility>
 
 #include "routing/replica_choice.h"
 #include "support/recording_log.h"
@@ -34,6 +35,8 @@
     base::FencingToken token = 0;
     /// Its address answers for another run.
     bool ended = false;
+    /// The next order is carried out so much later, and not answered.
+    base::Duration holdNext{};
     /// Gives no answer.
     bool silent = false;
     /// The runs end then; a load begins when they have.
@@ -47,8 +50,12 @@
              std::function<void(WeightsOrderStatus)> callback) override {
     given.push_back({instance, order});
     auto& replica = settled(instance);
-    if (replica.silent) {
+    if (replica.silent || replica.holdNext != base::Duration::zero()) {
       time_.schedule(kNoAnswer, [callback] { callback(WeightsOrderStatus::kUnknown); });
+      const auto held = std::exchange(replica.holdNext, base::Duration::zero());
+      if (held == base::Duration::zero()) return;
+      time_.schedule(held,
+                     [this, instance, order] { late.push_back(take(settled(instance), order)); });
       return;
     }
     auto status = take(replica, order);
@@ -83,6 +90,8 @@
 
   std::map<std::string, Replica> replicas;
   std::vector<std::pair<std::string, clients::WeightsOrder>> given;
+  /// What orders came to that were carried out late.
+  std::vector<WeightsOrderStatus> late;
   int loseAnswers = 0;
 
  private:
@@ -534,6 +543,60 @@
   BOOST_TEST(replicas.given.size() >= 3U);
 }
 
+BOOST_AUTO_TEST_CASE(OrderThatIsCarriedOutSecondsLateLoadsNothingAgain) {
+  for (int number = 1; number < 12; ++number) list("r" + std::to_string(number), 2);
+  replicas.replicas["r0"].holdNext = seconds(7);
+  targets.onNamed("m", 2, time.now());
+  rollout.start();
+  time.advance(seconds(6));
+  BOOST_TEST(directory.find("r0")->versionOf("m") == 2U);
+  time.advance(seconds(3));
+  BOOST_REQUIRE(replicas.late.size() == 1U);
+  BOOST_TEST((replicas.late.front() == WeightsOrderStatus::kConflict));
+  BOOST_TEST(replicas.replicas["r0"].orders == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(OrderThatIsCarriedOutAfterItsSuccessorLoadsNothing) {
+  for (int number = 1; number < 12; ++number) list("r" + std::to_string(number), 2);
+  replicas.replicas["r0"].holdNext = seconds(7);
+  targets.onNamed("m", 2, time.now());
+  rollout.start();
+  time.advance(milliseconds(1500));
+  targets.onNamed("m", 3, time.now());
+  time.advance(seconds(12));
+  BOOST_REQUIRE(replicas.late.size() == 1U);
+  BOOST_TEST((replicas.late.front() == WeightsOrderStatus::kConflict));
+  BOOST_TEST(atLeast(3) == 12U);
+  BOOST_TEST(replicas.replicas["r0"].version == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(StoreThatIsAwayOverTheDateDelaysOrdersAndLosesNone) {
+  targets.onNamed("m", 2, time.now());
+  rollout.start();
+  time.advance(milliseconds(1000));
+  const auto held = std::exchange(grant, std::nullopt);
+  const auto before = replicas.given.size();
+  time.advance(seconds(8));
+  BOOST_TEST(replicas.given.size() == before);
+  grant = held;
+  time.advance(seconds(6));
+  BOOST_TEST(atLeast(2) == 12U);
+  for (const auto& [name, replica] : replicas.replicas) BOOST_TEST(replica.orders == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(OlderOfTwoHoldersIsFencedOffAndEachReplicaLoadsOnce) {
+  std::optional<LeaseGrant> newer = LeaseGrant{6, 2};
+  WeightsRollout other{{},
+                       {time, time, log, replicas, directory, targets, *this, "other", {}, {}},
+                       [&newer] { return newer; }};
+  targets.onNamed("m", 2, time.now());
+  rollout.start();
+  other.start();
+  time.advance(seconds(10));
+  BOOST_TEST(atLeast(2) == 12U);
+  for (const auto& [name, replica] : replicas.replicas) BOOST_TEST(replica.orders == 4U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::coordination
