--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -52,7 +52,7 @@
   environment_.timers.cancel(pending.timer);
   if (questions_.erase(pending.question) == 0) return;
   // A grant that is under way is withdrawn as well.
-  if (pending.phase != Phase::kAsking) ended(grantOf(pending), PlacementOutcome::kWithdrawn);
+  if (pending.queueWithin) ended(grantOf(pending), PlacementOutcome::kWithdrawn);
 }
 
 const ReplicaRecord& Placement::recordOf(const Pending& pending) const {
@@ -78,7 +78,8 @@
   question.promptTokens = request.promptTokens;
   question.work = candidate.work;
   question.patience = request.patience;
-  question.terms.mayQueue = pending.phase == Phase::kJoining;
+  question.terms.mayQueue = pending.queueWithin.has_value();
+  question.queueWithin = pending.queueWithin.value_or(base::Duration::max());
   question.terms.urgency = standing.urgency;
   question.terms.tenant = standing.tenant;
   question.terms.age = now - standing.arrivedAt;
@@ -116,27 +117,36 @@
   for (; pending.position < pending.request.candidates.size(); ++pending.position) {
     if (pending.timeouts >= options_.mostTimeouts || enoughQueuesMet(pending)) break;
     if (!shouldAsk(pending)) continue;
+    pending.queueWithin = mayQueueWithin(pending);
     sendQuestion(ticket);
     return;
   }
   join(ticket);
 }
 
+base::Duration Placement::costOf(const Pending& pending, std::size_t place) const {
+  return *pending.prospects[place].wait +
+         options_.moveMargin * static_cast<base::Duration::rep>(place);
+}
+
 std::optional<std::size_t> Placement::shortestWait(const Pending& pending) const {
   std::optional<std::size_t> best;
-  base::Duration shortest{};
   for (std::size_t place = 0; place < pending.prospects.size(); ++place) {
     const auto& prospect = pending.prospects[place];
     if (prospect.out || !prospect.wait) continue;
-    const auto cost =
-        *prospect.wait + options_.moveMargin * static_cast<base::Duration::rep>(place);
-    if (best && cost >= shortest) continue;
-    best = place;
-    shortest = cost;
+    if (!best || costOf(pending, place) < costOf(pending, *best)) best = place;
   }
   return best;
 }
 
+std::optional<base::Duration> Placement::mayQueueWithin(const Pending& pending) const {
+  if (pending.queuesMet == 0 || pending.queuesMet + 1 < options_.queuesToJoin) return std::nullopt;
+  const auto best = shortestWait(pending);
+  if (!best) return std::nullopt;
+  const auto margin = options_.moveMargin * static_cast<base::Duration::rep>(pending.position);
+  return costOf(pending, *best) - margin;
+}
+
 void Placement::join(Ticket ticket) {
   auto& pending = pending_.at(ticket);
   const auto best = shortestWait(pending);
@@ -147,6 +157,7 @@
   }
   pending.position = *best;
   pending.phase = Phase::kJoining;
+  pending.queueWithin = base::Duration::max();
   sendQuestion(ticket);
 }
 
@@ -217,17 +228,28 @@
       onDeclined(ticket, answer);
       return;
     case PlacementVerdict::kRefused:
-      ++counters_.refused;
-      auto result = resultOf(pending);
-      result.retryAfter = answer.retryAfter;
-      conclude(ticket, result);
+      onRefused(ticket, answer);
       return;
   }
 }
 
+void Placement::onRefused(Ticket ticket, const PlacementAnswer& answer) {
+  auto& pending = pending_.at(ticket);
+  if (pending.phase == Phase::kAsking) {
+    // The home with a longer wait may serve it still: another order is there.
+    questions_.erase(pending.question);
+    leaveCandidate(ticket);
+    return;
+  }
+  ++counters_.refused;
+  auto result = resultOf(pending);
+  result.retryAfter = answer.retryAfter;
+  conclude(ticket, result);
+}
+
 void Placement::onQueued(Ticket ticket, const PlacementAnswer& answer) {
   auto& pending = pending_.at(ticket);
-  if (pending.phase == Phase::kJoining) ++counters_.queued;
+  if (pending.phase != Phase::kQueued) ++counters_.queued;
   pending.phase = Phase::kQueued;
   pending.timer = environment_.timers.schedule(answer.within + options_.promiseMargin,
                                                [this, ticket] { onPromiseMissed(ticket); });
@@ -248,18 +270,22 @@
 void Placement::onTimeout(Ticket ticket) {
   auto& pending = pending_.at(ticket);
   ++counters_.timeouts;
-  auto& trust = trust_[pending.homeId];
-  if (++trust.timeouts >= options_.timeoutsToAvoid)
-    trust.avoidedUntil = environment_.clock.now() + options_.avoidFor;
+  distrustHome(pending);
   ++pending.timeouts;
   closeQuestion(pending);
   leaveCandidate(ticket);
 }
 
+void Placement::distrustHome(const Pending& pending) {
+  auto& trust = trust_[pending.homeId];
+  if (++trust.timeouts >= options_.timeoutsToAvoid)
+    trust.avoidedUntil = environment_.clock.now() + options_.avoidFor;
+}
+
 void Placement::onPromiseMissed(Ticket ticket) {
   auto& pending = pending_.at(ticket);
   ++counters_.promisesMissed;
-  trust_[pending.homeId].avoidedUntil = environment_.clock.now() + options_.avoidFor;
+  distrustHome(pending);
   closeQuestion(pending);
   leaveCandidate(ticket);
 }
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -183,7 +183,7 @@
   enum class Phase : std::uint8_t {
     /// Homes are asked in turn.
     kAsking,
-    /// A home is asked to queue the request.
+    /// The home with the shortest wait is asked to queue the request.
     kJoining,
     kQueued,
   };
@@ -206,6 +206,8 @@
     /// Homes that told of others waiting.
     std::size_t queuesMet = 0;
     std::uint32_t queued = 0;
+    /// The home that is asked may queue the request if the wait there is at most this.
+    std::optional<base::Duration> queueWithin;
     /// The question that is open, and the home asked.
     std::uint64_t question = 0;
     base::NodeId homeId;
@@ -229,6 +231,10 @@
   /// Whether this candidate is asked now; notes what is known of it if not.
   bool shouldAsk(Pending& pending);
   bool enoughQueuesMet(const Pending& pending) const;
+  /// The wait up to which the home that is asked next may queue the request at once, which saves
+  /// two messages: the last one before a queue is joined, if its wait is the shortest.
+  std::optional<base::Duration> mayQueueWithin(const Pending& pending) const;
+  base::Duration costOf(const Pending& pending, std::size_t place) const;
   void join(Ticket ticket);
   /// The candidate whose queue is joined; empty when none is left.
   std::optional<std::size_t> shortestWait(const Pending& pending) const;
@@ -241,8 +247,11 @@
   void takeAnswer(Ticket ticket, const PlacementAnswer& answer);
   void onQueued(Ticket ticket, const PlacementAnswer& answer);
   void onDeclined(Ticket ticket, const PlacementAnswer& answer);
+  void onRefused(Ticket ticket, const PlacementAnswer& answer);
   void onTimeout(Ticket ticket);
   void onPromiseMissed(Ticket ticket);
+  /// The home of the pending request did not answer in time.
+  void distrustHome(const Pending& pending);
   /// Asks the others again, without the candidate at the position.
   void leaveCandidate(Ticket ticket);
   PlacementResult resultOf(const Pending& pending) const;
--- a/src/routing/placement_home.cc
+++ b/src/routing/placement_home.cc
@@ -129,8 +129,9 @@
   const auto entry = entryOf(question.id, demand);
   // A question that only looks for room is no arrival where there is none: the request asks others.
   const bool late = demand.terms.inTime < base::Duration::zero();
-  if (!question.terms.mayQueue && !room.fits(entry, !late)) return answer;
-  const auto offer = state.queue.offer(entry, room, question.terms.mayQueue, now);
+  const bool mayWait = question.terms.mayQueue && answer.wait <= question.queueWithin;
+  if (!mayWait && !room.fits(entry, !late)) return answer;
+  const auto offer = state.queue.offer(entry, room, mayWait, now);
   switch (offer.verdict) {
     case admission::QueueVerdict::kGranted:
       answer.verdict = PlacementVerdict::kGranted;
@@ -146,7 +147,7 @@
       armLook();
       break;
     case admission::QueueVerdict::kRefused:
-      if (!question.terms.mayQueue) break;
+      if (!mayWait) break;
       answer.verdict = PlacementVerdict::kRefused;
       answer.queued = static_cast<std::uint32_t>(offer.ahead);
       answer.retryAfter = offer.wait;
--- a/src/routing/placement_messages.cc
+++ b/src/routing/placement_messages.cc
@@ -18,7 +18,7 @@
   kEnded = 8,
 };
 
-constexpr std::uint32_t kQuestionFields = 20;
+constexpr std::uint32_t kQuestionFields = 21;
 constexpr std::uint32_t kAnswerFields = 13;
 constexpr std::uint32_t kTakenFields = 7;
 constexpr std::uint32_t kBegunFields = 3;
@@ -54,6 +54,7 @@
   write(writer, question.work);
   writer.signedInteger(question.patience.count());
   write(writer, question.terms);
+  writer.signedInteger(question.queueWithin.count());
 }
 
 void write(base::Writer& writer, const PlacementAnswer& answer) {
@@ -147,6 +148,7 @@
   question.work = readWork(reader);
   question.patience = base::Duration{reader.signedInteger()};
   question.terms = readTerms(reader);
+  question.queueWithin = base::Duration{reader.signedInteger()};
   return question;
 }
 
--- a/src/routing/placement_messages.h
+++ b/src/routing/placement_messages.h
@@ -82,6 +82,8 @@
   /// The request is granted where the expected wait is at most this.
   base::Duration patience{};
   PlacementTerms terms;
+  /// Where it may queue, it does only if the expected wait is at most this: another home told more.
+  base::Duration queueWithin = base::Duration::max();
 };
 
 /// What a home says to a request, at once or later while the request is queued there.
--- a/tests/routing/delayed_network.h
+++ b/tests/routing/delayed_network.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -31,6 +32,8 @@
             std::string payload) {
     ++sent;
     if (random.unit() < loss) return;
+    if (cut.contains(sender.endpoint.address) || cut.contains(destination.address)) return;
+    if (filter && filter(destination, payload)) return;
     time_.schedule(std::chrono::milliseconds(1),
                    [this, sender, destination, payload = std::move(payload)] {
                      const auto receiver = receivers_.find(destination.address);
@@ -40,6 +43,10 @@
 
   /// Part of the messages that are lost.
   double loss = 0;
+  /// Addresses that neither send nor receive.
+  std::set<std::uint32_t> cut;
+  /// True for a message that is lost.
+  std::function<bool(const base::Endpoint& destination, std::string_view payload)> filter;
   std::size_t sent = 0;
   base::SeededRandom random;
 
