--- a/src/live/relay_metrics.cc
+++ b/src/live/relay_metrics.cc
@@ -33,6 +33,17 @@
     {"covewing_process_resident_bytes", "gauge", "", "resident memory of the process"},
     {"covewing_quarantined_requests", "gauge", "",
      "requests that are refused because replicas ended under earlier runs of them"},
+    {"covewing_queue_events_total", "counter", "event",
+     "requests at the queues of the replicas that this node is home to: granted or refused when "
+     "they asked or later, withdrawn by their nodes, sent elsewhere because the replica or its "
+     "home changed"},
+    {"covewing_queue_length", "gauge", "",
+     "requests that wait now for the replicas that this node is home to"},
+    {"covewing_queue_wait_seconds_total", "counter", "urgency",
+     "time that requests waited in these queues until they were granted, by urgency; the last one "
+     "counts all less urgent ones as well"},
+    {"covewing_queue_waits_total", "counter", "urgency",
+     "requests that waited in these queues until they were granted, by urgency"},
     {"covewing_quota_messages_total", "counter", "kind",
      "messages about tenants' limits: questions to homes, answers as a home, corrections, homes "
      "passed over as silent, requests granted from this node's own share"},
@@ -74,6 +85,8 @@
 std::span<const MetricEntry> relayMetricTable() { return kTable; }
 
 struct RelayMetrics::Impl {
+  void renderQueues(const routing::PlacementCounters& placement);
+
   MetricFamilies families{kTable};
   prometheus::Gauge& connections = families.gauges("covewing_caller_connections").Add({});
   prometheus::Gauge& age = families.gauges("covewing_configuration_age_seconds").Add({});
@@ -90,6 +103,13 @@
       families.counters("covewing_placement_questions_total");
   prometheus::Counter& processor = families.counters("covewing_process_cpu_seconds_total").Add({});
   prometheus::Gauge& resident = families.gauges("covewing_process_resident_bytes").Add({});
+  prometheus::Family<prometheus::Counter>& queueEvents =
+      families.counters("covewing_queue_events_total");
+  prometheus::Gauge& queueLength = families.gauges("covewing_queue_length").Add({});
+  prometheus::Family<prometheus::Counter>& queueWaitSeconds =
+      families.counters("covewing_queue_wait_seconds_total");
+  prometheus::Family<prometheus::Counter>& queueWaits =
+      families.counters("covewing_queue_waits_total");
   prometheus::Family<prometheus::Counter>& quotaMessages =
       families.counters("covewing_quota_messages_total");
   prometheus::Family<prometheus::Counter>& quotaRefusals =
@@ -131,6 +151,29 @@
   impl_->events.Add({{"event", std::string{base::describe(event).name}}}).Increment();
 }
 
+void RelayMetrics::Impl::renderQueues(const routing::PlacementCounters& placement) {
+  const auto raise = [](prometheus::Counter& counter, double total) {
+    counter.Increment(total - counter.Value());
+  };
+  const auto event = [&](const char* name, std::uint64_t total) {
+    raise(queueEvents.Add({{"event", name}}), static_cast<double>(total));
+  };
+  queueLength.Set(static_cast<double>(placement.waitingHere));
+  const auto& home = placement.home;
+  event("granted_at_once", home.grantedAtOnce);
+  event("granted_later", home.grantedLater);
+  event("refused_at_once", home.refusedAtOnce);
+  event("refused_later", home.refusedLater);
+  event("withdrawn", home.withdrawn);
+  event("sent_elsewhere", home.cleared);
+  for (std::size_t urgency = 0; urgency < home.waits.size(); ++urgency) {
+    const Labels labels{{"urgency", std::to_string(urgency)}};
+    const auto& waits = home.waits.at(urgency);
+    raise(queueWaits.Add(labels), static_cast<double>(waits.count));
+    raise(queueWaitSeconds.Add(labels), base::toSeconds(waits.total));
+  }
+}
+
 std::string RelayMetrics::render(const Snapshot& snapshot) {
   const auto set = [](prometheus::Gauge& gauge, auto value) {
     gauge.Set(static_cast<double>(value));
@@ -155,6 +198,10 @@
   raise(impl_->questions.Add({{"outcome", "granted"}}), placement.granted);
   raise(impl_->questions.Add({{"outcome", "declined"}}), placement.declined);
   raise(impl_->questions.Add({{"outcome", "timeout"}}), placement.timeouts);
+  raise(impl_->questions.Add({{"outcome", "queued"}}), placement.queued);
+  raise(impl_->questions.Add({{"outcome", "refused"}}), placement.refused);
+  raise(impl_->questions.Add({{"outcome", "promise_missed"}}), placement.promisesMissed);
+  impl_->renderQueues(placement);
   const auto& quotas = snapshot.quotas;
   raise(impl_->quotaMessages.Add({{"kind", "question"}}), quotas.asks);
   raise(impl_->quotaMessages.Add({{"kind", "answer"}}), quotas.answers);
