--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -234,15 +234,9 @@
 }
 
 void Placement::onRefused(Ticket ticket, const PlacementAnswer& answer) {
-  auto& pending = pending_.at(ticket);
-  if (pending.phase == Phase::kAsking) {
-    // The home with a longer wait may serve it still: another order is there.
-    questions_.erase(pending.question);
-    leaveCandidate(ticket);
-    return;
-  }
+  // Only a home with the shortest wait known is asked to queue a request, so that none serves it.
   ++counters_.refused;
-  auto result = resultOf(pending);
+  auto result = resultOf(pending_.at(ticket));
   result.retryAfter = answer.retryAfter;
   conclude(ticket, result);
 }
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -53,8 +53,8 @@
   /// load that the next home has room for; each home more costs two messages in a shortage.
   std::size_t queuesToJoin = 2;
   /// A home that told of others waiting is known to have a queue for so long without being asked:
-  /// some runs end meanwhile, few queues do.
-  base::Duration queueKnownFor = std::chrono::milliseconds(100);
+  /// some runs end meanwhile, few queues do, and the home that is joined grants at once if it did.
+  base::Duration queueKnownFor = std::chrono::milliseconds(200);
   PlacementHomeOptions home;
 };
 
--- a/tests/routing/placement_queue_test.cc
+++ b/tests/routing/placement_queue_test.cc
@@ -24,9 +24,9 @@
   }
 
   std::size_t home() { return homeOf(3); }
-  /// A node that is home to neither replica.
+  /// A node that is home to neither replica, nor the one whose requests fill them.
   std::size_t asker() {
-    for (std::size_t node = 0; node < kNodes; ++node)
+    for (std::size_t node = kNodes - 1; node > 0; --node)
       if (node != homeOf(3) && node != homeOf(5)) return node;
     return 0;
   }
@@ -204,6 +204,68 @@
   BOOST_TEST(withdrawn == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(LostAnswerThatARequestIsQueuedCostsItAFewMillisecondsAndNoPlaceIsKept) {
+  network.filter = [](const base::Endpoint&, std::string_view payload) {
+    const auto message = decodePlacementMessage(payload);
+    const auto* answer = message ? std::get_if<PlacementAnswer>(&*message) : nullptr;
+    return answer != nullptr && answer->verdict == PlacementVerdict::kQueued;
+  };
+  const auto placed = waitAt(asker(), {3});
+  BOOST_TEST(waitingAt(home()) == 1U);
+  time.advance(milliseconds(30));
+  BOOST_TEST(waitingAt(home()) == 0U);
+  BOOST_REQUIRE(placed->result.has_value());
+  BOOST_TEST(!placed->granted());
+}
+
+BOOST_AUTO_TEST_CASE(RequestsOfANodeThatDiedLeaveTheQueue) {
+  waitAt(asker(), {3});
+  const auto other = waitAt(homeOf(5), {3});
+  auto members = nodes.at(home())->members.liveMembers();
+  const auto dead = std::ranges::find(members, all[asker()].id, &membership::Member::id);
+  dead->state = membership::MemberState::kDead;
+  network.cut.insert(all[asker()].endpoint.address);
+  nodes.at(home())->members.set(members);
+  time.advance(milliseconds(60));
+  BOOST_TEST(waitingAt(home()) == 1U);
+  endOne(first);
+  BOOST_TEST(other->granted());
+}
+
+// The node that was home takes another one for it: what waits there asks the new home.
+BOOST_AUTO_TEST_CASE(HomeThatSeesAnotherHomeSendsAllThatWaitElsewhere) {
+  const auto placed = waitAt(asker(), {3, 5});
+  const auto old = home();
+  auto members = nodes.at(old)->members.liveMembers();
+  auto draining = all[old];
+  draining.draining = true;
+  std::erase_if(members, [&](const auto& member) { return member.id == draining.id; });
+  members.push_back(draining);
+  nodes.at(old)->members.set(members);
+  time.advance(milliseconds(60));
+  BOOST_TEST(waitingAt(old) == 0U);
+  BOOST_TEST(!placed->result.has_value());
+  endOne(second);
+  BOOST_TEST(placed->granted());
+}
+
+// Two nodes take themselves for the home of one replica: each grants what it counts, and no request
+// is granted by both.
+BOOST_AUTO_TEST_CASE(TwoHomesAtOnceGrantEachRequestOnce) {
+  const auto other = asker();
+  auto members = nodes.at(other)->members.liveMembers();
+  std::erase_if(members, [&](const auto& member) { return member.id == all[home()].id; });
+  nodes.at(other)->members.set(members);
+  std::vector<Placed> asking;
+  for (int count = 0; count < 10; ++count) asking.push_back(waitAt(other, {3}));
+  for (int count = 0; count < 10; ++count) asking.push_back(waitAt(homeOf(5), {3}));
+  while (!first.empty()) endOne(first);
+  time.advance(milliseconds(50));
+  const auto given = granted(asking);
+  BOOST_TEST(given >= kSlots);
+  BOOST_TEST(given <= 2 * (kSlots + 1));
+}
+
 BOOST_AUTO_TEST_CASE(HomeKeepsItsPromiseWhileRequestsWaitLong) {
   const auto placed = waitAt(asker(), {3});
   time.advance(milliseconds(2500));
