--- a/src/request/relay_flow_parts.cc
+++ b/src/request/relay_flow_parts.cc
@@ -133,6 +133,7 @@
     standing.inTimeUntil = dependencies_.clock.now() + route.targetLatency;
     standing.usefulUntil = deadline_;
   }
+  standing.inTimeUntil = std::min(standing.inTimeUntil, standing.usefulUntil);
   return standing;
 }
 
--- /dev/null
+++ b/tests/request/relay_queue_test.cc
@@ -0,0 +1,132 @@
+// Requests that wait in the queue of a replica's home: what their callers get, and when.
+#include <boost/test/unit_test.hpp>
+
+#include "relay_fixture.h"
+
+namespace covewing::request {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// All replicas run as much for another node as they take; this node is their home.
+struct QueuedFlowFixture : RelayFixture {
+  static constexpr std::uint32_t kSlots = 8;
+
+  void fillReplicas() {
+    for (const auto& [name, record] : replicas.all()) {
+      for (std::uint32_t count = 0; count < kSlots + 1; ++count) fillOne(name);
+    }
+  }
+  void fillOne(const std::string& name) {
+    const auto replica = base::engineIdOf(name);
+    const routing::PlacementWork work{100, 100, kSlots, 90'000};
+    placement.onPeerMessage(other, routing::encode(routing::PlacementTaken{++runs, replica, work}));
+    placement.onPeerMessage(other, routing::encode(routing::PlacementBegun{runs, replica}));
+    names.push_back(name);
+  }
+  void endOne() {
+    const routing::PlacementEnded ended{
+        runs, base::engineIdOf(names.back()), routing::PlacementOutcome::kServed, {}};
+    --runs;
+    names.pop_back();
+    placement.onPeerMessage(other, routing::encode(ended));
+    time.advance(milliseconds(1));
+  }
+  void waitAtMost(base::Duration patience) {
+    auto patient = contents();
+    patient.version = 2;
+    for (auto& route : patient.routes) route.firstEventPatience = patience;
+    useTable(patient);
+  }
+  std::size_t waiting() const { return placement.counters().waitingHere; }
+
+  const base::PeerIdentity other{base::nodeIdOf("other"), 1, {}};
+  std::uint64_t runs = 0;
+  std::vector<std::string> names;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RelayQueueTest, QueuedFlowFixture)
+
+BOOST_AUTO_TEST_CASE(QueuedRequestIsSentWhenARunEnds) {
+  fillReplicas();
+  request("once");
+  BOOST_TEST(waiting() == 1U);
+  time.advance(milliseconds(50));
+  BOOST_TEST(client.sent.empty());
+  endOne();
+  // It waits at one of three replicas, the runs of which end in turn.
+  while (client.sent.empty() && !names.empty()) endOne();
+  BOOST_REQUIRE(client.sent.size() == 1U);
+  client.last().answer(200, "id: 1\ndata: x\n\n");
+  BOOST_TEST(views.front()->ended);
+}
+
+BOOST_AUTO_TEST_CASE(CallerThatLeavesTheQueueIsForgottenAtOnce) {
+  fillReplicas();
+  request("once");
+  BOOST_TEST(waiting() == 1U);
+  flow.lock()->onCallerGone();
+  BOOST_TEST(waiting() == 0U);
+  while (!names.empty()) endOne();
+  BOOST_TEST(client.sent.empty());
+  BOOST_TEST(service.open() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(RequestThatCannotBeServedInTimeIsRefusedAsNotRunWithTheTimeOfTheHome) {
+  waitAtMost(milliseconds(150));
+  fillReplicas();
+  auto& caller = request("once");
+  time.advance(milliseconds(180));
+  BOOST_REQUIRE(caller.refusal.has_value());
+  BOOST_TEST(caller.refusal->status == 503U);
+  BOOST_TEST((caller.refusal->retryAfter > milliseconds(0)));
+  BOOST_TEST((caller.refusal->retryAfter != RelayOptions{}.retryAfterNoReplica));
+  BOOST_TEST(client.sent.empty());
+  BOOST_TEST(waiting() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(RequestThatMayHaveRunIsNotCalledNotRunWhenAHomeRefusesIt) {
+  waitAtMost(milliseconds(150));
+  auto& caller = request("resumable");
+  BOOST_REQUIRE(client.sent.size() == 1U);
+  fillReplicas();
+  client.last().breakOff();
+  time.advance(milliseconds(180));
+  BOOST_REQUIRE(caller.refusal.has_value());
+  BOOST_TEST(caller.refusal->status == 502U);
+}
+
+BOOST_AUTO_TEST_CASE(QueuedRequestIsNotSentToAReplicaThatChangesItsWeights) {
+  fillReplicas();
+  request("once");
+  for (const char* name : {"m1", "m2", "m3"})
+    replicas.find(name)->setChanging(time.now() + milliseconds(300));
+  while (!names.empty()) endOne();
+  time.advance(milliseconds(100));
+  BOOST_TEST(client.sent.empty());
+  BOOST_TEST(waiting() == 0U);
+  // It is held without messages until one may take requests again.
+  time.advance(milliseconds(400));
+  BOOST_TEST(client.sent.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(RequestWhoseKeyWasTakenAwayWhileItWaitedIsNotSent) {
+  fillReplicas();
+  auto& caller = request("once");
+  auto without = contents();
+  without.version = 2;
+  without.tenants.clear();
+  useTable(without);
+  while (!names.empty()) endOne();
+  BOOST_TEST(client.sent.empty());
+  BOOST_REQUIRE(caller.refusal.has_value());
+  BOOST_TEST(waiting() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::request
