Free timers' callbacks after the queue has forgotten them

A callback that owned the last reference to an object which cancels its own timer when it goes ended the process: a cancel of the only timer freed the node twice, the end of the service read freed ones. The queue's order, cancels inside callbacks and thousands of timers get tests of their own.

--- a/src/live/asio_runtime.cc
+++ b/src/live/asio_runtime.cc
@@ -40,7 +40,8 @@
   void remove(base::TimerId id) {
     const auto found = dueOf.find(id);
     if (found == dueOf.end()) return;
-    queue.erase({found->second, id});
+    // Goes last: what the callback owns may cancel timers, this one too, when it goes.
+    const auto callback = queue.extract({found->second, id});
     dueOf.erase(found);
     // An alarm for nothing would keep the loop from ending.
     if (queue.empty()) disarm();
@@ -79,8 +80,9 @@
 
   void close() {
     closed = true;
-    queue.clear();
     dueOf.clear();
+    // Goes last: what the callbacks own may cancel timers when it goes.
+    const auto callbacks = std::exchange(queue, {});
     disarm();
   }
 
