Ask a feed without a wait until it has answered after a pause

After a first call that failed, as over a connection from before a suspension, the next one waited for news: without any, the node had no new proof for as long, and could not confirm keys.

--- a/src/config/table_watch.cc
+++ b/src/config/table_watch.cc
@@ -32,10 +32,10 @@
   caughtUp_ = false;
   backoff_ = {};
   timers_.cancel(retryTimer_);
-  ask(base::Duration::zero());
+  next();
 }
 
-void TableWatch::next() { ask(options_.wait); }
+void TableWatch::next() { ask(caughtUp_ ? options_.wait : base::Duration::zero()); }
 
 void TableWatch::ask(base::Duration wait) {
   if (position_) {
--- a/tests/config/table_watch_test.cc
+++ b/tests/config/table_watch_test.cc
@@ -20,15 +20,17 @@
     ++copies;
     pending = std::move(callback);
   }
-  void changes(std::string /*table*/, base::Revision after, base::Duration /*wait*/,
+  void changes(std::string /*table*/, base::Revision after, base::Duration wait,
                clients::FeedCallback callback) override {
     askedAfter = after;
+    askedWait = wait;
     pending = std::move(callback);
   }
   void answer(FeedReply reply) { std::exchange(pending, nullptr)(std::move(reply)); }
 
   int copies = 0;
   base::Revision askedAfter = 0;
+  base::Duration askedWait{};
   clients::FeedCallback pending;
 };
 
@@ -151,6 +153,21 @@
   BOOST_TEST((watched.sources["c"] == RowSource::kFeed));
 }
 
+// A call that waits for news would leave the node without a proof as long as nothing changes.
+BOOST_AUTO_TEST_CASE(NoCallWaitsForNewsUntilOneIsAnsweredAfterAPause) {
+  feed.answer({FeedStatus::kOk, {{"a", "1", 3}}, 5});
+  feed.pending = nullptr;
+  time.pause(seconds(10));
+  watch.onWake();
+  BOOST_TEST((feed.askedWait == base::Duration::zero()));
+  feed.answer({FeedStatus::kUnavailable, {}, 0});
+  time.advance(seconds(2));
+  BOOST_REQUIRE(static_cast<bool>(feed.pending));
+  BOOST_TEST((feed.askedWait == base::Duration::zero()));
+  feed.answer({FeedStatus::kOk, {}, 5});
+  BOOST_TEST((feed.askedWait > base::Duration::zero()));
+}
+
 BOOST_AUTO_TEST_CASE(FailureAfterAPauseIsNoAnswer) {
   feed.answer({FeedStatus::kOk, {{"a", "1", 3}}, 5});
   feed.pending = nullptr;
