--- a/src/node/wake_gate.h
+++ b/src/node/wake_gate.h
@@ -26,7 +26,8 @@
   WakeGate(base::Clock& clock, base::TimerService& timers, base::EventLog& log,
            std::function<bool()> caughtUp);
 
-  /// The node has just noticed a pause. `fields` tell of it in the event of its end.
+  /// The node has just noticed a pause: so long it did nothing, and so much of that its machine was
+  /// suspended. The event of the gate's opening tells both.
   void onWake(base::Duration silence, base::Duration suspended);
   /// Whether requests are held.
   bool closed() const { return closed_; }
