Keep the lease's gap with orders that are under way, older versions and late answers

Where replicas check no fences, the gap between two holders' orders was too short by the time that an order is under way (800 ms): now counted, also for the own former run, whose last order has the lower token. A lapsed lease of a version without order windows, and a row that cannot be read, are followed after the whole gap: that holder may order as long as it holds the lease. A renewal whose answer is found after the lease has lapsed no longer ends the wait of its tenure. Announcements tell the address and whether the holder has settled, as the row does; older nodes ignore both.

--- a/src/coordination/lease_manager.cc
+++ b/src/coordination/lease_manager.cc
@@ -22,20 +22,22 @@
 }  // namespace
 
 base::Duration settleTime(Succession succession, const LeaseOptions& options) {
+  if (options.orderGap.count() == 0) return {};
   switch (succession) {
     case Succession::kFirst:
-    case Succession::kFormerRun:
       return {};
+    case Succession::kFormerRun:
+      return options.orderTime;
     case Succession::kRecent:
-      return options.orderGap;
+      return options.orderGap + options.orderTime;
     case Succession::kLapsed:
       break;
   }
-  if (options.orderGap.count() == 0) return {};
   // It was taken this long, at least, after the former holder sent its last write.
   const auto waited = options.duration + options.margin;
   const auto window = options.orderWindow.count() == 0 ? options.duration : options.orderWindow;
-  return std::max(options.orderGap + window + options.margin - waited, base::Duration::zero());
+  return std::max(options.orderGap + options.orderTime + window + options.margin - waited,
+                  base::Duration::zero());
 }
 
 LeaseManager::LeaseManager(LeaseOptions options, LeaseEnvironment environment,
@@ -77,6 +79,11 @@
   return tenure_ && environment_.clock.now() >= tenure_->settledAt;
 }
 
+base::Duration LeaseManager::settleTimeLeft() const {
+  if (!tenure_) return {};
+  return std::max(tenure_->settledAt - environment_.clock.now(), base::Duration::zero());
+}
+
 bool LeaseManager::hasExpired() const { return environment_.clock.now() >= tenure_->validUntil; }
 
 LeaseStatus LeaseManager::status() const {
@@ -117,11 +124,14 @@
 }
 
 Succession LeaseManager::succession() const {
-  if (!observed_->row) return Succession::kFirst;
+  // A row that cannot be read was written by somebody, who may be ordering.
+  if (!observed_->row) return observed_->revision == 0 ? Succession::kFirst : Succession::kRecent;
   const LeaseRow& row = *observed_->row;
   if (isOwn(row) || isFormerRun(row))
     return row.settled ? Succession::kFormerRun : Succession::kRecent;
-  return row.released ? Succession::kRecent : Succession::kLapsed;
+  // Versions that write no address order without a window, as long as they hold the lease.
+  const bool windowed = !row.address.empty();
+  return row.released || !windowed ? Succession::kRecent : Succession::kLapsed;
 }
 
 void LeaseManager::onReleaseHint() {
@@ -243,7 +253,7 @@
       .row = std::move(row),
       .sentAt = environment_.clock.now(),
       .tenureRevision = expected.tenureRevision,
-      .settle = newTenure ? settleTime(succession(), options_) : base::Duration::zero()};
+      .settle = newTenure ? settleTime(succession(), options_) : settleTimeLeft()};
   clients::TableTransaction transaction;
   // A conflict answers with the rows of both conditions.
   transaction.conditions = {{leaseKey(options_.name), expected.revision},
--- a/src/coordination/lease_manager.h
+++ b/src/coordination/lease_manager.h
@@ -60,6 +60,8 @@
   /// A holder orders only so long after it sent the last write that the table service confirmed;
   /// zero: as long as it holds the lease. The shorter, the sooner the next holder may order.
   base::Duration orderWindow{};
+  /// How long an order may be under way after the holder's check, at most.
+  base::Duration orderTime{};
 };
 
 /// All must outlive the manager and share its thread.
@@ -86,10 +88,11 @@
   /// Nobody held it before.
   kFirst,
   /// An earlier run of the same node, at the same address, that had settled: that run has ended,
-  /// or this one could not listen there.
+  /// or this one could not listen there. Only its last order may still be under way.
   kFormerRun,
-  /// The holder before may have ordered just now: it gave the lease up, or an earlier run of this
-  /// node had taken it and was still waiting.
+  /// The holder before may have ordered just now: it gave the lease up, it is of a version without
+  /// `orderWindow` or wrote what cannot be read, or an earlier run of this node had taken the lease
+  /// and was still waiting.
   kRecent,
   /// The holder before did not renew it in time.
   kLapsed,
@@ -175,7 +178,8 @@
     LeaseRow row;
     base::TimePoint sentAt{};
     base::Revision tenureRevision = 0;
-    /// Of a write that takes the lease: how long this node must wait before it orders.
+    /// How long this node must wait before it orders, once the write made it the holder. A renewal
+    /// does so when its answer is found after the lease has lapsed here.
     base::Duration settle{};
   };
 
@@ -200,6 +204,7 @@
   void commit(LeaseRow row, const Expectation& expected, bool newTenure);
   LeaseRow makeRow(base::FencingToken token, bool released);
   bool settled() const;
+  base::Duration settleTimeLeft() const;
   void onReadReply(const clients::TableReply& reply);
   void onCommitReply(const clients::TableReply& reply, const Attempt& attempt, bool newTenure);
   /// Takes in rows read or returned by a conflict.
--- a/src/coordination/lease_messages.cc
+++ b/src/coordination/lease_messages.cc
@@ -6,16 +6,22 @@
 
 namespace {
 
-constexpr std::uint32_t kAnnouncementFields = 6;
+constexpr std::uint32_t kAnnouncementFields = 8;
+/// Nodes of older versions leave out the last two: where the holder listens, and `settled`.
+constexpr std::uint32_t kOlderAnnouncementFields = 6;
 constexpr std::uint32_t kReplicaChangeFields = 4;
 
-std::optional<LeaseAnnouncement> readAnnouncement(base::Reader& reader) {
+std::optional<LeaseAnnouncement> readAnnouncement(base::Reader& reader, std::uint32_t fields) {
   LeaseAnnouncement announcement;
   announcement.revision = reader.unsignedInteger();
   announcement.tenureRevision = reader.unsignedInteger();
   announcement.row.holder = reader.text();
   announcement.row.incarnation = reader.unsignedInteger();
   announcement.row.token = reader.unsignedInteger();
+  if (fields > kOlderAnnouncementFields) {
+    announcement.row.address = reader.text();
+    announcement.row.settled = reader.boolean();
+  }
   if (!reader.ok()) return std::nullopt;
   return announcement;
 }
@@ -46,7 +52,9 @@
       .unsignedInteger(announcement.tenureRevision)
       .text(announcement.row.holder)
       .unsignedInteger(announcement.row.incarnation)
-      .unsignedInteger(announcement.row.token);
+      .unsignedInteger(announcement.row.token)
+      .text(announcement.row.address)
+      .boolean(announcement.row.settled);
   return writer.take();
 }
 
@@ -62,7 +70,7 @@
 
 std::optional<CoordinationMessage> decodeCoordinationMessage(std::string_view payload) {
   base::Reader reader(payload);
-  reader.beginArray();
+  const auto fields = reader.beginArray();
   CoordinationMessage message;
   message.type = static_cast<CoordinationMessageType>(reader.unsignedInteger());
   if (!reader.ok()) return std::nullopt;
@@ -71,7 +79,7 @@
     case CoordinationMessageType::kOrdersChanged:
       return message;
     case CoordinationMessageType::kLeaseWritten:
-      message.announcement = readAnnouncement(reader);
+      message.announcement = readAnnouncement(reader, fields);
       if (message.announcement) return message;
       break;
     case CoordinationMessageType::kReplicaChange:
--- /dev/null
+++ b/tests/coordination/lease_succession_test.cc
@@ -0,0 +1,107 @@
+// How long a new holder waits before it orders, by what it found in the row.
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <string>
+
+#include "coordination/lease_manager.h"
+#include "coordination/lease_messages.h"
+#include "coordination_world.h"
+
+namespace covewing::coordination {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// The only candidate, beside a row that another holder wrote.
+struct NextHolder : LeaseListener {
+  explicit NextHolder(const std::string& rowOfTheHolder) {
+    clients::TableTransaction transaction;
+    transaction.writes.push_back({leaseKey("orders"), rowOfTheHolder});
+    world.table.commitNow(transaction);
+    LeaseOptions options;
+    options.name = "orders";
+    options.duration = milliseconds(3600);
+    options.margin = milliseconds(300);
+    options.renewInterval = milliseconds(750);
+    options.orderGap = seconds(3);
+    options.orderWindow = milliseconds(1500);
+    options.orderTime = milliseconds(800);
+    lease.emplace(
+        options,
+        LeaseEnvironment{node.time, node.time, node.random, node.log, node.table, node.members},
+        *this);
+    lease->start();
+  }
+  void onLeaseWritten(const LeaseAnnouncement& /*announcement*/) override {}
+  void onLeaseAcquired(const LeaseGrant& grant) override {
+    ++acquired;
+    settle = grant.settle;
+  }
+  void onLeaseLost() override { ++lost; }
+  bool acquires(int times) {
+    return world.runUntil(seconds(10), [&] { return acquired == times; });
+  }
+
+  World world;
+  TestNode& node = world.addNode("node-a", "zone-1");
+  std::optional<LeaseManager> lease;
+  int acquired = 0;
+  int lost = 0;
+  base::Duration settle{};
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(LeaseSuccessionTest)
+
+BOOST_AUTO_TEST_CASE(LapsedLeaseOfAHolderWithAnOrderWindow) {
+  NextHolder next(encodeLeaseRow({"node-b", 1, 5, 7, false, "10.1.2.3:9", true}));
+  BOOST_REQUIRE(next.acquires(1));
+  BOOST_TEST((next.settle == milliseconds(1700)));
+}
+
+// A holder of a version without order windows orders as long as it holds the lease.
+BOOST_AUTO_TEST_CASE(LapsedLeaseOfAnOlderVersionIsFollowedAfterTheWholeGap) {
+  NextHolder next(R"({"holder":"node-b","incarnation":1,"nonce":5,"token":7,"released":false})");
+  BOOST_REQUIRE(next.acquires(1));
+  BOOST_TEST((next.settle == milliseconds(3800)));
+}
+
+// Whoever wrote it may be ordering.
+BOOST_AUTO_TEST_CASE(UnreadableRowIsFollowedAfterTheWholeGap) {
+  NextHolder next("nonsense");
+  BOOST_REQUIRE(next.acquires(1));
+  BOOST_TEST((next.settle == milliseconds(3800)));
+}
+
+// The wait of a tenure is not over because its lease lapsed and a late answer brought it back.
+BOOST_AUTO_TEST_CASE(LeaseThatIsBroughtBackByALateAnswerIsNotSettled) {
+  NextHolder next(encodeLeaseRow({"node-b", 1, 5, 7, true, "10.1.2.3:9", true}));
+  BOOST_REQUIRE(next.acquires(1));
+  BOOST_TEST((next.settle == milliseconds(3800)));
+  next.world.table.conditions().setMode(emulator::ServiceMode::kSlow);
+  next.world.table.conditions().setSlowLatency(milliseconds(1350));
+  next.world.table.conditions().loseNextAnswers(1);
+  BOOST_REQUIRE(next.acquires(2));
+  BOOST_TEST(next.lost == 1);
+  BOOST_TEST(next.lease->status().token == 8U);
+  BOOST_TEST(!next.lease->grantForOrders().has_value());
+  BOOST_TEST((next.settle > base::Duration::zero()));
+}
+
+BOOST_AUTO_TEST_CASE(AnnouncementTellsWhatTheRowTells) {
+  const LeaseAnnouncement announcement{{"node-b", 3, 0, 7, false, "10.1.2.3:9", true}, 20, 19};
+  const auto message = decodeCoordinationMessage(encodeLeaseWritten(announcement));
+  BOOST_REQUIRE(message.has_value());
+  BOOST_REQUIRE(message->announcement.has_value());
+  BOOST_TEST(message->announcement->revision == 20U);
+  BOOST_TEST(message->announcement->row.holder == "node-b");
+  BOOST_TEST(message->announcement->row.address == "10.1.2.3:9");
+  BOOST_TEST(message->announcement->row.settled);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::coordination
