--- a/tests/coordination/lease_succession_test.cc
+++ b/tests/coordination/lease_succession_test.cc
@@ -1,5 +1,6 @@
 // How long a new holder waits before it orders, by what it found in the row.
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -16,9 +17,11 @@
 
 /// The only candidate, beside a row that another holder wrote.
 struct NextHolder : LeaseListener {
-  explicit NextHolder(const std::string& rowOfTheHolder) {
+  explicit NextHolder(const std::string& rowOfTheHolder)
+      : NextHolder([&](const membership::Member& /*self*/) { return rowOfTheHolder; }) {}
+  explicit NextHolder(const std::function<std::string(const membership::Member&)>& rowFor) {
     clients::TableTransaction transaction;
-    transaction.writes.push_back({leaseKey("orders"), rowOfTheHolder});
+    transaction.writes.push_back({leaseKey("orders"), rowFor(node.members.self())});
     world.table.commitNow(transaction);
     LeaseOptions options;
     options.name = "orders";
@@ -40,6 +43,11 @@
     settle = grant.settle;
   }
   void onLeaseLost() override { ++lost; }
+  bool rowSettled() const {
+    base::Reason reason;
+    const auto reply = world.table.readNow({leaseKey("orders")});
+    return parseLeaseRow(reply.rows.at(0).value, reason)->settled;
+  }
   bool acquires(int times) {
     return world.runUntil(seconds(10), [&] { return acquired == times; });
   }
@@ -91,6 +99,40 @@
   BOOST_TEST((next.settle > base::Duration::zero()));
 }
 
+BOOST_AUTO_TEST_CASE(HolderOrdersFromItsSettlingUntilItsWindowEnds) {
+  NextHolder next(encodeLeaseRow({"node-b", 1, 5, 7, false, "10.1.2.3:9", true}));
+  BOOST_REQUIRE(next.acquires(1));
+  next.world.run(milliseconds(1690));
+  BOOST_TEST(!next.lease->grantForOrders().has_value());
+  next.world.run(milliseconds(20));
+  BOOST_TEST(next.lease->grantForOrders().has_value());
+  next.world.table.conditions().setMode(emulator::ServiceMode::kDown);
+  next.world.run(milliseconds(1500));
+  BOOST_TEST(!next.lease->grantForOrders().has_value());
+  BOOST_TEST(next.lease->grant().has_value());
+}
+
+// The next run of the holder goes by it: one that had not settled may follow fresh orders.
+BOOST_AUTO_TEST_CASE(RowTellsOnceTheHolderHasSettled) {
+  NextHolder next(encodeLeaseRow({"node-b", 1, 5, 7, true, "10.1.2.3:9", true}));
+  BOOST_REQUIRE(next.acquires(1));
+  next.world.run(milliseconds(1600));
+  BOOST_TEST(!next.rowSettled());
+  next.world.run(seconds(4));
+  BOOST_TEST(next.rowSettled());
+}
+
+BOOST_AUTO_TEST_CASE(FormerRunIsFollowedByWhatItsRowTells) {
+  for (const bool settled : {false, true}) {
+    NextHolder next([settled](const membership::Member& self) {
+      return encodeLeaseRow(
+          {self.name, self.incarnation - 1, 5, 7, false, base::toString(self.endpoint), settled});
+    });
+    BOOST_REQUIRE(next.acquires(1));
+    BOOST_TEST((next.settle == milliseconds(settled ? 800 : 3800)));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AnnouncementTellsWhatTheRowTells) {
   const LeaseAnnouncement announcement{{"node-b", 3, 0, 7, false, "10.1.2.3:9", true}, 20, 19};
   const auto message = decodeCoordinationMessage(encodeLeaseWritten(announcement));
