--- a/tests/admission/tenant_quotas_test.cc
+++ b/tests/admission/tenant_quotas_test.cc
@@ -108,6 +108,24 @@
   cluster.time().pause(seconds(10));
   cluster.time().advance({});
   BOOST_TEST(admittedOf(calls) == 1U);
+  // The request that waited for it is asked for anew.
+  cluster.time().advance(milliseconds(100));
+  BOOST_TEST(admittedOf(calls) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(SlotsThatAreReadAfterASleepBeyondTheirLeaseAreAskedForAnew) {
+  FakeCluster cluster(2);
+  const auto tenant = tenantNamed("large");
+  tenant->limits.concurrency = 4;
+  tenant->deadline = seconds(60);
+  tenant->holdTime = seconds(60);
+  std::vector<Call> calls;
+  for (std::size_t node = 0; node < 2; ++node) calls.push_back(call(cluster.service(node), tenant));
+  cluster.time().advance(milliseconds(1));
+  BOOST_TEST(admittedOf(calls) == 1U);
+  cluster.time().pause(seconds(10));
+  cluster.time().advance(milliseconds(100));
+  BOOST_TEST(admittedOf(calls) == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(ARefusalSaysWhenTheNextTokenComes) {
