Accept broken pause bounds only where no other home takes the request

A request that was asked about with leave to queue was granted at once whatever the pauses, also while other homes had not been asked; and what was remembered of a home's queue counted as one that keeps all pauses.

--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -107,6 +107,7 @@
     return true;
   }
   prospect.wait = known->second.wait;
+  prospect.pauseExcess = known->second.pauseExcess;
   pending.queued = known->second.length;
   ++pending.queuesMet;
   return false;
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -225,6 +225,7 @@
   struct KnownQueue {
     std::uint32_t length = 0;
     base::Duration wait{};
+    base::Duration pauseExcess{};
     base::TimePoint until{};
   };
 
--- a/src/routing/placement_answers.cc
+++ b/src/routing/placement_answers.cc
@@ -32,7 +32,7 @@
   }
   if (pending.phase != Phase::kAsking) return;
   ++pending.queuesMet;
-  queues_[answer.replica] = {answer.queued, answer.wait,
+  queues_[answer.replica] = {answer.queued, answer.wait, answer.pauseExcess,
                              environment_.clock.now() + options_.queueKnownFor};
 }
 
--- a/src/routing/placement_home.cc
+++ b/src/routing/placement_home.cc
@@ -118,7 +118,10 @@
   const auto now = environment_.clock.now();
   auto& state = stateOf(question.replica);
   auto answer = describe(question, state);
-  const RoomDemand demand{workAt(question, answer), question.terms, question.patience};
+  const bool asksNobodyElse =
+      question.terms.mayQueue && question.queueWithin == base::Duration::max();
+  const RoomDemand demand{workAt(question, answer), question.terms, question.patience,
+                          asksNobodyElse};
   state.capacity = demand.work;
   state.capacity.memory =
       std::max(demand.work.memory, demand.work.memory == 0 ? 0 : demand.work.tokens);
@@ -145,6 +148,7 @@
       answer.wait = offer.wait;
       answer.within = options_.promise;
       state.waiting.insert_or_assign(question.id, Waiting{question, asker, demand, now, now});
+      state.waiting.at(question.id).demand.acceptsPauses = true;
       armLook();
       break;
     case admission::QueueVerdict::kRefused:
--- a/src/routing/replica_room.cc
+++ b/src/routing/replica_room.cc
@@ -11,9 +11,8 @@
   if (current.requests == 0) return true;
   if (slots() > 0 && current.requests >= slots()) return false;
   if (!ledger_.hasRoom(demand.work, now_)) return false;
-  // One that is late, or joins the queue since nobody else can take it, is better served with
-  // pauses than not at all.
-  const bool mayGoElsewhere = inTime && !demand.terms.mayQueue;
+  // One that is late, or that nobody else can take, is better served with pauses than not at all.
+  const bool mayGoElsewhere = inTime && !demand.acceptsPauses;
   if (mayGoElsewhere && ledger_.pauseExcess(demand.work, demand.terms, now_).count() > 0)
     return false;
   const bool stays = demand.terms.mayQueue && inTime;
--- a/src/routing/replica_room.h
+++ b/src/routing/replica_room.h
@@ -19,6 +19,8 @@
   PlacementTerms terms;
   /// The replica has to turn to the request within this, if it may go elsewhere or is late.
   base::Duration patience{};
+  /// No home would take the request without a pause that is too long, or it waits in the queue.
+  bool acceptsPauses = false;
 };
 
 /// The room for one demand at a time; lives for one decision.
