--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -17,8 +17,10 @@
 #include "live/peer_transport.h"
 #include "live/relay_gateway.h"
 #include "live/relay_metrics.h"
+#include "live/relay_part_options.h"
 #include "membership/gossip_membership.h"
 #include "node/cache_store_news.h"
+#include "node/node_count.h"
 #include "node/pause_detector.h"
 #include "node/wake_gate.h"
 #include "node/weights_coordinator.h"
@@ -39,131 +41,8 @@
 /// Kept free at the end of the grace.
 constexpr base::Duration kGraceMargin = std::chrono::milliseconds(350);
 constexpr base::Duration kDrainInterval = std::chrono::milliseconds(50);
-/// The number of nodes falls back to what is seen now only after this.
-constexpr base::Duration kNodeMemory = std::chrono::seconds(30);
-/// Replicas that load weights change their entries in quick succession.
-constexpr base::Duration kReplicaListPause = std::chrono::milliseconds(250);
 /// How often the sums of what was sent to other nodes are logged: a few lines each time.
 constexpr base::Duration kTrafficReport = std::chrono::seconds(10);
-/// A node that restarts joins within a few milliseconds where a machine that it asks is up; one
-/// that has joined nobody by then reads the table service itself. Longer waits delay the serving.
-constexpr base::Duration kJoinPatience = std::chrono::milliseconds(60);
-/// A third of the tolerance of limits that operators usually state, 10%: a home grants so much more
-/// than what belongs to the nodes that it sees.
-constexpr double kUnseenTolerance = 0.03;
-/// Shorter than it takes to declare a node dead, so that two homes at once grant little.
-constexpr base::Duration kSilentHomePassedOver = std::chrono::milliseconds(500);
-/// A new home starts with a quarter of a bucket: the former one may have granted a whole one.
-constexpr double kFreshShare = 0.25;
-/// Where a link loses 5% of the packets, a question in a thousand finds its home silent with two
-/// repeats, and one in a hundred with one; then two homes grant at once.
-constexpr std::uint32_t kAskRepeats = 2;
-/// Time-out of an order's call (platform/weights_order_client.cc): so long after the holder's check
-/// may it reach the replica.
-constexpr base::Duration kOrderTime = std::chrono::milliseconds(800);
-/// A node that restarts with all others sees most of them after some 0.3 s.
-constexpr base::Duration kJoining = std::chrono::milliseconds(800);
-/// Nodes assumed by the limits of tenants meanwhile. Each node that has just started takes itself
-/// for the home of all tenants; where there are more nodes than are assumed, they grant more than
-/// the limit together: 72 nodes that assumed 32 let a tenant with 280,000 tokens a second use
-/// 600,000 more than that within 3 s of their start, and with 128 assumed 20,000.
-constexpr std::size_t kNodesWhileJoining = 128;
-/// Nodes assumed until the membership has had time to form.
-constexpr std::size_t kNodesAtFirst = 8;
-constexpr base::Duration kMembershipForms = std::chrono::seconds(5);
-
-HttpClientLimits replicaLimits(const RelayDialect& dialect) {
-  HttpClientLimits limits;
-  limits.requestIdHeader = dialect.requestIdHeader();
-  limits.skipForeignAnswers = true;
-  limits.unacknowledgedTimeout = std::chrono::milliseconds(1000);
-  limits.connectTimeout = std::chrono::milliseconds(500);
-  limits.idleTimeout = std::chrono::seconds(20);
-  return limits;
-}
-
-membership::GossipMembershipOptions membershipOptions(const RelaySettings& settings) {
-  membership::GossipMembershipOptions options;
-  options.name = settings.name;
-  options.zone = settings.zone;
-  options.region = settings.region;
-  options.endpoint = settings.peerEndpoint;
-  options.incarnation = startIncarnation();
-  for (const auto& seed : settings.seeds)
-    options.seeds.push_back({seed.address, settings.peerEndpoint.port});
-  return options;
-}
-
-node::WeightsCoordinatorOptions coordinatorOptions(const RelaySettings& settings) {
-  constexpr std::string_view kLeaseName = "weights";
-  node::WeightsCoordinatorOptions options;
-  options.lease.name = kLeaseName;
-  // The last renewal may be most of an interval older than the holder's last order.
-  options.lease.duration = settings.lease * 6 / 5;
-  options.lease.margin = settings.lease / 10;
-  options.lease.renewInterval = settings.lease / 4;
-  if (!settings.fencingEnforced) {
-    options.lease.orderGap = settings.lease;
-    options.lease.orderWindow = settings.lease / 2;
-    options.lease.orderTime = kOrderTime;
-  }
-  return options;
-}
-
-admission::QuotaOptions quotaOptions() {
-  admission::QuotaOptions options;
-  // A node sees few requests of a tenant between two asks: what it leases ahead lapses unused.
-  options.tokenBatch = {};
-  options.askRepeats = kAskRepeats;
-  options.unreachableFor = kSilentHomePassedOver;
-  options.freshShare = kFreshShare;
-  options.formingTime = kMembershipForms;
-  options.joiningTime = kJoining;
-  options.nodesWhileJoining = kNodesWhileJoining;
-  options.unseenTolerance = kUnseenTolerance;
-  return options;
-}
-
-config::SharedFeedOptions feedOptions(const RelaySettings& settings) {
-  const bool mayJoin = std::ranges::any_of(settings.seeds, [&](const base::Endpoint& seed) {
-    return seed.address != settings.peerEndpoint.address;
-  });
-  config::SharedFeedOptions options;
-  if (mayJoin) options.joinPatience = kJoinPatience;
-  return options;
-}
-
-config::TableWatchOptions replicaWatchOptions(const std::string& table) {
-  config::TableWatchOptions options;
-  options.table = table;
-  options.pause = kReplicaListPause;
-  return options;
-}
-
-/// The most nodes seen at once lately: those that are cut off may still send.
-class NodeCount {
- public:
-  NodeCount(const membership::MemberDirectory& members, const base::Clock& clock)
-      : members_(members), clock_(clock), startedAt_(clock.now()) {}
-
-  std::size_t operator()() {
-    const auto now = clock_.now();
-    const auto live = members_.liveMembers().size();
-    if (live >= most_ || now - mostAt_ > kNodeMemory) {
-      most_ = live;
-      mostAt_ = now;
-    }
-    return now - startedAt_ < kMembershipForms ? std::max(most_, kNodesAtFirst) : most_;
-  }
-
- private:
-  const membership::MemberDirectory& members_;
-  const base::Clock& clock_;
-  base::TimePoint startedAt_;
-  std::size_t most_ = 1;
-  base::TimePoint mostAt_{};
-};
-
 }  // namespace
 
 struct RelayDaemon::Impl final : request::RelayObserver {
@@ -485,7 +364,7 @@
   AsioPeerTransport peers;
   membership::GossipMembership membership;
   PeerTraffic traffic;
-  NodeCount nodes;
+  node::NodeCount nodes;
   routing::WeightsTargets targets;
   routing::ReplicaDirectory replicas;
   routing::PrefixHolders holders;
