State the time of a replica's order call once

The gap between two lease holders rests on how long an order may be under way after its holder was checked. That time stood twice, as the client's time-out and as the lease's order time, so that one could have been raised without the other and the gap fallen short. No behaviour changes.

--- a/src/clients/weights_client.h
+++ b/src/clients/weights_client.h
@@ -12,9 +12,14 @@
 
 #include "base/endpoint.h"
 #include "base/ids.h"
+#include "base/time.h"
 
 namespace covewing::clients {
 
+/// Longest time of an order's or report's call. An order may reach its replica so long after its
+/// holder was found to hold the lease; the gap between two holders rests on it.
+inline constexpr base::Duration kWeightsCallTimeout = std::chrono::milliseconds(800);
+
 struct WeightsOrder {
   std::string model;
   base::WeightsVersion version = 0;
--- a/src/live/relay_part_options.cc
+++ b/src/live/relay_part_options.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "clients/weights_client.h"
 #include "live/asio_runtime.h"
 #include "node/node_count.h"
 
@@ -24,9 +25,6 @@
 /// Where a link loses 5% of the packets, a question in a thousand finds its home silent with two
 /// repeats, and one in a hundred with one; then two homes grant at once.
 constexpr std::uint32_t kAskRepeats = 2;
-/// Time-out of an order's call (platform/weights_order_client.cc): so long after the holder's check
-/// may it reach the replica.
-constexpr base::Duration kOrderTime = std::chrono::milliseconds(800);
 /// A node that restarts with all others sees most of them after some 0.3 s.
 constexpr base::Duration kJoining = std::chrono::milliseconds(800);
 /// Nodes assumed by the limits of tenants meanwhile. Each node that has just started takes itself
@@ -70,7 +68,7 @@
   if (!settings.fencingEnforced) {
     options.lease.orderGap = settings.lease;
     options.lease.orderWindow = settings.lease / 2;
-    options.lease.orderTime = kOrderTime;
+    options.lease.orderTime = clients::kWeightsCallTimeout;
   }
   return options;
 }
