Date a version of weights by the last proof of the copy without it

A node counted the time that older weights have from when it heard of the newer version. Where the feed's readers were lost at that moment, the others heard up to 1.1 s later, which is more than the 0.4 s kept for it, and requests began on the older version after its last moment. Now each row of a feed carries a moment after which it was changed: the last proof of the copy that lacked it, or what the node that told of it knew, as an age. A node that has just started knows no date, nor versions named shortly before: until the table service tells, older versions count as forbidden. The date in the table service is written by whoever is responsible within 3 s, since those that were may be lost; it is looked up for 9 s in place of 1.8 s.

Ruled out as the cause: a node that stood still (the nodes in question ran all the time), the request's own version check (the replica did hold the older version).

--- a/src/clients/table_feed_client.h
+++ b/src/clients/table_feed_client.h
@@ -20,6 +20,8 @@
   /// Empty when the row was removed.
   std::optional<std::string> value;
   base::Revision revision = 0;
+  /// The change was made after this moment, on this node's clock; empty when nobody knows.
+  std::optional<base::TimePoint> changedAfter = std::nullopt;
 };
 
 enum class FeedStatus : std::uint8_t {
--- a/src/config/feed_messages.cc
+++ b/src/config/feed_messages.cc
@@ -12,10 +12,12 @@
 enum class MessageType : std::uint8_t { kQuestion = 1, kAnswer = 2 };
 
 constexpr std::uint32_t kQuestionFields = 6;
-constexpr std::uint32_t kAnswerFields = 8;
+constexpr std::uint32_t kAnswerFields = 9;
 constexpr std::uint32_t kRowFields = 4;
 /// Stands for a clock that is not known.
 constexpr std::int64_t kNoServiceTime = -1;
+/// Stands for a change of which nobody knows when it was made.
+constexpr std::int64_t kUnknownAge = -1;
 
 std::uint64_t typeNumber(MessageType type) { return static_cast<std::uint64_t>(type); }
 
@@ -38,6 +40,8 @@
   writer.unsignedInteger(answer.revision).signedInteger(answer.held.count());
   writer.signedInteger(answer.age.count());
   writer.signedInteger(answer.serviceTime ? answer.serviceTime->count() : kNoServiceTime);
+  writer.array(static_cast<std::uint32_t>(answer.changedAgo.size()));
+  for (const auto& ago : answer.changedAgo) writer.signedInteger(ago ? ago->count() : kUnknownAge);
 }
 
 FeedQuestion readQuestion(base::Reader& reader) {
@@ -62,7 +66,7 @@
   return row;
 }
 
-FeedAnswer readAnswer(base::Reader& reader) {
+FeedAnswer readAnswer(base::Reader& reader, std::uint32_t fields) {
   FeedAnswer answer;
   answer.nonce = reader.unsignedInteger();
   answer.unable = reader.boolean();
@@ -75,6 +79,14 @@
   answer.age = base::Duration{reader.signedInteger()};
   const auto serviceTime = reader.signedInteger();
   if (serviceTime != kNoServiceTime) answer.serviceTime = base::Duration{serviceTime};
+  // Nodes of an earlier release do not tell how old changes are.
+  if (fields < kAnswerFields) return answer;
+  const auto ages = reader.beginArray();
+  for (std::uint32_t index = 0; index < ages && reader.ok(); ++index) {
+    const auto ago = reader.signedInteger();
+    answer.changedAgo.push_back(ago < 0 ? std::nullopt : std::optional{base::Duration{ago}});
+  }
+  reader.endArray();
   return answer;
 }
 
@@ -88,13 +100,13 @@
 
 std::optional<FeedMessage> decodeFeedMessage(std::string_view payload) {
   base::Reader reader(payload);
-  reader.beginArray();
+  const auto fields = reader.beginArray();
   const auto type = reader.unsignedInteger();
   FeedMessage message;
   if (type == typeNumber(MessageType::kQuestion)) {
     message = readQuestion(reader);
   } else if (type == typeNumber(MessageType::kAnswer)) {
-    message = readAnswer(reader);
+    message = readAnswer(reader, fields);
   } else {
     return std::nullopt;
   }
--- a/src/config/feed_messages.h
+++ b/src/config/feed_messages.h
@@ -36,6 +36,9 @@
   base::Revision revision = 0;
   /// From the arrival of the question until this answer was sent.
   base::Duration held{};
+  /// How long before this answer was sent each row was changed, at most, in the order of the rows;
+  /// empty where nobody knows.
+  std::vector<std::optional<base::Duration>> changedAgo;
   /// How long before this answer was sent the asked node's copy was last proved current.
   base::Duration age{};
   /// The table service's steady clock when the answer was sent, where it is known.
--- a/src/config/shared_feed.cc
+++ b/src/config/shared_feed.cc
@@ -170,9 +170,16 @@
   clients::FeedReply reply;
   reply.status = clients::FeedStatus::kOk;
   reply.rows = std::move(answer.rows);
+  // The answer left no earlier than this on this node's clock.
+  const auto answeredAt = call->sentAt + answer.held;
+  for (std::size_t index = 0; index < std::min(reply.rows.size(), answer.changedAgo.size());
+       ++index) {
+    if (answer.changedAgo[index])
+      reply.rows[index].changedAfter = answeredAt - *answer.changedAgo[index];
+  }
   reply.revision = answer.revision;
   reply.serviceTime = answer.serviceTime;
-  reply.currentAt = call->sentAt + answer.held - answer.age;
+  reply.currentAt = answeredAt - answer.age;
   finish(call, std::move(reply));
 }
 
@@ -189,6 +196,7 @@
   auto& table = tables_[call->table];
   --table.underWay;
   if (reply.status == clients::FeedStatus::kOk) {
+    boundChanges(table, reply.rows);
     if (call->whole) {
       table.copy.replace(reply.rows, reply.revision);
     } else {
@@ -202,6 +210,15 @@
   call->callback(std::move(reply));
 }
 
+void SharedFeed::boundChanges(const Table& table, std::vector<clients::FeedRow>& rows) {
+  if (!table.provedAt) return;
+  const auto known = table.copy.revision().value_or(0);
+  for (auto& row : rows) {
+    if (row.revision <= known) continue;
+    row.changedAfter = std::max(row.changedAfter.value_or(*table.provedAt), *table.provedAt);
+  }
+}
+
 void SharedFeed::onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) {
   auto message = decodeFeedMessage(payload);
   if (!message) return;
@@ -307,6 +324,10 @@
   FeedAnswer answer;
   answer.nonce = held.question.nonce;
   answer.rows = std::move(rows);
+  for (const auto& row : answer.rows) {
+    answer.changedAgo.push_back(row.changedAfter ? std::optional{now - *row.changedAfter}
+                                                 : std::nullopt);
+  }
   answer.revision = *table.copy.revision();
   answer.held = now - held.arrivedAt;
   answer.age = now - *table.provedAt;
--- a/src/config/shared_feed.h
+++ b/src/config/shared_feed.h
@@ -15,6 +15,10 @@
 /// Freshness is never made up: an answer of a node says how old its own proof is and how long it
 /// held the question, so the asker's proof is at most as young, on the asker's own steady clock.
 /// What is told with a proof that is too old makes the asker turn to the service.
+///
+/// When a change was made is bounded in the same way: it is younger than the last proof of the copy
+/// that lacked it, and a node that tells others of it says how old it is at most. So a node that
+/// hears late, or copies the table when it starts, does not take the change for a new one.
 #pragma once
 
 #include <map>
@@ -144,6 +148,8 @@
   bool askPeer(const CallPtr& call);
   void onPeerAnswer(const CallPtr& call, FeedAnswer answer);
   void onPeerFailed(const CallPtr& call);
+  /// Rows that are newer than the copy were changed after its last proof.
+  static void boundChanges(const Table& table, std::vector<clients::FeedRow>& rows);
   /// Keeps what a reply tells, answers held questions, and ends the call.
   void finish(const CallPtr& call, clients::FeedReply reply);
 
--- a/src/config/table_watch.cc
+++ b/src/config/table_watch.cc
@@ -123,6 +123,7 @@
 void TableWatch::confirm(const clients::FeedReply& reply, base::TimePoint sentAt) {
   const auto currentAt = reply.currentAt.value_or(sentAt);
   confirmedAt_ = std::max(confirmedAt_.value_or(currentAt), currentAt);
+  confirmedRevision_ = std::max(confirmedRevision_, reply.revision);
   caughtUp_ = true;
 }
 
@@ -142,10 +143,16 @@
   if (reply.serviceTime) serviceOffset_ = *reply.serviceTime - clock_.now().time_since_epoch();
 }
 
-void TableWatch::apply(const clients::FeedRow& row, RowSource source) {
+void TableWatch::boundChange(clients::FeedRow& row) const {
+  if (!confirmedAt_ || row.revision <= confirmedRevision_) return;
+  row.changedAfter = std::max(row.changedAfter.value_or(*confirmedAt_), *confirmedAt_);
+}
+
+void TableWatch::apply(clients::FeedRow row, RowSource source) {
   auto& known = revisions_[row.key];
   if (known != 0 && row.revision <= known) return;
   known = row.revision;
+  boundChange(row);
   listener_.onRow(row, source);
 }
 
--- a/src/config/table_watch.h
+++ b/src/config/table_watch.h
@@ -85,7 +85,9 @@
   void onChanges(const clients::FeedReply& reply, base::TimePoint sentAt);
   void onFailed(clients::FeedStatus status);
   void confirm(const clients::FeedReply& reply, base::TimePoint sentAt);
-  void apply(const clients::FeedRow& row, RowSource source);
+  void apply(clients::FeedRow row, RowSource source);
+  /// The row's change is newer than what was last proved current, or its time is known otherwise.
+  void boundChange(clients::FeedRow& row) const;
   void noteServiceTime(const clients::FeedReply& reply);
   void remove(const clients::FeedRow& row);
 
@@ -99,6 +101,8 @@
   std::map<std::string, base::Revision> revisions_;
   /// The feed goes on behind this revision; empty: all rows must be read.
   std::optional<base::Revision> position_;
+  /// The copy was complete up to this revision when it was last confirmed.
+  base::Revision confirmedRevision_ = 0;
   std::optional<base::TimePoint> confirmedAt_;
   /// The service's clock less this node's.
   std::optional<base::Duration> serviceOffset_;
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -79,7 +79,9 @@
                      membership, membership, replicas, holders, targets,
                      [this](const std::string& name) { return longRunReplicas(name); },
                      [this](const std::string& name) { return replicasInUse(name); }}),
-        weightsDates(deployment.table, timers, [this] { return configurationWatch.serviceTime(); }),
+        weightsDates(
+            deployment.table, timers, [this] { return configurationWatch.serviceTime(); },
+            [this] { return coordinator.competes(); }),
         cacheStoreNews(membership, membership, stores),
         cacheWatch(
             {},
@@ -115,9 +117,10 @@
       applyLimits(table.limits());
       stores.update(table);
     });
-    configuration.onWeights([this](const node::NamedWeights& named, config::RowSource source) {
-      onWeights(named, source);
-    });
+    configuration.onWeights(
+        [this](const node::NamedWeights& named, std::optional<base::TimePoint> namedAfter) {
+          onWeights(named, namedAfter);
+        });
   }
 
   request::RelayServiceOptions serviceOptions() const {
@@ -188,9 +191,9 @@
                           static_cast<double>(found->engine->cacheTokens)));
   }
 
-  void onWeights(const node::NamedWeights& named, config::RowSource source) {
-    if (source == config::RowSource::kFeed) {
-      if (coordinator.competes()) weightsDates.write(named.model, named.version);
+  void onWeights(const node::NamedWeights& named, std::optional<base::TimePoint> namedAfter) {
+    if (namedAfter) {
+      weightsDates.writeWhenResponsible(named.model, named.version, clock.now() - *namedAfter);
       return;
     }
     weightsDates.lookUp(named.model, named.version,
--- a/src/node/route_configuration.cc
+++ b/src/node/route_configuration.cc
@@ -4,6 +4,14 @@
 
 namespace covewing::node {
 
+namespace {
+
+std::string millisecondsText(base::Duration duration) {
+  return std::to_string(duration / std::chrono::milliseconds(1));
+}
+
+}  // namespace
+
 std::optional<base::TimePoint> RouteConfiguration::confirmedAt() const {
   if (watch_ == nullptr) return std::nullopt;
   return watch_->confirmedAt();
@@ -42,13 +50,30 @@
     log_.write(base::Event::kRouteTableRejected, {{"row", row.key}, {"why", reason.detail}});
     return;
   }
-  if (!targets_.onNamed(named->model, named->version, clock_.now())) return;
+  const auto now = clock_.now();
+  const auto namedAfter = namedAfterOf(*named, row, source);
+  const bool newer = namedAfter ? targets_.onNamed(named->model, named->version, *namedAfter)
+                                : targets_.onFound(named->model, named->version, now);
+  if (!newer) return;
   log_.write(base::Event::kWeightsNamed,
              {{"model", named->model},
               {"version", std::to_string(named->version)},
               {"from", source == config::RowSource::kCopy ? "copy" : "feed"},
+              {"age_at_most_ms", namedAfter ? millisecondsText(now - *namedAfter) : ""},
               {"revision", std::to_string(row.revision)}});
-  if (weightsListener_) weightsListener_(*named, source);
+  if (weightsListener_) weightsListener_(*named, namedAfter);
+}
+
+std::optional<base::TimePoint> RouteConfiguration::namedAfterOf(const NamedWeights& named,
+                                                                const clients::FeedRow& row,
+                                                                config::RowSource source) const {
+  // A node that has just started does not know which versions were named shortly before this one:
+  // they may be in force already, and only the dates in the table service tell.
+  const bool justStarted = source == config::RowSource::kCopy && targets_.newest(named.model) == 0;
+  if (justStarted) return std::nullopt;
+  // A version that becomes known late has had part of its time: counted from when this node heard
+  // of it, requests began on older weights up to 1.1 s too late where the feed's readers were lost.
+  return row.changedAfter;
 }
 
 void RouteConfiguration::onRemoved(const clients::FeedRow& /*row*/) {
--- a/src/node/route_configuration.h
+++ b/src/node/route_configuration.h
@@ -43,7 +43,9 @@
                                  public request::RouteTableSource {
  public:
   using TableListener = std::function<void(const config::RouteTable&)>;
-  using WeightsListener = std::function<void(const NamedWeights&, config::RowSource)>;
+  /// Told of each newer version, with a moment after which it was named; empty when nobody knows.
+  using WeightsListener =
+      std::function<void(const NamedWeights&, std::optional<base::TimePoint> namedAfter)>;
 
   /// All must outlive the configuration.
   RouteConfiguration(const ConfigurationRowReader& reader, base::Clock& clock, base::EventLog& log,
@@ -66,6 +68,11 @@
  private:
   void takeTable(const clients::FeedRow& row);
   void takeWeights(const clients::FeedRow& row, config::RowSource source);
+  /// A moment after which the version was named, and no other one before it that this node does not
+  /// know; empty when nobody knows.
+  std::optional<base::TimePoint> namedAfterOf(const NamedWeights& named,
+                                              const clients::FeedRow& row,
+                                              config::RowSource source) const;
 
   const ConfigurationRowReader& reader_;
   base::Clock& clock_;
--- a/src/node/weights_dates.cc
+++ b/src/node/weights_dates.cc
@@ -10,7 +10,12 @@
 namespace {
 
 constexpr int kAttempts = 6;
+/// Others take the place of lost nodes within about a second; twice that and some margin is looked.
+constexpr int kResponsibilityChecks = 5;
+constexpr base::Duration kResponsibilityInterval = std::chrono::milliseconds(600);
 constexpr base::Duration kRetry = std::chrono::milliseconds(300);
+/// The pause before the next read doubles with each one.
+base::Duration pauseAfter(int attempts) { return kRetry * (1 << (attempts - 1)); }
 /// Versions kept in a row: more than can be named within the time that one has.
 constexpr std::size_t kKept = 8;
 constexpr std::uint32_t kFields = 2;
@@ -73,13 +78,34 @@
   int attempts = 0;
 };
 
-void WeightsDates::write(const std::string& model, base::WeightsVersion version) {
+void WeightsDates::write(const std::string& model, base::WeightsVersion version,
+                         base::Duration age) {
+  if (const auto prepared = prepare(model, version, age)) step(prepared);
+}
+
+void WeightsDates::writeWhenResponsible(const std::string& model, base::WeightsVersion version,
+                                        base::Duration age) {
+  if (const auto prepared = prepare(model, version, age)) check(prepared, kResponsibilityChecks);
+}
+
+std::shared_ptr<WeightsDates::Write> WeightsDates::prepare(const std::string& model,
+                                                           base::WeightsVersion version,
+                                                           base::Duration age) const {
   const auto now = serviceClock_();
-  if (!now) return;
+  if (!now) return nullptr;
   const auto write = std::make_shared<Write>();
   write->model = model;
-  write->named = {version, *now};
-  step(write);
+  write->named = {version, *now - age};
+  return write;
+}
+
+void WeightsDates::check(const std::shared_ptr<Write>& write, int checksLeft) {
+  if (responsible_()) return step(write);
+  if (checksLeft == 0) return;
+  timers_.schedule(kResponsibilityInterval,
+                   [this, write, checksLeft, alive = std::weak_ptr(lifetime_)] {
+                     if (!alive.expired()) check(write, checksLeft - 1);
+                   });
 }
 
 void WeightsDates::step(const std::shared_ptr<Write>& write) {
@@ -135,7 +161,7 @@
     return;
   }
   // Not there yet, or not readable now.
-  timers_.schedule(kRetry, [this, lookUp, alive = std::weak_ptr(lifetime_)] {
+  timers_.schedule(pauseAfter(lookUp->attempts), [this, lookUp, alive = std::weak_ptr(lifetime_)] {
     if (!alive.expired()) step(lookUp);
   });
 }
--- a/src/node/weights_dates.h
+++ b/src/node/weights_dates.h
@@ -4,7 +4,9 @@
 /// which versions before it are in force already, and must not give them the whole time anew.
 ///
 /// Times are those of the table service's own steady clock, so that no clocks of nodes are
-/// compared. Nodes that saw the version arrive write the row; the first one wins.
+/// compared. Of the nodes that saw the version arrive the few that are responsible write the row;
+/// the first one wins. A node that is not responsible looks again a few times whether it has become
+/// so: those that were may have been lost before they wrote.
 #pragma once
 
 #include <functional>
@@ -29,23 +31,39 @@
  public:
   /// The service's clock as this node knows it; empty before the first answer.
   using ServiceClock = std::function<std::optional<base::Duration>()>;
+  /// Whether this node is one of the few that write.
+  using Responsible = std::function<bool()>;
   /// The versions named lately, ascending.
   using Found = std::function<void(const std::vector<VersionAge>&)>;
 
   /// All must outlive the dates.
-  WeightsDates(clients::TableClient& table, base::TimerService& timers, ServiceClock serviceClock)
-      : table_(table), timers_(timers), serviceClock_(std::move(serviceClock)) {}
+  WeightsDates(
+      clients::TableClient& table, base::TimerService& timers, ServiceClock serviceClock,
+      Responsible responsible = [] { return true; })
+      : table_(table),
+        timers_(timers),
+        serviceClock_(std::move(serviceClock)),
+        responsible_(std::move(responsible)) {}
 
-  /// This node saw the version arrive just now: writes its date unless another node did.
-  void write(const std::string& model, base::WeightsVersion version);
+  /// This node knows that the version was named at most `age` ago: writes its date unless another
+  /// node did.
+  void write(const std::string& model, base::WeightsVersion version, base::Duration age = {});
+  /// As `write`, as soon as the node is responsible within the next seconds.
+  void writeWhenResponsible(const std::string& model, base::WeightsVersion version,
+                            base::Duration age);
   /// Calls `found` when the version's date is known, with those of the versions before it; repeats
-  /// a read that failed, a few times.
+  /// a read that failed or found nothing, with growing pauses, for some 9 s: a version that has not
+  /// been dated by then is in force in any case.
   void lookUp(const std::string& model, base::WeightsVersion version, Found found);
 
  private:
   struct Write;
   struct LookUp;
 
+  /// Null while the service's clock is not known.
+  std::shared_ptr<Write> prepare(const std::string& model, base::WeightsVersion version,
+                                 base::Duration age) const;
+  void check(const std::shared_ptr<Write>& write, int checksLeft);
   void step(const std::shared_ptr<Write>& write);
   void onWritten(const std::shared_ptr<Write>& write, const clients::TableReply& reply);
   void step(const std::shared_ptr<LookUp>& lookUp);
@@ -54,6 +72,7 @@
   clients::TableClient& table_;
   base::TimerService& timers_;
   ServiceClock serviceClock_;
+  Responsible responsible_;
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
 };
 
--- a/src/routing/weights_targets.cc
+++ b/src/routing/weights_targets.cc
@@ -5,14 +5,23 @@
 namespace covewing::routing {
 
 bool WeightsTargets::onNamed(const std::string& model, base::WeightsVersion version,
+                             base::TimePoint namedAfter) {
+  return add(model, {version, namedAfter + bounds_.inForce - bounds_.margin}, namedAfter);
+}
+
+bool WeightsTargets::onFound(const std::string& model, base::WeightsVersion version,
                              base::TimePoint now) {
-  if (version <= newest(model)) return false;
+  return add(model, {version, now - longestWait(), false}, now);
+}
+
+bool WeightsTargets::add(const std::string& model, WeightsTarget target, base::TimePoint now) {
+  if (target.version <= newest(model)) return false;
   auto& targets = targets_[model];
   // Of the versions that are in force already, only the newest matters.
   const auto pending = std::ranges::find_if(
       targets, [now](const auto& one) { return one.olderForbiddenFrom > now; });
   if (pending - targets.begin() > 1) targets.erase(targets.begin(), pending - 1);
-  targets.push_back({version, now + bounds_.inForce - bounds_.margin});
+  targets.push_back(target);
   return true;
 }
 
@@ -22,7 +31,8 @@
   const auto from = namedAt + bounds_.inForce - bounds_.margin;
   const auto place = std::ranges::lower_bound(targets, version, {}, &WeightsTarget::version);
   if (place != targets.end() && place->version == version) {
-    place->olderForbiddenFrom = std::min(place->olderForbiddenFrom, from);
+    place->olderForbiddenFrom = place->dated ? std::min(place->olderForbiddenFrom, from) : from;
+    place->dated = true;
   } else {
     targets.insert(place, {version, from});
   }
--- a/src/routing/weights_targets.h
+++ b/src/routing/weights_targets.h
@@ -18,6 +18,8 @@
   base::WeightsVersion version = 0;
   /// From then on no request is sent to a replica on an older version.
   base::TimePoint olderForbiddenFrom{};
+  /// When the version was named is known, at least as a moment after which it was.
+  bool dated = true;
 };
 
 /// The versions of one model that were named and still matter, ascending: the newest of those that
@@ -36,10 +38,14 @@
  public:
   explicit WeightsTargets(WeightsBounds bounds = {}) : bounds_(bounds) {}
 
-  /// A version was named and became known here at `now`. False when it is not newer.
-  bool onNamed(const std::string& model, base::WeightsVersion version, base::TimePoint now);
+  /// A version was named after the given moment. False when it is not newer.
+  bool onNamed(const std::string& model, base::WeightsVersion version, base::TimePoint namedAfter);
+  /// A version was named, nobody knows when: until that is known (onDated), it counts as in force.
+  /// False when it is not newer.
+  bool onFound(const std::string& model, base::WeightsVersion version, base::TimePoint now);
   const std::map<std::string, WeightsTargetList, std::less<>>& all() const { return targets_; }
-  /// The version was named earlier than it became known here, or before one that is known.
+  /// When the version was named is known, or known to be earlier; or it was named before one that
+  /// is known.
   void onDated(const std::string& model, base::WeightsVersion version, base::TimePoint namedAt);
   /// The newest version that was named; 0 when none was.
   base::WeightsVersion newest(std::string_view model) const;
@@ -54,6 +60,9 @@
   base::Duration longestWait() const { return bounds_.margin * 3 / 5; }
 
  private:
+  /// Adds a version that is newer than all known; forgets those that matter no more at `now`.
+  bool add(const std::string& model, WeightsTarget target, base::TimePoint now);
+
   WeightsBounds bounds_;
   std::map<std::string, WeightsTargetList, std::less<>> targets_;
 };
--- a/tests/config/shared_feed_test.cc
+++ b/tests/config/shared_feed_test.cc
@@ -226,6 +226,7 @@
   answer.revision = 6;
   answer.held = milliseconds(3);
   answer.age = milliseconds(70);
+  answer.changedAgo = {std::nullopt, milliseconds(400)};
   answer.serviceTime = seconds(12);
   const auto decoded = decodeFeedMessage(encodeFeedMessage(answer));
   BOOST_REQUIRE(decoded.has_value());
@@ -238,6 +239,9 @@
   BOOST_TEST(again.revision == 6U);
   BOOST_TEST((again.held == milliseconds(3) && again.age == milliseconds(70)));
   BOOST_TEST((again.serviceTime == base::Duration{seconds(12)}));
+  BOOST_REQUIRE(again.changedAgo.size() == 2U);
+  BOOST_TEST(!again.changedAgo[0].has_value());
+  BOOST_TEST((again.changedAgo[1] == base::Duration{milliseconds(400)}));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/config/table_watch_test.cc
+++ b/tests/config/table_watch_test.cc
@@ -38,12 +38,14 @@
   void onRow(const FeedRow& row, RowSource source) override {
     rows[row.key] = *row.value;
     sources[row.key] = source;
+    changedAfter[row.key] = row.changedAfter;
   }
   void onRemoved(const FeedRow& row) override { rows.erase(row.key); }
   void onCurrent() override { ++current; }
   void onFailure(FeedStatus /*status*/) override { ++failures; }
   std::map<std::string, std::string> rows;
   std::map<std::string, RowSource> sources;
+  std::map<std::string, std::optional<base::TimePoint>> changedAfter;
   int current = 0;
   int failures = 0;
 };
@@ -116,6 +118,42 @@
   BOOST_TEST((watched.sources["b"] == RowSource::kFeed));
 }
 
+// What a feed tells after some failed calls may be as old as its last answer.
+BOOST_AUTO_TEST_CASE(ChangeIsNoYoungerThanTheLastProofOfTheCopyBefore) {
+  feed.answer({FeedStatus::kOk, {{"a", "1", 3}}, 5});
+  feed.answer({FeedStatus::kOk, {}, 5});
+  const auto provedAt = *watch.confirmedAt();
+  time.advance(seconds(1));
+  feed.answer({FeedStatus::kUnavailable, {}, 0});
+  time.advance(seconds(1));
+  feed.answer({FeedStatus::kOk, {{"b", "1", 6}}, 6});
+  BOOST_TEST(!watched.changedAfter["a"].has_value());
+  BOOST_TEST((watched.changedAfter["b"] == provedAt));
+}
+
+BOOST_AUTO_TEST_CASE(ChangeFoundInALaterCopyIsNoYoungerThanTheLastProof) {
+  feed.answer({FeedStatus::kOk, {{"a", "1", 3}}, 5});
+  const auto provedAt = *watch.confirmedAt();
+  time.advance(seconds(2));
+  feed.answer({FeedStatus::kHistoryGone, {}, 0});
+  time.advance(seconds(1));
+  feed.answer({FeedStatus::kOk, {{"a", "1", 3}, {"b", "1", 9}}, 9});
+  BOOST_TEST(!watched.changedAfter["a"].has_value());
+  BOOST_TEST((watched.changedAfter["b"] == provedAt));
+}
+
+BOOST_AUTO_TEST_CASE(WhoIsAskedMayKnowBetterWhenAChangeWasMade) {
+  feed.answer({FeedStatus::kOk, {{"a", "1", 3}}, 5});
+  const auto provedAt = *watch.confirmedAt();
+  time.advance(seconds(2));
+  FeedReply reply{FeedStatus::kOk, {{"b", "1", 6}, {"c", "1", 7}}, 7};
+  reply.rows[0].changedAfter = provedAt + seconds(1);
+  reply.rows[1].changedAfter = provedAt - seconds(1);
+  feed.answer(reply);
+  BOOST_TEST((watched.changedAfter["b"] == provedAt + seconds(1)));
+  BOOST_TEST((watched.changedAfter["c"] == provedAt));
+}
+
 BOOST_AUTO_TEST_CASE(ClockOfTheServiceGoesOnBetweenAnswers) {
   BOOST_TEST(!watch.serviceTime().has_value());
   feed.answer({FeedStatus::kOk, {}, 5, seconds(700)});
--- a/tests/node/weights_dates_test.cc
+++ b/tests/node/weights_dates_test.cc
@@ -84,6 +84,54 @@
   BOOST_TEST(lookUp(4).has_value());
 }
 
+// All that were responsible for the date were lost in the moment at which the version was named;
+// the next ones knew it and did not write, so that nodes that started then found no date.
+BOOST_AUTO_TEST_CASE(NodeThatBecomesResponsibleWritesWhatItKnows) {
+  bool responsible = false;
+  WeightsDates next{table, time, [this] { return serviceTime(); }, [&] { return responsible; }};
+  next.writeWhenResponsible("m", 4, seconds(1));
+  time.advance(seconds(1));
+  BOOST_TEST(table.commits.empty());
+  responsible = true;
+  time.advance(seconds(2));
+  const auto age = lookUp(4);
+  BOOST_REQUIRE(age.has_value());
+  BOOST_TEST((*age >= seconds(4)));
+  BOOST_TEST((*age < seconds(5)));
+}
+
+BOOST_AUTO_TEST_CASE(NodeThatIsNeverResponsibleWritesNothing) {
+  WeightsDates other{table, time, [this] { return serviceTime(); }, [] { return false; }};
+  other.writeWhenResponsible("m", 4, seconds(1));
+  time.advance(seconds(20));
+  BOOST_TEST(table.commits.empty());
+}
+
+// A date that was written some seconds after the start was never found: reading ended after 1.8 s.
+BOOST_AUTO_TEST_CASE(DateThatIsWrittenLateIsFoundWhileItMatters) {
+  std::optional<base::Duration> found;
+  starting.lookUp("m", 4, [&](const std::vector<VersionAge>& ages) { found = ages.back().age; });
+  time.advance(seconds(4));
+  seeing.write("m", 4, seconds(4));
+  time.advance(seconds(6));
+  BOOST_REQUIRE(found.has_value());
+  BOOST_TEST((*found >= seconds(4)));
+}
+
+BOOST_AUTO_TEST_CASE(VersionOfUnknownDateCountsAsInForceUntilItIsDated) {
+  routing::WeightsTargets targets({seconds(8), seconds(1)});
+  const base::TimePoint now{seconds(100)};
+  BOOST_TEST(targets.onFound("m", 4, now));
+  BOOST_TEST(targets.oldestAllowed("m", now) == 4U);
+  BOOST_TEST((targets.beginBefore("m", 3) <= now));
+  targets.onDated("m", 4, now - seconds(2));
+  BOOST_TEST(targets.oldestAllowed("m", now + seconds(4)) == 0U);
+  BOOST_TEST(targets.oldestAllowed("m", now + seconds(5)) == 4U);
+  // A date that is known moves to an earlier one alone.
+  targets.onDated("m", 4, now);
+  BOOST_TEST(targets.oldestAllowed("m", now + seconds(5)) == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(DatedVersionIsDueByItsDate) {
   routing::WeightsTargets targets({seconds(8), seconds(1)});
   const base::TimePoint now{seconds(100)};
--- a/tests/node/weights_dating_test.cc
+++ b/tests/node/weights_dating_test.cc
@@ -93,6 +93,71 @@
   }
 }
 
+// What is allowed for what a node may learn late is lost to the older version: not much of its
+// time.
+BOOST_AUTO_TEST_CASE(OlderVersionKeepsMostOfItsTime) {
+  for (int step = 0; step < 20; ++step) {
+    fleet.time.advance(milliseconds(570));
+    const auto due = name(std::to_string(step + 2));
+    fleet.time.advance(seconds(2));
+    for (const auto& node : nodes) {
+      const auto before = node->targets.beginBefore(kModel, static_cast<unsigned>(step) + 1);
+      BOOST_REQUIRE(before.has_value());
+      BOOST_TEST((*before > due - milliseconds(1300)));
+    }
+  }
+}
+
+// The newest version tells nothing of one that was named shortly before it, which may be in force.
+BOOST_AUTO_TEST_CASE(NodeThatHasJustStartedAllowsNoOlderVersionUntilTheDatesAreKnown) {
+  name("2");
+  fleet.time.advance(seconds(4));
+  name("3");
+  fleet.time.advance(seconds(1));
+  Watching started(fleet, *fleet.nodes.front());
+  bool dateKnown = true;
+  started.configuration.onWeights(
+      [&](const NamedWeights& /*named*/, std::optional<base::TimePoint> namedAfter) {
+        dateKnown = namedAfter.has_value();
+      });
+  fleet.time.advance(milliseconds(100));
+  BOOST_TEST(!dateKnown);
+  const auto now = fleet.time.now();
+  BOOST_TEST(started.targets.oldestAllowed(kModel, now) == 3U);
+  started.targets.onDated(std::string{kModel}, 2, now - seconds(5));
+  started.targets.onDated(std::string{kModel}, 3, now - seconds(1));
+  BOOST_TEST(started.targets.oldestAllowed(kModel, now) == 0U);
+  BOOST_TEST(started.targets.oldestAllowed(kModel, now + seconds(3)) == 2U);
+  BOOST_TEST(started.targets.oldestAllowed(kModel, now + seconds(7)) == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(NodeThatLostItsHistoryDatesAVersionByItsLastProof) {
+  struct PausedFeed final : clients::TableFeedClient {
+    void readAll(std::string /*table*/, clients::FeedCallback callback) override {
+      pending = std::move(callback);
+    }
+    void changes(std::string /*table*/, base::Revision /*after*/, base::Duration /*wait*/,
+                 clients::FeedCallback callback) override {
+      pending = std::move(callback);
+    }
+    void answer(clients::FeedReply reply) { std::exchange(pending, nullptr)(std::move(reply)); }
+    clients::FeedCallback pending;
+  } feed;
+  WeightsReader reader;
+  test_support::RecordingLog log;
+  routing::WeightsTargets targets{{seconds(8), milliseconds(1000)}};
+  RouteConfiguration configuration(reader, fleet.time, log, targets);
+  base::SeededRandom random{1};
+  config::TableWatch watch({"t"}, fleet.time, fleet.time, random, feed, configuration);
+  watch.start();
+  feed.answer({clients::FeedStatus::kOk, {{kWeightsRow, "1", 3}}, 5});
+  const auto proved = fleet.time.now();
+  fleet.time.advance(seconds(3));
+  feed.answer({clients::FeedStatus::kHistoryGone, {}, 0});
+  feed.answer({clients::FeedStatus::kOk, {{kWeightsRow, "2", 9}}, 9});
+  BOOST_TEST((targets.beginBefore(kModel, 1) <= proved + seconds(8)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::node
