--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -22,6 +22,7 @@
 #include "node/cache_store_news.h"
 #include "node/node_count.h"
 #include "node/pause_detector.h"
+#include "node/version_dating.h"
 #include "node/wake_gate.h"
 #include "node/weights_coordinator.h"
 #include "node/weights_dates.h"
@@ -82,6 +83,7 @@
         weightsDates(
             deployment.table, timers, [this] { return configurationWatch.serviceTime(); },
             [this] { return coordinator.competes(); }),
+        versionDating(clock, log, targets, weightsDates),
         cacheStoreNews(membership, membership, stores),
         cacheWatch(
             {},
@@ -117,10 +119,9 @@
       applyLimits(table.limits());
       stores.update(table);
     });
-    configuration.onWeights(
-        [this](const node::NamedWeights& named, std::optional<base::TimePoint> namedAfter) {
-          onWeights(named, namedAfter);
-        });
+    configuration.onWeights([this](const node::NamedWeights& named, const node::VersionNews& news) {
+      versionDating.onWeights(named, news);
+    });
   }
 
   request::RelayServiceOptions serviceOptions() const {
@@ -191,25 +192,6 @@
                           static_cast<double>(found->engine->cacheTokens)));
   }
 
-  void onWeights(const node::NamedWeights& named, std::optional<base::TimePoint> namedAfter) {
-    if (namedAfter) {
-      weightsDates.writeWhenResponsible(named.model, named.version, clock.now() - *namedAfter);
-      return;
-    }
-    weightsDates.lookUp(named.model, named.version,
-                        [this, model = named.model](const std::vector<node::VersionAge>& ages) {
-                          for (const auto& dated : ages) onDated(model, dated);
-                        });
-  }
-
-  void onDated(const std::string& model, const node::VersionAge& dated) {
-    targets.onDated(model, dated.version, clock.now() - dated.age);
-    log.write(base::Event::kWeightsDated,
-              {{"model", model},
-               {"version", std::to_string(dated.version)},
-               {"age_ms", std::to_string(dated.age / std::chrono::milliseconds(1))}});
-  }
-
   bool ready() const {
     return !draining && configuration.table() != nullptr && replicaList.known() &&
            service.confirmed();
@@ -386,6 +368,7 @@
   config::TableWatch replicaWatch;
   node::WeightsCoordinator coordinator;
   node::WeightsDates weightsDates;
+  node::VersionDating versionDating;
   node::CacheStoreNews cacheStoreNews;
   routing::CacheWatch cacheWatch;
   admission::RetryWindows retries;
--- a/src/node/route_configuration.cc
+++ b/src/node/route_configuration.cc
@@ -61,7 +61,7 @@
               {"from", source == config::RowSource::kCopy ? "copy" : "feed"},
               {"age_at_most_ms", namedAfter ? millisecondsText(now - *namedAfter) : ""},
               {"revision", std::to_string(row.revision)}});
-  if (weightsListener_) weightsListener_(*named, namedAfter);
+  if (weightsListener_) weightsListener_(*named, {namedAfter});
 }
 
 std::optional<base::TimePoint> RouteConfiguration::namedAfterOf(const NamedWeights& named,
--- a/src/node/route_configuration.h
+++ b/src/node/route_configuration.h
@@ -24,6 +24,13 @@
   base::WeightsVersion version = 0;
 };
 
+/// What is known of when a version was named, on this node's clock.
+struct VersionNews {
+  /// It was named after this, and no other one before it that this node does not know; empty when
+  /// nobody knows.
+  std::optional<base::TimePoint> namedAfter;
+};
+
 /// Reads the rows in which operators keep their configuration.
 class ConfigurationRowReader {
  public:
@@ -43,9 +50,8 @@
                                  public request::RouteTableSource {
  public:
   using TableListener = std::function<void(const config::RouteTable&)>;
-  /// Told of each newer version, with a moment after which it was named; empty when nobody knows.
-  using WeightsListener =
-      std::function<void(const NamedWeights&, std::optional<base::TimePoint> namedAfter)>;
+  /// Told of each newer version.
+  using WeightsListener = std::function<void(const NamedWeights&, const VersionNews&)>;
 
   /// All must outlive the configuration.
   RouteConfiguration(const ConfigurationRowReader& reader, base::Clock& clock, base::EventLog& log,
--- /dev/null
+++ b/src/node/version_dating.cc
@@ -0,0 +1,29 @@
+#include "node/version_dating.h"
+
+namespace covewing::node {
+
+void VersionDating::onWeights(const NamedWeights& named, const VersionNews& news) {
+  if (news.namedAfter) {
+    dates_.writeWhenResponsible(named.model, named.version, clock_.now() - *news.namedAfter);
+    return;
+  }
+  dates_.lookUp(
+      named.model, named.version,
+      [this, named, news](const std::vector<VersionAge>& ages) { onDates(named, news, ages); });
+}
+
+void VersionDating::onDates(const NamedWeights& named, const VersionNews& /*news*/,
+                            const std::vector<VersionAge>& ages) {
+  for (const auto& dated : ages) date(named.model, dated.version, dated.age);
+}
+
+void VersionDating::date(const std::string& model, base::WeightsVersion version,
+                         base::Duration age) {
+  targets_.onDated(model, version, clock_.now() - age);
+  log_.write(base::Event::kWeightsDated,
+             {{"model", model},
+              {"version", std::to_string(version)},
+              {"age_ms", std::to_string(age / std::chrono::milliseconds(1))}});
+}
+
+}  // namespace covewing::node
--- a/tests/node/weights_dating_test.cc
+++ b/tests/node/weights_dating_test.cc
@@ -136,10 +136,9 @@
   fleet.time.advance(seconds(1));
   Watching started(fleet, *fleet.nodes.front());
   bool dateKnown = true;
-  started.configuration.onWeights(
-      [&](const NamedWeights& /*named*/, std::optional<base::TimePoint> namedAfter) {
-        dateKnown = namedAfter.has_value();
-      });
+  started.configuration.onWeights([&](const NamedWeights& /*named*/, const VersionNews& news) {
+    dateKnown = news.namedAfter.has_value();
+  });
   fleet.time.advance(milliseconds(100));
   BOOST_TEST(!dateKnown);
   const auto now = fleet.time.now();
