Show by a test that a version named during an outage leaves nodes without replicas

Nodes that start know no date of it, and none is ever written; the older version is forbidden at once.

--- a/tests/config/feed_fleet.h
+++ b/tests/config/feed_fleet.h
@@ -93,6 +93,8 @@
   }
 
   bool refused = false;
+  /// So many calls more are refused.
+  int refuseNext = 0;
   int calls = 0;
   int wholeReads = 0;
 
@@ -100,7 +102,9 @@
   void call(base::Revision after, base::Duration wait, bool whole, clients::FeedCallback callback) {
     ++calls;
     if (whole) ++wholeReads;
-    if (!refused) return service_.ask(after, wait, whole, callback);
+    const bool refusedNow = refused || refuseNext > 0;
+    refuseNext -= refuseNext > 0 ? 1 : 0;
+    if (!refusedNow) return service_.ask(after, wait, whole, callback);
     time_.schedule(kDelay, [callback] { callback({}); });
   }
 
--- a/tests/node/weights_dating_test.cc
+++ b/tests/node/weights_dating_test.cc
@@ -12,7 +12,8 @@
 #include <charconv>
 
 #include "config/feed_fleet.h"
-#include "node/route_configuration.h"
+#include "node/version_dating.h"
+#include "request/fakes.h"
 
 namespace covewing::node {
 
@@ -57,6 +58,35 @@
   config::TableWatch watch;
 };
 
+/// A node that has just started and reaches no other one.
+struct Started {
+  Started(Fleet& fleet, request::FakeTable& table)
+      : node(*fleet.nodes.front()),
+        time(fleet.time),
+        feed({}, {time, time, node.random, node.log, node.wire, node.directory, node.service}),
+        dates(table, time, [this] { return watch.serviceTime(); }),
+        dating(time, node.log, targets, dates),
+        configuration(reader, time, node.log, targets),
+        watch({"t"}, time, time, node.random, feed, configuration) {
+    node.silent = true;
+    configuration.setWatch(watch);
+    configuration.onWeights([this](const NamedWeights& named, const VersionNews& news) {
+      dating.onWeights(named, news);
+    });
+    watch.start();
+  }
+
+  FleetNode& node;
+  test_support::VirtualTime& time;
+  config::SharedFeed feed;
+  WeightsReader reader;
+  routing::WeightsTargets targets{{seconds(8), milliseconds(1200)}};
+  WeightsDates dates;
+  VersionDating dating;
+  RouteConfiguration configuration;
+  config::TableWatch watch;
+};
+
 struct WatchingFleet {
   WatchingFleet() {
     fleet.service.put(kWeightsRow, "1");
@@ -150,6 +180,56 @@
   BOOST_TEST(started.targets.oldestAllowed(kModel, now + seconds(7)) == 3U);
 }
 
+// All nodes were killed while the table service could not be reached, and a version was named
+// meanwhile: no node had seen it come, and no date was ever written. With the older version
+// forbidden from the start on nothing could be served until replicas were changed (some 6 s):
+//
+//     event=5000 name=RequestRefused why="no replica has the version in force"   (831 requests)
+//
+// Its time counts from when nodes could learn of it.
+BOOST_AUTO_TEST_CASE(VersionNamedWhileTheServiceCouldNotBeReachedCountsFromThen) {
+  request::FakeTable table{fleet.time};
+  fleet.nodes.front()->service.refused = true;
+  name("2");
+  Started started(fleet, table);
+  fleet.time.advance(seconds(3));
+  fleet.nodes.front()->service.refused = false;
+  const auto due = fleet.time.now() + seconds(8);
+  fleet.time.advance(seconds(3));
+  const auto& targets = started.targets;
+  BOOST_REQUIRE(targets.newest(kModel) == 2U);
+  BOOST_TEST(targets.oldestAllowed(kModel, fleet.time.now()) == 0U);
+  BOOST_TEST((targets.beginBefore(kModel, 1) <= due));
+  // Nodes that start later find the date.
+  BOOST_TEST(!table.commits.empty());
+}
+
+BOOST_AUTO_TEST_CASE(DateThatWasWrittenBeforeTheServiceWasLostPrevails) {
+  request::FakeTable table{fleet.time};
+  WeightsDates seeing{table, fleet.time, [this] { return nodes.back()->watch.serviceTime(); }};
+  const auto due = name("2");
+  seeing.write(std::string{kModel}, 2);
+  fleet.time.advance(milliseconds(100));
+  fleet.nodes.front()->service.refused = true;
+  Started started(fleet, table);
+  fleet.time.advance(seconds(3));
+  fleet.nodes.front()->service.refused = false;
+  fleet.time.advance(seconds(3));
+  BOOST_REQUIRE(started.targets.newest(kModel) == 2U);
+  BOOST_TEST((started.targets.beginBefore(kModel, 1) <= due));
+}
+
+// A connection that had gone silent proves nothing of the service.
+BOOST_AUTO_TEST_CASE(OneCallThatFailedIsNoOutage) {
+  request::FakeTable table{fleet.time};
+  fleet.nodes.front()->service.refuseNext = 1;
+  name("2");
+  Started started(fleet, table);
+  fleet.time.advance(seconds(4));
+  BOOST_REQUIRE(started.targets.newest(kModel) == 2U);
+  BOOST_TEST(started.targets.oldestAllowed(kModel, fleet.time.now()) == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(NodeThatLostItsHistoryDatesAVersionByItsLastProof) {
   struct PausedFeed final : clients::TableFeedClient {
     void readAll(std::string /*table*/, clients::FeedCallback callback) override {
