Count a version's time from when nodes could learn of it, and date what was missed by the own proof

Where nobody saw a version come, since the table service could not be reached, its time counts from the last of several failed calls: the bound runs in one stretch in which the service can be reached. A node that starts then takes this where the table service has no date, and writes it. A version that a node never saw between two that it knows is no older than the node's last proof. Dates are looked up for 19 s, since bounds of 10 s are in use.

--- a/src/clients/table_feed_client.h
+++ b/src/clients/table_feed_client.h
@@ -20,7 +20,8 @@
   /// Empty when the row was removed.
   std::optional<std::string> value;
   base::Revision revision = 0;
-  /// The change was made after this moment, on this node's clock; empty when nobody knows.
+  /// The change was made after this moment, on this node's clock, or the service could not be
+  /// reached until then; empty when nobody knows.
   std::optional<base::TimePoint> changedAfter = std::nullopt;
 };
 
@@ -43,6 +44,9 @@
   /// When the rows were proved to be all there is, on this node's clock; empty: when the call was
   /// sent.
   std::optional<base::TimePoint> currentAt = std::nullopt;
+  /// The service could not be reached at this moment, the latest such; empty when it could be ever
+  /// since the reply before.
+  std::optional<base::TimePoint> unreachableAt = std::nullopt;
 };
 
 using FeedCallback = std::function<void(FeedReply)>;
--- a/src/config/shared_feed.cc
+++ b/src/config/shared_feed.cc
@@ -99,6 +99,10 @@
       environment_.log.write(base::Event::kPlatformRecovered,
                              {{"service", "table feed"}, {"table", call->table}});
     table.service.onSuccess();
+    if (reply.status == clients::FeedStatus::kOk) {
+      reply.unreachableAt = std::exchange(table.unreachableAt, std::nullopt);
+      table.serviceFailures = 0;
+    }
     reply.currentAt = call->sentAt;
     if (reply.serviceTime) {
       const auto now = environment_.clock.now();
@@ -115,6 +119,7 @@
                             {"table", call->table},
                             {"status", std::to_string(static_cast<unsigned>(reply.status))},
                             {"instead", "other nodes"}});
+  noteFailure(table, *call, reply.status);
   table.service.onFailure(environment_.clock.now(), options_);
   call->wait = {};
   if (!call->peerTried && askPeer(call)) return;
@@ -196,7 +201,7 @@
   auto& table = tables_[call->table];
   --table.underWay;
   if (reply.status == clients::FeedStatus::kOk) {
-    boundChanges(table, reply.rows);
+    boundChanges(table, reply);
     if (call->whole) {
       table.copy.replace(reply.rows, reply.revision);
     } else {
@@ -210,12 +215,19 @@
   call->callback(std::move(reply));
 }
 
-void SharedFeed::boundChanges(const Table& table, std::vector<clients::FeedRow>& rows) {
+void SharedFeed::noteFailure(Table& table, const Call& call, clients::FeedStatus status) {
+  // A refusal for too many calls is no outage. A first failure may be that of a connection alone;
+  // the next call opens another one.
+  if (status != clients::FeedStatus::kUnavailable) return;
+  if (++table.serviceFailures > 1) table.unreachableAt = call.sentAt;
+}
+
+void SharedFeed::boundChanges(const Table& table, clients::FeedReply& reply) {
   if (!table.provedAt) return;
   const auto known = table.copy.revision().value_or(0);
-  for (auto& row : rows) {
-    if (row.revision <= known) continue;
-    row.changedAfter = std::max(row.changedAfter.value_or(*table.provedAt), *table.provedAt);
+  const auto least = std::max(*table.provedAt, reply.unreachableAt.value_or(*table.provedAt));
+  for (auto& row : reply.rows) {
+    if (row.revision > known) row.changedAfter = std::max(row.changedAfter.value_or(least), least);
   }
 }
 
--- a/src/config/shared_feed.h
+++ b/src/config/shared_feed.h
@@ -133,6 +133,10 @@
     std::optional<base::Duration> serviceOffset;
     Backoff service;
     Backoff peers;
+    /// Calls to the service in a row that failed.
+    std::size_t serviceFailures = 0;
+    /// When the last call was sent that failed after another one had.
+    std::optional<base::TimePoint> unreachableAt;
     /// Calls of this node that are under way.
     std::size_t underWay = 0;
   };
@@ -148,8 +152,10 @@
   bool askPeer(const CallPtr& call);
   void onPeerAnswer(const CallPtr& call, FeedAnswer answer);
   void onPeerFailed(const CallPtr& call);
+  /// Notes a call to the service that failed.
+  static void noteFailure(Table& table, const Call& call, clients::FeedStatus status);
   /// Rows that are newer than the copy were changed after its last proof.
-  static void boundChanges(const Table& table, std::vector<clients::FeedRow>& rows);
+  static void boundChanges(const Table& table, clients::FeedReply& reply);
   /// Keeps what a reply tells, answers held questions, and ends the call.
   void finish(const CallPtr& call, clients::FeedReply reply);
 
--- a/src/config/table_watch.cc
+++ b/src/config/table_watch.cc
@@ -81,6 +81,7 @@
   }
   for (auto& key : gone) remove({std::move(key), std::nullopt, reply.revision});
   noteServiceTime(reply);
+  unreachableAt_ = reply.unreachableAt;
   for (const auto& row : reply.rows) apply(row, RowSource::kCopy);
   position_ = reply.revision;
   confirm(reply, sentAt);
@@ -101,6 +102,7 @@
   }
   backoff_ = {};
   noteServiceTime(reply);
+  unreachableAt_ = reply.unreachableAt;
   // What was changed during a pause may be as old as the pause is long, like rows of a copy.
   const auto source = caughtUp_ ? RowSource::kFeed : RowSource::kCopy;
   for (const auto& row : reply.rows) {
@@ -145,7 +147,8 @@
 
 void TableWatch::boundChange(clients::FeedRow& row) const {
   if (!confirmedAt_ || row.revision <= confirmedRevision_) return;
-  row.changedAfter = std::max(row.changedAfter.value_or(*confirmedAt_), *confirmedAt_);
+  const auto least = std::max(*confirmedAt_, unreachableAt_.value_or(*confirmedAt_));
+  row.changedAfter = std::max(row.changedAfter.value_or(least), least);
 }
 
 void TableWatch::apply(clients::FeedRow row, RowSource source) {
--- a/src/config/table_watch.h
+++ b/src/config/table_watch.h
@@ -70,6 +70,9 @@
   bool caughtUp() const { return caughtUp_; }
   /// When the last call that proved the copy current was sent; empty before the first copy.
   std::optional<base::TimePoint> confirmedAt() const { return confirmedAt_; }
+  /// The service could not be reached at this moment, the latest before the last answer with rows
+  /// from the service itself; empty when it could be, or other nodes answered.
+  std::optional<base::TimePoint> unreachableAt() const { return unreachableAt_; }
   /// The service's own clock now, as far as its latest answer tells; empty when it does not.
   std::optional<base::Duration> serviceTime() const;
 
@@ -104,6 +107,7 @@
   /// The copy was complete up to this revision when it was last confirmed.
   base::Revision confirmedRevision_ = 0;
   std::optional<base::TimePoint> confirmedAt_;
+  std::optional<base::TimePoint> unreachableAt_;
   /// The service's clock less this node's.
   std::optional<base::Duration> serviceOffset_;
   base::Duration backoff_{};
--- a/src/node/route_configuration.cc
+++ b/src/node/route_configuration.cc
@@ -1,5 +1,6 @@
 #include "node/route_configuration.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace covewing::node {
@@ -50,30 +51,43 @@
     log_.write(base::Event::kRouteTableRejected, {{"row", row.key}, {"why", reason.detail}});
     return;
   }
-  const auto now = clock_.now();
-  const auto namedAfter = namedAfterOf(*named, row, source);
-  const bool newer = namedAfter ? targets_.onNamed(named->model, named->version, *namedAfter)
-                                : targets_.onFound(named->model, named->version, now);
-  if (!newer) return;
-  log_.write(base::Event::kWeightsNamed,
-             {{"model", named->model},
-              {"version", std::to_string(named->version)},
-              {"from", source == config::RowSource::kCopy ? "copy" : "feed"},
-              {"age_at_most_ms", namedAfter ? millisecondsText(now - *namedAfter) : ""},
-              {"revision", std::to_string(row.revision)}});
-  if (weightsListener_) weightsListener_(*named, {namedAfter});
+  const auto news = newsOf(*named, row, source);
+  if (!take(*named, news)) return;
+  log_.write(
+      base::Event::kWeightsNamed,
+      {{"model", named->model},
+       {"version", std::to_string(named->version)},
+       {"from", source == config::RowSource::kCopy ? "copy" : "feed"},
+       {"age_at_most_ms", news.namedAfter ? millisecondsText(clock_.now() - *news.namedAfter) : ""},
+       {"revision", std::to_string(row.revision)}});
+  if (weightsListener_) weightsListener_(*named, news);
 }
 
-std::optional<base::TimePoint> RouteConfiguration::namedAfterOf(const NamedWeights& named,
-                                                                const clients::FeedRow& row,
-                                                                config::RowSource source) const {
+VersionNews RouteConfiguration::newsOf(const NamedWeights& named, const clients::FeedRow& row,
+                                       config::RowSource source) const {
+  VersionNews news;
+  if (watch_ != nullptr) news.unreachableAt = watch_->unreachableAt();
   // A node that has just started does not know which versions were named shortly before this one:
   // they may be in force already, and only the dates in the table service tell.
   const bool justStarted = source == config::RowSource::kCopy && targets_.newest(named.model) == 0;
-  if (justStarted) return std::nullopt;
   // A version that becomes known late has had part of its time: counted from when this node heard
   // of it, requests began on older weights up to 1.1 s too late where the feed's readers were lost.
-  return row.changedAfter;
+  if (!justStarted) news.namedAfter = row.changedAfter;
+  return news;
+}
+
+bool RouteConfiguration::take(const NamedWeights& named, const VersionNews& news) {
+  if (!news.namedAfter) return targets_.onFound(named.model, named.version, clock_.now());
+  const auto newest = targets_.newest(named.model);
+  // Others may know well when this version was named and tell nothing of one before it that this
+  // node never saw: that one is no older than the node's own last proof.
+  if (newest != 0 && named.version > newest + 1) {
+    if (const auto provedAt = confirmedAt()) {
+      const auto unseenAfter = std::max(*provedAt, news.unreachableAt.value_or(*provedAt));
+      targets_.onNamed(named.model, newest + 1, std::min(unseenAfter, *news.namedAfter));
+    }
+  }
+  return targets_.onNamed(named.model, named.version, *news.namedAfter);
 }
 
 void RouteConfiguration::onRemoved(const clients::FeedRow& /*row*/) {
--- a/src/node/route_configuration.h
+++ b/src/node/route_configuration.h
@@ -26,9 +26,11 @@
 
 /// What is known of when a version was named, on this node's clock.
 struct VersionNews {
-  /// It was named after this, and no other one before it that this node does not know; empty when
-  /// nobody knows.
+  /// It was named after this; empty when nobody knows.
   std::optional<base::TimePoint> namedAfter;
+  /// The service could not be reached at this moment, the latest before the version became known;
+  /// empty when it could be.
+  std::optional<base::TimePoint> unreachableAt;
 };
 
 /// Reads the rows in which operators keep their configuration.
@@ -74,11 +76,10 @@
  private:
   void takeTable(const clients::FeedRow& row);
   void takeWeights(const clients::FeedRow& row, config::RowSource source);
-  /// A moment after which the version was named, and no other one before it that this node does not
-  /// know; empty when nobody knows.
-  std::optional<base::TimePoint> namedAfterOf(const NamedWeights& named,
-                                              const clients::FeedRow& row,
-                                              config::RowSource source) const;
+  VersionNews newsOf(const NamedWeights& named, const clients::FeedRow& row,
+                     config::RowSource source) const;
+  /// Takes the version into the targets; false when it is not newer.
+  bool take(const NamedWeights& named, const VersionNews& news);
 
   const ConfigurationRowReader& reader_;
   base::Clock& clock_;
--- a/src/node/version_dating.cc
+++ b/src/node/version_dating.cc
@@ -12,8 +12,18 @@
       [this, named, news](const std::vector<VersionAge>& ages) { onDates(named, news, ages); });
 }
 
-void VersionDating::onDates(const NamedWeights& named, const VersionNews& /*news*/,
+void VersionDating::onDates(const NamedWeights& named, const VersionNews& news,
                             const std::vector<VersionAge>& ages) {
+  const bool nobodyWrote = ages.empty();
+  if (nobodyWrote && news.unreachableAt) {
+    // It was named while nodes could not learn of it, and its time counts from when they could:
+    // forbidden at once, the older version left a fleet that restarted in an outage without
+    // replicas (some 800 requests refused).
+    const auto age = clock_.now() - *news.unreachableAt;
+    date(named.model, named.version, age);
+    dates_.writeWhenResponsible(named.model, named.version, age);
+    return;
+  }
   for (const auto& dated : ages) date(named.model, dated.version, dated.age);
 }
 
--- a/src/node/weights_dates.cc
+++ b/src/node/weights_dates.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int kAttempts = 6;
+constexpr int kReads = 7;
 /// Others take the place of lost nodes within about a second; twice that and some margin is looked.
 constexpr int kResponsibilityChecks = 5;
 constexpr base::Duration kResponsibilityInterval = std::chrono::milliseconds(600);
@@ -76,6 +77,7 @@
   base::WeightsVersion version = 0;
   Found found;
   int attempts = 0;
+  bool absenceTold = false;
 };
 
 void WeightsDates::write(const std::string& model, base::WeightsVersion version,
@@ -143,7 +145,7 @@
 }
 
 void WeightsDates::step(const std::shared_ptr<LookUp>& lookUp) {
-  if (++lookUp->attempts > kAttempts) return;
+  if (++lookUp->attempts > kReads) return;
   table_.read({keyOf(lookUp->model)},
               [this, lookUp, alive = std::weak_ptr(lifetime_)](const clients::TableReply& reply) {
                 if (!alive.expired()) onRead(lookUp, reply);
@@ -160,6 +162,8 @@
     lookUp->found(ages);
     return;
   }
+  const bool absent = reply.status == clients::TableStatus::kOk;
+  if (absent && !std::exchange(lookUp->absenceTold, true)) lookUp->found({});
   // Not there yet, or not readable now.
   timers_.schedule(pauseAfter(lookUp->attempts), [this, lookUp, alive = std::weak_ptr(lifetime_)] {
     if (!alive.expired()) step(lookUp);
--- a/src/node/weights_dates.h
+++ b/src/node/weights_dates.h
@@ -33,7 +33,8 @@
   using ServiceClock = std::function<std::optional<base::Duration>()>;
   /// Whether this node is one of the few that write.
   using Responsible = std::function<bool()>;
-  /// The versions named lately, ascending.
+  /// The versions named lately, ascending; empty when the table service answered and has no date of
+  /// the version.
   using Found = std::function<void(const std::vector<VersionAge>&)>;
 
   /// All must outlive the dates.
@@ -51,9 +52,9 @@
   /// As `write`, as soon as the node is responsible within the next seconds.
   void writeWhenResponsible(const std::string& model, base::WeightsVersion version,
                             base::Duration age);
-  /// Calls `found` when the version's date is known, with those of the versions before it; repeats
-  /// a read that failed or found nothing, with growing pauses, for some 9 s: a version that has not
-  /// been dated by then is in force in any case.
+  /// Calls `found` when the version's date is known, with those of the versions before it, and once
+  /// before that when it is not there; repeats a read that failed or found nothing, with growing
+  /// pauses, for some 19 s: a version that has not been dated by then is in force in any case.
   void lookUp(const std::string& model, base::WeightsVersion version, Found found);
 
  private:
--- a/tests/node/weights_dating_test.cc
+++ b/tests/node/weights_dating_test.cc
@@ -49,6 +49,7 @@
   Watching(Fleet& fleet, FleetNode& node)
       : configuration(reader, fleet.time, node.log, targets),
         watch({"t"}, fleet.time, fleet.time, node.random, node.feed, configuration) {
+    configuration.setWatch(watch);
     watch.start();
   }
 
