--- a/src/clients/table_client.h
+++ b/src/clients/table_client.h
@@ -14,6 +14,7 @@
 
 #include "base/ids.h"
 #include "base/result_code.h"
+#include "base/time.h"
 
 namespace covewing::clients {
 
@@ -60,6 +61,8 @@
   base::Revision revision = 0;
   /// Rows read, or the current rows on a conflict. Absent rows are left out.
   std::vector<TableRow> rows;
+  /// The service's own steady clock when it answered, where it tells it.
+  std::optional<base::Duration> serviceTime = std::nullopt;
 };
 
 using TableCallback = std::function<void(TableReply)>;
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -81,7 +81,7 @@
                      [this](const std::string& name) { return longRunReplicas(name); },
                      [this](const std::string& name) { return replicasInUse(name); }}),
         weightsDates(
-            deployment.table, timers, [this] { return configurationWatch.serviceTime(); },
+            deployment.table, clock, timers, [this] { return configurationWatch.serviceTime(); },
             [this] { return coordinator.competes(); }),
         versionDating(clock, log, targets, weightsDates),
         cacheStoreNews(membership, membership, stores),
--- a/src/node/weights_dates.h
+++ b/src/node/weights_dates.h
@@ -39,9 +39,10 @@
 
   /// All must outlive the dates.
   WeightsDates(
-      clients::TableClient& table, base::TimerService& timers, ServiceClock serviceClock,
-      Responsible responsible = [] { return true; })
+      clients::TableClient& table, base::Clock& clock, base::TimerService& timers,
+      ServiceClock serviceClock, Responsible responsible = [] { return true; })
       : table_(table),
+        clock_(clock),
         timers_(timers),
         serviceClock_(std::move(serviceClock)),
         responsible_(std::move(responsible)) {}
@@ -71,6 +72,7 @@
   void onRead(const std::shared_ptr<LookUp>& lookUp, const clients::TableReply& reply);
 
   clients::TableClient& table_;
+  base::Clock& clock_;
   base::TimerService& timers_;
   ServiceClock serviceClock_;
   Responsible responsible_;
--- a/tests/node/weights_dates_test.cc
+++ b/tests/node/weights_dates_test.cc
@@ -9,6 +9,7 @@
 namespace covewing::node {
 
 using request::FakeTable;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 using test_support::VirtualTime;
 
@@ -32,8 +33,8 @@
 
   VirtualTime time;
   FakeTable table{time};
-  WeightsDates seeing{table, time, [this] { return serviceTime(); }};
-  WeightsDates starting{table, time, [this] { return serviceTime(); }};
+  WeightsDates seeing{table, time, time, [this] { return serviceTime(); }};
+  WeightsDates starting{table, time, time, [this] { return serviceTime(); }};
 };
 
 }  // namespace
@@ -52,7 +53,7 @@
 BOOST_AUTO_TEST_CASE(FirstDateStays) {
   seeing.write("m", 4);
   time.advance(seconds(5));
-  WeightsDates late{table, time, [this] { return serviceTime(); }};
+  WeightsDates late{table, time, time, [this] { return serviceTime(); }};
   late.write("m", 4);
   time.advance(seconds(1));
   BOOST_TEST((lookUp(4) >= seconds(6)));
@@ -88,7 +89,8 @@
 // the next ones knew it and did not write, so that nodes that started then found no date.
 BOOST_AUTO_TEST_CASE(NodeThatBecomesResponsibleWritesWhatItKnows) {
   bool responsible = false;
-  WeightsDates next{table, time, [this] { return serviceTime(); }, [&] { return responsible; }};
+  WeightsDates next{table, time, time, [this] { return serviceTime(); },
+                    [&] { return responsible; }};
   next.writeWhenResponsible("m", 4, seconds(1));
   time.advance(seconds(1));
   BOOST_TEST(table.commits.empty());
@@ -100,8 +102,35 @@
   BOOST_TEST((*age < seconds(5)));
 }
 
+// A node knows the service's clock from answers that were under way for some time: what it makes of
+// it is late by that. A date that is read with such a clock was up to 0.8 s too late.
+BOOST_AUTO_TEST_CASE(AgeIsNeverLessThanTheTruthWhereTheNodesClockOfTheServiceIsLate) {
+  table.clockLead = seconds(1000);
+  seeing.write("m", 4);
+  time.advance(seconds(5));
+  WeightsDates late{table, time, time, [this] { return *serviceTime() - milliseconds(800); }};
+  std::optional<base::Duration> found;
+  late.lookUp("m", 4, [&](const std::vector<VersionAge>& ages) { found = ages.back().age; });
+  time.advance(table.latency);
+  BOOST_REQUIRE(found.has_value());
+  BOOST_TEST((*found >= seconds(5)));
+  BOOST_TEST((*found <= seconds(5) + 3 * table.latency));
+}
+
+// Writes overtake each other where one is tried again.
+BOOST_AUTO_TEST_CASE(DateOfAnOlderVersionIsAddedToThatOfANewerOne) {
+  seeing.write("m", 5);
+  time.advance(seconds(1));
+  seeing.write("m", 4, seconds(3));
+  time.advance(seconds(1));
+  const auto older = lookUp(4);
+  BOOST_REQUIRE(older.has_value());
+  BOOST_TEST((*older >= seconds(4)));
+  BOOST_TEST((lookUp(5) < seconds(9)));
+}
+
 BOOST_AUTO_TEST_CASE(NodeThatIsNeverResponsibleWritesNothing) {
-  WeightsDates other{table, time, [this] { return serviceTime(); }, [] { return false; }};
+  WeightsDates other{table, time, time, [this] { return serviceTime(); }, [] { return false; }};
   other.writeWhenResponsible("m", 4, seconds(1));
   time.advance(seconds(20));
   BOOST_TEST(table.commits.empty());
--- a/tests/node/weights_dating_test.cc
+++ b/tests/node/weights_dating_test.cc
@@ -65,7 +65,7 @@
       : node(*fleet.nodes.front()),
         time(fleet.time),
         feed({}, {time, time, node.random, node.log, node.wire, node.directory, node.service}),
-        dates(table, time, [this] { return watch.serviceTime(); }),
+        dates(table, time, time, [this] { return watch.serviceTime(); }),
         dating(time, node.log, targets, dates),
         configuration(reader, time, node.log, targets),
         watch({"t"}, time, time, node.random, feed, configuration) {
@@ -207,7 +207,8 @@
 
 BOOST_AUTO_TEST_CASE(DateThatWasWrittenBeforeTheServiceWasLostPrevails) {
   request::FakeTable table{fleet.time};
-  WeightsDates seeing{table, fleet.time, [this] { return nodes.back()->watch.serviceTime(); }};
+  WeightsDates seeing{table, fleet.time, fleet.time,
+                      [this] { return nodes.back()->watch.serviceTime(); }};
   const auto due = name("2");
   seeing.write(std::string{kModel}, 2);
   fleet.time.advance(milliseconds(100));
--- a/tests/request/fakes.h
+++ b/tests/request/fakes.h
@@ -45,6 +45,8 @@
   std::vector<clients::TableTransaction> commits;
   std::uint64_t reads = 0;
   base::Duration latency = std::chrono::milliseconds(1);
+  /// The service's clock less that of the nodes; told in answers where it is given.
+  std::optional<base::Duration> clockLead;
 
   void read(std::vector<std::string> keys, clients::TableCallback callback) override {
     ++reads;
@@ -54,6 +56,7 @@
       reply.status = clients::TableStatus::kOk;
       reply.revision = revision_;
       reply.rows = currentRows(keys);
+      if (clockLead) reply.serviceTime = time_.now().time_since_epoch() + *clockLead;
     }
     answer(behaviour, std::move(reply), std::move(callback));
   }
