Reckon the age of a version's date by the reply that told it, and keep dates that are overtaken

The reply names the service's clock, which was not later than that plus the time since the call was sent; the node's own idea of the clock is late by the time that answers are under way. The row keeps the dates of all versions, in whatever order they are written. A test holds that nodes of the release before are understood.

--- a/src/node/weights_dates.cc
+++ b/src/node/weights_dates.cc
@@ -77,6 +77,7 @@
   base::WeightsVersion version = 0;
   Found found;
   int attempts = 0;
+  base::TimePoint sentAt{};
   bool absenceTold = false;
 };
 
@@ -113,7 +114,8 @@
 void WeightsDates::step(const std::shared_ptr<Write>& write) {
   if (++write->attempts > kAttempts) return;
   DateRow row = write->before;
-  row.push_back(write->named);
+  row.insert(std::ranges::lower_bound(row, write->named.version, {}, &NamedVersion::version),
+             write->named);
   if (row.size() > kKept) row.erase(row.begin());
   clients::TableTransaction transaction;
   transaction.conditions = {{keyOf(write->model), write->expected}};
@@ -133,9 +135,10 @@
     });
     return;
   }
-  const auto known = dateIn(reply);
-  if (known && known->back().version >= write->named.version) return;
-  write->before = known.value_or(DateRow{});
+  write->before = dateIn(reply).value_or(DateRow{});
+  const bool dated = std::ranges::find(write->before, write->named.version,
+                                       &NamedVersion::version) != write->before.end();
+  if (dated) return;
   write->expected = reply.rows.empty() ? 0 : reply.rows.front().revision;
   step(write);
 }
@@ -146,15 +149,24 @@
 
 void WeightsDates::step(const std::shared_ptr<LookUp>& lookUp) {
   if (++lookUp->attempts > kReads) return;
+  lookUp->sentAt = clock_.now();
   table_.read({keyOf(lookUp->model)},
               [this, lookUp, alive = std::weak_ptr(lifetime_)](const clients::TableReply& reply) {
                 if (!alive.expired()) onRead(lookUp, reply);
               });
 }
 
+std::optional<base::Duration> WeightsDates::latestServiceTime(const clients::TableReply& reply,
+                                                              base::TimePoint sentAt) const {
+  // What the node makes of the service's clock is late by the time that an answer was under way: an
+  // age reckoned with it was up to 0.8 s too small. The reply was made after its call was sent.
+  if (reply.serviceTime) return *reply.serviceTime + (clock_.now() - sentAt);
+  return serviceClock_();
+}
+
 void WeightsDates::onRead(const std::shared_ptr<LookUp>& lookUp, const clients::TableReply& reply) {
   const auto dates = dateIn(reply);
-  const auto now = serviceClock_();
+  const auto now = latestServiceTime(reply, lookUp->sentAt);
   if (dates && now && dates->back().version >= lookUp->version) {
     std::vector<VersionAge> ages;
     for (const NamedVersion& named : *dates)
--- a/src/node/weights_dates.h
+++ b/src/node/weights_dates.h
@@ -69,6 +69,9 @@
   void step(const std::shared_ptr<Write>& write);
   void onWritten(const std::shared_ptr<Write>& write, const clients::TableReply& reply);
   void step(const std::shared_ptr<LookUp>& lookUp);
+  /// The service's clock now, at the latest that it can be.
+  std::optional<base::Duration> latestServiceTime(const clients::TableReply& reply,
+                                                  base::TimePoint sentAt) const;
   void onRead(const std::shared_ptr<LookUp>& lookUp, const clients::TableReply& reply);
 
   clients::TableClient& table_;
--- a/tests/config/shared_feed_test.cc
+++ b/tests/config/shared_feed_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "base/codec.h"
 #include "config/feed_fleet.h"
 
 namespace covewing::config {
@@ -219,6 +220,21 @@
   BOOST_TEST(node.listener.rows["a"] == "2");
 }
 
+// While nodes are replaced one by one, two releases ask each other.
+BOOST_AUTO_TEST_CASE(AnswersOfTheReleaseBeforeAreUnderstood) {
+  base::Writer writer;
+  writer.array(8).unsignedInteger(2).unsignedInteger(9).boolean(false).array(1);
+  writer.array(4).text("a").boolean(true).binary("x").unsignedInteger(4);
+  writer.unsignedInteger(6).signedInteger(3000).signedInteger(70000).signedInteger(-1);
+  const auto decoded = decodeFeedMessage(writer.take());
+  BOOST_REQUIRE(decoded.has_value());
+  const auto& answer = std::get<FeedAnswer>(*decoded);
+  BOOST_TEST(answer.nonce == 9U);
+  BOOST_TEST(answer.rows.size() == 1U);
+  BOOST_TEST((answer.age == milliseconds(70)));
+  BOOST_TEST(answer.changedAgo.empty());
+}
+
 BOOST_AUTO_TEST_CASE(MessagesSurviveTheirEncoding) {
   FeedAnswer answer;
   answer.nonce = 9;
