--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -219,6 +219,13 @@
     replicas.onListed(std::move(replica));
   }
 
+  /// This node hears of a version of the model's weights.
+  void nameWeights(base::WeightsVersion version) { targets.onNamed("m", version, time.now()); }
+  /// It becomes known here when the version was named.
+  void dateWeights(base::WeightsVersion version, base::TimePoint namedAt) {
+    targets.onDated("m", version, namedAt);
+  }
+
   /// Takes up a request of the route with this path.
   CallerView& request(const std::string& path, const std::string& key = "key",
                       std::string body = {}) {
--- a/tests/request/relay_flow_test.cc
+++ b/tests/request/relay_flow_test.cc
@@ -386,6 +386,60 @@
   BOOST_TEST(client.last().open);
 }
 
+// A node heard of version 2 of the weights after it had sent requests to a replica on version 1.
+// Until when a request may begin was looked up once, when it was sent, and was not known for these:
+// 7.7 s after version 2 was named both still waited there, to begin on version 1.
+BOOST_AUTO_TEST_CASE(RequestSentBeforeItsWeightsWereOutdatedEndsToo) {
+  auto patient = contents();
+  for (auto& one : patient.routes) one.timeout = one.targetLatency = seconds(30);
+  useTable(patient);
+  replicas.find("m3")->setFull(time.now() + seconds(30));
+  auto& once = request("once");
+  auto& resumable = request("resumable");
+  const auto sent = client.sent;
+  BOOST_REQUIRE(sent.size() == 2U);
+  time.advance(milliseconds(100));
+  replicas.find("m3")->learnVersion("m", 2);
+  nameWeights(2);
+  time.advance(milliseconds(7500));
+  tables.confirmed = time.now();
+  BOOST_TEST(sent[0]->open);
+  BOOST_TEST(sent[1]->open);
+  time.advance(milliseconds(200));
+  BOOST_TEST(!sent[0]->open);
+  BOOST_TEST(once.refusal.has_value());
+  BOOST_TEST(!sent[1]->open);
+  BOOST_TEST(resumable.open());
+  BOOST_REQUIRE(client.sent.size() == 3U);
+  BOOST_TEST(client.last().terms.expectedVersion.value() == 2U);
+}
+
+// A node that was cut from the table service heard of version 2 6 s late, sent a request to a
+// replica on version 1 and learned only then when version 2 had been named. The request kept the
+// later date: 7.65 s after version 2 was named it still waited, free to begin on version 1.
+BOOST_AUTO_TEST_CASE(RequestSentBeforeItsWeightsWereDatedEndsByTheDate) {
+  const auto namedAt = time.now();
+  time.advance(seconds(6));
+  tables.confirmed = time.now();
+  nameWeights(2);
+  auto& onTime = request("once");
+  dateWeights(2, namedAt);
+  time.advance(milliseconds(1550));
+  BOOST_TEST(onTime.open());
+  time.advance(milliseconds(100));
+  BOOST_TEST(!onTime.open());
+  BOOST_TEST(!client.last().open);
+
+  // Version 3 was named so long ago that nothing may begin on version 2 any more.
+  for (const char* name : {"m1", "m2", "m3"}) replicas.find(name)->learnVersion("m", 2);
+  nameWeights(3);
+  auto& late = request("once");
+  BOOST_TEST(late.open());
+  dateWeights(3, time.now() - seconds(8));
+  BOOST_TEST(!late.open());
+  BOOST_TEST(!client.last().open);
+}
+
 // The part "aa" of the fixture's prompts has its home at the other of two nodes.
 struct LookupFixture : RelayFixture {
   LookupFixture() {
