Let requests under way follow the dates of weights that become known after their dispatch

Until when a request may begin on its version was looked up once, at its dispatch. A version that was named or dated only afterwards changed nothing for requests that waited at a replica already: they could begin on the older version without end, or until a date that was too late. Now each open flow looks the moment up again whenever versions change, and after a pause of the process or its machine; one whose moment has passed is taken back at once. The flows are kept in the order of their arrival, so that the earliest takes what is left of the retry budget.

Further tests hold that a head without a first token is no beginning, and that a stream that goes on at another replica must begin there in time as well. Read, not run: a request whose connection is still being opened when it is taken back is never written, as the socket is closed by then.

--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -111,6 +111,7 @@
           exchange->respond({kOk, {{"Content-Type", "text/plain; version=0.0.4"}}, render()});
         }) {
     cacheWatch.onChange([this](const routing::CacheChange& change) { onCacheChange(change); });
+    targets.onChange([this] { service.onWeightsChanged(); });
     configuration.setWatch(configurationWatch);
     replicaEnds.onEnded([this](const routing::EndedRuns& ended) {
       quarantine.onRunsEnded(base::engineIdOf(ended.instance), ended.runs);
@@ -244,6 +245,8 @@
     const auto suspendedNow = suspendedTime();
     const auto suspended = suspendedNow - std::exchange(suspendedBefore, suspendedNow);
     metrics.onPause(silence);
+    // Before anything is decided: what had to begin meanwhile is taken back.
+    service.onWeightsChanged();
     // Peers may have given these up while nothing answered here.
     if (suspended > node::PauseDetector::kPauseThreshold) replicaHttp.closeIdle();
     membership.onWake();
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -158,6 +158,9 @@
   void start();
   /// The caller went away: work for it ends at once.
   void onCallerGone();
+  /// A version of weights was named or dated, or the clock has jumped: the attempt may have to
+  /// begin earlier than was known when it was sent.
+  void onWeightsChanged();
 
   void onHead(clients::RelayedAnswer answer) override;
   void onBody(std::string_view bytes) override;
@@ -256,6 +259,8 @@
   /// Ends an attempt that has not begun when its version of the weights is out of date.
   void armBegin();
   void onNotBegun();
+  /// The replica has not begun the attempt.
+  bool mayStillBegin() const;
   void onDeadline();
 
   /// The replica did not run the request: another may.
--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -34,12 +34,28 @@
 }
 
 void RelayFlow::armBegin() {
+  dependencies_.timers.cancel(beginTimer_);
   const auto& before = attempt_->decision.beginBefore;
   if (!before) return;
-  const auto left = std::max(*before - attempt_->sentAt, base::Duration::zero());
+  const auto left = std::max(*before - dependencies_.clock.now(), base::Duration::zero());
   beginTimer_ = dependencies_.timers.schedule(left, [this] { onNotBegun(); });
 }
 
+bool RelayFlow::mayStillBegin() const { return !over_ && attempt_ && !attempt_->bodySeen; }
+
+void RelayFlow::onWeightsChanged() {
+  if (!mayStillBegin() || !arrival_.prompt) return;
+  const auto self = shared_from_this();
+  // What was known at the dispatch may be too late by now, or nothing.
+  auto& decision = attempt_->decision;
+  decision.beginBefore = dependencies_.choice.beginBefore(arrival_.prompt->model, decision.version);
+  if (decision.beginBefore && *decision.beginBefore <= dependencies_.clock.now()) {
+    onNotBegun();
+  } else {
+    armBegin();
+  }
+}
+
 void RelayFlow::endWait() {
   if (!attempt_ || attempt_->headSeen) return;
   attempt_->headSeen = true;
--- a/src/request/relay_flow_retries.cc
+++ b/src/request/relay_flow_retries.cc
@@ -23,7 +23,7 @@
 }
 
 void RelayFlow::onNotBegun() {
-  if (over_ || !attempt_ || attempt_->bodySeen) return;
+  if (!mayStillBegin()) return;
   onAttemptLost("the version of the weights is out of date and the request has not begun");
 }
 
--- a/src/request/relay_service.cc
+++ b/src/request/relay_service.cc
@@ -47,15 +47,24 @@
     return recheck(again, assignment);
   };
   hooks.nodes = nodes_;
-  hooks.finished = [this](RelayFlow& flow) { flows_.erase(&flow); };
+  const auto number = ++lastFlow_;
+  hooks.finished = [this, number](RelayFlow& /*flow*/) { flows_.erase(number); };
   const auto flow =
       std::make_shared<RelayFlow>(dependencies_, options_.relay, std::move(arrival),
                                   std::move(assignment), std::move(caller), std::move(hooks));
-  flows_.emplace(flow.get(), flow);
+  flows_.emplace(number, flow);
   flow->start();
   return flow;
 }
 
+void RelayService::onWeightsChanged() {
+  // Flows may end inside, and take others' turns.
+  std::vector<FlowPtr> flows;
+  flows.reserve(flows_.size());
+  for (const auto& [number, flow] : flows_) flows.push_back(flow);
+  for (const auto& flow : flows) flow->onWeightsChanged();
+}
+
 std::optional<RelayRefusal> RelayService::assign(const RelayArrival& arrival,
                                                  RelayAssignment& assignment) {
   if (refusingNew_) {
--- a/src/request/relay_service.h
+++ b/src/request/relay_service.h
@@ -7,6 +7,7 @@
 /// is refused by every node in time, also by one that lost touch or was paused.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -51,6 +52,9 @@
   /// the caller goes away.
   std::weak_ptr<RelayFlow> begin(RelayArrival arrival, std::unique_ptr<RelayCaller> caller);
   std::size_t open() const { return flows_.size(); }
+  /// A version of weights was named or dated, or the clock has jumped: requests under way that must
+  /// begin earlier than was known when they were sent are taken back by then, or at once.
+  void onWeightsChanged();
   /// From now on new requests are refused as not run: the node stops before they would be over.
   void refuseNew() { refusingNew_ = true; }
   /// Whether keys may be accepted now.
@@ -72,7 +76,9 @@
   RelayDependencies dependencies_;
   const RouteTableSource& tables_;
   RelayFlow::NodeCount nodes_;
-  std::unordered_map<RelayFlow*, FlowPtr> flows_;
+  /// In the order of arrival.
+  std::map<std::uint64_t, FlowPtr> flows_;
+  std::uint64_t lastFlow_ = 0;
   bool refusingNew_ = false;
   /// Smooth weighted round robin: the credit of each share, by route and service.
   std::unordered_map<std::string, double> credits_;
--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -323,7 +323,7 @@
                              base::TimePoint now) {
   if (query.model.empty()) return;
   decision.version = decision.replica->versionOf(query.model);
-  decision.beginBefore = context_.targets.beginBefore(query.model, decision.version);
+  decision.beginBefore = beginBefore(query.model, decision.version);
   decision.cacheSalt = saltOf(query, *decision.replica);
   decision.scope = cacheScope(decision.cacheSalt, query.model);
   if (query.withPrompt()) addCacheMoves(decision, query, now);
--- a/src/routing/replica_choice.h
+++ b/src/routing/replica_choice.h
@@ -142,6 +142,11 @@
   /// its home believes cached there.
   std::optional<ReplicaDecision> decide(const ReplicaQuery& query, const ReplicaRecordPtr& replica,
                                         std::uint32_t matchedTokens, base::TimePoint now);
+  /// Until when a request may begin on the version of the model; empty while no newer one is named.
+  std::optional<base::TimePoint> beginBefore(std::string_view model,
+                                             base::WeightsVersion version) const {
+    return context_.targets.beginBefore(model, version);
+  }
   /// What the request takes of the replica, for its home. `heldTokens` of its shared parts are
   /// known to be cached somewhere, from where they can be fetched.
   PlacementCandidate candidateOf(const ReplicaQuery& query, const ReplicaRecordPtr& replica,
--- a/src/routing/weights_targets.cc
+++ b/src/routing/weights_targets.cc
@@ -22,6 +22,7 @@
       targets, [now](const auto& one) { return one.olderForbiddenFrom > now; });
   if (pending - targets.begin() > 1) targets.erase(targets.begin(), pending - 1);
   targets.push_back(target);
+  listener_();
   return true;
 }
 
@@ -36,6 +37,7 @@
   } else {
     targets.insert(place, {version, from});
   }
+  listener_();
 }
 
 base::WeightsVersion WeightsTargets::newest(std::string_view model) const {
--- a/src/routing/weights_targets.h
+++ b/src/routing/weights_targets.h
@@ -3,10 +3,12 @@
 /// still begin on an older one.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/ids.h"
@@ -38,6 +40,8 @@
  public:
   explicit WeightsTargets(WeightsBounds bounds = {}) : bounds_(bounds) {}
 
+  /// Called after each change of a version or a date.
+  void onChange(std::function<void()> listener) { listener_ = std::move(listener); }
   /// A version was named after the given moment. False when it is not newer.
   bool onNamed(const std::string& model, base::WeightsVersion version, base::TimePoint namedAfter);
   /// A version was named, nobody knows when: until that is known (onDated), it counts as in force.
@@ -65,6 +69,7 @@
 
   WeightsBounds bounds_;
   std::map<std::string, WeightsTargetList, std::less<>> targets_;
+  std::function<void()> listener_ = [] {};
 };
 
 }  // namespace covewing::routing
--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -150,6 +150,7 @@
     useTable(contents());
     for (const char* name : {"a", "b", "c"}) addReplica(name, "app");
     for (const char* name : {"m1", "m2", "m3"}) addReplica(name, "llm", 1);
+    targets.onChange([this] { service.onWeightsChanged(); });
   }
 
   static config::Route route(std::string path, config::RequestKind kind, std::string serviceName) {
--- a/tests/request/relay_flow_test.cc
+++ b/tests/request/relay_flow_test.cc
@@ -440,6 +440,57 @@
   BOOST_TEST(!client.last().open);
 }
 
+// Timers wait for the loop, and after a sleep for its next look at the clock.
+BOOST_AUTO_TEST_CASE(RequestWhoseDatePassedWhileTheNodeStoodStillEndsFirstAtTheWake) {
+  nameWeights(2);
+  time.advance(milliseconds(6900));
+  tables.confirmed = time.now();
+  auto& caller = request("once");
+  time.pause(milliseconds(1500));
+  BOOST_TEST(caller.open());
+  service.onWeightsChanged();
+  BOOST_TEST(!caller.open());
+  BOOST_TEST(!client.last().open);
+}
+
+BOOST_AUTO_TEST_CASE(RequestWhoseHeadCameBeforeItsFirstTokenHasNotBegun) {
+  auto patient = contents();
+  for (auto& one : patient.routes) one.timeout = one.targetLatency = seconds(30);
+  useTable(patient);
+  auto& caller = request("once");
+  client.last().head(200);
+  nameWeights(2);
+  time.advance(milliseconds(7500));
+  BOOST_TEST(caller.open());
+  time.advance(milliseconds(200));
+  BOOST_TEST(!caller.open());
+}
+
+BOOST_AUTO_TEST_CASE(ResumedStreamMustBeginInTimeAsWell) {
+  auto patient = contents();
+  for (auto& one : patient.routes) one.timeout = one.targetLatency = seconds(30);
+  patient.routes[3].attempts = 3;
+  useTable(patient);
+  replicas.find("m3")->setFull(time.now() + seconds(30));
+  auto& caller = request("resumable");
+  client.last().head(200);
+  client.last().handler->onBody("id: 1\ndata: x\n\n");
+  client.last().breakOff();
+  BOOST_REQUIRE(client.sent.size() == 2U);
+  const auto resumed = client.sent.back();
+  replicas.find("m3")->learnVersion("m", 2);
+  nameWeights(2);
+  time.advance(milliseconds(7500));
+  tables.confirmed = time.now();
+  BOOST_TEST(resumed->open);
+  time.advance(milliseconds(200));
+  BOOST_TEST(!resumed->open);
+  BOOST_TEST(caller.open());
+  BOOST_REQUIRE(client.sent.size() == 3U);
+  BOOST_TEST(client.last().terms.expectedVersion.value() == 2U);
+  BOOST_TEST(client.last().terms.lastEventId == "1");
+}
+
 // The part "aa" of the fixture's prompts has its home at the other of two nodes.
 struct LookupFixture : RelayFixture {
   LookupFixture() {
