Tell until when a request may begin, and when one is taken back for its weights

A log could not tell whether a request that began late on older weights was sent without a date, with one that was too late, or was not taken back in time. 5005 now has begin_in_ms (empty while no newer version is known); a withdrawal has an event of its own, 5010 RelayWithdrawn, with how long after the moment it came, so that it is told apart from other losses, and is counted by covewing_events_total.

--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -268,6 +268,8 @@
        {"attempt", std::to_string(dispatches_)},
        {"configuration", std::to_string(assignment_.table->version())},
        {"weights", std::to_string(decision.version)},
+       {"begin_in_ms",
+        decision.beginBefore ? millisecondsText(*decision.beginBefore - now) : std::string{}},
        {"salt", decision.cacheSalt},
        {"rank", std::to_string(decision.rank)},
        {"candidates", std::to_string(decision.candidates)},
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -261,6 +261,7 @@
   void onNotBegun();
   /// The replica has not begun the attempt.
   bool mayStillBegin() const;
+  void logWithdrawal();
   void onDeadline();
 
   /// The replica did not run the request: another may.
--- a/src/request/relay_flow_retries.cc
+++ b/src/request/relay_flow_retries.cc
@@ -24,9 +24,26 @@
 
 void RelayFlow::onNotBegun() {
   if (!mayStillBegin()) return;
+  logWithdrawal();
   onAttemptLost("the version of the weights is out of date and the request has not begun");
 }
 
+void RelayFlow::logWithdrawal() {
+  const auto now = dependencies_.clock.now();
+  const auto& decision = attempt_->decision;
+  dependencies_.log.write(base::Event::kRelayWithdrawn,
+                          {{"request", arrival_.request->id},
+                           {"route", assignment_.route->name},
+                           {"replica", decision.replica->facts().instance},
+                           {"attempt", std::to_string(dispatches_)},
+                           {"model", arrival_.prompt->model},
+                           {"weights", std::to_string(decision.version)},
+                           {"after_ms", millisecondsText(now - attempt_->sentAt)},
+                           {"late_ms", millisecondsText(now - *decision.beginBefore)},
+                           {"head_seen", attempt_->headSeen ? "yes" : "no"},
+                           {"left_ms", millisecondsText(timeLeft())}});
+}
+
 void RelayFlow::learnFromRefusal(const clients::RelayedAnswer& answer) {
   const auto now = dependencies_.clock.now();
   auto& record = *attempt_->decision.replica;
--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -227,6 +227,17 @@
     targets.onDated("m", version, namedAt);
   }
 
+  /// What the field says in each line of the event, in order.
+  std::vector<std::string> toldBy(base::Event event, std::string_view field) const {
+    std::vector<std::string> values;
+    for (const auto& [written, fields] : log.entries) {
+      if (written != event) continue;
+      const auto found = std::ranges::find(fields, field, &base::EventField::name);
+      values.push_back(found == fields.end() ? "no field" : found->value);
+    }
+    return values;
+  }
+
   /// Takes up a request of the route with this path.
   CallerView& request(const std::string& path, const std::string& key = "key",
                       std::string body = {}) {
--- a/tests/request/relay_flow_test.cc
+++ b/tests/request/relay_flow_test.cc
@@ -440,6 +440,30 @@
   BOOST_TEST(!client.last().open);
 }
 
+// Withdrawals could not be told from other losses, nor could one see until when a request might
+// have begun on its version.
+BOOST_AUTO_TEST_CASE(LogTellsUntilWhenARequestMayBeginAndWhenItIsWithdrawn) {
+  request("once");
+  const auto told = [this](base::Event event, std::string_view field) {
+    const auto values = toldBy(event, field);
+    return values.empty() ? "no line" : values.back();
+  };
+  BOOST_TEST(told(base::Event::kRelayDispatched, "begin_in_ms").empty());
+  client.last().answer(200, "x");
+  nameWeights(2);
+  time.advance(milliseconds(6900));
+  tables.confirmed = time.now();
+  request("once");
+  BOOST_TEST(told(base::Event::kRelayDispatched, "begin_in_ms") == "700");
+  BOOST_TEST(log.count(base::Event::kRelayWithdrawn) == 0U);
+  dateWeights(2, time.now() - milliseconds(8000));
+  BOOST_REQUIRE(log.count(base::Event::kRelayWithdrawn) == 1U);
+  BOOST_TEST(told(base::Event::kRelayWithdrawn, "weights") == "1");
+  BOOST_TEST(told(base::Event::kRelayWithdrawn, "late_ms") == "400");
+  BOOST_TEST(told(base::Event::kRelayWithdrawn, "after_ms") == "0");
+  BOOST_TEST(told(base::Event::kRelayWithdrawn, "head_seen") == "no");
+}
+
 // Timers wait for the loop, and after a sleep for its next look at the clock.
 BOOST_AUTO_TEST_CASE(RequestWhoseDatePassedWhileTheNodeStoodStillEndsFirstAtTheWake) {
   nameWeights(2);
@@ -491,6 +515,20 @@
   BOOST_TEST(client.last().terms.lastEventId == "1");
 }
 
+// Changes of the weights reach requests in the order in which they arrived, so that what is left of
+// the retry budget goes to the earliest.
+BOOST_AUTO_TEST_CASE(RequestsAreWithdrawnInTheOrderOfTheirArrival) {
+  auto patient = contents();
+  for (auto& one : patient.routes) one.timeout = one.targetLatency = seconds(30);
+  useTable(patient);
+  for (int count = 0; count < 6; ++count) request("once");
+  nameWeights(2);
+  dateWeights(2, time.now() - seconds(8));
+  const auto withdrawn = toldBy(base::Event::kRelayWithdrawn, "request");
+  const std::vector<std::string> arrived{"id-1", "id-2", "id-3", "id-4", "id-5", "id-6"};
+  BOOST_TEST(withdrawn == arrived, boost::test_tools::per_element());
+}
+
 // The part "aa" of the fixture's prompts has its home at the other of two nodes.
 struct LookupFixture : RelayFixture {
   LookupFixture() {
