Show by a test that a refused request is taken back for its weights as if it had run

Its refusal's head has come, the rest has not, and the date passes: it counts as an attempt that may have run. A request that may not run twice fails with 502, though the replica has said that it did not run it.

--- a/tests/request/relay_flow_test.cc
+++ b/tests/request/relay_flow_test.cc
@@ -490,6 +490,25 @@
   BOOST_TEST(!caller.open());
 }
 
+// The rest of a refusal was on its way when the date passed. The attempt counted as one that may
+// have run, so a request that may not run twice failed with 502 instead of going elsewhere.
+BOOST_AUTO_TEST_CASE(RequestThatWasRefusedBeforeItsDateGoesElsewhere) {
+  replicas.find("m3")->setFull(time.now() + seconds(30));
+  nameWeights(2);
+  time.advance(milliseconds(6900));
+  tables.confirmed = time.now();
+  auto& caller = request("once");
+  const auto refused = client.sent.back();
+  refused->head(503, true);
+  replicas.find("m3")->learnVersion("m", 2);
+  time.advance(milliseconds(800));
+  BOOST_REQUIRE(caller.open());
+  refused->handler->onEnd();
+  BOOST_TEST(caller.open());
+  BOOST_REQUIRE(client.sent.size() == 2U);
+  BOOST_TEST(client.last().terms.expectedVersion.value() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(ResumedStreamMustBeginInTimeAsWell) {
   auto patient = contents();
   for (auto& one : patient.routes) one.timeout = one.targetLatency = seconds(30);
