Let a refused request go elsewhere though its weights go out of date

A refusal whose rest is still on its way is no attempt that may begin: the withdrawal leaves it alone, and its end leads to another replica. The test's request gets there; before, it failed with 502.

--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -259,7 +259,7 @@
   /// Ends an attempt that has not begun when its version of the weights is out of date.
   void armBegin();
   void onNotBegun();
-  /// The replica has not begun the attempt.
+  /// The replica has neither begun the attempt nor refused it.
   bool mayStillBegin() const;
   void logWithdrawal();
   void onDeadline();
--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -41,7 +41,10 @@
   beginTimer_ = dependencies_.timers.schedule(left, [this] { onNotBegun(); });
 }
 
-bool RelayFlow::mayStillBegin() const { return !over_ && attempt_ && !attempt_->bodySeen; }
+bool RelayFlow::mayStillBegin() const {
+  if (over_ || !attempt_ || attempt_->bodySeen) return false;
+  return !attempt_->answer || !notRun(*attempt_->answer);
+}
 
 void RelayFlow::onWeightsChanged() {
   if (!mayStillBegin() || !arrival_.prompt) return;
