Show by a test that a restarted replica is taken for its former run

The list's entry keeps its key and names a later start. The node goes on to expect version 2 and 1,000 cached tokens of a run that has version 1 and an empty cache, keeps its caches, orders and homes under the name of the run before, and does not report as ended what broke off with that run.

--- /dev/null
+++ b/tests/platform/replica_runs_test.cc
@@ -0,0 +1,139 @@
+// A replica that restarts keeps its identifier in the fleet's list; only the time of its start is
+// another. It then holds nothing of before: a node that had listed it with version 2 and a cached
+// prefix read the entry
+//
+//     {"state":"ready","models":[{"name":"m","version":1}],"sequence":1,"born":1764720006300}
+//
+// and went on to expect version 2 and 1,000 cached tokens of it, since it kept the record of the
+// run before under the same name. Its requests were refused for their version, the next order of
+// weights would have expected the orders that the run before had taken, and requests that broke off
+// with that run counted as lost by a replica that lives.
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include "node/replica_list.h"
+#include "platform/http_dialect.h"
+#include "platform/row_readers.h"
+#include "routing/replica_choice.h"
+#include "support/recording_log.h"
+#include "support/virtual_time.h"
+
+namespace covewing::platform {
+
+namespace {
+
+constexpr std::uint64_t kFirstStart = 1'764'720'000'000;
+constexpr std::uint64_t kSecondStart = kFirstStart + 6'300;
+const std::string kIdentifier = "i-7f3a91c2";
+const std::string kService = "huvo11a";
+const std::string kModel = "m";
+
+/// Gives no answer within the test.
+class SilentReachability final : public clients::ReachabilityClient {
+ public:
+  void connect(const base::Endpoint& /*address*/, base::Duration /*timeout*/,
+               std::function<void(clients::Reachability)> /*callback*/) override {}
+};
+
+/// An entry as replicas write it, with the version of its weights.
+nlohmann::json entry(base::WeightsVersion version) {
+  return {{"service", kService},
+          {"address", "10.128.0.9:8080"},
+          {"zone", "z1"},
+          {"version", "v1"},
+          {"slots", 8},
+          {"state", "ready"},
+          {"cold_remaining_ms", 0},
+          {"models", {{{"name", kModel}, {"version", version}}}},
+          {"sequence", 1}};
+}
+
+nlohmann::json entryOfRun(base::WeightsVersion version, std::uint64_t startedAt) {
+  auto run = entry(version);
+  run["born"] = startedAt;
+  return run;
+}
+
+struct ReplicaRunsFixture {
+  ReplicaRunsFixture() {
+    engine.slots = 8;
+    engine.cacheTokens = 100'000;
+    replicaEnds.onEnded([this](const routing::EndedRuns& runs) { ended.push_back(runs); });
+  }
+
+  void write(const nlohmann::json& value) { write(value.dump()); }
+  void write(const std::string& value) {
+    list.onRow({kIdentifier, value, ++revision}, config::RowSource::kFeed);
+  }
+  void remove() { list.onRemoved({kIdentifier, std::nullopt, ++revision}); }
+
+  /// The replica in use; null when none is.
+  routing::ReplicaRecordPtr replica() const {
+    const auto& replicas = directory.ofService(kService);
+    return replicas.empty() ? nullptr : replicas.front();
+  }
+
+  routing::ReplicaDecision choose() {
+    routing::ReplicaQuery query;
+    query.service = kService;
+    query.engine = &engine;
+    query.model = kModel;
+    query.chain = &chain;
+    query.tokens = 1300;
+    return choice.choose(query, 1, time.now());
+  }
+
+  /// The replica's answer showed the version, and that it holds the prefix.
+  void useWith(base::WeightsVersion version) {
+    replica()->learnVersion(kModel, version);
+    holders.learnChain(base::engineIdOf(replica()->facts().instance),
+                       routing::cacheScope(routing::cacheSalt(version, ""), kModel), chain);
+  }
+
+  test_support::VirtualTime time;
+  test_support::RecordingLog log;
+  SilentReachability reachability;
+  ReplicaReader reader;
+  routing::ReplicaDirectory directory;
+  routing::PrefixHolders holders;
+  routing::ReplicaEndCheck replicaEnds{{}, {time, time, log, reachability}};
+  std::vector<routing::EndedRuns> ended;
+  node::ReplicaList list{reader, log, directory, holders, replicaEnds};
+  config::EngineProfile engine;
+  prefix::PartChain chain = *prefix::PartChain::parse("aa:500,bb:500,cc:200");
+  base::SeededRandom random{1};
+  routing::WeightsTargets targets{{std::chrono::seconds(8), std::chrono::seconds(1)}};
+  routing::CacheStores stores;
+  routing::FleetLoad fleet;
+  routing::ReplicaChoice choice{{directory, holders, targets, stores, fleet, "z1"}, {}, random};
+  base::Revision revision = 0;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ReplicaRunsTest, ReplicaRunsFixture)
+
+BOOST_AUTO_TEST_CASE(RestartedReplicaIsAnotherRun) {
+  write(entryOfRun(1, kFirstStart));
+  useWith(2);
+  const auto former = replica();
+  BOOST_TEST(choose().version == 2U);
+  BOOST_TEST(choose().matchedTokens == 1000U);
+  replicaEnds.onRunLost(former, base::RequestFingerprint{7});
+
+  write(entryOfRun(1, kSecondStart));
+  BOOST_REQUIRE(replica() != nullptr);
+  const auto decision = choose();
+  BOOST_TEST(decision.version == 1U);
+  BOOST_TEST(decision.matchedTokens == 0U);
+  // Homes, ledgers, orders and news of changes are kept by this name.
+  BOOST_TEST((replica()->facts().instance != former->facts().instance));
+  BOOST_TEST(directory.all().size() == 1U);
+  BOOST_TEST(former->gone());
+  BOOST_REQUIRE(ended.size() == 1U);
+  BOOST_TEST(ended[0].instance == former->facts().instance);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::platform
