Give each run of a replica a name of its own

The fleet's list keeps the identifier of a replica that restarts and tells the start of each run beside it. The adapter to the platform makes the name of a run of both and turns it back where it speaks to replicas, so that versions, caches, homes, ledgers, orders, health and records between nodes, which are all kept by Replica::instance, end with the run. The list keeps which run each row names: another one there ends the former, whose record is marked as gone, whose caches are forgotten and whose lost runs are reported. Runs that were lost to a replica which was back before its address was tried counted as outlived; they count as ended when the list shows the restart within 3 s. A row that cannot be read names no replica to use and ends none. Before, the run stayed in use as it had been listed.

Ruled out: resetting each place at a restart; there are some fifteen, also on nodes that know the replica by its hash only.

--- a/src/live/limited_event_log.cc
+++ b/src/live/limited_event_log.cc
@@ -16,6 +16,8 @@
     case base::Event::kMemberLeft:
     case base::Event::kReplicaListed:
     case base::Event::kReplicaRemoved:
+    case base::Event::kReplicaRestarted:
+    case base::Event::kReplicaEntryRejected:
       return true;
     default:
       return false;
--- a/src/node/replica_list.cc
+++ b/src/node/replica_list.cc
@@ -8,8 +8,7 @@
   base::Reason reason;
   auto replica = reader_.readReplica(row.key, *row.value, reason);
   if (!replica) {
-    log_.write(base::Event::kMessageRejected,
-               {{"what", "replica entry"}, {"row", row.key}, {"why", reason.detail}});
+    withdraw(row, reason);
     return;
   }
   const auto& model = replica->models;
@@ -21,15 +20,47 @@
               {"state", replica->state == routing::ReplicaState::kReady ? "ready" : "draining"},
               {"weights", model.empty() ? "" : std::to_string(model.front().version)},
               {"revision", std::to_string(row.revision)}});
-  directory_.onListed(std::move(*replica));
+  list(row.key, std::move(*replica));
+}
+
+void ReplicaList::list(const std::string& key, routing::Replica replica) {
+  auto& run = runs_[key];
+  if (!run.empty() && run != replica.instance) {
+    log_.write(base::Event::kReplicaRestarted, {{"replica", replica.instance}, {"before", run}});
+    onRestarted(run);
+  }
+  run = replica.instance;
+  directory_.onListed(std::move(replica));
+}
+
+void ReplicaList::onRestarted(const std::string& run) {
+  const auto record = directory_.find(run);
+  const bool planned = record && record->facts().state == routing::ReplicaState::kDraining;
+  if (!planned) replicaEnds_.onRestarted(run);
+  // Requests and changes of weights that still hold the record must not go on with it.
+  if (record) record->setGone();
+  forget(run);
+}
+
+void ReplicaList::withdraw(const clients::FeedRow& row, const base::Reason& reason) {
+  log_.write(
+      base::Event::kReplicaEntryRejected,
+      {{"row", row.key}, {"revision", std::to_string(row.revision)}, {"why", reason.detail}});
+  const auto named = runs_.find(row.key);
+  if (named != runs_.end()) directory_.onRemoved(named->second);
 }
 
 void ReplicaList::onRemoved(const clients::FeedRow& row) {
   log_.write(base::Event::kReplicaRemoved,
              {{"replica", row.key}, {"revision", std::to_string(row.revision)}});
-  directory_.onRemoved(row.key);
-  replicaEnds_.onRemoved(row.key);
-  holders_.forget(base::engineIdOf(row.key));
+  const auto named = runs_.extract(row.key);
+  if (!named.empty()) forget(named.mapped());
+}
+
+void ReplicaList::forget(const std::string& run) {
+  directory_.onRemoved(run);
+  replicaEnds_.onRemoved(run);
+  holders_.forget(base::engineIdOf(run));
 }
 
 void ReplicaList::onCurrent() {
--- a/src/node/replica_list.h
+++ b/src/node/replica_list.h
@@ -1,9 +1,15 @@
 /// \file
 /// The fleet's list of replicas, kept current from the table service.
+///
+/// A row is kept under the key of a replica and names the run of it that wrote the row. When it
+/// names another run, the one before has ended, and what was known of it ends with it. A row that
+/// cannot be read names no replica to use: its run gets no new requests, and neither has it ended.
 #pragma once
 
 #include <functional>
+#include <map>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "base/event_log.h"
@@ -45,11 +51,21 @@
   void onFailure(clients::FeedStatus status) override;
 
  private:
+  /// Lists the run that the row names, in place of the one that it named before.
+  void list(const std::string& key, routing::Replica replica);
+  void withdraw(const clients::FeedRow& row, const base::Reason& reason);
+  /// The run has ended, as another one of its replica is listed.
+  void onRestarted(const std::string& run);
+  /// Forgets a run that is no longer listed.
+  void forget(const std::string& run);
+
   const ReplicaRowReader& reader_;
   base::EventLog& log_;
   routing::ReplicaDirectory& directory_;
   routing::PrefixHolders& holders_;
   routing::ReplicaEndCheck& replicaEnds_;
+  /// The run that each row named last, by key.
+  std::map<std::string, std::string> runs_;
   bool known_ = false;
   FeedOutage outage_{log_, "replica list feed"};
 };
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -22,7 +22,8 @@
 };
 
 struct Replica {
-  /// Names one run of one replica; a restart has another.
+  /// Names one run of one replica; a restart has another, also where the deployment's own name for
+  /// the replica stays. All that is known of a run is kept by this name and ends with it.
   std::string instance;
   std::string service;
   base::Endpoint endpoint;
--- a/src/routing/replica_end_check.cc
+++ b/src/routing/replica_end_check.cc
@@ -28,8 +28,9 @@
     report({instance, {run}}, "it had ended before");
     return;
   }
-  const auto [position, fresh] = doubts_.try_emplace(instance);
-  auto& doubt = position->second;
+  auto& doubt = doubts_[instance];
+  if (doubt.outlivedAt) doubt = {};
+  const bool fresh = doubt.runs.empty();
   doubt.runs.push_back(run);
   if (!fresh) return;
   doubt.replica = replica;
@@ -38,17 +39,40 @@
 }
 
 void ReplicaEndCheck::onRemoved(const std::string& instance) {
+  if (forgetPlannedEnd(instance)) return;
   const auto found = doubts_.find(instance);
   if (found == doubts_.end()) return;
-  // A replica that said that it would leave ends as planned.
-  if (found->second.replica->facts().state == ReplicaState::kDraining) {
-    environment_.timers.cancel(found->second.timer);
+  if (found->second.outlivedAt) {
     doubts_.erase(found);
     return;
   }
   conclude(instance, "its entry is gone");
 }
 
+void ReplicaEndCheck::onRestarted(const std::string& instance) {
+  if (forgetPlannedEnd(instance)) return;
+  const auto now = environment_.clock.now();
+  // Runs whose connections break later were lost with it, though the address accepts new ones.
+  endedAt_[instance] = now;
+  const auto found = doubts_.find(instance);
+  if (found == doubts_.end()) return;
+  const auto& outlivedAt = found->second.outlivedAt;
+  if (outlivedAt && now - *outlivedAt > options_.restartShownWithin) {
+    doubts_.erase(found);
+    return;
+  }
+  conclude(instance, "its entry names another run");
+}
+
+bool ReplicaEndCheck::forgetPlannedEnd(const std::string& instance) {
+  const auto found = doubts_.find(instance);
+  if (found == doubts_.end()) return false;
+  if (found->second.replica->facts().state != ReplicaState::kDraining) return false;
+  environment_.timers.cancel(found->second.timer);
+  doubts_.erase(found);
+  return true;
+}
+
 void ReplicaEndCheck::scheduleProbe(const std::string& instance, base::Duration delay) {
   doubts_.at(instance).timer =
       environment_.timers.schedule(delay, [this, instance] { probe(instance); });
@@ -67,12 +91,12 @@
 
 void ReplicaEndCheck::onProbed(const std::string& instance, clients::Reachability reachability) {
   const auto found = doubts_.find(instance);
-  if (found == doubts_.end()) return;
+  if (found == doubts_.end() || found->second.outlivedAt) return;
   auto& doubt = found->second;
   if (reachability == clients::Reachability::kAccepts) {
     environment_.log.write(base::Event::kReplicaOutlivedRuns,
                            {{"replica", instance}, {"runs", textOf(doubt.runs)}});
-    doubts_.erase(found);
+    doubt.outlivedAt = environment_.clock.now();
     return;
   }
   // What this node still has under way there shows that the process lives.
--- a/src/routing/replica_end_check.h
+++ b/src/routing/replica_end_check.h
@@ -4,12 +4,15 @@
 ///
 /// States of a replica under which runs broke off: asking (a connection is tried, a few times) ->
 /// outlived (it accepts one) or ended (it refuses two in a row while none of this node's requests
-/// is under way there any more), or undecided (no answer) -> ended when its entry goes.
+/// is under way there any more), or undecided (no answer) -> ended when its entry goes. A replica
+/// that starts again at once accepts connections as well: outlived -> ended when its entry shows
+/// the restart soon after.
 #pragma once
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +35,9 @@
   std::uint32_t mostProbes = 6;
   /// Longest wait for the entry of a silent replica to go.
   base::Duration undecidedFor = std::chrono::seconds(15);
+  /// Longest time from the connection that a restarted replica accepted until its entry shows the
+  /// restart: entries are written about once a second.
+  base::Duration restartShownWithin = std::chrono::seconds(3);
   /// Runs that break off later are reported at once for so long after the end.
   base::Duration endRemembered = std::chrono::seconds(30);
 };
@@ -65,6 +71,8 @@
   void onRunLost(const ReplicaRecordPtr& replica, base::RequestFingerprint run);
   /// The replica's entry is gone.
   void onRemoved(const std::string& instance);
+  /// The replica's entry names another run of it: this one has ended, and not as planned.
+  void onRestarted(const std::string& instance);
 
  private:
   struct Doubt {
@@ -74,8 +82,13 @@
     std::uint32_t probes = 0;
     std::uint32_t refusals = 0;
     base::TimerId timer = 0;
+    /// When the address accepted a connection.
+    std::optional<base::TimePoint> outlivedAt{};
   };
 
+  /// Drops the doubt of a replica that had said that it would leave, which ends as planned; false
+  /// where there is none.
+  bool forgetPlannedEnd(const std::string& instance);
   void scheduleProbe(const std::string& instance, base::Duration delay);
   void probe(const std::string& instance);
   void onProbed(const std::string& instance, clients::Reachability reachability);
--- a/tests/platform/replica_runs_test.cc
+++ b/tests/platform/replica_runs_test.cc
@@ -13,6 +13,7 @@
 
 #include "node/replica_list.h"
 #include "platform/http_dialect.h"
+#include "platform/replica_run.h"
 #include "platform/row_readers.h"
 #include "routing/replica_choice.h"
 #include "support/recording_log.h"
@@ -61,8 +62,8 @@
     replicaEnds.onEnded([this](const routing::EndedRuns& runs) { ended.push_back(runs); });
   }
 
-  void write(const nlohmann::json& value) { write(value.dump()); }
-  void write(const std::string& value) {
+  void write(const nlohmann::json& value) { writeBytes(value.dump()); }
+  void writeBytes(const std::string& value) {
     list.onRow({kIdentifier, value, ++revision}, config::RowSource::kFeed);
   }
   void remove() { list.onRemoved({kIdentifier, std::nullopt, ++revision}); }
@@ -134,6 +135,106 @@
   BOOST_TEST(ended[0].instance == former->facts().instance);
 }
 
+BOOST_AUTO_TEST_CASE(RestartIsLoggedWithBothRuns) {
+  write(entryOfRun(1, kFirstStart));
+  write(entryOfRun(1, kFirstStart));
+  BOOST_TEST(log.count(base::Event::kReplicaRestarted) == 0U);
+  write(entryOfRun(1, kSecondStart));
+  BOOST_REQUIRE(log.count(base::Event::kReplicaRestarted) == 1U);
+  const auto entry = std::ranges::find(log.entries, base::Event::kReplicaRestarted,
+                                       &decltype(log.entries)::value_type::first);
+  BOOST_TEST(entry->second[0].value == runName(kIdentifier, kSecondStart));
+  BOOST_TEST(entry->second[1].value == runName(kIdentifier, kFirstStart));
+}
+
+// The address of a replica that had crashed answered for another one, so the replica counted as
+// ended for good, also after it had started again elsewhere.
+BOOST_AUTO_TEST_CASE(ReplicaThatEndedIsUsedAgainAfterItsRestart) {
+  write(entryOfRun(1, kFirstStart));
+  replica()->setGone();
+  BOOST_TEST((choose().replica == nullptr));
+  auto elsewhere = entryOfRun(1, kSecondStart);
+  elsewhere["address"] = "10.128.0.10:8080";
+  write(elsewhere);
+  BOOST_REQUIRE((choose().replica != nullptr));
+  BOOST_TEST(base::toString(choose().replica->facts().endpoint) == "10.128.0.10:8080");
+}
+
+BOOST_AUTO_TEST_CASE(EntryThatChangesWithinARunKeepsWhatIsKnown) {
+  write(entryOfRun(1, kFirstStart));
+  useWith(2);
+  auto leaving = entryOfRun(1, kFirstStart);
+  leaving["state"] = "draining";
+  write(leaving);
+  write(entryOfRun(1, kFirstStart));
+  BOOST_TEST(choose().version == 2U);
+  BOOST_TEST(choose().matchedTokens == 1000U);
+}
+
+BOOST_AUTO_TEST_CASE(ReplicaThatDoesNotTellItsStartIsOneRun) {
+  write(entry(1));
+  useWith(2);
+  write(entry(1));
+  BOOST_TEST(replica()->facts().instance == kIdentifier);
+  BOOST_TEST(choose().version == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(RowThatGoesEndsTheRunThatItNamed) {
+  write(entryOfRun(1, kFirstStart));
+  write(entryOfRun(1, kSecondStart));
+  useWith(1);
+  replicaEnds.onRunLost(replica(), base::RequestFingerprint{7});
+  remove();
+  BOOST_TEST(replica() == nullptr);
+  BOOST_TEST(holders.size() == 0U);
+  BOOST_TEST(ended.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(EntryThatCannotBeReadNamesNoReplicaAndEndsNone) {
+  const std::string other = "i-other";
+  list.onRow({other, entryOfRun(1, kFirstStart).dump(), ++revision}, config::RowSource::kFeed);
+  for (const auto& bytes : {std::string{}, std::string{"\xff\xfe"}, std::string{"[]"}}) {
+    write(entryOfRun(1, kFirstStart));
+    useWith(2);
+    replicaEnds.onRunLost(directory.find(runName(kIdentifier, kFirstStart)),
+                          base::RequestFingerprint{7});
+    BOOST_TEST(directory.ofService(kService).size() == 2U);
+    writeBytes(bytes);
+    BOOST_REQUIRE(directory.ofService(kService).size() == 1U);
+    BOOST_TEST(replica()->facts().instance == runName(other, kFirstStart));
+    BOOST_TEST(ended.empty());
+  }
+  BOOST_TEST(log.count(base::Event::kReplicaEntryRejected) == 3U);
+  remove();
+  BOOST_TEST(ended.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(EntryThatIsNoReplicasGoesWithoutATrace) {
+  writeBytes("not an entry");
+  remove();
+  BOOST_TEST(directory.all().empty());
+}
+
+BOOST_AUTO_TEST_CASE(ReplicaIsAddressedByItsIdentifier) {
+  constexpr unsigned kMisdirected = 421;
+  clients::DispatchTerms terms;
+  terms.expectedInstance = runName(kIdentifier, kSecondStart);
+  const auto sent = HttpDialect{}.dispatch({}, terms);
+  BOOST_TEST(sent.header("X-Covewing-Expected-Instance") == kIdentifier);
+  live::HttpResponse answer{kMisdirected, {{"X-Covewing-Instance-Id", kIdentifier}}, {}};
+  BOOST_TEST(!HttpDialect{}.readAnswer(answer, terms).otherInstance);
+  answer.headers[0].value = "i-other";
+  BOOST_TEST(HttpDialect{}.readAnswer(answer, terms).otherInstance);
+}
+
+BOOST_AUTO_TEST_CASE(IdentifierIsReadBackFromEveryName) {
+  for (const std::string identifier : {"i-7f3a91c2", "a@b", "x@5", "@", ""}) {
+    BOOST_TEST(identifierOf(runName(identifier, kFirstStart)) == identifier);
+    BOOST_TEST(identifierOf(runName(identifier, std::nullopt)) == identifier);
+  }
+  BOOST_TEST(runName("x", 5) != runName("x@5", std::nullopt));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::platform
--- /dev/null
+++ b/tests/platform/weights_order_client_test.cc
@@ -0,0 +1,75 @@
+// Orders and reports as replicas take them, against a small stand-in.
+#include "platform/weights_order_client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include "live/http_server.h"
+#include "live/http_test_client.h"
+#include "platform/replica_run.h"
+
+namespace covewing::platform {
+
+namespace {
+
+constexpr std::uint64_t kStart = 1'764'720'000'000;
+
+struct ReplicaFixture {
+  ReplicaFixture() {
+    base::Reason reason;
+    address = server.listen({live::kLoopback, 0}, reason).value();
+  }
+
+  void handle(const live::HttpExchangePtr& exchange) {
+    request = exchange->request();
+    exchange->respond({status, {{"Content-Type", "application/json"}}, answer});
+  }
+
+  boost::asio::io_context context{1};
+  live::HttpRequest request;
+  unsigned status = 200;
+  std::string answer;
+  live::HttpServer server{
+      context, {}, [this](const live::HttpExchangePtr& exchange) { handle(exchange); }};
+  base::Endpoint address;
+  live::HttpClient http{context};
+  WeightsOrderClient client{http};
+  std::string run = runName("i-7f3a91c2", kStart);
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(WeightsOrderClientTest, ReplicaFixture)
+
+BOOST_AUTO_TEST_CASE(OrderIsWrittenAsPublishedForTheReplicasIdentifier) {
+  status = 202;
+  std::optional<clients::WeightsOrderStatus> result;
+  client.order(address, run, {"m", 2, "node-7", 41, 3},
+               [&](clients::WeightsOrderStatus taken) { result = taken; });
+  live::runUntil(context, [&] { return result.has_value(); });
+  BOOST_TEST((result == clients::WeightsOrderStatus::kAccepted));
+  BOOST_TEST(request.header("X-Covewing-Expected-Instance") == "i-7f3a91c2");
+  const auto body = nlohmann::json::parse(request.body);
+  BOOST_TEST(body["operation"] == "version");
+  BOOST_TEST(body["version"] == 2);
+  BOOST_TEST(body["fencing_token"] == 41);
+  BOOST_TEST(body["expected_revision"] == 3);
+}
+
+BOOST_AUTO_TEST_CASE(ReportIsAskedOfTheReplicasIdentifier) {
+  answer = R"({"models":[{"name":"m","version":2}],"busy":true,"sequence":4,
+               "queued_requests":1,"running_requests":12})";
+  std::optional<clients::WeightsReport> result;
+  client.report(address, run, "m",
+                [&](std::optional<clients::WeightsReport> report) { result = report; });
+  live::runUntil(context, [&] { return result.has_value(); });
+  BOOST_TEST(request.header("X-Covewing-Expected-Instance") == "i-7f3a91c2");
+  BOOST_TEST(result->version == 2U);
+  BOOST_TEST(result->orders == 4U);
+  BOOST_TEST(result->busy);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::platform
--- a/tests/routing/replica_end_check_test.cc
+++ b/tests/routing/replica_end_check_test.cc
@@ -82,6 +82,59 @@
   BOOST_TEST(log.count(base::Event::kReplicaOutlivedRuns) == 1U);
 }
 
+// A replica that starts again at once accepts connections, and its entry shows the restart up to a
+// second later. The runs that it took with it counted as outlived.
+BOOST_AUTO_TEST_CASE(ReplicaThatStartsAgainAtOnceHasEnded) {
+  lose(1);
+  time.advance(seconds(1));
+  BOOST_TEST(log.count(base::Event::kReplicaOutlivedRuns) == 1U);
+  check.onRestarted("replica");
+  BOOST_REQUIRE(ended.size() == 1U);
+  BOOST_TEST((ended[0].runs == std::vector{base::RequestFingerprint{1}}));
+}
+
+BOOST_AUTO_TEST_CASE(RunThatBreaksOffAfterTheRestartIsShownWasLostWithTheReplica) {
+  check.onRestarted("replica");
+  lose(1);
+  BOOST_TEST(ended.size() == 1U);
+  BOOST_TEST(reachability.connections == 0);
+}
+
+BOOST_AUTO_TEST_CASE(RestartLongAfterARunBrokeOffHasNotEndedIt) {
+  lose(1);
+  time.advance(seconds(4));
+  check.onRestarted("replica");
+  BOOST_TEST(ended.empty());
+}
+
+BOOST_AUTO_TEST_CASE(OutlivedRunsStayOutlivedWhenTheEntryGoes) {
+  lose(1);
+  time.advance(seconds(1));
+  check.onRemoved("replica");
+  BOOST_TEST(ended.empty());
+}
+
+BOOST_AUTO_TEST_CASE(RunsLostAfterOthersWereOutlivedAreAskedForAnew) {
+  lose(1);
+  time.advance(seconds(1));
+  reachability.answers = {clients::Reachability::kRefuses};
+  lose(2);
+  time.advance(seconds(1));
+  BOOST_REQUIRE(ended.size() == 1U);
+  BOOST_TEST((ended[0].runs == std::vector{base::RequestFingerprint{2}}));
+}
+
+BOOST_AUTO_TEST_CASE(RestartOfAReplicaThatSaidItWouldLeaveIsPlanned) {
+  auto leaving = facts();
+  leaving.state = ReplicaState::kDraining;
+  replica = std::make_shared<ReplicaRecord>(leaving);
+  reachability.answers = {clients::Reachability::kSilent};
+  lose(1);
+  time.advance(seconds(1));
+  check.onRestarted("replica");
+  BOOST_TEST(ended.empty());
+}
+
 BOOST_AUTO_TEST_CASE(OneRefusedConnectionDoesNotEndAReplica) {
   reachability.answers = {clients::Reachability::kRefuses, clients::Reachability::kAccepts};
   lose(1);
