--- a/tests/platform/row_readers_test.cc
+++ b/tests/platform/row_readers_test.cc
@@ -2,6 +2,7 @@
 #include "platform/row_readers.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 namespace covewing::platform {
 
@@ -31,6 +32,40 @@
   return reason.detail;
 }
 
+/// An entry as replicas write it.
+nlohmann::json replicaEntry() {
+  return {{"service", "huvo11a"},
+          {"address", "10.128.0.9:8080"},
+          {"zone", "z1"},
+          {"version", "v1"},
+          {"slots", 64},
+          {"state", "ready"},
+          {"cold_remaining_ms", 120.5},
+          {"models", {{{"name", "daka510000"}, {"version", 4}, {"adapters", {"a1"}}}}},
+          {"sequence", 12},
+          {"born", 1'764'720'000'000}};
+}
+
+/// The reason for which the entry names no replica; empty where it names one.
+std::string reasonForReplica(std::string_view value) {
+  base::Reason reason;
+  const auto replica = ReplicaReader{}.readReplica("i-7f3a91c2", value, reason);
+  BOOST_TEST(replica.has_value() == reason.detail.empty());
+  return reason.detail;
+}
+
+std::string reasonWith(const char* field, const nlohmann::json& value) {
+  auto entry = replicaEntry();
+  entry[field] = value;
+  return reasonForReplica(entry.dump());
+}
+
+std::string reasonWithout(const char* field) {
+  auto entry = replicaEntry();
+  entry.erase(field);
+  return reasonForReplica(entry.dump());
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(RowReadersTest)
@@ -113,6 +148,46 @@
   BOOST_TEST(!ReplicaReader{}.readReplica("i", R"({"service":"s","address":"x"})", reason));
 }
 
+// Entries may come from another writer. One with the state "booting" was taken for a ready replica,
+// one with the slots "64" or without a state as well; all of them name no replica to use.
+BOOST_AUTO_TEST_CASE(EntryOfAnotherWriterNamesNoReplica) {
+  BOOST_TEST(reasonForReplica(replicaEntry().dump()).empty());
+  for (const char* field :
+       {"service", "address", "zone", "version", "slots", "state", "cold_remaining_ms", "sequence"})
+    BOOST_TEST(reasonWithout(field) == std::string{field} + " is missing");
+  BOOST_TEST(reasonWith("state", "booting") == "state is unknown");
+  for (const char* field : {"service", "address", "zone", "state"}) {
+    BOOST_TEST(reasonWith(field, 7) == std::string{field} + " must be a text");
+    BOOST_TEST(reasonWith(field, nullptr) == std::string{field} + " is missing");
+  }
+  for (const char* field : {"slots", "sequence", "born"}) {
+    for (const auto& value : {nlohmann::json("64"), nlohmann::json(-1), nlohmann::json(2.5),
+                              nlohmann::json(true), nlohmann::json::array({64})})
+      BOOST_TEST(reasonWith(field, value) == std::string{field} + " must be a whole number");
+  }
+  BOOST_TEST(reasonWith("slots", 0) == "slots must be 1 or more");
+  BOOST_TEST(reasonWith("cold_remaining_ms", "soon") ==
+             "cold_remaining_ms must be a number of 0 or more");
+  BOOST_TEST(reasonWith("address", "here") == "address must be IP:PORT");
+
+  using nlohmann::json;
+  BOOST_TEST(reasonWith("models", "daka510000") == "models must be a list");
+  BOOST_TEST(reasonWith("models", json::array({"daka510000"})) == "models must be objects");
+  BOOST_TEST(reasonWith("models", json::array({json::object({{"version", 4}})})) ==
+             "name is missing");
+  BOOST_TEST(reasonWith("models", json::array({json::object({{"name", "m"}})})) ==
+             "version is missing");
+  const auto wrongVersion = json::object({{"name", "m"}, {"version", "4"}});
+  BOOST_TEST(reasonWith("models", json::array({wrongVersion})) == "version must be a whole number");
+  BOOST_TEST(reasonWithout("models").empty());
+}
+
+BOOST_AUTO_TEST_CASE(BytesThatCannotBeReadNameNoReplica) {
+  for (const std::string_view bytes :
+       {"", "\xff\xfe{", "{\"service\":\"\xc3\x28\"}", "[]", "7", "{\"slots\":1e999}"})
+    BOOST_TEST(reasonForReplica(bytes) == "not a JSON object");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::platform
