Read only whole entries of replicas

Entries of the fleet's list may come from another writer. Whatever was not the state "draining" counted as ready, and fields that were missing or of another type were passed over. An entry names a replica only if it has all fields that replicas write, each of its type where the type is published, and a state that is known. The entry in the test ReplicaIsRead lacked the sequence that every replica writes; it has it now.

--- a/tests/platform/replica_runs_test.cc
+++ b/tests/platform/replica_runs_test.cc
@@ -193,7 +193,9 @@
 BOOST_AUTO_TEST_CASE(EntryThatCannotBeReadNamesNoReplicaAndEndsNone) {
   const std::string other = "i-other";
   list.onRow({other, entryOfRun(1, kFirstStart).dump(), ++revision}, config::RowSource::kFeed);
-  for (const auto& bytes : {std::string{}, std::string{"\xff\xfe"}, std::string{"[]"}}) {
+  auto unknownState = entryOfRun(1, kFirstStart);
+  unknownState["state"] = "booting";
+  for (const auto& bytes : {std::string{}, std::string{"\xff\xfe"}, unknownState.dump()}) {
     write(entryOfRun(1, kFirstStart));
     useWith(2);
     replicaEnds.onRunLost(directory.find(runName(kIdentifier, kFirstStart)),
--- a/tests/platform/row_readers_test.cc
+++ b/tests/platform/row_readers_test.cc
@@ -139,7 +139,7 @@
   const auto replica = ReplicaReader{}.readReplica(
       "i-7f3a91c2",
       R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"z1","version":"v1","slots":64,
-      "state":"draining","cold_remaining_ms":0,"models":[{"name":"daka510000","version":4}]})",
+      "state":"draining","cold_remaining_ms":0,"models":[{"name":"daka510000","version":4}],"sequence":3})",
       reason);
   BOOST_REQUIRE(replica.has_value());
   BOOST_TEST(replica->instance == "i-7f3a91c2");
