--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -145,6 +145,21 @@
   BOOST_TEST(requests.back().target == "/-/rows-feed?table=op&after=530&wait_ms=1000");
 }
 
+// A row whose bytes could not be read passed for one that was gone, and one whose value was no text
+// made the whole answer none, so that a node stayed without the rows beside it.
+BOOST_AUTO_TEST_CASE(RowThatCannotBeReadIsThereAndSpoilsNoOther) {
+  for (const char* value : {"\"*not base64*\"", "7", "null", "{}", "[1]"}) {
+    answers = {{200, std::string{R"({"rows":[{"private_key":"odd","value":)"} + value +
+                         R"(,"ver":2},{"private_key":"a","value":"YQ==","ver":3}],"ver":5})"}};
+    const auto reply = readAll();
+    BOOST_TEST((reply.status == FeedStatus::kOk));
+    BOOST_REQUIRE(reply.rows.size() == 2U);
+    BOOST_REQUIRE(reply.rows[0].value.has_value());
+    BOOST_TEST(reply.rows[0].value->empty());
+    BOOST_TEST(reply.rows[1].value.value() == "a");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(LostHistoryIsTold) {
   answers = {{410, ""}, {429, ""}, {503, ""}};
   BOOST_TEST((changes().status == FeedStatus::kHistoryGone));
