Believe the list when it takes a version of weights back

An order that is carried out late can bring a replica back to an older version: the count of orders that it expects may hold again after a restart. Versions known of a run only rose, so the node went on to expect the newer one, all its requests there were refused, and the rollout left the replica as it was. Answers overtake each other and prove nothing; the rows of a run come in order, so one that names an older version than the row before does. Ruled out: taking any lower version of the list, which lags behind answers. The test fails without the change (3 instead of 2).

--- a/src/routing/replica_directory.cc
+++ b/src/routing/replica_directory.cc
@@ -8,10 +8,17 @@
 ReplicaRecord::ReplicaRecord(Replica facts) { update(std::move(facts)); }
 
 void ReplicaRecord::update(Replica facts) {
-  facts_ = std::move(facts);
-  for (const ReplicaModel& model : facts_.models) learnVersion(model.name, model.version);
+  const Replica before = std::exchange(facts_, std::move(facts));
+  for (const ReplicaModel& model : facts_.models) {
+    const auto* listed = before.findModel(model.name);
+    // The list may lag behind answers, but tells the states of a run in their order.
+    if (listed != nullptr && model.version < listed->version) forgetVersion(model.name);
+    learnVersion(model.name, model.version);
+  }
 }
 
+void ReplicaRecord::forgetVersion(const std::string& model) { versions_.erase(model); }
+
 base::WeightsVersion ReplicaRecord::versionOf(std::string_view model) const {
   const auto found = versions_.find(model);
   return found == versions_.end() ? 0 : found->second;
--- a/src/routing/replica_directory.h
+++ b/src/routing/replica_directory.h
@@ -29,9 +29,11 @@
   ReplicaHealth& health() { return health_; }
   const ReplicaHealth& health() const { return health_; }
 
-  /// The newest version of the model that the list or an answer named; 0 when none is known.
+  /// The newest version of the model that the list or an answer named; 0 when none is known. An
+  /// order that is carried out late may bring a run back to an older version: it counts once the
+  /// list, having named a newer one, names it.
   base::WeightsVersion versionOf(std::string_view model) const;
-  /// An answer showed the version. Versions of a running replica only rise.
+  /// An answer showed the version. Answers overtake each other, so an older one proves nothing.
   void learnVersion(const std::string& model, base::WeightsVersion version);
   /// A refusal showed that the version known is wrong and not which is right: the replica is passed
   /// over until the list or an answer tells, or `until`.
@@ -77,6 +79,7 @@
  private:
   friend class ReplicaDirectory;
   void update(Replica facts);
+  void forgetVersion(const std::string& model);
 
   Replica facts_;
   ReplicaHealth health_;
--- a/tests/routing/replica_choice_test.cc
+++ b/tests/routing/replica_choice_test.cc
@@ -77,6 +77,22 @@
   BOOST_TEST((choose().replica == home));
 }
 
+// An order that is carried out late may bring a replica back to an older version. A node that had
+// seen the newer one expected it for good, and all its requests there were refused.
+BOOST_AUTO_TEST_CASE(ListThatTakesAVersionBackIsBelieved) {
+  const auto replica = choose().replica;
+  const auto name = replica->facts().instance;
+  replica->learnVersion("m", 3);
+  // The list lags behind answers: what it never said it does not take back.
+  add(name, 2);
+  BOOST_TEST(replica->versionOf("m") == 3U);
+  add(name, 3);
+  add(name, 2);
+  BOOST_TEST(replica->versionOf("m") == 2U);
+  add(name, 3);
+  BOOST_TEST(replica->versionOf("m") == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(LoadedHomeIsLeftAndItsCacheFetched) {
   const auto home = choose().replica;
   hold(home->facts().instance, 1);
