Order new weights only from replicas of configured services

The rollout went over all listed replicas that have the model, also those of a service that the configuration does not have, which no request reaches. The tests of the rollout also hold that a replica which the list shows at an older version is changed again, and that a run after a restart is ordered by its own count of orders.

--- a/src/coordination/weights_rollout.h
+++ b/src/coordination/weights_rollout.h
@@ -99,6 +99,9 @@
   std::function<std::size_t(const std::string& service)> longRunReplicas;
   /// How many replicas of a service the work under way fills; not known without it.
   std::function<double(const std::string& service)> replicasInUse;
+  /// Whether the configuration has the service: an entry of any other names no replica to order.
+  /// Every service counts as configured without it.
+  std::function<bool(const std::string& service)> configured{};
 };
 
 class WeightsRollout {
@@ -160,6 +163,8 @@
   bool silent(const Change& change) const;
   /// The replica answered; one that was silent begins its change anew.
   void onHeard(const std::string& instance, Change& change);
+  /// Whether the replica is ready, of a service of the configuration, and has not ended.
+  bool usable(const routing::ReplicaRecord& record) const;
   /// Whether the change has taken longer than any does that goes on.
   bool overdue(const Change& change) const;
   /// Replicas that were ordered and answer; those whose runs have not ended count in part.
--- a/src/coordination/weights_rollout_pace.cc
+++ b/src/coordination/weights_rollout_pace.cc
@@ -38,6 +38,12 @@
   change.heardAt = now;
 }
 
+bool WeightsRollout::usable(const routing::ReplicaRecord& record) const {
+  const auto& facts = record.facts();
+  const bool configured = !environment_.configured || environment_.configured(facts.service);
+  return configured && !record.gone() && facts.state == routing::ReplicaState::kReady;
+}
+
 bool WeightsRollout::overdue(const Change& change) const {
   const auto now = environment_.clock.now();
   if (change.phase != Phase::kLoading) return false;
@@ -59,10 +65,8 @@
   const auto now = environment_.clock.now();
   RolloutView view{.model = model, .targets = targets, .changeTime = changeTime_, .now = now};
   for (const auto& [instance, record] : environment_.directory.all()) {
-    const bool reachable = !record->gone() && !record->health().ejected(now);
-    if (record->versionOf(model) == 0 || !reachable || survey_.silent(instance) ||
-        record->facts().state != routing::ReplicaState::kReady)
-      continue;
+    const bool reachable = !record->health().ejected(now) && !survey_.silent(instance);
+    if (record->versionOf(model) == 0 || !reachable || !usable(*record)) continue;
     view.served.push_back(record);
     if (record->versionOf(model) == targets.back().version)
       versions_.onServed(model, targets.back().version);
@@ -101,8 +105,7 @@
   std::vector<routing::ReplicaRecordPtr> outdated;
   for (const auto& [instance, record] : environment_.directory.all()) {
     const auto version = record->versionOf(model);
-    const bool ready = !record->gone() && record->facts().state == routing::ReplicaState::kReady;
-    if (ready && version != 0 && version < newest && !changes_.contains(instance))
+    if (usable(*record) && version != 0 && version < newest && !changes_.contains(instance))
       outdated.push_back(record);
   }
   survey_.step(model, outdated);
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -78,7 +78,8 @@
                     {clock, timers, random, log, peers, deployment.table, deployment.weights,
                      membership, membership, replicas, holders, targets,
                      [this](const std::string& name) { return longRunReplicas(name); },
-                     [this](const std::string& name) { return replicasInUse(name); }}),
+                     [this](const std::string& name) { return replicasInUse(name); },
+                     [this](const std::string& name) { return hasService(name); }}),
         weightsDates(deployment.table, timers, [this] { return configurationWatch.serviceTime(); }),
         cacheStoreNews(membership, membership, stores),
         cacheWatch(
@@ -158,6 +159,11 @@
     return found != nullptr && found->engine ? found->engine->eventWatchers : 0;
   }
 
+  bool hasService(const std::string& name) const {
+    const auto table = configuration.table();
+    return table != nullptr && table->findService(name) != nullptr;
+  }
+
   std::size_t longRunReplicas(const std::string& name) {
     const auto table = configuration.table();
     const auto* found = table ? table->findService(name) : nullptr;
--- a/src/node/weights_coordinator.cc
+++ b/src/node/weights_coordinator.cc
@@ -28,7 +28,7 @@
       rollout_(options_.rollout,
                {environment.clock, environment.timers, environment.log, environment.weights,
                 environment.replicas, environment.targets, *this, environment.members.self().name,
-                environment.longRunReplicas, environment.replicasInUse},
+                environment.longRunReplicas, environment.replicasInUse, environment.configured},
                [this] { return lease_.grantForOrders(); }) {}
 
 WeightsCoordinator::~WeightsCoordinator() { environment_.timers.cancel(settleTimer_); }
--- a/src/node/weights_coordinator.h
+++ b/src/node/weights_coordinator.h
@@ -44,6 +44,8 @@
   std::function<std::size_t(const std::string& service)> longRunReplicas;
   /// How many replicas of a service the work under way fills.
   std::function<double(const std::string& service)> replicasInUse;
+  /// Whether the configuration has the service.
+  std::function<bool(const std::string& service)> configured{};
 };
 
 class WeightsCoordinator final : public base::PeerHandler,
--- a/tests/coordination/weights_rollout_test.cc
+++ b/tests/coordination/weights_rollout_test.cc
@@ -172,6 +172,8 @@
   std::optional<LeaseGrant> grant = LeaseGrant{5, 1};
   /// How many replicas long runs fill; 0: long runs are not kept together.
   std::size_t longRunReplicas = 0;
+  /// The configuration has the replicas' service.
+  bool configured = true;
   WeightsRollout rollout{{},
                          {time,
                           time,
@@ -182,7 +184,8 @@
                           *this,
                           "node",
                           [this](const std::string& /*service*/) { return longRunReplicas; },
-                          {}},
+                          {},
+                          [this](const std::string& /*service*/) { return configured; }},
                          [this] { return grant; }};
 };
 
@@ -269,6 +272,49 @@
   BOOST_TEST(loadTime->value == "0");
 }
 
+// A node that had no answer to an order for version 2 ordered version 3 after the replica had
+// restarted. The first order was carried out then, since the count of orders begins anew with a
+// run, and nobody noticed that the replica was back at version 2.
+BOOST_AUTO_TEST_CASE(ReplicaThatALateOrderBroughtBackIsChangedAgain) {
+  for (int number = 0; number < 12; ++number) list("r" + std::to_string(number), 3);
+  targets.onNamed("m", 3, time.now());
+  rollout.start();
+  time.advance(seconds(1));
+  BOOST_TEST(replicas.given.empty());
+  replicas.replicas["r0"].version = 2;
+  list("r0", 2);
+  time.advance(seconds(4));
+  BOOST_TEST(replicas.replicas["r0"].version == 3U);
+  BOOST_TEST(atLeast(3) == 12U);
+}
+
+// A run of a replica begins with no orders taken. What was known of the run before it, under way or
+// taken, is not expected of it.
+BOOST_AUTO_TEST_CASE(RunAfterARestartIsOrderedByItsOwnCount) {
+  for (int number = 1; number < 12; ++number) list("r" + std::to_string(number), 2);
+  targets.onNamed("m", 2, time.now());
+  rollout.start();
+  while (replicas.given.empty()) time.advance(milliseconds(10));
+  directory.onRemoved("r0");
+  add("r0 again");
+  replicas.replicas["r0 again"].orders = 0;
+  time.advance(seconds(5));
+  BOOST_TEST(replicas.given.size() == 2U);
+  BOOST_TEST(replicas.given.back().second.expectedOrders == 0U);
+  BOOST_TEST(replicas.replicas["r0 again"].version == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(ReplicaOfAServiceThatIsNotConfiguredIsNotOrdered) {
+  configured = false;
+  targets.onNamed("m", 2, time.now());
+  rollout.start();
+  time.advance(seconds(5));
+  BOOST_TEST(replicas.given.empty());
+  configured = true;
+  time.advance(seconds(7));
+  BOOST_TEST(atLeast(2) == 12U);
+}
+
 BOOST_AUTO_TEST_CASE(LostAnswerLoadsOnce) {
   for (int number = 1; number < 12; ++number) list("r" + std::to_string(number), 2);
   replicas.loseAnswers = 1;
