Test which run each row of the list of replicas names

Also without the adapter to the platform: a row that another run takes, one that cannot be read, and one that goes.

--- /dev/null
+++ b/tests/node/replica_list_test.cc
@@ -0,0 +1,133 @@
+// The list of replicas: which run each row names, and what ends with it.
+#include "node/replica_list.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "support/recording_log.h"
+#include "support/virtual_time.h"
+
+namespace covewing::node {
+
+namespace {
+
+constexpr routing::CacheScope kScope = 1;
+constexpr std::uint64_t kPart = 2;
+
+/// The value of a row is the name of the run; an empty one cannot be read.
+class RunReader final : public ReplicaRowReader {
+ public:
+  std::optional<routing::Replica> readReplica(std::string_view /*key*/, std::string_view value,
+                                              base::Reason& reason) const override {
+    if (value.empty()) {
+      reason = {base::ResultCode::kInvalidField, "it is empty"};
+      return std::nullopt;
+    }
+    routing::Replica replica;
+    replica.instance = value;
+    replica.service = "llm";
+    return replica;
+  }
+};
+
+/// Gives no answer within the test.
+class SilentReachability final : public clients::ReachabilityClient {
+ public:
+  void connect(const base::Endpoint& /*address*/, base::Duration /*timeout*/,
+               std::function<void(clients::Reachability)> /*callback*/) override {}
+};
+
+struct ReplicaListFixture {
+  ReplicaListFixture() {
+    replicaEnds.onEnded([this](const routing::EndedRuns& runs) { ended.push_back(runs.instance); });
+  }
+
+  void write(const std::string& key, const std::string& run) {
+    list.onRow({key, run, ++revision}, config::RowSource::kFeed);
+  }
+  void remove(const std::string& key) { list.onRemoved({key, std::nullopt, ++revision}); }
+
+  /// The run holds a part, and a request broke off there.
+  void use(const std::string& run) {
+    holders.learn(base::engineIdOf(run), kScope, kPart, 100);
+    replicaEnds.onRunLost(directory.find(run), base::RequestFingerprint{7});
+  }
+  bool holds(const std::string& run) const {
+    return holders.tokensOf(base::engineIdOf(run), kScope, kPart) > 0;
+  }
+
+  test_support::VirtualTime time;
+  test_support::RecordingLog log;
+  SilentReachability reachability;
+  RunReader reader;
+  routing::ReplicaDirectory directory;
+  routing::PrefixHolders holders;
+  routing::ReplicaEndCheck replicaEnds{{}, {time, time, log, reachability}};
+  std::vector<std::string> ended;
+  ReplicaList list{reader, log, directory, holders, replicaEnds};
+  base::Revision revision = 0;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ReplicaListTest, ReplicaListFixture)
+
+BOOST_AUTO_TEST_CASE(RunThatTakesTheRowOfAnotherEndsIt) {
+  write("r", "r@1");
+  write("other", "other@1");
+  use("r@1");
+  use("other@1");
+  write("r", "r@2");
+  BOOST_TEST(ended == std::vector<std::string>{"r@1"}, boost::test_tools::per_element());
+  BOOST_TEST(!holds("r@1"));
+  BOOST_TEST(holds("other@1"));
+  BOOST_TEST((directory.find("r@1") == nullptr));
+  BOOST_TEST((directory.find("r@2") != nullptr));
+  BOOST_TEST(directory.all().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(RowOfTheSameRunEndsNothing) {
+  write("r", "r@1");
+  const auto record = directory.find("r@1");
+  use("r@1");
+  write("r", "r@1");
+  BOOST_TEST((directory.find("r@1") == record));
+  BOOST_TEST(holds("r@1"));
+  BOOST_TEST(ended.empty());
+}
+
+BOOST_AUTO_TEST_CASE(RowThatCannotBeReadTakesTheRunOutOfUseAndEndsNothing) {
+  write("r", "r@1");
+  write("other", "other@1");
+  use("r@1");
+  write("r", "");
+  BOOST_TEST(directory.ofService("llm").size() == 1U);
+  BOOST_TEST(log.count(base::Event::kReplicaEntryRejected) == 1U);
+  BOOST_TEST(holds("r@1"));
+  BOOST_TEST(ended.empty());
+  write("r", "r@1");
+  BOOST_TEST(directory.ofService("llm").size() == 2U);
+  BOOST_TEST(log.count(base::Event::kReplicaRestarted) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(RunBehindARowThatCannotBeReadEndsWithTheNextOne) {
+  write("r", "r@1");
+  use("r@1");
+  write("r", "");
+  write("r", "r@2");
+  BOOST_TEST(ended.size() == 1U);
+  BOOST_TEST(!holds("r@1"));
+  BOOST_TEST((directory.find("r@2") != nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(RunEndsWithItsRow) {
+  write("r", "r@1");
+  use("r@1");
+  remove("r");
+  BOOST_TEST(ended.size() == 1U);
+  BOOST_TEST(directory.all().empty());
+  BOOST_TEST(!holds("r@1"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::node
