Test that each run of a replica ends on its own

Replicas that a request crashes and that are back under their identifier within a second counted as ended once.

--- a/tests/platform/replica_runs_test.cc
+++ b/tests/platform/replica_runs_test.cc
@@ -135,6 +135,24 @@
   BOOST_TEST(ended[0].instance == former->facts().instance);
 }
 
+// Replicas that a request crashed and that were back within a second counted as ended once however
+// often they ended, and each run that broke off at the next run of a replica was reported without a
+// look at its address:
+//
+//     name=ReplicaEndedUnderRuns replica="replica-0" why="it had ended before"
+//
+// So one request ended 19 replicas before all nodes refused it, where three ends should tell.
+BOOST_AUTO_TEST_CASE(EachRunOfAReplicaEndsOnItsOwn) {
+  write(entryOfRun(1, kFirstStart));
+  replicaEnds.onRunLost(replica(), base::RequestFingerprint{7});
+  write(entryOfRun(1, kSecondStart));
+  replicaEnds.onRunLost(replica(), base::RequestFingerprint{7});
+  BOOST_TEST(ended.size() == 1U);
+  write(entryOfRun(1, kSecondStart + 1));
+  BOOST_REQUIRE(ended.size() == 2U);
+  BOOST_TEST((base::engineIdOf(ended[0].instance) != base::engineIdOf(ended[1].instance)));
+}
+
 BOOST_AUTO_TEST_CASE(RestartIsLoggedWithBothRuns) {
   write(entryOfRun(1, kFirstStart));
   write(entryOfRun(1, kFirstStart));
