--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -79,7 +79,8 @@
                     {clock, timers, random, log, peers, deployment.table, deployment.weights,
                      membership, membership, replicas, holders, targets,
                      [this](const std::string& name) { return longRunReplicas(name); },
-                     [this](const std::string& name) { return replicasInUse(name); }}),
+                     [this](const std::string& name) { return replicasInUse(name); },
+                     [this](const std::string& name) { return hasService(name); }}),
         weightsDates(
             deployment.table, clock, timers, [this] { return configurationWatch.serviceTime(); },
             [this] { return coordinator.competes(); }),
@@ -163,6 +164,11 @@
     return found != nullptr && found->engine ? found->engine->eventWatchers : 0;
   }
 
+  bool hasService(const std::string& name) const {
+    const auto table = configuration.table();
+    return table != nullptr && table->findService(name) != nullptr;
+  }
+
   std::size_t longRunReplicas(const std::string& name) {
     const auto table = configuration.table();
     const auto* found = table ? table->findService(name) : nullptr;
