Count a retry in the window of its dispatch

A retry was counted when it was taken from the budget, and sent when a replica had room for it, up to seconds later. It arrived together with what the next window allowed. Retries are now reserved when they are decided on and counted when they are sent; a reservation ends with its request. What never reached a replica is reserved again, so that the next attempt is counted in its place. At the dispatch the bound is checked once more, since the requests that allowed the retry may have left the window, and for each window that holds the moment, not just for the one that ends then.

--- a/src/admission/retry_window.cc
+++ b/src/admission/retry_window.cc
@@ -1,6 +1,7 @@
 #include "admission/retry_window.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace covewing::admission {
 
@@ -8,41 +9,135 @@
 
 constexpr base::Duration kSlot = std::chrono::milliseconds(250);
 
-std::int64_t slotNumber(base::TimePoint time) { return time.time_since_epoch() / kSlot; }
+RetryWindow::SlotNumber slotNumber(base::TimePoint time) { return time.time_since_epoch() / kSlot; }
 
 }  // namespace
 
 RetryWindow::Slot& RetryWindow::slotAt(base::TimePoint now) {
   const auto number = slotNumber(now);
-  if (slots_.empty() || slots_.back().number != number) slots_.push_back({number, 0, 0});
+  if (slots_.empty() || slots_.back().number != number) {
+    // The requests of the window before count for one that begins now.
+    forgetBefore(number - 2 * slotsOfWindow());
+    slots_.push_back({number, 0, 0});
+  }
   return slots_.back();
 }
 
-void RetryWindow::onRequest(base::TimePoint now) { ++slotAt(now).requests; }
+void RetryWindow::forgetBefore(SlotNumber oldest) {
+  while (!slots_.empty() && slots_.front().number < oldest) slots_.pop_front();
+}
+
+RetryWindow::SlotNumber RetryWindow::slotsOfWindow() const {
+  return (options_.window + kSlot - base::Duration{1}) / kSlot;
+}
+
+bool RetryWindow::reserve(std::size_t nodes, base::TimePoint now) {
+  if (!fits(reserved_ + 1, nodes, now)) return false;
+  ++reserved_;
+  return true;
+}
+
+std::optional<RetryWindow::SlotNumber> RetryWindow::send(std::size_t nodes, base::TimePoint now) {
+  if (!fits(1, nodes, now)) return std::nullopt;
+  --reserved_;
+  auto& slot = slotAt(now);
+  ++slot.sent;
+  return slot.number;
+}
+
+void RetryWindow::takeBack(SlotNumber slot) {
+  ++reserved_;
+  const auto found = std::ranges::find(slots_, slot, &Slot::number);
+  if (found != slots_.end()) --found->sent;
+}
 
-bool RetryWindow::take(const RetryWindowOptions& options, std::size_t nodes, base::TimePoint now) {
-  auto& current = slotAt(now);
-  const auto oldest = slotNumber(now - options.window);
-  while (slots_.front().number < oldest) slots_.pop_front();
-  double requests = 0;
-  double retries = 0;
+RetryUse RetryWindow::use(std::size_t nodes, base::TimePoint now) const {
+  const auto current = slotNumber(now);
+  const auto oldest = current - slotsOfWindow();
+  RetryUse use;
   for (const Slot& slot : slots_) {
-    requests += slot.requests;
-    retries += slot.retries;
+    if (slot.number >= oldest) use.sent += slot.sent;
+  }
+  use.reserved = reserved_;
+  use.allowed = allowance(requestsWithin(oldest, current + 1), nodes);
+  return use;
+}
+
+bool RetryWindow::fits(std::uint32_t more, std::size_t nodes, base::TimePoint now) const {
+  const auto latest = use(nodes, now);
+  if (latest.sent + more > latest.allowed) return false;
+  // Each other window that holds this moment begins within the last one.
+  const auto current = slotNumber(now);
+  const auto oldest = current - slotsOfWindow();
+  std::uint32_t sent = more;
+  auto slot = slots_.rbegin();
+  for (auto begin = current; begin >= oldest; --begin) {
+    for (; slot != slots_.rend() && slot->number >= begin; ++slot) sent += slot->sent;
+    if (sent > allowance(requestsFor(begin), nodes)) return false;
   }
-  const double share = options.slack / static_cast<double>(std::max<std::size_t>(nodes, 1));
-  const double allowed = options.safety * (options.ratio * requests + share);
-  if (retries + 1 > allowed) return false;
-  ++current.retries;
   return true;
 }
 
+double RetryWindow::allowance(std::uint32_t requests, std::size_t nodes) const {
+  const double share = options_.slack / static_cast<double>(std::max<std::size_t>(nodes, 1));
+  return options_.safety * (options_.ratio * requests + share);
+}
+
+std::uint32_t RetryWindow::requestsFor(SlotNumber begin) const {
+  const auto span = slotsOfWindow();
+  const auto half = span / 2;
+  return std::max({requestsWithin(begin, begin + span),
+                   requestsWithin(begin - half, begin - half + span),
+                   requestsWithin(begin - span, begin)});
+}
+
+std::uint32_t RetryWindow::requestsWithin(SlotNumber begin, SlotNumber end) const {
+  std::uint32_t requests = 0;
+  for (const Slot& slot : slots_) {
+    if (slot.number >= begin && slot.number < end) requests += slot.requests;
+  }
+  return requests;
+}
+
+RetryReservation::~RetryReservation() {
+  if (window_ != nullptr && !sentIn_) window_->release();
+}
+
+RetryReservation::RetryReservation(RetryReservation&& other) noexcept
+    : window_(std::exchange(other.window_, nullptr)), sentIn_(other.sentIn_) {}
+
+RetryReservation& RetryReservation::operator=(RetryReservation&& other) noexcept {
+  std::swap(window_, other.window_);
+  std::swap(sentIn_, other.sentIn_);
+  return *this;
+}
+
+bool RetryReservation::send(std::size_t nodes, base::TimePoint now) {
+  if (!sentIn_) sentIn_ = window_->send(nodes, now);
+  return sentIn_.has_value();
+}
+
+void RetryReservation::onNeverArrived() {
+  if (sentIn_) window_->takeBack(*std::exchange(sentIn_, std::nullopt));
+}
+
 void RetryWindows::onRequest(const std::string& service, base::TimePoint now) {
-  windows_[service].onRequest(now);
+  windowOf(service).onRequest(now);
+}
+
+std::optional<RetryReservation> RetryWindows::reserve(const std::string& service, std::size_t nodes,
+                                                      base::TimePoint now) {
+  auto& window = windowOf(service);
+  if (!window.reserve(nodes, now)) return std::nullopt;
+  return RetryReservation{window};
+}
+
+RetryUse RetryWindows::use(const std::string& service, std::size_t nodes, base::TimePoint now) {
+  return windowOf(service).use(nodes, now);
 }
 
-bool RetryWindows::take(const std::string& service, std::size_t nodes, base::TimePoint now) {
-  return windows_[service].take(options_, nodes, now);
+RetryWindow& RetryWindows::windowOf(const std::string& service) {
+  return windows_.try_emplace(service, options_).first->second;
 }
 
 }  // namespace covewing::admission
--- a/src/admission/retry_window.h
+++ b/src/admission/retry_window.h
@@ -3,12 +3,14 @@
 /// share of the requests plus some slack. Each node keeps to the share of its own requests and to
 /// an equal part of the slack, so that the sum keeps to the bound without any messages.
 ///
-/// A node that has just started has seen no requests and so has the slack's part only.
+/// A retry is reserved when it is decided on and counts when it is sent, which may be seconds
+/// later: what waits for a replica reaches the service in the window of its dispatch.
 #pragma once
 
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -26,24 +28,79 @@
   double safety = 0.85;
 };
 
+/// How much of a node's allowance for the window that ends now is used.
+struct RetryUse {
+  std::uint32_t sent = 0;
+  std::uint32_t reserved = 0;
+  double allowed = 0;
+};
+
 /// The retries to one service.
 class RetryWindow {
  public:
-  void onRequest(base::TimePoint now);
-  /// Takes one retry; false when the window's allowance is used up.
-  bool take(const RetryWindowOptions& options, std::size_t nodes, base::TimePoint now);
+  /// Names a short span of time.
+  using SlotNumber = std::int64_t;
+
+  explicit RetryWindow(const RetryWindowOptions& options) : options_(options) {}
+
+  void onRequest(base::TimePoint now) { ++slotAt(now).requests; }
+  /// Sets one retry aside; false when the allowance is used up.
+  bool reserve(std::size_t nodes, base::TimePoint now);
+  /// A reserved retry is not sent.
+  void release() { --reserved_; }
+  /// Counts a reserved retry as sent now. Empty, with the reservation unchanged, when requests that
+  /// allowed it have left the window meanwhile.
+  std::optional<SlotNumber> send(std::size_t nodes, base::TimePoint now);
+  /// A retry that was counted in the slot never reached a replica: it is reserved again.
+  void takeBack(SlotNumber slot);
+  RetryUse use(std::size_t nodes, base::TimePoint now) const;
 
  private:
-  /// Counts of one short span of the window.
+  /// Counts of one short span.
   struct Slot {
-    std::int64_t number = 0;
+    SlotNumber number = 0;
     std::uint32_t requests = 0;
-    std::uint32_t retries = 0;
+    std::uint32_t sent = 0;
   };
 
   Slot& slotAt(base::TimePoint now);
+  void forgetBefore(SlotNumber oldest);
+  /// Whether so many retries more keep to the bound in each window that ends now or later.
+  bool fits(std::uint32_t more, std::size_t nodes, base::TimePoint now) const;
+  double allowance(std::uint32_t requests, std::size_t nodes) const;
+  /// Requests that count for the window that begins with the slot: its own, those of the window
+  /// before, or those of the one half a window before, whichever are most.
+  std::uint32_t requestsFor(SlotNumber begin) const;
+  /// Requests of the slots from `begin` up to before `end`.
+  std::uint32_t requestsWithin(SlotNumber begin, SlotNumber end) const;
+  SlotNumber slotsOfWindow() const;
 
+  RetryWindowOptions options_;
   std::deque<Slot> slots_;
+  std::uint32_t reserved_ = 0;
+};
+
+/// One retry from its reservation until it is sent, or given back by the destructor. The window
+/// must outlive it.
+class RetryReservation {
+ public:
+  explicit RetryReservation(RetryWindow& window) : window_(&window) {}
+  ~RetryReservation();
+  RetryReservation(RetryReservation&& other) noexcept;
+  RetryReservation& operator=(RetryReservation&& other) noexcept;
+  RetryReservation(const RetryReservation&) = delete;
+  RetryReservation& operator=(const RetryReservation&) = delete;
+
+  /// False when the retry no longer keeps to the bound and must not be sent.
+  bool send(std::size_t nodes, base::TimePoint now);
+  /// What was sent last never reached a replica: the next one is sent in its place.
+  void onNeverArrived();
+
+ private:
+  /// Null after a move.
+  RetryWindow* window_;
+  /// Where the retry is counted; empty while it is reserved.
+  std::optional<RetryWindow::SlotNumber> sentIn_;
 };
 
 /// The retry windows of all services.
@@ -52,9 +109,14 @@
   explicit RetryWindows(RetryWindowOptions options) : options_(options) {}
 
   void onRequest(const std::string& service, base::TimePoint now);
-  bool take(const std::string& service, std::size_t nodes, base::TimePoint now);
+  /// Empty when the service's allowance is used up.
+  std::optional<RetryReservation> reserve(const std::string& service, std::size_t nodes,
+                                          base::TimePoint now);
+  RetryUse use(const std::string& service, std::size_t nodes, base::TimePoint now);
 
  private:
+  RetryWindow& windowOf(const std::string& service);
+
   RetryWindowOptions options_;
   std::map<std::string, RetryWindow, std::less<>> windows_;
 };
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -239,6 +239,7 @@
     onDeadline();
     return;
   }
+  if (!countRetry(grant)) return;
   auto& record = *decision.replica;
   const auto terms = termsFor(decision);
   const std::uint32_t wanted = wantedTokens();
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -247,6 +247,9 @@
   /// where few replicas are known to have it.
   void tellHome(const routing::ReplicaDecision& decision);
   void hold(std::string_view why, base::Duration interval);
+  /// Counts the retry that the next dispatch is, if it is one. When the budget no longer allows it,
+  /// gives the grant back and ends the request, and is false.
+  bool countRetry(const routing::PlacementGrant& grant);
   void dispatch(routing::ReplicaDecision decision, const routing::PlacementGrant& grant);
   /// Adds the decision's expectation to the sums of the outcome.
   void countTokens(const routing::ReplicaDecision& decision);
@@ -266,7 +269,7 @@
   /// Ends the attempt and takes it up elsewhere where the route, the budget and the time allow;
   /// false if they do not.
   bool retryElsewhere(std::string_view why, Loss loss);
-  /// Takes a retry from the budget. Gives what stands against it, empty when nothing does.
+  /// Reserves a retry of the budget. Gives what stands against it, empty when nothing does.
   std::string_view takeRetry(Loss loss);
   void goElsewhere();
   void logLoss(std::string_view why, std::string_view obstacle);
@@ -304,6 +307,8 @@
   TenantAllowance allowance_;
   std::unique_ptr<clients::RelayCall> call_;
   std::optional<Attempt> attempt_;
+  /// Covers the next dispatch, or the latest one, where an earlier one may have arrived.
+  std::optional<admission::RetryReservation> retry_;
   std::vector<std::string> excluded_;
   std::uint32_t dispatches_ = 0;
   /// Attempts that the replica may have run.
--- a/src/request/relay_flow_retries.cc
+++ b/src/request/relay_flow_retries.cc
@@ -1,9 +1,15 @@
 // What follows from an attempt that did not give the answer: another one, or the end.
+#include <utility>
+
 #include "request/relay_flow.h"
 #include "request/relay_flow_internal.h"
 
 namespace covewing::request {
 
+namespace {
+constexpr std::string_view kRetryBudgetUsedUp = "retry budget used up";
+}  // namespace
+
 void RelayFlow::onSilence() {
   if (over_ || !attempt_) return;
   const auto self = shared_from_this();
@@ -84,10 +90,23 @@
   const bool mayRunAgain = runs_ == 0 || (route.repeatable() && runs_ < route.attempts);
   if (!mayRunAgain || refusals_ > options_.mostRefusals) return "attempts used up";
   if (timeLeft() < kLeastTimeForAttempt) return "no time left";
-  if (loss == Loss::kNeverArrived) return {};
-  const bool taken = dependencies_.retries.take(assignment_.service->name, hooks_.nodes(),
+  if (loss == Loss::kNeverArrived) {
+    if (retry_) retry_->onNeverArrived();
+    return {};
+  }
+  auto reserved = dependencies_.retries.reserve(assignment_.service->name, hooks_.nodes(),
                                                 dependencies_.clock.now());
-  return taken ? std::string_view{} : "retry budget used up";
+  if (!reserved) return kRetryBudgetUsedUp;
+  retry_ = std::move(reserved);
+  return {};
+}
+
+bool RelayFlow::countRetry(const routing::PlacementGrant& grant) {
+  // It may have waited for a replica, while the requests that allowed it left the window.
+  if (!retry_ || retry_->send(hooks_.nodes(), dependencies_.clock.now())) return true;
+  dependencies_.placement.ended(grant, routing::PlacementOutcome::kWithdrawn);
+  refuseUnplaced(kRetryBudgetUsedUp, kRetryAfterRefusals);
+  return false;
 }
 
 void RelayFlow::logLoss(std::string_view why, std::string_view obstacle) {
--- a/tests/admission/retry_window_test.cc
+++ b/tests/admission/retry_window_test.cc
@@ -1,6 +1,9 @@
 #include "admission/retry_window.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <utility>
+#include <vector>
 
 #include "base/random.h"
 
@@ -9,24 +12,106 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+namespace {
+
+/// Reserves a retry and sends it at once.
+bool take(RetryWindows& windows, const std::string& service, std::size_t nodes,
+          base::TimePoint now) {
+  auto retry = windows.reserve(service, nodes, now);
+  return retry && retry->send(nodes, now);
+}
+
+/// Of ascending times.
+std::int64_t countWithin(const std::vector<base::TimePoint>& times, base::TimePoint begin,
+                         base::Duration span) {
+  return std::ranges::lower_bound(times, begin + span) - std::ranges::lower_bound(times, begin);
+}
+
+/// Nodes that send retries to one service, some long after these were reserved.
+struct RetryingNodes {
+  static constexpr std::size_t kNodes = 7;
+  static constexpr base::Duration kStep = milliseconds(10);
+  static constexpr double kRatio = 0.2;
+  static constexpr double kSlack = 54;
+
+  struct Waiting {
+    RetryReservation retry;
+    base::TimePoint until;
+  };
+  struct Node {
+    RetryWindows windows{{seconds(10), kRatio, kSlack}};
+    std::vector<Waiting> waiting;
+  };
+
+  explicit RetryingNodes(std::uint64_t seed) : random(seed) {}
+
+  /// A few seconds with a load of their own. Retries wait up to `wait` and are sent when it ends.
+  void play(base::Duration span, std::size_t requestsAStep, base::Duration wait) {
+    const auto end = now + span;
+    const auto shortageEnds = now + wait;
+    for (; now < end; now += kStep) {
+      for (Node& node : nodes) {
+        step(node, random.below(requestsAStep + 1), std::max(now, shortageEnds));
+        sendDue(node);
+      }
+    }
+  }
+  void step(Node& node, std::size_t count, base::TimePoint sendAt) {
+    for (std::size_t request = 0; request < count; ++request) {
+      requests.push_back(now);
+      node.windows.onRequest("s", now);
+      if (auto retry = node.windows.reserve("s", kNodes, now))
+        node.waiting.push_back({std::move(*retry), sendAt});
+    }
+  }
+  void sendDue(Node& node) {
+    for (auto& waiting : node.waiting) {
+      if (waiting.until <= now && waiting.retry.send(kNodes, now)) sent.push_back(now);
+    }
+    std::erase_if(node.waiting, [this](const Waiting& waiting) { return waiting.until <= now; });
+  }
+
+  /// Retries sent within a window, for each that the bound allows there: the most of all windows.
+  double fullestWindow() const {
+    constexpr base::Duration kWindow = seconds(10);
+    double fullest = 0;
+    for (auto begin = base::TimePoint{seconds(90)}; begin < now; begin += milliseconds(100)) {
+      const auto counted = std::max({countWithin(requests, begin, kWindow),
+                                     countWithin(requests, begin - kWindow, kWindow),
+                                     countWithin(requests, begin - kWindow / 2, kWindow)});
+      const double allowed = kRatio * static_cast<double>(counted) + kSlack;
+      fullest = std::max(fullest, static_cast<double>(countWithin(sent, begin, kWindow)) / allowed);
+    }
+    return fullest;
+  }
+
+  base::SeededRandom random;
+  base::TimePoint now{seconds(100)};
+  std::vector<Node> nodes{kNodes};
+  std::vector<base::TimePoint> requests;
+  std::vector<base::TimePoint> sent;
+};
+
+}  // namespace
+
 BOOST_AUTO_TEST_SUITE(RetryWindowTest)
 
 BOOST_AUTO_TEST_CASE(SlackIsSharedByTheNodes) {
   RetryWindows windows({seconds(10), 0, 10, 1.0});
   const base::TimePoint now{seconds(100)};
   int taken = 0;
-  while (windows.take("s", 5, now)) ++taken;
+  while (take(windows, "s", 5, now)) ++taken;
   BOOST_TEST(taken == 2);
-  BOOST_TEST(!windows.take("s", 5, now + seconds(9)));
-  BOOST_TEST(windows.take("s", 5, now + seconds(11)));
+  BOOST_TEST(!take(windows, "s", 5, now + seconds(9)));
+  BOOST_TEST(take(windows, "s", 5, now + seconds(11)));
 }
 
 BOOST_AUTO_TEST_CASE(ServicesHaveWindowsOfTheirOwn) {
   RetryWindows windows({seconds(10), 0, 1, 1.0});
   const base::TimePoint now{seconds(100)};
-  BOOST_TEST(windows.take("s", 1, now));
-  BOOST_TEST(!windows.take("s", 1, now));
-  BOOST_TEST(windows.take("t", 1, now));
+  BOOST_TEST(take(windows, "s", 1, now));
+  BOOST_TEST(!take(windows, "s", 1, now));
+  BOOST_TEST(take(windows, "t", 1, now));
 }
 
 BOOST_AUTO_TEST_CASE(NoWindowEverHoldsMoreThanItsShareOfItsRequests) {
@@ -39,7 +124,7 @@
     now += milliseconds(static_cast<std::int64_t>(random.below(60)));
     windows.onRequest("s", now);
     requests.push_back(now);
-    while (random.below(3) == 0 && windows.take("s", 2, now)) retries.push_back(now);
+    while (random.below(3) == 0 && take(windows, "s", 2, now)) retries.push_back(now);
   }
   const auto within = [](const std::vector<base::TimePoint>& times, base::TimePoint end,
                          base::Duration span) {
@@ -52,6 +137,20 @@
   }
 }
 
+// Retries were counted when they were taken from the budget. With waits of up to 6 s a window held
+// up to 1.376 times what the bound allows; counted when they are sent, it is 0.860.
+BOOST_AUTO_TEST_CASE(NoWindowOfSendsHoldsMoreThanTheBoundWhereRetriesWait) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    RetryingNodes fleet{seed};
+    for (int phase = 0; phase < 12; ++phase) {
+      const auto wait = milliseconds(static_cast<std::int64_t>(fleet.random.below(6000)));
+      fleet.play(seconds(6), fleet.random.below(4), wait);
+    }
+    BOOST_TEST_CONTEXT("seed " << seed) { BOOST_TEST(fleet.fullestWindow() <= 1.0); }
+    BOOST_TEST(!fleet.sent.empty());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::admission
