Give a node that has just started no part of the retries' slack for one window

A node that started again had its whole part of the slack anew, though its former run had used it within the same window, and a node that was added took a part while the others still used larger ones. It now retries by its requests only until it has run for a whole window. A part that grows over the window was ruled out: a node killed after it used its part would send most of it once more within ten seconds. The window that begins just before the one that ends now is counted like that one, so that requests of this moment are not left out.

--- a/src/admission/retry_window.cc
+++ b/src/admission/retry_window.cc
@@ -59,7 +59,7 @@
     if (slot.number >= oldest) use.sent += slot.sent;
   }
   use.reserved = reserved_;
-  use.allowed = allowance(requestsWithin(oldest, current + 1), nodes);
+  use.allowed = allowance(requestsWithin(oldest, current + 1), nodes, now);
   return use;
 }
 
@@ -71,15 +71,18 @@
   const auto oldest = current - slotsOfWindow();
   std::uint32_t sent = more;
   auto slot = slots_.rbegin();
-  for (auto begin = current; begin >= oldest; --begin) {
+  for (auto begin = current; begin > oldest; --begin) {
     for (; slot != slots_.rend() && slot->number >= begin; ++slot) sent += slot->sent;
-    if (sent > allowance(requestsFor(begin), nodes)) return false;
+    if (sent > allowance(requestsFor(begin), nodes, now)) return false;
   }
   return true;
 }
 
-double RetryWindow::allowance(std::uint32_t requests, std::size_t nodes) const {
-  const double share = options_.slack / static_cast<double>(std::max<std::size_t>(nodes, 1));
+double RetryWindow::allowance(std::uint32_t requests, std::size_t nodes,
+                              base::TimePoint now) const {
+  // The run before a restart may have used this node's part of the slack within the same window.
+  const double slack = now < slackFrom_ ? 0 : options_.slack;
+  const double share = slack / static_cast<double>(std::max<std::size_t>(nodes, 1));
   return options_.safety * (options_.ratio * requests + share);
 }
 
@@ -137,7 +140,7 @@
 }
 
 RetryWindow& RetryWindows::windowOf(const std::string& service) {
-  return windows_.try_emplace(service, options_).first->second;
+  return windows_.try_emplace(service, options_, nodeStartedAt_).first->second;
 }
 
 }  // namespace covewing::admission
--- a/src/admission/retry_window.h
+++ b/src/admission/retry_window.h
@@ -5,6 +5,9 @@
 ///
 /// A retry is reserved when it is decided on and counts when it is sent, which may be seconds
 /// later: what waits for a replica reaches the service in the window of its dispatch.
+///
+/// A node that has just started has no part of the slack until it has run for a whole window: its
+/// former run may have used that part.
 #pragma once
 
 #include <cstdint>
@@ -41,7 +44,8 @@
   /// Names a short span of time.
   using SlotNumber = std::int64_t;
 
-  explicit RetryWindow(const RetryWindowOptions& options) : options_(options) {}
+  RetryWindow(const RetryWindowOptions& options, base::TimePoint nodeStartedAt)
+      : options_(options), slackFrom_(nodeStartedAt + options.window) {}
 
   void onRequest(base::TimePoint now) { ++slotAt(now).requests; }
   /// Sets one retry aside; false when the allowance is used up.
@@ -67,7 +71,7 @@
   void forgetBefore(SlotNumber oldest);
   /// Whether so many retries more keep to the bound in each window that ends now or later.
   bool fits(std::uint32_t more, std::size_t nodes, base::TimePoint now) const;
-  double allowance(std::uint32_t requests, std::size_t nodes) const;
+  double allowance(std::uint32_t requests, std::size_t nodes, base::TimePoint now) const;
   /// Requests that count for the window that begins with the slot: its own, those of the window
   /// before, or those of the one half a window before, whichever are most.
   std::uint32_t requestsFor(SlotNumber begin) const;
@@ -76,6 +80,7 @@
   SlotNumber slotsOfWindow() const;
 
   RetryWindowOptions options_;
+  base::TimePoint slackFrom_;
   std::deque<Slot> slots_;
   std::uint32_t reserved_ = 0;
 };
@@ -106,7 +111,8 @@
 /// The retry windows of all services.
 class RetryWindows {
  public:
-  explicit RetryWindows(RetryWindowOptions options) : options_(options) {}
+  RetryWindows(RetryWindowOptions options, base::TimePoint nodeStartedAt)
+      : options_(options), nodeStartedAt_(nodeStartedAt) {}
 
   void onRequest(const std::string& service, base::TimePoint now);
   /// Empty when the service's allowance is used up.
@@ -118,6 +124,7 @@
   RetryWindow& windowOf(const std::string& service);
 
   RetryWindowOptions options_;
+  base::TimePoint nodeStartedAt_;
   std::map<std::string, RetryWindow, std::less<>> windows_;
 };
 
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -85,7 +85,7 @@
             {},
             {clock, timers, random, deployment.cacheFeeds, replicas, stores, membership, holders},
             [this](const std::string& name) { return eventWatchers(name); }),
-        retries({settings.retryWindow, settings.retryRatio, settings.retrySlack}),
+        retries({settings.retryWindow, settings.retryRatio, settings.retrySlack}, clock.now()),
         quotas(quotaOptions(),
                {clock, timers, random, membership, peers, [this] { return nodes(); }}),
         quarantine({}, {clock, timers, random, log, peers, membership, membership, deployment.table,
--- a/tests/admission/retry_window_test.cc
+++ b/tests/admission/retry_window_test.cc
@@ -14,6 +14,9 @@
 
 namespace {
 
+/// More than a window before the tests begin.
+constexpr base::TimePoint kLongAgo{seconds(50)};
+
 /// Reserves a retry and sends it at once.
 bool take(RetryWindows& windows, const std::string& service, std::size_t nodes,
           base::TimePoint now) {
@@ -38,7 +41,7 @@
     base::TimePoint until;
   };
   struct Node {
-    RetryWindows windows{{seconds(10), kRatio, kSlack}};
+    RetryWindows windows{{seconds(10), kRatio, kSlack}, kLongAgo};
     std::vector<Waiting> waiting;
   };
 
@@ -76,7 +79,7 @@
     for (Node& node : nodes) {
       if (random.below(100) >= percent) continue;
       node.waiting.clear();
-      node.windows = RetryWindows({seconds(10), kRatio, kSlack});
+      node.windows = RetryWindows({seconds(10), kRatio, kSlack}, now);
     }
   }
 
@@ -107,7 +110,7 @@
 BOOST_AUTO_TEST_SUITE(RetryWindowTest)
 
 BOOST_AUTO_TEST_CASE(SlackIsSharedByTheNodes) {
-  RetryWindows windows({seconds(10), 0, 10, 1.0});
+  RetryWindows windows({seconds(10), 0, 10, 1.0}, kLongAgo);
   const base::TimePoint now{seconds(100)};
   int taken = 0;
   while (take(windows, "s", 5, now)) ++taken;
@@ -116,8 +119,19 @@
   BOOST_TEST(take(windows, "s", 5, now + seconds(11)));
 }
 
+BOOST_AUTO_TEST_CASE(NodeThatHasJustStartedRetriesWithoutSlackForOneWindow) {
+  const base::TimePoint startedAt{seconds(100)};
+  const auto almost = startedAt + milliseconds(9900);
+  RetryWindows windows({seconds(10), 0.2, 10, 1.0}, startedAt);
+  BOOST_TEST(!take(windows, "s", 1, almost));
+  for (int count = 0; count < 5; ++count) windows.onRequest("s", almost);
+  BOOST_TEST(take(windows, "s", 1, almost));
+  BOOST_TEST(!take(windows, "s", 1, almost));
+  BOOST_TEST(take(windows, "s", 1, startedAt + seconds(10)));
+}
+
 BOOST_AUTO_TEST_CASE(ServicesHaveWindowsOfTheirOwn) {
-  RetryWindows windows({seconds(10), 0, 1, 1.0});
+  RetryWindows windows({seconds(10), 0, 1, 1.0}, kLongAgo);
   const base::TimePoint now{seconds(100)};
   BOOST_TEST(take(windows, "s", 1, now));
   BOOST_TEST(!take(windows, "s", 1, now));
@@ -126,7 +140,7 @@
 
 BOOST_AUTO_TEST_CASE(NoWindowEverHoldsMoreThanItsShareOfItsRequests) {
   base::SeededRandom random(1);
-  RetryWindows windows({seconds(10), 0.2, 6, 1.0});
+  RetryWindows windows({seconds(10), 0.2, 6, 1.0}, kLongAgo);
   std::vector<base::TimePoint> requests;
   std::vector<base::TimePoint> retries;
   base::TimePoint now{seconds(100)};
@@ -148,7 +162,7 @@
 }
 
 // Retries were counted when they were taken from the budget. With waits of up to 6 s a window held
-// up to 1.376 times what the bound allows; counted when they are sent, it is 0.860.
+// up to 1.376 times what the bound allows; counted when they are sent, it is 0.865.
 BOOST_AUTO_TEST_CASE(NoWindowOfSendsHoldsMoreThanTheBoundWhereRetriesWait) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     RetryingNodes fleet{seed};
--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -146,6 +146,9 @@
 };
 
 struct RelayFixture : RelayObserver {
+  /// The node has run for more than a window of retries.
+  static constexpr base::TimePoint kStartedLongAgo{-std::chrono::minutes(1)};
+
   RelayFixture() {
     useTable(contents());
     for (const char* name : {"a", "b", "c"}) addReplica(name, "app");
@@ -286,7 +289,7 @@
   quarantine::RequestQuarantine quarantine{{},
                                            {time, time, random, log, peers, members, records, table,
                                             [this] { return table.serviceTime(); }}};
-  admission::RetryWindows retries{{std::chrono::seconds(10), 0.2, 20, 1.0}};
+  admission::RetryWindows retries{{std::chrono::seconds(10), 0.2, 20, 1.0}, kStartedLongAgo};
   routing::RunTimes runTimes;
   std::vector<RelayOutcome> outcomes;
   std::vector<std::unique_ptr<CallerView>> views;
--- a/tests/request/retry_bound_test.cc
+++ b/tests/request/retry_bound_test.cc
@@ -14,7 +14,9 @@
 struct TightBoundFixture : RelayFixture {
   static constexpr double kMostRetries = 2;
 
-  TightBoundFixture() { retries = admission::RetryWindows({seconds(2), 0, kMostRetries, 1.0}); }
+  TightBoundFixture() {
+    retries = admission::RetryWindows({seconds(2), 0, kMostRetries, 1.0}, kStartedLongAgo);
+  }
 
   /// Attempts under way, in the order of their dispatch.
   std::vector<std::shared_ptr<Dispatched>> requestTwo() {
