Tell in logs and metrics why a request was repeated, and how much of the retry window is used

The lines of a repeated request named the reason in free text only. 5001, 5005 and 5006 now carry a typed cause, 5001 and 5006 besides what this node sent, reserved and may send within the window. covewing_relay_retries_total counts retries by cause and service, and the log summary lists them.

--- a/src/live/relay_metrics.cc
+++ b/src/live/relay_metrics.cc
@@ -62,6 +62,10 @@
      "time from a request's arrival to the end of its answer"},
     {"covewing_relay_requests_total", "counter", "kind, code",
      "finished requests by kind of route and name of the result code (docs/CODES.md)"},
+    {"covewing_relay_retries_total", "counter", "cause, service",
+     "dispatches after a request's first: refused or failed by the replica, lost, silent, "
+     "withdrawn "
+     "because the weights were out of date, or never arrived there (no part of the retry bound)"},
     {"covewing_replicas", "gauge", "state",
      "listed replicas: available, draining, ejected, changing weights"},
 };
@@ -87,6 +91,7 @@
 std::span<const MetricEntry> relayMetricTable() { return kTable; }
 
 struct RelayMetrics::Impl {
+  void countRetries(const request::RelayOutcome& outcome);
   void renderQueues(const routing::PlacementCounters& placement);
 
   MetricFamilies families{kTable};
@@ -129,6 +134,8 @@
       families.histograms("covewing_relay_request_seconds");
   prometheus::Family<prometheus::Counter>& requests =
       families.counters("covewing_relay_requests_total");
+  prometheus::Family<prometheus::Counter>& retries =
+      families.counters("covewing_relay_retries_total");
   prometheus::Family<prometheus::Gauge>& replicas = families.gauges("covewing_replicas");
 };
 
@@ -138,6 +145,7 @@
 void RelayMetrics::onRelayed(const config::Route& route, const request::RelayOutcome& outcome) {
   auto labels = kindLabel(route);
   impl_->attempts.Add(labels).Increment(outcome.attempts);
+  impl_->countRetries(outcome);
   if (outcome.firstByteAfter > base::Duration::zero()) {
     impl_->firstByte.Add(labels, kSecondsBuckets).Observe(base::toSeconds(outcome.firstByteAfter));
   }
@@ -151,6 +159,15 @@
   impl_->requests.Add(labels).Increment();
 }
 
+void RelayMetrics::Impl::countRetries(const request::RelayOutcome& outcome) {
+  for (std::size_t index = 0; index < outcome.retries.size(); ++index) {
+    const auto count = outcome.retries.at(index);
+    if (count == 0) continue;
+    const std::string cause{request::toString(static_cast<request::RetryCause>(index))};
+    retries.Add({{"cause", cause}, {"service", outcome.service}}).Increment(count);
+  }
+}
+
 void RelayMetrics::onEvent(base::Event event) {
   impl_->events.Add({{"event", std::string{base::describe(event).name}}}).Increment();
 }
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -251,6 +251,7 @@
   const auto work = record.readSpeed().time(unread);
   record.health().onDispatched(now, work);
   ++dispatches_;
+  if (retryCause_) ++retries_.at(static_cast<std::size_t>(*retryCause_));
   heldFor_ = now - arrival_.arrivedAt;
   lastReplica_ = record.facts().instance;
   lastStream_ = {};
@@ -267,6 +268,7 @@
        {"counted", std::to_string(assignment_.demand ? assignment_.demand->tokens : 0)},
        {"replica", record.facts().instance},
        {"attempt", std::to_string(dispatches_)},
+       {"cause", retryCause_ ? std::string{toString(*retryCause_)} : "first"},
        {"configuration", std::to_string(assignment_.table->version())},
        {"weights", std::to_string(decision.version)},
        {"salt", decision.cacheSalt},
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -28,6 +28,7 @@
 #include "quarantine/request_quarantine.h"
 #include "request/event_splitter.h"
 #include "request/relay_request.h"
+#include "request/retry_cause.h"
 #include "request/stream_watch.h"
 #include "request/tenant_allowance.h"
 #include "routing/part_lookup.h"
@@ -84,6 +85,9 @@
   unsigned status = 0;
   base::ResultCode code = base::ResultCode::kOk;
   std::uint32_t attempts = 0;
+  std::string service;
+  /// Dispatches after the first, by what led to them.
+  RetryCounts retries{};
   base::Duration firstByteAfter{};
   base::Duration duration{};
   bool callerGone = false;
@@ -265,14 +269,14 @@
   void onNotRun(const clients::RelayedAnswer& answer);
   void learnFromRefusal(const clients::RelayedAnswer& answer);
   /// The attempt failed and may have run.
-  void onAttemptLost(std::string_view why);
+  void onAttemptLost(RetryCause cause, std::string_view why);
   /// Ends the attempt and takes it up elsewhere where the route, the budget and the time allow;
   /// false if they do not.
-  bool retryElsewhere(std::string_view why, Loss loss);
+  bool retryElsewhere(RetryCause cause, std::string_view why, Loss loss);
   /// Reserves a retry of the budget. Gives what stands against it, empty when nothing does.
   std::string_view takeRetry(Loss loss);
-  void goElsewhere();
-  void logLoss(std::string_view why, std::string_view obstacle);
+  void goElsewhere(RetryCause cause);
+  void logLoss(RetryCause cause, std::string_view why, std::string_view obstacle);
   /// The attempt is over; its connection closes unless the answer was whole.
   void endAttempt();
   void endWait();
@@ -309,6 +313,9 @@
   std::optional<Attempt> attempt_;
   /// Covers the next dispatch, or the latest one, where an earlier one may have arrived.
   std::optional<admission::RetryReservation> retry_;
+  /// Why the next dispatch, or the latest one, is sent; empty for the first.
+  std::optional<RetryCause> retryCause_;
+  RetryCounts retries_{};
   std::vector<std::string> excluded_;
   std::uint32_t dispatches_ = 0;
   /// Attempts that the replica may have run.
--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -136,8 +136,8 @@
     attempt_->outcome = routing::PlacementOutcome::kFailed;
     record.health().onFailure(now, dependencies_.replicas.failureRateOfOthers(record));
     if (!headDelivered_ && takeRetry(Loss::kMayHaveRun).empty()) {
-      logLoss("the replica answered " + std::to_string(answer.status), {});
-      goElsewhere();
+      logLoss(RetryCause::kFailed, "the replica answered " + std::to_string(answer.status), {});
+      goElsewhere(RetryCause::kFailed);
       return;
     }
   } else {
@@ -150,7 +150,7 @@
   }
   if (events_.hasUnfinished()) {
     dependencies_.replicaEnds.onRunLost(attempt_->decision.replica, fingerprint_);
-    onAttemptLost("the stream ended inside an event");
+    onAttemptLost(RetryCause::kLost, "the stream ended inside an event");
     return;
   }
   if (answer.status < kInternalError) dependencies_.quarantine.onServed(fingerprint_);
@@ -179,7 +179,7 @@
   if (error.failure == clients::DispatchFailure::kNotSent) {
     attempt_->outcome = routing::PlacementOutcome::kUnreachable;
     record.health().onUnreachable(now);
-    if (retryElsewhere(error.reason.detail, Loss::kNeverArrived)) return;
+    if (retryElsewhere(RetryCause::kNeverArrived, error.reason.detail, Loss::kNeverArrived)) return;
     if (headDelivered_) {
       cut(error.reason.detail);
     } else {
@@ -195,7 +195,7 @@
     return;
   }
   dependencies_.replicaEnds.onRunLost(attempt_->decision.replica, fingerprint_);
-  onAttemptLost(error.reason.detail);
+  onAttemptLost(RetryCause::kLost, error.reason.detail);
 }
 
 }  // namespace covewing::request
--- a/src/request/relay_flow_end.cc
+++ b/src/request/relay_flow_end.cc
@@ -81,6 +81,8 @@
   outcome.status = status;
   outcome.code = code;
   outcome.attempts = dispatches_;
+  outcome.service = assignment_.service->name;
+  outcome.retries = retries_;
   outcome.firstByteAfter = firstByteAfter_;
   outcome.duration = dependencies_.clock.now() - arrival_.arrivedAt;
   outcome.callerGone = callerGone;
--- a/src/request/relay_flow_retries.cc
+++ b/src/request/relay_flow_retries.cc
@@ -24,13 +24,14 @@
   attempt_->outcome = routing::PlacementOutcome::kFailed;
   record.health().onFailure(dependencies_.clock.now(),
                             dependencies_.replicas.failureRateOfOthers(record));
-  logLoss("the replica is silent", {});
-  goElsewhere();
+  logLoss(RetryCause::kSilent, "the replica is silent", {});
+  goElsewhere(RetryCause::kSilent);
 }
 
 void RelayFlow::onNotBegun() {
   if (over_ || !attempt_ || attempt_->bodySeen) return;
-  onAttemptLost("the version of the weights is out of date and the request has not begun");
+  onAttemptLost(RetryCause::kWeightsOutOfDate,
+                "the version of the weights is out of date and the request has not begun");
 }
 
 void RelayFlow::learnFromRefusal(const clients::RelayedAnswer& answer) {
@@ -59,7 +60,8 @@
     finishWhole();
     return;
   }
-  if (retryElsewhere("the replica refused with " + std::to_string(refusal.status), Loss::kNotRun)) {
+  if (retryElsewhere(RetryCause::kRefused,
+                     "the replica refused with " + std::to_string(refusal.status), Loss::kNotRun)) {
     return;
   }
   if (headDelivered_) {
@@ -72,10 +74,10 @@
   }
 }
 
-void RelayFlow::onAttemptLost(std::string_view why) {
+void RelayFlow::onAttemptLost(RetryCause cause, std::string_view why) {
   const auto self = shared_from_this();
   if (!attempt_->answer) ++runs_;
-  if (retryElsewhere(why, Loss::kMayHaveRun)) return;
+  if (retryElsewhere(cause, why, Loss::kMayHaveRun)) return;
   if (headDelivered_) {
     cut(why);
   } else {
@@ -109,32 +111,40 @@
   return false;
 }
 
-void RelayFlow::logLoss(std::string_view why, std::string_view obstacle) {
+void RelayFlow::logLoss(RetryCause cause, std::string_view why, std::string_view obstacle) {
+  const auto& service = assignment_.service->name;
+  const auto use = dependencies_.retries.use(service, hooks_.nodes(), dependencies_.clock.now());
   dependencies_.log.write(
       obstacle.empty() ? base::Event::kRequestRetried : base::Event::kRelayAttemptFailed,
       {{"request", arrival_.request->id},
        {"replica", attempt_->decision.replica->facts().instance},
        {"attempt", std::to_string(dispatches_)},
        {"after_ms", millisecondsText(dependencies_.clock.now() - attempt_->sentAt)},
+       {"service", service},
+       {"cause", std::string{toString(cause)}},
        {"why", std::string{why}},
+       {"retries_sent", std::to_string(use.sent)},
+       {"retries_reserved", std::to_string(use.reserved)},
+       {"retries_allowed", std::to_string(static_cast<std::uint32_t>(use.allowed))},
        {"runs", std::to_string(runs_)},
        {"last_event", events_.lastEventId()},
        {"left_ms", millisecondsText(timeLeft())},
        {"not_retried", std::string{obstacle}}});
 }
 
-bool RelayFlow::retryElsewhere(std::string_view why, Loss loss) {
+bool RelayFlow::retryElsewhere(RetryCause cause, std::string_view why, Loss loss) {
   const auto obstacle = takeRetry(loss);
-  logLoss(why, obstacle);
+  logLoss(cause, why, obstacle);
   if (!obstacle.empty()) {
     endAttempt();
     return false;
   }
-  goElsewhere();
+  goElsewhere(cause);
   return true;
 }
 
-void RelayFlow::goElsewhere() {
+void RelayFlow::goElsewhere(RetryCause cause) {
+  retryCause_ = cause;
   excluded_.push_back(attempt_->decision.replica->facts().instance);
   endAttempt();
   events_.dropUnfinished();
--- a/tests/live/relay_reference_test.cc
+++ b/tests/live/relay_reference_test.cc
@@ -51,6 +51,8 @@
   config::Route route;
   request::RelayOutcome outcome;
   outcome.firstByteAfter = std::chrono::milliseconds(1);
+  outcome.service = "app";
+  outcome.retries.front() = 1;
   metrics.onRelayed(route, outcome);
   outcome.code = base::ResultCode::kRateLimited;
   metrics.onRelayed(route, outcome);
--- a/tests/request/retry_bound_test.cc
+++ b/tests/request/retry_bound_test.cc
@@ -23,6 +23,16 @@
     for (int count = 0; count < 2; ++count) request("safe");
     return {client.sent.end() - 2, client.sent.end()};
   }
+  std::vector<std::string> causesLogged() const {
+    std::vector<std::string> causes;
+    for (const auto& [event, fields] : log.entries) {
+      if (event != base::Event::kRequestRetried) continue;
+      for (const auto& field : fields) {
+        if (field.name == "cause") causes.push_back(field.value);
+      }
+    }
+    return causes;
+  }
   static void breakOff(const std::vector<std::shared_ptr<Dispatched>>& attempts) {
     for (const auto& attempt : attempts) attempt->breakOff();
   }
@@ -54,6 +64,57 @@
   BOOST_TEST(client.sent.size() - firstAttemptsSent <= kMostRetries);
 }
 
+// A retry that never reached its replica is sent in place of the one that was counted.
+BOOST_AUTO_TEST_CASE(RetryThatNeverArrivedIsCountedOnce) {
+  request("safe");
+  client.last().breakOff();
+  client.last().refuseConnection();
+  BOOST_REQUIRE(client.sent.size() == 3U);
+  BOOST_TEST(retries.use("app", 1, time.now()).sent == 1U);
+  client.last().answer(200, "done");
+  BOOST_TEST(retries.use("app", 1, time.now()).sent == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(RetryWhoseCallerLeavesBeforeItIsSentTakesNothing) {
+  request("safe");
+  for (const char* name : {"a", "b", "c"}) replicas.onRemoved(name);
+  client.last().breakOff();
+  BOOST_TEST(retries.use("app", 1, time.now()).reserved == 1U);
+  flow.lock()->onCallerGone();
+  BOOST_TEST(retries.use("app", 1, time.now()).reserved == 0U);
+  BOOST_TEST(retries.use("app", 1, time.now()).sent == 0U);
+}
+
+// Four requests with a ratio of one half allow two retries. These wait until the requests have left
+// the window: sent then, they would be two where none is allowed.
+BOOST_AUTO_TEST_CASE(RetryIsNotSentWhenItsRequestsHaveLeftTheWindow) {
+  retries = admission::RetryWindows({milliseconds(500), 0.5, 0, 1.0}, kStartedLongAgo);
+  request("unsafe");
+  request("unsafe");
+  const auto attempts = requestTwo();
+  for (const char* name : {"a", "b", "c"}) replicas.onRemoved(name);
+  breakOff(attempts);
+  BOOST_TEST(retries.use("app", 1, time.now()).reserved == 2U);
+  time.advance(milliseconds(1800));
+  addReplica("d", "app");
+  time.advance(milliseconds(50));
+  BOOST_TEST(client.sent.size() == 4U);
+  BOOST_TEST(views.back()->refusal->status == 502U);
+}
+
+BOOST_AUTO_TEST_CASE(LogAndOutcomeTellWhyARequestWasRepeated) {
+  request("safe");
+  client.last().refuseNotExecuted();
+  client.last().refuseConnection();
+  client.last().answer(200, "done");
+  BOOST_TEST(causesLogged() == std::vector<std::string>({"refused", "never_arrived"}),
+             boost::test_tools::per_element());
+  const auto& counts = outcomes.back().retries;
+  BOOST_TEST(counts.at(static_cast<std::size_t>(RetryCause::kRefused)) == 1U);
+  BOOST_TEST(counts.at(static_cast<std::size_t>(RetryCause::kNeverArrived)) == 1U);
+  BOOST_TEST(outcomes.back().service == "app");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::request
