Keep the parts of the retries' slack while nodes are cut from each other

A node's part of the slack is by the nodes that it saw within 30 s: a longer cut let each side use the whole slack, and a node that started while it was cut off took itself for the only one. The count for retries now remembers ten minutes, and a node that has seen no other goes on to assume eight. Routing and tenants' limits count as before.

--- a/src/admission/retry_window.cc
+++ b/src/admission/retry_window.cc
@@ -31,14 +31,14 @@
   return (options_.window + kSlot - base::Duration{1}) / kSlot;
 }
 
-bool RetryWindow::reserve(std::size_t nodes, base::TimePoint now) {
-  if (!fits(reserved_ + 1, nodes, now)) return false;
+bool RetryWindow::reserve(base::TimePoint now) {
+  if (!fits(reserved_ + 1, now)) return false;
   ++reserved_;
   return true;
 }
 
-std::optional<RetryWindow::SlotNumber> RetryWindow::send(std::size_t nodes, base::TimePoint now) {
-  if (!fits(1, nodes, now)) return std::nullopt;
+std::optional<RetryWindow::SlotNumber> RetryWindow::send(base::TimePoint now) {
+  if (!fits(1, now)) return std::nullopt;
   --reserved_;
   auto& slot = slotAt(now);
   ++slot.sent;
@@ -51,7 +51,7 @@
   if (found != slots_.end()) --found->sent;
 }
 
-RetryUse RetryWindow::use(std::size_t nodes, base::TimePoint now) const {
+RetryUse RetryWindow::use(base::TimePoint now) const {
   const auto current = slotNumber(now);
   const auto oldest = current - slotsOfWindow();
   RetryUse use;
@@ -59,12 +59,12 @@
     if (slot.number >= oldest) use.sent += slot.sent;
   }
   use.reserved = reserved_;
-  use.allowed = allowance(requestsWithin(oldest, current + 1), nodes, now);
+  use.allowed = allowance(requestsWithin(oldest, current + 1), now);
   return use;
 }
 
-bool RetryWindow::fits(std::uint32_t more, std::size_t nodes, base::TimePoint now) const {
-  const auto latest = use(nodes, now);
+bool RetryWindow::fits(std::uint32_t more, base::TimePoint now) const {
+  const auto latest = use(now);
   if (latest.sent + more > latest.allowed) return false;
   // Each other window that holds this moment begins within the last one.
   const auto current = slotNumber(now);
@@ -73,16 +73,15 @@
   auto slot = slots_.rbegin();
   for (auto begin = current; begin > oldest; --begin) {
     for (; slot != slots_.rend() && slot->number >= begin; ++slot) sent += slot->sent;
-    if (sent > allowance(requestsFor(begin), nodes, now)) return false;
+    if (sent > allowance(requestsFor(begin), now)) return false;
   }
   return true;
 }
 
-double RetryWindow::allowance(std::uint32_t requests, std::size_t nodes,
-                              base::TimePoint now) const {
+double RetryWindow::allowance(std::uint32_t requests, base::TimePoint now) const {
   // The run before a restart may have used this node's part of the slack within the same window.
   const double slack = now < slackFrom_ ? 0 : options_.slack;
-  const double share = slack / static_cast<double>(std::max<std::size_t>(nodes, 1));
+  const double share = slack / static_cast<double>(std::max<std::size_t>(nodes_(), 1));
   return options_.safety * (options_.ratio * requests + share);
 }
 
@@ -115,8 +114,8 @@
   return *this;
 }
 
-bool RetryReservation::send(std::size_t nodes, base::TimePoint now) {
-  if (!sentIn_) sentIn_ = window_->send(nodes, now);
+bool RetryReservation::send(base::TimePoint now) {
+  if (!sentIn_) sentIn_ = window_->send(now);
   return sentIn_.has_value();
 }
 
@@ -128,19 +127,19 @@
   windowOf(service).onRequest(now);
 }
 
-std::optional<RetryReservation> RetryWindows::reserve(const std::string& service, std::size_t nodes,
+std::optional<RetryReservation> RetryWindows::reserve(const std::string& service,
                                                       base::TimePoint now) {
   auto& window = windowOf(service);
-  if (!window.reserve(nodes, now)) return std::nullopt;
+  if (!window.reserve(now)) return std::nullopt;
   return RetryReservation{window};
 }
 
-RetryUse RetryWindows::use(const std::string& service, std::size_t nodes, base::TimePoint now) {
-  return windowOf(service).use(nodes, now);
+RetryUse RetryWindows::use(const std::string& service, base::TimePoint now) {
+  return windowOf(service).use(now);
 }
 
 RetryWindow& RetryWindows::windowOf(const std::string& service) {
-  return windows_.try_emplace(service, options_, nodeStartedAt_).first->second;
+  return windows_.try_emplace(service, options_, nodeStartedAt_, nodes_).first->second;
 }
 
 }  // namespace covewing::admission
--- a/src/admission/retry_window.h
+++ b/src/admission/retry_window.h
@@ -12,10 +12,12 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "base/time.h"
 
@@ -31,6 +33,9 @@
   double safety = 0.85;
 };
 
+/// The number of nodes that share the slack.
+using RetryNodeCount = std::function<std::size_t()>;
+
 /// How much of a node's allowance for the window that ends now is used.
 struct RetryUse {
   std::uint32_t sent = 0;
@@ -44,20 +49,21 @@
   /// Names a short span of time.
   using SlotNumber = std::int64_t;
 
-  RetryWindow(const RetryWindowOptions& options, base::TimePoint nodeStartedAt)
-      : options_(options), slackFrom_(nodeStartedAt + options.window) {}
+  RetryWindow(const RetryWindowOptions& options, base::TimePoint nodeStartedAt,
+              RetryNodeCount nodes)
+      : options_(options), slackFrom_(nodeStartedAt + options.window), nodes_(std::move(nodes)) {}
 
   void onRequest(base::TimePoint now) { ++slotAt(now).requests; }
   /// Sets one retry aside; false when the allowance is used up.
-  bool reserve(std::size_t nodes, base::TimePoint now);
+  bool reserve(base::TimePoint now);
   /// A reserved retry is not sent.
   void release() { --reserved_; }
   /// Counts a reserved retry as sent now. Empty, with the reservation unchanged, when requests that
   /// allowed it have left the window meanwhile.
-  std::optional<SlotNumber> send(std::size_t nodes, base::TimePoint now);
+  std::optional<SlotNumber> send(base::TimePoint now);
   /// A retry that was counted in the slot never reached a replica: it is reserved again.
   void takeBack(SlotNumber slot);
-  RetryUse use(std::size_t nodes, base::TimePoint now) const;
+  RetryUse use(base::TimePoint now) const;
 
  private:
   /// Counts of one short span.
@@ -70,8 +76,8 @@
   Slot& slotAt(base::TimePoint now);
   void forgetBefore(SlotNumber oldest);
   /// Whether so many retries more keep to the bound in each window that ends now or later.
-  bool fits(std::uint32_t more, std::size_t nodes, base::TimePoint now) const;
-  double allowance(std::uint32_t requests, std::size_t nodes, base::TimePoint now) const;
+  bool fits(std::uint32_t more, base::TimePoint now) const;
+  double allowance(std::uint32_t requests, base::TimePoint now) const;
   /// Requests that count for the window that begins with the slot: its own, those of the window
   /// before, or those of the one half a window before, whichever are most.
   std::uint32_t requestsFor(SlotNumber begin) const;
@@ -81,6 +87,7 @@
 
   RetryWindowOptions options_;
   base::TimePoint slackFrom_;
+  RetryNodeCount nodes_;
   std::deque<Slot> slots_;
   std::uint32_t reserved_ = 0;
 };
@@ -97,7 +104,7 @@
   RetryReservation& operator=(const RetryReservation&) = delete;
 
   /// False when the retry no longer keeps to the bound and must not be sent.
-  bool send(std::size_t nodes, base::TimePoint now);
+  bool send(base::TimePoint now);
   /// What was sent last never reached a replica: the next one is sent in its place.
   void onNeverArrived();
 
@@ -111,20 +118,20 @@
 /// The retry windows of all services.
 class RetryWindows {
  public:
-  RetryWindows(RetryWindowOptions options, base::TimePoint nodeStartedAt)
-      : options_(options), nodeStartedAt_(nodeStartedAt) {}
+  RetryWindows(RetryWindowOptions options, base::TimePoint nodeStartedAt, RetryNodeCount nodes)
+      : options_(options), nodeStartedAt_(nodeStartedAt), nodes_(std::move(nodes)) {}
 
   void onRequest(const std::string& service, base::TimePoint now);
   /// Empty when the service's allowance is used up.
-  std::optional<RetryReservation> reserve(const std::string& service, std::size_t nodes,
-                                          base::TimePoint now);
-  RetryUse use(const std::string& service, std::size_t nodes, base::TimePoint now);
+  std::optional<RetryReservation> reserve(const std::string& service, base::TimePoint now);
+  RetryUse use(const std::string& service, base::TimePoint now);
 
  private:
   RetryWindow& windowOf(const std::string& service);
 
   RetryWindowOptions options_;
   base::TimePoint nodeStartedAt_;
+  RetryNodeCount nodes_;
   std::map<std::string, RetryWindow, std::less<>> windows_;
 };
 
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -59,6 +59,7 @@
         membership(membershipOptions(settings), clock, timers, random, log, peers),
         traffic(membership),
         nodes(membership, clock),
+        retryNodes(membership, clock, retryNodeCount()),
         targets({settings.weightsInForce, settings.weightsInForce * 3 / 20}),
         connectProbe(ioContext),
         replicaEnds({}, {clock, timers, log, connectProbe}),
@@ -85,7 +86,8 @@
             {},
             {clock, timers, random, deployment.cacheFeeds, replicas, stores, membership, holders},
             [this](const std::string& name) { return eventWatchers(name); }),
-        retries({settings.retryWindow, settings.retryRatio, settings.retrySlack}, clock.now()),
+        retries({settings.retryWindow, settings.retryRatio, settings.retrySlack}, clock.now(),
+                [this] { return retryNodes(); }),
         quotas(quotaOptions(),
                {clock, timers, random, membership, peers, [this] { return nodes(); }}),
         quarantine({}, {clock, timers, random, log, peers, membership, membership, deployment.table,
@@ -365,6 +367,8 @@
   membership::GossipMembership membership;
   PeerTraffic traffic;
   node::NodeCount nodes;
+  /// What nodes take as their part of the slack must not grow while they are cut from each other.
+  node::NodeCount retryNodes;
   routing::WeightsTargets targets;
   routing::ReplicaDirectory replicas;
   routing::PrefixHolders holders;
--- a/src/live/relay_part_options.cc
+++ b/src/live/relay_part_options.cc
@@ -87,6 +87,15 @@
   return options;
 }
 
+node::NodeCountOptions retryNodeCount() {
+  // Nodes that are cut off still send. A fleet that was made smaller has smaller parts for so long.
+  constexpr base::Duration kMemory = std::chrono::minutes(10);
+  node::NodeCountOptions options;
+  options.memory = kMemory;
+  options.trustsBeingAlone = false;
+  return options;
+}
+
 config::SharedFeedOptions feedOptions(const RelaySettings& settings) {
   const bool mayJoin = std::ranges::any_of(settings.seeds, [&](const base::Endpoint& seed) {
     return seed.address != settings.peerEndpoint.address;
--- a/src/live/relay_part_options.h
+++ b/src/live/relay_part_options.h
@@ -11,6 +11,7 @@
 #include "live/relay_dialect.h"
 #include "live/relay_settings.h"
 #include "membership/gossip_membership.h"
+#include "node/node_count.h"
 #include "node/weights_coordinator.h"
 
 namespace covewing::live {
@@ -19,6 +20,8 @@
 membership::GossipMembershipOptions membershipOptions(const RelaySettings& settings);
 node::WeightsCoordinatorOptions coordinatorOptions(const RelaySettings& settings);
 admission::QuotaOptions quotaOptions();
+/// How the nodes that share the slack of the bound on retries are counted.
+node::NodeCountOptions retryNodeCount();
 config::SharedFeedOptions feedOptions(const RelaySettings& settings);
 config::TableWatchOptions replicaWatchOptions(const std::string& table);
 
--- a/src/node/node_count.h
+++ b/src/node/node_count.h
@@ -17,6 +17,8 @@
   /// Nodes assumed until the membership has had time to form, and how long that is.
   std::size_t atFirst = 8;
   base::Duration forming = std::chrono::seconds(5);
+  /// A node that has never seen another one goes on to assume them: it may be cut off.
+  bool trustsBeingAlone = true;
 };
 
 /// The most nodes seen at once lately: those that are cut off may still send.
@@ -33,7 +35,9 @@
       most_ = live;
       mostAt_ = now;
     }
-    return now - startedAt_ < options_.forming ? std::max(most_, options_.atFirst) : most_;
+    const bool unsure = most_ <= 1 && !options_.trustsBeingAlone;
+    const bool assumes = unsure || now - startedAt_ < options_.forming;
+    return assumes ? std::max(most_, options_.atFirst) : most_;
   }
 
  private:
--- a/src/request/relay_flow_retries.cc
+++ b/src/request/relay_flow_retries.cc
@@ -96,8 +96,8 @@
     if (retry_) retry_->onNeverArrived();
     return {};
   }
-  auto reserved = dependencies_.retries.reserve(assignment_.service->name, hooks_.nodes(),
-                                                dependencies_.clock.now());
+  auto reserved =
+      dependencies_.retries.reserve(assignment_.service->name, dependencies_.clock.now());
   if (!reserved) return kRetryBudgetUsedUp;
   retry_ = std::move(reserved);
   return {};
@@ -105,7 +105,7 @@
 
 bool RelayFlow::countRetry(const routing::PlacementGrant& grant) {
   // It may have waited for a replica, while the requests that allowed it left the window.
-  if (!retry_ || retry_->send(hooks_.nodes(), dependencies_.clock.now())) return true;
+  if (!retry_ || retry_->send(dependencies_.clock.now())) return true;
   dependencies_.placement.ended(grant, routing::PlacementOutcome::kWithdrawn);
   refuseUnplaced(kRetryBudgetUsedUp, kRetryAfterRefusals);
   return false;
@@ -113,7 +113,7 @@
 
 void RelayFlow::logLoss(RetryCause cause, std::string_view why, std::string_view obstacle) {
   const auto& service = assignment_.service->name;
-  const auto use = dependencies_.retries.use(service, hooks_.nodes(), dependencies_.clock.now());
+  const auto use = dependencies_.retries.use(service, dependencies_.clock.now());
   dependencies_.log.write(
       obstacle.empty() ? base::Event::kRequestRetried : base::Event::kRelayAttemptFailed,
       {{"request", arrival_.request->id},
--- a/tests/admission/retry_window_test.cc
+++ b/tests/admission/retry_window_test.cc
@@ -17,11 +17,14 @@
 /// More than a window before the tests begin.
 constexpr base::TimePoint kLongAgo{seconds(50)};
 
+RetryNodeCount nodes(std::size_t count) {
+  return [count] { return count; };
+}
+
 /// Reserves a retry and sends it at once.
-bool take(RetryWindows& windows, const std::string& service, std::size_t nodes,
-          base::TimePoint now) {
-  auto retry = windows.reserve(service, nodes, now);
-  return retry && retry->send(nodes, now);
+bool take(RetryWindows& windows, const std::string& service, base::TimePoint now) {
+  auto retry = windows.reserve(service, now);
+  return retry && retry->send(now);
 }
 
 /// Of ascending times.
@@ -41,7 +44,7 @@
     base::TimePoint until;
   };
   struct Node {
-    RetryWindows windows{{seconds(10), kRatio, kSlack}, kLongAgo};
+    RetryWindows windows{{seconds(10), kRatio, kSlack}, kLongAgo, nodes(kNodes)};
     std::vector<Waiting> waiting;
   };
 
@@ -53,7 +56,7 @@
     const auto end = now + span;
     const auto shortageEnds = now + wait;
     for (; now < end; now += stepTime) {
-      for (Node& node : nodes) {
+      for (Node& node : fleet) {
         step(node, random.below(requestsAStep + 1), std::max(now, shortageEnds));
         sendDue(node);
       }
@@ -63,23 +66,23 @@
     for (std::size_t request = 0; request < count; ++request) {
       requests.push_back(now);
       node.windows.onRequest("s", now);
-      if (auto retry = node.windows.reserve("s", kNodes, now))
+      if (auto retry = node.windows.reserve("s", now))
         node.waiting.push_back({std::move(*retry), sendAt});
     }
   }
   void sendDue(Node& node) {
     for (auto& waiting : node.waiting) {
-      if (waiting.until <= now && waiting.retry.send(kNodes, now)) sent.push_back(now);
+      if (waiting.until <= now && waiting.retry.send(now)) sent.push_back(now);
     }
     std::erase_if(node.waiting, [this](const Waiting& waiting) { return waiting.until <= now; });
   }
 
   /// Each node starts again with this chance: what it counted is lost, what waited there is gone.
   void restartSome(std::size_t percent) {
-    for (Node& node : nodes) {
+    for (Node& node : fleet) {
       if (random.below(100) >= percent) continue;
       node.waiting.clear();
-      node.windows = RetryWindows({seconds(10), kRatio, kSlack}, now);
+      node.windows = RetryWindows({seconds(10), kRatio, kSlack}, now, nodes(kNodes));
     }
   }
 
@@ -100,7 +103,7 @@
   base::SeededRandom random;
   base::Duration stepTime;
   base::TimePoint now{seconds(100)};
-  std::vector<Node> nodes{kNodes};
+  std::vector<Node> fleet{kNodes};
   std::vector<base::TimePoint> requests;
   std::vector<base::TimePoint> sent;
 };
@@ -110,37 +113,37 @@
 BOOST_AUTO_TEST_SUITE(RetryWindowTest)
 
 BOOST_AUTO_TEST_CASE(SlackIsSharedByTheNodes) {
-  RetryWindows windows({seconds(10), 0, 10, 1.0}, kLongAgo);
+  RetryWindows windows({seconds(10), 0, 10, 1.0}, kLongAgo, nodes(5));
   const base::TimePoint now{seconds(100)};
   int taken = 0;
-  while (take(windows, "s", 5, now)) ++taken;
+  while (take(windows, "s", now)) ++taken;
   BOOST_TEST(taken == 2);
-  BOOST_TEST(!take(windows, "s", 5, now + seconds(9)));
-  BOOST_TEST(take(windows, "s", 5, now + seconds(11)));
+  BOOST_TEST(!take(windows, "s", now + seconds(9)));
+  BOOST_TEST(take(windows, "s", now + seconds(11)));
 }
 
 BOOST_AUTO_TEST_CASE(NodeThatHasJustStartedRetriesWithoutSlackForOneWindow) {
   const base::TimePoint startedAt{seconds(100)};
   const auto almost = startedAt + milliseconds(9900);
-  RetryWindows windows({seconds(10), 0.2, 10, 1.0}, startedAt);
-  BOOST_TEST(!take(windows, "s", 1, almost));
+  RetryWindows windows({seconds(10), 0.2, 10, 1.0}, startedAt, nodes(1));
+  BOOST_TEST(!take(windows, "s", almost));
   for (int count = 0; count < 5; ++count) windows.onRequest("s", almost);
-  BOOST_TEST(take(windows, "s", 1, almost));
-  BOOST_TEST(!take(windows, "s", 1, almost));
-  BOOST_TEST(take(windows, "s", 1, startedAt + seconds(10)));
+  BOOST_TEST(take(windows, "s", almost));
+  BOOST_TEST(!take(windows, "s", almost));
+  BOOST_TEST(take(windows, "s", startedAt + seconds(10)));
 }
 
 BOOST_AUTO_TEST_CASE(ServicesHaveWindowsOfTheirOwn) {
-  RetryWindows windows({seconds(10), 0, 1, 1.0}, kLongAgo);
+  RetryWindows windows({seconds(10), 0, 1, 1.0}, kLongAgo, nodes(1));
   const base::TimePoint now{seconds(100)};
-  BOOST_TEST(take(windows, "s", 1, now));
-  BOOST_TEST(!take(windows, "s", 1, now));
-  BOOST_TEST(take(windows, "t", 1, now));
+  BOOST_TEST(take(windows, "s", now));
+  BOOST_TEST(!take(windows, "s", now));
+  BOOST_TEST(take(windows, "t", now));
 }
 
 BOOST_AUTO_TEST_CASE(NoWindowEverHoldsMoreThanItsShareOfItsRequests) {
   base::SeededRandom random(1);
-  RetryWindows windows({seconds(10), 0.2, 6, 1.0}, kLongAgo);
+  RetryWindows windows({seconds(10), 0.2, 6, 1.0}, kLongAgo, nodes(2));
   std::vector<base::TimePoint> requests;
   std::vector<base::TimePoint> retries;
   base::TimePoint now{seconds(100)};
@@ -148,7 +151,7 @@
     now += milliseconds(static_cast<std::int64_t>(random.below(60)));
     windows.onRequest("s", now);
     requests.push_back(now);
-    while (random.below(3) == 0 && take(windows, "s", 2, now)) retries.push_back(now);
+    while (random.below(3) == 0 && take(windows, "s", now)) retries.push_back(now);
   }
   const auto within = [](const std::vector<base::TimePoint>& times, base::TimePoint end,
                          base::Duration span) {
--- /dev/null
+++ b/tests/node/node_count_test.cc
@@ -0,0 +1,62 @@
+#include "node/node_count.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "support/virtual_time.h"
+
+namespace covewing::node {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+/// A directory of which only the number of live members matters.
+class CountedMembers final : public membership::MemberDirectory {
+ public:
+  explicit CountedMembers(std::size_t count) : live_(count) {}
+  void see(std::size_t count) { live_.resize(count); }
+  const membership::Member& self() const override { return live_.front(); }
+  const std::vector<membership::Member>& liveMembers() const override { return live_; }
+  const membership::Member* find(base::NodeId /*id*/) const override { return nullptr; }
+  std::uint64_t version() const override { return live_.size(); }
+
+ private:
+  std::vector<membership::Member> live_;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(NodeCountTest)
+
+BOOST_AUTO_TEST_CASE(NodesThatWereSeenLatelyCountWhileTheyAreCutOff) {
+  test_support::VirtualTime time;
+  CountedMembers members{7};
+  NodeCount count{members, time, {}};
+  BOOST_TEST(count() == 8U);
+  time.advance(seconds(6));
+  BOOST_TEST(count() == 7U);
+  members.see(3);
+  time.advance(seconds(20));
+  BOOST_TEST(count() == 7U);
+  time.advance(seconds(11));
+  BOOST_TEST(count() == 3U);
+}
+
+// Each of four nodes that were cut off when they started took itself for the only one, and the
+// whole slack of the bound on retries for its part.
+BOOST_AUTO_TEST_CASE(NodeThatHasNeverSeenAnotherAssumesOthersWhereBeingAloneIsNotTrusted) {
+  test_support::VirtualTime time;
+  CountedMembers members{1};
+  NodeCountOptions options;
+  options.trustsBeingAlone = false;
+  NodeCount count{members, time, options};
+  time.advance(minutes(1));
+  BOOST_TEST(count() == options.atFirst);
+  members.see(3);
+  BOOST_TEST(count() == 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::node
--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -148,6 +148,7 @@
 struct RelayFixture : RelayObserver {
   /// The node has run for more than a window of retries.
   static constexpr base::TimePoint kStartedLongAgo{-std::chrono::minutes(1)};
+  static std::size_t oneNode() { return 1; }
 
   RelayFixture() {
     useTable(contents());
@@ -289,7 +290,8 @@
   quarantine::RequestQuarantine quarantine{{},
                                            {time, time, random, log, peers, members, records, table,
                                             [this] { return table.serviceTime(); }}};
-  admission::RetryWindows retries{{std::chrono::seconds(10), 0.2, 20, 1.0}, kStartedLongAgo};
+  admission::RetryWindows retries{
+      {std::chrono::seconds(10), 0.2, 20, 1.0}, kStartedLongAgo, oneNode};
   routing::RunTimes runTimes;
   std::vector<RelayOutcome> outcomes;
   std::vector<std::unique_ptr<CallerView>> views;
@@ -302,7 +304,7 @@
                        {time, time, log, client, replicas, holders, choice, replicaEnds, parts,
                         placement, retries, quotas, quarantine, runTimes, *this},
                        tables,
-                       [] { return std::size_t{1}; }};
+                       oneNode};
 };
 
 }  // namespace covewing::request
--- a/tests/request/relay_flow_test.cc
+++ b/tests/request/relay_flow_test.cc
@@ -51,7 +51,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(RequestThatNeverLeftGoesElsewhereWithoutBudget) {
-  retries = admission::RetryWindows({seconds(10), 0, 0, 1.0}, kStartedLongAgo);
+  retries = admission::RetryWindows({seconds(10), 0, 0, 1.0}, kStartedLongAgo, oneNode);
   auto& caller = request("unsafe");
   client.last().refuseConnection();
   BOOST_TEST(client.sent.size() == 2U);
@@ -86,7 +86,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(WithoutBudgetNothingIsRepeated) {
-  retries = admission::RetryWindows({seconds(10), 0, 0, 1.0}, kStartedLongAgo);
+  retries = admission::RetryWindows({seconds(10), 0, 0, 1.0}, kStartedLongAgo, oneNode);
   auto& caller = request("safe");
   client.last().breakOff();
   BOOST_TEST(client.sent.size() == 1U);
--- a/tests/request/retry_bound_test.cc
+++ b/tests/request/retry_bound_test.cc
@@ -15,7 +15,7 @@
   static constexpr double kMostRetries = 2;
 
   TightBoundFixture() {
-    retries = admission::RetryWindows({seconds(2), 0, kMostRetries, 1.0}, kStartedLongAgo);
+    retries = admission::RetryWindows({seconds(2), 0, kMostRetries, 1.0}, kStartedLongAgo, oneNode);
   }
 
   /// Attempts under way, in the order of their dispatch.
@@ -70,31 +70,31 @@
   client.last().breakOff();
   client.last().refuseConnection();
   BOOST_REQUIRE(client.sent.size() == 3U);
-  BOOST_TEST(retries.use("app", 1, time.now()).sent == 1U);
+  BOOST_TEST(retries.use("app", time.now()).sent == 1U);
   client.last().answer(200, "done");
-  BOOST_TEST(retries.use("app", 1, time.now()).sent == 1U);
+  BOOST_TEST(retries.use("app", time.now()).sent == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(RetryWhoseCallerLeavesBeforeItIsSentTakesNothing) {
   request("safe");
   for (const char* name : {"a", "b", "c"}) replicas.onRemoved(name);
   client.last().breakOff();
-  BOOST_TEST(retries.use("app", 1, time.now()).reserved == 1U);
+  BOOST_TEST(retries.use("app", time.now()).reserved == 1U);
   flow.lock()->onCallerGone();
-  BOOST_TEST(retries.use("app", 1, time.now()).reserved == 0U);
-  BOOST_TEST(retries.use("app", 1, time.now()).sent == 0U);
+  BOOST_TEST(retries.use("app", time.now()).reserved == 0U);
+  BOOST_TEST(retries.use("app", time.now()).sent == 0U);
 }
 
 // Four requests with a ratio of one half allow two retries. These wait until the requests have left
 // the window: sent then, they would be two where none is allowed.
 BOOST_AUTO_TEST_CASE(RetryIsNotSentWhenItsRequestsHaveLeftTheWindow) {
-  retries = admission::RetryWindows({milliseconds(500), 0.5, 0, 1.0}, kStartedLongAgo);
+  retries = admission::RetryWindows({milliseconds(500), 0.5, 0, 1.0}, kStartedLongAgo, oneNode);
   request("unsafe");
   request("unsafe");
   const auto attempts = requestTwo();
   for (const char* name : {"a", "b", "c"}) replicas.onRemoved(name);
   breakOff(attempts);
-  BOOST_TEST(retries.use("app", 1, time.now()).reserved == 2U);
+  BOOST_TEST(retries.use("app", time.now()).reserved == 2U);
   time.advance(milliseconds(1800));
   addReplica("d", "app");
   time.advance(milliseconds(50));
