--- a/tests/request/retry_bound_test.cc
+++ b/tests/request/retry_bound_test.cc
@@ -23,6 +23,29 @@
     for (int count = 0; count < 2; ++count) request("safe");
     return {client.sent.end() - 2, client.sent.end()};
   }
+  static constexpr std::uint64_t kNeverArrives = 0;
+  void endAttempt(const Dispatched& attempt, std::uint64_t outcome) {
+    switch (outcome) {
+      case kNeverArrives:
+        attempt.refuseConnection();
+        return;
+      case 1:
+        attempt.refuseNotExecuted();
+        return;
+      case 2:
+        attempt.breakOff();
+        return;
+      case 3:
+        attempt.answer(500, "oops");
+        return;
+      case 4:
+        time.advance(milliseconds(450));
+        if (attempt.open) attempt.answer(200, "late");
+        return;
+      default:
+        attempt.answer(200, "done");
+    }
+  }
   std::vector<std::string> causesLogged() const {
     std::vector<std::string> causes;
     for (const auto& [event, fields] : log.entries) {
@@ -75,6 +98,35 @@
   BOOST_TEST(retries.use("app", time.now()).sent == 1U);
 }
 
+// Whatever becomes of the attempts of a request, what reached replicas beyond the first is counted,
+// and nothing else.
+BOOST_AUTO_TEST_CASE(EveryArrivalBeyondTheFirstIsCountedOnce) {
+  auto patient = contents();
+  patient.version = 2;
+  patient.routes.front().attempts = 6;
+  useTable(patient);
+  for (const char* name : {"d", "e", "f", "g", "h"}) addReplica(name, "app");
+  for (int play = 0; play < 500; ++play) {
+    retries = admission::RetryWindows({seconds(10), 0, 100, 1.0}, kStartedLongAgo, oneNode);
+    const auto before = client.sent.size();
+    const auto& caller = request("safe");
+    std::size_t arrived = 0;
+    while (caller.open()) {
+      const auto attempt = client.sent.back();
+      const auto outcome = random.below(6);
+      if (outcome != kNeverArrives) ++arrived;
+      endAttempt(*attempt, outcome);
+      if (caller.open() && client.sent.back() == attempt) time.advance(milliseconds(50));
+    }
+    BOOST_TEST_CONTEXT("play " << play << ", " << client.sent.size() - before << " attempts") {
+      const auto use = retries.use("app", time.now());
+      BOOST_TEST(use.sent == (arrived == 0 ? 0 : arrived - 1));
+      BOOST_TEST(use.reserved == 0U);
+    }
+    time.advance(seconds(1));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RetryWhoseCallerLeavesBeforeItIsSentTakesNothing) {
   request("safe");
   for (const char* name : {"a", "b", "c"}) replicas.onRemoved(name);
