Show by a test that a node killed soon after failures begin retries twice over

It had used the allowance of its last ten seconds within one; its next run has that of its own requests besides.

--- a/tests/admission/retry_window_test.cc
+++ b/tests/admission/retry_window_test.cc
@@ -66,6 +66,7 @@
     for (std::size_t request = 0; request < count; ++request) {
       requests.push_back(now);
       node.windows.onRequest("s", now);
+      if (!failing) continue;
       if (auto retry = node.windows.reserve("s", now))
         node.waiting.push_back({std::move(*retry), sendAt});
     }
@@ -102,6 +103,8 @@
 
   base::SeededRandom random;
   base::Duration stepTime;
+  /// Each request wants a retry.
+  bool failing = true;
   base::TimePoint now{seconds(100)};
   std::vector<Node> fleet{kNodes};
   std::vector<base::TimePoint> requests;
@@ -194,6 +197,25 @@
   }
 }
 
+// A node that was killed a second after its requests had begun to fail had used the allowance of
+// its last ten seconds; its next run had that of its own requests besides, within the same window.
+BOOST_AUTO_TEST_CASE(
+    NoWindowOfSendsHoldsMoreThanTheBoundWhereNodesAreKilledSoonAfterFailuresBegin) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    RetryingNodes nodes{seed, milliseconds(50)};
+    for (int phase = 0; phase < 6; ++phase) {
+      nodes.failing = false;
+      nodes.play(seconds(11), 1, {});
+      nodes.failing = true;
+      nodes.play(milliseconds(500 + static_cast<std::int64_t>(nodes.random.below(2000))), 1, {});
+      nodes.restartSome(100);
+      nodes.play(seconds(9), 1, {});
+    }
+    BOOST_TEST_CONTEXT("seed " << seed) { BOOST_TEST(nodes.fullestWindow() <= 1.0); }
+    BOOST_TEST(!nodes.sent.empty());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::admission
