Count a request once where a node starts again or callers move

A node killed soon after failures began had used the allowance of its last ten seconds; its next run counted its own requests besides, and so did nodes to which callers moved. A window now counts the mean of its own requests, those of the window before and those of the one half a window before, which all nodes and runs may sum up.

--- a/src/admission/retry_window.cc
+++ b/src/admission/retry_window.cc
@@ -78,19 +78,23 @@
   return true;
 }
 
-double RetryWindow::allowance(std::uint32_t requests, base::TimePoint now) const {
+double RetryWindow::allowance(double requests, base::TimePoint now) const {
   // The run before a restart may have used this node's part of the slack within the same window.
   const double slack = now < slackFrom_ ? 0 : options_.slack;
   const double share = slack / static_cast<double>(std::max<std::size_t>(nodes_(), 1));
   return options_.safety * (options_.ratio * requests + share);
 }
 
-std::uint32_t RetryWindow::requestsFor(SlotNumber begin) const {
+double RetryWindow::requestsFor(SlotNumber begin) const {
+  // The mean of three windows, at all nodes and all their runs alike: none counts its requests
+  // twice where a node starts again or callers move to another one. What counts is at most the
+  // fullest of the three.
   const auto span = slotsOfWindow();
   const auto half = span / 2;
-  return std::max({requestsWithin(begin, begin + span),
-                   requestsWithin(begin - half, begin - half + span),
-                   requestsWithin(begin - span, begin)});
+  const auto before = requestsWithin(begin - span, begin);
+  const auto halfBefore = requestsWithin(begin - half, begin - half + span);
+  const auto own = requestsWithin(begin, begin + span);
+  return (before + halfBefore + own) / 3.0;
 }
 
 std::uint32_t RetryWindow::requestsWithin(SlotNumber begin, SlotNumber end) const {
--- a/src/admission/retry_window.h
+++ b/src/admission/retry_window.h
@@ -77,10 +77,10 @@
   void forgetBefore(SlotNumber oldest);
   /// Whether so many retries more keep to the bound in each window that ends now or later.
   bool fits(std::uint32_t more, base::TimePoint now) const;
-  double allowance(std::uint32_t requests, base::TimePoint now) const;
-  /// Requests that count for the window that begins with the slot: its own, those of the window
-  /// before, or those of the one half a window before, whichever are most.
-  std::uint32_t requestsFor(SlotNumber begin) const;
+  double allowance(double requests, base::TimePoint now) const;
+  /// Requests that count for the window that begins with the slot: the mean of its own, those of
+  /// the window before, and those of the one half a window before.
+  double requestsFor(SlotNumber begin) const;
   /// Requests of the slots from `begin` up to before `end`.
   std::uint32_t requestsWithin(SlotNumber begin, SlotNumber end) const;
   SlotNumber slotsOfWindow() const;
