--- a/src/node/weights_dates.cc
+++ b/src/node/weights_dates.cc
@@ -96,7 +96,7 @@
                                                            base::Duration age) const {
   const auto now = serviceClock_();
   if (!now) return nullptr;
-  const auto write = std::make_shared<Write>();
+  auto write = std::make_shared<Write>();
   write->model = model;
   write->named = {version, *now - age};
   return write;
