--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,110 @@
+"""Callers of the nodes, and the kinds of requests that they send."""
+
+import asyncio
+import dataclasses
+import random
+
+from model_replicas import MODEL, MODEL_SERVICE, stream_events
+from replicas import SERVICE, application_answer
+from wire import now, read_message
+
+HOST = "soak.example"
+KEY = "soak-key"
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """A kind of requests, and its route."""
+
+    name: str
+    service: str
+    route_kind: str
+    attempts: int
+    resumable: bool = False
+
+    @property
+    def once(self) -> bool:
+        """Runs at most once."""
+        return self.attempts == 1
+
+    def whole_answer(self, identifier: str, body: str) -> bytes:
+        if self.service == MODEL_SERVICE:
+            return b"".join(stream_events(identifier, body))
+        return application_answer(identifier, body)
+
+    def headers(self, draw: random.Random, identifier: str) -> list[str]:
+        if self.service != MODEL_SERVICE:
+            return []
+        own = "".join(f"{ord(letter):x}" for letter in identifier)[-12:]
+        return [f"X-Covewing-Model: {MODEL}", "X-Covewing-Token-Usage: 900,60",
+                f"X-Covewing-Prompt-Prefix: a{draw.randrange(6)}:800,{own}:100"]
+
+
+SAFE = Kind("safe", SERVICE, "idempotent", 2)
+UNSAFE = Kind("unsafe", SERVICE, "non_idempotent", 1)
+STREAM = Kind("stream", MODEL_SERVICE, "streaming", 1)
+RESUMABLE = Kind("resumable", MODEL_SERVICE, "streaming", 2, True)
+KINDS = [SAFE, UNSAFE, STREAM, RESUMABLE]
+
+
+class Caller:
+    """Sends one request after the other on a connection that it keeps until it ends."""
+
+    def __init__(self, soak, number, kinds=(SAFE, UNSAFE, UNSAFE)):
+        self.soak, self.number, self.kinds = soak, number, kinds
+        self.random = random.Random(f"{soak.options.seed}/caller/{number}")
+        self.node = None
+        self.stream = None
+        self.sent = 0
+
+    async def connect(self):
+        while not self.soak.over:
+            self.node = self.random.choice(self.soak.nodes)
+            try:
+                self.stream = await asyncio.wait_for(
+                    asyncio.open_connection(self.node.address, 7000), 1)
+                return
+            except (OSError, asyncio.TimeoutError):
+                await asyncio.sleep(0.05)
+
+    async def run(self):
+        while not self.soak.over:
+            if self.stream is None:
+                await self.connect()
+            if self.stream is not None:
+                kind = self.random.choice(self.kinds)
+                await self.request(kind, f"body {self.number} {self.sent}")
+            await asyncio.sleep(self.random.expovariate(1 / 0.03))
+        self.drop()
+
+    def drop(self):
+        if self.stream is not None:
+            self.stream[1].close()
+        self.stream = None
+
+    async def request(self, kind: Kind, body):
+        self.sent += 1
+        identifier = f"{self.soak.options.seed}-{self.number}-{self.sent}"
+        reader, writer = self.stream
+        node, process = self.node, self.node.process
+        self.soak.sent_to[identifier] = node
+        self.soak.kinds[identifier] = kind
+        began = now()
+        self.soak.repeats[kind.service].on_sent(began)
+        head = [f"POST /{kind.name}/x HTTP/1.1", f"Host: {HOST}", f"X-Api-Key: {KEY}",
+                f"X-Covewing-Request-Id: {identifier}", "X-Covewing-Deadline-Milliseconds: 6000",
+                f"Content-Length: {len(body)}"] + kind.headers(self.random, identifier)
+        try:
+            writer.write(("\r\n".join(head) + "\r\n\r\n" + body).encode())
+            answer = await asyncio.wait_for(read_message(reader), 9)
+        except (asyncio.IncompleteReadError, ConnectionError, OSError):
+            self.drop()
+            self.soak.on_broken(node, process, identifier, body, now() - began)
+            return None
+        except asyncio.TimeoutError:
+            self.drop()
+            return None
+        self.soak.on_answer(identifier, kind, body, answer)
+        if answer.headers.get("connection", "").lower() == "close":
+            self.drop()
+        return answer
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,149 @@
+"""What happens to nodes, replicas and the table service, and what operators do, in series that
+overlap. Each series draws from a generator of its own."""
+
+import asyncio
+import random
+import signal
+
+from callers import UNSAFE, Caller
+from checks import Trouble
+from nodes import Node
+from replicas import DEADLY
+from wire import now
+
+# Operators and faults meet within this (seconds).
+MEET_WITHIN = 0.05
+
+
+class Faults:
+    def __init__(self, soak):
+        self.soak = soak
+        self.random = random.Random(soak.options.seed)
+
+    async def series(self, name, step, steps, pause):
+        draw = random.Random(f"{self.soak.options.seed}/{name}")
+        for _ in range(steps):
+            if self.soak.over or now() > self.soak.faults_end:
+                return
+            await step(draw)
+            await asyncio.sleep(draw.uniform(*pause))
+
+    def start_series(self):
+        steps = {"kill": self.kill_some, "stop": self.stop_some, "pause": self.pause_some,
+                 "reload": self.reload_some, "crash": self.crash_some, "store": self.trouble_store,
+                 "feed": self.trouble_feeds, "configuration": self.change_configuration,
+                 "rebirth": self.crash_model_replicas, "other writer": self.soak.other_writer.write}
+        # Each run has some kinds of faults, so that what one of them excuses shows in others.
+        names = [name for name in steps if self.random.random() < 0.35] or ["crash"]
+        # Two of a kind may overlap as well.
+        for number, name in enumerate(names + self.random.choices(names, k=2)):
+            pause = (0.2, 1.5) if self.random.random() < 0.4 else (2.0, 6.0)
+            self.soak.spawn(self.series(f"{name} {number}", steps[name],
+                                        self.random.randint(2, 8), pause))
+        for number in range(2):
+            self.soak.spawn(self.series(f"deadly {number}", self.deadly_wave, 3, (0.0, 3.0)))
+        # In calmer runs the bound of a version passes before the next fault.
+        pause = (0.3, 4.0) if self.random.random() < 0.4 else (3.5, 6.0)
+        self.soak.spawn(self.series("version", self.name_version, 8, pause))
+
+    # --- nodes
+
+    async def on_some_node(self, what, fault, draw):
+        await draw.choice(self.soak.nodes).suffer(what, fault, draw)
+
+    async def kill_some(self, draw):
+        await self.on_some_node("killed", Node.kill, draw)
+
+    async def stop_some(self, draw):
+        await self.on_some_node("stopped as planned", Node.stop, draw)
+
+    async def pause_some(self, draw):
+        await self.on_some_node("paused", Node.pause, draw)
+
+    async def on_several_nodes(self, what, fault, draw):
+        nodes = draw.sample(self.soak.nodes, draw.randint(1, len(self.soak.nodes) - 1))
+        await asyncio.gather(*(node.suffer(what, fault, draw) for node in nodes))
+
+    async def kill_several(self, draw):
+        await self.on_several_nodes("killed", Node.kill, draw)
+
+    async def pause_several(self, draw):
+        await self.on_several_nodes("paused", Node.pause, draw)
+
+    async def reload_some(self, draw):
+        for node in draw.sample(self.soak.nodes, max(1, len(self.soak.nodes) // 2)):
+            node.send(signal.SIGHUP)
+
+    # --- replicas
+
+    async def crash_some(self, draw):
+        replica = draw.choice(self.soak.replicas)
+        if replica.crash():
+            self.soak.say(f"{replica.name} crashes")
+
+    async def crash_model_replicas(self, draw):
+        count = draw.randint(1, max(1, len(self.soak.model_replicas) // 2))
+        for replica in draw.sample(self.soak.model_replicas, count):
+            if replica.crash():
+                self.soak.say(f"{replica.instance} crashes")
+
+    # --- the table service
+
+    async def trouble_store(self, draw):
+        mode = draw.choice(["down", "slow", "silent", "lose"])
+        self.soak.say(f"the table service: {mode}")
+        trouble = Trouble(now())
+        self.soak.store_troubles.append(trouble)
+        if mode == "lose":
+            self.soak.store.lose = 3
+        else:
+            self.soak.store.mode = mode
+        await asyncio.sleep(draw.uniform(0.5, 4.0))
+        self.soak.store.mode, self.soak.store.lose = "normal", 0
+        trouble.end = now()
+
+    async def trouble_feeds(self, draw):
+        """The history is dropped, or connections of some nodes fall silent for good."""
+        self.soak.store_troubles.append(Trouble(now(), now()))
+        if draw.random() < 0.5:
+            self.soak.say("the table service drops its history")
+            await self.soak.store.drop_history()
+        else:
+            self.soak.say("connections to the table service fall silent")
+            self.soak.store.listener.silence(draw.uniform(0.2, 1.0), draw)
+
+    # --- operators
+
+    async def change_configuration(self, _draw):
+        await self.soak.configure()
+
+    async def name_version(self, draw):
+        """Mostly just before or after faults of those who have to hear of it, or to load it."""
+        possible = [self.kill_several, self.pause_several, self.stop_some, self.trouble_feeds,
+                    self.crash_model_replicas]
+        weights = [3, 3, 1, 1, 2]
+        companions = draw.choices(possible, weights, k=draw.randint(0, 2))
+        before = draw.random() < 0.5
+        if not before:
+            await self.soak.name_version()
+            await asyncio.sleep(draw.uniform(0, MEET_WITHIN))
+        for companion in companions:
+            self.soak.spawn(companion(draw))
+        if before:
+            await asyncio.sleep(draw.uniform(0, MEET_WITHIN))
+            await self.soak.name_version()
+
+    # --- callers
+
+    async def deadly_wave(self, draw):
+        """One request comes again and again, at any node."""
+        body = f"{DEADLY} {draw.random()}"
+        caller = Caller(self.soak, f"d{draw.randrange(10**6)}")
+        end = now() + draw.uniform(8, 12)
+        self.soak.say(f"a wave of '{body}'")
+        while now() < end and not self.soak.over:
+            await caller.connect()
+            if caller.stream is not None:
+                await caller.request(UNSAFE, body)
+                caller.drop()
+            await asyncio.sleep(draw.uniform(0.05, 0.5))
--- /dev/null
+++ b/tests/soak/model_replicas.py
@@ -0,0 +1,228 @@
+"""Stand-ins of replicas that serve a model: they hold a version of its weights, let requests wait
+before these begin, load other versions on order, and start again under the identifier they had."""
+
+import asyncio
+import dataclasses
+import json
+import random
+
+from replicas import unix_milliseconds
+from wire import Listener, Peer, http_answer, now
+
+MODEL_SERVICE = "llm"
+MODEL = "m0"
+SLOTS = 8
+# Requests that wait beyond these are refused.
+QUEUE = 24
+# How long a replica is slow after its start (seconds).
+COLD_FOR = 2.0
+LOAD_SECONDS = (0.3, 0.8)
+LONGEST_WAIT = 2.0
+
+
+def stream_events(identifier: str, body: str) -> list[bytes]:
+    """The events of the whole answer; their identifiers are 1, 2, and so on."""
+    pieces = [f"ran {identifier}", body, "end"]
+    return [f"id: {number}\ndata: {piece}\n\n".encode()
+            for number, piece in enumerate(pieces, start=1)]
+
+
+@dataclasses.dataclass
+class Life:
+    """What a replica holds and knows from one start to its end."""
+
+    born: int
+    started: float
+    sequence: int = 0
+    fence: int = 0
+    loading: bool = False
+    waiting: int = 0
+    running: set[str] = dataclasses.field(default_factory=set)
+    # Set when an order ends the wait of those that have not begun.
+    flushed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    # The version under which each part was read, by salt and part.
+    cache: dict[tuple[str, str], int] = dataclasses.field(default_factory=dict)
+
+
+class ModelReplica:
+    def __init__(self, soak, index):
+        self.soak, self.instance = soak, f"model-replica-{index}"
+        self.zone = f"zone-{index % 3}"
+        self.random = random.Random(f"{soak.options.seed}/{self.instance}")
+        self.listener, self.port = None, 0
+        self.version = 1
+        self.life: Life | None = None
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
+    async def start(self):
+        self.life = Life(unix_milliseconds(), now())
+        self.listener = Listener(self.handle)
+        self.listener.port = self.port
+        await self.listener.open()
+        self.port = self.listener.port
+        await self.tell()
+
+    async def tell(self):
+        await self.soak.store.put("servers", self.instance, json.dumps(self.entry()).encode())
+
+    def entry(self) -> dict:
+        cold = max(0, int((self.life.started + COLD_FOR - now()) * 1000))
+        return {"service": MODEL_SERVICE, "address": self.address, "zone": self.zone, "version": 1,
+                "slots": SLOTS, "state": "ready", "cold_remaining_ms": cold,
+                "sequence": self.life.sequence, "born": self.life.born, "stage": "combined",
+                "models": self.models()}
+
+    def models(self) -> list[dict]:
+        return [{"name": MODEL, "version": self.version, "adapters": []}]
+
+    def crash(self) -> bool:
+        """Ends at once and says nothing; False where it has ended already."""
+        if self.listener is None:
+            return False
+        self.soak.cut_runs |= self.life.running
+        listener, self.listener, self.life = self.listener, None, None
+        listener.cut()
+        self.soak.spawn(self.start_again())
+        return True
+
+    async def start_again(self):
+        await asyncio.sleep(self.random.uniform(0.2, 2.0))
+        await self.start()
+
+    async def handle(self, message, peer: Peer):
+        life, headers = self.life, message.headers
+        identifier = headers.get("x-covewing-request-id", "")
+        if identifier:
+            self.soak.repeats[MODEL_SERVICE].on_arrival(identifier, now())
+        if life is None:
+            return None
+        if headers.get("x-covewing-expected-instance", self.instance) != self.instance:
+            return self.refusal(421, identifier)
+        if message.path == "/-/order":
+            return self.answer(self.take_order(life, json.loads(message.body)))
+        if message.path == "/-/report":
+            return self.answer(200, self.report(life))
+        if message.path == "/-/kv-events":
+            await asyncio.sleep(min(int(headers.get("wait-ms", "0")), 1000) / 1000)
+            return self.answer(200, {"epoch": life.born, "next_page_token": 0, "lost": False,
+                                     "events": []})
+        if message.path == "/health":
+            return self.answer(200)
+        return await self.serve(life, message, peer, identifier)
+
+    def answer(self, status, body=None):
+        return http_answer(status, json.dumps(body or {}).encode(),
+                           [("Content-Type", "application/json"),
+                            ("X-Covewing-Instance-Id", self.instance)])
+
+    def head(self, identifier):
+        return [("X-Covewing-Request-Id", identifier), ("X-Covewing-Instance-Id", self.instance),
+                ("X-Covewing-Weight-Versions", self.version)]
+
+    def refusal(self, status, identifier):
+        return http_answer(status, b"", self.head(identifier) + [("X-Covewing-Not-Executed", "1")])
+
+    def report(self, life: Life) -> dict:
+        return {"stage": "combined", "models": self.models(), "busy": life.loading,
+                "sequence": life.sequence, "queued_requests": life.waiting,
+                "running_requests": len(life.running), "kv_cache_used": 0, "kv_cache_total": 90000,
+                "handles": 0}
+
+    # --- orders
+
+    def take_order(self, life: Life, order: dict) -> int:
+        wanted, token = order.get("version"), order.get("fencing_token")
+        if order.get("model") != MODEL or not order.get("holder") or token is None:
+            return 400
+        if token < life.fence:
+            return 412
+        life.fence = token
+        if wanted == self.version and not life.loading:
+            return 200
+        if wanted not in self.soak.versions.named:
+            return 400
+        if life.loading or order.get("expected_revision", life.sequence) != life.sequence:
+            return 409
+        life.sequence += 1
+        life.loading = True
+        life.flushed.set()
+        self.soak.spawn(self.load(life, wanted))
+        return 202
+
+    async def load(self, life: Life, version: int):
+        while life.running:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(self.random.uniform(*LOAD_SECONDS))
+        if life is not self.life:
+            return
+        self.version, life.loading = version, False
+        life.cache.clear()
+        life.flushed = asyncio.Event()
+        await self.tell()
+
+    # --- requests
+
+    def draw_wait(self, life: Life) -> float:
+        """Most begin at once; some, and all while the replica is cold, wait long."""
+        slow = now() < life.started + COLD_FOR or self.random.random() < 0.15
+        return self.random.uniform(0.2, LONGEST_WAIT) if slow else self.random.expovariate(1 / 0.02)
+
+    async def serve(self, life: Life, message, peer: Peer, identifier: str):
+        expected = message.headers.get("x-covewing-expected-version", str(self.version))
+        if expected != str(self.version):
+            return self.refusal(421, identifier)
+        if life.loading or life.waiting + len(life.running) >= SLOTS + QUEUE:
+            return self.refusal(503, identifier)
+        arrived = now()
+        if await self.wait_is_cut(life):
+            return self.refusal(503, identifier)
+        if peer.gone() or life is not self.life:
+            return None
+        self.soak.on_begin(self, identifier, arrived)
+        self.read_prompt(life, message, identifier)
+        life.running.add(identifier)
+        try:
+            return await self.run(message, peer, identifier)
+        finally:
+            life.running.discard(identifier)
+
+    async def wait_is_cut(self, life: Life) -> bool:
+        """Waits until the request may begin; whether an order came before that."""
+        life.waiting += 1
+        try:
+            await asyncio.wait_for(life.flushed.wait(), self.draw_wait(life))
+            return True
+        except asyncio.TimeoutError:
+            return life.loading
+        finally:
+            life.waiting -= 1
+
+    async def run(self, message, peer: Peer, identifier: str):
+        events = stream_events(identifier, message.body.decode("latin-1"))
+        left = events[int(message.headers.get("last-event-id") or 0):]
+        answer = http_answer(200, b"".join(left), self.head(identifier) + [
+            ("X-Covewing-Server-Signature", self.instance), ("Content-Type", "text/event-stream")])
+        # All but the last event come as soon as the request begins.
+        rest = len(left[-1]) if left else 0
+        peer.writer.write(answer[:len(answer) - rest])
+        await asyncio.sleep(self.random.uniform(0.02, 0.3))
+        return answer[len(answer) - rest:]
+
+    def read_prompt(self, life: Life, message, identifier: str):
+        """Takes the parts of the prompt that are kept here or where the request fetches from."""
+        headers = message.headers
+        salt, source = headers.get("x-covewing-cache-salt", ""), headers.get(
+            "x-covewing-cache-fetch-from", "")
+        kept = [life.cache] + [other.life.cache for other in self.soak.model_replicas
+                               if other.life is not None and other.address == source]
+        for part in headers.get("x-covewing-prompt-prefix", "").split(","):
+            key = (salt, part)
+            for cache in kept:
+                if cache.get(key, self.version) != self.version:
+                    self.soak.violate(
+                        f"{identifier} ran on version {self.version} with a part that was made "
+                        f"under version {cache[key]}", "parts")
+            life.cache[key] = self.version
--- /dev/null
+++ b/tests/soak/nodes.py
@@ -0,0 +1,115 @@
+"""Processes of covewing-node."""
+
+import asyncio
+import ctypes
+import signal
+import subprocess
+
+from checks import Trouble, calm_since
+from wire import now
+
+
+def end_with_parent():
+    """A soak that is killed leaves no node behind."""
+    set_parent_death_signal = 1
+    ctypes.CDLL(None).prctl(set_parent_death_signal, signal.SIGKILL)
+
+
+class Node:
+    """One covewing-node process."""
+
+    def __init__(self, soak, index):
+        self.soak, self.index = soak, index
+        self.address = f"127.{soak.subnet}.{index + 1}.1"
+        self.process = None
+        self.stopping = False
+        # A fault that stops or starts the process is under way.
+        self.busy = False
+        self.troubles: list[Trouble] = []
+
+    def calm(self) -> bool:
+        return calm_since(self.troubles) < now()
+
+    def settings(self):
+        peers = ", ".join(f'"127.{self.soak.subnet}.{index + 1}.1:7001"'
+                          for index in range(min(3, self.soak.options.nodes)))
+        bounds = self.soak.bounds
+        return f"""
+[node]
+name = "node-{self.index}"
+zone = "zone-{self.index % 3}"
+region = "region"
+[listen]
+callers = "{self.address}:7000"
+readiness = "{self.address}:7002"
+peers = "{self.address}:7001"
+metrics = "{self.address}:7003"
+[cluster]
+seeds = [{peers}]
+[table_service]
+address = "127.0.0.1:{self.soak.store.listener.port}"
+[bounds]
+grace_s = 8
+revocation_ms = 5000
+retry_ratio = {bounds.retry_ratio}
+retry_window_s = {bounds.retry_window}
+retry_slack = {bounds.retry_slack}
+weights_in_force_ms = {int(bounds.weights_in_force * 1000)}
+fencing_enforced = true
+lease_ms = 3000
+"""
+
+    async def start(self):
+        self.stopping = False
+        # In a thread: a busy disk holds the start up, and with it all stand-ins otherwise.
+        await asyncio.to_thread(self.start_process)
+
+    def start_process(self):
+        file = self.soak.folder / f"node-{self.index}.toml"
+        file.write_text(self.settings(), encoding="utf-8")
+        with open(file.with_suffix(".log"), "ab") as log:
+            self.process = subprocess.Popen([str(self.soak.options.program), str(file)],
+                                            stdout=log, stderr=log, preexec_fn=end_with_parent)
+
+    def send(self, number):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def ended(self):
+        while self.process.poll() is None:
+            await asyncio.sleep(0.02)
+
+    async def kill(self, draw):
+        self.send(signal.SIGKILL)
+        await self.ended()
+        await asyncio.sleep(draw.uniform(0.1, 1.0))
+        await self.start()
+
+    async def stop(self, _draw):
+        """A planned stop, to the end of the process."""
+        self.stopping = True
+        self.send(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(self.ended(), 12)
+        except asyncio.TimeoutError:
+            self.soak.violate(f"node-{self.index} has not ended 12 s after it was told to stop")
+            self.send(signal.SIGKILL)
+            await self.ended()
+        await self.start()
+
+    async def pause(self, draw):
+        self.send(signal.SIGSTOP)
+        await asyncio.sleep(draw.uniform(0.1, 3.0))
+        self.send(signal.SIGCONT)
+
+    async def suffer(self, what, fault, draw):
+        """Faults of different nodes overlap; those of one node follow each other."""
+        if self.busy:
+            return
+        self.busy = True
+        self.soak.say(f"node-{self.index} is {what}")
+        trouble = Trouble(now())
+        self.troubles.append(trouble)
+        await fault(self, draw)
+        trouble.end = now()
+        self.busy = False
--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -1,10 +1,14 @@
 """A randomized fault soak of covewing-node: real processes on loopback, faults from outside them.
 
-A stand-in of the platform (the table service and application replicas) and the callers run in this
-process; the nodes are processes of their own. A seed draws several series of faults that overlap:
-nodes are killed, stopped as planned, paused and told to reload, in series; replicas crash, some under
-one caller's request each time that it begins; the table service is down, slow or loses answers; the
-configuration changes. Callers keep to their open connections until the node is gone.
+Stand-ins of the platform (the table service, application replicas and replicas that serve a model)
+and the callers run in this process; the nodes are processes of their own. A seed draws several
+series of faults that overlap (faults.py): nodes are killed, stopped as planned, paused and told to
+reload; application replicas crash, some under one caller's request each time that it begins; model
+replicas crash and start again under the identifier that they had; entries by another writer appear
+in the list of replicas; the table service is down, slow, loses answers, drops its history or leaves
+connections silent; the configuration changes. Operators name new versions of the weights all the
+while, mostly within MEET_WITHIN of a fault of those who have to hear of it. Callers keep to their
+open connections until the node is gone.
 
 Checked, from what callers and replicas saw:
 - a request that may run once runs at most once;
@@ -14,417 +18,62 @@
 - a request under which three replicas ended reaches at most three more of them later than
   KNOWN_AFTER behind the third end, from nodes that were calm with the table service for CALM_AFTER;
 - no other request is refused for it;
-- in the end every node serves.
+- no request that such a calm node sent begins on an older version of the weights later than the
+  bound behind a newer one's acknowledgement (checks.VersionRule), nor uses a cached part that was
+  made under another version;
+- arrivals beyond the first of each request stay within their bound (checks.RepeatRule);
+- nothing arrives at the address of an entry by another writer;
+- in the end every node serves, and all model replicas hold the newest version.
 
 Exit status: 0 when all held, 1 with the violations, 2 for a wrong command line.
 """
 
 import argparse
 import asyncio
-import base64
 import collections
-import ctypes
+import dataclasses
 import json
 import os
 import pathlib
-import random
 import signal
+import socket
 import sys
 import tempfile
-import time
-import urllib.parse
 
-HOST = "soak.example"
-KEY = "soak-key"
+from callers import HOST, KEY, KINDS, RESUMABLE, SAFE, STREAM, Caller
+from checks import RepeatRule, Trouble, VersionRule, calm_since
+from faults import Faults
+from model_replicas import MODEL, MODEL_SERVICE, SLOTS, ModelReplica
+from nodes import Node
+from other_writer import OtherWriter
+from replicas import DEADLY, SERVICE, Replica
+from table_service import Store
+from wire import now
+
 TENANT = "soak-tenant"
-SERVICE = "app"
 # Behind the third end of a replica, all nodes in touch refuse the request after this (seconds).
 KNOWN_AFTER = 3.0
 MOST_MORE = 3
-# A fault of a node or of the table service that ended less than this ago is still felt (seconds).
-CALM_AFTER = 3.0
+# The shortest of the configurations.
+ROUTE_TIMEOUT_MS = 4000
+# Requests that begin on an older version so little before the bound show that it is met (seconds).
+NEAR_BOUND = 0.5
 CODE_QUARANTINED = 409
-DEADLY = "deadly"
+MOST_TOLD = 10
 READY_SECONDS = 20
+# From the last fault until all model replicas hold the newest version: twice the bound and the time
+# for which a fault is felt, and a lease that has to pass on.
+ALL_LOADED_SECONDS = 15
 
 
-def now():
-    return time.monotonic()
-
-
-def end_with_parent():
-    """A soak that is killed leaves no node behind."""
-    set_parent_death_signal = 1
-    ctypes.CDLL(None).prctl(set_parent_death_signal, signal.SIGKILL)
-
-
-def calm_now(troubles):
-    """Whether none of the faults is felt any more."""
-    return all(end is not None and now() > end + CALM_AFTER for _, end in troubles)
-
-
-class HttpMessage:
-    """Head fields in lower case, first line and body."""
-
-    def __init__(self, first, headers, body):
-        self.first, self.headers, self.body = first, headers, body
-
-
-async def read_message(reader):
-    """The next message; None where the connection ends before one begins."""
-    head = await reader.readuntil(b"\r\n\r\n")
-    lines = head.decode("latin-1").split("\r\n")
-    headers = {}
-    for line in lines[1:]:
-        if line:
-            name, _, value = line.partition(":")
-            headers[name.strip().lower()] = value.strip()
-    body = b""
-    if headers.get("transfer-encoding") == "chunked":
-        while True:
-            size = int((await reader.readline()).strip(), 16)
-            body += (await reader.readexactly(size + 2))[:-2]
-            if size == 0:
-                break
-    else:
-        body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return HttpMessage(lines[0], headers, body)
-
-
-def http_answer(status, body, headers=()):
-    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
-    lines += [f"{name}: {value}" for name, value in headers]
-    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
-
-
-class Listener:
-    """A server whose connections can all be cut at once."""
-
-    def __init__(self, handle):
-        self.handle = handle
-        self.server = None
-        self.writers = set()
-        self.port = 0
-
-    async def open(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
-        self.port = self.server.sockets[0].getsockname()[1]
-
-    async def serve(self, reader, writer):
-        self.writers.add(writer)
-        try:
-            while True:
-                answer = await self.handle(await read_message(reader))
-                if answer is None:
-                    break
-                writer.write(answer)
-                await writer.drain()
-        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError, ValueError):
-            pass  # The peer ended the connection, or the soak is over.
-        finally:
-            self.writers.discard(writer)
-            writer.close()
-
-    def cut(self):
-        self.server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
-
-
-class Store:
-    """The table service: rows, transactions under conditions, feeds."""
-
-    def __init__(self):
-        self.rows = collections.defaultdict(dict)
-        self.version = 0
-        self.changed = asyncio.Condition()
-        self.mode = "normal"
-        self.lose = 0
-        self.listener = Listener(self.handle)
-
-    async def put(self, table, key, value):
-        """Sets a row, or removes it where the value is None."""
-        async with self.changed:
-            self.set(table, key, value)
-            self.changed.notify_all()
-
-    def set(self, table, key, value):
-        self.version += 1
-        self.rows[table][key] = (self.version, value)
-
-    def row(self, table, key):
-        version, value = self.rows[table][key]
-        row = {"table": table, "part": "", "private_key": key, "ver": version}
-        if value is None:
-            row["gone"] = True
-        else:
-            row["value"] = base64.b64encode(value).decode()
-        return row
-
-    def answer(self, rows, status=200):
-        body = {"ver": self.version, "now_ms": int(now() * 1000), "rows": rows, "has_more": False}
-        return http_answer(status, json.dumps(body).encode(), [("Content-Type", "application/json")])
-
-    async def handle(self, message):
-        method, target, _ = message.first.split(" ")
-        if self.mode == "down":
-            return http_answer(503, b"{}")
-        if self.mode == "silent":
-            await asyncio.sleep(30)
-            return None
-        await asyncio.sleep(0.3 if self.mode == "slow" else 0.002)
-        path, _, query = target.partition("?")
-        values = dict(pair.split("=", 1) for pair in query.split("&") if pair)
-        if path == "/-/rows-get":
-            return self.get(values)
-        if path == "/-/rows-feed":
-            return await self.feed(values)
-        if path == "/-/rows-tx" and method == "POST":
-            return await self.transact(json.loads(message.body))
-        return http_answer(404, b"{}")
-
-    def get(self, values):
-        first = urllib.parse.unquote(values.get("source", ""))
-        end = urllib.parse.unquote(values.get("target_version", ""))
-        table = values["table"]
-        keys = [key for key in sorted(self.rows[table])
-                if key >= first and (not end or key < end) and self.rows[table][key][1] is not None]
-        return self.answer([self.row(table, key) for key in keys])
-
-    async def feed(self, values):
-        table, after = values["table"], int(values["after"])
-
-        def news():
-            found = [key for key, (version, _) in self.rows[table].items() if version > after]
-            return sorted(found, key=lambda key: self.rows[table][key][0])
-
-        async with self.changed:
-            try:
-                await asyncio.wait_for(self.changed.wait_for(news), int(values["wait_ms"]) / 1000)
-            except asyncio.TimeoutError:
-                pass
-            return self.answer([self.row(table, key) for key in news()])
-
-    async def transact(self, body):
-        async with self.changed:
-            for wanted in body["expected_revision"]:
-                known = self.rows[wanted["table"]].get(wanted["private_key"], (0, None))
-                if (known[0] if known[1] is not None else 0) != wanted["ver"]:
-                    present = [self.row(entry["table"], entry["private_key"])
-                               for entry in body["expected_revision"]
-                               if self.rows[entry["table"]].get(entry["private_key"], (0, None))[1]
-                               is not None]
-                    return self.answer(present, 412)
-            for entry in body["put"]:
-                self.set(entry["table"], entry["private_key"], base64.b64decode(entry["value"]))
-            for entry in body["remove"]:
-                self.set(entry["table"], entry["private_key"], None)
-            self.changed.notify_all()
-        if self.lose > 0:
-            self.lose -= 1
-            return None
-        return self.answer([])
-
-
-class Replica:
-    """An application replica. A request whose body begins with DEADLY ends it."""
-
-    def __init__(self, soak, name):
-        self.soak, self.name, self.starts = soak, name, 0
-        self.instance, self.listener = "", None
-        self.port = 0
-        self.leaving = False
-
-    async def start(self):
-        self.starts += 1
-        self.instance = f"{self.name}-{self.starts}"
-        self.leaving = False
-        self.listener = Listener(self.handle)
-        self.listener.port = self.port
-        await self.listener.open()
-        self.port = self.listener.port
-        await self.tell("ready")
-
-    async def tell(self, state):
-        entry = {"service": SERVICE, "address": f"127.0.0.1:{self.port}", "zone": "zone-0",
-                 "version": 1, "slots": 16, "state": state, "cold_remaining_ms": 0, "sequence": 0}
-        await self.soak.store.put("servers", self.instance, json.dumps(entry).encode())
-
-    async def handle(self, message):
-        identifier = message.headers.get("x-covewing-request-id", "")
-        expected = message.headers.get("x-covewing-expected-instance", self.instance)
-        echo = [("X-Covewing-Request-Id", identifier), ("X-Covewing-Instance-Id", self.instance)]
-        if expected != self.instance:
-            return http_answer(421, b"", echo + [("X-Covewing-Not-Executed", "1")])
-        self.soak.runs[identifier] += 1
-        body = message.body.decode("latin-1")
-        if body.startswith(DEADLY):
-            self.soak.on_deadly_arrival(body, identifier)
-            await asyncio.sleep(self.soak.noise.uniform(0.02, 0.1))
-            self.end_under(body)
-            return None
-        await asyncio.sleep(self.soak.noise.expovariate(1 / 0.02))
-        return http_answer(200, f"ran {identifier} {body}".encode(),
-                           echo + [("X-Covewing-Server-Signature", self.instance)])
-
-    def end_under(self, body):
-        if self.crash():
-            self.soak.ends[body].append(now())
-
-    def crash(self):
-        """Ends at once; False where it has ended already."""
-        if self.listener is None:
-            return False
-        listener, instance = self.listener, self.instance
-        self.listener = None
-        listener.cut()
-        self.soak.spawn(self.come_back(instance))
-        return True
-
-    async def come_back(self, instance):
-        back = asyncio.sleep(self.soak.noise.uniform(0.8, 3.0))
-        await asyncio.sleep(0.7)
-        await self.soak.store.put("servers", instance, None)
-        await back
-        await self.start()
-
-
-class Node:
-    """One covewing-node process."""
-
-    def __init__(self, soak, index):
-        self.soak, self.index = soak, index
-        self.address = f"127.{soak.subnet}.{index + 1}.1"
-        self.process = None
-        self.stopping = False
-        # A fault that stops or starts the process is under way.
-        self.busy = False
-        # Times of faults, as [begin, end]; the end of one under way is None.
-        self.troubles = []
-
-    def settings(self):
-        peers = ", ".join(f'"127.{self.soak.subnet}.{index + 1}.1:7001"'
-                          for index in range(min(3, self.soak.options.nodes)))
-        return f"""
-[node]
-name = "node-{self.index}"
-zone = "zone-{self.index % 3}"
-region = "region"
-[listen]
-callers = "{self.address}:7000"
-readiness = "{self.address}:7002"
-peers = "{self.address}:7001"
-metrics = "{self.address}:7003"
-[cluster]
-seeds = [{peers}]
-[table_service]
-address = "127.0.0.1:{self.soak.store.listener.port}"
-[bounds]
-grace_s = 8
-revocation_ms = 5000
-retry_ratio = 0.2
-retry_window_s = 10
-retry_slack = 50
-fencing_enforced = true
-lease_ms = 3000
-"""
-
-    async def start(self):
-        file = self.soak.folder / f"node-{self.index}.toml"
-        file.write_text(self.settings(), encoding="utf-8")
-        log = open(self.soak.folder / f"node-{self.index}.log", "ab")
-        self.stopping = False
-        self.process = await asyncio.create_subprocess_exec(
-            str(self.soak.options.program), str(file), stdout=log, stderr=log,
-            preexec_fn=end_with_parent)
-        log.close()
-
-    def send(self, number):
-        if self.process.returncode is None:
-            self.process.send_signal(number)
-
-    async def kill(self):
-        self.send(signal.SIGKILL)
-        await self.process.wait()
-        await asyncio.sleep(self.soak.draw.uniform(0.1, 1.0))
-        await self.start()
-
-    async def stop(self):
-        """A planned stop, to the end of the process."""
-        self.stopping = True
-        self.send(signal.SIGTERM)
-        try:
-            await asyncio.wait_for(self.process.wait(), 12)
-        except asyncio.TimeoutError:
-            self.soak.violate(f"node-{self.index} has not ended 12 s after it was told to stop")
-            self.send(signal.SIGKILL)
-            await self.process.wait()
-        await self.start()
-
-    async def pause(self, seconds):
-        self.send(signal.SIGSTOP)
-        await asyncio.sleep(seconds)
-        self.send(signal.SIGCONT)
-
-
-class Caller:
-    """Sends one request after the other on a connection that it keeps until it ends."""
-
-    def __init__(self, soak, number):
-        self.soak, self.number = soak, number
-        self.random = random.Random(f"{soak.options.seed}/caller/{number}")
-        self.node = None
-        self.stream = None
-        self.sent = 0
-
-    async def connect(self):
-        while not self.soak.over:
-            self.node = self.random.choice(self.soak.nodes)
-            try:
-                self.stream = await asyncio.wait_for(
-                    asyncio.open_connection(self.node.address, 7000), 1)
-                return
-            except (OSError, asyncio.TimeoutError):
-                await asyncio.sleep(0.05)
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """What the nodes are told to keep to; times in seconds. Short, so that they are met often."""
 
-    async def run(self):
-        while not self.soak.over:
-            if self.stream is None:
-                await self.connect()
-            if self.stream is not None:
-                kind = "safe" if self.random.random() < 0.3 else "unsafe"
-                await self.request(kind, f"body {self.number} {self.sent}")
-            await asyncio.sleep(self.random.expovariate(1 / 0.03))
-        self.drop()
-
-    def drop(self):
-        if self.stream is not None:
-            self.stream[1].close()
-        self.stream = None
-
-    async def request(self, kind, body):
-        self.sent += 1
-        identifier = f"{self.soak.options.seed}-{self.number}-{self.sent}"
-        reader, writer = self.stream
-        node, process = self.node, self.node.process
-        self.soak.sent_to[identifier] = node
-        head = [f"POST /{kind}/x HTTP/1.1", f"Host: {HOST}", f"X-Api-Key: {KEY}",
-                f"X-Covewing-Request-Id: {identifier}", "X-Covewing-Deadline-Milliseconds: 6000",
-                f"Content-Length: {len(body)}"]
-        try:
-            writer.write(("\r\n".join(head) + "\r\n\r\n" + body).encode())
-            answer = await asyncio.wait_for(read_message(reader), 9)
-        except (asyncio.IncompleteReadError, ConnectionError, OSError):
-            self.drop()
-            self.soak.on_broken(node, process, identifier, kind, body)
-            return None
-        except asyncio.TimeoutError:
-            self.drop()
-            return None
-        self.soak.on_answer(identifier, kind, body, answer)
-        if answer.headers.get("connection", "").lower() == "close":
-            self.drop()
-        return answer
+    weights_in_force: float = 3.0
+    retry_ratio: float = 0.05
+    retry_window: float = 3.0
+    retry_slack: float = 6.0
 
 
 class Soak:
@@ -432,12 +81,14 @@
 
     def __init__(self, options):
         self.options = options
-        self.draw = random.Random(options.seed)
-        self.noise = random.Random(options.seed + 1)
+        self.bounds = Bounds()
         self.subnet = 16 + options.slot
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="covewing-soak-"))
         self.store = Store()
+        self.other_writer = OtherWriter(self)
         self.replicas = [Replica(self, f"replica-{index}") for index in range(options.replicas)]
+        self.model_replicas = [ModelReplica(self, index)
+                               for index in range(options.model_replicas)]
         self.nodes = [Node(self, index) for index in range(options.nodes)]
         self.runs = collections.Counter()
         self.kinds = {}
@@ -446,13 +97,20 @@
         self.sent_to = {}
         self.arrivals = collections.defaultdict(list)
         self.ends = collections.defaultdict(list)
-        # Those of the table service, as [begin, end].
-        self.store_troubles = []
+        # Requests whose replica ended under them.
+        self.cut_runs = set()
+        self.store_troubles: list[Trouble] = []
+        self.versions = VersionRule(self.bounds.weights_in_force, self.store_troubles)
+        self.repeats = {
+            service: RepeatRule(self.bounds.retry_window, self.bounds.retry_ratio,
+                                self.bounds.retry_slack) for service in (SERVICE, MODEL_SERVICE)}
         self.violations = []
+        self.broken_rules = collections.Counter()
         self.counts = collections.Counter()
         self.over = False
         self.tasks = set()
         self.configuration = 0
+        self.faults = Faults(self)
 
     def spawn(self, work):
         task = asyncio.ensure_future(work)
@@ -464,40 +122,54 @@
         if not task.cancelled() and task.exception() is not None:
             self.violate(f"the soak itself failed: {task.exception()!r}")
 
-    def violate(self, what):
-        if len(self.violations) < 20:
-            self.violations.append(f"{now() - self.began:.1f} s: {what}")
+    def violate(self, what, rule="others"):
+        """Of each rule the first are told, so that one that is broken often hides no other."""
+        self.broken_rules[rule] += 1
+        if self.broken_rules[rule] <= MOST_TOLD:
+            self.violations.append(f"{now() - self.began:.3f} s: {what}")
 
     def say(self, what):
         if self.options.verbose:
-            print(f"soak: {now() - self.began:.1f} s: {what}", flush=True)
+            print(f"soak: {now() - self.began:.3f} s: {what}", flush=True)
+
+    # --- operators
 
     async def configure(self):
         """A newer configuration, with another time-out."""
         self.configuration += 1
-        timeout = 4000 + 100 * (self.configuration % 5)
-        routes = [{"name": kind, "host": HOST, "path_prefix": f"/{kind}/", "kind": name,
-                   "timeout_ms": timeout, "target_latency_ms": 400, "priority": 1,
-                   "service": SERVICE, "attempts": 2 if kind == "safe" else 1}
-                  for kind, name in (("safe", "idempotent"), ("unsafe", "non_idempotent"))]
+        timeout = ROUTE_TIMEOUT_MS + 100 * (self.configuration % 5)
+        routes = [{"name": kind.name, "host": HOST, "path_prefix": f"/{kind.name}/",
+                   "kind": kind.route_kind, "timeout_ms": timeout, "target_latency_ms": 400,
+                   "gap_target_ms": 500, "priority": 1, "service": kind.service,
+                   "attempts": kind.attempts, "resumable": kind.resumable,
+                   "sticky": kind.service == MODEL_SERVICE} for kind in KINDS]
+        engine = {"slots": SLOTS, "kv_cache_tokens": 90000, "max_concurrency": 4,
+                  "models": [{"name": MODEL}]}
         document = {"version": self.configuration, "routes": routes,
-                    "services": [{"name": SERVICE, "health_path": "/health"}],
+                    "services": [{"name": SERVICE, "health_path": "/health"},
+                                 {"name": MODEL_SERVICE, "health_path": "/health",
+                                  "engine": engine}],
                     "tenants": [{"name": TENANT, "keys": [KEY], "priority": 1}],
                     "limits": {"header_bytes": 16384, "body_bytes": 1048576,
                                "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
         await self.store.put("op", "config", json.dumps(document).encode())
 
-    # --- what callers saw
+    async def name_version(self):
+        version = self.versions.newest + 1
+        document = {"model": MODEL, "version": version}
+        await self.store.put("op", f"version/{MODEL}", json.dumps(document).encode())
+        self.versions.named[version] = now()
+        self.say(f"version {version} is named")
+
+    # --- what callers and replicas saw
 
     def on_answer(self, identifier, kind, body, answer):
-        status = int(answer.first.split(" ")[1])
-        self.counts[status] += 1
-        self.kinds[identifier] = kind
-        if status == 200:
-            if answer.body != f"ran {identifier} {body}".encode():
+        self.counts[answer.status] += 1
+        if answer.status == 200:
+            if answer.body != kind.whole_answer(identifier, body):
                 self.violate(f"{identifier} got another answer: {answer.body[:80]!r}")
-        elif status in (429, 503):
-            self.not_run[identifier] = status
+        elif answer.status in (429, 503):
+            self.not_run[identifier] = answer.status
             quarantined = json.loads(answer.body or b"{}").get("code") == CODE_QUARANTINED
             if quarantined:
                 self.counts["quarantined"] += 1
@@ -505,105 +177,44 @@
                     self.violate(f"{identifier} was refused as a request that ends replicas")
 
     def on_deadly_arrival(self, body, identifier):
-        node = self.sent_to[identifier]
-        calm = calm_now(node.troubles) and calm_now(self.store_troubles)
+        calm = self.sent_to[identifier].calm() and calm_since(self.store_troubles) < now()
         self.arrivals[body].append((now(), calm))
 
-    def on_broken(self, node, process, identifier, kind, body):
-        self.counts["broken"] += 1
-        self.kinds[identifier] = kind
-        planned = node.stopping and node.process is process
-        if planned and self.runs[identifier] > 0 and not body.startswith(DEADLY):
-            self.violate(f"{identifier} was broken off by the planned stop of node-{node.index}")
-
-    # --- faults, in series that overlap
-
-    async def series(self, name, step, steps, pause):
-        for _ in range(steps):
-            if self.over or now() > self.faults_end:
-                return
-            await step()
-            await asyncio.sleep(self.draw.uniform(*pause))
-
-    async def on_some_node(self, what, fault):
-        """Faults of different nodes overlap; those of one node follow each other."""
-        node = self.draw.choice(self.nodes)
-        if node.busy:
+    def on_begin(self, replica, identifier, arrived):
+        """A model replica begins a request that came at `arrived`."""
+        self.runs[identifier] += 1
+        late = self.versions.late_by(replica.version, now())
+        if late <= 0:
+            self.counts["begins near the bound"] += late > -NEAR_BOUND
             return
-        node.busy = True
-        self.say(f"node-{node.index} is {what}")
-        node.troubles.append([now(), None])
-        await fault(node)
-        node.troubles[-1][1] = now()
-        node.busy = False
-
-    async def kill_some(self):
-        await self.on_some_node("killed", Node.kill)
-
-    async def stop_some(self):
-        await self.on_some_node("stopped as planned", Node.stop)
-
-    async def pause_some(self):
-        seconds = self.draw.uniform(0.1, 3.0)
-        await self.on_some_node("paused", lambda node: node.pause(seconds))
-
-    async def reload_some(self):
-        for node in self.draw.sample(self.nodes, max(1, len(self.nodes) // 2)):
-            node.send(signal.SIGHUP)
-
-    async def crash_some(self):
-        replica = self.draw.choice(self.replicas)
-        if replica.crash():
-            self.say(f"{replica.name} crashes")
-
-    async def trouble_store(self):
-        mode = self.draw.choice(["down", "slow", "silent", "lose"])
-        self.say(f"the table service: {mode}")
-        trouble = [now(), None]
-        self.store_troubles.append(trouble)
-        if mode == "lose":
-            self.store.lose = 3
-        else:
-            self.store.mode = mode
-        await asyncio.sleep(self.draw.uniform(0.5, 4.0))
-        self.store.mode, self.store.lose = "normal", 0
-        trouble[1] = now()
-
-    async def change_configuration(self):
-        await self.configure()
+        self.counts["late begins"] += 1
+        node = self.sent_to[identifier]
+        if node.calm():
+            self.violate(
+                f"{identifier} of node-{node.index} begins on version {replica.version} at "
+                f"{replica.instance} {1000 * late:.0f} ms too late, {1000 * (now() - arrived):.0f} "
+                f"ms after it came; the newest is {self.versions.newest}", "version")
 
-    async def deadly_wave(self):
-        """One request comes again and again, at any node."""
-        body = f"{DEADLY} {self.draw.random()}"
-        caller = Caller(self, f"d{self.draw.randrange(10**6)}")
-        end = now() + self.draw.uniform(8, 12)
-        self.say(f"a wave of '{body}'")
-        while now() < end and not self.over:
-            await caller.connect()
-            if caller.stream is not None:
-                await caller.request("unsafe", body)
-                caller.drop()
-            await asyncio.sleep(self.draw.uniform(0.05, 0.5))
-
-    def start_series(self):
-        steps = {"kill": self.kill_some, "stop": self.stop_some, "pause": self.pause_some,
-                 "reload": self.reload_some, "crash": self.crash_some, "store": self.trouble_store,
-                 "configuration": self.change_configuration}
-        # Each run has some kinds of faults, so that what one of them excuses shows in others.
-        names = [name for name in steps if self.draw.random() < 0.6] or ["crash"]
-        # Two of a kind may overlap as well.
-        for name in names + self.draw.choices(names, k=3):
-            pause = (0.2, 1.5) if self.draw.random() < 0.4 else (2.0, 6.0)
-            self.spawn(self.series(name, steps[name], self.draw.randint(2, 8), pause))
-        for _ in range(2):
-            self.spawn(self.series("deadly", self.deadly_wave, 3, (0.0, 3.0)))
+    def on_broken(self, node, process, identifier, body, after):
+        self.counts["broken"] += 1
+        # A stream is cut also where the time of its route is up; that is allowed.
+        planned = node.stopping and node.process is process and after < ROUTE_TIMEOUT_MS / 1000
+        if planned and self.runs[identifier] > 0 and identifier not in self.cut_runs and not (
+                body.startswith(DEADLY)):
+            self.violate(f"{identifier} was broken off by the planned stop of node-{node.index}")
 
     # --- the run
 
+    def take_slot(self):
+        """Holds an address of the slot, so that no other run takes its nodes' addresses."""
+        self.slot_taken = socket.create_server((f"127.{self.subnet}.0.1", 7000))
+
     async def start(self):
         await self.store.listener.open()
+        await self.other_writer.listener.open()
         await self.configure()
-        for replica in self.replicas:
+        await self.name_version()
+        for replica in self.replicas + self.model_replicas:
             await replica.start()
         for node in self.nodes:
             await node.start()
@@ -611,28 +222,53 @@
             await self.wait_until_serving(node)
 
     async def wait_until_serving(self, node):
+        for kind in (SAFE, STREAM):
+            if not await self.serves(node, kind):
+                self.violate(f"node-{node.index} serves no '{kind.name}' in {READY_SECONDS} s")
+
+    async def serves(self, node, kind):
         deadline = now() + READY_SECONDS
         caller = Caller(self, f"probe-{node.index}-{int(now() * 1000)}")
         caller.node = node
         while now() < deadline:
             try:
                 caller.stream = await asyncio.open_connection(node.address, 7000)
-                answer = await caller.request("safe", "probe")
+                answer = await caller.request(kind, "probe")
                 caller.drop()
-                if answer is not None and answer.first.split(" ")[1] == "200":
-                    return
+                if answer is not None and answer.status == 200:
+                    return True
             except OSError:
                 pass
             await asyncio.sleep(0.1)
-        self.violate(f"node-{node.index} does not serve within {READY_SECONDS} s")
+        return False
+
+    async def wait_until_loaded(self):
+        deadline = now() + ALL_LOADED_SECONDS
+        while now() < deadline:
+            older = [one for one in self.model_replicas if one.version < self.versions.newest]
+            if not older:
+                return
+            await asyncio.sleep(0.1)
+        held = {one.instance: one.version for one in older}
+        self.violate(f"not all replicas hold version {self.versions.newest}: {held}")
 
     def check(self):
         for identifier, kind in self.kinds.items():
-            if kind == "unsafe" and self.runs[identifier] > 1:
+            if kind.once and self.runs[identifier] > 1:
                 self.violate(f"{identifier} ran {self.runs[identifier]} times")
         for identifier, status in self.not_run.items():
             if self.runs[identifier] > 0:
                 self.violate(f"{identifier} ran and was refused with {status}")
+        for service, rule in self.repeats.items():
+            end, count, allowed = rule.worst()
+            self.counts[f"{service}: repeats"] = len(rule.repeats)
+            self.counts[f"{service}: most repeats"] = f"{count} of {allowed:.1f}"
+            if count > allowed:
+                self.violate(f"{service} received {count} repeats in the {rule.window} s until "
+                             f"{end - self.began:.3f} s, allowed {allowed:.1f}")
+        self.check_deadly()
+
+    def check_deadly(self):
         for body, ends in self.ends.items():
             if len(ends) < 3:
                 continue
@@ -648,14 +284,19 @@
         try:
             await self.start()
             self.faults_end = now() + self.options.seconds
-            callers = [Caller(self, number) for number in range(self.options.callers)]
-            for caller in callers:
+            self.spawn(self.watch_lag())
+            # Half of the callers want streams from the model.
+            for number in range(self.options.callers):
+                caller = Caller(self, number)
+                if number % 2 == 0:
+                    caller.kinds = (STREAM, RESUMABLE)
                 self.spawn(caller.run())
-            self.start_series()
+            self.faults.start_series()
             await asyncio.sleep(self.options.seconds)
             await self.quieten()
             for node in self.nodes:
                 await self.wait_until_serving(node)
+            await self.wait_until_loaded()
             self.over = True
             await asyncio.sleep(0.5)
             self.check()
@@ -664,6 +305,15 @@
             await self.stop_all()
         return self.report()
 
+    async def watch_lag(self):
+        """How late this process itself was at most: by so much its times may be wrong."""
+        step = 0.01
+        while not self.over:
+            before = now()
+            await asyncio.sleep(step)
+            lag = int(1000 * (now() - before - step))
+            self.counts["own lag ms"] = max(self.counts["own lag ms"], lag)
+
     async def quieten(self):
         """Lets the series that are under way come to their ends."""
         deadline = now() + 25
@@ -676,19 +326,20 @@
         tasks = list(self.tasks)
         for task in tasks:
             task.cancel()
-        # A node that is being started is known only when its start has ended.
         await asyncio.gather(*tasks, return_exceptions=True)
+        # A node that is being started is known only when its start has ended.
+        await asyncio.get_running_loop().shutdown_default_executor()
         for node in self.nodes:
-            if node.process is not None and node.process.returncode is None:
+            if node.process is not None:
                 node.send(signal.SIGCONT)
-                node.process.kill()
-                await node.process.wait()
+                node.send(signal.SIGKILL)
+                await node.ended()
 
     def report(self):
         counts = ", ".join(f"{key}: {count}" for key, count in sorted(
             self.counts.items(), key=lambda entry: str(entry[0])))
-        print(f"soak: seed {self.options.seed}: {counts}; replicas ended under requests: "
-              f"{sorted(map(len, self.ends.values()))}")
+        print(f"soak: seed {self.options.seed}: {counts}; versions named: {self.versions.newest}; "
+              f"replicas ended under requests: {sorted(map(len, self.ends.values()))}")
         for violation in self.violations:
             print(f"soak: VIOLATION: {violation}")
         if self.violations or self.options.keep_logs:
@@ -705,8 +356,9 @@
     parser.add_argument("--program", type=pathlib.Path, default="build/covewing-node")
     parser.add_argument("--seed", type=int, default=None, help="drawn and printed where missing")
     parser.add_argument("--seconds", type=float, default=20, help="how long faults begin")
-    parser.add_argument("--nodes", type=int, default=4)
-    parser.add_argument("--replicas", type=int, default=8)
+    parser.add_argument("--nodes", type=int, default=6)
+    parser.add_argument("--replicas", type=int, default=8, help="of the application")
+    parser.add_argument("--model-replicas", type=int, default=12)
     parser.add_argument("--callers", type=int, default=24)
     parser.add_argument("--slot", type=int, default=0, choices=range(64),
                         help="runs beside each other take different ones")
@@ -717,7 +369,13 @@
         options.seed = int.from_bytes(os.urandom(3), "big")
     if not options.program.is_file():
         parser.error(f"{options.program} is not built")
-    status = asyncio.run(Soak(options).run())
+    soak = Soak(options)
+    try:
+        soak.take_slot()
+    except OSError as error:
+        soak.folder.rmdir()
+        parser.error(f"another run has slot {options.slot}: {error}")
+    status = asyncio.run(soak.run())
     print(f"soak: {'ok' if status == 0 else 'failed'} (seed {options.seed})")
     return status
 
--- /dev/null
+++ b/tests/soak/replicas.py
@@ -0,0 +1,79 @@
+"""Stand-ins of application replicas. Each start has an identifier of its own."""
+
+import asyncio
+import json
+import random
+import time
+
+from wire import Listener, http_answer, now
+
+SERVICE = "app"
+# A request whose body begins with this ends the replica that runs it.
+DEADLY = "deadly"
+
+
+def unix_milliseconds() -> int:
+    return int(time.time() * 1000)
+
+
+def application_answer(identifier: str, body: str) -> bytes:
+    return f"ran {identifier} {body}".encode()
+
+
+class Replica:
+    def __init__(self, soak, name):
+        self.soak, self.name, self.starts = soak, name, 0
+        self.random = random.Random(f"{soak.options.seed}/{name}")
+        self.instance, self.listener = "", None
+        self.port = 0
+
+    async def start(self):
+        self.starts += 1
+        self.instance = f"{self.name}-{self.starts}"
+        self.listener = Listener(self.handle)
+        self.listener.port = self.port
+        await self.listener.open()
+        self.port = self.listener.port
+        entry = {"service": SERVICE, "address": f"127.0.0.1:{self.port}", "zone": "zone-0",
+                 "version": 1, "slots": 16, "state": "ready", "cold_remaining_ms": 0, "sequence": 0,
+                 "born": unix_milliseconds()}
+        await self.soak.store.put("servers", self.instance, json.dumps(entry).encode())
+
+    async def handle(self, message, _peer):
+        identifier = message.headers.get("x-covewing-request-id", "")
+        expected = message.headers.get("x-covewing-expected-instance", self.instance)
+        echo = [("X-Covewing-Request-Id", identifier), ("X-Covewing-Instance-Id", self.instance)]
+        self.soak.repeats[SERVICE].on_arrival(identifier, now())
+        if expected != self.instance:
+            return http_answer(421, b"", echo + [("X-Covewing-Not-Executed", "1")])
+        self.soak.runs[identifier] += 1
+        body = message.body.decode("latin-1")
+        if body.startswith(DEADLY):
+            self.soak.on_deadly_arrival(body, identifier)
+            await asyncio.sleep(self.random.uniform(0.02, 0.1))
+            self.end_under(body)
+            return None
+        await asyncio.sleep(self.random.expovariate(1 / 0.02))
+        return http_answer(200, application_answer(identifier, body),
+                           echo + [("X-Covewing-Server-Signature", self.instance)])
+
+    def end_under(self, body):
+        if self.crash():
+            self.soak.ends[body].append(now())
+
+    def crash(self):
+        """Ends at once; False where it has ended already."""
+        if self.listener is None:
+            return False
+        listener, instance = self.listener, self.instance
+        self.listener = None
+        listener.cut()
+        self.soak.spawn(self.come_back(instance))
+        return True
+
+    async def come_back(self, instance):
+        back = asyncio.sleep(self.random.uniform(0.8, 3.0))
+        await asyncio.sleep(0.7)
+        await self.soak.store.put("servers", instance, None)
+        await back
+        await self.start()
--- /dev/null
+++ b/tests/soak/table_service.py
@@ -0,0 +1,113 @@
+"""The stand-in of the table service: rows, transactions under conditions, feeds, their faults."""
+
+import asyncio
+import base64
+import collections
+import json
+import urllib.parse
+
+from wire import Listener, http_answer, now
+
+
+class Store:
+    def __init__(self):
+        self.rows = collections.defaultdict(dict)
+        self.version = 0
+        self.changed = asyncio.Condition()
+        self.mode = "normal"
+        self.lose = 0
+        # Rises each time that the history is dropped: feeds from before get 410.
+        self.history = 0
+        self.listener = Listener(self.handle)
+
+    async def put(self, table, key, value):
+        """Sets a row, or removes it where the value is None."""
+        async with self.changed:
+            self.set(table, key, value)
+            self.changed.notify_all()
+
+    async def drop_history(self):
+        async with self.changed:
+            self.history += 1
+            self.changed.notify_all()
+
+    def set(self, table, key, value):
+        self.version += 1
+        self.rows[table][key] = (self.version, value)
+
+    def row(self, table, key):
+        version, value = self.rows[table][key]
+        row = {"table": table, "part": "", "private_key": key, "ver": version}
+        if value is None:
+            row["gone"] = True
+        else:
+            row["value"] = base64.b64encode(value).decode()
+        return row
+
+    def answer(self, rows, status=200):
+        body = {"ver": self.version, "now_ms": int(now() * 1000), "rows": rows, "has_more": False}
+        return http_answer(status, json.dumps(body).encode(), [("Content-Type", "application/json")])
+
+    async def handle(self, message, _peer):
+        method, target, _ = message.first.split(" ")
+        if self.mode == "down":
+            return http_answer(503, b"{}")
+        if self.mode == "silent":
+            await asyncio.sleep(30)
+            return None
+        await asyncio.sleep(0.3 if self.mode == "slow" else 0.002)
+        path, _, query = target.partition("?")
+        values = dict(pair.split("=", 1) for pair in query.split("&") if pair)
+        if path == "/-/rows-get":
+            return self.get(values)
+        if path == "/-/rows-feed":
+            return await self.feed(values)
+        if path == "/-/rows-tx" and method == "POST":
+            return await self.transact(json.loads(message.body))
+        return http_answer(404, b"{}")
+
+    def get(self, values):
+        first = urllib.parse.unquote(values.get("source", ""))
+        end = urllib.parse.unquote(values.get("target_version", ""))
+        table = values["table"]
+        keys = [key for key in sorted(self.rows[table])
+                if key >= first and (not end or key < end) and self.rows[table][key][1] is not None]
+        return self.answer([self.row(table, key) for key in keys])
+
+    async def feed(self, values):
+        table, after, history = values["table"], int(values["after"]), self.history
+
+        def news():
+            found = [key for key, (version, _) in self.rows[table].items() if version > after]
+            return sorted(found, key=lambda key: self.rows[table][key][0])
+
+        async with self.changed:
+            try:
+                await asyncio.wait_for(
+                    self.changed.wait_for(lambda: news() or self.history != history),
+                    int(values["wait_ms"]) / 1000)
+            except asyncio.TimeoutError:
+                pass
+            if self.history != history:
+                return http_answer(410, b"{}")
+            return self.answer([self.row(table, key) for key in news()])
+
+    async def transact(self, body):
+        async with self.changed:
+            for wanted in body["expected_revision"]:
+                known = self.rows[wanted["table"]].get(wanted["private_key"], (0, None))
+                if (known[0] if known[1] is not None else 0) != wanted["ver"]:
+                    present = [self.row(entry["table"], entry["private_key"])
+                               for entry in body["expected_revision"]
+                               if self.rows[entry["table"]].get(entry["private_key"], (0, None))[1]
+                               is not None]
+                    return self.answer(present, 412)
+            for entry in body["put"]:
+                self.set(entry["table"], entry["private_key"], base64.b64decode(entry["value"]))
+            for entry in body["remove"]:
+                self.set(entry["table"], entry["private_key"], None)
+            self.changed.notify_all()
+        if self.lose > 0:
+            self.lose -= 1
+            return None
+        return self.answer([])
--- /dev/null
+++ b/tests/soak/wire.py
@@ -0,0 +1,110 @@
+"""HTTP/1.1 as far as the soak's stand-ins and callers need it."""
+
+import asyncio
+import dataclasses
+import time
+
+
+def now() -> float:
+    return time.monotonic()
+
+
+@dataclasses.dataclass
+class HttpMessage:
+    """Head fields in lower case, first line and body."""
+
+    first: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def path(self) -> str:
+        return self.first.split(" ")[1].partition("?")[0]
+
+    @property
+    def status(self) -> int:
+        return int(self.first.split(" ")[1])
+
+
+async def read_message(reader: asyncio.StreamReader) -> HttpMessage:
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        if line:
+            name, _, value = line.partition(":")
+            headers[name.strip().lower()] = value.strip()
+    body = b""
+    if headers.get("transfer-encoding") == "chunked":
+        while True:
+            size = int((await reader.readuntil(b"\r\n")).strip(), 16)
+            body += (await reader.readexactly(size + 2))[:-2]
+            if size == 0:
+                break
+    else:
+        body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return HttpMessage(lines[0], headers, body)
+
+
+def http_answer(status: int, body: bytes, headers=()) -> bytes:
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+@dataclasses.dataclass(eq=False)
+class Peer:
+    """The other end of a connection that a listener has accepted."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    # Nothing is sent on it any more, and it stays open.
+    silent: bool = False
+
+    def gone(self) -> bool:
+        return self.reader.at_eof() or self.writer.is_closing()
+
+
+class Listener:
+    """A server whose connections can all be cut at once. `handle(message, peer)` gives the bytes of
+    the answer, or None to close the connection."""
+
+    def __init__(self, handle):
+        self.handle = handle
+        self.server = None
+        # In the order in which they came.
+        self.peers: dict[Peer, None] = {}
+        self.port = 0
+
+    async def open(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        peer = Peer(reader, writer)
+        self.peers[peer] = None
+        try:
+            while True:
+                answer = await self.handle(await read_message(reader), peer)
+                if answer is None:
+                    break
+                if peer.silent:
+                    await reader.read()
+                    break
+                writer.write(answer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError, ValueError):
+            pass  # The peer ended the connection, or the soak is over.
+        finally:
+            self.peers.pop(peer, None)
+            writer.close()
+
+    def cut(self):
+        self.server.close()
+        for peer in list(self.peers):
+            peer.writer.transport.abort()
+
+    def silence(self, share: float, draw):
+        """Some of the open connections carry nothing to the peers any more."""
+        for peer in self.peers:
+            peer.silent = peer.silent or draw.random() < share
