Take the earlier date of those that saw a version come over the own outage

A node that dates a version by its own failed calls reads the dates in the table service as well: it may have been turned away while others were served. Nodes tell others their proofs alone.

--- a/src/clients/table_feed_client.h
+++ b/src/clients/table_feed_client.h
@@ -20,8 +20,7 @@
   /// Empty when the row was removed.
   std::optional<std::string> value;
   base::Revision revision = 0;
-  /// The change was made after this moment, on this node's clock, or the service could not be
-  /// reached until then; empty when nobody knows.
+  /// The change was made after this moment, on this node's clock; empty when nobody knows.
   std::optional<base::TimePoint> changedAfter = std::nullopt;
 };
 
--- a/src/config/shared_feed.cc
+++ b/src/config/shared_feed.cc
@@ -201,7 +201,7 @@
   auto& table = tables_[call->table];
   --table.underWay;
   if (reply.status == clients::FeedStatus::kOk) {
-    boundChanges(table, reply);
+    boundChanges(table, reply.rows);
     if (call->whole) {
       table.copy.replace(reply.rows, reply.revision);
     } else {
@@ -222,12 +222,12 @@
   if (++table.serviceFailures > 1) table.unreachableAt = call.sentAt;
 }
 
-void SharedFeed::boundChanges(const Table& table, clients::FeedReply& reply) {
+void SharedFeed::boundChanges(const Table& table, std::vector<clients::FeedRow>& rows) {
   if (!table.provedAt) return;
   const auto known = table.copy.revision().value_or(0);
-  const auto least = std::max(*table.provedAt, reply.unreachableAt.value_or(*table.provedAt));
-  for (auto& row : reply.rows) {
-    if (row.revision > known) row.changedAfter = std::max(row.changedAfter.value_or(least), least);
+  for (auto& row : rows) {
+    if (row.revision <= known) continue;
+    row.changedAfter = std::max(row.changedAfter.value_or(*table.provedAt), *table.provedAt);
   }
 }
 
--- a/src/config/table_watch.cc
+++ b/src/config/table_watch.cc
@@ -147,8 +147,7 @@
 
 void TableWatch::boundChange(clients::FeedRow& row) const {
   if (!confirmedAt_ || row.revision <= confirmedRevision_) return;
-  const auto least = std::max(*confirmedAt_, unreachableAt_.value_or(*confirmedAt_));
-  row.changedAfter = std::max(row.changedAfter.value_or(least), least);
+  row.changedAfter = std::max(row.changedAfter.value_or(*confirmedAt_), *confirmedAt_);
 }
 
 void TableWatch::apply(clients::FeedRow row, RowSource source) {
--- a/src/node/route_configuration.cc
+++ b/src/node/route_configuration.cc
@@ -72,7 +72,8 @@
   const bool justStarted = source == config::RowSource::kCopy && targets_.newest(named.model) == 0;
   // A version that becomes known late has had part of its time: counted from when this node heard
   // of it, requests began on older weights up to 1.1 s too late where the feed's readers were lost.
-  if (!justStarted) news.namedAfter = row.changedAfter;
+  if (justStarted || !row.changedAfter) return news;
+  news.namedAfter = std::max(*row.changedAfter, news.unreachableAt.value_or(*row.changedAfter));
   return news;
 }
 
--- a/src/node/route_configuration.h
+++ b/src/node/route_configuration.h
@@ -26,7 +26,8 @@
 
 /// What is known of when a version was named, on this node's clock.
 struct VersionNews {
-  /// It was named after this; empty when nobody knows.
+  /// Its time counts from this: it was named later, or nobody could learn of it before; empty when
+  /// nobody knows.
   std::optional<base::TimePoint> namedAfter;
   /// The service could not be reached at this moment, the latest before the version became known;
   /// empty when it could be.
