--- a/tests/node/weights_dating_test.cc
+++ b/tests/node/weights_dating_test.cc
@@ -88,6 +88,19 @@
   config::TableWatch watch;
 };
 
+/// A feed that answers when the test says so.
+struct PausedFeed final : clients::TableFeedClient {
+  void readAll(std::string /*table*/, clients::FeedCallback callback) override {
+    pending = std::move(callback);
+  }
+  void changes(std::string /*table*/, base::Revision /*after*/, base::Duration /*wait*/,
+               clients::FeedCallback callback) override {
+    pending = std::move(callback);
+  }
+  void answer(clients::FeedReply reply) { std::exchange(pending, nullptr)(std::move(reply)); }
+  clients::FeedCallback pending;
+};
+
 struct WatchingFleet {
   WatchingFleet() {
     fleet.service.put(kWeightsRow, "1");
@@ -243,6 +256,39 @@
   BOOST_TEST((running.targets.beginBefore(kModel, 1) <= due));
 }
 
+// After an outage nodes were told of a version by others and knew only their proofs from before it.
+BOOST_AUTO_TEST_CASE(NodeThatIsToldLateTakesTheDateOfTheTableService) {
+  request::FakeTable table{fleet.time};
+  const auto serviceTime = [this] { return nodes.back()->watch.serviceTime(); };
+  WeightsDates firstBack{table, fleet.time, fleet.time, serviceTime};
+  PausedFeed feed;
+  WeightsReader reader;
+  test_support::RecordingLog log;
+  routing::WeightsTargets targets{{seconds(8), milliseconds(1200)}};
+  WeightsDates dates{table, fleet.time, fleet.time, serviceTime};
+  VersionDating dating(fleet.time, log, targets, dates);
+  RouteConfiguration configuration(reader, fleet.time, log, targets);
+  configuration.onWeights([&dating](const NamedWeights& named, const VersionNews& news) {
+    dating.onWeights(named, news);
+  });
+  base::SeededRandom random{1};
+  config::TableWatch watch({"t"}, fleet.time, fleet.time, random, feed, configuration);
+  configuration.setWatch(watch);
+  watch.start();
+  feed.answer({clients::FeedStatus::kOk, {{kWeightsRow, "1", 3}}, 5});
+  fleet.time.advance(seconds(30));
+  feed.answer({clients::FeedStatus::kOk, {}, 5});
+  fleet.time.advance(seconds(5));
+  firstBack.write(std::string{kModel}, 2, milliseconds(300));
+  const auto due = fleet.time.now() + seconds(8);
+  fleet.time.advance(milliseconds(50));
+  feed.answer({clients::FeedStatus::kOk, {{kWeightsRow, "2", 9}}, 9});
+  fleet.time.advance(milliseconds(50));
+  BOOST_REQUIRE(targets.newest(kModel) == 2U);
+  BOOST_TEST((targets.beginBefore(kModel, 1) <= due));
+  BOOST_TEST((targets.beginBefore(kModel, 1) > due - seconds(1)));
+}
+
 // A connection that had gone silent proves nothing of the service.
 BOOST_AUTO_TEST_CASE(OneCallThatFailedIsNoOutage) {
   request::FakeTable table{fleet.time};
@@ -255,17 +301,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(NodeThatLostItsHistoryDatesAVersionByItsLastProof) {
-  struct PausedFeed final : clients::TableFeedClient {
-    void readAll(std::string /*table*/, clients::FeedCallback callback) override {
-      pending = std::move(callback);
-    }
-    void changes(std::string /*table*/, base::Revision /*after*/, base::Duration /*wait*/,
-                 clients::FeedCallback callback) override {
-      pending = std::move(callback);
-    }
-    void answer(clients::FeedReply reply) { std::exchange(pending, nullptr)(std::move(reply)); }
-    clients::FeedCallback pending;
-  } feed;
+  PausedFeed feed;
   WeightsReader reader;
   test_support::RecordingLog log;
   routing::WeightsTargets targets{{seconds(8), milliseconds(1000)}};
