Take the date in the table service where this node was told late

A node that is told of a version more than a second after its last proof, or dates it by its own failed calls, takes the first date that the table service tells in place of its own.

--- a/src/node/route_configuration.cc
+++ b/src/node/route_configuration.cc
@@ -7,6 +7,10 @@
 
 namespace {
 
+/// A change that is told while all is well was made at most so long ago: readers of the feed renew
+/// their proof every 0.8 s.
+constexpr base::Duration kToldInTime = std::chrono::milliseconds(1000);
+
 std::string millisecondsText(base::Duration duration) {
   return std::to_string(duration / std::chrono::milliseconds(1));
 }
@@ -74,6 +78,8 @@
   // of it, requests began on older weights up to 1.1 s too late where the feed's readers were lost.
   if (justStarted || !row.changedAfter) return news;
   news.namedAfter = std::max(*row.changedAfter, news.unreachableAt.value_or(*row.changedAfter));
+  const bool toldLate = clock_.now() - *row.changedAfter > kToldInTime;
+  news.provisional = toldLate || news.unreachableAt.has_value();
   return news;
 }
 
@@ -88,7 +94,7 @@
       targets_.onNamed(named.model, newest + 1, std::min(unseenAfter, *news.namedAfter));
     }
   }
-  return targets_.onNamed(named.model, named.version, *news.namedAfter);
+  return targets_.onNamed(named.model, named.version, *news.namedAfter, news.provisional);
 }
 
 void RouteConfiguration::onRemoved(const clients::FeedRow& /*row*/) {
--- a/src/node/route_configuration.h
+++ b/src/node/route_configuration.h
@@ -32,6 +32,8 @@
   /// The service could not be reached at this moment, the latest before the version became known;
   /// empty when it could be.
   std::optional<base::TimePoint> unreachableAt;
+  /// What others know of it counts for more: this node was told late.
+  bool provisional = false;
 };
 
 /// Reads the rows in which operators keep their configuration.
--- a/src/node/version_dating.cc
+++ b/src/node/version_dating.cc
@@ -7,7 +7,7 @@
     dates_.writeWhenResponsible(named.model, named.version, clock_.now() - *news.namedAfter);
     // The service may have turned this node away and served others, who saw the version come: dated
     // by the own failed calls alone, requests were sent to the older version up to 2.9 s too long.
-    if (!news.unreachableAt) return;
+    if (!news.provisional) return;
   }
   dates_.lookUp(
       named.model, named.version,
--- a/src/routing/weights_targets.cc
+++ b/src/routing/weights_targets.cc
@@ -5,8 +5,9 @@
 namespace covewing::routing {
 
 bool WeightsTargets::onNamed(const std::string& model, base::WeightsVersion version,
-                             base::TimePoint namedAfter) {
-  return add(model, {version, namedAfter + bounds_.inForce - bounds_.margin}, namedAfter);
+                             base::TimePoint namedAfter, bool provisional) {
+  const auto from = namedAfter + bounds_.inForce - bounds_.margin;
+  return add(model, {version, from, !provisional}, namedAfter);
 }
 
 bool WeightsTargets::onFound(const std::string& model, base::WeightsVersion version,
--- a/src/routing/weights_targets.h
+++ b/src/routing/weights_targets.h
@@ -20,7 +20,7 @@
   base::WeightsVersion version = 0;
   /// From then on no request is sent to a replica on an older version.
   base::TimePoint olderForbiddenFrom{};
-  /// When the version was named is known, at least as a moment after which it was.
+  /// False while a date that others know takes the place of this one.
   bool dated = true;
 };
 
@@ -42,8 +42,10 @@
 
   /// Called after each change of a version or a date.
   void onChange(std::function<void()> listener) { listener_ = std::move(listener); }
-  /// A version was named after the given moment. False when it is not newer.
-  bool onNamed(const std::string& model, base::WeightsVersion version, base::TimePoint namedAfter);
+  /// A version was named after the given moment; a provisional one is replaced by the first that
+  /// onDated tells. False when the version is not newer.
+  bool onNamed(const std::string& model, base::WeightsVersion version, base::TimePoint namedAfter,
+               bool provisional = false);
   /// A version was named, nobody knows when: until that is known (onDated), it counts as in force.
   /// False when it is not newer.
   bool onFound(const std::string& model, base::WeightsVersion version, base::TimePoint now);
