Take no entry without a start, or without models, for a replica where others tell them

The list of replicas, which sees all of them, decides in place of the adapter; the watch of caches passes over what lists no model (its tests' replicas list one now, as all of a model service do).

--- a/src/node/replica_list.cc
+++ b/src/node/replica_list.cc
@@ -11,6 +11,10 @@
     withdraw(row, reason);
     return;
   }
+  if (!tellsAsOthersDo(*replica)) {
+    withdraw(row, {base::ResultCode::kInvalidField, "the start is missing"});
+    return;
+  }
   const auto& model = replica->models;
   log_.write(base::Event::kReplicaListed,
              {{"replica", replica->instance},
@@ -23,6 +27,19 @@
   list(row.key, std::move(*replica));
 }
 
+bool ReplicaList::tellsAsOthersDo(const routing::Replica& replica) {
+  if (!replica.startTold) return !servicesWithStarts_.contains(replica.service);
+  const bool first = servicesWithStarts_.insert(replica.service).second;
+  if (!first) return true;
+  // Entries that were read before the first one that tells a start.
+  for (const auto& [key, run] : runs_) {
+    const auto record = directory_.find(run);
+    if (record && record->facts().service == replica.service && !record->facts().startTold)
+      directory_.onUnreadable(run);
+  }
+  return true;
+}
+
 void ReplicaList::list(const std::string& key, routing::Replica replica) {
   auto& run = runs_[key];
   if (!run.empty() && run != replica.instance) {
--- a/src/node/replica_list.h
+++ b/src/node/replica_list.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -54,6 +55,9 @@
   /// Lists the run that the row names, in place of the one that it named before.
   void list(const std::string& key, routing::Replica replica);
   void withdraw(const clients::FeedRow& row, const base::Reason& reason);
+  /// False when others of its service tell their starts and this one does not: all of a service do
+  /// or none does, so the entry is not a replica's own.
+  bool tellsAsOthersDo(const routing::Replica& replica);
   /// The run has ended, as another one of its replica is listed.
   void onRestarted(const std::string& run);
   /// Forgets a run that is no longer listed.
@@ -66,6 +70,8 @@
   routing::ReplicaEndCheck& replicaEnds_;
   /// The run that each row named last, by key.
   std::map<std::string, std::string> runs_;
+  /// Services whose replicas tell their starts.
+  std::set<std::string, std::less<>> servicesWithStarts_;
   bool known_ = false;
   FeedOutage outage_{log_, "replica list feed"};
 };
--- a/src/routing/cache_watch.cc
+++ b/src/routing/cache_watch.cc
@@ -33,6 +33,8 @@
   Wanted wanted;
   for (const auto& [instance, record] : environment_.replicas.all()) {
     const auto& facts = record->facts();
+    // What lists no model keeps no cache of prompts.
+    if (facts.models.empty()) continue;
     const auto limit = limit_(facts.service);
     if (isWatcher(instance, facts.zone, limit))
       wanted.emplace(instance, Target{facts.endpoint, facts.zone, limit});
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -37,6 +37,8 @@
   std::uint32_t slots = 0;
   ReplicaState state = ReplicaState::kReady;
   std::vector<ReplicaModel> models;
+  /// The entry tells when the run started.
+  bool startTold = false;
 
   const ReplicaModel* findModel(std::string_view name) const;
 };
--- a/tests/node/replica_list_test.cc
+++ b/tests/node/replica_list_test.cc
@@ -25,6 +25,7 @@
     routing::Replica replica;
     replica.instance = value;
     replica.service = "llm";
+    replica.startTold = value.find('@') != std::string_view::npos;
     return replica;
   }
 };
@@ -109,6 +110,25 @@
   BOOST_TEST(log.count(base::Event::kReplicaRestarted) == 0U);
 }
 
+// Replicas of a service all tell their starts, or none does. An entry without one, which a node
+// that had just started read first, brought requests to an address that was no replica's.
+BOOST_AUTO_TEST_CASE(EntryWithoutAStartIsNoReplicasWhereOthersTellTheirs) {
+  write("other", "other");
+  BOOST_TEST(directory.ofService("llm").size() == 1U);
+  write("r", "r@1");
+  BOOST_REQUIRE(directory.ofService("llm").size() == 1U);
+  BOOST_TEST(directory.ofService("llm").front()->facts().instance == "r@1");
+  write("other", "other");
+  write("another", "another");
+  write("r", "r");
+  BOOST_TEST(directory.ofService("llm").empty());
+  BOOST_TEST(log.count(base::Event::kReplicaEntryRejected) == 3U);
+  BOOST_TEST(ended.empty());
+  write("r", "r@1");
+  BOOST_TEST(directory.ofService("llm").size() == 1U);
+  BOOST_TEST(log.count(base::Event::kReplicaRestarted) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(RunBehindARowThatCannotBeReadEndsWithTheNextOne) {
   write("r", "r@1");
   use("r@1");
--- a/tests/platform/row_readers_test.cc
+++ b/tests/platform/row_readers_test.cc
@@ -148,22 +148,6 @@
   BOOST_TEST(!ReplicaReader{}.readReplica("i", R"({"service":"s","address":"x"})", reason));
 }
 
-// Replicas tell their start, or none of a service does. An entry without one took the place of a
-// live run, or brought requests to an address that was no replica's.
-BOOST_AUTO_TEST_CASE(EntryWithoutAStartIsNoReplicasWhereOthersTellTheirs) {
-  const auto entry = [](const std::string& start) {
-    return R"({"service":"s","address":"10.128.0.9:8080","zone":"z1","version":"v1","slots":64,)"
-           R"("state":"ready","cold_remaining_ms":0,"sequence":3)" +
-           start + "}";
-  };
-  base::Reason reason;
-  const ReplicaReader reader;
-  BOOST_TEST(reader.readReplica("i-1", entry(""), reason).has_value());
-  BOOST_TEST(reader.readReplica("i-1", entry(R"(,"born":1764720000000)"), reason).has_value());
-  BOOST_TEST(!reader.readReplica("i-1", entry(""), reason).has_value());
-  BOOST_TEST(!reader.readReplica("i-2", entry(R"(,"born":null)"), reason).has_value());
-}
-
 // Entries may come from another writer. One with the state "booting" was taken for a ready replica,
 // one with the slots "64" or without a state as well; all of them name no replica to use.
 BOOST_AUTO_TEST_CASE(EntryOfAnotherWriterNamesNoReplica) {
--- a/tests/routing/cache_watch_test.cc
+++ b/tests/routing/cache_watch_test.cc
@@ -49,6 +49,7 @@
     replica.instance = "r1";
     replica.service = "llm";
     replica.endpoint = {1, 1};
+    replica.models = {{"m", 1}};
     replicas.onListed(replica);
     watch.start();
   }
@@ -144,6 +145,7 @@
   Replica again;
   again.instance = "r1";
   again.service = "llm";
+  again.models = {{"m", 1}};
   replicas.onListed(again);
   time.advance(milliseconds(600));
   BOOST_TEST(feed.calls.size() == 2U);
@@ -217,6 +219,19 @@
   BOOST_TEST((stores.choose(1) == nullptr));
 }
 
+// An entry by another writer that named no model was asked for its cache.
+BOOST_AUTO_TEST_CASE(WhatListsNoModelIsNotAsked) {
+  replicas.onRemoved("r1");
+  Replica other;
+  other.instance = "other";
+  other.service = "llm";
+  other.endpoint = {9, 9};
+  replicas.onListed(other);
+  const auto before = feed.calls.size();
+  time.advance(seconds(10));
+  BOOST_TEST(feed.calls.size() == before);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::routing
