--- a/src/config/shared_feed.cc
+++ b/src/config/shared_feed.cc
@@ -204,7 +204,8 @@
   auto& table = tables_[call->table];
   --table.underWay;
   if (reply.status == clients::FeedStatus::kOk) {
-    boundChanges(table, reply.rows);
+    const auto copied = table.copy.revision().value_or(0);
+    for (auto& row : reply.rows) boundChange(row, copied, table.provedAt);
     if (call->whole) {
       table.copy.replace(reply.rows, reply.revision);
     } else {
@@ -225,15 +226,6 @@
   if (++table.serviceFailures > 1) table.unreachableAt = call.sentAt;
 }
 
-void SharedFeed::boundChanges(const Table& table, std::vector<clients::FeedRow>& rows) {
-  if (!table.provedAt) return;
-  const auto known = table.copy.revision().value_or(0);
-  for (auto& row : rows) {
-    if (row.revision <= known) continue;
-    row.changedAfter = std::max(row.changedAfter.value_or(*table.provedAt), *table.provedAt);
-  }
-}
-
 void SharedFeed::onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) {
   auto message = decodeFeedMessage(payload);
   if (!message) return;
--- a/src/config/shared_feed.h
+++ b/src/config/shared_feed.h
@@ -154,8 +154,6 @@
   void onPeerFailed(const CallPtr& call);
   /// Notes a call to the service that failed.
   static void noteFailure(Table& table, const Call& call, clients::FeedStatus status);
-  /// Rows that are newer than the copy were changed after its last proof.
-  static void boundChanges(const Table& table, std::vector<clients::FeedRow>& rows);
   /// Keeps what a reply tells, answers held questions, and ends the call.
   void finish(const CallPtr& call, clients::FeedReply reply);
 
--- a/src/config/table_copy.cc
+++ b/src/config/table_copy.cc
@@ -5,6 +5,12 @@
 
 namespace covewing::config {
 
+void boundChange(clients::FeedRow& row, base::Revision copied,
+                 const std::optional<base::TimePoint>& provedAt) {
+  if (!provedAt || row.revision <= copied) return;
+  row.changedAfter = std::max(row.changedAfter.value_or(*provedAt), *provedAt);
+}
+
 void TableCopy::replace(const Rows& rows, base::Revision revision) {
   std::set<std::string> present;
   for (const auto& row : rows) present.insert(row.key);
--- a/src/config/table_copy.h
+++ b/src/config/table_copy.h
@@ -13,6 +13,11 @@
 
 namespace covewing::config {
 
+/// A row that is newer than a copy was changed after the copy was proved current: takes that for
+/// the moment after which it was changed, unless a later one is known.
+void boundChange(clients::FeedRow& row, base::Revision copied,
+                 const std::optional<base::TimePoint>& provedAt);
+
 class TableCopy {
  public:
   using Rows = std::vector<clients::FeedRow>;
--- a/src/config/table_watch.cc
+++ b/src/config/table_watch.cc
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "config/table_copy.h"
+
 namespace covewing::config {
 
 namespace {
@@ -145,16 +147,11 @@
   if (reply.serviceTime) serviceOffset_ = *reply.serviceTime - clock_.now().time_since_epoch();
 }
 
-void TableWatch::boundChange(clients::FeedRow& row) const {
-  if (!confirmedAt_ || row.revision <= confirmedRevision_) return;
-  row.changedAfter = std::max(row.changedAfter.value_or(*confirmedAt_), *confirmedAt_);
-}
-
 void TableWatch::apply(clients::FeedRow row, RowSource source) {
   auto& known = revisions_[row.key];
   if (known != 0 && row.revision <= known) return;
   known = row.revision;
-  boundChange(row);
+  boundChange(row, confirmedRevision_, confirmedAt_);
   listener_.onRow(row, source);
 }
 
--- a/src/config/table_watch.h
+++ b/src/config/table_watch.h
@@ -89,8 +89,6 @@
   void onFailed(clients::FeedStatus status);
   void confirm(const clients::FeedReply& reply, base::TimePoint sentAt);
   void apply(clients::FeedRow row, RowSource source);
-  /// The row's change is newer than what was last proved current, or its time is known otherwise.
-  void boundChange(clients::FeedRow& row) const;
   void noteServiceTime(const clients::FeedReply& reply);
   void remove(const clients::FeedRow& row);
 
