Tell in the log who confirmed the configuration, and how old the proof was

Cause: a request ran with a key that had been taken away, and no line of the node that accepted it told how old its proof was, or from whom. Event 5005 has the age of the proof by which the key was looked up. The text of a duration in log fields stands once.

--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -21,4 +21,8 @@
   return entry == std::end(kTable) ? kTable[0] : *entry;
 }
 
+std::string millisecondsText(Duration duration) {
+  return std::to_string(duration / std::chrono::milliseconds(1));
+}
+
 }  // namespace covewing::base
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <string_view>
 
+#include "base/time.h"
+
 namespace covewing::base {
 
 enum class Severity : std::uint8_t { kInfo, kWarning, kError };
@@ -39,6 +41,9 @@
   std::string value;
 };
 
+/// A duration as a field's value: whole milliseconds.
+std::string millisecondsText(Duration duration);
+
 /// Sink of log events. Never blocks and never fails towards its caller.
 class EventLog {
  public:
--- a/src/clients/table_feed_client.h
+++ b/src/clients/table_feed_client.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "base/endpoint.h"
 #include "base/ids.h"
 #include "base/time.h"
 #include "clients/table_client.h"
@@ -46,6 +47,8 @@
   /// The service could not be reached at this moment, the latest such; empty when it could be ever
   /// since the reply before.
   std::optional<base::TimePoint> unreachableAt = std::nullopt;
+  /// The node that answered; empty: the service itself.
+  std::optional<base::Endpoint> answeredBy = std::nullopt;
 };
 
 using FeedCallback = std::function<void(FeedReply)>;
--- a/src/config/shared_feed.cc
+++ b/src/config/shared_feed.cc
@@ -154,7 +154,8 @@
   return true;
 }
 
-void SharedFeed::onPeerAnswer(const CallPtr& call, FeedAnswer answer) {
+void SharedFeed::onPeerAnswer(const CallPtr& call, const base::Endpoint& sender,
+                              FeedAnswer answer) {
   environment_.timers.cancel(call->timer);
   // A negative time would make a proof younger than it is.
   const bool plausible = answer.held.count() >= 0 && answer.age.count() >= 0;
@@ -188,6 +189,7 @@
   reply.revision = answer.revision;
   reply.serviceTime = answer.serviceTime;
   reply.currentAt = answeredAt - answer.age;
+  reply.answeredBy = sender;
   finish(call, std::move(reply));
 }
 
@@ -238,7 +240,7 @@
   if (asked == asked_.end()) return;
   const auto call = asked->second;
   asked_.erase(asked);
-  onPeerAnswer(call, std::move(answer));
+  onPeerAnswer(call, sender.endpoint, std::move(answer));
 }
 
 void SharedFeed::onQuestion(const base::Endpoint& asker, FeedQuestion question) {
--- a/src/config/shared_feed.h
+++ b/src/config/shared_feed.h
@@ -150,7 +150,7 @@
   FeedWatchers::Scope whomToAsk(const Call& call);
   /// Asks another node; false when there is none to ask.
   bool askPeer(const CallPtr& call);
-  void onPeerAnswer(const CallPtr& call, FeedAnswer answer);
+  void onPeerAnswer(const CallPtr& call, const base::Endpoint& sender, FeedAnswer answer);
   void onPeerFailed(const CallPtr& call);
   /// Notes a call to the service that failed.
   static void noteFailure(Table& table, const Call& call, clients::FeedStatus status);
--- a/src/config/table_watch.cc
+++ b/src/config/table_watch.cc
@@ -128,6 +128,7 @@
   const auto currentAt = reply.currentAt.value_or(sentAt);
   confirmedAt_ = std::max(confirmedAt_.value_or(currentAt), currentAt);
   confirmedRevision_ = std::max(confirmedRevision_, reply.revision);
+  lastConfirmation_ = Confirmation{currentAt, sentAt, confirmedRevision_, reply.answeredBy};
   caughtUp_ = true;
 }
 
--- a/src/config/table_watch.h
+++ b/src/config/table_watch.h
@@ -40,6 +40,17 @@
   kFeed,
 };
 
+/// A proof that the copy was complete.
+struct Confirmation {
+  /// Everything that was committed before this is in the copy.
+  base::TimePoint currentAt{};
+  /// When the call was sent that the proof answers.
+  base::TimePoint sentAt{};
+  base::Revision revision = 0;
+  /// The node that passed the proof on; empty: the table service itself.
+  std::optional<base::Endpoint> node;
+};
+
 class TableWatchListener {
  public:
   virtual ~TableWatchListener() = default;
@@ -70,6 +81,8 @@
   bool caughtUp() const { return caughtUp_; }
   /// When the last call that proved the copy current was sent; empty before the first copy.
   std::optional<base::TimePoint> confirmedAt() const { return confirmedAt_; }
+  /// The latest answer that proved the copy current; empty before the first copy.
+  const std::optional<Confirmation>& lastConfirmation() const { return lastConfirmation_; }
   /// The service could not be reached at this moment, the latest before the last answer with rows
   /// from the service itself; empty when it could be, or other nodes answered.
   std::optional<base::TimePoint> unreachableAt() const { return unreachableAt_; }
@@ -105,6 +118,7 @@
   /// The copy was complete up to this revision when it was last confirmed.
   base::Revision confirmedRevision_ = 0;
   std::optional<base::TimePoint> confirmedAt_;
+  std::optional<Confirmation> lastConfirmation_;
   std::optional<base::TimePoint> unreachableAt_;
   /// The service's clock less this node's.
   std::optional<base::Duration> serviceOffset_;
--- a/src/coordination/weights_rollout.cc
+++ b/src/coordination/weights_rollout.cc
@@ -114,12 +114,11 @@
   const bool answered = status != clients::WeightsOrderStatus::kUnknown &&
                         status != clients::WeightsOrderStatus::kUnreachable;
   if (answered) change->heardAt = now;
-  environment_.log.write(
-      base::Event::kOrderAnswered,
-      {{"replica", instance},
-       {"version", std::to_string(change->version)},
-       {"status", std::string{clients::toString(status)}},
-       {"after_ms", std::to_string((now - change->orderedAt) / std::chrono::milliseconds(1))}});
+  environment_.log.write(base::Event::kOrderAnswered,
+                         {{"replica", instance},
+                          {"version", std::to_string(change->version)},
+                          {"status", std::string{clients::toString(status)}},
+                          {"after_ms", base::millisecondsText(now - change->orderedAt)}});
   switch (status) {
     case clients::WeightsOrderStatus::kAccepted:
       ++ordersTaken_[instance];
@@ -247,17 +246,14 @@
     changeTime_ +=
         (std::min(now - change.startedAt, options_.longestChange) - changeTime_) / kSmoothing;
   }
-  const auto milliseconds = [](base::Duration duration) {
-    return std::to_string(duration / std::chrono::milliseconds(1));
-  };
-  environment_.log.write(
-      served ? base::Event::kOrderFinished : base::Event::kOrderFailed,
-      {{"replica", instance},
-       {"model", change.model},
-       {"version", std::to_string(change.version)},
-       {"outcome", std::string{outcome}},
-       {"after_ms", milliseconds(now - change.startedAt)},
-       {"load_ms", milliseconds(ordered ? now - change.orderedAt : base::Duration::zero())}});
+  environment_.log.write(served ? base::Event::kOrderFinished : base::Event::kOrderFailed,
+                         {{"replica", instance},
+                          {"model", change.model},
+                          {"version", std::to_string(change.version)},
+                          {"outcome", std::string{outcome}},
+                          {"after_ms", base::millisecondsText(now - change.startedAt)},
+                          {"load_ms", base::millisecondsText(ordered ? now - change.orderedAt
+                                                                     : base::Duration::zero())}});
 }
 
 }  // namespace covewing::coordination
--- a/src/node/route_configuration.cc
+++ b/src/node/route_configuration.cc
@@ -11,10 +11,6 @@
 /// their proof every 0.8 s.
 constexpr base::Duration kToldInTime = std::chrono::milliseconds(1000);
 
-std::string millisecondsText(base::Duration duration) {
-  return std::to_string(duration / std::chrono::milliseconds(1));
-}
-
 }  // namespace
 
 std::optional<base::TimePoint> RouteConfiguration::confirmedAt() const {
@@ -57,13 +53,13 @@
   }
   const auto news = newsOf(*named, row, source);
   if (!take(*named, news)) return;
-  log_.write(
-      base::Event::kWeightsNamed,
-      {{"model", named->model},
-       {"version", std::to_string(named->version)},
-       {"from", source == config::RowSource::kCopy ? "copy" : "feed"},
-       {"age_at_most_ms", news.namedAfter ? millisecondsText(clock_.now() - *news.namedAfter) : ""},
-       {"revision", std::to_string(row.revision)}});
+  log_.write(base::Event::kWeightsNamed,
+             {{"model", named->model},
+              {"version", std::to_string(named->version)},
+              {"from", source == config::RowSource::kCopy ? "copy" : "feed"},
+              {"age_at_most_ms",
+               news.namedAfter ? base::millisecondsText(clock_.now() - *news.namedAfter) : ""},
+              {"revision", std::to_string(row.revision)}});
   if (weightsListener_) weightsListener_(*named, news);
 }
 
@@ -104,7 +100,11 @@
   // Operators replace their rows and never remove them: what is in force stays.
 }
 
-void RouteConfiguration::onCurrent() { outage_.onCurrent(); }
+void RouteConfiguration::onCurrent() {
+  outage_.onCurrent();
+  if (watch_ == nullptr || !watch_->lastConfirmation()) return;
+  confirmations_.onConfirmed(*watch_->lastConfirmation(), table_ ? table_->version() : 0);
+}
 
 void RouteConfiguration::onFailure(clients::FeedStatus status) { outage_.onFailure(status); }
 
--- a/src/node/route_configuration.h
+++ b/src/node/route_configuration.h
@@ -12,6 +12,7 @@
 #include "base/event_log.h"
 #include "config/route_table.h"
 #include "config/table_watch.h"
+#include "node/confirmation_log.h"
 #include "node/feed_outage.h"
 #include "request/relay_service.h"
 #include "routing/weights_targets.h"
@@ -93,6 +94,7 @@
   TableListener tableListener_;
   WeightsListener weightsListener_;
   FeedOutage outage_{log_, "configuration feed"};
+  ConfirmationLog confirmations_{clock_, log_};
 };
 
 }  // namespace covewing::node
--- a/src/node/version_dating.cc
+++ b/src/node/version_dating.cc
@@ -36,10 +36,9 @@
 void VersionDating::date(const std::string& model, base::WeightsVersion version,
                          base::Duration age) {
   targets_.onDated(model, version, clock_.now() - age);
-  log_.write(base::Event::kWeightsDated,
-             {{"model", model},
-              {"version", std::to_string(version)},
-              {"age_ms", std::to_string(age / std::chrono::milliseconds(1))}});
+  log_.write(base::Event::kWeightsDated, {{"model", model},
+                                          {"version", std::to_string(version)},
+                                          {"age_ms", base::millisecondsText(age)}});
 }
 
 }  // namespace covewing::node
--- a/src/node/wake_gate.cc
+++ b/src/node/wake_gate.cc
@@ -5,14 +5,6 @@
 
 namespace covewing::node {
 
-namespace {
-
-std::string millisecondsText(base::Duration duration) {
-  return std::to_string(duration / std::chrono::milliseconds(1));
-}
-
-}  // namespace
-
 WakeGate::WakeGate(base::Clock& clock, base::TimerService& timers, base::EventLog& log,
                    std::function<bool()> caughtUp)
     : clock_(clock), log_(log), caughtUp_(std::move(caughtUp)), timer_(timers) {}
@@ -45,11 +37,12 @@
 void WakeGate::open(bool caughtUp) {
   closed_ = false;
   const auto waiting = std::exchange(held_, {});
-  log_.write(base::Event::kNodeCaughtUp, {{"silence_ms", millisecondsText(silence_)},
-                                          {"suspended_ms", millisecondsText(suspended_)},
-                                          {"read_again", caughtUp ? "yes" : "not yet"},
-                                          {"after_ms", millisecondsText(clock_.now() - wokeAt_)},
-                                          {"held", std::to_string(waiting.size())}});
+  log_.write(base::Event::kNodeCaughtUp,
+             {{"silence_ms", base::millisecondsText(silence_)},
+              {"suspended_ms", base::millisecondsText(suspended_)},
+              {"read_again", caughtUp ? "yes" : "not yet"},
+              {"after_ms", base::millisecondsText(clock_.now() - wokeAt_)},
+              {"held", std::to_string(waiting.size())}});
   for (const auto& action : waiting) action();
 }
 
--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -229,7 +229,7 @@
         {{"fingerprint", base::toString(entry.request)},
          {"crashes", std::to_string(entry.crashes)},
          {"known_from", std::string{source}},
-         {"age_ms", std::to_string(age / std::chrono::milliseconds(1))}});
+         {"age_ms", base::millisecondsText(age)}});
   }
   scheduleComparison();
   scheduleVerdict();
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -270,6 +270,8 @@
        {"attempt", std::to_string(dispatches_)},
        {"cause", retryCause_ ? std::string{toString(*retryCause_)} : "first"},
        {"configuration", std::to_string(assignment_.table->version())},
+       {"confirmed_ms",
+        assignment_.confirmedAt ? millisecondsText(now - *assignment_.confirmedAt) : std::string{}},
        {"weights", std::to_string(decision.version)},
        {"begin_in_ms",
         decision.beginBefore ? millisecondsText(*decision.beginBefore - now) : std::string{}},
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -131,6 +131,9 @@
   const config::Route* route = nullptr;
   /// Null on routes without a key.
   const config::TenantAccess* tenant = nullptr;
+  /// As of when the table was proved to be the newest as its key was looked up; empty where the
+  /// configuration need not be confirmed.
+  std::optional<base::TimePoint> confirmedAt;
   const config::Service* service = nullptr;
   /// What the request takes of its tenant's limit; empty without one.
   std::optional<admission::QuotaDemand> demand;
--- a/src/request/relay_flow_internal.h
+++ b/src/request/relay_flow_internal.h
@@ -30,8 +30,6 @@
          status == kServiceUnavailable;
 }
 
-inline std::string millisecondsText(base::Duration duration) {
-  return std::to_string(duration / std::chrono::milliseconds(1));
-}
+using base::millisecondsText;
 
 }  // namespace covewing::request
--- a/src/request/relay_service.cc
+++ b/src/request/relay_service.cc
@@ -105,6 +105,7 @@
                                                    RelayAssignment& assignment) {
   if (assignment.route->isPublic || !assignment.table->hasTenants()) return std::nullopt;
   if (!confirmed()) return unconfirmed();
+  assignment.confirmedAt = tables_.confirmedAt();
   assignment.tenant = assignment.table->findTenantByKey(arrival.key);
   if (assignment.tenant == nullptr)
     return refusalOf(base::ResultCode::kUnknownTenant, "the key belongs to no tenant");
