Take keys and routes away in the soak, while nodes lose the table service or stand still

Cause: the soak had one key, which no configuration took away, so that no run of real processes could show one that is accepted too late. Keys and routes come and go now, beside nodes that the table service turns away, that are cut from it in one direction, hear its answers late, stand still for 1 to 9 s, and beside starts of the service with another clock. Checked, from what replicas and callers saw: no run later than the bound behind the acknowledgement on any node; calm nodes follow in time; no process goes back; no other tenant.

Draws of the series that were there are as before.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 
+from checks import Sent
 from model_replicas import MODEL, MODEL_SERVICE, stream_events
 from replicas import SERVICE, application_answer
 from wire import now, read_message
@@ -82,16 +83,19 @@
             self.stream[1].close()
         self.stream = None
 
-    async def request(self, kind: Kind, body):
+    async def request(self, kind: Kind, body, key=KEY, route=None):
+        """One request on the route of the kind, or on another one that is like it."""
         self.sent += 1
+        route = route or kind.name
         identifier = f"{self.soak.options.seed}-{self.number}-{self.sent}"
         reader, writer = self.stream
         node, process = self.node, self.node.process
         self.soak.sent_to[identifier] = node
         self.soak.kinds[identifier] = kind
         began = now()
+        self.soak.sent[identifier] = Sent(began, process.pid, key, route)
         self.soak.repeats[kind.service].on_sent(began)
-        head = [f"POST /{kind.name}/x HTTP/1.1", f"Host: {HOST}", f"X-Api-Key: {KEY}",
+        head = [f"POST /{route}/x HTTP/1.1", f"Host: {HOST}", f"X-Api-Key: {key}",
                 f"X-Covewing-Request-Id: {identifier}", "X-Covewing-Deadline-Milliseconds: 6000",
                 f"Content-Length: {len(body)}"] + kind.headers(self.random, identifier)
         try:
@@ -108,3 +112,36 @@
         if answer.headers.get("connection", "").lower() == "close":
             self.drop()
         return answer
+
+
+class KeyCaller(Caller):
+    """Goes on using keys and routes that may have been taken away, at one node after the other."""
+
+    STAYS_FOR = (2.0, 6.0)
+    PAUSE = 0.1
+    # Keys that were taken away so long ago are the likeliest to be accepted wrongly (seconds).
+    LATELY = 12.0
+
+    def __init__(self, soak, number, keys, routes):
+        super().__init__(soak, f"k{number}")
+        self.keys, self.routes = keys, routes
+        self.leaves_at = 0.0
+
+    def draw_key(self) -> str:
+        """Every other time one that was taken away lately, where there is one."""
+        lately = self.soak.configurations.taken_since(now() - self.LATELY)
+        known = lately if lately and self.random.random() < 0.5 else self.keys
+        return self.random.choice(known)
+
+    async def run(self):
+        while not self.soak.over:
+            if now() > self.leaves_at:
+                self.drop()
+                self.leaves_at = now() + self.random.uniform(*self.STAYS_FOR)
+            if self.stream is None:
+                await self.connect()
+            if self.stream is not None:
+                route = self.random.choice(self.routes) if self.random.random() < 0.2 else None
+                await self.request(SAFE, f"key {self.number} {self.sent}", self.draw_key(), route)
+            await asyncio.sleep(self.random.expovariate(1 / self.PAUSE))
+        self.drop()
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -3,8 +3,13 @@
 import bisect
 import collections
 import dataclasses
+import enum
 import math
 
+# A request is judged by what its process showed so long before (seconds); eight times that where the
+# node was in trouble lately.
+ROLLBACK_SLACK = 0.25
+TROUBLED_ROLLBACK_SLACK = 2.0
 # A fault of a node or of the table service that ended less than this ago is still felt (seconds).
 CALM_AFTER = 3.0
 
@@ -79,3 +84,85 @@
             requests = max(self.requests_until(moment) for moment in before)
             windows.append((end, count, self.ratio * requests + self.slack))
         return min(windows, key=lambda window: window[2] - window[1])
+
+
+class Outcome(enum.Enum):
+    """How a node handled a request."""
+
+    RUN = "run"
+    UNKNOWN_KEY = "refused for its key"
+    UNKNOWN_ROUTE = "refused for its route"
+
+
+@dataclasses.dataclass
+class Configuration:
+    """One version of the operators' configuration."""
+
+    number: int
+    # The tenant of each key.
+    tenants: dict[str, str]
+    routes: set[str]
+    written: float
+    acknowledged: float = math.inf
+
+    def outcome(self, key: str, route: str) -> Outcome:
+        if route not in self.routes:
+            return Outcome.UNKNOWN_ROUTE
+        return Outcome.RUN if key in self.tenants else Outcome.UNKNOWN_KEY
+
+
+@dataclasses.dataclass(frozen=True)
+class Sent:
+    """A request as its caller sent it to one process of a node."""
+
+    at: float
+    process: int
+    key: str
+    route: str
+
+
+class ConfigurationRule:
+    """No request runs that was sent later than `revocation` behind the acknowledgement of a version
+    that took its key away, on any node. What a calm node does with a request sent later than
+    `in_force` behind a version's acknowledgement is allowed by that version or a newer one. No
+    process goes back behind a version whose effect it has shown. Times in seconds."""
+
+    def __init__(self, revocation: float, in_force: float):
+        self.revocation, self.in_force = revocation, in_force
+        self.versions: list[Configuration] = []
+        # By process: from when on it is known to hold the version with this place, at least.
+        self.shown: dict[int, list[tuple[float, int]]] = collections.defaultdict(list)
+
+    def taken_since(self, moment: float) -> list[str]:
+        """The keys that were taken away after the moment and not given again."""
+        before = [one for one in self.versions if one.acknowledged <= moment]
+        known = set().union(*(one.tenants for one in self.versions[max(0, len(before) - 1):]))
+        return sorted(known - set(self.versions[-1].tenants))
+
+    def broken_by(self, sent: Sent, outcome: Outcome, at: float, calm_from: float) -> str:
+        """What is wrong with this outcome, seen at `at`, of a node that was calm from `calm_from`
+        on; empty where nothing is."""
+        places = [place for place, version in enumerate(self.versions)
+                  if version.written <= at and version.outcome(sent.key, sent.route) == outcome]
+        if not places:
+            return f"{outcome.value}, which no configuration says"
+        held, newer = max(places), self.versions[max(places) + 1:]
+        taken = [one for one in newer if sent.key not in one.tenants]
+        if outcome == Outcome.RUN and taken and sent.at > taken[0].acknowledged + self.revocation:
+            return (f"ran with a key that version {taken[0].number} took away "
+                    f"{sent.at - taken[0].acknowledged:.3f} s before it was sent")
+        slack = TROUBLED_ROLLBACK_SLACK if sent.at < calm_from else ROLLBACK_SLACK
+        shown = [place for seen, place in self.shown[sent.process] if seen + slack < sent.at]
+        if shown and max(shown) > held:
+            return (f"{outcome.value} by version {self.versions[held].number}, after its process "
+                    f"had shown {self.versions[max(shown)].number}")
+        if newer and sent.at > max(newer[0].acknowledged, calm_from) + self.in_force:
+            return (f"{outcome.value} by version {self.versions[held].number}, "
+                    f"{sent.at - newer[0].acknowledged:.3f} s behind version {newer[0].number}")
+        self.note_shown(sent.process, at, min(places))
+        return ""
+
+    def note_shown(self, process: int, at: float, place: int):
+        shown = self.shown[process]
+        if not shown or place > shown[-1][1]:
+            shown.append((at, place))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -46,6 +46,14 @@
         pause = (0.3, 4.0) if self.random.random() < 0.4 else (3.5, 6.0)
         self.soak.spawn(self.series("version", self.name_version, 8, pause))
 
+    def start_key_series(self):
+        """Series of their own, drawn apart, so that those above are what they are without them."""
+        draw = random.Random(f"{self.soak.options.seed}/kinds of key series")
+        for number in range(2):
+            pause = (0.2, 1.5) if draw.random() < 0.4 else (2.0, 7.0)
+            self.soak.spawn(self.series(f"keys {number}", self.change_keys, 8, pause))
+        self.soak.spawn(self.series("ways", self.trouble_ways, 6, (0.5, 4.0)))
+
     # --- nodes
 
     async def on_some_node(self, what, fault, draw):
@@ -61,7 +69,7 @@
         await self.on_some_node("paused", Node.pause, draw)
 
     async def on_several_nodes(self, what, fault, draw):
-        nodes = draw.sample(self.soak.nodes, draw.randint(1, len(self.soak.nodes) - 1))
+        nodes = draw.sample(self.soak.nodes, draw.randint(1, max(1, len(self.soak.nodes) - 1)))
         await asyncio.gather(*(node.suffer(what, fault, draw) for node in nodes))
 
     async def kill_several(self, draw):
@@ -70,6 +78,18 @@
     async def pause_several(self, draw):
         await self.on_several_nodes("paused", Node.pause, draw)
 
+    async def pause_several_long(self, draw):
+        await self.on_several_nodes("paused for long", Node.pause_long, draw)
+
+    async def lose_store(self, draw):
+        await self.on_several_nodes("without the table service", Node.lose_store, draw)
+
+    async def hear_store_late(self, draw):
+        await self.on_several_nodes("late to hear of the table service", Node.hear_store_late, draw)
+
+    async def trouble_ways(self, draw):
+        await draw.choice([self.lose_store, self.hear_store_late, self.pause_several_long])(draw)
+
     async def reload_some(self, draw):
         for node in draw.sample(self.soak.nodes, max(1, len(self.soak.nodes) // 2)):
             node.send(signal.SIGHUP)
@@ -110,12 +130,45 @@
             await self.soak.store.drop_history()
         else:
             self.soak.say("connections to the table service fall silent")
-            self.soak.store.listener.silence(draw.uniform(0.2, 1.0), draw)
+            share = draw.uniform(0.2, 1.0)
+            for node in self.soak.nodes:
+                node.store_way.listener.silence(share, draw)
+
+    async def restart_store(self, draw):
+        """The table service starts again, with a steady clock that begins elsewhere."""
+        store = self.soak.store
+        if store.mode != "normal":
+            return
+        trouble = Trouble(now())
+        self.soak.store_troubles.append(trouble)
+        store.mode = "down"
+        for node in self.soak.nodes:
+            node.store_way.listener.cut_connections()
+        await asyncio.sleep(draw.uniform(0.1, 1.0))
+        store.clock_lead = draw.uniform(-30.0, 30.0)
+        self.soak.say(f"the table service starts again, its clock leads by {store.clock_lead:.1f} s")
+        store.mode = "normal"
+        trouble.end = now()
 
     # --- operators
 
     async def change_configuration(self, _draw):
-        await self.soak.configure()
+        await self.soak.operators.configure()
+
+    async def change_keys(self, draw):
+        """Mostly just before or after faults of those who have to hear of it."""
+        possible = [self.pause_several_long, self.lose_store, self.hear_store_late,
+                    self.restart_store, self.kill_several, self.trouble_feeds]
+        companions = draw.choices(possible, [3, 3, 2, 2, 1, 1], k=draw.randint(0, 3))
+        before = draw.random() < 0.5
+        if not before:
+            await self.soak.operators.change_keys(draw)
+            await asyncio.sleep(draw.uniform(0, MEET_WITHIN))
+        for companion in companions:
+            self.soak.spawn(companion(draw))
+        if before:
+            await asyncio.sleep(draw.uniform(0, MEET_WITHIN))
+            await self.soak.operators.change_keys(draw)
 
     async def name_version(self, draw):
         """Mostly just before or after faults of those who have to hear of it, or to load it."""
--- a/tests/soak/model_replicas.py
+++ b/tests/soak/model_replicas.py
@@ -181,7 +181,7 @@
             return self.refusal(503, identifier)
         if peer.gone() or life is not self.life:
             return None
-        self.soak.on_begin(self, identifier, arrived)
+        self.soak.on_begin(self, identifier, arrived, message.headers.get("x-covewing-tenant", ""))
         self.read_prompt(life, message, identifier)
         life.running.add(identifier)
         try:
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -6,6 +6,7 @@
 import subprocess
 
 from checks import Trouble, calm_since
+from table_service import StoreWay
 from wire import now
 
 
@@ -26,6 +27,7 @@
         # A fault that stops or starts the process is under way.
         self.busy = False
         self.troubles: list[Trouble] = []
+        self.store_way = StoreWay(soak.store)
 
     def calm(self) -> bool:
         return calm_since(self.troubles) < now()
@@ -47,10 +49,10 @@
 [cluster]
 seeds = [{peers}]
 [table_service]
-address = "127.0.0.1:{self.soak.store.listener.port}"
+address = "127.0.0.1:{self.store_way.listener.port}"
 [bounds]
 grace_s = 8
-revocation_ms = 5000
+revocation_ms = {int(bounds.revocation * 1000)}
 retry_ratio = {bounds.retry_ratio}
 retry_window_s = {bounds.retry_window}
 retry_slack = {bounds.retry_slack}
@@ -102,6 +104,25 @@
         await asyncio.sleep(draw.uniform(0.1, 3.0))
         self.send(signal.SIGCONT)
 
+    async def pause_long(self, draw):
+        """About as long as keys are accepted without a new confirmation, or longer."""
+        self.send(signal.SIGSTOP)
+        await asyncio.sleep(draw.uniform(1.0, 9.0))
+        self.send(signal.SIGCONT)
+
+    async def lose_store(self, draw):
+        """The table service turns this node away, or the way to it is cut in one direction."""
+        self.store_way.mode = draw.choice(["refused", "limited", "reset", "no requests",
+                                           "no answers"])
+        await asyncio.sleep(draw.uniform(1.0, 9.0))
+        self.store_way.mode = "open"
+
+    async def hear_store_late(self, draw):
+        """Answers of the table service are long under way."""
+        self.store_way.delay = draw.uniform(0.2, 1.4)
+        await asyncio.sleep(draw.uniform(1.0, 6.0))
+        self.store_way.delay = 0.0
+
     async def suffer(self, what, fault, draw):
         """Faults of different nodes overlap; those of one node follow each other."""
         if self.busy:
--- /dev/null
+++ b/tests/soak/operators.py
@@ -0,0 +1,83 @@
+"""The operators' configuration: its versions, with keys and routes that come and go."""
+
+import json
+
+from callers import HOST, KEY, KINDS, SAFE
+from checks import Configuration
+from model_replicas import MODEL, MODEL_SERVICE, SLOTS
+from replicas import SERVICE
+from wire import now
+
+TENANT = "soak-tenant"
+# Tenants whose keys come and go, beside the one that always has its key.
+TENANTS = [f"tenant-{number}" for number in range(4)]
+KEYS = [f"key-{number}" for number in range(24)]
+# Routes that come and go.
+ADDED_ROUTES = [f"added-{number}" for number in range(4)]
+# The shortest of the configurations.
+ROUTE_TIMEOUT_MS = 4000
+# Most keys and routes that one version adds or takes away.
+MOST_CHANGED = 3
+
+
+class Operators:
+    """Write one version after the other, each as soon as it is drawn."""
+
+    def __init__(self, soak):
+        self.soak = soak
+        # The tenant of each key that is there, and the added routes.
+        self.keys = {key: TENANTS[place % len(TENANTS)] for place, key in enumerate(KEYS)}
+        self.routes = set(ADDED_ROUTES[:2])
+
+    @property
+    def version(self) -> int:
+        return len(self.soak.configurations.versions)
+
+    async def configure(self):
+        """A newer version, with another time-out and what the keys and routes are now."""
+        # Versions rise in uneven steps.
+        number = 3 * self.version + 1
+        names = {kind.name for kind in KINDS} | self.routes
+        version = Configuration(number, {KEY: TENANT, **self.keys}, names, now())
+        timeout = ROUTE_TIMEOUT_MS + 100 * ((self.version + 1) % 5)
+        self.soak.configurations.versions.append(version)
+        await self.soak.store.put("op", "config", json.dumps(self.document(version, timeout)).encode())
+        version.acknowledged = now()
+
+    def document(self, version: Configuration, timeout: int) -> dict:
+        routes = [self.route(kind.name, kind, timeout) for kind in KINDS]
+        routes += [self.route(name, SAFE, timeout) for name in sorted(self.routes)]
+        engine = {"slots": SLOTS, "kv_cache_tokens": 90000, "max_concurrency": 4,
+                  "models": [{"name": MODEL}]}
+        keys_of = {name: [] for name in [TENANT] + TENANTS}
+        for key, tenant in version.tenants.items():
+            keys_of[tenant].append(key)
+        return {"version": version.number, "routes": routes,
+                "services": [{"name": SERVICE, "health_path": "/health"},
+                             {"name": MODEL_SERVICE, "health_path": "/health", "engine": engine}],
+                "tenants": [{"name": name, "keys": keys, "priority": 1}
+                            for name, keys in keys_of.items()],
+                "limits": {"header_bytes": 16384, "body_bytes": 1048576,
+                           "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
+
+    @staticmethod
+    def route(name, kind, timeout: int) -> dict:
+        return {"name": name, "host": HOST, "path_prefix": f"/{name}/", "kind": kind.route_kind,
+                "timeout_ms": timeout, "target_latency_ms": 400, "gap_target_ms": 500,
+                "priority": 1, "service": kind.service, "attempts": kind.attempts,
+                "resumable": kind.resumable, "sticky": kind.service == MODEL_SERVICE}
+
+    async def change_keys(self, draw):
+        """Takes keys away, and gives others to a tenant; adds and removes routes."""
+        taken = draw.sample(sorted(self.keys), min(len(self.keys), draw.randint(1, MOST_CHANGED)))
+        absent = sorted(set(KEYS) - set(self.keys))
+        given = draw.sample(absent, min(len(absent), draw.randint(0, MOST_CHANGED)))
+        for key in taken:
+            del self.keys[key]
+        for key in given:
+            self.keys[key] = draw.choice(TENANTS)
+        if draw.random() < 0.5:
+            self.routes ^= {draw.choice(ADDED_ROUTES)}
+        await self.configure()
+        self.soak.say(f"version {self.soak.configurations.versions[-1].number} takes {taken} away "
+                      f"and gives {given}; added routes: {sorted(self.routes)}")
--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -6,7 +6,9 @@
 reload; application replicas crash, some under one caller's request each time that it begins; model
 replicas crash and start again under the identifier that they had; entries by another writer appear
 in the list of replicas; the table service is down, slow, loses answers, drops its history or leaves
-connections silent; the configuration changes. Operators name new versions of the weights all the
+connections silent; the configuration changes. With --keys, keys and
+routes come and go, while the table service turns nodes away, is cut from them in one direction,
+answers late or starts again, and nodes stand still for seconds. Operators name new versions of the weights all the
 while, mostly within MEET_WITHIN of a fault of those who have to hear of it. Callers keep to their
 open connections until the node is gone.
 
@@ -22,6 +24,9 @@
   bound behind a newer one's acknowledgement (checks.VersionRule), nor uses a cached part that was
   made under another version;
 - arrivals beyond the first of each request stay within their bound (checks.RepeatRule);
+- no request runs for another tenant than that of its key, nor later than the bound behind the version
+  that took its key away, on any node; calm nodes follow each version in time, and no process goes
+  back to an older one (checks.ConfigurationRule);
 - nothing arrives at the address of an entry by another writer;
 - in the end every node serves, and all model replicas hold the newest version.
 
@@ -40,25 +45,26 @@
 import sys
 import tempfile
 
-from callers import HOST, KEY, KINDS, RESUMABLE, SAFE, STREAM, Caller
-from checks import RepeatRule, Trouble, VersionRule, calm_since
+from callers import RESUMABLE, SAFE, STREAM, Caller, KeyCaller
+from checks import (ConfigurationRule, Outcome, RepeatRule, Sent, Trouble, VersionRule, calm_since)
 from faults import Faults
-from model_replicas import MODEL, MODEL_SERVICE, SLOTS, ModelReplica
+from model_replicas import MODEL, MODEL_SERVICE, ModelReplica
 from nodes import Node
+from operators import ADDED_ROUTES, KEYS, ROUTE_TIMEOUT_MS, Operators
 from other_writer import OtherWriter
 from replicas import DEADLY, SERVICE, Replica
 from table_service import Store
 from wire import now
 
-TENANT = "soak-tenant"
 # Behind the third end of a replica, all nodes in touch refuse the request after this (seconds).
 KNOWN_AFTER = 3.0
 MOST_MORE = 3
-# The shortest of the configurations.
-ROUTE_TIMEOUT_MS = 4000
 # Requests that begin on an older version so little before the bound show that it is met (seconds).
 NEAR_BOUND = 0.5
 CODE_QUARANTINED = 409
+REFUSED_BY_CONFIGURATION = {401: Outcome.UNKNOWN_KEY, 404: Outcome.UNKNOWN_ROUTE}
+# Callers that go on using keys that may have been taken away, for each node.
+KEY_CALLERS = 2
 MOST_TOLD = 10
 READY_SECONDS = 20
 # From the last fault until all model replicas hold the newest version: twice the bound and the time
@@ -74,6 +80,9 @@
     retry_ratio: float = 0.05
     retry_window: float = 3.0
     retry_slack: float = 6.0
+    revocation: float = 5.0
+    # What operators are promised; no setting of the nodes.
+    configuration_in_force: float = 3.0
 
 
 class Soak:
@@ -95,6 +104,7 @@
         self.not_run = {}
         # The node that each request was sent to.
         self.sent_to = {}
+        self.sent: dict[str, Sent] = {}
         self.arrivals = collections.defaultdict(list)
         self.ends = collections.defaultdict(list)
         # Requests whose replica ended under them.
@@ -104,12 +114,14 @@
         self.repeats = {
             service: RepeatRule(self.bounds.retry_window, self.bounds.retry_ratio,
                                 self.bounds.retry_slack) for service in (SERVICE, MODEL_SERVICE)}
+        self.configurations = ConfigurationRule(self.bounds.revocation,
+                                                self.bounds.configuration_in_force)
+        self.operators = Operators(self)
         self.violations = []
         self.broken_rules = collections.Counter()
         self.counts = collections.Counter()
         self.over = False
         self.tasks = set()
-        self.configuration = 0
         self.faults = Faults(self)
 
     def spawn(self, work):
@@ -134,26 +146,6 @@
 
     # --- operators
 
-    async def configure(self):
-        """A newer configuration, with another time-out."""
-        self.configuration += 1
-        timeout = ROUTE_TIMEOUT_MS + 100 * (self.configuration % 5)
-        routes = [{"name": kind.name, "host": HOST, "path_prefix": f"/{kind.name}/",
-                   "kind": kind.route_kind, "timeout_ms": timeout, "target_latency_ms": 400,
-                   "gap_target_ms": 500, "priority": 1, "service": kind.service,
-                   "attempts": kind.attempts, "resumable": kind.resumable,
-                   "sticky": kind.service == MODEL_SERVICE} for kind in KINDS]
-        engine = {"slots": SLOTS, "kv_cache_tokens": 90000, "max_concurrency": 4,
-                  "models": [{"name": MODEL}]}
-        document = {"version": self.configuration, "routes": routes,
-                    "services": [{"name": SERVICE, "health_path": "/health"},
-                                 {"name": MODEL_SERVICE, "health_path": "/health",
-                                  "engine": engine}],
-                    "tenants": [{"name": TENANT, "keys": [KEY], "priority": 1}],
-                    "limits": {"header_bytes": 16384, "body_bytes": 1048576,
-                               "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
-        await self.store.put("op", "config", json.dumps(document).encode())
-
     async def name_version(self):
         version = self.versions.newest + 1
         document = {"model": MODEL, "version": version}
@@ -165,6 +157,8 @@
 
     def on_answer(self, identifier, kind, body, answer):
         self.counts[answer.status] += 1
+        if answer.status in REFUSED_BY_CONFIGURATION:
+            self.judge(identifier, REFUSED_BY_CONFIGURATION[answer.status])
         if answer.status == 200:
             if answer.body != kind.whole_answer(identifier, body):
                 self.violate(f"{identifier} got another answer: {answer.body[:80]!r}")
@@ -180,9 +174,26 @@
         calm = self.sent_to[identifier].calm() and calm_since(self.store_troubles) < now()
         self.arrivals[body].append((now(), calm))
 
-    def on_begin(self, replica, identifier, arrived):
-        """A model replica begins a request that came at `arrived`."""
+    def on_run(self, identifier, tenant):
+        """A replica runs a request, for the tenant that the node named."""
         self.runs[identifier] += 1
+        key = self.sent[identifier].key
+        if all(one.tenants.get(key) != tenant for one in self.configurations.versions):
+            self.violate(f"{identifier} with {key} ran for tenant '{tenant}'", "tenant")
+        self.judge(identifier, Outcome.RUN)
+
+    def judge(self, identifier, outcome):
+        """Holds what a node did with a request against the operators' configuration."""
+        node, sent = self.sent_to[identifier], self.sent[identifier]
+        calm_from = max(calm_since(node.troubles), calm_since(self.store_troubles))
+        broken = self.configurations.broken_by(sent, outcome, now(), calm_from)
+        if broken:
+            self.violate(f"{identifier} of node-{node.index} with {sent.key} on {sent.route}, sent "
+                         f"at {sent.at - self.began:.3f} s: {broken}", "configuration")
+
+    def on_begin(self, replica, identifier, arrived, tenant):
+        """A model replica begins a request that came at `arrived`."""
+        self.on_run(identifier, tenant)
         late = self.versions.late_by(replica.version, now())
         if late <= 0:
             self.counts["begins near the bound"] += late > -NEAR_BOUND
@@ -210,9 +221,10 @@
         self.slot_taken = socket.create_server((f"127.{self.subnet}.0.1", 7000))
 
     async def start(self):
-        await self.store.listener.open()
         await self.other_writer.listener.open()
-        await self.configure()
+        for node in self.nodes:
+            await node.store_way.listener.open()
+        await self.operators.configure()
         await self.name_version()
         for replica in self.replicas + self.model_replicas:
             await replica.start()
@@ -277,7 +289,12 @@
             self.counts["late arrivals"] += len(late)
             self.counts["late arrivals from calm nodes"] += sum(late)
             if sum(late) > MOST_MORE:
-                self.violate(f"'{body}' reached {sum(late)} replicas more after three had ended")
+                self.violate(f"'{body}' reached {sum(late)} replicas more after three had ended; ends "
+                             f"at {self.times(ends)}, arrivals at "
+                             f"{self.times(at for at, _ in self.arrivals[body])} s")
+
+    def times(self, moments) -> str:
+        return " ".join(f"{moment - self.began:.3f}" for moment in moments)
 
     async def run(self):
         self.began = now()
@@ -292,6 +309,8 @@
                     caller.kinds = (STREAM, RESUMABLE)
                 self.spawn(caller.run())
             self.faults.start_series()
+            if self.options.keys:
+                self.start_keys()
             await asyncio.sleep(self.options.seconds)
             await self.quieten()
             for node in self.nodes:
@@ -305,6 +324,12 @@
             await self.stop_all()
         return self.report()
 
+    def start_keys(self):
+        """Keys and routes come and go, and callers go on using those that are gone."""
+        for number in range(KEY_CALLERS * len(self.nodes)):
+            self.spawn(KeyCaller(self, number, KEYS, ADDED_ROUTES).run())
+        self.faults.start_key_series()
+
     async def watch_lag(self):
         """How late this process itself was at most: by so much its times may be wrong."""
         step = 0.01
@@ -320,6 +345,8 @@
         while now() < deadline and any(node.busy for node in self.nodes):
             await asyncio.sleep(0.1)
         self.store.mode, self.store.lose = "normal", 0
+        for node in self.nodes:
+            node.store_way.mode, node.store_way.delay = "open", 0.0
         await asyncio.sleep(4)
 
     async def stop_all(self):
@@ -362,6 +389,8 @@
     parser.add_argument("--callers", type=int, default=24)
     parser.add_argument("--slot", type=int, default=0, choices=range(64),
                         help="runs beside each other take different ones")
+    parser.add_argument("--keys", action="store_true",
+                        help="operators take keys and routes away, amid faults of their own")
     parser.add_argument("--keep-logs", action="store_true", help="also where all held")
     parser.add_argument("--verbose", action="store_true")
     options = parser.parse_args()
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -46,7 +46,7 @@
         self.soak.repeats[SERVICE].on_arrival(identifier, now())
         if expected != self.instance:
             return http_answer(421, b"", echo + [("X-Covewing-Not-Executed", "1")])
-        self.soak.runs[identifier] += 1
+        self.soak.on_run(identifier, message.headers.get("x-covewing-tenant", ""))
         body = message.body.decode("latin-1")
         if body.startswith(DEADLY):
             self.soak.on_deadly_arrival(body, identifier)
--- a/tests/soak/table_service.py
+++ b/tests/soak/table_service.py
@@ -10,6 +10,8 @@
 
 
 class Store:
+    """The rows, the answers, and the faults that all nodes meet alike."""
+
     def __init__(self):
         self.rows = collections.defaultdict(dict)
         self.version = 0
@@ -18,6 +20,9 @@
         self.lose = 0
         # Rises each time that the history is dropped: feeds from before get 410.
         self.history = 0
+        # The lead of the steady clock that answers name over this process's own; each start of the
+        # service has another one.
+        self.clock_lead = 0.0
         self.listener = Listener(self.handle)
 
     async def put(self, table, key, value):
@@ -45,7 +50,8 @@
         return row
 
     def answer(self, rows, status=200):
-        body = {"ver": self.version, "now_ms": int(now() * 1000), "rows": rows, "has_more": False}
+        body = {"ver": self.version, "now_ms": int((now() + self.clock_lead) * 1000), "rows": rows,
+                "has_more": False}
         return http_answer(status, json.dumps(body).encode(), [("Content-Type", "application/json")])
 
     async def handle(self, message, _peer):
@@ -111,3 +117,35 @@
             self.lose -= 1
             return None
         return self.answer([])
+
+
+class StoreWay:
+    """The way of one node to the table service, with faults of its own."""
+
+    REFUSALS = {"refused": 503, "limited": 429}
+
+    def __init__(self, store: Store):
+        self.store = store
+        # "open", "refused", "limited", "reset", or cut in one direction: "no requests" arrive at
+        # the service, or "no answers" at the node.
+        self.mode = "open"
+        # Answers are under way for so long after they were made (seconds).
+        self.delay = 0.0
+        self.listener = Listener(self.handle)
+
+    async def handle(self, message, peer):
+        if self.mode in self.REFUSALS:
+            return http_answer(self.REFUSALS[self.mode], b"{}")
+        if self.mode == "reset":
+            return None
+        if self.mode == "no requests":
+            return await self.stay_silent()
+        answer = await self.store.handle(message, peer)
+        if self.mode == "no answers":
+            return await self.stay_silent()
+        await asyncio.sleep(self.delay)
+        return answer
+
+    @staticmethod
+    async def stay_silent():
+        await asyncio.sleep(30)
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -101,6 +101,9 @@
 
     def cut(self):
         self.server.close()
+        self.cut_connections()
+
+    def cut_connections(self):
         for peer in list(self.peers):
             peer.writer.transport.abort()
 
