--- a/src/config/table_watch.cc
+++ b/src/config/table_watch.cc
@@ -11,9 +11,15 @@
 namespace {
 
 constexpr double kJitter = 0.5;
+/// Part of a bound that a proof is trusted for.
+constexpr double kTrustedShare = 0.92;
 
 }  // namespace
 
+base::Duration trustedAge(base::Duration bound) {
+  return std::chrono::duration_cast<base::Duration>(bound * kTrustedShare);
+}
+
 TableWatch::TableWatch(TableWatchOptions options, base::Clock& clock, base::TimerService& timers,
                        base::RandomSource& random, clients::TableFeedClient& feed,
                        TableWatchListener& listener)
--- a/src/config/table_watch.h
+++ b/src/config/table_watch.h
@@ -21,6 +21,10 @@
 
 namespace covewing::config {
 
+/// For how long a proof that a copy is the newest is trusted, where nothing older than `bound` may be
+/// acted on.
+base::Duration trustedAge(base::Duration bound);
+
 struct TableWatchOptions {
   std::string table;
   /// How long the service may hold a call for changes; freshness is confirmed this often.
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -35,8 +35,6 @@
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kServiceUnavailable = 503;
-/// Part of the revocation bound that a confirmation is trusted for.
-constexpr double kConfirmationShare = 0.92;
 /// After this a node that is asked for its readiness every second has been asked twice.
 constexpr base::Duration kNoticedAfter = std::chrono::milliseconds(2600);
 /// Kept free at the end of the grace.
@@ -133,8 +131,7 @@
 
   request::RelayServiceOptions serviceOptions() const {
     request::RelayServiceOptions options;
-    options.confirmationBound =
-        std::chrono::duration_cast<base::Duration>(settings.revocation * kConfirmationShare);
+    options.confirmationBound = config::trustedAge(settings.revocation);
     options.quotaWindow.span = settings.quotaWindow;
     options.quotaWindow.overshoot = settings.quotaOvershoot;
     options.quotaWindow.slack = settings.quotaSlack;
--- a/tests/config/feed_fleet.h
+++ b/tests/config/feed_fleet.h
@@ -26,6 +26,46 @@
 
 inline constexpr base::Duration kDelay = milliseconds(1);
 
+/// The timers of one node, and what arrives there: both come late while it stands still, in any
+/// order.
+class NodeTimers final : public base::TimerService {
+ public:
+  NodeTimers(test_support::VirtualTime& time, std::uint64_t seed) : time_(time), random_(seed) {}
+
+  base::TimerId schedule(base::Duration delay, std::function<void()> callback) override {
+    const auto id = ++last_;
+    start(id, delay, std::move(callback));
+    return id;
+  }
+  void cancel(base::TimerId timer) override {
+    const auto found = running_.find(timer);
+    if (found == running_.end()) return;
+    time_.cancel(found->second);
+    running_.erase(found);
+  }
+  void standStill(base::Duration span) { wakesAt_ = std::max(wakesAt_, time_.now() + span); }
+
+ private:
+  void start(base::TimerId id, base::Duration delay, std::function<void()> callback) {
+    running_[id] = time_.schedule(delay, [this, id, callback = std::move(callback)] {
+      if (time_.now() < wakesAt_) {
+        constexpr std::uint64_t kOrder = 100;
+        const base::Duration order{static_cast<base::Duration::rep>(random_.below(kOrder))};
+        start(id, wakesAt_ - time_.now() + order, callback);
+        return;
+      }
+      running_.erase(id);
+      callback();
+    });
+  }
+
+  test_support::VirtualTime& time_;
+  base::SeededRandom random_;
+  base::TimePoint wakesAt_{};
+  base::TimerId last_ = 0;
+  std::map<base::TimerId, base::TimerId> running_;
+};
+
 /// The table service with one table, and the calls that it holds.
 class FakeService {
  public:
@@ -33,6 +73,7 @@
 
   void put(const std::string& key, const std::string& value) {
     rows_[key] = {key, value, ++revision_};
+    committedAt[value] = time_.now();
     const auto held = std::exchange(held_, {});
     for (const auto& call : held) answer(call);
   }
@@ -47,6 +88,10 @@
   }
 
   int calls = 0;
+  /// The lead of the clock that answers name.
+  base::Duration clockLead = seconds(500);
+  /// When each value was committed.
+  std::map<std::string, base::TimePoint> committedAt;
 
  private:
   struct Call {
@@ -66,7 +111,7 @@
     FeedReply reply;
     reply.status = FeedStatus::kOk;
     reply.revision = revision_;
-    reply.serviceTime = time_.now().time_since_epoch() + seconds(500);
+    reply.serviceTime = time_.now().time_since_epoch() + clockLead;
     for (const auto& [key, row] : rows_) {
       if (call->whole || row.revision > call->after) reply.rows.push_back(row);
     }
@@ -82,8 +127,7 @@
 /// The service as one node reaches it.
 class ServiceClient final : public clients::TableFeedClient {
  public:
-  ServiceClient(FakeService& service, test_support::VirtualTime& time)
-      : service_(service), time_(time) {}
+  ServiceClient(FakeService& service, NodeTimers& timers) : service_(service), timers_(timers) {}
   void readAll(std::string /*table*/, clients::FeedCallback callback) override {
     call(0, {}, true, std::move(callback));
   }
@@ -97,6 +141,8 @@
   int refuseNext = 0;
   int calls = 0;
   int wholeReads = 0;
+  /// How long answers are under way beyond the service's own delay.
+  std::function<base::Duration()> delay = [] { return base::Duration::zero(); };
 
  private:
   void call(base::Revision after, base::Duration wait, bool whole, clients::FeedCallback callback) {
@@ -104,12 +150,17 @@
     if (whole) ++wholeReads;
     const bool refusedNow = refused || refuseNext > 0;
     refuseNext -= refuseNext > 0 ? 1 : 0;
-    if (!refusedNow) return service_.ask(after, wait, whole, callback);
-    time_.schedule(kDelay, [callback] { callback({}); });
+    if (refusedNow) {
+      timers_.schedule(kDelay, [callback] { callback({}); });
+      return;
+    }
+    service_.ask(after, wait, whole, [this, callback](const FeedReply& reply) {
+      timers_.schedule(delay(), [callback, reply] { callback(reply); });
+    });
   }
 
   FakeService& service_;
-  test_support::VirtualTime& time_;
+  NodeTimers& timers_;
 };
 
 class Directory final : public membership::MemberDirectory {
@@ -150,6 +201,7 @@
 struct FleetNode {
   FleetNode(Fleet& fleet, std::size_t index);
   Directory directory;
+  NodeTimers timers;
   ServiceClient service;
   Wire wire;
   base::SeededRandom random;
@@ -199,6 +251,8 @@
 
   test_support::VirtualTime time;
   FakeService service{time};
+  /// How long a message between nodes is under way; empty: it is lost.
+  std::function<std::optional<base::Duration>()> messageDelay = [] { return kDelay; };
   std::vector<membership::Member> members;
   std::vector<std::unique_ptr<FleetNode>> nodes;
 };
@@ -207,18 +261,22 @@
                        std::string payload) {
   if (fleet_.nodes[from_]->silent || fleet_.nodes[destination.address]->silent) return;
   BOOST_TEST((channel == base::Channel::kTableFeed));
-  fleet_.time.schedule(kDelay, [this, to = destination.address, payload = std::move(payload)] {
+  const auto delay = fleet_.messageDelay();
+  if (!delay) return;
+  auto& receiver = *fleet_.nodes[destination.address];
+  receiver.timers.schedule(*delay, [this, &receiver, payload = std::move(payload)] {
     const auto& sender = fleet_.members[from_];
-    fleet_.nodes[to]->feed.onPeerMessage({sender.id, 1, sender.endpoint}, payload);
+    receiver.feed.onPeerMessage({sender.id, 1, sender.endpoint}, payload);
   });
 }
 
 inline FleetNode::FleetNode(Fleet& fleet, std::size_t index)
     : directory(fleet.members, index),
-      service(fleet.service, fleet.time),
+      timers(fleet.time, index + 1),
+      service(fleet.service, timers),
       wire(fleet, index),
       random(index + 1),
-      feed({}, {fleet.time, fleet.time, random, log, wire, directory, service}),
-      watch({"t"}, fleet.time, fleet.time, random, feed, listener) {}
+      feed({}, {fleet.time, timers, random, log, wire, directory, service}),
+      watch({"t"}, fleet.time, timers, random, feed, listener) {}
 
 }  // namespace covewing::config::feed_fleet
--- /dev/null
+++ b/tests/node/unread_configuration_test.cc
@@ -0,0 +1,88 @@
+// A node that cannot read a version of the configuration keeps the one before it in force. Its feed
+// went on proving that it knew all rows, so that it accepted keys without end that the version it
+// could not read had taken away: what is confirmed must be what is in force.
+#include <boost/test/unit_test.hpp>
+
+#include "config/feed_fleet.h"
+#include "node/route_configuration.h"
+
+namespace covewing::node {
+
+using config::feed_fleet::Fleet;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// The row "a" holds the number of a version; any other text cannot be read.
+class NumberReader final : public ConfigurationRowReader {
+ public:
+  bool isRouteTable(std::string_view key) const override { return key == "a"; }
+  bool isNamedWeights(std::string_view /*key*/) const override { return false; }
+  std::optional<config::RouteTableContents> readRouteTable(std::string_view value,
+                                                           base::Reason& reason) const override {
+    reason = {base::ResultCode::kInvalidField, "not a number"};
+    if (value.find_first_not_of("0123456789") != std::string_view::npos) return std::nullopt;
+    config::RouteTableContents contents;
+    contents.version = std::stoull(std::string{value});
+    return contents;
+  }
+  std::optional<NamedWeights> readWeights(std::string_view /*value*/,
+                                          base::Reason& /*reason*/) const override {
+    return std::nullopt;
+  }
+};
+
+struct UnreadFixture {
+  UnreadFixture()
+      : configuration(reader, fleet.time, node.log, targets),
+        watch({"t"}, fleet.time, fleet.time, node.random, node.feed, configuration) {
+    configuration.setWatch(watch);
+    watch.start();
+    fleet.time.advance(seconds(2));
+  }
+  base::Duration age() const { return fleet.time.now() - *configuration.confirmedAt(); }
+
+  Fleet fleet{1};
+  config::feed_fleet::FleetNode& node = *fleet.nodes.front();
+  NumberReader reader;
+  routing::WeightsTargets targets{{seconds(8), milliseconds(1200)}};
+  RouteConfiguration configuration;
+  config::TableWatch watch;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(UnreadConfigurationTest, UnreadFixture)
+
+BOOST_AUTO_TEST_CASE(OlderVersionIsNotConfirmedAnyMore) {
+  BOOST_TEST((age() < seconds(1)));
+  fleet.service.put("a", "a form of a later release");
+  fleet.time.advance(seconds(6));
+  BOOST_TEST(configuration.table()->version() == 1U);
+  BOOST_TEST((age() >= seconds(6)));
+}
+
+BOOST_AUTO_TEST_CASE(VersionThatCanBeReadIsConfirmedAgain) {
+  fleet.service.put("a", "a form of a later release");
+  fleet.time.advance(seconds(6));
+  fleet.service.put("a", "3");
+  fleet.time.advance(seconds(1));
+  BOOST_TEST(configuration.table()->version() == 3U);
+  BOOST_TEST((age() < seconds(1)));
+}
+
+BOOST_AUTO_TEST_CASE(NodeThatNeverReadAVersionIsNotConfirmed) {
+  fleet.service.put("a", "a form of a later release");
+  fleet.time.advance(seconds(1));
+  RouteConfiguration fresh(reader, fleet.time, node.log, targets);
+  config::TableWatch freshWatch({"t"}, fleet.time, fleet.time, node.random, node.feed, fresh);
+  fresh.setWatch(freshWatch);
+  freshWatch.start();
+  fleet.time.advance(seconds(2));
+  BOOST_TEST(!fresh.confirmedAt());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::node
