Keep what counts against a request in the table service, so that a restart of all nodes does not forget it

Cause: only verdicts were rows.

The first of a request's two homes writes its suspicion as a row from the second end on; nodes read the rows of verdicts and suspects in the one call at their start. Writes of one row follow each other, so that none undoes a later one.

Weighed: a row for each run that ends (4,000 writes at 200 ends, most of requests that are never suspected again); verdicts without the time for objections (refuses innocent requests).

Request at three ends, all nodes restarted at once, without a fourth end: refused by 0 of 6 nodes before, by 6 now; writes for two suspects of 40 nodes: 2.

--- a/src/quarantine/quarantine_messages.h
+++ b/src/quarantine/quarantine_messages.h
@@ -20,7 +20,8 @@
   Fingerprints runs;
 };
 
-/// From a home to all, also as a gossip record: more than one crash counts against a request.
+/// From a home to all, also as a gossip record and as a row of the table service: more than one
+/// crash counts against a request.
 struct RequestSuspected {
   base::RequestFingerprint request;
   /// Empty in a record where it was served since.
@@ -62,9 +63,11 @@
 /// Key of an entry in the table service and in gossip.
 std::string keyOf(base::RequestFingerprint request);
 inline constexpr std::string_view kQuarantineKeyPrefix = "quarantine/";
-/// Key of a suspect's gossip record.
+/// Key of a suspect in the table service and in gossip.
 std::string suspectKeyOf(base::RequestFingerprint request);
 inline constexpr std::string_view kSuspectKeyPrefix = "quarantine-suspect/";
+/// Keys of all rows in the table service begin with this.
+inline constexpr std::string_view kQuarantineRowsPrefix = "quarantine";
 
 /// Empty when the value is malformed.
 std::optional<QuarantineEntry> decodeQuarantineEntry(std::string_view value);
--- a/src/quarantine/quarantine_rows.cc
+++ b/src/quarantine/quarantine_rows.cc
@@ -30,7 +30,7 @@
 }
 
 void QuarantineRows::load(Loaded loaded) {
-  table_.scan(std::string{kQuarantineKeyPrefix}, 0, kMostRows,
+  table_.scan(std::string{kQuarantineRowsPrefix}, 0, kMostRows,
               [this, loaded = std::move(loaded),
                alive = std::weak_ptr(lifetime_)](const clients::TableReply& reply) {
                 if (alive.expired()) return;
@@ -41,21 +41,24 @@
                   return;
                 }
                 loads_ = 0;
-                loaded(entriesIn(reply));
+                loaded(evidenceIn(reply));
               });
 }
 
-std::vector<QuarantineEntry> QuarantineRows::entriesIn(const clients::TableReply& reply) {
-  std::vector<QuarantineEntry> entries;
+KeptEvidence QuarantineRows::evidenceIn(const clients::TableReply& reply) {
+  KeptEvidence evidence;
   for (const auto& row : reply.rows) {
-    if (const auto entry = decodeQuarantineEntry(row.value)) {
-      entries.push_back(*entry);
+    const auto message = decodeQuarantineMessage(row.value);
+    if (message && std::holds_alternative<QuarantineEntry>(*message)) {
+      evidence.entries.push_back(std::get<QuarantineEntry>(*message));
+    } else if (message && std::holds_alternative<RequestSuspected>(*message)) {
+      evidence.suspects.push_back(std::get<RequestSuspected>(*message));
     } else {
       log_.write(base::Event::kMessageRejected,
                  {{"what", "quarantine row"}, {"row", row.key}, {"why", "it is malformed"}});
     }
   }
-  return entries;
+  return evidence;
 }
 
 void QuarantineRows::write(const QuarantineEntry& entry) {
@@ -86,7 +89,7 @@
                                const clients::TableReply& reply) {
   if (reply.status == clients::TableStatus::kOk) return;
   if (reply.status == clients::TableStatus::kConflict) {
-    const auto kept = entriesIn(reply);
+    const auto kept = evidenceIn(reply).entries;
     if (!kept.empty() && kept.front().version() >= write->entry.version()) return;
     write->expected = reply.rows.empty() ? 0 : reply.rows.front().revision;
   }
@@ -95,4 +98,53 @@
   });
 }
 
+void QuarantineRows::write(const RequestSuspected& suspected) {
+  write(suspected.request, encode(suspected));
+}
+
+void QuarantineRows::forgetSuspect(base::RequestFingerprint request) {
+  write(request, std::nullopt);
+}
+
+void QuarantineRows::write(base::RequestFingerprint suspect, std::optional<std::string> value) {
+  const auto [found, added] = suspectWrites_.try_emplace(suspect);
+  found->second.value = std::move(value);
+  found->second.changed = !added;
+  if (added) step(suspect);
+}
+
+void QuarantineRows::step(base::RequestFingerprint suspect) {
+  auto& write = suspectWrites_.at(suspect);
+  const auto key = suspectKeyOf(suspect);
+  if (++write.attempts > kWriteAttempts) {
+    log_.write(base::Event::kPlatformUnavailable,
+               {{"what", "row of a suspect"}, {"row", key}, {"why", "it could not be written"}});
+    suspectWrites_.erase(suspect);
+    return;
+  }
+  write.changed = false;
+  clients::TableTransaction transaction;
+  transaction.writes = {{key, write.value}};
+  table_.commit(std::move(transaction), [this, suspect, alive = std::weak_ptr(lifetime_)](
+                                            const clients::TableReply& reply) {
+    if (!alive.expired()) onWritten(suspect, reply);
+  });
+}
+
+void QuarantineRows::onWritten(base::RequestFingerprint suspect, const clients::TableReply& reply) {
+  auto& write = suspectWrites_.at(suspect);
+  if (reply.status == clients::TableStatus::kOk) {
+    write.attempts = 0;
+    if (!write.changed) {
+      suspectWrites_.erase(suspect);
+    } else {
+      step(suspect);
+    }
+    return;
+  }
+  timers_.schedule(pause(write.attempts), [this, suspect, alive = std::weak_ptr(lifetime_)] {
+    if (!alive.expired()) step(suspect);
+  });
+}
+
 }  // namespace covewing::quarantine
--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -109,6 +109,7 @@
   }
   for (const auto run : news) {
     repeatedly([this, run] { announce(run); });
+    keepSuspect(run);
     object(run);
   }
   scheduleVerdict();
@@ -134,6 +135,14 @@
 }
 
 void RequestQuarantine::take(const RequestSuspected& suspected) {
+  const auto before = evidence_.crashesAgainst(suspected.request).size();
+  count(suspected);
+  const auto after = evidence_.crashesAgainst(suspected.request).size();
+  // The other home may tell of a crash before the node does that saw it.
+  if (after > before && after > 1) keepSuspect(suspected.request);
+}
+
+void RequestQuarantine::count(const RequestSuspected& suspected) {
   if (ageOf(suspected.announcedAt) > options_.evidence.memory) return;
   for (const auto replica : suspected.replicas)
     evidence_.onRunsEnded(replica, {suspected.request}, environment_.clock.now());
@@ -160,6 +169,7 @@
   if (announced) {
     repeatedly([this, served] { sendToAll(encode(served)); });
     publish(suspicionOf(request));
+    if (keepsRowsOf(request)) forgetSuspect(request);
   }
   if (find(request)) lift(request);
 }
@@ -221,6 +231,7 @@
     evidence_.onServed(entry.request, now);
   } else {
     evidence_.onQuarantined(entry.request, now + options_.lifetime - age);
+    forgetQuarantinedSuspect(entry.request);
   }
   // Both homes decide, a few milliseconds apart.
   if (refusedBefore == entry.lifted) {
@@ -262,21 +273,72 @@
 }
 
 void RequestQuarantine::compareWithRows() {
-  rows_.load([this](const std::vector<QuarantineEntry>& entries) {
-    for (const auto& entry : entries) apply(entry, "the table service");
-    for (const auto& [request, verdict] : verdicts_) {
-      const auto kept = std::ranges::find(entries, request, &QuarantineEntry::request);
-      const bool wanted = find(request).has_value();
-      // A row of a request that may be sent again would stop it after a restart.
-      const bool missing = wanted && kept == entries.end();
-      const bool left = verdict.entry.lifted && kept != entries.end();
-      if (missing || left) rows_.write(verdict.entry);
-      if (wanted) publish(verdict.entry);
-    }
+  rows_.load([this](const KeptEvidence& kept) {
+    takeRows(kept);
     if (size() > 0) scheduleComparison();
   });
 }
 
+void RequestQuarantine::takeRows(const KeptEvidence& kept) {
+  for (const auto& entry : kept.entries) apply(entry, "the table service");
+  for (const auto& [request, verdict] : verdicts_) {
+    const auto row = std::ranges::find(kept.entries, request, &QuarantineEntry::request);
+    const bool wanted = find(request).has_value();
+    // A row of a request that may be sent again would stop it after a restart.
+    const bool missing = wanted && row == kept.entries.end();
+    const bool left = verdict.entry.lifted && row != kept.entries.end();
+    if (missing || left) rows_.write(verdict.entry);
+    if (wanted) publish(verdict.entry);
+  }
+  for (const auto& suspected : kept.suspects) {
+    const auto age = ageOf(suspected.announcedAt);
+    if (age > options_.evidence.memory) {
+      rows_.forgetSuspect(suspected.request);
+      continue;
+    }
+    watchSuspectRow(suspected.request, age);
+    count(suspected);
+  }
+}
+
+void RequestQuarantine::keepSuspect(base::RequestFingerprint request) {
+  if (!keepsRowsOf(request)) return;
+  const bool room =
+      suspectRows_.contains(request) || suspectRows_.size() < options_.mostSuspectRows;
+  if (!room) return;
+  // Where all nodes are killed before a verdict, nobody else knows of these crashes: a request
+  // ended four replicas more, and was refused 5.3 s after its third instead of within 1 s.
+  rows_.write(suspicionOf(request));
+  watchSuspectRow(request, base::Duration::zero());
+}
+
+void RequestQuarantine::watchSuspectRow(base::RequestFingerprint request, base::Duration age) {
+  const auto left = options_.evidence.memory - age;
+  suspectRows_[request] = environment_.clock.now() + left;
+  environment_.timers.schedule(left, [this, request, alive = std::weak_ptr(lifetime_)] {
+    if (alive.expired()) return;
+    const auto found = suspectRows_.find(request);
+    if (found == suspectRows_.end() || environment_.clock.now() < found->second) return;
+    suspectRows_.erase(found);
+    if (keepsRowsOf(request)) rows_.forgetSuspect(request);
+  });
+}
+
+void RequestQuarantine::forgetSuspect(base::RequestFingerprint request) {
+  suspectRows_.erase(request);
+  rows_.forgetSuspect(request);
+}
+
+void RequestQuarantine::forgetQuarantinedSuspect(base::RequestFingerprint request) {
+  if (suspectRows_.erase(request) == 0 || !keepsRowsOf(request)) return;
+  // Its homes write the verdict now: the row before it goes once that is there.
+  environment_.timers.schedule(options_.secondRepeat,
+                               [this, request, alive = std::weak_ptr(lifetime_)] {
+                                 if (!alive.expired() && find(request))
+                                   rows_.forgetSuspect(request);
+                               });
+}
+
 std::vector<base::Endpoint> RequestQuarantine::homesOf(base::RequestFingerprint request) const {
   const auto& members = environment_.members;
   const auto& first = membership::rendezvousHome(request.value, members,
@@ -294,6 +356,10 @@
   return std::ranges::find(homes, environment_.members.self().endpoint) != homes.end();
 }
 
+bool RequestQuarantine::keepsRowsOf(base::RequestFingerprint request) const {
+  return homesOf(request).front() == environment_.members.self().endpoint;
+}
+
 void RequestQuarantine::sendToHomes(base::RequestFingerprint request, const std::string& payload) {
   for (const auto& home : homesOf(request)) send(home, payload);
 }
--- a/src/quarantine/request_quarantine.h
+++ b/src/quarantine/request_quarantine.h
@@ -9,8 +9,8 @@
 /// objection the homes quarantine the culprit, and every node refuses it before it is sent.
 ///
 /// Messages may be lost and go a few times. Suspects and decisions spread as gossip records
-/// besides, which repair what a node that was cut off or has just started has missed; decisions are
-/// kept in the table service for a restart of all nodes. A decision is lifted when a run of the
+/// besides, which repair what a node that was cut off or has just started has missed; both are kept
+/// in the table service for a restart of all nodes. A decision is lifted when a run of the
 /// request comes to its end after all, and lapses.
 #pragma once
 
@@ -52,6 +52,8 @@
   std::size_t mostAnnounced = 8;
   /// Between a home's comparisons with the table service, while anything is quarantined.
   base::Duration comparePeriod = std::chrono::seconds(30);
+  /// Suspects of which this node keeps a row; beyond that none is added.
+  std::size_t mostSuspectRows = 256;
   /// Requests in quarantine; beyond that none is added.
   std::size_t mostQuarantined = 1024;
 };
@@ -119,6 +121,8 @@
   void take(const RunsEnded& ended);
   void take(const RequestSuspected& suspected);
   void take(const RequestServed& served);
+  /// Counts the crashes against the request, unless the suspicion is old.
+  void count(const RequestSuspected& suspected);
   /// Tells all which crashes count against the request.
   void announce(base::RequestFingerprint request);
   RequestSuspected suspicionOf(base::RequestFingerprint request) const;
@@ -137,10 +141,21 @@
   void publish(const QuarantineEntry& entry);
   void scheduleComparison();
   void compareWithRows();
+  void takeRows(const KeptEvidence& kept);
+  /// As the home that keeps the rows of a suspect: writes what counts against it now.
+  void keepSuspect(base::RequestFingerprint request);
+  /// Takes the row of a suspect for this node's to remove once it is as old as evidence gets.
+  void watchSuspectRow(base::RequestFingerprint request, base::Duration age);
+  /// Nothing counts against the request any more.
+  void forgetSuspect(base::RequestFingerprint request);
+  /// The verdict on the request says all that its row as a suspect did.
+  void forgetQuarantinedSuspect(base::RequestFingerprint request);
 
   /// The two nodes that judge a request, as this node sees the members; one where it is alone.
   std::vector<base::Endpoint> homesOf(base::RequestFingerprint request) const;
   bool isHomeOf(base::RequestFingerprint request) const;
+  /// Of the two homes, the one that writes rows of a suspect.
+  bool keepsRowsOf(base::RequestFingerprint request) const;
   void sendToHomes(base::RequestFingerprint request, const std::string& payload);
   /// To another node, or as if from another one to this node.
   void send(const base::Endpoint& destination, const std::string& payload);
@@ -157,6 +172,8 @@
   ServedRequests served_;
   QuarantineRows rows_;
   std::unordered_map<base::RequestFingerprint, Verdict> verdicts_;
+  /// Until when the rows of suspects count that this node keeps.
+  std::unordered_map<base::RequestFingerprint, base::TimePoint> suspectRows_;
   std::deque<Report> reports_;
   /// The members that the reports were sent to.
   std::uint64_t reportedTo_ = 0;
