--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -81,6 +81,12 @@
     async def pause_several_long(self, draw):
         await self.on_several_nodes("paused for long", Node.pause_long, draw)
 
+    async def wake_all_without_store(self, draw):
+        """Nobody is left who could tell the others of news."""
+        await asyncio.gather(*(node.suffer("stopped, and without the table service when it wakes",
+                                           Node.wake_without_store, draw)
+                               for node in self.soak.nodes))
+
     async def lose_store(self, draw):
         await self.on_several_nodes("without the table service", Node.lose_store, draw)
 
@@ -158,16 +164,19 @@
     async def change_keys(self, draw):
         """Mostly just before or after faults of those who have to hear of it."""
         possible = [self.pause_several_long, self.lose_store, self.hear_store_late,
-                    self.restart_store, self.kill_several, self.trouble_feeds]
-        companions = draw.choices(possible, [3, 3, 2, 2, 1, 1], k=draw.randint(0, 3))
+                    self.restart_store, self.kill_several, self.trouble_feeds,
+                    self.wake_all_without_store]
+        companions = draw.choices(possible, [3, 3, 2, 3, 1, 1, 3], k=draw.randint(0, 3))
+        # The table service holds a call for 0.8 s: news come in its answer, or after it.
+        gap = draw.uniform(0, MEET_WITHIN) if draw.random() < 0.5 else draw.uniform(0.8, 2.5)
         before = draw.random() < 0.5
         if not before:
             await self.soak.operators.change_keys(draw)
-            await asyncio.sleep(draw.uniform(0, MEET_WITHIN))
+            await asyncio.sleep(gap)
         for companion in companions:
             self.soak.spawn(companion(draw))
         if before:
-            await asyncio.sleep(draw.uniform(0, MEET_WITHIN))
+            await asyncio.sleep(gap)
             await self.soak.operators.change_keys(draw)
 
     async def name_version(self, draw):
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -9,6 +9,9 @@
 from table_service import StoreWay
 from wire import now
 
+# Ways in which a node loses the table service (table_service.StoreWay).
+STORE_LOSSES = ["refused", "limited", "reset", "no requests", "no answers"]
+
 
 def end_with_parent():
     """A soak that is killed leaves no node behind."""
@@ -110,10 +113,18 @@
         await asyncio.sleep(draw.uniform(1.0, 9.0))
         self.send(signal.SIGCONT)
 
+    async def wake_without_store(self, draw):
+        """Stands still, and finds the table service away when it goes on."""
+        self.send(signal.SIGSTOP)
+        await asyncio.sleep(draw.uniform(1.0, 7.0))
+        self.store_way.mode = draw.choice(STORE_LOSSES)
+        self.send(signal.SIGCONT)
+        await asyncio.sleep(draw.uniform(1.0, 7.0))
+        self.store_way.mode = "open"
+
     async def lose_store(self, draw):
         """The table service turns this node away, or the way to it is cut in one direction."""
-        self.store_way.mode = draw.choice(["refused", "limited", "reset", "no requests",
-                                           "no answers"])
+        self.store_way.mode = draw.choice(STORE_LOSSES)
         await asyncio.sleep(draw.uniform(1.0, 9.0))
         self.store_way.mode = "open"
 
