Date no answer of the table service later than its call may be held, and trust proofs for that much less

Cause: an answer that the service held was dated by the clock that it names. Where that clock had leapt ahead (another run or machine of the service, a node's clock that stood still), each answer counted as made when it was handled, up to two minutes long. Class: the time at which something is noticed taken for the time at which it was so.

An answer counts as made at most as late as the service may hold its call (0.8 s behind its sending), whatever clocks say, and a proof is trusted for the bound less that hold: 4.2 s of 5 s, 4.6 s before. So no key is accepted later than the bound by anything but the contract that answers are not older than their calls. A leap that shows (an answer from the future) ends the bound of the clock.

Noticing leaps alone: does not help where the first answer behind the leap is the late one.

One test is stricter: an answer from the future proved the time of its arrival, now no more than the sending of its call.

--- a/src/config/service_clock.h
+++ b/src/config/service_clock.h
@@ -8,6 +8,11 @@
 /// clock is ahead; with that bound, the time that any other answer names gives a moment before
 /// which it was not made. The bound is renewed, so that clocks whose rates differ slightly do no
 /// harm.
+///
+/// The clock is steady only while one run of the service answers. Where another one does, or the
+/// node's own clock stood still, it may have leapt ahead, and answers seem to be made later than
+/// they were. What can be told of that is told: an answer from the future ends the bound. For the
+/// rest, no answer counts as made later than the service may hold its call.
 #pragma once
 
 #include <optional>
@@ -26,11 +31,22 @@
   bool needsQuickCall(base::TimePoint now) const {
     return !current_ || now - windowBegan_ > window_;
   }
-  /// An answer that names `serviceTime` came at `now` to a call sent at `sentAt`. Gives a moment on
-  /// this node's clock, from `sentAt` to `now`, at which or after which the answer was made.
-  base::TimePoint madeAt(base::Duration serviceTime, base::TimePoint sentAt, base::TimePoint now);
+  /// An answer that names `serviceTime` came at `now` to a call sent at `sentAt`, which the service
+  /// was told to hold for `hold` at most. Gives a moment on this node's clock, from `sentAt` to
+  /// `sentAt + hold`, at which or after which the answer was made, unless the service's clock has
+  /// leapt unnoticed.
+  base::TimePoint madeAt(base::Duration serviceTime, base::TimePoint sentAt, base::Duration hold,
+                         base::TimePoint now);
 
  private:
+  /// Two windows of 60 s in which the clocks' rates differ by 150 parts in a million, and the
+  /// millisecond in which the service tells its time.
+  static constexpr base::Duration kTolerance = std::chrono::milliseconds(20);
+
+  /// Least lead of the service's clock that was seen; empty before the first answer.
+  std::optional<base::Duration> leastLead() const;
+  void forget();
+
   base::Duration window_;
   /// Greatest possible lead of the service's clock, from this window and from the one before.
   std::optional<base::Duration> current_;
--- a/src/config/shared_feed.cc
+++ b/src/config/shared_feed.cc
@@ -85,8 +85,8 @@
     environment_.service.readAll(call->table, std::move(handler));
   } else {
     const bool quick = clock_.needsQuickCall(call->sentAt);
-    const auto wait = quick ? base::Duration::zero() : call->wait;
-    environment_.service.changes(call->table, call->after, wait, std::move(handler));
+    call->hold = quick ? base::Duration::zero() : call->wait;
+    environment_.service.changes(call->table, call->after, call->hold, std::move(handler));
   }
 }
 
@@ -106,7 +106,7 @@
     reply.currentAt = call->sentAt;
     if (reply.serviceTime) {
       const auto now = environment_.clock.now();
-      const auto madeAt = clock_.madeAt(*reply.serviceTime, call->sentAt, now);
+      const auto madeAt = clock_.madeAt(*reply.serviceTime, call->sentAt, call->hold, now);
       // Of a whole copy, only the first page is sure to be newer than the call.
       if (!call->whole) reply.currentAt = madeAt;
     }
--- a/src/config/shared_feed.h
+++ b/src/config/shared_feed.h
@@ -113,6 +113,8 @@
     bool serviceTried = false;
     bool peerTried = false;
     base::TimePoint sentAt{};
+    /// For how long the service was told to hold the call.
+    base::Duration hold{};
     base::TimerId timer = 0;
   };
   using CallPtr = std::shared_ptr<Call>;
--- a/src/config/table_watch.cc
+++ b/src/config/table_watch.cc
@@ -13,11 +13,21 @@
 constexpr double kJitter = 0.5;
 /// Part of a bound that a proof is trusted for.
 constexpr double kTrustedShare = 0.92;
+/// Where bounds are short, a call is held for this part of them.
+constexpr int kHoldsInBound = 6;
 
 }  // namespace
 
+base::Duration holdFor(base::Duration bound) {
+  return bound == base::Duration::zero() ? kLongestHold
+                                         : std::min(kLongestHold, bound / kHoldsInBound);
+}
+
 base::Duration trustedAge(base::Duration bound) {
-  return std::chrono::duration_cast<base::Duration>(bound * kTrustedShare);
+  const auto share = std::chrono::duration_cast<base::Duration>(bound * kTrustedShare);
+  // A proof may be older than it says by the hold of its call: so no key is accepted later than the
+  // bound, whatever the service's clock did.
+  return bound == base::Duration::zero() ? bound : std::min(share, bound - holdFor(bound));
 }
 
 TableWatch::TableWatch(TableWatchOptions options, base::Clock& clock, base::TimerService& timers,
--- a/src/config/table_watch.h
+++ b/src/config/table_watch.h
@@ -4,9 +4,10 @@
 /// States: reading all rows -> following the changes -> (history gone) reading all rows again.
 /// A call that fails is repeated with growing, jittered waits; what is known stays known meanwhile.
 ///
-/// Freshness. An answer proves that nothing else had been committed when the call was *sent*. The
-/// time of sending is therefore what `confirmedAt` gives: a process that was paused between the
-/// answer and its use never believes itself fresher than it is.
+/// Freshness. An answer proves that nothing else had been committed when the call was *sent*, and
+/// by the service's clock, if that runs evenly, when the answer was made (config/service_clock).
+/// The latter is what `confirmedAt` gives, so it may be too young by as long as the service may
+/// hold a call, and no more; `trustedAge` allows for that.
 #pragma once
 
 #include <functional>
@@ -21,14 +22,19 @@
 
 namespace covewing::config {
 
-/// For how long a proof that a copy is the newest is trusted, where nothing older than `bound` may be
-/// acted on.
+/// How long the service may hold a call for changes; freshness is confirmed this often.
+inline constexpr base::Duration kLongestHold = std::chrono::milliseconds(800);
+
+/// How long the service may hold a call where nothing older than `bound` may be acted on; zero:
+/// there is no bound.
+base::Duration holdFor(base::Duration bound);
+/// For how long a proof that a copy is the newest is trusted there; zero: without bound.
 base::Duration trustedAge(base::Duration bound);
 
 struct TableWatchOptions {
   std::string table;
-  /// How long the service may hold a call for changes; freshness is confirmed this often.
-  base::Duration wait = std::chrono::milliseconds(800);
+  /// How long the service may hold a call for changes.
+  base::Duration wait = kLongestHold;
   /// Between an answer with changes and the next call, so that changes in quick succession are
   /// taken together.
   base::Duration pause{};
--- a/tests/config/proof_age_test.cc
+++ b/tests/config/proof_age_test.cc
@@ -152,11 +152,11 @@
 BOOST_AUTO_TEST_CASE(ClockThatLeapsAheadIsNoticed) {
   ServiceClock clock;
   const base::TimePoint start{seconds(100)};
-  clock.madeAt(seconds(500), start, start + milliseconds(2));
+  clock.madeAt(seconds(500), start, milliseconds(800), start + milliseconds(2));
   // The service started again: its clock is 20 s ahead of what it was. Sent at 110 s, made at once,
   // read 7 s later.
   const auto sentAt = start + seconds(10);
-  const auto made = clock.madeAt(seconds(530), sentAt, sentAt + seconds(7));
+  const auto made = clock.madeAt(seconds(530), sentAt, milliseconds(800), sentAt + seconds(7));
   BOOST_TEST((made == sentAt));
 }
 
--- a/tests/config/table_copy_test.cc
+++ b/tests/config/table_copy_test.cc
@@ -79,49 +79,72 @@
 }
 
 constexpr base::TimePoint kStart{seconds(100)};
+constexpr base::Duration kHold = milliseconds(800);
 
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(FirstAnswerProvesNoMoreThanTheSendingOfItsCall) {
   ServiceClock clock;
   const auto made =
-      clock.madeAt(serviceAt(kStart + milliseconds(900)), kStart, kStart + seconds(1));
+      clock.madeAt(serviceAt(kStart + milliseconds(900)), kStart, kHold, kStart + seconds(1));
   BOOST_TEST((made == kStart));
 }
 
 BOOST_AUTO_TEST_CASE(HeldCallProvesUntilWhenItWasHeldOnceAQuickOneBoundsTheClock) {
   ServiceClock clock;
-  clock.madeAt(serviceAt(kStart + milliseconds(2)), kStart, kStart + milliseconds(4));
+  clock.madeAt(serviceAt(kStart + milliseconds(2)), kStart, kHold, kStart + milliseconds(4));
   const auto sent = kStart + seconds(1);
-  const auto made = clock.madeAt(serviceAt(sent + milliseconds(802)), sent, sent + seconds(2));
+  const auto made =
+      clock.madeAt(serviceAt(sent + milliseconds(802)), sent, kHold, sent + seconds(2));
   BOOST_TEST((made == sent + milliseconds(800)));
 }
 
 BOOST_AUTO_TEST_CASE(AnswerThatWasUnderWayForLongProvesOnlyWhenItWasMade) {
   ServiceClock clock;
-  clock.madeAt(serviceAt(kStart + milliseconds(2)), kStart, kStart + milliseconds(4));
+  clock.madeAt(serviceAt(kStart + milliseconds(2)), kStart, kHold, kStart + milliseconds(4));
   const auto sent = kStart + seconds(1);
-  const auto made = clock.madeAt(serviceAt(sent + milliseconds(3)), sent, sent + seconds(30));
+  const auto made =
+      clock.madeAt(serviceAt(sent + milliseconds(3)), sent, kHold, sent + seconds(30));
   BOOST_TEST((made == sent + milliseconds(1)));
 }
 
 BOOST_AUTO_TEST_CASE(ProofIsNeverLaterThanTheArrivalNorEarlierThanTheSending) {
   ServiceClock clock;
-  clock.madeAt(serviceAt(kStart), kStart, kStart);
+  clock.madeAt(serviceAt(kStart), kStart, kHold, kStart);
+  const auto sent = kStart + seconds(1);
+  const auto arrived = sent + milliseconds(10);
+  const auto late = serviceAt(arrived + milliseconds(5));
+  BOOST_TEST((clock.madeAt(late, sent, kHold, arrived) == arrived));
+  BOOST_TEST((clock.madeAt(seconds(1), sent, kHold, arrived) == sent));
+}
+
+// Its clock has leapt ahead of the node's: how long the answer was under way cannot be told.
+BOOST_AUTO_TEST_CASE(AnswerFromTheFutureProvesNoMoreThanTheSendingOfItsCall) {
+  ServiceClock clock;
+  clock.madeAt(serviceAt(kStart), kStart, kHold, kStart);
   const auto sent = kStart + seconds(1);
   const auto arrived = sent + milliseconds(10);
-  BOOST_TEST((clock.madeAt(serviceAt(sent) + seconds(60), sent, arrived) == arrived));
-  BOOST_TEST((clock.madeAt(seconds(1), sent, arrived) == sent));
+  BOOST_TEST((clock.madeAt(serviceAt(sent) + seconds(60), sent, kHold, arrived) == sent));
+  BOOST_TEST(clock.needsQuickCall(arrived));
+}
+
+BOOST_AUTO_TEST_CASE(AnswerIsNotMadeLaterThanItsCallMayBeHeld) {
+  ServiceClock clock;
+  clock.madeAt(serviceAt(kStart), kStart, kHold, kStart);
+  const auto sent = kStart + seconds(1);
+  const auto made = clock.madeAt(serviceAt(sent + seconds(5)), sent, kHold, sent + seconds(7));
+  BOOST_TEST((made == sent + kHold));
 }
 
 BOOST_AUTO_TEST_CASE(BoundIsForgottenAfterTwoWindows) {
   ServiceClock clock(seconds(5));
-  clock.madeAt(serviceAt(kStart), kStart, kStart);
+  clock.madeAt(serviceAt(kStart), kStart, kHold, kStart);
   auto sent = kStart + seconds(6);
-  clock.madeAt(serviceAt(sent + milliseconds(50)), sent, sent + milliseconds(60));
+  clock.madeAt(serviceAt(sent + milliseconds(50)), sent, kHold, sent + milliseconds(60));
   sent += seconds(6);
   // Only calls of 50 ms and more bound the clock now.
-  const auto made = clock.madeAt(serviceAt(sent + milliseconds(50)), sent, sent + milliseconds(60));
+  const auto made =
+      clock.madeAt(serviceAt(sent + milliseconds(50)), sent, kHold, sent + milliseconds(60));
   BOOST_TEST((made == sent));
 }
 
