Confirm a configuration only while it is the newest that was read

Cause: what the feed confirms is that a node knows all rows. A version that it cannot read leaves the one before it in force, and that one counted as confirmed for good, with the keys that the newer one had taken away. The class is the same: knowledge of one thing (the feed) taken for that of another (the configuration in force).

Behind an unread version the last proof before it counts, so that keys are refused within their bound and the node says that it is not ready; the next version that can be read ends that.

Weighed: reading the rest of such a version and leaving its unread routes out: a route would vanish without its operators having removed it.

--- a/src/node/route_configuration.cc
+++ b/src/node/route_configuration.cc
@@ -14,6 +14,10 @@
 }  // namespace
 
 std::optional<base::TimePoint> RouteConfiguration::confirmedAt() const {
+  return newestUnread_ ? confirmedBeforeUnread_ : feedConfirmedAt();
+}
+
+std::optional<base::TimePoint> RouteConfiguration::feedConfirmedAt() const {
   if (watch_ == nullptr) return std::nullopt;
   return watch_->confirmedAt();
 }
@@ -32,8 +36,12 @@
   if (!contents) {
     log_.write(base::Event::kRouteTableRejected,
                {{"revision", std::to_string(row.revision)}, {"why", reason.detail}});
+    // The feed goes on proving that all rows are known: keys that this version takes away would be
+    // accepted without end.
+    if (!std::exchange(newestUnread_, true)) confirmedBeforeUnread_ = feedConfirmedAt();
     return;
   }
+  newestUnread_ = false;
   if (table_ && contents->version <= table_->version()) return;
   table_ = std::make_shared<const config::RouteTable>(std::move(*contents));
   log_.write(base::Event::kRouteTableInForce,
@@ -70,7 +78,7 @@
   // A node that has just started does not know which versions were named shortly before this one:
   // they may be in force already, and only the dates in the table service tell.
   const bool justStarted =
-      source == config::RowSource::kCopy && !confirmedAt() && targets_.newest(named.model) == 0;
+      source == config::RowSource::kCopy && !feedConfirmedAt() && targets_.newest(named.model) == 0;
   // A version that becomes known late has had part of its time: counted from when this node heard
   // of it, requests began on older weights up to 1.1 s too late where the feed's readers were lost.
   if (justStarted || !row.changedAfter) return news;
@@ -88,7 +96,7 @@
   // Others may know well when this version was named and tell nothing of one before it that this
   // node never saw: that one is no older than the node's own last proof.
   if (newest != 0 && named.version > newest + 1) {
-    if (const auto provedAt = confirmedAt()) {
+    if (const auto provedAt = feedConfirmedAt()) {
       const auto unseenAfter = std::max(*provedAt, news.unreachableAt.value_or(*provedAt));
       targets_.onNamed(named.model, newest + 1, std::min(unseenAfter, *news.namedAfter));
     }
--- a/src/node/route_configuration.h
+++ b/src/node/route_configuration.h
@@ -1,7 +1,8 @@
 /// \file
 /// The operators' configuration of a relaying node, kept current from the table service: the route
 /// table in force and the versions of weights that are wanted. A table is replaced by a newer
-/// version only, so that configuration never goes back while the node runs.
+/// version only, so that configuration never goes back while the node runs. It is confirmed only
+/// while it is the newest: behind one that cannot be read here, nothing proves it any more.
 #pragma once
 
 #include <functional>
@@ -80,6 +81,8 @@
  private:
   void takeTable(const clients::FeedRow& row);
   void takeWeights(const clients::FeedRow& row, config::RowSource source);
+  /// When the feed last proved that this node knows all rows.
+  std::optional<base::TimePoint> feedConfirmedAt() const;
   VersionNews newsOf(const NamedWeights& named, const clients::FeedRow& row,
                      config::RowSource source) const;
   /// Takes the version into the targets; false when it is not newer.
@@ -91,6 +94,10 @@
   routing::WeightsTargets& targets_;
   const config::TableWatch* watch_ = nullptr;
   config::RouteTablePtr table_;
+  /// The newest version cannot be read here, and the one before it stays in force.
+  bool newestUnread_ = false;
+  /// The last proof before that version; empty when there was none.
+  std::optional<base::TimePoint> confirmedBeforeUnread_;
   TableListener tableListener_;
   WeightsListener weightsListener_;
   FeedOutage outage_{log_, "configuration feed"};
