Take a date of weights that lies in the future for none

Cause: the same as that of keys accepted too long, elsewhere: dates of versions are rows by the table service's clock, and one that another run of that clock wrote was taken for a version named just now where it lay in the future, so that a node that had just started gave older weights their whole time again. With a clock that runs on, no date lies in the future: whoever reads reckons with the latest that it can be. A leap by less than a version's age cannot be told; nodes that saw the version come have its time themselves.

--- a/src/node/weights_dates.cc
+++ b/src/node/weights_dates.cc
@@ -61,6 +61,20 @@
   return reply.rows.empty() ? std::nullopt : decode(reply.rows.front().value);
 }
 
+/// The ages of the versions that the reply dates, by the service's clock now.
+std::vector<VersionAge> agesIn(const clients::TableReply& reply,
+                               std::optional<base::Duration> now) {
+  std::vector<VersionAge> ages;
+  const auto dates = dateIn(reply);
+  if (!dates || !now) return ages;
+  for (const NamedVersion& named : *dates) {
+    // Written by another run of the service's clock. Taken for a version named just now, it would
+    // give the older weights their whole time again.
+    if (named.namedAt <= *now) ages.push_back({named.version, *now - named.namedAt});
+  }
+  return ages;
+}
+
 }  // namespace
 
 struct WeightsDates::Write {
@@ -168,12 +182,8 @@
 }
 
 void WeightsDates::onRead(const std::shared_ptr<LookUp>& lookUp, const clients::TableReply& reply) {
-  const auto dates = dateIn(reply);
-  const auto now = latestServiceTime(reply, lookUp->sentAt);
-  if (dates && now && dates->back().version >= lookUp->version) {
-    std::vector<VersionAge> ages;
-    for (const NamedVersion& named : *dates)
-      ages.push_back({named.version, std::max(*now - named.namedAt, base::Duration::zero())});
+  const auto ages = agesIn(reply, latestServiceTime(reply, lookUp->sentAt));
+  if (!ages.empty() && ages.back().version >= lookUp->version) {
     lookUp->found(ages);
     return;
   }
--- a/tests/node/weights_dates_test.cc
+++ b/tests/node/weights_dates_test.cc
@@ -16,9 +16,8 @@
 namespace {
 
 struct DatesFixture {
-  /// The service's clock is 1,000 s ahead of the nodes'.
   std::optional<base::Duration> serviceTime() const {
-    return time.now().time_since_epoch() + seconds(1000);
+    return time.now().time_since_epoch() + clockLead;
   }
   std::optional<base::Duration> lookUp(base::WeightsVersion version) {
     std::optional<base::Duration> found;
@@ -31,6 +30,8 @@
     return found;
   }
 
+  /// Of the service's clock over the nodes'.
+  base::Duration clockLead = seconds(1000);
   VirtualTime time;
   FakeTable table{time};
   WeightsDates seeing{table, time, time, [this] { return serviceTime(); }};
@@ -50,6 +51,15 @@
   BOOST_TEST((*age < seconds(6)));
 }
 
+// The table service started again with a clock that is behind: a date by the former one lies in its
+// future. Taken for a version named just now, it gave the older weights their whole time again.
+BOOST_AUTO_TEST_CASE(DateInTheFutureIsNoDate) {
+  seeing.write("m", 4);
+  time.advance(seconds(5));
+  clockLead -= seconds(60);
+  BOOST_TEST(!lookUp(4).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(FirstDateStays) {
   seeing.write("m", 4);
   time.advance(seconds(5));
