--- a/tests/soak/table_service.py
+++ b/tests/soak/table_service.py
@@ -15,7 +15,8 @@
     def __init__(self):
         self.rows = collections.defaultdict(dict)
         self.version = 0
-        self.changed = asyncio.Condition()
+        # Set at the next change, and then replaced.
+        self.changed = asyncio.Event()
         self.mode = "normal"
         self.lose = 0
         # Rises each time that the history is dropped: feeds from before get 410.
@@ -27,14 +28,17 @@
 
     async def put(self, table, key, value):
         """Sets a row, or removes it where the value is None."""
-        async with self.changed:
-            self.set(table, key, value)
-            self.changed.notify_all()
+        self.set(table, key, value)
+        self.announce()
 
     async def drop_history(self):
-        async with self.changed:
-            self.history += 1
-            self.changed.notify_all()
+        self.history += 1
+        self.announce()
+
+    def announce(self):
+        """Wakes the feeds that wait."""
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def set(self, table, key, value):
         self.version += 1
@@ -87,32 +91,30 @@
             found = [key for key, (version, _) in self.rows[table].items() if version > after]
             return sorted(found, key=lambda key: self.rows[table][key][0])
 
-        async with self.changed:
+        end = now() + int(values["wait_ms"]) / 1000
+        while not news() and self.history == history and now() < end:
             try:
-                await asyncio.wait_for(
-                    self.changed.wait_for(lambda: news() or self.history != history),
-                    int(values["wait_ms"]) / 1000)
+                await asyncio.wait_for(self.changed.wait(), end - now())
             except asyncio.TimeoutError:
-                pass
-            if self.history != history:
-                return http_answer(410, b"{}")
-            return self.answer([self.row(table, key) for key in news()])
+                break
+        if self.history != history:
+            return http_answer(410, b"{}")
+        return self.answer([self.row(table, key) for key in news()])
 
     async def transact(self, body):
-        async with self.changed:
-            for wanted in body["expected_revision"]:
-                known = self.rows[wanted["table"]].get(wanted["private_key"], (0, None))
-                if (known[0] if known[1] is not None else 0) != wanted["ver"]:
-                    present = [self.row(entry["table"], entry["private_key"])
-                               for entry in body["expected_revision"]
-                               if self.rows[entry["table"]].get(entry["private_key"], (0, None))[1]
-                               is not None]
-                    return self.answer(present, 412)
-            for entry in body["put"]:
-                self.set(entry["table"], entry["private_key"], base64.b64decode(entry["value"]))
-            for entry in body["remove"]:
-                self.set(entry["table"], entry["private_key"], None)
-            self.changed.notify_all()
+        for wanted in body["expected_revision"]:
+            known = self.rows[wanted["table"]].get(wanted["private_key"], (0, None))
+            if (known[0] if known[1] is not None else 0) != wanted["ver"]:
+                present = [self.row(entry["table"], entry["private_key"])
+                           for entry in body["expected_revision"]
+                           if self.rows[entry["table"]].get(entry["private_key"], (0, None))[1]
+                           is not None]
+                return self.answer(present, 412)
+        for entry in body["put"]:
+            self.set(entry["table"], entry["private_key"], base64.b64decode(entry["value"]))
+        for entry in body["remove"]:
+            self.set(entry["table"], entry["private_key"], None)
+        self.announce()
         if self.lose > 0:
             self.lose -= 1
             return None
