Share the callers' loop and the standstill in the soak; drop a listener that nobody reaches

KeyCaller had its own copy of Caller's loop, two faults of nodes the same standstill, and the table service's stand-in a listener that no node calls since each has a way of its own.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -51,6 +51,9 @@
 class Caller:
     """Sends one request after the other on a connection that it keeps until it ends."""
 
+    # Mean time between an answer and the next request (seconds).
+    PAUSE = 0.03
+
     def __init__(self, soak, number, kinds=(SAFE, UNSAFE, UNSAFE)):
         self.soak, self.number, self.kinds = soak, number, kinds
         self.random = random.Random(f"{soak.options.seed}/caller/{number}")
@@ -73,11 +76,14 @@
             if self.stream is None:
                 await self.connect()
             if self.stream is not None:
-                kind = self.random.choice(self.kinds)
-                await self.request(kind, f"body {self.number} {self.sent}")
-            await asyncio.sleep(self.random.expovariate(1 / 0.03))
+                await self.send_next()
+            await asyncio.sleep(self.random.expovariate(1 / self.PAUSE))
         self.drop()
 
+    async def send_next(self):
+        kind = self.random.choice(self.kinds)
+        await self.request(kind, f"body {self.number} {self.sent}")
+
     def drop(self):
         if self.stream is not None:
             self.stream[1].close()
@@ -133,15 +139,12 @@
         known = lately if lately and self.random.random() < 0.5 else self.keys
         return self.random.choice(known)
 
-    async def run(self):
-        while not self.soak.over:
-            if now() > self.leaves_at:
-                self.drop()
-                self.leaves_at = now() + self.random.uniform(*self.STAYS_FOR)
-            if self.stream is None:
-                await self.connect()
-            if self.stream is not None:
-                route = self.random.choice(self.routes) if self.random.random() < 0.2 else None
-                await self.request(SAFE, f"key {self.number} {self.sent}", self.draw_key(), route)
-            await asyncio.sleep(self.random.expovariate(1 / self.PAUSE))
-        self.drop()
+    async def send_next(self):
+        if now() > self.leaves_at:
+            self.drop()
+            self.leaves_at = now() + self.random.uniform(*self.STAYS_FOR)
+            await self.connect()
+        if self.stream is None:
+            return
+        route = self.random.choice(self.routes) if self.random.random() < 0.2 else None
+        await self.request(SAFE, f"key {self.number} {self.sent}", self.draw_key(), route)
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -114,14 +114,15 @@
         return replace
 
     async def pause(self, draw):
-        self.send(signal.SIGSTOP)
-        await asyncio.sleep(draw.uniform(0.1, 3.0))
-        self.send(signal.SIGCONT)
+        await self.stand_still(draw.uniform(0.1, 3.0))
 
     async def pause_long(self, draw):
         """About as long as keys are accepted without a new confirmation, or longer."""
+        await self.stand_still(draw.uniform(1.0, 9.0))
+
+    async def stand_still(self, span: float):
         self.send(signal.SIGSTOP)
-        await asyncio.sleep(draw.uniform(1.0, 9.0))
+        await asyncio.sleep(span)
         self.send(signal.SIGCONT)
 
     @contextlib.contextmanager
--- a/tests/soak/table_service.py
+++ b/tests/soak/table_service.py
@@ -24,7 +24,6 @@
         # The lead of the steady clock that answers name over this process's own; each start of the
         # service has another one.
         self.clock_lead = 0.0
-        self.listener = Listener(self.handle)
 
     async def put(self, table, key, value):
         """Sets a row, or removes it where the value is None."""
