Read and log what replicas say of themselves in their answers

Logs could not tell what an answer had said: event 5001 has its status alone, and 5005 nothing of the replica's state. Read now, and not used yet: that a replica leaves (in an answer of any status), and for how long one that turns a request away wants rest (seconds, fractions too; of several the longest; at most 24 h; negative numbers, dates and other texts are told as unreadable).

Event 6013 where a replica begins to leave, with the source and the request that was answered; event 6014 where one asks for rest, with its length and what is left of it; state and age of the entry in 5005; covewing_replicas{state=resting}.

--- a/src/clients/relay_client.h
+++ b/src/clients/relay_client.h
@@ -60,6 +60,13 @@
   std::optional<base::WeightsVersion> version;
   /// Length of the body where it was announced.
   std::optional<std::uint64_t> length;
+  /// The replica says that it is about to end: it wants no new work.
+  bool leaving = false;
+  /// The replica turned the request away and wants no other from this node for so long; zero where
+  /// it does not ask for that.
+  base::Duration rest{};
+  /// It asked for a rest in a way that cannot be read.
+  bool restUnreadable = false;
 };
 
 /// Receiver of one attempt's answer. After onEnd or onFailure nothing follows. Never called from
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -70,7 +70,7 @@
         placement({}, {clock, timers, random, log, peers, membership, replicas, holders}),
         loadSharing({}, {clock, timers, log, peers, membership, replicas, fleetLoad}),
         configuration(deployment.configurationRows, clock, log, targets),
-        replicaList(deployment.replicaRows, log, replicas, holders, replicaEnds),
+        replicaList(deployment.replicaRows, clock, log, replicas, holders, replicaEnds),
         feeds(feedOptions(settings),
               {clock, timers, random, log, peers, membership, deployment.feeds}),
         configurationWatch({deployment.configurationTable, config::holdFor(settings.revocation)},
@@ -342,8 +342,11 @@
 
   static void countReplica(const routing::ReplicaRecord& record, base::TimePoint now,
                            RelayMetrics::Snapshot& snapshot) {
-    if (record.facts().state != routing::ReplicaState::kReady || record.gone()) {
+    const bool leaving = record.gone() || record.notices().leaving();
+    if (record.facts().state != routing::ReplicaState::kReady || leaving) {
       ++snapshot.replicasDraining;
+    } else if (record.notices().resting(now)) {
+      ++snapshot.replicasResting;
     } else if (!record.health().available(now)) {
       ++snapshot.replicasEjected;
     } else if (record.changing(now)) {
--- a/src/live/relay_metrics.cc
+++ b/src/live/relay_metrics.cc
@@ -67,7 +67,9 @@
      "withdrawn "
      "because the weights were out of date, or never arrived there (no part of the retry bound)"},
     {"covewing_replicas", "gauge", "state",
-     "listed replicas: available, draining, ejected, changing weights"},
+     "listed replicas: available, draining (also by their own answers), resting (they want no "
+     "requests "
+     "of this node for a while), ejected, changing weights"},
 };
 
 constexpr std::array<std::string_view, 3> kKindNames = {"idempotent", "non_idempotent",
@@ -213,6 +215,7 @@
   set(impl_->ready, snapshot.ready ? 1 : 0);
   set(impl_->replicas.Add({{"state", "available"}}), snapshot.replicasAvailable);
   set(impl_->replicas.Add({{"state", "draining"}}), snapshot.replicasDraining);
+  set(impl_->replicas.Add({{"state", "resting"}}), snapshot.replicasResting);
   set(impl_->replicas.Add({{"state", "ejected"}}), snapshot.replicasEjected);
   set(impl_->replicas.Add({{"state", "changing"}}), snapshot.replicasChanging);
   const auto raise = [](prometheus::Counter& counter, std::uint64_t total) {
--- a/src/live/relay_metrics.h
+++ b/src/live/relay_metrics.h
@@ -46,6 +46,7 @@
     std::size_t quarantinedRequests = 0;
     std::size_t replicasAvailable = 0;
     std::size_t replicasDraining = 0;
+    std::size_t replicasResting = 0;
     std::size_t replicasEjected = 0;
     std::size_t replicasChanging = 0;
     routing::PlacementCounters placement;
--- /dev/null
+++ b/src/live/retry_after.cc
@@ -0,0 +1,37 @@
+#include "live/retry_after.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace covewing::live {
+
+namespace {
+
+/// Empty when the text is no span.
+std::optional<base::Duration> parseSpan(std::string_view text) {
+  constexpr double kMicrosecondsPerSecond = 1'000'000;
+  double seconds = 0;
+  const auto* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, seconds, std::chars_format::fixed);
+  const bool tooLarge = error == std::errc::result_out_of_range;
+  if (text.empty() || stop != end || (error != std::errc{} && !tooLarge)) return std::nullopt;
+  if (std::isnan(seconds) || std::signbit(seconds)) return std::nullopt;
+  if (tooLarge || seconds >= base::toSeconds(kLongestRetryAfter)) return kLongestRetryAfter;
+  return base::Duration{static_cast<base::Duration::rep>(seconds * kMicrosecondsPerSecond)};
+}
+
+}  // namespace
+
+RetryAfter readRetryAfter(const std::vector<HeaderField>& headers) {
+  RetryAfter result;
+  for (const auto& field : headers) {
+    if (!equalHeaderNames(field.name, kRetryAfterHeader)) continue;
+    const auto span = parseSpan(field.value);
+    result.unreadable = result.unreadable || !span;
+    result.span = std::max(result.span, span.value_or(base::Duration::zero()));
+  }
+  return result;
+}
+
+}  // namespace covewing::live
--- a/src/node/replica_list.cc
+++ b/src/node/replica_list.cc
@@ -15,6 +15,7 @@
     withdraw(row, {base::ResultCode::kInvalidField, "the start is missing"});
     return;
   }
+  replica->readAt = clock_.now();
   const auto& model = replica->models;
   log_.write(base::Event::kReplicaListed,
              {{"replica", replica->instance},
@@ -48,7 +49,9 @@
   }
   if (run != replica.instance) replicaEnds_.onListed(replica.instance);
   run = replica.instance;
+  const bool draining = replica.state == routing::ReplicaState::kDraining;
   directory_.onListed(std::move(replica));
+  if (draining) routing::noteLeaving(*directory_.find(run), log_, {"entry", 0, {}});
 }
 
 void ReplicaList::onRestarted(const std::string& run) {
--- a/src/node/replica_list.h
+++ b/src/node/replica_list.h
@@ -34,10 +34,11 @@
 class ReplicaList final : public config::TableWatchListener {
  public:
   /// All must outlive the list.
-  ReplicaList(const ReplicaRowReader& reader, base::EventLog& log,
+  ReplicaList(const ReplicaRowReader& reader, base::Clock& clock, base::EventLog& log,
               routing::ReplicaDirectory& directory, routing::PrefixHolders& holders,
               routing::ReplicaEndCheck& replicaEnds)
       : reader_(reader),
+        clock_(clock),
         log_(log),
         directory_(directory),
         holders_(holders),
@@ -64,6 +65,7 @@
   void forget(const std::string& run);
 
   const ReplicaRowReader& reader_;
+  base::Clock& clock_;
   base::EventLog& log_;
   routing::ReplicaDirectory& directory_;
   routing::PrefixHolders& holders_;
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -267,6 +267,8 @@
        {"held_ms", millisecondsText(heldFor_)},
        {"counted", std::to_string(assignment_.demand ? assignment_.demand->tokens : 0)},
        {"replica", record.facts().instance},
+       {"state", std::string{record.stateName(now)}},
+       {"read_ms", millisecondsText(now - record.facts().readAt)},
        {"attempt", std::to_string(dispatches_)},
        {"cause", retryCause_ ? std::string{toString(*retryCause_)} : "first"},
        {"configuration", std::to_string(assignment_.table->version())},
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -274,6 +274,8 @@
   void logWithdrawal();
   void onDeadline();
 
+  /// Takes in what the replica says of itself beside the answer.
+  void learnNotices(const clients::RelayedAnswer& answer);
   /// The replica did not run the request: another may.
   void onNotRun(const clients::RelayedAnswer& answer);
   void learnFromRefusal(const clients::RelayedAnswer& answer);
--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -76,6 +76,7 @@
   record.health().onHeard(dependencies_.clock.now());
   if (arrival_.prompt && answer.version && !answer.otherInstance)
     record.learnVersion(arrival_.prompt->model, *answer.version);
+  learnNotices(answer);
   if (!notRun(answer)) {
     ++runs_;
     dependencies_.placement.begun(attempt_->grant);
@@ -84,6 +85,25 @@
   attempt_->answer = std::move(answer);
 }
 
+void RelayFlow::learnNotices(const clients::RelayedAnswer& answer) {
+  const auto now = dependencies_.clock.now();
+  auto& record = *attempt_->decision.replica;
+  if (answer.leaving) {
+    routing::noteLeaving(record, dependencies_.log,
+                         {"answer", answer.status, arrival_.request->id});
+  }
+  if (answer.status != kServiceUnavailable || (answer.rest.count() == 0 && !answer.restUnreadable))
+    return;
+  record.notices().noteRest(now + answer.rest);
+  dependencies_.log.write(
+      base::Event::kReplicaRests,
+      {{"replica", record.facts().instance},
+       {"request", arrival_.request->id},
+       {"rest_ms", millisecondsText(answer.rest)},
+       {"rests_for_ms", millisecondsText(record.notices().restsUntil() - now)},
+       {"why", answer.restUnreadable ? "a time that it asked for cannot be read" : ""}});
+}
+
 void RelayFlow::onBody(std::string_view bytes) {
   const auto now = dependencies_.clock.now();
   auto& attempt = *attempt_;
--- a/src/request/relay_flow_internal.h
+++ b/src/request/relay_flow_internal.h
@@ -11,6 +11,7 @@
 
 inline constexpr unsigned kBadRequest = 400;
 inline constexpr unsigned kMisdirected = 421;
+inline constexpr unsigned kServiceUnavailable = 503;
 /// Not worth an attempt any more.
 inline constexpr base::Duration kLeastTimeForAttempt = std::chrono::milliseconds(5);
 /// A request that a restarting node or a full service refused may come back this soon.
@@ -25,7 +26,6 @@
 inline bool promisesNotRun(unsigned status) {
   constexpr unsigned kRequestTimeout = 408;
   constexpr unsigned kTooManyRequests = 429;
-  constexpr unsigned kServiceUnavailable = 503;
   return status == kRequestTimeout || status == kMisdirected || status == kTooManyRequests ||
          status == kServiceUnavailable;
 }
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -10,6 +10,7 @@
 
 #include "base/endpoint.h"
 #include "base/ids.h"
+#include "base/time.h"
 
 namespace covewing::routing {
 
@@ -39,6 +40,8 @@
   std::vector<ReplicaModel> models;
   /// The entry tells when the run started.
   bool startTold = false;
+  /// When this node read the entry.
+  base::TimePoint readAt{};
 
   const ReplicaModel* findModel(std::string_view name) const;
 };
--- a/src/routing/replica_directory.cc
+++ b/src/routing/replica_directory.cc
@@ -41,6 +41,23 @@
   return std::max(recentWait_, health_.longestWait(now));
 }
 
+std::string_view ReplicaRecord::stateName(base::TimePoint now) const {
+  if (gone_) return "gone";
+  if (notices_.leaving() || facts_.state == ReplicaState::kDraining) return "leaving";
+  if (facts_.state == ReplicaState::kUnknown) return "unreadable";
+  return notices_.resting(now) ? "resting" : "ready";
+}
+
+void noteLeaving(ReplicaRecord& replica, base::EventLog& log, const LeavingEvidence& evidence) {
+  if (!replica.notices().noteLeaving()) return;
+  log.write(base::Event::kReplicaLeaving,
+            {{"replica", replica.facts().instance},
+             {"service", replica.facts().service},
+             {"source", std::string{evidence.source}},
+             {"status", evidence.status == 0 ? std::string{} : std::to_string(evidence.status)},
+             {"request", evidence.request}});
+}
+
 void ReplicaRecord::onDispatched(std::uint32_t tokens) {
   ++inFlight_;
   tokensInFlight_ += tokens;
--- a/src/routing/replica_directory.h
+++ b/src/routing/replica_directory.h
@@ -11,12 +11,14 @@
 #include <unordered_map>
 #include <vector>
 
+#include "base/event_log.h"
 #include "base/ids.h"
 #include "base/time.h"
 #include "routing/fleet_load.h"
 #include "routing/read_speed.h"
 #include "routing/replica.h"
 #include "routing/replica_health.h"
+#include "routing/run_notices.h"
 
 namespace covewing::routing {
 
@@ -51,6 +53,14 @@
   void setFull(base::TimePoint until) { fullUntil_ = until; }
   bool full(base::TimePoint now) const { return now < fullUntil_; }
 
+  /// What the run has said of itself.
+  RunNotices& notices() { return notices_; }
+  const RunNotices& notices() const { return notices_; }
+
+  /// What is known of its readiness, for logs: "ready", "leaving", "resting", "gone" or
+  /// "unreadable".
+  std::string_view stateName(base::TimePoint now) const;
+
   /// How fast the replica reads prompts, as this node has seen.
   const ReadSpeed& readSpeed() const { return readSpeed_; }
   ReadSpeed& readSpeed() { return readSpeed_; }
@@ -88,6 +98,7 @@
   base::TimePoint versionDoubtedUntil_{};
   base::TimePoint changingUntil_{};
   base::TimePoint fullUntil_{};
+  RunNotices notices_;
   ReadSpeed readSpeed_;
   std::uint32_t speedPercent_ = 0;
   /// Follows longer waits at once and shorter ones slowly.
@@ -99,6 +110,19 @@
 
 using ReplicaRecordPtr = std::shared_ptr<ReplicaRecord>;
 
+/// From what a node knows that a run leaves.
+struct LeavingEvidence {
+  /// "entry", "answer", "order", "report", "cache events" or "other node".
+  std::string_view source;
+  /// Of the answer; 0 where there is none.
+  unsigned status = 0;
+  /// The request that was answered; empty where there is none.
+  std::string request;
+};
+
+/// Notes that the replica leaves, and logs it where that is news.
+void noteLeaving(ReplicaRecord& replica, base::EventLog& log, const LeavingEvidence& evidence);
+
 class ReplicaDirectory {
  public:
   /// Ascending by instance, equal on all nodes that know the same list.
--- a/tests/node/replica_list_test.cc
+++ b/tests/node/replica_list_test.cc
@@ -64,7 +64,7 @@
   routing::PrefixHolders holders;
   routing::ReplicaEndCheck replicaEnds{{}, {time, time, log, reachability}};
   std::vector<std::string> ended;
-  ReplicaList list{reader, log, directory, holders, replicaEnds};
+  ReplicaList list{reader, time, log, directory, holders, replicaEnds};
   base::Revision revision = 0;
 };
 
--- a/tests/platform/http_dialect_test.cc
+++ b/tests/platform/http_dialect_test.cc
@@ -170,6 +170,54 @@
   BOOST_TEST(answered.headers.size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(AnswerOfAnyStatusSaysThatTheReplicaLeaves) {
+  clients::DispatchTerms terms;
+  terms.expectedInstance = "i-1@17";
+  const HttpDialect dialect;
+  const auto leaves = [&](unsigned status, std::vector<live::HeaderField> headers) {
+    return dialect.readAnswer({status, std::move(headers), {}}, terms).leaving;
+  };
+  for (const unsigned status : {200U, 404U, 421U, 429U, 500U, 503U})
+    BOOST_TEST(leaves(status, {{"server-leaving", "1"}}), status);
+  BOOST_TEST(leaves(200, {{"X-Covewing-Instance-Id", "i-1"}, {"Server-Leaving", "1"}}));
+  BOOST_TEST(leaves(200, {{"Server-Leaving", "0"}, {"Server-Leaving", "1"}}));
+  BOOST_TEST(!leaves(200, {{"Server-Leaving", "0"}}));
+  BOOST_TEST(!leaves(200, {}));
+  // Another replica answers at the address.
+  BOOST_TEST(!leaves(421, {{"X-Covewing-Instance-Id", "i-2"}, {"Server-Leaving", "1"}}));
+}
+
+BOOST_AUTO_TEST_CASE(RefusalSaysForHowLongTheReplicaWantsRest) {
+  using std::chrono::milliseconds;
+  const auto read = [](unsigned status, std::vector<live::HeaderField> headers) {
+    return HttpDialect{}.readAnswer({status, std::move(headers), {}}, {});
+  };
+  const auto restOf = [&](const std::string& text) {
+    return read(503, {{"Retry-After", text}}).rest;
+  };
+  BOOST_TEST((restOf("3") == milliseconds(3000)));
+  BOOST_TEST((restOf("0.25") == milliseconds(250)));
+  BOOST_TEST((restOf("0") == milliseconds(0)));
+  BOOST_TEST((restOf("86399") == std::chrono::seconds(86399)));
+  for (const char* absurd : {"86401", "1000000000000000000000000", "inf"})
+    BOOST_TEST((restOf(absurd) == std::chrono::hours(24)), absurd);
+  for (const char* unreadable :
+       {"-1", "", "soon", "nan", "3s", "1e3", "Thu, 03 Dec 2026 05:00:00 GMT"}) {
+    const auto answer = read(503, {{"Retry-After", unreadable}});
+    BOOST_TEST((answer.rest == milliseconds(0)), unreadable);
+    BOOST_TEST(answer.restUnreadable, unreadable);
+  }
+  const auto several =
+      read(503, {{"Retry-After", "1"}, {"retry-after", "4"}, {"Retry-After", "2"}});
+  BOOST_TEST((several.rest == milliseconds(4000)));
+  const auto partly = read(503, {{"Retry-After", "tomorrow"}, {"Retry-After", "2"}});
+  BOOST_TEST((partly.rest == milliseconds(2000)));
+  BOOST_TEST(partly.restUnreadable);
+  // An answer that serves the request turns nobody away.
+  BOOST_TEST((read(200, {{"Retry-After", "3"}}).rest == milliseconds(0)));
+  BOOST_TEST((read(500, {{"Retry-After", "3"}}).rest == milliseconds(0)));
+}
+
 BOOST_AUTO_TEST_CASE(RefusalTellsWhenToComeBack) {
   const request::RelayRefusal refusal{
       {base::ResultCode::kNodeDraining, "stopping"}, 503, std::chrono::milliseconds(250), true};
--- a/tests/platform/replica_runs_test.cc
+++ b/tests/platform/replica_runs_test.cc
@@ -99,7 +99,7 @@
   routing::PrefixHolders holders;
   routing::ReplicaEndCheck replicaEnds{{}, {time, time, log, reachability}};
   std::vector<routing::EndedRuns> ended;
-  node::ReplicaList list{reader, log, directory, holders, replicaEnds};
+  node::ReplicaList list{reader, time, log, directory, holders, replicaEnds};
   config::EngineProfile engine;
   prefix::PartChain chain = *prefix::PartChain::parse("aa:500,bb:500,cc:200");
   base::SeededRandom random{1};
--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -45,6 +45,23 @@
     head(status, true);
     handler->onEnd();
   }
+  /// The head of an answer in which the replica says that it leaves.
+  void leave(unsigned status, bool notExecuted = false) const {
+    clients::RelayedAnswer answer;
+    answer.status = status;
+    answer.notExecuted = notExecuted;
+    answer.leaving = true;
+    handler->onHead(std::move(answer));
+  }
+  /// The request is turned away, and the replica wants no other from this node for so long.
+  void askRest(base::Duration rest) const {
+    clients::RelayedAnswer answer;
+    answer.status = 503;
+    answer.notExecuted = true;
+    answer.rest = rest;
+    handler->onHead(std::move(answer));
+    handler->onEnd();
+  }
   void breakOff() const {
     handler->onFailure(
         {clients::DispatchFailure::kOutcomeUnknown, {base::ResultCode::kBackEndLost, "reset"}});
