Let replicas of the soak leave and ask for rest

Checked: nothing sent later than 2 s behind an answer that was passed on reaches that run from that node, and at most two requests within a rest behind its first half second.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -95,6 +95,61 @@
         return min(windows, key=lambda window: window[2] - window[1])
 
 
+@dataclasses.dataclass
+class Rest:
+    """A replica turned a request of a node away, and wanted no other from it until the end."""
+
+    asked: float
+    end: float
+    arrivals: int = 0
+
+
+class NoticeRule:
+    """No request that a caller sent later than `drain` behind the moment at which its node had passed
+    on an answer of a run that said that it leaves reaches that run from that node. At most
+    MOST_IN_REST requests of a node reach a run between REST_FELT_AFTER behind its 503 with a rest and
+    the end of the rest. A restart or a standstill of the node since then excuses both. Seconds."""
+
+    REST_FELT_AFTER = 0.5
+    MOST_IN_REST = 2
+    # How long behind the end of a rest its arrivals are counted, to see whether all come at once.
+    COUNTED_BEHIND_REST = 1.0
+
+    def __init__(self, drain: float):
+        self.drain = drain
+        # By node and run.
+        self.leaving_since: dict[tuple[int, str], float] = {}
+        self.rests: dict[tuple[int, str], list[Rest]] = collections.defaultdict(list)
+        self.behind_rest = collections.Counter()
+
+    def on_passed_on(self, node: int, run: str, at: float):
+        self.leaving_since.setdefault((node, run), at)
+
+    def on_rest_asked(self, node: int, run: str, at: float, rest: float):
+        self.rests[node, run].append(Rest(at, at + rest))
+
+    def broken_by(self, node: int, run: str, sent: float, at: float, troubles: list[Trouble]) -> list:
+        """What is wrong with the arrival of a request at the run."""
+
+        def excused(since: float) -> bool:
+            return any(one.end is None or one.end > since for one in troubles)
+
+        found = []
+        since = self.leaving_since.get((node, run))
+        if since is not None and sent > since + self.drain and not excused(since):
+            found.append(f"sent {sent - since:.3f} s behind an answer that said that it leaves")
+        for rest in self.rests[node, run]:
+            if rest.asked + self.REST_FELT_AFTER < at < rest.end and not excused(rest.asked):
+                rest.arrivals += 1
+                if rest.arrivals == self.MOST_IN_REST + 1:
+                    found.append(f"the third arrival within a rest of {rest.end - rest.asked:.3f} s, "
+                                 f"{at - rest.asked:.3f} s behind the 503 that asked for it")
+        ends = [rest.end for rest in self.rests[node, run] if rest.end <= at]
+        if ends and at < max(ends) + self.COUNTED_BEHIND_REST:
+            self.behind_rest[run, max(ends)] += 1
+        return found
+
+
 class Outcome(enum.Enum):
     """How a node handled a request."""
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -55,6 +55,12 @@
         self.soak.spawn(self.series("ways", self.trouble_ways, 6, (0.5, 4.0)))
         self.soak.spawn(self.series("clock", self.restart_store, 2, (2.0, 6.0)))
 
+    def start_notice_series(self):
+        """Replicas leave and ask for rest; drawn apart as well."""
+        for number in range(2):
+            self.soak.spawn(self.series(f"leave {number}", self.leave_some, 8, (0.3, 3.0)))
+            self.soak.spawn(self.series(f"rest {number}", self.rest_some, 8, (0.3, 4.0)))
+
     async def replace_builds(self):
         """All nodes get the build at hand, one or two at a time; then half of them the former one
         again, as after a bad release, and the build at hand in the end."""
@@ -136,6 +142,28 @@
             if replica.crash():
                 self.soak.say(f"{replica.instance} crashes")
 
+    def a_service(self, draw):
+        return draw.choice([self.soak.replicas, self.soak.model_replicas])
+
+    async def leave_some(self, draw):
+        """Mostly while the table service, or some nodes' way to it, cannot tell of it."""
+        replicas = self.a_service(draw)
+        companions = [self.trouble_store, self.lose_store, self.trouble_feeds]
+        if draw.random() < 0.7:
+            self.soak.spawn(draw.choices(companions, [3, 2, 1])[0](draw))
+            await asyncio.sleep(draw.uniform(0, 0.5))
+        staying = [one for one in replicas if one.leaving_run != one.run_name]
+        for replica in draw.sample(staying, min(draw.randint(1, 2), len(staying) // 2)):
+            self.soak.spawn(replica.leave(draw))
+
+    async def rest_some(self, draw):
+        """A few of a service, half of it, or all."""
+        replicas = self.a_service(draw)
+        count = draw.choice([1, len(replicas) // 2, len(replicas)])
+        self.soak.say(f"{count} of {len(replicas)} replicas want rest")
+        for replica in draw.sample(replicas, count):
+            replica.ask_for_rest(draw)
+
     # --- the table service
 
     async def trouble_store(self, draw):
--- a/tests/soak/model_replicas.py
+++ b/tests/soak/model_replicas.py
@@ -6,6 +6,7 @@
 import json
 import random
 
+from notices import NoticeGiver, Notices
 from replicas import unix_milliseconds
 from wire import Listener, Peer, http_answer, now
 
@@ -44,7 +45,7 @@
     cache: dict[tuple[str, str], int] = dataclasses.field(default_factory=dict)
 
 
-class ModelReplica:
+class ModelReplica(NoticeGiver):
     def __init__(self, soak, index):
         self.soak, self.instance = soak, f"model-replica-{index}"
         self.zone = f"zone-{index % 3}"
@@ -52,6 +53,12 @@
         self.listener, self.port = None, 0
         self.version = 1
         self.life: Life | None = None
+        self.notices = Notices()
+        self.state = "ready"
+
+    @property
+    def run_name(self) -> str:
+        return "" if self.life is None else f"{self.instance}@{self.life.born}"
 
     @property
     def address(self) -> str:
@@ -59,6 +66,7 @@
 
     async def start(self):
         self.life = Life(unix_milliseconds(), now())
+        self.notices, self.state = Notices(), "ready"
         self.listener = Listener(self.handle)
         self.listener.port = self.port
         await self.listener.open()
@@ -68,10 +76,17 @@
     async def tell(self):
         await self.soak.store.put("servers", self.instance, json.dumps(self.entry()).encode())
 
+    async def write_entry(self, state):
+        if state is None:
+            await self.soak.store.put("servers", self.instance, None)
+            return
+        self.state = state
+        await self.tell()
+
     def entry(self) -> dict:
         cold = max(0, int((self.life.started + COLD_FOR - now()) * 1000))
         return {"service": MODEL_SERVICE, "address": self.address, "zone": self.zone, "version": 1,
-                "slots": SLOTS, "state": "ready", "cold_remaining_ms": cold,
+                "slots": SLOTS, "state": self.state, "cold_remaining_ms": cold,
                 "sequence": self.life.sequence, "born": self.life.born, "stage": "combined",
                 "models": self.models()}
 
@@ -116,11 +131,10 @@
     def answer(self, status, body=None):
         return http_answer(status, json.dumps(body or {}).encode(),
                            [("Content-Type", "application/json"),
-                            ("X-Covewing-Instance-Id", self.instance)])
+                            ("X-Covewing-Instance-Id", self.instance), *self.notices.headers()])
 
     def head(self, identifier):
-        return [("X-Covewing-Request-Id", identifier), ("X-Covewing-Instance-Id", self.instance),
-                ("X-Covewing-Weight-Versions", self.version)]
+        return self.head_of_answer(identifier) + [("X-Covewing-Weight-Versions", self.version)]
 
     def refusal(self, status, identifier):
         return http_answer(status, b"", self.head(identifier) + [("X-Covewing-Not-Executed", "1")])
@@ -171,6 +185,9 @@
         return self.random.uniform(0.2, LONGEST_WAIT) if slow else self.random.expovariate(1 / 0.02)
 
     async def serve(self, life: Life, message, peer: Peer, identifier: str):
+        self.soak.on_replica_reached(identifier, self.run_name)
+        if self.notices.turns_away():
+            return self.turn_away(identifier)
         expected = message.headers.get("x-covewing-expected-version", str(self.version))
         if expected != str(self.version):
             return self.refusal(421, identifier)
--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -8,7 +8,8 @@
 in the list of replicas; the table service is down, slow, loses answers, drops its history or leaves
 connections silent; the configuration changes. With --keys, keys and
 routes come and go, while the table service turns nodes away, is cut from them in one direction,
-answers late or starts again, and nodes stand still for seconds. With --from-program, nodes are replaced one
+answers late or starts again, and nodes stand still for seconds. With --notices, replicas leave, many of them known by
+their answers alone, and turn requests away for a rest. With --from-program, nodes are replaced one
 after the other by another build under all of this. Operators name new versions of the weights all the
 while, mostly within MEET_WITHIN of a fault of those who have to hear of it. Callers keep to their
 open connections until the node is gone.
@@ -28,6 +29,8 @@
 - no request runs for another tenant than that of its key, nor later than the bound behind the version
   that took its key away, on any node; calm nodes follow each version in time, and no process goes
   back to an older one (checks.ConfigurationRule);
+- with --notices: nothing new reaches a replica that said in an answer that it leaves, and next to nothing
+  one that asked for rest, from the node that heard it (checks.NoticeRule);
 - nothing arrives at the address of an entry by another writer;
 - in the end every node serves, and all model replicas hold the newest version.
 
@@ -47,7 +50,8 @@
 import tempfile
 
 from callers import RESUMABLE, SAFE, STREAM, Caller, KeyCaller
-from checks import (ConfigurationRule, Outcome, RepeatRule, Sent, Trouble, VersionRule, calm_since)
+from checks import (ConfigurationRule, NoticeRule, Outcome, RepeatRule, Sent, Trouble, VersionRule,
+                    calm_since)
 from faults import Faults
 from model_replicas import MODEL, MODEL_SERVICE, ModelReplica
 from nodes import Node
@@ -84,8 +88,9 @@
     retry_window: float = 3.0
     retry_slack: float = 6.0
     revocation: float = 5.0
-    # What operators are promised; no setting of the nodes.
+    # What operators are promised; no settings of the nodes.
     configuration_in_force: float = 3.0
+    drain: float = 2.0
 
 
 class Soak:
@@ -122,6 +127,9 @@
                                 self.bounds.retry_slack) for service in (SERVICE, MODEL_SERVICE)}
         self.configurations = ConfigurationRule(self.bounds.revocation,
                                                 self.bounds.configuration_in_force)
+        self.notices = NoticeRule(self.bounds.drain)
+        # The runs that said so in an answer to a request.
+        self.leaving_told = collections.defaultdict(set)
         self.operators = Operators(self)
         self.violations = []
         self.broken_rules = collections.Counter()
@@ -164,6 +172,8 @@
 
     def on_answer(self, identifier, kind, body, answer):
         self.counts[answer.status] += 1
+        for run in self.leaving_told.pop(identifier, ()):
+            self.notices.on_passed_on(self.sent_to[identifier].index, run, now())
         if answer.status in REFUSED_BY_CONFIGURATION:
             self.judge(identifier, REFUSED_BY_CONFIGURATION[answer.status])
         if answer.status == 200:
@@ -181,6 +191,18 @@
         calm = self.sent_to[identifier].calm() and calm_since(self.store_troubles) < now()
         self.arrivals[body].append((now(), calm))
 
+    def on_replica_reached(self, identifier, run):
+        """A request arrives at the run of a replica that it is meant for."""
+        node, at = self.sent_to[identifier], now()
+        for what in self.notices.broken_by(node.index, run, self.sent[identifier].at, at,
+                                           node.troubles):
+            rule = "rest" if "rest" in what else "leaving"
+            self.violate(f"{identifier} of node-{node.index} reaches {run}: {what}", rule)
+
+    def on_rest_asked(self, identifier, run, rest):
+        self.counts["asked for rest"] += 1
+        self.notices.on_rest_asked(self.sent_to[identifier].index, run, now(), rest)
+
     def on_run(self, identifier, tenant):
         """A replica runs a request, for the tenant that the node named."""
         self.runs[identifier] += 1
@@ -285,6 +307,11 @@
             if count > allowed:
                 self.violate(f"{service} received {count} repeats in the {rule.window} s until "
                              f"{end - self.began:.3f} s, allowed {allowed:.1f}")
+        behind = max(self.notices.behind_rest.values(), default=0)
+        self.counts["most arrivals in the second behind a rest"] = behind
+        self.counts["told that they leave"] = len(self.notices.leaving_since)
+        for rule in ("leaving", "rest"):
+            self.counts[f"broken: {rule}"] = self.broken_rules[rule]
         self.check_deadly()
 
     def check_deadly(self):
@@ -337,6 +364,8 @@
             await self.faults.leave_answer_unread()
             return
         self.faults.start_series()
+        if self.options.notices:
+            self.faults.start_notice_series()
         if self.options.keys:
             self.faults.start_key_series()
         await asyncio.gather(asyncio.sleep(self.options.seconds), self.replace_builds())
@@ -363,6 +392,9 @@
         self.store.mode, self.store.lose = "normal", 0
         for node in self.nodes:
             node.store_way.mode, node.store_way.delay = "open", 0.0
+        while now() < deadline and any(one.leaving_run == one.run_name or one.listener is None
+                                       for one in self.replicas + self.model_replicas):
+            await asyncio.sleep(0.1)
         await asyncio.sleep(4)
 
     async def stop_all(self):
@@ -407,6 +439,8 @@
                         help="runs beside each other take different ones")
     parser.add_argument("--keys", action="store_true",
                         help="operators take keys and routes away, amid faults of their own")
+    parser.add_argument("--notices", action="store_true",
+                        help="replicas leave, and turn requests away for a rest")
     parser.add_argument("--steady-clock", action="store_true",
                         help="the table service's clock does not leap, as builds before once relied on")
     parser.add_argument("--unread-answer", action="store_true",
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -5,6 +5,7 @@
 import random
 import time
 
+from notices import NoticeGiver, Notices
 from wire import Listener, http_answer, now
 
 SERVICE = "app"
@@ -20,32 +21,47 @@
     return f"ran {identifier} {body}".encode()
 
 
-class Replica:
+class Replica(NoticeGiver):
     def __init__(self, soak, name):
         self.soak, self.name, self.starts = soak, name, 0
         self.random = random.Random(f"{soak.options.seed}/{name}")
         self.instance, self.listener = "", None
         self.port = 0
+        self.notices = Notices()
+
+    @property
+    def run_name(self) -> str:
+        return self.instance
 
     async def start(self):
         self.starts += 1
         self.instance = f"{self.name}-{self.starts}"
+        self.notices = Notices()
         self.listener = Listener(self.handle)
         self.listener.port = self.port
         await self.listener.open()
         self.port = self.listener.port
+        self.born = unix_milliseconds()
+        await self.write_entry("ready")
+
+    async def write_entry(self, state):
         entry = {"service": SERVICE, "address": f"127.0.0.1:{self.port}", "zone": "zone-0",
-                 "version": 1, "slots": 16, "state": "ready", "cold_remaining_ms": 0, "sequence": 0,
-                 "born": unix_milliseconds()}
-        await self.soak.store.put("servers", self.instance, json.dumps(entry).encode())
+                 "version": 1, "slots": 16, "state": state, "cold_remaining_ms": 0, "sequence": 0,
+                 "born": self.born}
+        await self.soak.store.put("servers", self.instance,
+                                  None if state is None else json.dumps(entry).encode())
 
     async def handle(self, message, _peer):
         identifier = message.headers.get("x-covewing-request-id", "")
         expected = message.headers.get("x-covewing-expected-instance", self.instance)
-        echo = [("X-Covewing-Request-Id", identifier), ("X-Covewing-Instance-Id", self.instance)]
         self.soak.repeats[SERVICE].on_arrival(identifier, now())
         if expected != self.instance:
-            return http_answer(421, b"", echo + [("X-Covewing-Not-Executed", "1")])
+            return http_answer(421, b"", [("X-Covewing-Request-Id", identifier),
+                                          ("X-Covewing-Instance-Id", self.instance),
+                                          ("X-Covewing-Not-Executed", "1")])
+        self.soak.on_replica_reached(identifier, self.run_name)
+        if self.notices.turns_away():
+            return self.turn_away(identifier)
         self.soak.on_run(identifier, message.headers.get("x-covewing-tenant", ""))
         body = message.body.decode("latin-1")
         if body.startswith(DEADLY):
@@ -54,8 +70,8 @@
             self.end_under(body)
             return None
         await asyncio.sleep(self.random.expovariate(1 / 0.02))
-        return http_answer(200, application_answer(identifier, body),
-                           echo + [("X-Covewing-Server-Signature", self.instance)])
+        return http_answer(200, application_answer(identifier, body), self.head_of_answer(identifier) +
+                           [("X-Covewing-Server-Signature", self.instance)])
 
     def end_under(self, body):
         if self.crash():
