Send nothing new to a replica that has said in an answer that it leaves

What callers saw: requests went to replicas 4 to 13 s after these had told the same node that they were about to end; what such a replica does not finish is cut.

Cause: a replica's leaving was known from its entry in the table service alone. While that is silent the entry stays ready, and no answer could tell. Class: what a replica says of itself in an answer was no knowledge.

Mend: leaving belongs to the run. It is noted from the head of any answer and from the entry, kept beside the record also while the entry is gone and comes again, and never taken back before the run has ended. One question, whether the replica is in service, is asked by the choice, at the dispatch, by homes, by the rollout of weights (a replica that leaves is no goal of orders; what it holds may still be fetched) and by the check whether an end was planned. Why it holds: the last check stands where a request goes out, whatever way led there.

Other nodes: the node that heard it tells the replica's home in the messages that it sends anyway, and homes tell those who ask: a byte in three messages. Weighed against it, telling all: 339 messages of some 70 bytes from each node that hears it, 24 KB each; gossip passes a record on nine times and keeps it for good.

ReplicaRunsTest/EntryThatChangesWithinARunKeepsWhatIsKnown let a run that had said draining be used again when its entry said ready. That is wrong by what callers are promised; the test now changes the entry in other ways, and a new one holds that such a run stays out until its restart.

--- a/src/base/codec.cc
+++ b/src/base/codec.cc
@@ -117,6 +117,11 @@
   if (impl_->ok && impl_->levels.size() > 1) impl_->levels.pop_back();
 }
 
+bool Reader::more() const {
+  return impl_->ok && !impl_->levels.empty() &&
+         impl_->levels.back().next != impl_->levels.back().end;
+}
+
 std::uint64_t Reader::unsignedInteger() {
   const auto* object = impl_->take(msgpack::type::POSITIVE_INTEGER);
   return object == nullptr ? 0 : object->via.u64;
--- a/src/base/codec.h
+++ b/src/base/codec.h
@@ -53,6 +53,9 @@
   /// Enters an array and returns its size. Leave it with `endArray`, which skips elements not read.
   std::uint32_t beginArray();
   void endArray();
+  /// Whether the array that was entered has elements that were not read: what a message of an
+  /// earlier build lacks takes its default.
+  bool more() const;
   std::uint64_t unsignedInteger();
   std::int64_t signedInteger();
   bool boolean();
--- a/src/coordination/weights_rollout.cc
+++ b/src/coordination/weights_rollout.cc
@@ -53,6 +53,8 @@
     ordersTaken_.erase(instance);
     return finishGone(instance, change);
   }
+  // Weights that it loads now would serve nobody, and a place for loads is better used.
+  if (record->leaving() && change.phase != Phase::kLoading) return finish(instance, "it leaves");
   // The list or an answer may show the version before a report does.
   if (change.phase == Phase::kLoading && record->versionOf(change.model) >= change.version)
     return finishServed(instance, record->versionOf(change.model));
--- a/src/coordination/weights_rollout_pace.cc
+++ b/src/coordination/weights_rollout_pace.cc
@@ -39,9 +39,9 @@
 }
 
 bool WeightsRollout::usable(const routing::ReplicaRecord& record) const {
-  const auto& facts = record.facts();
-  const bool configured = !environment_.configured || environment_.configured(facts.service);
-  return configured && !record.gone() && facts.state == routing::ReplicaState::kReady;
+  const auto& service = record.facts().service;
+  const bool configured = !environment_.configured || environment_.configured(service);
+  return configured && record.inService();
 }
 
 bool WeightsRollout::overdue(const Change& change) const {
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -342,8 +342,7 @@
 
   static void countReplica(const routing::ReplicaRecord& record, base::TimePoint now,
                            RelayMetrics::Snapshot& snapshot) {
-    const bool leaving = record.gone() || record.notices().leaving();
-    if (record.facts().state != routing::ReplicaState::kReady || leaving) {
+    if (!record.inService()) {
       ++snapshot.replicasDraining;
     } else if (record.notices().resting(now)) {
       ++snapshot.replicasResting;
--- a/src/node/replica_list.cc
+++ b/src/node/replica_list.cc
@@ -56,11 +56,12 @@
 
 void ReplicaList::onRestarted(const std::string& run) {
   const auto record = directory_.find(run);
-  const bool planned = record && record->facts().state == routing::ReplicaState::kDraining;
+  const bool planned = record && record->leaving();
   if (!planned) replicaEnds_.onRestarted(run);
   // Requests and changes of weights that still hold the record must not go on with it.
   if (record) record->setGone();
   forget(run);
+  directory_.onEnded(run);
 }
 
 void ReplicaList::withdraw(const clients::FeedRow& row, const base::Reason& reason) {
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -234,6 +234,12 @@
 
 void RelayFlow::dispatch(routing::ReplicaDecision decision, const routing::PlacementGrant& grant) {
   const auto now = dependencies_.clock.now();
+  if (!decision.replica->inService()) {
+    // Whatever way led here: it was chosen, or granted, before it said that it leaves.
+    dependencies_.placement.ended(grant, routing::PlacementOutcome::kWithdrawn);
+    choose();
+    return;
+  }
   if (timeLeft() < kLeastTimeForAttempt) {
     dependencies_.placement.ended(grant, routing::PlacementOutcome::kWithdrawn);
     onDeadline();
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -10,8 +10,8 @@
       environment_(environment),
       homes_(environment.members),
       home_(options.home,
-            {environment.clock, environment.timers, environment.members, environment.replicas,
-             environment.holders},
+            {environment.clock, environment.timers, environment.log, environment.members,
+             environment.replicas, environment.holders},
             [this](const auto& asker, const auto& answer) { reply(asker, answer); }) {}
 
 Placement::~Placement() {
@@ -204,8 +204,13 @@
   return {taken.id, replica, home.id, home.endpoint};
 }
 
+bool Placement::leaves(base::EngineId replica) const {
+  const auto record = environment_.replicas.find(replica);
+  return record != nullptr && record->leaving();
+}
+
 void Placement::begun(const PlacementGrant& grant) {
-  const PlacementBegun message{grant.id, grant.replica};
+  const PlacementBegun message{grant.id, grant.replica, leaves(grant.replica)};
   if (isSelf(grant.homeId)) {
     home_.onBegun(message);
   } else {
@@ -215,7 +220,7 @@
 
 void Placement::ended(const PlacementGrant& grant, PlacementOutcome outcome,
                       const StreamObservation& observed) {
-  const PlacementEnded message{grant.id, grant.replica, outcome, observed};
+  const PlacementEnded message{grant.id, grant.replica, outcome, observed, leaves(grant.replica)};
   if (isSelf(grant.homeId)) {
     home_.onEnded(message, grant.homeId);
   } else {
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -170,9 +170,9 @@
   void cancel(Ticket ticket);
   /// Tells the home of a request that is sent without its grant.
   PlacementGrant take(const PlacementCandidate& candidate, base::Duration longestPause = {});
-  /// The answer to the request began.
+  /// The answer to the request began. Where the replica has said that it leaves, its home is told.
   void begun(const PlacementGrant& grant);
-  /// The request ended, or never got to the replica.
+  /// The request ended, or never got to the replica. Tells of its leaving as well.
   void ended(const PlacementGrant& grant, PlacementOutcome outcome,
              const StreamObservation& observed = {});
   void onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) override;
@@ -267,6 +267,7 @@
   void conclude(Ticket ticket, const PlacementResult& result);
   void concludeGranted(Ticket ticket, const PlacementAnswer& answer);
   PlacementGrant grantOf(const Pending& pending) const;
+  bool leaves(base::EngineId replica) const;
   void closeQuestion(Pending& pending);
 
   /// An answer of this node as home to a question of some node.
--- a/src/routing/placement_answers.cc
+++ b/src/routing/placement_answers.cc
@@ -26,6 +26,7 @@
   const auto& record = pending.request.candidates[pending.position].record;
   if (answer.speedPercent > 0) record->learnSpeed(answer.speedPercent);
   if (answer.version > 0) record->learnVersion(pending.request.model, answer.version);
+  if (answer.leaving) noteLeaving(*record, environment_.log, {kOtherNode, 0, {}});
   if (answer.granted() || answer.queued == 0 || !answer.usable) {
     queues_.erase(answer.replica);
     return;
--- a/src/routing/placement_home.cc
+++ b/src/routing/placement_home.cc
@@ -41,8 +41,8 @@
 bool PlacementHome::usable(base::EngineId replica, ReplicaQueue& state) const {
   const auto now = environment_.clock.now();
   const auto record = environment_.replicas.find(replica);
-  if (record == nullptr || record->facts().state != ReplicaState::kReady) return false;
-  if (record->gone() || record->changing(now) || record->versionDoubted(now)) return false;
+  if (record == nullptr || !record->inService()) return false;
+  if (record->changing(now) || record->versionDoubted(now)) return false;
   return state.ledger.available(now);
 }
 
@@ -52,8 +52,10 @@
   answer.id = question.id;
   answer.replica = question.replica;
   answer.usable = usable(question.replica, state);
-  if (const auto record = environment_.replicas.find(question.replica))
+  if (const auto record = environment_.replicas.find(question.replica)) {
     answer.version = record->versionOf(question.model);
+    answer.leaving = record->leaving();
+  }
   answer.matchedTokens =
       environment_.holders.matchedTokens(question.replica, question.scope, chainOf(question.parts));
   answer.queued = static_cast<std::uint32_t>(state.waiting.size());
@@ -168,7 +170,13 @@
   stateOf(taken.replica).ledger.grant(taken.id, taken.work, terms, {}, environment_.clock.now());
 }
 
+void PlacementHome::onLeaving(base::EngineId replica) {
+  if (const auto record = environment_.replicas.find(replica))
+    noteLeaving(*record, environment_.log, {kOtherNode, 0, {}});
+}
+
 void PlacementHome::onBegun(const PlacementBegun& begun) {
+  if (begun.leaving) onLeaving(begun.replica);
   const auto known = replicas_.find(begun.replica);
   if (known == replicas_.end()) return;
   auto& state = known->second;
@@ -179,6 +187,7 @@
 }
 
 void PlacementHome::onEnded(const PlacementEnded& ended, base::NodeId node) {
+  if (ended.leaving) onLeaving(ended.replica);
   const auto known = replicas_.find(ended.replica);
   if (known == replicas_.end()) return;
   auto& state = known->second;
--- a/src/routing/placement_home.h
+++ b/src/routing/placement_home.h
@@ -47,6 +47,7 @@
 struct PlacementHomeEnvironment {
   base::Clock& clock;
   base::TimerService& timers;
+  base::EventLog& log;
   const membership::MemberDirectory& members;
   const ReplicaDirectory& replicas;
   PrefixHolders& holders;
@@ -118,6 +119,9 @@
   };
 
   ReplicaQueue& stateOf(base::EngineId replica);
+  /// A node heard the replica say that it leaves: all that ask here are told so, also while the
+  /// table service cannot tell them.
+  void onLeaving(base::EngineId replica);
   /// Whether the replica may be sent requests now.
   bool usable(base::EngineId replica, ReplicaQueue& state) const;
   /// An answer with all but the verdict.
--- a/src/routing/placement_messages.cc
+++ b/src/routing/placement_messages.cc
@@ -19,10 +19,10 @@
 };
 
 constexpr std::uint32_t kQuestionFields = 21;
-constexpr std::uint32_t kAnswerFields = 14;
+constexpr std::uint32_t kAnswerFields = 15;
 constexpr std::uint32_t kTakenFields = 8;
-constexpr std::uint32_t kBegunFields = 3;
-constexpr std::uint32_t kEndedFields = 8;
+constexpr std::uint32_t kBegunFields = 4;
+constexpr std::uint32_t kEndedFields = 9;
 constexpr std::uint32_t kPartFields = 2;
 /// Prompts have a few shared parts; more than this is no message of ours.
 constexpr std::uint32_t kMostParts = 64;
@@ -66,7 +66,7 @@
   writer.unsignedInteger(answer.queued).signedInteger(answer.within.count());
   writer.signedInteger(answer.retryAfter.count());
   writer.boolean(answer.keepsPauses).signedInteger(answer.pauseExcess.count());
-  writer.unsignedInteger(answer.speedPercent);
+  writer.unsignedInteger(answer.speedPercent).boolean(answer.leaving);
 }
 
 void write(base::Writer& writer, const PlacementTaken& taken) {
@@ -78,7 +78,7 @@
 
 void write(base::Writer& writer, const PlacementBegun& begun) {
   begin(writer, kBegunFields, MessageType::kBegun).unsignedInteger(begun.id);
-  writer.unsignedInteger(begun.replica.value);
+  writer.unsignedInteger(begun.replica.value).boolean(begun.leaving);
 }
 
 void write(base::Writer& writer, const PlacementEnded& ended) {
@@ -88,9 +88,12 @@
   writer.unsignedInteger(ended.observed.pauses);
   writer.signedInteger(ended.observed.streamed.count());
   writer.signedInteger(ended.observed.longestPause.count());
-  writer.signedInteger(ended.observed.nodeLateness.count());
+  writer.signedInteger(ended.observed.nodeLateness.count()).boolean(ended.leaving);
 }
 
+/// A field that earlier builds do not send.
+bool readLeaving(base::Reader& reader) { return reader.more() && reader.boolean(); }
+
 std::uint32_t readCount(base::Reader& reader) {
   return static_cast<std::uint32_t>(reader.unsignedInteger());
 }
@@ -171,6 +174,7 @@
   answer.keepsPauses = reader.boolean();
   answer.pauseExcess = base::Duration{reader.signedInteger()};
   answer.speedPercent = readCount(reader);
+  answer.leaving = readLeaving(reader);
   return answer;
 }
 
@@ -187,6 +191,7 @@
   PlacementBegun begun;
   begun.id = reader.unsignedInteger();
   begun.replica = readReplica(reader);
+  begun.leaving = readLeaving(reader);
   return begun;
 }
 
@@ -201,6 +206,7 @@
   ended.observed.streamed = base::Duration{reader.signedInteger()};
   ended.observed.longestPause = base::Duration{reader.signedInteger()};
   ended.observed.nodeLateness = base::Duration{reader.signedInteger()};
+  ended.leaving = readLeaving(reader);
   return ended;
 }
 
--- a/src/routing/placement_messages.h
+++ b/src/routing/placement_messages.h
@@ -125,6 +125,8 @@
   base::Duration pauseExcess{};
   /// Speed of the replica (ReplicaPace::speed) in hundredths; 0: not known.
   std::uint32_t speedPercent = 0;
+  /// The replica has said that it leaves.
+  bool leaving = false;
 
   bool granted() const { return verdict == PlacementVerdict::kGranted; }
 };
@@ -141,6 +143,8 @@
 struct PlacementBegun {
   std::uint64_t id = 0;
   base::EngineId replica;
+  /// The replica has said that it leaves.
+  bool leaving = false;
 };
 
 struct PlacementEnded {
@@ -149,6 +153,8 @@
   PlacementOutcome outcome = PlacementOutcome::kServed;
   /// What the node saw of the stream; nothing for answers without pieces.
   StreamObservation observed;
+  /// The replica has said that it leaves.
+  bool leaving = false;
 };
 
 using PlacementMessage = std::variant<PlacementQuestion, PlacementAnswer, PlacementTaken,
--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -78,9 +78,9 @@
                                                   std::string_view& reason) {
   const auto& listed = context_.replicas.ofService(query.service);
   Candidates allowed;
-  reason = listed.empty() ? "no replica is listed" : "every replica is draining or was tried";
+  reason = listed.empty() ? "no replica is listed" : "every replica leaves or was tried";
   for (const auto& record : listed) {
-    if (record->facts().state != ReplicaState::kReady || record->gone()) continue;
+    if (!record->inService()) continue;
     if (onListOf(query.excluded, *record)) continue;
     if (!query.model.empty() && !beginsInTime(query, *record, now)) {
       reason = "no replica has the version in force";
--- a/src/routing/replica_directory.cc
+++ b/src/routing/replica_directory.cc
@@ -43,9 +43,9 @@
 
 std::string_view ReplicaRecord::stateName(base::TimePoint now) const {
   if (gone_) return "gone";
-  if (notices_.leaving() || facts_.state == ReplicaState::kDraining) return "leaving";
+  if (leaving()) return "leaving";
   if (facts_.state == ReplicaState::kUnknown) return "unreadable";
-  return notices_.resting(now) ? "resting" : "ready";
+  return notices_->resting(now) ? "resting" : "ready";
 }
 
 void noteLeaving(ReplicaRecord& replica, base::EventLog& log, const LeavingEvidence& evidence) {
@@ -78,6 +78,7 @@
   }
   onRemoved(facts.instance);
   auto record = std::make_shared<ReplicaRecord>(std::move(facts));
+  restoreNotices(*record);
   byInstance_.emplace(record->facts().instance, record);
   byId_.insert_or_assign(base::engineIdOf(record->facts().instance), record);
   addToService(std::move(record));
@@ -95,10 +96,25 @@
   const auto known = byInstance_.find(instance);
   if (known == byInstance_.end()) return;
   removeFromService(*known->second);
+  keptNotices_.push_back({instance, known->second->notices_});
+  if (keptNotices_.size() > kMostKeptNotices) keptNotices_.pop_front();
   byId_.erase(base::engineIdOf(instance));
   byInstance_.erase(known);
 }
 
+void ReplicaDirectory::onEnded(const std::string& instance) {
+  onRemoved(instance);
+  std::erase_if(keptNotices_, [&](const auto& kept) { return kept.instance == instance; });
+}
+
+void ReplicaDirectory::restoreNotices(ReplicaRecord& record) {
+  const auto kept =
+      std::ranges::find(keptNotices_, record.facts().instance, &KeptNotices::instance);
+  if (kept == keptNotices_.end()) return;
+  record.notices_ = kept->notices;
+  keptNotices_.erase(kept);
+}
+
 void ReplicaDirectory::onUnreadable(const std::string& instance) {
   const auto known = byInstance_.find(instance);
   if (known == byInstance_.end()) return;
--- a/src/routing/replica_directory.h
+++ b/src/routing/replica_directory.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -54,8 +55,12 @@
   bool full(base::TimePoint now) const { return now < fullUntil_; }
 
   /// What the run has said of itself.
-  RunNotices& notices() { return notices_; }
-  const RunNotices& notices() const { return notices_; }
+  RunNotices& notices() { return *notices_; }
+  const RunNotices& notices() const { return *notices_; }
+  /// It is about to end, by its entry or its own word.
+  bool leaving() const { return notices_->leaving() || facts_.state == ReplicaState::kDraining; }
+  /// It may get new work, from whatever node: requests, and orders of weights.
+  bool inService() const { return facts_.state == ReplicaState::kReady && !gone_ && !leaving(); }
 
   /// What is known of its readiness, for logs: "ready", "leaving", "resting", "gone" or
   /// "unreadable".
@@ -98,7 +103,8 @@
   base::TimePoint versionDoubtedUntil_{};
   base::TimePoint changingUntil_{};
   base::TimePoint fullUntil_{};
-  RunNotices notices_;
+  /// Shared with the directory, which keeps them beyond the entry.
+  std::shared_ptr<RunNotices> notices_ = std::make_shared<RunNotices>();
   ReadSpeed readSpeed_;
   std::uint32_t speedPercent_ = 0;
   /// Follows longer waits at once and shorter ones slowly.
@@ -110,6 +116,9 @@
 
 using ReplicaRecordPtr = std::shared_ptr<ReplicaRecord>;
 
+/// Source of what another node told.
+inline constexpr std::string_view kOtherNode = "other node";
+
 /// From what a node knows that a run leaves.
 struct LeavingEvidence {
   /// "entry", "answer", "order", "report", "cache events" or "other node".
@@ -129,7 +138,11 @@
   using Replicas = std::vector<ReplicaRecordPtr>;
 
   void onListed(Replica facts);
+  /// The entry is gone. The run may live on, and its entry come again: what it has said of itself
+  /// is kept.
   void onRemoved(const std::string& instance);
+  /// The run has certainly ended.
+  void onEnded(const std::string& instance);
   /// The replica's entry cannot be read any more: it is none of its service's until it can. What is
   /// known of it stays, as it may go on to run.
   void onUnreadable(const std::string& instance);
@@ -144,12 +157,25 @@
   double failureRateOfOthers(const ReplicaRecord& record) const;
 
  private:
+  /// What a run without an entry has said of itself.
+  struct KeptNotices {
+    std::string instance;
+    std::shared_ptr<RunNotices> notices;
+  };
+  /// More than the replicas of the largest fleet, which may all lose their entries in one outage of
+  /// the table service.
+  static constexpr std::size_t kMostKeptNotices = 1024;
+
   void addToService(ReplicaRecordPtr record);
+  /// Gives the run's notices back to its new record.
+  void restoreNotices(ReplicaRecord& record);
   void removeFromService(const ReplicaRecord& record);
 
   std::map<std::string, ReplicaRecordPtr, std::less<>> byInstance_;
   std::unordered_map<base::EngineId, ReplicaRecordPtr> byId_;
   std::map<std::string, Replicas, std::less<>> byService_;
+  /// The oldest first.
+  std::deque<KeptNotices> keptNotices_;
 };
 
 }  // namespace covewing::routing
--- a/src/routing/replica_end_check.cc
+++ b/src/routing/replica_end_check.cc
@@ -67,7 +67,7 @@
 bool ReplicaEndCheck::forgetPlannedEnd(const std::string& instance) {
   const auto found = doubts_.find(instance);
   if (found == doubts_.end()) return false;
-  if (found->second.replica->facts().state != ReplicaState::kDraining) return false;
+  if (!found->second.replica->leaving()) return false;
   environment_.timers.cancel(found->second.timer);
   doubts_.erase(found);
   return true;
--- a/tests/coordination/weights_rollout_test.cc
+++ b/tests/coordination/weights_rollout_test.cc
@@ -643,6 +643,23 @@
   for (const auto& [name, replica] : replicas.replicas) BOOST_TEST(replica.orders == 4U);
 }
 
+BOOST_AUTO_TEST_CASE(ReplicaThatLeavesIsNoGoalOfOrders) {
+  directory.find("r0")->notices().noteLeaving();
+  // The others are drained before their orders: one of them begins to leave meanwhile.
+  for (auto& [name, replica] : replicas.replicas) replica.running = 1;
+  targets.onNamed("m", 2, time.now());
+  rollout.start();
+  time.advance(milliseconds(100));
+  directory.find("r1")->notices().noteLeaving();
+  for (auto& [name, replica] : replicas.replicas) replica.running = 0;
+  time.advance(seconds(12));
+  for (const auto& [instance, order] : replicas.given) {
+    BOOST_TEST(instance != "r0");
+    BOOST_TEST(instance != "r1");
+  }
+  BOOST_TEST(atLeast(2) == replicas.replicas.size() - 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::coordination
--- a/tests/node/message_versions_test.cc
+++ b/tests/node/message_versions_test.cc
@@ -135,10 +135,14 @@
   question.parts = {{9, 800}};
   question.patience = milliseconds(200);
   addPlacement(all, "PlacementQuestion", question);
-  addPlacement(all, "PlacementAnswer", routing::PlacementAnswer{});
+  routing::PlacementAnswer answer;
+  answer.leaving = true;
+  addPlacement(all, "PlacementAnswer", answer);
   addPlacement(all, "PlacementTaken", routing::PlacementTaken{});
-  addPlacement(all, "PlacementBegun", routing::PlacementBegun{});
-  addPlacement(all, "PlacementEnded", routing::PlacementEnded{});
+  addPlacement(all, "PlacementBegun", routing::PlacementBegun{1, {2}, true});
+  routing::PlacementEnded ended;
+  ended.leaving = true;
+  addPlacement(all, "PlacementEnded", ended);
   all.push_back(sample("LoadNews", routing::encode(routing::LoadNews{4, {}}),
                        routing::decodeLoadNews,
                        [](const routing::LoadNews& news) { return routing::encode(news); }));
--- a/tests/platform/replica_runs_test.cc
+++ b/tests/platform/replica_runs_test.cc
@@ -181,12 +181,27 @@
 BOOST_AUTO_TEST_CASE(EntryThatChangesWithinARunKeepsWhatIsKnown) {
   write(entryOfRun(1, kFirstStart));
   useWith(2);
+  auto changed = entryOfRun(1, kFirstStart);
+  changed["state"] = "by another writer";
+  write(changed);
+  BOOST_TEST((choose().replica == nullptr));
+  changed["state"] = "ready";
+  changed["slots"] = 3;
+  write(changed);
+  BOOST_TEST(choose().version == 2U);
+  BOOST_TEST(choose().matchedTokens == 1000U);
+}
+
+// Callers are promised that a run that leaves gets nothing new for the rest of its life.
+BOOST_AUTO_TEST_CASE(RunThatSaidThatItDrainsIsNotUsedAgainUntilItsRestart) {
+  write(entryOfRun(1, kFirstStart));
   auto leaving = entryOfRun(1, kFirstStart);
   leaving["state"] = "draining";
   write(leaving);
   write(entryOfRun(1, kFirstStart));
-  BOOST_TEST(choose().version == 2U);
-  BOOST_TEST(choose().matchedTokens == 1000U);
+  BOOST_TEST((choose().replica == nullptr));
+  write(entryOfRun(1, kSecondStart));
+  BOOST_TEST((choose().replica != nullptr));
 }
 
 BOOST_AUTO_TEST_CASE(ReplicaThatDoesNotTellItsStartIsOneRun) {
--- a/tests/routing/placement_test.cc
+++ b/tests/routing/placement_test.cc
@@ -270,6 +270,47 @@
   BOOST_TEST((std::get<PlacementEnded>(*decodedEnd).observed == ended.observed));
 }
 
+// The table service is silent: one node alone has heard the replica say that it leaves.
+BOOST_AUTO_TEST_CASE(HomeTellsAllThatAskThatAReplicaLeaves) {
+  constexpr std::size_t kReplica = 3;
+  const auto home = homeOf(kReplica);
+  const auto hearing = (home + 1) % kNodes;
+  const auto result = ask(hearing, {kReplica});
+  BOOST_REQUIRE(result.grant.has_value());
+  record(hearing, kReplica)->notices().noteLeaving();
+  nodes[hearing]->placement.begun(*result.grant);
+  time.advance(milliseconds(20));
+  BOOST_TEST(record(home, kReplica)->leaving());
+  for (std::size_t node = 0; node < kNodes; ++node) {
+    BOOST_TEST(!ask(node, {kReplica}).grant.has_value());
+    BOOST_TEST(record(node, kReplica)->leaving());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RequestsThatWaitForAReplicaThatLeavesGoElsewhere) {
+  constexpr std::size_t kReplica = 3;
+  const auto home = homeOf(kReplica);
+  const auto hearing = (home + 1) % kNodes;
+  const auto asking = (home + 2) % kNodes;
+  std::vector<PlacementGrant> grants;
+  while (true) {
+    auto placed = begin(hearing, requestOf(hearing, {kReplica}));
+    time.advance(milliseconds(20));
+    if (!placed->granted()) break;
+    grants.push_back(*placed->result->grant);
+    BOOST_REQUIRE(grants.size() < 100U);
+  }
+  const auto waiting = begin(asking, requestOf(asking, {kReplica}));
+  time.advance(milliseconds(20));
+  BOOST_TEST(!waiting->result.has_value());
+  record(hearing, kReplica)->notices().noteLeaving();
+  nodes[hearing]->placement.ended(grants.front(), PlacementOutcome::kServed);
+  time.advance(milliseconds(20));
+  BOOST_REQUIRE(waiting->result.has_value());
+  BOOST_TEST(!waiting->granted());
+  BOOST_TEST(record(asking, kReplica)->leaving());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::routing
