--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -120,6 +120,36 @@
         return answer
 
 
+class PatientCaller(Caller):
+    """Comes back when it is told to, as long as that leaves it time; counts what becomes of what it
+    wants, over all its requests for it."""
+
+    TIME = 6.0
+    # It waits for at most this part of the time that it has left.
+    WAITS = 1 / 3
+    PAUSE = 0.1
+
+    def __init__(self, soak, number):
+        super().__init__(soak, f"p{number}", (SAFE, STREAM))
+
+    async def send_next(self):
+        kind, began = self.random.choice(self.kinds), now()
+        self.soak.counts["patient: wanted"] += 1
+        while self.stream is not None:
+            answer = await self.request(kind, f"patient {self.number} {self.sent}")
+            left = began + self.TIME - now()
+            if answer is not None and answer.status == 200:
+                self.soak.counts["patient: served"] += 1
+                self.soak.waits.append(now() - began)
+                return
+            wait = float(answer.headers.get("retry-after", "inf")) if answer is not None else 0.0
+            if answer is not None and answer.status not in (429, 503) or wait > left * self.WAITS:
+                return
+            await asyncio.sleep(wait)
+            if self.stream is None:
+                await self.connect()
+
+
 class KeyCaller(Caller):
     """Goes on using keys and routes that may have been taken away, at one node after the other."""
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -112,15 +112,17 @@
 
     REST_FELT_AFTER = 0.5
     MOST_IN_REST = 2
-    # How long behind the end of a rest its arrivals are counted, to see whether all come at once.
+    # Arrivals behind the end of a rest are counted for so long, and those of the first part of that,
+    # to see whether all come at once (seconds).
     COUNTED_BEHIND_REST = 1.0
+    AT_ONCE = 0.1
 
     def __init__(self, drain: float):
         self.drain = drain
         # By node and run.
         self.leaving_since: dict[tuple[int, str], float] = {}
         self.rests: dict[tuple[int, str], list[Rest]] = collections.defaultdict(list)
-        self.behind_rest = collections.Counter()
+        self.behind_rest = self.at_once = 0
 
     def on_passed_on(self, node: int, run: str, at: float):
         self.leaving_since.setdefault((node, run), at)
@@ -145,8 +147,9 @@
                     found.append(f"the third arrival within a rest of {rest.end - rest.asked:.3f} s, "
                                  f"{at - rest.asked:.3f} s behind the 503 that asked for it")
         ends = [rest.end for rest in self.rests[node, run] if rest.end <= at]
-        if ends and at < max(ends) + self.COUNTED_BEHIND_REST:
-            self.behind_rest[run, max(ends)] += 1
+        if ends:
+            self.behind_rest += at < max(ends) + self.COUNTED_BEHIND_REST
+            self.at_once += at < max(ends) + self.AT_ONCE
         return found
 
 
--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -49,7 +49,7 @@
 import sys
 import tempfile
 
-from callers import RESUMABLE, SAFE, STREAM, Caller, KeyCaller
+from callers import RESUMABLE, SAFE, STREAM, Caller, KeyCaller, PatientCaller
 from checks import (ConfigurationRule, NoticeRule, Outcome, RepeatRule, Sent, Trouble, VersionRule,
                     calm_since)
 from faults import Faults
@@ -72,6 +72,8 @@
 BEFORE_UPGRADE = 2.0
 # Callers that go on using keys that may have been taken away, for each node.
 KEY_CALLERS = 2
+# Callers that come back when they are told to, for each node.
+PATIENT_CALLERS = 1
 MOST_TOLD = 10
 READY_SECONDS = 20
 # From the last fault until all model replicas hold the newest version: twice the bound and the time
@@ -130,6 +132,8 @@
         self.notices = NoticeRule(self.bounds.drain)
         # The runs that said so in an answer to a request.
         self.leaving_told = collections.defaultdict(set)
+        # From what patient callers wanted first to its whole answer (seconds).
+        self.waits: list[float] = []
         self.operators = Operators(self)
         self.violations = []
         self.broken_rules = collections.Counter()
@@ -307,9 +311,11 @@
             if count > allowed:
                 self.violate(f"{service} received {count} repeats in the {rule.window} s until "
                              f"{end - self.began:.3f} s, allowed {allowed:.1f}")
-        behind = max(self.notices.behind_rest.values(), default=0)
-        self.counts["most arrivals in the second behind a rest"] = behind
+        self.counts["arrivals in the second behind rests"] = self.notices.behind_rest
+        self.counts["of them in its first tenth"] = self.notices.at_once
         self.counts["told that they leave"] = len(self.notices.leaving_since)
+        if self.waits:
+            self.counts["patient: mean ms"] = int(1000 * sum(self.waits) / len(self.waits))
         for rule in ("leaving", "rest"):
             self.counts[f"broken: {rule}"] = self.broken_rules[rule]
         self.check_deadly()
@@ -365,6 +371,8 @@
             return
         self.faults.start_series()
         if self.options.notices:
+            for number in range(PATIENT_CALLERS * len(self.nodes)):
+                self.spawn(PatientCaller(self, number).run())
             self.faults.start_notice_series()
         if self.options.keys:
             self.faults.start_key_series()
