Send nothing to a replica before the end of the rest that it asked this node for

What callers saw: requests and their retries went on to replicas that had turned them away with 503 and Retry-After of 3 s, from 120 ms on; each was refused again and spent the budget of retries, and in the end requests were refused because that was used up.

Cause: Retry-After of a replica was not read. A constant of 100 ms stood in its place, and that was a preference only.

Mend: a rest is a bar until its latest end, asked where candidates are chosen, at the dispatch, and before the first byte on a new connection. It is no failure of health, is kept while the entry goes and comes again, and is taken over by a run that the list tells of late. After its end one request alone tries the replica. Where all of a service rest, a request is held until the first end if that leaves it the time to be served, else refused at once as not run, with that end as Retry-After. Replicas that rest count as away where the rollout looks for spare ones. 429 with Retry-After passes a replica over for as long, while others can take the request.

--- a/src/clients/relay_client.h
+++ b/src/clients/relay_client.h
@@ -74,6 +74,9 @@
 class RelayHandler {
  public:
   virtual ~RelayHandler() = default;
+  /// Asked when a new connection is there, before the first byte is sent: where false, the attempt
+  /// fails as not sent. The replica may have said meanwhile that it wants no more.
+  virtual bool stillWanted() const { return true; }
   virtual void onHead(RelayedAnswer answer) = 0;
   virtual void onBody(std::string_view bytes) = 0;
   /// The whole answer came, by its framing.
--- a/src/coordination/rollout_plan.cc
+++ b/src/coordination/rollout_plan.cc
@@ -34,7 +34,7 @@
   if (view.needed <= 0) return 0;
   FleetRoom room;
   room.changing = view.away;
-  room.serving = view.served.size() - std::min(view.served.size(), view.away);
+  room.serving = view.served.size() - std::min(view.served.size(), view.away + view.resting);
   room.needed = view.needed;
   return std::min(room.spare(options_.headroom), mostAwayOf(view));
 }
--- a/src/coordination/rollout_plan.h
+++ b/src/coordination/rollout_plan.h
@@ -58,6 +58,8 @@
   std::set<std::string> begun{};
   /// Those of them that are away from callers now and answer.
   std::size_t away = 0;
+  /// Others of them that have asked this node for rest: they serve callers as little.
+  std::size_t resting = 0;
   /// Replicas that the work under way needs; 0 where it is not known.
   double needed = 0;
   /// Requests that a replica said lately it has; empty where it is not known.
--- a/src/live/client_connection.cc
+++ b/src/live/client_connection.cc
@@ -124,6 +124,10 @@
     fail("cannot connect: " + error.message());
     return;
   }
+  if (!handler_->stillWanted()) {
+    fail("it is no longer wanted there");
+    return;
+  }
   state_ = State::kAnswering;
   socket_.set_option(asio::ip::tcp::no_delay(true), error);
   touch();
--- a/src/live/http_client.h
+++ b/src/live/http_client.h
@@ -48,6 +48,9 @@
 class HttpCallHandler {
  public:
   virtual ~HttpCallHandler() = default;
+  /// Asked when a new connection is there, before the first byte is sent: where false, the call
+  /// fails with kNotSent.
+  virtual bool stillWanted() const { return true; }
   /// Status and headers; the body is empty.
   virtual void onHead(const HttpResponse& head) = 0;
   virtual void onBody(std::string_view bytes) = 0;
--- a/src/live/http_relay_client.cc
+++ b/src/live/http_relay_client.cc
@@ -18,6 +18,7 @@
   void setPaused(bool paused) override { call_->setPaused(paused); }
 
  private:
+  bool stillWanted() const override { return handler_.stillWanted(); }
   void onHead(const HttpResponse& head) override {
     handler_.onHead(dialect_.readAnswer(head, terms_));
   }
--- a/src/node/replica_list.cc
+++ b/src/node/replica_list.cc
@@ -43,15 +43,20 @@
 
 void ReplicaList::list(const std::string& key, routing::Replica replica) {
   auto& run = runs_[key];
+  base::TimePoint restsUntil{};
   if (!run.empty() && run != replica.instance) {
     log_.write(base::Event::kReplicaRestarted, {{"replica", replica.instance}, {"before", run}});
+    if (const auto before = directory_.find(run)) restsUntil = before->notices().restsUntil();
     onRestarted(run);
   }
   if (run != replica.instance) replicaEnds_.onListed(replica.instance);
   run = replica.instance;
   const bool draining = replica.state == routing::ReplicaState::kDraining;
   directory_.onListed(std::move(replica));
-  if (draining) routing::noteLeaving(*directory_.find(run), log_, {"entry", 0, {}});
+  const auto record = directory_.find(run);
+  if (draining) routing::noteLeaving(*record, log_, {"entry", 0, {}});
+  // Entries tell of a restart late: it may have been the new run that asked for the rest.
+  if (clock_.now() < restsUntil) record->notices().noteRest(restsUntil);
 }
 
 void ReplicaList::onRestarted(const std::string& run) {
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -185,6 +185,10 @@
 
 void RelayFlow::decideAlone(routing::ReplicaDecision decision) {
   if (!decision.replica) {
+    if (decision.restEnds && passedOver_.empty() && !triedOneTakesRequests()) {
+      waitForRest(*decision.restEnds, decision.reason);
+      return;
+    }
     const bool passedOver = !passedOver_.empty();
     passedOver_.clear();
     hold(decision.reason, passedOver ? options_.askAgainAfter : options_.holdInterval);
@@ -208,6 +212,27 @@
   refuseUnplaced(why, options_.retryAfterNoReplica);
 }
 
+bool RelayFlow::triedOneTakesRequests() const {
+  const auto now = dependencies_.clock.now();
+  return std::ranges::any_of(excluded_, [&](const auto& instance) {
+    const auto record = dependencies_.replicas.find(instance);
+    return record != nullptr && record->takesRequests(now);
+  });
+}
+
+void RelayFlow::waitForRest(base::TimePoint end, std::string_view why) {
+  const auto left = end - dependencies_.clock.now();
+  if (end > holdUntil_) {
+    refuseUnplaced(why, left);
+    return;
+  }
+  holdTimer_ = dependencies_.timers.schedule(left, [this] {
+    // Those that were tried have rested as well.
+    excluded_.clear();
+    choose();
+  });
+}
+
 void RelayFlow::refuseUnplaced(std::string_view why, base::Duration retryAfter) {
   if (headDelivered_) {
     cut(why);
@@ -234,8 +259,8 @@
 
 void RelayFlow::dispatch(routing::ReplicaDecision decision, const routing::PlacementGrant& grant) {
   const auto now = dependencies_.clock.now();
-  if (!decision.replica->inService()) {
-    // Whatever way led here: it was chosen, or granted, before it said that it leaves.
+  if (!decision.replica->takesRequests(now)) {
+    // Whatever way led here: it was chosen, or granted, before it said that it wants no more.
     dependencies_.placement.ended(grant, routing::PlacementOutcome::kWithdrawn);
     choose();
     return;
@@ -256,6 +281,7 @@
   record.onReadingBegun(unread);
   const auto work = record.readSpeed().time(unread);
   record.health().onDispatched(now, work);
+  const bool trial = record.notices().beginTrial();
   ++dispatches_;
   if (retryCause_) ++retries_.at(static_cast<std::size_t>(*retryCause_));
   heldFor_ = now - arrival_.arrivedAt;
@@ -308,7 +334,8 @@
                      std::nullopt,
                      grant,
                      routing::PlacementOutcome::kWithdrawn,
-                     {}};
+                     {},
+                     trial};
   armSilence();
   armBegin();
   call_ = dependencies_.client.start(endpoint, arrival_.request, terms, *this);
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -169,6 +169,7 @@
   /// begin earlier than was known when it was sent.
   void onWeightsChanged();
 
+  bool stillWanted() const override;
   void onHead(clients::RelayedAnswer answer) override;
   void onBody(std::string_view bytes) override;
   void onEnd() override;
@@ -201,6 +202,8 @@
     routing::PlacementGrant grant;
     routing::PlacementOutcome outcome = routing::PlacementOutcome::kWithdrawn;
     StreamWatch watch;
+    /// It tries whether the replica takes requests again after a rest.
+    bool trial = false;
   };
 
   bool streaming() const { return assignment_.route->kind == config::RequestKind::kStreaming; }
@@ -257,6 +260,11 @@
   /// where few replicas are known to have it.
   void tellHome(const routing::ReplicaDecision& decision);
   void hold(std::string_view why, base::Duration interval);
+  /// A replica at which the request failed could be sent it again.
+  bool triedOneTakesRequests() const;
+  /// All replicas want rest, the first until then: holds the request where that leaves it time to
+  /// be served, else refuses it at once.
+  void waitForRest(base::TimePoint end, std::string_view why);
   /// Counts the retry that the next dispatch is, if it is one. When the budget no longer allows it,
   /// gives the grant back and ends the request, and is false.
   bool countRetry(const routing::PlacementGrant& grant);
@@ -291,6 +299,8 @@
   /// The attempt is over; its connection closes unless the answer was whole.
   void endAttempt();
   void endWait();
+  /// The replica's answer has begun, or will not; `taken` where it did not turn the request away.
+  void endTrial(bool taken);
   /// Tells the replica's home what became of the attempt.
   void endGrant();
 
--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -65,6 +65,16 @@
   record.health().onWaitEnded(dependencies_.clock.now(), attempt_->work);
 }
 
+void RelayFlow::endTrial(bool taken) {
+  if (!attempt_ || !std::exchange(attempt_->trial, false)) return;
+  attempt_->decision.replica->notices().endTrial(taken);
+}
+
+bool RelayFlow::stillWanted() const {
+  const auto& record = *attempt_->decision.replica;
+  return record.inService() && !record.notices().resting(dependencies_.clock.now());
+}
+
 void RelayFlow::endGrant() {
   dependencies_.placement.ended(attempt_->grant, attempt_->outcome, attempt_->watch.observed());
 }
@@ -77,6 +87,7 @@
   if (arrival_.prompt && answer.version && !answer.otherInstance)
     record.learnVersion(arrival_.prompt->model, *answer.version);
   learnNotices(answer);
+  endTrial(!notRun(answer));
   if (!notRun(answer)) {
     ++runs_;
     dependencies_.placement.begun(attempt_->grant);
@@ -214,8 +225,11 @@
   const auto now = dependencies_.clock.now();
   auto& record = *attempt_->decision.replica;
   if (error.failure == clients::DispatchFailure::kNotSent) {
-    attempt_->outcome = routing::PlacementOutcome::kUnreachable;
-    record.health().onUnreachable(now);
+    // What was not sent because the replica wants no more says nothing of its health.
+    if (stillWanted()) {
+      attempt_->outcome = routing::PlacementOutcome::kUnreachable;
+      record.health().onUnreachable(now);
+    }
     if (retryElsewhere(RetryCause::kNeverArrived, error.reason.detail, Loss::kNeverArrived)) return;
     if (headDelivered_) {
       cut(error.reason.detail);
--- a/src/request/relay_flow_end.cc
+++ b/src/request/relay_flow_end.cc
@@ -9,6 +9,7 @@
 void RelayFlow::endAttempt() {
   if (!attempt_) return;
   endWait();
+  endTrial(false);
   endGrant();
   lastStream_ = attempt_->watch.observed();
   dependencies_.timers.cancel(silenceTimer_);
--- a/src/request/relay_flow_retries.cc
+++ b/src/request/relay_flow_retries.cc
@@ -1,4 +1,5 @@
 // What follows from an attempt that did not give the answer: another one, or the end.
+#include <algorithm>
 #include <utility>
 
 #include "request/relay_flow.h"
@@ -64,7 +65,9 @@
     return;
   }
   attempt_->outcome = routing::PlacementOutcome::kRefused;
-  record.setFull(now + options_.fullFor);
+  // A replica that says for how long it wants rest is well: to eject it would keep others from it.
+  if (answer.status == kServiceUnavailable && answer.rest > base::Duration::zero()) return;
+  record.setFull(now + std::max(options_.fullFor, answer.rest));
   record.health().onFailure(now, dependencies_.replicas.failureRateOfOthers(record));
 }
 
--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -53,6 +53,12 @@
   return *middle;
 }
 
+base::TimePoint firstRestEnd(const std::vector<ReplicaRecordPtr>& resting) {
+  const auto first = std::ranges::min_element(
+      resting, {}, [](const auto& record) { return record->notices().restsUntil(); });
+  return (*first)->notices().restsUntil();
+}
+
 }  // namespace
 
 std::string cacheSalt(base::WeightsVersion version, std::string_view isolatedTenant) {
@@ -75,18 +81,26 @@
 }
 
 ReplicaChoice::Candidates ReplicaChoice::eligible(const ReplicaQuery& query, base::TimePoint now,
-                                                  std::string_view& reason) {
+                                                  ReplicaDecision& decision) {
+  auto& reason = decision.reason;
   const auto& listed = context_.replicas.ofService(query.service);
   Candidates allowed;
+  Candidates resting;
   reason = listed.empty() ? "no replica is listed" : "every replica leaves or was tried";
   for (const auto& record : listed) {
     if (!record->inService()) continue;
-    if (onListOf(query.excluded, *record)) continue;
     if (!query.model.empty() && !beginsInTime(query, *record, now)) {
       reason = "no replica has the version in force";
-      continue;
+    } else if (record->notices().resting(now)) {
+      // Also those that were tried: it was they who asked for it.
+      resting.push_back(record);
+    } else if (!onListOf(query.excluded, *record)) {
+      allowed.push_back(record);
     }
-    allowed.push_back(record);
+  }
+  if (allowed.empty() && !resting.empty()) {
+    reason = "every replica has asked this node for rest";
+    decision.restEnds = firstRestEnd(resting);
   }
   const auto keep = [&](auto predicate, std::string_view why) {
     if (allowed.empty()) return;
@@ -104,6 +118,8 @@
        "the version of every replica is doubtful");
   keep([&](const auto& record) { return record->health().available(now); },
        "every replica is ejected or silent");
+  keep([&](const auto& record) { return !record->notices().beingTried(); },
+       "every replica has rested and is tried with one request");
   prefer([&](const auto& record) { return !record->full(now); });
   return allowed;
 }
@@ -269,7 +285,7 @@
 ReplicaDecision ReplicaChoice::choose(const ReplicaQuery& query, std::size_t nodes,
                                       base::TimePoint now) {
   ReplicaDecision decision;
-  Candidates candidates = eligible(query, now, decision.reason);
+  Candidates candidates = eligible(query, now, decision);
   if (candidates.empty()) return decision;
   if (query.withPrompt()) {
     sortByHome(candidates, query);
@@ -310,7 +326,7 @@
                                                      std::uint32_t matchedTokens,
                                                      base::TimePoint now) {
   ReplicaDecision decision;
-  const auto candidates = eligible(query, now, decision.reason);
+  const auto candidates = eligible(query, now, decision);
   if (std::ranges::find(candidates, replica) == candidates.end()) return std::nullopt;
   decision.candidates = candidates.size();
   decision.replica = replica;
--- a/src/routing/replica_choice.h
+++ b/src/routing/replica_choice.h
@@ -93,6 +93,8 @@
   std::size_t homesAsked = 0;
   base::Duration expectedWait{};
   std::string_view reason;
+  /// Where all replicas that the request could go to have asked this node for rest: the first end.
+  std::optional<base::TimePoint> restEnds;
 
   /// Leading shared tokens that the replica has or can fetch.
   std::uint32_t heldTokens() const { return fetchFrom ? fetchFrom->tokens : matchedTokens; }
@@ -160,8 +162,9 @@
   bool beginsInTime(const ReplicaQuery& query, const ReplicaRecord& record,
                     base::TimePoint now) const;
   /// The replicas that the request may go to, those among them that change their weights included:
-  /// homes know these at once, other nodes by gossip, late.
-  Candidates eligible(const ReplicaQuery& query, base::TimePoint now, std::string_view& reason);
+  /// homes know these at once, other nodes by gossip, late. Where there are none, the decision is
+  /// told why.
+  Candidates eligible(const ReplicaQuery& query, base::TimePoint now, ReplicaDecision& decision);
   /// Chooses among the candidates by what this node knows.
   void chooseAlone(ReplicaDecision& decision, Candidates candidates, const ReplicaQuery& query,
                    std::size_t nodes, base::TimePoint now);
--- a/src/routing/replica_directory.h
+++ b/src/routing/replica_directory.h
@@ -62,6 +62,10 @@
   /// It may get new work, from whatever node: requests, and orders of weights.
   bool inService() const { return facts_.state == ReplicaState::kReady && !gone_ && !leaving(); }
 
+  /// Requests of this node may be sent there now.
+  bool takesRequests(base::TimePoint now) const {
+    return inService() && !notices_->resting(now) && !notices_->beingTried();
+  }
   /// What is known of its readiness, for logs: "ready", "leaving", "resting", "gone" or
   /// "unreadable".
   std::string_view stateName(base::TimePoint now) const;
--- a/src/routing/run_notices.h
+++ b/src/routing/run_notices.h
@@ -1,6 +1,10 @@
 /// \file
 /// What one run of a replica has said of itself, in answers or in its entry: that it leaves, and
 /// until when it wants no requests from this node.
+///
+/// States of the rest: none -> resting until its end -> to be tried, with one request at a time ->
+/// none once one was not turned away, or resting again. All that waited for the end would otherwise
+/// come at once to a replica that may still have too much.
 #pragma once
 
 #include <algorithm>
@@ -19,13 +23,34 @@
 
   /// The run wants no requests from this node until then. Of several ends the latest counts: an
   /// answer that was overtaken must not shorten what a later one asked for.
-  void noteRest(base::TimePoint until) { restsUntil_ = std::max(restsUntil_, until); }
+  void noteRest(base::TimePoint until) {
+    restsUntil_ = std::max(restsUntil_, until);
+    tried_ = false;
+  }
   bool resting(base::TimePoint now) const { return now < restsUntil_; }
   base::TimePoint restsUntil() const { return restsUntil_; }
+  /// The run has rested, and the one request that tries it is under way.
+  bool beingTried() const { return trialUnderWay_; }
+
+  /// A request is sent. True where it tries the run; call endTrial then once, when its answer began
+  /// or will not.
+  bool beginTrial() {
+    if (tried_) return false;
+    trialUnderWay_ = true;
+    return true;
+  }
+  /// `taken`: the run did not turn the request away.
+  void endTrial(bool taken) {
+    trialUnderWay_ = false;
+    tried_ = tried_ || taken;
+  }
 
  private:
   bool leaving_ = false;
   base::TimePoint restsUntil_{};
+  /// It has taken a request since its last rest.
+  bool tried_ = true;
+  bool trialUnderWay_ = false;
 };
 
 }  // namespace covewing::routing
--- a/tests/live/http_client_test.cc
+++ b/tests/live/http_client_test.cc
@@ -60,6 +60,7 @@
 
 class Recorder final : public HttpCallHandler {
  public:
+  bool stillWanted() const override { return wanted; }
   void onHead(const HttpResponse& head) override { status = head.status; }
   void onBody(std::string_view bytes) override { body += bytes; }
   void onComplete() override { complete = true; }
@@ -69,6 +70,7 @@
   }
   bool done() const { return complete || failure.has_value(); }
 
+  bool wanted = true;
   unsigned status = 0;
   std::string body;
   bool complete = false;
@@ -131,6 +133,17 @@
   BOOST_TEST((recorder.failure == DispatchFailure::kNotSent));
 }
 
+BOOST_AUTO_TEST_CASE(RequestThatIsNoLongerWantedWhenItsConnectionIsThereIsNotSent) {
+  Fixture fixture;
+  Recorder recorder;
+  recorder.wanted = false;
+  const auto call = fixture.start(recorder);
+  fixture.waitDone(recorder);
+  BOOST_TEST((recorder.failure == DispatchFailure::kNotSent));
+  fixture.warmUp();
+  BOOST_TEST(fixture.server.requests() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(BreakAfterSendingIsUnknown) {
   Fixture fixture;
   Recorder recorder;
--- a/tests/platform/replica_runs_test.cc
+++ b/tests/platform/replica_runs_test.cc
@@ -192,6 +192,16 @@
   BOOST_TEST(choose().matchedTokens == 1000U);
 }
 
+// Its entry told of the restart 0.6 s after the new run had turned a request away.
+BOOST_AUTO_TEST_CASE(RestThatTheNewRunMayHaveAskedForOutlivesTheOldOne) {
+  write(entryOfRun(1, kFirstStart));
+  replica()->notices().noteRest(time.now() + std::chrono::seconds(3));
+  write(entryOfRun(1, kSecondStart));
+  BOOST_TEST((choose().replica == nullptr));
+  time.advance(std::chrono::milliseconds(3001));
+  BOOST_TEST((choose().replica != nullptr));
+}
+
 // Callers are promised that a run that leaves gets nothing new for the rest of its life.
 BOOST_AUTO_TEST_CASE(RunThatSaidThatItDrainsIsNotUsedAgainUntilItsRestart) {
   write(entryOfRun(1, kFirstStart));
--- a/tests/request/replica_notices_test.cc
+++ b/tests/request/replica_notices_test.cc
@@ -200,6 +200,156 @@
   BOOST_TEST(reaching(resting, 1, "once") == 1U);
 }
 
+// A retry that goes where rest was asked for spends the budget of retries for nothing.
+BOOST_AUTO_TEST_CASE(RetriesDoNotGoToReplicasThatWantRest) {
+  for (const char* name : {"a", "b"})
+    replicas.find(name)->notices().noteRest(time.now() + seconds(3));
+  request("unsafe");
+  BOOST_TEST((client.last().replica == replicas.find("c")->facts().endpoint));
+  client.last().refuseNotExecuted();
+  time.advance(milliseconds(1800));
+  BOOST_TEST(client.sent.size() <= 2U);
+  for (const auto& sent : client.sent)
+    BOOST_TEST((sent->replica == replicas.find("c")->facts().endpoint));
+}
+
+BOOST_AUTO_TEST_CASE(RestIsNoFailureOfHealth) {
+  for (const char* name : {"b", "c"}) replicas.onRemoved(name);
+  const auto replica = replicas.find("a");
+  for (int rest = 0; rest < 10; ++rest) {
+    request("unsafe");
+    client.last().askRest(milliseconds(200));
+    time.advance(milliseconds(250));
+  }
+  BOOST_TEST(replica->health().failureRate() == 0.0);
+  BOOST_TEST(replica->health().available(time.now()));
+}
+
+BOOST_AUTO_TEST_CASE(LatestEndOfARestCounts) {
+  const auto replica = replicas.find("a");
+  const auto began = time.now();
+  replica->notices().noteRest(began + seconds(3));
+  replica->notices().noteRest(began + seconds(1));
+  replica->notices().noteRest(began);
+  time.advance(milliseconds(2900));
+  BOOST_TEST(!replica->takesRequests(time.now()));
+  time.advance(milliseconds(200));
+  BOOST_TEST(replica->takesRequests(time.now()));
+}
+
+BOOST_AUTO_TEST_CASE(RestIsKeptWhileTheEntryGoesAndComesAgain) {
+  const auto facts = replicas.find("a")->facts();
+  replicas.find("a")->notices().noteRest(time.now() + seconds(3));
+  replicas.onRemoved("a");
+  replicas.onListed(facts);
+  BOOST_TEST(!replicas.find("a")->takesRequests(time.now()));
+}
+
+BOOST_AUTO_TEST_CASE(RequestIsHeldForARestThatEndsInTime) {
+  for (const char* name : {"a", "b", "c"})
+    replicas.find(name)->notices().noteRest(time.now() + milliseconds(900));
+  auto& caller = request("unsafe");
+  time.advance(milliseconds(890));
+  BOOST_TEST(client.sent.empty());
+  BOOST_TEST(caller.open());
+  time.advance(milliseconds(20));
+  BOOST_TEST(client.sent.size() == 1U);
+  client.last().answer(200, "done");
+  BOOST_TEST(caller.ended);
+}
+
+BOOST_AUTO_TEST_CASE(RequestThatWasTurnedAwayByAllComesBackWhenARestEnds) {
+  for (const char* name : {"b", "c"}) replicas.onRemoved(name);
+  auto& caller = request("unsafe");
+  client.last().askRest(milliseconds(500));
+  time.advance(milliseconds(490));
+  BOOST_TEST(client.sent.size() == 1U);
+  time.advance(milliseconds(20));
+  BOOST_TEST(client.sent.size() == 2U);
+  client.last().answer(200, "done");
+  BOOST_TEST(caller.body == "done");
+}
+
+BOOST_AUTO_TEST_CASE(RequestIsRefusedAtOnceWhereAllRestForLongerThanItCanWait) {
+  replicas.find("a")->notices().noteRest(time.now() + seconds(9));
+  replicas.find("b")->notices().noteRest(time.now() + seconds(3));
+  replicas.find("c")->notices().noteRest(time.now() + seconds(5));
+  auto& caller = request("unsafe");
+  BOOST_TEST(client.sent.empty());
+  BOOST_REQUIRE(caller.refusal.has_value());
+  BOOST_TEST(caller.refusal->status == 503U);
+  BOOST_TEST((caller.refusal->retryAfter == seconds(3)));
+  BOOST_TEST(caller.refusal->reason.detail == "every replica has asked this node for rest");
+}
+
+BOOST_AUTO_TEST_CASE(ReplicaThatHasRestedIsTriedWithOneRequest) {
+  for (const char* name : {"b", "c"}) replicas.onRemoved(name);
+  replicas.find("a")->notices().noteRest(time.now() + milliseconds(500));
+  for (int held = 0; held < 6; ++held) request("unsafe");
+  time.advance(milliseconds(600));
+  BOOST_TEST(client.sent.size() == 1U);
+  client.last().answer(200, "done");
+  time.advance(milliseconds(50));
+  BOOST_TEST(client.sent.size() == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(TrialThatEndsWithoutAnAnswerIsFollowedByAnother) {
+  for (const char* name : {"b", "c"}) replicas.onRemoved(name);
+  replicas.find("a")->notices().noteRest(time.now() + milliseconds(500));
+  request("unsafe");
+  request("unsafe");
+  time.advance(milliseconds(600));
+  BOOST_REQUIRE(client.sent.size() == 1U);
+  client.last().breakOff();
+  time.advance(milliseconds(50));
+  BOOST_TEST(client.sent.size() == 2U);
+  BOOST_TEST(replicas.find("a")->notices().beingTried());
+}
+
+BOOST_AUTO_TEST_CASE(TrialThatIsTurnedAwayBeginsAnotherRest) {
+  for (const char* name : {"b", "c"}) replicas.onRemoved(name);
+  replicas.find("a")->notices().noteRest(time.now() + milliseconds(500));
+  for (int held = 0; held < 5; ++held) request("unsafe");
+  time.advance(milliseconds(600));
+  client.last().askRest(milliseconds(600));
+  time.advance(milliseconds(590));
+  BOOST_TEST(client.sent.size() == 1U);
+  time.advance(milliseconds(30));
+  BOOST_TEST(client.sent.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(WhatWaitsForAConnectionIsNotSentWhereRestIsAsked) {
+  request("safe");
+  const auto waiting = client.sent.back();
+  const auto replica = waiting->terms.expectedInstance;
+  BOOST_TEST(waiting->handler->stillWanted());
+  replicas.find(replica)->notices().noteRest(time.now() + seconds(3));
+  BOOST_TEST(!waiting->handler->stillWanted());
+  waiting->refuseConnection();
+  BOOST_TEST(client.sent.size() == 2U);
+  BOOST_TEST((client.last().replica != waiting->replica));
+  BOOST_TEST(replicas.find(replica)->health().available(time.now()));
+}
+
+// It tells of a limit, of calls at once or of a tenant, that is used up: others may still be
+// served.
+BOOST_AUTO_TEST_CASE(TooManyRequestsIsNoRestAndPassesTheReplicaOverForAsLong) {
+  request("unsafe");
+  const auto limited = replicas.find(client.last().terms.expectedInstance);
+  clients::RelayedAnswer answer;
+  answer.status = 429;
+  answer.notExecuted = true;
+  answer.rest = seconds(1);
+  client.last().handler->onHead(std::move(answer));
+  client.last().handler->onEnd();
+  client.last().answer(200, "done");
+  time.advance(milliseconds(900));
+  BOOST_TEST(reaching(limited->facts().endpoint, kManyRequests, "safe") == 0U);
+  for (const char* name : {"a", "b", "c"})
+    if (name != limited->facts().instance) replicas.onRemoved(name);
+  BOOST_TEST(reaching(limited->facts().endpoint, 1, "safe") == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::request
