--- a/src/routing/engine_directory.cc
+++ b/src/routing/engine_directory.cc
@@ -331,7 +331,7 @@
   EngineState* engine = findMutable(id);
   if (engine == nullptr) return;
   auto& tracking = tracking_.at(id);
-  tracking.leavingNotedAt = environment_.clock.now();
+  tracking.leavingNoted = true;
   refresh(*engine, tracking);
 }
 
@@ -353,7 +353,7 @@
   engine.load.reset();
   tracking.nextSequence = 0;
   tracking.reportedLeaving = false;
-  tracking.leavingNotedAt.reset();
+  tracking.leavingNoted = false;
   tracking.unreachableUntil.reset();
   tracking.failedDispatches = 0;
   tracking.missedPolls = 0;
@@ -370,11 +370,9 @@
 
 void EngineDirectory::refresh(EngineState& engine, Tracking& tracking) {
   const auto now = environment_.clock.now();
-  if (tracking.leavingNotedAt && now - *tracking.leavingNotedAt > options_.leavingNoteFor)
-    tracking.leavingNotedAt.reset();
   if (tracking.unreachableUntil && now >= *tracking.unreachableUntil)
     tracking.unreachableUntil.reset();
-  engine.leaving = tracking.listedLeaving || tracking.reportedLeaving || tracking.leavingNotedAt;
+  engine.leaving = tracking.listedLeaving || tracking.reportedLeaving || tracking.leavingNoted;
   engine.unreachable =
       tracking.unreachableUntil || tracking.missedPolls >= options_.missedPollsUntilUnreachable;
 }
--- a/src/routing/engine_directory.h
+++ b/src/routing/engine_directory.h
@@ -53,8 +53,6 @@
   /// each further failure up to the maximum.
   base::Duration unreachableFor = std::chrono::seconds(1);
   base::Duration unreachableForMaximum = std::chrono::seconds(8);
-  /// An own observation that an engine leaves holds for this long; reports carry it on.
-  base::Duration leavingNoteFor = std::chrono::seconds(10);
   /// An engine missing from the list is forgotten after this long without any sign of life.
   base::Duration absenceGrace = std::chrono::seconds(10);
 };
@@ -122,7 +120,8 @@
     bool listed = false;
     bool listedLeaving = false;
     bool reportedLeaving = false;
-    std::optional<base::TimePoint> leavingNotedAt;
+    /// It has refused work because it leaves: holds until another incarnation of it is known.
+    bool leavingNoted = false;
     std::optional<base::TimePoint> unreachableUntil;
     std::uint32_t failedDispatches = 0;
     std::uint32_t missedPolls = 0;
--- a/tests/routing/engine_directory_test.cc
+++ b/tests/routing/engine_directory_test.cc
@@ -138,6 +138,18 @@
   BOOST_TEST(engine("rules-1").leaving);
 }
 
+// It got new work again after 10 s where the list told of its leaving later than that.
+BOOST_AUTO_TEST_CASE(ANotedLeaveHoldsUntilTheEngineHasRestarted) {
+  addEngine("rules-1", "north", 4);
+  directory.start();
+  time.advance(1s);
+  directory.noteLeaving(base::engineIdOf("rules-1"));
+  time.advance(30s);
+  BOOST_TEST(engine("rules-1").leaving);
+  directory.noteIncarnation(base::engineIdOf("rules-1"), 2);
+  BOOST_TEST(!engine("rules-1").leaving);
+}
+
 BOOST_AUTO_TEST_CASE(AnEngineGoneFromTheListIsForgottenOnlyWithoutSignsOfLife) {
   addEngine("rules-1", "north", 4);
   addEngine("rules-2", "north", 4);
