Hear that a replica leaves in answers to orders, reports and watches of caches too

Whatever a node asks a replica, refusals included, the answer says that it leaves; only requests were listened to. Where another instance answers, it says nothing of the replica that was asked.

--- a/src/clients/cache_feed_client.h
+++ b/src/clients/cache_feed_client.h
@@ -39,6 +39,8 @@
   /// Number to go on from.
   std::uint64_t next = 0;
   std::vector<CachePartEvent> events;
+  /// The replica says that it is about to end.
+  bool leaving = false;
 };
 
 class CacheFeedClient {
--- a/src/clients/weights_client.h
+++ b/src/clients/weights_client.h
@@ -69,7 +69,14 @@
 /// Callbacks come later, on the node's thread, exactly once.
 class WeightsClient {
  public:
+  /// `call` is "order" or "report".
+  using LeavingListener =
+      std::function<void(const std::string& instance, std::string_view call, unsigned status)>;
+
   virtual ~WeightsClient() = default;
+  /// Told of each answer, refusals too, in which a replica says that it leaves; before its
+  /// callback.
+  virtual void onLeaving(LeavingListener listener) = 0;
   virtual void order(const base::Endpoint& replica, const std::string& instance, WeightsOrder order,
                      std::function<void(WeightsOrderStatus)> callback) = 0;
   /// Empty when the replica did not answer.
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -88,10 +88,10 @@
             [this](bool lastCheck) { return writesDates(lastCheck); }),
         versionDating(clock, log, targets, weightsDates),
         cacheStoreNews(membership, membership, stores),
-        cacheWatch(
-            {},
-            {clock, timers, random, deployment.cacheFeeds, replicas, stores, membership, holders},
-            [this](const std::string& name) { return eventWatchers(name); }),
+        cacheWatch({},
+                   {clock, timers, random, log, deployment.cacheFeeds, replicas, stores, membership,
+                    holders},
+                   [this](const std::string& name) { return eventWatchers(name); }),
         retries({settings.retryWindow, settings.retryRatio, settings.retrySlack}, clock.now(),
                 [this] { return retryNodes(); }),
         quotas(quotaOptions(),
@@ -117,6 +117,11 @@
     cacheWatch.onChange([this](const routing::CacheChange& change) { onCacheChange(change); });
     targets.onChange([this] { service.onWeightsChanged(); });
     configuration.setWatch(configurationWatch);
+    deployment.weights.onLeaving(
+        [this](const std::string& instance, std::string_view call, unsigned status) {
+          const auto replica = replicas.find(instance);
+          if (replica) routing::noteLeaving(*replica, log, {call, status, {}});
+        });
     replicaEnds.onEnded([this](const routing::EndedRuns& ended) {
       quarantine.onRunsEnded(base::engineIdOf(ended.instance), ended.runs);
     });
--- a/src/routing/cache_watch.cc
+++ b/src/routing/cache_watch.cc
@@ -111,6 +111,8 @@
 
 void CacheWatch::onReply(const std::string& name, Watch& watch,
                          const clients::CacheFeedReply& reply) {
+  const auto replica = environment_.replicas.find(name);
+  if (reply.leaving && replica) noteLeaving(*replica, environment_.log, {"cache events", 0, {}});
   environment_.stores.setAnswered(name, reply.status == clients::CacheFeedStatus::kOk);
   if (reply.status != clients::CacheFeedStatus::kOk) {
     schedule(name, watch, options_.backoff);
--- a/src/routing/cache_watch.h
+++ b/src/routing/cache_watch.h
@@ -49,6 +49,7 @@
   base::Clock& clock;
   base::TimerService& timers;
   base::RandomSource& random;
+  base::EventLog& log;
   clients::CacheFeedClient& feed;
   const ReplicaDirectory& replicas;
   CacheStores& stores;
--- a/tests/coordination/replica_survey_test.cc
+++ b/tests/coordination/replica_survey_test.cc
@@ -17,6 +17,7 @@
 struct SurveyFixture : clients::WeightsClient {
   SurveyFixture() { time.advance(seconds(100)); }
 
+  void onLeaving(LeavingListener /*listener*/) override {}
   void order(const base::Endpoint& /*replica*/, const std::string& /*instance*/,
              clients::WeightsOrder /*order*/,
              std::function<void(clients::WeightsOrderStatus)> /*callback*/) override {}
--- a/tests/coordination/weights_rollout_test.cc
+++ b/tests/coordination/weights_rollout_test.cc
@@ -45,6 +45,7 @@
 
   explicit FakeReplicas(test_support::VirtualTime& time) : time_(time) {}
 
+  void onLeaving(LeavingListener /*listener*/) override {}
   void order(const base::Endpoint& /*replica*/, const std::string& instance,
              clients::WeightsOrder order,
              std::function<void(WeightsOrderStatus)> callback) override {
--- a/tests/platform/weights_order_client_test.cc
+++ b/tests/platform/weights_order_client_test.cc
@@ -23,13 +23,16 @@
 
   void handle(const live::HttpExchangePtr& exchange) {
     request = exchange->request();
-    exchange->respond({status, {{"Content-Type", "application/json"}}, answer});
+    auto headers = notices;
+    headers.push_back({"Content-Type", "application/json"});
+    exchange->respond({status, std::move(headers), answer});
   }
 
   boost::asio::io_context context{1};
   live::HttpRequest request;
   unsigned status = 200;
   std::string answer;
+  std::vector<live::HeaderField> notices;
   live::HttpServer server{
       context, {}, [this](const live::HttpExchangePtr& exchange) { handle(exchange); }};
   base::Endpoint address;
@@ -70,6 +73,40 @@
   BOOST_TEST(result->busy);
 }
 
+// Also a refused order says that its replica leaves.
+BOOST_AUTO_TEST_CASE(LeavingIsHeardInAnswersToOrdersAndReports) {
+  std::vector<std::string> heard;
+  client.onLeaving([&](const std::string& instance, std::string_view call, unsigned code) {
+    heard.push_back(instance + ' ' + std::string{call} + ' ' + std::to_string(code));
+  });
+  const auto order = [&] {
+    bool answered = false;
+    client.order(address, run, {"m", 2, "node-7", 41, 3},
+                 [&](clients::WeightsOrderStatus /*taken*/) { answered = true; });
+    live::runUntil(context, [&] { return answered; });
+  };
+  const auto report = [&] {
+    bool answered = false;
+    client.report(address, run, "m", [&](const std::optional<clients::WeightsReport>& /*report*/) {
+      answered = true;
+    });
+    live::runUntil(context, [&] { return answered; });
+  };
+  order();
+  report();
+  BOOST_TEST(heard.empty());
+  notices = {{"Server-Leaving", "1"}, {"X-Covewing-Instance-Id", "i-7f3a91c2"}};
+  status = 409;
+  order();
+  status = 503;
+  report();
+  // Another replica answers at the address.
+  notices.back().value = "i-9";
+  status = 421;
+  order();
+  BOOST_TEST((heard == std::vector<std::string>{run + " order 409", run + " report 503"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::platform
--- a/tests/routing/cache_watch_test.cc
+++ b/tests/routing/cache_watch_test.cc
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "routing/replica_choice.h"
+#include "support/recording_log.h"
 #include "support/virtual_time.h"
 
 namespace covewing::routing {
@@ -70,6 +71,7 @@
 
   test_support::VirtualTime time;
   base::SeededRandom random{1};
+  test_support::RecordingLog log;
   FakeFeed feed;
   FakeMembers members;
   ReplicaDirectory replicas;
@@ -83,7 +85,7 @@
     return options;
   }
   CacheWatch watch{atOnce(),
-                   {time, time, random, feed, replicas, stores, members, holders},
+                   {time, time, random, log, feed, replicas, stores, members, holders},
                    [](const std::string& service) { return service == "llm" ? 3U : 0U; }};
 };
 
@@ -127,7 +129,7 @@
     view.members = all;
     std::swap(view.members[0], view.members[self]);
     FakeFeed calls;
-    CacheWatch one({}, {time, time, random, calls, replicas, stores, view, holders},
+    CacheWatch one({}, {time, time, random, log, calls, replicas, stores, view, holders},
                    [](const std::string& /*service*/) { return 3U; });
     one.start();
     time.advance(seconds(3));
@@ -186,7 +188,7 @@
 BOOST_AUTO_TEST_CASE(NodeThatIsInLineForAMomentDoesNotWatch) {
   FakeFeed calls;
   FakeMembers view;
-  CacheWatch late({}, {time, time, random, calls, replicas, stores, view, holders},
+  CacheWatch late({}, {time, time, random, log, calls, replicas, stores, view, holders},
                   [](const std::string& /*service*/) { return 1U; });
   late.start();
   // Alone for a moment, as after a start; then it sees the others.
@@ -232,6 +234,14 @@
   BOOST_TEST(feed.calls.size() == before);
 }
 
+BOOST_AUTO_TEST_CASE(ReplicaThatSaysThatItLeavesInAnswerToAWatchIsKnownToLeave) {
+  auto refusal = clients::CacheFeedReply{};
+  refusal.status = clients::CacheFeedStatus::kBusy;
+  refusal.leaving = true;
+  feed.calls.back().callback(refusal);
+  BOOST_TEST(!replicas.find("r1")->inService());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::routing
