Offer no work to an application that refused some because it leaves

It counts for 30 s, or until the list has it no more; applications do not tell their restarts, so that it cannot hold for good.

--- a/src/routing/engine_directory.cc
+++ b/src/routing/engine_directory.cc
@@ -76,13 +76,19 @@
   for (const bool wantOwnZone : {true, false}) {
     for (const auto& [name, machine] : applications_) {
       if (machine.application != application || (machine.zone == ownZone) != wantOwnZone) continue;
-      if (machine.state != clients::MachineState::kLive) continue;
-      replicas.push_back({base::engineIdOf(machine.name), machine.name, machine.endpoint});
+      const auto id = base::engineIdOf(machine.name);
+      if (machine.state != clients::MachineState::kLive || applicationLeaves(id)) continue;
+      replicas.push_back({id, machine.name, machine.endpoint});
     }
   }
   return replicas;
 }
 
+bool EngineDirectory::applicationLeaves(base::EngineId id) const {
+  const auto noted = applicationsLeavingUntil_.find(id);
+  return noted != applicationsLeavingUntil_.end() && environment_.clock.now() < noted->second;
+}
+
 base::WeightsVersion EngineDirectory::defaultVersion(std::string_view model) const {
   const std::string& region = environment_.members.self().region;
   std::vector<const EngineState*> ownRegion;
@@ -105,6 +111,7 @@
 
 void EngineDirectory::onMachineGone(const clients::Machine& machine) {
   applications_.erase(machine.name);
+  applicationsLeavingUntil_.erase(base::engineIdOf(machine.name));
   const auto found = tracking_.find(base::engineIdOf(machine.name));
   if (found == tracking_.end()) return;
   found->second.listed = false;
@@ -329,7 +336,13 @@
 
 void EngineDirectory::noteLeaving(base::EngineId id) {
   EngineState* engine = findMutable(id);
-  if (engine == nullptr) return;
+  if (engine == nullptr) {
+    const bool application = std::ranges::any_of(
+        applications_, [id](const auto& each) { return base::engineIdOf(each.first) == id; });
+    if (application)
+      applicationsLeavingUntil_[id] = environment_.clock.now() + options_.applicationLeavingFor;
+    return;
+  }
   auto& tracking = tracking_.at(id);
   tracking.leavingNoted = true;
   refresh(*engine, tracking);
--- a/src/routing/engine_directory.h
+++ b/src/routing/engine_directory.h
@@ -53,6 +53,9 @@
   /// each further failure up to the maximum.
   base::Duration unreachableFor = std::chrono::seconds(1);
   base::Duration unreachableForMaximum = std::chrono::seconds(8);
+  /// An application that has refused work because it leaves gets none for so long, or until the
+  /// list has it no more. Applications do not tell their restarts, so that it cannot hold for good.
+  base::Duration applicationLeavingFor = std::chrono::seconds(30);
   /// An engine missing from the list is forgotten after this long without any sign of life.
   base::Duration absenceGrace = std::chrono::seconds(10);
 };
@@ -103,7 +106,7 @@
 
   /// A dispatch found the engine unreachable.
   void noteUnreachable(base::EngineId id);
-  /// The engine refused work because it is leaving.
+  /// The engine or application refused work because it is leaving.
   void noteLeaving(base::EngineId id);
   /// The engine named its incarnation, such as with a refused identity.
   void noteIncarnation(base::EngineId id, base::Incarnation incarnation);
@@ -161,6 +164,7 @@
   bool advanceIncarnation(EngineState& engine, Tracking& tracking, base::Incarnation incarnation);
   void refresh(EngineState& engine, Tracking& tracking);
   const std::vector<base::NodeId>& homesOfState(const EngineState& engine) const;
+  bool applicationLeaves(base::EngineId id) const;
 
   EngineDirectoryOptions options_;
   EngineDirectoryEnvironment environment_;
@@ -169,6 +173,8 @@
   std::map<base::EngineId, Tracking> tracking_;
   /// By name.
   std::map<std::string, clients::Machine> applications_;
+  /// Applications that said that they leave, by identifier.
+  std::map<base::EngineId, base::TimePoint> applicationsLeavingUntil_;
   MachineListWatch watch_;
   /// Outlived by callbacks that must no longer reach this object.
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
--- a/tests/routing/engine_directory_test.cc
+++ b/tests/routing/engine_directory_test.cc
@@ -138,6 +138,27 @@
   BOOST_TEST(engine("rules-1").leaving);
 }
 
+// What an application had said was dropped: only engines were looked up.
+BOOST_AUTO_TEST_CASE(ApplicationThatRefusedBecauseItLeavesIsNotOfferedWork) {
+  for (const char* name : {"pairings-1", "pairings-2"}) {
+    auto machine = makeEngineMachine(name, "north");
+    machine.kind = clients::MachineKind::kApplication;
+    machine.application = "pairings";
+    machines.machines->push_back(machine);
+  }
+  directory.start();
+  time.advance(1s);
+  BOOST_TEST(directory.applicationReplicas("pairings").size() == 2U);
+  directory.noteLeaving(base::engineIdOf("pairings-1"));
+  time.advance(20s);
+  const auto offered = directory.applicationReplicas("pairings");
+  BOOST_REQUIRE(offered.size() == 1U);
+  BOOST_TEST(offered.front().name == "pairings-2");
+  // It may have started again, which it does not tell.
+  time.advance(11s);
+  BOOST_TEST(directory.applicationReplicas("pairings").size() == 2U);
+}
+
 // It got new work again after 10 s where the list told of its leaving later than that.
 BOOST_AUTO_TEST_CASE(ANotedLeaveHoldsUntilTheEngineHasRestarted) {
   addEngine("rules-1", "north", 4);
