--- a/tests/request/relay_queue_test.cc
+++ b/tests/request/relay_queue_test.cc
@@ -65,6 +65,21 @@
   BOOST_TEST(views.front()->ended);
 }
 
+// What a replica asked of this node is between the two: the home grants its room all the same.
+BOOST_AUTO_TEST_CASE(PlaceAtAReplicaThatAskedForRestMeanwhileIsNotTaken) {
+  fillReplicas();
+  request("once");
+  BOOST_TEST(waiting() == 1U);
+  for (const char* name : {"m2", "m3"})
+    replicas.find(name)->notices().noteRest(time.now() + seconds(3));
+  while (names.back() != "m1") endOne();
+  time.advance(milliseconds(50));
+  BOOST_TEST(client.sent.empty());
+  while (client.sent.empty() && names.back() == "m1") endOne();
+  BOOST_REQUIRE(client.sent.size() == 1U);
+  BOOST_TEST(client.last().terms.expectedInstance == "m1");
+}
+
 BOOST_AUTO_TEST_CASE(CallerThatLeavesTheQueueIsForgottenAtOnce) {
   fillReplicas();
   request("once");
--- a/tests/scripts/relay_soak.sh
+++ b/tests/scripts/relay_soak.sh
@@ -40,6 +40,8 @@
 run_seed 4 1 0 --unread-answer "${few[@]}"
 # Nodes that are replaced one after the other; their former build where the history has it. That one
 # dates answers of the table service by a clock that must not leap.
+# Replicas that leave and ask for rest, many of them in their answers alone.
+run_seed 6 7104 15 --notices
 former=f2f79b671a2435b73f8720b452fe6c354cbe3c60
 if former_program=$(bash scripts/build_at "$former"); then
   run_seed 5 2001 15 --keys --steady-clock --from-program "$former_program"
