Let a broken stream wait for a rest for as long as it may last; take an unreadable rest for none

A stream that has begun was cut at once where all replicas rested for longer than a new request is held, though its caller cannot begin it anew; and a 503 whose rest cannot be read led to a trial, as after a rest.

--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -222,7 +222,8 @@
 
 void RelayFlow::waitForRest(base::TimePoint end, std::string_view why) {
   const auto left = end - dependencies_.clock.now();
-  if (end > holdUntil_) {
+  // A stream that has begun is not begun anew by its caller: it waits for as long as it may last.
+  if (end > (headDelivered_ ? deadline_ : holdUntil_)) {
     refuseUnplaced(why, left);
     return;
   }
--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -105,7 +105,7 @@
   }
   if (answer.status != kServiceUnavailable || (answer.rest.count() == 0 && !answer.restUnreadable))
     return;
-  record.notices().noteRest(now + answer.rest);
+  if (answer.rest > base::Duration::zero()) record.notices().noteRest(now + answer.rest);
   dependencies_.log.write(
       base::Event::kReplicaRests,
       {{"replica", record.facts().instance},
--- a/tests/request/replica_notices_test.cc
+++ b/tests/request/replica_notices_test.cc
@@ -270,6 +270,39 @@
   BOOST_TEST(caller.body == "done");
 }
 
+BOOST_AUTO_TEST_CASE(BrokenStreamWaitsForARestForAsLongAsItMayLast) {
+  auto& caller = request("resumable");
+  const auto first = client.sent.back();
+  first->head(200);
+  first->handler->onBody("id: 1\ndata: a\n\n");
+  time.advance(milliseconds(1000));
+  first->handler->onBody("id: 2\ndata: b\n\n");
+  time.advance(milliseconds(1000));
+  for (const char* name : {"m1", "m2", "m3"})
+    replicas.find(name)->notices().noteRest(time.now() + milliseconds(900));
+  first->breakOff();
+  time.advance(milliseconds(880));
+  BOOST_TEST(caller.open());
+  BOOST_TEST(client.sent.size() == 1U);
+  time.advance(milliseconds(40));
+  BOOST_REQUIRE(client.sent.size() == 2U);
+  BOOST_TEST(client.last().terms.lastEventId == "2");
+}
+
+BOOST_AUTO_TEST_CASE(UnreadableRestAsksForNone) {
+  request("unsafe");
+  const auto replica = replicas.find(client.last().terms.expectedInstance);
+  clients::RelayedAnswer answer;
+  answer.status = 503;
+  answer.notExecuted = true;
+  answer.restUnreadable = true;
+  client.last().handler->onHead(std::move(answer));
+  client.last().handler->onEnd();
+  BOOST_TEST(replica->takesRequests(time.now()));
+  BOOST_TEST((toldBy(base::Event::kReplicaRests, "why") ==
+              std::vector<std::string>{"a time that it asked for cannot be read"}));
+}
+
 BOOST_AUTO_TEST_CASE(RequestIsRefusedAtOnceWhereAllRestForLongerThanItCanWait) {
   replicas.find("a")->notices().noteRest(time.now() + seconds(9));
   replicas.find("b")->notices().noteRest(time.now() + seconds(3));
