--- a/src/live/retry_after.cc
+++ b/src/live/retry_after.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <optional>
 
 namespace covewing::live {
 
--- a/src/live/retry_after.h
+++ b/src/live/retry_after.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <chrono>
-#include <optional>
 #include <string_view>
 #include <vector>
 
