--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -61,6 +61,17 @@
             self.soak.spawn(self.series(f"leave {number}", self.leave_some, 8, (0.3, 3.0)))
             self.soak.spawn(self.series(f"rest {number}", self.rest_some, 8, (0.3, 4.0)))
 
+    def first_era(self) -> int:
+        """Of the table service; 0: it tells none before its first return."""
+        return random.Random(f"{self.soak.options.seed}/first era").choice([0, 0, 1, 7])
+
+    def start_return_series(self):
+        """The table service returns from copies; drawn apart as well."""
+        draw = random.Random(f"{self.soak.options.seed}/kinds of return series")
+        pause = (0.3, 2.0) if draw.random() < 0.3 else (2.0, 8.0)
+        self.soak.spawn(self.series("return", self.return_amid_changes, draw.randint(1, 5), pause))
+        self.soak.spawn(self.series("heartbeats", self.write_heartbeats, 1000, (0.4, 0.9)))
+
     async def replace_builds(self):
         """All nodes get the build at hand, one or two at a time; then half of them the former one
         again, as after a bad release, and the build at hand in the end."""
@@ -210,6 +221,65 @@
         store.mode = "normal"
         trouble.end = now()
 
+    async def write_heartbeats(self, _draw):
+        """Replicas write their entries again; what changes is the version."""
+        store = self.soak.store
+        for (table, key), value in list(store.of_others.items()):
+            if table == "servers" and value is not None and store.here.is_set():
+                await store.put(table, key, value)
+
+    async def return_amid_changes(self, draw):
+        """Mostly soon after operators have written, and while nodes are in trouble."""
+        changes = [self.soak.operators.change_keys, self.name_bare_version] if (
+            self.soak.options.keys) else [self.name_bare_version]
+        for change in draw.sample(changes, draw.randint(0, len(changes))):
+            await change(draw)
+        await asyncio.sleep(draw.choice([0.0, draw.uniform(0, MEET_WITHIN), draw.uniform(0, 3.0)]))
+        companions = [self.kill_several, self.pause_several, self.lose_store, self.hear_store_late,
+                      self.pause_several_long, self.crash_model_replicas, self.stop_some]
+        for companion in draw.choices(companions, [4, 1, 3, 1, 1, 2, 1], k=draw.randint(0, 2)):
+            self.soak.spawn(companion(draw))
+        await self.return_store(draw)
+        if draw.random() < 0.3:
+            await asyncio.sleep(draw.uniform(0.0, 1.0))
+            await self.return_store(draw)
+
+    async def name_bare_version(self, _draw):
+        await self.soak.name_version()
+
+    async def return_store(self, draw):
+        """It is away, comes back from a copy, and others write again what it has lost."""
+        store = self.soak.store
+        if not store.here.is_set():
+            return
+        age, away, past = draw.uniform(0.1, 6.0), draw.uniform(0, 3.0), draw.random() < 0.5
+        within = draw.uniform(0, 1.5)
+        trouble = Trouble(now())
+        self.soak.store_troubles.append(trouble)
+        copied = now() - age
+        store.go_away(keep_transactions=draw.random() < 0.5)
+        for node in self.soak.nodes:
+            node.store_way.listener.cut_connections()
+        await asyncio.sleep(away)
+        missing, late = store.return_from_copy(copied, past)
+        self.soak.counts["returns"] += 1
+        self.soak.say(f"the table service returns from a copy {age:.1f} s old, era {store.era}, version "
+                      f"{store.version}, {'past' if past else 'behind'}; {len(missing)} rows missing, "
+                      f"{len(late)} transactions late")
+        for transaction in late:
+            self.soak.spawn(self.transact_late(transaction, draw.uniform(0, 6.0)))
+        await asyncio.gather(*(self.write_again(row, draw.uniform(0, within)) for row in missing))
+        trouble.end = now()
+
+    async def write_again(self, row, delay: float):
+        await asyncio.sleep(delay)
+        self.soak.store.write_again(*row)
+
+    async def transact_late(self, transaction: dict, delay: float):
+        await asyncio.sleep(delay)
+        await self.soak.store.here.wait()
+        await self.soak.store.transact(transaction)
+
     # --- operators
 
     async def change_configuration(self, _draw):
--- a/tests/soak/model_replicas.py
+++ b/tests/soak/model_replicas.py
@@ -151,6 +151,7 @@
         wanted, token = order.get("version"), order.get("fencing_token")
         if order.get("model") != MODEL or not order.get("holder") or token is None:
             return 400
+        self.soak.on_order(self.instance, order["holder"], token)
         if token < life.fence:
             return 412
         life.fence = token
--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -9,7 +9,8 @@
 connections silent; the configuration changes. With --keys, keys and
 routes come and go, while the table service turns nodes away, is cut from them in one direction,
 answers late or starts again, and nodes stand still for seconds. With --notices, replicas leave, many of them known by
-their answers alone, and turn requests away for a rest. With --from-program, nodes are replaced one
+their answers alone, and turn requests away for a rest. With --returns, the table service comes back from copies
+some seconds old, and others than the nodes write again what it has lost. With --from-program, nodes are replaced one
 after the other by another build under all of this. Operators name new versions of the weights all the
 while, mostly within MEET_WITHIN of a fault of those who have to hear of it. Callers keep to their
 open connections until the node is gone.
@@ -32,6 +33,7 @@
 - with --notices: nothing new reaches a replica that said in an answer that it leaves, and next to nothing
   one that asked for rest, from the node that heard it (checks.NoticeRule);
 - nothing arrives at the address of an entry by another writer;
+- no two nodes give orders with one fencing token;
 - in the end every node serves, and all model replicas hold the newest version.
 
 Exit status: 0 when all held, 1 with the violations, 2 for a wrong command line.
@@ -132,6 +134,8 @@
         self.notices = NoticeRule(self.bounds.drain)
         # The runs that said so in an answer to a request.
         self.leaving_told = collections.defaultdict(set)
+        # Who gave orders with each fencing token.
+        self.token_holders: dict[int, str] = {}
         # From what patient callers wanted first to its whole answer (seconds).
         self.waits: list[float] = []
         self.operators = Operators(self)
@@ -239,6 +243,13 @@
                 f"{replica.instance} {1000 * late:.0f} ms too late, {1000 * (now() - arrived):.0f} "
                 f"ms after it came; the newest is {self.versions.newest}", "version")
 
+    def on_order(self, instance: str, holder: str, token: int):
+        """An order arrives at a replica."""
+        first = self.token_holders.setdefault(token, holder)
+        if first != holder:
+            self.violate(f"{holder} orders {instance} with token {token}, with which {first} ordered",
+                         "fencing")
+
     def on_broken(self, node, process, identifier, body, after):
         self.counts["broken"] += 1
         # A stream is cut also where the time of its route is up; that is allowed.
@@ -254,6 +265,8 @@
         self.slot_taken = socket.create_server((f"127.{self.subnet}.0.1", 7000))
 
     async def start(self):
+        if self.options.returns:
+            self.store.era = self.faults.first_era()
         await self.other_writer.listener.open()
         for node in self.nodes:
             await node.store_way.listener.open()
@@ -376,6 +389,8 @@
             self.faults.start_notice_series()
         if self.options.keys:
             self.faults.start_key_series()
+        if self.options.returns:
+            self.faults.start_return_series()
         await asyncio.gather(asyncio.sleep(self.options.seconds), self.replace_builds())
 
     async def replace_builds(self):
@@ -398,6 +413,7 @@
         while now() < deadline and any(node.busy for node in self.nodes):
             await asyncio.sleep(0.1)
         self.store.mode, self.store.lose = "normal", 0
+        await self.store.here.wait()
         for node in self.nodes:
             node.store_way.mode, node.store_way.delay = "open", 0.0
         while now() < deadline and any(one.leaving_run == one.run_name or one.listener is None
@@ -449,6 +465,8 @@
                         help="operators take keys and routes away, amid faults of their own")
     parser.add_argument("--notices", action="store_true",
                         help="replicas leave, and turn requests away for a rest")
+    parser.add_argument("--returns", action="store_true",
+                        help="the table service comes back from copies some seconds old")
     parser.add_argument("--steady-clock", action="store_true",
                         help="the table service's clock does not leap, as builds before once relied on")
     parser.add_argument("--unread-answer", action="store_true",
