Log when the table service came back from a copy, and from which answer that was known

No line told a return: a node that read lower revisions than it knew, or was told that its position was gone, logged the same as after any outage. Event 7002 names the era, the one before and the answer; covewing_store_era is the era that a node knows. Nothing is decided by it yet.

--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -12,6 +12,8 @@
 #include <string>
 #include <string_view>
 
+#include "base/revision.h"
+
 namespace covewing::base {
 
 /// A 64-bit identifier that cannot be confused with one of another kind. `Tag` is never
@@ -47,8 +49,6 @@
 using Incarnation = std::uint64_t;
 /// Version of a model's weights; larger is newer.
 using WeightsVersion = std::uint64_t;
-/// Position in the total order of committed table-service transactions; 0 means "none".
-using Revision = std::uint64_t;
 /// Fencing token of a lease: grows with each change of holder.
 using FencingToken = std::uint64_t;
 
--- a/src/clients/table_feed_client.h
+++ b/src/clients/table_feed_client.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/endpoint.h"
@@ -52,6 +53,8 @@
 };
 
 using FeedCallback = std::function<void(FeedReply)>;
+/// An answer of the service named this era; `source` says which answer, for the log.
+using EraListener = std::function<void(base::StoreEra era, std::string_view source)>;
 
 /// Each call answers exactly once, later, on the node's thread.
 class TableFeedClient {
@@ -63,6 +66,9 @@
   /// The changes after a revision; held by the service for up to `wait` when there are none.
   virtual void changes(std::string table, base::Revision after, base::Duration wait,
                        FeedCallback callback) = 0;
+  /// Told the era that each answer names, refusals included, before the answer is handed on. To be
+  /// overridden where the service tells eras.
+  virtual void onEra(EraListener /*listener*/) {}
 };
 
 }  // namespace covewing::clients
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -6,6 +6,7 @@
 
 #include "base/random.h"
 #include "config/shared_feed.h"
+#include "config/store_eras.h"
 #include "live/asio_runtime.h"
 #include "live/boot_clock.h"
 #include "live/connect_probe.h"
@@ -69,6 +70,7 @@
         parts({}, {clock, timers, random, log, peers, membership}),
         placement({}, {clock, timers, random, log, peers, membership, replicas, holders}),
         loadSharing({}, {clock, timers, log, peers, membership, replicas, fleetLoad}),
+        storeEras(clock, log),
         configuration(deployment.configurationRows, clock, log, targets),
         replicaList(deployment.replicaRows, clock, log, replicas, holders, replicaEnds),
         feeds(feedOptions(settings),
@@ -117,6 +119,8 @@
     cacheWatch.onChange([this](const routing::CacheChange& change) { onCacheChange(change); });
     targets.onChange([this] { service.onWeightsChanged(); });
     configuration.setWatch(configurationWatch);
+    deployment.feeds.onEra(
+        [this](base::StoreEra era, std::string_view source) { storeEras.note(era, source); });
     deployment.weights.onLeaving(
         [this](const std::string& instance, std::string_view call, unsigned status) {
           const auto replica = replicas.find(instance);
@@ -340,6 +344,7 @@
     snapshot.placement = placement.counters();
     snapshot.quotas = quotas.counts();
     snapshot.quarantinedRequests = quarantine.size();
+    snapshot.storeEra = storeEras.current();
     snapshot.traffic = traffic.channels();
     for (const auto& [instance, record] : replicas.all()) countReplica(*record, now, snapshot);
     return metrics.render(snapshot);
@@ -386,6 +391,7 @@
   routing::PartLookup parts;
   routing::Placement placement;
   routing::LoadSharing loadSharing;
+  config::StoreEras storeEras;
   node::RouteConfiguration configuration;
   node::ReplicaList replicaList;
   config::SharedFeed feeds;
--- a/src/live/relay_metrics.cc
+++ b/src/live/relay_metrics.cc
@@ -70,6 +70,9 @@
      "listed replicas: available, draining (also by their own answers), resting (they want no "
      "requests "
      "of this node for a while), ejected, changing weights"},
+    {"covewing_store_era", "gauge", "",
+     "era of the table service's history that this node knows; it rises when the service comes back "
+     "from a copy"},
 };
 
 constexpr std::array<std::string_view, 3> kKindNames = {"idempotent", "non_idempotent",
@@ -139,6 +142,7 @@
   prometheus::Family<prometheus::Counter>& retries =
       families.counters("covewing_relay_retries_total");
   prometheus::Family<prometheus::Gauge>& replicas = families.gauges("covewing_replicas");
+  prometheus::Gauge& storeEra = families.gauges("covewing_store_era").Add({});
 };
 
 RelayMetrics::RelayMetrics() : impl_(std::make_unique<Impl>()) {}
@@ -209,6 +213,7 @@
   set(impl_->version, snapshot.configurationVersion);
   set(impl_->knownParts, snapshot.knownParts);
   set(impl_->quarantinedRequests, snapshot.quarantinedRequests);
+  set(impl_->storeEra, snapshot.storeEra);
   set(impl_->leaseHeld, snapshot.leaseHeld ? 1 : 0);
   set(impl_->members, snapshot.members);
   set(impl_->open, snapshot.openRequests);
--- a/src/live/relay_metrics.h
+++ b/src/live/relay_metrics.h
@@ -11,6 +11,7 @@
 
 #include "admission/tenant_quotas.h"
 #include "base/event_log.h"
+#include "base/revision.h"
 #include "base/time.h"
 #include "live/metric_entry.h"
 #include "live/peer_traffic.h"
@@ -44,6 +45,8 @@
     std::size_t callerConnections = 0;
     std::size_t knownParts = 0;
     std::size_t quarantinedRequests = 0;
+    /// Of the table service; 0 where it tells none.
+    base::StoreEra storeEra = 0;
     std::size_t replicasAvailable = 0;
     std::size_t replicasDraining = 0;
     std::size_t replicasResting = 0;
--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -329,7 +329,7 @@
         self.counts["told that they leave"] = len(self.notices.leaving_since)
         if self.waits:
             self.counts["patient: mean ms"] = int(1000 * sum(self.waits) / len(self.waits))
-        for rule in ("leaving", "rest"):
+        for rule in ("leaving", "rest", "configuration", "version", "fencing"):
             self.counts[f"broken: {rule}"] = self.broken_rules[rule]
         self.check_deadly()
 
