Show by tests that a position of a former history is used in the new one (known red)

Against a stand-in that returns from a copy, both ways fail: with the counter past the node's position the row that was written below it is never read; with the counter behind it, rows read after the 410 are passed over.

--- /dev/null
+++ b/tests/platform/store_return_test.cc
@@ -0,0 +1,174 @@
+// The table service came back from a copy that was some seconds old and gave versions out again. A
+// node asked for the changes behind its own position, of a history that was gone: once the new
+// counter had passed that position, the service answered as ever, and the rows written in between
+// were never seen. The node went on serving with keys that had been taken away, and each answer
+// proved anew that it knew all rows:
+//
+//     event=3010 name=ConfigurationConfirmed version="23" revision="531" age_ms="12"
+//     (the operators had written version 25, as revision 528 of the new history)
+//
+// Where the counter lay behind the position, the service said 410, the node read all rows, and then
+// passed over each whose version was lower than the one that it had known.
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "base/base64.h"
+#include "config/shared_feed.h"
+#include "config/table_watch.h"
+#include "live/asio_runtime.h"
+#include "live/http_server.h"
+#include "live/http_test_client.h"
+#include "platform/store_client.h"
+#include "support/recording_log.h"
+
+namespace covewing::platform {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr const char* kTable = "op";
+constexpr const char* kKey = "config";
+
+/// A stand-in of the store with one table, which answers at once.
+class ReturningStore {
+ public:
+  void put(const std::string& key, const std::string& value) { rows_[key] = {value, ++version_}; }
+  /// Comes back with the given rows, from when the version was `version`.
+  void returnFromCopy(std::map<std::string, std::pair<std::string, std::uint64_t>> rows,
+                      std::uint64_t version) {
+    rows_ = std::move(rows);
+    version_ = version;
+    ++era_;
+  }
+
+  void handle(const live::HttpExchangePtr& exchange) {
+    const auto& target = exchange->request().target;
+    const bool whole = target.starts_with("/-/rows-get");
+    const auto after = whole ? 0 : numberIn(target, "&after=");
+    live::HttpResponse response{200, {{"Content-Type", "application/json"}}, {}};
+    if (era_ > 0) response.headers.push_back({"Store-Era", std::to_string(era_)});
+    if (after > version_) {
+      response.status = 410;
+      response.body = "{}";
+    } else {
+      response.body = rowsBehind(after);
+    }
+    exchange->respond(std::move(response));
+  }
+
+ private:
+  static std::uint64_t numberIn(const std::string& target, const std::string& name) {
+    return std::stoull(target.substr(target.find(name) + name.size()));
+  }
+  std::string rowsBehind(std::uint64_t after) const {
+    json rows = json::array();
+    for (const auto& [key, row] : rows_) {
+      const auto& [value, version] = row;
+      if (version <= after) continue;
+      rows.push_back({{"table", kTable},
+                      {"part", ""},
+                      {"private_key", key},
+                      {"value", base::encodeBase64(value)},
+                      {"ver", version}});
+    }
+    return json{{"rows", rows}, {"ver", version_}, {"now_ms", 1000}, {"has_more", false}}.dump();
+  }
+
+  std::map<std::string, std::pair<std::string, std::uint64_t>> rows_;
+  std::uint64_t version_ = 0;
+  unsigned era_ = 0;
+};
+
+/// The only node of its fleet.
+class OneMember final : public membership::MemberDirectory {
+ public:
+  const membership::Member& self() const override { return members_.front(); }
+  const std::vector<membership::Member>& liveMembers() const override { return members_; }
+  const membership::Member* find(base::NodeId /*id*/) const override { return nullptr; }
+  std::uint64_t version() const override { return 1; }
+
+ private:
+  std::vector<membership::Member> members_{membership::Member{}};
+};
+
+struct NoPeers final : base::PeerTransport {
+  void send(const base::Endpoint& /*destination*/, base::Channel /*channel*/,
+            std::string /*payload*/) override {}
+};
+
+struct KnownRows final : config::TableWatchListener {
+  void onRow(const clients::FeedRow& row, config::RowSource /*source*/) override {
+    rows[row.key] = *row.value;
+  }
+  void onRemoved(const clients::FeedRow& row) override { rows.erase(row.key); }
+  void onCurrent() override { ++current; }
+  void onFailure(clients::FeedStatus /*status*/) override {}
+  std::map<std::string, std::string> rows;
+  int current = 0;
+};
+
+struct StoreReturnFixture {
+  StoreReturnFixture() {
+    for (int version = 1; version <= 23; ++version) store.put(kKey, std::to_string(version));
+    // Entries of replicas take the version far beyond that of the configuration.
+    for (int heartbeat = 0; heartbeat < 500; ++heartbeat) store.put("heartbeat", "");
+    watch.start();
+    awaitProofs(2);
+    BOOST_TEST(known.rows[kKey] == "23");
+  }
+
+  /// Runs until the feed has proved the copy current so often again.
+  void awaitProofs(int proofs) {
+    const int until = known.current + proofs;
+    live::runUntil(context, [&] { return known.current >= until; });
+  }
+
+  boost::asio::io_context context{1};
+  ReturningStore store;
+  live::HttpServer server{
+      context, {}, [this](const live::HttpExchangePtr& exchange) { store.handle(exchange); }};
+  live::HttpClient http{context};
+  base::Reason reason;
+  base::Endpoint address = server.listen({live::kLoopback, 0}, reason).value();
+  StoreClient client{http, address};
+  live::AsioClock clock;
+  live::AsioTimerService timers{context};
+  base::SeededRandom random{1};
+  test_support::RecordingLog log;
+  NoPeers peers;
+  OneMember members;
+  config::SharedFeed feed{{}, {clock, timers, random, log, peers, members, client}};
+  KnownRows known;
+  config::TableWatch watch{{kTable}, clock, timers, random, feed, known};
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(StoreReturnTest, StoreReturnFixture)
+
+BOOST_AUTO_TEST_CASE(RowsAreReadThatWereWrittenBelowThePositionOfTheFormerHistory) {
+  store.returnFromCopy({{kKey, {"20", 20}}}, 500);
+  store.put(kKey, "25");
+  // Others' writes take the new counter beyond the position before the node asks.
+  for (int heartbeat = 0; heartbeat < 60; ++heartbeat) store.put("heartbeat", "");
+  awaitProofs(5);
+  BOOST_TEST(known.rows[kKey] == "25");
+}
+
+BOOST_AUTO_TEST_CASE(RowsAreTakenWhoseVersionsAreLowerThanThoseOfTheFormerHistory) {
+  store.returnFromCopy({{kKey, {"20", 20}}}, 30);
+  store.put("heartbeat", "");
+  awaitProofs(5);
+  store.put("heartbeat", "again");
+  store.put(kKey, "25");
+  awaitProofs(5);
+  BOOST_TEST(known.rows[kKey] == "25");
+  BOOST_TEST(known.rows["heartbeat"] == "again");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::platform
