Name the era of the table service's history in every position, so that a return from a copy hides no rows

What callers saw: a key ran 2.09 s behind the version that took it away, and on for as long as revisions were lower than before; a route that had been added was refused with 404.

Cause: a position in a history was used as if it named the same history. Behind a 410 all rows were read again, and TableWatch, TableCopy and SharedFeed passed over each whose revision was lower than the one known for its key. Where the new counter had passed a node's position, the service answered as ever, and rows written below it were never told. Each answer counted as a proof that all rows are known.

Evidence: nodes that had proved revision 56 took weights with revision 48 (a key that they did not know) and configuration 32 with 59, not 23 to 28 in between.

Why this works: a revision holds the era in its upper bits, so that each comparison, message and row orders by era first; numbers alone go to the service. An answer of another era than the position asked from tells nothing of it, one of a former era is dropped, and a rise is told with questions and answers about feeds. The readers read the table anew; others are told what is different from the era before, where the node that they ask knew as much of that as they did. Weighed and not taken: a reset of every node (two whole copies for each of 340 nodes at once), a pair of its own type (all 150 places, and another form of each message and row).

In MessageVersionsTest the messages of a feed have a field more, so that the samples name an era and the count of fields behind the ages is two; earlier forms are read.

--- a/src/clients/table_client.h
+++ b/src/clients/table_client.h
@@ -5,6 +5,10 @@
 /// the next revision and stamps the rows it writes. It is rate-limited, may be down or slow for
 /// long stretches, and an answer may be lost after its transaction took effect: `kUnknown` means
 /// exactly that, and the caller must read back (by a nonce in the value) before it tries again.
+///
+/// It may also come back from a copy that is some seconds old: what the nodes wrote since is gone,
+/// and revision numbers are given out again in a new era (base/revision.h). What must outlast that
+/// is written again by the nodes that know it.
 #pragma once
 
 #include <functional>
--- a/src/clients/table_feed_client.h
+++ b/src/clients/table_feed_client.h
@@ -28,7 +28,8 @@
 
 enum class FeedStatus : std::uint8_t {
   kOk,
-  /// The changes asked for are no longer kept: copy all rows again.
+  /// The changes asked for are no longer kept, or the service has come back from a copy since:
+  /// copy all rows again.
   kHistoryGone,
   kRateLimited,
   /// No connection, a refusal, or no answer in time.
@@ -38,7 +39,8 @@
 struct FeedReply {
   FeedStatus status = FeedStatus::kUnavailable;
   std::vector<FeedRow> rows;
-  /// Everything up to this revision is told by the reply; the next call goes on behind it.
+  /// Everything up to this revision is told by the reply; the next call goes on behind it. Of a
+  /// reply that failed, at least its era counts where the service answered at all.
   base::Revision revision = 0;
   /// The service's own steady clock, where it tells it.
   std::optional<base::Duration> serviceTime = std::nullopt;
@@ -63,7 +65,9 @@
   /// All rows of the table. The reply's revision is that of the first page, so that changes made
   /// while later pages were read are told again by `changes`.
   virtual void readAll(std::string table, FeedCallback callback) = 0;
-  /// The changes after a revision; held by the service for up to `wait` when there are none.
+  /// The changes after a revision; held by the service for up to `wait` when there are none. The
+  /// service itself knows nothing of eras of its history: its reply may be of a later one than
+  /// `after`, and then tells nothing of what has changed behind that.
   virtual void changes(std::string table, base::Revision after, base::Duration wait,
                        FeedCallback callback) = 0;
   /// Told the era that each answer names, refusals included, before the answer is handed on. To be
--- a/src/config/feed_messages.cc
+++ b/src/config/feed_messages.cc
@@ -11,8 +11,12 @@
 /// Type numbers on the wire; never reused.
 enum class MessageType : std::uint8_t { kQuestion = 1, kAnswer = 2 };
 
-constexpr std::uint32_t kQuestionFields = 6;
-constexpr std::uint32_t kAnswerFields = 9;
+constexpr std::uint32_t kQuestionFields = 7;
+constexpr std::uint32_t kAnswerFields = 10;
+/// Fields of builds that did not tell eras, and of those that did not tell how old changes are.
+constexpr std::uint32_t kQuestionFieldsWithoutEra = 6;
+constexpr std::uint32_t kAnswerFieldsWithoutEra = 9;
+constexpr std::uint32_t kAnswerFieldsWithoutAges = 8;
 constexpr std::uint32_t kRowFields = 4;
 /// Stands for a clock that is not known.
 constexpr std::int64_t kNoServiceTime = -1;
@@ -25,6 +29,7 @@
   writer.array(kQuestionFields).unsignedInteger(typeNumber(MessageType::kQuestion));
   writer.unsignedInteger(question.nonce).text(question.table).unsignedInteger(question.after);
   writer.signedInteger(question.wait.count()).boolean(question.whole);
+  writer.unsignedInteger(question.era.value_or(0));
 }
 
 void write(base::Writer& writer, const clients::FeedRow& row) {
@@ -42,15 +47,24 @@
   writer.signedInteger(answer.serviceTime ? answer.serviceTime->count() : kNoServiceTime);
   writer.array(static_cast<std::uint32_t>(answer.changedAgo.size()));
   for (const auto& ago : answer.changedAgo) writer.signedInteger(ago ? ago->count() : kUnknownAge);
+  writer.unsignedInteger(answer.era);
 }
 
-FeedQuestion readQuestion(base::Reader& reader) {
+/// Empty where the number is no era.
+std::optional<base::StoreEra> readEra(base::Reader& reader) {
+  const auto era = reader.unsignedInteger();
+  if (era > base::kLargestStoreEra) return std::nullopt;
+  return static_cast<base::StoreEra>(era);
+}
+
+FeedQuestion readQuestion(base::Reader& reader, std::uint32_t fields) {
   FeedQuestion question;
   question.nonce = reader.unsignedInteger();
   question.table = reader.text();
   question.after = reader.unsignedInteger();
   question.wait = base::Duration{reader.signedInteger()};
   question.whole = reader.boolean();
+  if (fields > kQuestionFieldsWithoutEra) question.era = readEra(reader);
   return question;
 }
 
@@ -79,14 +93,14 @@
   answer.age = base::Duration{reader.signedInteger()};
   const auto serviceTime = reader.signedInteger();
   if (serviceTime != kNoServiceTime) answer.serviceTime = base::Duration{serviceTime};
-  // Nodes of an earlier release do not tell how old changes are.
-  if (fields < kAnswerFields) return answer;
+  if (fields <= kAnswerFieldsWithoutAges) return answer;
   const auto ages = reader.beginArray();
   for (std::uint32_t index = 0; index < ages && reader.ok(); ++index) {
     const auto ago = reader.signedInteger();
     answer.changedAgo.push_back(ago < 0 ? std::nullopt : std::optional{base::Duration{ago}});
   }
   reader.endArray();
+  if (fields > kAnswerFieldsWithoutEra) answer.era = readEra(reader).value_or(0);
   return answer;
 }
 
@@ -104,7 +118,7 @@
   const auto type = reader.unsignedInteger();
   FeedMessage message;
   if (type == typeNumber(MessageType::kQuestion)) {
-    message = readQuestion(reader);
+    message = readQuestion(reader, fields);
   } else if (type == typeNumber(MessageType::kAnswer)) {
     message = readAnswer(reader, fields);
   } else {
--- a/src/config/feed_messages.h
+++ b/src/config/feed_messages.h
@@ -25,6 +25,9 @@
   base::Duration wait{};
   /// All rows are asked for; `after` counts for nothing.
   bool whole = false;
+  /// The newest era of the service that the asker knows; empty from nodes of a build without eras,
+  /// which would take a revision of a later one for a number of the service.
+  std::optional<base::StoreEra> era = std::nullopt;
 };
 
 struct FeedAnswer {
@@ -43,6 +46,8 @@
   base::Duration age{};
   /// The table service's steady clock when the answer was sent, where it is known.
   std::optional<base::Duration> serviceTime;
+  /// The newest era of the service that the asked node knows; 0 from builds without eras.
+  base::StoreEra era = 0;
 };
 
 using FeedMessage = std::variant<FeedQuestion, FeedAnswer>;
--- a/src/config/shared_feed.cc
+++ b/src/config/shared_feed.cc
@@ -22,7 +22,12 @@
     : options_(options),
       environment_(environment),
       watchers_(environment.members, options.watchers),
-      wholeCopyBytes_(options.wholeCopyBytesPerSecond) {}
+      wholeCopyBytes_(options.wholeCopyBytesPerSecond) {
+  environment_.eras.onReturn([this, alive = std::weak_ptr(lifetime_)](const StoreReturn&) {
+    // The steady clock may be another one behind a return.
+    if (!alive.expired()) clock_ = ServiceClock{};
+  });
+}
 
 SharedFeed::~SharedFeed() {
   for (const auto& [nonce, call] : asked_) environment_.timers.cancel(call->timer);
@@ -75,8 +80,33 @@
   return reader ? !table.service.over(now) : table.peers.over(now);
 }
 
+bool SharedFeed::copied(const Table& table) const {
+  return table.provedAt && table.copy.revision() &&
+         base::eraOf(*table.copy.revision()) == environment_.eras.current();
+}
+
+bool SharedFeed::ofOtherHistory(const Call& call, const clients::FeedReply& reply) const {
+  const auto era = base::eraOf(reply.revision);
+  if (era < environment_.eras.current()) return true;
+  return !call.whole && era != base::eraOf(call.after);
+}
+
+void SharedFeed::endWithoutHistory(const CallPtr& call, base::Revision revision) {
+  clients::FeedReply reply;
+  reply.status = clients::FeedStatus::kHistoryGone;
+  reply.revision = revision;
+  finish(call, std::move(reply));
+}
+
 void SharedFeed::askService(const CallPtr& call) {
   call->serviceTried = true;
+  if (!call->whole && base::eraOf(call->after) < environment_.eras.current()) {
+    // The service would hold the call until its new counter has passed the position.
+    environment_.timers.schedule({}, [this, call, alive = std::weak_ptr(lifetime_)] {
+      if (!alive.expired()) endWithoutHistory(call, call->after);
+    });
+    return;
+  }
   call->sentAt = environment_.clock.now();
   auto handler = [this, call, alive = std::weak_ptr(lifetime_)](clients::FeedReply reply) {
     if (!alive.expired()) onServiceReply(call, std::move(reply));
@@ -99,6 +129,7 @@
       environment_.log.write(base::Event::kPlatformRecovered,
                              {{"service", "table feed"}, {"table", call->table}});
     table.service.onSuccess();
+    if (ofOtherHistory(*call, reply)) return endWithoutHistory(call, reply.revision);
     if (reply.status == clients::FeedStatus::kOk) {
       reply.unreachableAt = std::exchange(table.unreachableAt, std::nullopt);
       table.serviceFailures = 0;
@@ -150,7 +181,8 @@
     onPeerFailed(call);
   });
   asked_[nonce] = call;
-  send(member->endpoint, FeedQuestion{nonce, call->table, call->after, hold, call->whole});
+  send(member->endpoint, FeedQuestion{nonce, call->table, call->after, hold, call->whole,
+                                      environment_.eras.current()});
   return true;
 }
 
@@ -159,7 +191,9 @@
   environment_.timers.cancel(call->timer);
   // A negative time would make a proof younger than it is.
   const bool plausible = answer.held.count() >= 0 && answer.age.count() >= 0;
-  if (answer.unable || !plausible) {
+  environment_.eras.note(answer.era, "another node");
+  const bool ofFormerEra = base::eraOf(answer.revision) < environment_.eras.current();
+  if (answer.unable || !plausible || ofFormerEra) {
     onPeerFailed(call);
     return;
   }
@@ -205,9 +239,15 @@
 void SharedFeed::finish(const CallPtr& call, clients::FeedReply reply) {
   auto& table = tables_[call->table];
   --table.underWay;
+  const auto copiedUpTo = table.copy.revision().value_or(0);
+  const bool acrossEras = base::eraOf(reply.revision) > base::eraOf(copiedUpTo);
+  if (reply.status == clients::FeedStatus::kOk && !call->whole && acrossEras &&
+      copiedUpTo != call->after) {
+    // What is different since the position asked from is not all that differs from this copy.
+    reply.status = clients::FeedStatus::kHistoryGone;
+  }
   if (reply.status == clients::FeedStatus::kOk) {
-    const auto copied = table.copy.revision().value_or(0);
-    for (auto& row : reply.rows) boundChange(row, copied, table.provedAt);
+    for (auto& row : reply.rows) boundChange(row, copiedUpTo, table.provedAt);
     if (call->whole) {
       table.copy.replace(reply.rows, reply.revision);
     } else {
@@ -245,14 +285,16 @@
 
 void SharedFeed::onQuestion(const base::Endpoint& asker, FeedQuestion question) {
   Held held{asker, std::move(question), environment_.clock.now(), 0};
+  if (held.question.era) environment_.eras.note(*held.question.era, "another node");
   const auto& table = tables_[held.question.table];
-  const bool firstCopyUnderWay = !table.provedAt && table.underWay > 0;
-  const bool able = canAnswer(held.question) || firstCopyUnderWay;
-  if (!able || held_.size() >= options_.mostHeld) {
+  const bool copyUnderWay = !copied(table) && table.underWay > 0;
+  const bool able = canAnswer(held.question) || copyUnderWay;
+  const bool understands = held.question.era || environment_.eras.current() == 0;
+  if (!able || !understands || held_.size() >= options_.mostHeld) {
     decline(held);
     return;
   }
-  if (!firstCopyUnderWay && answerIfNews(held)) return;
+  if (!copyUnderWay && answerIfNews(held)) return;
   const auto number = ++lastHeld_;
   const auto hold = std::min(held.question.wait, options_.longestHold);
   held.timer = environment_.timers.schedule(hold, [this, number] { answerWhenDue(number); });
@@ -270,7 +312,7 @@
 
 bool SharedFeed::canAnswer(const FeedQuestion& question) const {
   const auto found = tables_.find(question.table);
-  if (found == tables_.end() || !found->second.provedAt) return false;
+  if (found == tables_.end() || !copied(found->second)) return false;
   const auto& table = found->second;
   if (environment_.clock.now() - *table.provedAt > options_.oldestProof) return false;
   return question.whole || table.copy.changesAfter(question.after);
@@ -291,7 +333,8 @@
     decline(held);
     return true;
   }
-  if (rows->empty()) return false;
+  const bool sameEra = base::eraOf(held.question.after) == base::eraOf(*copy.revision());
+  if (rows->empty() && sameEra) return false;
   answer(held, std::move(*rows));
   return true;
 }
@@ -300,6 +343,7 @@
   FeedAnswer unable;
   unable.nonce = held.question.nonce;
   unable.unable = true;
+  unable.era = environment_.eras.current();
   send(held.asker, unable);
 }
 
@@ -308,7 +352,7 @@
   if (found == held_.end()) return;
   const Held held = std::move(found->second);
   held_.erase(found);
-  if (tables_[held.question.table].provedAt) {
+  if (copied(tables_[held.question.table])) {
     answer(held, {});
   } else {
     decline(held);
@@ -340,6 +384,7 @@
   answer.revision = *table.copy.revision();
   answer.held = now - held.arrivedAt;
   answer.age = now - *table.provedAt;
+  answer.era = environment_.eras.current();
   if (table.serviceOffset) answer.serviceTime = now.time_since_epoch() + *table.serviceOffset;
   const auto payload = encodeFeedMessage(answer);
   if (held.question.whole) wholeCopyBytes_ -= static_cast<double>(payload.size());
--- a/src/config/shared_feed.h
+++ b/src/config/shared_feed.h
@@ -16,6 +16,13 @@
 /// held the question, so the asker's proof is at most as young, on the asker's own steady clock.
 /// What is told with a proof that is too old makes the asker turn to the service.
 ///
+/// When the service comes back from a copy, its history goes on in a new era. Questions and answers
+/// name the newest era that their sender knows, so that a return is known to all who talk to one
+/// that noticed it. What was read in a former era is told to nobody any more, and its proofs do not
+/// grow younger. The readers read the table anew; who has asked them from a position of the former
+/// era is held until then, and told what is different (config/table_copy.h): so a return costs a
+/// whole copy for each reader, and not for each node.
+///
 /// When a change was made is bounded in the same way: it is younger than the last proof of the copy
 /// that lacked it, and a node that tells others of it says how old it is at most. So a node that
 /// hears late, or copies the table when it starts, does not take the change for a new one.
@@ -34,6 +41,7 @@
 #include "config/feed_messages.h"
 #include "config/feed_watchers.h"
 #include "config/service_clock.h"
+#include "config/store_eras.h"
 #include "config/table_copy.h"
 
 namespace covewing::config {
@@ -75,6 +83,8 @@
   const membership::MemberDirectory& members;
   /// The table service itself.
   clients::TableFeedClient& service;
+  /// Told the eras that other nodes name.
+  StoreEras& eras;
 };
 
 class SharedFeed final : public clients::TableFeedClient, public base::PeerHandler {
@@ -144,6 +154,13 @@
   };
 
   void begin(const CallPtr& call);
+  /// Answers that all rows must be read again.
+  void endWithoutHistory(const CallPtr& call, base::Revision revision);
+  /// The reply is of a history that has ended, or tells nothing of what is behind the position that
+  /// the call asked from.
+  bool ofOtherHistory(const Call& call, const clients::FeedReply& reply) const;
+  /// The table was copied in the era that is known, and proved current.
+  bool copied(const Table& table) const;
   /// Whether the membership may still be about to form.
   bool mayYetJoin();
   bool prefersPeer(const Table& table) const;
--- a/src/config/store_eras.cc
+++ b/src/config/store_eras.cc
@@ -14,7 +14,6 @@
   const auto now = clock_.now();
   returnedAt_ = now;
   writtenAgainBy_ = now + kWrittenAgainWithin;
-  ++returns_;
   log_.write(base::Event::kStoreReturned, {{"era", std::to_string(era)},
                                            {"former", std::to_string(*former)},
                                            {"source", std::string{source}}});
--- a/src/config/store_eras.h
+++ b/src/config/store_eras.h
@@ -3,12 +3,12 @@
 /// again after the service came back from a copy.
 ///
 /// A newer era is noticed in any answer of the service, refusals included, and in what other nodes
-/// say. Whoever keeps positions, rows or conditions of the former era is told, in the order in which
-/// they asked for it, before the answer itself is handled.
+/// say. Whoever keeps positions, rows or conditions of the former era is told, in the order in
+/// which they asked for it, before the answer itself is handled.
 ///
-/// What others than the nodes wrote before the return, they write again within `kWrittenAgainWithin`.
-/// Until then a copy of a table may lack rows or show older ones, so that it proves nothing of what
-/// those others have written.
+/// What others than the nodes wrote before the return, they write again within
+/// `kWrittenAgainWithin`. Until then a copy of a table may lack rows or show older ones, so that it
+/// proves nothing of what those others have written.
 #pragma once
 
 #include <functional>
@@ -38,8 +38,8 @@
   /// Both must outlive the eras.
   StoreEras(base::Clock& clock, base::EventLog& log) : clock_(clock), log_(log) {}
 
-  /// Somebody names an era of the service; `source` says who, for the log. False when a newer one is
-  /// known: what was said with it is of a history that has ended.
+  /// Somebody names an era of the service; `source` says who, for the log. False when a newer one
+  /// is known: what was said with it is of a history that has ended.
   bool note(base::StoreEra era, std::string_view source);
   /// The service came back so long ago, as other nodes noticed it, in the era that is known here.
   void onReturnTold(base::Duration ago);
@@ -52,7 +52,10 @@
   bool writingAgain() const { return writtenAgainBy_ && clock_.now() < *writtenAgainBy_; }
   /// When this node noticed the return to the era that is known; empty where it began with it.
   std::optional<base::TimePoint> returnedAt() const { return returnedAt_; }
-  std::uint64_t returns() const { return returns_; }
+  /// Zero where no return is known of.
+  base::Duration sinceReturn() const {
+    return returnedAt_ ? clock_.now() - *returnedAt_ : base::Duration::zero();
+  }
   /// Called at each return that is noticed.
   void onReturn(Listener listener) { listeners_.push_back(std::move(listener)); }
 
@@ -62,7 +65,6 @@
   std::optional<base::StoreEra> known_;
   std::optional<base::TimePoint> returnedAt_;
   std::optional<base::TimePoint> writtenAgainBy_;
-  std::uint64_t returns_ = 0;
   std::vector<Listener> listeners_;
 };
 
--- a/src/config/table_watch.cc
+++ b/src/config/table_watch.cc
@@ -53,6 +53,13 @@
   next();
 }
 
+void TableWatch::onStoreReturned() {
+  if (!confirmedAt_) return;
+  backoff_ = {};
+  timers_.cancel(retryTimer_);
+  next();
+}
+
 void TableWatch::next() { ask(caughtUp_ ? options_.wait : base::Duration::zero()); }
 
 void TableWatch::ask(base::Duration wait) {
@@ -90,23 +97,38 @@
     onFailed(reply.status);
     return;
   }
-  backoff_ = {};
-  std::set<std::string> present;
-  for (const auto& row : reply.rows) present.insert(row.key);
-  std::vector<std::string> gone;
-  for (const auto& [key, revision] : revisions_) {
-    if (!present.contains(key)) gone.push_back(key);
+  if (base::eraOf(reply.revision) < base::eraOf(confirmedRevision_)) {
+    onFailed(clients::FeedStatus::kHistoryGone);
+    return;
   }
-  for (auto& key : gone) remove({std::move(key), std::nullopt, reply.revision});
+  backoff_ = {};
+  removeMissing(reply);
   noteServiceTime(reply);
   unreachableAt_ = reply.unreachableAt;
-  for (const auto& row : reply.rows) apply(row, RowSource::kCopy);
+  const bool laterEra = base::eraOf(reply.revision) > base::eraOf(confirmedRevision_);
+  for (const auto& row : reply.rows) {
+    if (laterEra) {
+      applyOfLaterEra(row, reply.revision);
+    } else {
+      apply(row, RowSource::kCopy);
+    }
+  }
   position_ = reply.revision;
   confirm(reply, sentAt);
   listener_.onCurrent();
   next();
 }
 
+void TableWatch::removeMissing(const clients::FeedReply& copy) {
+  std::set<std::string> present;
+  for (const auto& row : copy.rows) present.insert(row.key);
+  std::vector<std::string> gone;
+  for (const auto& [key, revision] : revisions_) {
+    if (!present.contains(key)) gone.push_back(key);
+  }
+  for (auto& key : gone) remove({std::move(key), std::nullopt, copy.revision});
+}
+
 void TableWatch::onChanges(const clients::FeedReply& reply, base::TimePoint sentAt) {
   if (reply.status == clients::FeedStatus::kHistoryGone) {
     position_.reset();
@@ -122,7 +144,9 @@
   noteServiceTime(reply);
   unreachableAt_ = reply.unreachableAt;
   // What was changed during a pause may be as old as the pause is long, like rows of a copy.
-  const auto source = caughtUp_ ? RowSource::kFeed : RowSource::kCopy;
+  // So may what is different since a return of the service.
+  const bool sameEra = base::eraOf(reply.revision) == base::eraOf(*position_);
+  const auto source = caughtUp_ && sameEra ? RowSource::kFeed : RowSource::kCopy;
   for (const auto& row : reply.rows) {
     if (row.value) {
       apply(row, source);
@@ -172,6 +196,17 @@
   listener_.onRow(row, source);
 }
 
+void TableWatch::applyOfLaterEra(clients::FeedRow row, base::Revision copied) {
+  const auto era = base::eraOf(copied);
+  auto& known = revisions_[row.key];
+  // Unchanged since this node read it, as the node says that told the copy.
+  if (known != 0 && known == row.revision) return;
+  if (base::eraOf(row.revision) < era) row.revision = copied;
+  known = row.revision;
+  boundChange(row, confirmedRevision_, confirmedAt_);
+  listener_.onRow(row, RowSource::kCopy);
+}
+
 void TableWatch::remove(const clients::FeedRow& row) {
   if (revisions_.erase(row.key) > 0) listener_.onRemoved(row);
 }
--- a/src/config/table_watch.h
+++ b/src/config/table_watch.h
@@ -4,6 +4,10 @@
 /// States: reading all rows -> following the changes -> (history gone) reading all rows again.
 /// A call that fails is repeated with growing, jittered waits; what is known stays known meanwhile.
 ///
+/// When the service comes back from a copy, the feed is asked again at once, and either tells what
+/// is different in the new era or has all rows read again. Rows are then taken as they are, also
+/// where their revisions are lower than those known: these are of a history that has ended.
+///
 /// Freshness. An answer proves that nothing else had been committed when the call was *sent*, and
 /// by the service's clock, if that runs evenly, when the answer was made (config/service_clock).
 /// The latter is what `confirmedAt` gives, so it may be too young by as long as the service may
@@ -87,6 +91,9 @@
   /// The process was paused: what was asked before it may never be answered, so the feed is asked
   /// again at once.
   void onWake();
+  /// The service came back from a copy: what it was asked before may be held for long, and its
+  /// answer proves nothing any more.
+  void onStoreReturned();
   /// False from a wake until the feed has answered a call that was sent after it.
   bool caughtUp() const { return caughtUp_; }
   /// When the last call that proved the copy current was sent; empty before the first copy.
@@ -112,6 +119,9 @@
   void onFailed(clients::FeedStatus status);
   void confirm(const clients::FeedReply& reply, base::TimePoint sentAt);
   void apply(clients::FeedRow row, RowSource source);
+  /// Takes a row of a whole copy of a later era, complete up to `copied`.
+  void applyOfLaterEra(clients::FeedRow row, base::Revision copied);
+  void removeMissing(const clients::FeedReply& copy);
   void noteServiceTime(const clients::FeedReply& reply);
   void remove(const clients::FeedRow& row);
 
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -74,7 +74,7 @@
         configuration(deployment.configurationRows, clock, log, targets),
         replicaList(deployment.replicaRows, clock, log, replicas, holders, replicaEnds),
         feeds(feedOptions(settings),
-              {clock, timers, random, log, peers, membership, deployment.feeds}),
+              {clock, timers, random, log, peers, membership, deployment.feeds, storeEras}),
         configurationWatch({deployment.configurationTable, config::holdFor(settings.revocation)},
                            clock, timers, random, feeds, configuration),
         replicaWatch(replicaWatchOptions(deployment.replicaTable), clock, timers, random, feeds,
@@ -119,6 +119,7 @@
     cacheWatch.onChange([this](const routing::CacheChange& change) { onCacheChange(change); });
     targets.onChange([this] { service.onWeightsChanged(); });
     configuration.setWatch(configurationWatch);
+    storeEras.onReturn([this](const config::StoreReturn&) { onStoreReturned(); });
     deployment.feeds.onEra(
         [this](base::StoreEra era, std::string_view source) { storeEras.note(era, source); });
     deployment.weights.onLeaving(
@@ -277,6 +278,12 @@
     wakeGate.onWake(silence, suspended);
   }
 
+  /// What was known of the table service's former era is read, proved and written anew.
+  void onStoreReturned() {
+    configurationWatch.onStoreReturned();
+    replicaWatch.onStoreReturned();
+  }
+
   void reportTraffic() {
     trafficTimer = timers.schedule(kTrafficReport, [this] {
       traffic.writeTo(log);
--- a/src/node/confirmation_log.cc
+++ b/src/node/confirmation_log.cc
@@ -26,7 +26,7 @@
   writtenNode_ = confirmation.node;
   log_.write(base::Event::kConfigurationConfirmed,
              {{"version", std::to_string(version)},
-              {"revision", std::to_string(confirmation.revision)},
+              {"revision", base::revisionText(confirmation.revision)},
               {"age_ms", base::millisecondsText(now - confirmation.currentAt)},
               {"call_ms", base::millisecondsText(now - confirmation.sentAt)},
               {"by", confirmation.node ? base::toString(*confirmation.node) : "table service"},
--- a/tests/config/feed_fleet.h
+++ b/tests/config/feed_fleet.h
@@ -66,23 +66,42 @@
   std::map<base::TimerId, base::TimerId> running_;
 };
 
-/// The table service with one table, and the calls that it holds.
+/// The table service with one table, and the calls that it holds. It knows nothing of eras but the
+/// number of its own.
 class FakeService {
  public:
+  /// What the service held at one moment.
+  struct Copy {
+    std::map<std::string, FeedRow> rows;
+    base::Revision number = 0;
+  };
+
   explicit FakeService(test_support::VirtualTime& time) : time_(time) {}
 
   void put(const std::string& key, const std::string& value) {
-    rows_[key] = {key, value, ++revision_};
+    rows_[key] = {key, value, ++number_};
     committedAt[value] = time_.now();
-    const auto held = std::exchange(held_, {});
-    for (const auto& call : held) answer(call);
+    answerHeld();
   }
+  void remove(const std::string& key) {
+    rows_[key] = {key, std::nullopt, ++number_};
+    answerHeld();
+  }
+  Copy copy() const { return {rows_, number_}; }
+  /// Comes back from a copy; its counter goes on from there, `ahead` further.
+  void returnFrom(const Copy& copy, base::Revision ahead = 0) {
+    rows_ = copy.rows;
+    number_ = copy.number + ahead;
+    ++era_;
+    answerHeld();
+  }
+  base::StoreEra era() const { return era_; }
 
   void ask(base::Revision after, base::Duration wait, bool whole,
            const clients::FeedCallback& callback) {
     ++calls;
     auto call = std::make_shared<Call>(Call{after, whole, callback, false});
-    const bool news = whole || changedAfter(after);
+    const bool news = whole || base::numberOf(after) > number_ || changedAfter(after);
     if (!news) held_.push_back(call);
     time_.schedule(news ? base::Duration::zero() : wait, [this, call] { answer(call); });
   }
@@ -103,31 +122,44 @@
   using CallPtr = std::shared_ptr<Call>;
 
   bool changedAfter(base::Revision after) const {
-    return std::ranges::any_of(
-        rows_, [after](const auto& entry) { return entry.second.revision > after; });
+    return std::ranges::any_of(rows_, [after](const auto& entry) {
+      return entry.second.revision > base::numberOf(after);
+    });
+  }
+  void answerHeld() {
+    const auto held = std::exchange(held_, {});
+    for (const auto& call : held) answer(call);
   }
   void answer(const CallPtr& call) {
     if (std::exchange(call->answered, true)) return;
     FeedReply reply;
-    reply.status = FeedStatus::kOk;
-    reply.revision = revision_;
+    const auto after = base::numberOf(call->after);
+    const bool gone = !call->whole && after > number_;
+    reply.status = gone ? FeedStatus::kHistoryGone : FeedStatus::kOk;
+    reply.revision = base::revisionAt(era_, number_);
     reply.serviceTime = time_.now().time_since_epoch() + clockLead;
     for (const auto& [key, row] : rows_) {
-      if (call->whole || row.revision > call->after) reply.rows.push_back(row);
+      const bool told = call->whole ? row.value.has_value() : row.revision > after;
+      if (!told || gone) continue;
+      reply.rows.push_back(row);
+      reply.rows.back().revision = base::revisionAt(era_, row.revision);
     }
     time_.schedule(kDelay, [call, reply] { call->callback(reply); });
   }
 
   test_support::VirtualTime& time_;
+  /// Their revisions are bare numbers.
   std::map<std::string, FeedRow> rows_;
-  base::Revision revision_ = 1;
+  base::Revision number_ = 1;
+  base::StoreEra era_ = 0;
   std::vector<CallPtr> held_;
 };
 
 /// The service as one node reaches it.
 class ServiceClient final : public clients::TableFeedClient {
  public:
-  ServiceClient(FakeService& service, NodeTimers& timers) : service_(service), timers_(timers) {}
+  ServiceClient(FakeService& service, NodeTimers& timers, StoreEras& eras)
+      : service_(service), timers_(timers), eras_(eras) {}
   void readAll(std::string /*table*/, clients::FeedCallback callback) override {
     call(0, {}, true, std::move(callback));
   }
@@ -155,12 +187,16 @@
       return;
     }
     service_.ask(after, wait, whole, [this, callback](const FeedReply& reply) {
-      timers_.schedule(delay(), [callback, reply] { callback(reply); });
+      timers_.schedule(delay(), [this, callback, reply] {
+        eras_.note(base::eraOf(reply.revision), "the service");
+        callback(reply);
+      });
     });
   }
 
   FakeService& service_;
   NodeTimers& timers_;
+  StoreEras& eras_;
 };
 
 class Directory final : public membership::MemberDirectory {
@@ -202,10 +238,11 @@
   FleetNode(Fleet& fleet, std::size_t index);
   Directory directory;
   NodeTimers timers;
+  test_support::RecordingLog log;
+  StoreEras eras;
   ServiceClient service;
   Wire wire;
   base::SeededRandom random;
-  test_support::RecordingLog log;
   SharedFeed feed;
   Listener listener;
   TableWatch watch;
@@ -273,10 +310,13 @@
 inline FleetNode::FleetNode(Fleet& fleet, std::size_t index)
     : directory(fleet.members, index),
       timers(fleet.time, index + 1),
-      service(fleet.service, timers),
+      eras(fleet.time, log),
+      service(fleet.service, timers, eras),
       wire(fleet, index),
       random(index + 1),
-      feed({}, {fleet.time, timers, random, log, wire, directory, service}),
-      watch({"t"}, fleet.time, timers, random, feed, listener) {}
+      feed({}, {fleet.time, timers, random, log, wire, directory, service, eras}),
+      watch({"t"}, fleet.time, timers, random, feed, listener) {
+  eras.onReturn([this](const StoreReturn&) { watch.onStoreReturned(); });
+}
 
 }  // namespace covewing::config::feed_fleet
--- a/tests/config/shared_feed_test.cc
+++ b/tests/config/shared_feed_test.cc
@@ -96,8 +96,8 @@
     int told = 0;
     int declined = 0;
   } counter;
-  SharedFeed watcher(
-      {}, {fleet.time, fleet.time, node.random, node.log, counter, node.directory, node.service});
+  SharedFeed watcher({}, {fleet.time, fleet.time, node.random, node.log, counter, node.directory,
+                          node.service, node.eras});
   watcher.readAll("t", [](const FeedReply& /*reply*/) {});
   fleet.time.advance(milliseconds(50));
   for (std::uint64_t nonce = 1; nonce <= 50; ++nonce)
@@ -116,7 +116,7 @@
   auto& node = *fleet.nodes.front();
   node.service.calls = 0;
   SharedFeed fresh(options, {fleet.time, fleet.time, node.random, node.log, node.wire,
-                             node.directory, node.service});
+                             node.directory, node.service, node.eras});
   bool answered = false;
   fresh.readAll("t", [&](const FeedReply& /*reply*/) { answered = true; });
   fleet.time.advance(milliseconds(250));
@@ -202,8 +202,8 @@
     FeedAnswer answer;
   } catcher;
   auto& node = *fleet.nodes.front();
-  SharedFeed fresh(
-      {}, {fleet.time, fleet.time, node.random, node.log, catcher, node.directory, node.service});
+  SharedFeed fresh({}, {fleet.time, fleet.time, node.random, node.log, catcher, node.directory,
+                        node.service, node.eras});
   fresh.onPeerMessage({}, encodeFeedMessage(FeedQuestion{7, "t", 1, seconds(1), false}));
   BOOST_TEST(catcher.answer.nonce == 7U);
   BOOST_TEST(catcher.answer.unable);
--- a/tests/node/message_versions_test.cc
+++ b/tests/node/message_versions_test.cc
@@ -67,6 +67,7 @@
   answer.age = milliseconds(40);
   answer.changedAgo = {milliseconds(900)};
   answer.serviceTime = milliseconds(123456);
+  answer.era = 3;
   return answer;
 }
 
@@ -124,7 +125,7 @@
 /// Every message that relaying nodes send each other.
 std::vector<Sample> samples() {
   std::vector<Sample> all;
-  addFeed(all, "FeedQuestion", config::FeedQuestion{7, "op", 11, milliseconds(700), false});
+  addFeed(all, "FeedQuestion", config::FeedQuestion{7, "op", 11, milliseconds(700), false, 3});
   addFeed(all, "FeedAnswer", feedAnswer());
   addPart(all, "PartQuestion", routing::PartQuestion{1, 2, 3});
   addPart(all, "PartAnswer", routing::PartAnswer{1, {{{4}, 5}}});
@@ -201,10 +202,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(AgeThatIsNotToldNeverCountsAsYoung) {
-  // Fields of an answer: ..., rows, revision, held, age, the service's clock, ages of the changes.
+  // Fields of an answer: ..., rows, revision, held, age, the service's clock, ages of the changes,
+  // the era.
   constexpr std::size_t kWithoutAgesOfChanges = 8;
   const auto payload = config::encodeFeedMessage(feedAnswer());
-  BOOST_REQUIRE(fieldsOf(payload) == kWithoutAgesOfChanges + 1);
+  BOOST_REQUIRE(fieldsOf(payload) == kWithoutAgesOfChanges + 2);
   for (std::size_t left = 0; left < kWithoutAgesOfChanges; ++left)
     BOOST_TEST(!config::decodeFeedMessage(withFields(payload, left, false)).has_value());
   const auto read = config::decodeFeedMessage(withFields(payload, kWithoutAgesOfChanges, false));
@@ -214,6 +216,18 @@
   BOOST_TEST(answer.changedAgo.empty());
 }
 
+// A build that tells no era takes the revision of a later one for a number of the service: it must
+// not pass for one that does.
+BOOST_AUTO_TEST_CASE(EraThatIsNotToldIsNotTheFirst) {
+  const auto payload = config::encodeFeedMessage(
+      config::FeedQuestion{7, "op", 11, milliseconds(700), false, base::StoreEra{0}});
+  const auto told = config::decodeFeedMessage(payload);
+  BOOST_TEST((std::get<config::FeedQuestion>(*told).era == base::StoreEra{0}));
+  const auto earlier = config::decodeFeedMessage(withFields(payload, fieldsOf(payload) - 1, false));
+  BOOST_REQUIRE(earlier.has_value());
+  BOOST_TEST(!std::get<config::FeedQuestion>(*earlier).era.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(FramesOfLaterBuildsAreRead) {
   const auto bytes = encodePeerFrame({{1}, 2, {3, 4}}, base::Channel::kTableFeed, "payload");
   base::Reason reason;
--- a/tests/node/weights_dating_test.cc
+++ b/tests/node/weights_dating_test.cc
@@ -64,7 +64,8 @@
   Started(Fleet& fleet, request::FakeTable& table)
       : node(*fleet.nodes.front()),
         time(fleet.time),
-        feed({}, {time, time, node.random, node.log, node.wire, node.directory, node.service}),
+        feed({}, {time, time, node.random, node.log, node.wire, node.directory, node.service,
+                  node.eras}),
         dates(table, time, time, [this] { return watch.serviceTime(); }),
         dating(time, node.log, targets, dates),
         configuration(reader, time, node.log, targets),
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -21,6 +21,7 @@
     base::Reason reason;
     address = server.listen({live::kLoopback, 0}, reason).value();
     client = std::make_unique<StoreClient>(http, address);
+    client->onEra([this](base::StoreEra era, std::string_view /*source*/) { eras.push_back(era); });
   }
 
   void handle(const live::HttpExchangePtr& exchange) {
@@ -31,7 +32,12 @@
     }
     const auto [status, body] = answers.front();
     answers.erase(answers.begin());
-    exchange->respond({status, {{"Content-Type", "application/json"}}, body});
+    live::HttpResponse response{status, {{"Content-Type", "application/json"}}, body};
+    if (!eraNames.empty()) {
+      response.headers.push_back({"Store-Era", eraNames.front()});
+      if (eraNames.size() > 1) eraNames.erase(eraNames.begin());
+    }
+    exchange->respond(std::move(response));
   }
 
   clients::TableReply commit(clients::TableTransaction transaction) {
@@ -68,6 +74,11 @@
   boost::asio::io_context context{1};
   std::vector<live::HttpRequest> requests;
   std::vector<std::pair<unsigned, std::string>> answers;
+  /// What answers name as their era, one after the other, and the last of them ever after; empty:
+  /// they name none.
+  std::vector<std::string> eraNames;
+  /// What the client told of them.
+  std::vector<base::StoreEra> eras;
   live::HttpServer server{
       context, {}, [this](const live::HttpExchangePtr& exchange) { handle(exchange); }};
   base::Endpoint address;
@@ -183,6 +194,46 @@
   BOOST_TEST((commit({}).status == TableStatus::kUnknown));
 }
 
+BOOST_AUTO_TEST_CASE(EachAnswerTellsItsEra) {
+  eraNames = {"3", "3", "4"};
+  answers = {{503, ""},
+             {200, R"({"rows":[{"private_key":"a","value":"YQ==","ver":6}],"ver":8})"},
+             {410, ""}};
+  BOOST_TEST((changes().status == FeedStatus::kUnavailable));
+  const auto reply = readAll();
+  BOOST_TEST(reply.revision == base::revisionAt(3, 8));
+  BOOST_TEST(reply.rows.front().revision == base::revisionAt(3, 6));
+  const auto gone = changes();
+  BOOST_TEST((gone.status == FeedStatus::kHistoryGone));
+  BOOST_TEST(base::eraOf(gone.revision) == 4U);
+  BOOST_TEST(eras == (std::vector<base::StoreEra>{3, 3, 4}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(EraThatCannotBeReadIsNoAnswerAndNoLowerEra) {
+  for (const char* name : {"-1", "x", "3x", "99999999999", "65536", "1.5"}) {
+    eraNames = {name};
+    answers = {{200, R"({"rows":[],"ver":8})"}};
+    BOOST_TEST((changes().status == FeedStatus::kUnavailable));
+  }
+  BOOST_TEST(eras.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ServiceIsAskedByItsOwnNumbers) {
+  eraNames = {"3"};
+  answers = {{200, R"({"rows":[],"ver":8})"}};
+  commit({{{"a", base::revisionAt(3, 7)}}, {{"a", "value"}}});
+  const auto body = json::parse(requests.back().body);
+  BOOST_TEST(body["expected_revision"][0]["ver"] == 7);
+}
+
+BOOST_AUTO_TEST_CASE(PagesOfTwoErasAreNoCopy) {
+  eraNames = {"3", "4"};
+  answers = {
+      {200, R"({"rows":[{"private_key":"a","value":"YQ==","ver":3}],"has_more":true,"ver":5})"},
+      {200, R"({"rows":[{"private_key":"b","value":"YQ==","ver":6}],"has_more":false,"ver":8})"}};
+  BOOST_TEST((readAll().status == FeedStatus::kHistoryGone));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::platform
--- a/tests/platform/store_return_test.cc
+++ b/tests/platform/store_return_test.cc
@@ -115,6 +115,8 @@
     for (int version = 1; version <= 23; ++version) store.put(kKey, std::to_string(version));
     // Entries of replicas take the version far beyond that of the configuration.
     for (int heartbeat = 0; heartbeat < 500; ++heartbeat) store.put("heartbeat", "");
+    eras.onReturn([this](const config::StoreReturn&) { watch.onStoreReturned(); });
+    client.onEra([this](base::StoreEra era, std::string_view source) { eras.note(era, source); });
     watch.start();
     awaitProofs(2);
     BOOST_TEST(known.rows[kKey] == "23");
@@ -140,7 +142,8 @@
   test_support::RecordingLog log;
   NoPeers peers;
   OneMember members;
-  config::SharedFeed feed{{}, {clock, timers, random, log, peers, members, client}};
+  config::StoreEras eras{clock, log};
+  config::SharedFeed feed{{}, {clock, timers, random, log, peers, members, client, eras}};
   KnownRows known;
   config::TableWatch watch{{kTable}, clock, timers, random, feed, known};
 };
