Confirm a configuration after a return of the table service only when operators had the time to write again

What callers saw: requests with a key that had been taken away ran on nodes that had just started, or that had not heard of the newest version, for as long as the service held an older one.

Cause: a copy counted as proof that the configuration was the newest, whatever the service had lost and operators had not written again.

Why this works: nodes tell each other by gossip the newest version of the route table and of each model's weights that they have seen, the era, and when by the service's clock it began. Operators' numbers only rise, so that no return takes them back. A proof counts from 2 s behind the return, and only while the service holds the version in force and no node knows a newer one; until then the last proof before the return counts. Weights that others have seen count while the service may lack them, and a copy that may have lacked them dates nothing. If operators never write again, keys are refused once the last proof is too old, and 3011 says why.

ConfigurationReturnTest: with the two conditions left out, 6 of its 9 cases failed.

--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -21,6 +21,7 @@
 #include "live/relay_part_options.h"
 #include "membership/gossip_membership.h"
 #include "node/cache_store_news.h"
+#include "node/fleet_knowledge.h"
 #include "node/node_count.h"
 #include "node/pause_detector.h"
 #include "node/version_dating.h"
@@ -71,8 +72,10 @@
         placement({}, {clock, timers, random, log, peers, membership, replicas, holders}),
         loadSharing({}, {clock, timers, log, peers, membership, replicas, fleetLoad}),
         storeEras(clock, log),
-        configuration(deployment.configurationRows, clock, log, targets),
+        configuration(deployment.configurationRows, clock, log, targets, storeEras),
         replicaList(deployment.replicaRows, clock, log, replicas, holders, replicaEnds),
+        knowledge({membership, storeEras, configuration,
+                   [this] { return configurationWatch.serviceTime(); }}),
         feeds(feedOptions(settings),
               {clock, timers, random, log, peers, membership, deployment.feeds, storeEras}),
         configurationWatch({deployment.configurationTable, config::holdFor(settings.revocation)},
@@ -133,9 +136,12 @@
     configuration.onTable([this](const config::RouteTable& table) {
       applyLimits(table.limits());
       stores.update(table);
+      knowledge.tellTable(table.version());
     });
+    configuration.onCopied([this] { onConfigurationCopied(); });
     configuration.onWeights([this](const node::NamedWeights& named, const node::VersionNews& news) {
       versionDating.onWeights(named, news);
+      knowledge.tellWeights(named);
     });
   }
 
@@ -241,6 +247,7 @@
                         std::size_t bytes) { traffic.onSent(destination, channel, bytes); });
     reportTraffic();
     membership.start();
+    knowledge.start();
     coordinator.start();
     cacheStoreNews.start();
     cacheWatch.start();
@@ -282,6 +289,13 @@
   void onStoreReturned() {
     configurationWatch.onStoreReturned();
     replicaWatch.onStoreReturned();
+    knowledge.onStoreReturned();
+    configuration.onStoreReturned();
+  }
+
+  /// The configuration was read, or proved current.
+  void onConfigurationCopied() {
+    knowledge.onCopied();
   }
 
   void reportTraffic() {
@@ -401,6 +415,7 @@
   config::StoreEras storeEras;
   node::RouteConfiguration configuration;
   node::ReplicaList replicaList;
+  node::FleetKnowledge knowledge;
   config::SharedFeed feeds;
   config::TableWatch configurationWatch;
   config::TableWatch replicaWatch;
--- /dev/null
+++ b/src/node/fleet_knowledge.cc
@@ -0,0 +1,98 @@
+#include "node/fleet_knowledge.h"
+
+#include <charconv>
+#include <string_view>
+
+namespace covewing::node {
+
+namespace {
+
+constexpr std::string_view kEraKey = "store-era";
+constexpr std::string_view kTableKey = "newest/route-table";
+constexpr std::string_view kWeightsPrefix = "newest/weights/";
+
+/// Versions of the era's record: a later era beats a former one, and a record that says when the
+/// service returned beats one that does not.
+std::uint64_t recordVersion(base::StoreEra era, bool withTime) {
+  return 2 * (std::uint64_t{era} + 1) + (withTime ? 1 : 0);
+}
+std::optional<base::StoreEra> eraOfRecord(std::uint64_t version) {
+  const auto era = version / 2 - 1;
+  if (version < 2 || era > base::kLargestStoreEra) return std::nullopt;
+  return static_cast<base::StoreEra>(era);
+}
+
+std::optional<base::Duration> parseDuration(std::string_view text) {
+  base::Duration::rep count = 0;
+  const char* end = text.data() + text.size();
+  const auto [stopped, error] = std::from_chars(text.data(), end, count);
+  if (error != std::errc{} || stopped != end) return std::nullopt;
+  return base::Duration{count};
+}
+
+}  // namespace
+
+void FleetKnowledge::start() {
+  auto& records = environment_.records;
+  records.subscribe(std::string{kEraKey},
+                    [this](const membership::GossipRecord& record) { onEraRecord(record); });
+  records.subscribe(std::string{kTableKey}, [this](const membership::GossipRecord& record) {
+    environment_.configuration.onTableKnown(record.version);
+  });
+  records.subscribe(std::string{kWeightsPrefix},
+                    [this](const membership::GossipRecord& record) { onWeightsRecord(record); });
+}
+
+void FleetKnowledge::tellTable(std::uint64_t version) {
+  environment_.records.publish({std::string{kTableKey}, version, {}});
+}
+
+void FleetKnowledge::tellWeights(const NamedWeights& named) {
+  environment_.records.publish({std::string{kWeightsPrefix} + named.model, named.version, {}});
+}
+
+void FleetKnowledge::onWeightsRecord(const membership::GossipRecord& record) {
+  environment_.configuration.onWeightsKnown(
+      {record.key.substr(kWeightsPrefix.size()), record.version});
+}
+
+void FleetKnowledge::onEraRecord(const membership::GossipRecord& record) {
+  const auto era = eraOfRecord(record.version);
+  if (!era || !environment_.eras.note(*era, "gossip")) return;
+  toldReturnedAt_ = parseDuration(record.value);
+  takeReturnTime();
+}
+
+void FleetKnowledge::takeReturnTime() {
+  const auto now = environment_.serviceClock();
+  if (!toldReturnedAt_ || !now || !toldEra_ || *toldEra_ != environment_.eras.current()) return;
+  environment_.eras.onReturnTold(*now - *toldReturnedAt_);
+}
+
+void FleetKnowledge::onStoreReturned() {
+  toldReturnedAt_.reset();
+  // The others learn of it before this node has read anything anew.
+  tellEra(std::nullopt);
+}
+
+void FleetKnowledge::onCopied() {
+  const auto era = environment_.eras.known();
+  if (!era) return;
+  const bool first = toldEra_ != era;
+  if (first) tellEra(std::nullopt);
+  takeReturnTime();
+  const auto returnedAt = environment_.eras.returnedAt();
+  const auto serviceNow = environment_.serviceClock();
+  if (!returnedAt || !serviceNow || toldReturnOf_ == era) return;
+  toldReturnOf_ = era;
+  tellEra(*serviceNow - environment_.eras.sinceReturn());
+}
+
+void FleetKnowledge::tellEra(std::optional<base::Duration> returnedAt) {
+  const auto era = environment_.eras.current();
+  toldEra_ = era;
+  environment_.records.publish({std::string{kEraKey}, recordVersion(era, returnedAt.has_value()),
+                                returnedAt ? std::to_string(returnedAt->count()) : ""});
+}
+
+}  // namespace covewing::node
--- a/src/node/route_configuration.h
+++ b/src/node/route_configuration.h
@@ -3,15 +3,25 @@
 /// table in force and the versions of weights that are wanted. A table is replaced by a newer
 /// version only, so that configuration never goes back while the node runs. It is confirmed only
 /// while it is the newest: behind one that cannot be read here, nothing proves it any more.
+///
+/// The service may come back from a copy that lacks what operators wrote last, until they have
+/// written it again. Operators' own version numbers only rise, and nodes tell each other the newest
+/// that they know (node/fleet_knowledge.h). So a copy proves the configuration when operators have
+/// had the time to write again, and it holds the newest version that any node is known to have
+/// seen. Until then the last proof before the return counts, and no keys are accepted once that is
+/// too old.
 #pragma once
 
+#include <algorithm>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "base/event_log.h"
 #include "config/route_table.h"
+#include "config/store_eras.h"
 #include "config/table_watch.h"
 #include "node/confirmation_log.h"
 #include "node/feed_outage.h"
@@ -62,13 +72,21 @@
 
   /// All must outlive the configuration.
   RouteConfiguration(const ConfigurationRowReader& reader, base::Clock& clock, base::EventLog& log,
-                     routing::WeightsTargets& targets)
-      : reader_(reader), clock_(clock), log_(log), targets_(targets) {}
+                     routing::WeightsTargets& targets, const config::StoreEras& eras)
+      : reader_(reader), clock_(clock), log_(log), targets_(targets), eras_(eras) {}
 
   /// Where the freshness is taken from; before that nothing is confirmed.
   void setWatch(const config::TableWatch& watch) { watch_ = &watch; }
   void onTable(TableListener listener) { tableListener_ = std::move(listener); }
   void onWeights(WeightsListener listener) { weightsListener_ = std::move(listener); }
+  /// Called when the feed has brought the copy up to date, before that proves anything.
+  void onCopied(std::function<void()> listener) { copiedListener_ = std::move(listener); }
+  /// Another node has seen this version of the route table.
+  void onTableKnown(std::uint64_t version) { newestKnown_ = std::max(newestKnown_, version); }
+  /// Another node has seen this version of a model's weights.
+  void onWeightsKnown(const NamedWeights& named);
+  /// The service came back from a copy, which may lack weights that other nodes have seen named.
+  void onStoreReturned() { takeKnownWeights(); }
 
   config::RouteTablePtr table() const override { return table_; }
   std::optional<base::TimePoint> confirmedAt() const override;
@@ -81,8 +99,23 @@
  private:
   void takeTable(const clients::FeedRow& row);
   void takeWeights(const clients::FeedRow& row, config::RowSource source);
-  /// When the feed last proved that this node knows all rows.
+  /// When the feed last proved that this node knows all rows that the service has now.
   std::optional<base::TimePoint> feedConfirmedAt() const;
+  /// The same while the service had all rows that operators had written.
+  std::optional<base::TimePoint> completeAt() const;
+  /// The proof was made in the era that is known, before operators had written again what the
+  /// service had lost.
+  bool isDoubtful(const config::Confirmation& proof) const;
+  /// Whether the table in force is the one that the service holds, and no node knows a newer one.
+  bool isNewest() const;
+  /// Logs when proofs of the feed begin to prove nothing, and when they do so again; `complete`:
+  /// the service had all rows that operators had written.
+  void noteProof(bool complete);
+  std::string_view whyUnproved(bool complete) const;
+  /// While rows may be missing from the copy, what other nodes know counts for them.
+  void takeKnownWeights();
+  /// The row's change was made after this moment; empty when nobody knows.
+  std::optional<base::TimePoint> changedAfter(const clients::FeedRow& row) const;
   VersionNews newsOf(const NamedWeights& named, const clients::FeedRow& row,
                      config::RowSource source) const;
   /// Takes the version into the targets; false when it is not newer.
@@ -92,14 +125,26 @@
   base::Clock& clock_;
   base::EventLog& log_;
   routing::WeightsTargets& targets_;
+  const config::StoreEras& eras_;
   const config::TableWatch* watch_ = nullptr;
   config::RouteTablePtr table_;
   /// The newest version cannot be read here, and the one before it stays in force.
   bool newestUnread_ = false;
-  /// The last proof before that version; empty when there was none.
-  std::optional<base::TimePoint> confirmedBeforeUnread_;
+  /// The version that the service holds, as far as the feed tells; empty while it holds none.
+  std::optional<std::uint64_t> versionInService_;
+  /// The newest version that another node has seen.
+  std::uint64_t newestKnown_ = 0;
+  /// The newest versions of weights that other nodes have seen, by model.
+  std::map<std::string, base::WeightsVersion> newestWeightsKnown_;
+  /// The last proof that this node knew all rows that operators had written, and the last that the
+  /// table in force was the newest.
+  std::optional<config::Confirmation> complete_;
+  std::optional<config::Confirmation> confirmed_;
+  /// When proofs of the feed began to prove nothing; empty while they do.
+  std::optional<base::TimePoint> unprovedSince_;
   TableListener tableListener_;
   WeightsListener weightsListener_;
+  std::function<void()> copiedListener_ = [] {};
   FeedOutage outage_{log_, "configuration feed"};
   ConfirmationLog confirmations_{clock_, log_};
 };
--- /dev/null
+++ b/tests/node/configuration_return_test.cc
@@ -0,0 +1,259 @@
+// The table service came back from a copy in which operators' newest version was missing until they
+// wrote it again. A node that had not seen that version, or had just started, read the older one as
+// the newest, proved it anew every 0.8 s, and accepted the keys that the newest had taken away.
+#include <boost/test/unit_test.hpp>
+#include <charconv>
+
+#include "config/feed_fleet.h"
+#include "node/fleet_knowledge.h"
+#include "node/route_configuration.h"
+#include "support/shared_records.h"
+
+namespace covewing::node {
+
+using config::feed_fleet::Fleet;
+using config::feed_fleet::FleetNode;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr const char* kTableRow = "table";
+constexpr const char* kWeightsRow = "weights/m";
+constexpr const char* kModel = "m";
+
+std::uint64_t numberOf(std::string_view value) {
+  std::uint64_t number = 0;
+  std::from_chars(value.data(), value.data() + value.size(), number);
+  return number;
+}
+
+/// The rows hold the numbers of versions.
+class NumberReader final : public ConfigurationRowReader {
+ public:
+  bool isRouteTable(std::string_view key) const override { return key == kTableRow; }
+  bool isNamedWeights(std::string_view key) const override { return key == kWeightsRow; }
+  std::optional<config::RouteTableContents> readRouteTable(
+      std::string_view value, base::Reason& /*reason*/) const override {
+    config::RouteTableContents contents;
+    contents.version = numberOf(value);
+    return contents;
+  }
+  std::optional<NamedWeights> readWeights(std::string_view value,
+                                          base::Reason& /*reason*/) const override {
+    return NamedWeights{kModel, numberOf(value)};
+  }
+};
+
+/// One run of a node: what it makes of the feed, and what it tells and hears.
+struct Run {
+  Run(Fleet& fleet, FleetNode& place)
+      : node(place),
+        eras(fleet.time, log),
+        service(fleet.service, node.timers, eras),
+        feed({},
+             {fleet.time, node.timers, node.random, log, node.wire, node.directory, service, eras}),
+        configuration(reader, fleet.time, log, targets, eras),
+        watch({"t"}, fleet.time, node.timers, node.random, feed, configuration),
+        knowledge({records, eras, configuration, [this] { return watch.serviceTime(); }}) {
+    configuration.setWatch(watch);
+    configuration.onCopied([this] { knowledge.onCopied(); });
+    configuration.onTable(
+        [this](const config::RouteTable& table) { knowledge.tellTable(table.version()); });
+    configuration.onWeights(
+        [this](const NamedWeights& named, const VersionNews&) { knowledge.tellWeights(named); });
+    eras.onReturn([this](const config::StoreReturn&) {
+      watch.onStoreReturned();
+      knowledge.onStoreReturned();
+      configuration.onStoreReturned();
+    });
+  }
+  void start() {
+    knowledge.start();
+    watch.start();
+  }
+  std::uint64_t version() const {
+    return configuration.table() ? configuration.table()->version() : 0;
+  }
+
+  FleetNode& node;
+  test_support::RecordingLog log;
+  config::StoreEras eras;
+  config::feed_fleet::ServiceClient service;
+  config::SharedFeed feed;
+  NumberReader reader;
+  routing::WeightsTargets targets{{seconds(8), milliseconds(1200)}};
+  RouteConfiguration configuration;
+  config::TableWatch watch;
+  test_support::SharedRecords records;
+  FleetKnowledge knowledge;
+};
+
+/// Two nodes that reach the service themselves, and not each other but by gossip.
+struct ReturnFixture {
+  ReturnFixture() {
+    for (auto& node : fleet.nodes) node->silent = true;
+    first.records.connect(second.records);
+    fleet.service.put(kTableRow, "5");
+    fleet.service.put(kWeightsRow, "1");
+    older = fleet.service.copy();
+    first.start();
+    second.start();
+    fleet.time.advance(seconds(2));
+  }
+  base::Duration ageAt(const Run& run) const {
+    return fleet.time.now() - *run.configuration.confirmedAt();
+  }
+
+  Fleet fleet{2};
+  Run first{fleet, *fleet.nodes[0]};
+  Run second{fleet, *fleet.nodes[1]};
+  config::feed_fleet::FakeService::Copy older;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ConfigurationReturnTest, ReturnFixture)
+
+BOOST_AUTO_TEST_CASE(CopyWithAnOlderVersionProvesNothing) {
+  fleet.service.put(kTableRow, "8");
+  fleet.time.advance(seconds(1));
+  BOOST_TEST(first.version() == 8U);
+  const auto returnedAt = fleet.time.now();
+  fleet.service.returnFrom(older, 20);
+  fleet.time.advance(seconds(6));
+  BOOST_TEST(first.version() == 8U);
+  BOOST_REQUIRE(first.configuration.confirmedAt().has_value());
+  BOOST_TEST((*first.configuration.confirmedAt() <= returnedAt));
+  fleet.service.put(kTableRow, "8");
+  fleet.time.advance(seconds(1));
+  BOOST_TEST((ageAt(first) < seconds(1)));
+}
+
+// The first node has seen version 8, the second has not, as the service turned it away.
+BOOST_AUTO_TEST_CASE(NodeThatMissedTheNewestVersionIsNotConfirmedByAnOlderOne) {
+  second.service.refused = true;
+  // The call that the service holds has its answer by then.
+  fleet.time.advance(seconds(1));
+  fleet.service.put(kTableRow, "8");
+  fleet.time.advance(milliseconds(500));
+  fleet.service.returnFrom(older, 20);
+  second.service.refused = false;
+  const auto returnedAt = fleet.time.now();
+  fleet.time.advance(seconds(8));
+  BOOST_TEST(second.version() == 5U);
+  BOOST_TEST((*second.configuration.confirmedAt() <= returnedAt));
+  fleet.service.put(kTableRow, "8");
+  fleet.time.advance(seconds(1));
+  BOOST_TEST(second.version() == 8U);
+  BOOST_TEST((ageAt(second) < seconds(1)));
+}
+
+// Nobody saw version 8 before the service lost it: the time that operators have to write it again
+// must pass before an older one counts as proved.
+BOOST_AUTO_TEST_CASE(NoVersionIsConfirmedBeforeOperatorsHadTheTimeToWriteAgain) {
+  fleet.service.put(kTableRow, "8");
+  fleet.service.returnFrom(older, 20);
+  const auto returnedAt = fleet.time.now();
+  while (fleet.time.now() < returnedAt + config::kWrittenAgainWithin - milliseconds(100)) {
+    fleet.time.advance(milliseconds(50));
+    for (const auto* run : {&first, &second})
+      BOOST_TEST((*run->configuration.confirmedAt() <= returnedAt));
+  }
+  fleet.service.put(kTableRow, "8");
+  fleet.time.advance(seconds(2));
+  for (const auto* run : {&first, &second}) {
+    BOOST_TEST(run->version() == 8U);
+    BOOST_TEST((ageAt(*run) < seconds(1)));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(NodeThatHasJustStartedIsConfirmedByNothingOlderThanOthersKnow) {
+  fleet.service.put(kTableRow, "8");
+  fleet.time.advance(seconds(1));
+  fleet.service.returnFrom(older, 20);
+  fleet.time.advance(milliseconds(500));
+  Run fresh(fleet, *fleet.nodes[1]);
+  fresh.records.connect(first.records);
+  fresh.start();
+  fleet.time.advance(seconds(5));
+  BOOST_TEST(fresh.version() == 5U);
+  BOOST_TEST(!fresh.configuration.confirmedAt().has_value());
+  fleet.service.put(kTableRow, "8");
+  fleet.time.advance(seconds(1));
+  BOOST_TEST(fresh.version() == 8U);
+  BOOST_REQUIRE(fresh.configuration.confirmedAt().has_value());
+  BOOST_TEST((ageAt(fresh) < seconds(1)));
+}
+
+// Its first answer names the new era, and nothing tells it that there was another one before it
+// hears the other nodes.
+BOOST_AUTO_TEST_CASE(ProofThatANodeMadeBeforeItWasToldOfTheReturnCountsNoMore) {
+  fleet.service.put(kTableRow, "8");
+  fleet.service.returnFrom(older, 20);
+  Run fresh(fleet, *fleet.nodes[1]);
+  fresh.start();
+  fleet.time.advance(milliseconds(200));
+  BOOST_TEST(fresh.configuration.confirmedAt().has_value());
+  fresh.records.connect(first.records);
+  fleet.time.advance(milliseconds(900));
+  BOOST_TEST(!fresh.configuration.confirmedAt().has_value());
+  fleet.service.put(kTableRow, "8");
+  fleet.time.advance(seconds(2));
+  BOOST_REQUIRE(fresh.configuration.confirmedAt().has_value());
+  BOOST_TEST(fresh.version() == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(NodeThatStartsLongAfterTheReturnIsConfirmedAtOnce) {
+  fleet.service.returnFrom(older, 20);
+  fleet.time.advance(seconds(30));
+  Run fresh(fleet, *fleet.nodes[1]);
+  fresh.records.connect(first.records);
+  fresh.start();
+  fleet.time.advance(milliseconds(200));
+  BOOST_TEST(fresh.configuration.confirmedAt().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ServiceWithoutTheRowProvesNothing) {
+  fleet.service.returnFrom({{}, 1}, 50);
+  const auto returnedAt = fleet.time.now();
+  fleet.time.advance(seconds(6));
+  BOOST_TEST(first.version() == 5U);
+  BOOST_TEST((*first.configuration.confirmedAt() <= returnedAt));
+  fleet.service.put(kTableRow, "5");
+  fleet.time.advance(seconds(1));
+  BOOST_TEST((ageAt(first) < seconds(1)));
+}
+
+// Weights that others saw named count though the service has lost them, from when this node last
+// knew that they were not.
+BOOST_AUTO_TEST_CASE(WeightsThatAnotherNodeSawNamedCountWhileTheServiceLacksThem) {
+  second.service.refused = true;
+  fleet.time.advance(seconds(1));
+  const auto namedAt = fleet.time.now();
+  fleet.service.put(kWeightsRow, "2");
+  fleet.time.advance(milliseconds(500));
+  fleet.service.returnFrom(older, 20);
+  second.service.refused = false;
+  fleet.time.advance(seconds(1));
+  BOOST_REQUIRE(second.targets.newest(kModel) == 2U);
+  BOOST_TEST((*second.targets.beginBefore(kModel, 1) <= namedAt + seconds(8)));
+}
+
+// Written again after the return, they are no younger than before it.
+BOOST_AUTO_TEST_CASE(WeightsWrittenAgainAreNotDatedByACopyThatLackedThem) {
+  const auto namedAt = fleet.time.now();
+  fleet.service.put(kWeightsRow, "2");
+  fleet.service.returnFrom(older, 20);
+  fleet.time.advance(milliseconds(1500));
+  fleet.service.put(kWeightsRow, "2");
+  fleet.time.advance(seconds(1));
+  for (const auto* run : {&first, &second}) {
+    BOOST_REQUIRE(run->targets.newest(kModel) == 2U);
+    BOOST_TEST((*run->targets.beginBefore(kModel, 1) <= namedAt + seconds(8)));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::node
--- a/tests/node/unread_configuration_test.cc
+++ b/tests/node/unread_configuration_test.cc
@@ -35,7 +35,7 @@
 
 struct UnreadFixture {
   UnreadFixture()
-      : configuration(reader, fleet.time, node.log, targets),
+      : configuration(reader, fleet.time, node.log, targets, node.eras),
         watch({"t"}, fleet.time, fleet.time, node.random, node.feed, configuration) {
     configuration.setWatch(watch);
     watch.start();
@@ -75,7 +75,7 @@
 BOOST_AUTO_TEST_CASE(NodeThatNeverReadAVersionIsNotConfirmed) {
   fleet.service.put("a", "a form of a later release");
   fleet.time.advance(seconds(1));
-  RouteConfiguration fresh(reader, fleet.time, node.log, targets);
+  RouteConfiguration fresh(reader, fleet.time, node.log, targets, node.eras);
   config::TableWatch freshWatch({"t"}, fleet.time, fleet.time, node.random, node.feed, fresh);
   fresh.setWatch(freshWatch);
   freshWatch.start();
--- a/tests/node/weights_dating_test.cc
+++ b/tests/node/weights_dating_test.cc
@@ -47,7 +47,7 @@
 /// What one node makes of the versions that its feed tells.
 struct Watching {
   Watching(Fleet& fleet, FleetNode& node)
-      : configuration(reader, fleet.time, node.log, targets),
+      : configuration(reader, fleet.time, node.log, targets, node.eras),
         watch({"t"}, fleet.time, fleet.time, node.random, node.feed, configuration) {
     configuration.setWatch(watch);
     watch.start();
@@ -68,7 +68,7 @@
                   node.eras}),
         dates(table, time, time, [this] { return watch.serviceTime(); }),
         dating(time, node.log, targets, dates),
-        configuration(reader, time, node.log, targets),
+        configuration(reader, time, node.log, targets, node.eras),
         watch({"t"}, time, time, node.random, feed, configuration) {
     node.silent = true;
     configuration.setWatch(watch);
@@ -268,7 +268,8 @@
   routing::WeightsTargets targets{{seconds(8), milliseconds(1200)}};
   WeightsDates dates{table, fleet.time, fleet.time, serviceTime};
   VersionDating dating(fleet.time, log, targets, dates);
-  RouteConfiguration configuration(reader, fleet.time, log, targets);
+  const config::StoreEras eras{fleet.time, log};
+  RouteConfiguration configuration(reader, fleet.time, log, targets, eras);
   configuration.onWeights([&dating](const NamedWeights& named, const VersionNews& news) {
     dating.onWeights(named, news);
   });
@@ -320,7 +321,8 @@
   WeightsReader reader;
   test_support::RecordingLog log;
   routing::WeightsTargets targets{{seconds(8), milliseconds(1000)}};
-  RouteConfiguration configuration(reader, fleet.time, log, targets);
+  const config::StoreEras eras{fleet.time, log};
+  RouteConfiguration configuration(reader, fleet.time, log, targets, eras);
   base::SeededRandom random{1};
   config::TableWatch watch({"t"}, fleet.time, fleet.time, random, feed, configuration);
   watch.start();
