Keep replicas whose rows are missing after a return of the table service until they could be written again

What callers would see: streams broken and prompts read anew, as a replica whose row was missing from the copy counted as gone; and a run ended twice, as the copy named the one before it: with it went its cache index and its open requests, and its end counted against the requests that it had run.

Cause: an older state of a row was taken for a newer one.

Why this works: a row that is missing is missed for the time in which replicas write again, and the feed's delay, before its replica is dropped. A run that another has followed under its key never comes back, so that a row with its name is of a copy.

ReplicaListTest: without the two conditions, 2 of its 3 new cases failed; the third holds that a replica which does not write again is gone.

--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -73,7 +73,7 @@
         loadSharing({}, {clock, timers, log, peers, membership, replicas, fleetLoad}),
         storeEras(clock, log),
         configuration(deployment.configurationRows, clock, log, targets, storeEras),
-        replicaList(deployment.replicaRows, clock, log, replicas, holders, replicaEnds),
+        replicaList(deployment.replicaRows, clock, log, replicas, holders, replicaEnds, storeEras),
         knowledge({membership, storeEras, configuration,
                    [this] { return configurationWatch.serviceTime(); }}),
         feeds(feedOptions(settings),
--- a/src/node/replica_list.h
+++ b/src/node/replica_list.h
@@ -4,8 +4,12 @@
 /// A row is kept under the key of a replica and names the run of it that wrote the row. When it
 /// names another run, the one before has ended, and what was known of it ends with it. A row that
 /// cannot be read names no replica to use: its run gets no new requests, and neither has it ended.
+///
+/// When the service comes back from a copy, rows may be missing, or name runs that have ended,
+/// until their replicas have written them again: neither ends what is known of a run.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -14,6 +18,7 @@
 #include <string_view>
 
 #include "base/event_log.h"
+#include "config/store_eras.h"
 #include "config/table_watch.h"
 #include "node/feed_outage.h"
 #include "routing/prefix_holders.h"
@@ -36,13 +41,14 @@
   /// All must outlive the list.
   ReplicaList(const ReplicaRowReader& reader, base::Clock& clock, base::EventLog& log,
               routing::ReplicaDirectory& directory, routing::PrefixHolders& holders,
-              routing::ReplicaEndCheck& replicaEnds)
+              routing::ReplicaEndCheck& replicaEnds, const config::StoreEras& eras)
       : reader_(reader),
         clock_(clock),
         log_(log),
         directory_(directory),
         holders_(holders),
-        replicaEnds_(replicaEnds) {}
+        replicaEnds_(replicaEnds),
+        eras_(eras) {}
 
   /// The list was copied at least once.
   bool known() const { return known_; }
@@ -63,6 +69,11 @@
   void onRestarted(const std::string& run);
   /// Forgets a run that is no longer listed.
   void forget(const std::string& run);
+  void remove(const std::string& key, base::Revision revision);
+  /// A row that is missing may be written again.
+  bool mayBeWrittenAgain() const;
+  void noteEnded(const std::string& key, const std::string& run);
+  bool hasEnded(const std::string& key, const std::string& run) const;
 
   const ReplicaRowReader& reader_;
   base::Clock& clock_;
@@ -70,8 +81,14 @@
   routing::ReplicaDirectory& directory_;
   routing::PrefixHolders& holders_;
   routing::ReplicaEndCheck& replicaEnds_;
+  const config::StoreEras& eras_;
   /// The run that each row named last, by key.
   std::map<std::string, std::string> runs_;
+  /// Runs that others have followed under the same key, the latest at the end.
+  std::map<std::string, std::deque<std::string>> endedRuns_;
+  /// Rows that went with a return of the service and may be written again, by key: the revision at
+  /// which they were missed.
+  std::map<std::string, base::Revision> missing_;
   /// Services whose replicas tell their starts.
   std::set<std::string, std::less<>> servicesWithStarts_;
   bool known_ = false;
--- a/tests/node/replica_list_test.cc
+++ b/tests/node/replica_list_test.cc
@@ -64,7 +64,8 @@
   routing::PrefixHolders holders;
   routing::ReplicaEndCheck replicaEnds{{}, {time, time, log, reachability}};
   std::vector<std::string> ended;
-  ReplicaList list{reader, time, log, directory, holders, replicaEnds};
+  config::StoreEras eras{time, log};
+  ReplicaList list{reader, time, log, directory, holders, replicaEnds, eras};
   base::Revision revision = 0;
 };
 
@@ -148,6 +149,51 @@
   BOOST_TEST(!holds("r@1"));
 }
 
+// The table service comes back from a copy: rows go, and come again when their replicas have
+// written them. A replica that was dropped meanwhile would lose its place, its streams and its
+// cache index.
+BOOST_AUTO_TEST_CASE(RowThatIsWrittenAgainAfterAReturnOfTheServiceEndsNothing) {
+  write("r", "r@1");
+  const auto record = directory.find("r@1");
+  use("r@1");
+  eras.note(0, "the test");
+  eras.note(1, "the test");
+  list.onRemoved({"r", std::nullopt, ++revision});
+  time.advance(config::kWrittenAgainWithin - std::chrono::milliseconds(1));
+  list.onCurrent();
+  BOOST_TEST((directory.find("r@1") == record));
+  write("r", "r@1");
+  time.advance(std::chrono::seconds(10));
+  list.onCurrent();
+  BOOST_TEST((directory.find("r@1") == record));
+  BOOST_TEST(holds("r@1"));
+  BOOST_TEST(ended.empty());
+}
+
+BOOST_AUTO_TEST_CASE(RowThatIsNotWrittenAgainAfterAReturnOfTheServiceIsGone) {
+  write("r", "r@1");
+  eras.note(0, "the test");
+  eras.note(1, "the test");
+  list.onRemoved({"r", std::nullopt, ++revision});
+  time.advance(config::kWrittenAgainWithin + std::chrono::seconds(1));
+  list.onCurrent();
+  BOOST_TEST((directory.find("r@1") == nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(RowOfACopyThatNamesAnEndedRunEndsNothing) {
+  write("r", "r@1");
+  write("r", "r@2");
+  const auto record = directory.find("r@2");
+  use("r@2");
+  const auto endedBefore = ended.size();
+  write("r", "r@1");
+  BOOST_TEST((directory.find("r@2") == record));
+  BOOST_TEST((directory.find("r@1") == nullptr));
+  BOOST_TEST(directory.ofService("llm").size() == 1U);
+  BOOST_TEST(holds("r@2"));
+  BOOST_TEST(ended.size() == endedBefore);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::node
--- a/tests/platform/replica_runs_test.cc
+++ b/tests/platform/replica_runs_test.cc
@@ -99,7 +99,8 @@
   routing::PrefixHolders holders;
   routing::ReplicaEndCheck replicaEnds{{}, {time, time, log, reachability}};
   std::vector<routing::EndedRuns> ended;
-  node::ReplicaList list{reader, time, log, directory, holders, replicaEnds};
+  config::StoreEras eras{time, log};
+  node::ReplicaList list{reader, time, log, directory, holders, replicaEnds, eras};
   config::EngineProfile engine;
   prefix::PartChain chain = *prefix::PartChain::parse("aa:500,bb:500,cc:200");
   base::SeededRandom random{1};
