Give each fencing token the era of the table service, and believe no lease that came with a copy

What would be seen: two nodes with one token, or orders refused for having a lower one than replicas have seen, as the lease's row went back with the service: the next holder took the row's token and one more. A copy of before the lease passed on shows it as free, and a holder that is cut off goes on beside the next.

Cause: tokens and conditions rested on rows that the service may forget, and conditions on numbers that it gives out again.

Why this works: a token holds the era above its twentieth bit, so that those of a later era are greater than all before and none comes twice. Only a row written in the era in which it is read says who holds the lease; any other is waited out, but by whoever held the lease until the return: nobody else can have taken it since. A condition on a row of a former era is sent as one that cannot hold, and a transaction done in a later era than it was decided in is read back. Weighed and not taken alone: the greatest token that was seen, which a node that was cut off has not.

--- a/src/coordination/lease_manager.cc
+++ b/src/coordination/lease_manager.cc
@@ -12,6 +12,8 @@
 constexpr double kJitter = 0.25;
 /// Writes remembered for recognition; older ones have long taken effect or never will.
 constexpr std::size_t kRememberedAttempts = 8;
+/// Bits of a token below the era that it was given in: a million holders in each.
+constexpr unsigned kTokenBits = 20;
 
 const clients::TableRow* findRow(const std::vector<clients::TableRow>& rows, std::string_view key) {
   const auto found =
@@ -21,6 +23,10 @@
 
 }  // namespace
 
+base::FencingToken tokensBefore(base::StoreEra era) {
+  return base::FencingToken{era} << kTokenBits;
+}
+
 base::Duration settleTime(Succession succession, const LeaseOptions& options) {
   if (options.orderGap.count() == 0) return {};
   switch (succession) {
@@ -123,7 +129,30 @@
          row.address == base::toString(self.endpoint);
 }
 
+bool LeaseManager::holderIsUncertain() const {
+  if (observed_->row) return observed_->row->era != observed_->era;
+  return storeReturned_ && observed_->revision == 0;
+}
+
+bool LeaseManager::isFree() const {
+  // A node that was cut off as the service returned may hold what the copy does not show.
+  if (holderIsUncertain()) return heldUntilReturn_.has_value();
+  // A former run cannot renew the lease any more; waiting for it to lapse would leave a fleet that
+  // was restarted as a whole without orders for some 4 s.
+  return !observed_->row || observed_->row->released || isOwn(*observed_->row) ||
+         isFormerRun(*observed_->row);
+}
+
+base::FencingToken LeaseManager::nextToken() const {
+  const base::FencingToken last = observed_->row ? observed_->row->token : 0;
+  return std::max({last, greatestToken_, tokensBefore(observed_->era)}) + 1;
+}
+
 Succession LeaseManager::succession() const {
+  if (holderIsUncertain()) {
+    if (!heldUntilReturn_) return Succession::kLapsed;
+    return *heldUntilReturn_ ? Succession::kFormerRun : Succession::kRecent;
+  }
   // A row that cannot be read was written by somebody, who may be ordering.
   if (!observed_->row) return observed_->revision == 0 ? Succession::kFirst : Succession::kRecent;
   const LeaseRow& row = *observed_->row;
@@ -145,10 +174,24 @@
   observed_ = Observation{.revision = announcement.revision,
                           .tenureRevision = announcement.tenureRevision,
                           .row = announcement.row,
-                          .firstSeenAt = environment_.clock.now()};
+                          .firstSeenAt = environment_.clock.now(),
+                          .era = base::eraOf(announcement.revision)};
+  // Announcements tell of rows as they are written.
+  observed_->row->era = observed_->era;
+  greatestToken_ = std::max(greatestToken_, announcement.row.token);
+  heldUntilReturn_.reset();
   if (!callInFlight_) step();
 }
 
+void LeaseManager::onStoreReturned() {
+  storeReturned_ = true;
+  heldUntilReturn_ = tenure_ && !hasExpired() ? std::optional{settled()} : std::nullopt;
+  if (tenure_) loseTenure("the table service came back from a copy");
+  observed_.reset();
+  attempts_.clear();
+  if (started_ && !stopped_ && !callInFlight_) step();
+}
+
 void LeaseManager::scheduleStep(base::Duration delay) {
   environment_.timers.cancel(stepTimer_);
   stepTimer_ = environment_.timers.schedule(delay, guarded([this] { step(); }));
@@ -173,13 +216,9 @@
 
 void LeaseManager::stepAsCandidate() {
   if (!observed_) return read();
-  // A former run cannot renew the lease any more; waiting for it to lapse would leave a fleet that
-  // was restarted as a whole without orders for some 4 s.
-  const bool free = !observed_->row || observed_->row->released || isOwn(*observed_->row) ||
-                    isFormerRun(*observed_->row);
   const base::TimePoint due = observed_->firstSeenAt + options_.duration + options_.margin;
   const base::TimePoint now = environment_.clock.now();
-  if (free || now >= due) return acquire();
+  if (isFree() || now >= due) return acquire();
   scheduleStep(due - now);
 }
 
@@ -195,22 +234,27 @@
 void LeaseManager::onReadReply(const clients::TableReply& reply) {
   if (reply.status != clients::TableStatus::kOk) return backOff();
   backoff_ = {};
-  observe(reply.rows);
+  observe(reply);
   recogniseOwnWrite();
   step();
 }
 
-void LeaseManager::observe(const std::vector<clients::TableRow>& rows) {
-  const clients::TableRow* lease = findRow(rows, leaseKey(options_.name));
-  const clients::TableRow* tenure = findRow(rows, leaseTenureKey(options_.name));
+void LeaseManager::observe(const clients::TableReply& reply) {
+  const clients::TableRow* lease = findRow(reply.rows, leaseKey(options_.name));
+  const clients::TableRow* tenure = findRow(reply.rows, leaseTenureKey(options_.name));
   const base::Revision revision = lease == nullptr ? 0 : lease->revision;
-  const bool changed = !observed_ || observed_->revision != revision;
+  const auto era = base::eraOf(reply.revision);
+  const bool changed = !observed_ || observed_->revision != revision || observed_->era != era;
   if (!observed_) observed_ = Observation{};
   if (changed) observed_->firstSeenAt = environment_.clock.now();
   observed_->revision = revision;
   observed_->tenureRevision = tenure == nullptr ? 0 : tenure->revision;
   base::Reason ignored;
   observed_->row = lease == nullptr ? std::nullopt : parseLeaseRow(lease->value, ignored);
+  observed_->era = era;
+  if (!observed_->row) return;
+  greatestToken_ = std::max(greatestToken_, observed_->row->token);
+  if (!holderIsUncertain() && !isOwn(*observed_->row)) heldUntilReturn_.reset();
 }
 
 bool LeaseManager::recogniseOwnWrite() {
@@ -218,6 +262,8 @@
   const auto attempt = std::ranges::find_if(
       attempts_, [this](const Attempt& one) { return one.row.nonce == observed_->row->nonce; });
   if (attempt == attempts_.end() || attempt->row.released) return false;
+  // Decided by rows of a former era, whose holder the service has forgotten.
+  if (holderIsUncertain()) return false;
   Attempt recognised = *attempt;
   recognised.tenureRevision = observed_->tenureRevision;
   // The lost answer may come to light too late to be of use.
@@ -235,12 +281,12 @@
           .token = token,
           .released = released,
           .address = base::toString(self.endpoint),
-          .settled = settled()};
+          .settled = settled(),
+          .era = observed_ ? observed_->era : 0};
 }
 
 void LeaseManager::acquire() {
-  const base::FencingToken lastToken = observed_->row ? observed_->row->token : 0;
-  commit(makeRow(lastToken + 1, false), {observed_->revision, observed_->tenureRevision}, true);
+  commit(makeRow(nextToken(), false), {observed_->revision, observed_->tenureRevision}, true);
 }
 
 void LeaseManager::renew() {
@@ -278,6 +324,11 @@
   switch (reply.status) {
     case clients::TableStatus::kOk: {
       backoff_ = {};
+      if (base::eraOf(reply.revision) != attempt.row.era && !attempt.row.released) {
+        // Decided in a former era, done in this one: not a lease of it, and taken anew.
+        observed_.reset();
+        return step();
+      }
       Attempt done = attempt;
       if (newTenure) done.tenureRevision = reply.revision;
       if (attempt.row.released) return finishRelease();
@@ -286,7 +337,7 @@
     }
     case clients::TableStatus::kConflict:
       backoff_ = {};
-      observe(reply.rows);
+      observe(reply);
       if (attempt.row.released) return finishRelease();
       if (recogniseOwnWrite()) return;
       if (tenure_) loseTenure("another node holds it");
@@ -322,7 +373,10 @@
   observed_ = Observation{.revision = revision,
                           .tenureRevision = attempt.tenureRevision,
                           .row = attempt.row,
-                          .firstSeenAt = environment_.clock.now()};
+                          .firstSeenAt = environment_.clock.now(),
+                          .era = attempt.row.era};
+  greatestToken_ = std::max(greatestToken_, attempt.row.token);
+  heldUntilReturn_.reset();
   armExpiry();
   const base::Duration sinceSent = environment_.clock.now() - attempt.sentAt;
   scheduleStep(releasing_ ? base::Duration::zero() : options_.renewInterval - sinceSent);
--- a/src/coordination/lease_manager.h
+++ b/src/coordination/lease_manager.h
@@ -17,6 +17,13 @@
 /// arrives is knowledge of a revision that did exist, at a moment after it came into force, and so
 /// as good as a read. It spares them the table calls and lets them count from the last renewal.
 ///
+/// When the service comes back from a copy, rows and tokens of the last seconds are gone, and the
+/// row may name whoever held the lease before its last holder. So the holder stops at once, as any
+/// other would, and every token carries the era that it was given in: those of a later era are
+/// greater than all before, and none is given twice. Whoever held the lease until the return was
+/// the last one to do so, and may take it anew at once; all others wait as long as for a holder
+/// that they know, from when they first saw the row in the new era.
+///
 /// States: idle (no candidate) -> watching -> acquiring -> holding -> watching; stopped at the end.
 /// Cost: a holder makes one call per `renewInterval`; a watching candidate none while it is told of
 /// the renewals, else one per `duration + margin` (a failed compare-and-set answers with the
@@ -98,6 +105,9 @@
   kLapsed,
 };
 
+/// The least token of an era is greater by one than this.
+base::FencingToken tokensBefore(base::StoreEra era);
+
 /// How long a new holder must wait before it orders.
 base::Duration settleTime(Succession succession, const LeaseOptions& options);
 
@@ -150,6 +160,9 @@
   void onAnnouncement(const LeaseAnnouncement& announcement);
   /// Another node says that it gave the lease up: look at once instead of waiting.
   void onReleaseHint();
+  /// The table service came back from a copy: what was read, written and granted in its former era
+  /// counts no more.
+  void onStoreReturned();
   /// Stops using the lease and competing for it, gives it up in the table, then calls `done` once.
   void release(std::function<void()> done);
 
@@ -160,6 +173,8 @@
     std::optional<LeaseRow> row;
     /// When this revision was first known here.
     base::TimePoint firstSeenAt{};
+    /// Era of the service in which it was seen.
+    base::StoreEra era = 0;
   };
   struct Tenure {
     LeaseGrant grant;
@@ -193,6 +208,11 @@
   bool isOwn(const LeaseRow& row) const;
   /// The row was written by an earlier run of this node.
   bool isFormerRun(const LeaseRow& row) const;
+  /// The lease may have had another holder than the row says, of whom the service has lost all.
+  bool holderIsUncertain() const;
+  /// Nobody can hold the lease now, by what was observed.
+  bool isFree() const;
+  base::FencingToken nextToken() const;
   /// How the lease would come to this node now.
   Succession succession() const;
 
@@ -207,8 +227,8 @@
   base::Duration settleTimeLeft() const;
   void onReadReply(const clients::TableReply& reply);
   void onCommitReply(const clients::TableReply& reply, const Attempt& attempt, bool newTenure);
-  /// Takes in rows read or returned by a conflict.
-  void observe(const std::vector<clients::TableRow>& rows);
+  /// Takes in the rows of a reply: read, or returned by a conflict.
+  void observe(const clients::TableReply& reply);
   /// Recognises one of this node's own writes in the row; true when it made this node the holder.
   bool recogniseOwnWrite();
   void becomeHolder(const Attempt& attempt, base::Revision revision);
@@ -225,6 +245,13 @@
   std::optional<Observation> observed_;
   std::optional<Tenure> tenure_;
   std::vector<Attempt> attempts_;
+  /// The greatest token that was seen in a row or a message.
+  base::FencingToken greatestToken_ = 0;
+  /// This node held the lease when the service came back from a copy, and nobody was seen to take
+  /// it since: whether it had settled.
+  std::optional<bool> heldUntilReturn_;
+  /// The service came back from a copy while this node ran.
+  bool storeReturned_ = false;
   bool started_ = false;
   bool callInFlight_ = false;
   bool releasing_ = false;
--- a/src/coordination/lease_row.cc
+++ b/src/coordination/lease_row.cc
@@ -1,5 +1,6 @@
 #include "coordination/lease_row.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "coordination/json_values.h"
@@ -22,7 +23,7 @@
   const Json json = {{"holder", row.holder},     {"incarnation", row.incarnation},
                      {"nonce", row.nonce},       {"token", row.token},
                      {"released", row.released}, {"address", row.address},
-                     {"settled", row.settled}};
+                     {"settled", row.settled},   {"era", row.era}};
   return textOf(json);
 }
 
@@ -40,6 +41,8 @@
   row.released = booleanField(json, "released");
   row.address = textField(json, "address");
   row.settled = booleanField(json, "settled");
+  row.era = static_cast<base::StoreEra>(
+      std::min<std::uint64_t>(numberField(json, "era"), base::kLargestStoreEra));
   return row;
 }
 
--- a/src/coordination/lease_row.h
+++ b/src/coordination/lease_row.h
@@ -36,6 +36,9 @@
   std::string address;
   /// The holder may order: orders of the one before it are over (LeaseOptions::orderGap).
   bool settled = false;
+  /// Era of the service in which the row was written: one of a former era came with a copy, and the
+  /// lease may have passed on since. 0 also in rows of builds without eras.
+  base::StoreEra era = 0;
 };
 
 std::string leaseKey(std::string_view name);
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/random.h"
+#include "config/era_checked_table.h"
 #include "config/shared_feed.h"
 #include "config/store_eras.h"
 #include "live/asio_runtime.h"
@@ -72,6 +73,7 @@
         placement({}, {clock, timers, random, log, peers, membership, replicas, holders}),
         loadSharing({}, {clock, timers, log, peers, membership, replicas, fleetLoad}),
         storeEras(clock, log),
+        ownTable(deployment.table, storeEras),
         configuration(deployment.configurationRows, clock, log, targets, storeEras),
         replicaList(deployment.replicaRows, clock, log, replicas, holders, replicaEnds, storeEras),
         knowledge({membership, storeEras, configuration,
@@ -83,13 +85,13 @@
         replicaWatch(replicaWatchOptions(deployment.replicaTable), clock, timers, random, feeds,
                      replicaList),
         coordinator(coordinatorOptions(settings),
-                    {clock, timers, random, log, peers, deployment.table, deployment.weights,
-                     membership, membership, replicas, holders, targets,
+                    {clock, timers, random, log, peers, ownTable, deployment.weights, membership,
+                     membership, replicas, holders, targets,
                      [this](const std::string& name) { return longRunReplicas(name); },
                      [this](const std::string& name) { return replicasInUse(name); },
                      [this](const std::string& name) { return hasService(name); }}),
         weightsDates(
-            deployment.table, clock, timers, [this] { return configurationWatch.serviceTime(); },
+            ownTable, clock, timers, [this] { return configurationWatch.serviceTime(); },
             [this](bool lastCheck) { return writesDates(lastCheck); }),
         versionDating(clock, log, targets, weightsDates),
         cacheStoreNews(membership, membership, stores),
@@ -101,7 +103,7 @@
                 [this] { return retryNodes(); }),
         quotas(quotaOptions(),
                {clock, timers, random, membership, peers, [this] { return nodes(); }}),
-        quarantine({}, {clock, timers, random, log, peers, membership, membership, deployment.table,
+        quarantine({}, {clock, timers, random, log, peers, membership, membership, ownTable,
                         [this] { return configurationWatch.serviceTime(); }}),
         pauses(clock, timers, log, [this](base::Duration silence) { onWake(silence); }),
         wakeGate(clock, timers, log,
@@ -291,6 +293,7 @@
     replicaWatch.onStoreReturned();
     knowledge.onStoreReturned();
     configuration.onStoreReturned();
+    coordinator.onStoreReturned();
   }
 
   /// The configuration was read, or proved current.
@@ -413,6 +416,7 @@
   routing::Placement placement;
   routing::LoadSharing loadSharing;
   config::StoreEras storeEras;
+  config::EraCheckedTable ownTable;
   node::RouteConfiguration configuration;
   node::ReplicaList replicaList;
   node::FleetKnowledge knowledge;
--- a/src/node/weights_coordinator.h
+++ b/src/node/weights_coordinator.h
@@ -64,6 +64,8 @@
   bool competes() const { return lease_.status().candidate; }
   bool holdsLease() const { return lease_.grant().has_value(); }
   void onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) override;
+  /// The table service came back from a copy.
+  void onStoreReturned() { lease_.onStoreReturned(); }
 
  private:
   void onLeaseWritten(const coordination::LeaseAnnouncement& announcement) override;
--- a/tests/support/memory_table_service.h
+++ b/tests/support/memory_table_service.h
@@ -17,6 +17,13 @@
 
 class MemoryTableService final : public clients::TableClient, public clients::TableFeedClient {
  public:
+  using Tables = std::map<std::string, std::map<std::string, clients::FeedRow>>;
+  /// What the service held at one moment.
+  struct Copy {
+    Tables tables;
+    base::Revision revision = 0;
+  };
+
   /// Transactions write rows of `ownTable`.
   MemoryTableService(base::Clock& clock, base::TimerService& timers, std::string ownTable)
       : clock_(clock), timers_(timers), ownTable_(std::move(ownTable)) {}
@@ -26,6 +33,19 @@
     tables_[table][key] = {key, std::move(value), ++revision_};
     answerWaiting(table);
   }
+  Copy copy() const { return {tables_, revision_}; }
+  /// Comes back from a copy, in the next era; its counter goes on from there, `ahead` further.
+  void returnFrom(Copy copy, base::Revision ahead = 0) {
+    const auto era = base::eraOf(revision_) + 1;
+    const auto inEra = [era](base::Revision revision) {
+      return base::revisionAt(era, base::numberOf(revision));
+    };
+    tables_ = std::move(copy.tables);
+    for (auto& [table, rows] : tables_) {
+      for (auto& [key, row] : rows) row.revision = inEra(row.revision);
+    }
+    revision_ = inEra(copy.revision) + ahead;
+  }
   /// The rows of the own table whose keys begin with the prefix.
   std::vector<clients::TableRow> ownRows(const std::string& prefix) {
     std::vector<clients::TableRow> rows;
@@ -143,7 +163,7 @@
   base::TimerService& timers_;
   std::string ownTable_;
   base::Revision revision_ = 0;
-  std::map<std::string, std::map<std::string, clients::FeedRow>> tables_;
+  Tables tables_;
   std::list<std::shared_ptr<Waiting>> waiting_;
 };
 
