Write dates of weights and verdicts again that the table service has lost

What callers would see: after a return and a restart of all nodes, a request that ends replicas ends three more; a node that starts then cannot tell how long ago weights were named, and forbids the older ones at once.

Cause: nobody wrote these rows a second time, but at the comparison of rows every few minutes.

Why this works: with the first copy of a new era, when the service's clock is known anew, nodes write the dates that they know (candidates for the lease first, as for a new version; the earlier date wins), homes of requests compare verdicts with the rows, and the home that keeps a suspect's row writes it.

DateThatTheServiceHasLostIsWrittenAgain and RowsThatTheServiceHasLostAreWrittenAgain failed without it: no row, and 0 of 3 nodes refused the request after a restart.

--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -299,6 +299,11 @@
   /// The configuration was read, or proved current.
   void onConfigurationCopied() {
     knowledge.onCopied();
+    const auto era = storeEras.current();
+    // Before that the service's clock of the new era is not known.
+    if (std::exchange(rowsWrittenIn, era) == era) return;
+    versionDating.onStoreReturned();
+    quarantine.onStoreReturned();
   }
 
   void reportTraffic() {
@@ -442,6 +447,8 @@
   HttpServer callerServer;
   HttpServer readinessServer;
   HttpServer metricsServer;
+  /// The era in which this node has seen to it that rows of its own are there.
+  base::StoreEra rowsWrittenIn = 0;
   base::TimerId trafficTimer = 0;
   bool draining = false;
   base::TimePoint drainingSince{};
--- a/src/node/version_dating.cc
+++ b/src/node/version_dating.cc
@@ -4,8 +4,33 @@
 
 namespace covewing::node {
 
+namespace {
+
+/// Versions of a model whose dates are written again. Those before them have long been in force.
+constexpr std::size_t kMostKept = 4;
+
+}  // namespace
+
+void VersionDating::onStoreReturned() {
+  const auto now = clock_.now();
+  for (const auto& [model, versions] : kept_) {
+    for (const auto& [version, namedAt] : versions)
+      dates_.writeWhenResponsible(model, version, now - namedAt);
+  }
+}
+
+void VersionDating::keep(const std::string& model, base::WeightsVersion version,
+                         base::TimePoint namedAt) {
+  auto& versions = kept_[model];
+  const auto [known, added] = versions.try_emplace(version, namedAt);
+  // The earlier date is that of who knew more.
+  if (!added) known->second = std::min(known->second, namedAt);
+  if (versions.size() > kMostKept) versions.erase(versions.begin());
+}
+
 void VersionDating::onWeights(const NamedWeights& named, const VersionNews& news) {
   if (news.namedAfter) {
+    if (!news.provisional) keep(named.model, named.version, *news.namedAfter);
     dates_.writeWhenResponsible(named.model, named.version, clock_.now() - *news.namedAfter);
     // The service may have turned this node away and served others, who saw the version come: dated
     // by the own failed calls alone, requests were sent to the older version up to 2.9 s too long.
@@ -36,6 +61,7 @@
 void VersionDating::date(const std::string& model, base::WeightsVersion version,
                          base::Duration age) {
   targets_.onDated(model, version, clock_.now() - age);
+  keep(model, version, clock_.now() - age);
   log_.write(base::Event::kWeightsDated, {{"model", model},
                                           {"version", std::to_string(version)},
                                           {"age_ms", base::millisecondsText(age)}});
--- a/src/node/version_dating.h
+++ b/src/node/version_dating.h
@@ -3,6 +3,7 @@
 /// feed proves, the dates kept in the table service, and when that could not be reached.
 #pragma once
 
+#include <map>
 #include <optional>
 #include <string>
 
@@ -22,16 +23,23 @@
 
   /// A newer version was named (RouteConfiguration::onWeights).
   void onWeights(const NamedWeights& named, const VersionNews& news);
+  /// The table service came back from a copy, which may lack dates: writes those again that this
+  /// node knows.
+  void onStoreReturned();
 
  private:
   void onDates(const NamedWeights& named, const VersionNews& news,
                const std::vector<VersionAge>& ages);
   void date(const std::string& model, base::WeightsVersion version, base::Duration age);
+  /// Keeps the date for as long as somebody may ask for it.
+  void keep(const std::string& model, base::WeightsVersion version, base::TimePoint namedAt);
 
   base::Clock& clock_;
   base::EventLog& log_;
   routing::WeightsTargets& targets_;
   WeightsDates& dates_;
+  /// From when the time of the latest versions counts, by model and version.
+  std::map<std::string, std::map<base::WeightsVersion, base::TimePoint>> kept_;
 };
 
 }  // namespace covewing::node
--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -272,6 +272,16 @@
   });
 }
 
+void RequestQuarantine::onStoreReturned() {
+  const bool judges = std::ranges::any_of(
+      verdicts_, [this](const auto& verdict) { return isHomeOf(verdict.first); });
+  if (judges) compareWithRows();
+  for (const auto& [request, until] : suspectRows_) {
+    const auto suspected = suspicionOf(request);
+    if (keepsRowsOf(request) && !suspected.replicas.empty()) rows_.write(suspected);
+  }
+}
+
 void RequestQuarantine::compareWithRows() {
   rows_.load([this](const KeptEvidence& kept) {
     takeRows(kept);
--- a/src/quarantine/request_quarantine.h
+++ b/src/quarantine/request_quarantine.h
@@ -95,6 +95,8 @@
   void onServed(base::RequestFingerprint request);
   /// Requests that are refused now.
   std::size_t size() const;
+  /// The table service came back from a copy: as a home, writes again what its rows may lack.
+  void onStoreReturned();
 
   void onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) override;
 
--- a/tests/node/weights_dates_test.cc
+++ b/tests/node/weights_dates_test.cc
@@ -3,8 +3,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "node/version_dating.h"
 #include "request/fakes.h"
 #include "routing/weights_targets.h"
+#include "support/memory_table_service.h"
+#include "support/recording_log.h"
 
 namespace covewing::node {
 
@@ -215,6 +218,34 @@
   BOOST_TEST(targets.newest("m") == 4U);
 }
 
+// The table service comes back from a copy without the date: a node that starts then would not know
+// how long ago the version was named.
+BOOST_AUTO_TEST_CASE(DateThatTheServiceHasLostIsWrittenAgain) {
+  const std::string model = "m";
+  test_support::MemoryTableService service(time, time, "own");
+  test_support::RecordingLog log;
+  routing::WeightsTargets targets{{seconds(8), milliseconds(1200)}};
+  WeightsDates dates(service, time, time, [&service] { return service.serviceTime(); });
+  VersionDating dating(time, log, targets, dates);
+  const auto copy = service.copy();
+  targets.onNamed(model, 4, time.now());
+  dating.onWeights({model, 4}, {time.now(), std::nullopt});
+  time.advance(seconds(5));
+  BOOST_TEST(service.ownRows("weights-named/").size() == 1U);
+  service.returnFrom(copy);
+  dating.onStoreReturned();
+  time.advance(seconds(1));
+  BOOST_REQUIRE(service.ownRows("weights-named/").size() == 1U);
+  std::optional<base::Duration> age;
+  WeightsDates later(service, time, time, [&service] { return service.serviceTime(); });
+  later.lookUp(model, 4, [&age](const std::vector<VersionAge>& ages) {
+    if (!ages.empty()) age = ages.back().age;
+  });
+  time.advance(seconds(1));
+  BOOST_REQUIRE(age.has_value());
+  BOOST_TEST((*age >= seconds(6)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::node
--- a/tests/quarantine/request_quarantine_test.cc
+++ b/tests/quarantine/request_quarantine_test.cc
@@ -402,6 +402,26 @@
       (fleet.table.serviceTime() - decodeQuarantineEntry(row.value)->decidedAt < minutes(2)));
 }
 
+// The table service comes back from a copy without the rows: where all nodes start again before one
+// of them has looked, the request would end three replicas more.
+BOOST_AUTO_TEST_CASE(RowsThatTheServiceHasLostAreWrittenAgain) {
+  QuarantineFleet fleet(3);
+  const auto copy = fleet.table.copy();
+  for (int count = 0; count < 3; ++count) fleet.crash(0, {kDeadly});
+  for (int count = 0; count < 2; ++count) fleet.crash(0, {kPopular});
+  fleet.time.advance(seconds(1));
+  BOOST_TEST(fleet.rows() == 1U);
+  BOOST_TEST(fleet.suspectRows() == 1U);
+  fleet.table.returnFrom(copy);
+  for (std::size_t node = 0; node < 3; ++node) fleet.at(node).onStoreReturned();
+  fleet.time.advance(seconds(1));
+  BOOST_TEST(fleet.rows() == 1U);
+  BOOST_TEST(fleet.suspectRows() == 1U);
+  fleet.restartAll();
+  fleet.time.advance(seconds(1));
+  BOOST_TEST(fleet.refusing(kDeadly) == 3U);
+}
+
 // Told to all nodes, each crash of a zone would cost 299 messages a run, three times over.
 BOOST_AUTO_TEST_CASE(CrashesOfManyReplicasCostFewMessagesInALargeFleet) {
   QuarantineFleet fleet(300);
