--- a/src/clients/table_feed_client.h
+++ b/src/clients/table_feed_client.h
@@ -72,7 +72,7 @@
                        FeedCallback callback) = 0;
   /// Told the era that each answer names, refusals included, before the answer is handed on. To be
   /// overridden where the service tells eras.
-  virtual void onEra(EraListener /*listener*/) {}
+  virtual void onEra(const EraListener& /*listener*/) {}
 };
 
 }  // namespace covewing::clients
--- a/src/live/relay_metrics.cc
+++ b/src/live/relay_metrics.cc
@@ -71,7 +71,8 @@
      "requests "
      "of this node for a while), ejected, changing weights"},
     {"covewing_store_era", "gauge", "",
-     "era of the table service's history that this node knows; it rises when the service comes back "
+     "era of the table service's history that this node knows; it rises when the service comes "
+     "back "
      "from a copy"},
 };
 
