--- a/cmake/Covewing.cmake
+++ b/cmake/Covewing.cmake
@@ -114,6 +114,8 @@
   add_test(NAME ${target}
            COMMAND ${target} --report_level=detailed --report_format=XML
                    --report_sink=${PROJECT_BINARY_DIR}/test-results/${target}.xml
+                   # The last case that was entered is the one that a time-out ended.
+                   --log_level=test_suite
            WORKING_DIRECTORY ${PROJECT_SOURCE_DIR})
   # Property-based tests draw the same cases in every run.
   set_tests_properties(${target} PROPERTIES TIMEOUT 300 ENVIRONMENT RC_PARAMS=seed=1)
