Read and log the rate limits that replicas name in their answers

The logs could not tell what an answer said of a limit, nor what a node knew of it as it sent. Event 6015 tells each naming, change and end with its source; 5005 has limit and limit_age_ms; covewing_replicas{state="limited"} counts the replicas.

Answers overlap and overtake each other: a lower limit counts at once, a higher one or none only from an answer to a request that was sent after the latest naming. A limit belongs to a run. What cannot be read neither names a limit nor ends one.

No decision uses it yet.

--- a/src/clients/relay_client.h
+++ b/src/clients/relay_client.h
@@ -15,6 +15,7 @@
 #include "base/time.h"
 #include "clients/application_client.h"
 #include "clients/back_end.h"
+#include "clients/rate_limit_notice.h"
 
 namespace covewing::clients {
 
@@ -67,6 +68,7 @@
   base::Duration rest{};
   /// It asked for a rest in a way that cannot be read.
   bool restUnreadable = false;
+  RateLimitNotice rateLimit;
 };
 
 /// Receiver of one attempt's answer. After onEnd or onFailure nothing follows. Never called from
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -392,6 +392,7 @@
     } else {
       ++snapshot.replicasAvailable;
     }
+    if (record.notices().rateLimit().perSecond()) ++snapshot.replicasLimited;
   }
 
   boost::asio::io_context& context;
--- a/src/live/relay_metrics.cc
+++ b/src/live/relay_metrics.cc
@@ -69,7 +69,9 @@
     {"covewing_replicas", "gauge", "state",
      "listed replicas: available, draining (also by their own answers), resting (they want no "
      "requests "
-     "of this node for a while), ejected, changing weights"},
+     "of this node for a while), ejected, changing weights; limited ones count as well in one of "
+     "the "
+     "others"},
     {"covewing_store_era", "gauge", "",
      "era of the table service's history that this node knows; it rises when the service comes "
      "back "
@@ -222,6 +224,7 @@
   set(impl_->replicas.Add({{"state", "available"}}), snapshot.replicasAvailable);
   set(impl_->replicas.Add({{"state", "draining"}}), snapshot.replicasDraining);
   set(impl_->replicas.Add({{"state", "resting"}}), snapshot.replicasResting);
+  set(impl_->replicas.Add({{"state", "limited"}}), snapshot.replicasLimited);
   set(impl_->replicas.Add({{"state", "ejected"}}), snapshot.replicasEjected);
   set(impl_->replicas.Add({{"state", "changing"}}), snapshot.replicasChanging);
   const auto raise = [](prometheus::Counter& counter, std::uint64_t total) {
--- a/src/live/relay_metrics.h
+++ b/src/live/relay_metrics.h
@@ -50,6 +50,8 @@
     std::size_t replicasAvailable = 0;
     std::size_t replicasDraining = 0;
     std::size_t replicasResting = 0;
+    /// Beside the others: those that name a rate limit.
+    std::size_t replicasLimited = 0;
     std::size_t replicasEjected = 0;
     std::size_t replicasChanging = 0;
     routing::PlacementCounters placement;
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -290,6 +290,7 @@
   lastStream_ = {};
   allowance_.onDispatch(runs_);
   countTokens(decision);
+  const auto& limit = record.notices().rateLimit();
   dependencies_.log.write(
       base::Event::kRelayDispatched,
       {{"request", arrival_.request->id},
@@ -302,6 +303,8 @@
        {"replica", record.facts().instance},
        {"state", std::string{record.stateName(now)}},
        {"read_ms", millisecondsText(now - record.facts().readAt)},
+       {"limit", routing::rateLimitText(limit.perSecond())},
+       {"limit_age_ms", limit.perSecond() ? millisecondsText(now - limit.asOf()) : std::string{}},
        {"attempt", std::to_string(dispatches_)},
        {"cause", retryCause_ ? std::string{toString(*retryCause_)} : "first"},
        {"configuration", std::to_string(assignment_.table->version())},
--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -103,6 +103,8 @@
     routing::noteLeaving(record, dependencies_.log,
                          {"answer", answer.status, arrival_.request->id});
   }
+  routing::noteRateLimit(record, dependencies_.log, {answer.rateLimit, attempt_->sentAt, now},
+                         {"answer", answer.status, arrival_.request->id});
   if (answer.status != kServiceUnavailable || (answer.rest.count() == 0 && !answer.restUnreadable))
     return;
   if (answer.rest > base::Duration::zero()) record.notices().noteRest(now + answer.rest);
--- a/src/routing/replica_directory.cc
+++ b/src/routing/replica_directory.cc
@@ -1,10 +1,16 @@
 #include "routing/replica_directory.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
 namespace covewing::routing {
 
+std::string rateLimitText(std::optional<double> perSecond) {
+  return perSecond ? fmt::format("{:g}", *perSecond) : "none";
+}
+
 ReplicaRecord::ReplicaRecord(Replica facts) { update(std::move(facts)); }
 
 void ReplicaRecord::update(Replica facts) {
@@ -48,14 +54,38 @@
   return notices_->resting(now) ? "resting" : "ready";
 }
 
-void noteLeaving(ReplicaRecord& replica, base::EventLog& log, const LeavingEvidence& evidence) {
+namespace {
+
+std::string statusText(const NoticeSource& source) {
+  return source.status == 0 ? std::string{} : std::to_string(source.status);
+}
+
+}  // namespace
+
+void noteLeaving(ReplicaRecord& replica, base::EventLog& log, const NoticeSource& source) {
   if (!replica.notices().noteLeaving()) return;
-  log.write(base::Event::kReplicaLeaving,
+  log.write(base::Event::kReplicaLeaving, {{"replica", replica.facts().instance},
+                                           {"service", replica.facts().service},
+                                           {"source", std::string{source.name}},
+                                           {"status", statusText(source)},
+                                           {"request", source.request}});
+}
+
+void noteRateLimit(ReplicaRecord& replica, base::EventLog& log, const RateLimitEvidence& evidence,
+                   const NoticeSource& source) {
+  auto& limit = replica.notices().rateLimit();
+  const auto before = limit.perSecond();
+  const bool unreadable = evidence.notice.unreadable && limit.noteUnreadable();
+  if (!limit.learn(evidence) && !unreadable) return;
+  log.write(base::Event::kReplicaLimited,
             {{"replica", replica.facts().instance},
              {"service", replica.facts().service},
-             {"source", std::string{evidence.source}},
-             {"status", evidence.status == 0 ? std::string{} : std::to_string(evidence.status)},
-             {"request", evidence.request}});
+             {"source", std::string{source.name}},
+             {"status", statusText(source)},
+             {"request", source.request},
+             {"per_second", rateLimitText(limit.perSecond())},
+             {"before", rateLimitText(before)},
+             {"why", unreadable ? "a limit that it names cannot be read" : ""}});
 }
 
 void ReplicaRecord::onDispatched(std::uint32_t tokens) {
--- a/src/routing/replica_directory.h
+++ b/src/routing/replica_directory.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -120,13 +121,16 @@
 
 using ReplicaRecordPtr = std::shared_ptr<ReplicaRecord>;
 
+/// A rate limit for logs: requests a second, or "none".
+std::string rateLimitText(std::optional<double> perSecond);
+
 /// Source of what another node told.
 inline constexpr std::string_view kOtherNode = "other node";
 
-/// From what a node knows that a run leaves.
-struct LeavingEvidence {
+/// From what a node knows what a run says of itself.
+struct NoticeSource {
   /// "entry", "answer", "order", "report", "cache events" or "other node".
-  std::string_view source;
+  std::string_view name;
   /// Of the answer; 0 where there is none.
   unsigned status = 0;
   /// The request that was answered; empty where there is none.
@@ -134,7 +138,11 @@
 };
 
 /// Notes that the replica leaves, and logs it where that is news.
-void noteLeaving(ReplicaRecord& replica, base::EventLog& log, const LeavingEvidence& evidence);
+void noteLeaving(ReplicaRecord& replica, base::EventLog& log, const NoticeSource& source);
+
+/// Takes in what the replica said of its rate limit, and logs it where that is news.
+void noteRateLimit(ReplicaRecord& replica, base::EventLog& log, const RateLimitEvidence& evidence,
+                   const NoticeSource& source);
 
 class ReplicaDirectory {
  public:
--- a/src/routing/run_notices.h
+++ b/src/routing/run_notices.h
@@ -1,6 +1,6 @@
 /// \file
-/// What one run of a replica has said of itself, in answers or in its entry: that it leaves, and
-/// until when it wants no requests from this node.
+/// What one run of a replica has said of itself, in answers or in its entry: that it leaves, until
+/// when it wants no requests from this node, and how many it takes from all nodes together.
 ///
 /// States of the rest: none -> resting until its end -> to be tried, with one request at a time ->
 /// none once one was not turned away, or resting again. All that waited for the end would otherwise
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "base/time.h"
+#include "routing/run_rate_limit.h"
 
 namespace covewing::routing {
 
@@ -45,12 +46,16 @@
     tried_ = tried_ || taken;
   }
 
+  RunRateLimit& rateLimit() { return rateLimit_; }
+  const RunRateLimit& rateLimit() const { return rateLimit_; }
+
  private:
   bool leaving_ = false;
   base::TimePoint restsUntil_{};
   /// It has taken a request since its last rest.
   bool tried_ = true;
   bool trialUnderWay_ = false;
+  RunRateLimit rateLimit_;
 };
 
 }  // namespace covewing::routing
--- /dev/null
+++ b/src/routing/run_rate_limit.cc
@@ -0,0 +1,30 @@
+#include "routing/run_rate_limit.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace covewing::routing {
+
+bool RunRateLimit::isBelow(const clients::RateLimitNotice& notice) const {
+  return perSecond_ && (!notice.limited() || *perSecond_ < notice.perSecond);
+}
+
+bool RunRateLimit::equals(const clients::RateLimitNotice& notice) const {
+  return notice.limited() ? perSecond_ == notice.perSecond : !perSecond_;
+}
+
+bool RunRateLimit::learn(const RateLimitEvidence& evidence) {
+  const auto& notice = evidence.notice;
+  if (notice.kind == clients::RateLimitNotice::Kind::kNothing) return false;
+  const bool same = equals(notice);
+  // What ends or raises a limit must be younger than all that named it.
+  if (!same && (isBelow(notice) ? evidence.from : evidence.to) <= asOf_) return false;
+  asOf_ = std::max(asOf_, notice.limited() ? evidence.to : evidence.from);
+  if (same) return false;
+  perSecond_ = notice.limited() ? std::optional(notice.perSecond) : std::nullopt;
+  return true;
+}
+
+bool RunRateLimit::noteUnreadable() { return !std::exchange(unreadableNoted_, true); }
+
+}  // namespace covewing::routing
--- a/tests/platform/http_dialect_test.cc
+++ b/tests/platform/http_dialect_test.cc
@@ -187,6 +187,41 @@
   BOOST_TEST(!leaves(421, {{"X-Covewing-Instance-Id", "i-2"}, {"Server-Leaving", "1"}}));
 }
 
+BOOST_AUTO_TEST_CASE(AnswerOfAnyStatusNamesTheRateLimit) {
+  using clients::RateLimitNotice;
+  clients::DispatchTerms terms;
+  terms.expectedInstance = "i-1@17";
+  const auto read = [&](unsigned status, std::vector<live::HeaderField> headers) {
+    return HttpDialect{}.readAnswer({status, std::move(headers), {}}, terms).rateLimit;
+  };
+  const auto limitOf = [&](const std::string& text) {
+    return read(200, {{"server-limit", text}}).perSecond;
+  };
+  for (const unsigned status : {200U, 404U, 421U, 429U, 500U, 503U}) {
+    BOOST_TEST(read(status, {{"Server-Limit", "2.5"}}).limited(), status);
+    BOOST_TEST((read(status, {}).kind == RateLimitNotice::Kind::kUnlimited), status);
+  }
+  BOOST_TEST(limitOf("2.5") == 2.5);
+  BOOST_TEST(limitOf("0") == 0.0);
+  BOOST_TEST(limitOf("0.1") == 0.1);
+  BOOST_TEST(limitOf(".5") == 0.5);
+  BOOST_TEST(limitOf(std::string(400, '9')) == 1'000'000.0);
+  BOOST_TEST(limitOf("0." + std::string(400, '0') + "1") == 0.0);
+  for (const char* unreadable :
+       {"-1", "+1", "", "few", "nan", "inf", "1e3", "0x1", "1 2", "1,5", "1.2.3"}) {
+    const auto notice = read(200, {{"Server-Limit", unreadable}});
+    BOOST_TEST((notice.kind == RateLimitNotice::Kind::kNothing), unreadable);
+    BOOST_TEST(notice.unreadable, unreadable);
+  }
+  const auto several =
+      read(200, {{"Server-Limit", "4"}, {"Server-Limit", "soon"}, {"Server-Limit", "3"}});
+  BOOST_TEST(several.perSecond == 3.0);
+  BOOST_TEST(several.unreadable);
+  // Another replica answers at the address.
+  const auto other = read(421, {{"X-Covewing-Instance-Id", "i-2"}, {"Server-Limit", "1"}});
+  BOOST_TEST((other.kind == RateLimitNotice::Kind::kNothing));
+}
+
 BOOST_AUTO_TEST_CASE(RefusalSaysForHowLongTheReplicaWantsRest) {
   using std::chrono::milliseconds;
   const auto read = [](unsigned status, std::vector<live::HeaderField> headers) {
