--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -153,6 +153,117 @@
         return found
 
 
+@dataclasses.dataclass(frozen=True)
+class NamedLimit:
+    """From a moment on a run names this many requests a second; None: it names no limit."""
+
+    since: float
+    per_second: float | None
+
+
+class LimitRule:
+    """A run that names a limit takes that many requests a second from all nodes together. From
+    `in_force` behind its first naming, at most MOST_TIMES of what the limit allows in WINDOW, and
+    SLACK more, reach it in any WINDOW from the nodes that had passed such an answer on TOLD_BEFORE
+    earlier. A restart or a standstill of a node excuses what comes from that node alone. Watches of
+    caches, reports and orders count as well; which node they come from is not known, so that trouble
+    of any node excuses them. Where the limit changed lately, the highest of what was named counts.
+    Seconds."""
+
+    WINDOW = 4.0
+    MOST_TIMES = 1.5
+    SLACK = 5
+    TOLD_BEFORE = 0.5
+    IN_FORCE = 3.0
+    # Of what a limit allows, a run gets at least this part while callers want more.
+    LEAST_SHARE = 0.9
+    LEAST_WINDOW = 8.0
+
+    def __init__(self):
+        # By run, in order of time.
+        self.named: dict[str, list[NamedLimit]] = collections.defaultdict(list)
+        # By run and node: when the node first passed on an answer that names the limit in force.
+        self.told: dict[tuple[str, int], float] = {}
+        # By run: arrivals that count, and all of them.
+        self.counted: dict[str, list[float]] = collections.defaultdict(list)
+        self.arrivals: dict[str, list[float]] = collections.defaultdict(list)
+        self.worst = 0.0
+
+    def limit_of(self, run: str) -> float | None:
+        named = self.named.get(run)
+        return named[-1].per_second if named else None
+
+    def on_named(self, run: str, per_second: float | None, at: float):
+        if self.limit_of(run) is None or per_second is None:
+            self.told = {key: since for key, since in self.told.items() if key[0] != run}
+            self.counted[run].clear()
+        self.named[run].append(NamedLimit(at, per_second))
+
+    def on_passed_on(self, node: int, run: str, at: float):
+        if self.limit_of(run) is not None:
+            self.told.setdefault((run, node), at)
+
+    def highest(self, run: str, since: float) -> float:
+        """Of the limits that were named in force since then."""
+        named = self.named[run]
+        values = [one.per_second for place, one in enumerate(named)
+                  if place + 1 == len(named) or named[place + 1].since > since]
+        return math.inf if None in values else max(values)
+
+    def first_named(self, run: str) -> float:
+        """When the run named a limit that has not ended since."""
+        first = math.inf
+        for one in reversed(self.named[run]):
+            if one.per_second is None:
+                break
+            first = one.since
+        return first
+
+    def broken_by(self, node: int, run: str, at: float, troubles: list[Trouble]) -> str:
+        """What is wrong with the arrival of a request of the node at the run."""
+        self.arrivals[run].append(at)
+        if self.limit_of(run) is None:
+            return ""
+        told = self.told.get((run, node), math.inf)
+        excused = calm_since(troubles) > at
+        if told + self.TOLD_BEFORE > at or excused:
+            return ""
+        return self.count(run, at)
+
+    def call_breaks(self, run: str, at: float, excused: bool) -> str:
+        """What is wrong with the arrival of a call that is no request of a caller."""
+        if self.limit_of(run) is None or excused or at < self.first_named(run) + self.IN_FORCE:
+            return ""
+        return self.count(run, at)
+
+    def count(self, run: str, at: float) -> str:
+        counted = self.counted[run]
+        counted.append(at)
+        if at < self.first_named(run) + self.IN_FORCE:
+            return ""
+        limit = self.highest(run, at - self.WINDOW - self.TOLD_BEFORE)
+        count = len(counted) - bisect.bisect_left(counted, at - self.WINDOW)
+        allowed = self.MOST_TIMES * self.WINDOW * limit + self.SLACK
+        if limit < math.inf:
+            self.worst = max(self.worst, count / allowed)
+        if count <= allowed:
+            return ""
+        return f"{count} arrivals in {self.WINDOW} s, allowed {allowed:.1f} with a limit of {limit:g}"
+
+    def starved(self, run: str, begin: float, end: float) -> str:
+        """Whether the run got too little between the two moments, while one limit was in force and
+        callers wanted more."""
+        limit = self.limit_of(run)
+        arrived = self.arrivals[run]
+        count = bisect.bisect_right(arrived, end) - bisect.bisect_left(arrived, begin)
+        # The first and the last arrival may lie just beyond the window.
+        least = self.LEAST_SHARE * limit * (end - begin) - 1
+        if count >= least:
+            return ""
+        return (f"{run} got {count} requests in {end - begin:.1f} s, with a limit of {limit:g} at least "
+                f"{least:.1f}")
+
+
 class Outcome(enum.Enum):
     """How a node handled a request."""
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,9 @@
 
 # Operators and faults meet within this (seconds).
 MEET_WITHIN = 0.05
+# What replicas name where nothing else goes wrong: less than callers want (requests a second).
+CALM_LIMIT = (0.5, 10.0)
+CALM_LIMIT_ROUNDS = 2
 
 
 class Faults:
@@ -61,6 +64,11 @@
             self.soak.spawn(self.series(f"leave {number}", self.leave_some, 8, (0.3, 3.0)))
             self.soak.spawn(self.series(f"rest {number}", self.rest_some, 8, (0.3, 4.0)))
 
+    def start_limit_series(self):
+        """Replicas name limits, change and end them; drawn apart as well."""
+        for number in range(2):
+            self.soak.spawn(self.series(f"limit {number}", self.limit_some, 8, (0.2, 2.0)))
+
     def first_era(self) -> int:
         """Of the table service; 0: it tells none before its first return."""
         return random.Random(f"{self.soak.options.seed}/first era").choice([0, 0, 1, 7])
@@ -175,6 +183,20 @@
         for replica in draw.sample(replicas, count):
             replica.ask_for_rest(draw)
 
+    async def limit_some(self, draw):
+        """A few of a service, half of it, or all name limits, and change them."""
+        replicas = self.a_service(draw)
+        count = draw.choice([1, len(replicas) // 2, len(replicas)])
+        limited = draw.sample(replicas, count)
+        for _ in range(draw.randint(1, 3)):
+            self.soak.say(f"{count} of {len(replicas)} replicas name limits")
+            for replica in limited:
+                replica.name_limit(replica.draw_limit(draw))
+            await asyncio.sleep(draw.uniform(1.5, 7.0))
+        if draw.random() < 0.7:
+            for replica in limited:
+                replica.name_limit(None)
+
     # --- the table service
 
     async def trouble_store(self, draw):
@@ -344,6 +366,24 @@
         await self.soak.operators.change_keys(draw)
         await asyncio.gather(*stopped)
 
+    async def limit_all_calmly(self):
+        """All replicas name limits while nothing else goes wrong, and callers want more of them: each
+        is to get nearly as much as it names."""
+        draw, rule = random.Random(self.soak.options.seed), self.soak.limits
+        replicas = self.soak.replicas + self.soak.model_replicas
+        for _ in range(CALM_LIMIT_ROUNDS):
+            for replica in replicas:
+                replica.name_limit(round(draw.uniform(*CALM_LIMIT), 1))
+            await asyncio.sleep(rule.IN_FORCE)
+            began = now()
+            await asyncio.sleep(rule.LEAST_WINDOW)
+            for replica in replicas:
+                if starved := rule.starved(replica.run_name, began, now()):
+                    self.soak.violate(starved, "starved")
+        for replica in replicas:
+            replica.name_limit(None)
+        await asyncio.sleep(1)
+
     # --- callers
 
     async def deadly_wave(self, draw):
--- a/tests/soak/model_replicas.py
+++ b/tests/soak/model_replicas.py
@@ -19,6 +19,8 @@
 COLD_FOR = 2.0
 LOAD_SECONDS = (0.3, 0.8)
 LONGEST_WAIT = 2.0
+# Calls of nodes that are no requests of callers.
+CALLS = ("/-/order", "/-/report", "/-/kv-events")
 
 
 def stream_events(identifier: str, body: str) -> list[bytes]:
@@ -116,6 +118,8 @@
             return None
         if headers.get("x-covewing-expected-instance", self.instance) != self.instance:
             return self.refusal(421, identifier)
+        if message.path in CALLS:
+            self.soak.on_call_to_replica(self.run_name)
         if message.path == "/-/order":
             return self.answer(self.take_order(life, json.loads(message.body)))
         if message.path == "/-/report":
--- a/tests/soak/notices.py
+++ b/tests/soak/notices.py
@@ -1,7 +1,9 @@
-"""What replicas say of themselves in their answers: that they leave, and that they want rest. And what
-they do about it: some serve on for long, some never tell the table service, some come again at once."""
+"""What replicas say of themselves in their answers: that they leave, that they want rest, and how many
+requests a second they take. And what they do about it: some serve on for long, some never tell the table
+service, some come again at once."""
 
 import asyncio
+import math
 
 from wire import http_answer, now
 
@@ -18,6 +20,8 @@
 APART = (0.0, 2.0)
 REST = (0.2, 10.0)
 TURNS_AWAY_FOR = (0.2, 6.0)
+# Requests a second, from all nodes together.
+LIMIT = (0.2, 20.0)
 
 
 class Notices:
@@ -28,9 +32,14 @@
         self.turns_away_until = 0.0
         # Asked for with each request that is turned away (seconds).
         self.rest = 0.0
+        # Requests a second that are taken; None: no limit is named.
+        self.limit: float | None = None
 
     def headers(self) -> list[tuple[str, str]]:
-        return [("Server-Leaving", "1")] if self.leaving else []
+        fields = [("Server-Leaving", "1")] if self.leaving else []
+        if self.limit is not None:
+            fields.append(("Server-Limit", f"{self.limit:g}"))
+        return fields
 
     def turns_away(self) -> bool:
         return now() < self.turns_away_until
@@ -47,6 +56,8 @@
         """Fields that each answer to a request carries; what it says is known where it arrives."""
         if self.notices.leaving:
             self.soak.leaving_told[identifier].add(self.run_name)
+        if self.notices.limit is not None:
+            self.soak.limit_told[identifier].add(self.run_name)
         return [("X-Covewing-Request-Id", identifier), ("X-Covewing-Instance-Id", self.instance),
                 *self.notices.headers()]
 
@@ -60,6 +71,18 @@
         self.notices.rest = round(draw.uniform(*REST), draw.choice([0, 1, 3])) or 1
         self.notices.turns_away_until = now() + draw.uniform(*TURNS_AWAY_FOR)
 
+    def name_limit(self, per_second: float | None):
+        """From now on all answers name the limit, or none."""
+        if self.listener is None or self.notices.limit == per_second:
+            return
+        self.notices.limit = per_second
+        self.soak.limits.on_named(self.run_name, per_second, now())
+
+    @staticmethod
+    def draw_limit(draw) -> float:
+        low, high = map(math.log, LIMIT)
+        return round(math.exp(draw.uniform(low, high)), draw.choice([1, 2])) or LIMIT[0]
+
     async def leave(self, draw):
         """A planned end: the replica says so, serves on, ends, and comes again."""
         run, notices = self.run_name, self.notices
--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -9,7 +9,8 @@
 connections silent; the configuration changes. With --keys, keys and
 routes come and go, while the table service turns nodes away, is cut from them in one direction,
 answers late or starts again, and nodes stand still for seconds. With --notices, replicas leave, many of them known by
-their answers alone, and turn requests away for a rest. With --returns, the table service comes back from copies
+their answers alone, and turn requests away for a rest. With --limits, replicas name in their answers how many
+requests a second they take from all nodes together. With --returns, the table service comes back from copies
 some seconds old, and others than the nodes write again what it has lost. With --from-program, nodes are replaced one
 after the other by another build under all of this. Operators name new versions of the weights all the
 while, mostly within MEET_WITHIN of a fault of those who have to hear of it. Callers keep to their
@@ -32,6 +33,7 @@
   back to an older one (checks.ConfigurationRule);
 - with --notices: nothing new reaches a replica that said in an answer that it leaves, and next to nothing
   one that asked for rest, from the node that heard it (checks.NoticeRule);
+- with --limits: no replica gets more than it takes from the nodes that were told (checks.LimitRule);
 - nothing arrives at the address of an entry by another writer;
 - no two nodes give orders with one fencing token;
 - in the end every node serves, and all model replicas hold the newest version.
@@ -52,7 +54,7 @@
 import tempfile
 
 from callers import RESUMABLE, SAFE, STREAM, Caller, KeyCaller, PatientCaller
-from checks import (ConfigurationRule, NoticeRule, Outcome, RepeatRule, Sent, Trouble, VersionRule,
+from checks import (ConfigurationRule, LimitRule, NoticeRule, Outcome, RepeatRule, Sent, Trouble, VersionRule,
                     calm_since)
 from faults import Faults
 from model_replicas import MODEL, MODEL_SERVICE, ModelReplica
@@ -134,6 +136,11 @@
         self.notices = NoticeRule(self.bounds.drain)
         # The runs that said so in an answer to a request.
         self.leaving_told = collections.defaultdict(set)
+        self.limits = LimitRule()
+        # The runs that named a limit in an answer to a request.
+        self.limit_told = collections.defaultdict(set)
+        # Of refusals, from the request to the answer (seconds).
+        self.refused_after: list[float] = []
         # Who gave orders with each fencing token.
         self.token_holders: dict[int, str] = {}
         # From what patient callers wanted first to its whole answer (seconds).
@@ -182,6 +189,8 @@
         self.counts[answer.status] += 1
         for run in self.leaving_told.pop(identifier, ()):
             self.notices.on_passed_on(self.sent_to[identifier].index, run, now())
+        for run in self.limit_told.pop(identifier, ()):
+            self.limits.on_passed_on(self.sent_to[identifier].index, run, now())
         if answer.status in REFUSED_BY_CONFIGURATION:
             self.judge(identifier, REFUSED_BY_CONFIGURATION[answer.status])
         if answer.status == 200:
@@ -189,6 +198,7 @@
                 self.violate(f"{identifier} got another answer: {answer.body[:80]!r}")
         elif answer.status in (429, 503):
             self.not_run[identifier] = answer.status
+            self.refused_after.append(now() - self.sent[identifier].at)
             quarantined = json.loads(answer.body or b"{}").get("code") == CODE_QUARANTINED
             if quarantined:
                 self.counts["quarantined"] += 1
@@ -207,6 +217,17 @@
             rule = "rest" if "rest" in what else "leaving"
             self.violate(f"{identifier} of node-{node.index} reaches {run}: {what}", rule)
 
+        above = self.limits.broken_by(node.index, run, at, node.troubles)
+        if above:
+            self.violate(f"{identifier} of node-{node.index} reaches {run}: {above}", "limit")
+
+    def on_call_to_replica(self, run):
+        """A watch, a report or an order arrives at the run of a replica."""
+        excused = not all(node.calm() for node in self.nodes)
+        above = self.limits.call_breaks(run, now(), excused)
+        if above:
+            self.violate(f"a call that is no request reaches {run}: {above}", "limit")
+
     def on_rest_asked(self, identifier, run, rest):
         self.counts["asked for rest"] += 1
         self.notices.on_rest_asked(self.sent_to[identifier].index, run, now(), rest)
@@ -329,7 +350,13 @@
         self.counts["told that they leave"] = len(self.notices.leaving_since)
         if self.waits:
             self.counts["patient: mean ms"] = int(1000 * sum(self.waits) / len(self.waits))
-        for rule in ("leaving", "rest", "configuration", "version", "fencing"):
+        if self.refused_after:
+            self.counts["refused: mean ms"] = int(
+                1000 * sum(self.refused_after) / len(self.refused_after))
+        if self.limits.named:
+            self.counts["limits named"] = sum(map(len, self.limits.named.values()))
+            self.counts["most of what a limit allows"] = f"{self.limits.worst:.2f}"
+        for rule in ("leaving", "rest", "limit", "starved", "configuration", "version", "fencing"):
             self.counts[f"broken: {rule}"] = self.broken_rules[rule]
         self.check_deadly()
 
@@ -382,11 +409,16 @@
         if self.options.unread_answer:
             await self.faults.leave_answer_unread()
             return
+        if self.options.calm_limits:
+            await self.faults.limit_all_calmly()
+            return
         self.faults.start_series()
         if self.options.notices:
             for number in range(PATIENT_CALLERS * len(self.nodes)):
                 self.spawn(PatientCaller(self, number).run())
             self.faults.start_notice_series()
+        if self.options.limits:
+            self.faults.start_limit_series()
         if self.options.keys:
             self.faults.start_key_series()
         if self.options.returns:
@@ -465,6 +497,10 @@
                         help="operators take keys and routes away, amid faults of their own")
     parser.add_argument("--notices", action="store_true",
                         help="replicas leave, and turn requests away for a rest")
+    parser.add_argument("--limits", action="store_true",
+                        help="replicas name how many requests a second they take")
+    parser.add_argument("--calm-limits", action="store_true",
+                        help="one sequence in place of the series (faults.limit_all_calmly)")
     parser.add_argument("--returns", action="store_true",
                         help="the table service comes back from copies some seconds old")
     parser.add_argument("--steady-clock", action="store_true",
