--- a/src/clients/rate_limit_notice.h
+++ b/src/clients/rate_limit_notice.h
@@ -24,6 +24,8 @@
   bool limited() const { return kind == Kind::kLimited; }
   static RateLimitNotice unlimited() { return {Kind::kUnlimited, 0, false}; }
   static RateLimitNotice of(double perSecond) { return {Kind::kLimited, perSecond, false}; }
+
+  bool operator==(const RateLimitNotice&) const = default;
 };
 
 }  // namespace covewing::clients
--- a/src/clients/relay_client.h
+++ b/src/clients/relay_client.h
@@ -68,7 +68,7 @@
   base::Duration rest{};
   /// It asked for a rest in a way that cannot be read.
   bool restUnreadable = false;
-  RateLimitNotice rateLimit;
+  RateLimitNotice rateLimit{};
 };
 
 /// Receiver of one attempt's answer. After onEnd or onFailure nothing follows. Never called from
--- a/src/live/relay_metrics.cc
+++ b/src/live/relay_metrics.cc
@@ -238,6 +238,7 @@
   raise(impl_->questions.Add({{"outcome", "queued"}}), placement.queued);
   raise(impl_->questions.Add({{"outcome", "refused"}}), placement.refused);
   raise(impl_->questions.Add({{"outcome", "promise_missed"}}), placement.promisesMissed);
+  raise(impl_->questions.Add({{"outcome", "rate_limited"}}), placement.home.rateLimited);
   impl_->renderQueues(placement);
   const auto& quotas = snapshot.quotas;
   raise(impl_->quotaMessages.Add({{"kind", "question"}}), quotas.asks);
--- a/src/membership/gossip_membership.h
+++ b/src/membership/gossip_membership.h
@@ -96,6 +96,7 @@
   const Member& self() const override { return members_.self(); }
   const std::vector<Member>& liveMembers() const override { return members_.live(); }
   const Member* find(base::NodeId id) const override { return members_.find(id); }
+  std::size_t lostMembers() const override { return members_.lost(); }
   std::uint64_t version() const override { return members_.version(); }
 
   void publish(GossipRecord record) override;
--- a/src/membership/member_directory.h
+++ b/src/membership/member_directory.h
@@ -2,6 +2,7 @@
 /// The live nodes as one node sees them, and small records spread to all by gossip.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -38,6 +39,8 @@
   virtual const std::vector<Member>& liveMembers() const = 0;
   /// The member, in whatever state it is known; null if unknown.
   virtual const Member* find(base::NodeId id) const = 0;
+  /// Members held dead that did not leave by themselves: they may live, and not be reached.
+  virtual std::size_t lostMembers() const = 0;
   /// Number that grows whenever liveMembers changes; lets users cache what they derive from it.
   virtual std::uint64_t version() const = 0;
 };
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -193,6 +193,12 @@
   ++version_;
 }
 
+std::size_t MemberTable::lost() const {
+  return static_cast<std::size_t>(std::ranges::count_if(gone_, [this](base::NodeId id) {
+    return entries_.at(id).member.state == MemberState::kDead;
+  }));
+}
+
 const std::vector<Member>& MemberTable::live() const {
   if (!liveOutdated_) return live_;
   live_.clear();
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -59,6 +59,8 @@
   /// Live members ascending by id; valid until the next change.
   const std::vector<Member>& live() const;
   const Member* find(base::NodeId id) const;
+  /// Members held dead; those that left by themselves do not count.
+  std::size_t lost() const;
   std::uint64_t version() const { return version_; }
 
   /// Takes in news about another member. Whoever is suspected is to be held dead at `deadline`,
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -258,16 +258,28 @@
   return terms;
 }
 
+bool RelayFlow::withinRateLimit(const routing::ReplicaRecord& replica,
+                                const routing::PlacementGrant& grant) const {
+  const bool limited = replica.notices().rateLimit().perSecond().has_value();
+  return !limited || grant.countsNow(dependencies_.clock.now());
+}
+
 void RelayFlow::dispatch(routing::ReplicaDecision decision, const routing::PlacementGrant& grant) {
   const auto now = dependencies_.clock.now();
   if (!decision.replica->takesRequests(now)) {
     // Whatever way led here: it was chosen, or granted, before it said that it wants no more.
-    dependencies_.placement.ended(grant, routing::PlacementOutcome::kWithdrawn);
+    dependencies_.placement.giveBack(grant);
+    choose();
+    return;
+  }
+  if (!withinRateLimit(*decision.replica, grant)) {
+    dependencies_.placement.giveBack(grant);
+    passedOver_.push_back(decision.replica->facts().instance);
     choose();
     return;
   }
   if (timeLeft() < kLeastTimeForAttempt) {
-    dependencies_.placement.ended(grant, routing::PlacementOutcome::kWithdrawn);
+    dependencies_.placement.giveBack(grant);
     onDeadline();
     return;
   }
@@ -317,6 +329,7 @@
        {"rank", std::to_string(decision.rank)},
        {"candidates", std::to_string(decision.candidates)},
        {"home", base::toString(grant.home)},
+       {"paced", grant.paced ? "yes" : "no"},
        {"homes_asked", std::to_string(decision.homesAsked)},
        {"wait_ms", millisecondsText(decision.expectedWait)},
        {"in_flight", std::to_string(record.inFlight())},
@@ -339,7 +352,8 @@
                      grant,
                      routing::PlacementOutcome::kWithdrawn,
                      {},
-                     trial};
+                     trial,
+                     false};
   armSilence();
   armBegin();
   call_ = dependencies_.client.start(endpoint, arrival_.request, terms, *this);
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -204,6 +204,8 @@
     StreamWatch watch;
     /// It tries whether the replica takes requests again after a rest.
     bool trial = false;
+    /// No connection could be had, or it was no longer wanted when there was one.
+    bool neverSent = false;
   };
 
   bool streaming() const { return assignment_.route->kind == config::RequestKind::kStreaming; }
@@ -269,6 +271,9 @@
   /// gives the grant back and ends the request, and is false.
   bool countRetry(const routing::PlacementGrant& grant);
   void dispatch(routing::ReplicaDecision decision, const routing::PlacementGrant& grant);
+  /// The replica names no rate limit, or its home has counted the request just now.
+  bool withinRateLimit(const routing::ReplicaRecord& replica,
+                       const routing::PlacementGrant& grant) const;
   /// Adds the decision's expectation to the sums of the outcome.
   void countTokens(const routing::ReplicaDecision& decision);
   clients::DispatchTerms termsFor(const routing::ReplicaDecision& decision) const;
--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -72,11 +72,18 @@
 
 bool RelayFlow::stillWanted() const {
   const auto& record = *attempt_->decision.replica;
-  return record.inService() && !record.notices().resting(dependencies_.clock.now());
+  return record.inService() && !record.notices().resting(dependencies_.clock.now()) &&
+         withinRateLimit(record, attempt_->grant);
 }
 
 void RelayFlow::endGrant() {
-  dependencies_.placement.ended(attempt_->grant, attempt_->outcome, attempt_->watch.observed());
+  auto& placement = dependencies_.placement;
+  if (attempt_->neverSent) {
+    placement.giveBack(attempt_->grant, attempt_->outcome);
+    return;
+  }
+  const auto said = attempt_->answer ? attempt_->answer->rateLimit : clients::RateLimitNotice{};
+  placement.ended(attempt_->grant, attempt_->outcome, attempt_->watch.observed(), said);
 }
 
 void RelayFlow::onHead(clients::RelayedAnswer answer) {
@@ -90,7 +97,7 @@
   endTrial(!notRun(answer));
   if (!notRun(answer)) {
     ++runs_;
-    dependencies_.placement.begun(attempt_->grant);
+    dependencies_.placement.begun(attempt_->grant, answer.rateLimit);
   }
   if (!headDelivered_) kept_.clear();
   attempt_->answer = std::move(answer);
@@ -227,6 +234,7 @@
   const auto now = dependencies_.clock.now();
   auto& record = *attempt_->decision.replica;
   if (error.failure == clients::DispatchFailure::kNotSent) {
+    attempt_->neverSent = true;
     // What was not sent because the replica wants no more says nothing of its health.
     if (stillWanted()) {
       attempt_->outcome = routing::PlacementOutcome::kUnreachable;
--- a/src/request/relay_flow_parts.cc
+++ b/src/request/relay_flow_parts.cc
@@ -106,8 +106,7 @@
                                 if (flow && !flow->over_) {
                                   flow->onPlaced(candidates, result);
                                 } else if (result.grant) {
-                                  placement.ended(*result.grant,
-                                                  routing::PlacementOutcome::kWithdrawn);
+                                  placement.giveBack(*result.grant);
                                 }
                               });
 }
@@ -139,7 +138,10 @@
 
 void RelayFlow::onNotPlaced(const Candidates& candidates, const routing::PlacementResult& result) {
   if (result.retryAfter) {
-    refuseUnplaced("it cannot be served in time by what waits before it", *result.retryAfter);
+    refuseUnplaced(result.rateLimited
+                       ? "it cannot be served in time by what the replicas take a second"
+                       : "it cannot be served in time by what waits before it",
+                   *result.retryAfter);
     return;
   }
   if (result.answered == 0) {
@@ -164,9 +166,7 @@
     onNotPlaced(candidates, result);
     return;
   }
-  const auto release = [&] {
-    dependencies_.placement.ended(*result.grant, routing::PlacementOutcome::kWithdrawn);
-  };
+  const auto release = [&] { dependencies_.placement.giveBack(*result.grant); };
   if (!mayBeSent()) {
     release();
     return;
--- a/src/request/relay_flow_retries.cc
+++ b/src/request/relay_flow_retries.cc
@@ -126,7 +126,7 @@
 bool RelayFlow::countRetry(const routing::PlacementGrant& grant) {
   // It may have waited for a replica, while the requests that allowed it left the window.
   if (!retry_ || retry_->send(dependencies_.clock.now())) return true;
-  dependencies_.placement.ended(grant, routing::PlacementOutcome::kWithdrawn);
+  dependencies_.placement.giveBack(grant);
   refuseUnplaced(kRetryBudgetUsedUp, kRetryAfterRefusals);
   return false;
 }
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -52,7 +52,7 @@
   environment_.timers.cancel(pending.timer);
   if (questions_.erase(pending.question) == 0) return;
   // A grant that is under way is withdrawn as well.
-  if (pending.queueWithin) ended(grantOf(pending), PlacementOutcome::kWithdrawn);
+  if (pending.queueWithin) giveBack(grantOf(pending));
 }
 
 const ReplicaRecord& Placement::recordOf(const Pending& pending) const {
@@ -87,6 +87,7 @@
   question.terms.useful = standing.usefulUntil - candidate.reading - now;
   question.terms.longestPause = standing.longestPause;
   question.terms.outputTokens = standing.outputTokens;
+  question.rateLimit = candidate.record->notices().rateLimit().known(now);
   return question;
 }
 
@@ -109,7 +110,7 @@
   prospect.wait = known->second.wait;
   prospect.pauseExcess = known->second.pauseExcess;
   pending.queued = known->second.length;
-  ++pending.queuesMet;
+  if (!known->second.rateLimited) ++pending.queuesMet;
   return false;
 }
 
@@ -184,11 +185,16 @@
     takeAnswer(ticket, home_.answerTo(question, {home.id, home.incarnation, home.endpoint}));
     return;
   }
-  pending.timer =
-      environment_.timers.schedule(options_.timeout, [this, ticket] { onTimeout(ticket); });
+  awaitAnswer(pending, options_.timeout, [this, ticket] { onTimeout(ticket); });
   send(home.endpoint, question);
 }
 
+void Placement::awaitAnswer(Pending& pending, base::Duration within,
+                            std::function<void()> onMissed) {
+  pending.answerDue = environment_.clock.now() + within;
+  pending.timer = environment_.timers.schedule(within, std::move(onMissed));
+}
+
 // --- what becomes of requests
 
 PlacementGrant Placement::take(const PlacementCandidate& candidate, base::Duration longestPause) {
@@ -201,7 +207,21 @@
   } else {
     send(home.endpoint, taken);
   }
-  return {taken.id, replica, home.id, home.endpoint};
+  return {taken.id, replica, home.id, home.endpoint, false, environment_.clock.now()};
+}
+
+void Placement::countCall(const ReplicaRecord& replica) {
+  const auto& facts = replica.facts();
+  PlacementTaken taken;
+  taken.id = environment_.random.next();
+  taken.replica = base::engineIdOf(facts.instance);
+  taken.call = true;
+  const auto& home = homes_.homeOf(taken.replica, facts.zone);
+  if (isSelf(home.id)) {
+    home_.onTaken(taken);
+  } else {
+    send(home.endpoint, taken);
+  }
 }
 
 bool Placement::leaves(base::EngineId replica) const {
@@ -209,8 +229,8 @@
   return record != nullptr && record->leaving();
 }
 
-void Placement::begun(const PlacementGrant& grant) {
-  const PlacementBegun message{grant.id, grant.replica, leaves(grant.replica)};
+void Placement::begun(const PlacementGrant& grant, const clients::RateLimitNotice& said) {
+  const PlacementBegun message{grant.id, grant.replica, leaves(grant.replica), said};
   if (isSelf(grant.homeId)) {
     home_.onBegun(message);
   } else {
@@ -219,8 +239,15 @@
 }
 
 void Placement::ended(const PlacementGrant& grant, PlacementOutcome outcome,
-                      const StreamObservation& observed) {
-  const PlacementEnded message{grant.id, grant.replica, outcome, observed, leaves(grant.replica)};
+                      const StreamObservation& observed, const clients::RateLimitNotice& said) {
+  tell(grant, {grant.id, grant.replica, outcome, observed, leaves(grant.replica), said, false});
+}
+
+void Placement::giveBack(const PlacementGrant& grant, PlacementOutcome outcome) {
+  tell(grant, {grant.id, grant.replica, outcome, {}, leaves(grant.replica), {}, true});
+}
+
+void Placement::tell(const PlacementGrant& grant, const PlacementEnded& message) {
   if (isSelf(grant.homeId)) {
     home_.onEnded(message, grant.homeId);
   } else {
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -114,6 +114,16 @@
   base::EngineId replica;
   base::NodeId homeId;
   base::Endpoint home;
+  /// The home counted it within the replica's rate limit.
+  bool paced = false;
+  /// By when the grant was there: a node that stood still reads it later.
+  base::TimePoint at{};
+
+  /// Longest time from a paced grant to the first byte at the replica: what is paced must not
+  /// arrive at once with what was paced before.
+  static constexpr base::Duration kLongestUse = std::chrono::milliseconds(500);
+  /// Whether it still counts within the rate limit of its replica.
+  bool countsNow(base::TimePoint now) const { return paced && now - at <= kLongestUse; }
 };
 
 struct PlacementResult {
@@ -126,6 +136,8 @@
   /// The request cannot be served in the time that it has, by the home whose queue it joined, and
   /// one like it would be after this.
   std::optional<base::Duration> retryAfter;
+  /// The home that answered last paces its replica by a rate limit.
+  bool rateLimited = false;
   /// Requests that waited for the same room when a home last answered.
   std::uint32_t queued = 0;
   /// Questions sent, and how many of them were answered.
@@ -170,11 +182,16 @@
   void cancel(Ticket ticket);
   /// Tells the home of a request that is sent without its grant.
   PlacementGrant take(const PlacementCandidate& candidate, base::Duration longestPause = {});
-  /// The answer to the request began. Where the replica has said that it leaves, its home is told.
-  void begun(const PlacementGrant& grant);
-  /// The request ended, or never got to the replica. Tells of its leaving as well.
+  /// A call that is no request goes to a replica with a rate limit: its home counts it.
+  void countCall(const ReplicaRecord& replica);
+  /// The answer to the request began. Its home is told what the replica has said of itself.
+  void begun(const PlacementGrant& grant, const clients::RateLimitNotice& said = {});
+  /// The request ended, or was turned away. Tells what the replica has said of itself as well.
   void ended(const PlacementGrant& grant, PlacementOutcome outcome,
-             const StreamObservation& observed = {});
+             const StreamObservation& observed = {}, const clients::RateLimitNotice& said = {});
+  /// The request is not sent to the replica after all.
+  void giveBack(const PlacementGrant& grant,
+                PlacementOutcome outcome = PlacementOutcome::kWithdrawn);
   void onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) override;
 
   PlacementCounters counters() const;
@@ -209,6 +226,7 @@
     /// Homes that told of others waiting.
     std::size_t queuesMet = 0;
     std::uint32_t queued = 0;
+    bool rateLimited = false;
     /// The home that is asked may queue the request if the wait there is at most this.
     std::optional<base::Duration> queueWithin;
     /// The question that is open, and the home asked.
@@ -216,6 +234,8 @@
     base::NodeId homeId;
     base::Endpoint home;
     base::TimerId timer = 0;
+    /// When the timer is due: an answer that is read later lay unread.
+    base::TimePoint answerDue{};
   };
   struct HomeTrust {
     std::size_t timeouts = 0;
@@ -227,6 +247,7 @@
     base::Duration wait{};
     base::Duration pauseExcess{};
     base::TimePoint until{};
+    bool rateLimited = false;
   };
 
   const ReplicaRecord& recordOf(const Pending& pending) const;
@@ -273,6 +294,9 @@
   /// An answer of this node as home to a question of some node.
   void reply(const base::PeerIdentity& asker, const PlacementAnswer& answer);
   void deliverToSelf();
+  void tell(const PlacementGrant& grant, const PlacementEnded& message);
+  /// Waits for the answer of the home that was asked.
+  void awaitAnswer(Pending& pending, base::Duration within, std::function<void()> onMissed);
   bool isSelf(base::NodeId node) const;
   void send(const base::Endpoint& destination, const PlacementMessage& message);
 
--- a/src/routing/placement_answers.cc
+++ b/src/routing/placement_answers.cc
@@ -1,4 +1,5 @@
 // What follows from the answers of homes, and from their silence.
+#include <algorithm>
 #include <utility>
 
 #include "routing/placement.h"
@@ -12,9 +13,7 @@
   if (question == questions_.end()) {
     // The request went elsewhere meanwhile.
     const bool counted = answer.granted() || answer.verdict == PlacementVerdict::kQueued;
-    if (counted)
-      ended({answer.id, answer.replica, sender.node, sender.endpoint},
-            PlacementOutcome::kWithdrawn);
+    if (counted) giveBack({answer.id, answer.replica, sender.node, sender.endpoint});
     return;
   }
   takeAnswer(question->second, answer);
@@ -27,14 +26,19 @@
   if (answer.speedPercent > 0) record->learnSpeed(answer.speedPercent);
   if (answer.version > 0) record->learnVersion(pending.request.model, answer.version);
   if (answer.leaving) noteLeaving(*record, environment_.log, {kOtherNode, 0, {}});
+  noteRateLimit(*record, environment_.log, evidenceOf(answer.rateLimit, environment_.clock.now()),
+                {kOtherNode, 0, {}});
+  pending.rateLimited = answer.rateLimit.notice.limited();
   if (answer.granted() || answer.queued == 0 || !answer.usable) {
     queues_.erase(answer.replica);
     return;
   }
   if (pending.phase != Phase::kAsking) return;
-  ++pending.queuesMet;
+  // Others wait there for its rate, which says nothing of the room of others.
+  if (!pending.rateLimited) ++pending.queuesMet;
   queues_[answer.replica] = {answer.queued, answer.wait, answer.pauseExcess,
-                             environment_.clock.now() + options_.queueKnownFor};
+                             environment_.clock.now() + options_.queueKnownFor,
+                             pending.rateLimited};
 }
 
 void Placement::takeAnswer(Ticket ticket, const PlacementAnswer& answer) {
@@ -69,8 +73,8 @@
   auto& pending = pending_.at(ticket);
   if (pending.phase != Phase::kQueued) ++counters_.queued;
   pending.phase = Phase::kQueued;
-  pending.timer = environment_.timers.schedule(answer.within + options_.promiseMargin,
-                                               [this, ticket] { onPromiseMissed(ticket); });
+  awaitAnswer(pending, answer.within + options_.promiseMargin,
+              [this, ticket] { onPromiseMissed(ticket); });
 }
 
 void Placement::onDeclined(Ticket ticket, const PlacementAnswer& answer) {
@@ -127,6 +131,7 @@
 PlacementResult Placement::resultOf(const Pending& pending) const {
   PlacementResult result;
   result.queued = pending.queued;
+  result.rateLimited = pending.rateLimited;
   result.asked = pending.asked;
   result.answered = pending.answered;
   return result;
@@ -149,6 +154,9 @@
   auto result = resultOf(pending);
   result.candidate = pending.position;
   result.grant = grantOf(pending);
+  result.grant->paced = answer.paced;
+  const auto now = environment_.clock.now();
+  result.grant->at = isSelf(pending.homeId) ? now : std::min(now, pending.answerDue);
   result.matchedTokens = answer.matchedTokens;
   result.wait = answer.wait;
   conclude(ticket, result);
--- a/src/routing/placement_home.cc
+++ b/src/routing/placement_home.cc
@@ -43,6 +43,8 @@
   const auto record = environment_.replicas.find(replica);
   if (record == nullptr || !record->inService()) return false;
   if (record->changing(now) || record->versionDoubted(now)) return false;
+  // Where nodes differ on who the home is, one of them alone counts.
+  if (record->notices().rateLimit().perSecond() && !isHome(*record)) return false;
   return state.ledger.available(now);
 }
 
@@ -55,6 +57,7 @@
   if (const auto record = environment_.replicas.find(question.replica)) {
     answer.version = record->versionOf(question.model);
     answer.leaving = record->leaving();
+    answer.rateLimit = record->notices().rateLimit().known(environment_.clock.now());
   }
   answer.matchedTokens =
       environment_.holders.matchedTokens(question.replica, question.scope, chainOf(question.parts));
@@ -63,6 +66,37 @@
   return answer;
 }
 
+bool PlacementHome::isHome(const ReplicaRecord& record) const {
+  const auto& facts = record.facts();
+  return homes_.homeOf(base::engineIdOf(facts.instance), facts.zone).id ==
+         environment_.members.self().id;
+}
+
+double PlacementHome::partOfRate() const {
+  const auto live = environment_.members.liveMembers().size();
+  const auto lost = environment_.members.lostMembers();
+  if (live > lost) return 1;
+  return static_cast<double>(live) / static_cast<double>(live + lost);
+}
+
+void PlacementHome::followRateLimit(base::EngineId replica, ReplicaQueue& state) const {
+  const auto record = environment_.replicas.find(replica);
+  if (record == nullptr) return;
+  auto rate = record->notices().rateLimit().perSecond();
+  if (rate) *rate *= partOfRate();
+  state.ledger.setRate(rate, environment_.clock.now());
+}
+
+void PlacementHome::onLimitSaid(base::EngineId replica, const clients::RateLimitNotice& notice,
+                                const ReplicaQueue& state, std::uint64_t grant) {
+  const auto record = environment_.replicas.find(replica);
+  if (record == nullptr) return;
+  const auto now = environment_.clock.now();
+  // The request was sent after its grant. Where that is not known, what it says ends no limit.
+  const auto sentAfter = state.ledger.grantedAt(grant).value_or(base::TimePoint::min());
+  noteRateLimit(*record, environment_.log, {notice, sentAfter, now}, {kOtherNode, 0, {}});
+}
+
 PlacementWork PlacementHome::workAt(const PlacementQuestion& question,
                                     const PlacementAnswer& answer) {
   auto work = question.work;
@@ -104,9 +138,8 @@
   const auto ahead = std::ranges::count_if(state.waiting, [&demand](const auto& each) {
     return each.second.demand.terms.urgency <= demand.terms.urgency;
   });
-  const auto slots = std::max<base::Duration::rep>(state.capacity.slots, 1);
   return state.ledger.expectedWait(demand.work, environment_.clock.now()) +
-         state.ledger.runTime() * ahead / slots;
+         state.ledger.timePerRequest(state.capacity.slots) * ahead;
 }
 
 void PlacementHome::grant(const PlacementQuestion& question, const RoomDemand& demand,
@@ -119,6 +152,8 @@
                                         const base::PeerIdentity& asker) {
   const auto now = environment_.clock.now();
   auto& state = stateOf(question.replica);
+  learnRateLimit(question);
+  followRateLimit(question.replica, state);
   auto answer = describe(question, state);
   const bool asksNobodyElse =
       question.terms.mayQueue && question.queueWithin == base::Duration::max();
@@ -131,6 +166,8 @@
   answer.pauseExcess = state.ledger.pauseExcess(demand.work, demand.terms, now);
   answer.keepsPauses = answer.pauseExcess == base::Duration::zero();
   if (!answer.usable) return answer;
+  answer.paced = state.ledger.pacer().limited();
+  if (!state.ledger.pacer().mayPass(now)) ++counters_.rateLimited;
   const auto room = roomOf(state, question.id, demand);
   const auto entry = entryOf(question.id, demand);
   // A question that only looks for room is no arrival where there is none: the request asks others.
@@ -167,7 +204,21 @@
 void PlacementHome::onTaken(const PlacementTaken& taken) {
   PlacementTerms terms;
   terms.longestPause = taken.longestPause;
-  stateOf(taken.replica).ledger.grant(taken.id, taken.work, terms, {}, environment_.clock.now());
+  auto& state = stateOf(taken.replica);
+  followRateLimit(taken.replica, state);
+  if (taken.call) {
+    state.ledger.countCall(environment_.clock.now());
+  } else {
+    state.ledger.grant(taken.id, taken.work, terms, {}, environment_.clock.now());
+  }
+}
+
+void PlacementHome::learnRateLimit(const PlacementQuestion& question) {
+  // Only a limit: that there is none, a home learns from answers of the replica.
+  if (!question.rateLimit.notice.limited()) return;
+  if (const auto record = environment_.replicas.find(question.replica))
+    noteRateLimit(*record, environment_.log,
+                  evidenceOf(question.rateLimit, environment_.clock.now()), {kOtherNode, 0, {}});
 }
 
 void PlacementHome::onLeaving(base::EngineId replica) {
@@ -180,6 +231,7 @@
   const auto known = replicas_.find(begun.replica);
   if (known == replicas_.end()) return;
   auto& state = known->second;
+  onLimitSaid(begun.replica, begun.rateLimit, state, begun.id);
   const auto prompt = state.ledger.begin(begun.id, environment_.clock.now());
   if (!prompt) return;
   environment_.holders.learnChain(begun.replica, prompt->scope, chainOf(prompt->parts));
@@ -191,6 +243,7 @@
   const auto known = replicas_.find(ended.replica);
   if (known == replicas_.end()) return;
   auto& state = known->second;
+  onLimitSaid(ended.replica, ended.rateLimit, state, ended.id);
   if (state.waiting.contains(ended.id)) {
     state.queue.withdraw(ended.id);
     state.waiting.erase(ended.id);
@@ -205,10 +258,9 @@
 
 void PlacementHome::serveQueue(base::EngineId replica, ReplicaQueue& state) {
   if (state.waiting.empty()) return;
+  followRateLimit(replica, state);
   const auto record = environment_.replicas.find(replica);
-  const bool home =
-      record && homes_.homeOf(replica, record->facts().zone).id == environment_.members.self().id;
-  if (!home || !usable(replica, state)) {
+  if (!record || !isHome(*record) || !usable(replica, state)) {
     clearQueue(state);
     return;
   }
@@ -227,6 +279,7 @@
     ++counters_.grantedLater;
     auto answer = describe(waiting.question, state);
     answer.verdict = PlacementVerdict::kGranted;
+    answer.paced = state.ledger.pacer().limited();
     auto demand = waiting.demand;
     demand.work = workAt(waiting.question, answer);
     answer.wait = state.ledger.expectedWait(demand.work, now);
--- a/src/routing/placement_home.h
+++ b/src/routing/placement_home.h
@@ -8,8 +8,13 @@
 /// began or ended, and every `lookInterval` while some wait. When the replica may get no requests
 /// any more, or another node is its home, all that wait are declined, so that they go elsewhere.
 ///
+/// A replica that names a rate limit is paced here for all nodes (routing/rate_pacer.h), by the
+/// node that takes itself for its home alone. What the home knows of the limit, it hears in its own
+/// requests and watches, from those that ask it and from what they tell of their answers. A home
+/// that has lost sight of most members may be one of several: it grants its part of the rate alone.
+///
 /// Nothing survives the node: nodes whose requests waited here miss the promised answer and ask
-/// elsewhere.
+/// elsewhere. A home that follows another grants no credit.
 #pragma once
 
 #include <array>
@@ -72,6 +77,8 @@
   /// Left the queue: by their node, and because the replica or its home changed.
   std::uint64_t withdrawn = 0;
   std::uint64_t cleared = 0;
+  /// Questions for which the rate limit of the replica left nothing at once.
+  std::uint64_t rateLimited = 0;
   std::array<QueueWaits, kCountedUrgencies> waits{};
 };
 
@@ -122,6 +129,16 @@
   /// A node heard the replica say that it leaves: all that ask here are told so, also while the
   /// table service cannot tell them.
   void onLeaving(base::EngineId replica);
+  /// What the node that asks knows of the replica's rate limit.
+  void learnRateLimit(const PlacementQuestion& question);
+  /// What a node's answer from the replica said of its rate limit.
+  void onLimitSaid(base::EngineId replica, const clients::RateLimitNotice& notice,
+                   const ReplicaQueue& state, std::uint64_t grant);
+  /// Paces the replica by what is known of its rate limit now.
+  void followRateLimit(base::EngineId replica, ReplicaQueue& state) const;
+  /// The part of a rate limit that this node may grant as the home.
+  double partOfRate() const;
+  bool isHome(const ReplicaRecord& record) const;
   /// Whether the replica may be sent requests now.
   bool usable(base::EngineId replica, ReplicaQueue& state) const;
   /// An answer with all but the verdict.
--- a/src/routing/placement_messages.cc
+++ b/src/routing/placement_messages.cc
@@ -1,5 +1,7 @@
 #include "routing/placement_messages.h"
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "base/codec.h"
@@ -18,11 +20,11 @@
   kEnded = 8,
 };
 
-constexpr std::uint32_t kQuestionFields = 21;
-constexpr std::uint32_t kAnswerFields = 15;
-constexpr std::uint32_t kTakenFields = 8;
-constexpr std::uint32_t kBegunFields = 4;
-constexpr std::uint32_t kEndedFields = 9;
+constexpr std::uint32_t kQuestionFields = 23;
+constexpr std::uint32_t kAnswerFields = 18;
+constexpr std::uint32_t kTakenFields = 9;
+constexpr std::uint32_t kBegunFields = 5;
+constexpr std::uint32_t kEndedFields = 11;
 constexpr std::uint32_t kPartFields = 2;
 /// Prompts have a few shared parts; more than this is no message of ours.
 constexpr std::uint32_t kMostParts = 64;
@@ -43,6 +45,34 @@
   writer.unsignedInteger(terms.outputTokens);
 }
 
+/// Numbers of what is said of a rate limit; from kLimitOfZero on the limit follows, in thousandths
+/// of a request a second.
+constexpr std::uint64_t kNothingSaid = 0;
+constexpr std::uint64_t kUnlimited = 1;
+constexpr std::uint64_t kLimitOfZero = 2;
+constexpr double kThousandths = 1000;
+
+void write(base::Writer& writer, const clients::RateLimitNotice& notice) {
+  switch (notice.kind) {
+    case clients::RateLimitNotice::Kind::kNothing:
+      writer.unsignedInteger(kNothingSaid);
+      return;
+    case clients::RateLimitNotice::Kind::kUnlimited:
+      writer.unsignedInteger(kUnlimited);
+      return;
+    case clients::RateLimitNotice::Kind::kLimited:
+      writer.unsignedInteger(
+          kLimitOfZero + static_cast<std::uint64_t>(std::llround(notice.perSecond * kThousandths)));
+      return;
+  }
+}
+
+void write(base::Writer& writer, const KnownRateLimit& known) {
+  write(writer, known.notice);
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(known.age).count();
+  writer.unsignedInteger(static_cast<std::uint64_t>(std::max<std::int64_t>(age, 0)));
+}
+
 void write(base::Writer& writer, const PlacementQuestion& question) {
   begin(writer, kQuestionFields, MessageType::kQuestion).unsignedInteger(question.id);
   writer.unsignedInteger(question.replica.value).text(question.model);
@@ -55,6 +85,7 @@
   writer.signedInteger(question.patience.count());
   write(writer, question.terms);
   writer.signedInteger(question.queueWithin.count());
+  write(writer, question.rateLimit);
 }
 
 void write(base::Writer& writer, const PlacementAnswer& answer) {
@@ -67,18 +98,21 @@
   writer.signedInteger(answer.retryAfter.count());
   writer.boolean(answer.keepsPauses).signedInteger(answer.pauseExcess.count());
   writer.unsignedInteger(answer.speedPercent).boolean(answer.leaving);
+  write(writer, answer.rateLimit);
+  writer.boolean(answer.paced);
 }
 
 void write(base::Writer& writer, const PlacementTaken& taken) {
   begin(writer, kTakenFields, MessageType::kTaken).unsignedInteger(taken.id);
   writer.unsignedInteger(taken.replica.value);
   write(writer, taken.work);
-  writer.signedInteger(taken.longestPause.count());
+  writer.signedInteger(taken.longestPause.count()).boolean(taken.call);
 }
 
 void write(base::Writer& writer, const PlacementBegun& begun) {
   begin(writer, kBegunFields, MessageType::kBegun).unsignedInteger(begun.id);
   writer.unsignedInteger(begun.replica.value).boolean(begun.leaving);
+  write(writer, begun.rateLimit);
 }
 
 void write(base::Writer& writer, const PlacementEnded& ended) {
@@ -89,10 +123,29 @@
   writer.signedInteger(ended.observed.streamed.count());
   writer.signedInteger(ended.observed.longestPause.count());
   writer.signedInteger(ended.observed.nodeLateness.count()).boolean(ended.leaving);
+  write(writer, ended.rateLimit);
+  writer.boolean(ended.notSent);
 }
 
 /// A field that earlier builds do not send.
-bool readLeaving(base::Reader& reader) { return reader.more() && reader.boolean(); }
+bool readFlag(base::Reader& reader) { return reader.more() && reader.boolean(); }
+
+clients::RateLimitNotice readNotice(base::Reader& reader) {
+  const auto said = reader.more() ? reader.unsignedInteger() : kNothingSaid;
+  if (said == kNothingSaid) return {};
+  if (said == kUnlimited) return clients::RateLimitNotice::unlimited();
+  return clients::RateLimitNotice::of(static_cast<double>(said - kLimitOfZero) / kThousandths);
+}
+
+KnownRateLimit readKnownLimit(base::Reader& reader) {
+  /// An hour; older knowledge counts as this old.
+  constexpr std::uint64_t kOldest = 3'600'000;
+  KnownRateLimit known;
+  known.notice = readNotice(reader);
+  const auto age = reader.more() ? reader.unsignedInteger() : kOldest;
+  known.age = std::chrono::milliseconds(std::min(age, kOldest));
+  return known;
+}
 
 std::uint32_t readCount(base::Reader& reader) {
   return static_cast<std::uint32_t>(reader.unsignedInteger());
@@ -154,6 +207,7 @@
   question.patience = base::Duration{reader.signedInteger()};
   question.terms = readTerms(reader);
   question.queueWithin = base::Duration{reader.signedInteger()};
+  question.rateLimit = readKnownLimit(reader);
   return question;
 }
 
@@ -174,7 +228,9 @@
   answer.keepsPauses = reader.boolean();
   answer.pauseExcess = base::Duration{reader.signedInteger()};
   answer.speedPercent = readCount(reader);
-  answer.leaving = readLeaving(reader);
+  answer.leaving = readFlag(reader);
+  answer.rateLimit = readKnownLimit(reader);
+  answer.paced = readFlag(reader);
   return answer;
 }
 
@@ -184,6 +240,7 @@
   taken.replica = readReplica(reader);
   taken.work = readWork(reader);
   taken.longestPause = base::Duration{reader.signedInteger()};
+  taken.call = readFlag(reader);
   return taken;
 }
 
@@ -191,7 +248,8 @@
   PlacementBegun begun;
   begun.id = reader.unsignedInteger();
   begun.replica = readReplica(reader);
-  begun.leaving = readLeaving(reader);
+  begun.leaving = readFlag(reader);
+  begun.rateLimit = readNotice(reader);
   return begun;
 }
 
@@ -206,7 +264,9 @@
   ended.observed.streamed = base::Duration{reader.signedInteger()};
   ended.observed.longestPause = base::Duration{reader.signedInteger()};
   ended.observed.nodeLateness = base::Duration{reader.signedInteger()};
-  ended.leaving = readLeaving(reader);
+  ended.leaving = readFlag(reader);
+  ended.rateLimit = readNotice(reader);
+  ended.notSent = readFlag(reader);
   return ended;
 }
 
--- a/src/routing/placement_messages.h
+++ b/src/routing/placement_messages.h
@@ -15,6 +15,7 @@
 #include "prefix/part_chain.h"
 #include "routing/prefix_holders.h"
 #include "routing/replica_pace.h"
+#include "routing/run_rate_limit.h"
 
 namespace covewing::routing {
 
@@ -84,6 +85,8 @@
   PlacementTerms terms;
   /// Where it may queue, it does only if the expected wait is at most this: another home told more.
   base::Duration queueWithin = base::Duration::max();
+  /// What the asker knows of the replica's rate limit.
+  KnownRateLimit rateLimit{};
 };
 
 /// What a home says to a request, at once or later while the request is queued there.
@@ -127,17 +130,23 @@
   std::uint32_t speedPercent = 0;
   /// The replica has said that it leaves.
   bool leaving = false;
+  /// What the home knows of the replica's rate limit.
+  KnownRateLimit rateLimit{};
+  /// Of a granted request: it is counted within that limit.
+  bool paced = false;
 
   bool granted() const { return verdict == PlacementVerdict::kGranted; }
 };
 
-/// A request is sent to the replica though its home did not grant it.
+/// A request, or another call, is sent to the replica though its home did not grant it.
 struct PlacementTaken {
   std::uint64_t id = 0;
   base::EngineId replica;
   PlacementWork work;
   /// As in its terms.
   base::Duration longestPause{};
+  /// It is no request: it counts within the replica's rate limit, and takes no room.
+  bool call = false;
 };
 
 struct PlacementBegun {
@@ -145,6 +154,8 @@
   base::EngineId replica;
   /// The replica has said that it leaves.
   bool leaving = false;
+  /// What the head of this answer said.
+  clients::RateLimitNotice rateLimit{};
 };
 
 struct PlacementEnded {
@@ -155,6 +166,10 @@
   StreamObservation observed;
   /// The replica has said that it leaves.
   bool leaving = false;
+  /// What the head of the answer said; nothing where none came.
+  clients::RateLimitNotice rateLimit{};
+  /// The request never went to the replica.
+  bool notSent = false;
 };
 
 using PlacementMessage = std::variant<PlacementQuestion, PlacementAnswer, PlacementTaken,
--- /dev/null
+++ b/src/routing/rate_pacer.cc
@@ -0,0 +1,39 @@
+#include "routing/rate_pacer.h"
+
+#include <algorithm>
+
+namespace covewing::routing {
+
+base::Duration RatePacer::intervalOf(std::optional<double> perSecond) {
+  constexpr double kMicrosecondsPerSecond = 1'000'000;
+  if (!perSecond) return {};
+  return base::Duration{
+      static_cast<base::Duration::rep>(kMicrosecondsPerSecond / std::max(*perSecond, kLeastRate))};
+}
+
+void RatePacer::setRate(std::optional<double> perSecond, base::TimePoint now) {
+  const auto before = interval_;
+  interval_ = perSecond ? std::optional(intervalOf(perSecond)) : std::nullopt;
+  if (!interval_ || before == interval_) return;
+  // A replica that has just named a limit is in need: one request at once, and no credit.
+  if (!before) nextDue_ = std::max(nextDue_, now + kCredit);
+  // Behind a higher rate the next one is due earlier than the lower one said.
+  if (before && *interval_ < *before)
+    nextDue_ = std::min(nextDue_, lastPassed_ + kCredit + *interval_);
+}
+
+base::Duration RatePacer::untilNext(base::TimePoint now) const {
+  if (!interval_) return {};
+  return std::max(nextDue_ - kCredit - now, base::Duration::zero());
+}
+
+void RatePacer::onPassed(base::TimePoint now) {
+  lastPassed_ = now;
+  if (interval_) nextDue_ = std::max(nextDue_, now) + *interval_;
+}
+
+void RatePacer::onNotSent() {
+  if (interval_) nextDue_ -= *interval_;
+}
+
+}  // namespace covewing::routing
--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -53,6 +53,10 @@
   return *middle;
 }
 
+bool rateLimited(const ReplicaRecordPtr& record) {
+  return record->notices().rateLimit().perSecond().has_value();
+}
+
 base::TimePoint firstRestEnd(const std::vector<ReplicaRecordPtr>& resting) {
   const auto first = std::ranges::min_element(
       resting, {}, [](const auto& record) { return record->notices().restsUntil(); });
@@ -278,6 +282,19 @@
   if (far != candidates.end() && far > lastAsked) std::rotate(lastAsked, far, far + 1);
 }
 
+void ReplicaChoice::keepOneLimitedInFront(Candidates& candidates) {
+  Candidates limited;
+  Candidates others;
+  for (const auto& record : candidates) {
+    const bool inFront = !rateLimited(record) || limited.empty();
+    if (rateLimited(record)) limited.push_back(record);
+    if (inFront) others.push_back(record);
+  }
+  if (limited.size() < 2) return;
+  others.insert(others.end(), limited.begin() + 1, limited.end());
+  candidates = std::move(others);
+}
+
 std::string ReplicaChoice::saltOf(const ReplicaQuery& query, const ReplicaRecord& record) const {
   return cacheSalt(record.versionOf(query.model), query.isolatedTenant);
 }
@@ -292,6 +309,7 @@
   } else {
     sortByLoad(candidates);
   }
+  keepOneLimitedInFront(candidates);
   const auto asked = std::min(options_.mostInOrder, candidates.size());
   decision.order.assign(candidates.begin(),
                         candidates.begin() + static_cast<std::ptrdiff_t>(asked));
@@ -302,11 +320,17 @@
 void ReplicaChoice::chooseAlone(ReplicaDecision& decision, Candidates candidates,
                                 const ReplicaQuery& query, std::size_t nodes, base::TimePoint now) {
   std::erase_if(candidates, [now](const auto& record) { return record->changing(now); });
-  decision.candidates = candidates.size();
   if (candidates.empty()) {
     decision.reason = "every replica is loading weights";
     return;
   }
+  // Only its home knows what the other nodes send there.
+  std::erase_if(candidates, rateLimited);
+  decision.candidates = candidates.size();
+  if (candidates.empty()) {
+    decision.reason = "every replica names a rate limit, and no home of theirs answers";
+    return;
+  }
   if (query.withPrompt()) decision.rank = firstWithRoom(candidates, query, nodes, now);
   if (decision.rank == candidates.size()) {
     decision.reason = "every replica has as many requests as it should";
--- a/src/routing/replica_choice.h
+++ b/src/routing/replica_choice.h
@@ -176,6 +176,9 @@
   /// Moves the replicas of this node's zone to the front, but keeps one of another zone among the
   /// first.
   void moveNearFirst(Candidates& candidates) const;
+  /// Of the replicas with a rate limit all but the first go behind those without: a request asks
+  /// one home that may have none of its rate left before one that has room.
+  static void keepOneLimitedInFront(Candidates& candidates);
   std::string saltOf(const ReplicaQuery& query, const ReplicaRecord& record) const;
   /// Fills in what follows from the chosen replica.
   void complete(ReplicaDecision& decision, const ReplicaQuery& query, base::TimePoint now);
--- a/src/routing/replica_ledger.cc
+++ b/src/routing/replica_ledger.cc
@@ -10,12 +10,25 @@
                           GrantedPrompt prompt, base::TimePoint now) {
   const auto reading = readSpeed_.time(work.unread);
   const auto [entry, added] = grants_.try_emplace(
-      id, Grant{work, std::move(prompt), now, reading, terms.longestPause, false, {}});
+      id,
+      Grant{
+          work, std::move(prompt), now, reading, terms.longestPause, false, pacer_.limited(), {}});
   if (!added) return;
+  pacer_.onPassed(now);
   health_.onDispatched(now, reading);
   noteBeside(0);
 }
 
+std::optional<base::TimePoint> ReplicaLedger::grantedAt(std::uint64_t id) const {
+  const auto entry = grants_.find(id);
+  return entry == grants_.end() ? std::nullopt : std::optional(entry->second.at);
+}
+
+base::Duration ReplicaLedger::timePerRequest(std::uint32_t slots) const {
+  const auto bySlots = runTime_ / std::max<base::Duration::rep>(slots, 1);
+  return std::max(bySlots, pacer_.interval());
+}
+
 void ReplicaLedger::noteBeside(std::uint64_t read) {
   // Some 30 changes, a few seconds of traffic: 785 of 10,228 streams paused for longer than their
   // bound at half of the room, 1,021 with a weight of 0.1 (load test, 12 seeds).
@@ -58,6 +71,7 @@
   noteBegun(entry->second, now);
   const auto ran = now - entry->second.at;
   pace_.learn(ended.observed, entry->second.beside, node, now);
+  if (ended.notSent && entry->second.paced) pacer_.onNotSent();
   grants_.erase(entry);
   switch (ended.outcome) {
     case PlacementOutcome::kServed:
@@ -101,6 +115,7 @@
 
 bool ReplicaLedger::hasRoom(const PlacementWork& work, base::TimePoint now) {
   constexpr std::uint32_t kLeastWaiting = 2;
+  if (!pacer_.mayPass(now)) return false;
   const auto current = load(now);
   if (current.requests == 0) return true;
   const auto waiting = std::max(kLeastWaiting, work.slots / 2);
@@ -119,7 +134,7 @@
   const auto current = load(now);
   auto wait = readSpeed_.leastTime(current.unreadTokens) + timeForPlace(current, work);
   if (now < fullUntil_) wait += runTime_;
-  return wait;
+  return std::max(wait, pacer_.untilNext(now));
 }
 
 base::Duration ReplicaLedger::pauseExcess(const PlacementWork& work, const PlacementTerms& terms,
--- a/src/routing/replica_ledger.h
+++ b/src/routing/replica_ledger.h
@@ -15,6 +15,7 @@
 #include "base/time.h"
 #include "routing/fleet_load.h"
 #include "routing/placement_messages.h"
+#include "routing/rate_pacer.h"
 #include "routing/read_speed.h"
 #include "routing/replica_health.h"
 #include "routing/replica_pace.h"
@@ -53,13 +54,26 @@
   /// rate of the service's other replicas.
   void end(const PlacementEnded& ended, base::NodeId node, double serviceRate, base::TimePoint now);
 
+  /// The replica takes so many requests a second from all nodes; empty: as many as it has room for.
+  void setRate(std::optional<double> perSecond, base::TimePoint now) {
+    pacer_.setRate(perSecond, now);
+  }
+  const RatePacer& pacer() const { return pacer_; }
+  /// A call that is no request went to the replica.
+  void countCall(base::TimePoint now) { pacer_.onPassed(now); }
+  /// When the grant was given; empty when it is not known.
+  std::optional<base::TimePoint> grantedAt(std::uint64_t id) const;
+  /// Between two requests that the replica can take, by its rate limit or by its slots, whichever
+  /// binds.
+  base::Duration timePerRequest(std::uint32_t slots) const;
+
   /// The work under way.
   ReplicaLoad load(base::TimePoint now);
   /// How long a request that is sent now waits until the replica turns to it: for the prompts ahead
   /// to be read, and for a place where all slots are taken.
   base::Duration expectedWait(const PlacementWork& work, base::TimePoint now);
-  /// Whether the replica and its memory take the request: a few more requests than run at once may
-  /// wait there, the others are better held where they can still go elsewhere.
+  /// Whether the replica, its rate limit and its memory take the request: a few more requests than
+  /// run at once may wait there, the others are better held where they can still go elsewhere.
   bool hasRoom(const PlacementWork& work, base::TimePoint now);
   /// By how much the longest pauses of the request's stream and of those that run are expected to
   /// exceed what their routes allow when it is added, summed; zero while the pace is unknown.
@@ -82,6 +96,8 @@
     /// Zero: its stream may pause for any time.
     base::Duration longestPause{};
     bool begun = false;
+    /// It is counted within the rate limit.
+    bool paced = false;
     /// Beside its stream, since it began.
     PaceLoad beside{};
   };
@@ -99,6 +115,7 @@
   ReadSpeed readSpeed_;
   ReplicaHealth health_;
   ReplicaPace pace_;
+  RatePacer pacer_;
   /// Running mean of what waits to be read there, for what a new stream will meet.
   double usualUnread_ = 0;
   base::Duration runTime_{options_.firstRunTime};
--- a/src/routing/replica_room.cc
+++ b/src/routing/replica_room.cc
@@ -4,12 +4,34 @@
 
 namespace covewing::routing {
 
+bool ReplicaRoom::rateBinds() const {
+  const auto& pacer = ledger_.pacer();
+  return pacer.limited() &&
+         (replica_.slots == 0 || ledger_.timePerRequest(replica_.slots) == pacer.interval());
+}
+
+std::uint32_t ReplicaRoom::slots() const {
+  if (rateBinds()) return 1;
+  return replica_.slots == 0 ? 0 : replica_.slots + kOverlap;
+}
+
+std::uint32_t ReplicaRoom::taken() const {
+  if (rateBinds()) return ledger_.pacer().mayPass(now_) ? 0 : 1;
+  return ledger_.load(now_).requests;
+}
+
+base::Duration ReplicaRoom::runTime() const {
+  return rateBinds() ? ledger_.pacer().interval() : ledger_.runTime();
+}
+
 bool ReplicaRoom::fits(const admission::QueueEntry& entry, bool inTime) const {
   const RoomDemand& demand = demandOf_(entry.id);
+  if (!ledger_.pacer().mayPass(now_)) return false;
   const auto current = ledger_.load(now_);
   // A replica without work takes any request, also one larger than the memory that was told.
   if (current.requests == 0) return true;
-  if (slots() > 0 && current.requests >= slots()) return false;
+  const auto slotsInAll = replica_.slots == 0 ? 0 : replica_.slots + kOverlap;
+  if (slotsInAll > 0 && current.requests >= slotsInAll) return false;
   if (!ledger_.hasRoom(demand.work, now_)) return false;
   // One that is late, or that nobody else can take, is better served with pauses than not at all.
   const bool mayGoElsewhere = inTime && !demand.acceptsPauses;
--- a/src/routing/replica_room.h
+++ b/src/routing/replica_room.h
@@ -39,15 +39,17 @@
       : ledger_(ledger), replica_(replica), demandOf_(std::move(demandOf)), now_(now) {}
 
   bool fits(const admission::QueueEntry& entry, bool inTime) const override;
-  std::uint32_t slots() const override {
-    return replica_.slots == 0 ? 0 : replica_.slots + kOverlap;
-  }
-  std::uint32_t taken() const override { return ledger_.load(now_).requests; }
-  std::uint64_t memory() const override { return replica_.memory; }
+  std::uint32_t slots() const override;
+  std::uint32_t taken() const override;
+  std::uint64_t memory() const override { return rateBinds() ? 0 : replica_.memory; }
   std::uint64_t memoryTaken() const override { return ledger_.load(now_).tokens; }
-  base::Duration runTime() const override { return ledger_.runTime(); }
+  base::Duration runTime() const override;
 
  private:
+  /// The replica's rate limit allows fewer requests than its slots. Its room is then that of a
+  /// replica with one slot, in which each request runs for the interval of the rate.
+  bool rateBinds() const;
+
   ReplicaLedger& ledger_;
   PlacementWork replica_;
   DemandOf demandOf_;
--- a/src/routing/run_rate_limit.cc
+++ b/src/routing/run_rate_limit.cc
@@ -5,6 +5,24 @@
 
 namespace covewing::routing {
 
+namespace {
+
+/// A message between nodes is taken to be under way for at most this.
+constexpr base::Duration kLongestDelivery = std::chrono::milliseconds(200);
+
+}  // namespace
+
+RateLimitEvidence evidenceOf(const KnownRateLimit& known, base::TimePoint now) {
+  return {known.notice, now - known.age - kLongestDelivery, now - known.age};
+}
+
+KnownRateLimit RunRateLimit::known(base::TimePoint now) const {
+  if (!everLimited_) return {};
+  const auto notice = perSecond_ ? clients::RateLimitNotice::of(*perSecond_)
+                                 : clients::RateLimitNotice::unlimited();
+  return {notice, now - asOf_};
+}
+
 bool RunRateLimit::isBelow(const clients::RateLimitNotice& notice) const {
   return perSecond_ && (!notice.limited() || *perSecond_ < notice.perSecond);
 }
@@ -21,6 +39,7 @@
   if (!same && (isBelow(notice) ? evidence.from : evidence.to) <= asOf_) return false;
   asOf_ = std::max(asOf_, notice.limited() ? evidence.to : evidence.from);
   if (same) return false;
+  everLimited_ = true;
   perSecond_ = notice.limited() ? std::optional(notice.perSecond) : std::nullopt;
   return true;
 }
--- a/src/routing/run_rate_limit.h
+++ b/src/routing/run_rate_limit.h
@@ -22,6 +22,17 @@
   base::TimePoint to{};
 };
 
+/// What a node knows, as it tells other nodes. They have no common clock.
+struct KnownRateLimit {
+  /// Nothing where the run never named a limit.
+  clients::RateLimitNotice notice;
+  /// Since it was last confirmed.
+  base::Duration age{};
+};
+
+/// What another node knows, told in a message that comes now.
+RateLimitEvidence evidenceOf(const KnownRateLimit& known, base::TimePoint now);
+
 class RunRateLimit {
  public:
   /// True where the limit in force is another since.
@@ -30,6 +41,7 @@
   std::optional<double> perSecond() const { return perSecond_; }
   /// Up to when what is known was confirmed.
   base::TimePoint asOf() const { return asOf_; }
+  KnownRateLimit known(base::TimePoint now) const;
   /// A limit that cannot be read. True the first time, so that it is logged once.
   bool noteUnreadable();
 
@@ -39,7 +51,8 @@
   bool equals(const clients::RateLimitNotice& notice) const;
 
   std::optional<double> perSecond_;
-  base::TimePoint asOf_{};
+  base::TimePoint asOf_ = base::TimePoint::min();
+  bool everLimited_ = false;
   bool unreadableNoted_ = false;
 };
 
--- a/tests/admission/fake_cluster.h
+++ b/tests/admission/fake_cluster.h
@@ -54,6 +54,7 @@
                                     [id](const auto& member) { return member.id == id; });
     return found == members_.end() ? nullptr : &*found;
   }
+  std::size_t lostMembers() const override { return 0; }
   std::uint64_t version() const override { return version_; }
 
   void set(membership::Member self, std::vector<membership::Member> members) {
--- a/tests/config/configuration_distributor_test.cc
+++ b/tests/config/configuration_distributor_test.cc
@@ -33,6 +33,7 @@
                                     [&](const auto& member) { return member.id == id; });
     return found == members_.end() ? nullptr : &*found;
   }
+  std::size_t lostMembers() const override { return 0; }
   std::uint64_t version() const override { return 1; }
 
  private:
--- a/tests/node/message_versions_test.cc
+++ b/tests/node/message_versions_test.cc
@@ -135,14 +135,20 @@
   question.model = "m";
   question.parts = {{9, 800}};
   question.patience = milliseconds(200);
+  question.rateLimit = {clients::RateLimitNotice::of(2.5), milliseconds(70)};
   addPlacement(all, "PlacementQuestion", question);
   routing::PlacementAnswer answer;
   answer.leaving = true;
+  answer.rateLimit = {clients::RateLimitNotice::of(2.5), milliseconds(70)};
+  answer.paced = true;
   addPlacement(all, "PlacementAnswer", answer);
-  addPlacement(all, "PlacementTaken", routing::PlacementTaken{});
-  addPlacement(all, "PlacementBegun", routing::PlacementBegun{1, {2}, true});
+  addPlacement(all, "PlacementTaken", routing::PlacementTaken{1, {2}, {}, {}, true});
+  addPlacement(all, "PlacementBegun",
+               routing::PlacementBegun{1, {2}, true, clients::RateLimitNotice::of(2.5)});
   routing::PlacementEnded ended;
   ended.leaving = true;
+  ended.rateLimit = clients::RateLimitNotice::unlimited();
+  ended.notSent = true;
   addPlacement(all, "PlacementEnded", ended);
   all.push_back(sample("LoadNews", routing::encode(routing::LoadNews{4, {}}),
                        routing::decodeLoadNews,
--- a/tests/node/operator_service_test.cc
+++ b/tests/node/operator_service_test.cc
@@ -38,6 +38,7 @@
   const membership::Member* find(base::NodeId id) const override {
     return id == members.front().id ? &members.front() : nullptr;
   }
+  std::size_t lostMembers() const override { return 0; }
   std::uint64_t version() const override { return 1; }
   std::vector<membership::Member> members;
 };
--- a/tests/platform/store_return_test.cc
+++ b/tests/platform/store_return_test.cc
@@ -88,6 +88,7 @@
   const membership::Member& self() const override { return members_.front(); }
   const std::vector<membership::Member>& liveMembers() const override { return members_; }
   const membership::Member* find(base::NodeId /*id*/) const override { return nullptr; }
+  std::size_t lostMembers() const override { return 0; }
   std::uint64_t version() const override { return 1; }
 
  private:
--- a/tests/quarantine/request_quarantine_test.cc
+++ b/tests/quarantine/request_quarantine_test.cc
@@ -52,6 +52,7 @@
   const membership::Member& self() const override { return list_.all[self_]; }
   const std::vector<membership::Member>& liveMembers() const override { return list_.live; }
   const membership::Member* find(base::NodeId /*id*/) const override { return nullptr; }
+  std::size_t lostMembers() const override { return 0; }
   std::uint64_t version() const override { return list_.version; }
 
  private:
--- a/tests/request/replica_notices_test.cc
+++ b/tests/request/replica_notices_test.cc
@@ -383,6 +383,23 @@
   BOOST_TEST(reaching(limited->facts().endpoint, 1, "safe") == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(BrokenStreamIsTakenUpAgainOnlyWithinTheRate) {
+  request("resumable");
+  const auto first = client.sent.back();
+  for (const char* name : {"m1", "m2", "m3"}) {
+    replicas.find(name)->notices().rateLimit().learn(
+        {clients::RateLimitNotice::of(0.1), time.now(), time.now()});
+  }
+  // The others have had all that they take for now.
+  for (int count = 0; count < 6; ++count) request("once");
+  const auto sent = client.sent.size();
+  first->head(200);
+  first->handler->onBody("id: 1\ndata: a\n\n");
+  first->breakOff();
+  time.advance(milliseconds(300));
+  BOOST_TEST(client.sent.size() == sent);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::request
--- a/tests/request/replica_rate_limit_test.cc
+++ b/tests/request/replica_rate_limit_test.cc
@@ -13,6 +13,11 @@
 /// Requests a second that callers send in all.
 constexpr double kDemand = 100;
 
+/// All replicas name the limit, and callers want more of them for a while.
+void limitAll(LimitedFleet& fleet, std::size_t replicas, double limit) {
+  for (std::size_t number = 0; number < replicas; ++number) fleet.replica(number).limit = limit;
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(ReplicaRateLimitTest)
@@ -36,12 +41,182 @@
 
 BOOST_AUTO_TEST_CASE(WhereAllReplicasAreLimitedNoneGetsMoreThanItTakes) {
   LimitedFleet fleet(5, 4);
-  for (std::size_t number = 0; number < 4; ++number) fleet.replica(number).limit = 2;
+  limitAll(fleet, 4, 2);
   fleet.load(seconds(12), kDemand);
   for (std::size_t number = 0; number < 4; ++number)
     BOOST_TEST(fleet.worst(number, 2) <= 1.0, fleet.worst(number, 2));
 }
 
+BOOST_AUTO_TEST_CASE(LimitedReplicaGetsNearlyWhatItTakes) {
+  for (const std::size_t nodes : {3U, 20U, 90U}) {
+    for (const double limit : {0.5, 3.0, 20.0}) {
+      LimitedFleet fleet(nodes, 3);
+      limitAll(fleet, 3, limit);
+      fleet.load(seconds(2), 2 * kDemand);
+      const auto since = fleet.time.now();
+      fleet.load(seconds(20), 2 * kDemand);
+      for (std::size_t number = 0; number < 3; ++number)
+        BOOST_TEST(fleet.rateSince(number, since) >= 0.9 * limit,
+                   nodes << " nodes, limit " << limit << ": " << fleet.rateSince(number, since));
+    }
+  }
+}
+
+// One in four replicas names a limit: the others take what it does not.
+BOOST_AUTO_TEST_CASE(OtherReplicasTakeWhatALimitedOneDoesNot) {
+  LimitedFleet fleet(5, 4);
+  fleet.replica(0).limit = 1;
+  fleet.load(seconds(10), kDemand);
+  fleet.time.advance(seconds(2));
+  BOOST_TEST(fleet.calls.refused == 0U);
+  BOOST_TEST(fleet.calls.served == fleet.calls.sent);
+  const auto since = fleet.time.now();
+  fleet.load(seconds(10), kDemand);
+  BOOST_TEST(fleet.rateSince(0, since) >= 0.9);
+}
+
+BOOST_AUTO_TEST_CASE(WhatCannotBeServedIsRefusedAtOnceWithATimeToComeBack) {
+  LimitedFleet fleet(5, 4);
+  limitAll(fleet, 4, 2);
+  fleet.load(seconds(5), kDemand);
+  const auto refusedBefore = fleet.calls.refused;
+  const auto timeBefore = fleet.calls.refusedAfter;
+  fleet.calls.comeBackAt.clear();
+  fleet.load(seconds(5), kDemand);
+  const auto refused = fleet.calls.refused - refusedBefore;
+  BOOST_REQUIRE(refused > 300U);
+  const auto mean = (fleet.calls.refusedAfter - timeBefore) / static_cast<int>(refused);
+  BOOST_TEST((mean < milliseconds(150)), "refused after " << mean.count() << " us");
+  // Not in one moment: none of ten equal parts of the span holds more than a third.
+  auto returns = fleet.calls.comeBackAt;
+  std::ranges::sort(returns);
+  const auto width = (returns.back() - returns.front()) / 10 + base::Duration{1};
+  std::map<std::int64_t, std::size_t> parts;
+  for (const auto at : returns) ++parts[(at - returns.front()) / width];
+  for (const auto& [part, count] : parts) BOOST_TEST(count <= returns.size() / 3, part);
+}
+
+BOOST_AUTO_TEST_CASE(LowerLimitHoldsAtOnce) {
+  LimitedFleet fleet(5, 4);
+  fleet.replica(0).limit = 20;
+  fleet.load(seconds(6), 2 * kDemand);
+  fleet.replica(0).limit = 0.5;
+  fleet.load(milliseconds(500), 2 * kDemand);
+  const auto since = fleet.time.now();
+  fleet.load(seconds(8), 2 * kDemand);
+  BOOST_TEST(fleet.rateSince(0, since) <= 0.75);
+}
+
+BOOST_AUTO_TEST_CASE(LimitEndsWithTheFirstAnswerThatNamesNone) {
+  LimitedFleet fleet(5, 4);
+  fleet.replica(0).limit = 1;
+  fleet.load(seconds(6), kDemand);
+  fleet.replica(0).limit.reset();
+  fleet.load(seconds(2), kDemand);
+  const auto since = fleet.time.now();
+  fleet.load(seconds(4), kDemand);
+  BOOST_TEST(fleet.rateSince(0, since) > 10);
+}
+
+BOOST_AUTO_TEST_CASE(ReplicaThatTakesNothingIsAskedNowAndThenWhetherThatHolds) {
+  LimitedFleet fleet(5, 4);
+  fleet.replica(0).limit = 0;
+  fleet.load(seconds(5), kDemand);
+  const auto since = fleet.time.now();
+  fleet.load(seconds(40), kDemand);
+  const auto asked = fleet.rateSince(0, since) * 40;
+  BOOST_TEST(asked >= 3.0);
+  BOOST_TEST(asked <= 5.0);
+  fleet.replica(0).limit.reset();
+  fleet.load(seconds(11), kDemand);
+  const auto ended = fleet.time.now();
+  fleet.load(seconds(2), kDemand);
+  BOOST_TEST(fleet.rateSince(0, ended) > 10);
+}
+
+BOOST_AUTO_TEST_CASE(NodeThatReachesNoHomeSendsALimitedReplicaNothing) {
+  LimitedFleet fleet(5, 4);
+  fleet.replica(0).limit = 5;
+  fleet.load(seconds(6), kDemand);
+  const auto home = fleet.homeOf(0);
+  fleet.network.cut.insert(fleet.everybody[home].endpoint.address);
+  fleet.silent.insert(home);
+  const auto since = fleet.time.now();
+  fleet.load(seconds(5), kDemand);
+  BOOST_TEST(fleet.rateSince(0, since) <= 0.4);
+}
+
+BOOST_AUTO_TEST_CASE(HomeThatFollowsAnotherGrantsNoMoreThanTheRate) {
+  for (const double limit : {1.0, 5.0, 20.0}) {
+    LimitedFleet fleet(5, 4);
+    fleet.replica(0).limit = limit;
+    fleet.load(seconds(8), kDemand);
+    const auto home = fleet.homeOf(0);
+    fleet.network.detach(fleet.everybody[home].endpoint.address);
+    fleet.silent.insert(home);
+    std::vector<std::size_t> left;
+    for (std::size_t node = 0; node < 5; ++node)
+      if (node != home) left.push_back(node);
+    for (const auto node : left) fleet.setView(node, left);
+    fleet.load(seconds(8), kDemand);
+    // It comes back, with nothing remembered, and the others learn of that one after the other.
+    fleet.start(home);
+    fleet.silent.erase(home);
+    fleet.excused.insert(home);
+    for (const auto node : left) {
+      fleet.setView(node, {0, 1, 2, 3, 4});
+      fleet.load(milliseconds(200), kDemand);
+    }
+    fleet.load(seconds(8), kDemand);
+    BOOST_TEST(fleet.worst(0, limit) <= 1.0, "limit " << limit << ": " << fleet.worst(0, limit));
+  }
+}
+
+// Each side holds the other dead, and has a home of its own.
+BOOST_AUTO_TEST_CASE(TwoHomesTogetherGrantNoMoreThanAllowed) {
+  const std::vector<std::pair<std::vector<std::size_t>, std::vector<std::size_t>>> splits = {
+      {{0, 1, 2}, {3, 4, 5}}, {{0, 1, 2, 3}, {4, 5}}, {{0}, {1, 2, 3, 4, 5}}};
+  for (const auto& [one, other] : splits) {
+    for (const double limit : {1.0, 5.0, 20.0}) {
+      LimitedFleet fleet(6, 4);
+      fleet.replica(0).limit = limit;
+      fleet.load(seconds(8), 2 * kDemand);
+      for (const auto& side : {one, other}) {
+        for (const auto node : side) {
+          fleet.setView(node, side);
+          fleet.nodes.at(node)->members.lost = 6 - side.size();
+        }
+      }
+      fleet.load(seconds(12), 2 * kDemand);
+      BOOST_TEST(fleet.worst(0, limit) <= 1.0,
+                 one.size() << " nodes alone, limit " << limit << ": " << fleet.worst(0, limit));
+    }
+  }
+}
+
+// What was granted over seconds must not arrive at once.
+BOOST_AUTO_TEST_CASE(GrantThatWaitsLongForAConnectionIsNotUsed) {
+  LimitedFleet fleet(5, 4);
+  limitAll(fleet, 4, 4);
+  fleet.load(seconds(4), kDemand);
+  fleet.replicas.connectTime = milliseconds(900);
+  const auto since = fleet.time.now();
+  fleet.load(seconds(4), kDemand);
+  for (std::size_t number = 0; number < 4; ++number)
+    BOOST_TEST(fleet.rateSince(number, since) <= 1.5, fleet.rateSince(number, since));
+}
+
+BOOST_AUTO_TEST_CASE(LostMessagesBreakNoLimit) {
+  for (const double loss : {0.05, 0.3}) {
+    LimitedFleet fleet(7, 4);
+    limitAll(fleet, 4, 3);
+    fleet.network.loss = loss;
+    fleet.load(seconds(15), kDemand);
+    for (std::size_t number = 0; number < 4; ++number)
+      BOOST_TEST(fleet.worst(number, 3) <= 1.0, fleet.worst(number, 3));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::request
--- a/tests/routing/fakes.h
+++ b/tests/routing/fakes.h
@@ -131,8 +131,11 @@
     }
     return nullptr;
   }
+  std::size_t lostMembers() const override { return lost; }
   std::uint64_t version() const override { return version_; }
 
+  std::size_t lost = 0;
+
  private:
   membership::Member self_;
   std::vector<membership::Member> members_;
--- /dev/null
+++ b/tests/routing/rate_pacer_test.cc
@@ -0,0 +1,121 @@
+// How many requests a replica's home lets pass by the rate that the replica names.
+#include "routing/rate_pacer.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+#include "base/random.h"
+
+namespace covewing::routing {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+struct PacerFixture {
+  /// Requests come each few milliseconds, and go where they may.
+  std::size_t pass(base::Duration span) {
+    std::size_t count = 0;
+    for (const auto end = now + span; now < end; now += milliseconds(5)) {
+      if (!pacer.mayPass(now)) continue;
+      pacer.onPassed(now);
+      passed.push_back(now);
+      ++count;
+    }
+    return count;
+  }
+  std::size_t mostIn(base::Duration window) const {
+    std::size_t most = 0;
+    for (std::size_t last = 0; last < passed.size(); ++last) {
+      const auto first = std::ranges::lower_bound(passed, passed[last] - window);
+      most = std::max(most, last + 1 - static_cast<std::size_t>(first - passed.begin()));
+    }
+    return most;
+  }
+
+  RatePacer pacer;
+  base::TimePoint now{seconds(100)};
+  std::vector<base::TimePoint> passed;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RatePacerTest, PacerFixture)
+
+BOOST_AUTO_TEST_CASE(AllPassWithoutALimit) {
+  BOOST_TEST(pass(seconds(1)) == 200U);
+  BOOST_TEST(!pacer.limited());
+}
+
+BOOST_AUTO_TEST_CASE(NearlyTheWholeRateIsUsed) {
+  for (const double rate : {0.5, 1.0, 7.0, 20.0}) {
+    pacer.setRate(rate, now);
+    const auto count = static_cast<double>(pass(seconds(60)));
+    BOOST_TEST(count >= 0.97 * rate * 60, rate);
+    BOOST_TEST(count <= rate * 60 + rate / 4 + 1, rate);
+    pacer.setRate(std::nullopt, now);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LimitBeginsWithOneRequestAndNoCredit) {
+  pass(seconds(1));
+  pacer.setRate(20, now);
+  BOOST_TEST(pass(milliseconds(45)) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(RateThatWasNotUsedIsMadeUpForAMoment) {
+  pacer.setRate(20, now);
+  pass(seconds(1));
+  now += seconds(10);
+  // A quarter of a second of the rate, one request, and one for the time that passes.
+  BOOST_TEST(pass(milliseconds(50)) <= 7U);
+}
+
+BOOST_AUTO_TEST_CASE(NothingSavedUnderAHigherRateIsSpentUnderALowerOne) {
+  pacer.setRate(20, now);
+  pass(seconds(1));
+  now += seconds(10);
+  pacer.setRate(1, now);
+  BOOST_TEST(pass(milliseconds(700)) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(HigherRateCountsAtOnce) {
+  pacer.setRate(0.1, now);
+  BOOST_TEST(pass(seconds(1)) == 1U);
+  pacer.setRate(10, now);
+  BOOST_TEST(pass(seconds(1)) >= 9U);
+}
+
+BOOST_AUTO_TEST_CASE(ReplicaThatTakesNothingIsAskedNowAndThen) {
+  pacer.setRate(0, now);
+  BOOST_TEST(pass(seconds(60)) == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(RequestThatWasNotSentLeavesItsPlace) {
+  pacer.setRate(1, now);
+  BOOST_TEST(pass(milliseconds(100)) == 1U);
+  BOOST_TEST(!pacer.mayPass(now));
+  pacer.onNotSent();
+  BOOST_TEST(pacer.mayPass(now));
+}
+
+BOOST_AUTO_TEST_CASE(NoWindowHoldsMuchMoreThanTheRate) {
+  base::SeededRandom random(11);
+  for (int run = 0; run < 50; ++run) {
+    const double rate = 0.2 + random.unit() * 20;
+    pacer = {};
+    passed.clear();
+    pacer.setRate(rate, now);
+    for (int step = 0; step < 20; ++step) {
+      pass(milliseconds(static_cast<std::int64_t>(random.below(2000))));
+      now += milliseconds(static_cast<std::int64_t>(random.below(1500)));
+    }
+    BOOST_TEST(static_cast<double>(mostIn(seconds(4))) <= 4.25 * rate + 2, rate);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::routing
--- /dev/null
+++ b/tests/routing/run_rate_limit_test.cc
@@ -0,0 +1,86 @@
+// What a node believes of a replica's rate limit, from answers that overtake each other.
+#include "routing/run_rate_limit.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace covewing::routing {
+
+using clients::RateLimitNotice;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr base::TimePoint kStart{std::chrono::seconds(100)};
+
+struct LimitFixture {
+  /// The answer to a request that was sent and read so long after the start.
+  bool answer(const RateLimitNotice& notice, milliseconds sent, milliseconds read) {
+    return limit.learn({notice, kStart + sent, kStart + read});
+  }
+
+  RunRateLimit limit;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RunRateLimitTest, LimitFixture)
+
+BOOST_AUTO_TEST_CASE(LimitCountsFromTheFirstAnswerThatNamesIt) {
+  BOOST_TEST(!limit.perSecond().has_value());
+  BOOST_TEST(answer(RateLimitNotice::of(2), milliseconds(0), milliseconds(10)));
+  BOOST_TEST(limit.perSecond().value() == 2.0);
+  BOOST_TEST(!answer(RateLimitNotice::of(2), milliseconds(20), milliseconds(30)));
+}
+
+BOOST_AUTO_TEST_CASE(AnswerThatWasOvertakenEndsNoLimit) {
+  answer(RateLimitNotice::of(2), milliseconds(50), milliseconds(60));
+  BOOST_TEST(!answer(RateLimitNotice::unlimited(), milliseconds(0), milliseconds(100)));
+  BOOST_TEST(limit.perSecond().value() == 2.0);
+  // It was sent behind the latest answer that named the limit.
+  answer(RateLimitNotice::of(2), milliseconds(70), milliseconds(200));
+  BOOST_TEST(!answer(RateLimitNotice::unlimited(), milliseconds(150), milliseconds(300)));
+  BOOST_TEST(answer(RateLimitNotice::unlimited(), milliseconds(210), milliseconds(310)));
+  BOOST_TEST(!limit.perSecond().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(LowerLimitCountsAtOnceAndAHigherOneFromALaterRequest) {
+  answer(RateLimitNotice::of(5), milliseconds(50), milliseconds(60));
+  BOOST_TEST(answer(RateLimitNotice::of(1), milliseconds(0), milliseconds(70)));
+  BOOST_TEST(!answer(RateLimitNotice::of(5), milliseconds(65), milliseconds(80)));
+  BOOST_TEST(limit.perSecond().value() == 1.0);
+  BOOST_TEST(answer(RateLimitNotice::of(5), milliseconds(75), milliseconds(90)));
+}
+
+BOOST_AUTO_TEST_CASE(NoLimitEndsByTime) {
+  answer(RateLimitNotice::of(1), milliseconds(0), milliseconds(10));
+  BOOST_TEST(!answer({}, std::chrono::hours(1), std::chrono::hours(1)));
+  BOOST_TEST(limit.perSecond().value() == 1.0);
+  BOOST_TEST((limit.known(kStart + seconds(5)).age == milliseconds(4990)));
+}
+
+BOOST_AUTO_TEST_CASE(WhatAnotherNodeKnewBeforeIsNoNews) {
+  answer(RateLimitNotice::of(1), milliseconds(0), milliseconds(10));
+  answer(RateLimitNotice::unlimited(), milliseconds(1000), milliseconds(1010));
+  const auto now = kStart + seconds(5);
+  BOOST_TEST(!limit.learn(evidenceOf({RateLimitNotice::of(1), milliseconds(4500)}, now)));
+  BOOST_TEST(!limit.perSecond().has_value());
+  BOOST_TEST(limit.learn(evidenceOf({RateLimitNotice::of(1), milliseconds(3000)}, now)));
+  // The message may have been under way for some time.
+  BOOST_TEST(!limit.learn(evidenceOf({RateLimitNotice::unlimited(), milliseconds(2950)}, now)));
+  BOOST_TEST(limit.learn(evidenceOf({RateLimitNotice::unlimited(), milliseconds(2000)}, now)));
+}
+
+BOOST_AUTO_TEST_CASE(RunThatNeverNamedALimitHasNothingToTell) {
+  answer(RateLimitNotice::unlimited(), milliseconds(0), milliseconds(10));
+  BOOST_TEST((limit.known(kStart).notice.kind == RateLimitNotice::Kind::kNothing));
+}
+
+BOOST_AUTO_TEST_CASE(LimitThatCannotBeReadIsTakenNoteOfOnce) {
+  BOOST_TEST(limit.noteUnreadable());
+  BOOST_TEST(!limit.noteUnreadable());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::routing
