Take watches, reports and orders within the rate limit of their replica too

What was seen: a replica with a limit of 1 a second got 12 requests in 4 s where 11 are allowed, of which at most 4 were requests of callers.

Cause: two nodes watched its cache, each with a call about every second, and the holder of the lease asks a replica that it changes for a report each 100 ms. Nobody counted them.

The survey before a change leaves limited replicas out, and calls during a change are an interval apart, 1.5 s at most. Each call is told to the home, which counts it. What the answers to these calls say of the limit is heard.

--- a/src/clients/cache_feed_client.h
+++ b/src/clients/cache_feed_client.h
@@ -10,6 +10,7 @@
 
 #include "base/endpoint.h"
 #include "base/time.h"
+#include "clients/rate_limit_notice.h"
 
 namespace covewing::clients {
 
@@ -41,6 +42,7 @@
   std::vector<CachePartEvent> events;
   /// The replica says that it is about to end.
   bool leaving = false;
+  RateLimitNotice rateLimit{};
 };
 
 class CacheFeedClient {
--- a/src/clients/weights_client.h
+++ b/src/clients/weights_client.h
@@ -13,6 +13,7 @@
 #include "base/endpoint.h"
 #include "base/ids.h"
 #include "base/time.h"
+#include "clients/rate_limit_notice.h"
 
 namespace covewing::clients {
 
@@ -66,17 +67,24 @@
   base::WeightsVersion version = 0;
 };
 
+/// What a replica says of itself in the head of an answer to an order or a report.
+struct WeightsCallNotices {
+  /// "order" or "report".
+  std::string_view call;
+  unsigned status = 0;
+  bool leaving = false;
+  RateLimitNotice rateLimit{};
+};
+
 /// Callbacks come later, on the node's thread, exactly once.
 class WeightsClient {
  public:
-  /// `call` is "order" or "report".
-  using LeavingListener =
-      std::function<void(const std::string& instance, std::string_view call, unsigned status)>;
+  using NoticeListener =
+      std::function<void(const std::string& instance, const WeightsCallNotices& notices)>;
 
   virtual ~WeightsClient() = default;
-  /// Told of each answer, refusals too, in which a replica says that it leaves; before its
-  /// callback.
-  virtual void onLeaving(LeavingListener listener) = 0;
+  /// Told of each answer of the replica that was asked, refusals too, before its callback.
+  virtual void onNotices(NoticeListener listener) = 0;
   virtual void order(const base::Endpoint& replica, const std::string& instance, WeightsOrder order,
                      std::function<void(WeightsOrderStatus)> callback) = 0;
   /// Empty when the replica did not answer.
--- a/src/coordination/replica_survey.cc
+++ b/src/coordination/replica_survey.cc
@@ -11,7 +11,9 @@
   nextAt_ = now + options_.interval;
   std::vector<routing::ReplicaRecordPtr> waiting;
   std::ranges::copy_if(candidates, std::back_inserter(waiting), [this](const auto& record) {
-    return !entries_[record->facts().instance].underWay;
+    // One with a rate limit takes calls within it; what it says at the change itself is enough.
+    const bool limited = record->notices().rateLimit().perSecond().has_value();
+    return !limited && !entries_[record->facts().instance].underWay;
   });
   std::ranges::stable_sort(waiting, {}, [this](const auto& record) {
     return entries_[record->facts().instance].askedAt;
--- a/src/coordination/weights_rollout.cc
+++ b/src/coordination/weights_rollout.cc
@@ -62,6 +62,7 @@
   const auto newest = environment_.targets.newest(change.model);
   if (change.phase != Phase::kLoading && versions_.stopped(change.model, newest, now))
     return release(instance);
+  change.limitedPause = limitedPauseOf(*record);
   if (change.callUnderWay || now < change.nextAt) return;
   const bool flush =
       !change.noneWaiting && mustFlush(change.model, record->versionOf(change.model));
@@ -125,7 +126,7 @@
     case clients::WeightsOrderStatus::kAccepted:
       ++ordersTaken_[instance];
       change->accepted = true;
-      change->nextAt = now + options_.loadLead;
+      change->nextAt = now + std::max(options_.loadLead, change->limitedPause);
       return;
     case clients::WeightsOrderStatus::kInForce:
       change->nextAt = now;
@@ -135,7 +136,7 @@
     case clients::WeightsOrderStatus::kUnreachable:
       // A report tells whether it was taken, and how many were.
       ordersTaken_.erase(instance);
-      change->nextAt = now + options_.reportInterval;
+      change->nextAt = now + std::max(options_.reportInterval, change->limitedPause);
       return;
     case clients::WeightsOrderStatus::kFencedOff:
       environment_.log.write(base::Event::kOrderFenced, {{"replica", instance}});
@@ -170,8 +171,8 @@
   if (change == nullptr) return;
   change->callUnderWay = false;
   const bool silentNow = !report && silent(*change);
-  change->nextAt =
-      environment_.clock.now() + (silentNow ? options_.silentInterval : options_.reportInterval);
+  const auto usual = silentNow ? options_.silentInterval : options_.reportInterval;
+  change->nextAt = environment_.clock.now() + std::max(usual, change->limitedPause);
   if (!report) return;
   onHeard(instance, *change);
   change->running = report->running;
--- a/src/coordination/weights_rollout.h
+++ b/src/coordination/weights_rollout.h
@@ -44,6 +44,8 @@
   /// From an order until the first report; loads take at least about half a second.
   base::Duration loadLead = std::chrono::milliseconds(350);
   base::Duration reportInterval = std::chrono::milliseconds(100);
+  /// Longest pause between calls to a replica with a rate limit: its weights are due at a date.
+  base::Duration longestLimitedPause = std::chrono::milliseconds(1500);
   /// A replica that is not idle after this is ordered nevertheless; its runs end first.
   base::Duration longestDrain = std::chrono::milliseconds(1500);
   /// Nothing is ordered with a fencing token for so long after a replica refused it as too old: the
@@ -140,6 +142,8 @@
     /// The latest report showed no requests that wait to begin.
     bool noneWaiting = false;
     bool callUnderWay = false;
+    /// Between calls, where the replica names a rate limit: it takes them within that.
+    base::Duration limitedPause{};
   };
 
   void tick();
@@ -161,6 +165,7 @@
   bool loadsFirst(const Change& change) const;
   /// Has not answered lately.
   bool silent(const Change& change) const;
+  base::Duration limitedPauseOf(const routing::ReplicaRecord& record) const;
   /// The replica answered; one that was silent begins its change anew.
   void onHeard(const std::string& instance, Change& change);
   /// Whether the replica is ready, of a service of the configuration, and has not ended.
--- a/src/coordination/weights_rollout_pace.cc
+++ b/src/coordination/weights_rollout_pace.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "coordination/weights_rollout.h"
+#include "routing/rate_pacer.h"
 
 namespace covewing::coordination {
 
@@ -13,7 +14,12 @@
 bool WeightsRollout::silent(const Change& change) const {
   // One that waits for a place to load is not asked.
   return change.phase != Phase::kPrepared &&
-         environment_.clock.now() - change.heardAt > options_.silentAfter;
+         environment_.clock.now() - change.heardAt > options_.silentAfter + change.limitedPause;
+}
+
+base::Duration WeightsRollout::limitedPauseOf(const routing::ReplicaRecord& record) const {
+  const auto interval = routing::RatePacer::intervalOf(record.notices().rateLimit().perSecond());
+  return std::min(interval, options_.longestLimitedPause);
 }
 
 bool WeightsRollout::loadsFirst(const Change& change) const {
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -22,6 +22,7 @@
 #include "live/relay_part_options.h"
 #include "membership/gossip_membership.h"
 #include "node/cache_store_news.h"
+#include "node/counted_weights_client.h"
 #include "node/fleet_knowledge.h"
 #include "node/node_count.h"
 #include "node/pause_detector.h"
@@ -71,6 +72,7 @@
         choice({replicas, holders, targets, stores, fleetLoad, settings.zone}, {}, random),
         parts({}, {clock, timers, random, log, peers, membership}),
         placement({}, {clock, timers, random, log, peers, membership, replicas, holders}),
+        weights(deployment.weights, replicas, placement),
         loadSharing({}, {clock, timers, log, peers, membership, replicas, fleetLoad}),
         storeEras(clock, log),
         ownTable(deployment.table, storeEras),
@@ -84,12 +86,12 @@
                            clock, timers, random, feeds, configuration),
         replicaWatch(replicaWatchOptions(deployment.replicaTable), clock, timers, random, feeds,
                      replicaList),
-        coordinator(coordinatorOptions(settings),
-                    {clock, timers, random, log, peers, ownTable, deployment.weights, membership,
-                     membership, replicas, holders, targets,
-                     [this](const std::string& name) { return longRunReplicas(name); },
-                     [this](const std::string& name) { return replicasInUse(name); },
-                     [this](const std::string& name) { return hasService(name); }}),
+        coordinator(
+            coordinatorOptions(settings),
+            {clock, timers, random, log, peers, ownTable, weights, membership, membership, replicas,
+             holders, targets, [this](const std::string& name) { return longRunReplicas(name); },
+             [this](const std::string& name) { return replicasInUse(name); },
+             [this](const std::string& name) { return hasService(name); }}),
         weightsDates(
             ownTable, clock, timers, [this] { return configurationWatch.serviceTime(); },
             [this](bool lastCheck) { return writesDates(lastCheck); }),
@@ -127,11 +129,12 @@
     storeEras.onReturn([this](const config::StoreReturn&) { onStoreReturned(); });
     deployment.feeds.onEra(
         [this](base::StoreEra era, std::string_view source) { storeEras.note(era, source); });
-    deployment.weights.onLeaving(
-        [this](const std::string& instance, std::string_view call, unsigned status) {
-          const auto replica = replicas.find(instance);
-          if (replica) routing::noteLeaving(*replica, log, {call, status, {}});
+    deployment.weights.onNotices(
+        [this](const std::string& instance, const clients::WeightsCallNotices& notices) {
+          if (const auto replica = replicas.find(instance)) learnNotices(*replica, notices);
         });
+    cacheWatch.onLimitedCall(
+        [this](const routing::ReplicaRecord& replica) { placement.countCall(replica); });
     replicaEnds.onEnded([this](const routing::EndedRuns& ended) {
       quarantine.onRunsEnded(base::engineIdOf(ended.instance), ended.runs);
     });
@@ -147,6 +150,15 @@
     });
   }
 
+  /// What a replica says of itself in an answer to an order or a report.
+  void learnNotices(routing::ReplicaRecord& replica, const clients::WeightsCallNotices& notices) {
+    const routing::NoticeSource source{notices.call, notices.status, {}};
+    if (notices.leaving) routing::noteLeaving(replica, log, source);
+    const auto now = clock.now();
+    routing::noteRateLimit(replica, log,
+                           {notices.rateLimit, now - clients::kWeightsCallTimeout, now}, source);
+  }
+
   request::RelayServiceOptions serviceOptions() const {
     request::RelayServiceOptions options;
     options.confirmationBound = config::trustedAge(settings.revocation);
@@ -420,6 +432,7 @@
   routing::ReplicaChoice choice;
   routing::PartLookup parts;
   routing::Placement placement;
+  node::CountedWeightsClient weights;
   routing::LoadSharing loadSharing;
   config::StoreEras storeEras;
   config::EraCheckedTable ownTable;
--- a/src/routing/cache_watch.cc
+++ b/src/routing/cache_watch.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "prefix/part_chain.h"
+#include "routing/rate_pacer.h"
 #include "routing/replica_choice.h"
 
 namespace covewing::routing {
@@ -29,6 +30,26 @@
 
 void CacheWatch::start() { review(); }
 
+std::optional<double> CacheWatch::rateLimitOf(const std::string& name) const {
+  const auto record = environment_.replicas.find(name);
+  return record ? record->notices().rateLimit().perSecond() : std::nullopt;
+}
+
+base::Duration CacheWatch::pauseFor(std::optional<double> rateLimit) const {
+  if (!rateLimit) return options_.pause;
+  return std::clamp(RatePacer::intervalOf(rateLimit) * options_.limitedIntervals,
+                    options_.leastLimitedPause, options_.longestLimitedPause);
+}
+
+void CacheWatch::hastenUnlimited() {
+  for (auto& [name, watch] : watches_) {
+    if (!watch.limited || rateLimitOf(name)) continue;
+    watch.limited = false;
+    environment_.timers.cancel(watch.timer);
+    poll(name, watch.number);
+  }
+}
+
 CacheWatch::Wanted CacheWatch::wanted() const {
   Wanted wanted;
   for (const auto& [instance, record] : environment_.replicas.all()) {
@@ -36,8 +57,11 @@
     // What lists no model keeps no cache of prompts.
     if (facts.models.empty()) continue;
     const auto limit = limit_(facts.service);
-    if (isWatcher(instance, facts.zone, limit))
-      wanted.emplace(instance, Target{facts.endpoint, facts.zone, limit});
+    const bool watches =
+        rateLimitOf(instance)
+            ? homes_.isAmongFirst(base::engineIdOf(instance), facts.zone, 1) && limit > 0
+            : isWatcher(instance, facts.zone, limit);
+    if (watches) wanted.emplace(instance, Target{facts.endpoint, facts.zone, limit});
   }
   for (const auto& store : environment_.stores.all()) {
     if (isWatcher(store.name, {}, store.eventWatchers))
@@ -57,6 +81,7 @@
     environment_.stores.forgetAnswered(watch->first);
     watch = watches_.erase(watch);
   }
+  hastenUnlimited();
   for (const auto& [name, target] : now) {
     const auto [watch, added] = watches_.try_emplace(name);
     if (!added) continue;
@@ -101,21 +126,34 @@
 void CacheWatch::poll(const std::string& name, std::uint64_t number) {
   const Watch* watch = find(name, number);
   if (watch == nullptr) return;
-  environment_.feed.poll(
-      watch->endpoint, watch->since, options_.wait,
-      [this, name, number, alive = std::weak_ptr(lifetime_)](const clients::CacheFeedReply& reply) {
-        if (alive.expired()) return;
-        if (Watch* current = find(name, number)) onReply(name, *current, reply);
-      });
+  if (limitedCall_ && rateLimitOf(name)) limitedCall_(*environment_.replicas.find(name));
+  const auto askedAt = environment_.clock.now();
+  environment_.feed.poll(watch->endpoint, watch->since, options_.wait,
+                         [this, name, number, askedAt,
+                          alive = std::weak_ptr(lifetime_)](const clients::CacheFeedReply& reply) {
+                           if (alive.expired()) return;
+                           if (const auto replica = environment_.replicas.find(name))
+                             learnNotices(*replica, askedAt, reply);
+                           if (Watch* current = find(name, number)) onReply(name, *current, reply);
+                         });
+}
+
+void CacheWatch::learnNotices(ReplicaRecord& replica, base::TimePoint askedAt,
+                              const clients::CacheFeedReply& reply) const {
+  const NoticeSource source{"cache events", 0, {}};
+  if (reply.leaving) noteLeaving(replica, environment_.log, source);
+  noteRateLimit(replica, environment_.log, {reply.rateLimit, askedAt, environment_.clock.now()},
+                source);
 }
 
 void CacheWatch::onReply(const std::string& name, Watch& watch,
                          const clients::CacheFeedReply& reply) {
-  const auto replica = environment_.replicas.find(name);
-  if (reply.leaving && replica) noteLeaving(*replica, environment_.log, {"cache events", 0, {}});
+  const auto rateLimit = rateLimitOf(name);
+  const auto pause = pauseFor(rateLimit);
+  watch.limited = rateLimit.has_value();
   environment_.stores.setAnswered(name, reply.status == clients::CacheFeedStatus::kOk);
   if (reply.status != clients::CacheFeedStatus::kOk) {
-    schedule(name, watch, options_.backoff);
+    schedule(name, watch, std::max(options_.backoff, pause));
     return;
   }
   const auto holder = base::engineIdOf(name);
@@ -124,7 +162,7 @@
   watch.epoch = reply.epoch;
   watch.since = reply.next;
   takeEvents(name, watch, reply);
-  schedule(name, watch, options_.pause);
+  schedule(name, watch, pause);
 }
 
 void CacheWatch::takeEvents(const std::string& name, const Watch& watch,
--- a/src/routing/cache_watch.h
+++ b/src/routing/cache_watch.h
@@ -9,11 +9,16 @@
 /// A new watcher is sent all events that the replica still keeps, some hundred kilobytes. So a node
 /// begins to watch only when it has been in line for a while: a node that has just started sees
 /// itself alone at first, and one that restarts is back in a moment.
+///
+/// A replica that names a rate limit takes calls within it as well: its home alone watches it then,
+/// and seldom.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/random.h"
@@ -32,6 +37,11 @@
   base::Duration wait = std::chrono::seconds(1);
   /// Between an answer and the next call: events are taken in batches.
   base::Duration pause = std::chrono::milliseconds(150);
+  /// Between calls to a replica with a rate limit: this many intervals of the rate, so that most of
+  /// it is left for requests, within these bounds.
+  std::int64_t limitedIntervals = 20;
+  base::Duration leastLimitedPause = std::chrono::seconds(2);
+  base::Duration longestLimitedPause = std::chrono::minutes(2);
   /// After a failed call.
   base::Duration backoff = std::chrono::milliseconds(700);
   /// How often the choice of watchers is looked at again.
@@ -80,7 +90,11 @@
   CacheWatch(const CacheWatch&) = delete;
   CacheWatch& operator=(const CacheWatch&) = delete;
 
+  /// Called with a replica that names a rate limit, before a call to it.
+  using CallListener = std::function<void(const ReplicaRecord& replica)>;
+
   void start();
+  void onLimitedCall(CallListener listener) { limitedCall_ = std::move(listener); }
   void onChange(ChangeListener listener) { changed_ = std::move(listener); }
   std::size_t watched() const { return watches_.size(); }
 
@@ -96,6 +110,8 @@
     std::uint64_t since = 0;
     std::uint64_t epoch = 0;
     base::TimerId timer = 0;
+    /// The next call waits as the replica named a rate limit.
+    bool limited = false;
   };
   struct Target {
     base::Endpoint endpoint;
@@ -114,16 +130,25 @@
   /// The watch with this name and number; null when it has ended.
   Watch* find(const std::string& name, std::uint64_t number);
   void poll(const std::string& name, std::uint64_t number);
+  /// What the replica said of itself in the answer.
+  void learnNotices(ReplicaRecord& replica, base::TimePoint askedAt,
+                    const clients::CacheFeedReply& reply) const;
   void onReply(const std::string& name, Watch& watch, const clients::CacheFeedReply& reply);
   void takeEvents(const std::string& name, const Watch& watch,
                   const clients::CacheFeedReply& reply);
   void schedule(const std::string& name, Watch& watch, base::Duration delay);
+  /// The rate limit that the replica names, in requests a second; empty without one.
+  std::optional<double> rateLimitOf(const std::string& name) const;
+  base::Duration pauseFor(std::optional<double> rateLimit) const;
+  /// Replicas that no longer name a limit are not waited for any more.
+  void hastenUnlimited();
 
   CacheWatchOptions options_;
   CacheWatchEnvironment environment_;
   ReplicaHomes homes_;
   WatcherLimit limit_;
   ChangeListener changed_;
+  CallListener limitedCall_;
   std::map<std::string, Watch> watches_;
   /// Since when this node has been in line.
   std::map<std::string, base::TimePoint> inLineSince_;
--- a/tests/coordination/replica_survey_test.cc
+++ b/tests/coordination/replica_survey_test.cc
@@ -1,6 +1,7 @@
 // What replicas say of themselves before they are changed.
 #include "coordination/replica_survey.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <vector>
@@ -17,7 +18,7 @@
 struct SurveyFixture : clients::WeightsClient {
   SurveyFixture() { time.advance(seconds(100)); }
 
-  void onLeaving(LeavingListener /*listener*/) override {}
+  void onNotices(NoticeListener /*listener*/) override {}
   void order(const base::Endpoint& /*replica*/, const std::string& /*instance*/,
              clients::WeightsOrder /*order*/,
              std::function<void(clients::WeightsOrderStatus)> /*callback*/) override {}
@@ -86,6 +87,15 @@
   BOOST_TEST(!survey.silent("r0"));
 }
 
+BOOST_AUTO_TEST_CASE(ReplicaWithARateLimitIsNotAsked) {
+  add(2);
+  candidates.front()->notices().rateLimit().learn(
+      {clients::RateLimitNotice::of(1), time.now(), time.now()});
+  step(seconds(2));
+  BOOST_TEST(std::ranges::count(asked, "r0") == 0);
+  BOOST_TEST(!survey.silent("r0"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::coordination
--- a/tests/coordination/weights_rollout_test.cc
+++ b/tests/coordination/weights_rollout_test.cc
@@ -45,7 +45,7 @@
 
   explicit FakeReplicas(test_support::VirtualTime& time) : time_(time) {}
 
-  void onLeaving(LeavingListener /*listener*/) override {}
+  void onNotices(NoticeListener /*listener*/) override {}
   void order(const base::Endpoint& /*replica*/, const std::string& instance,
              clients::WeightsOrder order,
              std::function<void(WeightsOrderStatus)> callback) override {
@@ -70,6 +70,7 @@
   void report(const base::Endpoint& /*replica*/, const std::string& instance,
               const std::string& /*model*/,
               std::function<void(std::optional<clients::WeightsReport>)> callback) override {
+    ++reports[instance];
     const auto& replica = settled(instance);
     if (replica.silent) {
       time_.schedule(kNoAnswer, [callback] { callback(std::nullopt); });
@@ -91,6 +92,7 @@
 
   std::map<std::string, Replica> replicas;
   std::vector<std::pair<std::string, clients::WeightsOrder>> given;
+  std::map<std::string, std::size_t> reports;
   /// What orders came to that were carried out late.
   std::vector<WeightsOrderStatus> late;
   int loseAnswers = 0;
@@ -245,6 +247,21 @@
   BOOST_TEST(replicas.given.size() == 1U);
 }
 
+// A replica that takes one request a second got ten reports a second while it was changed.
+BOOST_AUTO_TEST_CASE(ReplicaWithARateLimitGetsFewCallsWhileItIsChanged) {
+  const auto now = time.now();
+  for (int number = 1; number < 12; ++number) list("r" + std::to_string(number), 2);
+  directory.find("r0")->notices().rateLimit().learn({clients::RateLimitNotice::of(0.5), now, now});
+  replicas.replicas["r0"].running = 2;
+  targets.onNamed("m", 2, now);
+  rollout.start();
+  time.advance(seconds(4));
+  BOOST_TEST(replicas.reports["r0"] + replicas.given.size() <= 5U);
+  replicas.replicas["r0"].running = 0;
+  time.advance(seconds(4));
+  BOOST_TEST(replicas.replicas["r0"].version == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(OtherNodesAreToldAlsoWhenTheListShowsTheVersionFirst) {
   for (int number = 1; number < 12; ++number) list("r" + std::to_string(number), 2);
   targets.onNamed("m", 2, time.now());
--- a/tests/live/relay_fleet.h
+++ b/tests/live/relay_fleet.h
@@ -110,7 +110,7 @@
 /// No replica serves a model, so nothing is ordered or watched.
 class NoWeights final : public clients::WeightsClient {
  public:
-  void onLeaving(LeavingListener /*listener*/) override {}
+  void onNotices(NoticeListener /*listener*/) override {}
   void order(const base::Endpoint& /*replica*/, const std::string& /*instance*/,
              clients::WeightsOrder /*order*/,
              std::function<void(clients::WeightsOrderStatus)> /*callback*/) override {}
--- a/tests/platform/weights_order_client_test.cc
+++ b/tests/platform/weights_order_client_test.cc
@@ -76,8 +76,10 @@
 // Also a refused order says that its replica leaves.
 BOOST_AUTO_TEST_CASE(LeavingIsHeardInAnswersToOrdersAndReports) {
   std::vector<std::string> heard;
-  client.onLeaving([&](const std::string& instance, std::string_view call, unsigned code) {
-    heard.push_back(instance + ' ' + std::string{call} + ' ' + std::to_string(code));
+  client.onNotices([&](const std::string& instance, const clients::WeightsCallNotices& said) {
+    if (!said.leaving) return;
+    heard.push_back(instance + ' ' + std::string{said.call} + ' ' +
+                    std::to_string(said.status));
   });
   const auto order = [&] {
     bool answered = false;
--- a/tests/routing/cache_watch_test.cc
+++ b/tests/routing/cache_watch_test.cc
@@ -243,6 +243,39 @@
   BOOST_TEST(!replicas.find("r1")->inService());
 }
 
+// A replica that takes one request a second got two calls a second from those that watch its cache.
+BOOST_AUTO_TEST_CASE(ReplicaWithARateLimitIsWatchedSeldomAndByItsHomeAlone) {
+  std::size_t limitedCalls = 0;
+  watch.onLimitedCall([&](const ReplicaRecord& /*replica*/) { ++limitedCalls; });
+  auto limited = reply(7, 12, 50);
+  limited.rateLimit = clients::RateLimitNotice::of(1);
+  feed.calls.back().callback(limited);
+  BOOST_TEST(replicas.find("r1")->notices().rateLimit().perSecond().value() == 1.0);
+  time.advance(seconds(10));
+  BOOST_TEST(feed.calls.size() == 1U);
+  time.advance(seconds(20));
+  BOOST_TEST(feed.calls.size() == 2U);
+  BOOST_TEST(limitedCalls == 1U);
+  // Other nodes of a small fleet leave it to the home.
+  members.members.push_back(FakeMembers::member("other"));
+  members.members.push_back(FakeMembers::member("another"));
+  time.advance(seconds(1));
+  const bool home = ReplicaHomes(members).isAmongFirst(base::engineIdOf("r1"), {}, 1);
+  BOOST_TEST(watch.watched() == (home ? 1U : 0U));
+}
+
+BOOST_AUTO_TEST_CASE(ReplicaThatNoLongerNamesALimitIsWatchedAgainAtOnce) {
+  auto limited = reply(7, 12, 50);
+  limited.rateLimit = clients::RateLimitNotice::of(0.2);
+  feed.calls.back().callback(limited);
+  time.advance(seconds(2));
+  const auto now = time.now();
+  replicas.find("r1")->notices().rateLimit().learn(
+      {clients::RateLimitNotice::unlimited(), now, now});
+  time.advance(seconds(1));
+  BOOST_TEST(feed.calls.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::routing
