Count a replica with a rate limit as silent later

What callers saw: while all replicas of a model were limited, one of them got 15 requests in 8 s with a limit of 2.9 a second; the rest was refused.

Cause: a replica with a few requests is silent as soon as one of them waits for 0.7 s, and is passed over until it answers.

With the condition left out, ReplicaHealthTest/ReplicaWithARateLimitCountsAsSilentLater fails.

Why this works: two intervals of the rate are added to the bound. At most two or three requests more can go to a replica that is ill in that time.

--- a/src/routing/replica_directory.cc
+++ b/src/routing/replica_directory.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "routing/rate_pacer.h"
+
 namespace covewing::routing {
 
 std::string rateLimitText(std::optional<double> perSecond) {
@@ -77,6 +79,7 @@
   const auto before = limit.perSecond();
   const bool unreadable = evidence.notice.unreadable && limit.noteUnreadable();
   if (!limit.learn(evidence) && !unreadable) return;
+  replica.health().setInterval(RatePacer::intervalOf(limit.perSecond()));
   log.write(base::Event::kReplicaLimited,
             {{"replica", replica.facts().instance},
              {"service", replica.facts().service},
--- a/src/routing/replica_health.cc
+++ b/src/routing/replica_health.cc
@@ -44,7 +44,9 @@
 }
 
 bool ReplicaHealth::silent(base::TimePoint now) const {
-  return waiting_ > 0 && now - quietSince_ > options_.silence + waitingWork_;
+  return waiting_ > 0 && now - quietSince_ > options_.silence +
+                                                 options_.intervalsOfSilence * interval_ +
+                                                 waitingWork_;
 }
 
 bool ReplicaHealth::available(base::TimePoint now) const {
--- a/src/routing/replica_health.h
+++ b/src/routing/replica_health.h
@@ -26,6 +26,8 @@
   std::uint32_t minimumOutcomes = 6;
   /// Silence, beyond the work of the requests that wait, after which nothing more is sent.
   base::Duration silence = std::chrono::milliseconds(700);
+  /// Intervals of a rate limit that are added to it.
+  std::int64_t intervalsOfSilence = 2;
 };
 
 class ReplicaHealth {
@@ -47,6 +49,10 @@
   /// No connection could be had.
   void onUnreachable(base::TimePoint now);
 
+  /// The replica gets a request only each `interval`, by its rate limit; zero without one. One that
+  /// waits long tells less then, and little can be lost meanwhile: it counts as silent later.
+  void setInterval(base::Duration interval) { interval_ = interval; }
+
   /// May be chosen now: neither ejected nor silent; on probation with nothing else under way.
   bool available(base::TimePoint now) const;
   bool ejected(base::TimePoint now) const { return now < ejectedUntil_; }
@@ -65,6 +71,7 @@
   std::uint32_t waiting_ = 0;
   /// Work of the requests that wait.
   base::Duration waitingWork_{};
+  base::Duration interval_{};
   /// When something was last heard, or the first of the waiting requests was sent.
   base::TimePoint quietSince_{};
   std::uint32_t failuresInRow_ = 0;
--- a/src/routing/replica_ledger.h
+++ b/src/routing/replica_ledger.h
@@ -57,6 +57,7 @@
   /// The replica takes so many requests a second from all nodes; empty: as many as it has room for.
   void setRate(std::optional<double> perSecond, base::TimePoint now) {
     pacer_.setRate(perSecond, now);
+    health_.setInterval(pacer_.interval());
   }
   const RatePacer& pacer() const { return pacer_; }
   /// A call that is no request went to the replica.
--- a/tests/routing/replica_health_test.cc
+++ b/tests/routing/replica_health_test.cc
@@ -94,6 +94,18 @@
   BOOST_TEST(!health.available(kStart + milliseconds(5600)));
 }
 
+// It got one request each half second, and was passed over for a second whenever one of them
+// waited.
+BOOST_AUTO_TEST_CASE(ReplicaWithARateLimitCountsAsSilentLater) {
+  ReplicaHealth health;
+  health.setInterval(milliseconds(500));
+  health.onDispatched(kStart);
+  BOOST_TEST(health.available(kStart + milliseconds(1600)));
+  BOOST_TEST(!health.available(kStart + milliseconds(1800)));
+  health.setInterval({});
+  BOOST_TEST(!health.available(kStart + milliseconds(800)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::routing
