Wait on for a silent attempt where all other replicas are limited

What callers saw: 502 in place of an answer that was on its way. Of 28 requests that arrived at four limited replicas which answer after 0.9 s none was served.

Cause: an attempt without an answer for the target latency was given up for another replica. None took it beyond its rate, and as it may have run, it was refused as lost.

Why this works: what was granted is kept where others have no room but their rates.

Evidence: SlowAttemptIsNotGivenUpWhereAllOthersAreLimited fails without the condition, 0 served.

--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -279,6 +279,9 @@
   clients::DispatchTerms termsFor(const routing::ReplicaDecision& decision) const;
   void armSilence();
   void onSilence();
+  /// Where the attempt is silent, no other replica has room beyond its rate: waiting on is better
+  /// than giving up what has been granted.
+  bool othersAreRateLimited();
   /// Ends an attempt that has not begun when its version of the weights is out of date.
   void armBegin();
   void onNotBegun();
--- a/src/request/relay_flow_retries.cc
+++ b/src/request/relay_flow_retries.cc
@@ -12,7 +12,7 @@
 }  // namespace
 
 void RelayFlow::onSilence() {
-  if (over_ || !attempt_) return;
+  if (over_ || !attempt_ || othersAreRateLimited()) return;
   const auto self = shared_from_this();
   const bool counted = attempt_->answer.has_value();
   if (!counted) ++runs_;
@@ -29,6 +29,12 @@
   goElsewhere(RetryCause::kSilent);
 }
 
+bool RelayFlow::othersAreRateLimited() {
+  auto others = query();
+  others.excluded.push_back(attempt_->decision.replica->facts().instance);
+  return dependencies_.choice.allRateLimited(others, dependencies_.clock.now());
+}
+
 void RelayFlow::onNotBegun() {
   if (!mayStillBegin()) return;
   logWithdrawal();
--- a/src/routing/replica_choice.cc
+++ b/src/routing/replica_choice.cc
@@ -345,6 +345,12 @@
   complete(decision, query, now);
 }
 
+bool ReplicaChoice::allRateLimited(const ReplicaQuery& query, base::TimePoint now) {
+  ReplicaDecision unused;
+  const auto candidates = eligible(query, now, unused);
+  return !candidates.empty() && std::ranges::all_of(candidates, rateLimited);
+}
+
 std::optional<ReplicaDecision> ReplicaChoice::decide(const ReplicaQuery& query,
                                                      const ReplicaRecordPtr& replica,
                                                      std::uint32_t matchedTokens,
--- a/src/routing/replica_choice.h
+++ b/src/routing/replica_choice.h
@@ -140,6 +140,8 @@
 
   /// `nodes` is the number of nodes that share the replicas.
   ReplicaDecision choose(const ReplicaQuery& query, std::size_t nodes, base::TimePoint now);
+  /// Some replicas may take the request, and all of them name a rate limit.
+  bool allRateLimited(const ReplicaQuery& query, base::TimePoint now);
   /// The decision for this replica; empty when it may not be chosen now. `matchedTokens` is what
   /// its home believes cached there.
   std::optional<ReplicaDecision> decide(const ReplicaQuery& query, const ReplicaRecordPtr& replica,
--- a/tests/request/replica_rate_limit_test.cc
+++ b/tests/request/replica_rate_limit_test.cc
@@ -217,6 +217,23 @@
   }
 }
 
+// Its attempt was given up for others that took no more, and the request refused as lost.
+BOOST_AUTO_TEST_CASE(SlowAttemptIsNotGivenUpWhereAllOthersAreLimited) {
+  LimitedFleet fleet(5, 4);
+  limitAll(fleet, 4, 2);
+  fleet.load(seconds(4), kDemand);
+  for (std::size_t number = 0; number < 4; ++number)
+    fleet.replica(number).runTime = milliseconds(900);
+  const auto servedBefore = fleet.calls.served;
+  const auto since = fleet.time.now();
+  fleet.load(seconds(8), kDemand);
+  fleet.time.advance(seconds(3));
+  double arrived = 0;
+  for (std::size_t number = 0; number < 4; ++number)
+    arrived += fleet.rateSince(number, since) * base::toSeconds(fleet.time.now() - since);
+  BOOST_TEST(static_cast<double>(fleet.calls.served - servedBefore) >= 0.95 * arrived);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::request
