Take a refusal of a replica that names a rate limit for no failure of its health

What callers saw: a replica that turned requests away and said how many it takes was ejected, and got none at all.

Cause: a refusal counts as a failure unless it asks for rest.

Evidence: RefusalOfAReplicaWithARateLimitIsNoFailureOfHealth fails without the condition for all three replicas.

--- a/src/request/relay_flow_retries.cc
+++ b/src/request/relay_flow_retries.cc
@@ -74,6 +74,8 @@
   // A replica that says for how long it wants rest is well: to eject it would keep others from it.
   if (answer.status == kServiceUnavailable && answer.rest > base::Duration::zero()) return;
   record.setFull(now + std::max(options_.fullFor, answer.rest));
+  // Nor is one ill that says how much it takes.
+  if (answer.rateLimit.limited()) return;
   record.health().onFailure(now, dependencies_.replicas.failureRateOfOthers(record));
 }
 
--- a/tests/request/replica_notices_test.cc
+++ b/tests/request/replica_notices_test.cc
@@ -383,6 +383,27 @@
   BOOST_TEST(reaching(limited->facts().endpoint, 1, "safe") == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(RefusalOfAReplicaWithARateLimitIsNoFailureOfHealth) {
+  for (int count = 0; count < 12; ++count) {
+    const auto& caller = request("safe");
+    for (std::size_t sent = 0; caller.open() && sent < client.sent.size();
+         time.advance(milliseconds(20))) {
+      sent = client.sent.size();
+      clients::RelayedAnswer answer;
+      answer.status = 429;
+      answer.notExecuted = true;
+      answer.rateLimit = clients::RateLimitNotice::of(50);
+      const auto last = client.sent.back();
+      if (!last->open) break;
+      last->handler->onHead(answer);
+      if (last->open) last->handler->onEnd();
+    }
+    time.advance(milliseconds(30));
+  }
+  for (const char* name : {"a", "b", "c"})
+    BOOST_TEST(replicas.find(name)->health().available(time.now()), name);
+}
+
 BOOST_AUTO_TEST_CASE(BrokenStreamIsTakenUpAgainOnlyWithinTheRate) {
   request("resumable");
   const auto first = client.sent.back();
