--- a/tests/scripts/relay_soak.sh
+++ b/tests/scripts/relay_soak.sh
@@ -44,6 +44,9 @@
 run_seed 6 7104 15 --notices
 # The table service comes back from copies some seconds old, amid versions, keys and restarts of nodes.
 run_seed 7 1 15 --keys --returns
+# Replicas name how many requests a second they take, amid all faults, and while nothing else goes wrong.
+run_seed 8 2 15 --limits
+run_seed 9 3 0 --calm-limits
 former=f2f79b671a2435b73f8720b452fe6c354cbe3c60
 if former_program=$(bash scripts/build_at "$former"); then
   run_seed 5 2001 15 --keys --steady-clock --from-program "$former_program"
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -14,8 +14,10 @@
 # Operators and faults meet within this (seconds).
 MEET_WITHIN = 0.05
 # What replicas name where nothing else goes wrong: less than callers want (requests a second).
-CALM_LIMIT = (0.5, 10.0)
+CALM_LIMIT = (0.5, 5.0)
 CALM_LIMIT_ROUNDS = 2
+# So many times the usual callers, so that they want more than all replicas take.
+CALM_LIMIT_CALLERS = 6
 
 
 class Faults:
--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -56,7 +56,7 @@
 from callers import RESUMABLE, SAFE, STREAM, Caller, KeyCaller, PatientCaller
 from checks import (ConfigurationRule, LimitRule, NoticeRule, Outcome, RepeatRule, Sent, Trouble, VersionRule,
                     calm_since)
-from faults import Faults
+from faults import CALM_LIMIT_CALLERS, Faults
 from model_replicas import MODEL, MODEL_SERVICE, ModelReplica
 from nodes import Node
 from operators import ADDED_ROUTES, KEYS, ROUTE_TIMEOUT_MS, Operators
@@ -383,7 +383,8 @@
             self.faults_end = now() + self.options.seconds
             self.spawn(self.watch_lag())
             # Half of the callers want streams from the model.
-            for number in range(self.options.callers):
+            callers = self.options.callers * (CALM_LIMIT_CALLERS if self.options.calm_limits else 1)
+            for number in range(callers):
                 caller = Caller(self, number)
                 if number % 2 == 0:
                     caller.kinds = (STREAM, RESUMABLE)
