--- a/tests/platform/weights_order_client_test.cc
+++ b/tests/platform/weights_order_client_test.cc
@@ -78,8 +78,7 @@
   std::vector<std::string> heard;
   client.onNotices([&](const std::string& instance, const clients::WeightsCallNotices& said) {
     if (!said.leaving) return;
-    heard.push_back(instance + ' ' + std::string{said.call} + ' ' +
-                    std::to_string(said.status));
+    heard.push_back(instance + ' ' + std::string{said.call} + ' ' + std::to_string(said.status));
   });
   const auto order = [&] {
     bool answered = false;
