Give dispatches and rate limits of homes files of their own; ask the table service again in one place

After a pause and after a return of the service the watch did the same three steps twice. No change of behaviour.

--- a/src/config/table_watch.cc
+++ b/src/config/table_watch.cc
@@ -48,13 +48,14 @@
   // A first copy that is still under way has a limit of its own.
   if (!confirmedAt_) return;
   caughtUp_ = false;
-  backoff_ = {};
-  timers_.cancel(retryTimer_);
-  next();
+  askAtOnce();
 }
 
 void TableWatch::onStoreReturned() {
-  if (!confirmedAt_) return;
+  if (confirmedAt_) askAtOnce();
+}
+
+void TableWatch::askAtOnce() {
   backoff_ = {};
   timers_.cancel(retryTimer_);
   next();
--- a/src/config/table_watch.h
+++ b/src/config/table_watch.h
@@ -107,6 +107,8 @@
   std::optional<base::Duration> serviceTime() const;
 
  private:
+  /// Leaves no back-off and no timer.
+  void askAtOnce();
   void next();
   void ask(base::Duration wait);
   void readAll();
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -274,6 +274,8 @@
   /// The replica names no rate limit, or its home has counted the request just now.
   bool withinRateLimit(const routing::ReplicaRecord& replica,
                        const routing::PlacementGrant& grant) const;
+  void logDispatch(const routing::ReplicaDecision& decision, const routing::PlacementGrant& grant,
+                   const clients::DispatchTerms& terms) const;
   /// Adds the decision's expectation to the sums of the outcome.
   void countTokens(const routing::ReplicaDecision& decision);
   clients::DispatchTerms termsFor(const routing::ReplicaDecision& decision) const;
--- /dev/null
+++ b/src/request/relay_flow_dispatch.cc
@@ -0,0 +1,152 @@
+// One attempt goes out: what is asked last, what the replica is told, and what is logged.
+#include <algorithm>
+#include <utility>
+
+#include "request/relay_flow.h"
+#include "request/relay_flow_internal.h"
+
+namespace covewing::request {
+
+namespace {
+
+/// The deepest shared part of the prompt, as a number that is equal on all nodes.
+std::string sharedPart(const RelayArrival& arrival) {
+  if (!arrival.prompt) return {};
+  const auto part = arrival.prompt->chain.deepestShared();
+  return part ? std::to_string(*part) : std::string{};
+}
+
+}  // namespace
+
+clients::DispatchTerms RelayFlow::termsFor(const routing::ReplicaDecision& decision) const {
+  clients::DispatchTerms terms;
+  terms.expectedInstance = decision.replica->facts().instance;
+  if (decision.version > 0) terms.expectedVersion = decision.version;
+  terms.timeLeft = timeLeft();
+  terms.priority = urgency();
+  terms.tenant = tenantName();
+  terms.cacheSalt = decision.cacheSalt;
+  if (decision.fetchFrom) terms.fetchFrom = decision.fetchFrom->endpoint;
+  terms.saveTo = decision.saveTo;
+  terms.lastEventId = events_.lastEventId().empty() ? arrival_.lastEventId : events_.lastEventId();
+  return terms;
+}
+
+bool RelayFlow::withinRateLimit(const routing::ReplicaRecord& replica,
+                                const routing::PlacementGrant& grant) const {
+  const bool limited = replica.notices().rateLimit().perSecond().has_value();
+  return !limited || grant.countsNow(dependencies_.clock.now());
+}
+
+void RelayFlow::dispatch(routing::ReplicaDecision decision, const routing::PlacementGrant& grant) {
+  const auto now = dependencies_.clock.now();
+  if (!decision.replica->takesRequests(now)) {
+    // Whatever way led here: it was chosen, or granted, before it said that it wants no more.
+    dependencies_.placement.giveBack(grant);
+    choose();
+    return;
+  }
+  if (!withinRateLimit(*decision.replica, grant)) {
+    dependencies_.placement.giveBack(grant);
+    passedOver_.push_back(decision.replica->facts().instance);
+    choose();
+    return;
+  }
+  if (timeLeft() < kLeastTimeForAttempt) {
+    dependencies_.placement.giveBack(grant);
+    onDeadline();
+    return;
+  }
+  if (!countRetry(grant)) return;
+  auto& record = *decision.replica;
+  const auto terms = termsFor(decision);
+  const std::uint32_t wanted = wantedTokens();
+  const std::uint32_t tokens = wanted - std::min(wanted, decision.matchedTokens);
+  record.onDispatched(tokens);
+  const std::uint32_t prompt = promptTokens();
+  const std::uint32_t unread = prompt - std::min(prompt, decision.heldTokens());
+  record.onReadingBegun(unread);
+  const auto work = record.readSpeed().time(unread);
+  record.health().onDispatched(now, work);
+  const bool trial = record.notices().beginTrial();
+  ++dispatches_;
+  if (retryCause_) ++retries_.at(static_cast<std::size_t>(*retryCause_));
+  heldFor_ = now - arrival_.arrivedAt;
+  lastReplica_ = record.facts().instance;
+  lastStream_ = {};
+  allowance_.onDispatch(runs_);
+  countTokens(decision);
+  logDispatch(decision, grant, terms);
+  const auto endpoint = record.facts().endpoint;
+  attempt_ = Attempt{std::move(decision),
+                     now,
+                     tokens,
+                     unread,
+                     work,
+                     false,
+                     false,
+                     std::nullopt,
+                     grant,
+                     routing::PlacementOutcome::kWithdrawn,
+                     {},
+                     trial,
+                     false};
+  armSilence();
+  armBegin();
+  call_ = dependencies_.client.start(endpoint, arrival_.request, terms, *this);
+  if (paused_) call_->setPaused(true);
+}
+
+void RelayFlow::logDispatch(const routing::ReplicaDecision& decision,
+                            const routing::PlacementGrant& grant,
+                            const clients::DispatchTerms& terms) const {
+  const auto now = dependencies_.clock.now();
+  const auto& record = *decision.replica;
+  const auto& limit = record.notices().rateLimit();
+  dependencies_.log.write(
+      base::Event::kRelayDispatched,
+      {{"request", arrival_.request->id},
+       {"fingerprint", base::toString(fingerprint_)},
+       {"route", assignment_.route->name},
+       {"tenant", terms.tenant},
+       {"urgency", std::to_string(urgency())},
+       {"held_ms", millisecondsText(heldFor_)},
+       {"counted", std::to_string(assignment_.demand ? assignment_.demand->tokens : 0)},
+       {"replica", record.facts().instance},
+       {"state", std::string{record.stateName(now)}},
+       {"read_ms", millisecondsText(now - record.facts().readAt)},
+       {"limit", routing::rateLimitText(limit.perSecond())},
+       {"limit_age_ms", limit.perSecond() ? millisecondsText(now - limit.asOf()) : std::string{}},
+       {"attempt", std::to_string(dispatches_)},
+       {"cause", retryCause_ ? std::string{toString(*retryCause_)} : "first"},
+       {"configuration", std::to_string(assignment_.table->version())},
+       {"confirmed_ms",
+        assignment_.confirmedAt ? millisecondsText(now - *assignment_.confirmedAt) : std::string{}},
+       {"weights", std::to_string(decision.version)},
+       {"begin_in_ms",
+        decision.beginBefore ? millisecondsText(*decision.beginBefore - now) : std::string{}},
+       {"salt", decision.cacheSalt},
+       {"rank", std::to_string(decision.rank)},
+       {"candidates", std::to_string(decision.candidates)},
+       {"home", base::toString(grant.home)},
+       {"paced", grant.paced ? "yes" : "no"},
+       {"homes_asked", std::to_string(decision.homesAsked)},
+       {"wait_ms", millisecondsText(decision.expectedWait)},
+       {"in_flight", std::to_string(record.inFlight())},
+       {"part", sharedPart(arrival_)},
+       {"shared", std::to_string(arrival_.prompt ? arrival_.prompt->chain.sharedTokens() : 0)},
+       {"cached", std::to_string(decision.matchedTokens)},
+       {"fetch", decision.fetchFrom ? decision.fetchFrom->name : ""},
+       {"fetch_tokens", std::to_string(decision.fetchFrom ? decision.fetchFrom->tokens : 0)},
+       {"save", decision.saveTo ? base::toString(*decision.saveTo) : ""},
+       {"left_ms", millisecondsText(terms.timeLeft)}});
+}
+
+void RelayFlow::countTokens(const routing::ReplicaDecision& decision) {
+  if (!arrival_.prompt) return;
+  cachedTokens_ += decision.matchedTokens;
+  fetchedTokens_ += decision.heldTokens() - decision.matchedTokens;
+  readTokens_ += unreadSharedTokens(decision);
+}
+
+}  // namespace covewing::request
--- a/src/routing/placement_home.cc
+++ b/src/routing/placement_home.cc
@@ -66,37 +66,6 @@
   return answer;
 }
 
-bool PlacementHome::isHome(const ReplicaRecord& record) const {
-  const auto& facts = record.facts();
-  return homes_.homeOf(base::engineIdOf(facts.instance), facts.zone).id ==
-         environment_.members.self().id;
-}
-
-double PlacementHome::partOfRate() const {
-  const auto live = environment_.members.liveMembers().size();
-  const auto lost = environment_.members.lostMembers();
-  if (live > lost) return 1;
-  return static_cast<double>(live) / static_cast<double>(live + lost);
-}
-
-void PlacementHome::followRateLimit(base::EngineId replica, ReplicaQueue& state) const {
-  const auto record = environment_.replicas.find(replica);
-  if (record == nullptr) return;
-  auto rate = record->notices().rateLimit().perSecond();
-  if (rate) *rate *= partOfRate();
-  state.ledger.setRate(rate, environment_.clock.now());
-}
-
-void PlacementHome::onLimitSaid(base::EngineId replica, const clients::RateLimitNotice& notice,
-                                const ReplicaQueue& state, std::uint64_t grant) {
-  const auto record = environment_.replicas.find(replica);
-  if (record == nullptr) return;
-  const auto now = environment_.clock.now();
-  // The request was sent after its grant. Where that is not known, what it says ends no limit.
-  const auto sentAfter = state.ledger.grantedAt(grant).value_or(base::TimePoint::min());
-  noteRateLimit(*record, environment_.log, {notice, sentAfter, now}, {kOtherNode, 0, {}});
-}
-
 PlacementWork PlacementHome::workAt(const PlacementQuestion& question,
                                     const PlacementAnswer& answer) {
   auto work = question.work;
@@ -213,14 +182,6 @@
   }
 }
 
-void PlacementHome::learnRateLimit(const PlacementQuestion& question) {
-  // Only a limit: that there is none, a home learns from answers of the replica.
-  if (!question.rateLimit.notice.limited()) return;
-  if (const auto record = environment_.replicas.find(question.replica))
-    noteRateLimit(*record, environment_.log,
-                  evidenceOf(question.rateLimit, environment_.clock.now()), {kOtherNode, 0, {}});
-}
-
 void PlacementHome::onLeaving(base::EngineId replica) {
   if (const auto record = environment_.replicas.find(replica))
     noteLeaving(*record, environment_.log, {kOtherNode, 0, {}});
--- /dev/null
+++ b/src/routing/placement_home_rate_limit.cc
@@ -0,0 +1,45 @@
+// What a home knows of the rate limits of its replicas, and what part of them it may grant.
+#include "routing/placement_home.h"
+
+namespace covewing::routing {
+
+bool PlacementHome::isHome(const ReplicaRecord& record) const {
+  const auto& facts = record.facts();
+  return homes_.homeOf(base::engineIdOf(facts.instance), facts.zone).id ==
+         environment_.members.self().id;
+}
+
+double PlacementHome::partOfRate() const {
+  const auto live = environment_.members.liveMembers().size();
+  const auto lost = environment_.members.lostMembers();
+  if (live > lost) return 1;
+  return static_cast<double>(live) / static_cast<double>(live + lost);
+}
+
+void PlacementHome::followRateLimit(base::EngineId replica, ReplicaQueue& state) const {
+  const auto record = environment_.replicas.find(replica);
+  if (record == nullptr) return;
+  auto rate = record->notices().rateLimit().perSecond();
+  if (rate) *rate *= partOfRate();
+  state.ledger.setRate(rate, environment_.clock.now());
+}
+
+void PlacementHome::onLimitSaid(base::EngineId replica, const clients::RateLimitNotice& notice,
+                                const ReplicaQueue& state, std::uint64_t grant) {
+  const auto record = environment_.replicas.find(replica);
+  if (record == nullptr) return;
+  const auto now = environment_.clock.now();
+  // The request was sent after its grant. Where that is not known, what it says ends no limit.
+  const auto sentAfter = state.ledger.grantedAt(grant).value_or(base::TimePoint::min());
+  noteRateLimit(*record, environment_.log, {notice, sentAfter, now}, {kOtherNode, 0, {}});
+}
+
+void PlacementHome::learnRateLimit(const PlacementQuestion& question) {
+  // Only a limit: that there is none, a home learns from answers of the replica.
+  if (!question.rateLimit.notice.limited()) return;
+  if (const auto record = environment_.replicas.find(question.replica))
+    noteRateLimit(*record, environment_.log,
+                  evidenceOf(question.rateLimit, environment_.clock.now()), {kOtherNode, 0, {}});
+}
+
+}  // namespace covewing::routing
