--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -36,6 +36,7 @@
 - with --limits: no replica gets more than it takes from the nodes that were told (checks.LimitRule);
 - nothing arrives at the address of an entry by another writer;
 - no two nodes give orders with one fencing token;
+- no process of a node ends by itself;
 - in the end every node serves, and all model replicas hold the newest version.
 
 Exit status: 0 when all held, 1 with the violations, 2 for a wrong command line.
@@ -382,6 +383,7 @@
             await self.start()
             self.faults_end = now() + self.options.seconds
             self.spawn(self.watch_lag())
+            self.spawn(self.watch_processes())
             # Half of the callers want streams from the model.
             callers = self.options.callers * (CALM_LIMIT_CALLERS if self.options.calm_limits else 1)
             for number in range(callers):
@@ -431,6 +433,19 @@
             await asyncio.sleep(BEFORE_UPGRADE)
             await self.faults.replace_builds()
 
+    async def watch_processes(self):
+        """No node ends but by a fault that is under way."""
+        told = set()
+        while not self.over:
+            for node in self.nodes:
+                process = node.process
+                if node.busy or process.poll() is None or process.pid in told:
+                    continue
+                told.add(process.pid)
+                self.violate(f"the process {process.pid} of node-{node.index} has ended by itself, "
+                             f"exit status {process.returncode}")
+            await asyncio.sleep(0.1)
+
     async def watch_lag(self):
         """How late this process itself was at most: by so much its times may be wrong."""
         step = 0.01
