--- a/tests/soak/model_replicas.py
+++ b/tests/soak/model_replicas.py
@@ -69,10 +69,11 @@
     async def start(self):
         self.life = Life(unix_milliseconds(), now())
         self.notices, self.state = Notices(), "ready"
-        self.listener = Listener(self.handle)
-        self.listener.port = self.port
-        await self.listener.open()
-        self.port = self.listener.port
+        listener = Listener(self.handle)
+        listener.port = self.port
+        await listener.open()
+        # From here on it can end.
+        self.listener, self.port = listener, listener.port
         await self.tell()
 
     async def tell(self):
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -37,10 +37,11 @@
         self.starts += 1
         self.instance = f"{self.name}-{self.starts}"
         self.notices = Notices()
-        self.listener = Listener(self.handle)
-        self.listener.port = self.port
-        await self.listener.open()
-        self.port = self.listener.port
+        listener = Listener(self.handle)
+        listener.port = self.port
+        await listener.open()
+        # From here on it can end.
+        self.listener, self.port = listener, listener.port
         self.born = unix_milliseconds()
         await self.write_entry("ready")
 
