--- a/tests/request/replica_rate_limit_test.cc
+++ b/tests/request/replica_rate_limit_test.cc
@@ -75,6 +75,16 @@
   BOOST_TEST(fleet.rateSince(0, since) >= 0.9);
 }
 
+// More replicas name limits than a request asks homes.
+BOOST_AUTO_TEST_CASE(RequestsFindTheOneReplicaWithoutALimit) {
+  LimitedFleet fleet(5, 9);
+  for (std::size_t number = 0; number < 8; ++number) fleet.replica(number).limit = 0.5;
+  fleet.load(seconds(5), kDemand);
+  const auto refused = fleet.calls.refused;
+  fleet.load(seconds(5), kDemand);
+  BOOST_TEST(fleet.calls.refused == refused);
+}
+
 BOOST_AUTO_TEST_CASE(WhatCannotBeServedIsRefusedAtOnceWithATimeToComeBack) {
   LimitedFleet fleet(5, 4);
   limitAll(fleet, 4, 2);
