Name the candidates of a refused request in its log line

A refusal for lack of capacity named neither the replicas that the request could have gone to nor what their homes had said, so that a replica that nobody asks for could not be told from one that is paced, avoided or passed over.

Event 5000 has a field candidates: each with how the node knew of it and the wait that its home expected.

--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -391,6 +391,8 @@
   std::vector<std::string> skippedReplicas_;
   /// Ticket of the placement in progress; 0 if there is none.
   routing::Placement::Ticket placementTicket_ = 0;
+  /// What was known of the candidates of the latest placement that failed.
+  std::vector<routing::CandidateReport> lastCandidates_;
   /// Time before which no home node is queried, because none replied to the latest query.
   base::TimePoint nextPlacementAt_{};
 
--- a/src/request/relay_flow_end.cc
+++ b/src/request/relay_flow_end.cc
@@ -57,6 +57,7 @@
        {"urgency", std::to_string(urgency())},
        {"waited_ms", millisecondsText(dependencies_.clock.now() - incoming_.arrivedAt)},
        {"queued", std::to_string(queuedAtHome_)},
+       {"candidates", routing::describe(lastCandidates_)},
        {"retry_after_ms", millisecondsText(refusal.retryAfter)}});
   endAttempt();
   writer_->refuse(refusal);
--- a/src/request/relay_flow_parts.cc
+++ b/src/request/relay_flow_parts.cc
@@ -144,6 +144,7 @@
 
 void RelayFlow::onPlacementFailed(const Candidates& candidates,
                                   const routing::PlacementResult& result) {
+  lastCandidates_ = result.candidates;
   if (result.retryAfter) {
     refuseUnplaced(result.rateLimited
                        ? "it cannot be served in time by what the replicas take a second"
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -97,7 +97,7 @@
 
 bool Placement::shouldQuery(Pending& pending) {
   auto& state = pending.candidateStates[pending.position];
-  if (state.ruledOut) return false;
+  if (state.ruledOut()) return false;
   const auto& facts = recordOf(pending).facts();
   const auto replica = base::engineIdOf(facts.instance);
   if (isAvoided(homes_.homeOf(replica, facts.zone).id)) return false;
@@ -107,6 +107,7 @@
     queues_.erase(known);
     return true;
   }
+  state.knowledge = CandidateKnowledge::kAssumed;
   state.wait = known->second.wait;
   state.pauseExcess = known->second.pauseExcess;
   pending.queued = known->second.length;
@@ -143,7 +144,7 @@
   std::optional<std::size_t> best;
   for (std::size_t index = 0; index < pending.candidateStates.size(); ++index) {
     const auto& state = pending.candidateStates[index];
-    if (state.ruledOut || !state.wait) continue;
+    if (state.ruledOut() || !state.wait) continue;
     if (!best || isPreferred(pending, index, *best)) best = index;
   }
   return best;
@@ -163,7 +164,7 @@
   const auto best = candidateWithShortestWait(pending);
   if (!best) {
     ++counters_.declined;
-    conclude(ticket, resultOf(pending));
+    conclude(ticket, failureOf(pending));
     return;
   }
   pending.position = *best;
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -30,6 +30,7 @@
 #include "base/peer_transport.h"
 #include "base/random.h"
 #include "base/time.h"
+#include "routing/candidate_report.h"
 #include "routing/placement_home.h"
 #include "routing/placement_messages.h"
 #include "routing/replica_directory.h"
@@ -153,6 +154,8 @@
   /// Number of queries sent, and number of replies received.
   std::size_t queriesSent = 0;
   std::size_t repliesReceived = 0;
+  /// If no candidate granted the request: what is known of each.
+  std::vector<CandidateReport> candidates;
 };
 
 /// Totals since the start of the process, for metrics.
@@ -221,12 +224,13 @@
   };
   /// State of a candidate while one request is placed.
   struct CandidateState {
+    CandidateKnowledge knowledge = CandidateKnowledge::kNotQueried;
     std::optional<base::Duration> wait;
     /// By how much the longest pause would exceed what the routes allow, summed over the streams at
     /// the replica; zero if no stream there would pause too long.
     base::Duration pauseExcess{};
-    /// The candidate is ruled out for this request.
-    bool ruledOut = false;
+
+    bool ruledOut() const { return knowledge == CandidateKnowledge::kRuledOut; }
   };
   /// A request that is being placed: its homes are being queried, or it waits in the queue of one.
   struct Pending {
@@ -305,6 +309,8 @@
   /// Rules out the current candidate and queries the others again.
   void ruleOutCandidate(Ticket ticket);
   PlacementResult resultOf(const Pending& pending) const;
+  /// Result of a request that no candidate granted.
+  PlacementResult failureOf(const Pending& pending) const;
   void conclude(Ticket ticket, const PlacementResult& result);
   void concludeGranted(Ticket ticket, const PlacementReply& reply);
   PlacementGrant grantOf(const Pending& pending) const;
--- a/src/routing/placement_answers.cc
+++ b/src/routing/placement_answers.cc
@@ -65,7 +65,7 @@
   // Only the home with the shortest known wait is asked to queue a request, so no other home can
   // serve it either.
   ++counters_.refused;
-  auto result = resultOf(pending_.at(ticket));
+  auto result = failureOf(pending_.at(ticket));
   result.retryAfter = reply.retryAfter;
   conclude(ticket, result);
 }
@@ -85,8 +85,8 @@
     ruleOutCandidate(ticket);
     return;
   }
-  pending.candidateStates[pending.position].wait = reply.wait;
-  pending.candidateStates[pending.position].pauseExcess = reply.pauseExcess;
+  pending.candidateStates[pending.position] = {CandidateKnowledge::kReplied, reply.wait,
+                                               reply.pauseExcess};
   ++pending.position;
   queryNext(ticket);
 }
@@ -116,7 +116,7 @@
 
 void Placement::ruleOutCandidate(Ticket ticket) {
   auto& pending = pending_.at(ticket);
-  pending.candidateStates[pending.position] = {std::nullopt, {}, true};
+  pending.candidateStates[pending.position] = {CandidateKnowledge::kRuledOut, std::nullopt, {}};
   // Replies received before the request was queued are out of date.
   if (pending.phase != Phase::kQuerying) {
     for (auto& state : pending.candidateStates) state.wait.reset();
@@ -138,6 +138,16 @@
   return result;
 }
 
+PlacementResult Placement::failureOf(const Pending& pending) const {
+  auto result = resultOf(pending);
+  for (std::size_t index = 0; index < pending.candidateStates.size(); ++index) {
+    const auto& state = pending.candidateStates[index];
+    result.candidates.push_back({pending.request.candidates[index].record->facts().instance,
+                                 state.knowledge, state.wait});
+  }
+  return result;
+}
+
 void Placement::conclude(Ticket ticket, const PlacementResult& result) {
   const auto pending = std::move(pending_.extract(ticket).mapped());
   openQueries_.erase(pending.queryId);
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -33,12 +33,12 @@
             return b"".join(stream_events(identifier, body))
         return application_answer(identifier, body)
 
-    def headers(self, draw: random.Random, identifier: str) -> list[str]:
+    def headers(self, draw: random.Random, identifier: str, shared_parts: int) -> list[str]:
         if self.service != MODEL_SERVICE:
             return []
         own = "".join(f"{ord(letter):x}" for letter in identifier)[-12:]
         return [f"X-Covewing-Model: {MODEL}", "X-Covewing-Token-Usage: 900,60",
-                f"X-Covewing-Prompt-Prefix: a{draw.randrange(6)}:800,{own}:100"]
+                f"X-Covewing-Prompt-Prefix: a{draw.randrange(shared_parts)}:800,{own}:100"]
 
 
 SAFE = Kind("safe", SERVICE, "idempotent", 2)
@@ -103,7 +103,8 @@
         self.soak.repeats[kind.service].on_sent(began)
         head = [f"POST /{route}/x HTTP/1.1", f"Host: {HOST}", f"X-Api-Key: {key}",
                 f"X-Covewing-Request-Id: {identifier}", "X-Covewing-Deadline-Milliseconds: 6000",
-                f"Content-Length: {len(body)}"] + kind.headers(self.random, identifier)
+                f"Content-Length: {len(body)}"]
+        head += kind.headers(self.random, identifier, self.soak.options.shared_parts)
         try:
             writer.write(("\r\n".join(head) + "\r\n\r\n" + body).encode())
             answer = await asyncio.wait_for(read_message(reader), 9)
--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -507,6 +507,8 @@
     parser.add_argument("--replicas", type=int, default=8, help="of the application")
     parser.add_argument("--model-replicas", type=int, default=12)
     parser.add_argument("--callers", type=int, default=24)
+    parser.add_argument("--shared-parts", type=int, default=6,
+                        help="different shared parts that the prompts begin with")
     parser.add_argument("--slot", type=int, default=0, choices=range(64),
                         help="runs beside each other take different ones")
     parser.add_argument("--keys", action="store_true",
