Query replicas outside the first candidates, and pass over those known to have used up their rate

Callers saw: 503 for 16 s and more while a limited model replica that would have taken their requests stood idle; with one shared part half of twelve replicas.

Cause: the homes of six candidates at most are queried for a request, and for prompts with shared parts these are the first six by rendezvous hashing of the part, the same for each request. A replica among the first six of no part in use was never asked for, however long the six had nothing left.

Change: five first candidates, and three alternates drawn for each request from the others. At most six homes are queried as before, one of them that of an alternate, also when two homes reported a queue.

--- a/src/request/relay_flow_parts.cc
+++ b/src/request/relay_flow_parts.cc
@@ -96,6 +96,7 @@
     request.acceptableWait = acceptableWait();
   }
   request.constraints = placementConstraints();
+  request.alternates = decision.alternates;
   for (const auto& replica : decision.preferenceOrder) {
     request.candidates.push_back(dependencies_.replicaSelector.candidateOf(
         replicaQuery, replica, request.promptTokens, decision.heldTokens()));
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -95,9 +95,25 @@
   return pending.queuesSeen >= options_.queuesToJoin;
 }
 
+bool Placement::isAlternate(const Pending& pending, std::size_t index) {
+  return index + pending.request.alternates >= pending.request.candidates.size();
+}
+
+bool Placement::queriedEnough(const Pending& pending) const {
+  return pending.timeouts >= options_.maximumTimeouts ||
+         pending.homesQueried >= options_.maximumQueries ||
+         (enoughQueuesSeen(pending) && pending.alternatesQueried > 0);
+}
+
+bool Placement::isLastQuery(const Pending& pending) const {
+  if (isAlternate(pending, pending.position)) return enoughQueuesSeen(pending);
+  return pending.request.alternates == 0 && pending.queuesSeen + 1 >= options_.queuesToJoin;
+}
+
 bool Placement::shouldQuery(Pending& pending) {
   auto& state = pending.candidateStates[pending.position];
   if (state.ruledOut()) return false;
+  if (enoughQueuesSeen(pending) && !isAlternate(pending, pending.position)) return false;
   const auto& facts = recordOf(pending).facts();
   const auto replica = base::engineIdOf(facts.instance);
   if (isAvoided(homes_.homeOf(replica, facts.zone).id)) return false;
@@ -118,8 +134,10 @@
 void Placement::queryNext(Ticket ticket) {
   auto& pending = pending_.at(ticket);
   for (; pending.position < pending.request.candidates.size(); ++pending.position) {
-    if (pending.timeouts >= options_.maximumTimeouts || enoughQueuesSeen(pending)) break;
+    if (queriedEnough(pending)) break;
     if (!shouldQuery(pending)) continue;
+    ++pending.homesQueried;
+    if (isAlternate(pending, pending.position)) ++pending.alternatesQueried;
     pending.maximumQueueWait = queueWaitLimit(pending);
     sendQuery(ticket);
     return;
@@ -151,8 +169,7 @@
 }
 
 std::optional<base::Duration> Placement::queueWaitLimit(const Pending& pending) const {
-  if (pending.queuesSeen == 0 || pending.queuesSeen + 1 < options_.queuesToJoin)
-    return std::nullopt;
+  if (pending.queuesSeen == 0 || !isLastQuery(pending)) return std::nullopt;
   const auto best = candidateWithShortestWait(pending);
   if (!best) return std::nullopt;
   const auto margin = options_.moveMargin * static_cast<base::Duration::rep>(pending.position);
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -43,6 +43,9 @@
   /// Maximum wait for the reply of a home. A round trip takes 2 to 4 ms, and an overloaded node
   /// replies late.
   base::Duration timeout = std::chrono::milliseconds(25);
+  /// Maximum number of homes that a request queries before it joins a queue; each query is a round
+  /// trip.
+  std::size_t maximumQueries = 6;
   /// A request queries no further homes after this many time-outs.
   std::size_t maximumTimeouts = 2;
   /// A home is not queried for a while after this many time-outs in a row.
@@ -54,9 +57,9 @@
   /// Added to the time within which a home announced its next update: an overloaded node is some
   /// milliseconds late, and a request that leaves the queue loses its position.
   base::Duration updateMargin = std::chrono::milliseconds(50);
-  /// A request joins a queue after this many homes reported a queue. A single queue may come from
-  /// uneven load while the next home still has capacity; each further home costs two messages per
-  /// request during a capacity shortage.
+  /// A request joins a queue after this many homes reported a queue and one alternate was queried. A
+  /// single queue may come from uneven load while the next home still has capacity; each further
+  /// home costs two messages per request during a capacity shortage.
   std::size_t queuesToJoin = 2;
   /// After a home reported a queue, the queue is assumed to persist for this long and the home is
   /// not queried. A few requests end in this time, but few queues empty; if this one did, the home
@@ -106,6 +109,9 @@
 struct PlacementRequest {
   /// Candidates in order of preference.
   std::vector<PlacementCandidate> candidates;
+  /// Number of candidates at the end that are alternates: one of them is queried even if enough
+  /// homes reported a queue, and none if another candidate grants the request.
+  std::size_t alternates = 0;
   /// Name of the model; empty for requests without a prompt.
   std::string model;
   /// Shared parts of the prompt; empty for requests without a prompt.
@@ -241,6 +247,9 @@
     std::size_t position = 0;
     std::size_t queriesSent = 0;
     std::size_t repliesReceived = 0;
+    /// Number of homes queried, and of alternates among them, since the request last joined a queue.
+    std::size_t homesQueried = 0;
+    std::size_t alternatesQueried = 0;
     std::size_t timeouts = 0;
     /// Number of homes that reported a queue.
     std::size_t queuesSeen = 0;
@@ -277,7 +286,13 @@
   /// Whether the candidate at the current position is to be queried; if not, records what is known
   /// of it.
   bool shouldQuery(Pending& pending);
+  static bool isAlternate(const Pending& pending, std::size_t index);
   bool enoughQueuesSeen(const Pending& pending) const;
+  /// Whether no further home is to be queried before a queue is joined.
+  bool queriedEnough(const Pending& pending) const;
+  /// Whether the query for the current candidate is the last one before a queue is joined, unless
+  /// its home grants the request.
+  bool isLastQuery(const Pending& pending) const;
   /// Maximum expected wait up to which the home that is queried next may queue the request at once,
   /// which saves two messages. Set for the last query before a queue is joined; the home queues the
   /// request only if its wait is the shortest known.
--- a/src/routing/placement_answers.cc
+++ b/src/routing/placement_answers.cc
@@ -29,16 +29,18 @@
   recordRateLimit(*record, environment_.log, evidenceOf(reply.rateLimit, environment_.clock.now()),
                   {kOtherNode, 0, {}});
   pending.rateLimited = reply.rateLimit.notice.limited();
-  if (reply.granted() || reply.queued == 0 || !reply.usable) {
+  const bool usedUp = pending.rateLimited && reply.wait > base::Duration::zero();
+  if (reply.granted() || !reply.usable || (reply.queued == 0 && !usedUp)) {
     queues_.erase(reply.replica);
     return;
   }
   if (pending.phase != Phase::kQuerying) return;
-  // The queue there is due to the rate limit and says nothing about the capacity of other replicas.
+  // The wait there is due to the rate limit and says nothing about the capacity of other replicas.
   if (!pending.rateLimited) ++pending.queuesSeen;
+  const auto assumedFor = reply.queued == 0 ? std::min(reply.wait, options_.queueAssumedFor)
+                                            : options_.queueAssumedFor;
   queues_[reply.replica] = {reply.queued, reply.wait, reply.pauseExcess,
-                            environment_.clock.now() + options_.queueAssumedFor,
-                            pending.rateLimited};
+                            environment_.clock.now() + assumedFor, pending.rateLimited};
 }
 
 void Placement::handleReply(Ticket ticket, const PlacementReply& reply) {
@@ -122,6 +124,8 @@
     for (auto& state : pending.candidateStates) state.wait.reset();
     pending.phase = Phase::kQuerying;
     pending.queuesSeen = 0;
+    pending.homesQueried = 0;
+    pending.alternatesQueried = 0;
     pending.position = 0;
   } else {
     ++pending.position;
--- a/src/routing/replica_selector.cc
+++ b/src/routing/replica_selector.cc
@@ -308,6 +308,18 @@
   return cacheSalt(record.versionOf(query.model), query.isolatedTenant);
 }
 
+void ReplicaSelector::selectQueried(ReplicaDecision& decision, const Candidates& candidates) {
+  const auto first = std::min(options_.maximumPreferred, candidates.size());
+  const auto lastFirst = candidates.begin() + static_cast<std::ptrdiff_t>(first);
+  decision.preferenceOrder.assign(candidates.begin(), lastFirst);
+  Candidates others(lastFirst, candidates.end());
+  decision.alternates = std::min(options_.alternates, others.size());
+  for (std::size_t index = 0; index < decision.alternates; ++index) {
+    std::swap(others[index], others[index + random_.below(others.size() - index)]);
+    decision.preferenceOrder.push_back(others[index]);
+  }
+}
+
 ReplicaDecision ReplicaSelector::choose(const ReplicaQuery& query, std::size_t nodes,
                                         base::TimePoint now) {
   ReplicaDecision decision;
@@ -319,9 +331,7 @@
     sortByLoad(candidates);
   }
   keepOneRateLimitedInFront(candidates);
-  const auto queried = std::min(options_.maximumPreferred, candidates.size());
-  decision.preferenceOrder.assign(candidates.begin(),
-                                  candidates.begin() + static_cast<std::ptrdiff_t>(queried));
+  selectQueried(decision, candidates);
   chooseLocally(decision, std::move(candidates), query, nodes, now);
   return decision;
 }
--- a/src/routing/replica_selector.h
+++ b/src/routing/replica_selector.h
@@ -84,8 +84,13 @@
   std::optional<base::TimePoint> startDeadline;
   /// Number of leading shared tokens presumed to be cached at the replica.
   std::uint32_t matchedTokens = 0;
-  /// The first candidates in order of preference; their homes may be queried (routing/placement.h).
+  /// The first candidates in order of preference, and behind them the alternates; their homes may
+  /// be queried (routing/placement.h).
   std::vector<ReplicaRecordPtr> preferenceOrder;
+  /// Number of alternates: candidates drawn at random from those that are not among the first. They
+  /// are different for each request, so that no replica stays idle because it is among the first
+  /// candidates of no shared part that callers use.
+  std::size_t alternates = 0;
   /// Number of candidates, and the index of the selected one in the order of preference.
   std::size_t candidates = 0;
   std::size_t rank = 0;
@@ -129,9 +134,11 @@
   std::uint32_t minimumFetchTokens = 32;
   /// Weight of replicas with the newest version that is served, relative to 1 for the others.
   double newestWeight = 2;
-  /// Maximum number of replicas whose homes are queried for one request; each query is a round
+  /// Number of first candidates whose homes may be queried for one request; each query is a round
   /// trip.
-  std::size_t maximumPreferred = 6;
+  std::size_t maximumPreferred = 5;
+  /// Number of alternates. More than one, since those known to have a queue are not queried.
+  std::size_t alternates = 3;
   /// Prompts with fewer shared tokens prefer replicas of this node's zone: prefilling them again in
   /// each zone costs less than the traffic between zones.
   std::uint32_t ownZoneBelowTokens = 512;
@@ -176,6 +183,8 @@
   /// only the homes are informed of that at once, other nodes receive it later by gossip. If there
   /// are none, the decision states the reason.
   Candidates eligible(const ReplicaQuery& query, base::TimePoint now, ReplicaDecision& decision);
+  /// Adds the first candidates and the alternates to the decision.
+  void selectQueried(ReplicaDecision& decision, const Candidates& candidates);
   /// Selects among the candidates using only this node's own data.
   void chooseLocally(ReplicaDecision& decision, Candidates candidates, const ReplicaQuery& query,
                      std::size_t nodes, base::TimePoint now);
--- a/tests/request/replica_rate_limit_test.cc
+++ b/tests/request/replica_rate_limit_test.cc
@@ -64,6 +64,35 @@
   }
 }
 
+// Guards against replicas that stand among the first candidates of no shared part and stay idle,
+// however long callers are refused for lack of capacity.
+BOOST_AUTO_TEST_CASE(EachLimitedReplicaIsUsedHoweverFewPromptsCallersShare) {
+  struct Shape {
+    std::size_t nodes;
+    std::size_t replicas;
+  };
+  constexpr double kLimit = 2;
+  for (const auto& [nodes, replicas] : {Shape{6, 12}, Shape{24, 80}, Shape{40, 640}}) {
+    for (const std::size_t sharedParts : {1U, 6U, 60U}) {
+      LimitedFleet fleet(nodes, replicas, sharedParts);
+      limitAll(fleet, replicas, kLimit);
+      const double demand = 3 * kLimit * static_cast<double>(replicas);
+      fleet.load(seconds(3), demand);
+      const auto since = fleet.time.now();
+      fleet.load(seconds(8), demand);
+      std::size_t starved = 0;
+      for (std::size_t number = 0; number < replicas; ++number) {
+        // The first and the last request may lie just outside of the window.
+        const bool used = fleet.rateSince(number, since) >= 0.9 * kLimit - 1.0 / 8;
+        starved += used ? 0 : 1;
+        BOOST_TEST(fleet.peakLoad(number, kLimit) <= 1.0, fleet.peakLoad(number, kLimit));
+      }
+      BOOST_TEST(starved == 0U, starved << " of " << replicas << " replicas below nine tenths of "
+                                        << "their limit, " << sharedParts << " shared parts");
+    }
+  }
+}
+
 // One of four replicas reports a limit. The others take the requests that exceed it.
 BOOST_AUTO_TEST_CASE(OtherReplicasTakeTheExcessOfALimitedOne) {
   LimitedFleet fleet(5, 4);
--- a/tests/routing/placement_queue_test.cc
+++ b/tests/routing/placement_queue_test.cc
@@ -334,6 +334,36 @@
   BOOST_TEST(each <= 8.0);
 }
 
+// Guards against a replica that stays idle while requests are queued for the first candidates.
+BOOST_AUTO_TEST_CASE(AlternateWithCapacityIsUsedInsteadOfAQueue) {
+  const auto queuedFirst = startPlacing(0, requestOf(0, {3}));
+  const auto queuedSecond = startPlacing(0, requestOf(0, {5}));
+  time.advance(milliseconds(10));
+  for (std::size_t node = 0; node < kNodes; ++node) {
+    auto request = requestOf(node, {3, 5, 1, 7});
+    request.alternates = 1;
+    const auto result = placeRequest(node, std::move(request));
+    BOOST_TEST(result.candidate.value() == 3U);
+    nodes[node]->placement.reportEnded(*result.grant, PlacementOutcome::kServed);
+    time.advance(milliseconds(5));
+  }
+  BOOST_TEST(!queuedFirst->result.has_value());
+  BOOST_TEST(!queuedSecond->result.has_value());
+}
+
+// Guards against one request that queries the homes of a whole fleet.
+BOOST_AUTO_TEST_CASE(QueriesOfARequestAreBounded) {
+  for (const std::size_t replica : {0U, 1U, 2U, 4U, 6U, 7U}) fill(replica);
+  auto request = requestOf(0, {0, 1, 2, 3, 4, 5, 6, 7});
+  request.alternates = 3;
+  const auto before = nodes[0]->placement.counters().queries;
+  const auto waiting = startPlacing(0, std::move(request));
+  time.advance(milliseconds(60));
+  BOOST_TEST(!waiting->result.has_value());
+  // Six homes are queried, and one of them is asked to queue the request.
+  BOOST_TEST(nodes[0]->placement.counters().queries - before <= 7U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::routing
