Join groups of nodes that started together, and let their homes share a rate until then

Callers saw: a replica in need got up to 1.1 times the bound of its limit in the first seconds, since two homes granted the whole rate each; nodes that had started together did not know each other for 6 s and more.

Cause: a node stopped looking for seeds as soon as it knew one other member. Where seeds come up some milliseconds apart, groups form around different seeds, and only a comparison every 5 s with one random seed joined them; comparisons between members followed 0.5 to 1 s after the start and then ever less often. Meanwhile each group had a home for every replica, and none knew of lost members.

Change: a node queries seeds that no live member has for 5 s after its start, also when it knows others, and compares with a random member after 0.1, 0.2, 0.4 s and so on. While seeds are missing, a home grants the part of a rate that keeps the sum over all groups within the whole: there are no more groups than seeds.

--- a/src/membership/gossip_membership.cc
+++ b/src/membership/gossip_membership.cc
@@ -69,7 +69,8 @@
   lastRunning_ = clock_.now();
   every(options_.probing.probePeriod, periodTimer_, &GossipMembership::onPeriod);
   every(options_.gossipPeriod, gossipTimer_, &GossipMembership::onGossipTick);
-  hastenSync();
+  startedAt_ = lastRunning_;
+  compareSoon(options_.startSyncPeriod);
   every(options_.deadRetry, deadTimer_, &GossipMembership::onDeadTick);
   onJoinTick();
 }
@@ -103,7 +104,7 @@
 
 void GossipMembership::onWake() {
   detector_.forgive();
-  hastenSync();
+  compareSoon(options_.firstSyncPeriod);
 }
 
 void GossipMembership::expireSuspicions() {
@@ -125,9 +126,9 @@
   }
 }
 
-void GossipMembership::hastenSync() {
+void GossipMembership::compareSoon(base::Duration firstInterval) {
   timers_.cancel(syncTimer_);
-  syncInterval_ = options_.firstSyncPeriod;
+  syncInterval_ = firstInterval;
   syncTimer_ = timers_.schedule(random_.jittered(syncInterval_ / 2, 1), [this] { onSyncTick(); });
 }
 
@@ -142,20 +143,28 @@
   if (const Member* member = members_.randomDead(random_)) requestSync(member->endpoint);
   // A seed of another partition may have started after this node, and never have been a member
   // here.
-  if (options_.seeds.empty()) return;
-  const base::Endpoint seed = options_.seeds[random_.below(options_.seeds.size())];
-  const auto& live = members_.live();
-  const bool known = std::any_of(live.begin(), live.end(),
-                                 [&](const Member& member) { return member.endpoint == seed; });
-  if (!known) requestSync(seed);
+  const auto unknown = unknownSeeds();
+  if (!unknown.empty()) requestSync(unknown[random_.below(unknown.size())]);
+}
+
+std::vector<base::Endpoint> GossipMembership::unknownSeeds() const {
+  auto unknown = options_.seeds;
+  std::erase(unknown, options_.endpoint);
+  for (const Member& member : members_.live()) std::erase(unknown, member.endpoint);
+  return unknown;
+}
+
+std::size_t GossipMembership::missingSeeds() const {
+  return joinPeriodOver() ? 0 : unknownSeeds().size();
 }
 
 void GossipMembership::onJoinTick() {
-  if (!alone()) return;
-  std::vector<base::Endpoint> seeds = options_.seeds;
-  std::erase(seeds, options_.endpoint);
-  if (seeds.empty()) return;
-  requestSync(seeds[random_.below(seeds.size())]);
+  // Nodes that joined through different seeds know nothing of each other until one of them queries
+  // a seed of the others.
+  const auto unknown = unknownSeeds();
+  if (unknown.empty()) return;
+  if (!alone() && joinPeriodOver()) return;
+  requestSync(unknown[random_.below(unknown.size())]);
   joinTimer_ = timers_.schedule(random_.jittered(joinInterval_, 0.5), [this] { onJoinTick(); });
   joinInterval_ = std::min(2 * joinInterval_, options_.joinRetry);
 }
--- a/src/membership/gossip_membership.h
+++ b/src/membership/gossip_membership.h
@@ -63,10 +63,14 @@
   /// Between comparisons when nothing is amiss, and at first, and after one that found much.
   base::Duration syncPeriod = std::chrono::seconds(10);
   base::Duration firstSyncPeriod = std::chrono::seconds(1);
-  /// A node that has joined nobody asks a seed this often at first, then ever more seldom. A join
-  /// takes a round trip, and any seed may be down.
+  /// A node queries a seed that no live member has this often at first, then ever more seldom, and
+  /// for `joinPeriod` at most if it knows other members. A join takes a round trip, and any seed may
+  /// be down.
   base::Duration firstJoinRetry = std::chrono::milliseconds(30);
   base::Duration joinRetry = std::chrono::milliseconds(500);
+  base::Duration joinPeriod = std::chrono::seconds(5);
+  /// Interval between the first two comparisons after a start; it doubles with each one.
+  base::Duration startSyncPeriod = std::chrono::milliseconds(100);
   /// How often a member held dead, and a seed that no live member has, is asked again.
   base::Duration deadRetry = std::chrono::seconds(5);
   /// A gossip period that ends this much late shows that the process was paused.
@@ -97,6 +101,7 @@
   const std::vector<Member>& liveMembers() const override { return members_.live(); }
   const Member* find(base::NodeId id) const override { return members_.find(id); }
   std::size_t lostMembers() const override { return members_.lost(); }
+  std::size_t missingSeeds() const override;
   std::uint64_t version() const override { return members_.version(); }
 
   void publish(GossipRecord record) override;
@@ -114,13 +119,17 @@
   };
 
   void onPeriod();
+  /// The seeds, other than this node, that no live member has.
+  std::vector<base::Endpoint> unknownSeeds() const;
+  /// Whether seeds that started together with this node had time to reply.
+  bool joinPeriodOver() const { return clock_.now() - startedAt_ > options_.joinPeriod; }
   void onGossipTick();
   /// Notices a pause of the process by the time since the last call.
   void noteRunning(base::TimePoint now);
   void expireSuspicions();
   void onSyncTick();
   /// Compares soon, and then less and less often.
-  void hastenSync();
+  void compareSoon(base::Duration firstInterval);
   void onDeadTick();
   void onJoinTick();
   void every(base::Duration period, base::TimerId& timer, void (GossipMembership::*action)());
@@ -176,6 +185,7 @@
   /// Time that the process has been running, pauses left out.
   base::Duration running_{};
   base::TimePoint lastRunning_;
+  base::TimePoint startedAt_{};
   base::Duration syncInterval_{};
   base::Duration joinInterval_{};
   base::TimerId periodTimer_ = 0;
--- a/src/membership/member_directory.h
+++ b/src/membership/member_directory.h
@@ -41,6 +41,9 @@
   virtual const Member* find(base::NodeId id) const = 0;
   /// Members held dead that did not leave by themselves: they may live, and not be reached.
   virtual std::size_t lostMembers() const = 0;
+  /// Seeds that no live member has and that may still be about to join; 0 once they had time to
+  /// reply. Each may belong to a group of nodes that this one does not know yet.
+  virtual std::size_t missingSeeds() const = 0;
   /// Number that grows whenever liveMembers changes; lets users cache what they derive from it.
   virtual std::uint64_t version() const = 0;
 };
--- a/src/routing/placement_home_rate_limit.cc
+++ b/src/routing/placement_home_rate_limit.cc
@@ -10,10 +10,12 @@
 }
 
 double PlacementHome::rateShare() const {
-  const auto live = environment_.members.liveMembers().size();
-  const auto lost = environment_.members.lostMembers();
-  if (live > lost) return 1;
-  return static_cast<double>(live) / static_cast<double>(live + lost);
+  const auto& members = environment_.members;
+  const auto live = members.liveMembers().size();
+  const auto lost = members.lostMembers();
+  if (live <= lost) return static_cast<double>(live) / static_cast<double>(live + lost);
+  // After a common start there may be one group of nodes for each seed, each with a home of its own.
+  return 1.0 / static_cast<double>(1 + members.missingSeeds());
 }
 
 void PlacementHome::applyRateLimit(base::EngineId replica, ReplicaQueue& state) const {
--- a/tests/admission/fake_cluster.h
+++ b/tests/admission/fake_cluster.h
@@ -55,6 +55,7 @@
     return found == members_.end() ? nullptr : &*found;
   }
   std::size_t lostMembers() const override { return 0; }
+  std::size_t missingSeeds() const override { return 0; }
   std::uint64_t version() const override { return version_; }
 
   void set(membership::Member self, std::vector<membership::Member> members) {
--- a/tests/config/configuration_distributor_test.cc
+++ b/tests/config/configuration_distributor_test.cc
@@ -34,6 +34,7 @@
     return found == members_.end() ? nullptr : &*found;
   }
   std::size_t lostMembers() const override { return 0; }
+  std::size_t missingSeeds() const override { return 0; }
   std::uint64_t version() const override { return 1; }
 
  private:
--- a/tests/coordination/coordination_world.h
+++ b/tests/coordination/coordination_world.h
@@ -132,6 +132,7 @@
     return nullptr;
   }
   std::size_t lostMembers() const override { return 0; }
+  std::size_t missingSeeds() const override { return 0; }
   std::uint64_t version() const override { return 1; }
 
  private:
--- a/tests/live/suspended_machine_test.cc
+++ b/tests/live/suspended_machine_test.cc
@@ -43,6 +43,7 @@
     return id == self().id ? &members.front() : nullptr;
   }
   std::size_t lostMembers() const override { return 0; }
+  std::size_t missingSeeds() const override { return 0; }
   std::uint64_t version() const override { return 1; }
 
   std::vector<membership::Member> members;
--- a/tests/membership/gossip_membership_test.cc
+++ b/tests/membership/gossip_membership_test.cc
@@ -23,10 +23,17 @@
 /// Nodes in seven zones of two regions; the first three are everybody's seeds.
 class Fleet {
  public:
-  explicit Fleet(std::size_t count, std::uint64_t seed = 1) : network(time, seed) {
+  explicit Fleet(std::size_t count, std::uint64_t seed = 1) : network(time, seed), nodes_(count) {
+    for (std::size_t index = 0; index < count; ++index) start(index, 1);
+  }
+  /// Each node starts at a random time within `spread`; the seeds come up as late as others.
+  Fleet(std::size_t count, std::uint64_t seed, base::Duration spread)
+      : network(time, seed), nodes_(count) {
+    base::SeededRandom random(seed);
     for (std::size_t index = 0; index < count; ++index) {
-      nodes_.emplace_back();
-      start(index, 1);
+      const base::Duration delay{
+          static_cast<base::Duration::rep>(random.unit() * static_cast<double>(spread.count()))};
+      time.after(delay, [this, index] { start(index, 1); });
     }
   }
 
@@ -61,7 +68,7 @@
   /// Whether every running node holds exactly `count` live members.
   bool allSee(std::size_t count) const {
     return std::all_of(nodes_.begin(), nodes_.end(), [&](const Node& node) {
-      return node.killed || node.membership->liveMembers().size() == count;
+      return node.killed || (node.membership && node.membership->liveMembers().size() == count);
     });
   }
   /// Running nodes that hold the member in this state.
@@ -125,6 +132,49 @@
   BOOST_TEST((other->endpoint == Fleet::endpointOf(9)));
 }
 
+// Guards against groups of nodes that started together, joined through different seeds, and each
+// take themselves for the whole fleet.
+BOOST_AUTO_TEST_CASE(NodesThatStartTogetherKnowEachOtherBeforeTheyActAlone) {
+  struct Start {
+    std::size_t nodes;
+    std::uint64_t rounds;
+    base::Duration bound;
+  };
+  // Tenants' limits are shared among the nodes that are visible from 0.8 s after a start.
+  for (const auto& [nodes, rounds, bound] :
+       {Start{3, 200, milliseconds(800)}, Start{6, 200, milliseconds(800)},
+        Start{24, 200, milliseconds(800)}, Start{340, 3, seconds(5)}}) {
+    base::Duration longest{};
+    std::size_t late = 0;
+    for (std::uint64_t seed = 1; seed <= rounds; ++seed) {
+      Fleet fleet(nodes, seed, milliseconds(50));
+      fleet.time.runFor(milliseconds(50));
+      const auto joined = fleet.time.runUntil([&] { return fleet.allSee(nodes); }, seconds(30));
+      longest = std::max(longest, joined);
+      late += joined > bound ? 1 : 0;
+    }
+    BOOST_TEST_MESSAGE(nodes << " nodes: all know all after at most " << base::toSeconds(longest)
+                             << " s, " << late << " of " << rounds << " starts late");
+    BOOST_TEST(late == 0U, late << " of " << rounds << " starts of " << nodes
+                                << " nodes, the longest " << base::toSeconds(longest) << " s");
+  }
+}
+
+// Guards against a node that waits for ever for seeds that do not run.
+BOOST_AUTO_TEST_CASE(SeedsAreMissedUntilTheyJoinOrHadTimeToReply) {
+  Fleet fleet(6, 1, milliseconds(50));
+  fleet.time.runFor(milliseconds(50));
+  fleet.time.runUntil([&] { return fleet.allSee(6); }, seconds(5));
+  for (std::size_t node = 0; node < 6; ++node) BOOST_TEST(fleet[node].missingSeeds() == 0U);
+  for (std::size_t node = 1; node < 6; ++node) fleet.kill(node);
+  fleet.start(0, 2);
+  BOOST_TEST(fleet[0].missingSeeds() == 2U);
+  fleet.time.runFor(seconds(4));
+  BOOST_TEST(fleet[0].missingSeeds() == 2U);
+  fleet.time.runFor(seconds(2));
+  BOOST_TEST(fleet[0].missingSeeds() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(KilledNodeIsHeldDeadEverywhere) {
   Fleet fleet(60);
   fleet.time.runUntil([&] { return fleet.allSee(60); }, seconds(30));
--- a/tests/node/node_count_test.cc
+++ b/tests/node/node_count_test.cc
@@ -20,6 +20,7 @@
   const std::vector<membership::Member>& liveMembers() const override { return live_; }
   const membership::Member* find(base::NodeId /*id*/) const override { return nullptr; }
   std::size_t lostMembers() const override { return 0; }
+  std::size_t missingSeeds() const override { return 0; }
   std::uint64_t version() const override { return live_.size(); }
 
  private:
--- a/tests/node/operator_service_test.cc
+++ b/tests/node/operator_service_test.cc
@@ -39,6 +39,7 @@
     return id == members.front().id ? &members.front() : nullptr;
   }
   std::size_t lostMembers() const override { return 0; }
+  std::size_t missingSeeds() const override { return 0; }
   std::uint64_t version() const override { return 1; }
   std::vector<membership::Member> members;
 };
--- a/tests/request/fakes.h
+++ b/tests/request/fakes.h
@@ -376,6 +376,7 @@
     return nullptr;
   }
   std::size_t lostMembers() const override { return 0; }
+  std::size_t missingSeeds() const override { return 0; }
   std::uint64_t version() const override { return members_.size(); }
 
  private:
--- a/tests/request/replica_rate_limit_test.cc
+++ b/tests/request/replica_rate_limit_test.cc
@@ -238,6 +238,30 @@
   }
 }
 
+// Guards against groups of nodes that started together and do not know each other yet: each has a
+// home of its own for every replica.
+BOOST_AUTO_TEST_CASE(HomesOfGroupsThatHaveNotMetGrantNoMoreThanAllowed) {
+  // Nodes 0, 1 and 2 are the seeds.
+  const std::vector<std::vector<std::vector<std::size_t>>> splits = {
+      {{0, 5}, {1, 2, 3, 4}}, {{0}, {1, 3}, {2, 4, 5}}, {{0, 1, 2, 3, 4}, {5}}};
+  for (const auto& groups : splits) {
+    for (const double limit : {1.0, 5.0, 20.0}) {
+      LimitedFleet fleet(6, 4);
+      for (const auto& group : groups) {
+        const auto seeds = std::ranges::count_if(group, [](std::size_t node) { return node < 3; });
+        for (const auto node : group) {
+          fleet.setView(node, group);
+          fleet.nodes.at(node)->members.missing = 3 - static_cast<std::size_t>(seeds);
+        }
+      }
+      fleet.replica(0).limit = limit;
+      fleet.load(seconds(8), 2 * kDemand);
+      BOOST_TEST(fleet.peakLoad(0, limit) <= 1.0, groups.size() << " groups, limit " << limit << ": "
+                                                                << fleet.peakLoad(0, limit));
+    }
+  }
+}
+
 // Requests that were granted over several seconds must not arrive all at once.
 BOOST_AUTO_TEST_CASE(GrantThatWaitsLongForAConnectionIsNotUsed) {
   LimitedFleet fleet(5, 4);
--- a/tests/routing/cache_watch_test.cc
+++ b/tests/routing/cache_watch_test.cc
@@ -41,6 +41,7 @@
   const std::vector<membership::Member>& liveMembers() const override { return members; }
   const membership::Member* find(base::NodeId /*id*/) const override { return nullptr; }
   std::size_t lostMembers() const override { return 0; }
+  std::size_t missingSeeds() const override { return 0; }
   std::uint64_t version() const override { return members.size(); }
   std::vector<membership::Member> members;
 };
--- a/tests/routing/fakes.h
+++ b/tests/routing/fakes.h
@@ -133,9 +133,11 @@
     return nullptr;
   }
   std::size_t lostMembers() const override { return lost; }
+  std::size_t missingSeeds() const override { return missing; }
   std::uint64_t version() const override { return version_; }
 
   std::size_t lost = 0;
+  std::size_t missing = 0;
 
  private:
   membership::Member self_;
