--- a/src/membership/gossip_membership.h
+++ b/src/membership/gossip_membership.h
@@ -64,8 +64,8 @@
   base::Duration syncPeriod = std::chrono::seconds(10);
   base::Duration firstSyncPeriod = std::chrono::seconds(1);
   /// A node queries a seed that no live member has this often at first, then ever more seldom, and
-  /// for `joinPeriod` at most if it knows other members. A join takes a round trip, and any seed may
-  /// be down.
+  /// for `joinPeriod` at most if it knows other members. A join takes a round trip, and any seed
+  /// may be down.
   base::Duration firstJoinRetry = std::chrono::milliseconds(30);
   base::Duration joinRetry = std::chrono::milliseconds(500);
   base::Duration joinPeriod = std::chrono::seconds(5);
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -57,8 +57,8 @@
   /// Added to the time within which a home announced its next update: an overloaded node is some
   /// milliseconds late, and a request that leaves the queue loses its position.
   base::Duration updateMargin = std::chrono::milliseconds(50);
-  /// A request joins a queue after this many homes reported a queue and one alternate was queried. A
-  /// single queue may come from uneven load while the next home still has capacity; each further
+  /// A request joins a queue after this many homes reported a queue and one alternate was queried.
+  /// A single queue may come from uneven load while the next home still has capacity; each further
   /// home costs two messages per request during a capacity shortage.
   std::size_t queuesToJoin = 2;
   /// After a home reported a queue, the queue is assumed to persist for this long and the home is
@@ -247,7 +247,8 @@
     std::size_t position = 0;
     std::size_t queriesSent = 0;
     std::size_t repliesReceived = 0;
-    /// Number of homes queried, and of alternates among them, since the request last joined a queue.
+    /// Number of homes queried, and of alternates among them, since the request last joined a
+    /// queue.
     std::size_t homesQueried = 0;
     std::size_t alternatesQueried = 0;
     std::size_t timeouts = 0;
--- a/src/routing/placement_answers.cc
+++ b/src/routing/placement_answers.cc
@@ -37,8 +37,8 @@
   if (pending.phase != Phase::kQuerying) return;
   // The wait there is due to the rate limit and says nothing about the capacity of other replicas.
   if (!pending.rateLimited) ++pending.queuesSeen;
-  const auto assumedFor = reply.queued == 0 ? std::min(reply.wait, options_.queueAssumedFor)
-                                            : options_.queueAssumedFor;
+  const auto assumedFor =
+      reply.queued == 0 ? std::min(reply.wait, options_.queueAssumedFor) : options_.queueAssumedFor;
   queues_[reply.replica] = {reply.queued, reply.wait, reply.pauseExcess,
                             environment_.clock.now() + assumedFor, pending.rateLimited};
 }
@@ -146,8 +146,8 @@
   auto result = resultOf(pending);
   for (std::size_t index = 0; index < pending.candidateStates.size(); ++index) {
     const auto& state = pending.candidateStates[index];
-    result.candidates.push_back({pending.request.candidates[index].record->facts().instance,
-                                 state.knowledge, state.wait});
+    result.candidates.push_back(
+        {pending.request.candidates[index].record->facts().instance, state.knowledge, state.wait});
   }
   return result;
 }
--- a/src/routing/placement_home_rate_limit.cc
+++ b/src/routing/placement_home_rate_limit.cc
@@ -14,7 +14,8 @@
   const auto live = members.liveMembers().size();
   const auto lost = members.lostMembers();
   if (live <= lost) return static_cast<double>(live) / static_cast<double>(live + lost);
-  // After a common start there may be one group of nodes for each seed, each with a home of its own.
+  // After a common start there may be one group of nodes for each seed, each with a home of its
+  // own.
   return 1.0 / static_cast<double>(1 + members.missingSeeds());
 }
 
--- a/tests/membership/gossip_membership_test.cc
+++ b/tests/membership/gossip_membership_test.cc
@@ -184,8 +184,8 @@
   BOOST_TEST(fleet.countSeeing(17, MemberState::kDead) == 59U);
 }
 
-// Guards against nodes that gossip passes by, and that learn of a dead member by the next comparison
-// only, up to 10 s later.
+// Guards against nodes that gossip passes by, and that learn of a dead member by the next
+// comparison only, up to 10 s later.
 BOOST_AUTO_TEST_CASE(KilledNodeIsHeldDeadEverywhereWhateverTheSeed) {
   std::size_t late = 0;
   base::Duration longest{};
@@ -198,7 +198,8 @@
     longest = std::max(longest, detected);
     late += detected >= seconds(15) ? 1 : 0;
   }
-  BOOST_TEST(late == 0U, late << " of 100 fleets, the longest " << base::toSeconds(longest) << " s");
+  BOOST_TEST(late == 0U,
+             late << " of 100 fleets, the longest " << base::toSeconds(longest) << " s");
 }
 
 BOOST_AUTO_TEST_CASE(RestartedNodeIsTakenWithItsNewIncarnation) {
--- a/tests/request/replica_rate_limit_test.cc
+++ b/tests/request/replica_rate_limit_test.cc
@@ -256,8 +256,8 @@
       }
       fleet.replica(0).limit = limit;
       fleet.load(seconds(8), 2 * kDemand);
-      BOOST_TEST(fleet.peakLoad(0, limit) <= 1.0, groups.size() << " groups, limit " << limit << ": "
-                                                                << fleet.peakLoad(0, limit));
+      BOOST_TEST(fleet.peakLoad(0, limit) <= 1.0,
+                 groups.size() << " groups, limit " << limit << ": " << fleet.peakLoad(0, limit));
     }
   }
 }
