Grant only the part of a tenant's limit that belongs to nodes which are not suspected

Cause: until a node is declared dead, which takes 4 to 6 s, a home counts it as one that it grants for. Both sides of a cut granted meanwhile: the home the whole limit, and on the other side its stand-in a fifth of it and nodes without any home their shares.

Change: a home grants the part of the nodes that it does not suspect, plus the tolerance as before.

The stand-in's share was left as it is, since tenants of a dead home live on it.

--- a/src/admission/tenant_quotas.cc
+++ b/src/admission/tenant_quotas.cc
@@ -91,7 +91,10 @@
 HomeAuthority TenantQuotas::authorityFor(TenantId tenant) const {
   const auto& directory = environment_.directory;
   const auto now = environment_.clock.now();
-  const auto live = static_cast<double>(std::max<std::size_t>(1, directory.liveMembers().size()));
+  // A suspected node may be cut off together with others, and grant a part of the limits as well.
+  const auto reachable = std::ranges::count(
+      directory.liveMembers(), membership::MemberState::kAlive, &membership::Member::state);
+  const auto live = static_cast<double>(std::max<std::ptrdiff_t>(1, reachable));
   const auto known = static_cast<double>(assumedNodeCount());
   HomeAuthority authority;
   authority.share =
--- a/tests/admission/quota_fleet.h
+++ b/tests/admission/quota_fleet.h
@@ -87,6 +87,21 @@
       node->directory.set(node->member, std::move(seen));
     }
   }
+  /// Each node suspects this share of the nodes of other groups that it still sees.
+  void suspectUnreachable(double share) {
+    for (auto& node : nodes_) {
+      auto seen = node->directory.liveMembers();
+      const auto left = static_cast<std::size_t>(share * static_cast<double>(seen.size()));
+      for (std::size_t place = 0; place < seen.size(); ++place) {
+        const auto& other = *std::ranges::find(nodes_, seen[place].id,
+                                               [](const auto& each) { return each->member.id; });
+        const bool suspected = other->group != node->group && place < left;
+        seen[place].state =
+            suspected ? membership::MemberState::kSuspect : membership::MemberState::kAlive;
+      }
+      node->directory.set(node->member, std::move(seen));
+    }
+  }
   /// Each node sees only itself, as immediately after its start.
   void isolateViews() {
     for (auto& node : nodes_) node->directory.set(node->member, {node->member});
--- a/tests/admission/quota_fleet_test.cc
+++ b/tests/admission/quota_fleet_test.cc
@@ -274,6 +274,35 @@
   }
 }
 
+// Guards against homes on both sides of a cut that grant more than the whole until the nodes of the
+// other side are declared dead, which takes some seconds.
+BOOST_AUTO_TEST_CASE(CutNodesGrantLittleUntilTheyAreDeclaredDead) {
+  for (const std::size_t cut : {8U, 28U, 39U}) {
+    for (const bool together : {true, false}) {
+      QuotaFleet fleet(kNodes, relayOptions());
+      fleet.time().advance(seconds(20));
+      const auto rate = statedRate(300'000);
+      Traffic traffic{fleet, rate, 7 * rate.perSecond};
+      traffic.run(seconds(2));
+      for (std::size_t node = 0; node < cut; ++node) fleet.setGroup(node, together ? 1 : node + 1);
+      // The first node is suspected after a second, the last one after three and a half.
+      traffic.run(milliseconds(1000));
+      for (int step = 1; step <= 25; ++step) {
+        fleet.suspectUnreachable(step / 25.0);
+        traffic.run(milliseconds(100));
+      }
+      traffic.run(milliseconds(1000));
+      fleet.refreshViews();
+      traffic.run(milliseconds(500));
+      for (std::size_t node = 0; node < cut; ++node) fleet.setGroup(node, 0);
+      fleet.refreshViews();
+      traffic.run(seconds(6));
+      const auto used = fleet.maximumInWindow(seconds(8)) / allowed(rate);
+      BOOST_TEST(used <= 1.0, cut << (together ? " nodes together: " : " nodes apart: ") << used);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(PartitionedFleetSharesTheLimit) {
   QuotaFleet fleet(kNodes, relayOptions());
   fleet.time().advance(seconds(20));
