Let the planned-stop test hold the engines, and let waits in live tests say for what they wait

Cause: a fault of the test, not of the stop. It waited until more than half of its requests were open at once. Where the process stands still between accepting requests and the first bytes of their answers, all timers of the engines fire together, all streams end, and the wait has no end.

Change: the emulated fleet runs on a clock that the test holds until the stop, and each step of the engines is let through by the test, so that no stream can end before. What was checked stays, and that more than half of the requests are open at the stop is now checked there. Each wait of a live test fails after 90 s and says what it waited for.

--- a/tests/live/daemon_test.cc
+++ b/tests/live/daemon_test.cc
@@ -7,6 +7,7 @@
 #include "config/bearer_key.h"
 #include "emulator_http/emulated_fleet.h"
 #include "live/asio_runtime.h"
+#include "live/held_time.h"
 #include "live/http_test_client.h"
 
 namespace covewing::live {
@@ -21,7 +22,7 @@
     emulator_http::EmulatedFleetOptions options;
     options.fleet = emulator::spedUp(emulator::tournamentsFleet(), kSpeed);
     options.fleet.engines = 4;
-    fleet = std::make_unique<emulator_http::EmulatedFleet>(context, options, clock, timers);
+    fleet = std::make_unique<emulator_http::EmulatedFleet>(context, options, fleetTime, fleetTime);
     base::Reason reason;
     BOOST_REQUIRE_MESSAGE(fleet->start(reason), reason.detail);
     daemon = makeDaemon("node-1", {});
@@ -96,6 +97,8 @@
   boost::asio::io_context context{1};
   AsioClock clock;
   AsioTimerService timers{context};
+  /// Time of the emulated engines and platform services.
+  HeldTime fleetTime{clock, timers};
   base::NullEventLog log;
   std::unique_ptr<emulator_http::EmulatedFleet> fleet;
   std::unique_ptr<Daemon> daemon;
@@ -135,18 +138,41 @@
   constexpr std::size_t kStreams = 40;
   const auto caller = fixture.daemon->endpoints().caller;
   std::deque<TestClient> clients;
+  // No stream can end before the stop, however long this process stands still.
+  fixture.fleetTime.hold();
   for (std::size_t index = 0; index < kStreams; ++index) {
     clients.emplace_back(fixture.context, caller)
         .send(Fixture::chat("question " + std::to_string(index), index % 2 == 0, 100));
   }
+  const auto openRequests = [&fixture] { return fixture.daemon->node().requests().openRequests(); };
+  const auto endedStreams = [&clients] {
+    return std::ranges::count_if(clients,
+                                 [](const auto& client) { return client.has("data: [DONE]"); });
+  };
+  const auto describe = [&] {
+    return std::to_string(openRequests()) + " open requests, " + std::to_string(endedStreams()) +
+           " ended";
+  };
+  runUntil(
+      fixture.context, [&] { return openRequests() > kStreams / 2; },
+      [&] { return "most requests to be open: " + describe(); });
   // Some streams have started; other requests are waiting in engines.
-  clients.front().waitFor("\"content\":");
-  runUntil(fixture.context,
-           [&] { return fixture.daemon->node().requests().openRequests() > kStreams / 2; });
+  runUntil(
+      fixture.context,
+      [&] {
+        // Engines take their next step only when nothing else is left to be done.
+        if (fixture.context.poll() == 0) fixture.fleetTime.fireNext();
+        return clients.front().has("\"content\":");
+      },
+      [&] { return "the first stream to start: " + describe(); });
+  BOOST_TEST(openRequests() > kStreams / 2);
   bool stopped = false;
   fixture.daemon->drain([&stopped] { stopped = true; });
   BOOST_TEST(!stopped);
-  runUntil(fixture.context, [&stopped] { return stopped; });
+  fixture.fleetTime.release();
+  runUntil(
+      fixture.context, [&stopped] { return stopped; },
+      [&] { return "the end of the planned stop: " + describe(); });
   for (auto& client : clients) client.waitClosed();
   std::size_t complete = 0;
   std::size_t refused = 0;
--- a/tests/live/http_test_client.h
+++ b/tests/live/http_test_client.h
@@ -7,21 +7,36 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "base/endpoint.h"
 
 namespace covewing::live {
 
-/// Runs handlers until `done` returns true. A test that waits forever is ended by its time limit.
-template <class Condition>
-void runUntil(boost::asio::io_context& context, Condition done) {
+/// Maximum time that a test waits for one condition. Well below the time limit of a test program,
+/// so that a test that waits in vain says for what.
+inline constexpr std::chrono::seconds kMaximumTestWait{90};
+
+/// Runs handlers until `done` returns true. Fails the test if that takes too long; `describe`
+/// returns what the test waits for and the state that it has reached.
+template <class Condition, class Description>
+void runUntil(boost::asio::io_context& context, Condition done, Description describe) {
+  const auto deadline = std::chrono::steady_clock::now() + kMaximumTestWait;
   context.restart();
   while (!done()) {
-    if (context.run_one() == 0) context.restart();
+    if (std::chrono::steady_clock::now() > deadline)
+      BOOST_FAIL("waited " << kMaximumTestWait.count() << " s for " << describe());
+    if (context.run_one_for(std::chrono::seconds(1)) == 0) context.restart();
   }
 }
+template <class Condition>
+void runUntil(boost::asio::io_context& context, Condition done) {
+  runUntil(context, std::move(done), [] { return std::string{"a condition"}; });
+}
 
 class TestClient {
  public:
@@ -54,10 +69,14 @@
   bool closed() const { return closed_; }
   bool has(std::string_view text) const { return received_.find(text) != std::string::npos; }
   void waitFor(std::string_view text) {
-    runUntil(context_, [this, text] { return has(text) || closed_; });
+    runUntil(
+        context_, [this, text] { return has(text) || closed_; },
+        [this, text] { return std::string{text} + "; received: " + received_; });
   }
   void waitClosed() {
-    runUntil(context_, [this] { return closed_; });
+    runUntil(
+        context_, [this] { return closed_; },
+        [this] { return "the end of the connection; received: " + received_; });
   }
 
  private:
