--- a/src/config/table_watch.cc
+++ b/src/config/table_watch.cc
@@ -108,7 +108,9 @@
   unreachableAt_ = reply.unreachableAt;
   const bool laterEra = base::eraOf(reply.revision) > base::eraOf(confirmedRevision_);
   for (const auto& row : reply.rows) {
-    if (laterEra) {
+    // A node of a former build numbers rows by the era in which it first read them.
+    const bool ofFormerEra = base::eraOf(row.revision) < base::eraOf(reply.revision);
+    if (laterEra || ofFormerEra) {
       applyOfLaterEra(row, reply.revision);
     } else {
       apply(row, RowSource::kCopy);
@@ -202,6 +204,7 @@
   auto& known = revisions_[row.key];
   // Unchanged since this node read it, as the node says that told the copy.
   if (known != 0 && known == row.revision) return;
+  if (known >= copied) return;
   if (base::eraOf(row.revision) < era) row.revision = copied;
   known = row.revision;
   boundChange(row, confirmedRevision_, confirmedAt_);
--- a/src/config/table_watch.h
+++ b/src/config/table_watch.h
@@ -121,7 +121,8 @@
   void onFailed(clients::FeedStatus status);
   void confirm(const clients::FeedReply& reply, base::TimePoint sentAt);
   void apply(clients::FeedRow row, RowSource source);
-  /// Takes a row of a whole copy of a later era, complete up to `copied`.
+  /// Takes a row of a whole copy, complete up to `copied`, where the copy is of a later era than
+  /// the rows that are known, or the row is numbered by a former era.
   void applyOfLaterEra(clients::FeedRow row, base::Revision copied);
   void removeMissing(const clients::FeedReply& copy);
   void noteServiceTime(const clients::FeedReply& reply);
--- a/tests/config/store_return_test.cc
+++ b/tests/config/store_return_test.cc
@@ -168,6 +168,130 @@
   }
 }
 
+// Guards against a node that keeps an outdated row for good because two nodes read the service at
+// different moments of one era and number the row differently.
+BOOST_AUTO_TEST_CASE(FollowerOfTwoCopiesOfAnEraKeepsNoOutdatedRow) {
+  const auto at = [](base::StoreEra era, std::uint64_t number) {
+    return base::revisionAt(era, number);
+  };
+  TableCopy early;
+  TableCopy late;
+  TableCopy follower;
+  for (auto* copy : {&early, &late, &follower})
+    copy->replace({{"table", "v40", at(6, 389)}}, at(6, 395));
+  for (auto* copy : {&early, &late}) copy->apply({{"table", "v43", at(6, 409)}}, at(6, 409));
+  // The service returns without v43, which is written again later.
+  early.replace({{"table", "v40", at(8, 389)}}, at(8, 400));
+  follower.apply(early.changesAfter(*follower.revision()).value(), *early.revision());
+  late.replace({{"table", "v43", at(8, 405)}}, at(8, 410));
+  early.apply({{"table", "v43", at(8, 405)}}, at(8, 410));
+  for (const auto* teller : {&late, &early}) {
+    // One that cannot tell makes the follower ask elsewhere, from where it stands.
+    const auto told = teller->changesAfter(*follower.revision());
+    if (told) follower.apply(*told, *teller->revision());
+  }
+  BOOST_TEST(follower.all().front().value.value() == "v43");
+  BOOST_TEST(follower.all().front().value.value() == early.all().front().value.value());
+}
+
+// A build before numbers the rows of a whole copy by the era in which it first read them.
+BOOST_AUTO_TEST_CASE(WholeCopyByAFormerBuildReplacesAnOutdatedRow) {
+  const auto at = [](base::StoreEra era, std::uint64_t number) {
+    return base::revisionAt(era, number);
+  };
+  TableCopy copy;
+  copy.replace({{"table", "v40", at(8, 389)}}, at(8, 400));
+  copy.replace({{"table", "v43", at(6, 409)}}, at(8, 410));
+  BOOST_TEST(copy.all().front().value.value() == "v43");
+  BOOST_TEST((copy.all().front().revision <= at(8, 410)));
+  copy.apply({{"table", "v44", at(8, 411)}}, at(8, 411));
+  BOOST_TEST(copy.all().front().value.value() == "v44");
+}
+
+// Several nodes read the service at different moments, tell each other changes and whole copies in
+// any order, and tell others in turn what they were told: each holds what the service held at its
+// position.
+RC_BOOST_PROP(EachOfSeveralTellersHoldsTheTableOfItsPosition, ()) {
+  using Rows = std::map<std::string, std::string>;
+  constexpr std::size_t kCopies = 4;
+  test_support::VirtualTime time;
+  FakeService service(time);
+  std::vector<FakeService::Copy> backups{service.copy()};
+  std::map<base::Revision, Rows> tables;
+  const auto now = [&service] { return base::revisionAt(service.era(), service.copy().number); };
+  const auto record = [&] {
+    Rows rows;
+    for (const auto& [key, row] : service.copy().rows)
+      if (row.value) rows[key] = *row.value;
+    tables[now()] = rows;
+  };
+  const auto serviceRows = [&service](bool whole, std::uint64_t after) {
+    TableCopy::Rows rows;
+    for (auto [key, row] : service.copy().rows) {
+      if (whole ? !row.value.has_value() : row.revision <= after) continue;
+      row.revision = base::revisionAt(service.era(), row.revision);
+      rows.push_back(row);
+    }
+    return rows;
+  };
+  const auto rowsOf = [](const TableCopy& copy) {
+    Rows rows;
+    for (const auto& row : copy.all()) rows[row.key] = *row.value;
+    return rows;
+  };
+  record();
+  std::vector<TableCopy> copies(kCopies);
+  for (auto& copy : copies) copy.replace(serviceRows(true, 0), now());
+  const auto readService = [&](TableCopy& copy) {
+    if (base::eraOf(*copy.revision()) == service.era()) {
+      copy.apply(serviceRows(false, base::numberOf(*copy.revision())), now());
+    } else {
+      copy.replace(serviceRows(true, 0), now());
+    }
+  };
+  const auto askCopy = [&](TableCopy& asker, const TableCopy& teller, bool whole) {
+    if (base::eraOf(*teller.revision()) < base::eraOf(*asker.revision())) return;
+    const auto told = teller.changesAfter(*asker.revision());
+    if (whole || !told) {
+      if (*teller.revision() >= *asker.revision()) asker.replace(teller.all(), *teller.revision());
+    } else {
+      asker.apply(*told, *teller.revision());
+    }
+  };
+  const auto steps = *rc::gen::inRange(1, 80);
+  for (int step = 0; step < steps; ++step) {
+    const auto key = std::string(1, *rc::gen::inRange('a', 'd'));
+    auto& copy = copies[*rc::gen::inRange<std::size_t>(0, kCopies)];
+    const auto& other = copies[*rc::gen::inRange<std::size_t>(0, kCopies)];
+    switch (*rc::gen::inRange(0, 9)) {
+      case 0:
+        service.remove(key);
+        break;
+      case 1:
+        backups.push_back(service.copy());
+        break;
+      case 2:
+        service.returnFrom(*rc::gen::elementOf(backups), *rc::gen::inRange(0, 4));
+        break;
+      case 3:
+        readService(copy);
+        break;
+      case 4:
+      case 5:
+        if (&copy != &other) askCopy(copy, other, false);
+        break;
+      case 6:
+        if (&copy != &other) askCopy(copy, other, true);
+        break;
+      default:
+        // Few values, so that rows are written again as they were before a return.
+        service.put(key, std::to_string(*rc::gen::inRange(0, 3)));
+    }
+    record();
+    for (const auto& each : copies) RC_ASSERT(rowsOf(each) == tables.at(*each.revision()));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::config
