Suspect a member first when other nodes hold it dead

Cause: a node believed the news that a member is dead from any node, at once. Nodes that are cut off hold the others dead after some 5 s; when the cut ends just then, this news reaches the others before the refutation, and for about a second they take other homes, each of which starts with a part of a bucket. Comparisons between nodes were guarded against that, news was not. It is not a matter of limits alone: every role that is found by hashing over live members had two holders.

Change: a member that others hold dead is suspected and probed, unless it has been suspected here for half of the suspicion time already.

--- a/src/membership/gossip_membership.cc
+++ b/src/membership/gossip_membership.cc
@@ -316,11 +316,23 @@
   if (!corrections.empty()) send(endpoint, Gossip{{std::move(corrections), ""}});
 }
 
-void GossipMembership::takeUpdate(const MemberUpdate& update) {
+void GossipMembership::takeUpdate(MemberUpdate update) {
   if (update.id == members_.self().id) return takeAccusation(update);
+  if (mayYetRefute(update)) {
+    update.version.state = MemberState::kSuspect;
+    detector_.probeSoon(update.id);
+  }
   applyAndSpread(update);
 }
 
+bool GossipMembership::mayYetRefute(const MemberUpdate& update) const {
+  const Member* known = members_.find(update.id);
+  if (update.version.state != MemberState::kDead || known == nullptr || !isLive(known->state))
+    return false;
+  const auto deadline = members_.suspicionDeadline(update.id);
+  return !deadline || *deadline - running_ > suspicionTime() / 2;
+}
+
 void GossipMembership::takeComparedUpdate(const MemberUpdate& update, bool spreadUnknown,
                                           PackedWriter& corrections,
                                           std::vector<MemberUpdate>& accused) {
--- a/src/membership/gossip_membership.h
+++ b/src/membership/gossip_membership.h
@@ -149,7 +149,10 @@
   /// Returns packed updates about the members that the news wrongly holds suspected or dead.
   std::string takeNews(const News& news);
   void correct(const base::Endpoint& endpoint, std::string corrections);
-  void takeUpdate(const MemberUpdate& update);
+  void takeUpdate(MemberUpdate update);
+  /// Whether a member that others hold dead may refute that before it is held dead here: nodes that
+  /// were cut off held it dead, and it is live for this node.
+  bool mayYetRefute(const MemberUpdate& update) const;
   /// Takes an update found by comparison. That a live member is gone is not believed, as after a
   /// partition each side holds the other dead: it joins `accused`. What is outdated is corrected.
   void takeComparedUpdate(const MemberUpdate& update, bool spreadUnknown, PackedWriter& corrections,
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -112,6 +112,11 @@
   return expired;
 }
 
+std::optional<base::Duration> MemberTable::suspicionDeadline(base::NodeId id) const {
+  const auto found = suspicions_.find(id);
+  return found == suspicions_.end() ? std::nullopt : std::optional(found->second);
+}
+
 void MemberTable::purge(base::TimePoint now) {
   std::erase_if(gone_, [&](base::NodeId id) {
     const Entry& entry = entries_.at(id);
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -74,6 +74,9 @@
   /// Members whose suspicion has run out. `running` is the time that this process has been running,
   /// pauses left out: what it could not hear in a pause condemns nobody.
   std::vector<base::NodeId> expiredSuspicions(base::Duration running) const;
+  /// When the member is to be held dead, on the time scale of `expiredSuspicions`; empty if it is
+  /// not suspected.
+  std::optional<base::Duration> suspicionDeadline(base::NodeId id) const;
   /// Forgets members that have been gone for long.
   void purge(base::TimePoint now);
 
--- a/tests/membership/gossip_membership_test.cc
+++ b/tests/membership/gossip_membership_test.cc
@@ -293,6 +293,32 @@
   BOOST_TEST(bytes < 14'000);
 }
 
+// Guards against nodes that believe those that were cut off, and hold members dead which they have
+// never lost: each role of such a member then has two holders.
+BOOST_AUTO_TEST_CASE(VerdictsOfNodesThatWereCutOffAreNotBelieved) {
+  std::size_t falselyDead = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Fleet fleet(40, seed);
+    fleet.time.runUntil([&] { return fleet.allSee(40); }, seconds(30));
+    fleet.time.runFor(seconds(10));
+    std::set<base::Endpoint> cut;
+    for (std::size_t index = 26; index < 40; ++index) cut.insert(Fleet::endpointOf(index));
+    fleet.network.separate(cut);
+    const auto someHoldOthersDead = [&] { return fleet[26].lostMembers() >= 5; };
+    fleet.time.runUntil(someHoldOthersDead, seconds(60));
+    fleet.network.heal();
+    // Nodes that were not cut off, and the members that they never lost.
+    for (int step = 0; step < 500; ++step) {
+      fleet.time.runFor(milliseconds(10));
+      for (std::size_t node = 0; node < 26; ++node) {
+        for (std::size_t member = 0; member < 26; ++member)
+          falselyDead += fleet[node].find(Fleet::idOf(member))->state == MemberState::kDead ? 1 : 0;
+      }
+    }
+  }
+  BOOST_TEST(falselyDead == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(RecordsReachAllNodesAndOnlyRise) {
   Fleet fleet(60, 5);
   fleet.network.loss = 0.05;
