Call what membership passes on updates, as the messages do

The word news stood for member updates, records, batches of both and the queue that spreads them. NewsSpreader is UpdateBroadcaster, News is UpdateBatch, and the comments say update. No change of behaviour or of the wire.

--- a/src/membership/broadcast_queue.h
+++ b/src/membership/broadcast_queue.h
@@ -1,5 +1,5 @@
 /// \file
-/// News still to be passed on, each a bounded number of times, the least often sent first.
+/// Updates still to be passed on, each a bounded number of times, the least often sent first.
 #pragma once
 
 #include <cstdint>
@@ -12,15 +12,15 @@
 
 namespace covewing::membership {
 
-/// `Key` names what the news is about; its content is encoded when it is sent, so that it is always
-/// the latest.
+/// `Key` names the subject of an update; its content is encoded when it is sent, so that it is
+/// always the latest.
 template <class Key>
 class BroadcastQueue {
  public:
   bool empty() const { return order_.empty(); }
   std::size_t size() const { return order_.size(); }
 
-  /// Queues news about `key`, from the first transmission on.
+  /// Queues an update about `key`, from the first transmission on.
   void add(const Key& key) {
     erase(key);
     insert(key, Position{0, ++added_});
--- a/src/membership/comparison.cc
+++ b/src/membership/comparison.cc
@@ -79,7 +79,7 @@
     if (known == theirs.end() || known->second < version)
       encode(fullUpdate(member, version.sequence), updates);
   }
-  items.news.members = updates.take();
+  items.updates.members = updates.take();
 }
 
 void Comparison::compareRecords(const SyncSummary& summary, SyncItems& items) const {
@@ -95,7 +95,7 @@
     if (known == theirs.end() || known->second < own.version)
       encode(*records_.findByHash(own.keyHash), records);
   }
-  items.news.records = records.take();
+  items.updates.records = records.take();
 }
 
 SyncItems Comparison::wantedItems(const SyncItems& items) const {
--- a/src/membership/gossip_membership.cc
+++ b/src/membership/gossip_membership.cc
@@ -11,7 +11,7 @@
 constexpr double kTimerJitter = 0.1;
 constexpr base::Duration kRelayLifetime = std::chrono::seconds(2);
 constexpr std::size_t kLeaveFanout = 8;
-/// News on one gossip message, so that it fits into a datagram.
+/// Updates on one gossip message, so that it fits into a datagram.
 constexpr std::size_t kGossipBytes = base::PeerTransport::kDatagramLimit - 100;
 constexpr std::size_t kMaximumRelays = 256;
 /// Suspected members that are pinged in each period besides the one probed.
@@ -49,7 +49,7 @@
       peers_(peers),
       members_(selfOf(options_), options_.retention),
       comparison_(members_, records_, random),
-      news_(options_.news, members_, records_),
+      broadcasts_(options_.broadcasts, members_, records_),
       detector_(options_.probing, timers, random, members_, *this),
       lastRunning_(clock.now()),
       syncInterval_(options_.firstSyncPeriod),
@@ -65,7 +65,7 @@
 // --- timers
 
 void GossipMembership::start() {
-  news_.add(members_.self().id);
+  broadcasts_.add(members_.self().id);
   lastRunning_ = clock_.now();
   every(options_.probing.probePeriod, periodTimer_, &GossipMembership::onPeriod);
   every(options_.gossipPeriod, gossipTimer_, &GossipMembership::onGossipTick);
@@ -98,7 +98,7 @@
   const base::Duration elapsed = now - std::exchange(lastRunning_, now);
   const base::Duration longest = options_.gossipPeriod + options_.pauseThreshold;
   running_ += std::min(elapsed, longest);
-  news_.refill(elapsed);
+  broadcasts_.refill(elapsed);
   if (elapsed > longest) onWake();
 }
 
@@ -118,11 +118,11 @@
 void GossipMembership::onGossipTick() {
   noteRunning(clock_.now());
   expireSuspicions();
-  if (news_.empty()) return;
+  if (broadcasts_.empty()) return;
   for (const Member* member : members_.randomLive(random_, options_.gossipFanout, {})) {
-    if (news_.empty()) return;
-    if (!news_.hasBudget()) return;
-    send(member->endpoint, Gossip{news_.takeWithinBudget(kGossipBytes)});
+    if (broadcasts_.empty()) return;
+    if (!broadcasts_.hasBudget()) return;
+    send(member->endpoint, Gossip{broadcasts_.takeWithinBudget(kGossipBytes)});
   }
 }
 
@@ -177,21 +177,21 @@
   }
   detector_.forgive();
   members_.renewSelf(0, MemberState::kLeft, true);
-  news_.add(members_.self().id);
+  broadcasts_.add(members_.self().id);
   for (const Member* member : members_.randomLive(random_, kLeaveFanout, {}))
-    send(member->endpoint, Gossip{news_.take(options_.piggybackBytes)});
+    send(member->endpoint, Gossip{broadcasts_.take(options_.piggybackBytes)});
 }
 
 void GossipMembership::setDraining(bool draining) {
   if (members_.self().draining == draining) return;
   members_.renewSelf(0, MemberState::kAlive, draining);
-  news_.add(members_.self().id);
+  broadcasts_.add(members_.self().id);
 }
 
 // --- probing
 
 void GossipMembership::sendPing(const Member& target, std::uint64_t sequence) {
-  News content = news_.take(options_.piggybackBytes);
+  UpdateBatch content = broadcasts_.take(options_.piggybackBytes);
   // A suspected member hears of it first of all from the one that probes it.
   if (target.state == MemberState::kSuspect) {
     PackedWriter writer;
@@ -227,9 +227,9 @@
 }
 
 void GossipMembership::handle(const base::PeerIdentity& sender, const Ping& message) {
-  std::string corrections = takeNews(message.news);
+  std::string corrections = takeUpdates(message.updates);
   if (message.target != members_.self().id) return correct(sender.endpoint, std::move(corrections));
-  News content = news_.take(options_.piggybackBytes);
+  UpdateBatch content = broadcasts_.take(options_.piggybackBytes);
   content.members += corrections;
   // Whoever is held dead here must hear of it to refute it.
   const Member* member = members_.find(sender.node);
@@ -242,11 +242,11 @@
 }
 
 void GossipMembership::handle(const base::PeerIdentity& sender, const Ack& message) {
-  correct(sender.endpoint, takeNews(message.news));
+  correct(sender.endpoint, takeUpdates(message.updates));
   detector_.onAck(message.sequence);
   const auto relay = relays_.find(message.sequence);
   if (relay == relays_.end()) return;
-  send(relay->second.origin, Ack{relay->second.sequence, News{}});
+  send(relay->second.origin, Ack{relay->second.sequence, UpdateBatch{}});
   relays_.erase(relay);
 }
 
@@ -255,11 +255,11 @@
   if (target == nullptr || relays_.size() >= kMaximumRelays) return;
   const std::uint64_t sequence = detector_.nextSequence();
   relays_[sequence] = {sender.endpoint, message.sequence, clock_.now()};
-  send(target->endpoint, Ping{sequence, target->id, News{}});
+  send(target->endpoint, Ping{sequence, target->id, UpdateBatch{}});
 }
 
 void GossipMembership::handle(const base::PeerIdentity& sender, const Gossip& message) {
-  correct(sender.endpoint, takeNews(message.news));
+  correct(sender.endpoint, takeUpdates(message.updates));
 }
 
 void GossipMembership::handle(const base::PeerIdentity& sender, const SyncRequest& message) {
@@ -279,7 +279,7 @@
 }
 
 void GossipMembership::handle(const base::PeerIdentity& sender, const SyncItems& message) {
-  const std::vector<MemberUpdate> compared = decodeMemberUpdates(message.news.members);
+  const std::vector<MemberUpdate> compared = decodeMemberUpdates(message.updates.members);
   const bool introductions = compared.size() <= kMaximumIntroductions;
   PackedWriter corrections;
   std::vector<MemberUpdate> accused;
@@ -287,19 +287,19 @@
     takeComparedUpdate(update, introductions, corrections, accused);
   if (corrections.size() > 0) send(sender.endpoint, SyncItems{{corrections.take(), ""}, {}, {}});
   forwardAccusations(std::move(accused));
-  const std::vector<GossipRecord> records = decodeRecords(message.news.records);
+  const std::vector<GossipRecord> records = decodeRecords(message.updates.records);
   for (const GossipRecord& record : records) {
     const bool spread = records.size() <= kMaximumIntroductions || records_.find(record.key);
-    if (records_.apply(record) && spread) news_.add(record.key);
+    if (records_.apply(record) && spread) broadcasts_.add(record.key);
   }
   sendItems(sender.endpoint, comparison_.wantedItems(message));
 }
 
 // --- what others say
 
-std::string GossipMembership::takeNews(const News& news) {
+std::string GossipMembership::takeUpdates(const UpdateBatch& updates) {
   PackedWriter corrections;
-  for (const MemberUpdate& update : decodeMemberUpdates(news.members)) {
+  for (const MemberUpdate& update : decodeMemberUpdates(updates.members)) {
     takeUpdate(update);
     const Member* known = members_.find(update.id);
     const bool wrongly =
@@ -308,7 +308,7 @@
         members_.versionOf(update.id) > update.version)
       encode(compactUpdate(*known, members_.sequenceOf(update.id)), corrections);
   }
-  for (const GossipRecord& record : decodeRecords(news.records)) takeRecord(record);
+  for (const GossipRecord& record : decodeRecords(updates.records)) takeRecord(record);
   return corrections.take();
 }
 
@@ -369,13 +369,13 @@
   const MemberVersion own = members_.versionOf(self.id);
   if (update.version <= own || update.version.incarnation != own.incarnation) return;
   members_.renewSelf(update.version.sequence, MemberState::kAlive, self.draining);
-  news_.add(self.id);
+  broadcasts_.add(self.id);
 }
 
 void GossipMembership::applyAndSpread(const MemberUpdate& update, bool spread) {
   const MemberChange change = members_.apply(update, clock_.now(), running_ + suspicionTime());
   if (change.kind != MemberChange::Kind::kChanged) return;
-  if (spread) news_.add(update.id);
+  if (spread) broadcasts_.add(update.id);
   report(change);
 }
 
@@ -403,7 +403,7 @@
 }
 
 void GossipMembership::takeRecord(const GossipRecord& record) {
-  if (records_.apply(record)) news_.add(record.key);
+  if (records_.apply(record)) broadcasts_.add(record.key);
 }
 
 // --- records
@@ -441,7 +441,7 @@
 }
 
 void GossipMembership::sendItems(const base::Endpoint& endpoint, const SyncItems& items) {
-  const bool empty = items.news.members.empty() && items.news.records.empty() &&
+  const bool empty = items.updates.members.empty() && items.updates.records.empty() &&
                      items.wantedMembers.empty() && items.wantedRecords.empty();
   if (!empty) send(endpoint, items);
 }
--- a/src/membership/gossip_membership.h
+++ b/src/membership/gossip_membership.h
@@ -5,7 +5,8 @@
 ///   (membership/failure_detector.h). One that fails is
 ///   suspected, told so by gossip, and held dead when it does not refute in time. Only a member
 ///   itself raises its sequence, so that a refutation overrides every suspicion before it.
-/// - News rides on pings and acks, and while there is some, on gossip messages of a bounded rate.
+/// - Updates are piggybacked on pings and acks, and sent in gossip messages of a bounded rate while
+///   there are some.
 ///   Each piece is passed on a number of times that grows with the logarithm of the fleet.
 /// - Every few seconds a node compares digests with a random member, and both exchange what
 /// differs:
@@ -13,7 +14,7 @@
 /// - A zone that is cut off holds the others dead and goes on. Now and then each node asks one
 /// member
 ///   held dead, or a seed, for a comparison; once the network is whole again, the first answer
-///   leads to refutations, which spread as all other news does.
+///   leads to refutations, which spread like all other updates.
 #pragma once
 
 #include <cstdint>
@@ -35,8 +36,8 @@
 #include "membership/member_directory.h"
 #include "membership/member_table.h"
 #include "membership/membership_message.h"
-#include "membership/news_spreader.h"
 #include "membership/record_table.h"
+#include "membership/update_broadcaster.h"
 
 namespace covewing::membership {
 
@@ -57,8 +58,8 @@
   base::Duration minimumSuspicion = std::chrono::seconds(3);
   base::Duration gossipPeriod = std::chrono::milliseconds(200);
   std::size_t gossipFanout = 3;
-  NewsSpreaderOptions news;
-  /// News on one ping or ack.
+  UpdateBroadcasterOptions broadcasts;
+  /// Updates on one ping or ack.
   std::size_t piggybackBytes = 400;
   /// Between comparisons when nothing is amiss, and at first, and after one that found much.
   base::Duration syncPeriod = std::chrono::seconds(10);
@@ -146,8 +147,8 @@
   void handle(const base::PeerIdentity& sender, const SyncSummary& message);
   void handle(const base::PeerIdentity& sender, const SyncItems& message);
 
-  /// Returns packed updates about the members that the news wrongly holds suspected or dead.
-  std::string takeNews(const News& news);
+  /// Returns packed updates about the members that `updates` wrongly considers suspected or dead.
+  std::string takeUpdates(const UpdateBatch& updates);
   void correct(const base::Endpoint& endpoint, std::string corrections);
   void takeUpdate(MemberUpdate update);
   /// Whether a member that others hold dead may refute that before it is held dead here: nodes that
@@ -160,7 +161,7 @@
   /// Tells some of the members that another node holds them dead, and probes them soon.
   void forwardAccusations(std::vector<MemberUpdate> accused);
   void takeRecord(const GossipRecord& record);
-  /// News about this node itself; refutes it where it is wrong.
+  /// Handles an update about this node itself; refutes it if it is wrong.
   void takeAccusation(const MemberUpdate& update);
   void applyAndSpread(const MemberUpdate& update, bool spread = true);
   void report(const MemberChange& change);
@@ -182,7 +183,7 @@
   MemberTable members_;
   RecordTable records_;
   Comparison comparison_;
-  NewsSpreader news_;
+  UpdateBroadcaster broadcasts_;
   FailureDetector detector_;
   std::map<std::uint64_t, Relay> relays_;
   /// Time that the process has been running, pauses left out.
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -64,7 +64,7 @@
   const auto found = entries_.find(update.id);
   if (found == entries_.end()) {
     change.kind = MemberChange::Kind::kUnknown;
-    // A member heard of for the first time when it is gone is no news.
+    // A member heard of for the first time when it is gone is ignored.
     if (!update.full || !isLive(update.version.state)) return change;
   } else {
     const MemberVersion known = versionOf(update.id);
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -17,7 +17,7 @@
 
 namespace covewing::membership {
 
-/// How long members that are gone stay known, so that outdated news does not bring them back and
+/// How long members that are gone stay known, so that outdated updates do not bring them back and
 /// partitions are found to have healed.
 struct MemberRetention {
   base::Duration dead = std::chrono::minutes(30);
@@ -63,7 +63,7 @@
   std::size_t lost() const;
   std::uint64_t version() const { return version_; }
 
-  /// Takes in news about another member. Whoever is suspected is to be held dead at `deadline`,
+  /// Applies an update about another member. Whoever is suspected is to be held dead at `deadline`,
   /// which is on the time scale of `expiredSuspicions`.
   MemberChange apply(const MemberUpdate& update, base::TimePoint now, base::Duration deadline);
   /// Raises the own sequence above `accused` (0: above the present one), as alive or left.
--- a/src/membership/member_update.h
+++ b/src/membership/member_update.h
@@ -1,5 +1,6 @@
 /// \file
-/// News about one member as it travels between nodes, and the order that decides which news wins.
+/// An update about one member as it travels between nodes, and the order that decides which of two
+/// updates wins.
 #pragma once
 
 #include <compare>
@@ -13,7 +14,7 @@
 
 namespace covewing::membership {
 
-/// Position of a piece of news in a member's life. The later one wins: a higher incarnation (run of
+/// Position of an update in a member's life. The later one wins: a higher incarnation (run of
 /// the process), then a higher sequence (which only the member itself raises, to refute a suspicion
 /// or to change its draining mark), then the graver state.
 struct MemberVersion {
@@ -28,7 +29,7 @@
   base::NodeId id;
   MemberVersion version;
   bool draining = false;
-  /// Name, zone, region and endpoint are present. Without them the news is of use only to nodes
+  /// Name, zone, region and endpoint are present. Without them the update is of use only to nodes
   /// that know the member already.
   bool full = false;
   std::string name;
--- a/src/membership/membership_message.cc
+++ b/src/membership/membership_message.cc
@@ -104,15 +104,15 @@
   open(writer, MessageType::kPing, 4)
       .unsignedInteger(message.sequence)
       .unsignedInteger(message.target.value)
-      .binary(message.news.members)
-      .binary(message.news.records);
+      .binary(message.updates.members)
+      .binary(message.updates.records);
 }
 
 void write(base::Writer& writer, const Ack& message) {
   open(writer, MessageType::kAck, 3)
       .unsignedInteger(message.sequence)
-      .binary(message.news.members)
-      .binary(message.news.records);
+      .binary(message.updates.members)
+      .binary(message.updates.records);
 }
 
 void write(base::Writer& writer, const PingRequest& message) {
@@ -122,7 +122,9 @@
 }
 
 void write(base::Writer& writer, const Gossip& message) {
-  open(writer, MessageType::kGossip, 2).binary(message.news.members).binary(message.news.records);
+  open(writer, MessageType::kGossip, 2)
+      .binary(message.updates.members)
+      .binary(message.updates.records);
 }
 
 void write(base::Writer& writer, const SyncRequest& message) {
@@ -144,31 +146,31 @@
 
 void write(base::Writer& writer, const SyncItems& message) {
   open(writer, MessageType::kSyncItems, 4)
-      .binary(message.news.members)
-      .binary(message.news.records)
+      .binary(message.updates.members)
+      .binary(message.updates.records)
       .binary(packIds(message.wantedMembers))
       .binary(packWords(message.wantedRecords));
 }
 
-News readNews(base::Reader& reader) {
-  News news;
-  news.members = reader.binary();
-  news.records = reader.binary();
-  return news;
+UpdateBatch readUpdates(base::Reader& reader) {
+  UpdateBatch updates;
+  updates.members = reader.binary();
+  updates.records = reader.binary();
+  return updates;
 }
 
 Ping readPing(base::Reader& reader) {
   Ping message;
   message.sequence = reader.unsignedInteger();
   message.target.value = reader.unsignedInteger();
-  message.news = readNews(reader);
+  message.updates = readUpdates(reader);
   return message;
 }
 
 Ack readAck(base::Reader& reader) {
   Ack message;
   message.sequence = reader.unsignedInteger();
-  message.news = readNews(reader);
+  message.updates = readUpdates(reader);
   return message;
 }
 
@@ -200,7 +202,7 @@
 
 SyncItems readSyncItems(base::Reader& reader) {
   SyncItems message;
-  message.news = readNews(reader);
+  message.updates = readUpdates(reader);
   for (const std::uint64_t word : unpackWords(reader.binary()))
     message.wantedMembers.push_back(base::NodeId{word});
   message.wantedRecords = unpackWords(reader.binary());
@@ -216,7 +218,7 @@
     case MessageType::kPingRequest:
       return readPingRequest(reader);
     case MessageType::kGossip:
-      return Gossip{readNews(reader)};
+      return Gossip{readUpdates(reader)};
     case MessageType::kSyncRequest:
       return readSyncRequest(reader);
     case MessageType::kSyncSummary:
--- a/src/membership/membership_message.h
+++ b/src/membership/membership_message.h
@@ -16,8 +16,8 @@
 
 namespace covewing::membership {
 
-/// News that rides on every message: packed member updates and records.
-struct News {
+/// Packed member updates and records, piggybacked on most messages.
+struct UpdateBatch {
   std::string members;
   std::string records;
 };
@@ -26,13 +26,13 @@
 struct Ping {
   std::uint64_t sequence = 0;
   base::NodeId target;
-  News news;
+  UpdateBatch updates;
 };
 
 /// Answer to a ping, or relayed answer to a ping request.
 struct Ack {
   std::uint64_t sequence = 0;
-  News news;
+  UpdateBatch updates;
 };
 
 /// "Ping this member for me."
@@ -42,7 +42,7 @@
 };
 
 struct Gossip {
-  News news;
+  UpdateBatch updates;
 };
 
 /// Opens a comparison of all that both sides know.
@@ -66,7 +66,7 @@
 
 /// Items that the other side lacks, and identifiers of those wanted from it.
 struct SyncItems {
-  News news;
+  UpdateBatch updates;
   std::vector<base::NodeId> wantedMembers;
   std::vector<std::uint64_t> wantedRecords;
 };
--- a/src/membership/news_spreader.cc
+++ b/src/membership/update_broadcaster.cc
@@ -1,4 +1,4 @@
-#include "membership/news_spreader.h"
+#include "membership/update_broadcaster.h"
 
 #include <algorithm>
 #include <cmath>
@@ -10,14 +10,14 @@
 constexpr double kMessageOverhead = 48;
 }  // namespace
 
-NewsSpreader::NewsSpreader(NewsSpreaderOptions options, const MemberTable& members,
-                           const RecordTable& records)
+UpdateBroadcaster::UpdateBroadcaster(UpdateBroadcasterOptions options, const MemberTable& members,
+                                     const RecordTable& records)
     : options_(options),
       memberTable_(members),
       recordTable_(records),
       budget_(options.burstBytes) {}
 
-News NewsSpreader::take(std::size_t maximumBytes) {
+UpdateBatch UpdateBroadcaster::take(std::size_t maximumBytes) {
   PackedWriter updates;
   members_.take(updates, maximumBytes, transmissions(),
                 [this](base::NodeId id, PackedWriter& writer) { encodeMember(id, writer); });
@@ -28,24 +28,24 @@
   return {updates.take(), records.take()};
 }
 
-News NewsSpreader::takeWithinBudget(std::size_t maximumBytes) {
-  News news = take(maximumBytes);
-  budget_ -= kMessageOverhead + static_cast<double>(news.members.size() + news.records.size());
-  return news;
+UpdateBatch UpdateBroadcaster::takeWithinBudget(std::size_t maximumBytes) {
+  UpdateBatch batch = take(maximumBytes);
+  budget_ -= kMessageOverhead + static_cast<double>(batch.members.size() + batch.records.size());
+  return batch;
 }
 
-void NewsSpreader::refill(base::Duration elapsed) {
+void UpdateBroadcaster::refill(base::Duration elapsed) {
   budget_ =
       std::min(budget_ + base::toSeconds(elapsed) * options_.bytesPerSecond, options_.burstBytes);
 }
 
-std::uint32_t NewsSpreader::transmissions() const {
+std::uint32_t UpdateBroadcaster::transmissions() const {
   const double scale = std::log10(static_cast<double>(memberTable_.live().size()) + 1);
   const auto wanted = static_cast<std::uint32_t>(std::ceil(options_.transmissionFactor * scale));
   return std::max(wanted, options_.leastTransmissions);
 }
 
-void NewsSpreader::encodeMember(base::NodeId id, PackedWriter& writer) const {
+void UpdateBroadcaster::encodeMember(base::NodeId id, PackedWriter& writer) const {
   const Member* member = memberTable_.find(id);
   if (member == nullptr) return;
   const std::uint32_t sequence = memberTable_.sequenceOf(id);
@@ -54,7 +54,7 @@
   encode(introduce ? fullUpdate(*member, sequence) : compactUpdate(*member, sequence), writer);
 }
 
-void NewsSpreader::encodeRecord(const std::string& key, PackedWriter& writer) const {
+void UpdateBroadcaster::encodeRecord(const std::string& key, PackedWriter& writer) const {
   if (const auto record = recordTable_.find(key)) encode(*record, writer);
 }
 
--- a/src/membership/news_spreader.h
+++ b/src/membership/update_broadcaster.h
@@ -1,5 +1,6 @@
 /// \file
-/// What a node still has to pass on, and how much of it it may send by itself.
+/// The updates and records that a node still has to pass on, and how much of them it may send in
+/// messages of their own.
 #pragma once
 
 #include <cstdint>
@@ -14,29 +15,31 @@
 
 namespace covewing::membership {
 
-struct NewsSpreaderOptions {
-  /// Each piece of news is sent this many times log10(members + 1), rounded up, by each node, and
+struct UpdateBroadcasterOptions {
+  /// Each update is sent this many times log10(members + 1), rounded up, by each node, and
   /// at least `leastTransmissions` times. A node that all others miss so often, less than one in a
   /// hundred, learns by the next comparison.
   double transmissionFactor = 1.5;
   std::uint32_t leastTransmissions = 5;
-  /// Bound of the news that a node sends by itself, headers included, sustained and at once.
+  /// Bound of the updates that a node sends in messages of their own, headers included, sustained
+  /// and at once.
   double bytesPerSecond = 2'000;
   double burstBytes = 1'500;
 };
 
-class NewsSpreader {
+class UpdateBroadcaster {
  public:
-  NewsSpreader(NewsSpreaderOptions options, const MemberTable& members, const RecordTable& records);
+  UpdateBroadcaster(UpdateBroadcasterOptions options, const MemberTable& members,
+                    const RecordTable& records);
 
   void add(base::NodeId member) { members_.add(member); }
   void add(const std::string& recordKey) { records_.add(recordKey); }
   bool empty() const { return members_.empty() && records_.empty(); }
 
-  /// The news to be sent next, the least sent first, within `maximumBytes`.
-  News take(std::size_t maximumBytes);
-  /// The same for a message that is sent for the sake of its news: counted against the bound.
-  News takeWithinBudget(std::size_t maximumBytes);
+  /// The updates to be sent next, the least often sent first, within `maximumBytes`.
+  UpdateBatch take(std::size_t maximumBytes);
+  /// The same for a message that carries nothing else: counted against the bound.
+  UpdateBatch takeWithinBudget(std::size_t maximumBytes);
   bool hasBudget() const { return budget_ > 0; }
   /// Refills the bound for the time that has passed.
   void refill(base::Duration elapsed);
@@ -46,7 +49,7 @@
   void encodeMember(base::NodeId id, PackedWriter& writer) const;
   void encodeRecord(const std::string& key, PackedWriter& writer) const;
 
-  NewsSpreaderOptions options_;
+  UpdateBroadcasterOptions options_;
   const MemberTable& memberTable_;
   const RecordTable& recordTable_;
   BroadcastQueue<base::NodeId> members_;
