Filter candidates in place

Each request copied the list of its candidates up to six times; alternates were drawn from one more copy.

--- a/src/routing/replica_selector.cc
+++ b/src/routing/replica_selector.cc
@@ -111,15 +111,11 @@
   }
   const auto keep = [&](auto predicate, std::string_view why) {
     if (allowed.empty()) return;
-    Candidates kept;
-    std::ranges::copy_if(allowed, std::back_inserter(kept), predicate);
-    if (kept.empty()) reason = why;
-    allowed = std::move(kept);
+    std::erase_if(allowed, std::not_fn(predicate));
+    if (allowed.empty()) reason = why;
   };
   const auto prefer = [&](auto predicate) {
-    Candidates kept;
-    std::ranges::copy_if(allowed, std::back_inserter(kept), predicate);
-    if (!kept.empty()) allowed = std::move(kept);
+    if (std::ranges::any_of(allowed, predicate)) std::erase_if(allowed, std::not_fn(predicate));
   };
   keep([&](const auto& record) { return !record->versionUncertain(now); },
        "the version of every replica is doubtful");
@@ -292,16 +288,9 @@
 }
 
 void ReplicaSelector::keepOneRateLimitedInFront(Candidates& candidates) {
-  Candidates limited;
-  Candidates others;
-  for (const auto& record : candidates) {
-    const bool inFront = !rateLimited(record) || limited.empty();
-    if (rateLimited(record)) limited.push_back(record);
-    if (inFront) others.push_back(record);
-  }
-  if (limited.size() < 2) return;
-  others.insert(others.end(), limited.begin() + 1, limited.end());
-  candidates = std::move(others);
+  const auto first = std::ranges::find_if(candidates, rateLimited);
+  if (first != candidates.end())
+    std::stable_partition(first + 1, candidates.end(), std::not_fn(rateLimited));
 }
 
 std::string ReplicaSelector::saltOf(const ReplicaQuery& query, const ReplicaRecord& record) const {
@@ -312,11 +301,11 @@
   const auto first = std::min(options_.maximumPreferred, candidates.size());
   const auto lastFirst = candidates.begin() + static_cast<std::ptrdiff_t>(first);
   decision.preferenceOrder.assign(candidates.begin(), lastFirst);
-  Candidates others(lastFirst, candidates.end());
-  decision.alternates = std::min(options_.alternates, others.size());
-  for (std::size_t index = 0; index < decision.alternates; ++index) {
-    std::swap(others[index], others[index + random_.below(others.size() - index)]);
-    decision.preferenceOrder.push_back(others[index]);
+  decision.alternates = std::min(options_.alternates, candidates.size() - first);
+  auto& order = decision.preferenceOrder;
+  while (order.size() < first + decision.alternates) {
+    const auto& drawn = candidates[first + random_.below(candidates.size() - first)];
+    if (std::ranges::find(order, drawn) == order.end()) order.push_back(drawn);
   }
 }
 
