Give the soak's probes of different routes different identifiers

Cause: a fault of the soak. A node is probed on one route after the other, and the identifier of a probe was the node and the millisecond. Evidence, from the node's log: two requests on the routes safe and stream, dispatched at 46.926256 and 46.926970 s under one identifier, each once.

The identifier names the route too; what is checked stays.

--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -308,7 +308,7 @@
 
     async def serves(self, node, kind):
         deadline = now() + READY_SECONDS
-        caller = Caller(self, f"probe-{node.index}-{int(now() * 1000)}")
+        caller = Caller(self, f"probe-{node.index}-{kind.name}-{int(now() * 1000)}")
         caller.node = node
         while now() < deadline:
             try:
