--- a/tests/config/store_return_test.cc
+++ b/tests/config/store_return_test.cc
@@ -13,6 +13,8 @@
 
 namespace {
 
+using base::revisionAt;
+
 /// Rows that only move the counter.
 constexpr const char* kHeartbeat = "heartbeat";
 
@@ -26,6 +28,12 @@
   return reads;
 }
 
+std::map<std::string, std::string> rowsOf(const TableCopy& copy) {
+  std::map<std::string, std::string> rows;
+  for (const auto& row : copy.all()) rows[row.key] = *row.value;
+  return rows;
+}
+
 bool allHold(const Fleet& fleet, const std::string& key, const std::string& value) {
   return std::ranges::all_of(fleet.nodes, [&](const auto& node) {
     const auto row = node->listener.rows.find(key);
@@ -109,11 +117,6 @@
     std::map<std::string, std::string> rows;
     base::Revision position = 0;
   };
-  const auto rowsOf = [](const TableCopy& copy) {
-    std::map<std::string, std::string> rows;
-    for (const auto& row : copy.all()) rows[row.key] = *row.value;
-    return rows;
-  };
   const auto stamped = [&service](bool whole) {
     TableCopy::Rows rows;
     for (auto row : service.copy().rows) {
@@ -171,20 +174,18 @@
 // Guards against a node that keeps an outdated row for good because two nodes read the service at
 // different moments of one era and number the row differently.
 BOOST_AUTO_TEST_CASE(FollowerOfTwoCopiesOfAnEraKeepsNoOutdatedRow) {
-  const auto at = [](base::StoreEra era, std::uint64_t number) {
-    return base::revisionAt(era, number);
-  };
   TableCopy early;
   TableCopy late;
   TableCopy follower;
   for (auto* copy : {&early, &late, &follower})
-    copy->replace({{"table", "v40", at(6, 389)}}, at(6, 395));
-  for (auto* copy : {&early, &late}) copy->apply({{"table", "v43", at(6, 409)}}, at(6, 409));
+    copy->replace({{"table", "v40", revisionAt(6, 389)}}, revisionAt(6, 395));
+  for (auto* copy : {&early, &late})
+    copy->apply({{"table", "v43", revisionAt(6, 409)}}, revisionAt(6, 409));
   // The service returns without v43, which is written again later.
-  early.replace({{"table", "v40", at(8, 389)}}, at(8, 400));
+  early.replace({{"table", "v40", revisionAt(8, 389)}}, revisionAt(8, 400));
   follower.apply(early.changesAfter(*follower.revision()).value(), *early.revision());
-  late.replace({{"table", "v43", at(8, 405)}}, at(8, 410));
-  early.apply({{"table", "v43", at(8, 405)}}, at(8, 410));
+  late.replace({{"table", "v43", revisionAt(8, 405)}}, revisionAt(8, 410));
+  early.apply({{"table", "v43", revisionAt(8, 405)}}, revisionAt(8, 410));
   for (const auto* teller : {&late, &early}) {
     // One that cannot tell makes the follower ask elsewhere, from where it stands.
     const auto told = teller->changesAfter(*follower.revision());
@@ -196,15 +197,12 @@
 
 // A build before numbers the rows of a whole copy by the era in which it first read them.
 BOOST_AUTO_TEST_CASE(WholeCopyByAFormerBuildReplacesAnOutdatedRow) {
-  const auto at = [](base::StoreEra era, std::uint64_t number) {
-    return base::revisionAt(era, number);
-  };
   TableCopy copy;
-  copy.replace({{"table", "v40", at(8, 389)}}, at(8, 400));
-  copy.replace({{"table", "v43", at(6, 409)}}, at(8, 410));
+  copy.replace({{"table", "v40", revisionAt(8, 389)}}, revisionAt(8, 400));
+  copy.replace({{"table", "v43", revisionAt(6, 409)}}, revisionAt(8, 410));
   BOOST_TEST(copy.all().front().value.value() == "v43");
-  BOOST_TEST((copy.all().front().revision <= at(8, 410)));
-  copy.apply({{"table", "v44", at(8, 411)}}, at(8, 411));
+  BOOST_TEST((copy.all().front().revision <= revisionAt(8, 410)));
+  copy.apply({{"table", "v44", revisionAt(8, 411)}}, revisionAt(8, 411));
   BOOST_TEST(copy.all().front().value.value() == "v44");
 }
 
@@ -234,11 +232,6 @@
     }
     return rows;
   };
-  const auto rowsOf = [](const TableCopy& copy) {
-    Rows rows;
-    for (const auto& row : copy.all()) rows[row.key] = *row.value;
-    return rows;
-  };
   record();
   std::vector<TableCopy> copies(kCopies);
   for (auto& copy : copies) copy.replace(serviceRows(true, 0), now());
