Show how long requests lay unread, and what an abandoned attempt left unacknowledged

Neither the log nor the metrics tell the possible causes apart, so before any change of what the node does:

- CallerDisconnected says how long the attempt had been under way (dispatched_ms) and how many of its bytes the replica had not acknowledged (unacknowledged).

--- a/src/clients/relay_client.h
+++ b/src/clients/relay_client.h
@@ -92,6 +92,8 @@
   virtual ~RelayCall() = default;
   /// While paused nothing is read from the replica.
   virtual void setPaused(bool paused) = 0;
+  /// Number of sent bytes that the replica has not acknowledged; empty if that is not known.
+  virtual std::optional<std::size_t> unacknowledgedBytes() const = 0;
 };
 
 class RelayClient {
--- a/src/live/client_connection.cc
+++ b/src/live/client_connection.cc
@@ -10,6 +10,7 @@
 #include <charconv>
 
 #include "live/http_head.h"
+#include "live/socket_state.h"
 
 namespace covewing::live {
 
@@ -321,6 +322,11 @@
   close();
 }
 
+std::optional<std::size_t> ClientConnection::unacknowledgedBytes(std::uint64_t number) const {
+  if (number != callNumber_ || handler_ == nullptr) return std::nullopt;
+  return live::unacknowledgedBytes(socket_);
+}
+
 void ClientConnection::setPaused(std::uint64_t number, bool paused) {
   if (number != callNumber_ || handler_ == nullptr || paused_ == paused) return;
   paused_ = paused;
--- a/src/live/client_connection.h
+++ b/src/live/client_connection.h
@@ -47,6 +47,9 @@
   /// Cancels call `number` by closing the connection; does nothing if that call has ended.
   void abandon(std::uint64_t number);
   void setPaused(std::uint64_t number, bool paused);
+  /// Bytes of call `number` that the server has not acknowledged; empty if unknown or if that call
+  /// has ended.
+  std::optional<std::size_t> unacknowledgedBytes(std::uint64_t number) const;
   void close();
 
  private:
--- a/src/live/http_client.cc
+++ b/src/live/http_client.cc
@@ -26,6 +26,9 @@
   Call(const Call&) = delete;
   Call& operator=(const Call&) = delete;
   void setPaused(bool paused) override { connection_->setPaused(number_, paused); }
+  std::optional<std::size_t> unacknowledgedBytes() const override {
+    return connection_->unacknowledgedBytes(number_);
+  }
 
  private:
   std::shared_ptr<ClientConnection> connection_;
--- a/src/live/http_client.h
+++ b/src/live/http_client.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -68,6 +69,9 @@
   virtual ~HttpCall() = default;
   /// While the call is paused, nothing is read from its connection.
   virtual void setPaused(bool paused) = 0;
+  /// Number of bytes accepted by the operating system that the server has not acknowledged; empty
+  /// if the operating system does not report it or the call has ended.
+  virtual std::optional<std::size_t> unacknowledgedBytes() const = 0;
 };
 
 using HttpResult = std::variant<HttpResponse, clients::DispatchError>;
--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -1,5 +1,6 @@
 #include "live/http_connection.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -7,6 +8,7 @@
 
 #include "live/asio_runtime.h"
 #include "live/http_head.h"
+#include "live/socket_state.h"
 
 namespace covewing::live {
 
@@ -43,6 +45,7 @@
     : socket_(std::move(socket)),
       owner_(owner),
       peer_(remoteEndpoint(socket_)),
+      lastActiveAt_(AsioClock{}.now()),
       deadline_(socket_.get_executor(), [this] { close(); }) {}
 
 void Connection::start() {
@@ -102,15 +105,13 @@
     }
   }
   if (state_ == State::kReading) parse();
+  lastActiveAt_ = AsioClock{}.now();
   read();
 }
 
 void Connection::parse() {
   const bool first = !parser_->got_some();
-  if (first && buffer_.size() > 0) {
-    requestStartedAt_ = AsioClock{}.now();
-    deadline_.set(owner_.limits().headerTimeout);
-  }
+  if (first && buffer_.size() > 0) onFirstBytes();
   while (buffer_.size() > 0 && !parser_->is_done()) {
     boost::system::error_code error;
     const auto used = parser_->put(buffer_.data(), error);
@@ -130,6 +131,14 @@
   }
 }
 
+void Connection::onFirstBytes() {
+  const auto now = AsioClock{}.now();
+  // Bytes read before do not count as waiting, even if the operating system counts from them.
+  const auto delay = timeSinceDataReceived(socket_).value_or(base::Duration::zero());
+  arrival_ = {now, std::min(delay, now - lastActiveAt_)};
+  deadline_.set(owner_.limits().headerTimeout);
+}
+
 void Connection::continueIfExpected() {
   if (continueSent_ ||
       !equalHeaderNames(std::string{parser_->get()[http::field::expect]}, "100-continue")) {
@@ -149,7 +158,7 @@
   HttpRequest request{std::string{message.method_string()}, std::string{message.target()},
                       copyHeaders(message), std::move(message.body())};
   const auto exchange = std::make_shared<Exchange>(shared_from_this(), std::move(request),
-                                                   message.version() >= kHttp11, requestStartedAt_);
+                                                   message.version() >= kHttp11, arrival_);
   exchange_ = exchange;
   owner_.onRequest(exchange);
 }
@@ -163,7 +172,7 @@
   lingerWhenWritten_ = true;
   state_ = State::kResponding;
   const auto exchange = std::make_shared<Exchange>(shared_from_this(), HttpRequest{},
-                                                   /*chunkedAllowed=*/true, requestStartedAt_);
+                                                   /*chunkedAllowed=*/true, arrival_);
   exchange->respond(owner_.formatRefusal(reasonFor(error)));
 }
 
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -36,8 +36,14 @@
 /// A request and the interface to respond to it, as passed to the server's handler.
 class Exchange final : public HttpExchange {
  public:
+  /// Times at which the first byte of a request was read and for how long it had been waiting.
+  struct Arrival {
+    base::TimePoint readAt{};
+    base::Duration readDelay{};
+  };
+
   Exchange(std::shared_ptr<Connection> connection, HttpRequest request, bool chunkedAllowed,
-           base::TimePoint startedAt);
+           Arrival arrival);
   ~Exchange() override;
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
@@ -45,7 +51,8 @@
   const HttpRequest& request() const override { return request_; }
   std::string takeBody() override { return std::move(request_.body); }
   base::Endpoint peer() const override;
-  base::TimePoint startedAt() const override { return startedAt_; }
+  base::TimePoint startedAt() const override { return arrival_.readAt; }
+  base::Duration readDelay() const override { return arrival_.readDelay; }
   void closeAfterResponse() override { closeAfterResponse_ = true; }
   void respond(HttpResponse response) override;
   void beginStream(unsigned status, const std::vector<HeaderField>& headers,
@@ -72,7 +79,7 @@
   /// False for HTTP/1.0 peers: a stream then ends with the close of the connection.
   bool chunkedAllowed_;
   bool streaming_ = false;
-  base::TimePoint startedAt_;
+  Arrival arrival_;
   bool closeAfterResponse_ = false;
   /// Bytes of the body still to be written, if its length was announced.
   std::optional<std::uint64_t> remainingBytes_;
@@ -111,6 +118,7 @@
   void read();
   void onRead(boost::system::error_code error, std::size_t bytes);
   void parse();
+  void onFirstBytes();
   void dispatch();
   void continueIfExpected();
   void refuse(boost::system::error_code error);
@@ -128,7 +136,9 @@
   boost::beast::flat_buffer buffer_;
   bool reading_ = false;
   bool closingIdle_ = false;
-  base::TimePoint requestStartedAt_{};
+  Exchange::Arrival arrival_;
+  /// When the connection was accepted or last read from.
+  base::TimePoint lastActiveAt_{};
   bool keepAlive_ = true;
   bool continueSent_ = false;
   bool headerComplete_ = false;
--- a/src/live/http_exchange.cc
+++ b/src/live/http_exchange.cc
@@ -38,11 +38,11 @@
 }  // namespace
 
 Exchange::Exchange(std::shared_ptr<Connection> connection, HttpRequest request, bool chunkedAllowed,
-                   base::TimePoint startedAt)
+                   Arrival arrival)
     : connection_(std::move(connection)),
       request_(std::move(request)),
       chunkedAllowed_(chunkedAllowed),
-      startedAt_(startedAt) {}
+      arrival_(arrival) {}
 
 Exchange::~Exchange() {
   if (!finished()) finish()->close();
--- a/src/live/http_relay_client.cc
+++ b/src/live/http_relay_client.cc
@@ -16,6 +16,9 @@
   }
 
   void setPaused(bool paused) override { call_->setPaused(paused); }
+  std::optional<std::size_t> unacknowledgedBytes() const override {
+    return call_->unacknowledgedBytes();
+  }
 
  private:
   bool stillWanted() const override { return handler_.stillWanted(); }
--- a/src/live/http_server.h
+++ b/src/live/http_server.h
@@ -58,6 +58,9 @@
   virtual base::Endpoint peer() const = 0;
   /// Time at which the request's first byte was read, by the boot-time clock.
   virtual base::TimePoint startedAt() const = 0;
+  /// Time for which the operating system held the request's data before it was read, as far as it
+  /// reports this; zero otherwise.
+  virtual base::Duration readDelay() const = 0;
   /// Closes the connection after the response, which announces this with `Connection: close`.
   virtual void closeAfterResponse() = 0;
 
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -17,6 +17,7 @@
 #include "live/peer_traffic.h"
 #include "live/peer_transport.h"
 #include "live/rate_limited_event_log.h"
+#include "live/read_delay_monitor.h"
 #include "live/relay_gateway.h"
 #include "live/relay_metrics.h"
 #include "live/relay_part_options.h"
@@ -286,6 +287,8 @@
   /// pause.
   void onCallerRequest(const HttpExchangePtr& exchange) {
     pauseDetector.check();
+    metrics.onRequestRead(exchange->readDelay());
+    readDelays.record(exchange->readDelay());
     if (!wakeGate.closed()) return gateway.handle(exchange);
     const auto disconnected = std::make_shared<bool>(false);
     exchange->onDisconnect([disconnected] { *disconnected = true; });
@@ -472,6 +475,7 @@
   HttpRelayClient relayClient;
   request::RelayService service;
   RelayGateway gateway;
+  ReadDelayMonitor readDelays{clock, log};
   HttpServer callerServer;
   HttpServer readinessServer;
   HttpServer metricsServer;
--- a/src/live/relay_gateway.cc
+++ b/src/live/relay_gateway.cc
@@ -48,6 +48,7 @@
     writer->refuse({reason, status, {}, false});
     return;
   }
+  incoming->readDelay = exchange->readDelay();
   const auto flow = service_.begin(std::move(*incoming), std::move(writer));
   if (flow.expired()) return;
   exchange->onDisconnect([flow] {
--- a/src/live/relay_metrics.cc
+++ b/src/live/relay_metrics.cc
@@ -51,6 +51,8 @@
      "passed over as silent, requests granted from this node's own share"},
     {"covewing_quota_refusals_total", "counter", "priority",
      "requests refused because their tenant's limit was used up, by the tenant's priority"},
+    {"covewing_read_delay_seconds", "histogram", "",
+     "time for which callers' requests lay unread at this node"},
     {"covewing_ready", "gauge", "", "1 while the node says that it is ready, else 0"},
     {"covewing_relay_attempts_total", "counter", "kind", "dispatches to replicas"},
     {"covewing_relay_first_byte_seconds", "histogram", "kind",
@@ -131,6 +133,8 @@
       families.counters("covewing_quota_messages_total");
   prometheus::Family<prometheus::Counter>& quotaRefusals =
       families.counters("covewing_quota_refusals_total");
+  prometheus::Histogram& readDelays =
+      families.histograms("covewing_read_delay_seconds").Add({}, kSecondsBuckets);
   prometheus::Gauge& ready = families.gauges("covewing_ready").Add({});
   prometheus::Family<prometheus::Counter>& attempts =
       families.counters("covewing_relay_attempts_total");
@@ -186,6 +190,10 @@
   impl_->pauses.Observe(base::toSeconds(duration));
 }
 
+void RelayMetrics::onRequestRead(base::Duration delay) {
+  impl_->readDelays.Observe(base::toSeconds(delay));
+}
+
 void RelayMetrics::Impl::renderQueues(const routing::PlacementCounters& placement) {
   const auto raise = [](prometheus::Counter& counter, double total) {
     counter.Increment(total - counter.Value());
--- a/src/live/relay_metrics.h
+++ b/src/live/relay_metrics.h
@@ -32,6 +32,8 @@
   void onRelayFinished(const config::Route& route, const request::RelayOutcome& outcome);
   void onEvent(base::Event event);
   void onPause(base::Duration duration);
+  /// A caller's request was read `delay` after it had arrived.
+  void onRequestRead(base::Duration delay);
 
   /// State that is sampled when metrics are requested.
   struct Snapshot {
--- a/src/request/relay_flow_end.cc
+++ b/src/request/relay_flow_end.cc
@@ -103,6 +103,9 @@
   // An attempt in flight may still be executed to its end although its connection is closed.
   const bool running = attempt_ && !(attempt_->response && wasNotRun(*attempt_->response));
   dependencies_.placement.cancel(placementTicket_);
+  const auto dispatched =
+      attempt_ ? millisecondsText(dependencies_.clock.now() - attempt_->sentAt) : std::string{};
+  const auto unacknowledged = call_ ? call_->unacknowledgedBytes() : std::nullopt;
   endAttempt();
   allowance_.end(executions_ + (running ? 1 : 0));
   dependencies_.timers.cancel(deadlineTimer_);
@@ -119,6 +122,8 @@
        {"urgency", std::to_string(urgency())},
        {"replica", lastReplica_},
        {"held_ms", millisecondsText(heldFor_)},
+       {"dispatched_ms", dispatched},
+       {"unacknowledged", unacknowledged ? std::to_string(*unacknowledged) : std::string{}},
        {"first_byte_ms", millisecondsText(timeToFirstByte_)},
        {"longest_pause_ms", millisecondsText(lastStream_.longestPause)},
        {"target_ms", millisecondsText(assignment_.route->targetLatency)},
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -43,6 +43,8 @@
   /// one.
   std::optional<base::Duration> deadline;
   base::TimePoint arrivedAt{};
+  /// Time for which the operating system held the request before it was read, as far as known.
+  base::Duration readDelay{};
   /// Empty for requests without a prompt.
   std::optional<PromptMetadata> prompt;
   /// Number of tokens of the prompt and of the longest possible response, as declared by the
--- a/tests/request/limited_fleet.h
+++ b/tests/request/limited_fleet.h
@@ -69,6 +69,7 @@
     Call(const Call&) = delete;
     Call& operator=(const Call&) = delete;
     void setPaused(bool /*paused*/) override {}
+    std::optional<std::size_t> unacknowledgedBytes() const override { return std::nullopt; }
 
    private:
     std::shared_ptr<bool> open_;
--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -94,6 +94,7 @@
     Call(const Call&) = delete;
     Call& operator=(const Call&) = delete;
     void setPaused(bool /*paused*/) override {}
+    std::optional<std::size_t> unacknowledgedBytes() const override { return std::nullopt; }
 
    private:
     std::shared_ptr<Dispatched> dispatched_;
