--- a/tests/live/http_client_test.cc
+++ b/tests/live/http_client_test.cc
@@ -121,6 +121,35 @@
   BOOST_TEST(fixture.server.connections() == 1U);
 }
 
+// Guards against a request that reaches a server after it was abandoned, from the send buffer of
+// the operating system.
+BOOST_AUTO_TEST_CASE(AbandonedRequestIsNotDeliveredLater) {
+  constexpr std::size_t kBodyBytes = 100'000;
+  constexpr int kReceiveBufferBytes = 4096;
+  boost::asio::io_context context{1};
+  boost::asio::ip::tcp::acceptor acceptor(context);
+  acceptor.open(boost::asio::ip::tcp::v4());
+  acceptor.set_option(boost::asio::socket_base::receive_buffer_size(kReceiveBufferBytes));
+  acceptor.bind({boost::asio::ip::address_v4(kLoopback), 0});
+  acceptor.listen();
+  HttpClient client(context);
+  Recorder recorder;
+  auto call = client.start({kLoopback, acceptor.local_endpoint().port()},
+                           {"POST", "/", {}, std::string(kBodyBytes, 'x')}, base::Duration::zero(),
+                           recorder);
+  boost::asio::ip::tcp::socket peer(context);
+  acceptor.accept(peer);
+  context.run_for(std::chrono::milliseconds(100));
+
+  call.reset();
+
+  std::size_t received = 0;
+  boost::system::error_code error;
+  for (std::array<char, 16384> buffer{}; !error;)
+    received += peer.read_some(boost::asio::buffer(buffer), error);
+  BOOST_TEST(received < kBodyBytes);
+}
+
 BOOST_AUTO_TEST_CASE(RefusedConnectionIsReportedAsNotSent) {
   Fixture fixture;
   boost::asio::ip::tcp::acceptor closed(fixture.context,
--- a/tests/live/http_server_test.cc
+++ b/tests/live/http_server_test.cc
@@ -217,6 +217,24 @@
   BOOST_TEST(client.has("late"));
 }
 
+// Guards against a peer that closes the connection and goes unnoticed, because the server stopped
+// reading at the pipelined bytes before the end of input.
+BOOST_AUTO_TEST_CASE(DisconnectBehindUnreadInputIsDetected) {
+  constexpr std::size_t kPipelinedBytes = 50'000;
+  constexpr std::chrono::milliseconds kDetectionTime{500};
+  Fixture fixture;
+  TestClient client(fixture.context, fixture.endpoint);
+  client.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  const auto exchange = fixture.nextExchange();
+  bool disconnected = false;
+  exchange->onDisconnect([&disconnected] { disconnected = true; });
+  client.send(std::string(kPipelinedBytes, 'x'));
+  client.close();
+  fixture.context.restart();
+  fixture.context.run_for(kDetectionTime);
+  BOOST_TEST(disconnected);
+}
+
 BOOST_AUTO_TEST_CASE(SlowHeaderSectionClosesTheConnection) {
   HttpLimits limits;
   limits.headerTimeout = std::chrono::milliseconds(30);
--- a/tests/live/relay_fleet.h
+++ b/tests/live/relay_fleet.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <set>
@@ -140,6 +141,8 @@
   struct Record {
     std::vector<base::TimePoint> crashingArrivals;
     std::vector<base::TimePoint> crashes;
+    /// Bodies of all requests in the order of their arrivals.
+    std::vector<std::string> bodies;
   };
 
   CrashingReplica(boost::asio::io_context& context, MemoryTableService& table,
@@ -161,6 +164,7 @@
   }
 
   void onRequest(const HttpExchangePtr& exchange) {
+    record_.bodies.push_back(exchange->request().body);
     if (exchange->request().body == kCrashing) {
       record_.crashingArrivals.push_back(clock_.now());
       timers_.schedule(kCrashAfter, [this, instance = instance_] { crash(instance); });
@@ -265,6 +269,17 @@
     return response;
   }
 
+  /// Sends a request on a connection of its own and closes that at once, before the node reads it.
+  void sendAndLeave(std::size_t node, const std::string& body) {
+    boost::asio::ip::tcp::socket socket(context_);
+    const auto endpoint = callerEndpoint(node);
+    socket.connect({boost::asio::ip::address_v4(endpoint.address), endpoint.port});
+    const auto text = "POST /work HTTP/1.1\r\nHost: example\r\nX-Key: key\r\n" +
+                      std::string{kRequestIdHeader} + ": left-" + std::to_string(++sent_) +
+                      "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    boost::asio::write(socket, boost::asio::buffer(text));
+  }
+
   base::TimePoint now() const { return clock_.now(); }
   /// Number of times that any node has logged the event.
   std::size_t logged(base::Event event) const { return log_.count(event); }
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -95,6 +95,35 @@
         return min(windows, key=lambda window: window[2] - window[1])
 
 
+class DepartureRule:
+    """At most MOST_LATE requests arrive at a replica later than WITHIN after their callers closed the
+    connections. Bytes that had reached the replica's machine before that cannot be taken back, so a few
+    may. Seconds."""
+
+    WITHIN = 0.5
+    MOST_LATE = 3
+
+    def __init__(self):
+        self.left: dict[str, float] = {}
+        # How long after the departure each late request arrived.
+        self.late: dict[str, float] = {}
+
+    def on_left(self, identifier: str, at: float):
+        self.left[identifier] = at
+
+    def on_arrival(self, identifier: str, at: float):
+        left = self.left.get(identifier)
+        if left is not None and at - left > self.WITHIN:
+            self.late[identifier] = at - left
+
+    def broken(self) -> str:
+        """What breaks the rule; empty if nothing does."""
+        if len(self.late) <= self.MOST_LATE:
+            return ""
+        return (f"{len(self.late)} of {len(self.left)} requests arrived at replicas {min(self.late.values()):.3f} to "
+                f"{max(self.late.values()):.3f} s after their callers had left")
+
+
 @dataclasses.dataclass
 class Rest:
     """A replica turned a request of a node away, and wanted no other from it until the end."""
--- /dev/null
+++ b/tests/soak/departures.py
@@ -0,0 +1,67 @@
+"""Callers that give up early, in bursts, while replicas do not read what they are sent."""
+
+import asyncio
+import socket
+import struct
+
+from callers import SAFE, Caller, HOST, KEY
+from wire import now
+
+# Time from a request to the departure of its caller (seconds).
+PATIENCE = (0.05, 1.0)
+# Share of the callers that leave with a reset.
+RESETS = 1 / 3
+# More than replicas.SMALL_RECEIVE_BUFFER, less than the send buffer of a node's connection holds.
+BODY_BYTES = 30_000
+# How long replicas read nothing, and how long they read in between (seconds).
+STILL = 0.9
+BETWEEN = (0.3, 1.2)
+BURST = 12
+ROUNDS = 25
+
+
+class LeavingCaller(Caller):
+    """Sends one request and leaves without waiting for the whole answer."""
+
+    async def run(self):
+        await self.connect()
+        if self.stream is None:
+            return
+        identifier = f"{self.soak.options.seed}-{self.number}"
+        self.soak.expect(identifier, self.node, SAFE)
+        body = "x" * BODY_BYTES
+        head = [f"POST /{SAFE.name}/x HTTP/1.1", f"Host: {HOST}", f"X-Api-Key: {KEY}",
+                f"X-Covewing-Request-Id: {identifier}", "X-Covewing-Deadline-Milliseconds: 6000",
+                f"Content-Length: {len(body)}"]
+        self.stream[1].write(("\r\n".join(head) + "\r\n\r\n" + body).encode())
+        await asyncio.sleep(self.random.uniform(*PATIENCE))
+        self.leave()
+        self.soak.departures.on_left(identifier, now())
+
+    def leave(self):
+        if self.random.random() < RESETS:
+            self.stream[1].get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.stream[1].transport.abort()
+        self.stream = None
+
+
+async def stand_still_by_turns(soak, replica, draw):
+    while not soak.over:
+        replica.listener.read_nothing(True)
+        await asyncio.sleep(STILL)
+        replica.listener.read_nothing(False)
+        await asyncio.sleep(draw.uniform(*BETWEEN))
+
+
+async def leave_in_bursts(soak, draw):
+    """Bursts of callers that leave, while all replicas of the application stand still by turns."""
+    for replica in soak.replicas:
+        soak.spawn(stand_still_by_turns(soak, replica, draw))
+    for burst in range(ROUNDS):
+        callers = [LeavingCaller(soak, f"l{burst}-{number}") for number in range(BURST)]
+        await asyncio.gather(*(caller.run() for caller in callers))
+        await asyncio.sleep(draw.uniform(0.0, 0.3))
+    await asyncio.sleep(2 * STILL)
+    soak.counts["left"] = len(soak.departures.left)
+    soak.counts["arrived late after that"] = len(soak.departures.late)
--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -34,6 +34,7 @@
 - with --notices: nothing new reaches a replica that said in an answer that it leaves, and next to nothing
   one that asked for rest, from the node that heard it (checks.NoticeRule);
 - with --limits: no replica gets more than it takes from the nodes that were told (checks.LimitRule);
+- with --departures: next to nothing reaches a replica long after its caller has left (checks.DepartureRule);
 - nothing arrives at the address of an entry by another writer;
 - no two nodes give orders with one fencing token;
 - no process of a node ends by itself;
@@ -49,14 +50,16 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
 import tempfile
 
-from callers import RESUMABLE, SAFE, STREAM, Caller, KeyCaller, PatientCaller
-from checks import (ConfigurationRule, LimitRule, NoticeRule, Outcome, RepeatRule, Sent, Trouble, VersionRule,
+from callers import KEY, RESUMABLE, SAFE, STREAM, Caller, KeyCaller, PatientCaller
+from checks import (ConfigurationRule, DepartureRule, LimitRule, NoticeRule, Outcome, RepeatRule, Sent, Trouble, VersionRule,
                     calm_since)
+from departures import leave_in_bursts
 from faults import CALM_LIMIT_CALLERS, Faults
 from model_replicas import MODEL, MODEL_SERVICE, ModelReplica
 from nodes import Node
@@ -138,6 +141,7 @@
         # The runs that said so in an answer to a request.
         self.leaving_told = collections.defaultdict(set)
         self.limits = LimitRule()
+        self.departures = DepartureRule()
         # The runs that named a limit in an answer to a request.
         self.limit_told = collections.defaultdict(set)
         # Of refusals, from the request to the answer (seconds).
@@ -186,6 +190,12 @@
 
     # --- what callers and replicas saw
 
+    def expect(self, identifier: str, node: Node, kind):
+        """A request whose answer nobody waits for is sent to a node."""
+        self.sent_to[identifier], self.kinds[identifier] = node, kind
+        self.sent[identifier] = Sent(now(), node.process.pid, KEY, kind.name)
+        self.repeats[kind.service].on_sent(now())
+
     def on_answer(self, identifier, kind, body, answer):
         self.counts[answer.status] += 1
         for run in self.leaving_told.pop(identifier, ()):
@@ -361,6 +371,9 @@
             self.counts[f"broken: {rule}"] = self.broken_rules[rule]
         self.check_deadly()
 
+        if late := self.departures.broken():
+            self.violate(late, "departure")
+
     def check_deadly(self):
         for body, ends in self.ends.items():
             if len(ends) < 3:
@@ -415,6 +428,9 @@
         if self.options.calm_limits:
             await self.faults.limit_all_calmly()
             return
+        if self.options.departures:
+            await leave_in_bursts(self, random.Random(self.options.seed))
+            return
         self.faults.start_series()
         if self.options.notices:
             for number in range(PATIENT_CALLERS * len(self.nodes)):
@@ -521,6 +537,8 @@
                         help="one sequence in place of the series (faults.limit_all_calmly)")
     parser.add_argument("--returns", action="store_true",
                         help="the table service comes back from copies some seconds old")
+    parser.add_argument("--departures", action="store_true",
+                        help="one sequence in place of the series (departures.leave_in_bursts)")
     parser.add_argument("--steady-clock", action="store_true",
                         help="the table service's clock does not leap, as builds before once relied on")
     parser.add_argument("--unread-answer", action="store_true",
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -11,6 +11,8 @@
 SERVICE = "app"
 # A request whose body begins with this ends the replica that runs it.
 DEADLY = "deadly"
+# Of the connections of replicas whose callers leave early (bytes).
+SMALL_RECEIVE_BUFFER = 4096
 
 
 def unix_milliseconds() -> int:
@@ -39,6 +41,7 @@
         self.notices = Notices()
         listener = Listener(self.handle)
         listener.port = self.port
+        listener.receive_buffer = SMALL_RECEIVE_BUFFER if self.soak.options.departures else 0
         await listener.open()
         # From here on it can end.
         self.listener, self.port = listener, listener.port
@@ -56,6 +59,7 @@
         identifier = message.headers.get("x-covewing-request-id", "")
         expected = message.headers.get("x-covewing-expected-instance", self.instance)
         self.soak.repeats[SERVICE].on_arrival(identifier, now())
+        self.soak.departures.on_arrival(identifier, now())
         if expected != self.instance:
             return http_answer(421, b"", [("X-Covewing-Request-Id", identifier),
                                           ("X-Covewing-Instance-Id", self.instance),
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import socket
 import time
 
 
@@ -75,14 +76,24 @@
         # In the order in which they came.
         self.peers: dict[Peer, None] = {}
         self.port = 0
+        # Size of the connections' receive buffers in bytes; 0: as the operating system chooses.
+        self.receive_buffer = 0
+        self.reads_nothing = False
 
     async def open(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        listening = socket.socket()
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self.receive_buffer:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer)
+        listening.bind(("127.0.0.1", self.port))
+        self.server = await asyncio.start_server(self.serve, sock=listening)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def serve(self, reader, writer):
         peer = Peer(reader, writer)
         self.peers[peer] = None
+        if self.reads_nothing:
+            writer.transport.pause_reading()
         try:
             while True:
                 answer = await self.handle(await read_message(reader), peer)
@@ -107,6 +118,15 @@
         for peer in list(self.peers):
             peer.writer.transport.abort()
 
+    def read_nothing(self, still: bool):
+        """From now on nothing is read from any connection, or all of them are read again."""
+        self.reads_nothing = still
+        for peer in self.peers:
+            if still:
+                peer.writer.transport.pause_reading()
+            else:
+                peer.writer.transport.resume_reading()
+
     def silence(self, share: float, draw):
         """Some of the open connections carry nothing to the peers any more."""
         for peer in self.peers:
