Reset a connection whose call is abandoned with unacknowledged bytes

Callers saw: nothing, but replicas worked for callers that had left: their requests arrived 0.5 s and more after that (GONE).

Cause: an abandoned call closed its connection with bytes in the send buffer of the operating system, which delivers them after the close. Where the replica or the link to it stood still, the whole request arrived when it moved again. This is the class of faults where a cancel ends only what this process holds itself.

Evidence: 129 of 132 abandoned calls had unacknowledged bytes, 24 to 28 kB of 30 kB each.

Change: where the server has not acknowledged all bytes, the close discards them (SO_LINGER 0, which sends a reset). Where it has, the connection is closed as before, since the operating system repeats that close over a link that is cut until the server has it, and a reset not. The same connection carries calls to the table service and orders to replicas: what these gave up after a time-out is not delivered late any more either.

--- a/src/clients/relay_client.h
+++ b/src/clients/relay_client.h
@@ -86,7 +86,8 @@
   virtual void onFailure(DispatchError error) = 0;
 };
 
-/// An attempt in flight. Destroying it closes its connection, so that the replica stops its work.
+/// An attempt in flight. Destroying it closes its connection, so that the replica stops its work and
+/// receives no further byte of the request.
 class RelayCall {
  public:
   virtual ~RelayCall() = default;
--- a/src/live/client_connection.cc
+++ b/src/live/client_connection.cc
@@ -350,9 +350,18 @@
   }
 }
 
+void ClientConnection::discardUnacknowledgedBytes() {
+  // A close without unacknowledged bytes is repeated by the operating system until the server
+  // acknowledges it, a reset is sent once. So connections are reset only where bytes would follow.
+  if (live::unacknowledgedBytes(socket_) == std::size_t{0}) return;
+  boost::system::error_code error;
+  socket_.set_option(asio::socket_base::linger(/*enabled=*/true, /*timeout=*/0), error);
+}
+
 void ClientConnection::close() {
   if (state_ == State::kClosed) return;
   const bool idle = state_ == State::kIdle;
+  if (state_ == State::kActive) discardUnacknowledgedBytes();
   state_ = State::kClosed;
   deadline_.stop();
   boost::system::error_code error;
--- a/src/live/http_client.h
+++ b/src/live/http_client.h
@@ -63,7 +63,8 @@
   virtual void onFailure(clients::DispatchFailure failure, std::string detail) = 0;
 };
 
-/// A call in flight. Destroying it closes its connection unless the response is complete.
+/// A call in flight. Destroying it closes its connection unless the response is complete; bytes of
+/// the request that the server has not received by then are not delivered.
 class HttpCall {
  public:
   virtual ~HttpCall() = default;
