Notice a caller's close behind input that is not read yet

Callers saw: nothing, but what they had asked for went on after they had left (GONE).

Cause: while a response is under way, a connection reads on only up to 4 KiB of pipelined input. Behind more of it the end of input was never read, so neither a close nor a reset ended the request.

Change: a connection that stopped reading checks at 100 ms intervals whether the peer has closed it; poll reports a close also behind unread bytes. Connections that read on, nearly all, have no such timer.

Failed before: DisconnectBehindUnreadInputIsDetected (no disconnect within 500 ms behind 50 kB).

--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -22,6 +22,8 @@
 /// Maximum bytes of a refused request that are read and discarded before the socket is closed.
 constexpr std::size_t kLingerBytes = 1U << 20U;
 constexpr base::Duration kLingerTime = std::chrono::seconds(2);
+/// Interval at which a connection that is not being read is checked for a close by the peer.
+constexpr base::Duration kCloseCheckInterval = std::chrono::milliseconds(100);
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 base::Endpoint remoteEndpoint(const Connection::Socket& socket) {
@@ -69,7 +71,10 @@
 void Connection::read() {
   if (reading_ || state_ == State::kClosed) return;
   // While responding, at most one read of a pipelined request is buffered.
-  if (state_ == State::kResponding && buffer_.size() >= kReadBytes) return;
+  if (state_ == State::kResponding && buffer_.size() >= kReadBytes) {
+    watchForClose();
+    return;
+  }
   const bool inBody = state_ == State::kReading && parser_->is_header_done();
   reading_ = true;
   socket_.async_read_some(
@@ -79,6 +84,20 @@
       });
 }
 
+void Connection::watchForClose() {
+  if (!closeWatch_) closeWatch_.emplace(socket_.get_executor(), [this] { checkForClose(); });
+  closeWatch_->set(kCloseCheckInterval);
+}
+
+void Connection::checkForClose() {
+  if (state_ != State::kResponding || reading_) return;
+  if (peerHasClosed(socket_)) {
+    close();
+  } else {
+    watchForClose();
+  }
+}
+
 void Connection::onRead(boost::system::error_code error, std::size_t bytes) {
   reading_ = false;
   if (state_ == State::kClosed) return;
@@ -280,6 +299,7 @@
   boost::system::error_code error;
   socket_.close(error);
   deadline_.stop();
+  if (closeWatch_) closeWatch_->stop();
   const auto self = shared_from_this();
   const auto exchange = exchange_.lock();
   exchange_.reset();
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -116,6 +116,9 @@
 
   void resetParser();
   void read();
+  /// Checks at intervals whether the peer has closed the connection, while nothing is read from it.
+  void watchForClose();
+  void checkForClose();
   void onRead(boost::system::error_code error, std::size_t bytes);
   void parse();
   void onFirstBytes();
@@ -152,6 +155,8 @@
   bool underPressure_ = false;
   std::weak_ptr<Exchange> exchange_;
   LazyDeadline deadline_;
+  /// Used only by connections with much pipelined input.
+  std::optional<LazyDeadline> closeWatch_;
 };
 
 }  // namespace covewing::live
