Ask the socket for the caller immediately before a request leaves for a replica

Callers saw: nothing, but replicas began work for callers that had left (GONE).

Cause: whether the caller is still there was known only by what the event loop had read. A node that is behind finds the request and the close behind it in the socket together; where it is home to the replica itself, it granted and sent the request in the same turn. Retries, resumed streams, late grants and connections that became ready relied on the same.

Change: RelayFlow::dispatch, the only place from which a request leaves, asks the operating system, and so does a connection that becomes ready before its first byte. A request whose caller has left is not taken up at all, so it uses no quota and no query to a home.

--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -284,6 +284,10 @@
   read();
 }
 
+bool Connection::peerConnected() const {
+  return state_ != State::kClosed && !peerHasClosed(socket_);
+}
+
 void Connection::closeIfIdle() {
   const bool between = state_ == State::kReading && !parser_->got_some();
   if (!between || bufferedBytes() > 0 || buffer_.size() > 0) return;
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -62,6 +62,7 @@
   void abort() override;
   std::size_t bufferedBytes() const override;
   void onPressure(std::function<void(bool)> listener) override;
+  bool peerConnected() const override;
   void onDisconnect(std::function<void()> listener) override;
 
   // Called by the connection.
@@ -96,6 +97,8 @@
   void start();
   /// Closes the socket at once and notifies the exchange, if there is one.
   void close();
+  /// Whether the peer has not closed the connection, as the operating system sees it now.
+  bool peerConnected() const;
   bool responding() const { return state_ == State::kResponding; }
   /// Closes the connection unless a byte of a request was received or a response is not yet fully
   /// written to the socket.
--- a/src/live/http_exchange.cc
+++ b/src/live/http_exchange.cc
@@ -131,6 +131,8 @@
   if (!finished()) pressureListener_ = std::move(listener);
 }
 
+bool Exchange::peerConnected() const { return connection_ && connection_->peerConnected(); }
+
 void Exchange::onDisconnect(std::function<void()> listener) {
   if (!finished()) disconnectListener_ = std::move(listener);
 }
--- a/src/live/http_server.h
+++ b/src/live/http_server.h
@@ -82,6 +82,9 @@
   /// are buffered, and with false once at most half of that is left. Never called from within
   /// `write`.
   virtual void onPressure(std::function<void(bool)> listener) = 0;
+  /// Whether the peer is still connected, as the operating system sees it now: a close that is not
+  /// processed yet has not called the listener below.
+  virtual bool peerConnected() const = 0;
   /// Sets the listener that is called once if the peer closes the connection, or it breaks, before
   /// the response is finished.
   virtual void onDisconnect(std::function<void()> listener) = 0;
--- a/src/live/relay_gateway.cc
+++ b/src/live/relay_gateway.cc
@@ -22,6 +22,7 @@
         dialect_.refusal(refusal, exchange_->request().header(dialect_.requestIdHeader())));
   }
   void abort() override { exchange_->abort(); }
+  bool callerConnected() const override { return exchange_->peerConnected(); }
   void onPressure(std::function<void(bool)> listener) override {
     exchange_->onPressure(std::move(listener));
   }
@@ -34,6 +35,13 @@
 }  // namespace
 
 void RelayGateway::handle(const HttpExchangePtr& exchange) {
+  if (!exchange->peerConnected()) {
+    log_.write(base::Event::kCallerDisconnected,
+               {{"request", std::string{exchange->request().header(dialect_.requestIdHeader())}},
+                {"read_after_ms", base::millisecondsText(exchange->readDelay())}});
+    exchange->abort();
+    return;
+  }
   base::Reason reason;
   auto incoming = dialect_.readRequest(exchange->request(), exchange->takeBody(),
                                        exchange->startedAt(), reason);
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -293,7 +293,11 @@
   /// Counts the next dispatch against the retry budget if it is a retry. If the budget no longer
   /// allows it, releases the grant, ends the request and returns false.
   bool countRetry(const routing::PlacementGrant& grant);
+  /// The only place from which a request leaves for a replica: first attempts, retries, resumed
+  /// streams and requests that were granted late.
   void dispatch(routing::ReplicaDecision decision, const routing::PlacementGrant& grant);
+  /// Whether the replica of the attempt in flight still accepts the request.
+  bool replicaAccepts() const;
   /// Whether the replica reports no rate limit, or its home node has counted the request just now.
   bool withinRateLimit(const routing::ReplicaRecord& replica,
                        const routing::PlacementGrant& grant) const;
--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -75,7 +75,9 @@
   attempt_->decision.replica->notices().endProbe(accepted);
 }
 
-bool RelayFlow::stillWanted() const {
+bool RelayFlow::stillWanted() const { return writer_->callerConnected() && replicaAccepts(); }
+
+bool RelayFlow::replicaAccepts() const {
   const auto& record = *attempt_->decision.replica;
   return record.inService() && !record.notices().backingOff(dependencies_.clock.now()) &&
          withinRateLimit(record, attempt_->grant);
@@ -246,9 +248,13 @@
   auto& record = *attempt_->decision.replica;
   if (error.failure == clients::DispatchFailure::kNotSent) {
     attempt_->notSent = true;
+    if (!writer_->callerConnected()) {
+      onCallerDisconnected();
+      return;
+    }
     // If the request was not sent because the replica is no longer eligible, this says nothing
     // about its health.
-    if (stillWanted()) {
+    if (replicaAccepts()) {
       attempt_->outcome = routing::PlacementOutcome::kUnreachable;
       record.health().onUnreachable(now);
     }
--- a/src/request/relay_flow_dispatch.cc
+++ b/src/request/relay_flow_dispatch.cc
@@ -42,6 +42,11 @@
 
 void RelayFlow::dispatch(routing::ReplicaDecision decision, const routing::PlacementGrant& grant) {
   const auto now = dependencies_.clock.now();
+  if (ended_ || !writer_->callerConnected()) {
+    dependencies_.placement.returnGrant(grant);
+    onCallerDisconnected();
+    return;
+  }
   if (!decision.replica->acceptsRequests(now)) {
     // The replica was chosen or granted before it reported that it accepts no more requests.
     dependencies_.placement.returnGrant(grant);
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -80,6 +80,9 @@
   virtual void refuse(const RelayRefusal& refusal) = 0;
   /// Closes the connection, so that the caller sees an incomplete response.
   virtual void abort() = 0;
+  /// Whether the caller is still connected, as the operating system sees it now: the event loop may
+  /// not have processed a close yet.
+  virtual bool callerConnected() const = 0;
   /// Sets the listener for back-pressure. It is called with true when the caller reads too slowly,
   /// and with false when it has caught up.
   virtual void onPressure(std::function<void(bool)> listener) = 0;
--- a/tests/request/limited_fleet.h
+++ b/tests/request/limited_fleet.h
@@ -337,6 +337,7 @@
       fleet_.calls.retryAt.push_back(fleet_.time.now() + refusal.retryAfter);
     }
     void abort() override {}
+    bool callerConnected() const override { return true; }
     void onPressure(std::function<void(bool)> /*listener*/) override {}
 
    private:
--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -109,6 +109,8 @@
   bool aborted = false;
   std::optional<RelayRefusal> refusal;
   int finals = 0;
+  /// Set to false by a test whose caller closes the connection before the event loop notices it.
+  bool connected = true;
 
   bool open() const { return finals == 0; }
 };
@@ -130,6 +132,7 @@
     view_.aborted = true;
     ++view_.finals;
   }
+  bool callerConnected() const override { return view_.connected; }
   void onPressure(std::function<void(bool)> /*listener*/) override {}
 
  private:
