Count a request's time from its arrival, and refuse one that lay unread for the time of its hold

Callers of a node that is behind saw answers later than they were willing to wait, and left (GONE and late answers).

Cause: a request's deadline and hold were counted from the moment at which the node read it. What lay in the socket or in the accept queue before that was not counted, so a node that is behind went on to serve ever older requests.

Change: the time of arrival is what the operating system reports for the connection's last data (TCP_INFO). A pipelined request still arrives when its turn comes.

--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -1,6 +1,5 @@
 #include "live/http_connection.h"
 
-#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -47,7 +46,6 @@
     : socket_(std::move(socket)),
       owner_(owner),
       peer_(remoteEndpoint(socket_)),
-      lastActiveAt_(AsioClock{}.now()),
       deadline_(socket_.get_executor(), [this] { close(); }) {}
 
 void Connection::start() {
@@ -123,14 +121,15 @@
       return;
     }
   }
-  if (state_ == State::kReading) parse();
-  lastActiveAt_ = AsioClock{}.now();
+  if (state_ == State::kReading) {
+    if (!parser_->got_some())
+      onFirstBytes(timeSinceDataReceived(socket_).value_or(base::Duration::zero()));
+    parse();
+  }
   read();
 }
 
 void Connection::parse() {
-  const bool first = !parser_->got_some();
-  if (first && buffer_.size() > 0) onFirstBytes();
   while (buffer_.size() > 0 && !parser_->is_done()) {
     boost::system::error_code error;
     const auto used = parser_->put(buffer_.data(), error);
@@ -150,11 +149,8 @@
   }
 }
 
-void Connection::onFirstBytes() {
-  const auto now = AsioClock{}.now();
-  // Bytes read before do not count as waiting, even if the operating system counts from them.
-  const auto delay = timeSinceDataReceived(socket_).value_or(base::Duration::zero());
-  arrival_ = {now, std::min(delay, now - lastActiveAt_)};
+void Connection::onFirstBytes(base::Duration readDelay) {
+  arrival_ = {AsioClock{}.now() - readDelay, readDelay};
   deadline_.set(owner_.limits().headerTimeout);
 }
 
@@ -266,6 +262,8 @@
     self->state_ = State::kReading;
     self->resetParser();
     if (!self->writeActive_) self->setDeadlineForState();
+    // A pipelined request arrives when its turn comes.
+    if (self->buffer_.size() > 0) self->onFirstBytes(base::Duration::zero());
     self->parse();
     self->read();
   });
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -36,9 +36,9 @@
 /// A request and the interface to respond to it, as passed to the server's handler.
 class Exchange final : public HttpExchange {
  public:
-  /// Times at which the first byte of a request was read and for how long it had been waiting.
+  /// When the first bytes of a request arrived, and for how long they lay unread.
   struct Arrival {
-    base::TimePoint readAt{};
+    base::TimePoint at{};
     base::Duration readDelay{};
   };
 
@@ -51,7 +51,7 @@
   const HttpRequest& request() const override { return request_; }
   std::string takeBody() override { return std::move(request_.body); }
   base::Endpoint peer() const override;
-  base::TimePoint startedAt() const override { return arrival_.readAt; }
+  base::TimePoint startedAt() const override { return arrival_.at; }
   base::Duration readDelay() const override { return arrival_.readDelay; }
   void closeAfterResponse() override { closeAfterResponse_ = true; }
   void respond(HttpResponse response) override;
@@ -124,7 +124,8 @@
   void checkForClose();
   void onRead(boost::system::error_code error, std::size_t bytes);
   void parse();
-  void onFirstBytes();
+  /// The first bytes of a request were read, `readDelay` after they had arrived.
+  void onFirstBytes(base::Duration readDelay);
   void dispatch();
   void continueIfExpected();
   void refuse(boost::system::error_code error);
@@ -143,8 +144,6 @@
   bool reading_ = false;
   bool closingIdle_ = false;
   Exchange::Arrival arrival_;
-  /// When the connection was accepted or last read from.
-  base::TimePoint lastActiveAt_{};
   bool keepAlive_ = true;
   bool continueSent_ = false;
   bool headerComplete_ = false;
--- a/src/live/http_server.h
+++ b/src/live/http_server.h
@@ -56,7 +56,8 @@
   /// Moves the body out of the request.
   virtual std::string takeBody() = 0;
   virtual base::Endpoint peer() const = 0;
-  /// Time at which the request's first byte was read, by the boot-time clock.
+  /// Time at which the request's first bytes arrived, by the boot-time clock. If the operating
+  /// system does not report it, the time at which they were read.
   virtual base::TimePoint startedAt() const = 0;
   /// Time for which the operating system held the request's data before it was read, as far as it
   /// reports this; zero otherwise.
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -52,6 +52,13 @@
   holdUntil_ = incoming_.arrivedAt +
                std::chrono::duration_cast<base::Duration>(usableTime * options_.holdShare);
   hardStartDeadline_ = incoming_.arrivedAt + usableTime;
+  if (now >= holdUntil_) {
+    // Requests that arrive meanwhile would be read even later if this one was served.
+    refuse(base::ResultCode::kNodeOverloaded,
+           "the request lay unread for " + millisecondsText(incoming_.readDelay) + " ms",
+           options_.retryAfterNoReplica);
+    return;
+  }
   dependencies_.retries.onRequest(assignment_.service->name, now);
   if (isLongRunning())
     dependencies_.requestDurations.onLongRun(assignment_.service->name, expectedOutputTokens(),
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -42,6 +42,7 @@
   /// Time that the caller is willing to wait, counted from `arrivedAt`; empty if it does not state
   /// one.
   std::optional<base::Duration> deadline;
+  /// When the request arrived, which may be before it was read.
   base::TimePoint arrivedAt{};
   /// Time for which the operating system held the request before it was read, as far as known.
   base::Duration readDelay{};
--- a/tests/live/http_server_test.cc
+++ b/tests/live/http_server_test.cc
@@ -2,7 +2,9 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
+#include <thread>
 
+#include "live/asio_runtime.h"
 #include "live/http_test_client.h"
 
 namespace covewing::live {
@@ -217,6 +219,21 @@
   BOOST_TEST(client.has("late"));
 }
 
+// Guards against a deadline that is counted from the time at which a node that is behind reads the
+// request.
+BOOST_AUTO_TEST_CASE(RequestThatLayUnreadHasArrivedBefore) {
+  constexpr std::chrono::milliseconds kUnread{200};
+  constexpr std::chrono::milliseconds kTolerance{50};
+  Fixture fixture;
+  TestClient client(fixture.context, fixture.endpoint);
+  const auto sentAt = AsioClock{}.now();
+  client.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  std::this_thread::sleep_for(kUnread);
+  const auto exchange = fixture.nextExchange();
+  BOOST_TEST((exchange->readDelay() > kUnread - kTolerance));
+  BOOST_TEST((exchange->startedAt() < sentAt + kTolerance));
+}
+
 // Guards against a peer that closes the connection and goes unnoticed, because the server stopped
 // reading at the pipelined bytes before the end of input.
 BOOST_AUTO_TEST_CASE(DisconnectBehindUnreadInputIsDetected) {
--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -273,7 +273,8 @@
     incoming.host = "example";
     incoming.path = '/' + path + "/x";
     incoming.key = key;
-    incoming.arrivedAt = time.now();
+    incoming.arrivedAt = time.now() - readDelay;
+    incoming.readDelay = readDelay;
     incoming.request = std::make_shared<const clients::RelayedRequest>(clients::RelayedRequest{
         "id-" + std::to_string(++requests), "POST", incoming.path, {}, std::move(body)});
     if (path == "once" || path == "resumable") {
@@ -341,6 +342,8 @@
   std::vector<RelayOutcome> outcomes;
   std::vector<std::unique_ptr<CallerView>> views;
   std::size_t requests = 0;
+  /// Time for which the next requests lie unread.
+  base::Duration readDelay{};
   std::uint64_t replicasEnded = 0;
   /// Prompt parts of the requests, each with its identifier and number of tokens.
   std::string promptText = "aa:1000,bb:200";
--- a/tests/request/relay_flow_test.cc
+++ b/tests/request/relay_flow_test.cc
@@ -169,6 +169,21 @@
 }
 
 // Guards against requests being held for longer than their callers wait for a first event.
+// Guards against a node that is behind and serves ever older requests, all of them too late.
+BOOST_AUTO_TEST_CASE(RequestThatLayUnreadForTheTimeOfItsHoldIsRefusedAsNotRun) {
+  readDelay = milliseconds(1900);
+  const auto& served = request("unsafe");
+  BOOST_TEST(client.sent.size() == 1U);
+  BOOST_TEST((client.last().terms.timeLeft == milliseconds(2100)));
+  BOOST_TEST(served.open());
+  readDelay = milliseconds(2000);
+  const auto& refused = request("unsafe");
+  BOOST_TEST(client.sent.size() == 1U);
+  BOOST_REQUIRE(refused.refusal.has_value());
+  BOOST_TEST(refused.refusal->status == 503U);
+  BOOST_TEST((refused.refusal->retryAfter > milliseconds(0)));
+}
+
 BOOST_AUTO_TEST_CASE(StreamIsNotHeldLongerThanItsCallerWaitsForTheFirstEvent) {
   auto adjusted = contents();
   adjusted.routes[2].firstEventPatience = seconds(1);
