Add a failing soak of nodes that are cut from all replicas

The soak triggers it with real processes: a packet filter on the replicas' sockets drops what comes from some nodes, so that connections hang, are reset while new ones hang, or live on while new ones hang. To tell nodes apart there, a node can be told the address that it connects from (connect.source).

--- a/src/live/client_connection.cc
+++ b/src/live/client_connection.cc
@@ -97,19 +97,35 @@
 void ClientConnection::connect() {
   state_ = State::kConnecting;
   deadline_.set(limits_.connectTimeout);
-  setOptions();
+  if (const auto error = open()) {
+    asio::post(socket_.get_executor(),
+               [self = shared_from_this(), error] { self->onConnected(error); });
+    return;
+  }
   socket_.async_connect(
       {asio::ip::address_v4(server_.address), server_.port},
       [self = shared_from_this()](boost::system::error_code error) { self->onConnected(error); });
 }
 
-void ClientConnection::setOptions() {
+boost::system::error_code ClientConnection::open() {
   using asio::detail::socket_option::integer;
   boost::system::error_code error;
   socket_.open(asio::ip::tcp::v4(), error);
+  if (error) return error;
+  setOptions();
+  if (!limits_.sourceAddress) return {};
+  // Without this option each connection would take up a port of its own for all servers.
+  socket_.set_option(integer<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT>(1), error);
+  socket_.bind({asio::ip::address_v4(*limits_.sourceAddress), 0}, error);
+  return error;
+}
+
+void ClientConnection::setOptions() {
+  using asio::detail::socket_option::integer;
+  boost::system::error_code error;
   const auto bound =
       std::chrono::duration_cast<std::chrono::milliseconds>(limits_.unacknowledgedTimeout);
-  if (error || bound.count() == 0) return;
+  if (bound.count() == 0) return;
   constexpr int kProbeSeconds = 1;
   socket_.set_option(integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(static_cast<int>(bound.count())),
                      error);
--- a/src/live/client_connection.h
+++ b/src/live/client_connection.h
@@ -74,6 +74,8 @@
   /// Lets the close of the connection discard bytes in the send buffer of the operating system. By
   /// default it would deliver them even after the call has ended.
   void discardUnacknowledgedBytes();
+  /// Opens the socket with its options and binds it to the source address, if there is one.
+  boost::system::error_code open();
   void setOptions();
   /// Time for which the connection is kept idle: the timeout announced by the server minus a
   /// margin, or this client's own limit if that is shorter or the server announced none.
--- a/src/live/connect_probe.cc
+++ b/src/live/connect_probe.cc
@@ -18,7 +18,14 @@
   Attempt(asio::io_context& context, std::function<void(Reachability)> onFinished)
       : socket(context), timer(context), callback(std::move(onFinished)) {}
 
-  void begin(const base::Endpoint& address, base::Duration timeout) {
+  void begin(const base::Endpoint& address, std::optional<std::uint32_t> source,
+             base::Duration timeout) {
+    if (source) {
+      boost::system::error_code error;
+      socket.open(asio::ip::tcp::v4(), error);
+      // If this fails, the connection is made from another address or fails as well.
+      socket.bind({asio::ip::address_v4(*source), 0}, error);
+    }
     timer.expires_after(timeout);
     timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
       if (!error) self->finish(Reachability::kSilent);
@@ -60,7 +67,8 @@
                      alive = std::weak_ptr(lifetime_)](Reachability reachability) {
     if (!alive.expired()) callback(reachability);
   };
-  std::make_shared<Attempt>(context_, std::move(onFinished))->begin(address, timeout);
+  std::make_shared<Attempt>(context_, std::move(onFinished))
+      ->begin(address, sourceAddress_, timeout);
 }
 
 }  // namespace covewing::live
--- a/src/live/http_client.h
+++ b/src/live/http_client.h
@@ -6,6 +6,7 @@
 /// closed. The client never resends a request.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -43,6 +44,8 @@
   /// A connection is considered broken if sent bytes are not acknowledged for this long or the peer
   /// does not respond to TCP keep-alive probes; zero: the defaults of the operating system.
   base::Duration unacknowledgedTimeout{};
+  /// Address that connections are made from; empty: as the operating system chooses.
+  std::optional<std::uint32_t> sourceAddress{};
   /// Maximum size of a response body accepted by `fetch`.
   std::size_t bodyBytes = 64U << 20U;
 };
--- a/src/live/relay_part_options.cc
+++ b/src/live/relay_part_options.cc
@@ -40,8 +40,9 @@
 
 }  // namespace
 
-HttpClientLimits replicaLimits(const RelayDialect& dialect) {
+HttpClientLimits replicaLimits(const RelayDialect& dialect, const RelaySettings& settings) {
   HttpClientLimits limits;
+  limits.sourceAddress = settings.sourceAddress;
   limits.requestIdHeader = dialect.requestIdHeader();
   limits.skipMismatchedResponses = true;
   limits.unacknowledgedTimeout = std::chrono::milliseconds(1000);
--- a/src/live/relay_part_options.h
+++ b/src/live/relay_part_options.h
@@ -17,7 +17,7 @@
 
 namespace covewing::live {
 
-HttpClientLimits replicaLimits(const RelayDialect& dialect);
+HttpClientLimits replicaLimits(const RelayDialect& dialect, const RelaySettings& settings);
 membership::GossipMembershipOptions membershipOptions(const RelaySettings& settings);
 node::WeightsCoordinatorOptions coordinatorOptions(const RelaySettings& settings);
 admission::QuotaOptions quotaOptions();
--- a/src/live/relay_settings.cc
+++ b/src/live/relay_settings.cc
@@ -39,6 +39,12 @@
   return endpoint.has_value();
 }
 
+bool applySourceAddress(RelaySettings& settings, const toml::node& node) {
+  const auto endpoint = base::parseEndpoint(node.value_or(std::string{}) + ":1");
+  if (endpoint) settings.sourceAddress = endpoint->address;
+  return endpoint.has_value();
+}
+
 bool applySeeds(RelaySettings& settings, const toml::node& node) {
   const auto* list = node.as_array();
   if (list == nullptr) return false;
@@ -96,6 +102,10 @@
      applyEndpoint<&RelaySettings::peerEndpoint>},
     {{"listen.metrics", false, kAddressRule, "metrics; none are served without it"},
      applyEndpoint<&RelaySettings::metricsEndpoint>},
+    {{"connect.source", false, "must be a.b.c.d",
+      "address that connections to replicas are made from; chosen by the operating system without "
+      "it"},
+     applySourceAddress},
     {{"cluster.seeds", false, "must be a list of a.b.c.d:port",
       "machines of other nodes to join through; their ports are not used"},
      applySeeds},
--- a/src/live/relay_settings.h
+++ b/src/live/relay_settings.h
@@ -25,6 +25,8 @@
   base::Endpoint readinessEndpoint;
   base::Endpoint peerEndpoint;
   base::Endpoint metricsEndpoint;
+  /// Address that connections to replicas are made from; empty: as the operating system chooses.
+  std::optional<std::uint32_t> sourceAddress;
   /// Addresses of other nodes' machines; this node's own peer port is used for all of them.
   std::vector<base::Endpoint> seeds;
   base::Endpoint tableEndpoint;
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -124,6 +124,52 @@
                 f"{max(self.late.values()):.3f} s after their callers had left")
 
 
+@dataclasses.dataclass
+class Cut:
+    """Nodes are cut from all replicas for some time; how first tries went meanwhile."""
+
+    shape: str
+    begin: float
+    end: float
+    nodes: set[int]
+    tried: collections.Counter = dataclasses.field(default_factory=collections.Counter)
+    served: collections.Counter = dataclasses.field(default_factory=collections.Counter)
+
+
+class CutRule:
+    """From FELT_FROM behind the beginning of a cut on, first tries at the nodes that are cut from all
+    replicas are served at least LEAST_SHARE as often as those at the others, or no more fail there than
+    MOST_FAILED and one in FAILED_OF of all first tries. Seconds."""
+
+    FELT_FROM = 3.0
+    LEAST_SHARE = 2 / 3
+    MOST_FAILED = 10
+    FAILED_OF = 50
+
+    def __init__(self):
+        self.cuts: list[Cut] = []
+
+    def on_first_try(self, node: int, sent: float, served: bool):
+        for cut in self.cuts:
+            if cut.begin + self.FELT_FROM <= sent < cut.end:
+                cut.tried[node in cut.nodes] += 1
+                cut.served[node in cut.nodes] += served
+
+    def broken(self) -> list[str]:
+        return [text for text in map(self.text_if_broken, self.cuts) if text]
+
+    def text_if_broken(self, cut: Cut) -> str:
+        tried, served = cut.tried, cut.served
+        if not tried[True] or not tried[False]:
+            return f"{cut.shape}: nothing was tried at {sorted(cut.nodes)} or at the others"
+        failed = tried[True] - served[True]
+        enough = served[True] / tried[True] >= self.LEAST_SHARE * served[False] / tried[False]
+        if enough or failed <= self.MOST_FAILED + sum(tried.values()) / self.FAILED_OF:
+            return ""
+        return (f"{cut.shape}: nodes {sorted(cut.nodes)} were cut from all replicas and served {served[True]} of "
+                f"{tried[True]} first tries, the others {served[False]} of {tried[False]}")
+
+
 @dataclasses.dataclass
 class Rest:
     """A replica turned a request of a node away, and wanted no other from it until the end."""
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -54,6 +54,8 @@
 readiness = "{self.address}:7002"
 peers = "{self.address}:7001"
 metrics = "{self.address}:7003"
+[connect]
+source = "{self.address}"
 [cluster]
 seeds = [{peers}]
 [table_service]
--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -35,6 +35,7 @@
   one that asked for rest, from the node that heard it (checks.NoticeRule);
 - with --limits: no replica gets more than it takes from the nodes that were told (checks.LimitRule);
 - with --departures: next to nothing reaches a replica long after its caller has left (checks.DepartureRule);
+- with --cuts: nodes that are cut from all replicas serve nearly as well as the others (checks.CutRule);
 - nothing arrives at the address of an entry by another writer;
 - no two nodes give orders with one fencing token;
 - no process of a node ends by itself;
@@ -57,8 +58,9 @@
 import tempfile
 
 from callers import KEY, RESUMABLE, SAFE, STREAM, Caller, KeyCaller, PatientCaller
-from checks import (ConfigurationRule, DepartureRule, LimitRule, NoticeRule, Outcome, RepeatRule, Sent, Trouble, VersionRule,
+from checks import (ConfigurationRule, CutRule, DepartureRule, LimitRule, NoticeRule, Outcome, RepeatRule, Sent, Trouble, VersionRule,
                     calm_since)
+from cuts import SHAPES, cut_nodes_from_replicas
 from departures import leave_in_bursts
 from faults import CALM_LIMIT_CALLERS, Faults
 from model_replicas import MODEL, MODEL_SERVICE, ModelReplica
@@ -142,6 +144,7 @@
         self.leaving_told = collections.defaultdict(set)
         self.limits = LimitRule()
         self.departures = DepartureRule()
+        self.cuts = CutRule()
         # The runs that named a limit in an answer to a request.
         self.limit_told = collections.defaultdict(set)
         # Of refusals, from the request to the answer (seconds).
@@ -371,6 +374,9 @@
             self.counts[f"broken: {rule}"] = self.broken_rules[rule]
         self.check_deadly()
 
+        for cut in self.cuts.cuts:
+            self.counts[f"{cut.shape} {sorted(cut.nodes)}"] = (
+                f"{cut.served[True]}/{cut.tried[True]}, others {cut.served[False]}/{cut.tried[False]}")
         if late := self.departures.broken():
             self.violate(late, "departure")
 
@@ -431,6 +437,9 @@
         if self.options.departures:
             await leave_in_bursts(self, random.Random(self.options.seed))
             return
+        if self.options.cuts:
+            await cut_nodes_from_replicas(self, self.options.cut_shape)
+            return
         self.faults.start_series()
         if self.options.notices:
             for number in range(PATIENT_CALLERS * len(self.nodes)):
@@ -539,6 +548,9 @@
                         help="the table service comes back from copies some seconds old")
     parser.add_argument("--departures", action="store_true",
                         help="one sequence in place of the series (departures.leave_in_bursts)")
+    parser.add_argument("--cuts", action="store_true",
+                        help="one sequence in place of the series (cuts.cut_nodes_from_replicas)")
+    parser.add_argument("--cut-shape", choices=SHAPES, help="of all cuts; drawn for each without it")
     parser.add_argument("--steady-clock", action="store_true",
                         help="the table service's clock does not leap, as builds before once relied on")
     parser.add_argument("--unread-answer", action="store_true",
