Pass requests on by another node where a node does not reach the replica itself

Cause: a node had one way to a replica, its own connections, and one record for the link and the replica. A node that reaches none ejected all of them one after the other. Class: the observer's own failure taken for that of the observed.

Change: - ReplicaLinks keeps apart whether this node reaches a replica. A failed connect, or bytes that are not acknowledged 225 ms after they were sent and a probe that fails, mark the link; with each failed link some others are probed, so that the loss of all is known within some 0.7 s; probes, not requests, find out that they are back. - A request that was not sent goes to the same replica, under the same grant, by another node (RelayPeers: own zone first, then the replica's), also one that may run once; later ones go that way at once. Only if that node does not reach the replica either is it ejected. - PeerRelay is the other end: one hop, an HTTP listener whose address is spread by gossip, so that older builds are never asked. It says whether nothing was sent, or whether the outcome is unknown. The request is counted where it came from. - Failures of a link do not count against the replica: not in its health, not at its home, and a crash is concluded from refused connections only if another node is refused as well (PeerConfirmedProbe). - A planned stop finishes what is passed on; a caller that leaves ends it over both connections.

--- a/src/clients/back_end.h
+++ b/src/clients/back_end.h
@@ -28,9 +28,17 @@
   kOutcomeUnknown,
 };
 
+/// What a dispatch failed at, where another node passes requests on to the back end.
+enum class FailurePoint : std::uint8_t {
+  kBackEnd,
+  /// The other node, or the connection to it: nothing is known of the back end.
+  kRelay,
+};
+
 struct DispatchError {
   DispatchFailure failure = DispatchFailure::kOutcomeUnknown;
   base::Reason reason;
+  FailurePoint point = FailurePoint::kBackEnd;
 };
 
 }  // namespace covewing::clients
--- a/src/clients/relay_client.h
+++ b/src/clients/relay_client.h
@@ -49,6 +49,13 @@
   std::string lastEventId;
 };
 
+/// How an attempt gets from this node to the replica.
+struct RelayPath {
+  base::Endpoint replica;
+  /// Relay listener of the node that passes the attempt on; empty: a connection of this node.
+  std::optional<base::Endpoint> via;
+};
+
 /// Status and headers of a replica's answer, without headers that concern one connection only.
 struct RelayedAnswer {
   unsigned status = 0;
@@ -86,8 +93,8 @@
   virtual void onFailure(DispatchError error) = 0;
 };
 
-/// An attempt in flight. Destroying it closes its connection, so that the replica stops its work and
-/// receives no further byte of the request.
+/// An attempt in flight. Destroying it closes its connection, so that the replica stops its work
+/// and receives no further byte of the request.
 class RelayCall {
  public:
   virtual ~RelayCall() = default;
@@ -101,7 +108,7 @@
  public:
   virtual ~RelayClient() = default;
   /// Sends once, without retry. `handler` must outlive the returned call.
-  virtual std::unique_ptr<RelayCall> start(const base::Endpoint& replica, RelayedRequestPtr request,
+  virtual std::unique_ptr<RelayCall> start(const RelayPath& path, RelayedRequestPtr request,
                                            const DispatchTerms& terms, RelayHandler& handler) = 0;
 };
 
--- a/src/config/route_table.cc
+++ b/src/config/route_table.cc
@@ -29,6 +29,7 @@
   }
   for (const TenantAccess& tenant : contents_.tenants) {
     for (const std::string& key : tenant.keys) tenantsByKey_.emplace(key, &tenant);
+    tenantsByName_.emplace(tenant.name, &tenant);
   }
   for (const Service& service : contents_.services) servicesByName_.emplace(service.name, &service);
 }
@@ -46,6 +47,11 @@
   return found == tenantsByKey_.end() ? nullptr : found->second;
 }
 
+const TenantAccess* RouteTable::findTenantByName(std::string_view name) const {
+  const auto found = tenantsByName_.find(name);
+  return found == tenantsByName_.end() ? nullptr : found->second;
+}
+
 const Service* RouteTable::findService(std::string_view name) const {
   const auto found = servicesByName_.find(name);
   return found == servicesByName_.end() ? nullptr : found->second;
--- a/src/config/route_table.h
+++ b/src/config/route_table.h
@@ -156,6 +156,7 @@
   /// `host` is taken without case and without a port, `path` without its query.
   const Route* findRoute(std::string_view host, std::string_view path) const;
   const TenantAccess* findTenantByKey(std::string_view key) const;
+  const TenantAccess* findTenantByName(std::string_view name) const;
   const Service* findService(std::string_view name) const;
 
  private:
@@ -163,6 +164,7 @@
   /// Routes of each host, the longest prefix first.
   std::unordered_map<std::string, std::vector<const Route*>> routesByHost_;
   std::unordered_map<std::string_view, const TenantAccess*> tenantsByKey_;
+  std::unordered_map<std::string_view, const TenantAccess*> tenantsByName_;
   std::unordered_map<std::string_view, const Service*> servicesByName_;
 };
 
--- a/src/live/http_relay_client.cc
+++ b/src/live/http_relay_client.cc
@@ -2,17 +2,42 @@
 
 #include <utility>
 
+#include "live/peer_relay_headers.h"
+
 namespace covewing::live {
 
 namespace {
 
-class Call final : public clients::RelayCall, private HttpCallHandler {
+using clients::DispatchFailure;
+using clients::FailurePoint;
+
+clients::DispatchError errorOf(DispatchFailure failure, FailurePoint point, std::string detail) {
+  const auto code = failure == DispatchFailure::kNotSent ? base::ResultCode::kBackEndUnreachable
+                                                         : base::ResultCode::kBackEndLost;
+  return {failure, {code, std::move(detail)}, point};
+}
+
+/// The failure that another node reports instead of the replica's response; empty if there is none.
+std::optional<clients::DispatchError> reportedFailure(const HttpResponse& head) {
+  const auto failure = head.header(relay_headers::kFailure);
+  if (failure.empty()) return std::nullopt;
+  if (failure == relay_headers::kRefused)
+    return errorOf(DispatchFailure::kNotSent, FailurePoint::kRelay, "another node refused it");
+  if (failure == relay_headers::kUnreachable) {
+    return errorOf(DispatchFailure::kNotSent, FailurePoint::kBackEnd,
+                   "another node does not reach the replica");
+  }
+  return errorOf(DispatchFailure::kOutcomeUnknown, FailurePoint::kBackEnd,
+                 "another node lost the connection to the replica");
+}
+
+class Call : public clients::RelayCall, protected HttpCallHandler {
  public:
   Call(const RelayDialect& dialect, clients::DispatchTerms terms, clients::RelayHandler& handler)
       : dialect_(dialect), terms_(std::move(terms)), handler_(handler) {}
 
-  void begin(HttpClient& http, const base::Endpoint& replica, const HttpRequest& request) {
-    call_ = http.start(replica, request, base::Duration::zero(), *this);
+  void begin(HttpClient& http, const base::Endpoint& server, const HttpRequest& request) {
+    call_ = http.start(server, request, base::Duration::zero(), *this);
   }
 
   void setPaused(bool paused) override { call_->setPaused(paused); }
@@ -20,34 +45,75 @@
     return call_->unacknowledgedBytes();
   }
 
- private:
+ protected:
   bool stillWanted() const override { return handler_.stillWanted(); }
   void onHead(const HttpResponse& head) override {
     handler_.onHead(dialect_.readAnswer(head, terms_));
   }
   void onBody(std::string_view bytes) override { handler_.onBody(bytes); }
   void onComplete() override { handler_.onEnd(); }
-  void onFailure(clients::DispatchFailure failure, std::string detail) override {
-    const auto code = failure == clients::DispatchFailure::kNotSent
-                          ? base::ResultCode::kBackEndUnreachable
-                          : base::ResultCode::kBackEndLost;
-    handler_.onFailure({failure, {code, std::move(detail)}});
+  void onFailure(DispatchFailure failure, std::string detail) override {
+    handler_.onFailure(errorOf(failure, FailurePoint::kBackEnd, std::move(detail)));
   }
 
+  clients::RelayHandler& handler() { return handler_; }
+
+ private:
   const RelayDialect& dialect_;
   clients::DispatchTerms terms_;
   clients::RelayHandler& handler_;
   std::unique_ptr<HttpCall> call_;
 };
 
+/// A call that another node passes on.
+class ViaCall final : public Call {
+ public:
+  using Call::Call;
+
+ private:
+  void onHead(const HttpResponse& head) override {
+    failure_ = reportedFailure(head);
+    if (!failure_) Call::onHead(head);
+  }
+  void onBody(std::string_view bytes) override {
+    if (!failure_) Call::onBody(bytes);
+  }
+  void onComplete() override {
+    if (failure_) {
+      handler().onFailure(*failure_);
+    } else {
+      Call::onComplete();
+    }
+  }
+  void onFailure(DispatchFailure failure, std::string detail) override {
+    handler().onFailure(
+        failure_.value_or(errorOf(failure, FailurePoint::kRelay, std::move(detail))));
+  }
+
+  std::optional<clients::DispatchError> failure_;
+};
+
+void addRelayHeaders(HttpRequest& request, const clients::DispatchTerms& terms) {
+  request.headers.push_back({std::string{relay_headers::kReplica}, terms.expectedInstance});
+  if (!terms.tenant.empty())
+    request.headers.push_back({std::string{relay_headers::kTenant}, terms.tenant});
+}
+
 }  // namespace
 
-std::unique_ptr<clients::RelayCall> HttpRelayClient::start(const base::Endpoint& replica,
+std::unique_ptr<clients::RelayCall> HttpRelayClient::start(const clients::RelayPath& path,
                                                            clients::RelayedRequestPtr request,
                                                            const clients::DispatchTerms& terms,
                                                            clients::RelayHandler& handler) {
-  auto call = std::make_unique<Call>(dialect_, terms, handler);
-  call->begin(http_, replica, dialect_.dispatch(*request, terms));
+  auto message = dialect_.dispatch(*request, terms);
+  if (!path.via) {
+    auto call = std::make_unique<Call>(dialect_, terms, handler);
+    call->begin(replicas_, path.replica, message);
+    return call;
+  }
+  addRelayHeaders(message, terms);
+  auto call = std::make_unique<ViaCall>(dialect_, terms, handler);
+  call->begin(peers_, *path.via, message);
   return call;
 }
 
--- a/src/live/http_relay_client.h
+++ b/src/live/http_relay_client.h
@@ -1,5 +1,6 @@
 /// \file
-/// Sends relayed requests to replicas over HTTP, in the dialect of a deployment.
+/// Sends relayed requests to replicas over HTTP, in the dialect of a deployment: on connections of
+/// this node, or through the relay listener of another node.
 #pragma once
 
 #include <memory>
@@ -12,16 +13,19 @@
 
 class HttpRelayClient final : public clients::RelayClient {
  public:
-  /// Both must outlive the client.
-  HttpRelayClient(HttpClient& http, const RelayDialect& dialect) : http_(http), dialect_(dialect) {}
+  /// All must outlive the client. `replicas` makes connections to replicas, `peers` to the relay
+  /// listeners of other nodes.
+  HttpRelayClient(HttpClient& replicas, HttpClient& peers, const RelayDialect& dialect)
+      : replicas_(replicas), peers_(peers), dialect_(dialect) {}
 
-  std::unique_ptr<clients::RelayCall> start(const base::Endpoint& replica,
+  std::unique_ptr<clients::RelayCall> start(const clients::RelayPath& path,
                                             clients::RelayedRequestPtr request,
                                             const clients::DispatchTerms& terms,
                                             clients::RelayHandler& handler) override;
 
  private:
-  HttpClient& http_;
+  HttpClient& replicas_;
+  HttpClient& peers_;
   const RelayDialect& dialect_;
 };
 
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -14,6 +14,8 @@
 #include "live/counting_event_log.h"
 #include "live/http_relay_client.h"
 #include "live/http_server.h"
+#include "live/peer_confirmed_probe.h"
+#include "live/peer_relay.h"
 #include "live/peer_traffic.h"
 #include "live/peer_transport.h"
 #include "live/rate_limited_event_log.h"
@@ -70,7 +72,11 @@
         retryNodes(membership, clock, retryNodeCount()),
         weightsTargets({settings.weightsInForce, settings.weightsInForce * 3 / 20}),
         connectProbe(ioContext, settings.sourceAddress),
-        crashDetector({}, {clock, timers, log, connectProbe}),
+        links({}, {clock, timers, random, log, connectProbe, replicas}),
+        relayPeers({}, random, membership, membership),
+        peerHttp(ioContext, peerLimits(deployment.dialect)),
+        confirmedProbe({clock, connectProbe, peerHttp, replicas, relayPeers}),
+        crashDetector({}, {clock, timers, log, confirmedProbe}),
         replicaSelector({replicas, holders, weightsTargets, stores, fleetLoad, settings.zone}, {},
                         random),
         partLookup({}, {clock, timers, random, log, peers, membership}),
@@ -115,11 +121,18 @@
         wakeGate(clock, timers, log,
                  [this] { return configurationWatch.caughtUp() && replicaWatch.caughtUp(); }),
         replicaHttp(ioContext, replicaLimits(deployment.dialect, settings)),
-        relayClient(replicaHttp, deployment.dialect),
+        relayClient(replicaHttp, peerHttp, deployment.dialect),
+        peerRelay(peerRelayOptions(deployment.dialect),
+                  {log, replicaHttp, connectProbe, replicas, links, configuration}),
         service(serviceOptions(), dependencies(), configuration, [this] { return nodes(); }),
         gateway(service, deployment.dialect, log),
         callerServer(ioContext, {},
                      [this](const HttpExchangePtr& exchange) { onCallerRequest(exchange); }),
+        relayServer(ioContext, {},
+                    [this](const HttpExchangePtr& exchange) {
+                      pauseDetector.check();
+                      peerRelay.handle(exchange);
+                    }),
         readinessServer(ioContext, {},
                         [this](const HttpExchangePtr& exchange) {
                           exchange->respond({ready() ? kOk : kServiceUnavailable, {}, {}});
@@ -174,9 +187,9 @@
   }
 
   request::RelayDependencies dependencies() {
-    return {clock,        timers,          log,           relayClient,      replicas,
-            holders,      replicaSelector, crashDetector, partLookup,       placement,
-            retryWindows, quotas,          quarantine,    requestDurations, *this};
+    return {clock,           timers,        log,        relayClient,      replicas,   holders,
+            replicaSelector, crashDetector, links,      relayPeers,       partLookup, placement,
+            retryWindows,    quotas,        quarantine, requestDurations, *this};
   }
 
   void applyLimits(const config::TrafficLimits& limits) {
@@ -186,6 +199,10 @@
     http.headerTimeout = limits.headerTimeout;
     http.idleTimeout = limits.idleTimeout;
     callerServer.setLimits(http);
+    // Requests of other nodes have some headers more than their callers sent.
+    constexpr std::size_t kAddedHeaderBytes = 4096;
+    http.headerBytes += kAddedHeaderBytes;
+    relayServer.setLimits(http);
   }
 
   /// Notifies the home node of a long prompt part when a holder gains or loses it.
@@ -259,6 +276,8 @@
     log.write(base::Event::kNodeStarting, {{"node", settings.name}, {"zone", settings.zone}});
     if (!listen(callerServer, settings.callerEndpoint, reason)) return false;
     if (!listen(readinessServer, settings.readinessEndpoint, reason)) return false;
+    if (settings.relayEndpoint && !listen(relayServer, *settings.relayEndpoint, reason))
+      return false;
     const bool withMetrics = settings.metricsEndpoint.port != 0;
     if (withMetrics && !listen(metricsServer, settings.metricsEndpoint, reason)) return false;
     if (!peers.bind(settings.peerEndpoint, reason)) return false;
@@ -271,6 +290,7 @@
         });
     reportTraffic();
     membership.start();
+    relayPeers.start(settings.relayEndpoint);
     configurationGossip.start();
     coordinator.start();
     cacheStoreGossip.start();
@@ -359,6 +379,7 @@
     drained = std::move(done);
     drainingSince = clock.now();
     callerServer.announceClose();
+    relayServer.announceClose();
     coordinator.drain([] {});
     membership.setDraining(true);
     log.write(base::Event::kNodeDraining, {{"open", std::to_string(service.openRequests())}});
@@ -371,9 +392,12 @@
     const bool overdue = elapsed >= settings.grace - kGraceMargin;
     if (noticed) {
       service.refuseNewRequests();
+      peerRelay.refuseNewRequests();
       callerServer.closeIdleConnections();
+      relayServer.closeIdleConnections();
     }
-    if (overdue || (noticed && callerServer.openExchanges() == 0)) {
+    const bool idle = callerServer.openExchanges() == 0 && relayServer.openExchanges() == 0;
+    if (overdue || (noticed && idle)) {
       membership.leave();
       log.write(base::Event::kNodeStopped, {{"open", std::to_string(service.openRequests())}});
       drained();
@@ -398,6 +422,8 @@
     snapshot.openRequests = service.openRequests();
     snapshot.callerConnections = callerServer.openConnections();
     snapshot.knownParts = holders.size();
+    snapshot.failedLinks = links.failed();
+    snapshot.peerRelay = peerRelay.counters();
     snapshot.placement = placement.counters();
     snapshot.quotas = quotas.counts();
     snapshot.quarantinedRequests = quarantine.size();
@@ -445,6 +471,10 @@
   routing::CacheStores stores;
   routing::FleetLoad fleetLoad;
   ConnectProbe connectProbe;
+  routing::ReplicaLinks links;
+  routing::RelayPeers relayPeers;
+  HttpClient peerHttp;
+  PeerConfirmedProbe confirmedProbe;
   routing::ReplicaCrashDetector crashDetector;
   routing::ReplicaSelector replicaSelector;
   routing::PartLookup partLookup;
@@ -473,10 +503,12 @@
   node::WakeGate wakeGate;
   HttpClient replicaHttp;
   HttpRelayClient relayClient;
+  PeerRelay peerRelay;
   request::RelayService service;
   RelayGateway gateway;
   ReadDelayMonitor readDelays{clock, log};
   HttpServer callerServer;
+  HttpServer relayServer;
   HttpServer readinessServer;
   HttpServer metricsServer;
   /// Era of the table service for which this node has last ensured that its own rows exist.
--- a/src/live/relay_metrics.cc
+++ b/src/live/relay_metrics.cc
@@ -20,6 +20,8 @@
     {"covewing_configuration_version", "gauge", "", "version of the route table in force"},
     {"covewing_events_total", "counter", "event",
      "log events by name (docs/EVENTS.md): retries, refusals, broken streams, orders and others"},
+    {"covewing_failed_links", "gauge", "",
+     "replicas that this node does not reach by connections of its own"},
     {"covewing_known_cached_parts", "gauge", "",
      "cached parts of prompts that this node knows a holder of"},
     {"covewing_lease_held", "gauge", "", "1 while this node rolls out weights, else 0"},
@@ -27,6 +29,9 @@
     {"covewing_open_requests", "gauge", "", "requests in flight, held ones included"},
     {"covewing_pause_seconds", "histogram", "",
      "pauses of the process that were noticed: frozen, or on a suspended machine"},
+    {"covewing_peer_requests_total", "counter", "outcome",
+     "requests of other nodes that this node was to pass on to replicas: answered, refused here, "
+     "replica unreachable, connection to it lost, cancelled by the other node"},
     {"covewing_peer_sent_bytes_total", "counter", "channel, zone",
      "bytes of messages sent to other nodes, to those of the own zone and to others"},
     {"covewing_placement_questions_total", "counter", "outcome",
@@ -109,6 +114,7 @@
   prometheus::Gauge& age = families.gauges("covewing_configuration_age_seconds").Add({});
   prometheus::Gauge& version = families.gauges("covewing_configuration_version").Add({});
   prometheus::Family<prometheus::Counter>& events = families.counters("covewing_events_total");
+  prometheus::Gauge& failedLinks = families.gauges("covewing_failed_links").Add({});
   prometheus::Gauge& knownParts = families.gauges("covewing_known_cached_parts").Add({});
   prometheus::Gauge& quarantinedRequests = families.gauges("covewing_quarantined_requests").Add({});
   prometheus::Gauge& leaseHeld = families.gauges("covewing_lease_held").Add({});
@@ -116,6 +122,8 @@
   prometheus::Gauge& openRequests = families.gauges("covewing_open_requests").Add({});
   prometheus::Histogram& pauses =
       families.histograms("covewing_pause_seconds").Add({}, kSecondsBuckets);
+  prometheus::Family<prometheus::Counter>& peerRequests =
+      families.counters("covewing_peer_requests_total");
   prometheus::Family<prometheus::Counter>& peerBytes =
       families.counters("covewing_peer_sent_bytes_total");
   prometheus::Family<prometheus::Counter>& placementQueries =
@@ -239,6 +247,13 @@
   const auto raise = [](prometheus::Counter& counter, std::uint64_t total) {
     counter.Increment(static_cast<double>(total) - counter.Value());
   };
+  set(impl_->failedLinks, snapshot.failedLinks);
+  const auto& relayed = snapshot.peerRelay;
+  raise(impl_->peerRequests.Add({{"outcome", "answered"}}), relayed.answered);
+  raise(impl_->peerRequests.Add({{"outcome", "refused"}}), relayed.refused);
+  raise(impl_->peerRequests.Add({{"outcome", "unreachable"}}), relayed.unreachable);
+  raise(impl_->peerRequests.Add({{"outcome", "lost"}}), relayed.lost);
+  raise(impl_->peerRequests.Add({{"outcome", "cancelled"}}), relayed.cancelled);
   const auto& placement = snapshot.placement;
   raise(impl_->placementQueries.Add({{"outcome", "asked"}}), placement.queries);
   raise(impl_->placementQueries.Add({{"outcome", "granted"}}), placement.granted);
--- a/src/live/relay_metrics.h
+++ b/src/live/relay_metrics.h
@@ -14,6 +14,7 @@
 #include "base/revision.h"
 #include "base/time.h"
 #include "live/metric_entry.h"
+#include "live/peer_relay.h"
 #include "live/peer_traffic.h"
 #include "request/relay_flow.h"
 
@@ -56,6 +57,9 @@
     std::size_t replicasRateLimited = 0;
     std::size_t replicasEjected = 0;
     std::size_t replicasChanging = 0;
+    /// Replicas that this node does not reach by connections of its own.
+    std::size_t failedLinks = 0;
+    PeerRelayCounters peerRelay;
     routing::PlacementCounters placement;
     admission::QuotaCounts quotas;
     std::array<ChannelTraffic, kChannelArraySize> traffic{};
--- a/src/live/relay_part_options.cc
+++ b/src/live/relay_part_options.cc
@@ -40,6 +40,21 @@
 
 }  // namespace
 
+PeerRelayOptions peerRelayOptions(const RelayDialect& dialect) {
+  PeerRelayOptions options;
+  options.requestIdHeader = dialect.requestIdHeader();
+  return options;
+}
+
+HttpClientLimits peerLimits(const RelayDialect& dialect) {
+  HttpClientLimits limits;
+  limits.requestIdHeader = dialect.requestIdHeader();
+  limits.unacknowledgedTimeout = std::chrono::milliseconds(1000);
+  limits.connectTimeout = std::chrono::milliseconds(300);
+  limits.idleTimeout = std::chrono::seconds(20);
+  return limits;
+}
+
 HttpClientLimits replicaLimits(const RelayDialect& dialect, const RelaySettings& settings) {
   HttpClientLimits limits;
   limits.sourceAddress = settings.sourceAddress;
--- a/src/live/relay_part_options.h
+++ b/src/live/relay_part_options.h
@@ -9,6 +9,7 @@
 #include "config/shared_feed.h"
 #include "config/table_watch.h"
 #include "live/http_client.h"
+#include "live/peer_relay.h"
 #include "live/relay_dialect.h"
 #include "live/relay_settings.h"
 #include "membership/gossip_membership.h"
@@ -17,6 +18,9 @@
 
 namespace covewing::live {
 
+PeerRelayOptions peerRelayOptions(const RelayDialect& dialect);
+/// Limits of the connections to the relay listeners of other nodes.
+HttpClientLimits peerLimits(const RelayDialect& dialect);
 HttpClientLimits replicaLimits(const RelayDialect& dialect, const RelaySettings& settings);
 membership::GossipMembershipOptions membershipOptions(const RelaySettings& settings);
 node::WeightsCoordinatorOptions coordinatorOptions(const RelaySettings& settings);
--- a/src/live/relay_settings.cc
+++ b/src/live/relay_settings.cc
@@ -2,7 +2,9 @@
 
 #include <toml++/toml.h>
 
+#include <charconv>
 #include <functional>
+#include <limits>
 #include <span>
 
 namespace covewing::live {
@@ -39,6 +41,24 @@
   return endpoint.has_value();
 }
 
+/// An address, or "peers+N": N ports above the listener for other nodes, which comes first.
+bool applyRelayEndpoint(RelaySettings& settings, const toml::node& node) {
+  constexpr std::string_view kRelative = "peers+";
+  const auto text = node.value_or(std::string{});
+  if (!text.starts_with(kRelative)) {
+    settings.relayEndpoint = endpointOf(node);
+    return settings.relayEndpoint.has_value();
+  }
+  unsigned offset = 0;
+  const auto* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data() + kRelative.size(), end, offset);
+  if (error != std::errc{} || stop != end || offset == 0) return false;
+  const auto port = settings.peerEndpoint.port + offset;
+  if (port > std::numeric_limits<std::uint16_t>::max()) return false;
+  settings.relayEndpoint = {settings.peerEndpoint.address, static_cast<std::uint16_t>(port)};
+  return true;
+}
+
 bool applySourceAddress(RelaySettings& settings, const toml::node& node) {
   const auto endpoint = base::parseEndpoint(node.value_or(std::string{}) + ":1");
   if (endpoint) settings.sourceAddress = endpoint->address;
@@ -100,6 +120,10 @@
     {{"listen.peers", true, kAddressRule,
       "listener for other nodes, UDP and TCP; its port is the same on all nodes"},
      applyEndpoint<&RelaySettings::peerEndpoint>},
+    {{"listen.relay", false, "must be a.b.c.d:port or peers+N",
+      "listener for requests of other nodes that do not reach a replica themselves, also as a "
+      "number of ports above that of listen.peers; without it none are accepted"},
+     applyRelayEndpoint},
     {{"listen.metrics", false, kAddressRule, "metrics; none are served without it"},
      applyEndpoint<&RelaySettings::metricsEndpoint>},
     {{"connect.source", false, "must be a.b.c.d",
--- a/src/live/relay_settings.h
+++ b/src/live/relay_settings.h
@@ -25,6 +25,8 @@
   base::Endpoint readinessEndpoint;
   base::Endpoint peerEndpoint;
   base::Endpoint metricsEndpoint;
+  /// Listener for requests of other nodes that do not reach a replica themselves; empty: none.
+  std::optional<base::Endpoint> relayEndpoint;
   /// Address that connections to replicas are made from; empty: as the operating system chooses.
   std::optional<std::uint32_t> sourceAddress;
   /// Addresses of other nodes' machines; this node's own peer port is used for all of them.
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -36,6 +36,7 @@
   dependencies_.timers.cancel(holdTimer_);
   dependencies_.timers.cancel(receiveTimer_);
   dependencies_.timers.cancel(startDeadlineTimer_);
+  dependencies_.timers.cancel(linkTimer_);
   dependencies_.placement.cancel(placementTicket_);
   if (attempt_) endAttempt();
   allowance_.end(executions_);
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -40,7 +40,9 @@
 #include "request/tenant_allowance.h"
 #include "routing/part_lookup.h"
 #include "routing/placement.h"
+#include "routing/relay_peers.h"
 #include "routing/replica_crash_detector.h"
+#include "routing/replica_links.h"
 #include "routing/replica_selector.h"
 #include "routing/request_durations.h"
 
@@ -129,6 +131,8 @@
   routing::PrefixHolders& holders;
   routing::ReplicaSelector& replicaSelector;
   routing::ReplicaCrashDetector& replicaCrashDetector;
+  routing::ReplicaLinks& links;
+  routing::RelayPeers& relayPeers;
   routing::PartLookup& parts;
   routing::Placement& placement;
   admission::RetryWindows& retries;
@@ -223,6 +227,10 @@
     /// The attempt was not sent, because no connection could be made or because the replica was no
     /// longer eligible when the connection was ready.
     bool notSent = false;
+    /// The node that passes the attempt on; empty if this node sends it to the replica itself.
+    std::optional<routing::RelayPeer> relay;
+    /// Nodes that could not pass the attempt on.
+    std::vector<base::NodeId> failedRelays;
   };
 
   bool streaming() const { return assignment_.route->kind == config::RequestKind::kStreaming; }
@@ -296,13 +304,32 @@
   /// The only place from which a request leaves for a replica: first attempts, retries, resumed
   /// streams and requests that were granted late.
   void dispatch(routing::ReplicaDecision decision, const routing::PlacementGrant& grant);
+  /// Sends the attempt to its replica: through `relay` if it is given, else on a connection of this
+  /// node.
+  void send(const std::optional<routing::RelayPeer>& relay);
+  /// A node to pass the attempt on if this node does not reach its replica itself. Empty if it
+  /// does, or if there is none.
+  std::optional<routing::RelayPeer> chooseRelay();
+  /// After an attempt was not sent: sends it to the same replica through another node. Returns
+  /// false if there is none or if the request may not be sent any more.
+  bool reroute(const clients::DispatchError& error);
+  /// Records that the node that was to pass the attempt on failed.
+  void recordRelayFailure(const clients::DispatchError& error);
+  /// Checks whether the replica has acknowledged what was sent, and if not, the link to it.
+  void armLinkCheck();
+  void onLinkCheck();
+  void onLinkVerified(std::uint32_t dispatch, bool works);
+  /// Whether a failure of the attempt in flight says something about its replica, rather than about
+  /// the links of this node or the node that passed it on.
+  bool blamesReplica(clients::FailurePoint point);
+  /// Records that the attempt in flight failed at its replica, unless the replica is not to blame.
+  void recordAttemptFailure(clients::FailurePoint point);
   /// Whether the replica of the attempt in flight still accepts the request.
   bool replicaAccepts() const;
   /// Whether the replica reports no rate limit, or its home node has counted the request just now.
   bool withinRateLimit(const routing::ReplicaRecord& replica,
                        const routing::PlacementGrant& grant) const;
-  void logDispatch(const routing::ReplicaDecision& decision, const routing::PlacementGrant& grant,
-                   const clients::DispatchTerms& terms) const;
+  void logDispatch(const std::optional<routing::RelayPeer>& relay) const;
   /// Adds the tokens that the decision expects to the sums reported in the outcome.
   void countTokens(const routing::ReplicaDecision& decision);
   clients::DispatchTerms termsFor(const routing::ReplicaDecision& decision) const;
@@ -423,6 +450,7 @@
   base::TimerId deadlineTimer_ = 0;
   base::TimerId holdTimer_ = 0;
   base::TimerId receiveTimer_ = 0;
+  base::TimerId linkTimer_ = 0;
   base::TimerId startDeadlineTimer_ = 0;
 };
 
--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -254,7 +254,11 @@
     }
     // If the request was not sent because the replica is no longer eligible, this says nothing
     // about its health.
-    if (replicaAccepts()) {
+    const bool eligible = replicaAccepts();
+    const bool passedOn = attempt_->relay.has_value();
+    if (eligible && reroute(error)) return;
+    const bool relayFailed = passedOn && error.point == clients::FailurePoint::kRelay;
+    if (eligible && !relayFailed) {
       attempt_->outcome = routing::PlacementOutcome::kUnreachable;
       record.health().onUnreachable(now);
     }
@@ -268,14 +272,15 @@
     }
     return;
   }
-  record.health().onFailure(now, dependencies_.replicas.failureRateOfOthers(record));
-  attempt_->outcome = routing::PlacementOutcome::kFailed;
+  recordAttemptFailure(error.point);
   const bool refusedBefore = attempt_->response && attempt_->response->notExecuted;
   if (refusedBefore) {
     onNotRun(*attempt_->response);
     return;
   }
-  dependencies_.replicaCrashDetector.onRequestInterrupted(attempt_->decision.replica, fingerprint_);
+  if (error.point == clients::FailurePoint::kBackEnd)
+    dependencies_.replicaCrashDetector.onRequestInterrupted(attempt_->decision.replica,
+                                                            fingerprint_);
   onAttemptLost(RetryCause::kLost, error.reason.detail);
 }
 
--- a/src/request/relay_flow_dispatch.cc
+++ b/src/request/relay_flow_dispatch.cc
@@ -66,7 +66,6 @@
   }
   if (!countRetry(grant)) return;
   auto& record = *decision.replica;
-  const auto terms = termsFor(decision);
   const std::uint32_t totalTokens = maximumTotalTokens();
   const std::uint32_t tokens = totalTokens - std::min(totalTokens, decision.matchedTokens);
   record.onDispatched(tokens);
@@ -83,8 +82,6 @@
   lastStream_ = {};
   allowance_.onDispatch(executions_);
   countTokens(decision);
-  logDispatch(decision, grant, terms);
-  const auto endpoint = record.facts().endpoint;
   attempt_ = Attempt{std::move(decision),
                      now,
                      tokens,
@@ -97,17 +94,21 @@
                      routing::PlacementOutcome::kWithdrawn,
                      {},
                      isProbe,
-                     false};
+                     false,
+                     std::nullopt,
+                     {}};
+  const auto relay = chooseRelay();
+  logDispatch(relay);
   armReceiveTimeout();
   armStartDeadline();
-  call_ = dependencies_.client.start(endpoint, incoming_.request, terms, *this);
-  if (paused_) call_->setPaused(true);
+  send(relay);
 }
 
-void RelayFlow::logDispatch(const routing::ReplicaDecision& decision,
-                            const routing::PlacementGrant& grant,
-                            const clients::DispatchTerms& terms) const {
+void RelayFlow::logDispatch(const std::optional<routing::RelayPeer>& relay) const {
   const auto now = dependencies_.clock.now();
+  const auto& decision = attempt_->decision;
+  const auto& grant = attempt_->grant;
+  const auto terms = termsFor(decision);
   const auto& record = *decision.replica;
   const auto& limit = record.notices().rateLimit();
   dependencies_.log.write(
@@ -122,6 +123,7 @@
        {"counted", std::to_string(assignment_.demand ? assignment_.demand->tokens : 0)},
        {"replica", record.facts().instance},
        {"state", std::string{record.stateName(now)}},
+       {"via", relay ? base::toString(relay->endpoint) : std::string{}},
        {"read_ms", millisecondsText(now - record.facts().readAt)},
        {"limit", routing::rateLimitText(limit.perSecond())},
        {"limit_age_ms", limit.perSecond() ? millisecondsText(now - limit.asOf()) : std::string{}},
--- a/src/request/relay_flow_end.cc
+++ b/src/request/relay_flow_end.cc
@@ -14,6 +14,8 @@
   lastStream_ = attempt_->watch.observed();
   dependencies_.timers.cancel(receiveTimer_);
   dependencies_.timers.cancel(startDeadlineTimer_);
+  dependencies_.timers.cancel(linkTimer_);
+  if (attempt_->relay) dependencies_.relayPeers.onEnded(attempt_->relay->id);
   attempt_->decision.replica->onFinished(attempt_->tokens);
   attempt_.reset();
   call_.reset();
--- a/src/request/relay_flow_retries.cc
+++ b/src/request/relay_flow_retries.cc
@@ -22,9 +22,12 @@
     return;
   }
   auto& record = *attempt_->decision.replica;
-  attempt_->outcome = routing::PlacementOutcome::kFailed;
-  record.health().onFailure(dependencies_.clock.now(),
-                            dependencies_.replicas.failureRateOfOthers(record));
+  // Silence on a link that has failed is no sign of the replica's.
+  if (attempt_->relay || dependencies_.links.working(record)) {
+    attempt_->outcome = routing::PlacementOutcome::kFailed;
+    record.health().onFailure(dependencies_.clock.now(),
+                              dependencies_.replicas.failureRateOfOthers(record));
+  }
   logAttemptFailure(RetryCause::kSilent, "the replica is silent", {});
   startRetry(RetryCause::kSilent);
 }
--- /dev/null
+++ b/tests/live/peer_relay_test.cc
@@ -0,0 +1,256 @@
+// Tests how a node passes requests of another node on to a replica, over real connections.
+#include "live/peer_relay.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <optional>
+
+#include "live/connect_probe.h"
+#include "live/http_relay_client.h"
+#include "live/peer_confirmed_probe.h"
+#include "live/peer_relay_headers.h"
+#include "relay_fleet.h"
+#include "routing/fakes.h"
+#include "support/shared_records.h"
+
+namespace covewing::live {
+
+namespace {
+
+using clients::DispatchFailure;
+using clients::FailurePoint;
+
+/// Runs handlers until `done` returns true, for at most some seconds.
+template <class Condition>
+void runUntil(boost::asio::io_context& context, Condition done) {
+  constexpr int kMaximumSteps = 500;
+  for (int step = 0; step < kMaximumSteps && !done(); ++step) {
+    context.restart();
+    context.run_for(std::chrono::milliseconds(10));
+  }
+  BOOST_REQUIRE(done());
+}
+
+/// Receives the response of one attempt.
+struct Answer final : clients::RelayHandler {
+  void onHead(clients::RelayedAnswer answer) override { head = std::move(answer); }
+  void onBody(std::string_view bytes) override { body += bytes; }
+  void onEnd() override { ended = true; }
+  void onFailure(clients::DispatchError failed) override { error = std::move(failed); }
+  bool done() const { return ended || error.has_value(); }
+
+  std::optional<clients::RelayedAnswer> head;
+  std::string body;
+  bool ended = false;
+  std::optional<clients::DispatchError> error;
+};
+
+struct Tables final : request::RouteTableSource {
+  config::RouteTablePtr table() const override { return current; }
+  std::optional<base::TimePoint> confirmedAt() const override { return std::nullopt; }
+
+  config::RouteTablePtr current =
+      std::make_shared<const config::RouteTable>(*SingleRouteReader{}.readRouteTable({}, reason));
+  static inline base::Reason reason;
+};
+
+struct RelayFixture {
+  RelayFixture() {
+    base::Reason reason;
+    const auto replicaEndpoint = replicaServer.listen({kLoopback, 0}, reason).value();
+    listener = relayServer.listen({kLoopback, 0}, reason).value();
+    routing::Replica replica;
+    replica.instance = "replica";
+    replica.service = "app";
+    replica.endpoint = replicaEndpoint;
+    replicas.onListed(replica);
+  }
+
+  std::unique_ptr<clients::RelayCall> send(Answer& answer, const std::string& tenant = "tenant") {
+    auto request = std::make_shared<const clients::RelayedRequest>(
+        clients::RelayedRequest{"id-1",
+                                "POST",
+                                "/work?x=1",
+                                {{"Host", "example"}, {std::string{kRequestIdHeader}, "id-1"}},
+                                "body"});
+    clients::DispatchTerms terms;
+    terms.expectedInstance = "replica";
+    terms.tenant = tenant;
+    return client.start({replicas.find("replica")->facts().endpoint, listener}, request, terms,
+                        answer);
+  }
+  void waitFor(const Answer& answer) {
+    runUntil(context, [&answer] { return answer.done(); });
+  }
+  const HttpExchangePtr& atReplica() {
+    runUntil(context, [this] { return !exchanges.empty(); });
+    return exchanges.back();
+  }
+  /// Sends a request that the node refuses or cannot pass on.
+  clients::DispatchError failureOf(const std::string& tenant = "tenant") {
+    Answer answer;
+    const auto call = send(answer, tenant);
+    waitFor(answer);
+    BOOST_REQUIRE(answer.error.has_value());
+    BOOST_TEST(exchanges.empty());
+    return *answer.error;
+  }
+
+  boost::asio::io_context context{1};
+  AsioClock clock;
+  AsioTimerService timers{context};
+  base::SeededRandom random{1};
+  test_support::RecordingLog log;
+  std::vector<HttpExchangePtr> exchanges;
+  HttpServer replicaServer{
+      context, {}, [this](const HttpExchangePtr& exchange) { exchanges.push_back(exchange); }};
+  routing::ReplicaDirectory replicas;
+  ConnectProbe probe{context};
+  routing::ReplicaLinks links{{}, {clock, timers, random, log, probe, replicas}};
+  HttpClient replicaHttp{context};
+  Tables tables;
+  PeerRelay relay{{}, {log, replicaHttp, probe, replicas, links, tables}};
+  HttpServer relayServer{
+      context, {}, [this](const HttpExchangePtr& exchange) { relay.handle(exchange); }};
+  base::Endpoint listener;
+  HttpClient unusedHttp{context};
+  HttpClient peerHttp{context};
+  PlainDialect dialect;
+  HttpRelayClient client{unusedHttp, peerHttp, dialect};
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(PeerRelayTest, RelayFixture)
+
+BOOST_AUTO_TEST_CASE(RequestAndResponseArePassedOnUnchanged) {
+  Answer answer;
+  const auto call = send(answer);
+  const auto& exchange = atReplica();
+  BOOST_TEST(exchange->request().method == "POST");
+  BOOST_TEST(exchange->request().target == "/work?x=1");
+  BOOST_TEST(exchange->request().body == "body");
+  BOOST_TEST(exchange->request().header("Host") == "example");
+  BOOST_TEST(exchange->request().header(relay_headers::kReplica).empty());
+  BOOST_TEST(exchange->request().header(relay_headers::kTenant).empty());
+  exchange->respond({201, {{"Signature", "replica"}}, "done"});
+  waitFor(answer);
+  BOOST_TEST(answer.ended);
+  BOOST_TEST(answer.head->status == 201U);
+  BOOST_TEST(findHeader(answer.head->headers, "Signature") == "replica");
+  BOOST_TEST(answer.body == "done");
+  BOOST_TEST(relay.counters().answered == 1U);
+  BOOST_TEST(relay.open() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(StreamIsPassedOnAsItArrivesAndBreaksWhereItBroke) {
+  Answer answer;
+  const auto call = send(answer);
+  const auto exchange = atReplica();
+  exchange->beginStream(200, {});
+  exchange->write("one");
+  runUntil(context, [&answer] { return answer.body == "one"; });
+  BOOST_TEST(!answer.done());
+  exchange->abort();
+  waitFor(answer);
+  BOOST_REQUIRE(answer.error.has_value());
+  BOOST_TEST((answer.error->failure == DispatchFailure::kOutcomeUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(WorkEndsAtTheReplicaWhenTheCallerLeaves) {
+  Answer answer;
+  auto call = send(answer);
+  const auto exchange = atReplica();
+  bool ended = false;
+  exchange->onDisconnect([&ended] { ended = true; });
+  call.reset();
+  context.restart();
+  context.run_for(std::chrono::milliseconds(300));
+  BOOST_TEST(ended);
+  BOOST_TEST(relay.counters().cancelled == 1U);
+  BOOST_TEST(relay.open() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(UnreachableReplicaIsReportedAsNotSent) {
+  replicaServer.close();
+  const auto error = failureOf();
+  BOOST_TEST((error.failure == DispatchFailure::kNotSent));
+  BOOST_TEST((error.point == FailurePoint::kBackEnd));
+  BOOST_TEST(!links.working(*replicas.find("replica")));
+}
+
+BOOST_AUTO_TEST_CASE(ReplicaThatBreaksOffIsReportedAsAnUnknownOutcome) {
+  Answer answer;
+  const auto call = send(answer);
+  atReplica()->abort();
+  waitFor(answer);
+  BOOST_REQUIRE(answer.error.has_value());
+  BOOST_TEST((answer.error->failure == DispatchFailure::kOutcomeUnknown));
+  BOOST_TEST((answer.error->point == FailurePoint::kBackEnd));
+}
+
+BOOST_AUTO_TEST_CASE(LostNodeIsReportedAsAnUnknownOutcomeThatSaysNothingOfTheReplica) {
+  Answer answer;
+  const auto call = send(answer);
+  atReplica();
+  relayServer.close();
+  waitFor(answer);
+  BOOST_REQUIRE(answer.error.has_value());
+  BOOST_TEST((answer.error->failure == DispatchFailure::kOutcomeUnknown));
+  BOOST_TEST((answer.error->point == FailurePoint::kRelay));
+}
+
+BOOST_AUTO_TEST_CASE(NothingIsPassedOnForAnUnknownTenant) {
+  const auto error = failureOf("taken away");
+  BOOST_TEST((error.failure == DispatchFailure::kNotSent));
+  BOOST_TEST((error.point == FailurePoint::kRelay));
+}
+
+BOOST_AUTO_TEST_CASE(NothingIsPassedOnToALeavingReplica) {
+  routing::recordLeaving(*replicas.find("replica"), log, {"answer", 200, {}});
+  BOOST_TEST((failureOf().point == FailurePoint::kRelay));
+}
+
+BOOST_AUTO_TEST_CASE(StoppingNodeRefusesNewRequestsAndFinishesOpenOnes) {
+  Answer first;
+  const auto call = send(first);
+  const auto exchange = atReplica();
+  relay.refuseNewRequests();
+  exchanges.clear();
+  BOOST_TEST((failureOf().point == FailurePoint::kRelay));
+  exchange->respond({200, {}, "done"});
+  waitFor(first);
+  BOOST_TEST(first.body == "done");
+}
+
+// The other node can tell a replica that has ended from a link of its own that has failed.
+BOOST_AUTO_TEST_CASE(ProbeByAnotherNodeShowsThatTheReplicaLives) {
+  routing::testing::FakeMembers members{
+      {routing::testing::makeMember("self", "a"), routing::testing::makeMember("peer", "a")}};
+  test_support::SharedRecords records;
+  routing::RelayPeers peers{{}, random, members, records};
+  peers.start(std::nullopt);
+  records.publish({"relay/peer", 1, base::toString(listener)});
+  struct Refusing final : clients::ReachabilityClient {
+    void connect(const base::Endpoint& /*address*/, base::Duration /*timeout*/,
+                 std::function<void(clients::Reachability)> callback) override {
+      callback(clients::Reachability::kRefuses);
+    }
+  } cutOff;
+  PeerConfirmedProbe confirmed({clock, cutOff, peerHttp, replicas, peers});
+  const auto endpoint = replicas.find("replica")->facts().endpoint;
+  const auto probed = [&] {
+    std::optional<clients::Reachability> result;
+    confirmed.connect(endpoint, std::chrono::milliseconds(200),
+                      [&result](clients::Reachability reachability) { result = reachability; });
+    runUntil(context, [&result] { return result.has_value(); });
+    return *result;
+  };
+  BOOST_TEST((probed() == clients::Reachability::kAccepts));
+  replicaServer.close();
+  BOOST_TEST((probed() == clients::Reachability::kRefuses));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::live
--- a/tests/request/limited_fleet.h
+++ b/tests/request/limited_fleet.h
@@ -121,6 +121,8 @@
         link(network, {members.self().id, 1, members.self().endpoint}),
         table(time, time, members.self().name),
         replicaCrashDetector({}, {time, time, log, reachability}),
+        links({}, {time, time, random, log, reachability, replicas}),
+        relayPeers({}, random, members, records),
         parts({}, {time, time, random, log, link, members}),
         placement({}, {time, time, random, log, link, members, replicas, holders}),
         quotas({}, {time, time, random, members, link, [this] { return nodes(); }}),
@@ -129,7 +131,8 @@
         reachability(time),
         service(options(),
                 {time, time, log, *this, replicas, holders, replicaSelector, replicaCrashDetector,
-                 parts, placement, retries, quotas, quarantine, requestDurations, *this},
+                 links, relayPeers, parts, placement, retries, quotas, quarantine, requestDurations,
+                 *this},
                 tables, [this] { return nodes(); }) {
     network.attach(members.self().endpoint.address,
                    [this](const base::PeerIdentity& sender, std::string_view payload) {
@@ -143,11 +146,11 @@
     options.confirmationBound = {};
     return options;
   }
-  std::unique_ptr<clients::RelayCall> start(const base::Endpoint& replica,
+  std::unique_ptr<clients::RelayCall> start(const clients::RelayPath& path,
                                             clients::RelayedRequestPtr /*request*/,
                                             const clients::DispatchTerms& /*terms*/,
                                             clients::RelayHandler& handler) override {
-    return simulated.start(number, replica, handler);
+    return simulated.start(number, path.replica, handler);
   }
   void onRelayFinished(const config::Route& /*route*/, const RelayOutcome& /*outcome*/) override {}
 
@@ -166,6 +169,8 @@
   test_support::SharedRecords records;
   test_support::MemoryTableService table;
   routing::ReplicaCrashDetector replicaCrashDetector;
+  routing::ReplicaLinks links;
+  routing::RelayPeers relayPeers;
   routing::PartLookup parts;
   routing::Placement placement;
   admission::TenantQuotas quotas;
--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -26,6 +26,8 @@
   clients::DispatchTerms terms;
   clients::RelayHandler* handler = nullptr;
   bool open = true;
+  /// Relay listener of the node that passes the request on.
+  std::optional<base::Endpoint> via;
 
   void head(unsigned status, bool notExecuted = false,
             std::optional<base::WeightsVersion> version = std::nullopt) const {
@@ -66,6 +68,11 @@
     handler->onFailure(
         {clients::DispatchFailure::kOutcomeUnknown, {base::ResultCode::kBackEndLost, "reset"}});
   }
+  /// The node that was to pass the request on, or the connection to it, failed.
+  void failAtRelay(clients::DispatchFailure failure) const {
+    handler->onFailure(
+        {failure, {base::ResultCode::kBackEndUnreachable, "relay"}, clients::FailurePoint::kRelay});
+  }
   void refuseConnection() const {
     handler->onFailure(
         {clients::DispatchFailure::kNotSent, {base::ResultCode::kBackEndUnreachable, "refused"}});
@@ -74,12 +81,12 @@
 
 class FakeRelayClient final : public clients::RelayClient {
  public:
-  std::unique_ptr<clients::RelayCall> start(const base::Endpoint& replica,
+  std::unique_ptr<clients::RelayCall> start(const clients::RelayPath& path,
                                             clients::RelayedRequestPtr request,
                                             const clients::DispatchTerms& terms,
                                             clients::RelayHandler& handler) override {
     sent.push_back(std::make_shared<Dispatched>(
-        Dispatched{replica, std::move(request), terms, &handler, true}));
+        Dispatched{path.replica, std::move(request), terms, &handler, true, path.via}));
     return std::make_unique<Call>(sent.back());
   }
   Dispatched& last() { return *sent.back(); }
@@ -333,6 +340,10 @@
       {}, {time, time, random, members, peers, [this] { return members.liveMembers().size(); }}};
   test_support::SharedRecords records;
   test_support::MemoryTableService table{time, time, "own"};
+  routing::ReplicaLinks links{{}, {time, time, random, log, reachability, replicas}};
+  /// Nodes that may pass requests on; they are not homes of replicas.
+  FakeMembers relayMembers{"self"};
+  routing::RelayPeers relayPeers{{}, random, relayMembers, records};
   quarantine::RequestQuarantine quarantine{{},
                                            {time, time, random, log, peers, members, records, table,
                                             [this] { return table.serviceTime(); }}};
@@ -350,8 +361,8 @@
   std::weak_ptr<RelayFlow> flow;
   RelayService service{
       options(),
-      {time, time, log, client, replicas, holders, replicaSelector, replicaCrashDetector, parts,
-       placement, retries, quotas, quarantine, requestDurations, *this},
+      {time, time, log, client, replicas, holders, replicaSelector, replicaCrashDetector, links,
+       relayPeers, parts, placement, retries, quotas, quarantine, requestDurations, *this},
       tables,
       oneNode};
 };
--- a/tests/scripts/relay_soak.sh
+++ b/tests/scripts/relay_soak.sh
@@ -54,6 +54,12 @@
 fi
 await_all || failed=1
 
+# Callers that leave early while replicas do not read; nodes that are cut from all replicas.
+run_seed 11 1 0 --departures
+run_seed 12 1 0 --cuts
+run_seed 13 2 0 --cuts
+await_all || failed=1
+
 # All replicas limited, and nothing else wrong: each is used to its limit, also where all prompts share one part.
 run_seed 9 3 0 --calm-limits
 run_seed 10 3 0 --calm-limits --shared-parts 1
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -53,6 +53,7 @@
 callers = "{self.address}:7000"
 readiness = "{self.address}:7002"
 peers = "{self.address}:7001"
+relay = "peers+3"
 metrics = "{self.address}:7003"
 [connect]
 source = "{self.address}"
