Keep refusals of replicas that fail under many of them within what they withstand

From now on replicas may name in their answers how many requests a second they can turn away for want of room, let fewer wait, and fall over beyond that number (LIMIT).

The number travels with the reports of started and ended requests to the home of the replica, which alone decides what is sent there by all nodes (older builds ignore the new field). The home lets no more run at such a replica than it runs concurrently, after a refusal no more than were accepted then, one more again every 3 s, and grants nothing while half of the number was refused within a second.

--- a/src/clients/relay_client.h
+++ b/src/clients/relay_client.h
@@ -76,6 +76,8 @@
   /// It asked for a rest in a way that cannot be read.
   bool restUnreadable = false;
   RateLimitNotice rateLimit{};
+  /// How many requests per second the replica may refuse for lack of capacity without failing.
+  RateLimitNotice refusalLimit{};
 };
 
 /// Receiver of one attempt's answer. After onEnd or onFailure nothing follows. Never called from
--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -89,10 +89,10 @@
     placement.returnGrant(attempt_->grant, attempt_->outcome);
     return;
   }
-  const auto reportedLimit =
-      attempt_->response ? attempt_->response->rateLimit : clients::RateLimitNotice{};
+  const auto& response = attempt_->response;
   placement.reportEnded(attempt_->grant, attempt_->outcome, attempt_->watch.observed(),
-                        reportedLimit);
+                        response ? response->rateLimit : clients::RateLimitNotice{},
+                        response ? response->refusalLimit : clients::RateLimitNotice{});
 }
 
 void RelayFlow::onHead(clients::RelayedAnswer response) {
@@ -106,7 +106,8 @@
   endProbe(!wasNotRun(response));
   if (!wasNotRun(response)) {
     ++executions_;
-    dependencies_.placement.reportStarted(attempt_->grant, response.rateLimit);
+    dependencies_.placement.reportStarted(attempt_->grant, response.rateLimit,
+                                          response.refusalLimit);
   }
   if (!headDelivered_) bufferedBody_.clear();
   attempt_->response = std::move(response);
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -252,8 +252,10 @@
 }
 
 void Placement::reportStarted(const PlacementGrant& grant,
-                              const clients::RateLimitNotice& rateLimit) {
-  const PlacementStarted message{grant.id, grant.replica, isLeaving(grant.replica), rateLimit};
+                              const clients::RateLimitNotice& rateLimit,
+                              const clients::RateLimitNotice& refusalLimit) {
+  const PlacementStarted message{grant.id, grant.replica, isLeaving(grant.replica), rateLimit,
+                                 refusalLimit};
   if (isSelf(grant.homeId)) {
     home_.onStarted(message);
   } else {
@@ -263,13 +265,14 @@
 
 void Placement::reportEnded(const PlacementGrant& grant, PlacementOutcome outcome,
                             const StreamObservation& observed,
-                            const clients::RateLimitNotice& rateLimit) {
+                            const clients::RateLimitNotice& rateLimit,
+                            const clients::RateLimitNotice& refusalLimit) {
   sendEnded(grant, {grant.id, grant.replica, outcome, observed, isLeaving(grant.replica), rateLimit,
-                    false});
+                    false, refusalLimit});
 }
 
 void Placement::returnGrant(const PlacementGrant& grant, PlacementOutcome outcome) {
-  sendEnded(grant, {grant.id, grant.replica, outcome, {}, isLeaving(grant.replica), {}, true});
+  sendEnded(grant, {grant.id, grant.replica, outcome, {}, isLeaving(grant.replica), {}, true, {}});
 }
 
 void Placement::sendEnded(const PlacementGrant& grant, const PlacementEnded& message) {
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -205,14 +205,16 @@
   /// Reports a control call, which is not an inference request, to the home of a rate-limited
   /// replica, so that the call counts against the limit.
   void countControlCall(const ReplicaRecord& replica);
-  /// Reports to the home that the response started, together with the rate limit in its headers and
+  /// Reports to the home that the response started, together with the limits in its headers and
   /// with whether the replica is leaving.
-  void reportStarted(const PlacementGrant& grant, const clients::RateLimitNotice& rateLimit = {});
+  void reportStarted(const PlacementGrant& grant, const clients::RateLimitNotice& rateLimit = {},
+                     const clients::RateLimitNotice& refusalLimit = {});
   /// Reports to the home that the request ended or was rejected by the replica, together with the
-  /// rate limit in the response headers and with whether the replica is leaving.
+  /// limits in the response headers and with whether the replica is leaving.
   void reportEnded(const PlacementGrant& grant, PlacementOutcome outcome,
                    const StreamObservation& observed = {},
-                   const clients::RateLimitNotice& rateLimit = {});
+                   const clients::RateLimitNotice& rateLimit = {},
+                   const clients::RateLimitNotice& refusalLimit = {});
   /// Returns a grant whose request is not sent to the replica.
   void returnGrant(const PlacementGrant& grant,
                    PlacementOutcome outcome = PlacementOutcome::kWithdrawn);
--- a/src/routing/placement_home.cc
+++ b/src/routing/placement_home.cc
@@ -194,6 +194,7 @@
   if (known == replicas_.end()) return;
   auto& state = known->second;
   onRateLimitReported(started.replica, started.rateLimit, state, started.id);
+  onRefusalLimitReported(started.refusalLimit, state);
   const auto prompt = state.ledger.begin(started.id, environment_.clock.now());
   if (!prompt) return;
   environment_.holders.addChain(started.replica, prompt->scope, chainOf(prompt->parts));
@@ -206,6 +207,7 @@
   if (known == replicas_.end()) return;
   auto& state = known->second;
   onRateLimitReported(ended.replica, ended.rateLimit, state, ended.id);
+  onRefusalLimitReported(ended.refusalLimit, state);
   if (state.waiting.contains(ended.id)) {
     state.queue.withdraw(ended.id);
     state.waiting.erase(ended.id);
@@ -218,6 +220,12 @@
   if (!record && state.ledger.idle()) replicas_.erase(known);
 }
 
+void PlacementHome::onRefusalLimitReported(const clients::RateLimitNotice& notice,
+                                           ReplicaQueue& state) {
+  if (notice.kind == clients::RateLimitNotice::Kind::kNothing) return;
+  state.ledger.setRefusalLimit(notice.limited() ? std::optional(notice.perSecond) : std::nullopt);
+}
+
 void PlacementHome::serveQueue(base::EngineId replica, ReplicaQueue& state) {
   if (state.waiting.empty()) return;
   applyRateLimit(replica, state);
--- a/src/routing/placement_home.h
+++ b/src/routing/placement_home.h
@@ -138,6 +138,8 @@
   /// Takes over what the sender of the query has observed of the replica's rate limit.
   void adoptRateLimit(const PlacementQuery& query);
   /// Takes over the rate limit that the replica reported in a response to some node.
+  /// Processes a report of how many refusals per second the replica withstands.
+  static void onRefusalLimitReported(const clients::RateLimitNotice& notice, ReplicaQueue& state);
   void onRateLimitReported(base::EngineId replica, const clients::RateLimitNotice& notice,
                            const ReplicaQueue& state, std::uint64_t grant);
   /// Applies the currently known rate limit of the replica.
--- a/src/routing/placement_messages.cc
+++ b/src/routing/placement_messages.cc
@@ -23,8 +23,8 @@
 constexpr std::uint32_t kQueryFields = 23;
 constexpr std::uint32_t kReplyFields = 18;
 constexpr std::uint32_t kUngrantedDispatchFields = 9;
-constexpr std::uint32_t kStartedFields = 5;
-constexpr std::uint32_t kEndedFields = 11;
+constexpr std::uint32_t kStartedFields = 6;
+constexpr std::uint32_t kEndedFields = 12;
 constexpr std::uint32_t kPartFields = 2;
 /// Prompts have only a few shared parts; a message with more than this is invalid.
 constexpr std::uint32_t kMaximumParts = 64;
@@ -114,6 +114,7 @@
   begin(writer, kStartedFields, MessageType::kStarted).unsignedInteger(started.id);
   writer.unsignedInteger(started.replica.value).boolean(started.leaving);
   write(writer, started.rateLimit);
+  write(writer, started.refusalLimit);
 }
 
 void write(base::Writer& writer, const PlacementEnded& ended) {
@@ -126,6 +127,7 @@
   writer.signedInteger(ended.observed.nodeLateness.count()).boolean(ended.leaving);
   write(writer, ended.rateLimit);
   writer.boolean(ended.notSent);
+  write(writer, ended.refusalLimit);
 }
 
 /// Reads a flag that earlier builds do not send; false if it is absent.
@@ -252,6 +254,7 @@
   started.replica = readReplica(reader);
   started.leaving = readFlag(reader);
   started.rateLimit = readNotice(reader);
+  started.refusalLimit = readNotice(reader);
   return started;
 }
 
@@ -269,6 +272,7 @@
   ended.leaving = readFlag(reader);
   ended.rateLimit = readNotice(reader);
   ended.notSent = readFlag(reader);
+  ended.refusalLimit = readNotice(reader);
   return ended;
 }
 
--- a/src/routing/placement_messages.h
+++ b/src/routing/placement_messages.h
@@ -163,6 +163,8 @@
   bool leaving = false;
   /// Rate limit reported in the header of the response.
   clients::RateLimitNotice rateLimit{};
+  /// Refusals per second that the replica withstands, reported likewise.
+  clients::RateLimitNotice refusalLimit{};
 };
 
 struct PlacementEnded {
@@ -177,6 +179,8 @@
   clients::RateLimitNotice rateLimit{};
   /// The request was never sent to the replica.
   bool notSent = false;
+  /// Refusals per second that the replica withstands, as reported in the header of the response.
+  clients::RateLimitNotice refusalLimit{};
 };
 
 using PlacementMessage = std::variant<PlacementQuery, PlacementReply, UngrantedDispatch,
--- a/src/routing/replica_ledger.cc
+++ b/src/routing/replica_ledger.cc
@@ -86,6 +86,7 @@
       health_.onSuccess(now);
       break;
     case PlacementOutcome::kRefused:
+      refusals_.onRefused(grants_.size(), now);
       atCapacityUntil_ = now + options_.atCapacityFor;
       break;
     case PlacementOutcome::kFailed:
@@ -125,6 +126,7 @@
   constexpr std::uint32_t kMinimumWaiting = 2;
   if (!pacer_.mayPass(now)) return false;
   const auto current = load(now);
+  if (!refusals_.allows(current.requests, work.slots, now)) return false;
   if (current.requests == 0) return true;
   const auto waiting = std::max(kMinimumWaiting, work.slots / 2);
   if (work.slots > 0 && current.requests >= work.slots + waiting) return false;
--- a/src/routing/replica_ledger.h
+++ b/src/routing/replica_ledger.h
@@ -17,6 +17,7 @@
 #include "routing/placement_messages.h"
 #include "routing/prefill_speed.h"
 #include "routing/rate_pacer.h"
+#include "routing/refusal_limiter.h"
 #include "routing/replica_health.h"
 #include "routing/replica_speed_model.h"
 
@@ -60,6 +61,9 @@
     pacer_.setRate(perSecond, now);
     health_.setInterval(pacer_.interval());
   }
+  /// Sets how many requests per second the replica may refuse for lack of capacity without failing;
+  /// empty: any number.
+  void setRefusalLimit(std::optional<double> perSecond) { refusals_.setLimit(perSecond); }
   const RatePacer& pacer() const { return pacer_; }
   /// Counts a control call to the replica.
   void countControlCall(base::TimePoint now) { pacer_.onPassed(now); }
@@ -121,6 +125,7 @@
   ReplicaHealth health_;
   ReplicaSpeedModel speedModel_;
   RatePacer pacer_;
+  RefusalLimiter refusals_;
   /// Running mean of the tokens that wait to be prefilled, as an estimate of what a new stream will
   /// encounter.
   double usualBacklog_ = 0;
--- a/tests/platform/http_dialect_test.cc
+++ b/tests/platform/http_dialect_test.cc
@@ -262,6 +262,21 @@
   BOOST_TEST(response.header("X-Covewing-Request-Id") == "id");
 }
 
+BOOST_AUTO_TEST_CASE(ResponseOfAnyStatusReportsHowManyRefusalsTheReplicaWithstands) {
+  clients::DispatchTerms terms;
+  terms.expectedInstance = "i-1@17";
+  const auto read = [&](unsigned status, std::vector<live::HeaderField> headers) {
+    return HttpDialect{}.readAnswer({status, std::move(headers), {}}, terms).refusalLimit;
+  };
+  for (const unsigned status : {200U, 404U, 429U, 500U, 503U}) {
+    BOOST_TEST(read(status, {{"Server-Brittle", "3"}}).perSecond == 3.0, status);
+    BOOST_TEST((read(status, {}).kind == clients::RateLimitNotice::Kind::kUnlimited), status);
+  }
+  // Another replica responds at the address.
+  const auto other = read(421, {{"X-Covewing-Instance-Id", "i-2"}, {"Server-Brittle", "3"}});
+  BOOST_TEST((other.kind == clients::RateLimitNotice::Kind::kNothing));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::platform
