Soak: replicas that fall over when they turn many requests away

All replicas of the model name how many refusals a second they withstand, 2 to 8, and let 0 to 3 requests wait from 3 s later, under eight times the usual callers.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -124,6 +124,25 @@
                 f"{max(self.late.values()):.3f} s after their callers had left")
 
 
+class BrittleRule:
+    """While replicas say that they fall over when they have to turn too many requests away for want of
+    room, they fall no more often than MOST_FALLS and a tenth of their number."""
+
+    MOST_FALLS = 2
+    SHARE = 0.1
+
+    def __init__(self):
+        self.falls: list[str] = []
+
+    def on_fall(self, instance: str):
+        self.falls.append(instance)
+
+    def broken(self, replicas: int) -> str:
+        if len(self.falls) <= self.MOST_FALLS + self.SHARE * replicas:
+            return ""
+        return f"of {replicas} brittle replicas fell: {' '.join(self.falls)}"
+
+
 @dataclasses.dataclass
 class Cut:
     """Nodes are cut from all replicas for some time; how first tries went meanwhile."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,6 +7,7 @@
 
 from callers import UNSAFE, Caller
 from checks import CALM_AFTER, Trouble
+from model_replicas import QUEUE
 from nodes import Node
 from replicas import DEADLY
 from wire import now
@@ -20,6 +21,16 @@
 CALM_LIMIT_CALLERS = 6
 
 
+# Requests a second that brittle replicas can turn away, how many may wait there, how long after they
+# said so that begins, and for how long (seconds).
+BRITTLE = (2, 8)
+BRITTLE_ROOM = (0, 3)
+BRITTLE_AFTER = 3.0
+BRITTLE_FOR = 12.0
+# So many times the usual callers, so that they want more than all replicas take.
+BRITTLE_CALLERS = 8
+
+
 class Faults:
     def __init__(self, soak):
         self.soak = soak
@@ -387,6 +398,23 @@
             replica.name_limit(None)
         await asyncio.sleep(1)
 
+    async def make_all_brittle(self):
+        """All replicas of the model say that they are brittle, and let fewer requests wait from
+        BRITTLE_AFTER on, while callers want more than they take."""
+        draw, replicas = random.Random(self.soak.options.seed), self.soak.model_replicas
+        for replica in replicas:
+            replica.notices.brittle = draw.randint(*BRITTLE)
+        await asyncio.sleep(BRITTLE_AFTER)
+        for replica in replicas:
+            replica.room_to_wait = draw.randint(*BRITTLE_ROOM)
+        await asyncio.sleep(BRITTLE_FOR)
+        for replica in replicas:
+            replica.notices.brittle, replica.room_to_wait = None, QUEUE
+        self.soak.counts["brittle replicas fell"] = len(self.soak.brittleness.falls)
+        if fell := self.soak.brittleness.broken(len(replicas)):
+            self.soak.violate(fell, "brittle")
+        await asyncio.sleep(1)
+
     # --- callers
 
     async def deadly_wave(self, draw):
--- a/tests/soak/model_replicas.py
+++ b/tests/soak/model_replicas.py
@@ -57,6 +57,10 @@
         self.life: Life | None = None
         self.notices = Notices()
         self.state = "ready"
+        # How many requests may wait here before they begin.
+        self.room_to_wait = QUEUE
+        # When requests were turned away for want of room.
+        self.turned_away: list[float] = []
 
     @property
     def run_name(self) -> str:
@@ -185,6 +189,16 @@
 
     # --- requests
 
+    def turn_away_for_want_of_room(self, identifier: str):
+        """A brittle replica falls over when it has to do so more often in a second than it says."""
+        self.turned_away = [at for at in self.turned_away if at > now() - 1] + [now()]
+        brittle = self.notices.brittle
+        if brittle is not None and len(self.turned_away) > brittle:
+            self.soak.brittleness.on_fall(self.instance)
+            self.crash()
+            return None
+        return self.refusal(503, identifier)
+
     def draw_wait(self, life: Life) -> float:
         """Most begin at once; some, and all while the replica is cold, wait long."""
         slow = now() < life.started + COLD_FOR or self.random.random() < 0.15
@@ -197,8 +211,10 @@
         expected = message.headers.get("x-covewing-expected-version", str(self.version))
         if expected != str(self.version):
             return self.refusal(421, identifier)
-        if life.loading or life.waiting + len(life.running) >= SLOTS + QUEUE:
+        if life.loading:
             return self.refusal(503, identifier)
+        if life.waiting + len(life.running) >= SLOTS + self.room_to_wait:
+            return self.turn_away_for_want_of_room(identifier)
         arrived = now()
         if await self.wait_is_cut(life):
             return self.refusal(503, identifier)
--- a/tests/soak/notices.py
+++ b/tests/soak/notices.py
@@ -34,11 +34,15 @@
         self.rest = 0.0
         # Requests a second that are taken; None: no limit is named.
         self.limit: float | None = None
+        # Requests a second that may be turned away for want of room; None: any number.
+        self.brittle: float | None = None
 
     def headers(self) -> list[tuple[str, str]]:
         fields = [("Server-Leaving", "1")] if self.leaving else []
         if self.limit is not None:
             fields.append(("Server-Limit", f"{self.limit:g}"))
+        if self.brittle is not None:
+            fields.append(("Server-Brittle", f"{self.brittle:g}"))
         return fields
 
     def turns_away(self) -> bool:
--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -35,6 +35,8 @@
   one that asked for rest, from the node that heard it (checks.NoticeRule);
 - with --limits: no replica gets more than it takes from the nodes that were told (checks.LimitRule);
 - with --departures: next to nothing reaches a replica long after its caller has left (checks.DepartureRule);
+- with --brittle: replicas that fall over when they turn many requests away next to never do
+  (checks.BrittleRule);
 - with --cuts: nodes that are cut from all replicas serve nearly as well as the others (checks.CutRule);
 - nothing arrives at the address of an entry by another writer;
 - no two nodes give orders with one fencing token;
@@ -58,11 +60,11 @@
 import tempfile
 
 from callers import KEY, RESUMABLE, SAFE, STREAM, Caller, KeyCaller, PatientCaller
-from checks import (ConfigurationRule, CutRule, DepartureRule, LimitRule, NoticeRule, Outcome, RepeatRule, Sent, Trouble, VersionRule,
+from checks import (BrittleRule, ConfigurationRule, CutRule, DepartureRule, LimitRule, NoticeRule, Outcome, RepeatRule, Sent, Trouble, VersionRule,
                     calm_since)
 from cuts import SHAPES, cut_nodes_from_replicas
 from departures import leave_in_bursts
-from faults import CALM_LIMIT_CALLERS, Faults
+from faults import BRITTLE_CALLERS, CALM_LIMIT_CALLERS, Faults
 from model_replicas import MODEL, MODEL_SERVICE, ModelReplica
 from nodes import Node
 from operators import ADDED_ROUTES, KEYS, ROUTE_TIMEOUT_MS, Operators
@@ -145,6 +147,7 @@
         self.limits = LimitRule()
         self.departures = DepartureRule()
         self.cuts = CutRule()
+        self.brittleness = BrittleRule()
         # The runs that named a limit in an answer to a request.
         self.limit_told = collections.defaultdict(set)
         # Of refusals, from the request to the answer (seconds).
@@ -404,7 +407,9 @@
             self.spawn(self.watch_lag())
             self.spawn(self.watch_processes())
             # Half of the callers want streams from the model.
-            callers = self.options.callers * (CALM_LIMIT_CALLERS if self.options.calm_limits else 1)
+            callers = self.options.callers * (
+                CALM_LIMIT_CALLERS if self.options.calm_limits else
+                BRITTLE_CALLERS if self.options.brittle else 1)
             for number in range(callers):
                 caller = Caller(self, number)
                 if number % 2 == 0:
@@ -437,6 +442,9 @@
         if self.options.departures:
             await leave_in_bursts(self, random.Random(self.options.seed))
             return
+        if self.options.brittle:
+            await self.faults.make_all_brittle()
+            return
         if self.options.cuts:
             await cut_nodes_from_replicas(self, self.options.cut_shape)
             return
@@ -548,6 +556,8 @@
                         help="the table service comes back from copies some seconds old")
     parser.add_argument("--departures", action="store_true",
                         help="one sequence in place of the series (departures.leave_in_bursts)")
+    parser.add_argument("--brittle", action="store_true",
+                        help="one sequence in place of the series (faults.make_all_brittle)")
     parser.add_argument("--cuts", action="store_true",
                         help="one sequence in place of the series (cuts.cut_nodes_from_replicas)")
     parser.add_argument("--cut-shape", choices=SHAPES, help="of all cuts; drawn for each without it")
