Wait longer than a sound replica may be silent before its connections are given up

Callers of requests that may run once got 502 then: the bound on unacknowledged bytes was 1 s, and as the user time-out it also decides when keep-alive probes give up.

--- a/src/live/relay_part_options.cc
+++ b/src/live/relay_part_options.cc
@@ -60,7 +60,9 @@
   limits.sourceAddress = settings.sourceAddress;
   limits.requestIdHeader = dialect.requestIdHeader();
   limits.skipMismatchedResponses = true;
-  limits.unacknowledgedTimeout = std::chrono::milliseconds(1000);
+  // A sound replica may be silent for more than a second. What it has received by then may not be
+  // sent again, and waits for it.
+  limits.unacknowledgedTimeout = std::chrono::milliseconds(2500);
   limits.connectTimeout = std::chrono::milliseconds(500);
   limits.idleTimeout = std::chrono::seconds(20);
   return limits;
--- a/tests/scripts/relay_soak.sh
+++ b/tests/scripts/relay_soak.sh
@@ -54,10 +54,13 @@
 fi
 await_all || failed=1
 
-# Callers that leave early while replicas do not read; nodes that are cut from all replicas.
+# Callers that leave early while replicas do not read; nodes that are cut from all replicas; replicas that fall over
+# when they turn many requests away; replicas that are silent for about a second.
 run_seed 11 1 0 --departures
 run_seed 12 1 0 --cuts
 run_seed 13 2 0 --cuts
+run_seed 14 1 0 --brittle
+run_seed 15 2 0 --silences
 await_all || failed=1
 
 # All replicas limited, and nothing else wrong: each is used to its limit, also where all prompts share one part.
--- a/tests/soak/cuts.py
+++ b/tests/soak/cuts.py
@@ -129,3 +129,37 @@
         heal(replica.listener)
     for trouble in troubles:
         trouble.end = now()
+
+
+# How long sound replicas are silent, how long they answer in between, and how often (seconds).
+SILENT_FOR = (0.8, 1.4)
+ANSWER_FOR = 2.5
+SILENCES = 6
+# All is served again this long after a silence (seconds).
+SERVED_AGAIN_AFTER = 0.8
+
+
+async def silence_replicas(soak):
+    """Half of the replicas of a service, or all, are silent for about a second and go on: neither their
+    processes nor their connections end. Requests that may run once wait for them."""
+    draw = random.Random(f"{soak.options.seed}/silences")
+    for node in soak.nodes:
+        soak.spawn(come_anew(soak, node))
+    await asyncio.sleep(2)
+    addresses = [node.address for node in soak.nodes]
+    for _ in range(SILENCES):
+        replicas = draw.choice([soak.replicas, soak.model_replicas])
+        if draw.random() < 0.5:
+            replicas = draw.sample(replicas, len(replicas) // 2)
+        soak.say(f"silent: {[replica.instance for replica in replicas]}")
+        began = now()
+        for replica in replicas:
+            cut_from(replica.listener, "silent", addresses)
+        await asyncio.sleep(draw.uniform(*SILENT_FOR))
+        for replica in replicas:
+            heal(replica.listener)
+        soak.silences.append((began, now()))
+        await asyncio.sleep(ANSWER_FOR)
+    await asyncio.sleep(2)
+    for violation in soak.broken_by_silences():
+        soak.violate(violation, "silence")
--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -35,6 +35,8 @@
   one that asked for rest, from the node that heard it (checks.NoticeRule);
 - with --limits: no replica gets more than it takes from the nodes that were told (checks.LimitRule);
 - with --departures: next to nothing reaches a replica long after its caller has left (checks.DepartureRule);
+- with --silences: while sound replicas are silent for about a second, nothing is given up, and all is served
+  again behind that;
 - with --brittle: replicas that fall over when they turn many requests away next to never do
   (checks.BrittleRule);
 - with --cuts: nodes that are cut from all replicas serve nearly as well as the others (checks.CutRule);
@@ -59,10 +61,10 @@
 import sys
 import tempfile
 
-from callers import KEY, RESUMABLE, SAFE, STREAM, Caller, KeyCaller, PatientCaller
+from callers import KEY, KINDS, RESUMABLE, SAFE, STREAM, Caller, KeyCaller, PatientCaller
 from checks import (BrittleRule, ConfigurationRule, CutRule, DepartureRule, LimitRule, NoticeRule, Outcome, RepeatRule, Sent, Trouble, VersionRule,
                     calm_since)
-from cuts import SHAPES, cut_nodes_from_replicas
+from cuts import SERVED_AGAIN_AFTER, SHAPES, cut_nodes_from_replicas, silence_replicas
 from departures import leave_in_bursts
 from faults import BRITTLE_CALLERS, CALM_LIMIT_CALLERS, Faults
 from model_replicas import MODEL, MODEL_SERVICE, ModelReplica
@@ -148,6 +150,10 @@
         self.departures = DepartureRule()
         self.cuts = CutRule()
         self.brittleness = BrittleRule()
+        # When sound replicas were silent, from and to.
+        self.silences: list[tuple[float, float]] = []
+        # Requests that were not served: their kinds, when they were sent and when they ended.
+        self.unserved: dict[str, tuple[str, float, float]] = {}
         # The runs that named a limit in an answer to a request.
         self.limit_told = collections.defaultdict(set)
         # Of refusals, from the request to the answer (seconds).
@@ -204,6 +210,8 @@
 
     def on_answer(self, identifier, kind, body, answer):
         self.counts[answer.status] += 1
+        if answer.status != 200:
+            self.unserved[identifier] = (f"{kind.name} {answer.status}", self.sent[identifier].at, now())
         for run in self.leaving_told.pop(identifier, ()):
             self.notices.on_passed_on(self.sent_to[identifier].index, run, now())
         for run in self.limit_told.pop(identifier, ()):
@@ -290,12 +298,32 @@
 
     def on_broken(self, node, process, identifier, body, after):
         self.counts["broken"] += 1
+        self.unserved[identifier] = (f"{self.kinds[identifier].name} broken", now() - after, now())
         # A stream is cut also where the time of its route is up; that is allowed.
         planned = node.stopping and node.process is process and after < ROUTE_TIMEOUT_MS / 1000
         if planned and self.runs[identifier] > 0 and identifier not in self.cut_runs and not (
                 body.startswith(DEADLY)):
             self.violate(f"{identifier} was broken off by the planned stop of node-{node.index}")
 
+    def broken_by_silences(self) -> list[str]:
+        """What was given up though replicas were only silent for a while. What may run again is sent
+        elsewhere meanwhile, as far as the bound on retries allows; it may be refused where all of a service
+        is silent."""
+        may_run_once = {kind.name for kind in KINDS if kind.once}
+        given_up = collections.Counter(
+            what for what, _, _ in self.unserved.values()
+            if what.split()[0] in may_run_once and not what.endswith("503"))
+        self.counts["unserved around silences"] = len(self.unserved)
+        late = collections.Counter(
+            what for what, sent, ended in self.unserved.values()
+            if all(ended < begin or sent > end + SERVED_AGAIN_AFTER for begin, end in self.silences))
+        texts = []
+        if given_up:
+            texts.append(f"given up around silences of replicas: {dict(given_up)}")
+        if late:
+            texts.append(f"not served though no replica was silent: {dict(late)}")
+        return texts
+
     # --- the run
 
     def take_slot(self):
@@ -445,6 +473,9 @@
         if self.options.brittle:
             await self.faults.make_all_brittle()
             return
+        if self.options.silences:
+            await silence_replicas(self)
+            return
         if self.options.cuts:
             await cut_nodes_from_replicas(self, self.options.cut_shape)
             return
@@ -558,6 +589,8 @@
                         help="one sequence in place of the series (departures.leave_in_bursts)")
     parser.add_argument("--brittle", action="store_true",
                         help="one sequence in place of the series (faults.make_all_brittle)")
+    parser.add_argument("--silences", action="store_true",
+                        help="one sequence in place of the series (cuts.silence_replicas)")
     parser.add_argument("--cuts", action="store_true",
                         help="one sequence in place of the series (cuts.cut_nodes_from_replicas)")
     parser.add_argument("--cut-shape", choices=SHAPES, help="of all cuts; drawn for each without it")
