Let a node that reaches few replicas give up the lease for the rollout of weights

Versions of weights would have waited for as long as the holder of the lease was cut from the replicas: its orders reach none, and it renewed the lease all the same. Found by reading, beside the same cause as nodes that serve nothing (one way to a replica).

Orders are not passed on by other nodes, since orders from two machines are those of two holders. A holder whose links to more than half of the replicas have failed stops at its next renewal, within 0.75 s with a lease of 3 s, and neither renews nor competes until they work again; the next candidate takes the lease when it has expired, as after a crash.

Failed before: LeaseSuccessionTest/HolderThatCannotOrderLetsTheLeaseExpire (the condition did not exist).

--- a/src/coordination/lease_manager.cc
+++ b/src/coordination/lease_manager.cc
@@ -212,8 +212,9 @@
   if (!started_ || stopped_ || callInFlight_) return;
   if (releasing_) return writeRelease();
   if (tenure_ && hasExpired()) endTenure("not renewed in time");
+  if (tenure_ && !isAble()) endTenure("this node cannot do the holder's work");
   if (tenure_) return renew();
-  if (isCandidate()) return stepAsCandidate();
+  if (isCandidate() && isAble()) return stepAsCandidate();
   // Changes of the row go unnoticed while it is not observed, so its age would be wrong: start over
   // when this node becomes a candidate again.
   observed_.reset();
--- a/src/coordination/lease_manager.h
+++ b/src/coordination/lease_manager.h
@@ -86,6 +86,9 @@
   base::EventLog& log;
   clients::TableClient& table;
   const membership::MemberDirectory& members;
+  /// Whether this node can do the holder's work. While it cannot, it neither competes for the lease
+  /// nor renews it. Empty: always.
+  std::function<bool()> able{};
 };
 
 /// Proof of holding a lease, for conditions of writes and for orders.
@@ -213,6 +216,8 @@
   void scheduleStep(base::Duration delay);
   void backOff();
   bool isCandidate() const;
+  /// Whether this node can do the holder's work.
+  bool isAble() const { return !environment_.able || environment_.able(); }
   bool hasExpired() const;
   bool isOwn(const LeaseRow& row) const;
   /// The row was written by an earlier incarnation of this node.
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -101,7 +101,8 @@
                      replicas, holders, weightsTargets,
                      [this](const std::string& name) { return replicasForLongRequests(name); },
                      [this](const std::string& name) { return replicasInUse(name); },
-                     [this](const std::string& name) { return hasService(name); }}),
+                     [this](const std::string& name) { return hasService(name); },
+                     [this] { return !links.mostFailed(); }}),
         announcementTimeStore(
             ownTable, clock, timers, [this] { return configurationWatch.serviceTime(); },
             [this](bool lastCheck) { return writesAnnouncementTimes(lastCheck); }),
--- a/src/node/weights_coordinator.h
+++ b/src/node/weights_coordinator.h
@@ -47,6 +47,8 @@
   std::function<double(const std::string& service)> replicasInUse;
   /// Whether the configuration contains the service.
   std::function<bool(const std::string& service)> isConfigured{};
+  /// Whether this node reaches enough replicas to send orders to them. Empty: always.
+  std::function<bool()> canOrder{};
 };
 
 class WeightsCoordinator final : public base::PeerHandler,
--- a/tests/coordination/lease_succession_test.cc
+++ b/tests/coordination/lease_succession_test.cc
@@ -31,10 +31,10 @@
     options.orderGap = seconds(3);
     options.orderWindow = milliseconds(1500);
     options.orderTransitTime = milliseconds(800);
-    lease.emplace(
-        options,
-        LeaseEnvironment{node.time, node.time, node.random, node.log, node.table, node.members},
-        *this);
+    lease.emplace(options,
+                  LeaseEnvironment{node.time, node.time, node.random, node.log, node.table,
+                                   node.members, [this] { return able; }},
+                  *this);
     lease->start();
   }
   void onLeaseWritten(const LeaseAnnouncement& /*announcement*/) override {}
@@ -58,6 +58,7 @@
   int acquired = 0;
   int lost = 0;
   base::Duration settleTime{};
+  bool able = true;
 };
 
 }  // namespace
@@ -145,6 +146,21 @@
   BOOST_TEST(message->announcement->row.settled);
 }
 
+// A holder that reaches no replica would keep the lease, and no version would be rolled out.
+BOOST_AUTO_TEST_CASE(HolderThatCannotOrderLetsTheLeaseExpire) {
+  NextHolder next(encodeLeaseRow({"node-b", 1, 5, 7, true, "10.1.2.3:9", true}));
+  BOOST_REQUIRE(next.waitForAcquisition(1));
+  next.able = false;
+  next.world.run(milliseconds(800));
+  BOOST_TEST(next.lost == 1);
+  BOOST_TEST(!next.lease->grant().has_value());
+  const auto row = next.world.table.readNow({leaseKey("orders")}).rows.at(0).revision;
+  next.world.run(seconds(10));
+  BOOST_TEST(next.world.table.readNow({leaseKey("orders")}).rows.at(0).revision == row);
+  next.able = true;
+  BOOST_TEST(next.waitForAcquisition(2));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::coordination
