--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -31,6 +31,7 @@
 #include "node/configuration_gossip.h"
 #include "node/node_count.h"
 #include "node/pause_detector.h"
+#include "node/service_demand.h"
 #include "node/wake_gate.h"
 #include "node/weights_coordinator.h"
 #include "routing/cache_watch.h"
@@ -96,13 +97,16 @@
                            clock, timers, random, feeds, configuration),
         replicaWatch(replicaWatchOptions(deployment.replicaTable), clock, timers, random, feeds,
                      replicaList),
-        coordinator(coordinatorOptions(settings),
-                    {clock, timers, random, log, peers, ownTable, weights, membership, membership,
-                     replicas, holders, weightsTargets,
-                     [this](const std::string& name) { return replicasForLongRequests(name); },
-                     [this](const std::string& name) { return replicasInUse(name); },
-                     [this](const std::string& name) { return hasService(name); },
-                     [this] { return !links.mostFailed(); }}),
+        demand({clock, configuration, replicas, fleetLoad, requestDurations,
+                [this] { return nodes(); }}),
+        coordinator(
+            coordinatorOptions(settings),
+            {clock, timers, random, log, peers, ownTable, weights, membership, membership, replicas,
+             holders, weightsTargets,
+             [this](const std::string& name) { return demand.replicasForLongRequests(name); },
+             [this](const std::string& name) { return demand.replicasInUse(name); },
+             [this](const std::string& name) { return demand.isConfigured(name); },
+             [this] { return !links.mostFailed(); }}),
         announcementTimeStore(
             ownTable, clock, timers, [this] { return configurationWatch.serviceTime(); },
             [this](bool lastCheck) { return writesAnnouncementTimes(lastCheck); }),
@@ -111,7 +115,7 @@
         cacheWatch({},
                    {clock, timers, random, log, deployment.cacheFeeds, replicas, stores, membership,
                     holders},
-                   [this](const std::string& name) { return eventWatchers(name); }),
+                   [this](const std::string& name) { return demand.eventWatchers(name); }),
         retryWindows({settings.retryWindow, settings.retryRatio, settings.retrySlack}, clock.now(),
                      [this] { return retryNodes(); }),
         quotas(quotaOptions(),
@@ -214,54 +218,12 @@
     if (before != now) partLookup.announce(change.part, {change.holder, change.scope}, now);
   }
 
-  std::uint32_t eventWatchers(const std::string& name) const {
-    const auto table = configuration.table();
-    const auto* found = table ? table->findService(name) : nullptr;
-    return found != nullptr && found->engine ? found->engine->eventWatchers : 0;
-  }
-
   bool writesAnnouncementTimes(bool lastCheck) {
     if (coordinator.isLeaseCandidate()) return true;
     return lastCheck &&
            random.below(std::max<std::size_t>(nodes(), 1)) < kFallbackAnnouncementWriters;
   }
 
-  bool hasService(const std::string& name) const {
-    const auto table = configuration.table();
-    return table != nullptr && table->findService(name) != nullptr;
-  }
-
-  std::size_t replicasForLongRequests(const std::string& name) {
-    const auto table = configuration.table();
-    const auto* found = table ? table->findService(name) : nullptr;
-    const auto slots = found != nullptr && found->engine ? found->engine->slots : 1;
-    return requestDurations.replicasForLongRuns(name, slots, nodes(), clock.now());
-  }
-
-  /// Number of replicas that the load of all nodes fills, by slots or cache memory. Uses the load
-  /// reports of the other nodes if more than half of all nodes report, counting this one; otherwise
-  /// this node's own load times the number of nodes.
-  double replicasInUse(const std::string& name) {
-    const auto table = configuration.table();
-    const auto* found = table ? table->findService(name) : nullptr;
-    if (found == nullptr || !found->engine) return 0;
-    routing::ReplicaLoad own;
-    routing::ReplicaLoad others;
-    for (const auto& record : replicas.ofService(name)) {
-      own += record->ownLoad();
-      others += fleetLoad.loadOfOtherNodes(base::engineIdOf(record->facts().instance), clock.now());
-    }
-    const auto count = nodes();
-    const bool loadReported = 2 * (fleetLoad.reportingNodes(clock.now()) + 1) > count;
-    const auto inUse = [&](double nodeLoad, double othersLoad, double each) {
-      return (loadReported ? nodeLoad + othersLoad : nodeLoad * static_cast<double>(count)) /
-             std::max(1.0, each);
-    };
-    return std::max(inUse(own.requests, others.requests, found->engine->slots),
-                    inUse(static_cast<double>(own.tokens), static_cast<double>(others.tokens),
-                          static_cast<double>(found->engine->cacheTokens)));
-  }
-
   bool ready() const {
     return !draining && configuration.table() != nullptr && replicaList.loaded() &&
            service.confirmed();
@@ -490,6 +452,8 @@
   config::SharedFeed feeds;
   config::TableWatch configurationWatch;
   config::TableWatch replicaWatch;
+  routing::RequestDurations requestDurations;
+  node::ServiceDemand demand;
   node::WeightsCoordinator coordinator;
   node::AnnouncementTimeStore announcementTimeStore;
   node::AnnouncementTimeResolver announcementTimeResolver;
@@ -498,7 +462,6 @@
   admission::RetryWindows retryWindows;
   admission::TenantQuotas quotas;
   quarantine::RequestQuarantine quarantine;
-  routing::RequestDurations requestDurations;
   base::Duration suspendedBefore = suspendedTime();
   node::PauseDetector pauseDetector;
   node::WakeGate wakeGate;
--- a/src/routing/replica_links.h
+++ b/src/routing/replica_links.h
@@ -74,8 +74,8 @@
 
   /// No connection to the replica could be made.
   void onConnectFailed(const ReplicaRecord& replica);
-  /// Probes the link because there is doubt about it; calls `finished`, later, with whether it
-  /// works. Does so without a probe if the link is known to have failed.
+  /// Probes the link and calls `finished`, later, with whether it works; without a probe if the
+  /// link is known to have failed.
   void verify(const ReplicaRecord& replica, std::function<void(bool)> finished);
   /// A connection to the replica broke while a request was in flight. Returns whether connections
   /// to several replicas broke at the same time, so that the replica is not to be blamed.
--- a/tests/routing/replica_links_test.cc
+++ b/tests/routing/replica_links_test.cc
@@ -122,7 +122,7 @@
   BOOST_TEST(log.count(base::Event::kReplicaLinkRestored) == 0U);
 }
 
-BOOST_AUTO_TEST_CASE(DoubtAboutAWorkingLinkIsSettledByAProbe) {
+BOOST_AUTO_TEST_CASE(ProbeDecidesWhetherALinkWorks) {
   std::optional<bool> works;
   links.verify(replica(3), [&](bool result) { works = result; });
   time.advance(milliseconds(10));
