--- a/tests/soak/cuts.py
+++ b/tests/soak/cuts.py
@@ -1,4 +1,4 @@
-"""Nodes that lose their links to all replicas, while callers, the table service and other nodes reach
+"""Nodes that lose their links to all replicas, or to some, while callers, the table service and other nodes reach
 them."""
 
 import asyncio
@@ -92,6 +92,17 @@
         await asyncio.sleep(CALLER_EVERY)
 
 
+def draw_replicas(soak, draw):
+    """All replicas, those of one service, or a third of all."""
+    replicas = soak.replicas + soak.model_replicas
+    drawn = draw.random()
+    if drawn < 0.6:
+        return replicas
+    if drawn < 0.8:
+        return draw.choice([soak.replicas, soak.model_replicas])
+    return draw.sample(replicas, len(replicas) // 3)
+
+
 def draw_nodes(nodes, draw):
     """Two nodes of any zones, or all of one zone."""
     if draw.random() < 0.5:
@@ -101,22 +112,21 @@
 
 
 async def cut_nodes_from_replicas(soak, shape=None):
-    """Some nodes lose their links to all replicas, one time after the other, in one shape or another."""
+    """Some nodes lose their links to replicas, one time after the other, in one shape or another."""
     draw = random.Random(f"{soak.options.seed}/cuts")
     for node in soak.nodes:
         soak.spawn(come_anew(soak, node))
     await asyncio.sleep(2)
     for _ in range(CUTS):
         nodes, drawn = draw_nodes(soak.nodes, draw), shape or draw.choice(SHAPES)
-        await cut_once(soak, nodes, drawn)
+        await cut_once(soak, nodes, drawn, draw_replicas(soak, draw))
         await asyncio.sleep(CALM_BETWEEN)
     for violation in soak.cuts.broken():
         soak.violate(violation, "cut")
 
 
-async def cut_once(soak, nodes, shape):
-    replicas = soak.replicas + soak.model_replicas
-    soak.say(f"{shape}: {[node.index for node in nodes]} are cut from all replicas")
+async def cut_once(soak, nodes, shape, replicas):
+    soak.say(f"{shape}: {[node.index for node in nodes]} are cut from {len(replicas)} replicas")
     troubles = [Trouble(now()) for _ in nodes]
     for node, trouble in zip(nodes, troubles):
         node.troubles.append(trouble)
--- a/tests/soak/departures.py
+++ b/tests/soak/departures.py
@@ -1,6 +1,7 @@
 """Callers that give up early, in bursts, while replicas do not read what they are sent."""
 
 import asyncio
+import signal
 import socket
 import struct
 
@@ -18,6 +19,11 @@
 BETWEEN = (0.3, 1.2)
 BURST = 12
 ROUNDS = 25
+# Nodes that get a small part of a processor: they run for the first span out of both (seconds).
+SQUEEZED_NODES = 2
+RUNS_FOR, STOPPED_FOR = 0.006, 0.06
+# Open connections without a request at each squeezed node, of one half of the seeds and of the other.
+IDLE_CONNECTIONS = (64, 1000)
 
 
 class LeavingCaller(Caller):
@@ -54,8 +60,23 @@
         await asyncio.sleep(draw.uniform(*BETWEEN))
 
 
+async def squeeze(soak, node):
+    """The node gets a tenth of a processor at most."""
+    while not soak.over:
+        node.send(signal.SIGSTOP)
+        await asyncio.sleep(STOPPED_FOR)
+        node.send(signal.SIGCONT)
+        await asyncio.sleep(RUNS_FOR)
+
+
 async def leave_in_bursts(soak, draw):
-    """Bursts of callers that leave, while all replicas of the application stand still by turns."""
+    """Bursts of callers that leave, while all replicas of the application stand still by turns and some
+    nodes are small and hold many connections."""
+    idle = []
+    for node in soak.nodes[:SQUEEZED_NODES]:
+        for _ in range(IDLE_CONNECTIONS[soak.options.seed % 2]):
+            idle.append(await asyncio.open_connection(node.address, 7000))
+        soak.spawn(squeeze(soak, node))
     for replica in soak.replicas:
         soak.spawn(stand_still_by_turns(soak, replica, draw))
     for burst in range(ROUNDS):
@@ -63,5 +84,7 @@
         await asyncio.gather(*(caller.run() for caller in callers))
         await asyncio.sleep(draw.uniform(0.0, 0.3))
     await asyncio.sleep(2 * STILL)
+    for _, writer in idle:
+        writer.close()
     soak.counts["left"] = len(soak.departures.left)
     soak.counts["arrived late after that"] = len(soak.departures.late)
