Eject a replica that could not be reached for less than a second, and not beyond the return of its link

Callers of a service whose replicas had all been silent for a second waited up to 2.5 s more, and one got 504: each node that could not connect ejected them, at their homes too, for 0.4 s, then twice as long each time, up to 4 s.

An ejection was dear to end by a request, since only a request could find out. Links are probed now, and a node whose link has failed learns by another node within milliseconds that a replica is gone. So an ejection for the lack of a connection lasts 0.8 s at most, and ends when the link works again. Ejections for failures stay as they were.

--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -157,6 +157,9 @@
         });
     cacheWatch.onRateLimitedPoll(
         [this](const routing::ReplicaRecord& replica) { placement.countControlCall(replica); });
+    links.onRestored([this](const std::string& instance) {
+      if (const auto replica = replicas.find(instance)) replica->health().onReachable(clock.now());
+    });
     crashDetector.setListener([this](const routing::LostRequests& ended) {
       quarantine.onReplicaCrash(base::engineIdOf(ended.instance), ended.requests);
     });
--- a/src/routing/replica_health.cc
+++ b/src/routing/replica_health.cc
@@ -35,12 +35,22 @@
                      serviceRate < 1.0 - options_.excessRate;
   const bool outlier =
       outcomes_ >= options_.minimumOutcomes && failureRate_ > serviceRate + options_.excessRate;
-  if (onProbation_ || inRow || outlier) eject(now);
+  if (onProbation_ || inRow || outlier) {
+    eject(now, options_.maximumEjection);
+    ejectedAsUnreachable_ = false;
+  }
 }
 
 void ReplicaHealth::onUnreachable(base::TimePoint now) {
   ++consecutiveFailures_;
-  eject(now);
+  if (!ejected(now)) ejectedAsUnreachable_ = true;
+  eject(now, options_.maximumUnreachableEjection);
+}
+
+void ReplicaHealth::onReachable(base::TimePoint now) {
+  if (!ejected(now) || !ejectedAsUnreachable_) return;
+  ejectedUntil_ = now;
+  nextEjection_ = {};
 }
 
 bool ReplicaHealth::unresponsive(base::TimePoint now) const {
@@ -54,13 +64,13 @@
   return !onProbation_ || waiting_ == 0;
 }
 
-void ReplicaHealth::eject(base::TimePoint now) {
+void ReplicaHealth::eject(base::TimePoint now, base::Duration maximum) {
   // Failures of requests that were sent before the ejection do not extend it.
   if (ejected(now)) return;
   nextEjection_ = nextEjection_.count() == 0
                       ? options_.firstEjection
                       : std::min(2 * nextEjection_, options_.maximumEjection);
-  ejectedUntil_ = now + nextEjection_;
+  ejectedUntil_ = now + std::min(nextEjection_, maximum);
   onProbation_ = true;
 }
 
--- a/src/routing/replica_health.h
+++ b/src/routing/replica_health.h
@@ -17,6 +17,10 @@
 struct ReplicaHealthOptions {
   base::Duration firstEjection = std::chrono::milliseconds(400);
   base::Duration maximumEjection = std::chrono::seconds(4);
+  /// Maximum ejection of a replica that could not be reached. Links are probed apart
+  /// (routing/replica_links.h), so that trying one again costs little, and a service whose replicas
+  /// were all silent for a moment is not left without any for seconds.
+  base::Duration maximumUnreachableEjection = std::chrono::milliseconds(800);
   /// Number of consecutive failures that cause an ejection.
   std::uint32_t consecutiveFailures = 3;
   /// Weight of the newest outcome in the failure rate.
@@ -50,6 +54,8 @@
   void onFailure(base::TimePoint now, double serviceRate);
   /// No connection could be established.
   void onUnreachable(base::TimePoint now);
+  /// A connection can be established again: ends an ejection for the lack of one.
+  void onReachable(base::TimePoint now);
 
   /// Because of its rate limit the replica receives one request per `interval`; zero without a
   /// limit. A single waiting request is then weaker evidence and little can be lost in the
@@ -69,7 +75,7 @@
   std::uint32_t waiting() const { return waiting_; }
 
  private:
-  void eject(base::TimePoint now);
+  void eject(base::TimePoint now, base::Duration maximum);
 
   ReplicaHealthOptions options_;
   std::uint32_t waiting_ = 0;
@@ -84,6 +90,8 @@
   base::Duration nextEjection_{};
   base::TimePoint ejectedUntil_{};
   bool onProbation_ = false;
+  /// The latest ejection was for the lack of a connection.
+  bool ejectedAsUnreachable_ = false;
 };
 
 }  // namespace covewing::routing
--- a/src/routing/replica_links.cc
+++ b/src/routing/replica_links.cc
@@ -87,6 +87,7 @@
     environment_.log.write(base::Event::kReplicaLinkRestored,
                            {{"replica", instance}, {"after_ms", base::millisecondsText(span)}});
     links_.erase(instance);
+    if (restored_) restored_(instance);
   }
   for (const auto& finished : waiting) finished(accepts);
 }
--- a/src/routing/replica_links.h
+++ b/src/routing/replica_links.h
@@ -66,6 +66,10 @@
   ReplicaLinks(const ReplicaLinks&) = delete;
   ReplicaLinks& operator=(const ReplicaLinks&) = delete;
 
+  /// Called with the instance when a link that had failed works again.
+  void onRestored(std::function<void(const std::string&)> listener) {
+    restored_ = std::move(listener);
+  }
   bool working(const ReplicaRecord& replica) const;
   /// Whether the links to more than half of the listed replicas have failed.
   bool mostFailed() const;
@@ -104,6 +108,7 @@
 
   ReplicaLinkOptions options_;
   ReplicaLinkEnvironment environment_;
+  std::function<void(const std::string&)> restored_;
   /// Links that have failed or are being probed, by instance.
   std::map<std::string, Link> links_;
   std::deque<Break> breaks_;
--- a/tests/routing/replica_health_test.cc
+++ b/tests/routing/replica_health_test.cc
@@ -27,6 +27,29 @@
   BOOST_TEST(health.available(now + milliseconds(800)));
 }
 
+// Guards against a service that is left without replicas for seconds after all were silent for one.
+BOOST_AUTO_TEST_CASE(UnreachableReplicaIsEjectedForLessThanASecond) {
+  ReplicaHealth health;
+  auto now = kStart;
+  for (int count = 0; count < 10; ++count) {
+    health.onUnreachable(now);
+    BOOST_TEST(!health.available(now + milliseconds(399)));
+    now += milliseconds(800);
+    BOOST_TEST(health.available(now));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ReplicaThatIsReachedAgainIsTriedAtOnce) {
+  ReplicaHealth health;
+  health.onUnreachable(kStart);
+  health.onReachable(kStart + milliseconds(100));
+  BOOST_TEST(health.available(kStart + milliseconds(100)));
+  // Failures of the replica itself are no matter of connections.
+  for (int count = 0; count < 3; ++count) health.onFailure(kStart + milliseconds(200), 0);
+  health.onReachable(kStart + milliseconds(300));
+  BOOST_TEST(health.ejected(kStart + milliseconds(300)));
+}
+
 BOOST_AUTO_TEST_CASE(ReplicaOnProbationGetsOneRequestAtATime) {
   ReplicaHealth health;
   health.onUnreachable(kStart);
--- a/tests/routing/replica_links_test.cc
+++ b/tests/routing/replica_links_test.cc
@@ -96,9 +96,12 @@
   links.onConnectFailed(replica(0));
   time.advance(seconds(12));
   BOOST_TEST(links.failed() == kReplicas);
+  std::set<std::string> restored;
+  links.onRestored([&](const std::string& instance) { restored.insert(instance); });
   reachability.silent.clear();
   time.advance(milliseconds(1600));
   BOOST_TEST(links.failed() == 0U);
+  BOOST_TEST(restored.size() == kReplicas);
   const auto probes = reachability.probes;
   time.advance(seconds(10));
   BOOST_TEST(reachability.probes == probes);
