--- a/src/coordination/lease_manager.cc
+++ b/src/coordination/lease_manager.cc
@@ -50,7 +50,7 @@
 
 LeaseManager::LeaseManager(LeaseOptions options, LeaseEnvironment environment,
                            LeaseListener& listener)
-    : options_(std::move(options)), environment_(environment), listener_(listener) {}
+    : options_(std::move(options)), environment_(std::move(environment)), listener_(listener) {}
 
 LeaseManager::~LeaseManager() {
   environment_.timers.cancel(stepTimer_);
