--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -298,8 +298,9 @@
 
     def on_broken(self, node, process, identifier, body, after):
         self.counts["broken"] += 1
-        self.unserved[identifier] = (f"{self.kinds[identifier].name} broken", now() - after, now())
         # A stream is cut also where the time of its route is up; that is allowed.
+        if after < ROUTE_TIMEOUT_MS / 1000:
+            self.unserved[identifier] = (f"{self.kinds[identifier].name} broken", now() - after, now())
         planned = node.stopping and node.process is process and after < ROUTE_TIMEOUT_MS / 1000
         if planned and self.runs[identifier] > 0 and identifier not in self.cut_runs and not (
                 body.startswith(DEADLY)):
