--- a/tests/node/message_versions_test.cc
+++ b/tests/node/message_versions_test.cc
@@ -142,12 +142,15 @@
   reply.paced = true;
   addPlacement(all, "PlacementReply", reply);
   addPlacement(all, "UngrantedDispatch", routing::UngrantedDispatch{1, {2}, {}, {}, true});
-  addPlacement(all, "PlacementStarted",
-               routing::PlacementStarted{1, {2}, true, clients::RateLimitNotice::of(2.5)});
+  addPlacement(
+      all, "PlacementStarted",
+      routing::PlacementStarted{
+          1, {2}, true, clients::RateLimitNotice::of(2.5), clients::RateLimitNotice::of(3)});
   routing::PlacementEnded ended;
   ended.leaving = true;
   ended.rateLimit = clients::RateLimitNotice::unlimited();
   ended.notSent = true;
+  ended.refusalLimit = clients::RateLimitNotice::of(3);
   addPlacement(all, "PlacementEnded", ended);
   all.push_back(sample("LoadUpdate", routing::encode(routing::LoadUpdate{4, {}}),
                        routing::decodeLoadUpdate,
