Log by what the end of an answer is known, and whether it ended inside an event

Two streams that their replicas had broken off reached their callers as complete. Whether a body ended with its connection, with a length or with a last chunk was not logged, nor whether its last byte ended an event; so what callers saw could come from any of five causes.

RelayFinished (5007) has both now. Events are followed in constant memory (EventScanner), with all line ends of the format. No decision is changed.

--- a/src/clients/relay_client.h
+++ b/src/clients/relay_client.h
@@ -56,6 +56,29 @@
   std::optional<base::Endpoint> via;
 };
 
+/// By what the end of a response's body is known.
+enum class BodyFraming : std::uint8_t {
+  /// Its length was announced, or is known by its status or method.
+  kLength,
+  /// It comes in chunks, of which the last is marked.
+  kChunks,
+  /// It ends with its connection.
+  kConnectionEnd,
+};
+
+/// Name of the framing for logs.
+constexpr std::string_view toString(BodyFraming framing) {
+  switch (framing) {
+    case BodyFraming::kLength:
+      return "length";
+    case BodyFraming::kChunks:
+      return "chunks";
+    case BodyFraming::kConnectionEnd:
+      return "connection";
+  }
+  return "unknown";
+}
+
 /// Status and headers of a replica's answer, without headers that concern one connection only.
 struct RelayedAnswer {
   unsigned status = 0;
@@ -68,6 +91,7 @@
   std::optional<base::WeightsVersion> version;
   /// Length of the body where it was announced.
   std::optional<std::uint64_t> length;
+  BodyFraming framing = BodyFraming::kLength;
   /// The replica says that it is about to end: it wants no new work.
   bool leaving = false;
   /// The replica turned the request away and wants no other from this node for so long; zero where
--- a/src/live/http_exchange.cc
+++ b/src/live/http_exchange.cc
@@ -1,6 +1,7 @@
 // Responses: header sections and chunks are formatted by Beast and queued on the connection.
 #include <boost/beast/http/chunk_encode.hpp>
 
+#include "live/body_framing.h"
 #include "live/http_client.h"
 #include "live/http_connection.h"
 #include "live/http_head.h"
@@ -28,13 +29,6 @@
   return message;
 }
 
-bool bodyForbidden(unsigned status) {
-  constexpr unsigned kOk = 200;
-  constexpr unsigned kNoContent = 204;
-  constexpr unsigned kNotModified = 304;
-  return status < kOk || status == kNoContent || status == kNotModified;
-}
-
 }  // namespace
 
 Exchange::Exchange(std::shared_ptr<Connection> connection, HttpRequest request, bool chunkedAllowed,
--- a/src/live/http_relay_client.cc
+++ b/src/live/http_relay_client.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "live/body_framing.h"
 #include "live/peer_relay_headers.h"
 
 namespace covewing::live {
@@ -37,6 +38,7 @@
       : dialect_(dialect), terms_(std::move(terms)), handler_(handler) {}
 
   void begin(HttpClient& http, const base::Endpoint& server, const HttpRequest& request) {
+    method_ = request.method;
     call_ = http.start(server, request, base::Duration::zero(), *this);
   }
 
@@ -48,7 +50,9 @@
  protected:
   bool stillWanted() const override { return handler_.stillWanted(); }
   void onHead(const HttpResponse& head) override {
-    handler_.onHead(dialect_.readAnswer(head, terms_));
+    auto answer = dialect_.readAnswer(head, terms_);
+    answer.framing = bodyFraming(head, method_);
+    handler_.onHead(std::move(answer));
   }
   void onBody(std::string_view bytes) override { handler_.onBody(bytes); }
   void onComplete() override { handler_.onEnd(); }
@@ -62,6 +66,7 @@
   const RelayDialect& dialect_;
   clients::DispatchTerms terms_;
   clients::RelayHandler& handler_;
+  std::string method_;
   std::unique_ptr<HttpCall> call_;
 };
 
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -33,6 +33,7 @@
 #include "clients/relay_client.h"
 #include "config/route_table.h"
 #include "quarantine/request_quarantine.h"
+#include "request/event_scanner.h"
 #include "request/event_splitter.h"
 #include "request/relay_request.h"
 #include "request/retry_cause.h"
@@ -432,6 +433,10 @@
   /// Response body, buffered until it is certain that this response will be used.
   std::string bufferedBody_;
   EventSplitter events_;
+  /// Events of the stream in flight, if they are passed on as they arrive.
+  EventScanner scanner_;
+  /// Framing of the latest response.
+  std::optional<clients::BodyFraming> framing_;
   bool paused_ = false;
   bool ended_ = false;
   base::Duration timeToFirstByte_{};
--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -110,6 +110,8 @@
                                           response.refusalLimit);
   }
   if (!headDelivered_) bufferedBody_.clear();
+  scanner_.restart();
+  framing_ = response.framing;
   attempt_->response = std::move(response);
 }
 
@@ -160,6 +162,7 @@
     if (!completeEvents.empty()) deliver(completeEvents);
     return;
   }
+  if (stream) scanner_.feed(bytes);
   if (stream || headDelivered_) {
     deliver(bytes);
     return;
--- a/src/request/relay_flow_end.cc
+++ b/src/request/relay_flow_end.cc
@@ -126,6 +126,8 @@
        {"held_ms", millisecondsText(heldFor_)},
        {"dispatched_ms", dispatched},
        {"unacknowledged", unacknowledged ? std::to_string(*unacknowledged) : std::string{}},
+       {"framing", framing_ ? std::string{clients::toString(*framing_)} : std::string{}},
+       {"ended_in_event", scanner_.insideEvent() || events_.hasIncomplete() ? "yes" : "no"},
        {"first_byte_ms", millisecondsText(timeToFirstByte_)},
        {"longest_pause_ms", millisecondsText(lastStream_.longestPause)},
        {"target_ms", millisecondsText(assignment_.route->targetLatency)},
