--- a/tests/live/http_client_test.cc
+++ b/tests/live/http_client_test.cc
@@ -164,6 +164,30 @@
   BOOST_TEST(received < kBodyBytes);
 }
 
+// Guards against a reset that is taken for the end of the answer: the failed write of the request
+// has taken the error from the socket when the next read comes.
+BOOST_AUTO_TEST_CASE(AnswerWithoutALengthIsNotCompleteAfterAFailedWrite) {
+  constexpr std::size_t kBodyBytes = 10'000'000;
+  boost::asio::io_context context{1};
+  boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::address_v4(kLoopback), 0});
+  HttpClient client(context);
+  Recorder recorder;
+  auto call = client.start({kLoopback, acceptor.local_endpoint().port()},
+                           {"POST", "/", {}, std::string(kBodyBytes, 'x')}, base::Duration::zero(),
+                           recorder);
+  boost::asio::ip::tcp::socket peer(context);
+  acceptor.accept(peer);
+  context.run_for(std::chrono::milliseconds(50));
+  boost::asio::write(peer, boost::asio::buffer(std::string_view{"HTTP/1.1 200 OK\r\n\r\npart"}));
+  runUntil(context, [&recorder] { return recorder.body == "part"; });
+
+  // Closed with unread bytes, the peer sends a reset.
+  peer.close();
+
+  runUntil(context, [&recorder] { return recorder.done(); });
+  BOOST_TEST(!recorder.complete);
+}
+
 BOOST_AUTO_TEST_CASE(RefusedConnectionIsReportedAsNotSent) {
   Fixture fixture;
   boost::asio::ip::tcp::acceptor closed(fixture.context,
--- a/tests/live/http_server_test.cc
+++ b/tests/live/http_server_test.cc
@@ -79,6 +79,39 @@
   BOOST_TEST(second->request().target == "/2");
 }
 
+// Guards against a broken answer that looks whole: to a peer without chunks the end of the
+// connection is the end of the answer.
+BOOST_AUTO_TEST_CASE(AnswerThatEndsWithItsConnectionIsBrokenByAReset) {
+  const auto breakAnswer = [](auto how) {
+    Fixture fixture;
+    TestClient client(fixture.context, fixture.endpoint);
+    client.send("GET / HTTP/1.0\r\n\r\n");
+    fixture.nextExchange()->beginStream(200, {});
+    fixture.exchanges.back()->write("part");
+    client.waitFor("part");
+    how(fixture);
+    client.waitClosed();
+    BOOST_TEST(!client.closedInOrder());
+  };
+  breakAnswer([](Fixture& fixture) { fixture.exchanges.back()->abort(); });
+  breakAnswer([](Fixture& fixture) { fixture.exchanges.clear(); });
+  breakAnswer([](Fixture& fixture) { fixture.server.close(); });
+}
+
+BOOST_AUTO_TEST_CASE(WholeAnswerThatEndsWithItsConnectionEndsInOrder) {
+  Fixture fixture;
+  TestClient client(fixture.context, fixture.endpoint);
+  client.send("GET / HTTP/1.0\r\n\r\n");
+  const auto exchange = fixture.nextExchange();
+  exchange->beginStream(200, {});
+  const std::string large(1'000'000, 'x');
+  exchange->write(large);
+  exchange->end();
+  client.waitClosed();
+  BOOST_TEST(client.closedInOrder());
+  BOOST_TEST(client.has(large));
+}
+
 BOOST_AUTO_TEST_CASE(OversizedBodyIsRefusedBeforeItIsSent) {
   Fixture fixture(smallLimits());
   TestClient client(fixture.context, fixture.endpoint);
--- a/tests/live/http_test_client.h
+++ b/tests/live/http_test_client.h
@@ -57,6 +57,7 @@
                               if (error == boost::asio::error::operation_aborted) return;
                               if (error) {
                                 closed_ = true;
+                                closedInOrder_ = error == boost::asio::error::eof;
                                 return;
                               }
                               received_.append(buffer_.data(), bytes);
@@ -67,6 +68,8 @@
   void close() { socket_.close(); }
   const std::string& received() const { return received_; }
   bool closed() const { return closed_; }
+  /// Whether the server ended the connection in order, rather than by a reset.
+  bool closedInOrder() const { return closedInOrder_; }
   bool has(std::string_view text) const { return received_.find(text) != std::string::npos; }
   void waitFor(std::string_view text) {
     runUntil(
@@ -85,6 +88,7 @@
   std::array<char, 16384> buffer_{};
   std::string received_;
   bool closed_ = false;
+  bool closedInOrder_ = false;
 };
 
 inline constexpr std::uint32_t kLoopback = 0x7F000001;
