Judge whether an answer is complete in one place, streams by their events as well

Callers saw whole answers with status 200 that their replicas had broken off in a crash. A body with neither a length nor chunks ends with its connection, and so does the body of a replica that ends. Events were looked at only in streams that may be resumed; others were passed on raw and ended as complete. A length or a last chunk behind half an event passed as well.

ResponseBody says what of a body may be passed on, and whether it is complete: by its framing and, for streams of events, by the events. It follows streams that are passed on as they come in constant memory. The length of a stream is not announced to the caller, who would have a complete answer with its last byte: HTTP/1.1 callers get chunks. A stream that ends with its connection before any event is broken, too, unless it continues another. Judged by their framing alone: answers of another type than text/event-stream, and encoded ones. Events may end with CR, LF or CRLF and begin behind a byte order mark, which is left out where a continuation would bring it into the middle of a stream; one that exceeds 1 MiB is passed on as it comes, and its stream is not continued elsewhere while it lasts.

A stream that ends between two events with its connection cannot be told from a whole one.

ReplicaNoticesTest let a stand-in answer a stream route with "done", which is no event, and relied on that counting as served; it answers with an event now, its checks are the same.

--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -33,9 +33,8 @@
 #include "clients/relay_client.h"
 #include "config/route_table.h"
 #include "quarantine/request_quarantine.h"
-#include "request/event_scanner.h"
-#include "request/event_splitter.h"
 #include "request/relay_request.h"
+#include "request/response_body.h"
 #include "request/retry_cause.h"
 #include "request/stream_watch.h"
 #include "request/tenant_allowance.h"
@@ -217,6 +216,8 @@
     base::Duration expectedPrefillTime{};
     bool headReceived = false;
     bool bodyReceived = false;
+    /// Continues a stream of which the caller has received a part.
+    bool continuesStream = false;
     std::optional<clients::RelayedAnswer> response;
     /// Grant under which the home node of the replica counts the attempt, and the outcome that is
     /// reported to it at the end.
@@ -355,6 +356,8 @@
   /// replica may.
   void onNotRun(const clients::RelayedAnswer& response);
   void recordRefusal(const clients::RelayedAnswer& response);
+  /// Handles a response that ended by its framing and is not complete.
+  void onBrokenOff(std::string_view why);
   /// Handles the failure of an attempt that may have been executed.
   void onAttemptLost(RetryCause cause, std::string_view why);
   /// Ends the attempt and retries on another replica if the route, the budget and the remaining
@@ -376,6 +379,11 @@
 
   /// Starts the response to the caller with the response headers of the attempt.
   void beginResponse(std::optional<std::uint64_t> length);
+  ResponseBody::Kind bodyKind() const;
+  ResponseBody::Start bodyStart() const;
+  /// Whether the body of the attempt in flight cannot be a part of the answer, because it does not
+  /// continue the stream that the caller has received a part of.
+  bool unfitForContinuation() const;
   void deliver(std::string_view bytes);
   void recordReplicaAsHolder();
   void finishComplete();
@@ -432,11 +440,8 @@
   bool headDelivered_ = false;
   /// Response body, buffered until it is certain that this response will be used.
   std::string bufferedBody_;
-  EventSplitter events_;
-  /// Events of the stream in flight, if they are passed on as they arrive.
-  EventScanner scanner_;
-  /// Framing of the latest response.
-  std::optional<clients::BodyFraming> framing_;
+  /// Body of the latest response that is, or may become, the answer to the caller.
+  ResponseBody body_;
   bool paused_ = false;
   bool ended_ = false;
   base::Duration timeToFirstByte_{};
--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -110,9 +110,9 @@
                                           response.refusalLimit);
   }
   if (!headDelivered_) bufferedBody_.clear();
-  scanner_.restart();
-  framing_ = response.framing;
   attempt_->response = std::move(response);
+  if (!headDelivered_ || bodyKind() != ResponseBody::Kind::kPlain)
+    body_.begin(*attempt_->response, bodyKind(), bodyStart());
 }
 
 void RelayFlow::recordNotices(const clients::RelayedAnswer& response) {
@@ -148,8 +148,7 @@
     return;
   }
   const bool stream = streaming() && successful(response.status);
-  // The body of an error response to a resumed stream does not belong to the stream.
-  if (resumable() && headDelivered_ && !stream) return;
+  if (unfitForContinuation()) return;
   if (stream && !attempt.bodyReceived) {
     recordReplicaAsHolder();
     attempt.decision.replica->prefillSpeed().record(attempt.prefillTokens, now - attempt.sentAt);
@@ -157,14 +156,9 @@
   }
   if (stream) attempt.watch.onChunk(now);
   attempt.bodyReceived = true;
-  if (stream && resumable()) {
-    const std::string completeEvents = events_.feed(bytes);
-    if (!completeEvents.empty()) deliver(completeEvents);
-    return;
-  }
-  if (stream) scanner_.feed(bytes);
   if (stream || headDelivered_) {
-    deliver(bytes);
+    const auto ready = body_.take(bytes);
+    if (!ready.empty()) deliver(ready);
     return;
   }
   bufferedBody_ += bytes;
@@ -189,9 +183,28 @@
   writer_->begin(head);
 }
 
+ResponseBody::Kind RelayFlow::bodyKind() const {
+  const auto& response = *attempt_->response;
+  if (!streaming() || !successful(response.status) || wasNotRun(response))
+    return ResponseBody::Kind::kPlain;
+  return resumable() ? ResponseBody::Kind::kResumableStream : ResponseBody::Kind::kStream;
+}
+
+ResponseBody::Start RelayFlow::bodyStart() const {
+  if (attempt_->continuesStream) return ResponseBody::Start::kWithinAnswer;
+  return incoming_.lastEventId.empty() ? ResponseBody::Start::kFirstEvent
+                                       : ResponseBody::Start::kAfterEvent;
+}
+
+bool RelayFlow::unfitForContinuation() const {
+  return attempt_->continuesStream &&
+         (!successful(attempt_->response->status) || !body_.hasEvents());
+}
+
 void RelayFlow::deliver(std::string_view bytes) {
-  // A resumed stream may differ in length from what its first attempt announced.
-  if (!headDelivered_) beginResponse(resumable() ? std::nullopt : attempt_->response->length);
+  // A stream that breaks off inside an event may have the length that was announced, and a
+  // continued one may have another.
+  if (!headDelivered_) beginResponse(body_.hasEvents() ? std::nullopt : attempt_->response->length);
   writer_->write(bytes);
 }
 
@@ -204,6 +217,10 @@
     onNotRun(response);
     return;
   }
+  if (const auto why = body_.whyIncomplete(); !why.empty() && !unfitForContinuation()) {
+    onBrokenOff(why);
+    return;
+  }
   if (response.status >= kInternalError) {
     attempt_->outcome = routing::PlacementOutcome::kFailed;
     record.health().onFailure(now, dependencies_.replicas.failureRateOfOthers(record));
@@ -217,14 +234,9 @@
     attempt_->outcome = routing::PlacementOutcome::kServed;
     record.health().onSuccess(now);
   }
-  if (headDelivered_ && !successful(response.status)) {
-    abortStream("the resumed stream was answered with status " + std::to_string(response.status));
-    return;
-  }
-  if (events_.hasIncomplete()) {
-    dependencies_.replicaCrashDetector.onRequestInterrupted(attempt_->decision.replica,
-                                                            fingerprint_);
-    onAttemptLost(RetryCause::kLost, "the stream ended inside an event");
+  if (unfitForContinuation()) {
+    abortStream("the continued stream was answered with status " + std::to_string(response.status) +
+                (body_.hasEvents() ? "" : " and without events"));
     return;
   }
   if (response.status < kInternalError) dependencies_.quarantine.onServed(fingerprint_);
@@ -233,8 +245,8 @@
 
 void RelayFlow::finishComplete() {
   if (!headDelivered_) {
-    const bool stream = streaming() && successful(attempt_->response->status);
-    beginResponse(stream ? std::nullopt : std::optional<std::uint64_t>{bufferedBody_.size()});
+    beginResponse(body_.hasEvents() ? std::nullopt
+                                    : std::optional<std::uint64_t>{bufferedBody_.size()});
     writer_->write(bufferedBody_);
   }
   writer_->end();
--- a/src/request/relay_flow_dispatch.cc
+++ b/src/request/relay_flow_dispatch.cc
@@ -30,7 +30,7 @@
   terms.cacheSalt = decision.cacheSalt;
   if (decision.fetchFrom) terms.fetchFrom = decision.fetchFrom->endpoint;
   terms.saveTo = decision.saveTo;
-  terms.lastEventId = events_.lastEventId().empty() ? incoming_.lastEventId : events_.lastEventId();
+  terms.lastEventId = body_.lastEventId().empty() ? incoming_.lastEventId : body_.lastEventId();
   return terms;
 }
 
@@ -89,6 +89,7 @@
                      expectedPrefillTime,
                      false,
                      false,
+                     headDelivered_,
                      std::nullopt,
                      grant,
                      routing::PlacementOutcome::kWithdrawn,
--- a/src/request/relay_flow_end.cc
+++ b/src/request/relay_flow_end.cc
@@ -74,7 +74,7 @@
                                                        {"tenant", tenantName()},
                                                        {"urgency", std::to_string(urgency())},
                                                        {"replica", lastReplica_},
-                                                       {"last_event", events_.lastEventId()}});
+                                                       {"last_event", body_.lastEventId()}});
   endAttempt();
   writer_->abort();
   finish(status_, base::ResultCode::kStreamBroken, false);
@@ -126,8 +126,8 @@
        {"held_ms", millisecondsText(heldFor_)},
        {"dispatched_ms", dispatched},
        {"unacknowledged", unacknowledged ? std::to_string(*unacknowledged) : std::string{}},
-       {"framing", framing_ ? std::string{clients::toString(*framing_)} : std::string{}},
-       {"ended_in_event", scanner_.insideEvent() || events_.hasIncomplete() ? "yes" : "no"},
+       {"framing", executions_ > 0 ? std::string{clients::toString(body_.framing())} : ""},
+       {"ended_in_event", body_.insideEvent() ? "yes" : "no"},
        {"first_byte_ms", millisecondsText(timeToFirstByte_)},
        {"longest_pause_ms", millisecondsText(lastStream_.longestPause)},
        {"target_ms", millisecondsText(assignment_.route->targetLatency)},
--- a/src/request/relay_flow_retries.cc
+++ b/src/request/relay_flow_retries.cc
@@ -108,6 +108,12 @@
   }
 }
 
+void RelayFlow::onBrokenOff(std::string_view why) {
+  recordAttemptFailure(clients::FailurePoint::kBackEnd);
+  dependencies_.replicaCrashDetector.onRequestInterrupted(attempt_->decision.replica, fingerprint_);
+  onAttemptLost(RetryCause::kLost, why);
+}
+
 void RelayFlow::onAttemptLost(RetryCause cause, std::string_view why) {
   const auto self = shared_from_this();
   if (!attempt_->response) ++executions_;
@@ -121,8 +127,8 @@
 
 std::string_view RelayFlow::reserveRetry(FailureKind kind) {
   const auto& route = *assignment_.route;
-  const bool plainResponseStarted = headDelivered_ && !resumable();
-  if (plainResponseStarted || (kind == FailureKind::kMayHaveRun && !route.repeatable()))
+  const bool cannotContinue = headDelivered_ && !body_.canContinue();
+  if (cannotContinue || (kind == FailureKind::kMayHaveRun && !route.repeatable()))
     return "not repeatable";
   const bool mayRunAgain = executions_ == 0 || (route.repeatable() && executions_ < route.attempts);
   if (!mayRunAgain || refusals_ > options_.maximumRefusals) return "attempts used up";
@@ -163,7 +169,7 @@
        {"retries_reserved", std::to_string(use.reserved)},
        {"retries_allowed", std::to_string(static_cast<std::uint32_t>(use.allowed))},
        {"runs", std::to_string(executions_)},
-       {"last_event", events_.lastEventId()},
+       {"last_event", body_.lastEventId()},
        {"left_ms", millisecondsText(timeLeft())},
        {"not_retried", std::string{notRetried}}});
 }
@@ -183,7 +189,7 @@
   retryCause_ = cause;
   excluded_.push_back(attempt_->decision.replica->facts().instance);
   endAttempt();
-  events_.discardIncomplete();
+  body_.discardIncomplete();
   if (!headDelivered_) bufferedBody_.clear();
   choose();
 }
--- a/tests/request/broken_answer_test.cc
+++ b/tests/request/broken_answer_test.cc
@@ -175,7 +175,7 @@
 
 // An event of which a part was passed on cannot be taken up at another replica.
 BOOST_AUTO_TEST_CASE(EventLargerThanTheLimitIsPassedOnAndNotContinuedElsewhere) {
-  const std::string large(EventSplitter::kMaximumEventBytes, 'x');
+  const std::string large(ResponseBody::kMaximumRetainedBytes, 'x');
   const auto& whole = request("resumable");
   respond(BodyFraming::kChunks, "id: 1\ndata: " + large + "\n\nid: 2\ndata: y\n\n");
   BOOST_TEST(whole.ended);
--- a/tests/request/replica_notices_test.cc
+++ b/tests/request/replica_notices_test.cc
@@ -30,7 +30,7 @@
       request(path);
       if (client.sent.size() == before) continue;
       if (client.last().replica == replica) ++reached;
-      client.last().respond(200, "done");
+      client.last().respond(200, "data: done\n\n");
     }
     return reached;
   }
@@ -167,7 +167,7 @@
   request("safe");
   const auto resting = client.last().replica;
   client.last().requestBackOff(seconds(3));
-  client.last().respond(200, "done");
+  client.last().respond(200, "data: done\n\n");
   for (int step = 0; step < 29; ++step) {
     BOOST_TEST(countReaching(resting, kManyRequests, "safe") == 0U);
     time.advance(milliseconds(100));
@@ -181,7 +181,7 @@
   request("once");
   const auto resting = client.last().replica;
   client.last().requestBackOff(seconds(3));
-  client.last().respond(200, "done");
+  client.last().respond(200, "data: done\n\n");
   for (int step = 0; step < 29; ++step) {
     BOOST_TEST(countReaching(resting, 1, "once") == 0U);
     time.advance(milliseconds(100));
