Reset the connection of a broken answer whose end is the end of its connection

To a caller without chunks (HTTP/1.0) the orderly end of a connection is the end of the answer, and abort, a lost exchange and the end of the server all closed in order: broken answers looked whole.

While such an answer is under way, the socket is set to reset when it is closed, whoever closes it, also the operating system at the end of the process; that is taken back when the whole answer has been written.

AnswerThatEndsWithItsConnectionIsBrokenByAReset failed before in its three cases; WholeAnswerThatEndsWithItsConnectionEndsInOrder passed and passes.

--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -269,7 +269,17 @@
   });
 }
 
+void Connection::resetOnClose() { setResetOnClose(true); }
+
+void Connection::setResetOnClose(bool enabled) {
+  if (state_ == State::kClosed || resetOnClose_ == enabled) return;
+  resetOnClose_ = enabled;
+  boost::system::error_code error;
+  socket_.set_option(asio::socket_base::linger(enabled, /*timeout=*/0), error);
+}
+
 void Connection::linger() {
+  setResetOnClose(false);
   boost::system::error_code error;
   socket_.shutdown(Socket::shutdown_send, error);
   if (error || !lingerWhenWritten_) {
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -109,6 +109,10 @@
   void send(std::string bytes);
   std::size_t bufferedBytes() const { return writing_.size() - written_ + pending_.size(); }
   bool keepAlive() const { return keepAlive_ && !owner_.closing(); }
+  /// From now on the end of the connection means the end of the response. Until the response is
+  /// complete and written, any close of the socket resets the connection, also one by the operating
+  /// system at the end of this process.
+  void resetOnClose();
   /// The response is complete: continues with the next request if `reusable`, otherwise closes the
   /// connection once all bytes are written.
   void onResponseComplete(bool reusable);
@@ -132,6 +136,7 @@
   void write();
   void onWritten(boost::system::error_code error, std::size_t bytes);
   void updatePressure();
+  void setResetOnClose(bool enabled);
   void linger();
   void setDeadlineForState();
 
@@ -155,6 +160,7 @@
   std::size_t written_ = 0;
   bool writeActive_ = false;
   bool underPressure_ = false;
+  bool resetOnClose_ = false;
   std::weak_ptr<Exchange> exchange_;
   LazyDeadline deadline_;
   /// Used only by connections with much pipelined input.
--- a/src/live/http_exchange.cc
+++ b/src/live/http_exchange.cc
@@ -81,6 +81,7 @@
   } else if (chunkedAllowed_) {
     head.chunked(true);
   }
+  if (!bodyForbidden(status) && !framed) connection_->resetOnClose();
   connection_->send(headText(head));
 }
 
