Do not take a reset for the end of an answer after a failed write

Where a replica answers before it has read the request and is reset, the write of the request takes the error from the socket, and the next read sees an orderly end. A body without a length ended as complete then. After a failed write the end of input completes no answer any more.

--- a/src/live/client_connection.cc
+++ b/src/live/client_connection.cc
@@ -73,6 +73,7 @@
   sent_ = 0;
   bytesMayHaveBeenSent_ = false;
   paused_ = false;
+  writeFailed_ = false;
   resetParser();
   if (state_ == State::kNew) {
     connect();
@@ -168,6 +169,7 @@
   if (state_ != State::kActive || handler_ == nullptr) return;
   sent_ += bytes;
   if (error) {
+    writeFailed_ = true;
     // If the operating system accepted no byte, the request was certainly not sent. Otherwise the
     // outcome depends on the read side: a response received before the break, or end of input.
     if (sent_ == 0) {
@@ -213,7 +215,8 @@
 }
 
 void ClientConnection::onEndOfInput(boost::system::error_code error) {
-  if (error == asio::error::eof && parser_->got_some()) {
+  const bool orderly = error == asio::error::eof && !writeFailed_;
+  if (orderly && parser_->got_some()) {
     boost::system::error_code parseError;
     parser_->put_eof(parseError);
     if (!parseError && !skipping_ && parser_->is_done() && deliverHead() && !skipping_ &&
--- a/src/live/client_connection.h
+++ b/src/live/client_connection.h
@@ -100,6 +100,9 @@
   /// on, unless an error shows that it accepted none.
   bool bytesMayHaveBeenSent_ = false;
   bool paused_ = false;
+  /// A write has failed, and with it taken the error from the socket: the end of input that follows
+  /// may be a reset.
+  bool writeFailed_ = false;
 
   bool reading_ = false;
   std::optional<Parser> parser_;
