Add a failing soak of streams that are broken off and taken up at replicas of two versions

Checked: what is complete for a caller is whole; at most two streams hold events of two versions; streams that are taken up go on.

The soak's replicas ended their connections in order when they crashed, and so did cuts that were to reset them: asyncio's abort resets only a connection with unread bytes. Half of the crashes reset now, and all of these cuts.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -189,6 +189,37 @@
                 f"{tried[True]} first tries, the others {served[False]} of {tried[False]}")
 
 
+class StreamRule:
+    """At most MOST_MIXED streams hold events of two versions of the software, over all tries of their callers.
+    Of MIN_TAKEN_UP or more streams that are taken up at nodes in touch while two replicas of their version
+    serve, the share that goes on is at least LEAST_SHARE of the share of new streams that begin."""
+
+    MOST_MIXED = 2
+    MIN_TAKEN_UP = 12
+    LEAST_SHARE = 0.5
+
+    def __init__(self):
+        self.mixed: list[str] = []
+        self.new = [0, 0]
+        self.taken_up = [0, 0]
+
+    def on_try(self, resumed: bool, goes_on: bool):
+        counts = self.taken_up if resumed else self.new
+        counts[0] += 1
+        counts[1] += goes_on
+
+    def broken(self) -> list[str]:
+        texts = []
+        if len(self.mixed) > self.MOST_MIXED:
+            texts.append(f"{len(self.mixed)} streams hold events of two versions: {self.mixed[:5]}")
+        tried, went_on = self.taken_up
+        begun = self.new[1] / max(1, self.new[0])
+        if tried >= self.MIN_TAKEN_UP and went_on / tried < self.LEAST_SHARE * begun:
+            texts.append(f"{went_on} of {tried} streams that were taken up went on, {self.new[1]} of "
+                         f"{self.new[0]} new ones began")
+        return texts
+
+
 @dataclasses.dataclass
 class Rest:
     """A replica turned a request of a node away, and wanted no other from it until the end."""
--- a/tests/soak/cuts.py
+++ b/tests/soak/cuts.py
@@ -55,7 +55,7 @@
         if shape == "silent":
             drop_packets(peer.writer.get_extra_info("socket"), addresses)
         elif shape == "reset":
-            peer.writer.transport.abort()
+            peer.reset()
 
 
 def heal(listener):
--- a/tests/soak/model_replicas.py
+++ b/tests/soak/model_replicas.py
@@ -6,6 +6,7 @@
 import json
 import random
 
+from answers import draw_manner, send_answer, version_of, with_version
 from notices import NoticeGiver, Notices
 from replicas import unix_milliseconds
 from wire import Listener, Peer, http_answer, now
@@ -52,6 +53,9 @@
         self.soak, self.instance = soak, f"model-replica-{index}"
         self.zone = f"zone-{index % 3}"
         self.random = random.Random(f"{soak.options.seed}/{self.instance}")
+        # Of its own, so that the draws above are what they are without these.
+        self.draw_end = random.Random(f"{soak.options.seed}/{self.instance}/ends")
+        self.software = version_of(index) if soak.options.streams else "v1"
         self.listener, self.port = None, 0
         self.version = 1
         self.life: Life | None = None
@@ -92,7 +96,7 @@
 
     def entry(self) -> dict:
         cold = max(0, int((self.life.started + COLD_FOR - now()) * 1000))
-        return {"service": MODEL_SERVICE, "address": self.address, "zone": self.zone, "version": 1,
+        return {"service": MODEL_SERVICE, "address": self.address, "zone": self.zone, "version": self.software,
                 "slots": SLOTS, "state": self.state, "cold_remaining_ms": cold,
                 "sequence": self.life.sequence, "born": self.life.born, "stage": "combined",
                 "models": self.models()}
@@ -106,7 +110,7 @@
             return False
         self.soak.cut_runs |= self.life.running
         listener, self.listener, self.life = self.listener, None, None
-        listener.cut()
+        listener.cut(by_reset=self.draw_end.random() < 0.5)
         self.soak.spawn(self.start_again())
         return True
 
@@ -242,6 +246,8 @@
     async def run(self, message, peer: Peer, identifier: str):
         events = stream_events(identifier, message.body.decode("latin-1"))
         left = events[int(message.headers.get("last-event-id") or 0):]
+        if self.soak.options.streams:
+            return await self.run_in_some_manner(peer, identifier, left)
         answer = http_answer(200, b"".join(left), self.head(identifier) + [
             ("X-Covewing-Server-Signature", self.instance), ("Content-Type", "text/event-stream")])
         # All but the last event come as soon as the request begins.
@@ -250,6 +256,15 @@
         await asyncio.sleep(self.random.uniform(0.02, 0.3))
         return answer[len(answer) - rest:]
 
+    async def run_in_some_manner(self, peer: Peer, identifier: str, events: list[bytes]):
+        manner = draw_manner(self.draw_end)
+        if manner.broken is not None:
+            self.soak.cut_runs.add(identifier)
+        head = self.head(identifier) + [("X-Covewing-Server-Signature", self.instance),
+                                        ("Content-Type", "text/event-stream")]
+        pause = self.random.uniform(0.02, 0.3)
+        return await send_answer(peer, manner, head, [with_version(event, self.software) for event in events], pause)
+
     def read_prompt(self, life: Life, message, identifier: str):
         """Takes the parts of the prompt that are kept here or where the request fetches from."""
         headers = message.headers
--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -39,6 +39,8 @@
   again behind that;
 - with --brittle: replicas that fall over when they turn many requests away next to never do
   (checks.BrittleRule);
+- with --streams: no answer that a replica broke off is complete for its caller, next to no stream holds events of
+  two versions of the replicas' software, and streams that are taken up go on (streams.StreamRule);
 - with --cuts: nodes that are cut from all replicas serve nearly as well as the others (checks.CutRule);
 - nothing arrives at the address of an entry by another writer;
 - no two nodes give orders with one fencing token;
@@ -61,8 +63,9 @@
 import sys
 import tempfile
 
+from answers import take_versions
 from callers import KEY, KINDS, RESUMABLE, SAFE, STREAM, Caller, KeyCaller, PatientCaller
-from checks import (BrittleRule, ConfigurationRule, CutRule, DepartureRule, LimitRule, NoticeRule, Outcome, RepeatRule, Sent, Trouble, VersionRule,
+from checks import (BrittleRule, ConfigurationRule, CutRule, DepartureRule, LimitRule, NoticeRule, Outcome, RepeatRule, Sent, StreamRule, Trouble, VersionRule,
                     calm_since)
 from cuts import SERVED_AGAIN_AFTER, SHAPES, cut_nodes_from_replicas, silence_replicas
 from departures import leave_in_bursts
@@ -72,6 +75,7 @@
 from operators import ADDED_ROUTES, KEYS, ROUTE_TIMEOUT_MS, Operators
 from other_writer import OtherWriter
 from replicas import DEADLY, SERVICE, Replica
+from streams import break_and_take_up
 from table_service import Store
 from wire import now
 
@@ -150,6 +154,7 @@
         self.departures = DepartureRule()
         self.cuts = CutRule()
         self.brittleness = BrittleRule()
+        self.streams = StreamRule()
         # When sound replicas were silent, from and to.
         self.silences: list[tuple[float, float]] = []
         # Requests that were not served: their kinds, when they were sent and when they ended.
@@ -219,7 +224,10 @@
         if answer.status in REFUSED_BY_CONFIGURATION:
             self.judge(identifier, REFUSED_BY_CONFIGURATION[answer.status])
         if answer.status == 200:
-            if answer.body != kind.whole_answer(identifier, body):
+            written_by, whole = take_versions(answer.body)
+            if len(written_by) > 1:
+                self.streams.mixed.append(identifier)
+            if whole != kind.whole_answer(identifier, body):
                 self.violate(f"{identifier} got another answer: {answer.body[:80]!r}")
         elif answer.status in (429, 503):
             self.not_run[identifier] = answer.status
@@ -477,6 +485,9 @@
         if self.options.silences:
             await silence_replicas(self)
             return
+        if self.options.streams:
+            await break_and_take_up(self)
+            return
         if self.options.cuts:
             await cut_nodes_from_replicas(self, self.options.cut_shape)
             return
@@ -592,6 +603,8 @@
                         help="one sequence in place of the series (faults.make_all_brittle)")
     parser.add_argument("--silences", action="store_true",
                         help="one sequence in place of the series (cuts.silence_replicas)")
+    parser.add_argument("--streams", action="store_true",
+                        help="one sequence in place of the series (streams.break_and_take_up)")
     parser.add_argument("--cuts", action="store_true",
                         help="one sequence in place of the series (cuts.cut_nodes_from_replicas)")
     parser.add_argument("--cut-shape", choices=SHAPES, help="of all cuts; drawn for each without it")
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -28,6 +28,8 @@
         self.soak, self.name, self.starts = soak, name, 0
         self.random = random.Random(f"{soak.options.seed}/{name}")
         self.instance, self.listener = "", None
+        # Of its own, so that the draws above are what they are without these.
+        self.draw_end = random.Random(f"{soak.options.seed}/{name}/ends")
         self.port = 0
         self.notices = Notices()
 
@@ -50,7 +52,7 @@
 
     async def write_entry(self, state):
         entry = {"service": SERVICE, "address": f"127.0.0.1:{self.port}", "zone": "zone-0",
-                 "version": 1, "slots": 16, "state": state, "cold_remaining_ms": 0, "sequence": 0,
+                 "version": "v1", "slots": 16, "state": state, "cold_remaining_ms": 0, "sequence": 0,
                  "born": self.born}
         await self.soak.store.put("servers", self.instance,
                                   None if state is None else json.dumps(entry).encode())
@@ -88,7 +90,7 @@
             return False
         listener, instance = self.listener, self.instance
         self.listener = None
-        listener.cut()
+        listener.cut(by_reset=self.draw_end.random() < 0.5)
         self.soak.spawn(self.come_back(instance))
         return True
 
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import socket
+import struct
 import time
 
 
@@ -27,7 +28,8 @@
         return int(self.first.split(" ")[1])
 
 
-async def read_message(reader: asyncio.StreamReader) -> HttpMessage:
+async def read_message(reader: asyncio.StreamReader, to_end: bool = False) -> HttpMessage:
+    """With `to_end`, a body with neither a length nor chunks ends with the connection."""
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.decode("latin-1").split("\r\n")
     headers = {}
@@ -42,6 +44,8 @@
             body += (await reader.readexactly(size + 2))[:-2]
             if size == 0:
                 break
+    elif to_end and "content-length" not in headers:
+        body = await reader.read()
     else:
         body = await reader.readexactly(int(headers.get("content-length", "0")))
     return HttpMessage(lines[0], headers, body)
@@ -62,6 +66,13 @@
     # Nothing is sent on it any more, and it stays open.
     silent: bool = False
 
+    def reset(self):
+        """Ends the connection by a reset. (`abort` alone ends it in order, unless it has unread bytes.)"""
+        connection = self.writer.get_extra_info("socket")
+        if connection is not None and connection.fileno() >= 0:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.writer.transport.abort()
+
     def gone(self) -> bool:
         return self.reader.at_eof() or self.writer.is_closing()
 
@@ -110,13 +121,17 @@
             self.peers.pop(peer, None)
             writer.close()
 
-    def cut(self):
+    def cut(self, by_reset: bool = False):
         self.server.close()
-        self.cut_connections()
+        self.cut_connections(by_reset)
 
-    def cut_connections(self):
+    def cut_connections(self, by_reset: bool = False):
+        """Ends all connections by a reset, or in order (but by a reset where bytes are unread)."""
         for peer in list(self.peers):
-            peer.writer.transport.abort()
+            if by_reset:
+                peer.reset()
+            else:
+                peer.writer.transport.abort()
 
     def read_nothing(self, still: bool):
         """From now on nothing is read from any connection, or all of them are read again."""
