Log the software versions of replicas, and which attempt a stream that is taken up names

Streams held events of two versions of their service's software. Which version a stream met where could not be seen: the field `version` of an entry was checked to be there and thrown away, and `Resumes` was not read. Both are read now; ReplicaListed and RelayDispatched name them. No decision is changed. An entry whose version is not a text is rejected like one that lacks it.

--- a/src/node/replica_list.cc
+++ b/src/node/replica_list.cc
@@ -44,6 +44,7 @@
               {"address", base::toString(replica->endpoint)},
               {"zone", replica->zone},
               {"state", replica->state == routing::ReplicaState::kReady ? "ready" : "draining"},
+              {"software", replica->softwareVersion},
               {"weights", model.empty() ? "" : std::to_string(model.front().version)},
               {"revision", base::revisionText(row.revision)}});
   listInstance(row.key, std::move(*replica));
--- a/src/request/relay_flow_dispatch.cc
+++ b/src/request/relay_flow_dispatch.cc
@@ -133,6 +133,8 @@
        {"configuration", std::to_string(assignment_.table->version())},
        {"confirmed_ms",
         assignment_.confirmedAt ? millisecondsText(now - *assignment_.confirmedAt) : std::string{}},
+       {"software", record.facts().softwareVersion},
+       {"resumes", incoming_.resumedRequest},
        {"weights", std::to_string(decision.version)},
        {"begin_in_ms",
         decision.startDeadline ? millisecondsText(*decision.startDeadline - now) : std::string{}},
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -54,6 +54,9 @@
   /// Identifier of the event after which the caller wants to resume a stream; empty for a new
   /// stream.
   std::string lastEventId;
+  /// Identifier of the caller's attempt that brought the first event of that stream; empty if the
+  /// caller names none.
+  std::string resumedRequest;
 };
 
 /// A final response that this node generates itself to refuse a request.
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -34,6 +34,8 @@
   /// stored under this identifier and discarded with it.
   std::string instance;
   std::string service;
+  /// Version of the replica's software, not of the weights. It never changes within an instance.
+  std::string softwareVersion;
   base::Endpoint endpoint;
   std::string zone;
   /// Number of requests that the replica runs concurrently; 0 if not stated.
--- a/tests/platform/row_readers_test.cc
+++ b/tests/platform/row_readers_test.cc
@@ -157,7 +157,7 @@
        {"service", "address", "zone", "version", "slots", "state", "cold_remaining_ms", "sequence"})
     BOOST_TEST(reasonWithout(field) == std::string{field} + " is missing");
   BOOST_TEST(reasonWith("state", "booting") == "state is unknown");
-  for (const char* field : {"service", "address", "zone", "state"}) {
+  for (const char* field : {"service", "address", "zone", "version", "state"}) {
     BOOST_TEST(reasonWith(field, 7) == std::string{field} + " must be a text");
     BOOST_TEST(reasonWith(field, nullptr) == std::string{field} + " is missing");
   }
--- a/tests/routing/relay_peers_test.cc
+++ b/tests/routing/relay_peers_test.cc
@@ -34,7 +34,7 @@
   base::SeededRandom random{1};
   test_support::SharedRecords records;
   RelayPeers peers{{}, random, members, records};
-  Replica replica{"replica", "app", {1, 1}, "b", 1, ReplicaState::kReady, {}, false, {}};
+  Replica replica{"replica", "app", "v1", {1, 1}, "b", 1, ReplicaState::kReady, {}, false, {}};
   base::TimePoint now{std::chrono::seconds(100)};
   int port = 8000;
 };
