Continue a stream only at the software version that began it

Callers' streams held events of two versions of their service's software, which do not fit together: within one answer, where a node went on at whatever replica was best, and over their tries, since Resumes was not read.

The version belongs to the instance of a replica; an entry that changes it within one is rejected. From the first event that is passed on, only replicas of that version are candidates of the request, in the selector (the one place from which candidates come) and again at the dispatch. Each dispatch of a stream that its caller may take up is reported to two homes of its attempt, while the replica reads the prompt; a node that is to go on with a stream asks both at once. The record of the last dispatch counts. The node that sent the attempt asks nobody.

--- a/src/base/peer_transport.h
+++ b/src/base/peer_transport.h
@@ -30,8 +30,9 @@
   kPartIndex = 9,
   kPlacement = 10,
   kQuarantine = 11,
+  kStreamOrigin = 12,
 };
-inline constexpr Channel kLastChannel = Channel::kQuarantine;
+inline constexpr Channel kLastChannel = Channel::kStreamOrigin;
 
 /// Who sent a message.
 struct PeerIdentity {
--- a/src/live/peer_traffic.cc
+++ b/src/live/peer_traffic.cc
@@ -20,6 +20,8 @@
       return "table_feed";
     case base::Channel::kReplicaLoad:
       return "replica_load";
+    case base::Channel::kStreamOrigin:
+      return "stream_origin";
     case base::Channel::kPartIndex:
       return "part_index";
     case base::Channel::kPlacement:
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -81,6 +81,7 @@
         replicaSelector({replicas, holders, weightsTargets, stores, fleetLoad, settings.zone}, {},
                         random),
         partLookup({}, {clock, timers, random, log, peers, membership}),
+        streamOrigins({}, {clock, timers, random, log, peers, membership, softwareVersions}),
         placement({}, {clock, timers, random, log, peers, membership, replicas, holders}),
         weights(deployment.weights, replicas, placement),
         loadExchange({}, {clock, timers, log, peers, membership, replicas, fleetLoad}),
@@ -88,7 +89,7 @@
         ownTable(deployment.table, storeEras),
         configuration(deployment.configurationRows, clock, log, weightsTargets, storeEras),
         replicaList(deployment.replicaRows, clock, log, replicas, holders, crashDetector,
-                    storeEras),
+                    softwareVersions, storeEras),
         configurationGossip({membership, storeEras, configuration,
                              [this] { return configurationWatch.serviceTime(); }}),
         feeds(feedOptions(settings),
@@ -195,9 +196,9 @@
   }
 
   request::RelayDependencies dependencies() {
-    return {clock,           timers,        log,        relayClient,      replicas,   holders,
-            replicaSelector, crashDetector, links,      relayPeers,       partLookup, placement,
-            retryWindows,    quotas,        quarantine, requestDurations, *this};
+    return {clock,           timers,        log,        relayClient,      replicas,      holders,
+            replicaSelector, crashDetector, links,      relayPeers,       partLookup,    placement,
+            retryWindows,    quotas,        quarantine, requestDurations, streamOrigins, *this};
   }
 
   void applyLimits(const config::TrafficLimits& limits) {
@@ -332,6 +333,7 @@
     pauseDetector.check();
     if (channel == base::Channel::kMembership) membership.onPeerMessage(sender, payload);
     if (channel == base::Channel::kTableFeed) feeds.onPeerMessage(sender, payload);
+    if (channel == base::Channel::kStreamOrigin) streamOrigins.onPeerMessage(sender, payload);
     if (channel == base::Channel::kPartIndex) partLookup.onPeerMessage(sender, payload);
     if (channel == base::Channel::kPlacement) placement.onPeerMessage(sender, payload);
     if (channel == base::Channel::kReplicaLoad) loadExchange.onPeerMessage(sender, payload);
@@ -444,6 +446,8 @@
   routing::ReplicaCrashDetector crashDetector;
   routing::ReplicaSelector replicaSelector;
   routing::PartLookup partLookup;
+  routing::SoftwareVersions softwareVersions;
+  routing::StreamOrigins streamOrigins;
   routing::Placement placement;
   node::CallCountingWeightsClient weights;
   routing::LoadExchange loadExchange;
--- a/src/node/replica_list.cc
+++ b/src/node/replica_list.cc
@@ -27,6 +27,11 @@
     onUnreadableRow(row, {base::ResultCode::kInvalidField, "the start time is missing"});
     return;
   }
+  if (changesSoftwareVersion(*replica)) {
+    onUnreadableRow(row, {base::ResultCode::kInvalidField,
+                          "the software version differs from that of the same instance before"});
+    return;
+  }
   if (hasEnded(row.key, replica->instance)) {
     // The service was restored from an older backup: the instance that followed this one rewrites
     // its own entry.
@@ -50,6 +55,11 @@
   listInstance(row.key, std::move(*replica));
 }
 
+bool ReplicaList::changesSoftwareVersion(const routing::Replica& replica) const {
+  const auto record = directory_.find(replica.instance);
+  return record && record->facts().softwareVersion != replica.softwareVersion;
+}
+
 bool ReplicaList::hasExpectedStartTime(const routing::Replica& replica) {
   if (!replica.hasStartTime) return !servicesWithStartTimes_.contains(replica.service);
   const bool first = servicesWithStartTimes_.insert(replica.service).second;
@@ -74,7 +84,10 @@
     onRestarted(instance);
     recordEnded(key, instance);
   }
-  if (instance != replica.instance) crashDetector_.onListed(replica.instance);
+  if (instance != replica.instance) {
+    crashDetector_.onListed(replica.instance);
+    versions_.onListed(replica.service, replica.softwareVersion, clock_.now());
+  }
   instance = replica.instance;
   const bool draining = replica.state == routing::ReplicaState::kDraining;
   directory_.onListed(std::move(replica));
@@ -137,6 +150,10 @@
 }
 
 void ReplicaList::forgetInstance(const std::string& instance) {
+  if (const auto record = directory_.find(instance)) {
+    const auto& facts = record->facts();
+    versions_.onRemoved(facts.service, facts.softwareVersion, clock_.now());
+  }
   directory_.onRemoved(instance);
   crashDetector_.onRemoved(instance);
   holders_.remove(base::engineIdOf(instance));
@@ -144,6 +161,7 @@
 
 void ReplicaList::onCurrent() {
   loaded_ = true;
+  versions_.onCurrent(clock_.now());
   outageLog_.onCurrent();
   if (missingRows_.empty() || mayBeRewritten()) return;
   for (const auto& [key, revision] : std::exchange(missingRows_, {})) remove(key, revision);
--- a/src/node/replica_list.h
+++ b/src/node/replica_list.h
@@ -25,6 +25,7 @@
 #include "routing/prefix_holders.h"
 #include "routing/replica_crash_detector.h"
 #include "routing/replica_directory.h"
+#include "routing/software_versions.h"
 
 namespace covewing::node {
 
@@ -42,13 +43,15 @@
   /// All arguments must outlive the list.
   ReplicaList(const ReplicaRowReader& reader, base::Clock& clock, base::EventLog& log,
               routing::ReplicaDirectory& directory, routing::PrefixHolders& holders,
-              routing::ReplicaCrashDetector& crashDetector, const config::StoreEras& eras)
+              routing::ReplicaCrashDetector& crashDetector, routing::SoftwareVersions& versions,
+              const config::StoreEras& eras)
       : reader_(reader),
         clock_(clock),
         log_(log),
         directory_(directory),
         holders_(holders),
         crashDetector_(crashDetector),
+        versions_(versions),
         eras_(eras) {}
 
   /// Whether the list has been read completely at least once.
@@ -68,6 +71,8 @@
   /// replicas of a service report start times or none does, so that such an entry was not written
   /// by a replica.
   bool hasExpectedStartTime(const routing::Replica& replica);
+  /// Whether the entry names another software version than before for the same instance.
+  bool changesSoftwareVersion(const routing::Replica& replica) const;
   /// Called when the instance has ended because another instance of its replica is listed.
   void onRestarted(const std::string& instance);
   /// Removes the state of an instance that is no longer listed.
@@ -84,6 +89,7 @@
   routing::ReplicaDirectory& directory_;
   routing::PrefixHolders& holders_;
   routing::ReplicaCrashDetector& crashDetector_;
+  routing::SoftwareVersions& versions_;
   const config::StoreEras& eras_;
   /// The instance that each row named last, by key.
   std::map<std::string, std::string> instances_;
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -82,7 +82,11 @@
       holdUntil_ = std::min(holdUntil_, dependencies_.clock.now() + options_.holdNearQuota);
       hardStartDeadline_ = std::min(hardStartDeadline_, holdUntil_);
     }
-    choose();
+    if (resumesStream()) {
+      findStreamOrigin();
+    } else {
+      choose();
+    }
     return;
   }
   const bool rateLimited = verdict.outcome == admission::QuotaOutcome::kRateLimited;
@@ -115,6 +119,7 @@
   query.service = assignment_.service->name;
   query.excluded = excluded_;
   query.excluded.insert(query.excluded.end(), skippedReplicas_.begin(), skippedReplicas_.end());
+  query.softwareVersion = softwareVersion_;
   if (assignment_.service->engine) query.engine = &*assignment_.service->engine;
   if (!incoming_.prompt) return query;
   query.model = incoming_.prompt->model;
@@ -178,7 +183,9 @@
   if (ended_ || !verifyDispatchAllowed()) return;
   const auto now = dependencies_.clock.now();
   auto decision = dependencies_.replicaSelector.choose(query(), hooks_.nodes(), now);
-  if (shouldLookUpHolders(decision)) {
+  if (decision.softwareVersionGone) {
+    refuseWithoutSoftwareVersion();
+  } else if (shouldLookUpHolders(decision)) {
     lookUpHolders(decision.scope);
   } else if (!decision.preferenceOrder.empty() && now >= nextPlacementAt_) {
     requestPlacement(decision);
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -45,6 +45,7 @@
 #include "routing/replica_links.h"
 #include "routing/replica_selector.h"
 #include "routing/request_durations.h"
+#include "routing/stream_origins.h"
 
 namespace covewing::request {
 
@@ -139,6 +140,7 @@
   admission::TenantQuotas& quotas;
   quarantine::RequestQuarantine& quarantine;
   routing::RequestDurations& requestDurations;
+  routing::StreamOrigins& streamOrigins;
   RelayObserver& observer;
 };
 
@@ -253,6 +255,17 @@
 
   /// Continues with a request that is within its tenant's limit, or refuses it.
   void onAllowance(const admission::QuotaVerdict& verdict);
+  /// Whether the caller takes up a stream that an earlier attempt of it began.
+  bool resumesStream() const { return streaming() && !incoming_.lastEventId.empty(); }
+  /// Finds out which software version began the stream that is to be resumed, and then chooses a
+  /// replica of it.
+  void findStreamOrigin();
+  void onStreamOrigin(const std::optional<routing::FoundOrigin>& origin);
+  /// Reports to other nodes which software version the attempt in flight is sent to, if the caller
+  /// may resume its stream.
+  void reportStreamOrigin();
+  /// Ends the request, because no replica has the software version that began its stream.
+  void refuseWithoutSoftwareVersion();
   void choose();
   /// Whether the request may still be sent. If not, ends the request.
   bool verifyDispatchAllowed();
@@ -389,7 +402,6 @@
   void finishComplete();
   void refuse(base::ResultCode code, std::string detail, base::Duration retryAfter);
   void refuse(const RelayRefusal& refusal);
-  void passRefusal(const clients::RelayedAnswer& response);
   void abortStream(std::string_view why);
   void finish(unsigned status, base::ResultCode code, bool callerDisconnected);
   RelayOutcome outcomeOf(unsigned status, base::ResultCode code, bool callerDisconnected) const;
@@ -417,6 +429,11 @@
   std::optional<RetryCause> retryCause_;
   RetryCounts retries_{};
   std::vector<std::string> excluded_;
+  /// Software version that began the stream; only its replicas may continue it. Empty as long as
+  /// any version may begin it.
+  std::optional<std::string> softwareVersion_;
+  /// Software version that was reported last as that of the stream.
+  std::string reportedVersion_;
   std::uint32_t dispatches_ = 0;
   /// Number of attempts that may have been executed by a replica.
   std::uint32_t executions_ = 0;
--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -176,6 +176,7 @@
 
 void RelayFlow::beginResponse(std::optional<std::uint64_t> length) {
   headDelivered_ = true;
+  if (body_.hasEvents()) softwareVersion_ = attempt_->decision.replica->facts().softwareVersion;
   status_ = attempt_->response->status;
   timeToFirstByte_ = dependencies_.clock.now() - incoming_.arrivedAt;
   clients::RelayedAnswer head = *attempt_->response;
--- a/src/request/relay_flow_dispatch.cc
+++ b/src/request/relay_flow_dispatch.cc
@@ -53,6 +53,11 @@
     choose();
     return;
   }
+  if (softwareVersion_ && decision.replica->facts().softwareVersion != *softwareVersion_) {
+    dependencies_.placement.returnGrant(grant);
+    choose();
+    return;
+  }
   if (!withinRateLimit(*decision.replica, grant)) {
     dependencies_.placement.returnGrant(grant);
     skippedReplicas_.push_back(decision.replica->facts().instance);
@@ -98,6 +103,7 @@
                      false,
                      std::nullopt,
                      {}};
+  reportStreamOrigin();
   const auto relay = chooseRelay();
   logDispatch(relay);
   armReceiveTimeout();
@@ -134,7 +140,6 @@
        {"confirmed_ms",
         assignment_.confirmedAt ? millisecondsText(now - *assignment_.confirmedAt) : std::string{}},
        {"software", record.facts().softwareVersion},
-       {"resumes", incoming_.resumedRequest},
        {"weights", std::to_string(decision.version)},
        {"begin_in_ms",
         decision.startDeadline ? millisecondsText(*decision.startDeadline - now) : std::string{}},
--- /dev/null
+++ b/src/request/relay_flow_origin.cc
@@ -0,0 +1,70 @@
+// RelayFlow: keeps a stream with the software version that began it, within one answer and over the
+// attempts of its caller.
+#include <utility>
+
+#include "request/relay_flow.h"
+#include "request/relay_flow_internal.h"
+
+namespace covewing::request {
+
+namespace {
+
+/// A caller's attempts at one stream, each of which may take as long as the route allows, that are
+/// assumed to lie between the attempt that began the stream and this one.
+constexpr int kAssumedAttempts = 2;
+
+}  // namespace
+
+void RelayFlow::findStreamOrigin() {
+  dependencies_.streamOrigins.find(
+      routing::streamIdOf(incoming_.resumedRequest), assignment_.service->name,
+      kAssumedAttempts * assignment_.route->timeout,
+      [weak = weak_from_this()](const std::optional<routing::FoundOrigin>& origin) {
+        const auto flow = weak.lock();
+        if (flow && !flow->ended_) flow->onStreamOrigin(origin);
+      });
+}
+
+void RelayFlow::onStreamOrigin(const std::optional<routing::FoundOrigin>& origin) {
+  dependencies_.log.write(
+      base::Event::kStreamOriginFound,
+      {{"request", incoming_.request->id},
+       {"resumes", incoming_.resumedRequest},
+       {"service", assignment_.service->name},
+       {"software", origin ? origin->softwareVersion : std::string{}},
+       {"source", origin ? std::string{routing::toString(origin->source)} : std::string{}},
+       {"after_ms", millisecondsText(dependencies_.clock.now() - incoming_.arrivedAt)}});
+  if (!origin) {
+    refuse(base::ResultCode::kStreamVersionUnknown,
+           "no node knows which software version began the stream of request " +
+               incoming_.resumedRequest,
+           options_.retryAfterNoReplica);
+    return;
+  }
+  softwareVersion_ = origin->softwareVersion;
+  choose();
+}
+
+void RelayFlow::reportStreamOrigin() {
+  if (!resumable() || resumesStream()) return;
+  const auto& version = attempt_->decision.replica->facts().softwareVersion;
+  if (std::exchange(reportedVersion_, version) == version) return;
+  // The caller may come back as long as it waits, which may be longer than the route allows.
+  const auto waits = incoming_.deadline.value_or(assignment_.route->timeout);
+  const auto waited = dependencies_.clock.now() - incoming_.arrivedAt;
+  dependencies_.streamOrigins.report(routing::streamIdOf(incoming_.request->id),
+                                     {version, dispatches_}, waits - waited);
+}
+
+void RelayFlow::refuseWithoutSoftwareVersion() {
+  const auto why = "no replica of software version " + *softwareVersion_ + " is in service";
+  if (headDelivered_) {
+    abortStream(why);
+  } else if (executions_ > 0) {
+    refuse(base::ResultCode::kBackEndLost, why, {});
+  } else {
+    refuse(base::ResultCode::kStreamVersionGone, why, {});
+  }
+}
+
+}  // namespace covewing::request
--- a/src/routing/replica_selector.cc
+++ b/src/routing/replica_selector.cc
@@ -94,8 +94,12 @@
   Candidates allowed;
   Candidates backingOff;
   reason = listed.empty() ? "no replica is listed" : "every replica leaves or was tried";
+  decision.softwareVersionGone = query.softwareVersion.has_value();
   for (const auto& record : listed) {
     if (!record->inService()) continue;
+    if (query.softwareVersion && record->facts().softwareVersion != *query.softwareVersion)
+      continue;
+    decision.softwareVersionGone = false;
     if (!query.model.empty() && !startsInTime(query, *record, now)) {
       reason = "no replica has the version in force";
     } else if (record->notices().backingOff(now)) {
--- a/src/routing/replica_selector.h
+++ b/src/routing/replica_selector.h
@@ -53,6 +53,8 @@
   base::Duration acceptableWait = std::chrono::milliseconds(250);
   /// Instances that have been tried for this request.
   std::vector<std::string> excluded;
+  /// Only replicas with this version of their software may be selected; empty: any.
+  std::optional<std::string> softwareVersion;
 
   /// Whether the request has a prompt with shared parts that a replica may have cached.
   bool withPrompt() const {
@@ -99,6 +101,8 @@
   std::size_t homesAsked = 0;
   base::Duration expectedWait{};
   std::string_view reason;
+  /// No replica of the software version that the query requires is in service.
+  bool softwareVersionGone = false;
   /// Set if all candidate replicas have asked this node to back off: the earliest end of a
   /// back-off.
   std::optional<base::TimePoint> backOffEnds;
--- /dev/null
+++ b/src/routing/stream_origins.cc
@@ -0,0 +1,179 @@
+#include "routing/stream_origins.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace covewing::routing {
+
+namespace {
+
+/// Keeps the record of the later dispatch.
+void keepLater(std::optional<StreamOrigin>& kept, const StreamOrigin& origin) {
+  if (!kept || kept->dispatch < origin.dispatch) kept = origin;
+}
+
+}  // namespace
+
+std::string_view toString(OriginSource source) {
+  switch (source) {
+    case OriginSource::kOwnRecord:
+      return "own record";
+    case OriginSource::kHome:
+      return "home";
+    case OriginSource::kSoleVersion:
+      return "sole version";
+  }
+  return "unknown";
+}
+
+StreamOrigins::~StreamOrigins() {
+  for (const auto& [nonce, search] : searches_) environment_.timers.cancel(search.timer);
+}
+
+std::vector<const membership::Member*> StreamOrigins::homesOf(StreamId stream) const {
+  std::vector<const membership::Member*> homes;
+  std::vector<std::uint64_t> scores;
+  for (const auto& member : environment_.members.liveMembers()) {
+    if (member.draining) continue;
+    const auto score = base::mixHash(stream.value, member.id.value);
+    const auto place = std::ranges::upper_bound(scores, score, std::greater{}) - scores.begin();
+    if (static_cast<std::size_t>(place) >= options_.homes) continue;
+    scores.insert(scores.begin() + place, score);
+    homes.insert(homes.begin() + place, &member);
+    if (homes.size() <= options_.homes) continue;
+    scores.pop_back();
+    homes.pop_back();
+  }
+  return homes;
+}
+
+void StreamOrigins::send(const base::Endpoint& destination, const StreamOriginMessage& message) {
+  environment_.peers.send(destination, base::Channel::kStreamOrigin, encode(message));
+}
+
+void StreamOrigins::report(StreamId stream, StreamOrigin origin, base::Duration timeLeft) {
+  const auto keepFor = timeLeft + options_.margin;
+  store(stream, {origin, true, discardTime(keepFor)});
+  const StreamReport message{stream, std::move(origin), keepFor};
+  const auto self = environment_.members.self().id;
+  for (const auto* home : homesOf(stream))
+    if (home->id != self) send(home->endpoint, message);
+}
+
+base::TimePoint StreamOrigins::discardTime(base::Duration keepFor) const {
+  return environment_.clock.now() + std::min(keepFor, options_.maximumRetention);
+}
+
+void StreamOrigins::store(StreamId stream, const Record& record) {
+  discardExpired();
+  const auto [entry, added] = records_.try_emplace(stream, record);
+  if (added) {
+    order_.push_back(stream);
+  } else if (entry->second.origin.dispatch <= record.origin.dispatch) {
+    entry->second = record;
+  }
+  if (records_.size() <= options_.maximumRecords) return;
+  records_.erase(order_.front());
+  order_.pop_front();
+}
+
+void StreamOrigins::discardExpired() {
+  const auto now = environment_.clock.now();
+  while (!order_.empty()) {
+    const auto oldest = records_.find(order_.front());
+    if (oldest != records_.end() && oldest->second.discardAt > now) return;
+    if (oldest != records_.end()) records_.erase(oldest);
+    order_.pop_front();
+  }
+}
+
+const StreamOrigins::Record* StreamOrigins::recordOf(StreamId stream) const {
+  const auto found = records_.find(stream);
+  const bool valid = found != records_.end() && found->second.discardAt > environment_.clock.now();
+  return valid ? &found->second : nullptr;
+}
+
+void StreamOrigins::find(StreamId stream, const std::string& service, base::Duration age,
+                         FoundCallback found) {
+  const auto* record = recordOf(stream);
+  if (record != nullptr && record->own) {
+    found(FoundOrigin{record->origin.softwareVersion, OriginSource::kOwnRecord});
+    return;
+  }
+  Search search;
+  search.service = service;
+  search.age = age;
+  if (record != nullptr) search.origin = record->origin;
+  search.found = std::move(found);
+  const auto nonce = environment_.random.next();
+  const auto self = environment_.members.self().id;
+  for (const auto* home : homesOf(stream)) {
+    if (home->id == self) continue;
+    ++search.pendingReplies;
+    send(home->endpoint, StreamQuery{nonce, stream, service});
+  }
+  const bool nobodyToAsk = search.pendingReplies == 0;
+  search.timer = environment_.timers.schedule(options_.timeout, [this, nonce] { conclude(nonce); });
+  searches_.emplace(nonce, std::move(search));
+  if (nobodyToAsk) conclude(nonce);
+}
+
+void StreamOrigins::onQuery(const base::PeerIdentity& sender, const StreamQuery& query) {
+  StreamReply reply;
+  reply.nonce = query.nonce;
+  if (const auto* record = recordOf(query.stream)) reply.origin = record->origin;
+  reply.sole = environment_.versions.soleVersion(query.service, environment_.clock.now());
+  send(sender.endpoint, reply);
+}
+
+void StreamOrigins::onReply(const StreamReply& reply) {
+  const auto found = searches_.find(reply.nonce);
+  if (found == searches_.end()) return;
+  auto& search = found->second;
+  if (reply.origin) keepLater(search.origin, *reply.origin);
+  search.soleVersions.push_back(reply.sole);
+  --search.pendingReplies;
+  if (search.pendingReplies == 0) conclude(reply.nonce);
+}
+
+void StreamOrigins::conclude(std::uint64_t nonce) {
+  auto entry = searches_.extract(nonce);
+  if (entry.empty()) return;
+  const auto& search = entry.mapped();
+  environment_.timers.cancel(search.timer);
+  if (search.origin) {
+    search.found(FoundOrigin{search.origin->softwareVersion, OriginSource::kHome});
+  } else {
+    search.found(foundBySoleVersion(search));
+  }
+}
+
+std::optional<FoundOrigin> StreamOrigins::foundBySoleVersion(const Search& search) const {
+  const auto own = environment_.versions.soleVersion(search.service, environment_.clock.now());
+  if (!own) return std::nullopt;
+  auto since = own->since;
+  for (const auto& other : search.soleVersions) {
+    // A home that knows several versions, or another one, is right: this list may be late.
+    if (!other || other->softwareVersion != own->softwareVersion) return std::nullopt;
+    since = std::max(since, other->since);
+  }
+  // Of other nodes, at least one has to confirm the list, unless there is none.
+  const bool confirmed =
+      !search.soleVersions.empty() || environment_.members.liveMembers().size() <= 1;
+  if (!confirmed || since < search.age) return std::nullopt;
+  return FoundOrigin{own->softwareVersion, OriginSource::kSoleVersion};
+}
+
+void StreamOrigins::onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) {
+  const auto message = decodeStreamOriginMessage(payload);
+  if (!message) {
+    environment_.log.write(base::Event::kMessageRejected, {{"channel", "stream origin"}});
+    return;
+  }
+  if (const auto* report = std::get_if<StreamReport>(&*message))
+    store(report->stream, {report->origin, false, discardTime(report->keepFor)});
+  if (const auto* query = std::get_if<StreamQuery>(&*message)) onQuery(sender, *query);
+  if (const auto* reply = std::get_if<StreamReply>(&*message)) onReply(*reply);
+}
+
+}  // namespace covewing::routing
--- a/tests/node/message_versions_test.cc
+++ b/tests/node/message_versions_test.cc
@@ -17,6 +17,7 @@
 #include "routing/load_messages.h"
 #include "routing/part_messages.h"
 #include "routing/placement_messages.h"
+#include "routing/stream_origin_messages.h"
 
 namespace covewing::node {
 
@@ -90,6 +91,15 @@
       [](const routing::PlacementMessage& read) { return routing::encode(read); }));
 }
 
+template <class Message>
+void addStreamOrigin(std::vector<Sample>& samples, const std::string& name,
+                     const Message& message) {
+  samples.push_back(
+      sample(name, routing::encode(routing::StreamOriginMessage{message}),
+             routing::decodeStreamOriginMessage,
+             [](const routing::StreamOriginMessage& read) { return routing::encode(read); }));
+}
+
 template <class Message>
 void addQuota(std::vector<Sample>& samples, const std::string& name, const Message& message) {
   samples.push_back(sample(name, admission::encode(message), admission::decodeQuotaMessage,
@@ -129,6 +139,11 @@
   addPart(all, "PartQuery", routing::PartQuery{1, 2, 3});
   addPart(all, "PartReply", routing::PartReply{1, {{{4}, 5}}});
   addPart(all, "PartUpdate", routing::PartUpdate{1, {{4}, 5}, true});
+  addStreamOrigin(all, "StreamReport", routing::StreamReport{{1}, {"v1.2", 2}, milliseconds(6000)});
+  addStreamOrigin(all, "StreamQuery", routing::StreamQuery{7, {1}, "llm"});
+  addStreamOrigin(all, "StreamReply",
+                  routing::StreamReply{7, routing::StreamOrigin{"v1.2", 2},
+                                       routing::SoleVersion{"v1", milliseconds(900)}});
   routing::PlacementQuery query;
   query.id = 3;
   query.model = "m";
--- a/tests/request/limited_fleet.h
+++ b/tests/request/limited_fleet.h
@@ -124,6 +124,7 @@
         links({}, {time, time, random, log, reachability, replicas}),
         relayPeers({}, random, members, records),
         parts({}, {time, time, random, log, link, members}),
+        streamOrigins({}, {time, time, random, log, link, members, softwareVersions}),
         placement({}, {time, time, random, log, link, members, replicas, holders}),
         quotas({}, {time, time, random, members, link, [this] { return nodes(); }}),
         quarantine({}, {time, time, random, log, link, members, records, table,
@@ -132,7 +133,7 @@
         service(options(),
                 {time, time, log, *this, replicas, holders, replicaSelector, replicaCrashDetector,
                  links, relayPeers, parts, placement, retries, quotas, quarantine, requestDurations,
-                 *this},
+                 streamOrigins, *this},
                 tables, [this] { return nodes(); }) {
     network.attach(members.self().endpoint.address,
                    [this](const base::PeerIdentity& sender, std::string_view payload) {
@@ -172,6 +173,8 @@
   routing::ReplicaLinks links;
   routing::RelayPeers relayPeers;
   routing::PartLookup parts;
+  routing::SoftwareVersions softwareVersions;
+  routing::StreamOrigins streamOrigins;
   routing::Placement placement;
   admission::TenantQuotas quotas;
   quarantine::RequestQuarantine quarantine;
--- a/tests/request/relay_flow_test.cc
+++ b/tests/request/relay_flow_test.cc
@@ -168,7 +168,6 @@
   BOOST_TEST(client.sent.size() == 1U);
 }
 
-// Guards against requests being held for longer than their callers wait for a first event.
 // Guards against a node that is behind and serves ever older requests, all of them too late.
 BOOST_AUTO_TEST_CASE(RequestThatLayUnreadForTheTimeOfItsHoldIsRefusedAsNotRun) {
   readDelay = milliseconds(1900);
@@ -184,6 +183,7 @@
   BOOST_TEST((refused.refusal->retryAfter > milliseconds(0)));
 }
 
+// Guards against requests being held for longer than their callers wait for a first event.
 BOOST_AUTO_TEST_CASE(StreamIsNotHeldLongerThanItsCallerWaitsForTheFirstEvent) {
   auto adjusted = contents();
   adjusted.routes[2].firstEventPatience = seconds(1);
--- /dev/null
+++ b/tests/request/stream_version_test.cc
@@ -0,0 +1,172 @@
+// Guards against streams that hold events of two versions of their service's software, within one
+// answer or over the attempts of their caller.
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+#include "relay_fixture.h"
+
+namespace covewing::request {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::string_view kOneEvent = "id: 1\ndata: x\n\n";
+constexpr std::string_view kEnd = "id: 2\ndata: y\n\n";
+
+/// Two replicas of each of two versions.
+struct VersionFixture : RelayFixture {
+  VersionFixture() {
+    for (const char* name : {"m1", "m2", "m3"}) {
+      softwareVersions.onRemoved("llm", "v1", time.now());
+      replicas.onRemoved(name);
+    }
+    for (const char* name : {"old1", "old2"}) addReplica(name, "llm", 1, "v1");
+    for (const char* name : {"new1", "new2"}) addReplica(name, "llm", 1, "v2");
+  }
+
+  std::string versionOf(const std::string& instance) const {
+    return replicas.find(instance)->facts().softwareVersion;
+  }
+  std::string lastVersion() const { return versionOf(client.sent.back()->terms.expectedInstance); }
+  void remove(const std::string& name) {
+    softwareVersions.onRemoved("llm", versionOf(name), time.now());
+    replicas.onRemoved(name);
+  }
+  void removeVersion(const std::string& version) {
+    for (const char* name : {"old1", "old2", "new1", "new2"})
+      if (replicas.find(name) != nullptr && versionOf(name) == version) remove(name);
+  }
+  /// Begins a stream whose replica breaks off after the first event. Returns its attempt.
+  std::string beginAndBreakOff() {
+    request("once");
+    client.last().respond(200, kEnd);
+    auto& caller = request("resumable");
+    const auto attempt = client.last().request->id;
+    client.last().head(200);
+    client.last().handler->onBody(kOneEvent);
+    BOOST_TEST(caller.body == kOneEvent);
+    if (const auto open = flow.lock()) open->onCallerDisconnected();
+    return attempt;
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(StreamVersionTest, VersionFixture)
+
+BOOST_AUTO_TEST_CASE(StreamGoesOnWithinAnAnswerAtItsVersionOnly) {
+  for (int count = 0; count < 20; ++count) {
+    promptText = "a" + std::to_string(count) + ":1000,bb:200";
+    auto& caller = request("resumable");
+    const auto began = lastVersion();
+    const auto first = client.last().terms.expectedInstance;
+    client.last().head(200);
+    client.last().handler->onBody(kOneEvent);
+    client.last().breakConnection();
+    BOOST_TEST(lastVersion() == began);
+    BOOST_TEST(client.last().terms.expectedInstance != first);
+    client.last().respond(200, kEnd);
+    BOOST_TEST(caller.ended);
+    time.advance(seconds(5));
+    tables.confirmed = time.now();
+  }
+}
+
+BOOST_AUTO_TEST_CASE(StreamIsBrokenOffAtOnceIfNoReplicaOfItsVersionIsLeft) {
+  auto& caller = request("resumable");
+  const auto began = lastVersion();
+  const auto attempt = client.sent.back();
+  attempt->head(200);
+  attempt->handler->onBody(kOneEvent);
+  removeVersion(began);
+  attempt->breakConnection();
+  BOOST_TEST(caller.aborted);
+  BOOST_TEST(client.sent.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AnyVersionMayBeginAStreamThatHasBroughtNoEvent) {
+  auto& caller = request("resumable");
+  removeVersion(lastVersion() == "v1" ? "v2" : "v1");
+  const auto began = lastVersion();
+  client.last().breakConnection();
+  BOOST_REQUIRE(client.sent.size() == 2U);
+  client.last().respond(200, kOneEvent);
+  BOOST_TEST(caller.ended);
+  BOOST_TEST(lastVersion() == began);
+}
+
+BOOST_AUTO_TEST_CASE(StreamIsTakenUpAtItsVersionOnly) {
+  for (int count = 0; count < 20; ++count) {
+    promptText = "a" + std::to_string(count) + ":1000,bb:200";
+    const auto attempt = beginAndBreakOff();
+    const auto began = lastVersion();
+    // The replicas of the other version are idle.
+    auto& caller = resume(attempt, "1");
+    BOOST_TEST(lastVersion() == began);
+    BOOST_TEST(client.last().terms.lastEventId == "1");
+    client.last().refuseNotExecuted();
+    BOOST_TEST(lastVersion() == began);
+    client.last().respond(200, kEnd);
+    BOOST_TEST(caller.ended);
+    time.advance(seconds(5));
+    tables.confirmed = time.now();
+  }
+}
+
+BOOST_AUTO_TEST_CASE(StreamWhoseVersionIsGoneIsRefusedAtOnceAsNotRun) {
+  const auto attempt = beginAndBreakOff();
+  removeVersion(lastVersion());
+  const auto sent = client.sent.size();
+  const auto& caller = resume(attempt, "1");
+  BOOST_REQUIRE(caller.refusal.has_value());
+  BOOST_TEST(caller.refusal->status == 503U);
+  BOOST_TEST((caller.refusal->reason.code == base::ResultCode::kStreamVersionGone));
+  BOOST_TEST(client.sent.size() == sent);
+}
+
+BOOST_AUTO_TEST_CASE(StreamOfAnUnknownVersionIsRefusedAtOnceAsNotRun) {
+  for (const char* attempt : {"another", ""}) {
+    const auto& caller = resume(attempt, "1");
+    time.advance(milliseconds(50));
+    BOOST_REQUIRE(caller.refusal.has_value());
+    BOOST_TEST(caller.refusal->status == 503U);
+    BOOST_TEST((caller.refusal->reason.code == base::ResultCode::kStreamVersionUnknown));
+    BOOST_TEST((caller.refusal->retryAfter > milliseconds(0)));
+  }
+  BOOST_TEST(client.sent.empty());
+}
+
+BOOST_AUTO_TEST_CASE(StreamOfAnUnknownAttemptGoesOnWhereAllReplicasHadOneVersion) {
+  removeVersion("v1");
+  time.advance(seconds(20));
+  tables.confirmed = time.now();
+  softwareVersions.onCurrent(time.now());
+  auto& caller = resume("another", "1");
+  BOOST_REQUIRE(client.sent.size() == 1U);
+  client.last().respond(200, kEnd);
+  BOOST_TEST(caller.ended);
+}
+
+// A replica whose entry comes with another version, or goes, while the request waits for it.
+BOOST_AUTO_TEST_CASE(StreamWaitsForAReplicaOfItsVersionThatIsFull) {
+  const auto attempt = beginAndBreakOff();
+  const auto began = lastVersion();
+  for (const char* name : {"old1", "old2", "new1", "new2"}) {
+    if (versionOf(name) == began)
+      replicas.find(name)->notices().startBackOff(time.now() + seconds(1));
+  }
+  const auto sent = client.sent.size();
+  auto& caller = resume(attempt, "1");
+  time.advance(milliseconds(500));
+  BOOST_TEST(caller.open());
+  BOOST_TEST(client.sent.size() == sent);
+  time.advance(milliseconds(600));
+  BOOST_REQUIRE(client.sent.size() == sent + 1);
+  BOOST_TEST(lastVersion() == began);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace covewing::request
--- a/tests/scripts/relay_soak.sh
+++ b/tests/scripts/relay_soak.sh
@@ -61,6 +61,9 @@
 run_seed 13 2 0 --cuts
 run_seed 14 1 0 --brittle
 run_seed 15 2 0 --silences
+# Answers that replicas break off, and streams that callers take up, with replicas of two versions.
+run_seed 16 1 12 --streams
+run_seed 17 2 12 --streams --rebirths
 await_all || failed=1
 
 # All replicas limited, and nothing else wrong: each is used to its limit, also where all prompts share one part.
--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -52,6 +52,10 @@
     return VERSIONS[replica_index % 2]
 
 
+def other_version(version: str) -> str:
+    return VERSIONS[1 - VERSIONS.index(version)]
+
+
 def with_version(event: bytes, version: str) -> bytes:
     return VERSION_FIELD + version.encode() + b"\n" + event
 
--- a/tests/soak/streams.py
+++ b/tests/soak/streams.py
@@ -4,7 +4,7 @@
 import asyncio
 import random
 
-from answers import take_versions
+from answers import other_version, take_versions
 from callers import HOST, KEY, RESUMABLE, STREAM, Caller
 from nodes import Node
 from wire import now, read_message
@@ -16,6 +16,8 @@
 RESUMING_CALLERS = 4
 OLD_CALLERS = 1
 KILL_EVERY = (2.0, 5.0)
+# A replica crashes and starts again under its identifier as the other version.
+REBIRTH_EVERY = (2.0, 5.0)
 CALM_TIME = 5.0
 
 
@@ -130,6 +132,14 @@
             await draw.choice(soak.nodes).suffer("killed", Node.kill, draw)
 
 
+async def change_versions(soak, draw):
+    while now() < soak.faults_end:
+        await asyncio.sleep(draw.uniform(*REBIRTH_EVERY))
+        replica = draw.choice(soak.model_replicas)
+        if not soak.over and replica.crash():
+            replica.software = other_version(replica.software)
+
+
 async def break_and_take_up(soak):
     draw = random.Random(f"{soak.options.seed}/streams")
     for number in range(RESUMING_CALLERS * len(soak.nodes)):
@@ -138,6 +148,8 @@
         soak.spawn(OldCaller(soak, number).run())
     # Without any fault of a node first, so that new streams and those taken up are told apart from its effects.
     await asyncio.sleep(CALM_TIME)
+    if soak.options.rebirths:
+        soak.spawn(change_versions(soak, random.Random(f"{soak.options.seed}/rebirths")))
     await kill_nodes(soak, draw)
     for violation in soak.streams.broken():
         soak.violate(violation, "streams")
