Continue a stream at the service that began it

A route may lead to several services, and the one of each request is drawn anew. A stream that its caller took up went to whichever was drawn, and only the name of the software version was compared, which another service's replicas may share. The report of a dispatch names the service as well. A stream goes on there if its route still leads there, and is refused as not run otherwise (411). Without a record nothing is concluded where a route leads to several services. A lookup waits up to 150 ms: 40 ms is the round trip between two regions.

Found by reading.

--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -60,10 +60,7 @@
            options_.retryAfterNoReplica);
     return;
   }
-  dependencies_.retries.onRequest(assignment_.service->name, now);
-  if (isLongRunning())
-    dependencies_.requestDurations.onLongRun(assignment_.service->name, expectedOutputTokens(),
-                                             now);
+  if (!resumesStream()) countRequest();
   deadlineTimer_ = dependencies_.timers.schedule(deadline_ - now, [this] { onDeadline(); });
   writer_->onPressure([this](bool high) {
     paused_ = high;
@@ -76,6 +73,14 @@
   });
 }
 
+void RelayFlow::countRequest() {
+  const auto now = dependencies_.clock.now();
+  const auto& service = assignment_.service->name;
+  dependencies_.retries.onRequest(service, now);
+  if (isLongRunning())
+    dependencies_.requestDurations.onLongRun(service, expectedOutputTokens(), now);
+}
+
 void RelayFlow::onAllowance(const admission::QuotaVerdict& verdict) {
   if (verdict.outcome == admission::QuotaOutcome::kGranted) {
     if (verdict.nearLimit) {
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -260,6 +260,10 @@
   /// Finds out which software version began the stream that is to be resumed, and then chooses a
   /// replica of it.
   void findStreamOrigin();
+  /// Lets the request go to this service, if its route leads there. Returns false if it does not.
+  bool useService(const std::string& name);
+  /// Counts the request among those for its service.
+  void countRequest();
   void onStreamOrigin(const std::optional<routing::FoundOrigin>& origin);
   /// Reports to other nodes which software version the attempt in flight is sent to, if the caller
   /// may resume its stream.
--- a/src/request/relay_flow_origin.cc
+++ b/src/request/relay_flow_origin.cc
@@ -1,5 +1,6 @@
 // RelayFlow: keeps a stream with the software version that began it, within one answer and over the
 // attempts of its caller.
+#include <algorithm>
 #include <utility>
 
 #include "request/relay_flow.h"
@@ -16,8 +17,10 @@
 }  // namespace
 
 void RelayFlow::findStreamOrigin() {
+  const bool onlyService = assignment_.route->split.size() == 1;
   dependencies_.streamOrigins.find(
-      routing::streamIdOf(incoming_.resumedRequest), assignment_.service->name,
+      routing::streamIdOf(incoming_.resumedRequest),
+      onlyService ? assignment_.service->name : std::string{},
       kAssumedAttempts * assignment_.route->timeout,
       [weak = weak_from_this()](const std::optional<routing::FoundOrigin>& origin) {
         const auto flow = weak.lock();
@@ -30,7 +33,7 @@
       base::Event::kStreamOriginFound,
       {{"request", incoming_.request->id},
        {"resumes", incoming_.resumedRequest},
-       {"service", assignment_.service->name},
+       {"service", origin ? origin->service : std::string{}},
        {"software", origin ? origin->softwareVersion : std::string{}},
        {"source", origin ? std::string{routing::toString(origin->source)} : std::string{}},
        {"after_ms", millisecondsText(dependencies_.clock.now() - incoming_.arrivedAt)}});
@@ -41,10 +44,26 @@
            options_.retryAfterNoReplica);
     return;
   }
+  if (!useService(origin->service)) {
+    refuse(base::ResultCode::kStreamVersionGone,
+           "the route does not lead to service " + origin->service + ", which began the stream",
+           {});
+    return;
+  }
   softwareVersion_ = origin->softwareVersion;
+  countRequest();
   choose();
 }
 
+bool RelayFlow::useService(const std::string& name) {
+  const auto& split = assignment_.route->split;
+  if (std::ranges::find(split, name, &config::ServiceShare::service) == split.end()) return false;
+  const auto* service = assignment_.table->findService(name);
+  if (service == nullptr) return false;
+  assignment_.service = service;
+  return true;
+}
+
 void RelayFlow::reportStreamOrigin() {
   if (!resumable() || resumesStream()) return;
   const auto& version = attempt_->decision.replica->facts().softwareVersion;
@@ -53,7 +72,8 @@
   const auto waits = incoming_.deadline.value_or(assignment_.route->timeout);
   const auto waited = dependencies_.clock.now() - incoming_.arrivedAt;
   dependencies_.streamOrigins.report(routing::streamIdOf(incoming_.request->id),
-                                     {version, dispatches_}, waits - waited);
+                                     {assignment_.service->name, version, dispatches_},
+                                     waits - waited);
 }
 
 void RelayFlow::refuseWithoutSoftwareVersion() {
--- a/src/routing/stream_origin_messages.cc
+++ b/src/routing/stream_origin_messages.cc
@@ -12,9 +12,9 @@
 /// Type numbers on the wire; never reused.
 enum class MessageType : std::uint8_t { kReport = 1, kQuery = 2, kReply = 3 };
 
-constexpr std::uint32_t kReportFields = 5;
+constexpr std::uint32_t kReportFields = 6;
 constexpr std::uint32_t kQueryFields = 4;
-constexpr std::uint32_t kReplyFields = 6;
+constexpr std::uint32_t kReplyFields = 7;
 /// Longer times in a message are taken for this one.
 constexpr std::uint64_t kMaximumMilliseconds = 86'400'000;
 
@@ -30,6 +30,7 @@
 
 StreamOrigin readOrigin(base::Reader& reader) {
   StreamOrigin origin;
+  origin.service = reader.text();
   origin.softwareVersion = reader.text();
   origin.dispatch = static_cast<std::uint32_t>(reader.unsignedInteger());
   return origin;
@@ -38,7 +39,8 @@
 void write(base::Writer& writer, const StreamReport& report) {
   writer.array(kReportFields).unsignedInteger(static_cast<std::uint64_t>(MessageType::kReport));
   writer.unsignedInteger(report.stream.value);
-  writer.text(report.origin.softwareVersion).unsignedInteger(report.origin.dispatch);
+  writer.text(report.origin.service).text(report.origin.softwareVersion);
+  writer.unsignedInteger(report.origin.dispatch);
   writer.unsignedInteger(milliseconds(report.keepFor));
 }
 
@@ -53,7 +55,7 @@
   const auto sole = reply.sole.value_or(SoleVersion{});
   writer.array(kReplyFields).unsignedInteger(static_cast<std::uint64_t>(MessageType::kReply));
   writer.unsignedInteger(reply.nonce);
-  writer.text(origin.softwareVersion).unsignedInteger(origin.dispatch);
+  writer.text(origin.service).text(origin.softwareVersion).unsignedInteger(origin.dispatch);
   writer.text(sole.softwareVersion).unsignedInteger(milliseconds(sole.since));
 }
 
--- a/src/routing/stream_origin_messages.h
+++ b/src/routing/stream_origin_messages.h
@@ -21,7 +21,9 @@
 
 /// By what a stream was begun.
 struct StreamOrigin {
-  /// Version of the software of the replica that the attempt was sent to.
+  /// Service of the replica that the attempt was sent to.
+  std::string service;
+  /// Version of that replica's software.
   std::string softwareVersion;
   /// Number of the dispatch within the attempt; only the last one can have begun the stream.
   std::uint32_t dispatch = 0;
@@ -40,6 +42,7 @@
   /// Chosen by the sender of the query; the reply repeats it.
   std::uint64_t nonce = 0;
   StreamId stream;
+  /// Service whose only version is asked for; empty if that would prove nothing.
   std::string service;
 };
 
--- a/src/routing/stream_origins.cc
+++ b/src/routing/stream_origins.cc
@@ -97,7 +97,8 @@
                          FoundCallback found) {
   const auto* record = recordOf(stream);
   if (record != nullptr && record->own) {
-    found(FoundOrigin{record->origin.softwareVersion, OriginSource::kOwnRecord});
+    found(FoundOrigin{record->origin.service, record->origin.softwareVersion,
+                      OriginSource::kOwnRecord});
     return;
   }
   Search search;
@@ -142,7 +143,8 @@
   const auto& search = entry.mapped();
   environment_.timers.cancel(search.timer);
   if (search.origin) {
-    search.found(FoundOrigin{search.origin->softwareVersion, OriginSource::kHome});
+    search.found(
+        FoundOrigin{search.origin->service, search.origin->softwareVersion, OriginSource::kHome});
   } else {
     search.found(foundBySoleVersion(search));
   }
@@ -161,7 +163,7 @@
   const bool confirmed =
       !search.soleVersions.empty() || environment_.members.liveMembers().size() <= 1;
   if (!confirmed || since < search.age) return std::nullopt;
-  return FoundOrigin{own->softwareVersion, OriginSource::kSoleVersion};
+  return FoundOrigin{search.service, own->softwareVersion, OriginSource::kSoleVersion};
 }
 
 void StreamOrigins::onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) {
--- a/src/routing/stream_origins.h
+++ b/src/routing/stream_origins.h
@@ -37,7 +37,7 @@
   /// Number of nodes that a dispatch is reported to.
   std::size_t homes = 2;
   /// Maximum wait for the replies of the homes.
-  base::Duration timeout = std::chrono::milliseconds(40);
+  base::Duration timeout = std::chrono::milliseconds(150);
   /// Time by which a record outlasts the stream's own time: callers come back after it broke.
   base::Duration margin = std::chrono::seconds(5);
   base::Duration maximumRetention = std::chrono::minutes(5);
@@ -61,6 +61,7 @@
 std::string_view toString(OriginSource source);
 
 struct FoundOrigin {
+  std::string service;
   std::string softwareVersion;
   OriginSource source = OriginSource::kOwnRecord;
 };
@@ -79,8 +80,9 @@
   /// Records at this node and at the homes that the stream is sent to a replica of this version.
   /// `timeLeft` is the time that the caller and the route leave it.
   void report(StreamId stream, StreamOrigin origin, base::Duration timeLeft);
-  /// Finds the version that began the stream of the service, at most `age` ago. Calls `found`
-  /// exactly once; calls it before returning if nobody has to be queried.
+  /// Finds the service and version that began the stream, at most `age` ago. `service` is the only
+  /// service that can have begun it, or empty if there may be several. Calls `found` exactly once;
+  /// calls it before returning if nobody has to be queried.
   void find(StreamId stream, const std::string& service, base::Duration age, FoundCallback found);
   void onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) override;
 
