--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -32,6 +32,7 @@
 #include "node/node_count.h"
 #include "node/pause_detector.h"
 #include "node/service_demand.h"
+#include "node/software_version_store.h"
 #include "node/wake_gate.h"
 #include "node/weights_coordinator.h"
 #include "routing/cache_watch.h"
@@ -81,7 +82,11 @@
         replicaSelector({replicas, holders, weightsTargets, stores, fleetLoad, settings.zone}, {},
                         random),
         partLookup({}, {clock, timers, random, log, peers, membership}),
-        streamOrigins({}, {clock, timers, random, log, peers, membership, softwareVersions}),
+        streamOrigins({}, {clock, timers, random, log, peers, membership, softwareVersions,
+                           [this](const std::string& name, base::Duration age,
+                                  node::SoftwareVersionStore::Callback found) {
+                             softwareVersionStore.findSoleVersion(name, age, std::move(found));
+                           }}),
         placement({}, {clock, timers, random, log, peers, membership, replicas, holders}),
         weights(deployment.weights, replicas, placement),
         loadExchange({}, {clock, timers, log, peers, membership, replicas, fleetLoad}),
@@ -108,6 +113,8 @@
              [this](const std::string& name) { return demand.replicasInUse(name); },
              [this](const std::string& name) { return demand.isConfigured(name); },
              [this] { return !links.mostFailed(); }}),
+        softwareVersionStore({ownTable, clock, timers, membership, softwareVersions,
+                              [this] { return configurationWatch.serviceTime(); }}),
         announcementTimeStore(
             ownTable, clock, timers, [this] { return configurationWatch.serviceTime(); },
             [this](bool lastCheck) { return writesAnnouncementTimes(lastCheck); }),
@@ -266,6 +273,7 @@
     quarantine.start();
     configurationWatch.start();
     replicaWatch.start();
+    softwareVersionStore.start();
     pauseDetector.start();
     return true;
   }
@@ -309,6 +317,7 @@
     configurationGossip.onStoreReturned();
     configuration.onStoreReturned();
     coordinator.onStoreReturned();
+    softwareVersionStore.onStoreReturned();
   }
 
   /// Called when the configuration has been read or confirmed as current.
@@ -462,6 +471,7 @@
   routing::RequestDurations requestDurations;
   node::ServiceDemand demand;
   node::WeightsCoordinator coordinator;
+  node::SoftwareVersionStore softwareVersionStore;
   node::AnnouncementTimeStore announcementTimeStore;
   node::AnnouncementTimeResolver announcementTimeResolver;
   node::CacheStoreGossip cacheStoreGossip;
--- a/src/routing/software_versions.cc
+++ b/src/routing/software_versions.cc
@@ -34,9 +34,29 @@
   confirmedAt_ = now;
 }
 
+bool SoftwareVersions::isCurrent(base::TimePoint now) const {
+  return completeSince_ && now - confirmedAt_ <= kMaximumListAge;
+}
+
+std::vector<std::string> SoftwareVersions::services() const {
+  std::vector<std::string> names;
+  for (const auto& [service, versions] : services_) names.push_back(service);
+  return names;
+}
+
+std::vector<std::string> SoftwareVersions::listed(const std::string& service,
+                                                  base::TimePoint now) const {
+  std::vector<std::string> names;
+  const auto found = services_.find(service);
+  if (found == services_.end() || !isCurrent(now)) return names;
+  for (const auto& [version, entry] : found->second)
+    if (entry.replicas > 0) names.push_back(version);
+  return names;
+}
+
 std::optional<SoleVersion> SoftwareVersions::soleVersion(std::string_view service,
                                                          base::TimePoint now) const {
-  if (!completeSince_ || now - confirmedAt_ > kMaximumListAge) return std::nullopt;
+  if (!isCurrent(now)) return std::nullopt;
   const auto found = services_.find(service);
   if (found == services_.end()) return std::nullopt;
   const std::string* sole = nullptr;
--- a/src/routing/software_versions.h
+++ b/src/routing/software_versions.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/time.h"
 #include "routing/stream_origin_messages.h"
@@ -22,6 +23,10 @@
   /// The list of replicas was confirmed to be complete.
   void onCurrent(base::TimePoint now);
 
+  /// Services of which replicas are, or lately were, listed.
+  std::vector<std::string> services() const;
+  /// Versions of the listed replicas of the service; empty if the list was not confirmed lately.
+  std::vector<std::string> listed(const std::string& service, base::TimePoint now) const;
   /// The only version of the service's replicas, and for how long no other one was listed. Empty if
   /// there are several, or if the list was not confirmed lately.
   std::optional<SoleVersion> soleVersion(std::string_view service, base::TimePoint now) const;
@@ -34,6 +39,8 @@
   };
   using Versions = std::map<std::string, Version>;
 
+  bool isCurrent(base::TimePoint now) const;
+
   std::map<std::string, Versions, std::less<>> services_;
   /// When the list was first and last known to be complete; empty before that.
   std::optional<base::TimePoint> completeSince_;
--- a/src/routing/stream_origins.cc
+++ b/src/routing/stream_origins.cc
@@ -146,24 +146,43 @@
     search.found(
         FoundOrigin{search.origin->service, search.origin->softwareVersion, OriginSource::kHome});
   } else {
-    search.found(foundBySoleVersion(search));
+    concludeBySoleVersion(search);
   }
 }
 
-std::optional<FoundOrigin> StreamOrigins::foundBySoleVersion(const Search& search) const {
-  const auto own = environment_.versions.soleVersion(search.service, environment_.clock.now());
-  if (!own) return std::nullopt;
-  auto since = own->since;
+std::optional<SoleVersion> StreamOrigins::agreedVersion(const Search& search) const {
+  auto agreed = environment_.versions.soleVersion(search.service, environment_.clock.now());
+  if (!agreed) return std::nullopt;
   for (const auto& other : search.soleVersions) {
     // A home that knows several versions, or another one, is right: this list may be late.
-    if (!other || other->softwareVersion != own->softwareVersion) return std::nullopt;
-    since = std::max(since, other->since);
+    if (!other || other->softwareVersion != agreed->softwareVersion) return std::nullopt;
+    agreed->since = std::max(agreed->since, other->since);
   }
   // Of other nodes, at least one has to confirm the list, unless there is none.
   const bool confirmed =
       !search.soleVersions.empty() || environment_.members.liveMembers().size() <= 1;
-  if (!confirmed || since < search.age) return std::nullopt;
-  return FoundOrigin{search.service, own->softwareVersion, OriginSource::kSoleVersion};
+  return confirmed ? agreed : std::nullopt;
+}
+
+void StreamOrigins::concludeBySoleVersion(const Search& search) const {
+  const auto agreed = agreedVersion(search);
+  if (!agreed) {
+    search.found(std::nullopt);
+    return;
+  }
+  const FoundOrigin origin{search.service, agreed->softwareVersion, OriginSource::kSoleVersion};
+  if (agreed->since >= search.age) {
+    search.found(origin);
+  } else if (!environment_.recordedVersion) {
+    search.found(std::nullopt);
+  } else {
+    // Another version may have been replaced before any of the lists was read.
+    environment_.recordedVersion(
+        search.service, search.age,
+        [origin, found = search.found](const std::optional<std::string>& recorded) {
+          found(recorded == origin.softwareVersion ? std::optional{origin} : std::nullopt);
+        });
+  }
 }
 
 void StreamOrigins::onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) {
--- a/src/routing/stream_origins.h
+++ b/src/routing/stream_origins.h
@@ -10,7 +10,8 @@
 ///
 /// If no home has a record (they are cut off, have just started, or run an earlier build), the
 /// version is known only if the replicas that may have begun the stream all had the same one, by
-/// this node's own list and by that of a home. Everything else is unknown, never "any version".
+/// this node's own list and by that of a home; after a start of all nodes by a record in the table
+/// service as well. Everything else is unknown, never "any version".
 #pragma once
 
 #include <cstddef>
@@ -21,6 +22,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/event_log.h"
@@ -54,6 +56,11 @@
   base::PeerTransport& peers;
   const membership::MemberDirectory& members;
   const SoftwareVersions& versions;
+  /// Looks up in the table service which version was the only one of the service for the given
+  /// time; may be empty.
+  std::function<void(const std::string& service, base::Duration age,
+                     std::function<void(const std::optional<std::string>&)>)>
+      recordedVersion{};
 };
 
 /// How the version of a stream was found out.
@@ -72,7 +79,7 @@
   using FoundCallback = std::function<void(const std::optional<FoundOrigin>&)>;
 
   StreamOrigins(StreamOriginOptions options, StreamOriginEnvironment environment)
-      : options_(options), environment_(environment) {}
+      : options_(options), environment_(std::move(environment)) {}
   ~StreamOrigins() override;
   StreamOrigins(const StreamOrigins&) = delete;
   StreamOrigins& operator=(const StreamOrigins&) = delete;
@@ -121,8 +128,11 @@
   void onReply(const StreamReply& reply);
   /// Ends the search with what is known by now.
   void conclude(std::uint64_t nonce);
-  /// The version if all replicas that may have begun the stream had it.
-  std::optional<FoundOrigin> foundBySoleVersion(const Search& search) const;
+  /// The only version of the service now, by the lists of this node and the homes.
+  std::optional<SoleVersion> agreedVersion(const Search& search) const;
+  /// Ends a search without a record: finds the version if all replicas that may have begun the
+  /// stream had it.
+  void concludeBySoleVersion(const Search& search) const;
 
   StreamOriginOptions options_;
   StreamOriginEnvironment environment_;
--- a/tests/routing/stream_origins_test.cc
+++ b/tests/routing/stream_origins_test.cc
@@ -30,11 +30,14 @@
 
 struct OriginNode {
   OriginNode(test_support::VirtualTime& time, test_support::RecordingLog& log,
-             DelayedNetwork& network, const std::vector<membership::Member>& ownFirst)
+             DelayedNetwork& network, const std::vector<membership::Member>& ownFirst,
+             const std::optional<std::string>& recorded)
       : members(ownFirst),
         random(ownFirst.front().id.value),
         link(network, {members.self().id, 1, members.self().endpoint}),
-        origins({}, {time, time, random, log, link, members, versions}) {
+        origins({}, {time, time, random, log, link, members, versions,
+                     [&recorded](const std::string& /*service*/, base::Duration /*age*/,
+                                 const auto& found) { found(recorded); }}) {
     network.attach(members.self().endpoint.address,
                    [this](const base::PeerIdentity& sender, std::string_view payload) {
                      origins.onPeerMessage(sender, payload);
@@ -60,7 +63,7 @@
   void start(std::size_t number) {
     auto ownFirst = all;
     std::swap(ownFirst.front(), ownFirst[number]);
-    nodes[number] = std::make_unique<OriginNode>(time, log, network, ownFirst);
+    nodes[number] = std::make_unique<OriginNode>(time, log, network, ownFirst, recorded);
   }
   /// The node ends; the others still take it for alive.
   void stop(std::size_t number) {
@@ -106,6 +109,8 @@
   std::vector<membership::Member> all;
   std::map<std::size_t, std::unique_ptr<OriginNode>> nodes;
   base::Duration elapsed{};
+  /// The only version by the record in the table service.
+  std::optional<std::string> recorded;
 };
 
 std::string requestNumber(int number) { return "request-" + std::to_string(number); }
@@ -194,6 +199,17 @@
   BOOST_TEST(find(0, "a") == "unknown");
 }
 
+// Guards against a start of all nodes at once that ends every stream that is taken up.
+BOOST_AUTO_TEST_CASE(RecordOfTheTableServiceProvesTheVersionAfterTheStartOfAllNodes) {
+  list({"v1"});
+  recorded = "v1";
+  BOOST_TEST(find(0, "a") == "v1");
+  recorded = "v2";
+  BOOST_TEST(find(0, "a") == "unknown");
+  recorded.reset();
+  BOOST_TEST(find(0, "a") == "unknown");
+}
+
 BOOST_AUTO_TEST_CASE(NodeThatReachesNoHomeKnowsOnlyItsOwnStreams) {
   list({"v1"});
   pass(seconds(20));
