Rank the homes of a key in one place

A node that is stopping no longer writes the versions of a service, as it is no home of anything else; the other homes are as before.

--- a/src/node/software_version_store.cc
+++ b/src/node/software_version_store.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/codec.h"
+#include "membership/rendezvous.h"
 
 namespace covewing::node {
 
@@ -59,13 +60,9 @@
 }
 
 bool SoftwareVersionStore::isWriter(const std::string& service) const {
-  const auto key = base::hashName(keyOf(service));
-  const auto own = base::mixHash(key, environment_.members.self().id.value);
-  const auto ahead =
-      std::ranges::count_if(environment_.members.liveMembers(), [&](const auto& member) {
-        return !member.draining && base::mixHash(key, member.id.value) > own;
-      });
-  return static_cast<std::size_t>(ahead) < kWriters;
+  return membership::isAmongRendezvousHomes(base::hashName(keyOf(service)), environment_.members,
+                                            kWriters,
+                                            [](const membership::Member&) { return true; });
 }
 
 void SoftwareVersionStore::compare(const std::string& service) {
--- a/src/routing/stream_origins.cc
+++ b/src/routing/stream_origins.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "membership/rendezvous.h"
+
 namespace covewing::routing {
 
 namespace {
@@ -31,20 +33,7 @@
 }
 
 std::vector<const membership::Member*> StreamOrigins::homesOf(StreamId stream) const {
-  std::vector<const membership::Member*> homes;
-  std::vector<std::uint64_t> scores;
-  for (const auto& member : environment_.members.liveMembers()) {
-    if (member.draining) continue;
-    const auto score = base::mixHash(stream.value, member.id.value);
-    const auto place = std::ranges::upper_bound(scores, score, std::greater{}) - scores.begin();
-    if (static_cast<std::size_t>(place) >= options_.homes) continue;
-    scores.insert(scores.begin() + place, score);
-    homes.insert(homes.begin() + place, &member);
-    if (homes.size() <= options_.homes) continue;
-    scores.pop_back();
-    homes.pop_back();
-  }
-  return homes;
+  return membership::rendezvousHomes(stream.value, environment_.members, options_.homes);
 }
 
 void StreamOrigins::send(const base::Endpoint& destination, const StreamOriginMessage& message) {
--- a/tests/request/stream_version_test.cc
+++ b/tests/request/stream_version_test.cc
@@ -186,7 +186,7 @@
   BOOST_TEST(client.sent.size() == sent);
 }
 
-// A replica whose entry comes with another version, or goes, while the request waits for it.
+// Guards against a stream that goes to an idle replica of the other version instead of waiting.
 BOOST_AUTO_TEST_CASE(StreamWaitsForAReplicaOfItsVersionThatIsFull) {
   const auto attempt = beginAndBreakOff();
   const auto began = lastVersion();
