--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -48,6 +48,14 @@
 KINDS = [SAFE, UNSAFE, STREAM, RESUMABLE]
 
 
+def request_bytes(route, identifier, body, headers=(), key=KEY, version="1.1") -> bytes:
+    """A whole request as callers send it."""
+    lines = [f"POST /{route}/x HTTP/{version}", f"Host: {HOST}", f"X-Api-Key: {key}",
+             f"X-Covewing-Request-Id: {identifier}", "X-Covewing-Deadline-Milliseconds: 6000",
+             f"Content-Length: {len(body)}", *headers]
+    return ("\r\n".join(lines) + "\r\n\r\n" + body).encode()
+
+
 class Caller:
     """Sends one request after the other on a connection that it keeps until it ends."""
 
@@ -101,12 +109,9 @@
         began = now()
         self.soak.sent[identifier] = Sent(began, process.pid, key, route)
         self.soak.repeats[kind.service].on_sent(began)
-        head = [f"POST /{route}/x HTTP/1.1", f"Host: {HOST}", f"X-Api-Key: {key}",
-                f"X-Covewing-Request-Id: {identifier}", "X-Covewing-Deadline-Milliseconds: 6000",
-                f"Content-Length: {len(body)}"]
-        head += kind.headers(self.random, identifier, self.soak.options.shared_parts)
+        headers = kind.headers(self.random, identifier, self.soak.options.shared_parts)
         try:
-            writer.write(("\r\n".join(head) + "\r\n\r\n" + body).encode())
+            writer.write(request_bytes(route, identifier, body, headers, key))
             answer = await asyncio.wait_for(read_message(reader), 9)
         except (asyncio.IncompleteReadError, ConnectionError, OSError):
             self.drop()
--- a/tests/soak/departures.py
+++ b/tests/soak/departures.py
@@ -2,11 +2,9 @@
 
 import asyncio
 import signal
-import socket
-import struct
 
-from callers import SAFE, Caller, HOST, KEY
-from wire import now
+from callers import SAFE, Caller, request_bytes
+from wire import now, reset_on_close
 
 # Time from a request to the departure of its caller (seconds).
 PATIENCE = (0.05, 1.0)
@@ -36,18 +34,14 @@
         identifier = f"{self.soak.options.seed}-{self.number}"
         self.soak.expect(identifier, self.node, SAFE)
         body = "x" * BODY_BYTES
-        head = [f"POST /{SAFE.name}/x HTTP/1.1", f"Host: {HOST}", f"X-Api-Key: {KEY}",
-                f"X-Covewing-Request-Id: {identifier}", "X-Covewing-Deadline-Milliseconds: 6000",
-                f"Content-Length: {len(body)}"]
-        self.stream[1].write(("\r\n".join(head) + "\r\n\r\n" + body).encode())
+        self.stream[1].write(request_bytes(SAFE.name, identifier, body))
         await asyncio.sleep(self.random.uniform(*PATIENCE))
         self.leave()
         self.soak.departures.on_left(identifier, now())
 
     def leave(self):
         if self.random.random() < RESETS:
-            self.stream[1].get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            reset_on_close(self.stream[1])
         self.stream[1].transport.abort()
         self.stream = None
 
--- a/tests/soak/streams.py
+++ b/tests/soak/streams.py
@@ -5,7 +5,7 @@
 import random
 
 from answers import other_version, take_versions
-from callers import HOST, KEY, RESUMABLE, STREAM, Caller
+from callers import RESUMABLE, STREAM, Caller, request_bytes
 from nodes import Node
 from wire import now, read_message
 
@@ -45,14 +45,10 @@
         if len(versions) > 1:
             self.soak.streams.mixed.append(first)
 
-    def head_of(self, identifier, body, first, events) -> bytes:
-        lines = [f"POST /{RESUMABLE.name}/x HTTP/1.1", f"Host: {HOST}", f"X-Api-Key: {KEY}",
-                 f"X-Covewing-Request-Id: {identifier}", "X-Covewing-Deadline-Milliseconds: 6000",
-                 f"Content-Length: {len(body)}"]
-        if first:
-            lines += [f"Last-Event-Id: {events}", f"Resumes: {first}"]
-        lines += RESUMABLE.headers(self.random, identifier, self.soak.options.shared_parts)
-        return ("\r\n".join(lines) + "\r\n\r\n" + body).encode()
+    def request_of_try(self, identifier, body, first, events) -> bytes:
+        headers = [f"Last-Event-Id: {events}", f"Resumes: {first}"] if first else []
+        headers += RESUMABLE.headers(self.random, identifier, self.soak.options.shared_parts)
+        return request_bytes(RESUMABLE.name, identifier, body, headers)
 
     async def try_once(self, first, events, breaks_off):
         """Number of events that came, the versions that wrote them, whether the answer was complete, and
@@ -67,7 +63,7 @@
         in_touch = node.calm()
         received, complete, status = b"", False, 0
         try:
-            self.stream[1].write(self.head_of(identifier, body, first, events))
+            self.stream[1].write(self.request_of_try(identifier, body, first, events))
             received, complete, status = await asyncio.wait_for(self.read_events(breaks_off), 8)
         except (asyncio.IncompleteReadError, asyncio.TimeoutError, ConnectionError, OSError):
             pass  # Broken off by the node, or by its end.
@@ -111,12 +107,9 @@
         kind, self.sent = self.random.choice(self.kinds), self.sent + 1
         identifier, body = f"{self.soak.options.seed}-{self.number}-{self.sent}", f"old {self.sent}"
         self.soak.expect(identifier, self.node, kind)
-        lines = [f"POST /{kind.name}/x HTTP/1.0", f"Host: {HOST}", f"X-Api-Key: {KEY}",
-                 f"X-Covewing-Request-Id: {identifier}", "X-Covewing-Deadline-Milliseconds: 6000",
-                 f"Content-Length: {len(body)}"]
-        lines += kind.headers(self.random, identifier, self.soak.options.shared_parts)
+        headers = kind.headers(self.random, identifier, self.soak.options.shared_parts)
         try:
-            self.stream[1].write(("\r\n".join(lines) + "\r\n\r\n" + body).encode())
+            self.stream[1].write(request_bytes(kind.name, identifier, body, headers, version="1.0"))
             answer = await asyncio.wait_for(read_message(self.stream[0], to_end=True), 8)
             self.soak.on_answer(identifier, kind, body, answer)
             self.soak.counts["without chunks: whole"] += answer.status == 200
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -57,6 +57,14 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+def reset_on_close(writer: asyncio.StreamWriter):
+    """Whatever closes the connection now, resets it. (`abort` alone ends it in order, unless it has unread
+    bytes.)"""
+    connection = writer.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 @dataclasses.dataclass(eq=False)
 class Peer:
     """The other end of a connection that a listener has accepted."""
@@ -67,10 +75,7 @@
     silent: bool = False
 
     def reset(self):
-        """Ends the connection by a reset. (`abort` alone ends it in order, unless it has unread bytes.)"""
-        connection = self.writer.get_extra_info("socket")
-        if connection is not None and connection.fileno() >= 0:
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        reset_on_close(self.writer)
         self.writer.transport.abort()
 
     def gone(self) -> bool:
