Find headers in one place

ResponseBody looked up headers and compared their names by functions of its own, since those of live were out of its reach. They stand beside HeaderField in clients now, and live uses them from there.

--- a/src/clients/application_client.h
+++ b/src/clients/application_client.h
@@ -10,14 +10,10 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "clients/back_end.h"
+#include "clients/header_field.h"
 
 namespace covewing::clients {
 
-struct HeaderField {
-  std::string name;
-  std::string value;
-};
-
 struct ApplicationRequest {
   base::RequestId requestId;
   std::uint32_t attempt = 1;
--- a/src/live/http_message.cc
+++ b/src/live/http_message.cc
@@ -6,23 +6,8 @@
 
 namespace {
 constexpr std::string_view kBearerScheme = "Bearer ";
-
-constexpr char lowerCase(char letter) {
-  return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
-}
 }  // namespace
 
-bool equalHeaderNames(std::string_view left, std::string_view right) {
-  return std::ranges::equal(left, right, {}, lowerCase, lowerCase);
-}
-
-std::string_view findHeader(const std::vector<HeaderField>& headers, std::string_view name) {
-  const auto field = std::ranges::find_if(headers, [name](const HeaderField& candidate) {
-    return equalHeaderNames(candidate.name, name);
-  });
-  return field == headers.end() ? std::string_view{} : std::string_view{field->value};
-}
-
 std::string_view HttpRequest::path() const {
   return std::string_view{target}.substr(0, target.find('?'));
 }
--- a/src/live/http_message.h
+++ b/src/live/http_message.h
@@ -7,18 +7,14 @@
 #include <string_view>
 #include <vector>
 
-#include "clients/application_client.h"
+#include "clients/header_field.h"
 
 namespace covewing::live {
 
+using clients::equalHeaderNames;
+using clients::findHeader;
 using clients::HeaderField;
 
-/// Value of the first header with this name (compared case-insensitively); empty if there is none.
-std::string_view findHeader(const std::vector<HeaderField>& headers, std::string_view name);
-
-/// Whether two header names are equal by the rules of HTTP: ASCII letters case-insensitively.
-bool equalHeaderNames(std::string_view left, std::string_view right);
-
 /// A whole request.
 struct HttpRequest {
   std::string method;
--- a/src/request/response_body.cc
+++ b/src/request/response_body.cc
@@ -1,6 +1,5 @@
 #include "request/response_body.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace covewing::request {
@@ -10,30 +9,15 @@
 constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
 constexpr std::string_view kEventStreamType = "text/event-stream";
 
-constexpr char lowerCase(char letter) {
-  return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
-}
-
-bool equalIgnoringCase(std::string_view left, std::string_view right) {
-  return std::ranges::equal(left, right, {}, lowerCase, lowerCase);
-}
-
-/// Value of the first header with the name, in lower case; empty if there is none.
-std::string_view headerOf(const clients::RelayedAnswer& head, std::string_view name) {
-  const auto field = std::ranges::find_if(
-      head.headers, [name](const auto& one) { return equalIgnoringCase(one.name, name); });
-  return field == head.headers.end() ? std::string_view{} : std::string_view{field->value};
-}
-
 /// Whether the headers allow the body to be a stream of events. Without a type it is taken for one,
 /// since that is what the route announces.
 bool mayHaveEvents(const clients::RelayedAnswer& head) {
-  const auto encoding = headerOf(head, "Content-Encoding");
-  if (!encoding.empty() && !equalIgnoringCase(encoding, "identity")) return false;
-  auto type = headerOf(head, "Content-Type");
+  const auto encoding = clients::findHeader(head.headers, "Content-Encoding");
+  if (!encoding.empty() && !clients::equalHeaderNames(encoding, "identity")) return false;
+  auto type = clients::findHeader(head.headers, "Content-Type");
   type = type.substr(0, type.find(';'));
   while (type.ends_with(' ')) type.remove_suffix(1);
-  return type.empty() || equalIgnoringCase(type, kEventStreamType);
+  return type.empty() || clients::equalHeaderNames(type, kEventStreamType);
 }
 
 }  // namespace
