Derive the listed software versions from the directory of replicas

SoftwareVersions counted the replicas of each version beside the directory that lists them. The two could drift apart: an instance that moves to another service would have stayed counted at the former one and been missing at the latter, where a stream could then have been taken for one of the only version. Only the removals are kept now; what is listed is asked of the directory. The tests list replicas in place of calling the counter; their checks are the same.

--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -455,7 +455,7 @@
   routing::ReplicaCrashDetector crashDetector;
   routing::ReplicaSelector replicaSelector;
   routing::PartLookup partLookup;
-  routing::SoftwareVersions softwareVersions;
+  routing::SoftwareVersions softwareVersions{replicas};
   routing::StreamOrigins streamOrigins;
   routing::Placement placement;
   node::CallCountingWeightsClient weights;
--- a/src/node/replica_list.cc
+++ b/src/node/replica_list.cc
@@ -84,10 +84,7 @@
     onRestarted(instance);
     recordEnded(key, instance);
   }
-  if (instance != replica.instance) {
-    crashDetector_.onListed(replica.instance);
-    versions_.onListed(replica.service, replica.softwareVersion, clock_.now());
-  }
+  if (instance != replica.instance) crashDetector_.onListed(replica.instance);
   instance = replica.instance;
   const bool draining = replica.state == routing::ReplicaState::kDraining;
   directory_.onListed(std::move(replica));
@@ -150,10 +147,8 @@
 }
 
 void ReplicaList::forgetInstance(const std::string& instance) {
-  if (const auto record = directory_.find(instance)) {
-    const auto& facts = record->facts();
-    versions_.onRemoved(facts.service, facts.softwareVersion, clock_.now());
-  }
+  if (const auto record = directory_.find(instance))
+    versions_.onRemoved(record->facts(), clock_.now());
   directory_.onRemoved(instance);
   crashDetector_.onRemoved(instance);
   holders_.remove(base::engineIdOf(instance));
--- a/src/routing/software_versions.cc
+++ b/src/routing/software_versions.cc
@@ -1,6 +1,7 @@
 #include "routing/software_versions.h"
 
 #include <algorithm>
+#include <set>
 
 namespace covewing::routing {
 
@@ -8,25 +9,15 @@
 
 /// A list that was confirmed longer ago may lack replicas that other nodes know.
 constexpr base::Duration kMaximumListAge = std::chrono::seconds(3);
-/// Versions whose last replica was removed longer ago are forgotten. Longer than any stream lasts.
+/// Removals longer ago are forgotten. Longer than any stream lasts.
 constexpr base::Duration kRetention = std::chrono::minutes(10);
 
 }  // namespace
 
-void SoftwareVersions::onListed(const std::string& service, const std::string& version,
-                                base::TimePoint now) {
-  auto& versions = services_[service];
-  std::erase_if(versions, [now](const auto& entry) {
-    return entry.second.replicas == 0 && entry.second.removedAt + kRetention < now;
-  });
-  ++versions[version].replicas;
-}
-
-void SoftwareVersions::onRemoved(const std::string& service, const std::string& version,
-                                 base::TimePoint now) {
-  auto& entry = services_[service][version];
-  if (entry.replicas > 0) --entry.replicas;
-  entry.removedAt = now;
+void SoftwareVersions::onRemoved(const Replica& replica, base::TimePoint now) {
+  auto& removed = removedAt_[replica.service];
+  std::erase_if(removed, [now](const auto& entry) { return entry.second + kRetention < now; });
+  removed[replica.softwareVersion] = now;
 }
 
 void SoftwareVersions::onCurrent(base::TimePoint now) {
@@ -34,43 +25,33 @@
   confirmedAt_ = now;
 }
 
-bool SoftwareVersions::isCurrent(base::TimePoint now) const {
-  return completeSince_ && now - confirmedAt_ <= kMaximumListAge;
-}
-
 std::vector<std::string> SoftwareVersions::services() const {
-  std::vector<std::string> names;
-  for (const auto& [service, versions] : services_) names.push_back(service);
-  return names;
+  std::set<std::string> names;
+  for (const auto& [instance, record] : replicas_.all()) names.insert(record->facts().service);
+  return {names.begin(), names.end()};
 }
 
-std::vector<std::string> SoftwareVersions::listed(const std::string& service,
+std::vector<std::string> SoftwareVersions::listed(std::string_view service,
                                                   base::TimePoint now) const {
-  std::vector<std::string> names;
-  const auto found = services_.find(service);
-  if (found == services_.end() || !isCurrent(now)) return names;
-  for (const auto& [version, entry] : found->second)
-    if (entry.replicas > 0) names.push_back(version);
-  return names;
+  std::set<std::string> versions;
+  if (!completeSince_ || now - confirmedAt_ > kMaximumListAge) return {};
+  // A replica whose entry cannot be read at present may have begun streams as well.
+  for (const auto& [instance, record] : replicas_.all())
+    if (record->facts().service == service) versions.insert(record->facts().softwareVersion);
+  return {versions.begin(), versions.end()};
 }
 
 std::optional<SoleVersion> SoftwareVersions::soleVersion(std::string_view service,
                                                          base::TimePoint now) const {
-  if (!isCurrent(now)) return std::nullopt;
-  const auto found = services_.find(service);
-  if (found == services_.end()) return std::nullopt;
-  const std::string* sole = nullptr;
+  const auto versions = listed(service, now);
+  if (versions.size() != 1) return std::nullopt;
   auto since = *completeSince_;
-  for (const auto& [version, entry] : found->second) {
-    if (entry.replicas == 0) {
-      since = std::max(since, entry.removedAt);
-      continue;
-    }
-    if (sole != nullptr) return std::nullopt;
-    sole = &version;
+  const auto removed = removedAt_.find(service);
+  if (removed != removedAt_.end()) {
+    for (const auto& [version, removedAt] : removed->second)
+      if (version != versions.front()) since = std::max(since, removedAt);
   }
-  if (sole == nullptr) return std::nullopt;
-  return SoleVersion{*sole, now - since};
+  return SoleVersion{versions.front(), now - since};
 }
 
 }  // namespace covewing::routing
--- a/tests/node/replica_list_test.cc
+++ b/tests/node/replica_list_test.cc
@@ -66,7 +66,7 @@
   UnresponsiveReachability reachability;
   InstanceReader reader;
   routing::ReplicaDirectory directory;
-  routing::SoftwareVersions versions;
+  routing::SoftwareVersions versions{directory};
   routing::PrefixHolders holders;
   routing::ReplicaCrashDetector crashDetector{{}, {time, time, log, reachability}};
   std::vector<std::string> ended;
--- a/tests/node/software_version_store_test.cc
+++ b/tests/node/software_version_store_test.cc
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "routing/fakes.h"
+#include "routing/listed_versions.h"
 #include "support/memory_table_service.h"
 #include "support/virtual_time.h"
 
@@ -22,17 +23,18 @@
   StoreNode(test_support::VirtualTime& time, test_support::MemoryTableService& table,
             const std::string& name)
       : members({routing::testing::makeMember(name, "z")}),
-        store({table, time, time, members, versions, [&table] { return table.serviceTime(); }}) {}
+        store({table, time, time, members, listed.versions,
+               [&table] { return table.serviceTime(); }}) {}
 
   routing::testing::FakeMembers members;
-  routing::SoftwareVersions versions;
+  routing::testing::ListedVersions listed{kService};
   SoftwareVersionStore store;
 };
 
 struct StoreFixture {
   StoreFixture() {
     time.advance(seconds(100));
-    writer.versions.onListed(kService, "v1", time.now());
+    writer.listed.add("v1");
     writer.store.start();
     pass(seconds(2));
   }
@@ -40,7 +42,7 @@
   /// Time passes while the list of the writer is confirmed.
   void pass(base::Duration span) {
     for (; span > base::Duration::zero(); span -= milliseconds(500)) {
-      writer.versions.onCurrent(time.now());
+      writer.listed.versions.onCurrent(time.now());
       time.advance(milliseconds(500));
     }
   }
@@ -70,16 +72,16 @@
 
 BOOST_AUTO_TEST_CASE(RowIsWrittenOnlyWhenAVersionComesOrGoes) {
   const auto commits = table.commits;
-  writer.versions.onListed(kService, "v1", time.now());
+  writer.listed.add("v1");
   pass(seconds(20));
   BOOST_TEST(table.commits == commits);
 }
 
 BOOST_AUTO_TEST_CASE(VersionThatIsGoneCountsAsLongAsItsStreamsMayLast) {
-  writer.versions.onListed(kService, "v2", time.now());
+  writer.listed.add("v2");
   pass(seconds(1));
   BOOST_TEST(find() == "unknown");
-  writer.versions.onRemoved(kService, "v1", time.now());
+  writer.listed.remove("v1", time.now());
   pass(seconds(3));
   BOOST_TEST(find() == "unknown");
   pass(kAge);
@@ -87,11 +89,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(VersionThatComesBackIsListedAgain) {
-  writer.versions.onListed(kService, "v2", time.now());
+  writer.listed.add("v2");
   pass(seconds(1));
-  writer.versions.onRemoved(kService, "v1", time.now());
+  writer.listed.remove("v1", time.now());
   pass(seconds(20));
-  writer.versions.onListed(kService, "v1", time.now());
+  writer.listed.add("v1");
   pass(seconds(1));
   BOOST_TEST(find() == "unknown");
 }
@@ -99,8 +101,8 @@
 // A writer that starts finds the row of the one before it, and keeps what was listed lately.
 BOOST_AUTO_TEST_CASE(WriterThatStartsKeepsWhatTheOneBeforeItHasSeen) {
   StoreNode next(time, table, "writer");
-  next.versions.onListed(kService, "v2", time.now());
-  next.versions.onCurrent(time.now());
+  next.listed.add("v2");
+  next.listed.versions.onCurrent(time.now());
   next.store.start();
   time.advance(seconds(2));
   BOOST_TEST(find() == "unknown");
--- a/tests/platform/replica_runs_test.cc
+++ b/tests/platform/replica_runs_test.cc
@@ -100,7 +100,7 @@
   UnresponsiveReachability reachability;
   ReplicaReader reader;
   routing::ReplicaDirectory directory;
-  routing::SoftwareVersions versions;
+  routing::SoftwareVersions versions{directory};
   routing::PrefixHolders holders;
   routing::ReplicaCrashDetector crashDetector{{}, {time, time, log, reachability}};
   std::vector<routing::LostRequests> terminations;
--- a/tests/request/limited_fleet.h
+++ b/tests/request/limited_fleet.h
@@ -173,7 +173,7 @@
   routing::ReplicaLinks links;
   routing::RelayPeers relayPeers;
   routing::PartLookup parts;
-  routing::SoftwareVersions softwareVersions;
+  routing::SoftwareVersions softwareVersions{replicas};
   routing::StreamOrigins streamOrigins;
   routing::Placement placement;
   admission::TenantQuotas quotas;
--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -248,7 +248,6 @@
     replica.instance = name;
     replica.service = serviceName;
     replica.softwareVersion = software;
-    softwareVersions.onListed(serviceName, software, time.now());
     softwareVersions.onCurrent(time.now());
     replica.endpoint = {0x7f000001, static_cast<std::uint16_t>(8000 + replicas.all().size())};
     replica.slots = 8;
@@ -337,7 +336,7 @@
   FakeRelayClient client;
   FakeTables tables;
   routing::ReplicaDirectory replicas;
-  routing::SoftwareVersions softwareVersions;
+  routing::SoftwareVersions softwareVersions{replicas};
   routing::PrefixHolders holders;
   routing::WeightsTargets targets;
   routing::CacheStores stores;
--- a/tests/request/stream_version_test.cc
+++ b/tests/request/stream_version_test.cc
@@ -19,7 +19,7 @@
 struct VersionFixture : RelayFixture {
   VersionFixture() {
     for (const char* name : {"m1", "m2", "m3"}) {
-      softwareVersions.onRemoved("llm", "v1", time.now());
+      softwareVersions.onRemoved(replicas.find(name)->facts(), time.now());
       replicas.onRemoved(name);
     }
     for (const char* name : {"old1", "old2"}) addReplica(name, "llm", 1, "v1");
@@ -31,7 +31,7 @@
   }
   std::string lastVersion() const { return versionOf(client.sent.back()->terms.expectedInstance); }
   void remove(const std::string& name) {
-    softwareVersions.onRemoved("llm", versionOf(name), time.now());
+    softwareVersions.onRemoved(replicas.find(name)->facts(), time.now());
     replicas.onRemoved(name);
   }
   void removeVersion(const std::string& version) {
--- a/tests/routing/stream_origins_test.cc
+++ b/tests/routing/stream_origins_test.cc
@@ -9,6 +9,7 @@
 #include "base/random.h"
 #include "routing/delayed_network.h"
 #include "routing/fakes.h"
+#include "routing/listed_versions.h"
 #include "support/recording_log.h"
 #include "support/virtual_time.h"
 
@@ -35,7 +36,7 @@
       : members(ownFirst),
         random(ownFirst.front().id.value),
         link(network, {members.self().id, 1, members.self().endpoint}),
-        origins({}, {time, time, random, log, link, members, versions,
+        origins({}, {time, time, random, log, link, members, listed.versions,
                      [&recorded](const std::string& /*service*/, base::Duration /*age*/,
                                  const auto& found) { found(recorded); }}) {
     network.attach(members.self().endpoint.address,
@@ -47,7 +48,7 @@
   FakeMembers members;
   base::SeededRandom random;
   DelayedLink link;
-  SoftwareVersions versions;
+  testing::ListedVersions listed{kService};
   StreamOrigins origins;
 };
 
@@ -73,14 +74,14 @@
   /// All nodes list replicas of these versions and have just confirmed the list.
   void list(const std::vector<std::string>& versions) {
     for (auto& [number, node] : nodes) {
-      for (const auto& version : versions) node->versions.onListed(kService, version, time.now());
-      node->versions.onCurrent(time.now());
+      for (const auto& version : versions) node->listed.add(version);
+      node->listed.versions.onCurrent(time.now());
     }
   }
   /// Time passes while all lists are confirmed.
   void pass(base::Duration span) {
     time.advance(span);
-    for (auto& [number, node] : nodes) node->versions.onCurrent(time.now());
+    for (auto& [number, node] : nodes) node->listed.versions.onCurrent(time.now());
   }
 
   void report(std::size_t node, const std::string& request, const std::string& version,
@@ -177,7 +178,7 @@
 BOOST_AUTO_TEST_CASE(StreamThatMayHaveBeenBegunByAReplacedVersionIsUnknown) {
   list({"v1", "v2"});
   pass(seconds(20));
-  for (auto& [number, node] : nodes) node->versions.onRemoved(kService, "v1", time.now());
+  for (auto& [number, node] : nodes) node->listed.remove("v1", time.now());
   pass(seconds(2));
   BOOST_TEST(find(0, "a") == "unknown");
   pass(kAge);
@@ -188,8 +189,8 @@
   list({"v1"});
   pass(seconds(20));
   start(0);
-  nodes.at(0)->versions.onListed(kService, "v1", time.now());
-  nodes.at(0)->versions.onCurrent(time.now());
+  nodes.at(0)->listed.add("v1");
+  nodes.at(0)->listed.versions.onCurrent(time.now());
   BOOST_TEST(find(0, "a") == "v1");
 }
 
