Log connections that this node closes early, and whether a cut stream was only silent

Callers saw a whole request end with neither an answer nor a refusal. A connection that a timer closes while it holds unread bytes, a part of a request or an unsent answer left no line, so that the hypotheses could not be told apart.

ConnectionClosedEarly (8006) names the limit, what was read, unread and unsent, and how late the timer ran. StreamBroken (5003) names the cause of the latest attempt and the number of attempts, so that a stream that was given up because its replica was silent can be told from one whose replica was lost.

--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -46,7 +46,7 @@
     : socket_(std::move(socket)),
       owner_(owner),
       peer_(remoteEndpoint(socket_)),
-      deadline_(socket_.get_executor(), [this] { close(); }) {}
+      deadline_(socket_.get_executor(), [this] { onDeadline(); }) {}
 
 void Connection::start() {
   boost::system::error_code error;
@@ -63,6 +63,7 @@
   parser_->body_limit(owner_.limits().bodyBytes);
   continueSent_ = false;
   headerComplete_ = false;
+  requestBytes_ = 0;
 }
 
 // A read is always outstanding while the buffer has capacity, so that a disconnect is detected.
@@ -134,6 +135,7 @@
     boost::system::error_code error;
     const auto used = parser_->put(buffer_.data(), error);
     buffer_.consume(used);
+    requestBytes_ += used;
     if (error == http::error::need_more) break;
     if (error) {
       refuse(error);
@@ -319,6 +321,27 @@
   owner_.onClosed(*this);
 }
 
+void Connection::onDeadline() {
+  reportEarlyClose(deadlineName(), deadline_.lateness());
+  close();
+}
+
+std::string_view Connection::deadlineName() const {
+  if (writeActive_) return "the peer accepts no data";
+  if (state_ == State::kLingering) return "the peer does not close the connection";
+  if (parser_->is_header_done()) return "the body does not arrive";
+  return parser_->got_some() ? "the header section does not arrive" : "idle";
+}
+
+void Connection::reportEarlyClose(std::string_view why, base::Duration late) const {
+  const bool requestBegun = state_ == State::kReading && requestBytes_ > 0;
+  const EarlyClose early{
+      peer_, why, unreadBytes(socket_), requestBegun ? requestBytes_ : 0, bufferedBytes(), late};
+  const bool refused = state_ == State::kLingering;
+  if (!refused && early.unreadBytes + early.requestBytes + early.unsentBytes > 0)
+    owner_.onClosedEarly(early);
+}
+
 void Connection::setDeadlineForState() {
   const auto& limits = owner_.limits();
   if (state_ != State::kReading) {
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -31,6 +31,7 @@
   /// Whether the server is closing: responses then have the header `Connection: close`.
   virtual bool closing() const = 0;
   virtual void onClosed(Connection& connection) = 0;
+  virtual void onClosedEarly(const EarlyClose& close) = 0;
 };
 
 /// A request and the interface to respond to it, as passed to the server's handler.
@@ -139,6 +140,10 @@
   void setResetOnClose(bool enabled);
   void linger();
   void setDeadlineForState();
+  void onDeadline();
+  /// The limit that the deadline enforces now.
+  std::string_view deadlineName() const;
+  void reportEarlyClose(std::string_view why, base::Duration late) const;
 
   Socket socket_;
   ConnectionOwner& owner_;
@@ -155,6 +160,8 @@
   bool closeWhenWritten_ = false;
   bool lingerWhenWritten_ = false;
   std::size_t lingeredBytes_ = 0;
+  /// Bytes of the request being read.
+  std::size_t requestBytes_ = 0;
   std::string writing_;
   std::string pending_;
   std::size_t written_ = 0;
--- a/src/live/http_server.cc
+++ b/src/live/http_server.cc
@@ -55,6 +55,9 @@
     if (handler) handler(exchange);
   }
   void onClosed(Connection& connection) override { connections.erase(&connection); }
+  void onClosedEarly(const EarlyClose& close) override {
+    if (earlyCloseListener) earlyCloseListener(close);
+  }
 
   void accept(const std::shared_ptr<Listener>& listener) {
     listener->acceptor.async_accept(
@@ -119,6 +122,7 @@
   HttpLimits bounds;
   HttpHandler handler;
   HttpRefusalFormatter refusalFormatter;
+  EarlyCloseListener earlyCloseListener;
   bool stopping = false;
   bool closeAnnounced = false;
   bool closed = false;
@@ -139,6 +143,10 @@
   core_->refusalFormatter = std::move(formatter);
 }
 
+void HttpServer::onEarlyClose(EarlyCloseListener listener) {
+  core_->earlyCloseListener = std::move(listener);
+}
+
 std::optional<base::Endpoint> HttpServer::listen(const base::Endpoint& endpoint,
                                                  base::Reason& reason) {
   auto listener = std::make_shared<Listener>(core_->context);
--- a/src/live/http_server.h
+++ b/src/live/http_server.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/endpoint.h"
@@ -98,6 +99,23 @@
 /// Formats the response to a request that the server itself refuses (too large, malformed).
 using HttpRefusalFormatter = std::function<HttpResponse(const base::Reason&)>;
 
+/// A connection that the server closed of its own accord although it held a part of a request or
+/// bytes that were not read.
+struct EarlyClose {
+  base::Endpoint peer;
+  /// Which limit ended it.
+  std::string_view why;
+  /// Bytes that the operating system held and that were not read.
+  std::size_t unreadBytes = 0;
+  /// Bytes of an incomplete request that were read.
+  std::size_t requestBytes = 0;
+  /// Bytes of a response that the peer had not accepted.
+  std::size_t unsentBytes = 0;
+  /// How much later than due the timer ran.
+  base::Duration late{};
+};
+using EarlyCloseListener = std::function<void(const EarlyClose&)>;
+
 /// A server with any number of listeners. Destroying it closes all listeners and connections.
 class HttpServer {
  public:
@@ -108,6 +126,8 @@
 
   /// Replaces the formatter of the server's own refusals.
   void setRefusalFormatter(HttpRefusalFormatter formatter);
+  /// Sets the listener that is called for each connection that is closed early.
+  void onEarlyClose(EarlyCloseListener listener);
   /// Binds to the endpoint and starts accepting connections; port 0 selects a free port. Returns
   /// the bound endpoint; if that fails, returns nothing and sets `reason`.
   std::optional<base::Endpoint> listen(const base::Endpoint& endpoint, base::Reason& reason);
--- a/src/live/lazy_deadline.cc
+++ b/src/live/lazy_deadline.cc
@@ -22,10 +22,12 @@
   void onTimer() {
     active = false;
     if (deadline == Time::max()) return;
-    if (BootClock::now() < deadline) {
+    const auto now = BootClock::now();
+    if (now < deadline) {
       arm();
       return;
     }
+    late = now - deadline;
     deadline = Time::max();
     expired();
   }
@@ -33,6 +35,7 @@
   BootTimer timer;
   std::function<void()> expired;
   Time deadline = Time::max();
+  base::Duration late{};
   bool active = false;
 };
 
@@ -48,6 +51,8 @@
 
 void LazyDeadline::clear() { impl_->deadline = Impl::Time::max(); }
 
+base::Duration LazyDeadline::lateness() const { return impl_->late; }
+
 void LazyDeadline::stop() {
   clear();
   impl_->active = false;
--- a/src/live/lazy_deadline.h
+++ b/src/live/lazy_deadline.h
@@ -24,6 +24,8 @@
   void set(base::Duration delay);
   /// Removes the deadline.
   void clear();
+  /// How much later than due the callback that is running was called.
+  base::Duration lateness() const;
   /// Removes the deadline and stops the timer.
   void stop();
 
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -168,6 +168,8 @@
     links.onRestored([this](const std::string& instance) {
       if (const auto replica = replicas.find(instance)) replica->health().onReachable(clock.now());
     });
+    for (HttpServer* server : {&callerServer, &relayServer})
+      server->onEarlyClose([this](const EarlyClose& early) { logEarlyClose(early); });
     crashDetector.setListener([this](const routing::LostRequests& ended) {
       quarantine.onReplicaCrash(base::engineIdOf(ended.instance), ended.requests);
     });
@@ -184,6 +186,16 @@
     });
   }
 
+  void logEarlyClose(const EarlyClose& early) {
+    log.write(base::Event::kConnectionClosedEarly,
+              {{"peer", base::toString(early.peer)},
+               {"why", std::string{early.why}},
+               {"unread", std::to_string(early.unreadBytes)},
+               {"read", std::to_string(early.requestBytes)},
+               {"unsent", std::to_string(early.unsentBytes)},
+               {"late_ms", base::millisecondsText(early.late)}});
+  }
+
   /// Records notices that a replica included in its reply to an order or a request for a report.
   void recordNotices(routing::ReplicaRecord& replica, const clients::WeightsCallNotices& notices) {
     const routing::NoticeSource source{notices.call, notices.status, {}};
--- a/src/live/socket_state.cc
+++ b/src/live/socket_state.cc
@@ -34,6 +34,13 @@
   return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+std::size_t unreadBytes(const Socket& socket) {
+  int bytes = 0;
+  if (!socket.is_open() || ::ioctl(descriptorOf(socket), FIONREAD, &bytes) != 0 || bytes < 0)
+    return 0;
+  return static_cast<std::size_t>(bytes);
+}
+
 std::optional<std::size_t> unacknowledgedBytes(const Socket& socket) {
   int bytes = 0;
   if (!socket.is_open() || ::ioctl(descriptorOf(socket), SIOCOUTQ, &bytes) != 0 || bytes < 0)
--- a/src/live/socket_state.h
+++ b/src/live/socket_state.h
@@ -15,6 +15,9 @@
 /// received bytes are still unread.
 bool peerHasClosed(const boost::asio::ip::tcp::socket& socket);
 
+/// Number of received bytes that were not read; zero if the operating system does not report it.
+std::size_t unreadBytes(const boost::asio::ip::tcp::socket& socket);
+
 /// Number of sent bytes that the peer has not acknowledged; empty if the operating system does not
 /// report it.
 std::optional<std::size_t> unacknowledgedBytes(const boost::asio::ip::tcp::socket& socket);
--- a/src/request/relay_flow_end.cc
+++ b/src/request/relay_flow_end.cc
@@ -67,14 +67,17 @@
 }
 
 void RelayFlow::abortStream(std::string_view why) {
-  dependencies_.log.write(base::Event::kStreamBroken, {{"request", incoming_.request->id},
-                                                       {"route", assignment_.route->name},
-                                                       {"why", std::string{why}},
-                                                       {"runs", std::to_string(executions_)},
-                                                       {"tenant", tenantName()},
-                                                       {"urgency", std::to_string(urgency())},
-                                                       {"replica", lastReplica_},
-                                                       {"last_event", body_.lastEventId()}});
+  dependencies_.log.write(base::Event::kStreamBroken,
+                          {{"request", incoming_.request->id},
+                           {"route", assignment_.route->name},
+                           {"why", std::string{why}},
+                           {"cause", retryCause_ ? std::string{toString(*retryCause_)} : ""},
+                           {"attempts", std::to_string(dispatches_)},
+                           {"runs", std::to_string(executions_)},
+                           {"tenant", tenantName()},
+                           {"urgency", std::to_string(urgency())},
+                           {"replica", lastReplica_},
+                           {"last_event", body_.lastEventId()}});
   endAttempt();
   writer_->abort();
   finish(status_, base::ResultCode::kStreamBroken, false);
