Add failing tests of requests that are lost to timers that decide too early

A stream whose replica is silent for longer than the receive timeout was given up before another replica had accepted it, and cut when none did; a request without a response was sent to the silent replica again.

--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -255,6 +255,15 @@
     replicas.onListed(std::move(replica));
   }
 
+  /// All replicas of the model but that of the attempt leave the list.
+  void makeOthersLeave(const Dispatched& attempt) {
+    for (const char* name : {"m1", "m2", "m3"}) {
+      const auto record = replicas.find(name);
+      if (record != nullptr && record->facts().endpoint != attempt.replica)
+        replicas.onRemoved(name);
+    }
+  }
+
   /// Announces a version of the model's weights to this node.
   void announceWeights(base::WeightsVersion version) { targets.onNamed("m", version, time.now()); }
   /// Lets this node know the time at which the version was announced.
--- a/tests/request/relay_flow_test.cc
+++ b/tests/request/relay_flow_test.cc
@@ -142,6 +142,53 @@
   BOOST_TEST(caller.body == "late");
 }
 
+// Guards against giving up a stream whose replica is only silent for a second: the attempt was
+// ended first, and the stream was cut when no other replica accepted it.
+BOOST_AUTO_TEST_CASE(SilentStreamIsKeptUntilAnotherReplicaAcceptsIt) {
+  auto& caller = request("resumable");
+  const auto attempt = client.sent.back();
+  attempt->head(200);
+  attempt->handler->onBody("id: 1\ndata: a\n\n");
+  makeOthersLeave(*attempt);
+  time.advance(seconds(2));
+  BOOST_REQUIRE(attempt->open);
+  BOOST_TEST(!caller.aborted);
+  attempt->handler->onBody("id: 2\ndata: b\n\n");
+  attempt->handler->onEnd();
+  BOOST_TEST(caller.ended);
+  BOOST_TEST(caller.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  BOOST_TEST(client.sent.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(SilentRequestIsKeptUntilAnotherReplicaAcceptsIt) {
+  auto& caller = request("resumable");
+  const auto attempt = client.sent.back();
+  makeOthersLeave(*attempt);
+  time.advance(seconds(2));
+  BOOST_REQUIRE(attempt->open);
+  BOOST_TEST(!caller.refusal.has_value());
+  attempt->head(200);
+  attempt->handler->onBody("id: 1\ndata: a\n\n");
+  attempt->handler->onEnd();
+  BOOST_TEST(caller.ended);
+  BOOST_TEST(outcomes.back().attempts == 1U);
+}
+
+// The budget may be used up by the time another replica accepts the stream.
+BOOST_AUTO_TEST_CASE(SilentStreamIsKeptIfItsRetryCannotBeCounted) {
+  retries = admission::RetryWindows({seconds(1), 0, 1, 1.0}, kStartedLongAgo, oneNode);
+  auto& caller = request("resumable");
+  const auto attempt = client.sent.back();
+  attempt->head(200);
+  attempt->handler->onBody("id: 1\ndata: a\n\n");
+  makeOthersLeave(*attempt);
+  time.advance(milliseconds(1300));
+  auto spent = retries.reserve("llm", time.now());
+  for (const char* name : {"m4", "m5"}) addReplica(name, "llm", 1);
+  time.advance(milliseconds(600));
+  BOOST_TEST(!caller.aborted);
+}
+
 BOOST_AUTO_TEST_CASE(DeadlineAfterDispatchIsNotReportedAsNotRun) {
   auto& caller = request("unsafe");
   time.advance(seconds(4));
