Look at what has arrived before a timer ends a connection

What callers saw: a reset in place of an answer, to whole requests that had arrived in time at a node that stood still or was starved.

Cause: timers and input that are due at the same moment run in the order of the event loop, which reads at most 128 sockets between two looks at its timers. The idle, header and body deadlines closed the connection without a look at the socket, and a close with unread bytes resets it. The same held on the way to replicas and other nodes: a whole answer in the socket did not keep an inactivity or connect timeout, a fetch, a probe or any timer of the node from deciding as if nothing had come.

The class is "a timer decides before what has arrived is looked at", so there is one rule in one place: a timer that runs late first lets the input that waits be handled (late_timers), for at most 100 ms, so that timers are not starved. Connections that close for a deadline look at their own socket besides, however late the loop is: what had arrived by then still counts, byte for byte, so that a slow sender gains no time.

--- a/src/live/asio_runtime.cc
+++ b/src/live/asio_runtime.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "live/boot_clock.h"
+#include "live/late_timers.h"
 
 namespace covewing::live {
 
@@ -26,7 +27,7 @@
   using DueTime = BootClock::time_point;
   using Key = std::pair<DueTime, base::TimerId>;
 
-  explicit Impl(asio::io_context& context) : alarm(context) {}
+  explicit Impl(asio::io_context& ioContext) : context(ioContext), alarm(ioContext) {}
 
   base::TimerId add(base::Duration delay, std::function<void()> callback) {
     const auto id = ++lastId;
@@ -68,9 +69,15 @@
   }
 
   void onAlarm() {
-    const auto now = BootClock::now();
     // The alarm had already expired when it was cancelled or set to a later time.
-    if (!armedFor || now < *armedFor) return;
+    if (!armedFor || BootClock::now() < *armedFor) return;
+    runExpired(context, *armedFor, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->runDueTimers();
+    });
+  }
+
+  void runDueTimers() {
+    const auto now = BootClock::now();
     armedFor.reset();
     while (!closed && !queue.empty() && queue.begin()->first.first <= now) {
       const auto entry = queue.extract(queue.begin());
@@ -89,6 +96,7 @@
     disarm();
   }
 
+  asio::io_context& context;
   BootTimer alarm;
   std::optional<DueTime> armedFor;
   std::map<Key, std::function<void()>> queue;
--- a/src/live/client_connection.cc
+++ b/src/live/client_connection.cc
@@ -44,14 +44,23 @@
       server_(server),
       pool_(std::move(pool)),
       limits_(limits),
-      deadline_(context.get_executor(), [this] {
-        const auto self = shared_from_this();
-        if (state_ == State::kIdle) {
-          close();
-        } else {
-          fail(state_ == State::kConnecting ? "connecting took too long" : "no answer in time");
-        }
-      }) {}
+      deadline_(context.get_executor(), [this] { onDeadline(); }) {}
+
+void ClientConnection::onDeadline() {
+  const auto self = shared_from_this();
+  switch (state_) {
+    case State::kConnecting:
+      // The connection may be established already; its handler runs next.
+      if (!readyToWrite(socket_)) fail("connecting took too long");
+      return;
+    case State::kActive:
+      // What has arrived restarts the timer when it is read.
+      if (!readyToRead(socket_)) fail("no answer in time");
+      return;
+    default:
+      close();
+  }
+}
 
 bool ClientConnection::usable() {
   if (state_ != State::kIdle || buffer_.size() > 0) return false;
--- a/src/live/client_connection.h
+++ b/src/live/client_connection.h
@@ -56,6 +56,7 @@
   enum class State { kNew, kConnecting, kActive, kIdle, kClosed };
   using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+  void onDeadline();
   void connect();
   void onConnected(boost::system::error_code error);
   void resetParser();
--- a/src/live/connect_probe.cc
+++ b/src/live/connect_probe.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "live/boot_clock.h"
+#include "live/late_timers.h"
 
 namespace covewing::live {
 
@@ -18,8 +19,8 @@
   Attempt(asio::io_context& context, std::function<void(Reachability)> onFinished)
       : socket(context), timer(context), callback(std::move(onFinished)) {}
 
-  void begin(const base::Endpoint& address, std::optional<std::uint32_t> source,
-             base::Duration timeout) {
+  void begin(asio::io_context& context, const base::Endpoint& address,
+             std::optional<std::uint32_t> source, base::Duration timeout) {
     if (source) {
       boost::system::error_code error;
       socket.open(asio::ip::tcp::v4(), error);
@@ -27,8 +28,9 @@
       socket.bind({asio::ip::address_v4(*source), 0}, error);
     }
     timer.expires_after(timeout);
-    timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
-      if (!error) self->finish(Reachability::kSilent);
+    timer.async_wait([self = shared_from_this(), &context](boost::system::error_code error) {
+      if (error) return;
+      runExpired(context, self->timer.expiry(), [self] { self->finish(Reachability::kSilent); });
     });
     socket.async_connect(
         {asio::ip::address_v4(address.address), address.port},
@@ -68,7 +70,7 @@
     if (!alive.expired()) callback(reachability);
   };
   std::make_shared<Attempt>(context_, std::move(onFinished))
-      ->begin(address, sourceAddress_, timeout);
+      ->begin(context_, address, sourceAddress_, timeout);
 }
 
 }  // namespace covewing::live
--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -52,7 +52,7 @@
   boost::system::error_code error;
   socket_.set_option(asio::ip::tcp::no_delay(true), error);
   resetParser();
-  deadline_.set(owner_.limits().idleTimeout);
+  setDeadline(owner_.limits().idleTimeout);
   read();
 }
 
@@ -126,10 +126,19 @@
     if (!parser_->got_some())
       onFirstBytes(timeSinceDataReceived(socket_).value_or(base::Duration::zero()));
     parse();
+    if (overdueAfter(bytes)) return;
   }
   read();
 }
 
+bool Connection::overdueAfter(std::size_t bytes) {
+  if (!bytesInTime_ || state_ != State::kReading) return false;
+  *bytesInTime_ -= std::min(*bytesInTime_, bytes);
+  if (*bytesInTime_ > 0) return false;
+  onDeadline();
+  return true;
+}
+
 void Connection::parse() {
   while (buffer_.size() > 0 && !parser_->is_done()) {
     boost::system::error_code error;
@@ -145,7 +154,7 @@
   if (parser_->is_done()) {
     dispatch();
   } else if (parser_->is_header_done()) {
-    if (!headerComplete_) deadline_.set(owner_.limits().requestTimeout);
+    if (!headerComplete_) setDeadline(owner_.limits().requestTimeout);
     headerComplete_ = true;
     continueIfExpected();
   }
@@ -153,7 +162,7 @@
 
 void Connection::onFirstBytes(base::Duration readDelay) {
   arrival_ = {AsioClock{}.now() - readDelay, readDelay};
-  deadline_.set(owner_.limits().headerTimeout);
+  setDeadline(owner_.limits().headerTimeout);
 }
 
 void Connection::continueIfExpected() {
@@ -170,7 +179,7 @@
   keepAlive_ = message.keep_alive();
   state_ = State::kResponding;
   // The handler decides how long the response may take.
-  deadline_.clear();
+  clearDeadline();
   if (buffer_.size() == 0) buffer_.shrink_to_fit();
   HttpRequest request{std::string{message.method_string()}, std::string{message.target()},
                       copyHeaders(message), std::move(message.body())};
@@ -210,7 +219,7 @@
     written_ = 0;
   }
   writeActive_ = true;
-  deadline_.set(owner_.limits().stallTimeout);
+  setDeadline(owner_.limits().stallTimeout);
   updatePressure();
   socket_.async_write_some(
       asio::buffer(writing_) + written_,
@@ -290,7 +299,7 @@
   }
   state_ = State::kLingering;
   buffer_.consume(buffer_.size());
-  deadline_.set(kLingerTime);
+  setDeadline(kLingerTime);
   read();
 }
 
@@ -321,7 +330,31 @@
   owner_.onClosed(*this);
 }
 
+bool Connection::awaitsInput() const { return state_ == State::kReading && !writeActive_; }
+
+void Connection::setDeadline(base::Duration delay) {
+  bytesInTime_.reset();
+  deadline_.set(delay);
+}
+
+void Connection::clearDeadline() {
+  bytesInTime_.reset();
+  deadline_.clear();
+}
+
 void Connection::onDeadline() {
+  if (writeActive_ && readyToWrite(socket_)) {
+    // The peer has accepted bytes; the handler of the write has not run yet.
+    setDeadline(owner_.limits().stallTimeout);
+    return;
+  }
+  if (awaitsInput() && !bytesInTime_) {
+    const auto unread = unreadBytes(socket_);
+    if (unread > 0) {
+      bytesInTime_ = unread;
+      return;
+    }
+  }
   reportEarlyClose(deadlineName(), deadline_.lateness());
   close();
 }
@@ -345,10 +378,10 @@
 void Connection::setDeadlineForState() {
   const auto& limits = owner_.limits();
   if (state_ != State::kReading) {
-    deadline_.clear();
+    clearDeadline();
   } else {
     const auto started = parser_->is_header_done() ? limits.requestTimeout : limits.headerTimeout;
-    deadline_.set(parser_->got_some() ? started : limits.idleTimeout);
+    setDeadline(parser_->got_some() ? started : limits.idleTimeout);
   }
 }
 
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -129,6 +129,9 @@
   void checkForClose();
   void onRead(boost::system::error_code error, std::size_t bytes);
   void parse();
+  /// After reading `bytes` once the deadline had expired: closes the connection and returns true if
+  /// all that had arrived in time was read and did not suffice.
+  bool overdueAfter(std::size_t bytes);
   /// The first bytes of a request were read, `readDelay` after they had arrived.
   void onFirstBytes(base::Duration readDelay);
   void dispatch();
@@ -141,6 +144,11 @@
   void linger();
   void setDeadlineForState();
   void onDeadline();
+  /// Whether the deadline waits for bytes of the peer.
+  bool awaitsInput() const;
+  /// Sets a new deadline for the next step of the exchange.
+  void setDeadline(base::Duration delay);
+  void clearDeadline();
   /// The limit that the deadline enforces now.
   std::string_view deadlineName() const;
   void reportEarlyClose(std::string_view why, base::Duration late) const;
@@ -170,6 +178,9 @@
   bool resetOnClose_ = false;
   std::weak_ptr<Exchange> exchange_;
   LazyDeadline deadline_;
+  /// Set once the deadline has expired: bytes that had arrived by then and are still to be read.
+  /// They are in time, however late this process reads them.
+  std::optional<std::size_t> bytesInTime_;
   /// Used only by connections with much pipelined input.
   std::optional<LazyDeadline> closeWatch_;
 };
--- /dev/null
+++ b/src/live/late_timers.cc
@@ -0,0 +1,55 @@
+#include "live/late_timers.h"
+
+#include <utility>
+#include <vector>
+
+namespace covewing::live {
+
+namespace {
+
+namespace asio = boost::asio;
+
+/// The late timers of one event loop.
+class LateTimers final : public asio::execution_context::service {
+ public:
+  static asio::execution_context::id id;  // NOLINT(readability-identifier-naming): set by Asio
+
+  explicit LateTimers(asio::execution_context& context) : service(context) {}
+
+  void run(asio::io_context& context, std::function<void()> expired) {
+    expired_.push_back(std::move(expired));
+    // Timers that expire while input is handled wait for its end with the first one.
+    if (handlingInput_) return;
+    handleInput(context);
+    for (const auto& callback : std::exchange(expired_, {})) callback();
+  }
+
+ private:
+  void handleInput(asio::io_context& context) {
+    handlingInput_ = true;
+    const auto end = BootClock::now() + kMaximumInputTime;
+    while (context.poll_one() > 0 && BootClock::now() < end) {
+    }
+    handlingInput_ = false;
+  }
+
+  void shutdown() override { expired_.clear(); }
+
+  std::vector<std::function<void()>> expired_;
+  bool handlingInput_ = false;
+};
+
+asio::execution_context::id LateTimers::id;
+
+}  // namespace
+
+void runExpired(asio::io_context& context, BootClock::time_point due,
+                std::function<void()> expired) {
+  if (BootClock::now() - due <= kTimerLateness) {
+    expired();
+  } else {
+    asio::use_service<LateTimers>(context).run(context, std::move(expired));
+  }
+}
+
+}  // namespace covewing::live
--- a/src/live/lazy_deadline.cc
+++ b/src/live/lazy_deadline.cc
@@ -1,6 +1,7 @@
 #include "live/lazy_deadline.h"
 
 #include "live/boot_clock.h"
+#include "live/late_timers.h"
 
 namespace covewing::live {
 
@@ -8,7 +9,9 @@
   using Time = BootClock::time_point;
 
   Impl(const boost::asio::any_io_executor& executor, std::function<void()> callback)
-      : timer(executor), expired(std::move(callback)) {}
+      : context(static_cast<boost::asio::io_context&>(executor.context())),
+        timer(context),
+        expired(std::move(callback)) {}
 
   void arm() {
     active = true;
@@ -22,6 +25,13 @@
   void onTimer() {
     active = false;
     if (deadline == Time::max()) return;
+    runExpired(context, deadline, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->expireIfDue();
+    });
+  }
+
+  void expireIfDue() {
+    if (active || deadline == Time::max()) return;
     const auto now = BootClock::now();
     if (now < deadline) {
       arm();
@@ -32,6 +42,7 @@
     expired();
   }
 
+  boost::asio::io_context& context;
   BootTimer timer;
   std::function<void()> expired;
   Time deadline = Time::max();
--- a/src/live/socket_state.cc
+++ b/src/live/socket_state.cc
@@ -20,8 +20,18 @@
   return const_cast<Socket&>(socket).native_handle();
 }
 
+bool ready(const Socket& socket, short events) {
+  if (!socket.is_open()) return false;
+  pollfd state{descriptorOf(socket), events, 0};
+  return ::poll(&state, 1, 0) > 0;
+}
+
 }  // namespace
 
+bool readyToRead(const Socket& socket) { return ready(socket, POLLIN); }
+
+bool readyToWrite(const Socket& socket) { return ready(socket, POLLOUT); }
+
 bool peerHasClosed(const Socket& socket) {
   if (!socket.is_open()) return true;
   const int descriptor = descriptorOf(socket);
--- a/src/live/socket_state.h
+++ b/src/live/socket_state.h
@@ -18,6 +18,13 @@
 /// Number of received bytes that were not read; zero if the operating system does not report it.
 std::size_t unreadBytes(const boost::asio::ip::tcp::socket& socket);
 
+/// Whether a read would not block: bytes, the end of input or an error wait to be read.
+bool readyToRead(const boost::asio::ip::tcp::socket& socket);
+
+/// Whether a write would not block. A connection that is being established is ready once that has
+/// succeeded or failed.
+bool readyToWrite(const boost::asio::ip::tcp::socket& socket);
+
 /// Number of sent bytes that the peer has not acknowledged; empty if the operating system does not
 /// report it.
 std::optional<std::size_t> unacknowledgedBytes(const boost::asio::ip::tcp::socket& socket);
