Keep an attempt whose replica is silent until another one accepts the request

What callers saw: a stream that was cut, or a request that got no answer, although its replica was sound and went on after a second of silence.

Cause: the receive timeout ended the attempt before another replica was chosen. If none could be had by then (the hold time over, the retry budget spent, the key gone, the service away), a stream that had begun was aborted. A replica that serves alone even got the request again.

Now the attempt goes on during the search and ends when another replica has accepted the request. An answer that comes first ends the search; so does a search without a result.

--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -176,7 +176,9 @@
 bool RelayFlow::verifyDispatchAllowed() {
   const auto refusal = dispatchRefusal();
   if (!refusal) return true;
-  if (headDelivered_) {
+  if (replacement_) {
+    keepAttempt(refusal->reason.detail);
+  } else if (headDelivered_) {
     abortStream("the request may no longer be sent: " + refusal->reason.detail);
   } else {
     refuse(*refusal);
@@ -185,7 +187,9 @@
 }
 
 void RelayFlow::choose() {
-  if (ended_ || !verifyDispatchAllowed()) return;
+  // A reply for a search that has ended may arrive while the attempt goes on.
+  const bool searchEnded = attempt_ && !replacement_;
+  if (ended_ || searchEnded || !verifyDispatchAllowed()) return;
   const auto now = dependencies_.clock.now();
   auto decision = dependencies_.replicaSelector.choose(query(), hooks_.nodes(), now);
   if (decision.softwareVersionGone) {
@@ -220,6 +224,10 @@
 void RelayFlow::hold(std::string_view why, base::Duration interval) {
   const auto now = dependencies_.clock.now();
   const bool overdue = now >= holdUntil_;
+  if (overdue && replacement_) {
+    keepAttempt(why);
+    return;
+  }
   if (!overdue || !excluded_.empty()) {
     // At the end of the hold time, a replica that failed once is better than none.
     if (overdue) excluded_.clear();
@@ -248,12 +256,15 @@
   holdTimer_ = dependencies_.timers.schedule(left, [this] {
     // The back-off of the replicas that were tried has ended as well.
     excluded_.clear();
+    if (replacement_) excluded_.push_back(attempt_->decision.replica->facts().instance);
     choose();
   });
 }
 
 void RelayFlow::refuseUnplaced(std::string_view why, base::Duration retryAfter) {
-  if (headDelivered_) {
+  if (replacement_) {
+    keepAttempt(why);
+  } else if (headDelivered_) {
     abortStream(why);
   } else if (executions_ > 0) {
     refuse(base::ResultCode::kBackEndLost, std::string{why}, {});
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -237,6 +237,14 @@
     std::vector<base::NodeId> failedRelays;
   };
 
+  /// The search for another replica while the attempt in flight is silent, and what has to be
+  /// restored if it ends without one.
+  struct Replacement {
+    /// The silent attempt was counted as executed although its response had not begun.
+    bool executionCounted = false;
+    std::optional<RetryCause> previousCause;
+  };
+
   bool streaming() const { return assignment_.route->kind == config::RequestKind::kStreaming; }
   bool resumable() const { return streaming() && assignment_.route->resumable; }
   base::Duration timeLeft() const { return deadline_ - dependencies_.clock.now(); }
@@ -373,6 +381,8 @@
   /// replica may.
   void onNotRun(const clients::RelayedAnswer& response);
   void recordRefusal(const clients::RelayedAnswer& response);
+  /// Notifies the crash detector that a request was interrupted that its replica may have started.
+  void reportInterruption(clients::FailurePoint point);
   /// Handles a response that ended by its framing and is not complete.
   void onBrokenOff(std::string_view why);
   /// Handles the failure of an attempt that may have been executed.
@@ -384,6 +394,16 @@
   /// text if the retry was reserved.
   std::string_view reserveRetry(FailureKind kind);
   void startRetry(RetryCause cause);
+  /// Looks for another replica while the attempt in flight, whose replica is silent, goes on.
+  void searchReplacement();
+  /// Ends the search: the replica answers again, or no other one accepts the request.
+  void keepAttempt(std::string_view why);
+  /// Another replica has accepted the request: gives up the silent attempt.
+  void giveUpReplacedAttempt();
+  /// The silent attempt failed during the search, which goes on without it.
+  void onReplacedAttemptFailed(const clients::DispatchError& error);
+  /// Drops what was received of the attempt that has ended and was not passed on to the caller.
+  void discardUndelivered();
   void logAttemptFailure(RetryCause cause, std::string_view why, std::string_view notRetried);
   /// Ends the attempt. Its connection is closed unless the response was complete.
   void endAttempt();
@@ -426,6 +446,8 @@
   TenantAllowance allowance_;
   std::unique_ptr<clients::RelayCall> call_;
   std::optional<Attempt> attempt_;
+  /// Set while a replacement for the attempt in flight is sought.
+  std::optional<Replacement> replacement_;
   /// Reservation for the next dispatch or, once sent, the latest one; set if an earlier dispatch
   /// may have reached a replica.
   std::optional<admission::RetryReservation> retry_;
--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -20,6 +20,8 @@
 /// Minimum time without data in the middle of a stream after which the stream counts as broken.
 constexpr base::Duration kMinimumStreamTimeout = std::chrono::milliseconds(1200);
 
+constexpr std::string_view kAnswersAgain = "the replica answers again";
+
 bool successful(unsigned status) { return status >= kOk && status < kMultipleChoices; }
 
 }  // namespace
@@ -96,6 +98,7 @@
 }
 
 void RelayFlow::onHead(clients::RelayedAnswer response) {
+  if (replacement_) keepAttempt(kAnswersAgain);
   endResponseWait();
   armReceiveTimeout();
   auto& record = *attempt_->decision.replica;
@@ -138,6 +141,7 @@
 }
 
 void RelayFlow::onBody(std::string_view bytes) {
+  if (replacement_) keepAttempt(kAnswersAgain);
   const auto now = dependencies_.clock.now();
   auto& attempt = *attempt_;
   attempt.decision.replica->health().onBytesReceived(now);
@@ -211,6 +215,7 @@
 
 void RelayFlow::onEnd() {
   const auto self = shared_from_this();
+  if (replacement_) keepAttempt(kAnswersAgain);
   const auto now = dependencies_.clock.now();
   auto& record = *attempt_->decision.replica;
   const auto response = *attempt_->response;
@@ -259,8 +264,17 @@
   finish(status_, base::ResultCode::kOk, false);
 }
 
+void RelayFlow::reportInterruption(clients::FailurePoint point) {
+  if (point != clients::FailurePoint::kBackEnd) return;
+  dependencies_.replicaCrashDetector.onRequestInterrupted(attempt_->decision.replica, fingerprint_);
+}
+
 void RelayFlow::onFailure(clients::DispatchError error) {
   const auto self = shared_from_this();
+  if (replacement_) {
+    onReplacedAttemptFailed(error);
+    return;
+  }
   const auto now = dependencies_.clock.now();
   auto& record = *attempt_->decision.replica;
   if (error.failure == clients::DispatchFailure::kNotSent) {
@@ -295,9 +309,7 @@
     onNotRun(*attempt_->response);
     return;
   }
-  if (error.point == clients::FailurePoint::kBackEnd)
-    dependencies_.replicaCrashDetector.onRequestInterrupted(attempt_->decision.replica,
-                                                            fingerprint_);
+  reportInterruption(error.point);
   onAttemptLost(RetryCause::kLost, error.reason.detail);
 }
 
--- a/src/request/relay_flow_dispatch.cc
+++ b/src/request/relay_flow_dispatch.cc
@@ -66,10 +66,15 @@
   }
   if (timeLeft() < kMinimumAttemptTime) {
     dependencies_.placement.returnGrant(grant);
-    onDeadline();
+    if (replacement_) {
+      keepAttempt("no time is left for another attempt");
+    } else {
+      onDeadline();
+    }
     return;
   }
   if (!countRetry(grant)) return;
+  if (replacement_) giveUpReplacedAttempt();
   auto& record = *decision.replica;
   const std::uint32_t totalTokens = maximumTotalTokens();
   const std::uint32_t tokens = totalTokens - std::min(totalTokens, decision.matchedTokens);
--- a/src/request/relay_flow_origin.cc
+++ b/src/request/relay_flow_origin.cc
@@ -78,7 +78,9 @@
 
 void RelayFlow::refuseWithoutSoftwareVersion() {
   const auto why = "no replica of software version " + *softwareVersion_ + " is in service";
-  if (headDelivered_) {
+  if (replacement_) {
+    keepAttempt(why);
+  } else if (headDelivered_) {
     abortStream(why);
   } else if (executions_ > 0) {
     refuse(base::ResultCode::kBackEndLost, why, {});
--- a/src/request/relay_flow_retries.cc
+++ b/src/request/relay_flow_retries.cc
@@ -12,7 +12,7 @@
 }  // namespace
 
 void RelayFlow::onReceiveTimeout() {
-  if (ended_ || !attempt_ || othersAreRateLimited()) return;
+  if (ended_ || !attempt_ || replacement_ || othersAreRateLimited()) return;
   const auto self = shared_from_this();
   const bool counted = attempt_->response.has_value();
   if (!counted) ++executions_;
@@ -29,7 +29,58 @@
                               dependencies_.replicas.failureRateOfOthers(record));
   }
   logAttemptFailure(RetryCause::kSilent, "the replica is silent", {});
-  startRetry(RetryCause::kSilent);
+  replacement_ = Replacement{!counted, retryCause_};
+  searchReplacement();
+}
+
+// The attempt goes on meanwhile: a replica that is silent for a second may be sound, and the search
+// may find no other one.
+void RelayFlow::searchReplacement() {
+  retryCause_ = RetryCause::kSilent;
+  excluded_.push_back(attempt_->decision.replica->facts().instance);
+  choose();
+}
+
+void RelayFlow::keepAttempt(std::string_view why) {
+  const auto& instance = attempt_->decision.replica->facts().instance;
+  dependencies_.log.write(
+      base::Event::kRelayAttemptKept,
+      {{"request", incoming_.request->id},
+       {"replica", instance},
+       {"attempt", std::to_string(dispatches_)},
+       {"after_ms", millisecondsText(dependencies_.clock.now() - attempt_->sentAt)},
+       {"why", std::string{why}}});
+  dependencies_.placement.cancel(std::exchange(placementTicket_, 0));
+  dependencies_.timers.cancel(holdTimer_);
+  std::erase(excluded_, instance);
+  if (replacement_->executionCounted) --executions_;
+  retryCause_ = replacement_->previousCause;
+  retry_.reset();
+  replacement_.reset();
+  armReceiveTimeout();
+}
+
+void RelayFlow::giveUpReplacedAttempt() {
+  replacement_.reset();
+  endAttempt();
+  discardUndelivered();
+}
+
+void RelayFlow::onReplacedAttemptFailed(const clients::DispatchError& error) {
+  if (error.failure == clients::DispatchFailure::kNotSent) {
+    attempt_->notSent = true;
+    if (replacement_->executionCounted) --executions_;
+  } else {
+    recordAttemptFailure(error.point);
+    reportInterruption(error.point);
+  }
+  logAttemptFailure(RetryCause::kLost, error.reason.detail, "another replica is already sought");
+  giveUpReplacedAttempt();
+}
+
+void RelayFlow::discardUndelivered() {
+  body_.discardIncomplete();
+  if (!headDelivered_) bufferedBody_.clear();
 }
 
 bool RelayFlow::othersAreRateLimited() {
@@ -40,6 +91,7 @@
 
 void RelayFlow::onStartDeadline() {
   if (!mayStillStart()) return;
+  if (replacement_) keepAttempt("its weights are out of date");
   logWithdrawal();
   onAttemptLost(RetryCause::kWeightsOutOfDate,
                 "the version of the weights is out of date and the request has not begun");
@@ -110,7 +162,7 @@
 
 void RelayFlow::onBrokenOff(std::string_view why) {
   recordAttemptFailure(clients::FailurePoint::kBackEnd);
-  dependencies_.replicaCrashDetector.onRequestInterrupted(attempt_->decision.replica, fingerprint_);
+  reportInterruption(clients::FailurePoint::kBackEnd);
   onAttemptLost(RetryCause::kLost, why);
 }
 
@@ -189,8 +241,7 @@
   retryCause_ = cause;
   excluded_.push_back(attempt_->decision.replica->facts().instance);
   endAttempt();
-  body_.discardIncomplete();
-  if (!headDelivered_) bufferedBody_.clear();
+  discardUndelivered();
   choose();
 }
 
