Keep the response of a connection that is closed behind it

What callers saw: a reset, or a response cut short, where a response announced the close of its connection and the next request or more of the body was on its way.

Cause: only refusals of the server itself let the connection linger; behind any other last response the socket was closed at once, and a close with unread bytes resets the connection and discards what the peer has not received.

--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -195,7 +195,6 @@
     return;
   }
   keepAlive_ = false;
-  lingerWhenWritten_ = true;
   state_ = State::kResponding;
   const auto exchange = std::make_shared<Exchange>(shared_from_this(), HttpRequest{},
                                                    /*chunkedAllowed=*/true, arrival_);
@@ -293,7 +292,7 @@
   setResetOnClose(false);
   boost::system::error_code error;
   socket_.shutdown(Socket::shutdown_send, error);
-  if (error || !lingerWhenWritten_) {
+  if (error || peerHasClosed(socket_)) {
     close();
     return;
   }
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -2,8 +2,9 @@
 /// One connection of the HTTP server: reads requests and writes responses. Internal to the server.
 ///
 /// States: reading a request -> responding -> reading the next request, or lingering. A lingering
-/// connection has written its response and discards the remainder of an oversized request for a
-/// bounded time, so that the peer can read the refusal; then the socket is closed.
+/// connection has written its last response and discards what the peer still sends for a bounded
+/// time, or until the peer closes it: closing a socket with unread bytes resets the connection, and
+/// the peer would lose the response.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
@@ -166,7 +167,6 @@
   bool continueSent_ = false;
   bool headerComplete_ = false;
   bool closeWhenWritten_ = false;
-  bool lingerWhenWritten_ = false;
   std::size_t lingeredBytes_ = 0;
   /// Bytes of the request being read.
   std::size_t requestBytes_ = 0;
--- a/tests/live/http_server_test.cc
+++ b/tests/live/http_server_test.cc
@@ -112,6 +112,24 @@
   BOOST_TEST(client.has(large));
 }
 
+// Guards against a response that turns into a reset, because the next request lies unread when the
+// connection is closed behind it.
+BOOST_AUTO_TEST_CASE(ResponseBeforeACloseIsReceivedAlthoughMoreWasSent) {
+  Fixture fixture;
+  TestClient client(fixture.context, fixture.endpoint, /*reading=*/false);
+  client.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  const auto exchange = fixture.nextExchange();
+  client.send(std::string(100'000, 'x'));
+  exchange->closeAfterResponse();
+  const std::string large(1'000'000, 'y');
+  exchange->respond({503, {}, large});
+  fixture.context.run_for(std::chrono::milliseconds(100));
+  client.read();
+  client.waitClosed();
+  BOOST_TEST(client.has(large));
+  BOOST_TEST(client.closedInOrder());
+}
+
 BOOST_AUTO_TEST_CASE(OversizedBodyIsRefusedBeforeItIsSent) {
   Fixture fixture(smallLimits());
   TestClient client(fixture.context, fixture.endpoint);
