Announce the idle time of connections, and keep to what was announced

What callers and other nodes saw: a connection that was closed as idle at the moment at which they took it up. Between nodes this was likely: the listener that passes requests on closed connections after the callers' idle time, while the nodes kept them for 20 s.

Cause: the two ends of a connection did not agree for how long it may rest, and a configuration that shortens the time applied to connections whose peers counted on the longer one.

Responses on kept connections announce the whole seconds of the idle time less 400 ms (Keep-Alive), and the server keeps each connection for that time and the margin even if the limit is shortened meanwhile. Evidence: the new test failed before (no header, connection closed after 0.1 s) and passes now.

--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -23,6 +23,9 @@
 constexpr base::Duration kLingerTime = std::chrono::seconds(2);
 /// Interval at which a connection that is not being read is checked for a close by the peer.
 constexpr base::Duration kCloseCheckInterval = std::chrono::milliseconds(100);
+/// By this much a connection is kept longer than announced: requests that are sent at the end of
+/// the announced time arrive later, and the peer counts it from when it has read the response.
+constexpr base::Duration kIdleMargin = std::chrono::milliseconds(400);
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 base::Endpoint remoteEndpoint(const Connection::Socket& socket) {
@@ -279,6 +282,17 @@
   });
 }
 
+std::chrono::seconds Connection::announceIdleTime() {
+  const auto usable = owner_.limits().idleTimeout - kIdleMargin;
+  announcedIdleTime_ = std::max(std::chrono::duration_cast<std::chrono::seconds>(usable),
+                                std::chrono::seconds::zero());
+  return announcedIdleTime_;
+}
+
+base::Duration Connection::idleTime() const {
+  return std::max<base::Duration>(owner_.limits().idleTimeout, announcedIdleTime_ + kIdleMargin);
+}
+
 void Connection::resetOnClose() { setResetOnClose(true); }
 
 void Connection::setResetOnClose(bool enabled) {
@@ -380,7 +394,7 @@
     clearDeadline();
   } else {
     const auto started = parser_->is_header_done() ? limits.requestTimeout : limits.headerTimeout;
-    setDeadline(parser_->got_some() ? started : limits.idleTimeout);
+    setDeadline(parser_->got_some() ? started : idleTime());
   }
 }
 
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -111,6 +111,9 @@
   void send(std::string bytes);
   std::size_t bufferedBytes() const { return writing_.size() - written_ + pending_.size(); }
   bool keepAlive() const { return keepAlive_ && !owner_.closing(); }
+  /// Time for which the peer may count on the connection after the response; zero if that is less
+  /// than a second. The connection keeps to it, even if the limit is shortened meanwhile.
+  std::chrono::seconds announceIdleTime();
   /// From now on the end of the connection means the end of the response. Until the response is
   /// complete and written, any close of the socket resets the connection, also one by the operating
   /// system at the end of this process.
@@ -144,6 +147,8 @@
   void setResetOnClose(bool enabled);
   void linger();
   void setDeadlineForState();
+  /// Time for which the connection may stay open between requests.
+  base::Duration idleTime() const;
   void onDeadline();
   /// Whether the deadline waits for bytes of the peer.
   bool awaitsInput() const;
@@ -176,6 +181,7 @@
   bool writeActive_ = false;
   bool underPressure_ = false;
   bool resetOnClose_ = false;
+  std::chrono::seconds announcedIdleTime_{};
   std::weak_ptr<Exchange> exchange_;
   LazyDeadline deadline_;
   /// Set once the deadline has expired: bytes that had arrived by then and are still to be read.
--- a/src/live/http_exchange.cc
+++ b/src/live/http_exchange.cc
@@ -13,11 +13,12 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-/// Status line and headers of a response to `request`. The identifier of the request is echoed
+/// Status line and headers of a response to `request`. A connection that is kept announces its idle
+/// time, unless that is zero. The identifier of the request is echoed
 /// unless `headers` contains one.
 http::response<http::empty_body> responseHead(const HttpRequest& request, unsigned status,
                                               const std::vector<HeaderField>& headers, bool http11,
-                                              bool keepAlive) {
+                                              bool keepAlive, std::chrono::seconds idleTime) {
   http::response<http::empty_body> message;
   message.result(status);
   message.version(http11 ? kHttp11 : kHttp10);
@@ -26,6 +27,8 @@
   if (!requestId.empty() && findHeader(headers, kRequestIdHeader).empty())
     message.set(std::string{kRequestIdHeader}, std::string{requestId});
   message.keep_alive(keepAlive);
+  if (keepAlive && idleTime.count() > 0)
+    message.set(http::field::keep_alive, "timeout=" + std::to_string(idleTime.count()));
   return message;
 }
 
@@ -57,7 +60,8 @@
 void Exchange::respond(HttpResponse response) {
   if (finished() || streaming_) return;
   const bool reusable = keepAlive();
-  auto head = responseHead(request_, response.status, response.headers, chunkedAllowed_, reusable);
+  auto head = responseHead(request_, response.status, response.headers, chunkedAllowed_, reusable,
+                           connection_->announceIdleTime());
   const bool withoutBody = bodyForbidden(response.status);
   if (!withoutBody) head.content_length(response.body.size());
   auto text = headText(head);
@@ -72,7 +76,8 @@
   if (finished() || streaming_) return;
   streaming_ = true;
   const bool framed = chunkedAllowed_ || length.has_value();
-  auto head = responseHead(request_, status, headers, chunkedAllowed_, framed && keepAlive());
+  auto head = responseHead(request_, status, headers, chunkedAllowed_, framed && keepAlive(),
+                           connection_->announceIdleTime());
   if (bodyForbidden(status)) {
     remainingBytes_ = 0;
   } else if (length) {
--- a/tests/live/http_server_test.cc
+++ b/tests/live/http_server_test.cc
@@ -112,6 +112,37 @@
   BOOST_TEST(client.has(large));
 }
 
+// Guards against callers that reuse a connection at the moment at which it is closed as idle, and
+// against configurations that shorten the time on which callers count.
+BOOST_AUTO_TEST_CASE(IdleTimeIsAnnouncedAndKeptWhenItIsShortened) {
+  HttpLimits limits;
+  limits.idleTimeout = std::chrono::milliseconds(2500);
+  Fixture fixture(limits);
+  TestClient client(fixture.context, fixture.endpoint);
+  client.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  const auto exchange = fixture.nextExchange();
+  exchange->beginStream(200, {}, 4);
+  limits.idleTimeout = std::chrono::milliseconds(100);
+  fixture.server.setLimits(limits);
+  exchange->write("body");
+  exchange->end();
+  client.waitFor("body");
+  BOOST_TEST(client.has("Keep-Alive: timeout=2\r\n"));
+  fixture.context.run_for(std::chrono::milliseconds(2000));
+  BOOST_TEST(!client.closed());
+  client.waitClosed();
+}
+
+BOOST_AUTO_TEST_CASE(NoIdleTimeIsAnnouncedIfTheConnectionCloses) {
+  Fixture fixture;
+  TestClient client(fixture.context, fixture.endpoint);
+  client.send("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  fixture.nextExchange()->respond({200, {}, "body"});
+  client.waitClosed();
+  BOOST_TEST(!client.has("Keep-Alive"));
+  BOOST_TEST(client.closedInOrder());
+}
+
 // Guards against a response that turns into a reset, because the next request lies unread when the
 // connection is closed behind it.
 BOOST_AUTO_TEST_CASE(ResponseBeforeACloseIsReceivedAlthoughMoreWasSent) {
