--- a/tests/live/peer_relay_test.cc
+++ b/tests/live/peer_relay_test.cc
@@ -80,7 +80,7 @@
   std::optional<base::TimePoint> confirmedAt() const override { return std::nullopt; }
 
   config::RouteTablePtr current =
-      std::make_shared<const config::RouteTable>(*SingleRouteReader{}.readRouteTable({}, reason));
+      std::make_shared<const config::RouteTable>(*FixedRoutesReader{}.readRouteTable({}, reason));
   static inline base::Reason reason;
 };
 
--- a/tests/live/relay_fleet.h
+++ b/tests/live/relay_fleet.h
@@ -26,6 +26,15 @@
 inline constexpr std::string_view kConfigurationTableName = "configuration";
 inline constexpr std::string_view kOwnTableName = "own";
 inline constexpr std::uint32_t kLoopback = 0x7f000001;
+/// Requests that a replica runs concurrently.
+inline constexpr std::uint32_t kSlots = 8;
+inline constexpr std::string_view kApplication = "app";
+/// A service whose replicas serve the model of the same name by streams.
+inline constexpr std::string_view kModel = "model";
+inline constexpr std::string_view kModelPath = "/model/stream";
+inline constexpr std::string_view kPromptPartsHeader = "X-Prompt-Parts";
+/// Response header with the result code of a refusal.
+inline constexpr std::string_view kRefusalCodeHeader = "X-Refusal-Code";
 
 /// Dialect that uses plain headers and passes requests and responses on unchanged.
 class PlainDialect final : public RelayDialect {
@@ -39,6 +48,7 @@
     arrival.path = request.path();
     arrival.key = request.header("X-Key");
     arrival.arrivedAt = arrivedAt;
+    arrival.prompt = readPrompt(request);
     arrival.request = std::make_shared<const clients::RelayedRequest>(clients::RelayedRequest{
         std::string{request.header(kRequestIdHeader)}, request.method, request.target,
         withoutConnectionHeaders(request.headers), std::move(body)});
@@ -47,6 +57,8 @@
   HttpResponse refusal(const request::RelayRefusal& refusal,
                        std::string_view /*requestId*/) const override {
     HttpResponse response{refusal.status, {}, refusal.reason.detail};
+    response.headers.push_back({std::string{kRefusalCodeHeader},
+                                std::to_string(static_cast<unsigned>(refusal.reason.code))});
     if (refusal.retryAfter > base::Duration::zero())
       response.headers.push_back(
           {"Retry-After", std::to_string(base::toSeconds(refusal.retryAfter))});
@@ -63,10 +75,25 @@
     answer.headers = withoutConnectionHeaders(head.headers);
     return answer;
   }
+
+ private:
+  static std::optional<request::PromptMetadata> readPrompt(const HttpRequest& request) {
+    constexpr std::uint32_t kMaximumOutputTokens = 20;
+    const auto parts = request.header(kPromptPartsHeader);
+    auto chain = prefix::PartChain::parse(parts);
+    if (parts.empty() || !chain) return std::nullopt;
+    request::PromptMetadata prompt;
+    prompt.model = kModel;
+    prompt.promptTokens = chain->totalTokens();
+    prompt.maximumOutputTokens = kMaximumOutputTokens;
+    prompt.chain = std::move(*chain);
+    return prompt;
+  }
 };
 
-/// Returns a fixed configuration with one route to one service, whatever the row contains.
-class SingleRouteReader final : public node::ConfigurationRowReader {
+/// Returns a fixed configuration with a route to the application and one to the model, whatever the
+/// row contains.
+class FixedRoutesReader final : public node::ConfigurationRowReader {
  public:
   bool isRouteTable(std::string_view key) const override { return key == "routes"; }
   bool isAnnouncedWeights(std::string_view /*key*/) const override { return false; }
@@ -80,11 +107,11 @@
     route.pathPrefix = "/";
     route.timeout = std::chrono::seconds(4);
     route.targetLatency = std::chrono::milliseconds(400);
-    route.split = {{"app", 1}};
-    contents.routes = {route};
+    route.split = {{std::string{kApplication}, 1}};
+    contents.routes = {route, modelRoute(route)};
     config::Service service;
-    service.name = "app";
-    contents.services = {service};
+    service.name = kApplication;
+    contents.services = {service, modelService()};
     contents.tenants = {{"tenant", {"key"}, 1, false, std::nullopt}};
     return contents;
   }
@@ -92,18 +119,40 @@
                                                     base::Reason& /*reason*/) const override {
     return std::nullopt;
   }
+
+ private:
+  static config::Route modelRoute(config::Route route) {
+    route.name = kModel;
+    route.pathPrefix = "/model/";
+    route.kind = config::RequestKind::kStreaming;
+    route.split = {{std::string{kModel}, 1}};
+    route.sticky = true;
+    return route;
+  }
+  static config::Service modelService() {
+    config::Service service;
+    service.name = kModel;
+    service.engine.emplace();
+    service.engine->slots = kSlots;
+    service.engine->cacheTokens = 100'000;
+    service.engine->models = {std::string{kModel}};
+    return service;
+  }
 };
 
-/// Reads rows that contain a replica's port.
+/// Reads rows that contain a replica's port. Replicas of the model have keys that begin with its
+/// name.
 class PortRowReader final : public node::ReplicaRowReader {
  public:
   std::optional<routing::Replica> readReplica(std::string_view key, std::string_view value,
                                               base::Reason& /*reason*/) const override {
     routing::Replica replica;
     replica.instance = key;
-    replica.service = "app";
+    const bool servesModel = key.starts_with(kModel);
+    replica.service = servesModel ? kModel : kApplication;
+    if (servesModel) replica.models = {{std::string{kModel}, 1}};
     replica.endpoint = {kLoopback, static_cast<std::uint16_t>(std::stoul(std::string{value}))};
-    replica.slots = 8;
+    replica.slots = kSlots;
     return replica;
   }
 };
@@ -125,16 +174,19 @@
             std::function<void(clients::CacheFeedReply)> /*callback*/) override {}
 };
 
-/// An application replica. A request with the body `kCrashing` crashes it kCrashAfter after the
-/// request has begun; kRestartAfter later it is back at the same address as a new instance. A
-/// request with the body `kUnanswered` never gets a response.
+/// A replica of the application or of the model. A request with the body `kCrashing` crashes it
+/// kCrashAfter after the request has begun, and so does one with the prompt part `kCrashingPart`,
+/// behind the head and the first event of its response; later it is back at the same address as a
+/// new instance. A request with the body `kUnanswered` never gets a response.
 class CrashingReplica {
  public:
   static constexpr std::string_view kCrashing = "deadly";
   static constexpr std::string_view kUnanswered = "silent";
+  static constexpr std::string_view kCrashingPart = "dead";
   static constexpr base::Duration kRunTime = std::chrono::milliseconds(60);
   static constexpr base::Duration kCrashAfter = std::chrono::milliseconds(40);
   static constexpr base::Duration kRestartAfter = std::chrono::milliseconds(900);
+  static constexpr base::Duration kModelRestartAfter = std::chrono::seconds(2);
   static constexpr base::Duration kEntryRemovedAfter = std::chrono::milliseconds(1500);
 
   /// Events recorded by all replicas of a test.
@@ -151,6 +203,9 @@
     start();
   }
 
+  /// Crashes the replica as a power failure does, whatever it runs.
+  void cutPower() { stop(); }
+
  private:
   void start() {
     server_ = std::make_unique<HttpServer>(
@@ -164,6 +219,10 @@
   }
 
   void onRequest(const HttpExchangePtr& exchange) {
+    if (servesModel()) {
+      stream(exchange);
+      return;
+    }
     record_.bodies.push_back(exchange->request().body);
     if (exchange->request().body == kCrashing) {
       record_.crashingArrivals.push_back(clock_.now());
@@ -178,16 +237,39 @@
     timers_.schedule(kRunTime, [exchange] { exchange->respond({200, {}, "done"}); });
   }
 
+  void stream(const HttpExchangePtr& exchange) {
+    exchange->beginStream(200, {{"Content-Type", "text/event-stream"}});
+    exchange->write("data: begun\n\n");
+    if (exchange->request().header(kPromptPartsHeader).find(kCrashingPart) == std::string::npos) {
+      timers_.schedule(kRunTime, [exchange] {
+        exchange->write("data: done\n\n");
+        exchange->end();
+      });
+      return;
+    }
+    record_.crashingArrivals.push_back(clock_.now());
+    openExchanges_.push_back(exchange);
+    timers_.schedule(kCrashAfter, [this, instance = instance_] { crash(instance); });
+  }
+
+  bool servesModel() const { return name_.starts_with(kModel); }
+
   void crash(const std::string& instance) {
-    if (!server_ || instance != instance_) return;
+    if (instance != instance_ || !stop()) return;
     record_.crashes.push_back(clock_.now());
+  }
+
+  /// False if the replica is not running.
+  bool stop() {
+    if (!server_) return false;
     server_->close();
     server_.reset();
     openExchanges_.clear();
-    timers_.schedule(kEntryRemovedAfter, [this, instance] {
+    timers_.schedule(kEntryRemovedAfter, [this, instance = instance_] {
       table_.put(std::string{kReplicaTableName}, instance, std::nullopt);
     });
-    timers_.schedule(kRestartAfter, [this] { start(); });
+    timers_.schedule(servesModel() ? kModelRestartAfter : kRestartAfter, [this] { start(); });
+    return true;
   }
 
   boost::asio::io_context& context_;
@@ -217,14 +299,19 @@
     unsigned status = 0;
     std::string responseBody;
     bool hasRetryAfter = false;
+    /// Result code of a refusal by a node; empty for other responses.
+    std::string refusalCode;
     int completions = 0;
   };
 
-  RelayFleet() {
+  explicit RelayFleet(std::size_t modelReplicas = 0) {
     table_.put(std::string{kConfigurationTableName}, "routes", "routes");
     for (std::size_t index = 0; index < kReplicas; ++index)
       replicas_.push_back(std::make_unique<CrashingReplica>(
           context_, table_, timers_, "replica-" + std::to_string(index), record));
+    for (std::size_t index = 0; index < modelReplicas; ++index)
+      modelReplicas_.push_back(std::make_unique<CrashingReplica>(
+          context_, table_, timers_, std::string{kModel} + '-' + std::to_string(index), record));
     for (auto& port : ports_) port = freePort();
     startNodes();
   }
@@ -248,25 +335,18 @@
   /// Sends a request to a node; the caller waits for the response for `timeout`.
   std::shared_ptr<Response> send(std::size_t node, std::string body,
                                  base::Duration timeout = std::chrono::seconds(5)) {
-    auto response = std::make_shared<Response>();
-    response->requestBody = body;
-    response->sentAt = clock_.now();
-    const HttpRequest request{"POST",
-                              "/work",
-                              {{"Host", "example"},
-                               {"X-Key", "key"},
-                               {std::string{kRequestIdHeader}, "id-" + std::to_string(++sent_)}},
-                              std::move(body)};
-    http_.fetch(callerEndpoint(node), request, timeout, [this, response](const HttpResult& result) {
-      ++response->completions;
-      response->endedAt = clock_.now();
-      const auto* httpResponse = std::get_if<HttpResponse>(&result);
-      if (httpResponse == nullptr) return;
-      response->status = httpResponse->status;
-      response->responseBody = httpResponse->body;
-      response->hasRetryAfter = !httpResponse->header("Retry-After").empty();
-    });
-    return response;
+    return send(node, requestTo("/work", std::move(body)), timeout);
+  }
+
+  /// Sends a request with a prompt of these parts for the model to a node.
+  std::shared_ptr<Response> sendPrompt(std::size_t node, const std::string& parts) {
+    auto request = requestTo(kModelPath, parts);
+    request.headers.push_back({std::string{kPromptPartsHeader}, parts});
+    return send(node, request, std::chrono::seconds(5));
+  }
+
+  void cutPowerOfModelReplicas(std::size_t count) {
+    for (std::size_t index = 0; index < count; ++index) modelReplicas_.at(index)->cutPower();
   }
 
   /// Sends a request on a connection of its own and closes that at once, before the node reads it.
@@ -287,6 +367,33 @@
   CrashingReplica::Record record;
 
  private:
+  HttpRequest requestTo(std::string_view target, std::string body) {
+    return {"POST",
+            std::string{target},
+            {{"Host", "example"},
+             {"X-Key", "key"},
+             {std::string{kRequestIdHeader}, "id-" + std::to_string(++sent_)}},
+            std::move(body)};
+  }
+
+  std::shared_ptr<Response> send(std::size_t node, const HttpRequest& request,
+                                 base::Duration timeout) {
+    auto response = std::make_shared<Response>();
+    response->requestBody = request.body;
+    response->sentAt = clock_.now();
+    http_.fetch(callerEndpoint(node), request, timeout, [this, response](const HttpResult& result) {
+      ++response->completions;
+      response->endedAt = clock_.now();
+      const auto* httpResponse = std::get_if<HttpResponse>(&result);
+      if (httpResponse == nullptr) return;
+      response->status = httpResponse->status;
+      response->responseBody = httpResponse->body;
+      response->hasRetryAfter = !httpResponse->header("Retry-After").empty();
+      response->refusalCode = httpResponse->header(kRefusalCodeHeader);
+    });
+    return response;
+  }
+
   /// Listeners of a node; their ports are the same on every node.
   enum Listener : std::size_t { kCallers, kReadiness, kPeers, kMetrics, kListeners };
 
@@ -341,7 +448,7 @@
   test_support::RecordingLog log_;
   MemoryTableService table_{clock_, timers_, std::string{kOwnTableName}};
   PlainDialect dialect_;
-  SingleRouteReader configurationRows_;
+  FixedRoutesReader configurationRows_;
   PortRowReader replicaRows_;
   NullWeightsClient weights_;
   NullCacheFeedClient cacheFeeds_;
@@ -356,6 +463,7 @@
                               std::string{kReplicaTableName}};
   std::array<std::uint16_t, kListeners> ports_{};
   std::vector<std::unique_ptr<CrashingReplica>> replicas_;
+  std::vector<std::unique_ptr<CrashingReplica>> modelReplicas_;
   std::vector<std::unique_ptr<RelayDaemon>> nodes_;
   HttpClient http_{context_};
   std::size_t sent_ = 0;
