Log all shared parts of a dispatched prompt, and how long ago a lost answer had begun

Which part of a prompt the interrupted requests had in common could not be told from the log: it named the deepest shared part only, and not whether an answer had begun.

--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -235,6 +235,8 @@
     std::optional<routing::RelayPeer> relay;
     /// Nodes that could not pass the attempt on.
     std::vector<base::NodeId> failedRelays;
+    /// When the head of the response was received; empty before.
+    std::optional<base::TimePoint> headAt{};
   };
 
   /// The search for another replica while the attempt in flight is silent, and what has to be
--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -100,6 +100,7 @@
 void RelayFlow::onHead(clients::RelayedAnswer response) {
   if (replacement_) keepAttempt(kAnswersAgain);
   endResponseWait();
+  attempt_->headAt = dependencies_.clock.now();
   armReceiveTimeout();
   auto& record = *attempt_->decision.replica;
   record.health().onBytesReceived(dependencies_.clock.now());
--- a/src/request/relay_flow_dispatch.cc
+++ b/src/request/relay_flow_dispatch.cc
@@ -18,6 +18,18 @@
   return part ? std::to_string(*part) : std::string{};
 }
 
+/// Identifiers of all shared parts of the prompt in their order, separated by spaces.
+std::string sharedParts(const IncomingRequest& incoming) {
+  if (!incoming.prompt) return {};
+  const auto& chain = incoming.prompt->chain;
+  std::string text;
+  for (std::size_t part = 0; part < chain.sharedParts(); ++part) {
+    if (part > 0) text += ' ';
+    text += std::to_string(chain.parts()[part].id);
+  }
+  return text;
+}
+
 }  // namespace
 
 clients::DispatchTerms RelayFlow::termsFor(const routing::ReplicaDecision& decision) const {
@@ -107,7 +119,8 @@
                      isProbe,
                      false,
                      std::nullopt,
-                     {}};
+                     {},
+                     std::nullopt};
   reportStreamOrigin();
   const auto relay = chooseRelay();
   logDispatch(relay);
@@ -157,6 +170,7 @@
        {"wait_ms", millisecondsText(decision.expectedWait)},
        {"in_flight", std::to_string(record.inFlight())},
        {"part", sharedPart(incoming_)},
+       {"parts", sharedParts(incoming_)},
        {"shared", std::to_string(incoming_.prompt ? incoming_.prompt->chain.sharedTokens() : 0)},
        {"cached", std::to_string(decision.matchedTokens)},
        {"fetch", decision.fetchFrom ? decision.fetchFrom->name : ""},
--- a/src/request/relay_flow_retries.cc
+++ b/src/request/relay_flow_retries.cc
@@ -207,13 +207,15 @@
 void RelayFlow::logAttemptFailure(RetryCause cause, std::string_view why,
                                   std::string_view notRetried) {
   const auto& service = assignment_.service->name;
-  const auto use = dependencies_.retries.use(service, dependencies_.clock.now());
+  const auto now = dependencies_.clock.now();
+  const auto use = dependencies_.retries.use(service, now);
   dependencies_.log.write(
       notRetried.empty() ? base::Event::kRequestRetried : base::Event::kRelayAttemptFailed,
       {{"request", incoming_.request->id},
        {"replica", attempt_->decision.replica->facts().instance},
        {"attempt", std::to_string(dispatches_)},
-       {"after_ms", millisecondsText(dependencies_.clock.now() - attempt_->sentAt)},
+       {"after_ms", millisecondsText(now - attempt_->sentAt)},
+       {"begun_ms", attempt_->headAt ? millisecondsText(now - *attempt_->headAt) : std::string{}},
        {"service", service},
        {"cause", std::string{toString(cause)}},
        {"why", std::string{why}},
