Make room for new callers by closing the connection that is idle longest

What callers saw: connections reset before an answer while the node kept others open that nobody used, or no reaction for as long as the idle timeout where accept failed for want of descriptors.

Cause: beyond its maximum the server accepted and closed new connections, and after EMFILE it only waited.

From 90% of the maximum on, responses that begin announce Connection: close, unless a further request has arrived on theirs; what a streamed response has announced holds to its end. The server accepts only after the operating system reports a waiting connection: accept fails for want of descriptors even where none waits, and room would be made for nobody.

--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -67,6 +67,7 @@
   continueSent_ = false;
   headerComplete_ = false;
   requestBytes_ = 0;
+  idleSince_ = AsioClock{}.now();
 }
 
 // A read is always outstanding while the buffer has capacity, so that a disconnect is detected.
@@ -320,9 +321,14 @@
   return state_ != State::kClosed && !peerHasClosed(socket_);
 }
 
-void Connection::closeIfIdle() {
+std::optional<base::TimePoint> Connection::idleSince() const {
   const bool between = state_ == State::kReading && !parser_->got_some();
-  if (!between || bufferedBytes() > 0 || buffer_.size() > 0) return;
+  if (!between || closingIdle_ || bufferedBytes() > 0 || buffer_.size() > 0) return std::nullopt;
+  return idleSince_;
+}
+
+void Connection::closeIfIdle() {
+  if (!idleSince()) return;
   // The cancelled read may have received bytes already; onRead then keeps the connection open.
   closingIdle_ = true;
   boost::system::error_code error;
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -31,6 +31,9 @@
   virtual HttpResponse formatRefusal(const base::Reason& reason) const = 0;
   /// Whether the server is closing: responses then have the header `Connection: close`.
   virtual bool closing() const = 0;
+  /// Whether the server has little room for new connections: responses that begin now ask the peer
+  /// to leave.
+  virtual bool crowded() const = 0;
   virtual void onClosed(Connection& connection) = 0;
   virtual void onClosedEarly(const EarlyClose& close) = 0;
 };
@@ -102,6 +105,9 @@
   /// Whether the peer has not closed the connection, as the operating system sees it now.
   bool peerConnected() const;
   bool responding() const { return state_ == State::kResponding; }
+  /// When the connection was last opened or its last response completed; empty while any byte of a
+  /// request or response is under way or the connection is about to close.
+  std::optional<base::TimePoint> idleSince() const;
   /// Closes the connection unless a byte of a request was received or a response is not yet fully
   /// written to the socket.
   void closeIfIdle();
@@ -114,6 +120,9 @@
   /// Time for which the peer may count on the connection after the response; zero if that is less
   /// than a second. The connection keeps to it, even if the limit is shortened meanwhile.
   std::chrono::seconds announceIdleTime();
+  /// Whether a response that begins now should ask the peer to leave: the server has little room
+  /// and no further request has arrived.
+  bool shouldLeave() const { return owner_.crowded() && buffer_.size() == 0; }
   /// From now on the end of the connection means the end of the response. Until the response is
   /// complete and written, any close of the socket resets the connection, also one by the operating
   /// system at the end of this process.
@@ -167,6 +176,7 @@
   boost::beast::flat_buffer buffer_;
   bool reading_ = false;
   bool closingIdle_ = false;
+  base::TimePoint idleSince_{};
   Exchange::Arrival arrival_;
   bool keepAlive_ = true;
   bool continueSent_ = false;
--- a/src/live/http_exchange.cc
+++ b/src/live/http_exchange.cc
@@ -59,6 +59,7 @@
 
 void Exchange::respond(HttpResponse response) {
   if (finished() || streaming_) return;
+  if (connection_->shouldLeave()) closeAfterResponse();
   const bool reusable = keepAlive();
   auto head = responseHead(request_, response.status, response.headers, chunkedAllowed_, reusable,
                            connection_->announceIdleTime());
@@ -75,6 +76,7 @@
                            std::optional<std::uint64_t> length) {
   if (finished() || streaming_) return;
   streaming_ = true;
+  if (connection_->shouldLeave()) closeAfterResponse();
   const bool framed = chunkedAllowed_ || length.has_value();
   auto head = responseHead(request_, status, headers, chunkedAllowed_, framed && keepAlive(),
                            connection_->announceIdleTime());
--- a/src/live/http_server.cc
+++ b/src/live/http_server.cc
@@ -3,12 +3,15 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <list>
 #include <nlohmann/json.hpp>
-#include <unordered_map>
+#include <unordered_set>
 
+#include "live/asio_runtime.h"
 #include "live/http_connection.h"
+#include "live/idle_connections.h"
 
 namespace covewing::live {
 
@@ -19,6 +22,13 @@
 
 /// Wait before accepting again after an error such as too many open files.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{100};
+/// Wait before looking again for an idle connection where all are busy. A connection that closes
+/// ends the wait.
+constexpr std::chrono::milliseconds kRoomRetryDelay{20};
+/// Maximum number of connections accepted at once, so that open ones are served in between.
+constexpr int kAcceptBatch = 16;
+/// Percentage of the maximum of connections from which on responses ask callers to leave.
+constexpr std::size_t kCrowdedPercent = 90;
 
 HttpResponse defaultRefusal(const base::Reason& reason) {
   const auto& entry = base::describe(reason.code);
@@ -29,12 +39,19 @@
   return jsonResponse(entry.httpStatus, body.dump());
 }
 
+bool isOutOfDescriptors(boost::system::error_code error) {
+  return error == boost::system::errc::too_many_files_open ||
+         error == boost::system::errc::too_many_files_open_in_system;
+}
+
 struct Listener {
   explicit Listener(asio::io_context& context) : acceptor(context), retryTimer(context) {}
   tcp::acceptor acceptor;
   /// Uses the steady clock: a suspension of the machine delays the next attempt by no more than
   /// kAcceptRetryDelay.
   asio::steady_timer retryTimer;
+  /// A connection was closed because no descriptor was free, and none was accepted since.
+  bool roomMade = false;
 };
 
 }  // namespace
@@ -48,41 +65,113 @@
 
   const HttpLimits& limits() const override { return bounds; }
   bool closing() const override { return stopping || closeAnnounced; }
+  bool crowded() const override {
+    constexpr std::size_t kAll = 100;
+    return connections.size() * kAll >= bounds.connections * kCrowdedPercent;
+  }
   HttpResponse formatRefusal(const base::Reason& reason) const override {
     return refusalFormatter(reason);
   }
   void onRequest(const HttpExchangePtr& exchange) override {
     if (handler) handler(exchange);
   }
-  void onClosed(Connection& connection) override { connections.erase(&connection); }
+  void onClosed(Connection& connection) override {
+    connections.erase(&connection);
+    if (closingForRoom.erase(&connection) > 0 && closedForRoomListener) closedForRoomListener();
+    // Listeners that wait for room try again at once.
+    for (const auto& listener : listeners) listener->retryTimer.cancel();
+  }
   void onClosedEarly(const EarlyClose& close) override {
     if (earlyCloseListener) earlyCloseListener(close);
   }
 
   void accept(const std::shared_ptr<Listener>& listener) {
-    listener->acceptor.async_accept(
-        [self = shared_from_this(), listener](boost::system::error_code error, tcp::socket socket) {
-          // A connection accepted just before the stop is served like those from the queue.
-          if (!error && !self->closed) self->addConnection(std::move(socket));
-          if (self->stopping) return;
-          if (error) {
-            self->acceptLater(listener);
-          } else {
-            self->accept(listener);
-          }
-        });
+    listener->acceptor.async_wait(tcp::acceptor::wait_read, [self = shared_from_this(), listener](
+                                                                boost::system::error_code error) {
+      if (self->stopping) return;
+      if (error) {
+        self->onAcceptError(listener, error);
+      } else {
+        self->acceptWaiting(listener);
+      }
+    });
+  }
+
+  /// Accepts connections as far as there is room. Called when at least one waits. Whether another
+  /// one waits after that is not known when there is no room: the operating system looks for a free
+  /// descriptor first.
+  void acceptWaiting(const std::shared_ptr<Listener>& listener) {
+    if (connections.size() >= bounds.connections) {
+      onFull(listener);
+      return;
+    }
+    auto error = acceptOne(*listener);
+    if (error && error != asio::error::would_block) {
+      onAcceptError(listener, error);
+      return;
+    }
+    for (int accepted = 1; !error && accepted < kAcceptBatch; ++accepted) {
+      if (connections.size() >= bounds.connections) break;
+      error = acceptOne(*listener);
+    }
+    listener->roomMade = false;
+    accept(listener);
+  }
+
+  boost::system::error_code acceptOne(Listener& listener) {
+    tcp::socket socket(context);
+    boost::system::error_code error;
+    listener.acceptor.accept(socket, error);
+    if (!error) addConnection(std::move(socket));
+    return error;
   }
 
-  void acceptLater(const std::shared_ptr<Listener>& listener) {
-    listener->retryTimer.expires_after(kAcceptRetryDelay);
+  void onFull(const std::shared_ptr<Listener>& listener) {
+    if (makeRoom(listener)) return;
+    reportDelay("no connection is idle", /*outOfDescriptors=*/false);
+    acceptLater(listener, kRoomRetryDelay);
+  }
+
+  void onAcceptError(const std::shared_ptr<Listener>& listener, boost::system::error_code error) {
+    const bool outOfDescriptors = isOutOfDescriptors(error);
+    reportDelay(error.message(), outOfDescriptors);
+    // Where that does not help, the descriptors are in use elsewhere: the others stay open then.
+    const bool room = outOfDescriptors && !listener->roomMade && makeRoom(listener);
+    listener->roomMade = room;
+    if (!room) acceptLater(listener, kAcceptRetryDelay);
+  }
+
+  void reportDelay(std::string why, bool outOfDescriptors) const {
+    if (acceptDelayListener)
+      acceptDelayListener(
+          {std::move(why), connections.size(), bounds.connections, outOfDescriptors});
+  }
+
+  void acceptLater(const std::shared_ptr<Listener>& listener, base::Duration delay) {
+    listener->retryTimer.expires_after(delay);
+    // A cancelled wait has ended early, because a connection was closed.
     listener->retryTimer.async_wait(
-        [self = shared_from_this(), listener](boost::system::error_code error) {
-          if (!error && !self->stopping) self->accept(listener);
+        [self = shared_from_this(), listener](boost::system::error_code /*error*/) {
+          if (!self->stopping) self->acceptWaiting(listener);
         });
   }
 
+  /// Closes the connection that has been idle longest, if its socket holds no bytes, and lets
+  /// `listener` accept afterwards. Returns false if no connection is idle.
+  bool makeRoom(const std::shared_ptr<Listener>& listener) {
+    const auto connection = idleConnections.takeOldest(connections, AsioClock{}.now());
+    if (!connection) return false;
+    closingForRoom.insert(connection.get());
+    connection->closeIfIdle();
+    // Runs after the handler in which the connection closes itself, or finds bytes to read.
+    asio::post(context, [self = shared_from_this(), connection, listener] {
+      self->closingForRoom.erase(connection.get());
+      if (listener && !self->stopping) self->acceptWaiting(listener);
+    });
+    return true;
+  }
+
   void addConnection(tcp::socket socket) {
-    if (connections.size() >= bounds.connections) return;
     auto connection = std::make_shared<Connection>(std::move(socket), *this);
     connections.emplace(connection.get(), connection);
     connection->start();
@@ -91,12 +180,7 @@
   /// Accepts the connections in the listener's queue: closing the listener would reset them, and
   /// requests may already have been sent on them.
   void acceptPending(Listener& listener) {
-    boost::system::error_code error;
-    listener.acceptor.non_blocking(true, error);
-    while (!error) {
-      tcp::socket socket(context);
-      listener.acceptor.accept(socket, error);
-      if (!error) addConnection(std::move(socket));
+    while (!acceptOne(listener)) {
     }
   }
 
@@ -123,11 +207,16 @@
   HttpHandler handler;
   HttpRefusalFormatter refusalFormatter;
   EarlyCloseListener earlyCloseListener;
+  AcceptDelayListener acceptDelayListener;
+  std::function<void()> closedForRoomListener;
   bool stopping = false;
   bool closeAnnounced = false;
   bool closed = false;
   std::list<std::shared_ptr<Listener>> listeners;
-  std::unordered_map<Connection*, std::shared_ptr<Connection>> connections;
+  ConnectionMap connections;
+  IdleConnections idleConnections;
+  /// Connections that were asked to close if they are idle.
+  std::unordered_set<const Connection*> closingForRoom;
 };
 
 HttpServer::HttpServer(asio::io_context& context, HttpLimits limits, HttpHandler handler)
@@ -147,6 +236,14 @@
   core_->earlyCloseListener = std::move(listener);
 }
 
+void HttpServer::onAcceptDelay(AcceptDelayListener listener) {
+  core_->acceptDelayListener = std::move(listener);
+}
+
+void HttpServer::onClosedForRoom(std::function<void()> listener) {
+  core_->closedForRoomListener = std::move(listener);
+}
+
 std::optional<base::Endpoint> HttpServer::listen(const base::Endpoint& endpoint,
                                                  base::Reason& reason) {
   auto listener = std::make_shared<Listener>(core_->context);
@@ -157,6 +254,7 @@
   if (!error) acceptor.set_option(asio::socket_base::reuse_address(true), error);
   if (!error) acceptor.bind(address, error);
   if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (!error) acceptor.non_blocking(true, error);
   const auto bound = error ? tcp::endpoint{} : acceptor.local_endpoint(error);
   if (error) {
     reason = {base::ResultCode::kSettingsInvalid,
@@ -174,6 +272,7 @@
 void HttpServer::closeIdleConnections() {
   for (const auto& [key, connection] : core_->connections) connection->closeIfIdle();
 }
+void HttpServer::makeRoom() { core_->makeRoom(nullptr); }
 void HttpServer::stopAcceptingAndCloseIdle() {
   core_->stopAccepting();
   closeIdleConnections();
--- a/src/live/http_server.h
+++ b/src/live/http_server.h
@@ -31,7 +31,9 @@
   std::size_t bodyBytes = 8U << 20U;
   /// Buffered bytes of a response above which its producer is notified to pause.
   std::size_t responseBufferBytes = 64U << 10U;
-  /// Maximum number of open connections; further ones are closed at once.
+  /// Maximum number of open connections. At the maximum, the connection that has been idle longest
+  /// is closed for a new one; if none is idle, new ones wait in the listen queue. Near the maximum,
+  /// responses announce `Connection: close`.
   std::size_t connections = 20'000;
   /// Maximum time from the first byte of a request to the end of its header section.
   base::Duration headerTimeout = std::chrono::seconds(30);
@@ -116,6 +118,17 @@
 };
 using EarlyCloseListener = std::function<void(const EarlyClose&)>;
 
+/// Connections wait in the listen queue because the server cannot accept them now.
+struct AcceptDelay {
+  std::string why;
+  std::size_t openConnections = 0;
+  /// Maximum number of open connections.
+  std::size_t maximum = 0;
+  /// No descriptor is free, so other parts of the process are affected as well.
+  bool outOfDescriptors = false;
+};
+using AcceptDelayListener = std::function<void(const AcceptDelay&)>;
+
 /// A server with any number of listeners. Destroying it closes all listeners and connections.
 class HttpServer {
  public:
@@ -128,6 +141,11 @@
   void setRefusalFormatter(HttpRefusalFormatter formatter);
   /// Sets the listener that is called for each connection that is closed early.
   void onEarlyClose(EarlyCloseListener listener);
+  /// Sets the listener that is called for each attempt to accept connections that fails or finds no
+  /// room.
+  void onAcceptDelay(AcceptDelayListener listener);
+  /// Sets the listener that is called for each idle connection that was closed to make room.
+  void onClosedForRoom(std::function<void()> listener);
   /// Binds to the endpoint and starts accepting connections; port 0 selects a free port. Returns
   /// the bound endpoint; if that fails, returns nothing and sets `reason`.
   std::optional<base::Endpoint> listen(const base::Endpoint& endpoint, base::Reason& reason);
@@ -140,6 +158,8 @@
   void announceClose();
   /// Closes the connections that are between requests at once; continues to accept new ones.
   void closeIdleConnections();
+  /// Closes the connection that has been idle longest, if there is one.
+  void makeRoom();
   /// Stops accepting and closes the connections that are between requests at once; the others are
   /// closed after their responses.
   void stopAcceptingAndCloseIdle();
--- /dev/null
+++ b/src/live/idle_connections.cc
@@ -0,0 +1,32 @@
+#include "live/idle_connections.h"
+
+#include <algorithm>
+
+namespace covewing::live {
+
+std::shared_ptr<Connection> IdleConnections::takeOldest(const ConnectionMap& open,
+                                                        base::TimePoint now) {
+  if (auto connection = takeCandidate()) return connection;
+  collect(open, now);
+  return takeCandidate();
+}
+
+std::shared_ptr<Connection> IdleConnections::takeCandidate() {
+  while (!candidates_.empty()) {
+    const auto candidate = std::move(candidates_.back());
+    candidates_.pop_back();
+    auto connection = candidate.connection.lock();
+    if (connection && connection->idleSince() == candidate.idleSince) return connection;
+  }
+  return nullptr;
+}
+
+void IdleConnections::collect(const ConnectionMap& open, base::TimePoint now) {
+  for (const auto& [key, connection] : open) {
+    const auto since = connection->idleSince();
+    if (since && now - *since >= kMinimumIdleTime) candidates_.push_back({connection, *since});
+  }
+  std::ranges::sort(candidates_, std::greater{}, &Candidate::idleSince);
+}
+
+}  // namespace covewing::live
