Divide a node's descriptors between callers and its own calls

What callers saw: 503 from a node whose callers had taken all descriptors, as it could connect to no replica any more, and no line in its log.

Cause: the maximum of 20,000 connections knew nothing of the limit that the operating system sets (4,100 on a machine, 300 in the case seen).

A node reads that limit when it starts. What its own calls, other nodes, replicas and files need is reserved, but never more than half; the rest is the maximum for callers' connections. Other nodes' connections to the relay listener have a maximum within the reserve. NodeStarting (1000) names both figures. AcceptDelayed (8007) says why connections wait and IdleConnectionsClosed (8008) that room was made, at most once a second each; two metrics show the maximum and how many connections were closed. Where another listener finds no descriptor, callers' idle connections make room as well.

--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -11,7 +11,9 @@
 #include "live/asio_runtime.h"
 #include "live/boot_clock.h"
 #include "live/connect_probe.h"
+#include "live/connection_room_monitor.h"
 #include "live/counting_event_log.h"
+#include "live/descriptor_budget.h"
 #include "live/http_relay_client.h"
 #include "live/http_server.h"
 #include "live/peer_confirmed_probe.h"
@@ -55,6 +57,13 @@
 constexpr std::size_t kFallbackAnnouncementWriters = 8;
 /// Interval at which the totals of the traffic to other nodes are logged, a few lines each time.
 constexpr base::Duration kTrafficReportInterval = std::chrono::seconds(10);
+
+HttpLimits withConnections(std::size_t connections) {
+  HttpLimits limits;
+  limits.connections = connections;
+  return limits;
+}
+
 }  // namespace
 
 struct RelayDaemon::Impl final : request::RelayObserver {
@@ -139,9 +148,9 @@
                   {log, replicaHttp, connectProbe, replicas, links, configuration}),
         service(serviceOptions(), dependencies(), configuration, [this] { return nodes(); }),
         gateway(service, deployment.dialect, log),
-        callerServer(ioContext, {},
+        callerServer(ioContext, withConnections(descriptors.callerConnections),
                      [this](const HttpExchangePtr& exchange) { onCallerRequest(exchange); }),
-        relayServer(ioContext, {},
+        relayServer(ioContext, withConnections(descriptors.peerRelayConnections),
                     [this](const HttpExchangePtr& exchange) {
                       pauseDetector.check();
                       peerRelay.handle(exchange);
@@ -170,6 +179,7 @@
     });
     for (HttpServer* server : {&callerServer, &relayServer})
       server->onEarlyClose([this](const EarlyClose& early) { logEarlyClose(early); });
+    watchConnectionRoom();
     crashDetector.setListener([this](const routing::LostRequests& ended) {
       quarantine.onReplicaCrash(base::engineIdOf(ended.instance), ended.requests);
     });
@@ -186,6 +196,24 @@
     });
   }
 
+  void watchConnectionRoom() {
+    onAcceptDelay(callerServer, "callers");
+    onAcceptDelay(relayServer, "relay");
+    onAcceptDelay(readinessServer, "readiness");
+    onAcceptDelay(metricsServer, "metrics");
+    callerServer.onClosedForRoom(
+        [this] { connectionRoom.onClosedForRoom(callerServer.openConnections()); });
+  }
+
+  /// Logs why connections to a server wait. Idle connections of callers make room for those to all
+  /// servers where no descriptor is free.
+  void onAcceptDelay(HttpServer& server, std::string_view name) {
+    server.onAcceptDelay([this, &server, name](const AcceptDelay& delay) {
+      connectionRoom.onAcceptDelay(name, delay);
+      if (delay.outOfDescriptors && &server != &callerServer) callerServer.makeRoom();
+    });
+  }
+
   void logEarlyClose(const EarlyClose& early) {
     log.write(base::Event::kConnectionClosedEarly,
               {{"peer", base::toString(early.peer)},
@@ -226,10 +254,12 @@
     http.bodyBytes = limits.bodyBytes;
     http.headerTimeout = limits.headerTimeout;
     http.idleTimeout = limits.idleTimeout;
+    http.connections = descriptors.callerConnections;
     callerServer.setLimits(http);
     // Requests of other nodes have some headers more than their callers sent.
     constexpr std::size_t kAddedHeaderBytes = 4096;
     http.headerBytes += kAddedHeaderBytes;
+    http.connections = descriptors.peerRelayConnections;
     relayServer.setLimits(http);
   }
 
@@ -259,7 +289,11 @@
   }
 
   bool start(base::Reason& reason) {
-    log.write(base::Event::kNodeStarting, {{"node", settings.name}, {"zone", settings.zone}});
+    log.write(base::Event::kNodeStarting,
+              {{"node", settings.name},
+               {"zone", settings.zone},
+               {"descriptors", std::to_string(descriptors.limit)},
+               {"caller_connections", std::to_string(descriptors.callerConnections)}});
     if (!listen(callerServer, settings.callerEndpoint, reason)) return false;
     if (!listen(readinessServer, settings.readinessEndpoint, reason)) return false;
     if (settings.relayEndpoint && !listen(relayServer, *settings.relayEndpoint, reason))
@@ -410,6 +444,8 @@
     snapshot.members = membership.liveMembers().size();
     snapshot.openRequests = service.openRequests();
     snapshot.callerConnections = callerServer.openConnections();
+    snapshot.maximumCallerConnections = descriptors.callerConnections;
+    snapshot.connectionsClosedForRoom = connectionRoom.closedForRoom();
     snapshot.knownParts = holders.size();
     snapshot.failedLinks = links.failed();
     snapshot.peerRelay = peerRelay.counters();
@@ -500,6 +536,8 @@
   request::RelayService service;
   RelayGateway gateway;
   ReadDelayMonitor readDelays{clock, log};
+  DescriptorBudget descriptors = divideDescriptors(descriptorLimit());
+  ConnectionRoomMonitor connectionRoom{clock, log};
   HttpServer callerServer;
   HttpServer relayServer;
   HttpServer readinessServer;
--- a/src/live/relay_metrics.cc
+++ b/src/live/relay_metrics.cc
@@ -15,6 +15,10 @@
 
 constexpr MetricEntry kTable[] = {
     {"covewing_caller_connections", "gauge", "", "open connections of callers"},
+    {"covewing_caller_connections_closed_total", "counter", "",
+     "idle connections of callers that were closed to make room for new ones"},
+    {"covewing_caller_connections_maximum", "gauge", "",
+     "maximum of open connections of callers, by the descriptors of the process"},
     {"covewing_configuration_age_seconds", "gauge", "",
      "time since the configuration was last confirmed as the newest; -1 when it never was"},
     {"covewing_configuration_version", "gauge", "", "version of the route table in force"},
@@ -111,6 +115,10 @@
 
   MetricFamilies families{kTable};
   prometheus::Gauge& connections = families.gauges("covewing_caller_connections").Add({});
+  prometheus::Counter& connectionsClosed =
+      families.counters("covewing_caller_connections_closed_total").Add({});
+  prometheus::Gauge& maximumConnections =
+      families.gauges("covewing_caller_connections_maximum").Add({});
   prometheus::Gauge& age = families.gauges("covewing_configuration_age_seconds").Add({});
   prometheus::Gauge& version = families.gauges("covewing_configuration_version").Add({});
   prometheus::Family<prometheus::Counter>& events = families.counters("covewing_events_total");
@@ -230,6 +238,7 @@
     gauge.Set(static_cast<double>(value));
   };
   set(impl_->connections, snapshot.callerConnections);
+  set(impl_->maximumConnections, snapshot.maximumCallerConnections);
   set(impl_->version, snapshot.configurationVersion);
   set(impl_->knownParts, snapshot.knownParts);
   set(impl_->quarantinedRequests, snapshot.quarantinedRequests);
@@ -248,6 +257,7 @@
     counter.Increment(static_cast<double>(total) - counter.Value());
   };
   set(impl_->failedLinks, snapshot.failedLinks);
+  raise(impl_->connectionsClosed, snapshot.connectionsClosedForRoom);
   const auto& relayed = snapshot.peerRelay;
   raise(impl_->peerRequests.Add({{"outcome", "answered"}}), relayed.answered);
   raise(impl_->peerRequests.Add({{"outcome", "refused"}}), relayed.refused);
--- a/src/live/relay_metrics.h
+++ b/src/live/relay_metrics.h
@@ -46,6 +46,8 @@
     std::size_t members = 0;
     std::size_t openRequests = 0;
     std::size_t callerConnections = 0;
+    std::size_t maximumCallerConnections = 0;
+    std::uint64_t connectionsClosedForRoom = 0;
     std::size_t knownParts = 0;
     std::size_t quarantinedRequests = 0;
     /// Era of the table service; 0 if it reports none.
