--- a/tests/live/connection_limit_test.cc
+++ b/tests/live/connection_limit_test.cc
@@ -7,7 +7,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
-#include <thread>
 
 #include "live/http_server.h"
 #include "live/http_test_client.h"
--- a/tests/live/descriptor_budget_test.cc
+++ b/tests/live/descriptor_budget_test.cc
@@ -3,10 +3,15 @@
 
 #include <sys/resource.h>
 
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
+#include <optional>
 
 #include "base/time.h"
 #include "live/connection_room_monitor.h"
+#include "live/relay_fleet.h"
+#include "live/socket_state.h"
 #include "support/recording_log.h"
 
 namespace covewing::live {
@@ -14,6 +19,9 @@
 namespace {
 
 constexpr std::size_t kMachineDescriptors = 4100;
+/// Idle connections of this age may be closed to make room.
+constexpr std::chrono::milliseconds kSettled{300};
+constexpr std::chrono::milliseconds kAtOnce{500};
 
 class SettableClock final : public base::Clock {
  public:
@@ -21,6 +29,23 @@
   base::TimePoint time = base::TimePoint{} + std::chrono::hours(1);
 };
 
+/// Lowers the limit of descriptors of this process until the object is destroyed.
+class LowDescriptorLimit {
+ public:
+  explicit LowDescriptorLimit(rlim_t descriptors) {
+    getrlimit(RLIMIT_NOFILE, &before_);
+    rlimit low = before_;
+    low.rlim_cur = descriptors;
+    setrlimit(RLIMIT_NOFILE, &low);
+  }
+  ~LowDescriptorLimit() { setrlimit(RLIMIT_NOFILE, &before_); }
+  LowDescriptorLimit(const LowDescriptorLimit&) = delete;
+  LowDescriptorLimit& operator=(const LowDescriptorLimit&) = delete;
+
+ private:
+  rlimit before_{};
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(DescriptorBudgetTest)
@@ -51,13 +76,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(LimitIsThatOfTheProcess) {
-  rlimit before{};
-  getrlimit(RLIMIT_NOFILE, &before);
-  rlimit lower = before;
-  lower.rlim_cur = before.rlim_cur - 1;
-  setrlimit(RLIMIT_NOFILE, &lower);
-  BOOST_TEST(descriptorLimit() == lower.rlim_cur);
-  setrlimit(RLIMIT_NOFILE, &before);
+  constexpr rlim_t kLow = 160;
+  const LowDescriptorLimit low(kLow);
+  BOOST_TEST(descriptorLimit() == kLow);
 }
 
 // Guards against a log that is filled by the attempts of a node that cannot accept.
@@ -81,6 +102,28 @@
   BOOST_TEST(monitor.closedForRoom() == static_cast<std::uint64_t>(kAttempts) + 1);
 }
 
+// Guards against callers' connections that leave a node no descriptor for its calls to replicas.
+BOOST_AUTO_TEST_CASE(IdleCallersLeaveTheReserveOfANodeUntouched) {
+  constexpr std::size_t kLimit = 160;
+  const auto budget = divideDescriptors(kLimit);
+  std::optional<RelayFleet> fleet;
+  {
+    const LowDescriptorLimit low(kLimit);
+    fleet.emplace();
+  }
+  std::vector<boost::asio::ip::tcp::socket> idle;
+  for (std::size_t index = 0; index < kLimit; ++index) idle.push_back(fleet->connectIdle(0));
+  fleet->run(kSettled);
+  const auto response = fleet->send(0, "hello");
+  fleet->run(kAtOnce);
+  BOOST_TEST(response->status == 200U);
+  const auto open =
+      std::ranges::count_if(idle, [](const auto& socket) { return !peerHasClosed(socket); });
+  BOOST_TEST(static_cast<std::size_t>(open) <= budget.callerConnections);
+  BOOST_TEST(open > 0);
+  BOOST_TEST(fleet->logged(base::Event::kIdleConnectionsClosed) >= 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::live
--- a/tests/live/relay_fleet.h
+++ b/tests/live/relay_fleet.h
@@ -360,6 +360,14 @@
     boost::asio::write(socket, boost::asio::buffer(text));
   }
 
+  /// Opens a connection of a caller that sends nothing.
+  boost::asio::ip::tcp::socket connectIdle(std::size_t node) {
+    boost::asio::ip::tcp::socket socket(context_);
+    const auto endpoint = callerEndpoint(node);
+    socket.connect({boost::asio::ip::address_v4(endpoint.address), endpoint.port});
+    return socket;
+  }
+
   base::TimePoint now() const { return clock_.now(); }
   /// Number of times that any node has logged the event.
   std::size_t logged(base::Event event) const { return log_.count(event); }
