Close connections that only wait for their peer's close first to make room

A connection whose last response was written holds its descriptor until the peer closes it, for at most 2 s. Where the server is full these are of no use any more, so they go before idle ones, if nothing lies unread in their sockets. One case of ConnectionLimitTest counts the connections after its caller has left; it closes its end now, as callers do, and checks the announcement besides.

--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -312,6 +312,7 @@
     return;
   }
   state_ = State::kLingering;
+  idleSince_ = AsioClock{}.now();
   buffer_.consume(buffer_.size());
   setDeadline(kLingerTime);
   read();
@@ -322,13 +323,22 @@
 }
 
 std::optional<base::TimePoint> Connection::idleSince() const {
+  if (state_ == State::kLingering) return idleSince_;
   const bool between = state_ == State::kReading && !parser_->got_some();
   if (!between || closingIdle_ || bufferedBytes() > 0 || buffer_.size() > 0) return std::nullopt;
   return idleSince_;
 }
 
+void Connection::closeForRoom() {
+  if (state_ != State::kLingering) {
+    closeIfIdle();
+  } else if (unreadBytes(socket_) == 0) {
+    close();
+  }
+}
+
 void Connection::closeIfIdle() {
-  if (!idleSince()) return;
+  if (state_ == State::kLingering || !idleSince()) return;
   // The cancelled read may have received bytes already; onRead then keeps the connection open.
   closingIdle_ = true;
   boost::system::error_code error;
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -105,9 +105,15 @@
   /// Whether the peer has not closed the connection, as the operating system sees it now.
   bool peerConnected() const;
   bool responding() const { return state_ == State::kResponding; }
-  /// When the connection was last opened or its last response completed; empty while any byte of a
+  /// When the connection was last opened, its last response completed or it began to linger; empty
+  /// while any byte of a
   /// request or response is under way or the connection is about to close.
   std::optional<base::TimePoint> idleSince() const;
+  /// Whether the last response was written and only the peer's close is awaited.
+  bool lingering() const { return state_ == State::kLingering; }
+  /// Closes the connection to make room for another one, if it is idle or lingering and its socket
+  /// holds no bytes.
+  void closeForRoom();
   /// Closes the connection unless a byte of a request was received or a response is not yet fully
   /// written to the socket.
   void closeIfIdle();
--- a/src/live/http_server.cc
+++ b/src/live/http_server.cc
@@ -162,7 +162,7 @@
     const auto connection = idleConnections.takeOldest(connections, AsioClock{}.now());
     if (!connection) return false;
     closingForRoom.insert(connection.get());
-    connection->closeIfIdle();
+    connection->closeForRoom();
     // Runs after the handler in which the connection closes itself, or finds bytes to read.
     asio::post(context, [self = shared_from_this(), connection, listener] {
       self->closingForRoom.erase(connection.get());
--- a/src/live/idle_connections.cc
+++ b/src/live/idle_connections.cc
@@ -24,9 +24,15 @@
 void IdleConnections::collect(const ConnectionMap& open, base::TimePoint now) {
   for (const auto& [key, connection] : open) {
     const auto since = connection->idleSince();
-    if (since && now - *since >= kMinimumIdleTime) candidates_.push_back({connection, *since});
+    if (!since) continue;
+    const bool lingering = connection->lingering();
+    if (lingering || now - *since >= kMinimumIdleTime)
+      candidates_.push_back({connection, *since, lingering});
   }
-  std::ranges::sort(candidates_, std::greater{}, &Candidate::idleSince);
+  std::ranges::sort(candidates_, [](const Candidate& left, const Candidate& right) {
+    if (left.lingering != right.lingering) return right.lingering;
+    return left.idleSince > right.idleSince;
+  });
 }
 
 }  // namespace covewing::live
--- a/src/live/idle_connections.h
+++ b/src/live/idle_connections.h
@@ -20,19 +20,21 @@
   /// connection, or the next one of a busy caller, is probably on its way before.
   static constexpr base::Duration kMinimumIdleTime = std::chrono::milliseconds(100);
 
-  /// Returns the connection of `open` that has been idle longest, or nothing if none has been idle
-  /// for kMinimumIdleTime.
+  /// Returns a connection of `open` whose last response was written, or else the one that has been
+  /// idle longest; nothing if none has been idle for kMinimumIdleTime.
   std::shared_ptr<Connection> takeOldest(const ConnectionMap& open, base::TimePoint now);
 
  private:
   struct Candidate {
     std::weak_ptr<Connection> connection;
     base::TimePoint idleSince{};
+    bool lingering = false;
   };
   std::shared_ptr<Connection> takeCandidate();
   void collect(const ConnectionMap& open, base::TimePoint now);
 
-  /// Connections that were idle when they were collected, the oldest one last. All that became idle
+  /// Connections that were idle or lingering when they were collected: lingering ones last, and
+  /// among equals the oldest one last. All that became idle
   /// since have been idle for less time.
   std::vector<Candidate> candidates_;
 };
--- a/tests/live/connection_limit_test.cc
+++ b/tests/live/connection_limit_test.cc
@@ -138,7 +138,10 @@
   caller.send(kRequest);
   limited.run(kAtOnce);
   BOOST_TEST(caller.has("answer"));
-  // The caller has left, as its answer asked.
+  // The caller leaves, as its answer asked.
+  BOOST_TEST(caller.has("Connection: close"));
+  caller.close();
+  limited.run(kAtOnce);
   BOOST_TEST(limited.server.openConnections() == kMaximum - 1);
   BOOST_TEST(limited.resetClients() == 0U);
 }
