Add a soak of a prompt part that ends replica after replica

Sound requests share the tenant and the other parts. The part comes by five callers at once, by one in 1.5 s, or ends replicas 0.4 s into the answer; a second part follows.

PartRule: from calm nodes no more than three requests with the part reach replicas later than 3 s after the fifth end, and at least half as many sound first tries begin 6 s after it as before. No request without the part is refused for it.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -97,6 +97,9 @@
             self.stream[1].close()
         self.stream = None
 
+    def headers_of(self, kind: Kind, identifier: str) -> list[str]:
+        return kind.headers(self.random, identifier, self.soak.options.shared_parts)
+
     async def request(self, kind: Kind, body, key=KEY, route=None):
         """One request on the route of the kind, or on another one that is like it."""
         self.sent += 1
@@ -109,7 +112,7 @@
         began = now()
         self.soak.sent[identifier] = Sent(began, process.pid, key, route)
         self.soak.repeats[kind.service].on_sent(began)
-        headers = kind.headers(self.random, identifier, self.soak.options.shared_parts)
+        headers = self.headers_of(kind, identifier)
         try:
             writer.write(request_bytes(route, identifier, body, headers, key))
             answer = await asyncio.wait_for(read_message(reader), 9)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -189,6 +189,120 @@
                 f"{tried[True]} first tries, the others {served[False]} of {tried[False]}")
 
 
+@dataclasses.dataclass(eq=False)
+class CrashingPart:
+    """A part of prompts that ends each replica that begins an answer on it. Times in seconds."""
+
+    # How long a replica is away after that.
+    BACK_AFTER = (2.0, 4.0)
+    # From this end of a replica on the part is known in time.
+    KNOWN_BY = 5
+    KNOWN_AFTER = 3.0
+
+    name: str
+    is_first: bool
+    # How far into the answer the replica ends, from and to.
+    ends_after: tuple[float, float]
+    begin: float
+    # When the last request with the part was sent.
+    end: float | None = None
+    ends: list[float] = dataclasses.field(default_factory=list)
+    # Of requests at replicas: when, and whether their node was calm.
+    arrivals: list[tuple[float, bool]] = dataclasses.field(default_factory=list)
+    # When nodes refused requests with the part for it.
+    refusals: list[float] = dataclasses.field(default_factory=list)
+
+    def known_by(self) -> float:
+        """From when on the part is known to calm nodes; infinite where too few replicas have ended."""
+        return self.ends[self.KNOWN_BY - 1] + self.KNOWN_AFTER if len(self.ends) >= self.KNOWN_BY else math.inf
+
+    def compared_from(self) -> float:
+        """From when on sound requests are to be served again; where nodes refuse the part earlier, from
+        the last end on."""
+        if len(self.ends) >= self.KNOWN_BY:
+            return self.ends[self.KNOWN_BY - 1] + 2 * self.KNOWN_AFTER
+        return self.ends[-1] + 2 * self.KNOWN_AFTER if self.ends and self.refusals else math.inf
+
+    def late_arrivals(self) -> list[bool]:
+        return [calm for at, calm in self.arrivals if at > self.known_by()]
+
+    def arrivals_until_refusal(self) -> int:
+        """Behind the third end, until the first refusal."""
+        third = self.ends[2] if len(self.ends) > 2 else math.inf
+        refused = min((at for at in self.refusals if at > third), default=math.inf)
+        return sum(third < at < refused for at, _ in self.arrivals)
+
+
+class PartRule:
+    """At most MOST_MORE requests with a part that ends replicas reach replicas from calm nodes later than
+    CrashingPart.KNOWN_AFTER behind the fifth end. While such requests still come, from twice that on, the share
+    of the first tries of sound requests that begin is at least LEAST_SHARE of what it was before, by route, where
+    LEAST_COMPARED or more were tried each. Seconds."""
+
+    MOST_MORE = 3
+    LEAST_SHARE = 0.5
+    LEAST_COMPARED = 20
+    # Before the part comes.
+    BEFORE = 3.0
+
+    def __init__(self):
+        self.parts: list[CrashingPart] = []
+        # The part of each request that has one.
+        self.requests: dict[str, CrashingPart] = {}
+        # Replicas that ended at once for another cause.
+        self.ends_by_power = 0
+        # By route: when each first try was sent, and whether it began.
+        self.first_tries: dict[str, list[tuple[float, bool]]] = collections.defaultdict(list)
+
+    def on_first_try(self, route: str, sent: float, begun: bool):
+        self.first_tries[route].append((sent, begun))
+
+    def begun_of(self, route: str, begin: float, end: float) -> tuple[int, int]:
+        tried = [begun for sent, begun in self.first_tries[route] if begin <= sent < end]
+        return sum(tried), len(tried)
+
+    def compared(self, part: CrashingPart, route: str) -> tuple[tuple[int, int], tuple[int, int]]:
+        """How many sound requests began, and of how many, before the first end and when the part is known."""
+        first = part.ends[0] if part.ends else part.begin
+        return (self.begun_of(route, part.begin - self.BEFORE, first),
+                self.begun_of(route, part.compared_from(), part.end or math.inf))
+
+    def broken(self) -> list[str]:
+        """What is wrong with the requests that reached replicas."""
+        return [f"'{part.name}' reached {sum(part.late_arrivals())} replicas more from calm nodes later than "
+                f"{part.KNOWN_AFTER} s behind the fifth end; {len(part.ends)} ended"
+                for part in self.parts if sum(part.late_arrivals()) > self.MOST_MORE]
+
+    def broken_for_sound(self) -> list[str]:
+        texts = []
+        for part in self.parts:
+            for route in sorted(self.first_tries):
+                (before, tried_before), (after, tried_after) = self.compared(part, route)
+                if min(tried_before, tried_after) < self.LEAST_COMPARED:
+                    continue
+                if after / tried_after < self.LEAST_SHARE * before / tried_before:
+                    texts.append(f"while '{part.name}' came, {after} of {tried_after} first tries of sound "
+                                 f"'{route}' began, before {before} of {tried_before}")
+        return texts
+
+    def figures(self) -> dict[str, str]:
+        figures = {}
+        for part in self.parts:
+            figures[f"{part.name}: ended"] = str(len(part.ends))
+            figures[f"{part.name}: arrivals from third end to refusal"] = str(part.arrivals_until_refusal())
+            late = part.late_arrivals()
+            figures[f"{part.name}: late arrivals, from calm nodes"] = f"{len(late)}, {sum(late)}"
+            figures[f"{part.name}: refused"] = str(len(part.refusals))
+            for route in sorted(self.first_tries):
+                (before, tried_before), (after, tried_after) = self.compared(part, route)
+                figures[f"{part.name}: sound '{route}' begun"] = (
+                    f"{after}/{tried_after}, before {before}/{tried_before}")
+        if self.parts:
+            figures["replicas ended by parts"] = str(sum(len(part.ends) for part in self.parts))
+            figures["replicas ended by power"] = str(self.ends_by_power)
+        return figures
+
+
 class StreamRule:
     """At most MOST_MIXED streams hold events of two versions of the software, over all tries of their callers.
     Of MIN_TAKEN_UP or more streams that are taken up at nodes in touch while two replicas of their version
--- a/tests/soak/model_replicas.py
+++ b/tests/soak/model_replicas.py
@@ -7,6 +7,7 @@
 import random
 
 from answers import Framing, draw_manner, send_answer, version_of, with_version
+from checks import CrashingPart
 from notices import NoticeGiver, Notices
 from replicas import unix_milliseconds
 from wire import Listener, Peer, http_answer, now
@@ -106,8 +107,9 @@
     def models(self) -> list[dict]:
         return [{"name": MODEL, "version": self.version, "adapters": []}]
 
-    def crash(self) -> bool:
-        """Ends at once and says nothing; False where it has ended already."""
+    def crash(self, back_after: float | None = None) -> bool:
+        """Ends at once and says nothing, and is back after so many seconds, drawn where missing; False
+        where it has ended already."""
         if self.listener is None:
             return False
         self.soak.cut_runs |= self.life.running
@@ -116,11 +118,13 @@
             self.soak.cut_between_events |= self.life.between_events
         listener, self.listener, self.life = self.listener, None, None
         listener.cut(by_reset)
-        self.soak.spawn(self.start_again())
+        self.soak.spawn(self.start_again(back_after))
         return True
 
-    async def start_again(self):
-        await asyncio.sleep(self.random.uniform(0.2, 2.0))
+    async def start_again(self, back_after: float | None):
+        if back_after is None:
+            back_after = self.random.uniform(0.2, 2.0)
+        await asyncio.sleep(back_after)
         await self.start()
 
     async def handle(self, message, peer: Peer):
@@ -215,6 +219,7 @@
 
     async def serve(self, life: Life, message, peer: Peer, identifier: str):
         self.soak.on_replica_reached(identifier, self.run_name)
+        self.soak.on_part_arrival(identifier)
         if self.notices.turns_away():
             return self.turn_away(identifier)
         expected = message.headers.get("x-covewing-expected-version", str(self.version))
@@ -258,9 +263,21 @@
         # All but the last event come as soon as the request begins.
         rest = len(left[-1]) if left else 0
         peer.writer.write(answer[:len(answer) - rest])
+        part = self.soak.parts.requests.get(identifier)
+        if part is not None:
+            await self.end_under(part)
+            return None
         await asyncio.sleep(self.random.uniform(0.02, 0.3))
         return answer[len(answer) - rest:]
 
+    async def end_under(self, part: CrashingPart):
+        """The replica ends some way into an answer to a prompt with the part."""
+        life = self.life
+        await asyncio.sleep(self.draw_end.uniform(*part.ends_after))
+        if life is self.life and self.crash(self.draw_end.uniform(*part.BACK_AFTER)):
+            part.ends.append(now())
+            self.soak.say(f"{self.instance} ends under {part.name}")
+
     async def run_in_some_manner(self, peer: Peer, identifier: str, events: list[bytes]):
         manner = draw_manner(self.draw_end)
         if manner.broken is not None:
--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -37,6 +37,8 @@
 - with --departures: next to nothing reaches a replica long after its caller has left (checks.DepartureRule);
 - with --silences: while sound replicas are silent for about a second, nothing is given up, and all is served
   again behind that;
+- with --crashing-parts, and in some runs with the usual series: a part of prompts that ends replicas reaches next
+  to none more once five have ended, and sound requests are served (checks.PartRule);
 - with --brittle: replicas that fall over when they turn many requests away next to never do
   (checks.BrittleRule);
 - with --streams: no answer that a replica broke off is complete for its caller, next to no stream holds events of
@@ -65,8 +67,9 @@
 
 from answers import take_versions
 from callers import KEY, KINDS, RESUMABLE, SAFE, STREAM, Caller, KeyCaller, PatientCaller
-from checks import (BrittleRule, ConfigurationRule, CutRule, DepartureRule, LimitRule, NoticeRule, Outcome, RepeatRule, Sent, StreamRule, Trouble, VersionRule,
-                    calm_since)
+from checks import (BrittleRule, ConfigurationRule, CutRule, DepartureRule, LimitRule, NoticeRule, Outcome, PartRule, RepeatRule, Sent, StreamRule, Trouble, VersionRule,
+                    calm_since, CALM_AFTER)
+from crashing_parts import PART_SHAPES, count_sound, crash_by_part_amid_series, crash_by_parts
 from cuts import SERVED_AGAIN_AFTER, SHAPES, cut_nodes_from_replicas, silence_replicas
 from departures import leave_in_bursts
 from faults import BRITTLE_CALLERS, CALM_LIMIT_CALLERS, Faults
@@ -85,6 +88,7 @@
 # Requests that begin on an older version so little before the bound show that it is met (seconds).
 NEAR_BOUND = 0.5
 CODE_QUARANTINED = 409
+CODE_PART_QUARANTINED = 412
 REFUSED_BY_CONFIGURATION = {401: Outcome.UNKNOWN_KEY, 404: Outcome.UNKNOWN_ROUTE}
 # How long the former build runs alone under load (seconds).
 BEFORE_UPGRADE = 2.0
@@ -158,6 +162,7 @@
         self.cuts = CutRule()
         self.brittleness = BrittleRule()
         self.streams = StreamRule()
+        self.parts = PartRule()
         # When sound replicas were silent, from and to.
         self.silences: list[tuple[float, float]] = []
         # Requests that were not served: their kinds, when they were sent and when they ended.
@@ -238,11 +243,20 @@
         elif answer.status in (429, 503):
             self.not_run[identifier] = answer.status
             self.refused_after.append(now() - self.sent[identifier].at)
-            quarantined = json.loads(answer.body or b"{}").get("code") == CODE_QUARANTINED
-            if quarantined:
-                self.counts["quarantined"] += 1
-                if not body.startswith(DEADLY):
-                    self.violate(f"{identifier} was refused as a request that ends replicas")
+            self.on_refused(identifier, body, json.loads(answer.body or b"{}").get("code"))
+
+    def on_refused(self, identifier, body, code):
+        part = self.parts.requests.get(identifier)
+        if code == CODE_QUARANTINED:
+            self.counts["quarantined"] += 1
+            if not body.startswith(DEADLY) and part is None:
+                self.violate(f"{identifier} was refused as a request that ends replicas")
+        if code == CODE_PART_QUARANTINED:
+            self.counts["quarantined for a part"] += 1
+            if part is None:
+                self.violate(f"{identifier} was refused for a part that ends replicas")
+            else:
+                part.refusals.append(now())
 
     def on_deadly_arrival(self, body, identifier):
         calm = self.sent_to[identifier].calm() and calm_since(self.store_troubles) < now()
@@ -260,6 +274,12 @@
         if above:
             self.violate(f"{identifier} of node-{node.index} reaches {run}: {above}", "limit")
 
+    def on_part_arrival(self, identifier):
+        """A request arrives at the run of a replica that serves the model."""
+        part = self.parts.requests.get(identifier)
+        if part is not None:
+            part.arrivals.append((now(), self.sent_to[identifier].calm()))
+
     def on_call_to_replica(self, run):
         """A watch, a report or an order arrives at the run of a replica."""
         excused = not all(node.calm() for node in self.nodes)
@@ -419,6 +439,7 @@
         for rule in ("leaving", "rest", "limit", "starved", "configuration", "version", "fencing"):
             self.counts[f"broken: {rule}"] = self.broken_rules[rule]
         self.check_deadly()
+        self.check_parts()
 
         for cut in self.cuts.cuts:
             self.counts[f"{cut.shape} {sorted(cut.nodes)}"] = (
@@ -439,6 +460,19 @@
                              f"at {self.times(ends)}, arrivals at "
                              f"{self.times(at for at, _ in self.arrivals[body])} s")
 
+    def check_parts(self):
+        if not self.parts.parts:
+            return
+        count_sound(self, CALM_AFTER)
+        for what, figure in self.parts.figures().items():
+            self.counts[what] = figure
+        for violation in self.parts.broken():
+            self.violate(violation, "part")
+        # Amid the usual series, sound requests are kept from their replicas by other faults too.
+        if self.options.crashing_parts:
+            for violation in self.parts.broken_for_sound():
+                self.violate(violation, "sound")
+
     def times(self, moments) -> str:
         return " ".join(f"{moment - self.began:.3f}" for moment in moments)
 
@@ -497,7 +531,12 @@
         if self.options.cuts:
             await cut_nodes_from_replicas(self, self.options.cut_shape)
             return
+        if self.options.crashing_parts:
+            await crash_by_parts(self, self.options.parts, self.options.part_shape)
+            return
         self.faults.start_series()
+        if self.options.from_program is None:
+            self.spawn(crash_by_part_amid_series(self))
         if self.options.notices:
             for number in range(PATIENT_CALLERS * len(self.nodes)):
                 self.spawn(PatientCaller(self, number).run())
@@ -615,6 +654,10 @@
                         help="with --streams: replicas start again under their identifiers as the other version")
     parser.add_argument("--cuts", action="store_true",
                         help="one sequence in place of the series (cuts.cut_nodes_from_replicas)")
+    parser.add_argument("--crashing-parts", action="store_true",
+                        help="one sequence in place of the series (crashing_parts.crash_by_parts)")
+    parser.add_argument("--parts", type=int, default=2, help="with --crashing-parts: how many, one after the other")
+    parser.add_argument("--part-shape", choices=list(PART_SHAPES), help="of all parts; drawn for each without it")
     parser.add_argument("--cut-shape", choices=SHAPES, help="of all cuts; drawn for each without it")
     parser.add_argument("--steady-clock", action="store_true",
                         help="the table service's clock does not leap, as builds before once relied on")
