Add a soak of new connections that all go to one node

Failure: a node that gets nearly all new connections runs out of descriptors. It then takes no new connections, or takes them and reaches no replica, so that what it has read is refused.

--one-node: 25 new connections a second come to all nodes alike, then three to five times as many, 95% of those of all (or of one zone) to one node for 10 s, then to another one, once that one is stopped as planned or killed. Callers keep each connection for 3 to 8 s and go to another node where theirs does not read a request.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -157,6 +157,66 @@
         return texts
 
 
+@dataclasses.dataclass
+class Crowd:
+    """A span in which nearly all new connections go to one node, or the calm one before; how requests went
+    by what they were sent on."""
+
+    name: str
+    begin: float
+    end: float
+    wanted: collections.Counter = dataclasses.field(default_factory=collections.Counter)
+    served: collections.Counter = dataclasses.field(default_factory=collections.Counter)
+
+    def count(self, way: str, served: bool):
+        self.wanted[way] += 1
+        self.served[way] += served
+
+    def share(self, way: str) -> float:
+        return self.served[way] / max(1, self.wanted[way])
+
+
+class CrowdRule:
+    """From FELT_FROM on behind the moment from which nearly all new connections go to one node, requests are
+    served at the first attempt that a node has read at least LEAST_SHARE as often as before. A connection that is
+    refused or closed unread is no such attempt. Requests within LAST before the end are not counted, as the
+    node ends then. Seconds."""
+
+    FELT_FROM = 3.0
+    LAST = 1.0
+    LEAST_SHARE = 3 / 4
+    # What requests are sent on.
+    WAYS = ("new", "kept")
+
+    def __init__(self):
+        self.before: Crowd | None = None
+        self.crowds: list[Crowd] = []
+
+    def on_wanted(self, way: str, sent: float, served: bool):
+        if self.before is not None and self.before.begin <= sent < self.before.end:
+            self.before.count(way, served)
+        for crowd in self.crowds:
+            if crowd.begin + self.FELT_FROM <= sent < crowd.end - self.LAST:
+                crowd.count(way, served)
+
+    def figures(self) -> list[tuple[str, str]]:
+        return [(f"{span.name}, {way}", f"{span.served[way]}/{span.wanted[way]}")
+                for span in [self.before, *self.crowds] for way in self.WAYS]
+
+    def broken(self) -> list[str]:
+        texts = (self.text_if_broken(crowd, way) for crowd in self.crowds for way in self.WAYS)
+        return [text for text in texts if text]
+
+    def text_if_broken(self, crowd: Crowd, way: str) -> str:
+        before = self.before
+        if not before.served[way] or not crowd.wanted[way]:
+            return f"nothing was wanted on {way} connections, or served before, to compare {crowd.name} with"
+        if crowd.share(way) >= self.LEAST_SHARE * before.share(way):
+            return ""
+        return (f"while new connections went to {crowd.name}, {crowd.served[way]} of {crowd.wanted[way]} requests "
+                f"on {way} ones were served, before {before.served[way]} of {before.wanted[way]}")
+
+
 class BrittleRule:
     """While replicas say that they fall over when they have to turn too many requests away for want of
     room, they fall no more often than MOST_FALLS and a tenth of their number."""
--- a/tests/soak/idle.py
+++ b/tests/soak/idle.py
@@ -19,7 +19,6 @@
 EVENT_STREAM_BROKEN = 5003
 EVENT_CLOSED_EARLY = 8006
 
-LASTS = 20.0
 # To so many nodes; an event loop gets at most 128 ready connections at once from the operating system.
 KEPT_CONNECTIONS = 600
 CROWDED_NODES = 2
@@ -123,7 +122,7 @@
     running = []
     if processor is not None:
         running = [subprocess.Popen([sys.executable, "-c", "while True: pass"],
-                                    preexec_fn=lambda: start_limited(processor))
+                                    preexec_fn=lambda: start_limited(None, processor))
                    for _ in range(BUSY_PROCESSES)]
     try:
         yield
@@ -141,7 +140,6 @@
     def draw(name):
         return random.Random(f"{soak.options.seed}/idle/{name}")
 
-    soak.faults_end = now() + LASTS
     await soak.operators.change_idle_time(draw("first"), max(IDLE_TIMEOUTS_MS))
     crowded = draw("nodes").sample(soak.nodes, min(CROWDED_NODES, len(soak.nodes)))
     for number in range(KEPT_CONNECTIONS):
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -5,6 +5,7 @@
 import ctypes
 import os
 import re
+import resource
 import signal
 import socket
 import subprocess
@@ -25,9 +26,11 @@
     ctypes.CDLL(None).prctl(set_parent_death_signal, signal.SIGKILL)
 
 
-def start_limited(processor: int | None):
-    """To be called in a new process: keeps it to one processor."""
+def start_limited(descriptors: int | None, processor: int | None):
+    """To be called in a new process: limits its descriptors, and keeps it to one processor."""
     end_with_parent()
+    if descriptors is not None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
     if processor is not None:
         os.sched_setaffinity(0, {processor})
 
@@ -94,7 +97,7 @@
                                             preexec_fn=self.prepare)
 
     def prepare(self):
-        start_limited(self.soak.shared_processor)
+        start_limited(self.soak.options.descriptors, self.soak.shared_processor)
 
     def log_lines(self, event: int) -> list[dict[str, str]]:
         """The fields of all lines of one event that its processes have written so far."""
--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -45,6 +45,8 @@
   two versions of the replicas' software, and streams that are taken up go on (streams.StreamRule);
 - with --idle: each whole request on a connection that its caller has kept gets an answer or a refusal
   (checks.AnswerRule);
+- with --one-node: while nearly all new connections go to one node, requests are served nearly as often as
+  before (checks.CrowdRule);
 - with --cuts: nodes that are cut from all replicas serve nearly as well as the others (checks.CutRule);
 - nothing arrives at the address of an entry by another writer;
 - no two nodes give orders with one fencing token;
@@ -69,7 +71,7 @@
 
 from answers import take_versions
 from callers import KEY, KINDS, RESUMABLE, SAFE, STREAM, Caller, KeyCaller, PatientCaller
-from checks import (AnswerRule, BrittleRule, ConfigurationRule, CutRule, DepartureRule, LimitRule, NoticeRule, Outcome, PartRule, RepeatRule, Sent, StreamRule, Trouble, VersionRule,
+from checks import (AnswerRule, BrittleRule, ConfigurationRule, CrowdRule, CutRule, DepartureRule, LimitRule, NoticeRule, Outcome, PartRule, RepeatRule, Sent, StreamRule, Trouble, VersionRule,
                     calm_since, CALM_AFTER)
 from crashing_parts import PART_SHAPES, count_sound, crash_by_part_amid_series, crash_by_parts
 from cuts import SERVED_AGAIN_AFTER, SHAPES, cut_nodes_from_replicas, silence_replicas
@@ -78,6 +80,7 @@
 from idle import a_processor, rest_on_connections
 from model_replicas import MODEL, MODEL_SERVICE, ModelReplica
 from nodes import Node
+from one_node import come_to_one_node
 from operators import ADDED_ROUTES, KEYS, ROUTE_TIMEOUT_MS, Operators
 from other_writer import OtherWriter
 from replicas import DEADLY, SERVICE, Replica
@@ -167,6 +170,7 @@
         self.streams = StreamRule()
         self.parts = PartRule()
         self.answers = AnswerRule()
+        self.crowds = CrowdRule()
         # The one that all nodes share; None: they use all.
         self.shared_processor = a_processor() if options.share_processor else None
         # When sound replicas were silent, from and to.
@@ -537,6 +541,9 @@
         if self.options.idle:
             await rest_on_connections(self)
             return
+        if self.options.one_node:
+            await come_to_one_node(self)
+            return
         if self.options.cuts:
             await cut_nodes_from_replicas(self, self.options.cut_shape)
             return
@@ -669,8 +676,11 @@
     parser.add_argument("--part-shape", choices=list(PART_SHAPES), help="of all parts; drawn for each without it")
     parser.add_argument("--idle", action="store_true",
                         help="one sequence in place of the series (idle.rest_on_connections)")
+    parser.add_argument("--one-node", action="store_true",
+                        help="one sequence in place of the series (one_node.come_to_one_node)")
     parser.add_argument("--share-processor", action="store_true",
                         help="all nodes share one processor, with --idle with other busy processes as well")
+    parser.add_argument("--descriptors", type=int, default=None, help="most that a node may have open")
     parser.add_argument("--cut-shape", choices=SHAPES, help="of all cuts; drawn for each without it")
     parser.add_argument("--steady-clock", action="store_true",
                         help="the table service's clock does not leap, as builds before once relied on")
