Check that streams are cut only when their time is up while no replica ends

Failure: a stream whose replica was only silent was cut, as its attempt was given up for another replica that was not reached.

--idle now fails on each stream that a node cuts for another reason than the time of its request.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -136,9 +136,11 @@
 class AnswerRule:
     """Each whole request that is sent on a connection that its caller has kept gets an answer or a refusal. HTTP
     allows one exception, a request that crosses the end of the connection: the caller saw none when it
-    sent, and its request arrived behind the end."""
+    sent, and its request arrived behind the end. While no replica ends, a stream is cut only where the time of
+    its request is up."""
 
     MOST_TOLD = 5
+    TIME_IS_UP = "the time of the request is up"
 
     def __init__(self):
         self.requests = 0
@@ -148,12 +150,15 @@
         self.lost: dict[Loss, list[str]] = {loss: [] for loss in Loss}
         # Why nodes closed connections that held bytes that they had not read.
         self.closed_unread = collections.Counter()
+        # Why nodes cut streams.
+        self.cut = collections.Counter()
 
     def broken(self) -> list[str]:
         texts = [f"{len(lost)} of {self.requests} whole requests got neither an answer nor a refusal ({loss.value}): "
                  f"{lost[:self.MOST_TOLD]}" for loss, lost in self.lost.items() if lost]
         if self.closed_unread:
             texts.append(f"nodes closed connections with bytes unread: {dict(self.closed_unread)}")
+        texts += [f"{count} streams were cut: {why}" for why, count in self.cut.items() if why != self.TIME_IS_UP]
         return texts
 
 
--- a/tests/soak/idle.py
+++ b/tests/soak/idle.py
@@ -175,6 +175,7 @@
             if int(line["unread"]) > 0:
                 rule.closed_unread[line["why"]] += 1
         for line in node.log_lines(EVENT_STREAM_BROKEN):
+            rule.cut[line["why"]] += 1
             soak.counts[f"streams cut: {line['why']} ({line.get('cause') or 'first attempt'})"] += 1
         soak.counts["given up for a replica that was not reached"] += given_up_for_nothing(node)
     soak.counts["kept: requests"] = rule.requests
