Wait before accepting a node's message again after an error

Cause: the listener for messages of other nodes tried again at once after a failed accept.

It now waits 100 ms. The new case of PeerTransportTest failed before and passes now.

--- a/src/live/peer_transport.cc
+++ b/src/live/peer_transport.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
 
@@ -26,6 +27,8 @@
 constexpr std::size_t kMaximumFrame = 32U << 20U;
 constexpr std::size_t kMaximumIncomingConnections = 256;
 constexpr std::size_t kMaximumOutgoingConnections = 256;
+/// Wait before accepting again after an error such as too many open files.
+constexpr std::chrono::milliseconds kAcceptRetryDelay{100};
 constexpr base::Duration kConnectionTimeout = std::chrono::seconds(10);
 constexpr int kPortAttempts = 32;
 
@@ -56,7 +59,11 @@
 
 struct AsioPeerTransport::Impl : std::enable_shared_from_this<AsioPeerTransport::Impl> {
   Impl(asio::io_context& ioContext, base::EventLog& eventLog)
-      : context(ioContext), log(eventLog), datagrams(ioContext), acceptor(ioContext) {}
+      : context(ioContext),
+        log(eventLog),
+        datagrams(ioContext),
+        acceptor(ioContext),
+        acceptRetryTimer(ioContext) {}
 
   bool tryBind(const base::Endpoint& endpoint, boost::system::error_code& error) {
     close();
@@ -76,6 +83,7 @@
   void close() {
     boost::system::error_code ignored;
     acceptor.close(ignored);
+    acceptRetryTimer.cancel();
     datagrams.close(ignored);
   }
 
@@ -94,12 +102,24 @@
     acceptor.async_accept(
         [self = shared_from_this()](boost::system::error_code error, tcp::socket socket) {
           if (error == asio::error::operation_aborted || !self->acceptor.is_open()) return;
-          if (!error && self->incomingCount < kMaximumIncomingConnections)
+          if (error) {
+            self->acceptLater();
+            return;
+          }
+          if (self->incomingCount < kMaximumIncomingConnections)
             self->receiveFrame(std::move(socket));
           self->accept();
         });
   }
 
+  /// Without a wait, a node that has no free descriptor would try again without end.
+  void acceptLater() {
+    acceptRetryTimer.expires_after(kAcceptRetryDelay);
+    acceptRetryTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+      if (!error && self->acceptor.is_open()) self->accept();
+    });
+  }
+
   void receiveFrame(tcp::socket socket) {
     auto connection = std::make_shared<FrameConnection>(std::move(socket), incomingCount);
     asio::async_read(
@@ -197,6 +217,7 @@
   base::EventLog& log;
   udp::socket datagrams;
   tcp::acceptor acceptor;
+  asio::steady_timer acceptRetryTimer;
   udp::endpoint datagramSender;
   std::array<char, kDatagramBuffer> datagramBuffer{};
   std::size_t incomingCount = 0;
--- a/tests/live/connection_limit_test.cc
+++ b/tests/live/connection_limit_test.cc
@@ -1,13 +1,10 @@
 // Guards against a server that new callers cannot reach because others keep connections open that
 // they do not use, and against the loss of requests when such connections are closed.
-#include <sys/resource.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
-#include <filesystem>
 
+#include "live/descriptor_limits.h"
 #include "live/http_server.h"
 #include "live/http_test_client.h"
 
@@ -94,37 +91,6 @@
   }
 };
 
-/// The lowest number above all descriptors of this process.
-rlim_t descriptorsEnd() {
-  rlim_t highest = 0;
-  for (const auto& entry : std::filesystem::directory_iterator("/proc/self/fd"))
-    highest = std::max<rlim_t>(highest, std::stoul(entry.path().filename().string()) + 1);
-  return highest;
-}
-
-/// Leaves this process no descriptor beyond those that are open, until the object is destroyed.
-class NoFreeDescriptors {
- public:
-  NoFreeDescriptors() {
-    getrlimit(RLIMIT_NOFILE, &before_);
-    rlimit none = before_;
-    none.rlim_cur = descriptorsEnd();
-    setrlimit(RLIMIT_NOFILE, &none);
-    // Numbers below the highest open one may be free.
-    for (int taken = dup(0); taken >= 0; taken = dup(0)) taken_.push_back(taken);
-  }
-  ~NoFreeDescriptors() {
-    for (const int taken : taken_) ::close(taken);
-    setrlimit(RLIMIT_NOFILE, &before_);
-  }
-  NoFreeDescriptors(const NoFreeDescriptors&) = delete;
-  NoFreeDescriptors& operator=(const NoFreeDescriptors&) = delete;
-
- private:
-  rlimit before_{};
-  std::vector<int> taken_;
-};
-
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(ConnectionLimitTest)
--- a/tests/live/descriptor_budget_test.cc
+++ b/tests/live/descriptor_budget_test.cc
@@ -10,6 +10,7 @@
 
 #include "base/time.h"
 #include "live/connection_room_monitor.h"
+#include "live/descriptor_limits.h"
 #include "live/relay_fleet.h"
 #include "live/socket_state.h"
 #include "support/recording_log.h"
@@ -29,23 +30,6 @@
   base::TimePoint time = base::TimePoint{} + std::chrono::hours(1);
 };
 
-/// Lowers the limit of descriptors of this process until the object is destroyed.
-class LowDescriptorLimit {
- public:
-  explicit LowDescriptorLimit(rlim_t descriptors) {
-    getrlimit(RLIMIT_NOFILE, &before_);
-    rlimit low = before_;
-    low.rlim_cur = descriptors;
-    setrlimit(RLIMIT_NOFILE, &low);
-  }
-  ~LowDescriptorLimit() { setrlimit(RLIMIT_NOFILE, &before_); }
-  LowDescriptorLimit(const LowDescriptorLimit&) = delete;
-  LowDescriptorLimit& operator=(const LowDescriptorLimit&) = delete;
-
- private:
-  rlimit before_{};
-};
-
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(DescriptorBudgetTest)
--- a/tests/live/peer_transport_test.cc
+++ b/tests/live/peer_transport_test.cc
@@ -1,8 +1,10 @@
 #include "live/peer_transport.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "live/descriptor_limits.h"
 #include "live/http_test_client.h"
 
 namespace covewing::live {
@@ -98,6 +100,26 @@
   runUntil(fixture.context, [&] { return fixture.left.transport.counters().droppedFrames == 1; });
 }
 
+// Guards against a node that has no free descriptor and tries to accept without a pause: it would
+// take a processor, and descriptors would be no sooner free.
+BOOST_AUTO_TEST_CASE(ConnectionWaitsWithoutLoadWhereNoDescriptorIsFree) {
+  constexpr std::chrono::milliseconds kExhausted{500};
+  constexpr std::size_t kMostHandlers = 50;
+  Fixture fixture;
+  // Without a frame, the connection keeps its own descriptor.
+  boost::asio::ip::tcp::socket waiting(fixture.context);
+  const auto& endpoint = fixture.right.self.endpoint;
+  waiting.connect({boost::asio::ip::address_v4(endpoint.address), endpoint.port});
+  {
+    const NoFreeDescriptors exhausted;
+    BOOST_TEST(fixture.context.run_for(kExhausted) < kMostHandlers);
+  }
+  const std::string payload(100'000, 'x');
+  fixture.left.transport.send(endpoint, base::Channel::kCacheIndex, payload);
+  fixture.waitUntilReceived();
+  BOOST_TEST((fixture.right.received.front().payload == payload));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::live
