Keep as many descriptors for calls to replicas as callers may have connections

A fixed number for calls to replicas, 1,000, is used up by callers whose requests are all under way: with 300 descriptors and 310 callers 289 were open. Each request needs a connection to its replica. So the descriptors beyond a fixed part are halved between callers and these calls; with 300, callers get 90 rather than 150, on a machine with 4,100 they get 1,281.

--- a/src/live/descriptor_budget.cc
+++ b/src/live/descriptor_budget.cc
@@ -6,14 +6,22 @@
 
 namespace covewing::live {
 
+namespace {
+
+/// Two in this many descriptors are the most that kFixedDescriptors takes.
+constexpr std::size_t kFixedShare = 5;
+
+}  // namespace
+
 DescriptorBudget divideDescriptors(std::size_t limit) {
   DescriptorBudget budget;
   budget.limit = limit;
-  budget.reserve = std::min(kReserveDescriptors, limit / 2);
+  const auto fixed = std::min(kFixedDescriptors, limit / kFixedShare * 2);
   budget.callerConnections =
-      std::clamp<std::size_t>(limit - budget.reserve, 1, kMaximumCallerConnections);
+      std::clamp<std::size_t>((limit - fixed) / 2, 1, kMaximumCallerConnections);
+  budget.reserve = limit - budget.callerConnections;
   budget.peerRelayConnections =
-      std::max<std::size_t>(budget.reserve * kPeerRelayDescriptors / kReserveDescriptors, 1);
+      std::max<std::size_t>(fixed * kPeerRelayDescriptors / kFixedDescriptors, 1);
   return budget;
 }
 
--- a/src/live/descriptor_budget.h
+++ b/src/live/descriptor_budget.h
@@ -13,15 +13,18 @@
 /// Event loop, listeners, log, and the connections to the table service, of readiness checks and of
 /// scrapes of metrics.
 inline constexpr std::size_t kOwnDescriptors = 64;
-/// Connections to replicas: requests under way, kept-alive ones, watches of caches and probes.
-inline constexpr std::size_t kReplicaDescriptors = 1000;
+/// Kept-alive connections to replicas, watches of caches and probes.
+inline constexpr std::size_t kKeptReplicaDescriptors = 250;
 /// Connections for messages between nodes that do not fit into a datagram, in both directions.
 inline constexpr std::size_t kPeerMessageDescriptors = 256;
 /// Connections on which other nodes have requests passed on: those under way and kept-alive ones.
 inline constexpr std::size_t kPeerRelayDescriptors = 512;
-inline constexpr std::size_t kReserveDescriptors = kFileDescriptors + kOwnDescriptors +
-                                                   kReplicaDescriptors + kPeerMessageDescriptors +
-                                                   kPeerRelayDescriptors;
+/// Connections to replicas for the requests of other nodes.
+inline constexpr std::size_t kPassedOnDescriptors = 256;
+/// What a node needs beside callers' connections and the calls to replicas for their requests.
+inline constexpr std::size_t kFixedDescriptors = kFileDescriptors + kOwnDescriptors +
+                                                 kKeptReplicaDescriptors + kPeerMessageDescriptors +
+                                                 kPeerRelayDescriptors + kPassedOnDescriptors;
 /// Maximum number of callers' connections however many descriptors there are.
 inline constexpr std::size_t kMaximumCallerConnections = 20'000;
 
@@ -37,8 +40,8 @@
   std::size_t peerRelayConnections = 0;
 };
 
-/// Divides `limit` descriptors. With few of them, half are reserved, and the parts of the reserve
-/// shrink in proportion.
+/// Divides `limit` descriptors so that each connection of a caller finds one for the call to a
+/// replica. With few of them, the parts of kFixedDescriptors shrink in proportion.
 DescriptorBudget divideDescriptors(std::size_t limit);
 
 /// Maximum number of descriptors of this process, as the operating system sets it now.
