--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -12,7 +12,7 @@
   return crashes_.back();
 }
 
-void CrashEvidence::onReplicaCrash(base::EngineId replica, const Fingerprints& runs,
+void CrashEvidence::onReplicaCrash(base::EngineId replica, const base::RequestFeatures& runs,
                                    base::TimePoint now) {
   dropExpired(now);
   auto& crash = crashOf(replica, now);
@@ -24,25 +24,25 @@
   }
 }
 
-void CrashEvidence::onServed(base::RequestFingerprint request, base::TimePoint now) {
+void CrashEvidence::onServed(base::RequestFeature request, base::TimePoint now) {
   servedAt_[request] = now;
   culprits_.erase(request);
 }
 
-void CrashEvidence::onQuarantined(base::RequestFingerprint request, base::TimePoint until) {
+void CrashEvidence::onQuarantined(base::RequestFeature request, base::TimePoint until) {
   culprits_[request] = until;
   for (Crash& crash : crashes_) {
     if (std::ranges::find(crash.runs, request) != crash.runs.end()) crash.explained = true;
   }
 }
 
-bool CrashEvidence::countsAgainst(const Crash& crash, base::RequestFingerprint request) const {
+bool CrashEvidence::countsAgainst(const Crash& crash, base::RequestFeature request) const {
   if (crash.explained) return false;
   const auto served = servedAt_.find(request);
   return served == servedAt_.end() || crash.at > served->second;
 }
 
-std::vector<base::EngineId> CrashEvidence::crashesAgainst(base::RequestFingerprint request) const {
+std::vector<base::EngineId> CrashEvidence::crashesAgainst(base::RequestFeature request) const {
   std::vector<base::EngineId> replicas;
   for (const Crash& crash : crashes_) {
     const bool ran = std::ranges::find(crash.runs, request) != crash.runs.end();
@@ -69,7 +69,7 @@
   return all;
 }
 
-bool CrashEvidence::separable(const CrashesBySuspect& all, base::RequestFingerprint request) const {
+bool CrashEvidence::separable(const CrashesBySuspect& all, base::RequestFeature request) const {
   const auto& own = all.at(request);
   if (own.size() >= options_.inseparableCrashThreshold) return true;
   return std::ranges::none_of(all, [&](const auto& other) {
@@ -86,7 +86,7 @@
     // Nodes with equal evidence must choose the same request; the iteration order of the map is
     // undefined.
     const bool better = !found || crashes.size() > found->crashes ||
-                        (crashes.size() == found->crashes && request < found->request);
+                        (crashes.size() == found->crashes && request < found->feature);
     if (better) found = Culprit{request, crashes.size()};
   }
   return found;
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -18,12 +18,11 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "base/request_feature.h"
 #include "base/time.h"
 
 namespace covewing::quarantine {
 
-using Fingerprints = std::vector<base::RequestFingerprint>;
-
 struct CrashEvidenceOptions {
   /// In a wave of crashes, it is likely that innocent requests that were interrupted at the same
   /// replicas by chance have two crashes in common, but hardly three. With 129 executions at eleven
@@ -41,7 +40,7 @@
 };
 
 struct Culprit {
-  base::RequestFingerprint request;
+  base::RequestFeature feature;
   /// Number of replicas that crashed while running it.
   std::size_t crashes = 0;
 };
@@ -52,15 +51,16 @@
 
   /// Records requests that were running at a replica when it crashed. Each node reports its own
   /// requests and may repeat the report.
-  void onReplicaCrash(base::EngineId replica, const Fingerprints& runs, base::TimePoint now);
+  void onReplicaCrash(base::EngineId replica, const base::RequestFeatures& runs,
+                      base::TimePoint now);
   /// The request completed: earlier crashes no longer count against it.
-  void onServed(base::RequestFingerprint request, base::TimePoint now);
+  void onServed(base::RequestFeature request, base::TimePoint now);
   /// The request is a known culprit: the crashes at which it was present, recorded or to come
   /// before `until`, are explained.
-  void onQuarantined(base::RequestFingerprint request, base::TimePoint until);
+  void onQuarantined(base::RequestFeature request, base::TimePoint until);
 
   /// The replicas whose crashes count against the request.
-  std::vector<base::EngineId> crashesAgainst(base::RequestFingerprint request) const;
+  std::vector<base::EngineId> crashesAgainst(base::RequestFeature request) const;
   /// The request that explains the most unexplained crashes; empty if none is proved.
   std::optional<Culprit> findCulprit(base::TimePoint now);
 
@@ -69,23 +69,23 @@
     base::EngineId replica;
     /// Time of the first report.
     base::TimePoint at{};
-    Fingerprints runs;
+    base::RequestFeatures runs;
     bool explained = false;
   };
   /// Crashes that count against each suspect, as ascending indices into `crashes_`.
-  using CrashesBySuspect = std::unordered_map<base::RequestFingerprint, std::vector<std::size_t>>;
+  using CrashesBySuspect = std::unordered_map<base::RequestFeature, std::vector<std::size_t>>;
 
   Crash& crashOf(base::EngineId replica, base::TimePoint now);
-  bool countsAgainst(const Crash& crash, base::RequestFingerprint request) const;
+  bool countsAgainst(const Crash& crash, base::RequestFeature request) const;
   void dropExpired(base::TimePoint now);
   CrashesBySuspect crashesBySuspect() const;
-  bool separable(const CrashesBySuspect& all, base::RequestFingerprint request) const;
+  bool separable(const CrashesBySuspect& all, base::RequestFeature request) const;
 
   CrashEvidenceOptions options_;
   std::deque<Crash> crashes_;
-  std::unordered_map<base::RequestFingerprint, base::TimePoint> servedAt_;
+  std::unordered_map<base::RequestFeature, base::TimePoint> servedAt_;
   /// Until when each known culprit explains further crashes.
-  std::unordered_map<base::RequestFingerprint, base::TimePoint> culprits_;
+  std::unordered_map<base::RequestFeature, base::TimePoint> culprits_;
 };
 
 }  // namespace covewing::quarantine
--- a/src/quarantine/quarantine_messages.cc
+++ b/src/quarantine/quarantine_messages.cc
@@ -52,13 +52,13 @@
 CrashReport readCrashReport(base::Reader& reader) {
   CrashReport message;
   message.replica.value = reader.unsignedInteger();
-  message.runs = read<base::RequestFingerprint>(reader);
+  message.runs = read<base::RequestFeature>(reader);
   return message;
 }
 
 RequestSuspected readSuspected(base::Reader& reader) {
   RequestSuspected message;
-  message.request.value = reader.unsignedInteger();
+  message.feature.value = reader.unsignedInteger();
   message.replicas = read<base::EngineId>(reader);
   message.announcedAt = readTime(reader);
   return message;
@@ -66,7 +66,7 @@
 
 QuarantineEntry readEntry(base::Reader& reader) {
   QuarantineEntry entry;
-  entry.request.value = reader.unsignedInteger();
+  entry.feature.value = reader.unsignedInteger();
   entry.crashes = reader.unsignedInteger();
   entry.decidedAt = readTime(reader);
   entry.lifted = reader.boolean();
@@ -99,7 +99,7 @@
   base::Writer writer;
   writer.array(kSuspectedFields)
       .unsignedInteger(kSuspectedType)
-      .unsignedInteger(message.request.value);
+      .unsignedInteger(message.feature.value);
   write(writer, message.replicas);
   writer.unsignedInteger(milliseconds(message.announcedAt));
   return writer.take();
@@ -107,7 +107,7 @@
 
 std::string encode(const RequestServed& message) {
   base::Writer writer;
-  writer.array(kServedFields).unsignedInteger(kServedType).unsignedInteger(message.request.value);
+  writer.array(kServedFields).unsignedInteger(kServedType).unsignedInteger(message.feature.value);
   return writer.take();
 }
 
@@ -115,7 +115,7 @@
   base::Writer writer;
   writer.array(kEntryFields)
       .unsignedInteger(kEntryType)
-      .unsignedInteger(entry.request.value)
+      .unsignedInteger(entry.feature.value)
       .unsignedInteger(entry.crashes)
       .unsignedInteger(milliseconds(entry.decidedAt))
       .boolean(entry.lifted);
@@ -138,12 +138,12 @@
   return 2 * milliseconds(decidedAt) + (lifted ? 1 : 0);
 }
 
-std::string suspectKeyOf(base::RequestFingerprint request) {
-  return std::string{kSuspectKeyPrefix} + base::toString(request);
+std::string suspectKeyOf(base::RequestFeature feature) {
+  return std::string{kSuspectKeyPrefix} + base::toString(feature);
 }
 
-std::string keyOf(base::RequestFingerprint request) {
-  return std::string{kQuarantineKeyPrefix} + base::toString(request);
+std::string keyOf(base::RequestFeature feature) {
+  return std::string{kQuarantineKeyPrefix} + base::toString(feature);
 }
 
 }  // namespace covewing::quarantine
--- a/src/quarantine/quarantine_messages.h
+++ b/src/quarantine/quarantine_messages.h
@@ -10,6 +10,7 @@
 #include <variant>
 
 #include "base/ids.h"
+#include "base/request_feature.h"
 #include "base/time.h"
 #include "quarantine/crash_evidence.h"
 
@@ -19,13 +20,13 @@
 /// when it crashed.
 struct CrashReport {
   base::EngineId replica;
-  Fingerprints runs;
+  base::RequestFeatures runs;
 };
 
 /// Sent by a home node to all nodes, and also stored as a gossip record and as a row of the table
 /// service: more than one crash counts against the request.
 struct RequestSuspected {
-  base::RequestFingerprint request;
+  base::RequestFeature feature;
   /// Replicas whose crashes count; empty in a record if the request was served since.
   std::vector<base::EngineId> replicas;
   /// By the clock of the table service; zero if that is unknown.
@@ -35,12 +36,12 @@
 /// Sent to the home nodes of a request, and by them to all nodes if it was suspected: the request
 /// completed.
 struct RequestServed {
-  base::RequestFingerprint request;
+  base::RequestFeature feature;
 };
 
 /// Sent by a home node to all nodes: a verdict on one request.
 struct QuarantineEntry {
-  base::RequestFingerprint request;
+  base::RequestFeature feature;
   /// Number of replicas that crashed while running it.
   std::uint64_t crashes = 0;
   /// By the clock of the table service.
@@ -64,10 +65,10 @@
 std::optional<QuarantineMessage> decodeQuarantineMessage(std::string_view payload);
 
 /// Key of an entry in the table service and in gossip.
-std::string keyOf(base::RequestFingerprint request);
+std::string keyOf(base::RequestFeature feature);
 inline constexpr std::string_view kQuarantineKeyPrefix = "quarantine/";
 /// Key of a suspect in the table service and in gossip.
-std::string suspectKeyOf(base::RequestFingerprint request);
+std::string suspectKeyOf(base::RequestFeature feature);
 inline constexpr std::string_view kSuspectKeyPrefix = "quarantine-suspect/";
 /// Common prefix of the keys of all rows in the table service.
 inline constexpr std::string_view kQuarantineRowsPrefix = "quarantine";
--- a/src/quarantine/quarantine_rows.cc
+++ b/src/quarantine/quarantine_rows.cc
@@ -66,7 +66,7 @@
 }
 
 void QuarantineRows::step(const std::shared_ptr<Write>& write) {
-  const auto key = keyOf(write->entry.request);
+  const auto key = keyOf(write->entry.feature);
   if (++write->attempts > kWriteAttempts) {
     log_.write(
         base::Event::kPlatformUnavailable,
@@ -100,21 +100,19 @@
 }
 
 void QuarantineRows::write(const RequestSuspected& suspected) {
-  write(suspected.request, encode(suspected));
+  write(suspected.feature, encode(suspected));
 }
 
-void QuarantineRows::removeSuspect(base::RequestFingerprint request) {
-  write(request, std::nullopt);
-}
+void QuarantineRows::removeSuspect(base::RequestFeature feature) { write(feature, std::nullopt); }
 
-void QuarantineRows::write(base::RequestFingerprint suspect, std::optional<std::string> value) {
+void QuarantineRows::write(base::RequestFeature suspect, std::optional<std::string> value) {
   const auto [found, added] = suspectWrites_.try_emplace(suspect);
   found->second.value = std::move(value);
   found->second.changed = !added;
   if (added) step(suspect);
 }
 
-void QuarantineRows::step(base::RequestFingerprint suspect) {
+void QuarantineRows::step(base::RequestFeature suspect) {
   auto& write = suspectWrites_.at(suspect);
   const auto key = suspectKeyOf(suspect);
   if (++write.attempts > kWriteAttempts) {
@@ -133,7 +131,7 @@
   });
 }
 
-void QuarantineRows::onWritten(base::RequestFingerprint suspect, const clients::TableReply& reply) {
+void QuarantineRows::onWritten(base::RequestFeature suspect, const clients::TableReply& reply) {
   auto& write = suspectWrites_.at(suspect);
   if (reply.status == clients::TableStatus::kOk) {
     write.attempts = 0;
--- a/src/quarantine/quarantine_rows.h
+++ b/src/quarantine/quarantine_rows.h
@@ -42,7 +42,7 @@
   /// Stores a suspect, replacing its previous row. Retried as above.
   void write(const RequestSuspected& suspected);
   /// Removes the row of a suspect.
-  void removeSuspect(base::RequestFingerprint request);
+  void removeSuspect(base::RequestFeature feature);
 
  private:
   struct Write;
@@ -57,9 +57,9 @@
   };
 
   StoredEvidence decodeRows(const clients::TableReply& reply);
-  void write(base::RequestFingerprint suspect, std::optional<std::string> value);
-  void step(base::RequestFingerprint suspect);
-  void onWritten(base::RequestFingerprint suspect, const clients::TableReply& reply);
+  void write(base::RequestFeature suspect, std::optional<std::string> value);
+  void step(base::RequestFeature suspect);
+  void onWritten(base::RequestFeature suspect, const clients::TableReply& reply);
   void step(const std::shared_ptr<Write>& write);
   void onWritten(const std::shared_ptr<Write>& write, const clients::TableReply& reply);
   base::Duration retryDelay(int attempts);
@@ -70,7 +70,7 @@
   base::EventLog& log_;
   int loadAttempts_ = 0;
   /// Suspects whose rows are being written.
-  std::unordered_map<base::RequestFingerprint, SuspectWrite> suspectWrites_;
+  std::unordered_map<base::RequestFeature, SuspectWrite> suspectWrites_;
   /// Lets callbacks detect that this object was destroyed.
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
 };
--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -53,8 +53,8 @@
   }
 }
 
-std::optional<QuarantineStatus> RequestQuarantine::find(base::RequestFingerprint request) const {
-  const auto found = verdicts_.find(request);
+std::optional<QuarantineStatus> RequestQuarantine::find(base::RequestFeature feature) const {
+  const auto found = verdicts_.find(feature);
   if (found == verdicts_.end() || found->second.entry.lifted) return std::nullopt;
   const auto remaining = found->second.until - environment_.clock.now();
   if (remaining <= base::Duration::zero()) return std::nullopt;
@@ -66,8 +66,11 @@
       verdicts_, [this](const auto& verdict) { return find(verdict.first).has_value(); }));
 }
 
-void RequestQuarantine::onReplicaCrash(base::EngineId replica, const Fingerprints& runs) {
-  const CrashReport report{replica, runs};
+void RequestQuarantine::onReplicaCrash(base::EngineId replica,
+                                       const std::vector<base::InterruptedRequest>& runs) {
+  CrashReport report{replica, {}};
+  for (const auto& run : runs)
+    report.runs.insert(report.runs.end(), run.features.begin(), run.features.end());
   if (reports_.size() >= options_.maximumReports) reports_.pop_front();
   reports_.push_back({report, environment_.clock.now()});
   sendRepeatedly([this, report] { sendReport(report); });
@@ -93,7 +96,7 @@
 }
 
 void RequestQuarantine::sendReport(const CrashReport& report) {
-  std::map<base::Endpoint, Fingerprints> runsOf;
+  std::map<base::Endpoint, base::RequestFeatures> runsOf;
   for (const auto run : report.runs) {
     for (const auto& home : homesOf(run)) runsOf[home].push_back(run);
   }
@@ -101,7 +104,7 @@
 }
 
 void RequestQuarantine::handle(const CrashReport& report) {
-  Fingerprints newSuspects;
+  base::RequestFeatures newSuspects;
   for (const auto run : report.runs) {
     const auto before = evidence_.crashesAgainst(run).size();
     evidence_.onReplicaCrash(report.replica, {run}, environment_.clock.now());
@@ -117,65 +120,69 @@
   scheduleVerdict();
 }
 
-void RequestQuarantine::announce(base::RequestFingerprint request) {
+void RequestQuarantine::announce(base::RequestFeature feature) {
   // If the announcement were repeated after the request was served, it would count against the
   // request again at nodes that missed that.
-  const auto suspected = currentSuspicion(request);
+  const auto suspected = currentSuspicion(feature);
   if (suspected.replicas.size() < 2) return;
   sendToAll(encode(suspected));
   publish(suspected);
 }
 
-RequestSuspected RequestQuarantine::currentSuspicion(base::RequestFingerprint request) const {
-  return {request, evidence_.crashesAgainst(request),
+RequestSuspected RequestQuarantine::currentSuspicion(base::RequestFeature feature) const {
+  return {feature, evidence_.crashesAgainst(feature),
           environment_.serviceClock().value_or(base::Duration::zero())};
 }
 
 void RequestQuarantine::publish(const RequestSuspected& suspected) {
   const auto version = suspected.announcedAt / std::chrono::milliseconds(1);
   environment_.records.publish(
-      {suspectKeyOf(suspected.request), static_cast<std::uint64_t>(version), encode(suspected)});
+      {suspectKeyOf(suspected.feature), static_cast<std::uint64_t>(version), encode(suspected)});
 }
 
 void RequestQuarantine::handle(const RequestSuspected& suspected) {
-  const auto before = evidence_.crashesAgainst(suspected.request).size();
+  const auto before = evidence_.crashesAgainst(suspected.feature).size();
   addSuspicion(suspected);
-  const auto after = evidence_.crashesAgainst(suspected.request).size();
+  const auto after = evidence_.crashesAgainst(suspected.feature).size();
   // The announcement of the other home node may arrive before the report of the node that observed
   // the crash.
-  if (after > before && after > 1) storeSuspect(suspected.request);
+  if (after > before && after > 1) storeSuspect(suspected.feature);
 }
 
 void RequestQuarantine::addSuspicion(const RequestSuspected& suspected) {
   if (ageOf(suspected.announcedAt) > options_.evidence.retention) return;
   for (const auto replica : suspected.replicas)
-    evidence_.onReplicaCrash(replica, {suspected.request}, environment_.clock.now());
-  object(suspected.request);
+    evidence_.onReplicaCrash(replica, {suspected.feature}, environment_.clock.now());
+  object(suspected.feature);
   scheduleVerdict();
 }
 
-void RequestQuarantine::object(base::RequestFingerprint request) {
-  if (!served_.contains(request, environment_.clock.now())) return;
-  sendRepeatedly([this, request] { sendToHomes(request, encode(RequestServed{request})); });
+void RequestQuarantine::object(base::RequestFeature feature) {
+  if (!served_.contains(feature, environment_.clock.now())) return;
+  sendRepeatedly([this, feature] { sendToHomes(feature, encode(RequestServed{feature})); });
 }
 
-void RequestQuarantine::onServed(base::RequestFingerprint request) {
-  served_.add(request, environment_.clock.now());
-  if (evidence_.crashesAgainst(request).empty() && !find(request)) return;
-  sendRepeatedly([this, request] { sendToHomes(request, encode(RequestServed{request})); });
+void RequestQuarantine::onServed(const base::RequestFeatures& features) {
+  for (const auto feature : features) recordServed(feature);
+}
+
+void RequestQuarantine::recordServed(base::RequestFeature feature) {
+  served_.add(feature, environment_.clock.now());
+  if (evidence_.crashesAgainst(feature).empty() && !find(feature)) return;
+  sendRepeatedly([this, feature] { sendToHomes(feature, encode(RequestServed{feature})); });
 }
 
 void RequestQuarantine::handle(const RequestServed& served) {
-  const auto request = served.request;
-  const bool announced = evidence_.crashesAgainst(request).size() > 1;
-  evidence_.onServed(request, environment_.clock.now());
-  if (!isHomeOf(request)) return;
+  const auto feature = served.feature;
+  const bool announced = evidence_.crashesAgainst(feature).size() > 1;
+  evidence_.onServed(feature, environment_.clock.now());
+  if (!isHomeOf(feature)) return;
   if (announced) {
     sendRepeatedly([this, served] { sendToAll(encode(served)); });
-    publish(currentSuspicion(request));
-    if (writesRowsOf(request)) removeSuspect(request);
+    publish(currentSuspicion(feature));
+    if (writesRowsOf(feature)) removeSuspect(feature);
   }
-  if (find(request)) lift(request);
+  if (find(feature)) lift(feature);
 }
 
 void RequestQuarantine::scheduleVerdict() {
@@ -190,7 +197,7 @@
   while (const auto culprit = evidence_.findCulprit(environment_.clock.now())) {
     // The home nodes of the culprit decide; their verdict determines which crashes remain
     // unexplained.
-    if (!isHomeOf(culprit->request)) return;
+    if (!isHomeOf(culprit->feature)) return;
     quarantine(*culprit);
   }
 }
@@ -201,17 +208,17 @@
 }
 
 void RequestQuarantine::quarantine(const Culprit& culprit) {
-  const QuarantineEntry entry{culprit.request, culprit.crashes,
+  const QuarantineEntry entry{culprit.feature, culprit.crashes,
                               environment_.serviceClock().value_or(base::Duration::zero()), false};
   // The crashes are explained even if the quarantine has no capacity for another entry.
-  evidence_.onQuarantined(culprit.request, environment_.clock.now() + options_.lifetime);
+  evidence_.onQuarantined(culprit.feature, environment_.clock.now() + options_.lifetime);
   if (!apply(entry, "evidence of crashes")) return;
   broadcast(entry);
   rows_.write(entry);
 }
 
-void RequestQuarantine::lift(base::RequestFingerprint request) {
-  auto entry = verdicts_.at(request).entry;
+void RequestQuarantine::lift(base::RequestFeature feature) {
+  auto entry = verdicts_.at(feature).entry;
   // Later than the verdict, regardless of clock differences between the two nodes.
   entry.decidedAt =
       std::max(environment_.serviceClock().value_or(entry.decidedAt), entry.decidedAt);
@@ -222,27 +229,27 @@
 }
 
 bool RequestQuarantine::apply(const QuarantineEntry& entry, std::string_view source) {
-  const bool refusedBefore = find(entry.request).has_value();
-  const auto known = verdicts_.find(entry.request);
+  const bool refusedBefore = find(entry.feature).has_value();
+  const auto known = verdicts_.find(entry.feature);
   if (known != verdicts_.end() && known->second.entry.version() >= entry.version()) return false;
   const auto now = environment_.clock.now();
   std::erase_if(verdicts_, [now](const auto& verdict) { return verdict.second.until < now; });
   const auto age = ageOf(entry.decidedAt);
   const bool hasCapacity =
-      verdicts_.contains(entry.request) || verdicts_.size() < options_.maximumQuarantined;
+      verdicts_.contains(entry.feature) || verdicts_.size() < options_.maximumQuarantined;
   if (age >= options_.lifetime || !hasCapacity) return false;
-  verdicts_[entry.request] = {entry, now + options_.lifetime - age};
+  verdicts_[entry.feature] = {entry, now + options_.lifetime - age};
   if (entry.lifted) {
-    evidence_.onServed(entry.request, now);
+    evidence_.onServed(entry.feature, now);
   } else {
-    evidence_.onQuarantined(entry.request, now + options_.lifetime - age);
-    removeQuarantinedSuspect(entry.request);
+    evidence_.onQuarantined(entry.feature, now + options_.lifetime - age);
+    removeQuarantinedSuspect(entry.feature);
   }
   // Both home nodes decide, a few milliseconds apart.
   if (refusedBefore == entry.lifted) {
     environment_.log.write(
         entry.lifted ? base::Event::kQuarantineLifted : base::Event::kRequestQuarantined,
-        {{"fingerprint", base::toString(entry.request)},
+        {{"fingerprint", base::toString(entry.feature)},
          {"crashes", std::to_string(entry.crashes)},
          {"known_from", std::string{source}},
          {"age_ms", base::millisecondsText(age)}});
@@ -259,7 +266,7 @@
 }
 
 void RequestQuarantine::publish(const QuarantineEntry& entry) {
-  environment_.records.publish({keyOf(entry.request), entry.version(), encode(entry)});
+  environment_.records.publish({keyOf(entry.feature), entry.version(), encode(entry)});
 }
 
 void RequestQuarantine::scheduleComparison() {
@@ -281,9 +288,9 @@
   const bool judges = std::ranges::any_of(
       verdicts_, [this](const auto& verdict) { return isHomeOf(verdict.first); });
   if (judges) compareWithRows();
-  for (const auto& [request, until] : suspectRows_) {
-    const auto suspected = currentSuspicion(request);
-    if (writesRowsOf(request) && !suspected.replicas.empty()) rows_.write(suspected);
+  for (const auto& [feature, until] : suspectRows_) {
+    const auto suspected = currentSuspicion(feature);
+    if (writesRowsOf(feature) && !suspected.replicas.empty()) rows_.write(suspected);
   }
 }
 
@@ -296,9 +303,9 @@
 
 void RequestQuarantine::mergeRows(const StoredEvidence& stored) {
   for (const auto& entry : stored.entries) apply(entry, "the table service");
-  for (const auto& [request, verdict] : verdicts_) {
-    const auto row = std::ranges::find(stored.entries, request, &QuarantineEntry::request);
-    const bool wanted = find(request).has_value();
+  for (const auto& [feature, verdict] : verdicts_) {
+    const auto row = std::ranges::find(stored.entries, feature, &QuarantineEntry::feature);
+    const bool wanted = find(feature).has_value();
     // The row of a request that may be sent again would block it after a restart.
     const bool missing = wanted && row == stored.entries.end();
     const bool left = verdict.entry.lifted && row != stored.entries.end();
@@ -308,76 +315,76 @@
   for (const auto& suspected : stored.suspects) {
     const auto age = ageOf(suspected.announcedAt);
     if (age > options_.evidence.retention) {
-      rows_.removeSuspect(suspected.request);
+      rows_.removeSuspect(suspected.feature);
       continue;
     }
-    scheduleRowRemoval(suspected.request, age);
+    scheduleRowRemoval(suspected.feature, age);
     addSuspicion(suspected);
   }
 }
 
-void RequestQuarantine::storeSuspect(base::RequestFingerprint request) {
-  if (!writesRowsOf(request)) return;
+void RequestQuarantine::storeSuspect(base::RequestFeature feature) {
+  if (!writesRowsOf(feature)) return;
   const bool hasCapacity =
-      suspectRows_.contains(request) || suspectRows_.size() < options_.maximumSuspectRows;
+      suspectRows_.contains(feature) || suspectRows_.size() < options_.maximumSuspectRows;
   if (!hasCapacity) return;
   // If all nodes are killed before the verdict, no other record of these crashes exists. Without
   // the row, such a request crashed four more replicas and was refused 5.3 s after its third crash
   // instead of within 1 s.
-  rows_.write(currentSuspicion(request));
-  scheduleRowRemoval(request, base::Duration::zero());
+  rows_.write(currentSuspicion(feature));
+  scheduleRowRemoval(feature, base::Duration::zero());
 }
 
-void RequestQuarantine::scheduleRowRemoval(base::RequestFingerprint request, base::Duration age) {
+void RequestQuarantine::scheduleRowRemoval(base::RequestFeature feature, base::Duration age) {
   const auto left = options_.evidence.retention - age;
-  suspectRows_[request] = environment_.clock.now() + left;
-  environment_.timers.schedule(left, [this, request, alive = std::weak_ptr(lifetime_)] {
+  suspectRows_[feature] = environment_.clock.now() + left;
+  environment_.timers.schedule(left, [this, feature, alive = std::weak_ptr(lifetime_)] {
     if (alive.expired()) return;
-    const auto found = suspectRows_.find(request);
+    const auto found = suspectRows_.find(feature);
     if (found == suspectRows_.end() || environment_.clock.now() < found->second) return;
     suspectRows_.erase(found);
-    if (writesRowsOf(request)) rows_.removeSuspect(request);
+    if (writesRowsOf(feature)) rows_.removeSuspect(feature);
   });
 }
 
-void RequestQuarantine::removeSuspect(base::RequestFingerprint request) {
-  suspectRows_.erase(request);
-  rows_.removeSuspect(request);
+void RequestQuarantine::removeSuspect(base::RequestFeature feature) {
+  suspectRows_.erase(feature);
+  rows_.removeSuspect(feature);
 }
 
-void RequestQuarantine::removeQuarantinedSuspect(base::RequestFingerprint request) {
-  if (suspectRows_.erase(request) == 0 || !writesRowsOf(request)) return;
+void RequestQuarantine::removeQuarantinedSuspect(base::RequestFeature feature) {
+  if (suspectRows_.erase(feature) == 0 || !writesRowsOf(feature)) return;
   // Its home nodes write the verdict now; the suspect's row is removed once that is stored.
   environment_.timers.schedule(options_.secondResendDelay,
-                               [this, request, alive = std::weak_ptr(lifetime_)] {
-                                 if (!alive.expired() && find(request))
-                                   rows_.removeSuspect(request);
+                               [this, feature, alive = std::weak_ptr(lifetime_)] {
+                                 if (!alive.expired() && find(feature))
+                                   rows_.removeSuspect(feature);
                                });
 }
 
-std::vector<base::Endpoint> RequestQuarantine::homesOf(base::RequestFingerprint request) const {
+std::vector<base::Endpoint> RequestQuarantine::homesOf(base::RequestFeature feature) const {
   const auto& members = environment_.members;
-  const auto& first = membership::rendezvousHome(request.value, members,
+  const auto& first = membership::rendezvousHome(feature.value, members,
                                                  [](const membership::Member&) { return true; });
   const auto& second = membership::rendezvousHome(
-      request.value, members,
+      feature.value, members,
       [&first](const membership::Member& member) { return member.id != first.id; });
   std::vector<base::Endpoint> homes{first.endpoint};
   if (second.id != first.id) homes.push_back(second.endpoint);
   return homes;
 }
 
-bool RequestQuarantine::isHomeOf(base::RequestFingerprint request) const {
-  const auto homes = homesOf(request);
+bool RequestQuarantine::isHomeOf(base::RequestFeature feature) const {
+  const auto homes = homesOf(feature);
   return std::ranges::find(homes, environment_.members.self().endpoint) != homes.end();
 }
 
-bool RequestQuarantine::writesRowsOf(base::RequestFingerprint request) const {
-  return homesOf(request).front() == environment_.members.self().endpoint;
+bool RequestQuarantine::writesRowsOf(base::RequestFeature feature) const {
+  return homesOf(feature).front() == environment_.members.self().endpoint;
 }
 
-void RequestQuarantine::sendToHomes(base::RequestFingerprint request, const std::string& payload) {
-  for (const auto& home : homesOf(request)) send(home, payload);
+void RequestQuarantine::sendToHomes(base::RequestFeature feature, const std::string& payload) {
+  for (const auto& home : homesOf(feature)) send(home, payload);
 }
 
 void RequestQuarantine::send(const base::Endpoint& destination, const std::string& payload) {
--- a/src/quarantine/request_quarantine.h
+++ b/src/quarantine/request_quarantine.h
@@ -25,6 +25,7 @@
 #include "base/event_log.h"
 #include "base/peer_transport.h"
 #include "base/random.h"
+#include "base/request_feature.h"
 #include "base/time.h"
 #include "clients/table_client.h"
 #include "membership/member_directory.h"
@@ -92,11 +93,11 @@
   /// Subscribes to the verdicts of other nodes and loads the stored ones.
   void start();
   /// Empty if the request may be sent.
-  std::optional<QuarantineStatus> find(base::RequestFingerprint request) const;
+  std::optional<QuarantineStatus> find(base::RequestFeature feature) const;
   /// A replica crashed while it was running these requests of this node.
-  void onReplicaCrash(base::EngineId replica, const Fingerprints& runs);
-  /// A request of this node completed.
-  void onServed(base::RequestFingerprint request);
+  void onReplicaCrash(base::EngineId replica, const std::vector<base::InterruptedRequest>& runs);
+  /// A request of this node with these features completed.
+  void onServed(const base::RequestFeatures& features);
   /// Number of requests that are refused now.
   std::size_t size() const;
   /// The table service was restored from an older backup: if this node is a home node, it writes
@@ -131,16 +132,17 @@
   /// Counts the crashes against the request, unless the suspicion is too old.
   void addSuspicion(const RequestSuspected& suspected);
   /// Announces to all nodes which crashes count against the request.
-  void announce(base::RequestFingerprint request);
-  RequestSuspected currentSuspicion(base::RequestFingerprint request) const;
+  void announce(base::RequestFeature feature);
+  RequestSuspected currentSuspicion(base::RequestFeature feature) const;
   void publish(const RequestSuspected& suspected);
   void onRecord(const membership::GossipRecord& record);
-  void object(base::RequestFingerprint request);
+  void recordServed(base::RequestFeature feature);
+  void object(base::RequestFeature feature);
   /// Schedules the decision at the end of the objection period.
   void scheduleVerdict();
   void decide();
   void quarantine(const Culprit& culprit);
-  void lift(base::RequestFingerprint request);
+  void lift(base::RequestFeature feature);
   /// Applies an entry from any source; false if a later one is known.
   bool apply(const QuarantineEntry& entry, std::string_view source);
   /// Sends the entry to all nodes and publishes it through gossip.
@@ -150,20 +152,20 @@
   void compareWithRows();
   void mergeRows(const StoredEvidence& stored);
   /// If this node writes the rows of the suspect: stores what counts against it now.
-  void storeSuspect(base::RequestFingerprint request);
+  void storeSuspect(base::RequestFeature feature);
   /// Makes this node remove the suspect's row once it is older than the retention of evidence.
-  void scheduleRowRemoval(base::RequestFingerprint request, base::Duration age);
+  void scheduleRowRemoval(base::RequestFeature feature, base::Duration age);
   /// Nothing counts against the request any more.
-  void removeSuspect(base::RequestFingerprint request);
+  void removeSuspect(base::RequestFeature feature);
   /// The verdict on the request supersedes its row as a suspect.
-  void removeQuarantinedSuspect(base::RequestFingerprint request);
+  void removeQuarantinedSuspect(base::RequestFeature feature);
 
   /// The two home nodes of a request, as this node sees the members; one if the node is alone.
-  std::vector<base::Endpoint> homesOf(base::RequestFingerprint request) const;
-  bool isHomeOf(base::RequestFingerprint request) const;
+  std::vector<base::Endpoint> homesOf(base::RequestFeature feature) const;
+  bool isHomeOf(base::RequestFeature feature) const;
   /// Whether this node is the one of the two home nodes that writes the suspect's row.
-  bool writesRowsOf(base::RequestFingerprint request) const;
-  void sendToHomes(base::RequestFingerprint request, const std::string& payload);
+  bool writesRowsOf(base::RequestFeature feature) const;
+  void sendToHomes(base::RequestFeature feature, const std::string& payload);
   /// Sends to another node, or delivers to this node as if the message came from another one.
   void send(const base::Endpoint& destination, const std::string& payload);
   /// Sends to all other nodes.
@@ -178,9 +180,9 @@
   CrashEvidence evidence_;
   ServedRequests served_;
   QuarantineRows rows_;
-  std::unordered_map<base::RequestFingerprint, Verdict> verdicts_;
+  std::unordered_map<base::RequestFeature, Verdict> verdicts_;
   /// Expiry times of the suspects whose rows this node writes.
-  std::unordered_map<base::RequestFingerprint, base::TimePoint> suspectRows_;
+  std::unordered_map<base::RequestFeature, base::TimePoint> suspectRows_;
   std::deque<SentReport> reports_;
   /// Membership version at which the reports were last sent.
   std::uint64_t reportedMembersVersion_ = 0;
--- a/src/quarantine/served_requests.cc
+++ b/src/quarantine/served_requests.cc
@@ -2,7 +2,7 @@
 
 namespace covewing::quarantine {
 
-void ServedRequests::add(base::RequestFingerprint request, base::TimePoint now) {
+void ServedRequests::add(base::RequestFeature request, base::TimePoint now) {
   order_.push_back({request, now});
   latest_[request] = now;
   while (order_.size() > kMaximumEntries || now - order_.front().at > kRetention) {
@@ -13,7 +13,7 @@
   }
 }
 
-bool ServedRequests::contains(base::RequestFingerprint request, base::TimePoint now) const {
+bool ServedRequests::contains(base::RequestFeature request, base::TimePoint now) const {
   const auto known = latest_.find(request);
   return known != latest_.end() && now - known->second <= kRetention;
 }
--- a/src/quarantine/served_requests.h
+++ b/src/quarantine/served_requests.h
@@ -7,14 +7,15 @@
 #include <unordered_map>
 
 #include "base/ids.h"
+#include "base/request_feature.h"
 #include "base/time.h"
 
 namespace covewing::quarantine {
 
 class ServedRequests {
  public:
-  void add(base::RequestFingerprint request, base::TimePoint now);
-  bool contains(base::RequestFingerprint request, base::TimePoint now) const;
+  void add(base::RequestFeature request, base::TimePoint now);
+  bool contains(base::RequestFeature request, base::TimePoint now) const;
 
  private:
   /// A popular request is served many times a minute. If it starts to crash replicas under new
@@ -24,12 +25,12 @@
   static constexpr std::size_t kMaximumEntries = 8192;
 
   struct Served {
-    base::RequestFingerprint request;
+    base::RequestFeature request;
     base::TimePoint at{};
   };
 
   std::deque<Served> order_;
-  std::unordered_map<base::RequestFingerprint, base::TimePoint> latest_;
+  std::unordered_map<base::RequestFeature, base::TimePoint> latest_;
 };
 
 }  // namespace covewing::quarantine
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -27,6 +27,7 @@
       incoming_(std::move(incoming)),
       assignment_(std::move(assignment)),
       fingerprint_(fingerprintOf(incoming_, assignment_)),
+      features_{base::featureOf(fingerprint_)},
       writer_(std::move(writer)),
       hooks_(std::move(hooks)),
       allowance_(dependencies_.quotas, assignment_.demand) {}
@@ -163,7 +164,7 @@
 }
 
 std::optional<RelayRefusal> RelayFlow::quarantineRefusal() const {
-  const auto quarantined = dependencies_.quarantine.find(fingerprint_);
+  const auto quarantined = dependencies_.quarantine.find(base::featureOf(fingerprint_));
   if (!quarantined) return std::nullopt;
   constexpr auto kCode = base::ResultCode::kRequestQuarantined;
   return RelayRefusal{
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -29,6 +29,7 @@
 #include "admission/tenant_quotas.h"
 #include "base/event_log.h"
 #include "base/random.h"
+#include "base/request_feature.h"
 #include "base/time.h"
 #include "clients/relay_client.h"
 #include "config/route_table.h"
@@ -437,6 +438,8 @@
   IncomingRequest incoming_;
   RelayAssignment assignment_;
   base::RequestFingerprint fingerprint_;
+  /// What the request may have in common with others that ran at a replica when it crashed.
+  base::RequestFeatures features_;
   std::unique_ptr<ResponseWriter> writer_;
   Hooks hooks_;
   base::TimePoint deadline_{};
--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -20,6 +20,9 @@
 /// Minimum time without data in the middle of a stream after which the stream counts as broken.
 constexpr base::Duration kMinimumStreamTimeout = std::chrono::milliseconds(1200);
 
+/// Time from the head of a response for which its replica has just begun to write it.
+constexpr base::Duration kBegunFor = std::chrono::seconds(1);
+
 constexpr std::string_view kAnswersAgain = "the replica answers again";
 
 bool successful(unsigned status) { return status >= kOk && status < kMultipleChoices; }
@@ -246,7 +249,7 @@
                 (body_.hasEvents() ? "" : " and without events"));
     return;
   }
-  if (response.status < kInternalError) dependencies_.quarantine.onServed(fingerprint_);
+  if (response.status < kInternalError) dependencies_.quarantine.onServed(features_);
   finishComplete();
 }
 
@@ -267,7 +270,10 @@
 
 void RelayFlow::reportInterruption(clients::FailurePoint point) {
   if (point != clients::FailurePoint::kBackEnd) return;
-  dependencies_.replicaCrashDetector.onRequestInterrupted(attempt_->decision.replica, fingerprint_);
+  const auto& headAt = attempt_->headAt;
+  const bool begun = headAt && dependencies_.clock.now() - *headAt <= kBegunFor;
+  dependencies_.replicaCrashDetector.onRequestInterrupted(attempt_->decision.replica,
+                                                          {features_, begun});
 }
 
 void RelayFlow::onFailure(clients::DispatchError error) {
--- a/src/routing/replica_crash_detector.cc
+++ b/src/routing/replica_crash_detector.cc
@@ -1,18 +1,21 @@
 #include "routing/replica_crash_detector.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace covewing::routing {
 
 namespace {
 
-std::string textOf(const std::vector<base::RequestFingerprint>& requests) {
-  std::string text;
-  for (const auto request : requests) {
-    if (!text.empty()) text += ' ';
-    text += base::toString(request);
+/// The fingerprints of the requests.
+std::string textOf(const std::vector<base::InterruptedRequest>& requests) {
+  base::RequestFeatures fingerprints;
+  for (const auto& request : requests) {
+    std::ranges::copy_if(request.features, std::back_inserter(fingerprints),
+                         [](const auto& each) { return each.kind == base::FeatureKind::kRequest; });
   }
-  return text;
+  return base::toString(fingerprints);
 }
 
 }  // namespace
@@ -22,17 +25,17 @@
 }
 
 void ReplicaCrashDetector::onRequestInterrupted(const ReplicaRecordPtr& replica,
-                                                base::RequestFingerprint request) {
+                                                base::InterruptedRequest request) {
   dropExpired();
   const auto& instance = replica->facts().instance;
   if (endedAt_.contains(instance)) {
-    report({instance, {request}}, "it had ended before");
+    report({instance, {std::move(request)}}, "it had ended before");
     return;
   }
   auto& suspicion = suspicions_[instance];
   if (suspicion.outlivedAt) suspicion = {};
   const bool isFirst = suspicion.requests.empty();
-  suspicion.requests.push_back(request);
+  suspicion.requests.push_back(std::move(request));
   if (!isFirst) return;
   suspicion.replica = replica;
   suspicion.since = environment_.clock.now();
--- a/src/routing/replica_crash_detector.h
+++ b/src/routing/replica_crash_detector.h
@@ -18,6 +18,7 @@
 
 #include "base/event_log.h"
 #include "base/ids.h"
+#include "base/request_feature.h"
 #include "base/time.h"
 #include "clients/reachability_client.h"
 #include "routing/replica_directory.h"
@@ -47,7 +48,7 @@
 /// Requests that were lost because their replica ended.
 struct LostRequests {
   std::string instance;
-  std::vector<base::RequestFingerprint> requests;
+  std::vector<base::InterruptedRequest> requests;
 };
 
 /// All referenced objects must outlive the detector and be used on its thread only.
@@ -71,7 +72,7 @@
 
   void setListener(Listener listener) { listener_ = std::move(listener); }
   /// A request that the replica may have started was interrupted.
-  void onRequestInterrupted(const ReplicaRecordPtr& replica, base::RequestFingerprint request);
+  void onRequestInterrupted(const ReplicaRecordPtr& replica, base::InterruptedRequest request);
   /// The instance is listed: it is running, even if it was considered ended.
   void onListed(const std::string& instance) { endedAt_.erase(instance); }
   /// The replica's entry was removed.
@@ -82,7 +83,7 @@
  private:
   struct Suspicion {
     ReplicaRecordPtr replica;
-    std::vector<base::RequestFingerprint> requests;
+    std::vector<base::InterruptedRequest> requests;
     base::TimePoint since{};
     std::uint32_t probes = 0;
     std::uint32_t refusals = 0;
--- a/tests/node/replica_list_test.cc
+++ b/tests/node/replica_list_test.cc
@@ -55,7 +55,8 @@
   /// Records that the instance holds a prompt part and that a request was interrupted there.
   void recordUse(const std::string& instance) {
     holders.add(base::engineIdOf(instance), kScope, kPart, 100);
-    crashDetector.onRequestInterrupted(directory.find(instance), base::RequestFingerprint{7});
+    crashDetector.onRequestInterrupted(directory.find(instance),
+                                       base::InterruptedRequest{{{7}}, false});
   }
   bool holds(const std::string& instance) const {
     return holders.tokensOf(base::engineIdOf(instance), kScope, kPart) > 0;
--- a/tests/platform/replica_runs_test.cc
+++ b/tests/platform/replica_runs_test.cc
@@ -126,7 +126,7 @@
   const auto former = replica();
   BOOST_TEST(choose().version == 2U);
   BOOST_TEST(choose().matchedTokens == 1000U);
-  crashDetector.onRequestInterrupted(former, base::RequestFingerprint{7});
+  crashDetector.onRequestInterrupted(former, base::InterruptedRequest{{{7}}, false});
 
   write(entryOfInstance(1, kSecondStart));
   BOOST_REQUIRE(replica() != nullptr);
@@ -152,9 +152,9 @@
 // enough to identify it.
 BOOST_AUTO_TEST_CASE(EachInstanceTerminatesOnItsOwn) {
   write(entryOfInstance(1, kFirstStart));
-  crashDetector.onRequestInterrupted(replica(), base::RequestFingerprint{7});
+  crashDetector.onRequestInterrupted(replica(), base::InterruptedRequest{{{7}}, false});
   write(entryOfInstance(1, kSecondStart));
-  crashDetector.onRequestInterrupted(replica(), base::RequestFingerprint{7});
+  crashDetector.onRequestInterrupted(replica(), base::InterruptedRequest{{{7}}, false});
   BOOST_TEST(terminations.size() == 1U);
   write(entryOfInstance(1, kSecondStart + 1));
   BOOST_REQUIRE(terminations.size() == 2U);
@@ -236,7 +236,7 @@
   write(entryOfInstance(1, kFirstStart));
   write(entryOfInstance(1, kSecondStart));
   recordServedPrefix(1);
-  crashDetector.onRequestInterrupted(replica(), base::RequestFingerprint{7});
+  crashDetector.onRequestInterrupted(replica(), base::InterruptedRequest{{{7}}, false});
   remove();
   BOOST_TEST(replica() == nullptr);
   BOOST_TEST(holders.size() == 0U);
@@ -252,7 +252,7 @@
     write(entryOfInstance(1, kFirstStart));
     recordServedPrefix(2);
     crashDetector.onRequestInterrupted(directory.find(instanceName(kIdentifier, kFirstStart)),
-                                       base::RequestFingerprint{7});
+                                       base::InterruptedRequest{{{7}}, false});
     BOOST_TEST(directory.ofService(kService).size() == 2U);
     writeBytes(bytes);
     BOOST_REQUIRE(directory.ofService(kService).size() == 1U);
--- a/tests/quarantine/crash_evidence_test.cc
+++ b/tests/quarantine/crash_evidence_test.cc
@@ -17,13 +17,13 @@
   /// Reports a crash of a new replica that was running the requests.
   void crash(const std::vector<std::uint64_t>& runs) { report(++replicas, runs); }
   void report(std::uint64_t replica, const std::vector<std::uint64_t>& runs) {
-    Fingerprints fingerprints;
+    base::RequestFeatures fingerprints;
     for (const auto run : runs) fingerprints.push_back({run});
     evidence.onReplicaCrash({replica}, fingerprints, now);
   }
   std::uint64_t culprit() {
     const auto found = evidence.findCulprit(now);
-    return found ? found->request.value : 0;
+    return found ? found->feature.value : 0;
   }
 
   CrashEvidence evidence;
@@ -138,11 +138,11 @@
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     base::SeededRandom random(seed);
     CrashEvidence wave;
-    Fingerprints retried;
+    base::RequestFeatures retried;
     std::uint64_t fresh = 1000;
     bool found = false;
     for (std::uint64_t replica = 1; replica <= 8 && !found; ++replica) {
-      Fingerprints runs{{kCulprit}};
+      base::RequestFeatures runs{{kCulprit}};
       // Interrupted requests are retried once, each at one of twelve replicas.
       for (const auto run : retried) {
         if (random.below(12) == 0) runs.push_back(run);
@@ -153,9 +153,9 @@
       retried.assign(runs.begin() + 1, runs.end());
       wave.onReplicaCrash({replica}, runs, base::TimePoint{seconds(replica)});
       while (const auto culprit = wave.findCulprit(base::TimePoint{seconds(replica)})) {
-        wave.onQuarantined(culprit->request, base::TimePoint{seconds(1000)});
-        found = found || culprit->request.value == kCulprit;
-        innocents += culprit->request.value == kCulprit ? 0 : 1;
+        wave.onQuarantined(culprit->feature, base::TimePoint{seconds(1000)});
+        found = found || culprit->feature.value == kCulprit;
+        innocents += culprit->feature.value == kCulprit ? 0 : 1;
       }
     }
     BOOST_TEST(found);
--- a/tests/quarantine/quarantine_messages_test.cc
+++ b/tests/quarantine/quarantine_messages_test.cc
@@ -12,15 +12,15 @@
   BOOST_REQUIRE(ended.has_value());
   const auto& runs = std::get<CrashReport>(*ended);
   BOOST_TEST(runs.replica.value == 7U);
-  BOOST_TEST((runs.runs == Fingerprints{{1}, {2}}));
+  BOOST_TEST((runs.runs == base::RequestFeatures{{1}, {2}}));
   const auto served = decodeQuarantineMessage(encode(RequestServed{{3}}));
   BOOST_REQUIRE(served.has_value());
-  BOOST_TEST(std::get<RequestServed>(*served).request.value == 3U);
+  BOOST_TEST(std::get<RequestServed>(*served).feature.value == 3U);
   const auto suspected =
       decodeQuarantineMessage(encode(RequestSuspected{{4}, {{5}, {6}}, std::chrono::seconds(9)}));
   BOOST_REQUIRE(suspected.has_value());
   const auto& suspicion = std::get<RequestSuspected>(*suspected);
-  BOOST_TEST(suspicion.request.value == 4U);
+  BOOST_TEST(suspicion.feature.value == 4U);
   BOOST_TEST((suspicion.replicas == std::vector<base::EngineId>{{5}, {6}}));
   BOOST_TEST((suspicion.announcedAt == std::chrono::seconds(9)));
 }
@@ -29,7 +29,7 @@
   const QuarantineEntry entry{{5}, 3, std::chrono::milliseconds(1234), true};
   const auto decoded = decodeQuarantineEntry(encode(entry));
   BOOST_REQUIRE(decoded.has_value());
-  BOOST_TEST((decoded->request == entry.request));
+  BOOST_TEST((decoded->feature == entry.feature));
   BOOST_TEST(decoded->crashes == 3U);
   BOOST_TEST((decoded->decidedAt == entry.decidedAt));
   BOOST_TEST(decoded->lifted);
--- a/tests/quarantine/request_quarantine_test.cc
+++ b/tests/quarantine/request_quarantine_test.cc
@@ -21,8 +21,8 @@
 
 namespace {
 
-constexpr base::RequestFingerprint kCrashing{1};
-constexpr base::RequestFingerprint kPopular{2};
+constexpr base::RequestFeature kCrashing{1};
+constexpr base::RequestFeature kPopular{2};
 
 /// The members of a fleet; all nodes have the same view.
 struct MemberList {
@@ -94,10 +94,10 @@
     time.advance(milliseconds(10));
   }
   /// A new replica crashes while it runs these requests of one node.
-  void crash(std::size_t node, const Fingerprints& runs) {
-    at(node).onReplicaCrash({++replicas}, runs);
+  void crash(std::size_t node, const base::RequestFeatures& runs) {
+    at(node).onReplicaCrash({++replicas}, {{runs, false}});
   }
-  std::size_t refusingNodes(base::RequestFingerprint request) {
+  std::size_t refusingNodes(base::RequestFeature request) {
     return static_cast<std::size_t>(std::ranges::count_if(
         nodes_, [&](const auto& node) { return node->quarantine.find(request).has_value(); }));
   }
@@ -262,12 +262,12 @@
 
 BOOST_AUTO_TEST_CASE(RowsOfSuspectsAreRemovedOnceServedQuarantinedOrExpired) {
   QuarantineFleet fleet(4);
-  for (const auto request : {kCrashing, kPopular, base::RequestFingerprint{3}}) {
+  for (const auto request : {kCrashing, kPopular, base::RequestFeature{3}}) {
     for (int count = 0; count < 2; ++count) fleet.crash(0, {request});
   }
   fleet.time.advance(seconds(2));
   BOOST_TEST(fleet.suspectRows() == 3U);
-  fleet.at(2).onServed(kPopular);
+  fleet.at(2).onServed({kPopular});
   fleet.time.advance(seconds(2));
   BOOST_TEST(fleet.suspectRows() == 2U);
   fleet.crash(1, {kCrashing});
@@ -306,7 +306,7 @@
   QuarantineFleet fleet(4);
   for (int count = 0; count < 2; ++count) fleet.crash(0, {kPopular});
   fleet.time.advance(seconds(1));
-  fleet.at(2).onServed(kPopular);
+  fleet.at(2).onServed({kPopular});
   fleet.time.advance(minutes(2));
   for (std::size_t node = 0; node < 4; ++node) fleet.restart(node);
   fleet.crash(1, {kPopular});
@@ -318,7 +318,7 @@
 // its executions end.
 BOOST_AUTO_TEST_CASE(PopularRequestIsNotRefusedWhenSeveralReplicasCrashAtOnce) {
   QuarantineFleet fleet(4);
-  fleet.at(3).onServed(kPopular);
+  fleet.at(3).onServed({kPopular});
   fleet.time.advance(seconds(20));
   for (std::size_t node = 0; node < 3; ++node) fleet.crash(node, {kPopular, {100 + node}});
   fleet.time.advance(seconds(5));
@@ -331,7 +331,7 @@
   for (int count = 0; count < 6; ++count) {
     fleet.crash(0, {kPopular});
     fleet.time.advance(seconds(1));
-    if (count % 2 == 1) fleet.at(2).onServed(kPopular);
+    if (count % 2 == 1) fleet.at(2).onServed({kPopular});
     fleet.time.advance(seconds(70));
   }
   BOOST_TEST(fleet.refusingNodes(kPopular) == 0U);
@@ -379,7 +379,7 @@
   for (int count = 0; count < 3; ++count) fleet.crash(0, {kCrashing});
   fleet.time.advance(seconds(1));
   BOOST_TEST(fleet.refusingNodes(kCrashing) == 3U);
-  fleet.at(1).onServed(kCrashing);
+  fleet.at(1).onServed({kCrashing});
   fleet.time.advance(seconds(1));
   BOOST_TEST(fleet.refusingNodes(kCrashing) == 0U);
   BOOST_TEST(fleet.rows() == 0U);
@@ -435,7 +435,7 @@
   for (std::size_t replica = 0; replica < kReplicas; ++replica) {
     ++fleet.replicas;
     for (std::size_t count = 0; count < kRuns; ++count)
-      fleet.at(fleet.random.below(300)).onReplicaCrash({fleet.replicas}, {{++run}});
+      fleet.at(fleet.random.below(300)).onReplicaCrash({fleet.replicas}, {{{{++run}}, false}});
   }
   fleet.time.advance(seconds(5));
   BOOST_TEST_MESSAGE(fleet.messages << " messages");
@@ -460,7 +460,7 @@
 // nodes.
 BOOST_AUTO_TEST_CASE(PopularRequestAtManyCrashesCostsBoundedMessages) {
   QuarantineFleet fleet(300);
-  for (std::size_t node = 0; node < 300; ++node) fleet.at(node).onServed(kPopular);
+  for (std::size_t node = 0; node < 300; ++node) fleet.at(node).onServed({kPopular});
   for (int count = 0; count < 200; ++count) fleet.crash(fleet.random.below(300), {kPopular});
   fleet.time.advance(seconds(5));
   BOOST_TEST(fleet.refusingNodes(kPopular) == 0U);
--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -322,9 +322,9 @@
   /// Reports, as other nodes would, that `crashes` replicas ended while they executed the path's
   /// request without a body.
   void quarantineAfter(std::size_t crashes, const std::string& path) {
-    const auto run = fingerprintOf({{}, {}, '/' + path + "/x", {}, {}}, "tenant");
+    const auto run = base::featureOf(fingerprintOf({{}, {}, '/' + path + "/x", {}, {}}, "tenant"));
     for (std::size_t count = 0; count < crashes; ++count)
-      quarantine.onReplicaCrash({++replicasEnded}, {run});
+      quarantine.onReplicaCrash({++replicasEnded}, {{{run}, false}});
     time.advance(std::chrono::milliseconds(301));
   }
   void quarantineRequest(const std::string& path) { quarantineAfter(3, path); }
--- a/tests/routing/replica_crash_detector_test.cc
+++ b/tests/routing/replica_crash_detector_test.cc
@@ -34,12 +34,14 @@
   base::TimerService& timers_;
 };
 
+base::InterruptedRequest interrupted(std::uint64_t request) { return {{{request}}, false}; }
+
 struct ReplicaEndFixture {
   ReplicaEndFixture() {
     detector.setListener([this](const LostRequests& lost) { ended.push_back(lost); });
   }
   void interrupt(std::uint64_t request) {
-    detector.onRequestInterrupted(replica, base::RequestFingerprint{request});
+    detector.onRequestInterrupted(replica, interrupted(request));
   }
 
   static Replica facts() {
@@ -68,12 +70,11 @@
   time.advance(milliseconds(300));
   BOOST_REQUIRE(ended.size() == 1U);
   BOOST_TEST(ended[0].instance == "replica");
-  BOOST_TEST(
-      (ended[0].requests == std::vector{base::RequestFingerprint{1}, base::RequestFingerprint{2}}));
+  BOOST_TEST((ended[0].requests == std::vector{interrupted(1), interrupted(2)}));
   BOOST_TEST(log.count(base::Event::kReplicaEndedUnderRuns) == 1U);
   interrupt(3);
   BOOST_REQUIRE(ended.size() == 2U);
-  BOOST_TEST((ended[1].requests == std::vector{base::RequestFingerprint{3}}));
+  BOOST_TEST((ended[1].requests == std::vector{interrupted(3)}));
 }
 
 BOOST_AUTO_TEST_CASE(ReplicaThatAcceptsConnectionsOutlivedItsRequests) {
@@ -92,7 +93,7 @@
   BOOST_TEST(log.count(base::Event::kReplicaOutlivedRuns) == 1U);
   detector.onRestarted("replica");
   BOOST_REQUIRE(ended.size() == 1U);
-  BOOST_TEST((ended[0].requests == std::vector{base::RequestFingerprint{1}}));
+  BOOST_TEST((ended[0].requests == std::vector{interrupted(1)}));
 }
 
 BOOST_AUTO_TEST_CASE(RequestInterruptedAfterTheListedRestartIsLost) {
@@ -134,7 +135,7 @@
   interrupt(2);
   time.advance(seconds(1));
   BOOST_REQUIRE(ended.size() == 1U);
-  BOOST_TEST((ended[0].requests == std::vector{base::RequestFingerprint{2}}));
+  BOOST_TEST((ended[0].requests == std::vector{interrupted(2)}));
 }
 
 BOOST_AUTO_TEST_CASE(RestartOfALeavingReplicaIsPlanned) {
