Quarantine parts of prompts that make replicas crash

What users saw: one part of a prompt ended each replica that began an answer on it, whatever else the request held; 33 replicas ended and nothing was refused.

Cause: the quarantine knew whole requests only, and no two of these were alike: each was a new suspect with one end.

Each shared part of a prompt is now a feature beside the fingerprint. A run that is lost tells whether its answer had begun (head at most 1 s before). Ends that follow one another closely are one wave; a part is a culprit if answers with it had begun in three waves, at six of six ends in two, or if it was present in five. Parts are cleared by 2xx answers, by a home that served them itself without a word, and by objections as before. Messages and rows have further fields; their first ones say nothing to earlier builds.

--- a/src/base/codec.cc
+++ b/src/base/codec.cc
@@ -122,6 +122,10 @@
          impl_->levels.back().next != impl_->levels.back().end;
 }
 
+bool Reader::nextIsUnsignedInteger() const {
+  return impl_->nextType() == msgpack::type::POSITIVE_INTEGER;
+}
+
 std::uint64_t Reader::unsignedInteger() {
   const auto* object = impl_->take(msgpack::type::POSITIVE_INTEGER);
   return object == nullptr ? 0 : object->via.u64;
--- a/src/base/codec.h
+++ b/src/base/codec.h
@@ -56,6 +56,9 @@
   /// Whether the array that was entered has elements that were not read: what a message of an
   /// earlier build lacks takes its default.
   bool more() const;
+  /// Whether the next element of that array is an unsigned integer, as fields of a known extension
+  /// begin; a field of a later build may be of any type.
+  bool nextIsUnsignedInteger() const;
   std::uint64_t unsignedInteger();
   std::int64_t signedInteger();
   bool boolean();
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -451,7 +451,7 @@
     snapshot.peerRelay = peerRelay.counters();
     snapshot.placement = placement.counters();
     snapshot.quotas = quotas.counts();
-    snapshot.quarantinedRequests = quarantine.size();
+    snapshot.quarantinedRequests = quarantine.size(base::FeatureKind::kRequest);
     snapshot.storeEra = storeEras.current();
     snapshot.traffic = traffic.channels();
     for (const auto& [instance, record] : replicas.all()) countReplica(*record, now, snapshot);
--- a/src/quarantine/quarantine_messages.cc
+++ b/src/quarantine/quarantine_messages.cc
@@ -1,6 +1,7 @@
 #include "quarantine/quarantine_messages.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "base/codec.h"
 
@@ -16,6 +17,12 @@
 constexpr std::uint32_t kSuspectedFields = 4;
 constexpr std::uint32_t kServedFields = 2;
 constexpr std::uint32_t kEntryFields = 5;
+/// Further fields of messages about parts of prompts; the first is kPromptParts.
+constexpr std::uint32_t kCrashReportPartFields = 3;
+constexpr std::uint32_t kSuspectedPartFields = 4;
+constexpr std::uint32_t kServedPartFields = 1;
+constexpr std::uint32_t kEntryPartFields = 4;
+constexpr std::uint64_t kPromptParts = 1;
 /// Maximum number of identifiers in one message: no replica runs more requests of one node
 /// concurrently.
 constexpr std::uint32_t kMaximumIdentifiers = 1024;
@@ -28,14 +35,39 @@
     writer.unsignedInteger(identifiers[index].value);
 }
 
-template <class Identifier>
-std::vector<Identifier> read(base::Reader& reader) {
-  std::vector<Identifier> identifiers;
+std::vector<std::uint64_t> readValues(base::Reader& reader) {
+  std::vector<std::uint64_t> values;
   const auto count = std::min(reader.beginArray(), kMaximumIdentifiers);
   for (std::uint32_t index = 0; index < count && reader.ok(); ++index)
-    identifiers.push_back({reader.unsignedInteger()});
+    values.push_back(reader.unsignedInteger());
   reader.endArray();
-  return identifiers;
+  return values;
+}
+
+base::RequestFeatures readFeatures(base::Reader& reader, base::FeatureKind kind) {
+  base::RequestFeatures features;
+  for (const auto value : readValues(reader)) features.push_back({value, kind});
+  return features;
+}
+
+std::vector<base::EngineId> readReplicas(base::Reader& reader) {
+  std::vector<base::EngineId> replicas;
+  for (const auto value : readValues(reader)) replicas.push_back({value});
+  return replicas;
+}
+
+bool isPart(base::RequestFeature feature) { return feature.kind == base::FeatureKind::kPromptPart; }
+
+base::RequestFeatures featuresOf(const base::RequestFeatures& features, base::FeatureKind kind) {
+  base::RequestFeatures chosen;
+  std::ranges::copy_if(features, std::back_inserter(chosen),
+                       [kind](const auto& feature) { return feature.kind == kind; });
+  return chosen;
+}
+
+/// Whether the message goes on with fields about parts of prompts; enters them.
+bool continuesWithParts(base::Reader& reader) {
+  return reader.nextIsUnsignedInteger() && reader.unsignedInteger() == kPromptParts;
 }
 
 std::uint64_t milliseconds(base::Duration duration) {
@@ -43,24 +75,42 @@
       std::max<std::int64_t>(0, duration / std::chrono::milliseconds(1)));
 }
 
-base::Duration readTime(base::Reader& reader) {
+base::Duration durationOf(std::uint64_t milliseconds) {
   // Far beyond the lifetime of any table service, and safe in arithmetic.
   constexpr std::uint64_t kLatestMilliseconds = 1ULL << 48U;
-  return std::chrono::milliseconds(std::min(reader.unsignedInteger(), kLatestMilliseconds));
+  return std::chrono::milliseconds(std::min(milliseconds, kLatestMilliseconds));
 }
 
+base::Duration readTime(base::Reader& reader) { return durationOf(reader.unsignedInteger()); }
+
 CrashReport readCrashReport(base::Reader& reader) {
   CrashReport message;
   message.replica.value = reader.unsignedInteger();
-  message.runs = read<base::RequestFeature>(reader);
+  message.runs = readFeatures(reader, base::FeatureKind::kRequest);
+  if (!continuesWithParts(reader)) return message;
+  const auto parts = readFeatures(reader, base::FeatureKind::kPromptPart);
+  message.runs.insert(message.runs.end(), parts.begin(), parts.end());
+  message.begun = readFeatures(reader, base::FeatureKind::kPromptPart);
   return message;
 }
 
 RequestSuspected readSuspected(base::Reader& reader) {
   RequestSuspected message;
   message.feature.value = reader.unsignedInteger();
-  message.replicas = read<base::EngineId>(reader);
+  message.replicas = readReplicas(reader);
   message.announcedAt = readTime(reader);
+  if (!continuesWithParts(reader)) return message;
+  message.feature.kind = base::FeatureKind::kPromptPart;
+  message.replicas = readReplicas(reader);
+  for (const auto age : readValues(reader)) message.ages.push_back(durationOf(age));
+  message.begun = readReplicas(reader);
+  return message;
+}
+
+RequestServed readServed(base::Reader& reader) {
+  RequestServed message;
+  message.feature.value = reader.unsignedInteger();
+  if (continuesWithParts(reader)) message.feature.kind = base::FeatureKind::kPromptPart;
   return message;
 }
 
@@ -70,6 +120,11 @@
   entry.crashes = reader.unsignedInteger();
   entry.decidedAt = readTime(reader);
   entry.lifted = reader.boolean();
+  if (!continuesWithParts(reader)) return entry;
+  entry.feature.kind = base::FeatureKind::kPromptPart;
+  entry.crashes = reader.unsignedInteger();
+  entry.decidedAt = readTime(reader);
+  entry.lifted = reader.boolean();
   return entry;
 }
 
@@ -78,8 +133,7 @@
   const auto type = reader.unsignedInteger();
   if (type == kCrashReportType && fields >= kCrashReportFields) return readCrashReport(reader);
   if (type == kSuspectedType && fields >= kSuspectedFields) return readSuspected(reader);
-  if (type == kServedType && fields >= kServedFields)
-    return RequestServed{{reader.unsignedInteger()}};
+  if (type == kServedType && fields >= kServedFields) return readServed(reader);
   if (type == kEntryType && fields >= kEntryFields) return readEntry(reader);
   return std::nullopt;
 }
@@ -87,35 +141,60 @@
 }  // namespace
 
 std::string encode(const CrashReport& message) {
+  const auto requests = featuresOf(message.runs, base::FeatureKind::kRequest);
+  const auto parts = featuresOf(message.runs, base::FeatureKind::kPromptPart);
   base::Writer writer;
-  writer.array(kCrashReportFields)
+  writer.array(kCrashReportFields + (parts.empty() ? 0 : kCrashReportPartFields))
       .unsignedInteger(kCrashReportType)
       .unsignedInteger(message.replica.value);
-  write(writer, message.runs);
+  write(writer, requests);
+  if (parts.empty()) return writer.take();
+  writer.unsignedInteger(kPromptParts);
+  write(writer, parts);
+  write(writer, message.begun);
   return writer.take();
 }
 
 std::string encode(const RequestSuspected& message) {
+  const bool part = isPart(message.feature);
   base::Writer writer;
-  writer.array(kSuspectedFields)
+  writer.array(kSuspectedFields + (part ? kSuspectedPartFields : 0))
       .unsignedInteger(kSuspectedType)
       .unsignedInteger(message.feature.value);
-  write(writer, message.replicas);
+  write(writer, part ? std::vector<base::EngineId>{} : message.replicas);
   writer.unsignedInteger(milliseconds(message.announcedAt));
+  if (!part) return writer.take();
+  writer.unsignedInteger(kPromptParts);
+  write(writer, message.replicas);
+  const auto ages = std::min<std::size_t>(message.ages.size(), kMaximumIdentifiers);
+  writer.array(static_cast<std::uint32_t>(ages));
+  for (std::size_t index = 0; index < ages; ++index)
+    writer.unsignedInteger(milliseconds(message.ages[index]));
+  write(writer, message.begun);
   return writer.take();
 }
 
 std::string encode(const RequestServed& message) {
+  const bool part = isPart(message.feature);
   base::Writer writer;
-  writer.array(kServedFields).unsignedInteger(kServedType).unsignedInteger(message.feature.value);
+  writer.array(kServedFields + (part ? kServedPartFields : 0))
+      .unsignedInteger(kServedType)
+      .unsignedInteger(message.feature.value);
+  if (part) writer.unsignedInteger(kPromptParts);
   return writer.take();
 }
 
 std::string encode(const QuarantineEntry& entry) {
+  const bool part = isPart(entry.feature);
   base::Writer writer;
-  writer.array(kEntryFields)
+  writer.array(kEntryFields + (part ? kEntryPartFields : 0))
       .unsignedInteger(kEntryType)
       .unsignedInteger(entry.feature.value)
+      .unsignedInteger(part ? 0 : entry.crashes)
+      .unsignedInteger(part ? 0 : milliseconds(entry.decidedAt))
+      .boolean(part || entry.lifted);
+  if (!part) return writer.take();
+  writer.unsignedInteger(kPromptParts)
       .unsignedInteger(entry.crashes)
       .unsignedInteger(milliseconds(entry.decidedAt))
       .boolean(entry.lifted);
--- a/src/quarantine/quarantine_messages.h
+++ b/src/quarantine/quarantine_messages.h
@@ -1,6 +1,10 @@
 /// \file
 /// Messages of the quarantine channel, and the entry stored in gossip records and in the table
 /// service.
+///
+/// Builds that know requests only read the first fields of a message and ignore the others. What
+/// concerns parts of prompts is therefore in further fields, and the first ones then say nothing: a
+/// report without requests, a suspicion without crashes, a verdict that was lifted long ago.
 #pragma once
 
 #include <cstdint>
@@ -21,6 +25,8 @@
 struct CrashReport {
   base::EngineId replica;
   base::RequestFeatures runs;
+  /// Those parts of prompts among `runs` for which a response had just begun.
+  base::RequestFeatures begun{};
 };
 
 /// Sent by a home node to all nodes, and also stored as a gossip record and as a row of the table
@@ -31,6 +37,10 @@
   std::vector<base::EngineId> replicas;
   /// By the clock of the table service; zero if that is unknown.
   base::Duration announcedAt{};
+  /// For a part of a prompt: how long before the announcement each of these crashes was reported,
+  /// and those at which a response had just begun.
+  std::vector<base::Duration> ages{};
+  std::vector<base::EngineId> begun{};
 };
 
 /// Sent to the home nodes of a request, and by them to all nodes if it was suspected: the request
@@ -39,7 +49,7 @@
   base::RequestFeature feature;
 };
 
-/// Sent by a home node to all nodes: a verdict on one request.
+/// Sent by a home node to all nodes: a verdict on one request or part of a prompt.
 struct QuarantineEntry {
   base::RequestFeature feature;
   /// Number of replicas that crashed while running it.
--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <type_traits>
 #include <utility>
 #include <variant>
@@ -13,6 +14,14 @@
 namespace {
 
 constexpr double kJitter = 0.5;
+/// Maximum number of features in one message; more are reported by several.
+constexpr std::size_t kFeaturesPerReport = 1024;
+
+bool isPart(base::RequestFeature feature) { return feature.kind == base::FeatureKind::kPromptPart; }
+
+std::size_t begunCrashes(const std::vector<CountedCrash>& crashes) {
+  return static_cast<std::size_t>(std::ranges::count(crashes, true, &CountedCrash::begun));
+}
 
 }  // namespace
 
@@ -61,16 +70,30 @@
   return QuarantineStatus{found->second.entry.crashes, remaining};
 }
 
-std::size_t RequestQuarantine::size() const {
-  return static_cast<std::size_t>(std::ranges::count_if(
-      verdicts_, [this](const auto& verdict) { return find(verdict.first).has_value(); }));
+std::size_t RequestQuarantine::size(base::FeatureKind kind) const {
+  return static_cast<std::size_t>(std::ranges::count_if(verdicts_, [&](const auto& verdict) {
+    return verdict.first.kind == kind && find(verdict.first).has_value();
+  }));
+}
+
+bool RequestQuarantine::empty() const {
+  return std::ranges::none_of(
+      verdicts_, [this](const auto& verdict) { return find(verdict.first).has_value(); });
 }
 
 void RequestQuarantine::onReplicaCrash(base::EngineId replica,
                                        const std::vector<base::InterruptedRequest>& runs) {
-  CrashReport report{replica, {}};
-  for (const auto& run : runs)
-    report.runs.insert(report.runs.end(), run.features.begin(), run.features.end());
+  // Requests that run together often share parts of their prompts.
+  std::set<base::RequestFeature> features;
+  std::set<base::RequestFeature> begun;
+  for (const auto& run : runs) {
+    for (const auto feature : run.features) {
+      features.insert(feature);
+      if (run.begun && isPart(feature)) begun.insert(feature);
+    }
+  }
+  const CrashReport report{
+      replica, {features.begin(), features.end()}, {begun.begin(), begun.end()}};
   if (reports_.size() >= options_.maximumReports) reports_.pop_front();
   reports_.push_back({report, environment_.clock.now()});
   sendRepeatedly([this, report] { sendReport(report); });
@@ -96,21 +119,43 @@
 }
 
 void RequestQuarantine::sendReport(const CrashReport& report) {
-  std::map<base::Endpoint, base::RequestFeatures> runsOf;
-  for (const auto run : report.runs) {
-    for (const auto& home : homesOf(run)) runsOf[home].push_back(run);
+  const std::set<base::RequestFeature> begun(report.begun.begin(), report.begun.end());
+  std::map<base::Endpoint, CrashReport> reportOf;
+  const auto sendTo = [this](const base::Endpoint& home, const CrashReport& own) {
+    send(home, encode(own));
+  };
+  for (const auto feature : report.runs) {
+    for (const auto& home : homesOf(feature)) {
+      auto& own = reportOf[home];
+      own.replica = report.replica;
+      own.runs.push_back(feature);
+      if (begun.contains(feature)) own.begun.push_back(feature);
+      if (own.runs.size() < kFeaturesPerReport) continue;
+      sendTo(home, own);
+      reportOf.erase(home);
+    }
   }
-  for (const auto& [home, own] : runsOf) send(home, encode(CrashReport{report.replica, own}));
+  for (const auto& [home, own] : reportOf) sendTo(home, own);
+}
+
+bool RequestQuarantine::recordCrash(const CrashReport& report, base::RequestFeature feature) {
+  const auto now = environment_.clock.now();
+  const auto before = evidence_.crashesAgainst(feature);
+  const bool begun = std::ranges::find(report.begun, feature) != report.begun.end();
+  evidence_.onReplicaCrash(report.replica, {feature}, now,
+                           begun ? base::RequestFeatures{feature} : base::RequestFeatures{});
+  // Announcements and objections about each part of the prompts that all nodes serve would cost
+  // more than the crash itself.
+  if (isPart(feature) && served_.contains(feature, now)) evidence_.onServed(feature, now);
+  const auto after = evidence_.crashesAgainst(feature);
+  const bool grown = after.size() > before.size() || begunCrashes(after) > begunCrashes(before);
+  return grown && after.size() > 1 && after.size() <= options_.maximumAnnouncedCrashes;
 }
 
 void RequestQuarantine::handle(const CrashReport& report) {
   base::RequestFeatures newSuspects;
   for (const auto run : report.runs) {
-    const auto before = evidence_.crashesAgainst(run).size();
-    evidence_.onReplicaCrash(report.replica, {run}, environment_.clock.now());
-    const auto after = evidence_.crashesAgainst(run).size();
-    if (after > before && after > 1 && after <= options_.maximumAnnouncedCrashes)
-      newSuspects.push_back(run);
+    if (recordCrash(report, run)) newSuspects.push_back(run);
   }
   for (const auto run : newSuspects) {
     sendRepeatedly([this, run] { announce(run); });
@@ -130,8 +175,17 @@
 }
 
 RequestSuspected RequestQuarantine::currentSuspicion(base::RequestFeature feature) const {
-  return {feature, evidence_.crashesAgainst(feature),
-          environment_.serviceClock().value_or(base::Duration::zero())};
+  const auto now = environment_.clock.now();
+  RequestSuspected suspected;
+  suspected.feature = feature;
+  suspected.announcedAt = environment_.serviceClock().value_or(base::Duration::zero());
+  for (const auto& crash : evidence_.crashesAgainst(feature)) {
+    suspected.replicas.push_back(crash.replica);
+    if (!isPart(feature)) continue;
+    suspected.ages.push_back(now - crash.at);
+    if (crash.begun) suspected.begun.push_back(crash.replica);
+  }
+  return suspected;
 }
 
 void RequestQuarantine::publish(const RequestSuspected& suspected) {
@@ -141,18 +195,26 @@
 }
 
 void RequestQuarantine::handle(const RequestSuspected& suspected) {
-  const auto before = evidence_.crashesAgainst(suspected.feature).size();
+  const auto before = evidence_.crashesAgainst(suspected.feature);
   addSuspicion(suspected);
-  const auto after = evidence_.crashesAgainst(suspected.feature).size();
+  const auto after = evidence_.crashesAgainst(suspected.feature);
   // The announcement of the other home node may arrive before the report of the node that observed
   // the crash.
-  if (after > before && after > 1) storeSuspect(suspected.feature);
+  const bool grown = after.size() > before.size() || begunCrashes(after) > begunCrashes(before);
+  if (grown && after.size() > 1) storeSuspect(suspected.feature);
 }
 
 void RequestQuarantine::addSuspicion(const RequestSuspected& suspected) {
-  if (ageOf(suspected.announcedAt) > options_.evidence.retention) return;
-  for (const auto replica : suspected.replicas)
-    evidence_.onReplicaCrash(replica, {suspected.feature}, environment_.clock.now());
+  const auto age = ageOf(suspected.announcedAt);
+  if (age > options_.evidence.retention) return;
+  const base::RequestFeatures feature{suspected.feature};
+  for (std::size_t index = 0; index < suspected.replicas.size(); ++index) {
+    const auto replica = suspected.replicas[index];
+    auto at = environment_.clock.now();
+    if (index < suspected.ages.size()) at -= age + suspected.ages[index];
+    const bool begun = std::ranges::find(suspected.begun, replica) != suspected.begun.end();
+    evidence_.onReplicaCrash(replica, feature, at, begun ? feature : base::RequestFeatures{});
+  }
   object(suspected.feature);
   scheduleVerdict();
 }
@@ -196,9 +258,13 @@
 void RequestQuarantine::decide() {
   while (const auto culprit = evidence_.findCulprit(environment_.clock.now())) {
     // The home nodes of the culprit decide; their verdict determines which crashes remain
-    // unexplained.
-    if (!isHomeOf(culprit->feature)) return;
-    quarantine(*culprit);
+    // unexplained. Parts that cannot be told from it are judged together with it, since its verdict
+    // explains their crashes.
+    const auto culprits = evidence_.inseparableFrom(*culprit);
+    const bool judges = std::ranges::any_of(
+        culprits, [this](const Culprit& each) { return isHomeOf(each.feature); });
+    if (!judges) return;
+    for (const auto& each : culprits) quarantine(each);
   }
 }
 
@@ -211,7 +277,7 @@
   const QuarantineEntry entry{culprit.feature, culprit.crashes,
                               environment_.serviceClock().value_or(base::Duration::zero()), false};
   // The crashes are explained even if the quarantine has no capacity for another entry.
-  evidence_.onQuarantined(culprit.feature, environment_.clock.now() + options_.lifetime);
+  evidence_.onQuarantined(culprit.feature, environment_.clock.now() + lifetimeOf(culprit.feature));
   if (!apply(entry, "evidence of crashes")) return;
   broadcast(entry);
   rows_.write(entry);
@@ -228,6 +294,10 @@
   rows_.write(entry);
 }
 
+base::Duration RequestQuarantine::lifetimeOf(base::RequestFeature feature) const {
+  return isPart(feature) ? options_.partLifetime : options_.lifetime;
+}
+
 bool RequestQuarantine::apply(const QuarantineEntry& entry, std::string_view source) {
   const bool refusedBefore = find(entry.feature).has_value();
   const auto known = verdicts_.find(entry.feature);
@@ -235,14 +305,15 @@
   const auto now = environment_.clock.now();
   std::erase_if(verdicts_, [now](const auto& verdict) { return verdict.second.until < now; });
   const auto age = ageOf(entry.decidedAt);
+  const auto lifetime = lifetimeOf(entry.feature);
   const bool hasCapacity =
       verdicts_.contains(entry.feature) || verdicts_.size() < options_.maximumQuarantined;
-  if (age >= options_.lifetime || !hasCapacity) return false;
-  verdicts_[entry.feature] = {entry, now + options_.lifetime - age};
+  if (age >= lifetime || !hasCapacity) return false;
+  verdicts_[entry.feature] = {entry, now + lifetime - age};
   if (entry.lifted) {
     evidence_.onServed(entry.feature, now);
   } else {
-    evidence_.onQuarantined(entry.feature, now + options_.lifetime - age);
+    evidence_.onQuarantined(entry.feature, now + lifetime - age);
     removeQuarantinedSuspect(entry.feature);
   }
   // Both home nodes decide, a few milliseconds apart.
@@ -278,7 +349,7 @@
         verdicts_, [this](const auto& verdict) { return isHomeOf(verdict.first); });
     if (judges) {
       compareWithRows();
-    } else if (size() > 0) {
+    } else if (!empty()) {
       scheduleComparison();
     }
   });
@@ -297,7 +368,7 @@
 void RequestQuarantine::compareWithRows() {
   rows_.load([this](const StoredEvidence& stored) {
     mergeRows(stored);
-    if (size() > 0) scheduleComparison();
+    if (!empty()) scheduleComparison();
   });
 }
 
--- a/src/quarantine/request_quarantine.h
+++ b/src/quarantine/request_quarantine.h
@@ -32,7 +32,7 @@
 #include "quarantine/crash_evidence.h"
 #include "quarantine/quarantine_messages.h"
 #include "quarantine/quarantine_rows.h"
-#include "quarantine/served_requests.h"
+#include "quarantine/served_features.h"
 
 namespace covewing::quarantine {
 
@@ -44,6 +44,8 @@
   /// Time for which a quarantined request is refused. New weights or software may be able to run
   /// it, and a wrong verdict must not last; three crashes an hour are acceptable.
   base::Duration lifetime = std::chrono::hours(1);
+  /// The same for a part of prompts. A wrong verdict concerns many requests.
+  base::Duration partLifetime = std::chrono::minutes(10);
   /// Messages are sent again after each of these delays.
   base::Duration firstResendDelay = std::chrono::milliseconds(150);
   base::Duration secondResendDelay = std::chrono::milliseconds(600);
@@ -98,8 +100,8 @@
   void onReplicaCrash(base::EngineId replica, const std::vector<base::InterruptedRequest>& runs);
   /// A request of this node with these features completed.
   void onServed(const base::RequestFeatures& features);
-  /// Number of requests that are refused now.
-  std::size_t size() const;
+  /// Number of requests, or of parts of prompts, that are refused now.
+  std::size_t size(base::FeatureKind kind) const;
   /// The table service was restored from an older backup: if this node is a home node, it writes
   /// the rows that may be missing again.
   void onStoreReturned();
@@ -119,6 +121,11 @@
     base::TimePoint at{};
   };
 
+  bool empty() const;
+  base::Duration lifetimeOf(base::RequestFeature feature) const;
+  /// Records what was running; returns whether more counts against it than before and all nodes
+  /// should know.
+  bool recordCrash(const CrashReport& report, base::RequestFeature feature);
   /// Sends each home node the part of the report that concerns its requests.
   void sendReport(const CrashReport& report);
   /// Repeats the reports if the membership changed: the evidence of a home node that died is lost,
@@ -178,7 +185,7 @@
   RequestQuarantineOptions options_;
   RequestQuarantineEnvironment environment_;
   CrashEvidence evidence_;
-  ServedRequests served_;
+  ServedFeatures served_;
   QuarantineRows rows_;
   std::unordered_map<base::RequestFeature, Verdict> verdicts_;
   /// Expiry times of the suspects whose rows this node writes.
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -17,6 +17,27 @@
                                                        : assignment.tenant->name);
 }
 
+RelayRefusal refusalOfRequest(const quarantine::QuarantineStatus& status) {
+  constexpr auto kCode = base::ResultCode::kRequestQuarantined;
+  return {{kCode, std::to_string(status.crashes) + " replicas ended under runs of this request"},
+          base::describe(kCode).httpStatus,
+          status.remaining,
+          false};
+}
+
+/// `position` counts from 1; `part` is the identifier as in the log of dispatches.
+RelayRefusal refusalOfPart(const quarantine::QuarantineStatus& status, std::size_t position,
+                           std::uint64_t part) {
+  constexpr auto kCode = base::ResultCode::kPromptPartQuarantined;
+  const auto seconds = std::chrono::ceil<std::chrono::seconds>(status.remaining).count();
+  return {{kCode, std::to_string(status.crashes) + " replicas ended under runs with part " +
+                      std::to_string(position) + " of the prompt (" + std::to_string(part) +
+                      "); it is refused for " + std::to_string(seconds) + " s"},
+          base::describe(kCode).httpStatus,
+          status.remaining,
+          false};
+}
+
 }  // namespace
 
 RelayFlow::RelayFlow(RelayDependencies dependencies, const RelayOptions& options,
@@ -27,7 +48,7 @@
       incoming_(std::move(incoming)),
       assignment_(std::move(assignment)),
       fingerprint_(fingerprintOf(incoming_, assignment_)),
-      features_{base::featureOf(fingerprint_)},
+      features_(findFeatures()),
       writer_(std::move(writer)),
       hooks_(std::move(hooks)),
       allowance_(dependencies_.quotas, assignment_.demand) {}
@@ -164,14 +185,21 @@
 }
 
 std::optional<RelayRefusal> RelayFlow::quarantineRefusal() const {
-  const auto quarantined = dependencies_.quarantine.find(base::featureOf(fingerprint_));
-  if (!quarantined) return std::nullopt;
-  constexpr auto kCode = base::ResultCode::kRequestQuarantined;
-  return RelayRefusal{
-      {kCode, std::to_string(quarantined->crashes) + " replicas ended under runs of this request"},
-      base::describe(kCode).httpStatus,
-      quarantined->remaining,
-      false};
+  for (std::size_t index = 0; index < features_.size(); ++index) {
+    const auto quarantined = dependencies_.quarantine.find(features_[index]);
+    if (!quarantined) continue;
+    if (index == 0) return refusalOfRequest(*quarantined);
+    return refusalOfPart(*quarantined, index, incoming_.prompt->chain.parts()[index - 1].id);
+  }
+  return std::nullopt;
+}
+
+base::RequestFeatures RelayFlow::findFeatures() const {
+  base::RequestFeatures features{base::featureOf(fingerprint_)};
+  if (!incoming_.prompt) return features;
+  const auto parts = partFeaturesOf(incoming_.prompt->chain, assignment_.service->name);
+  features.insert(features.end(), parts.begin(), parts.end());
+  return features;
 }
 
 bool RelayFlow::verifyDispatchAllowed() {
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -286,8 +286,10 @@
   bool verifyDispatchAllowed();
   /// The refusal if the request may not be sent; empty if it may.
   std::optional<RelayRefusal> dispatchRefusal() const;
-  /// The refusal if the request is in quarantine; empty otherwise.
+  /// The refusal if the request or a part of its prompt is in quarantine; empty otherwise.
   std::optional<RelayRefusal> quarantineRefusal() const;
+  /// What the request has in common with others for its service.
+  base::RequestFeatures findFeatures() const;
   /// Queries the home nodes of the decision's candidates for a replica that accepts the request.
   void requestPlacement(const routing::ReplicaDecision& decision);
   void onPlaced(const Candidates& candidates, const routing::PlacementResult& result);
@@ -426,6 +428,8 @@
   bool unfitForContinuation() const;
   void deliver(std::string_view bytes);
   void recordReplicaAsHolder();
+  /// Notifies the quarantine that a replica ran the request to its end.
+  void reportServed(unsigned status);
   void finishComplete();
   void refuse(base::ResultCode code, std::string detail, base::Duration retryAfter);
   void refuse(const RelayRefusal& refusal);
@@ -438,7 +442,8 @@
   IncomingRequest incoming_;
   RelayAssignment assignment_;
   base::RequestFingerprint fingerprint_;
-  /// What the request may have in common with others that ran at a replica when it crashed.
+  /// What the request has in common with others: its fingerprint, and then the shared parts of its
+  /// prompt in their order.
   base::RequestFeatures features_;
   std::unique_ptr<ResponseWriter> writer_;
   Hooks hooks_;
--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -249,10 +249,19 @@
                 (body_.hasEvents() ? "" : " and without events"));
     return;
   }
-  if (response.status < kInternalError) dependencies_.quarantine.onServed(features_);
+  reportServed(response.status);
   finishComplete();
 }
 
+void RelayFlow::reportServed(unsigned status) {
+  if (successful(status)) {
+    dependencies_.quarantine.onServed(features_);
+  } else if (status < kInternalError) {
+    // A request may be turned down before its prompt is looked at.
+    dependencies_.quarantine.onServed({base::featureOf(fingerprint_)});
+  }
+}
+
 void RelayFlow::finishComplete() {
   if (!headDelivered_) {
     beginResponse(body_.hasEvents() ? std::nullopt
--- a/src/request/relay_flow_origin.cc
+++ b/src/request/relay_flow_origin.cc
@@ -61,6 +61,7 @@
   const auto* service = assignment_.table->findService(name);
   if (service == nullptr) return false;
   assignment_.service = service;
+  features_ = findFeatures();
   return true;
 }
 
--- a/src/request/request_fingerprint.cc
+++ b/src/request/request_fingerprint.cc
@@ -9,4 +9,14 @@
   return {base::mixHash(targetAndTenant, base::hashName(request.body))};
 }
 
+base::RequestFeatures partFeaturesOf(const prefix::PartChain& chain, std::string_view service) {
+  base::RequestFeatures features;
+  const auto serviceHash = base::hashName(service);
+  for (std::size_t part = 0; part < chain.sharedParts(); ++part) {
+    const auto value = base::mixHash(serviceHash, chain.parts()[part].id);
+    features.push_back({value, base::FeatureKind::kPromptPart});
+  }
+  return features;
+}
+
 }  // namespace covewing::request
--- a/tests/fuzz/quarantine_message_fuzz.cc
+++ b/tests/fuzz/quarantine_message_fuzz.cc
@@ -12,14 +12,16 @@
 void checkAgain(const quarantine::CrashReport& message) {
   const auto again = quarantine::decodeQuarantineMessage(quarantine::encode(message));
   const auto* ended = again ? std::get_if<quarantine::CrashReport>(&*again) : nullptr;
-  if (ended == nullptr || ended->runs != message.runs) __builtin_trap();
+  if (ended == nullptr || ended->runs != message.runs || ended->begun != message.begun)
+    __builtin_trap();
 }
 
 void checkAgain(const quarantine::RequestSuspected& message) {
   const auto again = quarantine::decodeQuarantineMessage(quarantine::encode(message));
   const auto* suspected = again ? std::get_if<quarantine::RequestSuspected>(&*again) : nullptr;
   if (suspected == nullptr || suspected->replicas != message.replicas ||
-      suspected->announcedAt != message.announcedAt)
+      suspected->announcedAt != message.announcedAt || suspected->ages != message.ages ||
+      suspected->begun != message.begun)
     __builtin_trap();
 }
 
--- a/tests/node/message_versions_test.cc
+++ b/tests/node/message_versions_test.cc
@@ -180,6 +180,14 @@
   addQuarantine(all, "RequestServed", quarantine::RequestServed{{1}});
   addQuarantine(all, "QuarantineEntry",
                 quarantine::QuarantineEntry{{1}, 3, milliseconds(9), false});
+  const base::RequestFeature part{4, base::FeatureKind::kPromptPart};
+  addQuarantine(all, "CrashReport with a part", quarantine::CrashReport{{1}, {{2}, part}, {part}});
+  addQuarantine(
+      all, "RequestSuspected of a part",
+      quarantine::RequestSuspected{part, {{2}}, milliseconds(500), {milliseconds(70)}, {{2}}});
+  addQuarantine(all, "RequestServed with a part", quarantine::RequestServed{part});
+  addQuarantine(all, "QuarantineEntry of a part",
+                quarantine::QuarantineEntry{part, 3, milliseconds(9), true});
   addMembership(all, "Ping", membership::Ping{1, {2}, {}});
   addMembership(all, "Ack", membership::Ack{1, {}});
   addMembership(all, "PingRequest", membership::PingRequest{1, {2}});
--- a/tests/quarantine/quarantine_messages_test.cc
+++ b/tests/quarantine/quarantine_messages_test.cc
@@ -2,6 +2,7 @@
 #include "quarantine/quarantine_messages.h"
 
 #include <boost/test/unit_test.hpp>
+#include <msgpack.hpp>
 
 namespace covewing::quarantine {
 
@@ -43,6 +44,54 @@
   BOOST_TEST(entry.version() > verdict);
 }
 
+BOOST_AUTO_TEST_CASE(MessagesAboutPartsSurviveEncoding) {
+  const base::RequestFeature part{9, base::FeatureKind::kPromptPart};
+  const auto report = std::get<CrashReport>(
+      *decodeQuarantineMessage(encode(CrashReport{{7}, {{1}, part}, {part}})));
+  BOOST_TEST((report.runs == base::RequestFeatures{{1}, part}));
+  BOOST_TEST((report.begun == base::RequestFeatures{part}));
+  const RequestSuspected sent{
+      part, {{5}, {6}}, std::chrono::seconds(9), {std::chrono::seconds(2), {}}, {{6}}};
+  const auto suspected = std::get<RequestSuspected>(*decodeQuarantineMessage(encode(sent)));
+  BOOST_TEST((suspected.feature == part));
+  BOOST_TEST((suspected.replicas == sent.replicas));
+  BOOST_TEST((suspected.ages == sent.ages));
+  BOOST_TEST((suspected.begun == sent.begun));
+  const auto served =
+      std::get<RequestServed>(*decodeQuarantineMessage(encode(RequestServed{part})));
+  BOOST_TEST((served.feature == part));
+  const QuarantineEntry entry{part, 3, std::chrono::milliseconds(1234), false};
+  const auto decoded = decodeQuarantineEntry(encode(entry));
+  BOOST_TEST((decoded->feature == part));
+  BOOST_TEST(decoded->crashes == 3U);
+  BOOST_TEST(decoded->version() == entry.version());
+  BOOST_TEST(keyOf(part) == "quarantine/part-0000000000000009");
+}
+
+// A build that knows requests only reads the first fields. Guards against it refusing requests, or
+// writing rows, because of a part of a prompt whose value it takes for a fingerprint.
+BOOST_AUTO_TEST_CASE(FirstFieldsOfMessagesAboutPartsSayNothing) {
+  const base::RequestFeature part{9, base::FeatureKind::kPromptPart};
+  // A field that such a build does not know, in place of those about parts.
+  const auto firstFields = [](std::string payload, std::size_t fields) {
+    const auto handle = msgpack::unpack(payload.data(), payload.size());
+    msgpack::sbuffer buffer;
+    msgpack::packer<msgpack::sbuffer> packer(buffer);
+    packer.pack_array(static_cast<std::uint32_t>(fields));
+    for (std::size_t field = 0; field < fields; ++field)
+      packer.pack(handle.get().via.array.ptr[field]);
+    return *decodeQuarantineMessage({buffer.data(), buffer.size()});
+  };
+  const auto report = firstFields(encode(CrashReport{{7}, {part}, {part}}), 3);
+  BOOST_TEST(std::get<CrashReport>(report).runs.empty());
+  const auto suspected =
+      firstFields(encode(RequestSuspected{part, {{5}, {6}}, std::chrono::seconds(9)}), 4);
+  BOOST_TEST(std::get<RequestSuspected>(suspected).replicas.empty());
+  const auto entry = firstFields(encode(QuarantineEntry{part, 3, std::chrono::hours(9), false}), 5);
+  BOOST_TEST(std::get<QuarantineEntry>(entry).lifted);
+  BOOST_TEST((std::get<QuarantineEntry>(entry).decidedAt == base::Duration::zero()));
+}
+
 BOOST_AUTO_TEST_CASE(MalformedBytesAreRejected) {
   for (const std::string bytes : {"", "x", "\x93\x01\x02", "\x93\x09\x01\x90", "\x91\x01"}) {
     BOOST_TEST(!decodeQuarantineMessage(bytes).has_value());
--- a/tests/quarantine/request_quarantine_test.cc
+++ b/tests/quarantine/request_quarantine_test.cc
@@ -23,6 +23,12 @@
 
 constexpr base::RequestFeature kCrashing{1};
 constexpr base::RequestFeature kPopular{2};
+constexpr base::RequestFeature kCrashingPart{3, base::FeatureKind::kPromptPart};
+constexpr base::RequestFeature kPopularPart{4, base::FeatureKind::kPromptPart};
+
+base::RequestFeature sessionPart(std::uint64_t value) {
+  return {value, base::FeatureKind::kPromptPart};
+}
 
 /// The members of a fleet; all nodes have the same view.
 struct MemberList {
@@ -97,6 +103,10 @@
   void crash(std::size_t node, const base::RequestFeatures& runs) {
     at(node).onReplicaCrash({++replicas}, {{runs, false}});
   }
+  /// The same under one request whose response had just begun, unless that is denied.
+  void crashBegun(std::size_t node, const base::RequestFeatures& features, bool begun = true) {
+    at(node).onReplicaCrash({++replicas}, {{features, begun}});
+  }
   std::size_t refusingNodes(base::RequestFeature request) {
     return static_cast<std::size_t>(std::ranges::count_if(
         nodes_, [&](const auto& node) { return node->quarantine.find(request).has_value(); }));
@@ -468,6 +478,117 @@
   BOOST_TEST(fleet.messages < 60'000U);
 }
 
+// No two requests are alike, and they come at different nodes. Each has the crashing part, one that
+// all nodes serve, and one of its own.
+BOOST_AUTO_TEST_CASE(PartOfDifferentRequestsIsRefusedAfterThreeCrashes) {
+  QuarantineFleet fleet(6);
+  for (std::size_t node = 0; node < 6; ++node) fleet.at(node).onServed({kPopularPart});
+  for (std::uint64_t count = 0; count < 3; ++count) {
+    BOOST_TEST(fleet.refusingNodes(kCrashingPart) == 0U);
+    fleet.crashBegun(count, {{100 + count}, kPopularPart, kCrashingPart, sessionPart(200 + count)});
+    fleet.time.advance(milliseconds(500));
+  }
+  BOOST_TEST(fleet.refusingNodes(kCrashingPart) == 6U);
+  BOOST_TEST(fleet.refusingNodes(kPopularPart) == 0U);
+  for (std::uint64_t count = 0; count < 3; ++count) {
+    BOOST_TEST(fleet.refusingNodes({100 + count}) == 0U);
+    BOOST_TEST(fleet.refusingNodes(sessionPart(200 + count)) == 0U);
+  }
+  BOOST_TEST((fleet.at(5).find(kCrashingPart)->remaining <= minutes(10)));
+  BOOST_TEST(fleet.at(5).size(base::FeatureKind::kPromptPart) == 1U);
+  BOOST_TEST(fleet.at(5).size(base::FeatureKind::kRequest) == 0U);
+  fleet.time.advance(seconds(2));
+  const auto rows = fleet.table.ownRows(std::string{kQuarantineKeyPrefix});
+  BOOST_REQUIRE(rows.size() == 1U);
+  BOOST_TEST(rows.front().key == "quarantine/part-0000000000000003");
+  fleet.time.advance(minutes(10));
+  BOOST_TEST(fleet.refusingNodes(kCrashingPart) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(PartIsFoundThoughAThirdOfTheMessagesIsLost) {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    QuarantineFleet fleet(7);
+    fleet.random = base::SeededRandom(seed);
+    fleet.loss = 0.33;
+    for (std::size_t count = 0; count < 3; ++count) {
+      fleet.crashBegun(count * 2, {{100 + count}, kCrashingPart});
+      fleet.time.advance(milliseconds(500));
+    }
+    fleet.time.advance(seconds(1));
+    BOOST_TEST(fleet.refusingNodes(kCrashingPart) == 7U);
+  }
+}
+
+// The times of the crashes and which runs had begun have to survive as well: otherwise all crashes
+// of a row would be taken as one wave.
+BOOST_AUTO_TEST_CASE(EvidenceAgainstAPartSurvivesASimultaneousRestartOfAllNodes) {
+  QuarantineFleet fleet(6);
+  for (std::uint64_t count = 0; count < 2; ++count) {
+    fleet.crashBegun(count, {{100 + count}, kCrashingPart});
+    fleet.time.advance(milliseconds(400));
+  }
+  BOOST_TEST(fleet.suspectRows() == 1U);
+  fleet.restartAll();
+  fleet.time.advance(milliseconds(200));
+  fleet.crashBegun(4, {{104}, kCrashingPart});
+  fleet.time.advance(milliseconds(500));
+  BOOST_TEST(fleet.refusingNodes(kCrashingPart) == 6U);
+}
+
+// The part is served by one node only, which is neither of its home nodes in most fleets.
+BOOST_AUTO_TEST_CASE(PartThatAnyNodeServesIsNotRefused) {
+  for (std::size_t server = 0; server < 6; ++server) {
+    QuarantineFleet fleet(6);
+    for (std::uint64_t count = 0; count < 12; ++count) {
+      if (count % 4 == 0) fleet.at(server).onServed({kPopularPart});
+      fleet.crashBegun(count % 6, {{100 + count}, kPopularPart});
+      fleet.time.advance(seconds(3));
+    }
+    BOOST_TEST(fleet.refusingNodes(kPopularPart) == 0U);
+    BOOST_TEST(fleet.suspectRows() == 0U);
+  }
+}
+
+// A part that all nodes serve is at hundreds of crashes: its home nodes know that it is sound, and
+// tell nobody.
+BOOST_AUTO_TEST_CASE(PopularPartsAtManyCrashesAreNotAnnounced) {
+  QuarantineFleet fleet(300);
+  for (std::size_t node = 0; node < 300; ++node) fleet.at(node).onServed({kPopularPart});
+  for (std::uint64_t count = 0; count < 200; ++count)
+    fleet.crashBegun(fleet.random.below(300), {kPopularPart});
+  fleet.time.advance(seconds(5));
+  BOOST_TEST(fleet.refusingNodes(kPopularPart) == 0U);
+  BOOST_TEST_MESSAGE(fleet.messages << " messages");
+  // Each report to two home nodes, three times.
+  BOOST_TEST(fleet.messages <= std::size_t{200} * 2 * 3);
+}
+
+BOOST_AUTO_TEST_CASE(VerdictOnAPartIsLiftedEverywhereWhenARunWithItCompletes) {
+  QuarantineFleet fleet(4);
+  for (std::uint64_t count = 0; count < 3; ++count) {
+    fleet.crashBegun(0, {{100 + count}, kCrashingPart});
+    fleet.time.advance(milliseconds(500));
+  }
+  BOOST_TEST(fleet.refusingNodes(kCrashingPart) == 4U);
+  fleet.at(2).onServed({{500}, kCrashingPart});
+  fleet.time.advance(seconds(1));
+  BOOST_TEST(fleet.refusingNodes(kCrashingPart) == 0U);
+  BOOST_TEST(fleet.rows() == 0U);
+}
+
+// Without a common verdict, one of two parts that always run together would be refused, and the
+// other one would go on to crash replicas in other prompts.
+BOOST_AUTO_TEST_CASE(PartsThatAlwaysRunTogetherAreRefusedTogether) {
+  QuarantineFleet fleet(6);
+  for (std::uint64_t count = 0; count < 5; ++count) {
+    BOOST_TEST(fleet.refusingNodes(kCrashingPart) == 0U);
+    fleet.crashBegun(count, {{100 + count}, sessionPart(7), kCrashingPart});
+    fleet.time.advance(milliseconds(500));
+  }
+  BOOST_TEST(fleet.refusingNodes(kCrashingPart) == 6U);
+  BOOST_TEST(fleet.refusingNodes(sessionPart(7)) == 6U);
+}
+
 BOOST_AUTO_TEST_CASE(MalformedMessageIsLoggedAndIgnored) {
   QuarantineFleet fleet(1);
   fleet.at(0).onPeerMessage({}, "nonsense");
--- a/tests/request/prompt_part_quarantine_test.cc
+++ b/tests/request/prompt_part_quarantine_test.cc
@@ -9,11 +9,27 @@
 
 namespace {
 
+struct PartFixture : RelayFixture {
+  PartFixture() { promptText = "aa:1000,bad:300,own:10"; }
+  static base::RequestFeature part(const std::string& id) {
+    return partFeaturesOf(*prefix::PartChain::parse(id + ":1,own:1"), "llm").front();
+  }
+  /// Reports, as other nodes would, that replicas ended just after they had begun responses under
+  /// different prompts with the part.
+  void crashReplicas(const std::string& id, std::size_t count) {
+    for (std::size_t crash = 0; crash < count; ++crash) {
+      ++replicasEnded;
+      quarantine.onReplicaCrash({replicasEnded}, {{{{5000 + replicasEnded}, part(id)}, true}});
+      time.advance(milliseconds(301));
+    }
+  }
+};
+
 std::string idOf(std::string_view part) { return std::to_string(prefix::partIdOf(part)); }
 
 }  // namespace
 
-BOOST_FIXTURE_TEST_SUITE(PromptPartQuarantineTest, RelayFixture)
+BOOST_FIXTURE_TEST_SUITE(PromptPartQuarantineTest, PartFixture)
 
 // Without the parts before the deepest shared one, the log does not show which part the interrupted
 // requests had in common.
@@ -40,6 +56,62 @@
   BOOST_TEST(loggedValues(base::Event::kRelayAttemptFailed, "begun_ms").back().empty());
 }
 
+// Guards against prompts with the part reaching further replicas, each of which would end.
+BOOST_AUTO_TEST_CASE(PromptWithAQuarantinedPartIsRefusedAsNotRunWhileOthersAreServed) {
+  crashReplicas("bad", 3);
+  const auto& refused = request("once");
+  BOOST_TEST(client.sent.empty());
+  BOOST_REQUIRE(refused.refusal.has_value());
+  BOOST_TEST(refused.refusal->status == 503U);
+  BOOST_TEST((refused.refusal->reason.code == base::ResultCode::kPromptPartQuarantined));
+  BOOST_TEST((refused.refusal->retryAfter > std::chrono::minutes(9)));
+  BOOST_TEST(refused.refusal->reason.detail.starts_with(
+      "3 replicas ended under runs with part 2 of the prompt (" + idOf("bad") + ")"));
+  promptText = "aa:1000,cc:300,own:10";
+  const auto& served = request("once");
+  client.last().respond(200, "data: x\n\n");
+  BOOST_TEST(served.ended);
+  // The last part belongs to the request itself.
+  promptText = "aa:1000,bad:10";
+  request("once");
+  BOOST_TEST(client.sent.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(InterruptionIsReportedWithThePartsAndWhetherTheResponseHadBegun) {
+  std::vector<routing::LostRequests> ended;
+  replicaCrashDetector.setListener(
+      [&](const routing::LostRequests& lost) { ended.push_back(lost); });
+  for (const bool late : {false, true}) {
+    request("once");
+    reachability.ended.insert(client.last().replica);
+    client.last().head(200);
+    time.advance(milliseconds(late ? 1001 : 400));
+    client.last().breakConnection();
+    time.advance(std::chrono::seconds(1));
+  }
+  BOOST_REQUIRE(ended.size() == 2U);
+  BOOST_TEST(ended[0].requests.front().begun);
+  BOOST_TEST(!ended[1].requests.front().begun);
+  BOOST_REQUIRE(ended[0].requests.front().features.size() == 3U);
+  BOOST_TEST((ended[0].requests.front().features[2] == part("bad")));
+}
+
+// A replica may turn a request down before it looks at the prompt.
+BOOST_AUTO_TEST_CASE(OnlyASuccessfulResponseClearsAPart) {
+  crashReplicas("bad", 2);
+  request("once");
+  client.last().respond(404, "no");
+  crashReplicas("bad", 1);
+  BOOST_TEST((request("once").refusal->reason.code == base::ResultCode::kPromptPartQuarantined));
+  crashReplicas("aa", 2);
+  promptText = "aa:1000,own:10";
+  request("once");
+  client.last().respond(200, "data: x\n\n");
+  crashReplicas("aa", 1);
+  request("once");
+  BOOST_TEST(client.last().open);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::request
--- a/tests/request/request_fingerprint_test.cc
+++ b/tests/request/request_fingerprint_test.cc
@@ -39,6 +39,18 @@
   BOOST_TEST(toString(base::RequestFingerprint{255}) == "00000000000000ff");
 }
 
+BOOST_AUTO_TEST_CASE(EachSharedPartIsAFeatureOfItsService) {
+  const auto chain = *prefix::PartChain::parse("aa:10,bb:20,own:5");
+  const auto features = partFeaturesOf(chain, "llm");
+  BOOST_REQUIRE(features.size() == 2U);
+  BOOST_TEST((features[0] != features[1]));
+  BOOST_TEST((features[0].kind == base::FeatureKind::kPromptPart));
+  BOOST_TEST((partFeaturesOf(chain, "other")[0] != features[0]));
+  const auto deeper = partFeaturesOf(*prefix::PartChain::parse("bb:20,aa:10,cc:1,own:5"), "llm");
+  BOOST_TEST((deeper[0] == features[1]));
+  BOOST_TEST((deeper[1] == features[0]));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::request
