Ask the quarantine again when a connection to a replica is ready

A request that waited for a new connection left after the verdict that was passed meanwhile, and reached one replica more. stillWanted() now asks the quarantine as well; a request that was stopped there is refused as not run, and its replica is not taken for unreachable.

RequestIsNotSentOnAConnectionThatIsReadyAfterTheVerdict fails without the change. Cases of queued, held, resumed and retried requests show that these were asked for behind their waits before.

--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -80,7 +80,9 @@
   attempt_->decision.replica->notices().endProbe(accepted);
 }
 
-bool RelayFlow::stillWanted() const { return writer_->callerConnected() && replicaAccepts(); }
+bool RelayFlow::stillWanted() const {
+  return writer_->callerConnected() && replicaAccepts() && !quarantineRefusal();
+}
 
 bool RelayFlow::replicaAccepts() const {
   const auto& record = *attempt_->decision.replica;
@@ -299,6 +301,8 @@
       onCallerDisconnected();
       return;
     }
+    // The verdict may have been passed while the connection was made.
+    if (quarantineRefusal() && !verifyDispatchAllowed()) return;
     // If the request was not sent because the replica is no longer eligible, this says nothing
     // about its health.
     const bool eligible = replicaAccepts();
--- a/tests/request/prompt_part_quarantine_test.cc
+++ b/tests/request/prompt_part_quarantine_test.cc
@@ -112,6 +112,56 @@
   BOOST_TEST(client.last().open);
 }
 
+// The connection to a replica takes a while. Guards against requests leaving after the verdict that
+// was passed in the meantime, and against the replica being blamed.
+BOOST_AUTO_TEST_CASE(RequestIsNotSentOnAConnectionThatIsReadyAfterTheVerdict) {
+  const auto& caller = request("once");
+  BOOST_TEST(client.last().handler->stillWanted());
+  crashReplicas("bad", 3);
+  BOOST_TEST(!client.last().handler->stillWanted());
+  client.last().refuseConnection();
+  BOOST_REQUIRE(caller.refusal.has_value());
+  BOOST_TEST((caller.refusal->reason.code == base::ResultCode::kPromptPartQuarantined));
+  BOOST_TEST(caller.refusal->status == 503U);
+  BOOST_TEST(client.sent.size() == 1U);
+  for (const auto& [instance, record] : replicas.all())
+    BOOST_TEST(record->acceptsRequests(time.now()));
+}
+
+BOOST_AUTO_TEST_CASE(HeldRequestIsRefusedOnceAPartIsQuarantined) {
+  for (const char* name : {"m1", "m2", "m3"}) replicas.onRemoved(name);
+  const auto& caller = request("once");
+  BOOST_TEST(caller.open());
+  crashReplicas("bad", 3);
+  time.advance(milliseconds(60));
+  BOOST_REQUIRE(caller.refusal.has_value());
+  BOOST_TEST((caller.refusal->reason.code == base::ResultCode::kPromptPartQuarantined));
+  BOOST_TEST(client.sent.empty());
+}
+
+// A stream that broke off is not continued at another replica; its caller has received a part of
+// it, so that the refusal cannot be told.
+BOOST_AUTO_TEST_CASE(StreamIsNotContinuedOnceAPartIsQuarantined) {
+  const auto& caller = request("resumable");
+  client.last().head(200);
+  client.last().handler->onBody("id: 1\ndata: x\n\n");
+  crashReplicas("bad", 3);
+  client.last().breakConnection();
+  BOOST_TEST(client.sent.size() == 1U);
+  BOOST_TEST(caller.aborted);
+}
+
+// A repeatable request whose first attempt failed may have run: the refusal must not deny that.
+BOOST_AUTO_TEST_CASE(RetriedRequestIsNotReportedAsNotRunOnceAPartIsQuarantined) {
+  crashReplicas("bad", 2);
+  const auto& caller = request("resumable");
+  crashReplicas("bad", 1);
+  client.last().breakConnection();
+  BOOST_TEST(client.sent.size() == 1U);
+  BOOST_REQUIRE(caller.refusal.has_value());
+  BOOST_TEST(caller.refusal->status == 502U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::request
--- a/tests/request/relay_queue_test.cc
+++ b/tests/request/relay_queue_test.cc
@@ -83,6 +83,22 @@
   BOOST_TEST(client.last().terms.expectedInstance == "m1");
 }
 
+// The verdict on a part of the prompt is passed while the request waits for its grant.
+BOOST_AUTO_TEST_CASE(GrantOfARequestThatWasQuarantinedMeanwhileIsNotUsed) {
+  fillReplicas();
+  auto& caller = request("once");
+  BOOST_TEST(waiting() == 1U);
+  const auto part = partFeaturesOf(*prefix::PartChain::parse(promptText), "llm").front();
+  for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+    quarantine.onReplicaCrash({crash}, {{{{5000 + crash}, part}, true}});
+    time.advance(milliseconds(301));
+  }
+  while (caller.open() && !names.empty()) endOne();
+  BOOST_TEST(client.sent.empty());
+  BOOST_REQUIRE(caller.refusal.has_value());
+  BOOST_TEST((caller.refusal->reason.code == base::ResultCode::kPromptPartQuarantined));
+}
+
 BOOST_AUTO_TEST_CASE(QueuedRequestIsRemovedWhenItsCallerDisconnects) {
   fillReplicas();
   request("once");
