--- a/src/bench/experiment.cc
+++ b/src/bench/experiment.cc
@@ -294,7 +294,7 @@
     fleet.nodes.push_back({"node-" + std::to_string(index), location(index)});
   }
   if (options_.policy == kOraclePolicy) {
-    fleet.node.makePolicy = [this](const routing::FleetView& view) {
+    fleet.node.makePolicy = [this](const engine_routing::FleetView& view) {
       return std::make_unique<OraclePolicy>(*oracle_, view);
     };
   } else {
--- a/src/bench/oracle_policy.cc
+++ b/src/bench/oracle_policy.cc
@@ -39,7 +39,7 @@
 }
 
 OracleKnowledge::Estimate OracleKnowledge::estimate(EngineEntry& entry,
-                                                    const routing::RouteQuery& query,
+                                                    const engine_routing::RouteQuery& query,
                                                     std::uint32_t storedBlocks) const {
   const emulator::EngineModel& model = *entry.engine.model;
   const clients::EngineLoad load = model.currentLoad();
@@ -87,15 +87,15 @@
   return estimate;
 }
 
-routing::RouteDecision OracleKnowledge::choose(const routing::FleetView& fleet,
-                                               const routing::RouteQuery& query) {
-  routing::RouteDecision decision;
+engine_routing::RouteDecision OracleKnowledge::choose(const engine_routing::FleetView& fleet,
+                                                      const engine_routing::RouteQuery& query) {
+  engine_routing::RouteDecision decision;
   const std::uint32_t storedBlocks = store_ == nullptr ? 0 : store_->leadingBlocks(*query.chain);
-  const routing::EngineState* best = nullptr;
+  const engine_routing::EngineState* best = nullptr;
   Estimate bestEstimate;
-  for (const routing::EngineState& engine : fleet.engines()) {
+  for (const engine_routing::EngineState& engine : fleet.engines()) {
     const auto entry = engines_.find(engine.address.id);
-    if (entry == engines_.end() || !routing::qualifies(engine, query)) continue;
+    if (entry == engines_.end() || !engine_routing::qualifies(engine, query)) continue;
     const emulator::EngineModel& model = *entry->second.engine.model;
     if (!model.isUp() || model.isPaused() || model.isLeaving()) continue;
     const Estimate candidate = estimate(entry->second, query, storedBlocks);
@@ -119,7 +119,7 @@
   return decision;
 }
 
-std::uint32_t OracleKnowledge::exportBlocks(const routing::RouteQuery& query,
+std::uint32_t OracleKnowledge::exportBlocks(const engine_routing::RouteQuery& query,
                                             std::uint32_t storedBlocks) {
   if (store_ == nullptr) return 0;
   std::uint32_t shared = 0;
--- a/src/bench/oracle_policy.h
+++ b/src/bench/oracle_policy.h
@@ -13,8 +13,8 @@
 #include "base/time.h"
 #include "emulator/engine_model.h"
 #include "emulator/kept_cache_store_model.h"
-#include "routing/fleet_view.h"
-#include "routing/routing_policy.h"
+#include "engine_routing/fleet_view.h"
+#include "engine_routing/routing_policy.h"
 #include "sim/scheduler.h"
 
 namespace covewing::bench {
@@ -41,7 +41,8 @@
                   emulator::KeptCacheStoreOptions storeOptions);
 
   /// Chooses the engine of minimum cost among those of `fleet` that qualify for the query.
-  routing::RouteDecision choose(const routing::FleetView& fleet, const routing::RouteQuery& query);
+  engine_routing::RouteDecision choose(const engine_routing::FleetView& fleet,
+                                       const engine_routing::RouteQuery& query);
   /// Must be called when an engine has accepted a request, as the request is then counted in the
   /// engine's own queue.
   void onAccepted(base::EngineId engine, const base::RequestId& request);
@@ -68,14 +69,14 @@
     std::uint64_t computedTokens = 0;
   };
 
-  Estimate estimate(EngineEntry& entry, const routing::RouteQuery& query,
+  Estimate estimate(EngineEntry& entry, const engine_routing::RouteQuery& query,
                     std::uint32_t storedBlocks) const;
   /// Time for the prefill of `tokens` tokens in steps that also decode `decoding` sequences.
   static base::Duration computeTime(const OracleEngine& engine, std::uint64_t tokens,
                                     std::uint32_t decoding);
   /// Counts the use of each block of the prompt. Returns the number of leading blocks to export to
   /// the store; 0 if there is no store or if it already has them.
-  std::uint32_t exportBlocks(const routing::RouteQuery& query, std::uint32_t storedBlocks);
+  std::uint32_t exportBlocks(const engine_routing::RouteQuery& query, std::uint32_t storedBlocks);
 
   OracleOptions options_;
   const sim::Scheduler& scheduler_;
@@ -86,22 +87,22 @@
   std::unordered_map<base::BlockHash, std::uint32_t> uses_;
 };
 
-class OraclePolicy final : public routing::RoutingPolicy {
+class OraclePolicy final : public engine_routing::RoutingPolicy {
  public:
-  OraclePolicy(OracleKnowledge& knowledge, const routing::FleetView& fleet)
+  OraclePolicy(OracleKnowledge& knowledge, const engine_routing::FleetView& fleet)
       : knowledge_(knowledge), fleet_(fleet) {}
   std::string_view name() const override { return "oracle"; }
-  void choose(routing::RouteQuery query, routing::RouteCallback callback) override {
+  void choose(engine_routing::RouteQuery query, engine_routing::RouteCallback callback) override {
     callback(knowledge_.choose(fleet_, query));
   }
-  void onDispatched(const routing::RouteQuery& /*query*/,
-                    const routing::RouteDecision& /*decision*/) override {}
+  void onDispatched(const engine_routing::RouteQuery& /*query*/,
+                    const engine_routing::RouteDecision& /*decision*/) override {}
   void onFinished(base::EngineId /*engine*/, std::uint32_t /*promptTokens*/,
                   std::uint32_t /*cachedTokens*/, base::Duration /*firstTokenAfter*/) override {}
 
  private:
   OracleKnowledge& knowledge_;
-  const routing::FleetView& fleet_;
+  const engine_routing::FleetView& fleet_;
 };
 
 }  // namespace covewing::bench
--- a/src/routing/cache_index_home.cc
+++ b/src/engine_routing/cache_index_home.cc
@@ -1,8 +1,8 @@
-#include "routing/cache_index_home.h"
+#include "engine_routing/cache_index_home.h"
 
 #include <algorithm>
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 namespace {
 
@@ -250,4 +250,4 @@
   return bytes;
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/cache_index_home.h
+++ b/src/engine_routing/cache_index_home.h
@@ -14,14 +14,14 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "clients/engine_client.h"
+#include "engine_routing/cache_messages.h"
+#include "engine_routing/engine_cache_index.h"
+#include "engine_routing/engine_directory.h"
+#include "engine_routing/memory_estimate.h"
+#include "engine_routing/queue_estimate.h"
 #include "prefix/block_table.h"
-#include "routing/cache_messages.h"
-#include "routing/engine_cache_index.h"
-#include "routing/engine_directory.h"
-#include "routing/memory_estimate.h"
-#include "routing/queue_estimate.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 struct CacheIndexHomeOptions {
   CacheIndexOptions index;
@@ -129,4 +129,4 @@
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
 };
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/cache_lookup.h
+++ b/src/engine_routing/cache_lookup.h
@@ -10,7 +10,7 @@
 #include "base/priority.h"
 #include "prefix/checkpoints.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 /// Cache and queue state of one engine with respect to one prompt.
 struct EngineLookupResult {
@@ -49,4 +49,4 @@
                         std::uint32_t uncachedTokens) = 0;
 };
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/cache_lookup_client.cc
+++ b/src/engine_routing/cache_lookup_client.cc
@@ -1,11 +1,11 @@
-#include "routing/cache_lookup_client.h"
+#include "engine_routing/cache_lookup_client.h"
 
 #include <algorithm>
 #include <string>
 #include <utility>
 #include <variant>
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 CacheLookupClient::CacheLookupClient(CacheLookupOptions options, CacheLookupEnvironment environment)
     : options_(options),
@@ -180,4 +180,4 @@
   pending.callback(std::move(pending.result));
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/cache_lookup_client.h
+++ b/src/engine_routing/cache_lookup_client.h
@@ -15,12 +15,12 @@
 #include "base/peer_transport.h"
 #include "base/random.h"
 #include "base/time.h"
+#include "engine_routing/cache_index_home.h"
+#include "engine_routing/cache_lookup.h"
+#include "engine_routing/engine_directory.h"
 #include "membership/member_directory.h"
-#include "routing/cache_index_home.h"
-#include "routing/cache_lookup.h"
-#include "routing/engine_directory.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 struct CacheLookupOptions {
   /// Serve all lookups from this node's own index and announce nothing to other nodes. Used for
@@ -103,4 +103,4 @@
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
 };
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/cache_messages.cc
+++ b/src/engine_routing/cache_messages.cc
@@ -1,8 +1,8 @@
-#include "routing/cache_messages.h"
+#include "engine_routing/cache_messages.h"
 
 #include "base/codec.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 namespace {
 
@@ -159,4 +159,4 @@
   return std::nullopt;
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/cache_messages.h
+++ b/src/engine_routing/cache_messages.h
@@ -16,7 +16,7 @@
 #include "base/priority.h"
 #include "prefix/checkpoints.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 /// Shortened engine id that is used on this channel.
 using ShortEngineId = std::uint32_t;
@@ -74,4 +74,4 @@
 /// Empty if `bytes` is not a valid encoding of any of these messages.
 std::optional<CacheMessage> decodeCacheMessage(std::string_view bytes);
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/candidates.cc
+++ b/src/engine_routing/candidates.cc
@@ -1,9 +1,9 @@
-#include "routing/candidates.h"
+#include "engine_routing/candidates.h"
 
 #include <algorithm>
 #include <iterator>
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 std::vector<const EngineState*> qualifyingEngines(const FleetView& fleet, const RouteQuery& query) {
   std::vector<const EngineState*> engines;
@@ -51,4 +51,4 @@
   return decision;
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/candidates.h
+++ b/src/engine_routing/candidates.h
@@ -7,10 +7,10 @@
 #include <vector>
 
 #include "base/random.h"
-#include "routing/fleet_view.h"
-#include "routing/routing_policy.h"
+#include "engine_routing/fleet_view.h"
+#include "engine_routing/routing_policy.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 /// Returns the engines that may serve the query, in ascending order of id. The pointers are valid
 /// until control returns to the event loop.
@@ -34,4 +34,4 @@
 /// Returns the decision for a query for which no engine qualifies.
 RouteDecision noEngine(const RouteQuery& query);
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/engine_cache_index.cc
+++ b/src/engine_routing/engine_cache_index.cc
@@ -1,8 +1,8 @@
-#include "routing/engine_cache_index.h"
+#include "engine_routing/engine_cache_index.h"
 
 #include <limits>
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 using prefix::fingerprintOf;
 
@@ -103,4 +103,4 @@
   }
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/engine_cache_index.h
+++ b/src/engine_routing/engine_cache_index.h
@@ -13,7 +13,7 @@
 #include "clients/engine_client.h"
 #include "prefix/block_table.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 struct CacheIndexOptions {
   /// Entries that became doubtful because of a gap are dropped after this long without a resync.
@@ -79,4 +79,4 @@
   Mark lastAnnouncement_ = 0;
 };
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/engine_directory.cc
+++ b/src/engine_routing/engine_directory.cc
@@ -1,9 +1,9 @@
-#include "routing/engine_directory.h"
+#include "engine_routing/engine_directory.h"
 
 #include <algorithm>
 #include <string>
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 namespace {
 
@@ -416,4 +416,4 @@
   return std::find(nodes.begin(), nodes.end(), environment_.members.self().id) != nodes.end();
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/engine_directory.h
+++ b/src/engine_routing/engine_directory.h
@@ -20,13 +20,13 @@
 #include "base/time.h"
 #include "clients/engine_client.h"
 #include "clients/machine_list_client.h"
+#include "engine_routing/engine_homes.h"
+#include "engine_routing/engine_record.h"
+#include "engine_routing/fleet_view.h"
+#include "engine_routing/machine_list_watch.h"
 #include "membership/member_directory.h"
-#include "routing/engine_homes.h"
-#include "routing/engine_record.h"
-#include "routing/fleet_view.h"
-#include "routing/machine_list_watch.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 /// Which engines a node polls. Only baseline policies that need the state of every engine use
 /// kAllEngines.
@@ -192,4 +192,4 @@
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
 };
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/engine_homes.cc
+++ b/src/engine_routing/engine_homes.cc
@@ -1,8 +1,8 @@
-#include "routing/engine_homes.h"
+#include "engine_routing/engine_homes.h"
 
 #include <algorithm>
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 namespace {
 
@@ -75,4 +75,4 @@
   return homes;
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/engine_homes.h
+++ b/src/engine_routing/engine_homes.h
@@ -11,7 +11,7 @@
 #include "base/ids.h"
 #include "membership/member_directory.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 inline constexpr std::size_t kHomesPerEngine = 2;
 /// With at least this many live nodes, an engine has a single home. If that home fails, the index
@@ -32,4 +32,4 @@
                                   const std::vector<membership::Member>& live,
                                   std::size_t count = kHomesPerEngine);
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/engine_ranking.cc
+++ b/src/engine_routing/engine_ranking.cc
@@ -1,13 +1,13 @@
-#include "routing/engine_ranking.h"
+#include "engine_routing/engine_ranking.h"
 
 #include <algorithm>
 #include <optional>
 #include <vector>
 
+#include "engine_routing/candidates.h"
 #include "prefix/prompt.h"
-#include "routing/candidates.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 namespace {
 
@@ -121,4 +121,4 @@
   return decision;
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/engine_ranking.h
+++ b/src/engine_routing/engine_ranking.h
@@ -6,12 +6,12 @@
 #include <string_view>
 
 #include "base/random.h"
-#include "routing/cache_lookup.h"
-#include "routing/fleet_view.h"
-#include "routing/policy_factory.h"
-#include "routing/routing_policy.h"
+#include "engine_routing/cache_lookup.h"
+#include "engine_routing/fleet_view.h"
+#include "engine_routing/policy_factory.h"
+#include "engine_routing/routing_policy.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 /// Location of the deciding node, and the wait that it expects at the external KV cache store.
 struct NodeContext {
@@ -28,4 +28,4 @@
                               const LookupResult& result, const PolicyTuning& tuning,
                               const NodeContext& context, base::RandomSource& random);
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/engine_record.cc
+++ b/src/engine_routing/engine_record.cc
@@ -1,10 +1,10 @@
-#include "routing/engine_record.h"
+#include "engine_routing/engine_record.h"
 
 #include <algorithm>
 
 #include "base/codec.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 namespace {
 constexpr std::uint64_t kEngineRecordType = 1;
@@ -81,4 +81,4 @@
   return std::max(first, knownVersion + 1);
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/engine_record.h
+++ b/src/engine_routing/engine_record.h
@@ -13,7 +13,7 @@
 #include "clients/back_end.h"
 #include "clients/engine_client.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 /// Key prefix of engine records, followed by the engine's name in the machine list.
 inline constexpr std::string_view kEngineRecordPrefix = "engine/";
@@ -39,4 +39,4 @@
 /// part, followed by a counter that continues from the known record.
 std::uint64_t nextRecordVersion(base::Incarnation incarnation, std::uint64_t knownVersion);
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/fleet_view.cc
+++ b/src/engine_routing/fleet_view.cc
@@ -1,8 +1,8 @@
-#include "routing/fleet_view.h"
+#include "engine_routing/fleet_view.h"
 
 #include <algorithm>
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 bool EngineState::serves(std::string_view model, std::string_view adapter,
                          base::WeightsVersion version) const {
@@ -14,4 +14,4 @@
   });
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/fleet_view.h
+++ b/src/engine_routing/fleet_view.h
@@ -14,7 +14,7 @@
 #include "clients/back_end.h"
 #include "clients/engine_client.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 /// A load report and the time of its receipt on this node's clock. Requests dispatched since then
 /// are counted by the engine's home (routing/queue_estimate.h).
@@ -57,4 +57,4 @@
   virtual base::WeightsVersion defaultVersion(std::string_view model) const = 0;
 };
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/full_index_policy.cc
+++ b/src/engine_routing/full_index_policy.cc
@@ -1,11 +1,11 @@
-#include "routing/full_index_policy.h"
+#include "engine_routing/full_index_policy.h"
 
+#include "engine_routing/candidates.h"
+#include "engine_routing/engine_ranking.h"
+#include "engine_routing/load_baseline.h"
 #include "prefix/checkpoints.h"
-#include "routing/candidates.h"
-#include "routing/engine_ranking.h"
-#include "routing/load_baseline.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 void FullIndexPolicy::choose(RouteQuery query, RouteCallback callback) {
   const auto engines = qualifyingEngines(environment_.fleet, query);
@@ -34,4 +34,4 @@
                                 decision.uncachedTokens);
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/full_index_policy.h
+++ b/src/engine_routing/full_index_policy.h
@@ -6,10 +6,10 @@
 
 #include <memory>
 
-#include "routing/import_queue.h"
-#include "routing/policy_factory.h"
+#include "engine_routing/import_queue.h"
+#include "engine_routing/policy_factory.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 class FullIndexPolicy final : public RoutingPolicy {
  public:
@@ -28,4 +28,4 @@
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
 };
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/import_queue.cc
+++ b/src/engine_routing/import_queue.cc
@@ -1,8 +1,8 @@
-#include "routing/import_queue.h"
+#include "engine_routing/import_queue.h"
 
 #include <algorithm>
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 void ImportQueue::onImport(std::uint32_t tokens, std::size_t nodes, base::TimePoint now) {
   const double seconds =
@@ -16,4 +16,4 @@
   return std::max(busyUntil_ - now, base::Duration::zero());
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/import_queue.h
+++ b/src/engine_routing/import_queue.h
@@ -9,7 +9,7 @@
 
 #include "base/time.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 class ImportQueue {
  public:
@@ -27,4 +27,4 @@
   base::TimePoint busyUntil_{};
 };
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/least_loaded_policy.cc
+++ b/src/engine_routing/least_loaded_policy.cc
@@ -1,9 +1,9 @@
-#include "routing/least_loaded_policy.h"
+#include "engine_routing/least_loaded_policy.h"
 
-#include "routing/candidates.h"
-#include "routing/load_baseline.h"
+#include "engine_routing/candidates.h"
+#include "engine_routing/load_baseline.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 void LeastLoadedPolicy::choose(RouteQuery query, RouteCallback callback) {
   const auto engines = qualifyingEngines(environment_.fleet, query);
@@ -23,4 +23,4 @@
   announceWholePrompt(environment_.lookup, query, decision);
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/least_loaded_policy.h
+++ b/src/engine_routing/least_loaded_policy.h
@@ -5,9 +5,9 @@
 
 #include <memory>
 
-#include "routing/policy_factory.h"
+#include "engine_routing/policy_factory.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 class LeastLoadedPolicy final : public RoutingPolicy {
  public:
@@ -24,4 +24,4 @@
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
 };
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/load_baseline.cc
+++ b/src/engine_routing/load_baseline.cc
@@ -1,10 +1,10 @@
-#include "routing/load_baseline.h"
+#include "engine_routing/load_baseline.h"
 
 #include <utility>
 
-#include "routing/candidates.h"
+#include "engine_routing/candidates.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 RouteDecision chooseFewestRequests(const FleetView& fleet, const RouteQuery& query,
                                    const LookupResult& result, base::RandomSource& random) {
@@ -41,4 +41,4 @@
   lookup->announce(decision.lookupId, *decision.engine, query.priority, query.promptTokens);
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/load_baseline.h
+++ b/src/engine_routing/load_baseline.h
@@ -6,10 +6,10 @@
 #include <vector>
 
 #include "base/random.h"
-#include "routing/cache_lookup.h"
-#include "routing/routing_policy.h"
+#include "engine_routing/cache_lookup.h"
+#include "engine_routing/routing_policy.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 /// Returns a decision for the engine of `result` with the fewest requests; on a tie, the fewest
 /// tokens ahead; if that is equal as well, one is drawn at random. Engines that no longer qualify
@@ -23,4 +23,4 @@
 void announceWholePrompt(CacheLookup* lookup, const RouteQuery& query,
                          const RouteDecision& decision);
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/machine_list_watch.cc
+++ b/src/engine_routing/machine_list_watch.cc
@@ -1,4 +1,4 @@
-#include "routing/machine_list_watch.h"
+#include "engine_routing/machine_list_watch.h"
 
 #include <algorithm>
 #include <set>
@@ -6,7 +6,7 @@
 
 #include "base/codec.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 namespace {
 
@@ -168,4 +168,4 @@
   }
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/machine_list_watch.h
+++ b/src/engine_routing/machine_list_watch.h
@@ -25,7 +25,7 @@
 #include "clients/machine_list_client.h"
 #include "membership/member_directory.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 /// Key prefix of the records that report changes of the machine list, followed by the machine's
 /// name.
@@ -115,4 +115,4 @@
 /// record's key contains it.
 std::optional<MachineRecord> decodeMachineRecord(std::string_view bytes);
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/memory_estimate.cc
+++ b/src/engine_routing/memory_estimate.cc
@@ -1,9 +1,9 @@
-#include "routing/memory_estimate.h"
+#include "engine_routing/memory_estimate.h"
 
 #include <algorithm>
 #include <map>
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 namespace {
 /// Memory of a response of typical length, 256 tokens, in blocks.
@@ -47,4 +47,4 @@
   return held <= capacity_ ? 0 : static_cast<std::uint32_t>(held - capacity_);
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/memory_estimate.h
+++ b/src/engine_routing/memory_estimate.h
@@ -11,7 +11,7 @@
 
 #include "prefix/checkpoints.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 /// The properties of a prompt that determine its memory use.
 struct PromptFootprint {
@@ -43,4 +43,4 @@
   std::deque<PromptFootprint> active_;
 };
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/policy_factory.cc
+++ b/src/engine_routing/policy_factory.cc
@@ -1,18 +1,18 @@
-#include "routing/policy_factory.h"
+#include "engine_routing/policy_factory.h"
 
 #include <array>
 #include <string>
 
-#include "routing/full_index_policy.h"
-#include "routing/least_loaded_policy.h"
-#include "routing/power_of_two_policy.h"
-#include "routing/prefix_affinity_policy.h"
-#include "routing/prefix_hash_policy.h"
-#include "routing/probe_pool_policy.h"
-#include "routing/random_policy.h"
-#include "routing/round_robin_policy.h"
+#include "engine_routing/full_index_policy.h"
+#include "engine_routing/least_loaded_policy.h"
+#include "engine_routing/power_of_two_policy.h"
+#include "engine_routing/prefix_affinity_policy.h"
+#include "engine_routing/prefix_hash_policy.h"
+#include "engine_routing/probe_pool_policy.h"
+#include "engine_routing/random_policy.h"
+#include "engine_routing/round_robin_policy.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 namespace {
 
@@ -76,4 +76,4 @@
   return names;
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/policy_factory.h
+++ b/src/engine_routing/policy_factory.h
@@ -11,14 +11,14 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "clients/engine_client.h"
+#include "engine_routing/cache_lookup.h"
+#include "engine_routing/engine_directory.h"
+#include "engine_routing/fleet_view.h"
+#include "engine_routing/routing_policy.h"
+#include "engine_routing/service_model.h"
 #include "membership/member_directory.h"
-#include "routing/cache_lookup.h"
-#include "routing/engine_directory.h"
-#include "routing/fleet_view.h"
-#include "routing/routing_policy.h"
-#include "routing/service_model.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 /// Name of the shipped policy in the settings.
 inline constexpr std::string_view kDefaultPolicy = "default";
@@ -75,4 +75,4 @@
 /// Returns the names of all policies, "default" first.
 std::vector<std::string_view> policyNames();
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/power_of_two_policy.cc
+++ b/src/engine_routing/power_of_two_policy.cc
@@ -1,9 +1,9 @@
-#include "routing/power_of_two_policy.h"
+#include "engine_routing/power_of_two_policy.h"
 
-#include "routing/candidates.h"
-#include "routing/load_baseline.h"
+#include "engine_routing/candidates.h"
+#include "engine_routing/load_baseline.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 void PowerOfTwoPolicy::choose(RouteQuery query, RouteCallback callback) {
   auto engines = qualifyingEngines(environment_.fleet, query);
@@ -29,4 +29,4 @@
   announceWholePrompt(environment_.lookup, query, decision);
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/power_of_two_policy.h
+++ b/src/engine_routing/power_of_two_policy.h
@@ -4,9 +4,9 @@
 
 #include <memory>
 
-#include "routing/policy_factory.h"
+#include "engine_routing/policy_factory.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 class PowerOfTwoPolicy final : public RoutingPolicy {
  public:
@@ -22,4 +22,4 @@
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
 };
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/prefix_affinity_policy.cc
+++ b/src/engine_routing/prefix_affinity_policy.cc
@@ -1,15 +1,15 @@
-#include "routing/prefix_affinity_policy.h"
+#include "engine_routing/prefix_affinity_policy.h"
 
 #include <algorithm>
 #include <cmath>
 #include <string>
 #include <utility>
 
+#include "engine_routing/candidates.h"
+#include "engine_routing/engine_ranking.h"
 #include "prefix/checkpoints.h"
-#include "routing/candidates.h"
-#include "routing/engine_ranking.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 namespace {
 
@@ -96,4 +96,4 @@
                                       std::uint32_t /*cachedTokens*/,
                                       base::Duration /*timeToFirstToken*/) {}
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/prefix_affinity_policy.h
+++ b/src/engine_routing/prefix_affinity_policy.h
@@ -8,11 +8,11 @@
 #include <memory>
 #include <vector>
 
-#include "routing/import_queue.h"
-#include "routing/policy_factory.h"
-#include "routing/prefix_demand.h"
+#include "engine_routing/import_queue.h"
+#include "engine_routing/policy_factory.h"
+#include "engine_routing/prefix_demand.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 class PrefixAffinityPolicy final : public RoutingPolicy {
  public:
@@ -35,4 +35,4 @@
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
 };
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/prefix_demand.cc
+++ b/src/engine_routing/prefix_demand.cc
@@ -1,8 +1,8 @@
-#include "routing/prefix_demand.h"
+#include "engine_routing/prefix_demand.h"
 
 #include <cmath>
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 namespace {
 /// Roots with less remaining work than this, in tokens, are evicted first.
@@ -52,4 +52,4 @@
   entries_.erase(lowest);
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/prefix_demand.h
+++ b/src/engine_routing/prefix_demand.h
@@ -9,7 +9,7 @@
 
 #include "base/time.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 struct PrefixDemandOptions {
   /// Time constant of the measured rate.
@@ -50,4 +50,4 @@
   std::map<RootKey, Entry> entries_;
 };
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/prefix_hash_policy.cc
+++ b/src/engine_routing/prefix_hash_policy.cc
@@ -1,8 +1,8 @@
-#include "routing/prefix_hash_policy.h"
+#include "engine_routing/prefix_hash_policy.h"
 
-#include "routing/candidates.h"
+#include "engine_routing/candidates.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 namespace {
 /// Index of the block whose hash identifies the prefix: the first 32 blocks (512 tokens) are enough
@@ -18,4 +18,4 @@
   callback(decideFor(*engines.front()));
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/prefix_hash_policy.h
+++ b/src/engine_routing/prefix_hash_policy.h
@@ -3,9 +3,9 @@
 /// Keeps no state, so a restarted router sends a prefix to the engine that has it cached.
 #pragma once
 
-#include "routing/policy_factory.h"
+#include "engine_routing/policy_factory.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 class PrefixHashPolicy final : public RoutingPolicy {
  public:
@@ -20,4 +20,4 @@
   PolicyEnvironment environment_;
 };
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/probe_pool_policy.cc
+++ b/src/engine_routing/probe_pool_policy.cc
@@ -1,4 +1,4 @@
-#include "routing/probe_pool_policy.h"
+#include "engine_routing/probe_pool_policy.h"
 
 #include <algorithm>
 #include <numeric>
@@ -6,9 +6,9 @@
 #include <tuple>
 #include <utility>
 
-#include "routing/candidates.h"
+#include "engine_routing/candidates.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 ProbePoolPolicy::ProbePoolPolicy(PolicyEnvironment environment)
     : environment_(std::move(environment)) {}
@@ -95,4 +95,4 @@
   return best;
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/probe_pool_policy.h
+++ b/src/engine_routing/probe_pool_policy.h
@@ -11,9 +11,9 @@
 #include <memory>
 #include <vector>
 
-#include "routing/policy_factory.h"
+#include "engine_routing/policy_factory.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 struct ProbePoolOptions {
   /// Number of probes sent for each request.
@@ -63,4 +63,4 @@
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
 };
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/queue_estimate.cc
+++ b/src/engine_routing/queue_estimate.cc
@@ -1,9 +1,9 @@
-#include "routing/queue_estimate.h"
+#include "engine_routing/queue_estimate.h"
 
 #include <algorithm>
 #include <numeric>
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 void QueueEstimate::compute(WorkByPriority& work, base::Duration span) const {
   double remaining = options_.prefillTokensPerSecond * base::toSeconds(span);
@@ -67,4 +67,4 @@
   return load_.running + waiting + static_cast<std::uint32_t>(dispatches_.size());
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/queue_estimate.h
+++ b/src/engine_routing/queue_estimate.h
@@ -14,7 +14,7 @@
 #include "base/time.h"
 #include "clients/engine_client.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 struct QueueEstimateOptions {
   /// Prompt tokens that an engine computes per second.
@@ -68,4 +68,4 @@
   std::deque<Dispatch> dispatches_;
 };
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/random_policy.cc
+++ b/src/engine_routing/random_policy.cc
@@ -1,8 +1,8 @@
-#include "routing/random_policy.h"
+#include "engine_routing/random_policy.h"
 
-#include "routing/candidates.h"
+#include "engine_routing/candidates.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 void RandomPolicy::choose(RouteQuery query, RouteCallback callback) {
   const auto engines = qualifyingEngines(environment_.fleet, query);
@@ -10,4 +10,4 @@
   callback(decideFor(*engines[environment_.random.below(engines.size())]));
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/random_policy.h
+++ b/src/engine_routing/random_policy.h
@@ -2,9 +2,9 @@
 /// Baseline policy: chooses any qualifying engine with equal probability.
 #pragma once
 
-#include "routing/policy_factory.h"
+#include "engine_routing/policy_factory.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 class RandomPolicy final : public RoutingPolicy {
  public:
@@ -19,4 +19,4 @@
   PolicyEnvironment environment_;
 };
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/round_robin_policy.cc
+++ b/src/engine_routing/round_robin_policy.cc
@@ -1,8 +1,8 @@
-#include "routing/round_robin_policy.h"
+#include "engine_routing/round_robin_policy.h"
 
-#include "routing/candidates.h"
+#include "engine_routing/candidates.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 void RoundRobinPolicy::choose(RouteQuery query, RouteCallback callback) {
   const auto engines = qualifyingEngines(environment_.fleet, query);
@@ -10,4 +10,4 @@
   callback(decideFor(*engines[nextIndex_++ % engines.size()]));
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/round_robin_policy.h
+++ b/src/engine_routing/round_robin_policy.h
@@ -2,9 +2,9 @@
 /// Baseline policy: chooses the qualifying engines in rotation.
 #pragma once
 
-#include "routing/policy_factory.h"
+#include "engine_routing/policy_factory.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 class RoundRobinPolicy final : public RoutingPolicy {
  public:
@@ -20,4 +20,4 @@
   std::uint64_t nextIndex_ = 0;
 };
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/routing_policy.cc
+++ b/src/engine_routing/routing_policy.cc
@@ -1,8 +1,8 @@
-#include "routing/routing_policy.h"
+#include "engine_routing/routing_policy.h"
 
 #include <algorithm>
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 bool qualifies(const EngineState& engine, const RouteQuery& query) {
   if (engine.role != clients::EngineRole::kServing) return false;
@@ -13,4 +13,4 @@
          query.excluded.end();
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/routing_policy.h
+++ b/src/engine_routing/routing_policy.h
@@ -14,10 +14,10 @@
 #include "base/result_code.h"
 #include "base/time.h"
 #include "clients/engine_client.h"
+#include "engine_routing/fleet_view.h"
 #include "prefix/block_chain.h"
-#include "routing/fleet_view.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 /// The properties of a request that a policy may use.
 struct RouteQuery {
@@ -82,4 +82,4 @@
 /// is not leaving and is not excluded.
 bool qualifies(const EngineState& engine, const RouteQuery& query);
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/routing_service.cc
+++ b/src/engine_routing/routing_service.cc
@@ -1,8 +1,8 @@
-#include "routing/routing_service.h"
+#include "engine_routing/routing_service.h"
 
 #include <utility>
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 namespace {
 
@@ -48,4 +48,4 @@
   home_.start();
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/routing_service.h
+++ b/src/engine_routing/routing_service.h
@@ -9,13 +9,13 @@
 #include <string_view>
 
 #include "base/peer_transport.h"
-#include "routing/cache_index_home.h"
-#include "routing/cache_lookup_client.h"
-#include "routing/engine_directory.h"
-#include "routing/policy_factory.h"
-#include "routing/staged_lookup.h"
+#include "engine_routing/cache_index_home.h"
+#include "engine_routing/cache_lookup_client.h"
+#include "engine_routing/engine_directory.h"
+#include "engine_routing/policy_factory.h"
+#include "engine_routing/staged_lookup.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 /// Creates a policy that is not available through the policy factory, for example one that is used
 /// only in experiments.
@@ -66,4 +66,4 @@
   std::unique_ptr<RoutingPolicy> policy_;
 };
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/service_model.cc
+++ b/src/engine_routing/service_model.cc
@@ -1,8 +1,8 @@
-#include "routing/service_model.h"
+#include "engine_routing/service_model.h"
 
 #include <algorithm>
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 namespace {
 
@@ -43,4 +43,4 @@
   return estimate;
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/service_model.h
+++ b/src/engine_routing/service_model.h
@@ -7,7 +7,7 @@
 
 #include "base/time.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 /// Assumed speeds of engines and store.
 struct ServiceModel {
@@ -59,4 +59,4 @@
 
 ServiceEstimate estimateService(const ServiceModel& model, const ServiceInput& input);
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/staged_lookup.cc
+++ b/src/engine_routing/staged_lookup.cc
@@ -1,8 +1,8 @@
-#include "routing/staged_lookup.h"
+#include "engine_routing/staged_lookup.h"
 
 #include <utility>
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 void StagedLookup::lookup(base::PriorityClass priority, const std::vector<base::EngineId>& engines,
                           const prefix::Checkpoints& checkpoints, LookupCallback callback) {
@@ -47,4 +47,4 @@
          best.tokensAhead <= options_.conclusiveTokensAhead;
 }
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/routing/staged_lookup.h
+++ b/src/engine_routing/staged_lookup.h
@@ -12,11 +12,11 @@
 #include <memory>
 #include <vector>
 
+#include "engine_routing/cache_lookup.h"
+#include "engine_routing/fleet_view.h"
 #include "membership/member_directory.h"
-#include "routing/cache_lookup.h"
-#include "routing/fleet_view.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 struct StagedLookupOptions {
   /// Fleets with fewer live nodes query all candidates at once.
@@ -53,4 +53,4 @@
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
 };
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/src/node/explain_json.cc
+++ b/src/node/explain_json.cc
@@ -45,7 +45,7 @@
           {"detail", reason.detail}};
 }
 
-Json candidateJson(const routing::RouteCandidate& candidate) {
+Json candidateJson(const engine_routing::RouteCandidate& candidate) {
   return {{"engine", candidate.name},
           {"matched_blocks", candidate.matchedBlocks},
           {"doubtful", candidate.doubtful},
@@ -61,7 +61,7 @@
                {"import_blocks", decision.importBlocks},
                {"expected_first_token_ms", base::toMilliseconds(decision.expectedTimeToFirstToken)},
                {"candidates", Json::array()}};
-  for (const routing::RouteCandidate& candidate : decision.candidates) {
+  for (const engine_routing::RouteCandidate& candidate : decision.candidates) {
     json["candidates"].push_back(candidateJson(candidate));
   }
   if (decision.reason.code != base::ResultCode::kOk) json["reason"] = reasonJson(decision.reason);
--- a/src/node/fleet_catalogue.cc
+++ b/src/node/fleet_catalogue.cc
@@ -5,7 +5,7 @@
 std::vector<coordination::CatalogueEngine> FleetCatalogue::engines() const {
   std::vector<coordination::CatalogueEngine> result;
   result.reserve(fleet_.engines().size());
-  for (const routing::EngineState& engine : fleet_.engines()) {
+  for (const engine_routing::EngineState& engine : fleet_.engines()) {
     result.push_back({.address = engine.address,
                       .zone = engine.zone,
                       .region = engine.region,
--- a/src/node/fleet_catalogue.h
+++ b/src/node/fleet_catalogue.h
@@ -3,17 +3,17 @@
 #pragma once
 
 #include "coordination/engine_catalogue.h"
-#include "routing/fleet_view.h"
+#include "engine_routing/fleet_view.h"
 
 namespace covewing::node {
 
 class FleetCatalogue final : public coordination::EngineCatalogue {
  public:
-  explicit FleetCatalogue(const routing::FleetView& fleet) : fleet_(fleet) {}
+  explicit FleetCatalogue(const engine_routing::FleetView& fleet) : fleet_(fleet) {}
   std::vector<coordination::CatalogueEngine> engines() const override;
 
  private:
-  const routing::FleetView& fleet_;
+  const engine_routing::FleetView& fleet_;
 };
 
 }  // namespace covewing::node
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -8,6 +8,7 @@
 #include "config/configuration_store.h"
 #include "config/template_editor.h"
 #include "coordination/coordinator.h"
+#include "engine_routing/routing_service.h"
 #include "membership/gossip_membership.h"
 #include "node/explain_log.h"
 #include "node/fleet_catalogue.h"
@@ -17,7 +18,6 @@
 #include "request/claim_expiry.h"
 #include "request/claim_store.h"
 #include "request/request_manager.h"
-#include "routing/routing_service.h"
 
 namespace covewing::node {
 
@@ -38,13 +38,14 @@
   return result;
 }
 
-routing::RoutingOptions routingOptionsOf(const NodeOptions& options) {
-  routing::RoutingOptions result;
+engine_routing::RoutingOptions routingOptionsOf(const NodeOptions& options) {
+  engine_routing::RoutingOptions result;
   result.policy = options.routingPolicy;
   if (options.makePolicy != nullptr) {
-    result.makePolicy = [make = options.makePolicy](const routing::PolicyEnvironment& environment) {
-      return make(environment.fleet);
-    };
+    result.makePolicy =
+        [make = options.makePolicy](const engine_routing::PolicyEnvironment& environment) {
+          return make(environment.fleet);
+        };
   }
   return result;
 }
@@ -66,7 +67,7 @@
 /// count as a failure: taking an overloaded engine out of use would move its load to the others.
 class DispatchFeedback final : public request::BackEndObserver {
  public:
-  explicit DispatchFeedback(routing::EngineDirectory& directory) : directory_(directory) {}
+  explicit DispatchFeedback(engine_routing::EngineDirectory& directory) : directory_(directory) {}
 
   void onDispatchFailed(base::EngineId backEnd, const clients::DispatchError& error) override {
     switch (error.reason.code) {
@@ -83,7 +84,7 @@
   }
 
  private:
-  routing::EngineDirectory& directory_;
+  engine_routing::EngineDirectory& directory_;
 };
 
 class NodeImpl final : public Node {
@@ -100,7 +101,7 @@
 
   const config::ConfigurationView& configuration() const override { return store_; }
   const membership::MemberDirectory& members() const override { return members_; }
-  const routing::FleetView& fleet() const override { return routing_.fleet(); }
+  const engine_routing::FleetView& fleet() const override { return routing_.fleet(); }
   CoordinationStatus coordination() const override {
     return {coordinator_.leaseStatus(), coordinator_.openOrders()};
   }
@@ -122,7 +123,7 @@
   config::ConfigurationStore store_;
   config::ConfigurationDistributor distributor_;
   config::TemplateEditor editor_;
-  routing::RoutingService routing_;
+  engine_routing::RoutingService routing_;
   std::unique_ptr<admission::AdmissionService> admission_;
   request::ClaimStore claims_;
   request::ClaimExpiry claimExpiry_;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -22,11 +22,11 @@
 #include "clients/table_client.h"
 #include "config/configuration_view.h"
 #include "coordination/lease_manager.h"
+#include "engine_routing/fleet_view.h"
+#include "engine_routing/routing_policy.h"
 #include "membership/member_directory.h"
 #include "node/operator_api.h"
 #include "request/caller_request.h"
-#include "routing/fleet_view.h"
-#include "routing/routing_policy.h"
 
 namespace covewing::node {
 
@@ -44,7 +44,8 @@
   std::string routingPolicy = "default";
   /// If set, creates the routing policy, and `routingPolicy` is ignored. For experiments with
   /// policies that are not shipped.
-  std::function<std::unique_ptr<routing::RoutingPolicy>(const routing::FleetView&)> makePolicy;
+  std::function<std::unique_ptr<engine_routing::RoutingPolicy>(const engine_routing::FleetView&)>
+      makePolicy;
   /// Maximum number of weight loads in progress at once in the region, the limit of the weight
   /// store.
   std::uint32_t loadSlots = 2;
@@ -95,7 +96,7 @@
 
   virtual const config::ConfigurationView& configuration() const = 0;
   virtual const membership::MemberDirectory& members() const = 0;
-  virtual const routing::FleetView& fleet() const = 0;
+  virtual const engine_routing::FleetView& fleet() const = 0;
   virtual CoordinationStatus coordination() const = 0;
 };
 
--- a/src/node/operator_service.h
+++ b/src/node/operator_service.h
@@ -10,11 +10,11 @@
 #include "config/configuration_store.h"
 #include "config/template_editor.h"
 #include "coordination/coordinator.h"
+#include "engine_routing/fleet_view.h"
 #include "membership/member_directory.h"
 #include "node/explain_log.h"
 #include "node/operator_api.h"
 #include "node/operator_service_status.h"
-#include "routing/fleet_view.h"
 
 namespace covewing::node {
 
@@ -27,7 +27,7 @@
   coordination::Coordinator& coordinator;
   const coordination::EngineCatalogue& catalogue;
   const membership::MemberDirectory& members;
-  const routing::FleetView& fleet;
+  const engine_routing::FleetView& fleet;
   const ExplainLog& explainLog;
   std::function<NodeActivity()> activity;
 };
--- a/src/node/operator_service_status.cc
+++ b/src/node/operator_service_status.cc
@@ -3,9 +3,9 @@
 #include <algorithm>
 
 #include "coordination/order.h"
+#include "engine_routing/engine_homes.h"
 #include "node/explain_json.h"
 #include "node/operator_service_response.h"
-#include "routing/engine_homes.h"
 
 namespace covewing::node {
 
@@ -13,7 +13,7 @@
 
 using Json = nlohmann::json;
 
-std::string_view stateOf(const routing::EngineState& engine) {
+std::string_view stateOf(const engine_routing::EngineState& engine) {
   if (engine.leaving) return "leaving";
   return engine.unreachable ? "unreachable" : "up";
 }
@@ -32,7 +32,7 @@
   return "left";
 }
 
-Json weightsOf(const routing::EngineState& engine) {
+Json weightsOf(const engine_routing::EngineState& engine) {
   Json list = Json::array();
   for (const clients::LoadedWeights& weights : engine.weights) {
     list.push_back(
@@ -41,7 +41,7 @@
   return list;
 }
 
-Json loadOf(const routing::ReceivedLoad& received, base::TimePoint now) {
+Json loadOf(const engine_routing::ReceivedLoad& received, base::TimePoint now) {
   std::uint32_t waiting = 0;
   for (const std::uint32_t count : received.load.waiting) waiting += count;
   return {{"running", received.load.running},
@@ -51,10 +51,11 @@
           {"age_ms", base::toMilliseconds(now - received.receivedAt)}};
 }
 
-Json homesOf(const routing::EngineState& engine, const membership::MemberDirectory& members) {
+Json homesOf(const engine_routing::EngineState& engine,
+             const membership::MemberDirectory& members) {
   Json names = Json::array();
   for (const base::NodeId id :
-       routing::homesOf(engine.address.id, engine.zone, members.liveMembers())) {
+       engine_routing::homesOf(engine.address.id, engine.zone, members.liveMembers())) {
     const membership::Member* member = members.find(id);
     if (member != nullptr) names.push_back(member->name);
   }
@@ -84,13 +85,13 @@
 }  // namespace
 
 OperatorResponse StatusCalls::fleet() const {
-  std::vector<const routing::EngineState*> sorted;
+  std::vector<const engine_routing::EngineState*> sorted;
   sorted.reserve(fleet_.engines().size());
-  for (const routing::EngineState& engine : fleet_.engines()) sorted.push_back(&engine);
+  for (const engine_routing::EngineState& engine : fleet_.engines()) sorted.push_back(&engine);
   std::ranges::sort(sorted, {}, [](const auto* engine) { return engine->address.name; });
   Json engines = Json::array();
-  for (const routing::EngineState* entry : sorted) {
-    const routing::EngineState& engine = *entry;
+  for (const engine_routing::EngineState* entry : sorted) {
+    const engine_routing::EngineState& engine = *entry;
     Json json = {{"name", engine.address.name},
                  {"endpoint", base::toString(engine.address.endpoint)},
                  {"zone", engine.zone},
--- a/src/node/operator_service_status.h
+++ b/src/node/operator_service_status.h
@@ -8,10 +8,10 @@
 #include "base/time.h"
 #include "config/configuration_store.h"
 #include "coordination/coordinator.h"
+#include "engine_routing/fleet_view.h"
 #include "membership/member_directory.h"
 #include "node/explain_log.h"
 #include "node/operator_api.h"
-#include "routing/fleet_view.h"
 
 namespace covewing::node {
 
@@ -26,7 +26,7 @@
 class StatusCalls {
  public:
   StatusCalls(const base::Clock& clock, const config::ConfigurationStore& configuration,
-              const membership::MemberDirectory& members, const routing::FleetView& fleet,
+              const membership::MemberDirectory& members, const engine_routing::FleetView& fleet,
               const coordination::Coordinator& coordinator, const ExplainLog& explainLog,
               std::function<NodeActivity()> activity)
       : clock_(clock),
@@ -45,7 +45,7 @@
   const base::Clock& clock_;
   const config::ConfigurationStore& configuration_;
   const membership::MemberDirectory& members_;
-  const routing::FleetView& fleet_;
+  const engine_routing::FleetView& fleet_;
   const coordination::Coordinator& coordinator_;
   const ExplainLog& explainLog_;
   std::function<NodeActivity()> activity_;
--- a/src/request/completion_flow.cc
+++ b/src/request/completion_flow.cc
@@ -101,8 +101,8 @@
   route();
 }
 
-routing::RouteQuery CompletionFlow::routeQuery() const {
-  routing::RouteQuery query;
+engine_routing::RouteQuery CompletionFlow::routeQuery() const {
+  engine_routing::RouteQuery query;
   query.requestId = id();
   query.identity = plan_.identity;
   query.chain = chain_;
@@ -114,24 +114,24 @@
 }
 
 void CompletionFlow::route() {
-  routing::RouteQuery query = routeQuery();
-  const routing::RouteQuery queryCopy = query;
+  engine_routing::RouteQuery query = routeQuery();
+  const engine_routing::RouteQuery queryCopy = query;
   dependencies().policy.choose(
-      std::move(query),
-      whileOpen<routing::RouteDecision>([this, queryCopy](const routing::RouteDecision& decision) {
-        onRouted(queryCopy, decision);
-      }));
+      std::move(query), whileOpen<engine_routing::RouteDecision>(
+                            [this, queryCopy](const engine_routing::RouteDecision& decision) {
+                              onRouted(queryCopy, decision);
+                            }));
 }
 
-void CompletionFlow::onRouted(const routing::RouteQuery& query,
-                              const routing::RouteDecision& decision) {
+void CompletionFlow::onRouted(const engine_routing::RouteQuery& query,
+                              const engine_routing::RouteDecision& decision) {
   traceDecision(decision);
   if (!decision.engine.has_value()) {
     onNoEngine(decision.reason);
     return;
   }
   dependencies().admission.onExpectedFirstToken(plan_.priority, decision.expectedTimeToFirstToken);
-  const routing::EngineState* engine = dependencies().fleet.find(*decision.engine);
+  const engine_routing::EngineState* engine = dependencies().fleet.find(*decision.engine);
   if (engine == nullptr) {
     onNoEngine({ResultCode::kNoBackEnd, "the engine chosen is gone"});
     return;
@@ -157,9 +157,9 @@
   });
 }
 
-void CompletionFlow::dispatch(const routing::RouteQuery& query,
-                              const routing::RouteDecision& decision,
-                              const routing::EngineState& engine) {
+void CompletionFlow::dispatch(const engine_routing::RouteQuery& query,
+                              const engine_routing::RouteDecision& decision,
+                              const engine_routing::EngineState& engine) {
   const clients::BackEndAddress address = engine.address;
   AttemptTrace& attemptTrace = traceAttempt(address.id, address.name);
   attemptTrace.firstPosition = positions_.next();
@@ -172,7 +172,8 @@
   if (paused_) setPaused(true);
 }
 
-clients::EngineRequest CompletionFlow::engineRequest(const routing::RouteDecision& decision) const {
+clients::EngineRequest CompletionFlow::engineRequest(
+    const engine_routing::RouteDecision& decision) const {
   clients::EngineRequest request;
   request.requestId = id();
   request.attempt = attemptNumber();
@@ -285,7 +286,7 @@
 }
 
 bool CompletionFlow::engineLost() const {
-  const routing::EngineState* engine = dependencies().fleet.find(attempt_->engine);
+  const engine_routing::EngineState* engine = dependencies().fleet.find(attempt_->engine);
   if (engine == nullptr || engine->unreachable) return true;
   const bool restarted = attempt_->incarnation != 0 && engine->incarnation > attempt_->incarnation;
   return restarted || !dependencies().zones.reachable(engine->zone);
@@ -312,7 +313,7 @@
   restartReceiveTimeout();
 }
 
-void CompletionFlow::traceDecision(const routing::RouteDecision& decision) {
+void CompletionFlow::traceDecision(const engine_routing::RouteDecision& decision) {
   if (trace().decisions.size() >= kMaximumTracedDecisions) return;
   RoutingTrace routed;
   routed.decidedAfter = elapsed();
@@ -325,7 +326,7 @@
                            decision.candidates.begin() + static_cast<std::ptrdiff_t>(kept));
   routed.reason = decision.reason;
   if (decision.engine.has_value()) {
-    const routing::EngineState* engine = dependencies().fleet.find(*decision.engine);
+    const engine_routing::EngineState* engine = dependencies().fleet.find(*decision.engine);
     if (engine != nullptr) routed.chosen = engine->address.name;
   }
   trace().decisions.push_back(std::move(routed));
--- a/src/request/completion_flow.h
+++ b/src/request/completion_flow.h
@@ -42,13 +42,15 @@
 
   void applyPlan(CompletionPlan plan);
   void route();
-  routing::RouteQuery routeQuery() const;
-  void onRouted(const routing::RouteQuery& query, const routing::RouteDecision& decision);
+  engine_routing::RouteQuery routeQuery() const;
+  void onRouted(const engine_routing::RouteQuery& query,
+                const engine_routing::RouteDecision& decision);
   void onNoEngine(const base::Reason& reason);
-  void dispatch(const routing::RouteQuery& query, const routing::RouteDecision& decision,
-                const routing::EngineState& engine);
-  clients::EngineRequest engineRequest(const routing::RouteDecision& decision) const;
-  void traceDecision(const routing::RouteDecision& decision);
+  void dispatch(const engine_routing::RouteQuery& query,
+                const engine_routing::RouteDecision& decision,
+                const engine_routing::EngineState& engine);
+  clients::EngineRequest engineRequest(const engine_routing::RouteDecision& decision) const;
+  void traceDecision(const engine_routing::RouteDecision& decision);
 
   void onAccepted();
   void onChunk(const clients::StreamChunk& chunk);
--- a/src/request/request_flow.h
+++ b/src/request/request_flow.h
@@ -30,6 +30,7 @@
 #include "base/time.h"
 #include "clients/application_client.h"
 #include "clients/engine_client.h"
+#include "engine_routing/routing_policy.h"
 #include "request/back_end_observer.h"
 #include "request/caller_request.h"
 #include "request/claim_store.h"
@@ -37,7 +38,6 @@
 #include "request/one_shot_timer.h"
 #include "request/request_trace.h"
 #include "request/tenant_check.h"
-#include "routing/routing_policy.h"
 
 namespace covewing::request {
 
@@ -70,9 +70,9 @@
   base::RandomSource& random;
   base::EventLog& log;
   const config::ConfigurationView& configuration;
-  const routing::FleetView& fleet;
+  const engine_routing::FleetView& fleet;
   const ZoneReachability& zones;
-  routing::RoutingPolicy& policy;
+  engine_routing::RoutingPolicy& policy;
   admission::AdmissionController& admission;
   clients::EngineClient& engines;
   clients::ApplicationClient& applications;
--- a/src/request/request_trace.h
+++ b/src/request/request_trace.h
@@ -13,8 +13,8 @@
 #include "base/result_code.h"
 #include "base/time.h"
 #include "clients/back_end.h"
+#include "engine_routing/routing_policy.h"
 #include "request/caller_request.h"
-#include "routing/routing_policy.h"
 
 namespace covewing::request {
 
@@ -46,7 +46,7 @@
   std::uint32_t importBlocks = 0;
   base::Duration expectedTimeToFirstToken{};
   /// The best candidates, at most RequestTrace::kMaximumCandidates.
-  std::vector<routing::RouteCandidate> candidates;
+  std::vector<engine_routing::RouteCandidate> candidates;
   base::Reason reason;
 };
 
--- a/src/request/tenant_check.h
+++ b/src/request/tenant_check.h
@@ -9,16 +9,16 @@
 #include "base/result_code.h"
 #include "clients/engine_client.h"
 #include "config/configuration_view.h"
+#include "engine_routing/fleet_view.h"
 #include "request/caller_request.h"
 #include "request/zone_reachability.h"
-#include "routing/fleet_view.h"
 
 namespace covewing::request {
 
 /// Data of the node that the checks use.
 struct TenantCheckSources {
   const config::ConfigurationView& configuration;
-  const routing::FleetView& fleet;
+  const engine_routing::FleetView& fleet;
   const ZoneReachability& zones;
 };
 
--- a/src/tools/covewing_bench_simulated.cc
+++ b/src/tools/covewing_bench_simulated.cc
@@ -18,8 +18,8 @@
 #include "bench/scenario.h"
 #include "bench/working_set.h"
 #include "bench/workload.h"
+#include "engine_routing/policy_factory.h"
 #include "prefix/prompt.h"
-#include "routing/policy_factory.h"
 #include "tools/covewing_bench.h"
 
 namespace covewing::tools {
@@ -47,7 +47,7 @@
 };
 
 std::vector<std::string_view> policyNames() {
-  std::vector<std::string_view> names = routing::policyNames();
+  std::vector<std::string_view> names = engine_routing::policyNames();
   names.push_back(bench::kOraclePolicy);
   return names;
 }
@@ -103,7 +103,7 @@
 /// Parses the arguments of a run. Prints an error message and returns nullopt if they are invalid.
 std::optional<RunArguments> parseRun(int argc, char** argv) {
   RunArguments arguments;
-  arguments.experiment.policy = routing::kDefaultPolicy;
+  arguments.experiment.policy = engine_routing::kDefaultPolicy;
   for (int choice = 0; (choice = getopt_long(argc, argv, "", kRunOptions.data(), nullptr)) != -1;) {
     if (!applyOption(choice, arguments)) return std::nullopt;
   }
--- a/tests/routing/cache_messages_test.cc
+++ b/tests/engine_routing/cache_messages_test.cc
@@ -1,11 +1,11 @@
-#include "routing/cache_messages.h"
+#include "engine_routing/cache_messages.h"
 
 #include <rapidcheck/boost_test.h>
 
 #include <boost/test/unit_test.hpp>
 #include <string>
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 namespace {
 
@@ -102,4 +102,4 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/tests/routing/engine_cache_index_test.cc
+++ b/tests/engine_routing/engine_cache_index_test.cc
@@ -1,10 +1,10 @@
-#include "routing/engine_cache_index.h"
+#include "engine_routing/engine_cache_index.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include "base/ids.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 namespace {
 
@@ -103,4 +103,4 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/tests/routing/engine_directory_test.cc
+++ b/tests/engine_routing/engine_directory_test.cc
@@ -1,29 +1,29 @@
-#include "routing/engine_directory.h"
+#include "engine_routing/engine_directory.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include "base/random.h"
+#include "engine_routing/policy_factory.h"
+#include "engine_routing/routing_policy.h"
 #include "routing/fakes.h"
-#include "routing/policy_factory.h"
-#include "routing/routing_policy.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 namespace {
 
 using namespace std::chrono_literals;
-using testing::makeEngineMachine;
-using testing::makeMember;
-using testing::makeReport;
+using routing::testing::makeEngineMachine;
+using routing::testing::makeMember;
+using routing::testing::makeReport;
 
 struct DirectoryFixture {
-  testing::ManualTime time;
+  routing::testing::ManualTime time;
   base::SeededRandom random{7};
   base::NullEventLog log;
-  testing::FakeMachineList machines{time};
-  testing::FakeEngines engines{time};
-  testing::FakeMembers members{{makeMember("node-a", "north")}};
-  testing::FakeRecords records;
+  routing::testing::FakeMachineList machines{time};
+  routing::testing::FakeEngines engines{time};
+  routing::testing::FakeMembers members{{makeMember("node-a", "north")}};
+  routing::testing::FakeRecords records;
   EngineDirectory directory{{}, {time, time, random, log, machines, engines, members, records}};
 
   void addEngine(const std::string& name, const std::string& zone, base::WeightsVersion version) {
@@ -251,4 +251,4 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/tests/routing/engine_homes_test.cc
+++ b/tests/engine_routing/engine_homes_test.cc
@@ -1,4 +1,4 @@
-#include "routing/engine_homes.h"
+#include "engine_routing/engine_homes.h"
 
 #include <rapidcheck/boost_test.h>
 
@@ -7,15 +7,15 @@
 
 #include "routing/fakes.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 namespace {
 
 std::vector<membership::Member> makeMembers(std::size_t count, std::size_t zones) {
   std::vector<membership::Member> members;
   for (std::size_t index = 0; index < count; ++index) {
-    members.push_back(testing::makeMember("node-" + std::to_string(index),
-                                          "zone-" + std::to_string(index % zones)));
+    members.push_back(routing::testing::makeMember("node-" + std::to_string(index),
+                                                   "zone-" + std::to_string(index % zones)));
   }
   std::sort(members.begin(), members.end(),
             [](const auto& left, const auto& right) { return left.id < right.id; });
@@ -72,4 +72,4 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/tests/routing/machine_list_watch_test.cc
+++ b/tests/engine_routing/machine_list_watch_test.cc
@@ -1,34 +1,34 @@
-#include "routing/machine_list_watch.h"
+#include "engine_routing/machine_list_watch.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include "routing/fakes.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 namespace {
 
 using namespace std::chrono_literals;
-using testing::makeEngineMachine;
-using testing::makeMember;
+using routing::testing::makeEngineMachine;
+using routing::testing::makeMember;
 
 class CountingMachineList final : public clients::MachineListClient {
  public:
-  explicit CountingMachineList(testing::ManualTime& time) : list(time) {}
+  explicit CountingMachineList(routing::testing::ManualTime& time) : list(time) {}
   void fetch(clients::MachineListCallback callback) override {
     ++fetches;
     list.fetch(std::move(callback));
   }
-  testing::FakeMachineList list;
+  routing::testing::FakeMachineList list;
   std::size_t fetches = 0;
 };
 
 struct WatchFixture : MachineObserver {
-  testing::ManualTime time;
+  routing::testing::ManualTime time;
   base::SeededRandom random{3};
   CountingMachineList machines{time};
-  testing::FakeMembers members{{makeMember("node-a", "north")}};
-  testing::FakeRecords records;
+  routing::testing::FakeMembers members{{makeMember("node-a", "north")}};
+  routing::testing::FakeRecords records;
   MachineListWatch watch{{}, {time, time, random, machines, members, records}, *this};
   std::map<std::string, clients::Machine> observed;
 
@@ -132,4 +132,4 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/tests/routing/routing_service_test.cc
+++ b/tests/engine_routing/routing_service_test.cc
@@ -1,4 +1,4 @@
-#include "routing/routing_service.h"
+#include "engine_routing/routing_service.h"
 
 #include <boost/test/unit_test.hpp>
 #include <memory>
@@ -6,20 +6,20 @@
 
 #include "routing/fakes.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 namespace {
 
 using namespace std::chrono_literals;
 using clients::CacheEventKind;
-using testing::makeEngineMachine;
-using testing::makeMember;
-using testing::makeReport;
+using routing::testing::makeEngineMachine;
+using routing::testing::makeMember;
+using routing::testing::makeReport;
 
 /// Delivers messages between the nodes of a test after one millisecond.
 class FakeTransport final : public base::PeerTransport {
  public:
-  FakeTransport(testing::ManualTime& time, membership::Member self,
+  FakeTransport(routing::testing::ManualTime& time, membership::Member self,
                 std::map<base::Endpoint, base::PeerHandler*>& handlers)
       : time_(time), self_(std::move(self)), handlers_(handlers) {}
   void send(const base::Endpoint& destination, base::Channel /*channel*/,
@@ -34,7 +34,7 @@
   bool cut = false;
 
  private:
-  testing::ManualTime& time_;
+  routing::testing::ManualTime& time_;
   membership::Member self_;
   std::map<base::Endpoint, base::PeerHandler*>& handlers_;
 };
@@ -78,10 +78,10 @@
       return all;
     }
 
-    testing::FakeMembers members;
+    routing::testing::FakeMembers members;
     base::SeededRandom random;
     FakeTransport transport;
-    testing::FakeRecords records;
+    routing::testing::FakeRecords records;
     std::unique_ptr<RoutingService> service;
   };
 
@@ -119,10 +119,10 @@
   }
 
   std::string policy;
-  testing::ManualTime time;
+  routing::testing::ManualTime time;
   base::NullEventLog log;
-  testing::FakeMachineList machines{time};
-  testing::FakeEngines engines{time};
+  routing::testing::FakeMachineList machines{time};
+  routing::testing::FakeEngines engines{time};
   std::vector<membership::Member> members{makeMember("node-a", "zone-0"),
                                           makeMember("node-b", "zone-1"),
                                           makeMember("node-c", "zone-2")};
@@ -261,4 +261,4 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/tests/routing/service_model_test.cc
+++ b/tests/engine_routing/service_model_test.cc
@@ -1,13 +1,13 @@
-#include "routing/service_model.h"
+#include "engine_routing/service_model.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include "routing/import_queue.h"
-#include "routing/memory_estimate.h"
-#include "routing/prefix_demand.h"
-#include "routing/queue_estimate.h"
+#include "engine_routing/import_queue.h"
+#include "engine_routing/memory_estimate.h"
+#include "engine_routing/prefix_demand.h"
+#include "engine_routing/queue_estimate.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 namespace {
 
@@ -149,4 +149,4 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/tests/routing/staged_lookup_test.cc
+++ b/tests/engine_routing/staged_lookup_test.cc
@@ -1,10 +1,10 @@
-#include "routing/staged_lookup.h"
+#include "engine_routing/staged_lookup.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include "routing/fakes.h"
 
-namespace covewing::routing {
+namespace covewing::engine_routing {
 
 namespace {
 
@@ -59,14 +59,14 @@
 std::vector<membership::Member> membersOf(std::size_t count) {
   std::vector<membership::Member> members;
   for (std::size_t index = 0; index < count; ++index) {
-    members.push_back(testing::makeMember("node-" + std::to_string(index), "north"));
+    members.push_back(routing::testing::makeMember("node-" + std::to_string(index), "north"));
     members.back().region = "east";
   }
   return members;
 }
 
 struct StagedLookupFixture {
-  testing::FakeMembers members{membersOf(32)};
+  routing::testing::FakeMembers members{membersOf(32)};
   FakeFleet fleet;
   FakeLookup lookup;
   StagedLookup staged{{}, members, fleet, lookup};
@@ -135,4 +135,4 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-}  // namespace covewing::routing
+}  // namespace covewing::engine_routing
--- a/tests/live/fake_node.h
+++ b/tests/live/fake_node.h
@@ -77,7 +77,7 @@
   void drain(base::Duration /*bound*/, std::function<void()> drained) override { drained(); }
   const config::ConfigurationView& configuration() const override { return configuration_; }
   const membership::MemberDirectory& members() const override { std::abort(); }
-  const routing::FleetView& fleet() const override { std::abort(); }
+  const engine_routing::FleetView& fleet() const override { std::abort(); }
   node::CoordinationStatus coordination() const override { return {}; }
   void call(node::OperatorRequest request,
             std::function<void(node::OperatorResponse)> callback) override {
--- a/tests/node/operator_service_test.cc
+++ b/tests/node/operator_service_test.cc
@@ -44,10 +44,10 @@
   std::vector<membership::Member> members;
 };
 
-struct FixedFleet final : routing::FleetView {
+struct FixedFleet final : engine_routing::FleetView {
   FixedFleet() {
     for (const char* name : {"prices-1", "prices-2"}) {
-      routing::EngineState engine;
+      engine_routing::EngineState engine;
       engine.address = {base::engineIdOf(name), name, {}};
       engine.zone = "brno-1";
       engine.region = "brno-south";
@@ -55,13 +55,13 @@
       list.push_back(engine);
     }
   }
-  const std::vector<routing::EngineState>& engines() const override { return list; }
-  const routing::EngineState* find(base::EngineId) const override { return nullptr; }
+  const std::vector<engine_routing::EngineState>& engines() const override { return list; }
+  const engine_routing::EngineState* find(base::EngineId) const override { return nullptr; }
   std::vector<clients::BackEndAddress> applicationReplicas(std::string_view) const override {
     return {};
   }
   base::WeightsVersion defaultVersion(std::string_view) const override { return 3; }
-  std::vector<routing::EngineState> list;
+  std::vector<engine_routing::EngineState> list;
 };
 
 // Engines that never respond.
--- a/tests/request/completion_flow_test.cc
+++ b/tests/request/completion_flow_test.cc
@@ -271,7 +271,7 @@
 
 BOOST_AUTO_TEST_CASE(NoEngineWaitsNoLongerThanTheHoldTime) {
   configuration.tenant->holdTime = milliseconds(100);
-  for (routing::EngineState& state : fleet.states) state.unreachable = true;
+  for (engine_routing::EngineState& state : fleet.states) state.unreachable = true;
   const auto active = complete();
   time.advance(milliseconds(60));
   BOOST_TEST(!sink.final());
@@ -284,12 +284,12 @@
 BOOST_AUTO_TEST_CASE(VersionThatBecomesKnownDuringTheWaitIsUsed) {
   configuration.tenant->holdTime = seconds(1);
   fleet.newest = 0;
-  for (routing::EngineState& state : fleet.states) state.unreachable = true;
+  for (engine_routing::EngineState& state : fleet.states) state.unreachable = true;
   const auto active = complete();
   time.advance(milliseconds(60));
   BOOST_TEST(engines.streams.empty());
   fleet.newest = 7;
-  for (routing::EngineState& state : fleet.states) state.unreachable = false;
+  for (engine_routing::EngineState& state : fleet.states) state.unreachable = false;
   time.advance(milliseconds(60));
   BOOST_REQUIRE(engines.streams.size() == 1U);
   BOOST_TEST(engines.streams.front()->request.identity.weightsVersion == 7U);
--- a/tests/request/fakes.h
+++ b/tests/request/fakes.h
@@ -20,11 +20,11 @@
 #include "clients/engine_client.h"
 #include "clients/table_client.h"
 #include "config/configuration_view.h"
+#include "engine_routing/fleet_view.h"
+#include "engine_routing/routing_policy.h"
 #include "membership/member_directory.h"
 #include "request/request_manager.h"
 #include "request/zone_reachability.h"
-#include "routing/fleet_view.h"
-#include "routing/routing_policy.h"
 #include "support/virtual_time.h"
 
 namespace covewing::request {
@@ -216,14 +216,14 @@
   }
 };
 
-class FakeFleet final : public routing::FleetView {
+class FakeFleet final : public engine_routing::FleetView {
  public:
-  std::vector<routing::EngineState> states;
+  std::vector<engine_routing::EngineState> states;
   std::vector<clients::BackEndAddress> replicas;
 
-  const std::vector<routing::EngineState>& engines() const override { return states; }
-  const routing::EngineState* find(base::EngineId id) const override {
-    for (const routing::EngineState& state : states) {
+  const std::vector<engine_routing::EngineState>& engines() const override { return states; }
+  const engine_routing::EngineState* find(base::EngineId id) const override {
+    for (const engine_routing::EngineState& state : states) {
       if (state.address.id == id) return &state;
     }
     return nullptr;
@@ -237,19 +237,19 @@
 };
 
 /// Chooses the first engine that is not excluded.
-class FakePolicy final : public routing::RoutingPolicy {
+class FakePolicy final : public engine_routing::RoutingPolicy {
  public:
   explicit FakePolicy(const FakeFleet& fleet) : fleet_(fleet) {}
   std::uint32_t dispatched = 0;
   std::uint32_t finished = 0;
-  std::vector<routing::RouteQuery> queries;
+  std::vector<engine_routing::RouteQuery> queries;
 
   std::string_view name() const override { return "fake"; }
-  void choose(routing::RouteQuery query, routing::RouteCallback callback) override {
+  void choose(engine_routing::RouteQuery query, engine_routing::RouteCallback callback) override {
     queries.push_back(query);
-    routing::RouteDecision decision;
+    engine_routing::RouteDecision decision;
     decision.reason = {base::ResultCode::kNoBackEnd, "none left"};
-    for (const routing::EngineState& state : fleet_.states) {
+    for (const engine_routing::EngineState& state : fleet_.states) {
       if (state.unreachable) continue;
       if (std::ranges::find(query.excluded, state.address.id) != query.excluded.end()) continue;
       decision.engine = state.address.id;
@@ -261,8 +261,8 @@
     }
     callback(std::move(decision));
   }
-  void onDispatched(const routing::RouteQuery& /*query*/,
-                    const routing::RouteDecision& /*decision*/) override {
+  void onDispatched(const engine_routing::RouteQuery& /*query*/,
+                    const engine_routing::RouteDecision& /*decision*/) override {
     ++dispatched;
   }
   void onFinished(base::EngineId /*engine*/, std::uint32_t /*promptTokens*/,
@@ -449,7 +449,7 @@
 struct RequestFixture {
   RequestFixture() {
     for (const char* name : {"engine-a", "engine-b", "engine-c"}) {
-      routing::EngineState state;
+      engine_routing::EngineState state;
       state.address = {base::engineIdOf(name), name, {}};
       state.incarnation = 1;
       fleet.states.push_back(state);
