Do not let input starve the timers of an overloaded node

Cause: each late timer let input be handled for up to 100 ms first, also where there is always more of it. Timers wait for input for at most a tenth of the time now; connections look at their own sockets besides.

--- a/src/live/late_timers.cc
+++ b/src/live/late_timers.cc
@@ -17,6 +17,10 @@
   explicit LateTimers(asio::execution_context& context) : service(context) {}
 
   void run(asio::io_context& context, std::function<void()> expired) {
+    if (!handlingInput_ && BootClock::now() < noWaitBefore_) {
+      expired();
+      return;
+    }
     expired_.push_back(std::move(expired));
     // Timers that expire while input is handled wait for its end with the first one.
     if (handlingInput_) return;
@@ -27,9 +31,11 @@
  private:
   void handleInput(asio::io_context& context) {
     handlingInput_ = true;
-    const auto end = BootClock::now() + kMaximumInputTime;
-    while (context.poll_one() > 0 && BootClock::now() < end) {
+    const auto begin = BootClock::now();
+    while (context.poll_one() > 0 && BootClock::now() - begin < kMaximumInputTime) {
     }
+    const auto end = BootClock::now();
+    noWaitBefore_ = end + kPauseBetweenWaits * (end - begin);
     handlingInput_ = false;
   }
 
@@ -37,6 +43,7 @@
 
   std::vector<std::function<void()>> expired_;
   bool handlingInput_ = false;
+  BootClock::time_point noWaitBefore_{};
 };
 
 asio::execution_context::id LateTimers::id;
--- a/src/live/late_timers.h
+++ b/src/live/late_timers.h
@@ -17,13 +17,16 @@
 
 /// A timer that runs later than this after it was due is late.
 inline constexpr base::Duration kTimerLateness = std::chrono::milliseconds(10);
-/// Maximum time for which a late timer waits for handlers of input, so that timers are not starved
-/// by a node that is overloaded. Connections look at their own sockets beyond it.
+/// Maximum time for which a late timer waits for handlers of input. Connections look at their own
+/// sockets beyond it.
 inline constexpr base::Duration kMaximumInputTime = std::chrono::milliseconds(100);
+/// After timers have waited for input, they do not wait again for this many times as long: the loop
+/// of an overloaded node is late all the time, and its timers must not be starved.
+inline constexpr int kPauseBetweenWaits = 9;
 
-/// Calls `expired` for a timer that was due at `due`: at once if it is not late, otherwise after
-/// the handlers of the input that waits have run. To be called as the only act of a handler, since
-/// the other handlers run inside this call.
+/// Calls `expired` for a timer that was due at `due`: at once if it is not late or timers have
+/// waited for input just before, otherwise after the handlers of the input that waits have run. To
+/// be called as the only act of a handler, since the other handlers run inside this call.
 void runExpired(boost::asio::io_context& context, BootClock::time_point due,
                 std::function<void()> expired);
 
--- a/tests/live/late_node_test.cc
+++ b/tests/live/late_node_test.cc
@@ -1,6 +1,9 @@
 // Guards against timers that decide before what has arrived is looked at: a server that stood still
 // or was starved found its timers due and requests in its sockets at the same moment, and closed
 // the connections. Callers of whole requests got neither an answer nor a refusal, but a reset.
+#include <boost/asio/local/connect_pair.hpp>
+#include <boost/asio/local/stream_protocol.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 #include <thread>
 
@@ -64,6 +67,57 @@
   std::vector<std::unique_ptr<TestClient>> clients;
 };
 
+constexpr milliseconds kTimerPeriod{25};
+
+/// An event loop whose handlers of input need more time than there is.
+struct OverloadedLoop {
+  using Socket = boost::asio::local::stream_protocol::socket;
+  /// Two connected sockets, between which a byte goes round.
+  struct Pair {
+    explicit Pair(boost::asio::io_context& context) : reader(context), writer(context) {
+      boost::asio::local::connect_pair(reader, writer);
+      send();
+    }
+    void send() {
+      boost::asio::write(writer, boost::asio::buffer("x", 1));
+      reader.async_read_some(boost::asio::buffer(&byte, 1),
+                             [this](boost::system::error_code error, std::size_t) {
+                               if (error) return;
+                               work();
+                               send();
+                             });
+    }
+    static void work() {
+      const auto end = std::chrono::steady_clock::now() + std::chrono::microseconds(100);
+      while (std::chrono::steady_clock::now() < end) {
+      }
+    }
+    Socket reader;
+    Socket writer;
+    char byte = 0;
+  };
+
+  OverloadedLoop() {
+    for (std::size_t index = 0; index < kConnections; ++index)
+      pairs.push_back(std::make_unique<Pair>(context));
+  }
+
+  boost::asio::io_context context{1};
+  std::vector<std::unique_ptr<Pair>> pairs;
+};
+
+struct Lateness {
+  void add(std::chrono::steady_clock::time_point due) {
+    sum += std::chrono::steady_clock::now() - due;
+    ++count;
+  }
+  std::chrono::nanoseconds mean() const {
+    return sum / static_cast<std::int64_t>(std::max<std::size_t>(count, 1));
+  }
+  std::chrono::nanoseconds sum{};
+  std::size_t count = 0;
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(LateNodeTest)
@@ -104,6 +158,35 @@
   BOOST_TEST(late.closedClients() == 0U);
 }
 
+// Guards against timers that are starved by input where the loop is late all the time.
+BOOST_AUTO_TEST_CASE(TimersOfAnOverloadedNodeAreNotStarved) {
+  OverloadedLoop loop;
+  AsioTimerService timers(loop.context);
+  Lateness ofService;
+  std::function<void()> scheduleNext = [&] {
+    const auto due = std::chrono::steady_clock::now() + kTimerPeriod;
+    timers.schedule(kTimerPeriod, [&, due] {
+      ofService.add(due);
+      scheduleNext();
+    });
+  };
+  scheduleNext();
+  boost::asio::steady_timer plain(loop.context);
+  Lateness ofPlainTimer;
+  std::function<void()> waitForNext = [&] {
+    plain.expires_after(kTimerPeriod);
+    plain.async_wait([&](boost::system::error_code error) {
+      if (error) return;
+      ofPlainTimer.add(plain.expiry());
+      waitForNext();
+    });
+  };
+  waitForNext();
+  loop.context.run_for(std::chrono::seconds(3));
+  BOOST_REQUIRE(ofService.count > 0U);
+  BOOST_TEST((ofService.mean() <= 2 * ofPlainTimer.mean()));
+}
+
 // A peer that sends slowly must not keep its connection beyond the timeout.
 BOOST_AUTO_TEST_CASE(ConnectionWhoseRequestDoesNotArriveIsClosed) {
   HttpLimits limits;
