Do not take a slow caller for a silent replica, and look at silence again

Three faults around silent replicas, found in the review of the search for another one:

- The receive timer ran on while nothing was read because the caller reads too slowly: a sound replica counted as failed, a retry was spent and the stream was given up.
Back-pressure stops the timer and ends a search.
- If no retry was possible at the moment of the timeout, silence was never looked at again, and a stream was cut at its deadline although the budget allowed a retry seconds earlier.
- A refusal whose body broke off during the search counted as a run that its replica's end interrupted: evidence of a crash for a request that never ran.

Each has a test that fails without its part of the change.

--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -84,17 +84,23 @@
   }
   if (!resumesStream()) countRequest();
   deadlineTimer_ = dependencies_.timers.schedule(deadline_ - now, [this] { onDeadline(); });
-  writer_->onPressure([this](bool high) {
-    paused_ = high;
-    if (attempt_) attempt_->watch.onReadingPaused();
-    if (call_) call_->setPaused(high);
-  });
+  writer_->onPressure([this](bool high) { onPressure(high); });
   allowance_.acquire([weak = weak_from_this()](const admission::QuotaVerdict& verdict) {
     const auto flow = weak.lock();
     if (flow && !flow->ended_) flow->onAllowance(verdict);
   });
 }
 
+void RelayFlow::onPressure(bool high) {
+  paused_ = high;
+  if (call_) call_->setPaused(high);
+  if (!attempt_) return;
+  attempt_->watch.onReadingPaused();
+  // While nothing is read, silence is not the replica's.
+  if (replacement_) keepAttempt("the caller reads slowly");
+  armReceiveTimeout();
+}
+
 void RelayFlow::countRequest() {
   const auto now = dependencies_.clock.now();
   const auto& service = assignment_.service->name;
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -273,6 +273,8 @@
   void findStreamOrigin();
   /// Lets the request go to this service, if its route leads there. Returns false if it does not.
   bool useService(const std::string& name);
+  /// The caller reads too slowly (`high`), or has caught up.
+  void onPressure(bool high);
   /// Counts the request among those for its service.
   void countRequest();
   void onStreamOrigin(const std::optional<routing::FoundOrigin>& origin);
--- a/src/request/relay_flow_retries.cc
+++ b/src/request/relay_flow_retries.cc
@@ -12,13 +12,18 @@
 }  // namespace
 
 void RelayFlow::onReceiveTimeout() {
-  if (ended_ || !attempt_ || replacement_ || othersAreRateLimited()) return;
+  if (ended_ || !attempt_ || replacement_) return;
+  if (othersAreRateLimited()) {
+    armReceiveTimeout();
+    return;
+  }
   const auto self = shared_from_this();
   const bool counted = attempt_->response.has_value();
   if (!counted) ++executions_;
   if (!reserveRetry(FailureKind::kMayHaveRun).empty()) {
     // Without a possible retry it is better to keep waiting than to end the request.
     if (!counted) --executions_;
+    armReceiveTimeout();
     return;
   }
   auto& record = *attempt_->decision.replica;
@@ -61,7 +66,6 @@
 }
 
 void RelayFlow::giveUpReplacedAttempt() {
-  replacement_.reset();
   endAttempt();
   discardUndelivered();
 }
@@ -70,6 +74,10 @@
   if (error.failure == clients::DispatchFailure::kNotSent) {
     attempt_->notSent = true;
     if (replacement_->executionCounted) --executions_;
+  } else if (attempt_->response && wasNotRun(*attempt_->response)) {
+    const clients::RelayedAnswer refusal = *attempt_->response;
+    recordRefusal(refusal);
+    ++refusals_;
   } else {
     recordAttemptFailure(error.point);
     reportInterruption(error.point);
--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -118,6 +118,8 @@
   int finals = 0;
   /// Set to false by a test whose caller closes the connection before the event loop notices it.
   bool connected = true;
+  /// Listener for back-pressure; set by the flow.
+  std::function<void(bool)> onPressure;
 
   bool open() const { return finals == 0; }
 };
@@ -140,7 +142,9 @@
     ++view_.finals;
   }
   bool callerConnected() const override { return view_.connected; }
-  void onPressure(std::function<void(bool)> /*listener*/) override {}
+  void onPressure(std::function<void(bool)> listener) override {
+    view_.onPressure = std::move(listener);
+  }
 
  private:
   CallerView& view_;
--- a/tests/request/relay_flow_test.cc
+++ b/tests/request/relay_flow_test.cc
@@ -174,6 +174,53 @@
   BOOST_TEST(outcomes.back().attempts == 1U);
 }
 
+// Guards against giving up a sound replica, and its stream, because this node itself does not read
+// what it sends: its caller reads too slowly.
+BOOST_AUTO_TEST_CASE(SlowReaderIsNotTakenForASilentReplica) {
+  auto& caller = request("resumable");
+  const auto attempt = client.sent.back();
+  attempt->head(200);
+  attempt->handler->onBody("id: 1\ndata: a\n\n");
+  caller.onPressure(true);
+  time.advance(seconds(2));
+  BOOST_TEST(client.sent.size() == 1U);
+  BOOST_REQUIRE(attempt->open);
+  BOOST_TEST(loggedValues(base::Event::kRequestRetried, "cause").empty());
+  caller.onPressure(false);
+  time.advance(milliseconds(1300));
+  BOOST_TEST(client.sent.size() == 2U);
+}
+
+// Guards against a silent replica that is looked at only once: the budget may allow a retry later.
+BOOST_AUTO_TEST_CASE(SilenceIsLookedAtAgainWhenTheBudgetAllowsARetry) {
+  retries = admission::RetryWindows({seconds(1), 0, 1, 1.0}, kStartedLongAgo, oneNode);
+  auto spent = retries.reserve("llm", time.now());
+  request("resumable");
+  const auto attempt = client.sent.back();
+  attempt->head(200);
+  attempt->handler->onBody("id: 1\ndata: a\n\n");
+  time.advance(milliseconds(1300));
+  BOOST_TEST(client.sent.size() == 1U);
+  spent.reset();
+  time.advance(milliseconds(1300));
+  BOOST_TEST(client.sent.size() == 2U);
+}
+
+// Guards against a refusal whose body does not arrive being counted as a run that its replica's end
+// interrupted.
+BOOST_AUTO_TEST_CASE(RefusalThatBreaksOffDuringASearchIsNoCrash) {
+  request("resumable");
+  const auto attempt = client.sent.back();
+  makeOthersLeave(*attempt);
+  attempt->head(503, /*notExecuted=*/true);
+  reachability.ended.insert(attempt->replica);
+  time.advance(milliseconds(1300));
+  BOOST_REQUIRE(attempt->open);
+  attempt->breakConnection();
+  time.advance(seconds(1));
+  BOOST_TEST(loggedValues(base::Event::kReplicaEndedUnderRuns, "replica").empty());
+}
+
 // The budget may be used up by the time another replica accepts the stream.
 BOOST_AUTO_TEST_CASE(SilentStreamIsKeptIfItsRetryCannotBeCounted) {
   retries = admission::RetryWindows({seconds(1), 0, 1, 1.0}, kStartedLongAgo, oneNode);
