Read and refuse what has arrived before a stopping node ends

What callers saw: a reset for whole requests that lay in the listen queue or in a socket when a node ended its planned stop.

Cause: the process ended in the same step in which it closed its idle connections. It stops accepting now once nothing is open, reads and refuses for 100 ms what has arrived, and ends then.

--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -52,6 +52,8 @@
 /// The node stops this long before the end of the grace period.
 constexpr base::Duration kGraceMargin = std::chrono::milliseconds(350);
 constexpr base::Duration kDrainInterval = std::chrono::milliseconds(50);
+/// Time for which a node that has stopped accepting connections reads and refuses what has arrived.
+constexpr base::Duration kDrainCloseTime = std::chrono::milliseconds(100);
 /// Approximate number of nodes that write the announcement time of a version in the last check, if
 /// no node has written it: enough that one of them reaches a table service that refuses most nodes.
 constexpr std::size_t kFallbackAnnouncementWriters = 8;
@@ -420,7 +422,14 @@
       relayServer.closeIdleConnections();
     }
     const bool idle = callerServer.openExchanges() == 0 && relayServer.openExchanges() == 0;
-    if (overdue || (noticed && idle)) {
+    if (noticed && idle && !closingSince) {
+      // What waits in the listen queues and sockets is read and refused before the process ends.
+      closingSince = clock.now();
+      callerServer.stopAcceptingAndCloseIdle();
+      relayServer.stopAcceptingAndCloseIdle();
+    }
+    const bool closed = closingSince && idle && clock.now() - *closingSince >= kDrainCloseTime;
+    if (overdue || closed) {
       membership.leave();
       log.write(base::Event::kNodeStopped, {{"open", std::to_string(service.openRequests())}});
       drained();
@@ -547,6 +556,8 @@
   base::TimerId trafficTimer = 0;
   bool draining = false;
   base::TimePoint drainingSince{};
+  /// When this node stopped accepting connections; empty before that.
+  std::optional<base::TimePoint> closingSince;
   std::function<void()> drained;
 };
 
