Do not report a request as not run that an earlier attempt may have run

What callers saw: 503, which promises that the request did not run, for a request whose first attempt had run, where the second one found no connection and no time or attempt was left.

Cause: the branch for an attempt that was not sent refused without asking whether an earlier one may have run. It ends as the other ways without a replica do now: 502 if an attempt may have run, 503 otherwise.

--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -316,11 +316,7 @@
     if (retryOnAnotherReplica(RetryCause::kNeverArrived, error.reason.detail,
                               FailureKind::kNeverArrived))
       return;
-    if (headDelivered_) {
-      abortStream(error.reason.detail);
-    } else {
-      refuse(base::ResultCode::kNoBackEnd, error.reason.detail, kRetryAfterRefusals);
-    }
+    refuseUnplaced(error.reason.detail, kRetryAfterRefusals);
     return;
   }
   recordAttemptFailure(error.point);
--- a/tests/request/relay_flow_test.cc
+++ b/tests/request/relay_flow_test.cc
@@ -174,6 +174,19 @@
   BOOST_TEST(outcomes.back().attempts == 1U);
 }
 
+// Guards against a refusal that promises that the request did not run although an earlier attempt
+// may have, where the last attempt finds no connection and no time is left for another one.
+BOOST_AUTO_TEST_CASE(RequestThatMayHaveRunIsNotReportedAsNotRunWhenItsRetryIsNotSent) {
+  auto& caller = request("safe");
+  client.last().breakConnection();
+  BOOST_REQUIRE(client.sent.size() == 2U);
+  time.advance(milliseconds(3998));
+  BOOST_REQUIRE(client.last().open);
+  client.last().refuseConnection();
+  BOOST_REQUIRE(caller.refusal.has_value());
+  BOOST_TEST(caller.refusal->status == 502U);
+}
+
 // Guards against giving up a sound replica, and its stream, because this node itself does not read
 // what it sends: its caller reads too slowly.
 BOOST_AUTO_TEST_CASE(SlowReaderIsNotTakenForASilentReplica) {
