--- a/tests/scripts/relay_soak.sh
+++ b/tests/scripts/relay_soak.sh
@@ -70,4 +70,9 @@
 run_seed 9 3 0 --calm-limits
 run_seed 10 3 0 --calm-limits --shared-parts 1
 await_all || failed=1
+
+# Hundreds of callers rest on open connections while nodes stand still. By itself, as it needs a processor of its own
+# for so many callers.
+run_seed 18 1 8 --idle --callers 8
+await_all || failed=1
 exit "$failed"
