--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -460,6 +460,7 @@
     snapshot.peerRelay = peerRelay.counters();
     snapshot.placement = placement.counters();
     snapshot.quotas = quotas.counts();
+    snapshot.quarantinedParts = quarantine.size(base::FeatureKind::kPromptPart);
     snapshot.quarantinedRequests = quarantine.size(base::FeatureKind::kRequest);
     snapshot.storeEra = storeEras.current();
     snapshot.traffic = traffic.channels();
--- a/src/live/relay_metrics.cc
+++ b/src/live/relay_metrics.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <set>
 
 #include "live/metric_families.h"
 #include "live/process_usage.h"
@@ -42,6 +43,11 @@
      "questions to homes of replicas where a request should go: all asked, and what came of them"},
     {"covewing_process_cpu_seconds_total", "counter", "", "processor time of the process"},
     {"covewing_process_resident_bytes", "gauge", "", "resident memory of the process"},
+    {"covewing_quarantined_part_refusals_total", "counter", "part",
+     "requests refused for a part of their prompt, by part as in event 5008; parts beyond the "
+     "first 64 are counted as other"},
+    {"covewing_quarantined_parts", "gauge", "",
+     "parts of prompts with which requests are refused because replicas ended under earlier ones"},
     {"covewing_quarantined_requests", "gauge", "",
      "requests that are refused because replicas ended under earlier runs of them"},
     {"covewing_queue_events_total", "counter", "event",
@@ -111,6 +117,7 @@
 
 struct RelayMetrics::Impl {
   void countRetries(const request::RelayOutcome& outcome);
+  void countPartRefusal(const std::string& part);
   void renderQueues(const routing::PlacementCounters& placement);
 
   MetricFamilies families{kTable};
@@ -124,6 +131,11 @@
   prometheus::Family<prometheus::Counter>& events = families.counters("covewing_events_total");
   prometheus::Gauge& failedLinks = families.gauges("covewing_failed_links").Add({});
   prometheus::Gauge& knownParts = families.gauges("covewing_known_cached_parts").Add({});
+  prometheus::Gauge& quarantinedParts = families.gauges("covewing_quarantined_parts").Add({});
+  prometheus::Family<prometheus::Counter>& partRefusals =
+      families.counters("covewing_quarantined_part_refusals_total");
+  /// The parts that have a label.
+  std::set<std::string> labelledParts;
   prometheus::Gauge& quarantinedRequests = families.gauges("covewing_quarantined_requests").Add({});
   prometheus::Gauge& leaseHeld = families.gauges("covewing_lease_held").Add({});
   prometheus::Gauge& members = families.gauges("covewing_members").Add({});
@@ -185,10 +197,17 @@
   impl_->tokens.Add({{"source", "read"}}).Increment(outcome.prefillTokens);
   if (outcome.code == base::ResultCode::kRateLimited)
     impl_->quotaRefusals.Add({{"priority", priorityLabel(outcome.tenantPriority)}}).Increment();
+  if (!outcome.quarantinedPart.empty()) impl_->countPartRefusal(outcome.quarantinedPart);
   labels.emplace("code", base::describe(outcome.code).name);
   impl_->requests.Add(labels).Increment();
 }
 
+void RelayMetrics::Impl::countPartRefusal(const std::string& part) {
+  constexpr std::size_t kMaximumLabels = 64;
+  if (labelledParts.size() < kMaximumLabels) labelledParts.insert(part);
+  partRefusals.Add({{"part", labelledParts.contains(part) ? part : "other"}}).Increment();
+}
+
 void RelayMetrics::Impl::countRetries(const request::RelayOutcome& outcome) {
   for (std::size_t index = 0; index < outcome.retries.size(); ++index) {
     const auto count = outcome.retries.at(index);
@@ -242,6 +261,7 @@
   set(impl_->version, snapshot.configurationVersion);
   set(impl_->knownParts, snapshot.knownParts);
   set(impl_->quarantinedRequests, snapshot.quarantinedRequests);
+  set(impl_->quarantinedParts, snapshot.quarantinedParts);
   set(impl_->storeEra, snapshot.storeEra);
   set(impl_->leaseHeld, snapshot.leaseHeld ? 1 : 0);
   set(impl_->members, snapshot.members);
--- a/src/live/relay_metrics.h
+++ b/src/live/relay_metrics.h
@@ -50,6 +50,7 @@
     std::uint64_t connectionsClosedForRoom = 0;
     std::size_t knownParts = 0;
     std::size_t quarantinedRequests = 0;
+    std::size_t quarantinedParts = 0;
     /// Era of the table service; 0 if it reports none.
     base::StoreEra storeEra = 0;
     std::size_t replicasAvailable = 0;
--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -320,7 +320,9 @@
   if (refusedBefore == entry.lifted) {
     environment_.log.write(
         entry.lifted ? base::Event::kQuarantineLifted : base::Event::kRequestQuarantined,
-        {{"fingerprint", base::toString(entry.feature)},
+        {{"kind", isPart(entry.feature) ? "prompt part" : "request"},
+         {"fingerprint", isPart(entry.feature) ? "" : base::toString(entry.feature)},
+         {"part", isPart(entry.feature) ? base::toString(entry.feature) : ""},
          {"crashes", std::to_string(entry.crashes)},
          {"known_from", std::string{source}},
          {"age_ms", base::millisecondsText(age)}});
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -200,6 +200,13 @@
   return std::nullopt;
 }
 
+std::string RelayFlow::quarantinedPart() const {
+  const auto found = std::ranges::find_if(features_, [this](const auto& feature) {
+    return feature.kind == base::FeatureKind::kPromptPart && dependencies_.quarantine.find(feature);
+  });
+  return found == features_.end() ? std::string{} : base::toString(*found);
+}
+
 base::RequestFeatures RelayFlow::findFeatures() const {
   base::RequestFeatures features{base::featureOf(fingerprint_)};
   if (!incoming_.prompt) return features;
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -115,6 +115,8 @@
   std::uint64_t prefillTokens = 0;
   /// Priority of the tenant; empty if there is no tenant or if it has no priority of its own.
   std::optional<std::uint32_t> tenantPriority;
+  /// The part of the prompt for which the request was refused, as in logs; empty otherwise.
+  std::string quarantinedPart;
 };
 
 class RelayObserver {
@@ -290,6 +292,8 @@
   std::optional<RelayRefusal> dispatchRefusal() const;
   /// The refusal if the request or a part of its prompt is in quarantine; empty otherwise.
   std::optional<RelayRefusal> quarantineRefusal() const;
+  /// The first part of the prompt that is in quarantine, as in logs; empty if there is none.
+  std::string quarantinedPart() const;
   /// What the request has in common with others for its service.
   base::RequestFeatures findFeatures() const;
   /// Queries the home nodes of the decision's candidates for a replica that accepts the request.
--- a/src/request/relay_flow_end.cc
+++ b/src/request/relay_flow_end.cc
@@ -51,6 +51,7 @@
       {{"request", incoming_.request->id},
        {"route", assignment_.route->name},
        {"fingerprint", base::toString(fingerprint_)},
+       {"part", quarantinedPart()},
        {"code", std::to_string(static_cast<unsigned>(refusal.reason.code))},
        {"status", std::to_string(refusal.status)},
        {"why", refusal.reason.detail},
@@ -99,6 +100,7 @@
   outcome.fetchedTokens = fetchedTokens_;
   outcome.prefillTokens = prefillTokens_;
   if (assignment_.tenant != nullptr) outcome.tenantPriority = assignment_.tenant->priority;
+  if (code == base::ResultCode::kPromptPartQuarantined) outcome.quarantinedPart = quarantinedPart();
   return outcome;
 }
 
--- a/tests/live/relay_reference_test.cc
+++ b/tests/live/relay_reference_test.cc
@@ -56,6 +56,9 @@
   metrics.onRelayFinished(route, outcome);
   outcome.code = base::ResultCode::kRateLimited;
   metrics.onRelayFinished(route, outcome);
+  outcome.code = base::ResultCode::kPromptPartQuarantined;
+  outcome.quarantinedPart = "part-1";
+  metrics.onRelayFinished(route, outcome);
   metrics.onEvent(base::Event::kNodeReady);
   const auto text = metrics.render({});
   for (const auto& entry : relayMetricTable()) {
@@ -64,6 +67,23 @@
   }
 }
 
+// Guards against a time series for each part that was ever refused.
+BOOST_AUTO_TEST_CASE(RefusalsByPartHaveABoundedNumberOfLabels) {
+  RelayMetrics metrics;
+  config::Route route;
+  request::RelayOutcome outcome;
+  outcome.code = base::ResultCode::kPromptPartQuarantined;
+  for (int part = 1; part <= 70; ++part) {
+    outcome.quarantinedPart = "part-" + std::to_string(part);
+    metrics.onRelayFinished(route, outcome);
+  }
+  const auto text = metrics.render({});
+  const std::string name = "covewing_quarantined_part_refusals_total";
+  BOOST_TEST(text.find(name + "{part=\"part-64\"} 1") != std::string::npos);
+  BOOST_TEST(text.find(name + "{part=\"part-65\"}") == std::string::npos);
+  BOOST_TEST(text.find(name + "{part=\"other\"} 6") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::live
