--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -230,13 +230,16 @@
 
 void RequestQuarantine::recordServed(base::RequestFeature feature) {
   served_.add(feature, environment_.clock.now());
-  if (evidence_.crashesAgainst(feature).empty() && !find(feature)) return;
+  const bool suspected =
+      !evidence_.crashesAgainst(feature).empty() || evidence_.isRememberedCulprit(feature);
+  if (!suspected && !find(feature)) return;
   sendRepeatedly([this, feature] { sendToHomes(feature, encode(RequestServed{feature})); });
 }
 
 void RequestQuarantine::handle(const RequestServed& served) {
   const auto feature = served.feature;
   const bool announced = evidence_.crashesAgainst(feature).size() > 1;
+  const bool remembered = evidence_.isRememberedCulprit(feature);
   evidence_.onServed(feature, environment_.clock.now());
   if (!isHomeOf(feature)) return;
   if (announced) {
@@ -244,7 +247,7 @@
     publish(currentSuspicion(feature));
     if (writesRowsOf(feature)) removeSuspect(feature);
   }
-  if (find(feature)) lift(feature);
+  if (remembered || find(feature)) lift(feature);
 }
 
 void RequestQuarantine::scheduleVerdict() {
@@ -284,7 +287,8 @@
 }
 
 void RequestQuarantine::lift(base::RequestFeature feature) {
-  auto entry = verdicts_.at(feature).entry;
+  const auto known = verdicts_.find(feature);
+  auto entry = known != verdicts_.end() ? known->second.entry : QuarantineEntry{feature};
   // Later than the verdict, regardless of clock differences between the two nodes.
   entry.decidedAt =
       std::max(environment_.serviceClock().value_or(entry.decidedAt), entry.decidedAt);
@@ -298,6 +302,12 @@
   return isPart(feature) ? options_.partLifetime : options_.lifetime;
 }
 
+void RequestQuarantine::remember(base::RequestFeature feature, base::Duration age) {
+  const auto left = lifetimeOf(feature) + options_.relapseTime - age;
+  if (isPart(feature) && left > base::Duration::zero())
+    evidence_.rememberCulprit(feature, environment_.clock.now() + left);
+}
+
 bool RequestQuarantine::apply(const QuarantineEntry& entry, std::string_view source) {
   const bool refusedBefore = find(entry.feature).has_value();
   const auto known = verdicts_.find(entry.feature);
@@ -308,6 +318,7 @@
   const auto lifetime = lifetimeOf(entry.feature);
   const bool hasCapacity =
       verdicts_.contains(entry.feature) || verdicts_.size() < options_.maximumQuarantined;
+  if (!entry.lifted) remember(entry.feature, age);
   if (age >= lifetime || !hasCapacity) return false;
   verdicts_[entry.feature] = {entry, now + lifetime - age};
   if (entry.lifted) {
--- a/src/quarantine/request_quarantine.h
+++ b/src/quarantine/request_quarantine.h
@@ -46,6 +46,9 @@
   base::Duration lifetime = std::chrono::hours(1);
   /// The same for a part of prompts. A wrong verdict concerns many requests.
   base::Duration partLifetime = std::chrono::minutes(10);
+  /// Time after the lapse of a verdict on a part for which it is convicted again at the first crash
+  /// of a replica that had just begun a response under it.
+  base::Duration relapseTime = std::chrono::hours(24);
   /// Messages are sent again after each of these delays.
   base::Duration firstResendDelay = std::chrono::milliseconds(150);
   base::Duration secondResendDelay = std::chrono::milliseconds(600);
@@ -150,6 +153,8 @@
   void decide();
   void quarantine(const Culprit& culprit);
   void lift(base::RequestFeature feature);
+  /// Lets the evidence remember a culprit whose verdict of this age lapses or has lapsed.
+  void remember(base::RequestFeature feature, base::Duration age);
   /// Applies an entry from any source; false if a later one is known.
   bool apply(const QuarantineEntry& entry, std::string_view source);
   /// Sends the entry to all nodes and publishes it through gossip.
--- a/tests/quarantine/request_quarantine_test.cc
+++ b/tests/quarantine/request_quarantine_test.cc
@@ -576,6 +576,49 @@
   BOOST_TEST(fleet.rows() == 0U);
 }
 
+// Guards against a part that goes on to crash replicas costing three of them each ten minutes, and
+// against that being forgotten when all nodes restart.
+BOOST_AUTO_TEST_CASE(PartIsRefusedAgainAfterTheFirstCrashOnceItsVerdictHasLapsed) {
+  for (const bool restart : {false, true}) {
+    QuarantineFleet fleet(4);
+    for (std::uint64_t count = 0; count < 3; ++count) {
+      fleet.crashBegun(0, {{100 + count}, kCrashingPart});
+      fleet.time.advance(milliseconds(500));
+    }
+    fleet.time.advance(minutes(11));
+    BOOST_TEST(fleet.refusingNodes(kCrashingPart) == 0U);
+    if (restart) fleet.restartAll();
+    fleet.time.advance(seconds(1));
+    fleet.crashBegun(1, {{200}, sessionPart(7), kCrashingPart}, false);
+    fleet.time.advance(seconds(1));
+    BOOST_TEST(fleet.refusingNodes(kCrashingPart) == 0U);
+    fleet.crashBegun(1, {{201}, sessionPart(7), kCrashingPart});
+    fleet.time.advance(seconds(1));
+    BOOST_TEST(fleet.refusingNodes(kCrashingPart) == 4U);
+    BOOST_TEST(fleet.refusingNodes(sessionPart(7)) == 0U);
+    BOOST_TEST(fleet.at(3).find(kCrashingPart)->crashes == 2U);
+  }
+}
+
+// A part that was served after its verdict had lapsed is one like any other, also to nodes that
+// start later.
+BOOST_AUTO_TEST_CASE(PartThatWasServedSinceItsVerdictIsNotRefusedAfterOneCrash) {
+  QuarantineFleet fleet(4);
+  for (std::uint64_t count = 0; count < 3; ++count) {
+    fleet.crashBegun(0, {{100 + count}, kCrashingPart});
+    fleet.time.advance(milliseconds(500));
+  }
+  fleet.time.advance(minutes(11));
+  fleet.at(2).onServed({kCrashingPart});
+  fleet.time.advance(minutes(2));
+  BOOST_TEST(fleet.rows() == 0U);
+  fleet.restartAll();
+  fleet.time.advance(seconds(1));
+  fleet.crashBegun(1, {{200}, kCrashingPart});
+  fleet.time.advance(seconds(1));
+  BOOST_TEST(fleet.refusingNodes(kCrashingPart) == 0U);
+}
+
 // Without a common verdict, one of two parts that always run together would be refused, and the
 // other one would go on to crash replicas in other prompts.
 BOOST_AUTO_TEST_CASE(PartsThatAlwaysRunTogetherAreRefusedTogether) {
