--- a/tests/soak/crashing_parts.py
+++ b/tests/soak/crashing_parts.py
@@ -145,9 +145,14 @@
 # --- faults beside
 
 
+async def goes_on(until, pause: float) -> bool:
+    """Waits for so many seconds; whether faults still begin then."""
+    await asyncio.wait([until], timeout=pause)
+    return not until.done()
+
+
 async def trouble_nodes(soak, draw, until):
-    while not until.done():
-        await asyncio.sleep(draw.uniform(*FAULT_EVERY))
+    while await goes_on(until, draw.uniform(*FAULT_EVERY)):
         what, fault = draw.choice([("killed", Node.kill), ("paused", Node.pause)])
         await draw.choice(soak.nodes).suffer(what, fault, draw)
 
@@ -155,19 +160,18 @@
 async def cut_power(soak, draw, until):
     """Several replicas end at nearly the same moment, whatever they run."""
     # The first time before any part comes.
-    await asyncio.sleep(draw.uniform(0, SOUND_BEFORE))
-    while not until.done():
+    pause = draw.uniform(0, SOUND_BEFORE)
+    while await goes_on(until, pause):
         replicas = draw.sample(soak.model_replicas, draw.randint(2, max(2, len(soak.model_replicas) // 2)))
         soak.say(f"without power: {[replica.instance for replica in replicas]}")
         for replica in replicas:
             soak.parts.ends_by_power += replica.crash(draw.uniform(*CrashingPart.BACK_AFTER))
             await asyncio.sleep(draw.uniform(0, POWER_WITHIN) / len(replicas))
-        await asyncio.sleep(draw.uniform(*POWER_EVERY))
+        pause = draw.uniform(*POWER_EVERY)
 
 
 async def take_store_away(soak, draw, until):
-    while not until.done():
-        await asyncio.sleep(draw.uniform(*STORE_EVERY))
+    while await goes_on(until, draw.uniform(*STORE_EVERY)):
         mode = draw.choice(["down", "slow", "silent"])
         soak.say(f"the table service: {mode}")
         trouble = Trouble(now())
