--- a/tests/scripts/relay_soak.sh
+++ b/tests/scripts/relay_soak.sh
@@ -64,6 +64,10 @@
 # Answers that replicas break off, and streams that callers take up, with replicas of two versions.
 run_seed 16 1 12 --streams
 run_seed 17 2 12 --streams --rebirths
+# A part of prompts that ends replica after replica: in the middle and nothing else wrong, and as the first part amid
+# power losses and absences of the table service.
+run_seed 18 1 0 --crashing-parts --parts 1
+run_seed 19 16 0 --crashing-parts --parts 1
 await_all || failed=1
 
 # All replicas limited, and nothing else wrong: each is used to its limit, also where all prompts share one part.
