Tell home nodes that take over when the crashes were noticed

Reports are repeated to nodes that become homes of a part, all at once: these took ends that were apart for one wave, and the verdict needed more of them. A report with parts carries its age.

RepeatedReportsKeepTheTimesOfTheCrashes fails at four nodes without the change and passes with it; quarantine_test 60, node_test 107, request_test 259, live_test 123, platform_test 51, routing_test 267, base_test 25 cases without errors.

--- a/src/quarantine/quarantine_messages.cc
+++ b/src/quarantine/quarantine_messages.cc
@@ -18,7 +18,7 @@
 constexpr std::uint32_t kServedFields = 2;
 constexpr std::uint32_t kEntryFields = 5;
 /// Further fields of messages about parts of prompts; the first is kPromptParts.
-constexpr std::uint32_t kCrashReportPartFields = 3;
+constexpr std::uint32_t kCrashReportPartFields = 4;
 constexpr std::uint32_t kSuspectedPartFields = 4;
 constexpr std::uint32_t kServedPartFields = 1;
 constexpr std::uint32_t kEntryPartFields = 4;
@@ -91,6 +91,7 @@
   const auto parts = readFeatures(reader, base::FeatureKind::kPromptPart);
   message.runs.insert(message.runs.end(), parts.begin(), parts.end());
   message.begun = readFeatures(reader, base::FeatureKind::kPromptPart);
+  message.age = readTime(reader);
   return message;
 }
 
@@ -152,6 +153,7 @@
   writer.unsignedInteger(kPromptParts);
   write(writer, parts);
   write(writer, message.begun);
+  writer.unsignedInteger(milliseconds(message.age));
   return writer.take();
 }
 
--- a/src/quarantine/quarantine_messages.h
+++ b/src/quarantine/quarantine_messages.h
@@ -27,6 +27,9 @@
   base::RequestFeatures runs;
   /// Those parts of prompts among `runs` for which a response had just begun.
   base::RequestFeatures begun{};
+  /// How long ago the crash was noticed, if there are parts of prompts: reports are repeated later
+  /// to nodes that become home nodes.
+  base::Duration age{};
 };
 
 /// Sent by a home node to all nodes, and also stored as a gossip record and as a row of the table
--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -113,7 +113,11 @@
   while (!reports_.empty() && reports_.front().at < oldest) reports_.pop_front();
   if (reports_.empty()) return;
   if (environment_.members.version() != reportedMembersVersion_) {
-    for (const auto& sent : reports_) sendReport(sent.report);
+    for (const auto& sent : reports_) {
+      auto report = sent.report;
+      report.age = environment_.clock.now() - sent.at;
+      sendReport(report);
+    }
   }
   scheduleHomeCheck();
 }
@@ -128,6 +132,7 @@
     for (const auto& home : homesOf(feature)) {
       auto& own = reportOf[home];
       own.replica = report.replica;
+      own.age = report.age;
       own.runs.push_back(feature);
       if (begun.contains(feature)) own.begun.push_back(feature);
       if (own.runs.size() < kFeaturesPerReport) continue;
@@ -142,7 +147,9 @@
   const auto now = environment_.clock.now();
   const auto before = evidence_.crashesAgainst(feature);
   const bool begun = std::ranges::find(report.begun, feature) != report.begun.end();
-  evidence_.onReplicaCrash(report.replica, {feature}, now,
+  // Only parts are judged by the times of crashes.
+  const auto at = isPart(feature) ? now - report.age : now;
+  evidence_.onReplicaCrash(report.replica, {feature}, at,
                            begun ? base::RequestFeatures{feature} : base::RequestFeatures{});
   // Announcements and objections about each part of the prompts that all nodes serve would cost
   // more than the crash itself.
--- a/tests/fuzz/quarantine_message_fuzz.cc
+++ b/tests/fuzz/quarantine_message_fuzz.cc
@@ -12,7 +12,8 @@
 void checkAgain(const quarantine::CrashReport& message) {
   const auto again = quarantine::decodeQuarantineMessage(quarantine::encode(message));
   const auto* ended = again ? std::get_if<quarantine::CrashReport>(&*again) : nullptr;
-  if (ended == nullptr || ended->runs != message.runs || ended->begun != message.begun)
+  if (ended == nullptr || ended->runs != message.runs || ended->begun != message.begun ||
+      ended->age != message.age)
     __builtin_trap();
 }
 
--- a/tests/node/message_versions_test.cc
+++ b/tests/node/message_versions_test.cc
@@ -181,7 +181,8 @@
   addQuarantine(all, "QuarantineEntry",
                 quarantine::QuarantineEntry{{1}, 3, milliseconds(9), false});
   const base::RequestFeature part{4, base::FeatureKind::kPromptPart};
-  addQuarantine(all, "CrashReport with a part", quarantine::CrashReport{{1}, {{2}, part}, {part}});
+  addQuarantine(all, "CrashReport with a part",
+                quarantine::CrashReport{{1}, {{2}, part}, {part}, milliseconds(8)});
   addQuarantine(
       all, "RequestSuspected of a part",
       quarantine::RequestSuspected{part, {{2}}, milliseconds(500), {milliseconds(70)}, {{2}}});
--- a/tests/quarantine/quarantine_messages_test.cc
+++ b/tests/quarantine/quarantine_messages_test.cc
@@ -46,10 +46,11 @@
 
 BOOST_AUTO_TEST_CASE(MessagesAboutPartsSurviveEncoding) {
   const base::RequestFeature part{9, base::FeatureKind::kPromptPart};
-  const auto report = std::get<CrashReport>(
-      *decodeQuarantineMessage(encode(CrashReport{{7}, {{1}, part}, {part}})));
+  const auto report = std::get<CrashReport>(*decodeQuarantineMessage(
+      encode(CrashReport{{7}, {{1}, part}, {part}, std::chrono::seconds(3)})));
   BOOST_TEST((report.runs == base::RequestFeatures{{1}, part}));
   BOOST_TEST((report.begun == base::RequestFeatures{part}));
+  BOOST_TEST((report.age == std::chrono::seconds(3)));
   const RequestSuspected sent{
       part, {{5}, {6}}, std::chrono::seconds(9), {std::chrono::seconds(2), {}}, {{6}}};
   const auto suspected = std::get<RequestSuspected>(*decodeQuarantineMessage(encode(sent)));
--- a/tests/quarantine/request_quarantine_test.cc
+++ b/tests/quarantine/request_quarantine_test.cc
@@ -619,6 +619,33 @@
   BOOST_TEST(fleet.refusingNodes(kCrashingPart) == 0U);
 }
 
+// Both home nodes are lost after the second crash and before they could announce it. Guards against
+// the repeated reports being taken as two crashes of one wave.
+BOOST_AUTO_TEST_CASE(RepeatedReportsKeepTheTimesOfTheCrashes) {
+  constexpr std::size_t kNodes = 6;
+  for (std::size_t first = 0; first < kNodes; ++first) {
+    for (std::size_t second = 0; second < first; ++second) {
+      QuarantineFleet fleet(kNodes);
+      std::size_t reporter = 0;
+      while (reporter == first || reporter == second) ++reporter;
+      fleet.partitioned = {first, second};
+      for (int count = 0; count < 2; ++count) {
+        fleet.crashBegun(reporter, {kCrashingPart});
+        fleet.time.advance(milliseconds(700));
+      }
+      fleet.members.remove(first);
+      fleet.members.remove(second);
+      fleet.time.advance(seconds(2));
+      fleet.crashBegun(reporter, {kCrashingPart});
+      fleet.time.advance(seconds(1));
+      for (std::size_t node = 0; node < kNodes; ++node) {
+        if (!fleet.partitioned.contains(node))
+          BOOST_TEST(fleet.at(node).find(kCrashingPart).has_value());
+      }
+    }
+  }
+}
+
 // Without a common verdict, one of two parts that always run together would be refused, and the
 // other one would go on to crash replicas in other prompts.
 BOOST_AUTO_TEST_CASE(PartsThatAlwaysRunTogetherAreRefusedTogether) {
