--- a/src/quarantine/quarantine_messages.cc
+++ b/src/quarantine/quarantine_messages.cc
@@ -92,6 +92,10 @@
   message.runs.insert(message.runs.end(), parts.begin(), parts.end());
   message.begun = readFeatures(reader, base::FeatureKind::kPromptPart);
   message.age = readTime(reader);
+  if (parts.empty()) {
+    message.begun.clear();
+    message.age = {};
+  }
   return message;
 }
 
--- a/tests/fuzz/quarantine_message_fuzz.cc
+++ b/tests/fuzz/quarantine_message_fuzz.cc
@@ -29,7 +29,7 @@
 void checkAgain(const quarantine::RequestServed& message) {
   const auto again = quarantine::decodeQuarantineMessage(quarantine::encode(message));
   const auto* served = again ? std::get_if<quarantine::RequestServed>(&*again) : nullptr;
-  if (served == nullptr || served->request != message.request) __builtin_trap();
+  if (served == nullptr || served->feature != message.feature) __builtin_trap();
 }
 
 void checkAgain(const quarantine::QuarantineEntry& entry) {
