--- a/review/stand_ins/nodes.py
+++ b/review/stand_ins/nodes.py
@@ -2,6 +2,7 @@
 deploy/node.toml.template makes them for a small deployment."""
 
 import asyncio
+import ctypes
 import os
 import pathlib
 import signal
@@ -41,6 +42,12 @@
 """
 
 
+def end_with_parent():
+    """A case that is killed leaves no node behind."""
+    set_parent_death_signal = 1
+    ctypes.CDLL(None).prctl(set_parent_death_signal, signal.SIGKILL)
+
+
 class Ports:
     """Alike on all machines, as the pages have it."""
 
@@ -63,7 +70,8 @@
             seeds=", ".join(f'"{seed}:{ports.control}"' for seed in seeds)), encoding="utf-8")
         with open(self.folder / f"{self.name}.log", "ab") as log:
             self.process = subprocess.Popen([str(ROOT / PROGRAM)], cwd=ROOT, stdout=log, stderr=log,
-                                            env={**os.environ, "COVEWING_CONFIG": str(settings)})
+                                            env={**os.environ, "COVEWING_CONFIG": str(settings)},
+                                            preexec_fn=end_with_parent)
 
     async def is_ready(self) -> bool:
         try:
--- a/review/stand_ins/small_fleet.py
+++ b/review/stand_ins/small_fleet.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import random
+import shutil
 import socket
 import tempfile
 import time
@@ -105,6 +106,7 @@
             task.cancel()
         for node in self.nodes:
             node.end()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def run_case(main) -> int:
