Tell the answers to orders from those to other calls

What could happen: a late copy of an answer to a report or an order was taken for the answer to the next order on the same connection, so that an order counted as in force or accepted that was not.

Evidence: HttpClientTest/CallsWithoutAnIdentifierGetOneOfTheirOwn and OrderIsNotSentBehindAResponseThatNamesNoRequest; without an identifier there is nothing that a client could compare.

Change: such calls carry an identifier of the node. An answer to another call is skipped. Calls that read keep sharing connections: a copy that is one call old corrects itself.

--- a/src/live/client_connection.cc
+++ b/src/live/client_connection.cc
@@ -36,6 +36,11 @@
   return headText(head) + request.body;
 }
 
+/// Whether the request changes nothing at the server.
+bool onlyReads(const HttpRequest& request) {
+  return request.method == "GET" || request.method == "HEAD";
+}
+
 }  // namespace
 
 ClientConnection::ClientConnection(asio::io_context& context, const base::Endpoint& server,
@@ -62,6 +67,11 @@
   }
 }
 
+bool ClientConnection::mayCarry(const HttpRequest& request) const {
+  if (carried_.contains(request.header(limits_.requestIdHeader))) return false;
+  return !unnamedSeen_ || onlyReads(request);
+}
+
 bool ClientConnection::usable() {
   if (state_ != State::kIdle || buffer_.size() > 0) return false;
   // The handler of the outstanding read may not have run yet, so the socket itself is checked.
@@ -79,6 +89,7 @@
   requestId_ = request.header(limits_.requestIdHeader);
   carried_.add(requestId_);
   headRequest_ = request.method == "HEAD";
+  onlyReads_ = onlyReads(request);
   output_ = requestText(request, server_);
   sent_ = 0;
   bytesMayHaveBeenSent_ = false;
@@ -281,7 +292,9 @@
   const auto& message = parser_->get();
   const HttpResponse head{message.result_int(), copyHeaders(message), {}};
   const auto responseId = head.header(limits_.requestIdHeader);
-  if (!requestId_.empty() && responseId != requestId_) {
+  if (responseId.empty() && limits_.identifiesRequests) {
+    unnamedSeen_ = true;
+  } else if (!requestId_.empty() && responseId != requestId_) {
     if (limits_.skipMismatchedResponses && !responseId.empty()) return skipMismatchedResponse();
     fail("the answer belongs to another request");
     return false;
@@ -309,7 +322,7 @@
 void ClientConnection::complete() {
   const auto self = shared_from_this();
   auto* handler = std::exchange(handler_, nullptr);
-  const bool surplusTellable = !mismatchSeen_ && !carried_.full();
+  const bool surplusTellable = !mismatchSeen_ && !carried_.full() && (onlyReads_ || !unnamedSeen_);
   const bool reusable = parser_->get().keep_alive() && output_.empty() && buffer_.size() == 0 &&
                         surplusTellable && idleTime() > base::Duration::zero();
   const auto pool = pool_.lock();
--- a/src/live/client_connection.h
+++ b/src/live/client_connection.h
@@ -43,9 +43,7 @@
   bool usable();
   /// Whether the response to the request could be told from a late copy of any response to a
   /// request that the connection has carried.
-  bool mayCarry(const HttpRequest& request) const {
-    return !carried_.contains(request.header(limits_.requestIdHeader));
-  }
+  bool mayCarry(const HttpRequest& request) const;
   /// Sends the request, after connecting if the connection is new. Returns the number of the call.
   /// The call fails if no bytes are received for `inactivityTimeout`; zero means no such bound.
   std::uint64_t begin(const HttpRequest& request, base::Duration inactivityTimeout,
@@ -102,6 +100,7 @@
   std::string requestId_;
   SentRequestIds carried_;
   bool headRequest_ = false;
+  bool onlyReads_ = false;
   std::string output_;
   std::size_t sent_ = 0;
   /// Whether the operating system may have accepted bytes of the request: true from the first write
@@ -119,6 +118,8 @@
   bool skipping_ = false;
   /// A response to another request was received: the connection is not reused.
   bool mismatchSeen_ = false;
+  /// A response that names no request was accepted.
+  bool unnamedSeen_ = false;
   boost::beast::flat_buffer buffer_;
 };
 
--- a/src/live/http_client.cc
+++ b/src/live/http_client.cc
@@ -145,8 +145,18 @@
     }
   }
 
+  /// Adds an identifier of this client's own if the request has none.
+  HttpRequest identified(HttpRequest request) {
+    if (request.header(bounds.requestIdHeader).empty()) {
+      request.headers.push_back(
+          {std::string{bounds.requestIdHeader}, "call-" + std::to_string(++lastRequestNumber)});
+    }
+    return request;
+  }
+
   boost::asio::io_context& context;
   HttpClientLimits bounds;
+  std::uint64_t lastRequestNumber = 0;
   std::map<base::Endpoint, Connections, EndpointOrder> idle;
   std::unordered_map<BufferedCall*, std::unique_ptr<BufferedCall>> bufferedCalls;
 };
@@ -163,7 +173,9 @@
                                             const HttpRequest& request,
                                             base::Duration inactivityTimeout,
                                             HttpCallHandler& handler) {
-  return core_->send(server, request, inactivityTimeout, handler);
+  if (!core_->bounds.identifiesRequests)
+    return core_->send(server, request, inactivityTimeout, handler);
+  return core_->send(server, core_->identified(request), inactivityTimeout, handler);
 }
 
 void HttpClient::fetch(const base::Endpoint& server, const HttpRequest& request,
--- a/src/live/http_client.h
+++ b/src/live/http_client.h
@@ -45,6 +45,12 @@
   /// for the matching one; the connection is not reused afterwards. If false, such a response fails
   /// the call.
   bool skipMismatchedResponses = false;
+  /// If true, a request without an identifier is sent with one of this client's own, so that its
+  /// response can be told from one to another request. A response that names no request is
+  /// accepted, since not all servers echo the identifier of every call. Its connection carries only
+  /// requests that read from then on, because a late copy of it could not be told from the next
+  /// response.
+  bool identifiesRequests = false;
   /// A connection is considered broken if sent bytes are not acknowledged for this long or the peer
   /// does not respond to TCP keep-alive probes; zero: the defaults of the operating system.
   base::Duration unacknowledgedTimeout{};
--- a/tests/live/http_client_test.cc
+++ b/tests/live/http_client_test.cc
@@ -388,6 +388,59 @@
   BOOST_TEST(client.idleConnections() == 0U);
 }
 
+// Guards against a late second copy of the response to an order or a report that is taken for the
+// response to the next one: such calls have no identifier from a caller.
+BOOST_AUTO_TEST_CASE(CallsWithoutAnIdentifierGetOneOfTheirOwn) {
+  Fixture fixture;
+  HttpClientLimits limits;
+  limits.skipMismatchedResponses = true;
+  limits.identifiesRequests = true;
+  HttpClient client(fixture.context, limits);
+  Recorder first;
+  const auto firstCall =
+      client.start(fixture.server.endpoint(), {"POST", "/order", {}, "1"}, {}, first);
+  fixture.waitRequests(1);
+  fixture.server.respond("HTTP/1.1 202 OK\r\nX-Request-Id: call-1\r\nContent-Length: 0\r\n\r\n");
+  fixture.waitDone(first);
+  BOOST_TEST(first.status == 202U);
+  Recorder second;
+  const auto secondCall =
+      client.start(fixture.server.endpoint(), {"POST", "/order", {}, "2"}, {}, second);
+  fixture.waitRequests(2);
+  BOOST_TEST(fixture.server.connections() == 1U);
+  fixture.server.respond(
+      "HTTP/1.1 202 OK\r\nX-Request-Id: call-1\r\nContent-Length: 0\r\n\r\n"
+      "HTTP/1.1 409 No\r\nX-Request-Id: call-2\r\nContent-Length: 0\r\n\r\n");
+  fixture.waitDone(second);
+  BOOST_TEST(second.status == 409U);
+}
+
+// Guards against an order whose response is taken from a late copy of a report, where the server's
+// responses to both name no request.
+BOOST_AUTO_TEST_CASE(OrderIsNotSentBehindAResponseThatNamesNoRequest) {
+  Fixture fixture;
+  HttpClientLimits limits;
+  limits.identifiesRequests = true;
+  HttpClient client(fixture.context, limits);
+  Recorder recorder;
+  const auto call =
+      client.start(fixture.server.endpoint(), {"GET", "/report", {}, {}}, {}, recorder);
+  fixture.waitRequests(1);
+  fixture.server.respond("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+  fixture.waitDone(recorder);
+  BOOST_TEST(recorder.body == "{}");
+  BOOST_TEST(client.idleConnections() == 1U);
+  Recorder ordered;
+  const auto order =
+      client.start(fixture.server.endpoint(), {"POST", "/order", {}, "1"}, {}, ordered);
+  fixture.waitRequests(2);
+  BOOST_TEST(fixture.server.connections() == 2U);
+  fixture.server.respond("HTTP/1.1 202 OK\r\nContent-Length: 0\r\n\r\n");
+  fixture.waitDone(ordered);
+  BOOST_TEST(ordered.status == 202U);
+  BOOST_TEST(client.idleConnections() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(ResponseWithoutRequestIdFailsWhenMismatchedOnesAreSkipped) {
   Fixture fixture;
   HttpClientLimits limits;
