Wait for the delivery of answers before a stopping node ends

Cause: the drain counted connections on which a request is being answered. A whole answer on a kept connection no longer counts as that, while its bytes wait in the process.

Evidence: PlannedStopTest/ResponseReachesACallerThatBeginsToReadLate failed before: the node had stopped 3.15 s behind the signal while the caller had read nothing.

Change: one question decides whether the process may end: whether any connection holds a request or a part of one, bytes in the process, or bytes that the peer's machine has not acknowledged. An idle connection is not closed before its last answer is acknowledged, a lingering one is kept while its answer is being acknowledged, and at the end of the grace time bytes that are left in the process are logged as cut (8006), and unread bytes are read, since the close would otherwise be a reset that discards what the operating system has accepted.

--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -1,5 +1,6 @@
 #include "live/http_connection.h"
 
+#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -303,6 +304,16 @@
   socket_.set_option(asio::socket_base::linger(enabled, /*timeout=*/0), error);
 }
 
+bool Connection::unfinished() const {
+  if (state_ == State::kClosed) return false;
+  if (state_ == State::kResponding || bufferedBytes() > 0) return true;
+  if (unacknowledgedBytes(socket_).value_or(0) > 0) return true;
+  // A peer that still sends a refused request may not have read the refusal: closing the connection
+  // would reset it.
+  if (state_ == State::kLingering) return lingeredBytes_ > 0 && !peerHasClosed(socket_);
+  return parser_->got_some() || buffer_.size() > 0 || unreadBytes(socket_) > 0;
+}
+
 void Connection::linger() {
   setResetOnClose(false);
   boost::system::error_code error;
@@ -313,6 +324,8 @@
   }
   state_ = State::kLingering;
   idleSince_ = AsioClock{}.now();
+  unacknowledged_ = unacknowledgedBytes(socket_).value_or(0);
+  acknowledgedAt_ = idleSince_;
   buffer_.consume(buffer_.size());
   setDeadline(kLingerTime);
   read();
@@ -339,12 +352,30 @@
 
 void Connection::closeIfIdle() {
   if (state_ == State::kLingering || !idleSince()) return;
+  // The peer may be about to send its next request, which would reset a closed connection and
+  // discard what is still to be delivered.
+  if (unacknowledgedBytes(socket_).value_or(0) > 0) return;
   // The cancelled read may have received bytes already; onRead then keeps the connection open.
   closingIdle_ = true;
   boost::system::error_code error;
   socket_.cancel(error);
 }
 
+void Connection::closeForExit() {
+  if (state_ == State::kClosed) return;
+  if (bufferedBytes() > 0) reportEarlyClose("the node stops", base::Duration::zero());
+  if (unacknowledgedBytes(socket_).value_or(0) > 0) discardUnreadBytes();
+  close();
+}
+
+void Connection::discardUnreadBytes() {
+  boost::system::error_code error;
+  socket_.non_blocking(true, error);
+  std::array<char, kReadBytes> discarded{};
+  while (!error && socket_.read_some(asio::buffer(discarded), error) > 0) {
+  }
+}
+
 void Connection::close() {
   if (state_ == State::kClosed) return;
   state_ = State::kClosed;
@@ -384,10 +415,21 @@
       return;
     }
   }
+  if (state_ == State::kLingering && deliveryGoesOn()) {
+    setDeadline(kLingerTime);
+    return;
+  }
   reportEarlyClose(deadlineName(), deadline_.lateness());
   close();
 }
 
+bool Connection::deliveryGoesOn() {
+  const auto unacknowledged = unacknowledgedBytes(socket_).value_or(0);
+  const auto now = AsioClock{}.now();
+  if (unacknowledged < std::exchange(unacknowledged_, unacknowledged)) acknowledgedAt_ = now;
+  return unacknowledged > 0 && now - acknowledgedAt_ < owner_.limits().stallTimeout;
+}
+
 std::string_view Connection::deadlineName() const {
   if (writeActive_) return "the peer accepts no data";
   if (state_ == State::kLingering) return "the peer does not close the connection";
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -104,7 +104,9 @@
   void close();
   /// Whether the peer has not closed the connection, as the operating system sees it now.
   bool peerConnected() const;
-  bool responding() const { return state_ == State::kResponding; }
+  /// Whether the end of the process would cost the peer anything: a request that arrives or is
+  /// being answered, or bytes of a response that the peer's machine has not acknowledged.
+  bool unfinished() const;
   /// When the connection was last opened, its last response completed or it began to linger; empty
   /// while any byte of a
   /// request or response is under way or the connection is about to close.
@@ -114,9 +116,12 @@
   /// Closes the connection to make room for another one, if it is idle or lingering and its socket
   /// holds no bytes.
   void closeForRoom();
-  /// Closes the connection unless a byte of a request was received or a response is not yet fully
-  /// written to the socket.
+  /// Closes the connection unless a byte of a request was received or a response has not been
+  /// acknowledged by the peer's machine.
   void closeIfIdle();
+  /// Ends the connection because the process ends. The operating system goes on sending what it has
+  /// accepted; reports the response bytes that it has not.
+  void closeForExit();
   base::Endpoint peer() const { return peer_; }
 
   // Called by the exchange.
@@ -161,6 +166,12 @@
   void updatePressure();
   void setResetOnClose(bool enabled);
   void linger();
+  /// Unread bytes would make the operating system reset the connection when it is closed, and
+  /// discard what it has accepted for sending.
+  void discardUnreadBytes();
+  /// Whether the peer has acknowledged bytes of the last response within the stall timeout, and
+  /// some are still to be acknowledged.
+  bool deliveryGoesOn();
   void setDeadlineForState();
   /// Time for which the connection may stay open between requests.
   base::Duration idleTime() const;
@@ -189,6 +200,10 @@
   bool headerComplete_ = false;
   bool closeWhenWritten_ = false;
   std::size_t lingeredBytes_ = 0;
+  /// While lingering: bytes that were not acknowledged when that was last checked, and when their
+  /// number last went down.
+  std::size_t unacknowledged_ = 0;
+  base::TimePoint acknowledgedAt_{};
   /// Bytes of the request being read.
   std::size_t requestBytes_ = 0;
   std::string writing_;
--- a/src/live/http_server.cc
+++ b/src/live/http_server.cc
@@ -195,11 +195,11 @@
     listeners.clear();
   }
 
-  void closeAll() {
+  void closeAll(void (Connection::*closeOne)()) {
     closed = true;
     // Each close removes its connection from the map.
     const auto open = std::exchange(connections, {});
-    for (const auto& [key, connection] : open) connection->close();
+    for (const auto& [key, connection] : open) (connection.get()->*closeOne)();
   }
 
   asio::io_context& context;
@@ -225,7 +225,7 @@
 HttpServer::~HttpServer() {
   core_->stopAccepting();
   core_->handler = nullptr;
-  core_->closeAll();
+  core_->closeAll(&Connection::close);
 }
 
 void HttpServer::setRefusalFormatter(HttpRefusalFormatter formatter) {
@@ -279,14 +279,18 @@
 }
 void HttpServer::close() {
   core_->stopAccepting();
-  core_->closeAll();
+  core_->closeAll(&Connection::close);
+}
+void HttpServer::closeForExit() {
+  core_->stopAccepting();
+  core_->closeAll(&Connection::closeForExit);
 }
 
 std::size_t HttpServer::openConnections() const { return core_->connections.size(); }
 
-std::size_t HttpServer::openExchanges() const {
+std::size_t HttpServer::unfinishedConnections() const {
   return static_cast<std::size_t>(std::ranges::count_if(
-      core_->connections, [](const auto& entry) { return entry.second->responding(); }));
+      core_->connections, [](const auto& entry) { return entry.second->unfinished(); }));
 }
 
 }  // namespace covewing::live
--- a/src/live/http_server.h
+++ b/src/live/http_server.h
@@ -165,10 +165,14 @@
   void stopAcceptingAndCloseIdle();
   /// Closes the listeners and all connections at once, including those with unfinished responses.
   void close();
+  /// As `close`, at the end of the process: reports responses that are cut off, and leaves those
+  /// that the operating system has accepted to it.
+  void closeForExit();
 
   std::size_t openConnections() const;
-  /// Number of exchanges whose response is not finished.
-  std::size_t openExchanges() const;
+  /// Number of connections on which a request or a part of it has arrived, or a response has not
+  /// been acknowledged whole by the peer's machine.
+  std::size_t unfinishedConnections() const;
 
  private:
   struct Core;
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -421,7 +421,8 @@
       callerServer.closeIdleConnections();
       relayServer.closeIdleConnections();
     }
-    const bool idle = callerServer.openExchanges() == 0 && relayServer.openExchanges() == 0;
+    const bool idle =
+        callerServer.unfinishedConnections() == 0 && relayServer.unfinishedConnections() == 0;
     if (noticed && idle && !closingSince) {
       // What waits in the listen queues and sockets is read and refused before the process ends.
       closingSince = clock.now();
@@ -432,6 +433,8 @@
     if (overdue || closed) {
       membership.leave();
       log.write(base::Event::kNodeStopped, {{"open", std::to_string(service.openRequests())}});
+      callerServer.closeForExit();
+      relayServer.closeForExit();
       drained();
       return;
     }
--- a/tests/live/relay_fleet.h
+++ b/tests/live/relay_fleet.h
@@ -4,8 +4,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <memory>
 #include <set>
 #include <sstream>
@@ -177,12 +179,15 @@
 /// A replica of the application or of the model. A request with the body `kCrashing` crashes it
 /// kCrashAfter after the request has begun, and so does one with the prompt part `kCrashingPart`,
 /// behind the head and the first event of its response; later it is back at the same address as a
-/// new instance. A request with the body `kUnanswered` never gets a response.
+/// new instance. A request with the body `kUnanswered` never gets a response, one with the body
+/// `kLarge` gets one of kLargeBytes.
 class CrashingReplica {
  public:
   static constexpr std::string_view kCrashing = "deadly";
   static constexpr std::string_view kUnanswered = "silent";
   static constexpr std::string_view kCrashingPart = "dead";
+  static constexpr std::string_view kLarge = "large";
+  static constexpr std::size_t kLargeBytes = 3'000'000;
   static constexpr base::Duration kRunTime = std::chrono::milliseconds(60);
   static constexpr base::Duration kCrashAfter = std::chrono::milliseconds(40);
   static constexpr base::Duration kRestartAfter = std::chrono::milliseconds(900);
@@ -234,7 +239,10 @@
       openExchanges_.push_back(exchange);
       return;
     }
-    timers_.schedule(kRunTime, [exchange] { exchange->respond({200, {}, "done"}); });
+    const bool large = exchange->request().body == kLarge;
+    timers_.schedule(kRunTime, [exchange, large] {
+      exchange->respond({200, {}, large ? std::string(kLargeBytes, 'x') : "done"});
+    });
   }
 
   void stream(const HttpExchangePtr& exchange) {
@@ -304,7 +312,8 @@
     int completions = 0;
   };
 
-  explicit RelayFleet(std::size_t modelReplicas = 0) {
+  explicit RelayFleet(std::size_t modelReplicas = 0, base::Duration grace = std::chrono::seconds(8))
+      : grace_(grace) {
     table_.put(std::string{kConfigurationTableName}, "routes", "routes");
     for (std::size_t index = 0; index < kReplicas; ++index)
       replicas_.push_back(std::make_unique<CrashingReplica>(
@@ -329,6 +338,16 @@
   }
   /// Destroys all nodes at once, as if their processes were killed.
   void killNodes() { nodes_.clear(); }
+  /// Stops the node as planned. Its process ends, with all that is still open, once it has
+  /// finished; `stopped` is called then.
+  void stopNode(std::size_t node, std::function<void()> stopped) {
+    nodes_.at(node)->drain([this, node, stopped = std::move(stopped)] {
+      boost::asio::post(context_, [this, node, stopped] {
+        nodes_.at(node).reset();
+        stopped();
+      });
+    });
+  }
 
   void run(base::Duration duration) { context_.run_for(duration); }
 
@@ -354,10 +373,14 @@
     boost::asio::ip::tcp::socket socket(context_);
     const auto endpoint = callerEndpoint(node);
     socket.connect({boost::asio::ip::address_v4(endpoint.address), endpoint.port});
-    const auto text = "POST /work HTTP/1.1\r\nHost: example\r\nX-Key: key\r\n" +
-                      std::string{kRequestIdHeader} + ": left-" + std::to_string(++sent_) +
-                      "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-    boost::asio::write(socket, boost::asio::buffer(text));
+    boost::asio::write(socket, boost::asio::buffer(requestText(body)));
+  }
+
+  /// Sends a request on a connection of its own from which nothing is read yet.
+  boost::asio::ip::tcp::socket sendUnread(std::size_t node, std::string_view body) {
+    auto socket = connectIdle(node);
+    boost::asio::write(socket, boost::asio::buffer(requestText(body)));
+    return socket;
   }
 
   /// Opens a connection of a caller that sends nothing.
@@ -375,6 +398,12 @@
   CrashingReplica::Record record;
 
  private:
+  /// The bytes of a request that is sent without the client.
+  std::string requestText(std::string_view body) {
+    return "POST /work HTTP/1.1\r\nHost: example\r\nX-Key: key\r\n" +
+           std::string{kRequestIdHeader} + ": raw-" + std::to_string(++sent_) +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string{body};
+  }
   HttpRequest requestTo(std::string_view target, std::string body) {
     return {"POST",
             std::string{target},
@@ -431,7 +460,7 @@
     settings.metricsEndpoint = {addressOf(index), ports_[kMetrics]};
     for (std::size_t node = 0; node < kNodes; ++node)
       settings.seeds.push_back({addressOf(node), ports_[kPeers]});
-    settings.grace = std::chrono::seconds(8);
+    settings.grace = grace_;
     settings.revocation = std::chrono::seconds(5);
     settings.retryRatio = 0.2;
     settings.retryWindow = std::chrono::seconds(10);
@@ -450,6 +479,7 @@
                                [](const auto& response) { return response->status == 200; });
   }
 
+  base::Duration grace_;
   boost::asio::io_context context_;
   AsioClock clock_;
   AsioTimerService timers_{context_};
