Bound every wait by the end of a stopping node

Cause: holds, queues, back-offs and attempts were bounded by the time of the request alone. At the end of the grace time the event loop stopped.

Change: from the signal on, a request that waits is asked anew with the node's end as its latest start, keeps its place, and is refused as not run as soon as it is known that it cannot be answered in time; how long answers take is measured by service. 600 ms before the end of the grace time what is at a replica gets an answer that promises nothing, or a refusal where it provably did not run; streams are broken off, so that their callers can take them up; requests of other nodes are reported as lost. A node that stood still until after its time gives these answers first. Then the process waits for their delivery.

--- a/src/clients/relay_client.h
+++ b/src/clients/relay_client.h
@@ -128,6 +128,9 @@
   virtual void setPaused(bool paused) = 0;
   /// Number of sent bytes that the replica has not acknowledged; empty if that is not known.
   virtual std::optional<std::size_t> unacknowledgedBytes() const = 0;
+  /// Whether bytes of the request may have left this node. If false, destroying the call means that
+  /// none ever does.
+  virtual bool mayHaveBeenSent() const { return true; }
 };
 
 class RelayClient {
--- a/src/live/client_connection.h
+++ b/src/live/client_connection.h
@@ -54,6 +54,10 @@
   /// Bytes of call `number` that the server has not acknowledged; empty if unknown or if that call
   /// has ended.
   std::optional<std::size_t> unacknowledgedBytes(std::uint64_t number) const;
+  /// Whether the operating system may have accepted bytes of call `number`.
+  bool mayHaveBeenSent(std::uint64_t number) const {
+    return number != callNumber_ || bytesMayHaveBeenSent_;
+  }
   void close();
 
  private:
--- a/src/live/http_client.cc
+++ b/src/live/http_client.cc
@@ -29,6 +29,7 @@
   std::optional<std::size_t> unacknowledgedBytes() const override {
     return connection_->unacknowledgedBytes(number_);
   }
+  bool mayHaveBeenSent() const override { return connection_->mayHaveBeenSent(number_); }
 
  private:
   std::shared_ptr<ClientConnection> connection_;
--- a/src/live/http_client.h
+++ b/src/live/http_client.h
@@ -86,6 +86,8 @@
   /// Number of bytes accepted by the operating system that the server has not acknowledged; empty
   /// if the operating system does not report it or the call has ended.
   virtual std::optional<std::size_t> unacknowledgedBytes() const = 0;
+  /// Whether the operating system may have accepted bytes of the request.
+  virtual bool mayHaveBeenSent() const = 0;
 };
 
 using HttpResult = std::variant<HttpResponse, clients::DispatchError>;
--- a/src/live/http_relay_client.cc
+++ b/src/live/http_relay_client.cc
@@ -46,6 +46,7 @@
   std::optional<std::size_t> unacknowledgedBytes() const override {
     return call_->unacknowledgedBytes();
   }
+  bool mayHaveBeenSent() const override { return call_->mayHaveBeenSent(); }
 
  protected:
   void deliverHead(const HttpResponse& head, clients::BodyFraming framing) {
--- a/src/live/peer_relay.cc
+++ b/src/live/peer_relay.cc
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <utility>
+#include <vector>
 
 #include "live/body_framing.h"
 #include "live/peer_relay_headers.h"
@@ -58,6 +59,22 @@
                                                   base::Duration::zero(), *this);
   }
 
+  /// Gives the request up because this node is about to end.
+  void giveUp() {
+    const auto self = shared_from_this();
+    const bool sent = call_ == nullptr || call_->mayHaveBeenSent();
+    call_.reset();
+    if (headReceived_) {
+      ++relay_.counters_.lost;
+      exchange_->abort();
+    } else {
+      ++(sent ? relay_.counters_.lost : relay_.counters_.refused);
+      relay_.respondFailure(exchange_, sent ? relay_headers::kLost : relay_headers::kRefused,
+                            "this node ends");
+    }
+    relay_.onEnded(*this);
+  }
+
  private:
   bool stillWanted() const override { return exchange_->peerConnected() && replica_->inService(); }
 
@@ -190,4 +207,12 @@
 
 void PeerRelay::onEnded(Call& call) { calls_.erase(&call); }
 
+void PeerRelay::endRequests() {
+  refuseNewRequests();
+  std::vector<std::shared_ptr<Call>> open;
+  open.reserve(calls_.size());
+  for (const auto& [key, call] : calls_) open.push_back(call);
+  for (const auto& call : open) call->giveUp();
+}
+
 }  // namespace covewing::live
--- a/src/live/peer_relay.h
+++ b/src/live/peer_relay.h
@@ -65,6 +65,9 @@
   void handle(const HttpExchangePtr& exchange);
   /// Refuses new requests from now on, because the node is about to stop.
   void refuseNewRequests() { draining_ = true; }
+  /// Reports all open requests as lost, or as not sent where that is certain, because this node is
+  /// about to end: the other nodes can go on with them.
+  void endRequests();
   std::size_t open() const { return calls_.size(); }
   const PeerRelayCounters& counters() const { return counters_; }
 
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -51,6 +51,9 @@
 constexpr base::Duration kDrainNoticeTime = std::chrono::milliseconds(2600);
 /// The node stops this long before the end of the grace period.
 constexpr base::Duration kGraceMargin = std::chrono::milliseconds(350);
+/// Time before the end of the process at which all open requests are ended with a response, so that
+/// it is written and read.
+constexpr base::Duration kLastResponseTime = std::chrono::milliseconds(250);
 constexpr base::Duration kDrainInterval = std::chrono::milliseconds(50);
 /// Time for which a node that has stopped accepting connections reads and refuses what has arrived.
 constexpr base::Duration kDrainCloseTime = std::chrono::milliseconds(100);
@@ -403,26 +406,46 @@
     draining = true;
     drained = std::move(done);
     drainingSince = clock.now();
+    log.write(base::Event::kNodeDraining, {{"open", std::to_string(openWork())}});
+    service.stopBy(lastResponsesAt());
     callerServer.announceClose();
     relayServer.announceClose();
     coordinator.drain([] {});
     membership.setDraining(true);
-    log.write(base::Event::kNodeDraining, {{"open", std::to_string(service.openRequests())}});
     drainStep();
   }
 
+  /// When the process ends at the latest.
+  base::TimePoint endsAt() const { return drainingSince + settings.grace - kGraceMargin; }
+  base::TimePoint lastResponsesAt() const { return endsAt() - kLastResponseTime; }
+
+  /// Number of requests that have no whole response yet, and of connections on which one is still
+  /// to be delivered.
+  std::size_t openWork() const {
+    return std::max(service.openRequests() + peerRelay.open(),
+                    callerServer.unfinishedConnections() + relayServer.unfinishedConnections());
+  }
+
+  /// Ends all open requests with a response. It is written before the next step, also if this node
+  /// stood still until after the end of the grace period.
+  void giveLastResponses() {
+    lastResponsesGiven = true;
+    service.endRequests();
+    peerRelay.endRequests();
+  }
+
   void drainStep() {
     const auto elapsed = clock.now() - drainingSince;
     const bool noticed = elapsed >= kDrainNoticeTime;
-    const bool overdue = elapsed >= settings.grace - kGraceMargin;
+    const bool overdue = lastResponsesGiven && clock.now() >= endsAt();
     if (noticed) {
       service.refuseNewRequests();
       peerRelay.refuseNewRequests();
       callerServer.closeIdleConnections();
       relayServer.closeIdleConnections();
     }
-    const bool idle =
-        callerServer.unfinishedConnections() == 0 && relayServer.unfinishedConnections() == 0;
+    if (!lastResponsesGiven && clock.now() >= lastResponsesAt()) giveLastResponses();
+    const bool idle = openWork() == 0;
     if (noticed && idle && !closingSince) {
       // What waits in the listen queues and sockets is read and refused before the process ends.
       closingSince = clock.now();
@@ -431,16 +454,20 @@
     }
     const bool closed = closingSince && idle && clock.now() - *closingSince >= kDrainCloseTime;
     if (overdue || closed) {
-      membership.leave();
-      log.write(base::Event::kNodeStopped, {{"open", std::to_string(service.openRequests())}});
-      callerServer.closeForExit();
-      relayServer.closeForExit();
-      drained();
+      endProcess();
       return;
     }
     timers.schedule(kDrainInterval, [this] { drainStep(); });
   }
 
+  void endProcess() {
+    membership.leave();
+    log.write(base::Event::kNodeStopped, {{"open", std::to_string(openWork())}});
+    callerServer.closeForExit();
+    relayServer.closeForExit();
+    drained();
+  }
+
   void onRelayFinished(const config::Route& route, const request::RelayOutcome& outcome) override {
     metrics.onRelayFinished(route, outcome);
   }
@@ -560,6 +587,7 @@
   base::TimerId trafficTimer = 0;
   bool draining = false;
   base::TimePoint drainingSince{};
+  bool lastResponsesGiven = false;
   /// When this node stopped accepting connections; empty before that.
   std::optional<base::TimePoint> closingSince;
   std::function<void()> drained;
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -59,6 +59,7 @@
   dependencies_.timers.cancel(receiveTimer_);
   dependencies_.timers.cancel(startDeadlineTimer_);
   dependencies_.timers.cancel(linkTimer_);
+  dependencies_.timers.cancel(latestDispatchTimer_);
   dependencies_.placement.cancel(placementTicket_);
   if (attempt_) endAttempt();
   allowance_.end(executions_);
@@ -82,6 +83,11 @@
            options_.retryAfterNoReplica);
     return;
   }
+  if (hooks_.lastResponsesAt) applyNodeStop();
+  if (tooLateForNode()) {
+    refuseBecauseNodeStops();
+    return;
+  }
   if (!resumesStream()) countRequest();
   deadlineTimer_ = dependencies_.timers.schedule(deadline_ - now, [this] { onDeadline(); });
   writer_->onPressure([this](bool high) { onPressure(high); });
@@ -232,6 +238,10 @@
   // A reply for a search that has ended may arrive while the attempt goes on.
   const bool searchEnded = attempt_ && !replacement_;
   if (ended_ || searchEnded || !verifyDispatchAllowed()) return;
+  if (tooLateForNode()) {
+    refuseBecauseNodeStops();
+    return;
+  }
   const auto now = dependencies_.clock.now();
   auto decision = dependencies_.replicaSelector.choose(query(), hooks_.nodes(), now);
   if (decision.softwareVersionGone) {
@@ -291,11 +301,14 @@
   const auto left = end - dependencies_.clock.now();
   // The caller cannot start a stream over once it has begun, so such a stream waits up to its
   // deadline.
-  if (end > (headDelivered_ ? deadline_ : holdUntil_)) {
+  const auto latest = headDelivered_ ? deadline_ : holdUntil_;
+  if (end > std::min(latest, latestDispatch_.value_or(latest))) {
     refuseUnplaced(why, left);
     return;
   }
+  waitingForBackOff_ = true;
   holdTimer_ = dependencies_.timers.schedule(left, [this] {
+    waitingForBackOff_ = false;
     // The back-off of the replicas that were tried has ended as well.
     excluded_.clear();
     if (replacement_) excluded_.push_back(attempt_->decision.replica->facts().instance);
@@ -310,6 +323,12 @@
     abortStream(why);
   } else if (executions_ > 0) {
     refuse(base::ResultCode::kBackEndLost, std::string{why}, {});
+  } else if (latestDispatch_) {
+    constexpr auto kCode = base::ResultCode::kNodeDraining;
+    refuse(RelayRefusal{{kCode, std::string{why}},
+                        base::describe(kCode).httpStatus,
+                        options_.retryAfterNodeStops,
+                        true});
   } else {
     refuse(base::ResultCode::kNoBackEnd, std::string{why}, retryAfter);
   }
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -95,6 +95,9 @@
   base::Duration wrongVersionBackOff = std::chrono::milliseconds(300);
   /// Retry-After time of refusals for which no home node reported a time.
   base::Duration retryAfterNoReplica = std::chrono::milliseconds(300);
+  /// Retry-After time of requests that are refused because the node stops: other nodes may serve
+  /// them at once.
+  base::Duration retryAfterNodeStops = std::chrono::milliseconds(100);
 };
 
 /// Result of a request, for metrics.
@@ -177,6 +180,8 @@
     DispatchCheck check;
     NodeCount nodes;
     FinishedCallback finished;
+    /// When the node gives its last responses; empty unless it is stopping.
+    std::optional<base::TimePoint> lastResponsesAt{};
   };
 
   RelayFlow(RelayDependencies dependencies, const RelayOptions& options, IncomingRequest incoming,
@@ -192,6 +197,11 @@
   /// known, or when the clock has jumped. The attempt may have to start earlier than was known when
   /// it was sent.
   void onWeightsChanged();
+  /// Called when the node begins to stop. A request that still waits is refused as soon as it is
+  /// known that its response would not be complete by `lastResponsesAt`.
+  void onNodeStopping(base::TimePoint lastResponsesAt);
+  /// Called when the node is about to end: ends the request with whatever may be promised of it.
+  void onNodeEnding();
 
   bool stillWanted() const override;
   void onHead(clients::RelayedAnswer response) override;
@@ -309,6 +319,13 @@
   void onPlacementFailed(const Candidates& candidates, const routing::PlacementResult& result);
   /// Ends the request at once, because no replica can serve it in time.
   void refuseUnplaced(std::string_view why, base::Duration retryAfter);
+  /// Limits the waits of the request by the time that the stopping node has left.
+  void applyNodeStop();
+  /// Whether the node stops before an attempt that is sent now would usually be answered.
+  bool tooLateForNode() const;
+  void refuseBecauseNodeStops();
+  /// Whether no replica can have executed the request, or still execute it.
+  bool provablyNotRun() const;
   /// Sends the request according to the local state of this node only, or holds it.
   void decideLocally(routing::ReplicaDecision decision);
   /// Number of shared prompt tokens that the replica has to prefill, as far as this node knows.
@@ -458,6 +475,8 @@
   /// Hard deadline for the start of the request. A later dispatch would be of no use to the caller,
   /// or would count in another window of the tenant's limit.
   base::TimePoint hardStartDeadline_{};
+  /// Latest time at which the request is sent to a replica; set while the node is stopping.
+  std::optional<base::TimePoint> latestDispatch_;
 
   TenantAllowance allowance_;
   std::unique_ptr<clients::RelayCall> call_;
@@ -492,6 +511,8 @@
   routing::Placement::Ticket placementTicket_ = 0;
   /// What was known of the candidates of the latest placement that failed.
   std::vector<routing::CandidateReport> lastCandidates_;
+  /// Waits until a replica accepts requests again after a back-off.
+  bool waitingForBackOff_ = false;
   /// Time before which no home node is queried, because none replied to the latest query.
   base::TimePoint nextPlacementAt_{};
 
@@ -521,6 +542,7 @@
   base::TimerId receiveTimer_ = 0;
   base::TimerId linkTimer_ = 0;
   base::TimerId startDeadlineTimer_ = 0;
+  base::TimerId latestDispatchTimer_ = 0;
 };
 
 }  // namespace covewing::request
--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -252,6 +252,8 @@
     return;
   }
   reportServed(response.status);
+  if (successful(response.status))
+    dependencies_.requestDurations.onAnswered(assignment_.service->name, now - attempt_->sentAt);
   finishComplete();
 }
 
--- a/src/request/relay_flow_dispatch.cc
+++ b/src/request/relay_flow_dispatch.cc
@@ -85,6 +85,11 @@
     }
     return;
   }
+  if (tooLateForNode()) {
+    dependencies_.placement.returnGrant(grant);
+    refuseBecauseNodeStops();
+    return;
+  }
   if (!countRetry(grant)) return;
   if (replacement_) giveUpReplacedAttempt();
   auto& record = *decision.replica;
--- a/src/request/relay_flow_end.cc
+++ b/src/request/relay_flow_end.cc
@@ -118,6 +118,7 @@
   allowance_.end(executions_ + (running ? 1 : 0));
   dependencies_.timers.cancel(deadlineTimer_);
   dependencies_.timers.cancel(holdTimer_);
+  dependencies_.timers.cancel(latestDispatchTimer_);
   const auto outcome = outcomeOf(status, code, callerDisconnected);
   dependencies_.log.write(
       callerDisconnected ? base::Event::kCallerDisconnected : base::Event::kRelayFinished,
--- a/src/request/relay_flow_parts.cc
+++ b/src/request/relay_flow_parts.cc
@@ -136,7 +136,7 @@
   if (headDelivered_) {
     // A resumed stream is late already, because its caller is waiting for the next event.
     constraints.softStartDeadline = dependencies_.clock.now() + route.targetLatency;
-    constraints.hardStartDeadline = deadline_;
+    constraints.hardStartDeadline = std::min(deadline_, latestDispatch_.value_or(deadline_));
   }
   constraints.softStartDeadline =
       std::min(constraints.softStartDeadline, constraints.hardStartDeadline);
--- a/src/request/relay_service.cc
+++ b/src/request/relay_service.cc
@@ -47,6 +47,7 @@
     return recheck(pending, assignment);
   };
   hooks.nodes = nodes_;
+  hooks.lastResponsesAt = lastResponsesAt_;
   const auto number = ++lastFlowNumber_;
   hooks.finished = [this, number](RelayFlow& /*flow*/) { flows_.erase(number); };
   const auto flow =
@@ -57,12 +58,25 @@
   return flow;
 }
 
-void RelayService::onWeightsChanged() {
-  // Flows may end inside the call and thereby let others proceed, which changes `flows_`.
+std::vector<RelayService::FlowPtr> RelayService::openFlows() const {
   std::vector<FlowPtr> flows;
   flows.reserve(flows_.size());
   for (const auto& [number, flow] : flows_) flows.push_back(flow);
-  for (const auto& flow : flows) flow->onWeightsChanged();
+  return flows;
+}
+
+void RelayService::onWeightsChanged() {
+  for (const auto& flow : openFlows()) flow->onWeightsChanged();
+}
+
+void RelayService::stopBy(base::TimePoint lastResponsesAt) {
+  lastResponsesAt_ = lastResponsesAt;
+  for (const auto& flow : openFlows()) flow->onNodeStopping(lastResponsesAt);
+}
+
+void RelayService::endRequests() {
+  refuseNewRequests();
+  for (const auto& flow : openFlows()) flow->onNodeEnding();
 }
 
 std::optional<RelayRefusal> RelayService::assign(const IncomingRequest& incoming,
--- a/src/request/relay_service.h
+++ b/src/request/relay_service.h
@@ -59,8 +59,14 @@
   /// known, or when the clock has jumped. Requests in flight that must start earlier than was known
   /// when they were sent are withdrawn by that time, or at once if it has passed.
   void onWeightsChanged();
+  /// The node stops, and gives its last responses at `lastResponsesAt`: requests that could not be
+  /// answered by then are refused, those that wait already and new ones.
+  void stopBy(base::TimePoint lastResponsesAt);
   /// Refuses new requests as not run from now on, because the node would stop before they end.
   void refuseNewRequests() { draining_ = true; }
+  /// Ends all open requests with a response, because the node is about to end. A request that may
+  /// have been executed gets one that promises nothing.
+  void endRequests();
   /// Whether the configuration was confirmed recently enough for keys to be accepted.
   bool confirmed() const;
 
@@ -72,6 +78,8 @@
   std::optional<RelayRefusal> recheck(const IncomingRequest& incoming,
                                       const RelayAssignment& assignment) const;
   RelayRefusal unconfirmed() const;
+  /// The open flows. Flows may end while others are called, which changes `flows_`.
+  std::vector<FlowPtr> openFlows() const;
   /// Quota that the request takes from its tenant's limit; empty if the tenant has no limit.
   std::optional<admission::QuotaDemand> demandOf(const IncomingRequest& incoming,
                                                  const RelayAssignment& assignment) const;
@@ -85,6 +93,7 @@
   std::map<std::uint64_t, FlowPtr> flows_;
   std::uint64_t lastFlowNumber_ = 0;
   bool draining_ = false;
+  std::optional<base::TimePoint> lastResponsesAt_;
   /// State of the smooth weighted round robin: the credit of each share of a split route, by route
   /// and service.
   std::unordered_map<std::string, double> credits_;
--- a/src/routing/request_durations.cc
+++ b/src/routing/request_durations.cc
@@ -33,6 +33,22 @@
   facts.meanSeconds += weight * (base::toSeconds(took) - facts.meanSeconds);
 }
 
+void RequestDurations::onAnswered(std::string_view service, base::Duration took) {
+  auto& facts = services_.try_emplace(std::string{service}).first->second;
+  ++facts.answers;
+  const double weight = std::max(options_.smoothing, 1.0 / facts.answers);
+  const double difference = base::toSeconds(took) - facts.answerSeconds;
+  facts.answerSeconds += weight * difference;
+  facts.answerDeviation += weight * (std::abs(difference) - facts.answerDeviation);
+}
+
+base::Duration RequestDurations::usualAnswerTime(std::string_view service) const {
+  const auto known = services_.find(service);
+  if (known == services_.end() || known->second.answers < options_.minimumRequests) return {};
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(known->second.answerSeconds + known->second.answerDeviation));
+}
+
 bool RequestDurations::isLong(std::string_view service, std::uint32_t tokens) const {
   const auto known = services_.find(service);
   return known != services_.end() &&
--- a/src/routing/request_durations.h
+++ b/src/routing/request_durations.h
@@ -1,6 +1,7 @@
 /// \file
 /// Estimates how long the replicas of a service run a request per expected output token, from this
-/// node's own requests, and how many long-running requests this node has in flight on average.
+/// node's own requests, how long a response usually takes, and how many long-running requests this
+/// node has in flight on average.
 ///
 /// New weights are loaded when the requests of a replica have ended, so a single long-running
 /// request keeps a whole replica out of service. Long-running requests are therefore kept together
@@ -41,6 +42,13 @@
   /// first byte.
   void onEnd(std::string_view service, std::uint32_t tokens, base::Duration took);
 
+  /// A replica of the service answered a request successfully; `took` is the time from the dispatch
+  /// to the end of the response.
+  void onAnswered(std::string_view service, base::Duration took);
+  /// Time from the dispatch of a request to the end of its response that most requests stay within:
+  /// the mean plus the mean deviation from it. Zero while unknown.
+  base::Duration usualAnswerTime(std::string_view service) const;
+
   /// Whether a request with this expected number of output tokens is long-running; false while
   /// unknown.
   bool isLong(std::string_view service, std::uint32_t tokens) const;
@@ -58,6 +66,10 @@
     /// with the time constant `timeConstant`.
     double longRequestSeconds = 0;
     base::TimePoint longRequestSecondsAt{};
+    /// Time to the end of the response: mean, and mean deviation from it.
+    double answerSeconds = 0;
+    double answerDeviation = 0;
+    std::uint32_t answers = 0;
   };
 
   /// Expected duration in seconds; zero while unknown.
--- a/tests/live/planned_stop_test.cc
+++ b/tests/live/planned_stop_test.cc
@@ -14,6 +14,7 @@
 
 constexpr std::size_t kStopped = 0;
 constexpr base::Duration kGrace = std::chrono::milliseconds(3400);
+constexpr unsigned kGatewayTimeout = 504;
 
 struct StopFixture {
   void stop() {
@@ -76,6 +77,17 @@
   BOOST_TEST(stopped);
 }
 
+// Guards against a request that is closed without an answer because its replica is still at work at
+// the end of the node's time.
+BOOST_AUTO_TEST_CASE(RequestThatOutlastsTheNodeIsAnsweredWithoutAPromise) {
+  stop();
+  const auto response = fleet.send(kStopped, std::string{CrashingReplica::kUnanswered});
+  fleet.run(kGrace);
+  BOOST_TEST(stopped);
+  BOOST_TEST(response->status == kGatewayTimeout);
+  BOOST_TEST(fleet.logged(base::Event::kNodeStopped) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::live
