Let the result of a probe concern only its own suspicion

What could happen: the process of a node ended by an exception, where a replica left as planned while it was being probed and another request broke off there before the result came.

Cause: the result was matched by the replica alone, so it was taken for that of the second suspicion, whose timer was replaced without being cancelled and ran after the suspicion had ended.

Change: a result names its suspicion, and a timer that is set cancels the one before.

--- a/src/routing/replica_crash_detector.cc
+++ b/src/routing/replica_crash_detector.cc
@@ -79,25 +79,29 @@
 }
 
 void ReplicaCrashDetector::scheduleProbe(const std::string& instance, base::Duration delay) {
-  suspicions_.at(instance).timer =
-      environment_.timers.schedule(delay, [this, instance] { probe(instance); });
+  auto& suspicion = suspicions_.at(instance);
+  environment_.timers.cancel(suspicion.timer);
+  suspicion.timer = environment_.timers.schedule(delay, [this, instance] { probe(instance); });
 }
 
 void ReplicaCrashDetector::probe(const std::string& instance) {
   auto& suspicion = suspicions_.at(instance);
   suspicion.timer = 0;
   ++suspicion.probes;
-  environment_.reachability.connect(
-      suspicion.replica->facts().endpoint, options_.connectTimeout,
-      [this, instance, alive = std::weak_ptr(lifetime_)](clients::Reachability reachability) {
-        if (!alive.expired()) onProbed(instance, reachability);
-      });
+  const auto since = suspicion.since;
+  environment_.reachability.connect(suspicion.replica->facts().endpoint, options_.connectTimeout,
+                                    [this, instance, since, alive = std::weak_ptr(lifetime_)](
+                                        clients::Reachability reachability) {
+                                      if (!alive.expired()) onProbed(instance, since, reachability);
+                                    });
 }
 
-void ReplicaCrashDetector::onProbed(const std::string& instance,
+void ReplicaCrashDetector::onProbed(const std::string& instance, base::TimePoint since,
                                     clients::Reachability reachability) {
   const auto found = suspicions_.find(instance);
   if (found == suspicions_.end() || found->second.outlivedAt) return;
+  // The probe belonged to an earlier suspicion, which was dropped meanwhile.
+  if (found->second.since != since) return;
   auto& suspicion = found->second;
   if (reachability == clients::Reachability::kAccepts) {
     environment_.log.write(base::Event::kReplicaOutlivedRuns,
--- a/src/routing/replica_crash_detector.h
+++ b/src/routing/replica_crash_detector.h
@@ -97,7 +97,9 @@
   bool dropPlannedEnd(const std::string& instance);
   void scheduleProbe(const std::string& instance, base::Duration delay);
   void probe(const std::string& instance);
-  void onProbed(const std::string& instance, clients::Reachability reachability);
+  /// `since` tells the suspicion that was probed from a later one about the same instance.
+  void onProbed(const std::string& instance, base::TimePoint since,
+                clients::Reachability reachability);
   void conclude(const std::string& instance, std::string_view why);
   void report(const LostRequests& ended, std::string_view why);
   void dropExpired();
--- a/tests/routing/replica_crash_detector_test.cc
+++ b/tests/routing/replica_crash_detector_test.cc
@@ -85,6 +85,26 @@
   BOOST_TEST(log.count(base::Event::kReplicaOutlivedRuns) == 1U);
 }
 
+// Guards against the result of a probe for a suspicion that was dropped being taken for that of the
+// next one: the timer of the latter was then left behind, and its callback ended the process.
+BOOST_AUTO_TEST_CASE(ResultOfAnEarlierProbeDoesNotConcernALaterSuspicion) {
+  reachability.results = {clients::Reachability::kSilent};
+  interrupt(1);
+  // The first probe is under way when the replica leaves as planned.
+  time.advance(ReplicaCrashDetectorOptions{}.firstProbe + milliseconds(1));
+  BOOST_REQUIRE(reachability.connections == 1);
+  const auto leaving = replica;
+  recordLeaving(*leaving, log, {"answer", 200, {}});
+  detector.onRemoved("replica");
+  replica = std::make_shared<ReplicaRecord>(facts());
+  interrupt(2);
+  time.advance(ReplicaCrashDetectorOptions{}.connectTimeout +
+               ReplicaCrashDetectorOptions{}.firstProbe + milliseconds(2));
+  detector.onRemoved("replica");
+  time.advance(seconds(20));
+  BOOST_TEST(ended.size() == 1U);
+}
+
 // A replica that restarts at once accepts connections, and its entry shows the restart up to a
 // second later. Guards against treating the requests that were lost with it as outlived.
 BOOST_AUTO_TEST_CASE(ReplicaThatRestartsAtOnceHasEnded) {
