Pass over entries without a start where the row had one

Cause: whether an entry must have a start was judged by its own service alone. This one passed for a new run, and the replica's own entries for those of a run that had ended.

Evidence: ReplicaListTest/EntryOfAnotherServiceWithoutStartTimeDoesNot- EndTheInstance failed before: the entry was listed and the replica gone.

Change: a row whose run had a start keeps to that.

--- a/src/node/replica_list.h
+++ b/src/node/replica_list.h
@@ -67,10 +67,12 @@
   void listInstance(const std::string& key, routing::Replica replica);
   /// Logs the reason and takes the row's instance out of use for new requests.
   void onUnreadableRow(const clients::FeedRow& row, const base::Reason& reason);
-  /// False if the entry has no start time although others of its service have one. Either all
-  /// replicas of a service report start times or none does, so that such an entry was not written
-  /// by a replica.
-  bool hasExpectedStartTime(const routing::Replica& replica);
+  /// False if the entry has no start time although others of its service, or the instance that its
+  /// row named before, have one. Either all replicas of a service report start times or none does,
+  /// so that such an entry was not written by a replica.
+  bool hasExpectedStartTime(const std::string& key, const routing::Replica& replica);
+  /// Whether the instance that the row named last reports its start time.
+  bool rowHadStartTime(const std::string& key) const;
   /// Whether the entry names another software version than before for the same instance.
   bool changesSoftwareVersion(const routing::Replica& replica) const;
   /// Called when the instance has ended because another instance of its replica is listed.
--- a/tests/node/replica_list_test.cc
+++ b/tests/node/replica_list_test.cc
@@ -13,7 +13,8 @@
 constexpr routing::CacheScope kScope = 1;
 constexpr std::uint64_t kPart = 2;
 
-/// The value of a row is the name of the instance; an empty value cannot be read.
+/// The value of a row is the name of the instance, behind that of its service and a bar if it is of
+/// another service than `llm`; an empty value cannot be read.
 class InstanceReader final : public ReplicaRowReader {
  public:
   std::optional<routing::Replica> readReplica(std::string_view /*key*/, std::string_view value,
@@ -23,7 +24,9 @@
       return std::nullopt;
     }
     routing::Replica replica;
-    replica.service = "llm";
+    const auto bar = value.find('|');
+    replica.service = bar == std::string_view::npos ? "llm" : value.substr(0, bar);
+    if (bar != std::string_view::npos) value.remove_prefix(bar + 1);
     // What follows a slash is the version of the software.
     const auto slash = value.find('/');
     replica.instance = value.substr(0, slash);
@@ -94,6 +97,19 @@
   BOOST_TEST(directory.all().size() == 2U);
 }
 
+// Guards against an entry by another writer under the key of a replica that is taken for a new run:
+// the replica's own entries were rejected from then on.
+BOOST_AUTO_TEST_CASE(EntryOfAnotherServiceWithoutStartTimeDoesNotEndTheInstance) {
+  write("r", "r@1");
+  write("r", "elsewhere|r");
+  BOOST_TEST(log.count(base::Event::kReplicaEntryRejected) == 1U);
+  BOOST_TEST((directory.find("r") == nullptr));
+  write("r", "r@1");
+  BOOST_TEST(log.count(base::Event::kReplicaEntryRejected) == 1U);
+  BOOST_REQUIRE((directory.find("r@1") != nullptr));
+  BOOST_TEST(directory.find("r@1")->inService());
+}
+
 BOOST_AUTO_TEST_CASE(RowOfTheSameInstanceEndsNothing) {
   write("r", "r@1");
   const auto record = directory.find("r@1");
