Close a peer that accepts nothing also when its next request has arrived

What could happen: a connection whose peer stopped reading in the middle of an answer was kept for good once the peer had sent its next request; a node that stops waited for it until the end of its grace time.

Cause: one deadline for two waits. The arrival of the request replaced the deadline of the write by that of the header section, and its dispatch removed it.

Change: while an answer is being written the deadline is that of the write. That of the request begins when it is written.

--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -167,7 +167,7 @@
   if (parser_->is_done()) {
     dispatch();
   } else if (parser_->is_header_done()) {
-    if (!headerComplete_) setDeadline(owner_.limits().requestTimeout);
+    if (!headerComplete_) setRequestDeadline(owner_.limits().requestTimeout);
     headerComplete_ = true;
     continueIfExpected();
   }
@@ -179,7 +179,7 @@
 
 void Connection::onFirstBytes(base::Duration readDelay) {
   arrival_ = {AsioClock{}.now() - readDelay, readDelay};
-  setDeadline(owner_.limits().headerTimeout);
+  setRequestDeadline(owner_.limits().headerTimeout);
 }
 
 void Connection::continueIfExpected() {
@@ -196,7 +196,7 @@
   keepAlive_ = message.keep_alive();
   state_ = State::kResponding;
   // The handler decides how long the response may take.
-  clearDeadline();
+  if (!writeActive_) clearDeadline();
   if (buffer_.size() == 0) buffer_.shrink_to_fit();
   HttpRequest request{std::string{message.method_string()}, std::string{message.target()},
                       copyHeaders(message), std::move(message.body())};
@@ -405,6 +405,10 @@
   deadline_.set(delay);
 }
 
+void Connection::setRequestDeadline(base::Duration delay) {
+  if (!writeActive_) setDeadline(delay);
+}
+
 void Connection::clearDeadline() {
   bytesInTime_.reset();
   deadline_.clear();
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -183,6 +183,9 @@
   bool awaitsInput() const;
   /// Sets a new deadline for the next step of the exchange.
   void setDeadline(base::Duration delay);
+  /// As `setDeadline`, for the arrival of a request. While the previous response is being written,
+  /// the deadline remains that of the peer to accept it; the request's begins when it is written.
+  void setRequestDeadline(base::Duration delay);
   void clearDeadline();
   /// The limit that the deadline enforces now.
   std::string_view deadlineName() const;
--- a/tests/live/http_server_test.cc
+++ b/tests/live/http_server_test.cc
@@ -188,6 +188,21 @@
   BOOST_TEST(client.has("HTTP/1.1 431"));
 }
 
+// Guards against a connection that is never closed although its peer accepts no byte of a response,
+// because its next request has arrived behind it.
+BOOST_AUTO_TEST_CASE(StalledPeerIsClosedAlthoughItsNextRequestHasArrived) {
+  HttpLimits limits;
+  limits.stallTimeout = std::chrono::milliseconds(200);
+  Fixture fixture(limits);
+  TestClient client(fixture.context, fixture.endpoint, /*reading=*/false);
+  client.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+  fixture.nextExchange()->respond({200, {}, std::string(20'000'000, 'y')});
+  client.send("GET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+  fixture.nextExchange();
+  fixture.context.run_for(std::chrono::seconds(1));
+  BOOST_TEST(fixture.server.openConnections() == 0U);
+}
+
 // Guards against a caller that fills the memory with a part of the framing that never ends.
 BOOST_AUTO_TEST_CASE(FramingWithoutEndIsRefused) {
   constexpr std::size_t kMaximumSent = 4U << 20U;
