Heed what a replica says in answers that are passed on

What could happen: a node that passes other nodes' requests on kept sending to a replica that had asked it for rest, or had said that it leaves, in an answer to one of them.

Cause: notices were read only where a caller's own request is handled.

Change: notices of an answer are recorded in one place, for requests of callers and for those that are passed on, and a node passes nothing on to a replica that wants none from it.

The test of an ending node that reports open requests as lost came with it.

--- a/src/live/peer_relay.cc
+++ b/src/live/peer_relay.cc
@@ -7,6 +7,7 @@
 #include "live/body_framing.h"
 #include "live/peer_relay_headers.h"
 #include "live/relay_dialect.h"
+#include "routing/answer_notices.h"
 
 namespace covewing::live {
 
@@ -55,6 +56,7 @@
       const auto self = weak.lock();
       if (self && self->call_) self->call_->setPaused(high);
     });
+    sentAt_ = relay_.environment_.clock.now();
     call_ = relay_.environment_.replicaHttp.start(replica_->facts().endpoint, requestFor(exchange_),
                                                   base::Duration::zero(), *this);
   }
@@ -76,7 +78,9 @@
   }
 
  private:
-  bool stillWanted() const override { return exchange_->peerConnected() && replica_->inService(); }
+  bool stillWanted() const override {
+    return exchange_->peerConnected() && relay_.accepts(*replica_);
+  }
 
   void onHead(const HttpResponse& head) override {
     auto headers = withoutConnectionHeaders(head.headers);
@@ -89,6 +93,7 @@
           {std::string{relay_headers::kFraming}, std::string{relay_headers::kConnectionEnd}});
     }
     headReceived_ = true;
+    recordNotices(head);
     exchange_->beginStream(head.status, headers, lengthOf(head));
   }
   void onBody(std::string_view bytes) override { exchange_->write(bytes); }
@@ -112,7 +117,7 @@
     } else if (!exchange_->peerConnected()) {
       ++relay_.counters_.cancelled;
       exchange_->abort();
-    } else if (!replica_->inService()) {
+    } else if (!relay_.accepts(*replica_)) {
       ++relay_.counters_.refused;
       relay_.respondFailure(exchange_, relay_headers::kRefused, "the replica takes no new work");
     } else {
@@ -123,6 +128,19 @@
     relay_.onEnded(*this);
   }
 
+  /// What the replica says of itself concerns this node, which sent the request.
+  void recordNotices(const HttpResponse& head) {
+    const auto& environment = relay_.environment_;
+    clients::DispatchTerms terms;
+    terms.expectedInstance = replica_->facts().instance;
+    routing::recordAnswerNotices(*replica_, environment.log,
+                                 environment.dialect.readAnswer(head, terms),
+                                 {sentAt_, environment.clock.now()}, requestId());
+  }
+  std::string requestId() const {
+    return std::string{exchange_->request().header(relay_.environment_.dialect.requestIdHeader())};
+  }
+
   void onCancelled() {
     const auto self = shared_from_this();
     ++relay_.counters_.cancelled;
@@ -134,6 +152,7 @@
   HttpExchangePtr exchange_;
   routing::ReplicaRecordPtr replica_;
   std::unique_ptr<HttpCall> call_;
+  base::TimePoint sentAt_{};
   bool headReceived_ = false;
 };
 
@@ -165,7 +184,7 @@
   if (exchange.readDelay() > options_.maximumReadDelay) return "this node does not keep up";
   if (calls_.size() >= options_.maximumOpen) return "this node passes on too many requests";
   if (environment_.links.mostFailed()) return "this node reaches few replicas itself";
-  if (replica == nullptr || !replica->inService()) return "the replica takes no new work";
+  if (replica == nullptr || !accepts(*replica)) return "the replica takes no new work";
   const auto tenant = exchange.request().header(relay_headers::kTenant);
   const auto table = environment_.tables.table();
   if (table == nullptr) return "no configuration is known yet";
@@ -174,6 +193,10 @@
   return {};
 }
 
+bool PeerRelay::accepts(const routing::ReplicaRecord& replica) const {
+  return replica.inService() && !replica.notices().backingOff(environment_.clock.now());
+}
+
 void PeerRelay::probe(const HttpExchangePtr& exchange,
                       const routing::ReplicaRecord& replica) const {
   environment_.reachability.connect(replica.facts().endpoint, options_.probeTimeout,
@@ -194,9 +217,9 @@
        {"from", base::toString(exchange->peer())}});
   HttpResponse response{
       kBadGateway, {{std::string{relay_headers::kFailure}, std::string{failure}}}, {}};
-  const auto id = exchange->request().header(options_.requestIdHeader);
-  if (!id.empty())
-    response.headers.push_back({std::string{options_.requestIdHeader}, std::string{id}});
+  const auto idHeader = environment_.dialect.requestIdHeader();
+  const auto id = exchange->request().header(idHeader);
+  if (!id.empty()) response.headers.push_back({std::string{idHeader}, std::string{id}});
   exchange->respond(std::move(response));
 }
 
--- a/src/live/peer_relay.h
+++ b/src/live/peer_relay.h
@@ -17,6 +17,7 @@
 #include "clients/reachability_client.h"
 #include "live/http_client.h"
 #include "live/http_server.h"
+#include "live/relay_dialect.h"
 #include "request/relay_service.h"
 #include "routing/replica_directory.h"
 #include "routing/replica_links.h"
@@ -24,8 +25,6 @@
 namespace covewing::live {
 
 struct PeerRelayOptions {
-  /// Header with the identifier of a request, which every response echoes.
-  std::string_view requestIdHeader = kRequestIdHeader;
   /// Maximum number of requests that are passed on at the same time: with more, a small node that
   /// stands in for most of its zone would serve its own callers late.
   std::size_t maximumOpen = 256;
@@ -46,7 +45,9 @@
 
 /// All must outlive the relay and be used on its thread.
 struct PeerRelayEnvironment {
+  base::Clock& clock;
   base::EventLog& log;
+  const RelayDialect& dialect;
   HttpClient& replicaHttp;
   clients::ReachabilityClient& reachability;
   const routing::ReplicaDirectory& replicas;
@@ -77,6 +78,8 @@
   /// Why the request is not passed on; empty if it is.
   std::string_view refusalReason(const HttpExchange& exchange,
                                  const routing::ReplicaRecordPtr& replica) const;
+  /// Whether the replica takes requests from this node.
+  bool accepts(const routing::ReplicaRecord& replica) const;
   void probe(const HttpExchangePtr& exchange, const routing::ReplicaRecord& replica) const;
   void respondFailure(const HttpExchangePtr& exchange, std::string_view failure,
                       std::string_view why);
--- a/src/live/relay_part_options.cc
+++ b/src/live/relay_part_options.cc
@@ -40,12 +40,6 @@
 
 }  // namespace
 
-PeerRelayOptions peerRelayOptions(const RelayDialect& dialect) {
-  PeerRelayOptions options;
-  options.requestIdHeader = dialect.requestIdHeader();
-  return options;
-}
-
 HttpClientLimits peerLimits(const RelayDialect& dialect) {
   HttpClientLimits limits;
   limits.requestIdHeader = dialect.requestIdHeader();
--- a/src/live/relay_part_options.h
+++ b/src/live/relay_part_options.h
@@ -9,7 +9,6 @@
 #include "config/shared_feed.h"
 #include "config/table_watch.h"
 #include "live/http_client.h"
-#include "live/peer_relay.h"
 #include "live/relay_dialect.h"
 #include "live/relay_settings.h"
 #include "membership/gossip_membership.h"
@@ -18,7 +17,6 @@
 
 namespace covewing::live {
 
-PeerRelayOptions peerRelayOptions(const RelayDialect& dialect);
 /// Limits of the connections to the relay listeners of other nodes.
 HttpClientLimits peerLimits(const RelayDialect& dialect);
 HttpClientLimits replicaLimits(const RelayDialect& dialect, const RelaySettings& settings);
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -402,9 +402,6 @@
   void logWithdrawal();
   void onDeadline();
 
-  /// Records the notices about its own state that the replica sent along with the response: that it
-  /// is leaving, its rate limit, or a back-off.
-  void recordNotices(const clients::RelayedAnswer& response);
   /// Handles a response that reports that the replica did not execute the request, so that another
   /// replica may.
   void onNotRun(const clients::RelayedAnswer& response);
--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -5,6 +5,7 @@
 
 #include "request/relay_flow.h"
 #include "request/relay_flow_internal.h"
+#include "routing/answer_notices.h"
 
 namespace covewing::request {
 
@@ -111,7 +112,8 @@
   record.health().onBytesReceived(dependencies_.clock.now());
   if (incoming_.prompt && response.version && !response.otherInstance)
     record.recordVersion(incoming_.prompt->model, *response.version);
-  recordNotices(response);
+  routing::recordAnswerNotices(record, dependencies_.log, response,
+                               {attempt_->sentAt, *attempt_->headAt}, incoming_.request->id);
   endProbe(!wasNotRun(response));
   if (!wasNotRun(response)) {
     ++executions_;
@@ -124,28 +126,6 @@
     body_.begin(*attempt_->response, bodyKind(), bodyStart());
 }
 
-void RelayFlow::recordNotices(const clients::RelayedAnswer& response) {
-  const auto now = dependencies_.clock.now();
-  auto& record = *attempt_->decision.replica;
-  if (response.leaving) {
-    routing::recordLeaving(record, dependencies_.log,
-                           {"answer", response.status, incoming_.request->id});
-  }
-  routing::recordRateLimit(record, dependencies_.log, {response.rateLimit, attempt_->sentAt, now},
-                           {"answer", response.status, incoming_.request->id});
-  if (response.status != kServiceUnavailable ||
-      (response.rest.count() == 0 && !response.restUnreadable))
-    return;
-  if (response.rest > base::Duration::zero()) record.notices().startBackOff(now + response.rest);
-  dependencies_.log.write(
-      base::Event::kReplicaRests,
-      {{"replica", record.facts().instance},
-       {"request", incoming_.request->id},
-       {"rest_ms", millisecondsText(response.rest)},
-       {"rests_for_ms", millisecondsText(record.notices().backOffUntil() - now)},
-       {"why", response.restUnreadable ? "the requested back-off time cannot be parsed" : ""}});
-}
-
 void RelayFlow::onBody(std::string_view bytes) {
   if (replacement_) keepAttempt(kAnswersAgain);
   const auto now = dependencies_.clock.now();
--- a/src/tools/covewing_bench_live_load.cc
+++ b/src/tools/covewing_bench_live_load.cc
@@ -112,9 +112,7 @@
         : done_  ? sim::CallEnding::kComplete
                  : sim::CallEnding::kNodeLost);
   }
-  void onFailure(clients::DispatchError /*error*/) override {
-    end(sim::CallEnding::kNodeLost);
-  }
+  void onFailure(clients::DispatchError /*error*/) override { end(sim::CallEnding::kNodeLost); }
 
  private:
   sim::CallRecord& record() { return owner().history_.calls[record_]; }
--- a/tests/live/peer_relay_test.cc
+++ b/tests/live/peer_relay_test.cc
@@ -9,6 +9,7 @@
 #include "live/http_relay_client.h"
 #include "live/peer_confirmed_probe.h"
 #include "live/peer_relay_headers.h"
+#include "live/retry_after.h"
 #include "relay_fleet.h"
 #include "routing/fakes.h"
 #include "support/shared_records.h"
@@ -84,6 +85,17 @@
   static inline base::Reason reason;
 };
 
+/// Also reads the back-off that a replica requests.
+class BackOffDialect final : public PlainDialect {
+ public:
+  clients::RelayedAnswer readAnswer(const HttpResponse& head,
+                                    const clients::DispatchTerms& terms) const override {
+    auto answer = PlainDialect::readAnswer(head, terms);
+    answer.rest = readRetryAfter(head.headers).span;
+    return answer;
+  }
+};
+
 struct RelayFixture {
   RelayFixture() {
     base::Reason reason;
@@ -139,13 +151,13 @@
   routing::ReplicaLinks links{{}, {clock, timers, random, log, probe, replicas}};
   HttpClient replicaHttp{context};
   Tables tables;
-  PeerRelay relay{{}, {log, replicaHttp, probe, replicas, links, tables}};
+  BackOffDialect dialect;
+  PeerRelay relay{{}, {clock, log, dialect, replicaHttp, probe, replicas, links, tables}};
   HttpServer relayServer{
       context, {}, [this](const HttpExchangePtr& exchange) { relay.handle(exchange); }};
   base::Endpoint listener;
   HttpClient unusedHttp{context};
   HttpClient peerHttp{context};
-  PlainDialect dialect;
   HttpRelayClient client{unusedHttp, peerHttp, dialect};
 };
 
@@ -257,6 +269,34 @@
   BOOST_TEST((failureOf().point == FailurePoint::kRelay));
 }
 
+// Guards against requests of other nodes to a replica that has asked this node for a back-off.
+BOOST_AUTO_TEST_CASE(BackOffRequestedFromThisNodeHoldsForWhatItPassesOn) {
+  Answer first;
+  const auto call = send(first);
+  atReplica()->respond({503, {{"Retry-After", "5"}}, {}});
+  waitFor(first);
+  BOOST_TEST(first.head->status == 503U);
+  BOOST_TEST(log.count(base::Event::kReplicaRests) == 1U);
+  exchanges.clear();
+  BOOST_TEST((failureOf().point == FailurePoint::kRelay));
+}
+
+// Guards against another node that waits for a response until the connection of an ending node
+// breaks.
+BOOST_AUTO_TEST_CASE(OpenRequestsAreReportedAsLostWhenTheNodeEnds) {
+  Answer answer;
+  const auto call = send(answer);
+  atReplica();
+  relay.endRequests();
+  waitFor(answer);
+  BOOST_REQUIRE(answer.error.has_value());
+  BOOST_TEST((answer.error->failure == DispatchFailure::kOutcomeUnknown));
+  BOOST_TEST((answer.error->point == FailurePoint::kBackEnd));
+  BOOST_TEST(relay.open() == 0U);
+  exchanges.clear();
+  BOOST_TEST((failureOf().point == FailurePoint::kRelay));
+}
+
 BOOST_AUTO_TEST_CASE(StoppingNodeRefusesNewRequestsAndFinishesOpenOnes) {
   Answer first;
   const auto call = send(first);
--- a/tests/live/relay_fleet.h
+++ b/tests/live/relay_fleet.h
@@ -39,7 +39,7 @@
 inline constexpr std::string_view kRefusalCodeHeader = "X-Refusal-Code";
 
 /// Dialect that uses plain headers and passes requests and responses on unchanged.
-class PlainDialect final : public RelayDialect {
+class PlainDialect : public RelayDialect {
  public:
   std::string_view requestIdHeader() const override { return kRequestIdHeader; }
   std::optional<request::IncomingRequest> readRequest(const HttpRequest& request, std::string body,
