--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -20,6 +20,7 @@
 #include "live/peer_relay.h"
 #include "live/peer_traffic.h"
 #include "live/peer_transport.h"
+#include "live/planned_stop.h"
 #include "live/rate_limited_event_log.h"
 #include "live/read_delay_monitor.h"
 #include "live/relay_gateway.h"
@@ -46,17 +47,6 @@
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kServiceUnavailable = 503;
-/// Time from the start of draining until new requests are refused: by then, a client that polls
-/// the readiness every second has polled it twice.
-constexpr base::Duration kDrainNoticeTime = std::chrono::milliseconds(2600);
-/// The node stops this long before the end of the grace period.
-constexpr base::Duration kGraceMargin = std::chrono::milliseconds(350);
-/// Time before the end of the process at which all open requests are ended with a response, so that
-/// it is written and read.
-constexpr base::Duration kLastResponseTime = std::chrono::milliseconds(250);
-constexpr base::Duration kDrainInterval = std::chrono::milliseconds(50);
-/// Time for which a node that has stopped accepting connections reads and refuses what has arrived.
-constexpr base::Duration kDrainCloseTime = std::chrono::milliseconds(100);
 /// Approximate number of nodes that write the announcement time of a version in the last check, if
 /// no node has written it: enough that one of them reaches a table service that refuses most nodes.
 constexpr std::size_t kFallbackAnnouncementWriters = 8;
@@ -283,7 +273,7 @@
   }
 
   bool ready() const {
-    return !draining && configuration.table() != nullptr && replicaList.loaded() &&
+    return !plannedStop.begun() && configuration.table() != nullptr && replicaList.loaded() &&
            service.confirmed();
   }
 
@@ -403,69 +393,12 @@
   }
 
   void drain(std::function<void()> done) {
-    draining = true;
-    drained = std::move(done);
-    drainingSince = clock.now();
-    log.write(base::Event::kNodeDraining, {{"open", std::to_string(openWork())}});
-    service.stopBy(lastResponsesAt());
-    callerServer.announceClose();
-    relayServer.announceClose();
+    plannedStop.begin([this, done = std::move(done)] {
+      membership.leave();
+      done();
+    });
     coordinator.drain([] {});
     membership.setDraining(true);
-    drainStep();
-  }
-
-  /// When the process ends at the latest.
-  base::TimePoint endsAt() const { return drainingSince + settings.grace - kGraceMargin; }
-  base::TimePoint lastResponsesAt() const { return endsAt() - kLastResponseTime; }
-
-  /// Number of requests that have no whole response yet, and of connections on which one is still
-  /// to be delivered.
-  std::size_t openWork() const {
-    return std::max(service.openRequests() + peerRelay.open(),
-                    callerServer.unfinishedConnections() + relayServer.unfinishedConnections());
-  }
-
-  /// Ends all open requests with a response. It is written before the next step, also if this node
-  /// stood still until after the end of the grace period.
-  void giveLastResponses() {
-    lastResponsesGiven = true;
-    service.endRequests();
-    peerRelay.endRequests();
-  }
-
-  void drainStep() {
-    const auto elapsed = clock.now() - drainingSince;
-    const bool noticed = elapsed >= kDrainNoticeTime;
-    const bool overdue = lastResponsesGiven && clock.now() >= endsAt();
-    if (noticed) {
-      service.refuseNewRequests();
-      peerRelay.refuseNewRequests();
-      callerServer.closeIdleConnections();
-      relayServer.closeIdleConnections();
-    }
-    if (!lastResponsesGiven && clock.now() >= lastResponsesAt()) giveLastResponses();
-    const bool idle = openWork() == 0;
-    if (noticed && idle && !closingSince) {
-      // What waits in the listen queues and sockets is read and refused before the process ends.
-      closingSince = clock.now();
-      callerServer.stopAcceptingAndCloseIdle();
-      relayServer.stopAcceptingAndCloseIdle();
-    }
-    const bool closed = closingSince && idle && clock.now() - *closingSince >= kDrainCloseTime;
-    if (overdue || closed) {
-      endProcess();
-      return;
-    }
-    timers.schedule(kDrainInterval, [this] { drainStep(); });
-  }
-
-  void endProcess() {
-    membership.leave();
-    log.write(base::Event::kNodeStopped, {{"open", std::to_string(openWork())}});
-    callerServer.closeForExit();
-    relayServer.closeForExit();
-    drained();
   }
 
   void onRelayFinished(const config::Route& route, const request::RelayOutcome& outcome) override {
@@ -582,15 +515,11 @@
   HttpServer relayServer;
   HttpServer readinessServer;
   HttpServer metricsServer;
+  PlannedStop plannedStop{settings.grace,
+                          {clock, timers, log, service, peerRelay, callerServer, relayServer}};
   /// Era of the table service for which this node has last ensured that its own rows exist.
   base::StoreEra rowsWrittenEra = 0;
   base::TimerId trafficTimer = 0;
-  bool draining = false;
-  base::TimePoint drainingSince{};
-  bool lastResponsesGiven = false;
-  /// When this node stopped accepting connections; empty before that.
-  std::optional<base::TimePoint> closingSince;
-  std::function<void()> drained;
 };
 
 RelayDaemon::RelayDaemon(boost::asio::io_context& context, RelaySettings settings,
