Stop busy nodes amid further signals in the soak

Each request that a node has read must get an answer, and no node may say that anything is open at its end.

--- a/tests/scripts/relay_soak.sh
+++ b/tests/scripts/relay_soak.sh
@@ -70,6 +70,8 @@
 run_seed 19 16 0 --crashing-parts --parts 1
 # A replica that turns requests away and sends answers twice, at once or late.
 run_seed 20 1 12 --surplus --replicas 1 --nodes 3 --model-replicas 6 --callers 12
+# Planned stops that overlap, amid further signals, while requests wait and some callers read late.
+run_seed 21 1 12 --stops --nodes 4 --replicas 4 --model-replicas 3 --callers 16
 await_all || failed=1
 
 # All replicas limited, and nothing else wrong: each is used to its limit, also where all prompts share one part.
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -16,6 +16,8 @@
 
 # A process that accepts no connection in this time counts as not listening (seconds).
 LISTENS_WITHIN = 0.05
+# With --stops (seconds): shorter than the time of requests, which is 4 s.
+GRACE_OF_STOPS = 3.4
 # Ways in which a node loses the table service (table_service.StoreWay).
 STORE_LOSSES = ["refused", "limited", "reset", "no requests", "no answers"]
 
@@ -74,7 +76,7 @@
 [table_service]
 address = "127.0.0.1:{self.store_way.listener.port}"
 [bounds]
-grace_s = 8
+grace_s = {GRACE_OF_STOPS if self.soak.options.stops else 8}
 revocation_ms = {int(bounds.revocation * 1000)}
 retry_ratio = {bounds.retry_ratio}
 retry_window_s = {bounds.retry_window}
@@ -129,10 +131,24 @@
         await asyncio.sleep(draw.uniform(0.1, 1.0))
         await self.start()
 
-    async def stop(self, _draw):
-        """A planned stop, to the end of the process."""
+    async def stop_amid_signals(self, draw):
+        """A planned stop during which the node is told to stop and to reload again, and stands still."""
+        await self.stop(draw, [draw.choice([signal.SIGTERM, signal.SIGHUP, signal.SIGSTOP])
+                               for _ in range(draw.randrange(4))])
+
+    async def send_amid_stop(self, draw, numbers):
+        for number in numbers:
+            await asyncio.sleep(draw.uniform(0.0, 0.8))
+            if number == signal.SIGSTOP:
+                await self.stand_still(draw.uniform(0.1, 0.4))
+            else:
+                self.send(number)
+
+    async def stop(self, draw, amid=()):
+        """A planned stop, to the end of the process; with signals amid it."""
         self.stopping = True
         self.send(signal.SIGTERM)
+        await self.send_amid_stop(draw, amid)
         try:
             await asyncio.wait_for(self.ended(), 12)
         except asyncio.TimeoutError:
--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -45,6 +45,8 @@
   two versions of the replicas' software, and streams that are taken up go on (streams.StreamRule);
 - with --idle: each whole request on a connection that its caller has kept gets an answer or a refusal
   (checks.AnswerRule);
+- with --stops: nodes are stopped as planned in series that overlap, amid further signals, while requests wait for
+  busy replicas and some callers read late, and all of the above holds;
 - with --surplus: replicas turn requests away and send answers twice, and all of the above holds;
 - with --one-node: while nearly all new connections go to one node, requests are served nearly as often as
   before (checks.CrowdRule);
@@ -85,6 +87,7 @@
 from operators import ADDED_ROUTES, KEYS, ROUTE_TIMEOUT_MS, Operators
 from other_writer import OtherWriter
 from replicas import DEADLY, SERVICE, Replica
+from stops import stop_in_series
 from streams import break_and_take_up
 from table_service import Store
 from wire import now
@@ -518,7 +521,7 @@
                 BRITTLE_CALLERS if self.options.brittle else 1)
             for number in range(callers):
                 caller = Caller(self, number)
-                if number % 2 == 0:
+                if number % 2 == 0 and not self.options.stops:
                     caller.kinds = (STREAM, RESUMABLE)
                 self.spawn(caller.run())
             await self.trouble()
@@ -566,6 +569,9 @@
         if self.options.cuts:
             await cut_nodes_from_replicas(self, self.options.cut_shape)
             return
+        if self.options.stops:
+            await stop_in_series(self)
+            return
         if self.options.surplus:
             await asyncio.sleep(self.options.seconds)
             return
@@ -696,6 +702,8 @@
                         help="one sequence in place of the series (crashing_parts.crash_by_parts)")
     parser.add_argument("--parts", type=int, default=2, help="with --crashing-parts: how many, one after the other")
     parser.add_argument("--part-shape", choices=list(PART_SHAPES), help="of all parts; drawn for each without it")
+    parser.add_argument("--stops", action="store_true",
+                        help="one sequence: planned stops that overlap, amid further signals, of busy nodes")
     parser.add_argument("--surplus", action="store_true",
                         help="one sequence: replicas turn requests away, and send answers twice, at once or late")
     parser.add_argument("--idle", action="store_true",
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -12,6 +12,10 @@
 SERVICE = "app"
 # A request whose body begins with this ends the replica that runs it.
 DEADLY = "deadly"
+# A request whose body begins with this gets an answer of so many more bytes.
+LARGE, LARGE_BYTES = "large", 300_000
+# With --stops: how many requests each replica runs at once, and for how long (seconds).
+SLOTS_OF_STOPS, WORK_OF_STOPS = 2, (0.2, 1.5)
 # Of the connections of replicas whose callers leave early (bytes).
 SMALL_RECEIVE_BUFFER = 4096
 
@@ -21,7 +25,7 @@
 
 
 def application_answer(identifier: str, body: str) -> bytes:
-    return f"ran {identifier} {body}".encode()
+    return f"ran {identifier} {body}".encode() + b"x" * (LARGE_BYTES if body.startswith(LARGE) else 0)
 
 
 class Replica(NoticeGiver):
@@ -33,6 +37,8 @@
         self.draw_end = random.Random(f"{soak.options.seed}/{name}/ends")
         self.port = 0
         self.notices = Notices()
+        self.slots = SLOTS_OF_STOPS if soak.options.stops else 16
+        self.places = asyncio.Semaphore(self.slots)
 
     @property
     def run_name(self) -> str:
@@ -56,7 +62,7 @@
 
     async def write_entry(self, state):
         entry = {"service": SERVICE, "address": f"127.0.0.1:{self.port}", "zone": "zone-0",
-                 "version": "v1", "slots": 16, "state": state, "cold_remaining_ms": 0, "sequence": 0,
+                 "version": "v1", "slots": self.slots, "state": state, "cold_remaining_ms": 0, "sequence": 0,
                  "born": self.born}
         await self.soak.store.put("servers", self.instance,
                                   None if state is None else json.dumps(entry).encode())
@@ -81,7 +87,11 @@
             await asyncio.sleep(self.random.uniform(0.02, 0.1))
             self.end_under(body)
             return None
-        await asyncio.sleep(self.random.expovariate(1 / 0.02))
+        if self.soak.options.stops:
+            async with self.places:
+                await asyncio.sleep(self.random.uniform(*WORK_OF_STOPS))
+        else:
+            await asyncio.sleep(self.random.expovariate(1 / 0.02))
         return http_answer(200, application_answer(identifier, body), self.head_of_answer(identifier) +
                            [("X-Covewing-Server-Signature", self.instance)])
 
