Let addresses of ended replicas pass to others in the soak, and check what reaches stand-ins

Users saw back ends run calls of nodes that nobody had sent them. No run of ours could show that: replicas of the soak kept their address over all starts, and no stand-in checked a message whose identifier was not a caller's.

What a stand-in carries out has to be a request that a caller sent, or a node's call to that very instance.

--- a/tests/soak/model_replicas.py
+++ b/tests/soak/model_replicas.py
@@ -12,6 +12,7 @@
 from replicas import unix_milliseconds
 from run_manners import bare_answer, draw_run_manner, draws_bare, loses_answer, send_in_manner
 from surplus import SurplusAnswers
+from unasked import CACHE_EVENTS_PATH, CALLS, ORDER_PATH, REPORT_PATH
 from wire import Listener, Peer, http_answer, now
 
 MODEL_SERVICE = "llm"
@@ -23,8 +24,6 @@
 COLD_FOR = 2.0
 LOAD_SECONDS = (0.3, 0.8)
 LONGEST_WAIT = 2.0
-# Calls of nodes that are no requests of callers.
-CALLS = ("/-/order", "/-/report", "/-/kv-events")
 
 
 def stream_events(identifier: str, body: str) -> list[bytes]:
@@ -55,7 +54,7 @@
 
 class ModelReplica(NoticeGiver):
     def __init__(self, soak, index):
-        self.soak, self.instance = soak, f"model-replica-{index}"
+        self.soak, self.index, self.instance = soak, index, f"model-replica-{index}"
         self.zone = f"zone-{index % 3}"
         self.random = random.Random(f"{soak.options.seed}/{self.instance}")
         # Of its own, so that the draws above are what they are without these.
@@ -63,6 +62,8 @@
         self.draw_manner = random.Random(f"{soak.options.seed}/{self.instance}/manners")
         self.software = version_of(index) if soak.options.streams else "v1"
         self.listener, self.port = None, 0
+        # How often it has begun anew under another identifier.
+        self.beginnings = 0
         self.version = 1
         self.life: Life | None = None
         self.notices = Notices()
@@ -128,6 +129,27 @@
         self.soak.spawn(self.start_again(back_after))
         return True
 
+    async def end(self, dark: bool):
+        """Ends for good and says nothing. `dark`: its connections stay open, without a word."""
+        listener, life = self.listener, self.life
+        if listener is None:
+            return
+        self.soak.cut_runs |= life.running
+        for identifier in life.running:
+            self.soak.second_runs.on_end(identifier, self.instance, now())
+        self.listener, self.life = None, None
+        if dark:
+            listener.go_dark()
+        else:
+            listener.cut(by_reset=self.draw_end.random() < 0.5)
+
+    async def begin_anew(self):
+        """Begins under another identifier and at another address."""
+        self.beginnings += 1
+        self.instance, self.port = f"model-replica-{self.index}-{self.beginnings}", 0
+        self.version = self.soak.versions.newest
+        await self.start()
+
     async def start_again(self, back_after: float | None):
         if back_after is None:
             back_after = self.random.uniform(0.2, 2.0)
@@ -142,14 +164,19 @@
         if life is None:
             return None
         if headers.get("x-covewing-expected-instance", self.instance) != self.instance:
+            self.soak.unasked.on_turned_away(message)
             return self.refusal(421, identifier)
+        unasked = self.soak.unasked.broken_by(message, self.instance, serves_calls=True)
+        if unasked and self.soak.options.address_reuse:
+            self.soak.violate(f"'{message.first}' with identifier '{identifier}' is carried out by {self.instance}: "
+                              f"{unasked}", "unnamed")
         if message.path in CALLS:
             self.soak.on_call_to_replica(self.run_name)
-        if message.path == "/-/order":
+        if message.path == ORDER_PATH:
             return self.answer(identifier, self.take_order(life, json.loads(message.body)))
-        if message.path == "/-/report":
+        if message.path == REPORT_PATH:
             return self.answer(identifier, 200, self.report(life))
-        if message.path == "/-/kv-events":
+        if message.path == CACHE_EVENTS_PATH:
             await asyncio.sleep(min(int(headers.get("wait-ms", "0")), 1000) / 1000)
             return self.answer(identifier, 200, {"epoch": life.born, "next_page_token": 0, "lost": False,
                                                  "events": []})
--- a/tests/soak/operators.py
+++ b/tests/soak/operators.py
@@ -66,9 +66,12 @@
         keys_of = {name: [] for name in [TENANT] + TENANTS}
         for key, tenant in version.tenants.items():
             keys_of[tenant].append(key)
-        return {"version": version.number, "routes": routes,
-                "services": [{"name": SERVICE, "health_path": "/health"},
-                             {"name": MODEL_SERVICE, "health_path": "/health", "engine": engine}],
+        services = [{"name": SERVICE, "health_path": "/health"},
+                    {"name": MODEL_SERVICE, "health_path": "/health", "engine": engine}]
+        if self.soak.kept_cache is not None:
+            services.append({"name": "kept-cache", "kv_store_address": self.soak.kept_cache.address,
+                             "zone": "zone-0", "max_concurrency": 4})
+        return {"version": version.number, "routes": routes, "services": services,
                 "tenants": [{"name": name, "keys": keys, "priority": 1}
                             for name, keys in keys_of.items()],
                 "limits": {"header_bytes": 16384, "body_bytes": 1048576,
--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -53,6 +53,8 @@
 - with --second-runs: replicas stand still and notice late that their callers have gone, answer what they ran as though
   they had not, and lose answers of routes whose kind changes, and all of the above holds; no request runs again behind
   a configuration that forbids it (second_run_rules.TurningRule);
+- nothing is carried out that nobody sent: what reaches a replica is a request of a caller or a node's call to that very
+  instance; with --address-reuse, addresses pass to others while the table service is in trouble (unasked.UnaskedRule);
 - with --one-node: while nearly all new connections go to one node, requests are served nearly as often as
   before (checks.CrowdRule);
 - with --cuts: nodes that are cut from all replicas serve nearly as well as the others (checks.CutRule);
@@ -77,6 +79,7 @@
 import sys
 import tempfile
 
+from address_reuse import KeptCacheStore, reuse_addresses
 from answers import take_versions
 from callers import KEY, KINDS, RESUMABLE, SAFE, STREAM, Caller, KeyCaller, PatientCaller
 from checks import (AnswerRule, BrittleRule, ConfigurationRule, CrowdRule, CutRule, DepartureRule, LimitRule, NoticeRule, Outcome, PartRule, RepeatRule, Sent, StreamRule, Trouble, VersionRule,
@@ -99,6 +102,7 @@
 from stops import stop_in_series
 from streams import break_and_take_up
 from table_service import Store
+from unasked import UnaskedRule
 from wire import Listener, now
 
 # Behind the third end of a replica, all nodes in touch refuse the request after this (seconds).
@@ -154,6 +158,8 @@
         self.model_replicas = [ModelReplica(self, index)
                                for index in range(options.model_replicas)]
         self.nodes = [Node(self, index) for index in range(options.nodes)]
+        # The store of kept cache that the configuration names; None: it names none.
+        self.kept_cache = KeptCacheStore(self, "kept") if options.address_reuse else None
         self.runs = collections.Counter()
         self.kinds = {}
         self.not_run = {}
@@ -187,6 +193,7 @@
         self.streams = StreamRule()
         self.parts = PartRule()
         self.answers = AnswerRule()
+        self.unasked = UnaskedRule(self.sent)
         self.second_runs = SecondRunRule()
         self.turnings = TurningRule()
         self.crowds = CrowdRule()
@@ -425,6 +432,8 @@
         await self.other_writer.listener.open()
         for node in self.nodes:
             await node.store_way.listener.open()
+        if self.kept_cache is not None:
+            await self.kept_cache.start()
         await self.operators.configure()
         await self.name_version()
         for replica in self.replicas + self.model_replicas:
@@ -490,9 +499,11 @@
         if self.limits.named:
             self.counts["limits named"] = sum(map(len, self.limits.named.values()))
             self.counts["most of what a limit allows"] = f"{self.limits.worst:.2f}"
-        for rule in ("leaving", "rest", "limit", "starved", "configuration", "version", "fencing"):
+        for rule in ("leaving", "rest", "limit", "starved", "configuration", "version", "fencing",
+                     "unasked", "unnamed"):
             self.counts[f"broken: {rule}"] = self.broken_rules[rule]
         self.check_second_runs()
+        self.counts.update(self.unasked.figures())
         self.check_deadly()
         self.check_parts()
         self.check_stops()
@@ -608,6 +619,9 @@
         if self.options.second_runs:
             await run_second_times(self)
             return
+        if self.options.address_reuse:
+            await reuse_addresses(self)
+            return
         if self.options.surplus:
             await asyncio.sleep(self.options.seconds)
             return
@@ -745,6 +759,10 @@
     parser.add_argument("--second-runs", action="store_true",
                         help="one sequence in place of the series (second_runs.run_second_times)")
     parser.add_argument("--second-run-shape", choices=SECOND_RUN_SHAPES, help="of the runs; all without it")
+    parser.add_argument("--address-reuse", action="store_true",
+                        help="one sequence in place of the series (address_reuse.reuse_addresses)")
+    parser.add_argument("--reuse-shape", help="of all waves: how replicas end, the state of the table service, and who "
+                        "has the addresses then, joined by commas")
     parser.add_argument("--idle", action="store_true",
                         help="one sequence in place of the series (idle.rest_on_connections)")
     parser.add_argument("--one-node", action="store_true",
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -74,9 +74,16 @@
         self.soak.repeats[SERVICE].on_arrival(identifier, now())
         self.soak.departures.on_arrival(identifier, now())
         if expected != self.instance:
-            return http_answer(421, b"", [("X-Covewing-Request-Id", identifier),
-                                          ("X-Covewing-Instance-Id", self.instance),
-                                          ("X-Covewing-Not-Executed", "1")])
+            self.soak.unasked.on_turned_away(message)
+            return self.turned_away(421, identifier)
+        if not identifier:
+            self.soak.unasked.on_turned_away(message)
+            return self.turned_away(400, identifier)
+        unasked = self.soak.unasked.broken_by(message, self.instance, serves_calls=False)
+        if unasked:
+            self.soak.violate(f"'{message.first}' with identifier '{identifier}' runs at {self.instance}: {unasked}",
+                              "unasked")
+            return http_answer(200, application_answer(identifier, ""), self.head_of_answer(identifier))
         self.soak.on_replica_reached(identifier, self.run_name)
         full = self.soak.options.surplus and self.draw_end.random() < TURNED_AWAY_SHARE
         if full or self.notices.turns_away():
@@ -101,6 +108,20 @@
         return http_answer(200, application_answer(identifier, body), self.head_of_answer(identifier) +
                            [("X-Covewing-Server-Signature", self.instance)])
 
+    def turned_away(self, status: int, identifier: str) -> bytes:
+        """The answer to what is meant for somebody else, or names no request."""
+        return http_answer(status, b"", [("X-Covewing-Request-Id", identifier),
+                                         ("X-Covewing-Instance-Id", self.instance),
+                                         ("X-Covewing-Not-Executed", "1")])
+
+    async def end(self):
+        """Ends for good, and its entry with it."""
+        listener, instance = self.listener, self.instance
+        self.listener = None
+        if listener is not None:
+            listener.cut()
+            await self.soak.store.put("servers", instance, None)
+
     def end_under(self, body):
         if self.crash():
             self.soak.ends[body].append(now())
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -177,6 +177,12 @@
             else:
                 peer.writer.transport.abort()
 
+    def go_dark(self):
+        """Accepts no connection any more; the open ones stay open, and nothing more comes on them."""
+        self.server.close()
+        for peer in self.peers:
+            peer.silent = True
+
     def read_nothing(self, still: bool):
         """From now on nothing is read from any connection, or all of them are read again."""
         self.reads_nothing = still
