Log begin and end of each cache watch, and calls that somebody else answered

The nodes' logs said nothing of their own calls, and call-N was alike on all nodes and began again at each start, so a call at a back end led nowhere.

Calls are identified as call-NODE-START-N. Events 6018 and 6019 tell when a watch of a cache begins and ends, 6020 that another instance answered a poll, an order or a report, with the call, both instances and the age of the entry, 6021 that polls fail. A call to a replica takes its instance and address together (clients::ReplicaTarget), one to a store of kept cache is another type; what is sent is unchanged but for the identifier. A poll in flight ends with the watch.

The client no longer makes identifiers itself: the two tests of it give theirs.

--- a/src/clients/cache_feed_client.h
+++ b/src/clients/cache_feed_client.h
@@ -5,12 +5,14 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
+#include <variant>
 #include <vector>
 
-#include "base/endpoint.h"
 #include "base/time.h"
 #include "clients/rate_limit_notice.h"
+#include "clients/replica_target.h"
 
 namespace covewing::clients {
 
@@ -43,15 +45,27 @@
   /// The replica says that it is about to end.
   bool leaving = false;
   RateLimitNotice rateLimit{};
+  Responder responder{};
+};
+
+/// Whose cache is watched.
+using CacheFeedTarget = std::variant<ReplicaTarget, CacheStoreTarget>;
+
+/// A poll in flight. Destroying it cancels the poll, without its callback: nothing more is sent,
+/// and its connection is closed.
+class CacheFeedCall {
+ public:
+  virtual ~CacheFeedCall() = default;
 };
 
 class CacheFeedClient {
  public:
   virtual ~CacheFeedClient() = default;
   /// Events behind `since`; held by the replica for up to `wait` when there are none. Answers
-  /// exactly once, later, on the node's thread.
-  virtual void poll(const base::Endpoint& replica, std::uint64_t since, base::Duration wait,
-                    std::function<void(CacheFeedReply)> callback) = 0;
+  /// exactly once, later, on the node's thread, unless the call is destroyed before.
+  virtual std::unique_ptr<CacheFeedCall> poll(const CacheFeedTarget& target, std::uint64_t since,
+                                              base::Duration wait,
+                                              std::function<void(CacheFeedReply)> callback) = 0;
 };
 
 }  // namespace covewing::clients
--- a/src/clients/weights_client.h
+++ b/src/clients/weights_client.h
@@ -10,10 +10,10 @@
 #include <string_view>
 #include <vector>
 
-#include "base/endpoint.h"
 #include "base/ids.h"
 #include "base/time.h"
 #include "clients/rate_limit_notice.h"
+#include "clients/replica_target.h"
 
 namespace covewing::clients {
 
@@ -67,11 +67,12 @@
   base::WeightsVersion version = 0;
 };
 
-/// What a replica says of itself in the head of an answer to an order or a report.
+/// What the head of an answer to an order or a report says of its sender.
 struct WeightsCallNotices {
   /// "order" or "report".
   std::string_view call;
-  unsigned status = 0;
+  Responder responder;
+  /// What the replica that was asked says of itself; nothing where another one answered.
   bool leaving = false;
   RateLimitNotice rateLimit{};
 };
@@ -83,13 +84,12 @@
       std::function<void(const std::string& instance, const WeightsCallNotices& notices)>;
 
   virtual ~WeightsClient() = default;
-  /// Told of each answer of the replica that was asked, refusals too, before its callback.
+  /// Told of each answer, refusals too, before its callback.
   virtual void onNotices(NoticeListener listener) = 0;
-  virtual void order(const base::Endpoint& replica, const std::string& instance, WeightsOrder order,
+  virtual void order(const ReplicaTarget& replica, WeightsOrder order,
                      std::function<void(WeightsOrderStatus)> callback) = 0;
   /// Empty when the replica did not answer.
-  virtual void report(const base::Endpoint& replica, const std::string& instance,
-                      const std::string& model,
+  virtual void report(const ReplicaTarget& replica, const std::string& model,
                       std::function<void(std::optional<WeightsReport>)> callback) = 0;
 };
 
--- a/src/coordination/replica_survey.cc
+++ b/src/coordination/replica_survey.cc
@@ -29,7 +29,7 @@
   entry.callInFlight = true;
   entry.polledAt = now;
   if (!entry.unansweredSince) entry.unansweredSince = now;
-  replicas_.report(record.facts().endpoint, instance, model,
+  replicas_.report(routing::targetOf(record.facts()), model,
                    [this, instance, alive = std::weak_ptr(lifetime_)](
                        const std::optional<clients::WeightsReport>& report) {
                      if (alive.expired()) return;
--- a/src/coordination/weights_rollout.cc
+++ b/src/coordination/weights_rollout.cc
@@ -105,7 +105,7 @@
                           {"load_limit", std::to_string(loadLimit_)}});
   environment_.changeListener.onReplicaChanging(instance);
   environment_.replicas.order(
-      record->facts().endpoint, instance, order,
+      routing::targetOf(record->facts()), order,
       [this, instance, alive = std::weak_ptr(lifetime_)](clients::WeightsOrderStatus status) {
         if (!alive.expired()) onOrderResponse(instance, status);
       });
@@ -161,7 +161,7 @@
   change.callInFlight = true;
   // Other nodes may reach a replica that is unresponsive to this one.
   if (!unresponsive(change)) environment_.changeListener.onReplicaChanging(instance);
-  environment_.replicas.report(record->facts().endpoint, instance, change.model,
+  environment_.replicas.report(routing::targetOf(record->facts()), change.model,
                                [this, instance, alive = std::weak_ptr(lifetime_)](
                                    const std::optional<clients::WeightsReport>& report) {
                                  if (!alive.expired()) onReport(instance, report);
--- a/src/live/client_connection.cc
+++ b/src/live/client_connection.cc
@@ -350,7 +350,7 @@
   const auto& message = parser_->get();
   const HttpResponse head{message.result_int(), copyHeaders(message), {}};
   const auto responseId = head.header(limits_.requestIdHeader);
-  if (responseId.empty() && limits_.identifiesRequests) {
+  if (responseId.empty() && limits_.acceptsUnnamedResponses) {
     unnamedSeen_ = true;
   } else if (!requestId_.empty() && responseId != requestId_) {
     if (limits_.skipMismatchedResponses && !responseId.empty()) return skipMismatchedResponse();
--- a/src/live/http_client.cc
+++ b/src/live/http_client.cc
@@ -40,7 +40,7 @@
 /// Buffers one whole response for `HttpClient::fetch`.
 class BufferedCall final : public HttpCallHandler {
  public:
-  using Finished = std::function<void(BufferedCall&, HttpResult)>;
+  using Finished = std::function<void(HttpResult)>;
 
   BufferedCall(boost::asio::io_context& context, std::size_t bodyLimit, Finished finished)
       : deadline_(context.get_executor(),
@@ -65,8 +65,8 @@
     }
     response_.body += bytes;
   }
-  void onComplete() override { finished_(*this, std::move(response_)); }
-  void onFailure(clients::DispatchError error) override { finished_(*this, std::move(error)); }
+  void onComplete() override { finished_(std::move(response_)); }
+  void onFailure(clients::DispatchError error) override { finished_(std::move(error)); }
 
  private:
   void fail(std::string detail) {
@@ -147,27 +147,38 @@
     }
   }
 
-  /// Adds an identifier of this client's own if the request has none.
-  HttpRequest identified(HttpRequest request) {
-    if (request.header(bounds.requestIdHeader).empty()) {
-      request.headers.push_back(
-          {std::string{bounds.requestIdHeader}, "call-" + std::to_string(++lastRequestNumber)});
-    }
-    return request;
-  }
-
   boost::asio::io_context& context;
   HttpClientLimits bounds;
-  std::uint64_t lastRequestNumber = 0;
   std::map<base::Endpoint, Connections, EndpointOrder> idle;
-  std::unordered_map<BufferedCall*, std::unique_ptr<BufferedCall>> bufferedCalls;
+  /// The fetches in flight, by number.
+  std::unordered_map<std::uint64_t, std::unique_ptr<BufferedCall>> fetches;
+  std::uint64_t lastFetch = 0;
+};
+
+namespace {
+
+class CancellableFetch final : public HttpFetch {
+ public:
+  CancellableFetch(const std::shared_ptr<HttpClient::Core>& core, std::uint64_t number)
+      : core_(core), number_(number) {}
+  ~CancellableFetch() override {
+    if (const auto core = core_.lock()) core->fetches.erase(number_);
+  }
+  CancellableFetch(const CancellableFetch&) = delete;
+  CancellableFetch& operator=(const CancellableFetch&) = delete;
+
+ private:
+  std::weak_ptr<HttpClient::Core> core_;
+  std::uint64_t number_;
 };
 
+}  // namespace
+
 HttpClient::HttpClient(boost::asio::io_context& context, HttpClientLimits limits)
     : core_(std::make_shared<Core>(context, limits)) {}
 
 HttpClient::~HttpClient() {
-  core_->bufferedCalls.clear();
+  core_->fetches.clear();
   core_->closeIdle();
 }
 
@@ -175,24 +186,37 @@
                                             const HttpRequest& request,
                                             base::Duration inactivityTimeout,
                                             HttpCallHandler& handler) {
-  if (!core_->bounds.identifiesRequests)
-    return core_->send(server, request, inactivityTimeout, handler);
-  return core_->send(server, core_->identified(request), inactivityTimeout, handler);
+  return core_->send(server, request, inactivityTimeout, handler);
 }
 
-void HttpClient::fetch(const base::Endpoint& server, const HttpRequest& request,
-                       base::Duration timeout, std::function<void(HttpResult)> callback) {
-  auto finished = [core = core_.get(), callback = std::move(callback)](BufferedCall& call,
-                                                                       HttpResult result) {
+std::uint64_t HttpClient::beginFetch(const base::Endpoint& server, const HttpRequest& request,
+                                     base::Duration timeout,
+                                     std::function<void(HttpResult)> callback) {
+  const auto number = ++core_->lastFetch;
+  auto finished = [core = core_.get(), number, callback = std::move(callback)](HttpResult result) {
     // Kept alive until the end of this function, because a method of the call is on the stack.
-    const auto node = core->bufferedCalls.extract(&call);
+    const auto node = core->fetches.extract(number);
     const auto deliver = callback;
     deliver(std::move(result));
   };
   auto call = std::make_unique<BufferedCall>(core_->context, core_->bounds.bodyBytes, finished);
   auto& buffered = *call;
-  core_->bufferedCalls.emplace(&buffered, std::move(call));
+  core_->fetches.emplace(number, std::move(call));
   buffered.begin(start(server, request, base::Duration::zero(), buffered), timeout);
+  return number;
+}
+
+void HttpClient::fetch(const base::Endpoint& server, const HttpRequest& request,
+                       base::Duration timeout, std::function<void(HttpResult)> callback) {
+  beginFetch(server, request, timeout, std::move(callback));
+}
+
+std::unique_ptr<HttpFetch> HttpClient::startFetch(const base::Endpoint& server,
+                                                  const HttpRequest& request,
+                                                  base::Duration timeout,
+                                                  std::function<void(HttpResult)> callback) {
+  return std::make_unique<CancellableFetch>(
+      core_, beginFetch(server, request, timeout, std::move(callback)));
 }
 
 void HttpClient::closeIdle() { core_->closeIdle(); }
--- a/src/live/http_client.h
+++ b/src/live/http_client.h
@@ -49,12 +49,10 @@
   /// for the matching one; the connection is not reused afterwards. If false, such a response fails
   /// the call.
   bool skipMismatchedResponses = false;
-  /// If true, a request without an identifier is sent with one of this client's own, so that its
-  /// response can be told from one to another request. A response that names no request is
-  /// accepted, since not all servers echo the identifier of every call. Its connection carries only
-  /// requests that read from then on, because a late copy of it could not be told from the next
-  /// response.
-  bool identifiesRequests = false;
+  /// If true, a response that names no request is accepted, since not all servers echo the
+  /// identifier of every call. Its connection carries only requests that read from then on, because
+  /// a late copy of it could not be told from the next response.
+  bool acceptsUnnamedResponses = false;
   /// A connection is considered broken if sent bytes are not acknowledged for this long or the peer
   /// does not respond to TCP keep-alive probes; zero: the defaults of the operating system.
   base::Duration unacknowledgedTimeout{};
@@ -102,6 +100,13 @@
 
 using HttpResult = std::variant<HttpResponse, clients::DispatchError>;
 
+/// A fetch in flight. Destroying it cancels the fetch, without its callback; does nothing if the
+/// fetch has ended.
+class HttpFetch {
+ public:
+  virtual ~HttpFetch() = default;
+};
+
 class HttpClient {
  public:
   explicit HttpClient(boost::asio::io_context& context, HttpClientLimits limits = {});
@@ -119,6 +124,11 @@
   void fetch(const base::Endpoint& server, const HttpRequest& request, base::Duration timeout,
              std::function<void(HttpResult)> callback);
 
+  /// As `fetch`, for a caller that may lose interest in the response.
+  std::unique_ptr<HttpFetch> startFetch(const base::Endpoint& server, const HttpRequest& request,
+                                        base::Duration timeout,
+                                        std::function<void(HttpResult)> callback);
+
   /// Closes the idle connections in the pool.
   void closeIdle();
   /// Number of idle connections in the pool.
@@ -127,6 +137,10 @@
   struct Core;
 
  private:
+  /// Sends the request and returns the number of the fetch.
+  std::uint64_t beginFetch(const base::Endpoint& server, const HttpRequest& request,
+                           base::Duration timeout, std::function<void(HttpResult)> callback);
+
   std::shared_ptr<Core> core_;
 };
 
--- a/src/node/call_counting_weights_client.cc
+++ b/src/node/call_counting_weights_client.cc
@@ -13,18 +13,18 @@
   client_.onNotices(std::move(listener));
 }
 
-void CallCountingWeightsClient::order(const base::Endpoint& replica, const std::string& instance,
+void CallCountingWeightsClient::order(const clients::ReplicaTarget& replica,
                                       clients::WeightsOrder order,
                                       std::function<void(clients::WeightsOrderStatus)> callback) {
-  countCall(instance);
-  client_.order(replica, instance, std::move(order), std::move(callback));
+  countCall(replica.instance());
+  client_.order(replica, std::move(order), std::move(callback));
 }
 
 void CallCountingWeightsClient::report(
-    const base::Endpoint& replica, const std::string& instance, const std::string& model,
+    const clients::ReplicaTarget& replica, const std::string& model,
     std::function<void(std::optional<clients::WeightsReport>)> callback) {
-  countCall(instance);
-  client_.report(replica, instance, model, std::move(callback));
+  countCall(replica.instance());
+  client_.report(replica, model, std::move(callback));
 }
 
 }  // namespace covewing::node
--- a/src/node/call_counting_weights_client.h
+++ b/src/node/call_counting_weights_client.h
@@ -22,10 +22,9 @@
       : client_(client), replicas_(replicas), placement_(placement) {}
 
   void onNotices(NoticeListener listener) override;
-  void order(const base::Endpoint& replica, const std::string& instance,
-             clients::WeightsOrder order,
+  void order(const clients::ReplicaTarget& replica, clients::WeightsOrder order,
              std::function<void(clients::WeightsOrderStatus)> callback) override;
-  void report(const base::Endpoint& replica, const std::string& instance, const std::string& model,
+  void report(const clients::ReplicaTarget& replica, const std::string& model,
               std::function<void(std::optional<clients::WeightsReport>)> callback) override;
 
  private:
--- a/src/routing/cache_watch.cc
+++ b/src/routing/cache_watch.cc
@@ -13,6 +13,12 @@
 namespace {
 
 constexpr double kJitter = 0.3;
+/// Name of the polls in logs.
+constexpr std::string_view kCallName = "cache events";
+
+std::string addressOf(const clients::CacheFeedTarget& target) {
+  return std::visit([](const auto& one) { return base::toString(one.endpoint()); }, target);
+}
 
 }  // namespace
 
@@ -61,11 +67,12 @@
         rateLimitOf(instance)
             ? homes_.isAmongFirst(base::engineIdOf(instance), facts.zone, 1) && limit > 0
             : shouldWatch(instance, facts.zone, limit);
-    if (watches) targets.emplace(instance, Target{facts.endpoint, facts.zone, limit});
+    if (watches) targets.emplace(instance, Target{targetOf(facts), facts.zone, limit});
   }
   for (const auto& store : environment_.stores.all()) {
     if (shouldWatch(store.name, {}, store.eventWatchers))
-      targets.emplace(store.name, Target{store.endpoint, {}, store.eventWatchers});
+      targets.emplace(store.name,
+                      Target{clients::CacheStoreTarget{store.endpoint}, {}, store.eventWatchers});
   }
   return targets;
 }
@@ -75,25 +82,36 @@
   for (auto watch = watches_.begin(); watch != watches_.end();) {
     if (stable.contains(watch->first)) {
       ++watch;
-      continue;
+    } else {
+      watch = end(watch, "it is not to be watched by this node any more");
     }
-    environment_.timers.cancel(watch->second.timer);
-    environment_.stores.clearLocalAvailability(watch->first);
-    watch = watches_.erase(watch);
   }
   pollNoLongerLimited();
-  for (const auto& [name, target] : stable) {
-    const auto [watch, added] = watches_.try_emplace(name);
-    if (!added) continue;
-    watch->second.id = ++lastWatchId_;
-    watch->second.endpoint = target.endpoint;
-    watch->second.zone = target.zone;
-    watch->second.limit = target.limit;
-    poll(name, watch->second.id);
-  }
+  for (const auto& [name, target] : stable) begin(name, target);
   reviewTimer_ = environment_.timers.schedule(options_.reviewInterval, [this] { review(); });
 }
 
+void CacheWatch::begin(const std::string& name, const Target& target) {
+  const auto [watch, added] = watches_.try_emplace(name, target);
+  if (!added) return;
+  watch->second.id = ++lastWatchId_;
+  environment_.log.write(base::Event::kCacheWatchStarted,
+                         {{"target", name}, {"address", addressOf(target.receiver)}});
+  poll(name, watch->second.id);
+}
+
+CacheWatch::Watches::iterator CacheWatch::end(Watches::iterator watch, std::string_view why) {
+  const auto& [name, ended] = *watch;
+  environment_.log.write(base::Event::kCacheWatchEnded,
+                         {{"target", name},
+                          {"address", addressOf(ended.target.receiver)},
+                          {"why", std::string{why}},
+                          {"polls", std::to_string(ended.polls)}});
+  environment_.timers.cancel(ended.timer);
+  environment_.stores.clearLocalAvailability(name);
+  return watches_.erase(watch);
+}
+
 bool CacheWatch::shouldWatch(const std::string& name, std::string_view zone,
                              std::uint32_t limit) const {
   if (environment_.members.liveMembers().size() <= limit) return true;
@@ -124,23 +142,30 @@
 }
 
 void CacheWatch::poll(const std::string& name, std::uint64_t watchId) {
-  const Watch* watch = find(name, watchId);
+  Watch* watch = find(name, watchId);
   if (watch == nullptr) return;
   if (pollListener_ && rateLimitOf(name)) pollListener_(*environment_.replicas.find(name));
   const auto sentAt = environment_.clock.now();
-  environment_.feed.poll(watch->endpoint, watch->since, options_.longPollTimeout,
-                         [this, name, watchId, sentAt,
-                          alive = std::weak_ptr(lifetime_)](const clients::CacheFeedReply& reply) {
-                           if (alive.expired()) return;
-                           if (const auto replica = environment_.replicas.find(name))
-                             recordNotices(*replica, sentAt, reply);
-                           if (Watch* current = find(name, watchId)) onReply(name, *current, reply);
-                         });
+  ++watch->polls;
+  watch->call =
+      environment_.feed.poll(watch->target.receiver, watch->since, options_.longPollTimeout,
+                             [this, name, watchId, sentAt, alive = std::weak_ptr(lifetime_)](
+                                 const clients::CacheFeedReply& reply) {
+                               if (alive.expired()) return;
+                               if (const auto replica = environment_.replicas.find(name))
+                                 recordNotices(*replica, sentAt, reply);
+                               if (Watch* current = find(name, watchId))
+                                 onReply(name, *current, reply);
+                             });
 }
 
 void CacheWatch::recordNotices(ReplicaRecord& replica, base::TimePoint sentAt,
                                const clients::CacheFeedReply& reply) const {
-  const NoticeSource source{"cache events", 0, {}};
+  if (reply.responder.otherInstance) {
+    logMisdirectedCall(replica, environment_.log, environment_.clock.now(), kCallName,
+                       reply.responder);
+  }
+  const NoticeSource source{kCallName, 0, {}};
   if (reply.leaving) recordLeaving(replica, environment_.log, source);
   recordRateLimit(replica, environment_.log, {reply.rateLimit, sentAt, environment_.clock.now()},
                   source);
@@ -153,9 +178,11 @@
   watch.rateLimited = rateLimit.has_value();
   environment_.stores.setLocalAvailability(name, reply.status == clients::CacheFeedStatus::kOk);
   if (reply.status != clients::CacheFeedStatus::kOk) {
+    logFailure(name, watch, reply);
     schedule(name, watch, std::max(options_.backOff, delay));
     return;
   }
+  watch.failing = false;
   const auto holder = base::engineIdOf(name);
   const bool restarted = watch.epoch != 0 && watch.epoch != reply.epoch;
   if (restarted || reply.lost) environment_.holders.remove(holder);
@@ -165,11 +192,22 @@
   schedule(name, watch, delay);
 }
 
+void CacheWatch::logFailure(const std::string& name, Watch& watch,
+                            const clients::CacheFeedReply& reply) {
+  if (std::exchange(watch.failing, true)) return;
+  environment_.log.write(base::Event::kCacheWatchFailing,
+                         {{"target", name},
+                          {"address", addressOf(watch.target.receiver)},
+                          {"request", reply.responder.callId},
+                          {"status", std::to_string(reply.responder.status)}});
+}
+
 void CacheWatch::applyEvents(const std::string& name, const Watch& watch,
                              const clients::CacheFeedReply& reply) {
   const auto holder = base::engineIdOf(name);
-  const bool allWatch = environment_.members.liveMembers().size() <= watch.limit;
-  const bool notifies = changeListener_ && !allWatch && homes_.isAmongFirst(holder, watch.zone, 1);
+  const bool allWatch = environment_.members.liveMembers().size() <= watch.target.limit;
+  const bool notifies =
+      changeListener_ && !allWatch && homes_.isAmongFirst(holder, watch.target.zone, 1);
   for (const auto& event : reply.events) {
     CacheChange change;
     change.holder = holder;
--- a/src/routing/cache_watch.h
+++ b/src/routing/cache_watch.h
@@ -101,30 +101,40 @@
   std::size_t watchCount() const { return watches_.size(); }
 
  private:
-  struct Watch {
-    /// Distinguishes this watch from an earlier one of the same name whose polls may still be in
-    /// flight.
-    std::uint64_t id = 0;
-    base::Endpoint endpoint;
+  struct Target {
+    clients::CacheFeedTarget receiver;
     /// Zone of the replica; empty for a store.
     std::string zone;
     /// Maximum number of callers that may watch at the same time.
     std::uint32_t limit = 0;
+  };
+  struct Watch {
+    explicit Watch(Target watched) : target(std::move(watched)) {}
+
+    /// Distinguishes this watch from an earlier one of the same name whose polls may still be in
+    /// flight.
+    std::uint64_t id = 0;
+    /// Whom the watch was begun for. Its polls go to no one else.
+    Target target;
+    std::unique_ptr<clients::CacheFeedCall> call;
+    std::uint64_t polls = 0;
+    /// The latest poll got no usable response.
+    bool failing = false;
     std::uint64_t since = 0;
     std::uint64_t epoch = 0;
     base::TimerId timer = 0;
     /// True if the next poll is delayed because the replica reported a rate limit.
     bool rateLimited = false;
   };
-  struct Target {
-    base::Endpoint endpoint;
-    std::string zone;
-    std::uint32_t limit = 0;
-  };
   /// The replicas and stores to watch, by name.
   using Targets = std::map<std::string, Target>;
 
+  using Watches = std::map<std::string, Watch>;
+
   void review();
+  void begin(const std::string& name, const Target& target);
+  /// Ends the watch and returns the next one.
+  Watches::iterator end(Watches::iterator watch, std::string_view why);
   Targets selectTargets() const;
   /// Whether this node should watch a replica or store that accepts `limit` watchers.
   bool shouldWatch(const std::string& name, std::string_view zone, std::uint32_t limit) const;
@@ -137,6 +147,7 @@
   void recordNotices(ReplicaRecord& replica, base::TimePoint sentAt,
                      const clients::CacheFeedReply& reply) const;
   void onReply(const std::string& name, Watch& watch, const clients::CacheFeedReply& reply);
+  void logFailure(const std::string& name, Watch& watch, const clients::CacheFeedReply& reply);
   void applyEvents(const std::string& name, const Watch& watch,
                    const clients::CacheFeedReply& reply);
   void schedule(const std::string& name, Watch& watch, base::Duration delay);
@@ -153,7 +164,7 @@
   WatcherLimit watcherLimit_;
   ChangeListener changeListener_;
   PollListener pollListener_;
-  std::map<std::string, Watch> watches_;
+  Watches watches_;
   /// The time since which this node has been eligible to watch each target, by name.
   std::map<std::string, base::TimePoint> eligibleSince_;
   std::uint64_t lastWatchId_ = 0;
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -11,6 +11,7 @@
 #include "base/endpoint.h"
 #include "base/ids.h"
 #include "base/time.h"
+#include "clients/replica_target.h"
 
 namespace covewing::routing {
 
@@ -50,4 +51,9 @@
   const ReplicaModel* findModel(std::string_view name) const;
 };
 
+/// The replica as the receiver of calls.
+inline clients::ReplicaTarget targetOf(const Replica& replica) {
+  return {replica.instance, replica.endpoint};
+}
+
 }  // namespace covewing::routing
--- a/src/routing/replica_directory.cc
+++ b/src/routing/replica_directory.cc
@@ -91,6 +91,18 @@
              {"why", unreadable ? "the reported limit cannot be parsed" : ""}});
 }
 
+void logMisdirectedCall(const ReplicaRecord& replica, base::EventLog& log, base::TimePoint now,
+                        std::string_view call, const clients::Responder& responder) {
+  log.write(base::Event::kCallMisdirected,
+            {{"call", std::string{call}},
+             {"request", responder.callId},
+             {"replica", replica.facts().instance},
+             {"address", base::toString(replica.facts().endpoint)},
+             {"responder", responder.name},
+             {"status", std::to_string(responder.status)},
+             {"entry_age_ms", base::millisecondsText(now - replica.facts().readAt)}});
+}
+
 void ReplicaRecord::onDispatched(std::uint32_t tokens) {
   ++inFlight_;
   tokensInFlight_ += tokens;
--- a/src/routing/replica_directory.h
+++ b/src/routing/replica_directory.h
@@ -17,6 +17,7 @@
 #include "base/event_log.h"
 #include "base/ids.h"
 #include "base/time.h"
+#include "clients/replica_target.h"
 #include "routing/fleet_load.h"
 #include "routing/instance_notices.h"
 #include "routing/prefill_speed.h"
@@ -152,6 +153,10 @@
 void recordRateLimit(ReplicaRecord& replica, base::EventLog& log, const RateLimitEvidence& evidence,
                      const NoticeSource& source);
 
+/// Logs that another instance responded to a call that was meant for the replica.
+void logMisdirectedCall(const ReplicaRecord& replica, base::EventLog& log, base::TimePoint now,
+                        std::string_view call, const clients::Responder& responder);
+
 class ReplicaDirectory {
  public:
   /// Ascending by instance; equal on all nodes that have the same list.
--- a/tests/coordination/replica_survey_test.cc
+++ b/tests/coordination/replica_survey_test.cc
@@ -19,14 +19,12 @@
   SurveyFixture() { time.advance(seconds(100)); }
 
   void onNotices(NoticeListener /*listener*/) override {}
-  void order(const base::Endpoint& /*replica*/, const std::string& /*instance*/,
-             clients::WeightsOrder /*order*/,
+  void order(const clients::ReplicaTarget& /*replica*/, clients::WeightsOrder /*order*/,
              std::function<void(clients::WeightsOrderStatus)> /*callback*/) override {}
-  void report(const base::Endpoint& /*replica*/, const std::string& instance,
-              const std::string& /*model*/,
+  void report(const clients::ReplicaTarget& replica, const std::string& /*model*/,
               std::function<void(std::optional<clients::WeightsReport>)> callback) override {
-    polled.push_back(instance);
-    const bool unresponsive = instance == unresponsiveInstance;
+    polled.push_back(replica.instance());
+    const bool unresponsive = replica.instance() == unresponsiveInstance;
     time.schedule(unresponsive ? milliseconds(800) : milliseconds(2), [callback, unresponsive] {
       if (unresponsive) return callback(std::nullopt);
       callback(clients::WeightsReport{false, 3, 1, 0, 1});
--- a/tests/coordination/weights_rollout_test.cc
+++ b/tests/coordination/weights_rollout_test.cc
@@ -47,9 +47,9 @@
   explicit FakeReplicas(test_support::VirtualTime& time) : time_(time) {}
 
   void onNotices(NoticeListener /*listener*/) override {}
-  void order(const base::Endpoint& /*replica*/, const std::string& instance,
-             clients::WeightsOrder order,
+  void order(const clients::ReplicaTarget& target, clients::WeightsOrder order,
              std::function<void(WeightsOrderStatus)> callback) override {
+    const auto& instance = target.instance();
     receivedOrders.push_back({instance, order});
     auto& replica = current(instance);
     if (replica.unresponsive || replica.delayNext != base::Duration::zero()) {
@@ -69,9 +69,9 @@
     time_.schedule(milliseconds(2), [status, callback] { callback(status); });
   }
 
-  void report(const base::Endpoint& /*replica*/, const std::string& instance,
-              const std::string& /*model*/,
+  void report(const clients::ReplicaTarget& target, const std::string& /*model*/,
               std::function<void(std::optional<clients::WeightsReport>)> callback) override {
+    const auto& instance = target.instance();
     ++reports[instance];
     const auto& replica = current(instance);
     if (replica.unresponsive) {
--- a/tests/live/http_client_test.cc
+++ b/tests/live/http_client_test.cc
@@ -569,23 +569,23 @@
 }
 
 // Guards against a late second copy of the response to an order or a report that is taken for the
-// response to the next one: such calls have no identifier from a caller.
-BOOST_AUTO_TEST_CASE(CallsWithoutAnIdentifierGetOneOfTheirOwn) {
+// response to the next one.
+BOOST_AUTO_TEST_CASE(LateCopyOfTheResponseToACallIsNotTakenForThatToTheNextCall) {
   Fixture fixture;
   HttpClientLimits limits;
   limits.skipMismatchedResponses = true;
-  limits.identifiesRequests = true;
+  limits.acceptsUnnamedResponses = true;
   HttpClient client(fixture.context, limits);
   Recorder first;
-  const auto firstCall =
-      client.start(fixture.server.endpoint(), {"POST", "/order", {}, "1"}, {}, first);
+  const auto firstCall = client.start(
+      fixture.server.endpoint(), {"POST", "/order", {{"X-Request-Id", "call-1"}}, "1"}, {}, first);
   fixture.waitRequests(1);
   fixture.server.respond("HTTP/1.1 202 OK\r\nX-Request-Id: call-1\r\nContent-Length: 0\r\n\r\n");
   fixture.waitDone(first);
   BOOST_TEST(first.status == 202U);
   Recorder second;
-  const auto secondCall =
-      client.start(fixture.server.endpoint(), {"POST", "/order", {}, "2"}, {}, second);
+  const auto secondCall = client.start(
+      fixture.server.endpoint(), {"POST", "/order", {{"X-Request-Id", "call-2"}}, "2"}, {}, second);
   fixture.waitRequests(2);
   BOOST_TEST(fixture.server.connections() == 1U);
   fixture.server.respond(
@@ -600,11 +600,12 @@
 BOOST_AUTO_TEST_CASE(OrderIsNotSentBehindAResponseThatNamesNoRequest) {
   Fixture fixture;
   HttpClientLimits limits;
-  limits.identifiesRequests = true;
+  limits.acceptsUnnamedResponses = true;
   HttpClient client(fixture.context, limits);
   Recorder recorder;
   const auto call =
-      client.start(fixture.server.endpoint(), {"GET", "/report", {}, {}}, {}, recorder);
+      client.start(fixture.server.endpoint(), {"GET", "/report", {{"X-Request-Id", "call-1"}}, {}},
+                   {}, recorder);
   fixture.waitRequests(1);
   fixture.server.respond("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
   fixture.waitDone(recorder);
@@ -612,7 +613,8 @@
   BOOST_TEST(client.idleConnections() == 1U);
   Recorder ordered;
   const auto order =
-      client.start(fixture.server.endpoint(), {"POST", "/order", {}, "1"}, {}, ordered);
+      client.start(fixture.server.endpoint(), {"POST", "/order", {{"X-Request-Id", "call-2"}}, "1"},
+                   {}, ordered);
   fixture.waitRequests(2);
   BOOST_TEST(fixture.server.connections() == 2U);
   fixture.server.respond("HTTP/1.1 202 OK\r\nContent-Length: 0\r\n\r\n");
--- a/tests/live/relay_fleet.h
+++ b/tests/live/relay_fleet.h
@@ -163,17 +163,18 @@
 class NullWeightsClient final : public clients::WeightsClient {
  public:
   void onNotices(NoticeListener /*listener*/) override {}
-  void order(const base::Endpoint& /*replica*/, const std::string& /*instance*/,
-             clients::WeightsOrder /*order*/,
+  void order(const clients::ReplicaTarget& /*replica*/, clients::WeightsOrder /*order*/,
              std::function<void(clients::WeightsOrderStatus)> /*callback*/) override {}
-  void report(const base::Endpoint& /*replica*/, const std::string& /*instance*/,
-              const std::string& /*model*/,
+  void report(const clients::ReplicaTarget& /*replica*/, const std::string& /*model*/,
               std::function<void(std::optional<clients::WeightsReport>)> /*callback*/) override {}
 };
 class NullCacheFeedClient final : public clients::CacheFeedClient {
  public:
-  void poll(const base::Endpoint& /*replica*/, std::uint64_t /*since*/, base::Duration /*wait*/,
-            std::function<void(clients::CacheFeedReply)> /*callback*/) override {}
+  std::unique_ptr<clients::CacheFeedCall> poll(
+      const clients::CacheFeedTarget& /*target*/, std::uint64_t /*since*/, base::Duration /*wait*/,
+      std::function<void(clients::CacheFeedReply)> /*callback*/) override {
+    return nullptr;
+  }
 };
 
 /// A replica of the application or of the model. A request with the body `kCrashing` crashes it
--- a/tests/platform/weights_order_client_test.cc
+++ b/tests/platform/weights_order_client_test.cc
@@ -21,6 +21,7 @@
     address = server.listen({live::kLoopback, 0}, reason).value();
   }
 
+  clients::ReplicaTarget replica() const { return {replicaInstance, address}; }
   void handle(const live::HttpExchangePtr& exchange) {
     request = exchange->request();
     auto headers = noticeHeaders;
@@ -37,7 +38,8 @@
       context, {}, [this](const live::HttpExchangePtr& exchange) { handle(exchange); }};
   base::Endpoint address;
   live::HttpClient http{context};
-  WeightsOrderClient client{http};
+  CallIds callIds{"node-7", 0x19};
+  WeightsOrderClient client{http, callIds};
   std::string replicaInstance = instanceName("i-7f3a91c2", kStart);
 };
 
@@ -48,7 +50,7 @@
 BOOST_AUTO_TEST_CASE(OrderIsEncodedInThePublishedFormatWithTheReplicasIdentifier) {
   status = 202;
   std::optional<clients::WeightsOrderStatus> result;
-  client.order(address, replicaInstance, {"m", 2, "node-7", 41, 3},
+  client.order(replica(), {"m", 2, "node-7", 41, 3},
                [&](clients::WeightsOrderStatus orderStatus) { result = orderStatus; });
   live::runUntil(context, [&] { return result.has_value(); });
   BOOST_TEST((result == clients::WeightsOrderStatus::kAccepted));
@@ -64,7 +66,7 @@
   responseBody = R"({"models":[{"name":"m","version":2}],"busy":true,"sequence":4,
                "queued_requests":1,"running_requests":12})";
   std::optional<clients::WeightsReport> result;
-  client.report(address, replicaInstance, "m",
+  client.report(replica(), "m",
                 [&](std::optional<clients::WeightsReport> report) { result = report; });
   live::runUntil(context, [&] { return result.has_value(); });
   BOOST_TEST(request.header("X-Covewing-Expected-Instance") == "i-7f3a91c2");
@@ -80,19 +82,19 @@
       [&](const std::string& instance, const clients::WeightsCallNotices& callNotices) {
         if (!callNotices.leaving) return;
         leavingNotices.push_back(instance + ' ' + std::string{callNotices.call} + ' ' +
-                                 std::to_string(callNotices.status));
+                                 std::to_string(callNotices.responder.status));
       });
   const auto order = [&] {
     bool responded = false;
-    client.order(address, replicaInstance, {"m", 2, "node-7", 41, 3},
+    client.order(replica(), {"m", 2, "node-7", 41, 3},
                  [&](clients::WeightsOrderStatus /*orderStatus*/) { responded = true; });
     live::runUntil(context, [&] { return responded; });
   };
   const auto report = [&] {
     bool responded = false;
-    client.report(
-        address, replicaInstance, "m",
-        [&](const std::optional<clients::WeightsReport>& /*report*/) { responded = true; });
+    client.report(replica(), "m", [&](const std::optional<clients::WeightsReport>& /*report*/) {
+      responded = true;
+    });
     live::runUntil(context, [&] { return responded; });
   };
   order();
--- a/tests/routing/cache_watch_test.cc
+++ b/tests/routing/cache_watch_test.cc
@@ -17,13 +17,15 @@
 class FakeFeed final : public clients::CacheFeedClient {
  public:
   struct Call {
-    base::Endpoint replica;
+    clients::CacheFeedTarget target;
     std::uint64_t since = 0;
     std::function<void(clients::CacheFeedReply)> callback;
   };
-  void poll(const base::Endpoint& replica, std::uint64_t since, base::Duration /*wait*/,
-            std::function<void(clients::CacheFeedReply)> callback) override {
-    calls.push_back({replica, since, std::move(callback)});
+  std::unique_ptr<clients::CacheFeedCall> poll(
+      const clients::CacheFeedTarget& target, std::uint64_t since, base::Duration /*wait*/,
+      std::function<void(clients::CacheFeedReply)> callback) override {
+    calls.push_back({target, since, std::move(callback)});
+    return nullptr;
   }
   std::vector<Call> calls;
 };
@@ -218,7 +220,7 @@
   BOOST_TEST((stores.choose(1) == nullptr));
   time.advance(milliseconds(600));
   const auto call = feed.calls.back();
-  BOOST_TEST((call.replica == base::Endpoint{9, 9}));
+  BOOST_TEST((std::get<clients::CacheStoreTarget>(call.target).endpoint() == base::Endpoint{9, 9}));
   call.callback(reply(1, 1, 50));
   BOOST_TEST((stores.choose(1) != nullptr));
   time.advance(milliseconds(400));
