End a watch of a cache with the record that it was begun for

A node went on polling an address after it had learned that the replica there was gone: watches ended at a review every half second.

A watch holds the instance and address that it was begun for, and ends with the removal of the entry, with the first sign that the replica has ended, with a change of its address, and for a store with the configuration that no longer names it. A poll in flight is cancelled with it.

--- a/src/clients/replica_target.h
+++ b/src/clients/replica_target.h
@@ -21,6 +21,7 @@
 
   const std::string& instance() const { return instance_; }
   const base::Endpoint& endpoint() const { return endpoint_; }
+  bool operator==(const ReplicaTarget&) const = default;
 
  private:
   std::string instance_;
@@ -34,6 +35,7 @@
   explicit CacheStoreTarget(const base::Endpoint& endpoint) : endpoint_(endpoint) {}
 
   const base::Endpoint& endpoint() const { return endpoint_; }
+  bool operator==(const CacheStoreTarget&) const = default;
 
  private:
   base::Endpoint endpoint_;
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -167,6 +167,7 @@
         [this](const std::string& instance, const clients::WeightsCallNotices& notices) {
           if (const auto replica = replicas.find(instance)) recordNotices(*replica, notices);
         });
+    replicas.setRemovalListener([this](const std::string&) { cacheWatch.endUnlisted(); });
     cacheWatch.onRateLimitedPoll(
         [this](const routing::ReplicaRecord& replica) { placement.countControlCall(replica); });
     links.onRestored([this](const std::string& instance) {
@@ -181,6 +182,7 @@
     configuration.setTableListener([this](const config::RouteTable& table) {
       applyLimits(table.limits());
       stores.update(table);
+      cacheWatch.endUnlisted();
       configurationGossip.publishTableVersion(table.version());
     });
     configuration.setFeedCurrentListener([this] { onConfigurationCurrent(); });
--- a/src/routing/cache_watch.cc
+++ b/src/routing/cache_watch.cc
@@ -61,7 +61,7 @@
   for (const auto& [instance, record] : environment_.replicas.all()) {
     const auto& facts = record->facts();
     // A replica that lists no models has no prompt cache.
-    if (facts.models.empty()) continue;
+    if (facts.models.empty() || record->terminated()) continue;
     const auto limit = watcherLimit_(facts.service);
     const bool watches =
         rateLimitOf(instance)
@@ -77,7 +77,29 @@
   return targets;
 }
 
+bool CacheWatch::isListed(const std::string& name, const Watch& watch) const {
+  const auto& receiver = watch.target.receiver;
+  if (const auto* watched = std::get_if<clients::ReplicaTarget>(&receiver)) {
+    const auto record = environment_.replicas.find(name);
+    return record && !record->terminated() && targetOf(record->facts()) == *watched;
+  }
+  const auto* store = std::as_const(environment_.stores).find(name);
+  return store != nullptr && clients::CacheStoreTarget{store->endpoint} ==
+                                 std::get<clients::CacheStoreTarget>(receiver);
+}
+
+void CacheWatch::endUnlisted() {
+  for (auto watch = watches_.begin(); watch != watches_.end();) {
+    if (isListed(watch->first, watch->second)) {
+      ++watch;
+    } else {
+      watch = end(watch, "it has ended or is not listed any more");
+    }
+  }
+}
+
 void CacheWatch::review() {
+  endUnlisted();
   const auto stable = stableTargets(selectTargets());
   for (auto watch = watches_.begin(); watch != watches_.end();) {
     if (stable.contains(watch->first)) {
@@ -144,6 +166,10 @@
 void CacheWatch::poll(const std::string& name, std::uint64_t watchId) {
   Watch* watch = find(name, watchId);
   if (watch == nullptr) return;
+  if (!isListed(name, *watch)) {
+    end(watches_.find(name), "it has ended");
+    return;
+  }
   if (pollListener_ && rateLimitOf(name)) pollListener_(*environment_.replicas.find(name));
   const auto sentAt = environment_.clock.now();
   ++watch->polls;
@@ -151,14 +177,18 @@
       environment_.feed.poll(watch->target.receiver, watch->since, options_.longPollTimeout,
                              [this, name, watchId, sentAt, alive = std::weak_ptr(lifetime_)](
                                  const clients::CacheFeedReply& reply) {
-                               if (alive.expired()) return;
-                               if (const auto replica = environment_.replicas.find(name))
-                                 recordNotices(*replica, sentAt, reply);
-                               if (Watch* current = find(name, watchId))
-                                 onReply(name, *current, reply);
+                               if (!alive.expired()) onPolled(name, watchId, sentAt, reply);
                              });
 }
 
+void CacheWatch::onPolled(const std::string& name, std::uint64_t watchId, base::TimePoint sentAt,
+                          const clients::CacheFeedReply& reply) {
+  Watch* watch = find(name, watchId);
+  if (watch == nullptr) return;
+  if (const auto replica = environment_.replicas.find(name)) recordNotices(*replica, sentAt, reply);
+  onReply(name, *watch, reply);
+}
+
 void CacheWatch::recordNotices(ReplicaRecord& replica, base::TimePoint sentAt,
                                const clients::CacheFeedReply& reply) const {
   if (reply.responder.otherInstance) {
--- a/src/routing/cache_watch.h
+++ b/src/routing/cache_watch.h
@@ -96,6 +96,9 @@
   using PollListener = std::function<void(const ReplicaRecord& replica)>;
 
   void start();
+  /// Ends the watches of replicas and stores that have ended or are no longer listed. To be called
+  /// after each removal: their addresses may belong to others by now.
+  void endUnlisted();
   void onRateLimitedPoll(PollListener listener) { pollListener_ = std::move(listener); }
   void onChange(ChangeListener listener) { changeListener_ = std::move(listener); }
   std::size_t watchCount() const { return watches_.size(); }
@@ -133,6 +136,8 @@
 
   void review();
   void begin(const std::string& name, const Target& target);
+  /// Whether the one that the watch was begun for is still listed under the same address.
+  bool isListed(const std::string& name, const Watch& watch) const;
   /// Ends the watch and returns the next one.
   Watches::iterator end(Watches::iterator watch, std::string_view why);
   Targets selectTargets() const;
@@ -143,6 +148,8 @@
   /// Returns the watch with this name and id; null if it has ended.
   Watch* find(const std::string& name, std::uint64_t watchId);
   void poll(const std::string& name, std::uint64_t watchId);
+  void onPolled(const std::string& name, std::uint64_t watchId, base::TimePoint sentAt,
+                const clients::CacheFeedReply& reply);
   /// Records the notices that the replica included in its reply.
   void recordNotices(ReplicaRecord& replica, base::TimePoint sentAt,
                      const clients::CacheFeedReply& reply) const;
--- a/src/routing/replica_directory.cc
+++ b/src/routing/replica_directory.cc
@@ -145,6 +145,7 @@
   if (keptNotices_.size() > kMaximumKeptNotices) keptNotices_.pop_front();
   byId_.erase(base::engineIdOf(instance));
   byInstance_.erase(known);
+  if (removalListener_) removalListener_(instance);
 }
 
 void ReplicaDirectory::onEnded(const std::string& instance) {
--- a/src/routing/replica_directory.h
+++ b/src/routing/replica_directory.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -166,6 +167,10 @@
   /// The entry was removed. The instance may still be running and its entry may return, so its
   /// notices are kept.
   void onRemoved(const std::string& instance);
+  /// `listener` is called with each instance whose entry has been removed, whatever the reason.
+  void setRemovalListener(std::function<void(const std::string& instance)> listener) {
+    removalListener_ = std::move(listener);
+  }
   /// The instance has definitely ended.
   void onEnded(const std::string& instance);
   /// The replica's entry cannot be parsed any more: the replica is removed from its service until
@@ -201,6 +206,7 @@
   std::map<std::string, Replicas, std::less<>> byService_;
   /// Oldest first.
   std::deque<KeptNotices> keptNotices_;
+  std::function<void(const std::string&)> removalListener_;
 };
 
 }  // namespace covewing::routing
--- a/tests/platform/cache_events_client_test.cc
+++ b/tests/platform/cache_events_client_test.cc
@@ -104,6 +104,17 @@
                                                       "call-node-7-19-3"}));
 }
 
+// Guards against a poll that goes on at an address after its replica's entry is gone.
+BOOST_AUTO_TEST_CASE(CancelledPollClosesItsConnection) {
+  responds = false;
+  auto call = client.poll(replica(), 0, std::chrono::seconds(1),
+                          [](const clients::CacheFeedReply& /*reply*/) { BOOST_TEST(false); });
+  live::runUntil(context, [&] { return held != nullptr; });
+  call.reset();
+  live::runUntil(context, [&] { return disconnected; });
+  BOOST_TEST(disconnected);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::platform
--- a/tests/routing/cache_watch_test.cc
+++ b/tests/routing/cache_watch_test.cc
@@ -25,9 +25,20 @@
       const clients::CacheFeedTarget& target, std::uint64_t since, base::Duration /*wait*/,
       std::function<void(clients::CacheFeedReply)> callback) override {
     calls.push_back({target, since, std::move(callback)});
-    return nullptr;
+    return std::make_unique<InFlight>(open);
   }
   std::vector<Call> calls;
+  /// Number of polls that have not been cancelled.
+  int open = 0;
+
+ private:
+  struct InFlight final : clients::CacheFeedCall {
+    explicit InFlight(int& openCalls) : count(openCalls) { ++count; }
+    ~InFlight() override { --count; }
+    InFlight(const InFlight&) = delete;
+    InFlight& operator=(const InFlight&) = delete;
+    int& count;
+  };
 };
 
 class FakeMembers final : public membership::MemberDirectory {
@@ -50,12 +61,8 @@
 
 struct WatchFixture {
   WatchFixture() {
-    Replica replica;
-    replica.instance = "r1";
-    replica.service = "llm";
-    replica.endpoint = {1, 1};
-    replica.models = {{"m", 1}};
-    replicas.onListed(replica);
+    replicas.setRemovalListener([this](const std::string&) { watch.endUnlisted(); });
+    replicas.onListed(listedReplica({1, 1}));
     watch.start();
   }
 
@@ -69,6 +76,24 @@
     return reply;
   }
 
+  static Replica listedReplica(const base::Endpoint& endpoint) {
+    Replica replica;
+    replica.instance = "r1";
+    replica.service = "llm";
+    replica.endpoint = endpoint;
+    replica.models = {{"m", 1}};
+    return replica;
+  }
+
+  void configureStore(const base::Endpoint& endpoint) {
+    config::RouteTableContents contents;
+    config::Service service;
+    service.name = "kept";
+    service.cacheStore = config::CacheStore{endpoint, "z", 3};
+    contents.services = {service};
+    stores.update(config::RouteTable{contents});
+  }
+
   std::uint32_t matched() const {
     return holders.matchedTokens(base::engineIdOf("r1"), cacheScope(cacheSalt(1, ""), "m"), chain);
   }
@@ -211,12 +236,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(StoreIsAvailableWhileItResponds) {
-  config::RouteTableContents contents;
-  config::Service service;
-  service.name = "kept";
-  service.cacheStore = config::CacheStore{{9, 9}, "z", 3};
-  contents.services = {service};
-  stores.update(config::RouteTable{contents});
+  configureStore({9, 9});
   BOOST_TEST((stores.choose(1) == nullptr));
   time.advance(milliseconds(600));
   const auto call = feed.calls.back();
@@ -242,6 +262,43 @@
   BOOST_TEST(feed.calls.size() == before);
 }
 
+// Guards against polls to an address that belongs to somebody else by then: watches ended at the
+// next review, up to half a second after the entry.
+BOOST_AUTO_TEST_CASE(WatchEndsWithTheEntryOfItsReplica) {
+  BOOST_TEST(feed.open == 1);
+  replicas.onRemoved("r1");
+  BOOST_TEST(watch.watchCount() == 0U);
+  BOOST_TEST(feed.open == 0);
+}
+
+BOOST_AUTO_TEST_CASE(WatchOfAStoreEndsWhenTheConfigurationNoLongerNamesIt) {
+  configureStore({9, 9});
+  time.advance(milliseconds(600));
+  BOOST_TEST(watch.watchCount() == 2U);
+  configureStore({9, 10});
+  watch.endUnlisted();
+  BOOST_TEST(watch.watchCount() == 1U);
+  BOOST_TEST(feed.open == 1);
+}
+
+// Guards against polls to the former address of a replica whose entry names another one.
+BOOST_AUTO_TEST_CASE(WatchBeginsAnewWhenTheAddressChanges) {
+  replicas.onListed(listedReplica({1, 2}));
+  time.advance(milliseconds(600));
+  const auto& target = std::get<clients::ReplicaTarget>(feed.calls.back().target);
+  BOOST_TEST((target.endpoint() == base::Endpoint{1, 2}));
+  BOOST_TEST(feed.open == 1);
+}
+
+// Guards against polls to a replica of which a request has shown that it has ended.
+BOOST_AUTO_TEST_CASE(ReplicaThatHasEndedIsNotPolled) {
+  feed.calls.back().callback(reply(7, 12, 50));
+  replicas.find("r1")->setTerminated();
+  time.advance(seconds(10));
+  BOOST_TEST(feed.calls.size() == 1U);
+  BOOST_TEST(watch.watchCount() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(LeavingNoticeInPollReplyIsRecorded) {
   auto refusal = clients::CacheFeedReply{};
   refusal.status = clients::CacheFeedStatus::kBusy;
