Do not use the response of another instance to a call, and end the record

What an address answers after its replica has ended was taken for that replica's word: another replica's events became its cache, its limits and leaving were recorded under its name, its report and its acceptance of an order counted.

A 421, or a response that names another instance, to a poll, an order or a report gives nothing but the fact that the replica has ended: its record gets no more requests, its cache is forgotten and its watch ends, as for requests.

--- a/src/clients/cache_feed_client.h
+++ b/src/clients/cache_feed_client.h
@@ -30,6 +30,8 @@
   kOk,
   /// Too many watch it already.
   kBusy,
+  /// The address belongs to another instance than the one that was polled.
+  kOtherInstance,
   kUnavailable,
 };
 
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -224,7 +224,7 @@
   /// Records notices that a replica included in its reply to an order or a request for a report.
   void recordNotices(routing::ReplicaRecord& replica, const clients::WeightsCallNotices& notices) {
     if (notices.responder.otherInstance)
-      routing::logMisdirectedCall(replica, log, clock.now(), notices.call, notices.responder);
+      routing::recordOtherInstance(replica, log, clock.now(), notices.call, notices.responder);
     const routing::NoticeSource source{notices.call, notices.responder.status, {}};
     if (notices.leaving) routing::recordLeaving(replica, log, source);
     const auto now = clock.now();
--- a/src/routing/cache_watch.cc
+++ b/src/routing/cache_watch.cc
@@ -185,16 +185,16 @@
                           const clients::CacheFeedReply& reply) {
   Watch* watch = find(name, watchId);
   if (watch == nullptr) return;
+  if (reply.status == clients::CacheFeedStatus::kOtherInstance) {
+    onOtherInstance(name, reply.responder);
+    return;
+  }
   if (const auto replica = environment_.replicas.find(name)) recordNotices(*replica, sentAt, reply);
   onReply(name, *watch, reply);
 }
 
 void CacheWatch::recordNotices(ReplicaRecord& replica, base::TimePoint sentAt,
                                const clients::CacheFeedReply& reply) const {
-  if (reply.responder.otherInstance) {
-    logMisdirectedCall(replica, environment_.log, environment_.clock.now(), kCallName,
-                       reply.responder);
-  }
   const NoticeSource source{kCallName, 0, {}};
   if (reply.leaving) recordLeaving(replica, environment_.log, source);
   recordRateLimit(replica, environment_.log, {reply.rateLimit, sentAt, environment_.clock.now()},
@@ -222,6 +222,13 @@
   schedule(name, watch, delay);
 }
 
+void CacheWatch::onOtherInstance(const std::string& name, const clients::Responder& responder) {
+  if (const auto replica = environment_.replicas.find(name))
+    recordOtherInstance(*replica, environment_.log, environment_.clock.now(), kCallName, responder);
+  environment_.holders.remove(base::engineIdOf(name));
+  endUnlisted();
+}
+
 void CacheWatch::logFailure(const std::string& name, Watch& watch,
                             const clients::CacheFeedReply& reply) {
   if (std::exchange(watch.failing, true)) return;
--- a/src/routing/cache_watch.h
+++ b/src/routing/cache_watch.h
@@ -154,6 +154,8 @@
   void recordNotices(ReplicaRecord& replica, base::TimePoint sentAt,
                      const clients::CacheFeedReply& reply) const;
   void onReply(const std::string& name, Watch& watch, const clients::CacheFeedReply& reply);
+  /// Called when another instance responded to a poll of the replica.
+  void onOtherInstance(const std::string& name, const clients::Responder& responder);
   void logFailure(const std::string& name, Watch& watch, const clients::CacheFeedReply& reply);
   void applyEvents(const std::string& name, const Watch& watch,
                    const clients::CacheFeedReply& reply);
--- a/src/routing/replica_directory.cc
+++ b/src/routing/replica_directory.cc
@@ -91,8 +91,9 @@
              {"why", unreadable ? "the reported limit cannot be parsed" : ""}});
 }
 
-void logMisdirectedCall(const ReplicaRecord& replica, base::EventLog& log, base::TimePoint now,
-                        std::string_view call, const clients::Responder& responder) {
+void recordOtherInstance(ReplicaRecord& replica, base::EventLog& log, base::TimePoint now,
+                         std::string_view call, const clients::Responder& responder) {
+  replica.setTerminated();
   log.write(base::Event::kCallMisdirected,
             {{"call", std::string{call}},
              {"request", responder.callId},
--- a/src/routing/replica_directory.h
+++ b/src/routing/replica_directory.h
@@ -154,9 +154,10 @@
 void recordRateLimit(ReplicaRecord& replica, base::EventLog& log, const RateLimitEvidence& evidence,
                      const NoticeSource& source);
 
-/// Logs that another instance responded to a call that was meant for the replica.
-void logMisdirectedCall(const ReplicaRecord& replica, base::EventLog& log, base::TimePoint now,
-                        std::string_view call, const clients::Responder& responder);
+/// Records, and logs, that another instance responded to a call that was meant for the replica: the
+/// replica has ended. `call` is the kind of the call, as in NoticeSource.
+void recordOtherInstance(ReplicaRecord& replica, base::EventLog& log, base::TimePoint now,
+                         std::string_view call, const clients::Responder& responder);
 
 class ReplicaDirectory {
  public:
--- a/tests/platform/cache_events_client_test.cc
+++ b/tests/platform/cache_events_client_test.cc
@@ -91,6 +91,27 @@
   BOOST_TEST((reply.status == clients::CacheFeedStatus::kOk));
 }
 
+// Guards against cache contents and notices that another replica reports being taken for those of
+// the replica that was polled.
+BOOST_AUTO_TEST_CASE(NothingThatAnotherInstanceReportsIsUsed) {
+  headers = {{"X-Covewing-Instance-Id", "i-2"}, {"Server-Leaving", "1"}, {"Server-Limit", "3"}};
+  const auto reply = poll(replica());
+  BOOST_TEST((reply.status == clients::CacheFeedStatus::kOtherInstance));
+  BOOST_TEST(reply.events.empty());
+  BOOST_TEST(!reply.leaving);
+  BOOST_TEST(!reply.rateLimit.limited());
+  BOOST_TEST(reply.responder.name == "i-2");
+}
+
+BOOST_AUTO_TEST_CASE(RejectionByAnotherInstanceIsReportedWithTheIdentifierOfTheCall) {
+  status = 421;
+  headers = {};
+  const auto reply = poll(replica());
+  BOOST_TEST((reply.status == clients::CacheFeedStatus::kOtherInstance));
+  BOOST_TEST(reply.responder.callId == request.header("X-Covewing-Request-Id"));
+  BOOST_TEST(reply.responder.status == 421U);
+}
+
 BOOST_AUTO_TEST_CASE(CallsOfAllKindsHaveIdentifiersOfTheirOwn) {
   poll(replica());
   WeightsOrderClient weights(http, callIds);
--- a/tests/platform/weights_order_client_test.cc
+++ b/tests/platform/weights_order_client_test.cc
@@ -113,6 +113,32 @@
                                                          replicaInstance + " report 503"}));
 }
 
+// Guards against a report of another replica, at an address that was used again, being taken for
+// that of the replica that was asked.
+BOOST_AUTO_TEST_CASE(ResponsesOfAnotherInstanceAreNotUsedAndAreReported) {
+  std::vector<std::string> misdirected;
+  client.onNotices([&](const std::string& instance, const clients::WeightsCallNotices& notices) {
+    if (notices.responder.otherInstance)
+      misdirected.push_back(instance + ' ' + std::string{notices.call} + ' ' +
+                            notices.responder.name);
+  });
+  noticeHeaders = {{"X-Covewing-Instance-Id", "i-9"}};
+  responseBody = R"({"models":[{"name":"m","version":2}],"sequence":4})";
+  std::optional<std::optional<clients::WeightsReport>> report;
+  client.report(replica(), "m",
+                [&](std::optional<clients::WeightsReport> received) { report = received; });
+  live::runUntil(context, [&] { return report.has_value(); });
+  BOOST_TEST(!report->has_value());
+  status = 202;
+  std::optional<clients::WeightsOrderStatus> ordered;
+  client.order(replica(), {"m", 2, "node-7", 41, 3},
+               [&](clients::WeightsOrderStatus orderStatus) { ordered = orderStatus; });
+  live::runUntil(context, [&] { return ordered.has_value(); });
+  BOOST_TEST((ordered == clients::WeightsOrderStatus::kOtherInstance));
+  BOOST_TEST((misdirected == std::vector<std::string>{replicaInstance + " report i-9",
+                                                      replicaInstance + " order i-9"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::platform
--- a/tests/routing/cache_watch_test.cc
+++ b/tests/routing/cache_watch_test.cc
@@ -290,6 +290,23 @@
   BOOST_TEST(feed.open == 1);
 }
 
+// Guards against a stranger's events under the name of a replica that has ended, and against
+// further calls to it.
+BOOST_AUTO_TEST_CASE(ResponseOfAnotherInstanceEndsTheReplicaAndItsWatch) {
+  feed.calls.back().callback(reply(7, 12, 50));
+  time.advance(milliseconds(400));
+  clients::CacheFeedReply other;
+  other.status = clients::CacheFeedStatus::kOtherInstance;
+  other.responder = {"call-1", 421, "r9", true};
+  feed.calls.back().callback(other);
+  BOOST_TEST(replicas.find("r1")->terminated());
+  BOOST_TEST(matched() == 0U);
+  BOOST_TEST(watch.watchCount() == 0U);
+  const auto polls = feed.calls.size();
+  time.advance(seconds(10));
+  BOOST_TEST(feed.calls.size() == polls);
+}
+
 // Guards against polls to a replica of which a request has shown that it has ended.
 BOOST_AUTO_TEST_CASE(ReplicaThatHasEndedIsNotPolled) {
   feed.calls.back().callback(reply(7, 12, 50));
