Store by which software version streams were begun, beyond the end of all nodes

Callers whose streams broke off with a kill of all nodes were refused each time that they took them up while a service had replicas of two software versions: which version had begun a stream was known to the memory of nodes alone.

While a service has, or within a minute had, several versions, nodes store the streams that they pass on in the table service, in batches, once the first event is there. A record is late or right: before the first event another version may still begin the stream, afterwards none can. A stream without a record stays unknown.

--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -36,6 +36,7 @@
 #include "node/pause_detector.h"
 #include "node/service_demand.h"
 #include "node/software_version_store.h"
+#include "node/stream_origin_store.h"
 #include "node/wake_gate.h"
 #include "node/weights_coordinator.h"
 #include "routing/cache_watch.h"
@@ -86,11 +87,17 @@
         replicaSelector({replicas, holders, weightsTargets, stores, fleetLoad, settings.zone}, {},
                         random),
         partLookup({}, {clock, timers, random, log, peers, membership}),
-        streamOrigins({}, {clock, timers, random, log, peers, membership, softwareVersions,
-                           [this](const std::string& name, base::Duration age,
-                                  node::SoftwareVersionStore::Callback found) {
-                             softwareVersionStore.findSoleVersion(name, age, std::move(found));
-                           }}),
+        streamOrigins(
+            {}, {clock, timers, random, log, peers, membership, softwareVersions,
+                 [this](const std::string& name, base::Duration age,
+                        node::SoftwareVersionStore::Callback found) {
+                   softwareVersionStore.findSoleVersion(name, age, std::move(found));
+                 },
+                 [this](routing::StreamId stream, const routing::StreamOrigin& origin,
+                        base::Duration keepFor) { streamOriginStore.add(stream, origin, keepFor); },
+                 [this](routing::StreamId stream, node::StreamOriginStore::Callback found) {
+                   streamOriginStore.find(stream, std::move(found));
+                 }}),
         placement({}, {clock, timers, random, log, peers, membership, replicas, holders}),
         weights(deployment.weights, replicas, placement),
         loadExchange({}, {clock, timers, log, peers, membership, replicas, fleetLoad}),
@@ -119,6 +126,8 @@
              [this] { return !links.mostFailed(); }}),
         softwareVersionStore({ownTable, clock, timers, membership, softwareVersions,
                               [this] { return configurationWatch.serviceTime(); }}),
+        streamOriginStore({}, {ownTable, clock, timers, membership, softwareVersions,
+                               [this] { return configurationWatch.serviceTime(); }}),
         announcementTimeStore(
             ownTable, clock, timers, [this] { return configurationWatch.serviceTime(); },
             [this](bool lastCheck) { return writesAnnouncementTimes(lastCheck); }),
@@ -319,6 +328,7 @@
     configurationWatch.start();
     replicaWatch.start();
     softwareVersionStore.start();
+    streamOriginStore.start();
     pauseDetector.start();
     return true;
   }
@@ -363,6 +373,7 @@
     configuration.onStoreReturned();
     coordinator.onStoreReturned();
     softwareVersionStore.onStoreReturned();
+    streamOriginStore.onStoreReturned();
   }
 
   /// Called when the configuration has been read or confirmed as current.
@@ -497,6 +508,7 @@
   node::ServiceDemand demand;
   node::WeightsCoordinator coordinator;
   node::SoftwareVersionStore softwareVersionStore;
+  node::StreamOriginStore streamOriginStore;
   node::AnnouncementTimeStore announcementTimeStore;
   node::AnnouncementTimeResolver announcementTimeResolver;
   node::CacheStoreGossip cacheStoreGossip;
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -325,6 +325,10 @@
   /// Reports to other nodes which software version the attempt in flight is sent to, if the caller
   /// may resume its stream.
   void reportStreamOrigin();
+  /// Has it stored by which software version the stream was begun, once its first event is there.
+  void storeStreamOrigin();
+  /// How much longer the caller may wait for the stream.
+  base::Duration callerTimeLeft() const;
   /// Ends the request, because no replica has the software version that began its stream.
   void refuseWithoutSoftwareVersion();
   void choose();
--- a/src/request/relay_flow_answer.cc
+++ b/src/request/relay_flow_answer.cc
@@ -169,7 +169,10 @@
 
 void RelayFlow::beginResponse(std::optional<std::uint64_t> length) {
   headDelivered_ = true;
-  if (body_.hasEvents()) softwareVersion_ = attempt_->decision.replica->facts().softwareVersion;
+  if (body_.hasEvents()) {
+    softwareVersion_ = attempt_->decision.replica->facts().softwareVersion;
+    storeStreamOrigin();
+  }
   status_ = attempt_->response->status;
   timeToFirstByte_ = dependencies_.clock.now() - incoming_.arrivedAt;
   clients::RelayedAnswer head = *attempt_->response;
--- a/src/request/relay_flow_origin.cc
+++ b/src/request/relay_flow_origin.cc
@@ -69,12 +69,22 @@
   if (!resumable() || resumesStream()) return;
   const auto& version = attempt_->decision.replica->facts().softwareVersion;
   if (std::exchange(reportedVersion_, version) == version) return;
-  // The caller may come back as long as it waits, which may be longer than the route allows.
-  const auto waits = incoming_.deadline.value_or(assignment_.route->timeout);
-  const auto waited = dependencies_.clock.now() - incoming_.arrivedAt;
   dependencies_.streamOrigins.report(routing::streamIdOf(incoming_.request->id),
                                      {assignment_.service->name, version, dispatches_},
-                                     waits - waited);
+                                     callerTimeLeft());
+}
+
+base::Duration RelayFlow::callerTimeLeft() const {
+  // The caller may come back as long as it waits, which may be longer than the route allows.
+  const auto waits = incoming_.deadline.value_or(assignment_.route->timeout);
+  return waits - (dependencies_.clock.now() - incoming_.arrivedAt);
+}
+
+void RelayFlow::storeStreamOrigin() {
+  if (!resumable() || resumesStream()) return;
+  dependencies_.streamOrigins.onFirstEvent(
+      routing::streamIdOf(incoming_.request->id),
+      {assignment_.service->name, *softwareVersion_, dispatches_}, callerTimeLeft());
 }
 
 void RelayFlow::refuseWithoutSoftwareVersion() {
--- a/src/routing/software_versions.cc
+++ b/src/routing/software_versions.cc
@@ -9,6 +9,8 @@
 
 /// A list that was confirmed longer ago may lack replicas that other nodes know.
 constexpr base::Duration kMaximumListAge = std::chrono::seconds(3);
+/// Callers may continue a stream for this long.
+constexpr base::Duration kContinuationTime = std::chrono::seconds(60);
 /// Removals longer ago are forgotten. Longer than any stream lasts.
 constexpr base::Duration kRetention = std::chrono::minutes(10);
 
@@ -41,6 +43,18 @@
   return {versions.begin(), versions.end()};
 }
 
+bool SoftwareVersions::mixedLately(std::string_view service, base::TimePoint now) const {
+  std::set<std::string_view> versions;
+  for (const auto& record : replicas_.ofService(service))
+    versions.insert(record->facts().softwareVersion);
+  const auto removed = removedAt_.find(service);
+  if (removed != removedAt_.end()) {
+    for (const auto& [version, removedAt] : removed->second)
+      if (now - removedAt < kContinuationTime) versions.insert(version);
+  }
+  return versions.size() > 1;
+}
+
 std::optional<SoleVersion> SoftwareVersions::soleVersion(std::string_view service,
                                                          base::TimePoint now) const {
   const auto versions = listed(service, now);
--- a/src/routing/software_versions.h
+++ b/src/routing/software_versions.h
@@ -30,6 +30,9 @@
   /// Versions of the listed replicas of the service, ascending; empty if the list was not confirmed
   /// lately.
   std::vector<std::string> listed(std::string_view service, base::TimePoint now) const;
+  /// Whether replicas of several versions are listed, or were within the time for which callers may
+  /// continue streams.
+  bool mixedLately(std::string_view service, base::TimePoint now) const;
   /// The only version of the service's replicas, and for how long no other one was listed. Empty if
   /// there are several, or if the list was not confirmed lately.
   std::optional<SoleVersion> soleVersion(std::string_view service, base::TimePoint now) const;
--- a/src/routing/stream_origins.cc
+++ b/src/routing/stream_origins.cc
@@ -22,6 +22,8 @@
       return "own record";
     case OriginSource::kHome:
       return "home";
+    case OriginSource::kStoredRecord:
+      return "stored record";
     case OriginSource::kSoleVersion:
       return "sole version";
   }
@@ -49,6 +51,12 @@
     if (home->id != self) send(home->endpoint, message);
 }
 
+void StreamOrigins::onFirstEvent(StreamId stream, const StreamOrigin& origin,
+                                 base::Duration timeLeft) {
+  if (environment_.storeOrigin)
+    environment_.storeOrigin(stream, origin, timeLeft + options_.margin);
+}
+
 base::TimePoint StreamOrigins::discardTime(base::Duration keepFor) const {
   return environment_.clock.now() + std::min(keepFor, options_.maximumRetention);
 }
@@ -91,6 +99,7 @@
     return;
   }
   Search search;
+  search.stream = stream;
   search.service = service;
   search.age = age;
   if (record != nullptr) search.origin = record->origin;
@@ -135,7 +144,7 @@
     search.found(
         FoundOrigin{search.origin->service, search.origin->softwareVersion, OriginSource::kHome});
   } else {
-    concludeBySoleVersion(search);
+    concludeWithoutRecord(search);
   }
 }
 
@@ -153,25 +162,47 @@
   return confirmed ? agreed : std::nullopt;
 }
 
-void StreamOrigins::concludeBySoleVersion(const Search& search) const {
+void StreamOrigins::concludeWithoutRecord(const Search& search) const {
   const auto agreed = agreedVersion(search);
-  if (!agreed) {
-    search.found(std::nullopt);
+  if (agreed && agreed->since >= search.age) {
+    search.found(FoundOrigin{search.service, agreed->softwareVersion, OriginSource::kSoleVersion});
     return;
   }
-  const FoundOrigin origin{search.service, agreed->softwareVersion, OriginSource::kSoleVersion};
-  if (agreed->since >= search.age) {
-    search.found(origin);
-  } else if (!environment_.recordedVersion) {
-    search.found(std::nullopt);
-  } else {
-    // Another version may have been replaced before any of the lists was read.
-    environment_.recordedVersion(
-        search.service, search.age,
-        [origin, found = search.found](const std::optional<std::string>& recorded) {
-          found(recorded == origin.softwareVersion ? std::optional{origin} : std::nullopt);
-        });
+  concludeByStoredRecord(search, [this, search, agreed] {
+    if (agreed && environment_.recordedVersion) {
+      concludeByRecordedVersion(search, *agreed);
+    } else {
+      search.found(std::nullopt);
+    }
+  });
+}
+
+void StreamOrigins::concludeByStoredRecord(const Search& search,
+                                           std::function<void()> notFound) const {
+  if (!environment_.findStoredOrigin) {
+    notFound();
+    return;
   }
+  environment_.findStoredOrigin(
+      search.stream, [found = search.found,
+                      notFound = std::move(notFound)](const std::optional<StreamOrigin>& stored) {
+        if (stored) {
+          found(FoundOrigin{stored->service, stored->softwareVersion, OriginSource::kStoredRecord});
+        } else {
+          notFound();
+        }
+      });
+}
+
+void StreamOrigins::concludeByRecordedVersion(const Search& search,
+                                              const SoleVersion& agreed) const {
+  // Another version may have been replaced before any of the lists was read.
+  const FoundOrigin origin{search.service, agreed.softwareVersion, OriginSource::kSoleVersion};
+  environment_.recordedVersion(
+      search.service, search.age,
+      [origin, found = search.found](const std::optional<std::string>& recorded) {
+        found(recorded == origin.softwareVersion ? std::optional{origin} : std::nullopt);
+      });
 }
 
 void StreamOrigins::onPeerMessage(const base::PeerIdentity& sender, std::string_view payload) {
--- a/src/routing/stream_origins.h
+++ b/src/routing/stream_origins.h
@@ -9,8 +9,9 @@
 /// record of the last dispatch counts: an earlier one did not bring an event.
 ///
 /// If no home has a record (they are cut off, have just started, or run an earlier build), the
-/// version is known only if the replicas that may have begun the stream all had the same one, by
-/// this node's own list and by that of a home; after a start of all nodes by a record in the table
+/// version is known from what a node stored in the table service when the stream's first event was
+/// passed on, or if the replicas that may have begun the stream all had the same version, by this
+/// node's own list and by that of a home; after a start of all nodes by a record in the table
 /// service as well. Everything else is unknown, never "any version".
 #pragma once
 
@@ -61,10 +62,18 @@
   std::function<void(const std::string& service, base::Duration age,
                      std::function<void(const std::optional<std::string>&)>)>
       recordedVersion{};
+  /// Stores for nodes that start later by what the stream was begun, for the given time; may be
+  /// empty.
+  std::function<void(StreamId stream, const StreamOrigin& origin, base::Duration keepFor)>
+      storeOrigin{};
+  /// Looks up what nodes have stored of the stream; may be empty.
+  std::function<void(StreamId stream,
+                     std::function<void(const std::optional<StreamOrigin>&)> found)>
+      findStoredOrigin{};
 };
 
 /// How the version of a stream was found out.
-enum class OriginSource : std::uint8_t { kOwnRecord, kHome, kSoleVersion };
+enum class OriginSource : std::uint8_t { kOwnRecord, kHome, kStoredRecord, kSoleVersion };
 std::string_view toString(OriginSource source);
 
 struct FoundOrigin {
@@ -87,6 +96,9 @@
   /// Records at this node and at the homes that the stream is sent to a replica of this version.
   /// `timeLeft` is the time that the caller and the route leave it.
   void report(StreamId stream, StreamOrigin origin, base::Duration timeLeft);
+  /// The first event of the stream was passed on. From now on it belongs to the version that sent
+  /// it, which is stored beyond the ends of nodes.
+  void onFirstEvent(StreamId stream, const StreamOrigin& origin, base::Duration timeLeft);
   /// Finds the service and version that began the stream, at most `age` ago. `service` is the only
   /// service that can have begun it, or empty if there may be several. Calls `found` exactly once;
   /// calls it before returning if nobody has to be queried.
@@ -103,6 +115,7 @@
     base::TimePoint discardAt{};
   };
   struct Search {
+    StreamId stream;
     std::string service;
     base::Duration age{};
     std::size_t pendingReplies = 0;
@@ -130,9 +143,12 @@
   void conclude(std::uint64_t nonce);
   /// The only version of the service now, by the lists of this node and the homes.
   std::optional<SoleVersion> agreedVersion(const Search& search) const;
-  /// Ends a search without a record: finds the version if all replicas that may have begun the
-  /// stream had it.
-  void concludeBySoleVersion(const Search& search) const;
+  /// Ends a search for which no live node has a record: by a stored one, or if all replicas that
+  /// may have begun the stream had one version.
+  void concludeWithoutRecord(const Search& search) const;
+  void concludeByStoredRecord(const Search& search, std::function<void()> notFound) const;
+  /// Ends a search by what the table service tells of the versions that the service has had.
+  void concludeByRecordedVersion(const Search& search, const SoleVersion& agreed) const;
 
   StreamOriginOptions options_;
   StreamOriginEnvironment environment_;
--- a/tests/request/relay_fixture.h
+++ b/tests/request/relay_fixture.h
@@ -390,8 +390,22 @@
   admission::RetryWindows retries{
       {std::chrono::seconds(10), 0.2, 20, 1.0}, kStartedLongAgo, oneNode};
   routing::RequestDurations requestDurations;
-  routing::StreamOrigins streamOrigins{{},
-                                       {time, time, random, log, peers, members, softwareVersions}};
+  /// The software versions that were stored for streams, by stream.
+  std::map<std::uint64_t, std::string> storedOrigins;
+  routing::StreamOrigins streamOrigins{
+      {},
+      {time,
+       time,
+       random,
+       log,
+       peers,
+       members,
+       softwareVersions,
+       {},
+       [this](routing::StreamId stream, const routing::StreamOrigin& origin,
+              base::Duration /*keepFor*/) {
+         storedOrigins[stream.value] = origin.softwareVersion;
+       }}};
   std::vector<RelayOutcome> outcomes;
   std::vector<std::unique_ptr<CallerView>> views;
   std::size_t requests = 0;
--- a/tests/request/stream_version_test.cc
+++ b/tests/request/stream_version_test.cc
@@ -97,6 +97,31 @@
   BOOST_TEST(lastVersion() == began);
 }
 
+// Guards against a stored version that is not the one that began the stream: before its first event
+// a stream may still begin elsewhere.
+BOOST_AUTO_TEST_CASE(VersionOfAStreamIsStoredWithItsFirstEvent) {
+  request("resumable");
+  const auto stream = routing::streamIdOf(client.last().request->id).value;
+  const auto first = lastVersion();
+  client.last().head(200);
+  BOOST_TEST(storedOrigins.empty());
+  removeVersion(first);
+  client.last().breakConnection();
+  BOOST_REQUIRE(lastVersion() != first);
+  client.last().head(200);
+  client.last().handler->onBody(kOneEvent);
+  BOOST_TEST(storedOrigins.at(stream) == lastVersion());
+}
+
+BOOST_AUTO_TEST_CASE(VersionIsStoredOnlyForStreamsThatMayBeTakenUp) {
+  const auto attempt = beginAndBreakOff();
+  BOOST_TEST(storedOrigins.size() == 1U);
+  resume(attempt, "1");
+  client.last().head(200);
+  client.last().handler->onBody("id: 2\ndata: x\n\n");
+  BOOST_TEST(storedOrigins.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(StreamIsTakenUpAtItsVersionOnly) {
   for (int count = 0; count < 20; ++count) {
     promptText = "a" + std::to_string(count) + ":1000,bb:200";
--- a/tests/routing/stream_origins_test.cc
+++ b/tests/routing/stream_origins_test.cc
@@ -32,13 +32,20 @@
 struct OriginNode {
   OriginNode(test_support::VirtualTime& time, test_support::RecordingLog& log,
              DelayedNetwork& network, const std::vector<membership::Member>& ownFirst,
-             const std::optional<std::string>& recorded)
+             const std::optional<std::string>& recorded,
+             std::map<std::uint64_t, StreamOrigin>& stored)
       : members(ownFirst),
         random(ownFirst.front().id.value),
         link(network, {members.self().id, 1, members.self().endpoint}),
         origins({}, {time, time, random, log, link, members, listed.versions,
                      [&recorded](const std::string& /*service*/, base::Duration /*age*/,
-                                 const auto& found) { found(recorded); }}) {
+                                 const auto& found) { found(recorded); },
+                     [&stored](StreamId stream, const StreamOrigin& origin,
+                               base::Duration /*keepFor*/) { stored[stream.value] = origin; },
+                     [&stored](StreamId stream, const auto& found) {
+                       const auto known = stored.find(stream.value);
+                       found(known == stored.end() ? std::nullopt : std::optional{known->second});
+                     }}) {
     network.attach(members.self().endpoint.address,
                    [this](const base::PeerIdentity& sender, std::string_view payload) {
                      origins.onPeerMessage(sender, payload);
@@ -64,7 +71,7 @@
   void start(std::size_t number) {
     auto ownFirst = all;
     std::swap(ownFirst.front(), ownFirst[number]);
-    nodes[number] = std::make_unique<OriginNode>(time, log, network, ownFirst, recorded);
+    nodes[number] = std::make_unique<OriginNode>(time, log, network, ownFirst, recorded, stored);
   }
   /// The node ends; the others still take it for alive.
   void stop(std::size_t number) {
@@ -112,6 +119,8 @@
   base::Duration elapsed{};
   /// The only version by the record in the table service.
   std::optional<std::string> recorded;
+  /// What nodes have stored of streams, by stream.
+  std::map<std::uint64_t, StreamOrigin> stored;
 };
 
 std::string requestNumber(int number) { return "request-" + std::to_string(number); }
@@ -211,6 +220,30 @@
   BOOST_TEST(find(0, "a") == "unknown");
 }
 
+// Guards against a start of all nodes at once that ends every stream of a service with replicas of
+// several versions.
+BOOST_AUTO_TEST_CASE(StoredRecordNamesTheVersionAfterTheStartOfAllNodes) {
+  list({"v1", "v2"});
+  report(0, "a", "v1");
+  nodes.at(0)->origins.onFirstEvent(streamIdOf("a"), {kService, "v2", 2}, seconds(6));
+  for (std::size_t number = 0; number < kNodes; ++number) {
+    stop(number);
+    start(number);
+  }
+  list({"v1", "v2"});
+  BOOST_TEST(find(3, "a") == "v2");
+  BOOST_TEST(find(3, "b") == "unknown");
+}
+
+// Guards against a version by which the only one that is listed now is taken for the one that began
+// the stream: the record of the stream itself counts.
+BOOST_AUTO_TEST_CASE(StoredRecordGoesBeforeTheVersionsThatTheServiceHasHad) {
+  list({"v2"});
+  recorded = "v2";
+  nodes.at(0)->origins.onFirstEvent(streamIdOf("a"), {kService, "v1", 1}, seconds(6));
+  BOOST_TEST(find(3, "a") == "v1");
+}
+
 BOOST_AUTO_TEST_CASE(NodeThatReachesNoHomeKnowsOnlyItsOwnStreams) {
   list({"v1"});
   pass(seconds(20));
--- a/tests/soak/address_reuse.py
+++ b/tests/soak/address_reuse.py
@@ -14,6 +14,8 @@
 from unasked import CACHE_EVENTS_PATH
 from wire import Listener, http_answer, now
 
+# Below those that the operating system gives.
+FIRST_PORT = 20000
 # From the end of a replica until somebody else may have its address (seconds).
 REUSED_AFTER = 2.0
 # From the end of a replica until its entry goes: three heartbeats of 1.2 s.
@@ -83,10 +85,18 @@
 class AddressReuse:
     def __init__(self, soak):
         self.soak = soak
+        self.last_port = FIRST_PORT
+        # Replicas from their choice until they have begun anew.
+        self.ending = set()
         self.random = random.Random(f"{soak.options.seed}/address reuse")
         self.holders = 0
         self.waves = 0
 
+    def new_port(self) -> int:
+        """One that nobody has had. (The operating system would give those that are about to be used again.)"""
+        self.last_port += 1
+        return self.last_port
+
     def draw_wave(self) -> Wave:
         wave = Wave(self.random.choice(ENDS), self.random.choice(STORE_STATES), self.random.choice(HOLDERS))
         if self.soak.options.reuse_shape is not None:
@@ -96,12 +106,13 @@
     async def run(self):
         while now() < self.soak.faults_end:
             wave = self.draw_wave()
-            listening = [one for one in self.soak.model_replicas if one.listener is not None]
+            listening = [one for one in self.soak.model_replicas if one not in self.ending]
             most = max(1, int(MOST_ENDING * len(self.soak.model_replicas)))
-            ending = self.random.sample(listening, min(len(listening), self.random.randint(1, most)))
-            self.soak.say(f"{len(ending)} model replicas end, {wave}")
+            ended = self.random.sample(listening, min(len(listening), self.random.randint(1, most)))
+            self.soak.say(f"{len(ended)} model replicas end, {wave}")
             self.waves += 1
-            played = [self.soak.spawn(self.end_and_reuse(replica, wave)) for replica in ending]
+            self.ending |= set(ended)
+            played = [self.soak.spawn(self.end_and_reuse(replica, wave)) for replica in ended]
             trouble = self.soak.spawn(self.trouble_store(wave.store))
             if self.random.random() < 0.5:
                 played.append(self.soak.spawn(self.move_kept_cache()))
@@ -138,7 +149,8 @@
         await asyncio.sleep(REUSED_AFTER)
         await self.hold(port, wave.holder)
         await lapse
-        await replica.begin_anew()
+        await replica.begin_anew(self.new_port())
+        self.ending.discard(replica)
 
     async def remove_entry(self, instance: str, after: float):
         await asyncio.sleep(after)
@@ -163,10 +175,9 @@
     async def move_kept_cache(self):
         """The configuration names another store; a replica of the application has the former one's address 2 s after
         that."""
-        former = self.soak.kept_cache
-        store = KeptCacheStore(self.soak, f"kept-{now():.3f}")
+        store = KeptCacheStore(self.soak, f"kept-{now():.3f}", self.new_port())
         await store.start()
-        self.soak.kept_cache = store
+        former, self.soak.kept_cache = self.soak.kept_cache, store
         await self.soak.operators.configure()
         former.end()
         await asyncio.sleep(REUSED_AFTER)
--- a/tests/soak/model_replicas.py
+++ b/tests/soak/model_replicas.py
@@ -143,10 +143,10 @@
         else:
             listener.cut(by_reset=self.draw_end.random() < 0.5)
 
-    async def begin_anew(self):
+    async def begin_anew(self, port: int):
         """Begins under another identifier and at another address."""
         self.beginnings += 1
-        self.instance, self.port = f"model-replica-{self.index}-{self.beginnings}", 0
+        self.instance, self.port = f"model-replica-{self.index}-{self.beginnings}", port
         self.version = self.soak.versions.newest
         await self.start()
 
