Cut heads of responses at every byte in tests

Clients of a system like this one got a 200 with an empty or short body, framed as whole, when a replica stopped in the middle of its answer's head. No change of logic. Tests of connections share one way to wait.

--- a/tests/live/relay_fleet.h
+++ b/tests/live/relay_fleet.h
@@ -16,6 +16,7 @@
 
 #include "live/asio_runtime.h"
 #include "live/http_server.h"
+#include "live/http_test_client.h"
 #include "live/relay_daemon.h"
 #include "support/memory_table_service.h"
 #include "support/recording_log.h"
@@ -27,7 +28,6 @@
 inline constexpr std::string_view kReplicaTableName = "replicas";
 inline constexpr std::string_view kConfigurationTableName = "configuration";
 inline constexpr std::string_view kOwnTableName = "own";
-inline constexpr std::uint32_t kLoopback = 0x7f000001;
 /// Requests that a replica runs concurrently.
 inline constexpr std::uint32_t kSlots = 8;
 inline constexpr std::string_view kApplication = "app";
