--- a/tests/node/stream_origin_store_test.cc
+++ b/tests/node/stream_origin_store_test.cc
@@ -1,5 +1,5 @@
-// What a node that starts later finds in the table service of the streams that were begun before all
-// nodes ended.
+// What a node that starts later finds in the table service of the streams that were begun before
+// all nodes ended.
 #include "node/stream_origin_store.h"
 
 #include <boost/test/unit_test.hpp>
--- a/tests/scripts/relay_soak.sh
+++ b/tests/scripts/relay_soak.sh
@@ -76,6 +76,8 @@
 # lose answers of routes whose kind changes.
 run_seed 22 1 12 --second-runs --nodes 3 --replicas 4 --model-replicas 6 --callers 16
 run_seed 23 2 12 --second-runs --second-run-shape still --nodes 3 --replicas 4 --model-replicas 6 --callers 16
+# Addresses of replicas that have ended pass to others within 2 s, while the table service is in trouble.
+run_seed 24 1 12 --address-reuse --nodes 3 --replicas 4 --model-replicas 6 --callers 8
 await_all || failed=1
 
 # All replicas limited, and nothing else wrong: each is used to its limit, also where all prompts share one part.
