Do not end a replica for what somebody says at its former address

An entry may name another address for the same instance. A poll that was under way at the former one is answered by whoever is there; since another instance's answer ends the record, the replica would have been out of use although it is listed and lives.

Before: CacheWatchTest/ResponseAtAFormerAddressDoesNotEndTheReplica failed.

--- a/src/routing/cache_watch.cc
+++ b/src/routing/cache_watch.cc
@@ -185,6 +185,11 @@
                           const clients::CacheFeedReply& reply) {
   Watch* watch = find(name, watchId);
   if (watch == nullptr) return;
+  // What is said at a former address says nothing of a replica that is listed at another one.
+  if (!isListed(name, *watch)) {
+    endUnlisted();
+    return;
+  }
   if (reply.status == clients::CacheFeedStatus::kOtherInstance) {
     onOtherInstance(name, reply.responder);
     return;
--- a/tests/routing/cache_watch_test.cc
+++ b/tests/routing/cache_watch_test.cc
@@ -290,6 +290,19 @@
   BOOST_TEST(feed.open == 1);
 }
 
+// Guards against a replica that is taken out of use because somebody else has its former address.
+BOOST_AUTO_TEST_CASE(ResponseAtAFormerAddressDoesNotEndTheReplica) {
+  const auto early = feed.calls.back();
+  replicas.onListed(listedReplica({1, 2}));
+  clients::CacheFeedReply other;
+  other.status = clients::CacheFeedStatus::kOtherInstance;
+  other.responder = {"call-1", 421, "r9", true};
+  early.callback(other);
+  BOOST_TEST(!replicas.find("r1")->terminated());
+  time.advance(milliseconds(600));
+  BOOST_TEST(watch.watchCount() == 1U);
+}
+
 // Guards against a stranger's events under the name of a replica that has ended, and against
 // further calls to it.
 BOOST_AUTO_TEST_CASE(ResponseOfAnotherInstanceEndsTheReplicaAndItsWatch) {
