Wake up for stored origins of streams only when there are some

The store looked every 50 ms for something to write, also on nodes that had nothing to store. It looks twice a second now, for services that get a second version and for writes that failed; what has to be written at once is written by the stream's first event, or by a timer when the next write is due. A node with nothing to record reads no row of its own after its start.

--- a/src/node/stream_origin_store.cc
+++ b/src/node/stream_origin_store.cc
@@ -19,7 +19,8 @@
 }  // namespace
 
 StreamOriginStore::~StreamOriginStore() {
-  environment_.timers.cancel(timer_);
+  environment_.timers.cancel(reviewTimer_);
+  if (writeTimer_) environment_.timers.cancel(*writeTimer_);
   for (const auto& [number, search] : searches_) environment_.timers.cancel(search.timer);
 }
 
@@ -56,7 +57,7 @@
   return row;
 }
 
-void StreamOriginStore::start() { tick(); }
+void StreamOriginStore::start() { review(); }
 
 base::Duration StreamOriginStore::interval() const {
   const auto nodes = environment_.members.liveMembers().size();
@@ -69,11 +70,29 @@
                             base::Duration keepFor) {
   waiting_.push_back({stream, origin, environment_.clock.now() + keepFor});
   if (waiting_.size() > options_.maximumStreams) waiting_.pop_front();
-  if (environment_.clock.now() - wroteAt_ >= interval()) record();
+  if (needsRecords(origin.service)) recordWhenDue();
 }
 
-void StreamOriginStore::tick() {
-  timer_ = environment_.timers.schedule(interval(), [this] { tick(); });
+bool StreamOriginStore::needsRecords(const std::string& service) const {
+  return environment_.versions.mixedLately(service, environment_.clock.now());
+}
+
+void StreamOriginStore::recordWhenDue() {
+  if (writeTimer_) return;
+  const auto due = wroteAt_ + interval();
+  const auto now = environment_.clock.now();
+  if (now >= due) {
+    record();
+    return;
+  }
+  writeTimer_ = environment_.timers.schedule(due - now, [this] {
+    writeTimer_.reset();
+    record();
+  });
+}
+
+void StreamOriginStore::review() {
+  reviewTimer_ = environment_.timers.schedule(options_.reviewInterval, [this] { review(); });
   if (environment_.clock.now() - readAt_ > options_.rowSpan * options_.rows) read_.clear();
   record();
 }
@@ -83,7 +102,9 @@
   if (!now || writing_) return;
   const auto span = *now / options_.rowSpan;
   if (!ownRowRead_) {
-    if (!waiting_.empty()) readOwnRow(span);
+    const bool needed = std::ranges::any_of(
+        waiting_, [this](const Waiting& stream) { return needsRecords(stream.origin.service); });
+    if (needed) readOwnRow(span);
     return;
   }
   if (span != row_.span) turnRow(span);
@@ -102,7 +123,7 @@
   std::deque<Waiting> kept;
   for (auto& stream : waiting_) {
     if (stream.dropAt <= now) continue;
-    if (environment_.versions.mixedLately(stream.origin.service, now)) {
+    if (needsRecords(stream.origin.service)) {
       append(stream);
     } else {
       kept.push_back(std::move(stream));
@@ -131,12 +152,19 @@
   transaction.writes = {{keyOf(row_.span), encode(row_)}};
   environment_.table.commit(std::move(transaction), [this, alive = std::weak_ptr(lifetime_)](
                                                         const clients::TableReply& reply) {
-    if (alive.expired()) return;
-    writing_ = false;
-    if (reply.status != clients::TableStatus::kOk) unwritten_ = true;
+    if (!alive.expired()) onWritten(reply);
   });
 }
 
+void StreamOriginStore::onWritten(const clients::TableReply& reply) {
+  writing_ = false;
+  if (reply.status != clients::TableStatus::kOk) {
+    unwritten_ = true;
+  } else if (!waiting_.empty()) {
+    recordWhenDue();
+  }
+}
+
 void StreamOriginStore::readOwnRow(std::int64_t span) {
   writing_ = true;
   environment_.table.read({keyOf(span)}, [this, span, alive = std::weak_ptr(lifetime_)](
@@ -151,6 +179,7 @@
   ownRowRead_ = true;
   auto stored = reply.rows.empty() ? std::nullopt : decode(reply.rows.front().value);
   if (stored && stored->span == span) row_ = std::move(*stored);
+  recordWhenDue();
 }
 
 void StreamOriginStore::find(routing::StreamId stream, Callback found) {
--- a/src/node/stream_origin_store.h
+++ b/src/node/stream_origin_store.h
@@ -33,6 +33,9 @@
 namespace covewing::node {
 
 struct StreamOriginStoreOptions {
+  /// Interval at which the store looks for streams that have to be recorded now since their service
+  /// has got a second version, and for records that the table service did not take.
+  base::Duration reviewInterval = std::chrono::milliseconds(500);
   /// Minimum interval between two writes of this node.
   base::Duration writeInterval = std::chrono::milliseconds(50);
   /// Bound on the writes of all nodes together, per second: with more nodes, each writes less
@@ -103,11 +106,16 @@
   static std::string encode(const Row& row);
   static std::optional<Row> decode(std::string_view value);
   base::Duration interval() const;
-  void tick();
+  void review();
+  /// Writes what waits to be recorded: at once, or when the next write is due.
+  void recordWhenDue();
   /// Writes what waits to be recorded, unless a call is in flight.
   void record();
+  void onWritten(const clients::TableReply& reply);
   /// Goes on with the row of the current span of time.
   void turnRow(std::int64_t span);
+  /// Whether a stream of the service has to be recorded.
+  bool needsRecords(const std::string& service) const;
   /// Moves the streams whose services need records to the current row.
   void collect();
   void append(const Waiting& stream);
@@ -136,7 +144,9 @@
   std::map<std::uint64_t, Search> searches_;
   std::uint64_t lastSearch_ = 0;
   bool reading_ = false;
-  base::TimerId timer_ = 0;
+  base::TimerId reviewTimer_ = 0;
+  /// Pending while a write is not due yet.
+  std::optional<base::TimerId> writeTimer_;
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
 };
 
