--- a/src/routing/rate_pacer.cc
+++ b/src/routing/rate_pacer.cc
@@ -33,6 +33,15 @@
   if (interval_) nextDue_ = std::max(nextDue_, now) + *interval_;
 }
 
+void RatePacer::onControlCall(base::TimePoint now) {
+  if (!interval_) return;
+  if (now < nextFreeControlCall_) {
+    onPassed(now);
+    return;
+  }
+  nextFreeControlCall_ = now + kIntervalsPerControlCall * *interval_;
+}
+
 void RatePacer::onNotSent() {
   if (interval_) nextDue_ -= *interval_;
 }
--- a/src/routing/rate_pacer.h
+++ b/src/routing/rate_pacer.h
@@ -8,8 +8,12 @@
 ///
 /// In any span t at most 1 + rate * (t + kCredit) requests pass. In four seconds that is 1 + 4.25
 /// times the rate. The remainder, up to one and a half times the rate and a few requests, is left
-/// for requests granted by a former home, for control calls, and for grants that arrive together
-/// over a slow connection.
+/// for requests granted by a former home, for some control calls, and for grants that arrive
+/// together over a slow connection.
+///
+/// Control calls (polls, reports and orders) are counted after they were sent. Those that are at
+/// least `kIntervalsPerControlCall` intervals apart are part of the remainder: at most 1 + half of
+/// the rate in four seconds. More frequent ones delay the next request.
 #pragma once
 
 #include <optional>
@@ -25,6 +29,8 @@
   /// Lower rates, including zero, are treated as this one (requests per second): an occasional
   /// request checks whether the limit still applies.
   static constexpr double kMinimumRate = 0.1;
+  /// Intervals of the rate for each control call that does not delay requests.
+  static constexpr int kIntervalsPerControlCall = 8;
 
   /// Sets the rate from now on, in requests per second; empty removes the limit. Requests that
   /// passed before still count.
@@ -38,6 +44,8 @@
   bool mayPass(base::TimePoint now) const { return untilNext(now) == base::Duration::zero(); }
   base::Duration untilNext(base::TimePoint now) const;
   void onPassed(base::TimePoint now);
+  /// A control call was sent to the replica.
+  void onControlCall(base::TimePoint now);
   /// A request that passed is not sent; its share of the rate is returned.
   void onNotSent();
 
@@ -45,6 +53,8 @@
   std::optional<base::Duration> interval_;
   base::TimePoint nextDue_{};
   base::TimePoint lastPassed_{};
+  /// From when on the next control call does not delay requests.
+  base::TimePoint nextFreeControlCall_{};
 };
 
 }  // namespace covewing::routing
--- a/src/routing/replica_ledger.h
+++ b/src/routing/replica_ledger.h
@@ -66,7 +66,7 @@
   void setRefusalLimit(std::optional<double> perSecond) { refusals_.setLimit(perSecond); }
   const RatePacer& pacer() const { return pacer_; }
   /// Counts a control call to the replica.
-  void countControlCall(base::TimePoint now) { pacer_.onPassed(now); }
+  void countControlCall(base::TimePoint now) { pacer_.onControlCall(now); }
   /// When the grant was given; empty if it is unknown.
   std::optional<base::TimePoint> grantedAt(std::uint64_t id) const;
   /// Time between two requests that the replica can accept, limited by its rate limit or its slots,
--- a/tests/routing/rate_pacer_test.cc
+++ b/tests/routing/rate_pacer_test.cc
@@ -101,6 +101,34 @@
   BOOST_TEST(pacer.mayPass(now));
 }
 
+// Guards against polls of a replica's cache events that take the place of requests: at a low rate a
+// single one kept the replica below the rate that it reports.
+BOOST_AUTO_TEST_CASE(RareControlCallDelaysNoRequest) {
+  pacer.setRate(0.6, now);
+  BOOST_TEST(pass(seconds(1)) == 1U);
+  pacer.onControlCall(now);
+  BOOST_TEST(pass(seconds(8)) == 5U);
+  now += seconds(20);
+  pass(seconds(1));
+  pacer.onControlCall(now);
+  BOOST_TEST(pass(seconds(8)) == 5U);
+}
+
+// Guards against a replica that gets its whole rate in requests and many control calls besides.
+BOOST_AUTO_TEST_CASE(FrequentControlCallsTakeTheirShareOfTheRate) {
+  constexpr double kRate = 5;
+  pacer.setRate(kRate, now);
+  for (int second = 0; second < 60; ++second) {
+    pass(milliseconds(500));
+    pacer.onControlCall(now);
+    passed.push_back(now);
+    pass(milliseconds(500));
+    pacer.onControlCall(now);
+    passed.push_back(now);
+  }
+  BOOST_TEST(static_cast<double>(maximumIn(seconds(4))) <= 4.75 * kRate + 3);
+}
+
 BOOST_AUTO_TEST_CASE(NoWindowExceedsTheRateByMuch) {
   base::SeededRandom random(11);
   for (int run = 0; run < 50; ++run) {
