Put an entry aside that names an earlier run of its replica

A return of the table service brought back the row of its former run. Nodes that had started after the replica's current run took that for the follower, and rejected the current run from then on: that runs do not come back was known only to nodes that had seen one follow the other.

Entries state when their run started. One that started earlier than the listed run is put aside, at every node; a later run that is up rewrites its entry within a heartbeat. If the row names the earlier run for 4 s, and no copy may be behind it, it is listed. So an entry by another writer with a later start no longer holds a replica off for good either.

--- a/src/node/replica_list.cc
+++ b/src/node/replica_list.cc
@@ -9,6 +9,10 @@
 
 /// Time from the rewriting of a row until the feed has delivered it.
 constexpr base::Duration kFeedDelay = std::chrono::seconds(1);
+/// A row that names an earlier instance than the listed one is put aside for this long: a replica
+/// writes its entry every second or so, so a later instance that is running rewrites the row by
+/// then.
+constexpr base::Duration kRowRewrittenWithin = std::chrono::seconds(4);
 /// Maximum number of ended instances kept for each key: more than can follow each other within the
 /// age of a backup from which the service is restored.
 constexpr std::size_t kMaximumEndedInstances = 8;
@@ -17,6 +21,7 @@
 
 void ReplicaList::onRow(const clients::FeedRow& row, config::RowSource /*source*/) {
   missingRows_.erase(row.key);
+  putAside_.erase(row.key);
   base::Reason reason;
   auto replica = reader_.readReplica(row.key, *row.value, reason);
   if (!replica) {
@@ -32,27 +37,49 @@
                           "the software version differs from that of the same instance before"});
     return;
   }
-  if (hasEnded(row.key, replica->instance)) {
-    // The service was restored from an older backup: the instance that followed this one rewrites
-    // its own entry.
-    log_.write(base::Event::kReplicaEntryRejected,
-               {{"row", row.key},
-                {"revision", base::revisionText(row.revision)},
-                {"why", "the row names an instance that has ended"}});
+  if (namesEarlierInstance(row.key, *replica)) {
+    putAside(row);
     return;
   }
-  replica->readAt = clock_.now();
-  const auto& model = replica->models;
+  listRow(row, std::move(*replica));
+}
+
+void ReplicaList::listRow(const clients::FeedRow& row, routing::Replica replica) {
+  replica.readAt = clock_.now();
+  const auto& model = replica.models;
   log_.write(base::Event::kReplicaListed,
-             {{"replica", replica->instance},
-              {"service", replica->service},
-              {"address", base::toString(replica->endpoint)},
-              {"zone", replica->zone},
-              {"state", replica->state == routing::ReplicaState::kReady ? "ready" : "draining"},
-              {"software", replica->softwareVersion},
+             {{"replica", replica.instance},
+              {"service", replica.service},
+              {"address", base::toString(replica.endpoint)},
+              {"zone", replica.zone},
+              {"state", replica.state == routing::ReplicaState::kReady ? "ready" : "draining"},
+              {"software", replica.softwareVersion},
               {"weights", model.empty() ? "" : std::to_string(model.front().version)},
               {"revision", base::revisionText(row.revision)}});
-  listInstance(row.key, std::move(*replica));
+  listInstance(row.key, std::move(replica));
+}
+
+void ReplicaList::putAside(const clients::FeedRow& row) {
+  log_.write(base::Event::kReplicaEntryRejected,
+             {{"row", row.key},
+              {"revision", base::revisionText(row.revision)},
+              {"why", "the row names an earlier instance than the listed one"}});
+  putAside_[row.key] = {row, clock_.now() + kRowRewrittenWithin};
+}
+
+void ReplicaList::listRowsPutAside() {
+  const auto now = clock_.now();
+  for (auto entry = putAside_.begin(); entry != putAside_.end();) {
+    if (now < entry->second.until) {
+      ++entry;
+      continue;
+    }
+    const auto row = std::move(entry->second.row);
+    entry = putAside_.erase(entry);
+    base::Reason reason;
+    auto replica = reader_.readReplica(row.key, *row.value, reason);
+    if (replica) listRow(row, std::move(*replica));
+  }
 }
 
 bool ReplicaList::changesSoftwareVersion(const routing::Replica& replica) const {
@@ -64,18 +91,18 @@
   const auto listed = instances_.find(key);
   if (listed == instances_.end()) return false;
   const auto record = directory_.find(listed->second);
-  return record && record->facts().hasStartTime;
+  return record && record->facts().startedAt;
 }
 
 bool ReplicaList::hasExpectedStartTime(const std::string& key, const routing::Replica& replica) {
-  if (!replica.hasStartTime)
+  if (!replica.startedAt)
     return !servicesWithStartTimes_.contains(replica.service) && !rowHadStartTime(key);
   const bool first = servicesWithStartTimes_.insert(replica.service).second;
   if (!first) return true;
   // Takes entries without a start time out of use that were read before the first entry with one.
   for (const auto& [otherKey, instance] : instances_) {
     const auto record = directory_.find(instance);
-    if (record && record->facts().service == replica.service && !record->facts().hasStartTime)
+    if (record && record->facts().service == replica.service && !record->facts().startedAt)
       directory_.onUnreadable(instance);
   }
   return true;
@@ -138,6 +165,7 @@
   log_.write(base::Event::kReplicaRemoved,
              {{"replica", key}, {"revision", base::revisionText(revision)}});
   endedInstances_.erase(key);
+  putAside_.erase(key);
   const auto listed = instances_.extract(key);
   if (!listed.empty()) forgetInstance(listed.mapped());
 }
@@ -148,10 +176,16 @@
   if (ended.size() > kMaximumEndedInstances) ended.pop_front();
 }
 
-bool ReplicaList::hasEnded(const std::string& key, const std::string& instance) const {
+bool ReplicaList::namesEarlierInstance(const std::string& key,
+                                       const routing::Replica& replica) const {
+  const auto listed = instances_.find(key);
+  if (listed == instances_.end() || listed->second == replica.instance) return false;
+  const auto record = directory_.find(listed->second);
+  if (record && record->facts().startedAt && replica.startedAt)
+    return *replica.startedAt < *record->facts().startedAt;
   const auto ended = endedInstances_.find(key);
   return ended != endedInstances_.end() &&
-         std::ranges::find(ended->second, instance) != ended->second.end();
+         std::ranges::find(ended->second, replica.instance) != ended->second.end();
 }
 
 void ReplicaList::forgetInstance(const std::string& instance) {
@@ -166,7 +200,8 @@
   loaded_ = true;
   versions_.onCurrent(clock_.now());
   outageLog_.onCurrent();
-  if (missingRows_.empty() || mayBeRewritten()) return;
+  if (mayBeRewritten()) return;
+  listRowsPutAside();
   for (const auto& [key, revision] : std::exchange(missingRows_, {})) remove(key, revision);
 }
 
--- a/src/node/replica_list.h
+++ b/src/node/replica_list.h
@@ -5,9 +5,11 @@
 /// instance, the previous one has ended, and its state is removed. While a row cannot be read, its
 /// instance gets no new requests, but it is not taken as ended.
 ///
-/// After the service was restored from an older backup, rows may be missing or name instances that
-/// have ended, until the replicas have rewritten them. In neither case is the state of the current
-/// instance removed.
+/// After the service was restored from an older backup, rows may be missing or name earlier
+/// instances, until the replicas have rewritten them; an earlier instance is also named by an entry
+/// that was stored late. In neither case is the state of the current instance removed. A row that
+/// goes on naming an earlier instance is believed after some seconds, since the instance that was
+/// listed in its place has not rewritten it: that one was not the replica, or its clock was wrong.
 #pragma once
 
 #include <deque>
@@ -63,6 +65,18 @@
   void onFailure(clients::FeedStatus status) override;
 
  private:
+  struct RowPutAside {
+    clients::FeedRow row;
+    base::TimePoint until{};
+  };
+
+  /// Logs the entry and lists the instance that the row names.
+  void listRow(const clients::FeedRow& row, routing::Replica replica);
+  /// Logs that the row names an earlier instance, and keeps it until it has been rewritten or is
+  /// believed.
+  void putAside(const clients::FeedRow& row);
+  /// Lists the earlier instances whose rows have not been rewritten in time.
+  void listRowsPutAside();
   /// Lists the instance that the row names, in place of the one that the row named before.
   void listInstance(const std::string& key, routing::Replica replica);
   /// Logs the reason and takes the row's instance out of use for new requests.
@@ -83,7 +97,9 @@
   /// Whether rows that a restore of the service lost may still be rewritten.
   bool mayBeRewritten() const;
   void recordEnded(const std::string& key, const std::string& instance);
-  bool hasEnded(const std::string& key, const std::string& instance) const;
+  /// Whether the instance started before the one that is listed for the row. Without start times:
+  /// whether the listed one took its place.
+  bool namesEarlierInstance(const std::string& key, const routing::Replica& replica) const;
 
   const ReplicaRowReader& reader_;
   base::Clock& clock_;
@@ -97,6 +113,8 @@
   std::map<std::string, std::string> instances_;
   /// Instances that were replaced by others under the same key, the latest at the end.
   std::map<std::string, std::deque<std::string>> endedInstances_;
+  /// Rows that name an earlier instance than the listed one, by key.
+  std::map<std::string, RowPutAside> putAside_;
   /// Rows that a restore of the service lost and that may be rewritten, by key, with the revision
   /// at which their removal was observed.
   std::map<std::string, base::Revision> missingRows_;
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -43,8 +43,8 @@
   std::uint32_t slots = 0;
   ReplicaState state = ReplicaState::kReady;
   std::vector<ReplicaModel> models;
-  /// Whether the entry states when the instance started.
-  bool hasStartTime = false;
+  /// When the instance started, according to its entry (Unix time in milliseconds).
+  std::optional<std::uint64_t> startedAt{};
   /// When this node read the entry.
   base::TimePoint readAt{};
 
--- a/tests/node/replica_list_test.cc
+++ b/tests/node/replica_list_test.cc
@@ -16,6 +16,13 @@
 /// The value of a row is the name of the instance, behind that of its service and a bar if it is of
 /// another service than `llm`; an empty value cannot be read.
 class InstanceReader final : public ReplicaRowReader {
+  /// The number behind the `@`.
+  static std::optional<std::uint64_t> startOf(const std::string& instance) {
+    const auto separator = instance.find('@');
+    if (separator == std::string::npos) return std::nullopt;
+    return std::stoull(instance.substr(separator + 1));
+  }
+
  public:
   std::optional<routing::Replica> readReplica(std::string_view /*key*/, std::string_view value,
                                               base::Reason& reason) const override {
@@ -32,7 +39,7 @@
     replica.instance = value.substr(0, slash);
     replica.softwareVersion =
         slash == std::string_view::npos ? "v1" : std::string{value.substr(slash + 1)};
-    replica.hasStartTime = value.find('@') != std::string_view::npos;
+    replica.startedAt = startOf(replica.instance);
     return replica;
   }
 };
@@ -242,6 +249,53 @@
   BOOST_TEST(ended.size() == endedBefore);
 }
 
+// Guards against a node that has started after the replica's latest run and takes the run before,
+// whose row a restore of the table service brought back, for its follower.
+BOOST_AUTO_TEST_CASE(RestoredRowOfARunThatWasNeverSeenEndsNothing) {
+  write("r", "r@2");
+  const auto record = directory.find("r@2");
+  eras.note(0, "the test");
+  eras.note(1, "the test");
+  write("r", "r@1");
+  list.onCurrent();
+  BOOST_TEST((directory.find("r@2") == record));
+  BOOST_TEST((directory.find("r@1") == nullptr));
+  time.advance(std::chrono::seconds(2));
+  write("r", "r@2");
+  time.advance(std::chrono::seconds(10));
+  list.onCurrent();
+  BOOST_TEST((directory.find("r@2") == record));
+  BOOST_TEST(log.count(base::Event::kReplicaRestarted) == 0U);
+}
+
+// Guards against a replica that is rejected for good because another writer put an entry with a
+// later start under its identifier.
+BOOST_AUTO_TEST_CASE(EarlierRunThatKeepsTheRowIsListedAgain) {
+  write("r", "r@5");
+  write("r", "elsewhere|r@9");
+  write("r", "r@5");
+  time.advance(std::chrono::milliseconds(3900));
+  list.onCurrent();
+  BOOST_TEST(directory.ofService("llm").empty());
+  time.advance(std::chrono::milliseconds(200));
+  list.onCurrent();
+  BOOST_REQUIRE(directory.ofService("llm").size() == 1U);
+  BOOST_TEST(directory.ofService("llm").front()->inService());
+  BOOST_TEST((directory.find("r@9") == nullptr));
+}
+
+// Guards against an entry that is stored late and takes the place of the next run, which is then
+// rejected.
+BOOST_AUTO_TEST_CASE(EntryOfTheFormerRunThatIsStoredLateChangesNothing) {
+  write("r", "r@2");
+  write("r", "r@1");
+  write("r", "r@2");
+  time.advance(std::chrono::seconds(10));
+  list.onCurrent();
+  BOOST_TEST((directory.find("r@2") != nullptr));
+  BOOST_TEST((directory.find("r@1") == nullptr));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::node
