Do not continue streams at a replica that may have restarted

The expected instance does not tell runs of one identifier apart, so the next run is somebody else at the address who takes the call for his own.

What is seen before the entry is that the address refuses connections. Until its entry names the next run, or it has accepted connections for 3 s, it gets no stream that callers may take up, and is no source of cached parts. Polls of cache events that break off start the same probes, so that nodes without requests there know it as well.

A replica that is back before a probe finds it refusing is not covered.

--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -179,8 +179,12 @@
     replicas.setRemovalListener([this](const std::string&) { cacheWatch.endUnlisted(); });
     cacheWatch.onRateLimitedPoll(
         [this](const routing::ReplicaRecord& replica) { placement.countControlCall(replica); });
+    cacheWatch.onUnanswered([this](const routing::ReplicaRecordPtr& replica) {
+      links.verify(*replica, [](bool /*works*/) {});
+      crashDetector.onCallFailed(replica);
+    });
     links.onRestored([this](const std::string& instance) {
-      if (const auto replica = replicas.find(instance)) replica->health().onReachable(clock.now());
+      if (const auto replica = replicas.find(instance)) replica->onReachable(clock.now());
     });
     for (HttpServer* server : {&callerServer, &relayServer})
       server->onEarlyClose([this](const EarlyClose& early) { logEarlyClose(early); });
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -177,6 +177,7 @@
   query.excluded = excluded_;
   query.excluded.insert(query.excluded.end(), skippedReplicas_.begin(), skippedReplicas_.end());
   query.softwareVersion = softwareVersion_;
+  query.needsKnownVersion = resumable();
   if (assignment_.service->engine) query.engine = &*assignment_.service->engine;
   if (!incoming_.prompt) return query;
   query.model = incoming_.prompt->model;
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -417,6 +417,9 @@
   void recordAttemptFailure(clients::FailurePoint point);
   /// Whether the replica of the attempt in flight still accepts the request.
   bool replicaAccepts() const;
+  /// Whether the replica's software version may serve the request, and is known as far as that
+  /// matters.
+  bool servesKnownVersion(const routing::ReplicaRecord& replica) const;
   /// Whether the replica reports no rate limit, or its home node has counted the request just now.
   bool withinRateLimit(const routing::ReplicaRecord& replica,
                        const routing::PlacementGrant& grant) const;
--- a/src/request/relay_flow_dispatch.cc
+++ b/src/request/relay_flow_dispatch.cc
@@ -51,6 +51,11 @@
   return !limited || grant.validForRateLimit(dependencies_.clock.now());
 }
 
+bool RelayFlow::servesKnownVersion(const routing::ReplicaRecord& replica) const {
+  if (resumable() && replica.mayBeReplaced(dependencies_.clock.now())) return false;
+  return !softwareVersion_ || replica.facts().softwareVersion == *softwareVersion_;
+}
+
 void RelayFlow::dispatch(routing::ReplicaDecision decision, const routing::PlacementGrant& grant) {
   const auto now = dependencies_.clock.now();
   if (ended_ || !writer_->callerConnected()) {
@@ -64,7 +69,7 @@
     choose();
     return;
   }
-  if (softwareVersion_ && decision.replica->facts().softwareVersion != *softwareVersion_) {
+  if (!servesKnownVersion(*decision.replica)) {
     dependencies_.placement.returnGrant(grant);
     choose();
     return;
--- a/src/routing/cache_watch.cc
+++ b/src/routing/cache_watch.cc
@@ -194,7 +194,12 @@
     onOtherInstance(name, reply.responder);
     return;
   }
-  if (const auto replica = environment_.replicas.find(name)) recordNotices(*replica, sentAt, reply);
+  if (const auto replica = environment_.replicas.find(name)) {
+    recordNotices(*replica, sentAt, reply);
+    const bool unanswered =
+        reply.status == clients::CacheFeedStatus::kUnavailable && reply.responder.status == 0;
+    if (unanswered && unansweredListener_) unansweredListener_(replica);
+  }
   onReply(name, *watch, reply);
 }
 
--- a/src/routing/cache_watch.h
+++ b/src/routing/cache_watch.h
@@ -95,11 +95,15 @@
   /// Called with a replica that reports a rate limit, before each poll of it.
   using PollListener = std::function<void(const ReplicaRecord& replica)>;
 
+  using UnansweredListener = std::function<void(const ReplicaRecordPtr& replica)>;
+
   void start();
   /// Ends the watches of replicas and stores that have ended or are no longer listed. To be called
   /// after each removal: their addresses may belong to others by now.
   void endUnlisted();
   void onRateLimitedPoll(PollListener listener) { pollListener_ = std::move(listener); }
+  /// `listener` is called with each replica that did not respond to a poll.
+  void onUnanswered(UnansweredListener listener) { unansweredListener_ = std::move(listener); }
   void onChange(ChangeListener listener) { changeListener_ = std::move(listener); }
   std::size_t watchCount() const { return watches_.size(); }
 
@@ -173,6 +177,7 @@
   WatcherLimit watcherLimit_;
   ChangeListener changeListener_;
   PollListener pollListener_;
+  UnansweredListener unansweredListener_;
   Watches watches_;
   /// The time since which this node has been eligible to watch each target, by name.
   std::map<std::string, base::TimePoint> eligibleSince_;
--- a/src/routing/replica_crash_detector.cc
+++ b/src/routing/replica_crash_detector.cc
@@ -33,13 +33,24 @@
     return;
   }
   auto& suspicion = suspicions_[instance];
-  if (suspicion.outlivedAt) suspicion = {};
-  const bool isFirst = suspicion.requests.empty();
+  if (suspicion.outlivedAt || suspicion.requests.empty()) begin(suspicion, replica);
   suspicion.requests.push_back(std::move(request));
-  if (!isFirst) return;
+}
+
+void ReplicaCrashDetector::onCallFailed(const ReplicaRecordPtr& replica) {
+  dropExpired();
+  if (replica->mayBeReplaced(environment_.clock.now())) return;
+  auto& suspicion = suspicions_[replica->facts().instance];
+  const bool probing = suspicion.replica && !suspicion.outlivedAt;
+  if (!probing && suspicion.requests.empty()) begin(suspicion, replica);
+}
+
+void ReplicaCrashDetector::begin(Suspicion& suspicion, const ReplicaRecordPtr& replica) {
+  environment_.timers.cancel(suspicion.timer);
+  suspicion = {};
   suspicion.replica = replica;
   suspicion.since = environment_.clock.now();
-  scheduleProbe(instance, options_.firstProbe);
+  scheduleProbe(replica->facts().instance, options_.firstProbe);
 }
 
 void ReplicaCrashDetector::onRemoved(const std::string& instance) {
@@ -104,8 +115,10 @@
   if (found->second.since != since) return;
   auto& suspicion = found->second;
   if (reachability == clients::Reachability::kAccepts) {
-    environment_.log.write(base::Event::kReplicaOutlivedRuns,
-                           {{"replica", instance}, {"runs", textOf(suspicion.requests)}});
+    if (!suspicion.requests.empty()) {
+      environment_.log.write(base::Event::kReplicaOutlivedRuns,
+                             {{"replica", instance}, {"runs", textOf(suspicion.requests)}});
+    }
     suspicion.outlivedAt = environment_.clock.now();
     return;
   }
@@ -114,15 +127,25 @@
       reachability == clients::Reachability::kRefuses && suspicion.replica->inFlight() == 0;
   suspicion.refusals = refused ? suspicion.refusals + 1 : 0;
   if (suspicion.refusals >= options_.refusals) {
+    presumeEnded(*suspicion.replica);
     conclude(instance, "it refuses connections");
   } else if (suspicion.probes < options_.maximumProbes) {
     scheduleProbe(instance, options_.probeInterval);
   }
 }
 
+void ReplicaCrashDetector::presumeEnded(ReplicaRecord& replica) {
+  replica.presumeEnded(environment_.clock.now());
+  environment_.log.write(base::Event::kReplicaPresumedEnded,
+                         {{"replica", replica.facts().instance},
+                          {"service", replica.facts().service},
+                          {"software", replica.facts().softwareVersion}});
+}
+
 void ReplicaCrashDetector::conclude(const std::string& instance, std::string_view why) {
   const auto node = suspicions_.extract(instance);
   environment_.timers.cancel(node.mapped().timer);
+  if (node.mapped().requests.empty()) return;
   endedAt_[instance] = environment_.clock.now();
   report({instance, node.mapped().requests}, why);
 }
--- a/src/routing/replica_crash_detector.h
+++ b/src/routing/replica_crash_detector.h
@@ -7,6 +7,9 @@
 /// node is in flight there any more), or undecided (no response) -> ended when its entry is
 /// removed. A replica that restarts at once accepts connections, too: outlived -> ended if its
 /// entry shows the restart soon afterwards.
+///
+/// Calls that are no requests start probes, too, so that the end of a replica is also noticed by
+/// nodes that have no requests there.
 #pragma once
 
 #include <functional>
@@ -73,6 +76,8 @@
   void setListener(Listener listener) { listener_ = std::move(listener); }
   /// A request that the replica may have started was interrupted.
   void onRequestInterrupted(const ReplicaRecordPtr& replica, base::InterruptedRequest request);
+  /// A call that is not a request was interrupted, or the replica could not be reached with it.
+  void onCallFailed(const ReplicaRecordPtr& replica);
   /// The instance is listed: it is running, even if it was considered ended.
   void onListed(const std::string& instance) { endedAt_.erase(instance); }
   /// The replica's entry was removed.
@@ -95,11 +100,16 @@
   /// Drops the suspicion about a replica that had announced that it was leaving, since its end is
   /// planned; returns false if there is none.
   bool dropPlannedEnd(const std::string& instance);
+  /// Begins to probe the replica, whatever is known of the suspicion.
+  void begin(Suspicion& suspicion, const ReplicaRecordPtr& replica);
   void scheduleProbe(const std::string& instance, base::Duration delay);
   void probe(const std::string& instance);
   /// `since` tells the suspicion that was probed from a later one about the same instance.
   void onProbed(const std::string& instance, base::TimePoint since,
                 clients::Reachability reachability);
+  /// The address refuses connections, also to another node.
+  void presumeEnded(ReplicaRecord& replica);
+  /// Ends the suspicion and reports the lost requests, if there are any.
   void conclude(const std::string& instance, std::string_view why);
   void report(const LostRequests& ended, std::string_view why);
   void dropExpired();
--- a/src/routing/replica_directory.cc
+++ b/src/routing/replica_directory.cc
@@ -104,6 +104,24 @@
              {"entry_age_ms", base::millisecondsText(now - replica.facts().readAt)}});
 }
 
+namespace {
+
+/// Replicas write their entries about once per second, and the list is read within another.
+constexpr base::Duration kReplacementShownWithin = std::chrono::seconds(3);
+/// Bound for a replica whose address is never seen to accept connections again.
+constexpr base::Duration kMaximumReplacementTime = std::chrono::minutes(1);
+
+}  // namespace
+
+void ReplicaRecord::presumeEnded(base::TimePoint now) {
+  mayBeReplacedUntil_ = now + kMaximumReplacementTime;
+}
+
+void ReplicaRecord::onReachable(base::TimePoint now) {
+  health_.onReachable(now);
+  if (mayBeReplaced(now)) mayBeReplacedUntil_ = now + kReplacementShownWithin;
+}
+
 void ReplicaRecord::onDispatched(std::uint32_t tokens) {
   ++inFlight_;
   tokensInFlight_ += tokens;
--- a/src/routing/replica_directory.h
+++ b/src/routing/replica_directory.h
@@ -52,6 +52,14 @@
   /// for good, even if the list still contains it.
   void setTerminated() { terminated_ = true; }
   bool terminated() const { return terminated_; }
+  /// Connections were refused after requests had been lost: the instance has probably ended, and
+  /// another one, possibly of another software version, may start under the same name and address
+  /// before the list shows it.
+  void presumeEnded(base::TimePoint now);
+  /// The address accepts connections again.
+  void onReachable(base::TimePoint now);
+  /// Whether another instance may be running under the name and address of this one.
+  bool mayBeReplaced(base::TimePoint now) const { return now < mayBeReplacedUntil_; }
   /// New weights are about to be ordered or are being loaded: no requests until the given time, or
   /// until a newer version is reported.
   void setLoadingWeights(base::TimePoint until) { loadingWeightsUntil_ = until; }
@@ -115,6 +123,7 @@
   ReplicaHealth health_;
   std::map<std::string, base::WeightsVersion, std::less<>> versions_;
   bool terminated_ = false;
+  base::TimePoint mayBeReplacedUntil_{};
   base::TimePoint versionUncertainUntil_{};
   base::TimePoint loadingWeightsUntil_{};
   base::TimePoint atCapacityUntil_{};
--- a/src/routing/replica_selector.cc
+++ b/src/routing/replica_selector.cc
@@ -121,6 +121,8 @@
   const auto prefer = [&](auto predicate) {
     if (std::ranges::any_of(allowed, predicate)) std::erase_if(allowed, std::not_fn(predicate));
   };
+  keep([&](const auto& record) { return !query.needsKnownVersion || !record->mayBeReplaced(now); },
+       "every replica may have restarted with another software version");
   keep([&](const auto& record) { return !record->versionUncertain(now); },
        "the version of every replica is doubtful");
   keep([&](const auto& record) { return record->health().available(now); },
@@ -205,7 +207,8 @@
     best = CacheSource{name, endpoint, tokens};
   };
   for (const auto& record : context_.replicas.ofService(query.service)) {
-    if (record.get() == except || record->terminated() || record->health().ejected(now)) continue;
+    if (record.get() == except || record->terminated() || record->mayBeReplaced(now)) continue;
+    if (record->health().ejected(now)) continue;
     offer(record->facts().instance, record->facts().endpoint);
   }
   for (const auto& store : context_.stores.all()) {
--- a/src/routing/replica_selector.h
+++ b/src/routing/replica_selector.h
@@ -55,6 +55,8 @@
   std::vector<std::string> excluded;
   /// Only replicas with this version of their software may be selected; empty: any.
   std::optional<std::string> softwareVersion;
+  /// The caller may continue the stream, so it has to be known which software version serves it.
+  bool needsKnownVersion = false;
 
   /// Whether the request has a prompt with shared parts that a replica may have cached.
   bool withPrompt() const {
--- a/tests/request/stream_version_test.cc
+++ b/tests/request/stream_version_test.cc
@@ -88,6 +88,36 @@
   BOOST_TEST(client.sent.size() == 1U);
 }
 
+// Guards against a stream that goes on at the next run of its replica, which may be of another
+// software version: until its entry is read, nothing but the refused connections tells of it.
+BOOST_AUTO_TEST_CASE(StreamIsNotTakenUpWhereItsReplicaMayHaveRestarted) {
+  request("resumable");
+  const auto attempt = client.last().request->id;
+  const auto replica = client.last().terms.replica;
+  client.last().head(200);
+  client.last().handler->onBody(kOneEvent);
+  for (const char* name : {"old1", "old2", "new1", "new2"})
+    if (name != replica.instance()) remove(name);
+  reachability.ended.insert(replica.endpoint());
+  client.last().breakConnection();
+  time.advance(milliseconds(500));
+  reachability.ended.clear();
+  time.advance(milliseconds(900));
+  tables.confirmed = time.now();
+  const auto sent = client.sent.size();
+  resume(attempt, "1");
+  request("resumable");
+  BOOST_TEST(client.sent.size() == sent);
+  request("once");
+  BOOST_TEST(client.sent.size() == sent + 1);
+  client.last().respond(200, kEnd);
+  replicas.find(replica.instance())->onReachable(time.now());
+  time.advance(milliseconds(3100));
+  tables.confirmed = time.now();
+  resume(attempt, "1");
+  BOOST_TEST(client.last().terms.lastEventId == "1");
+}
+
 BOOST_AUTO_TEST_CASE(AnyVersionMayBeginAStreamThatHasBroughtNoEvent) {
   auto& caller = request("resumable");
   removeVersion(lastVersion() == "v1" ? "v2" : "v1");
--- a/tests/routing/cache_watch_test.cc
+++ b/tests/routing/cache_watch_test.cc
@@ -320,6 +320,20 @@
   BOOST_TEST(feed.calls.size() == polls);
 }
 
+// Guards against the end of a replica that goes unnoticed at nodes without requests there.
+BOOST_AUTO_TEST_CASE(PollWithoutAResponseIsReported) {
+  std::vector<ReplicaRecordPtr> unanswered;
+  watch.onUnanswered([&](const ReplicaRecordPtr& replica) { unanswered.push_back(replica); });
+  feed.calls.back().callback({});
+  BOOST_REQUIRE(unanswered.size() == 1U);
+  BOOST_TEST((unanswered.front() == replicas.find("r1")));
+  time.advance(seconds(5));
+  clients::CacheFeedReply malformed;
+  malformed.responder.status = 200;
+  feed.calls.back().callback(malformed);
+  BOOST_TEST(unanswered.size() == 1U);
+}
+
 // Guards against polls to a replica of which a request has shown that it has ended.
 BOOST_AUTO_TEST_CASE(ReplicaThatHasEndedIsNotPolled) {
   feed.calls.back().callback(reply(7, 12, 50));
--- a/tests/routing/replica_crash_detector_test.cc
+++ b/tests/routing/replica_crash_detector_test.cc
@@ -193,6 +193,52 @@
   BOOST_TEST(ended.size() == 1U);
 }
 
+// Guards against streams that are taken up at the next run of their replica, at nodes that had no
+// requests there when it ended.
+BOOST_AUTO_TEST_CASE(FailedCallShowsTheEndOfAReplicaWithoutRequests) {
+  reachability.results = {clients::Reachability::kRefuses};
+  detector.onCallFailed(replica);
+  time.advance(milliseconds(300));
+  BOOST_TEST(replica->mayBeReplaced(time.now()));
+  BOOST_TEST(log.count(base::Event::kReplicaPresumedEnded) == 1U);
+  BOOST_TEST(ended.empty());
+  const auto probes = reachability.connections;
+  detector.onCallFailed(replica);
+  time.advance(seconds(1));
+  BOOST_TEST(reachability.connections == probes);
+}
+
+// Guards against lost requests that are taken for outlived ones, since a failed call had used up
+// the probes.
+BOOST_AUTO_TEST_CASE(RequestsInterruptedAfterAFailedCallAreProbed) {
+  reachability.results = {clients::Reachability::kSilent};
+  detector.onCallFailed(replica);
+  time.advance(seconds(5));
+  reachability.results = {clients::Reachability::kRefuses};
+  interrupt(1);
+  time.advance(milliseconds(300));
+  BOOST_REQUIRE(ended.size() == 1U);
+  BOOST_TEST((ended[0].requests == std::vector{interrupted(1)}));
+}
+
+BOOST_AUTO_TEST_CASE(ReplicaThatAcceptsConnectionsIsNotReplacedAfterAFailedCall) {
+  detector.onCallFailed(replica);
+  time.advance(seconds(1));
+  BOOST_TEST(!replica->mayBeReplaced(time.now()));
+  BOOST_TEST(log.entries.empty());
+}
+
+// Its entry would have shown a restart by then.
+BOOST_AUTO_TEST_CASE(ReplicaThatWasReachableForSecondsIsNotReplaced) {
+  replica->presumeEnded(time.now());
+  time.advance(seconds(10));
+  replica->onReachable(time.now());
+  time.advance(milliseconds(2900));
+  BOOST_TEST(replica->mayBeReplaced(time.now()));
+  time.advance(milliseconds(200));
+  BOOST_TEST(!replica->mayBeReplaced(time.now()));
+}
+
 BOOST_AUTO_TEST_CASE(LeavingReplicaHasNotCrashed) {
   auto leaving = facts();
   leaving.state = ReplicaState::kDraining;
--- a/tests/routing/replica_selector_test.cc
+++ b/tests/routing/replica_selector_test.cc
@@ -315,6 +315,28 @@
   BOOST_TEST((selector.choose(tried, 1, now).replica == nullptr));
 }
 
+// Guards against a stream that is begun, or goes on, at another software version than the list
+// says.
+BOOST_AUTO_TEST_CASE(ReplicaThatMayBeReplacedGetsNoStreamsThatMayBeTakenUp) {
+  const auto first = choose().replica;
+  first->presumeEnded(now);
+  BOOST_TEST((choose().replica == first));
+  auto stream = query();
+  stream.needsKnownVersion = true;
+  BOOST_TEST((selector.choose(stream, 1, now).replica != first));
+}
+
+// Guards against parts that are fetched from a replica which has ended, or from the next run, which
+// holds nothing of it.
+BOOST_AUTO_TEST_CASE(NothingIsFetchedFromAReplicaThatMayBeReplaced) {
+  const auto home = choose().replica;
+  const auto holder = home->facts().instance == "r1" ? "r2" : "r1";
+  addHolder(holder, 1);
+  BOOST_REQUIRE(choose().fetchFrom.has_value());
+  replicas.find(holder)->presumeEnded(now);
+  BOOST_TEST(!choose().fetchFrom.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(LoadOfOtherNodesCountsForThisNode) {
   const auto first = choose().replica;
   reportLoad(first->facts().instance, {8, 800, {}});
