Cut heads of responses to the other daemon in tests

An answer whose head is cut must be taken for whole nowhere; the clients of covewingd had no test for it. Both hold: a call of an application and a stream of an engine fail with an unknown outcome, wherever the eight heads are cut, behind none to two interim responses, with an orderly end and a reset.

--- a/tests/live/cut_head_test.cc
+++ b/tests/live/cut_head_test.cc
@@ -6,7 +6,10 @@
 #include <string>
 #include <vector>
 
+#include "live/asio_runtime.h"
+#include "live/http_application_client.h"
 #include "live/http_client.h"
+#include "live/http_engine_client.h"
 #include "live/http_relay_client.h"
 #include "live/http_test_client.h"
 #include "relay_fleet.h"
@@ -110,6 +113,19 @@
   std::optional<clients::DispatchError> failure;
 };
 
+/// Receives the stream of an engine.
+struct StreamReceiver final : clients::EngineStreamHandler {
+  void onAccepted() override { accepted = true; }
+  void onChunk(clients::StreamChunk /*chunk*/) override { accepted = true; }
+  void onEnd(clients::StreamEnd /*end*/) override { ended = true; }
+  void onError(clients::DispatchError error) override { failure = std::move(error); }
+  bool done() const { return ended || failure.has_value(); }
+
+  bool accepted = false;
+  bool ended = false;
+  std::optional<clients::DispatchError> failure;
+};
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(CutHeadTest, CutHeadFixture)
@@ -147,6 +163,38 @@
   });
 }
 
+// The same at the clients of the daemon with an interface of its own.
+BOOST_AUTO_TEST_CASE(ApplicationResponseWhoseHeadIsCutIsNoResponse) {
+  HttpClient client(context);
+  HttpApplicationClient application(client);
+  forEachCut(5, [&](const std::string& cut) {
+    std::optional<clients::ApplicationResult> result;
+    application.call({{}, {}, server.endpoint()}, {{"id-1"}, 1, "POST", "/work", {}, "body"},
+                     [&](clients::ApplicationResult received) { result = std::move(received); });
+    runUntil(context, [&] { return result.has_value(); });
+    const auto* error = std::get_if<clients::DispatchError>(&*result);
+    BOOST_REQUIRE_MESSAGE(error != nullptr, cut);
+    BOOST_TEST((error->failure == clients::DispatchFailure::kOutcomeUnknown), cut);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(EngineStreamWhoseHeadIsCutIsNeitherAcceptedNorWhole) {
+  HttpClient client(context);
+  AsioTimerService timers(context);
+  HttpEngineClient engine(client, timers);
+  forEachCut(5, [&](const std::string& cut) {
+    StreamReceiver receiver;
+    clients::EngineRequest request;
+    request.requestId = {"id-1"};
+    request.prompt = std::make_shared<const std::string>("prompt");
+    const auto stream = engine.start({{}, {}, server.endpoint()}, request, receiver);
+    runUntil(context, [&] { return receiver.done(); });
+    BOOST_TEST(!receiver.accepted, cut);
+    BOOST_TEST(!receiver.ended, cut);
+    BOOST_TEST((receiver.failure->failure == clients::DispatchFailure::kOutcomeUnknown), cut);
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::live
