End a replica whose cache was begun anew

Polls that named a replica were answered by its next run at the same address, and the events were filed under the replica that had ended: responders need not check whom a poll is meant for, and name nobody. So could a store of kept cache at a used address.

Each answer to a poll names the epoch of the cache, which lasts as long as the process. One with another epoch than before is by somebody else: nothing of it is used, and the record and the watch end, as with 421.

--- a/src/routing/cache_watch.cc
+++ b/src/routing/cache_watch.cc
@@ -190,7 +190,7 @@
     endUnlisted();
     return;
   }
-  if (reply.status == clients::CacheFeedStatus::kOtherInstance) {
+  if (reply.status == clients::CacheFeedStatus::kOtherInstance || isOfNextInstance(*watch, reply)) {
     onOtherInstance(name, reply.responder);
     return;
   }
@@ -232,6 +232,12 @@
   schedule(name, watch, delay);
 }
 
+bool CacheWatch::isOfNextInstance(const Watch& watch, const clients::CacheFeedReply& reply) {
+  if (reply.status != clients::CacheFeedStatus::kOk || watch.epoch == 0) return false;
+  const bool isReplica = std::holds_alternative<clients::ReplicaTarget>(watch.target.receiver);
+  return isReplica && watch.epoch != reply.epoch;
+}
+
 void CacheWatch::onOtherInstance(const std::string& name, const clients::Responder& responder) {
   if (const auto replica = environment_.replicas.find(name))
     recordOtherInstance(*replica, environment_.log, environment_.clock.now(), kCallName, responder);
--- a/src/routing/cache_watch.h
+++ b/src/routing/cache_watch.h
@@ -158,6 +158,9 @@
   void recordNotices(ReplicaRecord& replica, base::TimePoint sentAt,
                      const clients::CacheFeedReply& reply) const;
   void onReply(const std::string& name, Watch& watch, const clients::CacheFeedReply& reply);
+  /// Whether the responder is another one than that of the polls before, because its cache was
+  /// begun anew since: a replica's cache lasts as long as the instance.
+  static bool isOfNextInstance(const Watch& watch, const clients::CacheFeedReply& reply);
   /// Called when another instance responded to a poll of the replica.
   void onOtherInstance(const std::string& name, const clients::Responder& responder);
   void logFailure(const std::string& name, Watch& watch, const clients::CacheFeedReply& reply);
--- a/tests/routing/cache_watch_test.cc
+++ b/tests/routing/cache_watch_test.cc
@@ -320,6 +320,17 @@
   BOOST_TEST(feed.calls.size() == polls);
 }
 
+// Guards against the events of the next run, or of a store of kept cache that names nobody, under
+// the name of a replica that has ended.
+BOOST_AUTO_TEST_CASE(CacheThatWasBegunAnewEndsTheReplica) {
+  feed.calls.back().callback(reply(7, 12, 50));
+  time.advance(milliseconds(400));
+  feed.calls.back().callback(reply(8, 13, 60));
+  BOOST_TEST(replicas.find("r1")->terminated());
+  BOOST_TEST(matched() == 0U);
+  BOOST_TEST(watch.watchCount() == 0U);
+}
+
 // Guards against the end of a replica that goes unnoticed at nodes without requests there.
 BOOST_AUTO_TEST_CASE(PollWithoutAResponseIsReported) {
   std::vector<ReplicaRecordPtr> unanswered;
