Order no weights of a replica that may have restarted

A replica that is presumed to have ended is no candidate for a change, and a change that has not been ordered yet ends.

--- a/src/coordination/weights_rollout.cc
+++ b/src/coordination/weights_rollout.cc
@@ -56,6 +56,9 @@
   // Weights loaded now would serve nobody, and another replica makes better use of the load slot.
   if (record->leaving() && change.phase != Phase::kLoading)
     return finish(instance, "the replica is leaving");
+  // Its next run would count the order as one of its own.
+  if (record->mayBeReplaced(now) && change.phase != Phase::kLoading)
+    return finish(instance, "the replica may have restarted");
   // The replica list or a response may show the version before a report does.
   if (change.phase == Phase::kLoading && record->versionOf(change.model) >= change.version)
     return finishServed(instance, record->versionOf(change.model));
--- a/src/coordination/weights_rollout_schedule.cc
+++ b/src/coordination/weights_rollout_schedule.cc
@@ -48,7 +48,7 @@
 bool WeightsRollout::usable(const routing::ReplicaRecord& record) const {
   const auto& service = record.facts().service;
   const bool configured = !environment_.isConfigured || environment_.isConfigured(service);
-  return configured && record.inService();
+  return configured && record.inService() && !record.mayBeReplaced(environment_.clock.now());
 }
 
 bool WeightsRollout::overdue(const Change& change) const {
--- a/tests/coordination/weights_rollout_test.cc
+++ b/tests/coordination/weights_rollout_test.cc
@@ -669,6 +669,26 @@
   for (const auto& [name, replica] : replicas.replicas) BOOST_TEST(replica.orders == 4U);
 }
 
+// Guards against an order to a run that has ended, which the next run of the replica carries out.
+BOOST_AUTO_TEST_CASE(ReplicaThatMayHaveRestartedIsSentNoOrders) {
+  directory.find("r0")->presumeEnded(time.now());
+  for (auto& [name, replica] : replicas.replicas) replica.running = 1;
+  targets.onNamed("m", 2, time.now());
+  rollout.start();
+  time.advance(milliseconds(100));
+  directory.find("r1")->presumeEnded(time.now());
+  for (auto& [name, replica] : replicas.replicas) replica.running = 0;
+  time.advance(seconds(12));
+  for (const auto& [instance, order] : replicas.receivedOrders) {
+    BOOST_TEST(instance != "r0");
+    BOOST_TEST(instance != "r1");
+  }
+  directory.find("r0")->onReachable(time.now());
+  directory.find("r1")->onReachable(time.now());
+  time.advance(seconds(8));
+  BOOST_TEST(atVersionOrNewer(2) == replicas.replicas.size());
+}
+
 BOOST_AUTO_TEST_CASE(LeavingReplicaIsSentNoOrders) {
   directory.find("r0")->notices().recordLeaving();
   // The other replicas are drained before their orders; one of them starts to leave in the
