--- a/src/node/software_version_store.h
+++ b/src/node/software_version_store.h
@@ -16,30 +16,17 @@
 #include <vector>
 
 #include "base/time.h"
-#include "clients/table_client.h"
-#include "membership/member_directory.h"
-#include "routing/software_versions.h"
+#include "node/version_store_environment.h"
 
 namespace covewing::node {
 
-/// All references must outlive the store.
-struct SoftwareVersionEnvironment {
-  clients::TableClient& table;
-  base::Clock& clock;
-  base::TimerService& timers;
-  const membership::MemberDirectory& members;
-  const routing::SoftwareVersions& versions;
-  /// This node's estimate of the service's clock; empty before the first reply.
-  std::function<std::optional<base::Duration>()> serviceClock;
-};
-
 class SoftwareVersionStore {
  public:
   /// Receives the only version that replicas of the service have had; empty if there were several
   /// or if that is not known.
   using Callback = std::function<void(const std::optional<std::string>&)>;
 
-  explicit SoftwareVersionStore(SoftwareVersionEnvironment environment)
+  explicit SoftwareVersionStore(VersionStoreEnvironment environment)
       : environment_(std::move(environment)) {}
   ~SoftwareVersionStore();
   SoftwareVersionStore(const SoftwareVersionStore&) = delete;
@@ -80,7 +67,7 @@
   void onWritten(const std::string& service, const Versions& written,
                  const clients::TableReply& reply);
 
-  SoftwareVersionEnvironment environment_;
+  VersionStoreEnvironment environment_;
   std::map<std::string, KnownRow> known_;
   base::TimerId timer_ = 0;
   std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
--- a/src/node/stream_origin_store.h
+++ b/src/node/stream_origin_store.h
@@ -25,9 +25,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "clients/table_client.h"
-#include "membership/member_directory.h"
-#include "routing/software_versions.h"
+#include "node/version_store_environment.h"
 #include "routing/stream_origin_messages.h"
 
 namespace covewing::node {
@@ -53,22 +51,11 @@
   base::Duration readTimeout = std::chrono::milliseconds(400);
 };
 
-/// All references must outlive the store.
-struct StreamOriginStoreEnvironment {
-  clients::TableClient& table;
-  base::Clock& clock;
-  base::TimerService& timers;
-  const membership::MemberDirectory& members;
-  const routing::SoftwareVersions& versions;
-  /// This node's estimate of the service's clock; empty before the first reply.
-  std::function<std::optional<base::Duration>()> serviceClock;
-};
-
 class StreamOriginStore {
  public:
   using Callback = std::function<void(const std::optional<routing::StreamOrigin>&)>;
 
-  StreamOriginStore(StreamOriginStoreOptions options, StreamOriginStoreEnvironment environment)
+  StreamOriginStore(StreamOriginStoreOptions options, VersionStoreEnvironment environment)
       : options_(options), environment_(std::move(environment)) {}
   ~StreamOriginStore();
   StreamOriginStore(const StreamOriginStore&) = delete;
@@ -129,7 +116,7 @@
   void conclude(std::uint64_t number);
 
   StreamOriginStoreOptions options_;
-  StreamOriginStoreEnvironment environment_;
+  VersionStoreEnvironment environment_;
   std::deque<Waiting> waiting_;
   Row row_;
   /// The row holds records that are not known to be stored.
