Reject entries without a start where replicas of any service state theirs

All replicas of a platform state their starts, or none does; so the first entry with a start, of whatever service, now takes all others without one out of use. What remains is a node that has read no entry with a start at all.

ReplicaListTest/EntryWithoutAStartTimeIsRejectedIfReplicasOfOtherServicesHaveOne is new; the rule by service listed both entries.

--- a/src/node/replica_list.cc
+++ b/src/node/replica_list.cc
@@ -28,7 +28,7 @@
     onUnreadableRow(row, reason);
     return;
   }
-  if (!hasExpectedStartTime(row.key, *replica)) {
+  if (!hasExpectedStartTime(*replica)) {
     onUnreadableRow(row, {base::ResultCode::kInvalidField, "the start time is missing"});
     return;
   }
@@ -87,23 +87,13 @@
   return record && record->facts().softwareVersion != replica.softwareVersion;
 }
 
-bool ReplicaList::rowHadStartTime(const std::string& key) const {
-  const auto listed = instances_.find(key);
-  if (listed == instances_.end()) return false;
-  const auto record = directory_.find(listed->second);
-  return record && record->facts().startedAt;
-}
-
-bool ReplicaList::hasExpectedStartTime(const std::string& key, const routing::Replica& replica) {
-  if (!replica.startedAt)
-    return !servicesWithStartTimes_.contains(replica.service) && !rowHadStartTime(key);
-  const bool first = servicesWithStartTimes_.insert(replica.service).second;
-  if (!first) return true;
+bool ReplicaList::hasExpectedStartTime(const routing::Replica& replica) {
+  if (!replica.startedAt) return !startTimesReported_;
+  if (std::exchange(startTimesReported_, true)) return true;
   // Takes entries without a start time out of use that were read before the first entry with one.
   for (const auto& [otherKey, instance] : instances_) {
     const auto record = directory_.find(instance);
-    if (record && record->facts().service == replica.service && !record->facts().startedAt)
-      directory_.onUnreadable(instance);
+    if (record && !record->facts().startedAt) directory_.onUnreadable(instance);
   }
   return true;
 }
--- a/src/node/replica_list.h
+++ b/src/node/replica_list.h
@@ -16,7 +16,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 
@@ -81,12 +80,9 @@
   void listInstance(const std::string& key, routing::Replica replica);
   /// Logs the reason and takes the row's instance out of use for new requests.
   void onUnreadableRow(const clients::FeedRow& row, const base::Reason& reason);
-  /// False if the entry has no start time although others of its service, or the instance that its
-  /// row named before, have one. Either all replicas of a service report start times or none does,
-  /// so that such an entry was not written by a replica.
-  bool hasExpectedStartTime(const std::string& key, const routing::Replica& replica);
-  /// Whether the instance that the row named last reports its start time.
-  bool rowHadStartTime(const std::string& key) const;
+  /// False if the entry has no start time although others have one. Either all replicas report
+  /// start times or none does, so that such an entry was not written by a replica.
+  bool hasExpectedStartTime(const routing::Replica& replica);
   /// Whether the entry names another software version than before for the same instance.
   bool changesSoftwareVersion(const routing::Replica& replica) const;
   /// Called when the instance has ended because another instance of its replica is listed.
@@ -118,8 +114,8 @@
   /// Rows that a restore of the service lost and that may be rewritten, by key, with the revision
   /// at which their removal was observed.
   std::map<std::string, base::Revision> missingRows_;
-  /// Services whose replicas report their start times.
-  std::set<std::string, std::less<>> servicesWithStartTimes_;
+  /// Whether an entry with a start time has been read.
+  bool startTimesReported_ = false;
   bool loaded_ = false;
   FeedOutageLog outageLog_{log_, "replica list feed"};
 };
--- a/tests/node/replica_list_test.cc
+++ b/tests/node/replica_list_test.cc
@@ -185,6 +185,18 @@
   BOOST_TEST(log.count(base::Event::kReplicaRestarted) == 0U);
 }
 
+// Guards against an entry by another writer that gets requests at a node which has just started, as
+// long as no replica of its service is listed.
+BOOST_AUTO_TEST_CASE(EntryWithoutAStartTimeIsRejectedIfReplicasOfOtherServicesHaveOne) {
+  write("early", "app|early");
+  BOOST_TEST(directory.ofService("app").size() == 1U);
+  write("r", "r@1");
+  BOOST_TEST(directory.ofService("app").empty());
+  write("late", "app|late");
+  BOOST_TEST(directory.ofService("app").empty());
+  BOOST_TEST(log.count(base::Event::kReplicaEntryRejected) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(InstanceBehindAnUnreadableRowEndsWithTheNextInstance) {
   write("r", "r@1");
   recordUse("r@1");
