Choose ports for the fleets of tests that nobody else is given

The port had been chosen at the first node's address alone, and among those that the operating system gives to whoever listens or connects without naming one; another test program ran at the same time. Who had it is not known.

Ports are taken from 10,000 on now, below those, and only if they can be bound at the addresses of all nodes. What the tests check is as it was.

--- a/tests/live/relay_fleet.h
+++ b/tests/live/relay_fleet.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
@@ -443,11 +444,36 @@
     return {addressOf(node), ports_[kCallers]};
   }
 
-  /// Returns a port that is free at the time of the call, but may be taken later.
+  /// Returns a port that is free at the addresses of all nodes. It is below the ports that the
+  /// operating system gives to others, so that it stays free until the nodes listen.
   std::uint16_t freePort() {
-    boost::asio::ip::tcp::acceptor acceptor(context_,
-                                            {boost::asio::ip::address_v4(addressOf(0)), 0});
-    return acceptor.local_endpoint().port();
+    constexpr std::uint32_t kFirst = 10'000;
+    constexpr std::uint32_t kCount = 20'000;
+    static std::uint64_t next = systemSeed();
+    while (true) {
+      const auto port = static_cast<std::uint16_t>(kFirst + next++ % kCount);
+      if (isFreeOnAllNodes(port)) return port;
+    }
+  }
+
+  bool isFreeOnAllNodes(std::uint16_t port) {
+    for (std::size_t node = 0; node < kNodes; ++node) {
+      const boost::asio::ip::address_v4 address(addressOf(node));
+      if (!canBind<boost::asio::ip::tcp::acceptor>({address, port})) return false;
+      if (!canBind<boost::asio::ip::udp::socket>({address, port})) return false;
+    }
+    return true;
+  }
+
+  template <class Socket>
+  bool canBind(const typename Socket::endpoint_type& endpoint) {
+    Socket socket(context_, endpoint.protocol());
+    // As the nodes do: a listener may follow connections that have ended.
+    const bool listens = endpoint.protocol().type() == SOCK_STREAM;
+    socket.set_option(boost::asio::socket_base::reuse_address(listens));
+    boost::system::error_code error;
+    socket.bind(endpoint, error);
+    return !error;
   }
 
   RelaySettings settings(std::size_t index) const {
