--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -302,7 +302,7 @@
                     await writer.drain()
                     return None
                 self.fleet.on_answered(self, identifier)
-                return answer(200, f"ran {identifier}".encode(), self.head(identifier) +
+                return answer(200, f"ran {identifier}".encode("latin-1"), self.head(identifier) +
                               [("X-Covewing-Server-Signature", f"{self.identifier}.{identifier}")])
         finally:
             self.inside -= 1
@@ -376,14 +376,14 @@
                 self.events.append([len(self.events) + 1, "+", salt, name, int(tokens), self.MODEL])
 
     def event(self, identifier, number):
-        return f"id: {number}\ndata: {identifier} {number} of {self.pieces}\n\n".encode()
+        return f"id: {number}\ndata: {identifier} {number} of {self.pieces}\n\n".encode("latin-1")
 
     async def stream(self, message, writer, identifier):
         head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked",
                 f"X-Covewing-Weight-Versions: {self.version}",
                 f"X-Covewing-Server-Signature: {self.identifier}.{identifier}"]
         head += [f"{name}: {value}" for name, value in self.head(identifier)]
-        writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
+        writer.write(("\r\n".join(head) + "\r\n\r\n").encode("latin-1"))
         for number in range(int(message.header("Last-Event-Id") or 0) + 1, self.pieces + 1):
             event = self.event(identifier, number)
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
