--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -39,7 +39,7 @@
     for _ in range(200):
         subnet = f"127.{draw.randrange(20, 250)}.{draw.randrange(1, 250)}"
         try:
-            for last in range(1, 10):
+            for last in range(1, 20):
                 for port in (7000, 7001, 7002, 7003):
                     with socket.socket() as probe:
                         probe.bind((f"{subnet}.{last}", port))
