--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 import collections
+import ctypes
 import json
 import os
 import pathlib
@@ -49,6 +50,12 @@
     raise RuntimeError("no free loopback addresses")
 
 
+def end_with_parent():
+    """A script that is killed leaves no process behind."""
+    set_parent_death_signal = 1
+    ctypes.CDLL(None).prctl(set_parent_death_signal, signal.SIGKILL)
+
+
 class Record:
     """What was sent, answered and run, in order; written to record.txt."""
 
@@ -438,7 +445,7 @@
         self.expected_end = False
         with open(self.fleet.folder / f"{self.name}.log", "ab") as log:
             self.process = subprocess.Popen([str(ROOT / "target/covewing-node")], cwd=ROOT, stdout=log, stderr=log,
-                                            env={"PATH": os.environ["PATH"], "HOME": str(self.fleet.folder),
+                                            preexec_fn=end_with_parent, env={"PATH": os.environ["PATH"], "HOME": str(self.fleet.folder),
                                                  "LANG": "C", "COVEWING_CONFIG": str(file)})
 
     def log_tail(self, lines=3):
