--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A burst of callers whose requests have long bodies, inside `body_bytes`: the node outgrows its machine's memory."""
+"""A tenant becomes isolated; later, requests of other tenants still use memory that its requests have made."""
 
 import asyncio
 import pathlib
@@ -6,72 +6,63 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "stand_ins_2"))
 import fleet as stand_ins  # noqa: E402
-from fleet import MEMORY_MB, Replica, now, run_case  # noqa: E402
+from fleet import BOUNDS, ModelReplica, now, run_case  # noqa: E402
 
-CLIENTS = 45
-BURST = 1.7
-# Less than `body_bytes`, which is 4,194,304.
-BODY = b"x" * 4_000_000
-WORK = 1.5
-ROUNDS = 4
+WALLED, OTHER = "sese880", "tyro415"
+KEYS = {WALLED: "ctnfzs989anu6wsjnban", OTHER: "k7wq02mmzp41xhue5ota"}
+SHARED = "5c1e07a2:800,91bd3f06:410"
+REQUESTS = 12
 
 
-async def client(fleet, node, rounds, begins_after=0.0):
-    """One connection, kept; a short request first, then long ones."""
-    await asyncio.sleep(begins_after)
+async def ask(fleet, node, tenant, number):
     connection = await asyncio.wait_for(asyncio.open_connection(node.host, 7000, limit=1 << 20), 1)
-    kept = False
-    for body in [b"x" * 600] + [BODY] * rounds:
-        attempt = await fleet.call(connection, kept, "pairings", body=body, deadline_ms=8000)
-        kept = True
-        if attempt.status is None:
-            return
-        await asyncio.sleep(0.2)
+    own = f"{tenant.encode().hex()[-6:]}{number:02x}"
+    headers = [("X-Covewing-Model", ModelReplica.MODEL), ("X-Covewing-Token-Usage", "1460,80"),
+               ("X-Covewing-Prompt-Prefix", f"{SHARED},{own}:250")]
+    attempt = await fleet.call(connection, False, "judge", headers=headers, key=KEYS[tenant], deadline_ms=6000)
     connection[1].close()
+    return attempt
 
 
 async def play(fleet, trouble):
-    fleet.node_count = 2
-    fleet.services = [{"name": "bracket-app", "health_path": "/health", "connection_limit": 360}]
-    fleet.add_route("pairings", "non_idempotent", "bracket-app", timeout_ms=8000, target_latency_ms=4000)
+    fleet.tenants = {tenant: {"keys": [KEYS[tenant]], "isolated": False} for tenant in (WALLED, OTHER)}
+    fleet.services = [{"name": "arbiter-llm", "health_path": "/health", "connection_limit": 360,
+                       "engine": {"slots": 64, "kv_cache_tokens": 110556, "max_concurrency": 8,
+                                  "models": [{"name": ModelReplica.MODEL}]}}]
+    fleet.add_route("judge", "streaming", "arbiter-llm", timeout_ms=6000, target_latency_ms=800, gap_target_ms=500,
+                    resumable=True, sticky=True)
+    fleet.store.put_json("op", f"version/{ModelReplica.MODEL}", {"model": ModelReplica.MODEL, "version": 1})
     for number in range(3):
-        await fleet.add(Replica(fleet, f"i-{number:08x}", "bracket-app", slots=64, work=WORK))
+        await fleet.add(ModelReplica(fleet, f"i-{number:08x}", "arbiter-llm"))
     fleet.configure()
     await fleet.start_nodes()
-    node = fleet.nodes[0]
-    peak = [0.0]
-    killed = []
-
-    async def limit_memory():
-        """As the platform does (DEPLOY.md): a process that goes over `memory_mb` is killed."""
-        while True:
-            used = node.memory_mb()
-            peak[0] = max(peak[0], used)
-            if used > MEMORY_MB:
-                killed.append(used)
-                fleet.record.say(f"{node.name} uses {used:.0f} MB and is killed")
-                node.process.kill()
-                node.process.wait()
-                peak[0] = max(peak[0], used)
-                await asyncio.sleep(1)
-            await asyncio.sleep(0.005)
-
-    fleet.spawn(limit_memory())
-    # All of the day's clients, and with the disruption 0.7 times as many besides for some 3 s.
-    clients = [client(fleet, node, ROUNDS) for _ in range(CLIENTS)]
+    served = []
+    for number in range(REQUESTS):
+        served.append(await ask(fleet, fleet.nodes[number % 3], WALLED, number))
+    # The change of the configuration: with the disruption, one tenant becomes isolated; without it, a time-out changes.
     if trouble:
-        fleet.record.say(f"burst: {BURST} times the clients")
-        # The short requests of the others have been answered by then, and their first long ones run.
-        clients += [client(fleet, node, 1, begins_after=WORK) for _ in range(int(CLIENTS * (BURST - 1)))]
-    began = now()
-    await asyncio.gather(*clients, return_exceptions=True)
-    lost = [attempt for attempt in fleet.attempts.values()
-            if attempt.kept and attempt.closed_without_answer and attempt.ran_at]
-    served = sum(attempt.status == 200 for attempt in fleet.attempts.values())
-    fleet.record.say(f"peak {peak[0]:.0f} MB, killed for memory {len(killed)} times, lost {len(lost)}")
-    print(f"served {served} of {len(fleet.attempts)} in {now() - began:.1f} s; peak {peak[0]:.0f} MB of {MEMORY_MB}; "
-          f"killed {len(killed)} times; passed on to sound replicas and closed without an answer: {len(lost)}")
-    return len(lost) <= 3
+        fleet.tenants[WALLED]["isolated"] = True
+    else:
+        fleet.routes[0]["timeout_ms"] += 500
+    fleet.configure()
+    changed = now()
+    await asyncio.sleep(2 * BOUNDS["configuration_ms"] / 1000)
+    for number in range(REQUESTS):
+        served.append(await ask(fleet, fleet.nodes[number % 3], OTHER, number))
+        served.append(await ask(fleet, fleet.nodes[number % 3], WALLED, REQUESTS + number))
+    broken = []
+    for at, replica, identifier, tenant, part, salt, (maker, maker_tenant, made_at) in fleet.parts_used:
+        walled = any(fleet.tenants[name]["isolated"] for name in (tenant, maker_tenant))
+        if walled and tenant != maker_tenant and at > changed + BOUNDS["configuration_ms"] / 1000:
+            broken.append(identifier)
+            fleet.record.say(f"broken: {identifier} of {tenant} uses part {part} at {replica.identifier}, salt {salt!r}, "
+                             f"made {at - made_at:.1f} s before by {maker} of {maker_tenant}")
+    count = sum(attempt.status == 200 for attempt in served)
+    print(f"served {count} of {len(served)}; requests that used memory across the wall: {len(set(broken))}; "
+          f"parts used in all: {len(fleet.parts_used)}")
+    if count < len(served):
+        raise RuntimeError("not all requests were served")
+    return not broken
 
 
 run_case(pathlib.Path(__file__).resolve().parent, play)
