Reserve memory for bodies by what has arrived, not by what is announced

Cause: the parsers of the HTTP client and the HTTP server used Beast's string_body, whose reader reserves the announced length as soon as the head is parsed. The client reads the answers of replicas (also to orders, reports and polls of cache events), of the table service and of other nodes; none of them had a limit that is checked before that.

Change: bodies are received into ReceivedBody, which grows with what has arrived and does not look at the announcement, on both sides. A response that is gathered whole fails at its head if it announces more than its limit.

--- a/src/live/client_connection.cc
+++ b/src/live/client_connection.cc
@@ -128,13 +128,10 @@
 }
 
 void ClientConnection::resetParser() {
-  parser_.emplace();
-  parser_->eager(true);
-  parser_->skip(headRequest_);
-  parser_->header_limit(static_cast<std::uint32_t>(limits_.headerBytes));
   // Without a limit, Beast 1.74 rejects a body whose length is announced in headers that arrive
   // before it: it compares the length with an empty optional.
-  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+  parser_.emplace(limits_.headerBytes, std::numeric_limits<std::uint64_t>::max());
+  parser_->skip(headRequest_);
   headDelivered_ = false;
   skipping_ = false;
 }
@@ -294,7 +291,7 @@
   // Bytes of a paused response that are already buffered are kept until the call resumes.
   while (buffer_.size() > 0 && !paused_) {
     boost::system::error_code error;
-    const auto parsed = parser_->put(buffer_.data(), error);
+    const auto parsed = parser_->putBytes(buffer_.data(), error);
     buffer_.consume(parsed);
     discarded_.onParsed(parsed);
     const bool incomplete = error == http::error::need_more;
--- a/src/live/client_connection.h
+++ b/src/live/client_connection.h
@@ -9,14 +9,13 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <memory>
 #include <optional>
 #include <string>
 
 #include "live/discarded_bytes.h"
 #include "live/http_client.h"
+#include "live/http_parser.h"
 #include "live/lazy_deadline.h"
 #include "live/sent_request_ids.h"
 
@@ -67,7 +66,6 @@
 
  private:
   enum class State { kNew, kConnecting, kActive, kIdle, kClosed };
-  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void onDeadline();
   void connect();
@@ -141,7 +139,7 @@
   bool writeFailed_ = false;
 
   bool reading_ = false;
-  std::optional<Parser> parser_;
+  std::optional<ResponseParser> parser_;
   bool headDelivered_ = false;
   /// The response being read belongs to another request and is discarded.
   bool skipping_ = false;
--- a/src/live/http_client.cc
+++ b/src/live/http_client.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <charconv>
 #include <map>
 #include <tuple>
 #include <unordered_map>
@@ -56,19 +57,28 @@
     deadline_.set(timeout);
   }
 
-  void onHead(const HttpResponse& head) override { response_ = head; }
+  void onHead(const HttpResponse& head) override {
+    response_ = head;
+    std::uint64_t announced = 0;
+    const auto length = head.header("Content-Length");
+    std::from_chars(length.data(), length.data() + length.size(), announced);
+    if (announced > bodyLimit_) exceedLimit();
+  }
   void onBody(std::string_view bytes) override {
     if (response_.body.size() + bytes.size() > bodyLimit_) {
-      call_.reset();
-      fail("the answer exceeds its limit");
-      return;
+      exceedLimit();
+    } else {
+      response_.body += bytes;
     }
-    response_.body += bytes;
   }
   void onComplete() override { finished_(std::move(response_)); }
   void onFailure(clients::DispatchError error) override { finished_(std::move(error)); }
 
  private:
+  void exceedLimit() {
+    call_.reset();
+    fail("the answer exceeds its limit");
+  }
   void fail(std::string detail) {
     onFailure({clients::DispatchFailure::kOutcomeUnknown,
                {base::ResultCode::kBackEndLost, std::move(detail)}});
--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -61,10 +61,7 @@
 }
 
 void Connection::resetParser() {
-  parser_.emplace();
-  parser_->eager(true);
-  parser_->header_limit(static_cast<std::uint32_t>(owner_.limits().headerBytes));
-  parser_->body_limit(owner_.limits().bodyBytes);
+  parser_.emplace(owner_.limits().headerBytes, owner_.limits().bodyBytes);
   continueSent_ = false;
   headerComplete_ = false;
   requestBytes_ = 0;
@@ -147,7 +144,7 @@
 void Connection::parse() {
   while (buffer_.size() > 0 && !parser_->is_done()) {
     boost::system::error_code error;
-    const auto used = parser_->put(buffer_.data(), error);
+    const auto used = parser_->putBytes(buffer_.data(), error);
     buffer_.consume(used);
     requestBytes_ += used;
     if (error == http::error::need_more) {
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -9,12 +9,11 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <memory>
 #include <optional>
 #include <string>
 
+#include "live/http_parser.h"
 #include "live/http_server.h"
 #include "live/lazy_deadline.h"
 
@@ -144,7 +143,6 @@
 
  private:
   enum class State { kReading, kResponding, kLingering, kClosed };
-  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   void resetParser();
   void read();
@@ -195,7 +193,7 @@
   ConnectionOwner& owner_;
   base::Endpoint peer_;
   State state_ = State::kReading;
-  std::optional<Parser> parser_;
+  std::optional<RequestParser> parser_;
   boost::beast::flat_buffer buffer_;
   bool reading_ = false;
   bool closingIdle_ = false;
--- a/tests/live/http_client_test.cc
+++ b/tests/live/http_client_test.cc
@@ -650,6 +650,23 @@
   BOOST_TEST(fixture.client.idleConnections() == 0U);
 }
 
+// Guards against bodies that are gathered although their announced length says that they are too
+// large: all memory up to the limit would be taken before the call fails.
+BOOST_AUTO_TEST_CASE(FetchFailsAtTheHeadOfAResponseThatAnnouncesTooMuch) {
+  Fixture fixture;
+  for (const std::string length : {"67108865", "9123456789012345", "9223372036854775807"}) {
+    std::optional<HttpResult> result;
+    const auto requests = fixture.server.requests();
+    fixture.client.fetch(fixture.server.endpoint(), {"GET", "/", {}, {}}, kMaximumTestWait,
+                         [&result](HttpResult answer) { result = std::move(answer); });
+    fixture.waitRequests(requests + 1);
+    fixture.server.respond("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\nran");
+    runUntil(fixture.context, [&result] { return result.has_value(); });
+    BOOST_TEST(std::holds_alternative<clients::DispatchError>(*result));
+  }
+  BOOST_TEST(fixture.client.idleConnections() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::live
