Reserve memory for messages of other nodes by what has arrived

Change: a frame is read in steps of 64 KB, and no more elements are accepted than the message has bytes.

--- a/src/base/codec.cc
+++ b/src/base/codec.cc
@@ -1,5 +1,6 @@
 #include "base/codec.h"
 
+#include <algorithm>
 #include <msgpack.hpp>
 #include <vector>
 
@@ -87,7 +88,9 @@
 };
 
 Reader::Reader(std::string_view bytes) : impl_(std::make_unique<Impl>()) {
-  const msgpack::unpack_limit limit(kMaximumElements, 0, kMaximumBytes, kMaximumBytes, 0,
+  // Each element takes a byte at least, and the library reserves memory for the announced number.
+  const auto maximumElements = std::min(kMaximumElements, bytes.size());
+  const msgpack::unpack_limit limit(maximumElements, 0, kMaximumBytes, kMaximumBytes, 0,
                                     kMaximumDepth);
   try {
     std::size_t offset = 0;
--- a/src/live/peer_transport.cc
+++ b/src/live/peer_transport.cc
@@ -1,5 +1,6 @@
 #include "live/peer_transport.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -25,6 +26,8 @@
 /// Maximum size in bytes of a frame over TCP. A complete snapshot of the configuration at its
 /// present size takes a fraction of it.
 constexpr std::size_t kMaximumFrame = 32U << 20U;
+/// Memory that is reserved at a time for the rest of a frame.
+constexpr std::size_t kFrameStepBytes = 64U << 10U;
 constexpr std::size_t kMaximumIncomingConnections = 256;
 constexpr std::size_t kMaximumOutgoingConnections = 256;
 /// Wait before accepting again after an error such as too many open files.
@@ -131,17 +134,23 @@
             self->reject({base::ResultCode::kMessageMalformed, "frame too long"});
             return;
           }
-          connection->frame.resize(length);
-          self->receiveBody(connection);
+          self->receiveBody(connection, length);
         });
   }
 
-  void receiveBody(const std::shared_ptr<FrameConnection>& connection) {
-    asio::async_read(
-        connection->socket, asio::buffer(connection->frame),
-        [self = shared_from_this(), connection](boost::system::error_code error, std::size_t) {
-          if (!error) self->deliver(connection->frame);
-        });
+  /// Reads the rest of a frame of `length` bytes, whose memory grows with what has arrived.
+  void receiveBody(const std::shared_ptr<FrameConnection>& connection, std::size_t length) {
+    const auto received = connection->frame.size();
+    if (received == length) {
+      deliver(connection->frame);
+      return;
+    }
+    connection->frame.resize(std::min(length, received + kFrameStepBytes));
+    asio::async_read(connection->socket, asio::buffer(connection->frame) + received,
+                     [self = shared_from_this(), connection, length](
+                         boost::system::error_code error, std::size_t) {
+                       if (!error) self->receiveBody(connection, length);
+                     });
   }
 
   void deliver(std::string_view bytes) {
--- a/tests/base/codec_test.cc
+++ b/tests/base/codec_test.cc
@@ -3,6 +3,9 @@
 #include <rapidcheck/boost_test.h>
 
 #include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "support/address_space.h"
 
 namespace covewing::base {
 
@@ -62,6 +65,18 @@
   BOOST_TEST(!Reader(writer.take() + "x").ok());
 }
 
+// Guards against memory that is reserved for elements that are only announced: nested arrays in a
+// datagram of a few bytes would take hundreds of megabytes of address space.
+BOOST_AUTO_TEST_CASE(NothingIsReservedForElementsThatAreOnlyAnnounced) {
+  constexpr std::size_t kMostKilobytes = 16U << 10U;
+  const std::string announcement("\xdd\x00\x0f\xff\xff", 5);
+  std::string bytes;
+  for (int depth = 0; depth < 15; ++depth) bytes += announcement;
+  const auto before = test_support::peakAddressSpaceKilobytes();
+  BOOST_TEST(!Reader(bytes).ok());
+  BOOST_TEST(test_support::peakAddressSpaceKilobytes() - before < kMostKilobytes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::base
--- a/tests/live/peer_transport_test.cc
+++ b/tests/live/peer_transport_test.cc
@@ -3,9 +3,12 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/test/unit_test.hpp>
+#include <deque>
+#include <string>
 
 #include "live/descriptor_limits.h"
 #include "live/http_test_client.h"
+#include "support/address_space.h"
 
 namespace covewing::live {
 
@@ -90,6 +93,23 @@
   runUntil(fixture.context, [&] { return fixture.right.transport.counters().rejectedFrames == 1; });
 }
 
+// Guards against memory that is reserved for frames of which nothing but the length has come.
+BOOST_AUTO_TEST_CASE(NothingIsReservedForAFrameThatIsOnlyAnnounced) {
+  constexpr std::size_t kConnections = 16;
+  constexpr std::size_t kMostKilobytes = 16U << 10U;
+  Fixture fixture;
+  std::deque<TestClient> clients;
+  const auto before = test_support::peakAddressSpaceKilobytes();
+  for (std::size_t count = 0; count < kConnections; ++count) {
+    clients.emplace_back(fixture.context, fixture.right.self.endpoint);
+    // The longest frame that is read.
+    clients.back().send(std::string("\x02\x00\x00\x00", 4));
+  }
+  fixture.context.run_for(std::chrono::milliseconds(200));
+  BOOST_TEST(fixture.right.transport.counters().rejectedFrames == 0U);
+  BOOST_TEST(test_support::peakAddressSpaceKilobytes() - before < kMostKilobytes);
+}
+
 BOOST_AUTO_TEST_CASE(UnreachablePeerIsCountedAsDropped) {
   Fixture fixture;
   boost::asio::ip::tcp::acceptor closed(fixture.context,
