Bound fields by what the library can store, in heads and trailers

Cause: Beast stores the sizes of names and values, with two bytes more, in 16 bits and throws std::length_error beyond that. The limit of the header section may be raised further, and trailers had none.

Fields of a trailer are checked and dropped: they were added to those of the head if both had arrived in one piece.

--- a/src/live/http_parser.h
+++ b/src/live/http_parser.h
@@ -1,7 +1,10 @@
 /// \file
 /// Parsers of HTTP/1.1 messages as the server and the client use them. Internal to both.
 ///
-/// Memory is reserved for bytes that have arrived, never for an announced length.
+/// They check what Beast's parser leaves to its users, so that no message can make a handler throw
+/// or be taken for another one than its sender meant: memory is reserved for bytes that have
+/// arrived, never for an announced length; names and values of fields are bounded by what Beast can
+/// store.
 #pragma once
 
 #include <algorithm>
@@ -17,6 +20,10 @@
 
 namespace covewing::live {
 
+/// Maximum size in bytes of the name and of the value of a field. Beast stores the size of either,
+/// and two bytes more, in 16 bits, and throws where that does not suffice.
+inline constexpr std::size_t kMaximumFieldBytes = std::numeric_limits<std::uint16_t>::max() - 2;
+
 /// A message's body, as far as it has arrived. Beast's own string body reserves the announced
 /// length.
 struct ReceivedBody {
@@ -53,7 +60,11 @@
   };
 };
 
-/// Parses one message.
+/// Parses one message. Fields of a trailer are checked and dropped: nothing may depend on whether
+/// they arrived together with the head.
+///
+/// Errors beyond those of Beast: `header_limit` for a field of the head that cannot be stored, and
+/// `bad_value` for one of the trailer.
 template <bool isRequest>
 class MessageParser final : public boost::beast::http::parser<isRequest, ReceivedBody> {
  public:
@@ -69,6 +80,26 @@
   std::size_t putBytes(boost::asio::const_buffer bytes, boost::beast::error_code& error) {
     return this->put(bytes, error);
   }
+
+ private:
+  void on_field_impl(boost::beast::http::field name, boost::beast::string_view nameText,
+                     boost::beast::string_view value, boost::beast::error_code& error) override {
+    if (nameText.size() > kMaximumFieldBytes || value.size() > kMaximumFieldBytes) {
+      error = inTrailer_ ? boost::beast::http::error::bad_value
+                         : boost::beast::http::error::header_limit;
+      return;
+    }
+    if (inTrailer_) return;
+    this->get().insert(name, nameText, value);
+  }
+
+  void on_header_impl(boost::beast::error_code& error) override {
+    inTrailer_ = true;
+    error = {};
+  }
+
+  /// Fields that follow belong to the trailer.
+  bool inTrailer_ = false;
 };
 
 using RequestParser = MessageParser<true>;
--- a/tests/live/http_parser_test.cc
+++ b/tests/live/http_parser_test.cc
@@ -35,6 +35,17 @@
   return error == http::error::need_more ? boost::beast::error_code{} : error;
 }
 
+boost::beast::error_code responseError(const std::string& text,
+                                       std::size_t pieceBytes = 1U << 20U) {
+  ResponseParser parser(kRaisedHeaderBytes, kUnbounded);
+  return feed(parser, text, pieceBytes);
+}
+
+boost::beast::error_code requestError(const std::string& text, std::size_t pieceBytes = 1U << 20U) {
+  RequestParser parser(kRaisedHeaderBytes, kUnbounded);
+  return feed(parser, text, pieceBytes);
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(HttpParserTest)
@@ -62,6 +73,65 @@
   }
 }
 
+// Guards against a field that the library cannot store: it throws, inside a raised limit of the
+// header section or in a trailer, and the node would end.
+BOOST_AUTO_TEST_CASE(FieldBeyondWhatTheLibraryStoresIsAnError) {
+  const std::string response = "HTTP/1.1 200 OK\r\n";
+  const std::string request = "POST / HTTP/1.1\r\nHost: x\r\n";
+  const std::string chunks = "Transfer-Encoding: chunked\r\n\r\n3\r\nran\r\n0\r\n";
+  for (const std::size_t bytes : {65'534U, 65'535U, 65'536U, 70'000U, 131'072U}) {
+    for (const auto& field :
+         {"a: " + std::string(bytes, 'v') + "\r\n\r\n", std::string(bytes, 'n') + ": v\r\n\r\n"}) {
+      for (const std::size_t piece : {std::size_t{4096}, std::size_t{1U << 20U}}) {
+        BOOST_TEST((responseError(response + field, piece) == http::error::header_limit));
+        BOOST_TEST((requestError(request + field, piece) == http::error::header_limit));
+        BOOST_TEST((responseError(response + chunks + field, piece) == http::error::bad_value));
+        BOOST_TEST((requestError(request + chunks + field, piece) == http::error::bad_value));
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LargestFieldsAreRead) {
+  const auto field = std::string(kMaximumFieldBytes, 'n') +
+                     ": v\r\na: " + std::string(kMaximumFieldBytes, 'v') + "\r\n\r\n";
+  RequestParser parser(kRaisedHeaderBytes, kUnbounded);
+  BOOST_TEST(!feed(parser, "GET / HTTP/1.1\r\nHost: x\r\n" + field, 4096));
+  BOOST_TEST(parser.is_done());
+  BOOST_TEST(parser.get()["a"].size() == kMaximumFieldBytes);
+}
+
+// Guards against targets, methods and reasons that are longer than a field may be.
+BOOST_AUTO_TEST_CASE(LongStartLineIsRead) {
+  const std::string text(70'000, 't');
+  RequestParser target(kRaisedHeaderBytes, kUnbounded);
+  BOOST_TEST(!feed(target, "GET /" + text + " HTTP/1.1\r\nHost: x\r\n\r\n", 4096));
+  BOOST_TEST(target.get().target().size() == text.size() + 1);
+  RequestParser method(kRaisedHeaderBytes, kUnbounded);
+  BOOST_TEST(!feed(method, text + " / HTTP/1.1\r\nHost: x\r\n\r\n", 4096));
+  BOOST_TEST(method.get().method_string().size() == text.size());
+  ResponseParser reason(kRaisedHeaderBytes, kUnbounded);
+  BOOST_TEST(!feed(reason, "HTTP/1.1 200 " + text + "\r\nContent-Length: 0\r\n\r\n", 4096));
+  BOOST_TEST(reason.is_done());
+}
+
+// Guards against fields of a trailer that are taken for fields of the head, by which a response or
+// request would mean something else if it arrives in one piece.
+BOOST_AUTO_TEST_CASE(TrailerIsNoPartOfTheHead) {
+  const std::string text =
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nran\r\n0\r\nX-Late: 1\r\nServer-Leaving: 1\r\n\r\n";
+  for (const std::size_t piece : {std::size_t{1}, std::size_t{1000}}) {
+    ResponseParser response(kRaisedHeaderBytes, kUnbounded);
+    BOOST_TEST(!feed(response, "HTTP/1.1 200 OK\r\n" + text, piece));
+    BOOST_TEST(response.is_done());
+    BOOST_TEST(response.get().count("X-Late") == 0U);
+    RequestParser request(kRaisedHeaderBytes, kUnbounded);
+    BOOST_TEST(!feed(request, "POST / HTTP/1.1\r\nHost: x\r\n" + text, piece));
+    BOOST_TEST(request.is_done());
+    BOOST_TEST(request.get().count("Server-Leaving") == 0U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::live
--- a/tests/live/http_server_test.cc
+++ b/tests/live/http_server_test.cc
@@ -79,6 +79,29 @@
   BOOST_TEST(second->request().target == "/2");
 }
 
+// Guards against a field that the library cannot store, inside a raised limit: it would end the
+// node. The caller is told which limit it was, and that the request has not run.
+BOOST_AUTO_TEST_CASE(FieldBeyondTheLargestIsRefusedInsideARaisedLimit) {
+  constexpr std::size_t kRaised = 256U << 10U;
+  HttpLimits limits;
+  limits.headerBytes = kRaised;
+  const auto responseTo = [&limits](const std::string& request) {
+    Fixture fixture(limits);
+    TestClient client(fixture.context, fixture.endpoint);
+    client.send(request);
+    client.waitClosed();
+    BOOST_TEST(fixture.exchanges.empty());
+    return client.received().substr(0, std::string_view("HTTP/1.1 000").size());
+  };
+  for (const std::size_t bytes : {65'534U, 100'000U, 131'072U}) {
+    const std::string field = "a: " + std::string(bytes, 'v') + "\r\n\r\n";
+    BOOST_TEST(responseTo("GET / HTTP/1.1\r\nHost: x\r\n" + field) == "HTTP/1.1 431");
+    BOOST_TEST(responseTo("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+                          "3\r\nabc\r\n0\r\n" +
+                          field) == "HTTP/1.1 400");
+  }
+}
+
 // Guards against a broken answer that looks whole: to a peer without chunks the end of the
 // connection is the end of the answer.
 BOOST_AUTO_TEST_CASE(AnswerThatEndsWithItsConnectionIsBrokenByAReset) {
