Format refusals that name bytes which aren't UTF-8

What callers saw: a take-up of a stream whose Resumes holds bytes that aren't UTF-8, where no node knows the stream, ended the node.

Cause: the refusal was formatted as JSON without an error handler, which throws for such bytes; the server's own refusals too.

Evidence: RefusalWithBytesThatAreNotUtf8IsFormatted throws nlohmann::json::type_error on the code before.

--- a/src/live/http_server.cc
+++ b/src/live/http_server.cc
@@ -36,7 +36,8 @@
                                {"name", entry.name},
                                {"detail", reason.detail},
                                {"outcome", "not-run"}};
-  return jsonResponse(entry.httpStatus, body.dump());
+  return jsonResponse(entry.httpStatus,
+                      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 bool isOutOfDescriptors(boost::system::error_code error) {
--- a/tests/platform/http_dialect_test.cc
+++ b/tests/platform/http_dialect_test.cc
@@ -275,6 +275,17 @@
   BOOST_TEST((other.kind == clients::RateLimitNotice::Kind::kNothing));
 }
 
+// Guards against a refusal that names bytes of the caller's which aren't UTF-8: formatting it would
+// throw.
+BOOST_AUTO_TEST_CASE(RefusalWithBytesThatAreNotUtf8IsFormatted) {
+  request::RelayRefusal refusal;
+  refusal.status = 503;
+  refusal.reason = {base::ResultCode::kStreamVersionUnknown, "stream \xff\xfe is not known"};
+  const auto response = HttpDialect{}.refusal(refusal, "id-1");
+  BOOST_TEST(response.status == 503U);
+  BOOST_TEST(response.body.find("is not known") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::platform
