Contain exceptions of handlers in what they served

What leaves the handlers (timers, callbacks of gathered answers) begins a planned stop: what the handler would have scheduled next is missing, and a new process starts from a clean state.

--- a/src/live/asio_runtime.cc
+++ b/src/live/asio_runtime.cc
@@ -82,7 +82,13 @@
     while (!closed && !queue.empty() && queue.begin()->first.first <= now) {
       const auto entry = queue.extract(queue.begin());
       dueTimes.erase(entry.key().second);
-      entry.mapped()();
+      try {
+        entry.mapped()();
+      } catch (...) {
+        // The other timers go on, whatever becomes of this one.
+        if (!closed) arm();
+        throw;
+      }
     }
     if (!closed) arm();
   }
--- a/src/live/client_connection.cc
+++ b/src/live/client_connection.cc
@@ -10,6 +10,7 @@
 #include <charconv>
 #include <limits>
 
+#include "live/handler_failures.h"
 #include "live/http_head.h"
 #include "live/socket_state.h"
 
@@ -20,6 +21,7 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
+constexpr std::string_view kStepSource = "connection to a server";
 constexpr std::size_t kReadBytes = 16U << 10U;
 /// Maximum bytes that are discarded while the end of a connection is awaited.
 constexpr std::size_t kMaximumDrainedBytes = 1U << 20U;
@@ -62,7 +64,22 @@
       server_(server),
       pool_(std::move(pool)),
       limits_(limits),
-      deadline_(context.get_executor(), [this] { onDeadline(); }) {}
+      deadline_(context.get_executor(), [this] { runStep([this] { onDeadline(); }); }) {}
+
+template <class Step>
+void ClientConnection::runStep(Step&& step) {
+  const auto self = shared_from_this();
+  runHandler(socket_.get_executor().context(), kStepSource, std::forward<Step>(step),
+             [this] { onStepFailed(); });
+}
+
+void ClientConnection::onStepFailed() {
+  if (handler_ == nullptr) {
+    close();
+    return;
+  }
+  fail({base::ResultCode::kInternalFailure, "this node failed while it read the answer"});
+}
 
 void ClientConnection::onDeadline() {
   const auto self = shared_from_this();
@@ -140,13 +157,15 @@
   state_ = State::kConnecting;
   deadline_.set(limits_.connectTimeout);
   if (const auto error = open()) {
-    asio::post(socket_.get_executor(),
-               [self = shared_from_this(), error] { self->onConnected(error); });
+    asio::post(socket_.get_executor(), [self = shared_from_this(), error] {
+      self->runStep([&] { self->onConnected(error); });
+    });
     return;
   }
-  socket_.async_connect(
-      {asio::ip::address_v4(server_.address), server_.port},
-      [self = shared_from_this()](boost::system::error_code error) { self->onConnected(error); });
+  socket_.async_connect({asio::ip::address_v4(server_.address), server_.port},
+                        [self = shared_from_this()](boost::system::error_code error) {
+                          self->runStep([&] { self->onConnected(error); });
+                        });
 }
 
 boost::system::error_code ClientConnection::open() {
@@ -199,7 +218,7 @@
   socket_.async_write_some(
       asio::buffer(output_) + sent_,
       [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
-        self->onWritten(error, bytes);
+        self->runStep([&] { self->onWritten(error, bytes); });
       });
 }
 
@@ -231,7 +250,7 @@
   socket_.async_read_some(
       buffer_.prepare(kReadBytes),
       [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
-        self->onRead(error, bytes);
+        self->runStep([&] { self->onRead(error, bytes); });
       });
 }
 
@@ -481,10 +500,13 @@
   }
   restartInactivityTimer();
   // Posted, because the handler must not be called from within its owner's call of setPaused.
-  asio::post(socket_.get_executor(), [self = shared_from_this(), number] {
-    if (number != self->callNumber_ || self->handler_ == nullptr || self->paused_) return;
-    if (self->parse()) self->read();
-  });
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this(), number] { self->runStep([&] { self->resume(number); }); });
+}
+
+void ClientConnection::resume(std::uint64_t number) {
+  if (number != callNumber_ || handler_ == nullptr || paused_) return;
+  if (parse()) read();
 }
 
 void ClientConnection::restartInactivityTimer() {
--- a/src/live/client_connection.h
+++ b/src/live/client_connection.h
@@ -67,6 +67,11 @@
  private:
   enum class State { kNew, kConnecting, kActive, kIdle, kClosed };
 
+  /// Runs one step of the connection. An exception ends the connection, and with it the call, whose
+  /// outcome is unknown if any byte of the request may have been sent.
+  template <class Step>
+  void runStep(Step&& step);
+  void onStepFailed();
   void onDeadline();
   void connect();
   void onConnected(boost::system::error_code error);
@@ -82,6 +87,8 @@
   bool parse();
   bool deliverHead();
   bool deliverBody();
+  /// Continues with what was buffered while call `number` was paused.
+  void resume(std::uint64_t number);
   void complete();
   void fail(std::string detail, clients::RunEnd runEnd = clients::RunEnd::kNotShown);
   void fail(base::Reason reason, clients::RunEnd runEnd = clients::RunEnd::kNotShown);
--- a/src/live/daemon.cc
+++ b/src/live/daemon.cc
@@ -6,6 +6,7 @@
 #include "live/asio_runtime.h"
 #include "live/caller_gateway.h"
 #include "live/counting_event_log.h"
+#include "live/handler_failures.h"
 #include "live/http_application_client.h"
 #include "live/http_client.h"
 #include "live/http_engine_client.h"
@@ -173,6 +174,7 @@
   NodeFactory factory;
   NodeMetrics metrics;
   CountingEventLog log;
+  HandlerFailureLog handlerFailures{context, log};
   AsioClock clock;
   AsioTimerService timers;
   base::SeededRandom random;
--- a/src/live/http_client.cc
+++ b/src/live/http_client.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <charconv>
+#include <exception>
 #include <map>
 #include <tuple>
 #include <unordered_map>
@@ -207,7 +209,13 @@
     // Kept alive until the end of this function, because a method of the call is on the stack.
     const auto node = core->fetches.extract(number);
     const auto deliver = callback;
-    deliver(std::move(result));
+    try {
+      deliver(std::move(result));
+    } catch (...) {
+      // Whoever waited for the response would wait forever, so this is for the event loop.
+      boost::asio::post(core->context,
+                        [failure = std::current_exception()] { std::rethrow_exception(failure); });
+    }
   };
   auto call = std::make_unique<BufferedCall>(core_->context, core_->bounds.bodyBytes, finished);
   auto& buffered = *call;
--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -7,6 +7,7 @@
 #include <boost/beast/http/field.hpp>
 
 #include "live/asio_runtime.h"
+#include "live/handler_failures.h"
 #include "live/http_head.h"
 #include "live/socket_state.h"
 
@@ -27,6 +28,7 @@
 /// By this much a connection is kept longer than announced: requests that are sent at the end of
 /// the announced time arrive later, and the peer counts it from when it has read the response.
 constexpr base::Duration kIdleMargin = std::chrono::milliseconds(400);
+constexpr std::string_view kStepSource = "connection of a caller";
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 base::Endpoint remoteEndpoint(const Connection::Socket& socket) {
@@ -50,7 +52,29 @@
     : socket_(std::move(socket)),
       owner_(owner),
       peer_(remoteEndpoint(socket_)),
-      deadline_(socket_.get_executor(), [this] { onDeadline(); }) {}
+      deadline_(socket_.get_executor(), [this] { runStep([this] { onDeadline(); }); }) {}
+
+template <class Step>
+void Connection::runStep(Step&& step) {
+  const auto self = shared_from_this();
+  runHandler(socket_.get_executor().context(), kStepSource, std::forward<Step>(step),
+             [this] { onStepFailed(); });
+}
+
+void Connection::onStepFailed() {
+  const auto exchange = exchange_.lock();
+  exchange_.reset();
+  if (exchange) exchange->onPeerDisconnected();
+  if (state_ == State::kReading && parser_->got_some()) {
+    refuse({base::ResultCode::kNodeOverloaded, "this node failed while it read the request"});
+  } else if (exchange && !responseBegun_) {
+    refuse({base::ResultCode::kInternalFailure, "this node failed while it served the request"});
+  } else if (exchange || state_ != State::kResponding) {
+    close();
+  } else {
+    onResponseComplete(/*reusable=*/false);
+  }
+}
 
 void Connection::start() {
   boost::system::error_code error;
@@ -81,12 +105,13 @@
   socket_.async_read_some(
       buffer_.prepare(inBody ? kBodyReadBytes : kReadBytes),
       [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
-        self->onRead(error, bytes);
+        self->runStep([&] { self->onRead(error, bytes); });
       });
 }
 
 void Connection::watchForClose() {
-  if (!closeWatch_) closeWatch_.emplace(socket_.get_executor(), [this] { checkForClose(); });
+  if (!closeWatch_)
+    closeWatch_.emplace(socket_.get_executor(), [this] { runStep([this] { checkForClose(); }); });
   closeWatch_->set(kCloseCheckInterval);
 }
 
@@ -192,6 +217,7 @@
   auto message = parser_->release();
   keepAlive_ = message.keep_alive();
   state_ = State::kResponding;
+  responseBegun_ = false;
   // The handler decides how long the response may take.
   if (!writeActive_) clearDeadline();
   if (buffer_.size() == 0) buffer_.shrink_to_fit();
@@ -200,7 +226,8 @@
   const auto exchange = std::make_shared<Exchange>(shared_from_this(), std::move(request),
                                                    message.version() >= kHttp11, arrival_);
   exchange_ = exchange;
-  owner_.onRequest(exchange);
+  // Guarded here too, where the exchange still exists even if its handler did not keep it.
+  runStep([&] { owner_.onRequest(exchange); });
 }
 
 void Connection::refuse(const base::Reason& reason) {
@@ -213,6 +240,7 @@
 
 void Connection::send(std::string bytes) {
   if (state_ == State::kClosed) return;
+  responseBegun_ = responseBegun_ || state_ == State::kResponding;
   if (pending_.empty()) {
     pending_ = std::move(bytes);
   } else {
@@ -233,7 +261,7 @@
   socket_.async_write_some(
       asio::buffer(writing_) + written_,
       [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
-        self->onWritten(error, bytes);
+        self->runStep([&] { self->onWritten(error, bytes); });
       });
 }
 
@@ -261,8 +289,10 @@
   if (high == underPressure_) return;
   underPressure_ = high;
   asio::post(socket_.get_executor(), [self = shared_from_this(), high] {
-    const auto exchange = self->exchange_.lock();
-    if (exchange && self->underPressure_ == high) exchange->onBufferPressure(high);
+    self->runStep([&] {
+      const auto exchange = self->exchange_.lock();
+      if (exchange && self->underPressure_ == high) exchange->onBufferPressure(high);
+    });
   });
 }
 
@@ -277,16 +307,19 @@
   }
   // Posted, so that a pipelined request is not handled within the call that ended the previous
   // response.
-  asio::post(socket_.get_executor(), [self = shared_from_this()] {
-    if (self->state_ != State::kResponding) return;
-    self->state_ = State::kReading;
-    self->resetParser();
-    if (!self->writeActive_) self->setDeadlineForState();
-    // A pipelined request arrives when its turn comes.
-    if (self->buffer_.size() > 0) self->onFirstBytes(base::Duration::zero());
-    self->parse();
-    self->read();
-  });
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this()] { self->runStep([&] { self->beginNextRequest(); }); });
+}
+
+void Connection::beginNextRequest() {
+  if (state_ != State::kResponding) return;
+  state_ = State::kReading;
+  resetParser();
+  if (!writeActive_) setDeadlineForState();
+  // A pipelined request arrives when its turn comes.
+  if (buffer_.size() > 0) onFirstBytes(base::Duration::zero());
+  parse();
+  read();
 }
 
 std::chrono::seconds Connection::announceIdleTime() {
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -144,6 +144,13 @@
  private:
   enum class State { kReading, kResponding, kLingering, kClosed };
 
+  /// Runs one step of the connection. An exception ends the connection and nothing else.
+  template <class Step>
+  void runStep(Step&& step);
+  /// Ends the connection after an exception. A request that was passed on ends as if the peer had
+  /// left, and is answered with 502, since it may have run, unless its response has begun. One that
+  /// was not read whole is answered with 503, since it has not run.
+  void onStepFailed();
   void resetParser();
   void read();
   /// Checks at intervals whether the peer has closed the connection, while nothing is read from it.
@@ -157,6 +164,8 @@
   /// The first bytes of a request were read, `readDelay` after they had arrived.
   void onFirstBytes(base::Duration readDelay);
   void dispatch();
+  /// Continues with the next request once a response is complete.
+  void beginNextRequest();
   void continueIfExpected();
   void refuse(const base::Reason& reason);
   /// Maximum number of bytes that are kept while the parser waits for the end of a part of the
@@ -200,6 +209,8 @@
   base::TimePoint idleSince_{};
   Exchange::Arrival arrival_;
   bool keepAlive_ = true;
+  /// Whether any byte of the response to the request that was passed on has been queued.
+  bool responseBegun_ = false;
   bool continueSent_ = false;
   bool headerComplete_ = false;
   bool closeWhenWritten_ = false;
--- a/src/live/http_server.cc
+++ b/src/live/http_server.cc
@@ -10,6 +10,7 @@
 #include <unordered_set>
 
 #include "live/asio_runtime.h"
+#include "live/handler_failures.h"
 #include "live/http_connection.h"
 #include "live/idle_connections.h"
 
@@ -27,6 +28,7 @@
 constexpr std::chrono::milliseconds kRoomRetryDelay{20};
 /// Maximum number of connections accepted at once, so that open ones are served in between.
 constexpr int kAcceptBatch = 16;
+constexpr std::string_view kAcceptSource = "listener";
 /// Percentage of the maximum of connections from which on responses ask callers to leave.
 constexpr std::size_t kCrowdedPercent = 90;
 
@@ -93,11 +95,18 @@
       if (error) {
         self->onAcceptError(listener, error);
       } else {
-        self->acceptWaiting(listener);
+        self->acceptGuarded(listener);
       }
     });
   }
 
+  /// As `acceptWaiting`. An exception ends at most the connection that was being accepted.
+  void acceptGuarded(const std::shared_ptr<Listener>& listener) {
+    runHandler(
+        context, kAcceptSource, [&] { acceptWaiting(listener); },
+        [&] { acceptLater(listener, kAcceptRetryDelay); });
+  }
+
   /// Accepts connections as far as there is room. Called when at least one waits. Whether another
   /// one waits after that is not known when there is no room: the operating system looks for a free
   /// descriptor first.
@@ -153,7 +162,7 @@
     // A cancelled wait has ended early, because a connection was closed.
     listener->retryTimer.async_wait(
         [self = shared_from_this(), listener](boost::system::error_code /*error*/) {
-          if (!self->stopping) self->acceptWaiting(listener);
+          if (!self->stopping) self->acceptGuarded(listener);
         });
   }
 
@@ -167,7 +176,7 @@
     // Runs after the handler in which the connection closes itself, or finds bytes to read.
     asio::post(context, [self = shared_from_this(), connection, listener] {
       self->closingForRoom.erase(connection.get());
-      if (listener && !self->stopping) self->acceptWaiting(listener);
+      if (listener && !self->stopping) self->acceptGuarded(listener);
     });
     return true;
   }
--- a/src/live/late_timers.cc
+++ b/src/live/late_timers.cc
@@ -1,8 +1,11 @@
 #include "live/late_timers.h"
 
+#include <exception>
 #include <utility>
 #include <vector>
 
+#include "live/handler_failures.h"
+
 namespace covewing::live {
 
 namespace {
@@ -24,25 +27,38 @@
     expired_.push_back(std::move(expired));
     // Timers that expire while input is handled wait for its end with the first one.
     if (handlingInput_) return;
-    handleInput(context);
-    for (const auto& callback : std::exchange(expired_, {})) callback();
+    handlingInput_ = true;
+    runStep([&] { handleInput(context); });
+    handlingInput_ = false;
+    for (const auto& callback : std::exchange(expired_, {})) runStep(callback);
+    if (failure_) std::rethrow_exception(std::exchange(failure_, nullptr));
   }
 
  private:
+  /// Runs `step`. An exception leaves the event loop's handler only once all timers have run.
+  template <class Step>
+  void runStep(const Step& step) {
+    try {
+      step();
+    } catch (...) {
+      if (failure_) HandlerFailures::of(this->context()).reportCurrentException("late timer");
+      if (!failure_) failure_ = std::current_exception();
+    }
+  }
+
   void handleInput(asio::io_context& context) {
-    handlingInput_ = true;
     const auto begin = BootClock::now();
     while (context.poll_one() > 0 && BootClock::now() - begin < kMaximumInputTime) {
     }
     const auto end = BootClock::now();
     noWaitBefore_ = end + kPauseBetweenWaits * (end - begin);
-    handlingInput_ = false;
   }
 
   void shutdown() override { expired_.clear(); }
 
   std::vector<std::function<void()>> expired_;
   bool handlingInput_ = false;
+  std::exception_ptr failure_;
   BootClock::time_point noWaitBefore_{};
 };
 
--- a/src/live/peer_transport.cc
+++ b/src/live/peer_transport.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
 
+#include "live/handler_failures.h"
 #include "live/lazy_deadline.h"
 #include "node/peer_frame.h"
 
@@ -34,6 +35,8 @@
 constexpr std::chrono::milliseconds kAcceptRetryDelay{100};
 constexpr base::Duration kConnectionTimeout = std::chrono::seconds(10);
 constexpr int kPortAttempts = 32;
+constexpr std::string_view kMessageSource = "message of another node";
+constexpr std::string_view kAcceptSource = "listener for other nodes";
 
 /// One TCP connection that carries one frame, in either direction.
 struct FrameConnection : std::enable_shared_from_this<FrameConnection> {
@@ -102,17 +105,19 @@
   }
 
   void accept() {
-    acceptor.async_accept(
-        [self = shared_from_this()](boost::system::error_code error, tcp::socket socket) {
-          if (error == asio::error::operation_aborted || !self->acceptor.is_open()) return;
-          if (error) {
-            self->acceptLater();
-            return;
-          }
-          if (self->incomingCount < kMaximumIncomingConnections)
-            self->receiveFrame(std::move(socket));
-          self->accept();
-        });
+    acceptor.async_accept([self = shared_from_this()](boost::system::error_code error,
+                                                      tcp::socket socket) {
+      if (error == asio::error::operation_aborted || !self->acceptor.is_open()) return;
+      if (error) {
+        self->acceptLater();
+        return;
+      }
+      if (self->incomingCount < kMaximumIncomingConnections) {
+        runHandler(
+            self->context, kAcceptSource, [&] { self->receiveFrame(std::move(socket)); }, [] {});
+      }
+      self->accept();
+    });
   }
 
   /// Without a wait, a node that has no free descriptor would try again without end.
@@ -162,7 +167,12 @@
     }
     ++counters.receivedFrames;
     counters.receivedBytes += bytes.size();
-    if (handler) handler(frame->sender, frame->channel, frame->payload);
+    if (!handler) return;
+    // What one message changes is soft state that other messages and timers replace, so a message
+    // that was handled in part does no more harm than one that was lost.
+    runHandler(
+        context, kMessageSource, [&] { handler(frame->sender, frame->channel, frame->payload); },
+        [this] { ++counters.rejectedFrames; });
   }
 
   void reject(const base::Reason& reason) {
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -14,6 +14,7 @@
 #include "live/connection_room_monitor.h"
 #include "live/counting_event_log.h"
 #include "live/descriptor_budget.h"
+#include "live/handler_failures.h"
 #include "live/http_relay_client.h"
 #include "live/http_server.h"
 #include "live/peer_confirmed_probe.h"
@@ -472,6 +473,7 @@
   AsioClock clock;
   RateLimitedEventLog limitedLog;
   CountingEventLog log;
+  HandlerFailureLog handlerFailures{context, log};
   RelayDeployment deployment;
   AsioTimerService timers;
   base::SeededRandom random;
--- a/src/tools/covewingd.cc
+++ b/src/tools/covewingd.cc
@@ -1,17 +1,19 @@
 /// \file
 /// covewingd, the node daemon. Exit status: 0 after a planned stop, 1 if a
 /// listener cannot be opened, 2 for invalid settings or flags, 3 after a
-/// forced stop.
+/// forced stop, 4 if exceptions left more than one handler of the event loop.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <fstream>
 #include <iostream>
 #include <sstream>
+#include <utility>
 
 #include "live/boost_event_log.h"
 #include "live/command_line.h"
 #include "live/daemon.h"
+#include "live/handler_failures.h"
 
 namespace covewing::live {
 
@@ -20,6 +22,7 @@
 constexpr int kExitListener = 1;
 constexpr int kExitUsage = 2;
 constexpr int kExitForced = 3;
+constexpr int kExitInternal = 4;
 
 /// Reads the settings file; if it cannot be read, adds a mistake and returns nullopt.
 std::optional<SettingsSource> readSource(const std::string &file,
@@ -50,6 +53,11 @@
     wait();
   }
   bool forced() const { return forced_; }
+  /// Starts a planned stop, unless one is under way.
+  void beginStop() {
+    if (std::exchange(draining_, true)) return;
+    daemon_.drain([this] { context_.stop(); });
+  }
 
  private:
   void wait() {
@@ -64,8 +72,7 @@
       context_.stop();
       return;
     }
-    draining_ = true;
-    daemon_.drain([this] { context_.stop(); });
+    beginStop();
     wait();
   }
 
@@ -85,8 +92,9 @@
     std::cerr << "covewingd: " << reason.detail << '\n';
     return kExitListener;
   }
-  const StopSignals signals(context, daemon);
-  context.run();
+  StopSignals signals(context, daemon);
+  if (runEventLoop(context, [&signals] { signals.beginStop(); }) == LoopEnd::kFailed)
+    return kExitInternal;
   return signals.forced() ? kExitForced : 0;
 }
 
