Keep the memory of a read until the read has ended

What callers saw: two proper requests sent at once on one connection corrupted the node's memory and ended it, with the requests of all its callers; no disruption was needed.

Cause: when a response ends, a request that lies in the buffer already is parsed while a read into the same buffer is outstanding. dispatch() gave the memory back; and consuming all bytes let the buffer start at its beginning again, so that bytes of an earlier request were read in place of those that arrived. ClientConnection::complete() gave memory back in the same way behind a pause.

Change: ReadBuffer owns the memory, knows whether a read is outstanding, and neither moves, releases nor rewinds it until then. Both sides of HTTP use it.

--- a/src/live/client_connection.cc
+++ b/src/live/client_connection.cc
@@ -245,17 +245,16 @@
 }
 
 void ClientConnection::read() {
-  if (reading_ || paused_ || state_ == State::kClosed) return;
-  reading_ = true;
+  if (buffer_.reading() || paused_ || state_ == State::kClosed) return;
   socket_.async_read_some(
-      buffer_.prepare(kReadBytes),
+      buffer_.beginRead(kReadBytes),
       [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
         self->runStep([&] { self->onRead(error, bytes); });
       });
 }
 
 void ClientConnection::onRead(boost::system::error_code error, std::size_t bytes) {
-  reading_ = false;
+  buffer_.endRead(bytes);
   if (state_ == State::kClosed) return;
   if (state_ == State::kIdle) {
     // The server closed the connection or sent an unsolicited response.
@@ -266,7 +265,6 @@
     onEndOfInput(error);
     return;
   }
-  buffer_.commit(bytes);
   if (unusable_) {
     drain();
     return;
@@ -404,7 +402,7 @@
   const auto pool = pool_.lock();
   state_ = State::kIdle;
   if (reusable && pool && pool->keep(self)) {
-    buffer_.shrink_to_fit();
+    buffer_.releaseUnused();
     paused_ = false;
     deadline_.set(idleTime());
     read();
--- a/src/live/client_connection.h
+++ b/src/live/client_connection.h
@@ -8,7 +8,6 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -17,6 +16,7 @@
 #include "live/http_client.h"
 #include "live/http_parser.h"
 #include "live/lazy_deadline.h"
+#include "live/read_buffer.h"
 #include "live/sent_request_ids.h"
 
 namespace covewing::live {
@@ -145,7 +145,6 @@
   /// may be a reset.
   bool writeFailed_ = false;
 
-  bool reading_ = false;
   std::optional<ResponseParser> parser_;
   bool headDelivered_ = false;
   /// The response being read belongs to another request and is discarded.
@@ -155,7 +154,7 @@
   bool mismatchSeen_ = false;
   /// A response that names no request was accepted.
   bool unnamedSeen_ = false;
-  boost::beast::flat_buffer buffer_;
+  ReadBuffer buffer_;
 };
 
 }  // namespace covewing::live
--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -94,16 +94,15 @@
 
 // A read is always outstanding while the buffer has capacity, so that a disconnect is detected.
 void Connection::read() {
-  if (reading_ || state_ == State::kClosed) return;
+  if (buffer_.reading() || state_ == State::kClosed) return;
   // While responding, at most one read of a pipelined request is buffered.
   if (state_ == State::kResponding && buffer_.size() >= kReadBytes) {
     watchForClose();
     return;
   }
   const bool inBody = state_ == State::kReading && parser_->is_header_done();
-  reading_ = true;
   socket_.async_read_some(
-      buffer_.prepare(inBody ? kBodyReadBytes : kReadBytes),
+      buffer_.beginRead(inBody ? kBodyReadBytes : kReadBytes),
       [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
         self->runStep([&] { self->onRead(error, bytes); });
       });
@@ -116,7 +115,7 @@
 }
 
 void Connection::checkForClose() {
-  if (state_ != State::kResponding || reading_) return;
+  if (state_ != State::kResponding || buffer_.reading()) return;
   if (peerHasClosed(socket_)) {
     close();
   } else {
@@ -125,7 +124,7 @@
 }
 
 void Connection::onRead(boost::system::error_code error, std::size_t bytes) {
-  reading_ = false;
+  buffer_.endRead(bytes);
   if (state_ == State::kClosed) return;
   if (std::exchange(closingIdle_, false) && error == asio::error::operation_aborted) {
     boost::system::error_code ignored;
@@ -140,7 +139,6 @@
     close();
     return;
   }
-  buffer_.commit(bytes);
   if (state_ == State::kLingering) {
     lingeredBytes_ += buffer_.size();
     buffer_.consume(buffer_.size());
@@ -220,7 +218,7 @@
   responseBegun_ = false;
   // The handler decides how long the response may take.
   if (!writeActive_) clearDeadline();
-  if (buffer_.size() == 0) buffer_.shrink_to_fit();
+  buffer_.releaseUnused();
   HttpRequest request{std::string{message.method_string()}, std::string{message.target()},
                       copyHeaders(message), std::move(message.body())};
   const auto exchange = std::make_shared<Exchange>(shared_from_this(), std::move(request),
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -8,7 +8,6 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -16,6 +15,7 @@
 #include "live/http_parser.h"
 #include "live/http_server.h"
 #include "live/lazy_deadline.h"
+#include "live/read_buffer.h"
 
 namespace covewing::live {
 
@@ -203,8 +203,7 @@
   base::Endpoint peer_;
   State state_ = State::kReading;
   std::optional<RequestParser> parser_;
-  boost::beast::flat_buffer buffer_;
-  bool reading_ = false;
+  ReadBuffer buffer_;
   bool closingIdle_ = false;
   base::TimePoint idleSince_{};
   Exchange::Arrival arrival_;
--- a/tests/live/http_server_test.cc
+++ b/tests/live/http_server_test.cc
@@ -79,6 +79,37 @@
   BOOST_TEST(second->request().target == "/2");
 }
 
+// Guards against a buffer that is given back, or used from its start again, while the operating
+// system may still write into it: requests that are sent ahead would be read from memory of others,
+// or be read twice.
+BOOST_AUTO_TEST_CASE(RequestsSentAheadAreEachReadOnceAsTheyWereSent) {
+  constexpr int kPairs = 200;
+  Fixture fixture;
+  TestClient client(fixture.context, fixture.endpoint);
+  std::vector<std::string> received;
+  const auto respondToNext = [&] {
+    const auto exchange = fixture.nextExchange();
+    received.push_back(exchange->request().target + " " + exchange->request().body);
+    exchange->respond({200, {}, "answer to " + exchange->request().target + ";"});
+  };
+  std::vector<std::string> sent;
+  const auto requestText = [&sent](int number) {
+    const std::string body(static_cast<std::size_t>(number % 7) * 300, 'a');
+    sent.push_back("/" + std::to_string(number) + " " + body);
+    return "POST /" + std::to_string(number) +
+           " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+  };
+  for (int pair = 0; pair < kPairs; ++pair) {
+    const auto first = requestText(2 * pair);
+    client.send(first + requestText(2 * pair + 1));
+    respondToNext();
+    respondToNext();
+    client.waitFor("answer to /" + std::to_string(2 * pair + 1) + ";");
+  }
+  BOOST_TEST(received == sent, boost::test_tools::per_element());
+}
+
 // Guards against a field that the library cannot store, inside a raised limit: it would end the
 // node. The caller is told which limit it was, and that the request has not run.
 BOOST_AUTO_TEST_CASE(FieldBeyondTheLargestIsRefusedInsideARaisedLimit) {
