Give shared caches a partition for each set of isolated tenants

Cause: the salt of tenants that share was "w" and the version of the weights for good, so what a tenant had made stayed with the others. A request that had been taken before the change also kept its salt.

Change: the salt names the set of isolated tenants, from the configuration alone. No tenant of that set has ever written under it, whichever configuration a node knew; a return to a former set finds its cache again. A request uses the configuration in force when it is sent.

--- a/src/config/route_table.cc
+++ b/src/config/route_table.cc
@@ -1,8 +1,12 @@
 #include "config/route_table.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
+#include "base/ids.h"
+
 namespace covewing::config {
 
 namespace {
@@ -17,9 +21,26 @@
   return normal;
 }
 
+/// Empty if no tenant is isolated.
+std::string partitionBeside(const std::vector<TenantAccess>& tenants) {
+  std::vector<std::string_view> isolated;
+  for (const auto& tenant : tenants) {
+    if (tenant.isolated) isolated.emplace_back(tenant.name);
+  }
+  if (isolated.empty()) return {};
+  std::ranges::sort(isolated);
+  std::string names;
+  for (const auto& name : isolated)
+    names.append(std::to_string(name.size())).append(":").append(name);
+  return fmt::format(".{:016x}", base::hashName(names));
+}
+
 }  // namespace
 
-RouteTable::RouteTable(RouteTableContents contents) : contents_(std::move(contents)) {
+std::string isolatedCachePartition(std::string_view tenant) { return "/" + std::string{tenant}; }
+
+RouteTable::RouteTable(RouteTableContents contents)
+    : contents_(std::move(contents)), sharedCachePartition_(partitionBeside(contents_.tenants)) {
   for (const Route& route : contents_.routes)
     routesByHost_[normalHost(route.host)].push_back(&route);
   for (auto& [host, routes] : routesByHost_) {
--- a/src/config/route_table.h
+++ b/src/config/route_table.h
@@ -158,9 +158,16 @@
   const TenantAccess* findTenantByKey(std::string_view key) const;
   const TenantAccess* findTenantByName(std::string_view name) const;
   const Service* findService(std::string_view name) const;
+  /// Name of the partition of the replicas' caches that requests of a tenant which is not isolated
+  /// share, in requests without a tenant too. It is derived from the set of isolated tenants alone,
+  /// so that all nodes with this configuration use the same one, and no tenant that is isolated
+  /// under this configuration has ever written to it: nodes with a configuration under which it was
+  /// not isolated use another partition.
+  const std::string& sharedCachePartition() const { return sharedCachePartition_; }
 
  private:
   RouteTableContents contents_;
+  std::string sharedCachePartition_;
   /// Routes of each host, the longest prefix first.
   std::unordered_map<std::string, std::vector<const Route*>> routesByHost_;
   std::unordered_map<std::string_view, const TenantAccess*> tenantsByKey_;
@@ -170,4 +177,7 @@
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
 
+/// Name of the partition of the replicas' caches that an isolated tenant has for itself.
+std::string isolatedCachePartition(std::string_view tenant);
+
 }  // namespace covewing::config
--- a/src/request/relay_flow.cc
+++ b/src/request/relay_flow.cc
@@ -189,11 +189,20 @@
     query.longRunReplicas = dependencies_.requestDurations.replicasForLongRuns(
         query.service, query.engine->slots, hooks_.nodes(), dependencies_.clock.now());
   }
-  if (assignment_.tenant != nullptr && assignment_.tenant->isolated)
-    query.isolatedTenant = assignment_.tenant->name;
+  query.cachePartition = cachePartition();
   return query;
 }
 
+std::string RelayFlow::cachePartition() const {
+  const auto table = hooks_.tableInForce();
+  if (assignment_.tenant == nullptr) return table->sharedCachePartition();
+  // Whoever was isolated when the request arrived, or is now, stays apart.
+  const auto* inForce = table->findTenantByName(assignment_.tenant->name);
+  const bool isolated = assignment_.tenant->isolated || (inForce != nullptr && inForce->isolated);
+  return isolated ? config::isolatedCachePartition(assignment_.tenant->name)
+                  : table->sharedCachePartition();
+}
+
 std::uint32_t RelayFlow::urgency() const {
   const auto* tenant = assignment_.tenant;
   return tenant != nullptr ? tenant->priority.value_or(assignment_.route->priority)
--- a/src/request/relay_flow.h
+++ b/src/request/relay_flow.h
@@ -303,6 +303,8 @@
   /// aside for long-running requests.
   bool isLongRunning() const;
   routing::ReplicaQuery query() const;
+  /// Partition of the replicas' caches that the request may use under the configuration in force.
+  std::string cachePartition() const;
   /// Priority of the request; 0 is the most urgent. The tenant's priority takes precedence over
   /// that of the route.
   std::uint32_t urgency() const;
--- a/src/request/relay_flow_parts.cc
+++ b/src/request/relay_flow_parts.cc
@@ -61,7 +61,7 @@
   }
   for (const auto& found : foundHolders_) {
     std::size_t usableHolders = 0;
-    // Parts cached for another version of the weights or for another isolated tenant cannot be
+    // Parts cached for another version of the weights or for in another partition cannot be
     // used.
     for (const auto& holder : found.holders) {
       if (holder.scope != scope) continue;
--- a/src/routing/prefix_holders.h
+++ b/src/routing/prefix_holders.h
@@ -15,7 +15,7 @@
 namespace covewing::routing {
 
 /// Identifies what the cached state of a part depends on besides the part itself: the weights
-/// version, and the tenant if its cache is isolated.
+/// version, and the partition of the caches (config::RouteTable).
 using CacheScope = std::uint64_t;
 
 class PrefixHolders {
--- a/src/routing/replica_selector.cc
+++ b/src/routing/replica_selector.cc
@@ -67,9 +67,9 @@
 
 }  // namespace
 
-std::string cacheSalt(base::WeightsVersion version, std::string_view isolatedTenant) {
+std::string cacheSalt(base::WeightsVersion version, std::string_view partition) {
   std::string salt = "w" + std::to_string(version);
-  if (!isolatedTenant.empty()) salt.append("/").append(isolatedTenant);
+  salt.append(partition);
   return salt;
 }
 
@@ -301,7 +301,7 @@
 }
 
 std::string ReplicaSelector::saltOf(const ReplicaQuery& query, const ReplicaRecord& record) const {
-  return cacheSalt(record.versionOf(query.model), query.isolatedTenant);
+  return cacheSalt(record.versionOf(query.model), query.cachePartition);
 }
 
 void ReplicaSelector::selectQueried(ReplicaDecision& decision, const Candidates& candidates) {
--- a/src/routing/replica_selector.h
+++ b/src/routing/replica_selector.h
@@ -42,8 +42,8 @@
   const prefix::PartChain* chain = nullptr;
   /// Tokens of the prompt and the longest possible output.
   std::uint32_t tokens = 0;
-  /// Name of the tenant if its cache is isolated, else empty.
-  std::string isolatedTenant;
+  /// Partition of the replicas' caches that the request may use (config::RouteTable).
+  std::string cachePartition;
   /// The request is expected to be long-running; the replicas preferred for such requests come
   /// first.
   bool longRun = false;
@@ -244,9 +244,9 @@
 /// within a version the lowest rank first.
 bool takesLongRunsBefore(std::string_view model, const ReplicaRecord& left,
                          const ReplicaRecord& right);
-/// Salt under which replicas cache parts, so that parts made under other weights or for an isolated
-/// tenant are never matched.
-std::string cacheSalt(base::WeightsVersion version, std::string_view isolatedTenant);
+/// Salt under which replicas cache parts, so that parts made under other weights or in another
+/// partition are never matched.
+std::string cacheSalt(base::WeightsVersion version, std::string_view partition);
 CacheScope cacheScope(std::string_view salt, std::string_view model);
 
 }  // namespace covewing::routing
--- a/tests/config/route_table_test.cc
+++ b/tests/config/route_table_test.cc
@@ -1,6 +1,9 @@
 #include "config/route_table.h"
 
 #include <boost/test/unit_test.hpp>
+#include <set>
+#include <string>
+#include <vector>
 
 namespace covewing::config {
 
@@ -57,6 +60,30 @@
   BOOST_TEST(!one.repeatable());
 }
 
+// Guards against cached parts of a tenant that becomes isolated being used by others: they must go
+// over to a partition to which it has never written.
+BOOST_AUTO_TEST_CASE(SharedCachePartitionIsThatOfTheSetOfIsolatedTenants) {
+  const auto partitionBeside = [](const std::vector<std::string>& isolated) {
+    RouteTableContents contents;
+    contents.tenants.push_back({"shared", {}, std::nullopt, false, std::nullopt});
+    for (const auto& name : isolated)
+      contents.tenants.push_back({name, {}, std::nullopt, true, std::nullopt});
+    return RouteTable{contents}.sharedCachePartition();
+  };
+  // The text of builds that know no partitions, which nothing isolated has written to.
+  BOOST_TEST(partitionBeside({}) == "");
+  const std::vector<std::vector<std::string>> sets = {
+      {"a"}, {"b"}, {"a", "b"}, {"ab"}, {"a,b"}, {"a", "b", "c"}, {"a", "bc"}, {"1:a1:b"}};
+  std::set<std::string> partitions{partitionBeside({})};
+  for (const auto& set : sets) {
+    BOOST_TEST(partitions.insert(partitionBeside(set)).second);
+    BOOST_TEST(partitionBeside(set) == partitionBeside(set));
+    BOOST_TEST(partitionBeside(set) != isolatedCachePartition(set.front()));
+  }
+  // All nodes agree, in whatever order the tenants are listed.
+  BOOST_TEST(partitionBeside({"a", "b"}) == partitionBeside({"b", "a"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::config
--- a/tests/request/relay_flow_test.cc
+++ b/tests/request/relay_flow_test.cc
@@ -470,6 +470,42 @@
   BOOST_TEST(caller.refusal->status == 401U);
 }
 
+// Guards against cached parts that cross the wall of a tenant that has become isolated, also by a
+// request that arrived before and is sent again after that.
+BOOST_AUTO_TEST_CASE(TenantThatBecomesIsolatedSharesNoCacheFromThenOn) {
+  const auto saltOf = [this](const std::string& path) {
+    request(path);
+    auto salt = client.last().terms.cacheSalt;
+    client.last().respond(200, "x");
+    return salt;
+  };
+  const auto sharedBefore = saltOf("once");
+  auto& open = request("resumable");
+  BOOST_TEST(client.last().terms.cacheSalt == sharedBefore);
+  auto walled = contents();
+  walled.version = 2;
+  walled.tenants.front().isolated = true;
+  useTable(walled);
+  client.last().respond(500, "oops");
+  const auto ownSalt = client.last().terms.cacheSalt;
+  BOOST_TEST(ownSalt != sharedBefore);
+  client.last().respond(200, "x");
+  BOOST_TEST(open.finals == 1);
+  BOOST_TEST(saltOf("once") == ownSalt);
+  // Others, under this configuration and without the tenant.
+  walled.version = 3;
+  walled.tenants.front().name = "walled";
+  walled.tenants.push_back({"tenant", {"key"}, 1, false, std::nullopt});
+  walled.tenants.front().keys = {"other"};
+  useTable(walled);
+  const auto sharedAfter = saltOf("once");
+  BOOST_TEST(sharedAfter != sharedBefore);
+  BOOST_TEST(sharedAfter != ownSalt);
+  // A return to the former set finds its cache again.
+  useTable(contents());
+  BOOST_TEST(saltOf("once") == sharedBefore);
+}
+
 BOOST_AUTO_TEST_CASE(EveryRequestGetsExactlyOneFinalResponse) {
   for (int round = 0; round < 3; ++round) {
     for (const char* path : {"safe", "unsafe", "once", "resumable"}) {
--- a/tests/routing/replica_selector_test.cc
+++ b/tests/routing/replica_selector_test.cc
@@ -123,7 +123,7 @@
   BOOST_TEST(!choose().fetchFrom.has_value());
   for (const char* name : {"r1", "r2", "r3", "r4"}) addHolder(name, 1);
   auto isolated = query();
-  isolated.isolatedTenant = "t";
+  isolated.cachePartition = "/t";
   const auto decision = selector.choose(isolated, 1, now);
   BOOST_TEST(decision.matchedTokens == 0U);
   BOOST_TEST(!decision.fetchFrom.has_value());
