Announce suspected parts together and search for a culprit less often

Cause: from the second crash on each part was announced in messages of its own, each of which ended in a search for a culprit among all parts: the square of thousands.

Change: parts with the same crashes share messages, 97 in one; a search follows the one before by 25 ms at the earliest, and the verdict still falls 300 ms behind the newest evidence; what lapses is looked for when something can have lapsed.

The evaluation of the evidence is unchanged; PartsThatShareMessagesGetTheVerdictsOfSeparateOnes compares verdicts.

--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -41,12 +41,14 @@
 
 void CrashEvidence::onServed(base::RequestFeature feature, base::TimePoint now) {
   servedAt_[feature] = now;
+  expectExpiry(now + options_.retention);
   culprits_.erase(feature);
   formerCulprits_.erase(feature);
 }
 
 void CrashEvidence::onQuarantined(base::RequestFeature feature, base::TimePoint until) {
   culprits_[feature] = until;
+  expectExpiry(until);
   for (Crash& crash : crashes_) {
     if (crash.runs.contains(feature)) crash.explained = true;
   }
@@ -54,8 +56,11 @@
 
 void CrashEvidence::rememberCulprit(base::RequestFeature feature, base::TimePoint until) {
   formerCulprits_[feature] = until;
+  expectExpiry(until);
 }
 
+void CrashEvidence::expectExpiry(base::TimePoint at) { nextExpiry_ = std::min(nextExpiry_, at); }
+
 bool CrashEvidence::countsAgainst(const Crash& crash, base::RequestFeature feature) const {
   if (crash.explained) return false;
   const auto served = servedAt_.find(feature);
@@ -75,9 +80,14 @@
 void CrashEvidence::dropExpired(base::TimePoint now) {
   const auto oldest = now - options_.retention;
   while (!crashes_.empty() && crashes_.front().at < oldest) crashes_.pop_front();
+  if (now <= nextExpiry_) return;
   std::erase_if(servedAt_, [&](const auto& entry) { return entry.second < oldest; });
   std::erase_if(culprits_, [&](const auto& entry) { return entry.second < now; });
   std::erase_if(formerCulprits_, [&](const auto& entry) { return entry.second < now; });
+  nextExpiry_ = base::TimePoint::max();
+  for (const auto& [feature, at] : servedAt_) expectExpiry(at + options_.retention);
+  for (const auto& [feature, until] : culprits_) expectExpiry(until);
+  for (const auto& [feature, until] : formerCulprits_) expectExpiry(until);
 }
 
 std::vector<std::size_t> CrashEvidence::waves() const {
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -120,6 +120,8 @@
   void record(Crash& crash, base::RequestFeature feature, base::TimePoint at);
   bool countsAgainst(const Crash& crash, base::RequestFeature feature) const;
   void dropExpired(base::TimePoint now);
+  /// Notes that an entry of one of the maps below lapses at this time.
+  void expectExpiry(base::TimePoint at);
   Suspects suspects() const;
   /// The number of its wave for each crash.
   std::vector<std::size_t> waves() const;
@@ -134,6 +136,9 @@
   /// Until when each known culprit explains further crashes.
   std::unordered_map<base::RequestFeature, base::TimePoint> culprits_;
   std::unordered_map<base::RequestFeature, base::TimePoint> formerCulprits_;
+  /// No entry of the three maps above lapses before this time: they are not searched for each part
+  /// of a report.
+  base::TimePoint nextExpiry_ = base::TimePoint::max();
 };
 
 }  // namespace covewing::quarantine
--- a/src/quarantine/quarantine_messages.cc
+++ b/src/quarantine/quarantine_messages.cc
@@ -23,6 +23,9 @@
 constexpr std::uint32_t kServedPartFields = 1;
 constexpr std::uint32_t kEntryPartFields = 4;
 constexpr std::uint64_t kPromptParts = 1;
+/// Further fields behind those: kFurtherParts and the parts.
+constexpr std::uint32_t kFurtherPartsFields = 2;
+constexpr std::uint64_t kFurtherParts = 2;
 /// Maximum number of identifiers in one message: no replica runs more requests of one node
 /// concurrently.
 constexpr std::uint32_t kMaximumIdentifiers = 1024;
@@ -35,6 +38,11 @@
     writer.unsignedInteger(identifiers[index].value);
 }
 
+void writeFurtherParts(base::Writer& writer, const base::RequestFeatures& parts) {
+  writer.unsignedInteger(kFurtherParts);
+  write(writer, parts);
+}
+
 std::vector<std::uint64_t> readValues(base::Reader& reader) {
   std::vector<std::uint64_t> values;
   const auto count = std::min(reader.beginArray(), kMaximumIdentifiers);
@@ -83,6 +91,12 @@
 
 base::Duration readTime(base::Reader& reader) { return durationOf(reader.unsignedInteger()); }
 
+/// Earlier builds do not write this field.
+base::RequestFeatures readFurtherParts(base::Reader& reader) {
+  const bool present = reader.nextIsUnsignedInteger() && reader.unsignedInteger() == kFurtherParts;
+  return present ? readFeatures(reader, base::FeatureKind::kPromptPart) : base::RequestFeatures{};
+}
+
 CrashReport readCrashReport(base::Reader& reader) {
   CrashReport message;
   message.replica.value = reader.unsignedInteger();
@@ -109,13 +123,16 @@
   message.replicas = readReplicas(reader);
   for (const auto age : readValues(reader)) message.ages.push_back(durationOf(age));
   message.begun = readReplicas(reader);
+  message.furtherParts = readFurtherParts(reader);
   return message;
 }
 
 RequestServed readServed(base::Reader& reader) {
   RequestServed message;
   message.feature.value = reader.unsignedInteger();
-  if (continuesWithParts(reader)) message.feature.kind = base::FeatureKind::kPromptPart;
+  if (!continuesWithParts(reader)) return message;
+  message.feature.kind = base::FeatureKind::kPromptPart;
+  message.furtherParts = readFurtherParts(reader);
   return message;
 }
 
@@ -164,7 +181,10 @@
 std::string encode(const RequestSuspected& message) {
   const bool part = isPart(message.feature);
   base::Writer writer;
-  writer.array(kSuspectedFields + (part ? kSuspectedPartFields : 0))
+  const bool further = part && !message.furtherParts.empty();
+  writer
+      .array(kSuspectedFields + (part ? kSuspectedPartFields : 0) +
+             (further ? kFurtherPartsFields : 0))
       .unsignedInteger(kSuspectedType)
       .unsignedInteger(message.feature.value);
   write(writer, part ? std::vector<base::EngineId>{} : message.replicas);
@@ -177,16 +197,19 @@
   for (std::size_t index = 0; index < ages; ++index)
     writer.unsignedInteger(milliseconds(message.ages[index]));
   write(writer, message.begun);
+  if (further) writeFurtherParts(writer, message.furtherParts);
   return writer.take();
 }
 
 std::string encode(const RequestServed& message) {
   const bool part = isPart(message.feature);
   base::Writer writer;
-  writer.array(kServedFields + (part ? kServedPartFields : 0))
+  const bool further = part && !message.furtherParts.empty();
+  writer.array(kServedFields + (part ? kServedPartFields : 0) + (further ? kFurtherPartsFields : 0))
       .unsignedInteger(kServedType)
       .unsignedInteger(message.feature.value);
   if (part) writer.unsignedInteger(kPromptParts);
+  if (further) writeFurtherParts(writer, message.furtherParts);
   return writer.take();
 }
 
--- a/src/quarantine/quarantine_messages.h
+++ b/src/quarantine/quarantine_messages.h
@@ -20,6 +20,10 @@
 
 namespace covewing::quarantine {
 
+/// Maximum number of parts of prompts that a message names beside its first one, so that it fits
+/// into a datagram.
+inline constexpr std::size_t kMaximumFurtherParts = 96;
+
 /// Sent to the home nodes of the requests: requests of the sender that were running at a replica
 /// when it crashed.
 struct CrashReport {
@@ -44,12 +48,17 @@
   /// and those at which a response had just begun.
   std::vector<base::Duration> ages{};
   std::vector<base::EngineId> begun{};
+  /// Further parts with the same crashes, at most kMaximumFurtherParts. Builds that do not know
+  /// this field learn of them by gossip records, of which each concerns one feature.
+  base::RequestFeatures furtherParts{};
 };
 
 /// Sent to the home nodes of a request, and by them to all nodes if it was suspected: the request
 /// completed.
 struct RequestServed {
   base::RequestFeature feature;
+  /// For a part of a prompt: further parts that were served, at most kMaximumFurtherParts.
+  base::RequestFeatures furtherParts{};
 };
 
 /// Sent by a home node to all nodes: a verdict on one request or part of a prompt.
--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -1,8 +1,10 @@
 #include "quarantine/request_quarantine.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <set>
+#include <tuple>
 #include <type_traits>
 #include <utility>
 #include <variant>
@@ -19,6 +21,49 @@
 
 bool isPart(base::RequestFeature feature) { return feature.kind == base::FeatureKind::kPromptPart; }
 
+/// Joins messages about parts of prompts that have equal keys. Messages about requests are sent as
+/// they are.
+template <class Key, class Message>
+class JoinedMessages {
+ public:
+  using Send = std::function<void(const Key&, const Message&)>;
+
+  explicit JoinedMessages(Send send) : send_(std::move(send)) {}
+
+  void add(const Key& key, const Message& message) {
+    if (!isPart(message.feature)) {
+      send_(key, message);
+      return;
+    }
+    const auto [known, isNew] = joined_.try_emplace(key, message);
+    if (!isNew) known->second.furtherParts.push_back(message.feature);
+    if (known->second.furtherParts.size() < kMaximumFurtherParts) return;
+    send_(key, known->second);
+    joined_.erase(known);
+  }
+  void sendRest() {
+    for (const auto& [key, message] : joined_) send_(key, message);
+    joined_.clear();
+  }
+
+ private:
+  Send send_;
+  std::map<Key, Message> joined_;
+};
+
+/// What must be equal for suspicions to be joined: replicas, ages of the crashes, and at which of
+/// them a response had begun.
+using SuspicionKey = std::tuple<std::vector<base::EngineId>, std::vector<base::Duration>,
+                                std::vector<base::EngineId>>;
+
+/// The feature that a message names first, and its further parts.
+template <class Message>
+base::RequestFeatures featuresOf(const Message& message) {
+  base::RequestFeatures features{message.feature};
+  features.insert(features.end(), message.furtherParts.begin(), message.furtherParts.end());
+  return features;
+}
+
 std::size_t begunCrashes(const std::vector<CountedCrash>& crashes) {
   return static_cast<std::size_t>(std::ranges::count(crashes, true, &CountedCrash::begun));
 }
@@ -34,6 +79,7 @@
 
 RequestQuarantine::~RequestQuarantine() {
   environment_.timers.cancel(verdictTimer_);
+  environment_.timers.cancel(searchTimer_);
   environment_.timers.cancel(comparisonTimer_);
   environment_.timers.cancel(homeCheckTimer_);
 }
@@ -143,10 +189,10 @@
   for (const auto& [home, own] : reportOf) sendTo(home, own);
 }
 
-bool RequestQuarantine::recordCrash(const CrashReport& report, base::RequestFeature feature) {
+bool RequestQuarantine::recordCrash(const CrashReport& report, base::RequestFeature feature,
+                                    bool begun) {
   const auto now = environment_.clock.now();
   const auto before = evidence_.crashesAgainst(feature);
-  const bool begun = std::ranges::find(report.begun, feature) != report.begun.end();
   // Only parts are judged by the times of crashes.
   const auto at = isPart(feature) ? now - report.age : now;
   evidence_.onReplicaCrash(report.replica, {feature}, at,
@@ -160,25 +206,35 @@
 }
 
 void RequestQuarantine::handle(const CrashReport& report) {
+  const std::set<base::RequestFeature> begun(report.begun.begin(), report.begun.end());
   base::RequestFeatures newSuspects;
   for (const auto run : report.runs) {
-    if (recordCrash(report, run)) newSuspects.push_back(run);
+    if (recordCrash(report, run, begun.contains(run))) newSuspects.push_back(run);
+  }
+  if (!newSuspects.empty()) {
+    sendRepeatedly([this, newSuspects] { announce(newSuspects); });
+    publishSuspicions(newSuspects);
+    for (const auto run : newSuspects) storeSuspect(run);
+    object(newSuspects);
   }
-  for (const auto run : newSuspects) {
-    sendRepeatedly([this, run] { announce(run); });
-    storeSuspect(run);
-    object(run);
+  scheduleSearch();
+}
+
+void RequestQuarantine::announce(const base::RequestFeatures& features) {
+  JoinedMessages<SuspicionKey, RequestSuspected> messages(
+      [this](const auto& /*key*/, const RequestSuspected& message) { sendToAll(encode(message)); });
+  for (const auto feature : features) {
+    const auto suspected = currentSuspicion(feature);
+    // If the announcement were repeated after the request was served, it would count against the
+    // request again at nodes that missed that.
+    if (suspected.replicas.size() > 1)
+      messages.add({suspected.replicas, suspected.ages, suspected.begun}, suspected);
   }
-  scheduleVerdict();
+  messages.sendRest();
 }
 
-void RequestQuarantine::announce(base::RequestFeature feature) {
-  // If the announcement were repeated after the request was served, it would count against the
-  // request again at nodes that missed that.
-  const auto suspected = currentSuspicion(feature);
-  if (suspected.replicas.size() < 2) return;
-  sendToAll(encode(suspected));
-  publish(suspected);
+void RequestQuarantine::publishSuspicions(const base::RequestFeatures& features) {
+  for (const auto feature : features) publish(currentSuspicion(feature));
 }
 
 RequestSuspected RequestQuarantine::currentSuspicion(base::RequestFeature feature) const {
@@ -202,64 +258,108 @@
 }
 
 void RequestQuarantine::handle(const RequestSuspected& suspected) {
-  const auto before = evidence_.crashesAgainst(suspected.feature);
+  std::vector<std::vector<CountedCrash>> before;
+  for (const auto feature : featuresOf(suspected))
+    before.push_back(evidence_.crashesAgainst(feature));
   addSuspicion(suspected);
-  const auto after = evidence_.crashesAgainst(suspected.feature);
   // The announcement of the other home node may arrive before the report of the node that observed
   // the crash.
-  const bool grown = after.size() > before.size() || begunCrashes(after) > begunCrashes(before);
-  if (grown && after.size() > 1) storeSuspect(suspected.feature);
+  for (std::size_t index = 0; const auto feature : featuresOf(suspected)) {
+    const auto& earlier = before[index++];
+    const auto after = evidence_.crashesAgainst(feature);
+    const bool grown = after.size() > earlier.size() || begunCrashes(after) > begunCrashes(earlier);
+    if (grown && after.size() > 1) storeSuspect(feature);
+  }
 }
 
 void RequestQuarantine::addSuspicion(const RequestSuspected& suspected) {
   const auto age = ageOf(suspected.announcedAt);
   if (age > options_.evidence.retention) return;
-  const base::RequestFeatures feature{suspected.feature};
+  const auto features = featuresOf(suspected);
   for (std::size_t index = 0; index < suspected.replicas.size(); ++index) {
     const auto replica = suspected.replicas[index];
     auto at = environment_.clock.now();
     if (index < suspected.ages.size()) at -= age + suspected.ages[index];
     const bool begun = std::ranges::find(suspected.begun, replica) != suspected.begun.end();
-    evidence_.onReplicaCrash(replica, feature, at, begun ? feature : base::RequestFeatures{});
+    evidence_.onReplicaCrash(replica, features, at, begun ? features : base::RequestFeatures{});
   }
-  object(suspected.feature);
-  scheduleVerdict();
+  object(features);
+  scheduleSearch();
 }
 
-void RequestQuarantine::object(base::RequestFeature feature) {
-  if (!served_.contains(feature, environment_.clock.now())) return;
-  sendRepeatedly([this, feature] { sendToHomes(feature, encode(RequestServed{feature})); });
+void RequestQuarantine::object(const base::RequestFeatures& features) {
+  const auto now = environment_.clock.now();
+  base::RequestFeatures served;
+  std::ranges::copy_if(features, std::back_inserter(served),
+                       [&](const auto feature) { return served_.contains(feature, now); });
+  if (!served.empty()) sendServedToHomes(served);
 }
 
-void RequestQuarantine::onServed(const base::RequestFeatures& features) {
-  for (const auto feature : features) recordServed(feature);
+void RequestQuarantine::sendServedToHomes(const base::RequestFeatures& features) {
+  sendRepeatedly([this, features] {
+    JoinedMessages<base::Endpoint, RequestServed> messages(
+        [this](const base::Endpoint& home, const RequestServed& message) {
+          send(home, encode(message));
+        });
+    for (const auto feature : features) {
+      for (const auto& home : homesOf(feature)) messages.add(home, {feature, {}});
+    }
+    messages.sendRest();
+  });
 }
 
-void RequestQuarantine::recordServed(base::RequestFeature feature) {
-  served_.add(feature, environment_.clock.now());
-  const bool suspected =
-      !evidence_.crashesAgainst(feature).empty() || evidence_.isRememberedCulprit(feature);
-  if (!suspected && !find(feature)) return;
-  sendRepeatedly([this, feature] { sendToHomes(feature, encode(RequestServed{feature})); });
+void RequestQuarantine::onServed(const base::RequestFeatures& features) {
+  base::RequestFeatures suspects;
+  for (const auto feature : features) {
+    served_.add(feature, environment_.clock.now());
+    const bool suspected =
+        !evidence_.crashesAgainst(feature).empty() || evidence_.isRememberedCulprit(feature);
+    if (suspected || find(feature)) suspects.push_back(feature);
+  }
+  if (!suspects.empty()) sendServedToHomes(suspects);
 }
 
 void RequestQuarantine::handle(const RequestServed& served) {
-  const auto feature = served.feature;
-  const bool announced = evidence_.crashesAgainst(feature).size() > 1;
-  const bool remembered = evidence_.isRememberedCulprit(feature);
-  evidence_.onServed(feature, environment_.clock.now());
-  if (!isHomeOf(feature)) return;
-  if (announced) {
-    sendRepeatedly([this, served] { sendToAll(encode(served)); });
-    publish(currentSuspicion(feature));
-    if (writesRowsOf(feature)) removeSuspect(feature);
+  base::RequestFeatures announced;
+  for (const auto feature : featuresOf(served)) {
+    const bool wasAnnounced = evidence_.crashesAgainst(feature).size() > 1;
+    const bool remembered = evidence_.isRememberedCulprit(feature);
+    evidence_.onServed(feature, environment_.clock.now());
+    if (!isHomeOf(feature)) continue;
+    if (wasAnnounced) {
+      announced.push_back(feature);
+      publish(currentSuspicion(feature));
+      if (writesRowsOf(feature)) removeSuspect(feature);
+    }
+    if (remembered || find(feature)) lift(feature);
+  }
+  if (announced.empty()) return;
+  const RequestServed message{announced.front(), {announced.begin() + 1, announced.end()}};
+  sendRepeatedly([this, message] { sendToAll(encode(message)); });
+}
+
+void RequestQuarantine::scheduleSearch() {
+  const auto now = environment_.clock.now();
+  evidenceAt_ = now;
+  if (verdictTimer_ != 0 || searchTimer_ != 0) return;
+  const auto due = searchedAt_ ? *searchedAt_ + options_.searchInterval : now;
+  if (due <= now) {
+    search();
+    return;
   }
-  if (remembered || find(feature)) lift(feature);
+  searchTimer_ = environment_.timers.schedule(due - now, [this] {
+    searchTimer_ = 0;
+    search();
+  });
 }
 
-void RequestQuarantine::scheduleVerdict() {
-  if (verdictTimer_ != 0 || !evidence_.findCulprit(environment_.clock.now())) return;
-  verdictTimer_ = environment_.timers.schedule(options_.objectionPeriod, [this] {
+void RequestQuarantine::search() {
+  const auto now = environment_.clock.now();
+  searchedAt_ = now;
+  if (verdictTimer_ != 0 || !evidence_.findCulprit(now)) return;
+  // The proof is no later than the newest evidence.
+  const auto decidesAt = evidenceAt_ + options_.objectionPeriod;
+  verdictTimer_ = environment_.timers.schedule(decidesAt - now, [this] {
     verdictTimer_ = 0;
     decide();
   });
@@ -346,7 +446,7 @@
          {"age_ms", base::millisecondsText(age)}});
   }
   scheduleComparison();
-  scheduleVerdict();
+  scheduleSearch();
   return true;
 }
 
--- a/src/quarantine/request_quarantine.h
+++ b/src/quarantine/request_quarantine.h
@@ -41,6 +41,9 @@
   /// Time from the proof against a request to its quarantine; objections arrive within a round
   /// trip.
   base::Duration objectionPeriod = std::chrono::milliseconds(300);
+  /// Minimum interval between searches for a culprit: each takes time in proportion to all that is
+  /// suspected, and one crash may bring thousands of messages.
+  base::Duration searchInterval = std::chrono::milliseconds(25);
   /// Time for which a quarantined request is refused. New weights or software may be able to run
   /// it, and a wrong verdict must not last; three crashes an hour are acceptable.
   base::Duration lifetime = std::chrono::hours(1);
@@ -126,9 +129,9 @@
 
   bool empty() const;
   base::Duration lifetimeOf(base::RequestFeature feature) const;
-  /// Records what was running; returns whether more counts against it than before and all nodes
-  /// should know.
-  bool recordCrash(const CrashReport& report, base::RequestFeature feature);
+  /// Records what was running, and whether a response under it had begun; returns whether more
+  /// counts against it than before and all nodes should know.
+  bool recordCrash(const CrashReport& report, base::RequestFeature feature, bool begun);
   /// Sends each home node the part of the report that concerns its requests.
   void sendReport(const CrashReport& report);
   /// Repeats the reports if the membership changed: the evidence of a home node that died is lost,
@@ -141,15 +144,22 @@
   void handle(const RequestServed& served);
   /// Counts the crashes against the request, unless the suspicion is too old.
   void addSuspicion(const RequestSuspected& suspected);
-  /// Announces to all nodes which crashes count against the request.
-  void announce(base::RequestFeature feature);
+  /// Announces to all nodes which crashes count against these. Parts of prompts with the same
+  /// crashes share messages.
+  void announce(const base::RequestFeatures& features);
+  /// Publishes which crashes count against these as gossip records.
+  void publishSuspicions(const base::RequestFeatures& features);
   RequestSuspected currentSuspicion(base::RequestFeature feature) const;
   void publish(const RequestSuspected& suspected);
   void onRecord(const membership::GossipRecord& record);
-  void recordServed(base::RequestFeature feature);
-  void object(base::RequestFeature feature);
-  /// Schedules the decision at the end of the objection period.
-  void scheduleVerdict();
+  /// Objects to the suspicion of those that this node has served.
+  void object(const base::RequestFeatures& features);
+  /// Tells the home nodes that these were served, now and again.
+  void sendServedToHomes(const base::RequestFeatures& features);
+  /// Searches for a culprit, now or once the interval since the last search has passed.
+  void scheduleSearch();
+  /// Schedules the decision at the end of the objection period if there is a culprit.
+  void search();
   void decide();
   void quarantine(const Culprit& culprit);
   void lift(base::RequestFeature feature);
@@ -199,6 +209,11 @@
   /// Membership version at which the reports were last sent.
   std::uint64_t reportedMembersVersion_ = 0;
   base::TimerId verdictTimer_ = 0;
+  base::TimerId searchTimer_ = 0;
+  /// When a culprit was last searched for.
+  std::optional<base::TimePoint> searchedAt_;
+  /// When this node last heard anything that a search has to consider.
+  base::TimePoint evidenceAt_{};
   base::TimerId homeCheckTimer_ = 0;
   base::TimerId comparisonTimer_ = 0;
   /// Lets callbacks detect that this object was destroyed.
--- a/tests/node/message_versions_test.cc
+++ b/tests/node/message_versions_test.cc
@@ -187,6 +187,10 @@
       all, "RequestSuspected of a part",
       quarantine::RequestSuspected{part, {{2}}, milliseconds(500), {milliseconds(70)}, {{2}}});
   addQuarantine(all, "RequestServed with a part", quarantine::RequestServed{part});
+  quarantine::RequestSuspected suspected{part, {{2}}, milliseconds(500), {milliseconds(70)}, {{2}}};
+  suspected.furtherParts = {part};
+  addQuarantine(all, "RequestSuspected of several parts", suspected);
+  addQuarantine(all, "RequestServed with several parts", quarantine::RequestServed{part, {part}});
   addQuarantine(all, "QuarantineEntry of a part",
                 quarantine::QuarantineEntry{part, 3, milliseconds(9), true});
   addMembership(all, "Ping", membership::Ping{1, {2}, {}});
--- a/tests/quarantine/quarantine_messages_test.cc
+++ b/tests/quarantine/quarantine_messages_test.cc
@@ -4,6 +4,8 @@
 #include <boost/test/unit_test.hpp>
 #include <msgpack.hpp>
 
+#include "base/peer_transport.h"
+
 namespace covewing::quarantine {
 
 BOOST_AUTO_TEST_SUITE(QuarantineMessagesTest)
@@ -103,6 +105,26 @@
   BOOST_TEST(!decodeQuarantineMessage(truncated).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(FurtherPartsSurviveEncodingAndFitIntoADatagram) {
+  const base::RequestFeature part{~0ULL, base::FeatureKind::kPromptPart};
+  const base::RequestFeatures further(kMaximumFurtherParts, part);
+  RequestSuspected suspected{part, {}, std::chrono::hours(1'000'000)};
+  for (int crash = 0; crash < 8; ++crash) {
+    suspected.replicas.push_back({~0ULL});
+    suspected.ages.push_back(std::chrono::minutes(10));
+    suspected.begun.push_back({~0ULL});
+  }
+  suspected.furtherParts = further;
+  const auto payload = encode(suspected);
+  BOOST_TEST(payload.size() <= base::PeerTransport::kDatagramLimit);
+  const auto read = std::get<RequestSuspected>(*decodeQuarantineMessage(payload));
+  BOOST_TEST((read.furtherParts == further));
+  BOOST_TEST((read.begun == suspected.begun));
+  const auto served =
+      std::get<RequestServed>(*decodeQuarantineMessage(encode(RequestServed{part, further})));
+  BOOST_TEST((served.furtherParts == further));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::quarantine
--- a/tests/quarantine/request_quarantine_test.cc
+++ b/tests/quarantine/request_quarantine_test.cc
@@ -665,6 +665,69 @@
   BOOST_TEST(fleet.log.count(base::Event::kMessageRejected) == 1U);
 }
 
+// Guards against a crash under prompts of many parts that keeps the event loops of all nodes busy:
+// each part was announced by messages of its own, each of which cost a search among all parts.
+BOOST_AUTO_TEST_CASE(CrashUnderManyPartsTakesFewerMessagesThanParts) {
+  constexpr std::uint64_t kParts = 4000;
+  base::RequestFeatures features;
+  for (std::uint64_t part = 1; part <= kParts; ++part) features.push_back(sessionPart(part));
+  QuarantineFleet fleet(5);
+  for (int crash = 0; crash < 4; ++crash) {
+    const auto before = fleet.messages;
+    fleet.crashBegun(0, features);
+    fleet.time.advance(seconds(4));
+    BOOST_TEST(fleet.messages - before < kParts);
+  }
+  // Nothing tells the parts apart.
+  BOOST_TEST(fleet.refusingNodes(features.front()) == 0U);
+  fleet.crashBegun(0, features);
+  fleet.time.advance(seconds(1));
+  BOOST_TEST(fleet.refusingNodes(features.front()) == 5U);
+}
+
+// Guards against other verdicts where parts share messages than where each has its own, as builds
+// before send them.
+BOOST_AUTO_TEST_CASE(PartsThatShareMessagesGetTheVerdictsOfSeparateOnes) {
+  constexpr std::uint64_t kParts = 12;
+  std::size_t verdicts = 0;
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    base::SeededRandom draw(seed);
+    QuarantineFleet separate(1);
+    QuarantineFleet joined(1);
+    for (std::uint64_t replica = 1; replica <= 12; ++replica) {
+      // The parts of one prompt, of which a replica crashes, and their crashes so far.
+      const auto first = 1 + 4 * draw.below(3);
+      const base::RequestFeatures parts{sessionPart(first), sessionPart(first + 1),
+                                        sessionPart(first + 1 + draw.below(3))};
+      RequestSuspected suspected{parts.front(), {{replica}}};
+      suspected.announcedAt = separate.table.serviceTime();
+      suspected.ages = {milliseconds(draw.below(50))};
+      if (draw.below(4) > 0) suspected.begun = suspected.replicas;
+      suspected.furtherParts = {parts.begin() + 1, parts.end()};
+      RequestServed served{parts.back(), {parts.front()}};
+      const bool answered = draw.below(5) == 0;
+      joined.at(0).onPeerMessage({}, answered ? encode(served) : encode(suspected));
+      served.furtherParts.clear();
+      suspected.furtherParts.clear();
+      const auto named = answered ? base::RequestFeatures{parts.back(), parts.front()} : parts;
+      for (const auto part : named) {
+        served.feature = part;
+        suspected.feature = part;
+        separate.at(0).onPeerMessage({}, answered ? encode(served) : encode(suspected));
+      }
+      const auto wait = milliseconds(draw.below(3) == 0 ? 20 : 700);
+      separate.time.advance(wait);
+      joined.time.advance(wait);
+      for (std::uint64_t part = 1; part <= kParts; ++part) {
+        const auto refused = separate.refusingNodes(sessionPart(part));
+        BOOST_TEST(joined.refusingNodes(sessionPart(part)) == refused);
+        verdicts += refused;
+      }
+    }
+  }
+  BOOST_TEST(verdicts > 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::quarantine
