--- a/src/live/asio_runtime.cc
+++ b/src/live/asio_runtime.cc
@@ -78,6 +78,7 @@
 
   void runDueTimers() {
     const auto now = BootClock::now();
+    if (!queue.empty()) longestDelay = std::max(longestDelay, now - queue.begin()->first.first);
     armedFor.reset();
     while (!closed && !queue.empty() && queue.begin()->first.first <= now) {
       const auto entry = queue.extract(queue.begin());
@@ -108,6 +109,7 @@
   std::map<Key, std::function<void()>> queue;
   std::unordered_map<base::TimerId, DueTime> dueTimes;
   base::TimerId lastId = 0;
+  BootClock::duration longestDelay{};
   bool closed = false;
 };
 
@@ -121,6 +123,11 @@
 
 void AsioTimerService::cancel(base::TimerId timer) { impl_->remove(timer); }
 
+base::Duration AsioTimerService::takeLongestDelay() {
+  return std::chrono::duration_cast<base::Duration>(
+      std::exchange(impl_->longestDelay, BootClock::duration::zero()));
+}
+
 std::uint64_t systemSeed() {
   std::random_device device;
   constexpr unsigned kHalfBits = 32;
--- a/src/live/asio_runtime.h
+++ b/src/live/asio_runtime.h
@@ -35,6 +35,9 @@
 
   base::TimerId schedule(base::Duration delay, std::function<void()> callback) override;
   void cancel(base::TimerId timer) override;
+  /// How late a timer ran at most since the last call: for so long the event loop was busy, or the
+  /// process paused.
+  base::Duration takeLongestDelay();
 
  private:
   struct Impl;
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -434,6 +434,7 @@
     if (const auto confirmed = configuration.confirmedAt())
       snapshot.configurationAge = now - *confirmed;
     snapshot.members = membership.liveMembers().size();
+    snapshot.longestTimerDelay = timers.takeLongestDelay();
     snapshot.openRequests = service.openRequests();
     snapshot.callerConnections = callerServer.openConnections();
     snapshot.maximumCallerConnections = descriptors.callerConnections;
--- a/src/live/relay_metrics.cc
+++ b/src/live/relay_metrics.cc
@@ -30,6 +30,10 @@
     {"covewing_known_cached_parts", "gauge", "",
      "cached parts of prompts that this node knows a holder of"},
     {"covewing_lease_held", "gauge", "", "1 while this node rolls out weights, else 0"},
+    {"covewing_longest_timer_delay_seconds", "gauge", "",
+     "how late a timer ran at most since the metrics were last read: for so long the event loop "
+     "was "
+     "busy with other work, or the process paused"},
     {"covewing_members", "gauge", "", "live members, this node included"},
     {"covewing_open_requests", "gauge", "", "requests in flight, held ones included"},
     {"covewing_pause_seconds", "histogram", "",
@@ -139,6 +143,8 @@
   prometheus::Gauge& quarantinedRequests = families.gauges("covewing_quarantined_requests").Add({});
   prometheus::Gauge& leaseHeld = families.gauges("covewing_lease_held").Add({});
   prometheus::Gauge& members = families.gauges("covewing_members").Add({});
+  prometheus::Gauge& longestTimerDelay =
+      families.gauges("covewing_longest_timer_delay_seconds").Add({});
   prometheus::Gauge& openRequests = families.gauges("covewing_open_requests").Add({});
   prometheus::Histogram& pauses =
       families.histograms("covewing_pause_seconds").Add({}, kSecondsBuckets);
@@ -265,6 +271,7 @@
   set(impl_->storeEra, snapshot.storeEra);
   set(impl_->leaseHeld, snapshot.leaseHeld ? 1 : 0);
   set(impl_->members, snapshot.members);
+  set(impl_->longestTimerDelay, base::toSeconds(snapshot.longestTimerDelay));
   set(impl_->openRequests, snapshot.openRequests);
   set(impl_->ready, snapshot.ready ? 1 : 0);
   set(impl_->replicas.Add({{"state", "available"}}), snapshot.replicasAvailable);
--- a/src/live/relay_metrics.h
+++ b/src/live/relay_metrics.h
@@ -44,6 +44,8 @@
     /// Time since the configuration was last confirmed as current; empty if it never was.
     std::optional<base::Duration> configurationAge;
     std::size_t members = 0;
+    /// How late a timer ran at most since the last snapshot.
+    base::Duration longestTimerDelay{};
     std::size_t openRequests = 0;
     std::size_t callerConnections = 0;
     std::size_t maximumCallerConnections = 0;
--- a/tests/live/asio_runtime_test.cc
+++ b/tests/live/asio_runtime_test.cc
@@ -3,11 +3,13 @@
 #include "live/asio_runtime.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace covewing::live {
@@ -120,6 +122,17 @@
   BOOST_TEST(last.expired());
 }
 
+// Guards against an event loop that is busy for seconds without a figure that tells.
+BOOST_AUTO_TEST_CASE(LongestDelayTellsForHowLongTheLoopWasBusy) {
+  constexpr milliseconds kBusy{60};
+  constexpr milliseconds kDue{5};
+  scheduleNamed(kDue, 'a');
+  boost::asio::post(context, [kBusy] { std::this_thread::sleep_for(kBusy); });
+  run(milliseconds(150));
+  BOOST_TEST((timers->takeLongestDelay() >= kBusy - kDue));
+  BOOST_TEST((timers->takeLongestDelay() == base::Duration::zero()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::live
