Take no answer with a status outside of those of HTTP

What callers saw: an answer whose status was 000 or 099 was passed on as one, without a length, on a connection that is kept; 600 and more too.

Cause: the library takes any three digits, and nothing checked them. It also goes on behind a head that was refused if bytes of the body are there, and forgets the error.

Change: the parser of answers refuses a status outside 100 to 599: the answer is unreadable (502), from replicas directly or by way of another node, and in calls of the node's own.

Evidence: ResponseThatIsNoneOfHttpIsPassedOnAsAFailure failed before for 000.

--- a/src/live/http_parser.h
+++ b/src/live/http_parser.h
@@ -4,7 +4,7 @@
 /// They check what Beast's parser leaves to its users, so that no message can make a handler throw
 /// or be taken for another one than its sender meant: memory is reserved for bytes that have
 /// arrived, never for an announced length; names and values of fields are bounded by what Beast can
-/// store.
+/// store; statuses are checked once, for all readers.
 #pragma once
 
 #include <algorithm>
@@ -24,6 +24,10 @@
 /// and two bytes more, in 16 bits, and throws where that does not suffice.
 inline constexpr std::size_t kMaximumFieldBytes = std::numeric_limits<std::uint16_t>::max() - 2;
 
+/// Lowest and highest status of a response (RFC 9110, section 15).
+inline constexpr unsigned kMinimumStatus = 100;
+inline constexpr unsigned kMaximumStatus = 599;
+
 /// A message's body, as far as it has arrived. Beast's own string body reserves the announced
 /// length.
 struct ReceivedBody {
@@ -63,8 +67,8 @@
 /// Parses one message. Fields of a trailer are checked and dropped: nothing may depend on whether
 /// they arrived together with the head.
 ///
-/// Errors beyond those of Beast: `header_limit` for a field of the head that cannot be stored, and
-/// `bad_value` for one of the trailer.
+/// Errors beyond those of Beast: `header_limit` for a field of the head that cannot be stored,
+/// `bad_value` for one of the trailer, and `bad_status`.
 template <bool isRequest>
 class MessageParser final : public boost::beast::http::parser<isRequest, ReceivedBody> {
  public:
@@ -78,7 +82,10 @@
 
   /// As Beast's `put`: parses some of the bytes and returns how many were used.
   std::size_t putBytes(boost::asio::const_buffer bytes, boost::beast::error_code& error) {
-    return this->put(bytes, error);
+    const auto used = this->put(bytes, error);
+    // Beast goes on behind a head that was refused if more bytes are there.
+    if (headError_) error = headError_;
+    return used;
   }
 
  private:
@@ -96,8 +103,15 @@
   void on_header_impl(boost::beast::error_code& error) override {
     inTrailer_ = true;
     error = {};
+    if constexpr (!isRequest) {
+      const auto status = this->get().result_int();
+      if (status < kMinimumStatus || status > kMaximumStatus)
+        headError_ = boost::beast::http::error::bad_status;
+      error = headError_;
+    }
   }
 
+  boost::beast::error_code headError_;
   /// Fields that follow belong to the trailer.
   bool inTrailer_ = false;
 };
--- a/tests/live/http_parser_test.cc
+++ b/tests/live/http_parser_test.cc
@@ -132,6 +132,22 @@
   }
 }
 
+// Guards against a status that is none of HTTP's being passed on as an answer.
+BOOST_AUTO_TEST_CASE(StatusOutsideOfThoseOfHttpIsAnError) {
+  for (const std::string status : {"000", "001", "099", "600", "999"}) {
+    for (const std::string rest :
+         {"Content-Length: 0\r\n\r\n", "Content-Length: 4\r\n\r\nbody", "\r\nbody",
+          "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"}) {
+      for (const std::size_t piece : {std::size_t{1}, std::size_t{1000}}) {
+        BOOST_TEST((responseError("HTTP/1.1 " + status + " X\r\n" + rest, piece) ==
+                    http::error::bad_status));
+      }
+    }
+  }
+  for (const std::string status : {"100", "200", "299", "404", "500", "599"})
+    BOOST_TEST(!responseError("HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::live
--- a/tests/live/peer_relay_test.cc
+++ b/tests/live/peer_relay_test.cc
@@ -346,6 +346,24 @@
   }
 }
 
+// Guards against an answer that is none of HTTP's, which is passed on by way of another node.
+BOOST_AUTO_TEST_CASE(ResponseThatIsNoneOfHttpIsPassedOnAsAFailure) {
+  const std::string rest = "X-Request-Id: id-1\r\nContent-Length: 4\r\n\r\nbody";
+  for (const auto& text :
+       {"HTTP/1.1 000 X\r\n" + rest, "HTTP/1.1 099 X\r\n" + rest, "HTTP/1.1 600 X\r\n" + rest}) {
+    ScriptedReplica scripted(context, text);
+    auto facts = replicas.find("replica")->facts();
+    facts.endpoint = scripted.endpoint();
+    replicas.onListed(facts);
+    Answer answer;
+    const auto call = send(answer);
+    waitFor(answer);
+    BOOST_TEST(!answer.head.has_value(), text);
+    BOOST_REQUIRE(answer.error.has_value());
+    BOOST_TEST((answer.error->failure == DispatchFailure::kOutcomeUnknown));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::live
