Refuse transfer codings other than chunks, and continued lines

What callers saw: an answer with Transfer-Encoding: gzip lost that field, and its coded bytes were passed on as the body, with a length. A field that went on in the next line came joined to one, also a signature, which then differed from the replica's.

Cause: the library leaves a coding that it does not know to its user, joins continued lines with a blank, and nothing looked behind it.

Change: the one parser of both directions refuses both: 502 in an answer, 400 in a request.

Evidence: TransferCodingOtherThanChunksIsAnError and ContinuedFieldIsAnError fail without the checks; ResponseThatIsNoneOfHttpIsPassedOnAsAFailure covers both by way of another node.

--- a/src/live/http_parser.h
+++ b/src/live/http_parser.h
@@ -4,7 +4,7 @@
 /// They check what Beast's parser leaves to its users, so that no message can make a handler throw
 /// or be taken for another one than its sender meant: memory is reserved for bytes that have
 /// arrived, never for an announced length; names and values of fields are bounded by what Beast can
-/// store; statuses are checked once, for all readers.
+/// store; statuses, transfer codings and continued lines are checked once, for all readers.
 #pragma once
 
 #include <algorithm>
@@ -68,7 +68,8 @@
 /// they arrived together with the head.
 ///
 /// Errors beyond those of Beast: `header_limit` for a field of the head that cannot be stored,
-/// `bad_value` for one of the trailer, and `bad_status`.
+/// `bad_value` for one of the trailer, `bad_status`, `bad_transfer_encoding` for any coding other
+/// than chunks alone, and `bad_obs_fold` for a field that goes on in the next line.
 template <bool isRequest>
 class MessageParser final : public boost::beast::http::parser<isRequest, ReceivedBody> {
  public:
@@ -82,7 +83,9 @@
 
   /// As Beast's `put`: parses some of the bytes and returns how many were used.
   std::size_t putBytes(boost::asio::const_buffer bytes, boost::beast::error_code& error) {
+    input_ = bytes;
     const auto used = this->put(bytes, error);
+    input_ = {};
     // Beast goes on behind a head that was refused if more bytes are there.
     if (headError_) error = headError_;
     return used;
@@ -96,7 +99,16 @@
                          : boost::beast::http::error::header_limit;
       return;
     }
+    if (isContinued(value)) {
+      error = boost::beast::http::error::bad_obs_fold;
+      return;
+    }
     if (inTrailer_) return;
+    if (name == boost::beast::http::field::transfer_encoding &&
+        !boost::beast::iequals(value, "chunked")) {
+      error = boost::beast::http::error::bad_transfer_encoding;
+      return;
+    }
     this->get().insert(name, nameText, value);
   }
 
@@ -111,6 +123,17 @@
     }
   }
 
+  /// Whether the value was continued in a further line (obs-fold in RFC 9112): Beast joins the
+  /// lines in memory of its own, while other values point into the input.
+  bool isContinued(boost::beast::string_view value) const {
+    if (value.empty()) return false;
+    const auto* begin = static_cast<const char*>(input_.data());
+    const std::less<const char*> before;
+    return before(value.data(), begin) || !before(value.data(), begin + input_.size());
+  }
+
+  /// The bytes that are being parsed.
+  boost::asio::const_buffer input_;
   boost::beast::error_code headError_;
   /// Fields that follow belong to the trailer.
   bool inTrailer_ = false;
--- a/tests/live/http_parser_test.cc
+++ b/tests/live/http_parser_test.cc
@@ -148,6 +148,53 @@
     BOOST_TEST(!responseError("HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n"));
 }
 
+// Guards against a body whose transfer coding is dropped, so that the coded bytes are passed on as
+// if they were the body.
+BOOST_AUTO_TEST_CASE(TransferCodingOtherThanChunksIsAnError) {
+  for (const std::string coding : {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked",
+                                   "identity", "x", "", "chunked;q=1", "\"chunked\""}) {
+    const auto fields = "Transfer-Encoding: " + coding + "\r\n\r\n3\r\nran\r\n0\r\n\r\n";
+    BOOST_TEST_CONTEXT(coding) {
+      BOOST_TEST(
+          (responseError("HTTP/1.1 200 OK\r\n" + fields) == http::error::bad_transfer_encoding));
+      BOOST_TEST((requestError("POST / HTTP/1.1\r\nHost: x\r\n" + fields) ==
+                  http::error::bad_transfer_encoding));
+    }
+  }
+  for (const std::string coding : {"chunked", "Chunked", "CHUNKED", " chunked "})
+    BOOST_TEST(!responseError("HTTP/1.1 200 OK\r\nTransfer-Encoding:" + coding +
+                              "\r\n\r\n3\r\nran\r\n0\r\n\r\n"));
+}
+
+// Guards against a field that differs from the one that was sent, because a line that begins with a
+// blank was joined to it.
+BOOST_AUTO_TEST_CASE(ContinuedFieldIsAnError) {
+  const std::string fields = "X-Signature: one\r\n two\r\nContent-Length: 0\r\n\r\n";
+  for (const std::size_t piece : {std::size_t{1}, std::size_t{1000}}) {
+    BOOST_TEST((responseError("HTTP/1.1 200 OK\r\n" + fields, piece) == http::error::bad_obs_fold));
+    BOOST_TEST((requestError("GET / HTTP/1.1\r\nHost: x\r\n" + fields, piece) ==
+                http::error::bad_obs_fold));
+  }
+  BOOST_TEST(responseError("HTTP/1.1 200 OK\r\n X: y\r\nContent-Length: 0\r\n\r\n").failed());
+}
+
+// Guards against names and lines that are no field, and framing that can be read in two ways.
+BOOST_AUTO_TEST_CASE(HeadThatIsNoHeadIsAnError) {
+  for (const std::string_view field :
+       {"X Y: 1", "X\tY: 1", "X : 1", "X\x01: 1", "X\x7f: 1", "X\xc3\xa9: 1", "X(Y: 1", "no colon",
+        ": empty", "X: a\x01z", "X: a\rz", "Content-Length: +3",
+        "Content-Length: 1\r\nContent-Length: 2", "Content-Length: 3\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 3"}) {
+    BOOST_TEST_CONTEXT(field) {
+      BOOST_TEST(
+          responseError("HTTP/1.1 200 OK\r\n" + std::string{field} + "\r\n\r\nran").failed());
+    }
+  }
+  const std::string nul("X\0Y: 1", 6);
+  BOOST_TEST(responseError("HTTP/1.1 200 OK\r\n" + nul + "\r\n\r\n").failed());
+  BOOST_TEST(responseError("HTTP/2.0 200 OK\r\n\r\n").failed());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::live
--- a/tests/live/peer_relay_test.cc
+++ b/tests/live/peer_relay_test.cc
@@ -346,11 +346,15 @@
   }
 }
 
-// Guards against an answer that is none of HTTP's, which is passed on by way of another node.
+// Guards against an answer that is none of HTTP's, or whose body is coded, and that is passed on by
+// way of another node.
 BOOST_AUTO_TEST_CASE(ResponseThatIsNoneOfHttpIsPassedOnAsAFailure) {
   const std::string rest = "X-Request-Id: id-1\r\nContent-Length: 4\r\n\r\nbody";
+  const std::string coded = "X-Request-Id: id-1\r\nTransfer-Encoding: gzip\r\n\r\ncoded";
+  const std::string continued = "X-Request-Id: id-1\r\nX-Signature: one\r\n two\r\n" + rest;
   for (const auto& text :
-       {"HTTP/1.1 000 X\r\n" + rest, "HTTP/1.1 099 X\r\n" + rest, "HTTP/1.1 600 X\r\n" + rest}) {
+       {"HTTP/1.1 000 X\r\n" + rest, "HTTP/1.1 099 X\r\n" + rest, "HTTP/1.1 600 X\r\n" + rest,
+        "HTTP/1.1 200 OK\r\n" + coded, "HTTP/1.1 200 OK\r\n" + continued}) {
     ScriptedReplica scripted(context, text);
     auto facts = replicas.find("replica")->facts();
     facts.endpoint = scripted.endpoint();
