Let no node that missed a software version prove that there was none

What callers may see: where no home of a stream has a record, a stream that began at a version which came and went went on at the one that is left, because one node that had not seen that version (it stood still, or was cut off) claimed to know the list for longer than those that had.

Cause: the longest claim counted, also against a node that had seen the version go; the removal of an entry that was never read, and a list that was read anew, left the claim as it was; a node that had lost all others counted as the only one.

Change: what a node saw go limits the claims of all; unread removals count as such; a list read anew is known from then on; only a node that knows of no lost members is alone.

Evidence: by reading, with a test for each way; the first test gives v1 in place of unknown on the code before.

--- a/src/node/replica_list.cc
+++ b/src/node/replica_list.cc
@@ -19,7 +19,8 @@
 
 }  // namespace
 
-void ReplicaList::onRow(const clients::FeedRow& row, config::RowSource /*source*/) {
+void ReplicaList::onRow(const clients::FeedRow& row, config::RowSource source) {
+  if (source == config::RowSource::kCopy) readAnew_ = true;
   missingRows_.erase(row.key);
   putAside_.erase(row.key);
   base::Reason reason;
@@ -157,7 +158,11 @@
   endedInstances_.erase(key);
   putAside_.erase(key);
   const auto listed = instances_.extract(key);
-  if (!listed.empty()) forgetInstance(listed.mapped());
+  if (listed.empty()) {
+    versions_.onUnseenRemoved(clock_.now());
+  } else {
+    forgetInstance(listed.mapped());
+  }
 }
 
 void ReplicaList::recordEnded(const std::string& key, const std::string& instance) {
@@ -188,6 +193,7 @@
 
 void ReplicaList::onCurrent() {
   loaded_ = true;
+  if (std::exchange(readAnew_, false)) versions_.onReadAnew(clock_.now());
   versions_.onCurrent(clock_.now());
   outageLog_.onCurrent();
   if (mayBeRewritten()) return;
--- a/src/node/replica_list.h
+++ b/src/node/replica_list.h
@@ -116,6 +116,8 @@
   std::map<std::string, base::Revision> missingRows_;
   /// Whether an entry with a start time has been read.
   bool startTimesReported_ = false;
+  /// Rows of a copy of the whole table were read since the list was last confirmed.
+  bool readAnew_ = false;
   bool loaded_ = false;
   FeedOutageLog outageLog_{log_, "replica list feed"};
 };
--- a/src/routing/software_versions.cc
+++ b/src/routing/software_versions.cc
@@ -59,13 +59,18 @@
                                                          base::TimePoint now) const {
   const auto versions = listed(service, now);
   if (versions.size() != 1) return std::nullopt;
-  auto since = *completeSince_;
+  auto replacedAt = unseenRemovedAt_;
   const auto removed = removedAt_.find(service);
   if (removed != removedAt_.end()) {
     for (const auto& [version, removedAt] : removed->second)
-      if (version != versions.front()) since = std::max(since, removedAt);
+      if (version != versions.front()) replacedAt = std::max(replacedAt, std::optional{removedAt});
   }
-  return SoleVersion{versions.front(), now - since};
+  SoleVersion sole{versions.front(), now - *completeSince_};
+  if (replacedAt) {
+    sole.replacedAgo = now - *replacedAt;
+    sole.since = std::min(sole.since, *sole.replacedAgo);
+  }
+  return sole;
 }
 
 }  // namespace covewing::routing
--- a/src/routing/software_versions.h
+++ b/src/routing/software_versions.h
@@ -22,6 +22,10 @@
 
   /// The replica is not listed any more.
   void onRemoved(const Replica& replica, base::TimePoint now);
+  /// A replica was removed that this node has never read, so its service and version are unknown.
+  void onUnseenRemoved(base::TimePoint now) { unseenRemovedAt_ = now; }
+  /// The list was read anew: what came and went since it was last confirmed is not known.
+  void onReadAnew(base::TimePoint now) { completeSince_ = now; }
   /// The list of replicas was confirmed to be complete.
   void onCurrent(base::TimePoint now);
 
@@ -41,7 +45,9 @@
   const ReplicaDirectory& replicas_;
   /// When a replica of a version was last removed, by service and version.
   std::map<std::string, std::map<std::string, base::TimePoint>, std::less<>> removedAt_;
-  /// When the list was first and last known to be complete; empty before that.
+  std::optional<base::TimePoint> unseenRemovedAt_;
+  /// Since when all changes of the list are known, and when it was last confirmed to be complete;
+  /// empty before that.
   std::optional<base::TimePoint> completeSince_;
   base::TimePoint confirmedAt_{};
 };
--- a/src/routing/stream_origin_messages.cc
+++ b/src/routing/stream_origin_messages.cc
@@ -53,10 +53,12 @@
 void write(base::Writer& writer, const StreamReply& reply) {
   const auto origin = reply.origin.value_or(StreamOrigin{});
   const auto sole = reply.sole.value_or(SoleVersion{});
-  writer.array(kReplyFields).unsignedInteger(static_cast<std::uint64_t>(MessageType::kReply));
+  writer.array(kReplyFields + (sole.replacedAgo ? 1 : 0))
+      .unsignedInteger(static_cast<std::uint64_t>(MessageType::kReply));
   writer.unsignedInteger(reply.nonce);
   writer.text(origin.service).text(origin.softwareVersion).unsignedInteger(origin.dispatch);
   writer.text(sole.softwareVersion).unsignedInteger(milliseconds(sole.since));
+  if (sole.replacedAgo) writer.unsignedInteger(milliseconds(*sole.replacedAgo));
 }
 
 StreamReport readReport(base::Reader& reader) {
@@ -83,6 +85,7 @@
   SoleVersion sole;
   sole.softwareVersion = reader.text();
   sole.since = readDuration(reader);
+  if (reader.nextIsUnsignedInteger()) sole.replacedAgo = readDuration(reader);
   if (!sole.softwareVersion.empty()) reply.sole = std::move(sole);
   return reply;
 }
--- a/src/routing/stream_origin_messages.h
+++ b/src/routing/stream_origin_messages.h
@@ -50,6 +50,9 @@
 struct SoleVersion {
   std::string softwareVersion;
   base::Duration since{};
+  /// How long ago a replica of another version, or of one that was never read, was last listed;
+  /// empty if none was, as far as the node has seen. Nodes of earlier builds do not tell.
+  std::optional<base::Duration> replacedAgo{};
 };
 
 struct StreamReply {
--- a/src/routing/stream_origins.cc
+++ b/src/routing/stream_origins.cc
@@ -155,11 +155,22 @@
     // A home that knows several versions, or another one, is right: this list may be late.
     if (!other || other->softwareVersion != agreed->softwareVersion) return std::nullopt;
     agreed->since = std::max(agreed->since, other->since);
+    if (!agreed->replacedAgo) agreed->replacedAgo = other->replacedAgo;
+    if (other->replacedAgo)
+      agreed->replacedAgo = std::min(*agreed->replacedAgo, *other->replacedAgo);
   }
-  // Of other nodes, at least one has to confirm the list, unless there is none.
-  const bool confirmed =
-      !search.soleVersions.empty() || environment_.members.liveMembers().size() <= 1;
-  return confirmed ? agreed : std::nullopt;
+  // Whoever has not seen the other version, because it had just started or stood still, may claim
+  // to know for longer than whoever has seen it go.
+  if (agreed->replacedAgo) agreed->since = std::min(agreed->since, *agreed->replacedAgo);
+  return confirmedByOthers(search) ? agreed : std::nullopt;
+}
+
+bool StreamOrigins::confirmedByOthers(const Search& search) const {
+  if (!search.soleVersions.empty()) return true;
+  // A node that has lost all others may be cut off from them, and they may have sent the stream to
+  // replicas that this node has not read.
+  const auto& members = environment_.members;
+  return members.liveMembers().size() <= 1 && members.lostMembers() == 0;
 }
 
 void StreamOrigins::concludeWithoutRecord(const Search& search) const {
--- a/src/routing/stream_origins.h
+++ b/src/routing/stream_origins.h
@@ -143,6 +143,8 @@
   void conclude(std::uint64_t nonce);
   /// The only version of the service now, by the lists of this node and the homes.
   std::optional<SoleVersion> agreedVersion(const Search& search) const;
+  /// Whether a home has confirmed this node's list, or there is no other node.
+  bool confirmedByOthers(const Search& search) const;
   /// Ends a search for which no live node has a record: by a stored one, or if all replicas that
   /// may have begun the stream had one version.
   void concludeWithoutRecord(const Search& search) const;
--- a/tests/node/message_versions_test.cc
+++ b/tests/node/message_versions_test.cc
@@ -145,6 +145,9 @@
   addStreamOrigin(all, "StreamReply",
                   routing::StreamReply{7, routing::StreamOrigin{"llm", "v1.2", 2},
                                        routing::SoleVersion{"v1", milliseconds(900)}});
+  addStreamOrigin(all, "StreamReply of a node that saw another version go",
+                  routing::StreamReply{
+                      7, {}, routing::SoleVersion{"v1", milliseconds(900), milliseconds(300)}});
   routing::PlacementQuery query;
   query.id = 3;
   query.model = "m";
--- a/tests/node/replica_list_test.cc
+++ b/tests/node/replica_list_test.cc
@@ -308,6 +308,24 @@
   BOOST_TEST((directory.find("r@1") == nullptr));
 }
 
+// Guards against a list that is taken for the whole history of a service's versions although a
+// replica came and went while this node stood still, or the history of the table was lost.
+BOOST_AUTO_TEST_CASE(ReplicaThatWasNeverReadMayHaveHadAnotherVersion) {
+  const auto knownFor = [this] { return versions.soleVersion("llm", time.now())->since; };
+  list.onRow({"r", "r@1/v1", ++revision}, config::RowSource::kCopy);
+  list.onCurrent();
+  time.advance(std::chrono::minutes(5));
+  list.onCurrent();
+  BOOST_TEST((knownFor() == std::chrono::minutes(5)));
+  remove("unseen");
+  list.onCurrent();
+  BOOST_TEST((knownFor() == base::Duration::zero()));
+  time.advance(std::chrono::minutes(5));
+  list.onRow({"r", "r@1/v1", ++revision}, config::RowSource::kCopy);
+  list.onCurrent();
+  BOOST_TEST((knownFor() == base::Duration::zero()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::node
--- a/tests/routing/stream_origins_test.cc
+++ b/tests/routing/stream_origins_test.cc
@@ -203,6 +203,40 @@
   BOOST_TEST(find(0, "a") == "v1");
 }
 
+// Guards against a stream that goes on at another version because one node has not seen the version
+// that began it come and go, and believes to know the list for longer than those that have.
+BOOST_AUTO_TEST_CASE(NodeThatHasMissedAVersionDoesNotProveThatThereWasNone) {
+  list({"v1"});
+  pass(seconds(20));
+  for (auto& [number, node] : nodes) {
+    if (number == 0) continue;
+    node->listed.add("v2");
+    node->listed.remove("v2", time.now());
+  }
+  pass(seconds(1));
+  // Asked by those that have seen it, and by the one that has not.
+  for (int number = 0; number < kStreams; ++number) {
+    BOOST_TEST(find(0, requestNumber(number)) == "unknown");
+    BOOST_TEST(find(1, requestNumber(number)) == "unknown");
+  }
+  pass(kAge);
+  BOOST_TEST(find(0, "a") == "v1");
+}
+
+// Guards against the same at a node that is cut off from all others for so long that it takes them
+// for dead: nobody confirms its list.
+BOOST_AUTO_TEST_CASE(NodeThatHasLostAllOthersDoesNotRelyOnItsListAlone) {
+  list({"v1"});
+  pass(seconds(20));
+  auto& members = nodes.at(0)->members;
+  members.set({all[0]});
+  BOOST_TEST(find(0, "a") == "v1");
+  members.lost = kNodes - 1;
+  BOOST_TEST(find(0, "a") == "unknown");
+  recorded = "v1";
+  BOOST_TEST(find(0, "a") == "unknown");
+}
+
 // All lists are new, so that none shows what was there when the stream was begun.
 BOOST_AUTO_TEST_CASE(StreamIsUnknownAfterTheStartOfAllNodes) {
   list({"v1"});
