Bound what all gathered answers of a client take together

What callers may see: replicas that send bytes without end, several at once, take more memory than a machine has, and the requests of all callers there end with the node.

Evidence: FetchesThatGatherTooMuchTogetherFailFromTheLargestOn, which sets the new limit, so that it cannot be built before. Not played with real processes.

--- a/src/live/http_client.cc
+++ b/src/live/http_client.cc
@@ -40,19 +40,44 @@
   std::uint64_t number_;
 };
 
+/// The bytes that all fetches of a client have gathered.
+class GatheredBytes {
+ public:
+  /// `exceeded` is called whenever the sum has grown beyond `maximum`.
+  GatheredBytes(std::size_t maximum, std::function<void()> exceeded)
+      : maximum_(maximum), exceeded_(std::move(exceeded)) {}
+
+  void add(std::size_t bytes) {
+    sum_ += bytes;
+    if (exceeds()) exceeded_();
+  }
+  void remove(std::size_t bytes) { sum_ -= bytes; }
+  bool exceeds() const { return sum_ > maximum_; }
+
+ private:
+  std::size_t maximum_;
+  std::size_t sum_ = 0;
+  std::function<void()> exceeded_;
+};
+
 /// Buffers one whole response for `HttpClient::fetch`.
 class BufferedCall final : public HttpCallHandler {
  public:
   using Finished = std::function<void(HttpResult)>;
 
-  BufferedCall(boost::asio::io_context& context, std::size_t bodyLimit, Finished finished)
+  BufferedCall(boost::asio::io_context& context, std::size_t bodyLimit, GatheredBytes& gathered,
+               Finished finished)
       : deadline_(context.get_executor(),
                   [this] {
                     call_.reset();
                     fail("no answer in time");
                   }),
         bodyLimit_(bodyLimit),
+        gathered_(gathered),
         finished_(std::move(finished)) {}
+  ~BufferedCall() override { gathered_.remove(counted_); }
+  BufferedCall(const BufferedCall&) = delete;
+  BufferedCall& operator=(const BufferedCall&) = delete;
 
   void begin(std::unique_ptr<HttpCall> call, base::Duration timeout) {
     call_ = std::move(call);
@@ -71,16 +96,21 @@
       exceedLimit();
     } else {
       response_.body += bytes;
+      counted_ += bytes.size();
+      gathered_.add(bytes.size());
     }
   }
   void onComplete() override { finished_(std::move(response_)); }
   void onFailure(clients::DispatchError error) override { finished_(std::move(error)); }
 
- private:
+  std::size_t gatheredBytes() const { return counted_; }
+  /// Ends the call because its body, or all of them together, are too large.
   void exceedLimit() {
     call_.reset();
     fail("the answer exceeds its limit");
   }
+
+ private:
   void fail(std::string detail) {
     onFailure({clients::DispatchFailure::kOutcomeUnknown,
                {base::ResultCode::kBackEndLost, std::move(detail)}});
@@ -88,6 +118,9 @@
 
   LazyDeadline deadline_;
   std::size_t bodyLimit_;
+  GatheredBytes& gathered_;
+  /// Bytes of this call among those gathered.
+  std::size_t counted_ = 0;
   Finished finished_;
   std::unique_ptr<HttpCall> call_;
   HttpResponse response_;
@@ -99,7 +132,9 @@
   using Connections = std::vector<std::shared_ptr<ClientConnection>>;
 
   Core(boost::asio::io_context& ioContext, HttpClientLimits clientLimits)
-      : context(ioContext), bounds(clientLimits) {}
+      : context(ioContext),
+        bounds(clientLimits),
+        gathered(clientLimits.gatheredBytes, [this] { endLargestFetchSoon(); }) {}
 
   const HttpClientLimits& limits() const override { return bounds; }
 
@@ -152,6 +187,19 @@
     return connection;
   }
 
+  /// Posted, since the callback of another fetch must not run within that of the one that grew.
+  void endLargestFetchSoon() {
+    boost::asio::post(context, [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (self && self->gathered.exceeds()) self->endLargestFetch();
+    });
+  }
+  void endLargestFetch() {
+    const auto largest = std::ranges::max_element(
+        fetches, {}, [](const auto& fetch) { return fetch.second->gatheredBytes(); });
+    if (largest != fetches.end()) largest->second->exceedLimit();
+  }
+
   void closeIdle() {
     const auto connections = std::exchange(idle, {});
     for (const auto& [server, kept] : connections) {
@@ -162,6 +210,8 @@
   boost::asio::io_context& context;
   HttpClientLimits bounds;
   std::map<base::Endpoint, Connections, EndpointOrder> idle;
+  /// Outlives the fetches, which take their bytes off it.
+  GatheredBytes gathered;
   /// The fetches in flight, by number.
   std::unordered_map<std::uint64_t, std::unique_ptr<BufferedCall>> fetches;
   std::uint64_t lastFetch = 0;
@@ -217,7 +267,8 @@
                         [failure = std::current_exception()] { std::rethrow_exception(failure); });
     }
   };
-  auto call = std::make_unique<BufferedCall>(core_->context, core_->bounds.bodyBytes, finished);
+  auto call = std::make_unique<BufferedCall>(core_->context, core_->bounds.bodyBytes,
+                                             core_->gathered, finished);
   auto& buffered = *call;
   core_->fetches.emplace(number, std::move(call));
   buffered.begin(start(server, request, base::Duration::zero(), buffered), timeout);
--- a/src/live/http_client.h
+++ b/src/live/http_client.h
@@ -60,6 +60,9 @@
   std::optional<std::uint32_t> sourceAddress{};
   /// Maximum size of a response body accepted by `fetch`.
   std::size_t bodyBytes = 64U << 20U;
+  /// Maximum size of the bodies that all calls of `fetch` have gathered together. Beyond it the
+  /// call with the largest body fails: faulty servers may send without end, several at once.
+  std::size_t gatheredBytes = 96U << 20U;
 };
 
 /// Receives the response of one call. No callback follows onComplete or onFailure. Callbacks are
--- a/src/live/http_parser.h
+++ b/src/live/http_parser.h
@@ -35,7 +35,7 @@
 
   static std::uint64_t size(const value_type& body) { return body.size(); }
 
-  class reader {
+  class reader {  // NOLINT(readability-identifier-naming): name set by Beast
    public:
     template <bool isRequest, class Fields>
     reader(boost::beast::http::header<isRequest, Fields>& /*head*/, value_type& body)
--- a/tests/live/http_client_test.cc
+++ b/tests/live/http_client_test.cc
@@ -667,6 +667,37 @@
   BOOST_TEST(fixture.client.idleConnections() == 0U);
 }
 
+// Guards against servers that send without end, several at once: each stays inside the limit of one
+// call, and together they take all memory.
+BOOST_AUTO_TEST_CASE(FetchesThatGatherTooMuchTogetherFailFromTheLargestOn) {
+  constexpr std::size_t kPart = 200U << 10U;
+  constexpr std::size_t kLargest = 600U << 10U;
+  constexpr std::size_t kTogether = 1U << 20U;
+  constexpr std::size_t kServers = 4;
+  Fixture fixture;
+  HttpClientLimits limits;
+  limits.gatheredBytes = kTogether;
+  HttpClient client(fixture.context, limits);
+  std::deque<ScriptedServer> servers;
+  std::deque<std::optional<HttpResult>> results;
+  for (std::size_t number = 0; number < kServers; ++number) {
+    auto& server = servers.emplace_back(fixture.context);
+    auto& result = results.emplace_back();
+    client.fetch(server.endpoint(), {"GET", "/", {}, {}}, kMaximumTestWait,
+                 [&result](HttpResult answer) { result = std::move(answer); });
+    runUntil(fixture.context, [&server] { return server.requests() == 1; });
+    server.respond("HTTP/1.1 200 OK\r\nContent-Length: 2097152\r\n\r\n");
+    const auto bytes = number + 1 < kServers ? kPart : kLargest;
+    server.flood(std::string(bytes, 'x'), bytes);
+    fixture.waitFor(std::chrono::milliseconds(50));
+  }
+  const auto failed = [&](std::size_t number) {
+    return results[number] && std::holds_alternative<clients::DispatchError>(*results[number]);
+  };
+  runUntil(fixture.context, [&] { return failed(kServers - 1); });
+  for (std::size_t number = 0; number + 1 < kServers; ++number) BOOST_TEST(!failed(number));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace covewing::live
