Soak: spoiled answers, and requests that are sent ahead

No node may end, each caller gets whole answers in order or refusals, and nothing runs whose connection ends without an answer.

--- a/tests/scripts/relay_soak.sh
+++ b/tests/scripts/relay_soak.sh
@@ -78,6 +78,8 @@
 run_seed 23 2 12 --second-runs --second-run-shape still --nodes 3 --replicas 4 --model-replicas 6 --callers 16
 # Addresses of replicas that have ended pass to others within 2 s, while the table service is in trouble.
 run_seed 24 1 12 --address-reuse --nodes 3 --replicas 4 --model-replicas 6 --callers 8
+# Replicas that spoil a tenth of their answers, and callers that send several requests at once.
+run_seed 25 1 12 --spoiled --nodes 3 --replicas 4 --model-replicas 4 --callers 16
 await_all || failed=1
 
 # All replicas limited, and nothing else wrong: each is used to its limit, also where all prompts share one part.
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,6 +7,7 @@
 from checks import Sent
 from model_replicas import MODEL, MODEL_SERVICE, stream_events
 from replicas import SERVICE, application_answer
+from spoiled import send_ahead
 from wire import now, read_message
 
 HOST = "soak.example"
@@ -151,6 +152,18 @@
         """The connection of the request has failed, or nothing more came on it; it is still at hand."""
 
 
+class AheadCaller(Caller):
+    """Sends several requests at once, before their answers, on a connection that it keeps."""
+
+    key = KEY
+
+    def __init__(self, soak, number):
+        super().__init__(soak, f"a{number}")
+
+    async def send_next(self):
+        await send_ahead(self, lambda kind, identifier, body: request_bytes(kind.name, identifier, body))
+
+
 class PatientCaller(Caller):
     """Comes back when it is told to, as long as that leaves it time; counts what becomes of what it
     wants, over all its requests for it."""
--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -50,6 +50,8 @@
 - with --surplus: replicas turn requests away and send answers twice, and all of the above holds;
 - a request of a model is begun by a second replica only where the one before has ended its run by then or soon
   (second_run_rules.SecondRunRule);
+- with --spoiled: replicas spoil a tenth of their answers, callers send several requests at once, and all of the above
+  holds; what callers get is a whole answer or a refusal (spoiled.SHAPES);
 - with --second-runs: replicas stand still and notice late that their callers have gone, answer what they ran as though
   they had not, and lose answers of routes whose kind changes, and all of the above holds; no request runs again behind
   a configuration that forbids it (second_run_rules.TurningRule);
@@ -81,7 +83,7 @@
 
 from address_reuse import KeptCacheStore, reuse_addresses
 from answers import take_versions
-from callers import KEY, KINDS, RESUMABLE, SAFE, STREAM, Caller, KeyCaller, PatientCaller
+from callers import KEY, KINDS, RESUMABLE, SAFE, STREAM, AheadCaller, Caller, KeyCaller, PatientCaller
 from checks import (AnswerRule, BrittleRule, ConfigurationRule, CrowdRule, CutRule, DepartureRule, LimitRule, NoticeRule, Outcome, PartRule, RepeatRule, Sent, StreamRule, Trouble, VersionRule,
                     calm_since, CALM_AFTER)
 from crashing_parts import PART_SHAPES, count_sound, crash_by_part_amid_series, crash_by_parts
@@ -99,6 +101,7 @@
 from second_run_rules import SecondRunRule, TurningRule
 from second_runs import SHAPES as SECOND_RUN_SHAPES
 from second_runs import run_second_times
+from spoiled import STATUSES as STATUSES_AMID_SPOILED
 from stops import stop_in_series
 from streams import break_and_take_up
 from table_service import Store
@@ -278,6 +281,8 @@
 
     def on_answer(self, identifier, kind, body, answer):
         self.counts[answer.status] += 1
+        if self.options.spoiled and answer.status not in STATUSES_AMID_SPOILED:
+            self.violate(f"{identifier} got an answer with the status {answer.status}", "spoiled")
         if answer.status != 200:
             self.unserved[identifier] = (f"{kind.name} {answer.status}", self.sent[identifier].at, now())
         for run in self.leaving_told.pop(identifier, ()):
@@ -406,6 +411,12 @@
             self.violate(f"{identifier} was broken off by the planned stop of node-{node.index}, {after:.3f} s "
                          f"behind its request, which ran {self.runs[identifier]} times", "stop")
 
+    def count_ahead_broken(self, requests):
+        """Connections on which several requests were sent have ended before their answers: no fault is played."""
+        for _, identifier, _ in requests:
+            if self.runs[identifier]:
+                self.violate(f"{identifier} ran, and its connection ended without an answer", "lost")
+
     def check_stops(self):
         """A node that has stopped as planned says that nothing was open. (Former builds counted otherwise.)"""
         if self.options.from_program is not None:
@@ -643,6 +654,11 @@
         if self.options.surplus:
             await asyncio.sleep(self.options.seconds)
             return
+        if self.options.spoiled:
+            for number in range(self.options.callers):
+                self.spawn(AheadCaller(self, number).run())
+            await asyncio.sleep(self.options.seconds)
+            return
         if self.options.crashing_parts:
             await crash_by_parts(self, self.options.parts, self.options.part_shape)
             return
@@ -777,6 +793,8 @@
                         help="one sequence: planned stops that overlap, amid further signals, of busy nodes")
     parser.add_argument("--surplus", action="store_true",
                         help="one sequence: replicas turn requests away, and send answers twice, at once or late")
+    parser.add_argument("--spoiled", action="store_true",
+                        help="one sequence: replicas spoil answers, and callers send several requests at once")
     parser.add_argument("--second-runs", action="store_true",
                         help="one sequence in place of the series (second_runs.run_second_times)")
     parser.add_argument("--second-run-shape", choices=SECOND_RUN_SHAPES, help="of the runs; all without it")
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -7,6 +7,7 @@
 
 from notices import NoticeGiver, Notices
 from run_manners import bare_answer, draws_bare, loses_answer
+from spoiled import spoiled_answer
 from surplus import REST, TURNED_AWAY_SHARE, SurplusAnswers
 from wire import Listener, http_answer, now
 
@@ -68,7 +69,7 @@
         await self.soak.store.put("servers", self.instance,
                                   None if state is None else json.dumps(entry).encode())
 
-    async def handle(self, message, _peer):
+    async def handle(self, message, peer):
         identifier = message.headers.get("x-covewing-request-id", "")
         expected = message.headers.get("x-covewing-expected-instance", self.instance)
         self.soak.repeats[SERVICE].on_arrival(identifier, now())
@@ -105,6 +106,12 @@
                 return None
             if draws_bare(self.soak, self.draw_end, identifier):
                 return bare_answer(self.draw_end, self.head_of_answer(identifier))
+        if self.soak.options.spoiled:
+            spoiled = spoiled_answer(self.draw_end, self.head_of_answer(identifier))
+            if spoiled is not None:
+                self.soak.counts["spoiled answers"] += 1
+                peer.writer.write(spoiled)
+                return None
         return http_answer(200, application_answer(identifier, body), self.head_of_answer(identifier) +
                            [("X-Covewing-Server-Signature", self.instance)])
 
