Read a last chunk in whatever pieces it comes

What callers would see: "0\r\n" of an empty body in chunks, and then one byte alone, ended the node by an assertion of the library, with the requests of all its callers; from callers and from replicas.

Cause: the library asserts that five bytes are there once it has seen that a chunk is the last one; bytes that come one by one break that.

Change: where a part of the line before a chunk is left, the parser is given less than five bytes, the shortest rest of a message, no more.

--- a/src/live/http_parser.h
+++ b/src/live/http_parser.h
@@ -83,9 +83,15 @@
 
   /// As Beast's `put`: parses some of the bytes and returns how many were used.
   std::size_t putBytes(boost::asio::const_buffer bytes, boost::beast::error_code& error) {
+    if (awaitsChunk_ && bytes.size() < kMinimumChunkBytes) {
+      error = boost::beast::http::error::need_more;
+      return 0;
+    }
     input_ = bytes;
     const auto used = this->put(bytes, error);
     input_ = {};
+    awaitsChunk_ = this->is_header_done() && used < bytes.size() &&
+                   error == boost::beast::http::error::need_more;
     // Beast goes on behind a head that was refused if more bytes are there.
     if (headError_) error = headError_;
     return used;
@@ -132,9 +138,16 @@
     return before(value.data(), begin) || !before(value.data(), begin + input_.size());
   }
 
+  /// Length of the shortest rest of a message in chunks: "0", and two ends of lines.
+  static constexpr std::size_t kMinimumChunkBytes = 5;
+
   /// The bytes that are being parsed.
   boost::asio::const_buffer input_;
   boost::beast::error_code headError_;
+  /// A part of the line before a chunk is left. Beast ends the process by an assertion if it is
+  /// given less than the shortest rest of a message once it has seen that the chunk is the last
+  /// one.
+  bool awaitsChunk_ = false;
   /// Fields that follow belong to the trailer.
   bool inTrailer_ = false;
 };
--- a/tests/live/http_parser_test.cc
+++ b/tests/live/http_parser_test.cc
@@ -115,6 +115,30 @@
   BOOST_TEST(reason.is_done());
 }
 
+// Guards against an assertion of the library, which would end the process, where the last chunk
+// comes in pieces or is given to the parser again without more bytes.
+BOOST_AUTO_TEST_CASE(LastChunkIsParsedInWhateverPiecesItComes) {
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string body :
+       {"0\r\n\r\n", "1\r\nx\r\n0\r\n\r\n", "0\r\nX: 1\r\n\r\n", "0;x=y\r\n\r\n"}) {
+    const auto text = head + body;
+    for (std::size_t cut = head.size(); cut < text.size(); ++cut) {
+      ResponseParser parser(kRaisedHeaderBytes, kUnbounded);
+      std::size_t parsed = 0;
+      for (const auto end : {cut, cut, cut + 1, cut + 1, text.size()}) {
+        boost::beast::error_code error;
+        std::size_t used = 1;
+        while (used > 0 && parsed < end && !parser.is_done()) {
+          used = parser.putBytes(boost::asio::buffer(text.data() + parsed, end - parsed), error);
+          parsed += used;
+        }
+        BOOST_TEST((!error || error == http::error::need_more));
+      }
+      BOOST_TEST(parser.is_done());
+    }
+  }
+}
+
 // Guards against fields of a trailer that are taken for fields of the head, by which a response or
 // request would mean something else if it arrives in one piece.
 BOOST_AUTO_TEST_CASE(TrailerIsNoPartOfTheHead) {
--- a/tests/live/http_server_test.cc
+++ b/tests/live/http_server_test.cc
@@ -110,6 +110,29 @@
   BOOST_TEST(received == sent, boost::test_tools::per_element());
 }
 
+// Guards against a last chunk that comes in pieces and ends the node, by an assertion of the
+// library.
+BOOST_AUTO_TEST_CASE(LastChunkIsReadInWhateverPiecesItComes) {
+  const std::string body = "0\r\nX-Late: 1\r\n\r\n";
+  for (const auto& text : {std::string{"0\r\n\r\n"}, body, "3\r\nabc\r\n" + body}) {
+    for (std::size_t first = 1; first < text.size(); ++first) {
+      Fixture fixture;
+      TestClient client(fixture.context, fixture.endpoint);
+      client.send("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n");
+      client.send(text.substr(0, first));
+      fixture.context.run_for(std::chrono::milliseconds(3));
+      client.send(text.substr(first, 1));
+      fixture.context.run_for(std::chrono::milliseconds(3));
+      if (first + 1 < text.size()) client.send(text.substr(first + 1));
+      const auto exchange =
+          fixture.exchanges.empty() ? fixture.nextExchange() : fixture.exchanges.back();
+      BOOST_TEST(exchange->request().body == (text.front() == '3' ? "abc" : ""));
+      exchange->respond({200, {}, "whole"});
+      client.waitFor("whole");
+    }
+  }
+}
+
 // Guards against a field that the library cannot store, inside a raised limit: it would end the
 // node. The caller is told which limit it was, and that the request has not run.
 BOOST_AUTO_TEST_CASE(FieldBeyondTheLargestIsRefusedInsideARaisedLimit) {
