Hold a peer's next request while its responses are unsent, and pause in time

What callers saw: 60 callers that sent eight small requests at once and read none of the answers took a node to 1,693 MB; where the machine has less, the process is killed under everybody's requests.

Cause: the next request of a connection began when the response before it was complete, not when it had left; and pressure was looked at when a write began or ended, so with a full socket a producer was never paused behind a small write.

Change: the next request waits until no more than responseBufferBytes are unsent; pressure is looked at whenever bytes are queued.

Without the change, PressureIsRaisedWhileAWriteIs- Outstanding and NextRequestWaitsUntilEarlierResponsesAreRead fail.

--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -244,7 +244,11 @@
   } else {
     pending_ += bytes;
   }
-  if (!writeActive_) write();
+  if (writeActive_) {
+    updatePressure();
+  } else {
+    write();
+  }
 }
 
 void Connection::write() {
@@ -273,11 +277,20 @@
   written_ += bytes;
   if (bufferedBytes() > 0) {
     write();
+    if (nextRequestWaits_ && !manyBytesUnsent()) beginNextRequestSoon();
     return;
   }
   updatePressure();
   setDeadlineForState();
-  if (closeWhenWritten_) linger();
+  if (closeWhenWritten_) {
+    linger();
+  } else if (nextRequestWaits_) {
+    beginNextRequestSoon();
+  }
+}
+
+bool Connection::manyBytesUnsent() const {
+  return bufferedBytes() > owner_.limits().responseBufferBytes;
 }
 
 void Connection::updatePressure() {
@@ -303,6 +316,15 @@
     if (!writeActive_ && pending_.empty()) linger();
     return;
   }
+  if (manyBytesUnsent()) {
+    nextRequestWaits_ = true;
+  } else {
+    beginNextRequestSoon();
+  }
+}
+
+void Connection::beginNextRequestSoon() {
+  nextRequestWaits_ = false;
   // Posted, so that a pipelined request is not handled within the call that ended the previous
   // response.
   asio::post(socket_.get_executor(),
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -1,10 +1,12 @@
 /// \file
 /// One connection of the HTTP server: reads requests and writes responses. Internal to the server.
 ///
-/// States: reading a request -> responding -> reading the next request, or lingering. A lingering
-/// connection has written its last response and discards what the peer still sends for a bounded
-/// time, or until the peer closes it: closing a socket with unread bytes resets the connection, and
-/// the peer would lose the response.
+/// States: reading a request -> responding -> reading the next request, or lingering. The next
+/// request is read only once no more than `HttpLimits::responseBufferBytes` of responses are
+/// unsent: a peer that sends requests and reads no responses would make the server hold them all. A
+/// lingering connection has written its last response and discards what the peer still sends for a
+/// bounded time, or until the peer closes it: closing a socket with unread bytes resets the
+/// connection, and the peer would lose the response.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
@@ -166,6 +168,10 @@
   void dispatch();
   /// Continues with the next request once a response is complete.
   void beginNextRequest();
+  /// As `beginNextRequest`, in a handler of its own.
+  void beginNextRequestSoon();
+  /// Whether so many bytes of responses are unsent that no further one may be made.
+  bool manyBytesUnsent() const;
   void continueIfExpected();
   void refuse(const base::Reason& reason);
   /// Maximum number of bytes that are kept while the parser waits for the end of a part of the
@@ -213,6 +219,8 @@
   bool continueSent_ = false;
   bool headerComplete_ = false;
   bool closeWhenWritten_ = false;
+  /// The next request begins once the peer has read more of the responses to earlier ones.
+  bool nextRequestWaits_ = false;
   std::size_t lingeredBytes_ = 0;
   /// While lingering: bytes that were not acknowledged when that was last checked, and when their
   /// number last went down.
