Bound what is held for callers by the memory of the machine

What callers saw: clients outside the limits, and 76 at a time inside them, took a node over its memory; the process is killed under everybody's requests.

Cause: each connection was bounded, but no sum. A body grew by doubling, was copied for each attempt and once more into the text that is written, and had a read buffer of 64 KB beside it.

Change: MemoryAccount enters all that is received or waits to be read, by class, bounded by the machine's memory (machine.memory_mb, or what the operating system reports). At the bound, what still arrives is dropped, the message first that has held most for longest: 503 with Retry-After (307), which is true, since it was not passed on. What was passed on is never cut. An announced body for which there cannot be room is refused at its head. Bodies are shared by all attempts and entered until the last holder lets go; reads take 16 KB. The port for other nodes' requests has a share of its own and says that nothing was sent.

--- a/src/clients/relay_client.h
+++ b/src/clients/relay_client.h
@@ -18,6 +18,7 @@
 #include "clients/back_end.h"
 #include "clients/rate_limit_notice.h"
 #include "clients/replica_target.h"
+#include "clients/shared_body.h"
 
 namespace covewing::clients {
 
@@ -28,7 +29,8 @@
   /// Path and query as sent.
   std::string target;
   std::vector<HeaderField> headers;
-  std::string body;
+  /// Shared by all attempts.
+  SharedBody body;
 };
 
 using RelayedRequestPtr = std::shared_ptr<const RelayedRequest>;
--- a/src/emulator_http/application_service.cc
+++ b/src/emulator_http/application_service.cc
@@ -44,7 +44,7 @@
   request.method = http.method;
   request.target = http.target;
   request.headers = http.headers;
-  request.body = exchange->takeBody();
+  request.body = exchange->takeBody().copy();
   application.call(std::move(request),
                    [exchange](const ApplicationResult& result) { sendResult(exchange, result); });
 }
--- a/src/emulator_http/emulated_fleet_admin.cc
+++ b/src/emulator_http/emulated_fleet_admin.cc
@@ -144,7 +144,7 @@
 
 void EmulatedFleet::handleActions(const HttpExchangePtr& exchange) {
   Reason reason;
-  const auto object = parseObject(exchange->request().body, reason);
+  const auto object = parseObject(exchange->request().body.text(), reason);
   std::optional<Action> action;
   if (object) action = parseAction(*object, reason);
   if (!action || !apply(*action, reason)) {
--- a/src/emulator_http/engine_service.cc
+++ b/src/emulator_http/engine_service.cc
@@ -91,7 +91,7 @@
 
 void EngineService::generate(const HttpExchangePtr& exchange) {
   Reason reason;
-  auto request = parseEngineRequest(exchange->request().body, reason);
+  auto request = parseEngineRequest(exchange->request().body.text(), reason);
   if (!request) {
     exchange->respond(errorResponse(reason, false));
     return;
@@ -131,7 +131,7 @@
 
 void EngineService::order(const HttpExchangePtr& exchange) {
   Reason reason;
-  auto order = parseEngineOrder(exchange->request().body, reason);
+  auto order = parseEngineOrder(exchange->request().body.text(), reason);
   if (!order) {
     exchange->respond(errorResponse(reason, false));
     return;
--- a/src/emulator_http/platform_services.cc
+++ b/src/emulator_http/platform_services.cc
@@ -102,7 +102,8 @@
     respondWithObject(exchange, std::move(reply));
   };
   if (request.method == "GET") return store.get(std::move(name), callback);
-  if (request.method == "PUT") return store.put(std::move(name), exchange->takeBody(), callback);
+  if (request.method == "PUT")
+    return store.put(std::move(name), exchange->takeBody().copy(), callback);
   refuse(exchange, ResultCode::kMethodNotAllowed, request.method);
 }
 
--- a/src/live/caller_gateway.cc
+++ b/src/live/caller_gateway.cc
@@ -111,7 +111,7 @@
     base::Reason reason;
     const auto headers = parseHeaders(exchange->request(), reason);
     const auto body =
-        headers ? parseCompletionBody(kind, exchange->takeBody(), reason) : std::nullopt;
+        headers ? parseCompletionBody(kind, exchange->takeBody().text(), reason) : std::nullopt;
     if (!body) {
       refuse(exchange, metricsKind, reason);
       return;
@@ -147,7 +147,7 @@
     for (const auto& field : call.headers) {
       if (isForwarded(field)) request.headers.push_back(field);
     }
-    request.body = exchange->takeBody();
+    request.body = exchange->takeBody().copy();
     request.idempotencyKey = headers->idempotencyKey;
     request.notRepeatable = headers->notRepeatable;
     auto proxied = std::make_unique<ProxiedCall>(environment, exchange, makeFinishedCallback());
--- a/src/live/client_connection.cc
+++ b/src/live/client_connection.cc
@@ -28,7 +28,7 @@
 constexpr unsigned kInformationalClass = 1;
 constexpr unsigned kStatusClass = 100;
 
-std::string requestText(const HttpRequest& request, const base::Endpoint& server) {
+std::string requestHead(const HttpRequest& request, const base::Endpoint& server) {
   http::request<http::empty_body> head;
   head.method_string(request.method);
   head.target(request.target);
@@ -37,7 +37,7 @@
   if (head.find(http::field::host) == head.end()) head.set(http::field::host, toString(server));
   if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
     head.content_length(request.body.size());
-  return headText(head) + request.body;
+  return headText(head);
 }
 
 /// What the error that ended the input of a connection says of the server.
@@ -124,7 +124,8 @@
   carried_.add(requestId_);
   headRequest_ = request.method == "HEAD";
   onlyReads_ = onlyReads(request);
-  output_ = requestText(request, server_);
+  head_ = requestHead(request, server_);
+  body_ = request.body;
   sent_ = 0;
   bytesMayHaveBeenSent_ = false;
   paused_ = false;
@@ -216,8 +217,7 @@
 void ClientConnection::write() {
   bytesMayHaveBeenSent_ = true;
   socket_.async_write_some(
-      asio::buffer(output_) + sent_,
-      [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
+      unsent(), [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
         self->runStep([&] { self->onWritten(error, bytes); });
       });
 }
@@ -235,15 +235,21 @@
     }
     return;
   }
-  if (sent_ < output_.size()) {
+  if (sent_ < head_.size() + body_.size()) {
     write();
   } else {
-    output_.clear();
-    output_.shrink_to_fit();
+    // Swapped, since an assignment would keep the memory.
+    std::string{}.swap(head_);
+    body_ = {};
     sent_ = 0;
   }
 }
 
+std::array<asio::const_buffer, 2> ClientConnection::unsent() const {
+  const auto sentOfHead = std::min(sent_, head_.size());
+  return {asio::buffer(head_) + sentOfHead, asio::buffer(body_.text()) + (sent_ - sentOfHead)};
+}
+
 void ClientConnection::read() {
   if (buffer_.reading() || paused_ || state_ == State::kClosed) return;
   socket_.async_read_some(
@@ -396,7 +402,7 @@
   const auto self = shared_from_this();
   auto* handler = std::exchange(handler_, nullptr);
   const bool surplusTellable = !mismatchSeen_ && !carried_.full() && (onlyReads_ || !unnamedSeen_);
-  const bool reusable = parser_->get().keep_alive() && !sendingClosed_ && output_.empty() &&
+  const bool reusable = parser_->get().keep_alive() && !sendingClosed_ && head_.empty() &&
                         buffer_.size() == 0 && surplusTellable &&
                         idleTime() > base::Duration::zero();
   const auto pool = pool_.lock();
--- a/src/live/client_connection.h
+++ b/src/live/client_connection.h
@@ -7,6 +7,8 @@
 /// server has ended it or a time-out has passed.
 #pragma once
 
+#include <array>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
 #include <optional>
@@ -77,6 +79,8 @@
   void onConnected(boost::system::error_code error);
   void resetParser();
   void write();
+  /// The rest of the request.
+  std::array<boost::asio::const_buffer, 2> unsent() const;
   void onWritten(boost::system::error_code error, std::size_t bytes);
   void read();
   void onRead(boost::system::error_code error, std::size_t bytes);
@@ -130,7 +134,10 @@
   SentRequestIds carried_;
   bool headRequest_ = false;
   bool onlyReads_ = false;
-  std::string output_;
+  /// The request that is being sent; empty once it was sent whole.
+  std::string head_;
+  clients::SharedBody body_;
+  /// Bytes of both that the operating system has accepted.
   std::size_t sent_ = 0;
   /// Whether the operating system may have accepted bytes of the request: true from the first write
   /// on, unless an error shows that it accepted none.
--- a/src/live/daemon.cc
+++ b/src/live/daemon.cc
@@ -12,6 +12,7 @@
 #include "live/http_engine_client.h"
 #include "live/http_platform_clients.h"
 #include "live/http_server.h"
+#include "live/memory_plan.h"
 #include "live/node_metrics.h"
 #include "live/operator_gateway.h"
 #include "live/peer_transport.h"
@@ -74,11 +75,14 @@
         engines(backEndHttp, timers),
         applications(backEndHttp),
         callerServer(ioContext, callerLimits(settings),
-                     [this](const HttpExchangePtr& exchange) { callers->handle(exchange); }),
+                     [this](const HttpExchangePtr& exchange) { callers->handle(exchange); },
+                     {memory}),
         operatorServer(ioContext, {},
-                       [this](const HttpExchangePtr& exchange) { operators->handle(exchange); }),
+                       [this](const HttpExchangePtr& exchange) { operators->handle(exchange); },
+                       {memory, MemoryClass::kPeers, MemoryClass::kPeers}),
         metricsServer(ioContext, {},
-                      [this](const HttpExchangePtr& exchange) { handleMetrics(exchange); }) {}
+                      [this](const HttpExchangePtr& exchange) { handleMetrics(exchange); },
+                      {memory, MemoryClass::kPeers, MemoryClass::kPeers}) {}
 
   PlatformService platformService(const base::Endpoint& endpoint) {
     return {platformHttp, endpoint, settings.platformTimeout};
@@ -114,7 +118,9 @@
         CallerGatewayEnvironment{clock, timers, log, metrics, *node},
         settings.name + "-" + std::to_string(incarnation) + "-refused-");
     callerServer.setRefusalFormatter(
-        [this](const base::Reason& cause) { return callers->formatRefusal(cause); });
+        [this](const base::Reason& cause, const HttpRequest& /*head*/) {
+          return callers->formatRefusal(cause);
+        });
     operators = std::make_unique<OperatorGateway>(node->operators(), settings.operatorKey);
 
     peers.start(
@@ -178,6 +184,7 @@
   AsioClock clock;
   AsioTimerService timers;
   base::SeededRandom random;
+  MemoryAccountPtr memory = std::make_shared<MemoryAccount>(planMemory(0).bounds);
   AsioPeerTransport peers;
   HttpClient platformHttp;
   HttpClient backEndHttp;
--- a/src/live/descriptor_budget.cc
+++ b/src/live/descriptor_budget.cc
@@ -13,12 +13,13 @@
 
 }  // namespace
 
-DescriptorBudget divideDescriptors(std::size_t limit) {
+DescriptorBudget divideDescriptors(std::size_t limit, std::size_t maximumCallerConnections) {
   DescriptorBudget budget;
   budget.limit = limit;
   const auto fixed = std::min(kFixedDescriptors, limit / kFixedShare * 2);
-  budget.callerConnections =
-      std::clamp<std::size_t>((limit - fixed) / 2, 1, kMaximumCallerConnections);
+  const auto maximum =
+      std::clamp<std::size_t>(maximumCallerConnections, 1, kMaximumCallerConnections);
+  budget.callerConnections = std::clamp<std::size_t>((limit - fixed) / 2, 1, maximum);
   budget.reserve = limit - budget.callerConnections;
   budget.peerRelayConnections =
       std::max<std::size_t>(fixed * kPeerRelayDescriptors / kFixedDescriptors, 1);
--- a/src/live/descriptor_budget.h
+++ b/src/live/descriptor_budget.h
@@ -41,8 +41,10 @@
 };
 
 /// Divides `limit` descriptors so that each connection of a caller finds one for the call to a
-/// replica. With few of them, the parts of kFixedDescriptors shrink in proportion.
-DescriptorBudget divideDescriptors(std::size_t limit);
+/// replica. With few of them, the parts of kFixedDescriptors shrink in proportion. Callers get no
+/// more than `maximumCallerConnections`.
+DescriptorBudget divideDescriptors(
+    std::size_t limit, std::size_t maximumCallerConnections = kMaximumCallerConnections);
 
 /// Maximum number of descriptors of this process, as the operating system sets it now.
 std::size_t descriptorLimit();
--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -19,7 +19,11 @@
 namespace http = boost::beast::http;
 
 constexpr std::size_t kReadBytes = 4096;
-constexpr std::size_t kBodyReadBytes = 64U << 10U;
+constexpr std::size_t kBodyReadBytes = 16U << 10U;
+/// Memory of a head as a multiple of its size: as parsed, as passed on, and as sent.
+constexpr std::size_t kHeadCopies = 3;
+/// Response bytes that a connection may buffer while responses take more than their share.
+constexpr std::size_t kLeastResponseBufferBytes = 4096;
 /// Maximum bytes of a refused request that are read and discarded before the socket is closed.
 constexpr std::size_t kLingerBytes = 1U << 20U;
 constexpr base::Duration kLingerTime = std::chrono::seconds(2);
@@ -52,8 +56,13 @@
     : socket_(std::move(socket)),
       owner_(owner),
       peer_(remoteEndpoint(socket_)),
+      memory_(owner.memory()),
+      received_(memory_.account, memory_.requests),
+      unsent_(memory_.account, MemoryClass::kResponses),
       deadline_(socket_.get_executor(), [this] { runStep([this] { onDeadline(); }); }) {}
 
+Connection::~Connection() { endIncoming(); }
+
 template <class Step>
 void Connection::runStep(Step&& step) {
   const auto self = shared_from_this();
@@ -82,6 +91,7 @@
   resetParser();
   setDeadline(owner_.limits().idleTimeout);
   read();
+  enterReceived();
 }
 
 void Connection::resetParser() {
@@ -89,6 +99,7 @@
   continueSent_ = false;
   headerComplete_ = false;
   requestBytes_ = 0;
+  headBytes_ = 0;
   idleSince_ = AsioClock{}.now();
 }
 
@@ -142,6 +153,7 @@
   if (state_ == State::kLingering) {
     lingeredBytes_ += buffer_.size();
     buffer_.consume(buffer_.size());
+    buffer_.releaseUnused();
     if (lingeredBytes_ > kLingerBytes) {
       close();
       return;
@@ -154,6 +166,7 @@
     if (overdueAfter(bytes)) return;
   }
   read();
+  enterReceived();
 }
 
 bool Connection::overdueAfter(std::size_t bytes) {
@@ -188,7 +201,13 @@
     dispatch();
   } else if (parser_->is_header_done()) {
     if (!headerComplete_) setRequestDeadline(owner_.limits().requestTimeout);
+    if (!headerComplete_ && !hasRoomForBody()) {
+      memory_.account->countRefusal();
+      refuseForMemory();
+      return;
+    }
     headerComplete_ = true;
+    headBytes_ = requestBytes_ - parser_->get().body().size();
     continueIfExpected();
   }
 }
@@ -199,6 +218,7 @@
 
 void Connection::onFirstBytes(base::Duration readDelay) {
   arrival_ = {AsioClock{}.now() - readDelay, readDelay};
+  beginIncoming(arrival_.at);
   setRequestDeadline(owner_.limits().headerTimeout);
 }
 
@@ -212,7 +232,9 @@
 }
 
 void Connection::dispatch() {
+  endIncoming();
   auto message = parser_->release();
+  headBytes_ = requestBytes_ - message.body().size();
   keepAlive_ = message.keep_alive();
   state_ = State::kResponding;
   responseBegun_ = false;
@@ -220,7 +242,8 @@
   if (!writeActive_) clearDeadline();
   buffer_.releaseUnused();
   HttpRequest request{std::string{message.method_string()}, std::string{message.target()},
-                      copyHeaders(message), std::move(message.body())};
+                      copyHeaders(message), takeBody(std::move(message.body()))};
+  enterReceived();
   const auto exchange = std::make_shared<Exchange>(shared_from_this(), std::move(request),
                                                    message.version() >= kHttp11, arrival_);
   exchange_ = exchange;
@@ -228,12 +251,87 @@
   runStep([&] { owner_.onRequest(exchange); });
 }
 
+clients::SharedBody Connection::takeBody(std::string text) {
+  if (text.empty()) return {};
+  struct EnteredBody {
+    MemoryCharge charge;
+    std::string text;
+  };
+  const auto kind = text.size() > kOrdinaryRequestBytes ? memory_.bodies : memory_.requests;
+  MemoryCharge charge(memory_.account, kind);
+  charge.resize(kind, text.capacity());
+  const auto body = std::make_shared<EnteredBody>(EnteredBody{std::move(charge), std::move(text)});
+  return clients::SharedBody{std::shared_ptr<const std::string>(body, &body->text)};
+}
+
+std::size_t Connection::receivedBytes() const {
+  return buffer_.capacity() + kHeadCopies * headBytes_ + parser_->get().body().capacity();
+}
+
+void Connection::enterReceived() {
+  if (state_ == State::kClosed) return;
+  const auto bytes = receivedBytes();
+  const auto kind = bytes > kOrdinaryRequestBytes ? memory_.bodies : memory_.requests;
+  const bool grown = bytes > received_.bytes();
+  received_.resize(kind, bytes);
+  if (grown) memory_.account->makeRoom(kind, AsioClock{}.now());
+}
+
+void Connection::enterUnsent() {
+  unsent_.resize(MemoryClass::kResponses, writing_.capacity() + pending_.capacity());
+}
+
+void Connection::beginIncoming(base::TimePoint since) {
+  heldSince_ = since;
+  memory_.account->addIncoming(*this);
+}
+
+void Connection::endIncoming() { memory_.account->removeIncoming(*this); }
+
+bool Connection::hasRoomForBody() const {
+  const auto announced = parser_->content_length_remaining().value_or(0);
+  if (announced <= kOrdinaryRequestBytes) return true;
+  return memory_.account->couldReceive(memory_.bodies, announced);
+}
+
+void Connection::dropForMemory() {
+  runStep([this] {
+    if (state_ == State::kReading) {
+      refuseForMemory();
+    } else if (state_ == State::kLingering) {
+      close();
+    }
+  });
+}
+
+void Connection::refuseForMemory() {
+  refuse({base::ResultCode::kRequestMemoryUsedUp,
+          "this node has no memory for the rest of the request"});
+}
+
+HttpRequest Connection::receivedHead() const {
+  if (!parser_->is_header_done()) return {};
+  const auto& message = parser_->get();
+  return {std::string{message.method_string()},
+          std::string{message.target()},
+          copyHeaders(message),
+          {}};
+}
+
 void Connection::refuse(const base::Reason& reason) {
+  endIncoming();
   keepAlive_ = false;
   state_ = State::kResponding;
-  const auto exchange = std::make_shared<Exchange>(shared_from_this(), HttpRequest{},
+  auto head = receivedHead();
+  auto response = owner_.formatRefusal(reason, head);
+  // What was received goes at once: the peer may take long to read the response.
+  resetParser();
+  buffer_.consume(buffer_.size());
+  buffer_.releaseUnused();
+  enterReceived();
+  const auto exchange = std::make_shared<Exchange>(shared_from_this(), std::move(head),
                                                    /*chunkedAllowed=*/true, arrival_);
-  exchange->respond(owner_.formatRefusal(reason));
+  exchange->respond(std::move(response));
 }
 
 void Connection::send(std::string bytes) {
@@ -244,6 +342,7 @@
   } else {
     pending_ += bytes;
   }
+  enterUnsent();
   if (writeActive_) {
     updatePressure();
   } else {
@@ -253,8 +352,7 @@
 
 void Connection::write() {
   if (writing_.size() == written_) {
-    writing_ = std::move(pending_);
-    pending_.clear();
+    writing_ = std::exchange(pending_, {});
     written_ = 0;
   }
   writeActive_ = true;
@@ -275,6 +373,12 @@
     return;
   }
   written_ += bytes;
+  if (written_ == writing_.size()) {
+    // Swapped, since an assignment would keep the memory.
+    std::string{}.swap(writing_);
+    written_ = 0;
+  }
+  enterUnsent();
   if (bufferedBytes() > 0) {
     write();
     if (nextRequestWaits_ && !manyBytesUnsent()) beginNextRequestSoon();
@@ -289,12 +393,16 @@
   }
 }
 
-bool Connection::manyBytesUnsent() const {
-  return bufferedBytes() > owner_.limits().responseBufferBytes;
+std::size_t Connection::responseBufferBytes() const {
+  const auto limit = owner_.limits().responseBufferBytes;
+  const bool exceeded = memory_.account->exceeded(MemoryClass::kResponses);
+  return exceeded ? std::min(limit, kLeastResponseBufferBytes) : limit;
 }
 
+bool Connection::manyBytesUnsent() const { return bufferedBytes() > responseBufferBytes(); }
+
 void Connection::updatePressure() {
-  const auto limit = owner_.limits().responseBufferBytes;
+  const auto limit = responseBufferBytes();
   const auto buffered = bufferedBytes();
   const bool high = underPressure_ ? buffered * 2 > limit : buffered > limit;
   if (high == underPressure_) return;
@@ -385,8 +493,12 @@
   unacknowledged_ = unacknowledgedBytes(socket_).value_or(0);
   acknowledgedAt_ = idleSince_;
   buffer_.consume(buffer_.size());
+  buffer_.releaseUnused();
   setDeadline(kLingerTime);
+  // As though held since ever: what is left to receive is of no use, so it goes first.
+  beginIncoming({});
   read();
+  enterReceived();
 }
 
 bool Connection::peerConnected() const {
@@ -437,6 +549,7 @@
 void Connection::close() {
   if (state_ == State::kClosed) return;
   state_ = State::kClosed;
+  endIncoming();
   boost::system::error_code error;
   socket_.close(error);
   deadline_.stop();
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -28,8 +28,9 @@
  public:
   virtual ~ConnectionOwner() = default;
   virtual const HttpLimits& limits() const = 0;
+  virtual const ServerMemory& memory() const = 0;
   virtual void onRequest(const HttpExchangePtr& exchange) = 0;
-  virtual HttpResponse formatRefusal(const base::Reason& reason) const = 0;
+  virtual HttpResponse formatRefusal(const base::Reason& reason, const HttpRequest& head) const = 0;
   /// Whether the server is closing: responses then have the header `Connection: close`.
   virtual bool closing() const = 0;
   /// Whether the server has little room for new connections: responses that begin now ask the peer
@@ -55,7 +56,7 @@
   Exchange& operator=(const Exchange&) = delete;
 
   const HttpRequest& request() const override { return request_; }
-  std::string takeBody() override { return std::move(request_.body); }
+  clients::SharedBody takeBody() override { return std::exchange(request_.body, {}); }
   base::Endpoint peer() const override;
   base::TimePoint startedAt() const override { return arrival_.at; }
   base::Duration readDelay() const override { return arrival_.readDelay; }
@@ -94,11 +95,14 @@
   std::function<void()> disconnectListener_;
 };
 
-class Connection : public std::enable_shared_from_this<Connection> {
+class Connection final : public IncomingMessage, public std::enable_shared_from_this<Connection> {
  public:
   using Socket = boost::asio::ip::tcp::socket;
 
   Connection(Socket socket, ConnectionOwner& owner);
+  ~Connection() override;
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
 
   void start();
   /// Closes the socket at once and notifies the exchange, if there is one.
@@ -125,6 +129,13 @@
   void closeForExit();
   base::Endpoint peer() const { return peer_; }
 
+  MemoryClass memoryClass() const override { return received_.memoryClass(); }
+  std::size_t heldBytes() const override { return received_.bytes(); }
+  base::TimePoint heldSince() const override { return heldSince_; }
+  /// Refuses the request that is being received, which has not run, or ends the wait for the peer
+  /// to close.
+  void dropForMemory() override;
+
   // Called by the exchange.
   void send(std::string bytes);
   std::size_t bufferedBytes() const { return writing_.size() - written_ + pending_.size(); }
@@ -166,6 +177,20 @@
   /// The first bytes of a request were read, `readDelay` after they had arrived.
   void onFirstBytes(base::Duration readDelay);
   void dispatch();
+  /// Moves the body out of the message that was received; it stays entered in the account.
+  clients::SharedBody takeBody(std::string text);
+  /// Enters what the connection holds of requests, and has others or this one dropped where that is
+  /// too much.
+  void enterReceived();
+  std::size_t receivedBytes() const;
+  void enterUnsent();
+  /// From now on the connection may be dropped for want of memory.
+  void beginIncoming(base::TimePoint since);
+  void endIncoming();
+  /// Whether the announced body, if it is a large one, could be received.
+  bool hasRoomForBody() const;
+  /// Bytes of a response above which its producer is told to pause.
+  std::size_t responseBufferBytes() const;
   /// Continues with the next request once a response is complete.
   void beginNextRequest();
   /// As `beginNextRequest`, in a handler of its own.
@@ -174,6 +199,9 @@
   bool manyBytesUnsent() const;
   void continueIfExpected();
   void refuse(const base::Reason& reason);
+  void refuseForMemory();
+  /// The head of the request that is being received; empty if it was not received whole.
+  HttpRequest receivedHead() const;
   /// Maximum number of bytes that are kept while the parser waits for the end of a part of the
   /// request's framing.
   std::size_t maximumUnparsedBytes() const;
@@ -207,9 +235,18 @@
   Socket socket_;
   ConnectionOwner& owner_;
   base::Endpoint peer_;
+  /// Kept, since the connection may outlive its owner until its last handler has run.
+  ServerMemory memory_;
   State state_ = State::kReading;
   std::optional<RequestParser> parser_;
   ReadBuffer buffer_;
+  /// What is held of the request that is being received or served, without the body of one that
+  /// was passed on.
+  MemoryCharge received_;
+  MemoryCharge unsent_;
+  base::TimePoint heldSince_{};
+  /// Size of the header section of the request that is being received or served.
+  std::size_t headBytes_ = 0;
   bool closingIdle_ = false;
   base::TimePoint idleSince_{};
   Exchange::Arrival arrival_;
--- a/src/live/http_message.h
+++ b/src/live/http_message.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "clients/header_field.h"
+#include "clients/shared_body.h"
 
 namespace covewing::live {
 
@@ -21,7 +22,7 @@
   /// Path and query as received or to be sent, still encoded.
   std::string target;
   std::vector<HeaderField> headers;
-  std::string body;
+  clients::SharedBody body;
 
   std::string_view header(std::string_view name) const { return findHeader(headers, name); }
   /// Path of the target, without the query.
--- a/src/live/http_parser.h
+++ b/src/live/http_parser.h
@@ -41,8 +41,9 @@
     reader(boost::beast::http::header<isRequest, Fields>& /*head*/, value_type& body)
         : body_(body) {}
 
-    void init(const boost::optional<std::uint64_t>& /*announcedLength*/,
+    void init(const boost::optional<std::uint64_t>& announcedLength,
               boost::beast::error_code& error) {
+      announcedLength_ = announcedLength.value_or(0);
       error = {};
     }
     template <class Buffers>
@@ -52,6 +53,7 @@
       for (auto next = boost::asio::buffer_sequence_begin(buffers);
            next != boost::asio::buffer_sequence_end(buffers); ++next) {
         const boost::asio::const_buffer part(*next);
+        reserve(body_.size() + part.size());
         body_.append(static_cast<const char*>(part.data()), part.size());
         bytes += part.size();
       }
@@ -60,7 +62,18 @@
     void finish(boost::beast::error_code& error) { error = {}; }
 
    private:
+    /// Makes room for `bytes`: at most twice what has arrived, and no more than was announced.
+    void reserve(std::size_t bytes) {
+      if (bytes <= body_.capacity()) return;
+      auto capacity = std::max(bytes, 2 * body_.capacity());
+      if (announcedLength_ >= bytes)
+        capacity = static_cast<std::size_t>(std::min<std::uint64_t>(capacity, announcedLength_));
+      body_.reserve(capacity);
+    }
+
     value_type& body_;
+    /// 0 if unknown.
+    std::uint64_t announcedLength_ = 0;
   };
 };
 
--- a/src/live/http_server.cc
+++ b/src/live/http_server.cc
@@ -13,6 +13,7 @@
 #include "live/handler_failures.h"
 #include "live/http_connection.h"
 #include "live/idle_connections.h"
+#include "live/memory_plan.h"
 
 namespace covewing::live {
 
@@ -32,7 +33,7 @@
 /// Percentage of the maximum of connections from which on responses ask callers to leave.
 constexpr std::size_t kCrowdedPercent = 90;
 
-HttpResponse defaultRefusal(const base::Reason& reason) {
+HttpResponse defaultRefusal(const base::Reason& reason, const HttpRequest& /*head*/) {
   const auto& entry = base::describe(reason.code);
   const nlohmann::json body = {{"code", static_cast<unsigned>(reason.code)},
                                {"name", entry.name},
@@ -47,6 +48,11 @@
          error == boost::system::errc::too_many_files_open_in_system;
 }
 
+ServerMemory withAccount(ServerMemory memory) {
+  if (!memory.account) memory.account = std::make_shared<MemoryAccount>(planMemory(0).bounds);
+  return memory;
+}
+
 struct Listener {
   explicit Listener(asio::io_context& context) : acceptor(context), retryTimer(context) {}
   tcp::acceptor acceptor;
@@ -60,20 +66,23 @@
 }  // namespace
 
 struct HttpServer::Core final : ConnectionOwner, std::enable_shared_from_this<HttpServer::Core> {
-  Core(asio::io_context& ioContext, HttpLimits httpLimits, HttpHandler httpHandler)
+  Core(asio::io_context& ioContext, HttpLimits httpLimits, HttpHandler httpHandler,
+       ServerMemory serverMemory)
       : context(ioContext),
         bounds(httpLimits),
+        accounts(withAccount(std::move(serverMemory))),
         handler(std::move(httpHandler)),
         refusalFormatter(defaultRefusal) {}
 
   const HttpLimits& limits() const override { return bounds; }
+  const ServerMemory& memory() const override { return accounts; }
   bool closing() const override { return stopping || closeAnnounced; }
   bool crowded() const override {
     constexpr std::size_t kAll = 100;
     return connections.size() * kAll >= bounds.connections * kCrowdedPercent;
   }
-  HttpResponse formatRefusal(const base::Reason& reason) const override {
-    return refusalFormatter(reason);
+  HttpResponse formatRefusal(const base::Reason& reason, const HttpRequest& head) const override {
+    return refusalFormatter(reason, head);
   }
   void onRequest(const HttpExchangePtr& exchange) override {
     if (handler) handler(exchange);
@@ -214,6 +223,7 @@
 
   asio::io_context& context;
   HttpLimits bounds;
+  ServerMemory accounts;
   HttpHandler handler;
   HttpRefusalFormatter refusalFormatter;
   EarlyCloseListener earlyCloseListener;
@@ -229,8 +239,9 @@
   std::unordered_set<const Connection*> closingForRoom;
 };
 
-HttpServer::HttpServer(asio::io_context& context, HttpLimits limits, HttpHandler handler)
-    : core_(std::make_shared<Core>(context, limits, std::move(handler))) {}
+HttpServer::HttpServer(asio::io_context& context, HttpLimits limits, HttpHandler handler,
+                       ServerMemory memory)
+    : core_(std::make_shared<Core>(context, limits, std::move(handler), std::move(memory))) {}
 
 HttpServer::~HttpServer() {
   core_->stopAccepting();
--- a/src/live/http_server.h
+++ b/src/live/http_server.h
@@ -17,6 +17,7 @@
 #include "base/result_code.h"
 #include "base/time.h"
 #include "live/http_message.h"
+#include "live/memory_account.h"
 
 namespace boost::asio {
 class io_context;
@@ -45,6 +46,15 @@
   base::Duration stallTimeout = std::chrono::seconds(60);
 };
 
+/// Where a server enters what it holds for its peers.
+struct ServerMemory {
+  /// Empty: an account of its own, for all memory of the machine.
+  MemoryAccountPtr account;
+  /// Class of ordinary requests, and of larger ones.
+  MemoryClass requests = MemoryClass::kRequests;
+  MemoryClass bodies = MemoryClass::kBodies;
+};
+
 /// One request and its response. A response is made either by one call of `respond`, or by
 /// `beginStream`, any number of calls of `write`, and `end`. Calls made after the response is
 /// finished or the peer has disconnected do nothing. Destroying the last reference before the
@@ -56,8 +66,9 @@
   virtual ~HttpExchange() = default;
 
   virtual const HttpRequest& request() const = 0;
-  /// Moves the body out of the request.
-  virtual std::string takeBody() = 0;
+  /// Moves the body out of the request. Its memory stays entered in the server's account until the
+  /// last one that holds it lets go.
+  virtual clients::SharedBody takeBody() = 0;
   virtual base::Endpoint peer() const = 0;
   /// Time at which the request's first bytes arrived, by the boot-time clock. If the operating
   /// system does not report it, the time at which they were read.
@@ -98,8 +109,11 @@
 /// Called once for each complete request. It may respond at once or keep the exchange and respond
 /// later.
 using HttpHandler = std::function<void(const HttpExchangePtr&)>;
-/// Formats the response to a request that the server itself refuses (too large, malformed).
-using HttpRefusalFormatter = std::function<HttpResponse(const base::Reason&)>;
+/// Formats the response to a request that the server itself refuses: too large, malformed, or not
+/// received for want of memory. `head` is empty unless the header section was received whole; its
+/// body is always empty.
+using HttpRefusalFormatter =
+    std::function<HttpResponse(const base::Reason&, const HttpRequest& head)>;
 
 /// A connection that the server closed of its own accord although it held a part of a request or
 /// bytes that were not read.
@@ -132,7 +146,8 @@
 /// A server with any number of listeners. Destroying it closes all listeners and connections.
 class HttpServer {
  public:
-  HttpServer(boost::asio::io_context& context, HttpLimits limits, HttpHandler handler);
+  HttpServer(boost::asio::io_context& context, HttpLimits limits, HttpHandler handler,
+             ServerMemory memory = {});
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
--- a/src/live/operator_gateway.cc
+++ b/src/live/operator_gateway.cc
@@ -29,7 +29,7 @@
                                    refusalBody({reason, request::Outcome::kNotRun, {}}, "")));
     return;
   }
-  node::OperatorRequest call{request.method, request.target, exchange->takeBody()};
+  node::OperatorRequest call{request.method, request.target, exchange->takeBody().copy()};
   service_.call(std::move(call), [exchange](node::OperatorResponse response) {
     exchange->respond(
         jsonResponse(base::describe(response.code).httpStatus, std::move(response.body)));
--- a/src/live/peer_relay.cc
+++ b/src/live/peer_relay.cc
@@ -208,23 +208,34 @@
                                     });
 }
 
+HttpResponse PeerRelay::refuseUnread(const base::Reason& reason, const HttpRequest& head) {
+  ++counters_.refused;
+  return failureResponse(head, {}, relay_headers::kRefused, reason.detail,
+                         clients::RunEnd::kNotSent);
+}
+
 void PeerRelay::respondFailure(const HttpExchangePtr& exchange, std::string_view failure,
                                std::string_view why, clients::RunEnd runEnd) {
-  environment_.log.write(
-      base::Event::kPeerRequestFailed,
-      {{"replica", std::string{exchange->request().header(relay_headers::kReplica)}},
-       {"failure", std::string{failure}},
-       {"why", std::string{why}},
-       {"ended_by", std::string{clients::toString(runEnd)}},
-       {"from", base::toString(exchange->peer())}});
+  exchange->respond(failureResponse(exchange->request(), exchange->peer(), failure, why, runEnd));
+}
+
+HttpResponse PeerRelay::failureResponse(const HttpRequest& request, const base::Endpoint& peer,
+                                        std::string_view failure, std::string_view why,
+                                        clients::RunEnd runEnd) {
+  environment_.log.write(base::Event::kPeerRequestFailed,
+                         {{"replica", std::string{request.header(relay_headers::kReplica)}},
+                          {"failure", std::string{failure}},
+                          {"why", std::string{why}},
+                          {"ended_by", std::string{clients::toString(runEnd)}},
+                          {"from", base::toString(peer)}});
   HttpResponse response{
       kBadGateway, {{std::string{relay_headers::kFailure}, std::string{failure}}}, {}};
   if (runEnd == clients::RunEnd::kConnectionEnded)
     response.headers.push_back({std::string{relay_headers::kRunEnded}, "1"});
   const auto idHeader = environment_.dialect.requestIdHeader();
-  const auto id = exchange->request().header(idHeader);
+  const auto id = request.header(idHeader);
   if (!id.empty()) response.headers.push_back({std::string{idHeader}, std::string{id}});
-  exchange->respond(std::move(response));
+  return response;
 }
 
 void PeerRelay::pass(const HttpExchangePtr& exchange, const routing::ReplicaRecordPtr& replica) {
--- a/src/live/peer_relay.h
+++ b/src/live/peer_relay.h
@@ -64,6 +64,8 @@
 
   /// Handles one request received by the relay listener.
   void handle(const HttpExchangePtr& exchange);
+  /// The response to a request that was not received whole, and so was not passed on.
+  HttpResponse refuseUnread(const base::Reason& reason, const HttpRequest& head);
   /// Refuses new requests from now on, because the node is about to stop.
   void refuseNewRequests() { draining_ = true; }
   /// Reports all open requests as lost, or as not sent where that is certain, because this node is
@@ -81,6 +83,10 @@
   /// Whether the replica takes requests from this node.
   bool accepts(const routing::ReplicaRecord& replica) const;
   void probe(const HttpExchangePtr& exchange, const routing::ReplicaRecord& replica) const;
+  /// Logs that a request was not passed on or not answered, and returns the response.
+  HttpResponse failureResponse(const HttpRequest& request, const base::Endpoint& peer,
+                               std::string_view failure, std::string_view why,
+                               clients::RunEnd runEnd);
   void respondFailure(const HttpExchangePtr& exchange, std::string_view failure,
                       std::string_view why, clients::RunEnd runEnd = clients::RunEnd::kNotShown);
   void pass(const HttpExchangePtr& exchange, const routing::ReplicaRecordPtr& replica);
--- a/src/live/read_buffer.h
+++ b/src/live/read_buffer.h
@@ -24,6 +24,8 @@
 
   /// Number of bytes that are still to be parsed.
   std::size_t size() const { return end_ - begin_; }
+  /// Memory that the buffer takes, in bytes.
+  std::size_t capacity() const { return capacity_; }
   boost::asio::const_buffer data() const { return {storage_.get() + begin_, size()}; }
   /// Removes bytes that were parsed, the oldest first.
   void consume(std::size_t bytes);
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -17,6 +17,7 @@
 #include "live/handler_failures.h"
 #include "live/http_relay_client.h"
 #include "live/http_server.h"
+#include "live/memory_plan.h"
 #include "live/peer_confirmed_probe.h"
 #include "live/peer_relay.h"
 #include "live/peer_traffic.h"
@@ -52,6 +53,9 @@
 /// Approximate number of nodes that write the announcement time of a version in the last check, if
 /// no node has written it: enough that one of them reaches a table service that refuses most nodes.
 constexpr std::size_t kFallbackAnnouncementWriters = 8;
+/// When a caller may try again whose request could not be received: by then ordinary requests that
+/// take memory now have been served.
+constexpr base::Duration kUnreadRetryAfter = std::chrono::seconds(1);
 /// Interval at which the totals of the traffic to other nodes are logged, a few lines each time.
 constexpr base::Duration kTrafficReportInterval = std::chrono::seconds(10);
 
@@ -154,12 +158,15 @@
         service(serviceOptions(), dependencies(), configuration, [this] { return nodes(); }),
         gateway(service, deployment.dialect, log),
         callerServer(ioContext, withConnections(descriptors.callerConnections),
-                     [this](const HttpExchangePtr& exchange) { onCallerRequest(exchange); }),
-        relayServer(ioContext, withConnections(descriptors.peerRelayConnections),
-                    [this](const HttpExchangePtr& exchange) {
-                      pauseDetector.check();
-                      peerRelay.handle(exchange);
-                    }),
+                     [this](const HttpExchangePtr& exchange) { onCallerRequest(exchange); },
+                     {memory}),
+        relayServer(
+            ioContext, withConnections(descriptors.peerRelayConnections),
+            [this](const HttpExchangePtr& exchange) {
+              pauseDetector.check();
+              peerRelay.handle(exchange);
+            },
+            peerMemory()),
         readinessServer(ioContext, {},
                         [this](const HttpExchangePtr& exchange) {
                           exchange->respond({ready() ? kOk : kServiceUnavailable, {}, {}});
@@ -189,6 +196,12 @@
     });
     for (HttpServer* server : {&callerServer, &relayServer})
       server->onEarlyClose([this](const EarlyClose& early) { logEarlyClose(early); });
+    callerServer.setRefusalFormatter([this](const base::Reason& reason, const HttpRequest& head) {
+      return refuseUnread(reason, head);
+    });
+    relayServer.setRefusalFormatter([this](const base::Reason& reason, const HttpRequest& head) {
+      return peerRelay.refuseUnread(reason, head);
+    });
     watchConnectionRoom();
     crashDetector.setListener([this](const routing::LostRequests& ended) {
       quarantine.onReplicaCrash(base::engineIdOf(ended.instance), ended.requests);
@@ -225,6 +238,24 @@
     });
   }
 
+  ServerMemory peerMemory() const { return {memory, MemoryClass::kPeers, MemoryClass::kPeers}; }
+
+  /// The response to a caller's request that was not received whole, and so has not run.
+  HttpResponse refuseUnread(const base::Reason& reason, const HttpRequest& head) {
+    const auto id = head.header(deployment.dialect.requestIdHeader());
+    request::RelayRefusal refusal;
+    refusal.reason = reason;
+    refusal.status = base::describe(reason.code).httpStatus;
+    refusal.closeConnection = true;
+    if (refusal.status == kServiceUnavailable) refusal.retryAfter = kUnreadRetryAfter;
+    log.write(base::Event::kRequestRefused,
+              {{"request", std::string{id}},
+               {"code", std::to_string(static_cast<unsigned>(reason.code))},
+               {"status", std::to_string(refusal.status)},
+               {"why", reason.detail}});
+    return deployment.dialect.refusal(refusal, id);
+  }
+
   void logEarlyClose(const EarlyClose& early) {
     log.write(base::Event::kConnectionClosedEarly,
               {{"peer", base::toString(early.peer)},
@@ -306,7 +337,9 @@
               {{"node", settings.name},
                {"zone", settings.zone},
                {"descriptors", std::to_string(descriptors.limit)},
-               {"caller_connections", std::to_string(descriptors.callerConnections)}});
+               {"caller_connections", std::to_string(descriptors.callerConnections)},
+               {"memory_mb", std::to_string(memoryPlan.machine / kMegabyte)},
+               {"held_mb", std::to_string(memoryPlan.bounds.total / kMegabyte)}});
     if (!listen(callerServer, settings.callerEndpoint, reason)) return false;
     if (!listen(readinessServer, settings.readinessEndpoint, reason)) return false;
     if (settings.relayEndpoint && !listen(relayServer, *settings.relayEndpoint, reason))
@@ -439,6 +472,8 @@
     snapshot.callerConnections = callerServer.openConnections();
     snapshot.maximumCallerConnections = descriptors.callerConnections;
     snapshot.connectionsClosedForRoom = connectionRoom.closedForRoom();
+    snapshot.heldBytes = memory->heldByClass();
+    snapshot.requestsNotReceived = memory->refused();
     snapshot.knownParts = holders.size();
     snapshot.failedLinks = links.failed();
     snapshot.peerRelay = peerRelay.counters();
@@ -476,6 +511,9 @@
   CountingEventLog log;
   HandlerFailureLog handlerFailures{context, log};
   RelayDeployment deployment;
+  MemoryPlan memoryPlan =
+      planMemory(static_cast<std::size_t>(settings.machineMemoryMegabytes * kMegabyte));
+  MemoryAccountPtr memory = std::make_shared<MemoryAccount>(memoryPlan.bounds);
   AsioTimerService timers;
   base::SeededRandom random;
   AsioPeerTransport peers;
@@ -532,7 +570,7 @@
   request::RelayService service;
   RelayGateway gateway;
   ReadDelayMonitor readDelays{clock, log};
-  DescriptorBudget descriptors = divideDescriptors(descriptorLimit());
+  DescriptorBudget descriptors = divideDescriptors(descriptorLimit(), memoryPlan.callerConnections);
   ConnectionRoomMonitor connectionRoom{clock, log};
   HttpServer callerServer;
   HttpServer relayServer;
--- a/src/live/relay_dialect.h
+++ b/src/live/relay_dialect.h
@@ -20,7 +20,7 @@
   /// Parses a caller's request; if it is malformed, returns nothing and sets `reason`. `body` is
   /// the request's body, passed separately so that it can be moved.
   virtual std::optional<request::IncomingRequest> readRequest(const HttpRequest& request,
-                                                              std::string body,
+                                                              clients::SharedBody body,
                                                               base::TimePoint arrivedAt,
                                                               base::Reason& reason) const = 0;
   /// Formats the response to a request that the node itself refuses.
--- a/src/live/relay_metrics.cc
+++ b/src/live/relay_metrics.cc
@@ -27,6 +27,9 @@
      "log events by name (docs/EVENTS.md): retries, refusals, broken streams, orders and others"},
     {"covewing_failed_links", "gauge", "",
      "replicas that this node does not reach by connections of its own"},
+    {"covewing_held_bytes", "gauge", "class",
+     "memory held for others: ordinary requests, larger bodies, responses that were not read, and "
+     "what other listeners received"},
     {"covewing_known_cached_parts", "gauge", "",
      "cached parts of prompts that this node knows a holder of"},
     {"covewing_lease_held", "gauge", "", "1 while this node rolls out weights, else 0"},
@@ -93,6 +96,8 @@
      "of this node for a while), ejected, changing weights; limited ones count as well in one of "
      "the "
      "others"},
+    {"covewing_requests_not_received_total", "counter", "",
+     "requests and messages that were dropped or refused for want of memory while they arrived"},
     {"covewing_store_era", "gauge", "",
      "era of the table service's history that this node knows; it rises when the service comes "
      "back "
@@ -134,6 +139,7 @@
   prometheus::Gauge& version = families.gauges("covewing_configuration_version").Add({});
   prometheus::Family<prometheus::Counter>& events = families.counters("covewing_events_total");
   prometheus::Gauge& failedLinks = families.gauges("covewing_failed_links").Add({});
+  prometheus::Family<prometheus::Gauge>& heldBytes = families.gauges("covewing_held_bytes");
   prometheus::Gauge& knownParts = families.gauges("covewing_known_cached_parts").Add({});
   prometheus::Gauge& quarantinedParts = families.gauges("covewing_quarantined_parts").Add({});
   prometheus::Family<prometheus::Counter>& partRefusals =
@@ -183,6 +189,8 @@
   prometheus::Family<prometheus::Counter>& retries =
       families.counters("covewing_relay_retries_total");
   prometheus::Family<prometheus::Gauge>& replicas = families.gauges("covewing_replicas");
+  prometheus::Counter& requestsNotReceived =
+      families.counters("covewing_requests_not_received_total").Add({});
   prometheus::Gauge& storeEra = families.gauges("covewing_store_era").Add({});
 };
 
@@ -285,6 +293,11 @@
   };
   set(impl_->failedLinks, snapshot.failedLinks);
   raise(impl_->connectionsClosed, snapshot.connectionsClosedForRoom);
+  for (std::size_t index = 0; index < kMemoryClasses; ++index) {
+    const auto name = toString(static_cast<MemoryClass>(index));
+    set(impl_->heldBytes.Add({{"class", std::string{name}}}), snapshot.heldBytes.at(index));
+  }
+  raise(impl_->requestsNotReceived, snapshot.requestsNotReceived);
   const auto& relayed = snapshot.peerRelay;
   raise(impl_->peerRequests.Add({{"outcome", "answered"}}), relayed.answered);
   raise(impl_->peerRequests.Add({{"outcome", "refused"}}), relayed.refused);
--- a/src/live/relay_metrics.h
+++ b/src/live/relay_metrics.h
@@ -13,6 +13,7 @@
 #include "base/event_log.h"
 #include "base/revision.h"
 #include "base/time.h"
+#include "live/memory_account.h"
 #include "live/metric_entry.h"
 #include "live/peer_relay.h"
 #include "live/peer_traffic.h"
@@ -50,6 +51,9 @@
     std::size_t callerConnections = 0;
     std::size_t maximumCallerConnections = 0;
     std::uint64_t connectionsClosedForRoom = 0;
+    /// Memory held for others, by class (MemoryClass).
+    std::array<std::size_t, kMemoryClasses> heldBytes{};
+    std::uint64_t requestsNotReceived = 0;
     std::size_t knownParts = 0;
     std::size_t quarantinedRequests = 0;
     std::size_t quarantinedParts = 0;
--- a/src/live/relay_settings.cc
+++ b/src/live/relay_settings.cc
@@ -126,6 +126,11 @@
      applyRelayEndpoint},
     {{"listen.metrics", false, kAddressRule, "metrics; none are served without it"},
      applyEndpoint<&RelaySettings::metricsEndpoint>},
+    {{"machine.memory_mb", false, kNumberRule,
+      "memory of the machine in megabytes, which bounds what is held for callers; default 0: as "
+      "the "
+      "operating system reports it"},
+     applyNumber<&RelaySettings::machineMemoryMegabytes>},
     {{"connect.source", false, "must be a.b.c.d",
       "address that connections to replicas are made from; chosen by the operating system without "
       "it"},
--- a/src/live/relay_settings.h
+++ b/src/live/relay_settings.h
@@ -52,6 +52,9 @@
   /// Whether replicas refuse orders with an older fencing token than they have already seen.
   bool fencingEnforced = true;
 
+  /// Memory of the machine in megabytes; 0: as the operating system reports it.
+  double machineMemoryMegabytes = 0;
+
   base::Severity logSeverity = base::Severity::kInfo;
 };
 
--- a/src/request/request_fingerprint.cc
+++ b/src/request/request_fingerprint.cc
@@ -6,7 +6,7 @@
                                        std::string_view tenant) {
   const auto targetAndTenant =
       base::mixHash(base::hashName(request.target), base::hashName(tenant));
-  return {base::mixHash(targetAndTenant, base::hashName(request.body))};
+  return {base::mixHash(targetAndTenant, base::hashName(request.body.text()))};
 }
 
 base::RequestFeatures partFeaturesOf(const prefix::PartChain& chain, std::string_view service) {
--- a/tests/live/http_server_test.cc
+++ b/tests/live/http_server_test.cc
@@ -73,7 +73,7 @@
   BOOST_TEST(first->request().path() == "/a");
   BOOST_TEST(findQueryValue(first->request().query(), "b") == "1");
   BOOST_TEST(first->request().header("x-case") == "Yes");
-  BOOST_TEST(first->request().body == "abc");
+  BOOST_TEST(first->request().body.text() == "abc");
   first->respond({200, {{"X-Number", "1"}}, "one"});
   client.waitFor("one");
   BOOST_TEST(client.has("X-Number: 1"));
@@ -108,7 +108,7 @@
   std::vector<std::string> received;
   const auto respondToNext = [&] {
     const auto exchange = fixture.nextExchange();
-    received.push_back(exchange->request().target + " " + exchange->request().body);
+    received.push_back(exchange->request().target + " " + exchange->request().body.copy());
     exchange->respond({200, {}, "answer to " + exchange->request().target + ";"});
   };
   std::vector<std::string> sent;
@@ -145,7 +145,7 @@
       if (first + 1 < text.size()) client.send(text.substr(first + 1));
       const auto exchange =
           fixture.exchanges.empty() ? fixture.nextExchange() : fixture.exchanges.back();
-      BOOST_TEST(exchange->request().body == (text.front() == '3' ? "abc" : ""));
+      BOOST_TEST(exchange->request().body.text() == (text.front() == '3' ? "abc" : ""));
       exchange->respond({200, {}, "whole"});
       client.waitFor("whole");
     }
@@ -464,7 +464,7 @@
   client.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n");
   client.waitFor("100 Continue");
   client.send("ok");
-  BOOST_TEST(fixture.nextExchange()->request().body == "ok");
+  BOOST_TEST(fixture.nextExchange()->request().body.text() == "ok");
 }
 
 BOOST_AUTO_TEST_CASE(ResponseMayExceedTheRequestTimeout) {
--- a/tests/live/peer_relay_test.cc
+++ b/tests/live/peer_relay_test.cc
@@ -158,7 +158,7 @@
   const auto& exchange = atReplica();
   BOOST_TEST(exchange->request().method == "POST");
   BOOST_TEST(exchange->request().target == "/work?x=1");
-  BOOST_TEST(exchange->request().body == "body");
+  BOOST_TEST(exchange->request().body.text() == "body");
   BOOST_TEST(exchange->request().header("Host") == "example");
   BOOST_TEST(exchange->request().header(relay_headers::kReplica).empty());
   BOOST_TEST(exchange->request().header(relay_headers::kTenant).empty());
--- a/tests/live/relay_fleet.h
+++ b/tests/live/relay_fleet.h
@@ -43,7 +43,8 @@
 class PlainDialect : public RelayDialect {
  public:
   std::string_view requestIdHeader() const override { return kRequestIdHeader; }
-  std::optional<request::IncomingRequest> readRequest(const HttpRequest& request, std::string body,
+  std::optional<request::IncomingRequest> readRequest(const HttpRequest& request,
+                                                      clients::SharedBody body,
                                                       base::TimePoint arrivedAt,
                                                       base::Reason& /*reason*/) const override {
     request::IncomingRequest arrival;
@@ -230,7 +231,7 @@
       stream(exchange);
       return;
     }
-    record_.bodies.push_back(exchange->request().body);
+    record_.bodies.push_back(exchange->request().body.copy());
     if (exchange->request().body == kCrashing) {
       record_.crashingArrivals.push_back(clock_.now());
       timers_.schedule(kCrashAfter, [this, instance = instance_] { crash(instance); });
--- a/tests/platform/http_dialect_test.cc
+++ b/tests/platform/http_dialect_test.cc
@@ -69,7 +69,7 @@
   const auto forwarded = HttpDialect{}.dispatch(*arrival->request, terms);
   BOOST_TEST(forwarded.method == "POST");
   BOOST_TEST(forwarded.target == "/lepu270/2f?q=1");
-  BOOST_TEST(forwarded.body == "body");
+  BOOST_TEST(forwarded.body.text() == "body");
   BOOST_TEST(forwarded.header("X-Covewing-Request-Id") == "9c41d07be2a35f68");
   BOOST_TEST(forwarded.header("X-Covewing-Deadline-Milliseconds") == "4321");
   BOOST_TEST(forwarded.header("X-Covewing-Expected-Instance") == "i-1");
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -123,7 +123,7 @@
   const auto reply = commit({{{"owner", 0}}, {{"owner", "node-1"}, {"old", std::nullopt}}});
   BOOST_TEST((reply.status == TableStatus::kOk));
   BOOST_TEST(reply.revision == 412U);
-  const auto body = json::parse(requests.back().body);
+  const auto body = json::parse(requests.back().body.text());
   BOOST_TEST(requests.back().target == "/-/rows-tx");
   BOOST_TEST(body["expected_revision"][0]["private_key"] == "owner");
   BOOST_TEST(body["expected_revision"][0]["ver"] == 0);
@@ -225,7 +225,7 @@
   eraHeaders = {"3"};
   responses = {{200, R"({"rows":[],"ver":8})"}};
   commit({{{"a", base::revisionAt(3, 7)}}, {{"a", "value"}}});
-  const auto body = json::parse(requests.back().body);
+  const auto body = json::parse(requests.back().body.text());
   BOOST_TEST(body["expected_revision"][0]["ver"] == 7);
 }
 
--- a/tests/platform/weights_order_client_test.cc
+++ b/tests/platform/weights_order_client_test.cc
@@ -55,7 +55,7 @@
   live::runUntil(context, [&] { return result.has_value(); });
   BOOST_TEST((result == clients::WeightsOrderStatus::kAccepted));
   BOOST_TEST(request.header("X-Covewing-Expected-Instance") == "i-7f3a91c2");
-  const auto body = nlohmann::json::parse(request.body);
+  const auto body = nlohmann::json::parse(request.body.text());
   BOOST_TEST(body["operation"] == "version");
   BOOST_TEST(body["version"] == 2);
   BOOST_TEST(body["fencing_token"] == 41);
