Bound what frames of other nodes take together while they arrive

What was seen: eight connections to the port for other nodes that each sent most of an announced frame of 31 MB took a node to 257 MB; 256 are allowed.

Cause: each frame was bounded, at 32 MB, and no sum was; the port cannot know who connects.

--- a/src/live/daemon.cc
+++ b/src/live/daemon.cc
@@ -66,7 +66,7 @@
         log(eventLog, [this](base::Event event) { metrics.onEvent(event); }),
         timers(ioContext),
         random(systemSeed()),
-        peers(ioContext, log),
+        peers(ioContext, log, memory),
         platformHttp(ioContext),
         backEndHttp(ioContext),
         table(platformService(settings.tableEndpoint)),
--- a/src/live/peer_transport.cc
+++ b/src/live/peer_transport.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
 
+#include "live/asio_runtime.h"
 #include "live/handler_failures.h"
 #include "live/lazy_deadline.h"
 #include "node/peer_frame.h"
@@ -39,24 +40,55 @@
 constexpr std::string_view kAcceptSource = "listener for other nodes";
 
 /// One TCP connection that carries one frame, in either direction.
-struct FrameConnection : std::enable_shared_from_this<FrameConnection> {
-  FrameConnection(tcp::socket connected, std::size_t& openCounter)
+struct FrameConnection : IncomingMessage, std::enable_shared_from_this<FrameConnection> {
+  FrameConnection(tcp::socket connected, std::size_t& openCounter, MemoryAccountPtr account)
       : socket(std::move(connected)),
         openCount(openCounter),
-        deadline(socket.get_executor(), [this] {
-          boost::system::error_code error;
-          socket.close(error);
-        }) {
+        deadline(socket.get_executor(), [this] { close(); }),
+        memory(std::move(account)),
+        charge(memory, MemoryClass::kPeers) {
     ++openCount;
     deadline.set(kConnectionTimeout);
   }
-  ~FrameConnection() { --openCount; }
+  ~FrameConnection() override {
+    if (memory) memory->removeIncoming(*this);
+    --openCount;
+  }
   FrameConnection(const FrameConnection&) = delete;
   FrameConnection& operator=(const FrameConnection&) = delete;
 
+  MemoryClass memoryClass() const override { return MemoryClass::kPeers; }
+  std::size_t heldBytes() const override { return charge.bytes(); }
+  base::TimePoint heldSince() const override { return openedAt; }
+  /// The memory itself goes with the handler of the read that is outstanding.
+  void dropForMemory() override {
+    dropped = true;
+    charge.resize(MemoryClass::kPeers, 0);
+    close();
+  }
+
+  void close() {
+    boost::system::error_code error;
+    socket.close(error);
+  }
+  /// Enters the memory of a frame that is being received. Returns false if that was too much.
+  bool enterReceived() {
+    if (!memory) return true;
+    memory->addIncoming(*this);
+    charge.resize(MemoryClass::kPeers, frame.capacity());
+    memory->makeRoom(MemoryClass::kPeers, AsioClock{}.now());
+    return !dropped;
+  }
+
   tcp::socket socket;
   std::size_t& openCount;
   LazyDeadline deadline;
+  /// Null if frames are not entered anywhere.
+  MemoryAccountPtr memory;
+  MemoryCharge charge;
+  base::TimePoint openedAt = AsioClock{}.now();
+  /// Ended because frames took too much memory.
+  bool dropped = false;
   std::array<unsigned char, kPrefixBytes> prefix{};
   std::string frame;
 };
@@ -64,9 +96,10 @@
 }  // namespace
 
 struct AsioPeerTransport::Impl : std::enable_shared_from_this<AsioPeerTransport::Impl> {
-  Impl(asio::io_context& ioContext, base::EventLog& eventLog)
+  Impl(asio::io_context& ioContext, base::EventLog& eventLog, MemoryAccountPtr account)
       : context(ioContext),
         log(eventLog),
+        memory(std::move(account)),
         datagrams(ioContext),
         acceptor(ioContext),
         acceptRetryTimer(ioContext) {}
@@ -129,7 +162,7 @@
   }
 
   void receiveFrame(tcp::socket socket) {
-    auto connection = std::make_shared<FrameConnection>(std::move(socket), incomingCount);
+    auto connection = std::make_shared<FrameConnection>(std::move(socket), incomingCount, memory);
     asio::async_read(
         connection->socket, asio::buffer(connection->prefix),
         [self = shared_from_this(), connection](boost::system::error_code error, std::size_t) {
@@ -151,10 +184,18 @@
       return;
     }
     connection->frame.resize(std::min(length, received + kFrameStepBytes));
+    if (!connection->enterReceived()) {
+      rejectForMemory();
+      return;
+    }
     asio::async_read(connection->socket, asio::buffer(connection->frame) + received,
                      [self = shared_from_this(), connection, length](
                          boost::system::error_code error, std::size_t) {
-                       if (!error) self->receiveBody(connection, length);
+                       if (connection->dropped) {
+                         self->rejectForMemory();
+                       } else if (!error) {
+                         self->receiveBody(connection, length);
+                       }
                      });
   }
 
@@ -175,6 +216,10 @@
         [this] { ++counters.rejectedFrames; });
   }
 
+  void rejectForMemory() {
+    reject({base::ResultCode::kRequestMemoryUsedUp, "no memory for the rest of a frame"});
+  }
+
   void reject(const base::Reason& reason) {
     ++counters.rejectedFrames;
     log.write(
@@ -198,7 +243,8 @@
       ++counters.droppedFrames;
       return;
     }
-    auto connection = std::make_shared<FrameConnection>(tcp::socket(context), outgoingCount);
+    auto connection =
+        std::make_shared<FrameConnection>(tcp::socket(context), outgoingCount, nullptr);
     boost::endian::store_big_u32(connection->prefix.data(),
                                  static_cast<std::uint32_t>(frame.size()));
     connection->frame = std::move(frame);
@@ -234,6 +280,7 @@
 
   asio::io_context& context;
   base::EventLog& log;
+  MemoryAccountPtr memory;
   udp::socket datagrams;
   tcp::acceptor acceptor;
   asio::steady_timer acceptRetryTimer;
@@ -247,8 +294,9 @@
   PeerTransportCounters counters;
 };
 
-AsioPeerTransport::AsioPeerTransport(asio::io_context& context, base::EventLog& log)
-    : impl_(std::make_shared<Impl>(context, log)) {}
+AsioPeerTransport::AsioPeerTransport(asio::io_context& context, base::EventLog& log,
+                                     MemoryAccountPtr memory)
+    : impl_(std::make_shared<Impl>(context, log, std::move(memory))) {}
 
 AsioPeerTransport::~AsioPeerTransport() {
   impl_->handler = nullptr;
--- a/src/live/peer_transport.h
+++ b/src/live/peer_transport.h
@@ -13,6 +13,7 @@
 #include "base/event_log.h"
 #include "base/peer_transport.h"
 #include "base/result_code.h"
+#include "live/memory_account.h"
 
 namespace boost::asio {
 class io_context;
@@ -40,7 +41,9 @@
 
 class AsioPeerTransport final : public base::PeerTransport {
  public:
-  AsioPeerTransport(boost::asio::io_context& context, base::EventLog& log);
+  /// Frames that are being received are entered in `memory`, if that is given.
+  AsioPeerTransport(boost::asio::io_context& context, base::EventLog& log,
+                    MemoryAccountPtr memory = nullptr);
   ~AsioPeerTransport() override;
   AsioPeerTransport(const AsioPeerTransport&) = delete;
   AsioPeerTransport& operator=(const AsioPeerTransport&) = delete;
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -77,7 +77,7 @@
         deployment(relayDeployment),
         timers(ioContext),
         random(systemSeed()),
-        peers(ioContext, log),
+        peers(ioContext, log, memory),
         membership(membershipOptions(settings), clock, timers, random, log, peers),
         traffic(membership),
         nodes(membership, clock),
--- a/tests/live/peer_transport_test.cc
+++ b/tests/live/peer_transport_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/endian/conversion.hpp>
 #include <boost/test/unit_test.hpp>
 #include <deque>
 #include <string>
@@ -21,7 +22,9 @@
 };
 
 struct Peer {
-  explicit Peer(boost::asio::io_context& context, std::string_view name) : transport(context, log) {
+  explicit Peer(boost::asio::io_context& context, std::string_view name,
+                MemoryAccountPtr memory = nullptr)
+      : transport(context, log, std::move(memory)) {
     base::Reason reason;
     const auto bound = transport.bind({kLoopback, 0}, reason);
     BOOST_REQUIRE_MESSAGE(bound.has_value(), reason.detail);
@@ -110,6 +113,34 @@
   BOOST_TEST(test_support::peakAddressSpaceKilobytes() - before < kMostKilobytes);
 }
 
+// Guards against whoever connects to the port for other nodes and sends large frames that never
+// end.
+BOOST_AUTO_TEST_CASE(FramesTogetherKeepToTheirShareOfMemory) {
+  constexpr std::size_t kShare = 1'000'000;
+  constexpr std::uint32_t kAnnounced = 900'000;
+  constexpr std::size_t kConnections = 4;
+  boost::asio::io_context context{1};
+  const auto account =
+      std::make_shared<MemoryAccount>(MemoryBounds{kShare, {kShare, kShare, kShare, kShare}});
+  Peer receiver(context, "receiver", account);
+  Peer sender(context, "sender");
+  std::deque<TestClient> clients;
+  for (std::size_t index = 0; index < kConnections; ++index) {
+    auto& client = clients.emplace_back(context, receiver.self.endpoint);
+    std::string prefix(sizeof kAnnounced, '\0');
+    boost::endian::store_big_u32(reinterpret_cast<unsigned char*>(prefix.data()), kAnnounced);
+    client.send(prefix + std::string(kAnnounced / 2, 'a'));
+    context.restart();
+    context.run_for(std::chrono::milliseconds(30));
+    BOOST_TEST(account->held() <= kShare);
+  }
+  BOOST_TEST(account->refused() > 0U);
+  BOOST_TEST(clients.front().closed());
+  sender.transport.send(receiver.self.endpoint, base::Channel::kConfiguration,
+                        std::string(base::PeerTransport::kDatagramLimit + 1, 'y'));
+  runUntil(context, [&receiver] { return !receiver.received.empty(); });
+}
+
 BOOST_AUTO_TEST_CASE(UnreachablePeerIsCountedAsDropped) {
   Fixture fixture;
   boost::asio::ip::tcp::acceptor closed(fixture.context,
