Give the listeners for readiness and metrics the limits that their work needs

What was seen: 60 clients that sent chunks without end to the ports for readiness and metrics took a node to 787 and 789 MB.

Cause: both ran with a server's default limits: bodies of 8 MB, heads of 30 s, 20,000 connections.

Change: no bodies, heads of 8 KB within 3 s, 16 connections; entered in the node's account.

--- a/src/live/daemon.cc
+++ b/src/live/daemon.cc
@@ -80,7 +80,7 @@
         operatorServer(ioContext, {},
                        [this](const HttpExchangePtr& exchange) { operators->handle(exchange); },
                        {memory, MemoryClass::kPeers, MemoryClass::kPeers}),
-        metricsServer(ioContext, {},
+        metricsServer(ioContext, monitoringLimits(),
                       [this](const HttpExchangePtr& exchange) { handleMetrics(exchange); },
                       {memory, MemoryClass::kPeers, MemoryClass::kPeers}) {}
 
--- a/src/live/http_server.cc
+++ b/src/live/http_server.cc
@@ -239,6 +239,18 @@
   std::unordered_set<const Connection*> closingForRoom;
 };
 
+HttpLimits monitoringLimits() {
+  constexpr std::size_t kHeaderBytes = 8U << 10U;
+  constexpr std::size_t kConnections = 16;
+  HttpLimits limits;
+  limits.headerBytes = kHeaderBytes;
+  limits.bodyBytes = 0;
+  limits.connections = kConnections;
+  limits.headerTimeout = std::chrono::seconds(3);
+  limits.requestTimeout = std::chrono::seconds(3);
+  return limits;
+}
+
 HttpServer::HttpServer(asio::io_context& context, HttpLimits limits, HttpHandler handler,
                        ServerMemory memory)
     : core_(std::make_shared<Core>(context, limits, std::move(handler), std::move(memory))) {}
--- a/src/live/http_server.h
+++ b/src/live/http_server.h
@@ -46,6 +46,10 @@
   base::Duration stallTimeout = std::chrono::seconds(60);
 };
 
+/// Limits of a listener for readiness checks and scrapes of metrics: few peers, and requests
+/// without a body that arrive at once.
+HttpLimits monitoringLimits();
+
 /// Where a server enters what it holds for its peers.
 struct ServerMemory {
   /// Empty: an account of its own, for all memory of the machine.
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -167,13 +167,18 @@
               peerRelay.handle(exchange);
             },
             peerMemory()),
-        readinessServer(ioContext, {},
-                        [this](const HttpExchangePtr& exchange) {
-                          exchange->respond({ready() ? kOk : kServiceUnavailable, {}, {}});
-                        }),
-        metricsServer(ioContext, {}, [this](const HttpExchangePtr& exchange) {
-          exchange->respond({kOk, {{"Content-Type", "text/plain; version=0.0.4"}}, render()});
-        }) {
+        readinessServer(
+            ioContext, monitoringLimits(),
+            [this](const HttpExchangePtr& exchange) {
+              exchange->respond({ready() ? kOk : kServiceUnavailable, {}, {}});
+            },
+            peerMemory()),
+        metricsServer(
+            ioContext, monitoringLimits(),
+            [this](const HttpExchangePtr& exchange) {
+              exchange->respond({kOk, {{"Content-Type", "text/plain; version=0.0.4"}}, render()});
+            },
+            peerMemory()) {
     cacheWatch.onChange([this](const routing::CacheChange& change) { onCacheChange(change); });
     weightsTargets.onChange([this] { service.onWeightsChanged(); });
     configuration.setWatch(configurationWatch);
