Give memory back when a crowd has gone

What was seen: 83 to 294 MB stayed with a node after crowds with large bodies had left; the next crowd started from there.

Cause: the allocator's threshold for blocks that are mapped by themselves rises with each that is freed, so later bodies come from the heap, which shrinks only from its end.

--- a/src/live/memory_account.cc
+++ b/src/live/memory_account.cc
@@ -42,6 +42,11 @@
   return fixed + bytes <= bounds_.total && fixedOfClass + bytes <= bounds_.share(kind);
 }
 
+void MemoryAccount::onFreed(std::size_t bytes, std::function<void()> listener) {
+  freedStep_ = bytes;
+  freedListener_ = std::move(listener);
+}
+
 void MemoryAccount::makeRoom(MemoryClass kind, base::TimePoint now) {
   while (exceeded(kind)) {
     auto* message = chooseForRoom(kind, now);
@@ -68,14 +73,14 @@
   return chosen;
 }
 
-void MemoryAccount::add(MemoryClass kind, std::size_t bytes) {
-  held_.at(static_cast<std::size_t>(kind)) += bytes;
-  total_ += bytes;
-}
-
-void MemoryAccount::remove(MemoryClass kind, std::size_t bytes) {
-  held_.at(static_cast<std::size_t>(kind)) -= bytes;
-  total_ -= bytes;
+void MemoryAccount::replace(Entry former, Entry next) {
+  held_.at(static_cast<std::size_t>(former.kind)) -= former.bytes;
+  held_.at(static_cast<std::size_t>(next.kind)) += next.bytes;
+  total_ = total_ - former.bytes + next.bytes;
+  peak_ = std::max(peak_, total_);
+  if (!freedListener_ || peak_ - total_ < freedStep_) return;
+  peak_ = total_;
+  freedListener_();
 }
 
 MemoryCharge::MemoryCharge(MemoryCharge&& other) noexcept
@@ -86,10 +91,9 @@
 void MemoryCharge::resize(MemoryClass kind, std::size_t bytes) {
   if (!account_) return;
   if (kind == kind_ && bytes == bytes_) return;
-  account_->remove(kind_, bytes_);
+  account_->replace({kind_, bytes_}, {kind, bytes});
   kind_ = kind;
   bytes_ = bytes;
-  account_->add(kind_, bytes_);
 }
 
 }  // namespace covewing::live
--- a/src/live/memory_account.h
+++ b/src/live/memory_account.h
@@ -13,6 +13,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string_view>
 #include <unordered_set>
@@ -79,15 +80,22 @@
   bool couldReceive(MemoryClass kind, std::size_t bytes) const;
   void countRefusal() { ++refused_; }
 
+  /// Sets the listener that is called whenever `bytes` less are held than at most since its last
+  /// call. What was let go may be freed only after the call.
+  void onFreed(std::size_t bytes, std::function<void()> listener);
+
   /// From now on the message may be dropped; it must be removed before it is destroyed.
   void addIncoming(IncomingMessage& message) { incoming_.insert(&message); }
   void removeIncoming(IncomingMessage& message) { incoming_.erase(&message); }
   /// Drops messages until the class keeps to its bounds, as far as there are any to drop.
   void makeRoom(MemoryClass kind, base::TimePoint now);
 
+  struct Entry {
+    MemoryClass kind = MemoryClass::kRequests;
+    std::size_t bytes = 0;
+  };
   // Called by MemoryCharge.
-  void add(MemoryClass kind, std::size_t bytes);
-  void remove(MemoryClass kind, std::size_t bytes);
+  void replace(Entry former, Entry next);
 
  private:
   IncomingMessage* chooseForRoom(MemoryClass kind, base::TimePoint now) const;
@@ -96,6 +104,10 @@
   std::array<std::size_t, kMemoryClasses> held_{};
   std::size_t total_ = 0;
   std::uint64_t refused_ = 0;
+  /// Most bytes held since the last call of the listener.
+  std::size_t peak_ = 0;
+  std::size_t freedStep_ = 0;
+  std::function<void()> freedListener_;
   std::unordered_set<IncomingMessage*> incoming_;
 };
 
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -8,6 +8,7 @@
 #include "config/era_checked_table.h"
 #include "config/shared_feed.h"
 #include "config/store_eras.h"
+#include "live/allocator.h"
 #include "live/asio_runtime.h"
 #include "live/boot_clock.h"
 #include "live/connect_probe.h"
@@ -56,6 +57,10 @@
 /// When a caller may try again whose request could not be received: by then ordinary requests that
 /// take memory now have been served.
 constexpr base::Duration kUnreadRetryAfter = std::chrono::seconds(1);
+/// Free memory is given back when so many bytes less are held than before, and not more often than
+/// at this interval.
+constexpr std::size_t kFreedStep = 8 * kMegabyte;
+constexpr base::Duration kReleaseInterval = std::chrono::milliseconds(500);
 /// Interval at which the totals of the traffic to other nodes are logged, a few lines each time.
 constexpr base::Duration kTrafficReportInterval = std::chrono::seconds(10);
 
@@ -207,6 +212,7 @@
     relayServer.setRefusalFormatter([this](const base::Reason& reason, const HttpRequest& head) {
       return peerRelay.refuseUnread(reason, head);
     });
+    memory->onFreed(kFreedStep, [this] { releaseMemorySoon(); });
     watchConnectionRoom();
     crashDetector.setListener([this](const routing::LostRequests& ended) {
       quarantine.onReplicaCrash(base::engineIdOf(ended.instance), ended.requests);
@@ -245,6 +251,15 @@
 
   ServerMemory peerMemory() const { return {memory, MemoryClass::kPeers, MemoryClass::kPeers}; }
 
+  /// Gives free memory back, at intervals while much is held and let go.
+  void releaseMemorySoon() {
+    if (std::exchange(releaseScheduled, true)) return;
+    timers.schedule(kReleaseInterval, [this] {
+      releaseScheduled = false;
+      releaseFreeMemory();
+    });
+  }
+
   /// The response to a caller's request that was not received whole, and so has not run.
   HttpResponse refuseUnread(const base::Reason& reason, const HttpRequest& head) {
     const auto id = head.header(deployment.dialect.requestIdHeader());
@@ -586,6 +601,7 @@
   /// Era of the table service for which this node has last ensured that its own rows exist.
   base::StoreEra rowsWrittenEra = 0;
   base::TimerId trafficTimer = 0;
+  bool releaseScheduled = false;
 };
 
 RelayDaemon::RelayDaemon(boost::asio::io_context& context, RelaySettings settings,
--- a/tests/live/memory_account_test.cc
+++ b/tests/live/memory_account_test.cc
@@ -104,6 +104,23 @@
   BOOST_TEST(account->couldReceive(MemoryClass::kBodies, kShare - 1));
 }
 
+// Guards against memory that stays with the process, and against giving it back again and again.
+BOOST_AUTO_TEST_CASE(ListenerIsToldWhenMuchLessIsHeldThanBefore) {
+  int freed = 0;
+  account->onFreed(100, [&freed] { ++freed; });
+  MemoryCharge charge(account, MemoryClass::kRequests);
+  charge.resize(MemoryClass::kRequests, 300);
+  BOOST_TEST(freed == 0);
+  charge.resize(MemoryClass::kRequests, 201);
+  BOOST_TEST(freed == 0);
+  charge.resize(MemoryClass::kRequests, 200);
+  BOOST_TEST(freed == 1);
+  charge.resize(MemoryClass::kRequests, 101);
+  BOOST_TEST(freed == 1);
+  charge.resize(MemoryClass::kRequests, 0);
+  BOOST_TEST(freed == 2);
+}
+
 BOOST_AUTO_TEST_CASE(ChargesAreTakenOffWhenTheirHoldersLetGo) {
   {
     MemoryCharge first(account, MemoryClass::kRequests);
