Make room among peers that send or read next to nothing

What callers saw: while 1,400 clients sent parts of heads to a node with 4,100 descriptors, 8 of 24 ordinary callers were served; with bodies of a byte a second 4 of 16.

Cause: at the maximum of connections only idle ones made room. One whose peer has sent a part of a request and does no more isn't idle, and stays for 3 to 30 s; one whose response isn't read for 60 s.

What is closed was not read whole, so it has not run.

--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -356,6 +356,7 @@
     written_ = 0;
   }
   writeActive_ = true;
+  writtenAt_ = AsioClock{}.now();
   setDeadline(owner_.limits().stallTimeout);
   updatePressure();
   socket_.async_write_some(
@@ -512,12 +513,24 @@
   return idleSince_;
 }
 
+std::optional<Connection::Transfer> Connection::transfer() const {
+  if (state_ == State::kReading && (parser_->got_some() || buffer_.size() > 0))
+    return Transfer{arrival_.at, requestBytes_ + buffer_.size()};
+  if (state_ == State::kResponding && exchange_.expired() && bufferedBytes() > 0)
+    return Transfer{writtenAt_, 0};
+  return std::nullopt;
+}
+
 void Connection::closeForRoom() {
-  if (state_ != State::kLingering) {
+  if (idleSince() && state_ != State::kLingering) {
     closeIfIdle();
-  } else if (unreadBytes(socket_) == 0) {
-    close();
+    return;
   }
+  const bool reads = state_ == State::kLingering || state_ == State::kReading;
+  if (reads && unreadBytes(socket_) > 0) return;
+  if (state_ != State::kLingering && !transfer()) return;
+  reportEarlyClose("other connections need the room", base::Duration::zero());
+  close();
 }
 
 void Connection::closeIfIdle() {
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -116,10 +116,19 @@
   /// while any byte of a
   /// request or response is under way or the connection is about to close.
   std::optional<base::TimePoint> idleSince() const;
+  /// A request that is being received, or a complete response that the peer is reading.
+  struct Transfer {
+    /// When its first byte was received, or since when the peer accepts none.
+    base::TimePoint since{};
+    /// Bytes received of the request.
+    std::size_t bytes = 0;
+  };
+  /// Empty while the connection is idle, or its request is being served.
+  std::optional<Transfer> transfer() const;
   /// Whether the last response was written and only the peer's close is awaited.
   bool lingering() const { return state_ == State::kLingering; }
-  /// Closes the connection to make room for another one, if it is idle or lingering and its socket
-  /// holds no bytes.
+  /// Closes the connection to make room for another one, unless its request is being served or its
+  /// socket holds bytes that were not read.
   void closeForRoom();
   /// Closes the connection unless a byte of a request was received or a response has not been
   /// acknowledged by the peer's machine.
@@ -258,6 +267,8 @@
   bool closeWhenWritten_ = false;
   /// The next request begins once the peer has read more of the responses to earlier ones.
   bool nextRequestWaits_ = false;
+  /// When the write that is outstanding began.
+  base::TimePoint writtenAt_{};
   std::size_t lingeredBytes_ = 0;
   /// While lingering: bytes that were not acknowledged when that was last checked, and when their
   /// number last went down.
--- a/src/live/http_server.cc
+++ b/src/live/http_server.cc
@@ -10,9 +10,9 @@
 #include <unordered_set>
 
 #include "live/asio_runtime.h"
+#include "live/closable_connections.h"
 #include "live/handler_failures.h"
 #include "live/http_connection.h"
-#include "live/idle_connections.h"
 #include "live/memory_plan.h"
 
 namespace covewing::live {
@@ -147,7 +147,7 @@
 
   void onFull(const std::shared_ptr<Listener>& listener) {
     if (makeRoom(listener)) return;
-    reportDelay("no connection is idle", /*outOfDescriptors=*/false);
+    reportDelay("no connection may be closed", /*outOfDescriptors=*/false);
     acceptLater(listener, kRoomRetryDelay);
   }
 
@@ -175,10 +175,10 @@
         });
   }
 
-  /// Closes the connection that has been idle longest, if its socket holds no bytes, and lets
-  /// `listener` accept afterwards. Returns false if no connection is idle.
+  /// Closes the connection that is the first to close, if its socket holds no bytes, and lets
+  /// `listener` accept afterwards. Returns false if none may be closed.
   bool makeRoom(const std::shared_ptr<Listener>& listener) {
-    const auto connection = idleConnections.takeOldest(connections, AsioClock{}.now());
+    const auto connection = closableConnections.takeNext(connections, AsioClock{}.now());
     if (!connection) return false;
     closingForRoom.insert(connection.get());
     connection->closeForRoom();
@@ -234,8 +234,8 @@
   bool closed = false;
   std::list<std::shared_ptr<Listener>> listeners;
   ConnectionMap connections;
-  IdleConnections idleConnections;
-  /// Connections that were asked to close if they are idle.
+  ClosableConnections closableConnections;
+  /// Connections that were asked to close if they may.
   std::unordered_set<const Connection*> closingForRoom;
 };
 
--- a/src/live/http_server.h
+++ b/src/live/http_server.h
@@ -33,8 +33,9 @@
   /// Buffered bytes of a response above which its producer is notified to pause.
   std::size_t responseBufferBytes = 64U << 10U;
   /// Maximum number of open connections. At the maximum, the connection that has been idle longest
-  /// is closed for a new one; if none is idle, new ones wait in the listen queue. Near the maximum,
-  /// responses announce `Connection: close`.
+  /// is closed for a new one; if none is idle, that of the peer that has sent least of its request
+  /// for longest, or that does not read its response. If all requests are being served, new ones
+  /// wait in the listen queue. Near the maximum, responses announce `Connection: close`.
   std::size_t connections = 20'000;
   /// Maximum time from the first byte of a request to the end of its header section.
   base::Duration headerTimeout = std::chrono::seconds(30);
@@ -163,7 +164,7 @@
   /// Sets the listener that is called for each attempt to accept connections that fails or finds no
   /// room.
   void onAcceptDelay(AcceptDelayListener listener);
-  /// Sets the listener that is called for each idle connection that was closed to make room.
+  /// Sets the listener that is called for each connection that was closed to make room.
   void onClosedForRoom(std::function<void()> listener);
   /// Binds to the endpoint and starts accepting connections; port 0 selects a free port. Returns
   /// the bound endpoint; if that fails, returns nothing and sets `reason`.
@@ -177,7 +178,7 @@
   void announceClose();
   /// Closes the connections that are between requests at once; continues to accept new ones.
   void closeIdleConnections();
-  /// Closes the connection that has been idle longest, if there is one.
+  /// Closes one connection, as at the maximum, if there is one that may be closed.
   void makeRoom();
   /// Stops accepting and closes the connections that are between requests at once; the others are
   /// closed after their responses.
--- a/src/live/relay_metrics.cc
+++ b/src/live/relay_metrics.cc
@@ -17,7 +17,7 @@
 constexpr MetricEntry kTable[] = {
     {"covewing_caller_connections", "gauge", "", "open connections of callers"},
     {"covewing_caller_connections_closed_total", "counter", "",
-     "idle connections of callers that were closed to make room for new ones"},
+     "connections of callers that were closed to make room for new ones"},
     {"covewing_caller_connections_maximum", "gauge", "",
      "maximum of open connections of callers, by the descriptors of the process"},
     {"covewing_configuration_age_seconds", "gauge", "",
--- a/tests/live/connection_limit_test.cc
+++ b/tests/live/connection_limit_test.cc
@@ -165,6 +165,49 @@
   BOOST_TEST(limited.resetClients() == 0U);
 }
 
+// Guards against callers that wait until peers that have sent a part of a request run out of time.
+BOOST_AUTO_TEST_CASE(SlowestSenderMakesRoomForANewCaller) {
+  LimitedServer limited;
+  limited.connect(kMaximum);
+  limited.waitForConnections(kMaximum);
+  auto& slowest = *limited.clients.at(kMaximum / 2);
+  for (const auto& client : limited.clients)
+    client->send(kRequest.substr(0, client.get() == &slowest ? 5 : kRequest.size() - 1));
+  limited.run(2 * kAtOnce);
+  auto& caller = limited.connect();
+  caller.send(kRequest);
+  limited.run(kAtOnce);
+  BOOST_TEST(caller.has("answer"));
+  BOOST_TEST(slowest.closed());
+  const auto leaving = static_cast<std::size_t>(caller.closed() ? 1 : 0);
+  BOOST_TEST(limited.closedClients() - leaving == 1U);
+}
+
+// Guards against callers that wait until peers that read nothing run out of time.
+BOOST_AUTO_TEST_CASE(PeerThatReadsNoResponseMakesRoomForANewCaller) {
+  constexpr std::size_t kBeyondSocketBuffers = 64U << 20U;
+  LimitedServer limited;
+  limited.holding = true;
+  limited.connect(kMaximum - 1);
+  limited.sendAll();
+  limited.serve(kMaximum - 1);
+  limited.clients.push_back(
+      std::make_unique<TestClient>(limited.context, limited.endpoint, /*reading=*/false));
+  limited.clients.back()->send(kRequest);
+  limited.serve(kMaximum);
+  limited.held.back()->respond({200, {}, std::string(kBeyondSocketBuffers, 'a')});
+  limited.held.pop_back();
+  limited.run(2 * kAtOnce);
+  limited.holding = false;
+  auto& caller = limited.connect();
+  caller.send(kRequest);
+  limited.run(kAtOnce);
+  BOOST_TEST(caller.has("answer"));
+  // Those whose requests are being served stay.
+  BOOST_TEST(limited.server.openConnections() >= kMaximum - 1);
+  BOOST_TEST(limited.closedClients() == (caller.closed() ? 1U : 0U));
+}
+
 BOOST_AUTO_TEST_CASE(CallersOfANearlyFullServerAreAskedToLeave) {
   LimitedServer limited;
   limited.connect(kMaximum / 2);
