Bound the log lines that refusals cause

What was seen: two clients that sent small requests without end and got 404 made a node write 66 MB of log in 3 s.

Cause: one line for each refusal, and refusals cost a client nothing.

A refused request that was sent to a replica is logged however many there are.

--- a/src/live/rate_limited_event_log.cc
+++ b/src/live/rate_limited_event_log.cc
@@ -1,6 +1,8 @@
 #include "live/rate_limited_event_log.h"
 
 #include <algorithm>
+#include <span>
+#include <string_view>
 #include <utility>
 
 namespace covewing::live {
@@ -24,34 +26,67 @@
   }
 }
 
+/// Whether events of this kind may be caused by whoever connects, at no cost to him.
+bool isRefusal(base::Event event) {
+  switch (event) {
+    case base::Event::kRequestRefused:
+    case base::Event::kPeerRequestFailed:
+    case base::Event::kMessageRejected:
+    case base::Event::kCallerDisconnected:
+    case base::Event::kConnectionClosedEarly:
+      return true;
+    default:
+      return false;
+  }
+}
+
+/// Value of the field with this name; empty if there is none.
+std::string_view valueOf(std::span<const base::EventField> fields, std::string_view name) {
+  const auto field = std::ranges::find(fields, name, &base::EventField::name);
+  return field == fields.end() ? std::string_view{} : std::string_view{field->value};
+}
+
 }  // namespace
 
-bool RateLimitedEventLog::takeFromBudget(base::TimePoint now) {
-  const double refill = base::toSeconds(now - refilledAt_) * options_.linesPerSecond;
-  budget_ = std::min(options_.burst, budget_ + refill);
-  refilledAt_ = now;
-  if (budget_ < 1) return false;
-  budget_ -= 1;
+bool RateLimitedEventLog::Budget::take(base::TimePoint now) {
+  const double refill = base::toSeconds(now - refilledAt) * rate.linesPerSecond;
+  lines = std::min(rate.burst, lines + refill);
+  refilledAt = now;
+  if (lines < 1) return false;
+  lines -= 1;
   return true;
 }
 
+RateLimitedEventLog::Budget* RateLimitedEventLog::budgetFor(
+    base::Event event, std::span<const base::EventField> fields) {
+  if (isFleetChange(event)) return &fleetChanges_;
+  if (!isRefusal(event)) return nullptr;
+  const auto dispatches = valueOf(fields, "dispatches");
+  const bool wasDispatched = !dispatches.empty() && dispatches != "0";
+  return wasDispatched ? nullptr : &refusals_;
+}
+
 void RateLimitedEventLog::reportDropped(base::TimePoint now) {
   if (dropped_.empty() || now - reportedAt_ < options_.reportInterval) return;
   reportedAt_ = now;
-  for (const auto& [event, count] : std::exchange(dropped_, {})) {
+  for (const auto& [kind, count] : std::exchange(dropped_, {})) {
+    const auto& [event, code] = kind;
     next_.write(base::Event::kLogLinesDropped,
                 {{"kind", std::string{base::describe(event).name}},
+                 {"code", code},
                  {"lines", std::to_string(count)},
-                 {"why", "rate limit for changes of members and replicas"}});
+                 {"why", isFleetChange(event) ? "rate limit for changes of members and replicas"
+                                              : "rate limit for refusals"}});
   }
 }
 
 void RateLimitedEventLog::write(base::Event event, std::initializer_list<base::EventField> fields) {
   const auto now = clock_.now();
   reportDropped(now);
-  if (isFleetChange(event) && !takeFromBudget(now)) {
+  auto* budget = budgetFor(event, fields);
+  if (budget != nullptr && !budget->take(now)) {
     if (dropped_.empty()) reportedAt_ = now;
-    ++dropped_[event];
+    ++dropped_[{event, std::string{valueOf(fields, "code")}}];
     return;
   }
   next_.write(event, fields);
--- a/tests/live/rate_limited_event_log_test.cc
+++ b/tests/live/rate_limited_event_log_test.cc
@@ -34,6 +34,29 @@
   BOOST_TEST(log.count(base::Event::kLogLinesDropped) == 1U);
 }
 
+// Guards against a log that grows by a line for each request of callers that get nothing but
+// refusals.
+BOOST_AUTO_TEST_CASE(RefusalsAreLimitedAndCountedByCode) {
+  constexpr int kRequests = 10'000;
+  for (int request = 0; request < kRequests; ++request)
+    limited.write(base::Event::kRequestRefused, {{"code", "201"}});
+  BOOST_TEST(log.count(base::Event::kRequestRefused) == 2000U);
+  time.advance(seconds(5));
+  limited.write(base::Event::kRequestRefused, {{"code", "201"}});
+  BOOST_TEST(log.count(base::Event::kRequestRefused) == 2001U);
+  BOOST_TEST(log.count(base::Event::kLogLinesDropped) == 1U);
+}
+
+// Guards against a request whose way to a replica cannot be followed because others were refused.
+BOOST_AUTO_TEST_CASE(RefusalsOfRequestsThatWereDispatchedAreNeverDropped) {
+  constexpr int kRequests = 10'000;
+  for (int request = 0; request < kRequests; ++request) {
+    limited.write(base::Event::kRequestRefused, {{"dispatches", "0"}});
+    limited.write(base::Event::kRequestRefused, {{"dispatches", "1"}});
+  }
+  BOOST_TEST(log.count(base::Event::kRequestRefused) == 2000U + kRequests);
+}
+
 BOOST_AUTO_TEST_CASE(DecisionsAreNeverDropped) {
   for (int request = 0; request < 500; ++request) limited.write(base::Event::kRelayDispatched, {});
   BOOST_TEST(log.count(base::Event::kRelayDispatched) == 500U);
