Enter the size of a head once, when it was received

A head's size was computed anew with each read of its body, as all bytes of the request but the body's: framing of small chunks counted as head, three times. So a request in chunks of one byte was entered with several times what it held, and could have been dropped for it. It is now computed when the head is complete.

--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -200,18 +200,27 @@
   if (parser_->is_done()) {
     dispatch();
   } else if (parser_->is_header_done()) {
-    if (!headerComplete_) setRequestDeadline(owner_.limits().requestTimeout);
-    if (!headerComplete_ && !hasRoomForBody()) {
-      memory_.account->countRefusal();
-      refuseForMemory();
-      return;
-    }
-    headerComplete_ = true;
-    headBytes_ = requestBytes_ - parser_->get().body().size();
+    if (!headerComplete_ && !beginBody()) return;
     continueIfExpected();
   }
 }
 
+bool Connection::beginBody() {
+  setRequestDeadline(owner_.limits().requestTimeout);
+  if (!hasRoomForBody()) {
+    memory_.account->countRefusal();
+    refuseForMemory();
+    return false;
+  }
+  onHeaderComplete(parser_->get().body().size());
+  return true;
+}
+
+void Connection::onHeaderComplete(std::size_t bodyBytes) {
+  headerComplete_ = true;
+  headBytes_ = requestBytes_ - bodyBytes;
+}
+
 std::size_t Connection::maximumUnparsedBytes() const {
   return std::max(owner_.limits().headerBytes, kReadBytes) + kBodyReadBytes;
 }
@@ -234,7 +243,7 @@
 void Connection::dispatch() {
   endIncoming();
   auto message = parser_->release();
-  headBytes_ = requestBytes_ - message.body().size();
+  if (!headerComplete_) onHeaderComplete(message.body().size());
   keepAlive_ = message.keep_alive();
   state_ = State::kResponding;
   responseBegun_ = false;
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -185,6 +185,11 @@
   bool overdueAfter(std::size_t bytes);
   /// The first bytes of a request were read, `readDelay` after they had arrived.
   void onFirstBytes(base::Duration readDelay);
+  /// The header section was received, and not all of the body. Returns false if the request was
+  /// refused because there is no room for its body.
+  bool beginBody();
+  /// Enters the size of the header section, with which `bodyBytes` of the body were received.
+  void onHeaderComplete(std::size_t bodyBytes);
   void dispatch();
   /// Moves the body out of the message that was received; it stays entered in the account.
   clients::SharedBody takeBody(std::string text);
