Take what a closed connection held off the account at once

A connection that was closed for want of memory stayed entered until its last handler had run, so the search for room went on and dropped further messages than it needed to. Found by reading; ClosedConnectionHoldsNothing shows it.

--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -572,6 +572,9 @@
   if (state_ == State::kClosed) return;
   state_ = State::kClosed;
   endIncoming();
+  // The memory itself goes when the last handler has run.
+  received_.resize(received_.memoryClass(), 0);
+  unsent_.resize(unsent_.memoryClass(), 0);
   boost::system::error_code error;
   socket_.close(error);
   deadline_.stop();
--- a/tests/live/http_server_memory_test.cc
+++ b/tests/live/http_server_memory_test.cc
@@ -69,6 +69,17 @@
   BOOST_TEST(exchanges.empty());
 }
 
+// Guards against further messages that are dropped because those that were closed still count.
+BOOST_AUTO_TEST_CASE(ClosedConnectionHoldsNothing) {
+  constexpr std::size_t kHeld = 50'000;
+  TestClient client(context, endpoint);
+  client.send(headOf(kHeld + 1) + std::string(kHeld, 'a'));
+  run();
+  BOOST_TEST(account->held() >= kHeld);
+  server.close();
+  BOOST_TEST(account->held() == 0U);
+}
+
 // Guards against memory that is counted as free while a request that was passed on still holds it.
 BOOST_AUTO_TEST_CASE(BodyStaysEnteredUntilItsLastHolderLetsGo) {
   constexpr std::size_t kBody = 50'000;
