Soak: crowds of clients that don't keep to the limits, amid all faults

No process may use more than its machine has, nothing of a crowd may reach a replica, and all else holds as without it.

--- a/tests/scripts/relay_soak.sh
+++ b/tests/scripts/relay_soak.sh
@@ -80,6 +80,8 @@
 run_seed 24 1 12 --address-reuse --nodes 3 --replicas 4 --model-replicas 6 --callers 8
 # Replicas that spoil a tenth of their answers, and callers that send several requests at once.
 run_seed 25 1 12 --spoiled --nodes 3 --replicas 4 --model-replicas 4 --callers 16
+# Crowds of clients that don't keep to the limits, amid all faults.
+run_seed 26 1 12 --rough --nodes 3 --replicas 4 --model-replicas 4 --callers 8
 await_all || failed=1
 
 # All replicas limited, and nothing else wrong: each is used to its limit, also where all prompts share one part.
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -18,6 +18,8 @@
 LISTENS_WITHIN = 0.05
 # With --stops (seconds): shorter than the time of requests, which is 4 s.
 GRACE_OF_STOPS = 3.4
+# With --rough: memory of each node's machine (MB).
+MEMORY_MB = 48
 # Ways in which a node loses the table service (table_service.StoreWay).
 STORE_LOSSES = ["refused", "limited", "reset", "no requests", "no answers"]
 
@@ -75,6 +77,8 @@
 seeds = [{peers}]
 [table_service]
 address = "{Listener.host}:{self.store_way.listener.port}"
+[machine]
+memory_mb = {MEMORY_MB if self.soak.options.rough else 0}
 [bounds]
 grace_s = {GRACE_OF_STOPS if self.soak.options.stops else 8}
 revocation_ms = {int(bounds.revocation * 1000)}
--- a/tests/soak/relay_soak.py
+++ b/tests/soak/relay_soak.py
@@ -55,6 +55,8 @@
 - with --second-runs: replicas stand still and notice late that their callers have gone, answer what they ran as though
   they had not, and lose answers of routes whose kind changes, and all of the above holds; no request runs again behind
   a configuration that forbids it (second_run_rules.TurningRule);
+- with --rough: crowds of clients that don't keep to the limits come to the nodes amid all faults, no process uses more
+  memory than its machine has, and all of the above holds (rough.py);
 - nothing is carried out that nobody sent: what reaches a replica is a request of a caller or a node's call to that very
   instance; with --address-reuse, addresses pass to others while the table service is in trouble (unasked.UnaskedRule);
 - with --one-node: while nearly all new connections go to one node, requests are served nearly as often as
@@ -97,6 +99,7 @@
 from operators import ADDED_ROUTES, KEYS, ROUTE_TIMEOUT_MS, Operators
 from other_writer import OtherWriter
 from replicas import DEADLY, SERVICE, Replica
+from rough import start_crowds
 from run_manners import PROMISING
 from second_run_rules import SecondRunRule, TurningRule
 from second_runs import SHAPES as SECOND_RUN_SHAPES
@@ -125,6 +128,8 @@
 KEY_CALLERS = 2
 # Callers that come back when they are told to, for each node.
 PATIENT_CALLERS = 1
+# With --rough: crowds at a time.
+CROWDS = 2
 MOST_TOLD = 10
 # This process has stood still where it was so late (seconds).
 STANDS_STILL = 0.1
@@ -662,6 +667,7 @@
         if self.options.crashing_parts:
             await crash_by_parts(self, self.options.parts, self.options.part_shape)
             return
+        crowds = start_crowds(self, CROWDS) if self.options.rough else []
         self.faults.start_series()
         if self.options.from_program is None:
             self.spawn(crash_by_part_amid_series(self))
@@ -676,6 +682,9 @@
         if self.options.returns:
             self.faults.start_return_series()
         await asyncio.gather(asyncio.sleep(self.options.seconds), self.replace_builds())
+        for crowd in crowds:
+            crowd.cancel()
+        await asyncio.gather(*crowds, return_exceptions=True)
 
     async def replace_builds(self):
         if self.options.from_program is not None:
@@ -793,6 +802,8 @@
                         help="one sequence: planned stops that overlap, amid further signals, of busy nodes")
     parser.add_argument("--surplus", action="store_true",
                         help="one sequence: replicas turn requests away, and send answers twice, at once or late")
+    parser.add_argument("--rough", action="store_true",
+                        help="crowds of clients that don't keep to the limits come to the nodes, amid all faults")
     parser.add_argument("--spoiled", action="store_true",
                         help="one sequence: replicas spoil answers, and callers send several requests at once")
     parser.add_argument("--second-runs", action="store_true",
