Say what was unfinished on connections that a stopping node ends

A node in a soak of planned stops ended with one request or answer open by its own count, and nothing told whose connection that was. Event 8006 at the end of the process now names each connection that counts as unfinished, and in all its lines what is unfinished: a response that is not sent or not acknowledged, a request that arrives or is served, or a peer that still sends a refused request.

--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -480,14 +480,19 @@
   socket_.set_option(asio::socket_base::linger(enabled, /*timeout=*/0), error);
 }
 
-bool Connection::unfinished() const {
-  if (state_ == State::kClosed) return false;
-  if (state_ == State::kResponding || bufferedBytes() > 0) return true;
-  if (unacknowledgedBytes(socket_).value_or(0) > 0) return true;
-  // A peer that still sends a refused request may not have read the refusal: closing the connection
-  // would reset it.
-  if (state_ == State::kLingering) return lingeredBytes_ > 0 && !peerHasClosed(socket_);
-  return parser_->got_some() || buffer_.size() > 0 || unreadBytes(socket_) > 0;
+std::string_view Connection::unfinishedWork() const {
+  if (state_ == State::kClosed) return {};
+  if (bufferedBytes() > 0) return "a response is not sent whole";
+  if (state_ == State::kResponding) return "a request is being served";
+  if (unacknowledgedBytes(socket_).value_or(0) > 0) return "a response is not acknowledged";
+  if (state_ == State::kLingering) {
+    // A peer that still sends a refused request may not have read the refusal: closing the
+    // connection would reset it.
+    const bool stillSends = lingeredBytes_ > 0 && !peerHasClosed(socket_);
+    return stillSends ? "the peer still sends a refused request" : std::string_view{};
+  }
+  const bool arrives = parser_->got_some() || buffer_.size() > 0 || unreadBytes(socket_) > 0;
+  return arrives ? "a request arrives" : std::string_view{};
 }
 
 void Connection::linger() {
@@ -555,7 +560,7 @@
 
 void Connection::closeForExit() {
   if (state_ == State::kClosed) return;
-  if (bufferedBytes() > 0) reportEarlyClose("the node stops", base::Duration::zero());
+  if (unfinished()) owner_.onClosedEarly(earlyClose("the node stops", base::Duration::zero()));
   if (unacknowledgedBytes(socket_).value_or(0) > 0) discardUnreadBytes();
   close();
 }
@@ -637,10 +642,19 @@
   return parser_->got_some() ? "the header section does not arrive" : "idle";
 }
 
-void Connection::reportEarlyClose(std::string_view why, base::Duration late) const {
+EarlyClose Connection::earlyClose(std::string_view why, base::Duration late) const {
   const bool requestBegun = state_ == State::kReading && requestBytes_ > 0;
-  const EarlyClose early{
-      peer_, why, unreadBytes(socket_), requestBegun ? requestBytes_ : 0, bufferedBytes(), late};
+  return {peer_,
+          why,
+          unfinishedWork(),
+          unreadBytes(socket_),
+          requestBegun ? requestBytes_ : 0,
+          bufferedBytes(),
+          late};
+}
+
+void Connection::reportEarlyClose(std::string_view why, base::Duration late) const {
+  const auto early = earlyClose(why, late);
   const bool refused = state_ == State::kLingering;
   if (!refused && early.unreadBytes + early.requestBytes + early.unsentBytes > 0)
     owner_.onClosedEarly(early);
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -111,7 +111,9 @@
   bool peerConnected() const;
   /// Whether the end of the process would cost the peer anything: a request that arrives or is
   /// being answered, or bytes of a response that the peer's machine has not acknowledged.
-  bool unfinished() const;
+  bool unfinished() const { return !unfinishedWork().empty(); }
+  /// What is unfinished; empty if nothing is.
+  std::string_view unfinishedWork() const;
   /// When the connection was last opened, its last response completed or it began to linger; empty
   /// while any byte of a
   /// request or response is under way or the connection is about to close.
@@ -244,6 +246,7 @@
   void clearDeadline();
   /// The limit that the deadline enforces now.
   std::string_view deadlineName() const;
+  EarlyClose earlyClose(std::string_view why, base::Duration late) const;
   void reportEarlyClose(std::string_view why, base::Duration late) const;
 
   Socket socket_;
--- a/src/live/http_server.h
+++ b/src/live/http_server.h
@@ -126,6 +126,8 @@
   base::Endpoint peer;
   /// Which limit ended it.
   std::string_view why;
+  /// What was unfinished.
+  std::string_view unfinished;
   /// Bytes that the operating system held and that were not read.
   std::size_t unreadBytes = 0;
   /// Bytes of an incomplete request that were read.
