Count at the end of a planned stop what the end cuts

The operating system goes on sending behind the end of the process, so nothing is cut, and the count said otherwise.

Change: event 1003 counts what the end of the process cuts.

--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -111,9 +111,11 @@
   bool peerConnected() const;
   /// Whether the end of the process would cost the peer anything: a request that arrives or is
   /// being answered, or bytes of a response that the peer's machine has not acknowledged.
-  bool unfinished() const { return !unfinishedWork().empty(); }
-  /// What is unfinished; empty if nothing is.
-  std::string_view unfinishedWork() const;
+  bool unfinished() const { return unfinishedWork() != UnfinishedWork::kNone; }
+  UnfinishedWork unfinishedWork() const;
+  /// Whether the end of the process would cut it. The operating system goes on sending what it has
+  /// accepted, also behind that.
+  bool cutByExit() const;
   /// When the connection was last opened, its last response completed or it began to linger; empty
   /// while any byte of a
   /// request or response is under way or the connection is about to close.
--- a/src/live/http_connection_end.cc
+++ b/src/live/http_connection_end.cc
@@ -40,19 +40,40 @@
   socket_.set_option(asio::socket_base::linger(enabled, /*timeout=*/0), error);
 }
 
-std::string_view Connection::unfinishedWork() const {
-  if (state_ == State::kClosed) return {};
-  if (bufferedBytes() > 0) return "a response is not sent whole";
-  if (state_ == State::kResponding) return "a request is being served";
-  if (unacknowledgedBytes(socket_).value_or(0) > 0) return "a response is not acknowledged";
+std::string_view toString(UnfinishedWork work) {
+  switch (work) {
+    case UnfinishedWork::kNone:
+      return "nothing";
+    case UnfinishedWork::kUnsent:
+      return "a response is not sent whole";
+    case UnfinishedWork::kServed:
+      return "a request is being served";
+    case UnfinishedWork::kUnacknowledged:
+      return "a response is not acknowledged";
+    case UnfinishedWork::kRefusedArrives:
+      return "the peer still sends a refused request";
+    case UnfinishedWork::kArrives:
+      return "a request arrives";
+  }
+  return "nothing";
+}
+
+UnfinishedWork Connection::unfinishedWork() const {
+  if (state_ == State::kClosed) return UnfinishedWork::kNone;
+  if (bufferedBytes() > 0) return UnfinishedWork::kUnsent;
+  if (state_ == State::kResponding) return UnfinishedWork::kServed;
+  if (unacknowledgedBytes(socket_).value_or(0) > 0) return UnfinishedWork::kUnacknowledged;
   if (state_ == State::kLingering) {
-    // A peer that still sends a refused request may not have read the refusal: closing the
-    // connection would reset it.
     const bool stillSends = lingeredBytes_ > 0 && !peerHasClosed(socket_);
-    return stillSends ? "the peer still sends a refused request" : std::string_view{};
+    return stillSends ? UnfinishedWork::kRefusedArrives : UnfinishedWork::kNone;
   }
   const bool arrives = parser_->got_some() || buffer_.size() > 0 || unreadBytes(socket_) > 0;
-  return arrives ? "a request arrives" : std::string_view{};
+  return arrives ? UnfinishedWork::kArrives : UnfinishedWork::kNone;
+}
+
+bool Connection::cutByExit() const {
+  const auto work = unfinishedWork();
+  return work != UnfinishedWork::kNone && work != UnfinishedWork::kUnacknowledged;
 }
 
 void Connection::linger() {
--- a/src/live/http_server.cc
+++ b/src/live/http_server.cc
@@ -321,6 +321,11 @@
 
 std::size_t HttpServer::openConnections() const { return core_->connections.size(); }
 
+std::size_t HttpServer::connectionsCutByExit() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      core_->connections, [](const auto& entry) { return entry.second->cutByExit(); }));
+}
+
 std::size_t HttpServer::unfinishedConnections() const {
   return static_cast<std::size_t>(std::ranges::count_if(
       core_->connections, [](const auto& entry) { return entry.second->unfinished(); }));
--- a/src/live/http_server.h
+++ b/src/live/http_server.h
@@ -120,14 +120,27 @@
 using HttpRefusalFormatter =
     std::function<HttpResponse(const base::Reason&, const HttpRequest& head)>;
 
+/// What a connection's peer would lose, or might, if the process ended now.
+enum class UnfinishedWork {
+  kNone,
+  /// A part of a response was not accepted by the operating system.
+  kUnsent,
+  kServed,
+  /// The peer's machine has not acknowledged all bytes of a response.
+  kUnacknowledged,
+  /// The peer may not have read the refusal yet: closing the connection would reset it.
+  kRefusedArrives,
+  kArrives,
+};
+std::string_view toString(UnfinishedWork work);
+
 /// A connection that the server closed of its own accord although it held a part of a request or
 /// bytes that were not read.
 struct EarlyClose {
   base::Endpoint peer;
   /// Which limit ended it.
   std::string_view why;
-  /// What was unfinished.
-  std::string_view unfinished;
+  UnfinishedWork unfinished = UnfinishedWork::kNone;
   /// Bytes that the operating system held and that were not read.
   std::size_t unreadBytes = 0;
   /// Bytes of an incomplete request that were read.
@@ -195,6 +208,9 @@
   /// Number of connections on which a request or a part of it has arrived, or a response has not
   /// been acknowledged whole by the peer's machine.
   std::size_t unfinishedConnections() const;
+  /// Those among them that the end of the process would cut: not those whose response the operating
+  /// system has accepted whole.
+  std::size_t connectionsCutByExit() const;
 
  private:
   struct Core;
--- a/src/live/planned_stop.cc
+++ b/src/live/planned_stop.cc
@@ -24,11 +24,20 @@
 base::TimePoint PlannedStop::endsAt() const { return begunAt_ + grace_ - kGraceMargin; }
 base::TimePoint PlannedStop::lastResponsesAt() const { return endsAt() - kLastResponseTime; }
 
+std::size_t PlannedStop::openRequests() const {
+  return environment_.service.openRequests() + environment_.peerRelay.open();
+}
+
+std::size_t PlannedStop::cutWork() const {
+  const auto connections = environment_.callerServer.connectionsCutByExit() +
+                           environment_.relayServer.connectionsCutByExit();
+  return std::max(openRequests(), connections);
+}
+
 std::size_t PlannedStop::openWork() const {
-  const auto requests = environment_.service.openRequests() + environment_.peerRelay.open();
   const auto connections = environment_.callerServer.unfinishedConnections() +
                            environment_.relayServer.unfinishedConnections();
-  return std::max(requests, connections);
+  return std::max(openRequests(), connections);
 }
 
 void PlannedStop::begin(std::function<void()> ended) {
@@ -77,7 +86,7 @@
 }
 
 void PlannedStop::endProcess() {
-  environment_.log.write(base::Event::kNodeStopped, {{"open", std::to_string(openWork())}});
+  environment_.log.write(base::Event::kNodeStopped, {{"open", std::to_string(cutWork())}});
   environment_.callerServer.closeForExit();
   environment_.relayServer.closeForExit();
   ended_();
--- a/src/live/planned_stop.h
+++ b/src/live/planned_stop.h
@@ -44,6 +44,11 @@
   /// Number of requests that have no whole response yet, or of connections on which one is still to
   /// be delivered, whichever is larger.
   std::size_t openWork() const;
+  /// As `openWork`, without the responses that the operating system delivers behind the end of the
+  /// process.
+  std::size_t cutWork() const;
+  /// Number of requests that have no whole response yet.
+  std::size_t openRequests() const;
   void step();
   /// Sends callers that may have noticed the stop to other nodes.
   void turnCallersAway();
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -280,7 +280,7 @@
     log.write(base::Event::kConnectionClosedEarly,
               {{"peer", base::toString(early.peer)},
                {"why", std::string{early.why}},
-               {"unfinished", std::string{early.unfinished}},
+               {"unfinished", std::string{toString(early.unfinished)}},
                {"unread", std::to_string(early.unreadBytes)},
                {"read", std::to_string(early.requestBytes)},
                {"unsent", std::to_string(early.unsentBytes)},
--- a/tests/live/http_server_test.cc
+++ b/tests/live/http_server_test.cc
@@ -420,6 +420,22 @@
   BOOST_TEST(pressed);
 }
 
+// Guards against a planned stop that reports a response as cut which its late reader gets whole.
+BOOST_AUTO_TEST_CASE(ResponseThatTheOperatingSystemHasAcceptedIsNotCutByTheEndOfTheProcess) {
+  constexpr std::size_t kWithinSocketBuffers = 1U << 20U;
+  Fixture fixture;
+  TestClient client(fixture.context, fixture.endpoint, /*reading=*/false);
+  client.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  fixture.nextExchange()->respond({200, {}, std::string(kWithinSocketBuffers, 'a') + "end"});
+  BOOST_TEST(fixture.server.connectionsCutByExit() == 1U);
+  fixture.run(std::chrono::milliseconds(100));
+  BOOST_TEST(fixture.server.unfinishedConnections() == 1U);
+  BOOST_TEST(fixture.server.connectionsCutByExit() == 0U);
+  fixture.server.closeForExit();
+  client.read();
+  client.waitFor("end");
+}
+
 BOOST_AUTO_TEST_CASE(SlowReaderRaisesPressureAndReleasesIt) {
   HttpLimits limits;
   limits.responseBufferBytes = 1000;
