--- a/tests/crowds/shapes.py
+++ b/tests/crowds/shapes.py
@@ -204,6 +204,13 @@
     await again_and_again(node, PEERS, send)
 
 
+async def all_at_once(node, number):
+    """Each client does one of what the other crowds do."""
+    acts = [announced_and_held, answers_unread, heads_held(15_000), whole_bodies, chunks_that_go_on(RELAY), frames_held,
+            refusals_unread, bodies_byte_by_byte]
+    await acts[number % len(acts)](node, number)
+
+
 SHAPES = {
     "bodies_without_end": Shape(chunks_without_end(CALLERS), clients=400),
     "bodies_that_go_on": Shape(chunks_that_go_on(CALLERS), clients=400),
@@ -221,5 +228,6 @@
     "bodies_to_metrics": Shape(chunks_without_end(METRICS), clients=40),
     "bodies_to_other_nodes_port": Shape(chunks_that_go_on(RELAY), clients=200, body_bytes=1_048_576),
     "frames_held": Shape(frames_held, clients=8),
+    "all_at_once": Shape(all_at_once, clients=800, memory_mb=88, descriptors=4100, body_bytes=4_194_304),
     "parts_of_bodies_and_closed": Shape(parts_of_bodies_and_closed, clients=100),
 }
