Say what a listener's refusal is worth by whether its handler had the request

The formatter of refusals was told a reason and a head, and the port for other nodes' requests answered each as refused: not passed on. One of its uses is a request whose handler failed, which may have been passed on. No wrong promise was seen, by luck: that answer lacked its identifier and so was taken for another's. The formatter now gets an HttpRefusal that says whether the handler had the request, with its head; such a request of another node is lost, not refused. With the former answer RequestWhoseHandlerThrewIsReportedAsLostAndNot- AsRefused fails.

Read once more, without a change of behaviour: the node takes its listener off the account of memory when it ends, since connections may let go later; making room and the next write ask for less.

--- a/src/live/daemon.cc
+++ b/src/live/daemon.cc
@@ -118,9 +118,7 @@
         CallerGatewayEnvironment{clock, timers, log, metrics, *node},
         settings.name + "-" + std::to_string(incarnation) + "-refused-");
     callerServer.setRefusalFormatter(
-        [this](const base::Reason& cause, const HttpRequest& /*head*/) {
-          return callers->formatRefusal(cause);
-        });
+        [this](const HttpRefusal& refusal) { return callers->formatRefusal(refusal.reason); });
     operators = std::make_unique<OperatorGateway>(node->operators(), settings.operatorKey);
 
     peers.start(
--- a/src/live/http_connection.cc
+++ b/src/live/http_connection.cc
@@ -68,9 +68,12 @@
   exchange_.reset();
   if (exchange) exchange->onPeerDisconnected();
   if (state_ == State::kReading && parser_->got_some()) {
-    refuse({base::ResultCode::kNodeOverloaded, "this node failed while it read the request"});
+    refuse(base::Reason{base::ResultCode::kNodeOverloaded,
+                        "this node failed while it read the request"});
   } else if (exchange && !responseBegun_) {
-    refuse({base::ResultCode::kInternalFailure, "this node failed while it served the request"});
+    refuse({{base::ResultCode::kInternalFailure, "this node failed while it served the request"},
+            exchange->request(),
+            /*handled=*/true});
   } else if (exchange || state_ != State::kResponding) {
     close();
   } else {
@@ -178,7 +181,8 @@
     requestBytes_ += used;
     if (error == http::error::need_more) {
       if (buffer_.size() <= maximumUnparsedBytes()) break;
-      refuse({base::ResultCode::kInvalidField, "the framing of the body exceeds its limit"});
+      refuse(base::Reason{base::ResultCode::kInvalidField,
+                          "the framing of the body exceeds its limit"});
       return;
     }
     if (error == http::error::end_of_stream) {
@@ -264,8 +268,8 @@
 }
 
 void Connection::refuseForMemory() {
-  refuse({base::ResultCode::kRequestMemoryUsedUp,
-          "this node has no memory for the rest of the request"});
+  refuse(base::Reason{base::ResultCode::kRequestMemoryUsedUp,
+                      "this node has no memory for the rest of the request"});
 }
 
 HttpRequest Connection::receivedHead() const {
@@ -277,18 +281,21 @@
           {}};
 }
 
-void Connection::refuse(const base::Reason& reason) {
+void Connection::refuse(base::Reason reason) {
+  refuse({std::move(reason), receivedHead(), /*handled=*/false});
+}
+
+void Connection::refuse(HttpRefusal refusal) {
   endIncoming();
   keepAlive_ = false;
   state_ = State::kResponding;
-  auto head = receivedHead();
-  auto response = owner_.formatRefusal(reason, head);
+  auto response = owner_.formatRefusal(refusal);
   // What was received goes at once: the peer may take long to read the response.
   resetParser();
   buffer_.consume(buffer_.size());
   buffer_.releaseUnused();
   enterReceived();
-  const auto exchange = std::make_shared<Exchange>(shared_from_this(), std::move(head),
+  const auto exchange = std::make_shared<Exchange>(shared_from_this(), std::move(refusal.head),
                                                    /*chunkedAllowed=*/true, arrival_);
   exchange->respond(std::move(response));
 }
@@ -310,10 +317,7 @@
 }
 
 void Connection::write() {
-  if (writing_.size() == written_) {
-    writing_ = std::exchange(pending_, {});
-    written_ = 0;
-  }
+  if (writing_.empty()) writing_ = std::exchange(pending_, {});
   writeActive_ = true;
   writtenAt_ = AsioClock{}.now();
   setDeadline(owner_.limits().stallTimeout);
--- a/src/live/http_connection.h
+++ b/src/live/http_connection.h
@@ -30,7 +30,7 @@
   virtual const HttpLimits& limits() const = 0;
   virtual const ServerMemory& memory() const = 0;
   virtual void onRequest(const HttpExchangePtr& exchange) = 0;
-  virtual HttpResponse formatRefusal(const base::Reason& reason, const HttpRequest& head) const = 0;
+  virtual HttpResponse formatRefusal(const HttpRefusal& refusal) const = 0;
   /// Whether the server is closing: responses then have the header `Connection: close`.
   virtual bool closing() const = 0;
   /// Whether the server has little room for new connections: responses that begin now ask the peer
@@ -216,7 +216,9 @@
   /// Whether so many bytes of responses are unsent that no further one may be made.
   bool manyBytesUnsent() const;
   void continueIfExpected();
-  void refuse(const base::Reason& reason);
+  /// Refuses the request that is being received.
+  void refuse(base::Reason reason);
+  void refuse(HttpRefusal refusal);
   void refuseForMemory();
   /// The head of the request that is being received; empty if it was not received whole.
   HttpRequest receivedHead() const;
--- a/src/live/http_connection_end.cc
+++ b/src/live/http_connection_end.cc
@@ -117,13 +117,12 @@
 }
 
 void Connection::closeForRoom() {
-  if (idleSince() && state_ != State::kLingering) {
+  if (state_ != State::kLingering && !transfer()) {
     closeIfIdle();
     return;
   }
-  const bool reads = state_ == State::kLingering || state_ == State::kReading;
-  if (reads && unreadBytes(socket_) > 0) return;
-  if (state_ != State::kLingering && !transfer()) return;
+  // A response that is not read is the peer's doing, whatever it has sent meanwhile.
+  if (state_ != State::kResponding && unreadBytes(socket_) > 0) return;
   reportEarlyClose("other connections need the room", base::Duration::zero());
   close();
 }
--- a/src/live/http_server.cc
+++ b/src/live/http_server.cc
@@ -33,7 +33,8 @@
 /// Percentage of the maximum of connections from which on responses ask callers to leave.
 constexpr std::size_t kCrowdedPercent = 90;
 
-HttpResponse defaultRefusal(const base::Reason& reason, const HttpRequest& /*head*/) {
+HttpResponse defaultRefusal(const HttpRefusal& refusal) {
+  const auto& reason = refusal.reason;
   const auto& entry = base::describe(reason.code);
   const nlohmann::json body = {{"code", static_cast<unsigned>(reason.code)},
                                {"name", entry.name},
@@ -81,8 +82,8 @@
     constexpr std::size_t kAll = 100;
     return connections.size() * kAll >= bounds.connections * kCrowdedPercent;
   }
-  HttpResponse formatRefusal(const base::Reason& reason, const HttpRequest& head) const override {
-    return refusalFormatter(reason, head);
+  HttpResponse formatRefusal(const HttpRefusal& refusal) const override {
+    return refusalFormatter(refusal);
   }
   void onRequest(const HttpExchangePtr& exchange) override {
     if (handler) handler(exchange);
--- a/src/live/http_server.h
+++ b/src/live/http_server.h
@@ -114,11 +114,17 @@
 /// Called once for each complete request. It may respond at once or keep the exchange and respond
 /// later.
 using HttpHandler = std::function<void(const HttpExchangePtr&)>;
-/// Formats the response to a request that the server itself refuses: too large, malformed, or not
-/// received for want of memory. `head` is empty unless the header section was received whole; its
-/// body is always empty.
-using HttpRefusalFormatter =
-    std::function<HttpResponse(const base::Reason&, const HttpRequest& head)>;
+/// A request that the server itself refuses: too large, malformed, not received for want of memory,
+/// or one whose handler failed.
+struct HttpRefusal {
+  base::Reason reason;
+  /// The request without its body; empty unless the header section was received whole.
+  HttpRequest head;
+  /// Whether the handler had the request, which may have run then.
+  bool handled = false;
+};
+/// Formats the response to a request that the server itself refuses.
+using HttpRefusalFormatter = std::function<HttpResponse(const HttpRefusal&)>;
 
 /// What a connection's peer would lose, or might, if the process ended now.
 enum class UnfinishedWork {
--- a/src/live/peer_relay.cc
+++ b/src/live/peer_relay.cc
@@ -208,10 +208,11 @@
                                     });
 }
 
-HttpResponse PeerRelay::refuseUnread(const base::Reason& reason, const HttpRequest& head) {
-  ++counters_.refused;
-  return failureResponse(head, {}, relay_headers::kRefused, reason.detail,
-                         clients::RunEnd::kNotSent);
+HttpResponse PeerRelay::formatRefusal(const HttpRefusal& refusal) {
+  ++(refusal.handled ? counters_.lost : counters_.refused);
+  return failureResponse(refusal.head, {},
+                         refusal.handled ? relay_headers::kLost : relay_headers::kRefused,
+                         refusal.reason.detail, clients::RunEnd::kNotShown);
 }
 
 void PeerRelay::respondFailure(const HttpExchangePtr& exchange, std::string_view failure,
--- a/src/live/peer_relay.h
+++ b/src/live/peer_relay.h
@@ -64,8 +64,8 @@
 
   /// Handles one request received by the relay listener.
   void handle(const HttpExchangePtr& exchange);
-  /// The response to a request that was not received whole, and so was not passed on.
-  HttpResponse refuseUnread(const base::Reason& reason, const HttpRequest& head);
+  /// The response to a request that the listener itself refuses.
+  HttpResponse formatRefusal(const HttpRefusal& refusal);
   /// Refuses new requests from now on, because the node is about to stop.
   void refuseNewRequests() { draining_ = true; }
   /// Reports all open requests as lost, or as not sent where that is certain, because this node is
--- a/src/live/rate_limited_event_log.cc
+++ b/src/live/rate_limited_event_log.cc
@@ -26,7 +26,7 @@
   }
 }
 
-/// Whether events of this kind may be caused by whoever connects, at no cost to him.
+/// Whether events of this kind may be caused by whoever connects, at no cost to them.
 bool isRefusal(base::Event event) {
   switch (event) {
     case base::Event::kRequestRefused:
--- a/src/live/relay_daemon.cc
+++ b/src/live/relay_daemon.cc
@@ -206,12 +206,10 @@
     });
     for (HttpServer* server : {&callerServer, &relayServer})
       server->onEarlyClose([this](const EarlyClose& early) { logEarlyClose(early); });
-    callerServer.setRefusalFormatter([this](const base::Reason& reason, const HttpRequest& head) {
-      return refuseUnread(reason, head);
-    });
-    relayServer.setRefusalFormatter([this](const base::Reason& reason, const HttpRequest& head) {
-      return peerRelay.refuseUnread(reason, head);
-    });
+    callerServer.setRefusalFormatter(
+        [this](const HttpRefusal& refusal) { return formatRefusal(refusal); });
+    relayServer.setRefusalFormatter(
+        [this](const HttpRefusal& refusal) { return peerRelay.formatRefusal(refusal); });
     memory->onFreed(kFreedStep, [this] { releaseMemorySoon(); });
     watchConnectionRoom();
     crashDetector.setListener([this](const routing::LostRequests& ended) {
@@ -231,6 +229,11 @@
     });
   }
 
+  // What connections hold may be let go later, when their last handlers are discarded.
+  ~Impl() override { memory->onFreed(0, nullptr); }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
   void watchConnectionRoom() {
     onAcceptDelay(callerServer, "callers");
     onAcceptDelay(relayServer, "relay");
@@ -260,19 +263,19 @@
     });
   }
 
-  /// The response to a caller's request that was not received whole, and so has not run.
-  HttpResponse refuseUnread(const base::Reason& reason, const HttpRequest& head) {
-    const auto id = head.header(deployment.dialect.requestIdHeader());
+  /// The response to a caller's request that the listener itself refuses.
+  HttpResponse formatRefusal(const HttpRefusal& refused) {
+    const auto id = refused.head.header(deployment.dialect.requestIdHeader());
     request::RelayRefusal refusal;
-    refusal.reason = reason;
-    refusal.status = base::describe(reason.code).httpStatus;
+    refusal.reason = refused.reason;
+    refusal.status = base::describe(refused.reason.code).httpStatus;
     refusal.closeConnection = true;
     if (refusal.status == kServiceUnavailable) refusal.retryAfter = kUnreadRetryAfter;
     log.write(base::Event::kRequestRefused,
               {{"request", std::string{id}},
-               {"code", std::to_string(static_cast<unsigned>(reason.code))},
+               {"code", std::to_string(static_cast<unsigned>(refusal.reason.code))},
                {"status", std::to_string(refusal.status)},
-               {"why", reason.detail}});
+               {"why", refusal.reason.detail}});
     return deployment.dialect.refusal(refusal, id);
   }
 
--- a/tests/live/peer_relay_test.cc
+++ b/tests/live/peer_relay_test.cc
@@ -140,8 +140,12 @@
   Tables tables;
   BackOffDialect dialect;
   PeerRelay relay{{}, {clock, log, dialect, replicaHttp, probe, replicas, links, tables}};
-  HttpServer relayServer{
-      context, {}, [this](const HttpExchangePtr& exchange) { relay.handle(exchange); }};
+  /// The node fails once it has passed a request on.
+  bool handlerThrows = false;
+  HttpServer relayServer{context, {}, [this](const HttpExchangePtr& exchange) {
+                           relay.handle(exchange);
+                           if (handlerThrows) throw std::runtime_error("handler failed");
+                         }};
   base::Endpoint listener;
   HttpClient unusedHttp{context};
   HttpClient peerHttp{context};
@@ -247,6 +251,20 @@
   BOOST_TEST((answer.error->runEnd == clients::RunEnd::kNotShown));
 }
 
+// Guards against a second run of a request that was passed on before this node failed.
+BOOST_AUTO_TEST_CASE(RequestWhoseHandlerThrewIsReportedAsLostAndNotAsRefused) {
+  relayServer.setRefusalFormatter(
+      [this](const HttpRefusal& refusal) { return relay.formatRefusal(refusal); });
+  handlerThrows = true;
+  Answer answer;
+  const auto call = send(answer);
+  waitFor(answer);
+  BOOST_REQUIRE(answer.error.has_value());
+  BOOST_TEST((answer.error->failure == clients::DispatchFailure::kOutcomeUnknown));
+  BOOST_TEST(relay.counters().refused == 0U);
+  BOOST_TEST(log.count(base::Event::kPeerRequestFailed) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(NothingIsPassedOnForAnUnknownTenant) {
   const auto error = failureOf("taken away");
   BOOST_TEST((error.failure == DispatchFailure::kNotSent));
